--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+VENV := .venv
+PY := $(VENV)/bin/python
+PACKAGES := core net standins node cli
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/snipelug-$(p))
+TOOLS := pytest pytest-trio hypothesis ruff mypy
+SOURCES := packages tests bench demo
+
+.PHONY: install demo test lint bench clean
+install: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q -c constraints.txt "setuptools>=77" wheel
+	$(PY) -m pip install -q -c constraints.txt --no-build-isolation $(EDITABLE) $(TOOLS)
+	touch $@
+
+demo: install
+	$(PY) -m demo
+
+test: install
+	$(PY) -m pytest
+
+lint: install
+	$(PY) -m ruff format --check $(SOURCES)
+	$(PY) -m ruff check $(SOURCES)
+	$(PY) -m mypy packages
+
+bench: install
+	$(PY) -m bench
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run as ``python -m bench``."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo, run as ``python -m demo``."""
--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of snipelug: no input or output, clock and randomness passed in."""
--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/contract.py
@@ -0,0 +1,120 @@
+"""Contracts of teams, and the configuration that they and the switches make up."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import typing
+
+import msgspec
+
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
+KeyHash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of a team over all nodes together.
+
+    Attributes
+    ----------
+    in_flight : int
+        Requests running at once.
+    requests_per_s, tokens_per_s : float
+        Rates of requests and of prompt plus generated tokens, per second.
+    queue_length : int
+        Requests waiting at one node.
+    prompt_tokens : int
+        Longest prompt, in tokens.
+    """
+
+    in_flight: Count = 64
+    requests_per_s: Positive = 50.0
+    tokens_per_s: Positive = 200_000.0
+    queue_length: Count = 128
+    prompt_tokens: Count = 200_000
+
+
+class Contract(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What one team may use.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    key_hashes : tuple of str
+        SHA-256 of each bearer key, in hexadecimal; keys are never stored.
+    models, services : tuple of str
+        Models and plain services that the team may call.
+    limits : Limits
+        Limits over all nodes.
+    weight : float
+        Share of the team when several teams wait.
+    priority : int
+        Priority passed to engines; lower runs earlier.
+    deadline_s : float
+        Default time to the first byte of an answer, in seconds.
+    require_key : tuple of str
+        Service paths (``NAME/PREFIX``) whose POST and PATCH calls need an
+        ``Idempotency-Key``.
+    """
+
+    team: Name
+    key_hashes: tuple[KeyHash, ...]
+    models: tuple[Name, ...] = ()
+    services: tuple[Name, ...] = ()
+    limits: Limits = Limits()
+    weight: Positive = 1.0
+    priority: int = 0
+    deadline_s: Positive = 30.0
+    require_key: tuple[str, ...] = ()
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model as served: everything that a cached block depends on."""
+
+    name: Name
+    tokenizer: Name = "bytes4"
+    adapter: str = ""
+    weight_version: Name = "w1"
+
+
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """The configuration in force at one revision.
+
+    Attributes
+    ----------
+    revision : int
+        Number of the last change applied; 0 before the first.
+    contracts : mapping of str to Contract
+        Contracts by team.
+    models : mapping of str to Model
+        Models by name.
+    zones_out, instances_out : frozenset of str
+        Availability zones and instances that operators have taken out.
+    """
+
+    revision: int = 0
+    contracts: collections.abc.Mapping[str, Contract] = dataclasses.field(
+        default_factory=dict
+    )
+    models: collections.abc.Mapping[str, Model] = dataclasses.field(
+        default_factory=dict
+    )
+    zones_out: frozenset[str] = frozenset()
+    instances_out: frozenset[str] = frozenset()
+
+
+def hash_key(bearer_key: str) -> str:
+    """Return the hash under which a bearer key is kept in contracts."""
+    return hashlib.sha256(bearer_key.encode()).hexdigest()
+
+
+def find_contract(cfg: Config, bearer_key: str) -> Contract | None:
+    """Return the contract that a bearer key belongs to."""
+    key_hash = hash_key(bearer_key)
+    for contract in cfg.contracts.values():
+        if key_hash in contract.key_hashes:
+            return contract
+    return None
--- /dev/null
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -0,0 +1,277 @@
+"""An HTTP/1.1 client: h11 over trio, pooled connections, outcomes as values."""
+
+import collections
+import collections.abc
+import dataclasses
+import itertools
+
+import h11
+import trio
+
+RECEIVE_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+
+Address = tuple[str, int]
+
+LastCheck = collections.abc.Callable[[float], bool]
+"""Called with the connection's opening time right before the first byte is sent."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A request to send.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Time from the start of the call to the response head, in seconds.
+    """
+
+    addr: Address
+    method: str
+    target: str
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    timeout_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class NotSent:
+    """No byte of the request left this process."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Withheld:
+    """The last check before sending said no; no byte of the request was sent."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """Bytes of the request were sent and no complete response came back."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class TooLarge:
+    """The response body is larger than the caller accepts."""
+
+    limit_bytes: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Full:
+    """A complete response."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Reply:
+    """A response whose head has arrived and whose body can be read."""
+
+    def __init__(self, pool: "Pool", conn: "_Connection", head: h11.Response) -> None:
+        self.status = head.status_code
+        self.headers = {
+            k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers
+        }
+        self.opened_at = conn.opened_at
+        self._pool = pool
+        self._conn = conn
+        self._finished = False
+
+    async def next_part(self) -> bytes | Lost | None:
+        """Return the next body part, None at the end, or Lost if it was cut off."""
+        if self._finished:
+            return None
+        try:
+            event = await self._conn.next_event()
+        except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
+            await self.aclose()
+            return Lost(str(exc) or "connection broken")
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self._finished = True
+        await self._pool.give_back(self._conn)
+        return None
+
+    async def read(self, limit_bytes: int, timeout_s: float) -> bytes | Lost | TooLarge:
+        """Read the whole body."""
+        parts: list[bytes] = []
+        size = 0
+        with trio.move_on_after(timeout_s):
+            while True:
+                part = await self.next_part()
+                if part is None:
+                    return b"".join(parts)
+                if isinstance(part, Lost):
+                    return part
+                size += len(part)
+                if size > limit_bytes:
+                    await self.aclose()
+                    return TooLarge(limit_bytes)
+                parts.append(part)
+        await self.aclose()
+        return Lost(f"the response body did not end within {timeout_s} s")
+
+    async def aclose(self) -> None:
+        """Close the connection if the body was not read to its end."""
+        if not self._finished:
+            self._finished = True
+            await trio.aclose_forcefully(self._conn.stream)
+
+
+class _Connection:
+    """One connection to a server."""
+
+    def __init__(self, addr: Address, stream: trio.SocketStream) -> None:
+        self.addr = addr
+        self.stream = stream
+        self.opened_at = trio.current_time()
+        self.proto = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    async def next_event(self) -> object:
+        while True:
+            event = self.proto.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self.proto.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+
+    def is_usable(self) -> bool:
+        # An idle connection becomes readable when the server closes it.
+        return not self.stream.socket.is_readable()
+
+
+class Pool:
+    """Connections kept open for reuse, by server address.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Time allowed to open a connection, in seconds.
+    idle_per_addr : int
+        Most idle connections kept for one address.
+    on_closed : callable, optional
+        Called with the address when an idle connection is found closed.
+    """
+
+    def __init__(
+        self,
+        connect_timeout_s: float = 2.0,
+        idle_per_addr: int = 64,
+        on_closed: collections.abc.Callable[[Address], None] | None = None,
+    ) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.idle_per_addr = idle_per_addr
+        self.on_closed = on_closed
+        self._idle: dict[Address, collections.deque[_Connection]] = {}
+
+    async def send(
+        self, call: Call, last_check: LastCheck | None = None
+    ) -> Reply | NotSent | Withheld | Lost:
+        """Send a request and wait for the head of its response.
+
+        Parameters
+        ----------
+        call : Call
+            The request.
+        last_check : LastCheck, optional
+            Evaluated without any suspension before the first byte is sent, so
+            that a right that has lapsed while this process was paused is seen.
+        """
+        conn = await self._take(call.addr)
+        if isinstance(conn, NotSent):
+            return conn
+        head = h11.Request(
+            method=call.method, target=call.target, headers=_head_fields(call)
+        )
+        data = conn.proto.send(head) or b""
+        if call.body:
+            data += conn.proto.send(h11.Data(data=call.body)) or b""
+        data += conn.proto.send(h11.EndOfMessage()) or b""
+        if last_check is not None and not last_check(conn.opened_at):
+            await trio.aclose_forcefully(conn.stream)
+            return Withheld()
+        return await self._exchange(call, conn, data)
+
+    async def fetch(
+        self,
+        call: Call,
+        limit_bytes: int = 16 * 1024 * 1024,
+        last_check: LastCheck | None = None,
+    ) -> Full | NotSent | Withheld | Lost | TooLarge:
+        """Send a request and read the whole response."""
+        reply = await self.send(call, last_check)
+        if not isinstance(reply, Reply):
+            return reply
+        body = await reply.read(limit_bytes, call.timeout_s)
+        if not isinstance(body, bytes):
+            return body
+        return Full(reply.status, reply.headers, body)
+
+    async def give_back(self, conn: _Connection) -> None:
+        """Keep a connection for reuse, or close it if it cannot be reused."""
+        proto = conn.proto
+        idle = self._idle.setdefault(conn.addr, collections.deque())
+        reusable = proto.our_state is h11.DONE and proto.their_state is h11.DONE
+        if not reusable or len(idle) >= self.idle_per_addr:
+            await trio.aclose_forcefully(conn.stream)
+            return
+        proto.start_next_cycle()
+        idle.append(conn)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for conn in itertools.chain.from_iterable(self._idle.values()):
+            await trio.aclose_forcefully(conn.stream)
+        self._idle.clear()
+
+    async def _exchange(
+        self, call: Call, conn: _Connection, data: bytes
+    ) -> Reply | Lost:
+        reason = f"no response within {call.timeout_s} s"
+        try:
+            with trio.move_on_after(call.timeout_s):
+                await conn.stream.send_all(data)
+                event = await conn.next_event()
+                while isinstance(event, h11.InformationalResponse):
+                    event = await conn.next_event()
+                if isinstance(event, h11.Response):
+                    return Reply(self, conn, event)
+                reason = "connection closed before the response"
+        except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
+            reason = str(exc) or "connection broken"
+        except trio.Cancelled:
+            await trio.aclose_forcefully(conn.stream)
+            raise
+        await trio.aclose_forcefully(conn.stream)
+        return Lost(reason)
+
+    async def _take(self, addr: Address) -> _Connection | NotSent:
+        idle = self._idle.get(addr)
+        while idle:
+            conn = idle.pop()
+            if conn.is_usable():
+                return conn
+            await trio.aclose_forcefully(conn.stream)
+            if self.on_closed is not None:
+                self.on_closed(addr)
+        try:
+            with trio.fail_after(self.connect_timeout_s):
+                stream = await trio.open_tcp_stream(*addr)
+        except (OSError, trio.TooSlowError) as exc:
+            return NotSent(f"cannot connect to {addr[0]}:{addr[1]}: {exc}")
+        return _Connection(addr, stream)
+
+
+def _head_fields(call: Call) -> list[tuple[str, str]]:
+    fields = {"host": f"{call.addr[0]}:{call.addr[1]}"}
+    fields.update(call.headers)
+    if call.body or call.method in ("POST", "PUT", "PATCH"):
+        fields["content-length"] = str(len(call.body))
+    return list(fields.items())
--- /dev/null
+++ b/packages/snipelug-net/src/snipelug_net/rpc.py
@@ -0,0 +1,164 @@
+"""Authenticated calls between nodes: grpclib on trio, messages as msgspec structs."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import hmac
+import typing
+
+import grpclib.client
+import grpclib.const
+import grpclib.encoding.base
+import grpclib.exceptions
+import grpclib.server
+import msgspec
+import trio
+import trio_asyncio
+
+SIGNATURE_BYTES = 16
+
+Message = typing.TypeVar("Message", bound=msgspec.Struct)
+Answer = typing.TypeVar("Answer", bound=msgspec.Struct)
+
+
+@dataclasses.dataclass(frozen=True)
+class Method(typing.Generic[Message, Answer]):
+    """A remote procedure: its name and the types of its two messages."""
+
+    name: str
+    request: type[Message]
+    reply: type[Answer]
+
+    @property
+    def path(self) -> str:
+        """Path of the method in the gRPC protocol."""
+        return f"/snipelug.Peer/{self.name}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Unreachable:
+    """The call brought no answer; whether the peer ran it is unknown."""
+
+    reason: str
+
+
+class BadSignatureError(Exception):
+    """A message without a valid signature arrived."""
+
+
+class SignedCodec(grpclib.encoding.base.CodecBase):
+    """Encode structs as MessagePack behind a keyed hash of type and content.
+
+    Parameters
+    ----------
+    key : bytes
+        Secret shared by the nodes of one deployment, up to 64 bytes.
+    """
+
+    __content_subtype__ = "msgpack"
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+
+    def _signature(self, message_type: type, body: bytes) -> bytes:
+        digest = hashlib.blake2b(key=self._key, digest_size=SIGNATURE_BYTES)
+        digest.update(message_type.__name__.encode())
+        digest.update(b"\0")
+        digest.update(body)
+        return digest.digest()
+
+    def encode(self, message: typing.Any, message_type: typing.Any) -> bytes:
+        """Serialise and sign a message."""
+        body = msgspec.msgpack.encode(message)
+        return self._signature(message_type, body) + body
+
+    def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
+        """Check the signature of a message, then validate its content."""
+        body = bytes(data[SIGNATURE_BYTES:])
+        expected = self._signature(message_type, body)
+        if not hmac.compare_digest(bytes(data[:SIGNATURE_BYTES]), expected):
+            raise BadSignatureError(f"bad signature on {message_type.__name__}")
+        return msgspec.msgpack.decode(body, type=message_type)
+
+
+Procedure = collections.abc.Callable[
+    [typing.Any], collections.abc.Awaitable[msgspec.Struct]
+]
+
+
+class _Service:
+    """Adapter that lets grpclib call trio procedures."""
+
+    def __init__(
+        self, procedures: dict[Method[typing.Any, typing.Any], Procedure]
+    ) -> None:
+        self._procedures = procedures
+
+    def __mapping__(self) -> dict[str, grpclib.const.Handler]:
+        return {
+            method.path: grpclib.const.Handler(
+                self._adapt(procedure),
+                grpclib.const.Cardinality.UNARY_UNARY,
+                method.request,
+                method.reply,
+            )
+            for method, procedure in self._procedures.items()
+        }
+
+    @staticmethod
+    def _adapt(procedure: Procedure) -> typing.Any:
+        async def handle(stream: typing.Any) -> None:
+            message = await stream.recv_message()
+            answer = await trio_asyncio.trio_as_aio(procedure)(message)
+            await stream.send_message(answer)
+
+        return handle
+
+
+async def serve(
+    host: str,
+    port: int,
+    key: bytes,
+    procedures: dict[Method[typing.Any, typing.Any], Procedure],
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve procedures until cancelled; needs an open trio-asyncio loop."""
+    server = grpclib.server.Server([_Service(procedures)], codec=SignedCodec(key))
+    await trio_asyncio.aio_as_trio(server.start)(host, port)
+    task_status.started()
+    try:
+        await trio.sleep_forever()
+    finally:
+        server.close()
+
+
+class Client:
+    """Call procedures of one peer; needs an open trio-asyncio loop."""
+
+    def __init__(self, host: str, port: int, key: bytes) -> None:
+        self._channel = grpclib.client.Channel(host, port, codec=SignedCodec(key))
+
+    async def call(
+        self, method: Method[Message, Answer], message: Message, timeout_s: float
+    ) -> Answer | Unreachable:
+        """Call a procedure and return its answer, or why there is none."""
+        stub: typing.Any = grpclib.client.UnaryUnaryMethod(
+            self._channel, method.path, method.request, method.reply
+        )
+        with trio.move_on_after(timeout_s):
+            try:
+                answer = await trio_asyncio.aio_as_trio(stub)(message)
+            except (
+                grpclib.exceptions.GRPCError,
+                grpclib.exceptions.StreamTerminatedError,
+                BadSignatureError,
+                msgspec.MsgspecError,
+                OSError,
+            ) as exc:
+                return Unreachable(f"{type(exc).__name__}: {exc}")
+            return typing.cast(Answer, answer)
+        return Unreachable(f"no answer within {timeout_s} s")
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry node process, `snipelugd`."""
--- /dev/null
+++ b/packages/snipelug-standins/src/snipelug_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of outside systems, each a process of its own on TCP."""
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,91 @@
+"""Contract tests of the transports over real sockets."""
+
+import http
+
+import msgspec
+import pytest
+import trio
+import trio_asyncio
+
+from snipelug_net import http_client, http_server, rpc
+
+LIMITS = http_server.Limits(body_bytes=100, head_s=0.2, body_s=0.2)
+
+
+async def echo(req: http_server.Request) -> http_server.Response:
+    return http_server.Response(200, req.body or req.path.encode())
+
+
+MALFORMED = [
+    (b"nonsense\r\n\r\n", http.HTTPStatus.BAD_REQUEST),
+    (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nab", 408),
+    (b"POST / HTTP/1.1\r\nhost: a\r\n", 408),
+    (b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\n\r\n" + b"x" * 101, 413),
+    (b"GET / HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 40_000 + b"\r\n\r\n", 431),
+]
+
+
+@pytest.mark.parametrize(("data", "status"), MALFORMED)
+async def test_malformed_request_gets_clear_error(
+    nursery: trio.Nursery, data: bytes, status: int
+) -> None:
+    """Guards against silent closes and unbounded reads on bad input."""
+    server = http_server.Server(echo, LIMITS)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    await stream.send_all(data)
+    received = b""
+    with trio.fail_after(5):
+        async for part in stream:
+            received += part
+    head, _, body = received.partition(b"\r\n\r\n")
+    assert f" {int(status)} ".encode() in head.splitlines()[0]
+    assert msgspec.json.decode(body)["error"]["run_state"] == "not_run"
+
+
+async def test_last_check_withholds_request(nursery: trio.Nursery) -> None:
+    """Guards against sending on a right that lapsed while connecting."""
+    server = http_server.Server(echo)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    pool = http_client.Pool()
+    call = http_client.Call(("127.0.0.1", port), "GET", "/x")
+    assert await pool.fetch(call, last_check=lambda _: False) == http_client.Withheld()
+    full = await pool.fetch(call, last_check=lambda _: True)
+    assert isinstance(full, http_client.Full)
+    assert full.body == b"/x"
+
+
+async def test_refused_connection_is_not_sent() -> None:
+    """Guards against reporting a refused connection as possibly executed."""
+    call = http_client.Call(("127.0.0.1", 1), "GET", "/")
+    assert isinstance(await http_client.Pool().fetch(call), http_client.NotSent)
+
+
+class Ping(msgspec.Struct):
+    text: str
+
+
+PING = rpc.Method("Ping", Ping, Ping)
+
+
+@pytest.mark.parametrize("key", [b"right", b"wrong"])
+async def test_rpc_needs_deployment_key(key: bytes) -> None:
+    """Guards against accepting messages of processes without the shared key."""
+
+    async def reply(message: Ping) -> Ping:
+        return Ping(message.text + "!")
+
+    listener = trio.socket.socket()
+    await listener.bind(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    listener.close()
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        await nursery.start(rpc.serve, "127.0.0.1", port, b"right", {PING: reply})
+        client = rpc.Client("127.0.0.1", port, key)
+        answer = await client.call(PING, Ping("hi"), timeout_s=5.0)
+        client.close()
+        nursery.cancel_scope.cancel()
+    if key == b"right":
+        assert answer == Ping("hi!")
+    else:
+        assert isinstance(answer, rpc.Unreachable)
