--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/journal.py
@@ -0,0 +1,56 @@
+"""Log lines as JSON, one object a line, with stable event names."""
+
+import logging
+import sys
+import time
+
+import msgspec
+
+_STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+
+
+class JsonFormatter(logging.Formatter):
+    """Format a record and its extra fields as one JSON object."""
+
+    def __init__(self, node_id: str) -> None:
+        super().__init__()
+        self._node_id = node_id
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line for one record."""
+        line: dict[str, object] = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "node": self._node_id,
+            "logger": record.name,
+            "event": record.getMessage(),
+        }
+        for name, value in vars(record).items():
+            if name not in _STANDARD:
+                line[name] = value
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def setup(node_id: str, level: str) -> None:
+    """Send all log records to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter(node_id))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    # HTTP/2 frames of the RPC library are logged at DEBUG.
+    logging.getLogger("hpack").setLevel(logging.WARNING)
+
+
+def event(logger: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event at INFO with its fields."""
+    if logger.isEnabledFor(logging.INFO):
+        logger.info(name, extra=fields)
+
+
+def warning(logger: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event at WARNING with its fields."""
+    logger.warning(name, extra=fields)
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/main.py
@@ -0,0 +1,125 @@
+"""The command `snipelugd`."""
+
+import typing
+
+import trio
+import typer
+
+from snipelug_node import journal, node, settings
+
+APP = typer.Typer(add_completion=True, pretty_exceptions_enable=False)
+
+EXIT_INVALID_SETTINGS = 2
+
+
+def option(
+    flag: str, text: str, environment: str | None = None, metavar: str | None = None
+) -> typing.Any:
+    """Build an option that can also be set by an environment variable."""
+    variable = environment or "SNIPELUG_" + flag.removeprefix("--").upper()
+    return typer.Option(
+        flag, envvar=variable.replace("-", "_"), help=text, metavar=metavar
+    )
+
+
+@APP.command()
+def serve(
+    node_id: typing.Annotated[str, option("--node-id", "Instance id.")] = "",
+    zone: typing.Annotated[str, option("--zone", "Availability zone.")] = "",
+    host: typing.Annotated[str, option("--host", "IP address.")] = "127.0.0.1",
+    port: typing.Annotated[int, option("--port", "Port for callers.")] = 8080,
+    admin_port: typing.Annotated[
+        int, option("--admin-port", "Port for operators.")
+    ] = 8081,
+    rpc_port: typing.Annotated[int, option("--rpc-port", "Port for nodes.")] = 8082,
+    tables: typing.Annotated[
+        str, option("--tables", "Table service.", metavar="IP:PORT")
+    ] = "",
+    objects: typing.Annotated[
+        str, option("--objects", "Object store.", metavar="IP:PORT")
+    ] = "",
+    instances: typing.Annotated[
+        str, option("--instances", "Instance list.", metavar="IP:PORT")
+    ] = "",
+    key: typing.Annotated[str, option("--key", "Secret shared by all nodes.")] = "",
+    admin_key: typing.Annotated[
+        str, option("--admin-key", "Bearer key of operators.")
+    ] = "",
+    peer: typing.Annotated[
+        list[str] | None,
+        option("--peer", "Another node; may be repeated.", metavar="ID=IP:PORT"),
+    ] = None,
+    zone_delay: typing.Annotated[
+        list[str] | None,
+        option("--zone-delay", "One-way delay.", metavar="ZONE:ZONE=MS"),
+    ] = None,
+    statsd: typing.Annotated[
+        str, option("--statsd", "Metrics receiver.", metavar="IP:PORT")
+    ] = "",
+    mode: typing.Annotated[str, option("--mode", "Routing: ttft or reuse.")] = "ttft",
+    cold_limit: typing.Annotated[
+        int, option("--cold-limit", "Requests a cold upstream sustains.")
+    ] = 2,
+    weight_loads: typing.Annotated[
+        int, option("--weight-loads", "Weight loads at once.")
+    ] = 3,
+    upstream_in_flight: typing.Annotated[
+        int, option("--upstream-in-flight", "Requests of this node per upstream.")
+    ] = 64,
+    drain_s: typing.Annotated[
+        float, option("--drain-s", "Longest planned stop, in seconds.")
+    ] = 60.0,
+    log_level: typing.Annotated[str, option("--log-level", "Log level.")] = "INFO",
+    check: typing.Annotated[
+        bool, typer.Option("--check", help="Validate the settings and exit.")
+    ] = False,
+) -> None:
+    """Serve callers, operators and other nodes until stopped."""
+    read = settings.Reader()
+    cfg = settings.Settings(
+        node_id=read.required("--node-id", node_id),
+        zone=read.required("--zone", zone),
+        host=read.ip("--host", host),
+        port=read.port("--port", port),
+        admin_port=read.port("--admin-port", admin_port),
+        rpc_port=read.port("--rpc-port", rpc_port),
+        tables=read.address("--tables", tables),
+        objects=read.address("--objects", objects),
+        instances=read.address("--instances", instances),
+        key=read.key("--key", key),
+        admin_key=read.key("--admin-key", admin_key).decode(),
+        peers=read.peers("--peer", peer or []),
+        zone_delays_s=read.zone_delays("--zone-delay", zone_delay or []),
+        statsd=read.address("--statsd", statsd) if statsd else None,
+        mode=read.one_of("--mode", mode, settings.MODES),
+        cold_limit=cold_limit,
+        weight_loads=weight_loads,
+        upstream_in_flight=upstream_in_flight,
+        drain_s=drain_s,
+        log_level=read.one_of("--log-level", log_level, settings.LOG_LEVELS),
+    )
+    read.at_least("--cold-limit", cold_limit, 1)
+    read.at_least("--weight-loads", weight_loads, 1)
+    read.at_least("--upstream-in-flight", upstream_in_flight, 1)
+    read.at_least("--drain-s", drain_s, 0)
+    if len({port, admin_port, rpc_port}) < 3:
+        read.fail("--port, --admin-port, --rpc-port", "must differ")
+    if read.mistakes:
+        for mistake in read.mistakes:
+            typer.echo(f"snipelugd: {mistake}", err=True)
+        raise typer.Exit(EXIT_INVALID_SETTINGS)
+    if check:
+        typer.echo("settings are valid")
+        return
+    journal.setup(cfg.node_id, cfg.log_level)
+    trio.run(node.run, cfg)
+
+
+def run() -> None:
+    """Run the command."""
+
+    APP()
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/settings.py
@@ -0,0 +1,173 @@
+"""Settings of a node, from flags and environment variables, validated together."""
+
+import collections.abc
+import dataclasses
+import ipaddress
+
+from snipelug_net import http_client
+
+MIN_KEY_CHARS = 16
+MAX_KEY_BYTES = 64
+MAX_PORT = 65_535
+MODES = ("ttft", "reuse")
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Validated settings.
+
+    Attributes
+    ----------
+    node_id, zone : str
+        Instance id of this node and its availability zone.
+    host : str
+        IP address that all listeners bind.
+    port, admin_port, rpc_port : int
+        Ports for callers, operators and other nodes.
+    tables, objects, instances : tuple of (str, int)
+        Addresses of the platform's services.
+    peers : mapping of str to (str, int)
+        RPC addresses of other nodes, used until the members table is read.
+    key : bytes
+        Secret shared by the nodes of one deployment.
+    admin_key : str
+        Bearer key of the operators.
+    statsd : tuple of (str, int) or None
+        Where metrics are sent.
+    mode : str
+        Routing mode, one of ``MODES``.
+    zone_delays_s : mapping of (str, str) to float
+        One-way delay between two zones, in seconds; names in sorted order.
+    cold_limit : int
+        Requests that an upstream can sustain at once while cold.
+    weight_loads : int
+        Weight loads allowed at once in the deployment.
+    upstream_in_flight : int
+        Most requests of this node at one upstream.
+    drain_s : float
+        Time that a planned stop waits for open requests, in seconds.
+    """
+
+    node_id: str
+    zone: str
+    host: str
+    port: int
+    admin_port: int
+    rpc_port: int
+    tables: http_client.Address
+    objects: http_client.Address
+    instances: http_client.Address
+    key: bytes
+    admin_key: str
+    peers: collections.abc.Mapping[str, http_client.Address]
+    zone_delays_s: collections.abc.Mapping[tuple[str, str], float]
+    statsd: http_client.Address | None = None
+    mode: str = "ttft"
+    cold_limit: int = 2
+    weight_loads: int = 3
+    upstream_in_flight: int = 64
+    drain_s: float = 60.0
+    log_level: str = "INFO"
+
+
+class Reader:
+    """Parse single settings and collect what is wrong with them."""
+
+    def __init__(self) -> None:
+        self.mistakes: list[str] = []
+
+    def fail(self, name: str, reason: str) -> None:
+        """Note one mistake."""
+        self.mistakes.append(f"{name}: {reason}")
+
+    def required(self, name: str, value: str) -> str:
+        """Check that a setting is given."""
+        if not value:
+            self.fail(name, "is required")
+        return value
+
+    def ip(self, name: str, value: str) -> str:
+        """Check an IP address."""
+        try:
+            ipaddress.ip_address(value)
+        except ValueError:
+            self.fail(name, f"{value!r} is not an IP address")
+        return value
+
+    def port(self, name: str, value: int) -> int:
+        """Check a port number."""
+        if not 0 < value <= MAX_PORT:
+            self.fail(name, f"{value} is not a port between 1 and {MAX_PORT}")
+        return value
+
+    def at_least(self, name: str, value: float, least: float) -> None:
+        """Check a lower bound."""
+        if value < least:
+            self.fail(name, f"{value} is less than {least}")
+
+    def address(self, name: str, value: str) -> http_client.Address:
+        """Parse ``IP:PORT``."""
+        host, colon, port = value.rpartition(":")
+        if not colon or not port.isdigit():
+            self.fail(name, f"{value!r} is not of the form IP:PORT")
+            return ("", 0)
+        return self.ip(name, host), self.port(name, int(port))
+
+    def peers(
+        self, name: str, values: collections.abc.Sequence[str]
+    ) -> dict[str, http_client.Address]:
+        """Parse entries of the form ``ID=IP:PORT``."""
+        found: dict[str, http_client.Address] = {}
+        for value in values:
+            node_id, equals, address = value.partition("=")
+            if not equals:
+                self.fail(name, f"{value!r} is not of the form ID=IP:PORT")
+                continue
+            if node_id in found:
+                self.fail(name, f"{node_id!r} is given twice")
+            found[node_id] = self.address(name, address)
+        return found
+
+    def zone_delays(
+        self, name: str, values: collections.abc.Sequence[str]
+    ) -> dict[tuple[str, str], float]:
+        """Parse entries of the form ``ZONE:ZONE=MILLISECONDS``."""
+        found: dict[tuple[str, str], float] = {}
+        for value in values:
+            pair, _, delay_ms = value.partition("=")
+            first, _, second = pair.partition(":")
+            try:
+                delay_s = float(delay_ms) / 1000
+            except ValueError:
+                delay_s = -1.0
+            if not first or not second or delay_s < 0:
+                self.fail(name, f"{value!r} is not of the form ZONE:ZONE=MILLISECONDS")
+                continue
+            found[min(first, second), max(first, second)] = delay_s
+        return found
+
+    def key(self, name: str, value: str) -> bytes:
+        """Check a shared secret."""
+        data = value.encode()
+        if len(value) < MIN_KEY_CHARS:
+            self.fail(name, f"has fewer than {MIN_KEY_CHARS} characters")
+        if len(data) > MAX_KEY_BYTES:
+            self.fail(name, f"is longer than {MAX_KEY_BYTES} bytes")
+        return data
+
+    def one_of(
+        self, name: str, value: str, allowed: collections.abc.Sequence[str]
+    ) -> str:
+        """Check a choice."""
+        if value not in allowed:
+            self.fail(name, f"{value!r} is not one of {', '.join(allowed)}")
+        return value
+
+
+def zone_delay_s(cfg: Settings, first: str, second: str) -> float:
+    """Return the one-way delay between two zones, 0 within one zone."""
+    if first == second:
+        return 0.0
+    pair = (min(first, second), max(first, second))
+    return cfg.zone_delays_s.get(pair, 0.001)
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -0,0 +1,148 @@
+"""Tasks that keep the tables of instances and upstreams up to date."""
+
+import collections.abc
+import dataclasses
+import logging
+import typing
+
+import msgspec
+import trio
+
+from snipelug_core import table
+from snipelug_net import http_client
+from snipelug_node import journal, ports
+
+LOG = logging.getLogger("snipelug.watcher")
+
+LIST_INTERVAL_S = 1.0
+LOAD_INTERVAL_S = 0.5
+LOAD_TIMEOUT_S = 1.0
+MAX_REPORT_BYTES = 64 * 1024
+UPSTREAM_ROLES = frozenset({table.Role.ENGINE, table.Role.SERVICE})
+
+Subset = collections.abc.Callable[
+    [collections.abc.Iterable[table.Instance]], list[table.Instance]
+]
+
+
+class WireReport(msgspec.Struct):
+    """A load report as an upstream sends it."""
+
+    boot_id: str
+    state: typing.Literal["cold", "warm", "leaving"] = "warm"
+    running: int = 0
+    waiting: int = 0
+    seq: int = 0
+    age_s: float = 0.0
+    weight_version: str = ""
+
+
+def to_report(wire: WireReport, asked_at: float) -> table.LoadReport:
+    """Convert a report; its time is when it was made, on this node's clock."""
+    return table.LoadReport(
+        boot_id=wire.boot_id,
+        state=table.Warmth(wire.state),
+        running=wire.running,
+        waiting=wire.waiting,
+        seq=wire.seq,
+        made_at=asked_at - wire.age_s,
+        weight_version=wire.weight_version,
+    )
+
+
+def merge_instances(
+    tables: table.Tables,
+    listed: collections.abc.Iterable[table.Instance],
+    subset: Subset,
+) -> list[str]:
+    """Bring the tables in line with the instance list.
+
+    Returns
+    -------
+    list of str
+        Ids of upstreams that were added.
+    """
+    tables.instances = {inst.id: inst for inst in listed}
+    kept = subset(
+        inst for inst in tables.instances.values() if inst.role in UPSTREAM_ROLES
+    )
+    wanted = {inst.id: inst for inst in kept}
+    for upstream_id in list(tables.upstreams):
+        upstream = tables.upstreams[upstream_id]
+        if upstream_id in wanted:
+            upstream.instance = wanted[upstream_id]
+        elif upstream.in_flight == 0:
+            del tables.upstreams[upstream_id]
+    added = [uid for uid in wanted if uid not in tables.upstreams]
+    for uid in added:
+        tables.upstreams[uid] = table.Upstream(wanted[uid])
+    return added
+
+
+@dataclasses.dataclass
+class Watcher:
+    """Polls the instance list and the load of this node's upstreams.
+
+    Attributes
+    ----------
+    on_report : callable
+        Called with the upstream's id and each new report.
+    """
+
+    tables: table.Tables
+    instance_list: ports.InstanceList
+    pool: http_client.Pool
+    subset: Subset
+    on_report: collections.abc.Callable[[str, table.LoadReport], None]
+    list_read_at: float | None = None
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Poll until cancelled."""
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_list)
+            nursery.start_soon(self._watch_loads)
+
+    async def _watch_list(self) -> None:
+        while True:
+            await self.read_list()
+            await trio.sleep(LIST_INTERVAL_S)
+
+    async def read_list(self) -> None:
+        """Read the instance list once."""
+        listed = await self.instance_list.read()
+        if isinstance(listed, ports.Unavailable):
+            journal.warning(LOG, "instance_list_unavailable", reason=listed.reason)
+            return
+        self.list_read_at = trio.current_time()
+        added = merge_instances(self.tables, listed, self.subset)
+        if added:
+            journal.event(LOG, "upstreams_added", upstreams=added)
+
+    async def _watch_loads(self) -> None:
+        while True:
+            async with trio.open_nursery() as nursery:
+                for upstream in list(self.tables.upstreams.values()):
+                    nursery.start_soon(self.read_load, upstream)
+            await trio.sleep(LOAD_INTERVAL_S)
+
+    async def read_load(self, upstream: table.Upstream) -> None:
+        """Ask one upstream for its load."""
+        asked_at = trio.current_time()
+        inst = upstream.instance
+        call = http_client.Call(
+            (inst.host, inst.port), "GET", "/load", timeout_s=LOAD_TIMEOUT_S
+        )
+        full = await self.pool.fetch(call, MAX_REPORT_BYTES)
+        if not isinstance(full, http_client.Full):
+            return
+        try:
+            wire = msgspec.json.decode(full.body, type=WireReport)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            journal.warning(
+                LOG, "load_report_invalid", upstream=inst.id, reason=str(exc)
+            )
+            return
+        self.on_report(inst.id, to_report(wire, asked_at))
