Keep the HTTP server up when a client resets its connection

Cause: an answer runs in a trio nursery, so the BrokenResourceError of a reset connection arrives inside an exception group. The handler caught only the bare error, and one reset ended the whole server. Change: catch with except*. Before: test_client_reset_leaves_server_up fails with BrokenResourceError (1 failed, 9 passed). After: 10 passed.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -175,10 +175,12 @@
         try:
             async with stream:
                 await _Connection(self, stream).run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # Errors raised while a request is answered arrive in an exception group,
+        # because the answer runs in a nursery.
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
             LOG.debug("client connection broken")
-        except h11.LocalProtocolError as exc:
-            LOG.warning("response violates HTTP", extra={"reason": str(exc)})
+        except* h11.LocalProtocolError as group:
+            LOG.warning("response violates HTTP", extra={"reason": str(group)})
         finally:
             self.open_connections -= 1
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,9 @@
 """Contract tests of the transports over real sockets."""
 
+import collections.abc
 import http
+import socket
+import struct
 
 import msgspec
 import pytest
@@ -61,6 +64,31 @@
     assert isinstance(await http_client.Pool().fetch(call), http_client.NotSent)
 
 
+async def test_client_reset_leaves_server_up(nursery: trio.Nursery) -> None:
+    """Guards against one client's reset ending the whole server process."""
+
+    async def endless() -> collections.abc.AsyncGenerator[bytes, None]:
+        while True:
+            yield b"x" * 60_000
+
+    async def answer(req: http_server.Request) -> http_server.Response:
+        return http_server.Response(200, endless())
+
+    server = http_server.Server(answer)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    await stream.receive_some(10)
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream.socket.close()
+    with trio.fail_after(5):
+        while server.open_connections:
+            await trio.sleep(0.01)
+    again = await trio.open_tcp_stream("127.0.0.1", port)
+    await again.aclose()
+
+
 class Ping(msgspec.Struct):
     text: str
 
