--- /dev/null
+++ b/packages/snipelug-standins/src/snipelug_standins/kv.py
@@ -0,0 +1,98 @@
+"""Transfer of cached blocks between an engine and store instances."""
+
+import msgspec
+
+from snipelug_net import http_client
+from snipelug_standins import store
+
+TRANSFER_TIMEOUT_S = 30.0
+LIMIT_BYTES = 256 * 1024 * 1024
+ID_BYTES = 32
+CREATED = 201
+OK = 200
+
+
+class StoreAddress(msgspec.Struct, frozen=True):
+    """Where a store instance listens."""
+
+    host: str
+    port: int
+
+
+class ExportBlock(msgspec.Struct, frozen=True):
+    """A block to export, by the key that the node gave it."""
+
+    key: str
+
+
+class ExportOrder(msgspec.Struct, frozen=True):
+    """Body of ``POST /kv/export``."""
+
+    blocks: list[ExportBlock]
+    store: StoreAddress
+    generation: int | str
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """A block as it lies in a store."""
+
+    key: str
+    generation: int | str
+    checksum: str
+
+
+class ImportOrder(msgspec.Struct, frozen=True):
+    """Body of ``POST /kv/import``."""
+
+    blocks: list[Stored]
+    store: StoreAddress
+
+
+def pack(block_id: str, size_bytes: int) -> bytes:
+    """Return the opaque bytes of a block; they name the block's content."""
+    filler = block_id.encode() * (1 + size_bytes // ID_BYTES)
+    return filler[: max(size_bytes, ID_BYTES)]
+
+
+def unpack(body: bytes) -> str:
+    """Return the id of the block in these bytes."""
+    return body[:ID_BYTES].decode("ascii", "replace")
+
+
+async def export_block(
+    pool: http_client.Pool, order: ExportOrder, key: str, body: bytes
+) -> Stored | None:
+    """Write one block to the store; None if the store did not take it."""
+    checksum = store.checksum(body)
+    call = http_client.Call(
+        (order.store.host, order.store.port),
+        "PUT",
+        f"/blocks/{key}",
+        {"x-generation": str(order.generation), "x-checksum": checksum},
+        body,
+        TRANSFER_TIMEOUT_S,
+    )
+    full = await pool.fetch(call)
+    if not isinstance(full, http_client.Full) or full.status != CREATED:
+        return None
+    return Stored(key, order.generation, checksum)
+
+
+async def import_block(
+    pool: http_client.Pool, address: StoreAddress, block: Stored
+) -> str | None:
+    """Read one block from the store; return its id, or None for a miss."""
+    call = http_client.Call(
+        (address.host, address.port),
+        "GET",
+        f"/blocks/{block.key}",
+        {"if-match": f'"{block.generation}-{block.checksum}"'},
+        timeout_s=TRANSFER_TIMEOUT_S,
+    )
+    full = await pool.fetch(call, LIMIT_BYTES)
+    if not isinstance(full, http_client.Full) or full.status != OK:
+        return None
+    # The body can have changed on the way or in the store.
+    if store.checksum(full.body) != block.checksum:
+        return None
+    return unpack(full.body)
--- /dev/null
+++ b/packages/snipelug-standins/src/snipelug_standins/prefix.py
@@ -0,0 +1,91 @@
+"""Prefix cache of an engine: blocks of prompt tokens in limited memory."""
+
+import collections
+import hashlib
+
+from snipelug_standins import events, text
+
+DIGEST_BYTES = 16
+
+
+def chain(salt: str, model: str, version: str, prompt: bytes) -> list[str]:
+    """Return the ids of the prompt's full blocks, each depending on all before."""
+    parent = _digest(b"", "\0".join((salt, model, version)).encode())
+    ids = []
+    for start in range(0, len(prompt) - text.BLOCK_BYTES + 1, text.BLOCK_BYTES):
+        parent = _digest(parent, prompt[start : start + text.BLOCK_BYTES])
+        ids.append(parent.hex())
+    return ids
+
+
+def _digest(parent: bytes, content: bytes) -> bytes:
+    return hashlib.blake2b(parent + content, digest_size=DIGEST_BYTES).digest()
+
+
+class Cache:
+    """Least recently used blocks leave first.
+
+    Parameters
+    ----------
+    capacity_blocks : int
+        Most blocks kept.
+    feed : events.Feed
+        Receives an event for each stored or removed block with a known key.
+    """
+
+    def __init__(self, capacity_blocks: int, feed: events.Feed) -> None:
+        self.capacity_blocks = capacity_blocks
+        self.feed = feed
+        self.evictions = 0
+        # Block id to the key under which nodes know it; least recently used first.
+        self._blocks: collections.OrderedDict[str, str] = collections.OrderedDict()
+        self._id_by_key: dict[str, str] = {}
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def matched(self, ids: list[str]) -> int:
+        """Return how many of the first blocks are cached, and use them."""
+        count = 0
+        for block_id in ids:
+            if block_id not in self._blocks:
+                break
+            count += 1
+        # The first block stays longest: the others are useless without it.
+        for block_id in reversed(ids[:count]):
+            self._blocks.move_to_end(block_id)
+        return count
+
+    def name(self, block_id: str, key: str, now: float) -> None:
+        """Give a cached block the key under which nodes know it."""
+        if not key or self._blocks.get(block_id, key) == key:
+            return
+        self._blocks[block_id] = key
+        self._id_by_key[key] = block_id
+        self.feed.append(now, "stored", key)
+
+    def store(self, block_id: str, key: str, now: float) -> None:
+        """Add a block; an empty key stands for a block that no node named."""
+        self._blocks.setdefault(block_id, "")
+        self._blocks.move_to_end(block_id)
+        self.name(block_id, key, now)
+        while len(self._blocks) > self.capacity_blocks:
+            self.evictions += 1
+            self._remove(next(iter(self._blocks)), now)
+
+    def id_of(self, key: str) -> str | None:
+        """Return the id of the cached block with this key."""
+        return self._id_by_key.get(key)
+
+    def clear(self, now: float) -> None:
+        """Remove all blocks."""
+        for block_id in list(self._blocks):
+            self._remove(block_id, now)
+
+    def _remove(self, block_id: str, now: float) -> None:
+        key = self._blocks.pop(block_id)
+        if not key:
+            return
+        if self._id_by_key.get(key) == block_id:
+            del self._id_by_key[key]
+        self.feed.append(now, "removed", key)
--- /dev/null
+++ b/packages/snipelug-standins/src/snipelug_standins/store.py
@@ -0,0 +1,238 @@
+"""Stand-in of a KV cache store instance with a memory and a disk tier."""
+
+import collections
+import dataclasses
+import enum
+import hashlib
+import http
+import uuid
+
+import trio
+
+from snipelug_net import http_server
+from snipelug_standins import events, faults, standin, transfer
+
+PREFIX = "/blocks/"
+
+
+class Tier(enum.StrEnum):
+    """Where the bytes of a block are."""
+
+    MEMORY = "memory"
+    DISK = "disk"
+
+
+@dataclasses.dataclass
+class Block:
+    """One complete block."""
+
+    generation: str
+    checksum: str
+    body: bytes
+    tier: Tier = Tier.MEMORY
+
+    @property
+    def etag(self) -> str:
+        """Entity tag that a reader must name."""
+        return f'"{self.generation}-{self.checksum}"'
+
+
+def checksum(body: bytes) -> str:
+    """Return the checksum of a block's bytes, in hexadecimal."""
+    return hashlib.blake2b(body, digest_size=16).hexdigest()
+
+
+class Store:
+    """Blocks by key; the least recently used ones move from memory to disk.
+
+    Parameters
+    ----------
+    memory_bytes, disk_bytes : int
+        Size of the tiers, in bytes.
+    memory_rate, disk_rate : float
+        Bandwidth of the links to the tiers, in bytes per second; 0 for unlimited.
+    """
+
+    faults_type = faults.StoreFaults
+
+    def __init__(
+        self,
+        memory_bytes: int = 1 << 30,
+        disk_bytes: int = 1 << 32,
+        memory_rate: float = 0.0,
+        disk_rate: float = 0.0,
+    ) -> None:
+        self.boot_id = uuid.uuid4().hex
+        self.sizes = {Tier.MEMORY: memory_bytes, Tier.DISK: disk_bytes}
+        self.links = {
+            Tier.MEMORY: transfer.Link(memory_rate),
+            Tier.DISK: transfer.Link(disk_rate),
+        }
+        self.rates = {Tier.MEMORY: memory_rate, Tier.DISK: disk_rate}
+        # Least recently used first.
+        self.blocks: collections.OrderedDict[str, Block] = collections.OrderedDict()
+        self.feed = events.Feed()
+        self.faults = faults.StoreFaults()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._corrupt_reads = 0
+
+    async def handle(self, req: http_server.Request) -> http_server.Response:
+        """Answer one request."""
+        if req.path == "/status" and req.method == "GET":
+            return http_server.json_response(http.HTTPStatus.OK, self._status())
+        if req.path == "/blocks" and req.method == "GET":
+            return self._list(req)
+        key = req.path.removeprefix(PREFIX)
+        if not req.path.startswith(PREFIX) or not key:
+            return standin.not_found(req)
+        match req.method:
+            case "GET":
+                return await self._get(key, req)
+            case "PUT":
+                return await self._put(key, req)
+            case "DELETE":
+                return self._delete(key, req)
+        return standin.not_found(req)
+
+    async def _put(self, key: str, req: http_server.Request) -> http_server.Response:
+        generation = req.headers.get("x-generation", "")
+        expected = req.headers.get("x-checksum", "")
+        if not generation or not expected:
+            message = "X-Generation and X-Checksum are required"
+            return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_block", message)
+        actual = checksum(req.body)
+        if actual != expected:
+            message = f"the checksum of the body is {actual}, not {expected}"
+            return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_checksum", message)
+        if self.faults.full or not self._has_room(len(req.body), key):
+            return self._answer_full(key)
+        # The block becomes visible only after the whole transfer.
+        await self.links[Tier.MEMORY].carry(len(req.body))
+        if not self._has_room(len(req.body), key):
+            return self._answer_full(key)
+        self._remove(key)
+        self._make_room(len(req.body))
+        tier = Tier.MEMORY
+        if len(req.body) > self.sizes[Tier.MEMORY] - self._used(Tier.MEMORY):
+            tier = Tier.DISK
+        block = Block(generation, expected, req.body, tier)
+        self.blocks[key] = block
+        self.counts["writes"] += 1
+        self._publish("stored", key, block)
+        headers = {"etag": block.etag}
+        return http_server.json_response(http.HTTPStatus.CREATED, {}, headers)
+
+    async def _get(self, key: str, req: http_server.Request) -> http_server.Response:
+        block = self.blocks.get(key)
+        if block is None:
+            self.counts["misses"] += 1
+            message = f"there is no block {key}"
+            return standin.error(http.HTTPStatus.NOT_FOUND, "absent", message)
+        wanted = req.headers.get("if-match", "*").strip()
+        if wanted not in ("*", block.etag):
+            self.counts["mismatches"] += 1
+            message = f"block {key} has the entity tag {block.etag}"
+            return standin.error(
+                http.HTTPStatus.PRECONDITION_FAILED, "precondition_failed", message
+            )
+        self.blocks.move_to_end(key)
+        await self.links[block.tier].carry(len(block.body))
+        self.counts["reads"] += 1
+        body = block.body
+        if self._corrupt_reads > 0:
+            self._corrupt_reads -= 1
+            body = bytes(reversed(body))
+        headers = {"etag": block.etag, "x-tier": block.tier.value}
+        return http_server.Response(http.HTTPStatus.OK, body, headers)
+
+    def _delete(self, key: str, req: http_server.Request) -> http_server.Response:
+        block = self.blocks.get(key)
+        wanted = req.headers.get("if-match", "*").strip()
+        if block is None:
+            message = f"there is no block {key}"
+            return standin.error(http.HTTPStatus.NOT_FOUND, "absent", message)
+        if wanted not in ("*", block.etag):
+            message = f"block {key} has the entity tag {block.etag}"
+            return standin.error(
+                http.HTTPStatus.PRECONDITION_FAILED, "precondition_failed", message
+            )
+        self._remove(key)
+        return http_server.json_response(http.HTTPStatus.OK, {})
+
+    def _list(self, req: http_server.Request) -> http_server.Response:
+        after = events.parse_after(req.query)
+        if after is None:
+            message = "after is not a number"
+            return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_after", message)
+        found = self.feed.after(after, trio.current_time())
+        content = {"boot_id": self.boot_id, "blocks": found}
+        return http_server.json_response(http.HTTPStatus.OK, content)
+
+    def _answer_full(self, key: str) -> http_server.Response:
+        self.counts["full"] += 1
+        message = f"there is no room for block {key}"
+        return standin.error(http.HTTPStatus.INSUFFICIENT_STORAGE, "full", message)
+
+    def _used(self, tier: Tier) -> int:
+        return sum(len(b.body) for b in self.blocks.values() if b.tier is tier)
+
+    def _has_room(self, size_bytes: int, key: str) -> bool:
+        old = self.blocks.get(key)
+        freed = len(old.body) if old else 0
+        used = self._used(Tier.MEMORY) + self._used(Tier.DISK) - freed
+        return size_bytes + used <= sum(self.sizes.values())
+
+    def _make_room(self, size_bytes: int) -> None:
+        for block in self.blocks.values():
+            free = self.sizes[Tier.MEMORY] - self._used(Tier.MEMORY)
+            disk_free = self.sizes[Tier.DISK] - self._used(Tier.DISK)
+            if size_bytes <= free:
+                return
+            if block.tier is Tier.MEMORY and len(block.body) <= disk_free:
+                block.tier = Tier.DISK
+
+    def _remove(self, key: str) -> None:
+        block = self.blocks.pop(key, None)
+        if block is not None:
+            self._publish("removed", key, block)
+
+    def _publish(self, event: str, key: str, block: Block) -> None:
+        self.feed.append(
+            trio.current_time(),
+            event,
+            key,
+            generation=block.generation,
+            checksum=block.checksum,
+            bytes=len(block.body),
+            tier=block.tier.value,
+        )
+
+    def _status(self) -> dict[str, object]:
+        tiers = {
+            tier.value: {
+                "size_bytes": self.sizes[tier],
+                "used_bytes": self._used(tier),
+                "rate_bytes_per_s": self.rates[tier] / self.faults.slowdown,
+                "carried_bytes": self.links[tier].carried_bytes,
+            }
+            for tier in Tier
+        }
+        return {"boot_id": self.boot_id, "blocks": len(self.blocks), "tiers": tiers}
+
+    def set_faults(self, wanted: faults.Faults) -> bool:
+        """Take over faults."""
+        assert isinstance(wanted, faults.StoreFaults)
+        self.faults = wanted
+        self._corrupt_reads = wanted.corrupt_reads
+        for link in self.links.values():
+            link.slowdown = wanted.slowdown
+        return False
+
+    def stats(self) -> dict[str, object]:
+        """Return counters for tests."""
+        names = ("writes", "reads", "misses", "mismatches", "full")
+        return {name: self.counts[name] for name in names} | self._status()
+
+    async def run(self) -> None:
+        """Do nothing in the background."""
+        await trio.sleep_forever()
