Add the decision logic of at-most-once execution

Cause: calls with an idempotency key must run at most once although nodes die, pause and lose answers of the table service.

Ruled out: inferring "abandoned" from a nonce that the claiming process no longer remembers. A bounded memory would then make a call that ran look unsent; a forgotten nonce is reported as such and leads to "unknown". Requiring a revoked session to settle a claim whose own node recorded the outcome as unknown: that node never sends it again, and the claim could not be settled while the node lives.

Change: claim.py yields steps (write, read back, dispatch, ask, record) and takes their outcomes; step.py holds the store's steps and outcomes. The ledger grants the send at most once for a nonce and only within 10 s.

--- /dev/null
+++ b/tests/test_claim.py
@@ -0,0 +1,298 @@
+"""Scenarios of one call through the claim logic, step by step."""
+
+import collections.abc
+import dataclasses
+import itertools
+
+import pytest
+
+from snipelug_core import claim, refusal, step
+
+OWN = claim.Row("team", "key", "print", "n1", "p1", "s1", "", 0.0)
+OTHER = dataclasses.replace(OWN, node="n2", process="p2", session="s2", nonce="x")
+ANSWER = claim.Answer(200, {}, b"made")
+DONE = dataclasses.replace(OTHER, state=claim.State.DONE, answer=ANSWER)
+RELEASED = dataclasses.replace(OTHER, state=claim.State.RELEASED)
+UNKNOWN = dataclasses.replace(OTHER, state=claim.State.UNKNOWN)
+RAN = dataclasses.replace(OTHER, state=claim.State.SETTLED_RAN)
+OTHER_BODY = dataclasses.replace(OTHER, fingerprint="another")
+MINE = dataclasses.replace(OWN, nonce="m1")
+MINE_2 = dataclasses.replace(OWN, nonce="m2")
+LOST = refusal.refuse(refusal.UPSTREAM_LOST, "cut", refusal.RunState.UNKNOWN)
+NO_UPSTREAM = refusal.refuse(refusal.NO_UPSTREAM, "none")
+
+SILENT = step.Silent("down")
+WRITE, READ, WAIT = step.Write, step.Read, step.Wait
+SEND, ASK, LOOK = claim.Dispatch, claim.Ask, claim.LookUpSession
+SENT = claim.Delivered(ANSWER)
+ABANDONED = claim.Told(claim.Status.ABANDONED)
+ACTIVE = claim.Told(claim.Status.ACTIVE)
+
+Script = list[tuple[type, object, float]]
+"""Expected step, its outcome, and the seconds that it takes."""
+
+
+def join(*parts: Script) -> Script:
+    return list(itertools.chain(*parts))
+
+
+CASES: dict[str, tuple[Script, object]] = {
+    "first call": (
+        [(WRITE, step.Applied("1"), 0), (SEND, SENT, 0), (WRITE, step.Applied("2"), 0)],
+        ANSWER,
+    ),
+    "store down before the claim": (
+        join(
+            [(WRITE, SILENT, 0), (WAIT, None, 0), (READ, SILENT, 0)],
+            [(WAIT, None, 0), (READ, SILENT, 0)],
+        ),
+        "store_unavailable not_run",
+    ),
+    "claim answer lost, applied": (
+        join(
+            [(WRITE, SILENT, 0), (WAIT, None, 0), (READ, step.Found("1", MINE), 0)],
+            [(SEND, SENT, 0), (WRITE, step.Applied("2"), 0)],
+        ),
+        ANSWER,
+    ),
+    "claim answer lost, not applied": (
+        join(
+            [(WRITE, SILENT, 0), (WAIT, None, 0), (READ, step.Missing(), 0)],
+            [(WRITE, step.Applied("1"), 0), (SEND, SENT, 0)],
+            [(WRITE, step.Applied("2"), 0)],
+        ),
+        ANSWER,
+    ),
+    "claim answer lost, applied late": (
+        join(
+            [(WRITE, SILENT, 0), (WAIT, None, 0), (READ, step.Missing(), 0)],
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", MINE), 0)],
+            [(SEND, SENT, 0), (WRITE, step.Applied("2"), 0)],
+        ),
+        ANSWER,
+    ),
+    "paused beyond the window": (
+        [(WRITE, step.Applied("1"), 10), (WRITE, step.Applied("2"), 0)],
+        "store_unavailable not_run",
+    ),
+    "not sent": (
+        join(
+            [(WRITE, step.Applied("1"), 0), (SEND, claim.NotSent(NO_UPSTREAM), 0)],
+            [(WRITE, SILENT, 0)],
+        ),
+        "no_upstream not_run",
+    ),
+    "upstream lost": (
+        join(
+            [(WRITE, step.Applied("1"), 0), (SEND, claim.Unclear(LOST), 0)],
+            [(WRITE, step.Applied("2"), 0)],
+        ),
+        "upstream_lost unknown",
+    ),
+    "result answer lost, applied": (
+        join(
+            [(WRITE, step.Applied("1"), 0), (SEND, SENT, 0), (WRITE, SILENT, 0)],
+            [(WAIT, None, 0)],
+            [(READ, step.Found("2", dataclasses.replace(DONE, nonce="m1")), 0)],
+        ),
+        ANSWER,
+    ),
+    "result answer lost, not applied": (
+        join(
+            [(WRITE, step.Applied("1"), 0), (SEND, SENT, 0), (WRITE, SILENT, 0)],
+            [(WAIT, None, 0), (READ, SILENT, 0), (WAIT, None, 0)],
+            [(READ, step.Found("1", MINE), 0), (WRITE, step.Applied("2"), 0)],
+        ),
+        ANSWER,
+    ),
+    "repeat after the result": (
+        [(WRITE, step.Refused(), 0), (READ, step.Found("1", DONE), 0)],
+        ANSWER,
+    ),
+    "repeat with another body": (
+        [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER_BODY), 0)],
+        "key_reused not_run",
+    ),
+    "repeat while the first runs": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, ACTIVE, 2), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, claim.Told(claim.Status.RAN, ANSWER), 0)],
+        ),
+        ANSWER,
+    ),
+    "repeat until its deadline": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, ACTIVE, 60), (READ, step.Found("1", OTHER), 0)],
+        ),
+        "in_progress unknown",
+    ),
+    "repeat after the first was abandoned": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, ABANDONED, 0), (WRITE, step.Applied("2"), 0)],
+            [(SEND, SENT, 0), (WRITE, step.Applied("3"), 0)],
+        ),
+        ANSWER,
+    ),
+    "repeat after the first was released": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", RELEASED), 0)],
+            [(WRITE, SILENT, 0), (WAIT, None, 0), (READ, step.Found("1", RELEASED), 0)],
+            [(WRITE, step.Refused(), 0), (READ, step.Found("2", MINE_2), 0)],
+            [(SEND, SENT, 0), (WRITE, step.Applied("3"), 0)],
+        ),
+        ANSWER,
+    ),
+    "repeat after the process restarted": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, claim.Told(claim.Status.GONE), 1)],
+            [(READ, step.Found("1", OTHER), 0)],
+        ),
+        "outcome_unknown unknown",
+    ),
+    "repeat after the node died": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, claim.NotReached(), 1), (LOOK, claim.SessionLives(), 0)],
+            [(READ, step.Found("1", OTHER), 0)],
+            [(ASK, claim.NotReached(), 1), (LOOK, claim.SessionGone(), 0)],
+            [(READ, step.Found("1", OTHER), 0)],
+        ),
+        "outcome_unknown unknown",
+    ),
+    "node died after it recorded": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, step.Found("1", OTHER), 0)],
+            [(ASK, claim.NotReached(), 1), (LOOK, claim.SessionGone(), 0)],
+            [(READ, step.Found("2", DONE), 0)],
+        ),
+        ANSWER,
+    ),
+    "outcome of the first recorded as unknown": (
+        [(WRITE, step.Refused(), 0), (READ, step.Found("1", UNKNOWN), 0)],
+        "outcome_unknown unknown",
+    ),
+    "settled as run": (
+        [(WRITE, step.Refused(), 0), (READ, step.Found("1", RAN), 0)],
+        "outcome_unknown ran",
+    ),
+    "another call exists, then the store is down": (
+        join(
+            [(WRITE, step.Refused(), 0), (READ, SILENT, 0), (WAIT, None, 0)],
+            [(READ, SILENT, 0), (WAIT, None, 0), (READ, SILENT, 0)],
+        ),
+        "store_unavailable unknown",
+    ),
+    "row cannot be read": (
+        [(WRITE, step.Refused(), 0), (READ, step.Malformed("bad"), 0)],
+        "outcome_unknown unknown",
+    ),
+}
+
+
+def play(
+    script: Script, ledger: claim.Ledger
+) -> tuple[object, collections.abc.Iterator[str]]:
+    """Run a call against scripted outcomes; every script must be used up."""
+    nonces = (f"m{n}" for n in itertools.count(1))
+    now = 100.0
+    flow = claim.execute(claim.Call(OWN, now + 60), ledger, nonces, now)
+    taken = next(flow)
+    remaining = iter(script)
+    try:
+        for kind, outcome, seconds in remaining:
+            assert isinstance(taken, kind)
+            if isinstance(taken, claim.Dispatch) and outcome == SENT:
+                assert ledger.grant(taken.nonce, now)
+            now += seconds
+            taken = flow.send(step.Event(outcome, now))
+    except StopIteration as stop:
+        assert list(remaining) == []
+        return stop.value, nonces
+    raise AssertionError(f"the call goes on with {taken}")
+
+
+@pytest.mark.parametrize(("script", "expected"), CASES.values(), ids=list(CASES))
+def test_call_survives(script: Script, expected: object) -> None:
+    """Guards against a second run, a false ``not_run`` and a lost answer."""
+    result, _ = play(script, claim.Ledger("p1"))
+    if isinstance(result, refusal.Refusal):
+        assert f"{result.kind.code} {result.run_state}" == expected
+    else:
+        assert result == expected
+
+
+@pytest.mark.parametrize(
+    "name", ["store down before the claim", "paused beyond the window", "not sent"]
+)
+def test_abandoned_claim_is_never_granted(name: str) -> None:
+    """Guards against a send after others were told that the claim is abandoned."""
+    ledger = claim.Ledger("p1")
+    play(CASES[name][0], ledger)
+    assert ledger.status("p1", "m1")[0] is claim.Status.ABANDONED
+    assert not ledger.grant("m1", 100.0)
+
+
+def test_grant_is_given_once_and_in_its_window() -> None:
+    """Guards against a retry inside the dispatch and a send after a pause."""
+    ledger = claim.Ledger("p1")
+    ledger.begin("a", 0.0)
+    ledger.begin("b", 0.0)
+    assert ledger.grant("a", 9.9)
+    assert not ledger.grant("a", 9.9)
+    assert not ledger.grant("b", 10.0)
+    assert not ledger.grant("c", 0.0)
+
+
+def test_forgotten_claim_is_not_called_abandoned() -> None:
+    """Guards against a bounded memory that makes an old claim look unsent."""
+    ledger = claim.Ledger("p1", limit=1)
+    for nonce in ("a", "b"):
+        ledger.begin(nonce, 0.0)
+        ledger.abandon(nonce)
+    assert ledger.status("p1", "a")[0] is claim.Status.FORGOTTEN
+    assert ledger.status("p1", "b")[0] is claim.Status.ABANDONED
+    assert ledger.status("p0", "b")[0] is claim.Status.GONE
+
+
+def test_dispatch_that_denies_a_granted_send_is_unclear() -> None:
+    """Guards against ``not_run`` for a call whose last check had passed."""
+    ledger = claim.Ledger("p1")
+    flow = claim.execute(claim.Call(OWN, 60.0), ledger, iter(["m1"]), 0.0)
+    next(flow)
+    flow.send(step.Event(step.Applied("1"), 0.0))
+    assert ledger.grant("m1", 0.0)
+    write = flow.send(step.Event(claim.NotSent(NO_UPSTREAM), 0.0))
+    assert isinstance(write, step.Write)
+    with pytest.raises(StopIteration) as stop:
+        flow.send(step.Event(step.Applied("2"), 0.0))
+    assert stop.value.value.run_state is refusal.RunState.UNKNOWN
+
+
+SETTLEMENTS = [
+    (OTHER, True, 60.0, claim.State.RELEASED),
+    (OTHER, True, 59.0, claim.TooEarly(1.0)),
+    (OTHER, False, 600.0, claim.NotOpen),
+    (UNKNOWN, False, 60.0, claim.State.RELEASED),
+    (DONE, True, 600.0, claim.NotOpen),
+    (RELEASED, True, 600.0, claim.NotOpen),
+]
+
+
+@pytest.mark.parametrize(("row", "session_gone", "wall", "expected"), SETTLEMENTS)
+def test_settlement(
+    row: claim.Row, session_gone: bool, wall: float, expected: object
+) -> None:
+    """Guards against settling a claim whose call may still be sent."""
+    verdict = claim.Verdict.NOT_RUN
+    result = claim.settle(row, verdict, session_gone, wall, "operator")
+    if isinstance(result, claim.Row):
+        assert result.state is expected
+    elif isinstance(result, claim.TooEarly):
+        assert result == expected
+    else:
+        assert isinstance(result, claim.NotOpen)
+        assert expected is claim.NotOpen
