--- a/packages/snipelug-core/src/snipelug_core/table.py
+++ b/packages/snipelug-core/src/snipelug_core/table.py
@@ -1,5 +1,6 @@
 """Entities shared by the systems, in tables keyed by id."""
 
+import collections
 import dataclasses
 import enum
 
@@ -85,12 +86,21 @@
         connection to it closed, until a newer report says warm.
     in_flight : int
         Requests of this node now at the upstream.
+    heard_at : float or None
+        Monotonic time before the newest answered load read was asked, in seconds.
+    changes : deque of (float, int)
+        Times of this node's sends (+1) and of their ends (-1) since the report
+        was made, in seconds.
     """
 
     instance: Instance
     report: LoadReport | None = None
     suspect_since: float | None = None
     in_flight: int = 0
+    heard_at: float | None = None
+    changes: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,213 @@
+"""Load reports, the corrected queue estimate and the verdicts before a send."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from snipelug_core import contract, load, table
+
+WARM = table.Warmth.WARM
+COLD = table.Warmth.COLD
+INSTANCE = table.Instance("u1", table.Role.ENGINE, "127.0.0.1", 1, "esk-b")
+CFG = contract.Config()
+
+
+def build_report(
+    made_at: float = 10.0,
+    state: table.Warmth = WARM,
+    seq: int = 1,
+    boot_id: str = "x",
+    running: int = 0,
+) -> table.LoadReport:
+    return table.LoadReport(boot_id, state, running, 0, seq, made_at)
+
+
+def build_upstream(*reports: table.LoadReport) -> table.Upstream:
+    upstream = table.Upstream(INSTANCE)
+    for report in reports:
+        load.accept_report(upstream, report, report.made_at)
+    return upstream
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "kept"),
+    [
+        (build_report(seq=2), build_report(11.0, seq=1), 0),
+        (build_report(seq=2), build_report(9.0, seq=3), 1),
+        (build_report(), build_report(9.0, COLD, 9, "y"), 0),
+        (build_report(seq=9), build_report(11.0, COLD, 1, "y"), 1),
+    ],
+    ids=["late", "later-seq", "older-boot", "newer-boot"],
+)
+def test_newest_report_wins(
+    first: table.LoadReport, second: table.LoadReport, kept: int
+) -> None:
+    """Guards against a late or older-boot report replacing a newer one."""
+    upstream = build_upstream(first, second)
+    assert upstream.report == (first, second)[kept]
+
+
+def test_older_boot_by_error_does_not_last() -> None:
+    """Guards against a live boot being excluded after one misordered report."""
+    live = build_report(10.0, boot_id="live")
+    late = build_report(11.0, boot_id="gone")
+    upstream = build_upstream(live, late, build_report(12.0, boot_id="live", seq=2))
+    assert upstream.report is not None
+    assert upstream.report.boot_id == "live"
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.floats(0.01, 0.1), st.booleans()), max_size=40),
+    st.integers(0, 40),
+    st.integers(0, 5),
+)
+def test_estimate_is_exact_for_one_node(
+    steps: list[tuple[float, bool]], cut: int, foreign: int
+) -> None:
+    """Guards against counting a send twice or forgetting it after a report."""
+    upstream = build_upstream(build_report(0.0, seq=0, running=foreign))
+    now = 1.0
+    at_cut = (now, foreign)
+    for number, (gap, is_send) in enumerate(steps):
+        if number == cut:
+            at_cut = (now, foreign + upstream.in_flight)
+        now += gap
+        if is_send:
+            load.note_sent(upstream, now)
+        elif upstream.in_flight:
+            load.note_ended(upstream, now)
+    made_at, running = at_cut
+    report = build_report(made_at, seq=1, running=running)
+    load.accept_report(upstream, report, made_at)
+    assert load.estimate_queue(upstream) == foreign + upstream.in_flight
+
+
+def test_estimate_covers_own_requests() -> None:
+    """Guards against an idle report hiding requests that this node still has."""
+    upstream = build_upstream()
+    load.note_sent(upstream, 1.0)
+    load.accept_report(upstream, build_report(2.0), 2.0)
+    assert load.estimate_queue(upstream) == 1
+
+
+LEAVING = dataclasses.replace(INSTANCE, leaving=True)
+NEEDS = load.NeedsGrant
+BARRED = load.Barred
+REASON = load.Reason
+
+
+@pytest.mark.parametrize(
+    ("upstream", "opened_at", "verdict"),
+    [
+        (build_upstream(), 1.0, BARRED(REASON.REPORT_STALE)),
+        (build_upstream(build_report()), 9.0, load.Allowed()),
+        (build_upstream(build_report()), 10.0, NEEDS(REASON.CONNECTION_NEWER)),
+        (build_upstream(build_report(state=COLD)), 9.0, NEEDS(REASON.REPORTED_COLD)),
+        (
+            build_upstream(build_report(), build_report(10.5, COLD, boot_id="y")),
+            9.0,
+            NEEDS(REASON.REPORTED_COLD),
+        ),
+        (
+            build_upstream(build_report(state=table.Warmth.LEAVING)),
+            9.0,
+            BARRED(REASON.REPORTED_LEAVING),
+        ),
+        (table.Upstream(LEAVING), 9.0, BARRED(REASON.LISTED_LEAVING)),
+    ],
+)
+def test_verdict(
+    upstream: table.Upstream, opened_at: float, verdict: load.Verdict
+) -> None:
+    """Guards against a wrong verdict for each state that an upstream can be in."""
+    assert load.may_send(upstream, CFG, opened_at, 11.0, 11.0) == verdict
+
+
+@pytest.mark.parametrize(
+    ("cfg", "reason"),
+    [
+        (contract.Config(zones_out=frozenset({"esk-b"})), REASON.ZONE_OUT),
+        (contract.Config(instances_out=frozenset({"u1"})), REASON.INSTANCE_OUT),
+    ],
+)
+def test_operators_switches_bar(cfg: contract.Config, reason: load.Reason) -> None:
+    """Guards against new work for a zone or instance that is switched out."""
+    upstream = build_upstream(build_report())
+    assert load.may_send(upstream, cfg, 9.0, 10.0, 10.0) == BARRED(reason)
+
+
+def test_closed_connection_lasts_until_later_warm_report() -> None:
+    """Guards against trusting a report made before a connection was closed."""
+    upstream = build_upstream(build_report(10.0))
+    load.mark_closed(upstream, 10.5)
+    closed = NEEDS(REASON.CONNECTION_CLOSED)
+    assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
+    load.accept_report(upstream, build_report(10.4, seq=2), 10.4)
+    assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
+    load.accept_report(upstream, build_report(10.7, seq=3), 10.7)
+    assert load.may_send(upstream, CFG, 9.0, 10.8, 10.8) == load.Allowed()
+
+
+@hypothesis.given(
+    st.floats(0.0, 5.0),
+    st.floats(0.05, 1.0),
+    st.floats(0.0, 30.0),
+    st.floats(0.0, 30.0),
+    st.booleans(),
+    st.booleans(),
+)
+def test_leaving_upstream_gets_no_work_after_3_s(
+    leaves_at: float,
+    period: float,
+    paused_at: float,
+    pause: float,
+    by_list: bool,
+    list_down: bool,
+) -> None:
+    """Guards against work for a leaving upstream after 3 s, also after a pause."""
+    hypothesis.assume(not (by_list and list_down))
+    upstream = table.Upstream(INSTANCE)
+    tried_at = None
+    now = 0.0
+    seq = 0
+    paused = False
+    while now < leaves_at + 40.0:
+        if now >= paused_at and not paused:
+            paused = True
+            now += pause
+        # The check comes first: after a pause it sees what was known before.
+        if now > leaves_at + 3.0:
+            verdict = load.may_send(upstream, CFG, -1.0, now, tried_at)
+            assert isinstance(verdict, load.Barred)
+        gone = now >= leaves_at
+        seq += 1
+        state = table.Warmth.LEAVING if gone and not by_list else WARM
+        load.accept_report(upstream, build_report(now, state, seq), now)
+        if now > leaves_at + 3.0 and by_list:
+            verdict = load.may_send(upstream, CFG, -1.0, now, tried_at)
+            assert isinstance(verdict, load.Barred)
+        tried_at = now
+        if not list_down:
+            upstream.instance = dataclasses.replace(INSTANCE, leaving=gone and by_list)
+        now += period
+
+
+@pytest.mark.parametrize(
+    ("heard_at", "tried_at", "reason"),
+    [(7.9, 10.0, REASON.REPORT_STALE), (10.0, 7.9, REASON.LIST_STALE)],
+)
+def test_stale_knowledge_bars(
+    heard_at: float, tried_at: float, reason: load.Reason
+) -> None:
+    """Guards against sending on one fresh source while the other is stale."""
+    upstream = build_upstream(build_report(heard_at))
+    assert load.may_send(upstream, CFG, 5.0, 10.0, tried_at) == BARRED(reason)
+
+
+def test_list_outage_stops_no_work() -> None:
+    """Guards against refusing all work while the platform's list is down."""
+    upstream = build_upstream(build_report(100.0))
+    verdict = load.may_send(upstream, CFG, 9.0, 100.5, list_tried_at=100.0)
+    assert verdict == load.Allowed()
