Count only accepted load reports as heard

Cause: a report that is ignored as older still advanced the time at which the upstream was last heard, so a leaving notice could be missed for longer than the 2 s limit.

Change: the time advances for a newer report or for the same one read again.

--- a/packages/snipelug-core/src/snipelug_core/load.py
+++ b/packages/snipelug-core/src/snipelug_core/load.py
@@ -74,9 +74,13 @@
     bool
         Whether the report was taken.
     """
+    known = upstream.report
+    is_newer = _is_newer(report, known)
+    if not is_newer and not _is_same(report, known):
+        return False
     if upstream.heard_at is None or asked_at > upstream.heard_at:
         upstream.heard_at = asked_at
-    if not _is_newer(report, upstream.report):
+    if not is_newer:
         return False
     upstream.report = report
     changes = upstream.changes
@@ -93,6 +97,12 @@
     return report.made_at > known.made_at
 
 
+def _is_same(report: table.LoadReport, known: table.LoadReport | None) -> bool:
+    if known is None:
+        return False
+    return (report.boot_id, report.seq) == (known.boot_id, known.seq)
+
+
 def note_sent(upstream: table.Upstream, now: float) -> None:
     """Count a request as sent to the upstream."""
     upstream.in_flight += 1
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -49,6 +49,16 @@
     assert upstream.report == (first, second)[kept]
 
 
+def test_rejected_report_does_not_count_as_heard() -> None:
+    """Guards against an ignored report passing for fresh knowledge."""
+    upstream = build_upstream(build_report(10.0, seq=3))
+    load.accept_report(upstream, build_report(9.0, boot_id="y"), 12.0)
+    load.accept_report(upstream, build_report(10.0, seq=2), 12.0)
+    assert upstream.heard_at == 10.0
+    load.accept_report(upstream, build_report(10.0, seq=3), 12.0)
+    assert upstream.heard_at == 12.0
+
+
 def test_older_boot_by_error_does_not_last() -> None:
     """Guards against a live boot being excluded after one misordered report."""
     live = build_report(10.0, boot_id="live")
