--- /dev/null
+++ b/tests/test_block.py
@@ -0,0 +1,116 @@
+"""Property tests of block keys."""
+
+import dataclasses
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies as st
+
+from snipelug_core import block, contract
+
+SECRET = b"s" * 32
+NAMES = st.text("abc-", min_size=1, max_size=4).filter(lambda s: s[0] != "-")
+SIZE = block.BLOCK_TOKENS * block.BYTES_PER_TOKEN
+
+
+@dataclasses.dataclass(frozen=True)
+class Renamed(block.Bytes4):
+    name: str = "a"
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    team: str
+    name: str
+    adapter: str
+    tokenizer: str
+    weight_version: str
+
+    def chain(self, prompt: bytes, secret: bytes = SECRET) -> block.Chain:
+        fields = dataclasses.asdict(self)
+        model = contract.Model(**{k: v for k, v in fields.items() if k != "team"})
+        tokenizer = Renamed(self.tokenizer)
+        return block.chain(secret, self.team, model, prompt, tokenizer)
+
+
+IDENTITIES = st.builds(Identity, NAMES, NAMES, NAMES | st.just(""), NAMES, NAMES)
+
+
+@st.composite
+def prompts(draw: st.DrawFn) -> bytes:
+    letters = draw(st.lists(st.sampled_from(b"xyz"), max_size=4))
+    tail = draw(st.binary(max_size=20))
+    return b"".join(bytes([letter]) * SIZE for letter in letters) + tail
+
+
+@hypothesis.given(IDENTITIES, IDENTITIES, prompts(), prompts())
+def test_keys_are_equal_only_for_equal_identity_and_text(
+    one: Identity, other: Identity, text: bytes, other_text: bytes
+) -> None:
+    """Guards against a block of another team, model or version being read."""
+    first, second = one.chain(text), other.chain(other_text)
+    for i, a in enumerate(first.keys):
+        for j, b in enumerate(second.keys):
+            same_text = text[: (i + 1) * SIZE] == other_text[: (j + 1) * SIZE]
+            assert (a == b) == (one == other and same_text)
+
+
+@pytest.mark.parametrize("field", [f.name for f in dataclasses.fields(Identity)])
+@hypothesis.given(IDENTITIES, prompts())
+def test_each_part_of_the_identity_changes_every_key(
+    field: str, one: Identity, text: bytes
+) -> None:
+    """Guards against one part of the identity being left out of the hash."""
+    other = dataclasses.replace(one, **{field: getattr(one, field) + "x"})
+    first, second = one.chain(text), other.chain(text)
+    assert not set(first.keys) & set(second.keys)
+    assert first.conversation != second.conversation
+
+
+@hypothesis.given(IDENTITIES, prompts(), prompts())
+def test_longer_prompt_keeps_keys_of_its_prefix(
+    one: Identity, text: bytes, more: bytes
+) -> None:
+    """Guards against returning prompts that miss the blocks of earlier turns."""
+    first, longer = one.chain(text), one.chain(text + more)
+    assert len(first.keys) == len(text) // SIZE
+    assert longer.keys[: len(first.keys)] == first.keys
+    if first.keys:
+        assert longer.conversation == first.conversation
+
+
+@hypothesis.given(
+    st.lists(st.fixed_dictionaries({"role": NAMES, "content": st.text()})),
+    st.lists(st.fixed_dictionaries({"role": NAMES, "content": st.text()})),
+)
+def test_rendering_is_injective_and_keeps_prefixes(
+    messages: list[dict[str, str]], more: list[dict[str, str]]
+) -> None:
+    """Guards against two conversations that share a rendered prompt."""
+    text = block.render(messages)
+    assert block.render(messages + more).startswith(text)
+    assert [msgspec.json.decode(line) for line in text.splitlines()] == messages
+
+
+@hypothesis.given(NAMES, NAMES)
+def test_salts_differ_by_team_and_secret(team: str, other: str) -> None:
+    """Guards against engines sharing one prefix cache between teams."""
+    salt = block.cache_salt(SECRET, team)
+    assert (salt == block.cache_salt(SECRET, other)) == (team == other)
+    assert salt != block.cache_salt(b"t" * 32, team)
+
+
+def test_unusable_arguments_are_refused() -> None:
+    """Guards against unkeyed hashes and against cutting by a wrong tokenizer."""
+    model = contract.Model(name="m", tokenizer="other")
+    with pytest.raises(ValueError, match="secret"):
+        block.cache_salt(b"", "a")
+    with pytest.raises(ValueError, match="tokenizer other"):
+        block.chain(SECRET, "a", model, b"")
+
+
+@pytest.mark.parametrize("text", ["", "zz", "00" * 15, "00" * 17, "é"])
+def test_malformed_key_is_none(text: str) -> None:
+    """Guards against keys of a wrong length from a peer or a store."""
+    assert block.parse_key(text) is None
