Add identity, completeness and resumption of streamed answers

Cause: answers can arrive crossed, late or cut, and an upstream can be lost in the middle of a stream.

Ruled out: one id for all runs of a request, because a late chunk of the lost run would then pass for one of the resumed run; resuming a text whose finish reason was seen, because a second run would add to it.

Change: incremental event parser with bounded memory, one id per run, check of each chunk, outcome of the answer, recovery rule, text accounting for runs that continue and runs that repeat the text, decision when held chunks are written.

Conclusion: crossed, late and cut chunks are reported as values and a resumed answer has each character once.

--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -0,0 +1,492 @@
+"""Answers as streams: parsing, identity, completeness, resumption, coalescing."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+
+from snipelug_core import refusal
+
+MAX_EVENT_BYTES = 256 * 1024
+"""Longest event of a stream; engines send a few hundred bytes per token."""
+
+HOLD_S = 0.010
+"""Longest time that the relay holds a token before it writes, in seconds."""
+
+WRITE_BYTES = 16 * 1024
+"""Held bytes that are written without waiting for the hold time."""
+
+MAX_ATTEMPTS = 3
+"""Runs of one answer, the first included."""
+
+DONE = b"[DONE]"
+DONE_EVENT = b"data: [DONE]\n\n"
+
+
+# Incremental parsing of server-sent events.
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """The data of one server-sent event."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Oversized:
+    """An event is longer than the parser accepts; the stream is unusable."""
+
+    limit_bytes: int
+
+
+class Parser:
+    """Parse server-sent events from pieces of any size.
+
+    Memory is bounded by the longest event plus the piece that is being parsed.
+
+    Parameters
+    ----------
+    limit_bytes : int
+        Longest event accepted, in bytes.
+    """
+
+    def __init__(self, limit_bytes: int = MAX_EVENT_BYTES) -> None:
+        self.limit_bytes = limit_bytes
+        self._line = bytearray()
+        self._data: list[bytes] = []
+        self._data_bytes = 0
+        self._after_cr = False
+        self._at_start = True
+        self._failed = False
+
+    def feed(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
+        """Yield the events that a piece completes; consume it wholly."""
+        for line in self._lines(piece):
+            if self._failed:
+                break
+            event = self._take(line)
+            if event is not None:
+                yield event
+        if not self._failed and self._held_bytes() > self.limit_bytes:
+            self._failed = True
+        if self._failed:
+            self._line.clear()
+            self._data.clear()
+            yield Oversized(self.limit_bytes)
+
+    def _held_bytes(self) -> int:
+        return len(self._line) + self._data_bytes
+
+    def _lines(self, piece: bytes) -> collections.abc.Iterator[bytes]:
+        if self._after_cr and piece:
+            piece = piece.removeprefix(b"\n")
+            self._after_cr = False
+        for line in piece.splitlines(keepends=True):
+            ended = line.endswith((b"\n", b"\r"))
+            if not ended:
+                self._line += line
+                return
+            whole = bytes(self._line) + line if self._line else line
+            self._line.clear()
+            yield whole.rstrip(b"\r\n")
+        self._after_cr = piece.endswith(b"\r")
+
+    def _take(self, line: bytes) -> Event | None:
+        if self._at_start:
+            line = line.removeprefix(b"\xef\xbb\xbf")
+            self._at_start = False
+        if not line:
+            return self._dispatch()
+        name, _, text = line.partition(b":")
+        if name == b"data":
+            data = text.removeprefix(b" ")
+            self._data.append(data)
+            self._data_bytes += len(data) + 1
+            self._failed = self._data_bytes > self.limit_bytes
+        return None
+
+    def _dispatch(self) -> Event | None:
+        if not self._data:
+            return None
+        event = Event(b"\n".join(self._data))
+        self._data.clear()
+        self._data_bytes = 0
+        return event
+
+
+# Chunks of an answer.
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """Token counts of a finished run."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+class Choice(msgspec.Struct):
+    """One choice of a chunk."""
+
+    index: int = 0
+    delta: dict[str, typing.Any] = {}
+    finish_reason: str | None = None
+
+
+class Chunk(msgspec.Struct, omit_defaults=True):
+    """A chunk of a streamed chat completion."""
+
+    id: str
+    object: str = ""
+    created: int = 0
+    model: str = ""
+    weight_version: str = ""
+    choices: list[Choice] = []
+    usage: Usage | None = None
+
+
+_decoder = msgspec.json.Decoder(Chunk)
+_encoder = msgspec.json.Encoder()
+
+
+@dataclasses.dataclass(frozen=True)
+class Relay:
+    """Bytes of one event that the caller receives."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Ignored:
+    """Nothing for the caller, such as the repeated start of a resumed run."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Crossed:
+    """A chunk of another run; the connection must be closed."""
+
+    expected_id: str
+    chunk_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Late:
+    """A chunk after the end of the answer; the connection must be closed."""
+
+    chunk_id: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Malformed:
+    """An event that is not a chunk; the connection must be closed."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Diverged:
+    """A resumed run repeated other text than the caller has received."""
+
+    offset: int
+
+
+Verdict = Relay | Ignored | Crossed | Late | Malformed | Diverged
+
+
+@dataclasses.dataclass(frozen=True)
+class Complete:
+    """The whole answer arrived."""
+
+    usage: Usage
+    finish_reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Incomplete:
+    """The answer lacks parts."""
+
+    missing: tuple[str, ...]
+
+
+def run_id(request_id: str, attempt: int) -> str:
+    """Return the id of one run of a request.
+
+    Each attempt has its own id, so that a late chunk of the first run is not
+    taken for one of the resumed run.
+    """
+    return f"{request_id}.{attempt}"
+
+
+class Answer:
+    """Account for the answer to one request over all of its runs.
+
+    Parameters
+    ----------
+    request_id : str
+        Id that the caller sees in each chunk.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the run that is accepted now, from 1.
+    """
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.attempt = 1
+        self._parts: list[str] = []
+        self._repeat = ""
+        self._repeated = 0
+        self._plain = True
+        self._finish_reason: str | None = None
+        self._usage: Usage | None = None
+        self._done = False
+
+    @property
+    def run_id(self) -> str:
+        """Id that each chunk of the accepted run must carry."""
+        return run_id(self.request_id, self.attempt)
+
+    @property
+    def text(self) -> str:
+        """Text relayed so far."""
+        return "".join(self._parts)
+
+    @property
+    def plain(self) -> bool:
+        """Whether all that was relayed is the text of a single choice."""
+        return self._plain
+
+    def accept(self, event: Event) -> Verdict:
+        """Judge one event of the accepted run."""
+        if event.data == DONE:
+            return self._accept_done()
+        try:
+            chunk = _decoder.decode(event.data)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+            return Malformed(str(exc)[:200])
+        if chunk.id != self.run_id:
+            return Crossed(self.run_id, chunk.id[:200])
+        if self._done or (self._finish_reason is not None and chunk.choices):
+            return Late(chunk.id)
+        if self._usage is not None and self._finish_reason is not None:
+            return Late(chunk.id)
+        return self._accept_chunk(chunk)
+
+    def resume(self, repeats: bool) -> str:
+        """Start the next run and return the text that it continues.
+
+        Parameters
+        ----------
+        repeats : bool
+            Whether the run sends the earlier text again, as a run from the
+            prompt does; the text is then checked and not relayed twice.
+        """
+        self.attempt += 1
+        self._finish_reason = None
+        self._usage = None
+        self._done = False
+        self._repeat = self.text if repeats else ""
+        self._repeated = 0
+        return self.text
+
+    def outcome(self) -> Complete | Incomplete:
+        """Return whether the answer is complete, once its connection ended."""
+        parts = {
+            "finish_reason": self._finish_reason is not None,
+            "usage": self._usage is not None,
+            "done": self._done,
+        }
+        missing = tuple(name for name, there in parts.items() if not there)
+        if missing or self._finish_reason is None or self._usage is None:
+            return Incomplete(missing)
+        return Complete(self._usage, self._finish_reason)
+
+    def _accept_done(self) -> Verdict:
+        if self._done:
+            return Late(self.run_id)
+        if self._finish_reason is None or self._usage is None:
+            return Malformed("the stream ends before the final chunk")
+        self._done = True
+        return Relay(DONE_EVENT)
+
+    def _accept_chunk(self, chunk: Chunk) -> Verdict:
+        if self._repeated < len(self._repeat):
+            fault = self._skip_repeated(chunk)
+            if fault is not None:
+                return fault
+        for choice in chunk.choices:
+            self._account(choice)
+        if chunk.usage is not None:
+            self._usage = chunk.usage
+        if not chunk.choices and chunk.usage is None:
+            return Ignored()
+        chunk.id = self.request_id
+        return Relay(b"data: " + _encoder.encode(chunk) + b"\n\n")
+
+    def _skip_repeated(self, chunk: Chunk) -> Ignored | Diverged | None:
+        """Cut repeated text from a chunk; None if something remains of it."""
+        remains = chunk.usage is not None
+        for choice in chunk.choices:
+            text = choice.delta.get("content") or ""
+            if choice.index != 0 or not isinstance(text, str):
+                return Diverged(self._repeated)
+            expected = self._repeat[self._repeated : self._repeated + len(text)]
+            if not text.startswith(expected):
+                return Diverged(self._repeated)
+            self._repeated += len(expected)
+            choice.delta = {"content": text[len(expected) :]}
+            ended = choice.finish_reason is not None
+            if ended and self._repeated < len(self._repeat):
+                return Diverged(self._repeated)
+            remains = remains or ended or len(text) > len(expected)
+        return None if remains else Ignored()
+
+    def _account(self, choice: Choice) -> None:
+        content = choice.delta.get("content")
+        if isinstance(content, str):
+            self._parts.append(content)
+        used = {name for name, value in choice.delta.items() if value is not None}
+        text_only = content is None or isinstance(content, str)
+        if choice.index != 0 or not used <= {"role", "content"} or not text_only:
+            self._plain = False
+        if choice.finish_reason is not None:
+            self._finish_reason = choice.finish_reason
+
+
+# What to do when the upstream is lost.
+
+
+@dataclasses.dataclass(frozen=True)
+class Sampling:
+    """The parts of a request that decide whether its answer can be repeated."""
+
+    temperature: float | None = None
+    seed: int | None = None
+    choices: int = 1
+
+    @property
+    def deterministic(self) -> bool:
+        """Whether a second run gives the same text."""
+        return self.temperature == 0 or self.seed is not None
+
+
+@dataclasses.dataclass(frozen=True)
+class Restart:
+    """Run the request again from the start; the caller has received nothing."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Resume:
+    """Run the rest of the request and send the text so far along."""
+
+    text: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Finish:
+    """Send ``DONE_EVENT``; nothing else of the answer is missing."""
+
+
+@dataclasses.dataclass(frozen=True)
+class End:
+    """End the stream with an error event."""
+
+    refusal: refusal.Refusal
+
+
+def recover(
+    answer: Answer, sampling: Sampling, ran_version: str, next_version: str
+) -> Restart | Resume | Finish | End:
+    """Decide how an answer goes on after its upstream was lost.
+
+    Parameters
+    ----------
+    answer : Answer
+        Account of the answer so far.
+    sampling : Sampling
+        How the request is sampled.
+    ran_version, next_version : str
+        Weight version of the lost run and of the upstream that could go on;
+        empty if unknown.
+    """
+    text = answer.text
+    outcome = answer.outcome()
+    missing = outcome.missing if isinstance(outcome, Incomplete) else ()
+    if "usage" not in missing and "finish_reason" not in missing:
+        return Finish()
+    if "finish_reason" not in missing:
+        # A run that continues a finished text would add to it.
+        return _end("upstream lost before the usage of the answer", text)
+    if answer.attempt >= MAX_ATTEMPTS:
+        return _end(f"upstream lost in attempt {answer.attempt}", text)
+    if answer.plain and not text:
+        return Restart()
+    if not sampling.deterministic:
+        return _end("upstream lost, and the request is not deterministic", text)
+    if not answer.plain or sampling.choices != 1:
+        return _end("upstream lost, and the answer is not plain text", text)
+    if not ran_version or ran_version != next_version:
+        return _end("upstream lost, and its weight version is not available", text)
+    return Resume(text)
+
+
+def error_event(reason: refusal.Refusal) -> bytes:
+    """Render the event that ends a stream without ``[DONE]``."""
+    return b"data: " + _encoder.encode(reason.content()) + b"\n\n"
+
+
+def _end(message: str, text: str) -> End:
+    state = refusal.RunState.RAN if text else refusal.RunState.UNKNOWN
+    return End(refusal.refuse(refusal.UPSTREAM_LOST, message, state))
+
+
+# Joining of chunks before a write.
+
+
+@dataclasses.dataclass(frozen=True)
+class Held:
+    """Bytes that wait for a write.
+
+    Attributes
+    ----------
+    size : int
+        Bytes held.
+    since : float
+        Time at which the oldest of them arrived, in seconds.
+    last_write_at : float or None
+        Time of the previous write, in seconds.
+    final : bool
+        The answer ends with these bytes.
+    """
+
+    size: int
+    since: float
+    last_write_at: float | None = None
+    final: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteNow:
+    """Write all that is held."""
+
+
+@dataclasses.dataclass(frozen=True)
+class HoldUntil:
+    """Wait for more chunks, but not beyond a time, in seconds."""
+
+    at: float
+
+
+def decide_write(held: Held, now: float) -> WriteNow | HoldUntil:
+    """Decide whether held chunks are written now or may wait for more.
+
+    A chunk that follows a pause is written at once, so that the first token is
+    not delayed; chunks in quick succession share a write.
+    """
+    if held.final or held.size >= WRITE_BYTES or held.last_write_at is None:
+        return WriteNow()
+    due = min(held.since, held.last_write_at) + HOLD_S
+    return WriteNow() if now >= due else HoldUntil(due)
--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,280 @@
+"""Fault cases and property tests of streamed answers."""
+
+import itertools
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from snipelug_core import refusal, stream
+
+USAGE = {"prompt_tokens": 3, "completion_tokens": 2, "cached_tokens": 1}
+GREEDY = stream.Sampling(temperature=0)
+
+
+def chunk(
+    text: str | None = None, run: str = "r.1", **more: object
+) -> dict[str, object]:
+    finish = more.pop("finish", None)
+    delta = {} if text is None else {"content": text}
+    choices = [{"index": 0, "delta": delta, "finish_reason": finish}]
+    return {"id": run, "choices": choices, **more}
+
+
+def final(run: str = "r.1", text: str | None = None) -> dict[str, object]:
+    return chunk(text, run, finish="stop", usage=USAGE)
+
+
+def event(content: object) -> stream.Event:
+    data = content if isinstance(content, bytes) else json.dumps(content).encode()
+    return stream.Event(data)
+
+
+def received(relays: list[bytes]) -> str:
+    """Return the text that a caller reads from relayed events."""
+    text = ""
+    for relay in relays:
+        assert relay.startswith(b"data: ")
+        assert relay.endswith(b"\n\n")
+        if relay == stream.DONE_EVENT:
+            continue
+        content = json.loads(relay[6:])
+        assert content["id"] == "r"
+        text += "".join(c["delta"].get("content", "") for c in content["choices"])
+    return text
+
+
+R, N, C = stream.Relay, stream.Ignored, stream.Crossed
+L, M = stream.Late, stream.Malformed
+DONE = stream.DONE
+FAULTS = [
+    ("whole", [chunk("a"), final(), DONE], [R, R, R], ()),
+    (
+        "usage apart",
+        [chunk("a", finish="stop"), {"id": "r.1", "usage": USAGE}, DONE],
+        [R, R, R],
+        (),
+    ),
+    ("crossed", [chunk("a"), chunk("b", "q.1"), final(), DONE], [R, C, R, R], ()),
+    ("run of a lost attempt", [chunk("a", "r.0")], [C], None),
+    ("text after the end", [final(), chunk("b")], [R, L], ("done",)),
+    ("second usage", [final(), {"id": "r.1", "usage": USAGE}], [R, L], ("done",)),
+    ("done twice", [final(), DONE, DONE], [R, R, L], ()),
+    ("text after done", [final(), DONE, chunk("b")], [R, R, L], ()),
+    ("early done", [chunk("a"), DONE], [R, M], None),
+    ("no usage", [chunk("a", finish="stop")], [R], ("usage", "done")),
+    ("cut", [chunk("a")], [R], ("finish_reason", "usage", "done")),
+    ("not JSON", [b"{"], [M], None),
+    ("no id", [{"choices": []}], [M], None),
+    ("wrong types", [{"id": "r.1", "choices": 3}], [M], None),
+    ("not UTF-8", [b'{"id":"\xff"}'], [M], None),
+    ("empty", [{"id": "r.1"}], [N], None),
+]
+
+
+@pytest.mark.parametrize(("contents", "kinds", "missing"), [f[1:] for f in FAULTS])
+def test_faults_are_dropped_and_reported(
+    contents: list[object], kinds: list[type], missing: tuple[str, ...] | None
+) -> None:
+    """Guards against another answer's chunks and against cut answers."""
+    answer = stream.Answer("r")
+    verdicts = [answer.accept(event(c)) for c in contents]
+    assert [type(v) for v in verdicts] == kinds
+    outcome = answer.outcome()
+    if missing == ():
+        expected = stream.Usage(**USAGE)
+        assert outcome == stream.Complete(expected, "stop")
+    else:
+        assert isinstance(outcome, stream.Incomplete)
+        assert missing is None or outcome.missing == missing
+
+
+SEEDED = stream.Sampling(seed=3)
+TOOL = {"id": "r.1", "choices": [{"delta": {"tool_calls": [{}]}}]}
+UNUSED = {"id": "r.1", "choices": [{"delta": {"content": "a", "refusal": None}}]}
+SECOND = {"id": "r.1", "choices": [{"index": 1, "delta": {"content": "a"}}]}
+RECOVERIES = [
+    ([], stream.Sampling(), "w1", "w2", stream.Restart),
+    ([chunk("")], stream.Sampling(), "w1", "w2", stream.Restart),
+    ([chunk("a")], GREEDY, "w1", "w1", stream.Resume),
+    ([chunk("a")], SEEDED, "w1", "w1", stream.Resume),
+    ([UNUSED], GREEDY, "w1", "w1", stream.Resume),
+    ([chunk("a")], GREEDY, "w1", "w2", stream.End),
+    ([chunk("a")], GREEDY, "", "", stream.End),
+    ([chunk("a")], stream.Sampling(), "w1", "w1", stream.End),
+    ([chunk("a")], stream.Sampling(temperature=0.1), "w1", "w1", stream.End),
+    ([chunk("a")], stream.Sampling(0, None, 2), "w1", "w1", stream.End),
+    ([TOOL], GREEDY, "w1", "w1", stream.End),
+    ([SECOND], GREEDY, "w1", "w1", stream.End),
+    ([chunk("a", finish="stop")], GREEDY, "w1", "w1", stream.End),
+    ([chunk("a"), final()], stream.Sampling(), "w1", "w2", stream.Finish),
+]
+
+
+@pytest.mark.parametrize(("contents", "sampling", "ran", "other", "kind"), RECOVERIES)
+def test_recovery_follows_the_resume_rule(
+    contents: list[object],
+    sampling: stream.Sampling,
+    ran: str,
+    other: str,
+    kind: type,
+) -> None:
+    """Guards against an answer mixed from two versions or two samplings."""
+    answer = stream.Answer("r")
+    for content in contents:
+        answer.accept(event(content))
+    decision = stream.recover(answer, sampling, ran, other)
+    assert type(decision) is kind
+    if isinstance(decision, stream.End):
+        content = json.loads(stream.error_event(decision.refusal)[6:])
+        assert content["error"]["code"] == "upstream_lost"
+        assert content["error"]["run_state"] != refusal.RunState.NOT_RUN
+
+
+def test_attempts_are_bounded() -> None:
+    """Guards against a request that is resumed for ever."""
+    answer = stream.Answer("r")
+    answer.accept(event(chunk("a")))
+    for _ in range(stream.MAX_ATTEMPTS - 1):
+        assert stream.recover(answer, GREEDY, "w", "w") == stream.Resume("a")
+        answer.resume(repeats=False)
+    assert isinstance(stream.recover(answer, GREEDY, "w", "w"), stream.End)
+
+
+def pieces(text: str, cuts: list[int]) -> list[str]:
+    """Cut a text at the given places."""
+    places = sorted({c % (len(text) + 1) for c in cuts} | {0, len(text)})
+    return [text[a:b] for a, b in itertools.pairwise(places)]
+
+
+CUTS = st.lists(st.integers(0, 1000), max_size=6)
+
+
+@hypothesis.given(
+    st.text(max_size=40), CUTS, CUTS, CUTS, st.integers(0, 6), st.booleans()
+)
+def test_resumed_answer_has_each_character_once(
+    text: str,
+    first: list[int],
+    second: list[int],
+    third: list[int],
+    lost: int,
+    repeats: bool,
+) -> None:
+    """Guards against repeated or lost text when an upstream dies mid-stream."""
+    answer = stream.Answer("r")
+    relays: list[bytes] = []
+
+    def take(content: object) -> None:
+        verdict = answer.accept(event(content))
+        assert isinstance(verdict, stream.Relay | stream.Ignored)
+        if isinstance(verdict, stream.Relay):
+            relays.append(verdict.data)
+
+    for piece in pieces(text, first)[:lost]:
+        take(chunk(piece))
+    for attempt, cuts in ((2, second), (3, third)):
+        so_far = answer.resume(repeats)
+        assert so_far == received(relays)
+        assert isinstance(answer.accept(event(chunk("late"))), stream.Crossed)
+        rest = pieces(text if repeats else text[len(so_far) :], cuts)
+        for piece in rest if attempt == 3 else rest[:lost]:
+            take(chunk(piece, f"r.{attempt}"))
+    take(final("r.3"))
+    take(DONE)
+    assert received(relays) == text
+    assert isinstance(answer.outcome(), stream.Complete)
+
+
+@hypothesis.given(st.text("ab", max_size=8), st.text("ab", max_size=8))
+def test_other_text_in_a_repeated_run_is_reported(sent: str, again: str) -> None:
+    """Guards against gluing the end of one text to the start of another."""
+    answer = stream.Answer("r")
+    answer.accept(event(chunk(sent)))
+    answer.resume(repeats=True)
+    verdict = answer.accept(event(final("r.2", again)))
+    same = again.startswith(sent)
+    assert isinstance(verdict, stream.Relay if same else stream.Diverged)
+
+
+LINES = st.sampled_from(
+    [b"data: a", b"data:b", b"data", b"", b"", b": note", b"id: 1", b"data:  \xc3\xa9"]
+)
+ENDS = st.sampled_from([b"\n", b"\r", b"\r\n"])
+
+
+def parse_whole(lines: list[bytes]) -> list[bytes]:
+    """Parse complete lines by the letter of the standard."""
+    events, data = [], []
+    for line in lines:
+        name, _, text = line.partition(b":")
+        if not line and data:
+            events.append(b"\n".join(data))
+            data = []
+        elif name == b"data":
+            data.append(text[1:] if text[:1] == b" " else text)
+    return events
+
+
+@hypothesis.given(st.lists(LINES), ENDS, CUTS, st.sampled_from([b"", b"\xef\xbb\xbf"]))
+def test_parser_gives_the_same_events_for_any_pieces(
+    lines: list[bytes], end: bytes, cuts: list[int], mark: bytes
+) -> None:
+    """Guards against tokens lost or split where network reads are cut."""
+    raw = mark + b"".join(line + end for line in lines)
+    places = sorted({c % (len(raw) + 1) for c in cuts} | {0, len(raw)})
+    parser = stream.Parser()
+    events = []
+    for a, b in itertools.pairwise(places):
+        events += list(parser.feed(raw[a:b]))
+    assert events == [stream.Event(data) for data in parse_whole(lines)]
+    parser = stream.Parser()
+    single = [e for i in range(len(raw)) for e in parser.feed(raw[i : i + 1])]
+    assert single == events
+
+
+@pytest.mark.parametrize("line", [b"x" * 10, b"data: x\n", b": x\n" + b"data: xx\r"])
+def test_parser_memory_is_bounded(line: bytes) -> None:
+    """Guards against an upstream that never ends an event."""
+    parser = stream.Parser(limit_bytes=100)
+    outcomes = [list(parser.feed(line)) for _ in range(1000)]
+    assert outcomes[-1] == [stream.Oversized(100)]
+    assert parser._held_bytes() <= 100 + len(line)
+
+
+@hypothesis.given(st.lists(st.floats(0, 0.03), min_size=1, max_size=30))
+def test_no_chunk_is_held_longer_than_the_limit(gaps: list[float]) -> None:
+    """Guards against tokens that wait for others that never come."""
+    now, last_write, since = 0.0, None, None
+    for gap in gaps:
+        if since is not None:
+            decision = stream.decide_write(stream.Held(1, since, last_write), now)
+            assert isinstance(decision, stream.HoldUntil)
+            assert now < decision.at <= since + stream.HOLD_S
+            if decision.at <= now + gap:
+                last_write, since = decision.at, None
+        now += gap
+        arrived = since if since is not None else now
+        decision = stream.decide_write(stream.Held(1, arrived, last_write), now)
+        if isinstance(decision, stream.WriteNow):
+            last_write, since = now, None
+        else:
+            since = arrived
+
+
+WRITES = [
+    (stream.Held(1, 1.0), stream.WriteNow()),
+    (stream.Held(1, 1.0, 0.0), stream.WriteNow()),
+    (stream.Held(1, 1.0, 0.995), stream.HoldUntil(0.995 + stream.HOLD_S)),
+    (stream.Held(1, 1.0, 0.995, final=True), stream.WriteNow()),
+    (stream.Held(stream.WRITE_BYTES, 1.0, 0.995), stream.WriteNow()),
+]
+
+
+@pytest.mark.parametrize(("held", "decision"), WRITES)
+def test_first_last_and_large_writes_do_not_wait(
+    held: stream.Held, decision: object
+) -> None:
+    """Guards against a delayed first token, a delayed end and growing buffers."""
+    assert stream.decide_write(held, 1.0) == decision
