--- a/packages/snipelug-core/src/snipelug_core/contract.py
+++ b/packages/snipelug-core/src/snipelug_core/contract.py
@@ -8,6 +8,9 @@
 import msgspec
 
 Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,63}$")]
+Version = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]{0,63})?$")
+]
 KeyHash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
@@ -71,12 +74,19 @@
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A model as served: everything that a cached block depends on."""
+    """A model as served: everything that a cached block depends on.
+
+    Attributes
+    ----------
+    weight_version : str
+        Version that engines are ordered to load; empty to leave the choice to
+        the vendor, whose engines report what they serve.
+    """
 
     name: Name
     tokenizer: Name = "bytes4"
     adapter: str = ""
-    weight_version: Name = "w1"
+    weight_version: Version = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -95,7 +95,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         self._finished = True
-        await self._pool.give_back(self._conn)
+        self._pool.give_back(self._conn)
         return None
 
     async def read(self, limit_bytes: int, timeout_s: float) -> bytes | Lost | TooLarge:
@@ -135,6 +135,12 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
 
+    def reset(self) -> None:
+        """Forget a request of which no byte was sent."""
+        self.proto = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
     async def next_event(self) -> object:
         while True:
             event = self.proto.next_event()
@@ -195,7 +201,9 @@
             data += conn.proto.send(h11.Data(data=call.body)) or b""
         data += conn.proto.send(h11.EndOfMessage()) or b""
         if last_check is not None and not last_check(conn.opened_at):
-            await trio.aclose_forcefully(conn.stream)
+            # Kept, so that a report newer than the connection can clear it.
+            conn.reset()
+            self._keep(conn)
             return Withheld()
         return await self._exchange(call, conn, data)
 
@@ -214,16 +222,20 @@
             return body
         return Full(reply.status, reply.headers, body)
 
-    async def give_back(self, conn: _Connection) -> None:
+    def give_back(self, conn: _Connection) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
         proto = conn.proto
+        if proto.our_state is h11.DONE and proto.their_state is h11.DONE:
+            proto.start_next_cycle()
+            self._keep(conn)
+        else:
+            conn.stream.socket.close()
+
+    def _keep(self, conn: _Connection) -> None:
         idle = self._idle.setdefault(conn.addr, collections.deque())
-        reusable = proto.our_state is h11.DONE and proto.their_state is h11.DONE
-        if not reusable or len(idle) >= self.idle_per_addr:
-            await trio.aclose_forcefully(conn.stream)
-            return
-        proto.start_next_cycle()
         idle.append(conn)
+        if len(idle) > self.idle_per_addr:
+            idle.popleft().stream.socket.close()
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -5,6 +5,7 @@
 import http
 import logging
 import math
+import typing
 import urllib.parse
 
 import h11
@@ -54,12 +55,24 @@
     body: bytes
 
 
-Body = bytes | collections.abc.AsyncGenerator[bytes, None]
+class Parts(typing.Protocol):
+    """A body that is sent in parts; closed once, also if it was not read."""
+
+    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Return the iterator over the parts."""
+        ...
+
+    async def aclose(self) -> None:
+        """Free what the body holds."""
+        ...
+
+
+Body = bytes | Parts
 
 
 @dataclasses.dataclass
 class Response:
-    """A response; a body given as an async generator is sent in chunks."""
+    """A response; a body given in parts is sent in chunks."""
 
     status: int
     body: Body = b""
@@ -330,9 +343,7 @@
             return
         await self._send_stream(out, response.body)
 
-    async def _send_stream(
-        self, head: bytes, body: collections.abc.AsyncGenerator[bytes, None]
-    ) -> None:
+    async def _send_stream(self, head: bytes, body: Parts) -> None:
         try:
             await self._write(head)
             async for part in body:
--- a/packages/snipelug-node/src/snipelug_node/chat.py
+++ b/packages/snipelug-node/src/snipelug_node/chat.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from snipelug_core import refusal
+from snipelug_core import block, refusal
 
 MAX_MESSAGES = 4096
 MAX_GENERATED_TOKENS = 32_768
@@ -54,13 +54,16 @@
         The fields that the node reads.
     fields : dict
         All fields as sent, less those reserved for the node.
-    prompt : str
+    prompt : bytes
         The messages rendered as one text, which block keys are made from.
+    prompt_tokens : int
+        Estimated length of the prompt, in tokens.
     """
 
     body: Body
     fields: dict[str, object]
-    prompt: str
+    prompt: bytes
+    prompt_tokens: int
 
     @property
     def deterministic(self) -> bool:
@@ -68,11 +71,6 @@
         return self.body.temperature == 0 or self.body.seed is not None
 
 
-def render(messages: list[Message]) -> str:
-    """Render messages so that a conversation's next turn extends the text."""
-    return "".join(f"<{m.role}>{m.content}</{m.role}>" for m in messages)
-
-
 def parse(data: bytes) -> Chat | refusal.Refusal:
     """Validate the body of a chat request."""
     try:
@@ -82,4 +80,6 @@
         return refusal.refuse(refusal.BAD_REQUEST, f"invalid chat request: {exc}")
     for name in RESERVED_FIELDS:
         fields.pop(name, None)
-    return Chat(body, fields, render(body.messages))
+    messages = typing.cast(list[dict[str, object]], fields["messages"])
+    prompt = block.render(messages, fields.get("tools"))
+    return Chat(body, fields, prompt, block.Bytes4().count(prompt))
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -0,0 +1,537 @@
+"""The callers' HTTP interface."""
+
+import collections.abc
+import dataclasses
+import http
+import logging
+import typing
+import uuid
+
+import msgspec
+import trio
+
+from snipelug_core import claim, contract, load, refusal, stream, table
+from snipelug_net import http_client, http_server
+from snipelug_node import (
+    chat,
+    dispatch,
+    engine,
+    journal,
+    metrics,
+    sender,
+    service,
+)
+
+LOG = logging.getLogger("snipelug.gateway")
+
+CHAT_PATH = "/v1/chat/completions"
+MAX_KEY_CHARS = 255
+DEFAULT_GENERATED_TOKENS = 256
+SERVICE_TOKENS = 1
+"""Cost of a plain service call where limits count tokens."""
+
+BEARER = "bearer "
+
+
+class Revisions(typing.Protocol):
+    """The configuration in force."""
+
+    @property
+    def cfg(self) -> contract.Config:
+        """Newest configuration known."""
+        ...
+
+    def is_current(self, now: float) -> bool:
+        """Whether no newer revision can be in force elsewhere."""
+        ...
+
+
+class Ticket(typing.Protocol):
+    """Permission to run one request within its team's limits."""
+
+    def leave(self) -> None:
+        """Give the permission back."""
+        ...
+
+
+class Limiter(typing.Protocol):
+    """Limits of teams over all nodes, and the queues before them."""
+
+    async def enter(
+        self, team: contract.Contract, cost_tokens: int, deadline: float
+    ) -> Ticket | refusal.Refusal:
+        """Wait for permission to run a request."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """Outcome of one execution of a call with an idempotency key.
+
+    Attributes
+    ----------
+    left : bool
+        Whether bytes were sent to an upstream.
+    """
+
+    result: claim.Answer | refusal.Refusal
+    left: bool
+
+
+Send = collections.abc.Callable[
+    [http_client.LastCheck], collections.abc.Awaitable[Sent]
+]
+
+
+class Orders(typing.Protocol):
+    """At-most-once execution."""
+
+    async def run(
+        self, team: str, key: str, fingerprint: str, deadline: float, send: Send
+    ) -> claim.Answer | refusal.Refusal:
+        """Run a call unless it already ran; return its first answer."""
+        ...
+
+
+@dataclasses.dataclass
+class Gateway:
+    """Answers callers.
+
+    Attributes
+    ----------
+    stopping : bool
+        A planned stop has begun; new work is refused.
+    """
+
+    node_id: str
+    revisions: Revisions
+    tables: table.Tables
+    pool: http_client.Pool
+    dispatcher: dispatch.Dispatcher
+    limiter: Limiter
+    orders: Orders
+    metrics: metrics.Metrics
+    stopping: bool = False
+    running: int = 0
+
+    async def handle(self, req: http_server.Request) -> http_server.Response:
+        """Answer one request."""
+        if req.path == "/healthz":
+            return http_server.json_response(http.HTTPStatus.OK, {"alive": True})
+        if req.path == "/readyz":
+            return self._readiness()
+        caller = self._authenticate(req)
+        if isinstance(caller, refusal.Refusal):
+            return self._refuse(caller, req.path)
+        if req.path == CHAT_PATH:
+            answer = await self._chat(req, caller)
+        elif req.path.startswith(service.PREFIX):
+            answer = await self._service(req, caller)
+        else:
+            message = f"path {req.path!r} does not exist"
+            answer = refusal.refuse(refusal.NOT_FOUND, message)
+        if isinstance(answer, refusal.Refusal):
+            return self._refuse(answer, req.path)
+        return answer
+
+    def unready_reason(self) -> refusal.Refusal | None:
+        """Return why this node takes no new work, if so."""
+        if self.stopping:
+            message = "this node is being stopped"
+            return refusal.refuse(refusal.NODE_STOPPING, message)
+        if not self.revisions.is_current(trio.current_time()):
+            message = "this node cannot show that its configuration is current"
+            return refusal.refuse(refusal.NODE_NOT_CURRENT, message)
+        return None
+
+    def _readiness(self) -> http_server.Response:
+        reason = self.unready_reason()
+        if reason is not None:
+            return self._refuse(reason, "/readyz")
+        content = {"ready": True, "revision": self.revisions.cfg.revision}
+        return http_server.json_response(http.HTTPStatus.OK, content)
+
+    def _authenticate(
+        self, req: http_server.Request
+    ) -> contract.Contract | refusal.Refusal:
+        unready = self.unready_reason()
+        if unready is not None:
+            return unready
+        field = req.headers.get("authorization", "")
+        if not field.lower().startswith(BEARER):
+            message = "the request has no bearer key"
+            return refusal.refuse(refusal.UNAUTHENTICATED, message)
+        found = contract.find_contract(self.revisions.cfg, field[len(BEARER) :].strip())
+        if found is None:
+            message = "the bearer key belongs to no contract"
+            return refusal.refuse(refusal.UNAUTHENTICATED, message)
+        return found
+
+    def _refuse(self, refused: refusal.Refusal, path: str) -> http_server.Response:
+        headers: dict[str, str] = {}
+        if refused.retry_after_s is not None:
+            headers["retry-after"] = str(max(1, round(refused.retry_after_s)))
+        if path != "/readyz":
+            self.metrics.incr(f"refused.{refused.kind.code}")
+            journal.event(
+                LOG,
+                "refused",
+                path=path,
+                code=refused.kind.code,
+                run_state=refused.run_state.value,
+                reason=refused.message,
+            )
+        return http_server.json_response(
+            refused.kind.status, refused.content(), headers
+        )
+
+    # Chat completions
+
+    async def _chat(
+        self, req: http_server.Request, team: contract.Contract
+    ) -> http_server.Response | refusal.Refusal:
+        if req.method != "POST":
+            message = f"method {req.method} is not allowed here"
+            return refusal.refuse(refusal.BAD_REQUEST, message)
+        parsed = chat.parse(req.body)
+        if isinstance(parsed, refusal.Refusal):
+            return parsed
+        denied = check_model(parsed, team, self.revisions.cfg)
+        if denied is not None:
+            return denied
+        key = idempotency_key(req)
+        if isinstance(key, refusal.Refusal):
+            return key
+        now = trio.current_time()
+        request_id = uuid.uuid4().hex
+        job = dispatch.Job(
+            request_id=request_id,
+            contract=team,
+            chat=parsed,
+            fingerprint=claim.fingerprint(req.method, CHAT_PATH, req.body),
+            started_at=now,
+            deadline=now + team.deadline_s,
+            answer=stream.Answer(request_id),
+            once=bool(key),
+        )
+        cost = parsed.prompt_tokens + (
+            parsed.body.max_tokens or DEFAULT_GENERATED_TOKENS
+        )
+        ticket = await self.limiter.enter(team, cost, job.deadline)
+        if isinstance(ticket, refusal.Refusal):
+            return ticket
+        self.running += 1
+        leave = self._leaver(ticket)
+        if key:
+            try:
+                return await self._chat_once(job, key)
+            finally:
+                leave()
+        return await self._chat_answer(job, leave)
+
+    def _leaver(self, ticket: Ticket) -> collections.abc.Callable[[], None]:
+        """Return a function that ends a request's accounting, once."""
+        left = False
+
+        def leave() -> None:
+            nonlocal left
+            if not left:
+                left = True
+                self.running -= 1
+                ticket.leave()
+
+        return leave
+
+    async def _chat_answer(
+        self, job: dispatch.Job, leave: collections.abc.Callable[[], None]
+    ) -> http_server.Response | refusal.Refusal:
+        handed_over = False
+        try:
+            if not job.chat.body.stream:
+                whole = await self.dispatcher.collect(job)
+                if isinstance(whole, refusal.Refusal):
+                    return whole
+                self._finished(job)
+                return self._json_answer(job, whole)
+            opened = await self.dispatcher.open(job)
+            if isinstance(opened, refusal.Refusal):
+                return opened
+            headers = self._headers(job)
+            headers["content-type"] = "text/event-stream"
+            headers["cache-control"] = "no-store"
+            headers["x-snipelug-upstream"] = opened.choice.upstream.instance.id
+            handed_over = True
+            body = StreamBody(self._timed(job, opened), opened, leave)
+            return http_server.Response(http.HTTPStatus.OK, body, headers)
+        finally:
+            if not handed_over:
+                leave()
+
+    async def _timed(
+        self, job: dispatch.Job, opened: dispatch.Exchange
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Relay a stream and record the time to its first part."""
+        first = True
+        async for data in self.dispatcher.stream(job, opened):
+            if first:
+                first = False
+                elapsed_ms = (trio.current_time() - job.started_at) * 1000
+                self.metrics.timing("first_token_ms", elapsed_ms)
+            yield data
+        self._finished(job)
+
+    def _finished(self, job: dispatch.Job) -> None:
+        elapsed_s = trio.current_time() - job.started_at
+        self.metrics.incr("chat.finished")
+        journal.event(
+            LOG,
+            "chat_finished",
+            request=job.request_id,
+            team=job.contract.team,
+            model=job.chat.body.model,
+            attempts=job.answer.attempt,
+            elapsed_s=round(elapsed_s, 4),
+        )
+
+    def _headers(self, job: dispatch.Job) -> dict[str, str]:
+        return {"x-request-id": job.request_id, "x-snipelug-node": self.node_id}
+
+    def _json_answer(
+        self, job: dispatch.Job, whole: engine.Whole
+    ) -> http_server.Response:
+        headers = self._headers(job)
+        headers["x-snipelug-upstream"] = whole.upstream_id
+        return http_server.json_response(http.HTTPStatus.OK, whole.content, headers)
+
+    async def _chat_once(
+        self, job: dispatch.Job, key: str
+    ) -> http_server.Response | refusal.Refusal:
+        """Run a chat request at most once; its answer is kept as JSON."""
+        streamed = job.chat.body.stream
+        job.chat.body.stream = False
+
+        async def send(granted: http_client.LastCheck) -> Sent:
+            job.granted = granted
+            whole = await self.dispatcher.collect(job)
+            if isinstance(whole, refusal.Refusal):
+                return Sent(whole, job.sent)
+            body = msgspec.json.encode(whole.content)
+            headers = {"content-type": "application/json"}
+            return Sent(claim.Answer(http.HTTPStatus.OK, headers, body), True)
+
+        answer = await self.orders.run(
+            job.contract.team, key, job.fingerprint, job.deadline, send
+        )
+        if isinstance(answer, refusal.Refusal):
+            return answer
+        self._finished(job)
+        headers = self._headers(job) | answer.headers
+        if not streamed:
+            return http_server.Response(answer.status, answer.body, headers)
+        headers["content-type"] = "text/event-stream"
+        return http_server.Response(
+            answer.status, engine.as_events(answer.body), headers
+        )
+
+    # Plain services
+
+    async def _service(
+        self, req: http_server.Request, team: contract.Contract
+    ) -> http_server.Response | refusal.Refusal:
+        target = service.parse_path(req.path)
+        if isinstance(target, refusal.Refusal):
+            return target
+        if target.name not in team.services:
+            message = f"the contract does not include service {target.name!r}"
+            return refusal.refuse(refusal.FORBIDDEN, message)
+        key = idempotency_key(req)
+        if isinstance(key, refusal.Refusal):
+            return key
+        if not key and service.needs_key(target, req.method, team.require_key):
+            message = f"{req.method} {req.path} needs an Idempotency-Key"
+            return refusal.refuse(refusal.KEY_REQUIRED, message)
+        call = ServiceCall(
+            req, target, uuid.uuid4().hex, trio.current_time() + team.deadline_s
+        )
+        ticket = await self.limiter.enter(team, SERVICE_TOKENS, call.deadline)
+        if isinstance(ticket, refusal.Refusal):
+            return ticket
+        self.running += 1
+        leave = self._leaver(ticket)
+        try:
+            answer = await self._run_service(call, team, key)
+        finally:
+            leave()
+        if isinstance(answer, refusal.Refusal):
+            return answer
+        headers = dict(answer.headers)
+        headers["x-request-id"] = call.request_id
+        headers["x-snipelug-node"] = self.node_id
+        return http_server.Response(answer.status, answer.body, headers)
+
+    async def _run_service(
+        self, call: "ServiceCall", team: contract.Contract, key: str
+    ) -> claim.Answer | refusal.Refusal:
+        repeatable = call.req.method in service.IDEMPOTENT_METHODS
+        if not key:
+            sent = await self._send_service(call, None, repeatable)
+            return sent.result
+
+        async def send(granted: http_client.LastCheck) -> Sent:
+            return await self._send_service(call, granted, repeatable=False)
+
+        fingerprint = claim.fingerprint(call.req.method, call.req.path, call.req.body)
+        return await self.orders.run(team.team, key, fingerprint, call.deadline, send)
+
+    async def _send_service(
+        self,
+        call: "ServiceCall",
+        granted: http_client.LastCheck | None,
+        repeatable: bool,
+    ) -> Sent:
+        """Send a call to the service's instances until one has taken it."""
+        refused = refusal.refuse(
+            refusal.NO_UPSTREAM, f"no instance of service {call.target.name!r} is up"
+        )
+        left = False
+        excluded: set[str] = set()
+        for attempt in range(dispatch.MAX_TRIES):
+            upstream = self._choose_service(call.target.name, excluded)
+            if upstream is None or trio.current_time() >= call.deadline:
+                break
+            if attempt and not self._take_retry(upstream):
+                break
+            excluded.add(upstream.instance.id)
+            outcome = await self._try_service(call, upstream, granted)
+            match outcome:
+                case http_client.Full(status, headers, body):
+                    kept = service.answer_headers(headers)
+                    kept["x-snipelug-upstream"] = upstream.instance.id
+                    return Sent(claim.Answer(status, kept, body), True)
+                case http_client.NotSent(reason):
+                    load.mark_closed(upstream, trio.current_time())
+                    refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
+                case sender.Blocked(blocked):
+                    refused = blocked
+                case http_client.Lost() | http_client.TooLarge():
+                    left = True
+                    load.mark_closed(upstream, trio.current_time())
+                    text = f"the service's answer was lost: {outcome}"
+                    refused = refusal.refuse(
+                        refusal.UPSTREAM_LOST, text, refusal.RunState.UNKNOWN
+                    )
+                    if not repeatable:
+                        break
+        return Sent(refused, left)
+
+    def _take_retry(self, upstream: table.Upstream) -> bool:
+        now = trio.current_time()
+        return self.dispatcher.budget.take_retry(upstream.instance.id, now)
+
+    def _choose_service(self, name: str, excluded: set[str]) -> table.Upstream | None:
+        now = trio.current_time()
+        able = [
+            upstream
+            for upstream in self.tables.upstreams.values()
+            if upstream.instance.role is table.Role.SERVICE
+            and upstream.instance.name == name
+            and upstream.instance.id not in excluded
+            and not isinstance(
+                self.dispatcher.sender.may_send(upstream, now, now), load.Barred
+            )
+        ]
+        if not able:
+            return None
+        return min(able, key=lambda u: (load.estimate_queue(u), u.instance.id))
+
+    async def _try_service(
+        self,
+        call: "ServiceCall",
+        upstream: table.Upstream,
+        granted: http_client.LastCheck | None,
+    ) -> (
+        http_client.Full
+        | http_client.NotSent
+        | http_client.Lost
+        | http_client.TooLarge
+        | sender.Blocked
+    ):
+        left_s = max(0.0, call.deadline - trio.current_time())
+        wire = service.build_call(
+            upstream.instance, call.target, call.req, call.request_id, left_s
+        )
+        sent = await self.dispatcher.sender.send(upstream, wire, call.deadline, granted)
+        if not isinstance(sent, sender.Opened):
+            return sent
+        try:
+            body = await sent.reply.read(service.MAX_ANSWER_BYTES, left_s)
+        finally:
+            sent.permit.release()
+            with trio.CancelScope(shield=True):
+                await sent.reply.aclose()
+        if not isinstance(body, bytes):
+            return body
+        return http_client.Full(sent.reply.status, sent.reply.headers, body)
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceCall:
+    """One call of a plain service."""
+
+    req: http_server.Request
+    target: service.Target
+    request_id: str
+    deadline: float
+
+
+class StreamBody:
+    """The body of a streamed answer; closing it ends the run even if unread."""
+
+    def __init__(
+        self,
+        parts: collections.abc.AsyncGenerator[bytes, None],
+        exchange: dispatch.Exchange,
+        leave: collections.abc.Callable[[], None],
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._leave = leave
+
+    def __aiter__(self) -> "StreamBody":
+        return self
+
+    async def __anext__(self) -> bytes:
+        return await anext(self._parts)
+
+    async def aclose(self) -> None:
+        """End the run."""
+        try:
+            await self._parts.aclose()
+            # An async generator that was never started runs no cleanup.
+            await self._exchange.aclose()
+        finally:
+            self._leave()
+
+
+def idempotency_key(req: http_server.Request) -> str | refusal.Refusal:
+    """Return the call's idempotency key, empty if it has none."""
+    key = req.headers.get("idempotency-key", "")
+    if len(key) > MAX_KEY_CHARS:
+        message = f"the Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
+        return refusal.refuse(refusal.BAD_REQUEST, message)
+    return key
+
+
+def check_model(
+    parsed: chat.Chat, team: contract.Contract, cfg: contract.Config
+) -> refusal.Refusal | None:
+    """Return why the team may not send this chat request, if so."""
+    model = parsed.body.model
+    if model not in team.models or model not in cfg.models:
+        message = f"the contract does not include model {model!r}"
+        return refusal.refuse(refusal.FORBIDDEN, message)
+    limit = team.limits.prompt_tokens
+    if parsed.prompt_tokens > limit:
+        message = f"the prompt has {parsed.prompt_tokens} tokens, the limit is {limit}"
+        return refusal.refuse(refusal.PROMPT_TOO_LONG, message)
+    return None
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -0,0 +1,146 @@
+"""Orders to engines to load weights, a few at once over the deployment."""
+
+import collections.abc
+import dataclasses
+import http
+import logging
+
+import msgspec
+import trio
+
+from snipelug_core import contract, table, weights
+from snipelug_net import http_client
+from snipelug_node import journal, ports
+
+LOG = logging.getLogger("snipelug.loader")
+
+TICK_S = 1.0
+ORDER_TIMEOUT_S = 30.0
+
+
+class SlotsRow(msgspec.Struct):
+    """Row of the loads in progress."""
+
+    holders: list[weights.Holder] = msgspec.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Loader:
+    """Orders the engines that this node owns to load the configured weights.
+
+    Attributes
+    ----------
+    fencing_of : callable
+        Fencing number of this node's owner row for an upstream; None if this
+        node is not its owner now.
+    session : callable
+        Id of this node's session, empty if it has none.
+    live_sessions : callable
+        Ids of all sessions that exist.
+    limit : int
+        Loads at once in the deployment.
+    """
+
+    tables: table.Tables
+    store: ports.TableService
+    pool: http_client.Pool
+    cfg: collections.abc.Callable[[], contract.Config]
+    fencing_of: collections.abc.Callable[[str], int | None]
+    session: collections.abc.Callable[[], str]
+    live_sessions: collections.abc.Callable[[], collections.abc.Container[str]]
+    refresh: collections.abc.Callable[[table.Upstream], collections.abc.Awaitable[None]]
+    limit: int
+
+    async def run(self) -> None:
+        """Order loads until cancelled."""
+        while True:
+            plan = weights.plan(self.tables, self.cfg(), self.fencing_of)
+            async with trio.open_nursery() as nursery:
+                for load in plan:
+                    nursery.start_soon(self._load, load)
+            await trio.sleep(TICK_S)
+
+    async def _load(self, load: weights.Load) -> None:
+        mine = weights.Holder(load.upstream_id, self.session())
+        if not mine.session or not await self._take(mine):
+            return
+        try:
+            await self._order(load)
+        finally:
+            with trio.CancelScope(shield=True, deadline=trio.current_time() + 5.0):
+                await self._free(mine)
+
+    async def _order(self, load: weights.Load) -> None:
+        upstream = self.tables.upstreams.get(load.upstream_id)
+        if upstream is None:
+            return
+        inst = upstream.instance
+        content = {
+            "order": {"weight_version": load.weight_version},
+            "fencing": load.fencing,
+        }
+        call = http_client.Call(
+            (inst.host, inst.port),
+            "POST",
+            "/orders",
+            {"content-type": "application/json"},
+            msgspec.json.encode(content),
+            ORDER_TIMEOUT_S,
+        )
+        outcome = await self.pool.fetch(
+            call, last_check=lambda _: self.fencing_of(inst.id) == load.fencing
+        )
+        done = (
+            isinstance(outcome, http_client.Full)
+            and outcome.status == http.HTTPStatus.OK
+        )
+        journal.event(
+            LOG,
+            "weights_ordered",
+            upstream=inst.id,
+            weight_version=load.weight_version,
+            fencing=load.fencing,
+            done=done,
+            outcome="" if done else str(outcome)[:200],
+        )
+        await self.refresh(upstream)
+
+    async def _take(self, mine: weights.Holder) -> bool:
+        read = await self._read()
+        if read is None:
+            return False
+        holders, expect = read
+        live = self.live_sessions()
+        decision = weights.take_slot(holders, mine, live, self.limit)
+        if isinstance(decision, weights.NoSlot):
+            return False
+        return await self._write(decision.holders, expect)
+
+    async def _free(self, mine: weights.Holder) -> None:
+        """Give a slot back; if the store is silent, the session's end frees it."""
+        for _ in range(3):
+            read = await self._read()
+            if read is None:
+                continue
+            holders, expect = read
+            if mine not in holders:
+                return
+            if await self._write(weights.free_slot(holders, mine), expect):
+                return
+
+    async def _read(self) -> tuple[list[weights.Holder], ports.Precondition] | None:
+        row = await self.store.read(weights.TABLE, weights.KEY)
+        if isinstance(row, ports.Unavailable):
+            return None
+        if isinstance(row, ports.Absent):
+            return [], ports.Expect.ABSENT
+        return msgspec.json.decode(row.content, type=SlotsRow).holders, row.version
+
+    async def _write(
+        self,
+        holders: collections.abc.Iterable[weights.Holder],
+        expect: ports.Precondition,
+    ) -> bool:
+        content = msgspec.json.encode(SlotsRow(list(holders)))
+        write = ports.Write(weights.TABLE, weights.KEY, content, expect)
+        return isinstance(await self.store.write(write), ports.Written)
--- a/packages/snipelug-node/src/snipelug_node/main.py
+++ b/packages/snipelug-node/src/snipelug_node/main.py
@@ -117,7 +117,6 @@
 
 def run() -> None:
     """Run the command."""
-
     APP()
 
 
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -0,0 +1,211 @@
+"""Sends to upstreams, each judged again right before its first byte."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import trio
+
+from snipelug_core import load, refusal, table
+from snipelug_net import http_client
+
+WITHHELD_WAIT_S = 2.0
+"""Longest time that a send waits for a load report newer than its connection."""
+
+REPORT_POLL_S = 0.02
+
+
+class Slot(typing.Protocol):
+    """Permission to send one request to an upstream in cold start."""
+
+    def valid(self, now: float) -> bool:
+        """Whether the permission still holds."""
+        ...
+
+    def release(self) -> None:
+        """Give the slot back."""
+        ...
+
+
+class Slots(typing.Protocol):
+    """Cold-start slots of all upstreams."""
+
+    async def acquire(
+        self, upstream_id: str, deadline: float
+    ) -> Slot | refusal.Refusal:
+        """Obtain a slot."""
+        ...
+
+
+MaySend = collections.abc.Callable[[table.Upstream, float, float], load.Verdict]
+"""Judges a send from the upstream, its connection's opening time and now."""
+
+
+@dataclasses.dataclass
+class Permit:
+    """Leave to send one request to an upstream, from the check to its end.
+
+    Attributes
+    ----------
+    slot : Slot or None
+        Cold-start slot, if the upstream may be cold.
+    counted : bool
+        The request counts as in flight at the upstream.
+    verdict : load.Verdict or None
+        Result of the last check.
+    """
+
+    upstream: table.Upstream
+    may_send: MaySend
+    slot: Slot | None = None
+    counted: bool = False
+    verdict: load.Verdict | None = None
+
+    def check(self, conn_opened_at: float) -> bool:
+        """Judge the send; must be the last step before the first byte."""
+        now = trio.current_time()
+        self.verdict = self.may_send(self.upstream, conn_opened_at, now)
+        granted = self.slot is not None and self.slot.valid(now)
+        match self.verdict:
+            case load.Allowed():
+                allowed = self.slot is None or granted
+            case load.NeedsGrant():
+                allowed = granted
+            case _:
+                allowed = False
+        return allowed
+
+    def count(self) -> None:
+        """Count the request as in flight."""
+        load.note_sent(self.upstream, trio.current_time())
+        self.counted = True
+
+    def release(self) -> None:
+        """End the request's accounting; later calls have no effect."""
+        if self.slot is not None:
+            self.slot.release()
+            self.slot = None
+        if self.counted:
+            self.counted = False
+            load.note_ended(self.upstream, trio.current_time())
+
+
+@dataclasses.dataclass(frozen=True)
+class Opened:
+    """The head of a response arrived; the caller releases the permit."""
+
+    permit: Permit
+    reply: http_client.Reply
+
+
+@dataclasses.dataclass(frozen=True)
+class Blocked:
+    """Nothing was sent, because the upstream may not be sent to."""
+
+    refusal: refusal.Refusal
+
+
+Outcome = Opened | Blocked | http_client.NotSent | http_client.Lost
+
+
+@dataclasses.dataclass
+class Sender:
+    """Sends requests to upstreams that may take them.
+
+    Attributes
+    ----------
+    refresh : callable
+        Reads an upstream's load report now.
+    """
+
+    pool: http_client.Pool
+    slots: Slots
+    may_send: MaySend
+    refresh: collections.abc.Callable[[table.Upstream], collections.abc.Awaitable[None]]
+
+    async def send(
+        self,
+        upstream: table.Upstream,
+        call: http_client.Call,
+        deadline: float,
+        granted: http_client.LastCheck | None = None,
+    ) -> Outcome:
+        """Send a request once the upstream may be sent to.
+
+        Parameters
+        ----------
+        upstream : table.Upstream
+            Where to send.
+        call : http_client.Call
+            The request.
+        deadline : float
+            Monotonic time until which a slot is waited for, in seconds.
+        granted : LastCheck, optional
+            Evaluated last of all, after the upstream was judged to be able to
+            take the request; for claims, it marks the claim as sent.
+        """
+        give_up_at = min(deadline, trio.current_time() + WITHHELD_WAIT_S)
+        permit = Permit(upstream, self.may_send)
+        try:
+            while True:
+                refused = await self._prepare(permit, deadline)
+                if refused is not None:
+                    return Blocked(refused)
+                outcome = await self.pool.send(call, _last_check(permit, granted))
+                if isinstance(outcome, http_client.Reply):
+                    kept, permit = permit, Permit(upstream, self.may_send)
+                    return Opened(kept, outcome)
+                if not isinstance(outcome, http_client.Withheld):
+                    return outcome
+                if not _worth_waiting(permit) or trio.current_time() > give_up_at:
+                    return Blocked(_withheld(permit))
+        finally:
+            permit.release()
+
+    async def _prepare(self, permit: Permit, deadline: float) -> refusal.Refusal | None:
+        """Obtain what the last verdict asked for."""
+        verdict = permit.verdict
+        if verdict is None:
+            # Connections of any age are judged again before the send.
+            verdict = self.may_send(permit.upstream, -1.0, trio.current_time())
+        if not isinstance(verdict, load.NeedsGrant):
+            return None
+        if verdict.reason is load.Reason.CONNECTION_NEWER:
+            await self.refresh(permit.upstream)
+            await trio.sleep(REPORT_POLL_S if permit.verdict is verdict else 0)
+            return None
+        if permit.slot is not None:
+            permit.slot.release()
+            permit.slot = None
+        slot = await self.slots.acquire(permit.upstream.instance.id, deadline)
+        if isinstance(slot, refusal.Refusal):
+            return slot
+        permit.slot = slot
+        return None
+
+
+def _last_check(
+    permit: Permit, granted: http_client.LastCheck | None
+) -> http_client.LastCheck:
+    def check(conn_opened_at: float) -> bool:
+        if not permit.check(conn_opened_at):
+            return False
+        if granted is not None and not granted(conn_opened_at):
+            return False
+        permit.count()
+        return True
+
+    return check
+
+
+def _worth_waiting(permit: Permit) -> bool:
+    return isinstance(permit.verdict, load.NeedsGrant)
+
+
+def _withheld(permit: Permit) -> refusal.Refusal:
+    upstream_id = permit.upstream.instance.id
+    reason = "the right to send has lapsed"
+    if isinstance(permit.verdict, load.Barred | load.NeedsGrant):
+        reason = permit.verdict.reason.value
+    message = f"upstream {upstream_id} may not be sent to: {reason}"
+    return refusal.refuse(refusal.NO_UPSTREAM, message)
