--- a/packages/snipelug-core/src/snipelug_core/block.py
+++ b/packages/snipelug-core/src/snipelug_core/block.py
@@ -11,8 +11,15 @@
 BLOCK_TOKENS = 2048
 BYTES_PER_TOKEN = 4
 
+CONVERSATION_BYTES = 8
+KEY_BYTES = CONVERSATION_BYTES + hashing.DIGEST_BYTES
+
 Key = bytes
-"""A block's key, ``hashing.DIGEST_BYTES`` long."""
+"""A block's key: the conversation's id and the block's own hash.
+
+Cache events of engines and feeds of stores name blocks by key only. The id in
+front lets any node find the index shard that must hear of the event.
+"""
 
 
 class Tokenizer(typing.Protocol):
@@ -145,10 +152,17 @@
     previous = root
     for piece in used.cut(prompt, BLOCK_TOKENS):
         previous = hashing.keyed_digest(secret, b"block", previous, piece)
-        keys.append(previous)
-    whole = hashing.keyed_digest(secret, b"short", root, prompt) if not keys else b""
-    conversation = keys[0] if keys else whole
-    return Chain(tuple(keys), used.count(prompt), conversation.hex())
+        first = keys[0] if keys else previous
+        keys.append(first[:CONVERSATION_BYTES] + previous)
+    if not keys:
+        whole = hashing.keyed_digest(secret, b"short", root, prompt)
+        return Chain((), used.count(prompt), whole[:CONVERSATION_BYTES].hex())
+    return Chain(tuple(keys), used.count(prompt), conversation(keys[0]))
+
+
+def conversation(key: Key) -> str:
+    """Return the id of the conversation that a block belongs to."""
+    return key[:CONVERSATION_BYTES].hex()
 
 
 def cache_salt(secret: bytes, team: str) -> str:
@@ -163,7 +177,7 @@
         key = bytes.fromhex(text)
     except ValueError:
         return None
-    return key if len(key) == hashing.DIGEST_BYTES else None
+    return key if len(key) == KEY_BYTES else None
 
 
 def _check_secret(secret: bytes) -> None:
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -78,6 +78,8 @@
     assert longer.keys[: len(first.keys)] == first.keys
     if first.keys:
         assert longer.conversation == first.conversation
+    assert {block.conversation(k) for k in longer.keys} <= {longer.conversation}
+    assert [block.parse_key(k) for k in longer.hex_keys()] == list(longer.keys)
 
 
 @hypothesis.given(
@@ -110,7 +112,7 @@
         block.chain(SECRET, "a", model, b"")
 
 
-@pytest.mark.parametrize("text", ["", "zz", "00" * 15, "00" * 17, "é"])
+@pytest.mark.parametrize("text", ["", "zz", "00" * 23, "00" * 25, "é"])
 def test_malformed_key_is_none(text: str) -> None:
     """Guards against keys of a wrong length from a peer or a store."""
     assert block.parse_key(text) is None
