Add the choice of an upstream by expected cost

Cause: least-loaded routing recomputes prompts whose blocks are in a store or in another engine's memory, and affinity alone ignores queues.

Ruled out: scanning all split points for each candidate, because that costs blocks times candidates; one pass per zone and prefill rate gives the best split for all start points.

Change: subset by rendezvous with one upstream of each group in turn, filters with reasons, expected time to first token, mode weights, random choice among at most four equal candidates, decision record; round robin, least loaded and prefix affinity as baselines behind the same protocol.

Conclusion: the chosen candidate is within the margin of a brute-force search over all split points.

--- /dev/null
+++ b/tests/test_route.py
@@ -0,0 +1,255 @@
+"""Tests of the choice of an upstream."""
+
+import collections.abc
+import dataclasses
+import json
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from snipelug_core import block, contract, index, route, table
+
+ZONES = ("a", "b")
+CONTRACT = contract.Contract("t", (), models=("m",), services=("stock",))
+CFG = contract.Config(1, {"t": CONTRACT})
+ROUTERS = [
+    route.ByCost(route.MODES["ttft"]),
+    route.ByCost(route.MODES["reuse"]),
+    route.RoundRobin(),
+    route.LeastLoaded(),
+    route.PrefixAffinity(),
+]
+
+
+def prompt(blocks: int, rest: int = 10) -> block.Chain:
+    keys = tuple(bytes([i]) * block.KEY_BYTES for i in range(blocks))
+    return block.Chain(keys, blocks * block.BLOCK_TOKENS + rest, "c")
+
+
+def request(**fields: object) -> route.Request:
+    values: dict[str, object] = {"weight_version": "w1", "chain": prompt(4)}
+    return route.Request("r", "t", "m", **(values | fields))
+
+
+def target(name: str = "e", **fields: object) -> route.Target:
+    values: dict[str, object] = {"zone": "a", "serves": frozenset({"m"})}
+    values |= {"prefill_s": 1e-4, "weight_version": "w1"}
+    return route.Target(name, **(values | fields))
+
+
+def copy(store: str) -> index.Stored:
+    return index.Stored(store, "b", 1, "c")
+
+
+FILTERS = [
+    ({"serves": frozenset({"x"})}, {}, {}, route.Reason.OTHER_MODEL),
+    ({}, {}, {"contracts": {}}, route.Reason.NOT_IN_CONTRACT),
+    ({}, {"team": "u"}, {}, route.Reason.NOT_IN_CONTRACT),
+    ({}, {}, {"zones_out": frozenset({"a"})}, route.Reason.ZONE_OUT),
+    ({}, {}, {"instances_out": frozenset({"e"})}, route.Reason.INSTANCE_OUT),
+    ({"leaving": True}, {}, {}, route.Reason.LEAVING),
+    ({}, {"excluded": frozenset({"e"})}, {}, route.Reason.FAILED_BEFORE),
+    ({"suspects": 1}, {"suspect": True}, {}, route.Reason.SUSPECT_RUNNING),
+    ({"suspects": 1}, {}, {}, None),
+    ({}, {"suspect": True}, {}, None),
+    ({"needs_grant": True}, {}, {}, route.Reason.COLD_WITHOUT_GRANT),
+    ({"needs_grant": True, "granted": True}, {}, {}, None),
+    ({"serves": frozenset({"stock"})}, {"wants": "stock", "chain": None}, {}, None),
+]
+
+
+@pytest.mark.parametrize("router", ROUTERS, ids=lambda r: r.name)
+@pytest.mark.parametrize(("of_target", "of_request", "of_cfg", "reason"), FILTERS)
+def test_filtered_upstreams_are_never_chosen(
+    router: route.Router,
+    of_target: dict[str, object],
+    of_request: dict[str, object],
+    of_cfg: dict[str, object],
+    reason: route.Reason | None,
+) -> None:
+    """Guards against work for a cold, leaving, switched-off or foreign upstream."""
+    req = dataclasses.replace(request(), **of_request)
+    facts = route.Facts(dataclasses.replace(CFG, **of_cfg))
+    targets = [target(**of_target), target("other", serves=frozenset())]
+    outcome = router.choose(req, targets, facts, random.Random(1))
+    reasons = {r.id: r.reason for r in outcome.rejected}
+    assert reasons.pop("other") is route.Reason.OTHER_MODEL
+    if reason is None:
+        assert isinstance(outcome, route.Decision)
+        assert outcome.chosen.id == "e"
+    else:
+        assert isinstance(outcome, route.NoUpstream)
+        assert reasons == {"e": reason}
+        cold = reason is route.Reason.COLD_WITHOUT_GRANT
+        assert outcome.awaiting_grant() == (["e"] if cold else [])
+    assert json.loads(json.dumps(route.record(req, router, outcome)))
+
+
+RATES = st.sampled_from([0.0, 1.0, 4.0, 20.0, 20.0])
+MODES = st.sampled_from(list(route.MODES.values()))
+
+
+@st.composite
+def scenes(draw: st.DrawFn) -> tuple[list[route.Target], route.Facts, int]:
+    """Draw upstreams, links and the known locations of a prompt of n blocks."""
+    n = draw(st.integers(0, 6))
+    names = draw(st.lists(st.sampled_from("efgh"), unique=True, min_size=1))
+    per_block = st.sets(st.sampled_from(["s1", "s2"]))
+    stored = draw(st.lists(per_block, max_size=n))
+    copies = tuple(tuple(copy(s) for s in sorted(at)) for at in stored)
+    held = {e: draw(st.integers(0, len(copies))) for e in names}
+    pairs = [(s, z) for s in ("s1", "s2") for z in ZONES]
+    links = {
+        p: route.Link(draw(RATES), draw(st.sampled_from([0.0, 0.5])))
+        for p in pairs
+        if draw(st.booleans())
+    }
+    targets = [
+        target(
+            e,
+            zone=draw(st.sampled_from(ZONES)),
+            queue=draw(st.integers(0, 5)),
+            prefill_s=draw(st.sampled_from([1e-4, 1e-3])),
+            weight_version=draw(st.sampled_from(["w1", "w1", "", "w2"])),
+        )
+        for e in names
+    ]
+    found = index.Found(held, copies)
+    facts = route.Facts(CFG, found, {"a": 0.1}, links, block_bytes=2.0)
+    return targets, facts, n
+
+
+def cheapest(one: route.Target, facts: route.Facts, mode: route.Mode, n: int) -> float:
+    """Try all split points one by one."""
+    tokens = prompt(n).tokens
+    fixed = one.wait_s() + 2 * facts.delay_s.get(one.zone, 0.0)
+    if one.weight_version == "w2":
+        prefill = tokens * one.prefill_s
+        return mode.ttft * (fixed + prefill) + mode.recompute * prefill
+    nothing = route.Link(0.0)
+    best = []
+    for copies in facts.found.stored:
+        links = [facts.links.get((c.store, one.zone), nothing) for c in copies]
+        best.append(max([nothing, *links], key=lambda k: k.free_bytes_per_s))
+    latency = max((k.latency_s for k in best if k.free_bytes_per_s), default=0.0)
+    held = facts.found.memory[one.id]
+    costs, fetch = [], 0.0
+    for end in range(held, len(best) + 1):
+        if end > held:
+            if not best[end - 1].free_bytes_per_s:
+                break
+            fetch += facts.block_bytes / best[end - 1].free_bytes_per_s
+        prefill = (tokens - end * block.BLOCK_TOKENS) * one.prefill_s
+        wait = fixed + fetch + (latency if end > held else 0.0)
+        costs.append(mode.ttft * (wait + prefill) + mode.recompute * prefill)
+    return min(costs)
+
+
+@hypothesis.settings(max_examples=400)
+@hypothesis.given(scenes(), MODES, st.integers(0, 9))
+def test_cost_is_the_minimum_over_split_points(
+    scene: tuple[list[route.Target], route.Facts, int], mode: route.Mode, seed: int
+) -> None:
+    """Guards against fetching what is slower than recomputing, and the reverse."""
+    targets, facts, n = scene
+    req = request(chain=prompt(n))
+    outcome = route.ByCost(mode).choose(req, targets, facts, random.Random(seed))
+    again = route.ByCost(mode).choose(req, targets[::-1], facts, random.Random(seed))
+    assert isinstance(outcome, route.Decision)
+    assert isinstance(again, route.Decision)
+    assert again.chosen == outcome.chosen
+    expected = {t.id: cheapest(t, facts, mode, n) for t in targets}
+    scores = {c.id: c.score for c in outcome.candidates}
+    assert scores == pytest.approx(expected, abs=1e-9)
+    lowest = min(scores.values())
+    margin = max(route.TIE_S, route.TIE_SHARE * lowest)
+    assert outcome.chosen.score <= lowest + margin
+    by_id = {t.id: t for t in targets}
+    for candidate in outcome.candidates:
+        fetches = route.plan_fetch(candidate, facts)
+        first = candidate.memory_blocks
+        assert [f.position for f in fetches] == list(
+            range(first, first + candidate.fetch_blocks)
+        )
+        assert all(f.copy in facts.found.stored[f.position] for f in fetches)
+        if by_id[candidate.id].weight_version == "w2":
+            assert candidate.recomputed_tokens == prompt(n).tokens
+
+
+def test_equal_candidates_share_the_requests() -> None:
+    """Guards against all nodes sending to the first of equal upstreams."""
+    targets = [target(f"e{i}") for i in range(10)]
+    router = route.ByCost(route.MODES["ttft"])
+    rng = random.Random(1)
+    chosen = set()
+    for _ in range(200):
+        outcome = router.choose(request(), targets, route.Facts(CFG), rng)
+        assert isinstance(outcome, route.Decision)
+        chosen.add(outcome.chosen.id)
+    assert len(chosen) == route.TIE_CANDIDATES
+
+
+class Counted(dict[str, route.Target]):
+    """A table that counts its reads and cannot be walked."""
+
+    reads = 0
+
+    def get(self, key: str, default: object = None) -> route.Target | None:  # type: ignore[override]
+        self.reads += 1
+        return super().get(key)
+
+    def __iter__(self) -> collections.abc.Iterator[str]:
+        raise AssertionError("the whole fleet was walked")
+
+
+@pytest.mark.parametrize("fleet", [12, 120, 2700])
+def test_a_decision_reads_only_the_subset(fleet: int) -> None:
+    """Guards against decisions whose cost grows with the fleet."""
+    names = [f"e{i}" for i in range(fleet)]
+    targets = Counted({n: target(n) for n in names})
+    subset = route.Subset("n1")
+    subset.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
+    router = route.ByCost(route.MODES["ttft"])
+    chosen = subset.select(targets)
+    outcome = router.choose(request(), chosen, route.Facts(CFG), random.Random(1))
+    assert isinstance(outcome, route.Decision)
+    assert targets.reads == len(outcome.candidates) == min(fleet, route.SUBSET_SIZE)
+
+
+@hypothesis.given(
+    st.dictionaries(st.text("abc", min_size=1), st.sampled_from("xyz"), min_size=1),
+    st.integers(3, 6),
+    st.data(),
+)
+def test_subset_is_stable_and_covers_groups(
+    groups: dict[str, str], size: int, data: st.DataObject
+) -> None:
+    """Guards against subsets that miss a zone or change wholly with one instance."""
+    before, after = route.Subset("n1", size), route.Subset("n1", size)
+    before.update(groups)
+    gone = data.draw(st.sampled_from(sorted(groups)))
+    after.update({k: v for k, v in groups.items() if k != gone})
+    assert len(before.ids) == len(set(before.ids)) == min(size, len(groups))
+    assert {groups[i] for i in before.ids} == set(groups.values())
+    kept = set(before.ids) - {gone}
+    has_last_of_group = list(groups.values()).count(groups[gone]) == 1
+    if not has_last_of_group:
+        assert len(kept - set(after.ids)) <= 1
+    if gone not in before.ids:
+        assert before.ids == after.ids
+
+
+def test_target_takes_the_state_of_the_upstream() -> None:
+    """Guards against a leaving upstream that passes as live."""
+    inst = table.Instance("e", table.Role.ENGINE, "h", 1, "a")
+    report = table.LoadReport("b", table.Warmth.LEAVING, 1, 0, 1, 0.0, "w1")
+    profile = route.Profile(frozenset({"m"}), slots=4)
+    for upstream, leaving in [
+        (table.Upstream(inst, report), True),
+        (table.Upstream(dataclasses.replace(inst, leaving=True)), True),
+        (table.Upstream(inst), False),
+    ]:
+        made = route.make_target(upstream, profile, 3, needs_grant=False)
+        assert (made.leaving, made.queue, made.slots) == (leaving, 3, 4)
