--- a/packages/snipelug-standins/src/snipelug_standins/store.py
+++ b/packages/snipelug-standins/src/snipelug_standins/store.py
@@ -104,17 +104,14 @@
         if actual != expected:
             message = f"the checksum of the body is {actual}, not {expected}"
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_checksum", message)
-        if self.faults.full or not self._has_room(len(req.body), key):
+        if self.faults.full:
             return self._answer_full(key)
         # The block becomes visible only after the whole transfer.
         await self.links[Tier.MEMORY].carry(len(req.body))
-        if not self._has_room(len(req.body), key):
+        tier = self._make_room(len(req.body), key)
+        if tier is None:
             return self._answer_full(key)
         self._remove(key)
-        self._make_room(len(req.body))
-        tier = Tier.MEMORY
-        if len(req.body) > self.sizes[Tier.MEMORY] - self._used(Tier.MEMORY):
-            tier = Tier.DISK
         block = Block(generation, expected, req.body, tier)
         self.blocks[key] = block
         self.counts["writes"] += 1
@@ -176,20 +173,23 @@
     def _used(self, tier: Tier) -> int:
         return sum(len(b.body) for b in self.blocks.values() if b.tier is tier)
 
-    def _has_room(self, size_bytes: int, key: str) -> bool:
-        old = self.blocks.get(key)
-        freed = len(old.body) if old else 0
-        used = self._used(Tier.MEMORY) + self._used(Tier.DISK) - freed
-        return size_bytes + used <= sum(self.sizes.values())
-
-    def _make_room(self, size_bytes: int) -> None:
-        for block in self.blocks.values():
-            free = self.sizes[Tier.MEMORY] - self._used(Tier.MEMORY)
-            disk_free = self.sizes[Tier.DISK] - self._used(Tier.DISK)
-            if size_bytes <= free:
-                return
-            if block.tier is Tier.MEMORY and len(block.body) <= disk_free:
+    def _free(self, tier: Tier, without: str) -> int:
+        """Return the free bytes of a tier as if one block were not there."""
+        used = self._used(tier)
+        old = self.blocks.get(without)
+        if old is not None and old.tier is tier:
+            used -= len(old.body)
+        return self.sizes[tier] - used
+
+    def _make_room(self, size_bytes: int, replaced: str) -> Tier | None:
+        """Move blocks to disk until a new one fits; return its tier."""
+        for key, block in self.blocks.items():
+            if size_bytes <= self._free(Tier.MEMORY, replaced):
+                return Tier.MEMORY
+            fits_disk = len(block.body) <= self._free(Tier.DISK, replaced)
+            if key != replaced and block.tier is Tier.MEMORY and fits_disk:
                 block.tier = Tier.DISK
+        return next((t for t in Tier if size_bytes <= self._free(t, replaced)), None)
 
     def _remove(self, key: str) -> None:
         block = self.blocks.pop(key, None)
