Render prompts in the engine stand-in as block keys cut them

Cause: keys stand for pieces of the node's rendering; an engine that renders differently cuts its blocks at other bytes, and a moved block then misses. Change: one line of sorted JSON per message, as snipelug_core.block; a test compares the two.

--- a/packages/snipelug-standins/src/snipelug_standins/engine.py
+++ b/packages/snipelug-standins/src/snipelug_standins/engine.py
@@ -30,11 +30,12 @@
     """
 
     model: str
-    messages: typing.Annotated[list[text.Message], msgspec.Meta(min_length=1)]
+    messages: typing.Annotated[list[dict[str, typing.Any]], msgspec.Meta(min_length=1)]
+    tools: typing.Any = None
     stream: bool = False
-    max_tokens: typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COMPLETION_TOKENS)] = (
-        text.DEFAULT_COMPLETION_TOKENS
-    )
+    max_tokens: (
+        typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COMPLETION_TOKENS)] | None
+    ) = None
     priority: int = 0
     cache_salt: str = ""
     weight_version: str = ""
@@ -173,7 +174,7 @@
         job = Job(
             id=req.headers.get("x-request-id") or uuid.uuid4().hex,
             chat=chat,
-            prompt=text.render(chat.messages),
+            prompt=text.render(chat.messages, chat.tools),
             version=self.version,
             ticket=ticket,
             crossed=crossed,
@@ -448,7 +449,8 @@
 
 
 def _tokens_to_send(job: Job) -> list[str]:
-    tokens = text.answer_tokens(job.prompt, job.chat.max_tokens)
+    length = job.chat.max_tokens or text.DEFAULT_COMPLETION_TOKENS
+    tokens = text.answer_tokens(job.prompt, length)
     skip = len(job.chat.resume_text)
     while tokens and skip >= len(tokens[0]):
         skip -= len(tokens.pop(0))
--- a/packages/snipelug-standins/src/snipelug_standins/text.py
+++ b/packages/snipelug-standins/src/snipelug_standins/text.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import hashlib
+import typing
 
 import msgspec
 
@@ -12,29 +13,25 @@
 WORD_CHARS = 3
 
 
-class Part(msgspec.Struct, frozen=True):
-    """One part of a message's content; only texts are rendered."""
+Message = collections.abc.Mapping[str, typing.Any]
 
-    type: str
-    text: str = ""
 
+def render(
+    messages: collections.abc.Iterable[Message], preamble: object = None
+) -> bytes:
+    """Return the prompt that the model sees: one line of JSON per message.
 
-class Message(msgspec.Struct, frozen=True):
-    """One chat message."""
-
-    role: str
-    content: str | list[Part] = ""
-
-
-def render(messages: collections.abc.Iterable[Message]) -> bytes:
-    """Return the prompt that the model sees."""
-    return "".join(f"<|{m.role}|>{_content(m)}\n" for m in messages).encode()
-
-
-def _content(message: Message) -> str:
-    if isinstance(message.content, str):
-        return message.content
-    return "".join(part.text for part in message.content)
+    Parameters
+    ----------
+    messages : iterable of mapping
+        Chat messages, each with all its fields.
+    preamble : object, optional
+        What comes before the messages, such as tool definitions.
+    """
+    lines = [msgspec.json.encode(m, order="sorted") for m in messages]
+    if preamble is not None:
+        lines.insert(0, msgspec.json.encode(preamble, order="sorted"))
+    return b"".join(line + b"\n" for line in lines)
 
 
 def count_tokens(prompt: bytes) -> int:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,7 +10,7 @@
 import pytest
 import trio
 
-from snipelug_core import table
+from snipelug_core import block, table
 from snipelug_node import platform, ports
 from snipelug_standins import store as store_module
 from snipelug_standins import text
@@ -37,7 +37,7 @@
 
 
 def whole_answer(content: str, length: int = text.DEFAULT_COMPLETION_TOKENS) -> str:
-    return text.answer([text.Message("user", content)], length)
+    return text.answer([{"role": "user", "content": content}], length)
 
 
 def answer_text(answer: cluster.Answer) -> str:
@@ -660,3 +660,11 @@
     with pytest.raises(ZeroDivisionError):
         await fail()
     assert children[0].exit_code is not None
+
+
+def test_engine_and_node_render_alike() -> None:
+    """Guards against block keys that stand for other text than the engine's blocks."""
+    messages = [{"role": "system", "content": "é"}, {"content": "b", "role": "user"}]
+    for preamble in (None, [{"type": "function"}]):
+        assert text.render(messages, preamble) == block.render(messages, preamble)
+    assert text.BLOCK_TOKENS == block.BLOCK_TOKENS
