Filter upstreams by weight version and order store writes by their feed

Cause: an engine refuses a request that names another weight version, so a candidate without reuse was no usable choice; two concurrent exports left the index with the higher generation while the store kept the last write.

Change: the filter other_version replaces pricing without reuse, and weight_versions tells which versions the fleet runs. Numbered events of one feed are ordered by their number alone.

Conclusion: a swap of weights by the vendor leaves requests routable.

--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -351,6 +351,10 @@
 
 
 def _supersedes(event: Added, known: _Place) -> bool:
+    # A store keeps the last write, whose generation may be lower when two nodes
+    # export at once. Only its feed knows the order.
+    if event.seq and known.seq:
+        return event.seq > known.seq
     if event.generation != known.generation:
         return event.generation > known.generation
     return event.seq > known.seq
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -183,6 +183,7 @@
     COLD_WITHOUT_GRANT = "cold_without_grant"
     SUSPECT_RUNNING = "suspect_running"
     FAILED_BEFORE = "failed_before"
+    OTHER_VERSION = "other_version"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -206,6 +207,8 @@
         return Reason.INSTANCE_OUT
     if target.leaving:
         return Reason.LEAVING
+    if _is_other_version(target, req):
+        return Reason.OTHER_VERSION
     if target.id in req.excluded:
         return Reason.FAILED_BEFORE
     if req.suspect and target.suspects:
@@ -215,6 +218,28 @@
     return None
 
 
+def _is_other_version(target: Target, req: Request) -> bool:
+    # An engine refuses a request that names a version that it does not run.
+    known = bool(target.weight_version and req.weight_version)
+    return known and target.weight_version != req.weight_version
+
+
+def weight_versions(
+    targets: collections.abc.Iterable[Target], model: str, expected: str
+) -> list[str]:
+    """Return the versions of a model that can be asked for, the best first.
+
+    Vendors swap weights without notice, so the version that is configured may run
+    nowhere. It comes first if it does, then the others by number of upstreams.
+    """
+    counts = collections.Counter(
+        t.weight_version for t in targets if model in t.serves and t.weight_version
+    )
+    if not counts:
+        return [expected]
+    return sorted(counts, key=lambda v: (v != expected, -counts[v], v))
+
+
 def screen(
     targets: collections.abc.Iterable[Target],
     req: Request,
@@ -385,10 +410,9 @@
     splits: dict[tuple[str, float], _Splits] = {}
     tokens = req.chain.tokens if req.chain else 0
     for target in targets:
-        same_version = target.weight_version in ("", req.weight_version)
-        held = facts.found.memory.get(target.id, 0) if same_version else 0
+        held = facts.found.memory.get(target.id, 0)
         split = _Split(held, 0.0)
-        if facts.found.stored and same_version:
+        if facts.found.stored:
             name = (target.zone, target.prefill_s)
             if name not in splits:
                 splits[name] = _Splits(facts, mode, *name)
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -210,6 +210,26 @@
     assert len(holds(shard, KEYS[0])) == left
 
 
+WRITES = [
+    ([(1, 9), (2, 8)], 8),
+    ([(2, 8), (1, 9)], 8),
+    ([(0, 9), (1, 8)], 9),
+    ([(0, 8), (1, 9)], 9),
+    ([(1, 8), (0, 9)], 9),
+]
+
+
+@pytest.mark.parametrize(("writes", "kept"), WRITES)
+def test_feed_decides_between_two_writes(
+    writes: list[tuple[int, int]], kept: int
+) -> None:
+    """Guards against reads that miss because of a write that was replaced."""
+    shard = index.Index(ROOMY)
+    for seq, generation in writes:
+        shard.apply(index.Added(store(), KEYS[0], seq, generation), 0.0)
+    assert shard.lookup(KEYS[:1], 0.0).stored[0][0].generation == kept
+
+
 def test_removed_source_is_not_offered() -> None:
     """Guards against offers of an instance that the platform has removed."""
     shard = index.Index(ROOMY)
