Add placement of block copies and moves out of a leaving zone

Cause: engine memory is shorter than the gaps after which prompts return, and a zone can leave with the only copy.

Ruled out: least recently used stores without a price, because one long prompt that never returns then displaces many that do; refusing transfers larger than a link's burst, because a long prompt could then never move.

Change: probability of a return per team and turns, token buckets for links, a price per store that rises as it fills, a second copy outside the zone weighted by the mode's spread, plan of a zone's move in order of expected return, records of both decisions.

Conclusion: exports stay within free space and link budgets and leave in the order of expected return.

--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,308 @@
+"""Tests of where copies of cached blocks are placed."""
+
+import collections
+import json
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from snipelug_core import block, hashing, index, placement, route
+
+SIZE = 10.0
+TTFT, REUSE = route.MODES["ttft"], route.MODES["reuse"]
+REASON = placement.Reason
+
+
+def chain(blocks: int, name: str = "c") -> block.Chain:
+    keys = tuple(bytes([i]) * block.KEY_BYTES for i in range(blocks))
+    return block.Chain(keys, blocks * block.BLOCK_TOKENS, name)
+
+
+def store(name: str = "s1", zone: str = "a", **fields: object) -> placement.Store:
+    values: dict[str, object] = {"free_bytes": 1000.0, "size_bytes": 1000.0}
+    return placement.Store(name, zone, "b1", **(values | fields))
+
+
+def prompt(blocks: int = 3, **fields: object) -> placement.Prompt:
+    values: dict[str, object] = {"chance": 0.5, "block_s": 0.2, "block_bytes": SIZE}
+    return placement.Prompt(chain(blocks), "t", "e1", "a", **(values | fields))
+
+
+def budgets(burst: float = 1e9, rate: float = 0.0) -> placement.Budgets:
+    pairs = [(s, z) for s in ("s1", "s2", "s3") for z in ("a", "b")]
+    return {pair: placement.Bucket(rate, burst) for pair in pairs}
+
+
+def copies(*stores: str, boot: str = "b1") -> tuple[index.Stored, ...]:
+    return tuple(index.Stored(s, boot, 1, "c") for s in stores)
+
+
+SINGLE = [
+    ("whole", store(), {}, 1e9, REASON.PLACED, (0, 1, 2)),
+    ("dead", store(alive=False), {}, 1e9, REASON.DEAD, ()),
+    ("full", store(free_bytes=25.0), {}, 1e9, REASON.FULL, ()),
+    (
+        "room for two",
+        store(free_bytes=45.0),
+        {"block_s": 9.0},
+        1e9,
+        REASON.PARTLY,
+        (0, 1),
+    ),
+    ("price of scarce room", store(free_bytes=60.0), {}, 1e9, REASON.VALUE, ()),
+    ("no return", store(), {"chance": 1e-4}, 1e9, REASON.VALUE, ()),
+    ("no size", store(size_bytes=0.0, free_bytes=0.0), {}, 1e9, REASON.FULL, ()),
+    ("budget for two", store(), {}, 25.0, REASON.PARTLY, (0, 1)),
+    ("no budget", store(), {}, 0.0, REASON.BUDGET, ()),
+    ("unknown link", store("s9"), {}, 1e9, REASON.BUDGET, ()),
+    ("zone out", store(zone="out"), {}, 1e9, REASON.LEAVING, ()),
+    (
+        "rest only",
+        store(),
+        {"found": index.Found({}, (copies("s1"), copies("s2")))},
+        1e9,
+        REASON.PLACED,
+        (1, 2),
+    ),
+    (
+        "all there",
+        store(),
+        {"found": index.Found({}, (copies("s1"),) * 3)},
+        1e9,
+        REASON.THERE,
+        (),
+    ),
+    (
+        "copies of an old boot",
+        store(),
+        {"found": index.Found({}, (copies("s1", boot="b0"),) * 3)},
+        1e9,
+        REASON.PLACED,
+        (0, 1, 2),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("target", "fields", "burst", "reason", "positions"), [c[1:] for c in SINGLE]
+)
+def test_store_state_decides_what_is_placed(
+    target: placement.Store,
+    fields: dict[str, object],
+    burst: float,
+    reason: placement.Reason,
+    positions: tuple[int, ...],
+) -> None:
+    """Guards against writes to dead or full stores and against useless ones."""
+    request = prompt(**fields)
+    links = budgets(burst if burst else 1.0)
+    if not burst:
+        assert links["s1", "a"].take(1.0, 0.0)
+    placed = placement.place(request, [target], links, TTFT, {"out"}, 0.0)
+    assert [j.reason for j in placed.judged] == [reason]
+    assert [e.positions for e in placed.exports] == ([positions] if positions else [])
+    assert json.loads(json.dumps(placement.record(request, placed, "r")))
+
+
+STORES = st.lists(
+    st.builds(
+        store,
+        st.sampled_from(["s1", "s2", "s3"]),
+        st.sampled_from(["a", "b", "out"]),
+        alive=st.booleans(),
+        free_bytes=st.sampled_from([0.0, 30.0, 400.0, 1000.0]),
+    ),
+    unique_by=lambda s: s.id,
+)
+
+
+@hypothesis.given(
+    STORES,
+    st.integers(0, 8),
+    st.sampled_from([TTFT, REUSE]),
+    st.sampled_from([0.001, 0.05, 0.9]),
+    st.sampled_from([15.0, 35.0, 1e9]),
+    st.randoms(use_true_random=False),
+)
+def test_placement_respects_all_limits(
+    stores: list[placement.Store],
+    blocks: int,
+    mode: route.Mode,
+    chance: float,
+    burst: float,
+    rng: random.Random,
+) -> None:
+    """Guards against overfull stores, overused links and copies side by side."""
+    request = prompt(blocks, chance=chance, block_s=2.0)
+    placed = placement.place(request, stores, budgets(burst), mode, {"out"}, 0.0)
+    shuffled = rng.sample(stores, len(stores))
+    again = placement.place(request, shuffled, budgets(burst), mode, {"out"}, 0.0)
+    assert again == placed
+    by_id = {s.id: s for s in stores}
+    zones = [by_id[e.store].zone for e in placed.exports]
+    assert len(zones) == len(set(zones)) <= 2
+    for i, export in enumerate(placed.exports):
+        target = by_id[export.store]
+        assert target.alive
+        assert target.zone != "out"
+        assert export.positions == tuple(range(len(export.positions)))
+        assert len(export.positions) * SIZE <= min(target.free_bytes, burst)
+        weight = mode.spread if i else 1.0
+        assert request.value_s * weight >= target.price_s()
+
+
+def test_spread_decides_on_the_second_copy() -> None:
+    """Guards against a mode whose spread has no effect."""
+    stores = [store("s1", "a"), store("s2", "b", free_bytes=300.0)]
+    request = prompt(chance=0.3, block_s=0.2)
+    counts = {}
+    for mode in (TTFT, REUSE):
+        placed = placement.place(request, stores, budgets(), mode, set(), 0.0)
+        counts[mode.name] = [e.store for e in placed.exports]
+    assert counts == {"ttft": ["s1"], "reuse": ["s1", "s2"]}
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.floats(0, 5), st.floats(0, 30)), max_size=30),
+    st.floats(1, 20),
+    st.floats(0, 10),
+)
+def test_link_budget_is_not_exceeded(
+    steps: list[tuple[float, float]], burst: float, rate: float
+) -> None:
+    """Guards against exports that crowd out the reads of waiting requests."""
+    bucket = placement.Bucket(rate, burst)
+    now = sent = largest = 0.0
+    for gap, size in steps:
+        now += gap
+        if bucket.take(size, now):
+            sent += size
+            largest = max(largest, size)
+        bucket.available(now - 1.0)
+    assert sent <= burst + rate * now + max(0.0, largest - burst) + 1e-6
+
+
+def test_transfer_larger_than_the_burst_starts_and_is_paid_back() -> None:
+    """Guards against long prompts that never fit a budget."""
+    bucket = placement.Bucket(rate=1.0, burst=10.0)
+    assert bucket.take(30.0, 0.0)
+    assert not bucket.take(10.0, 29.0)
+    assert bucket.take(10.0, 30.0)
+
+
+def test_returns_are_learned_per_team_and_turns() -> None:
+    """Guards against one team's habits deciding on another team's copies."""
+    returns = placement.Returns()
+    unknown = returns.probability("new", 0)
+    for _ in range(200):
+        for turns in range(3):
+            returns.observe("faithful", turns)
+        returns.observe("once", 0)
+    assert returns.probability("new", 0) == unknown
+    assert returns.probability("once", 0) < 0.05
+    assert returns.probability("faithful", 0) > 0.9
+    assert 0.9 < returns.probability("faithful", 1) <= 1.0
+    returns.forget({"faithful"})
+    assert returns.probability("faithful", 0) == unknown
+
+
+TWICE = (copies("s1", "s2"),)
+ITEMS = st.lists(
+    st.tuples(
+        st.integers(1, 4),
+        st.sampled_from([0.1, 0.2, 0.3]),
+        st.sampled_from([(), ("e1",), ("e2", "e9")]),
+        st.sampled_from([(), ("s1",), ("s1", "s2"), ("s9",)]),
+        st.integers(0, 4),
+    ),
+    max_size=8,
+)
+
+
+@hypothesis.settings(max_examples=300)
+@hypothesis.given(
+    ITEMS,
+    st.sampled_from([35.0, 1e9]),
+    st.sampled_from([0.0, 60.0, 1000.0]),
+    st.booleans(),
+    st.randoms(use_true_random=False),
+)
+def test_move_copies_the_most_expected_first(
+    drawn: list[tuple[int, float, tuple[str, ...], tuple[str, ...], int]],
+    burst: float,
+    free: float,
+    alive: bool,
+    rng: random.Random,
+) -> None:
+    """Guards against lost prompts and overused links when a zone leaves."""
+    held = [
+        placement.Held(
+            f"c{i}", chain(n).keys, v, SIZE, ups, (copies(*at),) * min(n, stored)
+        )
+        for i, (n, v, ups, at, stored) in enumerate(drawn)
+    ]
+    stores = [store("s1", "a"), store("s2", "b", free_bytes=free, alive=alive)]
+    stores.append(store("s3", "out"))
+
+    def run(items: list[placement.Held]) -> list[placement.Move | placement.Postponed]:
+        engines = ["e1", "e2"]
+        links = budgets(burst)
+        plan = placement.plan_move("a", items, stores, engines, links, {"out"}, 0.0)
+        return list(plan)
+
+    steps = run(held)
+    assert run(rng.sample(held, len(held))) == steps
+    by_id = {h.conversation: h for h in held}
+    wanted = {
+        h.conversation: [
+            i
+            for i in range(len(h.keys))
+            if not (alive and h.copies[i : i + 1] == TWICE)
+        ]
+        for h in held
+    }
+    safe = {c for c, positions in wanted.items() if not positions}
+    assert [s.conversation for s in steps] == sorted(
+        set(by_id) - safe, key=lambda c: (-by_id[c].value_s, c)
+    )
+    used: dict[str, float] = collections.Counter()
+    for step in steps:
+        json.dumps(placement.record_move("a", step))
+        if isinstance(step, placement.Postponed):
+            continue
+        item = by_id[step.conversation]
+        assert step.export.store == "s2"
+        positions = list(step.export.positions)
+        assert step.export.keys == tuple(item.keys[i] for i in positions)
+        used["s2"] += len(step.export.keys) * SIZE
+        imported = [f.position for f in step.imports]
+        holds = step.upstream in item.upstreams
+        assert imported == ([] if holds else positions)
+        readable = [i for i in wanted[step.conversation] if item.copies[i : i + 1]]
+        readable = [i for i in readable if item.copies[i]]
+        assert positions == (wanted[step.conversation] if holds else readable)
+        assert step.upstream in ("e1", "e2")
+    assert used["s2"] <= min(free if alive else 0.0, burst + 4 * SIZE)
+    if alive and free == 1000.0 and burst == 1e9:
+        lost = [s for s in steps if isinstance(s, placement.Postponed)]
+        assert all(s.reason is REASON.NO_SOURCE for s in lost)
+        for step in lost:
+            first = wanted[step.conversation][0]
+            assert not any(by_id[step.conversation].copies[first : first + 1])
+
+
+def test_stores_of_a_zone_share_the_conversations() -> None:
+    """Guards against all prompts going to the first store."""
+    stores = [store("s1"), store("s2")]
+    first = collections.Counter(
+        hashing.rank(f"c{i}", [s.id for s in stores])[0] for i in range(100)
+    )
+    placed: collections.Counter[str] = collections.Counter()
+    for i in range(100):
+        request = placement.Prompt(chain(1, f"c{i}"), "t", "e1", "a", 0.5, 0.2, SIZE)
+        done = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
+        placed.update(e.store for e in done.exports)
+    assert placed == first
+    assert min(first.values()) > 25
