--- a/packages/snipelug-core/src/snipelug_core/currency.py
+++ b/packages/snipelug-core/src/snipelug_core/currency.py
@@ -60,11 +60,18 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
-    """Question of one node to another; its revision tells the peer to catch up."""
+    """Question of one node to another; its revision tells the peer to catch up.
+
+    Attributes
+    ----------
+    wants_rows : bool
+        The asking node does not know all members yet.
+    """
 
     node_id: str
     incarnation: str
     revision: int
+    wants_rows: bool
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True):
@@ -219,7 +226,11 @@
 
 
 def answer_heartbeat(
-    state: State, members: member.Members, now: float, rng: random.Random
+    state: State,
+    members: member.Members,
+    now: float,
+    rng: random.Random,
+    wants_rows: bool,
 ) -> HeartbeatReply:
     """Build the answer to a heartbeat."""
     refresh(state, members, now)
@@ -231,7 +242,7 @@
         vouch(state, now),
         told,
         member.digest(members, now, rng),
-        member.select_rows(members, rng),
+        member.select_rows(members, rng) if wants_rows else (),
         len(members.rows) if members.complete else 0,
     )
 
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -0,0 +1,638 @@
+"""The configuration in force at this node: follow the sequence, accept changes."""
+
+import collections.abc
+import dataclasses
+import logging
+import time
+import typing
+
+import msgspec
+import trio
+
+from snipelug_core import change, contract, currency, member, proposal
+from snipelug_net import rpc
+from snipelug_node import peer, ports
+
+LOG = logging.getLogger("snipelug.revision")
+
+POLL_S = 1.0
+POLL_TIMEOUT_S = 4.5
+STORE_TIMEOUT_S = 2.0
+MEMBERS_S = 2.0
+# All nodes together scan the sessions at most this often per second.
+MEMBERS_SCANS_PER_S = 20.0
+INSTANCES_S = 2.0
+PEER_TIMEOUT_S = 1.0
+PUSH_EVERY_S = 0.3
+PUSH_CONCURRENCY = 64
+ACCEPT_WAIT_S = 5.0
+RETRY_S = 0.3
+MAX_RACES = 5
+LOG_LENGTH = 1000
+DELTAS_PER_REPLY = 200
+PAGE_ROWS = 500
+SNAPSHOT_EVERY = 200
+
+Fetched = typing.TypeVar("Fetched")
+
+
+class Head(msgspec.Struct, frozen=True):
+    """Content of the row ``head``."""
+
+    revision: int
+
+
+class Session(msgspec.Struct, frozen=True):
+    """The part of a session row that concerns membership."""
+
+    node_id: str
+    incarnation: str | int
+    host: str
+    rpc_port: int
+    zone: str = ""
+    revoked: bool = False
+
+
+class DeltasRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for the changes after a revision."""
+
+    after: int
+
+
+class DeltasReply(msgspec.Struct, frozen=True, array_like=True):
+    """Changes in order; a snapshot first if older changes are not in memory."""
+
+    changes: tuple[change.Change, ...]
+    snapshot: change.Snapshot | None
+
+
+class Push(msgspec.Struct, frozen=True, array_like=True):
+    """A change that is in the store."""
+
+    change: change.Change
+
+
+class PushReply(msgspec.Struct, frozen=True, array_like=True):
+    """The receiver about itself, after it applied what it could."""
+
+    vouch: member.Vouch
+
+
+DELTAS = rpc.Method("Deltas", DeltasRequest, DeltasReply)
+PUSH = rpc.Method("Push", Push, PushReply)
+
+
+@dataclasses.dataclass(frozen=True)
+class Proposal:
+    """An operator's wish.
+
+    Attributes
+    ----------
+    expected : int or None
+        Revision that the operator looked at; None applies to whichever is newest.
+    nonce : str
+        Chosen by the operator's client and the same when it repeats the call.
+    """
+
+    operations: tuple[change.Operation, ...]
+    author: str
+    nonce: str
+    expected: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Spread:
+    """On which members a revision is known to be in force."""
+
+    revision: int
+    in_force: tuple[str, ...]
+    missing: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """In the store and in force on a strict majority of members."""
+
+    spread: Spread
+
+
+@dataclasses.dataclass(frozen=True)
+class RecordedOnly:
+    """In the store for good, but no majority has reported it in time."""
+
+    spread: Spread
+
+
+@dataclasses.dataclass(frozen=True)
+class Unchanged:
+    """The configuration already is as proposed; nothing was written."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Invalid:
+    """The proposal contradicts the configuration; nothing was written."""
+
+    mistakes: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Outdated:
+    """Another change came first; nothing of this one was or will be written."""
+
+    revision: int
+    author: str
+
+
+@dataclasses.dataclass(frozen=True)
+class NotAllowed:
+    """The node may not write changes now; nothing was written."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Unclear:
+    """The store is silent; the change may be or may still come into force."""
+
+    revision: int
+    nonce: str
+
+
+Outcome = (
+    Accepted | RecordedOnly | Unchanged | Invalid | Outdated | NotAllowed | Unclear
+)
+
+
+class Keeper:
+    """Hold the configuration in force and keep it current.
+
+    Parameters
+    ----------
+    table : TableService
+        Holds tables ``changes``, ``head``, ``sessions`` and ``snapshots``.
+    peers : Peers
+        The other nodes.
+    instances : InstanceList, optional
+        Tells which revoked members are gone. Without it they never cease to
+        count for majorities until their row is deleted.
+    wall : callable, optional
+        Wall time in seconds, noted in changes.
+
+    Attributes
+    ----------
+    cfg : Config
+        Configuration in force at this node.
+    """
+
+    def __init__(
+        self,
+        table: ports.TableService,
+        peers: peer.Peers,
+        instances: ports.InstanceList | None = None,
+        wall: peer.Clock = time.time,
+    ) -> None:
+        self.cfg = contract.Config()
+        self._table = table
+        self._peers = peers
+        self._instances = instances
+        self._wall = wall
+        self._clock = peers.clock
+        self._state = peers.state
+        self._members = peers.members
+        self._log: dict[int, change.Change] = {}
+        self._listed: frozenset[str] | None = None
+        self._news = trio.Event()
+        self._write_lock = trio.Lock()
+        peers.on_newer = self._wake
+        peers.register(DELTAS, self._answer_deltas)
+        peers.register(PUSH, self._answer_push)
+
+    # What the rest of the node asks
+
+    def judge(self, now: float) -> currency.Current | currency.NotCurrent:
+        """Decide whether this node may serve new work, and by which rule."""
+        return currency.judge(self._state, self._members, now)
+
+    def is_current(self, now: float) -> bool:
+        """Return whether this node may serve new work."""
+        return isinstance(self.judge(now), currency.Current)
+
+    def spread(self, revision: int) -> Spread:
+        """Return on which members a revision is known to be in force."""
+        now = self._clock()
+        having = currency.in_force(self._state, self._members, revision, now)
+        missing = self._members.voters() - having
+        return Spread(revision, tuple(sorted(having)), tuple(sorted(missing)))
+
+    async def history(
+        self, after: int = 0, limit: int = 100
+    ) -> list[change.Change] | ports.Unavailable:
+        """Return changes after a revision, from memory or else from the store."""
+        if after + 1 in self._log or after >= self.cfg.revision:
+            wanted = range(after + 1, min(after + limit, self.cfg.revision) + 1)
+            return [self._log[k] for k in wanted]
+        return await self._scan_changes(after, limit)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Follow the sequence until cancelled; needs ``Peers.run`` as well."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll_head, nursery)
+            nursery.start_soon(self._follow_members)
+            nursery.start_soon(self._catch_up)
+            if self._instances is not None:
+                nursery.start_soon(self._follow_instances, self._instances)
+            task_status.started()
+
+    # Accepting changes
+
+    def check(
+        self,
+        operations: collections.abc.Sequence[change.Operation],
+        inventory: change.Inventory | None = None,
+    ) -> Invalid | Unchanged | None:
+        """Check operations against the configuration in force; None if valid."""
+        mistakes = change.find_mistakes(self.cfg, operations, inventory)
+        if mistakes:
+            return Invalid(tuple(mistakes))
+        if change.changes_nothing(self.cfg, operations):
+            return Unchanged(self.cfg.revision)
+        return None
+
+    async def propose(
+        self, wish: Proposal, inventory: change.Inventory | None = None
+    ) -> Outcome:
+        """Write a change, push it, and wait until a majority has it in force."""
+        async with self._write_lock:
+            written = await self._write_wish(wish, inventory)
+        if not isinstance(written, change.Change):
+            return written
+        return await self._spread_until_accepted(written)
+
+    async def wait_in_force(self, revision: int, timeout_s: float) -> Spread:
+        """Wait until a revision is in force on all members, or the time is over."""
+        # A member that reported the revision once keeps it; reports expire.
+        having = set(self.spread(revision).in_force)
+        with trio.move_on_after(timeout_s):
+            while self._members.voters() - having:
+                item = self._log.get(revision)
+                if item is not None:
+                    await self._push(item, having)
+                having.update(self.spread(revision).in_force)
+                await trio.sleep(PUSH_EVERY_S)
+        voters = self._members.voters()
+        missing = tuple(sorted(voters - having))
+        return Spread(revision, tuple(sorted(voters & having)), missing)
+
+    async def _write_wish(
+        self, wish: Proposal, inventory: change.Inventory | None
+    ) -> change.Change | Outcome:
+        outcome: Outcome = NotAllowed("other operators' changes keep coming first")
+        for _ in range(MAX_RACES):
+            repeated = self._find_nonce(wish.nonce)
+            if repeated is not None:
+                return repeated
+            refused = self._find_obstacle(wish, inventory)
+            if refused is not None:
+                return refused
+            verdict = await self._write(self._build_change(wish))
+            match verdict:
+                case proposal.Recorded(change=item):
+                    await self._learn([item])
+                    return item
+                case proposal.NotWritten():
+                    return NotAllowed("the table service did not take the change")
+                case proposal.Unclear():
+                    return Unclear(self.cfg.revision + 1, wish.nonce)
+                case proposal.LostRace(winner=winner):
+                    outcome = Outdated(winner.revision, winner.author)
+                    await self._learn([winner])
+            if wish.expected is not None:
+                return outcome
+        return outcome
+
+    def _find_nonce(self, nonce: str) -> change.Change | None:
+        found = [item for item in self._log.values() if item.nonce == nonce]
+        return found[0] if found else None
+
+    def _find_obstacle(
+        self, wish: Proposal, inventory: change.Inventory | None
+    ) -> Outcome | None:
+        allowed = currency.may_accept(self._state, self._members, self._clock())
+        if isinstance(allowed, currency.MayNotAccept):
+            return NotAllowed(allowed.reason)
+        revision = self.cfg.revision
+        if wish.expected is not None and wish.expected != revision:
+            last = self._log.get(revision)
+            return Outdated(revision, last.author if last else "unknown")
+        return self.check(wish.operations, inventory)
+
+    def _build_change(self, wish: Proposal) -> change.Change:
+        return change.Change(
+            self.cfg.revision + 1,
+            wish.nonce,
+            wish.author,
+            self._wall(),
+            wish.operations,
+        )
+
+    async def _write(self, item: change.Change) -> proposal.Verdict:
+        steps = proposal.write(item)
+        result: proposal.Result | None = None
+        while True:
+            try:
+                step = next(steps) if result is None else steps.send(result)
+            except StopIteration as stop:
+                return typing.cast(proposal.Verdict, stop.value)
+            result = await self._execute(step)
+            if isinstance(result, proposal.NoAnswer):
+                await trio.sleep(RETRY_S)
+
+    async def _execute(self, step: proposal.Step) -> proposal.Result:
+        match step:
+            case proposal.Insert(change=item):
+                return await self._insert(item)
+            case proposal.ReadBack(revision=revision):
+                return await self._read_change(revision)
+
+    async def _insert(self, item: change.Change) -> proposal.Result:
+        row = await _ask(self._table.read("head", "head"))
+        if isinstance(row, ports.Unavailable):
+            return proposal.NotDone()
+        expect: ports.Precondition = ports.Expect.ABSENT
+        if isinstance(row, ports.Row):
+            expect = row.version
+        if _head_revision(row) != item.revision - 1:
+            return proposal.Conflicted()
+        content = msgspec.json.encode(item)
+        head = msgspec.json.encode(Head(item.revision))
+        key = change.row_key(item.revision)
+        writes = [
+            ports.Write("changes", key, content, ports.Expect.ABSENT),
+            ports.Write("head", "head", head, expect),
+        ]
+        result = await _ask(self._table.transact(writes))
+        match result:
+            case ports.Written():
+                return proposal.Inserted()
+            case ports.Conflict():
+                return proposal.Conflicted()
+            case ports.Unavailable(maybe_applied=True):
+                return proposal.NoAnswer()
+            case _:
+                return proposal.NotDone()
+
+    async def _read_change(self, revision: int) -> proposal.Result:
+        row = await _ask(self._table.read("changes", change.row_key(revision)))
+        if isinstance(row, ports.Unavailable):
+            return proposal.NoAnswer()
+        if isinstance(row, ports.Absent):
+            return proposal.NoRow()
+        item = _decode_change(row)
+        return proposal.NoAnswer() if item is None else item
+
+    async def _spread_until_accepted(self, item: change.Change) -> Outcome:
+        # A majority of members that left meanwhile, or of too few, would not
+        # share a node with each group that may serve.
+        await self._read_members()
+        with trio.move_on_after(ACCEPT_WAIT_S):
+            while not self._is_accepted(item.revision):
+                await self._push(item)
+                if self._is_accepted(item.revision):
+                    break
+                await trio.sleep(PUSH_EVERY_S)
+        spread = self.spread(item.revision)
+        if not self._is_accepted(item.revision):
+            return RecordedOnly(spread)
+        if item.revision % SNAPSHOT_EVERY == 0:
+            await self._write_snapshot()
+        return Accepted(spread)
+
+    def _is_accepted(self, revision: int) -> bool:
+        now = self._clock()
+        return currency.is_accepted(self._state, self._members, revision, now)
+
+    async def _push(
+        self, item: change.Change, having: collections.abc.Set[str] = frozenset()
+    ) -> None:
+        limiter = trio.CapacityLimiter(PUSH_CONCURRENCY)
+        async with trio.open_nursery() as nursery:
+            for node_id in self.spread(item.revision).missing:
+                if node_id != self._peers.node_id and node_id not in having:
+                    nursery.start_soon(self._push_to, node_id, item, limiter)
+
+    async def _push_to(
+        self, node_id: str, item: change.Change, limiter: trio.CapacityLimiter
+    ) -> None:
+        async with limiter:
+            asked_at = self._clock()
+            reply = await self._peers.call(node_id, PUSH, Push(item), PEER_TIMEOUT_S)
+        if isinstance(reply, PushReply):
+            self._members.hear(reply.vouch, asked_at)
+
+    # Following the sequence
+
+    def _wake(self) -> None:
+        self._news.set()
+
+    async def _poll_head(self, nursery: trio.Nursery) -> None:
+        # Polls overlap, so that a store that answers slowly still confirms
+        # every second.
+        while True:
+            nursery.start_soon(self._poll_head_once)
+            await trio.sleep(POLL_S)
+
+    async def _poll_head_once(self) -> None:
+        asked_at = self._clock()
+        row = await _ask(self._table.read("head", "head"), POLL_TIMEOUT_S)
+        if isinstance(row, ports.Unavailable):
+            return
+        revision = _head_revision(row)
+        if revision is None:
+            return
+        currency.record_store_read(self._state, asked_at, revision)
+        if revision > self.cfg.revision:
+            self._wake()
+
+    async def _catch_up(self) -> None:
+        while True:
+            await self._news.wait()
+            self._news = trio.Event()
+            wanted = currency.wanted_revision(self._state, self._members)
+            while self.cfg.revision < wanted:
+                before = self.cfg.revision
+                if not await self._fetch_from_peer():
+                    await self._fetch_from_store()
+                if self.cfg.revision == before:
+                    await trio.sleep(RETRY_S)
+                wanted = currency.wanted_revision(self._state, self._members)
+
+    async def _fetch_from_peer(self) -> bool:
+        own = self.cfg.revision
+        fresh = self._members.fresh(self._clock())
+        having = [k for k, v in sorted(fresh.items()) if v.revision > own]
+        if not having:
+            return False
+        node_id = self._peers.rng.choice(having)
+        request = DeltasRequest(own)
+        reply = await self._peers.call(node_id, DELTAS, request, PEER_TIMEOUT_S)
+        if not isinstance(reply, DeltasReply):
+            return False
+        if reply.snapshot is not None:
+            self._take_over(change.load_snapshot(self.cfg, reply.snapshot))
+        self._apply(reply.changes)
+        return self.cfg.revision > own
+
+    async def _fetch_from_store(self) -> None:
+        if self.cfg.revision == 0:
+            await self._read_snapshot()
+        changes = await self._scan_changes(self.cfg.revision, PAGE_ROWS)
+        if not isinstance(changes, ports.Unavailable):
+            self._apply(changes)
+
+    async def _scan_changes(
+        self, after: int, limit: int
+    ) -> list[change.Change] | ports.Unavailable:
+        scan = self._table.scan("changes", after=change.row_key(after), limit=limit)
+        rows = await _ask(scan)
+        if isinstance(rows, ports.Unavailable):
+            return rows
+        decoded = map(_decode_change, rows)
+        return [item for item in decoded if item is not None]
+
+    async def _learn(self, changes: list[change.Change]) -> None:
+        self._apply(changes)
+        newest = max(item.revision for item in changes)
+        if self.cfg.revision < newest:
+            await self._fetch_from_store()
+
+    def _apply(self, changes: collections.abc.Iterable[change.Change]) -> None:
+        for item in changes:
+            match change.apply(self.cfg, item):
+                case change.Applied(cfg=cfg):
+                    self._log[item.revision] = item
+                    self._log.pop(item.revision - LOG_LENGTH, None)
+                    self._take_over(cfg)
+                case change.Gap():
+                    self._wake()
+                    return
+                case change.AlreadyApplied():
+                    continue
+
+    def _take_over(self, cfg: contract.Config) -> None:
+        if cfg.revision <= self.cfg.revision:
+            return
+        if cfg.revision != self.cfg.revision + 1:
+            self._log.clear()
+            LOG.info("configuration loaded", extra={"revision": cfg.revision})
+        else:
+            LOG.info("change in force", extra={"revision": cfg.revision})
+        self.cfg = cfg
+        currency.record_revision(self._state, cfg.revision)
+
+    async def _answer_deltas(self, message: DeltasRequest) -> DeltasReply:
+        after = message.after
+        snapshot = None
+        if after < self.cfg.revision and after + 1 not in self._log:
+            snapshot = change.take_snapshot(self.cfg)
+            after = self.cfg.revision
+        last = min(after + DELTAS_PER_REPLY, self.cfg.revision)
+        changes = tuple(self._log[k] for k in range(after + 1, last + 1))
+        return DeltasReply(changes, snapshot)
+
+    async def _answer_push(self, message: Push) -> PushReply:
+        self._apply([message.change])
+        return PushReply(currency.vouch(self._state, self._clock()))
+
+    async def _read_snapshot(self) -> None:
+        row = await _ask(self._table.read("snapshots", "latest"))
+        if not isinstance(row, ports.Row):
+            return
+        snapshot = _decode(row, change.Snapshot)
+        if snapshot is not None:
+            self._take_over(change.load_snapshot(self.cfg, snapshot))
+
+    async def _write_snapshot(self) -> None:
+        content = msgspec.json.encode(change.take_snapshot(self.cfg))
+        write = ports.Write("snapshots", "latest", content, ports.Expect.ANY)
+        result = await _ask(self._table.write(write))
+        if not isinstance(result, ports.Written):
+            LOG.warning("snapshot not written", extra={"result": str(result)})
+
+    # Members
+
+    async def _follow_members(self) -> None:
+        while True:
+            await self._read_members()
+            share = len(self._members.rows) / MEMBERS_SCANS_PER_S
+            await trio.sleep(max(MEMBERS_S, share))
+
+    async def _read_members(self) -> None:
+        rows: list[ports.Row] = []
+        while True:
+            after = rows[-1].key if rows else ""
+            scan = self._table.scan("sessions", after=after, limit=PAGE_ROWS)
+            page = await _ask(scan)
+            if isinstance(page, ports.Unavailable):
+                return
+            rows.extend(page)
+            if len(page) < PAGE_ROWS:
+                break
+        sessions = [_decode(row, Session) for row in rows]
+        if any(item is None for item in sessions):
+            return
+        members = [self._load_session(item) for item in sessions if item is not None]
+        self._members.replace(members or self._peers.settings.static_members())
+
+    def _load_session(self, item: Session) -> member.Member:
+        listed = self._listed
+        return member.Member(
+            item.node_id,
+            str(item.incarnation),
+            item.host,
+            item.rpc_port,
+            item.zone,
+            item.revoked,
+            gone=listed is not None and item.node_id not in listed,
+        )
+
+    async def _follow_instances(self, instances: ports.InstanceList) -> None:
+        while True:
+            listed = await _ask(instances.read())
+            if not isinstance(listed, ports.Unavailable):
+                ids = frozenset(item.id for item in listed)
+                # A list without this running node proves nothing about others.
+                self._listed = ids if self._peers.node_id in ids else None
+            await trio.sleep(INSTANCES_S)
+
+
+async def _ask(
+    call: collections.abc.Awaitable[Fetched], timeout_s: float = STORE_TIMEOUT_S
+) -> Fetched | ports.Unavailable:
+    """Bound the time of a call to the platform; the effect is unknown after it."""
+    with trio.move_on_after(timeout_s):
+        return await call
+    return ports.Unavailable(f"no answer within {timeout_s} s", maybe_applied=True)
+
+
+def _decode(row: ports.Row, kind: type[Fetched]) -> Fetched | None:
+    try:
+        return msgspec.json.decode(row.content, type=kind)
+    except msgspec.MsgspecError as exc:
+        extra = {"table": row.table, "key": row.key, "reason": str(exc)}
+        LOG.error("row cannot be read", extra=extra)
+        return None
+
+
+def _decode_change(row: ports.Row) -> change.Change | None:
+    return _decode(row, change.Change)
+
+
+def _head_revision(row: ports.Row | ports.Absent) -> int | None:
+    if isinstance(row, ports.Absent):
+        return 0
+    head = _decode(row, Head)
+    return None if head is None else head.revision
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -130,12 +130,13 @@
     def heartbeat(self, node: Node, peer_id: str) -> None:
         asked_at = self.clock(node)
         peer = self.nodes[peer_id]
+        wants_rows = not node.members.complete
 
         def receive() -> None:
             if not self.linked(node.node_id, peer_id):
                 return
             reply = currency.answer_heartbeat(
-                peer.state, peer.members, self.clock(peer), self.rng
+                peer.state, peer.members, self.clock(peer), self.rng, wants_rows
             )
             newer = [v for k, v in peer.log.items() if k > node.state.revision]
             self.on(
