--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -1,160 +1,13 @@
 """Tests of nodes that follow and accept changes, over real RPC connections."""
 
-import collections.abc
-import contextlib
-import dataclasses
-
 import msgspec
 import pytest
 import trio
-import trio_asyncio
 
 from snipelug_core import change, contract, currency, member
 from snipelug_net import rpc
-from snipelug_node import peer, ports, revision
-
-KEY = b"test key"
-WAIT_S = 8.0
-
-
-class MemoryTable:
-    """A table service in memory that can be down or lose answers."""
-
-    def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], ports.Row] = {}
-        self.up = True
-        self.lose_answers = 0
-        self.count = 0
-
-    async def read(
-        self, table_name: str, key: str
-    ) -> ports.Row | ports.Absent | ports.Unavailable:
-        await trio.lowlevel.checkpoint()
-        if not self.up:
-            return ports.Unavailable("down", maybe_applied=False)
-        return self.rows.get((table_name, key), ports.Absent())
-
-    async def scan(
-        self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
-    ) -> list[ports.Row] | ports.Unavailable:
-        await trio.lowlevel.checkpoint()
-        if not self.up:
-            return ports.Unavailable("down", maybe_applied=False)
-        keys = sorted(k for t, k in self.rows if t == table_name and k > after)
-        return [self.rows[table_name, k] for k in keys[:limit]]
-
-    async def write(
-        self, write: ports.Write
-    ) -> ports.Written | ports.Conflict | ports.Unavailable:
-        return await self.transact([write])
-
-    async def transact(
-        self, writes: collections.abc.Sequence[ports.Write]
-    ) -> ports.Written | ports.Conflict | ports.Unavailable:
-        await trio.lowlevel.checkpoint()
-        if not self.up:
-            return ports.Unavailable("down", maybe_applied=False)
-        if not all(self.holds(write) for write in writes):
-            return ports.Conflict()
-        for write in writes:
-            self.put(write.table, write.key, write.content or b"")
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return ports.Unavailable("answer lost", maybe_applied=True)
-        return ports.Written(str(self.count))
-
-    def holds(self, write: ports.Write) -> bool:
-        row = self.rows.get((write.table, write.key))
-        if write.expect is ports.Expect.ANY:
-            return True
-        if write.expect is ports.Expect.ABSENT:
-            return row is None
-        return row is not None and row.version == write.expect
-
-    def put(self, table_name: str, key: str, content: bytes) -> None:
-        self.count += 1
-        row = ports.Row(table_name, key, str(self.count), content)
-        self.rows[table_name, key] = row
-
-
-@dataclasses.dataclass
-class Running:
-    """One node and the scope that ends it."""
-
-    peers: peer.Peers
-    keeper: revision.Keeper
-    scope: trio.CancelScope
-
-
-@dataclasses.dataclass
-class Fleet:
-    """Nodes of one process that share a table service."""
-
-    table: MemoryTable
-    nursery: trio.Nursery
-    ports: dict[str, int]
-    nodes: dict[str, Running] = dataclasses.field(default_factory=dict)
-
-    async def boot(self, node_id: str) -> Running:
-        static = tuple(
-            member.Member(k, "", "127.0.0.1", port)
-            for k, port in self.ports.items()
-            if k != node_id
-        )
-        settings = peer.Settings(
-            node_id, "1", "127.0.0.1", self.ports[node_id], KEY, static=static
-        )
-        peers = peer.Peers(settings)
-        keeper = revision.Keeper(self.table, peers)
-        scope = trio.CancelScope()
-        running = Running(peers, keeper, scope)
-        await self.nursery.start(self.run_node, running)
-        self.nodes[node_id] = running
-        return running
-
-    async def run_node(
-        self,
-        running: Running,
-        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-    ) -> None:
-        with running.scope:
-            async with trio.open_nursery() as nursery:
-                await nursery.start(running.peers.run)
-                await nursery.start(running.keeper.run)
-                task_status.started()
-
-    async def until(self, condition: collections.abc.Callable[[], bool]) -> None:
-        with trio.fail_after(WAIT_S):
-            while not condition():
-                await trio.sleep(0.05)
-
-    async def until_current(self, *node_ids: str) -> None:
-        nodes = [self.nodes[k] for k in node_ids or self.nodes]
-        await self.until(
-            lambda: all(
-                n.keeper.is_current(n.peers.clock())
-                and len(n.peers.live()) >= len(nodes)
-                for n in nodes
-            )
-        )
-
-
-async def free_port() -> int:
-    with trio.socket.socket() as sock:
-        await sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
-@contextlib.asynccontextmanager
-async def fleet(size: int) -> collections.abc.AsyncIterator[Fleet]:
-    numbers = {f"n{i}": await free_port() for i in range(size)}
-    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
-        made = Fleet(MemoryTable(), nursery, numbers)
-        for node_id in numbers:
-            await made.boot(node_id)
-        await made.until_current()
-        yield made
-        nursery.cancel_scope.cancel()
+from snipelug_node import peer, revision
+from tests import fleet
 
 
 def wish(zone: str, nonce: str = "", expected: int | None = None) -> revision.Proposal:
@@ -164,10 +17,10 @@
 
 async def test_change_is_in_force_everywhere_and_survives_outage() -> None:
     """Guards against a change that is accepted and then missing on some node."""
-    async with fleet(3) as made:
+    async with fleet.fleet(3) as made:
         outcome = await made.nodes["n0"].keeper.propose(wish("tamar-a", expected=0))
         assert isinstance(outcome, revision.Accepted)
-        spread = await made.nodes["n0"].keeper.wait_in_force(1, WAIT_S)
+        spread = await made.nodes["n0"].keeper.wait_in_force(1, fleet.WAIT_S)
         assert spread == revision.Spread(1, ("n0", "n1", "n2"), ())
         for running in made.nodes.values():
             assert running.keeper.cfg.zones_out == {"tamar-a"}
@@ -189,7 +42,7 @@
 
 async def test_racing_operators_get_one_winner() -> None:
     """Guards against two operators who both believe that they have a revision."""
-    async with fleet(3) as made:
+    async with fleet.fleet(3) as made:
         outcomes: dict[str, revision.Outcome] = {}
 
         async def propose(node_id: str) -> None:
@@ -211,7 +64,7 @@
 
 async def test_lost_answer_and_repeated_call_are_one_change() -> None:
     """Guards against a lost answer that becomes a refusal or a second change."""
-    async with fleet(3) as made:
+    async with fleet.fleet(3) as made:
         made.table.lose_answers = 1
         first = await made.nodes["n0"].keeper.propose(wish("esk-b", expected=0))
         assert isinstance(first, revision.Accepted)
@@ -222,7 +75,7 @@
 
 async def test_node_alone_neither_accepts_nor_serves_without_store() -> None:
     """Guards against a minority that goes on with an old configuration."""
-    async with fleet(3) as made:
+    async with fleet.fleet(3) as made:
         for node_id in ("n1", "n2"):
             made.nodes[node_id].scope.cancel()
         running = made.nodes["n0"]
@@ -240,7 +93,7 @@
 ) -> None:
     """Guards against a node that cannot boot once old changes left the memory."""
     monkeypatch.setattr(revision, "LOG_LENGTH", 2)
-    async with fleet(2) as made:
+    async with fleet.fleet(2) as made:
         for number in range(5):
             outcome = await made.nodes["n0"].keeper.propose(wish(f"z{number}"))
             assert isinstance(outcome, revision.Accepted)
@@ -258,7 +111,7 @@
 
 async def test_members_come_from_sessions_once_written() -> None:
     """Guards against majorities over peers that are not members."""
-    async with fleet(2) as made:
+    async with fleet.fleet(2) as made:
         for node_id, port in made.ports.items():
             session = revision.Session(node_id, 1, "127.0.0.1", port)
             made.table.put("sessions", node_id, msgspec.json.encode(session))
@@ -271,7 +124,7 @@
 
 async def test_unknown_node_is_unreachable_and_local_call_is_direct() -> None:
     """Guards against calls that hang or leave the process needlessly."""
-    async with fleet(1) as made:
+    async with fleet.fleet(1) as made:
         peers = made.nodes["n0"].peers
         message = currency.Heartbeat("n0", "1", 0, False)
         assert isinstance(
