Add the index across nodes, cache feeds and KV transfers

Cause: each node needs the locations that other nodes know, and engines exchange blocks with stores only on a node's order.

Ruled out: hashing all nodes for each look-up, because its cost grows with the fleet; sending a feed's events to all shards, because each concerns one.

Change: Lookup and Record between nodes, slots of conversations with remembered nodes, batched changes with a bounded queue, feeds of engines and stores with restarts, gaps and moved shards, imports with a time limit and exports through a bounded queue.

Conclusion: lost or late answers of shards, feeds and engines cost only hits.

--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -205,6 +205,11 @@
             boot.alive = False
         self._past.pop(source_id, None)
 
+    def retain(self, source_ids: collections.abc.Container[str]) -> None:
+        """Forget the sources that are not among these."""
+        for source_id in [i for i in self._boots if i not in source_ids]:
+            self.remove_source(source_id)
+
     def appraise(
         self, keys: collections.abc.Iterable[block.Key], value: float, now: float
     ) -> None:
--- /dev/null
+++ b/tests/test_cache.py
@@ -0,0 +1,414 @@
+"""Tests of the block index across nodes, of feeds and of KV transfers."""
+
+import collections.abc
+import dataclasses
+import json
+import typing
+
+import hypothesis
+import msgspec
+import pytest
+import trio
+from hypothesis import strategies as st
+
+from snipelug_core import block, hashing, index, placement, route, table
+from snipelug_net import http_client, http_server, rpc
+from snipelug_node import cache
+
+
+def key(i: int) -> block.Key:
+    return i.to_bytes(2, "big") * (block.KEY_BYTES // 2)
+
+
+KEYS = [key(i) for i in range(40)]
+ENGINE = index.Source("e1", "b1")
+STORE = index.Source("s1", "b1", is_store=True)
+
+
+class Net:
+    """Nodes that call each other within this process."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {}
+        self.delay_s = 0.0
+        self.cut: set[str] = set()
+
+    def add(self, name: str) -> "Node":
+        node = Node(name, self)
+        self.nodes[name] = node
+        return node
+
+
+class Node:
+    """One node's shard and directory, as its own ``ports.Peers``."""
+
+    def __init__(self, name: str, net: Net) -> None:
+        self.node_id = name
+        self.net = net
+        self.procedures: dict[str, rpc.Procedure] = {}
+        self.shard = cache.Shard(1 << 20)
+        self.shard.register(self)
+        self.directory = cache.Directory(self)
+
+    def live(self) -> list[str]:
+        return list(self.net.nodes)
+
+    def register(self, method: typing.Any, procedure: rpc.Procedure) -> None:
+        self.procedures[method.name] = procedure
+
+    async def call(
+        self, node_id: str, method: typing.Any, message: msgspec.Struct, _: float
+    ) -> typing.Any:
+        if node_id in self.net.cut:
+            return rpc.Unreachable("cut off")
+        await trio.sleep(self.net.delay_s)
+        data = msgspec.msgpack.encode(message)
+        received = msgspec.msgpack.decode(data, type=method.request)
+        reply = await self.net.nodes[node_id].procedures[method.name](received)
+        return msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=method.reply)
+
+
+@pytest.fixture
+def net() -> Net:
+    net = Net()
+    for name in ("n1", "n2", "n3"):
+        net.add(name)
+    return net
+
+
+async def held_by(node: Node, keys: list[block.Key]) -> list[set[str]]:
+    return [set((await node.directory.lookup([k])).prefixes()) for k in keys]
+
+
+async def test_changes_of_one_node_are_found_by_all(net: Net) -> None:
+    """Guards against look-ups that ask another shard than changes went to."""
+    first, second = net.nodes["n1"], net.nodes["n2"]
+    first.directory.note(ENGINE, [cache.Change(k, True) for k in KEYS])
+    stored = [cache.Change(k, True, 1, 7, "c") for k in KEYS]
+    first.directory.note(STORE, stored)
+    first.directory.appraise(KEYS[:1], 0.5)
+    await first.directory.flush()
+    assert await held_by(second, KEYS) == [{"e1", "s1"}] * len(KEYS)
+    found = await second.directory.lookup(KEYS[:1])
+    assert found.stored == ((index.Stored("s1", "b1", 7, "c"),),)
+    assert all(len(n.shard.index) for n in net.nodes.values())
+    first.directory.announce(index.Source("e1", "b2"))
+    await first.directory.flush()
+    assert await held_by(second, KEYS) == [{"s1"}] * len(KEYS)
+    for node in net.nodes.values():
+        node.shard.retain({"e1"})
+    assert await held_by(second, KEYS) == [set()] * len(KEYS)
+
+
+@pytest.mark.parametrize(("delay_s", "hit"), [(0.015, True), (0.5, False)])
+async def test_slow_lookup_is_a_miss(
+    net: Net, autojump_clock: trio.testing.MockClock, delay_s: float, hit: bool
+) -> None:
+    """Guards against a first token that waits for the index."""
+    node = net.nodes["n1"]
+    node.directory.note(ENGINE, [cache.Change(KEYS[0], True)])
+    await node.directory.flush()
+    net.delay_s = delay_s
+    started = trio.current_time()
+    found = await node.directory.lookup(KEYS[:1])
+    assert trio.current_time() - started <= cache.LOOKUP_TIMEOUT_S + 1e-6
+    assert bool(found.memory) == hit
+    assert node.directory.counts["lookup_misses"] == (0 if hit else 1)
+
+
+async def test_lost_shards_and_full_queues_cost_only_hits(
+    net: Net, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against errors and growing memory while other nodes are gone."""
+    node = net.nodes["n1"]
+    net.cut = set(net.nodes)
+    monkeypatch.setattr(cache, "PENDING_EVENTS", 30)
+    node.directory.note(ENGINE, [cache.Change(k, True) for k in KEYS])
+    assert node.directory.counts["changes_dropped"] == 10
+    await node.directory.flush()
+    assert node.directory.counts["changes_dropped"] == 40
+    assert await held_by(node, KEYS[:1]) == [set()]
+    assert await node.directory.lookup([]) == index.Found()
+
+
+MALFORMED = [
+    (cache.Lookup, {"keys": [b"short"]}),
+    (cache.Lookup, {"keys": [KEYS[0]] * (cache.MAX_KEYS + 1)}),
+    (cache.Record, {"appraisals": [{"keys": [], "value_s": float("nan")}]}),
+    (cache.Record, {"batches": [{"id": "", "boot_id": "b", "is_store": True}]}),
+    (cache.Record, {"batches": [{"id": "a", "boot_id": 3, "is_store": True}]}),
+]
+
+
+@pytest.mark.parametrize(("kind", "content"), MALFORMED)
+def test_malformed_messages_are_refused(kind: type, content: object) -> None:
+    """Guards against a faulty peer that breaks or floods the index."""
+    data = msgspec.msgpack.encode(content)
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(data, type=kind)
+
+
+@hypothesis.given(
+    st.lists(st.sets(st.sampled_from("abcdef")), max_size=5),
+    st.lists(st.integers(0, 50), max_size=10),
+)
+def test_slots_follow_rendezvous_over_all_changes(
+    views: list[set[str]], slots: list[int]
+) -> None:
+    """Guards against two nodes that ask different shards for one conversation."""
+    shards = cache.ShardMap()
+    before: dict[int, str | None] = {}
+    for nodes in views:
+        moved = shards.update(nodes)
+        owners = {s: shards.owner(s) for s in slots}
+        fresh = cache.ShardMap()
+        fresh.update(nodes)
+        assert owners == {s: fresh.owner(s) for s in slots}
+        assert set(owners.values()) <= (nodes or {None})
+        known = {s for s in slots if before.get(s) is not None}
+        assert {s for s in known if owners[s] != before[s]} == moved & known
+        before = owners
+
+
+@dataclasses.dataclass
+class Upstream:
+    """An engine or store that answers from a script."""
+
+    boot_id: str = "b1"
+    feed: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    answer: object = None
+    status: int = 200
+    delay_s: float = 0.0
+    orders: list[tuple[str, dict[str, typing.Any]]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def add(self, *events: tuple[int, str, block.Key], **more: object) -> None:
+        for seq, name, k in events:
+            self.feed.append({"seq": seq, "event": name, "key": k.hex(), **more})
+
+    async def handle(self, req: http_server.Request) -> http_server.Response:
+        await trio.sleep(self.delay_s)
+        if req.method == "POST":
+            self.orders.append((req.path, json.loads(req.body)))
+            return http_server.json_response(self.status, self.answer)
+        after = int(req.query["after"])
+        events = [e for e in self.feed if typing.cast(int, e["seq"]) > after]
+        name = "blocks" if req.path == "/blocks" else "events"
+        return http_server.json_response(
+            self.status, self.answer or {"boot_id": self.boot_id, name: events}
+        )
+
+
+Start = collections.abc.Callable[
+    [str, table.Role], collections.abc.Awaitable[tuple[Upstream, table.Instance]]
+]
+
+
+@pytest.fixture
+async def start(nursery: trio.Nursery) -> Start:
+    async def run(name: str, role: table.Role) -> tuple[Upstream, table.Instance]:
+        upstream = Upstream()
+        limits = http_server.Limits()
+        server = http_server.Server(upstream.handle, limits)
+        port = await nursery.start(server.serve, "127.0.0.1", 0)
+        return upstream, table.Instance(name, role, "127.0.0.1", port, "a")
+
+    return run
+
+
+async def test_feeds_reach_the_index_over_restarts_and_gaps(
+    net: Net, start: Start
+) -> None:
+    """Guards against events that are skipped after a restart or a gap."""
+    engine, engine_inst = await start("e1", table.Role.ENGINE)
+    store, store_inst = await start("s1", table.Role.STORE)
+    node = net.nodes["n1"]
+    owned = [engine_inst, store_inst]
+    feeds = cache.Feeds(http_client.Pool(), node.directory, lambda: owned)
+
+    async def poll() -> list[set[str]]:
+        await feeds.poll()
+        await node.directory.flush()
+        return await held_by(net.nodes["n2"], KEYS[:2])
+
+    engine.add((1, "stored", KEYS[0]), (2, "stored", KEYS[1]))
+    store.add((1, "stored", KEYS[0]), generation="7", checksum="c")
+    assert await poll() == [{"e1", "s1"}, {"e1"}]
+    engine.add((9, "removed", KEYS[0]))
+    assert await poll() == [{"s1"}, {"e1"}]
+    assert feeds.counts["gaps"] == 1
+    engine.boot_id, engine.feed = "b2", []
+    engine.add((1, "stored", KEYS[0]), (20, "stored", KEYS[5]))
+    assert await poll() == [{"s1"}, set()]
+    assert await poll() == [{"e1", "s1"}, set()]
+    found = await net.nodes["n3"].directory.lookup(KEYS[:1])
+    assert found.stored == ((index.Stored("s1", "b1", 7, "c"),),)
+
+
+async def test_new_node_gets_the_events_of_its_shard(net: Net, start: Start) -> None:
+    """Guards against an index shard that stays empty after nodes change."""
+    engine, inst = await start("e1", table.Role.ENGINE)
+    engine.add(*((i + 1, "stored", k) for i, k in enumerate(KEYS)))
+    node = net.nodes["n1"]
+    feeds = cache.Feeds(http_client.Pool(), node.directory, lambda: [inst])
+    await feeds.poll()
+    await node.directory.flush()
+    sent = feeds.counts["events"]
+    del net.nodes["n2"]
+    net.add("n4")
+    await feeds.poll()
+    await node.directory.flush()
+    assert await held_by(net.nodes["n3"], KEYS) == [{"e1"}] * len(KEYS)
+    assert len(net.nodes["n4"].shard.index) > 0
+    assert sent == len(KEYS) < feeds.counts["events"] < 2 * len(KEYS)
+    await feeds.poll()
+    assert feeds.counts["events"] < 2 * len(KEYS)
+
+
+BAD_PAGES: list[tuple[int, object]] = [
+    (500, None),
+    (200, {"events": []}),
+    (200, {"boot_id": "b", "events": [{"seq": -1, "event": "stored", "key": ""}]}),
+    (200, {"boot_id": "b", "events": [{"seq": 1, "event": "stored", "key": "zz"}]}),
+    (
+        200,
+        {"boot_id": "b", "events": [{"seq": 1, "event": "new", "key": KEYS[0].hex()}]},
+    ),
+]
+
+
+@pytest.mark.parametrize(("status", "answer"), BAD_PAGES)
+async def test_unusable_feeds_are_counted(
+    net: Net, start: Start, status: int, answer: object
+) -> None:
+    """Guards against one faulty instance that stops the reading of the others."""
+    bad, bad_inst = await start("e1", table.Role.ENGINE)
+    good, good_inst = await start("e2", table.Role.ENGINE)
+    bad.status, bad.answer = status, answer
+    good.add((1, "stored", KEYS[0]))
+    node = net.nodes["n1"]
+    gone = dataclasses.replace(bad_inst, id="e3", port=1)
+    owned = [bad_inst, gone, good_inst]
+    feeds = cache.Feeds(http_client.Pool(), node.directory, lambda: owned)
+    await feeds.poll()
+    await node.directory.flush()
+    assert feeds.counts["unusable"] == 2
+    assert await held_by(node, KEYS[:1]) == [{"e2"}]
+
+
+def copy_of(store: str) -> index.Stored:
+    return index.Stored(store, "b1", 7, "c")
+
+
+@pytest.fixture
+async def transfers(
+    net: Net, start: Start
+) -> tuple[Upstream, table.Instance, cache.Transfers]:
+    upstream, inst = await start("e1", table.Role.ENGINE)
+    store = table.Instance("s1", table.Role.STORE, "10.0.0.9", 7000, "a")
+    directory = net.nodes["n1"].directory
+    made = cache.Transfers(http_client.Pool(), directory, {"s1": store}.get)
+    return upstream, inst, made
+
+
+Ready = tuple[Upstream, table.Instance, cache.Transfers]
+
+
+async def test_import_names_copies_and_drops_missed_ones(
+    net: Net, transfers: Ready
+) -> None:
+    """Guards against reads of other generations and endless misses."""
+    upstream, inst, made = transfers
+    directory = net.nodes["n1"].directory
+    directory.note(STORE, [cache.Change(k, True, 1, 7, "c") for k in KEYS[:2]])
+    await directory.flush()
+    upstream.answer = {"imported": [KEYS[0].hex(), "x"], "missed": [KEYS[1].hex()]}
+    fetches = [route.Fetch(i, copy_of("s1")) for i in range(2)]
+    done = await made.import_blocks(inst, "b1", KEYS[:2], fetches, 5.0)
+    assert done == cache.Transferred((KEYS[0],))
+    path, body = upstream.orders[0]
+    assert path == "/kv/import"
+    address = {"host": "10.0.0.9", "port": 7000}
+    assert body["store"] == address
+    assert body["blocks"] == [
+        {"key": k.hex(), "generation": 7, "checksum": "c"} | address for k in KEYS[:2]
+    ]
+    await directory.flush()
+    assert await held_by(net.nodes["n2"], KEYS[:2]) == [{"e1", "s1"}, set()]
+    assert (made.counts["imported"], made.counts["missed"]) == (1, 1)
+
+
+FAULTS: list[tuple[int, object, float, str]] = [
+    (500, {}, 0.0, "s1"),
+    (200, {"imported": 3}, 0.0, "s1"),
+    (200, {"imported": [], "missed": []}, 5.0, "s1"),
+    (200, {"imported": [], "missed": []}, 0.0, "s2"),
+]
+
+
+@pytest.mark.parametrize(("status", "answer", "delay_s", "store"), FAULTS)
+async def test_failed_import_is_a_value_in_time(
+    transfers: Ready, status: int, answer: object, delay_s: float, store: str
+) -> None:
+    """Guards against a request that fails or waits because of the cache."""
+    upstream, inst, made = transfers
+    upstream.status, upstream.answer, upstream.delay_s = status, answer, delay_s
+    fetches = [route.Fetch(0, copy_of(store))]
+    with trio.fail_after(2.0):
+        done = await made.import_blocks(inst, "b1", KEYS[:1], fetches, 0.2)
+    assert isinstance(done, cache.TransferFailed)
+    assert made.counts["failed"] == 1
+
+
+async def test_export_orders_the_engine_and_records_the_copies(
+    net: Net, transfers: Ready
+) -> None:
+    """Guards against copies that are written and never found again."""
+    upstream, inst, made = transfers
+    stored = {"key": KEYS[0].hex(), "generation": "5", "checksum": "d"}
+    other = {"key": KEYS[9].hex(), "generation": "5", "checksum": "d"}
+    upstream.answer = {"stored": [stored, other], "imported": [], "missed": []}
+    export = placement.Export("e1", "s1", (0, 1), tuple(KEYS[:2]))
+    fetch = route.Fetch(1, copy_of("s1"))
+    job = cache.ExportJob(inst, "b1", "b1", export, (fetch,))
+    done = await made.carry_out(job)
+    assert done == cache.Transferred((KEYS[0],))
+    assert [path for path, _ in upstream.orders] == ["/kv/import", "/kv/export"]
+    imported, exported = (body for _, body in upstream.orders)
+    assert [b["key"] for b in imported["blocks"]] == [KEYS[1].hex()]
+    assert [b["key"] for b in exported["blocks"]] == [k.hex() for k in KEYS[:2]]
+    assert exported["store"] == {"host": "10.0.0.9", "port": 7000}
+    await net.nodes["n1"].directory.flush()
+    found = await net.nodes["n2"].directory.lookup(KEYS[:1])
+    generation = exported["generation"]
+    assert found.stored == ((index.Stored("s1", "b1", generation, "d"),),)
+    assert await held_by(net.nodes["n2"], [KEYS[9]]) == [set()]
+
+
+async def test_export_queue_is_bounded(transfers: Ready, nursery: trio.Nursery) -> None:
+    """Guards against exports that pile up behind a slow store."""
+    upstream, inst, made = transfers
+    upstream.answer = {"stored": []}
+    export = placement.Export("e1", "s1", (0,), (KEYS[0],))
+    job = cache.ExportJob(inst, "b1", "b1", export)
+    taken = [made.submit(job) for _ in range(cache.EXPORTS_WAITING + 5)]
+    assert taken.count(False) == made.counts["exports_dropped"] == 5
+    await nursery.start(made.run)
+    with trio.fail_after(10):
+        while len(upstream.orders) < cache.EXPORTS_WAITING:
+            await trio.sleep(0.01)
+
+
+def test_slots_share_the_conversations() -> None:
+    """Guards against one node that holds most of the index."""
+    shards = cache.ShardMap()
+    shards.update(f"n{i}" for i in range(6))
+    counts = [0] * 6
+    for i in range(cache.SLOTS):
+        owner = shards.owner(i)
+        assert owner is not None
+        counts[int(owner[1:])] += 1
+    assert max(counts) < 1.2 * cache.SLOTS / 6
+    names = [f"n{i}" for i in range(6)]
+    assert shards.owner(3) == hashing.rank("slot3", names)[0]
