Estimate prefill ahead of a request and name the cheapest copies of a store

Cause: load reports count requests, and one long prompt delays others a hundred times longer than a short one; stores refuse writes when they are full and do not choose themselves what to remove.

Change: Backlog sums this node's own pending prefill and adds other nodes' requests with its running means; Index.cheapest returns the copies that a shard would free first.

--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -248,6 +248,33 @@
             self._touch(key, entry, position, now)
         return Found(memory, tuple(stored))
 
+    def cheapest(self, store_id: str, share: float) -> list[Added]:
+        """Return the copies in a store that are worth the least.
+
+        Each shard frees the same share of what it knows, so that a full store gets
+        room without an owner that would have to know the value of all blocks.
+
+        Parameters
+        ----------
+        store_id : str
+            The store.
+        share : float
+            Share of this shard's copies in that store to return.
+        """
+        boot = self._boots.get(store_id)
+        held = [
+            (entry.rank, key, place)
+            for key, entry in self._entries.items()
+            for place in entry.places
+            if place.boot is boot
+        ]
+        count = math.ceil(share * len(held))
+        chosen = heapq.nsmallest(count, held, key=lambda item: item[:2])
+        return [
+            Added(p.boot.source, key, p.seq, p.generation, p.checksum)
+            for _, key, p in chosen
+        ]
+
     def _usable(self, entry: _Entry) -> tuple[list[str], tuple[Stored, ...]]:
         holders: list[str] = []
         copies: list[Stored] = []
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -74,6 +74,8 @@
         Mean time that a request occupies a slot, in seconds.
     prefill_s : float
         Prefill of one token, in seconds.
+    backlog_s : float
+        Prefill ahead of a new request (`Backlog.estimate_s`), in seconds.
     weight_version : str
         Version that new requests run on; empty if unknown.
     needs_grant : bool
@@ -89,6 +91,7 @@
     slots: int = 1
     service_s: float = 1.0
     prefill_s: float = 0.0
+    backlog_s: float = 0.0
     weight_version: str = ""
     leaving: bool = False
     needs_grant: bool = False
@@ -96,9 +99,9 @@
     suspects: int = 0
 
     def wait_s(self) -> float:
-        """Return the expected time until a new request gets a slot, in seconds."""
+        """Return the expected time until the prefill of a new request, in seconds."""
         ahead = self.queue + 1 - self.slots
-        return max(0, ahead) * self.service_s / self.slots
+        return max(0, ahead) * self.service_s / self.slots + self.backlog_s
 
 
 @dataclasses.dataclass(frozen=True)
@@ -299,6 +302,82 @@
                 yield target
 
 
+# Prefill ahead of a request.
+
+LEARNING = 0.05
+"""Weight of a new observation in the running means."""
+
+
+@dataclasses.dataclass
+class _Run:
+    work_s: float
+    sent_at: float
+    first_at: float | None = None
+
+
+class Backlog:
+    """Estimate the prefill that waits at each upstream of one node.
+
+    Load reports count requests, and a request with a long prompt delays others a
+    hundred times longer than a short one. This node knows the work of its own
+    requests. Those of other nodes count with this node's means: the share of a
+    request's time before its first token, and its work.
+    """
+
+    def __init__(self) -> None:
+        self._runs: dict[str, dict[str, _Run]] = {}
+        self._mean_work_s = 0.0
+        self._mean_before_s = 0.0
+        self._mean_total_s = 0.0
+
+    def sent(self, upstream: str, run_id: str, work_s: float, now: float) -> None:
+        """Note a request with its expected fetch and prefill, in seconds."""
+        self._runs.setdefault(upstream, {})[run_id] = _Run(work_s, now)
+
+    def first_token(self, upstream: str, run_id: str, now: float) -> None:
+        """Note that the prefill of a request is over."""
+        run = self._runs.get(upstream, {}).get(run_id)
+        if run is not None and run.first_at is None:
+            run.first_at = now
+
+    def ended(self, upstream: str, run_id: str, now: float) -> None:
+        """Note the end of a request, whether or not it brought a token."""
+        runs = self._runs.get(upstream, {})
+        run = runs.pop(run_id, None)
+        if not runs:
+            self._runs.pop(upstream, None)
+        if run is None or run.first_at is None:
+            return
+        self._mean_work_s += LEARNING * (run.work_s - self._mean_work_s)
+        before_s = run.first_at - run.sent_at
+        self._mean_before_s += LEARNING * (before_s - self._mean_before_s)
+        total_s = now - run.sent_at
+        self._mean_total_s += LEARNING * (total_s - self._mean_total_s)
+
+    def estimate_s(self, upstream: str, queue: int, now: float) -> float:
+        """Return the prefill ahead of a new request, in seconds.
+
+        Parameters
+        ----------
+        upstream : str
+            The upstream.
+        queue : int
+            Requests of all nodes there (``load.estimate_queue``).
+        now : float
+            Time in seconds.
+        """
+        runs = self._runs.get(upstream, {})
+        waiting = [r for r in runs.values() if r.first_at is None]
+        own_s = sum(r.work_s for r in waiting)
+        if waiting:
+            # Engines prefill in order: the oldest has run since it was sent.
+            oldest = min(waiting, key=lambda r: r.sent_at)
+            own_s -= min(oldest.work_s, now - oldest.sent_at)
+        share = self._mean_before_s / self._mean_total_s if self._mean_total_s else 0.0
+        others = max(0, queue - len(runs))
+        return own_s + others * share * self._mean_work_s
+
+
 # Cost of a candidate.
 
 
@@ -651,7 +730,11 @@
 
 
 def make_target(
-    upstream: table.Upstream, profile: Profile, queue: int, needs_grant: bool
+    upstream: table.Upstream,
+    profile: Profile,
+    queue: int,
+    needs_grant: bool,
+    backlog_s: float = 0.0,
 ) -> Target:
     """Build the view of an upstream from the node's table.
 
@@ -665,6 +748,8 @@
         Result of ``load.estimate_queue``.
     needs_grant : bool
         Whether ``load.judge_warmth`` asks for a grant.
+    backlog_s : float
+        Result of `Backlog.estimate_s`.
     """
     inst, report = upstream.instance, upstream.report
     reported_leaving = report is not None and report.state is table.Warmth.LEAVING
@@ -676,6 +761,7 @@
         slots=profile.slots,
         service_s=profile.service_s,
         prefill_s=profile.prefill_s,
+        backlog_s=backlog_s,
         weight_version=report.weight_version if report else "",
         leaving=inst.leaving or reported_leaving,
         needs_grant=needs_grant,
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -186,6 +186,18 @@
     assert len(shard.lookup(keys[:3], 300.0).stored) < 3
 
 
+def test_cheapest_copies_of_a_store_are_named_for_deletion() -> None:
+    """Guards against a full store that keeps what nobody asks for again."""
+    shard = index.Index(ROOMY)
+    for i, key in enumerate(KEYS):
+        shard.apply(index.Added(store(), key, i + 1, 7, "c"), 0.0)
+        shard.appraise([key], 1.0 + i, 0.0)
+    shard.apply(index.Added(store(name="s2"), bytes(block.KEY_BYTES), 1), 0.0)
+    expected = [index.Added(store(), KEYS[i], i + 1, 7, "c") for i in range(2)]
+    assert shard.cheapest("s1", 0.5) == expected
+    assert shard.cheapest("s9", 0.5) == []
+
+
 def test_a_prompt_loses_its_end_first() -> None:
     """Guards against kept blocks that are useless without the evicted first one."""
     shard = index.Index(4 * ONE)
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -254,6 +254,29 @@
     assert route.weight_versions(targets, "m", "w1") == expected
 
 
+def test_backlog_counts_long_prompts_and_other_nodes() -> None:
+    """Guards against a short question that waits behind a long specification."""
+    backlog = route.Backlog()
+    backlog.sent("e", "long", 4.0, now=0.0)
+    backlog.sent("e", "short", 0.5, now=1.0)
+    assert backlog.estimate_s("e", 2, now=1.0) == pytest.approx(3.5)
+    assert backlog.estimate_s("e", 2, now=9.0) == pytest.approx(0.5)
+    assert backlog.estimate_s("f", 0, now=1.0) == 0.0
+    backlog.first_token("e", "long", now=4.0)
+    backlog.first_token("e", "unknown", now=4.0)
+    assert backlog.estimate_s("e", 2, now=1.0) == pytest.approx(0.5)
+    backlog.ended("e", "long", now=16.0)
+    backlog.ended("e", "short", now=16.0)
+    for i in range(200):
+        backlog.sent("e", str(i), 2.0, now=0.0)
+        backlog.first_token("e", str(i), now=3.0)
+        backlog.ended("e", str(i), now=12.0)
+    expected = 4 * 2.0 * 3 / 12
+    assert backlog.estimate_s("e", 4, now=0.0) == pytest.approx(expected, rel=0.05)
+    waiting = target(backlog_s=expected).wait_s()
+    assert waiting == expected
+
+
 def test_target_takes_the_state_of_the_upstream() -> None:
     """Guards against a leaving upstream that passes as live."""
     inst = table.Instance("e", table.Role.ENGINE, "h", 1, "a")
