--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,86 @@
+"""Cost of control: idle nodes, and the time for a change to reach all of them."""
+
+import dataclasses
+import statistics
+import time
+
+import trio
+
+from bench import usage
+from tests import cluster, deployment
+
+SETTLE_S = 8.0
+MEASURE_S = 10.0
+CHANGES = 5
+
+
+@dataclasses.dataclass(frozen=True)
+class Control:
+    """Cost of idle nodes without callers.
+
+    Attributes
+    ----------
+    core_share : float
+        Processor time per node and second, as a share of a core.
+    resident_bytes : float
+        Mean resident memory of a node, in bytes.
+    wire_bytes_per_s : float
+        Bytes on the loopback device per node and second, both directions and
+        with all protocol headers; traffic of the stand-ins is included.
+    store_reads_per_s, store_writes_per_s : float
+        Operations of all nodes together at the table service, per second.
+    change_s : float
+        Median time from the proposal of a change until it is in force everywhere.
+    """
+
+    nodes: int
+    core_share: float
+    resident_bytes: float
+    wire_bytes_per_s: float
+    store_reads_per_s: float
+    store_writes_per_s: float
+    change_s: float
+
+
+async def _store_counts(running: deployment.Deployment) -> tuple[int, int]:
+    stats = await running.running.stats(running.tables)
+    return stats["reads"], stats["writes"]
+
+
+async def measure(running: cluster.Cluster, nodes: int, upstreams: int) -> Control:
+    """Measure a deployment of so many nodes, without callers."""
+    small = deployment.read_sample("tas-north")
+    started = await deployment.start(
+        running, small, nodes=nodes, engines=upstreams, services=0, stores=0
+    )
+    await trio.sleep(SETTLE_S)
+    pids = [child.pid for child in started.nodes]
+    reads, writes = await _store_counts(started)
+    before = [usage.read_use(pid) for pid in pids]
+    sent = usage.read_loopback_bytes()
+    begin = time.perf_counter()
+    await trio.sleep(MEASURE_S)
+    elapsed_s = time.perf_counter() - begin
+    sent = usage.read_loopback_bytes() - sent
+    after = [usage.read_use(pid) for pid in pids]
+    reads_after, writes_after = await _store_counts(started)
+    cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
+    return Control(
+        nodes=nodes,
+        core_share=cpu_s / nodes / elapsed_s,
+        resident_bytes=statistics.mean(use.resident_bytes for use in after),
+        wire_bytes_per_s=sent / nodes / elapsed_s,
+        store_reads_per_s=(reads_after - reads) / elapsed_s,
+        store_writes_per_s=(writes_after - writes) / elapsed_s,
+        change_s=await _change_time(started),
+    )
+
+
+async def _change_time(running: deployment.Deployment) -> float:
+    times = []
+    for number in range(CHANGES):
+        kind = "ZoneOut" if number % 2 == 0 else "ZoneIn"
+        begin = time.perf_counter()
+        await running.submit([{"type": kind, "zone": running.sample.zones[0]}])
+        times.append(time.perf_counter() - begin)
+    return statistics.median(times)
