--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/session.py
@@ -0,0 +1,200 @@
+"""A node's lease session: renewal, validity and revocation.
+
+A session is one row of the table ``sessions``; its key is the session id,
+which is never used again. Revoking deletes the row under the condition that
+it is unchanged, so a late renewal fails.
+"""
+
+import collections.abc
+import dataclasses
+import math
+
+from snipelug_core import step
+
+TABLE = "sessions"
+
+RENEW_S = 5.0
+LEASE_S = 15.0
+"""Validity on the holder's clock, from before the renewal was sent."""
+
+REVOKE_AFTER_S = 30.0
+"""Time that an observer sees a row unchanged before it revokes the session.
+Twice the lease, so clocks may differ in rate by nearly a factor of two."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """A row of the table ``sessions``.
+
+    Attributes
+    ----------
+    process : str
+        Incarnation of the node's process.
+    seq : int
+        Number of the renewal; 1 for the creation.
+    """
+
+    session: str
+    node: str
+    process: str
+    seq: int
+
+
+@dataclasses.dataclass
+class Lease:
+    """The session of this process.
+
+    Attributes
+    ----------
+    session : str
+        Id of the current session, empty if there is none.
+    version : str
+        Version of the row as last known.
+    seq : int
+        Number of the last renewal sent.
+    valid_until : float
+        Monotonic time of this node, in seconds.
+    unclear : dict
+        When each renewal without an answer was sent, by its number.
+    """
+
+    node: str
+    process: str
+    session: str = ""
+    version: str = ""
+    seq: int = 0
+    created: int = 0
+    valid_until: float = -math.inf
+    unclear: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def valid(self, now: float) -> bool:
+        """Tell whether the lease is in force; compare right before acting."""
+        return now < self.valid_until
+
+    def drop(self) -> None:
+        """Forget the session; the next renewal creates another."""
+        self.session = ""
+        self.version = ""
+        self.valid_until = -math.inf
+        self.unclear.clear()
+
+
+Flow = collections.abc.Generator[step.Write | step.Read, step.Event, None]
+
+
+def renew(lease: Lease, now: float) -> Flow:
+    """Create the session or renew it once, and read back an unclear outcome.
+
+    Run one flow at a time for a lease.
+    """
+    if lease.session and not lease.version:
+        yield from _read_back(lease)
+        if lease.session and not lease.version:
+            # A session id is created by one write only: a delayed second
+            # creation could bring a revoked session back.
+            lease.drop()
+        return
+    if not lease.session:
+        lease.created += 1
+        lease.seq = 0
+        lease.session = f"{lease.node}@{lease.process}.{lease.created}"
+    lease.seq += 1
+    lease.unclear[lease.seq] = now
+    row = Row(lease.session, lease.node, lease.process, lease.seq)
+    expect = lease.version or step.ABSENT
+    event = yield step.Write(TABLE, lease.session, row, expect)
+    match event.outcome:
+        case step.Applied(version):
+            _confirm(lease, version, lease.seq)
+        case step.Refused() | step.Silent():
+            yield from _read_back(lease)
+
+
+def _read_back(lease: Lease) -> Flow:
+    event = yield step.Read(TABLE, lease.session, Row)
+    match event.outcome:
+        case step.Found(version, row):
+            _confirm(lease, version, row.seq)
+        case step.Missing() if lease.version:
+            lease.drop()
+
+
+def _confirm(lease: Lease, version: str, seq: int) -> None:
+    """Note that the renewal with this number took effect."""
+    lease.version = version
+    sent_at = lease.unclear.get(seq, -math.inf)
+    lease.valid_until = max(lease.valid_until, sent_at + LEASE_S)
+    for other in [number for number in lease.unclear if number <= seq]:
+        del lease.unclear[other]
+
+
+def end(lease: Lease) -> Flow:
+    """Remove the session in a planned stop, after everything was handed over."""
+    key, version = lease.session, lease.version
+    lease.drop()
+    if key and version:
+        yield step.Write(TABLE, key, None, version)
+
+
+@dataclasses.dataclass(frozen=True)
+class Sighting:
+    """When this node first saw a version of a session row."""
+
+    version: str
+    seen_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Stale:
+    """A session that may be revoked.
+
+    Attributes
+    ----------
+    unchanged_s : float
+        Time that the row was seen unchanged, on this node's clock.
+    """
+
+    session: str
+    version: str
+    unchanged_s: float
+
+
+@dataclasses.dataclass
+class Watch:
+    """What this node has seen of all sessions, by session id."""
+
+    sightings: dict[str, Sighting] = dataclasses.field(default_factory=dict)
+
+
+def observe(
+    watch: Watch,
+    versions: collections.abc.Mapping[str, str],
+    asked_at: float,
+    now: float,
+) -> collections.abc.Iterator[Stale]:
+    """Take in a reading of the table and yield the sessions to revoke.
+
+    Parameters
+    ----------
+    watch : Watch
+        Changed in place.
+    versions : mapping of str to str
+        Row version of each session in the reading.
+    asked_at, now : float
+        Monotonic time before the reading was asked for and after it arrived.
+    """
+    for session in [name for name in watch.sightings if name not in versions]:
+        del watch.sightings[session]
+    for session, version in versions.items():
+        seen = watch.sightings.get(session)
+        if seen is None or seen.version != version:
+            watch.sightings[session] = Sighting(version, now)
+            continue
+        unchanged_s = asked_at - seen.seen_at
+        if unchanged_s >= REVOKE_AFTER_S:
+            yield Stale(session, version, unchanged_s)
+
+
+def revoke(stale: Stale) -> step.Write:
+    """Return the write that revokes a session unless it was renewed."""
+    return step.Write(TABLE, stale.session, None, stale.version)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,262 @@
+"""State machine over claims, sessions and ownership with faults at any step."""
+
+import random
+
+import hypothesis
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
+
+from snipelug_core import ownership, session
+from tests import world
+
+KEYS = st.sampled_from(["a", "a", "a", "b"])
+ITEMS = st.sampled_from(["upstream:u", "upstream:u", "team:t"])
+FAULTS = st.sampled_from(["", "", "", "lost", "late"])
+PICK = st.integers(0, 30)
+FROZEN = st.integers(-2, 2)
+# Twice the lease is waited before a revocation, so rates may differ by less
+# than a factor of two.
+RATES = st.sampled_from([0.8, 1.0, 1.25])
+SKEWS = st.sampled_from([-3.0, 0.0, 3.0])
+
+
+class Nodes(stateful.RuleBasedStateMachine):
+    """Guards against double runs, false ``not_run`` and two valid owners."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = world.World()
+        self.names = iter(f"n{number}" for number in range(1, 1000))
+
+    @stateful.initialize(rates=st.lists(RATES, min_size=3, max_size=3), skew=SKEWS)
+    def boot(self, rates: list[float], skew: float) -> None:
+        for rate in rates:
+            node = self.world.boot(next(self.names), rate, skew)
+            self.world.listed.add(node.id)
+            self.world.read_list(node, lagging=False)
+            self.world.start(node, "renew", session.renew(node.lease, self.now(node)))
+        self.settle_down()
+
+    def now(self, node: world.Node) -> float:
+        return self.world.clock(node)
+
+    def pick(self, number: int) -> world.Node:
+        alive = self.world.alive()
+        return alive[number % len(alive)]
+
+    def settle_down(self) -> None:
+        """Run all tasks without faults for a while."""
+        for _ in range(8):
+            for task in list(self.world.tasks):
+                self.step(task, "", "")
+
+    def step(self, task: world.Task, fault: str, send_fault: str) -> None:
+        if task not in self.world.tasks:
+            return
+        if task.outcome is None:
+            self.world.perform(task, fault)
+            self.world.check()
+        self.world.resume(task, send_fault)
+
+    @stateful.rule(
+        number=PICK, key=KEYS, body=st.sampled_from(["x", "x", "x", "x", "y"])
+    )
+    def call(self, number: int, key: str, body: str) -> None:
+        self.world.start_call(self.pick(number), key, body, 60.0)
+
+    @stateful.rule(number=PICK)
+    def work(self, number: int) -> None:
+        self.do_periodic_work(self.pick(number))
+
+    @stateful.rule(number=PICK, item=ITEMS)
+    def acquire(self, number: int, item: str) -> None:
+        node = self.pick(number)
+        flow = ownership.acquire(node.owners, item, node.unlisted)
+        self.world.start(node, item, flow)
+
+    @stateful.rule(number=PICK, item=ITEMS, other=PICK)
+    def hand_over(self, number: int, item: str, other: int) -> None:
+        node, heir = self.pick(number), self.pick(other)
+        successor = None
+        if heir is not node and heir.lease.session:
+            successor = ownership.Successor(heir.lease.session, heir.owners.me)
+        flow = ownership.hand_over(node.owners, item, successor)
+        self.world.start(node, item, flow)
+
+    @stateful.rule(number=PICK, lagging=st.booleans())
+    def read_list(self, number: int, lagging: bool) -> None:
+        self.world.read_list(self.pick(number), lagging)
+
+    @stateful.rule(number=PICK, key=KEYS)
+    def settle(self, number: int, key: str) -> None:
+        node = self.pick(number)
+        wall = self.world.now + node.wall_skew_s
+        self.world.start(node, f"settle {key}", self.world.settle_flow(key, wall))
+
+    @stateful.rule(number=PICK, fault=FAULTS, send_fault=FAULTS)
+    def advance(self, number: int, fault: str, send_fault: str) -> None:
+        if self.world.tasks:
+            task = self.world.tasks[number % len(self.world.tasks)]
+            self.step(task, fault, send_fault)
+
+    @stateful.rule(number=PICK, fault=FAULTS)
+    def perform_and_pause(self, number: int, fault: str) -> None:
+        if self.world.tasks:
+            task = self.world.tasks[number % len(self.world.tasks)]
+            if task.outcome is None:
+                self.world.perform(task, fault)
+
+    @stateful.rule(steps=st.integers(1, 6), frozen=FROZEN)
+    def advance_all(self, steps: int, frozen: int) -> None:
+        self.advance_others(steps, frozen)
+
+    def advance_others(self, steps: int, frozen: int) -> None:
+        """Run the tasks of all nodes but one without faults."""
+        paused = self.pick(frozen) if frozen >= 0 else None
+        for _ in range(steps):
+            for task in list(self.world.tasks):
+                if task.node is not paused:
+                    self.step(task, "", "")
+
+    @stateful.rule(rounds=st.sampled_from([1, 2, 4, 9, 17]), frozen=FROZEN)
+    def pass_time(self, rounds: int, frozen: int) -> None:
+        """Let 4 s pass in each round; all nodes but one do their periodic work."""
+        paused = self.pick(frozen) if frozen >= 0 else None
+        for _ in range(rounds):
+            self.world.now += 4.0
+            self.world.check()
+            for node in self.world.alive():
+                if node is not paused:
+                    self.do_periodic_work(node)
+            self.advance_others(3, frozen)
+
+    def do_periodic_work(self, node: world.Node) -> None:
+        self.world.start(node, "renew", session.renew(node.lease, self.now(node)))
+        self.world.start(node, "scan", self.world.scan_flow(node))
+        self.world.start(node, "owners", self.world.scan_owners_flow(node))
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 9.0]))
+    def pause_all(self, seconds: float) -> None:
+        self.world.now += seconds
+
+    @stateful.rule(seconds=st.sampled_from([2.0, 10.0, 40.0]))
+    def outage(self, seconds: float) -> None:
+        self.world.store_down_until = self.world.now + seconds
+
+    @stateful.rule(number=PICK)
+    def late_write_takes_effect(self, number: int) -> None:
+        late = self.world.store.late
+        if late:
+            self.world.store.apply(late.pop(number % len(late)))
+
+    @stateful.rule(number=PICK, seconds=st.sampled_from([5.0, 50.0]))
+    def cut(self, number: int, seconds: float) -> None:
+        self.pick(number).cut_until = self.world.now + seconds
+
+    @stateful.rule(number=PICK, rate=RATES, skew=SKEWS)
+    def restart(self, number: int, rate: float, skew: float) -> None:
+        old = self.pick(number)
+        self.world.kill(old)
+        self.world.boot(old.id, rate, skew)
+
+    @stateful.rule(number=PICK, rate=RATES, skew=SKEWS)
+    def replace(self, number: int, rate: float, skew: float) -> None:
+        old = self.pick(number)
+        self.world.kill(old)
+        self.world.set_listed(self.world.listed - {old.id})
+        self.world.boot(next(self.names), rate, skew)
+
+    @stateful.rule()
+    def list_new_nodes(self) -> None:
+        self.world.set_listed({node.id for node in self.world.alive()})
+
+    @stateful.rule(seed=st.integers(0, 2**32 - 1), steps=st.sampled_from([50, 400]))
+    def storm(self, seed: int, steps: int) -> None:
+        """Run a long random schedule, deeper than single rules reach."""
+        rng = random.Random(seed)
+        actions, weights = zip(*STORM, strict=True)
+        for action in rng.choices(actions, weights, k=steps):
+            action(self, rng)
+            self.world.check()
+
+    def storm_step(self, rng: random.Random) -> None:
+        tasks = [task for task in self.world.tasks if not self.frozen(task.node)]
+        if tasks:
+            fault = rng.choice(["", "", "", "", "", "", "lost", "late"])
+            self.step(rng.choice(tasks), fault, rng.choice(["", "", "lost"]))
+
+    def storm_pause(self, rng: random.Random) -> None:
+        """Freeze a node between the effect of a step and its answer."""
+        tasks = [task for task in self.world.tasks if task.outcome is None]
+        if tasks:
+            task = rng.choice(tasks)
+            self.world.perform(task, rng.choice(["", "", "lost", "late"]))
+            task.node.frozen_until = self.world.now + rng.choice([1, 12, 50, 200])
+
+    def storm_freeze(self, rng: random.Random) -> None:
+        node = rng.choice(self.world.alive())
+        node.frozen_until = self.world.now + rng.choice([12, 50, 200])
+
+    def storm_time(self, rng: random.Random) -> None:
+        self.world.now += rng.choice([0.1, 0.5, 2.0])
+
+    def storm_round(self, rng: random.Random) -> None:
+        """Let 4 s pass with the periodic work of all nodes that run."""
+        self.world.now += 4.0
+        self.world.check()
+        for node in self.world.alive():
+            if not self.frozen(node):
+                self.do_periodic_work(node)
+        for _ in range(3):
+            for task in list(self.world.tasks):
+                if not self.frozen(task.node):
+                    self.step(task, rng.choice([""] * 19 + ["late"]), "")
+
+    def frozen(self, node: world.Node) -> bool:
+        return self.world.now < node.frozen_until
+
+    @stateful.invariant()
+    def holds(self) -> None:
+        self.world.check()
+
+
+def draw(rng: random.Random) -> int:
+    return rng.randrange(30)
+
+
+def item(rng: random.Random) -> str:
+    return rng.choice(["upstream:u", "upstream:u", "team:t"])
+
+
+def key(rng: random.Random) -> str:
+    return rng.choice(["a", "b", "c"])
+
+
+STORM = [
+    (Nodes.storm_step, 50.0),
+    (Nodes.storm_time, 6.0),
+    (Nodes.storm_round, 5.0),
+    (Nodes.storm_pause, 3.0),
+    (Nodes.storm_freeze, 0.5),
+    (lambda m, r: m.call(draw(r), key(r), r.choice("xxxxy")), 8.0),
+    (lambda m, r: m.work(draw(r)), 4.0),
+    (lambda m, r: m.acquire(draw(r), item(r)), 8.0),
+    (lambda m, r: m.hand_over(draw(r), item(r), draw(r)), 3.0),
+    (lambda m, r: m.read_list(draw(r), r.random() < 0.5), 5.0),
+    (lambda m, r: m.settle(draw(r), key(r)), 6.0),
+    (lambda m, r: m.late_write_takes_effect(draw(r)), 4.0),
+    (lambda m, r: m.outage(r.choice([2.0, 10.0])), 0.5),
+    (lambda m, r: m.cut(draw(r), r.choice([2.0, 5.0, 50.0])), 1.0),
+    (lambda m, r: m.restart(draw(r), r.choice([0.8, 1.0, 1.25]), 1.0), 0.5),
+    (lambda m, r: m.replace(draw(r), r.choice([0.8, 1.0, 1.25]), -1.0), 0.5),
+    (lambda m, _: m.list_new_nodes(), 0.7),
+]
+
+Nodes.TestCase.settings = hypothesis.settings(
+    max_examples=200,
+    stateful_step_count=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestNodes = Nodes.TestCase
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,310 @@
+"""A model of nodes with skewed clocks, a faulty table service and an upstream."""
+
+import collections
+import collections.abc
+import dataclasses
+import itertools
+import typing
+
+from snipelug_core import claim, ownership, refusal, session, step
+
+LIST_LAG_S = 10.0
+Flow = collections.abc.Generator[typing.Any, step.Event, typing.Any]
+
+
+class Store:
+    """A table service whose answers can be lost and whose writes can be late."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], tuple[str, typing.Any]] = {}
+        self.late: list[step.Write] = []
+        self.counter = itertools.count(1)
+
+    def apply(self, write: step.Write) -> object:
+        place = (write.table, write.key)
+        old = self.rows.get(place)
+        found = step.ABSENT if old is None else old[0]
+        if found != write.expect:
+            return step.Refused()
+        if write.table == ownership.TABLE:
+            number = 0 if old is None else old[1].fencing
+            assert write.content is not None, "owner rows are not deleted"
+            assert write.content.fencing > number, "fencing numbers grow"
+        if write.content is None:
+            del self.rows[place]
+            return step.Applied("")
+        version = str(next(self.counter))
+        self.rows[place] = (version, write.content)
+        return step.Applied(version)
+
+    def perform(self, taken: step.Write | step.Read, fault: str) -> object:
+        if fault == "down":
+            return step.Silent("down", maybe_applied=False)
+        if isinstance(taken, step.Write):
+            if fault == "late":
+                self.late.append(taken)
+                return step.Silent("late")
+            outcome = self.apply(taken)
+            return step.Silent("lost") if fault == "lost" else outcome
+        if fault:
+            return step.Silent("lost")
+        row = self.rows.get((taken.table, taken.key))
+        return step.Missing() if row is None else step.Found(*row)
+
+
+@dataclasses.dataclass
+class Node:
+    """One process."""
+
+    id: str
+    process: str
+    rate: float
+    wall_skew_s: float
+    alive: bool = True
+    cut_until: float = 0.0
+    frozen_until: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.lease = session.Lease(self.id, self.process)
+        self.ledger = claim.Ledger(self.process)
+        me = ownership.Process(self.id, self.process)
+        self.owners = ownership.Owners(me, self.lease)
+        self.unlisted = ownership.Unlisted()
+        self.watch = session.Watch()
+
+
+@dataclasses.dataclass(frozen=True)
+class Scan:
+    """Read all rows of a table."""
+
+    table: str
+
+
+@dataclasses.dataclass
+class Task:
+    """A running flow; ``outcome`` is set between a step's effect and its answer.
+
+    Attributes
+    ----------
+    name : str
+        Tasks with the same name run one at a time on a node.
+    """
+
+    node: Node
+    name: str
+    flow: Flow
+    key: str = ""
+    taken: object = None
+    outcome: object = None
+    granted: bool = False
+    sent: int = 0
+
+
+class World:
+    """Everything, with the true time ``now``."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        self.store_down_until = 0.0
+        self.store = Store()
+        self.nodes: list[Node] = []
+        self.tasks: list[Task] = []
+        self.listed: set[str] = set()
+        self.old_lists: collections.deque[tuple[float, set[str]]] = collections.deque()
+        self.runs: dict[str, list[str]] = collections.defaultdict(list)
+        self.nonces = (f"c{n}" for n in itertools.count(1))
+        self.processes = itertools.count(1)
+
+    def boot(self, node_id: str, rate: float, skew_s: float) -> Node:
+        node = Node(node_id, f"p{next(self.processes)}", rate, skew_s)
+        self.nodes.append(node)
+        return node
+
+    def alive(self) -> list[Node]:
+        return [node for node in self.nodes if node.alive]
+
+    def clock(self, node: Node) -> float:
+        return self.now * node.rate
+
+    def kill(self, node: Node) -> None:
+        node.alive = False
+        self.tasks = [task for task in self.tasks if task.node is not node]
+
+    def set_listed(self, listed: set[str]) -> None:
+        self.old_lists.append((self.now, set(self.listed)))
+        self.listed = listed
+
+    def read_list(self, node: Node, lagging: bool) -> None:
+        recent = [old for at, old in self.old_lists if self.now - at <= LIST_LAG_S] or [
+            self.listed
+        ]
+        listed = recent[0] if lagging else self.listed
+        holders = {
+            seen.row.outage_holder.node
+            for seen in node.owners.seen.values()
+            if seen.row.outage_holder
+        }
+        ownership.observe_list(
+            node.unlisted, listed, holders, node.id, self.clock(node)
+        )
+
+    def start(self, node: Node, name: str, flow: Flow, key: str = "") -> None:
+        if any(t.node is node and t.name == name for t in self.tasks):
+            return
+        task = Task(node, name, flow, key)
+        try:
+            task.taken = next(flow)
+        except StopIteration:
+            return
+        self.tasks.append(task)
+
+    def start_call(self, node: Node, key: str, body: str, patience_s: float) -> None:
+        now = self.clock(node)
+        if not node.lease.valid(now):
+            return
+        row = claim.Row(
+            "team",
+            key,
+            claim.fingerprint("POST", "/", body.encode()),
+            node.id,
+            node.process,
+            node.lease.session,
+            "",
+            self.now + node.wall_skew_s,
+        )
+        call = claim.Call(row, now + patience_s)
+        flow = claim.execute(call, node.ledger, self.nonces, now)
+        self.start(node, f"call {key}", flow, key)
+
+    def scan_flow(self, node: Node) -> Flow:
+        asked_at = self.clock(node)
+        event = yield Scan(session.TABLE)
+        if not isinstance(event.outcome, dict):
+            return
+        found = event.outcome
+        mine = node.lease.session
+        others = {key: row[0] for key, row in found.items() if key != mine}
+        stale = list(session.observe(node.watch, others, asked_at, event.now))
+        for item in stale:
+            yield session.revoke(item)
+
+    def scan_owners_flow(self, node: Node) -> Flow:
+        event = yield Scan(ownership.TABLE)
+        if isinstance(event.outcome, dict):
+            for key, row in event.outcome.items():
+                ownership.note(node.owners, key, *row, event.now)
+
+    def settle_flow(self, key: str, wall: float) -> Flow:
+        place = claim.row_key("team", key)
+        event = yield step.Read(claim.TABLE, place, claim.Row)
+        if not isinstance(event.outcome, step.Found):
+            return
+        version, row = event.outcome.version, event.outcome.content
+        event = yield step.Read(session.TABLE, row.session, session.Row)
+        gone = isinstance(event.outcome, step.Missing)
+        # Operators look at the upstream. A process that is paused between its
+        # last check and the send for longer than SETTLE_AGE_S escapes them.
+        if any(task.granted and task.key == key for task in self.tasks):
+            return
+        ran = bool(self.runs[key])
+        verdict = claim.Verdict.RAN if ran else claim.Verdict.NOT_RUN
+        settled = claim.settle(row, verdict, gone, wall, "operator")
+        if isinstance(settled, claim.Row):
+            yield step.Write(claim.TABLE, place, settled, version)
+
+    def perform(self, task: Task, fault: str) -> None:
+        """Let the pending step of a task take effect."""
+        taken = task.taken
+        node = task.node
+        if isinstance(taken, (step.Write, step.Read)):
+            task.outcome = self._store_step(node, taken, fault)
+        elif isinstance(taken, Scan):
+            silent = self.store_fault(node, fault)
+            rows = self._rows(taken.table)
+            task.outcome = step.Silent("lost") if silent else rows
+        elif isinstance(taken, claim.Dispatch):
+            task.granted = node.ledger.grant(taken.nonce, self.clock(node))
+            task.outcome = "granted" if task.granted else "withheld"
+        elif isinstance(taken, claim.Ask):
+            task.outcome = self._ask(node, taken, fault)
+        elif isinstance(taken, claim.LookUpSession):
+            read = step.Read(session.TABLE, taken.session, session.Row)
+            found = self._store_step(node, read, fault)
+            gone = isinstance(found, step.Missing)
+            task.outcome = claim.SessionGone() if gone else claim.SessionLives()
+        else:
+            task.outcome = "done"
+
+    def resume(self, task: Task, fault: str) -> None:
+        """Let a task learn the outcome of its step and go on to the next."""
+        if isinstance(task.taken, claim.Dispatch):
+            task.outcome = self._send(task, task.taken.nonce, fault)
+        event = step.Event(task.outcome, self.clock(task.node))
+        task.outcome = None
+        try:
+            task.taken = task.flow.send(event)
+        except StopIteration as stop:
+            self.tasks.remove(task)
+            self._check_result(task, stop.value)
+
+    def store_fault(self, node: Node, fault: str) -> str:
+        if self.now < self.store_down_until:
+            return "down"
+        return "late" if self.cut(node) else fault
+
+    def _store_step(
+        self, node: Node, taken: step.Write | step.Read, fault: str
+    ) -> object:
+        return self.store.perform(taken, self.store_fault(node, fault))
+
+    def cut(self, node: Node) -> bool:
+        return self.now < node.cut_until
+
+    def _rows(self, table: str) -> dict[str, tuple[str, typing.Any]]:
+        rows = self.store.rows.items()
+        return {key: row for (place, key), row in rows if place == table}
+
+    def _ask(self, asker: Node, ask: claim.Ask, fault: str) -> object:
+        for node in self.alive():
+            if node.id == ask.node and not (self.cut(node) or self.cut(asker) or fault):
+                return claim.Told(*node.ledger.status(ask.process, ask.nonce))
+        return claim.NotReached()
+
+    def _send(self, task: Task, nonce: str, fault: str) -> object:
+        if not task.granted:
+            refused = refusal.refuse(refusal.NO_UPSTREAM, "withheld")
+            return claim.NotSent(refused)
+        task.granted = False
+        task.sent += 1
+        self.runs[task.key].append(nonce)
+        if fault:
+            return claim.Unclear(refusal.refuse(refusal.UPSTREAM_LOST, "cut"))
+        return claim.Delivered(claim.Answer(200, {}, nonce.encode()))
+
+    def _check_result(self, task: Task, result: object) -> None:
+        if isinstance(result, claim.Answer):
+            assert [result.body.decode()] == self.runs[task.key], "one answer"
+        elif isinstance(result, refusal.Refusal):
+            if result.run_state is refusal.RunState.NOT_RUN:
+                assert task.sent == 0, "not_run is never said of a call that ran"
+            if result.run_state is refusal.RunState.RAN:
+                assert self.runs[task.key], "ran is only said of a call that ran"
+
+    def check(self) -> None:
+        """Assert what must hold at every moment."""
+        for key, runs in self.runs.items():
+            assert len(runs) <= 1, f"key {key} ran {len(runs)} times"
+        items = {key for node in self.alive() for key in node.owners.seen}
+        for item in items:
+            owners = [
+                node.id
+                for node in self.alive()
+                if ownership.fencing(node.owners, item, self.clock(node)) is not None
+            ]
+            assert len(owners) <= 1, f"{item} has the owners {owners}"
+            holders = [
+                node.id
+                for node in self.alive()
+                if ownership.has_outage_slot(node.owners, item)
+            ]
+            assert len(holders) <= 1, f"{item} has the outage holders {holders}"
