Add the tasks that keep a node's session and owner rows

Cause: sessions and ownership need periodic work against the table service and synchronous answers for the request path.

Ruled out: scanning whole tables at a fixed period. At 780 nodes a scan of sessions every 5 s would exceed a node's 9 KB/s, so the period grows with the bytes read. Ranking all items over all nodes at each tick: the preferred nodes are kept and only joined nodes are compared.

Change: lease.Keeper renews the session, revokes stale sessions, takes items that the node is preferred for, and hands over in a planned stop; executor.py performs store steps; in-memory services for tests in fakes.py.

They fail for a stop without hand-over, for sessions that are never revoked, for rows re-read every second, for a lease of 60 s and for outage slots that move with the lease.

--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/executor.py
@@ -0,0 +1,81 @@
+"""Performs the store steps of decision logic on the table service."""
+
+import collections.abc
+import typing
+
+import msgspec
+import trio
+
+from snipelug_core import step
+from snipelug_node import ports
+
+PAGE_ROWS = 1000
+
+Result = typing.TypeVar("Result")
+
+
+async def perform(tables: ports.TableService, taken: step.Write | step.Read) -> object:
+    """Perform one step and return its outcome, one of the types in ``step``."""
+    if isinstance(taken, step.Write):
+        return await _write(tables, taken)
+    match await tables.read(taken.table, taken.key):
+        case ports.Row(version=version, content=content):
+            return decode(version, content, taken.kind)
+        case ports.Absent():
+            return step.Missing()
+        case ports.Unavailable(reason):
+            return step.Silent(reason)
+
+
+async def _write(
+    tables: ports.TableService, taken: step.Write
+) -> step.Applied | step.Refused | step.Silent:
+    content = None if taken.content is None else msgspec.json.encode(taken.content)
+    absent = not isinstance(taken.expect, str)
+    expect = ports.Expect.ABSENT if absent else typing.cast(str, taken.expect)
+    write = ports.Write(taken.table, taken.key, content, expect)
+    match await tables.write(write):
+        case ports.Written(version):
+            return step.Applied(version)
+        case ports.Conflict():
+            return step.Refused()
+        case ports.Unavailable(reason, maybe_applied):
+            return step.Silent(reason, maybe_applied)
+
+
+def decode(version: str, content: bytes, kind: type) -> step.Found | step.Malformed:
+    """Decode the content of a row as a dataclass."""
+    try:
+        return step.Found(version, msgspec.json.decode(content, type=kind))
+    except msgspec.MsgspecError as exc:
+        return step.Malformed(str(exc))
+
+
+async def run(
+    tables: ports.TableService,
+    flow: collections.abc.Generator[step.Write | step.Read, step.Event, Result],
+) -> Result:
+    """Run a flow that has only store steps."""
+    try:
+        taken = next(flow)
+        while True:
+            outcome = await perform(tables, taken)
+            taken = flow.send(step.Event(outcome, trio.current_time()))
+    except StopIteration as stop:
+        return typing.cast(Result, stop.value)
+
+
+async def scan_all(
+    tables: ports.TableService, table_name: str, prefix: str = ""
+) -> list[ports.Row] | ports.Unavailable:
+    """Read all rows of a table, page by page."""
+    rows: list[ports.Row] = []
+    after = ""
+    while True:
+        page = await tables.scan(table_name, prefix, after, PAGE_ROWS)
+        if isinstance(page, ports.Unavailable):
+            return page
+        rows += page
+        if len(page) < PAGE_ROWS:
+            return rows
+        after = page[-1].key
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,146 @@
+"""Tests of the tasks that keep sessions and owner rows, on a virtual clock."""
+
+import random
+
+import trio
+import trio.testing
+
+from snipelug_core import ownership, table
+from snipelug_node import lease
+from tests import fakes
+
+UPSTREAM = ownership.Kind.UPSTREAM
+ITEMS = [(UPSTREAM, f"u{number}") for number in range(6)]
+
+
+class Cluster:
+    """Keepers on one table service."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.tables = fakes.Tables()
+        self.network = fakes.Network()
+        self.keepers: dict[str, lease.Keeper] = {}
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    async def start(self, *names: str) -> None:
+        for name in names:
+            peers = self.network.join(name)
+            keeper = lease.Keeper(
+                f"{name}-p", self.tables, peers, lambda: ITEMS, random.Random(name)
+            )
+            self.keepers[name] = keeper
+            self.scopes[name] = await self.nursery.start(self._run, keeper)
+        self.list_all()
+
+    async def _run(
+        self,
+        keeper: lease.Keeper,
+        task_status: trio.TaskStatus[trio.CancelScope] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        with trio.CancelScope() as scope:
+            task_status.started(scope)
+            await keeper.run()
+
+    def list_all(self) -> None:
+        listed = [
+            table.Instance(name, table.Role.NODE, "127.0.0.1", 1, "z")
+            for name in self.keepers
+        ]
+        for keeper in self.keepers.values():
+            keeper.note_instances(listed, trio.current_time())
+
+    def kill(self, name: str) -> None:
+        self.scopes[name].cancel()
+        self.network.cut.add(name)
+
+    def owners(self, item: lease.Item) -> list[str]:
+        now = trio.current_time()
+        keepers = self.keepers.items()
+        return [n for n, k in keepers if k.holds(*item, now) is not None]
+
+    def all_owned_by(self, *names: str) -> bool:
+        found = [self.owners(item) for item in ITEMS]
+        return all(len(owners) == 1 and owners[0] in names for owners in found)
+
+
+async def test_items_are_owned_and_taken_over(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against items without an owner, and a take-over before 30 s."""
+    cluster = Cluster(nursery)
+    await cluster.start("a", "b", "c")
+    await trio.sleep(20)
+    assert cluster.all_owned_by("a", "b", "c")
+    before = {i: cluster.keepers["b"].owner_of(*i) for i in ITEMS}
+    assert {i: cluster.owners(i)[0] for i in ITEMS} == before
+    lost = next(i for i in ITEMS if before[i] == "a")
+    number = cluster.keepers["a"].holds(*lost, trio.current_time())
+    assert number is not None
+    cluster.kill("a")
+    await trio.sleep(24)
+    assert cluster.owners(lost) == []
+    await trio.sleep(41)
+    assert cluster.all_owned_by("b", "c")
+    taker = cluster.keepers[cluster.owners(lost)[0]]
+    new_number = taker.holds(*lost, trio.current_time())
+    assert new_number is not None
+    assert new_number > number
+    assert cluster.keepers["a"].outage_holder(*lost)
+    assert not taker.outage_holder(*lost)
+    assert taker.taken_at(*lost) <= trio.current_time()
+    nursery.cancel_scope.cancel()
+
+
+async def test_planned_stop_hands_everything_over(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a stop that leaves items and slots unowned for 30 s."""
+    cluster = Cluster(nursery)
+    await cluster.start("a", "b")
+    await trio.sleep(20)
+    await cluster.keepers["a"].stop()
+    assert all("a" not in cluster.owners(item) for item in ITEMS)
+    await trio.sleep(12)
+    assert cluster.all_owned_by("b")
+    assert all(cluster.keepers["b"].outage_holder(*item) for item in ITEMS)
+    assert not any(cluster.keepers["a"].outage_holder(*item) for item in ITEMS)
+    assert not any(
+        "a" in key for name, key in cluster.tables.rows if name == "sessions"
+    )
+    nursery.cancel_scope.cancel()
+
+
+async def test_outage_ends_leases_but_not_outage_slots(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against acting as owner without a lease, and against a lost slot."""
+    cluster = Cluster(nursery)
+    await cluster.start("a", "b")
+    await trio.sleep(20)
+    slots = {i: n for i in ITEMS for n in "ab" if cluster.keepers[n].outage_holder(*i)}
+    assert len(slots) == len(ITEMS)
+    cluster.tables.down = True
+    await trio.sleep(120)
+    assert all(cluster.owners(item) == [] for item in ITEMS)
+    assert all(cluster.keepers[n].outage_holder(*i) for i, n in slots.items())
+    cluster.tables.down = False
+    await trio.sleep(60)
+    assert cluster.all_owned_by("a", "b")
+    assert all(cluster.keepers[n].outage_holder(*i) for i, n in slots.items())
+    nursery.cancel_scope.cancel()
+
+
+async def test_store_load_of_an_idle_node(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a node that writes more than its session renewals."""
+    cluster = Cluster(nursery)
+    await cluster.start("a")
+    await trio.sleep(30)
+    cluster.tables.writes = cluster.tables.reads = cluster.tables.scans = 0
+    await trio.sleep(300)
+    assert 60 <= cluster.tables.writes <= 75
+    assert cluster.tables.reads <= len(ITEMS) * 300 / 30 * 1.1
+    assert cluster.tables.scans <= 2 * 300 / 5
+    nursery.cancel_scope.cancel()
