Wire sessions and ownership into the node; count listed nodes for majorities

Cause: a revoked session leaves no row, while the majority rule must count a revoked node until the platform's list drops its instance: cut off with others, it may still serve by the majority of the members that it last read.

Ruled out: keeping revoked rows (a session id is never used again, and its late renewal must fail on a missing row).

Change: members are the session rows and the listed nodes without one; nodes read the list once for all parts; weight loads and idle connections run as systems.

Before: test_members_come_from_sessions_once_written loses n9 when its row goes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -6,10 +6,10 @@
 
 import msgspec
 import trio
-from tests import cluster, deployment
 
 from bench import usage
 from snipelug_net import http_client
+from tests import cluster, deployment
 
 TOKENS_PER_S = 33.0
 """Rate of one stream: 30 ms between tokens."""
--- a/packages/snipelug-core/src/snipelug_core/session.py
+++ b/packages/snipelug-core/src/snipelug_core/session.py
@@ -32,12 +32,26 @@
         Incarnation of the node's process.
     seq : int
         Number of the renewal; 1 for the creation.
+    host, rpc_port, zone : str, int, str
+        Where other nodes reach the node.
     """
 
     session: str
     node: str
     process: str
     seq: int
+    host: str = ""
+    rpc_port: int = 0
+    zone: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where other nodes reach a node."""
+
+    host: str = ""
+    rpc_port: int = 0
+    zone: str = ""
 
 
 @dataclasses.dataclass
@@ -60,6 +74,7 @@
 
     node: str
     process: str
+    place: Place = Place()
     session: str = ""
     version: str = ""
     seq: int = 0
@@ -100,7 +115,16 @@
         lease.session = f"{lease.node}@{lease.process}.{lease.created}"
     lease.seq += 1
     lease.unclear[lease.seq] = now
-    row = Row(lease.session, lease.node, lease.process, lease.seq)
+    place = lease.place
+    row = Row(
+        lease.session,
+        lease.node,
+        lease.process,
+        lease.seq,
+        place.host,
+        place.rpc_port,
+        place.zone,
+    )
     expect = lease.version or step.ABSENT
     event = yield step.Write(TABLE, lease.session, row, expect)
     match event.outcome:
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -51,6 +51,8 @@
         Returns all items that need an owner, the same on every node.
     rng : random.Random
         Spreads the periodic work of nodes over time.
+    place : session.Place, optional
+        Where other nodes reach this one; written into the session row.
     """
 
     def __init__(
@@ -60,9 +62,10 @@
         peers: ports.Peers,
         wanted: collections.abc.Callable[[], collections.abc.Iterable[Item]],
         rng: random.Random,
+        place: session.Place | None = None,
     ) -> None:
         self.node_id = peers.node_id
-        self.lease = session.Lease(self.node_id, process)
+        self.lease = session.Lease(self.node_id, process, place or session.Place())
         me = ownership.Process(self.node_id, process)
         self.owners = ownership.Owners(me, self.lease)
         self.stopping = False
@@ -121,6 +124,10 @@
         rows = (self._sessions or {}).values()
         return frozenset(row.node for row in rows)
 
+    def live_sessions(self) -> frozenset[str]:
+        """Return the sessions that were there when the table was last read."""
+        return frozenset(self._sessions or ()) | {self.lease.session}
+
     def session_exists(self, name: str) -> bool:
         """Tell whether the session was there when the table was last read."""
         return self._lives(name)
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -7,12 +7,23 @@
 import logging
 import random
 import signal
+import typing
 import uuid
 
 import trio
 import trio_asyncio
 
-from snipelug_core import block, change, load, member, route, table
+from snipelug_core import (
+    block,
+    change,
+    connection,
+    load,
+    member,
+    ownership,
+    route,
+    session,
+    table,
+)
 from snipelug_net import http_client, http_server
 from snipelug_node import (
     admin,
@@ -21,6 +32,8 @@
     gateway,
     interim,
     journal,
+    lease,
+    loader,
     metrics,
     peer,
     platform,
@@ -29,6 +42,7 @@
     router,
     sender,
     settings,
+    ticker,
     watcher,
 )
 
@@ -55,13 +69,22 @@
         self.store = platform.HttpTableService(self.pool, cfg.tables)
         self.instance_list = platform.HttpInstanceList(self.pool, cfg.instances)
         self.peers = peer.Peers(peer_settings(cfg), rng=self.rng)
-        self.keeper = revision.Keeper(self.store, self.peers, self.instance_list)
         self.watcher = watcher.Watcher(
             self.tables,
             self.instance_list,
             self.pool,
             self._subset,
             self._take_report,
+            self._take_list,
+        )
+        self.keeper = revision.Keeper(self.store, self.peers, self.watcher)
+        self.lease = lease.Keeper(
+            self.peers.settings.incarnation,
+            self.store,
+            self.peers,
+            self._owned_items,
+            self.rng,
+            session.Place(cfg.host, cfg.rpc_port, cfg.zone),
         )
         self._build_cache()
         self._build_request_path()
@@ -148,6 +171,53 @@
         if upstream is not None:
             load.accept_report(upstream, report, asked_at)
 
+    def _take_list(self, listed: list[table.Instance], now: float) -> None:
+        self.lease.note_instances(listed, now)
+        self.shard.retain({inst.id for inst in listed})
+
+    def _owned_items(self) -> list[lease.Item]:
+        """Return everything that needs one owner over all nodes."""
+        kinds = {
+            table.Role.ENGINE: ownership.Kind.UPSTREAM,
+            table.Role.SERVICE: ownership.Kind.UPSTREAM,
+            table.Role.STORE: ownership.Kind.STORE,
+        }
+        instances = self.tables.instances.values()
+        items = [(kinds[i.role], i.id) for i in instances if i.role in kinds]
+        teams = [(ownership.Kind.TEAM, team) for team in self.keeper.cfg.contracts]
+        return items + teams
+
+    def _fencing_of(self, upstream_id: str) -> int | None:
+        now = trio.current_time()
+        return self.lease.holds(ownership.Kind.UPSTREAM, upstream_id, now)
+
+    def _systems(self) -> list[ticker.System[typing.Any]]:
+        loads = loader.Loader(
+            tables=self.tables,
+            store=self.store,
+            pool=self.pool,
+            cfg=lambda: self.keeper.cfg,
+            fencing_of=self._fencing_of,
+            session=lambda: self.lease.lease.session,
+            live_sessions=self.lease.live_sessions,
+            refresh=self.watcher.read_load,
+            limit=self.cfg.weight_loads,
+        )
+        return [
+            ticker.System("weights", loads.plan, loads.execute),
+            ticker.System("connections", self._plan_connections, self._connect),
+        ]
+
+    def _plan_connections(self) -> collections.abc.Iterator[connection.Open]:
+        return connection.plan(
+            self.tables, lambda inst: self.pool.idle_count((inst.host, inst.port))
+        )
+
+    async def _connect(self, action: connection.Open) -> None:
+        inst = self.tables.instances.get(action.upstream_id)
+        if inst is not None:
+            await self.pool.warm((inst.host, inst.port))
+
     def _connection_closed(self, addr: http_client.Address) -> None:
         now = trio.current_time()
         for upstream in self.tables.upstreams.values():
@@ -179,7 +249,7 @@
     def _providers(self) -> admin.Providers:
         return admin.Providers(
             upstreams=self._upstream_rows,
-            leases=list,
+            leases=self._lease_rows,
             queues=list,
             inventory=self._inventory,
             quarantined=interim.no_rows,
@@ -204,6 +274,14 @@
             for upstream in self.tables.upstreams.values()
         ]
 
+    def _lease_rows(self) -> admin.Rows:
+        now = trio.current_time()
+        return [
+            {"item": key, "fencing": seen.row.fencing, "valid": self.lease.valid(now)}
+            for key, seen in sorted(self.lease.owners.seen.items())
+            if ownership.fencing(self.lease.owners, key, now) is not None
+        ]
+
     # Life of the process
 
     async def run(self) -> None:
@@ -220,6 +298,7 @@
                 LOG, "started", zone=cfg.zone, port=cfg.port, admin_port=cfg.admin_port
             )
             await self._wait_for_stop(callers)
+            await self.lease.stop()
             nursery.cancel_scope.cancel()
         journal.event(LOG, "stopped")
 
@@ -227,11 +306,13 @@
         await nursery.start(self.peers.run)
         await nursery.start(self.keeper.run)
         await nursery.start(self.watcher.run)
+        await nursery.start(self.lease.run)
         await nursery.start(self.directory.run)
         await nursery.start(self.feeds.run)
         await nursery.start(self.transfers.run)
         await nursery.start(self.reuse.run)
         nursery.start_soon(self.dispatcher.watch)
+        nursery.start_soon(ticker.run, self._systems())
 
     async def _wait_for_stop(self, callers: http_server.Server) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -9,7 +9,15 @@
 import msgspec
 import trio
 
-from snipelug_core import change, contract, currency, member, proposal
+from snipelug_core import (
+    change,
+    contract,
+    currency,
+    member,
+    proposal,
+    session,
+    table,
+)
 from snipelug_net import rpc
 from snipelug_node import peer, ports
 
@@ -42,17 +50,6 @@
     revision: int
 
 
-class Session(msgspec.Struct, frozen=True):
-    """The part of a session row that concerns membership."""
-
-    node_id: str
-    incarnation: str | int
-    host: str
-    rpc_port: int
-    zone: str = ""
-    revoked: bool = False
-
-
 class DeltasRequest(msgspec.Struct, frozen=True, array_like=True):
     """Ask for the changes after a revision."""
 
@@ -202,7 +199,7 @@
         self._state = peers.state
         self._members = peers.members
         self._log: dict[int, change.Change] = {}
-        self._listed: frozenset[str] | None = None
+        self._listed: dict[str, member.Member] | None = None
         self._news = trio.Event()
         self._write_lock = trio.Lock()
         peers.on_newer = self._wake
@@ -581,31 +578,47 @@
             rows.extend(page)
             if len(page) < PAGE_ROWS:
                 break
-        sessions = [_decode(row, Session) for row in rows]
+        sessions = [_decode(row, session.Row) for row in rows]
         if any(item is None for item in sessions):
             return
-        members = [self._load_session(item) for item in sessions if item is not None]
-        self._members.replace(members or self._peers.settings.static_members())
-
-    def _load_session(self, item: Session) -> member.Member:
-        listed = self._listed
-        return member.Member(
-            item.node_id,
-            str(item.incarnation),
-            item.host,
-            item.rpc_port,
-            item.zone,
-            item.revoked,
-            gone=listed is not None and item.node_id not in listed,
-        )
+        members = {
+            item.node: _load_session(item) for item in sessions if item is not None
+        }
+        if not members:
+            self._members.replace(self._peers.settings.static_members())
+            return
+        self._members.replace([*members.values(), *self._without_session(members)])
+
+    def _without_session(
+        self, having: collections.abc.Container[str]
+    ) -> list[member.Member]:
+        """Return the nodes that may run although their session was revoked.
+
+        A revoked session has no row. Its node may be cut off and serve by the
+        majority rule, so it counts until the platform's list drops its instance.
+        """
+        if self._listed is None:
+            known = self._members.rows.values() if self._members.complete else ()
+            lost = [row for row in known if row.incarnation]
+        else:
+            lost = list(self._listed.values())
+        return [
+            dataclasses.replace(row, revoked=True)
+            for row in lost
+            if row.node_id not in having
+        ]
 
     async def _follow_instances(self, instances: ports.InstanceList) -> None:
         while True:
             listed = await _ask(instances.read())
             if not isinstance(listed, ports.Unavailable):
-                ids = frozenset(item.id for item in listed)
+                nodes = {
+                    item.id: member.Member(item.id, "", item.host, item.port, item.zone)
+                    for item in listed
+                    if item.role is table.Role.NODE
+                }
                 # A list without this running node proves nothing about others.
-                self._listed = ids if self._peers.node_id in ids else None
+                self._listed = nodes if self._peers.node_id in nodes else None
             await trio.sleep(INSTANCES_S)
 
 
@@ -618,6 +631,10 @@
     return ports.Unavailable(f"no answer within {timeout_s} s", maybe_applied=True)
 
 
+def _load_session(item: session.Row) -> member.Member:
+    return member.Member(item.node, item.process, item.host, item.rpc_port, item.zone)
+
+
 def _decode(row: ports.Row, kind: type[Fetched]) -> Fetched | None:
     try:
         return msgspec.json.decode(row.content, type=kind)
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -90,6 +90,10 @@
     on_report : callable
         Called with the upstream's id, each report read, and the monotonic time
         before it was asked for, in seconds.
+    on_list : callable
+        Called with each list read, and the monotonic time of its arrival.
+    list_outcome : list of table.Instance or ports.Unavailable
+        Outcome of the newest finished read.
     list_tried_at : float or None
         Monotonic time before the newest finished read of the instance list was
         started, whether or not it succeeded, in seconds.
@@ -100,7 +104,11 @@
     pool: http_client.Pool
     subset: Subset
     on_report: collections.abc.Callable[[str, table.LoadReport, float], None]
+    on_list: collections.abc.Callable[[list[table.Instance], float], None]
     list_tried_at: float | None = None
+    list_outcome: list[table.Instance] | ports.Unavailable = ports.Unavailable(
+        "the list was not read yet", False
+    )
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -124,13 +132,22 @@
         with trio.move_on_after(LIST_TIMEOUT_S):
             listed = await self.instance_list.read()
         self.list_tried_at = tried_at
+        self.list_outcome = listed
         if isinstance(listed, ports.Unavailable):
             journal.warning(LOG, "instance_list_unavailable", reason=listed.reason)
             return
+        self.on_list(listed, trio.current_time())
         added = merge_instances(self.tables, listed, self.subset)
         if added:
             journal.event(LOG, "upstreams_added", upstreams=added)
 
+    async def read(self) -> list[table.Instance] | ports.Unavailable:
+        """Return the newest outcome, so that other parts need no reads of their own.
+
+        Implements ``ports.InstanceList``.
+        """
+        return self.list_outcome
+
     async def _watch_loads(self) -> None:
         while True:
             async with trio.open_nursery() as nursery:
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from snipelug_core import change, contract, currency, member
+from snipelug_core import change, contract, currency, member, session
 from snipelug_net import rpc
 from snipelug_node import peer, revision
 from tests import fleet
@@ -113,13 +113,17 @@
     """Guards against majorities over peers that are not members."""
     async with fleet.fleet(2) as made:
         for node_id, port in made.ports.items():
-            session = revision.Session(node_id, 1, "127.0.0.1", port)
-            made.table.put("sessions", node_id, msgspec.json.encode(session))
-        gone = revision.Session("n9", 1, "127.0.0.1", 1, revoked=True)
-        made.table.put("sessions", "n9", msgspec.json.encode(gone))
+            row = session.Row(f"{node_id}@1.1", node_id, "1", 1, "127.0.0.1", port)
+            made.table.put("sessions", row.session, msgspec.json.encode(row))
+        lost = session.Row("n9@1.1", "n9", "1", 1, "127.0.0.1", 1)
+        made.table.put("sessions", lost.session, msgspec.json.encode(lost))
         members = made.nodes["n0"].peers.members
         await made.until(lambda: "n9" in members.rows)
         assert members.voters() == {"n0", "n1", "n9"}
+        # A revoked session leaves no row, but its node may still run.
+        del made.table.rows["sessions", lost.session]
+        await made.until(lambda: members.rows["n9"].revoked)
+        assert members.voters() == {"n0", "n1", "n9"}
 
 
 async def test_unknown_node_is_unreachable_and_local_call_is_direct() -> None:
