--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 import re
 import signal
@@ -111,10 +112,12 @@
         self.directory = directory
         self.children: list[Child] = []
         self.pool = http_client.Pool()
+        self._numbers = itertools.count()
 
     async def start(self, name: str, module: str, *args: str) -> Child:
         """Start ``python -m MODULE ARGS`` without waiting for readiness."""
-        stem = f"{len(self.children):02d}-{name}"
+        # Children may be started concurrently; each needs files of its own.
+        stem = f"{next(self._numbers):02d}-{name}"
         out = self.directory / f"{stem}.out"
         err = self.directory / f"{stem}.err"
         command = [sys.executable, "-m", module, *args]
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -1,19 +1,25 @@
 """Starts a whole deployment from a settings sample: stand-ins and nodes."""
 
+import collections.abc
 import dataclasses
 import hashlib
 import itertools
 import pathlib
 import typing
+import uuid
 
 import msgspec
 import trio
 
+from snipelug_net import http_client
 from tests import cluster
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 KEY = "sample-deployment-key"
 ADMIN_KEY = "sample-operator-key"
+TEAM = "mersey-grates"
+READY_TIMEOUT_S = 30.0
+CHANGE_TIMEOUT_S = 15.0
 
 
 class Sample(msgspec.Struct, forbid_unknown_fields=True):
@@ -88,8 +94,6 @@
     ----------
     ports : list of Ports
         Ports by node, also of nodes that are not started yet.
-    platform_links : list of dict
-        For nodes that are cut off in a test: links to the platform by service.
     """
 
     running: cluster.Cluster
@@ -111,9 +115,22 @@
         return f"node-{number + 1}"
 
     def node_flags(
-        self, number: int, platform: dict[str, str] | None = None
+        self,
+        number: int,
+        platform: dict[str, str] | None = None,
+        peers: dict[int, str] | None = None,
     ) -> list[str]:
-        """Return the flags of one node; ``platform`` replaces addresses."""
+        """Return the flags of one node.
+
+        Parameters
+        ----------
+        number : int
+            Which node.
+        platform : dict, optional
+            Addresses to use instead of the platform's, by service.
+        peers : dict, optional
+            Addresses to use instead of the peers' own, by number.
+        """
         ports = self.ports[number]
         addresses = {
             "tables": self.tables.address,
@@ -140,7 +157,8 @@
             args.append(f"--zone-delay={first}:{second}={delay}")
         for peer, peer_ports in enumerate(self.ports):
             if peer != number:
-                address = f"{cluster.HOST}:{peer_ports.rpc}"
+                own = f"{cluster.HOST}:{peer_ports.rpc}"
+                address = (peers or {}).get(peer, own)
                 args.append(f"--peer={self.node_id(peer)}={address}")
         return args
 
@@ -148,13 +166,13 @@
         self,
         number: int,
         platform: dict[str, str] | None = None,
-        wait: bool = False,
+        peers: dict[int, str] | None = None,
     ) -> cluster.Child:
         """Start a node and put it on the platform's list."""
         ports = self.ports[number]
         node_id = self.node_id(number)
-        args = self.node_flags(number, platform)
-        child = await self.running.node(node_id, ports.http, *args, wait=wait)
+        args = self.node_flags(number, platform, peers)
+        child = await self.running.node(node_id, ports.http, *args, wait=False)
         self.nodes.append(child)
         address = f"{cluster.HOST}:{ports.rpc}"
         await self.running.list_instance(
@@ -162,6 +180,59 @@
         )
         return child
 
+    async def start_nodes(self, numbers: collections.abc.Iterable[int]) -> None:
+        """Start nodes together and wait until all are ready."""
+        started = [await self.start_node(number) for number in numbers]
+        async with trio.open_nursery() as nursery:
+            for child in started:
+                nursery.start_soon(self.running.wait_ready, child, READY_TIMEOUT_S)
+
+    async def submit(self, operations: list[dict[str, typing.Any]]) -> int:
+        """Submit a change at the first node; wait until it is in force everywhere."""
+        content = {
+            "operations": operations,
+            "author": "sample",
+            "nonce": uuid.uuid4().hex,
+            "wait_s": CHANGE_TIMEOUT_S,
+        }
+        answer = await self.call_admin(0, "POST", "/changes", content)
+        deadline = trio.current_time() + CHANGE_TIMEOUT_S
+        # A node that has just started has not heard a majority of its peers yet.
+        while answer.status == 503 and trio.current_time() < deadline:
+            await trio.sleep(0.2)
+            answer = await self.call_admin(0, "POST", "/changes", content)
+        if answer.status != 200 or answer.json()["missing"]:
+            raise cluster.ProcessError(f"the change is not in force: {answer.body!r}")
+        revision: int = answer.json()["revision"]
+        return revision
+
+    async def wait_open(self, numbers: collections.abc.Iterable[int]) -> None:
+        """Wait until these nodes may send to all their upstreams."""
+        for number in numbers:
+            states: set[str] = set()
+            with trio.move_on_after(READY_TIMEOUT_S):
+                while states != {"open"}:
+                    status = await self.call_admin(number, "GET", "/status")
+                    states = {u["state"] for u in status.json()["upstreams"]}
+                    await trio.sleep(0.05)
+            if states != {"open"}:
+                message = f"{self.node_id(number)} has upstreams in states {states}"
+                raise cluster.ProcessError(message)
+
+    async def call_admin(
+        self, number: int, method: str, path: str, content: object = None
+    ) -> cluster.Answer:
+        """Send an operator's request to one node."""
+        headers = {"authorization": f"Bearer {ADMIN_KEY}"}
+        body = b"" if content is None else msgspec.json.encode(content)
+        admin = (cluster.HOST, self.ports[number].admin)
+        target = "/admin/v1" + path
+        call = http_client.Call(admin, method, target, headers, body, 30.0)
+        full = await self.running.pool.fetch(call)
+        if not isinstance(full, http_client.Full):
+            raise cluster.ProcessError(f"no answer to {method} {target}: {full}")
+        return cluster.Answer(full.status, full.headers, full.body)
+
     async def start_upstreams(self, engines: int, services: int, stores: int) -> None:
         """Start engines, services and stores and list them."""
         wanted = [
@@ -169,22 +240,25 @@
             ("service", services, self.sample.service, self.services),
             ("store", stores, self.sample.store, self.stores),
         ]
+        started: dict[tuple[str, int], cluster.Child] = {}
         async with trio.open_nursery() as nursery:
-            for role, count, settings, children in wanted:
+            for role, count, settings, _ in wanted:
                 for number in range(count):
                     nursery.start_soon(
-                        self._start_upstream, role, number, settings, children
+                        self._start_upstream, role, number, settings, started
                     )
+        for role, count, _, children in wanted:
+            children.extend(started[role, number] for number in range(count))
 
     async def _start_upstream(
         self,
         role: str,
         number: int,
         settings: dict[str, typing.Any],
-        children: list[cluster.Child],
+        started: dict[tuple[str, int], cluster.Child],
     ) -> None:
         child = await self.running.standin(role, *options(settings))
-        children.append(child)
+        started[role, number] = child
         name = {"name": settings["name"]} if "name" in settings else {}
         await self.running.list_instance(
             self.instances,
@@ -227,4 +301,8 @@
         sample.service["count"] if services is None else services,
         sample.store["count"] if stores is None else stores,
     )
+    if count:
+        await deployment.start_nodes(range(count))
+        await deployment.submit(read_operations(sample.name))
+        await deployment.wait_open(range(count))
     return deployment
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,302 @@
+"""Process-level tests: nodes are killed, frozen, cut off and stopped under load."""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import itertools
+import pathlib
+import random
+
+import pytest
+import trio
+
+from snipelug_net import http_client
+from tests import callers, cluster, deployment
+
+pytestmark = pytest.mark.process
+
+NODES = 3
+ENGINES = 2
+CHAT_CALLERS = 6
+ORDER_CALLERS = 3
+TOKENS = 30
+POLL_READY_S = 0.25
+RETRY_S = 0.3
+ORDER_ATTEMPTS = 60
+# Currency lapses after 5 s; the rest is for polling.
+REFUSES_AFTER_S = 8.0
+RECOVERS_AFTER_S = 15.0
+TEST_LIMIT_S = 150.0
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One call, the node that it went to, and its order if it was one."""
+
+    node: int
+    result: callers.Result
+    order_id: str = ""
+
+
+class Traffic:
+    """Callers behind a load balancer that skips nodes which are not ready."""
+
+    def __init__(self, deployed: deployment.Deployment) -> None:
+        self.deployed = deployed
+        self.pool = http_client.Pool(connect_timeout_s=1.0)
+        self.attempts: list[Attempt] = []
+        self.ready: set[int] = set(range(len(deployed.nodes)))
+        self.timeout_s = 12.0
+        self.stopping = False
+        self._rng = random.Random(7)
+        self._numbers = itertools.count()
+
+    def pick(self) -> int:
+        """Choose a node as the load balancer does."""
+        return self._rng.choice(sorted(self.ready) or range(len(self.deployed.nodes)))
+
+    async def watch(self, number: int) -> None:
+        """Poll one node's readiness."""
+        child = self.deployed.nodes[number]
+        while not self.stopping:
+            answer = await self.deployed.running.try_call(
+                child, "GET", "/readyz", timeout_s=1.0
+            )
+            if answer is not None and answer.status == 200:
+                self.ready.add(number)
+            else:
+                self.ready.discard(number)
+            await trio.sleep(POLL_READY_S)
+
+    async def chat(self, number: int, tokens: int = TOKENS) -> callers.Result:
+        """Ask one question through one node."""
+        question = f"question {next(self._numbers)}"
+        result = await callers.chat(
+            self.pool,
+            self.deployed.nodes[number],
+            deployment.TEAM,
+            self.deployed.sample.model,
+            callers.messages(question),
+            tokens,
+            self.timeout_s,
+        )
+        self.attempts.append(Attempt(number, result))
+        return result
+
+    async def chat_loop(self) -> None:
+        """Ask one question after the other."""
+        while not self.stopping:
+            result = await self.chat(self.pick())
+            if not result.whole:
+                await trio.sleep(RETRY_S)
+
+    async def order_loop(self) -> None:
+        """Place one order after the other; repeat each until it is settled."""
+        while not self.stopping:
+            await self.order(f"order-{next(self._numbers)}")
+            await trio.sleep(0.05)
+
+    async def order(self, order_id: str) -> None:
+        """Place one order, with the same key until there is an answer."""
+        target = f"/services/{self.deployed.sample.service['name']}/orders"
+        for _ in range(ORDER_ATTEMPTS):
+            number = self.pick()
+            result = await callers.order(
+                self.pool,
+                self.deployed.nodes[number],
+                deployment.TEAM,
+                target,
+                order_id,
+                self.timeout_s,
+            )
+            self.attempts.append(Attempt(number, result, order_id))
+            if result.whole or result.run_state in ("unknown", "ran"):
+                return
+            await trio.sleep(RETRY_S)
+
+    @contextlib.asynccontextmanager
+    async def flowing(self) -> collections.abc.AsyncIterator[None]:
+        """Keep callers running; wait for the end of their last calls."""
+        async with trio.open_nursery() as nursery:
+            for number in range(len(self.deployed.nodes)):
+                nursery.start_soon(self.watch, number)
+            for _ in range(CHAT_CALLERS):
+                nursery.start_soon(self.chat_loop)
+            for _ in range(ORDER_CALLERS):
+                nursery.start_soon(self.order_loop)
+            yield
+            self.stopping = True
+
+    async def check(self, excused: collections.abc.Container[int] = ()) -> None:
+        """Check every attempt; nodes in ``excused`` may leave calls unanswered."""
+        problems = [
+            f"node {a.node}: {a.result.problem}"
+            for a in self.attempts
+            if not self._is_acceptable(a, excused)
+        ]
+        assert not problems, problems[:10]
+        whole = sum(a.result.whole for a in self.attempts)
+        assert whole > len(self.attempts) / 4, collections.Counter(
+            a.result.problem for a in self.attempts
+        ).most_common(5)
+        await self._check_orders()
+
+    @staticmethod
+    def _is_acceptable(
+        attempt: Attempt, excused: collections.abc.Container[int]
+    ) -> bool:
+        result = attempt.result
+        if result.whole or result.run_state == "not_run":
+            return True
+        is_wrong = "expected" in result.problem or "several ids" in result.problem
+        if is_wrong or "another order" in result.problem:
+            return False
+        # The node that ran an order's claim may be gone, so that nobody knows.
+        is_unsettled = bool(attempt.order_id) and result.run_state == "unknown"
+        return attempt.node in excused or (is_unsettled and bool(excused))
+
+    async def _check_orders(self) -> None:
+        runs: collections.Counter[str] = collections.Counter()
+        for child in self.deployed.services:
+            runs.update((await self.deployed.running.stats(child))["orders"])
+        results: dict[str, list[callers.Result]] = {}
+        for attempt in self.attempts:
+            if attempt.order_id:
+                results.setdefault(attempt.order_id, []).append(attempt.result)
+        assert results
+        assert set(runs) <= set(results)
+        for order_id, answers in results.items():
+            assert runs[order_id] <= 1, f"{order_id} ran {runs[order_id]} times"
+            if any(a.whole for a in answers):
+                assert runs[order_id] == 1, f"{order_id} was answered but did not run"
+            if all(a.run_state == "not_run" for a in answers):
+                assert runs[order_id] == 0, f"{order_id} ran despite not_run"
+
+    async def check_nodes_serve(self, numbers: collections.abc.Iterable[int]) -> None:
+        """Check that each of these nodes answers again."""
+        for number in numbers:
+            with trio.move_on_after(RECOVERS_AFTER_S):
+                while not (await self.chat(number)).whole:
+                    await trio.sleep(RETRY_S)
+                continue
+            pytest.fail(f"node {number} does not serve again")
+
+
+@contextlib.asynccontextmanager
+async def deployed_nodes(
+    directory: pathlib.Path, nodes: int = NODES
+) -> collections.abc.AsyncIterator[deployment.Deployment]:
+    sample = deployment.read_sample("tas-north")
+    async with cluster.open_cluster(directory) as running:
+        with trio.fail_after(TEST_LIMIT_S):
+            yield await deployment.start(
+                running, sample, nodes=nodes, engines=ENGINES, services=1, stores=1
+            )
+
+
+async def test_killed_node(tmp_path: pathlib.Path) -> None:
+    """Guards against lost answers elsewhere and duplicated orders when a node dies."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        async with traffic.flowing():
+            await trio.sleep(2.0)
+            deployed.nodes[0].kill()
+            await trio.sleep(5.0)
+        await traffic.check(excused={0})
+        await traffic.check_nodes_serve([1, 2])
+
+
+@pytest.mark.parametrize("frozen_s", [6.0, 20.0])
+async def test_frozen_node(tmp_path: pathlib.Path, frozen_s: float) -> None:
+    """Guards against a paused node that acts on rights which lapsed meanwhile."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        async with traffic.flowing():
+            await trio.sleep(2.0)
+            deployed.nodes[0].freeze()
+            await trio.sleep(frozen_s)
+            deployed.nodes[0].thaw()
+            await trio.sleep(3.0)
+        await traffic.check(excused={0})
+        await traffic.check_nodes_serve(range(NODES))
+
+
+async def test_node_cut_off(tmp_path: pathlib.Path) -> None:
+    """Guards against work on an old configuration by a node that is cut off."""
+    async with deployed_nodes(tmp_path, nodes=0) as deployed:
+        links = await add_linked_nodes(deployed)
+        traffic = Traffic(deployed)
+        async with traffic.flowing():
+            await trio.sleep(2.0)
+            for link in links:
+                await deployed.running.set_faults(link, cut=True)
+            await trio.sleep(REFUSES_AFTER_S)
+            refused = await traffic.chat(0)
+            assert refused.run_state == "not_run"
+            assert refused.code == "node_not_current"
+            for link in links:
+                await deployed.running.set_faults(link)
+            await trio.sleep(2.0)
+        await traffic.check(excused={0})
+        await traffic.check_nodes_serve(range(NODES))
+
+
+async def add_linked_nodes(deployed: deployment.Deployment) -> list[cluster.Child]:
+    """Start nodes of which the first reaches platform and peers through links."""
+    running = deployed.running
+    free = cluster.free_ports(3 * NODES)
+    deployed.ports = [deployment.Ports(*free[3 * i : 3 * i + 3]) for i in range(NODES)]
+    platform = {
+        "tables": await running.link(deployed.tables.addr),
+        "objects": await running.link(deployed.objects.addr),
+        "instances": await running.link(deployed.instances.addr),
+    }
+    peers = {
+        number: await running.link((cluster.HOST, deployed.ports[number].rpc))
+        for number in range(1, NODES)
+    }
+    inbound = await running.link((cluster.HOST, deployed.ports[0].rpc))
+    addresses = {name: link.address for name, link in platform.items()}
+    peer_addresses = {number: link.address for number, link in peers.items()}
+    await deployed.start_node(0, addresses, peer_addresses)
+    for number in range(1, NODES):
+        await deployed.start_node(number, peers={0: inbound.address})
+    async with trio.open_nursery() as nursery:
+        for child in deployed.nodes:
+            nursery.start_soon(running.wait_ready, child, deployment.READY_TIMEOUT_S)
+    await deployed.submit(deployment.read_operations(deployed.sample.name))
+    return [*platform.values(), *peers.values(), inbound]
+
+
+async def test_planned_stop_cuts_nothing(tmp_path: pathlib.Path) -> None:
+    """Guards against requests that a planned stop cuts."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        stopped = deployed.nodes[0]
+        long_results: list[callers.Result] = []
+
+        async def ask_long() -> None:
+            long_results.append(await traffic.chat(0, tokens=300))
+
+        async with traffic.flowing():
+            await trio.sleep(1.0)
+            async with trio.open_nursery() as nursery:
+                for _ in range(4):
+                    nursery.start_soon(ask_long)
+                await trio.sleep(0.5)
+                stopped.terminate()
+            assert await stopped.wait(30.0) == 0
+            await trio.sleep(1.0)
+        assert [r.whole for r in long_results] == [True] * 4
+        refused_connections = {"no answer: NotSent"}
+        cut = [
+            a.result.problem
+            for a in traffic.attempts
+            if not a.result.whole
+            and a.result.run_state != "not_run"
+            and not any(a.result.problem.startswith(p) for p in refused_connections)
+        ]
+        assert cut == []
+        await traffic.check(excused={0})
+        await traffic.check_nodes_serve([1, 2])
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -668,3 +668,17 @@
     for preamble in (None, [{"type": "function"}]):
         assert text.render(messages, preamble) == block.render(messages, preamble)
     assert text.BLOCK_TOKENS == block.BLOCK_TOKENS
+
+
+async def test_children_started_together_are_distinct(tmp_path: pathlib.Path) -> None:
+    """Guards against two children that share log files and so appear as one."""
+    children: list[cluster.Child] = []
+    async with cluster.open_cluster(tmp_path) as running:
+
+        async def start() -> None:
+            children.append(await running.standin("objects"))
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(start)
+    assert len({child.port for child in children}) == 3
