--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -8,6 +8,7 @@
 import rich.console
 import rich.table
 import trio
+
 from tests import callers, cluster, deployment
 
 SAMPLE = "tas-north"
