Test unclear and unconfirmed changes; bound the time of a silent store

A change that no majority reports must not be called accepted, and a write whose answer is lost while the store goes silent must not get a definite answer. With 3 inserts instead of 5 a node answers within 18 s at the latest (3 times 2 s for each of three store calls); the command waits 20 s, then asks the next node. The command waits for 'in force everywhere' in a second call, so that the wait does not add to the time after which a hanging node is given up.

Faulty variants of the keeper, each run against tests/test_revision.py and failed there: accepted without a majority; lost answer taken as not done; nonce not looked up; no precondition on the rows; own nonce not compared.

--- a/packages/snipelug-cli/src/snipelug_cli/api.py
+++ b/packages/snipelug-cli/src/snipelug_cli/api.py
@@ -13,7 +13,8 @@
 from snipelug_net import http_client
 
 PREFIX = "/admin/v1"
-ANSWER_MARGIN_S = 15.0
+# A node takes up to 18 s to find out what a silent store did with a change.
+ANSWER_MARGIN_S = 20.0
 CONNECT_TIMEOUT_S = 3.0
 
 Content = dict[str, typing.Any]
--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -216,10 +216,11 @@
         "author": options.author,
         "nonce": uuid.uuid4().hex,
         "expected": options.expected,
-        "wait_s": options.wait_s,
         "force": options.force,
     }
-    content = _call(ctx, "POST", "/changes", body, options.wait_s)
+    content = _call(ctx, "POST", "/changes", body)
+    if content["missing"] and options.wait_s > 0:
+        content = _wait_in_force(ctx, content, options.wait_s)
     if as_json:
         _print_json(content)
     else:
@@ -238,6 +239,22 @@
         _fail(Exit.NOT_EVERYWHERE, message)
 
 
+def _wait_in_force(
+    ctx: typer.Context, content: api.Content, wait_s: float
+) -> api.Content:
+    """Wait on any node, so that one that hangs does not hold the change up."""
+    fields = {"revision": content["revision"], "wait_s": wait_s}
+    path = api.query("/in-force", fields)
+    answer = api.call(ctx.obj, "GET", path, wait_s=wait_s)
+    if not isinstance(answer, api.Done):
+        return content
+    spread = {k: answer.content[k] for k in ("in_force", "missing")}
+    outcome = content["outcome"]
+    if outcome == "recorded" and not spread["missing"]:
+        outcome = "accepted"
+    return {**content, **spread, "outcome": outcome}
+
+
 def _print_spread(content: api.Content) -> None:
     count = len(content["in_force"])
     total = count + len(content["missing"])
--- a/packages/snipelug-core/src/snipelug_core/proposal.py
+++ b/packages/snipelug-core/src/snipelug_core/proposal.py
@@ -9,7 +9,7 @@
 
 from snipelug_core import change
 
-MAX_INSERTS = 5
+MAX_INSERTS = 3
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -21,6 +21,7 @@
         self.rows: dict[tuple[str, str], ports.Row] = {}
         self.up = True
         self.lose_answers = 0
+        self.fail_after_write = False
         self.count = 0
 
     async def read(
@@ -55,6 +56,9 @@
             return ports.Conflict()
         for write in writes:
             self.put(write.table, write.key, write.content or b"")
+        if self.fail_after_write:
+            self.up = False
+            return ports.Unavailable("went down", maybe_applied=True)
         if self.lose_answers:
             self.lose_answers -= 1
             return ports.Unavailable("answer lost", maybe_applied=True)
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -73,6 +73,35 @@
         assert made.nodes["n1"].keeper.cfg.revision == 1
 
 
+async def test_unclear_write_is_settled_by_repeating_the_call() -> None:
+    """Guards against a definite answer about a write that nobody can check."""
+    async with fleet.fleet(3) as made:
+        made.table.fail_after_write = True
+        first = await made.nodes["n0"].keeper.propose(wish("esk-b", expected=0))
+        assert first == revision.Unclear(1, "nonce-esk-b")
+        made.table.fail_after_write = False
+        made.table.up = True
+        await made.until_current()
+        again = await made.nodes["n0"].keeper.propose(wish("esk-b", expected=0))
+        assert isinstance(again, revision.Accepted)
+        assert again.spread.revision == 1
+
+
+async def test_written_change_without_majority_is_not_called_accepted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against "accepted" for a change that an outage could hide."""
+    monkeypatch.setattr(revision, "ACCEPT_WAIT_S", 1.0)
+    async with fleet.fleet(3) as made:
+        for node_id in ("n1", "n2"):
+            made.nodes[node_id].scope.cancel()
+        outcome = await made.nodes["n0"].keeper.propose(wish("esk-b"))
+        spread = revision.Spread(1, ("n0",), ("n1", "n2"))
+        assert outcome == revision.RecordedOnly(spread)
+        again = await made.nodes["n0"].keeper.propose(wish("esk-b"))
+        assert again == revision.RecordedOnly(spread)
+
+
 async def test_node_alone_neither_accepts_nor_serves_without_store() -> None:
     """Guards against a minority that goes on with an old configuration."""
     async with fleet.fleet(3) as made:
