--- a/packages/snipelug-core/src/snipelug_core/claim.py
+++ b/packages/snipelug-core/src/snipelug_core/claim.py
@@ -439,9 +439,9 @@
             if ledger.status(ledger.process, mine.nonce)[0] is Status.ACTIVE:
                 return (yield from _release(call, mine, claimed, ledger, refused))
             # The last check granted the send, so bytes may have left.
-            refused = _not_known(refused)
+            refused = unclear_refusal(refused)
         case Unclear(refused):
-            refused = _not_known(refused)
+            refused = unclear_refusal(refused)
         case other:
             raise AssertionError(f"unexpected outcome of a dispatch: {other!r}")
     ledger.unclear(mine.nonce)
@@ -547,7 +547,9 @@
             case Told(Status.UNKNOWN):
                 reason = "the outcome of the first attempt is unknown"
                 return _known_unanswered(reason)
-            case Told(Status.GONE | Status.FORGOTTEN):
+            case Told(Status.GONE | Status.FORGOTTEN | Status.RECORDED):
+                # Only a row that is still unchanged when it is read again
+                # shows that no outcome will come.
                 claimant_is_gone = True
             case NotReached():
                 event = yield LookUpSession(row.session)
@@ -569,7 +571,8 @@
                 claimant_is_gone = False
 
 
-def _not_known(refused: refusal.Refusal) -> refusal.Refusal:
+def unclear_refusal(refused: refusal.Refusal) -> refusal.Refusal:
+    """Correct a refusal of a call whose bytes may have left: never ``not_run``."""
     if refused.run_state is refusal.RunState.NOT_RUN:
         return dataclasses.replace(refused, run_state=refusal.RunState.UNKNOWN)
     return refused
