--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -224,7 +224,7 @@
     if as_json:
         _print_json(content)
     else:
-        _print_spread(content)
+        _print_rollout(content)
     if content["missing"]:
         missing = ", ".join(content["missing"])
         message = (
@@ -248,14 +248,14 @@
     answer = api.call(ctx.obj, "GET", path, wait_s=wait_s)
     if not isinstance(answer, api.Done):
         return content
-    spread = {k: answer.content[k] for k in ("in_force", "missing")}
+    rollout = {k: answer.content[k] for k in ("in_force", "missing")}
     outcome = content["outcome"]
-    if outcome == "recorded" and not spread["missing"]:
+    if outcome == "recorded" and not rollout["missing"]:
         outcome = "accepted"
-    return {**content, **spread, "outcome": outcome}
+    return {**content, **rollout, "outcome": outcome}
 
 
-def _print_spread(content: api.Content) -> None:
+def _print_rollout(content: api.Content) -> None:
     count = len(content["in_force"])
     total = count + len(content["missing"])
     words = {"unchanged": "nothing to change", "recorded": "stored"}
--- a/packages/snipelug-core/src/snipelug_core/currency.py
+++ b/packages/snipelug-core/src/snipelug_core/currency.py
@@ -83,7 +83,7 @@
 
     Attributes
     ----------
-    vouch : Vouch
+    status : NodeStatus
         The answering node about itself.
     confirmation : WireConfirmation or None
         Its newest confirmation at or below its revision.
@@ -95,7 +95,7 @@
         Number of members it knows; 0 if it does not know all.
     """
 
-    vouch: member.Vouch
+    status: member.NodeStatus
     confirmation: WireConfirmation | None
     digest: tuple[member.Relayed, ...]
     rows: tuple[member.MemberRow, ...]
@@ -222,9 +222,9 @@
     return LARGE_CONFIRMED_AGE_S if members.is_large else CONFIRMED_AGE_S
 
 
-def vouch(state: State, now: float) -> member.Vouch:
+def own_status(state: State, now: float) -> member.NodeStatus:
     """Return what this node says about itself now."""
-    return member.Vouch(
+    return member.NodeStatus(
         state.node_id,
         state.incarnation,
         state.revision,
@@ -247,7 +247,7 @@
     if known is not None and now - known.at < confirmed_age_s(members):
         told = WireConfirmation(known.revision, now - known.at)
     return HeartbeatReply(
-        vouch(state, now),
+        own_status(state, now),
         told,
         member.digest(members, state.revision, now),
         member.select_rows(members, rng) if wants_rows else (),
@@ -260,9 +260,9 @@
 ) -> None:
     """Record the answer to a heartbeat that was sent at ``asked_at``."""
     members.learn(map(member.load_row, reply.rows), reply.total)
-    members.hear(reply.vouch, asked_at)
+    members.hear(reply.status, asked_at)
     for relayed in reply.digest:
-        members.hear_relayed(relayed, asked_at, reply.vouch.revision)
+        members.hear_relayed(relayed, asked_at, reply.status.revision)
     told = reply.confirmation
     if told is not None:
         at = asked_at - max(told.age_s, 0.0)
--- a/packages/snipelug-core/src/snipelug_core/member.py
+++ b/packages/snipelug-core/src/snipelug_core/member.py
@@ -55,7 +55,7 @@
         return not (self.revoked and self.gone)
 
 
-class Vouch(msgspec.Struct, frozen=True, array_like=True):
+class NodeStatus(msgspec.Struct, frozen=True, array_like=True):
     """What a node says about itself.
 
     Attributes
@@ -111,14 +111,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Report:
-    """The newest vouch of a node, on the receiver's clock.
+    """The newest status of a node, on the receiver's clock.
 
     Attributes
     ----------
     tag : int
         Hash of the incarnation.
     said_at : float
-        Receiver's monotonic time before which the vouch was not made, in
+        Receiver's monotonic time before which the status was not made, in
         seconds.
     """
 
@@ -162,25 +162,25 @@
             self.rows[row.node_id] = row
         self.complete = total > 0 and len(self.rows) >= total
 
-    def hear(self, vouch: Vouch, asked_at: float) -> None:
-        """Record a vouch that came in the answer to a call.
+    def hear(self, status: NodeStatus, asked_at: float) -> None:
+        """Record a status that came in the answer to a call.
 
         Parameters
         ----------
-        vouch : Vouch
+        status : NodeStatus
             What a node said.
         asked_at : float
             Own monotonic time before the call was sent, in seconds. The time of
             arrival would hide the transit time, which has no bound.
         """
         report = Report(
-            zlib.crc32(vouch.incarnation.encode()),
-            vouch.revision,
-            vouch.established,
-            vouch.sees_store,
+            zlib.crc32(status.incarnation.encode()),
+            status.revision,
+            status.established,
+            status.sees_store,
             asked_at,
         )
-        self._record(vouch.node_id, report)
+        self._record(status.node_id, report)
 
     def hear_relayed(self, item: Relayed, asked_at: float, revision: int) -> None:
         """Record what a peer at a revision relayed in the answer to a call."""
--- a/packages/snipelug-node/src/snipelug_node/admin.py
+++ b/packages/snipelug-node/src/snipelug_node/admin.py
@@ -226,27 +226,27 @@
         body = _read_body(req, ProposeBody)
         if isinstance(body, refusal.Refusal):
             return _refused(body)
-        wish = revision.Proposal(
+        proposed = revision.Proposal(
             body.operations, body.author, body.nonce, body.expected
         )
-        outcome = await self._keeper.propose(wish, self._inventory(body.force))
+        outcome = await self._keeper.propose(proposed, self._inventory(body.force))
         match outcome:
-            case revision.Accepted(spread=spread):
-                return await self._accepted("accepted", spread, body.wait_s)
-            case revision.RecordedOnly(spread=spread):
-                return await self._accepted("recorded", spread, body.wait_s)
+            case revision.Accepted(rollout=rollout):
+                return await self._accepted("accepted", rollout, body.wait_s)
+            case revision.RecordedOnly(rollout=rollout):
+                return await self._accepted("recorded", rollout, body.wait_s)
             case revision.Unchanged(revision=number):
-                spread = await self._keeper.wait_in_force(number, body.wait_s)
-                return _spread_response("unchanged", spread)
+                rollout = await self._keeper.wait_in_force(number, body.wait_s)
+                return _rollout_response("unchanged", rollout)
             case _:
                 return _proposal_refused(outcome)
 
     async def _accepted(
-        self, outcome: str, spread: revision.Spread, wait_s: float
+        self, outcome: str, rollout: revision.Rollout, wait_s: float
     ) -> http_server.Response:
-        if spread.missing and wait_s > 0:
-            spread = await self._keeper.wait_in_force(spread.revision, wait_s)
-        return _spread_response(outcome, spread)
+        if rollout.missing and wait_s > 0:
+            rollout = await self._keeper.wait_in_force(rollout.revision, wait_s)
+        return _rollout_response(outcome, rollout)
 
     async def _show_in_force(self, req: http_server.Request) -> http_server.Response:
         newest = self._keeper.cfg.revision
@@ -256,8 +256,8 @@
         wait_s = _read_number(req, "wait_s", 0.0, 0.0, MAX_WAIT_S)
         if isinstance(wait_s, refusal.Refusal):
             return _refused(wait_s)
-        spread = await self._keeper.wait_in_force(int(number), wait_s)
-        return _spread_response("shown", spread)
+        rollout = await self._keeper.wait_in_force(int(number), wait_s)
+        return _rollout_response("shown", rollout)
 
     def _inventory(self, force: bool) -> change.Inventory | None:
         return None if force else self._providers.inventory()
@@ -392,15 +392,15 @@
             raise AssertionError(f"{outcome} is not a refusal")
 
 
-def _spread_response(outcome: str, spread: revision.Spread) -> http_server.Response:
+def _rollout_response(outcome: str, rollout: revision.Rollout) -> http_server.Response:
     status = http.HTTPStatus.OK
     if outcome == "recorded":
         status = http.HTTPStatus.ACCEPTED
     content = {
         "outcome": outcome,
-        "revision": spread.revision,
-        "in_force": list(spread.in_force),
-        "missing": list(spread.missing),
+        "revision": rollout.revision,
+        "in_force": list(rollout.in_force),
+        "missing": list(rollout.missing),
     }
     return http_server.json_response(status, content)
 
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -75,7 +75,7 @@
 class PushReply(msgspec.Struct, frozen=True, array_like=True):
     """The receiver about itself, after it applied what it could."""
 
-    vouch: member.Vouch
+    status: member.NodeStatus
 
 
 DELTAS = rpc.Method("Deltas", DeltasRequest, DeltasReply)
@@ -84,7 +84,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Proposal:
-    """An operator's wish.
+    """A change that an operator asks for.
 
     Attributes
     ----------
@@ -101,7 +101,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Spread:
+class Rollout:
     """On which members a revision is known to be in force."""
 
     revision: int
@@ -113,14 +113,14 @@
 class Accepted:
     """In the store and in force on a strict majority of members."""
 
-    spread: Spread
+    rollout: Rollout
 
 
 @dataclasses.dataclass(frozen=True)
 class RecordedOnly:
     """In the store for good, but no majority has reported it in time."""
 
-    spread: Spread
+    rollout: Rollout
 
 
 @dataclasses.dataclass(frozen=True)
@@ -219,12 +219,12 @@
         """Return whether this node may serve new work."""
         return isinstance(self.judge(now), currency.Current)
 
-    def spread(self, revision: int) -> Spread:
+    def rollout(self, revision: int) -> Rollout:
         """Return on which members a revision is known to be in force."""
         now = self._clock()
         having = currency.in_force(self._state, self._members, revision, now)
         missing = self._members.voters() - having
-        return Spread(revision, tuple(sorted(having)), tuple(sorted(missing)))
+        return Rollout(revision, tuple(sorted(having)), tuple(sorted(missing)))
 
     async def history(
         self, after: int = 0, limit: int = 100
@@ -263,42 +263,42 @@
         return None
 
     async def propose(
-        self, wish: Proposal, inventory: change.Inventory | None = None
+        self, proposed: Proposal, inventory: change.Inventory | None = None
     ) -> Outcome:
         """Write a change, push it, and wait until a majority has it in force."""
         async with self._write_lock:
-            written = await self._write_wish(wish, inventory)
+            written = await self._write_proposal(proposed, inventory)
         if not isinstance(written, change.Change):
             return written
-        return await self._spread_until_accepted(written)
+        return await self._roll_out(written)
 
-    async def wait_in_force(self, revision: int, timeout_s: float) -> Spread:
+    async def wait_in_force(self, revision: int, timeout_s: float) -> Rollout:
         """Wait until a revision is in force on all members, or the time is over."""
         # A member that reported the revision once keeps it; reports expire.
-        having = set(self.spread(revision).in_force)
+        having = set(self.rollout(revision).in_force)
         with trio.move_on_after(timeout_s):
             while self._members.voters() - having:
                 item = self._log.get(revision)
                 if item is not None:
                     await self._push(item, having)
-                having.update(self.spread(revision).in_force)
+                having.update(self.rollout(revision).in_force)
                 await trio.sleep(PUSH_EVERY_S)
         voters = self._members.voters()
         missing = tuple(sorted(voters - having))
-        return Spread(revision, tuple(sorted(voters & having)), missing)
+        return Rollout(revision, tuple(sorted(voters & having)), missing)
 
-    async def _write_wish(
-        self, wish: Proposal, inventory: change.Inventory | None
+    async def _write_proposal(
+        self, proposed: Proposal, inventory: change.Inventory | None
     ) -> change.Change | Outcome:
         outcome: Outcome = NotAllowed("other operators' changes keep coming first")
         for _ in range(MAX_RACES):
-            repeated = self._find_nonce(wish.nonce)
+            repeated = self._find_nonce(proposed.nonce)
             if repeated is not None:
                 return repeated
-            refused = self._find_obstacle(wish, inventory)
+            refused = self._find_obstacle(proposed, inventory)
             if refused is not None:
                 return refused
-            verdict = await self._write(self._build_change(wish))
+            verdict = await self._write(self._build_change(proposed))
             match verdict:
                 case proposal.Recorded(change=item):
                     await self._learn([item])
@@ -306,11 +306,11 @@
                 case proposal.NotWritten():
                     return NotAllowed("the table service did not take the change")
                 case proposal.Unclear():
-                    return Unclear(self.cfg.revision + 1, wish.nonce)
+                    return Unclear(self.cfg.revision + 1, proposed.nonce)
                 case proposal.LostRace(winner=winner):
                     outcome = Outdated(winner.revision, winner.author)
                     await self._learn([winner])
-            if wish.expected is not None:
+            if proposed.expected is not None:
                 return outcome
         return outcome
 
@@ -319,24 +319,24 @@
         return found[0] if found else None
 
     def _find_obstacle(
-        self, wish: Proposal, inventory: change.Inventory | None
+        self, proposed: Proposal, inventory: change.Inventory | None
     ) -> Outcome | None:
         allowed = currency.may_accept(self._state, self._members, self._clock())
         if isinstance(allowed, currency.MayNotAccept):
             return NotAllowed(allowed.reason)
         revision = self.cfg.revision
-        if wish.expected is not None and wish.expected != revision:
+        if proposed.expected is not None and proposed.expected != revision:
             last = self._log.get(revision)
             return Outdated(revision, last.author if last else "unknown")
-        return self.check(wish.operations, inventory)
+        return self.check(proposed.operations, inventory)
 
-    def _build_change(self, wish: Proposal) -> change.Change:
+    def _build_change(self, proposed: Proposal) -> change.Change:
         return change.Change(
             self.cfg.revision + 1,
-            wish.nonce,
-            wish.author,
+            proposed.nonce,
+            proposed.author,
             self._wall(),
-            wish.operations,
+            proposed.operations,
         )
 
     async def _write(self, item: change.Change) -> proposal.Verdict:
@@ -394,7 +394,7 @@
         item = _decode_change(row)
         return proposal.NoAnswer() if item is None else item
 
-    async def _spread_until_accepted(self, item: change.Change) -> Outcome:
+    async def _roll_out(self, item: change.Change) -> Outcome:
         # A majority of members that left meanwhile, or of too few, would not
         # share a node with each group that may serve.
         await self._read_members()
@@ -404,12 +404,12 @@
                 if self._is_accepted(item.revision):
                     break
                 await trio.sleep(PUSH_EVERY_S)
-        spread = self.spread(item.revision)
+        rollout = self.rollout(item.revision)
         if not self._is_accepted(item.revision):
-            return RecordedOnly(spread)
+            return RecordedOnly(rollout)
         if item.revision % SNAPSHOT_EVERY == 0:
             await self._write_snapshot()
-        return Accepted(spread)
+        return Accepted(rollout)
 
     def _is_accepted(self, revision: int) -> bool:
         now = self._clock()
@@ -420,7 +420,7 @@
     ) -> None:
         limiter = trio.CapacityLimiter(PUSH_CONCURRENCY)
         async with trio.open_nursery() as nursery:
-            for node_id in self.spread(item.revision).missing:
+            for node_id in self.rollout(item.revision).missing:
                 if node_id != self._peers.node_id and node_id not in having:
                     nursery.start_soon(self._push_to, node_id, item, limiter)
 
@@ -431,7 +431,7 @@
             asked_at = self._clock()
             reply = await self._peers.call(node_id, PUSH, Push(item), PEER_TIMEOUT_S)
         if isinstance(reply, PushReply):
-            self._members.hear(reply.vouch, asked_at)
+            self._members.hear(reply.status, asked_at)
 
     # Following the sequence
 
@@ -545,7 +545,7 @@
 
     async def _answer_push(self, message: Push) -> PushReply:
         self._apply([message.change])
-        return PushReply(currency.vouch(self._state, self._clock()))
+        return PushReply(currency.own_status(self._state, self._clock()))
 
     async def _read_snapshot(self) -> None:
         row = await _ask(self._table.read("snapshots", "latest"))
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -270,8 +270,8 @@
             if not self.linked(node.node_id, peer_id):
                 return
             self.learn(peer, [item])
-            vouch = currency.vouch(peer.state, self.clock(peer))
-            self.on(node, self.transit(), lambda: node.members.hear(vouch, asked_at))
+            status = currency.own_status(peer.state, self.clock(peer))
+            self.on(node, self.transit(), lambda: node.members.hear(status, asked_at))
 
         self.on(peer, self.transit(), receive)
 
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -10,7 +10,9 @@
 from tests import fleet
 
 
-def wish(zone: str, nonce: str = "", expected: int | None = None) -> revision.Proposal:
+def zone_out(
+    zone: str, nonce: str = "", expected: int | None = None
+) -> revision.Proposal:
     operations = (change.ZoneOut(zone),)
     return revision.Proposal(operations, "ann", nonce or f"nonce-{zone}", expected)
 
@@ -18,14 +20,14 @@
 async def test_change_is_in_force_everywhere_and_survives_outage() -> None:
     """Guards against a change that is accepted and then missing on some node."""
     async with fleet.fleet(3) as made:
-        outcome = await made.nodes["n0"].keeper.propose(wish("tamar-a", expected=0))
+        outcome = await made.nodes["n0"].keeper.propose(zone_out("tamar-a", expected=0))
         assert isinstance(outcome, revision.Accepted)
-        spread = await made.nodes["n0"].keeper.wait_in_force(1, fleet.WAIT_S)
-        assert spread == revision.Spread(1, ("n0", "n1", "n2"), ())
+        rollout = await made.nodes["n0"].keeper.wait_in_force(1, fleet.WAIT_S)
+        assert rollout == revision.Rollout(1, ("n0", "n1", "n2"), ())
         for running in made.nodes.values():
             assert running.keeper.cfg.zones_out == {"tamar-a"}
         made.table.up = False
-        refused = await made.nodes["n1"].keeper.propose(wish("esk-b"))
+        refused = await made.nodes["n1"].keeper.propose(zone_out("esk-b"))
         reason = "the table service did not take the change"
         assert refused == revision.NotAllowed(reason)
         made.nodes["n2"].scope.cancel()
@@ -47,7 +49,7 @@
 
         async def propose(node_id: str) -> None:
             keeper = made.nodes[node_id].keeper
-            proposed = wish(f"zone-{node_id}", expected=0)
+            proposed = zone_out(f"zone-{node_id}", expected=0)
             outcomes[node_id] = await keeper.propose(proposed)
 
         async with trio.open_nursery() as nursery:
@@ -57,18 +59,18 @@
         lost = [v for v in outcomes.values() if isinstance(v, revision.Outdated)]
         assert (len(accepted), len(lost)) == (1, 2)
         assert {v.revision for v in lost} == {1}
-        last = await made.nodes["n0"].keeper.propose(wish("late"))
+        last = await made.nodes["n0"].keeper.propose(zone_out("late"))
         assert isinstance(last, revision.Accepted)
-        assert last.spread.revision == 2
+        assert last.rollout.revision == 2
 
 
 async def test_lost_answer_and_repeated_call_are_one_change() -> None:
     """Guards against a lost answer that becomes a refusal or a second change."""
     async with fleet.fleet(3) as made:
         made.table.lose_answers = 1
-        first = await made.nodes["n0"].keeper.propose(wish("esk-b", expected=0))
+        first = await made.nodes["n0"].keeper.propose(zone_out("esk-b", expected=0))
         assert isinstance(first, revision.Accepted)
-        again = await made.nodes["n1"].keeper.propose(wish("esk-b", expected=0))
+        again = await made.nodes["n1"].keeper.propose(zone_out("esk-b", expected=0))
         assert isinstance(again, revision.Accepted)
         assert made.nodes["n1"].keeper.cfg.revision == 1
 
@@ -77,14 +79,14 @@
     """Guards against a definite answer about a write that nobody can check."""
     async with fleet.fleet(3) as made:
         made.table.fail_after_write = True
-        first = await made.nodes["n0"].keeper.propose(wish("esk-b", expected=0))
+        first = await made.nodes["n0"].keeper.propose(zone_out("esk-b", expected=0))
         assert first == revision.Unclear(1, "nonce-esk-b")
         made.table.fail_after_write = False
         made.table.up = True
         await made.until_current()
-        again = await made.nodes["n0"].keeper.propose(wish("esk-b", expected=0))
+        again = await made.nodes["n0"].keeper.propose(zone_out("esk-b", expected=0))
         assert isinstance(again, revision.Accepted)
-        assert again.spread.revision == 1
+        assert again.rollout.revision == 1
 
 
 async def test_written_change_without_majority_is_not_called_accepted(
@@ -95,11 +97,11 @@
     async with fleet.fleet(3) as made:
         for node_id in ("n1", "n2"):
             made.nodes[node_id].scope.cancel()
-        outcome = await made.nodes["n0"].keeper.propose(wish("esk-b"))
-        spread = revision.Spread(1, ("n0",), ("n1", "n2"))
-        assert outcome == revision.RecordedOnly(spread)
-        again = await made.nodes["n0"].keeper.propose(wish("esk-b"))
-        assert again == revision.RecordedOnly(spread)
+        outcome = await made.nodes["n0"].keeper.propose(zone_out("esk-b"))
+        rollout = revision.Rollout(1, ("n0",), ("n1", "n2"))
+        assert outcome == revision.RecordedOnly(rollout)
+        again = await made.nodes["n0"].keeper.propose(zone_out("esk-b"))
+        assert again == revision.RecordedOnly(rollout)
 
 
 async def test_node_alone_neither_accepts_nor_serves_without_store() -> None:
@@ -109,7 +111,7 @@
             made.nodes[node_id].scope.cancel()
         running = made.nodes["n0"]
         await made.until(lambda: running.peers.live() == ["n0"])
-        outcome = await running.keeper.propose(wish("esk-b"))
+        outcome = await running.keeper.propose(zone_out("esk-b"))
         assert outcome == revision.NotAllowed("only 1 of 3 members are heard")
         assert ("changes", change.row_key(1)) not in made.table.rows
         made.table.up = False
@@ -124,7 +126,7 @@
     monkeypatch.setattr(revision, "LOG_LENGTH", 2)
     async with fleet.fleet(2) as made:
         for number in range(5):
-            outcome = await made.nodes["n0"].keeper.propose(wish(f"z{number}"))
+            outcome = await made.nodes["n0"].keeper.propose(zone_out(f"z{number}"))
             assert isinstance(outcome, revision.Accepted)
         keeper = made.nodes["n0"].keeper
         request = revision.DeltasRequest(0)
