Run keyed calls at most once through the gateway

Cause: calls with an idempotency key were refused until their module stood.

Ruled out: a second consent of the claim's check for another engine after one declined; the check consents once by design. A keyed chat call may go to another engine within 5 s after an engine answered that it did not run it.

--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -5,12 +5,13 @@
 import http
 import logging
 import typing
+import urllib.parse
 import uuid
 
 import msgspec
 import trio
 
-from snipelug_core import claim, contract, load, refusal, stream, table
+from snipelug_core import claim, contract, load, quarantine, refusal, stream, table
 from snipelug_net import http_client, http_server
 from snipelug_node import (
     chat,
@@ -18,6 +19,7 @@
     engine,
     journal,
     metrics,
+    order,
     sender,
     service,
 )
@@ -32,6 +34,9 @@
 
 BEARER = "bearer "
 
+REPEAT_S = 5.0
+"""Time in which a keyed chat call may go to another engine after one declined it."""
+
 
 class Revisions(typing.Protocol):
     """The configuration in force."""
@@ -64,52 +69,26 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True)
-class Sent:
-    """Outcome of one execution of a call with an idempotency key.
-
-    Attributes
-    ----------
-    left : bool
-        Whether bytes were sent to an upstream.
-    """
-
-    result: claim.Answer | refusal.Refusal
-    left: bool
-
-
-Send = collections.abc.Callable[
-    [http_client.LastCheck], collections.abc.Awaitable[Sent]
-]
-
-
-class Orders(typing.Protocol):
-    """At-most-once execution."""
-
-    async def run(
-        self, team: str, key: str, fingerprint: str, deadline: float, send: Send
-    ) -> claim.Answer | refusal.Refusal:
-        """Run a call unless it already ran; return its first answer."""
-        ...
-
-
 @dataclasses.dataclass
 class Gateway:
     """Answers callers.
 
     Attributes
     ----------
+    key : bytes
+        Secret of the deployment.
     stopping : bool
         A planned stop has begun; new work is refused.
     """
 
     node_id: str
+    key: bytes
     revisions: Revisions
     tables: table.Tables
     pool: http_client.Pool
     dispatcher: dispatch.Dispatcher
     limiter: Limiter
-    orders: Orders
+    orders: order.Orders
     metrics: metrics.Metrics
     stopping: bool = False
     running: int = 0
@@ -208,7 +187,7 @@
             request_id=request_id,
             contract=team,
             chat=parsed,
-            fingerprint=claim.fingerprint(req.method, CHAT_PATH, req.body),
+            fingerprint=quarantine.fingerprint(self.key, team.team, req.body),
             started_at=now,
             deadline=now + team.deadline_s,
             answer=stream.Answer(request_id),
@@ -224,7 +203,7 @@
         leave = self._leaver(ticket)
         if key:
             try:
-                return await self._chat_once(job, key)
+                return await self._chat_once(job, key, req.body)
             finally:
                 leave()
         return await self._chat_answer(job, leave)
@@ -277,23 +256,26 @@
         return http_server.json_response(http.HTTPStatus.OK, whole.content, headers)
 
     async def _chat_once(
-        self, job: dispatch.Job, key: str
+        self, job: dispatch.Job, key: str, sent_body: bytes
     ) -> http_server.Response | refusal.Refusal:
         """Run a chat request at most once; its answer is kept as JSON."""
         streamed = job.chat.body.stream
         job.chat.body.stream = False
 
-        async def send(granted: http_client.LastCheck) -> Sent:
-            job.granted = granted
+        async def send(granted: http_client.LastCheck) -> order.Sent:
+            job.granted = grant_again(granted)
             whole = await self.dispatcher.collect(job)
             if isinstance(whole, refusal.Refusal):
-                return Sent(whole, job.sent)
+                return claim.Unclear(whole) if job.sent else claim.NotSent(whole)
             body = msgspec.json.encode(whole.content)
-            headers = {"content-type": "application/json"}
-            return Sent(claim.Answer(http.HTTPStatus.OK, headers, body), True)
+            headers = {
+                "content-type": "application/json",
+                "x-snipelug-upstream": whole.upstream_id,
+            }
+            return claim.Delivered(claim.Answer(http.HTTPStatus.OK, headers, body))
 
         answer = await self.orders.run(
-            job.contract.team, key, job.fingerprint, job.deadline, send
+            job.contract.team, key, "POST", CHAT_PATH, sent_body, send, job.deadline
         )
         if isinstance(answer, refusal.Refusal):
             return answer
@@ -343,35 +325,41 @@
 
     async def _run_service(
         self, call: "ServiceCall", team: contract.Contract, key: str
-    ) -> claim.Answer | refusal.Refusal:
+    ) -> order.Answer | refusal.Refusal:
         repeatable = call.req.method in service.IDEMPOTENT_METHODS
         if not key:
             sent = await self._send_service(call, None, repeatable)
-            return sent.result
+            if isinstance(sent, claim.Delivered):
+                answer = sent.answer
+                return order.Answer(answer.status, answer.headers, answer.body)
+            return sent.refusal
 
-        async def send(granted: http_client.LastCheck) -> Sent:
+        async def send(granted: http_client.LastCheck) -> order.Sent:
             return await self._send_service(call, granted, repeatable=False)
 
-        fingerprint = claim.fingerprint(call.req.method, call.req.path, call.req.body)
-        return await self.orders.run(team.team, key, fingerprint, call.deadline, send)
+        req = call.req
+        target = req.path + "?" + urllib.parse.urlencode(req.query)
+        return await self.orders.run(
+            team.team, key, req.method, target, req.body, send, call.deadline
+        )
 
     async def _send_service(
         self,
         call: "ServiceCall",
         granted: http_client.LastCheck | None,
         repeatable: bool,
-    ) -> Sent:
+    ) -> order.Sent:
         """Send a call to the service's instances until one has taken it."""
         refused = refusal.refuse(
             refusal.NO_UPSTREAM, f"no instance of service {call.target.name!r} is up"
         )
-        left = False
+        has_left = False
         excluded: set[str] = set()
         for attempt in range(dispatch.MAX_TRIES):
             upstream = self._choose_service(call.target.name, excluded)
             if upstream is None or trio.current_time() >= call.deadline:
                 break
-            if attempt and not self._take_retry(upstream):
+            if not self._may_try(upstream, attempt):
                 break
             excluded.add(upstream.instance.id)
             outcome = await self._try_service(call, upstream, granted)
@@ -379,14 +367,14 @@
                 case http_client.Full(status, headers, body):
                     kept = service.answer_headers(headers)
                     kept["x-snipelug-upstream"] = upstream.instance.id
-                    return Sent(claim.Answer(status, kept, body), True)
+                    return claim.Delivered(claim.Answer(status, kept, body))
                 case http_client.NotSent(reason):
                     load.mark_closed(upstream, trio.current_time())
                     refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
                 case sender.Blocked(blocked):
                     refused = blocked
                 case http_client.Lost() | http_client.TooLarge():
-                    left = True
+                    has_left = True
                     load.mark_closed(upstream, trio.current_time())
                     text = f"the service's answer was lost: {outcome}"
                     refused = refusal.refuse(
@@ -394,11 +382,15 @@
                     )
                     if not repeatable:
                         break
-        return Sent(refused, left)
+        return claim.Unclear(refused) if has_left else claim.NotSent(refused)
 
-    def _take_retry(self, upstream: table.Upstream) -> bool:
+    def _may_try(self, upstream: table.Upstream, attempt: int) -> bool:
+        budget = self.dispatcher.budget
         now = trio.current_time()
-        return self.dispatcher.budget.take_retry(upstream.instance.id, now)
+        if attempt:
+            return budget.take_retry(upstream.instance.id, now)
+        budget.note_request(upstream.instance.id, now)
+        return True
 
     def _choose_service(self, name: str, excluded: set[str]) -> table.Upstream | None:
         now = trio.current_time()
@@ -482,6 +474,27 @@
             self._leave()
 
 
+def grant_again(granted: http_client.LastCheck) -> http_client.LastCheck:
+    """Let a granted call be sent again for a short time.
+
+    The dispatcher sends a keyed call again only after an engine answered that it
+    did not run it; the claim's own check consents only once.
+    """
+    granted_at: float | None = None
+
+    def check(conn_opened_at: float) -> bool:
+        nonlocal granted_at
+        now = trio.current_time()
+        if granted_at is not None:
+            return now - granted_at < REPEAT_S
+        if not granted(conn_opened_at):
+            return False
+        granted_at = now
+        return True
+
+    return check
+
+
 def report_finished(
     target: metrics.Metrics,
     job: dispatch.Job,
--- a/packages/snipelug-node/src/snipelug_node/interim.py
+++ b/packages/snipelug-node/src/snipelug_node/interim.py
@@ -1,7 +1,7 @@
 """Parts that refuse or permit everything, until their own modules are wired in."""
 
-from snipelug_core import claim, contract, refusal
-from snipelug_node import admin, gateway, sender
+from snipelug_core import contract, refusal
+from snipelug_node import admin, sender
 
 
 class NoGrants:
@@ -65,23 +65,6 @@
         """Do nothing."""
 
 
-class NoOrders:
-    """Refuses calls with an idempotency key."""
-
-    async def run(
-        self,
-        team: str,
-        key: str,
-        fingerprint: str,
-        deadline: float,
-        send: gateway.Send,
-    ) -> claim.Answer | refusal.Refusal:
-        """Refuse."""
-        del team, key, fingerprint, deadline, send
-        message = "calls with an Idempotency-Key are not available"
-        return refusal.refuse(refusal.STORE_UNAVAILABLE, message)
-
-
 async def no_rows() -> admin.Rows:
     """Return nothing."""
     return []
@@ -92,11 +75,3 @@
     del author
     message = f"fingerprint {fingerprint} is not quarantined"
     return refusal.refuse(refusal.NOT_FOUND, message)
-
-
-async def nothing_to_settle(
-    team: str, key: str, ran: bool, author: str
-) -> refusal.Refusal | None:
-    """Refuse."""
-    del team, key, ran, author
-    return refusal.refuse(refusal.NOT_FOUND, "no such claim is left unknown")
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import functools
 import gc
 import logging
@@ -16,10 +17,12 @@
 from snipelug_core import (
     block,
     change,
+    claim,
     connection,
     load,
     member,
     ownership,
+    refusal,
     route,
     session,
     table,
@@ -35,8 +38,10 @@
     lease,
     loader,
     metrics,
+    order,
     peer,
     platform,
+    ports,
     reuse,
     revision,
     router,
@@ -89,6 +94,13 @@
             self.rng,
             session.Place(cfg.host, cfg.rpc_port, cfg.zone),
         )
+        self.orders = order.Orders(
+            self.peers.settings.incarnation,
+            self.lease.lease,
+            self.store,
+            platform.HttpObjectStore(self.pool, cfg.objects),
+            self.peers,
+        )
         self._build_cache()
         self._build_request_path()
         self.admin = admin.Admin(
@@ -143,12 +155,13 @@
         )
         self.gateway = gateway.Gateway(
             node_id=cfg.node_id,
+            key=cfg.key,
             revisions=self.keeper,
             tables=self.tables,
             pool=self.pool,
             dispatcher=self.dispatcher,
             limiter=interim.Unlimited(),
-            orders=interim.NoOrders(),
+            orders=self.orders,
             metrics=self.metrics,
         )
 
@@ -259,8 +272,8 @@
             inventory=self._inventory,
             quarantined=interim.no_rows,
             release=interim.nothing_to_release,
-            unknown_claims=interim.no_rows,
-            settle=interim.nothing_to_settle,
+            unknown_claims=self._open_claims,
+            settle=self._settle,
         )
 
     def _inventory(self) -> change.Inventory:
@@ -279,6 +292,44 @@
             for upstream in self.tables.upstreams.values()
         ]
 
+    async def _open_claims(self) -> admin.Rows | refusal.Refusal:
+        rows: admin.Rows = []
+        for team in self.keeper.cfg.contracts:
+            after = ""
+            while True:
+                page = await self.orders.open_claims(team, after)
+                if isinstance(page, ports.Unavailable):
+                    message = f"claims cannot be read: {page.reason}"
+                    return refusal.refuse(refusal.STORE_UNAVAILABLE, message)
+                rows += [dataclasses.asdict(item) for item in page.claims]
+                after = page.after
+                if not after:
+                    break
+        return rows
+
+    async def _settle(
+        self, team: str, key: str, ran: bool, author: str
+    ) -> refusal.Refusal | None:
+        verdict = claim.Verdict.RAN if ran else claim.Verdict.NOT_RUN
+        outcome = await self.orders.settle(team, key, verdict, f"settled by {author}")
+        match outcome:
+            case order.Settled():
+                journal.event(LOG, "claim_settled", team=team, ran=ran, author=author)
+                return None
+            case claim.TooEarly(wait_s):
+                message = f"the claim may be settled in {wait_s:.0f} s"
+                return refusal.refuse(refusal.IN_PROGRESS, message)
+            case claim.NotOpen(reason):
+                return refusal.refuse(refusal.FORBIDDEN, reason)
+            case order.Changed():
+                message = "the claim changed meanwhile; look at it again"
+                return refusal.refuse(refusal.IN_PROGRESS, message)
+            case ports.Absent():
+                message = f"team {team!r} has no claim with this key"
+                return refusal.refuse(refusal.NOT_FOUND, message)
+            case ports.Unavailable(reason):
+                return refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
+
     def _lease_rows(self) -> admin.Rows:
         now = trio.current_time()
         return [
@@ -313,6 +364,7 @@
         await nursery.start(self.keeper.run)
         await nursery.start(self.watcher.run)
         await nursery.start(self.lease.run)
+        await nursery.start(self.orders.serve)
         await nursery.start(self.directory.run)
         await nursery.start(self.feeds.run)
         await nursery.start(self.transfers.run)
@@ -330,11 +382,16 @@
                     nursery.start_soon(_cut_on_second_signal, signals, limit)
                     await trio.sleep(UNREADY_S)
                     callers.stop_accepting()
-                    while callers.open_requests:
+                    while callers.open_requests or self.orders.open_calls():
                         await trio.sleep(LOOK_S)
                     nursery.cancel_scope.cancel()
-        if callers.open_requests:
-            journal.warning(LOG, "requests_cut", count=callers.open_requests)
+        if callers.open_requests or self.orders.open_calls():
+            journal.warning(
+                LOG,
+                "requests_cut",
+                requests=callers.open_requests,
+                orders=self.orders.open_calls(),
+            )
 
 
 async def _cut_on_second_signal(
