--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,241 @@
+"""Tests of chat runs against scripted engines over real sockets."""
+
+import collections.abc
+import json
+
+import pytest
+import trio
+
+from snipelug_core import block, contract, index, load, refusal, stream, table
+from snipelug_net import http_client, http_server
+from snipelug_node import chat, dispatch, sender
+
+WORDS = ["alpha ", "beta ", "gamma ", "delta "]
+
+
+def event(run_id: str, **fields: object) -> bytes:
+    content = {"id": run_id, "weight_version": "w1", **fields}
+    return b"data: " + json.dumps(content).encode() + b"\n\n"
+
+
+def delta(run_id: str, text: str) -> bytes:
+    return event(run_id, choices=[{"index": 0, "delta": {"content": text}}])
+
+
+def ending(run_id: str) -> bytes:
+    choices = [{"index": 0, "delta": {}, "finish_reason": "stop"}]
+    usage = {"prompt_tokens": 3, "completion_tokens": len(WORDS)}
+    return event(run_id, choices=choices, usage=usage) + b"data: [DONE]\n\n"
+
+
+class Engine:
+    """An engine that goes through a script, one fault per request."""
+
+    def __init__(self, faults: collections.abc.Iterable[str]) -> None:
+        self.faults = list(faults)
+        self.runs: list[dict[str, object]] = []
+
+    async def handle(self, req: http_server.Request) -> http_server.Response:
+        fault = self.faults.pop(0) if self.faults else "none"
+        fields = json.loads(req.body)
+        if fault in ("409", "503", "500"):
+            error = {"error": {"message": "scripted"}}
+            return http_server.json_response(int(fault), error)
+        self.runs.append(fields)
+        run_id = req.headers["x-request-id"]
+        if fields["stream"]:
+            return http_server.Response(200, self.stream(fields, run_id, fault))
+        if fault == "cut":
+            raise trio.BrokenResourceError
+        content = {
+            "id": "another" if fault == "crossed" else run_id,
+            "choices": [{"index": 0, "message": {"content": "".join(WORDS)}}],
+            "usage": {"prompt_tokens": 3, "completion_tokens": len(WORDS)},
+        }
+        return http_server.json_response(200, content)
+
+    async def stream(
+        self, fields: dict[str, object], run_id: str, fault: str
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
+        text = str(fields.get("resume_text", ""))
+        for number, word in enumerate(WORDS):
+            if "".join(WORDS[: number + 1]) in text:
+                continue
+            if number == 2 and fault == "cut":
+                raise trio.BrokenResourceError
+            if number == 2 and fault == "crossed":
+                yield delta("another", "secret ")
+            yield delta(run_id, word)
+            await trio.sleep(0)
+        if fault != "unfinished":
+            yield ending(run_id)
+
+
+class Router:
+    """Chooses engines in order and records what it is told."""
+
+    def __init__(self, upstreams: list[table.Upstream]) -> None:
+        self.upstreams = upstreams
+        self.finished: list[str] = []
+        self.pins: list[str] = []
+
+    async def choose(self, job: dispatch.Job) -> dispatch.Choice | refusal.Refusal:
+        self.pins.append(job.pinned_version)
+        for upstream in self.upstreams:
+            if upstream.instance.id not in job.excluded:
+                chain = block.Chain((), 3, "c")
+                return dispatch.Choice(upstream, "w1", chain, index.Found())
+        return refusal.refuse(refusal.NO_UPSTREAM, "all engines were tried")
+
+    def sent(self, choice: dispatch.Choice, run_id: str) -> None:
+        pass
+
+    first_token = ended = sent
+
+    def completed(
+        self, job: dispatch.Job, choice: dispatch.Choice, usage: stream.Usage
+    ) -> None:
+        self.finished.append(choice.upstream.instance.id)
+
+
+class Permissive:
+    """Crash counts and budgets that allow everything."""
+
+    def check(self, fingerprint: str) -> None:
+        return None
+
+    async def crashed(self, fingerprint: str, upstream_id: str) -> bool:
+        return True
+
+    def note_request(self, upstream_id: str, now: float) -> None:
+        pass
+
+    def take_retry(self, upstream_id: str, now: float) -> bool:
+        return True
+
+    async def acquire(self, upstream_id: str, deadline: float) -> refusal.Refusal:
+        return refusal.refuse(refusal.NO_UPSTREAM, "cold")
+
+
+async def refresh(upstream: table.Upstream) -> None:
+    await trio.sleep(0)
+
+
+async def build(
+    nursery: trio.Nursery, engines: list[Engine]
+) -> tuple[dispatch.Dispatcher, Router]:
+    upstreams = []
+    for number, engine in enumerate(engines):
+        server = http_server.Server(engine.handle)
+        port = await nursery.start(server.serve, "127.0.0.1", 0)
+        inst = table.Instance(f"e{number}", table.Role.ENGINE, "127.0.0.1", port, "z")
+        upstreams.append(table.Upstream(inst))
+    router, permissive = Router(upstreams), Permissive()
+    outgoing = sender.Sender(
+        http_client.Pool(), permissive, lambda *_: load.Allowed(), refresh
+    )
+    made = dispatch.Dispatcher(
+        outgoing, router, permissive, permissive, lambda _: "salt", lambda *_: None
+    )
+    return made, router
+
+
+def make_job(streamed: bool, once: bool = False, seed: int | None = 1) -> dispatch.Job:
+    body = {
+        "model": "m",
+        "stream": streamed,
+        "messages": [{"role": "user", "content": "hello"}],
+        "cache_salt": "forged",
+    }
+    if seed is not None:
+        body["seed"] = seed
+    parsed = chat.parse(json.dumps(body).encode())
+    assert isinstance(parsed, chat.Chat)
+    now = trio.current_time()
+    team = contract.Contract("team", ())
+    answer = stream.Answer("req")
+    return dispatch.Job("req", team, parsed, "f", now, now + 5, answer, once)
+
+
+async def relay(made: dispatch.Dispatcher, job: dispatch.Job) -> bytes | str:
+    opened = await made.open(job)
+    if isinstance(opened, refusal.Refusal):
+        return opened.run_state.value
+    return b"".join([part async for part in made.relay(job, opened)])
+
+
+STREAMS = [
+    ("whole", ["none"], 1, "whole"),
+    ("declined elsewhere", ["503"], 1, "whole"),
+    ("other version elsewhere", ["409"], 1, "whole"),
+    ("cut and resumed", ["cut"], 1, "whole"),
+    ("crossed and resumed", ["crossed"], 1, "whole"),
+    ("unfinished and resumed", ["unfinished"], 1, "whole"),
+    ("cut, not deterministic", ["cut"], None, "error"),
+    ("all decline", ["503", "503"], 1, "not_run"),
+    ("engines fail", ["500", "500"], 1, "unknown"),
+]
+
+
+@pytest.mark.parametrize(("name", "faults", "seed", "expected"), STREAMS)
+async def test_stream_is_whole_or_ends_with_an_error(
+    nursery: trio.Nursery, name: str, faults: list[str], seed: int | None, expected: str
+) -> None:
+    """Guards against silent cuts, foreign chunks and false run states."""
+    engines = [Engine(faults[:1]), Engine(faults[1:])]
+    made, router = await build(nursery, engines)
+    result = await relay(made, make_job(streamed=True, seed=seed))
+    if isinstance(result, str):
+        assert result == expected
+        return
+    assert b"secret" not in result
+    assert b"another" not in result
+    lines = [line for line in result.split(b"\n\n") if line]
+    if expected == "error":
+        error = json.loads(lines[-1][6:])["error"]
+        assert (error["code"], error["run_state"]) == ("upstream_lost", "ran")
+        return
+    assert lines[-1] == b"data: [DONE]"
+    chunks = [json.loads(line[6:]) for line in lines[:-1]]
+    texts = [c["choices"][0]["delta"].get("content", "") for c in chunks]
+    assert "".join(texts) == "".join(WORDS)
+    assert {c["id"] for c in chunks} == {"req"}
+    assert len(router.finished) == 1
+
+
+WHOLE = [
+    (["none"], False, "whole", 1),
+    (["cut"], False, "whole", 2),
+    (["crossed"], False, "whole", 2),
+    (["cut"], True, "unknown", 1),
+    (["crossed"], True, "unknown", 1),
+    (["503"], True, "whole", 1),
+]
+
+
+@pytest.mark.parametrize(("faults", "once", "expected", "runs"), WHOLE)
+async def test_keyed_request_is_never_run_again(
+    nursery: trio.Nursery, faults: list[str], once: bool, expected: str, runs: int
+) -> None:
+    """Guards against a second run of a request that may have run."""
+    engines = [Engine(faults), Engine([])]
+    made, _ = await build(nursery, engines)
+    result = await made.collect(make_job(streamed=False, once=once))
+    assert sum(len(engine.runs) for engine in engines) == runs
+    if isinstance(result, refusal.Refusal):
+        assert result.run_state.value == expected
+    else:
+        assert expected == "whole"
+        assert result.content["id"] == "req"
+
+
+async def test_resumed_run_is_pinned_to_the_weight_version(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against one answer from two weight versions, and forged salts."""
+    engines = [Engine(["cut"]), Engine([])]
+    made, router = await build(nursery, engines)
+    await relay(made, make_job(streamed=True))
+    assert router.pins == ["", "w1"]
+    assert engines[1].runs[0]["resume_text"] == "alpha beta "
+    assert engines[1].runs[0]["cache_salt"] == "salt"
