Give nodes in tests ports outside the ephemeral range

Cause: a stand-in that picks its own port could get one that was promised to a node; test_node_cut_off failed once in two runs because a node could not bind. Change: ports from 20000 to 31999, below the kernel's range for outgoing connections.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import itertools
+import os
 import pathlib
 import re
 import signal
@@ -27,6 +28,11 @@
 STOP_TIMEOUT_S = 5.0
 LISTENING = re.compile(rb"^listening (\d+)$", re.MULTILINE)
 CONTROL = re.compile(rb"^control (\d+)$", re.MULTILINE)
+PORT_RANGE = range(20_000, 32_000)
+# Starts at a place that differs between test runs on one machine.
+_PORTS = itertools.islice(
+    itertools.cycle(PORT_RANGE), os.getpid() * 97 % len(PORT_RANGE), None
+)
 
 
 class ProcessError(Exception):
@@ -294,12 +300,17 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now, for processes that cannot pick their own."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ports that are free now, for processes that cannot pick their own.
+
+    They lie below the range from which the kernel serves outgoing connections
+    and listeners on port 0, so that no other process gets one meanwhile.
+    """
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_PORTS)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with contextlib.suppress(OSError):
+                sock.bind((HOST, port))
+                found.append(port)
+    return found
