Report calls over a breaking RPC connection as unreachable

Cause: grpclib deletes the transport of a connection that breaks while a call is about to use it. The call raised AttributeError (or an h2 error), which passed through the heartbeat task and ended the whole node.

--- a/packages/snipelug-net/src/snipelug_net/rpc.py
+++ b/packages/snipelug-net/src/snipelug_net/rpc.py
@@ -11,11 +11,15 @@
 import grpclib.encoding.base
 import grpclib.exceptions
 import grpclib.server
+import h2.exceptions
 import msgspec
 import trio
 import trio_asyncio
 
 SIGNATURE_BYTES = 16
+# grpclib drops the transport of a connection that breaks while a call is about to
+# use it, and the call then meets a missing attribute or a closed h2 connection.
+BROKEN_CONNECTION_ERRORS = (AttributeError, h2.exceptions.H2Error)
 
 Message = typing.TypeVar("Message", bound=msgspec.Struct)
 Answer = typing.TypeVar("Answer", bound=msgspec.Struct)
@@ -154,6 +158,7 @@
                 BadSignatureError,
                 msgspec.MsgspecError,
                 OSError,
+                *BROKEN_CONNECTION_ERRORS,
             ) as exc:
                 return Unreachable(f"{type(exc).__name__}: {exc}")
             return typing.cast(Answer, answer)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -117,3 +117,32 @@
         assert answer == Ping("hi!")
     else:
         assert isinstance(answer, rpc.Unreachable)
+
+
+@pytest.mark.parametrize("greeting", [b"", b"not HTTP/2 " * 10])
+async def test_rpc_survives_connections_that_break(greeting: bytes) -> None:
+    """Guards against a peer's broken connections ending the calling process."""
+
+    async def break_off(stream: trio.SocketStream) -> None:
+        if greeting:
+            await stream.send_all(greeting)
+        await trio.sleep(0.002)
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, break_off, listeners)
+        client = rpc.Client("127.0.0.1", port, b"key")
+
+        async def call_often() -> None:
+            for _ in range(100):
+                answer = await client.call(PING, Ping("hi"), timeout_s=1.0)
+                assert isinstance(answer, rpc.Unreachable)
+
+        async with trio.open_nursery() as callers:
+            for _ in range(5):
+                callers.start_soon(call_often)
+        client.close()
+        nursery.cancel_scope.cancel()
