--- a/packages/snipelug-core/src/snipelug_core/admission.py
+++ b/packages/snipelug-core/src/snipelug_core/admission.py
@@ -35,10 +35,16 @@
 
 
 class PartName(enum.StrEnum):
-    """The two parts of the slots of one upstream."""
+    """Parts of the slots of one upstream.
+
+    ``SUSPECT`` is one further slot, of the leased part's holder, for requests that
+    were running when another upstream died. It is needed warm or cold, besides a
+    cold-start slot where the upstream is cold.
+    """
 
     LEASED = "leased"
     OUTAGE = "outage"
+    SUSPECT = "suspect"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -152,7 +158,7 @@
 
 def capacity(name: PartName, cold_limit: int) -> int:
     """Return the number of slots of a part of an upstream's limit while cold."""
-    return 1 if name is PartName.OUTAGE else cold_limit - 1
+    return cold_limit - 1 if name is PartName.LEASED else 1
 
 
 def begin(part: Part, cold_limit: int, now: float, had_holder: bool) -> None:
@@ -218,6 +224,8 @@
     busy = report.running + report.waiting
     arrived = sum(_has_arrived(slot, report) for slot in part.slots.values())
     own = len(part.slots) - arrived + min(arrived, busy)
+    if part.name is PartName.SUSPECT:
+        return own
     slots = [*part.slots.values(), *part.released.values()]
     held_then = sum(
         slot.granted_at <= report.made_at < slot.released_at for slot in slots
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,98 @@
+"""Fakes of the node's ports that run in one process."""
+
+import typing
+
+import msgspec
+
+from snipelug_net import rpc
+from snipelug_node import ports
+
+
+class Net:
+    """Connects fake peers; calls to ``down`` nodes or with lost answers fail."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Peers] = {}
+        self.down: set[str] = set()
+        self.lose_answers: set[str] = set()
+        self.calls: list[tuple[str, str]] = []
+
+
+class Peers:
+    """One node's view of a `Net`; messages take the way through the codec."""
+
+    def __init__(self, net: Net, node_id: str) -> None:
+        self.node_id = node_id
+        self.net = net
+        self.procedures: dict[str, rpc.Procedure] = {}
+        net.nodes[node_id] = self
+
+    def live(self) -> list[str]:
+        return sorted(set(self.net.nodes) - self.net.down)
+
+    async def call(
+        self,
+        node_id: str,
+        method: rpc.Method[typing.Any, typing.Any],
+        message: msgspec.Struct,
+        timeout_s: float,
+    ) -> typing.Any:
+        self.net.calls.append((node_id, method.name))
+        if node_id in self.net.down:
+            return rpc.Unreachable("down")
+        coded = msgspec.msgpack.encode(message)
+        received = msgspec.msgpack.decode(coded, type=method.request)
+        answer = await self.net.nodes[node_id].procedures[method.name](received)
+        if method.name in self.net.lose_answers:
+            return rpc.Unreachable("answer lost")
+        return answer
+
+    def register(
+        self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
+    ) -> None:
+        self.procedures[method.name] = procedure
+
+
+class Tables:
+    """A table service in memory, with an outage and lost answers."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], ports.Row] = {}
+        self.is_down = False
+        self.lose_answers = 0
+        self.version = 0
+
+    async def read(
+        self, table_name: str, key: str
+    ) -> ports.Row | ports.Absent | ports.Unavailable:
+        if self.is_down:
+            return ports.Unavailable("down", maybe_applied=False)
+        return self.rows.get((table_name, key), ports.Absent())
+
+    async def scan(
+        self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> list[ports.Row] | ports.Unavailable:
+        if self.is_down:
+            return ports.Unavailable("down", maybe_applied=False)
+        rows = sorted(self.rows.values(), key=lambda row: row.key)
+        found = [r for r in rows if r.table == table_name and r.key > after]
+        return [row for row in found if row.key.startswith(prefix)][:limit]
+
+    async def write(
+        self, write: ports.Write
+    ) -> ports.Written | ports.Conflict | ports.Unavailable:
+        if self.is_down:
+            return ports.Unavailable("down", maybe_applied=False)
+        at = (write.table, write.key)
+        row = self.rows.get(at)
+        version = row.version if row else ports.Expect.ABSENT
+        if write.expect not in (version, ports.Expect.ANY):
+            return ports.Conflict()
+        self.version += 1
+        content = write.content or b""
+        new = ports.Row(write.table, write.key, str(self.version), content)
+        self.rows[at] = new
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return ports.Unavailable("answer lost", maybe_applied=True)
+        return ports.Written(new.version)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -27,6 +27,7 @@
 RUNS_S = (1.0, 60.0)
 LEASED = admission.PartName.LEASED
 OUTAGE = admission.PartName.OUTAGE
+PARTS = (LEASED, OUTAGE)
 CFG = contract.Config()
 ENGINE = table.Instance("u1", table.Role.ENGINE, "127.0.0.1", 1, "esk-b")
 
@@ -69,7 +70,7 @@
     conns: list[Conn] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.parts = {name: admission.Part(name) for name in admission.PartName}
+        self.parts = {name: admission.Part(name) for name in PARTS}
         self.upstream = table.Upstream(ENGINE)
 
     @property
@@ -326,7 +327,7 @@
 DISTURBANCE = st.fixed_dictionaries(
     {
         "number": st.integers(0, 2),
-        "part": st.sampled_from(admission.PartName),
+        "part": st.sampled_from(PARTS),
         "run_s": st.sampled_from(RUNS_S),
         "until": st.sampled_from([Stage.HELD, Stage.CHECKED, Stage.RUNNING]),
         "event": st.sampled_from(EVENTS),
@@ -356,7 +357,7 @@
     @stateful.rule(run_s=st.sampled_from(RUNS_S))
     def fill(self, run_s: float) -> None:
         """Let every node ask every holder until none grants any more."""
-        for part in admission.PartName:
+        for part in PARTS:
             asks = itertools.product(self.world.nodes.values(), self.holders(part))
             for node, holder in list(asks):
                 req = None if node.frozen else self.world.ask(node, holder, part, run_s)
@@ -366,7 +367,7 @@
 
     @stateful.rule(
         number=st.integers(0, 2),
-        part=st.sampled_from(admission.PartName),
+        part=st.sampled_from(PARTS),
         run_s=st.sampled_from(RUNS_S),
         until=st.sampled_from([Stage.ASKED, Stage.HELD, Stage.CHECKED, Stage.CHECKED]),
     )
@@ -512,7 +513,7 @@
         else:
             world.listed.append((world.now, frozenset(world.nodes)))
 
-    @stateful.rule(number=st.integers(0, 2), part=st.sampled_from(admission.PartName))
+    @stateful.rule(number=st.integers(0, 2), part=st.sampled_from(PARTS))
     def hand_over(self, number: int, part: admission.PartName) -> None:
         """End a part at its holder, then write the row in the successor's name."""
         world = self.world
@@ -674,3 +675,15 @@
     """Guards against two holders: a lagging list also lacks new instances."""
     answer = admission.may_take_outage_part(holder, "me", listed, list_asked_at, 1.0)
     assert answer is may_take
+
+
+def test_one_suspect_at_a_time() -> None:
+    """Guards against two suspects on one upstream, and against none on a busy one."""
+    part = admission.Part(admission.PartName.SUSPECT)
+    admission.begin(part, 3, 0.0, had_holder=False)
+    admission.observe(part, build_report(1.0, 30))
+    other = admission.Ask("b", 10.0)
+    assert admission.admit(part, ASK, 3, 2.0, True) == admission.Granted()
+    assert admission.admit(part, other, 3, 2.0, True) == admission.Full(1)
+    admission.release(part, "a", True, 3.0)
+    assert admission.admit(part, other, 3, 4.0, True) == admission.Granted()
