Admit requests to cold upstreams through their owner

Cause: cold upstreams got nothing; their slots stood without a user.

Change: sends to an upstream that counts as cold hold a slot from its owner or the holder of its outage slot; holders follow the loads of what they hold.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -72,7 +72,13 @@
 
 
 class Reply:
-    """A response whose head has arrived and whose body can be read."""
+    """A response whose head has arrived and whose body can be read.
+
+    Attributes
+    ----------
+    has_ended : bool
+        The whole body was read.
+    """
 
     def __init__(self, pool: "Pool", conn: "_Connection", head: h11.Response) -> None:
         self.status = head.status_code
@@ -83,6 +89,7 @@
         self._pool = pool
         self._conn = conn
         self._finished = False
+        self.has_ended = False
 
     async def next_part(self) -> bytes | Lost | None:
         """Return the next body part, None at the end, or Lost if it was cut off."""
@@ -100,6 +107,7 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         self._finished = True
+        self.has_ended = True
         self._pool.give_back(self._conn)
         return None
 
--- a/packages/snipelug-node/src/snipelug_node/admitter.py
+++ b/packages/snipelug-node/src/snipelug_node/admitter.py
@@ -165,6 +165,15 @@
             if part is not None:
                 admission.observe(part, report)
 
+    def has_free_slot(self, upstream_id: str, name: admission.PartName) -> bool:
+        """Return whether this node, if it holds the part, could grant a slot now."""
+        part = self._parts.get((upstream_id, name))
+        if part is None or not part.held:
+            return False
+        limit = self._cold_limit_of(upstream_id)
+        used = admission.count_used(part, limit)
+        return used < admission.capacity(name, limit)
+
     @contextlib.asynccontextmanager
     async def slot(
         self,
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -165,7 +165,8 @@
 
     async def aclose(self) -> None:
         """End the run: its connection, slot and count of requests in flight."""
-        self.permit.release()
+        has_ended = self.reply is not None and self.reply.has_ended
+        self.permit.release(has_ended)
         self.router.ended(self.choice, self.run_id)
         if self.reply is not None:
             reply = self.reply
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -430,7 +430,7 @@
         try:
             body = await sent.reply.read(service.MAX_ANSWER_BYTES, left_s)
         finally:
-            sent.permit.release()
+            sent.permit.release(sent.reply.has_ended)
             with trio.CancelScope(shield=True):
                 await sent.reply.aclose()
         if not isinstance(body, bytes):
--- a/packages/snipelug-node/src/snipelug_node/interim.py
+++ b/packages/snipelug-node/src/snipelug_node/interim.py
@@ -1,28 +1,7 @@
 """Parts that refuse or permit everything, until their own modules are wired in."""
 
 from snipelug_core import contract, refusal
-from snipelug_node import admin, sender
-
-
-class NoGrants:
-    """No cold-start slots at hand."""
-
-    def is_granted(self, upstream_id: str, now: float) -> bool:
-        """Return false."""
-        del upstream_id, now
-        return False
-
-
-class NoSlots:
-    """No cold-start slots; cold upstreams get nothing."""
-
-    async def acquire(
-        self, upstream_id: str, deadline: float
-    ) -> sender.Slot | refusal.Refusal:
-        """Refuse."""
-        del deadline
-        message = f"upstream {upstream_id} is cold"
-        return refusal.refuse(refusal.NO_UPSTREAM, message)
+from snipelug_node import admin
 
 
 class NoCrashes:
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -1,7 +1,6 @@
 """Composition of a node from its parts, and its planned stop."""
 
 import collections.abc
-import contextlib
 import dataclasses
 import functools
 import gc
@@ -30,6 +29,7 @@
 from snipelug_net import http_client, http_server
 from snipelug_node import (
     admin,
+    admitter,
     cache,
     dispatch,
     gateway,
@@ -47,6 +47,7 @@
     router,
     sender,
     settings,
+    slots,
     ticker,
     watcher,
 )
@@ -66,10 +67,19 @@
 
 
 class Node:
-    """All parts of one node."""
+    """All parts of one node.
 
-    def __init__(self, cfg: settings.Settings) -> None:
+    Parameters
+    ----------
+    cfg : settings.Settings
+        Settings.
+    nursery : trio.Nursery
+        Runs what goes on in the background until the process ends.
+    """
+
+    def __init__(self, cfg: settings.Settings, nursery: trio.Nursery) -> None:
         self.cfg = cfg
+        self.nursery = nursery
         self.rng = random.Random()
         self.tables = table.Tables()
         self.metrics = metrics.build(cfg.statsd)
@@ -101,12 +111,26 @@
             platform.HttpObjectStore(self.pool, cfg.objects),
             self.peers,
         )
+        self._build_slots()
         self._build_cache()
         self._build_request_path()
         self.admin = admin.Admin(
             self.keeper, self.peers, cfg.admin_key, self._providers()
         )
 
+    def _build_slots(self) -> None:
+        self.admitter = admitter.Admitter(
+            self.peers,
+            functools.partial(slots.holder_of, self.lease),
+            functools.partial(slots.holds, self.lease),
+            lambda _: self.cfg.cold_limit,
+            self.peers.settings.incarnation,
+            self.nursery,
+        )
+        self.slots = slots.Slots(
+            self.admitter, self.lease, self._upstream_ids, self.nursery
+        )
+
     def _build_cache(self) -> None:
         self.shard = cache.Shard(INDEX_BYTES)
         self.shard.register(self.peers)
@@ -136,14 +160,14 @@
             cfg=lambda: self.keeper.cfg,
             may_send=self._may_send,
             cache=self.reuse,
-            grants=interim.NoGrants(),
+            grants=self.slots,
             is_suspect=lambda _: False,
             suspects_at=lambda _: 0,
             chooser=route.ByCost(route.MODES[cfg.mode]),
             rng=self.rng,
         )
         self.sender = sender.Sender(
-            self.pool, interim.NoSlots(), self._may_send, self.watcher.read_load
+            self.pool, self.slots, self._may_send, self.watcher.read_load
         )
         self.dispatcher = dispatch.Dispatcher(
             sender=self.sender,
@@ -184,8 +208,10 @@
         self, upstream_id: str, report: table.LoadReport, asked_at: float
     ) -> None:
         upstream = self.tables.upstreams.get(upstream_id)
-        if upstream is not None:
-            load.accept_report(upstream, report, asked_at)
+        if upstream is None:
+            return
+        if load.accept_report(upstream, report, asked_at):
+            self.admitter.observe(upstream_id, report)
 
     def _take_list(self, listed: list[table.Instance], now: float) -> None:
         self.lease.note_instances(listed, now)
@@ -203,6 +229,13 @@
         teams = [(ownership.Kind.TEAM, team) for team in self.keeper.cfg.contracts]
         return items + teams
 
+    def _upstream_ids(self) -> list[str]:
+        return [
+            inst.id
+            for inst in self.tables.instances.values()
+            if inst.role in watcher.UPSTREAM_ROLES
+        ]
+
     def _fencing_of(self, upstream_id: str) -> int | None:
         now = trio.current_time()
         return self.lease.holds(ownership.Kind.UPSTREAM, upstream_id, now)
@@ -220,6 +253,7 @@
             limit=self.cfg.weight_loads,
         )
         return [
+            ticker.System("slots", self.slots.plan, self.slots.execute),
             ticker.System("weights", loads.plan, loads.execute),
             ticker.System("connections", self._plan_connections, self._connect),
         ]
@@ -249,7 +283,8 @@
         by_id = {inst.id: inst for inst in upstreams}
         chosen = route.Subset(self.cfg.node_id)
         chosen.update({i: f"{inst.zone}/{inst.name}" for i, inst in by_id.items()})
-        return [by_id[i] for i in chosen.ids]
+        owned = [i for i in by_id if i not in chosen.ids and self.slots.has_part(i)]
+        return [by_id[i] for i in (*chosen.ids, *owned)]
 
     def _read_here(self) -> list[table.Instance]:
         """Return the engines and stores whose feeds this node reads."""
@@ -347,19 +382,18 @@
         gc.set_threshold(GC_ALLOCATIONS)
         callers = http_server.Server(self.gateway.handle)
         operators = http_server.Server(self.admin.handle)
-        async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
-            await self._start_background(nursery)
-            await nursery.start(callers.serve, cfg.host, cfg.port)
-            await nursery.start(operators.serve, cfg.host, cfg.admin_port)
-            journal.event(
-                LOG, "started", zone=cfg.zone, port=cfg.port, admin_port=cfg.admin_port
-            )
-            await self._wait_for_stop(callers)
-            await self.lease.stop()
-            nursery.cancel_scope.cancel()
+        await self._start_background()
+        await self.nursery.start(callers.serve, cfg.host, cfg.port)
+        await self.nursery.start(operators.serve, cfg.host, cfg.admin_port)
+        journal.event(
+            LOG, "started", zone=cfg.zone, port=cfg.port, admin_port=cfg.admin_port
+        )
+        await self._wait_for_stop(callers)
+        await self.lease.stop()
         journal.event(LOG, "stopped")
 
-    async def _start_background(self, nursery: trio.Nursery) -> None:
+    async def _start_background(self) -> None:
+        nursery = self.nursery
         await nursery.start(self.peers.run)
         await nursery.start(self.keeper.run)
         await nursery.start(self.watcher.run)
@@ -438,5 +472,6 @@
 
 async def run(cfg: settings.Settings) -> None:
     """Run a node with these settings."""
-    with contextlib.suppress(KeyboardInterrupt):
-        await Node(cfg).run()
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        await Node(cfg, nursery).run()
+        nursery.cancel_scope.cancel()
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -22,8 +22,8 @@
         """Whether the permission still holds."""
         ...
 
-    def release(self) -> None:
-        """Give the slot back."""
+    def release(self, has_ended: bool) -> None:
+        """Give the slot back; say whether a sent request has surely ended."""
         ...
 
 
@@ -65,25 +65,27 @@
         """Judge the send; must be the last step before the first byte."""
         now = trio.current_time()
         self.verdict = self.may_send(self.upstream, conn_opened_at, now)
-        granted = self.slot is not None and self.slot.valid(now)
-        match self.verdict:
-            case load.Allowed():
-                allowed = self.slot is None or granted
-            case load.NeedsGrant():
-                allowed = granted
-            case _:
-                allowed = False
-        return allowed
+        if isinstance(self.verdict, load.Barred):
+            return False
+        if self.slot is None:
+            return isinstance(self.verdict, load.Allowed)
+        return self.slot.valid(now)
 
     def count(self) -> None:
         """Count the request as in flight."""
         load.note_sent(self.upstream, trio.current_time())
         self.counted = True
 
-    def release(self) -> None:
-        """End the request's accounting; later calls have no effect."""
+    def release(self, has_ended: bool) -> None:
+        """End the request's accounting; later calls have no effect.
+
+        Parameters
+        ----------
+        has_ended : bool
+            The answer came to its end, so the upstream runs the request no more.
+        """
         if self.slot is not None:
-            self.slot.release()
+            self.slot.release(has_ended)
             self.slot = None
         if self.counted:
             self.counted = False
@@ -160,7 +162,7 @@
                 if not _worth_waiting(permit) or trio.current_time() > give_up_at:
                     return Blocked(_withheld(permit))
         finally:
-            permit.release()
+            permit.release(has_ended=False)
 
     async def _prepare(self, permit: Permit, deadline: float) -> refusal.Refusal | None:
         """Obtain what the last verdict asked for."""
@@ -175,7 +177,7 @@
             await trio.sleep(REPORT_POLL_S if permit.verdict is verdict else 0)
             return None
         if permit.slot is not None:
-            permit.slot.release()
+            permit.slot.release(has_ended=False)
             permit.slot = None
         slot = await self.slots.acquire(permit.upstream.instance.id, deadline)
         if isinstance(slot, refusal.Refusal):
