--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -108,7 +108,7 @@
         )
 
     def has_part(self, upstream_id: str) -> bool:
-        """Whether this node holds a part, so that it must follow the upstream's load."""
+        """Whether this node holds a part, and so must follow the upstream's load."""
         return any(self._fencing(upstream_id, p) for p in admitter.COLD_PARTS)
 
     def plan(self) -> collections.abc.Iterator[Begin | End]:
