Wait up to 5 s for an engine; give each upstream a retry budget

Cause: of 30 requests sent at the moment when both engines turned cold, 3 were refused at once, although slots were free 0.3 s later.

Ruled out: more retries. The requests had nothing left to try, because an engine stays excluded for the request once its connection was closed.

Change: without an engine to choose, a request looks again every 0.1 s for up to 5 s within its deadline.

--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -17,6 +17,11 @@
 CHUNK_GAP_S = 30.0
 """A stream that is silent for half of this to all of this counts as lost."""
 
+WAIT_FOR_ENGINE_S = 5.0
+"""Time that a request waits while no engine may be sent to, within its deadline."""
+
+NEXT_LOOK_S = 0.1
+
 MAX_TRIES = 6
 """Sends of one request, those that were declined included."""
 
@@ -188,28 +193,33 @@
 
     async def open(self, job: Job) -> Exchange | refusal.Refusal:
         """Send the request until an engine starts to answer it."""
-        refused: refusal.Refusal | None = None
-        for attempt in range(MAX_TRIES):
+        message = "the request's deadline passed before an engine accepted it"
+        refused = refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
+        wait_until = min(job.deadline, trio.current_time() + WAIT_FOR_ENGINE_S)
+        tries = 0
+        while tries < MAX_TRIES and trio.current_time() < job.deadline:
             blocked = self.crashes.check(job.fingerprint)
             if blocked is not None:
                 return dataclasses.replace(blocked, run_state=job.run_state)
-            if trio.current_time() >= job.deadline:
-                break
             choice = await self.router.choose(job)
             if isinstance(choice, refusal.Refusal):
-                found = refused or choice
-                return dataclasses.replace(found, run_state=job.run_state)
-            if not self._may_try(choice, attempt):
+                if not job.sent:
+                    refused = choice
+                if trio.current_time() + NEXT_LOOK_S > wait_until:
+                    break
+                # Engines that declined may accept the request after a while.
+                job.excluded.clear()
+                await trio.sleep(NEXT_LOOK_S)
+                continue
+            if not self._may_try(choice, tries):
                 break
+            tries += 1
             opened = await self._try(job, choice)
             if isinstance(opened, Exchange):
                 return opened
             refused = opened.refusal
             if opened.final or (job.once and job.sent):
                 return refused
-        if refused is None:
-            message = "the request's deadline passed before an engine accepted it"
-            refused = refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
         return dataclasses.replace(refused, run_state=job.run_state)
 
     def _may_try(self, choice: Choice, attempt: int) -> bool:
--- a/packages/snipelug-node/src/snipelug_node/interim.py
+++ b/packages/snipelug-node/src/snipelug_node/interim.py
@@ -18,18 +18,6 @@
         return False
 
 
-class NoBudget:
-    """No retries."""
-
-    def note_request(self, upstream_id: str, now: float) -> None:
-        """Ignore a request."""
-
-    def take_retry(self, upstream_id: str, now: float) -> bool:
-        """Refuse."""
-        del upstream_id, now
-        return False
-
-
 class Unlimited:
     """No limits."""
 
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -42,6 +42,7 @@
     peer,
     platform,
     ports,
+    retries,
     reuse,
     revision,
     router,
@@ -173,7 +174,7 @@
             sender=self.sender,
             router=self.router,
             crashes=interim.NoCrashes(),
-            budget=interim.NoBudget(),
+            budget=retries.Budgets(),
             cache_salt=functools.partial(block.cache_salt, cfg.key),
             on_finished=functools.partial(gateway.report_finished, self.metrics),
         )
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/retries.py
@@ -0,0 +1,21 @@
+"""Retry budgets of this node, one for each upstream."""
+
+import collections
+
+from snipelug_core import retry
+
+
+class Budgets:
+    """Implements ``dispatch.Budget``."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, retry.Budget] = collections.defaultdict(retry.Budget)
+
+    def note_request(self, upstream_id: str, now: float) -> None:
+        """Count a first send."""
+        del now
+        retry.note_request(self._budgets[upstream_id])
+
+    def take_retry(self, upstream_id: str, now: float) -> bool:
+        """Take one retry from the budget if there is one."""
+        return retry.try_retry(self._budgets[upstream_id], now)
