--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -20,7 +20,10 @@
 """
 
 DECAY_S = 86_400.0
-"""Time after which an unused entry's value counts as 1/e, in seconds."""
+"""Time after which an unused entry's value counts as 1/e, in seconds.
+
+Of the order of the gaps before a return.
+"""
 
 DEFAULT_VALUE = 1e-3
 """Value of an entry known only from a feed: below that of any recorded prompt."""
@@ -30,6 +33,7 @@
 
 MAX_LOCATIONS = 6
 MAX_TOMBSTONES = 4096
+MAX_EARLY_VALUES = 4096
 MAX_PAST_BOOTS = 8
 
 
@@ -164,10 +168,13 @@
     ----------
     limit_bytes : int
         Memory allowed, in bytes; entries of the least expected value are evicted.
+    decay_s : float
+        Time after which an unused entry's value counts as 1/e, in seconds.
     """
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, decay_s: float = DECAY_S) -> None:
         self.limit_bytes = limit_bytes
+        self.decay_s = decay_s
         self._locations = 0
         self._entries: dict[block.Key, _Entry] = {}
         self._heap: list[tuple[float, block.Key]] = []
@@ -175,6 +182,8 @@
         self._past: dict[str, collections.deque[str]] = {}
         self._tombstones: collections.OrderedDict[tuple[_Boot, block.Key], int]
         self._tombstones = collections.OrderedDict()
+        self._early: collections.OrderedDict[block.Key, float]
+        self._early = collections.OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -230,9 +239,24 @@
             if entry is not None:
                 entry.log_value = log_value
                 self._touch(key, entry, position, now)
+            else:
+                self._keep_early(key, log_value)
 
-    def lookup(self, keys: collections.abc.Sequence[block.Key], now: float) -> Found:
-        """Return the known locations of a prompt's leading blocks."""
+    def lookup(
+        self, keys: collections.abc.Sequence[block.Key], now: float, use: bool = True
+    ) -> Found:
+        """Return the known locations of a prompt's leading blocks.
+
+        Parameters
+        ----------
+        keys : sequence of bytes
+            Keys in the prompt's order.
+        now : float
+            Time in seconds.
+        use : bool
+            Whether the look-up is for a request and keeps the entries longer; a
+            scan over many prompts would make them all look recent.
+        """
         memory: dict[str, int] = {}
         stored: list[tuple[Stored, ...]] = []
         for position, key in enumerate(keys):
@@ -245,14 +269,16 @@
                 break
             memory.update(dict.fromkeys(reached, position + 1))
             stored.append(copies)
-            self._touch(key, entry, position, now)
+            if use:
+                self._touch(key, entry, position, now)
         return Found(memory, tuple(stored))
 
     def cheapest(self, store_id: str, share: float) -> list[Added]:
         """Return the copies in a store that are worth the least.
 
         Each shard frees the same share of what it knows, so that a full store gets
-        room without an owner that would have to know the value of all blocks.
+        room without an owner that would have to know the value of all blocks. Copies
+        that are not a block's oldest go first.
 
         Parameters
         ----------
@@ -263,16 +289,16 @@
         """
         boot = self._boots.get(store_id)
         held = [
-            (entry.rank, key, place)
+            (not _is_spare(entry, place), entry.rank, key, place)
             for key, entry in self._entries.items()
             for place in entry.places
             if place.boot is boot
         ]
         count = math.ceil(share * len(held))
-        chosen = heapq.nsmallest(count, held, key=lambda item: item[:2])
+        chosen = heapq.nsmallest(count, held, key=lambda item: item[:3])
         return [
             Added(p.boot.source, key, p.seq, p.generation, p.checksum)
-            for _, key, p in chosen
+            for _, _, key, p in chosen
         ]
 
     def _usable(self, entry: _Entry) -> tuple[list[str], tuple[Stored, ...]]:
@@ -317,7 +343,8 @@
         self._place(entry, (*kept, _Place(boot, event)))
         if event.key not in self._entries:
             self._entries[event.key] = entry
-            entry.rank = entry.log_value + now / DECAY_S
+            entry.log_value = self._early.pop(event.key, entry.log_value)
+            entry.rank = entry.log_value + now / self.decay_s
             self._push(event.key, entry)
         self._evict()
         return True
@@ -340,6 +367,13 @@
         self._locations += len(places) - len(entry.places)
         entry.places = places
 
+    def _keep_early(self, key: block.Key, log_value: float) -> None:
+        """Remember the value of a block whose first event is still on its way."""
+        self._early[key] = log_value
+        self._early.move_to_end(key)
+        while len(self._early) > MAX_EARLY_VALUES:
+            self._early.popitem(last=False)
+
     def _bury(self, event: Dropped, boot: _Boot) -> None:
         """Remember a drop, so that an older addition that comes later is ignored."""
         name = (boot, event.key)
@@ -348,7 +382,7 @@
             self._tombstones.popitem(last=False)
 
     def _touch(self, key: block.Key, entry: _Entry, position: int, now: float) -> None:
-        rank = entry.log_value + now / DECAY_S - position * POSITION_WEIGHT
+        rank = entry.log_value + now / self.decay_s - position * POSITION_WEIGHT
         has_fallen = rank < entry.rank
         entry.rank = rank
         if has_fallen:
@@ -382,6 +416,12 @@
     return others, known
 
 
+def _is_spare(entry: _Entry, place: _Place) -> bool:
+    """Return whether another store has an older copy that is still there."""
+    stores = [p for p in entry.places if p.boot.alive and p.boot.source.is_store]
+    return place is not stores[0]
+
+
 def _supersedes(event: Added, known: _Place) -> bool:
     # A store keeps the last write, whose generation may be lower when two nodes
     # export at once. Only its feed knows the order.
--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -1,5 +1,6 @@
 """Where copies of cached blocks are kept, by the expected value of a return."""
 
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -14,12 +15,28 @@
 TURN_BUCKETS = 3
 """Prompts are told apart by earlier turns: none, one, more."""
 
+LONG_BLOCKS = 2
+"""Prompts of at least this many blocks are counted apart from short questions."""
+
+SECOND_COPY_RESERVE = 0.5
+"""Share of a link's saved-up budget that second copies leave to first ones."""
+
 MIN_PRICE_S = 1e-3
 """Expected seconds saved per block below which an export is not worth a write."""
 
 FULL_PRICE_S = 1.0
 """Expected seconds saved per block that the last free bytes of a store cost."""
 
+SCARCE_SHARE = 0.1
+"""Free share of a store below which the price rises from the lowest to the highest.
+
+Above it, what is worth the least is deleted in time (`Index.cheapest`). A price that
+rose earlier would keep out new prompts in favour of old ones of the same value.
+"""
+
+SECOND_SCARCE_SHARE = 0.5
+"""The same for second copies, which only use space to spare."""
+
 RESERVE_SHARE = 0.02
 """Free share of a store below which nothing is placed there."""
 
@@ -34,7 +51,7 @@
 
 
 class Returns:
-    """Estimate how likely a prompt comes back, per team and number of turns.
+    """Estimate how likely a prompt comes back, per team, turns and length.
 
     Parameters
     ----------
@@ -44,22 +61,22 @@
 
     def __init__(self, half_life: int = 2000) -> None:
         self._keep = 0.5 ** (1 / half_life)
-        self._counts: dict[tuple[str, int], _Count] = {}
+        self._counts: dict[tuple[str, int, bool], _Count] = {}
 
-    def observe(self, team: str, turns: int) -> None:
-        """Count an answer to a prompt with a number of earlier turns.
+    def observe(self, team: str, turns: int, blocks: int) -> None:
+        """Count a prompt of some blocks with a number of earlier turns.
 
         A prompt with earlier turns is the return of the previous one.
         """
-        count = self._count(team, turns)
+        count = self._count(team, turns, blocks)
         count.answers = count.answers * self._keep + 1
         count.returns *= self._keep
         if turns > 0:
-            self._count(team, turns - 1).returns += 1
+            self._count(team, turns - 1, blocks).returns += 1
 
-    def probability(self, team: str, turns: int) -> float:
+    def probability(self, team: str, turns: int, blocks: int) -> float:
         """Return the estimated probability that the prompt comes back."""
-        count = self._count(team, turns)
+        count = self._count(team, turns, blocks)
         share = PRIOR_RETURNS + count.returns
         return min(1.0, share / (PRIOR_ANSWERS + count.answers))
 
@@ -67,9 +84,9 @@
         """Drop teams that no longer have a contract."""
         self._counts = {k: v for k, v in self._counts.items() if k[0] not in teams}
 
-    def _count(self, team: str, turns: int) -> _Count:
-        bucket = min(turns, TURN_BUCKETS - 1)
-        return self._counts.setdefault((team, bucket), _Count())
+    def _count(self, team: str, turns: int, blocks: int) -> _Count:
+        bucket = (team, min(turns, TURN_BUCKETS - 1), blocks >= LONG_BLOCKS)
+        return self._counts.setdefault(bucket, _Count())
 
 
 # Link budgets.
@@ -100,13 +117,23 @@
         self._at = now if self._at is None else max(now, self._at)
         return self._level
 
-    def take(self, size_bytes: float, now: float) -> bool:
+    def take(self, size_bytes: float, now: float, reserve: float = 0.0) -> bool:
         """Use up bytes if they are available.
 
         More than the burst is allowed when the bucket is full and leaves a debt;
         a transfer of that size could otherwise never start.
+
+        Parameters
+        ----------
+        size_bytes : float
+            Bytes to use.
+        now : float
+            Time in seconds.
+        reserve : float
+            Share of the burst that must remain.
         """
-        if self.available(now) < min(size_bytes, self.burst):
+        needed = min(size_bytes + reserve * self.burst, self.burst)
+        if self.available(now) < needed:
             return False
         self._level -= size_bytes
         return True
@@ -134,14 +161,20 @@
     free_bytes: float = 0.0
     size_bytes: float = 0.0
 
-    def price_s(self) -> float:
+    def price_s(self, is_second: bool = False) -> float:
         """Return the expected seconds that a block must save to get a place.
 
         The price rises as the store fills, so that the last space is kept for
         the prompts that save the most.
+
+        Parameters
+        ----------
+        is_second : bool
+            Whether another zone has a copy.
         """
+        scarce_share = SECOND_SCARCE_SHARE if is_second else SCARCE_SHARE
         free = self.free_bytes / self.size_bytes if self.size_bytes > 0 else 0.0
-        scarcity = max(0.0, 1 - 2 * free)
+        scarcity = max(0.0, 1 - free / scarce_share)
         return MIN_PRICE_S * math.pow(FULL_PRICE_S / MIN_PRICE_S, scarcity)
 
 
@@ -156,7 +189,9 @@
     block_s : float
         Prefill of one block, in seconds.
     found : index.Found
-        Copies known before the answer.
+        Copies that the index knows.
+    ordered : frozenset of (str, int)
+        Stores and positions of blocks that are on their way there.
     """
 
     chain: block.Chain
@@ -167,6 +202,7 @@
     block_s: float
     block_bytes: float
     found: index.Found = index.Found()
+    ordered: frozenset[tuple[str, int]] = frozenset()
 
     @property
     def value_s(self) -> float:
@@ -245,11 +281,15 @@
             break
         weight = mode.spread if is_second else 1.0
         value_s = prompt.value_s * weight
+        reserve = SECOND_COPY_RESERVE if is_second else 0.0
         wanted = _missing(prompt, store)
-        reason, positions = _judge(
-            prompt, store, wanted, value_s, budgets, zones_out, now
-        )
-        judged.append(Judged(store.id, reason, store.price_s(), value_s))
+        price_s = store.price_s(is_second)
+        reason, fitting = _judge(prompt, store, wanted, value_s >= price_s, zones_out)
+        positions: tuple[int, ...] = ()
+        if reason is Reason.PLACED:
+            bucket = budgets.get((store.id, prompt.zone))
+            reason, positions = _spend(prompt, wanted, fitting, bucket, reserve, now)
+        judged.append(Judged(store.id, reason, price_s, value_s))
         if reason in (Reason.PLACED, Reason.PARTLY, Reason.THERE):
             zones_with_copy.add(store.zone)
         if positions:
@@ -265,12 +305,11 @@
 
     Within a zone the conversation ranks the stores, so that its blocks stay together.
     """
-    held = prompt.found.prefixes()
+    held = collections.Counter(store for store, _ in prompt.ordered)
+    held.update(prompt.found.prefixes())
     by_id = {s.id: s for s in stores}
     ranked = hashing.rank(prompt.chain.conversation, by_id)
-    ordered = sorted(
-        ranked, key=lambda i: (-held.get(i, 0), by_id[i].zone != prompt.zone)
-    )
+    ordered = sorted(ranked, key=lambda i: (-held[i], by_id[i].zone != prompt.zone))
     return (by_id[i] for i in ordered)
 
 
@@ -280,6 +319,7 @@
         for position, copies in enumerate(prompt.found.stored)
         if any(c.store == store.id and c.boot_id == store.boot_id for c in copies)
     }
+    held.update(position for s, position in prompt.ordered if s == store.id)
     return [i for i in range(len(prompt.chain.keys)) if i not in held]
 
 
@@ -287,29 +327,40 @@
     prompt: Prompt,
     store: Store,
     wanted: list[int],
-    value_s: float,
-    budgets: Budgets,
+    is_worth_it: bool,
     zones_out: collections.abc.Set[str],
-    now: float,
-) -> tuple[Reason, tuple[int, ...]]:
-    """Return the reason and the positions that fit, from the start of the prompt."""
+) -> tuple[Reason, int]:
+    """Return whether a store takes blocks, and how many fit."""
     if not store.alive:
-        return Reason.DEAD, ()
+        return Reason.DEAD, 0
     if store.zone in zones_out:
-        return Reason.LEAVING, ()
+        return Reason.LEAVING, 0
     if not wanted:
-        return Reason.THERE, ()
+        return Reason.THERE, 0
     room = store.free_bytes - RESERVE_SHARE * store.size_bytes
     fitting = int(room // prompt.block_bytes) if prompt.block_bytes > 0 else 0
     if fitting <= 0:
-        return Reason.FULL, ()
-    if value_s < store.price_s():
-        return Reason.VALUE, ()
-    bucket = budgets.get((store.id, prompt.zone))
-    # Later blocks are useless without the earlier ones, so the end is left out.
+        return Reason.FULL, 0
+    if not is_worth_it:
+        return Reason.VALUE, 0
+    return Reason.PLACED, fitting
+
+
+def _spend(
+    prompt: Prompt,
+    wanted: list[int],
+    fitting: int,
+    bucket: Bucket | None,
+    reserve: float,
+    now: float,
+) -> tuple[Reason, tuple[int, ...]]:
+    """Return the positions that the link's budget allows.
+
+    Later blocks are useless without the earlier ones, so the end is left out.
+    """
     allowed = 0
     while bucket and allowed < min(fitting, len(wanted)):
-        if not bucket.take(prompt.block_bytes, now):
+        if not bucket.take(prompt.block_bytes, now, reserve):
             break
         allowed += 1
     if allowed == 0:
@@ -318,6 +369,59 @@
     return reason, tuple(wanted[:allowed])
 
 
+WAIT_S = 20.0
+"""Time after which an engine is expected to have evicted a waiting prompt."""
+
+MAX_WAITING = 512
+
+
+class Waiting:
+    """Prompts whose export waits for link budget, the most valuable first.
+
+    A link that is busy when an answer ends is often free some seconds later, while
+    the engine still holds the blocks.
+    """
+
+    def __init__(self, wait_s: float = WAIT_S, limit: int = MAX_WAITING) -> None:
+        self.wait_s = wait_s
+        self.limit = limit
+        self._prompts: dict[str, tuple[Prompt, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._prompts)
+
+    def add(self, prompt: Prompt, now: float) -> None:
+        """Add a prompt; a newer one of the same conversation replaces it."""
+        self._prompts[prompt.chain.conversation] = (prompt, now + self.wait_s)
+        if len(self._prompts) > self.limit:
+            least = min(self._prompts, key=lambda c: (self._value(c), c))
+            del self._prompts[least]
+
+    def due(self, now: float) -> list[Prompt]:
+        """Return what still waits, in order of value."""
+        self._prompts = {c: p for c, p in self._prompts.items() if p[1] > now}
+        order = sorted(self._prompts, key=lambda c: (-self._value(c), c))
+        return [self._prompts[c][0] for c in order]
+
+    def remove(self, prompt: Prompt) -> None:
+        """Remove a prompt that was placed, or that no store will take."""
+        self._prompts.pop(prompt.chain.conversation, None)
+
+    def _value(self, conversation: str) -> float:
+        return self._prompts[conversation][0].value_s
+
+
+def with_ordered(prompt: Prompt, placed: Placement) -> Prompt:
+    """Note exports, so that they are not ordered again before the index hears."""
+    new = {(e.store, position) for e in placed.exports for position in e.positions}
+    return dataclasses.replace(prompt, ordered=prompt.ordered | new)
+
+
+def is_unfinished(placed: Placement) -> bool:
+    """Return whether only link budget keeps blocks from a store."""
+    return any(j.reason in (Reason.BUDGET, Reason.PARTLY) for j in placed.judged)
+
+
 def record(prompt: Prompt, placement: Placement, request_id: str) -> dict[str, object]:
     """Return the fields of the log line of one placement decision."""
     return {
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -19,6 +19,10 @@
 
 TIE_CANDIDATES = 4
 
+LINK_DECAY_S = 5.0
+LINK_LEARNING = 0.3
+"""Weight of the newest import in the estimate of a link's wait."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Mode:
@@ -147,6 +151,50 @@
     latency_s: float = 0.0
 
 
+class LinkWatch:
+    """Estimate the wait on a link from the imports that used it.
+
+    The rate left over by other traffic says too little: exports are spread out and
+    fill the link only when no read waits. What a read loses is the time that it
+    queues, which this node's imports show. Without new imports the estimate
+    decays, so that a link that was slow once is tried again.
+    """
+
+    def __init__(self, decay_s: float = LINK_DECAY_S) -> None:
+        self.decay_s = decay_s
+        self._wait_s = 0.0
+        self._at = 0.0
+
+    def note(
+        self, rate_bytes_per_s: float, size_bytes: float, took_s: float, now: float
+    ) -> None:
+        """Note an import.
+
+        Parameters
+        ----------
+        rate_bytes_per_s : float
+            Rate of the idle link, as the store's status tells it.
+        size_bytes : float
+            Bytes imported.
+        took_s : float
+            Duration, in seconds.
+        now : float
+            Time in seconds.
+        """
+        seen_s = max(0.0, took_s - size_bytes / rate_bytes_per_s)
+        known_s = self.wait_s(now)
+        self._wait_s = known_s + LINK_LEARNING * (seen_s - known_s)
+        self._at = now
+
+    def wait_s(self, now: float) -> float:
+        """Return the expected wait of an import, in seconds."""
+        return self._wait_s * math.exp(-max(0.0, now - self._at) / self.decay_s)
+
+    def link(self, rate_bytes_per_s: float, delay_s: float, now: float) -> Link:
+        """Return the link as a decision sees it."""
+        return Link(rate_bytes_per_s, delay_s + self.wait_s(now))
+
+
 @dataclasses.dataclass(frozen=True)
 class Facts:
     """What a node knows when it decides.
@@ -307,6 +355,9 @@
 LEARNING = 0.05
 """Weight of a new observation in the running means."""
 
+PEERS_FRESH_S = 2.0
+"""Age up to which the other nodes' sum is used instead of the means, in seconds."""
+
 
 @dataclasses.dataclass
 class _Run:
@@ -320,12 +371,14 @@
 
     Load reports count requests, and a request with a long prompt delays others a
     hundred times longer than a short one. This node knows the work of its own
-    requests. Those of other nodes count with this node's means: the share of a
-    request's time before its first token, and its work.
+    requests, and other nodes tell the sum of theirs. Without a fresh sum, their
+    requests count with this node's means: the share of a request's time before its
+    first token, and its work.
     """
 
     def __init__(self) -> None:
         self._runs: dict[str, dict[str, _Run]] = {}
+        self._peers: dict[str, tuple[float, float]] = {}
         self._mean_work_s = 0.0
         self._mean_before_s = 0.0
         self._mean_total_s = 0.0
@@ -354,6 +407,22 @@
         total_s = now - run.sent_at
         self._mean_total_s += LEARNING * (total_s - self._mean_total_s)
 
+    def pending_s(self) -> dict[str, float]:
+        """Return the work of this node's requests that have no token yet, in seconds.
+
+        Upstreams without such requests are left out.
+        """
+        sums = {u: self._own_s(runs) for u, runs in self._runs.items()}
+        return {u: work_s for u, work_s in sums.items() if work_s > 0}
+
+    def note_peers(self, upstream: str, work_s: float, now: float) -> None:
+        """Note the sum of all other nodes' pending work at an upstream."""
+        self._peers[upstream] = (work_s, now)
+
+    def retain(self, upstreams: collections.abc.Container[str]) -> None:
+        """Forget what peers told of upstreams that are not among these."""
+        self._peers = {u: p for u, p in self._peers.items() if u in upstreams}
+
     def estimate_s(self, upstream: str, queue: int, now: float) -> float:
         """Return the prefill ahead of a new request, in seconds.
 
@@ -367,16 +436,26 @@
             Time in seconds.
         """
         runs = self._runs.get(upstream, {})
-        waiting = [r for r in runs.values() if r.first_at is None]
-        own_s = sum(r.work_s for r in waiting)
-        if waiting:
+        own_s = self._own_s(runs)
+        told_s, told_at = self._peers.get(upstream, (0.0, -math.inf))
+        age_s = now - told_at
+        if age_s <= PEERS_FRESH_S:
+            return own_s + max(0.0, told_s - age_s)
+        if own_s > 0:
             # Engines prefill in order: the oldest has run since it was sent.
-            oldest = min(waiting, key=lambda r: r.sent_at)
+            oldest = min(
+                (r for r in runs.values() if r.first_at is None),
+                key=lambda r: r.sent_at,
+            )
             own_s -= min(oldest.work_s, now - oldest.sent_at)
         share = self._mean_before_s / self._mean_total_s if self._mean_total_s else 0.0
         others = max(0, queue - len(runs))
         return own_s + others * share * self._mean_work_s
 
+    @staticmethod
+    def _own_s(runs: dict[str, _Run]) -> float:
+        return sum(r.work_s for r in runs.values() if r.first_at is None)
+
 
 # Cost of a candidate.
 
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -238,6 +238,19 @@
         assert before.ids == after.ids
 
 
+def test_slow_imports_raise_the_estimate_for_a_while() -> None:
+    """Guards against fetches over a congested link, and against never trying again."""
+    watch = route.LinkWatch(decay_s=5.0)
+    assert watch.link(10.0, 0.1, 0.0) == route.Link(10.0, 0.1)
+    for _ in range(30):
+        watch.note(10.0, 20.0, 5.0, 0.0)
+    assert watch.wait_s(0.0) == pytest.approx(3.0, rel=0.01)
+    assert watch.wait_s(10.0) < 0.5
+    for _ in range(30):
+        watch.note(10.0, 20.0, 1.0, 0.0)
+    assert watch.wait_s(0.0) == pytest.approx(0.0, abs=0.01)
+
+
 VERSIONS = [
     ([], ["w1"]),
     (["w1"], ["w1"]),
