Limit requests at a node by slices and queues

Cause: the gateway needs one call that waits for a team's limits, queue and deadline, and returns a ticket or a refusal.

Ruled out: estimating the wait from the share in force alone. Slices follow demand, so the first slice of a team is small, and 10 of 12 requests of a burst were refused early although the owner had the share. Asking in the waiting request's task: an unreachable owner would delay it by a second.

Change: Limiter.enter and Ticket.leave, run, begin, end; rpc method Slice.

--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -0,0 +1,388 @@
+"""Limits of contracts at one node: slices from the teams' owners, and the backlog."""
+
+import collections.abc
+import dataclasses
+import itertools
+import math
+import typing
+
+import msgspec
+import trio
+
+from snipelug_core import backlog, contract, quota, refusal
+from snipelug_net import rpc
+from snipelug_node import ports
+
+CALL_TIMEOUT_S = 1.0
+TICK_S = 0.01
+"""Time between looks at waiting requests, whose rates refill with time."""
+
+ASK_SOON_S = 0.25
+"""Time between requests for a slice while requests wait and no slice is held, or while
+demand outgrows the last request, in seconds."""
+
+IDLE_S = 60.0
+"""Time after which the account of a team without requests is dropped, in seconds."""
+
+HOLD_WEIGHT = 0.1
+"""Weight of the newest request in the mean time that a team's requests run."""
+
+Identifier = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+Natural = typing.Annotated[int, msgspec.Meta(ge=0)]
+Rate = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
+class SliceAsk(msgspec.Struct, frozen=True):
+    """Asks a team's owner for a slice; see `quota.Ask`."""
+
+    team: Identifier
+    session_id: Identifier
+    number: Natural
+    held: Natural
+    in_flight: Natural
+    requests_per_s: Rate
+    tokens_per_s: Rate
+
+
+class SliceReply(msgspec.Struct, frozen=True):
+    """Answers `SliceAsk`; the amounts count only if lent."""
+
+    is_lent: bool
+    in_flight: Natural = 0
+    requests_per_s: Rate = 0.0
+    tokens_per_s: Rate = 0.0
+    wait_s: Rate = 0.0
+
+
+SLICE = rpc.Method("Slice", SliceAsk, SliceReply)
+
+
+@dataclasses.dataclass
+class _Team:
+    """A team's account at this node and what its demand is estimated from."""
+
+    limits: contract.Limits
+    account: quota.Account = dataclasses.field(default_factory=quota.Account)
+    hold_s: float = 1.0
+    arrived: int = 0
+    arrived_tokens: float = 0.0
+    asked_at: float = -math.inf
+    asked_for: int = 0
+    ask_after: float = -math.inf
+    may_grow: bool = True
+    used_at: float = 0.0
+
+
+class Ticket:
+    """The right to run one request, until `leave`."""
+
+    def __init__(
+        self, limiter: "Limiter", team: str, cost: float, started_at: float
+    ) -> None:
+        self._limiter = limiter
+        self._has_left = False
+        self.team = team
+        self.cost = cost
+        self.started_at = started_at
+
+    def leave(self, used_tokens: float | None = None) -> None:
+        """Give the right back, once the request has ended.
+
+        Parameters
+        ----------
+        used_tokens : float, optional
+            Tokens really used; the difference to the cost is settled.
+        """
+        if self._has_left:
+            return
+        self._has_left = True
+        unused = 0.0 if used_tokens is None else self.cost - used_tokens
+        self._limiter._leave(self, unused)
+
+
+@dataclasses.dataclass
+class _Waiter:
+    entry: backlog.Entry
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    outcome: Ticket | refusal.Refusal | None = None
+
+
+class Limiter:
+    """Admits requests within their team's limits, and lends slices as an owner.
+
+    Parameters
+    ----------
+    peers : Peers
+        The other nodes.
+    session_id : str
+        Names this process; differs after a restart.
+    owner_of : callable
+        Returns the node that owns a team, as far as known.
+    holds_now : callable
+        Returns whether this node owns a team, with a valid lease, at this moment.
+    members : callable
+        Returns the ids of the sessions that are not revoked.
+    joined_for : callable
+        Returns the time since this node wrote its session row, in seconds.
+    limits_of : callable
+        Returns a team's limits in the configuration in force.
+    capacity : int
+        Requests that this node runs at once over all teams.
+    """
+
+    def __init__(
+        self,
+        peers: ports.Peers,
+        session_id: str,
+        owner_of: collections.abc.Callable[[str], str | None],
+        holds_now: collections.abc.Callable[[str], bool],
+        members: collections.abc.Callable[[], collections.abc.Collection[str]],
+        joined_for: collections.abc.Callable[[], float],
+        limits_of: collections.abc.Callable[[str], contract.Limits | None],
+        capacity: int = 4096,
+    ) -> None:
+        self._peers = peers
+        self._session_id = session_id
+        self._owner_of = owner_of
+        self._holds_now = holds_now
+        self._members = members
+        self._joined_for = joined_for
+        self._limits_of = limits_of
+        self._capacity = capacity
+        self._teams: dict[str, _Team] = {}
+        self._owned: dict[str, quota.Owner] = {}
+        self._queues = backlog.Backlog()
+        self._waiters: dict[int, _Waiter] = {}
+        self._numbers = itertools.count()
+        self._asks = itertools.count()
+        self._running = 0
+        self._nursery: trio.Nursery | None = None
+        peers.register(SLICE, self._answer_slice)
+
+    def begin(self, team: str, had_owner: bool) -> None:
+        """Start to own a team, after its row names this node."""
+        self._owned[team] = quota.Owner(trio.current_time(), had_owner)
+
+    def end(self, team: str) -> None:
+        """Stop to own a team, before its row is handed over."""
+        self._owned.pop(team, None)
+
+    async def run(self) -> None:
+        """Serve the queues and renew slices until cancelled."""
+        async with trio.open_nursery() as self._nursery:
+            self._nursery.start_soon(self._serve_queues)
+            while True:
+                for name in self._teams_to_ask():
+                    self._ask_soon(name)
+                await trio.sleep(ASK_SOON_S)
+
+    async def enter(
+        self, owner: contract.Contract, cost_tokens: float, deadline: float
+    ) -> Ticket | refusal.Refusal:
+        """Wait for the right to run a request.
+
+        Parameters
+        ----------
+        owner : Contract
+            Contract of the request's team.
+        cost_tokens : float
+            Expected prompt plus generated tokens.
+        deadline : float
+            Monotonic time by which the request has to start, in seconds.
+        """
+        # Waiters whose deadline has passed must not count in the expected wait.
+        self._dispatch()
+        now = trio.current_time()
+        name = owner.team
+        team = self._teams.setdefault(name, _Team(owner.limits))
+        team.limits = owner.limits
+        team.arrived += 1
+        team.arrived_tokens += cost_tokens
+        team.used_at = now
+        entry = backlog.Entry(next(self._numbers), name, cost_tokens, deadline)
+        refused = backlog.offer(self._queues, entry, owner, self._pace(team, now), now)
+        if refused is not None:
+            return refused
+        waiter = self._waiters[entry.number] = _Waiter(entry)
+        self._dispatch()
+        try:
+            if waiter.outcome is None and not self._has_slice(team):
+                # The first requests of a team do not wait for the next round.
+                self._ask_soon(name)
+            await waiter.done.wait()
+        except trio.Cancelled:
+            if isinstance(waiter.outcome, Ticket):
+                waiter.outcome.leave(0.0)
+            raise
+        finally:
+            self._waiters.pop(entry.number, None)
+            backlog.remove(self._queues, entry)
+        assert waiter.outcome is not None
+        return waiter.outcome
+
+    def _ask_soon(self, name: str) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._ask, name)
+
+    def _floor(self, team: _Team) -> quota.Amounts:
+        return quota.floor(team.limits, len(self._members()), self._joined_for())
+
+    def _has_slice(self, team: _Team) -> bool:
+        return trio.current_time() < team.account.lent_until
+
+    def _pace(self, team: _Team, now: float) -> backlog.Pace:
+        """Return the team's pace.
+
+        Slices follow demand, so the share in force bounds the pace only once the
+        owner could not lend all that was asked for.
+        """
+        own_floor = self._floor(team)
+        share = quota.share_in_force(team.account, own_floor, now)
+        if team.may_grow:
+            share = own_floor.plus(quota.pool(team.limits))
+        return backlog.Pace(
+            share.in_flight, share.requests_per_s, share.tokens_per_s, team.hold_s
+        )
+
+    def _try_start(self, entry: backlog.Entry) -> bool:
+        if self._running >= self._capacity:
+            return False
+        team = self._teams[entry.team]
+        own_floor = self._floor(team)
+        now = trio.current_time()
+        return quota.try_enter(team.account, own_floor, entry.cost, now)
+
+    def _dispatch(self) -> None:
+        now = trio.current_time()
+        for entry, answer in backlog.expire(self._queues, now):
+            self._settle(entry, answer)
+        while (head := backlog.take_next(self._queues, self._try_start)) is not None:
+            self._running += 1
+            self._settle(head, Ticket(self, head.team, head.cost, now))
+
+    def _settle(self, entry: backlog.Entry, outcome: Ticket | refusal.Refusal) -> None:
+        waiter = self._waiters[entry.number]
+        waiter.outcome = outcome
+        waiter.done.set()
+
+    def _leave(self, ticket: Ticket, unused_tokens: float) -> None:
+        now = trio.current_time()
+        team = self._teams[ticket.team]
+        quota.leave(team.account, unused_tokens)
+        team.hold_s += HOLD_WEIGHT * (now - ticket.started_at - team.hold_s)
+        team.used_at = now
+        self._running -= 1
+        self._dispatch()
+
+    async def _serve_queues(self) -> None:
+        while True:
+            self._dispatch()
+            await trio.sleep(TICK_S)
+
+    def _teams_to_ask(self) -> list[str]:
+        now = trio.current_time()
+        idle = [
+            name
+            for name, team in self._teams.items()
+            if team.account.in_flight == 0
+            and name not in self._queues.queues
+            and now - team.used_at > IDLE_S
+        ]
+        for name in idle:
+            del self._teams[name]
+        return [name for name, team in self._teams.items() if self._is_due(name, team)]
+
+    def _is_due(self, name: str, team: _Team) -> bool:
+        now = trio.current_time()
+        if now < team.ask_after:
+            return False
+        if name in self._queues.queues:
+            has_grown = self._wanted(name, team) > quota.HEADROOM * team.asked_for
+            if has_grown or not self._has_slice(team):
+                return now - team.asked_at >= ASK_SOON_S
+        is_used = self._above_floor(team) > 0 or team.arrived > 0
+        is_used = is_used or name in self._queues.queues
+        return is_used and now - team.asked_at >= quota.ASK_EVERY_S
+
+    def _wanted(self, name: str, team: _Team) -> int:
+        queue = self._queues.queues.get(name)
+        return team.account.in_flight + (0 if queue is None else len(queue.entries))
+
+    def _above_floor(self, team: _Team) -> int:
+        return max(0, team.account.in_flight - self._floor(team).in_flight)
+
+    def _message(self, name: str, team: _Team, now: float) -> SliceAsk:
+        """Ask for what arrived since the last request, and for what waits."""
+        queue = self._queues.queues.get(name)
+        waiting = 0 if queue is None else len(queue.entries)
+        tokens = 0.0 if queue is None else sum(e.cost for e in queue.entries)
+        interval_s = min(quota.SLICE_S, max(1.0, now - team.asked_at))
+        held = self._above_floor(team)
+        return SliceAsk(
+            name,
+            self._session_id,
+            next(self._asks),
+            held,
+            max(0, self._wanted(name, team) - self._floor(team).in_flight),
+            team.arrived / interval_s + waiting,
+            team.arrived_tokens / interval_s + tokens,
+        )
+
+    async def _ask(self, name: str) -> None:
+        team = self._teams.get(name)
+        holder = self._owner_of(name)
+        now = trio.current_time()
+        if team is None:
+            return
+        if holder is None or now < team.ask_after or now <= team.asked_at:
+            return
+        message = self._message(name, team, now)
+        team.asked_at = now
+        team.asked_for = self._wanted(name, team)
+        team.arrived = 0
+        team.arrived_tokens = 0.0
+        answer = await self._peers.call(holder, SLICE, message, CALL_TIMEOUT_S)
+        team.may_grow = isinstance(answer, SliceReply) and _is_met(answer, message)
+        if isinstance(answer, rpc.Unreachable):
+            return
+        if not answer.is_lent:
+            team.ask_after = now + answer.wait_s
+            return
+        amounts = quota.Amounts(
+            answer.in_flight, answer.requests_per_s, answer.tokens_per_s
+        )
+        quota.take_slice(team.account, amounts, now, self._floor(team))
+        self._dispatch()
+
+    async def _answer_slice(self, message: SliceAsk) -> SliceReply:
+        limits = self._limits_of(message.team)
+        owner = self._owned.get(message.team)
+        if limits is None or owner is None:
+            return SliceReply(False)
+        demand = quota.Amounts(
+            message.in_flight, message.requests_per_s, message.tokens_per_s
+        )
+        ask = quota.Ask(message.session_id, message.number, message.held, demand)
+        now = trio.current_time()
+        holds = self._holds_now(message.team)
+        reply = quota.lend(owner, ask, limits, self._members(), now, holds)
+        match reply:
+            case quota.Lent(amounts=amounts):
+                return SliceReply(
+                    True,
+                    amounts.in_flight,
+                    amounts.requests_per_s,
+                    amounts.tokens_per_s,
+                )
+            case quota.Wait(wait_s=wait_s):
+                return SliceReply(False, wait_s=wait_s)
+        return SliceReply(False)
+
+
+def _is_met(answer: SliceReply, message: SliceAsk) -> bool:
+    return (
+        answer.is_lent
+        and answer.in_flight >= message.in_flight
+        and answer.requests_per_s >= message.requests_per_s
+        and answer.tokens_per_s >= message.tokens_per_s
+    )
