--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import typing
 
 import msgspec
+import trio
 
 from snipelug_net import rpc
 from snipelug_node import ports
@@ -67,7 +68,10 @@
     ) -> ports.Row | ports.Absent | ports.Unavailable:
         if self.is_down:
             return ports.Unavailable("down", maybe_applied=False)
-        return self.rows.get((table_name, key), ports.Absent())
+        # Lets others run between a read and the write that depends on it.
+        row = self.rows.get((table_name, key), ports.Absent())
+        await trio.lowlevel.checkpoint()
+        return row
 
     async def scan(
         self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
@@ -88,9 +92,11 @@
         version = row.version if row else ports.Expect.ABSENT
         if write.expect not in (version, ports.Expect.ANY):
             return ports.Conflict()
+        if write.content is None:
+            del self.rows[at]
+            return ports.Written("")
         self.version += 1
-        content = write.content or b""
-        new = ports.Row(write.table, write.key, str(self.version), content)
+        new = ports.Row(write.table, write.key, str(self.version), write.content)
         self.rows[at] = new
         if self.lose_answers > 0:
             self.lose_answers -= 1
