--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -50,9 +50,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Lost:
-    """Bytes of the request were sent and no complete response came back."""
+    """Bytes of the request were sent and no complete response came back.
+
+    Attributes
+    ----------
+    is_closed : bool
+        The server closed the connection; otherwise the time ran out here.
+    """
 
     reason: str
+    is_closed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -103,7 +110,7 @@
             trio.ClosedResourceError,
         ) as exc:
             await self.aclose()
-            return Lost(str(exc) or "connection broken")
+            return Lost(str(exc) or "connection broken", is_closed=True)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         self._finished = True
@@ -286,7 +293,7 @@
     async def _exchange(
         self, call: Call, conn: _Connection, data: bytes
     ) -> Reply | Lost:
-        reason = f"no response within {call.timeout_s} s"
+        lost = Lost(f"no response within {call.timeout_s} s")
         try:
             with trio.move_on_after(call.timeout_s):
                 await conn.stream.send_all(data)
@@ -295,14 +302,14 @@
                     event = await conn.next_event()
                 if isinstance(event, h11.Response):
                     return Reply(self, conn, event)
-                reason = "connection closed before the response"
+                lost = Lost("connection closed before the response", is_closed=True)
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
-            reason = str(exc) or "connection broken"
+            lost = Lost(str(exc) or "connection broken", is_closed=True)
         except trio.Cancelled:
             await trio.aclose_forcefully(conn.stream)
             raise
         await trio.aclose_forcefully(conn.stream)
-        return Lost(reason)
+        return lost
 
     async def _take(self, addr: Address) -> _Connection | NotSent:
         idle = self._idle.get(addr)
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -8,9 +8,18 @@
 
 import trio
 
-from snipelug_core import block, contract, index, load, refusal, stream, table
+from snipelug_core import (
+    block,
+    contract,
+    index,
+    load,
+    quarantine,
+    refusal,
+    stream,
+    table,
+)
 from snipelug_net import http_client
-from snipelug_node import chat, engine, journal, sender
+from snipelug_node import chat, crashes, engine, journal, sender
 
 LOG = logging.getLogger("snipelug.dispatch")
 
@@ -50,6 +59,12 @@
         Further check before the first byte, of the claim of this request.
     first_data_at : float or None
         Monotonic time at which the answer's first part was relayed, in seconds.
+    is_suspect : bool
+        The request has crashed an upstream once.
+    crash_epoch : int
+        Epoch of the crash record known before the last send.
+    used_tokens : int or None
+        Tokens of the whole answer and its prompt, once known.
     """
 
     request_id: str
@@ -65,6 +80,9 @@
     pinned_version: str = ""
     granted: http_client.LastCheck | None = None
     first_data_at: float | None = None
+    is_suspect: bool = False
+    crash_epoch: int = 0
+    used_tokens: int | None = None
 
     @property
     def run_state(self) -> refusal.RunState:
@@ -124,18 +142,6 @@
         ...
 
 
-class Crashes(typing.Protocol):
-    """Requests that upstreams crashed on."""
-
-    def check(self, fingerprint: str) -> refusal.Refusal | None:
-        """Return why the request may not run."""
-        ...
-
-    async def crashed(self, fingerprint: str, upstream_id: str) -> bool:
-        """Record a crash; return whether the request may run again."""
-        ...
-
-
 class Budget(typing.Protocol):
     """Retry budgets."""
 
@@ -156,6 +162,8 @@
     ----------
     fault : str
         Why the run cannot give a whole answer; empty while it can.
+    is_closed : bool
+        The engine closed the connection, as it does when it dies.
     idle : bool
         Nothing arrived since the last look for stalled streams.
     """
@@ -166,6 +174,7 @@
     router: Router
     reply: http_client.Reply | None = None
     fault: str = ""
+    is_closed: bool = False
     idle: bool = False
 
     async def aclose(self) -> None:
@@ -185,7 +194,7 @@
 
     sender: sender.Sender
     router: Router
-    crashes: Crashes
+    crashes: crashes.Crashes
     budget: Budget
     cache_salt: collections.abc.Callable[[str], str]
     on_finished: collections.abc.Callable[[Job, Choice, stream.Usage], None]
@@ -198,9 +207,11 @@
         wait_until = min(job.deadline, trio.current_time() + WAIT_FOR_ENGINE_S)
         tries = 0
         while tries < MAX_TRIES and trio.current_time() < job.deadline:
-            blocked = self.crashes.check(job.fingerprint)
-            if blocked is not None:
-                return dataclasses.replace(blocked, run_state=job.run_state)
+            standing = self.crashes.check(job.fingerprint)
+            if isinstance(standing, refusal.Refusal):
+                return dataclasses.replace(standing, run_state=job.run_state)
+            job.is_suspect = standing is quarantine.Standing.SUSPECT
+            job.crash_epoch = self.crashes.epoch(job.fingerprint)
             choice = await self.router.choose(job)
             if isinstance(choice, refusal.Refusal):
                 if not job.sent:
@@ -236,15 +247,17 @@
         job.excluded.add(upstream.instance.id)
         call = engine.build_call(upstream.instance, self._run(job, choice))
         choice.sent_at = trio.current_time()
-        sent = await self.sender.send(upstream, call, job.deadline, job.granted)
+        sent = await self.sender.send(
+            upstream, call, job.deadline, job.granted, job.is_suspect
+        )
         match sent:
             case sender.Blocked(refused):
                 return _Refused(refused)
             case http_client.NotSent(reason):
                 load.mark_closed(upstream, trio.current_time())
                 return _Refused(refusal.refuse(refusal.NO_UPSTREAM, reason))
-            case http_client.Lost(reason):
-                return await self._lost(job, choice, reason)
+            case http_client.Lost():
+                return await self._lost(job, choice, sent)
             case sender.Opened(permit, reply):
                 run_id = job.answer.run_id
                 exchange = Exchange(choice, run_id, permit, self.router, reply)
@@ -291,7 +304,9 @@
         text = f"the engine answered {error.status}: {error.message}"
         return _Refused(refusal.refuse(refusal.UPSTREAM_LOST, text, job.run_state))
 
-    async def _lost(self, job: Job, choice: Choice, reason: str) -> "_Refused":
+    async def _lost(
+        self, job: Job, choice: Choice, lost: http_client.Lost
+    ) -> "_Refused":
         """Account for an engine that was lost after bytes were sent."""
         job.sent = True
         upstream = choice.upstream
@@ -301,12 +316,16 @@
             "engine_lost",
             request=job.request_id,
             upstream=upstream.instance.id,
-            reason=reason,
+            reason=lost.reason,
         )
-        may_repeat = await self.crashes.crashed(job.fingerprint, upstream.instance.id)
-        text = f"the engine was lost: {reason}"
+        text = f"the engine was lost: {lost.reason}"
         refused = refusal.refuse(refusal.UPSTREAM_LOST, text, job.run_state)
-        return _Refused(refused, final=not may_repeat)
+        if not lost.is_closed:
+            return _Refused(refused)
+        recorded = await self.crashes.record(
+            job.fingerprint, job.contract.team, upstream.instance.id, job.crash_epoch
+        )
+        return _Refused(refused, final=not recorded.allows_retry)
 
     async def relay(
         self, job: Job, exchange: Exchange
@@ -337,6 +356,7 @@
                 await current.aclose()
 
     def _completed(self, job: Job, choice: Choice, usage: stream.Usage) -> None:
+        job.used_tokens = usage.prompt_tokens + usage.completion_tokens
         self.router.completed(job, choice, usage)
         self.on_finished(job, choice, usage)
 
@@ -363,7 +383,8 @@
             if part is None:
                 return
             if isinstance(part, http_client.Lost):
-                exchange.fault = exchange.fault or part.reason
+                if not exchange.fault:
+                    exchange.fault, exchange.is_closed = part.reason, part.is_closed
                 return
             read_at = trio.current_time()
             data = b"".join([_judge(job, exchange, e) for e in parser.feed(part)])
@@ -381,7 +402,8 @@
         fault = lost.fault or "the answer ended early"
         version = lost.choice.weight_version
         await lost.aclose()
-        refused = await self._lost(job, lost.choice, fault)
+        reason = http_client.Lost(fault, lost.is_closed)
+        refused = await self._lost(job, lost.choice, reason)
         sampling = stream.Sampling(job.chat.body.temperature, job.chat.body.seed)
         decision = stream.recover(job.answer, sampling, version, version)
         if refused.final and not isinstance(decision, stream.Finish):
@@ -441,20 +463,22 @@
             job.answer.resume(repeats=False)
         return refused.refusal
 
-    async def _read_whole(self, job: Job, exchange: Exchange) -> engine.Whole | str:
+    async def _read_whole(
+        self, job: Job, exchange: Exchange
+    ) -> engine.Whole | http_client.Lost:
         """Read an answer in one piece, or return what is wrong with it."""
         reply = exchange.reply
         assert reply is not None
         left_s = max(CHUNK_GAP_S, job.deadline - trio.current_time())
         body = await reply.read(engine.MAX_ANSWER_BYTES, left_s)
         if isinstance(body, http_client.Lost):
-            return body.reason
+            return body
         if isinstance(body, http_client.TooLarge):
-            return f"the answer exceeds {body.limit_bytes} bytes"
+            return http_client.Lost(f"the answer exceeds {body.limit_bytes} bytes")
         whole = engine.read_whole(body, exchange.run_id, job.request_id)
         if isinstance(whole, engine.Whole):
             return whole
-        return str(whole)
+        return http_client.Lost(str(whole))
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -18,6 +18,7 @@
     dispatch,
     engine,
     journal,
+    limiter,
     metrics,
     order,
     sender,
@@ -51,24 +52,6 @@
         ...
 
 
-class Ticket(typing.Protocol):
-    """Permission to run one request within its team's limits."""
-
-    def leave(self) -> None:
-        """Give the permission back."""
-        ...
-
-
-class Limiter(typing.Protocol):
-    """Limits of teams over all nodes, and the queues before them."""
-
-    async def enter(
-        self, team: contract.Contract, cost_tokens: int, deadline: float
-    ) -> Ticket | refusal.Refusal:
-        """Wait for permission to run a request."""
-        ...
-
-
 @dataclasses.dataclass
 class Gateway:
     """Answers callers.
@@ -87,7 +70,7 @@
     tables: table.Tables
     pool: http_client.Pool
     dispatcher: dispatch.Dispatcher
-    limiter: Limiter
+    limits: limiter.Limiter
     orders: order.Orders
     metrics: metrics.Metrics
     stopping: bool = False
@@ -196,11 +179,11 @@
         cost = parsed.prompt_tokens + (
             parsed.body.max_tokens or DEFAULT_GENERATED_TOKENS
         )
-        ticket = await self.limiter.enter(team, cost, job.deadline)
+        ticket = await self.limits.enter(team, cost, job.deadline)
         if isinstance(ticket, refusal.Refusal):
             return ticket
         self.running += 1
-        leave = self._leaver(ticket)
+        leave = self._leaver(ticket, job)
         if key:
             try:
                 return await self._chat_once(job, key, req.body)
@@ -208,7 +191,9 @@
                 leave()
         return await self._chat_answer(job, leave)
 
-    def _leaver(self, ticket: Ticket) -> collections.abc.Callable[[], None]:
+    def _leaver(
+        self, ticket: limiter.Ticket, job: dispatch.Job | None = None
+    ) -> collections.abc.Callable[[], None]:
         """Return a function that ends a request's accounting, once."""
         left = False
 
@@ -217,7 +202,7 @@
             if not left:
                 left = True
                 self.running -= 1
-                ticket.leave()
+                ticket.leave(job.used_tokens if job is not None else None)
 
         return leave
 
@@ -307,7 +292,7 @@
         call = ServiceCall(
             req, target, uuid.uuid4().hex, trio.current_time() + team.deadline_s
         )
-        ticket = await self.limiter.enter(team, SERVICE_TOKENS, call.deadline)
+        ticket = await self.limits.enter(team, SERVICE_TOKENS, call.deadline)
         if isinstance(ticket, refusal.Refusal):
             return ticket
         self.running += 1
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -167,6 +167,19 @@
         """Stop to own a team, before its row is handed over."""
         self._owned.pop(team, None)
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return one row per team that this node serves now, for operators."""
+        now = trio.current_time()
+        return [
+            {
+                "team": name,
+                "in_flight": team.account.in_flight,
+                "waiting": max(0, self._wanted(name, team) - team.account.in_flight),
+                "slice_s": round(max(0.0, team.account.lent_until - now), 1),
+            }
+            for name, team in sorted(self._teams.items())
+        ]
+
     async def run(self) -> None:
         """Serve the queues and renew slices until cancelled."""
         async with trio.open_nursery() as self._nursery:
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -7,6 +7,7 @@
 import logging
 import random
 import signal
+import time
 import typing
 import uuid
 
@@ -21,6 +22,7 @@
     load,
     member,
     ownership,
+    quarantine,
     refusal,
     route,
     session,
@@ -31,15 +33,17 @@
     admin,
     admitter,
     cache,
+    crashes,
     dispatch,
     gateway,
-    interim,
     journal,
     lease,
+    limiter,
     loader,
     metrics,
     order,
     peer,
+    pending,
     platform,
     ports,
     retries,
@@ -49,6 +53,7 @@
     sender,
     settings,
     slots,
+    teams,
     ticker,
     watcher,
 )
@@ -113,6 +118,7 @@
             self.peers,
         )
         self._build_slots()
+        self._build_limits()
         self._build_cache()
         self._build_request_path()
         self.admin = admin.Admin(
@@ -132,6 +138,22 @@
             self.admitter, self.lease, self._upstream_ids, self.nursery
         )
 
+    def _build_limits(self) -> None:
+        process = self.peers.settings.incarnation
+        self.crashes = crashes.Crashes(
+            self.peers, self.store, self.cfg.key, process, time.time
+        )
+        self.teams = teams.Teams(self.lease, lambda: self.keeper.cfg)
+        self.limiter = limiter.Limiter(
+            self.peers,
+            process,
+            self.teams.owner_of,
+            self.teams.holds,
+            self.lease.members,
+            self.teams.joined_for,
+            self.teams.limits_of,
+        )
+
     def _build_cache(self) -> None:
         self.shard = cache.Shard(INDEX_BYTES)
         self.shard.register(self.peers)
@@ -162,18 +184,23 @@
             may_send=self._may_send,
             cache=self.reuse,
             grants=self.slots,
-            is_suspect=lambda _: False,
+            is_suspect=self._is_suspect,
             suspects_at=lambda _: 0,
             chooser=route.ByCost(route.MODES[cfg.mode]),
             rng=self.rng,
         )
+        board = pending.Board()
+        board.register(self.peers)
+        self.exchange = pending.Exchange(
+            self.peers, self.router.backlog, board, lambda: self.tables.upstreams
+        )
         self.sender = sender.Sender(
             self.pool, self.slots, self._may_send, self.watcher.read_load
         )
         self.dispatcher = dispatch.Dispatcher(
             sender=self.sender,
             router=self.router,
-            crashes=interim.NoCrashes(),
+            crashes=self.crashes,
             budget=retries.Budgets(),
             cache_salt=functools.partial(block.cache_salt, cfg.key),
             on_finished=functools.partial(gateway.report_finished, self.metrics),
@@ -185,7 +212,7 @@
             tables=self.tables,
             pool=self.pool,
             dispatcher=self.dispatcher,
-            limiter=interim.Unlimited(),
+            limits=self.limiter,
             orders=self.orders,
             metrics=self.metrics,
         )
@@ -255,10 +282,21 @@
         )
         return [
             ticker.System("slots", self.slots.plan, self.slots.execute),
+            ticker.System("teams", self.teams.plan, self._change_team),
             ticker.System("weights", loads.plan, loads.execute),
             ticker.System("connections", self._plan_connections, self._connect),
         ]
 
+    async def _change_team(self, action: teams.Begin | teams.End) -> None:
+        match action:
+            case teams.Begin(team, had_owner):
+                self.limiter.begin(team, had_owner)
+            case teams.End(team):
+                self.limiter.end(team)
+
+    def _is_suspect(self, fingerprint: str) -> bool:
+        return self.crashes.check(fingerprint) is quarantine.Standing.SUSPECT
+
     def _plan_connections(self) -> collections.abc.Iterator[connection.Open]:
         return connection.plan(
             self.tables, lambda inst: self.pool.idle_count((inst.host, inst.port))
@@ -304,10 +342,10 @@
         return admin.Providers(
             upstreams=self._upstream_rows,
             leases=self._lease_rows,
-            queues=list,
+            queues=self.limiter.describe,
             inventory=self._inventory,
-            quarantined=interim.no_rows,
-            release=interim.nothing_to_release,
+            quarantined=self._quarantined,
+            release=self._release,
             unknown_claims=self._open_claims,
             settle=self._settle,
         )
@@ -328,6 +366,33 @@
             for upstream in self.tables.upstreams.values()
         ]
 
+    async def _quarantined(self) -> admin.Rows | refusal.Refusal:
+        return [
+            {
+                "fingerprint": record.fingerprint,
+                "team": record.team,
+                "upstreams": sorted({c.upstream_id for c in record.crashes}),
+            }
+            for record in self.crashes.quarantined()
+        ]
+
+    async def _release(self, fingerprint: str, author: str) -> refusal.Refusal | None:
+        outcome = await self.crashes.release(fingerprint)
+        match outcome:
+            case crashes.Released():
+                journal.event(
+                    LOG, "quarantine_released", fingerprint=fingerprint, author=author
+                )
+                return None
+            case crashes.Unknown():
+                message = f"fingerprint {fingerprint} has no crash on record"
+                return refusal.refuse(refusal.NOT_FOUND, message)
+            case ports.Conflict():
+                message = "the record changed meanwhile; repeat the release"
+                return refusal.refuse(refusal.IN_PROGRESS, message)
+            case ports.Unavailable(reason):
+                return refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
+
     async def _open_claims(self) -> admin.Rows | refusal.Refusal:
         rows: admin.Rows = []
         for team in self.keeper.cfg.contracts:
@@ -404,6 +469,9 @@
         await nursery.start(self.feeds.run)
         await nursery.start(self.transfers.run)
         await nursery.start(self.reuse.run)
+        await nursery.start(self.exchange.run)
+        nursery.start_soon(self.crashes.run)
+        nursery.start_soon(self.limiter.run)
         nursery.start_soon(self.dispatcher.watch)
         nursery.start_soon(ticker.run, self._systems())
 
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -175,7 +175,7 @@
         chain = choice.chain
         inst = choice.upstream.instance
         turns = sum(message.role == "assistant" for message in job.chat.body.messages)
-        self.returns.observe(job.contract.team, turns)
+        self.returns.observe(job.contract.team, turns, len(chain.keys))
         if not chain.keys:
             return
         boot_id = self._boot_of(inst.id)
@@ -187,7 +187,7 @@
             team=job.contract.team,
             upstream=inst.id,
             zone=inst.zone,
-            chance=self.returns.probability(job.contract.team, turns),
+            chance=self.returns.probability(job.contract.team, turns, len(chain.keys)),
             block_s=self.block_s(inst),
             block_bytes=float(self.cfg.block_bytes),
             found=found,
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -36,6 +36,12 @@
         """Obtain a slot."""
         ...
 
+    async def acquire_suspect(
+        self, upstream_id: str, deadline: float
+    ) -> Slot | refusal.Refusal:
+        """Obtain the one slot for requests that crashed an upstream before."""
+        ...
+
 
 MaySend = collections.abc.Callable[[table.Upstream, float, float], load.Verdict]
 """Judges a send from the upstream, its connection's opening time and now."""
@@ -49,6 +55,8 @@
     ----------
     slot : Slot or None
         Cold-start slot, if the upstream may be cold.
+    suspect_slot : Slot or None
+        Slot of a request that crashed an upstream before.
     counted : bool
         The request counts as in flight at the upstream.
     verdict : load.Verdict or None
@@ -58,6 +66,7 @@
     upstream: table.Upstream
     may_send: MaySend
     slot: Slot | None = None
+    suspect_slot: Slot | None = None
     counted: bool = False
     verdict: load.Verdict | None = None
 
@@ -67,9 +76,10 @@
         self.verdict = self.may_send(self.upstream, conn_opened_at, now)
         if isinstance(self.verdict, load.Barred):
             return False
-        if self.slot is None:
-            return isinstance(self.verdict, load.Allowed)
-        return self.slot.valid(now)
+        if self.slot is None and not isinstance(self.verdict, load.Allowed):
+            return False
+        slots = [s for s in (self.slot, self.suspect_slot) if s is not None]
+        return all(slot.valid(now) for slot in slots)
 
     def count(self) -> None:
         """Count the request as in flight."""
@@ -87,6 +97,9 @@
         if self.slot is not None:
             self.slot.release(has_ended)
             self.slot = None
+        if self.suspect_slot is not None:
+            self.suspect_slot.release(has_ended)
+            self.suspect_slot = None
         if self.counted:
             self.counted = False
             load.note_ended(self.upstream, trio.current_time())
@@ -131,6 +144,7 @@
         call: http_client.Call,
         deadline: float,
         granted: http_client.LastCheck | None = None,
+        is_suspect: bool = False,
     ) -> Outcome:
         """Send a request once the upstream may be sent to.
 
@@ -145,12 +159,15 @@
         granted : LastCheck, optional
             Evaluated last of all, after the upstream was judged to be able to
             take the request; for claims, it marks the claim as sent.
+        is_suspect : bool
+            The request crashed an upstream before, so it runs alone among such
+            requests; a request that only ran beside it does not meet it again.
         """
         give_up_at = min(deadline, trio.current_time() + WITHHELD_WAIT_S)
         permit = Permit(upstream, self.may_send)
         try:
             while True:
-                refused = await self._prepare(permit, deadline)
+                refused = await self._prepare(permit, deadline, is_suspect)
                 if refused is not None:
                     return Blocked(refused)
                 outcome = await self.pool.send(call, _last_check(permit, granted))
@@ -164,8 +181,19 @@
         finally:
             permit.release(has_ended=False)
 
-    async def _prepare(self, permit: Permit, deadline: float) -> refusal.Refusal | None:
-        """Obtain what the last verdict asked for."""
+    async def _prepare(
+        self, permit: Permit, deadline: float, is_suspect: bool
+    ) -> refusal.Refusal | None:
+        """Obtain what the request and the last verdict ask for."""
+        upstream_id = permit.upstream.instance.id
+        if is_suspect:
+            if permit.suspect_slot is not None:
+                permit.suspect_slot.release(has_ended=False)
+                permit.suspect_slot = None
+            alone = await self.slots.acquire_suspect(upstream_id, deadline)
+            if isinstance(alone, refusal.Refusal):
+                return alone
+            permit.suspect_slot = alone
         verdict = permit.verdict
         if verdict is None:
             # Connections of any age are judged again before the send.
@@ -179,7 +207,7 @@
         if permit.slot is not None:
             permit.slot.release(has_ended=False)
             permit.slot = None
-        slot = await self.slots.acquire(permit.upstream.instance.id, deadline)
+        slot = await self.slots.acquire(upstream_id, deadline)
         if isinstance(slot, refusal.Refusal):
             return slot
         permit.slot = slot
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -83,11 +83,25 @@
     async def acquire(
         self, upstream_id: str, deadline: float
     ) -> HeldSlot | refusal.Refusal:
-        """Obtain a slot, waiting for one until the deadline."""
+        """Obtain a cold-start slot, waiting for one until the deadline."""
+        return await self._acquire(upstream_id, deadline, admitter.COLD_PARTS)
+
+    async def acquire_suspect(
+        self, upstream_id: str, deadline: float
+    ) -> HeldSlot | refusal.Refusal:
+        """Obtain the slot for suspect requests, waiting until the deadline."""
+        return await self._acquire(upstream_id, deadline, admitter.SUSPECT_PARTS)
+
+    async def _acquire(
+        self,
+        upstream_id: str,
+        deadline: float,
+        parts: tuple[admission.PartName, ...],
+    ) -> HeldSlot | refusal.Refusal:
         denied = admitter.Denied(())
         while trio.current_time() < deadline:
             stack = contextlib.AsyncExitStack()
-            slot = self._asking.slot(upstream_id, admission.MAX_DURATION_S)
+            slot = self._asking.slot(upstream_id, admission.MAX_DURATION_S, parts)
             held = await stack.enter_async_context(slot)
             if isinstance(held, admitter.Slot):
                 return HeldSlot(held, stack, self._nursery)
@@ -95,7 +109,7 @@
             denied = held
             await trio.sleep(RETRY_S)
         reasons = "; ".join(denied.reasons) or "the deadline passed"
-        message = f"upstream {upstream_id} is cold and has no free slot: {reasons}"
+        message = f"upstream {upstream_id} has no free slot: {reasons}"
         return refusal.refuse(refusal.NO_UPSTREAM, message)
 
     def is_granted(self, upstream_id: str, now: float) -> bool:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,6 +3,7 @@
 import functools
 
 import pytest
+
 from bench import __main__ as bench
 from bench import drive, workload
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,9 +6,18 @@
 import pytest
 import trio
 
-from snipelug_core import block, contract, index, load, refusal, stream, table
+from snipelug_core import (
+    block,
+    contract,
+    index,
+    load,
+    quarantine,
+    refusal,
+    stream,
+    table,
+)
 from snipelug_net import http_client, http_server
-from snipelug_node import chat, dispatch, sender
+from snipelug_node import chat, crashes, dispatch, sender
 
 WORDS = ["alpha ", "beta ", "gamma ", "delta "]
 
@@ -101,11 +110,16 @@
 class Permissive:
     """Crash counts and budgets that allow everything."""
 
-    def check(self, fingerprint: str) -> None:
-        return None
+    def check(self, fingerprint: str) -> quarantine.Standing:
+        return quarantine.Standing.CLEAR
 
-    async def crashed(self, fingerprint: str, upstream_id: str) -> bool:
-        return True
+    def epoch(self, fingerprint: str) -> int:
+        return 0
+
+    async def record(
+        self, fingerprint: str, team: str, upstream_id: str, epoch: int
+    ) -> crashes.Recorded:
+        return crashes.Recorded(quarantine.Standing.SUSPECT, True, ())
 
     def note_request(self, upstream_id: str, now: float) -> None:
         pass
