Lend an even base share, and begin anew only after a change of owner

Cause: short questions waited 195 to 3,335 ms. Slices followed the demand of the last 3 s, so after a quiet moment they were one token per second; an owner that wrote its own row again counted as a new owner and lent nothing for 12 s; and a node asked for the owner of a new team up to 5 s late.

Change: each borrower gets an even part of half the pool whatever it asks for; a request starts on any positive level of the requests' bucket, as for tokens; ownership begins anew only when another session held the row between; a new contract is looked for at once.

--- a/packages/snipelug-core/src/snipelug_core/quota.py
+++ b/packages/snipelug-core/src/snipelug_core/quota.py
@@ -39,6 +39,10 @@
 """Most that a borrower gets as a multiple of its demand; the rest stays free for
 borrowers that did not ask yet."""
 
+BASE_PART = 0.5
+"""Part of the pool from which each borrower gets an even share whatever it asks for,
+so that the request after a quiet moment does not wait for a larger slice."""
+
 ASK_EVERY_S = 3.0
 """Time after which a borrower asks again, in seconds. It asks while it has demand, or
 runs requests, above its floor; a new owner so hears of them before it lends."""
@@ -244,7 +248,7 @@
     wait_s = owner.since + OWNER_WAIT_S - now if owner.had_owner else 0.0
     if wait_s > 0:
         return Wait(wait_s)
-    amounts = _divide(owner, borrower, pool(limits), now)
+    amounts = _divide(owner, borrower, pool(limits), len(members), now)
     borrower.slices.append(Slice(amounts, now + SLICE_S))
     return Lent(amounts)
 
@@ -278,7 +282,9 @@
     )
 
 
-def _divide(owner: Owner, borrower: Borrower, total: Amounts, now: float) -> Amounts:
+def _divide(
+    owner: Owner, borrower: Borrower, total: Amounts, members: int, now: float
+) -> Amounts:
     others = [one for one in owner.borrowers.values() if one is not borrower]
     taken = [_committed(one, now) for one in others]
     active = [one.demand for one in others if one.reported_at + SLICE_S > now]
@@ -290,7 +296,8 @@
         limit = float(getattr(total, name))
         free = limit - sum(float(getattr(one, name)) for one in taken)
         fair = limit * wanted / all_wanted if all_wanted > 0 else 0.0
-        return max(0.0, min(free, fair, wanted * HEADROOM + 1.0))
+        base = limit * BASE_PART / max(1, members)
+        return max(0.0, min(free, max(fair, base), wanted * HEADROOM + base))
 
     return Amounts(
         int(share("in_flight")), share("requests_per_s"), share("tokens_per_s")
@@ -388,7 +395,7 @@
     share = share_in_force(account, own_floor, now)
     if account.in_flight >= share.in_flight:
         return False
-    if account.requests.level < 1.0 or account.tokens.level <= 0.0:
+    if account.requests.level <= 0.0 or account.tokens.level <= 0.0:
         return False
     account.in_flight += 1
     account.requests.level -= 1.0
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -287,8 +287,10 @@
             ticker.System("connections", self._plan_connections, self._connect),
         ]
 
-    async def _change_team(self, action: teams.Begin | teams.End) -> None:
+    async def _change_team(self, action: teams.Begin | teams.End | teams.Look) -> None:
         match action:
+            case teams.Look():
+                await self.lease.acquire()
             case teams.Begin(team, had_owner):
                 self.limiter.begin(team, had_owner)
             case teams.End(team):
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -78,7 +78,8 @@
         self._keeper = keeper
         self._upstream_ids = upstream_ids
         self._nursery = nursery
-        self._begun: dict[tuple[str, admission.PartName], int] = {}
+        self._begun: dict[tuple[str, admission.PartName], float] = {}
+        self._ever_begun: set[tuple[str, admission.PartName]] = set()
 
     async def acquire(
         self, upstream_id: str, deadline: float
@@ -129,14 +130,28 @@
         """Yield what changed about the parts that this node holds."""
         for upstream_id in self._upstream_ids():
             for part in admitter.COLD_PARTS:
-                number = self._fencing(upstream_id, part)
-                known = self._begun.get((upstream_id, part))
-                if number is None and known is not None:
-                    del self._begun[upstream_id, part]
+                place = (upstream_id, part)
+                taken_at = self._taken_at(upstream_id, part)
+                known = self._begun.get(place)
+                if known is not None and taken_at is None:
+                    del self._begun[place]
                     yield End(upstream_id, part)
-                if number is not None and number != known:
-                    self._begun[upstream_id, part] = number
-                    yield Begin(upstream_id, part, had_holder=number != 1)
+                # The row's number also grows when this node writes its own row again.
+                if taken_at is not None and taken_at != known:
+                    is_first = place not in self._ever_begun
+                    number = self._fencing(upstream_id, part)
+                    self._begun[place] = taken_at
+                    self._ever_begun.add(place)
+                    yield Begin(upstream_id, part, not (is_first and number == 1))
+
+    def _taken_at(self, upstream_id: str, part: admission.PartName) -> float | None:
+        """Return when this node took a part that its row names it for."""
+        if self._fencing(upstream_id, part) is None:
+            return None
+        kind = ownership.Kind.UPSTREAM
+        if part is admission.PartName.OUTAGE:
+            return self._keeper.outage_since(kind, upstream_id)
+        return self._keeper.taken_at(kind, upstream_id)
 
     async def execute(self, action: Begin | End) -> None:
         """Start or stop to hold a part."""
--- a/packages/snipelug-node/src/snipelug_node/teams.py
+++ b/packages/snipelug-node/src/snipelug_node/teams.py
@@ -31,6 +31,11 @@
     team: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Look:
+    """Look for teams without an owner, because a contract is new."""
+
+
 class Teams:
     """Ownership of teams as the limiter asks for it.
 
@@ -49,7 +54,9 @@
     ) -> None:
         self._keeper = keeper
         self._cfg = cfg
-        self._begun: dict[str, int] = {}
+        self._begun: dict[str, float] = {}
+        self._ever_begun: set[str] = set()
+        self._contracts: frozenset[str] = frozenset()
         self._session = ""
         self._joined_at = 0.0
 
@@ -73,25 +80,39 @@
             return 0.0
         return trio.current_time() - self._joined_at
 
-    def plan(self) -> collections.abc.Iterator[Begin | End]:
+    def plan(self) -> collections.abc.Iterator[Begin | End | Look]:
         """Yield what changed about the teams that this node owns."""
         self._note_session()
+        contracts = frozenset(self._cfg().contracts)
+        if contracts - self._contracts:
+            yield Look()
+        self._contracts = contracts
         for team in {*self._cfg().contracts, *self._begun}:
-            number = self._fencing(team)
+            taken_at = self._taken_at(team)
             known = self._begun.get(team)
-            if number is None and known is not None:
+            if known is not None and taken_at is None:
                 del self._begun[team]
                 yield End(team)
-            if number is not None and number != known:
-                self._begun[team] = number
-                yield Begin(team, had_owner=number != 1)
+            # The row's number also grows when this node writes its own row again.
+            if taken_at is not None and taken_at != known:
+                self._begun[team] = taken_at
+                yield Begin(team, self._had_owner(team))
+
+    def _taken_at(self, team: str) -> float | None:
+        """Return when this node took a team that it owns now."""
+        if not self.holds(team):
+            return None
+        return self._keeper.taken_at(ownership.Kind.TEAM, team)
+
+    def _had_owner(self, team: str) -> bool:
+        now = trio.current_time()
+        number = self._keeper.holds(ownership.Kind.TEAM, team, now)
+        is_first = number == 1 and team not in self._ever_begun
+        self._ever_begun.add(team)
+        return not is_first
 
     def _note_session(self) -> None:
         current = self._keeper.lease.session if self._keeper.lease.version else ""
         if current != self._session:
             self._session = current
             self._joined_at = trio.current_time()
-
-    def _fencing(self, team: str) -> int | None:
-        now = trio.current_time()
-        return self._keeper.holds(ownership.Kind.TEAM, team, now)
