Give process tests a deadline that is shorter than the callers' patience

Cause: with orders wired in, test_killed_node failed: a repeat of an order whose claim a dead node holds waits for the caller's deadline, 30 s in the sample, but the callers gave up after 12 s and counted that as a lost answer. Ruled out: excusing unanswered calls at living nodes; those must answer. Change: the tests' contracts have a deadline of 6 s.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -105,6 +105,8 @@
     ----------
     ports : list of Ports
         Ports by node, also of nodes that are not started yet.
+    deadline_s : float or None
+        Deadline of all contracts instead of the sample's, in seconds.
     """
 
     running: cluster.Cluster
@@ -117,6 +119,7 @@
     stores: list[cluster.Child] = dataclasses.field(default_factory=list)
     nodes: list[cluster.Child] = dataclasses.field(default_factory=list)
     ports: list[Ports] = dataclasses.field(default_factory=list)
+    deadline_s: float | None = None
 
     def zone(self, number: int) -> str:
         """Return the zone of the instance with this number."""
@@ -189,7 +192,12 @@
         async with trio.open_nursery() as nursery:
             for child in self.nodes:
                 nursery.start_soon(self.running.wait_ready, child, READY_TIMEOUT_S)
-        await self.submit(read_operations(self.sample.name))
+        operations = read_operations(self.sample.name)
+        if self.deadline_s is not None:
+            for operation in operations:
+                if "contract" in operation:
+                    operation["contract"]["deadline_s"] = self.deadline_s
+        await self.submit(operations)
         await self.wait_open(range(len(self.nodes)))
 
     async def submit(self, operations: list[dict[str, typing.Any]]) -> int:
@@ -295,10 +303,12 @@
     engines: int | None = None,
     services: int | None = None,
     stores: int | None = None,
+    deadline_s: float | None = None,
 ) -> Deployment:
     """Start a whole deployment; sizes not given come from the sample."""
     count = sample.nodes if nodes is None else nodes
     deployment = await start_platform(running, sample)
+    deployment.deadline_s = deadline_s
     free = cluster.free_ports(3 * count)
     deployment.ports = [Ports(*free[3 * i : 3 * i + 3]) for i in range(count)]
     await deployment.start_upstreams(
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -24,6 +24,10 @@
 POLL_READY_S = 0.25
 RETRY_S = 0.3
 ORDER_ATTEMPTS = 60
+# A repeat waits until its deadline for the node that holds the claim. The callers
+# wait longer than that, so that the node's answer and not their patience is tested.
+DEADLINE_S = 6.0
+CALLER_TIMEOUT_S = 12.0
 # Currency lapses after 5 s; the rest is for polling.
 REFUSES_AFTER_S = 8.0
 RECOVERS_AFTER_S = 15.0
@@ -47,7 +51,7 @@
         self.pool = http_client.Pool(connect_timeout_s=1.0)
         self.attempts: list[Attempt] = []
         self.ready: set[int] = set(range(len(deployed.nodes)))
-        self.timeout_s = 12.0
+        self.timeout_s = CALLER_TIMEOUT_S
         self.stopping = False
         self._rng = random.Random(7)
         self._numbers = itertools.count()
@@ -191,7 +195,13 @@
     async with cluster.open_cluster(directory) as running:
         with trio.fail_after(TEST_LIMIT_S):
             yield await deployment.start(
-                running, sample, nodes=nodes, engines=ENGINES, services=1, stores=1
+                running,
+                sample,
+                nodes=nodes,
+                engines=ENGINES,
+                services=1,
+                stores=1,
+                deadline_s=DEADLINE_S,
             )
 
 
