Add a failing test: outage slot handed to an unlisted node

A node handed the slot to a new node that the instance list did not contain yet; a third node saw it as removed for 30 s and took the slot while the new node still used it.

It fails: holders are b and c.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -175,3 +175,22 @@
     assert [(item.session, item.version) for item in stale] == [("s", "1")]
     assert list(session.observe(watch, {"s": "2"}, 62.0, 63.0)) == []
     assert list(session.observe(watch, {"s": "2"}, 64.0, 65.0)) == []
+
+
+def test_slot_is_not_handed_to_an_unlisted_node() -> None:
+    """Guards against a hand-over whose receiver others see as removed."""
+    bench = Bench()
+    a, b, c = (bench.node(name) for name in "abc")
+    bench.acquire(a)
+    heir = ownership.Successor(b.lease.session, b.owners.me)
+    bench.run(ownership.hand_over(a.owners, ITEM, heir))
+    bench.acquire(b)
+    bench.revoke(b)
+    for now in (0.0, 31.0):
+        bench.now = now
+        bench.run(session.renew(c.lease, now))
+        ownership.observe_list(c.unlisted, {"a", "c"}, ["b"], "c", now)
+        bench.acquire(c)
+        bench.acquire(c)
+    assert bench.owners(a, b, c) == ["c"]
+    assert len(bench.holders(a, b, c)) <= 1
