Hand outage slots only to listed nodes

Cause: a hand-over named the receiver as outage holder although the instance list did not contain it, so others counted it as removed and took the slot.

Ruled out: always freeing the slot. During an outage right after a planned stop nobody would hold it.

Change: a successor receives the slot only if the giver's reading of the list contains its node; otherwise the slot is freed and the owner takes it once it is listed. In the directed test the receiver now knows that it is unlisted, as a real node would; without that it took the free slot itself.

--- a/packages/snipelug-core/src/snipelug_core/ownership.py
+++ b/packages/snipelug-core/src/snipelug_core/ownership.py
@@ -134,11 +134,18 @@
 
 @dataclasses.dataclass
 class Unlisted:
-    """Since when nodes are missing from the instance list, on this node's clock."""
+    """What the last reading of the instance list showed.
+
+    Attributes
+    ----------
+    since : dict
+        Since when nodes are missing, on this node's clock.
+    """
 
     since: dict[str, float] = dataclasses.field(default_factory=dict)
     observed_at: float = -math.inf
     self_listed: bool = False
+    listed: frozenset[str] = frozenset()
 
 
 def observe_list(
@@ -164,6 +171,7 @@
     now : float
         Monotonic time, in seconds.
     """
+    unlisted.listed = frozenset(listed)
     unlisted.self_listed = me in listed
     if not unlisted.self_listed:
         unlisted.since.clear()
@@ -261,10 +269,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Successor:
-    """A live session that receives an item."""
+    """A live session that receives an item.
+
+    Attributes
+    ----------
+    listed : bool
+        The instance list contains its node. Others see an unlisted node as
+        removed, so it does not receive the outage slot.
+    """
 
     session: str
     process: Process
+    listed: bool = False
 
 
 def hand_over(owners: Owners, key: str, successor: Successor | None) -> Flow:
@@ -295,17 +311,18 @@
 
 
 def _without_me(owners: Owners, row: Row, successor: Successor | None) -> Row:
-    heir = successor.process if successor else None
     if not _is_mine(owners, row):
-        # Only the outage slot is this process's; the item's owner receives it.
-        if row.session and row.owner != owners.me:
-            heir = row.owner
-        return dataclasses.replace(row, fencing=row.fencing + 1, outage_holder=heir)
+        # Only the outage slot is this process's; the item's owner takes it
+        # when the list contains the owner.
+        return dataclasses.replace(row, fencing=row.fencing + 1, outage_holder=None)
+    slot = row.outage_holder
+    if slot == owners.me:
+        slot = successor.process if successor and successor.listed else None
     return Row(
         successor.session if successor else "",
-        heir,
+        successor.process if successor else None,
         row.fencing + 1,
-        heir if row.outage_holder == owners.me else row.outage_holder,
+        slot,
     )
 
 
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -269,7 +269,8 @@
             return None
         row = by_node[hashing.rank(item, by_node)[0]]
         process = ownership.Process(row.node, row.process)
-        return ownership.Successor(row.session, process)
+        listed = row.node in self._unlisted.listed
+        return ownership.Successor(row.session, process, listed)
 
     async def _every(
         self, period_s: float, work: collections.abc.Callable[[], typing.Any]
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -79,7 +79,8 @@
         node, heir = self.pick(number), self.pick(other)
         successor = None
         if heir is not node and heir.lease.session:
-            successor = ownership.Successor(heir.lease.session, heir.owners.me)
+            listed = heir.id in node.unlisted.listed
+            successor = ownership.Successor(heir.lease.session, heir.owners.me, listed)
         flow = ownership.hand_over(node.owners, item, successor)
         self.world.start(node, item, flow)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -85,7 +85,7 @@
     bench = Bench()
     a, b = bench.node("a"), bench.node("b")
     bench.acquire(a)
-    heir = ownership.Successor(b.lease.session, b.owners.me)
+    heir = ownership.Successor(b.lease.session, b.owners.me, listed=True)
     lost = ["late", "lost"] * ownership.HAND_OVER_ATTEMPTS
     bench.run(ownership.hand_over(a.owners, ITEM, heir), *lost)
     late = bench.store.late.pop()
@@ -181,6 +181,7 @@
     """Guards against a hand-over whose receiver others see as removed."""
     bench = Bench()
     a, b, c = (bench.node(name) for name in "abc")
+    b.unlisted.self_listed = False
     bench.acquire(a)
     heir = ownership.Successor(b.lease.session, b.owners.me)
     bench.run(ownership.hand_over(a.owners, ITEM, heir))
