Delete the cheapest copies from stores that fill up

Cause: stores refuse writes when they are full and remove nothing themselves, so new prompts would find no room once old ones have filled a store.

Ruled out: one owner per store that deletes, because it would have to know the value of all blocks; each shard knows the value of its own.

Change: each node deletes 3% of what its shard knows of a store with less than 15% free, copies with an older copy elsewhere first, with If-Match.

Failing runs of tests/test_cache.py against deliberately faulty versions: always deleting, deleting whatever generation is there, dropping after a failed delete: each fails at least one case.

--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -192,6 +192,9 @@
         if req.method == "POST":
             self.orders.append((req.path, json.loads(req.body)))
             return http_server.json_response(self.status, self.answer)
+        if req.method == "DELETE":
+            self.orders.append((req.path, dict(req.headers)))
+            return http_server.json_response(self.status, {})
         after = int(req.query["after"])
         events = [e for e in self.feed if typing.cast(int, e["seq"]) > after]
         name = "blocks" if req.path == "/blocks" else "events"
@@ -400,6 +403,39 @@
             await trio.sleep(0.01)
 
 
+CLEANINGS = [
+    (200, 100.0, "deleted", 3),
+    (404, 100.0, "absent", 3),
+    (412, 100.0, "absent", 3),
+    (503, 100.0, "failed", 4),
+    (200, 500.0, "deleted", 4),
+]
+
+
+@pytest.mark.parametrize(("status", "free", "count", "left"), CLEANINGS)
+async def test_full_stores_lose_their_cheapest_copies(
+    net: Net, start: Start, status: int, free: float, count: str, left: int
+) -> None:
+    """Guards against stores that stay full, and against deletes of newer copies."""
+    upstream, inst = await start("s1", table.Role.STORE)
+    upstream.status = status
+    shard = net.nodes["n1"].shard
+    for i, k in enumerate(KEYS[:4]):
+        shard.index.apply(index.Added(STORE, k, i + 1, 7, "c"), 0.0)
+        shard.index.appraise([k], 4.0 - i, 0.0)
+    views = [placement.Store("s1", "a", "b1", True, free, 1000.0)]
+    gone = dataclasses.replace(views[0], id="s9")
+    pool = http_client.Pool()
+    cleaner = cache.Cleaner(pool, shard, lambda: [gone, *views], {"s1": inst}.get)
+    await cleaner.clean()
+    found = [bool(shard.index.lookup([k], 0.0).stored) for k in KEYS[:4]]
+    assert found == [True, True, True, left == 4]
+    is_low = free < 150.0
+    assert cleaner.counts[count] == (1 if is_low else 0)
+    expected = [(f"/blocks/{KEYS[3].hex()}", '"7-c"')] if is_low else []
+    assert [(path, h["if-match"]) for path, h in upstream.orders] == expected
+
+
 def test_slots_share_the_conversations() -> None:
     """Guards against one node that holds most of the index."""
     shards = cache.ShardMap()
