--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import itertools
+import os
 
 import h11
 import trio
@@ -71,7 +72,13 @@
 
 
 class Reply:
-    """A response whose head has arrived and whose body can be read."""
+    """A response whose head has arrived and whose body can be read.
+
+    Attributes
+    ----------
+    has_ended : bool
+        The whole body was read.
+    """
 
     def __init__(self, pool: "Pool", conn: "_Connection", head: h11.Response) -> None:
         self.status = head.status_code
@@ -82,6 +89,7 @@
         self._pool = pool
         self._conn = conn
         self._finished = False
+        self.has_ended = False
 
     async def next_part(self) -> bytes | Lost | None:
         """Return the next body part, None at the end, or Lost if it was cut off."""
@@ -89,13 +97,18 @@
             return None
         try:
             event = await self._conn.next_event()
-        except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
+        except (
+            h11.RemoteProtocolError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ) as exc:
             await self.aclose()
             return Lost(str(exc) or "connection broken")
         if isinstance(event, h11.Data):
             return bytes(event.data)
         self._finished = True
-        await self._pool.give_back(self._conn)
+        self.has_ended = True
+        self._pool.give_back(self._conn)
         return None
 
     async def read(self, limit_bytes: int, timeout_s: float) -> bytes | Lost | TooLarge:
@@ -117,6 +130,10 @@
         await self.aclose()
         return Lost(f"the response body did not end within {timeout_s} s")
 
+    def abort(self) -> None:
+        """Close the connection; a pending read ends with Lost."""
+        self._conn.stream.socket.close()
+
     async def aclose(self) -> None:
         """Close the connection if the body was not read to its end."""
         if not self._finished:
@@ -135,12 +152,31 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
 
+    def reset(self) -> None:
+        """Forget a request of which no byte was sent."""
+        self.proto = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
     async def next_event(self) -> object:
         while True:
             event = self.proto.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.proto.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+            self.proto.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        # Waiting first saves the failed read and the second pass of the scheduler
+        # that a receive through trio costs for each token of a stream.
+        sock = self.stream.socket
+        while True:
+            await trio.lowlevel.wait_readable(sock)
+            try:
+                return os.read(sock.fileno(), RECEIVE_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as exc:
+                raise trio.BrokenResourceError("connection broken") from exc
 
     def is_usable(self) -> bool:
         # An idle connection becomes readable when the server closes it.
@@ -195,7 +231,9 @@
             data += conn.proto.send(h11.Data(data=call.body)) or b""
         data += conn.proto.send(h11.EndOfMessage()) or b""
         if last_check is not None and not last_check(conn.opened_at):
-            await trio.aclose_forcefully(conn.stream)
+            # Kept, so that a report newer than the connection can clear it.
+            conn.reset()
+            self._keep(conn)
             return Withheld()
         return await self._exchange(call, conn, data)
 
@@ -214,16 +252,30 @@
             return body
         return Full(reply.status, reply.headers, body)
 
-    async def give_back(self, conn: _Connection) -> None:
+    def give_back(self, conn: _Connection) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
         proto = conn.proto
+        if proto.our_state is h11.DONE and proto.their_state is h11.DONE:
+            proto.start_next_cycle()
+            self._keep(conn)
+        else:
+            conn.stream.socket.close()
+
+    def _keep(self, conn: _Connection) -> None:
         idle = self._idle.setdefault(conn.addr, collections.deque())
-        reusable = proto.our_state is h11.DONE and proto.their_state is h11.DONE
-        if not reusable or len(idle) >= self.idle_per_addr:
-            await trio.aclose_forcefully(conn.stream)
-            return
-        proto.start_next_cycle()
         idle.append(conn)
+        if len(idle) > self.idle_per_addr:
+            idle.popleft().stream.socket.close()
+
+    def idle_count(self, addr: Address) -> int:
+        """Return the number of idle connections to an address."""
+        return len(self._idle.get(addr, ()))
+
+    async def warm(self, addr: Address) -> None:
+        """Open one idle connection."""
+        conn = await self._open(addr)
+        if isinstance(conn, _Connection):
+            self._keep(conn)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -261,6 +313,9 @@
             await trio.aclose_forcefully(conn.stream)
             if self.on_closed is not None:
                 self.on_closed(addr)
+        return await self._open(addr)
+
+    async def _open(self, addr: Address) -> _Connection | NotSent:
         try:
             with trio.fail_after(self.connect_timeout_s):
                 stream = await trio.open_tcp_stream(*addr)
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -4,7 +4,8 @@
 import dataclasses
 import http
 import logging
-import math
+import os
+import typing
 import urllib.parse
 
 import h11
@@ -54,12 +55,24 @@
     body: bytes
 
 
-Body = bytes | collections.abc.AsyncGenerator[bytes, None]
+class Parts(typing.Protocol):
+    """A body that is sent in parts; closed once, also if it was not read."""
+
+    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Return the iterator over the parts."""
+        ...
+
+    async def aclose(self) -> None:
+        """Free what the body holds."""
+        ...
+
+
+Body = bytes | Parts
 
 
 @dataclasses.dataclass
 class Response:
-    """A response; a body given as an async generator is sent in chunks."""
+    """A response; a body given in parts is sent in chunks."""
 
     status: int
     body: Body = b""
@@ -175,10 +188,12 @@
         try:
             async with stream:
                 await _Connection(self, stream).run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # Errors raised while a request is answered arrive in an exception group,
+        # because the answer runs in a nursery.
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
             LOG.debug("client connection broken")
-        except h11.LocalProtocolError as exc:
-            LOG.warning("response violates HTTP", extra={"reason": str(exc)})
+        except* h11.LocalProtocolError as group:
+            LOG.warning("response violates HTTP", extra={"reason": str(group)})
         finally:
             self.open_connections -= 1
 
@@ -328,9 +343,7 @@
             return
         await self._send_stream(out, response.body)
 
-    async def _send_stream(
-        self, head: bytes, body: collections.abc.AsyncGenerator[bytes, None]
-    ) -> None:
+    async def _send_stream(self, head: bytes, body: Parts) -> None:
         try:
             await self._write(head)
             async for part in body:
@@ -342,12 +355,26 @@
                 await body.aclose()
 
     async def _write(self, data: bytes) -> None:
-        if not data:
+        rest = self._write_now(data)
+        if not rest:
             return
-        deadline = trio.current_time() + self.limits.write_s
-        if math.isinf(self.limits.write_s):
-            deadline = math.inf
-        with trio.CancelScope(deadline=deadline) as scope:
-            await self.stream.send_all(data)
+        with trio.move_on_after(self.limits.write_s) as scope:
+            await self.stream.send_all(rest)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the client does not read its answer")
+
+    def _write_now(self, data: bytes) -> bytes:
+        """Write what the socket takes without waiting; return the rest.
+
+        A write through trio costs a pass of its scheduler, which is most of the
+        cost of relaying a token.
+        """
+        if not data:
+            return b""
+        try:
+            count = os.write(self.stream.socket.fileno(), data)
+        except BlockingIOError:
+            count = 0
+        except OSError as exc:
+            raise trio.BrokenResourceError("client connection broken") from exc
+        return data[count:]
--- a/packages/snipelug-node/src/snipelug_node/crashes.py
+++ b/packages/snipelug-node/src/snipelug_node/crashes.py
@@ -131,6 +131,7 @@
         self._numbers = itertools.count()
         self._records: quarantine.Records = {}
         self._unwritten: set[str] = set()
+        self._changed_at: dict[str, float] = {}
         peers.register(CRASH, self._answer_crash)
 
     def fingerprint(self, team: str, body: bytes) -> str:
@@ -173,7 +174,7 @@
         crash_id = f"{self._session_id}/{next(self._numbers)}"
         crash = quarantine.Crash(crash_id, upstream_id, epoch)
         known = self._records.get(fingerprint, quarantine.Record(fingerprint, team))
-        quarantine.learn(self._records, quarantine.add(known, crash))
+        self._learn(quarantine.add(known, crash), self._wall())
         self._unwritten.add(fingerprint)
         untold: list[str] = []
         async with trio.open_nursery() as nursery:
@@ -202,7 +203,7 @@
         outcome = await self._put(record, row.version)
         if not isinstance(outcome, ports.Written):
             return outcome
-        quarantine.learn(self._records, record)
+        self._learn(record, self._wall())
         async with trio.open_nursery() as nursery:
             for peer in self._peers.live():
                 if peer != self._peers.node_id:
@@ -234,23 +235,32 @@
             for row in rows:
                 await self._learn_row(row)
             if not rows:
+                self._forget_old()
                 return True
             after = rows[-1].key
 
+    def _learn(self, record: quarantine.Record, written_at: float) -> None:
+        quarantine.learn(self._records, record)
+        known_at = self._changed_at.get(record.fingerprint, written_at)
+        self._changed_at[record.fingerprint] = max(known_at, written_at)
+
+    def _forget_old(self) -> None:
+        """Drop old suspects from memory; another node may have dropped the row."""
+        now = self._wall()
+        for fingerprint, record in list(self._records.items()):
+            changed_at = self._changed_at[fingerprint]
+            if _is_old(len(record.crashes), changed_at, now):
+                del self._records[fingerprint]
+                del self._changed_at[fingerprint]
+                self._unwritten.discard(fingerprint)
+
     async def _learn_row(self, row: ports.Row) -> None:
         content = _parse(row)
         if content is None:
             return
-        is_old = self._wall() - content.written_at > SUSPECT_KEEP_S
-        if is_old and len(content.crashes) < quarantine.CRASH_LIMIT:
-            await self._forget(row)
-            return
-        quarantine.learn(self._records, _to_record(content))
-
-    async def _forget(self, row: ports.Row) -> None:
-        """Drop an old suspect here, and its row at one of the nodes."""
-        self._records.pop(row.key, None)
-        if hashing.rank(row.key, self._peers.live())[0] == self._peers.node_id:
+        if not _is_old(len(content.crashes), content.written_at, self._wall()):
+            self._learn(_to_record(content), content.written_at)
+        elif hashing.rank(row.key, self._peers.live())[0] == self._peers.node_id:
             await self._tables.write(ports.Write(TABLE, row.key, None, row.version))
 
     async def _write(self, fingerprint: str) -> None:
@@ -268,7 +278,7 @@
             if isinstance(row, ports.Row):
                 expect = row.version
                 stored = _decode(row)
-                quarantine.learn(self._records, stored)
+                self._learn(stored, self._wall())
             record = self._records[fingerprint]
             if record == stored:
                 self._unwritten.discard(fingerprint)
@@ -292,10 +302,14 @@
             untold.append(peer)
 
     async def _answer_crash(self, message: Crash) -> Noted:
-        quarantine.learn(self._records, _to_record(message))
+        self._learn(_to_record(message), message.written_at)
         return Noted()
 
 
+def _is_old(crashes: int, written_at: float, now: float) -> bool:
+    return crashes < quarantine.CRASH_LIMIT and now - written_at > SUSPECT_KEEP_S
+
+
 def _to_message(record: quarantine.Record, written_at: float) -> Crash:
     items = [CrashItem(one.id, one.upstream_id, one.epoch) for one in record.crashes]
     items.sort(key=lambda item: item.id)
--- /dev/null
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -0,0 +1,477 @@
+"""Composition of a node from its parts, and its planned stop."""
+
+import collections.abc
+import dataclasses
+import functools
+import gc
+import logging
+import random
+import signal
+import typing
+import uuid
+
+import trio
+import trio_asyncio
+
+from snipelug_core import (
+    block,
+    change,
+    claim,
+    connection,
+    load,
+    member,
+    ownership,
+    refusal,
+    route,
+    session,
+    table,
+)
+from snipelug_net import http_client, http_server
+from snipelug_node import (
+    admin,
+    admitter,
+    cache,
+    dispatch,
+    gateway,
+    interim,
+    journal,
+    lease,
+    loader,
+    metrics,
+    order,
+    peer,
+    platform,
+    ports,
+    reuse,
+    revision,
+    router,
+    sender,
+    settings,
+    slots,
+    ticker,
+    watcher,
+)
+
+LOG = logging.getLogger("snipelug.node")
+
+INDEX_BYTES = 48 * 1024 * 1024
+"""Memory of this node's shard of the block index."""
+
+UNREADY_S = 2.0
+"""Time between reporting not ready and closing the listener, for the balancer."""
+
+LOOK_S = 0.05
+
+GC_ALLOCATIONS = 20_000
+"""Allocations between collections; the default of 700 took 4% of the relay's time."""
+
+
+class Node:
+    """All parts of one node.
+
+    Parameters
+    ----------
+    cfg : settings.Settings
+        Settings.
+    nursery : trio.Nursery
+        Runs what goes on in the background until the process ends.
+    """
+
+    def __init__(self, cfg: settings.Settings, nursery: trio.Nursery) -> None:
+        self.cfg = cfg
+        self.nursery = nursery
+        self.rng = random.Random()
+        self.tables = table.Tables()
+        self.metrics = metrics.build(cfg.statsd)
+        self.pool = http_client.Pool(on_closed=self._connection_closed)
+        self.store = platform.HttpTableService(self.pool, cfg.tables)
+        self.instance_list = platform.HttpInstanceList(self.pool, cfg.instances)
+        self.peers = peer.Peers(peer_settings(cfg), rng=self.rng)
+        self.watcher = watcher.Watcher(
+            self.tables,
+            self.instance_list,
+            self.pool,
+            self._subset,
+            self._take_report,
+            self._take_list,
+        )
+        self.keeper = revision.Keeper(self.store, self.peers, self.watcher)
+        self.lease = lease.Keeper(
+            self.peers.settings.incarnation,
+            self.store,
+            self.peers,
+            self._owned_items,
+            self.rng,
+            session.Place(cfg.host, cfg.rpc_port, cfg.zone),
+        )
+        self.orders = order.Orders(
+            self.peers.settings.incarnation,
+            self.lease.lease,
+            self.store,
+            platform.HttpObjectStore(self.pool, cfg.objects),
+            self.peers,
+        )
+        self._build_slots()
+        self._build_cache()
+        self._build_request_path()
+        self.admin = admin.Admin(
+            self.keeper, self.peers, cfg.admin_key, self._providers()
+        )
+
+    def _build_slots(self) -> None:
+        self.admitter = admitter.Admitter(
+            self.peers,
+            functools.partial(slots.holder_of, self.lease),
+            functools.partial(slots.holds, self.lease),
+            lambda _: self.cfg.cold_limit,
+            self.peers.settings.incarnation,
+            self.nursery,
+        )
+        self.slots = slots.Slots(
+            self.admitter, self.lease, self._upstream_ids, self.nursery
+        )
+
+    def _build_cache(self) -> None:
+        self.shard = cache.Shard(INDEX_BYTES)
+        self.shard.register(self.peers)
+        self.directory = cache.Directory(self.peers)
+        self.feeds = cache.Feeds(self.pool, self.directory, self._read_here)
+        self.transfers = cache.Transfers(
+            self.pool,
+            self.directory,
+            lambda inst_id: self.tables.instances.get(inst_id),
+        )
+        self.reuse = reuse.Reuse(
+            self.cfg,
+            route.MODES[self.cfg.mode],
+            self.tables,
+            self.pool,
+            self.directory,
+            self.transfers,
+            lambda: self.keeper.cfg,
+            self._block_s,
+        )
+
+    def _build_request_path(self) -> None:
+        cfg = self.cfg
+        self.router = router.CostRouter(
+            settings=cfg,
+            tables=self.tables,
+            cfg=lambda: self.keeper.cfg,
+            may_send=self._may_send,
+            cache=self.reuse,
+            grants=self.slots,
+            is_suspect=lambda _: False,
+            suspects_at=lambda _: 0,
+            chooser=route.ByCost(route.MODES[cfg.mode]),
+            rng=self.rng,
+        )
+        self.sender = sender.Sender(
+            self.pool, self.slots, self._may_send, self.watcher.read_load
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            sender=self.sender,
+            router=self.router,
+            crashes=interim.NoCrashes(),
+            budget=interim.NoBudget(),
+            cache_salt=functools.partial(block.cache_salt, cfg.key),
+            on_finished=functools.partial(gateway.report_finished, self.metrics),
+        )
+        self.gateway = gateway.Gateway(
+            node_id=cfg.node_id,
+            key=cfg.key,
+            revisions=self.keeper,
+            tables=self.tables,
+            pool=self.pool,
+            dispatcher=self.dispatcher,
+            limiter=interim.Unlimited(),
+            orders=self.orders,
+            metrics=self.metrics,
+        )
+
+    # What the parts ask of each other
+
+    def _may_send(
+        self, upstream: table.Upstream, conn_opened_at: float, now: float
+    ) -> load.Verdict:
+        if not self.keeper.is_current(now):
+            return load.Barred(load.Reason.NOT_CURRENT)
+        return load.may_send(
+            upstream,
+            self.keeper.cfg,
+            conn_opened_at,
+            now,
+            self.watcher.list_tried_at,
+        )
+
+    def _take_report(
+        self, upstream_id: str, report: table.LoadReport, asked_at: float
+    ) -> None:
+        upstream = self.tables.upstreams.get(upstream_id)
+        if upstream is None:
+            return
+        if load.accept_report(upstream, report, asked_at):
+            self.admitter.observe(upstream_id, report)
+
+    def _take_list(self, listed: list[table.Instance], now: float) -> None:
+        self.lease.note_instances(listed, now)
+        self.shard.retain({inst.id for inst in listed})
+
+    def _owned_items(self) -> list[lease.Item]:
+        """Return everything that needs one owner over all nodes."""
+        kinds = {
+            table.Role.ENGINE: ownership.Kind.UPSTREAM,
+            table.Role.SERVICE: ownership.Kind.UPSTREAM,
+            table.Role.STORE: ownership.Kind.STORE,
+        }
+        instances = self.tables.instances.values()
+        items = [(kinds[i.role], i.id) for i in instances if i.role in kinds]
+        teams = [(ownership.Kind.TEAM, team) for team in self.keeper.cfg.contracts]
+        return items + teams
+
+    def _upstream_ids(self) -> list[str]:
+        return [
+            inst.id
+            for inst in self.tables.instances.values()
+            if inst.role in watcher.UPSTREAM_ROLES
+        ]
+
+    def _fencing_of(self, upstream_id: str) -> int | None:
+        now = trio.current_time()
+        return self.lease.holds(ownership.Kind.UPSTREAM, upstream_id, now)
+
+    def _systems(self) -> list[ticker.System[typing.Any]]:
+        loads = loader.Loader(
+            tables=self.tables,
+            store=self.store,
+            pool=self.pool,
+            cfg=lambda: self.keeper.cfg,
+            fencing_of=self._fencing_of,
+            session=lambda: self.lease.lease.session,
+            live_sessions=self.lease.live_sessions,
+            refresh=self.watcher.read_load,
+            limit=self.cfg.weight_loads,
+        )
+        return [
+            ticker.System("slots", self.slots.plan, self.slots.execute),
+            ticker.System("weights", loads.plan, loads.execute),
+            ticker.System("connections", self._plan_connections, self._connect),
+        ]
+
+    def _plan_connections(self) -> collections.abc.Iterator[connection.Open]:
+        return connection.plan(
+            self.tables, lambda inst: self.pool.idle_count((inst.host, inst.port))
+        )
+
+    async def _connect(self, action: connection.Open) -> None:
+        inst = self.tables.instances.get(action.upstream_id)
+        if inst is None:
+            return
+        for _ in range(action.count):
+            await self.pool.warm((inst.host, inst.port))
+
+    def _connection_closed(self, addr: http_client.Address) -> None:
+        now = trio.current_time()
+        for upstream in self.tables.upstreams.values():
+            inst = upstream.instance
+            if (inst.host, inst.port) == addr:
+                load.mark_closed(upstream, now)
+
+    def _subset(
+        self, upstreams: collections.abc.Iterable[table.Instance]
+    ) -> list[table.Instance]:
+        by_id = {inst.id: inst for inst in upstreams}
+        chosen = route.Subset(self.cfg.node_id)
+        chosen.update({i: f"{inst.zone}/{inst.name}" for i, inst in by_id.items()})
+        owned = [i for i in by_id if i not in chosen.ids and self.slots.has_part(i)]
+        return [by_id[i] for i in (*chosen.ids, *owned)]
+
+    def _read_here(self) -> list[table.Instance]:
+        """Return the engines and stores whose feeds this node reads."""
+        live = self.peers.live()
+        roles = (table.Role.ENGINE, table.Role.STORE)
+        return [
+            inst
+            for inst in self.tables.instances.values()
+            if inst.role in roles and cache.reader_of(inst.id, live) == self.cfg.node_id
+        ]
+
+    def _block_s(self, inst: table.Instance) -> float:
+        return self.router.pace_of(inst).prefill_s * block.BLOCK_TOKENS
+
+    def _providers(self) -> admin.Providers:
+        return admin.Providers(
+            upstreams=self._upstream_rows,
+            leases=self._lease_rows,
+            queues=list,
+            inventory=self._inventory,
+            quarantined=interim.no_rows,
+            release=interim.nothing_to_release,
+            unknown_claims=self._open_claims,
+            settle=self._settle,
+        )
+
+    def _inventory(self) -> change.Inventory:
+        if not self.tables.instances:
+            return change.Inventory()
+        instances = self.tables.instances.values()
+        return change.Inventory(
+            frozenset(inst.zone for inst in instances),
+            frozenset(self.tables.instances),
+        )
+
+    def _upstream_rows(self) -> admin.Rows:
+        now = trio.current_time()
+        return [
+            describe_upstream(upstream, self._may_send(upstream, -1.0, now), now)
+            for upstream in self.tables.upstreams.values()
+        ]
+
+    async def _open_claims(self) -> admin.Rows | refusal.Refusal:
+        rows: admin.Rows = []
+        for team in self.keeper.cfg.contracts:
+            after = ""
+            while True:
+                page = await self.orders.open_claims(team, after)
+                if isinstance(page, ports.Unavailable):
+                    message = f"claims cannot be read: {page.reason}"
+                    return refusal.refuse(refusal.STORE_UNAVAILABLE, message)
+                rows += [dataclasses.asdict(item) for item in page.claims]
+                after = page.after
+                if not after:
+                    break
+        return rows
+
+    async def _settle(
+        self, team: str, key: str, ran: bool, author: str
+    ) -> refusal.Refusal | None:
+        verdict = claim.Verdict.RAN if ran else claim.Verdict.NOT_RUN
+        outcome = await self.orders.settle(team, key, verdict, f"settled by {author}")
+        match outcome:
+            case order.Settled():
+                journal.event(LOG, "claim_settled", team=team, ran=ran, author=author)
+                return None
+            case claim.TooEarly(wait_s):
+                message = f"the claim may be settled in {wait_s:.0f} s"
+                return refusal.refuse(refusal.IN_PROGRESS, message)
+            case claim.NotOpen(reason):
+                return refusal.refuse(refusal.FORBIDDEN, reason)
+            case order.Changed():
+                message = "the claim changed meanwhile; look at it again"
+                return refusal.refuse(refusal.IN_PROGRESS, message)
+            case ports.Absent():
+                message = f"team {team!r} has no claim with this key"
+                return refusal.refuse(refusal.NOT_FOUND, message)
+            case ports.Unavailable(reason):
+                return refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
+
+    def _lease_rows(self) -> admin.Rows:
+        now = trio.current_time()
+        return [
+            {"item": key, "fencing": seen.row.fencing, "valid": self.lease.valid(now)}
+            for key, seen in sorted(self.lease.owners.seen.items())
+            if ownership.fencing(self.lease.owners, key, now) is not None
+        ]
+
+    # Life of the process
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        cfg = self.cfg
+        gc.freeze()
+        gc.set_threshold(GC_ALLOCATIONS)
+        callers = http_server.Server(self.gateway.handle)
+        operators = http_server.Server(self.admin.handle)
+        await self._start_background()
+        await self.nursery.start(callers.serve, cfg.host, cfg.port)
+        await self.nursery.start(operators.serve, cfg.host, cfg.admin_port)
+        journal.event(
+            LOG, "started", zone=cfg.zone, port=cfg.port, admin_port=cfg.admin_port
+        )
+        await self._wait_for_stop(callers)
+        await self.lease.stop()
+        journal.event(LOG, "stopped")
+
+    async def _start_background(self) -> None:
+        nursery = self.nursery
+        await nursery.start(self.peers.run)
+        await nursery.start(self.keeper.run)
+        await nursery.start(self.watcher.run)
+        await nursery.start(self.lease.run)
+        await nursery.start(self.orders.serve)
+        await nursery.start(self.directory.run)
+        await nursery.start(self.feeds.run)
+        await nursery.start(self.transfers.run)
+        await nursery.start(self.reuse.run)
+        nursery.start_soon(self.dispatcher.watch)
+        nursery.start_soon(ticker.run, self._systems())
+
+    async def _wait_for_stop(self, callers: http_server.Server) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await anext(signals)
+            self.gateway.stopping = True
+            journal.event(LOG, "stopping", open_requests=callers.open_requests)
+            with trio.move_on_after(self.cfg.drain_s) as limit:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_cut_on_second_signal, signals, limit)
+                    await trio.sleep(UNREADY_S)
+                    callers.stop_accepting()
+                    while callers.open_requests or self.orders.open_calls():
+                        await trio.sleep(LOOK_S)
+                    nursery.cancel_scope.cancel()
+        if callers.open_requests or self.orders.open_calls():
+            journal.warning(
+                LOG,
+                "requests_cut",
+                requests=callers.open_requests,
+                orders=self.orders.open_calls(),
+            )
+
+
+async def _cut_on_second_signal(
+    signals: collections.abc.AsyncIterator[int], limit: trio.CancelScope
+) -> None:
+    await anext(signals)
+    limit.cancel()
+
+
+def peer_settings(cfg: settings.Settings) -> peer.Settings:
+    """Return the part of the settings that concerns other nodes."""
+    static = tuple(
+        member.Member(node_id, "", host, port)
+        for node_id, (host, port) in cfg.peers.items()
+    )
+    return peer.Settings(
+        node_id=cfg.node_id,
+        incarnation=uuid.uuid4().hex[:12],
+        host=cfg.host,
+        rpc_port=cfg.rpc_port,
+        key=cfg.key,
+        zone=cfg.zone,
+        static=static,
+    )
+
+
+def describe_upstream(
+    upstream: table.Upstream, verdict: load.Verdict, now: float
+) -> dict[str, object]:
+    """Return the row of an upstream in the status."""
+    report = upstream.report
+    state = "open" if isinstance(verdict, load.Allowed) else verdict.reason.value
+    return {
+        "id": upstream.instance.id,
+        "role": upstream.instance.role.value,
+        "zone": upstream.instance.zone,
+        "state": state,
+        "queue": load.estimate_queue(upstream),
+        "in_flight_here": upstream.in_flight,
+        "weight_version": report.weight_version if report else "",
+        "report_age_s": round(now - report.made_at, 2) if report else None,
+    }
+
+
+async def run(cfg: settings.Settings) -> None:
+    """Run a node with these settings."""
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        await Node(cfg, nursery).run()
+        nursery.cancel_scope.cancel()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,7 @@
-"""Fakes of the node's ports that run in one process."""
+"""In-memory platform services and peers that follow the Protocols in ``ports``."""
 
+import collections.abc
+import itertools
 import typing
 
 import msgspec
@@ -8,28 +10,131 @@
 from snipelug_net import rpc
 from snipelug_node import ports
 
+DELAY_S = 0.001
 
-class Net:
-    """Connects fake peers; calls to ``down`` nodes or with lost answers fail."""
+
+class Tables:
+    """A table service that counts operations and can fail.
+
+    Attributes
+    ----------
+    down : bool
+        Refuse everything without effect.
+    lose : int
+        Number of coming writes that take effect without an answer.
+    reads, writes, scans : int
+        Operations received.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], tuple[str, bytes]] = {}
+        self.down = False
+        self.lose = 0
+        self.reads = 0
+        self.writes = 0
+        self.scans = 0
+        self._versions = itertools.count(1)
+
+    async def read(
+        self, table_name: str, key: str
+    ) -> ports.Row | ports.Absent | ports.Unavailable:
+        self.reads += 1
+        await trio.sleep(DELAY_S)
+        if self.down:
+            return ports.Unavailable("down", False)
+        row = self.rows.get((table_name, key))
+        return ports.Row(table_name, key, *row) if row else ports.Absent()
+
+    async def scan(
+        self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> list[ports.Row] | ports.Unavailable:
+        self.scans += 1
+        await trio.sleep(DELAY_S)
+        if self.down:
+            return ports.Unavailable("down", False)
+        found = [
+            ports.Row(name, key, *row)
+            for (name, key), row in self.rows.items()
+            if name == table_name and key.startswith(prefix) and key > after
+        ]
+        return sorted(found, key=lambda row: row.key)[:limit]
+
+    async def write(
+        self, write: ports.Write
+    ) -> ports.Written | ports.Conflict | ports.Unavailable:
+        self.writes += 1
+        await trio.sleep(DELAY_S)
+        if self.down:
+            return ports.Unavailable("down", False)
+        outcome = self._apply(write)
+        if self.lose:
+            self.lose -= 1
+            return ports.Unavailable("lost", True)
+        return outcome
+
+    async def transact(
+        self, writes: collections.abc.Sequence[ports.Write]
+    ) -> ports.Written | ports.Conflict | ports.Unavailable:
+        raise NotImplementedError("these tests need no transactions")
+
+    def _apply(self, write: ports.Write) -> ports.Written | ports.Conflict:
+        place = (write.table, write.key)
+        old = self.rows.get(place)
+        if write.expect is ports.Expect.ABSENT and old is not None:
+            return ports.Conflict()
+        if isinstance(write.expect, str) and (old is None or old[0] != write.expect):
+            return ports.Conflict()
+        if write.content is None:
+            self.rows.pop(place, None)
+            return ports.Written("")
+        version = str(next(self._versions))
+        self.rows[place] = (version, write.content)
+        return ports.Written(version)
+
+
+class Objects:
+    """An object store."""
 
     def __init__(self) -> None:
-        self.nodes: dict[str, Peers] = {}
-        self.down: set[str] = set()
-        self.lose_answers: set[str] = set()
-        self.calls: list[tuple[str, str]] = []
+        self.contents: dict[str, bytes] = {}
+        self.down = False
+
+    async def get(self, key: str) -> bytes | ports.Absent | ports.Unavailable:
+        await trio.sleep(DELAY_S)
+        if self.down:
+            return ports.Unavailable("down", False)
+        return self.contents.get(key, ports.Absent())
+
+    async def put(self, key: str, content: bytes) -> ports.Written | ports.Unavailable:
+        await trio.sleep(DELAY_S)
+        if self.down:
+            return ports.Unavailable("down", False)
+        self.contents[key] = content
+        return ports.Written("1")
+
+
+class Network:
+    """Connects peers; ``cut`` holds the ids of nodes that nobody reaches."""
+
+    def __init__(self) -> None:
+        self.peers: dict[str, Peers] = {}
+        self.cut: set[str] = set()
+
+    def join(self, node_id: str) -> "Peers":
+        self.peers[node_id] = Peers(self, node_id)
+        return self.peers[node_id]
 
 
 class Peers:
-    """One node's view of a `Net`; messages take the way through the codec."""
+    """One node's view of the others."""
 
-    def __init__(self, net: Net, node_id: str) -> None:
+    def __init__(self, network: Network, node_id: str) -> None:
         self.node_id = node_id
-        self.net = net
-        self.procedures: dict[str, rpc.Procedure] = {}
-        net.nodes[node_id] = self
+        self._network = network
+        self._procedures: dict[str, rpc.Procedure] = {}
 
     def live(self) -> list[str]:
-        return sorted(set(self.net.nodes) - self.net.down)
+        return [n for n in self._network.peers if n not in self._network.cut]
 
     async def call(
         self,
@@ -38,67 +143,20 @@
         message: msgspec.Struct,
         timeout_s: float,
     ) -> typing.Any:
-        self.net.calls.append((node_id, method.name))
-        if node_id in self.net.down:
-            return rpc.Unreachable("down")
-        coded = msgspec.msgpack.encode(message)
-        received = msgspec.msgpack.decode(coded, type=method.request)
-        answer = await self.net.nodes[node_id].procedures[method.name](received)
-        if method.name in self.net.lose_answers:
-            return rpc.Unreachable("answer lost")
-        return answer
+        if {node_id, self.node_id} & self._network.cut and node_id != self.node_id:
+            return rpc.Unreachable("cut")
+        peer = self._network.peers.get(node_id)
+        if peer is None:
+            return rpc.Unreachable("no such node")
+        wire = msgspec.msgpack.encode(message)
+        with trio.move_on_after(timeout_s):
+            request = msgspec.msgpack.decode(wire, type=method.request)
+            answer = await peer._procedures[method.name](request)
+            encoded = msgspec.msgpack.encode(answer)
+            return msgspec.msgpack.decode(encoded, type=method.reply)
+        return rpc.Unreachable("no answer in time")
 
     def register(
         self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
     ) -> None:
-        self.procedures[method.name] = procedure
-
-
-class Tables:
-    """A table service in memory, with an outage and lost answers."""
-
-    def __init__(self) -> None:
-        self.rows: dict[tuple[str, str], ports.Row] = {}
-        self.is_down = False
-        self.lose_answers = 0
-        self.version = 0
-
-    async def read(
-        self, table_name: str, key: str
-    ) -> ports.Row | ports.Absent | ports.Unavailable:
-        if self.is_down:
-            return ports.Unavailable("down", maybe_applied=False)
-        # Lets others run between a read and the write that depends on it.
-        row = self.rows.get((table_name, key), ports.Absent())
-        await trio.lowlevel.checkpoint()
-        return row
-
-    async def scan(
-        self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
-    ) -> list[ports.Row] | ports.Unavailable:
-        if self.is_down:
-            return ports.Unavailable("down", maybe_applied=False)
-        rows = sorted(self.rows.values(), key=lambda row: row.key)
-        found = [r for r in rows if r.table == table_name and r.key > after]
-        return [row for row in found if row.key.startswith(prefix)][:limit]
-
-    async def write(
-        self, write: ports.Write
-    ) -> ports.Written | ports.Conflict | ports.Unavailable:
-        if self.is_down:
-            return ports.Unavailable("down", maybe_applied=False)
-        at = (write.table, write.key)
-        row = self.rows.get(at)
-        version = row.version if row else ports.Expect.ABSENT
-        if write.expect not in (version, ports.Expect.ANY):
-            return ports.Conflict()
-        if write.content is None:
-            del self.rows[at]
-            return ports.Written("")
-        self.version += 1
-        new = ports.Row(write.table, write.key, str(self.version), write.content)
-        self.rows[at] = new
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
-            return ports.Unavailable("answer lost", maybe_applied=True)
-        return ports.Written(new.version)
+        self._procedures[method.name] = procedure
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,7 +6,7 @@
 
 from snipelug_core import quarantine, refusal
 from snipelug_node import crashes, ports
-from tests import fakes
+from tests import peer_fakes
 
 Standing = quarantine.Standing
 NAMES = ("a", "b", "c")
@@ -14,14 +14,14 @@
 
 class Fleet:
     def __init__(self) -> None:
-        self.net = fakes.Net()
-        self.tables = fakes.Tables()
+        self.net = peer_fakes.Net()
+        self.tables = peer_fakes.Tables()
         self.wall_s = 1e9
         self.nodes = {name: self.start(name) for name in NAMES}
         self.print = self.nodes["a"].fingerprint("t", b"body")
 
     def start(self, name: str) -> crashes.Crashes:
-        peers = fakes.Peers(self.net, name)
+        peers = peer_fakes.Peers(self.net, name)
         return crashes.Crashes(
             peers, self.tables, b"k", f"{name}/1", lambda: self.wall_s
         )
@@ -105,7 +105,7 @@
 
 
 async def test_release_holds_against_late_reports() -> None:
-    """Guards against a report from before a release undoing it."""
+    """Guards against a late report undoing a release, and against one for good."""
     fleet = Fleet()
     await fleet.crash("a", "u1")
     await fleet.crash("b", "u2")
@@ -117,6 +117,8 @@
     assert late.standing is Standing.CLEAR
     await fleet.nodes["c"].scan()
     assert fleet.standings() == [Standing.CLEAR] * 3
+    again = await fleet.crash("a", "u4")
+    assert again.standing is Standing.SUSPECT
     assert isinstance(await fleet.nodes["a"].release("f0"), crashes.Unknown)
     fleet.tables.is_down = True
     down = await fleet.nodes["a"].release(fleet.print)
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -5,14 +5,14 @@
 
 from snipelug_core import contract, refusal
 from snipelug_node import limiter
-from tests import fakes
+from tests import peer_fakes
 
 LIMITS = contract.Limits(in_flight=16, requests_per_s=1000.0, tokens_per_s=1e6)
 TEAM = contract.Contract("t", (), limits=LIMITS)
 
 
 def build(
-    net: fakes.Net,
+    net: peer_fakes.Net,
     nursery: trio.Nursery,
     had_owner: bool = False,
     capacity: int = 4096,
@@ -21,7 +21,7 @@
     """Return the limiters of nodes a and b; a owns the team."""
     built = [
         limiter.Limiter(
-            fakes.Peers(net, name),
+            peer_fakes.Peers(net, name),
             f"{name}/1",
             owner_of=lambda _: "a",
             holds_now=lambda _, own=name: own == "a",
@@ -59,7 +59,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against more requests at once than the limit over all nodes."""
-    first, second = build(fakes.Net(), nursery)
+    first, second = build(peer_fakes.Net(), nursery)
     tickets = [
         *await enter_many(first, 40, 0.9, nursery),
         *await enter_many(second, 40, 0.9, nursery),
@@ -71,7 +71,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against no service, or the whole limit, while the owner is away."""
-    net = fakes.Net()
+    net = peer_fakes.Net()
     _, second = build(net, nursery)
     net.down = {"a"}
     assert len(await enter_many(second, 40, 0.9, nursery)) == 2
@@ -81,7 +81,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against slices while those of an earlier owner are still in use."""
-    _, second = build(fakes.Net(), nursery, had_owner=True)
+    _, second = build(peer_fakes.Net(), nursery, had_owner=True)
     assert len(await enter_many(second, 40, 11.0, nursery)) == 2
     assert len(await enter_many(second, 40, 6.0, nursery)) > 2
 
@@ -90,7 +90,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a queue that stands still after a request has left."""
-    first, _ = build(fakes.Net(), nursery, capacity=1)
+    first, _ = build(peer_fakes.Net(), nursery, capacity=1)
     ticket = await first.enter(TEAM, 10.0, trio.current_time() + 9.0)
     assert isinstance(ticket, limiter.Ticket)
     with trio.move_on_after(1.0) as scope:
@@ -109,7 +109,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against early refusals at the pace of the floor alone."""
-    _, second = build(fakes.Net(), nursery)
+    _, second = build(peer_fakes.Net(), nursery)
     assert len(await enter_many(second, 12, 0.9, nursery)) == 12
 
 
@@ -117,7 +117,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a burst that waits 3 s for the next request for a slice."""
-    _, second = build(fakes.Net(), nursery)
+    _, second = build(peer_fakes.Net(), nursery)
     assert len(await enter_many(second, 1, 0.5, nursery)) == 1
     assert len(await enter_many(second, 11, 0.9, nursery)) == 11
 
@@ -126,7 +126,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a caller that waits for longer than its deadline."""
-    net = fakes.Net()
+    net = peer_fakes.Net()
     _, second = build(net, nursery, joined_for_s=0.0)
     net.down = {"a"}
     started_at = trio.current_time()
@@ -140,7 +140,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against estimates that are charged in place of real use."""
-    first, _ = build(fakes.Net(), nursery)
+    first, _ = build(peer_fakes.Net(), nursery)
     for used, allowed_s in ((10.0, 0.5), (5e6, 99.0)):
         started_at = trio.current_time()
         ticket = await first.enter(TEAM, 2e6, started_at + 99.0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,9 @@
 """Contract tests of the transports over real sockets."""
 
+import collections.abc
 import http
+import socket
+import struct
 
 import msgspec
 import pytest
@@ -61,6 +64,31 @@
     assert isinstance(await http_client.Pool().fetch(call), http_client.NotSent)
 
 
+async def test_client_reset_leaves_server_up(nursery: trio.Nursery) -> None:
+    """Guards against one client's reset ending the whole server process."""
+
+    async def endless() -> collections.abc.AsyncGenerator[bytes, None]:
+        while True:
+            yield b"x" * 60_000
+
+    async def answer(req: http_server.Request) -> http_server.Response:
+        return http_server.Response(200, endless())
+
+    server = http_server.Server(answer)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    await stream.receive_some(10)
+    linger = struct.pack("ii", 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream.socket.close()
+    with trio.fail_after(5):
+        while server.open_connections:
+            await trio.sleep(0.01)
+    again = await trio.open_tcp_stream("127.0.0.1", port)
+    await again.aclose()
+
+
 class Ping(msgspec.Struct):
     text: str
 
@@ -89,3 +117,32 @@
         assert answer == Ping("hi!")
     else:
         assert isinstance(answer, rpc.Unreachable)
+
+
+@pytest.mark.parametrize("greeting", [b"", b"not HTTP/2 " * 10])
+async def test_rpc_survives_connections_that_break(greeting: bytes) -> None:
+    """Guards against a peer's broken connections ending the calling process."""
+
+    async def break_off(stream: trio.SocketStream) -> None:
+        if greeting:
+            await stream.send_all(greeting)
+        await trio.sleep(0.002)
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, break_off, listeners)
+        client = rpc.Client("127.0.0.1", port, b"key")
+
+        async def call_often() -> None:
+            for _ in range(100):
+                answer = await client.call(PING, Ping("hi"), timeout_s=1.0)
+                assert isinstance(answer, rpc.Unreachable)
+
+        async with trio.open_nursery() as callers:
+            for _ in range(5):
+                callers.start_soon(call_often)
+        client.close()
+        nursery.cancel_scope.cancel()
