--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -105,7 +105,7 @@
 
 
 async def test_release_holds_against_late_reports() -> None:
-    """Guards against a report from before a release undoing it."""
+    """Guards against a late report undoing a release, and against one for good."""
     fleet = Fleet()
     await fleet.crash("a", "u1")
     await fleet.crash("b", "u2")
@@ -117,6 +117,8 @@
     assert late.standing is Standing.CLEAR
     await fleet.nodes["c"].scan()
     assert fleet.standings() == [Standing.CLEAR] * 3
+    again = await fleet.crash("a", "u4")
+    assert again.standing is Standing.SUSPECT
     assert isinstance(await fleet.nodes["a"].release("f0"), crashes.Unknown)
     fleet.tables.is_down = True
     down = await fleet.nodes["a"].release(fleet.print)
