Test engines that turn cold without notice

Cause: no process test covers a warm engine that restarts or loses its warmth while callers run.

Change: callers run through three nodes on two engines; one engine turns cold and cuts its connections, once with the same and once with a new boot id. The test checks the engine's counters of cold requests, that only streams that were cut end early, and that the engine becomes warm again.

--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,178 @@
+"""Process-level tests: faults of engines, zones, stores and the table service."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import itertools
+import pathlib
+import typing
+
+import pytest
+import trio
+
+from snipelug_net import http_client
+from tests import callers, cluster, deployment
+
+pytestmark = pytest.mark.process
+
+NODES = 3
+CALLERS_PER_NODE = 3
+TOKENS = 25
+TIMEOUT_S = 20.0
+TEST_LIMIT_S = 120.0
+POLL_S = 0.1
+# Stand-ins cut their connections a little after the answer to POST /faults.
+CUT_DELAY_S = 0.1
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One call through one node."""
+
+    node: int
+    started_at: float
+    result: callers.Result
+
+
+class Traffic:
+    """Callers who ask one question after the other, some through each node."""
+
+    def __init__(self, deployed: deployment.Deployment) -> None:
+        self.deployed = deployed
+        self.pool = http_client.Pool()
+        self.attempts: list[Attempt] = []
+        self.stopping = False
+        self._numbers = itertools.count()
+
+    async def ask(
+        self, node: int, question: str = "", tokens: int = TOKENS
+    ) -> callers.Result:
+        """Ask one question; without a text, one that nobody has asked yet."""
+        started_at = trio.current_time()
+        conversation = callers.messages(question or f"question {next(self._numbers)}")
+        result = await callers.chat(
+            self.pool,
+            self.deployed.nodes[node],
+            deployment.TEAM,
+            self.deployed.sample.model,
+            conversation,
+            tokens,
+            TIMEOUT_S,
+        )
+        self.attempts.append(Attempt(node, started_at, result))
+        return result
+
+    async def _loop(self, node: int) -> None:
+        while not self.stopping:
+            if not (await self.ask(node)).whole:
+                await trio.sleep(POLL_S)
+
+    @contextlib.asynccontextmanager
+    async def flowing(self) -> collections.abc.AsyncIterator[None]:
+        """Keep callers running; wait for the end of their last calls."""
+        self.stopping = False
+        async with trio.open_nursery() as nursery:
+            for number in range(NODES * CALLERS_PER_NODE):
+                nursery.start_soon(self._loop, number % NODES)
+            yield
+            self.stopping = True
+
+    def since(self, moment: float) -> list[Attempt]:
+        """Return the calls that were started at or after a moment."""
+        return [a for a in self.attempts if a.started_at >= moment]
+
+    def check_whole(self, attempts: collections.abc.Iterable[Attempt]) -> None:
+        """Check that these calls, some through each node, brought whole answers."""
+        kept = list(attempts)
+        problems = [
+            f"node {a.node}: {a.result.problem}" for a in kept if not a.result.whole
+        ]
+        assert not problems, (len(problems), len(kept), problems[:10])
+        assert {a.node for a in kept} == set(range(NODES))
+
+    def p95_first_token_s(self, start: float, end: float) -> float:
+        """Return the 95th percentile over the calls started in a span of time."""
+        times = sorted(
+            a.result.first_token_s for a in self.since(start) if a.started_at < end
+        )
+        return times[int(0.95 * len(times))]
+
+
+@contextlib.asynccontextmanager
+async def deployed_nodes(
+    directory: pathlib.Path, engines: int = 2, stores: int = 1, **options: object
+) -> collections.abc.AsyncIterator[deployment.Deployment]:
+    """Start a deployment; ``options`` are further options of the engines."""
+    sample = deployment.read_sample("tas-north")
+    sample.engine |= {"on_overload": "record", "warm_requests": 20, **options}
+    async with cluster.open_cluster(directory) as running:
+        with trio.fail_after(TEST_LIMIT_S):
+            yield await deployment.start(
+                running, sample, NODES, engines, services=1, stores=stores
+            )
+
+
+async def engine_stats(
+    deployed: deployment.Deployment,
+) -> list[dict[str, typing.Any]]:
+    """Return the counters of all engines, which must all be alive."""
+    return [await deployed.running.stats(child) for child in deployed.engines]
+
+
+async def wait_until(
+    check: collections.abc.Callable[[], collections.abc.Awaitable[bool]], what: str
+) -> None:
+    """Wait until a condition holds."""
+    with trio.move_on_after(20.0):
+        while not await check():
+            await trio.sleep(POLL_S)
+        return
+    pytest.fail(f"{what} did not happen within 20 s")
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"close_connections": True},
+        {"close_connections": True, "new_boot_id": True},
+    ],
+    ids=["same_boot", "new_boot"],
+)
+async def test_engine_turns_cold(
+    tmp_path: pathlib.Path, fault: dict[str, bool]
+) -> None:
+    """Guards against full load on an engine that turned cold without notice."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        cold = deployed.engines[0]
+        limit = deployed.sample.engine["cold_limit"]
+
+        async def is_warm_again() -> bool:
+            report = await deployed.running.call(cold, "GET", "/load")
+            return bool(report.json()["state"] == "warm")
+
+        async with traffic.flowing():
+            await trio.sleep(2.0)
+            before = await deployed.running.stats(cold)
+            assert before["max_concurrent"] > limit, "too little load to matter"
+            turned_at = trio.current_time()
+            await deployed.running.set_faults(cold, turn_cold=fault)
+            await trio.sleep(CUT_DELAY_S)
+            cut_at = trio.current_time()
+            await trio.sleep(1.0)
+            assert (await deployed.running.stats(cold))["overloads"] == 0
+            await wait_until(is_warm_again, "the end of the cold start")
+            warm_s = trio.current_time() - turned_at
+            await trio.sleep(1.0)
+        after = await deployed.running.stats(cold)
+        cold_runs = (after["max_concurrent_cold"], after["overloads"])
+        cut = sum(not a.result.whole for a in traffic.attempts)
+        print(f"max cold, overloads {cold_runs}; warm in {warm_s:.1f} s; cut {cut}")
+        assert after["overloads"] == 0
+        assert 1 <= after["max_concurrent_cold"] <= limit
+        assert after["turned_cold"] == 1
+        # Only streams that the fault itself cut may end, and only with an error event.
+        traffic.check_whole(traffic.since(cut_at))
+        for attempt in traffic.attempts:
+            problem = attempt.result.problem
+            assert attempt.result.whole or "upstream_lost" in problem, problem
