Test engines that report leaving or are listed as leaving

Cause: no process test covers the bound of 3 s on new work for a leaving engine.

Change: one engine reports leaving, or is marked so on the instance list, while callers run and long runs of 6 s are in progress. The count of its requests must not rise after 3 s, and its runs must end whole.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -25,6 +25,10 @@
 CUT_DELAY_S = 0.1
 # Bounds on new work from docs/design.md, section 2.
 ZONE_OUT_S = 5.0
+LEAVING_S = 3.0
+# Runs that still go on at the bound: 6 s at the sample's rate of decoding.
+LONG_TOKENS = 600
+LONG_RUNS = 6
 
 
 @dataclasses.dataclass
@@ -209,3 +213,39 @@
         print(f"p95 to first token: {before_s:.3f}, {out_s:.3f}, {back_s:.3f} s")
         assert later == at_bound
         traffic.check_whole(traffic.attempts)
+
+
+@pytest.mark.parametrize("notice", ["report", "list"])
+async def test_engine_leaves(tmp_path: pathlib.Path, notice: str) -> None:
+    """Guards against new work for a leaving engine and against runs cut by it."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        leaving = deployed.engines[0]
+        async with traffic.flowing():
+            await trio.sleep(1.0)
+            async with trio.open_nursery() as nursery:
+                for number in range(LONG_RUNS):
+                    nursery.start_soon(traffic.ask, number % NODES, "", LONG_TOKENS)
+                await trio.sleep(1.0)
+                told_at = trio.current_time()
+                if notice == "report":
+                    await deployed.running.set_faults(leaving, leaving=True)
+                else:
+                    await deployed.running.list_instance(
+                        deployed.instances,
+                        "engine-1",
+                        "engine",
+                        leaving.address,
+                        deployed.zone(0),
+                        state="leaving",
+                    )
+                await trio.sleep_until(told_at + LEAVING_S)
+                at_bound = await deployed.running.stats(leaving)
+            await trio.sleep(3.0)
+        after = await deployed.running.stats(leaving)
+        print(f"running at the bound: {at_bound['running']}")
+        assert at_bound["requests"] > 0
+        assert at_bound["running"] > 0, "no run was in progress at the bound"
+        assert after["requests"] == at_bound["requests"]
+        assert (after["running"], after["cancelled"]) == (0, 0)
+        traffic.check_whole(traffic.attempts)
