Test orders and chat through an outage of the table service

Cause: no process test covers a table service that refuses or hangs for 15 s while callers run.

Change: callers chat through three nodes; orders are placed through each node before, three times during, and after the outage. The ones during it must be refused with not_run and must not have run; repeated with the same key, some through other nodes, each runs once. Chat answers stay whole. Orders must work again within 10 s: a failing renewal takes two time limits of 2 s, and the next one starts 5 s later.

Nodes refuse orders longer than needed after a hang, since renewal is not tried sooner after a failure.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -29,6 +29,10 @@
 # Runs that still go on at the bound: 6 s at the sample's rate of decoding.
 LONG_TOKENS = 600
 LONG_RUNS = 6
+OUTAGE_S = 15.0
+# A failing renewal of a session takes two time limits of 2 s, and the next one
+# starts 5 s later; the rest is for the renewal and the claim.
+RECOVERY_S = 10.0
 
 
 @dataclasses.dataclass
@@ -249,3 +253,65 @@
         assert after["requests"] == at_bound["requests"]
         assert (after["running"], after["cancelled"]) == (0, 0)
         traffic.check_whole(traffic.attempts)
+
+
+@pytest.mark.parametrize(
+    "fault", [{"refuse": True}, {"slow_s": OUTAGE_S}], ids=["refuses", "hangs"]
+)
+async def test_table_service_is_out(
+    tmp_path: pathlib.Path, fault: dict[str, object]
+) -> None:
+    """Guards against chat that stops, and orders that run, while claims cannot."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        service = deployed.services[0]
+        results: dict[str, callers.Result] = {}
+
+        async def order(node: int, order_id: str, until: float = 0.0) -> None:
+            await order_once(node, order_id)
+            while not results[order_id].whole and trio.current_time() < until:
+                await trio.sleep(POLL_S)
+                await order_once(node, order_id)
+
+        async def order_once(node: int, order_id: str) -> None:
+            results[order_id] = await callers.order(
+                traffic.pool,
+                deployed.nodes[node],
+                deployment.TEAM,
+                f"/services/{deployed.sample.service['name']}/orders",
+                order_id,
+                TIMEOUT_S,
+            )
+
+        async def order_at_all(prefix: str, shift: int = 0, until: float = 0.0) -> None:
+            async with trio.open_nursery() as nursery:
+                for number in range(NODES):
+                    node = (number + shift) % NODES
+                    nursery.start_soon(order, node, f"{prefix}-{number}", until)
+
+        async with traffic.flowing():
+            await order_at_all("before")
+            out_at = trio.current_time()
+            await deployed.running.set_faults(deployed.tables, **fault)
+            async with trio.open_nursery() as nursery:
+                for count in range(3):
+                    nursery.start_soon(order_at_all, f"during{count}")
+                    await trio.sleep_until(out_at + (count + 1) * OUTAGE_S / 3)
+            over_at = trio.current_time()
+            refused = {k: r for k, r in results.items() if k.startswith("during")}
+            runs = (await deployed.running.stats(service))["orders"]
+            await deployed.running.set_faults(deployed.tables)
+            await order_at_all("after", until=over_at + RECOVERY_S)
+            print(f"orders work {trio.current_time() - over_at:.1f} s after the outage")
+            for count in range(3):
+                # Also through other nodes than the ones that refused.
+                await order_at_all(f"during{count}", shift=count)
+        states = {k: (r.run_state, r.problem) for k, r in refused.items()}
+        assert {state for state, _ in states.values()} == {"not_run"}, states
+        assert set(runs) == {f"before-{number}" for number in range(NODES)}
+        problems = {k: r.problem for k, r in results.items() if not r.whole}
+        assert not problems, problems
+        after = (await deployed.running.stats(service))["orders"]
+        assert after == dict.fromkeys(results, 1)
+        assert len(results) == 5 * NODES
+        traffic.check_whole(traffic.attempts)
