Test a vendor's weight swap while streams run

Cause: no process test covers weights that change at an engine between and during requests.

Change: both engines swap from w1 to w2 while long streams run. Streams must end whole and name w1 alone; requests right after the swap are answered with w2 or refused with not_run; later ones are answered with w2, without cached tokens and without an import of a stored block of w1. callers.Result gains the versions that an answer's chunks name.

Ruled out: counting imports from the moment of the swap. Nodes that have not read a new load report order imports for requests that name w1; the engine declines those requests, and w2 does not use the blocks.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -32,6 +32,8 @@
         For refusals, the stable code.
     problem : str
         What was wrong with an answer that is not whole.
+    versions : set of str
+        Weight versions that the chunks of a streamed answer name.
     """
 
     status: int = 0
@@ -44,6 +46,7 @@
     run_state: str = ""
     code: str = ""
     problem: str = ""
+    versions: set[str] = dataclasses.field(default_factory=set)
     content: typing.Any = None
 
 
@@ -128,6 +131,7 @@
     data = [e.removeprefix("data: ") for e in events[:-1]]
     chunks = [msgspec.json.decode(e) for e in data]
     ids = {chunk.get("id") for chunk in chunks}
+    result.versions = {chunk.get("weight_version", "") for chunk in chunks}
     got = "".join(
         choice["delta"].get("content") or ""
         for chunk in chunks
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,6 +11,7 @@
 import trio
 
 from snipelug_net import http_client
+from snipelug_standins import text
 from tests import callers, cluster, deployment
 
 pytestmark = pytest.mark.process
@@ -29,6 +30,9 @@
 # Runs that still go on at the bound: 6 s at the sample's rate of decoding.
 LONG_TOKENS = 600
 LONG_RUNS = 6
+# Until every node has read a load report made after a change.
+REPORTED_S = 2.0
+PROMPT_BLOCKS = 3
 OUTAGE_S = 15.0
 # A failing renewal of a session takes two time limits of 2 s, and the next one
 # starts 5 s later; the rest is for the renewal and the claim.
@@ -315,3 +319,78 @@
         assert after == dict.fromkeys(results, 1)
         assert len(results) == 5 * NODES
         traffic.check_whole(traffic.attempts)
+
+
+def long_questions(count: int) -> list[str]:
+    """Return prompts of a few full cache blocks."""
+    words = PROMPT_BLOCKS * text.BLOCK_BYTES // 8
+    return [f"{number:08d}" * words + "what follows?" for number in range(count)]
+
+
+async def ask_all(
+    traffic: Traffic, questions: list[str], tokens: int = TOKENS
+) -> list[callers.Result]:
+    """Ask all questions together, each through the next node."""
+    before = len(traffic.attempts)
+    async with trio.open_nursery() as nursery:
+        for number, question in enumerate(questions):
+            nursery.start_soon(traffic.ask, number % NODES, question, tokens)
+    return [attempt.result for attempt in traffic.attempts[before:]]
+
+
+async def ask_and_store(traffic: Traffic, questions: list[str]) -> None:
+    """Ask all questions; wait until the KV cache store holds their blocks."""
+    deployed = traffic.deployed
+    await ask_all(traffic, questions)
+
+    async def are_stored() -> bool:
+        stored = (await deployed.running.stats(deployed.stores[0]))["blocks"]
+        return bool(stored >= PROMPT_BLOCKS * len(questions))
+
+    await wait_until(are_stored, "the export of the blocks")
+
+
+def cached_tokens(results: list[callers.Result]) -> set[int]:
+    """Return the counts of cached tokens that whole answers name."""
+    return {r.usage["cached_tokens"] for r in results if r.whole}
+
+
+async def test_vendor_swaps_weights(tmp_path: pathlib.Path) -> None:
+    """Guards against answers and cached blocks of mixed weight versions."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        # Without a version in the configuration nobody orders the old one back.
+        model = {"name": deployed.sample.model}
+        await deployed.submit([{"type": "PutModel", "model": model}])
+        questions = long_questions(3 * NODES)
+        await ask_and_store(traffic, questions)
+        await ask_all(traffic, questions)
+        traffic.check_whole(traffic.attempts)
+        assert max(cached_tokens([a.result for a in traffic.attempts])) > 0
+        # Known to nodes as: held by an engine at the end, asked for too early, stored.
+        streamed = questions[:NODES]
+        early = questions[NODES : 2 * NODES]
+        late = questions[2 * NODES :]
+        async with trio.open_nursery() as nursery:
+            swapped_at = trio.current_time() + 1.0
+            for node, question in enumerate(streamed):
+                nursery.start_soon(traffic.ask, node, question, LONG_TOKENS // 2)
+            await trio.sleep_until(swapped_at)
+            for child in deployed.engines:
+                await deployed.running.set_faults(child, swap_weights="w2")
+            during = await ask_all(traffic, early)
+        await trio.sleep(REPORTED_S)
+        # Imports for requests that still named the old version are of no use to
+        # later ones, so only those from here on count.
+        imported = [s["imported_blocks"] for s in await engine_stats(deployed)]
+        after = await ask_all(traffic, late + streamed)
+        stats = await engine_stats(deployed)
+        print(f"refused at the swap: {sum(not r.whole for r in during)}")
+        assert {r.whole or r.run_state == "not_run" for r in during} == {True}
+        traffic.check_whole(a for a in traffic.attempts if a.result not in during)
+        for attempt in traffic.attempts:
+            is_new = attempt.started_at > swapped_at
+            if attempt.result.whole:
+                assert attempt.result.versions == {"w2" if is_new else "w1"}
+        assert cached_tokens(during + after) == {0}
+        assert [s["imported_blocks"] for s in stats] == imported
