Test the death of a KV cache store

Cause: no process test covers blocks that nodes know in a store that died.

Change: long prompts are answered, stored and fetched back once; then the engines' caches are emptied, the store is killed, and the prompts are asked again at once and after nodes have noticed. All answers must be whole with no cached tokens.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -394,3 +394,31 @@
                 assert attempt.result.versions == {"w2" if is_new else "w1"}
         assert cached_tokens(during + after) == {0}
         assert [s["imported_blocks"] for s in stats] == imported
+
+
+async def test_store_dies(tmp_path: pathlib.Path) -> None:
+    """Guards against answers that wait for, or lack, blocks of a store that died."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        questions = long_questions(2 * NODES)
+
+        async def empty_engines() -> None:
+            # Loading the same weights again empties the engines' own caches.
+            for child in deployed.engines:
+                await deployed.running.set_faults(child, swap_weights="w1")
+            await trio.sleep(REPORTED_S)
+
+        await ask_and_store(traffic, questions)
+        await empty_engines()
+        assert max(cached_tokens(await ask_all(traffic, questions))) > 0
+        await empty_engines()
+        deployed.stores[0].kill()
+        dead = await ask_all(traffic, questions)
+        await empty_engines()
+        known_dead = await ask_all(traffic, questions)
+        slowest = [
+            max(r.first_token_s for r in results) for results in (dead, known_dead)
+        ]
+        print(f"slowest first tokens: {slowest[0]:.2f}, {slowest[1]:.2f} s")
+        traffic.check_whole(traffic.attempts)
+        assert cached_tokens(dead + known_dead) == {0}
