Follow a vendor's weight swap at once; count borrowers by process

Cause: 3 of 3 requests right after a swap at both engines were refused, because nodes learn the version from the next report; and the owner of a limit looked for borrowers' processes among node ids, so it forgot a silent borrower's requests in flight after 10 s in place of 60 s.

Change: an engine that names another version is asked for its load at once and tried again; members of limits are processes; tries at which no engine worked need no retry budget.

--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -206,6 +206,7 @@
         refused = refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
         wait_until = min(job.deadline, trio.current_time() + WAIT_FOR_ENGINE_S)
         tries = 0
+        is_free = True
         while tries < MAX_TRIES and trio.current_time() < job.deadline:
             standing = self.crashes.check(job.fingerprint)
             if isinstance(standing, refusal.Refusal):
@@ -222,24 +223,24 @@
                 job.excluded.clear()
                 await trio.sleep(NEXT_LOOK_S)
                 continue
-            if not self._may_try(choice, tries):
+            if not self._may_try(choice, tries > 0 and not is_free):
                 break
             tries += 1
             opened = await self._try(job, choice)
             if isinstance(opened, Exchange):
                 return opened
-            refused = opened.refusal
+            refused, is_free = opened.refusal, opened.is_free
             if opened.final or (job.once and job.sent):
                 return refused
         return dataclasses.replace(refused, run_state=job.run_state)
 
-    def _may_try(self, choice: Choice, attempt: int) -> bool:
+    def _may_try(self, choice: Choice, is_retry: bool) -> bool:
         upstream_id = choice.upstream.instance.id
         now = trio.current_time()
-        if attempt == 0:
-            self.budget.note_request(upstream_id, now)
-            return True
-        return self.budget.take_retry(upstream_id, now)
+        if is_retry:
+            return self.budget.take_retry(upstream_id, now)
+        self.budget.note_request(upstream_id, now)
+        return True
 
     async def _try(self, job: Job, choice: Choice) -> "Exchange | _Refused":
         """Send the request to one engine."""
@@ -252,10 +253,11 @@
         )
         match sent:
             case sender.Blocked(refused):
-                return _Refused(refused)
+                return _Refused(refused, is_free=True)
             case http_client.NotSent(reason):
                 load.mark_closed(upstream, trio.current_time())
-                return _Refused(refusal.refuse(refusal.NO_UPSTREAM, reason))
+                refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
+                return _Refused(refused, is_free=True)
             case http_client.Lost():
                 return await self._lost(job, choice, sent)
             case sender.Opened(permit, reply):
@@ -299,7 +301,14 @@
             reason=error.message,
         )
         if isinstance(error, engine.Declined):
-            return _Refused(error.refusal(), final=not error.retryable)
+            if error.other_version:
+                # The vendor swapped weights; the next report names the version.
+                await self.sender.refresh(exchange.choice.upstream)
+                await trio.sleep(NEXT_LOOK_S)
+                job.excluded.discard(upstream_id)
+            return _Refused(
+                error.refusal(), not error.retryable, is_free=error.other_version
+            )
         job.sent = True
         text = f"the engine answered {error.status}: {error.message}"
         return _Refused(refusal.refuse(refusal.UPSTREAM_LOST, text, job.run_state))
@@ -483,10 +492,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Refused:
-    """One try failed; ``final`` if no other engine should be tried."""
+    """One try failed.
+
+    Attributes
+    ----------
+    final : bool
+        No other engine should be tried.
+    is_free : bool
+        The engine did no work, so that another try needs no retry budget.
+    """
 
     refusal: refusal.Refusal
     final: bool = False
+    is_free: bool = False
 
 
 def _judge(
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -124,6 +124,11 @@
         rows = (self._sessions or {}).values()
         return frozenset(row.node for row in rows)
 
+    def processes(self) -> frozenset[str]:
+        """Return the processes that had a session when the table was last read."""
+        rows = (self._sessions or {}).values()
+        return frozenset(row.process for row in rows)
+
     def live_sessions(self) -> frozenset[str]:
         """Return the sessions that were there when the table was last read."""
         return frozenset(self._sessions or ()) | {self.lease.session}
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -149,7 +149,7 @@
             process,
             self.teams.owner_of,
             self.teams.holds,
-            self._member_ids,
+            self._sharers,
             self.teams.joined_for,
             self.teams.limits_of,
         )
@@ -304,13 +304,15 @@
             case teams.End(team):
                 self.limiter.end(team)
 
-    def _member_ids(self) -> frozenset[str]:
-        """Return all nodes that may use a share of a limit.
+    def _sharers(self) -> frozenset[str]:
+        """Return all processes that may use a share of a limit.
 
         Right after a start the table of sessions was read before other nodes wrote
         theirs; too few members would make the shares too large.
         """
-        return self.lease.members() | frozenset(self.peers.members.rows)
+        members = self.peers.members.rows.values()
+        known = frozenset(row.incarnation or row.node_id for row in members)
+        return self.lease.processes() | known
 
     def _is_suspect(self, fingerprint: str) -> bool:
         return self.crashes.check(fingerprint) is quarantine.Standing.SUSPECT
