Exchange pending prefill only while callers are served; renew sooner after silence

Cause: an idle node of six took 11.5% of a core, mostly for the exchange of pending prefill every 0.25 s and a look at empty queues every 10 ms; after a hang of the table service orders stayed refused for up to 9.1 s, because a failed renewal was repeated only after 5 s.

Change: no exchange without callers in the last 2 s, no look without waiting requests, renewal after 2.5 s while its outcome is unclear; instances of plain services that were sent nothing cost no retry budget.

--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -4,6 +4,7 @@
 import dataclasses
 import http
 import logging
+import math
 import typing
 import urllib.parse
 import uuid
@@ -35,6 +36,8 @@
 
 BEARER = "bearer "
 
+ACTIVE_S = 2.0
+
 REPEAT_S = 5.0
 """Time in which a keyed chat call may go to another engine after one declined it."""
 
@@ -75,6 +78,7 @@
     metrics: metrics.Metrics
     stopping: bool = False
     running: int = 0
+    called_at: float = -math.inf
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
         """Answer one request."""
@@ -82,6 +86,7 @@
             return http_server.json_response(http.HTTPStatus.OK, {"alive": True})
         if req.path == "/readyz":
             return self._readiness()
+        self.called_at = trio.current_time()
         caller = self._authenticate(req)
         if isinstance(caller, refusal.Refusal):
             return self._refuse(caller, req.path)
@@ -96,6 +101,10 @@
             return self._refuse(answer, req.path)
         return answer
 
+    def is_active(self, now: float) -> bool:
+        """Return whether callers were here lately."""
+        return self.running > 0 or now - self.called_at < ACTIVE_S
+
     def unready_reason(self) -> refusal.Refusal | None:
         """Return why this node takes no new work, if so."""
         if self.stopping:
@@ -340,11 +349,12 @@
         )
         has_left = False
         excluded: set[str] = set()
-        for attempt in range(dispatch.MAX_TRIES):
+        for _ in range(dispatch.MAX_TRIES):
             upstream = self._choose_service(call.target.name, excluded)
             if upstream is None or trio.current_time() >= call.deadline:
                 break
-            if not self._may_try(upstream, attempt):
+            # An instance that was not sent anything costs no retry budget.
+            if not self._may_try(upstream, is_retry=has_left):
                 break
             excluded.add(upstream.instance.id)
             outcome = await self._try_service(call, upstream, granted)
@@ -369,10 +379,10 @@
                         break
         return claim.Unclear(refused) if has_left else claim.NotSent(refused)
 
-    def _may_try(self, upstream: table.Upstream, attempt: int) -> bool:
+    def _may_try(self, upstream: table.Upstream, is_retry: bool) -> bool:
         budget = self.dispatcher.budget
         now = trio.current_time()
-        if attempt:
+        if is_retry:
             return budget.take_retry(upstream.instance.id, now)
         budget.note_request(upstream.instance.id, now)
         return True
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -14,6 +14,7 @@
 LOG = logging.getLogger("snipelug.lease")
 
 ACQUIRE_S = 5.0
+RETRY_RENEW_S = 2.5
 SCAN_S = 5.0
 RECHECK_S = 30.0
 """Time between two readings of an owner row that has a live owner."""
@@ -153,7 +154,7 @@
         await self.renew()
         task_status.started()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._every, session.RENEW_S, self.renew)
+            nursery.start_soon(self._renew_forever)
             nursery.start_soon(self._scan_forever, session.TABLE, self.read_sessions)
             nursery.start_soon(self._scan_forever, ownership.TABLE, self.read_owners)
             nursery.start_soon(self._every, ACQUIRE_S, self.acquire)
@@ -284,6 +285,14 @@
         listed = row.node in self._unlisted.listed
         return ownership.Successor(row.session, process, listed)
 
+    async def _renew_forever(self) -> None:
+        while not self.stopping:
+            # Renewed sooner after a silent store, so that orders are refused no
+            # longer than needed; at 780 nodes this is 312 writes a second.
+            period_s = RETRY_RENEW_S if self.lease.unclear else session.RENEW_S
+            await trio.sleep(period_s * self._rng.uniform(1 - JITTER, 1.0))
+            await self.renew()
+
     async def _every(
         self, period_s: float, work: collections.abc.Callable[[], typing.Any]
     ) -> None:
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -165,6 +165,7 @@
         self._asks = itertools.count()
         self._running = 0
         self._nursery: trio.Nursery | None = None
+        self._has_waiters = trio.Event()
         peers.register(SLICE, self._answer_slice)
 
     def begin(self, team: str, had_owner: bool) -> None:
@@ -225,6 +226,7 @@
         if refused is not None:
             return refused
         waiter = self._waiters[entry.number] = _Waiter(entry)
+        self._has_waiters.set()
         self._dispatch()
         try:
             if waiter.outcome is None and not self._has_slice(team):
@@ -297,6 +299,9 @@
 
     async def _serve_queues(self) -> None:
         while True:
+            if not self._waiters:
+                self._has_waiters = trio.Event()
+                await self._has_waiters.wait()
             self._dispatch()
             await trio.sleep(TICK_S)
 
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -199,7 +199,11 @@
         board = pending.Board()
         board.register(self.peers)
         self.exchange = pending.Exchange(
-            self.peers, self.router.backlog, board, lambda: self.tables.upstreams
+            self.peers,
+            self.router.backlog,
+            board,
+            lambda: self.tables.upstreams,
+            lambda: self.gateway.is_active(trio.current_time()),
         )
         self.sender = sender.Sender(
             self.pool, self.slots, self._may_send, self.watcher.read_load
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -83,6 +83,9 @@
     ----------
     upstreams : callable
         Returns the ids of the upstreams that this node works with.
+    is_active : callable, optional
+        Returns whether this node decides now; without decisions and own requests
+        nothing is exchanged, which took 7% of a core on an idle node of six.
     """
 
     def __init__(
@@ -91,7 +94,10 @@
         backlog: route.Backlog,
         board: Board,
         upstreams: collections.abc.Callable[[], collections.abc.Iterable[str]],
+        is_active: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
+        self.is_active = is_active
+        self.was_pending = False
         self.peers = peers
         self.backlog = backlog
         self.board = board
@@ -114,6 +120,10 @@
         known = set(self.upstreams())
         self.backlog.retain(known)
         pending = self.backlog.pending_s()
+        if not (pending or self.was_pending or self.is_active()):
+            return
+        # Zeros are told once, so that the boards forget this node's share.
+        self.was_pending = bool(pending)
         parts: dict[str, dict[str, float]] = collections.defaultdict(dict)
         for upstream in known:
             owner = self._owners.owner(_slot(upstream))
