--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 
 bench: install
 	$(PY) -m bench
+	$(PY) -m bench.node
 
 clean:
 	rm -rf $(VENV) build
--- a/bench/control.py
+++ b/bench/control.py
@@ -27,8 +27,9 @@
     wire_bytes_per_s : float
         Bytes on the loopback device per node and second, both directions and
         with all protocol headers; traffic of the stand-ins is included.
-    store_reads_per_s, store_writes_per_s : float
-        Operations of all nodes together at the table service, per second.
+    store_rows_per_s, store_scans_per_s, store_writes_per_s : float
+        Rows read, scans and writes of all nodes together at the table service, per
+        second.
     change_s : float
         Median time from the proposal of a change until it is in force everywhere.
     """
@@ -37,14 +38,14 @@
     core_share: float
     resident_bytes: float
     wire_bytes_per_s: float
-    store_reads_per_s: float
+    store_rows_per_s: float
+    store_scans_per_s: float
     store_writes_per_s: float
     change_s: float
 
 
-async def _store_counts(running: deployment.Deployment) -> tuple[int, int]:
-    stats = await running.running.stats(running.tables)
-    return stats["reads"], stats["writes"]
+async def _store_counts(running: deployment.Deployment) -> dict[str, int]:
+    return await running.running.stats(running.tables)
 
 
 async def measure(running: cluster.Cluster, nodes: int, upstreams: int) -> Control:
@@ -55,7 +56,7 @@
     )
     await trio.sleep(SETTLE_S)
     pids = [child.pid for child in started.nodes]
-    reads, writes = await _store_counts(started)
+    counts = await _store_counts(started)
     before = [usage.read_use(pid) for pid in pids]
     sent = usage.read_loopback_bytes()
     begin = time.perf_counter()
@@ -63,15 +64,16 @@
     elapsed_s = time.perf_counter() - begin
     sent = usage.read_loopback_bytes() - sent
     after = [usage.read_use(pid) for pid in pids]
-    reads_after, writes_after = await _store_counts(started)
+    counts_after = await _store_counts(started)
     cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
     return Control(
         nodes=nodes,
         core_share=cpu_s / nodes / elapsed_s,
         resident_bytes=statistics.mean(use.resident_bytes for use in after),
         wire_bytes_per_s=sent / nodes / elapsed_s,
-        store_reads_per_s=(reads_after - reads) / elapsed_s,
-        store_writes_per_s=(writes_after - writes) / elapsed_s,
+        store_rows_per_s=(counts_after["reads"] - counts["reads"]) / elapsed_s,
+        store_scans_per_s=(counts_after["scans"] - counts["scans"]) / elapsed_s,
+        store_writes_per_s=(counts_after["writes"] - counts["writes"]) / elapsed_s,
         change_s=await _change_time(started),
     )
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -174,7 +174,8 @@
         streams = request(addr, ANSWER_TOKENS, "stream")
         for _ in range(OVERHEAD_STREAMS):
             nursery.start_soon(_stream, pool, streams, _Counter())
-        await trio.sleep(WARM_UP_S)
+            # Started together, all streams would bring their tokens together.
+            await trio.sleep(WARM_UP_S / OVERHEAD_STREAMS)
         async with trio.open_nursery() as probes:
             for number in range(OVERHEAD_REQUESTS):
                 probes.start_soon(probe, number)
