--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -533,7 +533,12 @@
 def put_model(
     ctx: typer.Context,
     name: str,
-    weight_version: typing.Annotated[str, typer.Option(help="Version of the weights.")],
+    weight_version: typing.Annotated[
+        str,
+        typer.Option(
+            help="Version that engines are ordered to load; empty leaves it to them."
+        ),
+    ] = "",
     tokenizer: str = "bytes4",
     adapter: str = "",
     expect: Expect = None,
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -174,7 +174,7 @@
             async with self._renewing:
                 await executor.run(self._tables, session.end(self.lease))
         if scope.cancelled_caught:
-            LOG.warning("hand-over was not complete in time")
+            LOG.warning("handover_incomplete")
 
     async def renew(self) -> None:
         """Renew the session once."""
@@ -185,7 +185,7 @@
             now = trio.current_time()
             await executor.run(self._tables, session.renew(self.lease, now))
             if before and not self.lease.session:
-                LOG.warning("session was revoked", extra={"session": before})
+                LOG.warning("session_lost", extra={"session": before})
 
     async def read_sessions(self) -> int:
         """Read all sessions, revoke stale ones and return the bytes read."""
@@ -201,7 +201,7 @@
         }
         for stale in list(session.observe(self._watch, versions, asked_at, now)):
             if self._should_revoke(stale):
-                LOG.info("session revoked", extra={"session": stale.session})
+                LOG.info("session_revoked", extra={"session": stale.session})
                 await executor.perform(self._tables, session.revoke(stale))
         return sum(len(row.content) for row in rows)
 
@@ -324,6 +324,6 @@
                 yield row.key, content
             case step.Malformed(reason):
                 LOG.error(
-                    "row cannot be read",
+                    "row_unreadable",
                     extra={"table": row.table, "key": row.key, "reason": reason},
                 )
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -307,7 +307,7 @@
                 gone = isinstance(found, ports.Absent)
                 return claim.SessionGone() if gone else claim.SessionLives()
             case claim.Alarm(message):
-                LOG.error(message)
+                LOG.error("claim_rule_broken", extra={"reason": message})
                 return None
 
     async def _write(self, write: step.Write) -> object:
@@ -332,7 +332,7 @@
         try:
             outcome = await send(last_check)
         except Exception:
-            LOG.exception("dispatch failed")
+            LOG.exception("dispatch_failed")
             reason = "the dispatch failed inside the node"
             outcome = claim.NotSent(refusal.refuse(refusal.UPSTREAM_LOST, reason))
         granted = self.ledger.status(self.ledger.process, nonce)[0] is claim.Status.SENT
@@ -402,7 +402,7 @@
         for stored in rows:
             decoded = executor.decode(stored.version, stored.content, claim.Row)
             if isinstance(decoded, step.Malformed):
-                LOG.error("claim cannot be read", extra={"key": stored.key})
+                LOG.error("claim_unreadable", extra={"key": stored.key})
                 continue
             row: claim.Row = decoded.content
             if row.state is claim.State.CLAIMED and row.session not in gone:
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -524,9 +524,9 @@
             return
         if cfg.revision != self.cfg.revision + 1:
             self._log.clear()
-            LOG.info("configuration loaded", extra={"revision": cfg.revision})
+            LOG.info("configuration_loaded", extra={"revision": cfg.revision})
         else:
-            LOG.info("change in force", extra={"revision": cfg.revision})
+            LOG.info("change_in_force", extra={"revision": cfg.revision})
         self.cfg = cfg
         currency.record_revision(self._state, cfg.revision)
 
@@ -557,7 +557,7 @@
         write = ports.Write("snapshots", "latest", content, ports.Expect.ANY)
         result = await _ask(self._table.write(write))
         if not isinstance(result, ports.Written):
-            LOG.warning("snapshot not written", extra={"result": str(result)})
+            LOG.warning("snapshot_not_written", extra={"result": str(result)})
 
     # Members
 
@@ -640,7 +640,7 @@
         return msgspec.json.decode(row.content, type=kind)
     except msgspec.MsgspecError as exc:
         extra = {"table": row.table, "key": row.key, "reason": str(exc)}
-        LOG.error("row cannot be read", extra=extra)
+        LOG.error("row_unreadable", extra=extra)
         return None
 
 
