Test crashing requests and crossed answers with real processes

Each can fail: without the comparison of chunk ids the callers' markers do not match, and with a limit of three crashes three engines die.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -422,3 +422,39 @@
         print(f"slowest first tokens: {slowest[0]:.2f}, {slowest[1]:.2f} s")
         traffic.check_whole(traffic.attempts)
         assert cached_tokens(dead + known_dead) == {0}
+
+
+async def test_request_that_crashes_engines_is_stopped_after_two(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a request that takes down one engine after the other."""
+    async with deployed_nodes(tmp_path, engines=4) as deployed:
+        traffic = Traffic(deployed)
+        for child in deployed.engines:
+            await deployed.running.set_faults(child, crash_on="harmful text")
+        results = [await traffic.ask(i % NODES, "harmful text") for i in range(6)]
+        dead = [e for e in deployed.engines if e.exit_code is not None]
+        assert len(dead) == 2, [r.problem for r in results]
+        assert not any(r.whole for r in results)
+        assert all("quarantined" in r.problem for r in results[1:])
+        assert {r.run_state for r in results[1:]} == {"not_run"}
+        traffic.attempts.clear()
+        for node in range(NODES):
+            await traffic.ask(node)
+        traffic.check_whole(traffic.attempts)
+        shown = await deployed.call_admin(1, "GET", "/quarantine")
+        fingerprints = [row["fingerprint"] for row in shown.json()["quarantined"]]
+        assert len(fingerprints) == 1
+        release = {"fingerprint": fingerprints[0], "author": "test"}
+        answer = await deployed.call_admin(1, "POST", "/quarantine/release", release)
+        assert answer.status == 200
+
+
+async def test_crossed_answers_reach_nobody(tmp_path: pathlib.Path) -> None:
+    """Guards against parts of another caller's answer; callers check their marker."""
+    async with deployed_nodes(tmp_path) as deployed:
+        traffic = Traffic(deployed)
+        await deployed.running.set_faults(deployed.engines[0], cross_answers=5)
+        for number in range(4 * NODES):
+            await traffic.ask(number % NODES)
+        traffic.check_whole(traffic.attempts)
