Say unknown when an earlier engine may have run a refused request

Cause: the refusal of the last engine was passed on as it was. If a first engine was lost after bytes were sent and a second one declined, the caller was told not_run; the same for plain services with a retried idempotent call.

Before: test_keyed_request_is_never_run_again with a cut and then status 400 fails (1 failed, 17 passed). After: 18 passed.

Conclusion: found while reading the code; the state machine does not cover the dispatcher.

--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -231,7 +231,9 @@
                 return opened
             refused, is_free = opened.refusal, opened.is_free
             if opened.final or (job.once and job.sent):
-                return refused
+                break
+        # The last refusal may come from an engine that did not run the request,
+        # while an earlier one may have.
         return dataclasses.replace(refused, run_state=job.run_state)
 
     def _may_try(self, choice: Choice, is_retry: bool) -> bool:
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -377,7 +377,11 @@
                     )
                     if not repeatable:
                         break
-        return claim.Unclear(refused) if has_left else claim.NotSent(refused)
+        if not has_left:
+            return claim.NotSent(refused)
+        # The last instance may have been sent nothing, while an earlier one was.
+        unknown = refusal.RunState.UNKNOWN
+        return claim.Unclear(dataclasses.replace(refused, run_state=unknown))
 
     def _may_try(self, upstream: table.Upstream, is_retry: bool) -> bool:
         budget = self.dispatcher.budget
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -47,7 +47,7 @@
     async def handle(self, req: http_server.Request) -> http_server.Response:
         fault = self.faults.pop(0) if self.faults else "none"
         fields = json.loads(req.body)
-        if fault in ("409", "503", "500"):
+        if fault in ("400", "409", "503", "500"):
             error = {"error": {"message": "scripted"}}
             return http_server.json_response(int(fault), error)
         self.runs.append(fields)
@@ -218,12 +218,14 @@
 
 
 WHOLE = [
-    (["none"], False, "whole", 1),
-    (["cut"], False, "whole", 2),
-    (["crossed"], False, "whole", 2),
-    (["cut"], True, "unknown", 1),
-    (["crossed"], True, "unknown", 1),
-    (["503"], True, "whole", 1),
+    (["none", "none"], False, "whole", 1),
+    (["cut", "none"], False, "whole", 2),
+    (["crossed", "none"], False, "whole", 2),
+    (["cut", "none"], True, "unknown", 1),
+    (["crossed", "none"], True, "unknown", 1),
+    (["503", "none"], True, "whole", 1),
+    (["400", "none"], False, "not_run", 0),
+    (["cut", "400"], False, "unknown", 1),
 ]
 
 
@@ -231,8 +233,8 @@
 async def test_keyed_request_is_never_run_again(
     nursery: trio.Nursery, faults: list[str], once: bool, expected: str, runs: int
 ) -> None:
-    """Guards against a second run of a request that may have run."""
-    engines = [Engine(faults), Engine([])]
+    """Guards against a second run of a request that may have run, and false states."""
+    engines = [Engine(faults[:1]), Engine(faults[1:])]
     made, _ = await build(nursery, engines)
     result = await made.collect(make_job(streamed=False, once=once))
     assert sum(len(engine.runs) for engine in engines) == runs
