--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -25,7 +25,7 @@
 # Incremental parsing of server-sent events.
 
 
-# Not frozen, because that triples the time to make one, and there is one per token.
+# Not frozen: that doubles the time to make one (0.6 us), and there is one per token.
 @dataclasses.dataclass(slots=True)
 class Event:
     """The data of one server-sent event."""
@@ -62,10 +62,6 @@
 
     def feed(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
         """Yield the events that a piece completes; consume it wholly."""
-        if self._is_plain(piece):
-            for text in piece[:-2].split(b"\n\n"):
-                yield Event(text[len(DATA_FIELD) :])
-            return
         for line in self._lines(piece):
             if self._failed:
                 break
@@ -79,21 +75,6 @@
             self._data.clear()
             yield Oversized(self.limit_bytes)
 
-    def _is_plain(self, piece: bytes) -> bool:
-        """Whether a piece is nothing but whole events of one data line each.
-
-        Engines send each token so; splitting such a piece takes a third of the
-        time of the general way.
-        """
-        return (
-            piece.startswith(DATA_FIELD)
-            and piece.endswith(b"\n\n")
-            and len(piece) <= self.limit_bytes
-            and not (self._line or self._data or self._after_cr or self._failed)
-            and b"\r" not in piece
-            and piece.count(b"\n") == 2 * piece.count(b"\n\n" + DATA_FIELD) + 2
-        )
-
     def _held_bytes(self) -> int:
         return len(self._line) + self._data_bytes
 
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -366,8 +366,7 @@
     def _write_now(self, data: bytes) -> bytes:
         """Write what the socket takes without waiting; return the rest.
 
-        A write through trio costs a pass of its scheduler, which is most of the
-        cost of relaying a token.
+        A write through trio costs a pass of its scheduler for each token.
         """
         if not data:
             return b""
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -85,7 +85,7 @@
         Returns the ids of the upstreams that this node works with.
     is_active : callable, optional
         Returns whether this node decides now; without decisions and own requests
-        nothing is exchanged, which took 7% of a core on an idle node of six.
+        nothing is exchanged, because an idle node has little processor time to spend.
     """
 
     def __init__(
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -286,8 +286,8 @@
         b"data: \n\ndata: a\n\n",
     ],
 )
-def test_short_way_of_parsing_agrees_with_the_general_one(piece: bytes) -> None:
-    """Guards against events split or joined wrongly by the faster way."""
+def test_one_piece_gives_the_same_events_as_single_bytes(piece: bytes) -> None:
+    """Guards against events split or joined wrongly when several arrive together."""
     whole = list(stream.Parser().feed(piece))
     parser = stream.Parser()
     single = [e for i in range(len(piece)) for e in parser.feed(piece[i : i + 1])]
