Renew the lease at once when a read-back leaves it short

Cause: in an outage in which the table service takes effect without answering, the first renewal is applied and all later ones are refused because they expect the old version. The read-back after the outage therefore confirms a renewal sent up to 15 s ago, and the node waited another 4 to 5 s for its next renewal while its lease lapsed. A session found revoked likewise waited a period for its successor. Orders were refused as node_not_current in that time, after others had already succeeded on the same node.

Change: when the store answers and less than 10 s are left, the lease is renewed again in the same flow. Unclear renewals are forgotten once the version of the row changes, because all of them expected the old one.

Conclusion: the fault was in the renewal, not in the test.

--- a/packages/snipelug-core/src/snipelug_core/session.py
+++ b/packages/snipelug-core/src/snipelug_core/session.py
@@ -100,15 +100,35 @@
 def renew(lease: Lease, now: float) -> Flow:
     """Create the session or renew it once, and read back an unclear outcome.
 
-    Run one flow at a time for a lease.
+    Run one flow at a time for a lease. A read-back can confirm a renewal that
+    was sent long ago, or show that the session is gone; since the store
+    answers again, the lease is then renewed at once. Without this a node
+    refused orders for up to 5 s after an outage.
+    """
+    answered_at = yield from _renew_once(lease, now)
+    if answered_at is None:
+        return
+    if lease.valid_until - answered_at < LEASE_S - RENEW_S:
+        yield from _renew_once(lease, answered_at)
+
+
+def _renew_once(
+    lease: Lease, now: float
+) -> collections.abc.Generator[step.Write | step.Read, step.Event, float | None]:
+    """Send one renewal or settle an unclear one.
+
+    Returns
+    -------
+    float or None
+        When the store answered, None if it stayed silent.
     """
     if lease.session and not lease.version:
-        yield from _read_back(lease)
+        answered_at = yield from _read_back(lease)
         if lease.session and not lease.version:
             # A session id is created by one write only: a delayed second
             # creation could bring a revoked session back.
             lease.drop()
-        return
+        return answered_at
     if not lease.session:
         lease.created += 1
         lease.seq = 0
@@ -131,25 +151,32 @@
         case step.Applied(version):
             _confirm(lease, version, lease.seq)
         case step.Refused() | step.Silent():
-            yield from _read_back(lease)
+            return (yield from _read_back(lease))
+    return event.now
 
 
-def _read_back(lease: Lease) -> Flow:
+def _read_back(
+    lease: Lease,
+) -> collections.abc.Generator[step.Read, step.Event, float | None]:
     event = yield step.Read(TABLE, lease.session, Row)
     match event.outcome:
         case step.Found(version, row):
             _confirm(lease, version, row.seq)
         case step.Missing() if lease.version:
             lease.drop()
+        case step.Silent():
+            return None
+    return event.now
 
 
 def _confirm(lease: Lease, version: str, seq: int) -> None:
     """Note that the renewal with this number took effect."""
-    lease.version = version
     sent_at = lease.unclear.get(seq, -math.inf)
     lease.valid_until = max(lease.valid_until, sent_at + LEASE_S)
-    for other in [number for number in lease.unclear if number <= seq]:
-        del lease.unclear[other]
+    if version != lease.version:
+        # Every unclear renewal expected the version before this one.
+        lease.unclear.clear()
+    lease.version = version
 
 
 def end(lease: Lease) -> Flow:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+import pytest
+
 from snipelug_core import ownership, session, step
 from tests import world
 
@@ -80,6 +82,20 @@
     assert bench.owners(a, b) == ["b"]
 
 
+@pytest.mark.parametrize("revoked", [False, True])
+def test_lease_is_fresh_once_the_store_answers(revoked: bool) -> None:
+    """Guards against a read-back of an old renewal that leaves a lapsing lease."""
+    bench = Bench()
+    a = bench.node("a")
+    bench.now = 5.0
+    bench.run(session.renew(a.lease, 5.0), "lost", "lost")
+    if revoked:
+        bench.revoke(a)
+    bench.now = 19.0
+    bench.run(session.renew(a.lease, 19.0))
+    assert a.lease.valid(19.0 + session.RENEW_S)
+
+
 def test_late_hand_over_does_not_meet_a_resumed_owner() -> None:
     """Guards against two owners after a hand-over whose answers were lost."""
     bench = Bench()
