Split the routing module by what its parts do

Cause: route.py had 850 lines with five matters: the decision, a node's subset of upstreams, the wait on links, prefill ahead of a request, and baselines that only benchmarks use.

Ruled out: splitting the pipeline of filter, price and choice, whose parts are read together.

Change: modules subset, link, prefill and baseline; no code changed other than module prefixes and local names that shadowed the modules.

The 143 tests of routing, pending prefill, the benchmark and placement pass, and lint is clean.

Conclusion: each module has one matter; behaviour is unchanged.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -9,7 +9,19 @@
 import random
 
 from bench import model, workload
-from snipelug_core import block, contract, index, load, placement, route, table
+from snipelug_core import (
+    baseline,
+    block,
+    contract,
+    index,
+    link,
+    load,
+    placement,
+    prefill,
+    route,
+    subset,
+    table,
+)
 
 TICK_S = 0.5
 LAG_S = 0.2
@@ -59,9 +71,9 @@
 
 POLICIES = (
     Policy("snipelug", lambda d: route.ByCost(route.MODES[d.mode]), stores=True),
-    Policy("round_robin", lambda _: route.RoundRobin()),
-    Policy("least_loaded", lambda _: route.LeastLoaded()),
-    Policy("prefix_affinity", lambda _: route.PrefixAffinity()),
+    Policy("round_robin", lambda _: baseline.RoundRobin()),
+    Policy("least_loaded", lambda _: baseline.LeastLoaded()),
+    Policy("prefix_affinity", lambda _: baseline.PrefixAffinity()),
     Policy("oracle", lambda _: route.ByCost(ORACLE), stores=True, exact=True),
 )
 
@@ -75,12 +87,12 @@
     router: route.Router
     cfg: contract.Config
     upstreams: dict[str, table.Upstream]
-    subset: route.Subset
-    backlog: route.Backlog
+    subset: subset.Subset
+    backlog: prefill.Backlog
     returns: placement.Returns
     budgets: dict[tuple[str, str], placement.Bucket]
     waiting: placement.Waiting
-    watches: dict[str, route.LinkWatch]
+    watches: dict[str, link.LinkWatch]
 
 
 @dataclasses.dataclass
@@ -148,8 +160,8 @@
         self.rng = random.Random(seed + 100)
 
     def _node(self, name: str, seed: int) -> Node:
-        subset = route.Subset(name)
-        subset.update({s.inst.id: s.inst.zone for s in self.servers.values()})
+        own = subset.Subset(name)
+        own.update({s.inst.id: s.inst.zone for s in self.servers.values()})
         rate = EXPORT_SHARE * model.LINK_BYTES_PER_S / self.dep.nodes
         budgets = self._budgets(rate)
         return Node(
@@ -158,12 +170,12 @@
             router=self.policy.make(self.dep),
             cfg=workload.config(self.dep),
             upstreams={k: table.Upstream(s.inst) for k, s in self.servers.items()},
-            subset=subset,
-            backlog=route.Backlog(),
+            subset=own,
+            backlog=prefill.Backlog(),
             returns=placement.Returns(),
             budgets=budgets,
             waiting=placement.Waiting(),
-            watches={s: route.LinkWatch() for s in self.stores},
+            watches={s: link.LinkWatch() for s in self.stores},
         )
 
     def _budgets(self, rate: float) -> dict[tuple[str, str], placement.Bucket]:
@@ -401,11 +413,11 @@
         }
         return route.Facts(node.cfg, found, delay, links, model.BLOCK_BYTES)
 
-    def _link(self, node: Node, store: model.Store, zone: str) -> route.Link:
+    def _link(self, node: Node, store: model.Store, zone: str) -> link.Link:
         delay_s = 0.0 if store.inst.zone == zone else 2 * self.dep.delay_s
         if self.policy.exact:
             wait_s = max(0.0, store.busy_until - self.now)
-            return route.Link(model.LINK_BYTES_PER_S, wait_s + delay_s)
+            return link.Link(model.LINK_BYTES_PER_S, wait_s + delay_s)
         watch = node.watches[store.inst.id]
         return watch.link(model.LINK_BYTES_PER_S, delay_s, self.now)
 
@@ -454,7 +466,7 @@
         self.at(start_at, lambda: self._prefill(node, arrival, chosen.id, imported))
 
     def _hear(
-        self, watch: route.LinkWatch, size: float, took_s: float
+        self, watch: link.LinkWatch, size: float, took_s: float
     ) -> collections.abc.Callable[[], None]:
         return lambda: watch.note(model.LINK_BYTES_PER_S, size, took_s, self.now)
 
--- a/bench/micro.py
+++ b/bench/micro.py
@@ -7,7 +7,7 @@
 import tracemalloc
 
 from bench import model, workload
-from snipelug_core import index, route
+from snipelug_core import index, link, route, subset
 
 FLEETS = (12, 120, 450)
 ROUNDS = 7
@@ -42,9 +42,9 @@
         )
         for i in range(fleet)
     }
-    subset = route.Subset("n1")
-    subset.update({t.id: t.zone for t in targets.values()})
-    links = {(s, z): route.Link(3e9) for s in ("s0", "s1") for z in dep.zones}
+    chosen = subset.Subset("n1")
+    chosen.update({t.id: t.zone for t in targets.values()})
+    links = {(s, z): link.Link(3e9) for s in ("s0", "s1") for z in dep.zones}
     cfg = workload.config(dep)
     router = route.ByCost(route.MODES["ttft"])
     rounds = []
@@ -56,7 +56,7 @@
             req = route.Request(
                 "r", "team0", workload.MODEL, workload.WEIGHT_VERSION, prompt
             )
-            router.choose(req, subset.select(targets), facts, rng)
+            router.choose(req, chosen.select(targets), facts, rng)
         rounds.append((time.perf_counter() - started) / DECISIONS * 1e6)
     return statistics.median(rounds)
 
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -8,10 +8,7 @@
 import random
 import typing
 
-from snipelug_core import block, contract, hashing, index, table
-
-SUBSET_SIZE = 40
-"""Upstreams that one node works with; bounds the cost of a decision."""
+from snipelug_core import block, contract, index, link, table
 
 TIE_S = 0.002
 TIE_SHARE = 0.03
@@ -19,10 +16,6 @@
 
 TIE_CANDIDATES = 4
 
-LINK_DECAY_S = 5.0
-LINK_LEARNING = 0.3
-"""Weight of the newest import in the estimate of a link's wait."""
-
 
 @dataclasses.dataclass(frozen=True)
 class Mode:
@@ -79,7 +72,7 @@
     prefill_s : float
         Prefill of one token, in seconds.
     backlog_s : float
-        Prefill ahead of a new request (`Backlog.estimate_s`), in seconds.
+        Prefill ahead of a new request (`prefill.Backlog.estimate_s`), in seconds.
     weight_version : str
         Version that new requests run on; empty if unknown.
     needs_grant : bool
@@ -135,66 +128,6 @@
     excluded: frozenset[str] = frozenset()
 
 
-@dataclasses.dataclass(frozen=True)
-class Link:
-    """The path from a store to the engines of a zone.
-
-    Attributes
-    ----------
-    free_bytes_per_s : float
-        Rate not used by other transfers, in bytes per second.
-    latency_s : float
-        Time before the first byte, in seconds.
-    """
-
-    free_bytes_per_s: float
-    latency_s: float = 0.0
-
-
-class LinkWatch:
-    """Estimate the wait on a link from the imports that used it.
-
-    The rate left over by other traffic says too little: exports are spread out and
-    fill the link only when no read waits. What a read loses is the time that it
-    queues, which this node's imports show. Without new imports the estimate
-    decays, so that a link that was slow once is tried again.
-    """
-
-    def __init__(self, decay_s: float = LINK_DECAY_S) -> None:
-        self.decay_s = decay_s
-        self._wait_s = 0.0
-        self._at = 0.0
-
-    def note(
-        self, rate_bytes_per_s: float, size_bytes: float, took_s: float, now: float
-    ) -> None:
-        """Note an import.
-
-        Parameters
-        ----------
-        rate_bytes_per_s : float
-            Rate of the idle link, as the store's status tells it.
-        size_bytes : float
-            Bytes imported.
-        took_s : float
-            Duration, in seconds.
-        now : float
-            Time in seconds.
-        """
-        seen_s = max(0.0, took_s - size_bytes / rate_bytes_per_s)
-        known_s = self.wait_s(now)
-        self._wait_s = known_s + LINK_LEARNING * (seen_s - known_s)
-        self._at = now
-
-    def wait_s(self, now: float) -> float:
-        """Return the expected wait of an import, in seconds."""
-        return self._wait_s * math.exp(-max(0.0, now - self._at) / self.decay_s)
-
-    def link(self, rate_bytes_per_s: float, delay_s: float, now: float) -> Link:
-        """Return the link as a decision sees it."""
-        return Link(rate_bytes_per_s, delay_s + self.wait_s(now))
-
-
 @dataclasses.dataclass(frozen=True)
 class Facts:
     """What a node knows when it decides.
@@ -203,7 +136,7 @@
     ----------
     delay_s : mapping of str to float
         One-way delay from this node to each zone, in seconds.
-    links : mapping of (str, str) to Link
+    links : mapping of (str, str) to link.Link
         Link by store and zone; a store without a link is not read.
     block_bytes : float
         Size of the KV cache of one block, in bytes.
@@ -214,7 +147,7 @@
     delay_s: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
-    links: collections.abc.Mapping[tuple[str, str], Link] = dataclasses.field(
+    links: collections.abc.Mapping[tuple[str, str], link.Link] = dataclasses.field(
         default_factory=dict
     )
     block_bytes: float = 0.0
@@ -306,157 +239,6 @@
             rejected.append(Rejected(target.id, reason))
 
 
-class Subset:
-    """The upstreams that one node works with.
-
-    Parameters
-    ----------
-    node_id : str
-        Node whose subset this is.
-    size : int
-        Most upstreams in the subset.
-    """
-
-    def __init__(self, node_id: str, size: int = SUBSET_SIZE) -> None:
-        self.node_id = node_id
-        self.size = size
-        self.ids: tuple[str, ...] = ()
-
-    def update(self, groups: collections.abc.Mapping[str, str]) -> None:
-        """Choose again after the instance list has changed.
-
-        Parameters
-        ----------
-        groups : mapping of str to str
-            Group of each upstream, such as its zone and models. The subset takes
-            one of each group in turn, so that each group is represented.
-        """
-        members: dict[str, list[str]] = collections.defaultdict(list)
-        for upstream_id in hashing.rank(self.node_id, groups):
-            members[groups[upstream_id]].append(upstream_id)
-        order = hashing.rank(self.node_id, members)
-        depth = max((len(m) for m in members.values()), default=0)
-        turns = ((i, g) for i in range(depth) for g in order if i < len(members[g]))
-        chosen = [members[g][i] for i, g in turns]
-        self.ids = tuple(chosen[: self.size])
-
-    def select(
-        self, targets: collections.abc.Mapping[str, Target]
-    ) -> collections.abc.Iterator[Target]:
-        """Yield the upstreams of the subset that are known now."""
-        for upstream_id in self.ids:
-            target = targets.get(upstream_id)
-            if target is not None:
-                yield target
-
-
-# Prefill ahead of a request.
-
-LEARNING = 0.05
-"""Weight of a new observation in the running means."""
-
-PEERS_FRESH_S = 2.0
-"""Age up to which the other nodes' sum is used instead of the means, in seconds."""
-
-
-@dataclasses.dataclass
-class _Run:
-    work_s: float
-    sent_at: float
-    first_at: float | None = None
-
-
-class Backlog:
-    """Estimate the prefill that waits at each upstream of one node.
-
-    Load reports count requests, and a request with a long prompt delays others a
-    hundred times longer than a short one. This node knows the work of its own
-    requests, and other nodes tell the sum of theirs. Without a fresh sum, their
-    requests count with this node's means: the share of a request's time before its
-    first token, and its work.
-    """
-
-    def __init__(self) -> None:
-        self._runs: dict[str, dict[str, _Run]] = {}
-        self._peers: dict[str, tuple[float, float]] = {}
-        self._mean_work_s = 0.0
-        self._mean_before_s = 0.0
-        self._mean_total_s = 0.0
-
-    def sent(self, upstream: str, run_id: str, work_s: float, now: float) -> None:
-        """Note a request with its expected fetch and prefill, in seconds."""
-        self._runs.setdefault(upstream, {})[run_id] = _Run(work_s, now)
-
-    def first_token(self, upstream: str, run_id: str, now: float) -> None:
-        """Note that the prefill of a request is over."""
-        run = self._runs.get(upstream, {}).get(run_id)
-        if run is not None and run.first_at is None:
-            run.first_at = now
-
-    def ended(self, upstream: str, run_id: str, now: float) -> None:
-        """Note the end of a request, whether or not it brought a token."""
-        runs = self._runs.get(upstream, {})
-        run = runs.pop(run_id, None)
-        if not runs:
-            self._runs.pop(upstream, None)
-        if run is None or run.first_at is None:
-            return
-        self._mean_work_s += LEARNING * (run.work_s - self._mean_work_s)
-        before_s = run.first_at - run.sent_at
-        self._mean_before_s += LEARNING * (before_s - self._mean_before_s)
-        total_s = now - run.sent_at
-        self._mean_total_s += LEARNING * (total_s - self._mean_total_s)
-
-    def pending_s(self) -> dict[str, float]:
-        """Return the work of this node's requests that have no token yet, in seconds.
-
-        Upstreams without such requests are left out.
-        """
-        sums = {u: self._own_s(runs) for u, runs in self._runs.items()}
-        return {u: work_s for u, work_s in sums.items() if work_s > 0}
-
-    def note_peers(self, upstream: str, work_s: float, now: float) -> None:
-        """Note the sum of all other nodes' pending work at an upstream."""
-        self._peers[upstream] = (work_s, now)
-
-    def retain(self, upstreams: collections.abc.Container[str]) -> None:
-        """Forget what peers told of upstreams that are not among these."""
-        self._peers = {u: p for u, p in self._peers.items() if u in upstreams}
-
-    def estimate_s(self, upstream: str, queue: int, now: float) -> float:
-        """Return the prefill ahead of a new request, in seconds.
-
-        Parameters
-        ----------
-        upstream : str
-            The upstream.
-        queue : int
-            Requests of all nodes there (``load.estimate_queue``).
-        now : float
-            Time in seconds.
-        """
-        runs = self._runs.get(upstream, {})
-        own_s = self._own_s(runs)
-        told_s, told_at = self._peers.get(upstream, (0.0, -math.inf))
-        age_s = now - told_at
-        if age_s <= PEERS_FRESH_S:
-            return own_s + max(0.0, told_s - age_s)
-        if own_s > 0:
-            # Engines prefill in order: the oldest has run since it was sent.
-            oldest = min(
-                (r for r in runs.values() if r.first_at is None),
-                key=lambda r: r.sent_at,
-            )
-            own_s -= min(oldest.work_s, now - oldest.sent_at)
-        share = self._mean_before_s / self._mean_total_s if self._mean_total_s else 0.0
-        others = max(0, queue - len(runs))
-        return own_s + others * share * self._mean_work_s
-
-    @staticmethod
-    def _own_s(runs: dict[str, _Run]) -> float:
-        return sum(r.work_s for r in runs.values() if r.first_at is None)
-
-
 # Cost of a candidate.
 
 
@@ -519,7 +301,7 @@
     def __init__(self, facts: Facts, mode: Mode, zone: str, prefill_s: float) -> None:
         self.copies = list(_best_copies(facts, zone))
         count = len(self.copies)
-        links = [link for _, link in self.copies]
+        links = [path for _, path in self.copies]
         self._latency_s = max((k.latency_s for k in links if k), default=0.0)
         step_s = [
             facts.block_bytes / k.free_bytes_per_s if k else math.inf for k in links
@@ -550,7 +332,7 @@
 
 def _best_copies(
     facts: Facts, zone: str
-) -> collections.abc.Iterator[tuple[index.Stored | None, Link | None]]:
+) -> collections.abc.Iterator[tuple[index.Stored | None, link.Link | None]]:
     """Yield the copy of each leading block that arrives first in a zone."""
     for copies in facts.found.stored:
         links = [(c, facts.links.get((c.store, zone))) for c in copies]
@@ -697,91 +479,6 @@
         return Decision(chosen, why, tuple(ranked), tuple(rejected))
 
 
-_NEUTRAL = Mode("neutral", ttft=1.0, recompute=0.0, spread=0.0)
-
-
-def _without_stores(facts: Facts) -> Facts:
-    """Drop the copies in stores: the baselines only reuse engines' memory."""
-    found = index.Found(facts.found.memory)
-    return dataclasses.replace(facts, found=found)
-
-
-class _Baseline:
-    """Screening that all baselines share; they differ in the choice only."""
-
-    name: str
-
-    def choose(
-        self,
-        req: Request,
-        targets: collections.abc.Iterable[Target],
-        facts: Facts,
-        rng: random.Random,
-    ) -> Decision | NoUpstream:
-        """Choose by the baseline's rule."""
-        rejected: list[Rejected] = []
-        admitted = list(screen(targets, req, facts.cfg, rejected))
-        if not admitted:
-            return NoUpstream(tuple(rejected))
-        target, why = self._pick(req, admitted, rng)
-        priced = price([target], req, _without_stores(facts), _NEUTRAL)
-        candidates = tuple(priced)
-        return Decision(candidates[0], why, candidates, tuple(rejected))
-
-    def _pick(
-        self, req: Request, targets: list[Target], rng: random.Random
-    ) -> tuple[Target, Why]:
-        raise NotImplementedError
-
-
-class RoundRobin(_Baseline):
-    """Take the upstreams in turn."""
-
-    name = "round_robin"
-
-    def __init__(self) -> None:
-        self._count = 0
-
-    def _pick(
-        self, req: Request, targets: list[Target], rng: random.Random
-    ) -> tuple[Target, Why]:
-        del req, rng
-        self._count += 1
-        ordered = sorted(targets, key=lambda t: t.id)
-        return ordered[self._count % len(ordered)], Why.TURN
-
-
-class LeastLoaded(_Baseline):
-    """Take the upstream with the fewest requests per slot."""
-
-    name = "least_loaded"
-
-    def _pick(
-        self, req: Request, targets: list[Target], rng: random.Random
-    ) -> tuple[Target, Why]:
-        del req
-        lowest = min(t.queue / t.slots for t in targets)
-        equal = [t for t in targets if t.queue / t.slots == lowest]
-        return rng.choice(equal), Why.SHORTEST_QUEUE
-
-
-class PrefixAffinity(_Baseline):
-    """Send each conversation to the upstream that its id ranks first."""
-
-    name = "prefix_affinity"
-
-    def _pick(
-        self, req: Request, targets: list[Target], rng: random.Random
-    ) -> tuple[Target, Why]:
-        if req.chain is None:
-            return rng.choice(targets), Why.TIE
-        conversation = req.chain.conversation
-        best = max(
-            targets, key=lambda t: (hashing.rendezvous_score(conversation, t.id), t.id)
-        )
-        return best, Why.AFFINITY
-
-
 def record(
     req: Request, router: Router, outcome: Decision | NoUpstream
 ) -> dict[str, object]:
@@ -831,7 +528,7 @@
     needs_grant : bool
         Whether ``load.judge_warmth`` asks for a grant.
     backlog_s : float
-        Result of `Backlog.estimate_s`.
+        Result of `prefill.Backlog.estimate_s`.
     """
     inst, report = upstream.instance, upstream.report
     reported_leaving = report is not None and report.state is table.Warmth.LEAVING
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -26,6 +26,7 @@
     refusal,
     route,
     session,
+    subset,
     table,
 )
 from snipelug_net import http_client, http_server
@@ -347,7 +348,7 @@
         self, upstreams: collections.abc.Iterable[table.Instance]
     ) -> list[table.Instance]:
         by_id = {inst.id: inst for inst in upstreams}
-        chosen = route.Subset(self.cfg.node_id)
+        chosen = subset.Subset(self.cfg.node_id)
         chosen.update({i: f"{inst.zone}/{inst.name}" for i, inst in by_id.items()})
         owned = [i for i in by_id if i not in chosen.ids and self.slots.has_part(i)]
         return [by_id[i] for i in (*chosen.ids, *owned)]
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from snipelug_core import hashing, route
+from snipelug_core import hashing, prefill
 from snipelug_net import rpc
 from snipelug_node import cache, ports
 
@@ -72,7 +72,7 @@
 
 def _drop_old(told: dict[str, tuple[float, float]], now: float) -> None:
     for node, (_, at) in list(told.items()):
-        if now - at > route.PEERS_FRESH_S:
+        if now - at > prefill.PEERS_FRESH_S:
             del told[node]
 
 
@@ -91,7 +91,7 @@
     def __init__(
         self,
         peers: ports.Peers,
-        backlog: route.Backlog,
+        backlog: prefill.Backlog,
         board: Board,
         upstreams: collections.abc.Callable[[], collections.abc.Iterable[str]],
         is_active: collections.abc.Callable[[], bool] = lambda: True,
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from snipelug_core import block, contract, index, placement, route, table
+from snipelug_core import block, contract, index, link, placement, route, table
 from snipelug_net import http_client
 from snipelug_node import cache, dispatch, journal, settings, transfers
 
@@ -111,7 +111,7 @@
         self.block_s = block_s
         self.stores: dict[str, StoreState] = {}
         self.budgets: dict[tuple[str, str], placement.Bucket] = {}
-        self.watches: dict[tuple[str, str], route.LinkWatch] = {}
+        self.watches: dict[tuple[str, str], link.LinkWatch] = {}
         self.returns = placement.Returns()
         self.waiting = placement.Waiting()
         self.recent: collections.OrderedDict[str, placement.Prompt]
@@ -123,7 +123,7 @@
         """Return the known locations of a prompt's blocks."""
         return await self.directory.lookup(chain.keys)
 
-    def links(self) -> collections.abc.Mapping[tuple[str, str], route.Link]:
+    def links(self) -> collections.abc.Mapping[tuple[str, str], link.Link]:
         """Return the free rate of each link, by store and zone."""
         now = trio.current_time()
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
@@ -138,8 +138,8 @@
             for zone in zones
         }
 
-    def _watch(self, store_id: str, zone: str) -> route.LinkWatch:
-        return self.watches.setdefault((store_id, zone), route.LinkWatch())
+    def _watch(self, store_id: str, zone: str) -> link.LinkWatch:
+        return self.watches.setdefault((store_id, zone), link.LinkWatch())
 
     async def fetch(
         self,
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -12,8 +12,10 @@
     block,
     contract,
     index,
+    link,
     load,
     pace,
+    prefill,
     refusal,
     route,
     stream,
@@ -34,7 +36,7 @@
         """Return the known locations of a prompt's blocks."""
         ...
 
-    def links(self) -> collections.abc.Mapping[tuple[str, str], route.Link]:
+    def links(self) -> collections.abc.Mapping[tuple[str, str], link.Link]:
         """Return the free rate of each link, by store and zone."""
         ...
 
@@ -88,7 +90,7 @@
     chooser: route.Router
     rng: random.Random
     paces: dict[str, pace.Pace] = dataclasses.field(default_factory=dict)
-    backlog: route.Backlog = dataclasses.field(default_factory=route.Backlog)
+    backlog: prefill.Backlog = dataclasses.field(default_factory=prefill.Backlog)
 
     async def choose(self, job: dispatch.Job) -> dispatch.Choice | refusal.Refusal:
         """Choose an engine that is not excluded, and prepare its cache."""
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from snipelug_core import route
+from snipelug_core import prefill
 from snipelug_node import pending
 from tests import test_cache
 
@@ -17,7 +17,7 @@
     def __init__(self, node: test_cache.Node) -> None:
         self.board = pending.Board()
         self.board.register(node)
-        self.backlog = route.Backlog()
+        self.backlog = prefill.Backlog()
         self.exchange = pending.Exchange(
             node, self.backlog, self.board, lambda: UPSTREAMS
         )
@@ -72,7 +72,7 @@
     assert members[0].estimate_s("e0") == 9.0
     await trio.sleep(1.0)
     assert members[0].estimate_s("e0") == 8.0
-    await trio.sleep(route.PEERS_FRESH_S)
+    await trio.sleep(prefill.PEERS_FRESH_S)
     assert members[0].estimate_s("e0") == 0.0
     net.cut = set(net.nodes)
     await exchange(members)
@@ -80,7 +80,7 @@
     net.cut = set()
     await members[0].exchange.exchange()
     assert members[0].estimate_s("e0") == 0.0
-    await trio.sleep(2 * route.PEERS_FRESH_S)
+    await trio.sleep(2 * prefill.PEERS_FRESH_S)
     for member in members:
         member.board.prune()
         assert not member.board._told
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -9,7 +9,17 @@
 import pytest
 from hypothesis import strategies as st
 
-from snipelug_core import block, contract, index, route, table
+from snipelug_core import (
+    baseline,
+    block,
+    contract,
+    index,
+    link,
+    prefill,
+    route,
+    subset,
+    table,
+)
 
 ZONES = ("a", "b")
 CONTRACT = contract.Contract("t", (), models=("m",), services=("stock",))
@@ -17,9 +27,9 @@
 ROUTERS = [
     route.ByCost(route.MODES["ttft"]),
     route.ByCost(route.MODES["reuse"]),
-    route.RoundRobin(),
-    route.LeastLoaded(),
-    route.PrefixAffinity(),
+    baseline.RoundRobin(),
+    baseline.LeastLoaded(),
+    baseline.PrefixAffinity(),
 ]
 
 
@@ -105,7 +115,7 @@
     held = {e: draw(st.integers(0, len(copies))) for e in names}
     pairs = [(s, z) for s in ("s1", "s2") for z in ZONES]
     links = {
-        p: route.Link(draw(RATES), draw(st.sampled_from([0.0, 0.5])))
+        p: link.Link(draw(RATES), draw(st.sampled_from([0.0, 0.5])))
         for p in pairs
         if draw(st.booleans())
     }
@@ -128,7 +138,7 @@
     """Try all split points one by one."""
     tokens = prompt(n).tokens
     fixed = one.wait_s() + 2 * facts.delay_s.get(one.zone, 0.0)
-    nothing = route.Link(0.0)
+    nothing = link.Link(0.0)
     best = []
     for copies in facts.found.stored:
         links = [facts.links.get((c.store, one.zone), nothing) for c in copies]
@@ -141,9 +151,9 @@
             if not best[end - 1].free_bytes_per_s:
                 break
             fetch += facts.block_bytes / best[end - 1].free_bytes_per_s
-        prefill = (tokens - end * block.BLOCK_TOKENS) * one.prefill_s
+        prefill_s = (tokens - end * block.BLOCK_TOKENS) * one.prefill_s
         wait = fixed + fetch + (latency if end > held else 0.0)
-        costs.append(mode.ttft * (wait + prefill) + mode.recompute * prefill)
+        costs.append(mode.ttft * (wait + prefill_s) + mode.recompute * prefill_s)
     return min(costs)
 
 
@@ -206,13 +216,13 @@
     """Guards against decisions whose cost grows with the fleet."""
     names = [f"e{i}" for i in range(fleet)]
     targets = Counted({n: target(n) for n in names})
-    subset = route.Subset("n1")
-    subset.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
+    own = subset.Subset("n1")
+    own.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
     router = route.ByCost(route.MODES["ttft"])
-    chosen = subset.select(targets)
+    chosen = own.select(targets)
     outcome = router.choose(request(), chosen, route.Facts(CFG), random.Random(1))
     assert isinstance(outcome, route.Decision)
-    assert targets.reads == len(outcome.candidates) == min(fleet, route.SUBSET_SIZE)
+    assert targets.reads == len(outcome.candidates) == min(fleet, subset.SUBSET_SIZE)
 
 
 @hypothesis.given(
@@ -224,7 +234,7 @@
     groups: dict[str, str], size: int, data: st.DataObject
 ) -> None:
     """Guards against subsets that miss a zone or change wholly with one instance."""
-    before, after = route.Subset("n1", size), route.Subset("n1", size)
+    before, after = subset.Subset("n1", size), subset.Subset("n1", size)
     before.update(groups)
     gone = data.draw(st.sampled_from(sorted(groups)))
     after.update({k: v for k, v in groups.items() if k != gone})
@@ -240,8 +250,8 @@
 
 def test_slow_imports_raise_the_estimate_for_a_while() -> None:
     """Guards against fetches over a congested link, and against never trying again."""
-    watch = route.LinkWatch(decay_s=5.0)
-    assert watch.link(10.0, 0.1, 0.0) == route.Link(10.0, 0.1)
+    watch = link.LinkWatch(decay_s=5.0)
+    assert watch.link(10.0, 0.1, 0.0) == link.Link(10.0, 0.1)
     for _ in range(30):
         watch.note(10.0, 20.0, 5.0, 0.0)
     assert watch.wait_s(0.0) == pytest.approx(3.0, rel=0.01)
@@ -269,7 +279,7 @@
 
 def test_backlog_counts_long_prompts_and_other_nodes() -> None:
     """Guards against a short question that waits behind a long specification."""
-    backlog = route.Backlog()
+    backlog = prefill.Backlog()
     backlog.sent("e", "long", 4.0, now=0.0)
     backlog.sent("e", "short", 0.5, now=1.0)
     assert backlog.estimate_s("e", 2, now=1.0) == pytest.approx(3.5)
