Delete finished claims after 7 days; read claims in bounded pages

Listing open claims read 1,000 rows at once; with inline answers of up to 64 KB a page passes the 16 MB that a node accepts of the table service, and the list then failed for good.

Change: the owner of a team passes over its claims every 10 minutes, reading at most 1 KB/s, and deletes those that are done, released or settled, first the large answer and then the row, under the version that it read. Unknown claims stay. Ages count against the newest claim seen by an earlier pass, so that one clock running ahead deletes nothing. The list of open claims reads 100 rows at a time.

Conclusion: claims no longer grow without bound. Claims of teams without a contract are not deleted.

--- a/packages/snipelug-core/src/snipelug_core/claim.py
+++ b/packages/snipelug-core/src/snipelug_core/claim.py
@@ -22,6 +22,9 @@
 """Age from which an operator may settle a claim: the send window plus 50 s for
 a process paused between its last check and the send."""
 
+RETENTION_S = 7 * 24 * 3600.0
+"""Age from which a finished claim is deleted; its key is then free again."""
+
 CLAIM_ATTEMPTS = 3
 """Store operations without an answer after which a claim is abandoned."""
 
@@ -645,6 +648,12 @@
     return dataclasses.replace(row, state=state, note=note)
 
 
+def is_expired(row: Row, wall: float) -> bool:
+    """Tell whether a finished claim may be deleted; unsettled ones never are."""
+    finished = row.state in (State.DONE, State.RELEASED, State.SETTLED_RAN)
+    return finished and wall - row.claimed_wall > RETENTION_S
+
+
 def is_open(row: Row, session_gone: bool) -> bool:
     """Tell whether only an operator can settle the claim."""
     if row.state is State.UNKNOWN:
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -37,6 +37,7 @@
     cleaner,
     crashes,
     dispatch,
+    expiry,
     feeds,
     gateway,
     journal,
@@ -114,11 +115,12 @@
             self.rng,
             session.Place(*cfg.rpc_address, cfg.zone),
         )
+        self.objects = platform.HttpObjectStore(self.pool, cfg.objects)
         self.orders = order.Orders(
             self.peers.settings.incarnation,
             self.lease.lease,
             self.store,
-            platform.HttpObjectStore(self.pool, cfg.objects),
+            self.objects,
             self.peers,
         )
         self._build_slots()
@@ -148,6 +150,7 @@
             self.peers, self.store, self.cfg.key, process, time.time
         )
         self.teams = teams.Teams(self.lease, lambda: self.keeper.cfg)
+        self.expiry = expiry.Expiry(self.store, self.objects, self.teams.owned)
         self.limiter = limiter.Limiter(
             self.peers,
             process,
@@ -493,6 +496,7 @@
         await nursery.start(self.watcher.run)
         await nursery.start(self.lease.run)
         await nursery.start(self.orders.serve)
+        await nursery.start(self.expiry.run)
         await nursery.start(self.directory.run)
         await nursery.start(self.feeds.run)
         await nursery.start(self.transfers.run)
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -22,6 +22,10 @@
 TOLD_BYTES = 1024 * 1024
 """Largest unrecorded answer body sent to a peer, below the RPC message limit."""
 
+PAGE_ROWS = 100
+"""Claims read at once; their inline answers then take at most 9 MB in base64,
+which is below the limit of a response of the table service."""
+
 KEY_CHARS = 255
 DEADLINE_S = 60.0
 
@@ -390,7 +394,7 @@
         self._progress = trio.Event()
 
     async def open_claims(
-        self, team: str, after: str = "", limit: int = executor.PAGE_ROWS
+        self, team: str, after: str = "", limit: int = PAGE_ROWS
     ) -> OpenClaims | ports.Unavailable:
         """Read one page of a team's claims and return those left unknown."""
         prefix = f"{team}:"
--- a/packages/snipelug-node/src/snipelug_node/platform.py
+++ b/packages/snipelug-node/src/snipelug_node/platform.py
@@ -245,6 +245,15 @@
             return full
         return _stored(full)
 
+    async def delete(self, key: str) -> ports.Written | ports.Unavailable:
+        """Delete an object; one that does not exist counts as deleted."""
+        full = await self._endpoint.fetch("DELETE", f"/objects/{_encode(key)}")
+        if isinstance(full, ports.Unavailable):
+            return full
+        if full.status // 100 == 2 or full.status == NOT_FOUND:
+            return ports.Written("")
+        return _unexpected(full)
+
 
 class HttpInstanceList:
     """The instance list over HTTP; implements ``ports.InstanceList``."""
--- a/packages/snipelug-node/src/snipelug_node/ports.py
+++ b/packages/snipelug-node/src/snipelug_node/ports.py
@@ -119,6 +119,10 @@
         """Write an object."""
         ...
 
+    async def delete(self, key: str) -> Written | Unavailable:
+        """Delete an object; one that does not exist counts as deleted."""
+        ...
+
 
 class InstanceList(typing.Protocol):
     """The platform's lagging list of instances."""
--- a/packages/snipelug-node/src/snipelug_node/teams.py
+++ b/packages/snipelug-node/src/snipelug_node/teams.py
@@ -69,6 +69,10 @@
         now = trio.current_time()
         return self._keeper.holds(ownership.Kind.TEAM, team, now) is not None
 
+    def owned(self) -> list[str]:
+        """Return the teams that this node owns at this moment."""
+        return [team for team in self._cfg().contracts if self.holds(team)]
+
     def limits_of(self, team: str) -> contract.Limits | None:
         """Return a team's limits in the configuration in force."""
         found = self._cfg().contracts.get(team)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,7 +8,7 @@
 import trio
 
 from snipelug_net import rpc
-from snipelug_node import ports
+from snipelug_node import platform, ports
 
 DELAY_S = 0.001
 
@@ -57,7 +57,10 @@
             for (name, key), row in self.rows.items()
             if name == table_name and key.startswith(prefix) and key > after
         ]
-        return sorted(found, key=lambda row: row.key)[:limit]
+        page = sorted(found, key=lambda row: row.key)[:limit]
+        if sum(len(row.content) for row in page) > platform.TABLE_LIMIT_BYTES:
+            return ports.Unavailable("the response is too large", True)
+        return page
 
     async def write(
         self, write: ports.Write
@@ -112,6 +115,13 @@
         self.contents[key] = content
         return ports.Written("1")
 
+    async def delete(self, key: str) -> ports.Written | ports.Unavailable:
+        await trio.sleep(DELAY_S)
+        if self.down:
+            return ports.Unavailable("down", False)
+        self.contents.pop(key, None)
+        return ports.Written("")
+
 
 class Network:
     """Connects peers; ``cut`` holds the ids of nodes that nobody reaches."""
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -8,7 +8,7 @@
 
 from snipelug_core import claim, refusal, session
 from snipelug_net import http_client, http_server
-from snipelug_node import executor, order, ports
+from snipelug_node import executor, expiry, order, ports
 from tests import fakes
 
 Clock = trio.testing.MockClock
@@ -355,3 +355,66 @@
         assert (result.body, result.repeated) == (b"made", repeated)
     assert received == [b"b"]
     nursery.cancel_scope.cancel()
+
+
+async def test_finished_claims_expire(cluster: Cluster, autojump_clock: Clock) -> None:
+    """Guards against claims kept for ever, keys freed early and lost open claims."""
+    node, claims = cluster.nodes["a"], cluster.tables.rows
+    sweeper = expiry.Expiry(
+        cluster.tables, cluster.objects, lambda: ["team"], trio.current_time
+    )
+    ahead = expiry.Expiry(
+        cluster.tables,
+        cluster.objects,
+        lambda: ["team"],
+        lambda: trio.current_time() + 10 * claim.RETENTION_S,
+    )
+
+    async def call(key: str, size: int = 2, broken: str = "") -> None:
+        cluster.upstream.size, cluster.upstream.broken = size, broken
+        until = trio.current_time() + 30
+        await node.run("team", key, "POST", "/x", b"", cluster.upstream.send, until)
+
+    async def left_after_passes(*sweepers: expiry.Expiry) -> set[str]:
+        for item in sweepers * 2:
+            await item.sweep("team")
+        rows = [stored for (name, _), stored in claims.items() if name == claim.TABLE]
+        decoded = [executor.decode(*row, claim.Row) for row in rows]
+        return {found.content.key for found in decoded}
+
+    await call("small")
+    await call("large", size=order.INLINE_BYTES + 1)
+    await call("released", broken="before")
+    await call("open", broken="after")
+    everything = {"small", "large", "released", "open"}
+    await trio.sleep(claim.RETENTION_S - 60)
+    assert await left_after_passes(sweeper, ahead) == everything
+    await trio.sleep(120)
+    assert await left_after_passes(sweeper, ahead) == everything
+    await call("new")
+    cluster.objects.down = True
+    assert await left_after_passes(sweeper) == {"large", "open", "new"}
+    cluster.objects.down = False
+    assert await left_after_passes(sweeper) == {"open", "new"}
+    assert cluster.objects.contents == {}
+
+
+async def test_open_claims_among_large_answers(
+    cluster: Cluster, autojump_clock: Clock
+) -> None:
+    """Guards against a page of claims above the limit of a response."""
+    cluster.upstream.size = order.INLINE_BYTES // 3
+    node = cluster.nodes["a"]
+    until = trio.current_time() + 30
+    for number in range(300):
+        key = f"key-{number}"
+        cluster.upstream.broken = "after" if number % 100 == 99 else ""
+        await node.run("team", key, "POST", "/x", b"", cluster.upstream.send, until)
+    found: list[order.OpenClaim] = []
+    after = ""
+    while not found or after:
+        page = await node.open_claims("team", after)
+        assert isinstance(page, order.OpenClaims), page
+        found += page.claims
+        after = page.after
+    assert {item.key for item in found} == {"key-99", "key-199", "key-299"}
