Name a new owner as soon as its row is read

Cause: in a fresh deployment a team's row can be taken by a node that another node, once it knows all members, ranks below itself. That node has read the owner's row, but not yet the owner's session, because sessions are scanned every 5 to 6 s. It took the owner for dead, named itself when it was asked for a slice, and so did everybody who asked it. Requests waited up to 4.8 s for their share of the limit.

Ruled out: slices lent too generously to the first borrower (none was lent), a slow take-over (the row was taken after 0.3 s).

Change: a session that was learnt of after the last scan began may live; ownership is still taken only after the session row was read as missing. A node that is asked for a team which it is preferred for and does not own reads the owner row at the next tick.

The new test failed before and passes; tests of leases, limits and processes pass.

Conclusion: what remains is the tick of 0.5 s at which a team is begun.

--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -77,6 +77,7 @@
         self._watch = session.Watch()
         self._unlisted = ownership.Unlisted()
         self._sessions: dict[str, session.Row] | None = None
+        self._scanned_from = -math.inf
         self._preferred: dict[str, str] = {}
         self._ranked_over: frozenset[str] = frozenset()
         self._due: dict[str, float] = {}
@@ -113,7 +114,7 @@
         """
         item = ownership.row_key(kind, key)
         seen = self.owners.seen.get(item)
-        if seen is None or not self._lives(seen.row.session):
+        if seen is None or not self._may_live(seen):
             return self._preferred.get(item)
         owner = seen.row.owner
         if owner is None or (seen.given_up and owner == self.owners.me):
@@ -194,6 +195,7 @@
         if isinstance(rows, ports.Unavailable):
             return 0
         now = trio.current_time()
+        self._scanned_from = asked_at
         found = {row.key: row for row in rows}
         self._sessions = dict(_decoded(rows, session.Row))
         versions = {
@@ -221,16 +223,25 @@
         items = [ownership.row_key(kind, key) for kind, key in self._wanted()]
         await self._rank(items)
         for item in items:
-            async with self._owning:
-                now = trio.current_time()
-                if self.stopping or not self.lease.valid(now):
-                    return
-                if self._preferred.get(item) == self.node_id and self._is_due(
-                    item, now
-                ):
-                    flow = ownership.acquire(self.owners, item, self._unlisted)
-                    await executor.run(self._tables, flow)
-                    self._due[item] = trio.current_time() + RECHECK_S
+            await self._acquire_one(item)
+
+    async def look_for_owner(self, kind: ownership.Kind, key: str) -> None:
+        """Read who owns an item that this node is preferred for, or take it.
+
+        For items that are asked for here and not owned here: until the next scan
+        this node would name itself as the owner.
+        """
+        await self._acquire_one(ownership.row_key(kind, key))
+
+    async def _acquire_one(self, item: str) -> None:
+        async with self._owning:
+            now = trio.current_time()
+            if self.stopping or not self.lease.valid(now):
+                return
+            if self._preferred.get(item) == self.node_id and self._is_due(item, now):
+                flow = ownership.acquire(self.owners, item, self._unlisted)
+                await executor.run(self._tables, flow)
+                self._due[item] = trio.current_time() + RECHECK_S
 
     def _is_due(self, item: str, now: float) -> bool:
         seen = self.owners.seen.get(item)
@@ -240,6 +251,10 @@
             return True
         return now >= self._due.get(item, -math.inf)
 
+    def _may_live(self, seen: ownership.Seen) -> bool:
+        # A session learnt of since the last scan began may be newer than the scan.
+        return self._lives(seen.row.session) or seen.since > self._scanned_from
+
     def _lives(self, name: str) -> bool:
         if name and name == self.lease.session:
             return True
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -134,6 +134,8 @@
         Returns the time since this node wrote its session row, in seconds.
     limits_of : callable
         Returns a team's limits in the configuration in force.
+    note_asked : callable
+        Told of each team that a node asked for and this one does not own.
     capacity : int
         Requests that this node runs at once over all teams.
     """
@@ -147,6 +149,7 @@
         members: collections.abc.Callable[[], collections.abc.Collection[str]],
         joined_for: collections.abc.Callable[[], float],
         limits_of: collections.abc.Callable[[str], contract.Limits | None],
+        note_asked: collections.abc.Callable[[str], None] = lambda _: None,
         capacity: int = 4096,
     ) -> None:
         self._peers = peers
@@ -156,6 +159,7 @@
         self._members = members
         self._joined_for = joined_for
         self._limits_of = limits_of
+        self._note_asked = note_asked
         self._capacity = capacity
         self._teams: dict[str, _Team] = {}
         self._owned: dict[str, quota.Owner] = {}
@@ -391,6 +395,7 @@
         limits = self._limits_of(message.team)
         owner = self._owned.get(message.team)
         if limits is None or owner is None:
+            self._note_asked(message.team)
             return SliceReply(False, owner=self._owner_of(message.team) or "")
         demand = quota.Amounts(
             message.in_flight, message.requests_per_s, message.tokens_per_s
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -159,6 +159,7 @@
             self._sharers,
             self.teams.joined_for,
             self.teams.limits_of,
+            self.teams.note_asked,
         )
 
     def _build_cache(self) -> None:
@@ -307,8 +308,10 @@
 
     async def _change_team(self, action: teams.Begin | teams.End | teams.Look) -> None:
         match action:
-            case teams.Look():
+            case teams.Look(""):
                 await self.lease.acquire()
+            case teams.Look(team):
+                await self.lease.look_for_owner(ownership.Kind.TEAM, team)
             case teams.Begin(team, had_owner):
                 journal.event(LOG, "team_taken", team=team, had_owner=had_owner)
                 self.limiter.begin(team, had_owner)
--- a/packages/snipelug-node/src/snipelug_node/teams.py
+++ b/packages/snipelug-node/src/snipelug_node/teams.py
@@ -33,7 +33,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Look:
-    """Look for teams without an owner, because a contract is new."""
+    """Look for teams without an owner.
+
+    Attributes
+    ----------
+    team : str
+        The team that this node was asked for; empty for all, because a contract
+        is new.
+    """
+
+    team: str = ""
 
 
 class Teams:
@@ -57,6 +66,7 @@
         self._begun: dict[str, float] = {}
         self._ever_begun: set[str] = set()
         self._contracts: frozenset[str] = frozenset()
+        self._asked_for: set[str] = set()
         self._session = ""
         self._joined_at = 0.0
 
@@ -64,6 +74,11 @@
         """Return the node that owns a team, as far as known."""
         return self._keeper.owner_of(ownership.Kind.TEAM, team)
 
+    def note_asked(self, team: str) -> None:
+        """Note that a slice of a team that this node does not own was asked for."""
+        if self.owner_of(team) == self._keeper.node_id:
+            self._asked_for.add(team)
+
     def holds(self, team: str) -> bool:
         """Return whether this node owns a team at this moment."""
         now = trio.current_time()
@@ -91,6 +106,9 @@
         if contracts - self._contracts:
             yield Look()
         self._contracts = contracts
+        for team in self._asked_for & contracts:
+            yield Look(team)
+        self._asked_for.clear()
         for team in {*self._cfg().contracts, *self._begun}:
             taken_at = self._taken_at(team)
             known = self._begun.get(team)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -92,6 +92,24 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_preferred_node_names_an_owner_it_just_read(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against requests that wait for a scan to learn of a team's owner."""
+    cluster = Cluster(nursery)
+    peers = cluster.network.join("b")
+    b = lease.Keeper("b-p", cluster.tables, peers, lambda: ITEMS, random.Random("b"))
+    await b.renew()
+    await b.read_sessions()
+    cluster.network.cut.add("b")
+    await cluster.start("a")
+    await trio.sleep(20)
+    await b.renew()
+    await b.acquire()
+    assert [b.owner_of(*item) for item in ITEMS] == ["a"] * len(ITEMS)
+    nursery.cancel_scope.cancel()
+
+
 async def test_planned_stop_hands_everything_over(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
