Split the operators' command; define out, in and list once

Ruled out: one module per group of commands, since all groups share the calls, the options of a change and the printing.

Change: modules calls, output, proposal and switches; switches adds the three commands to both groups. The arguments are shown as ZONES and INSTANCES, as before.

Conclusion: no behaviour changed.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 import trio
 import typer.testing
 
-from snipelug_cli import main
+from snipelug_cli import calls, main
 from snipelug_core import change, contract, refusal
 from snipelug_net import http_server
 from snipelug_node import admin
@@ -265,7 +265,7 @@
     """Guards against an operator who repairs a file one error at a time."""
     file = write(tmp_path / name, text)
     result = RUNNER.invoke(main.app, ["contracts", "check", "--offline", file])
-    assert result.exit_code == main.Exit.INVALID
+    assert result.exit_code == calls.Exit.INVALID
     for message in messages:
         assert message in result.output
 
@@ -274,7 +274,7 @@
     """Guards against tracebacks, and keys in contract files."""
     missing = str(tmp_path / "no.json")
     result = RUNNER.invoke(main.app, ["contracts", "check", "--offline", missing])
-    assert result.exit_code == main.Exit.INVALID
+    assert result.exit_code == calls.Exit.INVALID
     assert "No such file" in result.output
     hashed = RUNNER.invoke(main.app, ["contracts", "hash-key"], input="secret\n")
     assert hashed.output.strip() == HASH
