Test that teams with equal prompts share no cached blocks

Change: three teams ask the same prompt of three blocks through three nodes; the second meets the first team's blocks in the engine's memory, the third meets them in the KV store. Neither may get cached tokens, and no engine may ask the store. The first team then has to get its own blocks from both places. A second case sends all reserved fields with the first team's true salt and block keys.

--- a/tests/callers.py
+++ b/tests/callers.py
@@ -63,14 +63,19 @@
     conversation: list[dict[str, str]],
     max_tokens: int = text.DEFAULT_COMPLETION_TOKENS,
     timeout_s: float = 30.0,
+    **fields: object,
 ) -> Result:
-    """Ask for a streamed answer and compare it with the expected text."""
+    """Ask for a streamed answer and compare it with the expected text.
+
+    ``fields`` are further fields of the body.
+    """
     body = {
         "model": model,
         "messages": conversation,
         "max_tokens": max_tokens,
         "temperature": 0,
         "stream": True,
+        **fields,
     }
     call = http_client.Call(
         node.addr,
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from snipelug_core import block, contract
 from snipelug_net import http_client
 from snipelug_standins import text
 from tests import callers, cluster, deployment
@@ -59,7 +60,12 @@
         self._numbers = itertools.count()
 
     async def ask(
-        self, node: int, question: str = "", tokens: int = TOKENS
+        self,
+        node: int,
+        question: str = "",
+        tokens: int = TOKENS,
+        team: str = deployment.TEAM,
+        **fields: object,
     ) -> callers.Result:
         """Ask one question; without a text, one that nobody has asked yet."""
         started_at = trio.current_time()
@@ -67,11 +73,12 @@
         result = await callers.chat(
             self.pool,
             self.deployed.nodes[node],
-            deployment.TEAM,
+            team,
             self.deployed.sample.model,
             conversation,
             tokens,
             TIMEOUT_S,
+            **fields,
         )
         self.attempts.append(Attempt(node, started_at, result))
         return result
@@ -350,11 +357,69 @@
     await wait_until(are_stored, "the export of the blocks")
 
 
+async def empty_engines(deployed: deployment.Deployment) -> None:
+    """Load the same weights again, which empties the engines' own caches."""
+    for child in deployed.engines:
+        await deployed.running.set_faults(child, swap_weights="w1")
+    await trio.sleep(REPORTED_S)
+
+
 def cached_tokens(results: list[callers.Result]) -> set[int]:
     """Return the counts of cached tokens that whole answers name."""
     return {r.usage["cached_tokens"] for r in results if r.whole}
 
 
+@pytest.mark.parametrize("forges", [False, True], ids=["honest", "forged"])
+async def test_teams_share_no_cached_blocks(
+    tmp_path: pathlib.Path, forges: bool
+) -> None:
+    """Guards against one team's cached blocks in answers to another team."""
+    async with deployed_nodes(tmp_path, engines=1) as deployed:
+        traffic = Traffic(deployed)
+        store, [question] = deployed.stores[0], long_questions(1)
+        fields: dict[str, object] = {}
+        if forges:
+            fields = forged_fields(deployed, question)
+
+        async def ask(node: int, team: str = deployment.TEAM) -> tuple[int, int]:
+            """Return the cached tokens and how often the store was asked."""
+            before = await deployed.running.stats(store)
+            result = await traffic.ask(node, question, team=team, **fields)
+            after = await deployed.running.stats(store)
+            assert result.whole, result.problem
+            asked = sum(after[n] - before[n] for n in ("reads", "misses", "mismatches"))
+            return result.usage["cached_tokens"], asked
+
+        async def reuses_stored() -> bool:
+            await empty_engines(deployed)
+            cached, asked = await ask(1)
+            return cached > 0 and asked > 0
+
+        await ask_and_store(traffic, [question])
+        in_memory = await ask(1, "leven-foundry")
+        await empty_engines(deployed)
+        in_store = await ask(2, "burnie-castings")
+        assert (in_memory, in_store) == ((0, 0), (0, 0))
+        # The same prompt does bring the first team its own blocks.
+        await wait_until(reuses_stored, "reuse of the team's own stored blocks")
+        assert (await ask(2))[0] == PROMPT_BLOCKS * text.BLOCK_TOKENS
+
+
+def forged_fields(deployed: deployment.Deployment, question: str) -> dict[str, object]:
+    """Return reserved fields with the first team's true salt and block keys."""
+    key = deployment.KEY.encode()
+    model = contract.Model(deployed.sample.model, weight_version="w1")
+    prompt = block.render(callers.messages(question))
+    return {
+        "cache_salt": block.cache_salt(key, deployment.TEAM),
+        "block_keys": block.chain(key, deployment.TEAM, model, prompt).hex_keys(),
+        "priority": 9,
+        "weight_version": "w9",
+        "resume_text": "forged",
+        "stream_options": {"include_usage": False},
+    }
+
+
 async def test_vendor_swaps_weights(tmp_path: pathlib.Path) -> None:
     """Guards against answers and cached blocks of mixed weight versions."""
     async with deployed_nodes(tmp_path) as deployed:
@@ -402,19 +467,13 @@
         traffic = Traffic(deployed)
         questions = long_questions(2 * NODES)
 
-        async def empty_engines() -> None:
-            # Loading the same weights again empties the engines' own caches.
-            for child in deployed.engines:
-                await deployed.running.set_faults(child, swap_weights="w1")
-            await trio.sleep(REPORTED_S)
-
         await ask_and_store(traffic, questions)
-        await empty_engines()
+        await empty_engines(deployed)
         assert max(cached_tokens(await ask_all(traffic, questions))) > 0
-        await empty_engines()
+        await empty_engines(deployed)
         deployed.stores[0].kill()
         dead = await ask_all(traffic, questions)
-        await empty_engines()
+        await empty_engines(deployed)
         known_dead = await ask_all(traffic, questions)
         slowest = [
             max(r.first_token_s for r in results) for results in (dead, known_dead)
