Date load reports by the slowest permitted clock

An upstream tells the age of its report on its own clock. The node subtracted that age as it is, so that a report of an upstream with a slow clock passed for one made after a connection was opened or closed, by up to a tenth of its age. The model in tests/test_admission.py already dates reports with the ratio of 1.1; the node did not.

Before: test_age_on_a_slow_clock_makes_no_report_newer gets 9.0, expected 8.9. After: tests/test_load.py and tests/test_admission.py pass.

This alone does not close the window of a silent return to cold start: it makes the lower bound on the time of a report sound, on which the next change relies.

--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from snipelug_core import table
+from snipelug_core import admission, table
 from snipelug_net import http_client
 from snipelug_node import journal, ports
 
@@ -40,14 +40,17 @@
 
 
 def to_report(wire: WireReport, asked_at: float) -> table.LoadReport:
-    """Convert a report; its time is when it was made, on this node's clock."""
+    """Convert a report; its time is the earliest at which it can have been made.
+
+    The age is told on the upstream's clock, which may run slower than this node's.
+    """
     return table.LoadReport(
         boot_id=wire.boot_id,
         state=table.Warmth(wire.state),
         running=wire.running,
         waiting=wire.waiting,
         seq=wire.seq,
-        made_at=asked_at - wire.age_s,
+        made_at=asked_at - admission.CLOCK_RATIO * wire.age_s,
         weight_version=wire.weight_version,
     )
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from snipelug_core import contract, load, table
+from snipelug_node import watcher
 
 WARM = table.Warmth.WARM
 COLD = table.Warmth.COLD
@@ -49,6 +50,13 @@
     assert upstream.report == (first, second)[kept]
 
 
+def test_age_on_a_slow_clock_makes_no_report_newer() -> None:
+    """Guards against a report that seems made after a send by clocks' rates alone."""
+    made_at = 8.9  # At least: 1 s on a clock that is slower by the ratio of 1.1.
+    report = watcher.to_report(watcher.WireReport("x", age_s=1.0), asked_at=10.0)
+    assert report.made_at == pytest.approx(made_at)
+
+
 def test_rejected_report_does_not_count_as_heard() -> None:
     """Guards against an ignored report passing for fresh knowledge."""
     upstream = build_upstream(build_report(10.0, seq=3))
