--- a/bench/control.py
+++ b/bench/control.py
@@ -25,8 +25,8 @@
     resident_bytes : float
         Mean resident memory of a node, in bytes.
     wire_bytes_per_s : float
-        Bytes on the loopback device per node and second, both directions and
-        with all protocol headers; traffic of the stand-ins is included.
+        Bytes that a node sends and receives per second, with all protocol headers;
+        connections that were opened or closed meanwhile are not counted.
     store_rows_per_s, store_scans_per_s, store_writes_per_s : float
         Rows read, scans and writes of all nodes together at the table service, per
         second.
@@ -58,19 +58,20 @@
     pids = [child.pid for child in started.nodes]
     counts = await _store_counts(started)
     before = [usage.read_use(pid) for pid in pids]
-    sent = usage.read_loopback_bytes()
+    wire = usage.read_wire(pids)
     begin = time.perf_counter()
     await trio.sleep(MEASURE_S)
     elapsed_s = time.perf_counter() - begin
-    sent = usage.read_loopback_bytes() - sent
+    wire_after = usage.read_wire(pids)
     after = [usage.read_use(pid) for pid in pids]
     counts_after = await _store_counts(started)
+    carried = sum(wire_after[k] - wire[k] for k in wire.keys() & wire_after.keys())
     cpu_s = sum(b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True))
     return Control(
         nodes=nodes,
         core_share=cpu_s / nodes / elapsed_s,
         resident_bytes=statistics.mean(use.resident_bytes for use in after),
-        wire_bytes_per_s=sent / nodes / elapsed_s,
+        wire_bytes_per_s=carried / nodes / elapsed_s,
         store_rows_per_s=(counts_after["reads"] - counts["reads"]) / elapsed_s,
         store_scans_per_s=(counts_after["scans"] - counts["scans"]) / elapsed_s,
         store_writes_per_s=(counts_after["writes"] - counts["writes"]) / elapsed_s,
