Read quiet upstreams every second and the instance list every 1.2 s

Cause: a count inside idle nodes (trial, 6 and 24 nodes, 6 upstreams) gives 17 HTTP requests a second per node, of which 12 are load reads and 2 are reads of the instance list. The list is the part of the bytes that grows with the deployment: 3.4 of 8.3 KB/s of HTTP at 6 nodes, 8.1 of 15 KB/s at 24.

Ruled out: reading only the changes of the list, since the platform offers plain `GET /instances` without preconditions.

Change: the list is read every 1.2 s, from start to start. While no caller was here for 2 s, an upstream that is warm and has no request at all is read every second instead of every 0.5 s. An upstream that does not answer no longer delays the reads of others.

Bounds: load.STALE_S = 2 s is unchanged and is what bars a send, so a leaving upstream gets no new work 2 s after either notice, whatever the period. Period and timeout of the list together stay below it (1.9 s, as before), so a slow list still stops no work; a load read that times out is followed by the next 2 s after the last answered one, as before. A quiet upstream that turned cold silently would have been seen up to 0.5 s later, so a send to a quiet upstream whose load was read more than 0.75 s ago now reads the load first.

Tests: test_load.py (new: intervals, the list's period, the look before a send), test_dispatch.py, test_admission.py, test_admitter.py, test_currency.py, test_ownership.py, test_processes.py and test_faults.py pass.

--- a/packages/snipelug-core/src/snipelug_core/load.py
+++ b/packages/snipelug-core/src/snipelug_core/load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 from snipelug_core import contract, table
 
@@ -13,6 +14,13 @@
 the send itself.
 """
 
+LOOK_S = 0.75
+"""Age of a quiet upstream's load from which a send reads it again first.
+
+Without callers quiet upstreams are read only every second; the look keeps a silent
+change to cold visible as early as at upstreams that are read every 0.5 s.
+"""
+
 
 class Reason(enum.StrEnum):
     """Why an upstream may not be sent to, or needs a grant."""
@@ -140,6 +148,22 @@
         upstream.suspect_since = now
 
 
+def is_quiet(upstream: table.Upstream) -> bool:
+    """Return whether the upstream is known as warm and without any request."""
+    report = upstream.report
+    return (
+        report is not None
+        and isinstance(judge_warmth(upstream, -math.inf), Allowed)
+        and upstream.in_flight == report.running == report.waiting == 0
+    )
+
+
+def needs_look(upstream: table.Upstream, now: float) -> bool:
+    """Return whether the load of a quiet upstream is to be read before a send."""
+    heard_at = upstream.heard_at
+    return heard_at is not None and now - heard_at > LOOK_S and is_quiet(upstream)
+
+
 def judge_leaving(
     upstream: table.Upstream,
     cfg: contract.Config,
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -103,6 +103,7 @@
             self._subset,
             self._take_report,
             self._take_list,
+            lambda: self.gateway.is_active(trio.current_time()),
         )
         self.keeper = revision.Keeper(self.store, self.peers, self.watcher)
         self.lease = lease.Keeper(
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -14,6 +14,9 @@
 
 REPORT_POLL_S = 0.02
 
+LOOK_TIMEOUT_S = 0.1
+"""Bound on the read of a quiet upstream's load; load.STALE_S holds without it."""
+
 
 class Slot(typing.Protocol):
     """Permission to send one request to an upstream in cold start."""
@@ -165,6 +168,9 @@
         """
         give_up_at = min(deadline, trio.current_time() + WITHHELD_WAIT_S)
         permit = Permit(upstream, self.may_send)
+        if load.needs_look(upstream, trio.current_time()):
+            with trio.move_on_after(LOOK_TIMEOUT_S):
+                await self.refresh(upstream)
         try:
             while True:
                 refused = await self._prepare(permit, deadline, is_suspect)
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -8,17 +8,21 @@
 import msgspec
 import trio
 
-from snipelug_core import table
+from snipelug_core import load, table
 from snipelug_net import http_client
 from snipelug_node import journal, ports
 
 LOG = logging.getLogger("snipelug.watcher")
 
-LIST_INTERVAL_S = 0.5
+LIST_PERIOD_S = 1.2
 LIST_TIMEOUT_S = 0.7
 # Together below load.STALE_S, so that a slow list does not stop all work.
 LOAD_INTERVAL_S = 0.5
 LOAD_TIMEOUT_S = 1.0
+QUIET_AGE_S = 0.75
+"""Age of the last read from which a quiet upstream is read, while no caller is
+here. Between two intervals, so it is read at every second one: a read that times
+out is followed by the next within load.STALE_S of the last answered one."""
 MAX_REPORT_BYTES = 64 * 1024
 UPSTREAM_ROLES = frozenset({table.Role.ENGINE, table.Role.SERVICE})
 
@@ -92,6 +96,8 @@
         before it was asked for, in seconds.
     on_list : callable
         Called with each list read, and the monotonic time of its arrival.
+    is_active : callable
+        Returns whether callers were here lately.
     list_outcome : list of table.Instance or ports.Unavailable
         Outcome of the newest finished read.
     list_tried_at : float or None
@@ -105,10 +111,12 @@
     subset: Subset
     on_report: collections.abc.Callable[[str, table.LoadReport, float], None]
     on_list: collections.abc.Callable[[list[table.Instance], float], None]
+    is_active: collections.abc.Callable[[], bool] = lambda: True
     list_tried_at: float | None = None
     list_outcome: list[table.Instance] | ports.Unavailable = ports.Unavailable(
         "the list was not read yet", False
     )
+    _reading: set[str] = dataclasses.field(default_factory=set)
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -121,8 +129,9 @@
 
     async def _watch_list(self) -> None:
         while True:
+            started_at = trio.current_time()
             await self.read_list()
-            await trio.sleep(LIST_INTERVAL_S)
+            await trio.sleep_until(started_at + LIST_PERIOD_S)
 
     async def read_list(self) -> None:
         """Read the instance list once."""
@@ -149,11 +158,30 @@
         return self.list_outcome
 
     async def _watch_loads(self) -> None:
-        while True:
-            async with trio.open_nursery() as nursery:
-                for upstream in list(self.tables.upstreams.values()):
-                    nursery.start_soon(self.read_load, upstream)
-            await trio.sleep(LOAD_INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            while True:
+                for upstream in self._due(trio.current_time()):
+                    nursery.start_soon(self._read_alone, upstream)
+                await trio.sleep(LOAD_INTERVAL_S)
+
+    def _due(self, now: float) -> collections.abc.Iterator[table.Upstream]:
+        is_active = self.is_active()
+        for upstream in self.tables.upstreams.values():
+            if upstream.instance.id in self._reading:
+                continue
+            heard_at = upstream.heard_at
+            is_recent = heard_at is not None and now - heard_at < QUIET_AGE_S
+            if is_active or not is_recent or not load.is_quiet(upstream):
+                yield upstream
+
+    async def _read_alone(self, upstream: table.Upstream) -> None:
+        """Read a load; an upstream that does not answer delays no other."""
+        upstream_id = upstream.instance.id
+        self._reading.add(upstream_id)
+        try:
+            await self.read_load(upstream)
+        finally:
+            self._reading.discard(upstream_id)
 
     async def read_load(self, upstream: table.Upstream) -> None:
         """Ask one upstream for its load."""
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,12 +1,19 @@
 """Load reports, the corrected queue estimate and the verdicts before a send."""
 
 import dataclasses
+import itertools
+import typing
 
 import hypothesis
+import msgspec
 import pytest
+import trio
+import trio.testing
 from hypothesis import strategies as st
 
-from snipelug_core import contract, load, table
+from snipelug_core import contract, load, refusal, table
+from snipelug_net import http_client
+from snipelug_node import ports, sender, watcher
 
 WARM = table.Warmth.WARM
 COLD = table.Warmth.COLD
@@ -221,3 +228,127 @@
     upstream = build_upstream(build_report(100.0))
     verdict = load.may_send(upstream, CFG, 9.0, 100.5, list_tried_at=100.0)
     assert verdict == load.Allowed()
+
+
+def listen(silent: set[str]) -> tuple[watcher.Watcher, list[tuple[str, float]]]:
+    """Return a watcher of three upstreams; silent ones never answer."""
+    reads: list[tuple[str, float]] = []
+
+    class Pool:
+        async def fetch(
+            self, call: http_client.Call, limit_bytes: int
+        ) -> http_client.Full | http_client.Lost:
+            name = f"u{call.addr[1]}"
+            if name in silent:
+                await trio.sleep(call.timeout_s)
+                return http_client.Lost("no answer")
+            reads.append((name, trio.current_time()))
+            running = 1 if name == "u2" else 0
+            body = msgspec.json.encode(
+                {"boot_id": "x", "seq": len(reads), "running": running}
+            )
+            return http_client.Full(200, {}, body)
+
+    upstreams = {
+        f"u{port}": table.Upstream(dataclasses.replace(INSTANCE, port=port))
+        for port in (1, 2, 3)
+    }
+    for name, upstream in upstreams.items():
+        upstream.instance = dataclasses.replace(upstream.instance, id=name)
+
+    def take(name: str, report: table.LoadReport, asked_at: float) -> None:
+        load.accept_report(upstreams[name], report, asked_at)
+
+    watched = watcher.Watcher(
+        table.Tables(upstreams=upstreams),
+        typing.cast(ports.InstanceList, None),
+        typing.cast(http_client.Pool, Pool()),
+        list,
+        take,
+        lambda *_: None,
+        lambda: False,
+    )
+    return watched, reads
+
+
+@pytest.mark.parametrize(
+    ("active", "silent", "name", "gap_s"),
+    [
+        (False, set(), "u1", 1.0),
+        (False, {"u3"}, "u1", 1.0),
+        (False, set(), "u2", 0.5),
+        (True, {"u3"}, "u1", 0.5),
+    ],
+    ids=["quiet", "quiet-beside-silent", "busy", "callers"],
+)
+async def test_loads_are_read_in_time(
+    autojump_clock: trio.testing.MockClock,
+    active: bool,
+    silent: set[str],
+    name: str,
+    gap_s: float,
+) -> None:
+    """Guards against reports so old that a lost read stops work, and lost savings."""
+    watched, reads = listen(silent)
+    watched.is_active = lambda: active
+    with trio.move_on_after(20.2):
+        await watched._watch_loads()
+    times = [at for read, at in reads if read == name]
+    gaps = [after - before for before, after in itertools.pairwise(times)]
+    assert len(gaps) >= 19
+    assert gaps == pytest.approx([gap_s] * len(gaps))
+    assert gap_s + watcher.LOAD_TIMEOUT_S <= load.STALE_S
+
+
+def test_slow_list_stops_no_work() -> None:
+    """Guards against periods that let the last list read grow too old.
+
+    The next read starts a period after the last and ends a timeout later.
+    """
+    assert watcher.LIST_PERIOD_S + watcher.LIST_TIMEOUT_S < load.STALE_S
+    assert watcher.LIST_PERIOD_S >= watcher.LIST_TIMEOUT_S
+
+
+@pytest.mark.parametrize(
+    ("running", "age_s", "looks"),
+    [(0, 0.5, 0), (0, 0.9, 1), (1, 0.9, 0)],
+    ids=["recent", "quiet", "busy"],
+)
+async def test_old_load_of_a_quiet_upstream_is_read_before_a_send(
+    autojump_clock: trio.testing.MockClock, running: int, age_s: float, looks: int
+) -> None:
+    """Guards against a burst to an upstream that became cold while it was idle."""
+    now = trio.current_time()
+    upstream = build_upstream(build_report(now - age_s, running=running))
+    looked: list[str] = []
+
+    async def look(upstream: table.Upstream) -> None:
+        looked.append(upstream.instance.id)
+        load.accept_report(upstream, build_report(now, COLD, 2), now)
+
+    verdicts: list[load.Verdict] = []
+
+    def judge(upstream: table.Upstream, opened: float, now: float) -> load.Verdict:
+        verdicts.append(load.may_send(upstream, CFG, opened, now, now))
+        return verdicts[-1]
+
+    class Slots:
+        async def acquire(self, upstream_id: str, deadline: float) -> refusal.Refusal:
+            return refusal.refuse(refusal.NO_UPSTREAM, "no slot")
+
+    class Pool:
+        async def send(
+            self, call: http_client.Call, last_check: http_client.LastCheck
+        ) -> http_client.NotSent:
+            return http_client.NotSent("nobody listens")
+
+    outgoing = sender.Sender(
+        typing.cast(http_client.Pool, Pool()),
+        typing.cast(sender.Slots, Slots()),
+        judge,
+        look,
+    )
+    call = http_client.Call(("127.0.0.1", 1), "POST", "/")
+    outcome = await outgoing.send(upstream, call, now + 10.0)
+    assert len(looked) == looks
+    assert isinstance(outcome, sender.Blocked) == bool(looks)
