Wake the sender of index changes only when changes are queued

Cause: it woke every 0.1 s, also on nodes that have nothing to send.

Change: it waits for the first queued change, then 0.1 s for others as before.

Tests: test_cache.py (new: changes are sent after any pause), test_processes.py.

--- a/packages/snipelug-node/src/snipelug_node/cache.py
+++ b/packages/snipelug-node/src/snipelug_node/cache.py
@@ -251,6 +251,7 @@
         self.shards = ShardMap()
         self.counts: collections.Counter[str] = collections.Counter()
         self._pending: dict[str, _Pending] = {}
+        self._queued = trio.Event()
         self._waiting = 0
 
     async def lookup(self, keys: collections.abc.Sequence[block.Key]) -> index.Found:
@@ -289,7 +290,7 @@
     def announce(self, source: index.Source) -> None:
         """Queue a new boot of a source for all shards."""
         for node in self.peers.live():
-            pending = self._pending.setdefault(node, _Pending())
+            pending = self._pending_of(node)
             pending.changes.setdefault(source, [])
 
     async def run(
@@ -298,12 +299,15 @@
         """Send queued changes until cancelled."""
         task_status.started()
         while True:
+            await self._queued.wait()
             await trio.sleep(FLUSH_S)
             await self.flush()
 
     async def flush(self) -> None:
         """Send all that is queued; what a node does not take is lost."""
         pending, self._pending = self._pending, {}
+        if self._queued.is_set():
+            self._queued = trio.Event()
         self._waiting = 0
         async with trio.open_nursery() as nursery:
             for node, parts in pending.items():
@@ -316,10 +320,14 @@
             self.counts["changes_dropped"] += 1
             return None
         self._waiting += 1
-        pending = self._pending.setdefault(owner, _Pending())
+        pending = self._pending_of(owner)
         pending.count += 1
         return pending
 
+    def _pending_of(self, node: str) -> _Pending:
+        self._queued.set()
+        return self._pending.setdefault(node, _Pending())
+
     async def _send(self, node: str, parts: _Pending) -> None:
         for message in _messages(parts):
             reply = await self.peers.call(node, RECORD, message, RECORD_TIMEOUT_S)
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -100,6 +100,23 @@
     assert await held_by(second, KEYS) == [set()] * len(KEYS)
 
 
+async def test_queued_changes_are_sent_after_any_pause(
+    net: Net, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against changes that wait for later ones."""
+    node = net.nodes["n1"]
+    await node.directory.flush()
+    await nursery.start(node.directory.run)
+    for number, k in enumerate(KEYS[:3]):
+        await trio.sleep(7.0)
+        await node.directory.flush()
+        node.directory.note(ENGINE, [cache.Change(k, True)])
+        await trio.sleep(cache.FLUSH_S + 0.01)
+        held = await held_by(node, KEYS[:3])
+        assert held == [{"e1"}] * (number + 1) + [set()] * (2 - number)
+    nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize(("delay_s", "hit"), [(0.015, True), (0.5, False)])
 async def test_slow_lookup_is_a_miss(
     net: Net, autojump_clock: trio.testing.MockClock, delay_s: float, hit: bool
