Count only readable copies when choosing spare ones to delete

Cause: a full store deletes copies first that another store holds as well. The other copy counted even when its zone was out, so that the copies made for a leaving zone were the first to go.

Change: `Index.cheapest` takes the stores that cannot be read. The cleaner passes those that do not answer or whose zone is out.

Tests: `test_full_stores_lose_their_cheapest_copies` passes the new argument and now also holds a copy in a zone that is out.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -260,10 +260,11 @@
     def _clean(self) -> None:
         if self.policy.exact or not self.policy.stores:
             return
+        out = {n for n, s in self.stores.items() if s.inst.zone in self.leaving}
         for name, store in self.stores.items():
             free = 1 - len(store.blocks) / model.STORE_BLOCKS
             if free < CLEAN_BELOW:
-                for copy in self.index.cheapest(name, CLEAN_SHARE):
+                for copy in self.index.cheapest(name, CLEAN_SHARE, out):
                     store.delete(copy.key)
                     self._fates.note([copy.key], loss.Cause.DELETED)
 
--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -273,12 +273,17 @@
                 self._touch(key, entry, position, now)
         return Found(memory, tuple(stored))
 
-    def cheapest(self, store_id: str, share: float) -> list[Added]:
+    def cheapest(
+        self,
+        store_id: str,
+        share: float,
+        unreadable: collections.abc.Container[str] = frozenset(),
+    ) -> list[Added]:
         """Return the copies in a store that are worth the least.
 
         Each shard frees the same share of what it knows, so that a full store gets
         room without an owner that would have to know the value of all blocks. Copies
-        that are not a block's oldest go first.
+        that are not a block's oldest readable one go first.
 
         Parameters
         ----------
@@ -286,10 +291,13 @@
             The store.
         share : float
             Share of this shard's copies in that store to return.
+        unreadable : container of str
+            Stores that cannot be read now. A copy is not spare because of one there:
+            while a zone is out, the copies outside it are all that is left.
         """
         boot = self._boots.get(store_id)
         held = [
-            (not _is_spare(entry, place), entry.rank, key, place)
+            (not _is_spare(entry, place, unreadable), entry.rank, key, place)
             for key, entry in self._entries.items()
             for place in entry.places
             if place.boot is boot
@@ -416,10 +424,21 @@
     return others, known
 
 
-def _is_spare(entry: _Entry, place: _Place) -> bool:
-    """Return whether another store has an older copy that is still there."""
-    stores = [p for p in entry.places if p.boot.alive and p.boot.source.is_store]
-    return place is not stores[0]
+def _is_spare(
+    entry: _Entry, place: _Place, unreadable: collections.abc.Container[str]
+) -> bool:
+    """Return whether another store has an older copy that can be read."""
+    first = next(
+        p
+        for p in entry.places
+        if p is place
+        or (
+            p.boot.alive
+            and p.boot.source.is_store
+            and p.boot.source.id not in unreadable
+        )
+    )
+    return place is not first
 
 
 def _supersedes(event: Added, known: _Place) -> bool:
--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -35,6 +35,11 @@
     Each node deletes a share of what its own shard knows, so that all nodes
     together free about that share of a store.
 
+    Parameters
+    ----------
+    zones_out : callable
+        Returns the zones out of service, whose copies do not count.
+
     Attributes
     ----------
     counts : Counter
@@ -47,11 +52,13 @@
         shard: cache.Shard,
         stores: Stores,
         instances: collections.abc.Callable[[str], table.Instance | None],
+        zones_out: collections.abc.Callable[[], collections.abc.Container[str]],
     ) -> None:
         self.pool = pool
         self.shard = shard
         self.stores = stores
         self.instances = instances
+        self.zones_out = zones_out
         self.counts: collections.Counter[str] = collections.Counter()
 
     async def run(
@@ -65,13 +72,15 @@
 
     async def clean(self) -> None:
         """Delete once from all stores that are nearly full."""
-        for store in self.stores():
+        zones_out = self.zones_out()
+        stores = list(self.stores())
+        unreadable = {s.id for s in stores if not s.alive or s.zone in zones_out}
+        for store in stores:
             inst = self.instances(store.id)
             is_low = store.free_bytes < CLEAN_BELOW_SHARE * store.size_bytes
             if inst is not None and store.alive and is_low:
-                await self._clean(
-                    inst, self.shard.index.cheapest(store.id, CLEAN_SHARE)
-                )
+                copies = self.shard.index.cheapest(store.id, CLEAN_SHARE, unreadable)
+                await self._clean(inst, copies)
 
     async def _clean(self, inst: table.Instance, copies: list[index.Added]) -> None:
         limit = trio.CapacityLimiter(DELETES_AT_ONCE)
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -183,6 +183,7 @@
             self.shard,
             lambda: [state.view for state in self.reuse.stores.values()],
             lambda inst_id: self.tables.instances.get(inst_id),
+            lambda: self.keeper.cfg.zones_out,
         )
 
     def _build_request_path(self) -> None:
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -420,13 +420,18 @@
     upstream, inst = await start("s1", table.Role.STORE)
     upstream.status = status
     shard = net.nodes["n1"].shard
+    out = index.Source("s0", "b1", is_store=True)
+    shard.index.apply(index.Added(out, KEYS[0], 1, 7, "c"), 0.0)
     for i, k in enumerate(KEYS[:4]):
         shard.index.apply(index.Added(STORE, k, i + 1, 7, "c"), 0.0)
         shard.index.appraise([k], 4.0 - i, 0.0)
     views = [placement.Store("s1", "a", "b1", True, free, 1000.0)]
     gone = dataclasses.replace(views[0], id="s9")
+    views += [gone, placement.Store("s0", "out", "b1", True, 1000.0, 1000.0)]
     pool = http_client.Pool()
-    cleaning = cleaner.Cleaner(pool, shard, lambda: [gone, *views], {"s1": inst}.get)
+    cleaning = cleaner.Cleaner(
+        pool, shard, lambda: views, {"s1": inst}.get, lambda: {"out"}
+    )
     await cleaning.clean()
     found = [bool(shard.index.lookup([k], 0.0).stored) for k in KEYS[:4]]
     assert found == [True, True, True, left == 4]
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -201,6 +201,21 @@
     assert shard.cheapest("s1", 0.5) == expected
 
 
+@pytest.mark.parametrize(
+    ("unreadable", "first"), [((), 2), (("s1",), 0), (("s2",), 2), (("s1", "s2"), 0)]
+)
+def test_copies_out_of_reach_do_not_make_others_spare(
+    unreadable: tuple[str, ...], first: int
+) -> None:
+    """Guards against the last readable copies being deleted while a zone is out."""
+    shard = index.Index(ROOMY)
+    shard.apply(index.Added(store(name="s1"), KEYS[2], 1), 0.0)
+    for i, key in enumerate(KEYS[:3]):
+        shard.apply(index.Added(store(name="s2"), key, i + 1), 0.0)
+        shard.appraise([key], 1.0 + i, 0.0)
+    assert shard.cheapest("s2", 0.1, unreadable)[0].key == KEYS[first]
+
+
 def test_value_that_comes_before_the_block_counts() -> None:
     """Guards against new copies that are deleted first for want of a value."""
     shard = index.Index(ROOMY)
