Exchange pending transfers on store links like pending prefill

Cause: the wait on a link was learned from finished imports only, so decisions did not see reads and exports that were queued just then. On tas-north 2.3% of prompt tokens were recomputed after a fetch was given up, and the fetch had still taken link time.

Change: the time that a node's transfers need on a store's link is counted in its `Backlog` and told to the other nodes with the pending prefill, every 0.25 s. The estimate of a link's wait is this sum; imports only teach the wait beyond it. A message names at most 256 instances; more go in several messages.

Tests: the fixture of transfers passes the two new arguments.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -222,7 +222,7 @@
 
     def _take_pending(self, told: dict[str, dict[str, float]]) -> None:
         for node in self.nodes:
-            for name in node.upstreams:
+            for name in (*node.upstreams, *self.stores):
                 sums = (p.get(name, 0.0) for n, p in told.items() if n != node.id)
                 node.backlog.note_peers(name, sum(sums), self.now - PENDING_LAG_S)
 
@@ -300,7 +300,7 @@
             return
         zone = self.dep.leaving
         engines = [s.inst.id for s in self.servers.values() if s.inst.zone == zone]
-        self.nodes[0]
+        mover = self.nodes[0]
         held = [h for h in self._held_in(zone) if h.value_s > placement.MIN_PRICE_S]
         stores = self._store_views()
         plan = placement.plan_move(
@@ -313,8 +313,10 @@
             self.out.moved += 1
             done = self.now
             for fetch in step.imports:
-                done = max(done, self.stores[fetch.copy.store].transfer(1, self.now))
-            self._write(self.stores[step.export.store], step.export.keys, done)
+                source = self.stores[fetch.copy.store]
+                done = max(done, self._carry(mover, source, 1, self.now))
+            store = self.stores[step.export.store]
+            self._write(mover, store, step.export.keys, done)
 
     def _held_in(self, zone: str) -> collections.abc.Iterator[placement.Held]:
         node = self.nodes[0]
@@ -410,8 +412,9 @@
         if self.policy.exact:
             wait_s = max(0.0, store.busy_until - self.now)
             return route.Link(model.LINK_BYTES_PER_S, wait_s + delay_s)
-        watch = node.watches[store.inst.id]
-        return watch.link(model.LINK_BYTES_PER_S, delay_s, self.now)
+        name = store.inst.id
+        delay_s += node.backlog.estimate_s(name, 0, self.now)
+        return node.watches[name].link(model.LINK_BYTES_PER_S, delay_s, self.now)
 
     def _exact_found(self, keys: tuple[block.Key, ...]) -> index.Found:
         engines = [s for s in self.servers.values() if s.inst.id.startswith("e")]
@@ -458,9 +461,20 @@
         self.at(start_at, lambda: self._prefill(node, arrival, chosen, imported, facts))
 
     def _hear(
-        self, watch: route.LinkWatch, size: float, took_s: float
+        self, watch: route.LinkWatch, size: float, took_s: float, known_s: float
     ) -> collections.abc.Callable[[], None]:
-        return lambda: watch.note(model.LINK_BYTES_PER_S, size, took_s, self.now)
+        return lambda: watch.note(
+            model.LINK_BYTES_PER_S, size, took_s, self.now, known_s
+        )
+
+    def _carry(self, node: Node, store: model.Store, count: int, now: float) -> float:
+        """Use a link; return the time at which the blocks arrive."""
+        name, run_id = store.inst.id, f"transfer{next(self._order)}"
+        work_s = count * model.BLOCK_BYTES / model.LINK_BYTES_PER_S
+        node.backlog.sent(name, run_id, work_s, self.now)
+        done = store.transfer(count, now)
+        self.at(done, lambda: node.backlog.ended(name, run_id, self.now))
+        return done
 
     def _fetch(
         self,
@@ -487,13 +501,14 @@
             good += 1
         done = now
         for name, count in counts.items():
-            arrived = self.stores[name].transfer(count, now)
+            known_s = node.backlog.estimate_s(name, 0, self.now)
+            arrived = self._carry(node, self.stores[name], count, now)
             done = max(done, arrived)
             size = count * model.BLOCK_BYTES
             watch = node.watches[name]
             took_s = arrived - now
             # The node hears of it when the import ends; the models know it now.
-            self.at(arrived, self._hear(watch, size, took_s))
+            self.at(arrived, self._hear(watch, size, took_s, known_s))
             self.out.read_bytes += count * model.BLOCK_BYTES
         compute_s = good * block.BLOCK_TOKENS / model.PREFILL_TOKENS_PER_S
         mode = ORACLE if self.policy.exact else route.MODES[self.dep.mode]
@@ -551,7 +566,7 @@
         end = self.now + arrival.generated * model.DECODE_S
         self.at(end, lambda: self._end(node, arrival, name))
         if self.policy.exact:
-            self._export_exactly(arrival)
+            self._export_exactly(node, arrival)
         elif self.policy.stores:
             self._export(node, arrival, name)
 
@@ -609,16 +624,20 @@
         )
         self._fates.note_placed(keys, placed)
         for export in placed.exports:
-            self._write(self.stores[export.store], export.keys, self.now)
+            self._write(node, self.stores[export.store], export.keys, self.now)
         if placement.is_unfinished(placed):
             node.waiting.add(placement.with_ordered(prompt, placed), self.now)
         else:
             node.waiting.remove(prompt)
 
     def _write(
-        self, store: model.Store, keys: tuple[block.Key, ...], now: float
+        self,
+        node: Node,
+        store: model.Store,
+        keys: tuple[block.Key, ...],
+        now: float,
     ) -> None:
-        done = store.transfer(len(keys), now)
+        done = self._carry(node, store, len(keys), now)
         self._fates.note(keys, loss.Cause.ON_THE_WAY)
 
         def arrive() -> None:
@@ -628,7 +647,7 @@
 
         self.at(done, arrive)
 
-    def _export_exactly(self, arrival: workload.Arrival) -> None:
+    def _export_exactly(self, node: Node, arrival: workload.Arrival) -> None:
         """Store exactly what returns, where it can be read at that time."""
         assert arrival.chain is not None
         if math.isinf(arrival.returns_at):
@@ -644,7 +663,7 @@
         excess = len(store.blocks) + len(keys) - model.STORE_BLOCKS
         if excess > 0:
             self._free_exactly(store, excess)
-        self._write(store, keys, self.now)
+        self._write(node, store, keys, self.now)
 
     def _free_exactly(self, store: model.Store, count: int) -> None:
         due = {
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -156,7 +156,8 @@
 
     The rate left over by other traffic says too little: exports are spread out and
     fill the link only when no read waits. What a read loses is the time that it
-    queues, which this node's imports show. Without new imports the estimate
+    queues. Nodes tell each other the transfers that they have pending; what waits
+    beyond these, this node's imports show. Without new imports the estimate
     decays, so that a link that was slow once is tried again.
     """
 
@@ -166,7 +167,12 @@
         self._at = 0.0
 
     def note(
-        self, rate_bytes_per_s: float, size_bytes: float, took_s: float, now: float
+        self,
+        rate_bytes_per_s: float,
+        size_bytes: float,
+        took_s: float,
+        now: float,
+        pending_s: float = 0.0,
     ) -> None:
         """Note an import.
 
@@ -180,8 +186,11 @@
             Duration, in seconds.
         now : float
             Time in seconds.
+        pending_s : float
+            Part of the wait that was expected when the import started, from the
+            transfers that nodes had told each other.
         """
-        seen_s = max(0.0, took_s - size_bytes / rate_bytes_per_s)
+        seen_s = max(0.0, took_s - size_bytes / rate_bytes_per_s - pending_s)
         known_s = self.wait_s(now)
         self._wait_s = known_s + LINK_LEARNING * (seen_s - known_s)
         self._at = now
@@ -369,6 +378,8 @@
 class Backlog:
     """Estimate the prefill that waits at each upstream of one node.
 
+    The same sums are kept of the transfers that use the link of a store.
+
     Load reports count requests, and a request with a long prompt delays others a
     hundred times longer than a short one. This node knows the work of its own
     requests, and other nodes tell the sum of theirs. Without a fresh sum, their
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -161,11 +161,14 @@
         self.shard = cache.Shard(INDEX_BYTES)
         self.shard.register(self.peers)
         self.directory = cache.Directory(self.peers)
+        self.backlog = route.Backlog()
         self.feeds = feeds.Feeds(self.pool, self.directory, self._read_here)
         self.transfers = transfers.Transfers(
             self.pool,
             self.directory,
             lambda inst_id: self.tables.instances.get(inst_id),
+            self.backlog,
+            lambda store_id, blocks: self.reuse.link_s(store_id, blocks),
         )
         self.reuse = reuse.Reuse(
             self.cfg,
@@ -176,6 +179,7 @@
             self.transfers,
             lambda: self.keeper.cfg,
             self._block_s,
+            self.backlog,
         )
 
         self.cleaner = cleaner.Cleaner(
@@ -199,14 +203,15 @@
             suspects_at=lambda _: 0,
             chooser=route.ByCost(route.MODES[cfg.mode]),
             rng=self.rng,
+            backlog=self.backlog,
         )
         board = pending.Board()
         board.register(self.peers)
         self.exchange = pending.Exchange(
             self.peers,
-            self.router.backlog,
+            self.backlog,
             board,
-            lambda: self.tables.upstreams,
+            lambda: [*self.tables.upstreams, *self.reuse.stores],
             lambda: self.gateway.is_active(trio.current_time()),
         )
         self.sender = sender.Sender(
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -1,7 +1,8 @@
-"""Exchange of pending prefill between the nodes that share upstreams."""
+"""Exchange of pending work between the nodes that share upstreams and stores."""
 
 import collections
 import collections.abc
+import itertools
 import typing
 
 import msgspec
@@ -26,14 +27,17 @@
 
 
 class Pending(msgspec.Struct, frozen=True):
-    """One node's pending prefill at some upstreams, in seconds."""
+    """One node's pending work at some upstreams and stores, in seconds.
+
+    That of an upstream is prefill, that of a store is transfers over its link.
+    """
 
     node: cache.Name
     work_s: typing.Annotated[dict[str, Seconds], msgspec.Meta(max_length=MAX_UPSTREAMS)]
 
 
 class PendingReply(msgspec.Struct, frozen=True):
-    """The sum of all other nodes' pending prefill at the same upstreams."""
+    """The sum of all other nodes' pending work at the same upstreams and stores."""
 
     others_s: dict[str, Seconds]
 
@@ -42,7 +46,7 @@
 
 
 class Board:
-    """Sums of pending prefill at the upstreams that rendezvous gives to this node."""
+    """Sums of pending work at the instances that rendezvous gives to this node."""
 
     def __init__(self) -> None:
         self._told: dict[str, dict[str, tuple[float, float]]] = {}
@@ -82,7 +86,7 @@
     Parameters
     ----------
     upstreams : callable
-        Returns the ids of the upstreams that this node works with.
+        Returns the ids of the upstreams and stores that this node works with.
     is_active : callable, optional
         Returns whether this node decides now; without decisions and own requests
         nothing is exchanged, because an idle node has little processor time to spend.
@@ -131,7 +135,8 @@
                 parts[owner][upstream] = pending.get(upstream, 0.0)
         async with trio.open_nursery() as nursery:
             for owner, work_s in parts.items():
-                nursery.start_soon(self._tell, owner, work_s)
+                for piece in _cut(work_s):
+                    nursery.start_soon(self._tell, owner, piece)
 
     async def _tell(self, owner: str, work_s: dict[str, float]) -> None:
         asked_at = trio.current_time()
@@ -143,6 +148,13 @@
             self.backlog.note_peers(upstream, others_s, asked_at)
 
 
+def _cut(work_s: dict[str, float]) -> collections.abc.Iterator[dict[str, float]]:
+    """Yield pieces that a message may hold."""
+    items = iter(work_s.items())
+    while piece := dict(itertools.islice(items, MAX_UPSTREAMS)):
+        yield piece
+
+
 def _slot(upstream: str) -> int:
     digest = hashing.keyed_digest(b"pending", upstream.encode())
     return int.from_bytes(digest[:SLOT_BYTES], "big") % cache.SLOTS
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -88,6 +88,8 @@
         The configuration in force.
     block_s : callable
         Prefill time of one block at an engine, in seconds.
+    backlog : route.Backlog
+        Pending transfers on the links of stores, of this node and of the others.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         carrier: transfers.Transfers,
         config: collections.abc.Callable[[], contract.Config],
         block_s: collections.abc.Callable[[table.Instance], float],
+        backlog: route.Backlog,
     ) -> None:
         self.cfg = cfg
         self.mode = mode
@@ -109,6 +112,7 @@
         self.transfers = carrier
         self.config = config
         self.block_s = block_s
+        self.backlog = backlog
         self.stores: dict[str, StoreState] = {}
         self.budgets: dict[tuple[str, str], placement.Bucket] = {}
         self.watches: dict[tuple[str, str], route.LinkWatch] = {}
@@ -130,7 +134,8 @@
         return {
             (store_id, zone): self._watch(store_id, zone).link(
                 state.rate,
-                2 * settings.zone_delay_s(self.cfg, state.view.zone, zone),
+                2 * settings.zone_delay_s(self.cfg, state.view.zone, zone)
+                + self.backlog.estimate_s(store_id, 0, now),
                 now,
             )
             for store_id, state in self.stores.items()
@@ -138,6 +143,13 @@
             for zone in zones
         }
 
+    def link_s(self, store_id: str, blocks: int) -> float:
+        """Return the time of some blocks on the idle link of a store, in seconds."""
+        state = self.stores.get(store_id)
+        if state is None or state.rate <= 0:
+            return 0.0
+        return blocks * float(self.cfg.block_bytes) / state.rate
+
     def _watch(self, store_id: str, zone: str) -> route.LinkWatch:
         return self.watches.setdefault((store_id, zone), route.LinkWatch())
 
@@ -152,15 +164,17 @@
         boot_id = self._boot_of(inst.id)
         timeout_s = MIN_FETCH_S + MAX_FETCH_FACTOR * expected_s
         started_at = trio.current_time()
+        counts = collections.Counter(fetch.copy.store for fetch in blocks)
+        pending_s = {s: self.backlog.estimate_s(s, 0, started_at) for s in counts}
         await self.transfers.import_blocks(inst, boot_id, keys, blocks, timeout_s)
         took_s = trio.current_time() - started_at
-        counts = collections.Counter(fetch.copy.store for fetch in blocks)
         for store_id, count in counts.items():
             state = self.stores.get(store_id)
             if state is not None:
                 size = count * float(self.cfg.block_bytes)
                 watch = self._watch(store_id, inst.zone)
-                watch.note(state.rate, size, took_s, started_at + took_s)
+                now = started_at + took_s
+                watch.note(state.rate, size, took_s, now, pending_s[store_id])
 
     def _boot_of(self, upstream_id: str) -> str:
         upstream = self.tables.upstreams.get(upstream_id)
--- a/packages/snipelug-node/src/snipelug_node/transfers.py
+++ b/packages/snipelug-node/src/snipelug_node/transfers.py
@@ -2,8 +2,10 @@
 
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import http
+import itertools
 import logging
 import time
 
@@ -113,6 +115,11 @@
     ----------
     instances : callable
         Returns the instance with an id, or None.
+    backlog : route.Backlog
+        Told of the time that transfers need on the link of a store.
+    link_s : callable
+        Returns the time of a number of blocks on the idle link of a store, in
+        seconds.
 
     Attributes
     ----------
@@ -125,10 +132,15 @@
         pool: http_client.Pool,
         directory: cache.Directory,
         instances: collections.abc.Callable[[str], table.Instance | None],
+        backlog: route.Backlog,
+        link_s: collections.abc.Callable[[str, int], float],
     ) -> None:
         self.pool = pool
         self.directory = directory
         self.instances = instances
+        self.backlog = backlog
+        self.link_s = link_s
+        self._numbers = itertools.count()
         self.counts: collections.Counter[str] = collections.Counter()
         self._send, self._receive = trio.open_memory_channel[ExportJob](EXPORTS_WAITING)
 
@@ -231,9 +243,10 @@
             StoreAddress(store.host, store.port),
             generation,
         )
-        answer = await self._order(
-            job.engine, "/kv/export", order, ExportAnswer, EXPORT_TIMEOUT_S
-        )
+        with self._on_link(store.id, len(order.blocks)):
+            answer = await self._order(
+                job.engine, "/kv/export", order, ExportAnswer, EXPORT_TIMEOUT_S
+            )
         if isinstance(answer, TransferFailed):
             return self._fail(job.engine, answer.reason)
         ordered = set(job.export.keys)
@@ -268,9 +281,10 @@
             for key, f in by_key.items()
         ]
         order = ImportOrder(blocks, StoreAddress(store.host, store.port))
-        answer = await self._order(
-            engine, "/kv/import", order, ImportAnswer, EXPORT_TIMEOUT_S
-        )
+        with self._on_link(store_id, len(blocks)):
+            answer = await self._order(
+                engine, "/kv/import", order, ImportAnswer, EXPORT_TIMEOUT_S
+            )
         if isinstance(answer, TransferFailed):
             return answer
         imported = _known(answer.imported, by_key)
@@ -280,6 +294,17 @@
         self._note_import(engine, boot_id, imported, [by_key[k] for k in missed], keys)
         return Transferred(tuple(imported))
 
+    @contextlib.contextmanager
+    def _on_link(self, store_id: str, blocks: int) -> collections.abc.Iterator[None]:
+        """Count a transfer as pending on a store's link while it runs."""
+        run_id = f"transfer{next(self._numbers)}"
+        work_s = self.link_s(store_id, blocks)
+        self.backlog.sent(store_id, run_id, work_s, trio.current_time())
+        try:
+            yield
+        finally:
+            self.backlog.ended(store_id, run_id, trio.current_time())
+
     def _note_import(
         self,
         engine: table.Instance,
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -304,6 +304,10 @@
     return index.Stored(store, "b1", 7, "c")
 
 
+def link_s(store_id: str, blocks: int) -> float:
+    return 0.5 * blocks if store_id == "s1" else 0.0
+
+
 @pytest.fixture
 async def ready(
     net: Net, start: Start
@@ -311,7 +315,9 @@
     upstream, inst = await start("e1", table.Role.ENGINE)
     store = table.Instance("s1", table.Role.STORE, "10.0.0.9", 7000, "a")
     directory = net.nodes["n1"].directory
-    made = transfers.Transfers(http_client.Pool(), directory, {"s1": store}.get)
+    made = transfers.Transfers(
+        http_client.Pool(), directory, {"s1": store}.get, route.Backlog(), link_s
+    )
     return upstream, inst, made
 
 
@@ -389,6 +395,31 @@
     assert await held_by(net.nodes["n2"], [KEYS[9]]) == [set()]
 
 
+@pytest.mark.parametrize("is_import", [True, False])
+async def test_transfers_are_pending_on_the_link_while_they_run(
+    ready: Ready, nursery: trio.Nursery, is_import: bool
+) -> None:
+    """Guards against reads over a link that other transfers fill."""
+    upstream, inst, made = ready
+    upstream.delay_s, upstream.status = 5.0, 500
+    if is_import:
+        fetches = [route.Fetch(i, copy_of("s1")) for i in range(2)]
+        nursery.start_soon(made.import_blocks, inst, "b1", KEYS[:2], fetches, 0.2)
+    else:
+        export = placement.Export("e1", "s1", (0, 1), tuple(KEYS[:2]))
+        job = transfers.ExportJob(inst, "b1", "b1", export)
+        nursery.start_soon(made.carry_out, job)
+    await trio.sleep(0.05)
+    assert made.backlog.pending_s() == {"s1": 1.0}
+    if is_import:
+        await trio.sleep(0.3)
+    else:
+        nursery.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            await trio.sleep(0.05)
+    assert made.backlog.pending_s() == {}
+
+
 async def test_export_queue_is_bounded(ready: Ready, nursery: trio.Nursery) -> None:
     """Guards against exports that pile up behind a slow store."""
     upstream, inst, made = ready
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -61,6 +61,21 @@
     assert members[0].estimate_s("e0") == 5.0
 
 
+async def test_many_instances_are_told_in_several_messages(
+    members: list[Member], autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a message that is refused because it names too many."""
+    names = [f"e{i}" for i in range(3 * pending.MAX_UPSTREAMS + 1)]
+    for member in members:
+        member.exchange.upstreams = lambda: names
+    for name in names:
+        members[0].backlog.sent(name, "r", 1.0, trio.current_time())
+    for _ in range(2):
+        for member in members:
+            await member.exchange.exchange()
+    assert {members[1].estimate_s(name) for name in names} == {1.0}
+
+
 async def test_old_and_lost_sums_are_not_used(
     net: test_cache.Net,
     members: list[Member],
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -249,6 +249,9 @@
     for _ in range(30):
         watch.note(10.0, 20.0, 1.0, 0.0)
     assert watch.wait_s(0.0) == pytest.approx(0.0, abs=0.01)
+    for _ in range(30):
+        watch.note(10.0, 20.0, 5.0, 0.0, pending_s=2.0)
+    assert watch.wait_s(0.0) == pytest.approx(1.0, rel=0.01)
 
 
 VERSIONS = [
