Export while a link is idle instead of at a small fixed share

Cause: exports had 60% of a link whether or not reads waited. 2.1% of prompt tokens (tas-north) were recomputed because an export never got budget while links were 31% idle, and reads waited behind exports at other times.

Change: a store whose link has an expected wait above 0.4 s takes no export now; such exports wait like those without budget.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -23,8 +23,8 @@
 ANNOUNCED_S = 60.0
 """A planned zone move starts this long before the zone is out, in seconds."""
 
-EXPORT_SHARE = 0.6
-"""Share of a link that exports may use; the rest is for reads."""
+EXPORT_SHARE = 0.8
+"""Share of a link that exports may use while no reads wait."""
 
 MOVE_SHARE = 0.3
 """Share of a link that copies out of a leaving zone may use."""
@@ -619,8 +619,9 @@
         prompt = dataclasses.replace(prompt, chain=chain, found=found)
         mode = route.MODES[self.dep.mode]
         stores = self._store_views()
+        waits = {s: node.backlog.estimate_s(s, 0, self.now) for s in self.stores}
         placed = placement.place(
-            prompt, stores, node.budgets, mode, self.leaving, self.now
+            prompt, stores, node.budgets, mode, self.leaving, self.now, waits
         )
         self._fates.note_placed(keys, placed)
         for export in placed.exports:
--- a/bench/loss.py
+++ b/bench/loss.py
@@ -28,6 +28,7 @@
 
 PLACED = {
     placement.Reason.BUDGET: Cause.BUDGET,
+    placement.Reason.BUSY: Cause.BUDGET,
     placement.Reason.PARTLY: Cause.BUDGET,
     placement.Reason.FULL: Cause.FULL,
     placement.Reason.VALUE: Cause.PRICE,
--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -5,6 +5,7 @@
 import dataclasses
 import enum
 import math
+import types
 
 from snipelug_core import block, hashing, index, route
 
@@ -21,6 +22,12 @@
 SECOND_COPY_RESERVE = 0.5
 """Share of a link's saved-up budget that second copies leave to first ones."""
 
+MAX_LINK_WAIT_S = 0.4
+"""Expected wait on a link above which exports leave it to reads, in seconds.
+
+A request waits for its reads, and nothing waits for an export.
+"""
+
 MIN_PRICE_S = 1e-3
 """Expected seconds saved per block below which an export is not worth a write."""
 
@@ -222,6 +229,7 @@
     LEAVING = "zone_leaving"
     VALUE = "value_below_price"
     BUDGET = "link_budget"
+    BUSY = "link_busy"
     NO_SOURCE = "no_readable_copy"
 
 
@@ -264,12 +272,14 @@
     mode: route.Mode,
     zones_out: collections.abc.Set[str],
     now: float,
+    waits: collections.abc.Mapping[str, float] = types.MappingProxyType({}),
 ) -> Placement:
     """Decide which blocks of a prompt to export, and to which stores.
 
     The first copy goes to the first store that takes it, the engine's own zone
     first. A second copy goes to another zone if its value, weighted by the mode's
-    spread, still exceeds the price there.
+    spread, still exceeds the price there. A store whose link has a longer expected
+    wait, in seconds, than `MAX_LINK_WAIT_S` takes nothing now.
     """
     exports: list[Export] = []
     judged: list[Judged] = []
@@ -287,6 +297,8 @@
         price_s = store.price_s(is_second)
         reason, fitting = _judge(prompt, store, wanted, value_s >= price_s, zones_out)
         positions: tuple[int, ...] = ()
+        if reason is Reason.PLACED and waits.get(store.id, 0.0) > MAX_LINK_WAIT_S:
+            reason = Reason.BUSY
         if reason is Reason.PLACED:
             bucket = budgets.get((store.id, prompt.zone))
             reason, positions = _spend(prompt, wanted, fitting, bucket, reserve, now)
@@ -419,8 +431,9 @@
 
 
 def is_unfinished(placed: Placement) -> bool:
-    """Return whether only link budget keeps blocks from a store."""
-    return any(j.reason in (Reason.BUDGET, Reason.PARTLY) for j in placed.judged)
+    """Return whether only a link's budget or wait keeps blocks from a store."""
+    passing = (Reason.BUDGET, Reason.BUSY, Reason.PARTLY)
+    return any(j.reason in passing for j in placed.judged)
 
 
 def record(prompt: Prompt, placement: Placement, request_id: str) -> dict[str, object]:
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -18,8 +18,8 @@
 STATUS_INTERVAL_S = 1.0
 STATUS_TIMEOUT_S = 1.0
 STATUS_BYTES = 64 * 1024
-EXPORT_SHARE = 0.5
-"""Share of a link that exports may use; the rest is for reads before requests."""
+EXPORT_SHARE = 0.8
+"""Share of a link that exports may use while no reads before requests wait."""
 
 BURST_S = 10.0
 """Time for which an idle link saves up its export budget, in seconds."""
@@ -221,8 +221,9 @@
         zones_out = self.config().zones_out
         now = trio.current_time()
         self._add_budgets(prompt.zone)
+        waits = {s: self.backlog.estimate_s(s, 0, now) for s in self.stores}
         decision = placement.place(
-            prompt, stores, self.budgets, self.mode, zones_out, now
+            prompt, stores, self.budgets, self.mode, zones_out, now, waits
         )
         fields = placement.record(prompt, decision, request_id)
         journal.event(LOG, str(fields.pop("event")), **fields)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -356,11 +356,30 @@
     links = budgets(burst)
     placed = placement.place(prompt(), [store()], links, TTFT, set(), 0.0)
     assert placement.is_unfinished(placed) == expected
+    waits = {"s1": 2 * placement.MAX_LINK_WAIT_S}
+    placed = placement.place(prompt(), [store()], links, TTFT, set(), 0.0, waits)
+    assert placement.is_unfinished(placed)
     dead = [store(alive=False)]
     placed = placement.place(prompt(), dead, links, TTFT, set(), 0.0)
     assert not placement.is_unfinished(placed)
 
 
+@pytest.mark.parametrize(
+    ("waits", "expected"),
+    [({}, ["s1"]), ({"s1": 1.0}, ["s2"]), ({"s1": 1.0, "s2": 1.0}, [])],
+)
+def test_exports_leave_busy_links_to_reads(
+    waits: dict[str, float], expected: list[str]
+) -> None:
+    """Guards against requests that wait because blocks are written."""
+    stores = [store("s1", "a"), store("s2", "b")]
+    links = budgets()
+    placed = placement.place(prompt(), stores, links, TTFT, set(), 0.0, waits)
+    assert [e.store for e in placed.exports][:1] == expected
+    by_store = {j.store: j.reason for j in placed.judged}
+    assert all(by_store[s] is REASON.BUSY for s in waits)
+
+
 def test_stores_of_a_zone_share_the_conversations() -> None:
     """Guards against all prompts going to the first store."""
     stores = [store("s1"), store("s2")]
