--- a/packages/snipelug-core/src/snipelug_core/prefill.py
+++ b/packages/snipelug-core/src/snipelug_core/prefill.py
@@ -21,6 +21,8 @@
 class Backlog:
     """Estimate the prefill that waits at each upstream of one node.
 
+    The same sums are kept of the transfers that use the link of a store.
+
     Load reports count requests, and a request with a long prompt delays others a
     hundred times longer than a short one. This node knows the work of its own
     requests, and other nodes tell the sum of theirs. Without a fresh sum, their
