Read all streams of a node in passes of one task

Ruled out: longer pauses per stream. At 33 tokens a second a stream has one chunk in 30 ms, so chunks of one stream can't be joined within 10 ms; chunks of different streams can share a wake-up.

Change: snipelug_net.poller has an epoll instance in which each stream is registered once. Passes that find several streams with data are 8 ms apart; otherwise chunks are read as they arrive. A first part does not wait for a pass. The answer is pushed into a sink of the HTTP server instead of being pulled through async generators; a caller that does not take a part stops the reading of its engine until the rest was taken, so at most one read is held. The replies' bodies are extracted from h11 up to the end of what was received.

--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -1,4 +1,4 @@
-"""Answers as streams: parsing, identity, completeness, resumption, coalescing."""
+"""Answers as streams: parsing, identity, completeness, resumption, pace."""
 
 import collections.abc
 import dataclasses
@@ -14,6 +14,9 @@
 HOLD_S = 0.010
 """Longest time that a token waits in the relay, in seconds."""
 
+PASS_INTERVAL_S = 0.008
+"""Time between reads of all streams; the rest of ``HOLD_S`` is for the reads."""
+
 MAX_ATTEMPTS = 3
 """Runs of one answer, the first included."""
 
@@ -454,21 +457,22 @@
     return End(refusal.refuse(refusal.UPSTREAM_LOST, message, state))
 
 
-# Joining of chunks before a write.
+# Reading of all streams in passes.
 
 
-def next_read_at(previous_read_at: float | None, read_at: float) -> float:
-    """Return when the stream is read again after a read that was written at once.
+def next_pass_at(begun_at: float, reads: int) -> float:
+    """Return when all streams that have data are read again.
 
-    What was read is never held. A stream whose chunks come closer together than
-    ``HOLD_S`` is left unread for that long, so that the next read and write take
-    several chunks at once; a slower stream is read as soon as data arrives.
+    What was read is written at once. Passes that find several streams with data
+    are ``PASS_INTERVAL_S`` apart, so that one wake-up serves many chunks and chunks
+    of one stream share a read and a write; while there is little to read, chunks
+    are read as they arrive.
 
     Parameters
     ----------
-    previous_read_at, read_at : float
-        Times of the last two reads, in seconds; None before the first.
+    begun_at : float
+        Time at which the last pass began, in seconds.
+    reads : int
+        Streams that it read.
     """
-    if previous_read_at is None or read_at - previous_read_at > HOLD_S:
-        return read_at
-    return read_at + HOLD_S
+    return begun_at + PASS_INTERVAL_S if reads > 1 else begun_at
--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -9,6 +9,8 @@
 import h11
 import trio
 
+from snipelug_net import poller
+
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -78,6 +80,15 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class Paused:
+    """The reader of a followed body asked to stop; the body may go on."""
+
+
+Take = collections.abc.Callable[[bytes], bool]
+"""Takes a body part without waiting; returns whether it can take more now."""
+
+
 class Reply:
     """A response whose head has arrived and whose body can be read.
 
@@ -96,27 +107,90 @@
         self._pool = pool
         self._conn = conn
         self._finished = False
+        self._lost: Lost | None = None
+        self._poller: poller.Poller | None = None
         self.has_ended = False
 
     async def next_part(self) -> bytes | Lost | None:
         """Return the next body part, None at the end, or Lost if it was cut off."""
+        while not self._finished:
+            part = self._extract()
+            if part:
+                return part
+            if self._finished:
+                break
+            try:
+                self._conn.proto.receive_data(await self._conn.receive())
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+                self._lose(exc)
+        return self._lost
+
+    async def follow(self, by: poller.Poller, take: Take) -> Lost | Paused | None:
+        """Hand on body parts as a poller reads them, without a switch of tasks.
+
+        Must not be called before ``next_part`` has returned the first part.
+
+        Parameters
+        ----------
+        by : poller.Poller
+            Reads the connection.
+        take : Take
+            Called with each part. What it raises is raised here.
+
+        Returns
+        -------
+        Lost, Paused or None
+            None at the end of the body; Paused once ``take`` returned False.
+        """
         if self._finished:
-            return None
+            return self._lost
+        fd = self._conn.stream.socket.fileno()
+        is_paused = False
+
+        def on_readable() -> bool:
+            nonlocal is_paused
+            part = self._read_now(fd)
+            is_paused = bool(part) and not take(part)
+            return not (is_paused or self._finished)
+
+        self._poller = by
+        try:
+            await by.follow(fd, on_readable)
+        finally:
+            self._poller = None
+        return Paused() if is_paused else self._lost
+
+    def _read_now(self, fd: int) -> bytes:
+        try:
+            received = os.read(fd, RECEIVE_BYTES)
+        except BlockingIOError:
+            return b""
+        except OSError as exc:
+            self._lose(exc)
+            return b""
+        self._conn.proto.receive_data(received)
+        return self._extract()
+
+    def _extract(self) -> bytes:
+        """Return the body that has been received; note its end."""
+        next_event = self._conn.proto.next_event
+        parts = []
         try:
-            event = await self._conn.next_event()
-        except (
-            h11.RemoteProtocolError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ) as exc:
-            await self.aclose()
-            return Lost(str(exc) or "connection broken", is_closed=True)
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
+            while isinstance(event := next_event(), h11.Data):
+                parts.append(event.data)
+        except h11.RemoteProtocolError as exc:
+            self._lose(exc)
+            return b"".join(parts)
+        if event is not h11.NEED_DATA:
+            self._finished = True
+            self.has_ended = True
+            self._pool.give_back(self._conn)
+        return b"".join(parts)
+
+    def _lose(self, exc: Exception) -> None:
         self._finished = True
-        self.has_ended = True
-        self._pool.give_back(self._conn)
-        return None
+        self._lost = Lost(str(exc) or "connection broken", is_closed=True)
+        self._conn.stream.socket.close()
 
     async def read(self, limit_bytes: int, timeout_s: float) -> bytes | Lost | TooLarge:
         """Read the whole body."""
@@ -139,7 +213,11 @@
 
     def abort(self) -> None:
         """Close the connection; a pending read ends with Lost."""
-        self._conn.stream.socket.close()
+        if self._finished:
+            return
+        if self._poller is not None:
+            self._poller.stop(self._conn.stream.socket.fileno())
+        self._lose(trio.ClosedResourceError("closed by this process"))
 
     async def aclose(self) -> None:
         """Close the connection if the body was not read to its end."""
@@ -170,9 +248,9 @@
             event = self.proto.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            self.proto.receive_data(await self._receive())
+            self.proto.receive_data(await self.receive())
 
-    async def _receive(self) -> bytes:
+    async def receive(self) -> bytes:
         # Waiting first saves the failed read and the second pass of the scheduler
         # that a receive through trio costs for each token of a stream.
         sock = self.stream.socket
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -67,7 +67,35 @@
         ...
 
 
-Body = bytes | Parts
+class Sink(typing.Protocol):
+    """Where a body that sends itself writes its parts."""
+
+    def offer(self, part: bytes) -> bool:
+        """Send what the client takes now; return whether nothing is left over.
+
+        What is left over is kept, so ``drain`` must come before the next part.
+        """
+        ...
+
+    async def drain(self) -> None:
+        """Wait until the client has taken what was left over."""
+        ...
+
+
+@typing.runtime_checkable
+class Pushed(typing.Protocol):
+    """A body that sends itself; closed once, also if it was not sent."""
+
+    async def send_to(self, sink: Sink) -> None:
+        """Send all parts."""
+        ...
+
+    async def aclose(self) -> None:
+        """Free what the body holds."""
+        ...
+
+
+Body = bytes | Parts | Pushed
 
 
 @dataclasses.dataclass
@@ -343,19 +371,31 @@
             return
         await self._send_stream(out, response.body)
 
-    async def _send_stream(self, head: bytes, body: Parts) -> None:
+    async def _send_stream(self, head: bytes, body: Parts | Pushed) -> None:
         try:
             await self._write(head)
-            async for part in body:
-                if part:
-                    await self._write(self.proto.send(h11.Data(data=part)) or b"")
+            if isinstance(body, Pushed):
+                await body.send_to(_Sink(self))
+            else:
+                async for part in body:
+                    if part:
+                        await self.write_part(part)
             await self._write(self.proto.send(h11.EndOfMessage()) or b"")
         finally:
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 5.0):
                 await body.aclose()
 
+    async def write_part(self, part: bytes) -> None:
+        await self.finish_write(self.write_part_now(part))
+
+    def write_part_now(self, part: bytes) -> bytes:
+        """Write what the socket takes of a body part; return the rest."""
+        return self._write_now(self.proto.send(h11.Data(data=part)) or b"")
+
     async def _write(self, data: bytes) -> None:
-        rest = self._write_now(data)
+        await self.finish_write(self._write_now(data))
+
+    async def finish_write(self, rest: bytes) -> None:
         if not rest:
             return
         with trio.move_on_after(self.limits.write_s) as scope:
@@ -377,3 +417,20 @@
         except OSError as exc:
             raise trio.BrokenResourceError("client connection broken") from exc
         return data[count:]
+
+
+class _Sink:
+    """Writes the body parts of one response."""
+
+    def __init__(self, conn: _Connection) -> None:
+        self._conn = conn
+        self._rest = b""
+
+    def offer(self, part: bytes) -> bool:
+        assert not self._rest, "a part was offered before the last one was drained"
+        self._rest = self._conn.write_part_now(part)
+        return not self._rest
+
+    async def drain(self) -> None:
+        rest, self._rest = self._rest, b""
+        await self._conn.finish_write(rest)
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -233,7 +233,7 @@
             headers["cache-control"] = "no-store"
             headers["x-snipelug-upstream"] = opened.choice.upstream.instance.id
             handed_over = True
-            body = StreamBody(self.dispatcher.relay(job, opened), opened, leave)
+            body = StreamBody(self.dispatcher, job, opened, leave)
             return http_server.Response(http.HTTPStatus.OK, body, headers)
         finally:
             if not handed_over:
@@ -448,26 +448,27 @@
 
 
 class StreamBody:
-    """The body of a streamed answer; closing it ends the run even if unread."""
+    """The body of a streamed answer; closing it ends the run even if unsent."""
 
     def __init__(
         self,
-        parts: collections.abc.AsyncGenerator[bytes, None],
+        dispatcher: dispatch.Dispatcher,
+        job: dispatch.Job,
         exchange: dispatch.Exchange,
         leave: collections.abc.Callable[[], None],
     ) -> None:
-        self._parts = parts
+        self._dispatcher = dispatcher
+        self._job = job
         self._exchange = exchange
         self._leave = leave
 
-    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        return self._parts
+    async def send_to(self, sink: http_server.Sink) -> None:
+        """Relay the answer."""
+        await self._dispatcher.relay(self._job, self._exchange, sink)
 
     async def aclose(self) -> None:
         """End the run."""
         try:
-            await self._parts.aclose()
-            # An async generator that was never started runs no cleanup.
             await self._exchange.aclose()
         finally:
             self._leave()
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -26,9 +26,10 @@
     refusal,
     route,
     session,
+    stream,
     table,
 )
-from snipelug_net import http_client, http_server
+from snipelug_net import http_client, http_server, poller
 from snipelug_node import (
     admin,
     admitter,
@@ -211,6 +212,7 @@
         self.sender = sender.Sender(
             self.pool, self.slots, self._may_send, self.watcher.read_load
         )
+        self.poller = poller.Poller(stream.next_pass_at)
         self.dispatcher = dispatch.Dispatcher(
             sender=self.sender,
             router=self.router,
@@ -218,6 +220,7 @@
             budget=retries.Budgets(),
             cache_salt=functools.partial(block.cache_salt, cfg.key),
             on_finished=functools.partial(gateway.report_finished, self.metrics),
+            poller=self.poller,
         )
         self.gateway = gateway.Gateway(
             node_id=cfg.node_id,
@@ -500,6 +503,7 @@
         await nursery.start(self.exchange.run)
         nursery.start_soon(self.crashes.run)
         nursery.start_soon(self.limiter.run)
+        nursery.start_soon(self.poller.run)
         nursery.start_soon(self.dispatcher.watch)
         nursery.start_soon(ticker.run, self._systems())
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 import trio
 import trio_asyncio
 
-from snipelug_net import http_client, http_server, rpc
+from snipelug_net import http_client, http_server, poller, rpc
 
 LIMITS = http_server.Limits(body_bytes=100, head_s=0.2, body_s=0.2)
 
@@ -89,6 +89,114 @@
     await again.aclose()
 
 
+class Pushed:
+    """A body that sends itself; the last of its parts may be a fault."""
+
+    def __init__(self, parts: list[str]) -> None:
+        self.parts = parts
+        self.closed = 0
+
+    async def send_to(self, sink: http_server.Sink) -> None:
+        for part in self.parts:
+            if part == "cut":
+                raise trio.BrokenResourceError
+            if part == "silence":
+                await trio.sleep_forever()
+            sink.offer(part.encode())
+            await sink.drain()
+            await trio.sleep(0.001)
+
+    async def aclose(self) -> None:
+        self.closed += 1
+
+
+def raise_fault(part: bytes) -> bool:
+    raise ValueError("fault of one reader")
+
+
+FOLLOWED = [
+    ("whole", ["a", "b", "c"], lambda _: True, None),
+    ("large", ["a" * 300_000, "b" * 300_000], lambda _: True, None),
+    ("cut", ["a", "b", "cut"], lambda _: True, http_client.Lost),
+    ("paused", ["a", "b", "silence"], lambda _: False, http_client.Paused),
+    ("aborted", ["a", "b", "silence"], lambda _: True, http_client.Lost),
+    ("reader fails", ["a", "b", "silence"], raise_fault, ValueError),
+]
+
+
+async def test_followed_bodies_end_apart(nursery: trio.Nursery) -> None:
+    """Guards against one stream's end or fault that ends or stalls the others."""
+    bodies = [Pushed(parts) for _, parts, _, _ in FOLLOWED]
+
+    async def answer(req: http_server.Request) -> http_server.Response:
+        return http_server.Response(200, bodies[int(req.path[1:])])
+
+    server = http_server.Server(answer)
+    port = await nursery.start(server.serve, "127.0.0.1", 0)
+    reader = poller.Poller(lambda begun_at, _: begun_at + 0.005)
+    nursery.start_soon(reader.run)
+    pool = http_client.Pool()
+    ends: list[object] = [None] * len(FOLLOWED)
+    texts = [b""] * len(FOLLOWED)
+
+    async def follow(number: int) -> None:
+        name, _, take, _ = FOLLOWED[number]
+        call = http_client.Call(("127.0.0.1", port), "GET", f"/{number}")
+        reply = await pool.send(call)
+        assert isinstance(reply, http_client.Reply)
+        first = await reply.next_part()
+        assert isinstance(first, bytes)
+        texts[number] += first
+
+        def take_part(part: bytes) -> bool:
+            texts[number] += part
+            return take(part)
+
+        if name == "aborted":
+            nursery.start_soon(abort_later, reply)
+        try:
+            ends[number] = await reply.follow(reader, take_part)
+        except ValueError as exc:
+            ends[number] = exc
+        await reply.aclose()
+
+    async def abort_later(reply: http_client.Reply) -> None:
+        await trio.sleep(0.1)
+        reply.abort()
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as followers:
+            for number in range(len(FOLLOWED)):
+                followers.start_soon(follow, number)
+        for number, (name, parts, _, kind) in enumerate(FOLLOWED):
+            expected = "".join(p for p in parts if p not in ("cut", "silence"))
+            assert texts[number] == expected.encode(), name
+            assert isinstance(ends[number], kind or type(None)), name
+        # The server notices the connections that were closed from here.
+        while any(body.closed != 1 for body in bodies):
+            await trio.sleep(0.01)
+    assert pool.idle_count(("127.0.0.1", port)) == 2
+
+
+async def test_cancelled_follower_leaves_its_socket(nursery: trio.Nursery) -> None:
+    """Guards against a descriptor that is reused while it is still followed."""
+    reader = poller.Poller(lambda begun_at, _: begun_at)
+    nursery.start_soon(reader.run)
+    reads: list[int] = []
+    for number in range(3):
+        here, there = socket.socketpair()
+        with here, there, trio.move_on_after(0.02):
+            there.send(b"x")
+
+            def on_readable(sock: socket.socket = here, number: int = number) -> bool:
+                sock.recv(1)
+                reads.append(number)
+                return True
+
+            await reader.follow(here.fileno(), on_readable)
+    assert reads == [0, 1, 2]
+
+
 class Ping(msgspec.Struct):
     text: str
 
