Take the plain case first when parsing and checking a chunk

Change: a piece that is one event of one line is recognized by its first line feed. The ids as bytes are made once per run; the id is exchanged and the event framed in one step; a delta of text only is accounted for without a set.

--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -22,6 +22,7 @@
 
 DONE = b"[DONE]"
 DATA_FIELD = b"data: "
+EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -63,8 +64,26 @@
         self._at_start = True
         self._failed = False
 
-    def feed(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
-        """Yield the events that a piece completes; consume it wholly."""
+    def feed(self, piece: bytes) -> list[Event | Oversized]:
+        """Return the events that a piece completes; consume it wholly."""
+        # Most pieces are one event of one line.
+        end = len(piece) - len(EVENT_END)
+        if (
+            piece.startswith(DATA_FIELD)
+            and piece.find(b"\n") == end
+            and piece.endswith(EVENT_END)
+            and b"\r" not in piece
+            and len(piece) <= self.limit_bytes
+            and not self._is_inside_event()
+        ):
+            self._at_start = False
+            return [Event(piece[len(DATA_FIELD) : end])]
+        return list(self._feed_lines(piece))
+
+    def _is_inside_event(self) -> bool:
+        return bool(self._line or self._data or self._after_cr or self._failed)
+
+    def _feed_lines(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
         for line in self._lines(piece):
             if self._failed:
                 break
@@ -233,24 +252,28 @@
     ----------
     attempt : int
         Number of the run that is accepted now, from 1.
+    run_id : str
+        Id that each chunk of the accepted run must carry.
     """
 
     def __init__(self, request_id: str) -> None:
         self.request_id = request_id
-        self.attempt = 1
+        self.attempt = 0
+        self._start_run()
         self._parts: list[str] = []
         self._repeat = ""
         self._repeated = 0
         self._plain = True
+
+    def _start_run(self) -> None:
+        self.attempt += 1
+        self.run_id = run_id(self.request_id, self.attempt)
+        self._sent_id = b'"id":"%s"' % self.run_id.encode()
+        self._own_id = b'"id":"%s"' % self.request_id.encode()
         self._finish_reason: str | None = None
         self._usage: Usage | None = None
         self._done = False
 
-    @property
-    def run_id(self) -> str:
-        """Id that each chunk of the accepted run must carry."""
-        return run_id(self.request_id, self.attempt)
-
     @property
     def text(self) -> str:
         """Text relayed so far."""
@@ -286,10 +309,7 @@
             Whether the run sends the earlier text again, as a run from the
             prompt does; the text is then checked and not relayed twice.
         """
-        self.attempt += 1
-        self._finish_reason = None
-        self._usage = None
-        self._done = False
+        self._start_run()
         self._repeat = self.text if repeats else ""
         self._repeated = 0
         return self.text
@@ -328,17 +348,17 @@
             return Ignored()
         chunk.id = self.request_id
         own = None if cut else self._with_own_id(data)
-        return Relay(DATA_FIELD + (own or _encoder.encode(chunk)) + b"\n\n")
+        return Relay(own or b"%s%s\n\n" % (DATA_FIELD, _encoder.encode(chunk)))
 
     def _with_own_id(self, data: bytes) -> bytes | None:
-        """Return the chunk as sent, with the caller's id; None if that is not safe.
+        """Return the event as sent, with the caller's id; None if that is not safe.
 
         Encoding it again would drop the fields that this module does not know.
         """
-        sent = b'"id":"%s"' % self.run_id.encode()
-        if data.count(sent) != 1 or b"\n" in data:
+        before, found, after = data.partition(self._sent_id)
+        if not found or self._sent_id in after or b"\n" in data:
             return None
-        return data.replace(sent, b'"id":"%s"' % self.request_id.encode())
+        return b"%s%s%s%s\n\n" % (DATA_FIELD, before, self._own_id, after)
 
     def _skip_repeated(self, chunk: Chunk) -> Ignored | Diverged | None:
         """Cut repeated text from a chunk; None if something remains of it."""
@@ -359,15 +379,17 @@
         return None if remains else Ignored()
 
     def _account(self, choice: Choice) -> None:
+        if choice.finish_reason is not None:
+            self._finish_reason = choice.finish_reason
         content = choice.delta.get("content")
         if isinstance(content, str):
             self._parts.append(content)
+            if len(choice.delta) == 1 and choice.index == 0:
+                return
         used = {name for name, value in choice.delta.items() if value is not None}
         text_only = content is None or isinstance(content, str)
         if choice.index != 0 or not used <= {"role", "content"} or not text_only:
             self._plain = False
-        if choice.finish_reason is not None:
-            self._finish_reason = choice.finish_reason
 
 
 # What to do when the upstream is lost.
