Ask h11 once per chunk where only a line end is left

Half of the calls of next_event only find out that more data is needed.

Change: after a data event that ends a chunk, with the line end as the only data left, next_event is not called; h11 skips the line end with the next chunk. For other framings nothing changes.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -173,11 +173,14 @@
 
     def _extract(self) -> bytes:
         """Return the body that has been received; note its end."""
-        next_event = self._conn.proto.next_event
+        proto = self._conn.proto
         parts = []
         try:
-            while isinstance(event := next_event(), h11.Data):
+            while isinstance(event := proto.next_event(), h11.Data):
                 parts.append(event.data)
+                # Only the line end after a chunk is left, so no event follows.
+                if event.chunk_end and proto.trailing_data[0] == b"\r\n":
+                    return b"".join(parts)
         except h11.RemoteProtocolError as exc:
             self._lose(exc)
             return b"".join(parts)
