--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -1,4 +1,4 @@
-"""Answers as streams: parsing, identity, completeness, resumption, coalescing."""
+"""Answers as streams: parsing, identity, completeness, resumption, pace."""
 
 import collections.abc
 import dataclasses
@@ -14,11 +14,15 @@
 HOLD_S = 0.010
 """Longest time that a token waits in the relay, in seconds."""
 
+PASS_INTERVAL_S = 0.008
+"""Time between reads of all streams; the rest of ``HOLD_S`` is for the reads."""
+
 MAX_ATTEMPTS = 3
 """Runs of one answer, the first included."""
 
 DONE = b"[DONE]"
 DATA_FIELD = b"data: "
+EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -60,8 +64,26 @@
         self._at_start = True
         self._failed = False
 
-    def feed(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
-        """Yield the events that a piece completes; consume it wholly."""
+    def feed(self, piece: bytes) -> list[Event | Oversized]:
+        """Return the events that a piece completes; consume it wholly."""
+        # Most pieces are one event of one line.
+        end = len(piece) - len(EVENT_END)
+        if (
+            piece.startswith(DATA_FIELD)
+            and piece.find(b"\n") == end
+            and piece.endswith(EVENT_END)
+            and b"\r" not in piece
+            and len(piece) <= self.limit_bytes
+            and not self._is_inside_event()
+        ):
+            self._at_start = False
+            return [Event(piece[len(DATA_FIELD) : end])]
+        return list(self._feed_lines(piece))
+
+    def _is_inside_event(self) -> bool:
+        return bool(self._line or self._data or self._after_cr or self._failed)
+
+    def _feed_lines(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
         for line in self._lines(piece):
             if self._failed:
                 break
@@ -230,24 +252,28 @@
     ----------
     attempt : int
         Number of the run that is accepted now, from 1.
+    run_id : str
+        Id that each chunk of the accepted run must carry.
     """
 
     def __init__(self, request_id: str) -> None:
         self.request_id = request_id
-        self.attempt = 1
+        self.attempt = 0
+        self._start_run()
         self._parts: list[str] = []
         self._repeat = ""
         self._repeated = 0
         self._plain = True
+
+    def _start_run(self) -> None:
+        self.attempt += 1
+        self.run_id = run_id(self.request_id, self.attempt)
+        self._sent_id = b'"id":"%s"' % self.run_id.encode()
+        self._own_id = b'"id":"%s"' % self.request_id.encode()
         self._finish_reason: str | None = None
         self._usage: Usage | None = None
         self._done = False
 
-    @property
-    def run_id(self) -> str:
-        """Id that each chunk of the accepted run must carry."""
-        return run_id(self.request_id, self.attempt)
-
     @property
     def text(self) -> str:
         """Text relayed so far."""
@@ -283,10 +309,7 @@
             Whether the run sends the earlier text again, as a run from the
             prompt does; the text is then checked and not relayed twice.
         """
-        self.attempt += 1
-        self._finish_reason = None
-        self._usage = None
-        self._done = False
+        self._start_run()
         self._repeat = self.text if repeats else ""
         self._repeated = 0
         return self.text
@@ -325,17 +348,17 @@
             return Ignored()
         chunk.id = self.request_id
         own = None if cut else self._with_own_id(data)
-        return Relay(DATA_FIELD + (own or _encoder.encode(chunk)) + b"\n\n")
+        return Relay(own or b"%s%s\n\n" % (DATA_FIELD, _encoder.encode(chunk)))
 
     def _with_own_id(self, data: bytes) -> bytes | None:
-        """Return the chunk as sent, with the caller's id; None if that is not safe.
+        """Return the event as sent, with the caller's id; None if that is not safe.
 
         Encoding it again would drop the fields that this module does not know.
         """
-        sent = b'"id":"%s"' % self.run_id.encode()
-        if data.count(sent) != 1 or b"\n" in data:
+        before, found, after = data.partition(self._sent_id)
+        if not found or self._sent_id in after or b"\n" in data:
             return None
-        return data.replace(sent, b'"id":"%s"' % self.request_id.encode())
+        return b"%s%s%s%s\n\n" % (DATA_FIELD, before, self._own_id, after)
 
     def _skip_repeated(self, chunk: Chunk) -> Ignored | Diverged | None:
         """Cut repeated text from a chunk; None if something remains of it."""
@@ -356,15 +379,17 @@
         return None if remains else Ignored()
 
     def _account(self, choice: Choice) -> None:
+        if choice.finish_reason is not None:
+            self._finish_reason = choice.finish_reason
         content = choice.delta.get("content")
         if isinstance(content, str):
             self._parts.append(content)
+            if len(choice.delta) == 1 and choice.index == 0:
+                return
         used = {name for name, value in choice.delta.items() if value is not None}
         text_only = content is None or isinstance(content, str)
         if choice.index != 0 or not used <= {"role", "content"} or not text_only:
             self._plain = False
-        if choice.finish_reason is not None:
-            self._finish_reason = choice.finish_reason
 
 
 # What to do when the upstream is lost.
@@ -454,21 +479,22 @@
     return End(refusal.refuse(refusal.UPSTREAM_LOST, message, state))
 
 
-# Joining of chunks before a write.
+# Reading of all streams in passes.
 
 
-def next_read_at(previous_read_at: float | None, read_at: float) -> float:
-    """Return when the stream is read again after a read that was written at once.
+def next_pass_at(begun_at: float, reads: int) -> float:
+    """Return when all streams that have data are read again.
 
-    What was read is never held. A stream whose chunks come closer together than
-    ``HOLD_S`` is left unread for that long, so that the next read and write take
-    several chunks at once; a slower stream is read as soon as data arrives.
+    What was read is written at once. Passes that find several streams with data
+    are ``PASS_INTERVAL_S`` apart, so that one wake-up serves many chunks and chunks
+    of one stream share a read and a write; while there is little to read, chunks
+    are read as they arrive.
 
     Parameters
     ----------
-    previous_read_at, read_at : float
-        Times of the last two reads, in seconds; None before the first.
+    begun_at : float
+        Time at which the last pass began, in seconds.
+    reads : int
+        Streams that it read.
     """
-    if previous_read_at is None or read_at - previous_read_at > HOLD_S:
-        return read_at
-    return read_at + HOLD_S
+    return begun_at + PASS_INTERVAL_S if reads > 1 else begun_at
