Move what operators see and do out of the node's composition

Cause: node.py had 605 lines, of which a quarter built rows for the status and carried out settlements and releases.

Ruled out: putting it into admin.py, which is the HTTP side and is tested without a node.

Change: operations.py with the same code; node.py composes parts and runs the life of the process.

Lint and the tests of the command and of planned stops pass.

Conclusion: no behaviour changed.

--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -16,15 +16,12 @@
 
 from snipelug_core import (
     block,
-    change,
-    claim,
     connection,
     load,
     member,
     ownership,
     prefill,
     quarantine,
-    refusal,
     route,
     session,
     stream,
@@ -47,11 +44,11 @@
     limiter,
     loader,
     metrics,
+    operations,
     order,
     peer,
     pending,
     platform,
-    ports,
     retries,
     reuse,
     revision,
@@ -130,8 +127,17 @@
         self._build_limits()
         self._build_cache()
         self._build_request_path()
+        offered = operations.Operations(
+            self.tables,
+            self.keeper,
+            self.lease,
+            self.orders,
+            self.crashes,
+            self.limiter,
+            self._may_send,
+        )
         self.admin = admin.Admin(
-            self.keeper, self.peers, cfg.admin_key, self._providers()
+            self.keeper, self.peers, cfg.admin_key, offered.providers()
         )
 
     def _build_slots(self) -> None:
@@ -383,107 +389,6 @@
     def _block_s(self, inst: table.Instance) -> float:
         return self.router.pace_of(inst).prefill_s * block.BLOCK_TOKENS
 
-    def _providers(self) -> admin.Providers:
-        return admin.Providers(
-            upstreams=self._upstream_rows,
-            leases=self._lease_rows,
-            queues=self.limiter.describe,
-            inventory=self._inventory,
-            quarantined=self._quarantined,
-            release=self._release,
-            unknown_claims=self._open_claims,
-            settle=self._settle,
-        )
-
-    def _inventory(self) -> change.Inventory:
-        if not self.tables.instances:
-            return change.Inventory()
-        instances = self.tables.instances.values()
-        return change.Inventory(
-            frozenset(inst.zone for inst in instances),
-            frozenset(self.tables.instances),
-        )
-
-    def _upstream_rows(self) -> admin.Rows:
-        now = trio.current_time()
-        return [
-            describe_upstream(upstream, self._may_send(upstream, -1.0, now), now)
-            for upstream in self.tables.upstreams.values()
-        ]
-
-    async def _quarantined(self) -> admin.Rows | refusal.Refusal:
-        return [
-            {
-                "fingerprint": record.fingerprint,
-                "team": record.team,
-                "upstreams": sorted({c.upstream_id for c in record.crashes}),
-            }
-            for record in self.crashes.quarantined()
-        ]
-
-    async def _release(self, fingerprint: str, author: str) -> refusal.Refusal | None:
-        outcome = await self.crashes.release(fingerprint)
-        match outcome:
-            case crashes.Released():
-                journal.event(
-                    LOG, "quarantine_released", fingerprint=fingerprint, author=author
-                )
-                return None
-            case crashes.Unknown():
-                message = f"fingerprint {fingerprint} has no crash on record"
-                return refusal.refuse(refusal.NOT_FOUND, message)
-            case ports.Conflict():
-                message = "the record changed meanwhile; repeat the release"
-                return refusal.refuse(refusal.IN_PROGRESS, message)
-            case ports.Unavailable(reason):
-                return refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
-
-    async def _open_claims(self) -> admin.Rows | refusal.Refusal:
-        rows: admin.Rows = []
-        for team in self.keeper.cfg.contracts:
-            after = ""
-            while True:
-                page = await self.orders.open_claims(team, after)
-                if isinstance(page, ports.Unavailable):
-                    message = f"claims cannot be read: {page.reason}"
-                    return refusal.refuse(refusal.STORE_UNAVAILABLE, message)
-                rows += [dataclasses.asdict(item) for item in page.claims]
-                after = page.after
-                if not after:
-                    break
-        return rows
-
-    async def _settle(
-        self, team: str, key: str, ran: bool, author: str
-    ) -> refusal.Refusal | None:
-        verdict = claim.Verdict.RAN if ran else claim.Verdict.NOT_RUN
-        outcome = await self.orders.settle(team, key, verdict, f"settled by {author}")
-        match outcome:
-            case order.Settled():
-                journal.event(LOG, "claim_settled", team=team, ran=ran, author=author)
-                return None
-            case claim.TooEarly(wait_s):
-                message = f"the claim may be settled in {wait_s:.0f} s"
-                return refusal.refuse(refusal.IN_PROGRESS, message)
-            case claim.NotOpen(reason):
-                return refusal.refuse(refusal.FORBIDDEN, reason)
-            case order.Changed():
-                message = "the claim changed meanwhile; look at it again"
-                return refusal.refuse(refusal.IN_PROGRESS, message)
-            case ports.Absent():
-                message = f"team {team!r} has no claim with this key"
-                return refusal.refuse(refusal.NOT_FOUND, message)
-            case ports.Unavailable(reason):
-                return refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
-
-    def _lease_rows(self) -> admin.Rows:
-        now = trio.current_time()
-        return [
-            {"item": key, "fencing": seen.row.fencing, "valid": self.lease.valid(now)}
-            for key, seen in sorted(self.lease.owners.seen.items())
-            if ownership.fencing(self.lease.owners, key, now) is not None
-        ]
-
     # Life of the process
 
     async def run(self) -> None:
@@ -580,24 +485,6 @@
     )
 
 
-def describe_upstream(
-    upstream: table.Upstream, verdict: load.Verdict, now: float
-) -> dict[str, object]:
-    """Return the row of an upstream in the status."""
-    report = upstream.report
-    state = "open" if isinstance(verdict, load.Allowed) else verdict.reason.value
-    return {
-        "id": upstream.instance.id,
-        "role": upstream.instance.role.value,
-        "zone": upstream.instance.zone,
-        "state": state,
-        "queue": load.estimate_queue(upstream),
-        "in_flight_here": upstream.in_flight,
-        "weight_version": report.weight_version if report else "",
-        "report_age_s": round(now - report.made_at, 2) if report else None,
-    }
-
-
 async def run(cfg: settings.Settings) -> None:
     """Run a node with these settings."""
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
