Log how many old claims a pass deleted

Cause: operators could not see deletions of claims in the log.

Change: one event claims_deleted per pass that deleted any, in the table of events.

--- a/packages/snipelug-node/src/snipelug_node/expiry.py
+++ b/packages/snipelug-node/src/snipelug_node/expiry.py
@@ -9,7 +9,7 @@
 import trio
 
 from snipelug_core import claim, step
-from snipelug_node import executor, order, ports
+from snipelug_node import executor, journal, order, ports
 
 LOG = logging.getLogger("snipelug.order")
 
@@ -66,6 +66,7 @@
 
     async def sweep(self, team: str) -> None:
         """Pass once over a team's claims; stop early if the store is silent."""
+        deleted_before = self.counts["deleted"]
         reference = min(self._wall(), self._newest.get(team, -math.inf))
         newest = -math.inf
         after = ""
@@ -88,6 +89,9 @@
             size = sum(len(row.content) for row in page)
             await trio.sleep(size / SWEEP_BYTES_PER_S)
         self._newest[team] = newest
+        deleted = self.counts["deleted"] - deleted_before
+        if deleted:
+            journal.event(LOG, "claims_deleted", team=team, claims=deleted)
 
     async def _delete(self, stored: ports.Row, row: claim.Row) -> None:
         object_key = row.answer.object_key if row.answer else ""
