Test a store that dies in the middle of a transfer

The test breaks off an export in its second block, restarts the store, asks it for all three blocks, breaks off an import in its second block, and restarts it again. All answers have to be whole, the answer during an import may use one block at most, whole blocks have to be reused after each restart, and the half block must be absent.

No fault of the product found. The checks at the read are the stand-ins' own, as before.

--- a/packages/snipelug-standins/src/snipelug_standins/__main__.py
+++ b/packages/snipelug-standins/src/snipelug_standins/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the stand-ins: ``python -m snipelug_standins ROLE``."""
 
 import logging
+import pathlib
 import typing
 
 import trio
@@ -94,9 +95,13 @@
     disk_bytes: Size = 1 << 32,
     memory_rate: Rate = 0.0,
     disk_rate: Rate = 0.0,
+    directory: typing.Annotated[
+        pathlib.Path | None, typer.Option(help="Keeps blocks over a restart.")
+    ] = None,
 ) -> None:
     """Run a KV cache store instance."""
-    _serve(store.Store(memory_bytes, disk_bytes, memory_rate, disk_rate), host, port)
+    role = store.Store(memory_bytes, disk_bytes, memory_rate, disk_rate, directory)
+    _serve(role, host, port)
 
 
 @app.command("tables")
--- a/packages/snipelug-standins/src/snipelug_standins/faults.py
+++ b/packages/snipelug-standins/src/snipelug_standins/faults.py
@@ -109,11 +109,14 @@
         Factor by which transfers take longer.
     corrupt_reads : int
         Number of reads that return changed bytes.
+    die_in_transfer : DieAfter or None
+        Exit when half of a block was sent or kept, after some whole transfers.
     """
 
     full: bool = False
     slowdown: Factor = 1.0
     corrupt_reads: Count = 0
+    die_in_transfer: DieAfter | None = None
 
 
 class LinkFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/snipelug-standins/src/snipelug_standins/store.py
+++ b/packages/snipelug-standins/src/snipelug_standins/store.py
@@ -1,10 +1,13 @@
 """Stand-in of a KV cache store instance with a memory and a disk tier."""
 
 import collections
+import collections.abc
 import dataclasses
 import enum
 import hashlib
 import http
+import pathlib
+import urllib.parse
 import uuid
 
 import trio
@@ -13,6 +16,7 @@
 from snipelug_standins import events, faults, standin, transfer
 
 PREFIX = "/blocks/"
+SUFFIX = "block"
 
 
 class Tier(enum.StrEnum):
@@ -42,6 +46,21 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
+class _Half:
+    """Part of a body, after which the process ends."""
+
+    def __init__(self, part: bytes) -> None:
+        self._part = part
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the part."""
+        yield self._part
+        standin.stop_process(standin.EXIT_DIE, "fault die_in_transfer")
+
+    async def aclose(self) -> None:
+        """Free nothing."""
+
+
 class Store:
     """Blocks by key; the least recently used ones move from memory to disk.
 
@@ -51,6 +70,8 @@
         Size of the tiers, in bytes.
     memory_rate, disk_rate : float
         Bandwidth of the links to the tiers, in bytes per second; 0 for unlimited.
+    directory : pathlib.Path, optional
+        Keeps a file for each block, so that blocks outlast the process.
     """
 
     faults_type = faults.StoreFaults
@@ -61,6 +82,7 @@
         disk_bytes: int = 1 << 32,
         memory_rate: float = 0.0,
         disk_rate: float = 0.0,
+        directory: pathlib.Path | None = None,
     ) -> None:
         self.boot_id = uuid.uuid4().hex
         self.sizes = {Tier.MEMORY: memory_bytes, Tier.DISK: disk_bytes}
@@ -74,7 +96,9 @@
         self.feed = events.Feed()
         self.faults = faults.StoreFaults()
         self.counts: collections.Counter[str] = collections.Counter()
+        self._directory = directory
         self._corrupt_reads = 0
+        self._transfers_before_exit: int | None = None
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
         """Answer one request."""
@@ -107,12 +131,16 @@
         if self.faults.full:
             return self._answer_full(key)
         # The block becomes visible only after the whole transfer.
+        self._keep_part(key, req.body[: len(req.body) // 2])
+        if self._breaks_off():
+            standin.stop_process(standin.EXIT_DIE, "fault die_in_transfer")
         await self.links[Tier.MEMORY].carry(len(req.body))
         tier = self._make_room(len(req.body), key)
         if tier is None:
             return self._answer_full(key)
         self._remove(key)
         block = Block(generation, expected, req.body, tier)
+        self._keep(key, block)
         self.blocks[key] = block
         self.counts["writes"] += 1
         self._publish("stored", key, block)
@@ -140,6 +168,9 @@
             self._corrupt_reads -= 1
             body = bytes(reversed(body))
         headers = {"etag": block.etag, "x-tier": block.tier.value}
+        if self._breaks_off():
+            half = _Half(body[: len(body) // 2])
+            return http_server.Response(http.HTTPStatus.OK, half, headers)
         return http_server.Response(http.HTTPStatus.OK, body, headers)
 
     def _delete(self, key: str, req: http_server.Request) -> http_server.Response:
@@ -194,8 +225,50 @@
     def _remove(self, key: str) -> None:
         block = self.blocks.pop(key, None)
         if block is not None:
+            if self._directory is not None:
+                self._path(self._directory, key, block).unlink()
             self._publish("removed", key, block)
 
+    # Files of blocks
+
+    @staticmethod
+    def _path(directory: pathlib.Path, key: str, block: Block) -> pathlib.Path:
+        fields = (key, block.generation, block.checksum)
+        names = [urllib.parse.quote(f, safe="").replace(".", "%2E") for f in fields]
+        return directory / ".".join((*names, SUFFIX))
+
+    def _keep_part(self, key: str, part: bytes) -> None:
+        if self._directory is not None:
+            name = urllib.parse.quote(key, safe="")
+            (self._directory / f"{name}.part").write_bytes(part)
+
+    def _keep(self, key: str, block: Block) -> None:
+        """Write the file of a whole block; only then it has a block's name."""
+        if self._directory is None:
+            return
+        self._keep_part(key, block.body)
+        part = self._directory / f"{urllib.parse.quote(key, safe='')}.part"
+        part.rename(self._path(self._directory, key, block))
+
+    def _load(self) -> None:
+        """Take over the blocks of an earlier process."""
+        if self._directory is None:
+            return
+        self._directory.mkdir(exist_ok=True)
+        for path in self._directory.glob(f"*.{SUFFIX}"):
+            names = path.name.split(".")[:3]
+            key, generation, expected = map(urllib.parse.unquote, names)
+            block = Block(generation, expected, path.read_bytes(), Tier.DISK)
+            self.blocks[key] = block
+            self._publish("stored", key, block)
+
+    def _breaks_off(self) -> bool:
+        """Count a transfer; return whether this process ends in its middle."""
+        left = self._transfers_before_exit
+        if left:
+            self._transfers_before_exit = left - 1
+        return left == 0
+
     def _publish(self, event: str, key: str, block: Block) -> None:
         self.feed.append(
             trio.current_time(),
@@ -224,6 +297,8 @@
         assert isinstance(wanted, faults.StoreFaults)
         self.faults = wanted
         self._corrupt_reads = wanted.corrupt_reads
+        dies = wanted.die_in_transfer
+        self._transfers_before_exit = None if dies is None else dies.after
         for link in self.links.values():
             link.slowdown = wanted.slowdown
         return False
@@ -234,5 +309,6 @@
         return {name: self.counts[name] for name in names} | self._status()
 
     async def run(self) -> None:
-        """Do nothing in the background."""
+        """Take over kept blocks; do nothing afterwards."""
+        self._load()
         await trio.sleep_forever()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -121,11 +121,16 @@
 
 @contextlib.asynccontextmanager
 async def deployed_nodes(
-    directory: pathlib.Path, engines: int = 2, stores: int = 1, **options: object
+    directory: pathlib.Path,
+    engines: int = 2,
+    stores: int = 1,
+    store_options: collections.abc.Mapping[str, object] | None = None,
+    **options: object,
 ) -> collections.abc.AsyncIterator[deployment.Deployment]:
     """Start a deployment; ``options`` are further options of the engines."""
     sample = deployment.read_sample("tas-north")
     sample.engine |= {"on_overload": "record", "warm_requests": 20, **options}
+    sample.store |= store_options or {}
     async with cluster.open_cluster(directory) as running:
         with trio.fail_after(TEST_LIMIT_S):
             yield await deployment.start(
@@ -394,14 +399,19 @@
         assert (await ask(2))[0] == PROMPT_BLOCKS * text.BLOCK_TOKENS
 
 
-def forged_fields(deployed: deployment.Deployment, question: str) -> dict[str, object]:
-    """Return reserved fields with the first team's true salt and block keys."""
+def block_keys(deployed: deployment.Deployment, question: str) -> list[str]:
+    """Return the keys of a prompt's blocks as the first team has them."""
     key = deployment.KEY.encode()
     model = contract.Model(deployed.sample.model, weight_version="w1")
     prompt = block.render(callers.messages(question))
+    return block.chain(key, deployment.TEAM, model, prompt).hex_keys()
+
+
+def forged_fields(deployed: deployment.Deployment, question: str) -> dict[str, object]:
+    """Return reserved fields with the first team's true salt and block keys."""
     return {
-        "cache_salt": block.cache_salt(key, deployment.TEAM),
-        "block_keys": block.chain(key, deployment.TEAM, model, prompt).hex_keys(),
+        "cache_salt": block.cache_salt(deployment.KEY.encode(), deployment.TEAM),
+        "block_keys": block_keys(deployed, question),
         "priority": 9,
         "weight_version": "w9",
         "resume_text": "forged",
@@ -472,6 +482,59 @@
         assert cached_tokens(dead + known_dead) == {0}
 
 
+async def test_store_dies_in_a_transfer(tmp_path: pathlib.Path) -> None:
+    """Guards against answers that break, and half blocks that are served, with it."""
+    kept = {"directory": tmp_path / "blocks"}
+    async with deployed_nodes(tmp_path, engines=1, store_options=kept) as deployed:
+        traffic = Traffic(deployed)
+        [question] = long_questions(1)
+        keys = block_keys(deployed, question)
+
+        async def ask() -> int:
+            await empty_engines(deployed)
+            result = await traffic.ask(len(traffic.attempts) % NODES, question)
+            assert result.whole, result.problem
+            return result.usage["cached_tokens"] // text.BLOCK_TOKENS
+
+        async def break_off(blocks: int) -> None:
+            """Let the store die after some whole blocks of the next transfer."""
+            store = deployed.stores[0]
+            dies = {"after": blocks}
+            await deployed.running.set_faults(store, die_in_transfer=dies)
+
+            async def is_dead() -> bool:
+                assert await ask() <= blocks
+                return store.exit_code is not None
+
+            await cluster.wait_until(is_dead, "the end of the store")
+            assert await ask() == 0
+
+        async def restart(**faults: object) -> list[int]:
+            """Start the store again; return the states of its blocks."""
+            old = deployed.stores[0]
+            flags = deployment.options(deployed.sample.store)
+            new = await deployed.running.standin("store", *flags, port=old.port)
+            deployed.stores[0] = new
+            await deployed.running.set_faults(new, **faults)
+            get = deployed.running.call
+            return [(await get(new, "GET", f"/blocks/{k}")).status for k in keys]
+
+        async def reuses(blocks: int) -> bool:
+            reused = await ask()
+            assert reused <= blocks
+            return reused == blocks
+
+        await break_off(1)
+        # A full store takes no further export.
+        assert await restart(full=True) == [200, 404, 404]
+        await cluster.wait_until(lambda: reuses(1), "reuse of the whole block")
+        await deployed.running.set_faults(deployed.stores[0])
+        await cluster.wait_until(lambda: reuses(3), "the export of all blocks")
+        await break_off(1)
+        assert await restart() == [200, 200, 200]
+        await cluster.wait_until(lambda: reuses(3), "reuse of all blocks")
+
+
 async def test_request_that_crashes_engines_is_stopped_after_two(
     tmp_path: pathlib.Path,
 ) -> None:
