Weigh recomputed prefill as much as TTFT in the mode for TTFT

Cause: a choice by the own TTFT alone ignores the requests that queue behind a prefill.

Change: the weight of recomputing in the mode `ttft` is 1.0 instead of 0.25. Mode `reuse` is unchanged.

--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -47,9 +47,11 @@
 
 
 MODES: collections.abc.Mapping[str, Mode] = {
-    "ttft": Mode("ttft", ttft=1.0, recompute=0.25, spread=0.25),
+    "ttft": Mode("ttft", ttft=1.0, recompute=1.0, spread=0.25),
     "reuse": Mode("reuse", ttft=1.0, recompute=3.0, spread=1.0),
 }
+"""Even for TTFT a second of prefill counts twice: once for its own request, once for
+the requests that queue behind it. A weight of 0.25 gave a higher p95."""
 
 
 @dataclasses.dataclass(frozen=True)
