Send further parts in a test only after the first was read

Cause: test_followed_bodies_end_apart failed once with its limit of 5 s at a load of 27 on 10 cores. The first read there brought the second part too, and readers that end at a further part waited for ever.

Change: the body waits until its first part was read. All checks and the limit are unchanged.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -96,6 +96,8 @@
     def __init__(self, parts: list[str]) -> None:
         self.parts = parts
         self.closed = 0
+        # On a busy machine the first read would bring the next parts as well.
+        self.first_was_read = trio.Event()
 
     async def send_to(self, sink: http_server.Sink) -> None:
         for part in self.parts:
@@ -105,6 +107,7 @@
                 await trio.sleep_forever()
             sink.offer(part.encode())
             await sink.drain()
+            await self.first_was_read.wait()
             await trio.sleep(0.001)
 
     async def aclose(self) -> None:
@@ -148,6 +151,7 @@
         first = await reply.next_part()
         assert isinstance(first, bytes)
         texts[number] += first
+        bodies[number].first_was_read.set()
 
         def take_part(part: bytes) -> bool:
             texts[number] += part
