Take ports of in-process nodes from below the ephemeral range

Ruled out: a port left over by another node of the tests, since all of these used the same range.

Change: cluster.free_ports, which process tests use already.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,6 +9,7 @@
 
 from snipelug_core import member
 from snipelug_node import peer, ports, revision
+from tests import cluster
 
 KEY = b"test key"
 WAIT_S = 8.0
@@ -140,15 +141,10 @@
         )
 
 
-async def free_port() -> int:
-    with trio.socket.socket() as sock:
-        await sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @contextlib.asynccontextmanager
 async def fleet(size: int) -> collections.abc.AsyncIterator[Fleet]:
-    numbers = {f"n{i}": await free_port() for i in range(size)}
+    free = cluster.free_ports(size)
+    numbers = {f"n{i}": port for i, port in enumerate(free)}
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         made = Fleet(MemoryTable(), nursery, numbers)
         for node_id in numbers:
