Use stores up to 4% of free space

Change: copies are deleted below 4% instead of 6%, and prices rise below 7% instead of 10%. Blocks of average value are kept out at about 2.5%.

--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -34,7 +34,7 @@
 FULL_PRICE_S = 1.0
 """Expected seconds saved per block that the last free bytes of a store cost."""
 
-SCARCE_SHARE = 0.1
+SCARCE_SHARE = 0.07
 """Free share of a store below which the price rises from the lowest to the highest.
 
 A store that fills up loses what is worth the least (`Index.cheapest`) before the price
--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -14,12 +14,13 @@
 LOG = logging.getLogger("snipelug.cache")
 
 CLEAN_INTERVAL_S = 5.0
-CLEAN_BELOW_SHARE = 0.06
+CLEAN_BELOW_SHARE = 0.04
 """Free share of a store below which its cheapest copies are deleted.
 
-Space above it is wasted: each percent holds copies that are deleted too early. It
-leaves room above ``placement.RESERVE_SHARE`` for what a link of 4 GB/s writes to a
-store of 800 GB between two cleanings, 2.5%.
+Space above it is wasted: each percent holds copies that are deleted too early. The
+rest above ``placement.RESERVE_SHARE`` is room for writes between two cleanings, in
+which a link of 4 GB/s fills at most 2.5% of a store of 800 GB; as it gets less, the
+price keeps out what is worth little.
 """
 CLEAN_SHARE = 0.03
 DELETE_TIMEOUT_S = 2.0
