--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -20,7 +20,7 @@
     table,
 )
 from snipelug_net import http_client, http_server, poller
-from snipelug_node import chat, crashes, dispatch, sender
+from snipelug_node import chat, crashes, dispatch, sender, slots
 
 # Never listened on: ports below 1024 are privileged.
 CLOSED_PORT = 1
@@ -140,14 +140,21 @@
 
 
 class Permissive:
-    """Crash counts and budgets that allow everything, up to a number of crashes.
+    """Crash counts, budgets and slots that allow everything, up to a number of crashes.
 
-    After ``looks`` checks a peer has reported more crashes than are allowed.
+    After ``looks`` checks a peer has reported more crashes than are allowed. Sends to
+    ``busy`` upstreams get no slot, once each.
     """
 
-    def __init__(self, crashes: float = NEVER, looks: float = NEVER) -> None:
+    def __init__(
+        self,
+        crashes: float = NEVER,
+        looks: float = NEVER,
+        busy: collections.abc.Iterable[str] = (),
+    ) -> None:
         self.crashes_left = crashes
         self.looks_left = looks
+        self.busy = list(busy)
 
     def check(self, fingerprint: str) -> quarantine.Standing | refusal.Refusal:
         self.looks_left -= 1
@@ -175,6 +182,14 @@
     async def acquire(self, upstream_id: str, deadline: float) -> refusal.Refusal:
         return refusal.refuse(refusal.NO_UPSTREAM, "cold")
 
+    async def acquire_warm(
+        self, upstream_id: str, *_: object
+    ) -> slots.HeldSlot | refusal.Refusal:
+        if upstream_id in self.busy:
+            self.busy.remove(upstream_id)
+            return refusal.refuse(refusal.NO_UPSTREAM, "busy")
+        return slots.HeldSlot(upstream_id, None, lambda: None)
+
 
 async def refresh(upstream: table.Upstream) -> None:
     await trio.sleep(0)
@@ -185,6 +200,7 @@
     engines: list[Engine],
     crashes_allowed: float = NEVER,
     looks_allowed: float = NEVER,
+    busy: collections.abc.Iterable[str] = (),
 ) -> tuple[dispatch.Dispatcher, Router]:
     upstreams = []
     for number, engine in enumerate(engines):
@@ -194,7 +210,10 @@
             port = await nursery.start(server.serve, "127.0.0.1", 0)
         inst = table.Instance(f"e{number}", table.Role.ENGINE, "127.0.0.1", port, "z")
         upstreams.append(table.Upstream(inst))
-    router, permissive = Router(upstreams), Permissive(crashes_allowed, looks_allowed)
+    router, permissive = (
+        Router(upstreams),
+        Permissive(crashes_allowed, looks_allowed, busy),
+    )
     by_id = {u.instance.id: e for u, e in zip(upstreams, engines, strict=True)}
 
     def may_send(
@@ -332,6 +351,15 @@
         assert result.content["id"] == "req"
 
 
+@pytest.mark.parametrize("busy", [["e0"], ["e0", "e1"], ["e0", "e1"] * 2])
+async def test_busy_engines_are_passed_over_and_then_waited_for(
+    nursery: trio.Nursery, busy: list[str]
+) -> None:
+    """Guards against refusals while all warm engines wait for load reports."""
+    made, _ = await build(nursery, [Engine([]), Engine([])], busy=busy)
+    assert isinstance(await relay(made, make_job(streamed=True)), bytes)
+
+
 async def test_resumed_run_is_pinned_to_the_weight_version(
     nursery: trio.Nursery,
 ) -> None:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -13,7 +13,7 @@
 
 from snipelug_core import contract, load, refusal, table
 from snipelug_net import http_client
-from snipelug_node import ports, sender, ticker, watcher
+from snipelug_node import ports, sender, slots, ticker, watcher
 
 WARM = table.Warmth.WARM
 COLD = table.Warmth.COLD
@@ -343,6 +343,11 @@
         async def acquire(self, upstream_id: str, deadline: float) -> refusal.Refusal:
             return refusal.refuse(refusal.NO_UPSTREAM, "no slot")
 
+        async def acquire_warm(
+            self, upstream_id: str, *_: object
+        ) -> slots.HeldSlot | None:
+            return slots.HeldSlot(upstream_id, None, lambda: None)
+
     class Pool:
         async def send(
             self, call: http_client.Call, last_check: http_client.LastCheck
