Leave stores out of service alone

Cause: a KV cache store that operators took out, alone or with its zone, still got reads while it answered, and one taken out alone also got exports. That is new work for what is out of service.

Ruled out: filtering where routing decisions are made, since exports and moves use the same list of stores.

Change: links to stores in a zone or of an instance out of service are not offered, and stores taken out alone get no exports. Copies that leave a zone still read it.

Before: 2 of 3 cases of the new test failed.

--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -128,7 +128,11 @@
         return await self.directory.lookup(chain.keys)
 
     def links(self) -> collections.abc.Mapping[tuple[str, str], link.Link]:
-        """Return the free rate of each link, by store and zone."""
+        """Return the free rate of each link, by store and zone.
+
+        Stores out of service are left out: reading them would be new work there.
+        """
+        zones_out = self.config().zones_out
         now = trio.current_time()
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
         return {
@@ -138,11 +142,16 @@
                 + self.backlog.estimate_s(store_id, 0, now),
                 now,
             )
-            for store_id, state in self.stores.items()
-            if state.view.alive
+            for store_id, state in self._in_service().items()
+            if state.view.alive and state.view.zone not in zones_out
             for zone in zones
         }
 
+    def _in_service(self) -> dict[str, StoreState]:
+        """Return the stores that operators have not taken out one by one."""
+        out = self.config().instances_out
+        return {k: state for k, state in self.stores.items() if k not in out}
+
     def link_s(self, store_id: str, blocks: int) -> float:
         """Return the time of some blocks on the idle link of a store, in seconds."""
         state = self.stores.get(store_id)
@@ -217,7 +226,7 @@
 
     def _place(self, prompt: placement.Prompt, request_id: str) -> None:
         """Export a prompt's blocks now; what lacks link budget waits for some."""
-        stores = [state.view for state in self.stores.values()]
+        stores = [state.view for state in self._in_service().values()]
         zones_out = self.config().zones_out
         now = trio.current_time()
         self._add_budgets(prompt.zone)
@@ -337,7 +346,7 @@
             for u in self.tables.upstreams.values()
             if u.instance.role is table.Role.ENGINE and u.instance.zone == zone
         ]
-        stores = [state.view for state in self.stores.values()]
+        stores = [state.view for state in self._in_service().values()]
         steps = placement.plan_move(
             zone,
             held,
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import typing
+from unittest import mock
 
 import hypothesis
 import msgspec
@@ -11,9 +12,18 @@
 import trio
 from hypothesis import strategies as st
 
-from snipelug_core import block, hashing, index, placement, prefill, route, table
+from snipelug_core import (
+    block,
+    contract,
+    hashing,
+    index,
+    placement,
+    prefill,
+    route,
+    table,
+)
 from snipelug_net import http_client, http_server, rpc
-from snipelug_node import cache, cleaner, feeds, transfers
+from snipelug_node import cache, cleaner, feeds, reuse, transfers
 
 
 def key(i: int) -> block.Key:
@@ -515,3 +525,36 @@
     assert max(counts) < 1.2 * cache.SLOTS / 6
     names = [f"n{i}" for i in range(6)]
     assert shards.owner(3) == hashing.rank("slot3", names)[0]
+
+
+@pytest.mark.parametrize(
+    ("out", "left"),
+    [
+        ({}, {"s1", "s2"}),
+        ({"zones_out": frozenset({"z1"})}, {"s2"}),
+        ({"instances_out": frozenset({"s2"})}, {"s1"}),
+    ],
+    ids=["all in service", "zone out", "instance out"],
+)
+async def test_stores_out_of_service_are_not_read(
+    out: dict[str, frozenset[str]], left: set[str]
+) -> None:
+    """Guards against new work for a store that operators have taken out."""
+    tables = table.Tables()
+    inst = table.Instance("e1", table.Role.ENGINE, "127.0.0.1", 1, "z1")
+    tables.upstreams["e1"] = table.Upstream(inst)
+    parts: list[typing.Any] = [mock.Mock() for _ in range(3)]
+    cfg: typing.Any = mock.Mock(zone_delays_s={})
+    made = reuse.Reuse(
+        cfg,
+        route.MODES["ttft"],
+        tables,
+        *parts,
+        lambda: contract.Config(**out),
+        lambda _: 0.1,
+        prefill.Backlog(),
+    )
+    for name, zone in (("s1", "z1"), ("s2", "z2")):
+        view = placement.Store(name, zone, "b1")
+        made.stores[name] = reuse.StoreState(view, 1e9)
+    assert {store for store, _ in made.links()} == left
