Record the cost of the relay as built; run its benchmark alone

The load part of bench.node can be run as python -m bench.relay, which also notes the load average of the machine, because it changes the figures.

Not shown: the time that tokens wait, on the wire.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,7 +1,14 @@
-"""Cost of relaying through one node: tokens per core-second, overhead, memory."""
+"""Cost of relaying through one node: tokens per core-second, overhead, memory.
+
+``python -m bench.relay`` runs only this part of ``bench.node``.
+"""
 
 import dataclasses
+import json
+import os
+import pathlib
 import statistics
+import tempfile
 import time
 
 import msgspec
@@ -215,3 +222,16 @@
         | {"added_p95_ms": overhead.added_p95_ms},
         "relay": [dataclasses.asdict(relay) for relay in relays],
     }
+
+
+async def measure() -> dict[str, object]:
+    """Measure one node; note the load of the machine, which changes the figures."""
+    load_before = os.getloadavg()[0]
+    with tempfile.TemporaryDirectory() as logs:
+        async with cluster.open_cluster(pathlib.Path(logs)) as running:
+            results = await run(running)
+    return results | {"machine_load": [load_before, os.getloadavg()[0]]}
+
+
+if __name__ == "__main__":
+    print(json.dumps(trio.run(measure), indent=1))
