Read loads between the ticks that open connections

Cause: since periodic tasks wake together, the reads of loads and the ticks that open connections keep one phase. Where both fall on one time, a report is made just before the connections that it should clear, and they wait 0.5 s for the next.

Change: ticks are multiples of 0.5 s, loads are read 0.25 s after them. No period grows.

--- a/packages/snipelug-node/src/snipelug_node/ticker.py
+++ b/packages/snipelug-node/src/snipelug_node/ticker.py
@@ -47,6 +47,12 @@
     return on_grid if on_grid > now else due_at
 
 
+def phase_time(now: float, period_s: float, offset_s: float = 0.0) -> float:
+    """Return the next time that is an offset after a multiple of a period."""
+    count = math.floor((now - offset_s) / period_s) + 1
+    return count * period_s + offset_s
+
+
 async def sleep(period_s: float) -> None:
     """Sleep until the time of the grid that ends a period."""
     await trio.sleep_until(wake_time(trio.current_time(), period_s))
@@ -71,4 +77,4 @@
                 async with trio.open_nursery() as nursery:
                     for action in actions:
                         nursery.start_soon(system.execute, action)
-        await sleep(TICK_S)
+        await trio.sleep_until(phase_time(trio.current_time(), TICK_S))
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -18,6 +18,10 @@
 LIST_TIMEOUT_S = 0.7
 # Together below load.STALE_S, so that a slow list does not stop all work.
 LOAD_INTERVAL_S = 0.5
+LOAD_OFFSET_S = 0.25
+"""Time from the tick at which connections are opened to the read of loads. A
+connection carries requests only after a report made later; reports lag by 0.2 s."""
+
 LOAD_TIMEOUT_S = 1.0
 QUIET_AGE_S = 0.75
 """Age of the last read from which a quiet upstream is read, while no caller is
@@ -162,7 +166,9 @@
             while True:
                 for upstream in self._due(trio.current_time()):
                     nursery.start_soon(self._read_alone, upstream)
-                await ticker.sleep(LOAD_INTERVAL_S)
+                now = trio.current_time()
+                due_at = ticker.phase_time(now, LOAD_INTERVAL_S, LOAD_OFFSET_S)
+                await trio.sleep_until(due_at)
 
     def _due(self, now: float) -> collections.abc.Iterator[table.Upstream]:
         is_active = self.is_active()
