Do not take an engine for silent while its caller does not read

Cause: while a caller does not take its answer, nothing more is read from the engine, and the look for stalled streams ended the run after 15 to 30 s without data. A caller may stall for 30 s (limit of a write), and the run was then resumed elsewhere or ended with an error event.

Ruled out: a longer time for silent engines, which would delay recovery.

Change: paused streams are left out of the look, and start it anew when the caller has read.

Before: the test of a slow caller failed with a gap of 0.2 s and a stall of 0.6 s. After: it passes, with the other 19 tests of the file.

--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -166,6 +166,8 @@
         The engine closed the connection, as it does when it dies.
     idle : bool
         Nothing arrived since the last look for stalled streams.
+    is_paused : bool
+        The caller has not taken what arrived, so nothing more is read.
     """
 
     choice: Choice
@@ -176,6 +178,7 @@
     fault: str = ""
     is_closed: bool = False
     idle: bool = False
+    is_paused: bool = False
 
     async def aclose(self) -> None:
         """End the run: its connection, slot and count of requests in flight."""
@@ -372,6 +375,8 @@
         while True:
             await trio.sleep(CHUNK_GAP_S / 2)
             for exchange in list(self.streams.values()):
+                if exchange.is_paused:
+                    continue
                 if exchange.idle and exchange.reply is not None:
                     exchange.fault = f"no data within {CHUNK_GAP_S / 2:g} s"
                     exchange.reply.abort()
@@ -406,7 +411,9 @@
         else:
             ended = first
         while isinstance(ended, http_client.Paused):
+            exchange.is_paused = True
             await sink.drain()
+            exchange.is_paused = exchange.idle = False
             if exchange.fault:
                 return
             ended = await reply.follow(self.poller, take)
