Move builders of test data into a module of their own

Ruled out: moving builders that only set up one file's scenario, such as the scripted engines of the dispatcher.

Change: builders of load reports, upstreams, prompts, targets, stores, contracts and chunks are in tests/builders.py. Two builders of prompt chains became one; the calls pass what differed.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -6,22 +6,16 @@
 import pytest
 from hypothesis import strategies as st
 
-from snipelug_core import backlog, contract, refusal, retry
+from snipelug_core import backlog, refusal, retry
+from tests import builders
 
 PACE = backlog.Pace(10, 10.0, 10_000.0, 1.0)
 
 
-def build_contract(
-    team: str, weight: float = 1.0, length: int = 99
-) -> contract.Contract:
-    limits = contract.Limits(queue_length=length)
-    return contract.Contract(team, (), limits=limits, weight=weight)
-
-
 def fill(
     queues: backlog.Backlog, team: str, costs: list[float], weight: float = 1.0
 ) -> None:
-    terms = build_contract(team, weight)
+    terms = builders.terms(team, weight)
     for number, cost in enumerate(costs):
         entry = backlog.Entry(number, team, cost, 1e9)
         assert backlog.offer(queues, entry, terms, PACE, 0.0) is None
@@ -77,7 +71,7 @@
     queues = backlog.Backlog()
     fill(queues, "a", [10.0] * waiting)
     entry = backlog.Entry(99, "a", 10.0, deadline)
-    terms = build_contract("a", length=length)
+    terms = builders.terms("a", length=length)
     answer = backlog.offer(queues, entry, terms, PACE, 0.0)
     assert (answer.kind if answer else None) == kind
     queued = sum(len(queue.entries) for queue in queues.queues.values())
@@ -92,14 +86,14 @@
     fill(queues, "a", [10.0])
     entry = backlog.Entry(9, "a", 10.0, 5.0)
     pace = backlog.Pace(0, 0.0, 0.0, 1.0)
-    terms = build_contract("a")
+    terms = builders.terms("a")
     assert backlog.offer(queues, entry, terms, pace, 0.0) is None
 
 
 def test_expired_entries_leave_the_queue() -> None:
     """Guards against starting a request after its deadline."""
     queues = backlog.Backlog()
-    terms = build_contract("a")
+    terms = builders.terms("a")
     for number, deadline in enumerate((5.0, 9.0)):
         entry = backlog.Entry(number, "a", 10.0, deadline)
         backlog.offer(queues, entry, terms, PACE, 0.0)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -14,37 +14,20 @@
 from snipelug_core import contract, load, refusal, table
 from snipelug_net import http_client
 from snipelug_node import ports, sender, slots, ticker, watcher
+from tests import builders
 
 WARM = table.Warmth.WARM
 COLD = table.Warmth.COLD
-INSTANCE = table.Instance("u1", table.Role.ENGINE, "127.0.0.1", 1, "esk-b")
 CFG = contract.Config()
 
 
-def build_report(
-    made_at: float = 10.0,
-    state: table.Warmth = WARM,
-    seq: int = 1,
-    boot_id: str = "x",
-    running: int = 0,
-) -> table.LoadReport:
-    return table.LoadReport(boot_id, state, running, 0, seq, made_at)
-
-
-def build_upstream(*reports: table.LoadReport) -> table.Upstream:
-    upstream = table.Upstream(INSTANCE)
-    for report in reports:
-        load.accept_report(upstream, report, report.made_at)
-    return upstream
-
-
 @pytest.mark.parametrize(
     ("first", "second", "kept"),
     [
-        (build_report(seq=2), build_report(11.0, seq=1), 0),
-        (build_report(seq=2), build_report(9.0, seq=3), 1),
-        (build_report(), build_report(9.0, COLD, 9, "y"), 0),
-        (build_report(seq=9), build_report(11.0, COLD, 1, "y"), 1),
+        (builders.load_report(seq=2), builders.load_report(11.0, seq=1), 0),
+        (builders.load_report(seq=2), builders.load_report(9.0, seq=3), 1),
+        (builders.load_report(), builders.load_report(9.0, COLD, 9, "y"), 0),
+        (builders.load_report(seq=9), builders.load_report(11.0, COLD, 1, "y"), 1),
     ],
     ids=["late", "later-seq", "older-boot", "newer-boot"],
 )
@@ -52,7 +35,7 @@
     first: table.LoadReport, second: table.LoadReport, kept: int
 ) -> None:
     """Guards against a late or older-boot report replacing a newer one."""
-    upstream = build_upstream(first, second)
+    upstream = builders.upstream(first, second)
     assert upstream.report == (first, second)[kept]
 
 
@@ -65,19 +48,21 @@
 
 def test_rejected_report_does_not_count_as_heard() -> None:
     """Guards against an ignored report passing for fresh knowledge."""
-    upstream = build_upstream(build_report(10.0, seq=3))
-    load.accept_report(upstream, build_report(9.0, boot_id="y"), 12.0)
-    load.accept_report(upstream, build_report(10.0, seq=2), 12.0)
+    upstream = builders.upstream(builders.load_report(10.0, seq=3))
+    load.accept_report(upstream, builders.load_report(9.0, boot_id="y"), 12.0)
+    load.accept_report(upstream, builders.load_report(10.0, seq=2), 12.0)
     assert upstream.heard_at == 10.0
-    load.accept_report(upstream, build_report(10.0, seq=3), 12.0)
+    load.accept_report(upstream, builders.load_report(10.0, seq=3), 12.0)
     assert upstream.heard_at == 12.0
 
 
 def test_older_boot_by_error_does_not_last() -> None:
     """Guards against a live boot being excluded after one misordered report."""
-    live = build_report(10.0, boot_id="live")
-    late = build_report(11.0, boot_id="gone")
-    upstream = build_upstream(live, late, build_report(12.0, boot_id="live", seq=2))
+    live = builders.load_report(10.0, boot_id="live")
+    late = builders.load_report(11.0, boot_id="gone")
+    upstream = builders.upstream(
+        live, late, builders.load_report(12.0, boot_id="live", seq=2)
+    )
     assert upstream.report is not None
     assert upstream.report.boot_id == "live"
 
@@ -91,7 +76,7 @@
     steps: list[tuple[float, bool]], cut: int, foreign: int
 ) -> None:
     """Guards against counting a send twice or forgetting it after a report."""
-    upstream = build_upstream(build_report(0.0, seq=0, running=foreign))
+    upstream = builders.upstream(builders.load_report(0.0, seq=0, running=foreign))
     now = 1.0
     at_cut = (now, foreign)
     for number, (gap, is_send) in enumerate(steps):
@@ -103,20 +88,20 @@
         elif upstream.in_flight:
             load.note_ended(upstream, now)
     made_at, running = at_cut
-    report = build_report(made_at, seq=1, running=running)
+    report = builders.load_report(made_at, seq=1, running=running)
     load.accept_report(upstream, report, made_at)
     assert load.estimate_queue(upstream) == foreign + upstream.in_flight
 
 
 def test_estimate_covers_own_requests() -> None:
     """Guards against an idle report hiding requests that this node still has."""
-    upstream = build_upstream()
+    upstream = builders.upstream()
     load.note_sent(upstream, 1.0)
-    load.accept_report(upstream, build_report(2.0), 2.0)
+    load.accept_report(upstream, builders.load_report(2.0), 2.0)
     assert load.estimate_queue(upstream) == 1
 
 
-LEAVING = dataclasses.replace(INSTANCE, leaving=True)
+LEAVING = dataclasses.replace(builders.INSTANCE, leaving=True)
 NEEDS = load.NeedsGrant
 BARRED = load.Barred
 REASON = load.Reason
@@ -125,17 +110,27 @@
 @pytest.mark.parametrize(
     ("upstream", "opened_at", "verdict"),
     [
-        (build_upstream(), 1.0, BARRED(REASON.REPORT_STALE)),
-        (build_upstream(build_report()), 9.0, load.Allowed()),
-        (build_upstream(build_report()), 10.0, NEEDS(REASON.CONNECTION_NEWER)),
-        (build_upstream(build_report(state=COLD)), 9.0, NEEDS(REASON.REPORTED_COLD)),
+        (builders.upstream(), 1.0, BARRED(REASON.REPORT_STALE)),
+        (builders.upstream(builders.load_report()), 9.0, load.Allowed()),
+        (
+            builders.upstream(builders.load_report()),
+            10.0,
+            NEEDS(REASON.CONNECTION_NEWER),
+        ),
+        (
+            builders.upstream(builders.load_report(state=COLD)),
+            9.0,
+            NEEDS(REASON.REPORTED_COLD),
+        ),
         (
-            build_upstream(build_report(), build_report(10.5, COLD, boot_id="y")),
+            builders.upstream(
+                builders.load_report(), builders.load_report(10.5, COLD, boot_id="y")
+            ),
             9.0,
             NEEDS(REASON.REPORTED_COLD),
         ),
         (
-            build_upstream(build_report(state=table.Warmth.LEAVING)),
+            builders.upstream(builders.load_report(state=table.Warmth.LEAVING)),
             9.0,
             BARRED(REASON.REPORTED_LEAVING),
         ),
@@ -158,19 +153,19 @@
 )
 def test_operators_switches_bar(cfg: contract.Config, reason: load.Reason) -> None:
     """Guards against new work for a zone or instance that is switched out."""
-    upstream = build_upstream(build_report())
+    upstream = builders.upstream(builders.load_report())
     assert load.may_send(upstream, cfg, 9.0, 10.0, 10.0) == BARRED(reason)
 
 
 def test_closed_connection_lasts_until_later_warm_report() -> None:
     """Guards against trusting a report made before a connection was closed."""
-    upstream = build_upstream(build_report(10.0))
+    upstream = builders.upstream(builders.load_report(10.0))
     load.mark_closed(upstream, 10.5)
     closed = NEEDS(REASON.CONNECTION_CLOSED)
     assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
-    load.accept_report(upstream, build_report(10.4, seq=2), 10.4)
+    load.accept_report(upstream, builders.load_report(10.4, seq=2), 10.4)
     assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
-    load.accept_report(upstream, build_report(10.7, seq=3), 10.7)
+    load.accept_report(upstream, builders.load_report(10.7, seq=3), 10.7)
     assert load.may_send(upstream, CFG, 9.0, 10.8, 10.8) == load.Allowed()
 
 
@@ -192,7 +187,7 @@
 ) -> None:
     """Guards against work for a leaving upstream after 3 s, also after a pause."""
     hypothesis.assume(not (by_list and list_down))
-    upstream = table.Upstream(INSTANCE)
+    upstream = table.Upstream(builders.INSTANCE)
     tried_at = None
     now = 0.0
     seq = 0
@@ -208,13 +203,15 @@
         gone = now >= leaves_at
         seq += 1
         state = table.Warmth.LEAVING if gone and not by_list else WARM
-        load.accept_report(upstream, build_report(now, state, seq), now)
+        load.accept_report(upstream, builders.load_report(now, state, seq), now)
         if now > leaves_at + 3.0 and by_list:
             verdict = load.may_send(upstream, CFG, -1.0, now, tried_at)
             assert isinstance(verdict, load.Barred)
         tried_at = now
         if not list_down:
-            upstream.instance = dataclasses.replace(INSTANCE, leaving=gone and by_list)
+            upstream.instance = dataclasses.replace(
+                builders.INSTANCE, leaving=gone and by_list
+            )
         now += period
 
 
@@ -226,13 +223,13 @@
     heard_at: float, tried_at: float, reason: load.Reason
 ) -> None:
     """Guards against sending on one fresh source while the other is stale."""
-    upstream = build_upstream(build_report(heard_at))
+    upstream = builders.upstream(builders.load_report(heard_at))
     assert load.may_send(upstream, CFG, 5.0, 10.0, tried_at) == BARRED(reason)
 
 
 def test_list_outage_stops_no_work() -> None:
     """Guards against refusing all work while the platform's list is down."""
-    upstream = build_upstream(build_report(100.0))
+    upstream = builders.upstream(builders.load_report(100.0))
     verdict = load.may_send(upstream, CFG, 9.0, 100.5, list_tried_at=100.0)
     assert verdict == load.Allowed()
 
@@ -257,7 +254,7 @@
             return http_client.Full(200, {}, body)
 
     upstreams = {
-        f"u{port}": table.Upstream(dataclasses.replace(INSTANCE, port=port))
+        f"u{port}": table.Upstream(dataclasses.replace(builders.INSTANCE, port=port))
         for port in (1, 2, 3)
     }
     for name, upstream in upstreams.items():
@@ -328,12 +325,12 @@
 ) -> None:
     """Guards against a burst to an upstream that became cold while it was idle."""
     now = trio.current_time()
-    upstream = build_upstream(build_report(now - age_s, running=running))
+    upstream = builders.upstream(builders.load_report(now - age_s, running=running))
     looked: list[str] = []
 
     async def look(upstream: table.Upstream) -> None:
         looked.append(upstream.instance.id)
-        load.accept_report(upstream, build_report(now, COLD, 2), now)
+        load.accept_report(upstream, builders.load_report(now, COLD, 2), now)
 
     verdicts: list[load.Verdict] = []
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,29 +8,14 @@
 import pytest
 from hypothesis import strategies as st
 
-from snipelug_core import block, hashing, index, placement, route
+from snipelug_core import hashing, index, placement, route
+from tests import builders
 
-SIZE = 10.0
+SIZE = builders.BLOCK_BYTES
 TTFT, REUSE = route.MODES["ttft"], route.MODES["reuse"]
 REASON = placement.Reason
 
 
-def chain(blocks: int, name: str = "c") -> block.Chain:
-    keys = tuple(bytes([i]) * block.KEY_BYTES for i in range(blocks))
-    return block.Chain(keys, blocks * block.BLOCK_TOKENS, name)
-
-
-def store(name: str = "s1", zone: str = "a", **fields: object) -> placement.Store:
-    values: dict[str, object] = {"free_bytes": 1000.0, "size_bytes": 1000.0}
-    return placement.Store(name, zone, "b1", **(values | fields))
-
-
-def prompt(blocks: int = 3, **fields: object) -> placement.Prompt:
-    values: dict[str, object] = {"chance": 0.5, "block_s": 0.2, "block_bytes": SIZE}
-    values |= {"zone": "a"}
-    return placement.Prompt(chain(blocks), "t", "e1", **(values | fields))
-
-
 def budgets(burst: float = 1e9, rate: float = 0.0) -> placement.Budgets:
     pairs = [(s, z) for s in ("s1", "s2", "s3") for z in ("a", "b")]
     return {pair: placement.Bucket(rate, burst) for pair in pairs}
@@ -41,12 +26,12 @@
 
 
 SINGLE = [
-    ("whole", store(), {}, 1e9, REASON.PLACED, (0, 1, 2)),
-    ("dead", store(alive=False), {}, 1e9, REASON.DEAD, ()),
-    ("full", store(free_bytes=25.0), {}, 1e9, REASON.FULL, ()),
+    ("whole", builders.store(), {}, 1e9, REASON.PLACED, (0, 1, 2)),
+    ("dead", builders.store(alive=False), {}, 1e9, REASON.DEAD, ()),
+    ("full", builders.store(free_bytes=25.0), {}, 1e9, REASON.FULL, ()),
     (
         "room for two",
-        store(free_bytes=45.0),
+        builders.store(free_bytes=45.0),
         {"block_s": 9.0},
         1e9,
         REASON.PARTLY,
@@ -54,7 +39,7 @@
     ),
     (
         "price of scarce room",
-        store(free_bytes=30.0),
+        builders.store(free_bytes=30.0),
         {"chance": 0.2},
         1e9,
         REASON.VALUE,
@@ -62,7 +47,7 @@
     ),
     (
         "worth scarce room",
-        store(free_bytes=30.0),
+        builders.store(free_bytes=30.0),
         {"chance": 0.5},
         1e9,
         REASON.PARTLY,
@@ -70,22 +55,36 @@
     ),
     (
         "same value with room",
-        store(free_bytes=60.0),
+        builders.store(free_bytes=60.0),
         {"chance": 0.2},
         1e9,
         REASON.PLACED,
         (0, 1, 2),
     ),
-    ("room to spare", store(free_bytes=200.0), {}, 1e9, REASON.PLACED, (0, 1, 2)),
-    ("no return", store(), {"chance": 1e-4}, 1e9, REASON.VALUE, ()),
-    ("no size", store(size_bytes=0.0, free_bytes=0.0), {}, 1e9, REASON.FULL, ()),
-    ("budget for two", store(), {}, 25.0, REASON.PARTLY, (0, 1)),
-    ("no budget", store(), {}, 0.0, REASON.BUDGET, ()),
-    ("unknown link", store("s9"), {}, 1e9, REASON.BUDGET, ()),
-    ("zone out", store(zone="out"), {}, 1e9, REASON.LEAVING, ()),
+    (
+        "room to spare",
+        builders.store(free_bytes=200.0),
+        {},
+        1e9,
+        REASON.PLACED,
+        (0, 1, 2),
+    ),
+    ("no return", builders.store(), {"chance": 1e-4}, 1e9, REASON.VALUE, ()),
+    (
+        "no size",
+        builders.store(size_bytes=0.0, free_bytes=0.0),
+        {},
+        1e9,
+        REASON.FULL,
+        (),
+    ),
+    ("budget for two", builders.store(), {}, 25.0, REASON.PARTLY, (0, 1)),
+    ("no budget", builders.store(), {}, 0.0, REASON.BUDGET, ()),
+    ("unknown link", builders.store("s9"), {}, 1e9, REASON.BUDGET, ()),
+    ("zone out", builders.store(zone="out"), {}, 1e9, REASON.LEAVING, ()),
     (
         "rest only",
-        store(),
+        builders.store(),
         {"found": index.Found({}, (copies("s1"), copies("s2")))},
         1e9,
         REASON.PLACED,
@@ -93,7 +92,7 @@
     ),
     (
         "all there",
-        store(),
+        builders.store(),
         {"found": index.Found({}, (copies("s1"),) * 3)},
         1e9,
         REASON.THERE,
@@ -101,7 +100,7 @@
     ),
     (
         "copies of an old boot",
-        store(),
+        builders.store(),
         {"found": index.Found({}, (copies("s1", boot="b0"),) * 3)},
         1e9,
         REASON.PLACED,
@@ -121,7 +120,7 @@
     positions: tuple[int, ...],
 ) -> None:
     """Guards against writes to dead or full stores and against useless ones."""
-    request = prompt(**fields)
+    request = builders.prompt(**fields)
     links = budgets(burst if burst else 1.0)
     if not burst:
         assert links["s1", "a"].take(1.0, 0.0)
@@ -133,7 +132,7 @@
 
 STORES = st.lists(
     st.builds(
-        store,
+        builders.store,
         st.sampled_from(["s1", "s2", "s3"]),
         st.sampled_from(["a", "b", "out"]),
         alive=st.booleans(),
@@ -160,7 +159,7 @@
     rng: random.Random,
 ) -> None:
     """Guards against overfull stores, overused links and copies side by side."""
-    request = prompt(blocks, chance=chance, block_s=2.0)
+    request = builders.prompt(blocks, chance=chance, block_s=2.0)
     placed = placement.place(request, stores, budgets(burst), mode, {"out"}, 0.0)
     shuffled = rng.sample(stores, len(stores))
     again = placement.place(request, shuffled, budgets(burst), mode, {"out"}, 0.0)
@@ -180,8 +179,8 @@
 
 def test_spread_decides_on_the_second_copy() -> None:
     """Guards against a mode whose spread has no effect."""
-    stores = [store("s1", "a"), store("s2", "b", free_bytes=300.0)]
-    request = prompt(chance=0.3, block_s=0.2)
+    stores = [builders.store("s1", "a"), builders.store("s2", "b", free_bytes=300.0)]
+    request = builders.prompt(chance=0.3, block_s=0.2)
     counts = {}
     for mode in (TTFT, REUSE):
         placed = placement.place(request, stores, budgets(), mode, set(), 0.0)
@@ -238,8 +237,8 @@
 def test_blocks_on_their_way_are_not_ordered_again() -> None:
     """Guards against links filled with copies that the index does not know yet."""
     links = budgets(burst=2 * SIZE, rate=2 * SIZE)
-    stores = [store("s1", "a"), store("s2", "a")]
-    request = prompt(5)
+    stores = [builders.store("s1", "a"), builders.store("s2", "a")]
+    request = builders.prompt(5)
     seen: list[tuple[str, int]] = []
     for now in range(4):
         placed = placement.place(request, stores, links, TTFT, set(), float(now))
@@ -253,19 +252,19 @@
 @pytest.mark.parametrize("name", ["s1", "s2"])
 def test_rest_of_a_prompt_follows_its_start(name: str) -> None:
     """Guards against a prompt that is scattered over stores while it is written."""
-    stores = [store("s1", "a"), store("s2", "a")]
-    request = prompt(3, ordered=frozenset({(name, 0), (name, 1)}))
+    stores = [builders.store("s1", "a"), builders.store("s2", "a")]
+    request = builders.prompt(3, ordered=frozenset({(name, 0), (name, 1)}))
     placed = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
     assert [(e.store, e.positions) for e in placed.exports] == [(name, (2,))]
 
 
 def test_second_copies_leave_budget_to_first_ones() -> None:
     """Guards against prompts without any copy because others have two."""
-    stores = [store("s1", "a"), store("s2", "b")]
+    stores = [builders.store("s1", "a"), builders.store("s2", "b")]
     links = budgets(burst=4 * SIZE)
-    first = placement.place(prompt(3), stores, links, REUSE, set(), 0.0)
+    first = placement.place(builders.prompt(3), stores, links, REUSE, set(), 0.0)
     assert [len(e.keys) for e in first.exports] == [3, 2]
-    other = prompt(2, zone="b")
+    other = builders.prompt(2, zone="b")
     later = placement.place(other, stores[1:], links, REUSE, set(), 0.0)
     assert [len(e.keys) for e in later.exports] == [2]
 
@@ -301,12 +300,20 @@
     """Guards against lost prompts and overused links when a zone leaves."""
     held = [
         placement.Held(
-            f"c{i}", chain(n).keys, v, SIZE, ups, (copies(*at),) * min(n, stored)
+            f"c{i}",
+            builders.chain(n).keys,
+            v,
+            SIZE,
+            ups,
+            (copies(*at),) * min(n, stored),
         )
         for i, (n, v, ups, at, stored) in enumerate(drawn)
     ]
-    stores = [store("s1", "a"), store("s2", "b", free_bytes=free, alive=alive)]
-    stores.append(store("s3", "out"))
+    stores = [
+        builders.store("s1", "a"),
+        builders.store("s2", "b", free_bytes=free, alive=alive),
+    ]
+    stores.append(builders.store("s3", "out"))
 
     def run(items: list[placement.Held]) -> list[placement.Move | placement.Postponed]:
         engines = ["e1", "e2"]
@@ -359,7 +366,7 @@
     """Guards against exports that pile up, and against worthless ones going first."""
     waiting = placement.Waiting(wait_s=10.0, limit=3)
     prompts = [
-        placement.Prompt(chain(1, f"c{i}"), "t", "e1", "a", c, 0.2, SIZE)
+        placement.Prompt(builders.chain(1, f"c{i}"), "t", "e1", "a", c, 0.2, SIZE)
         for i, c in enumerate([0.1, 0.4, 0.3, 0.2])
     ]
     for now, request in enumerate(prompts):
@@ -377,13 +384,17 @@
 ) -> None:
     """Guards against exports that are tried again though no store takes them."""
     links = budgets(burst)
-    placed = placement.place(prompt(), [store()], links, TTFT, set(), 0.0)
+    placed = placement.place(
+        builders.prompt(), [builders.store()], links, TTFT, set(), 0.0
+    )
     assert placement.is_unfinished(placed) == expected
     waits = {"s1": 2 * placement.MAX_LINK_WAIT_S}
-    placed = placement.place(prompt(), [store()], links, TTFT, set(), 0.0, waits)
+    placed = placement.place(
+        builders.prompt(), [builders.store()], links, TTFT, set(), 0.0, waits
+    )
     assert placement.is_unfinished(placed)
-    dead = [store(alive=False)]
-    placed = placement.place(prompt(), dead, links, TTFT, set(), 0.0)
+    dead = [builders.store(alive=False)]
+    placed = placement.place(builders.prompt(), dead, links, TTFT, set(), 0.0)
     assert not placement.is_unfinished(placed)
 
 
@@ -395,9 +406,9 @@
     waits: dict[str, float], expected: list[str]
 ) -> None:
     """Guards against requests that wait because blocks are written."""
-    stores = [store("s1", "a"), store("s2", "b")]
+    stores = [builders.store("s1", "a"), builders.store("s2", "b")]
     links = budgets()
-    placed = placement.place(prompt(), stores, links, TTFT, set(), 0.0, waits)
+    placed = placement.place(builders.prompt(), stores, links, TTFT, set(), 0.0, waits)
     assert [e.store for e in placed.exports][:1] == expected
     by_store = {j.store: j.reason for j in placed.judged}
     assert all(by_store[s] is REASON.BUSY for s in waits)
@@ -405,13 +416,15 @@
 
 def test_stores_of_a_zone_share_the_conversations() -> None:
     """Guards against all prompts going to the first store."""
-    stores = [store("s1"), store("s2")]
+    stores = [builders.store("s1"), builders.store("s2")]
     first = collections.Counter(
         hashing.rank(f"c{i}", [s.id for s in stores])[0] for i in range(100)
     )
     placed: collections.Counter[str] = collections.Counter()
     for i in range(100):
-        request = placement.Prompt(chain(1, f"c{i}"), "t", "e1", "a", 0.5, 0.2, SIZE)
+        request = placement.Prompt(
+            builders.chain(1, f"c{i}"), "t", "e1", "a", 0.5, 0.2, SIZE
+        )
         done = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
         placed.update(e.store for e in done.exports)
     assert placed == first
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -20,6 +20,7 @@
     subset,
     table,
 )
+from tests import builders
 
 ZONES = ("a", "b")
 CONTRACT = contract.Contract("t", (), models=("m",), services=("stock",))
@@ -33,22 +34,6 @@
 ]
 
 
-def prompt(blocks: int, rest: int = 10) -> block.Chain:
-    keys = tuple(bytes([i]) * block.KEY_BYTES for i in range(blocks))
-    return block.Chain(keys, blocks * block.BLOCK_TOKENS + rest, "c")
-
-
-def request(**fields: object) -> route.Request:
-    values: dict[str, object] = {"weight_version": "w1", "chain": prompt(4)}
-    return route.Request("r", "t", "m", **(values | fields))
-
-
-def target(name: str = "e", **fields: object) -> route.Target:
-    values: dict[str, object] = {"zone": "a", "serves": frozenset({"m"})}
-    values |= {"prefill_s": 1e-4, "weight_version": "w1"}
-    return route.Target(name, **(values | fields))
-
-
 def copy(store: str) -> index.Stored:
     return index.Stored(store, "b", 1, "c")
 
@@ -83,9 +68,12 @@
     reason: route.Reason | None,
 ) -> None:
     """Guards against work for a cold, leaving, switched-off or foreign upstream."""
-    req = dataclasses.replace(request(), **of_request)
+    req = dataclasses.replace(builders.request(), **of_request)
     facts = route.Facts(dataclasses.replace(CFG, **of_cfg))
-    targets = [target(**of_target), target("other", serves=frozenset())]
+    targets = [
+        builders.target(**of_target),
+        builders.target("other", serves=frozenset()),
+    ]
     outcome = router.choose(req, targets, facts, random.Random(1))
     reasons = {r.id: r.reason for r in outcome.rejected}
     assert reasons.pop("other") is route.Reason.OTHER_MODEL
@@ -120,7 +108,7 @@
         if draw(st.booleans())
     }
     targets = [
-        target(
+        builders.target(
             e,
             zone=draw(st.sampled_from(ZONES)),
             queue=draw(st.integers(0, 5)),
@@ -136,7 +124,7 @@
 
 def cheapest(one: route.Target, facts: route.Facts, mode: route.Mode, n: int) -> float:
     """Try all split points one by one."""
-    tokens = prompt(n).tokens
+    tokens = builders.chain(n, rest=10).tokens
     fixed = one.wait_s() + 2 * facts.delay_s.get(one.zone, 0.0)
     nothing = link.Link(0.0)
     best = []
@@ -164,7 +152,7 @@
 ) -> None:
     """Guards against fetching what is slower than recomputing, and the reverse."""
     targets, facts, n = scene
-    req = request(chain=prompt(n))
+    req = builders.request(chain=builders.chain(n, rest=10))
     outcome = route.ByCost(mode).choose(req, targets, facts, random.Random(seed))
     again = route.ByCost(mode).choose(req, targets[::-1], facts, random.Random(seed))
     assert isinstance(outcome, route.Decision)
@@ -187,12 +175,12 @@
 
 def test_equal_candidates_share_the_requests() -> None:
     """Guards against all nodes sending to the first of equal upstreams."""
-    targets = [target(f"e{i}") for i in range(10)]
+    targets = [builders.target(f"e{i}") for i in range(10)]
     router = route.ByCost(route.MODES["ttft"])
     rng = random.Random(1)
     chosen = set()
     for _ in range(200):
-        outcome = router.choose(request(), targets, route.Facts(CFG), rng)
+        outcome = router.choose(builders.request(), targets, route.Facts(CFG), rng)
         assert isinstance(outcome, route.Decision)
         chosen.add(outcome.chosen.id)
     assert len(chosen) == route.TIE_CANDIDATES
@@ -215,12 +203,14 @@
 def test_a_decision_reads_only_the_subset(fleet: int) -> None:
     """Guards against decisions whose cost grows with the fleet."""
     names = [f"e{i}" for i in range(fleet)]
-    targets = Counted({n: target(n) for n in names})
+    targets = Counted({n: builders.target(n) for n in names})
     own = subset.Subset("n1")
     own.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
     router = route.ByCost(route.MODES["ttft"])
     chosen = own.select(targets)
-    outcome = router.choose(request(), chosen, route.Facts(CFG), random.Random(1))
+    outcome = router.choose(
+        builders.request(), chosen, route.Facts(CFG), random.Random(1)
+    )
     assert isinstance(outcome, route.Decision)
     assert targets.reads == len(outcome.candidates) == min(fleet, subset.SUBSET_SIZE)
 
@@ -275,8 +265,10 @@
 @pytest.mark.parametrize(("running", "expected"), VERSIONS)
 def test_versions_follow_the_fleet(running: list[str], expected: list[str]) -> None:
     """Guards against an outage when a vendor swaps weights without notice."""
-    targets = [target(f"e{i}", weight_version=v) for i, v in enumerate(running)]
-    targets.append(target("x", serves=frozenset({"x"}), weight_version="w9"))
+    targets = [
+        builders.target(f"e{i}", weight_version=v) for i, v in enumerate(running)
+    ]
+    targets.append(builders.target("x", serves=frozenset({"x"}), weight_version="w9"))
     assert route.weight_versions(targets, "m", "w1") == expected
 
 
@@ -299,7 +291,7 @@
         backlog.ended("e", str(i), now=12.0)
     expected = 4 * 2.0 * 3 / 12
     assert backlog.estimate_s("e", 4, now=0.0) == pytest.approx(expected, rel=0.05)
-    waiting = target(backlog_s=expected).wait_s()
+    waiting = builders.target(backlog_s=expected).wait_s()
     assert waiting == expected
 
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -8,29 +8,11 @@
 from hypothesis import strategies as st
 
 from snipelug_core import refusal, stream
+from tests import builders
 
-USAGE = {"prompt_tokens": 3, "completion_tokens": 2, "cached_tokens": 1}
 GREEDY = stream.Sampling(temperature=0)
 
 
-def chunk(
-    text: str | None = None, run: str = "r.1", **more: object
-) -> dict[str, object]:
-    finish = more.pop("finish", None)
-    delta = {} if text is None else {"content": text}
-    choices = [{"index": 0, "delta": delta, "finish_reason": finish}]
-    return {"id": run, "choices": choices, **more}
-
-
-def final(run: str = "r.1", text: str | None = None) -> dict[str, object]:
-    return chunk(text, run, finish="stop", usage=USAGE)
-
-
-def event(content: object) -> stream.Event:
-    data = content if isinstance(content, bytes) else json.dumps(content).encode()
-    return stream.Event(data)
-
-
 def received(relays: list[bytes]) -> str:
     """Return the text that a caller reads from relayed events."""
     text = ""
@@ -49,22 +31,36 @@
 L, M = stream.Late, stream.Malformed
 DONE = stream.DONE
 FAULTS = [
-    ("whole", [chunk("a"), final(), DONE], [R, R, R], ()),
+    ("whole", [builders.chunk("a"), builders.final(), DONE], [R, R, R], ()),
     (
         "usage apart",
-        [chunk("a", finish="stop"), {"id": "r.1", "usage": USAGE}, DONE],
+        [
+            builders.chunk("a", finish="stop"),
+            {"id": "r.1", "usage": builders.USAGE},
+            DONE,
+        ],
         [R, R, R],
         (),
     ),
-    ("crossed", [chunk("a"), chunk("b", "q.1"), final(), DONE], [R, C, R, R], ()),
-    ("run of a lost attempt", [chunk("a", "r.0")], [C], None),
-    ("text after the end", [final(), chunk("b")], [R, L], ("done",)),
-    ("second usage", [final(), {"id": "r.1", "usage": USAGE}], [R, L], ("done",)),
-    ("done twice", [final(), DONE, DONE], [R, R, L], ()),
-    ("text after done", [final(), DONE, chunk("b")], [R, R, L], ()),
-    ("early done", [chunk("a"), DONE], [R, M], None),
-    ("no usage", [chunk("a", finish="stop")], [R], ("usage", "done")),
-    ("cut", [chunk("a")], [R], ("finish_reason", "usage", "done")),
+    (
+        "crossed",
+        [builders.chunk("a"), builders.chunk("b", "q.1"), builders.final(), DONE],
+        [R, C, R, R],
+        (),
+    ),
+    ("run of a lost attempt", [builders.chunk("a", "r.0")], [C], None),
+    ("text after the end", [builders.final(), builders.chunk("b")], [R, L], ("done",)),
+    (
+        "second usage",
+        [builders.final(), {"id": "r.1", "usage": builders.USAGE}],
+        [R, L],
+        ("done",),
+    ),
+    ("done twice", [builders.final(), DONE, DONE], [R, R, L], ()),
+    ("text after done", [builders.final(), DONE, builders.chunk("b")], [R, R, L], ()),
+    ("early done", [builders.chunk("a"), DONE], [R, M], None),
+    ("no usage", [builders.chunk("a", finish="stop")], [R], ("usage", "done")),
+    ("cut", [builders.chunk("a")], [R], ("finish_reason", "usage", "done")),
     ("not JSON", [b"{"], [M], None),
     ("no id", [{"choices": []}], [M], None),
     ("wrong types", [{"id": "r.1", "choices": 3}], [M], None),
@@ -79,11 +75,11 @@
 ) -> None:
     """Guards against another answer's chunks and against cut answers."""
     answer = stream.Answer("r")
-    verdicts = [answer.accept(event(c)) for c in contents]
+    verdicts = [answer.accept(builders.event(c)) for c in contents]
     assert [type(v) for v in verdicts] == kinds
     outcome = answer.outcome()
     if missing == ():
-        expected = stream.Usage(**USAGE)
+        expected = stream.Usage(**builders.USAGE)
         assert outcome == stream.Complete(expected, "stop")
     else:
         assert isinstance(outcome, stream.Incomplete)
@@ -96,19 +92,25 @@
 SECOND = {"id": "r.1", "choices": [{"index": 1, "delta": {"content": "a"}}]}
 RECOVERIES = [
     ([], stream.Sampling(), "w1", "w2", stream.Restart),
-    ([chunk("")], stream.Sampling(), "w1", "w2", stream.Restart),
-    ([chunk("a")], GREEDY, "w1", "w1", stream.Resume),
-    ([chunk("a")], SEEDED, "w1", "w1", stream.Resume),
+    ([builders.chunk("")], stream.Sampling(), "w1", "w2", stream.Restart),
+    ([builders.chunk("a")], GREEDY, "w1", "w1", stream.Resume),
+    ([builders.chunk("a")], SEEDED, "w1", "w1", stream.Resume),
     ([UNUSED], GREEDY, "w1", "w1", stream.Resume),
-    ([chunk("a")], GREEDY, "w1", "w2", stream.End),
-    ([chunk("a")], GREEDY, "", "", stream.End),
-    ([chunk("a")], stream.Sampling(), "w1", "w1", stream.End),
-    ([chunk("a")], stream.Sampling(temperature=0.1), "w1", "w1", stream.End),
-    ([chunk("a")], stream.Sampling(0, None, 2), "w1", "w1", stream.End),
+    ([builders.chunk("a")], GREEDY, "w1", "w2", stream.End),
+    ([builders.chunk("a")], GREEDY, "", "", stream.End),
+    ([builders.chunk("a")], stream.Sampling(), "w1", "w1", stream.End),
+    ([builders.chunk("a")], stream.Sampling(temperature=0.1), "w1", "w1", stream.End),
+    ([builders.chunk("a")], stream.Sampling(0, None, 2), "w1", "w1", stream.End),
     ([TOOL], GREEDY, "w1", "w1", stream.End),
     ([SECOND], GREEDY, "w1", "w1", stream.End),
-    ([chunk("a", finish="stop")], GREEDY, "w1", "w1", stream.End),
-    ([chunk("a"), final()], stream.Sampling(), "w1", "w2", stream.Finish),
+    ([builders.chunk("a", finish="stop")], GREEDY, "w1", "w1", stream.End),
+    (
+        [builders.chunk("a"), builders.final()],
+        stream.Sampling(),
+        "w1",
+        "w2",
+        stream.Finish,
+    ),
 ]
 
 
@@ -123,7 +125,7 @@
     """Guards against an answer mixed from two versions or two samplings."""
     answer = stream.Answer("r")
     for content in contents:
-        answer.accept(event(content))
+        answer.accept(builders.event(content))
     decision = stream.recover(answer, sampling, ran, other)
     assert type(decision) is kind
     if isinstance(decision, stream.End):
@@ -135,7 +137,7 @@
 def test_attempts_are_bounded() -> None:
     """Guards against a request that is resumed for ever."""
     answer = stream.Answer("r")
-    answer.accept(event(chunk("a")))
+    answer.accept(builders.event(builders.chunk("a")))
     for _ in range(stream.MAX_ATTEMPTS - 1):
         assert stream.recover(answer, GREEDY, "w", "w") == stream.Resume("a")
         answer.resume(repeats=False)
@@ -167,21 +169,23 @@
     relays: list[bytes] = []
 
     def take(content: object) -> None:
-        verdict = answer.accept(event(content))
+        verdict = answer.accept(builders.event(content))
         assert isinstance(verdict, stream.Relay | stream.Ignored)
         if isinstance(verdict, stream.Relay):
             relays.append(verdict.data)
 
     for piece in pieces(text, first)[:lost]:
-        take(chunk(piece))
+        take(builders.chunk(piece))
     for attempt, cuts in ((2, second), (3, third)):
         so_far = answer.resume(repeats)
         assert so_far == received(relays)
-        assert isinstance(answer.accept(event(chunk("late"))), stream.Crossed)
+        assert isinstance(
+            answer.accept(builders.event(builders.chunk("late"))), stream.Crossed
+        )
         rest = pieces(text if repeats else text[len(so_far) :], cuts)
         for piece in rest if attempt == 3 else rest[:lost]:
-            take(chunk(piece, f"r.{attempt}"))
-    take(final("r.3"))
+            take(builders.chunk(piece, f"r.{attempt}"))
+    take(builders.final("r.3"))
     take(DONE)
     assert received(relays) == text
     assert isinstance(answer.outcome(), stream.Complete)
@@ -191,9 +195,9 @@
 def test_other_text_in_a_repeated_run_is_reported(sent: str, again: str) -> None:
     """Guards against gluing the end of one text to the start of another."""
     answer = stream.Answer("r")
-    answer.accept(event(chunk(sent)))
+    answer.accept(builders.event(builders.chunk(sent)))
     answer.resume(repeats=True)
-    verdict = answer.accept(event(final("r.2", again)))
+    verdict = answer.accept(builders.event(builders.final("r.2", again)))
     same = again.startswith(sent)
     assert isinstance(verdict, stream.Relay if same else stream.Diverged)
 
@@ -245,15 +249,17 @@
 
 VARIED = st.lists(
     st.one_of(
-        st.builds(chunk, st.text(max_size=4)),
-        st.builds(chunk, st.sampled_from(["a", 'a"', "\\", "\n", "r.1", "content"])),
-        st.just(chunk("b", "q.1")),
-        st.just(chunk("b", created=1)),
-        st.just(chunk("b", usage=USAGE)),
+        st.builds(builders.chunk, st.text(max_size=4)),
+        st.builds(
+            builders.chunk, st.sampled_from(["a", 'a"', "\\", "\n", "r.1", "content"])
+        ),
+        st.just(builders.chunk("b", "q.1")),
+        st.just(builders.chunk("b", created=1)),
+        st.just(builders.chunk("b", usage=builders.USAGE)),
         st.just({"id": "r.1", "choices": [{"index": 1, "delta": {"content": "b"}}]}),
         st.just({"id": "r.1", "choices": [{"delta": {"tool_calls": ["a", "a"]}}]}),
         st.just({"id": "r.1", "note": "a", "choices": [{"delta": {"content": "a"}}]}),
-        st.just(final()),
+        st.just(builders.final()),
         st.sampled_from([DONE, b"{", b"\xff", b""]),
     ),
     max_size=12,
