--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 VENV := .venv
 PY := $(VENV)/bin/python
-PACKAGES := core net standins node cli
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/snipelug-$(p))
+PACKAGES := core net relay standins node cli
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/snipelug-$(p)) -e platform
 TOOLS := pytest pytest-trio hypothesis ruff mypy
-SOURCES := packages tests bench demo
+SOURCES := packages platform deploy tests bench demo
 
 .PHONY: install demo serve test lint bench clean
 install: $(VENV)/.installed
 
-$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	python3 -m venv $(VENV)
 	$(PY) -m pip install -q -c constraints.txt "setuptools>=77" wheel
 	$(PY) -m pip install -q -c constraints.txt --no-build-isolation $(EDITABLE) $(TOOLS)
@@ -26,7 +26,7 @@
 lint: install
 	$(PY) -m ruff format --check $(SOURCES)
 	$(PY) -m ruff check $(SOURCES)
-	$(PY) -m mypy packages
+	$(PY) -m mypy packages platform
 
 bench: install
 	$(PY) -m bench
--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -0,0 +1,281 @@
+"""Choice of an upstream for a request: the one with the least expected cost."""
+
+import collections.abc
+import dataclasses
+import random
+
+from snipelug_core import catalog, fleet, hashing
+
+PREFILL_TOKENS_PER_S = 50_000.0
+"""Speed at which engines read prompts; the sites' sheets say 51 to 64 a ms."""
+
+STEP_S = 0.005
+"""Time that one more running request costs the others; a step of a batch."""
+
+WAITING_S = 0.03
+"""Wait behind each request that another node has queued at an upstream."""
+
+PLAIN_S = 0.03
+"""Time that a plain service works on a request; the sheets say 22 to 69 ms."""
+
+ZONE_S = 0.03
+"""Cost of leaving the caller's zone, beside the bytes that cross."""
+
+ZONE_S_PER_BYTE = 4e-6
+"""Cost of each byte that crosses zones; it weighs 34 KB prompts like 140 ms."""
+
+FAILURE_S = 1.0
+"""Cost of an upstream all of whose latest requests failed."""
+
+SILENCE_S = 0.7
+"""Silence, while requests wait, after which an upstream is avoided."""
+
+SILENCE_COST_S = 3.0
+OLD_WEIGHTS_S = 0.15
+"""Cost of weights older than the version asked for, while upstreams load it."""
+
+OLD_WEIGHTS_RISE = 0.2
+"""How fast that cost rises with the time since the version was named, s per s."""
+
+FULL_S = 0.25
+"""Cost of a prompt that does not fit beside those that already run."""
+
+COLD_S = 0.5
+"""Cost of an upstream in cold start, which works slowly."""
+
+COLD_PART = 0.7
+"""Part of the sustained load of a cold upstream that is used."""
+
+PREFERENCE_S = 0.03
+"""Preference for the upstream that ranks first for a prompt's parts."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """A part of a prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a request needs of an upstream.
+
+    Attributes
+    ----------
+    zone : str
+        The node's availability zone.
+    body_bytes : int
+        Size of the request.
+    model : str
+        Model for engines, empty for plain services.
+    parts : tuple of Part
+        Parts of the prompt in order.
+    version : int
+        Newest weight version named for the model; 0 if none is known.
+    version_age_s : float
+        Time since that version was named, in seconds.
+    fetch_s : collections.abc.Mapping
+        Time in which parts can be fetched from a store, in seconds, by part.
+    output_tokens : int
+        Most tokens of the answer.
+    """
+
+    service: str
+    zone: str
+    body_bytes: int = 0
+    model: str = ""
+    parts: tuple[Part, ...] = ()
+    version: int = 0
+    version_age_s: float = 0.0
+    fetch_s: collections.abc.Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    output_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class View:
+    """What all upstreams of a choice have in common.
+
+    Attributes
+    ----------
+    zones_out : frozenset of str
+        Zones that get no new work.
+    nodes : int
+        Nodes that share the upstreams.
+    """
+
+    service: catalog.Service
+    zones_out: frozenset[str] = frozenset()
+    nodes: int = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """An upstream and what decided for it.
+
+    Attributes
+    ----------
+    cost_s : float
+        Expected cost, in seconds.
+    candidates : int
+        Upstreams that were weighed.
+    prefill_tokens : int
+        Tokens that the upstream is expected to read.
+    """
+
+    upstream: fleet.Upstream
+    cost_s: float
+    candidates: int
+    prefill_tokens: int = 0
+
+
+def eligible(
+    upstreams: collections.abc.Iterable[fleet.Upstream],
+    need: Need,
+    view: View,
+    tried: collections.abc.Container[str],
+    now: float,
+) -> collections.abc.Iterator[fleet.Upstream]:
+    """Yield the upstreams to which the request may be sent now."""
+    for upstream in upstreams:
+        entry = upstream.entry
+        if entry.is_leaving or entry.zone in view.zones_out or entry.id in tried:
+            continue
+        if now < upstream.blocked_until or now < upstream.switching_until:
+            continue
+        if need.model and need.model not in upstream.versions:
+            continue
+        if not cold_allows(upstream, view, now):
+            continue
+        yield upstream
+
+
+def cold_allows(upstream: fleet.Upstream, view: View, now: float) -> bool:
+    """Tell whether this node's share lets a cold upstream have a request now.
+
+    The shares of all nodes add up to what the upstream sustains. A node's level
+    starts at a random point, so that many nodes do not send at the same moment.
+    """
+    if now >= upstream.cold_until or view.service.cold_per_s <= 0:
+        return True
+    rate = COLD_PART * view.service.cold_per_s / max(1, view.nodes)
+    if upstream.cold_filled_at == 0.0:
+        seed = f"{upstream.entry.id}{upstream.entry.born}{id(upstream)}"
+        upstream.cold_level = random.Random(seed).random()
+        upstream.cold_filled_at = now
+    gained = rate * max(0.0, now - upstream.cold_filled_at)
+    upstream.cold_level = min(1.0, upstream.cold_level + gained)
+    upstream.cold_filled_at = now
+    return upstream.cold_level >= 1.0
+
+
+def note_sent(upstream: fleet.Upstream, now: float) -> None:
+    """Count a request against the share of a cold upstream."""
+    if now < upstream.cold_until:
+        upstream.cold_level -= 1.0
+
+
+def choose(
+    upstreams: collections.abc.Iterable[fleet.Upstream],
+    need: Need,
+    view: View,
+    tried: collections.abc.Container[str],
+    now: float,
+) -> Choice | None:
+    """Return the eligible upstream with the least expected cost, if there is one."""
+    candidates = list(eligible(upstreams, need, view, tried, now))
+    if not candidates:
+        return None
+    first = _first_by_rank(candidates, need)
+    rated = ((_cost(u, need, view, now, u is first), u) for u in candidates)
+    (cost_s, prefill), best = min(
+        rated, key=lambda item: (item[0][0], item[1].entry.id)
+    )
+    return Choice(best, cost_s, len(candidates), prefill)
+
+
+def shared_part(parts: tuple[Part, ...]) -> Part | None:
+    """Return the last part that other requests share; the very last is their own."""
+    return parts[-2] if len(parts) > 1 else None
+
+
+def _first_by_rank(
+    candidates: collections.abc.Sequence[fleet.Upstream], need: Need
+) -> fleet.Upstream | None:
+    """Return the upstream that all nodes prefer for the prompt's shared part.
+
+    Upstreams of the node's zone come first, so that prompts stay in their zone.
+    """
+    shared = shared_part(need.parts)
+    if shared is None:
+        return None
+    near = [u for u in candidates if u.entry.zone == need.zone]
+    return max(
+        near or candidates,
+        key=lambda u: hashing.rendezvous_score(shared.id, u.entry.id),
+    )
+
+
+def _cost(
+    upstream: fleet.Upstream, need: Need, view: View, now: float, is_first: bool
+) -> tuple[float, int]:
+    cost = FAILURE_S * upstream.failure_rate_at(now)
+    if upstream.entry.zone != need.zone:
+        cost += ZONE_S + ZONE_S_PER_BYTE * need.body_bytes
+    if now < upstream.cold_until:
+        cost += COLD_S
+    silent_at = upstream.oldest_silence_at
+    if silent_at is not None and now - silent_at > SILENCE_S:
+        cost += SILENCE_COST_S
+    engine = view.service.engine
+    if engine is None:
+        return cost + _plain_wait_s(upstream, now), 0
+    wait_s, prefill = _engine_wait_s(upstream, need, engine, now, is_first)
+    if upstream.versions.get(need.model, 0) < need.version:
+        cost += OLD_WEIGHTS_S + OLD_WEIGHTS_RISE * need.version_age_s
+    return cost + wait_s, prefill
+
+
+def _plain_wait_s(upstream: fleet.Upstream, now: float) -> float:
+    running, waiting = upstream.others(now)
+    total = running + waiting + upstream.running
+    slots = max(1, upstream.entry.slots)
+    return PLAIN_S * (max(0.0, total + 1 - slots) / slots + 0.3 * total / slots)
+
+
+def _engine_wait_s(
+    upstream: fleet.Upstream,
+    need: Need,
+    engine: catalog.Engine,
+    now: float,
+    is_first: bool,
+) -> tuple[float, int]:
+    """Return the expected time to the first token and the tokens to read."""
+    running, waiting = upstream.others(now)
+    wait_s = upstream.prefill_tokens / PREFILL_TOKENS_PER_S
+    wait_s += WAITING_S * waiting + STEP_S * (running + upstream.running)
+    total = running + waiting + upstream.running
+    wait_s += WAITING_S * max(0.0, total + 1 - engine.slots)
+    read_s, prefill, size = 0.0, 0, need.output_tokens
+    for part in need.parts:
+        size += part.tokens
+        if part.id in upstream.held:
+            continue
+        if part.id in need.fetch_s:
+            read_s += need.fetch_s[part.id]
+            continue
+        prefill += part.tokens
+    read_s += prefill / PREFILL_TOKENS_PER_S
+    if upstream.tokens + size > engine.kv_capacity_tokens:
+        wait_s += FULL_S
+    if is_first:
+        shared = shared_part(need.parts)
+        tokens = shared.tokens if shared is not None else 0
+        stored = shared is not None and shared.id in need.fetch_s
+        # The upstream that ranks first is where other nodes send the same part.
+        saved_s = 0.0 if stored else tokens / PREFILL_TOKENS_PER_S
+        wait_s -= PREFERENCE_S + 0.5 * saved_s
+    return wait_s + read_s, prefill
--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -0,0 +1,269 @@
+"""Which parts of prompts the stores of KV cache hold, and who may use them.
+
+A store neither drops parts nor knows its readers, so three rules keep readers
+from parts that are not whole:
+
+* A part is read only after the store has reported it as complete, in the epoch
+  that the last poll saw, and only while that poll is younger than ``FRESH_S``.
+* After a store has restarted, nothing is saved to it for ``SETTLE_S``. Every node
+  has seen the new epoch or its polls are too old by then.
+* Parts of replaced weights are freed ``FREE_AFTER_S`` after the new version was
+  named. No node has read the old version by then without having heard of the
+  new one, and transfers end after ``FETCH_S``.
+"""
+
+import collections.abc
+import dataclasses
+import math
+
+from snipelug_core import catalog, choice, hashing
+
+FRESH_S = 1.6
+"""Age of a store's last answered poll up to which its parts are read."""
+
+SETTLE_S = 2.0
+"""Time without saves after a store's restart; more than ``FRESH_S``."""
+
+FETCH_S = 2.0
+"""Longest transfer from a store; later ones are discarded by the engine."""
+
+BELIEF_S = 4.5
+"""Age of the confirmed configuration up to which stores are used."""
+
+FREE_AFTER_S = BELIEF_S + FETCH_S + 1.5
+"""Time after which nothing reads parts of replaced weights."""
+
+MIN_TOKENS = 512
+"""Shorter parts are read again in less time than a transfer takes to start."""
+
+SAVE_PENDING_S = 3.0
+"""Time for which a save counts as under way at the node that asked for it."""
+
+FULL_PART = 0.97
+"""Part of a store's space above which no save is asked for."""
+
+ZONE_FACTOR = 2.0
+"""Transfers between zones take twice as long."""
+
+PartKey = tuple[str, str]
+"""Salt and id of a part."""
+
+
+@dataclasses.dataclass
+class Shelf:
+    """What one node knows of one store.
+
+    Attributes
+    ----------
+    epoch : int or None
+        Changes when the store restarts; None before the first answer.
+    next : int
+        Number from which the next events are read.
+    polled_at : float
+        When the last answered poll was sent, in seconds.
+    settled_at : float
+        When saves may begin, in seconds.
+    clock_offset_s : float
+        The store's clock minus this node's, at most, in seconds.
+    parts : dict of PartKey to int
+        Complete parts with their tokens.
+    """
+
+    store: catalog.KvStore
+    epoch: int | None = None
+    next: int = 0
+    polled_at: float = -1e9
+    settled_at: float = 0.0
+    clock_offset_s: float | None = None
+    parts: dict[PartKey, int] = dataclasses.field(default_factory=dict)
+    saving: dict[PartKey, float] = dataclasses.field(default_factory=dict)
+    used_tokens: int = 0
+
+    def forget(self) -> None:
+        """Drop everything known of the store's content."""
+        self.parts.clear()
+        self.saving.clear()
+        self.used_tokens = 0
+
+    def restart(self, epoch: int, now: float) -> None:
+        """Take a new epoch."""
+        is_restart = self.epoch is not None
+        self.forget()
+        self.epoch = epoch
+        self.settled_at = now + SETTLE_S if is_restart else now
+
+    def add(self, key: PartKey, tokens: int) -> None:
+        """Take the report that a part is complete."""
+        self.used_tokens += tokens - self.parts.get(key, 0)
+        self.parts[key] = tokens
+        self.saving.pop(key, None)
+
+    def drop(self, key: PartKey) -> None:
+        """Take the report that a part is no longer there."""
+        self.used_tokens -= self.parts.pop(key, 0)
+        self.saving.pop(key, None)
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the known parts may be read."""
+        return self.epoch is not None and now - self.polled_at < FRESH_S
+
+    def may_save(self, key: PartKey, tokens: int, now: float) -> bool:
+        """Tell whether a part should be saved."""
+        if not self.is_fresh(now) or now < self.settled_at or key in self.parts:
+            return False
+        if now - self.saving.get(key, -1e9) < SAVE_PENDING_S:
+            return False
+        return self.used_tokens + tokens < FULL_PART * self.store.capacity_tokens
+
+
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """Where one part is read from, or None in its place.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that the store reported as complete.
+    """
+
+    store: catalog.KvStore
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Which parts of a prompt are read from stores and which are saved.
+
+    Attributes
+    ----------
+    sources : tuple of (Source or None)
+        One for each part.
+    targets : tuple of (catalog.KvStore or None)
+        One for each part.
+    until_s : float or None
+        Time on the stores' clock at which transfers are discarded, in seconds.
+    """
+
+    sources: tuple[Source | None, ...] = ()
+    targets: tuple[catalog.KvStore | None, ...] = ()
+    until_s: float | None = None
+
+
+NO_PLAN = Plan()
+
+
+def salt(model: str, version: int, team: catalog.Team | None) -> str:
+    """Return the name under which a request's parts are cached.
+
+    It binds the weight version, and the team where that team shares nothing.
+    """
+    owner = team.name if team is not None and team.is_isolated else ""
+    owned = hashing.keyed_digest(b"salt", owner.encode()).hex()[:12] if owner else "-"
+    return f"{model}.{version}.{owned}"
+
+
+class Index:
+    """The stores by name."""
+
+    def __init__(self) -> None:
+        self.shelves: dict[str, Shelf] = {}
+
+    def set_stores(self, stores: collections.abc.Iterable[catalog.KvStore]) -> None:
+        """Take the stores in force; those that moved start empty."""
+        wanted = {store.name: store for store in stores}
+        for name in [n for n in self.shelves if n not in wanted]:
+            del self.shelves[name]
+        for name, store in wanted.items():
+            known = self.shelves.get(name)
+            if known is None or known.store != store:
+                self.shelves[name] = Shelf(store)
+
+    def home(self, part_id: str) -> Shelf | None:
+        """Return the store that keeps a part, by weighted rendezvous.
+
+        Stores get parts in proportion to their space.
+        """
+
+        def weighted(shelf: Shelf) -> float:
+            score = hashing.rendezvous_score(part_id, shelf.store.name)
+            uniform = (score + 1) / 2.0**64
+            weight = max(1.0, shelf.store.capacity_tokens / 1000)
+            return math.pow(uniform, 1.0 / weight)
+
+        return max(self.shelves.values(), key=weighted, default=None)
+
+    def fetch_s(
+        self,
+        parts: tuple[choice.Part, ...],
+        key_salt: str,
+        engine: catalog.Engine,
+        zone: str,
+        now: float,
+    ) -> dict[str, float]:
+        """Return the time of a transfer, in seconds, for each part in a store."""
+        times = {}
+        for part in parts[:-1]:
+            shelf = self._holder(part, key_salt, now)
+            if shelf is None:
+                continue
+            rate = min(shelf.store.link_bits_per_s, engine.link_bits_per_s)
+            size = 8.0 * engine.kv_token_bytes * part.tokens
+            factor = 1.0 if zone == shelf.store.zone else ZONE_FACTOR
+            times[part.id] = shelf.store.first_s + factor * size / rate
+        return times
+
+    def plan(
+        self,
+        parts: tuple[choice.Part, ...],
+        key_salt: str,
+        now: float,
+    ) -> Plan:
+        """Decide which parts the chosen engine reads and saves."""
+        sources: list[Source | None] = []
+        targets: list[catalog.KvStore | None] = []
+        offsets: list[float] = []
+        for index, part in enumerate(parts):
+            is_own = index == len(parts) - 1
+            shelf = None if is_own else self._holder(part, key_salt, now)
+            if shelf is not None and shelf.clock_offset_s is not None:
+                tokens = shelf.parts[(key_salt, part.id)]
+                sources.append(Source(shelf.store, tokens))
+                offsets.append(shelf.clock_offset_s)
+                targets.append(None)
+                continue
+            sources.append(None)
+            targets.append(None if is_own else self._target(part, key_salt, now))
+        if not any(sources) and not any(targets):
+            return NO_PLAN
+        until_s = now + min(offsets) + FETCH_S if offsets else None
+        return Plan(tuple(sources), tuple(targets), until_s)
+
+    def _holder(self, part: choice.Part, key_salt: str, now: float) -> Shelf | None:
+        if part.tokens < MIN_TOKENS:
+            return None
+        shelf = self.home(part.id)
+        if shelf is None or not shelf.is_fresh(now):
+            return None
+        return shelf if (key_salt, part.id) in shelf.parts else None
+
+    def _target(
+        self, part: choice.Part, key_salt: str, now: float
+    ) -> catalog.KvStore | None:
+        if part.tokens < MIN_TOKENS:
+            return None
+        shelf = self.home(part.id)
+        key = (key_salt, part.id)
+        if shelf is None or not shelf.may_save(key, part.tokens, now):
+            return None
+        shelf.saving[key] = now
+        return shelf.store
+
+
+def outdated(
+    shelf: Shelf, newest: collections.abc.Mapping[str, int]
+) -> collections.abc.Iterator[PartKey]:
+    """Yield the parts of weight versions older than the newest of their model."""
+    for key in shelf.parts:
+        model, version, _ = key[0].rsplit(".", 2)
+        if int(version) < newest.get(model, 0):
+            yield key
--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -4,7 +4,9 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 import os
+import re
 
 import h11
 import trio
@@ -13,6 +15,8 @@
 
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+IDLE_MARGIN_S = 0.5
+"""Connections are dropped this long before the server's announced idle timeout."""
 
 Address = tuple[str, int]
 
@@ -28,6 +32,15 @@
     ----------
     timeout_s : float
         Time from the start of the call to the response head, in seconds.
+    fields : tuple of (str, str)
+        Header fields in order, which may repeat names; sent in place of
+        ``headers`` unless empty. The host must be among them.
+    echo : str
+        Name in lower case of a header field that the server repeats in its
+        response. A response with another value answers an earlier request and
+        is skipped. Empty if the server repeats none.
+    max_idle_s : float
+        Longest time that a reused connection may have been idle, in seconds.
     """
 
     addr: Address
@@ -36,6 +49,9 @@
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
     timeout_s: float = 10.0
+    fields: tuple[tuple[str, str], ...] = ()
+    echo: str = ""
+    max_idle_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True)
@@ -236,6 +252,9 @@
         self.addr = addr
         self.stream = stream
         self.opened_at = trio.current_time()
+        self.idle_since = self.opened_at
+        self.server_idle_s = math.inf
+        self.is_sending = False
         self.proto = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -253,6 +272,31 @@
                 return event
             self.proto.receive_data(await self.receive())
 
+    def send_now(self, data: bytes) -> bytes:
+        """Write what the socket takes without waiting; return the rest."""
+        try:
+            count = os.write(self.stream.socket.fileno(), data)
+        except BlockingIOError:
+            count = 0
+        except OSError as exc:
+            raise trio.BrokenResourceError(f"connection broken: {exc}") from exc
+        return data[count:]
+
+    async def skip_response(self, call: Call) -> None:
+        """Read a response to its end and expect another one for the same request."""
+        while isinstance(await self.next_event(), h11.Data):
+            pass
+        trailing, is_closed = self.proto.trailing_data
+        if self.proto.their_state is not h11.DONE or is_closed:
+            raise trio.BrokenResourceError("the response of an earlier request came")
+        self.reset()
+        self.proto.send(_request_head(call))
+        if call.body:
+            self.proto.send(h11.Data(data=call.body))
+        self.proto.send(h11.EndOfMessage())
+        if trailing:
+            self.proto.receive_data(trailing)
+
     async def receive(self) -> bytes:
         # Waiting first saves the failed read and the second pass of the scheduler
         # that a receive through trio costs for each token of a stream.
@@ -266,8 +310,12 @@
             except OSError as exc:
                 raise trio.BrokenResourceError("connection broken") from exc
 
-    def is_usable(self) -> bool:
-        # An idle connection becomes readable when the server closes it.
+    def is_usable(self, max_idle_s: float) -> bool:
+        idle_s = trio.current_time() - self.idle_since
+        if idle_s > min(max_idle_s, self.server_idle_s - IDLE_MARGIN_S):
+            return False
+        # An idle connection becomes readable when the server closes it, and when
+        # bytes come that belong to no request.
         return not self.stream.socket.is_readable()
 
 
@@ -308,13 +356,10 @@
             Evaluated without any suspension before the first byte is sent, so
             that a right that has lapsed while this process was paused is seen.
         """
-        conn = await self._take(call.addr)
+        conn = await self._take(call.addr, call.max_idle_s)
         if isinstance(conn, NotSent):
             return conn
-        head = h11.Request(
-            method=call.method, target=call.target, headers=_head_fields(call)
-        )
-        data = conn.proto.send(head) or b""
+        data = conn.proto.send(_request_head(call)) or b""
         if call.body:
             data += conn.proto.send(h11.Data(data=call.body)) or b""
         data += conn.proto.send(h11.EndOfMessage()) or b""
@@ -343,8 +388,11 @@
     def give_back(self, conn: _Connection) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
         proto = conn.proto
-        if proto.our_state is h11.DONE and proto.their_state is h11.DONE:
+        is_done = proto.our_state is h11.DONE and proto.their_state is h11.DONE
+        # Bytes beyond the response belong to no request of this process.
+        if is_done and not conn.is_sending and not proto.trailing_data[0]:
             proto.start_next_cycle()
+            conn.idle_since = trio.current_time()
             self._keep(conn)
         else:
             conn.stream.socket.close()
@@ -384,11 +432,9 @@
         lost = Lost(f"no response within {call.timeout_s} s")
         try:
             with trio.move_on_after(call.timeout_s):
-                await conn.stream.send_all(data)
-                event = await conn.next_event()
-                while isinstance(event, h11.InformationalResponse):
-                    event = await conn.next_event()
+                event = await self._send_and_receive(call, conn, data)
                 if isinstance(event, h11.Response):
+                    conn.server_idle_s = _announced_idle_s(event)
                     return Reply(self, conn, event)
                 lost = Lost("connection closed before the response", is_closed=True)
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
@@ -399,11 +445,48 @@
         await trio.aclose_forcefully(conn.stream)
         return lost
 
-    async def _take(self, addr: Address) -> _Connection | NotSent:
+    async def _send_and_receive(
+        self, call: Call, conn: _Connection, data: bytes
+    ) -> object:
+        """Send the request and return the head of its response.
+
+        The head may come before the request was sent whole. The rest is then not
+        sent, and the connection is not used again.
+        """
+        rest = conn.send_now(data)
+        if not rest:
+            return await self._next_head(call, conn)
+        conn.is_sending = True
+        event: object = None
+
+        async def finish_sending() -> None:
+            await conn.stream.send_all(rest)
+            conn.is_sending = False
+
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(finish_sending)
+                event = await self._next_head(call, conn)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, h11.RemoteProtocolError) as group:
+            raise trio.BrokenResourceError(str(group.exceptions[0])) from group
+        return event
+
+    async def _next_head(self, call: Call, conn: _Connection) -> object:
+        while True:
+            event = await conn.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response) and _is_stray(call, event):
+                await conn.skip_response(call)
+                continue
+            return event
+
+    async def _take(self, addr: Address, max_idle_s: float) -> _Connection | NotSent:
         idle = self._idle.get(addr)
         while idle:
             conn = idle.pop()
-            if conn.is_usable():
+            if conn.is_usable(max_idle_s):
                 return conn
             await trio.aclose_forcefully(conn.stream)
             if self.on_closed is not None:
@@ -419,9 +502,38 @@
         return _Connection(addr, stream)
 
 
+def _request_head(call: Call) -> h11.Request:
+    return h11.Request(
+        method=call.method, target=call.target, headers=_head_fields(call)
+    )
+
+
 def _head_fields(call: Call) -> list[tuple[str, str]]:
-    fields = {"host": f"{call.addr[0]}:{call.addr[1]}"}
-    fields.update(call.headers)
+    if call.fields:
+        fields = list(call.fields)
+    else:
+        named = {"host": f"{call.addr[0]}:{call.addr[1]}"}
+        named.update(call.headers)
+        fields = list(named.items())
     if call.body or call.method in ("POST", "PUT", "PATCH"):
-        fields["content-length"] = str(len(call.body))
-    return list(fields.items())
+        fields.append(("content-length", str(len(call.body))))
+    return fields
+
+
+def _is_stray(call: Call, event: h11.Response) -> bool:
+    """Tell whether a response names another request than the one that was sent."""
+    if not call.echo:
+        return False
+    sent = dict(call.fields or call.headers.items()).get(call.echo)
+    name = call.echo.encode()
+    return any(k == name and v.decode("latin-1") != sent for k, v in event.headers)
+
+
+def _announced_idle_s(event: h11.Response) -> float:
+    """Return the idle timeout that a response announces, infinite if none."""
+    for name, value in event.headers:
+        if name == b"keep-alive":
+            match = re.search(rb"timeout=(\d+)", value)
+            if match:
+                return float(match[1])
+    return math.inf
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -46,13 +46,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    Attributes
+    ----------
+    target : str
+        The request target as it was sent, not decoded.
+    fields : tuple of (str, str)
+        All header fields in order, repeated ones included.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: str = ""
+    fields: tuple[tuple[str, str], ...] = ()
 
 
 class Parts(typing.Protocol):
@@ -177,6 +187,8 @@
         Requests read and not yet answered in full.
     draining : bool
         While true, each response closes its connection.
+    idle_scopes : set of trio.CancelScope
+        The waits of connections without a request.
     """
 
     def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
@@ -185,6 +197,7 @@
         self.open_requests = 0
         self.open_connections = 0
         self.draining = False
+        self.idle_scopes: set[trio.CancelScope] = set()
         self._accept_scope = trio.CancelScope()
         self._connections_scope = trio.CancelScope()
         self._ended = trio.Event()
@@ -216,6 +229,11 @@
         self.draining = True
         self._accept_scope.cancel()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for scope in self.idle_scopes:
+            scope.cancel()
+
     async def cut(self) -> None:
         """Close the listener and all connections; wait for the end of their work."""
         self._connections_scope.cancel()
@@ -244,12 +262,16 @@
 
     def __init__(self, server: Server, stream: trio.SocketStream) -> None:
         self.server = server
-        self.limits = server.limits
         self.stream = stream
         self.proto = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_HEAD_BYTES
         )
 
+    @property
+    def limits(self) -> Limits:
+        """The server's limits, which may change while a connection is open."""
+        return self.server.limits
+
     async def run(self) -> None:
         while True:
             req = await self._read_request()
@@ -297,7 +319,11 @@
     async def _read_head_and_body(self) -> Request | BadRequest | Closed:
         if not self.proto.trailing_data[0]:
             with trio.move_on_after(self.limits.idle_s) as idle:
-                first = await self.stream.receive_some(RECEIVE_BYTES)
+                self.server.idle_scopes.add(idle)
+                try:
+                    first = await self.stream.receive_some(RECEIVE_BYTES)
+                finally:
+                    self.server.idle_scopes.discard(idle)
             if idle.cancelled_caught or not first:
                 return Closed()
             self.proto.receive_data(first)
@@ -309,9 +335,13 @@
             body = await self._read_body()
         if isinstance(body, BadRequest):
             return body
-        path, query = parse_target(event.target.decode("latin-1"))
-        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
-        return Request(event.method.decode("ascii"), path, query, headers, body)
+        target = event.target.decode("latin-1")
+        path, query = parse_target(target)
+        fields = tuple(
+            (k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers
+        )
+        method = event.method.decode("ascii")
+        return Request(method, path, query, dict(fields), body, target, fields)
 
     async def _read_body(self) -> bytes | BadRequest:
         parts: list[bytes] = []
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -0,0 +1,205 @@
+"""One relaying node: its parts, its start and its planned stop."""
+
+import collections.abc
+import dataclasses
+import logging
+import signal
+
+import trio
+
+from snipelug_core import catalog
+from snipelug_net import http_client, http_server
+from snipelug_relay import (
+    clock,
+    ports,
+    record,
+    relay,
+    shelves,
+    state,
+    stats,
+    watch,
+    weights,
+)
+
+LOG = logging.getLogger("snipelug.node")
+
+ROTATION_S = 2.6
+"""Time until the load balancer has seen two refusals, one a second, after a stop."""
+
+EXIT_BEFORE_S = 0.5
+"""The process ends this long before the platform would kill it."""
+
+CONNECT_S = 0.3
+"""Time to connect to an upstream; zones are 1.4 ms apart."""
+
+IDLE_PART = 0.6
+"""Part of an upstream's connections that all nodes together keep open."""
+
+MOST_IDLE = 64
+SETTINGS_CHECK_S = 2.0
+CLOSE_CHECK_S = 0.05
+
+OK = 200
+UNAVAILABLE = 503
+NOT_FOUND = 404
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """The adapters of one platform."""
+
+    dialect: ports.Dialect
+    store: ports.ControlStore
+    machines: ports.Machines
+
+
+Build = collections.abc.Callable[[ports.Settings, http_client.Pool], Platform]
+"""Builds the adapters."""
+
+Reload = collections.abc.Callable[[], ports.Settings | str | None]
+"""Returns changed settings, what is wrong with them, or None if nothing changed."""
+
+
+class Node:
+    """One node.
+
+    Parameters
+    ----------
+    reload : Reload
+        Looks for changed settings.
+    """
+
+    def __init__(
+        self, cfg: ports.Settings, build: Build, reload: Reload, log: record.Buffer
+    ) -> None:
+        self._cfg = cfg
+        self._reload = reload
+        self._log = log
+        self._stats = stats.Stats()
+        self._beliefs = state.State(cfg)
+        self._pool = http_client.Pool(CONNECT_S, idle_per_addr=MOST_IDLE)
+        control_pool = http_client.Pool(1.0, idle_per_addr=4)
+        platform = build(cfg, control_pool)
+        self._store = platform.store
+        self._relay = relay.Relay(
+            cfg, self._beliefs, platform.dialect, self._pool, self._stats
+        )
+        self._callers = http_server.Server(self._relay.handle)
+        self._ready = http_server.Server(self._tell_ready)
+        self._metrics = http_server.Server(self._tell_metrics)
+        self._watch = watch.Watch(
+            cfg, self._beliefs, platform.store, self._stats, self._take_intent
+        )
+        self._weights = weights.Weights(
+            cfg, self._beliefs, platform.store, platform.machines, self._stats
+        )
+        self._shelves = shelves.Shelves(cfg, self._beliefs, platform.machines)
+
+    async def run(self) -> None:
+        """Serve until a planned stop is complete."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._log.run)
+                await nursery.start(self._callers.serve, *self._cfg.callers)
+                await nursery.start(self._ready.serve, *self._cfg.ready)
+                if self._cfg.metrics is not None:
+                    nursery.start_soon(self._serve_metrics)
+                for part in (
+                    self._watch.run_intents,
+                    self._watch.run_upstreams,
+                    self._watch.run_members,
+                    self._weights.run,
+                    self._shelves.run,
+                    self._watch_settings,
+                    self._tend,
+                ):
+                    nursery.start_soon(part)
+                record.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
+                async for number in signals:
+                    if number == signal.SIGTERM:
+                        break
+                    self._look_at_settings(is_asked=True)
+                await self._stop()
+                nursery.cancel_scope.cancel()
+        self._log.write_out()
+
+    async def _serve_metrics(self) -> None:
+        assert self._cfg.metrics is not None
+        try:
+            await self._metrics.serve(*self._cfg.metrics)
+        except OSError as exc:
+            record.warning(LOG, "metrics_not_served", reason=str(exc))
+
+    async def _stop(self) -> None:
+        """Leave the load balancer, let requests finish, then close."""
+        began = clock.now()
+        self._beliefs.is_stopping = True
+        record.event(LOG, "stop", open_requests=self._callers.open_requests)
+        self._callers.draining = True
+        last = began + self._cfg.bounds.grace_s - EXIT_BEFORE_S
+        with trio.move_on_after(1.0):
+            await self._store.remove_member(self._cfg.node_id)
+        await trio.sleep(max(0.0, began + ROTATION_S - clock.now()))
+        self._callers.close_idle()
+        while self._callers.open_requests and clock.now() < last:
+            await trio.sleep(CLOSE_CHECK_S)
+            self._callers.close_idle()
+        record.event(
+            LOG,
+            "stopped",
+            cut_requests=self._callers.open_requests,
+            after_s=round(clock.now() - began, 2),
+        )
+
+    async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
+        is_ready = self._beliefs.is_ready
+        return http_server.Response(OK if is_ready else UNAVAILABLE)
+
+    async def _tell_metrics(self, req: http_server.Request) -> http_server.Response:
+        if req.path != "/metrics":
+            return http_server.Response(NOT_FOUND)
+        left_out = self._relay.sampler.left_out
+        text = self._stats.render(self._beliefs, clock.now(), left_out)
+        return http_server.Response(OK, text, {"content-type": "text/plain"})
+
+    def _take_intent(self) -> None:
+        """Apply what the configuration says of this node's own servers."""
+        known = self._beliefs.catalog
+        if known is None:
+            return
+        limits = known.limits
+        self._callers.limits = http_server.Limits(
+            body_bytes=limits.body_bytes, head_s=limits.head_s, idle_s=limits.idle_s
+        )
+        self._pool.idle_per_addr = self._idle_connections(known)
+
+    def _idle_connections(self, known: catalog.Catalog) -> int:
+        fewest = min(
+            (s.connection_limit for s in known.services.values()), default=MOST_IDLE
+        )
+        return max(2, min(MOST_IDLE, int(IDLE_PART * fewest / self._beliefs.nodes)))
+
+    async def _tend(self) -> None:
+        """Forget upstreams that stay away after an outage of the list."""
+        while True:
+            await trio.sleep(0.2)
+            self._beliefs.expire()
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await trio.sleep(SETTINGS_CHECK_S)
+            self._look_at_settings(is_asked=False)
+
+    def _look_at_settings(self, is_asked: bool) -> None:
+        found = self._reload()
+        if isinstance(found, str):
+            record.warning(LOG, "settings_invalid", reason=found)
+        elif found is not None or is_asked:
+            # Addresses take effect at the next start; the rest is the same here.
+            record.event(LOG, "reload", is_changed=found is not None)
+
+
+def run(cfg: ports.Settings, build: Build, reload: Reload) -> None:
+    """Run a node until its planned stop."""
+    log = record.setup(cfg.node_id)
+    trio.run(Node(cfg, build, reload, log).run)
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/record.py
@@ -0,0 +1,130 @@
+"""Log lines as JSON on standard output, bounded and never waited for.
+
+A line that the reader of standard output does not take at once is kept in a
+buffer of bounded size. Lines beyond it are dropped and counted; the count is
+part of the next line that is written.
+"""
+
+import collections
+import logging
+import os
+import sys
+import time
+
+import msgspec
+import trio
+
+BUFFER_LINES = 2_000
+"""About 1 MB of lines at most, against 128 MB of memory on the smallest machine."""
+
+FLUSH_S = 0.25
+"""Lines are written together, because each write costs a system call."""
+
+ROUTINE_PER_S = 10.0
+"""Lines a second for requests that were answered in time; others are counted."""
+
+_STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+
+
+class Buffer(logging.Handler):
+    """Formats records and keeps them until they are written."""
+
+    def __init__(self, node_id: str, fd: int) -> None:
+        super().__init__()
+        self._node_id = node_id
+        self._fd = fd
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b""
+        self.dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep one line, or count it if the buffer is full."""
+        if len(self._lines) >= BUFFER_LINES:
+            self.dropped += 1
+            return
+        line: dict[str, object] = {
+            "t": round(record.created, 3),
+            "level": record.levelname.lower(),
+            "node": self._node_id,
+            "logger": record.name,
+            "event": record.getMessage(),
+        }
+        for name, value in vars(record).items():
+            if name not in _STANDARD:
+                line[name] = value
+        if record.exc_info:
+            line["traceback"] = logging.Formatter().formatException(record.exc_info)
+        if self.dropped:
+            line["dropped"] = self.dropped
+            self.dropped = 0
+        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+    def write_out(self) -> None:
+        """Write what standard output takes now."""
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = b"".join(self._lines)
+                self._lines.clear()
+            try:
+                count = os.write(self._fd, self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads the log any more; there is nowhere to say so.
+                self._rest = b""
+                return
+            self._rest = self._rest[count:]
+
+    async def run(self) -> None:
+        """Write lines until cancelled."""
+        while True:
+            await trio.sleep(FLUSH_S)
+            self.write_out()
+
+
+def setup(node_id: str, level: int = logging.INFO) -> Buffer:
+    """Send all log records to standard output."""
+    fd = sys.stdout.fileno()
+    os.set_blocking(fd, False)
+    buffer = Buffer(node_id, fd)
+    root = logging.getLogger()
+    root.handlers[:] = [buffer]
+    root.setLevel(level)
+    return buffer
+
+
+class Sampler:
+    """Lets routine lines through at a bounded rate and counts the others."""
+
+    def __init__(self, per_s: float = ROUTINE_PER_S) -> None:
+        self._per_s = per_s
+        self._level = per_s
+        self._at = time.monotonic()
+        self.left_out = 0
+
+    def admit(self) -> bool:
+        """Tell whether a routine line is written."""
+        now = time.monotonic()
+        self._level = min(self._per_s, self._level + self._per_s * (now - self._at))
+        self._at = now
+        if self._level < 1.0:
+            self.left_out += 1
+            return False
+        self._level -= 1.0
+        return True
+
+    def take_left_out(self) -> int:
+        """Return how many lines were left out since the last call."""
+        count, self.left_out = self.left_out, 0
+        return count
+
+
+def event(logger: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event at INFO with its fields."""
+    if logger.isEnabledFor(logging.INFO):
+        logger.info(name, extra=fields)
+
+
+def warning(logger: logging.Logger, name: str, **fields: object) -> None:
+    """Log one event at WARNING with its fields."""
+    logger.warning(name, extra=fields)
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -0,0 +1,754 @@
+"""Relays callers' requests to upstreams: choice, sends, retries and streams."""
+
+import collections.abc
+import dataclasses
+import logging
+import math
+
+import trio
+
+from snipelug_core import attempt, catalog, choice, fleet, kv_index, refusal, retry
+from snipelug_net import http_client, http_server
+from snipelug_relay import clock, ports, record, sse, state, stats
+
+LOG = logging.getLogger("snipelug.relay")
+
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+FIRST_EVENT_S = 2.0
+"""Wait for the first event before a resumable stream is asked for elsewhere.
+
+Callers leave after 3 s without a first event on the sites' routes.
+"""
+
+GAP_S = 1.2
+"""Pause after which a resumable stream is resumed elsewhere; sites allow 0.3 s."""
+
+RETRY_OBJECTIVES = 2.0
+"""An idempotent request is tried elsewhere after this many objectives."""
+
+ORDER_IDLE_S = 1.0
+"""Connections idle for longer carry no request that must not be repeated.
+
+The upstream may close them at that moment, and then nobody knows whether the
+request ran.
+"""
+
+BLOCK_S = 0.25
+"""Pause after the first failed connection; doubles with each further one."""
+
+MOST_BLOCK_S = 2.0
+TURNED_AWAY_READ_S = 0.2
+"""Time to read the rest of an answer that turns a request away."""
+
+TURNED_AWAY_S = 0.1
+SWITCHING_S = 0.3
+"""Pauses after an upstream turned a request away."""
+
+WAIT_PART = 0.25
+"""Part of the objective for which a request waits for an upstream to come back."""
+
+RETRY_AFTER_S = 0.5
+OK = 200
+SERVER_ERROR = 500
+
+
+@dataclasses.dataclass
+class Job:
+    """One request under way.
+
+    Attributes
+    ----------
+    deadline : float
+        When the answer must be complete, in seconds.
+    tried : set of str
+        Upstreams that got the request.
+    trace : list of dict
+        One entry for each attempt, for the log.
+    """
+
+    ask: ports.Ask
+    route: catalog.Route
+    team: catalog.Team | None
+    service: str
+    started_at: float
+    deadline: float
+    history: attempt.History = dataclasses.field(default_factory=attempt.History)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    first_at: float | None = None
+    is_finished: bool = False
+
+    def left_s(self) -> float:
+        """Return the time until the deadline, in seconds."""
+        return self.deadline - clock.now()
+
+
+@dataclasses.dataclass
+class Visit:
+    """One send to an upstream, and what is counted there until it ends."""
+
+    upstream: fleet.Upstream
+    tokens: int
+    prefill_tokens: int
+    entry: dict[str, object]
+    has_ended: bool = False
+
+    def begin(self, now: float) -> None:
+        """Count the request at the upstream."""
+        upstream = self.upstream
+        upstream.running += 1
+        upstream.tokens += self.tokens
+        upstream.prefill_tokens += self.prefill_tokens
+        if upstream.oldest_silence_at is None:
+            upstream.oldest_silence_at = now
+
+    def hear(self, now: float) -> None:
+        """Note that the upstream has answered something."""
+        self.upstream.connect_failures = 0
+        waits = self.upstream.running > 1
+        self.upstream.oldest_silence_at = now if waits else None
+
+    def begin_output(self) -> None:
+        """Note that the prompt has been read."""
+        self.upstream.prefill_tokens -= self.prefill_tokens
+        self.prefill_tokens = 0
+
+    def end(self) -> None:
+        """Stop counting the request."""
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self.begin_output()
+        self.upstream.running -= 1
+        self.upstream.tokens -= self.tokens
+        if self.upstream.running == 0:
+            self.upstream.oldest_silence_at = None
+
+
+@dataclasses.dataclass
+class Outcome:
+    """How one attempt ended.
+
+    Attributes
+    ----------
+    reply : http_client.Reply or None
+        The open answer of a stream.
+    events : bytes
+        Its first whole events.
+    response : http_server.Response or None
+        The whole answer of any other request.
+    """
+
+    result: attempt.Result
+    reason: str = ""
+    visit: Visit | None = None
+    reply: http_client.Reply | None = None
+    splitter: sse.Splitter | None = None
+    events: bytes = b""
+    has_ended: bool = False
+    response: http_server.Response | None = None
+
+
+class Relay:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    pool : http_client.Pool
+        Connections to upstreams.
+    dialect : ports.Dialect
+        Header fields of the platform.
+    """
+
+    def __init__(
+        self,
+        cfg: ports.Settings,
+        beliefs: state.State,
+        dialect: ports.Dialect,
+        pool: http_client.Pool,
+        metrics: stats.Stats,
+    ) -> None:
+        self._cfg = cfg
+        self._beliefs = beliefs
+        self._dialect = dialect
+        self._pool = pool
+        self._stats = metrics
+        self._budgets: dict[str, retry.Budget] = {}
+        self.sampler = record.Sampler()
+
+    async def handle(self, req: http_server.Request) -> http_server.Response:
+        """Answer one request."""
+        ask = self._dialect.read(req)
+        if isinstance(ask, refusal.Refusal):
+            record.warning(LOG, "request_unreadable", reason=ask.message)
+            return self._dialect.refuse(None, ask)
+        job = self._begin(ask)
+        if isinstance(job, refusal.Refusal):
+            self._log_refused(ask, job)
+            return self._dialect.refuse(ask, job)
+        try:
+            return await self._answer(job)
+        except trio.Cancelled:
+            self._finish(job, "left", "the caller closed the connection")
+            raise
+
+    def _begin(self, ask: ports.Ask) -> Job | refusal.Refusal:
+        known = self._beliefs.catalog
+        if known is None or not self._beliefs.list_known:
+            message = "the node has not read its configuration"
+            return refusal.refuse(refusal.NODE_NOT_CURRENT, message)
+        route = known.find_route(ask.host, ask.path)
+        if isinstance(route, refusal.Refusal):
+            return route
+        team = known.find_team(route, ask.key)
+        if isinstance(team, refusal.Refusal):
+            return team
+        now = clock.now()
+        wait_s = min(
+            math.inf if ask.time_left_s is None else ask.time_left_s, route.timeout_s
+        )
+        service = known.pick_service(route, ask.request_id)
+        budget = self._budgets.setdefault(service, retry.Budget())
+        retry.note_request(budget, self._policy())
+        return Job(ask, route, team, service, now, now + wait_s)
+
+    def _policy(self) -> retry.Policy:
+        bounds = self._cfg.bounds
+        return retry.share(bounds.retry_part, bounds.retry_extra, self._beliefs.nodes)
+
+    async def _answer(self, job: Job) -> http_server.Response:
+        while True:
+            pick = await self._pick(job)
+            if isinstance(pick, refusal.Refusal):
+                return self._refuse(job, pick)
+            outcome = await self._attempt(job, pick, job.ask.resume_after)
+            decision = self._decide(job, outcome)
+            if decision is attempt.Next.TRY_AGAIN:
+                continue
+            if decision is attempt.Next.DELIVER and outcome.reply is not None:
+                return self._stream(job, outcome)
+            if decision is attempt.Next.DELIVER and outcome.response is not None:
+                is_good = outcome.response.status < SERVER_ERROR
+                self._finish(job, "answered" if is_good else "failed", outcome.reason)
+                return outcome.response
+            if decision is attempt.Next.REFUSE:
+                return self._refuse(job, self._turned_away(outcome))
+            return self._fail(job, outcome)
+
+    async def _pick(self, job: Job) -> choice.Choice | refusal.Refusal:
+        """Choose an upstream; wait a little for one that comes back soon."""
+        wait_until = job.started_at + WAIT_PART * job.route.objective_s
+        while True:
+            now = clock.now()
+            if now >= job.deadline:
+                message = "the deadline passed"
+                return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
+            pick = self._choose(job, now)
+            if pick is not None:
+                return pick
+            at = self._next_free(job, now)
+            if at is None or at > min(wait_until, job.deadline):
+                wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
+                message = f"no upstream of {job.service} can be used now"
+                return refusal.refuse(
+                    refusal.NO_UPSTREAM, message, retry_after_s=wait_s
+                )
+            await trio.sleep(max(0.005, at - now))
+
+    def _choose(self, job: Job, now: float) -> choice.Choice | None:
+        view = self._beliefs.view(job.service)
+        if view is None:
+            return None
+        upstreams = self._beliefs.fleet.of_service(job.service)
+        return choice.choose(
+            upstreams, self._need(job, view, now), view, job.tried, now
+        )
+
+    def _need(self, job: Job, view: choice.View, now: float) -> choice.Need:
+        ask = job.ask
+        engine = view.service.engine
+        if engine is None:
+            return choice.Need(job.service, self._cfg.zone, len(ask.body))
+        named = self._beliefs.named.get(ask.model)
+        version = named.version if named is not None else 0
+        fetch_s: dict[str, float] = {}
+        if self._beliefs.may_use_stores(now) and ask.parts:
+            key_salt = self._salt(job, version)
+            fetch_s = self._beliefs.index.fetch_s(
+                ask.parts, key_salt, engine, self._cfg.zone, now
+            )
+        return choice.Need(
+            job.service,
+            self._cfg.zone,
+            len(ask.body),
+            ask.model,
+            ask.parts,
+            version,
+            now - named.at if named is not None else 0.0,
+            fetch_s,
+            ask.output_tokens,
+        )
+
+    def _salt(self, job: Job, version: int) -> str:
+        return kv_index.salt(job.ask.model, version, job.team)
+
+    def _next_free(self, job: Job, now: float) -> float | None:
+        """Return when the first upstream may be asked again."""
+        times = [
+            max(upstream.blocked_until, upstream.switching_until)
+            for upstream in self._beliefs.fleet.of_service(job.service)
+            if upstream.entry.id not in job.tried
+        ]
+        return min((at for at in times if at > now), default=None)
+
+    def _decide(self, job: Job, outcome: Outcome) -> attempt.Next:
+        job.history.add(outcome.result)
+        self._stats.attempts.labels(job.service, outcome.result.value).inc()
+        if outcome.visit is not None:
+            outcome.visit.entry["result"] = outcome.result.value
+            if outcome.reason:
+                outcome.visit.entry["reason"] = outcome.reason
+        is_last = outcome.result is attempt.Result.ANSWERED
+        may_try = not is_last and self._could_retry(job)
+        has_budget = may_try and retry.try_retry(
+            self._budgets[job.service], clock.now(), self._policy()
+        )
+        return attempt.decide(
+            outcome.result, job.history, job.route, job.left_s(), has_budget
+        )
+
+    def _could_retry(self, job: Job) -> bool:
+        """Tell whether another upstream could be asked, before budget is spent."""
+        decision = attempt.decide(
+            attempt.Result.LOST, job.history, job.route, job.left_s(), True
+        )
+        return decision is attempt.Next.TRY_AGAIN
+
+    async def _attempt(
+        self, job: Job, pick: choice.Choice, resume_after: str | None
+    ) -> Outcome:
+        """Send the request once and read its answer, for streams the first events."""
+        now = clock.now()
+        visit, call = self._prepare(job, pick, resume_after, now)
+        visit.begin(now)
+        reply: http_client.Reply | None = None
+        outcome = Outcome(attempt.Result.LOST, "no answer in time")
+        is_kept = False
+        try:
+            with trio.move_on_after(self._patience_s(job)):
+                sent = await self._pool.send(call, self._last_check(job, pick))
+                if isinstance(sent, http_client.Reply):
+                    reply = sent
+                    visit.hear(clock.now())
+                    outcome = await self._read(job, visit, reply, resume_after)
+                else:
+                    outcome = _not_answered(sent)
+            is_kept = outcome.reply is not None
+        finally:
+            if not is_kept:
+                visit.end()
+                if reply is not None:
+                    reply.abort()
+        outcome.visit = visit
+        self._note(pick.upstream, outcome)
+        return outcome
+
+    def _prepare(
+        self,
+        job: Job,
+        pick: choice.Choice,
+        resume_after: str | None,
+        now: float,
+    ) -> tuple[Visit, http_client.Call]:
+        ask = job.ask
+        upstream = pick.upstream
+        job.tried.add(upstream.entry.id)
+        choice.note_sent(upstream, now)
+        plan = kv_index.NO_PLAN
+        version = upstream.versions.get(ask.model) if ask.model else None
+        key_salt = ""
+        if version is not None:
+            key_salt = self._salt(job, version)
+            if self._beliefs.may_use_stores(now):
+                plan = self._beliefs.index.plan(ask.parts, key_salt, now)
+            self._note_held(upstream, ask)
+        priority = job.route.priority
+        if job.team is not None and job.team.priority is not None:
+            priority = job.team.priority
+        orders = ports.Orders(
+            upstream.entry.id,
+            job.left_s(),
+            job.team.name if job.team is not None else None,
+            version,
+            key_salt,
+            plan,
+            priority if ask.model else None,
+            resume_after,
+        )
+        call = self._dialect.call(ask, orders, upstream.entry.addr)
+        if job.route.repeat is catalog.Repeat.AT_MOST_ONCE:
+            call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
+        entry: dict[str, object] = {
+            "upstream": upstream.entry.id,
+            "at_ms": round(1000 * (now - job.started_at), 1),
+            "cost_ms": round(1000 * pick.cost_s, 1),
+            "candidates": pick.candidates,
+            "running": upstream.running,
+        }
+        if version is not None:
+            entry["version"] = version
+            entry["prefill"] = pick.prefill_tokens
+            entry["fetched"] = sum(s is not None for s in plan.sources)
+            entry["saved"] = sum(s is not None for s in plan.targets)
+        job.trace.append(entry)
+        tokens = sum(part.tokens for part in ask.parts) + ask.output_tokens
+        return Visit(upstream, tokens, pick.prefill_tokens, entry), call
+
+    def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
+        known = self._beliefs.catalog
+        service = known.services.get(upstream.entry.service) if known else None
+        if service is None or service.engine is None:
+            return
+        # Other nodes fill the rest of the engine's memory.
+        capacity = fleet.HELD_PART * service.engine.kv_capacity_tokens
+        for part in ask.parts[:-1]:
+            upstream.note_held(part.id, part.tokens, capacity / self._beliefs.nodes)
+
+    def _last_check(self, job: Job, pick: choice.Choice) -> http_client.LastCheck:
+        """Return the check that comes right before the first byte is sent."""
+        entry = pick.upstream.entry
+
+        def is_still_right(_opened_at: float) -> bool:
+            known = self._beliefs.fleet.upstreams.get(entry.id)
+            return (
+                known is pick.upstream
+                and not known.entry.is_leaving
+                and entry.zone not in self._beliefs.zones_out
+                and clock.now() < job.deadline
+            )
+
+        return is_still_right
+
+    def _patience_s(self, job: Job) -> float:
+        """Return how long an attempt may take, in seconds."""
+        left_s = max(0.0, job.left_s())
+        if job.history.runs + 1 >= job.route.max_attempts:
+            return left_s
+        match job.route.repeat:
+            case catalog.Repeat.IDEMPOTENT:
+                return min(left_s, RETRY_OBJECTIVES * job.route.objective_s)
+            case catalog.Repeat.RESUMABLE:
+                return min(left_s, FIRST_EVENT_S)
+            case catalog.Repeat.AT_MOST_ONCE:
+                return left_s
+
+    async def _read(
+        self,
+        job: Job,
+        visit: Visit,
+        reply: http_client.Reply,
+        resume_after: str | None,
+    ) -> Outcome:
+        verdict = self._dialect.judge(job.ask, reply.status, reply.headers)
+        self._take_verdict(job, visit, verdict)
+        if verdict.is_turned_away:
+            # Reading to the end keeps the connection.
+            await reply.read(ANSWER_LIMIT_BYTES, TURNED_AWAY_READ_S)
+            reason = f"turned away with {reply.status}"
+            if verdict.is_other_instance:
+                reason += ", another instance or version"
+            return Outcome(attempt.Result.TURNED_AWAY, reason)
+        if not verdict.is_own:
+            reason = f"status {reply.status} without signature or with another id"
+            return Outcome(attempt.Result.LOST, reason)
+        if job.route.is_stream and reply.status == OK:
+            return await self._read_first(visit, reply, resume_after)
+        body = await reply.read(ANSWER_LIMIT_BYTES, max(0.0, job.left_s()))
+        if not isinstance(body, bytes):
+            return Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
+        headers = self._dialect.answer_headers(reply.headers)
+        response = http_server.Response(reply.status, body, headers)
+        if reply.status >= SERVER_ERROR:
+            reason = f"the upstream answered {reply.status}"
+            return Outcome(attempt.Result.FAILED, reason, response=response)
+        job.first_at = clock.now()
+        return Outcome(attempt.Result.ANSWERED, response=response)
+
+    async def _read_first(
+        self, visit: Visit, reply: http_client.Reply, resume_after: str | None
+    ) -> Outcome:
+        """Read a stream up to its first whole event."""
+        splitter = sse.Splitter(resume_after)
+        while True:
+            part = await reply.next_part()
+            if isinstance(part, http_client.Lost):
+                reason = f"the stream was cut: {part.reason}"
+                return Outcome(attempt.Result.LOST, reason)
+            events = splitter.push(part or b"")
+            if part is None or events:
+                visit.begin_output()
+                return Outcome(
+                    attempt.Result.ANSWERED,
+                    reply=reply,
+                    splitter=splitter,
+                    events=events,
+                    has_ended=part is None,
+                )
+
+    def _take_verdict(self, job: Job, visit: Visit, verdict: ports.Verdict) -> None:
+        upstream = visit.upstream
+        now = clock.now()
+        if verdict.load is not None:
+            running, waiting, _ = verdict.load
+            upstream.load = fleet.LoadNote(running, waiting, upstream.running, now)
+        if verdict.cold_s is not None and verdict.cold_s > 0:
+            upstream.cold_until = now + verdict.cold_s
+        model = job.ask.model
+        if model and verdict.version is not None:
+            upstream.note_version(model, verdict.version)
+        if not verdict.is_turned_away:
+            return
+        if verdict.is_other_instance and model:
+            self._take_misdirected(upstream, model, now)
+        elif model:
+            upstream.switching_until = now + SWITCHING_S
+        else:
+            upstream.blocked_until = now + TURNED_AWAY_S
+
+    def _take_misdirected(
+        self, upstream: fleet.Upstream, model: str, now: float
+    ) -> None:
+        """Take that the upstream does not serve the version it was taken to serve."""
+        named = self._beliefs.named.get(model)
+        if named is not None and upstream.versions.get(model, 0) < named.version:
+            upstream.note_version(model, named.version)
+        else:
+            upstream.switching_until = now + SWITCHING_S
+
+    def _note(self, upstream: fleet.Upstream, outcome: Outcome) -> None:
+        now = clock.now()
+        if outcome.result is attempt.Result.NOT_CONNECTED:
+            pause_s = min(MOST_BLOCK_S, BLOCK_S * 2**upstream.connect_failures)
+            upstream.blocked_until = now + pause_s
+            upstream.connect_failures += 1
+            record.event(
+                LOG,
+                "upstream_blocked",
+                upstream=upstream.entry.id,
+                for_s=pause_s,
+                failures=upstream.connect_failures,
+                reason=outcome.reason,
+            )
+        elif outcome.result is not attempt.Result.TURNED_AWAY:
+            upstream.note_outcome(outcome.result is attempt.Result.LOST, now)
+
+    def _stream(self, job: Job, outcome: Outcome) -> http_server.Response:
+        assert outcome.reply is not None
+        job.first_at = clock.now()
+        headers = self._dialect.answer_headers(outcome.reply.headers)
+        body = Stream(self, job, outcome)
+        return http_server.Response(outcome.reply.status, body, headers)
+
+    async def resume(self, job: Job, lost: Outcome) -> Outcome | None:
+        """Go on with a stream at another upstream; None if that is not possible."""
+        assert lost.splitter is not None
+        last_id = lost.splitter.last_id
+        while True:
+            if self._decide(job, lost) is not attempt.Next.TRY_AGAIN:
+                return None
+            pick = await self._pick(job)
+            if isinstance(pick, refusal.Refusal):
+                return None
+            outcome = await self._attempt(job, pick, last_id)
+            if outcome.reply is None:
+                lost = outcome
+                continue
+            if sse.follows(last_id, outcome.events):
+                outcome_entry = outcome.visit.entry if outcome.visit else {}
+                outcome_entry["resumed_after"] = last_id
+                return outcome
+            outcome.reply.abort()
+            if outcome.visit is not None:
+                outcome.visit.end()
+            reason = "the resumed stream does not go on after the last event"
+            lost = Outcome(attempt.Result.LOST, reason, outcome.visit)
+
+    def _turned_away(self, outcome: Outcome) -> refusal.Refusal:
+        message = f"no upstream took the request: {outcome.reason}"
+        return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=RETRY_AFTER_S)
+
+    def _refuse(self, job: Job, reason: refusal.Refusal) -> http_server.Response:
+        """Answer a request that has not run; after a run the outcome is unknown."""
+        if job.history.runs > 0:
+            return self._fail(job, Outcome(attempt.Result.LOST, reason.message))
+        self._finish(job, "refused", reason.message, reason.kind.code)
+        return self._dialect.refuse(job.ask, reason)
+
+    def _fail(self, job: Job, outcome: Outcome) -> http_server.Response:
+        is_late = job.left_s() <= attempt.MIN_LEFT_S
+        kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
+        self._finish(job, "failed", outcome.reason, kind.code)
+        reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
+        return self._dialect.refuse(job.ask, reason)
+
+    def _log_refused(self, ask: ports.Ask, reason: refusal.Refusal) -> None:
+        known = self._beliefs.catalog
+        self._stats.requests.labels("", "refused", reason.kind.code).inc()
+        record.warning(
+            LOG,
+            "request",
+            id=ask.request_id,
+            outcome="refused",
+            code=reason.kind.code,
+            reason=reason.message,
+            host=ask.host,
+            path=ask.path,
+            config=known.version if known is not None else None,
+        )
+
+    def _finish(self, job: Job, outcome: str, reason: str, code: str = "") -> None:
+        """Log and count the end of a request, once."""
+        if job.is_finished:
+            return
+        job.is_finished = True
+        now = clock.now()
+        self._stats.requests.labels(job.route.name, outcome, code).inc()
+        first_s = None if job.first_at is None else job.first_at - job.started_at
+        if first_s is not None:
+            self._stats.first_byte.labels(job.route.name).observe(first_s)
+        self._stats.whole.labels(job.route.name).observe(now - job.started_at)
+        is_routine = (
+            outcome == "answered"
+            and len(job.trace) == 1
+            and first_s is not None
+            and first_s <= job.route.objective_s
+        )
+        if is_routine and not self.sampler.admit():
+            return
+        known = self._beliefs.catalog
+        fields: dict[str, object] = {
+            "id": job.ask.request_id,
+            "route": job.route.name,
+            "team": job.team.name if job.team is not None else None,
+            "outcome": outcome,
+            "reason": reason,
+            "code": code,
+            "first_ms": None if first_s is None else round(1000 * first_s, 1),
+            "ms": round(1000 * (now - job.started_at), 1),
+            "allowed_ms": round(1000 * (job.deadline - job.started_at)),
+            "attempts": job.trace,
+            "config": known.version if known is not None else None,
+            "config_age_s": round(now - self._beliefs.confirmed_at, 2),
+        }
+        left_out = self.sampler.take_left_out()
+        if left_out:
+            fields["left_out"] = left_out
+        record.event(LOG, "request", **fields)
+
+    def finish_stream(self, job: Job, outcome: str, reason: str) -> None:
+        """Log and count the end of a stream, once."""
+        self._finish(job, outcome, reason)
+
+
+class Stream:
+    """The body of a streamed answer; implements ``http_server.Parts``."""
+
+    def __init__(self, relay: Relay, job: Job, first: Outcome) -> None:
+        self._relay = relay
+        self._job = job
+        self._current = first
+
+    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Return the iterator over the whole events."""
+        return self._parts()
+
+    async def _parts(self) -> collections.abc.AsyncIterator[bytes]:
+        if self._current.events:
+            yield self._current.events
+        while not self._current.has_ended:
+            part = await self._next()
+            if isinstance(part, http_client.Lost):
+                yield await self._resume(part)
+                continue
+            if part:
+                yield part
+        rest = self._rest()
+        if rest:
+            yield rest
+        self._relay.finish_stream(self._job, "answered", "")
+
+    async def _next(self) -> bytes | http_client.Lost:
+        """Return the next whole events, none at the end, or why there are none."""
+        reply, splitter = self._current.reply, self._current.splitter
+        assert reply is not None
+        assert splitter is not None
+        is_resumable = self._job.route.repeat is catalog.Repeat.RESUMABLE
+        left_s = max(0.0, self._job.left_s())
+        part: bytes | http_client.Lost | None = http_client.Lost("no event in time")
+        with trio.move_on_after(min(left_s, GAP_S) if is_resumable else left_s):
+            part = await reply.next_part()
+        if isinstance(part, http_client.Lost):
+            return part
+        if self._current.visit is not None:
+            self._current.visit.hear(clock.now())
+        if part is not None:
+            return splitter.push(part)
+        if splitter.rest and not _is_framed(reply.headers):
+            return http_client.Lost("the stream ended inside an event")
+        self._current.has_ended = True
+        return b""
+
+    def _rest(self) -> bytes:
+        splitter = self._current.splitter
+        return splitter.rest if splitter is not None else b""
+
+    async def _resume(self, lost: http_client.Lost) -> bytes:
+        """Go on at another upstream, or break the answer off."""
+        self._close()
+        reason = f"the stream was cut: {lost.reason}"
+        broken = Outcome(
+            attempt.Result.LOST,
+            reason,
+            self._current.visit,
+            splitter=self._current.splitter,
+        )
+        if self._current.visit is not None:
+            self._current.visit.upstream.note_outcome(True, clock.now())
+        # The attempt was counted when the stream began.
+        self._job.history.runs -= 1
+        self._job.history.sends -= 1
+        resumed = await self._relay.resume(self._job, broken)
+        if resumed is None:
+            self._relay.finish_stream(self._job, "broken", reason)
+            raise trio.BrokenResourceError(reason)
+        self._current = resumed
+        return resumed.events
+
+    def _close(self) -> None:
+        if self._current.reply is not None:
+            self._current.reply.abort()
+        if self._current.visit is not None:
+            self._current.visit.end()
+
+    async def aclose(self) -> None:
+        """Free the upstream's connection."""
+        self._close()
+        self._relay.finish_stream(self._job, "left", "the caller closed the connection")
+
+
+def _is_framed(headers: dict[str, str]) -> bool:
+    """Tell whether the end of a body differs from the end of its connection."""
+    return "content-length" in headers or "transfer-encoding" in headers
+
+
+def _not_answered(
+    sent: http_client.NotSent | http_client.Withheld | http_client.Lost,
+) -> Outcome:
+    match sent:
+        case http_client.NotSent(reason):
+            return Outcome(attempt.Result.NOT_CONNECTED, reason)
+        case http_client.Withheld():
+            reason = "the upstream left before the request was sent"
+            return Outcome(attempt.Result.NOT_CONNECTED, reason)
+        case http_client.Lost(reason):
+            return Outcome(attempt.Result.LOST, reason)
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -0,0 +1,128 @@
+"""Follows the stores of KV cache and frees parts of replaced weights."""
+
+import logging
+
+import trio
+
+from snipelug_core import hashing, kv_index
+from snipelug_relay import clock, ports, record, state
+
+LOG = logging.getLogger("snipelug.shelves")
+
+POLL_S = 1.0
+"""Pause between polls; with an answer in time it keeps parts usable (1.6 s)."""
+
+FREE_AT_ONCE = 200
+"""Parts freed by one call."""
+
+
+class Shelves:
+    """Polls each store."""
+
+    def __init__(
+        self,
+        cfg: ports.Settings,
+        beliefs: state.State,
+        machines: ports.Machines,
+    ) -> None:
+        self._cfg = cfg
+        self._beliefs = beliefs
+        self._machines = machines
+
+    async def run(self) -> None:
+        """Poll all stores until cancelled."""
+        while True:
+            async with trio.open_nursery() as nursery:
+                for shelf in list(self._beliefs.index.shelves.values()):
+                    nursery.start_soon(self._visit, shelf)
+            await trio.sleep(POLL_S)
+
+    async def _visit(self, shelf: kv_index.Shelf) -> None:
+        await self._poll(shelf)
+        if shelf.is_fresh(clock.now()) and self._is_cleaner(shelf):
+            await self._free(shelf)
+
+    async def _poll(self, shelf: kv_index.Shelf) -> None:
+        addr = (shelf.store.host, shelf.store.port)
+        sent_at = clock.now()
+        page = await self._machines.store_events(addr, shelf.next)
+        if isinstance(page, ports.Unavailable):
+            if shelf.epoch is not None and shelf.is_fresh(sent_at):
+                record.warning(
+                    LOG, "shelf_lost", store=shelf.store.name, reason=page.reason
+                )
+            shelf.polled_at = -1e9
+            return
+        is_new = page.epoch != shelf.epoch
+        if is_new:
+            record.event(
+                LOG,
+                "shelf_epoch",
+                store=shelf.store.name,
+                epoch=page.epoch,
+                before=shelf.epoch,
+            )
+            shelf.restart(page.epoch, sent_at)
+        if (is_new and shelf.next > 0) or page.has_gap:
+            await self._read_all(shelf, sent_at)
+            return
+        self._take(shelf, page.events)
+        shelf.next = page.next
+        shelf.polled_at = sent_at
+        if page.clock_s is not None:
+            # The store told its clock after the call was sent, so this is an
+            # upper bound of the difference and transfers end no later than meant.
+            shelf.clock_offset_s = page.clock_s - clock.now()
+
+    async def _read_all(self, shelf: kv_index.Shelf, sent_at: float) -> None:
+        """Read the whole list after a gap in the events."""
+        addr = (shelf.store.host, shelf.store.port)
+        page = await self._machines.store_list(addr)
+        if isinstance(page, ports.Unavailable) or page.epoch != shelf.epoch:
+            shelf.polled_at = -1e9
+            return
+        shelf.forget()
+        for part in page.parts:
+            shelf.add(part.key, part.tokens)
+        shelf.next = page.next
+        shelf.polled_at = sent_at
+        record.event(LOG, "shelf_listed", store=shelf.store.name, parts=len(page.parts))
+
+    def _take(
+        self, shelf: kv_index.Shelf, events: list[ports.Stored | ports.Freed]
+    ) -> None:
+        for event in events:
+            match event:
+                case ports.Stored(key, tokens):
+                    shelf.add(key, tokens)
+                case ports.Freed(key):
+                    shelf.drop(key)
+
+    def _is_cleaner(self, shelf: kv_index.Shelf) -> bool:
+        ids = {member.node_id for member in self._beliefs.members}
+        ids.add(self._cfg.node_id)
+        return hashing.rank(shelf.store.name, ids)[0] == self._cfg.node_id
+
+    async def _free(self, shelf: kv_index.Shelf) -> None:
+        """Free the parts that no request can read any more."""
+        now = clock.now()
+        settled = {
+            model: named.version
+            for model, named in self._beliefs.named.items()
+            if now - named.at > kv_index.FREE_AFTER_S
+        }
+        keys = list(kv_index.outdated(shelf, settled))[:FREE_AT_ONCE]
+        if not keys or shelf.epoch is None:
+            return
+        addr = (shelf.store.host, shelf.store.port)
+        is_freed = await self._machines.free(addr, keys, shelf.epoch)
+        for key in keys if is_freed else ():
+            shelf.drop(key)
+        record.event(
+            LOG,
+            "parts_freed",
+            store=shelf.store.name,
+            count=len(keys),
+            is_freed=is_freed,
+            versions=settled,
+        )
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -0,0 +1,189 @@
+"""What a node believes: the operator's intents, upstreams, stores and members."""
+
+import collections.abc
+import dataclasses
+import logging
+
+from snipelug_core import catalog, choice, fleet, kv_index
+from snipelug_relay import clock, ports, record
+
+LOG = logging.getLogger("snipelug.state")
+
+MEMBER_S = 50.0
+"""Age at which a member's row no longer counts; rows are written every 15 s."""
+
+
+@dataclasses.dataclass
+class Named:
+    """The newest weight version of a model.
+
+    Attributes
+    ----------
+    at : float
+        When this node learned of it, in seconds.
+    """
+
+    version: int
+    at: float
+
+
+class State:
+    """The tables that the systems of a node read and write.
+
+    Attributes
+    ----------
+    catalog : catalog.Catalog or None
+        None until the store was read.
+    confirmed_at : float
+        When the operator's intents were last confirmed, in seconds.
+    list_known : bool
+        The list of upstreams was read.
+    """
+
+    def __init__(self, cfg: ports.Settings) -> None:
+        self.cfg = cfg
+        self.catalog: catalog.Catalog | None = None
+        self.named: dict[str, Named] = {}
+        self.zones_out: frozenset[str] = frozenset()
+        self.fleet = fleet.Fleet()
+        self.index = kv_index.Index()
+        self.confirmed_at = -1e9
+        self.list_known = False
+        self.members: list[ports.Member] = []
+        self.is_stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.catalog is not None and self.list_known and not self.is_stopping
+
+    @property
+    def nodes(self) -> int:
+        """Number of nodes that share the upstreams, this one included."""
+        return max(1, len(self.members))
+
+    def newest(self) -> dict[str, int]:
+        """Return the newest weight version of each model."""
+        return {model: named.version for model, named in self.named.items()}
+
+    def may_use_stores(self, now: float) -> bool:
+        """Tell whether the intents are recent enough to read parts from stores."""
+        return now - self.confirmed_at < kv_index.BELIEF_S
+
+    def view(self, service: str) -> choice.View | None:
+        """Return what all upstreams of a service have in common."""
+        if self.catalog is None or service not in self.catalog.services:
+            return None
+        found = self.catalog.services[service]
+        return choice.View(found, self.zones_out, self.nodes)
+
+    def take_intents(
+        self, items: collections.abc.Iterable[ports.Intent], is_whole: bool
+    ) -> None:
+        """Take what the operator wants.
+
+        Parameters
+        ----------
+        is_whole : bool
+            The items are all there are, not only changes.
+        """
+        zones = set() if is_whole else set(self.zones_out)
+        for item in items:
+            match item:
+                case catalog.Catalog():
+                    self._take_catalog(item)
+                case ports.Version(model, version):
+                    self._take_version(model, version)
+                case ports.Evacuation(zone):
+                    zones.add(zone)
+                case ports.Removed(ports.Evacuation(zone)):
+                    zones.discard(zone)
+                case ports.Unreadable(key, reason):
+                    record.warning(LOG, "intent_unreadable", key=key, reason=reason)
+        if zones != self.zones_out:
+            self.zones_out = frozenset(zones)
+            record.event(LOG, "zones_out", zones=sorted(zones))
+        self.confirmed_at = clock.now()
+
+    def _take_catalog(self, new: catalog.Catalog) -> None:
+        if self.catalog is not None and new.version <= self.catalog.version:
+            return
+        record.event(
+            LOG,
+            "configuration",
+            version=new.version,
+            before=self.catalog.version if self.catalog is not None else None,
+            routes=len(new.routes),
+            teams=len(new.teams),
+        )
+        self.catalog = new
+        self.index.set_stores(new.stores)
+
+    def _take_version(self, model: str, version: int) -> None:
+        known = self.named.get(model)
+        if known is not None and version <= known.version:
+            return
+        # Weights that were named before this node started are not new.
+        at = clock.now() if self.list_known else -1e9
+        self.named[model] = Named(version, at)
+        record.event(
+            LOG,
+            "weights_named",
+            model=model,
+            version=version,
+            before=known.version if known is not None else None,
+        )
+
+    def take_listings(
+        self,
+        items: collections.abc.Iterable[ports.Listing],
+        is_whole: bool,
+        in_grace: bool,
+    ) -> None:
+        """Take entries of the list of upstreams."""
+        now = clock.now()
+        entries = []
+        changes: list[fleet.Change | None] = []
+        for item in items:
+            match item:
+                case fleet.Entry() if is_whole:
+                    entries.append(item)
+                case fleet.Entry():
+                    changes.append(self.fleet.put(item, now))
+                case ports.Removed(str() as upstream_id):
+                    changes.append(self.fleet.remove(upstream_id, now, in_grace))
+                case ports.Unreadable(key, reason):
+                    record.warning(LOG, "entry_unreadable", key=key, reason=reason)
+                    changes.append(self.fleet.remove(key, now, in_grace=False))
+        if is_whole:
+            changes += self.fleet.replace(entries, now, in_grace)
+            self.list_known = True
+        changes += self.fleet.expire(now)
+        for change in changes:
+            if change is not None:
+                self._log(change)
+
+    def expire(self) -> None:
+        """Remove upstreams that did not come back after an outage of the list."""
+        for change in self.fleet.expire(clock.now()):
+            self._log(change)
+
+    def _log(self, change: fleet.Change) -> None:
+        upstream = self.fleet.upstreams.get(change.upstream_id)
+        record.event(
+            LOG,
+            "upstream",
+            upstream=change.upstream_id,
+            what=change.what,
+            service=upstream.entry.service if upstream is not None else None,
+            zone=upstream.entry.zone if upstream is not None else None,
+            versions=upstream.versions if upstream is not None else None,
+        )
+
+    def take_members(self, page: ports.Page[ports.Member]) -> None:
+        """Take the rows of all nodes; old ones do not count."""
+        oldest = page.clock_ms - 1000 * MEMBER_S
+        live = [member for member in page.items if member.seen_ms >= oldest]
+        if len(live) != len(self.members):
+            record.event(LOG, "members", count=len(live), before=len(self.members))
+        self.members = live
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -0,0 +1,86 @@
+"""Counters, gauges and latency histograms, in the text format of Prometheus."""
+
+import prometheus_client
+from prometheus_client import exposition
+
+from snipelug_relay import state
+
+LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
+"""Bounds around the objectives of the sites, 0.1 to 0.8 s."""
+
+
+class Stats:
+    """The metrics of one node."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "snipelug_requests",
+            "Requests by route, outcome and reason.",
+            ["route", "outcome", "reason"],
+            registry=self.registry,
+        )
+        self.attempts = prometheus_client.Counter(
+            "snipelug_attempts",
+            "Sends to upstreams by result.",
+            ["service", "result"],
+            registry=self.registry,
+        )
+        self.first_byte = prometheus_client.Histogram(
+            "snipelug_first_byte_seconds",
+            "Time until the answer or its first event.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.whole = prometheus_client.Histogram(
+            "snipelug_request_seconds",
+            "Time until the end of the answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.parts = prometheus_client.Counter(
+            "snipelug_prompt_tokens",
+            "Prompt tokens by what was asked for: read, fetched or saved.",
+            ["what"],
+            registry=self.registry,
+        )
+        self.orders = prometheus_client.Counter(
+            "snipelug_weight_orders",
+            "Orders to load weights by the status of the answer.",
+            ["status"],
+            registry=self.registry,
+        )
+        self.store_calls = prometheus_client.Counter(
+            "snipelug_store_calls",
+            "Calls to the platform's store by kind and outcome.",
+            ["call", "outcome"],
+            registry=self.registry,
+        )
+        self._gauges = {
+            name: prometheus_client.Gauge(
+                f"snipelug_{name}", text, registry=self.registry
+            )
+            for name, text in (
+                ("configuration_version", "Version of the configuration in force."),
+                ("configuration_age_seconds", "Time since it was confirmed."),
+                ("upstreams", "Upstreams listed."),
+                ("members", "Nodes that share the upstreams."),
+                ("lines_left_out", "Routine log lines left out so far."),
+            )
+        }
+
+    def render(self, beliefs: state.State, now: float, left_out: int) -> bytes:
+        """Return all metrics as text."""
+        known = beliefs.catalog
+        values = {
+            "configuration_version": known.version if known is not None else 0,
+            "configuration_age_seconds": now - beliefs.confirmed_at,
+            "upstreams": len(beliefs.fleet.upstreams),
+            "members": beliefs.nodes,
+            "lines_left_out": left_out,
+        }
+        for name, value in values.items():
+            self._gauges[name].set(value)
+        return exposition.generate_latest(self.registry)
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -0,0 +1,189 @@
+"""Brings engines to the weight versions that the operator named."""
+
+import logging
+
+import trio
+
+from snipelug_core import catalog, fleet, hashing, rollout
+from snipelug_relay import clock, ports, record, state, stats
+
+LOG = logging.getLogger("snipelug.weights")
+
+TICK_S = 0.15
+"""Pause between looks at the engines while orders are under way."""
+
+IDLE_S = 0.5
+"""Pause between looks while all engines serve the newest weights."""
+
+RANK_S = 0.35
+"""Head start of each node before the next one tries to get the lease."""
+
+ACCEPTED = 202
+ALREADY = 200
+FENCED = 412
+
+
+class Weights:
+    """Gives orders to engines while this node holds the lease."""
+
+    def __init__(
+        self,
+        cfg: ports.Settings,
+        beliefs: state.State,
+        store: ports.ControlStore,
+        machines: ports.Machines,
+        metrics: stats.Stats,
+    ) -> None:
+        self._cfg = cfg
+        self._beliefs = beliefs
+        self._store = store
+        self._machines = machines
+        self._stats = metrics
+        self._held: rollout.Held | None = None
+        self._row_version = 0
+        self._orders: rollout.Orders = {}
+        self._needed_since: float | None = None
+        self._wait_until = 0.0
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        while True:
+            if not self._is_needed():
+                self._needed_since = None
+                self._orders.clear()
+                await trio.sleep(IDLE_S)
+                continue
+            now = clock.now()
+            if self._needed_since is None:
+                self._needed_since = now
+                self._wait_until = now + RANK_S * self._rank()
+            if now >= self._wait_until and await self._has_lease():
+                await self._give_orders()
+            await trio.sleep(TICK_S)
+
+    def _engines(self) -> list[list[fleet.Upstream]]:
+        known = self._beliefs.catalog
+        services: list[catalog.Service] = []
+        if known is not None:
+            services = [s for s in known.services.values() if s.engine is not None]
+        return [self._beliefs.fleet.of_service(s.name) for s in services]
+
+    def _is_needed(self) -> bool:
+        newest = self._beliefs.newest()
+        return any(
+            next(rollout.outdated(group, newest), None) is not None
+            for group in self._engines()
+        )
+
+    def _rank(self) -> int:
+        """Return this node's place in the order that all nodes agree on."""
+        ids = {member.node_id for member in self._beliefs.members}
+        ids.add(self._cfg.node_id)
+        return hashing.rank("weights", ids).index(self._cfg.node_id)
+
+    async def _has_lease(self) -> bool:
+        """Hold the lease for long enough to give orders now."""
+        held = self._held
+        left_ms = held.left_ms(clock.now()) if held is not None else 0.0
+        if held is not None and left_ms > rollout.RENEW_BEFORE_MS:
+            return True
+        if held is not None and left_ms > 0:
+            return await self._write(
+                held.lease.fencing, held.store_ms, self._row_version
+            )
+        self._held = None
+        row = await self._store.read_lease()
+        if isinstance(row, ports.Unavailable):
+            record.warning(LOG, "lease_unreadable", reason=row.reason)
+            return False
+        if not rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
+            assert row.lease is not None
+            self._wait_until = clock.now() + max(
+                RANK_S, (row.lease.until_ms - row.clock_ms) / 1e3
+            )
+            return False
+        return await self._write(None, row.clock_ms, row.version)
+
+    async def _write(self, fencing: int | None, store_ms: float, expected: int) -> bool:
+        """Write the lease; a new holder gets a fencing number beyond all earlier ones.
+
+        The row's version grows with each write, so the number taken from it does.
+        """
+        sent_at = clock.now()
+        if self._held is not None:
+            store_ms += 1e3 * (sent_at - self._held.sent_at)
+        until_ms = store_ms + self._cfg.bounds.lease_ms + rollout.LEASE_MARGIN_MS
+        token = expected + 1 if fencing is None else fencing
+        lease = rollout.Lease(self._cfg.node_id, until_ms, token)
+        answer = await self._store.write_lease(lease, expected)
+        if not isinstance(answer, ports.Taken):
+            reason = getattr(answer, "reason", "another node wrote it first")
+            record.event(LOG, "lease_not_taken", reason=reason, expected=expected)
+            self._held = None
+            return False
+        if fencing is None:
+            record.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
+        self._held = rollout.Held(lease, sent_at, answer.clock_ms)
+        self._row_version = answer.version
+        return True
+
+    async def _give_orders(self) -> None:
+        newest = self._beliefs.newest()
+        async with trio.open_nursery() as nursery:
+            for group in self._engines():
+                known = {u.entry.id: u for u in group}
+                for upstream_id in list(self._orders):
+                    if upstream_id in known:
+                        nursery.start_soon(self._look, known[upstream_id])
+        rollout.settle(self._orders, self._beliefs.fleet.upstreams, clock.now())
+        async with trio.open_nursery() as nursery:
+            for group in self._engines():
+                for upstream, model, version in rollout.plan(
+                    group, newest, self._orders
+                ):
+                    order = rollout.Order(model, version, clock.now())
+                    self._orders[upstream.entry.id] = order
+                    nursery.start_soon(self._order, upstream, order)
+
+    async def _look(self, upstream: fleet.Upstream) -> ports.Report | None:
+        report = await self._machines.report(upstream.entry.addr)
+        if isinstance(report, ports.Unavailable):
+            return None
+        for model, version in report.versions.items():
+            upstream.note_version(model, version)
+        return report
+
+    async def _order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
+        report = await self._look(upstream)
+        held = self._held
+        served = upstream.versions.get(order.model, 0)
+        if report is None or report.is_busy or served >= order.version:
+            if report is None:
+                reason = "the engine does not report its state"
+                record.event(
+                    LOG, "order_skipped", upstream=upstream.entry.id, reason=reason
+                )
+            return
+        if held is None or held.left_ms(clock.now()) <= 0:
+            self._orders.pop(upstream.entry.id, None)
+            return
+        answer = await self._machines.order_version(
+            upstream.entry, order.model, order.version, held.lease, report.orders
+        )
+        self._stats.orders.labels(str(answer.status)).inc()
+        record.event(
+            LOG,
+            "order",
+            upstream=upstream.entry.id,
+            model=order.model,
+            version=order.version,
+            before=served,
+            accepted=report.orders,
+            fencing=held.lease.fencing,
+            lease_left_ms=round(held.left_ms(clock.now())),
+            status=answer.status,
+            reason=answer.reason,
+        )
+        if answer.status == FENCED:
+            self._held = None
+            self._wait_until = clock.now() + self._cfg.bounds.lease_ms / 1e3
