Keep short shared parts in the stores of KV cache; announce long prompts to other nodes

Short prompts waited up to 1.5 s behind long prompts of other nodes, which the load told by answers does not show in time. Transfer times were looked up under weight version 0 until the first version was named.

Ruled out: polling the engines' reports, which cost a probe each.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -37,6 +37,7 @@
 OLD_WEIGHTS_RISE = 0.2
 """How fast that cost rises with the time since the version was named, s per s."""
 
+OLD_WEIGHTS_MOST_S = 30.0
 FULL_S = 0.25
 """Cost of a prompt that does not fit beside those that already run."""
 
@@ -235,7 +236,8 @@
         return cost + _plain_wait_s(upstream, now), 0
     wait_s, prefill = _engine_wait_s(upstream, need, engine, now, is_first)
     if upstream.versions.get(need.model, 0) < need.version:
-        cost += OLD_WEIGHTS_S + OLD_WEIGHTS_RISE * need.version_age_s
+        age_s = min(need.version_age_s, OLD_WEIGHTS_MOST_S)
+        cost += OLD_WEIGHTS_S + OLD_WEIGHTS_RISE * age_s
     return cost + wait_s, prefill
 
 
@@ -255,7 +257,8 @@
 ) -> tuple[float, int]:
     """Return the expected time to the first token and the tokens to read."""
     running, waiting = upstream.others(now)
-    wait_s = upstream.prefill_tokens / PREFILL_TOKENS_PER_S
+    pending = upstream.prefill_tokens + upstream.announced_tokens(now)
+    wait_s = pending / PREFILL_TOKENS_PER_S
     wait_s += WAITING_S * waiting + STEP_S * (running + upstream.running)
     total = running + waiting + upstream.running
     wait_s += WAITING_S * max(0.0, total + 1 - engine.slots)
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -66,6 +66,20 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Announced:
+    """A prompt that another node has sent to an upstream.
+
+    Attributes
+    ----------
+    until : float
+        When it no longer counts, in seconds.
+    """
+
+    tokens: int
+    until: float
+
+
 @dataclasses.dataclass
 class Upstream:
     """One upstream and what this node knows of it.
@@ -84,6 +98,8 @@
         No request is sent before, after connecting failed; in seconds.
     switching_until : float
         The upstream loads weights and turns requests away; in seconds.
+    announced : dict
+        Prompts of other nodes, by sender and number.
     held : collections.OrderedDict
         Parts of prompts that it is taken to have cached, with their tokens.
     """
@@ -107,6 +123,15 @@
         default_factory=collections.OrderedDict
     )
     held_tokens: int = 0
+    announced: dict[tuple[str, int], Announced] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def announced_tokens(self, now: float) -> int:
+        """Return the prompt tokens of other nodes that wait to be read."""
+        for key in [k for k, item in self.announced.items() if item.until <= now]:
+            del self.announced[key]
+        return sum(item.tokens for item in self.announced.values())
 
     def note_version(self, model: str, version: int) -> None:
         """Note the weight version that the upstream serves now."""
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -27,14 +27,17 @@
 FETCH_S = 2.0
 """Longest transfer from a store; later ones are discarded by the engine."""
 
-BELIEF_S = 4.5
+BELIEF_S = 3.5
 """Age of the confirmed configuration up to which stores are used."""
 
-FREE_AFTER_S = BELIEF_S + FETCH_S + 1.5
+FREE_AFTER_S = BELIEF_S + FETCH_S + 1.0
 """Time after which nothing reads parts of replaced weights."""
 
-MIN_TOKENS = 512
-"""Shorter parts are read again in less time than a transfer takes to start."""
+MIN_TOKENS = 128
+"""Prompts that share less are read again in less time than a transfer needs."""
+
+SMALL_TOKENS = 2048
+"""Smaller parts go to the stores that start a transfer soonest."""
 
 SAVE_PENDING_S = 3.0
 """Time for which a save counts as under way at the node that asked for it."""
@@ -45,6 +48,9 @@
 ZONE_FACTOR = 2.0
 """Transfers between zones take twice as long."""
 
+MOST_ORDERS = 20_000
+"""Orders of stores that are kept, about 4 MB."""
+
 PartKey = tuple[str, str]
 """Salt and id of a part."""
 
@@ -107,12 +113,14 @@
         """Tell whether the known parts may be read."""
         return self.epoch is not None and now - self.polled_at < FRESH_S
 
+    def is_saving(self, key: PartKey, now: float) -> bool:
+        """Tell whether this node has asked for the part to be saved just now."""
+        return now - self.saving.get(key, -1e9) < SAVE_PENDING_S
+
     def may_save(self, key: PartKey, tokens: int, now: float) -> bool:
         """Tell whether a part should be saved."""
         if not self.is_fresh(now) or now < self.settled_at or key in self.parts:
             return False
-        if now - self.saving.get(key, -1e9) < SAVE_PENDING_S:
-            return False
         return self.used_tokens + tokens < FULL_PART * self.store.capacity_tokens
 
 
@@ -167,10 +175,12 @@
 
     def __init__(self) -> None:
         self.shelves: dict[str, Shelf] = {}
+        self._orders: dict[tuple[str, bool], list[Shelf]] = {}
 
     def set_stores(self, stores: collections.abc.Iterable[catalog.KvStore]) -> None:
         """Take the stores in force; those that moved start empty."""
         wanted = {store.name: store for store in stores}
+        self._orders.clear()
         for name in [n for n in self.shelves if n not in wanted]:
             del self.shelves[name]
         for name, store in wanted.items():
@@ -178,19 +188,29 @@
             if known is None or known.store != store:
                 self.shelves[name] = Shelf(store)
 
-    def home(self, part_id: str) -> Shelf | None:
-        """Return the store that keeps a part, by weighted rendezvous.
+    def order(self, part: choice.Part) -> list[Shelf]:
+        """Return the stores in the order in which they keep a part.
 
-        Stores get parts in proportion to their space.
+        The order is a rendezvous weighted by space; small parts go first to the
+        stores that start a transfer soonest.
         """
-
-        def weighted(shelf: Shelf) -> float:
-            score = hashing.rendezvous_score(part_id, shelf.store.name)
-            uniform = (score + 1) / 2.0**64
+        is_small = part.tokens < SMALL_TOKENS
+        known = self._orders.get((part.id, is_small))
+        if known is not None:
+            return known
+        if len(self._orders) >= MOST_ORDERS:
+            self._orders.clear()
+        soonest_s = min((s.store.first_s for s in self.shelves.values()), default=0.0)
+
+        def preference(shelf: Shelf) -> tuple[bool, float]:
+            is_soon = shelf.store.first_s <= soonest_s
+            score = hashing.rendezvous_score(part.id, shelf.store.name)
             weight = max(1.0, shelf.store.capacity_tokens / 1000)
-            return math.pow(uniform, 1.0 / weight)
+            return is_small and is_soon, math.pow((score + 1) / 2.0**64, 1.0 / weight)
 
-        return max(self.shelves.values(), key=weighted, default=None)
+        found = sorted(self.shelves.values(), key=preference, reverse=True)
+        self._orders[(part.id, is_small)] = found
+        return found
 
     def fetch_s(
         self,
@@ -202,7 +222,7 @@
     ) -> dict[str, float]:
         """Return the time of a transfer, in seconds, for each part in a store."""
         times = {}
-        for part in parts[:-1]:
+        for part in _worth_storing(parts):
             shelf = self._holder(part, key_salt, now)
             if shelf is None:
                 continue
@@ -222,8 +242,9 @@
         sources: list[Source | None] = []
         targets: list[catalog.KvStore | None] = []
         offsets: list[float] = []
+        shared = _worth_storing(parts)
         for index, part in enumerate(parts):
-            is_own = index == len(parts) - 1
+            is_own = index >= len(shared)
             shelf = None if is_own else self._holder(part, key_salt, now)
             if shelf is not None and shelf.clock_offset_s is not None:
                 tokens = shelf.parts[(key_salt, part.id)]
@@ -239,24 +260,30 @@
         return Plan(tuple(sources), tuple(targets), until_s)
 
     def _holder(self, part: choice.Part, key_salt: str, now: float) -> Shelf | None:
-        if part.tokens < MIN_TOKENS:
-            return None
-        shelf = self.home(part.id)
-        if shelf is None or not shelf.is_fresh(now):
-            return None
-        return shelf if (key_salt, part.id) in shelf.parts else None
+        key = (key_salt, part.id)
+        for shelf in self.order(part):
+            if key in shelf.parts and shelf.is_fresh(now):
+                return shelf
+        return None
 
     def _target(
         self, part: choice.Part, key_salt: str, now: float
     ) -> catalog.KvStore | None:
-        if part.tokens < MIN_TOKENS:
-            return None
-        shelf = self.home(part.id)
         key = (key_salt, part.id)
-        if shelf is None or not shelf.may_save(key, part.tokens, now):
+        order = self.order(part)
+        if any(shelf.is_saving(key, now) for shelf in order):
             return None
-        shelf.saving[key] = now
-        return shelf.store
+        for shelf in order:
+            if shelf.may_save(key, part.tokens, now):
+                shelf.saving[key] = now
+                return shelf.store
+        return None
+
+
+def _worth_storing(parts: tuple[choice.Part, ...]) -> tuple[choice.Part, ...]:
+    """Return the shared parts of a prompt, none if they are short together."""
+    shared = parts[:-1]
+    return shared if sum(part.tokens for part in shared) >= MIN_TOKENS else ()
 
 
 def outdated(
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -10,6 +10,7 @@
 from snipelug_core import catalog
 from snipelug_net import http_client, http_server
 from snipelug_relay import (
+    announce,
     clock,
     ports,
     record,
@@ -81,8 +82,14 @@
         control_pool = http_client.Pool(1.0, idle_per_addr=4)
         platform = build(cfg, control_pool)
         self._store = platform.store
+        self._announcer = announce.Announcer(cfg.peers, self._beliefs)
         self._relay = relay.Relay(
-            cfg, self._beliefs, platform.dialect, self._pool, self._stats
+            cfg,
+            self._beliefs,
+            platform.dialect,
+            self._pool,
+            self._stats,
+            self._announcer,
         )
         self._callers = http_server.Server(self._relay.handle)
         self._ready = http_server.Server(self._tell_ready)
@@ -108,6 +115,7 @@
                     self._watch.run_intents,
                     self._watch.run_upstreams,
                     self._watch.run_members,
+                    self._announcer.run,
                     self._weights.run,
                     self._shelves.run,
                     self._watch_settings,
@@ -163,7 +171,8 @@
         return http_server.Response(OK, text, {"content-type": "text/plain"})
 
     def _take_intent(self) -> None:
-        """Apply what the configuration says of this node's own servers."""
+        """Apply what the operator wants of this node itself."""
+        self._weights.wake()
         known = self._beliefs.catalog
         if known is None:
             return
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -32,6 +32,8 @@
         Address of the metrics; None for none.
     store : (str, int)
         Address of the platform's store.
+    peers : (str, int) or None
+        Address for datagrams of other nodes; None for none.
     """
 
     node_id: str
@@ -39,6 +41,7 @@
     callers: http_client.Address
     ready: http_client.Address
     store: http_client.Address
+    peers: http_client.Address | None = None
     metrics: http_client.Address | None = None
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     heartbeat_s: float = 1.2
@@ -243,11 +246,14 @@
     ----------
     seen_ms : float
         The store's clock when the row was written, at most, in milliseconds.
+    addr : (str, int) or None
+        Where the node receives datagrams.
     """
 
     node_id: str
     zone: str
     seen_ms: float
+    addr: http_client.Address | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -9,7 +9,7 @@
 
 from snipelug_core import attempt, catalog, choice, fleet, kv_index, refusal, retry
 from snipelug_net import http_client, http_server
-from snipelug_relay import clock, ports, record, sse, state, stats
+from snipelug_relay import announce, clock, ports, record, sse, state, stats
 
 LOG = logging.getLogger("snipelug.relay")
 
@@ -91,6 +91,7 @@
     tokens: int
     prefill_tokens: int
     entry: dict[str, object]
+    on_read: collections.abc.Callable[[], None] | None = None
     has_ended: bool = False
 
     def begin(self, now: float) -> None:
@@ -112,6 +113,9 @@
         """Note that the prompt has been read."""
         self.upstream.prefill_tokens -= self.prefill_tokens
         self.prefill_tokens = 0
+        if self.on_read is not None:
+            self.on_read()
+            self.on_read = None
 
     def end(self) -> None:
         """Stop counting the request."""
@@ -167,7 +171,9 @@
         dialect: ports.Dialect,
         pool: http_client.Pool,
         metrics: stats.Stats,
+        announcer: announce.Announcer,
     ) -> None:
+        self._announcer = announcer
         self._cfg = cfg
         self._beliefs = beliefs
         self._dialect = dialect
@@ -270,7 +276,7 @@
         if engine is None:
             return choice.Need(job.service, self._cfg.zone, len(ask.body))
         named = self._beliefs.named.get(ask.model)
-        version = named.version if named is not None else 0
+        version = self._beliefs.newest_version(ask.model, job.service)
         fetch_s: dict[str, float] = {}
         if self._beliefs.may_use_stores(now) and ask.parts:
             key_salt = self._salt(job, version)
@@ -331,6 +337,8 @@
         now = clock.now()
         visit, call = self._prepare(job, pick, resume_after, now)
         visit.begin(now)
+        entry = pick.upstream.entry
+        visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens)
         reply: http_client.Reply | None = None
         outcome = Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -66,6 +66,14 @@
         """Return the newest weight version of each model."""
         return {model: named.version for model, named in self.named.items()}
 
+    def newest_version(self, model: str, service: str) -> int:
+        """Return the newest weight version named, or served if none is named."""
+        named = self.named.get(model)
+        if named is not None:
+            return named.version
+        upstreams = self.fleet.of_service(service)
+        return max((u.versions.get(model, 0) for u in upstreams), default=0)
+
     def may_use_stores(self, now: float) -> bool:
         """Tell whether the intents are recent enough to read parts from stores."""
         return now - self.confirmed_at < kv_index.BELIEF_S
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -11,7 +11,7 @@
 
 LOG = logging.getLogger("snipelug.watch")
 
-INTENT_WAIT_S = 3.0
+INTENT_WAIT_S = 2.0
 """How long the store holds a call for the operator's next change.
 
 Shorter waits notice a silent connection sooner and cost more calls.
@@ -139,7 +139,12 @@
                 continue
             now = clock.now()
             if now - written_at >= MEMBER_WRITE_S - 1.0:
-                member = ports.Member(self._cfg.node_id, self._cfg.zone, page.clock_ms)
+                member = ports.Member(
+                    self._cfg.node_id,
+                    self._cfg.zone,
+                    page.clock_ms,
+                    self._cfg.peers,
+                )
                 if await contact.note(await self._store.write_member(member)):
                     written_at = now
             self._beliefs.take_members(page)
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -44,6 +44,11 @@
         self._orders: rollout.Orders = {}
         self._needed_since: float | None = None
         self._wait_until = 0.0
+        self._changed = trio.Event()
+
+    def wake(self) -> None:
+        """Look at once, because the operator's intents have changed."""
+        self._changed.set()
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -51,7 +56,9 @@
             if not self._is_needed():
                 self._needed_since = None
                 self._orders.clear()
-                await trio.sleep(IDLE_S)
+                self._changed = trio.Event()
+                with trio.move_on_after(IDLE_S):
+                    await self._changed.wait()
                 continue
             now = clock.now()
             if self._needed_since is None:
