Order engines in smaller waves, announce switches, keep long prompts together

Cause: around a new version a third of the engines was away at once, all prompts were read anew, and short prompts waited behind long ones on every engine. The giver of orders stopped when a renewal of its lease failed, though the lease still held. Other nodes learned of an engine's switch by its refusals. Parts of a replaced version were freed only after the newest version had settled.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -9,6 +9,9 @@
 PREFILL_TOKENS_PER_S = 50_000.0
 """Speed at which engines read prompts; the sites' sheets say 51 to 64 a ms."""
 
+PAIR_S = 5e-10
+"""Time for each pair of tokens of a prompt; the sheets say 0.32 and 0.65 ns."""
+
 STEP_S = 0.005
 """Time that one more running request costs the others; a step of a batch."""
 
@@ -31,13 +34,12 @@
 """Silence, while requests wait, after which an upstream is avoided."""
 
 SILENCE_COST_S = 3.0
-OLD_WEIGHTS_S = 0.15
-"""Cost of weights older than the version asked for, while upstreams load it."""
+OLD_WEIGHTS_S = 0.25
+"""Cost of weights older than the version named, while upstreams load it.
 
-OLD_WEIGHTS_RISE = 0.2
-"""How fast that cost rises with the time since the version was named, s per s."""
+An answer made on old weights is worth more than one that comes late.
+"""
 
-OLD_WEIGHTS_MOST_S = 30.0
 FULL_S = 0.25
 """Cost of a prompt that does not fit beside those that already run."""
 
@@ -47,6 +49,16 @@
 COLD_PART = 0.7
 """Part of the sustained load of a cold upstream that is used."""
 
+LONG_TOKENS = 3_000
+"""Prompts that are read for longer than 60 ms, a fifth of the allowed pause."""
+
+LONG_HARM = 0.5
+"""Cost, per second of reading, of a long prompt at an upstream that reads none.
+
+It keeps long prompts together when engines are busy, so that short ones find
+engines on which they need not wait.
+"""
+
 PREFERENCE_S = 0.03
 """Preference for the upstream that ranks first for a prompt's parts."""
 
@@ -74,9 +86,9 @@
     parts : tuple of Part
         Parts of the prompt in order.
     version : int
-        Newest weight version named for the model; 0 if none is known.
-    version_age_s : float
-        Time since that version was named, in seconds.
+        Newest weight version of the model; 0 if none is known.
+    is_version_due : bool
+        Older weights must not be used any more.
     fetch_s : collections.abc.Mapping
         Time in which parts can be fetched from a store, in seconds, by part.
     output_tokens : int
@@ -89,7 +101,7 @@
     model: str = ""
     parts: tuple[Part, ...] = ()
     version: int = 0
-    version_age_s: float = 0.0
+    is_version_due: bool = False
     fetch_s: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -149,6 +161,8 @@
             continue
         if need.model and need.model not in upstream.versions:
             continue
+        if need.is_version_due and upstream.versions.get(need.model, 0) < need.version:
+            continue
         if not cold_allows(upstream, view, now):
             continue
         yield upstream
@@ -236,8 +250,7 @@
         return cost + _plain_wait_s(upstream, now), 0
     wait_s, prefill = _engine_wait_s(upstream, need, engine, now, is_first)
     if upstream.versions.get(need.model, 0) < need.version:
-        age_s = min(need.version_age_s, OLD_WEIGHTS_MOST_S)
-        cost += OLD_WEIGHTS_S + OLD_WEIGHTS_RISE * age_s
+        cost += OLD_WEIGHTS_S
     return cost + wait_s, prefill
 
 
@@ -248,6 +261,11 @@
     return PLAIN_S * (max(0.0, total + 1 - slots) / slots + 0.3 * total / slots)
 
 
+def _attention_s(prompt: int, prefill: int) -> float:
+    """Return the time of attention for the last tokens of a prompt, in seconds."""
+    return PAIR_S * prefill * (prompt - prefill / 2)
+
+
 def _engine_wait_s(
     upstream: fleet.Upstream,
     need: Need,
@@ -271,7 +289,10 @@
             read_s += need.fetch_s[part.id]
             continue
         prefill += part.tokens
-    read_s += prefill / PREFILL_TOKENS_PER_S
+    prompt = sum(part.tokens for part in need.parts)
+    read_s += prefill / PREFILL_TOKENS_PER_S + _attention_s(prompt, prefill)
+    if prefill >= LONG_TOKENS and pending < LONG_TOKENS:
+        wait_s += LONG_HARM * read_s
     if upstream.tokens + size > engine.kv_capacity_tokens:
         wait_s += FULL_S
     if is_first:
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -11,8 +11,17 @@
 
 from snipelug_core import fleet
 
-WAVE_PART = 1 / 3
-"""Part of the engines that load at once; the rest serve meanwhile."""
+ROLLOUT_S = 5.0
+"""Time in which all engines are to serve a version after it was named.
+
+Shorter leaves too few engines for the load; the deployments allow 8 s in all.
+"""
+
+LOAD_S = 0.8
+"""Time for which an engine is away: its runs finish, then the weights load."""
+
+MOST_PART = 1 / 2
+"""Part of the engines that load at once, at most; the rest serve meanwhile."""
 
 LEASE_MARGIN_MS = 400.0
 """The holder stops this long before its lease ends on the store's clock."""
@@ -128,11 +137,25 @@
     upstreams: collections.abc.Collection[fleet.Upstream],
     newest: collections.abc.Mapping[str, int],
     orders: Orders,
+    age_s: float,
 ) -> list[tuple[fleet.Upstream, str, int]]:
-    """Return the upstreams to order now, those with the least work first."""
+    """Return the upstreams to order now, those with the least work first.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since the newest version was named, in seconds.
+    """
     waiting = [
         item for item in outdated(upstreams, newest) if item[0].entry.id not in orders
     ]
-    room = max(1, math.ceil(WAVE_PART * len(upstreams))) - len(orders)
+    room = at_once(len(upstreams), len(waiting) + len(orders), age_s) - len(orders)
     waiting.sort(key=lambda item: (item[0].running, item[0].entry.id))
     return waiting[: max(0, room)]
+
+
+def at_once(engines: int, outdated_engines: int, age_s: float) -> int:
+    """Return how many engines load at once, so that all are done in time."""
+    waves = max(1.0, (ROLLOUT_S - age_s) / LOAD_S)
+    most = max(1, math.floor(MOST_PART * engines))
+    return min(most, max(1, math.ceil(outdated_engines / waves)))
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -1,8 +1,9 @@
-"""Tells the other nodes which upstreams are about to read long prompts.
+"""Tells the other nodes what this node has just done at an upstream.
 
-What an upstream tells of its load is as old as its last answer. Without these
-messages two nodes send long prompts to one upstream, and short ones behind them.
-A lost datagram costs time only: each message ends by itself.
+What an upstream tells of its load is as old as its last answer, and what it tells
+of its weights as old as its last heartbeat. Without these messages two nodes send
+long prompts to one upstream, short ones behind them, and requests to an engine
+that loads weights. A lost datagram costs time only: each message ends by itself.
 """
 
 import collections.abc
@@ -23,12 +24,15 @@
 """Shorter prompts are read in under 20 ms."""
 
 DATAGRAM_BYTES = 512
+MOST_SWITCH_S = 3.0
+"""Longest pause that another node can ask for."""
+
 SPARE_S = 1.0
 """A prompt counts for twice its expected reading time and this, at most."""
 
 
-class Message(msgspec.Struct, array_like=True):
-    """One prompt.
+class Prefill(msgspec.Struct, array_like=True, tag=1):
+    """A prompt that was sent or has been read.
 
     Attributes
     ----------
@@ -43,6 +47,24 @@
     tokens: int
 
 
+class Switching(msgspec.Struct, array_like=True, tag=2):
+    """An engine was ordered to load weights and turns requests away meanwhile."""
+
+    upstream_id: str
+    for_s: float
+
+
+class Serving(msgspec.Struct, array_like=True, tag=3):
+    """An engine serves a weight version now."""
+
+    upstream_id: str
+    model: str
+    version: int
+
+
+Message = Prefill | Switching | Serving
+
+
 class Announcer:
     """Sends and receives messages on one UDP socket.
 
@@ -85,8 +107,16 @@
         if self._sock is None or tokens < MIN_TOKENS:
             return None
         number = next(self._numbers)
-        self._send(Message(upstream_id, number, tokens))
-        return lambda: self._send(Message(upstream_id, number, 0))
+        self._send(Prefill(upstream_id, number, tokens))
+        return lambda: self._send(Prefill(upstream_id, number, 0))
+
+    def switching(self, upstream_id: str, for_s: float) -> None:
+        """Announce that an engine loads weights."""
+        self._send(Switching(upstream_id, for_s))
+
+    def serving(self, upstream_id: str, model: str, version: int) -> None:
+        """Announce the weight version that an engine serves now."""
+        self._send(Serving(upstream_id, model, version))
 
     def _send(self, message: Message) -> None:
         sock = self._sock
@@ -125,9 +155,17 @@
         upstream = self._beliefs.fleet.upstreams.get(message.upstream_id)
         if upstream is None:
             return
-        key = (sender, message.number)
-        if message.tokens <= 0:
-            upstream.announced.pop(key, None)
-            return
-        lasts_s = 2 * message.tokens / choice.PREFILL_TOKENS_PER_S + SPARE_S
-        upstream.announced[key] = fleet.Announced(message.tokens, clock.now() + lasts_s)
+        now = clock.now()
+        match message:
+            case Prefill(_, number, 0):
+                upstream.announced.pop((sender, number), None)
+            case Prefill(_, number, tokens):
+                lasts_s = 2 * tokens / choice.PREFILL_TOKENS_PER_S + SPARE_S
+                upstream.announced[(sender, number)] = fleet.Announced(
+                    tokens, now + lasts_s
+                )
+            case Switching(_, for_s):
+                upstream.switching_until = now + min(for_s, MOST_SWITCH_S)
+            case Serving(_, model, version):
+                upstream.note_version(model, version)
+                upstream.switching_until = 0.0
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -33,6 +33,9 @@
 CONNECT_S = 0.3
 """Time to connect to an upstream; zones are 1.4 ms apart."""
 
+CONTROL_CONNECT_S = 0.5
+"""Time to connect to the store, engines and stores of KV cache for control."""
+
 IDLE_PART = 0.6
 """Part of an upstream's connections that all nodes together keep open."""
 
@@ -79,7 +82,7 @@
         self._stats = stats.Stats()
         self._beliefs = state.State(cfg)
         self._pool = http_client.Pool(CONNECT_S, idle_per_addr=MOST_IDLE)
-        control_pool = http_client.Pool(1.0, idle_per_addr=4)
+        control_pool = http_client.Pool(CONTROL_CONNECT_S, idle_per_addr=4)
         platform = build(cfg, control_pool)
         self._store = platform.store
         self._announcer = announce.Announcer(cfg.peers, self._beliefs)
@@ -98,7 +101,12 @@
             cfg, self._beliefs, platform.store, self._stats, self._take_intent
         )
         self._weights = weights.Weights(
-            cfg, self._beliefs, platform.store, platform.machines, self._stats
+            cfg,
+            self._beliefs,
+            platform.store,
+            platform.machines,
+            self._stats,
+            self._announcer,
         )
         self._shelves = shelves.Shelves(cfg, self._beliefs, platform.machines)
 
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -44,6 +44,9 @@
 SWITCHING_S = 0.3
 """Pauses after an upstream turned a request away."""
 
+VERSION_MARGIN_S = 1.0
+"""Old weights are given up this long before the deployment's bound."""
+
 WAIT_PART = 0.25
 """Part of the objective for which a request waits for an upstream to come back."""
 
@@ -290,11 +293,15 @@
             ask.model,
             ask.parts,
             version,
-            now - named.at if named is not None else 0.0,
+            named is not None and now - named.at > self._version_due_s(),
             fetch_s,
             ask.output_tokens,
         )
 
+    def _version_due_s(self) -> float:
+        """Return the time after which old weights are not used, in seconds."""
+        return self._cfg.bounds.version_s - VERSION_MARGIN_S
+
     def _salt(self, job: Job, version: int) -> str:
         return kv_index.salt(job.ask.model, version, job.team)
 
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -107,9 +107,8 @@
         """Free the parts that no request can read any more."""
         now = clock.now()
         settled = {
-            model: named.version
+            model: named.settled(now, kv_index.FREE_AFTER_S)
             for model, named in self._beliefs.named.items()
-            if now - named.at > kv_index.FREE_AFTER_S
         }
         keys = list(kv_index.outdated(shelf, settled))[:FREE_AT_ONCE]
         if not keys or shelf.epoch is None:
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -21,10 +21,18 @@
     ----------
     at : float
         When this node learned of it, in seconds.
+    times : dict of int to float
+        When this node learned of each version, in seconds.
     """
 
     version: int
     at: float
+    times: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def settled(self, now: float, after_s: float) -> int:
+        """Return the newest version that was named at least a time ago, or 0."""
+        ages = (v for v, at in self.times.items() if now - at > after_s)
+        return max(ages, default=0)
 
 
 class State:
@@ -133,7 +141,9 @@
             return
         # Weights that were named before this node started are not new.
         at = clock.now() if self.list_known else -1e9
-        self.named[model] = Named(version, at)
+        times = dict(known.times) if known is not None else {}
+        times[version] = at
+        self.named[model] = Named(version, at, times)
         record.event(
             LOG,
             "weights_named",
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -20,8 +20,8 @@
 LIST_PART = 0.4
 """Part of the time for a drain after which the list of upstreams is read again."""
 
-RETRY_S = 0.25
-MOST_RETRY_S = 1.0
+RETRY_S = 0.2
+MOST_RETRY_S = 0.5
 """Pauses after calls that failed."""
 
 OUTAGE_S = 1.2
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -5,7 +5,7 @@
 import trio
 
 from snipelug_core import catalog, fleet, hashing, rollout
-from snipelug_relay import clock, ports, record, state, stats
+from snipelug_relay import announce, clock, ports, record, state, stats
 
 LOG = logging.getLogger("snipelug.weights")
 
@@ -18,8 +18,10 @@
 RANK_S = 0.35
 """Head start of each node before the next one tries to get the lease."""
 
+SWITCH_S = 1.5
+"""Time for which an engine that was ordered to switch gets no requests, at most."""
+
 ACCEPTED = 202
-ALREADY = 200
 FENCED = 412
 
 
@@ -33,7 +35,9 @@
         store: ports.ControlStore,
         machines: ports.Machines,
         metrics: stats.Stats,
+        announcer: announce.Announcer,
     ) -> None:
+        self._announcer = announcer
         self._cfg = cfg
         self._beliefs = beliefs
         self._store = store
@@ -41,6 +45,7 @@
         self._stats = metrics
         self._held: rollout.Held | None = None
         self._row_version = 0
+        self._is_renewing = False
         self._orders: rollout.Orders = {}
         self._needed_since: float | None = None
         self._wait_until = 0.0
@@ -52,6 +57,10 @@
 
     async def run(self) -> None:
         """Work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await self._work(nursery)
+
+    async def _work(self, nursery: trio.Nursery) -> None:
         while True:
             if not self._is_needed():
                 self._needed_since = None
@@ -64,8 +73,12 @@
             if self._needed_since is None:
                 self._needed_since = now
                 self._wait_until = now + RANK_S * self._rank()
-            if now >= self._wait_until and await self._has_lease():
+            if self._left_ms() > 0:
+                self._renew_soon(nursery)
                 await self._give_orders()
+            elif now >= self._wait_until:
+                await self._take_lease()
+                continue
             await trio.sleep(TICK_S)
 
     def _engines(self) -> list[list[fleet.Upstream]]:
@@ -88,28 +101,39 @@
         ids.add(self._cfg.node_id)
         return hashing.rank("weights", ids).index(self._cfg.node_id)
 
-    async def _has_lease(self) -> bool:
-        """Hold the lease for long enough to give orders now."""
+    def _left_ms(self) -> float:
+        """Return for how long this node may give orders, in milliseconds."""
         held = self._held
-        left_ms = held.left_ms(clock.now()) if held is not None else 0.0
-        if held is not None and left_ms > rollout.RENEW_BEFORE_MS:
-            return True
-        if held is not None and left_ms > 0:
-            return await self._write(
-                held.lease.fencing, held.store_ms, self._row_version
-            )
+        return held.left_ms(clock.now()) if held is not None else 0.0
+
+    def _renew_soon(self, nursery: trio.Nursery) -> None:
+        """Renew the lease beside the orders, which go on while it lasts."""
+        is_due = self._left_ms() < rollout.RENEW_BEFORE_MS
+        if is_due and not self._is_renewing:
+            self._is_renewing = True
+            nursery.start_soon(self._renew)
+
+    async def _renew(self) -> None:
+        try:
+            held = self._held
+            if held is not None:
+                await self._write(held.lease.fencing, held.store_ms, self._row_version)
+        finally:
+            self._is_renewing = False
+
+    async def _take_lease(self) -> None:
         self._held = None
         row = await self._store.read_lease()
         if isinstance(row, ports.Unavailable):
             record.warning(LOG, "lease_unreadable", reason=row.reason)
-            return False
-        if not rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
+            self._wait_until = clock.now() + RANK_S
+        elif rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
+            if not await self._write(None, row.clock_ms, row.version):
+                self._wait_until = clock.now() + RANK_S
+        else:
             assert row.lease is not None
-            self._wait_until = clock.now() + max(
-                RANK_S, (row.lease.until_ms - row.clock_ms) / 1e3
-            )
-            return False
-        return await self._write(None, row.clock_ms, row.version)
+            left_s = (row.lease.until_ms + rollout.SETTLE_MS - row.clock_ms) / 1e3
+            self._wait_until = clock.now() + left_s + 0.01
 
     async def _write(self, fencing: int | None, store_ms: float, expected: int) -> bool:
         """Write the lease; a new holder gets a fencing number beyond all earlier ones.
@@ -126,7 +150,8 @@
         if not isinstance(answer, ports.Taken):
             reason = getattr(answer, "reason", "another node wrote it first")
             record.event(LOG, "lease_not_taken", reason=reason, expected=expected)
-            self._held = None
+            if isinstance(answer, ports.Beaten):
+                self._held = None
             return False
         if fencing is None:
             record.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
@@ -146,18 +171,26 @@
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 for upstream, model, version in rollout.plan(
-                    group, newest, self._orders
+                    group, newest, self._orders, self._age_s()
                 ):
                     order = rollout.Order(model, version, clock.now())
                     self._orders[upstream.entry.id] = order
                     nursery.start_soon(self._order, upstream, order)
 
+    def _age_s(self) -> float:
+        """Return the time since the last version was named, in seconds."""
+        named = self._beliefs.named.values()
+        return clock.now() - max(item.at for item in named)
+
     async def _look(self, upstream: fleet.Upstream) -> ports.Report | None:
         report = await self._machines.report(upstream.entry.addr)
         if isinstance(report, ports.Unavailable):
             return None
         for model, version in report.versions.items():
-            upstream.note_version(model, version)
+            if upstream.versions.get(model) != version:
+                upstream.note_version(model, version)
+                upstream.switching_until = 0.0
+                self._announcer.serving(upstream.entry.id, model, version)
         return report
 
     async def _order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
@@ -191,6 +224,9 @@
             status=answer.status,
             reason=answer.reason,
         )
+        if answer.status == ACCEPTED:
+            upstream.switching_until = clock.now() + SWITCH_S
+            self._announcer.switching(upstream.entry.id, SWITCH_S)
         if answer.status == FENCED:
             self._held = None
             self._wait_until = clock.now() + self._cfg.bounds.lease_ms / 1e3
