--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -67,6 +67,11 @@
 class Node:
     """One node.
 
+    Attributes
+    ----------
+    callers_port, ready_port : int
+        Ports that were bound.
+
     Parameters
     ----------
     reload : Reload
@@ -94,6 +99,8 @@
             self._stats,
             self._announcer,
         )
+        self.callers_port = 0
+        self.ready_port = 0
         self._callers = http_server.Server(self._relay.handle)
         self._ready = http_server.Server(self._tell_ready)
         self._metrics = http_server.Server(self._tell_metrics)
@@ -115,30 +122,40 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._log.run)
-                await nursery.start(self._callers.serve, *self._cfg.callers)
-                await nursery.start(self._ready.serve, *self._cfg.ready)
-                if self._cfg.metrics is not None:
-                    nursery.start_soon(self._serve_metrics)
-                for part in (
-                    self._watch.run_intents,
-                    self._watch.run_upstreams,
-                    self._watch.run_members,
-                    self._announcer.run,
-                    self._weights.run,
-                    self._shelves.run,
-                    self._watch_settings,
-                    self._tend,
-                ):
-                    nursery.start_soon(part)
-                record.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
+                await nursery.start(self.serve)
                 async for number in signals:
                     if number == signal.SIGTERM:
                         break
                     self._look_at_settings(is_asked=True)
-                await self._stop()
+                await self.stop()
                 nursery.cancel_scope.cancel()
         self._log.write_out()
 
+    async def serve(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; report once callers can connect."""
+        async with trio.open_nursery() as nursery:
+            self.callers_port = await nursery.start(
+                self._callers.serve, *self._cfg.callers
+            )
+            self.ready_port = await nursery.start(self._ready.serve, *self._cfg.ready)
+            if self._cfg.metrics is not None:
+                nursery.start_soon(self._serve_metrics)
+            for part in (
+                self._watch.run_intents,
+                self._watch.run_upstreams,
+                self._watch.run_members,
+                self._announcer.run,
+                self._weights.run,
+                self._shelves.run,
+                self._watch_settings,
+                self._tend,
+            ):
+                nursery.start_soon(part)
+            record.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
+            task_status.started()
+
     async def _serve_metrics(self) -> None:
         assert self._cfg.metrics is not None
         try:
@@ -146,7 +163,7 @@
         except OSError as exc:
             record.warning(LOG, "metrics_not_served", reason=str(exc))
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Leave the load balancer, let requests finish, then close."""
         began = clock.now()
         self._beliefs.is_stopping = True
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,154 @@
+"""Choice of an upstream."""
+
+import collections
+import dataclasses
+
+import pytest
+
+from snipelug_core import choice, fleet
+from tests import relay_builders
+
+ENTRY = relay_builders.entry
+NOW = 100.0
+
+
+def pick(
+    upstreams: list[fleet.Upstream],
+    need: choice.Need,
+    now: float = NOW,
+    **view: object,
+) -> str | None:
+    found = choice.choose(upstreams, need, relay_builders.view(**view), (), now)
+    return None if found is None else found.upstream.entry.id
+
+
+def test_zone_that_is_out_gets_nothing() -> None:
+    """Guards against work for a zone that operators took out."""
+    upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
+    need = relay_builders.need(100, 10)
+    assert pick(upstreams, need) == "near"
+    assert pick(upstreams, need, zones_out=frozenset({"a"})) == "far"
+    assert pick(upstreams, need, zones_out=frozenset({"a", "b"})) is None
+
+
+UNUSABLE = [
+    {"is_leaving": True},
+    {"versions": {}},
+]
+
+
+@pytest.mark.parametrize("changes", UNUSABLE)
+def test_unusable_entries(changes: dict[str, object]) -> None:
+    """Guards against sends to upstreams that leave or lack the model."""
+    upstreams = relay_builders.upstreams(ENTRY(**changes))
+    assert pick(upstreams, relay_builders.need(100, 10)) is None
+
+
+def test_tried_blocked_and_switching_are_passed_over() -> None:
+    """Guards against a second send to an upstream that has just turned one away."""
+    upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"), ENTRY("u3"))
+    upstreams[0].blocked_until = NOW + 1
+    upstreams[1].switching_until = NOW + 1
+    view = relay_builders.view()
+    need = relay_builders.need(100, 10)
+    assert choice.choose(upstreams, need, view, {"u3"}, NOW) is None
+    assert pick(upstreams, need) == "u3"
+
+
+def test_short_prompt_avoids_engine_that_reads_a_long_one() -> None:
+    """Guards against short questions that wait behind long prompts of other nodes."""
+    upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
+    need = relay_builders.need(50, 250, 80)
+    first = pick(upstreams, need)
+    busy = next(u for u in upstreams if u.entry.id == first)
+    busy.announced[("10.0.0.2", 1)] = fleet.Announced(17_000, NOW + 1)
+    assert pick(upstreams, need) != first
+
+
+def test_all_nodes_prefer_one_engine_for_a_new_part() -> None:
+    """Guards against a shared part that several engines read at once."""
+    entries = [ENTRY(f"u{i}") for i in range(6)]
+    need = relay_builders.need(12_800, 4_000)
+    first = pick(relay_builders.upstreams(*entries), need)
+    assert pick(relay_builders.upstreams(*reversed(entries)), need) == first
+
+
+def test_prompts_stay_in_the_zone_unless_it_is_busy() -> None:
+    """Guards against bytes between zones that buy no time."""
+    upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
+    need = relay_builders.need(12_800, 4_000, body_bytes=34_000)
+    assert pick(upstreams, need) == "near"
+    upstreams[0].prefill_tokens = 40_000
+    assert pick(upstreams, need) == "far"
+
+
+def test_old_weights_are_used_only_while_new_ones_are_busy_or_due() -> None:
+    """Guards against late answers for new weights, and old weights after the bound."""
+    upstreams = relay_builders.upstreams(
+        ENTRY("new", versions={relay_builders.MODEL: 2}), ENTRY("old")
+    )
+    need = relay_builders.need(100, 10, version=2)
+    assert pick(upstreams, need) == "new"
+    upstreams[0].prefill_tokens = 40_000
+    assert pick(upstreams, need) == "old"
+    due = dataclasses.replace(need, is_version_due=True)
+    assert pick(upstreams, due) == "new"
+    assert pick(upstreams[1:], due) is None
+
+
+def test_long_prompts_keep_together() -> None:
+    """Guards against short questions that find a long prompt on every engine.
+
+    Plays the load of new weights: no part is cached, and long prompts come faster
+    than one engine reads them. Counts engines without a long prompt when half of
+    the engines could hold all of them within the objective.
+    """
+    upstreams = relay_builders.upstreams(*(ENTRY(f"u{i}") for i in range(6)))
+    view = relay_builders.view()
+    for number in range(4):
+        parts = (choice.Part(f"c{number}", 12_000), choice.Part("own", 4_000))
+        need = dataclasses.replace(relay_builders.need(1, 1), parts=parts)
+        found = choice.choose(upstreams, need, view, (), NOW)
+        assert found is not None
+        assert found.cost_s < 0.8
+        found.upstream.prefill_tokens += found.prefill_tokens
+    idle = [u for u in upstreams if u.prefill_tokens == 0]
+    assert len(idle) >= 2
+
+
+def test_failing_and_silent_upstreams_are_avoided() -> None:
+    """Guards against an upstream that fails requests while it is listed as ready."""
+    need = relay_builders.need()
+    upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
+    first = pick(upstreams, need)
+    bad = next(u for u in upstreams if u.entry.id == first)
+    bad.oldest_silence_at = NOW - choice.SILENCE_S - 0.1
+    assert pick(upstreams, need) != first
+    bad.oldest_silence_at = None
+    for _ in range(5):
+        bad.note_outcome(is_failure=True, now=NOW)
+    assert pick(upstreams, need) != first
+
+
+@pytest.mark.parametrize("nodes", [1, 6, 79])
+def test_cold_upstream_gets_what_it_sustains_from_all_nodes(nodes: int) -> None:
+    """Guards against the sum of all nodes' sends to an upstream in cold start.
+
+    Each node has a request for it every 10 ms.
+    """
+    view = relay_builders.view(nodes=nodes)
+    cold = [
+        relay_builders.upstreams(ENTRY(cold_s=1e9, born=i))[0] for i in range(nodes)
+    ]
+    sends: collections.Counter[int] = collections.Counter()
+    for tick in range(400):
+        now = NOW + tick / 100
+        for upstream in cold:
+            if choice.cold_allows(upstream, view, now):
+                choice.note_sent(upstream, now)
+                sends[tick] += 1
+    most = max(
+        sum(sends[tick] for tick in range(start, start + 100)) for start in range(300)
+    )
+    assert most <= 1.5 * view.service.cold_per_s + 5
+    assert sum(sends.values()) >= 0.5 * view.service.cold_per_s * 4
--- /dev/null
+++ b/tests/test_kv_index.py
@@ -0,0 +1,289 @@
+"""Stores of KV cache: nothing is read that is not whole, of another team or version."""
+
+import collections
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from snipelug_core import catalog, choice, kv_index
+from tests import relay_builders
+
+PARTS = (choice.Part("shared", 12_800), choice.Part("own", 4_000))
+SALT = kv_index.salt("m", 1, None)
+KEY = (SALT, "shared")
+
+
+def test_part_is_saved_once_and_then_read() -> None:
+    """Guards against shared parts that engines read again and again."""
+    index = relay_builders.fresh_index(0.0)
+    (shelf,) = index.shelves.values()
+    first = index.plan(PARTS, SALT, 0.1)
+    assert first.targets == (shelf.store, None)
+    assert not any(first.sources)
+    second = index.plan(PARTS, SALT, 0.2)
+    assert not any(second.targets)
+    shelf.add(KEY, 12_800)
+    third = index.plan(PARTS, SALT, 0.3)
+    assert third.sources == (kv_index.Source(shelf.store, 12_800), None)
+    assert not any(third.targets)
+    assert third.until_s == 0.3 + kv_index.FETCH_S
+
+
+def test_own_part_is_never_stored() -> None:
+    """Guards against stores filled with parts that nobody asks for again."""
+    index = relay_builders.fresh_index(0.0)
+    assert index.plan((choice.Part("own", 9_000),), SALT, 0.1) is kv_index.NO_PLAN
+
+
+def test_short_prompts_need_no_transfer() -> None:
+    """Guards against transfers that take longer than reading."""
+    index = relay_builders.fresh_index(0.0)
+    parts = (choice.Part("tiny", 50), choice.Part("own", 90))
+    assert index.plan(parts, SALT, 0.1) is kv_index.NO_PLAN
+
+
+SALTS = [
+    (("m", 1, None), ("m", 2, None)),
+    (("m", 1, None), ("n", 1, None)),
+    (("m", 1, None), ("m", 1, catalog.Team("t", is_isolated=True))),
+    (
+        ("m", 1, catalog.Team("t", is_isolated=True)),
+        ("m", 1, catalog.Team("u", is_isolated=True)),
+    ),
+]
+
+
+@pytest.mark.parametrize(("one", "other"), SALTS)
+def test_salts_keep_versions_and_isolated_teams_apart(
+    one: tuple[str, int, catalog.Team | None],
+    other: tuple[str, int, catalog.Team | None],
+) -> None:
+    """Guards against parts of another weight version or of an isolated team."""
+    assert kv_index.salt(*one) != kv_index.salt(*other)
+
+
+def test_teams_that_are_not_isolated_share() -> None:
+    """Guards against parts read again for each team."""
+    team = catalog.Team("t")
+    assert kv_index.salt("m", 1, team) == kv_index.salt("m", 1, None)
+
+
+def test_parts_of_old_versions_are_found() -> None:
+    """Guards against stores that fill up with parts of replaced weights."""
+    index = relay_builders.fresh_index(0.0)
+    (shelf,) = index.shelves.values()
+    isolated = catalog.Team("t", is_isolated=True)
+    old = (kv_index.salt("a.b", 1, isolated), "p")
+    new = (kv_index.salt("a.b", 2, isolated), "p")
+    shelf.add(old, 10)
+    shelf.add(new, 10)
+    assert list(kv_index.outdated(shelf, {"a.b": 2})) == [old]
+    assert list(kv_index.outdated(shelf, {"a.b": 1})) == []
+
+
+def test_full_store_yields_to_the_next() -> None:
+    """Guards against saves that are lost because one store is full."""
+    stores = [relay_builders.kv_store(f"s{i}") for i in range(3)]
+    index = relay_builders.fresh_index(0.0, *stores)
+    order = index.order(PARTS[0])
+    order[0].add((SALT, "other"), 999_000)
+    plan = index.plan(PARTS, SALT, 0.1)
+    assert plan.targets[0] == order[1].store
+
+
+def test_small_parts_prefer_stores_that_start_soon() -> None:
+    """Guards against short parts behind stores that are slow to start."""
+    stores = [
+        relay_builders.kv_store("slow", first_s=0.006),
+        relay_builders.kv_store("fast", first_s=0.0005, capacity_tokens=1_000),
+    ]
+    index = relay_builders.fresh_index(0.0, *stores)
+    for number in range(20):
+        part = choice.Part(f"p{number}", 300)
+        assert index.order(part)[0].store.name == "fast"
+
+
+def test_stores_get_parts_by_their_space() -> None:
+    """Guards against small stores that overflow while large ones stay empty."""
+    stores = [
+        relay_builders.kv_store("large", capacity_tokens=900_000),
+        relay_builders.kv_store("small", capacity_tokens=300_000),
+    ]
+    index = relay_builders.fresh_index(0.0, *stores)
+    homes = collections.Counter(
+        index.order(choice.Part(f"p{i}", 5_000))[0].store.name for i in range(2_000)
+    )
+    assert 0.70 < homes["large"] / 2_000 < 0.80
+
+
+@dataclasses.dataclass
+class Reader:
+    """One node's index and the fetches that it has asked for."""
+
+    index: kv_index.Index
+    confirmed_at: float = 0.0
+    newest: int = 1
+
+
+@dataclasses.dataclass
+class Fetch:
+    part: tuple[str, str]
+    until: float
+
+
+class Stores(stateful.RuleBasedStateMachine):
+    """One store, three nodes, late polls, freezes, restarts and new weights.
+
+    The store keeps what was saved in its epoch. A save takes a second. A fetch
+    that is under way must find its part complete from its start to its end.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.epoch = 1
+        self.complete: dict[tuple[str, str], int] = {}
+        self.writing: dict[tuple[str, str], float] = {}
+        self.fetches: list[Fetch] = []
+        self.version = 1
+        self.named_at = {1: -1e9}
+        store = relay_builders.kv_store()
+        self.nodes = [
+            Reader(relay_builders.fresh_index(self.now, store), self.now)
+            for _ in range(3)
+        ]
+        # All nodes know one part, so that short series of steps reach a reader.
+        self.complete[KEY] = 12_800
+        for number in range(3):
+            self.poll(number)
+
+    def shelf(self, node: Reader) -> kv_index.Shelf:
+        return next(iter(node.index.shelves.values()))
+
+    @stateful.rule(
+        seconds=st.sampled_from([0.3, 0.8, 1.5]),
+        polls=st.sampled_from([(), (0, 1, 2), (0, 1, 2), (1, 2)]),
+        confirms=st.sampled_from([(), (0, 1, 2), (1, 2)]),
+    )
+    def wait(
+        self, seconds: float, polls: tuple[int, ...], confirms: tuple[int, ...]
+    ) -> None:
+        """Let time pass, after which some nodes hear from the stores."""
+        self.now += seconds
+        for key, at in list(self.writing.items()):
+            if at <= self.now:
+                del self.writing[key]
+                self.complete[key] = 12_800
+        self.fetches = [f for f in self.fetches if f.until > self.now]
+        for number in polls:
+            self.poll(number)
+        for number in confirms:
+            self.confirm(number)
+
+    @stateful.rule(number=st.integers(0, 2))
+    def poll(self, number: int) -> None:
+        """Read the whole content, as after events without a gap."""
+        shelf = self.shelf(self.nodes[number])
+        if shelf.epoch != self.epoch:
+            shelf.restart(self.epoch, self.now)
+        for key in list(shelf.parts):
+            if key not in self.complete:
+                shelf.drop(key)
+        for key, tokens in self.complete.items():
+            shelf.add(key, tokens)
+        shelf.polled_at = self.now
+
+    @stateful.rule(number=st.integers(0, 2))
+    def confirm(self, number: int) -> None:
+        """Read the operator's intents."""
+        self.nodes[number].confirmed_at = self.now
+        self.nodes[number].newest = self.version
+
+    @stateful.rule(number=st.integers(0, 2))
+    def ask(self, number: int) -> None:
+        node = self.nodes[number]
+        if self.now - node.confirmed_at >= kv_index.BELIEF_S:
+            return
+        salt = kv_index.salt("m", node.newest, None)
+        plan = node.index.plan(PARTS, salt, self.now)
+        key = (salt, "shared")
+        if any(plan.sources):
+            assert key not in self.writing, "a part that is not whole is read"
+            assert plan.until_s is not None
+            if key in self.complete:
+                self.fetches.append(Fetch(key, plan.until_s))
+        if any(plan.targets) and key not in self.complete:
+            self.writing.setdefault(key, self.now + 1.0)
+
+    @stateful.rule()
+    def restart(self) -> None:
+        """Lose everything; a fetch under way fails, which harms nobody."""
+        self.epoch += 1
+        self.complete.clear()
+        self.writing.clear()
+        self.fetches.clear()
+
+    @stateful.precondition(lambda self: self.version < 4)
+    @stateful.rule()
+    def name_version(self) -> None:
+        self.version += 1
+        self.named_at[self.version] = self.now
+
+    @stateful.rule(number=st.integers(0, 2))
+    def free(self, number: int) -> None:
+        """Free as the node that cleans the store does."""
+        node = self.nodes[number]
+        shelf = self.shelf(node)
+        if not shelf.is_fresh(self.now) or shelf.epoch != self.epoch:
+            return
+        settled = [
+            v
+            for v, at in self.named_at.items()
+            if v <= node.newest and self.now - at > kv_index.FREE_AFTER_S
+        ]
+        for key in list(kv_index.outdated(shelf, {"m": max(settled, default=0)})):
+            busy = [f for f in self.fetches if f.part == key]
+            assert not busy, "a part is freed while it is read"
+            self.complete.pop(key, None)
+            shelf.drop(key)
+
+
+Stores.TestCase.settings = hypothesis.settings(
+    max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestStores = Stores.TestCase
+
+
+def test_restarted_store_gets_no_save_before_all_nodes_know() -> None:
+    """Guards against a reader that takes a part for complete while it is written anew.
+
+    The second node polls as late as a node may that still reads parts.
+    """
+    store = relay_builders.kv_store()
+    first, second = (relay_builders.fresh_index(0.0, store) for _ in range(2))
+    (first_shelf,), (second_shelf,) = (
+        index.shelves.values() for index in (first, second)
+    )
+    second_shelf.add(KEY, 12_800)
+    first_shelf.restart(2, 0.1)
+    for tick in range(1, 100):
+        now = 0.1 + tick / 20
+        first_shelf.polled_at = now
+        reads = any(second.plan(PARTS, SALT, now).sources)
+        saves = any(first.plan(PARTS, SALT, now).targets)
+        assert not (reads and saves)
+        if saves:
+            return
+    raise AssertionError("nothing was ever saved after the restart")
+
+
+def test_unheard_store_is_not_read() -> None:
+    """Guards against parts of a store that may have restarted."""
+    index = relay_builders.fresh_index(0.0)
+    (shelf,) = index.shelves.values()
+    shelf.add(KEY, 12_800)
+    assert any(index.plan(PARTS, SALT, kv_index.FRESH_S - 0.1).sources)
+    assert not any(index.plan(PARTS, SALT, kv_index.FRESH_S).sources)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,309 @@
+"""The adapter: what the platform sends is decoded once and checked."""
+
+import pathlib
+import typing
+
+import msgspec
+import pytest
+
+from snipelug_core import catalog, choice, kv_index, refusal
+from snipelug_net import http_server
+from snipelug_platform import dialect, rows, settings
+from snipelug_relay import ports
+from tests import relay_builders
+
+SETTINGS = """node_name=front-a-1
+zone=a
+listen.frontend=127.0.0.1:8749
+listen.ready=127.0.0.1:8741
+internal_port_range=7580,7595
+platform.address=127.0.0.1:8744
+bounds.drain_timeout_ms=2000
+bounds.retry_budget_extra=52
+a.new.field=ignored
+"""
+
+
+def test_settings_are_decoded() -> None:
+    """Guards against figures in another unit than the platform's."""
+    found = settings.decode(settings.parse(SETTINGS))
+    assert isinstance(found, ports.Settings)
+    assert found.node_id == "front-a-1"
+    assert found.callers == ("127.0.0.1", 8749)
+    assert found.peers == ("127.0.0.1", 7580)
+    assert found.bounds.drain_s == 2.0
+
+
+def test_all_mistakes_are_told_at_once(tmp_path: pathlib.Path) -> None:
+    """Guards against operators who find one mistake a start."""
+    path = tmp_path / "local.conf"
+    path.write_text(
+        "zone=a\nlisten.frontend=nowhere\nlisten.ready=127.0.0.1:99999\n"
+        "platform.address=127.0.0.1:1\nbounds.grace_period_s=soon\n"
+    )
+    found = settings.load(path)
+    assert isinstance(found, settings.Invalid)
+    names = {mistake.partition(":")[0] for mistake in found.mistakes}
+    expected = {"node_name", "listen.frontend", "listen.ready"}
+    assert names == expected | {"bounds.grace_period_s"}
+
+
+def test_missing_file_is_named(tmp_path: pathlib.Path) -> None:
+    """Guards against a start without settings."""
+    found = settings.load(tmp_path / "none.conf")
+    assert isinstance(found, settings.Invalid)
+    assert "none.conf" in found.mistakes[0]
+
+
+CONFIG: dict[str, typing.Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "path_prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 800,
+            "priority": 1,
+            "service": "llm",
+            "max_attempts": 2,
+            "allow_anonymous": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_target_ms": 300,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "path_prefix": "/b/",
+            "kind": "non_idempotent",
+            "timeout_ms": 600,
+            "traffic_split": [
+                {"service": "x", "weight": 90},
+                {"service": "y", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "kv_store_address": "127.0.0.1:9000",
+            "zone": "a",
+            "kv_capacity_tokens": 1000,
+            "link_mbps": 420000.0,
+            "first_ms": 6.0,
+        },
+        {
+            "name": "llm",
+            "max_connections": 160,
+            "cold_per_s": 24.0,
+            "engine": {
+                "slots": 16,
+                "kv_capacity_tokens": 72261,
+                "kv_token_bytes": 163840,
+                "link_mbps": 550000.0,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "x"},
+        {"name": "y"},
+    ],
+    "limits": {"max_body_bytes": 100, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "t1", "api_keys": ["k"], "priority": 1, "isolated": True}],
+}
+
+
+def test_configuration_is_decoded() -> None:
+    """Guards against names of the platform that mean something else here."""
+    found = rows.decode_config(msgspec.json.encode(CONFIG))
+    first, second = found.routes
+    assert first.repeat is catalog.Repeat.RESUMABLE
+    assert first.is_stream
+    assert first.timeout_s == 4.0
+    assert second.repeat is catalog.Repeat.AT_MOST_ONCE
+    assert second.services == (("x", 90), ("y", 10))
+    assert set(found.services) == {"llm", "x", "y"}
+    assert found.stores[0].first_s == 0.006
+    assert found.stores[0].link_bits_per_s == 4.2e11
+    assert found.limits.idle_s == 15.0
+    assert found.teams == (catalog.Team("t1", ("k",), 1, True),)
+
+
+SERVER = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "slots": 16,
+    "state": "ready",
+    "cold_remaining_ms": 1500,
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "born": 5,
+}
+
+
+def test_server_entry_is_decoded() -> None:
+    """Guards against wrong units and versions of an upstream."""
+    found = rows.decode_server("i-1", msgspec.json.encode(SERVER))
+    assert found == relay_builders.entry(
+        "i-1",
+        service="llm",
+        host="10.0.0.9",
+        port=8080,
+        slots=16,
+        cold_s=1.5,
+        born=5,
+        versions={"m": 3},
+    )
+
+
+FOREIGN = [
+    b"\xff\xfe",
+    b"[]",
+    msgspec.json.encode({k: v for k, v in SERVER.items() if k != "address"}),
+    msgspec.json.encode(SERVER | {"slots": "many"}),
+    msgspec.json.encode(SERVER | {"state": "asleep"}),
+    msgspec.json.encode(SERVER | {"address": "nowhere"}),
+    msgspec.json.encode(SERVER | {"models": 7}),
+]
+
+
+@pytest.mark.parametrize("value", FOREIGN)
+def test_foreign_entries_name_no_server(value: bytes) -> None:
+    """Guards against a watch that ends at an entry of another writer."""
+    assert isinstance(rows.decode_server("i-1", value), ports.Unreadable)
+
+
+@pytest.mark.parametrize("key", ["config", "version/m"])
+def test_unreadable_intents_change_nothing(key: str) -> None:
+    """Guards against a configuration that is lost by a bad row."""
+    assert isinstance(rows.decode_intent(key, b"{}"), ports.Unreadable)
+
+
+HEADERS = {
+    "host": "h.example:80",
+    "request-id": "ab12",
+    "request-deadline": "1500",
+    "authorization": "Token k",
+    "model": "m",
+    "token-usage": "1460,80",
+    "prompt-prefix": "5c1e:800,91bd:410,e440:250",
+    "last-event-id": "12",
+    "length-hint": "30",
+    "connection": "keep-alive, x-hop",
+    "x-hop": "1",
+    "x-kept": "2",
+    "tenant": "forged",
+    "hold": "forged",
+    "pin-duration": "forged",
+    "kv-from": "forged",
+    "cache-salt": "forged",
+    "cache-backup": "forged",
+    "cache-source": "forged",
+    "cache-target": "forged",
+    "cache-retain-until": "forged",
+    "expected-instance": "forged",
+    "expected-version": "forged",
+    "request-priority": "forged",
+}
+
+
+def request(headers: dict[str, str]) -> http_server.Request:
+    fields = tuple(headers.items())
+    return http_server.Request(
+        "POST", "/a/x", {}, headers, b"body", "/a/%78?q=1", fields
+    )
+
+
+def ask(**changes: str) -> ports.Ask:
+    found = dialect.Dialect().read(request(HEADERS | changes))
+    assert isinstance(found, ports.Ask)
+    return found
+
+
+def test_request_is_decoded() -> None:
+    """Guards against changed targets and lost parts of a prompt."""
+    found = ask()
+    assert found.target == "/a/%78?q=1"
+    assert found.path == "/a/%78"
+    assert found.host == "h.example"
+    assert found.key == "k"
+    assert found.time_left_s == 1.5
+    assert found.output_tokens == 80
+    assert found.parts[0] == choice.Part("5c1e", 800)
+    assert found.resume_after == "12"
+
+
+def test_server_gets_no_field_that_only_the_system_sets() -> None:
+    """Guards against callers who set another team, salt, hold or the key itself."""
+    orders = ports.Orders("i-1", 1.2, "t1", version=3, salt="s", priority=4)
+    call = dialect.Dialect().call(ask(), orders, ("127.0.0.1", 1))
+    sent = dict(call.fields)
+    assert len(sent) == len(call.fields)
+    assert not [name for name, value in sent.items() if value == "forged"]
+    assert "authorization" not in sent
+    assert "x-hop" not in sent
+    assert "last-event-id" not in sent
+    assert sent["x-kept"] == "2"
+    assert sent["tenant"] == "t1"
+    assert sent["expected-instance"] == "i-1"
+    assert sent["request-deadline"] == "1200"
+    assert sent["expected-version"] == "3"
+    assert sent["prompt-prefix"] == HEADERS["prompt-prefix"]
+
+
+def test_transfers_are_told_for_each_part() -> None:
+    """Guards against a source or target that is taken for another part's."""
+    store = relay_builders.kv_store()
+    plan = kv_index.Plan(
+        (kv_index.Source(store, 700), None, None), (None, store, None), 2.5
+    )
+    orders = ports.Orders("i-1", 1.0, plan=plan)
+    sent = dict(dialect.Dialect().call(ask(), orders, ("127.0.0.1", 1)).fields)
+    assert sent["cache-source"] == "10.0.0.9:90/700,-,-"
+    assert sent["cache-target"] == "-,10.0.0.9:90,-"
+    assert sent["cache-retain-until"] == "2500"
+
+
+BAD = [{"request-id": ""}, {"prompt-prefix": "zz:1"}, {"prompt-prefix": "5c:"}]
+
+
+@pytest.mark.parametrize("changes", BAD)
+def test_unreadable_requests(changes: dict[str, str]) -> None:
+    """Guards against a request that is sent on with a prompt that nobody can read."""
+    found = dialect.Dialect().read(request(HEADERS | changes))
+    assert isinstance(found, refusal.Refusal)
+
+
+VERDICTS = [
+    # Status, fields, turned away, own answer.
+    (200, {"request-id": "ab12", "server-signature": "s"}, False, True),
+    (200, {"request-id": "ab12"}, False, False),
+    (200, {"request-id": "other", "server-signature": "s"}, False, False),
+    (503, {"request-id": "ab12", "not-executed": "1"}, True, False),
+    (503, {"not-executed": "1"}, True, False),
+    (503, {"request-id": "other", "not-executed": "1"}, False, False),
+    (503, {"request-id": "ab12"}, False, False),
+    (200, {"request-id": "ab12", "not-executed": "1"}, False, False),
+    (421, {"request-id": "ab12"}, True, False),
+    (500, {"request-id": "ab12", "server-signature": "s"}, False, True),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "is_turned_away", "is_own"), VERDICTS)
+def test_verdicts(
+    status: int, headers: dict[str, str], is_turned_away: bool, is_own: bool
+) -> None:
+    """Guards against another request's answer and against false refusals."""
+    found = dialect.Dialect().judge(ask(), status, headers)
+    assert found.is_turned_away is is_turned_away
+    assert found.is_own is is_own
+
+
+def test_refusal_tells_when_to_come_back() -> None:
+    """Guards against callers who come back at once."""
+    reason = refusal.refuse(refusal.NO_UPSTREAM, "none", retry_after_s=0.25)
+    response = dialect.Dialect().refuse(ask(), reason)
+    assert response.status == 503
+    assert response.headers["retry-after"] == "0.25"
+    assert response.headers["request-id"] == "ab12"
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,193 @@
+"""Orders to load weights: one giver at a time, with growing fencing numbers."""
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from snipelug_core import rollout
+from tests import relay_builders
+
+LEASE_MS = 3_000.0
+MODEL = relay_builders.MODEL
+
+
+def test_engines_with_the_least_work_come_first() -> None:
+    """Guards against runs that delay the first engines of a rollout."""
+    upstreams = relay_builders.upstreams(
+        *(relay_builders.entry(f"u{i}") for i in range(9))
+    )
+    for number, upstream in enumerate(upstreams):
+        upstream.running = 9 - number
+    planned = rollout.plan(upstreams, {MODEL: 2}, {}, age_s=0.0)
+    assert [item[0].entry.id for item in planned] == ["u8", "u7"]
+
+
+AT_ONCE = [
+    # Engines, engines with old weights, time since the naming, expected.
+    (9, 9, 0.0, 2),
+    (9, 9, 3.6, 4),
+    (9, 1, 0.0, 1),
+    (36, 36, 0.0, 6),
+    (6, 6, 20.0, 3),
+    (1, 1, 0.0, 1),
+    (3, 3, 4.9, 1),
+]
+
+
+@pytest.mark.parametrize(("engines", "outdated", "age_s", "expected"), AT_ONCE)
+def test_engines_at_once(
+    engines: int, outdated: int, age_s: float, expected: int
+) -> None:
+    """Guards against rollouts that take too many engines away or too long."""
+    assert rollout.at_once(engines, outdated, age_s) == expected
+
+
+def test_orders_are_repeated_and_forgotten() -> None:
+    """Guards against an order that was lost, and against one that was carried out."""
+    upstreams = relay_builders.upstreams(
+        relay_builders.entry("u1"), relay_builders.entry("u2")
+    )
+    by_id = {u.entry.id: u for u in upstreams}
+    orders = {
+        "u1": rollout.Order(MODEL, 2, 10.0),
+        "u2": rollout.Order(MODEL, 2, 10.0),
+        "gone": rollout.Order(MODEL, 2, 10.0),
+    }
+    by_id["u1"].note_version(MODEL, 2)
+    rollout.settle(orders, by_id, 11.0)
+    assert set(orders) == {"u2"}
+    rollout.settle(orders, by_id, 10.1 + rollout.ORDER_REPEAT_S)
+    assert not orders
+
+
+@dataclasses.dataclass
+class Giver:
+    """One node; ``held`` is what it believes."""
+
+    id: str
+    held: rollout.Held | None = None
+    row_version: int = 0
+
+
+class Leases(stateful.RuleBasedStateMachine):
+    """Three nodes, a store with a clock, late and lost answers, freezes.
+
+    Two nodes never give orders at one time, and fencing numbers grow.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 10.0
+        self.row: rollout.Lease | None = None
+        self.version = 0
+        self.nodes = [Giver(f"n{i}") for i in range(3)]
+        self.last_order: tuple[str, int, float] | None = None
+
+    def store_ms(self) -> float:
+        return 1_000 * self.now + 7_777
+
+    @stateful.rule(seconds=st.sampled_from([0.3, 1.0, 2.0, 4.0]))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @stateful.rule(
+        number=st.integers(0, 2),
+        delay_s=st.sampled_from([0.0, 0.0, 0.25, 1.0]),
+        is_lost=st.sampled_from([False, False, True]),
+        other_writes=st.integers(0, 3),
+    )
+    def take(
+        self, number: int, delay_s: float, is_lost: bool, other_writes: int
+    ) -> None:
+        """Read the row and write it, as a node without a lease does."""
+        node = self.nodes[number]
+        row, read_version, read_ms = self.row, self.version, self.store_ms()
+        if node.held is not None and node.held.left_ms(self.now) > 0:
+            return
+        if not rollout.may_take(row, node.id, read_ms):
+            return
+        sent_at = self.now
+        self.now += delay_s
+        lease = rollout.Lease(
+            node.id,
+            read_ms + LEASE_MS + rollout.LEASE_MARGIN_MS,
+            read_version + 1,
+        )
+        self._write(node, lease, read_version, sent_at, is_lost, other_writes)
+
+    @stateful.rule(
+        number=st.integers(0, 2),
+        delay_s=st.sampled_from([0.0, 0.0, 0.25, 1.0]),
+        is_lost=st.sampled_from([False, False, True]),
+    )
+    def renew(self, number: int, delay_s: float, is_lost: bool) -> None:
+        node = self.nodes[number]
+        held = node.held
+        if held is None or held.left_ms(self.now) <= 0:
+            return
+        sent_at = self.now
+        until_ms = held.store_ms + 1_000 * (sent_at - held.sent_at) + LEASE_MS
+        lease = dataclasses.replace(
+            held.lease, until_ms=until_ms + rollout.LEASE_MARGIN_MS
+        )
+        self.now += delay_s
+        self._write(node, lease, node.row_version, sent_at, is_lost, 0)
+
+    def _write(
+        self,
+        node: Giver,
+        lease: rollout.Lease,
+        expected: int,
+        sent_at: float,
+        is_lost: bool,
+        other_writes: int,
+    ) -> None:
+        if self.version != expected:
+            node.held = None
+            return
+        self.version += 1 + other_writes
+        self.row = lease
+        if not is_lost:
+            node.held = rollout.Held(lease, sent_at, self.store_ms())
+            node.row_version = self.version
+
+    @stateful.rule(number=st.integers(0, 2))
+    def order(self, number: int) -> None:
+        node = self.nodes[number]
+        if node.held is None or node.held.left_ms(self.now) <= 0:
+            return
+        token = node.held.lease.fencing
+        for other in self.nodes:
+            is_giver = other.held is not None and other.held.left_ms(self.now) > 0
+            assert other is node or not is_giver, "two nodes give orders"
+        if self.last_order is not None:
+            giver, last_token, _ = self.last_order
+            assert token >= last_token, "an order with an old fencing number"
+            assert giver == node.id or token > last_token, "one number for two"
+        self.last_order = (node.id, token, self.now)
+
+
+Leases.TestCase.settings = hypothesis.settings(
+    max_examples=400, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestLeases = Leases.TestCase
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.2, 1.0, 2.5])
+def test_lease_has_ended_when_another_node_may_take_it(delay_s: float) -> None:
+    """Guards against two givers, also where the answer to the write came late."""
+    read_ms = 50_000.0
+    lease = rollout.Lease("n0", read_ms + LEASE_MS + rollout.LEASE_MARGIN_MS, 1)
+    held = rollout.Held(lease, sent_at=10.0, store_ms=read_ms + 1_000 * delay_s)
+    could_order = False
+    for tick in range(100):
+        now = 10.0 + tick / 20
+        store_ms = read_ms + 1_000 * (now - 10.0)
+        orders = now >= 10.0 + delay_s and held.left_ms(now) > 0
+        could_order = could_order or orders
+        assert not (orders and rollout.may_take(lease, "n1", store_ms))
+    assert could_order is (delay_s < 1.5)
+    assert rollout.may_take(lease, "n1", read_ms + 4_000)
