--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -117,6 +117,18 @@
         )
         self._shelves = shelves.Shelves(cfg, self._beliefs, platform.machines)
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether the load balancer may send callers here."""
+        return self._beliefs.is_ready
+
+    @property
+    def knows_stores(self) -> bool:
+        """Whether all stores of KV cache have told what they hold."""
+        now = clock.now()
+        shelves_known = self._beliefs.index.shelves.values()
+        return all(shelf.is_fresh(now) for shelf in shelves_known)
+
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
@@ -185,8 +197,7 @@
         )
 
     async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
-        is_ready = self._beliefs.is_ready
-        return http_server.Response(OK if is_ready else UNAVAILABLE)
+        return http_server.Response(OK if self.is_ready else UNAVAILABLE)
 
     async def _tell_metrics(self, req: http_server.Request) -> http_server.Response:
         if req.path != "/metrics":
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,208 @@
+"""A small deployment on the stand-ins of the platform, in one process."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+
+import trio
+
+from snipelug_net import http_client
+from snipelug_platform import main
+from snipelug_platform_standin import kv_store, server, store
+from snipelug_relay import node, ports, record
+
+HOST = "h.example"
+KEY = "key-1"
+MODEL = "m"
+WAIT_S = 10.0
+
+
+def route(
+    name: str, prefix: str, kind: str, service: str, **more: object
+) -> dict[str, object]:
+    base: dict[str, object] = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 1,
+    }
+    return base | more
+
+
+def config(version: int, stores: list[kv_store.KvStore], **more: object) -> object:
+    engine = {
+        "slots": 4,
+        "kv_capacity_tokens": 70_000,
+        "kv_token_bytes": 1000,
+        "link_mbps": 1e5,
+        "models": [{"name": MODEL}],
+    }
+    kv = [
+        {
+            "name": f"kv{i}",
+            "kv_store_address": f"127.0.0.1:{item.port}",
+            "zone": "zone-a",
+            "kv_capacity_tokens": 1_000_000,
+            "link_mbps": 1e5,
+            "first_ms": 0.5,
+        }
+        for i, item in enumerate(stores)
+    ]
+    base: dict[str, object] = {
+        "version": version,
+        "routes": [
+            route("order", "/order/", "non_idempotent", "app"),
+            route("look", "/look/", "idempotent", "app", max_attempts=2),
+            route(
+                "check",
+                "/check/",
+                "streaming",
+                "llm",
+                resumable=True,
+                max_attempts=2,
+            ),
+            route("ask", "/ask/", "streaming", "llm"),
+        ],
+        "services": [{"name": "app"}, {"name": "llm", "engine": engine}, *kv],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "team-1", "api_keys": [KEY], "priority": 2}],
+    }
+    return base | more
+
+
+@dataclasses.dataclass
+class World:
+    """The parts of a deployment."""
+
+    store: store.Store
+    store_port: int
+    nursery: trio.Nursery
+    apps: list[server.Server] = dataclasses.field(default_factory=list)
+    engines: list[server.Server] = dataclasses.field(default_factory=list)
+    kv_stores: list[kv_store.KvStore] = dataclasses.field(default_factory=list)
+    nodes: list[node.Node] = dataclasses.field(default_factory=list)
+
+    def list_all(self) -> None:
+        """Write the entries of all servers."""
+        for item in [*self.apps, *self.engines]:
+            self.store.put("servers", item.id, item.entry())
+
+    def configure(self, version: int, **more: object) -> None:
+        """Write a configuration."""
+        self.store.put("op", "config", config(version, self.kv_stores, **more))
+
+    def settings(self, name: str) -> ports.Settings:
+        """Return the settings of a node on free ports."""
+        return ports.Settings(
+            node_id=name,
+            zone="zone-a",
+            callers=("127.0.0.1", 0),
+            ready=("127.0.0.1", 0),
+            store=("127.0.0.1", self.store_port),
+            bounds=ports.Bounds(grace_s=4.0, lease_ms=600.0, version_s=8.0),
+        )
+
+    async def add_node(self, name: str = "n1") -> node.Node:
+        """Start a node and wait until it serves callers."""
+        log = record.Buffer(name, 1)
+        built = node.Node(self.settings(name), main.build, lambda: None, log)
+        await self.nursery.start(built.serve)
+        self.nodes.append(built)
+        return built
+
+    async def ready(self, index: int = 0) -> node.Node:
+        """Wait until a node is ready."""
+        found = self.nodes[index]
+        await until(lambda: found.is_ready)
+        return found
+
+
+async def until(is_true: collections.abc.Callable[[], bool]) -> None:
+    """Wait for a condition."""
+    with trio.fail_after(WAIT_S):
+        while not is_true():
+            await trio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def deployment(
+    apps: int = 2, engines: int = 2, kv_stores: int = 1, nodes: int = 1
+) -> collections.abc.AsyncIterator[World]:
+    """Run a deployment; its nodes are ready."""
+    logging.getLogger().setLevel(logging.INFO)
+    async with trio.open_nursery() as nursery:
+        rows = store.Store()
+        world = World(rows, await nursery.start(rows.serve), nursery)
+        world.apps = [server.Server("app") for _ in range(apps)]
+        world.engines = [server.Server("llm", model=MODEL) for _ in range(engines)]
+        world.kv_stores = [kv_store.KvStore() for _ in range(kv_stores)]
+        for item in [*world.apps, *world.engines, *world.kv_stores]:
+            await nursery.start(item.serve)
+        world.configure(1)
+        world.list_all()
+        for number in range(nodes):
+            await world.add_node(f"n{number + 1}")
+        for number in range(nodes):
+            await world.ready(number)
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+@dataclasses.dataclass
+class Caller:
+    """Sends requests to one node.
+
+    Attributes
+    ----------
+    number : int
+        Counts the requests, for their ids.
+    """
+
+    node: node.Node
+    number: int = 0
+    pool: http_client.Pool = dataclasses.field(default_factory=http_client.Pool)
+
+    def call(
+        self, method: str, target: str, body: bytes = b"", **headers: str
+    ) -> http_client.Call:
+        """Build a request; underscores in names of fields stand for dashes."""
+        self.number += 1
+        fields = {
+            "host": HOST,
+            "request-id": f"{self.number:08x}",
+            "request-deadline": "3000",
+            "authorization": f"Token {KEY}",
+        }
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        addr = ("127.0.0.1", self.node.callers_port)
+        return http_client.Call(
+            addr, method, target, {k: v for k, v in fields.items() if v}, body, 5.0
+        )
+
+    async def send(
+        self, method: str, target: str, body: bytes = b"", **headers: str
+    ) -> http_client.Full | http_client.Lost:
+        """Send a request and read its whole answer."""
+        found = await self.pool.fetch(self.call(method, target, body, **headers))
+        assert isinstance(found, http_client.Full | http_client.Lost), found
+        return found
+
+    async def ask(
+        self, target: str, parts: str = "aa:200,bb:50", **headers: str
+    ) -> http_client.Full | http_client.Lost:
+        """Send a prompt."""
+        return await self.send(
+            "POST",
+            target,
+            b"prompt",
+            model=MODEL,
+            token_usage="250,10",
+            prompt_prefix=parts,
+            **headers,
+        )
--- /dev/null
+++ b/tests/test_platform_relay.py
@@ -0,0 +1,370 @@
+"""A node against stand-ins of the platform: what callers and servers see."""
+
+import pytest
+import trio
+
+from snipelug_net import http_client
+from snipelug_platform_standin import server
+from tests import platform_world
+
+EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
+
+
+async def test_plain_call_reaches_a_server_unchanged() -> None:
+    """Guards against changed targets, bodies and fields on the way."""
+    async with platform_world.deployment() as world:
+        caller = platform_world.Caller(world.nodes[0])
+        full = await caller.send(
+            "POST", "/order/%2F?a=1&b=%20", b"body", x_kept="2", tenant="forged"
+        )
+        assert isinstance(full, http_client.Full)
+        assert full.status == 200
+        (seen,) = [s for app in world.apps for s in app.seen]
+        assert seen.target == "/order/%2F?a=1&b=%20"
+        assert seen.body == b"body"
+        assert seen.headers["tenant"] == "team-1"
+        assert seen.headers["x-kept"] == "2"
+        assert seen.headers["host"] == platform_world.HOST
+        assert "authorization" not in seen.headers
+        assert full.headers["request-id"] == seen.headers["request-id"]
+        assert 0 < int(seen.headers["request-deadline"]) <= 2000
+
+
+REFUSALS = [
+    ("/none/", {}, 404),
+    ("/order/", {"host": "other.example"}, 404),
+    ("/order/", {"authorization": "Token stolen"}, 401),
+    ("/order/", {"authorization": ""}, 401),
+    ("/order/", {"request_id": ""}, 400),
+]
+
+
+@pytest.mark.parametrize(("target", "headers", "status"), REFUSALS)
+async def test_refused_requests_reach_no_server(
+    target: str, headers: dict[str, str], status: int
+) -> None:
+    """Guards against work for callers without a key or route."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        full = await caller.send("POST", target, b"x", **headers)
+        assert isinstance(full, http_client.Full)
+        assert full.status == status
+        assert not [s for app in world.apps for s in app.seen]
+
+
+def break_first(servers: list[server.Server], **faults: int) -> None:
+    """Give every server the same fault, so that the first choice has it."""
+    for item in servers:
+        for name, value in faults.items():
+            setattr(item.faults, name, value)
+
+
+def runs(servers: list[server.Server]) -> int:
+    return sum(len(item.seen) for item in servers)
+
+
+async def test_order_is_tried_elsewhere_only_if_it_did_not_run() -> None:
+    """Guards against a second run of an order, and against needless refusals."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        first = await caller.send("POST", "/order/", b"x")
+        (used,) = [app for app in world.apps if app.seen]
+        break_first([used], turns_away=1)
+        again = await caller.send("POST", "/order/", b"x")
+        assert isinstance(first, http_client.Full)
+        assert isinstance(again, http_client.Full)
+        assert (first.status, again.status) == (200, 200)
+        assert runs(world.apps) == 2
+        break_first(world.apps, loses=1)
+        lost = await caller.send("POST", "/order/", b"x")
+        assert isinstance(lost, http_client.Full)
+        assert lost.status == 502
+        assert runs(world.apps) == 3
+
+
+async def test_refusal_promises_that_nothing_ran() -> None:
+    """Guards against a 503 for an order that a server has run."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        break_first(world.apps, turns_away=3)
+        full = await caller.send("POST", "/order/", b"x")
+        assert isinstance(full, http_client.Full)
+        assert full.status == 503
+        assert float(full.headers["retry-after"]) > 0
+        assert runs(world.apps) == 0
+
+
+async def test_lookup_is_repeated_after_a_loss_or_failure() -> None:
+    """Guards against failures that another server would have answered."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        for fault in ("loses", "fails"):
+            for app in world.apps:
+                app.faults = server.Faults()
+            break_first(world.apps[:1], **{fault: 1})
+            break_first(world.apps[1:], **{fault: 0})
+            for _ in range(3):
+                full = await caller.send("GET", "/look/x")
+                assert isinstance(full, http_client.Full)
+                assert full.status == 200
+
+
+async def test_silent_server_costs_a_lookup_some_time_only() -> None:
+    """Guards against lookups that wait for a dead server until their deadline."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        world.apps[0].faults.is_silent = True
+        with trio.fail_after(1.5):
+            for _ in range(2):
+                full = await caller.send("GET", "/look/x")
+                assert isinstance(full, http_client.Full)
+                assert full.status == 200
+
+
+async def test_route_timeout_is_kept() -> None:
+    """Guards against callers who wait longer than the operator allows."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        for app in world.apps:
+            app.faults.is_silent = True
+        began = trio.current_time()
+        full = await caller.send("POST", "/order/", b"x")
+        assert isinstance(full, http_client.Full)
+        assert full.status == 504
+        assert 1.9 < trio.current_time() - began < 2.4
+
+
+async def test_stream_comes_whole() -> None:
+    """Guards against lost, doubled or changed events."""
+    async with platform_world.deployment(apps=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        full = await caller.ask("/ask/")
+        assert isinstance(full, http_client.Full)
+        assert full.body == EVENTS
+        assert full.headers["weight-versions"] == "1"
+
+
+async def test_stream_is_resumed_within_one_answer() -> None:
+    """Guards against doubled and missing events when a server breaks off."""
+    for fault in ("breaks_after", "pauses_after"):
+        async with platform_world.deployment(apps=0) as world:
+            caller = platform_world.Caller(world.nodes[0])
+            break_first(world.engines, **{fault: 2})
+            for item in world.engines[1:]:
+                item.faults = server.Faults()
+            with trio.fail_after(8):
+                for _ in range(2):
+                    full = await caller.ask("/check/")
+                    assert isinstance(full, http_client.Full)
+                    assert full.body == EVENTS
+
+
+async def test_stream_that_must_not_be_repeated_breaks_visibly() -> None:
+    """Guards against a cut stream that looks complete."""
+    async with platform_world.deployment(apps=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        break_first(world.engines, breaks_after=2)
+        assert isinstance(await caller.ask("/ask/"), http_client.Lost)
+        assert runs(world.engines) == 1
+
+
+async def test_server_stops_when_its_caller_leaves() -> None:
+    """Guards against work for callers who have gone."""
+    async with platform_world.deployment(apps=0) as world:
+        for item in world.engines:
+            item.events = 1000
+        caller = platform_world.Caller(world.nodes[0])
+        call = caller.call(
+            "POST", "/ask/", b"x", model="m", token_usage="9,9", prompt_prefix="aa:9"
+        )
+        reply = await caller.pool.send(call)
+        assert isinstance(reply, http_client.Reply)
+        assert sum(item.running for item in world.engines) == 1
+        reply.abort()
+        with trio.fail_after(1.0):
+            while any(item.running for item in world.engines):
+                await trio.sleep(0.01)
+
+
+async def test_new_configuration_takes_hold_and_never_reverts() -> None:
+    """Guards against routes that stay dropped, stay served or come back."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        added = platform_world.route("new", "/new/", "idempotent", "app")
+        world.configure(2, routes=[added])
+        await wait_for_status(caller, "/new/", 200)
+        full = await caller.send("GET", "/look/")
+        assert isinstance(full, http_client.Full)
+        assert full.status == 404
+        world.configure(1)
+        world.store.forget_history()
+        await trio.sleep(0.3)
+        full = await caller.send("GET", "/new/")
+        assert isinstance(full, http_client.Full)
+        assert full.status == 200
+
+
+async def wait_for_status(
+    caller: platform_world.Caller, target: str, status: int
+) -> None:
+    """Ask until an answer has the status."""
+    with trio.fail_after(platform_world.WAIT_S):
+        while True:
+            full = await caller.send("GET", target)
+            if isinstance(full, http_client.Full) and full.status == status:
+                return
+            await trio.sleep(0.02)
+
+
+async def test_lost_history_of_the_store_loses_nothing() -> None:
+    """Guards against a key or a drain that is missed when feeds are cut."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        world.configure(2, tenants=[{"name": "team-2", "api_keys": ["other"]}])
+        leaving = world.apps[0]
+        leaving.state = "draining"
+        world.store.put("servers", leaving.id, leaving.entry())
+        world.store.forget_history()
+        await wait_for_status(caller, "/look/", 401)
+        await trio.sleep(1.0)
+        before = len(leaving.seen)
+        for _ in range(6):
+            full = await caller.send("GET", "/look/", authorization="Token other")
+            assert isinstance(full, http_client.Full)
+            assert full.status == 200
+        assert len(leaving.seen) == before
+
+
+OUTAGES = ["is_down", "is_silent"]
+
+
+@pytest.mark.parametrize("fault", OUTAGES)
+async def test_store_outage_stops_no_request(fault: str) -> None:
+    """Guards against refusals because the store is away."""
+    async with platform_world.deployment() as world:
+        caller = platform_world.Caller(world.nodes[0])
+        setattr(world.store.faults, fault, True)
+        for _ in range(10):
+            await trio.sleep(0.2)
+            full = await caller.send("POST", "/order/", b"x")
+            stream = await caller.ask("/ask/")
+            assert isinstance(full, http_client.Full)
+            assert isinstance(stream, http_client.Full)
+            assert (full.status, stream.body) == (200, EVENTS)
+        assert world.nodes[0].is_ready
+
+
+async def test_node_without_configuration_is_not_ready_and_says_so() -> None:
+    """Guards against 404 for routes that the node has not read yet."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        world.store.faults.is_down = True
+        late = await world.add_node("late")
+        await trio.sleep(0.3)
+        assert not late.is_ready
+        full = await platform_world.Caller(late).send("GET", "/look/")
+        assert isinstance(full, http_client.Full)
+        assert full.status == 503
+        world.store.faults.is_down = False
+        await platform_world.until(lambda: late.is_ready)
+
+
+async def test_zone_and_server_that_leave_get_nothing_new() -> None:
+    """Guards against work for a zone that is out and for a removed entry."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        gone, stays = world.apps
+        world.store.delete("servers", gone.id)
+        await trio.sleep(1.2)
+        before = len(gone.seen)
+        for _ in range(4):
+            await caller.send("GET", "/look/")
+        assert len(gone.seen) == before
+        world.store.put("op", "evacuate/zone-a", {})
+        await wait_for_status(caller, "/look/", 503)
+        before = len(stays.seen)
+        await caller.send("GET", "/look/")
+        assert len(stays.seen) == before
+        world.store.delete("op", "evacuate/zone-a")
+        await wait_for_status(caller, "/look/", 200)
+
+
+async def test_weights_are_brought_up_to_date_once() -> None:
+    """Guards against engines on old weights and against two givers of orders."""
+    async with platform_world.deployment(apps=0, engines=3, nodes=2) as world:
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        await platform_world.until(
+            lambda: all(item.models["m"] == 2 for item in world.engines)
+        )
+        orders = [order for item in world.engines for order in item.orders]
+        assert len(orders) == 3
+        assert len({order["holder"] for order in orders}) == 1
+        assert len({order["fencing_token"] for order in orders}) == 1
+        full = await platform_world.Caller(world.nodes[0]).ask("/ask/")
+        assert isinstance(full, http_client.Full)
+        assert full.headers["weight-versions"] == "2"
+
+
+async def test_lost_answers_of_the_store_stop_no_orders() -> None:
+    """Guards against a rollout that waits for a lease that this node has written."""
+    async with platform_world.deployment(apps=0, engines=2) as world:
+        world.store.faults.loses_answers = True
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        await trio.sleep(1.5)
+        world.store.faults.loses_answers = False
+        await platform_world.until(
+            lambda: all(item.models["m"] == 2 for item in world.engines)
+        )
+        tokens = [o["fencing_token"] for item in world.engines for o in item.orders]
+        assert len(tokens) == 2
+
+
+async def test_shared_part_is_saved_then_fetched() -> None:
+    """Guards against shared parts that are read again, and against wrong salts."""
+    async with platform_world.deployment(apps=0, engines=1) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        (engine,), (kv,) = world.engines, world.kv_stores
+        await platform_world.until(lambda: world.nodes[0].knows_stores)
+        await caller.ask("/ask/", parts="aa:2000,bb:50")
+        first = engine.seen[-1].headers
+        address = f"127.0.0.1:{kv.port}"
+        assert first["cache-target"] == f"{address},-"
+        assert "cache-source" not in first
+        kv.complete(first["cache-salt"], "aa", 2000, "m")
+        await trio.sleep(1.3)
+        await caller.ask("/ask/", parts="aa:2000,bb:50")
+        second = engine.seen[-1].headers
+        assert second["cache-source"] == f"{address}/2000,-"
+        assert "cache-target" not in second
+        assert int(second["cache-retain-until"]) > 0
+        assert second["cache-salt"] == first["cache-salt"]
+
+
+async def stop(world: platform_world.World) -> None:
+    await world.nodes[0].stop()
+
+
+async def test_planned_stop_finishes_open_requests() -> None:
+    """Guards against answers that a planned stop cuts.
+
+    The answer takes longer than the node stays in the load balancer's rotation.
+    """
+    async with platform_world.deployment(apps=0, engines=1) as world:
+        world.engines[0].events = 60
+        world.engines[0].step_s = 0.05
+        slow = platform_world.route("slow", "/slow/", "streaming", "llm")
+        world.configure(2, routes=[slow | {"timeout_ms": 6000}])
+        caller = platform_world.Caller(world.nodes[0])
+        answers: list[object] = []
+
+        async def ask() -> None:
+            answers.append(await caller.ask("/slow/", request_deadline="6000"))
+
+        await wait_for_status(caller, "/look/", 404)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await platform_world.until(lambda: world.engines[0].running == 1)
+            nursery.start_soon(stop, world)
+        assert not world.nodes[0].is_ready
+        (full,) = answers
+        assert isinstance(full, http_client.Full)
+        assert full.body.count(b"\n\n") == 60
