--- /dev/null
+++ b/tests/test_announce.py
@@ -0,0 +1,84 @@
+"""Messages between nodes about upstreams."""
+
+import contextlib
+import socket
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from snipelug_relay import announce, clock, ports, state
+from tests import relay_builders
+
+
+def free_port(host: str) -> int:
+    with contextlib.closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as sock:
+        sock.bind((host, 0))
+        port: int = sock.getsockname()[1]
+    return port
+
+
+def node(name: str, host: str) -> tuple[announce.Announcer, state.State]:
+    addr = (host, free_port(host))
+    cfg = ports.Settings(name, "a", addr, addr, addr, peers=addr)
+    beliefs = state.State(cfg)
+    beliefs.fleet.put(relay_builders.entry(), clock.now())
+    return announce.Announcer(addr, beliefs), beliefs
+
+
+def introduce(*all_beliefs: state.State) -> None:
+    members = [ports.Member(b.cfg.node_id, "a", 0.0, b.cfg.peers) for b in all_beliefs]
+    for beliefs in all_beliefs:
+        beliefs.members = members
+
+
+async def test_prompts_and_switches_reach_the_other_nodes(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against requests behind prompts, or at switches, that a peer knows of."""
+    first, first_beliefs = node("n1", "127.0.0.1")
+    second, second_beliefs = node("n2", "127.0.0.2")
+    introduce(first_beliefs, second_beliefs)
+    nursery.start_soon(first.run)
+    nursery.start_soon(second.run)
+    await trio.testing.wait_all_tasks_blocked()
+    upstream = second_beliefs.fleet.upstreams["u1"]
+    is_read = first.begin("u1", 9_000)
+    assert is_read is not None
+    first.switching("u1", 1.0)
+    await trio.sleep(0.1)
+    assert upstream.announced_tokens(clock.now()) == 9_000
+    assert upstream.switching_until > clock.now()
+    is_read()
+    first.serving("u1", relay_builders.MODEL, 2)
+    await trio.sleep(0.1)
+    assert upstream.announced_tokens(clock.now()) == 0
+    assert upstream.switching_until == 0.0
+    assert upstream.versions[relay_builders.MODEL] == 2
+    assert first.begin("u1", announce.MIN_TOKENS - 1) is None
+    nursery.cancel_scope.cancel()
+
+
+BAD = [b"", b"\xff\xff", msgspec.msgpack.encode([9, "u1"]), b"x" * 600]
+
+
+@pytest.mark.parametrize("data", BAD)
+async def test_bad_and_foreign_datagrams_change_nothing(
+    nursery: trio.Nursery, data: bytes
+) -> None:
+    """Guards against a node that ends at, or believes, what others send."""
+    first, beliefs = node("n1", "127.0.0.1")
+    _, other = node("n2", "127.0.0.2")
+    introduce(beliefs, other)
+    nursery.start_soon(first.run)
+    await trio.testing.wait_all_tasks_blocked()
+    switch = msgspec.msgpack.encode(announce.Switching("u1", 9.0))
+    assert beliefs.cfg.peers is not None
+    for host, content in (("127.0.0.2", data), ("127.0.0.3", switch)):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind((host, 0))
+            sock.sendto(content, beliefs.cfg.peers)
+    await trio.sleep(0.1)
+    assert beliefs.fleet.upstreams["u1"].switching_until == 0.0
+    nursery.cancel_scope.cancel()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -301,3 +301,118 @@
         assert chunks == {"there": 10, "back": 10}
         client.close()
         nursery.cancel_scope.cancel()
+
+
+async def serve_script(
+    nursery: trio.Nursery, *answers: bytes, reads: int = 65536
+) -> int:
+    """Serve one connection: read once, send the next answer, for each answer."""
+
+    async def handle(stream: trio.SocketStream) -> None:
+        for answer in answers:
+            if not await stream.receive_some(reads):
+                return
+            await stream.send_all(answer)
+        await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, handle, listeners)
+    port: int = listeners[0].socket.getsockname()[1]
+    return port
+
+
+def scripted(body: bytes, request_id: str, extra: str = "") -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\n{extra}"
+    return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+def numbered(port: int, request_id: str, body: bytes = b"") -> http_client.Call:
+    fields = (("host", "h"), ("x-id", request_id))
+    addr = ("127.0.0.1", port)
+    return http_client.Call(
+        addr, "POST", "/", body=body, timeout_s=2.0, fields=fields, echo="x-id"
+    )
+
+
+async def test_late_response_of_an_earlier_request_is_skipped(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against another request's answer on a connection used again."""
+    both = scripted(b"old", "1") + scripted(b"new", "2")
+    port = await serve_script(nursery, scripted(b"first", "1"), both)
+    pool = http_client.Pool()
+    bodies = []
+    for request_id in ("1", "2"):
+        full = await pool.fetch(numbered(port, request_id))
+        assert isinstance(full, http_client.Full)
+        bodies.append(full.body)
+    assert bodies == [b"first", b"new"]
+    nursery.cancel_scope.cancel()
+
+
+async def test_connection_with_extra_bytes_is_not_used_again(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against bytes behind a response that are taken for the next one."""
+    twice = scripted(b"a", "1") + scripted(b"b", "1")
+    port = await serve_script(nursery, twice)
+    pool = http_client.Pool()
+    full = await pool.fetch(numbered(port, "1"))
+    assert isinstance(full, http_client.Full)
+    assert full.body == b"a"
+    assert pool.idle_count(("127.0.0.1", port)) == 0
+    nursery.cancel_scope.cancel()
+
+
+async def test_answer_before_the_body_was_read(nursery: trio.Nursery) -> None:
+    """Guards against a connection on which the rest of a body is still due."""
+    port = await serve_script(nursery, scripted(b"no", "1"), reads=10)
+    pool = http_client.Pool()
+    with trio.fail_after(2):
+        full = await pool.fetch(numbered(port, "1", b"x" * 8_000_000))
+    assert isinstance(full, http_client.Full)
+    assert full.body == b"no"
+    assert pool.idle_count(("127.0.0.1", port)) == 0
+    nursery.cancel_scope.cancel()
+
+
+async def test_idle_connections_end_before_the_server_closes_them(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against requests on connections that the server is about to close."""
+    keep = "keep-alive: timeout=1\r\n"
+    port = await serve_script(nursery, scripted(b"a", "1", keep))
+    pool = http_client.Pool()
+    addr = ("127.0.0.1", port)
+    await pool.fetch(numbered(port, "1"))
+    assert pool.idle_count(addr) == 1
+    await trio.sleep(0.6)
+    again_at = trio.current_time()
+    opened_at: list[float] = []
+
+    def note_opening(opening: float) -> bool:
+        opened_at.append(opening)
+        return False
+
+    await pool.send(numbered(port, "2"), note_opening)
+    assert opened_at[0] >= again_at
+    nursery.cancel_scope.cancel()
+
+
+async def test_request_keeps_its_target_and_repeated_fields(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against targets that are decoded and fields that are merged."""
+    seen: list[http_server.Request] = []
+
+    async def keep(req: http_server.Request) -> http_server.Response:
+        seen.append(req)
+        return http_server.Response(200)
+
+    port = await nursery.start(http_server.Server(keep).serve, "127.0.0.1", 0)
+    fields = (("host", "h"), ("x-a", "1"), ("x-a", "2"))
+    call = http_client.Call(("127.0.0.1", port), "GET", "/%2F?a=%20", fields=fields)
+    assert isinstance(await http_client.Pool().fetch(call), http_client.Full)
+    assert seen[0].target == "/%2F?a=%20"
+    assert [f for f in seen[0].fields if f[0] == "x-a"] == [("x-a", "1"), ("x-a", "2")]
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_record.py
@@ -0,0 +1,111 @@
+"""Log lines: bounded, never waited for, never lost silently."""
+
+import json
+import logging
+import os
+
+import pytest
+import trio
+
+from snipelug_relay import record
+
+
+def line(logger: logging.Logger, number: int) -> None:
+    record.event(logger, "request", id=f"{number:08x}", attempts=[{"upstream": "u"}])
+
+
+def logger_for(buffer: record.Buffer) -> logging.Logger:
+    logger = logging.Logger("snipelug.test")
+    logger.addHandler(buffer)
+    return logger
+
+
+def test_reader_that_stalls_stops_nothing() -> None:
+    """Guards against requests that wait for the reader of the log.
+
+    Nobody reads the pipe. Writing ends at once, memory is bounded, and the number
+    of dropped lines is told once somebody reads again.
+    """
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    buffer = record.Buffer("n1", writer)
+    logger = logger_for(buffer)
+    count = 5 * record.BUFFER_LINES
+    for number in range(count):
+        line(logger, number)
+        buffer.write_out()
+    assert buffer.dropped > 0
+    received = b""
+    os.set_blocking(reader, False)
+    for _ in range(1_000):
+        buffer.write_out()
+        try:
+            received += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+    line(logger, count)
+    buffer.write_out()
+    received += os.read(reader, 1 << 20)
+    lines = [json.loads(text) for text in received.splitlines()]
+    assert lines[-1]["dropped"] == count - (len(lines) - 1)
+    os.close(reader)
+    os.close(writer)
+
+
+def test_gone_reader_ends_nothing() -> None:
+    """Guards against a process that ends because its log is closed."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.close(reader)
+    buffer = record.Buffer("n1", writer)
+    line(logger_for(buffer), 1)
+    buffer.write_out()
+    os.close(writer)
+
+
+def test_lines_are_json_with_their_fields() -> None:
+    """Guards against lines that programs cannot read."""
+    reader, writer = os.pipe()
+    buffer = record.Buffer("n1", writer)
+    logger = logger_for(buffer)
+    try:
+        raise ValueError("x")
+    except ValueError:
+        logger.exception("broken", extra={"odd": {1, 2}})
+    buffer.write_out()
+    found = json.loads(os.read(reader, 65536))
+    assert found["event"] == "broken"
+    assert found["node"] == "n1"
+    assert "ValueError" in found["traceback"]
+    os.close(reader)
+    os.close(writer)
+
+
+def test_routine_lines_are_bounded_and_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a log that grows with the load."""
+    now = 0.0
+    monkeypatch.setattr(record.time, "monotonic", lambda: now)
+    sampler = record.Sampler(10.0)
+    admitted = 0
+    for tick in range(1_000):
+        now = tick / 100
+        admitted += sampler.admit()
+    assert 100 <= admitted <= 111
+    assert sampler.take_left_out() == 1_000 - admitted
+    assert sampler.take_left_out() == 0
+
+
+async def test_lines_are_written_while_the_node_runs(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against lines that appear only at the end of the process."""
+    reader, writer = os.pipe()
+    buffer = record.Buffer("n1", writer)
+    nursery.start_soon(buffer.run)
+    line(logger_for(buffer), 1)
+    await trio.sleep(3 * record.FLUSH_S)
+    os.set_blocking(reader, False)
+    assert b"00000001" in os.read(reader, 65536)
+    nursery.cancel_scope.cancel()
