Stop using parts of replaced weights before they are freed

Cause: a node that knew of the new version still sent requests to engines on the old one and named parts that the node in charge freed 6.5 s after the naming; it also had them saved again, so that other nodes read parts that were being written.

Ruled out: a store restart (epochs were unchanged) and late transfers (the fetches began within 0.3 s of the request).

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -7,9 +7,10 @@
   that the last poll saw, and only while that poll is younger than ``FRESH_S``.
 * After a store has restarted, nothing is saved to it for ``SETTLE_S``. Every node
   has seen the new epoch or its polls are too old by then.
-* Parts of replaced weights are freed ``FREE_AFTER_S`` after the new version was
-  named. No node has read the old version by then without having heard of the
-  new one, and transfers end after ``FETCH_S``.
+* Parts of replaced weights are neither read nor saved once a node has known of a
+  newer version for ``READ_OLD_S``, and freed ``FREE_AFTER_S`` after that version
+  was named. A node that uses stores has heard of it within ``BELIEF_S``, and its
+  last transfer ends ``FETCH_S`` later.
 """
 
 import collections.abc
@@ -24,13 +25,16 @@
 SETTLE_S = 2.0
 """Time without saves after a store's restart; more than ``FRESH_S``."""
 
-FETCH_S = 2.0
+FETCH_S = 1.0
 """Longest transfer from a store; later ones are discarded by the engine."""
 
-BELIEF_S = 3.5
+BELIEF_S = 2.5
 """Age of the confirmed configuration up to which stores are used."""
 
-FREE_AFTER_S = BELIEF_S + FETCH_S + 1.0
+READ_OLD_S = 3.0
+"""Time for which parts of replaced weights are used while engines switch."""
+
+FREE_AFTER_S = BELIEF_S + READ_OLD_S + FETCH_S + 0.5
 """Time after which nothing reads parts of replaced weights."""
 
 MIN_TOKENS = 128
@@ -286,6 +290,20 @@
     return shared if sum(part.tokens for part in shared) >= MIN_TOKENS else ()
 
 
+def is_in_use(
+    version: int, named_at: collections.abc.Mapping[int, float], now: float
+) -> bool:
+    """Tell whether parts of a weight version may be read and saved.
+
+    Parameters
+    ----------
+    named_at : mapping of int to float
+        When this node learned of each version, in seconds.
+    """
+    newer = [at for named, at in named_at.items() if named > version]
+    return not newer or now - min(newer) < READ_OLD_S
+
+
 def outdated(
     shelf: Shelf, newest: collections.abc.Mapping[str, int]
 ) -> collections.abc.Iterator[PartKey]:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -281,7 +281,7 @@
         named = self._beliefs.named.get(ask.model)
         version = self._beliefs.newest_version(ask.model, job.service)
         fetch_s: dict[str, float] = {}
-        if self._beliefs.may_use_stores(now) and ask.parts:
+        if ask.parts and self._beliefs.may_use_stores(ask.model, version, now):
             key_salt = self._salt(job, version)
             fetch_s = self._beliefs.index.fetch_s(
                 ask.parts, key_salt, engine, self._cfg.zone, now
@@ -384,7 +384,7 @@
         key_salt = ""
         if version is not None:
             key_salt = self._salt(job, version)
-            if self._beliefs.may_use_stores(now):
+            if self._beliefs.may_use_stores(ask.model, version, now):
                 plan = self._beliefs.index.plan(ask.parts, key_salt, now)
             self._note_held(upstream, ask)
         priority = job.route.priority
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -82,9 +82,12 @@
         upstreams = self.fleet.of_service(service)
         return max((u.versions.get(model, 0) for u in upstreams), default=0)
 
-    def may_use_stores(self, now: float) -> bool:
-        """Tell whether the intents are recent enough to read parts from stores."""
-        return now - self.confirmed_at < kv_index.BELIEF_S
+    def may_use_stores(self, model: str, version: int, now: float) -> bool:
+        """Tell whether parts of a weight version may be read from stores."""
+        if now - self.confirmed_at >= kv_index.BELIEF_S:
+            return False
+        named = self.named.get(model)
+        return named is None or kv_index.is_in_use(version, named.times, now)
 
     def view(self, service: str) -> choice.View | None:
         """Return what all upstreams of a service have in common."""
