--- /dev/null
+++ b/packages/snipelug-cli/src/snipelug_cli/explain.py
@@ -0,0 +1,190 @@
+"""What the logs of a relay tell of one request, and which line decided it."""
+
+import collections.abc
+import dataclasses
+import pathlib
+import typing
+
+import msgspec
+import typer
+
+from snipelug_cli import calls, output
+
+CONTEXT_S = 3.0
+"""How long before the request's end other lines are shown; a wave of orders."""
+
+BELIEFS = frozenset(
+    {
+        "configuration",
+        "history_lost",
+        "lease_not_taken",
+        "lease_taken",
+        "members",
+        "order",
+        "reload",
+        "shelf_epoch",
+        "shelf_lost",
+        "start",
+        "stop",
+        "stopped",
+        "store_lost",
+        "store_regained",
+        "upstream",
+        "upstream_blocked",
+        "weights_named",
+        "zones_out",
+    }
+)
+"""Events that change what a node believes."""
+
+Line = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class Explanation:
+    """The lines about a request.
+
+    Attributes
+    ----------
+    request : dict
+        The line of the request itself.
+    beliefs : list of dict
+        What the same node came to believe shortly before the request ended.
+    verdict : str
+        One sentence for people.
+    """
+
+    request: Line
+    beliefs: list[Line]
+    verdict: str
+
+
+def read(files: collections.abc.Iterable[pathlib.Path]) -> list[Line]:
+    """Read log lines; other text before a line's JSON and other lines are skipped."""
+    lines = []
+    for path in files:
+        for text in path.read_text(errors="replace").splitlines():
+            start = text.find('{"t":')
+            if start < 0:
+                continue
+            try:
+                found = msgspec.json.decode(text[start:])
+            except msgspec.DecodeError:
+                continue
+            if isinstance(found, dict) and "event" in found:
+                lines.append(found)
+    return sorted(lines, key=lambda line: float(line["t"]))
+
+
+def find(lines: list[Line], request_id: str) -> Explanation | None:
+    """Explain a request, or return None if no line names it."""
+    named = [
+        line
+        for line in lines
+        if line["event"] == "request" and str(line.get("id")) == request_id
+    ]
+    if not named:
+        return None
+    request = named[-1]
+    end = float(request["t"])
+    begin = end - float(request.get("ms") or 0.0) / 1000 - CONTEXT_S
+    beliefs = [
+        line
+        for line in lines
+        if line["node"] == request["node"]
+        and line["event"] in BELIEFS
+        and begin <= float(line["t"]) <= end
+    ]
+    return Explanation(request, beliefs, _verdict(request))
+
+
+def _verdict(request: Line) -> str:
+    """Say in one sentence what decided the request."""
+    attempts = request.get("attempts") or []
+    last = attempts[-1] if attempts else {}
+    where = f"at {last['upstream']}" if last else "before any upstream was asked"
+    reason = request.get("reason") or last.get("reason") or "no reason was logged"
+    match request.get("outcome"):
+        case "refused":
+            return f"Refused {where} after {len(attempts)} attempts: {reason}."
+        case "failed" | "broken":
+            return f"Failed {where} in attempt {len(attempts)}: {reason}."
+        case "left":
+            return f"The caller left {where} after {request.get('ms')} ms."
+        case "answered" if last:
+            return (
+                f"Answered by {last['upstream']}: first byte after "
+                f"{request.get('first_ms')} ms; sent at {last.get('at_ms')} ms, "
+                f"{last.get('cost_ms')} ms were expected there with "
+                f"{last.get('prefill', 0)} prompt tokens to read and "
+                f"{last.get('running')} requests of this node."
+            )
+    return f"Outcome {request.get('outcome')}: {reason}."
+
+
+def explain(
+    request_id: typing.Annotated[str, typer.Argument(help="Id of the request.")],
+    files: typing.Annotated[
+        list[pathlib.Path], typer.Argument(help="Files with log lines of nodes.")
+    ],
+    as_json: output.Json = False,
+) -> None:
+    """Show what the logs tell of one request, and what decided it."""
+    try:
+        lines = read(files)
+    except OSError as exc:
+        calls.fail(calls.Exit.INVALID, "a log file cannot be read", (str(exc),))
+    found = find(lines, request_id)
+    if found is None:
+        message = (
+            f"no line names request {request_id}; routine lines are sampled, so a "
+            "request that was answered in time may have none"
+        )
+        calls.fail(calls.Exit.REFUSED, message)
+    if as_json:
+        output.print_json(dataclasses.asdict(found))
+        return
+    typer.echo(found.verdict)
+    request = found.request
+    rows: list[list[object]] = [
+        [name, request.get(name)]
+        for name in (
+            "node",
+            "route",
+            "team",
+            "outcome",
+            "code",
+            "first_ms",
+            "ms",
+            "allowed_ms",
+            "config",
+            "config_age_s",
+        )
+    ]
+    output.print_table("Request", ("field", "value"), rows)
+    columns = ("upstream", "at_ms", "cost_ms", "candidates", "version", "result")
+    output.print_table(
+        "Attempts",
+        (*columns, "reason"),
+        [
+            [attempt.get(column) for column in (*columns, "reason")]
+            for attempt in request.get("attempts") or []
+        ],
+    )
+    output.print_table(
+        f"What {request['node']} came to believe before",
+        ("seconds before the end", "event", "details"),
+        [
+            [
+                round(float(request["t"]) - float(line["t"]), 3),
+                line["event"],
+                _details(line),
+            ]
+            for line in found.beliefs
+        ],
+    )
+
+
+def _details(line: Line) -> str:
+    hidden = {"t", "level", "node", "logger", "event"}
+    return ", ".join(f"{k}={v}" for k, v in line.items() if k not in hidden)
--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -11,7 +11,15 @@
 
 import typer
 
-from snipelug_cli import api, calls, document, output, proposal, switches
+from snipelug_cli import (
+    api,
+    calls,
+    document,
+    explain,
+    output,
+    proposal,
+    switches,
+)
 from snipelug_core import change, contract
 
 HELP = """Operate snipelug: contracts, zones, instances, models, status.
@@ -32,6 +40,7 @@
 app.add_typer(models_app, name="models")
 app.add_typer(quarantine_app, name="quarantine")
 app.add_typer(claims_app, name="claims")
+app.command("explain")(explain.explain)
 switches.add_commands(zones_app, switches.ZONES)
 switches.add_commands(instances_app, switches.INSTANCES)
 
