Close the listener once a stopping node has left the load balancer's rotation

Cause: a stopping node went on accepting connections while earlier requests were open, because callers come back to it where too few nodes of a zone are ready. Requests that came 5.5 s after SIGTERM were cut at its end.

Ruled out: a cut by the route's time-out (1.9 s of 8 s had passed).

Two nodes of each large zone read the platform's tables and the stores' events for the others and tell them by datagrams.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -74,7 +74,9 @@
     settled_at : float
         When saves may begin, in seconds.
     clock_offset_s : float
-        The store's clock minus this node's, at most, in seconds.
+        The store's clock minus this node's, at least, in seconds.
+    clock_at : (float, float) or None
+        When a poll was sent, in seconds, and the store's clock in its answer.
     parts : dict of PartKey to int
         Complete parts with their tokens.
     """
@@ -85,6 +87,7 @@
     polled_at: float = -1e9
     settled_at: float = 0.0
     clock_offset_s: float | None = None
+    clock_at: tuple[float, float] | None = None
     parts: dict[PartKey, int] = dataclasses.field(default_factory=dict)
     saving: dict[PartKey, float] = dataclasses.field(default_factory=dict)
     used_tokens: int = 0
@@ -96,11 +99,10 @@
         self.used_tokens = 0
 
     def restart(self, epoch: int, now: float) -> None:
-        """Take a new epoch."""
-        is_restart = self.epoch is not None
+        """Take a new epoch; a node that has just started cannot tell if it is new."""
         self.forget()
         self.epoch = epoch
-        self.settled_at = now + SETTLE_S if is_restart else now
+        self.settled_at = now + SETTLE_S
 
     def add(self, key: PartKey, tokens: int) -> None:
         """Take the report that a part is complete."""
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -10,20 +10,23 @@
 import itertools
 import logging
 import socket
+import typing
 
 import msgspec
 import trio
 
 from snipelug_core import choice, fleet
 from snipelug_net import http_client
-from snipelug_relay import clock, record, state
+from snipelug_relay import clock, messages, ports, record, state
 
 LOG = logging.getLogger("snipelug.announce")
 
 MIN_TOKENS = 1_000
 """Shorter prompts are read in under 20 ms."""
 
-DATAGRAM_BYTES = 512
+DATAGRAM_BYTES = 8_192
+"""Longer messages are not sent; nodes read for themselves instead."""
+
 MOST_SWITCH_S = 3.0
 """Longest pause that another node can ask for."""
 
@@ -31,38 +34,8 @@
 """A prompt counts for twice its expected reading time and this, at most."""
 
 
-class Prefill(msgspec.Struct, array_like=True, tag=1):
-    """A prompt that was sent or has been read.
-
-    Attributes
-    ----------
-    number : int
-        Counts the sender's prompts.
-    tokens : int
-        Tokens to read; 0 once they have been read.
-    """
-
-    upstream_id: str
-    number: int
-    tokens: int
-
-
-class Switching(msgspec.Struct, array_like=True, tag=2):
-    """An engine was ordered to load weights and turns requests away meanwhile."""
-
-    upstream_id: str
-    for_s: float
-
-
-class Serving(msgspec.Struct, array_like=True, tag=3):
-    """An engine serves a weight version now."""
-
-    upstream_id: str
-    model: str
-    version: int
-
-
-Message = Prefill | Switching | Serving
+Handler = collections.abc.Callable[[typing.Any], None]
+"""Takes one kind of message."""
 
 
 class Announcer:
@@ -79,7 +52,8 @@
         self._beliefs = beliefs
         self._numbers = itertools.count(1)
         self._sock: socket.socket | None = None
-        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._handlers: dict[type, Handler] = {}
+        self._decoder = msgspec.msgpack.Decoder(messages.Message)
 
     async def run(self) -> None:
         """Receive until cancelled."""
@@ -96,6 +70,8 @@
             try:
                 while True:
                     await trio.lowlevel.wait_readable(sock)
+                    if self._sock is None:
+                        return
                     self._receive(sock)
             finally:
                 self._sock = None
@@ -107,23 +83,47 @@
         if self._sock is None or tokens < MIN_TOKENS:
             return None
         number = next(self._numbers)
-        self._send(Prefill(upstream_id, number, tokens))
-        return lambda: self._send(Prefill(upstream_id, number, 0))
+        self._send(messages.Prefill(upstream_id, number, tokens))
+
+        def tell_read() -> None:
+            self._send(messages.Prefill(upstream_id, number, 0))
+
+        return tell_read
 
     def switching(self, upstream_id: str, for_s: float) -> None:
         """Announce that an engine loads weights."""
-        self._send(Switching(upstream_id, for_s))
+        self._send(messages.Switching(upstream_id, for_s))
 
     def serving(self, upstream_id: str, model: str, version: int) -> None:
         """Announce the weight version that an engine serves now."""
-        self._send(Serving(upstream_id, model, version))
-
-    def _send(self, message: Message) -> None:
+        self._send(messages.Serving(upstream_id, model, version))
+
+    def close(self) -> None:
+        """Stop sending and receiving."""
+        self._sock = None
+
+    def on(self, kind: type, handler: Handler) -> None:
+        """Take messages of a kind with a handler."""
+        self._handlers[kind] = handler
+
+    def tell_zone(self, message: messages.Message) -> bool:
+        """Send to the nodes of this node's zone; return whether it fits."""
+        zone = self._beliefs.cfg.zone
+        mates = [m for m in self._beliefs.members if m.zone == zone]
+        return self._send(message, mates)
+
+    def _send(
+        self,
+        message: messages.Message,
+        to: collections.abc.Iterable[ports.Member] | None = None,
+    ) -> bool:
         sock = self._sock
         if sock is None:
-            return
+            return True
         data = msgspec.msgpack.encode(message)
-        for member in self._beliefs.members:
+        if len(data) > DATAGRAM_BYTES:
+            return False
+        for member in self._beliefs.members if to is None else to:
             if member.node_id == self._beliefs.cfg.node_id or member.addr is None:
                 continue
             try:
@@ -131,6 +131,7 @@
             except OSError as exc:
                 # The message only improves a choice; the others do without it.
                 record.event(LOG, "not_announced", to=member.node_id, reason=str(exc))
+        return True
 
     def _receive(self, sock: socket.socket) -> None:
         known = {member.addr[0] for member in self._beliefs.members if member.addr}
@@ -151,21 +152,29 @@
                 continue
             self._take(sender[0], message)
 
-    def _take(self, sender: str, message: Message) -> None:
+    def _take(self, sender: str, message: messages.Message) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+            return
+        if not isinstance(
+            message, messages.Prefill | messages.Switching | messages.Serving
+        ):
+            return
         upstream = self._beliefs.fleet.upstreams.get(message.upstream_id)
         if upstream is None:
             return
         now = clock.now()
         match message:
-            case Prefill(_, number, 0):
+            case messages.Prefill(_, number, 0):
                 upstream.announced.pop((sender, number), None)
-            case Prefill(_, number, tokens):
+            case messages.Prefill(_, number, tokens):
                 lasts_s = 2 * tokens / choice.PREFILL_TOKENS_PER_S + SPARE_S
                 upstream.announced[(sender, number)] = fleet.Announced(
                     tokens, now + lasts_s
                 )
-            case Switching(_, for_s):
+            case messages.Switching(_, for_s):
                 upstream.switching_until = now + min(for_s, MOST_SWITCH_S)
-            case Serving(_, model, version):
+            case messages.Serving(_, model, version):
                 upstream.note_version(model, version)
                 upstream.switching_until = 0.0
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -105,7 +105,12 @@
         self._ready = http_server.Server(self._tell_ready)
         self._metrics = http_server.Server(self._tell_metrics)
         self._watch = watch.Watch(
-            cfg, self._beliefs, platform.store, self._stats, self._take_intent
+            cfg,
+            self._beliefs,
+            platform.store,
+            self._stats,
+            self._take_intent,
+            self._announcer,
         )
         self._weights = weights.Weights(
             cfg,
@@ -115,7 +120,9 @@
             self._stats,
             self._announcer,
         )
-        self._shelves = shelves.Shelves(cfg, self._beliefs, platform.machines)
+        self._shelves = shelves.Shelves(
+            cfg, self._beliefs, platform.machines, self._announcer
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -129,6 +136,15 @@
         shelves_known = self._beliefs.index.shelves.values()
         return all(shelf.is_fresh(now) for shelf in shelves_known)
 
+    @property
+    def members(self) -> int:
+        """Number of nodes known, this one included."""
+        return self._beliefs.nodes
+
+    def drop_datagrams(self) -> None:
+        """Neither send nor take datagrams from now on, as behind a bad link."""
+        self._announcer.close()
+
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
@@ -185,6 +201,8 @@
         with trio.move_on_after(1.0):
             await self._store.remove_member(self._cfg.node_id)
         await trio.sleep(max(0.0, began + ROTATION_S - clock.now()))
+        # Requests that come later could not be finished, so callers must go elsewhere.
+        self._callers.stop_accepting()
         self._callers.close_idle()
         while self._callers.open_requests and clock.now() < last:
             await trio.sleep(CLOSE_CHECK_S)
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -5,13 +5,19 @@
 import trio
 
 from snipelug_core import hashing, kv_index
-from snipelug_relay import clock, ports, record, state
+from snipelug_relay import announce, clock, messages, ports, record, state
 
 LOG = logging.getLogger("snipelug.shelves")
 
 POLL_S = 1.0
 """Pause between polls; with an answer in time it keeps parts usable (1.6 s)."""
 
+LOOK_S = 0.25
+"""Pause between looks at what watchers told, at nodes that are none."""
+
+TOLD_S = 1.25
+"""Age of a store's last poll after which a node that is no watcher polls itself."""
+
 FREE_AT_ONCE = 200
 """Parts freed by one call."""
 
@@ -24,7 +30,10 @@
         cfg: ports.Settings,
         beliefs: state.State,
         machines: ports.Machines,
+        announcer: announce.Announcer,
     ) -> None:
+        self._announcer = announcer
+        announcer.on(messages.ShelfRead, self._hear)
         self._cfg = cfg
         self._beliefs = beliefs
         self._machines = machines
@@ -35,10 +44,12 @@
             async with trio.open_nursery() as nursery:
                 for shelf in list(self._beliefs.index.shelves.values()):
                     nursery.start_soon(self._visit, shelf)
-            await trio.sleep(POLL_S)
+            await trio.sleep(POLL_S if self._beliefs.is_watcher else LOOK_S)
 
     async def _visit(self, shelf: kv_index.Shelf) -> None:
-        await self._poll(shelf)
+        age_s = clock.now() - shelf.polled_at
+        if self._beliefs.is_watcher or age_s > TOLD_S:
+            await self._poll(shelf)
         if shelf.is_fresh(clock.now()) and self._is_cleaner(shelf):
             await self._free(shelf)
 
@@ -66,13 +77,51 @@
         if (is_new and shelf.next > 0) or page.has_gap:
             await self._read_all(shelf, sent_at)
             return
+        since, shelf.next = shelf.next, page.next
         self._take(shelf, page.events)
-        shelf.next = page.next
         shelf.polled_at = sent_at
         if page.clock_s is not None:
-            # The store told its clock after the call was sent, so this is an
-            # upper bound of the difference and transfers end no later than meant.
+            # The store told its clock before the answer came, so this is a lower
+            # bound of the difference and transfers end no later than meant.
             shelf.clock_offset_s = page.clock_s - clock.now()
+            shelf.clock_at = (sent_at, page.clock_s)
+            if self._beliefs.is_watcher:
+                self._tell(shelf, since, page, page.clock_s)
+
+    def _tell(
+        self,
+        shelf: kv_index.Shelf,
+        since: int,
+        page: ports.StoreEvents,
+        clock_s: float,
+    ) -> None:
+        stored = [
+            (*event.key, event.tokens if isinstance(event, ports.Stored) else 0)
+            for event in page.events
+        ]
+        told = messages.ShelfRead(
+            shelf.store.name, page.epoch, since, page.next, clock_s, stored
+        )
+        # Too many events for a datagram: the others poll for themselves.
+        self._announcer.tell_zone(told)
+
+    def _hear(self, told: messages.ShelfRead) -> None:
+        """Take from a watcher what changed in a store."""
+        shelf = self._beliefs.index.shelves.get(told.store)
+        if shelf is None or shelf.clock_at is None or told.epoch != shelf.epoch:
+            return
+        if told.since > shelf.next or told.next < shelf.next:
+            return
+        for salt, part, tokens in told.stored:
+            if tokens > 0:
+                shelf.add((salt, part), tokens)
+            else:
+                shelf.drop((salt, part))
+        shelf.next = told.next
+        # The store's clock tells how old the watcher's poll is at least.
+        sent_at, clock_s = shelf.clock_at
+        polled_at = sent_at + told.clock_s - clock_s
+        shelf.polled_at = max(shelf.polled_at, min(clock.now(), polled_at))
 
     async def _read_all(self, shelf: kv_index.Shelf, sent_at: float) -> None:
         """Read the whole list after a gap in the events."""
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -4,7 +4,7 @@
 import dataclasses
 import logging
 
-from snipelug_core import catalog, choice, fleet, kv_index
+from snipelug_core import catalog, choice, fleet, kv_index, watcher
 from snipelug_relay import clock, ports, record
 
 LOG = logging.getLogger("snipelug.state")
@@ -65,6 +65,13 @@
         """Whether callers may be sent here."""
         return self.catalog is not None and self.list_known and not self.is_stopping
 
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this node reads from the platform for its zone, or for itself."""
+        nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
+        picked = watcher.pick(nodes, self.cfg.zone)
+        return self.cfg.node_id in picked or not picked
+
     @property
     def nodes(self) -> int:
         """Number of nodes that share the upstreams, this one included."""
@@ -122,7 +129,11 @@
         if zones != self.zones_out:
             self.zones_out = frozenset(zones)
             record.event(LOG, "zones_out", zones=sorted(zones))
-        self.confirmed_at = clock.now()
+        self.confirm(clock.now())
+
+    def confirm(self, at: float) -> None:
+        """Note that the operator's intents were up to date at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
 
     def _take_catalog(self, new: catalog.Catalog) -> None:
         if self.catalog is not None and new.version <= self.catalog.version:
@@ -161,7 +172,15 @@
         is_whole: bool,
         in_grace: bool,
     ) -> None:
-        """Take entries of the list of upstreams."""
+        """Take entries of the list of upstreams.
+
+        Parameters
+        ----------
+        is_whole : bool
+            The items are the whole list, not only changes.
+        in_grace : bool
+            Missing entries may have lapsed during an outage of the list.
+        """
         now = clock.now()
         entries = []
         changes: list[fleet.Change | None] = []
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -7,7 +7,7 @@
 import trio
 
 from snipelug_core import fleet
-from snipelug_relay import clock, ports, record, state, stats
+from snipelug_relay import announce, clock, messages, ports, record, state, stats
 
 LOG = logging.getLogger("snipelug.watch")
 
@@ -27,8 +27,11 @@
 OUTAGE_S = 1.2
 """A longer time without the list may have let entries lapse; one heartbeat."""
 
+TOLD_SPARE_S = 0.3
+"""Lateness of a watcher after which a node reads for itself."""
+
 MEMBER_WRITE_S = 15.0
-MEMBER_READ_S = (0.5, 1.0, 2.0, 4.0, 8.0)
+MEMBER_READ_S = (0.5, 1.0, 2.0, 4.0, 8.0, 12.0)
 """Times between reads of the members; the last one goes on."""
 
 Answer = typing.TypeVar("Answer")
@@ -66,6 +69,34 @@
         return True
 
 
+class Followed:
+    """How far a table has been read.
+
+    Attributes
+    ----------
+    position : int or None
+        From where changes are read next; None to read the whole table.
+    noted_at : float
+        When this was last known to be up to date, in seconds.
+    asked : trio.Event
+        Set when this node must read the table itself.
+    """
+
+    def __init__(self) -> None:
+        self.position: int | None = None
+        self.noted_at = -1e9
+        self.asked = trio.Event()
+
+    def note(self, position: int) -> None:
+        """Note that the table has been read up to a position."""
+        self.position = position
+        self.noted_at = clock.now()
+
+    def ask(self) -> None:
+        """Read the table at once."""
+        self.asked.set()
+
+
 class Watch:
     """Reads the operator's intents, the list of upstreams and the members."""
 
@@ -76,7 +107,14 @@
         store: ports.ControlStore,
         metrics: stats.Stats,
         on_intent: collections.abc.Callable[[], None],
+        announcer: announce.Announcer,
     ) -> None:
+        self._announcer = announcer
+        self._intents = Followed()
+        self._list = Followed()
+        self._clock: tuple[float, float] | None = None
+        announcer.on(messages.IntentsRead, self._hear_intents)
+        announcer.on(messages.ListRead, self._hear_listings)
         self._cfg = cfg
         self._beliefs = beliefs
         self._store = store
@@ -86,28 +124,62 @@
     async def run_intents(self) -> None:
         """Follow what the operator wants."""
         contact = Contact("intents", self._stats)
-        position: int | None = None
         while True:
+            if await self._is_told(self._intents, INTENT_WAIT_S + TOLD_SPARE_S):
+                continue
+            position = self._intents.position
+            sent_at = clock.now()
             page: ports.Page[ports.Intent] | ports.HistoryLost | ports.Unavailable
             if position is None:
                 page = await self._store.read_intents()
             else:
-                page = await self._store.watch_intents(position, INTENT_WAIT_S)
+                wait_s = INTENT_WAIT_S if self._beliefs.is_watcher else 0.0
+                page = await self._store.watch_intents(position, wait_s)
             if isinstance(page, ports.HistoryLost):
                 record.event(LOG, "history_lost", call="intents", position=position)
-                position = None
+                self._intents.position = None
             elif await contact.note(page) and isinstance(page, ports.Page):
-                self._beliefs.take_intents(page.items, is_whole=position is None)
-                position = page.position
-                self._on_intent()
+                self._take_intents(page, position, sent_at)
+
+    def _take_intents(
+        self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
+    ) -> None:
+        self._beliefs.take_intents(page.items, is_whole=since is None)
+        # The call may have been held, so only unheld ones bound the store's clock.
+        if since is None or not self._beliefs.is_watcher:
+            self._clock = (sent_at, page.clock_ms)
+        self._intents.note(page.position)
+        if since is not None and self._beliefs.is_watcher:
+            self._announcer.tell_zone(
+                messages.IntentsRead(
+                    since, page.position, page.clock_ms, bool(page.items)
+                )
+            )
+        self._on_intent()
+
+    def _hear_intents(self, told: messages.IntentsRead) -> None:
+        """Take from a watcher that the operator's table has not changed."""
+        position = self._intents.position
+        if position is None or self._clock is None or told.position < position:
+            return
+        if told.since > position or told.has_changes:
+            self._intents.ask()
+            return
+        sent_at, clock_ms = self._clock
+        confirmed_at = sent_at + (told.clock_ms - clock_ms) / 1e3
+        self._beliefs.confirm(min(clock.now(), confirmed_at))
+        self._intents.note(told.position)
 
     async def run_upstreams(self) -> None:
         """Follow the list of upstreams."""
         contact = Contact("upstreams", self._stats)
-        position: int | None = None
         grace_until = 0.0
         pause_s = LIST_PART * self._cfg.bounds.drain_s
         while True:
+            if await self._is_told(self._list, pause_s + TOLD_SPARE_S):
+                contact.answered_at = clock.now()
+                continue
+            position = self._list.position
             page: ports.Page[ports.Listing] | ports.HistoryLost | ports.Unavailable
             if position is None:
                 page = await self._store.read_upstreams()
@@ -116,16 +188,72 @@
             now = clock.now()
             if isinstance(page, ports.HistoryLost):
                 record.event(LOG, "history_lost", call="upstreams", position=position)
-                position = None
+                self._list.position = None
                 continue
             if now - contact.answered_at > pause_s + OUTAGE_S:
                 grace_until = now + fleet.REMOVAL_GRACE_S
             if await contact.note(page) and isinstance(page, ports.Page):
-                is_whole = position is None
-                in_grace = now < grace_until
-                self._beliefs.take_listings(page.items, is_whole, in_grace)
-                position = page.position
-                await trio.sleep(pause_s)
+                self._take_listings(page, position, now < grace_until)
+                await trio.sleep(pause_s if self._beliefs.is_watcher else 0.0)
+
+    def _take_listings(
+        self, page: ports.Page[ports.Listing], since: int | None, in_grace: bool
+    ) -> None:
+        if since is not None and self._beliefs.is_watcher:
+            self._tell_listings(page, since, in_grace)
+        self._beliefs.take_listings(page.items, since is None, in_grace)
+        self._list.note(page.position)
+
+    def _tell_listings(
+        self, page: ports.Page[ports.Listing], since: int, in_grace: bool
+    ) -> None:
+        """Tell the zone what differs from what this node knew."""
+        known = self._beliefs.fleet.upstreams
+        entries, removed = [], []
+        for item in page.items:
+            match item:
+                case fleet.Entry():
+                    if item.id not in known or known[item.id].entry != item:
+                        entries.append(item)
+                case ports.Removed(str() as upstream_id):
+                    removed.append(upstream_id)
+                case ports.Unreadable(key):
+                    removed.append(key)
+        told = messages.ListRead(since, page.position, in_grace, entries, removed)
+        if not self._announcer.tell_zone(told):
+            cut = messages.ListRead(since, page.position, in_grace, [], [], True)
+            self._announcer.tell_zone(cut)
+
+    def _hear_listings(self, told: messages.ListRead) -> None:
+        """Take from a watcher what changed in the list."""
+        position = self._list.position
+        if position is None or told.position < position:
+            return
+        if told.since > position or told.is_cut:
+            self._list.ask()
+            return
+        items: list[ports.Listing] = [*told.entries]
+        items += [ports.Removed(upstream_id) for upstream_id in told.removed]
+        self._beliefs.take_listings(items, False, told.in_grace)
+        self._list.note(told.position)
+
+    async def _is_told(self, followed: "Followed", limit_s: float) -> bool:
+        """Wait while a watcher of the zone reads a table for this node.
+
+        Returns
+        -------
+        bool
+            False if this node must read the table itself now.
+        """
+        if self._beliefs.is_watcher or followed.position is None:
+            return False
+        left_s = followed.noted_at + limit_s - clock.now()
+        if left_s <= 0 or followed.asked.is_set():
+            followed.asked = trio.Event()
+            return False
+        with trio.move_on_after(min(left_s, limit_s)):
+            await followed.asked.wait()
+        return True
 
     async def run_members(self) -> None:
         """Keep this node's row and follow the rows of the others."""
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import logging
+import socket
 
 import trio
 
@@ -87,6 +88,7 @@
     engines: list[server.Server] = dataclasses.field(default_factory=list)
     kv_stores: list[kv_store.KvStore] = dataclasses.field(default_factory=list)
     nodes: list[node.Node] = dataclasses.field(default_factory=list)
+    has_peers: bool = False
 
     def list_all(self) -> None:
         """Write the entries of all servers."""
@@ -105,6 +107,7 @@
             callers=("127.0.0.1", 0),
             ready=("127.0.0.1", 0),
             store=("127.0.0.1", self.store_port),
+            peers=("127.0.0.1", free_port()) if self.has_peers else None,
             bounds=ports.Bounds(grace_s=4.0, lease_ms=600.0, version_s=8.0),
         )
 
@@ -123,6 +126,14 @@
         return found
 
 
+def free_port() -> int:
+    """Return a UDP port that nobody has bound."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+    return port
+
+
 async def until(is_true: collections.abc.Callable[[], bool]) -> None:
     """Wait for a condition."""
     with trio.fail_after(WAIT_S):
@@ -132,13 +143,18 @@
 
 @contextlib.asynccontextmanager
 async def deployment(
-    apps: int = 2, engines: int = 2, kv_stores: int = 1, nodes: int = 1
+    apps: int = 2,
+    engines: int = 2,
+    kv_stores: int = 1,
+    nodes: int = 1,
+    has_peers: bool = False,
 ) -> collections.abc.AsyncIterator[World]:
     """Run a deployment; its nodes are ready."""
     logging.getLogger().setLevel(logging.INFO)
     async with trio.open_nursery() as nursery:
         rows = store.Store()
         world = World(rows, await nursery.start(rows.serve), nursery)
+        world.has_peers = has_peers
         world.apps = [server.Server("app") for _ in range(apps)]
         world.engines = [server.Server("llm", model=MODEL) for _ in range(engines)]
         world.kv_stores = [kv_store.KvStore() for _ in range(kv_stores)]
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -76,6 +76,7 @@
     index.set_stores(stores or (kv_store(),))
     for shelf in index.shelves.values():
         shelf.restart(1, now)
+        shelf.settled_at = now
         shelf.polled_at = now
         shelf.clock_offset_s = 0.0
     return index
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from snipelug_relay import announce, clock, ports, state
+from snipelug_relay import announce, clock, messages, ports, state
 from tests import relay_builders
 
 
@@ -73,7 +73,7 @@
     introduce(beliefs, other)
     nursery.start_soon(first.run)
     await trio.testing.wait_all_tasks_blocked()
-    switch = msgspec.msgpack.encode(announce.Switching("u1", 9.0))
+    switch = msgspec.msgpack.encode(messages.Switching("u1", 9.0))
     assert beliefs.cfg.peers is not None
     for host, content in (("127.0.0.2", data), ("127.0.0.3", switch)):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -3,8 +3,10 @@
 import pytest
 import trio
 
+from snipelug_core import kv_index
 from snipelug_net import http_client
 from snipelug_platform_standin import server
+from snipelug_relay import node
 from tests import platform_world
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
@@ -324,6 +326,7 @@
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
         await platform_world.until(lambda: world.nodes[0].knows_stores)
+        await trio.sleep(kv_index.SETTLE_S)
         await caller.ask("/ask/", parts="aa:2000,bb:50")
         first = engine.seen[-1].headers
         address = f"127.0.0.1:{kv.port}"
@@ -346,7 +349,8 @@
 async def test_planned_stop_finishes_open_requests() -> None:
     """Guards against answers that a planned stop cuts.
 
-    The answer takes longer than the node stays in the load balancer's rotation.
+    The answer takes longer than the node stays in the load balancer's rotation. A
+    request that comes after that time is not taken, as it could not be finished.
     """
     async with platform_world.deployment(apps=0, engines=1) as world:
         world.engines[0].events = 60
@@ -364,6 +368,10 @@
             nursery.start_soon(ask)
             await platform_world.until(lambda: world.engines[0].running == 1)
             nursery.start_soon(stop, world)
+            await trio.sleep(node.ROTATION_S + 0.2)
+            assert not answers
+            late = await caller.pool.fetch(caller.call("GET", "/look/"))
+            assert isinstance(late, http_client.NotSent)
         assert not world.nodes[0].is_ready
         (full,) = answers
         assert isinstance(full, http_client.Full)
--- /dev/null
+++ b/tests/test_platform_zone.py
@@ -0,0 +1,93 @@
+"""Nodes of one zone that read from the platform for one another."""
+
+import collections
+
+import trio
+
+from snipelug_core import watcher
+from snipelug_net import http_client
+from snipelug_platform_standin import store
+from tests import platform_world
+
+NODES = 6
+
+
+def test_all_nodes_pick_the_same_watchers() -> None:
+    """Guards against zones without watchers and against many of them."""
+    nodes = [watcher.Node(f"n{i}", "a" if i < 9 else "b") for i in range(12)]
+    picked = watcher.pick(nodes, "a")
+    assert picked == watcher.pick(reversed(nodes), "a")
+    assert len(picked) == watcher.PER_ZONE
+    assert sorted(watcher.pick(nodes, "b")) == ["n10", "n11", "n9"]
+
+
+def test_loss_of_a_watcher_moves_one_role() -> None:
+    """Guards against all roles moving when one node goes."""
+    nodes = [watcher.Node(f"n{i}", "a") for i in range(9)]
+    first, second = watcher.pick(nodes, "a")
+    left = [node for node in nodes if node.id != first]
+    assert second in watcher.pick(left, "a")
+
+
+async def zone_known(world: platform_world.World) -> None:
+    """Wait until all nodes know one another and one poll has passed."""
+    await platform_world.until(lambda: all(n.members == NODES for n in world.nodes))
+    await trio.sleep(1.5)
+
+
+async def count_calls(rows: store.Store, for_s: float) -> collections.Counter[str]:
+    before = rows.calls.copy()
+    await trio.sleep(for_s)
+    return rows.calls - before
+
+
+async def test_few_nodes_read_and_all_know() -> None:
+    """Guards against calls that grow with the nodes, and against stale nodes."""
+    async with platform_world.deployment(
+        engines=0, nodes=NODES, has_peers=True
+    ) as world:
+        await zone_known(world)
+        calls = await count_calls(world.store, 3.0)
+        # Two watchers, each with the list every 0.8 s and the intents every 2 s.
+        assert calls["/api/rows-feed"] <= 2 * (4 + 2) + 2
+        leaving, stays = world.apps
+        leaving.state = "draining"
+        world.store.put("servers", leaving.id, leaving.entry())
+        world.configure(2, tenants=[{"name": "team-2", "api_keys": ["other"]}])
+        await trio.sleep(1.5)
+        for node in world.nodes:
+            caller = platform_world.Caller(node)
+            full = await caller.send("GET", "/look/")
+            assert isinstance(full, http_client.Full)
+            assert full.status == 401
+            for _ in range(2):
+                full = await caller.send("GET", "/look/", authorization="Token other")
+                assert isinstance(full, http_client.Full)
+                assert full.status == 200
+        assert not leaving.seen
+        assert len(stays.seen) == 2 * NODES
+
+
+async def test_silent_watchers_are_replaced_by_own_reads() -> None:
+    """Guards against nodes that know nothing new because no datagram comes."""
+    async with platform_world.deployment(
+        engines=0, nodes=NODES, has_peers=True
+    ) as world:
+        await zone_known(world)
+        for node in world.nodes:
+            node.drop_datagrams()
+        leaving = world.apps[0]
+        leaving.state = "draining"
+        world.store.put("servers", leaving.id, leaving.entry())
+        world.configure(2, tenants=[{"name": "team-2", "api_keys": ["other"]}])
+        await trio.sleep(2.8)
+        for node in world.nodes:
+            full = await platform_world.Caller(node).send("GET", "/look/")
+            assert isinstance(full, http_client.Full)
+            assert full.status == 401
+            full = await platform_world.Caller(node).send(
+                "GET", "/look/", authorization="Token other"
+            )
+            assert isinstance(full, http_client.Full)
+            assert full.status == 200
+        assert not leaving.seen
