Let a starting node wait for the stores; send prompts to the engine that reads their part

Cause: a restarted node served for up to 1 s before it first polled the stores, and read every prompt anew; two nodes read one new part in two zones before its save was known.

Ruled out: full stores (36 saves without room) and lost events (1 in 100).

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -222,11 +222,14 @@
 ) -> fleet.Upstream | None:
     """Return the upstream that all nodes prefer for the prompt's shared part.
 
-    Upstreams of the node's zone come first, so that prompts stay in their zone.
+    It is one that has read the part or reads it now, as long as no store holds it,
+    and else one of the node's zone, so that prompts stay in their zone.
     """
     shared = shared_part(need.parts)
     if shared is None:
         return None
+    if shared.id not in need.fetch_s:
+        candidates = [u for u in candidates if shared.id in u.held] or candidates
     near = [u for u in candidates if u.entry.zone == need.zone]
     return max(
         near or candidates,
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -7,8 +7,11 @@
 REMOVAL_GRACE_S = 2.2
 """Entries that lapsed during an outage of the list are back within 2 s of its end."""
 
-HELD_PART = 0.5
-"""Part of an engine's memory that is taken to keep cached parts of prompts."""
+HELD_PART = 0.3
+"""Part of an engine's memory that is taken to keep the parts that nodes told of.
+
+Running requests and short parts of other nodes, which are not told, fill the rest.
+"""
 
 HEAL_PER_S = 0.25
 """Part of the remembered failure rate that is forgotten each second."""
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -77,13 +77,16 @@
                 self._sock = None
 
     def begin(
-        self, upstream_id: str, tokens: int
+        self, upstream_id: str, tokens: int, shared: choice.Part | None = None
     ) -> collections.abc.Callable[[], None] | None:
         """Announce a prompt; return what announces that it has been read."""
         if self._sock is None or tokens < MIN_TOKENS:
             return None
         number = next(self._numbers)
-        self._send(messages.Prefill(upstream_id, number, tokens))
+        message = messages.Prefill(upstream_id, number, tokens)
+        if shared is not None:
+            message.part, message.part_tokens = shared.id, shared.tokens
+        self._send(message)
 
         def tell_read() -> None:
             self._send(messages.Prefill(upstream_id, number, 0))
@@ -173,6 +176,13 @@
                 upstream.announced[(sender, number)] = fleet.Announced(
                     tokens, now + lasts_s
                 )
+                # The next prompt with this part is cheapest where it is read now.
+                if message.part:
+                    upstream.note_held(
+                        message.part,
+                        message.part_tokens,
+                        self._beliefs.held_tokens(upstream),
+                    )
             case messages.Switching(_, for_s):
                 upstream.switching_until = now + min(for_s, MOST_SWITCH_S)
             case messages.Serving(_, model, version):
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -14,11 +14,17 @@
         Counts the sender's prompts.
     tokens : int
         Tokens to read; 0 once they have been read.
+    part : str
+        Id of the last part that the prompt shares with others.
+    part_tokens : int
+        Tokens of that part.
     """
 
     upstream_id: str
     number: int
     tokens: int
+    part: str = ""
+    part_tokens: int = 0
 
 
 class Switching(msgspec.Struct, array_like=True, tag=2):
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -132,9 +132,7 @@
     @property
     def knows_stores(self) -> bool:
         """Whether all stores of KV cache have told what they hold."""
-        now = clock.now()
-        shelves_known = self._beliefs.index.shelves.values()
-        return all(shelf.is_fresh(now) for shelf in shelves_known)
+        return self._beliefs.knows_stores(clock.now())
 
     @property
     def members(self) -> int:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -345,7 +345,8 @@
         visit, call = self._prepare(job, pick, resume_after, now)
         visit.begin(now)
         entry = pick.upstream.entry
-        visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens)
+        shared = choice.shared_part(job.ask.parts)
+        visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
         reply: http_client.Reply | None = None
         outcome = Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
@@ -413,6 +414,9 @@
         if version is not None:
             entry["version"] = version
             entry["prefill"] = pick.prefill_tokens
+            shared = choice.shared_part(ask.parts)
+            entry["part"] = shared.id if shared is not None else None
+            entry["salt"] = key_salt
             entry["fetched"] = sum(s is not None for s in plan.sources)
             entry["saved"] = sum(s is not None for s in plan.targets)
         job.trace.append(entry)
@@ -420,14 +424,9 @@
         return Visit(upstream, tokens, pick.prefill_tokens, entry), call
 
     def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
-        known = self._beliefs.catalog
-        service = known.services.get(upstream.entry.service) if known else None
-        if service is None or service.engine is None:
-            return
-        # Other nodes fill the rest of the engine's memory.
-        capacity = fleet.HELD_PART * service.engine.kv_capacity_tokens
+        capacity = self._beliefs.held_tokens(upstream)
         for part in ask.parts[:-1]:
-            upstream.note_held(part.id, part.tokens, capacity / self._beliefs.nodes)
+            upstream.note_held(part.id, part.tokens, capacity)
 
     def _last_check(self, job: Job, pick: choice.Choice) -> http_client.LastCheck:
         """Return the check that comes right before the first byte is sent."""
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -44,7 +44,10 @@
             async with trio.open_nursery() as nursery:
                 for shelf in list(self._beliefs.index.shelves.values()):
                     nursery.start_soon(self._visit, shelf)
-            await trio.sleep(POLL_S if self._beliefs.is_watcher else LOOK_S)
+            pause_s = POLL_S if self._beliefs.is_watcher else LOOK_S
+            with trio.move_on_after(pause_s):
+                await self._beliefs.stores_changed.wait()
+            self._beliefs.stores_changed = trio.Event()
 
     async def _visit(self, shelf: kv_index.Shelf) -> None:
         age_s = clock.now() - shelf.polled_at
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -4,6 +4,8 @@
 import dataclasses
 import logging
 
+import trio
+
 from snipelug_core import catalog, choice, fleet, kv_index, watcher
 from snipelug_relay import clock, ports, record
 
@@ -13,6 +15,13 @@
 """Age at which a member's row no longer counts; rows are written every 15 s."""
 
 
+STORES_WAIT_S = 1.0
+"""How long a node that starts waits for the stores of KV cache before it is ready.
+
+Without them every prompt is read anew; a store that is down stops no node.
+"""
+
+
 @dataclasses.dataclass
 class Named:
     """The newest weight version of a model.
@@ -46,6 +55,10 @@
         When the operator's intents were last confirmed, in seconds.
     list_known : bool
         The list of upstreams was read.
+    known_since : float or None
+        When the first configuration was read, in seconds.
+    stores_changed : trio.Event
+        Set when the configuration may name other stores of KV cache.
     """
 
     def __init__(self, cfg: ports.Settings) -> None:
@@ -58,12 +71,21 @@
         self.confirmed_at = -1e9
         self.list_known = False
         self.members: list[ports.Member] = []
+        self.stores_changed = trio.Event()
+        self.known_since: float | None = None
         self.is_stopping = False
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self.catalog is not None and self.list_known and not self.is_stopping
+        if self.known_since is None or not self.list_known or self.is_stopping:
+            return False
+        now = clock.now()
+        return self.knows_stores(now) or now - self.known_since > STORES_WAIT_S
+
+    def knows_stores(self, now: float) -> bool:
+        """Tell whether all stores of KV cache have told what they hold."""
+        return all(shelf.is_fresh(now) for shelf in self.index.shelves.values())
 
     @property
     def is_watcher(self) -> bool:
@@ -96,6 +118,14 @@
         named = self.named.get(model)
         return named is None or kv_index.is_in_use(version, named.times, now)
 
+    def held_tokens(self, upstream: fleet.Upstream) -> float:
+        """Return how many tokens an engine is taken to keep cached."""
+        known = self.catalog
+        service = known.services.get(upstream.entry.service) if known else None
+        if service is None or service.engine is None:
+            return 0.0
+        return fleet.HELD_PART * service.engine.kv_capacity_tokens
+
     def view(self, service: str) -> choice.View | None:
         """Return what all upstreams of a service have in common."""
         if self.catalog is None or service not in self.catalog.services:
@@ -148,6 +178,9 @@
         )
         self.catalog = new
         self.index.set_stores(new.stores)
+        self.stores_changed.set()
+        if self.known_since is None:
+            self.known_since = clock.now()
 
     def _take_version(self, model: str, version: int) -> None:
         known = self.named.get(model)
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from snipelug_core import catalog, choice
 from snipelug_relay import announce, clock, messages, ports, state
 from tests import relay_builders
 
@@ -82,3 +83,33 @@
     await trio.sleep(0.1)
     assert beliefs.fleet.upstreams["u1"].switching_until == 0.0
     nursery.cancel_scope.cancel()
+
+
+async def test_part_that_a_peer_reads_is_not_read_elsewhere(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against one shared part that two zones read at the same time.
+
+    The peer's zone is another one, so this node would prefer its own engine.
+    """
+    first, first_beliefs = node("n1", "127.0.0.1")
+    second, second_beliefs = node("n2", "127.0.0.2")
+    introduce(first_beliefs, second_beliefs)
+    engines = catalog.Service("engines", engine=relay_builders.ENGINE)
+    second_beliefs.take_intents([catalog.Catalog(1, (), (engines,))], is_whole=True)
+    second_beliefs.fleet.put(relay_builders.entry("near", zone="b"), clock.now())
+    nursery.start_soon(first.run)
+    nursery.start_soon(second.run)
+    await trio.testing.wait_all_tasks_blocked()
+    need = relay_builders.need(16_000, 500, zone="b", body_bytes=34_000)
+    upstreams = second_beliefs.fleet.of_service("engines")
+    view = relay_builders.view()
+    before = choice.choose(upstreams, need, view, (), clock.now())
+    first.begin("u1", 16_500, need.parts[0])
+    await trio.sleep(0.1)
+    after = choice.choose(upstreams, need, view, (), clock.now())
+    assert before is not None
+    assert after is not None
+    assert before.upstream.entry.id == "near"
+    assert after.upstream.entry.id == "u1"
+    nursery.cancel_scope.cancel()
