--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -33,6 +33,12 @@
 SPARE_S = 1.0
 """A prompt counts for twice its expected reading time and this, at most."""
 
+MOST_READ_S = 5.0
+"""Longest time for which another node's prompt counts."""
+
+FEW_NODES = 12
+"""Up to so many nodes each prompt is told to all, and its end as well."""
+
 
 Handler = collections.abc.Callable[[typing.Any], None]
 """Takes one kind of message."""
@@ -83,9 +89,16 @@
         if self._sock is None or tokens < MIN_TOKENS:
             return None
         number = next(self._numbers)
+        lasts_s = tokens / choice.PREFILL_TOKENS_PER_S
         message = messages.Prefill(upstream_id, number, tokens)
         if shared is not None:
             message.part, message.part_tokens = shared.id, shared.tokens
+        if len(self._beliefs.members) > FEW_NODES:
+            # Engines of the own zone come first, and each datagram costs a wake-up.
+            message.lasts_s = lasts_s
+            self.tell_zone(message)
+            return None
+        message.lasts_s = 2 * lasts_s + SPARE_S
         self._send(message)
 
         def tell_read() -> None:
@@ -172,9 +185,8 @@
             case messages.Prefill(_, number, 0):
                 upstream.announced.pop((sender, number), None)
             case messages.Prefill(_, number, tokens):
-                lasts_s = 2 * tokens / choice.PREFILL_TOKENS_PER_S + SPARE_S
                 upstream.announced[(sender, number)] = fleet.Announced(
-                    tokens, now + lasts_s
+                    tokens, now + min(message.lasts_s, MOST_READ_S)
                 )
                 # The next prompt with this part is cheapest where it is read now.
                 if message.part:
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -18,6 +18,8 @@
         Id of the last part that the prompt shares with others.
     part_tokens : int
         Tokens of that part.
+    lasts_s : float
+        Time after which the prompt has been read, also without a second message.
     """
 
     upstream_id: str
@@ -25,6 +27,7 @@
     tokens: int
     part: str = ""
     part_tokens: int = 0
+    lasts_s: float = 0.0
 
 
 class Switching(msgspec.Struct, array_like=True, tag=2):
@@ -86,8 +89,8 @@
     is_cut: bool = False
 
 
-class ShelfRead(msgspec.Struct, array_like=True, tag=6):
-    """The events of a store of KV cache were read.
+class ShelfRead(msgspec.Struct, array_like=True):
+    """What the events of one store of KV cache told.
 
     Attributes
     ----------
@@ -107,4 +110,10 @@
     stored: list[tuple[str, str, int]]
 
 
-Message = Prefill | Switching | Serving | IntentsRead | ListRead | ShelfRead
+class ShelvesRead(msgspec.Struct, array_like=True, tag=6):
+    """The events of stores of KV cache were read."""
+
+    shelves: list[ShelfRead]
+
+
+Message = Prefill | Switching | Serving | IntentsRead | ListRead | ShelvesRead
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -40,6 +40,7 @@
 """Part of an upstream's connections that all nodes together keep open."""
 
 MOST_IDLE = 64
+TEND_S = 0.5
 SETTINGS_CHECK_S = 2.0
 CLOSE_CHECK_S = 0.05
 
@@ -243,7 +244,7 @@
     async def _tend(self) -> None:
         """Forget upstreams that stay away after an outage of the list."""
         while True:
-            await trio.sleep(0.2)
+            await trio.sleep(TEND_S)
             self._beliefs.expire()
 
     async def _watch_settings(self) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/record.py
+++ b/packages/snipelug-relay/src/snipelug_relay/record.py
@@ -36,6 +36,7 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._rest = b""
         self.dropped = 0
+        self._has_lines = trio.Event()
 
     def emit(self, record: logging.LogRecord) -> None:
         """Keep one line, or count it if the buffer is full."""
@@ -58,6 +59,7 @@
             line["dropped"] = self.dropped
             self.dropped = 0
         self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        self._has_lines.set()
 
     def write_out(self) -> None:
         """Write what standard output takes now."""
@@ -78,8 +80,13 @@
     async def run(self) -> None:
         """Write lines until cancelled."""
         while True:
+            await self._has_lines.wait()
             await trio.sleep(FLUSH_S)
+            if not self._rest:
+                self._has_lines = trio.Event()
             self.write_out()
+            if self._rest:
+                self._has_lines.set()
 
 
 def setup(node_id: str, level: int = logging.INFO) -> Buffer:
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -12,7 +12,7 @@
 POLL_S = 1.0
 """Pause between polls; with an answer in time it keeps parts usable (1.6 s)."""
 
-LOOK_S = 0.25
+LOOK_S = 0.5
 """Pause between looks at what watchers told, at nodes that are none."""
 
 TOLD_S = 1.25
@@ -33,7 +33,8 @@
         announcer: announce.Announcer,
     ) -> None:
         self._announcer = announcer
-        announcer.on(messages.ShelfRead, self._hear)
+        self._told: list[messages.ShelfRead] = []
+        announcer.on(messages.ShelvesRead, self._hear_all)
         self._cfg = cfg
         self._beliefs = beliefs
         self._machines = machines
@@ -44,6 +45,7 @@
             async with trio.open_nursery() as nursery:
                 for shelf in list(self._beliefs.index.shelves.values()):
                     nursery.start_soon(self._visit, shelf)
+            self._tell_all()
             pause_s = POLL_S if self._beliefs.is_watcher else LOOK_S
             with trio.move_on_after(pause_s):
                 await self._beliefs.stores_changed.wait()
@@ -105,8 +107,20 @@
         told = messages.ShelfRead(
             shelf.store.name, page.epoch, since, page.next, clock_s, stored
         )
-        # Too many events for a datagram: the others poll for themselves.
-        self._announcer.tell_zone(told)
+        self._told.append(told)
+
+    def _tell_all(self) -> None:
+        """Tell the zone what this round of polls has shown, in one datagram."""
+        told, self._told = self._told, []
+        if not told or self._announcer.tell_zone(messages.ShelvesRead(told)):
+            return
+        # Stores with too many events for a datagram are polled by the others.
+        for item in told:
+            self._announcer.tell_zone(messages.ShelvesRead([item]))
+
+    def _hear_all(self, told: messages.ShelvesRead) -> None:
+        for item in told.shelves:
+            self._hear(item)
 
     def _hear(self, told: messages.ShelfRead) -> None:
         """Take from a watcher what changed in a store."""
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -12,7 +12,7 @@
 TICK_S = 0.15
 """Pause between looks at the engines while orders are under way."""
 
-IDLE_S = 0.5
+IDLE_S = 1.0
 """Pause between looks while all engines serve the newest weights."""
 
 RANK_S = 0.35
