Give up old weights by the oldest newer version; repeat unanswered orders at once

Cause: the time for which old weights may be used was counted from the newest version named, so a second version 2 s later extended the first one's bound; orders that got no answer were given again only after 2.5 s.

Ruled out: two givers (one holder at a time, orders refused by none).

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -87,7 +87,7 @@
         Parts of the prompt in order.
     version : int
         Newest weight version of the model; 0 if none is known.
-    is_version_due : bool
+    least_version : int
         Older weights must not be used any more.
     fetch_s : collections.abc.Mapping
         Time in which parts can be fetched from a store, in seconds, by part.
@@ -101,7 +101,7 @@
     model: str = ""
     parts: tuple[Part, ...] = ()
     version: int = 0
-    is_version_due: bool = False
+    least_version: int = 0
     fetch_s: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -161,7 +161,7 @@
             continue
         if need.model and need.model not in upstream.versions:
             continue
-        if need.is_version_due and upstream.versions.get(need.model, 0) < need.version:
+        if upstream.versions.get(need.model, 0) < need.least_version:
             continue
         if not cold_allows(upstream, view, now):
             continue
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -44,8 +44,12 @@
 SWITCHING_S = 0.3
 """Pauses after an upstream turned a request away."""
 
-VERSION_MARGIN_S = 1.0
-"""Old weights are given up this long before the deployment's bound."""
+VERSION_MARGIN_S = 2.0
+"""Old weights are given up this long before the deployment's bound.
+
+The bound holds for the moment at which an engine begins with a request, and
+requests wait there for up to 1.3 s when many engines load weights.
+"""
 
 WAIT_PART = 0.25
 """Part of the objective for which a request waits for an upstream to come back."""
@@ -293,7 +297,7 @@
             ask.model,
             ask.parts,
             version,
-            named is not None and now - named.at > self._version_due_s(),
+            named.settled(now, self._version_due_s()) if named is not None else 0,
             fetch_s,
             ask.output_tokens,
         )
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -224,6 +224,9 @@
             status=answer.status,
             reason=answer.reason,
         )
+        if answer.status == 0:
+            # It may be carried out later, but then another order has been accepted.
+            self._orders.pop(upstream.entry.id, None)
         if answer.status == ACCEPTED:
             upstream.switching_until = clock.now() + SWITCH_S
             self._announcer.switching(upstream.entry.id, SWITCH_S)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -91,7 +91,7 @@
     assert pick(upstreams, need) == "new"
     upstreams[0].prefill_tokens = 40_000
     assert pick(upstreams, need) == "old"
-    due = dataclasses.replace(need, is_version_due=True)
+    due = dataclasses.replace(need, least_version=2)
     assert pick(upstreams, due) == "new"
     assert pick(upstreams[1:], due) is None
 
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -6,7 +6,7 @@
 from snipelug_core import kv_index
 from snipelug_net import http_client
 from snipelug_platform_standin import server
-from snipelug_relay import node
+from snipelug_relay import node, state
 from tests import platform_world
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
@@ -320,6 +320,34 @@
         assert len(tokens) == 2
 
 
+async def test_orders_without_answer_are_given_again_and_do_not_win_late() -> None:
+    """Guards against engines that stay on, or go back to, old weights.
+
+    The first order to each engine gets no answer and comes back after newer ones.
+    """
+    async with platform_world.deployment(apps=0, engines=3) as world:
+        for item in world.engines:
+            item.faults.late_orders = 1
+        began = trio.current_time()
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        await platform_world.until(
+            lambda: all(item.models["m"] == 2 for item in world.engines)
+        )
+        assert trio.current_time() - began < 6.0
+        world.store.put("op", "version/m", {"model": "m", "version": 3})
+        await platform_world.until(
+            lambda: all(item.models["m"] == 3 for item in world.engines)
+        )
+        await trio.sleep(3.5)
+        assert all(item.models["m"] == 3 for item in world.engines)
+
+
+def test_weights_are_given_up_by_the_oldest_newer_version() -> None:
+    """Guards against a bound that starts anew with each version that is named."""
+    named = state.Named(3, 17.0, {1: -1e9, 2: 15.0, 3: 17.0})
+    assert [named.settled(at, 7.0) for at in (21.9, 22.1, 24.1)] == [1, 2, 3]
+
+
 async def test_shared_part_is_saved_then_fetched() -> None:
     """Guards against shared parts that are read again, and against wrong salts."""
     async with platform_world.deployment(apps=0, engines=1) as world:
