--- /dev/null
+++ b/tests/platform_soak.py
@@ -0,0 +1,465 @@
+"""Randomized soak: real nodes as processes, faults from outside, promises checked.
+
+    python -m tests.platform_soak --seed 1 --seconds 30
+
+Nodes are processes of the real program. The platform is played by the stand-ins in
+this process; proxies between them and the nodes delay, reset, silence or cut one way.
+Nodes are stopped, paused, killed and restarted by signals. The exit code is 1 if a
+promise was broken; each is printed with the seed.
+"""
+
+import argparse
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import itertools
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+import trio
+
+from snipelug_net import http_client
+from snipelug_platform_standin import kv_store, server, store
+from tests import platform_world
+
+NODES = 3
+CALLERS = 6
+GRACE_S = 4.0
+DRAIN_S = 2.0
+CALM_S = 6.0
+"""Time without faults after which everything must be well again."""
+
+QUIET_S = 5.0
+"""A node is in touch with the store once no fault has touched it for so long."""
+
+SERVED_S = 2.0
+EVENTS = 6
+REFUSALS = (408, 421, 429, 503)
+WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+
+
+class Proxy:
+    """Forwards connections to a port; ``mode`` says what goes wrong."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.mode = "ok"
+        self.port = 0
+
+    async def serve(self, task_status: trio.TaskStatus[None]) -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started()
+        await trio.serve_listeners(self._forward, listeners)
+
+    async def _forward(self, near: trio.SocketStream) -> None:
+        with contextlib.suppress(OSError, trio.BrokenResourceError):
+            async with await trio.open_tcp_stream("127.0.0.1", self.target) as far:
+                async with trio.open_nursery() as nursery:
+                    scope = nursery.cancel_scope
+                    nursery.start_soon(self._pump, near, far, False, scope)
+                    nursery.start_soon(self._pump, far, near, True, scope)
+        await trio.aclose_forcefully(near)
+
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        is_answer: bool,
+        scope: trio.CancelScope,
+    ) -> None:
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            while data := await source.receive_some(65536):
+                while self.mode == "silent" or (self.mode == "one_way" and is_answer):
+                    await trio.sleep(0.05)
+                if self.mode == "reset":
+                    break
+                if self.mode == "delay":
+                    await trio.sleep(0.2)
+                await sink.send_all(data)
+        scope.cancel()
+
+
+class Process:
+    """One node's process, started again whenever it ends."""
+
+    def __init__(self, number: int, folder: pathlib.Path, store_port: int) -> None:
+        self.name = f"n{number}"
+        self.host = f"127.0.0.{20 + number}"
+        self.port, self.ready_port, self.udp_port = (
+            platform_world.free_port() for _ in range(3)
+        )
+        self.log = folder / f"{self.name}.log"
+        self.path = folder / f"{self.name}.conf"
+        values = {
+            "node_name": self.name,
+            "zone": "zone-a",
+            "listen.frontend": f"{self.host}:{self.port}",
+            "listen.ready": f"{self.host}:{self.ready_port}",
+            "internal_port_range": f"{self.udp_port},{self.udp_port}",
+            "platform.address": f"127.0.0.1:{store_port}",
+            "bounds.drain_timeout_ms": int(1000 * DRAIN_S),
+            "bounds.grace_period_s": GRACE_S,
+            "bounds.lease_ms": 1000,
+        }
+        self.path.write_text("".join(f"{k}={v}\n" for k, v in values.items()))
+        self.running: subprocess.Popen[bytes] | None = None
+
+    async def run(self) -> None:
+        """Keep the node running; end it with this task."""
+        with self.log.open("ab") as log:
+            try:
+                while True:
+                    self.running = subprocess.Popen(
+                        [sys.executable, "-m", "snipelug_node.entry"],
+                        env={"SNIPELUG_CONFIG": str(self.path)},
+                        stdout=log,
+                        stderr=log,
+                    )
+                    while self.running.poll() is None:
+                        await trio.sleep(0.05)
+                    await trio.sleep(0.2)
+            finally:
+                if self.running is not None and self.running.poll() is None:
+                    self.running.kill()
+                    self.running.wait()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this node's own process."""
+        if self.running is not None and self.running.poll() is None:
+            self.running.send_signal(number)
+
+
+@dataclasses.dataclass
+class Soak:
+    """The deployment, the faults under way, and what was broken."""
+
+    seed: int
+    nursery: trio.Nursery
+    folder: pathlib.Path
+    rng: random.Random
+    rows: store.Store
+    kv: kv_store.KvStore = dataclasses.field(default_factory=kv_store.KvStore)
+    servers: list[server.Server] = dataclasses.field(default_factory=list)
+    gone: list[server.Server] = dataclasses.field(default_factory=list)
+    server_proxies: dict[str, Proxy] = dataclasses.field(default_factory=dict)
+    store_proxies: list[Proxy] = dataclasses.field(default_factory=list)
+    nodes: list[Process] = dataclasses.field(default_factory=list)
+    drained: dict[str, float] = dataclasses.field(default_factory=dict)
+    last_fault: float = 0.0
+    version: int = 1
+    weights: int = 1
+    ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
+    refused: set[str] = dataclasses.field(default_factory=set)
+    outcomes: "collections.Counter[str]" = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    broken: list[str] = dataclasses.field(default_factory=list)
+
+    def blame(self, promise: str, detail: str) -> None:
+        """Note a broken promise."""
+        self.broken.append(f"seed {self.seed}: {promise}: {detail}")
+
+    async def add_server(self, service: str) -> None:
+        """Start a server behind a proxy and list it."""
+        model = platform_world.MODEL if service == "llm" else ""
+        item = server.Server(service, model=model, version=self.weights, events=EVENTS)
+        await self.nursery.start(item.serve)
+        proxy = Proxy(item.port)
+        await self.nursery.start(proxy.serve)
+        self.server_proxies[item.id] = proxy
+        self.servers.append(item)
+        self.list_server(item)
+
+    def list_server(self, item: server.Server) -> None:
+        """Write a server's entry with the address of its proxy."""
+        address = f"127.0.0.1:{self.server_proxies[item.id].port}"
+        self.rows.put("servers", item.id, item.entry() | {"address": address})
+
+    def configure(self) -> None:
+        """Write the next configuration."""
+        self.rows.put("op", "config", platform_world.config(self.version, [self.kv]))
+        self.version += 1
+
+    async def heartbeats(self) -> None:
+        """Let servers write what they serve, as the platform's servers do."""
+        while True:
+            for item in self.servers:
+                self.list_server(item)
+            await trio.sleep(0.4)
+
+    # Faults. Each returns after it has ended.
+
+    async def proxy_fault(self, proxies: list[Proxy]) -> None:
+        mode = self.rng.choice(["delay", "silent", "reset", "one_way"])
+        for proxy in proxies:
+            proxy.mode = mode
+        await trio.sleep(self.rng.uniform(0.3, 2.5))
+        for proxy in proxies:
+            proxy.mode = "ok"
+
+    async def node_fault(self) -> None:
+        node = self.rng.choice(self.nodes)
+        match self.rng.choice(["pause", "kill", "term", "hup", "kill_all"]):
+            case "pause":
+                node.send(signal.SIGSTOP)
+                await trio.sleep(self.rng.uniform(0.3, 3.0))
+                node.send(signal.SIGCONT)
+            case "kill":
+                node.send(signal.SIGKILL)
+            case "term":
+                node.send(signal.SIGTERM)
+                await trio.sleep(GRACE_S)
+            case "hup":
+                node.send(signal.SIGHUP)
+            case "kill_all":
+                for item in self.nodes:
+                    item.send(signal.SIGKILL)
+
+    async def store_fault(self) -> None:
+        faults = self.rows.faults
+        match self.rng.choice(["down", "silent", "lost", "history", "one", "all"]):
+            case "down":
+                faults.is_down = True
+                await trio.sleep(self.rng.uniform(0.3, 3.0))
+                faults.is_down = False
+            case "silent":
+                faults.is_silent = True
+                await trio.sleep(self.rng.uniform(0.3, 3.0))
+                faults.is_silent = False
+            case "lost":
+                faults.loses_answers = True
+                await trio.sleep(self.rng.uniform(0.3, 2.0))
+                faults.loses_answers = False
+            case "history":
+                self.rows.forget_history()
+            case "one":
+                await self.proxy_fault([self.rng.choice(self.store_proxies)])
+            case "all":
+                await self.proxy_fault(self.store_proxies)
+
+    async def server_fault(self) -> None:
+        item = self.rng.choice(self.servers)
+        match self.rng.choice(["proxy", "away", "fail", "lose", "break", "order"]):
+            case "proxy":
+                await self.proxy_fault([self.server_proxies[item.id]])
+            case "away":
+                item.faults.turns_away = self.rng.randint(1, 5)
+            case "fail":
+                item.faults.fails = self.rng.randint(1, 3)
+            case "lose":
+                item.faults.loses = self.rng.randint(1, 3)
+            case "break":
+                item.faults.breaks_after = self.rng.randint(0, EVENTS - 1)
+            case "order":
+                item.faults.late_orders = 1
+
+    async def change(self) -> None:
+        match self.rng.choice(["config", "weights", "drain", "kv", "events"]):
+            case "config":
+                self.configure()
+            case "weights":
+                self.weights += 1
+                content = {"model": platform_world.MODEL, "version": self.weights}
+                self.rows.put("op", f"version/{platform_world.MODEL}", content)
+            case "drain":
+                await self.replace_server()
+            case "kv":
+                self.kv.restart()
+            case "events":
+                self.kv.loses_events = True
+                await trio.sleep(1.0)
+                self.kv.loses_events = False
+
+    async def replace_server(self) -> None:
+        """Start a new server, drain an old one and take it off the list."""
+        item = self.rng.choice(self.servers)
+        await self.add_server(item.service)
+        if item not in self.servers:
+            return
+        self.servers.remove(item)
+        self.gone.append(item)
+        item.state = "draining"
+        self.list_server(item)
+        self.drained[item.id] = trio.current_time()
+        await trio.sleep(DRAIN_S + 1.0)
+        self.rows.delete("servers", item.id)
+
+    async def make_trouble(self, seconds: float) -> None:
+        """Start faults in series that overlap, for a time."""
+        kinds = [self.node_fault, self.store_fault, self.server_fault, self.change]
+        end = trio.current_time() + seconds
+
+        async def run(fault: collections.abc.Callable[[], typing.Any]) -> None:
+            await fault()
+            self.last_fault = trio.current_time()
+
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                nursery.start_soon(run, self.rng.choice(kinds))
+                await trio.sleep(self.rng.choice([0.1, 0.5, 1.5]))
+        for item in self.servers:
+            item.faults = server.Faults()
+
+    # Callers.
+
+    async def call_forever(self) -> None:
+        """Send requests of all kinds to all nodes over kept connections."""
+        pool = http_client.Pool(0.5)
+        while True:
+            kind = self.rng.choice(["order", "look", "ask", "check"])
+            await self.call_once(pool, self.rng.choice(self.nodes), kind)
+            await trio.sleep(0.02)
+
+    async def call_once(
+        self, pool: http_client.Pool, node: Process, kind: str
+    ) -> http_client.Full | None:
+        """Send one request and check its answer; return a success."""
+        request_id = f"{next(self.ids):08x}"
+        headers = {
+            "host": platform_world.HOST,
+            "request-id": request_id,
+            "request-deadline": "2000",
+            "authorization": f"Token {platform_world.KEY}",
+        }
+        if kind in ("ask", "check"):
+            headers |= {
+                "model": platform_world.MODEL,
+                "token-usage": "250,10",
+                "prompt-prefix": f"{self.rng.randrange(8):x}:2000,{request_id}:50",
+            }
+        method = "GET" if kind == "look" else "POST"
+        addr = (node.host, node.port)
+        body = b"" if method == "GET" else b"x"
+        call = http_client.Call(addr, method, f"/{kind}/x", headers, body, 4.0)
+        found = await pool.fetch(call)
+        if not isinstance(found, http_client.Full):
+            self.outcomes[f"{kind} {type(found).__name__}"] += 1
+            return None
+        self.outcomes[f"{kind} {found.status}"] += 1
+        self.check(kind, request_id, found)
+        return found if found.status == 200 else None
+
+    def check(self, kind: str, request_id: str, found: http_client.Full) -> None:
+        """Check an answer against what its request promised."""
+        if found.headers.get("request-id") not in (None, request_id):
+            self.blame("own answer", f"{request_id} got {found.headers}")
+        if found.status in REFUSALS and kind in ("order", "ask"):
+            self.refused.add(request_id)
+        if found.status != 200:
+            return
+        owner = found.headers.get("server-signature", "").partition(".")[0]
+        if kind in ("ask", "check") and found.body != WHOLE:
+            self.blame("whole stream", f"{request_id} got {found.body!r}")
+        if kind in ("order", "look") and found.body != f"{owner}:ok".encode():
+            self.blame("own answer", f"{request_id} got {found.body!r} of {owner}")
+
+    # What must hold.
+
+    def check_runs(self) -> None:
+        """Check what the servers ran."""
+        runs: collections.Counter[str] = collections.Counter()
+        for item in [*self.servers, *self.gone]:
+            drained_at = self.drained.get(item.id)
+            for seen in item.seen:
+                once = seen.target.startswith(("/order/", "/ask/"))
+                runs[seen.headers["request-id"]] += once
+                late = drained_at is not None and seen.at > drained_at + DRAIN_S + 0.3
+                if late and seen.at > self.last_fault + QUIET_S:
+                    self.blame("drain", f"{item.id} got work after it left")
+            tokens = [typing.cast(int, o["fencing_token"]) for o in item.orders]
+            if tokens != sorted(tokens):
+                self.blame("fencing", f"{item.id} took {tokens}")
+        for request_id, count in runs.items():
+            if count > 1:
+                self.blame("at most once", f"{request_id} ran {count} times")
+            if count and request_id in self.refused:
+                self.blame("true refusal", f"{request_id} was refused and ran")
+
+    async def check_calm(self) -> None:
+        """Check that everything is well some time after the last fault."""
+        self.last_fault = trio.current_time()
+        pool = http_client.Pool(0.5)
+        with trio.move_on_after(CALM_S):
+            while not all([await self.serves(pool, node) for node in self.nodes]):
+                await trio.sleep(0.2)
+        for node in self.nodes:
+            if not await self.serves(pool, node):
+                self.blame("recovery", f"{node.name} does not serve")
+        for item in self.servers:
+            if item.models.get(platform_world.MODEL, self.weights) != self.weights:
+                self.blame("weights", f"{item.id} serves {item.models}")
+
+    async def serves(self, pool: http_client.Pool, node: Process) -> bool:
+        """Tell whether a node answers one request of each kind in time."""
+        with trio.move_on_after(SERVED_S):
+            for kind in ("order", "look", "ask", "check"):
+                if await self.call_once(pool, node, kind) is None:
+                    return False
+            return True
+        return False
+
+
+async def run(seed: int, seconds: float, folder: pathlib.Path) -> Soak:
+    """Run one soak; the result says what was broken."""
+    async with trio.open_nursery() as nursery:
+        rows = store.Store()
+        soak = Soak(seed, nursery, folder, random.Random(seed), rows)
+        store_port = await nursery.start(rows.serve)
+        await nursery.start(soak.kv.serve)
+        soak.configure()
+        for service in ("app", "app", "app", "llm", "llm", "llm"):
+            await soak.add_server(service)
+        for number in range(NODES):
+            proxy = Proxy(store_port)
+            await nursery.start(proxy.serve)
+            soak.store_proxies.append(proxy)
+            soak.nodes.append(Process(number, folder, proxy.port))
+            nursery.start_soon(soak.nodes[-1].run)
+        nursery.start_soon(soak.heartbeats)
+        await soak.check_calm()
+        async with trio.open_nursery() as callers:
+            for _ in range(CALLERS):
+                callers.start_soon(soak.call_forever)
+            await soak.make_trouble(seconds)
+            await soak.check_calm()
+            callers.cancel_scope.cancel()
+        soak.check_runs()
+        nursery.cancel_scope.cancel()
+    return soak
+
+
+def main() -> int:
+    """Run seeds one after the other and print what was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--count", type=int, default=1, help="seeds in a row")
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--keep", type=pathlib.Path, help="folder for the logs")
+    args = parser.parse_args()
+    is_broken = False
+    for seed in range(args.seed, args.seed + args.count):
+        with contextlib.ExitStack() as stack:
+            if args.keep is None:
+                name = stack.enter_context(tempfile.TemporaryDirectory())
+                folder = pathlib.Path(name)
+            else:
+                folder = args.keep / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+            soak = trio.run(run, seed, args.seconds, folder)
+        counts = dict(sorted(soak.outcomes.items()))
+        print(f"seed {seed}: {len(soak.broken)} broken, {counts}", flush=True)
+        for line in soak.broken[:20]:
+            print(f"  {line}", flush=True)
+        is_broken = is_broken or bool(soak.broken)
+    return int(is_broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
