--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Installs the pinned libraries into target/deps, unless they are newer than the pins.
+set -eu
+pins=deploy/requirements.txt
+if [ target/deps -nt "$pins" ]; then
+    exit 0
+fi
+python3 -m pip install --quiet --upgrade --target target/deps --requirement "$pins"
+touch target/deps
--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -32,7 +32,7 @@
     DELIVER = "deliver"
     TRY_AGAIN = "try_again"
     REFUSE = "refuse"
-    """Answer that the request has not run and will not run."""
+    """Answer that nothing was run and nothing will be."""
     FAIL = "fail"
     """Answer that nothing is known about the request."""
 
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -18,8 +18,8 @@
     stream,
     table,
 )
-from snipelug_net import http_client, http_server, poller
-from snipelug_node import chat, crashes, engine, journal, sender
+from snipelug_net import http_client, http_server, lines, poller
+from snipelug_node import chat, crashes, engine, sender
 
 LOG = logging.getLogger("snipelug.dispatch")
 
@@ -315,7 +315,7 @@
         """Account for an engine that answered with an error."""
         upstream_id = exchange.choice.upstream.instance.id
         error = await engine.read_error(reply)
-        journal.warning(
+        lines.warning(
             LOG,
             "engine_declined",
             request=job.request_id,
@@ -343,7 +343,7 @@
         job.sent = True
         upstream = choice.upstream
         load.mark_closed(upstream, trio.current_time())
-        journal.warning(
+        lines.warning(
             LOG,
             "engine_lost",
             request=job.request_id,
@@ -462,7 +462,7 @@
         opened = await self.open(job)
         if isinstance(opened, refusal.Refusal):
             return self._end(job, opened)
-        journal.event(
+        lines.event(
             LOG,
             "stream_resumed",
             request=job.request_id,
@@ -473,7 +473,7 @@
         return opened
 
     def _end(self, job: Job, refused: refusal.Refusal) -> bytes:
-        journal.warning(
+        lines.warning(
             LOG,
             "stream_ended_with_error",
             request=job.request_id,
--- a/packages/snipelug-node/src/snipelug_node/expiry.py
+++ b/packages/snipelug-node/src/snipelug_node/expiry.py
@@ -9,7 +9,8 @@
 import trio
 
 from snipelug_core import claim, step
-from snipelug_node import executor, journal, order, ports
+from snipelug_net import lines
+from snipelug_node import executor, order, ports
 
 LOG = logging.getLogger("snipelug.order")
 
@@ -91,7 +92,7 @@
         self._newest[team] = newest
         deleted = self.counts["deleted"] - deleted_before
         if deleted:
-            journal.event(LOG, "claims_deleted", team=team, claims=deleted)
+            lines.event(LOG, "claims_deleted", team=team, claims=deleted)
 
     async def _delete(self, stored: ports.Row, row: claim.Row) -> None:
         object_key = row.answer.object_key if row.answer else ""
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -13,12 +13,11 @@
 import trio
 
 from snipelug_core import claim, contract, load, quarantine, refusal, stream, table
-from snipelug_net import http_client, http_server
+from snipelug_net import http_client, http_server, lines
 from snipelug_node import (
     chat,
     dispatch,
     engine,
-    journal,
     limiter,
     metrics,
     order,
@@ -155,7 +154,7 @@
             headers["retry-after"] = str(max(1, round(refused.retry_after_s)))
         if path != "/readyz":
             self.metrics.incr(f"refused.{refused.kind.code}")
-            journal.event(
+            lines.event(
                 LOG,
                 "refused",
                 path=path,
@@ -537,7 +536,7 @@
     target.incr("chat.prompt_tokens", usage.prompt_tokens)
     target.incr("chat.cached_tokens", usage.cached_tokens)
     target.incr("chat.completion_tokens", usage.completion_tokens)
-    journal.event(
+    lines.event(
         LOG,
         "chat_finished",
         request=job.request_id,
--- a/packages/snipelug-node/src/snipelug_node/journal.py
+++ b/packages/snipelug-node/src/snipelug_node/journal.py
@@ -4,9 +4,7 @@
 import sys
 import time
 
-import msgspec
-
-_STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+from snipelug_net import lines
 
 
 class JsonFormatter(logging.Formatter):
@@ -24,14 +22,8 @@
             "level": record.levelname.lower(),
             "node": self._node_id,
             "logger": record.name,
-            "event": record.getMessage(),
         }
-        for name, value in vars(record).items():
-            if name not in _STANDARD:
-                line[name] = value
-        if record.exc_info:
-            line["traceback"] = self.formatException(record.exc_info)
-        return msgspec.json.encode(line, enc_hook=str).decode()
+        return lines.encode(record, line).decode()
 
 
 def setup(node_id: str, level: str) -> None:
@@ -43,14 +35,3 @@
     root.setLevel(level)
     # HTTP/2 frames of the RPC library are logged at DEBUG.
     logging.getLogger("hpack").setLevel(logging.WARNING)
-
-
-def event(logger: logging.Logger, name: str, **fields: object) -> None:
-    """Log one event at INFO with its fields."""
-    if logger.isEnabledFor(logging.INFO):
-        logger.info(name, extra=fields)
-
-
-def warning(logger: logging.Logger, name: str, **fields: object) -> None:
-    """Log one event at WARNING with its fields."""
-    logger.warning(name, extra=fields)
--- a/packages/snipelug-node/src/snipelug_node/loader.py
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -9,8 +9,8 @@
 import trio
 
 from snipelug_core import contract, table, weights
-from snipelug_net import http_client
-from snipelug_node import journal, ports
+from snipelug_net import http_client, lines
+from snipelug_node import ports
 
 LOG = logging.getLogger("snipelug.loader")
 
@@ -89,7 +89,7 @@
             isinstance(outcome, http_client.Full)
             and outcome.status == http.HTTPStatus.OK
         )
-        journal.event(
+        lines.event(
             LOG,
             "weights_ordered",
             upstream=inst.id,
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -28,7 +28,7 @@
     subset,
     table,
 )
-from snipelug_net import http_client, http_server, poller
+from snipelug_net import http_client, http_server, lines, poller
 from snipelug_node import (
     admin,
     admitter,
@@ -40,7 +40,6 @@
     expiry,
     feeds,
     gateway,
-    journal,
     lease,
     limiter,
     loader,
@@ -342,7 +341,7 @@
             case teams.Look(team):
                 await self.lease.look_for_owner(ownership.Kind.TEAM, team)
             case teams.Begin(team, had_owner):
-                journal.event(LOG, "team_taken", team=team, had_owner=had_owner)
+                lines.event(LOG, "team_taken", team=team, had_owner=had_owner)
                 self.limiter.begin(team, had_owner)
             case teams.End(team):
                 self.limiter.end(team)
@@ -413,12 +412,12 @@
         await self._start_background()
         await self.nursery.start(callers.serve, cfg.host, cfg.port)
         await self.nursery.start(operators.serve, cfg.host, cfg.admin_port)
-        journal.event(
+        lines.event(
             LOG, "started", zone=cfg.zone, port=cfg.port, admin_port=cfg.admin_port
         )
         await self._wait_for_stop(callers)
         await self.lease.stop()
-        journal.event(LOG, "stopped")
+        lines.event(LOG, "stopped")
 
     async def _start_background(self) -> None:
         nursery = self.nursery
@@ -444,7 +443,7 @@
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await anext(signals)
             self.gateway.stopping = True
-            journal.event(LOG, "stopping", open_requests=callers.open_requests)
+            lines.event(LOG, "stopping", open_requests=callers.open_requests)
             with trio.move_on_after(self.cfg.drain_s) as limit:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(_cut_on_second_signal, signals, limit)
@@ -463,11 +462,11 @@
         """
         requests = list(self.gateway.open.values())
         orders = self.orders.open_calls()
-        journal.warning(LOG, "requests_cut", requests=len(requests), orders=len(orders))
+        lines.warning(LOG, "requests_cut", requests=len(requests), orders=len(orders))
         for request in requests:
-            journal.warning(LOG, "request_cut", **dataclasses.asdict(request))
+            lines.warning(LOG, "request_cut", **dataclasses.asdict(request))
         for call in orders:
-            journal.warning(LOG, "order_cut", **dataclasses.asdict(call))
+            lines.warning(LOG, "order_cut", **dataclasses.asdict(call))
         await callers.cut()
         await self.orders.cut()
 
--- a/packages/snipelug-node/src/snipelug_node/operations.py
+++ b/packages/snipelug-node/src/snipelug_node/operations.py
@@ -7,10 +7,10 @@
 import trio
 
 from snipelug_core import change, claim, load, ownership, refusal, table
+from snipelug_net import lines
 from snipelug_node import (
     admin,
     crashes,
-    journal,
     lease,
     limiter,
     order,
@@ -85,7 +85,7 @@
         outcome = await self.crashes.release(fingerprint)
         match outcome:
             case crashes.Released():
-                journal.event(
+                lines.event(
                     LOG, "quarantine_released", fingerprint=fingerprint, author=author
                 )
                 return None
@@ -120,7 +120,7 @@
         outcome = await self.orders.settle(team, key, verdict, f"settled by {author}")
         match outcome:
             case order.Settled():
-                journal.event(LOG, "claim_settled", team=team, ran=ran, author=author)
+                lines.event(LOG, "claim_settled", team=team, ran=ran, author=author)
                 return None
             case claim.TooEarly(wait_s):
                 message = f"the claim may be settled in {wait_s:.0f} s"
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -10,8 +10,8 @@
 import trio
 
 from snipelug_core import block, contract, index, link, placement, prefill, route, table
-from snipelug_net import http_client
-from snipelug_node import cache, dispatch, journal, settings, ticker, transfers
+from snipelug_net import http_client, lines
+from snipelug_node import cache, dispatch, settings, ticker, transfers
 
 LOG = logging.getLogger("snipelug.reuse")
 
@@ -235,7 +235,7 @@
             prompt, stores, self.budgets, self.mode, zones_out, now, waits
         )
         fields = placement.record(prompt, decision, request_id)
-        journal.event(LOG, str(fields.pop("event")), **fields)
+        lines.event(LOG, str(fields.pop("event")), **fields)
         for export in decision.exports:
             self._submit(export, ())
         if placement.is_unfinished(decision):
@@ -362,7 +362,7 @@
             if isinstance(move, placement.Postponed):
                 postponed.add(move.conversation)
                 continue
-            journal.event(LOG, str(fields.pop("event")), **fields)
+            lines.event(LOG, str(fields.pop("event")), **fields)
             self._submit(move.export, move.imports)
         for conversation in waiting:
             if conversation not in postponed:
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -21,7 +21,8 @@
     stream,
     table,
 )
-from snipelug_node import dispatch, journal, sender, settings
+from snipelug_net import lines
+from snipelug_node import dispatch, sender, settings
 
 LOG = logging.getLogger("snipelug.router")
 
@@ -109,7 +110,7 @@
             facts = self._facts(cfg, found)
             outcome = self.chooser.choose(req, targets, facts, self.rng)
             fields = route.record(req, self.chooser, outcome)
-            journal.event(LOG, str(fields.pop("event")), **fields)
+            lines.event(LOG, str(fields.pop("event")), **fields)
             if isinstance(outcome, route.Decision):
                 return await self._prepare(req, outcome, facts)
             awaiting = outcome.awaiting_grant()
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -9,8 +9,8 @@
 import trio
 
 from snipelug_core import admission, load, table
-from snipelug_net import http_client
-from snipelug_node import journal, ports, ticker
+from snipelug_net import http_client, lines
+from snipelug_node import ports, ticker
 
 LOG = logging.getLogger("snipelug.watcher")
 
@@ -150,12 +150,12 @@
         self.list_tried_at = tried_at
         self.list_outcome = listed
         if isinstance(listed, ports.Unavailable):
-            journal.warning(LOG, "instance_list_unavailable", reason=listed.reason)
+            lines.warning(LOG, "instance_list_unavailable", reason=listed.reason)
             return
         self.on_list(listed, trio.current_time())
         added = merge_instances(self.tables, listed, self.subset)
         if added:
-            journal.event(LOG, "upstreams_added", upstreams=added)
+            lines.event(LOG, "upstreams_added", upstreams=added)
 
     async def read(self) -> list[table.Instance] | ports.Unavailable:
         """Return the newest outcome, so that other parts need no reads of their own.
@@ -205,8 +205,6 @@
         try:
             wire = msgspec.json.decode(full.body, type=WireReport)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-            journal.warning(
-                LOG, "load_report_invalid", upstream=inst.id, reason=str(exc)
-            )
+            lines.warning(LOG, "load_report_invalid", upstream=inst.id, reason=str(exc))
             return
         self.on_report(inst.id, to_report(wire, asked_at), asked_at)
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -16,8 +16,8 @@
 import trio
 
 from snipelug_core import choice, fleet
-from snipelug_net import http_client
-from snipelug_relay import clock, messages, ports, record, state
+from snipelug_net import http_client, lines
+from snipelug_relay import clock, messages, ports, state
 
 LOG = logging.getLogger("snipelug.announce")
 
@@ -70,7 +70,7 @@
             try:
                 sock.bind(self._addr)
             except OSError as exc:
-                record.warning(LOG, "announcements_off", reason=str(exc))
+                lines.warning(LOG, "announcements_off", reason=str(exc))
                 return
             self._sock = sock
             try:
@@ -146,7 +146,7 @@
                 sock.sendto(data, member.addr)
             except OSError as exc:
                 # The message only improves a choice; the others do without it.
-                record.event(LOG, "not_announced", to=member.node_id, reason=str(exc))
+                lines.event(LOG, "not_announced", to=member.node_id, reason=str(exc))
         return True
 
     def _receive(self, sock: socket.socket) -> None:
@@ -157,14 +157,14 @@
             except BlockingIOError:
                 return
             except OSError as exc:
-                record.warning(LOG, "announcement_unreadable", reason=str(exc))
+                lines.warning(LOG, "announcement_unreadable", reason=str(exc))
                 return
             if sender[0] not in known:
                 continue
             try:
                 message = self._decoder.decode(data)
             except msgspec.DecodeError as exc:
-                record.warning(LOG, "announcement_unreadable", reason=str(exc))
+                lines.warning(LOG, "announcement_unreadable", reason=str(exc))
                 continue
             self._take(sender[0], message)
 
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -8,7 +8,7 @@
 import trio
 
 from snipelug_core import catalog
-from snipelug_net import http_client, http_server
+from snipelug_net import http_client, http_server, lines
 from snipelug_relay import (
     announce,
     clock,
@@ -180,7 +180,7 @@
                 self._tend,
             ):
                 nursery.start_soon(part)
-            record.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
+            lines.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
             task_status.started()
 
     async def _serve_metrics(self) -> None:
@@ -188,13 +188,13 @@
         try:
             await self._metrics.serve(*self._cfg.metrics)
         except OSError as exc:
-            record.warning(LOG, "metrics_not_served", reason=str(exc))
+            lines.warning(LOG, "metrics_not_served", reason=str(exc))
 
     async def stop(self) -> None:
         """Leave the load balancer, let requests finish, then close."""
         began = clock.now()
         self._beliefs.is_stopping = True
-        record.event(LOG, "stop", open_requests=self._callers.open_requests)
+        lines.event(LOG, "stop", open_requests=self._callers.open_requests)
         self._callers.draining = True
         last = began + self._cfg.bounds.grace_s - EXIT_BEFORE_S
         with trio.move_on_after(1.0):
@@ -206,7 +206,7 @@
         while self._callers.open_requests and clock.now() < last:
             await trio.sleep(CLOSE_CHECK_S)
             self._callers.close_idle()
-        record.event(
+        lines.event(
             LOG,
             "stopped",
             cut_requests=self._callers.open_requests,
@@ -255,10 +255,10 @@
     def _look_at_settings(self, is_asked: bool) -> None:
         found = self._reload()
         if isinstance(found, str):
-            record.warning(LOG, "settings_invalid", reason=found)
+            lines.warning(LOG, "settings_invalid", reason=found)
         elif found is not None or is_asked:
             # Addresses take effect at the next start; the rest is the same here.
-            record.event(LOG, "reload", is_changed=found is not None)
+            lines.event(LOG, "reload", is_changed=found is not None)
 
 
 def run(cfg: ports.Settings, build: Build, reload: Reload) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/record.py
+++ b/packages/snipelug-relay/src/snipelug_relay/record.py
@@ -11,9 +11,10 @@
 import sys
 import time
 
-import msgspec
 import trio
 
+from snipelug_net import lines
+
 BUFFER_LINES = 2_000
 """About 1 MB of lines at most, against 128 MB of memory on the smallest machine."""
 
@@ -23,8 +24,6 @@
 ROUTINE_PER_S = 10.0
 """Lines a second for requests that were answered in time; others are counted."""
 
-_STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
-
 
 class Buffer(logging.Handler):
     """Formats records and keeps them until they are written."""
@@ -48,17 +47,11 @@
             "level": record.levelname.lower(),
             "node": self._node_id,
             "logger": record.name,
-            "event": record.getMessage(),
         }
-        for name, value in vars(record).items():
-            if name not in _STANDARD:
-                line[name] = value
-        if record.exc_info:
-            line["traceback"] = logging.Formatter().formatException(record.exc_info)
         if self.dropped:
             line["dropped"] = self.dropped
             self.dropped = 0
-        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+        self._lines.append(lines.encode(record, line) + b"\n")
         self._has_lines.set()
 
     def write_out(self) -> None:
@@ -124,14 +117,3 @@
         """Return how many lines were left out since the last call."""
         count, self.left_out = self.left_out, 0
         return count
-
-
-def event(logger: logging.Logger, name: str, **fields: object) -> None:
-    """Log one event at INFO with its fields."""
-    if logger.isEnabledFor(logging.INFO):
-        logger.info(name, extra=fields)
-
-
-def warning(logger: logging.Logger, name: str, **fields: object) -> None:
-    """Log one event at WARNING with its fields."""
-    logger.warning(name, extra=fields)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -8,7 +8,7 @@
 import trio
 
 from snipelug_core import attempt, catalog, choice, fleet, kv_index, refusal, retry
-from snipelug_net import http_client, http_server
+from snipelug_net import http_client, http_server, lines
 from snipelug_relay import announce, clock, ports, record, sse, state, stats
 
 LOG = logging.getLogger("snipelug.relay")
@@ -193,7 +193,7 @@
         """Answer one request."""
         ask = self._dialect.read(req)
         if isinstance(ask, refusal.Refusal):
-            record.warning(LOG, "request_unreadable", reason=ask.message)
+            lines.warning(LOG, "request_unreadable", reason=ask.message)
             return self._dialect.refuse(None, ask)
         job = self._begin(ask)
         if isinstance(job, refusal.Refusal):
@@ -549,7 +549,7 @@
             pause_s = min(MOST_BLOCK_S, BLOCK_S * 2**upstream.connect_failures)
             upstream.blocked_until = now + pause_s
             upstream.connect_failures += 1
-            record.event(
+            lines.event(
                 LOG,
                 "upstream_blocked",
                 upstream=upstream.entry.id,
@@ -612,7 +612,7 @@
     def _log_refused(self, ask: ports.Ask, reason: refusal.Refusal) -> None:
         known = self._beliefs.catalog
         self._stats.requests.labels("", "refused", reason.kind.code).inc()
-        record.warning(
+        lines.warning(
             LOG,
             "request",
             id=ask.request_id,
@@ -661,7 +661,7 @@
         left_out = self.sampler.take_left_out()
         if left_out:
             fields["left_out"] = left_out
-        record.event(LOG, "request", **fields)
+        lines.event(LOG, "request", **fields)
 
     def finish_stream(self, job: Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream, once."""
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -5,7 +5,8 @@
 import trio
 
 from snipelug_core import hashing, kv_index
-from snipelug_relay import announce, clock, messages, ports, record, state
+from snipelug_net import lines
+from snipelug_relay import announce, clock, messages, ports, state
 
 LOG = logging.getLogger("snipelug.shelves")
 
@@ -64,14 +65,14 @@
         page = await self._machines.store_events(addr, shelf.next)
         if isinstance(page, ports.Unavailable):
             if shelf.epoch is not None and shelf.is_fresh(sent_at):
-                record.warning(
+                lines.warning(
                     LOG, "shelf_lost", store=shelf.store.name, reason=page.reason
                 )
             shelf.polled_at = -1e9
             return
         is_new = page.epoch != shelf.epoch
         if is_new:
-            record.event(
+            lines.event(
                 LOG,
                 "shelf_epoch",
                 store=shelf.store.name,
@@ -152,7 +153,7 @@
             shelf.add(part.key, part.tokens)
         shelf.next = page.next
         shelf.polled_at = sent_at
-        record.event(LOG, "shelf_listed", store=shelf.store.name, parts=len(page.parts))
+        lines.event(LOG, "shelf_listed", store=shelf.store.name, parts=len(page.parts))
 
     def _take(
         self, shelf: kv_index.Shelf, events: list[ports.Stored | ports.Freed]
@@ -183,7 +184,7 @@
         is_freed = await self._machines.free(addr, keys, shelf.epoch)
         for key in keys if is_freed else ():
             shelf.drop(key)
-        record.event(
+        lines.event(
             LOG,
             "parts_freed",
             store=shelf.store.name,
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -7,7 +7,8 @@
 import trio
 
 from snipelug_core import catalog, choice, fleet, kv_index, watcher
-from snipelug_relay import clock, ports, record
+from snipelug_net import lines
+from snipelug_relay import clock, ports
 
 LOG = logging.getLogger("snipelug.state")
 
@@ -155,10 +156,10 @@
                 case ports.Removed(ports.Evacuation(zone)):
                     zones.discard(zone)
                 case ports.Unreadable(key, reason):
-                    record.warning(LOG, "intent_unreadable", key=key, reason=reason)
+                    lines.warning(LOG, "intent_unreadable", key=key, reason=reason)
         if zones != self.zones_out:
             self.zones_out = frozenset(zones)
-            record.event(LOG, "zones_out", zones=sorted(zones))
+            lines.event(LOG, "zones_out", zones=sorted(zones))
         self.confirm(clock.now())
 
     def confirm(self, at: float) -> None:
@@ -168,7 +169,7 @@
     def _take_catalog(self, new: catalog.Catalog) -> None:
         if self.catalog is not None and new.version <= self.catalog.version:
             return
-        record.event(
+        lines.event(
             LOG,
             "configuration",
             version=new.version,
@@ -191,7 +192,7 @@
         times = dict(known.times) if known is not None else {}
         times[version] = at
         self.named[model] = Named(version, at, times)
-        record.event(
+        lines.event(
             LOG,
             "weights_named",
             model=model,
@@ -226,7 +227,7 @@
                 case ports.Removed(str() as upstream_id):
                     changes.append(self.fleet.remove(upstream_id, now, in_grace))
                 case ports.Unreadable(key, reason):
-                    record.warning(LOG, "entry_unreadable", key=key, reason=reason)
+                    lines.warning(LOG, "entry_unreadable", key=key, reason=reason)
                     changes.append(self.fleet.remove(key, now, in_grace=False))
         if is_whole:
             changes += self.fleet.replace(entries, now, in_grace)
@@ -243,7 +244,7 @@
 
     def _log(self, change: fleet.Change) -> None:
         upstream = self.fleet.upstreams.get(change.upstream_id)
-        record.event(
+        lines.event(
             LOG,
             "upstream",
             upstream=change.upstream_id,
@@ -258,5 +259,5 @@
         oldest = page.clock_ms - 1000 * MEMBER_S
         live = [member for member in page.items if member.seen_ms >= oldest]
         if len(live) != len(self.members):
-            record.event(LOG, "members", count=len(live), before=len(self.members))
+            lines.event(LOG, "members", count=len(live), before=len(self.members))
         self.members = live
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -7,7 +7,8 @@
 import trio
 
 from snipelug_core import fleet
-from snipelug_relay import announce, clock, messages, ports, record, state, stats
+from snipelug_net import lines
+from snipelug_relay import announce, clock, messages, ports, state, stats
 
 LOG = logging.getLogger("snipelug.watch")
 
@@ -56,13 +57,13 @@
         if isinstance(answer, ports.Unavailable):
             if self.lost_at is None:
                 self.lost_at = now
-                record.warning(LOG, "store_lost", call=self._name, reason=answer.reason)
+                lines.warning(LOG, "store_lost", call=self._name, reason=answer.reason)
             await trio.sleep(self._pause_s)
             self._pause_s = min(MOST_RETRY_S, 2 * self._pause_s)
             return False
         if self.lost_at is not None:
             away_s = round(now - self.lost_at, 2)
-            record.event(LOG, "store_regained", call=self._name, after_s=away_s)
+            lines.event(LOG, "store_regained", call=self._name, after_s=away_s)
         self.lost_at = None
         self.answered_at = now
         self._pause_s = RETRY_S
@@ -136,7 +137,7 @@
                 wait_s = INTENT_WAIT_S if self._beliefs.is_watcher else 0.0
                 page = await self._store.watch_intents(position, wait_s)
             if isinstance(page, ports.HistoryLost):
-                record.event(LOG, "history_lost", call="intents", position=position)
+                lines.event(LOG, "history_lost", call="intents", position=position)
                 self._intents.position = None
             elif await contact.note(page) and isinstance(page, ports.Page):
                 self._take_intents(page, position, sent_at)
@@ -187,7 +188,7 @@
                 page = await self._store.watch_upstreams(position, 0.0)
             now = clock.now()
             if isinstance(page, ports.HistoryLost):
-                record.event(LOG, "history_lost", call="upstreams", position=position)
+                lines.event(LOG, "history_lost", call="upstreams", position=position)
                 self._list.position = None
                 continue
             if now - contact.answered_at > pause_s + OUTAGE_S:
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -5,7 +5,8 @@
 import trio
 
 from snipelug_core import catalog, fleet, hashing, rollout
-from snipelug_relay import announce, clock, ports, record, state, stats
+from snipelug_net import lines
+from snipelug_relay import announce, clock, ports, state, stats
 
 LOG = logging.getLogger("snipelug.weights")
 
@@ -125,7 +126,7 @@
         self._held = None
         row = await self._store.read_lease()
         if isinstance(row, ports.Unavailable):
-            record.warning(LOG, "lease_unreadable", reason=row.reason)
+            lines.warning(LOG, "lease_unreadable", reason=row.reason)
             self._wait_until = clock.now() + RANK_S
         elif rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
             if not await self._write(None, row.clock_ms, row.version):
@@ -149,12 +150,12 @@
         answer = await self._store.write_lease(lease, expected)
         if not isinstance(answer, ports.Taken):
             reason = getattr(answer, "reason", "another node wrote it first")
-            record.event(LOG, "lease_not_taken", reason=reason, expected=expected)
+            lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
             if isinstance(answer, ports.Beaten):
                 self._held = None
             return False
         if fencing is None:
-            record.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
+            lines.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
         self._held = rollout.Held(lease, sent_at, answer.clock_ms)
         self._row_version = answer.version
         return True
@@ -200,7 +201,7 @@
         if report is None or report.is_busy or served >= order.version:
             if report is None:
                 reason = "the engine does not report its state"
-                record.event(
+                lines.event(
                     LOG, "order_skipped", upstream=upstream.entry.id, reason=reason
                 )
             return
@@ -211,7 +212,7 @@
             upstream.entry, order.model, order.version, held.lease, report.orders
         )
         self._stats.orders.labels(str(answer.status)).inc()
-        record.event(
+        lines.event(
             LOG,
             "order",
             upstream=upstream.entry.id,
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -4,7 +4,7 @@
 
 Nodes are processes of the real program. The platform is played by the stand-ins in
 this process; proxies between them and the nodes delay, reset, silence or cut one way.
-Nodes are stopped, paused, killed and restarted by signals. The exit code is 1 if a
+Signals stop, pause and kill nodes, which then start anew. The exit code is 1 if a
 promise was broken; each is printed with the seed.
 """
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,7 +7,7 @@
 from tests import platform_soak
 
 SEEDS = [1]
-"""Seeds that broke a promise are added here, each with a line on the cause."""
+"""Seeds that broke a promise are added here, each with its cause."""
 
 SECONDS = 8.0
 
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -7,11 +7,12 @@
 import pytest
 import trio
 
+from snipelug_net import lines
 from snipelug_relay import record
 
 
 def line(logger: logging.Logger, number: int) -> None:
-    record.event(logger, "request", id=f"{number:08x}", attempts=[{"upstream": "u"}])
+    lines.event(logger, "request", id=f"{number:08x}", attempts=[{"upstream": "u"}])
 
 
 def logger_for(buffer: record.Buffer) -> logging.Logger:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -165,7 +165,7 @@
             assert other is node or not is_giver, "two nodes give orders"
         if self.last_order is not None:
             giver, last_token, _ = self.last_order
-            assert token >= last_token, "an order with an old fencing number"
+            assert token >= last_token, "a fencing number went back"
             assert giver == node.id or token > last_token, "one number for two"
         self.last_order = (node.id, token, self.now)
 
