--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -0,0 +1,109 @@
+"""One request under way, its sends to upstreams, and how they ended."""
+
+import collections.abc
+import dataclasses
+
+from snipelug_core import attempt, catalog, fleet
+from snipelug_net import http_client, http_server
+from snipelug_relay import clock, ports, sse
+
+
+@dataclasses.dataclass
+class Job:
+    """One request under way.
+
+    Attributes
+    ----------
+    deadline : float
+        When the answer must be complete, in seconds.
+    tried : set of str
+        Upstreams that got the request.
+    trace : list of dict
+        One entry for each attempt, for the log.
+    """
+
+    ask: ports.Ask
+    route: catalog.Route
+    team: catalog.Team | None
+    service: str
+    started_at: float
+    deadline: float
+    history: attempt.History = dataclasses.field(default_factory=attempt.History)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
+    first_at: float | None = None
+    is_finished: bool = False
+
+    def left_s(self) -> float:
+        """Return the time until the deadline, in seconds."""
+        return self.deadline - clock.now()
+
+
+@dataclasses.dataclass
+class Visit:
+    """One send to an upstream, and what is counted there until it ends."""
+
+    upstream: fleet.Upstream
+    tokens: int
+    prefill_tokens: int
+    entry: dict[str, object]
+    on_read: collections.abc.Callable[[], None] | None = None
+    has_ended: bool = False
+
+    def begin(self, now: float) -> None:
+        """Count the request at the upstream."""
+        upstream = self.upstream
+        upstream.running += 1
+        upstream.tokens += self.tokens
+        upstream.prefill_tokens += self.prefill_tokens
+        if upstream.oldest_silence_at is None:
+            upstream.oldest_silence_at = now
+
+    def hear(self, now: float) -> None:
+        """Note that the upstream has answered something."""
+        self.upstream.connect_failures = 0
+        waits = self.upstream.running > 1
+        self.upstream.oldest_silence_at = now if waits else None
+
+    def begin_output(self) -> None:
+        """Note that the prompt has been read."""
+        self.upstream.prefill_tokens -= self.prefill_tokens
+        self.prefill_tokens = 0
+        if self.on_read is not None:
+            self.on_read()
+            self.on_read = None
+
+    def end(self) -> None:
+        """Stop counting the request."""
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self.begin_output()
+        self.upstream.running -= 1
+        self.upstream.tokens -= self.tokens
+        if self.upstream.running == 0:
+            self.upstream.oldest_silence_at = None
+
+
+@dataclasses.dataclass
+class Outcome:
+    """How one attempt ended.
+
+    Attributes
+    ----------
+    reply : http_client.Reply or None
+        The open answer of a stream.
+    events : bytes
+        Its first whole events.
+    response : http_server.Response or None
+        The whole answer of any other request.
+    """
+
+    result: attempt.Result
+    reason: str = ""
+    visit: Visit | None = None
+    reply: http_client.Reply | None = None
+    splitter: sse.Splitter | None = None
+    events: bytes = b""
+    has_ended: bool = False
+    response: http_server.Response | None = None
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -1,6 +1,5 @@
 """Relays callers' requests to upstreams: choice, sends, retries and streams."""
 
-import collections.abc
 import dataclasses
 import logging
 import math
@@ -9,7 +8,17 @@
 
 from snipelug_core import attempt, catalog, choice, fleet, kv_index, refusal, retry
 from snipelug_net import http_client, http_server, lines
-from snipelug_relay import announce, clock, ports, record, sse, state, stats
+from snipelug_relay import (
+    announce,
+    clock,
+    job,
+    ports,
+    record,
+    sse,
+    state,
+    stats,
+    stream,
+)
 
 LOG = logging.getLogger("snipelug.relay")
 
@@ -20,9 +29,6 @@
 Callers leave after 3 s without a first event on the sites' routes.
 """
 
-GAP_S = 1.2
-"""Pause after which a resumable stream is resumed elsewhere; sites allow 0.3 s."""
-
 RETRY_OBJECTIVES = 2.0
 """An idempotent request is tried elsewhere after this many objectives."""
 
@@ -59,107 +65,6 @@
 SERVER_ERROR = 500
 
 
-@dataclasses.dataclass
-class Job:
-    """One request under way.
-
-    Attributes
-    ----------
-    deadline : float
-        When the answer must be complete, in seconds.
-    tried : set of str
-        Upstreams that got the request.
-    trace : list of dict
-        One entry for each attempt, for the log.
-    """
-
-    ask: ports.Ask
-    route: catalog.Route
-    team: catalog.Team | None
-    service: str
-    started_at: float
-    deadline: float
-    history: attempt.History = dataclasses.field(default_factory=attempt.History)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
-    first_at: float | None = None
-    is_finished: bool = False
-
-    def left_s(self) -> float:
-        """Return the time until the deadline, in seconds."""
-        return self.deadline - clock.now()
-
-
-@dataclasses.dataclass
-class Visit:
-    """One send to an upstream, and what is counted there until it ends."""
-
-    upstream: fleet.Upstream
-    tokens: int
-    prefill_tokens: int
-    entry: dict[str, object]
-    on_read: collections.abc.Callable[[], None] | None = None
-    has_ended: bool = False
-
-    def begin(self, now: float) -> None:
-        """Count the request at the upstream."""
-        upstream = self.upstream
-        upstream.running += 1
-        upstream.tokens += self.tokens
-        upstream.prefill_tokens += self.prefill_tokens
-        if upstream.oldest_silence_at is None:
-            upstream.oldest_silence_at = now
-
-    def hear(self, now: float) -> None:
-        """Note that the upstream has answered something."""
-        self.upstream.connect_failures = 0
-        waits = self.upstream.running > 1
-        self.upstream.oldest_silence_at = now if waits else None
-
-    def begin_output(self) -> None:
-        """Note that the prompt has been read."""
-        self.upstream.prefill_tokens -= self.prefill_tokens
-        self.prefill_tokens = 0
-        if self.on_read is not None:
-            self.on_read()
-            self.on_read = None
-
-    def end(self) -> None:
-        """Stop counting the request."""
-        if self.has_ended:
-            return
-        self.has_ended = True
-        self.begin_output()
-        self.upstream.running -= 1
-        self.upstream.tokens -= self.tokens
-        if self.upstream.running == 0:
-            self.upstream.oldest_silence_at = None
-
-
-@dataclasses.dataclass
-class Outcome:
-    """How one attempt ended.
-
-    Attributes
-    ----------
-    reply : http_client.Reply or None
-        The open answer of a stream.
-    events : bytes
-        Its first whole events.
-    response : http_server.Response or None
-        The whole answer of any other request.
-    """
-
-    result: attempt.Result
-    reason: str = ""
-    visit: Visit | None = None
-    reply: http_client.Reply | None = None
-    splitter: sse.Splitter | None = None
-    events: bytes = b""
-    has_ended: bool = False
-    response: http_server.Response | None = None
-
-
 class Relay:
     """Answers callers' requests.
 
@@ -195,17 +100,17 @@
         if isinstance(ask, refusal.Refusal):
             lines.warning(LOG, "request_unreadable", reason=ask.message)
             return self._dialect.refuse(None, ask)
-        job = self._begin(ask)
-        if isinstance(job, refusal.Refusal):
-            self._log_refused(ask, job)
-            return self._dialect.refuse(ask, job)
+        work = self._begin(ask)
+        if isinstance(work, refusal.Refusal):
+            self._log_refused(ask, work)
+            return self._dialect.refuse(ask, work)
         try:
-            return await self._answer(job)
+            return await self._answer(work)
         except trio.Cancelled:
-            self._finish(job, "left", "the caller closed the connection")
+            self._finish(work, "left", "the caller closed the connection")
             raise
 
-    def _begin(self, ask: ports.Ask) -> Job | refusal.Refusal:
+    def _begin(self, ask: ports.Ask) -> job.Job | refusal.Refusal:
         known = self._beliefs.catalog
         if known is None or not self._beliefs.list_known:
             message = "the node has not read its configuration"
@@ -223,75 +128,75 @@
         service = known.pick_service(route, ask.request_id)
         budget = self._budgets.setdefault(service, retry.Budget())
         retry.note_request(budget, self._policy())
-        return Job(ask, route, team, service, now, now + wait_s)
+        return job.Job(ask, route, team, service, now, now + wait_s)
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
         return retry.share(bounds.retry_part, bounds.retry_extra, self._beliefs.nodes)
 
-    async def _answer(self, job: Job) -> http_server.Response:
+    async def _answer(self, work: job.Job) -> http_server.Response:
         while True:
-            pick = await self._pick(job)
+            pick = await self._pick(work)
             if isinstance(pick, refusal.Refusal):
-                return self._refuse(job, pick)
-            outcome = await self._attempt(job, pick, job.ask.resume_after)
-            decision = self._decide(job, outcome)
+                return self._refuse(work, pick)
+            outcome = await self._attempt(work, pick, work.ask.resume_after)
+            decision = self._decide(work, outcome)
             if decision is attempt.Next.TRY_AGAIN:
                 continue
             if decision is attempt.Next.DELIVER and outcome.reply is not None:
-                return self._stream(job, outcome)
+                return self._stream(work, outcome)
             if decision is attempt.Next.DELIVER and outcome.response is not None:
                 is_good = outcome.response.status < SERVER_ERROR
-                self._finish(job, "answered" if is_good else "failed", outcome.reason)
+                self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
             if decision is attempt.Next.REFUSE:
-                return self._refuse(job, self._turned_away(outcome))
-            return self._fail(job, outcome)
+                return self._refuse(work, self._turned_away(outcome))
+            return self._fail(work, outcome)
 
-    async def _pick(self, job: Job) -> choice.Choice | refusal.Refusal:
+    async def _pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
         """Choose an upstream; wait a little for one that comes back soon."""
-        wait_until = job.started_at + WAIT_PART * job.route.objective_s
+        wait_until = work.started_at + WAIT_PART * work.route.objective_s
         while True:
             now = clock.now()
-            if now >= job.deadline:
+            if now >= work.deadline:
                 message = "the deadline passed"
                 return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
-            pick = self._choose(job, now)
+            pick = self._choose(work, now)
             if pick is not None:
                 return pick
-            at = self._next_free(job, now)
-            if at is None or at > min(wait_until, job.deadline):
+            at = self._next_free(work, now)
+            if at is None or at > min(wait_until, work.deadline):
                 wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
-                message = f"no upstream of {job.service} can be used now"
+                message = f"no upstream of {work.service} can be used now"
                 return refusal.refuse(
                     refusal.NO_UPSTREAM, message, retry_after_s=wait_s
                 )
             await trio.sleep(max(0.005, at - now))
 
-    def _choose(self, job: Job, now: float) -> choice.Choice | None:
-        view = self._beliefs.view(job.service)
+    def _choose(self, work: job.Job, now: float) -> choice.Choice | None:
+        view = self._beliefs.view(work.service)
         if view is None:
             return None
-        upstreams = self._beliefs.fleet.of_service(job.service)
+        upstreams = self._beliefs.fleet.of_service(work.service)
         return choice.choose(
-            upstreams, self._need(job, view, now), view, job.tried, now
+            upstreams, self._need(work, view, now), view, work.tried, now
         )
 
-    def _need(self, job: Job, view: choice.View, now: float) -> choice.Need:
-        ask = job.ask
+    def _need(self, work: job.Job, view: choice.View, now: float) -> choice.Need:
+        ask = work.ask
         engine = view.service.engine
         if engine is None:
-            return choice.Need(job.service, self._cfg.zone, len(ask.body))
+            return choice.Need(work.service, self._cfg.zone, len(ask.body))
         named = self._beliefs.named.get(ask.model)
-        version = self._beliefs.newest_version(ask.model, job.service)
+        version = self._beliefs.newest_version(ask.model, work.service)
         fetch_s: dict[str, float] = {}
         if ask.parts and self._beliefs.may_use_stores(ask.model, version, now):
-            key_salt = self._salt(job, version)
+            key_salt = self._salt(work, version)
             fetch_s = self._beliefs.index.fetch_s(
                 ask.parts, key_salt, engine, self._cfg.zone, now
             )
         return choice.Need(
-            job.service,
+            work.service,
             self._cfg.zone,
             len(ask.body),
             ask.model,
@@ -306,61 +211,61 @@
         """Return the time after which old weights are not used, in seconds."""
         return self._cfg.bounds.version_s - VERSION_MARGIN_S
 
-    def _salt(self, job: Job, version: int) -> str:
-        return kv_index.salt(job.ask.model, version, job.team)
+    def _salt(self, work: job.Job, version: int) -> str:
+        return kv_index.salt(work.ask.model, version, work.team)
 
-    def _next_free(self, job: Job, now: float) -> float | None:
+    def _next_free(self, work: job.Job, now: float) -> float | None:
         """Return when the first upstream may be asked again."""
         times = [
             max(upstream.blocked_until, upstream.switching_until)
-            for upstream in self._beliefs.fleet.of_service(job.service)
-            if upstream.entry.id not in job.tried
+            for upstream in self._beliefs.fleet.of_service(work.service)
+            if upstream.entry.id not in work.tried
         ]
         return min((at for at in times if at > now), default=None)
 
-    def _decide(self, job: Job, outcome: Outcome) -> attempt.Next:
-        job.history.add(outcome.result)
-        self._stats.attempts.labels(job.service, outcome.result.value).inc()
+    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Next:
+        work.history.add(outcome.result)
+        self._stats.attempts.labels(work.service, outcome.result.value).inc()
         if outcome.visit is not None:
             outcome.visit.entry["result"] = outcome.result.value
             if outcome.reason:
                 outcome.visit.entry["reason"] = outcome.reason
         is_last = outcome.result is attempt.Result.ANSWERED
-        may_try = not is_last and self._could_retry(job)
+        may_try = not is_last and self._could_retry(work)
         has_budget = may_try and retry.try_retry(
-            self._budgets[job.service], clock.now(), self._policy()
+            self._budgets[work.service], clock.now(), self._policy()
         )
         return attempt.decide(
-            outcome.result, job.history, job.route, job.left_s(), has_budget
+            outcome.result, work.history, work.route, work.left_s(), has_budget
         )
 
-    def _could_retry(self, job: Job) -> bool:
+    def _could_retry(self, work: job.Job) -> bool:
         """Tell whether another upstream could be asked, before budget is spent."""
         decision = attempt.decide(
-            attempt.Result.LOST, job.history, job.route, job.left_s(), True
+            attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
         return decision is attempt.Next.TRY_AGAIN
 
     async def _attempt(
-        self, job: Job, pick: choice.Choice, resume_after: str | None
-    ) -> Outcome:
+        self, work: job.Job, pick: choice.Choice, resume_after: str | None
+    ) -> job.Outcome:
         """Send the request once and read its answer, for streams the first events."""
         now = clock.now()
-        visit, call = self._prepare(job, pick, resume_after, now)
+        visit, call = self._prepare(work, pick, resume_after, now)
         visit.begin(now)
         entry = pick.upstream.entry
-        shared = choice.shared_part(job.ask.parts)
+        shared = choice.shared_part(work.ask.parts)
         visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
         reply: http_client.Reply | None = None
-        outcome = Outcome(attempt.Result.LOST, "no answer in time")
+        outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
         try:
-            with trio.move_on_after(self._patience_s(job)):
-                sent = await self._pool.send(call, self._last_check(job, pick))
+            with trio.move_on_after(self._patience_s(work)):
+                sent = await self._pool.send(call, self._last_check(work, pick))
                 if isinstance(sent, http_client.Reply):
                     reply = sent
                     visit.hear(clock.now())
-                    outcome = await self._read(job, visit, reply, resume_after)
+                    outcome = await self._read(work, visit, reply, resume_after)
                 else:
                     outcome = _not_answered(sent)
             is_kept = outcome.reply is not None
@@ -375,30 +280,30 @@
 
     def _prepare(
         self,
-        job: Job,
+        work: job.Job,
         pick: choice.Choice,
         resume_after: str | None,
         now: float,
-    ) -> tuple[Visit, http_client.Call]:
-        ask = job.ask
+    ) -> tuple[job.Visit, http_client.Call]:
+        ask = work.ask
         upstream = pick.upstream
-        job.tried.add(upstream.entry.id)
+        work.tried.add(upstream.entry.id)
         choice.note_sent(upstream, now)
         plan = kv_index.NO_PLAN
         version = upstream.versions.get(ask.model) if ask.model else None
         key_salt = ""
         if version is not None:
-            key_salt = self._salt(job, version)
+            key_salt = self._salt(work, version)
             if self._beliefs.may_use_stores(ask.model, version, now):
                 plan = self._beliefs.index.plan(ask.parts, key_salt, now)
             self._note_held(upstream, ask)
-        priority = job.route.priority
-        if job.team is not None and job.team.priority is not None:
-            priority = job.team.priority
+        priority = work.route.priority
+        if work.team is not None and work.team.priority is not None:
+            priority = work.team.priority
         orders = ports.Orders(
             upstream.entry.id,
-            job.left_s(),
-            job.team.name if job.team is not None else None,
+            work.left_s(),
+            work.team.name if work.team is not None else None,
             version,
             key_salt,
             plan,
@@ -406,11 +311,11 @@
             resume_after,
         )
         call = self._dialect.call(ask, orders, upstream.entry.addr)
-        if job.route.repeat is catalog.Repeat.AT_MOST_ONCE:
+        if work.route.repeat is catalog.Repeat.AT_MOST_ONCE:
             call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
         entry: dict[str, object] = {
             "upstream": upstream.entry.id,
-            "at_ms": round(1000 * (now - job.started_at), 1),
+            "at_ms": round(1000 * (now - work.started_at), 1),
             "cost_ms": round(1000 * pick.cost_s, 1),
             "candidates": pick.candidates,
             "running": upstream.running,
@@ -423,16 +328,16 @@
             entry["salt"] = key_salt
             entry["fetched"] = sum(s is not None for s in plan.sources)
             entry["saved"] = sum(s is not None for s in plan.targets)
-        job.trace.append(entry)
+        work.trace.append(entry)
         tokens = sum(part.tokens for part in ask.parts) + ask.output_tokens
-        return Visit(upstream, tokens, pick.prefill_tokens, entry), call
+        return job.Visit(upstream, tokens, pick.prefill_tokens, entry), call
 
     def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
         capacity = self._beliefs.held_tokens(upstream)
         for part in ask.parts[:-1]:
             upstream.note_held(part.id, part.tokens, capacity)
 
-    def _last_check(self, job: Job, pick: choice.Choice) -> http_client.LastCheck:
+    def _last_check(self, work: job.Job, pick: choice.Choice) -> http_client.LastCheck:
         """Return the check that comes right before the first byte is sent."""
         entry = pick.upstream.entry
 
@@ -442,19 +347,19 @@
                 known is pick.upstream
                 and not known.entry.is_leaving
                 and entry.zone not in self._beliefs.zones_out
-                and clock.now() < job.deadline
+                and clock.now() < work.deadline
             )
 
         return is_still_right
 
-    def _patience_s(self, job: Job) -> float:
+    def _patience_s(self, work: job.Job) -> float:
         """Return how long an attempt may take, in seconds."""
-        left_s = max(0.0, job.left_s())
-        if job.history.runs + 1 >= job.route.max_attempts:
+        left_s = max(0.0, work.left_s())
+        if work.history.runs + 1 >= work.route.max_attempts:
             return left_s
-        match job.route.repeat:
+        match work.route.repeat:
             case catalog.Repeat.IDEMPOTENT:
-                return min(left_s, RETRY_OBJECTIVES * job.route.objective_s)
+                return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
             case catalog.Repeat.RESUMABLE:
                 return min(left_s, FIRST_EVENT_S)
             case catalog.Repeat.AT_MOST_ONCE:
@@ -462,50 +367,50 @@
 
     async def _read(
         self,
-        job: Job,
-        visit: Visit,
+        work: job.Job,
+        visit: job.Visit,
         reply: http_client.Reply,
         resume_after: str | None,
-    ) -> Outcome:
-        verdict = self._dialect.judge(job.ask, reply.status, reply.headers)
-        self._take_verdict(job, visit, verdict)
+    ) -> job.Outcome:
+        verdict = self._dialect.judge(work.ask, reply.status, reply.headers)
+        self._take_verdict(work, visit, verdict)
         if verdict.is_turned_away:
             # Reading to the end keeps the connection.
             await reply.read(ANSWER_LIMIT_BYTES, TURNED_AWAY_READ_S)
             reason = f"turned away with {reply.status}"
             if verdict.is_other_instance:
                 reason += ", another instance or version"
-            return Outcome(attempt.Result.TURNED_AWAY, reason)
+            return job.Outcome(attempt.Result.TURNED_AWAY, reason)
         if not verdict.is_own:
             reason = f"status {reply.status} without signature or with another id"
-            return Outcome(attempt.Result.LOST, reason)
-        if job.route.is_stream and reply.status == OK:
+            return job.Outcome(attempt.Result.LOST, reason)
+        if work.route.is_stream and reply.status == OK:
             return await self._read_first(visit, reply, resume_after)
-        body = await reply.read(ANSWER_LIMIT_BYTES, max(0.0, job.left_s()))
+        body = await reply.read(ANSWER_LIMIT_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
-            return Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
+            return job.Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
         headers = self._dialect.answer_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
         if reply.status >= SERVER_ERROR:
             reason = f"the upstream answered {reply.status}"
-            return Outcome(attempt.Result.FAILED, reason, response=response)
-        job.first_at = clock.now()
-        return Outcome(attempt.Result.ANSWERED, response=response)
+            return job.Outcome(attempt.Result.FAILED, reason, response=response)
+        work.first_at = clock.now()
+        return job.Outcome(attempt.Result.ANSWERED, response=response)
 
     async def _read_first(
-        self, visit: Visit, reply: http_client.Reply, resume_after: str | None
-    ) -> Outcome:
+        self, visit: job.Visit, reply: http_client.Reply, resume_after: str | None
+    ) -> job.Outcome:
         """Read a stream up to its first whole event."""
         splitter = sse.Splitter(resume_after)
         while True:
             part = await reply.next_part()
             if isinstance(part, http_client.Lost):
                 reason = f"the stream was cut: {part.reason}"
-                return Outcome(attempt.Result.LOST, reason)
+                return job.Outcome(attempt.Result.LOST, reason)
             events = splitter.push(part or b"")
             if part is None or events:
                 visit.begin_output()
-                return Outcome(
+                return job.Outcome(
                     attempt.Result.ANSWERED,
                     reply=reply,
                     splitter=splitter,
@@ -513,7 +418,9 @@
                     has_ended=part is None,
                 )
 
-    def _take_verdict(self, job: Job, visit: Visit, verdict: ports.Verdict) -> None:
+    def _take_verdict(
+        self, work: job.Job, visit: job.Visit, verdict: ports.Verdict
+    ) -> None:
         upstream = visit.upstream
         now = clock.now()
         if verdict.load is not None:
@@ -521,7 +428,7 @@
             upstream.load = fleet.LoadNote(running, waiting, upstream.running, now)
         if verdict.cold_s is not None and verdict.cold_s > 0:
             upstream.cold_until = now + verdict.cold_s
-        model = job.ask.model
+        model = work.ask.model
         if model and verdict.version is not None:
             upstream.note_version(model, verdict.version)
         if not verdict.is_turned_away:
@@ -543,7 +450,7 @@
         else:
             upstream.switching_until = now + SWITCHING_S
 
-    def _note(self, upstream: fleet.Upstream, outcome: Outcome) -> None:
+    def _note(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
         now = clock.now()
         if outcome.result is attempt.Result.NOT_CONNECTED:
             pause_s = min(MOST_BLOCK_S, BLOCK_S * 2**upstream.connect_failures)
@@ -560,24 +467,24 @@
         elif outcome.result is not attempt.Result.TURNED_AWAY:
             upstream.note_outcome(outcome.result is attempt.Result.LOST, now)
 
-    def _stream(self, job: Job, outcome: Outcome) -> http_server.Response:
+    def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         assert outcome.reply is not None
-        job.first_at = clock.now()
+        work.first_at = clock.now()
         headers = self._dialect.answer_headers(outcome.reply.headers)
-        body = Stream(self, job, outcome)
+        body = stream.Stream(self, work, outcome)
         return http_server.Response(outcome.reply.status, body, headers)
 
-    async def resume(self, job: Job, lost: Outcome) -> Outcome | None:
+    async def resume(self, work: job.Job, lost: job.Outcome) -> job.Outcome | None:
         """Go on with a stream at another upstream; None if that is not possible."""
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
-            if self._decide(job, lost) is not attempt.Next.TRY_AGAIN:
+            if self._decide(work, lost) is not attempt.Next.TRY_AGAIN:
                 return None
-            pick = await self._pick(job)
+            pick = await self._pick(work)
             if isinstance(pick, refusal.Refusal):
                 return None
-            outcome = await self._attempt(job, pick, last_id)
+            outcome = await self._attempt(work, pick, last_id)
             if outcome.reply is None:
                 lost = outcome
                 continue
@@ -589,25 +496,25 @@
             if outcome.visit is not None:
                 outcome.visit.end()
             reason = "the resumed stream does not go on after the last event"
-            lost = Outcome(attempt.Result.LOST, reason, outcome.visit)
+            lost = job.Outcome(attempt.Result.LOST, reason, outcome.visit)
 
-    def _turned_away(self, outcome: Outcome) -> refusal.Refusal:
+    def _turned_away(self, outcome: job.Outcome) -> refusal.Refusal:
         message = f"no upstream took the request: {outcome.reason}"
         return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=RETRY_AFTER_S)
 
-    def _refuse(self, job: Job, reason: refusal.Refusal) -> http_server.Response:
+    def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
         """Answer a request that has not run; after a run the outcome is unknown."""
-        if job.history.runs > 0:
-            return self._fail(job, Outcome(attempt.Result.LOST, reason.message))
-        self._finish(job, "refused", reason.message, reason.kind.code)
-        return self._dialect.refuse(job.ask, reason)
+        if work.history.runs > 0:
+            return self._fail(work, job.Outcome(attempt.Result.LOST, reason.message))
+        self._finish(work, "refused", reason.message, reason.kind.code)
+        return self._dialect.refuse(work.ask, reason)
 
-    def _fail(self, job: Job, outcome: Outcome) -> http_server.Response:
-        is_late = job.left_s() <= attempt.MIN_LEFT_S
+    def _fail(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
+        is_late = work.left_s() <= attempt.MIN_LEFT_S
         kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
-        self._finish(job, "failed", outcome.reason, kind.code)
+        self._finish(work, "failed", outcome.reason, kind.code)
         reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
-        return self._dialect.refuse(job.ask, reason)
+        return self._dialect.refuse(work.ask, reason)
 
     def _log_refused(self, ask: ports.Ask, reason: refusal.Refusal) -> None:
         known = self._beliefs.catalog
@@ -624,37 +531,37 @@
             config=known.version if known is not None else None,
         )
 
-    def _finish(self, job: Job, outcome: str, reason: str, code: str = "") -> None:
+    def _finish(self, work: job.Job, outcome: str, reason: str, code: str = "") -> None:
         """Log and count the end of a request, once."""
-        if job.is_finished:
+        if work.is_finished:
             return
-        job.is_finished = True
+        work.is_finished = True
         now = clock.now()
-        self._stats.requests.labels(job.route.name, outcome, code).inc()
-        first_s = None if job.first_at is None else job.first_at - job.started_at
+        self._stats.requests.labels(work.route.name, outcome, code).inc()
+        first_s = None if work.first_at is None else work.first_at - work.started_at
         if first_s is not None:
-            self._stats.first_byte.labels(job.route.name).observe(first_s)
-        self._stats.whole.labels(job.route.name).observe(now - job.started_at)
+            self._stats.first_byte.labels(work.route.name).observe(first_s)
+        self._stats.whole.labels(work.route.name).observe(now - work.started_at)
         is_routine = (
             outcome == "answered"
-            and len(job.trace) == 1
+            and len(work.trace) == 1
             and first_s is not None
-            and first_s <= job.route.objective_s
+            and first_s <= work.route.objective_s
         )
         if is_routine and not self.sampler.admit():
             return
         known = self._beliefs.catalog
         fields: dict[str, object] = {
-            "id": job.ask.request_id,
-            "route": job.route.name,
-            "team": job.team.name if job.team is not None else None,
+            "id": work.ask.request_id,
+            "route": work.route.name,
+            "team": work.team.name if work.team is not None else None,
             "outcome": outcome,
             "reason": reason,
             "code": code,
             "first_ms": None if first_s is None else round(1000 * first_s, 1),
-            "ms": round(1000 * (now - job.started_at), 1),
-            "allowed_ms": round(1000 * (job.deadline - job.started_at)),
-            "attempts": job.trace,
+            "ms": round(1000 * (now - work.started_at), 1),
+            "allowed_ms": round(1000 * (work.deadline - work.started_at)),
+            "attempts": work.trace,
             "config": known.version if known is not None else None,
             "config_age_s": round(now - self._beliefs.confirmed_at, 2),
         }
@@ -663,110 +570,19 @@
             fields["left_out"] = left_out
         lines.event(LOG, "request", **fields)
 
-    def finish_stream(self, job: Job, outcome: str, reason: str) -> None:
+    def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream, once."""
-        self._finish(job, outcome, reason)
-
-
-class Stream:
-    """The body of a streamed answer; implements ``http_server.Parts``."""
-
-    def __init__(self, relay: Relay, job: Job, first: Outcome) -> None:
-        self._relay = relay
-        self._job = job
-        self._current = first
-
-    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        """Return the iterator over the whole events."""
-        return self._parts()
-
-    async def _parts(self) -> collections.abc.AsyncIterator[bytes]:
-        if self._current.events:
-            yield self._current.events
-        while not self._current.has_ended:
-            part = await self._next()
-            if isinstance(part, http_client.Lost):
-                yield await self._resume(part)
-                continue
-            if part:
-                yield part
-        rest = self._rest()
-        if rest:
-            yield rest
-        self._relay.finish_stream(self._job, "answered", "")
-
-    async def _next(self) -> bytes | http_client.Lost:
-        """Return the next whole events, none at the end, or why there are none."""
-        reply, splitter = self._current.reply, self._current.splitter
-        assert reply is not None
-        assert splitter is not None
-        is_resumable = self._job.route.repeat is catalog.Repeat.RESUMABLE
-        left_s = max(0.0, self._job.left_s())
-        part: bytes | http_client.Lost | None = http_client.Lost("no event in time")
-        with trio.move_on_after(min(left_s, GAP_S) if is_resumable else left_s):
-            part = await reply.next_part()
-        if isinstance(part, http_client.Lost):
-            return part
-        if self._current.visit is not None:
-            self._current.visit.hear(clock.now())
-        if part is not None:
-            return splitter.push(part)
-        if splitter.rest and not _is_framed(reply.headers):
-            return http_client.Lost("the stream ended inside an event")
-        self._current.has_ended = True
-        return b""
-
-    def _rest(self) -> bytes:
-        splitter = self._current.splitter
-        return splitter.rest if splitter is not None else b""
-
-    async def _resume(self, lost: http_client.Lost) -> bytes:
-        """Go on at another upstream, or break the answer off."""
-        self._close()
-        reason = f"the stream was cut: {lost.reason}"
-        broken = Outcome(
-            attempt.Result.LOST,
-            reason,
-            self._current.visit,
-            splitter=self._current.splitter,
-        )
-        if self._current.visit is not None:
-            self._current.visit.upstream.note_outcome(True, clock.now())
-        # The attempt was counted when the stream began.
-        self._job.history.runs -= 1
-        self._job.history.sends -= 1
-        resumed = await self._relay.resume(self._job, broken)
-        if resumed is None:
-            self._relay.finish_stream(self._job, "broken", reason)
-            raise trio.BrokenResourceError(reason)
-        self._current = resumed
-        return resumed.events
-
-    def _close(self) -> None:
-        if self._current.reply is not None:
-            self._current.reply.abort()
-        if self._current.visit is not None:
-            self._current.visit.end()
-
-    async def aclose(self) -> None:
-        """Free the upstream's connection."""
-        self._close()
-        self._relay.finish_stream(self._job, "left", "the caller closed the connection")
-
-
-def _is_framed(headers: dict[str, str]) -> bool:
-    """Tell whether the end of a body differs from the end of its connection."""
-    return "content-length" in headers or "transfer-encoding" in headers
+        self._finish(work, outcome, reason)
 
 
 def _not_answered(
     sent: http_client.NotSent | http_client.Withheld | http_client.Lost,
-) -> Outcome:
+) -> job.Outcome:
     match sent:
         case http_client.NotSent(reason):
-            return Outcome(attempt.Result.NOT_CONNECTED, reason)
+            return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Withheld():
             reason = "the upstream left before the request was sent"
-            return Outcome(attempt.Result.NOT_CONNECTED, reason)
+            return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Lost(reason):
-            return Outcome(attempt.Result.LOST, reason)
+            return job.Outcome(attempt.Result.LOST, reason)
