--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOLS := pytest pytest-trio hypothesis ruff mypy
 SOURCES := packages platform deploy tests bench demo
 
-.PHONY: install demo serve test lint bench clean
+.PHONY: install demo demo-platform serve test lint bench clean
 install: $(VENV)/.installed
 
 $(VENV)/.installed: constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
@@ -17,6 +17,9 @@
 demo: install
 	$(PY) -m demo
 
+demo-platform: install
+	$(PY) -m snipelug_platform_standin
+
 serve: install
 	$(PY) -m demo --stay
 
