Wait for connections on which a request is being read before a node closes

Cause: a stopping node counted open requests, and a request is open only once it was read whole. One that was being read when the count was 0 was sent on and cut 1 ms later.

Ruled out: the end of the grace (2.6 s of 8 s had passed) and the load balancer (the connection was a kept one).

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -203,7 +203,8 @@
         # Requests that come later could not be finished, so callers must go elsewhere.
         self._callers.stop_accepting()
         self._callers.close_idle()
-        while self._callers.open_requests and clock.now() < last:
+        # A connection on which a request is being read counts as well.
+        while self._callers.open_connections and clock.now() < last:
             await trio.sleep(CLOSE_CHECK_S)
             self._callers.close_idle()
         lines.event(
@@ -213,6 +214,10 @@
             after_s=round(clock.now() - began, 2),
         )
 
+    async def cut(self) -> None:
+        """Close the connections of callers that are left."""
+        await self._callers.cut()
+
     async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
         return http_server.Response(OK if self.is_ready else UNAVAILABLE)
 
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -404,3 +404,32 @@
         (full,) = answers
         assert isinstance(full, http_client.Full)
         assert full.body.count(b"\n\n") == 60
+
+
+async def test_planned_stop_answers_a_request_that_is_being_read() -> None:
+    """Guards against a request that is cut because it was read as the node closed."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        port = world.nodes[0].callers_port
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        head = (
+            f"POST /order/ HTTP/1.1\r\nhost: {platform_world.HOST}\r\n"
+            f"request-id: 99\r\nauthorization: Token {platform_world.KEY}\r\n"
+            "content-length: 4\r\n\r\n"
+        ).encode()
+        received = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_and_cut, world)
+            await trio.sleep(node.ROTATION_S - 0.2)
+            await stream.send_all(head + b"bo")
+            await trio.sleep(0.4)
+            await stream.send_all(b"dy")
+            async for part in stream:
+                received += part
+        assert received.startswith(b"HTTP/1.1 200")
+        assert runs(world.apps) == 1
+
+
+async def stop_and_cut(world: platform_world.World) -> None:
+    """Stop a node and end its connections, as the end of its process does."""
+    await world.nodes[0].stop()
+    await world.nodes[0].cut()
