Use a new member's floor as soon as all members count it

A team whose owner was killed in the first 30 s was not served until the owner's session was revoked: the other nodes used no floor before JOIN_WAIT_S, and nobody lent. A new member now asks the others whether they divide the limits with it, and uses its floor once all have confirmed; who does not answer is waited for as before. Ruled out: a shorter wait, as a member with a valid lease may not have read the new session yet.

--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -144,6 +144,10 @@
         """Return the sessions that were there when the table was last read."""
         return frozenset(self._sessions or ()) | {self.lease.session}
 
+    def is_listed(self) -> bool:
+        """Tell whether the sessions were read after this node wrote its own."""
+        return self.lease.session in (self._sessions or {})
+
     def session_exists(self, name: str) -> bool:
         """Tell whether the session was there when the table was last read."""
         return self._lives(name)
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -24,6 +24,11 @@
 IDLE_S = 60.0
 """Time after which the account of a team without requests is dropped, in seconds."""
 
+JOIN_NODES = 20
+"""Most other nodes that a new member asks whether they count it; in larger
+deployments, whose members learn of one another over several nodes, it waits for
+`quota.JOIN_WAIT_S` instead of sending so many calls."""
+
 HOLD_WEIGHT = 0.1
 """Weight of the newest request in the mean time that a team's requests run."""
 
@@ -64,6 +69,28 @@
 SLICE = rpc.Method("Slice", SliceAsk, SliceReply)
 
 
+class JoinAsk(msgspec.Struct, frozen=True):
+    """Asks a node whether it divides the limits by a member count with the asker."""
+
+    session_id: Identifier
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Answers `JoinAsk`.
+
+    Attributes
+    ----------
+    session_id : str
+        The answering process.
+    """
+
+    session_id: Identifier
+    is_counted: bool
+
+
+JOIN = rpc.Method("Join", JoinAsk, JoinReply)
+
+
 @dataclasses.dataclass
 class _Team:
     """A team's account at this node and what its demand is estimated from."""
@@ -132,6 +159,9 @@
         Returns the ids of the sessions that are not revoked.
     joined_for : callable
         Returns the time since this node wrote its session row, in seconds.
+    is_listed : callable
+        Returns whether the sessions were read after this node wrote its own, so
+        that `members` has every node that wrote its session earlier.
     limits_of : callable
         Returns a team's limits in the configuration in force.
     note_asked : callable
@@ -148,6 +178,7 @@
         holds_now: collections.abc.Callable[[str], bool],
         members: collections.abc.Callable[[], collections.abc.Collection[str]],
         joined_for: collections.abc.Callable[[], float],
+        is_listed: collections.abc.Callable[[], bool],
         limits_of: collections.abc.Callable[[str], contract.Limits | None],
         note_asked: collections.abc.Callable[[str], None] = lambda _: None,
         capacity: int = 4096,
@@ -158,6 +189,9 @@
         self._holds_now = holds_now
         self._members = members
         self._joined_for = joined_for
+        self._is_listed = is_listed
+        self._counted_by: set[str] = set()
+        self._joined_s = 0.0
         self._limits_of = limits_of
         self._note_asked = note_asked
         self._capacity = capacity
@@ -171,6 +205,7 @@
         self._nursery: trio.Nursery | None = None
         self._has_waiters = trio.Event()
         peers.register(SLICE, self._answer_slice)
+        peers.register(JOIN, self._answer_join)
 
     def begin(self, team: str, had_owner: bool) -> None:
         """Start to own a team, after its row names this node."""
@@ -198,6 +233,8 @@
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._serve_queues)
             while True:
+                for node_id in self._nodes_to_join():
+                    self._nursery.start_soon(self._join, node_id)
                 for name in self._teams_to_ask():
                     self._ask_soon(name)
                 await ticker.sleep(ASK_SOON_S)
@@ -252,7 +289,48 @@
             self._nursery.start_soon(self._ask, name)
 
     def _floor(self, team: _Team) -> quota.Amounts:
-        return quota.floor(team.limits, len(self._members()), self._joined_for())
+        is_counted = self._is_counted_by_all()
+        joined_s = math.inf if is_counted else self._joined_for()
+        return quota.floor(team.limits, len(self._members()), joined_s)
+
+    def _is_counted_by_all(self) -> bool:
+        """Tell whether every other member divides the limits with this node.
+
+        Of two nodes that join at once, the one that wrote its session later has
+        read the other's and needs its answer, so neither uses too large a share.
+        """
+        others = set(self._members()) - {self._session_id}
+        return self._is_listed() and others <= self._counted_by
+
+    def _nodes_to_join(self) -> list[str]:
+        """Return the nodes that may not count this one yet."""
+        joined_s = self._joined_for()
+        if joined_s < self._joined_s:
+            # With a new session this node has to be counted anew.
+            self._counted_by.clear()
+        self._joined_s = joined_s
+        others = [name for name in self._peers.live() if name != self._peers.node_id]
+        is_due = 0.0 < joined_s < quota.JOIN_WAIT_S and len(others) <= JOIN_NODES
+        return others if is_due and not self._is_counted_by_all() else []
+
+    async def _join(self, node_id: str) -> None:
+        session_s = self._joined_s
+        message = JoinAsk(self._session_id)
+        answer = await self._peers.call(node_id, JOIN, message, CALL_TIMEOUT_S)
+        is_same_session = self._joined_for() >= session_s
+        if isinstance(answer, JoinReply) and answer.is_counted and is_same_session:
+            self._counted_by.add(answer.session_id)
+            self._dispatch()
+
+    async def _answer_join(self, message: JoinAsk) -> JoinReply:
+        """Confirm a member once no team has more requests than the smaller share."""
+        now = trio.current_time()
+        is_counted = message.session_id in self._members() and all(
+            team.account.in_flight
+            <= quota.share_in_force(team.account, self._floor(team), now).in_flight
+            for team in self._teams.values()
+        )
+        return JoinReply(self._session_id, is_counted)
 
     def _has_slice(self, team: _Team) -> bool:
         return trio.current_time() < team.account.lent_until
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -177,6 +177,7 @@
             self.teams.holds,
             self._sharers,
             self.teams.joined_for,
+            self.lease.is_listed,
             self.teams.limits_of,
             self.teams.note_asked,
         )
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -1,5 +1,6 @@
 """Limits at several nodes with an owner, over fake peers."""
 
+import pytest
 import trio
 import trio.testing
 
@@ -17,6 +18,7 @@
     had_owner: bool = False,
     capacity: int = 4096,
     joined_for_s: float = 999.0,
+    is_listed: bool = True,
 ) -> list[limiter.Limiter]:
     """Return the limiters of nodes a and b; a owns the team."""
     built = [
@@ -27,6 +29,7 @@
             holds_now=lambda _, own=name: own == "a",
             members=lambda: ["a/1", "b/1"],
             joined_for=lambda: joined_for_s,
+            is_listed=lambda: is_listed,
             limits_of=lambda _: LIMITS,
             capacity=capacity,
         )
@@ -77,6 +80,42 @@
     assert len(await enter_many(second, 40, 0.9, nursery)) == 2
 
 
+async def test_new_member_uses_its_floor_once_all_count_it(
+    nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against no service when an owner dies soon after the start."""
+    net = peer_fakes.Net()
+    _, second = build(net, nursery, joined_for_s=5.0)
+    await trio.sleep(1.0)
+    net.down = {"a"}
+    assert len(await enter_many(second, 40, 0.9, nursery)) == 2
+
+
+@pytest.mark.parametrize("case", ["unheard", "unlisted", "busy"])
+async def test_new_member_uses_no_floor_before(
+    case: str, nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against a floor beside another member's share that is still too large."""
+    net = peer_fakes.Net()
+    first, second = build(
+        net,
+        nursery,
+        had_owner=True,
+        joined_for_s=5.0,
+        is_listed=case != "unlisted",
+    )
+    if case == "busy":
+        # Requests of a larger share that was in force before.
+        team = limiter._Team(LIMITS)
+        team.account.in_flight = 12
+        first._teams["t"] = team
+    if case == "unheard":
+        net.down = {"a"}
+    await trio.sleep(1.0)
+    net.down = {"a"}
+    assert await enter_many(second, 40, 0.9, nursery) == []
+
+
 async def test_new_owner_waits(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
