Turn prompts away while engines are overloaded; count the usual load where reports are old

A prompt whose expected wait is longer than its objective is now refused with a time to come back, an attempt is given up only 2 s after its expected wait, an old report gives way to the usual load of the service, and all parts of replaced weights are freed in one round (200 a second left stores full for 10 s).

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -16,7 +16,7 @@
 """Time that one more running request costs the others; a step of a batch."""
 
 WAITING_S = 0.03
-"""Wait behind each request that another node has queued at an upstream."""
+"""Wait behind each request that is queued at an upstream."""
 
 PLAIN_S = 0.03
 """Time that a plain service works on a request; the sheets say 22 to 69 ms."""
@@ -118,11 +118,14 @@
         Zones that get no new work.
     nodes : int
         Nodes that share the upstreams.
+    usual : (float, float)
+        Requests of other nodes that run and wait at a usual upstream.
     """
 
     service: catalog.Service
     zones_out: frozenset[str] = frozenset()
     nodes: int = 1
+    usual: tuple[float, float] = (0.0, 0.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,12 +140,34 @@
         Upstreams that were weighed.
     prefill_tokens : int
         Tokens that the upstream is expected to read.
+    wait_s : float
+        Expected time before its prompt is read, in seconds; 0 for plain services.
+    first_s : float
+        Expected time to the first token, in seconds; 0 for plain services.
     """
 
     upstream: fleet.Upstream
     cost_s: float
     candidates: int
     prefill_tokens: int = 0
+    wait_s: float = 0.0
+    first_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Estimate:
+    """What is expected of one upstream.
+
+    Attributes
+    ----------
+    cost_s : float
+        Time to the first token, and what weighs for and against it, in seconds.
+    """
+
+    cost_s: float
+    wait_s: float = 0.0
+    first_s: float = 0.0
+    prefill_tokens: int = 0
 
 
 def eligible(
@@ -205,11 +230,16 @@
     if not candidates:
         return None
     first = _first_by_rank(candidates, need)
-    rated = ((_cost(u, need, view, now, u is first), u) for u in candidates)
-    (cost_s, prefill), best = min(
-        rated, key=lambda item: (item[0][0], item[1].entry.id)
+    rated = ((_estimate(u, need, view, now, u is first), u) for u in candidates)
+    found, best = min(rated, key=lambda item: (item[0].cost_s, item[1].entry.id))
+    return Choice(
+        best,
+        found.cost_s,
+        len(candidates),
+        found.prefill_tokens,
+        found.wait_s,
+        found.first_s,
     )
-    return Choice(best, cost_s, len(candidates), prefill)
 
 
 def shared_part(parts: tuple[Part, ...]) -> Part | None:
@@ -237,9 +267,9 @@
     )
 
 
-def _cost(
+def _estimate(
     upstream: fleet.Upstream, need: Need, view: View, now: float, is_first: bool
-) -> tuple[float, int]:
+) -> Estimate:
     cost = FAILURE_S * upstream.failure_rate_at(now)
     if upstream.entry.zone != need.zone:
         cost += ZONE_S + ZONE_S_PER_BYTE * need.body_bytes
@@ -250,15 +280,22 @@
         cost += SILENCE_COST_S
     engine = view.service.engine
     if engine is None:
-        return cost + _plain_wait_s(upstream, now), 0
-    wait_s, prefill = _engine_wait_s(upstream, need, engine, now, is_first)
+        return Estimate(cost + _plain_wait_s(upstream, view, now))
     if upstream.versions.get(need.model, 0) < need.version:
         cost += OLD_WEIGHTS_S
-    return cost + wait_s, prefill
+    at_engine = _estimate_engine(upstream, need, view, engine, now)
+    if is_first:
+        shared = shared_part(need.parts)
+        tokens = shared.tokens if shared is not None else 0
+        stored = shared is not None and shared.id in need.fetch_s
+        # The upstream that ranks first is where other nodes send the same part.
+        saved_s = 0.0 if stored else tokens / PREFILL_TOKENS_PER_S
+        cost -= PREFERENCE_S + 0.5 * saved_s
+    return dataclasses.replace(at_engine, cost_s=cost + at_engine.cost_s)
 
 
-def _plain_wait_s(upstream: fleet.Upstream, now: float) -> float:
-    running, waiting = upstream.others(now)
+def _plain_wait_s(upstream: fleet.Upstream, view: View, now: float) -> float:
+    running, waiting = upstream.others(now, view.usual)
     total = running + waiting + upstream.running
     slots = max(1, upstream.entry.slots)
     return PLAIN_S * (max(0.0, total + 1 - slots) / slots + 0.3 * total / slots)
@@ -269,20 +306,19 @@
     return PAIR_S * prefill * (prompt - prefill / 2)
 
 
-def _engine_wait_s(
+def _estimate_engine(
     upstream: fleet.Upstream,
     need: Need,
+    view: View,
     engine: catalog.Engine,
     now: float,
-    is_first: bool,
-) -> tuple[float, int]:
-    """Return the expected time to the first token and the tokens to read."""
-    running, waiting = upstream.others(now)
+) -> Estimate:
+    running, waiting = upstream.others(now, view.usual)
     pending = upstream.prefill_tokens + upstream.announced_tokens(now)
     wait_s = pending / PREFILL_TOKENS_PER_S
-    wait_s += WAITING_S * waiting + STEP_S * (running + upstream.running)
+    wait_s += STEP_S * (running + upstream.running)
     total = running + waiting + upstream.running
-    wait_s += WAITING_S * max(0.0, total + 1 - engine.slots)
+    wait_s += WAITING_S * max(waiting, total + 1 - engine.slots)
     read_s, prefill, size = 0.0, 0, need.output_tokens
     for part in need.parts:
         size += part.tokens
@@ -294,15 +330,9 @@
         prefill += part.tokens
     prompt = sum(part.tokens for part in need.parts)
     read_s += prefill / PREFILL_TOKENS_PER_S + _attention_s(prompt, prefill)
-    if prefill >= LONG_TOKENS and pending < LONG_TOKENS:
-        wait_s += LONG_HARM * read_s
     if upstream.tokens + size > engine.kv_capacity_tokens:
         wait_s += FULL_S
-    if is_first:
-        shared = shared_part(need.parts)
-        tokens = shared.tokens if shared is not None else 0
-        stored = shared is not None and shared.id in need.fetch_s
-        # The upstream that ranks first is where other nodes send the same part.
-        saved_s = 0.0 if stored else tokens / PREFILL_TOKENS_PER_S
-        wait_s -= PREFERENCE_S + 0.5 * saved_s
-    return wait_s + read_s, prefill
+    first_s = cost_s = wait_s + read_s
+    if prefill >= LONG_TOKENS and pending < LONG_TOKENS:
+        cost_s += LONG_HARM * read_s
+    return Estimate(cost_s, wait_s, first_s, prefill)
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 REMOVAL_GRACE_S = 2.2
 """Entries that lapsed during an outage of the list are back within 2 s of its end."""
@@ -16,6 +17,15 @@
 HEAL_PER_S = 0.25
 """Part of the remembered failure rate that is forgotten each second."""
 
+USUAL_S = 1.0
+"""Time over which the load that upstreams tell of is averaged."""
+
+USUAL_LEAST_WEIGHT = 0.1
+"""Least weight of one report in that average, for reports that come together."""
+
+USUAL_FADE_S = 3.0
+"""Age at which that average no longer counts."""
+
 FAILURE_WEIGHT = 0.2
 """Weight of the newest outcome in the failure rate."""
 
@@ -68,6 +78,41 @@
     own: int
     at: float
 
+    def others(self) -> tuple[int, int]:
+        """Return other nodes' requests running and waiting."""
+        total = max(0, self.running + self.waiting - self.own)
+        waiting = min(self.waiting, total)
+        return total - waiting, waiting
+
+
+@dataclasses.dataclass
+class Usual:
+    """Mean load of other nodes at the upstreams of one service, as told lately.
+
+    Attributes
+    ----------
+    at : float
+        When the last report came, in seconds.
+    """
+
+    running: float = 0.0
+    waiting: float = 0.0
+    at: float = -math.inf
+
+    def note(self, load: LoadNote) -> None:
+        """Add what an upstream told."""
+        weight = 1.0 - math.exp(-max(0.0, load.at - self.at) / USUAL_S)
+        weight = max(USUAL_LEAST_WEIGHT, weight)
+        running, waiting = load.others()
+        self.running += weight * (running - self.running)
+        self.waiting += weight * (waiting - self.waiting)
+        self.at = load.at
+
+    def load_at(self, now: float) -> tuple[float, float]:
+        """Return requests running and waiting; an old average fades."""
+        fade = max(0.0, 1.0 - (now - self.at) / USUAL_FADE_S)
+        return fade * self.running, fade * self.waiting
+
 
 @dataclasses.dataclass(frozen=True)
 class Announced:
@@ -169,14 +214,22 @@
         fade = max(0.0, 1.0 - HEAL_PER_S * (now - self.failure_at))
         return self.failure_rate * fade
 
-    def others(self, now: float, fade_s: float = 1.0) -> tuple[float, float]:
-        """Return other nodes' requests running and waiting, as last told."""
+    def others(
+        self, now: float, usual: tuple[float, float] = (0.0, 0.0), fade_s: float = 1.0
+    ) -> tuple[float, float]:
+        """Return other nodes' requests running and waiting.
+
+        What the upstream told last gives way to the usual load of its service as it
+        ages, so that the one heard of longest ago does not look idle.
+        """
         if self.load is None:
-            return 0.0, 0.0
+            return usual
         fade = max(0.0, 1.0 - (now - self.load.at) / fade_s)
-        running = max(0, self.load.running + self.load.waiting - self.load.own)
-        waiting = min(self.load.waiting, running)
-        return fade * (running - waiting), fade * waiting
+        running, waiting = self.load.others()
+        return (
+            fade * running + (1.0 - fade) * usual[0],
+            fade * waiting + (1.0 - fade) * usual[1],
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -192,6 +245,7 @@
 
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
+        self.usual: dict[str, Usual] = {}
         self._of_service: dict[str, list[Upstream]] = {}
         self._doubtful: dict[str, float] = {}
 
@@ -199,6 +253,16 @@
         """Return the upstreams of a service."""
         return self._of_service.get(name, [])
 
+    def note_load(self, upstream: Upstream, load: LoadNote) -> None:
+        """Take the load that an upstream told with an answer."""
+        upstream.load = load
+        self.usual.setdefault(upstream.entry.service, Usual()).note(load)
+
+    def usual_load(self, service: str, now: float) -> tuple[float, float]:
+        """Return other nodes' requests running and waiting at a usual upstream."""
+        usual = self.usual.get(service)
+        return (0.0, 0.0) if usual is None else usual.load_at(now)
+
     def put(self, entry: Entry, now: float) -> Change | None:
         """Take a listed entry."""
         self._doubtful.pop(entry.id, None)
--- /dev/null
+++ b/packages/snipelug-core/src/snipelug_core/overload.py
@@ -0,0 +1,54 @@
+"""Which prompts are turned away while engines are overloaded.
+
+Answers the load that follows when many engines were away at once: new weights, crashes,
+a restart of all nodes. The queues outlast their cause, because each prompt then comes
+late, holds memory in which parts of prompts could be kept, and is asked for again when
+its caller gives up. Turning away what would come late anyway empties the queues, and
+those who are turned away come back once that has helped.
+"""
+
+import random
+
+LATE_PART = 1.0
+"""Expected wait, in objectives, above which a prompt comes late whatever its size.
+
+The time to read the prompt itself does not count, as the longest prompts would be
+turned away each time.
+"""
+
+SPARE_S = 0.1
+"""Time that an answer needs beside the wait."""
+
+MIN_RETRY_S = 0.3
+"""Shortest time after which a caller may come back; a queue moves little sooner."""
+
+RETRY_PART = 1 / 3
+"""Part of a caller's time that it waits at most before it comes back."""
+
+SPREAD = 0.5
+"""Part of the pause that is random, so that callers do not come back together."""
+
+
+def retry_after(
+    wait_s: float, objective_s: float, left_s: float, rng: random.Random
+) -> float | None:
+    """Return the pause after which a prompt should come back, or None to send it.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected time before the prompt is read at the best engine, in seconds.
+    objective_s : float
+        Time within which the first token is on time, in seconds.
+    left_s : float
+        Time until the caller's deadline, in seconds.
+
+    Returns
+    -------
+    float or None
+        Pause in seconds.
+    """
+    if wait_s <= LATE_PART * objective_s and wait_s + SPARE_S <= left_s:
+        return None
+    pause_s = max(MIN_RETRY_S, wait_s) * rng.uniform(1.0 - SPREAD / 2, 1.0 + SPREAD / 2)
+    return min(pause_s, RETRY_PART * left_s)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -3,10 +3,20 @@
 import dataclasses
 import logging
 import math
+import random
 
 import trio
 
-from snipelug_core import attempt, catalog, choice, fleet, kv_index, refusal, retry
+from snipelug_core import (
+    attempt,
+    catalog,
+    choice,
+    fleet,
+    kv_index,
+    overload,
+    refusal,
+    retry,
+)
 from snipelug_net import http_client, http_server, lines
 from snipelug_relay import (
     announce,
@@ -92,6 +102,7 @@
         self._pool = pool
         self._stats = metrics
         self._budgets: dict[str, retry.Budget] = {}
+        self._rng = random.Random()
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -163,7 +174,7 @@
                 return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
             pick = self._choose(work, now)
             if pick is not None:
-                return pick
+                return self._check_load(work, pick)
             at = self._next_free(work, now)
             if at is None or at > min(wait_until, work.deadline):
                 wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
@@ -173,6 +184,26 @@
                 )
             await trio.sleep(max(0.005, at - now))
 
+    def _check_load(
+        self, work: job.Job, pick: choice.Choice
+    ) -> choice.Choice | refusal.Refusal:
+        """Turn a prompt away at once if even the best engine would answer it late.
+
+        Streams that have begun go on, and what was sent before is not refused.
+        """
+        if work.first_at is not None or work.history.runs > 0:
+            return pick
+        wait_s = overload.retry_after(
+            pick.wait_s, work.route.objective_s, work.left_s(), self._rng
+        )
+        if wait_s is None:
+            return pick
+        message = (
+            f"expected wait of {pick.wait_s:.2f} s at the best of "
+            f"{pick.candidates} engines"
+        )
+        return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
+
     def _choose(self, work: job.Job, now: float) -> choice.Choice | None:
         view = self._beliefs.view(work.service)
         if view is None:
@@ -260,7 +291,7 @@
         outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
         try:
-            with trio.move_on_after(self._patience_s(work)):
+            with trio.move_on_after(self._patience_s(work, pick)):
                 sent = await self._pool.send(call, self._last_check(work, pick))
                 if isinstance(sent, http_client.Reply):
                     reply = sent
@@ -317,6 +348,7 @@
             "upstream": upstream.entry.id,
             "at_ms": round(1000 * (now - work.started_at), 1),
             "cost_ms": round(1000 * pick.cost_s, 1),
+            "wait_ms": round(1000 * pick.wait_s, 1),
             "candidates": pick.candidates,
             "running": upstream.running,
         }
@@ -352,8 +384,12 @@
 
         return is_still_right
 
-    def _patience_s(self, work: job.Job) -> float:
-        """Return how long an attempt may take, in seconds."""
+    def _patience_s(self, work: job.Job, pick: choice.Choice) -> float:
+        """Return how long an attempt may take, in seconds.
+
+        A prompt that is expected to wait is not given up while it does, as another
+        engine would read it anew.
+        """
         left_s = max(0.0, work.left_s())
         if work.history.runs + 1 >= work.route.max_attempts:
             return left_s
@@ -361,7 +397,7 @@
             case catalog.Repeat.IDEMPOTENT:
                 return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
             case catalog.Repeat.RESUMABLE:
-                return min(left_s, FIRST_EVENT_S)
+                return min(left_s, FIRST_EVENT_S + pick.first_s)
             case catalog.Repeat.AT_MOST_ONCE:
                 return left_s
 
@@ -425,7 +461,8 @@
         now = clock.now()
         if verdict.load is not None:
             running, waiting, _ = verdict.load
-            upstream.load = fleet.LoadNote(running, waiting, upstream.running, now)
+            load = fleet.LoadNote(running, waiting, upstream.running, now)
+            self._beliefs.fleet.note_load(upstream, load)
         if verdict.cold_s is not None and verdict.cold_s > 0:
             upstream.cold_until = now + verdict.cold_s
         model = work.ask.model
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -20,7 +20,7 @@
 """Age of a store's last poll after which a node that is no watcher polls itself."""
 
 FREE_AT_ONCE = 200
-"""Parts freed by one call."""
+"""Parts freed by one call, about 10 KB."""
 
 
 class Shelves:
@@ -177,18 +177,29 @@
             model: named.settled(now, kv_index.FREE_AFTER_S)
             for model, named in self._beliefs.named.items()
         }
-        keys = list(kv_index.outdated(shelf, settled))[:FREE_AT_ONCE]
-        if not keys or shelf.epoch is None:
-            return
+        keys = list(kv_index.outdated(shelf, settled))
+        epoch = shelf.epoch
+        is_freed = epoch is not None
+        # Space is scarce after new weights: stores hold little more than one version.
+        for start in range(0, len(keys), FREE_AT_ONCE):
+            some = keys[start : start + FREE_AT_ONCE]
+            if is_freed and epoch is not None:
+                is_freed = await self._free_some(shelf, some, epoch)
+        if keys:
+            lines.event(
+                LOG,
+                "parts_freed",
+                store=shelf.store.name,
+                count=len(keys),
+                is_freed=is_freed,
+                versions=settled,
+            )
+
+    async def _free_some(
+        self, shelf: kv_index.Shelf, keys: list[kv_index.PartKey], epoch: int
+    ) -> bool:
         addr = (shelf.store.host, shelf.store.port)
-        is_freed = await self._machines.free(addr, keys, shelf.epoch)
+        is_freed = await self._machines.free(addr, keys, epoch)
         for key in keys if is_freed else ():
             shelf.drop(key)
-        lines.event(
-            LOG,
-            "parts_freed",
-            store=shelf.store.name,
-            count=len(keys),
-            is_freed=is_freed,
-            versions=settled,
-        )
+        return is_freed
