Weigh a few random engines where nodes are many; break ties at random

Cause: with 79 nodes each hears of an engine every few seconds, so nodes that know the same pick the same engine, by the order of ids. In the first moment of new weights 21 of 26 nodes of a zone chose one engine of three that had them (played in the new test against the code before; 13 at most are allowed now).

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -62,6 +62,17 @@
 PREFERENCE_S = 0.03
 """Preference for the upstream that ranks first for a prompt's parts."""
 
+MANY_NODES = 12
+"""With more nodes each hears of an engine too seldom to choose among all.
+
+Nodes that know the same would all send to the engine that looks best, such as the
+first ones with new weights.
+"""
+
+SAMPLE_NEAR = 4
+SAMPLE_FAR = 2
+"""Engines of the node's zone and of others that are weighed where nodes are many."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Part:
@@ -224,14 +235,24 @@
     view: View,
     tried: collections.abc.Container[str],
     now: float,
+    rng: random.Random,
+    weigh_all: bool = False,
 ) -> Choice | None:
-    """Return the eligible upstream with the least expected cost, if there is one."""
+    """Return the eligible upstream with the least expected cost, if there is one.
+
+    Parameters
+    ----------
+    weigh_all : bool
+        Weigh all upstreams also where nodes are many.
+    """
     candidates = list(eligible(upstreams, need, view, tried, now))
     if not candidates:
         return None
     first = _first_by_rank(candidates, need)
+    if need.model and view.nodes > MANY_NODES and not weigh_all:
+        candidates = _sample(candidates, need, first, rng)
     rated = ((_estimate(u, need, view, now, u is first), u) for u in candidates)
-    found, best = min(rated, key=lambda item: (item[0].cost_s, item[1].entry.id))
+    found, best = min(rated, key=lambda item: (item[0].cost_s, rng.random()))
     return Choice(
         best,
         found.cost_s,
@@ -247,6 +268,22 @@
     return parts[-2] if len(parts) > 1 else None
 
 
+def _sample(
+    candidates: collections.abc.Sequence[fleet.Upstream],
+    need: Need,
+    first: fleet.Upstream | None,
+    rng: random.Random,
+) -> list[fleet.Upstream]:
+    """Return some random upstreams, and the one that ranks first."""
+    near = [u for u in candidates if u.entry.zone == need.zone]
+    far = [u for u in candidates if u.entry.zone != need.zone]
+    picked = rng.sample(near, min(SAMPLE_NEAR, len(near)))
+    picked += rng.sample(far, min(SAMPLE_FAR, len(far)))
+    if first is not None and first not in picked:
+        picked.append(first)
+    return picked
+
+
 def _first_by_rank(
     candidates: collections.abc.Sequence[fleet.Upstream], need: Need
 ) -> fleet.Upstream | None:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -174,7 +174,7 @@
                 return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
             pick = self._choose(work, now)
             if pick is not None:
-                return self._check_load(work, pick)
+                return self._check_load(work, pick, now)
             at = self._next_free(work, now)
             if at is None or at > min(wait_until, work.deadline):
                 wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
@@ -185,7 +185,7 @@
             await trio.sleep(max(0.005, at - now))
 
     def _check_load(
-        self, work: job.Job, pick: choice.Choice
+        self, work: job.Job, pick: choice.Choice, now: float
     ) -> choice.Choice | refusal.Refusal:
         """Turn a prompt away at once if even the best engine would answer it late.
 
@@ -193,9 +193,10 @@
         """
         if work.first_at is not None or work.history.runs > 0:
             return pick
-        wait_s = overload.retry_after(
-            pick.wait_s, work.route.objective_s, work.left_s(), self._rng
-        )
+        wait_s = self._retry_after(work, pick)
+        if wait_s is not None:
+            pick = self._choose(work, now, weigh_all=True) or pick
+            wait_s = self._retry_after(work, pick)
         if wait_s is None:
             return pick
         message = (
@@ -204,13 +205,21 @@
         )
         return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
 
-    def _choose(self, work: job.Job, now: float) -> choice.Choice | None:
+    def _retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
+        return overload.retry_after(
+            pick.wait_s, work.route.objective_s, work.left_s(), self._rng
+        )
+
+    def _choose(
+        self, work: job.Job, now: float, weigh_all: bool = False
+    ) -> choice.Choice | None:
         view = self._beliefs.view(work.service)
         if view is None:
             return None
         upstreams = self._beliefs.fleet.of_service(work.service)
+        need = self._need(work, view, now)
         return choice.choose(
-            upstreams, self._need(work, view, now), view, work.tried, now
+            upstreams, need, view, work.tried, now, self._rng, weigh_all
         )
 
     def _need(self, work: job.Job, view: choice.View, now: float) -> choice.Need:
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -1,6 +1,7 @@
 """Messages between nodes about upstreams."""
 
 import contextlib
+import random
 import socket
 
 import msgspec
@@ -104,10 +105,11 @@
     need = relay_builders.need(16_000, 500, zone="b", body_bytes=34_000)
     upstreams = second_beliefs.fleet.of_service("engines")
     view = relay_builders.view()
-    before = choice.choose(upstreams, need, view, (), clock.now())
+    rng = random.Random(1)
+    before = choice.choose(upstreams, need, view, (), clock.now(), rng)
     first.begin("u1", 16_500, need.parts[0])
     await trio.sleep(0.1)
-    after = choice.choose(upstreams, need, view, (), clock.now())
+    after = choice.choose(upstreams, need, view, (), clock.now(), rng)
     assert before is not None
     assert after is not None
     assert before.upstream.entry.id == "near"
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import random
 
 import pytest
 
@@ -10,6 +11,7 @@
 
 ENTRY = relay_builders.entry
 NOW = 100.0
+RNG = random.Random(1)
 
 
 def pick(
@@ -18,7 +20,7 @@
     now: float = NOW,
     **view: object,
 ) -> str | None:
-    found = choice.choose(upstreams, need, relay_builders.view(**view), (), now)
+    found = choice.choose(upstreams, need, relay_builders.view(**view), (), now, RNG)
     return None if found is None else found.upstream.entry.id
 
 
@@ -51,7 +53,7 @@
     upstreams[1].switching_until = NOW + 1
     view = relay_builders.view()
     need = relay_builders.need(100, 10)
-    assert choice.choose(upstreams, need, view, {"u3"}, NOW) is None
+    assert choice.choose(upstreams, need, view, {"u3"}, NOW, RNG) is None
     assert pick(upstreams, need) == "u3"
 
 
@@ -108,7 +110,7 @@
     for number in range(4):
         parts = (choice.Part(f"c{number}", 12_000), choice.Part("own", 4_000))
         need = dataclasses.replace(relay_builders.need(1, 1), parts=parts)
-        found = choice.choose(upstreams, need, view, (), NOW)
+        found = choice.choose(upstreams, need, view, (), NOW, RNG)
         assert found is not None
         assert found.cost_s < 0.8
         found.upstream.prefill_tokens += found.prefill_tokens
@@ -116,6 +118,33 @@
     assert len(idle) >= 2
 
 
+def test_many_nodes_spread_over_engines_with_new_weights() -> None:
+    """Guards against 26 nodes of a zone that all send to one engine at once.
+
+    Plays the first moment of new weights: 3 of 12 engines of each zone serve them, and
+    no node has heard of the load that the others cause.
+    """
+    entries = [
+        ENTRY(
+            f"{zone}{i}", zone=zone, versions={relay_builders.MODEL: 2 if i < 3 else 1}
+        )
+        for zone in ("a", "b", "c")
+        for i in range(12)
+    ]
+    sends: collections.Counter[str] = collections.Counter()
+    need = relay_builders.need(1, 1, version=2)
+    for node in range(26):
+        parts = (choice.Part(f"p{node}", 300), choice.Part("own", 80))
+        need = dataclasses.replace(need, parts=parts)
+        rng = random.Random(node)
+        upstreams = relay_builders.upstreams(*entries)
+        view = relay_builders.view(nodes=79)
+        found = choice.choose(upstreams, need, view, (), NOW, rng)
+        assert found is not None
+        sends[found.upstream.entry.id] += 1
+    assert max(sends.values()) <= 26 / 2
+
+
 def test_failing_and_silent_upstreams_are_avoided() -> None:
     """Guards against an upstream that fails requests while it is listed as ready."""
     need = relay_builders.need()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -99,7 +99,9 @@
         for upstream in self.upstreams[: ENGINES // 2]:
             upstream.switching_until = AWAY_TO_S if is_away else 0.0
         need = relay_builders.need(1, 1)
-        found = choice.choose(self.upstreams, need, relay_builders.view(), (), now)
+        found = choice.choose(
+            self.upstreams, need, relay_builders.view(), (), now, self.rng
+        )
         assert found is not None
         left_s = prompt.deadline - now
         pause_s = overload.retry_after(found.wait_s, OBJECTIVE_S, left_s, self.rng)
@@ -145,7 +147,9 @@
     """Guards against prompts that are turned away each time because of their size."""
     need = relay_builders.need(34_000, 17_000)
     upstreams = relay_builders.upstreams(relay_builders.entry())
-    found = choice.choose(upstreams, need, relay_builders.view(), (), 0.0)
+    found = choice.choose(
+        upstreams, need, relay_builders.view(), (), 0.0, random.Random(1)
+    )
     assert found is not None
     assert found.first_s > OBJECTIVE_S
     rng = random.Random(1)
