Tell nodes before an engine is ordered to load; turn long prompts away first at overload

Cause: an engine that gets an order turns away what waits there, and other nodes heard of it only after it had accepted. The giver now tells the nodes 0.15 s before the order, and the pause is 0.1 s while another upstream has room.

--- a/packages/snipelug-core/src/snipelug_core/overload.py
+++ b/packages/snipelug-core/src/snipelug_core/overload.py
@@ -9,11 +9,11 @@
 
 import random
 
-LATE_PART = 1.0
-"""Expected wait, in objectives, above which a prompt comes late whatever its size.
+READ_PART = 0.5
+"""Most of the objective that the time to read the prompt itself counts for.
 
-The time to read the prompt itself does not count, as the longest prompts would be
-turned away each time.
+Long prompts are turned away first, as each makes many short ones late; without a bound
+the longest would be turned away each time.
 """
 
 SPARE_S = 0.1
@@ -30,7 +30,11 @@
 
 
 def retry_after(
-    wait_s: float, objective_s: float, left_s: float, rng: random.Random
+    wait_s: float,
+    read_s: float,
+    objective_s: float,
+    left_s: float,
+    rng: random.Random,
 ) -> float | None:
     """Return the pause after which a prompt should come back, or None to send it.
 
@@ -38,6 +42,8 @@
     ----------
     wait_s : float
         Expected time before the prompt is read at the best engine, in seconds.
+    read_s : float
+        Expected time to read it, in seconds.
     objective_s : float
         Time within which the first token is on time, in seconds.
     left_s : float
@@ -48,7 +54,8 @@
     float or None
         Pause in seconds.
     """
-    if wait_s <= LATE_PART * objective_s and wait_s + SPARE_S <= left_s:
+    counted_s = wait_s + min(read_s, READ_PART * objective_s)
+    if counted_s <= objective_s and wait_s + SPARE_S <= left_s:
         return None
     pause_s = max(MIN_RETRY_S, wait_s) * rng.uniform(1.0 - SPREAD / 2, 1.0 + SPREAD / 2)
     return min(pause_s, RETRY_PART * left_s)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -71,6 +71,11 @@
 """Part of the objective for which a request waits for an upstream to come back."""
 
 RETRY_AFTER_S = 0.5
+"""Pause for callers while no upstream can be used."""
+
+RETRY_ELSEWHERE_S = 0.1
+"""Pause for callers while another upstream has room, but no retry is left."""
+
 OK = 200
 SERVER_ERROR = 500
 
@@ -161,7 +166,7 @@
                 self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
             if decision is attempt.Next.REFUSE:
-                return self._refuse(work, self._turned_away(outcome))
+                return self._refuse(work, self._turned_away(work, outcome))
             return self._fail(work, outcome)
 
     async def _pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
@@ -207,7 +212,11 @@
 
     def _retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
         return overload.retry_after(
-            pick.wait_s, work.route.objective_s, work.left_s(), self._rng
+            pick.wait_s,
+            pick.first_s - pick.wait_s,
+            work.route.objective_s,
+            work.left_s(),
+            self._rng,
         )
 
     def _choose(
@@ -544,9 +553,12 @@
             reason = "the resumed stream does not go on after the last event"
             lost = job.Outcome(attempt.Result.LOST, reason, outcome.visit)
 
-    def _turned_away(self, outcome: job.Outcome) -> refusal.Refusal:
+    def _turned_away(self, work: job.Job, outcome: job.Outcome) -> refusal.Refusal:
         message = f"no upstream took the request: {outcome.reason}"
-        return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=RETRY_AFTER_S)
+        other = self._choose(work, clock.now())
+        has_room = other is not None and self._retry_after(work, other) is None
+        wait_s = RETRY_ELSEWHERE_S if has_room else RETRY_AFTER_S
+        return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
 
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
         """Answer a request that has not run; after a run the outcome is unknown."""
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -22,6 +22,12 @@
 SWITCH_S = 1.5
 """Time for which an engine that was ordered to switch gets no requests, at most."""
 
+DRAIN_S = 0.15
+"""Pause between telling the nodes and the order, in which waiting requests start.
+
+An engine turns away what waits there when it gets the order.
+"""
+
 ACCEPTED = 202
 FENCED = 412
 
@@ -194,6 +200,11 @@
                 self._announcer.serving(upstream.entry.id, model, version)
         return report
 
+    def _keep_away(self, upstream: fleet.Upstream, for_s: float) -> None:
+        """Send no requests to an engine for a time, here and at the other nodes."""
+        upstream.switching_until = clock.now() + for_s
+        self._announcer.switching(upstream.entry.id, for_s)
+
     async def _order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
         report = await self._look(upstream)
         held = self._held
@@ -205,8 +216,12 @@
                     LOG, "order_skipped", upstream=upstream.entry.id, reason=reason
                 )
             return
+        self._keep_away(upstream, SWITCH_S + DRAIN_S)
+        await trio.sleep(DRAIN_S)
+        held = self._held
         if held is None or held.left_ms(clock.now()) <= 0:
             self._orders.pop(upstream.entry.id, None)
+            self._keep_away(upstream, 0.0)
             return
         answer = await self._machines.order_version(
             upstream.entry, order.model, order.version, held.lease, report.orders
@@ -230,7 +245,8 @@
             self._orders.pop(upstream.entry.id, None)
         if answer.status == ACCEPTED:
             upstream.switching_until = clock.now() + SWITCH_S
-            self._announcer.switching(upstream.entry.id, SWITCH_S)
+        elif answer.status != 0:
+            self._keep_away(upstream, 0.0)
         if answer.status == FENCED:
             self._held = None
             self._wait_until = clock.now() + self._cfg.bounds.lease_ms / 1e3
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -26,21 +26,23 @@
 END_S = 25.0
 
 CASES = [
-    # expected wait, time left, whether the prompt is sent
-    (0.1, 4.0, True),
-    (0.8, 4.0, True),
-    (0.9, 4.0, False),
-    (0.5, 0.55, False),
+    # expected wait, time to read, time left, whether the prompt is sent
+    (0.1, 0.0, 4.0, True),
+    (0.75, 0.0, 4.0, True),
+    (0.85, 0.0, 4.0, False),
+    (0.5, 0.0, 0.55, False),
+    (0.5, 0.35, 8.0, False),
+    (0.3, 5.0, 8.0, True),
 ]
 
 
-@pytest.mark.parametrize(("wait_s", "left_s", "is_sent"), CASES)
+@pytest.mark.parametrize(("wait_s", "read_s", "left_s", "is_sent"), CASES)
 def test_what_would_come_late_is_turned_away(
-    wait_s: float, left_s: float, is_sent: bool
+    wait_s: float, read_s: float, left_s: float, is_sent: bool
 ) -> None:
     """Guards against prompts sent in vain, and refusals that help nobody."""
     rng = random.Random(1)
-    pause_s = overload.retry_after(wait_s, OBJECTIVE_S, left_s, rng)
+    pause_s = overload.retry_after(wait_s, read_s, OBJECTIVE_S, left_s, rng)
     assert (pause_s is None) == is_sent
     if pause_s is not None:
         assert 0.0 < pause_s <= left_s / 3
@@ -104,7 +106,9 @@
         )
         assert found is not None
         left_s = prompt.deadline - now
-        pause_s = overload.retry_after(found.wait_s, OBJECTIVE_S, left_s, self.rng)
+        pause_s = overload.retry_after(
+            found.wait_s, found.first_s - found.wait_s, OBJECTIVE_S, left_s, self.rng
+        )
         if self.turns_away and pause_s is not None:
             # A caller comes back once.
             if now == prompt.asked_at:
@@ -153,7 +157,8 @@
     assert found is not None
     assert found.first_s > OBJECTIVE_S
     rng = random.Random(1)
-    assert overload.retry_after(found.wait_s, OBJECTIVE_S, 8.0, rng) is None
+    read_s = found.first_s - found.wait_s
+    assert overload.retry_after(found.wait_s, read_s, OBJECTIVE_S, 8.0, rng) is None
 
 
 def test_queues_do_not_outlast_their_cause() -> None:
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -1,12 +1,14 @@
 """A node against stand-ins of the platform: what callers and servers see."""
 
+import math
+
 import pytest
 import trio
 
 from snipelug_core import kv_index
 from snipelug_net import http_client
 from snipelug_platform_standin import server
-from snipelug_relay import node, state
+from snipelug_relay import clock, node, state
 from tests import platform_world
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
@@ -306,6 +308,27 @@
         assert full.headers["weight-versions"] == "2"
 
 
+async def test_nodes_keep_away_before_an_engine_is_ordered_to_load() -> None:
+    """Guards against requests that wait at an engine when an order turns them away."""
+    async with platform_world.deployment(
+        apps=0, engines=1, nodes=2, has_peers=True
+    ) as world:
+        (engine,) = world.engines
+        tables = [one._beliefs.fleet.upstreams for one in world.nodes]
+        await platform_world.until(
+            lambda: all(len(one._beliefs.members) == 2 for one in world.nodes)
+        )
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        since = math.inf
+        while not engine.orders:
+            now = clock.now()
+            if all(table[engine.id].switching_until > now for table in tables):
+                since = min(since, now)
+            await trio.sleep(0.002)
+        # Two requests start in this time at a busy engine.
+        assert clock.now() - since >= 0.06
+
+
 async def test_lost_answers_of_the_store_stop_no_orders() -> None:
     """Guards against a rollout that waits for a lease that this node has written."""
     async with platform_world.deployment(apps=0, engines=2) as world:
