--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -1,10 +1,8 @@
 """Relays callers' requests to upstreams: choice, sends, retries and streams."""
 
-import collections.abc
 import dataclasses
 import logging
 import math
-import random
 
 import trio
 
@@ -14,7 +12,6 @@
     choice,
     fleet,
     kv_index,
-    overload,
     refusal,
     retry,
 )
@@ -25,6 +22,7 @@
     job,
     ports,
     record,
+    selection,
     sse,
     state,
     stats,
@@ -61,22 +59,6 @@
 SWITCHING_S = 0.3
 """Pauses after an upstream turned a request away."""
 
-VERSION_MARGIN_S = 2.0
-"""Old weights are given up this long before the deployment's bound.
-
-The bound holds for the moment at which an engine begins with a request, and
-requests wait there for up to 1.3 s when many engines load weights.
-"""
-
-WAIT_PART = 0.25
-"""Part of the objective for which a request waits for an upstream to come back."""
-
-RETRY_AFTER_S = 0.5
-"""Pause for callers while no upstream can be used."""
-
-RETRY_ELSEWHERE_S = 0.1
-"""Pause for callers while another upstream has room, but no retry is left."""
-
 OK = 200
 SERVER_ERROR = 500
 
@@ -108,7 +90,7 @@
         self._pool = pool
         self._stats = metrics
         self._budgets: dict[str, retry.Budget] = {}
-        self._rng = random.Random()
+        self._selector = selection.Selector(cfg, beliefs)
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -153,7 +135,7 @@
 
     async def _answer(self, work: job.Job) -> http_server.Response:
         while True:
-            pick = await self._pick(work)
+            pick = await self._selector.pick(work)
             if isinstance(pick, refusal.Refusal):
                 return self._refuse(work, pick)
             outcome = await self._attempt(work, pick, work.ask.resume_after)
@@ -167,129 +149,10 @@
                 self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
             if decision is attempt.Next.REFUSE:
-                return self._refuse(work, self._turned_away(work, outcome))
-            return self._fail(work, outcome)
-
-    async def _pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
-        """Choose an upstream; wait a little for one that comes back soon."""
-        wait_until = work.started_at + WAIT_PART * work.route.objective_s
-        while True:
-            now = clock.now()
-            if now >= work.deadline:
-                message = "the deadline passed"
-                return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
-            pick = self._choose(work, now)
-            if pick is not None:
-                return self._check_load(work, pick, now)
-            at = self._next_free(work, now)
-            if at is None or at > min(wait_until, work.deadline):
-                wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
-                message = f"no upstream of {work.service} can be used now"
-                return refusal.refuse(
-                    refusal.NO_UPSTREAM, message, retry_after_s=wait_s
+                return self._refuse(
+                    work, self._selector.turned_away(work, outcome.reason)
                 )
-            await trio.sleep(max(0.005, at - now))
-
-    def _check_load(
-        self, work: job.Job, pick: choice.Choice, now: float
-    ) -> choice.Choice | refusal.Refusal:
-        """Turn a prompt away at once if even the best engine would answer it late.
-
-        Streams that have begun go on, and what was sent before is not refused.
-        """
-        if work.first_at is not None or work.history.runs > 0:
-            return pick
-        wait_s = self._retry_after(work, pick)
-        if wait_s is not None:
-            pick = self._choose(work, now, weigh_all=True) or pick
-            wait_s = self._retry_after(work, pick)
-        if wait_s is None:
-            return pick
-        message = (
-            f"expected wait of {pick.wait_s:.2f} s at the best of "
-            f"{pick.candidates} engines, {work.left_s():.2f} s left"
-        )
-        return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
-
-    def _retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
-        return overload.retry_after(
-            pick.wait_s,
-            pick.first_s - pick.wait_s,
-            work.route.objective_s,
-            work.left_s(),
-            self._rng,
-        )
-
-    def _choose(
-        self, work: job.Job, now: float, weigh_all: bool = False
-    ) -> choice.Choice | None:
-        view = self._beliefs.view(work.service)
-        if view is None:
-            return None
-        upstreams = self._beliefs.fleet.of_service(work.service)
-        need = self._need(work, view, now)
-        return choice.choose(
-            upstreams, need, view, work.tried, now, self._rng, weigh_all
-        )
-
-    def _need(self, work: job.Job, view: choice.View, now: float) -> choice.Need:
-        ask = work.ask
-        engine = view.service.engine
-        if engine is None:
-            return choice.Need(work.service, self._cfg.zone, len(ask.body))
-        named = self._beliefs.named.get(ask.model)
-        version = self._beliefs.newest_version(ask.model, work.service)
-        fetch_s = {
-            usable: self._beliefs.index.fetch_s(
-                ask.parts, self._salt(work, usable), engine, self._cfg.zone, now
-            )
-            for usable in self._stored_versions(work, version, now)
-        }
-        return choice.Need(
-            work.service,
-            self._cfg.zone,
-            len(ask.body),
-            ask.model,
-            ask.parts,
-            version,
-            named.settled(now, self._version_due_s()) if named is not None else 0,
-            fetch_s,
-            ask.output_tokens,
-        )
-
-    def _stored_versions(
-        self, work: job.Job, newest: int, now: float
-    ) -> collections.abc.Iterator[int]:
-        """Yield the weight versions whose parts may be read from stores.
-
-        While engines load new weights, those that have not yet done so can still
-        fetch what the others must read.
-        """
-        ask = work.ask
-        versions = {newest}
-        named = self._beliefs.named.get(ask.model)
-        if named is not None and now - named.at < kv_index.READ_OLD_S:
-            upstreams = self._beliefs.fleet.of_service(work.service)
-            versions |= {u.versions.get(ask.model, newest) for u in upstreams}
-        for version in versions if ask.parts else ():
-            if self._beliefs.may_use_stores(ask.model, version, now):
-                yield version
-
-    def _version_due_s(self) -> float:
-        """Return the time after which old weights are not used, in seconds."""
-        return self._cfg.bounds.version_s - VERSION_MARGIN_S
-
-    def _salt(self, work: job.Job, version: int) -> str:
-        return kv_index.salt(work.ask.model, version, work.team)
-
-    def _next_free(self, work: job.Job, now: float) -> float | None:
-        """Return when the first upstream may be asked again."""
-        times = [
-            max(upstream.blocked_until, upstream.switching_until)
-            for upstream in self._beliefs.fleet.of_service(work.service)
-            if upstream.entry.id not in work.tried
-        ]
-        return min((at for at in times if at > now), default=None)
+            return self._fail(work, outcome)
 
     def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Next:
         work.history.add(outcome.result)
@@ -361,7 +224,7 @@
         version = upstream.versions.get(ask.model) if ask.model else None
         key_salt = ""
         if version is not None:
-            key_salt = self._salt(work, version)
+            key_salt = self._selector.salt(work, version)
             if self._beliefs.may_use_stores(ask.model, version, now):
                 plan = self._beliefs.index.plan(ask.parts, key_salt, now)
             self._note_held(upstream, ask)
@@ -555,7 +418,7 @@
         while True:
             if self._decide(work, lost) is not attempt.Next.TRY_AGAIN:
                 return None
-            pick = await self._pick(work)
+            pick = await self._selector.pick(work)
             if isinstance(pick, refusal.Refusal):
                 return None
             outcome = await self._attempt(work, pick, last_id)
@@ -572,13 +435,6 @@
             reason = "the resumed stream does not go on after the last event"
             lost = job.Outcome(attempt.Result.LOST, reason, outcome.visit)
 
-    def _turned_away(self, work: job.Job, outcome: job.Outcome) -> refusal.Refusal:
-        message = f"no upstream took the request: {outcome.reason}"
-        other = self._choose(work, clock.now())
-        has_room = other is not None and self._retry_after(work, other) is None
-        wait_s = RETRY_ELSEWHERE_S if has_room else RETRY_AFTER_S
-        return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
-
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
         """Answer a request that has not run; after a run the outcome is unknown."""
         if work.history.runs > 0:
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -0,0 +1,168 @@
+"""Picks the upstream for a request, or says why none should get it now."""
+
+import collections.abc
+import random
+
+import trio
+
+from snipelug_core import choice, kv_index, overload, refusal
+from snipelug_relay import clock, job, ports, state
+
+VERSION_MARGIN_S = 2.0
+"""Old weights are given up this long before the deployment's bound.
+
+The bound holds for the moment at which an engine begins with a request, and
+requests wait there for up to 1.3 s when many engines load weights.
+"""
+
+WAIT_PART = 0.25
+"""Part of the objective for which a request waits for an upstream to come back."""
+
+RETRY_AFTER_S = 0.5
+"""Pause for callers while no upstream can be used."""
+
+RETRY_ELSEWHERE_S = 0.1
+"""Pause for callers while another upstream has room, but no retry is left."""
+
+
+class Selector:
+    """Applies the decisions of ``choice`` and ``overload`` to what a node believes."""
+
+    def __init__(self, cfg: ports.Settings, beliefs: state.State) -> None:
+        self._cfg = cfg
+        self._beliefs = beliefs
+        self._rng = random.Random()
+
+    async def pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
+        """Choose an upstream; wait a little for one that comes back soon."""
+        wait_until = work.started_at + WAIT_PART * work.route.objective_s
+        while True:
+            now = clock.now()
+            if now >= work.deadline:
+                message = "the deadline passed"
+                return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
+            pick = self.choose(work, now)
+            if pick is not None:
+                return self._check_load(work, pick, now)
+            at = self._next_free(work, now)
+            if at is None or at > min(wait_until, work.deadline):
+                wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
+                message = f"no upstream of {work.service} can be used now"
+                return refusal.refuse(
+                    refusal.NO_UPSTREAM, message, retry_after_s=wait_s
+                )
+            await trio.sleep(max(0.005, at - now))
+
+    def _check_load(
+        self, work: job.Job, pick: choice.Choice, now: float
+    ) -> choice.Choice | refusal.Refusal:
+        """Turn a prompt away at once if even the best engine would answer it late.
+
+        Streams that have begun go on, and what was sent before is not refused.
+        """
+        if work.first_at is not None or work.history.runs > 0:
+            return pick
+        wait_s = self.retry_after(work, pick)
+        if wait_s is not None:
+            pick = self.choose(work, now, weigh_all=True) or pick
+            wait_s = self.retry_after(work, pick)
+        if wait_s is None:
+            return pick
+        message = (
+            f"expected wait of {pick.wait_s:.2f} s at the best of "
+            f"{pick.candidates} engines, {work.left_s():.2f} s left"
+        )
+        return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
+
+    def retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
+        """Return when a caller should come back, or None if it need not."""
+        if not work.ask.model:
+            return None
+        return overload.retry_after(
+            pick.wait_s,
+            pick.first_s - pick.wait_s,
+            work.route.objective_s,
+            work.left_s(),
+            self._rng,
+        )
+
+    def choose(
+        self, work: job.Job, now: float, weigh_all: bool = False
+    ) -> choice.Choice | None:
+        """Return the upstream with the least expected cost that may be used now."""
+        view = self._beliefs.view(work.service)
+        if view is None:
+            return None
+        upstreams = self._beliefs.fleet.of_service(work.service)
+        need = self._need(work, view, now)
+        return choice.choose(
+            upstreams, need, view, work.tried, now, self._rng, weigh_all
+        )
+
+    def _need(self, work: job.Job, view: choice.View, now: float) -> choice.Need:
+        ask = work.ask
+        engine = view.service.engine
+        if engine is None:
+            return choice.Need(work.service, self._cfg.zone, len(ask.body))
+        named = self._beliefs.named.get(ask.model)
+        version = self._beliefs.newest_version(ask.model, work.service)
+        fetch_s = {
+            usable: self._beliefs.index.fetch_s(
+                ask.parts, self.salt(work, usable), engine, self._cfg.zone, now
+            )
+            for usable in self._stored_versions(work, version, now)
+        }
+        return choice.Need(
+            work.service,
+            self._cfg.zone,
+            len(ask.body),
+            ask.model,
+            ask.parts,
+            version,
+            named.settled(now, self._version_due_s()) if named is not None else 0,
+            fetch_s,
+            ask.output_tokens,
+        )
+
+    def _stored_versions(
+        self, work: job.Job, newest: int, now: float
+    ) -> collections.abc.Iterator[int]:
+        """Yield the weight versions whose parts may be read from stores.
+
+        While engines load new weights, those that have not yet done so can still
+        fetch what the others must read.
+        """
+        ask = work.ask
+        versions = {newest}
+        named = self._beliefs.named.get(ask.model)
+        if named is not None and now - named.at < kv_index.READ_OLD_S:
+            upstreams = self._beliefs.fleet.of_service(work.service)
+            versions |= {u.versions.get(ask.model, newest) for u in upstreams}
+        for version in versions if ask.parts else ():
+            if self._beliefs.may_use_stores(ask.model, version, now):
+                yield version
+
+    def _version_due_s(self) -> float:
+        """Return the time after which old weights are not used, in seconds."""
+        return self._cfg.bounds.version_s - VERSION_MARGIN_S
+
+    def salt(self, work: job.Job, version: int) -> str:
+        """Return the name under which the parts of a request are cached."""
+        return kv_index.salt(work.ask.model, version, work.team)
+
+    def _next_free(self, work: job.Job, now: float) -> float | None:
+        """Return when the first upstream may be asked again."""
+        times = [
+            max(upstream.blocked_until, upstream.switching_until)
+            for upstream in self._beliefs.fleet.of_service(work.service)
+            if upstream.entry.id not in work.tried
+        ]
+        return min((at for at in times if at > now), default=None)
+
+    def turned_away(self, work: job.Job, reason: str) -> refusal.Refusal:
+        """Refuse a request that no upstream took, though none has run it."""
+        other = self.choose(work, clock.now())
+        has_room = other is not None and self.retry_after(work, other) is None
+        wait_s = RETRY_ELSEWHERE_S if has_room else RETRY_AFTER_S
+        message = f"no upstream took the request: {reason}"
+        return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
