Give up an order that cannot be sent before its deadline, so that its caller is told

Cause of the known fault in test_planned_stop_cuts_nothing: after a planned stop the slots of the service may be in use for 14 s at their new holder. An order waited for one until its deadline, was withdrawn then, and the caller had already been told that its outcome is unknown. Calls are now given up 0.5 s before their deadline. Ruled out: lost answers and cut sends; the logs show no send of these orders.

The new test of orders fails with a pause of 0 s.

--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -282,7 +282,7 @@
         streamed = job.chat.body.stream
         job.chat.body.stream = False
 
-        async def send(granted: http_client.LastCheck) -> order.Sent:
+        async def send(granted: http_client.LastCheck, _send_by: float) -> order.Sent:
             job.granted = grant_again(granted)
             whole = await self.dispatcher.collect(job)
             if isinstance(whole, refusal.Refusal):
@@ -348,14 +348,14 @@
     ) -> order.Answer | refusal.Refusal:
         repeatable = call.req.method in service.IDEMPOTENT_METHODS
         if not key:
-            sent = await self._send_service(call, None, repeatable)
+            sent = await self._send_service(call, None, repeatable, call.deadline)
             if isinstance(sent, claim.Delivered):
                 answer = sent.answer
                 return order.Answer(answer.status, answer.headers, answer.body)
             return sent.refusal
 
-        async def send(granted: http_client.LastCheck) -> order.Sent:
-            return await self._send_service(call, granted, repeatable=False)
+        async def send(granted: http_client.LastCheck, send_by: float) -> order.Sent:
+            return await self._send_service(call, granted, False, send_by)
 
         req = call.req
         target = req.path + "?" + urllib.parse.urlencode(req.query)
@@ -368,6 +368,7 @@
         call: "ServiceCall",
         granted: http_client.LastCheck | None,
         repeatable: bool,
+        send_by: float,
     ) -> order.Sent:
         """Send a call to the service's instances until one has taken it."""
         refused = refusal.refuse(
@@ -377,13 +378,13 @@
         excluded: set[str] = set()
         for _ in range(dispatch.MAX_TRIES):
             upstream = self._choose_service(call.target.name, excluded)
-            if upstream is None or trio.current_time() >= call.deadline:
+            if upstream is None or trio.current_time() >= send_by:
                 break
             # An instance that was not sent anything costs no retry budget.
             if not self._may_try(upstream, is_retry=has_left):
                 break
             excluded.add(upstream.instance.id)
-            outcome = await self._try_service(call, upstream, granted)
+            outcome = await self._try_service(call, upstream, granted, send_by)
             match outcome:
                 case http_client.Full(status, headers, body):
                     kept = service.answer_headers(headers)
@@ -438,6 +439,7 @@
         call: "ServiceCall",
         upstream: table.Upstream,
         granted: http_client.LastCheck | None,
+        send_by: float,
     ) -> (
         http_client.Full
         | http_client.NotSent
@@ -449,7 +451,7 @@
         wire = service.build_call(
             upstream.instance, call.target, call.req, call.request_id, left_s
         )
-        sent = await self.dispatcher.sender.send(upstream, wire, call.deadline, granted)
+        sent = await self.dispatcher.sender.send(upstream, wire, send_by, granted)
         if not isinstance(sent, sender.Opened):
             return sent
         try:
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -29,6 +29,10 @@
 KEY_CHARS = 255
 DEADLINE_S = 60.0
 
+SETTLE_S = 0.5
+"""A call that is not sent by so long before its deadline is given up, so that its claim
+is withdrawn and its caller is told in time that nothing ran."""
+
 RECORD_WAIT_S = 2.0
 """Time that a caller waits for its answer to be recorded; recording goes on."""
 
@@ -40,10 +44,15 @@
 """What a dispatch returns: answered in full, no byte sent, or bytes sent."""
 
 Send = collections.abc.Callable[
-    [http_client.LastCheck], collections.abc.Awaitable[Sent]
+    [http_client.LastCheck, float], collections.abc.Awaitable[Sent]
 ]
 """Sends a call; must evaluate the last check right before the first byte, after
-all other checks, and must not send without its consent or twice."""
+all other checks, and must not send without its consent or twice. Waits for what it
+needs until the given time at most."""
+
+_SendInTime = collections.abc.Callable[
+    [http_client.LastCheck], collections.abc.Awaitable[Sent]
+]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -269,7 +278,13 @@
         )
         job = _Job(OpenCall(team, key), fingerprint)
         self._jobs[place] = job
-        self._nursery.start_soon(self._work, job, claim.Call(row, until), send)
+        send_by = until - SETTLE_S
+
+        async def send_in_time(last_check: http_client.LastCheck) -> Sent:
+            return await send(last_check, send_by)
+
+        call = claim.Call(row, until)
+        self._nursery.start_soon(self._work, job, call, send_in_time)
         return await self._result(job, until)
 
     async def _join(
@@ -292,7 +307,7 @@
         reason = "the call goes on after its deadline; repeat it with the same key"
         return refusal.refuse(refusal.IN_PROGRESS, reason, refusal.RunState.UNKNOWN)
 
-    async def _work(self, job: _Job, call: claim.Call, send: Send) -> None:
+    async def _work(self, job: _Job, call: claim.Call, send: _SendInTime) -> None:
         nonces = iter(lambda: secrets.token_hex(12), "")
         flow = claim.execute(call, self.ledger, nonces, trio.current_time())
         try:
@@ -308,7 +323,7 @@
             del self._jobs[call.row_key]
             self._notify()
 
-    async def _perform(self, job: _Job, taken: claim.Step, send: Send) -> object:
+    async def _perform(self, job: _Job, taken: claim.Step, send: _SendInTime) -> object:
         match taken:
             case step.Write():
                 return await self._write(taken)
@@ -343,7 +358,7 @@
             self._tables, dataclasses.replace(write, content=content)
         )
 
-    async def _dispatch(self, job: _Job, nonce: str, send: Send) -> Sent:
+    async def _dispatch(self, job: _Job, nonce: str, send: _SendInTime) -> Sent:
         def last_check(_opened_at: float) -> bool:
             return self.ledger.grant(nonce, trio.current_time())
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -24,8 +24,14 @@
         self.delay_s = delay_s
         self.before_check_s = 0.0
         self.broken = ""
+        self.has_no_slot = False
 
-    async def send(self, last_check: http_client.LastCheck) -> order.Sent:
+    async def send(
+        self, last_check: http_client.LastCheck, send_by: float
+    ) -> order.Sent:
+        if self.has_no_slot:
+            await trio.sleep_until(send_by)
+            return claim.NotSent(DOWN)
         await trio.sleep(self.before_check_s)
         if self.broken == "before":
             raise RuntimeError("broken")
@@ -172,6 +178,20 @@
     assert cluster.upstream.runs == 1
 
 
+async def test_call_that_could_not_be_sent_is_refused_in_time(
+    cluster: Cluster, autojump_clock: Clock
+) -> None:
+    """Guards against "unknown" for an order that waited for a slot until its deadline.
+
+    Right after a planned stop the service's slots may be in use for 14 s.
+    """
+    cluster.upstream.has_no_slot = True
+    refused = await cluster.call("a", wait_s=6.0)
+    assert code(refused) == f"{DOWN.kind.code} not_run"
+    cluster.upstream.has_no_slot = False
+    assert isinstance(await cluster.call("a"), order.Answer)
+
+
 async def test_repeat_waits_for_the_running_call(
     cluster: Cluster, autojump_clock: Clock
 ) -> None:
@@ -337,7 +357,7 @@
     port = await nursery.start(http_server.Server(handler).serve, "127.0.0.1", 0)
     pool = http_client.Pool()
 
-    async def send(last_check: http_client.LastCheck) -> order.Sent:
+    async def send(last_check: http_client.LastCheck, send_by: float) -> order.Sent:
         call = http_client.Call(("127.0.0.1", port), "POST", "/x", body=b"b")
         match await pool.fetch(call, last_check=last_check):
             case http_client.Full(status, headers, body):
