--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -157,7 +157,7 @@
 
 
 def test_engine_heard_of_long_ago_does_not_look_idle() -> None:
-    """Guards against a queue at the engine whose report is oldest, while all are busy."""
+    """Guards against a queue at the engine whose report is oldest when all are busy."""
     table = fleet.Fleet()
     for name in ("u1", "u2"):
         table.put(ENTRY(name), 0.0)
