--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -39,6 +39,7 @@
 """A node is in touch with the store once no fault has touched it for so long."""
 
 SERVED_S = 2.0
+STALL_CHECK_S = 0.05
 EVENTS = 6
 REFUSALS = (408, 421, 429, 503)
 WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
@@ -153,6 +154,7 @@
     nodes: list[Process] = dataclasses.field(default_factory=list)
     drained: dict[str, float] = dataclasses.field(default_factory=dict)
     last_fault: float = 0.0
+    longest_stall_s: float = 0.0
     version: int = 1
     weights: int = 1
     ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
@@ -187,6 +189,14 @@
         self.rows.put("op", "config", platform_world.config(self.version, [self.kv]))
         self.version += 1
 
+    async def watch_stalls(self) -> None:
+        """Measure how late this process runs; it plays the platform and its servers."""
+        while True:
+            due = trio.current_time() + STALL_CHECK_S
+            await trio.sleep_until(due)
+            late_s = trio.current_time() - due
+            self.longest_stall_s = max(self.longest_stall_s, late_s)
+
     async def heartbeats(self) -> None:
         """Let servers write what they serve, as the platform's servers do."""
         while True:
@@ -423,6 +433,7 @@
             soak.nodes.append(Process(number, folder, proxy.port))
             nursery.start_soon(soak.nodes[-1].run)
         nursery.start_soon(soak.heartbeats)
+        nursery.start_soon(soak.watch_stalls)
         await soak.check_calm()
         async with trio.open_nursery() as callers:
             for _ in range(CALLERS):
@@ -454,7 +465,8 @@
                 folder.mkdir(parents=True, exist_ok=True)
             soak = trio.run(run, seed, args.seconds, folder)
         counts = dict(sorted(soak.outcomes.items()))
-        print(f"seed {seed}: {len(soak.broken)} broken, {counts}", flush=True)
+        stall = f"longest stall {soak.longest_stall_s:.2f} s"
+        print(f"seed {seed}: {len(soak.broken)} broken, {stall}, {counts}", flush=True)
         for line in soak.broken[:20]:
             print(f"  {line}", flush=True)
         is_broken = is_broken or bool(soak.broken)
