Close connections between nodes that complete after their client was closed

Cause: a node closes the client of a peer that left three calls unanswered while other calls to it go on.

Ruled out: the server side (handlers' errors are answered) and transports that break (caught as BROKEN_CONNECTION_ERRORS).

--- a/packages/snipelug-net/src/snipelug_net/rpc.py
+++ b/packages/snipelug-net/src/snipelug_net/rpc.py
@@ -193,11 +193,26 @@
 
     def __init__(self, host: str, port: int, key: bytes) -> None:
         self._channel = _Channel(host, port, codec=SignedCodec(key))
+        self._closed = False
 
     async def call(
         self, method: Method[Message, Answer], message: Message, timeout_s: float
     ) -> Answer | Unreachable:
         """Call a procedure and return its answer, or why there is none."""
+        if self._closed:
+            return Unreachable("the client is closed")
+        try:
+            return await self._call(method, message, timeout_s)
+        finally:
+            # A connection that was being made while the client was closed is open
+            # now. grpclib reports one that is collected while open to the event
+            # loop, which ends the process.
+            if self._closed:
+                self._channel.close()
+
+    async def _call(
+        self, method: Method[Message, Answer], message: Message, timeout_s: float
+    ) -> Answer | Unreachable:
         stub: typing.Any = grpclib.client.UnaryUnaryMethod(
             self._channel, method.path, method.request, method.reply
         )
@@ -217,5 +232,6 @@
         return Unreachable(f"no answer within {timeout_s} s")
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; further calls are not sent."""
+        self._closed = True
         self._channel.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import gc
 import http
 import socket
 import struct
@@ -261,6 +262,49 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("closes_at", ["before_call", "while_connecting", "in_call"])
+async def test_rpc_client_closed_by_another_task(closes_at: str) -> None:
+    """Guards against a connection made after closing, whose collection ends a node.
+
+    The library reports a connection that is collected while open to the event loop,
+    which then ends the process. Peers close the client of a frozen node while other
+    calls to it go on.
+    """
+    listener = trio.socket.socket()
+    await listener.bind(("127.0.0.1", 0))
+    # One connection fits the queue; the kernel completes a second one, a second or
+    # two later, once the first has been accepted.
+    listener.listen(0)
+    port = listener.getsockname()[1]
+    async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
+        first = await trio.open_tcp_stream("127.0.0.1", port)
+        client = rpc.Client("127.0.0.1", port, b"key")
+        answers: list[object] = []
+
+        async def call(to: rpc.Client) -> None:
+            answers.append(await to.call(PING, Ping("hi"), timeout_s=4.0))
+
+        if closes_at == "before_call":
+            client.close()
+        if closes_at != "while_connecting":
+            await listener.accept()
+        nursery.start_soon(call, client)
+        await trio.sleep(0.2)
+        if closes_at != "before_call":
+            client.close()
+        if closes_at == "while_connecting":
+            await listener.accept()
+        with trio.fail_after(6.0):
+            while not answers:
+                await trio.sleep(0.05)
+        assert [type(answer) for answer in answers] == [rpc.Unreachable]
+        await first.aclose()
+        del client
+        gc.collect()
+        await trio.sleep(0.1)
+    listener.close()
+
+
 async def test_rpc_takes_one_write_in_each_direction() -> None:
     """Guards against calls whose head, message and end are sent one by one."""
     chunks: collections.Counter[str] = collections.Counter()
