Keep told configurations young enough for the stores of KV cache

Cause: the platform's store stamps a held answer with the time at which its call arrived. Calls are held for 1 s now, and an answer counts from when its call was sent, also at the node that asked, so an answer that a partition delays no longer looks younger than it is.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -135,6 +135,11 @@
         """Whether all stores of KV cache have told what they hold."""
         return self._beliefs.knows_stores(clock.now())
 
+    @property
+    def configuration_age_s(self) -> float:
+        """Time since the operator's intents were last confirmed, in seconds."""
+        return clock.now() - self._beliefs.confirmed_at
+
     @property
     def members(self) -> int:
         """Number of nodes known, this one included."""
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -136,12 +136,17 @@
         return choice.View(found, self.zones_out, self.nodes, mean)
 
     def take_intents(
-        self, items: collections.abc.Iterable[ports.Intent], is_whole: bool
+        self,
+        items: collections.abc.Iterable[ports.Intent],
+        read_at: float,
+        is_whole: bool,
     ) -> None:
         """Take what the operator wants.
 
         Parameters
         ----------
+        read_at : float
+            Time at which the items were up to date at least, in seconds.
         is_whole : bool
             The items are all there are, not only changes.
         """
@@ -161,7 +166,7 @@
         if zones != self.zones_out:
             self.zones_out = frozenset(zones)
             lines.event(LOG, "zones_out", zones=sorted(zones))
-        self.confirm(clock.now())
+        self.confirm(read_at)
 
     def confirm(self, at: float) -> None:
         """Note that the operator's intents were up to date at a time."""
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -12,10 +12,11 @@
 
 LOG = logging.getLogger("snipelug.watch")
 
-INTENT_WAIT_S = 2.0
+INTENT_WAIT_S = 1.0
 """How long the store holds a call for the operator's next change.
 
-Shorter waits notice a silent connection sooner and cost more calls.
+An answer tells nothing of the time after its call arrived, so intents that a watcher
+told are up to two waits old; stores of KV cache are used up to ``kv_index.BELIEF_S``.
 """
 
 LIST_PART = 0.4
@@ -145,7 +146,8 @@
     def _take_intents(
         self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
     ) -> None:
-        self._beliefs.take_intents(page.items, is_whole=since is None)
+        # A partition can delay the answer, so it is as old as its call.
+        self._beliefs.take_intents(page.items, sent_at, is_whole=since is None)
         # The call may have been held, so only unheld ones bound the store's clock.
         if since is None or not self._beliefs.is_watcher:
             self._clock = (sent_at, page.clock_ms)
