Tell what stores hold on time while one of them is silent

Cause: watchers told their zone only once all stores had answered, and paused for a second after that. Rounds now begin every second, and what has been answered within 0.15 s is told. A poll during which newer events were told is dropped; it took the position back. Whether a node is a watcher is worked out when members change, not for each store.

Test: test_silent_store_does_not_age_the_others fails on the code before.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -140,6 +140,10 @@
         """Time since the operator's intents were last confirmed, in seconds."""
         return clock.now() - self._beliefs.confirmed_at
 
+    def store_age_s(self, name: str) -> float:
+        """Return the age of what is known of a store of KV cache, in seconds."""
+        return clock.now() - self._beliefs.index.shelves[name].polled_at
+
     @property
     def members(self) -> int:
         """Number of nodes known, this one included."""
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -11,7 +11,14 @@
 LOG = logging.getLogger("snipelug.shelves")
 
 POLL_S = 1.0
-"""Pause between polls; with an answer in time it keeps parts usable (1.6 s)."""
+"""Time from one poll to the next; parts stay usable for 1.6 s after a poll."""
+
+GATHER_S = 0.15
+"""Time for the answers of stores before they are told; later ones wait for the next.
+
+The sum with ``POLL_S`` stays below ``TOLD_S``, so one silent store does not make all
+nodes of a zone poll the others.
+"""
 
 LOOK_S = 0.5
 """Pause between looks at what watchers told, at nodes that are none."""
@@ -35,6 +42,7 @@
     ) -> None:
         self._announcer = announcer
         self._told: list[messages.ShelfRead] = []
+        self._visited: set[str] = set()
         announcer.on(messages.ShelvesRead, self._hear_all)
         self._cfg = cfg
         self._beliefs = beliefs
@@ -42,27 +50,37 @@
 
     async def run(self) -> None:
         """Poll all stores until cancelled."""
-        while True:
-            async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery:
+            while True:
+                began = clock.now()
                 for shelf in list(self._beliefs.index.shelves.values()):
-                    nursery.start_soon(self._visit, shelf)
-            self._tell_all()
-            pause_s = POLL_S if self._beliefs.is_watcher else LOOK_S
-            with trio.move_on_after(pause_s):
-                await self._beliefs.stores_changed.wait()
-            self._beliefs.stores_changed = trio.Event()
+                    if shelf.store.name not in self._visited:
+                        nursery.start_soon(self._visit, shelf)
+                pause_s = LOOK_S
+                if self._beliefs.is_watcher:
+                    pause_s = POLL_S
+                    await trio.sleep(GATHER_S)
+                    self._tell_all()
+                with trio.move_on_after(max(0.0, began + pause_s - clock.now())):
+                    await self._beliefs.stores_changed.wait()
+                self._beliefs.stores_changed = trio.Event()
 
     async def _visit(self, shelf: kv_index.Shelf) -> None:
-        age_s = clock.now() - shelf.polled_at
-        if self._beliefs.is_watcher or age_s > TOLD_S:
-            await self._poll(shelf)
-        if shelf.is_fresh(clock.now()) and self._is_cleaner(shelf):
-            await self._free(shelf)
+        self._visited.add(shelf.store.name)
+        try:
+            age_s = clock.now() - shelf.polled_at
+            if self._beliefs.is_watcher or age_s > TOLD_S:
+                await self._poll(shelf)
+            if shelf.is_fresh(clock.now()) and self._is_cleaner(shelf):
+                await self._free(shelf)
+        finally:
+            self._visited.discard(shelf.store.name)
 
     async def _poll(self, shelf: kv_index.Shelf) -> None:
         addr = (shelf.store.host, shelf.store.port)
         sent_at = clock.now()
-        page = await self._machines.store_events(addr, shelf.next)
+        since = shelf.next
+        page = await self._machines.store_events(addr, since)
         if isinstance(page, ports.Unavailable):
             if shelf.epoch is not None and shelf.is_fresh(sent_at):
                 lines.warning(
@@ -83,7 +101,10 @@
         if (is_new and shelf.next > 0) or page.has_gap:
             await self._read_all(shelf, sent_at)
             return
-        since, shelf.next = shelf.next, page.next
+        if shelf.next != since:
+            # A watcher has told these events and newer ones meanwhile.
+            return
+        shelf.next = page.next
         self._take(shelf, page.events)
         shelf.polled_at = sent_at
         if page.clock_s is not None:
@@ -111,13 +132,18 @@
         self._told.append(told)
 
     def _tell_all(self) -> None:
-        """Tell the zone what this round of polls has shown, in one datagram."""
+        """Tell the zone what this round of polls has shown, in few datagrams."""
         told, self._told = self._told, []
+        self._tell_some(told)
+
+    def _tell_some(self, told: list[messages.ShelfRead]) -> None:
         if not told or self._announcer.tell_zone(messages.ShelvesRead(told)):
             return
-        # Stores with too many events for a datagram are polled by the others.
-        for item in told:
-            self._announcer.tell_zone(messages.ShelvesRead([item]))
+        # A store with too many events for a datagram is polled by the others.
+        half = len(told) // 2
+        if half:
+            self._tell_some(told[:half])
+            self._tell_some(told[half:])
 
     def _hear_all(self, told: messages.ShelvesRead) -> None:
         for item in told.shelves:
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -58,6 +58,8 @@
         The list of upstreams was read.
     known_since : float or None
         When the first configuration was read, in seconds.
+    is_watcher : bool
+        This node reads from the platform for its zone, or for itself.
     stores_changed : trio.Event
         Set when the configuration may name other stores of KV cache.
     """
@@ -72,6 +74,7 @@
         self.confirmed_at = -1e9
         self.list_known = False
         self.members: list[ports.Member] = []
+        self.is_watcher = True
         self.stores_changed = trio.Event()
         self.known_since: float | None = None
         self.is_stopping = False
@@ -88,13 +91,6 @@
         """Tell whether all stores of KV cache have told what they hold."""
         return all(shelf.is_fresh(now) for shelf in self.index.shelves.values())
 
-    @property
-    def is_watcher(self) -> bool:
-        """Whether this node reads from the platform for its zone, or for itself."""
-        nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
-        picked = watcher.pick(nodes, self.cfg.zone)
-        return self.cfg.node_id in picked or not picked
-
     @property
     def nodes(self) -> int:
         """Number of nodes that share the upstreams, this one included."""
@@ -267,3 +263,6 @@
         if len(live) != len(self.members):
             lines.event(LOG, "members", count=len(live), before=len(self.members))
         self.members = live
+        nodes = [watcher.Node(m.node_id, m.zone) for m in live]
+        picked = watcher.pick(nodes, self.cfg.zone)
+        self.is_watcher = self.cfg.node_id in picked or not picked
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -104,3 +104,26 @@
             ages += [node.configuration_age_s for node in world.nodes]
             await trio.sleep(0.05)
     assert max(ages) < kv_index.BELIEF_S
+
+
+async def test_silent_store_does_not_age_the_others() -> None:
+    """Guards against all nodes polling all stores while one store is silent.
+
+    Polls of the silent store end after 0.6 s, and parts of the others can be read for
+    1.6 s after a poll.
+    """
+    ages: list[float] = []
+    async with platform_world.deployment(
+        engines=0, nodes=NODES, has_peers=True, kv_stores=2
+    ) as world:
+        await zone_known(world)
+        silent, sound = world.kv_stores
+        silent.is_silent = True
+        await trio.sleep(2.0)
+        before = sound.polls
+        for _ in range(60):
+            ages += [node.store_age_s("kv1") for node in world.nodes]
+            await trio.sleep(0.05)
+        # Two watchers poll once a second.
+        assert sound.polls - before <= 2 * (3 + 1)
+    assert max(ages) < kv_index.FRESH_S
