Tell nodes of a zone that a lapsed entry of the list is back

Cause: entries lapse while the platform's store is away and come back unchanged within two seconds. Watchers now tell missing entries that are back, the return is logged, and a node that takes an upstream for gone after an outage reads the whole list.

Tests: test_lapsed_entries_that_come_back_are_used_by_all_nodes and the one in test_watch fail on the code before.

--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -266,7 +266,7 @@
 
     def put(self, entry: Entry, now: float) -> Change | None:
         """Take a listed entry."""
-        self._doubtful.pop(entry.id, None)
+        was_missing = self._doubtful.pop(entry.id, None) is not None
         known = self.upstreams.get(entry.id)
         if known is None or known.entry.born != entry.born:
             known = Upstream(entry, versions=dict(entry.versions))
@@ -280,10 +280,15 @@
             if before.versions.get(model) != version:
                 known.note_version(model, version)
         if (before.service, before.is_leaving) == (entry.service, entry.is_leaving):
-            return None
+            return Change(entry.id, "back") if was_missing else None
         self._index()
         return Change(entry.id, "leaving" if entry.is_leaving else "ready")
 
+    def differs(self, entry: Entry) -> bool:
+        """Tell whether an entry changes what is known, a missing one included."""
+        known = self.upstreams.get(entry.id)
+        return known is None or known.entry != entry or entry.id in self._doubtful
+
     def remove(self, upstream_id: str, now: float, in_grace: bool) -> Change | None:
         """Take the removal of an entry; one that may have lapsed is kept a while."""
         if upstream_id not in self.upstreams:
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -259,7 +259,7 @@
         """Forget upstreams that stay away after an outage of the list."""
         while True:
             await trio.sleep(TEND_S)
-            self._beliefs.expire()
+            self._watch.expire()
 
     async def _watch_settings(self) -> None:
         while True:
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -234,15 +234,22 @@
         if is_whole:
             changes += self.fleet.replace(entries, now, in_grace)
             self.list_known = True
-        changes += self.fleet.expire(now)
         for change in changes:
             if change is not None:
                 self._log(change)
 
-    def expire(self) -> None:
-        """Remove upstreams that did not come back after an outage of the list."""
-        for change in self.fleet.expire(clock.now()):
+    def expire(self) -> bool:
+        """Remove upstreams that did not come back after an outage of the list.
+
+        Returns
+        -------
+        bool
+            Whether there were any.
+        """
+        changes = list(self.fleet.expire(clock.now()))
+        for change in changes:
             self._log(change)
+        return bool(changes)
 
     def _log(self, change: fleet.Change) -> None:
         upstream = self.fleet.upstreams.get(change.upstream_id)
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -211,12 +211,11 @@
         self, page: ports.Page[ports.Listing], since: int, in_grace: bool
     ) -> None:
         """Tell the zone what differs from what this node knew."""
-        known = self._beliefs.fleet.upstreams
         entries, removed = [], []
         for item in page.items:
             match item:
                 case fleet.Entry():
-                    if item.id not in known or known[item.id].entry != item:
+                    if self._beliefs.fleet.differs(item):
                         entries.append(item)
                 case ports.Removed(str() as upstream_id):
                     removed.append(upstream_id)
@@ -227,6 +226,16 @@
             cut = messages.ListRead(since, page.position, in_grace, [], [], True)
             self._announcer.tell_zone(cut)
 
+    def expire(self) -> None:
+        """Remove upstreams that did not come back after an outage of the list.
+
+        The whole list is read then: an entry that came back between two reads of a
+        watcher was no change for it, and was not told to those who miss it.
+        """
+        if self._beliefs.expire():
+            self._list.position = None
+            self._list.ask()
+
     def _hear_listings(self, told: messages.ListRead) -> None:
         """Take from a watcher what changed in the list."""
         position = self._list.position
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -38,6 +38,18 @@
     assert set(table.upstreams) == {"u1"}
 
 
+def test_return_of_a_lapsed_entry_is_a_change() -> None:
+    """Guards against nodes that are not told that a lapsed entry is back."""
+    table = fleet.Fleet()
+    entry = relay_builders.entry()
+    table.put(entry, 0.0)
+    assert not table.differs(entry)
+    table.remove("u1", 1.0, in_grace=True)
+    assert table.differs(entry)
+    assert table.put(entry, 2.0) == fleet.Change("u1", "back")
+    assert not table.differs(entry)
+
+
 def test_removed_entry_is_gone_at_once() -> None:
     """Guards against work for an upstream that left without draining."""
     table = fleet.Fleet()
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -127,3 +127,26 @@
         # Two watchers poll once a second.
         assert sound.polls - before <= 2 * (3 + 1)
     assert max(ages) < kv_index.FRESH_S
+
+
+async def test_lapsed_entries_that_come_back_are_used_by_all_nodes() -> None:
+    """Guards against nodes that only hear of a removal, not of the entry's return.
+
+    Entries lapse while the store is away; the same entry is back within 2 s.
+    """
+    async with platform_world.deployment(
+        apps=1, engines=0, nodes=NODES, has_peers=True
+    ) as world:
+        await zone_known(world)
+        app = world.apps[0]
+        world.store.faults.is_down = True
+        await trio.sleep(3.0)
+        world.store.delete("servers", app.id)
+        world.store.faults.is_down = False
+        await trio.sleep(1.8)
+        world.store.put("servers", app.id, app.entry())
+        await trio.sleep(3.0)
+        for node in world.nodes:
+            full = await platform_world.Caller(node).send("GET", "/look/")
+            assert isinstance(full, http_client.Full)
+            assert full.status == 200
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,53 @@
+"""How a node follows the platform's store."""
+
+import trio
+
+from snipelug_core import fleet
+from snipelug_relay import announce, ports, state, stats, watch
+from tests import relay_builders
+
+
+class Listed:
+    """A store whose list of upstreams has one entry and tells no changes."""
+
+    def __init__(self) -> None:
+        self.whole_reads = 0
+
+    async def read_upstreams(self) -> ports.Page[ports.Listing]:
+        self.whole_reads += 1
+        return ports.Page([relay_builders.entry()], 5, 0.0)
+
+    async def watch_upstreams(
+        self, position: int, wait_s: float
+    ) -> ports.Page[ports.Listing]:
+        return ports.Page([], position, 0.0)
+
+
+async def test_list_is_read_whole_before_an_upstream_stays_away(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against an upstream lost for good whose return was no change to others.
+
+    A watcher that reads only after the entry is back tells its zone nothing.
+    """
+    addr = ("127.0.0.1", 1)
+    beliefs = state.State(ports.Settings("n1", "a", addr, addr, addr))
+    beliefs.is_watcher = False
+    rows = Listed()
+    followed = watch.Watch(
+        beliefs.cfg,
+        beliefs,
+        rows,  # type: ignore[arg-type]
+        stats.Stats(),
+        lambda: None,
+        announce.Announcer(None, beliefs),
+    )
+    nursery.start_soon(followed.run_upstreams)
+    await trio.sleep(0.1)
+    beliefs.take_listings([ports.Removed("u1")], is_whole=False, in_grace=True)
+    await trio.sleep(fleet.REMOVAL_GRACE_S + 0.1)
+    followed.expire()
+    await trio.sleep(0.1)
+    assert set(beliefs.fleet.upstreams) == {"u1"}
+    assert rows.whole_reads == 2
+    nursery.cancel_scope.cancel()
