Soak zones whose nodes read for one another, with entries that lapse

Seven nodes in the zone make two of them read for the others; the store's outages then last until the servers' entries lapse.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -1,6 +1,7 @@
 """Randomized soak: real nodes as processes, faults from outside, promises checked.
 
     python -m tests.platform_soak --seed 1 --seconds 30
+    python -m tests.platform_soak --seed 1 --seconds 30 --nodes 7
 
 Nodes are processes of the real program. The platform is played by the stand-ins in
 this process; proxies between them and the nodes delay, reset, silence or cut one way.
@@ -24,11 +25,14 @@
 
 import trio
 
+from snipelug_core import watcher
 from snipelug_net import http_client
 from snipelug_platform_standin import kv_store, server, store
 from tests import platform_world
 
 NODES = 3
+"""Nodes of one zone; with five or more, two of them read for the others."""
+
 CALLERS = 6
 GRACE_S = 4.0
 DRAIN_S = 2.0
@@ -200,10 +204,15 @@
     async def heartbeats(self) -> None:
         """Let servers write what they serve, as the platform's servers do."""
         while True:
-            for item in self.servers:
+            for item in self.servers if not self.rows.faults.is_down else ():
                 self.list_server(item)
             await trio.sleep(0.4)
 
+    @property
+    def has_watchers(self) -> bool:
+        """Whether two nodes read from the platform for the others."""
+        return len(self.nodes) > watcher.ALL_UP_TO
+
     # Faults. Each returns after it has ended.
 
     async def proxy_fault(self, proxies: list[Proxy]) -> None:
@@ -235,6 +244,8 @@
     async def store_fault(self) -> None:
         faults = self.rows.faults
         match self.rng.choice(["down", "silent", "lost", "history", "one", "all"]):
+            case "down" if self.has_watchers:
+                await self.lapse()
             case "down":
                 faults.is_down = True
                 await trio.sleep(self.rng.uniform(0.3, 3.0))
@@ -254,6 +265,14 @@
             case "all":
                 await self.proxy_fault(self.store_proxies)
 
+    async def lapse(self) -> None:
+        """Take the store away so long that the servers' entries lapse."""
+        self.rows.faults.is_down = True
+        await trio.sleep(self.rng.uniform(1.5, 3.0))
+        for item in self.servers:
+            self.rows.delete("servers", item.id)
+        self.rows.faults.is_down = False
+
     async def server_fault(self) -> None:
         item = self.rng.choice(self.servers)
         match self.rng.choice(["proxy", "away", "fail", "lose", "break", "order"]):
@@ -416,7 +435,9 @@
         return False
 
 
-async def run(seed: int, seconds: float, folder: pathlib.Path) -> Soak:
+async def run(
+    seed: int, seconds: float, folder: pathlib.Path, nodes: int = NODES
+) -> Soak:
     """Run one soak; the result says what was broken."""
     async with trio.open_nursery() as nursery:
         rows = store.Store()
@@ -426,7 +447,7 @@
         soak.configure()
         for service in ("app", "app", "app", "llm", "llm", "llm"):
             await soak.add_server(service)
-        for number in range(NODES):
+        for number in range(nodes):
             proxy = Proxy(store_port)
             await nursery.start(proxy.serve)
             soak.store_proxies.append(proxy)
@@ -452,6 +473,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=1, help="seeds in a row")
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--keep", type=pathlib.Path, help="folder for the logs")
     args = parser.parse_args()
     is_broken = False
@@ -463,7 +485,7 @@
             else:
                 folder = args.keep / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
-            soak = trio.run(run, seed, args.seconds, folder)
+            soak = trio.run(run, seed, args.seconds, folder, args.nodes)
         counts = dict(sorted(soak.outcomes.items()))
         stall = f"longest stall {soak.longest_stall_s:.2f} s"
         print(f"seed {seed}: {len(soak.broken)} broken, {stall}, {counts}", flush=True)
