Spread the reading of stores of KV cache over the nodes of a zone

Cause: two nodes of a zone read all stores and told the others what each holds. Under load that is about 20 KB a second to each of 25 nodes, in bursts that a link of 5 or 10 Mbit/s takes up to a second for; most of these datagrams were lost.

Each store is now read by one node of the zone, picked by rendezvous, so what is told comes from many links. The node that frees parts of a store polls it as well.

--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from snipelug_core import hashing, kv_index
+from snipelug_core import kv_index
 from snipelug_net import lines
 from snipelug_relay import announce, clock, messages, ports, state
 
@@ -21,10 +21,10 @@
 """
 
 LOOK_S = 0.5
-"""Pause between looks at what watchers told, at nodes that are none."""
+"""Pause between looks at which stores are due; half of ``POLL_S``."""
 
 TOLD_S = 1.25
-"""Age of a store's last poll after which a node that is no watcher polls itself."""
+"""Age of a store's last poll after which a node that does not watch it polls itself."""
 
 FREE_AT_ONCE = 200
 """Parts freed by one call, about 10 KB."""
@@ -43,6 +43,7 @@
         self._announcer = announcer
         self._told: list[messages.ShelfRead] = []
         self._visited: set[str] = set()
+        self._visited_at: dict[str, float] = {}
         announcer.on(messages.ShelvesRead, self._hear_all)
         self._cfg = cfg
         self._beliefs = beliefs
@@ -53,28 +54,37 @@
         async with trio.open_nursery() as nursery:
             while True:
                 began = clock.now()
-                for shelf in list(self._beliefs.index.shelves.values()):
-                    if shelf.store.name not in self._visited:
-                        nursery.start_soon(self._visit, shelf)
-                pause_s = LOOK_S
-                if self._beliefs.is_watcher:
-                    pause_s = POLL_S
+                known = list(self._beliefs.index.shelves.values())
+                due = [shelf for shelf in known if self._is_due(shelf, began)]
+                for shelf in due:
+                    nursery.start_soon(self._visit, shelf)
+                if due:
                     await trio.sleep(GATHER_S)
                     self._tell_all()
-                with trio.move_on_after(max(0.0, began + pause_s - clock.now())):
+                with trio.move_on_after(max(0.0, began + LOOK_S - clock.now())):
                     await self._beliefs.stores_changed.wait()
                 self._beliefs.stores_changed = trio.Event()
 
+    def _is_due(self, shelf: kv_index.Shelf, now: float) -> bool:
+        """Tell whether this node polls a store now, for others or for itself."""
+        name = shelf.store.name
+        if name in self._visited:
+            return False
+        if self._beliefs.watches(name) or self._beliefs.cleans(name):
+            # Half a look is left over, as the looks come a little late.
+            return now - self._visited_at.get(name, -1e9) > POLL_S - LOOK_S / 2
+        return now - shelf.polled_at > TOLD_S
+
     async def _visit(self, shelf: kv_index.Shelf) -> None:
-        self._visited.add(shelf.store.name)
+        name = shelf.store.name
+        self._visited.add(name)
+        self._visited_at[name] = clock.now()
         try:
-            age_s = clock.now() - shelf.polled_at
-            if self._beliefs.is_watcher or age_s > TOLD_S:
-                await self._poll(shelf)
-            if shelf.is_fresh(clock.now()) and self._is_cleaner(shelf):
-                await self._free(shelf)
+            await self._poll(shelf)
         finally:
-            self._visited.discard(shelf.store.name)
+            self._visited.discard(name)
+        if shelf.is_fresh(clock.now()) and self._beliefs.cleans(name):
+            await self._free(shelf)
 
     async def _poll(self, shelf: kv_index.Shelf) -> None:
         addr = (shelf.store.host, shelf.store.port)
@@ -112,7 +122,7 @@
             # bound of the difference and transfers end no later than meant.
             shelf.clock_offset_s = page.clock_s - clock.now()
             shelf.clock_at = (sent_at, page.clock_s)
-            if self._beliefs.is_watcher:
+            if self._beliefs.watches(shelf.store.name):
                 self._tell(shelf, since, page, page.clock_s)
 
     def _tell(
@@ -192,11 +202,6 @@
                 case ports.Freed(key):
                     shelf.drop(key)
 
-    def _is_cleaner(self, shelf: kv_index.Shelf) -> bool:
-        ids = {member.node_id for member in self._beliefs.members}
-        ids.add(self._cfg.node_id)
-        return hashing.rank(shelf.store.name, ids)[0] == self._cfg.node_id
-
     async def _free(self, shelf: kv_index.Shelf) -> None:
         """Free the parts that no request can read any more."""
         keys = list(kv_index.outdated(shelf, clock.now()))
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from snipelug_core import catalog, choice, fleet, kv_index, watcher
+from snipelug_core import catalog, choice, fleet, hashing, kv_index, watcher
 from snipelug_net import lines
 from snipelug_relay import clock, ports
 
@@ -75,6 +75,8 @@
         self.list_known = False
         self.members: list[ports.Member] = []
         self.is_watcher = True
+        self._watched: dict[str, bool] = {}
+        self._cleaned: dict[str, bool] = {}
         self.stores_changed = trio.Event()
         self.known_since: float | None = None
         self.is_stopping = False
@@ -268,6 +270,24 @@
         if len(live) != len(self.members):
             lines.event(LOG, "members", count=len(live), before=len(self.members))
         self.members = live
-        nodes = [watcher.Node(m.node_id, m.zone) for m in live]
-        picked = watcher.pick(nodes, self.cfg.zone)
-        self.is_watcher = self.cfg.node_id in picked or not picked
+        self.is_watcher = self._is_picked(None)
+        self._watched.clear()
+        self._cleaned.clear()
+
+    def watches(self, store: str) -> bool:
+        """Tell whether this node reads a store of KV cache for its zone or itself."""
+        if store not in self._watched:
+            self._watched[store] = self._is_picked(store)
+        return self._watched[store]
+
+    def cleans(self, store: str) -> bool:
+        """Tell whether this node frees what nothing reads any more in a store."""
+        if store not in self._cleaned:
+            ids = {member.node_id for member in self.members} | {self.cfg.node_id}
+            self._cleaned[store] = hashing.rank(store, ids)[0] == self.cfg.node_id
+        return self._cleaned[store]
+
+    def _is_picked(self, store: str | None) -> bool:
+        nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
+        picked = watcher.pick(nodes, self.cfg.zone, store)
+        return self.cfg.node_id in picked or not picked
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -31,6 +31,22 @@
     assert second in watcher.pick(left, "a")
 
 
+def test_stores_are_read_by_many_nodes_of_a_zone() -> None:
+    """Guards against the links of two nodes that are full of what they tell.
+
+    The largest zone has 27 nodes and 17 stores; two nodes told 25 others of 540 parts a
+    second, 35 B each, over links of 5 and 10 Mbit/s.
+    """
+    nodes = [watcher.Node(f"n{i}", "a") for i in range(27)]
+    stores = [f"kv{i}" for i in range(17)]
+    watchers = [watcher.pick(nodes, "a", store) for store in stores]
+    assert all(len(picked) == 1 for picked in watchers)
+    loads = collections.Counter(node for (node,) in watchers)
+    share = max(loads.values()) / len(stores)
+    assert 8 * share * 540 * 35 * (len(nodes) - 1) < 0.25 * 5e6
+    assert watcher.pick(nodes[:3], "a", "kv0") == ["n0", "n1", "n2"]
+
+
 async def zone_known(world: platform_world.World) -> None:
     """Wait until all nodes know one another and one poll has passed."""
     await platform_world.until(lambda: all(n.members == NODES for n in world.nodes))
