Forget the saves of a request that no engine has run

Cause: a part counted as being saved for 3 s from the moment at which a request was prepared, also when the engine could not be reached or turned the request away.

Test: test_part_is_saved_by_the_next_request_if_none_ran fails without the change.

--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -26,6 +26,10 @@
     """Whether the request ran is not known."""
 
 
+NOT_RUN = (Result.NOT_CONNECTED, Result.TURNED_AWAY)
+"""Results after which the upstream has not run the request and never will."""
+
+
 class Next(enum.Enum):
     """What to do next."""
 
@@ -59,7 +63,7 @@
             self.connects_failed += 1
             return
         self.sends += 1
-        if result is not Result.TURNED_AWAY:
+        if result not in NOT_RUN:
             self.runs += 1
 
 
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -314,6 +314,15 @@
         until_s = now + min(offsets) + FETCH_S if offsets else None
         return Plan(tuple(sources), tuple(targets), until_s)
 
+    def withdraw(
+        self, plan: Plan, parts: tuple[choice.Part, ...], key_salt: str
+    ) -> None:
+        """Forget the saves of a request that no engine has run."""
+        for part, target in zip(parts, plan.targets, strict=False):
+            shelf = self.shelves.get(target.name) if target is not None else None
+            if shelf is not None:
+                shelf.saving.pop((key_salt, part.id), None)
+
     def _holder(self, part: choice.Part, key_salt: str, now: float) -> Shelf | None:
         key = (key_salt, part.id)
         for shelf in self.order(part):
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -41,13 +41,20 @@
 
 @dataclasses.dataclass
 class Visit:
-    """One send to an upstream, and what is counted there until it ends."""
+    """One send to an upstream, and what is counted there until it ends.
+
+    Attributes
+    ----------
+    on_not_run : callable or None
+        Takes back what follows only if the upstream runs the request.
+    """
 
     upstream: fleet.Upstream
     tokens: int
     prefill_tokens: int
     entry: dict[str, object]
     on_read: collections.abc.Callable[[], None] | None = None
+    on_not_run: collections.abc.Callable[[], None] | None = None
     has_ended: bool = False
 
     def begin(self, now: float) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -1,6 +1,7 @@
 """Relays callers' requests to upstreams: choice, sends, retries and streams."""
 
 import dataclasses
+import functools
 import logging
 import math
 
@@ -206,6 +207,8 @@
                 if reply is not None:
                     reply.abort()
         outcome.visit = visit
+        if visit.on_not_run is not None and outcome.result in attempt.NOT_RUN:
+            visit.on_not_run()
         self._note(pick.upstream, outcome)
         return outcome
 
@@ -262,7 +265,12 @@
             entry["saved"] = sum(s is not None for s in plan.targets)
         work.trace.append(entry)
         tokens = sum(part.tokens for part in ask.parts) + ask.output_tokens
-        return job.Visit(upstream, tokens, pick.prefill_tokens, entry), call
+        visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
+        if any(plan.targets):
+            visit.on_not_run = functools.partial(
+                self._beliefs.index.withdraw, plan, ask.parts, key_salt
+            )
+        return visit, call
 
     def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
         capacity = self._beliefs.held_tokens(upstream)
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -393,6 +393,21 @@
         assert second["cache-salt"] == first["cache-salt"]
 
 
+async def test_part_is_saved_by_the_next_request_if_none_ran() -> None:
+    """Guards against a part that counts as being saved though no engine read it."""
+    async with platform_world.deployment(apps=0, engines=1) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        (engine,) = world.engines
+        await trio.sleep(kv_index.SETTLE_S)
+        engine.faults.turns_away = 1
+        refused = await caller.ask("/ask/", parts="aa:2000,bb:50")
+        assert isinstance(refused, http_client.Full)
+        assert refused.status == 503
+        await trio.sleep(0.5)
+        await caller.ask("/ask/", parts="aa:2000,cc:50")
+        assert "cache-target" in engine.seen[-1].headers
+
+
 async def test_stored_parts_are_read_while_the_platform_is_away() -> None:
     """Guards against prompts read anew for as long as the platform's store is away."""
     async with platform_world.deployment(apps=0, engines=1) as world:
