Show what a deployment on the platform believes

'snipelug platform' reads the platform's store and the metrics of the nodes: configuration in force at each, weights, zones out, upstreams, the giver of orders, and rows that cannot be read.

--- /dev/null
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -0,0 +1,186 @@
+"""What runs on the users' platform, read from its store and from the nodes."""
+
+import dataclasses
+import typing
+
+import msgspec
+import trio
+import typer
+from prometheus_client import parser
+
+from snipelug_cli import api, calls, output
+from snipelug_core import catalog, fleet
+from snipelug_net import http_client
+from snipelug_platform import main as platform_main
+from snipelug_platform import settings
+from snipelug_relay import ports
+
+METRICS_S = 1.0
+"""Time for a node to tell its metrics; one that is frozen is shown without them."""
+
+GAUGES = {
+    "snipelug_configuration_version": "configuration",
+    "snipelug_configuration_age_seconds": "configuration_age_s",
+    "snipelug_upstreams": "upstreams",
+}
+"""Names of columns by the gauges of a node."""
+
+OK = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Status:
+    """What the platform's store and the nodes tell.
+
+    Attributes
+    ----------
+    configuration : int or None
+        Newest version that the operator wrote; None if there is none.
+    weights : dict of str to int
+        Newest weight version of each model that the operator named.
+    zones_out : list of str
+        Zones that get no new work.
+    unreadable : list of str
+        Rows of the operator or of upstreams that cannot be read, with the reason.
+    nodes, upstreams : list of dict
+        One row for each.
+    orders : dict or None
+        The node that orders weights, with its fencing number and the time left.
+    """
+
+    configuration: int | None
+    weights: dict[str, int]
+    zones_out: list[str]
+    unreadable: list[str]
+    nodes: list[api.Content]
+    upstreams: list[api.Content]
+    orders: api.Content | None
+
+
+async def read(
+    store: ports.ControlStore, pool: http_client.Pool, metrics_port: int
+) -> Status | ports.Unavailable:
+    """Read the state of a deployment."""
+    intents = await store.read_intents()
+    listings = await store.read_upstreams()
+    members = await store.read_members()
+    lease = await store.read_lease()
+    for answer in (intents, listings, members, lease):
+        if isinstance(answer, ports.Unavailable):
+            return answer
+    assert isinstance(intents, ports.Page)
+    assert isinstance(listings, ports.Page)
+    assert isinstance(members, ports.Page)
+    assert isinstance(lease, ports.LeaseRow)
+    items = [*intents.items, *listings.items]
+    versions = [i.version for i in items if isinstance(i, catalog.Catalog)]
+    return Status(
+        configuration=max(versions, default=None),
+        weights={i.model: i.version for i in items if isinstance(i, ports.Version)},
+        zones_out=sorted(i.zone for i in items if isinstance(i, ports.Evacuation)),
+        unreadable=[
+            f"{i.key}: {i.reason}" for i in items if isinstance(i, ports.Unreadable)
+        ],
+        nodes=await _nodes(members, pool, metrics_port),
+        upstreams=[_upstream(i) for i in items if isinstance(i, fleet.Entry)],
+        orders=_orders(lease),
+    )
+
+
+async def _nodes(
+    members: ports.Page[ports.Member], pool: http_client.Pool, metrics_port: int
+) -> list[api.Content]:
+    rows: list[api.Content] = []
+
+    async def add(member: ports.Member) -> None:
+        row: api.Content = {
+            "node": member.node_id,
+            "zone": member.zone,
+            "seen_s_ago": (members.clock_ms - member.seen_ms) / 1e3,
+        }
+        if member.addr is not None:
+            row |= await _gauges(pool, (member.addr[0], metrics_port))
+        rows.append(row)
+
+    async with trio.open_nursery() as nursery:
+        for member in members.items:
+            nursery.start_soon(add, member)
+    return sorted(rows, key=lambda row: str(row["node"]))
+
+
+async def _gauges(pool: http_client.Pool, addr: http_client.Address) -> api.Content:
+    call = http_client.Call(addr, "GET", "/metrics", timeout_s=METRICS_S)
+    with trio.move_on_after(METRICS_S):
+        found = await pool.fetch(call)
+        if not isinstance(found, http_client.Full) or found.status != OK:
+            return {"metrics": "not served"}
+        text = found.body.decode("utf-8", "replace")
+        try:
+            return {
+                GAUGES[family.name]: family.samples[0].value
+                for family in parser.text_string_to_metric_families(text)
+                if family.name in GAUGES
+            }
+        except ValueError as exc:
+            return {"metrics": f"not readable: {exc}"}
+    return {"metrics": f"no answer within {METRICS_S} s"}
+
+
+def _upstream(entry: fleet.Entry) -> api.Content:
+    return {
+        "upstream": entry.id,
+        "service": entry.service,
+        "zone": entry.zone,
+        "address": f"{entry.host}:{entry.port}",
+        "state": "leaving" if entry.is_leaving else "ready",
+        "cold_s": entry.cold_s,
+        "weights": [f"{model} {v}" for model, v in sorted(entry.versions.items())],
+    }
+
+
+def _orders(row: ports.LeaseRow) -> api.Content | None:
+    if row.lease is None:
+        return None
+    return {
+        "holder": row.lease.holder,
+        "fencing": row.lease.fencing,
+        "left_s": (row.lease.until_ms - row.clock_ms) / 1e3,
+    }
+
+
+def show(
+    store: typing.Annotated[
+        str,
+        typer.Option(
+            envvar="SNIPELUG_STORE", help="The platform's store.", metavar="IP:PORT"
+        ),
+    ],
+    metrics_port: typing.Annotated[
+        int, typer.Option(help="Port at which nodes serve their metrics.")
+    ] = settings.METRICS_PORT,
+    as_json: output.Json = False,
+) -> None:
+    """Show nodes, configuration, weights, upstreams and orders on the platform."""
+    values = settings.parse(f"platform.address={store}")
+    addr = settings.store_address(values)
+    if isinstance(addr, settings.Invalid):
+        calls.fail(calls.Exit.INVALID, f"--store {store!r} is not IP:PORT")
+
+    async def run() -> Status | ports.Unavailable:
+        pool = http_client.Pool(METRICS_S)
+        return await read(platform_main.control_store(pool, addr), pool, metrics_port)
+
+    found = trio.run(run)
+    if isinstance(found, ports.Unavailable):
+        calls.fail(calls.Exit.UNREACHABLE, f"the store does not answer: {found.reason}")
+    content = msgspec.to_builtins(found)
+    if as_json:
+        output.print_json(content)
+        return
+    rows = [[name, content[name]] for name in ("configuration", "zones_out")]
+    rows += [[f"weights of {model}", v] for model, v in sorted(found.weights.items())]
+    rows += [["unreadable", text] for text in found.unreadable]
+    output.print_table("Operator", ("what", "value"), rows)
+    output.print_rows("Nodes", found.nodes)
+    output.print_rows("Upstreams", found.upstreams)
+    output.print_rows("Orders of weights", [found.orders] if found.orders else [])
--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -14,6 +14,7 @@
 from snipelug_cli import (
     api,
     calls,
+    deployment,
     document,
     explain,
     output,
@@ -41,6 +42,7 @@
 app.add_typer(quarantine_app, name="quarantine")
 app.add_typer(claims_app, name="claims")
 app.command("explain")(explain.explain)
+app.command("platform")(deployment.show)
 switches.add_commands(zones_app, switches.ZONES)
 switches.add_commands(instances_app, switches.INSTANCES)
 
