--- a/packages/snipelug-cli/src/snipelug_cli/deployment.py
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -161,8 +161,7 @@
     as_json: output.Json = False,
 ) -> None:
     """Show nodes, configuration, weights, upstreams and orders on the platform."""
-    values = settings.parse(f"platform.address={store}")
-    addr = settings.store_address(values)
+    addr = settings.parse_address(store)
     if isinstance(addr, settings.Invalid):
         calls.fail(calls.Exit.INVALID, f"--store {store!r} is not IP:PORT")
 
