Name choice's types for what they are: Request, Context, PromptPart

The constants say what they cost or limit; first_s of a choice is ttft_s, note_sent is record_sent and weigh_all is consider_all. State.view and the test builders view and need follow their types.

--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -154,8 +154,8 @@
 
     entry: Entry
     cold_until: float = 0.0
-    cold_level: float = 0.0
-    cold_filled_at: float = 0.0
+    cold_start_budget: float = 0.0
+    cold_start_refilled_at: float = 0.0
     running: int = 0
     prefill_tokens: int = 0
     tokens: int = 0
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -243,7 +243,7 @@
             if known is None or known.store != store:
                 self.shelves[name] = Shelf(store)
 
-    def order(self, part: choice.Part) -> list[Shelf]:
+    def order(self, part: choice.PromptPart) -> list[Shelf]:
         """Return the stores in the order in which they keep a part.
 
         The order is a rendezvous weighted by space; small parts go first to the
@@ -269,7 +269,7 @@
 
     def fetch_s(
         self,
-        parts: tuple[choice.Part, ...],
+        parts: tuple[choice.PromptPart, ...],
         key_salt: str,
         engine: catalog.Engine,
         zone: str,
@@ -289,7 +289,7 @@
 
     def plan(
         self,
-        parts: tuple[choice.Part, ...],
+        parts: tuple[choice.PromptPart, ...],
         key_salt: str,
         now: float,
     ) -> Plan:
@@ -315,7 +315,7 @@
         return Plan(tuple(sources), tuple(targets), until_s)
 
     def withdraw(
-        self, plan: Plan, parts: tuple[choice.Part, ...], key_salt: str
+        self, plan: Plan, parts: tuple[choice.PromptPart, ...], key_salt: str
     ) -> None:
         """Forget the saves of a request that no engine has run."""
         for part, target in zip(parts, plan.targets, strict=False):
@@ -323,7 +323,9 @@
             if shelf is not None:
                 shelf.saving.pop((key_salt, part.id), None)
 
-    def _holder(self, part: choice.Part, key_salt: str, now: float) -> Shelf | None:
+    def _holder(
+        self, part: choice.PromptPart, key_salt: str, now: float
+    ) -> Shelf | None:
         key = (key_salt, part.id)
         for shelf in self.order(part):
             if key not in shelf.parts or not shelf.is_fresh(now):
@@ -333,7 +335,7 @@
         return None
 
     def _target(
-        self, part: choice.Part, key_salt: str, now: float
+        self, part: choice.PromptPart, key_salt: str, now: float
     ) -> catalog.KvStore | None:
         key = (key_salt, part.id)
         order = self.order(part)
@@ -348,7 +350,9 @@
         return None
 
 
-def _worth_storing(parts: tuple[choice.Part, ...]) -> tuple[choice.Part, ...]:
+def _worth_storing(
+    parts: tuple[choice.PromptPart, ...],
+) -> tuple[choice.PromptPart, ...]:
     """Return the shared parts of a prompt, none if they are short together."""
     shared = parts[:-1]
     return shared if sum(part.tokens for part in shared) >= MIN_TOKENS else ()
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -83,7 +83,7 @@
                 self._sock = None
 
     def begin(
-        self, upstream_id: str, tokens: int, shared: choice.Part | None = None
+        self, upstream_id: str, tokens: int, shared: choice.PromptPart | None = None
     ) -> collections.abc.Callable[[], None] | None:
         """Announce a prompt; return what announces that it has been read."""
         if self._sock is None or tokens < MIN_TOKENS:
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -59,7 +59,7 @@
         Id of the last event that the caller has.
     model : str
         Model asked for; empty for plain services.
-    parts : tuple of choice.Part
+    parts : tuple of choice.PromptPart
         Parts of the prompt in order.
     output_tokens : int
         Most tokens of the answer.
@@ -76,7 +76,7 @@
     time_left_s: float | None
     resume_after: str | None
     model: str
-    parts: tuple[choice.Part, ...]
+    parts: tuple[choice.PromptPart, ...]
     output_tokens: int
     passed: tuple[tuple[str, str], ...]
     body: bytes
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -222,7 +222,7 @@
         ask = work.ask
         upstream = pick.upstream
         work.tried.add(upstream.entry.id)
-        choice.note_sent(upstream, now)
+        choice.record_sent(upstream, now)
         plan = kv_index.NO_PLAN
         version = upstream.versions.get(ask.model) if ask.model else None
         key_salt = ""
@@ -305,7 +305,7 @@
             case catalog.Repeat.IDEMPOTENT:
                 return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
             case catalog.Repeat.RESUMABLE:
-                return min(left_s, FIRST_EVENT_S + pick.first_s)
+                return min(left_s, FIRST_EVENT_S + pick.ttft_s)
             case catalog.Repeat.AT_MOST_ONCE:
                 return left_s
 
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -64,7 +64,7 @@
             return pick
         wait_s = self.retry_after(work, pick)
         if wait_s is not None:
-            pick = self.choose(work, now, weigh_all=True) or pick
+            pick = self.choose(work, now, consider_all=True) or pick
             wait_s = self.retry_after(work, pick)
         if wait_s is None:
             return pick
@@ -80,30 +80,32 @@
             return None
         return overload.retry_after(
             pick.wait_s,
-            pick.first_s - pick.wait_s,
+            pick.ttft_s - pick.wait_s,
             work.route.objective_s,
             work.left_s(),
             self._rng,
         )
 
     def choose(
-        self, work: job.Job, now: float, weigh_all: bool = False
+        self, work: job.Job, now: float, consider_all: bool = False
     ) -> choice.Choice | None:
         """Return the upstream with the least expected cost that may be used now."""
-        view = self._beliefs.view(work.service)
-        if view is None:
+        context = self._beliefs.context(work.service)
+        if context is None:
             return None
         upstreams = self._beliefs.fleet.of_service(work.service)
-        need = self._need(work, view, now)
+        request = self._request(work, context, now)
         return choice.choose(
-            upstreams, need, view, work.tried, now, self._rng, weigh_all
+            upstreams, request, context, work.tried, now, self._rng, consider_all
         )
 
-    def _need(self, work: job.Job, view: choice.View, now: float) -> choice.Need:
+    def _request(
+        self, work: job.Job, context: choice.Context, now: float
+    ) -> choice.Request:
         ask = work.ask
-        engine = view.service.engine
+        engine = context.service.engine
         if engine is None:
-            return choice.Need(work.service, self._cfg.zone, len(ask.body))
+            return choice.Request(work.service, self._cfg.zone, len(ask.body))
         named = self._beliefs.named.get(ask.model)
         version = self._beliefs.newest_version(ask.model, work.service)
         fetch_s = {
@@ -112,7 +114,7 @@
             )
             for usable in self._stored_versions(work, version, now)
         }
-        return choice.Need(
+        return choice.Request(
             work.service,
             self._cfg.zone,
             len(ask.body),
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -123,13 +123,13 @@
             return 0.0
         return fleet.HELD_PART * service.engine.kv_capacity_tokens
 
-    def view(self, service: str) -> choice.View | None:
+    def context(self, service: str) -> choice.Context | None:
         """Return what all upstreams of a service have in common."""
         if self.catalog is None or service not in self.catalog.services:
             return None
         found = self.catalog.services[service]
         mean = self.fleet.mean_load(service, clock.now())
-        return choice.View(found, self.zones_out, self.nodes, mean)
+        return choice.Context(found, self.zones_out, self.nodes, mean)
 
     def take_intents(
         self,
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -32,19 +32,19 @@
     return list(table.upstreams.values())
 
 
-def view(**changes: object) -> choice.View:
+def context(**changes: object) -> choice.Context:
     service = catalog.Service("engines", engine=ENGINE, cold_per_s=24.0)
     values: dict[str, object] = {"service": service}
-    return choice.View(**(values | changes))  # type: ignore[arg-type]
+    return choice.Context(**(values | changes))  # type: ignore[arg-type]
 
 
-def need(*tokens: int, **changes: object) -> choice.Need:
+def request(*tokens: int, **changes: object) -> choice.Request:
     """Build a need for a prompt whose last part is the request's own."""
-    parts = tuple(choice.Part(f"p{i}", n) for i, n in enumerate(tokens))
+    parts = tuple(choice.PromptPart(f"p{i}", n) for i, n in enumerate(tokens))
     values: dict[str, object] = {"service": "engines", "zone": "a", "parts": parts}
     if tokens:
         values |= {"model": MODEL, "version": 1}
-    return choice.Need(**(values | changes))  # type: ignore[arg-type]
+    return choice.Request(**(values | changes))  # type: ignore[arg-type]
 
 
 def route(**changes: object) -> catalog.Route:
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -103,14 +103,14 @@
     nursery.start_soon(first.run)
     nursery.start_soon(second.run)
     await trio.testing.wait_all_tasks_blocked()
-    need = relay_builders.need(16_000, 500, zone="b", body_bytes=34_000)
+    request = relay_builders.request(16_000, 500, zone="b", body_bytes=34_000)
     upstreams = second_beliefs.fleet.of_service("engines")
-    view = relay_builders.view()
+    context = relay_builders.context()
     rng = random.Random(1)
-    before = choice.choose(upstreams, need, view, (), clock.now(), rng)
-    first.begin("u1", 16_500, need.parts[0])
+    before = choice.choose(upstreams, request, context, (), clock.now(), rng)
+    first.begin("u1", 16_500, request.parts[0])
     await trio.sleep(0.1)
-    after = choice.choose(upstreams, need, view, (), clock.now(), rng)
+    after = choice.choose(upstreams, request, context, (), clock.now(), rng)
     assert before is not None
     assert after is not None
     assert before.upstream.entry.id == "near"
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -16,21 +16,23 @@
 
 def pick(
     upstreams: list[fleet.Upstream],
-    need: choice.Need,
+    request: choice.Request,
     now: float = NOW,
-    **view: object,
+    **context: object,
 ) -> str | None:
-    found = choice.choose(upstreams, need, relay_builders.view(**view), (), now, RNG)
+    found = choice.choose(
+        upstreams, request, relay_builders.context(**context), (), now, RNG
+    )
     return None if found is None else found.upstream.entry.id
 
 
 def test_zone_that_is_out_gets_nothing() -> None:
     """Guards against work for a zone that operators took out."""
     upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
-    need = relay_builders.need(100, 10)
-    assert pick(upstreams, need) == "near"
-    assert pick(upstreams, need, zones_out=frozenset({"a"})) == "far"
-    assert pick(upstreams, need, zones_out=frozenset({"a", "b"})) is None
+    request = relay_builders.request(100, 10)
+    assert pick(upstreams, request) == "near"
+    assert pick(upstreams, request, zones_out=frozenset({"a"})) == "far"
+    assert pick(upstreams, request, zones_out=frozenset({"a", "b"})) is None
 
 
 UNUSABLE = [
@@ -43,7 +45,7 @@
 def test_unusable_entries(changes: dict[str, object]) -> None:
     """Guards against sends to upstreams that leave or lack the model."""
     upstreams = relay_builders.upstreams(ENTRY(**changes))
-    assert pick(upstreams, relay_builders.need(100, 10)) is None
+    assert pick(upstreams, relay_builders.request(100, 10)) is None
 
 
 def test_tried_blocked_and_switching_are_passed_over() -> None:
@@ -51,37 +53,37 @@
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"), ENTRY("u3"))
     upstreams[0].blocked_until = NOW + 1
     upstreams[1].switching_until = NOW + 1
-    view = relay_builders.view()
-    need = relay_builders.need(100, 10)
-    assert choice.choose(upstreams, need, view, {"u3"}, NOW, RNG) is None
-    assert pick(upstreams, need) == "u3"
+    context = relay_builders.context()
+    request = relay_builders.request(100, 10)
+    assert choice.choose(upstreams, request, context, {"u3"}, NOW, RNG) is None
+    assert pick(upstreams, request) == "u3"
 
 
 def test_short_prompt_avoids_engine_that_reads_a_long_one() -> None:
     """Guards against short questions that wait behind long prompts of other nodes."""
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
-    need = relay_builders.need(50, 250, 80)
-    first = pick(upstreams, need)
+    request = relay_builders.request(50, 250, 80)
+    first = pick(upstreams, request)
     busy = next(u for u in upstreams if u.entry.id == first)
     busy.announced[("10.0.0.2", 1)] = fleet.Announced(17_000, NOW + 1)
-    assert pick(upstreams, need) != first
+    assert pick(upstreams, request) != first
 
 
 def test_all_nodes_prefer_one_engine_for_a_new_part() -> None:
     """Guards against a shared part that several engines read at once."""
     entries = [ENTRY(f"u{i}") for i in range(6)]
-    need = relay_builders.need(12_800, 4_000)
-    first = pick(relay_builders.upstreams(*entries), need)
-    assert pick(relay_builders.upstreams(*reversed(entries)), need) == first
+    request = relay_builders.request(12_800, 4_000)
+    first = pick(relay_builders.upstreams(*entries), request)
+    assert pick(relay_builders.upstreams(*reversed(entries)), request) == first
 
 
 def test_prompts_stay_in_the_zone_unless_it_is_busy() -> None:
     """Guards against bytes between zones that buy no time."""
     upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
-    need = relay_builders.need(12_800, 4_000, body_bytes=34_000)
-    assert pick(upstreams, need) == "near"
+    request = relay_builders.request(12_800, 4_000, body_bytes=34_000)
+    assert pick(upstreams, request) == "near"
     upstreams[0].prefill_tokens = 40_000
-    assert pick(upstreams, need) == "far"
+    assert pick(upstreams, request) == "far"
 
 
 def test_old_weights_are_used_only_while_new_ones_are_busy_or_due() -> None:
@@ -89,11 +91,11 @@
     upstreams = relay_builders.upstreams(
         ENTRY("new", versions={relay_builders.MODEL: 2}), ENTRY("old")
     )
-    need = relay_builders.need(100, 10, version=2)
-    assert pick(upstreams, need) == "new"
+    request = relay_builders.request(100, 10, version=2)
+    assert pick(upstreams, request) == "new"
     upstreams[0].prefill_tokens = 5_000
-    assert pick(upstreams, need) == "old"
-    due = dataclasses.replace(need, least_version=2)
+    assert pick(upstreams, request) == "old"
+    due = dataclasses.replace(request, least_version=2)
     assert pick(upstreams, due) == "new"
     assert pick(upstreams[1:], due) is None
 
@@ -101,9 +103,9 @@
 def test_engine_on_old_weights_fetches_what_others_must_read() -> None:
     """Guards against long prompts read anew by the few engines with new weights."""
     entries = [ENTRY("new", versions={relay_builders.MODEL: 2}), ENTRY("old")]
-    need = relay_builders.need(12_800, 4_000, version=2)
-    stored = dataclasses.replace(need, fetch_s={1: {"p0": 0.04}})
-    for known, expected in ((need, "new"), (stored, "old")):
+    request = relay_builders.request(12_800, 4_000, version=2)
+    stored = dataclasses.replace(request, fetch_s={1: {"p0": 0.04}})
+    for known, expected in ((request, "new"), (stored, "old")):
         upstreams = relay_builders.upstreams(*entries)
         upstreams[0].prefill_tokens = 15_000
         assert pick(upstreams, known) == expected
@@ -117,11 +119,14 @@
     the engines could hold all of them within the objective.
     """
     upstreams = relay_builders.upstreams(*(ENTRY(f"u{i}") for i in range(6)))
-    view = relay_builders.view()
+    context = relay_builders.context()
     for number in range(4):
-        parts = (choice.Part(f"c{number}", 12_000), choice.Part("own", 4_000))
-        need = dataclasses.replace(relay_builders.need(1, 1), parts=parts)
-        found = choice.choose(upstreams, need, view, (), NOW, RNG)
+        parts = (
+            choice.PromptPart(f"c{number}", 12_000),
+            choice.PromptPart("own", 4_000),
+        )
+        request = dataclasses.replace(relay_builders.request(1, 1), parts=parts)
+        found = choice.choose(upstreams, request, context, (), NOW, RNG)
         assert found is not None
         assert found.cost_s < 0.8
         found.upstream.prefill_tokens += found.prefill_tokens
@@ -143,14 +148,14 @@
         for i in range(12)
     ]
     sends: collections.Counter[str] = collections.Counter()
-    need = relay_builders.need(1, 1, version=2)
+    request = relay_builders.request(1, 1, version=2)
     for node in range(26):
-        parts = (choice.Part(f"p{node}", 300), choice.Part("own", 80))
-        need = dataclasses.replace(need, parts=parts)
+        parts = (choice.PromptPart(f"p{node}", 300), choice.PromptPart("own", 80))
+        request = dataclasses.replace(request, parts=parts)
         rng = random.Random(node)
         upstreams = relay_builders.upstreams(*entries)
-        view = relay_builders.view(nodes=79)
-        found = choice.choose(upstreams, need, view, (), NOW, rng)
+        context = relay_builders.context(nodes=79)
+        found = choice.choose(upstreams, request, context, (), NOW, rng)
         assert found is not None
         sends[found.upstream.entry.id] += 1
     assert max(sends.values()) <= 26 / 2
@@ -165,24 +170,26 @@
     table.note_load(silent, fleet.LoadNote(4, 10, 0, NOW - 2.0))
     for age_s in (1.0, 0.5, 0.0):
         table.note_load(told, fleet.LoadNote(4, 10, 0, NOW - age_s))
-    view = relay_builders.view(mean_load=table.mean_load("engines", NOW))
-    need = relay_builders.need(100, 10)
-    waits = [choice.choose([one], need, view, (), NOW, RNG) for one in (told, silent)]
+    context = relay_builders.context(mean_load=table.mean_load("engines", NOW))
+    request = relay_builders.request(100, 10)
+    waits = [
+        choice.choose([one], request, context, (), NOW, RNG) for one in (told, silent)
+    ]
     assert all(found is not None and found.wait_s > 0.3 for found in waits)
 
 
 def test_failing_and_silent_upstreams_are_avoided() -> None:
     """Guards against an upstream that fails requests while it is listed as ready."""
-    need = relay_builders.need()
+    request = relay_builders.request()
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
-    first = pick(upstreams, need)
+    first = pick(upstreams, request)
     bad = next(u for u in upstreams if u.entry.id == first)
-    bad.oldest_silence_at = NOW - choice.SILENCE_S - 0.1
-    assert pick(upstreams, need) != first
+    bad.oldest_silence_at = NOW - choice.SILENCE_TIMEOUT_S - 0.1
+    assert pick(upstreams, request) != first
     bad.oldest_silence_at = None
     for _ in range(5):
         bad.note_outcome(is_failure=True, now=NOW)
-    assert pick(upstreams, need) != first
+    assert pick(upstreams, request) != first
 
 
 @pytest.mark.parametrize("nodes", [1, 6, 79])
@@ -191,7 +198,7 @@
 
     Each node has a request for it every 10 ms.
     """
-    view = relay_builders.view(nodes=nodes)
+    context = relay_builders.context(nodes=nodes)
     cold = [
         relay_builders.upstreams(ENTRY(cold_s=1e9, born=i))[0] for i in range(nodes)
     ]
@@ -199,11 +206,11 @@
     for tick in range(400):
         now = NOW + tick / 100
         for upstream in cold:
-            if choice.cold_allows(upstream, view, now):
-                choice.note_sent(upstream, now)
+            if choice.has_cold_start_budget(upstream, context, now):
+                choice.record_sent(upstream, now)
                 sends[tick] += 1
     most = max(
         sum(sends[tick] for tick in range(start, start + 100)) for start in range(300)
     )
-    assert most <= 1.5 * view.service.cold_per_s + 5
-    assert sum(sends.values()) >= 0.5 * view.service.cold_per_s * 4
+    assert most <= 1.5 * context.service.cold_per_s + 5
+    assert sum(sends.values()) >= 0.5 * context.service.cold_per_s * 4
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -11,7 +11,7 @@
 from snipelug_core import catalog, choice, kv_index
 from tests import relay_builders
 
-PARTS = (choice.Part("shared", 12_800), choice.Part("own", 4_000))
+PARTS = (choice.PromptPart("shared", 12_800), choice.PromptPart("own", 4_000))
 SALT = kv_index.salt("m", 1, None)
 KEY = (SALT, "shared")
 SHARED = ["shared", *(f"shared-{i}" for i in range(1, kv_index.NEWER_PARTS))]
@@ -36,13 +36,13 @@
 def test_own_part_is_never_stored() -> None:
     """Guards against stores filled with parts that nobody asks for again."""
     index = relay_builders.fresh_index(0.0)
-    assert index.plan((choice.Part("own", 9_000),), SALT, 0.1) is kv_index.NO_PLAN
+    assert index.plan((choice.PromptPart("own", 9_000),), SALT, 0.1) is kv_index.NO_PLAN
 
 
 def test_short_prompts_need_no_transfer() -> None:
     """Guards against transfers that take longer than reading."""
     index = relay_builders.fresh_index(0.0)
-    parts = (choice.Part("tiny", 50), choice.Part("own", 90))
+    parts = (choice.PromptPart("tiny", 50), choice.PromptPart("own", 90))
     assert index.plan(parts, SALT, 0.1) is kv_index.NO_PLAN
 
 
@@ -105,7 +105,7 @@
     ]
     index = relay_builders.fresh_index(0.0, *stores)
     for number in range(20):
-        part = choice.Part(f"p{number}", 300)
+        part = choice.PromptPart(f"p{number}", 300)
         assert index.order(part)[0].store.name == "fast"
 
 
@@ -117,7 +117,8 @@
     ]
     index = relay_builders.fresh_index(0.0, *stores)
     homes = collections.Counter(
-        index.order(choice.Part(f"p{i}", 5_000))[0].store.name for i in range(2_000)
+        index.order(choice.PromptPart(f"p{i}", 5_000))[0].store.name
+        for i in range(2_000)
     )
     assert 0.70 < homes["large"] / 2_000 < 0.80
 
@@ -217,7 +218,7 @@
         if not kv_index.is_in_use(version, node.named_at, self.now):
             return
         salt = kv_index.salt("m", version, None)
-        parts = (choice.Part(part, 12_800), choice.Part("own", 4_000))
+        parts = (choice.PromptPart(part, 12_800), choice.PromptPart("own", 4_000))
         plan = node.index.plan(parts, salt, self.now)
         key = (salt, part)
         if any(plan.sources):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -18,7 +18,7 @@
 
 ENGINES = 4
 SLOTS = relay_builders.ENGINE.slots
-WORK_S = SLOTS * choice.WAITING_S
+WORK_S = SLOTS * choice.QUEUED_REQUEST_S
 """Time that a prompt holds a slot; an engine ends one each ``WAITING_S``."""
 
 RATE_PER_S = 125
@@ -70,7 +70,7 @@
         self.free = {entry.id: SLOTS for entry in entries}
         self.numbers = itertools.count()
         self.events: list[tuple[float, int, str, Prompt]] = []
-        self.first_s: dict[int, float] = {}
+        self.ttft_s: dict[int, float] = {}
 
     def at(self, time: float, what: str, prompt: Prompt) -> None:
         heapq.heappush(self.events, (time, next(self.numbers), what, prompt))
@@ -100,14 +100,14 @@
         is_away = AWAY_FROM_S <= now < AWAY_TO_S
         for upstream in self.upstreams[: ENGINES // 2]:
             upstream.switching_until = AWAY_TO_S if is_away else 0.0
-        need = relay_builders.need(1, 1)
+        request = relay_builders.request(1, 1)
         found = choice.choose(
-            self.upstreams, need, relay_builders.view(), (), now, self.rng
+            self.upstreams, request, relay_builders.context(), (), now, self.rng
         )
         assert found is not None
         left_s = prompt.deadline - now
         pause_s = overload.retry_after(
-            found.wait_s, found.first_s - found.wait_s, OBJECTIVE_S, left_s, self.rng
+            found.wait_s, found.ttft_s - found.wait_s, OBJECTIVE_S, left_s, self.rng
         )
         if self.turns_away and pause_s is not None:
             # A caller comes back once.
@@ -149,15 +149,15 @@
 
 def test_longest_prompts_are_sent_while_nothing_waits() -> None:
     """Guards against prompts that are turned away each time because of their size."""
-    need = relay_builders.need(34_000, 17_000)
+    request = relay_builders.request(34_000, 17_000)
     upstreams = relay_builders.upstreams(relay_builders.entry())
     found = choice.choose(
-        upstreams, need, relay_builders.view(), (), 0.0, random.Random(1)
+        upstreams, request, relay_builders.context(), (), 0.0, random.Random(1)
     )
     assert found is not None
-    assert found.first_s > OBJECTIVE_S
+    assert found.ttft_s > OBJECTIVE_S
     rng = random.Random(1)
-    read_s = found.first_s - found.wait_s
+    read_s = found.ttft_s - found.wait_s
     assert overload.retry_after(found.wait_s, read_s, OBJECTIVE_S, 8.0, rng) is None
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -230,7 +230,7 @@
     assert found.key == "k"
     assert found.time_left_s == 1.5
     assert found.output_tokens == 80
-    assert found.parts[0] == choice.Part("5c1e", 800)
+    assert found.parts[0] == choice.PromptPart("5c1e", 800)
     assert found.resume_after == "12"
 
 
