Rename the fleet's reports and records: LoadReport, AnnouncedPrompt, cached_parts

note_version, note_held, note_outcome and note_load are set_version, add_cached_part, record_outcome and record_load; others is other_nodes_load, oldest_silence_at silent_since and tokens reserved_tokens.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -317,7 +317,9 @@
     if shared is None:
         return None
     if shared.id not in request.transfer_times_s(request.version):
-        candidates = [u for u in candidates if shared.id in u.held] or candidates
+        candidates = [
+            u for u in candidates if shared.id in u.cached_parts
+        ] or candidates
     same_zone = [u for u in candidates if u.entry.zone == request.zone]
     return max(
         same_zone or candidates,
@@ -337,7 +339,7 @@
         cost += CROSS_ZONE_COST_S + CROSS_ZONE_COST_S_PER_BYTE * request.body_bytes
     if now < upstream.cold_until:
         cost += COLD_START_COST_S
-    silent_since = upstream.oldest_silence_at
+    silent_since = upstream.silent_since
     if silent_since is not None and now - silent_since > SILENCE_TIMEOUT_S:
         cost += SILENCE_COST_S
     engine = context.service.engine
@@ -362,7 +364,7 @@
 def _plain_service_wait_s(
     upstream: fleet.Upstream, context: Context, now: float
 ) -> float:
-    running, waiting = upstream.others(now, context.mean_load)
+    running, waiting = upstream.other_nodes_load(now, context.mean_load)
     total = running + waiting + upstream.running
     slots = max(1, upstream.entry.slots)
     return PLAIN_SERVICE_S * (max(0.0, total + 1 - slots) / slots + 0.3 * total / slots)
@@ -380,7 +382,7 @@
     engine: catalog.Engine,
     now: float,
 ) -> Estimate:
-    running, waiting = upstream.others(now, context.mean_load)
+    running, waiting = upstream.other_nodes_load(now, context.mean_load)
     pending = upstream.prefill_tokens + upstream.announced_tokens(now)
     wait_s = pending / PREFILL_TOKENS_PER_S
     wait_s += BATCH_STEP_S * (running + upstream.running)
@@ -390,7 +392,7 @@
     read_s, prefill, size = 0.0, 0, request.output_tokens
     for part in request.parts:
         size += part.tokens
-        if part.id in upstream.held:
+        if part.id in upstream.cached_parts:
             continue
         if part.id in transfer_times_s:
             read_s += transfer_times_s[part.id]
@@ -398,7 +400,7 @@
         prefill += part.tokens
     prompt = sum(part.tokens for part in request.parts)
     read_s += prefill / PREFILL_TOKENS_PER_S + _attention_s(prompt, prefill)
-    if upstream.tokens + size > engine.kv_capacity_tokens:
+    if upstream.reserved_tokens + size > engine.kv_capacity_tokens:
         wait_s += KV_CACHE_FULL_COST_S
     ttft_s = cost_s = wait_s + read_s
     if prefill >= LONG_PREFILL_TOKENS and pending < LONG_PREFILL_TOKENS:
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -185,12 +185,12 @@
             case messages.Prefill(_, number, 0):
                 upstream.announced.pop((sender, number), None)
             case messages.Prefill(_, number, tokens):
-                upstream.announced[(sender, number)] = fleet.Announced(
+                upstream.announced[(sender, number)] = fleet.AnnouncedPrompt(
                     tokens, now + min(message.lasts_s, MOST_READ_S)
                 )
                 # The next prompt with this part is cheapest where it is read now.
                 if message.part:
-                    upstream.note_held(
+                    upstream.add_cached_part(
                         message.part,
                         message.part_tokens,
                         self._beliefs.held_tokens(upstream),
@@ -198,5 +198,5 @@
             case messages.Switching(_, for_s):
                 upstream.switching_until = now + min(for_s, MOST_SWITCH_S)
             case messages.Serving(_, model, version):
-                upstream.note_version(model, version)
+                upstream.set_version(model, version)
                 upstream.switching_until = 0.0
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -61,16 +61,16 @@
         """Count the request at the upstream."""
         upstream = self.upstream
         upstream.running += 1
-        upstream.tokens += self.tokens
+        upstream.reserved_tokens += self.tokens
         upstream.prefill_tokens += self.prefill_tokens
-        if upstream.oldest_silence_at is None:
-            upstream.oldest_silence_at = now
+        if upstream.silent_since is None:
+            upstream.silent_since = now
 
     def hear(self, now: float) -> None:
         """Note that the upstream has answered something."""
         self.upstream.connect_failures = 0
         waits = self.upstream.running > 1
-        self.upstream.oldest_silence_at = now if waits else None
+        self.upstream.silent_since = now if waits else None
 
     def begin_output(self) -> None:
         """Note that the prompt has been read."""
@@ -87,9 +87,9 @@
         self.has_ended = True
         self.begin_output()
         self.upstream.running -= 1
-        self.upstream.tokens -= self.tokens
+        self.upstream.reserved_tokens -= self.tokens
         if self.upstream.running == 0:
-            self.upstream.oldest_silence_at = None
+            self.upstream.silent_since = None
 
 
 @dataclasses.dataclass
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -275,7 +275,7 @@
     def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
         capacity = self._beliefs.held_tokens(upstream)
         for part in ask.parts[:-1]:
-            upstream.note_held(part.id, part.tokens, capacity)
+            upstream.add_cached_part(part.id, part.tokens, capacity)
 
     def _last_check(self, work: job.Job, pick: choice.Choice) -> http_client.LastCheck:
         """Return the check that comes right before the first byte is sent."""
@@ -369,13 +369,13 @@
         now = clock.now()
         if verdict.load is not None:
             running, waiting, _ = verdict.load
-            load = fleet.LoadNote(running, waiting, upstream.running, now)
-            self._beliefs.fleet.note_load(upstream, load)
+            load = fleet.LoadReport(running, waiting, upstream.running, now)
+            self._beliefs.fleet.record_load(upstream, load)
         if verdict.cold_s is not None and verdict.cold_s > 0:
             upstream.cold_until = now + verdict.cold_s
         model = work.ask.model
         if model and verdict.version is not None:
-            upstream.note_version(model, verdict.version)
+            upstream.set_version(model, verdict.version)
         if not verdict.is_turned_away:
             return
         if verdict.is_other_instance and model:
@@ -391,7 +391,7 @@
         """Take that the upstream does not serve the version it was taken to serve."""
         named = self._beliefs.named.get(model)
         if named is not None and upstream.versions.get(model, 0) < named.version:
-            upstream.note_version(model, named.version)
+            upstream.set_version(model, named.version)
         else:
             upstream.switching_until = now + SWITCHING_S
 
@@ -410,7 +410,7 @@
                 reason=outcome.reason,
             )
         elif outcome.result is not attempt.Result.TURNED_AWAY:
-            upstream.note_outcome(outcome.result is attempt.Result.LOST, now)
+            upstream.record_outcome(outcome.result is attempt.Result.LOST, now)
 
     def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         assert outcome.reply is not None
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -121,7 +121,7 @@
         service = known.services.get(upstream.entry.service) if known else None
         if service is None or service.engine is None:
             return 0.0
-        return fleet.HELD_PART * service.engine.kv_capacity_tokens
+        return fleet.CACHED_PARTS_FRACTION * service.engine.kv_capacity_tokens
 
     def context(self, service: str) -> choice.Context | None:
         """Return what all upstreams of a service have in common."""
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -88,7 +88,7 @@
             splitter=self._current.splitter,
         )
         if self._current.visit is not None:
-            self._current.visit.upstream.note_outcome(True, clock.now())
+            self._current.visit.upstream.record_outcome(True, clock.now())
         # The attempt was counted when the stream began.
         self._work.history.runs -= 1
         self._work.history.sends -= 1
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -195,7 +195,7 @@
             return None
         for model, version in report.versions.items():
             if upstream.versions.get(model) != version:
-                upstream.note_version(model, version)
+                upstream.set_version(model, version)
                 upstream.switching_until = 0.0
                 self._announcer.serving(upstream.entry.id, model, version)
         return report
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -26,10 +26,10 @@
 
 
 def upstreams(*entries: fleet.Entry) -> list[fleet.Upstream]:
-    table = fleet.Fleet()
+    registry = fleet.Fleet()
     for item in entries:
-        table.put(item, 0.0)
-    return list(table.upstreams.values())
+        registry.put(item, 0.0)
+    return list(registry.upstreams.values())
 
 
 def context(**changes: object) -> choice.Context:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -65,7 +65,7 @@
     request = relay_builders.request(50, 250, 80)
     first = pick(upstreams, request)
     busy = next(u for u in upstreams if u.entry.id == first)
-    busy.announced[("10.0.0.2", 1)] = fleet.Announced(17_000, NOW + 1)
+    busy.announced[("10.0.0.2", 1)] = fleet.AnnouncedPrompt(17_000, NOW + 1)
     assert pick(upstreams, request) != first
 
 
@@ -163,14 +163,14 @@
 
 def test_engine_heard_of_long_ago_does_not_look_idle() -> None:
     """Guards against a queue at the engine whose report is oldest when all are busy."""
-    table = fleet.Fleet()
+    registry = fleet.Fleet()
     for name in ("u1", "u2"):
-        table.put(ENTRY(name), 0.0)
-    told, silent = table.upstreams.values()
-    table.note_load(silent, fleet.LoadNote(4, 10, 0, NOW - 2.0))
+        registry.put(ENTRY(name), 0.0)
+    told, silent = registry.upstreams.values()
+    registry.record_load(silent, fleet.LoadReport(4, 10, 0, NOW - 2.0))
     for age_s in (1.0, 0.5, 0.0):
-        table.note_load(told, fleet.LoadNote(4, 10, 0, NOW - age_s))
-    context = relay_builders.context(mean_load=table.mean_load("engines", NOW))
+        registry.record_load(told, fleet.LoadReport(4, 10, 0, NOW - age_s))
+    context = relay_builders.context(mean_load=registry.mean_load("engines", NOW))
     request = relay_builders.request(100, 10)
     waits = [
         choice.choose([one], request, context, (), NOW, RNG) for one in (told, silent)
@@ -184,11 +184,11 @@
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
     first = pick(upstreams, request)
     bad = next(u for u in upstreams if u.entry.id == first)
-    bad.oldest_silence_at = NOW - choice.SILENCE_TIMEOUT_S - 0.1
+    bad.silent_since = NOW - choice.SILENCE_TIMEOUT_S - 0.1
     assert pick(upstreams, request) != first
-    bad.oldest_silence_at = None
+    bad.silent_since = None
     for _ in range(5):
-        bad.note_outcome(is_failure=True, now=NOW)
+        bad.record_outcome(is_failure=True, now=NOW)
     assert pick(upstreams, request) != first
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,81 +6,81 @@
 
 def test_same_id_after_restart_knows_nothing() -> None:
     """Guards against load and cached parts of an earlier process of the same id."""
-    table = fleet.Fleet()
-    table.put(relay_builders.entry(born=1), 0.0)
-    table.upstreams["u1"].running = 3
-    table.upstreams["u1"].note_held("p", 10, 100)
-    table.put(relay_builders.entry(born=2), 1.0)
-    assert table.upstreams["u1"].running == 0
-    assert not table.upstreams["u1"].held
+    registry = fleet.Fleet()
+    registry.put(relay_builders.entry(born=1), 0.0)
+    registry.upstreams["u1"].running = 3
+    registry.upstreams["u1"].add_cached_part("p", 10, 100)
+    registry.put(relay_builders.entry(born=2), 1.0)
+    assert registry.upstreams["u1"].running == 0
+    assert not registry.upstreams["u1"].cached_parts
 
 
 def test_leaving_upstream_gets_no_work() -> None:
     """Guards against work for an upstream that drains."""
-    table = fleet.Fleet()
-    table.put(relay_builders.entry(), 0.0)
-    assert [u.entry.id for u in table.of_service("engines")] == ["u1"]
-    change = table.put(relay_builders.entry(is_leaving=True), 1.0)
+    registry = fleet.Fleet()
+    registry.put(relay_builders.entry(), 0.0)
+    assert [u.entry.id for u in registry.of_service("engines")] == ["u1"]
+    change = registry.put(relay_builders.entry(is_leaving=True), 1.0)
     assert change == fleet.Change("u1", "leaving")
-    assert table.of_service("engines") == []
+    assert registry.of_service("engines") == []
 
 
 def test_entry_that_lapsed_in_an_outage_is_kept_for_a_while() -> None:
     """Guards against refusals because the list came back empty after an outage."""
-    table = fleet.Fleet()
-    table.put(relay_builders.entry("u1"), 0.0)
-    table.put(relay_builders.entry("u2"), 0.0)
-    list(table.replace([], 10.0, in_grace=True))
-    assert set(table.upstreams) == {"u1", "u2"}
-    table.put(relay_builders.entry("u1"), 11.0)
-    changes = list(table.expire(10.0 + fleet.REMOVAL_GRACE_S))
+    registry = fleet.Fleet()
+    registry.put(relay_builders.entry("u1"), 0.0)
+    registry.put(relay_builders.entry("u2"), 0.0)
+    list(registry.replace([], 10.0, in_grace=True))
+    assert set(registry.upstreams) == {"u1", "u2"}
+    registry.put(relay_builders.entry("u1"), 11.0)
+    changes = list(registry.expire(10.0 + fleet.REMOVAL_GRACE_S))
     assert changes == [fleet.Change("u2", "gone")]
-    assert set(table.upstreams) == {"u1"}
+    assert set(registry.upstreams) == {"u1"}
 
 
 def test_return_of_a_lapsed_entry_is_a_change() -> None:
     """Guards against nodes that are not told that a lapsed entry is back."""
-    table = fleet.Fleet()
+    registry = fleet.Fleet()
     entry = relay_builders.entry()
-    table.put(entry, 0.0)
-    assert not table.differs(entry)
-    table.remove("u1", 1.0, in_grace=True)
-    assert table.differs(entry)
-    assert table.put(entry, 2.0) == fleet.Change("u1", "back")
-    assert not table.differs(entry)
+    registry.put(entry, 0.0)
+    assert not registry.differs(entry)
+    registry.remove("u1", 1.0, in_grace=True)
+    assert registry.differs(entry)
+    assert registry.put(entry, 2.0) == fleet.Change("u1", "back")
+    assert not registry.differs(entry)
 
 
 def test_removed_entry_is_gone_at_once() -> None:
     """Guards against work for an upstream that left without draining."""
-    table = fleet.Fleet()
-    table.put(relay_builders.entry(), 0.0)
-    assert table.remove("u1", 1.0, in_grace=False) == fleet.Change("u1", "gone")
-    assert table.of_service("engines") == []
+    registry = fleet.Fleet()
+    registry.put(relay_builders.entry(), 0.0)
+    assert registry.remove("u1", 1.0, in_grace=False) == fleet.Change("u1", "gone")
+    assert registry.of_service("engines") == []
 
 
 def test_new_weights_forget_cached_parts() -> None:
     """Guards against cost estimates from parts of replaced weights."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
-    upstream.note_held("p", 10, 100)
-    upstream.note_version(relay_builders.MODEL, 1)
-    assert "p" in upstream.held
-    upstream.note_version(relay_builders.MODEL, 2)
-    assert not upstream.held
+    upstream.add_cached_part("p", 10, 100)
+    upstream.set_version(relay_builders.MODEL, 1)
+    assert "p" in upstream.cached_parts
+    upstream.set_version(relay_builders.MODEL, 2)
+    assert not upstream.cached_parts
 
 
 def test_held_parts_yield() -> None:
     """Guards against unbounded memory for parts that an engine has dropped."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
     for number in range(10):
-        upstream.note_held(f"p{number}", 30, 100)
-    assert list(upstream.held) == ["p7", "p8", "p9"]
+        upstream.add_cached_part(f"p{number}", 30, 100)
+    assert list(upstream.cached_parts) == ["p7", "p8", "p9"]
 
 
 def test_failures_fade() -> None:
     """Guards against an upstream that is never tried again after failures."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
     for _ in range(20):
-        upstream.note_outcome(is_failure=True, now=1.0)
+        upstream.record_outcome(is_failure=True, now=1.0)
     assert upstream.failure_rate_at(1.0) > 0.9
     assert upstream.failure_rate_at(6.0) == 0.0
 
@@ -88,6 +88,6 @@
 def test_announced_prompts_end_by_themselves() -> None:
     """Guards against an engine that is avoided because a datagram was lost."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
-    upstream.announced[("10.0.0.2", 1)] = fleet.Announced(5_000, 2.0)
+    upstream.announced[("10.0.0.2", 1)] = fleet.AnnouncedPrompt(5_000, 2.0)
     assert upstream.announced_tokens(1.0) == 5_000
     assert upstream.announced_tokens(2.0) == 0
