--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -86,7 +86,7 @@
     if result is Result.ANSWERED:
         return Next.DELIVER
     may_run_again = (
-        route.repeat is not catalog.Repeat.AT_MOST_ONCE
+        route.repeat is not catalog.RepeatPolicy.AT_MOST_ONCE
         and history.runs < route.max_attempts
     )
     may_send = (
--- a/packages/snipelug-core/src/snipelug_core/catalog.py
+++ b/packages/snipelug-core/src/snipelug_core/catalog.py
@@ -6,7 +6,7 @@
 from snipelug_core import hashing, refusal
 
 
-class Repeat(enum.Enum):
+class RepeatPolicy(enum.Enum):
     """What may be done again when the outcome of a request is not known."""
 
     IDEMPOTENT = "idempotent"
@@ -36,13 +36,13 @@
     host: str
     prefix: str
     services: tuple[tuple[str, int], ...]
-    repeat: Repeat
+    repeat: RepeatPolicy
     is_stream: bool = False
     timeout_s: float = 10.0
     objective_s: float = 1.0
     max_attempts: int = 1
     priority: int = 5
-    is_anonymous: bool = False
+    allows_anonymous: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,7 +100,7 @@
     zone: str
     capacity_tokens: int
     link_bits_per_s: float
-    first_s: float = 0.0
+    setup_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -154,14 +154,14 @@
         self.stores = stores
         self.teams = teams
         self.limits = limits or Limits()
-        self._team_of_key = {key: team for team in teams for key in team.keys}
-        self._routes_of_host: dict[str, list[Route]] = {}
+        self._team_by_key = {key: team for team in teams for key in team.keys}
+        self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
-            self._routes_of_host.setdefault(route.host, []).append(route)
+            self._routes_by_host.setdefault(route.host, []).append(route)
 
     def find_route(self, host: str, path: str) -> Route | refusal.Refusal:
         """Return the route of the host with the longest prefix of the path."""
-        for route in self._routes_of_host.get(host, ()):
+        for route in self._routes_by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
         return refusal.refuse(refusal.NOT_FOUND, f"no route for {host}{path}")
@@ -171,8 +171,8 @@
 
         A key that is not known is refused only where the route asks for one.
         """
-        team = self._team_of_key.get(key) if key is not None else None
-        if team is not None or route.is_anonymous or not self.teams:
+        team = self._team_by_key.get(key) if key is not None else None
+        if team is not None or route.allows_anonymous or not self.teams:
             return team
         message = "no key was given" if key is None else "the key is not known"
         return refusal.refuse(refusal.UNAUTHENTICATED, message)
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -255,10 +255,10 @@
             return known
         if len(self._orders) >= MOST_ORDERS:
             self._orders.clear()
-        soonest_s = min((s.store.first_s for s in self.shelves.values()), default=0.0)
+        soonest_s = min((s.store.setup_s for s in self.shelves.values()), default=0.0)
 
         def preference(shelf: Shelf) -> tuple[bool, float]:
-            is_soon = shelf.store.first_s <= soonest_s
+            is_soon = shelf.store.setup_s <= soonest_s
             score = hashing.rendezvous_score(part.id, shelf.store.name)
             weight = max(1.0, shelf.store.capacity_tokens / 1000)
             return is_small and is_soon, math.pow((score + 1) / 2.0**64, 1.0 / weight)
@@ -284,7 +284,7 @@
             rate = min(shelf.store.link_bits_per_s, engine.link_bits_per_s)
             size = 8.0 * engine.kv_token_bytes * part.tokens
             factor = 1.0 if zone == shelf.store.zone else ZONE_FACTOR
-            times[part.id] = shelf.store.first_s + factor * size / rate
+            times[part.id] = shelf.store.setup_s + factor * size / rate
         return times
 
     def plan(
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -245,7 +245,7 @@
             resume_after,
         )
         call = self._dialect.call(ask, orders, upstream.entry.addr)
-        if work.route.repeat is catalog.Repeat.AT_MOST_ONCE:
+        if work.route.repeat is catalog.RepeatPolicy.AT_MOST_ONCE:
             call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
         entry: dict[str, object] = {
             "upstream": upstream.entry.id,
@@ -302,11 +302,11 @@
         if work.history.runs + 1 >= work.route.max_attempts:
             return left_s
         match work.route.repeat:
-            case catalog.Repeat.IDEMPOTENT:
+            case catalog.RepeatPolicy.IDEMPOTENT:
                 return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
-            case catalog.Repeat.RESUMABLE:
+            case catalog.RepeatPolicy.RESUMABLE:
                 return min(left_s, FIRST_EVENT_S + pick.ttft_s)
-            case catalog.Repeat.AT_MOST_ONCE:
+            case catalog.RepeatPolicy.AT_MOST_ONCE:
                 return left_s
 
     async def _read(
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -57,7 +57,7 @@
         reply, splitter = self._current.reply, self._current.splitter
         assert reply is not None
         assert splitter is not None
-        is_resumable = self._work.route.repeat is catalog.Repeat.RESUMABLE
+        is_resumable = self._work.route.repeat is catalog.RepeatPolicy.RESUMABLE
         left_s = max(0.0, self._work.left_s())
         part: bytes | http_client.Lost | None = http_client.Lost("no event in time")
         with trio.move_on_after(min(left_s, GAP_S) if is_resumable else left_s):
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -53,7 +53,7 @@
         "host": "h",
         "prefix": "/a/",
         "services": (("engines", 1),),
-        "repeat": catalog.Repeat.IDEMPOTENT,
+        "repeat": catalog.RepeatPolicy.IDEMPOTENT,
         "max_attempts": 2,
     }
     return catalog.Route(**(values | changes))  # type: ignore[arg-type]
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -7,7 +7,7 @@
 from snipelug_core import attempt, catalog, retry
 from tests import relay_builders
 
-Result, Next, Repeat = attempt.Result, attempt.Next, catalog.Repeat
+Result, Next, Repeat = attempt.Result, attempt.Next, catalog.RepeatPolicy
 
 CASES = [
     (Repeat.IDEMPOTENT, [Result.LOST], Next.TRY_AGAIN),
@@ -31,7 +31,7 @@
 
 @pytest.mark.parametrize(("repeat", "results", "expected"), CASES)
 def test_decision(
-    repeat: catalog.Repeat, results: list[attempt.Result], expected: attempt.Next
+    repeat: catalog.RepeatPolicy, results: list[attempt.Result], expected: attempt.Next
 ) -> None:
     """Guards against a second run of an order and against false refusals."""
     route = relay_builders.route(repeat=repeat)
@@ -43,7 +43,7 @@
 
 @pytest.mark.parametrize("repeat", list(Repeat))
 def test_no_more_runs_than_allowed_and_no_false_refusal(
-    repeat: catalog.Repeat,
+    repeat: catalog.RepeatPolicy,
 ) -> None:
     """Guards against runs beyond the limit, for every series of five results."""
     route = relay_builders.route(repeat=repeat, max_attempts=2)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -11,7 +11,7 @@
 ROUTES = (
     relay_builders.route(name="short", prefix="/a/"),
     relay_builders.route(name="long", prefix="/a/b/"),
-    relay_builders.route(name="open", prefix="/open/", is_anonymous=True),
+    relay_builders.route(name="open", prefix="/open/", allows_anonymous=True),
 )
 CATALOG = catalog.Catalog(1, ROUTES, teams=(TEAM,))
 
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -100,8 +100,8 @@
 def test_small_parts_prefer_stores_that_start_soon() -> None:
     """Guards against short parts behind stores that are slow to start."""
     stores = [
-        relay_builders.kv_store("slow", first_s=0.006),
-        relay_builders.kv_store("fast", first_s=0.0005, capacity_tokens=1_000),
+        relay_builders.kv_store("slow", setup_s=0.006),
+        relay_builders.kv_store("fast", setup_s=0.0005, capacity_tokens=1_000),
     ]
     index = relay_builders.fresh_index(0.0, *stores)
     for number in range(20):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -118,13 +118,13 @@
     """Guards against names of the platform that mean something else here."""
     found = rows.decode_config(msgspec.json.encode(CONFIG))
     first, second = found.routes
-    assert first.repeat is catalog.Repeat.RESUMABLE
+    assert first.repeat is catalog.RepeatPolicy.RESUMABLE
     assert first.is_stream
     assert first.timeout_s == 4.0
-    assert second.repeat is catalog.Repeat.AT_MOST_ONCE
+    assert second.repeat is catalog.RepeatPolicy.AT_MOST_ONCE
     assert second.services == (("x", 90), ("y", 10))
     assert set(found.services) == {"llm", "x", "y"}
-    assert found.stores[0].first_s == 0.006
+    assert found.stores[0].setup_s == 0.006
     assert found.stores[0].link_bits_per_s == 4.2e11
     assert found.limits.idle_s == 15.0
     assert found.teams == (catalog.Team("t1", ("k",), 1, True),)
