Rename the parts of the KV cache index: StoreState, VersionStatus, ranked_stores

Constants name the limits that they set. fetch_s is transfer_times_s, withdraw cancel_saves, outdated outdated_parts and is_in_use is_version_usable.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -142,7 +142,7 @@
 
     def store_age_s(self, name: str) -> float:
         """Return the age of what is known of a store of KV cache, in seconds."""
-        return clock.now() - self._beliefs.index.shelves[name].polled_at
+        return clock.now() - self._beliefs.index.store_states[name].polled_at
 
     @property
     def members(self) -> int:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -268,7 +268,7 @@
         visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
         if any(plan.targets):
             visit.on_not_run = functools.partial(
-                self._beliefs.index.withdraw, plan, ask.parts, key_salt
+                self._beliefs.index.cancel_saves, plan, ask.parts, key_salt
             )
         return visit, call
 
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -109,7 +109,7 @@
         named = self._beliefs.named.get(ask.model)
         version = self._beliefs.newest_version(ask.model, work.service)
         fetch_s = {
-            usable: self._beliefs.index.fetch_s(
+            usable: self._beliefs.index.transfer_times_s(
                 ask.parts, self.salt(work, usable), engine, self._cfg.zone, now
             )
             for usable in self._stored_versions(work, version, now)
@@ -137,7 +137,7 @@
         ask = work.ask
         versions = {newest}
         named = self._beliefs.named.get(ask.model)
-        if named is not None and now - named.at < kv_index.READ_OLD_S:
+        if named is not None and now - named.at < kv_index.OLD_VERSION_READ_S:
             upstreams = self._beliefs.fleet.of_service(work.service)
             versions |= {u.versions.get(ask.model, newest) for u in upstreams}
         for version in versions if ask.parts else ():
--- a/packages/snipelug-relay/src/snipelug_relay/shelves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/shelves.py
@@ -54,7 +54,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 began = clock.now()
-                known = list(self._beliefs.index.shelves.values())
+                known = list(self._beliefs.index.store_states.values())
                 due = [shelf for shelf in known if self._is_due(shelf, began)]
                 for shelf in due:
                     nursery.start_soon(self._visit, shelf)
@@ -65,7 +65,7 @@
                     await self._beliefs.stores_changed.wait()
                 self._beliefs.stores_changed = trio.Event()
 
-    def _is_due(self, shelf: kv_index.Shelf, now: float) -> bool:
+    def _is_due(self, shelf: kv_index.StoreState, now: float) -> bool:
         """Tell whether this node polls a store now, for others or for itself."""
         name = shelf.store.name
         if name in self._visited:
@@ -75,7 +75,7 @@
             return now - self._visited_at.get(name, -1e9) > POLL_S - LOOK_S / 2
         return now - shelf.polled_at > TOLD_S
 
-    async def _visit(self, shelf: kv_index.Shelf) -> None:
+    async def _visit(self, shelf: kv_index.StoreState) -> None:
         name = shelf.store.name
         self._visited.add(name)
         self._visited_at[name] = clock.now()
@@ -86,10 +86,10 @@
         if shelf.is_fresh(clock.now()) and self._beliefs.cleans(name):
             await self._free(shelf)
 
-    async def _poll(self, shelf: kv_index.Shelf) -> None:
+    async def _poll(self, shelf: kv_index.StoreState) -> None:
         addr = (shelf.store.host, shelf.store.port)
         sent_at = clock.now()
-        since = shelf.next
+        since = shelf.next_event
         page = await self._machines.store_events(addr, since)
         if isinstance(page, ports.Unavailable):
             if shelf.epoch is not None and shelf.is_fresh(sent_at):
@@ -108,26 +108,26 @@
                 before=shelf.epoch,
             )
             shelf.restart(page.epoch, sent_at)
-        if (is_new and shelf.next > 0) or page.has_gap:
+        if (is_new and shelf.next_event > 0) or page.has_gap:
             await self._read_all(shelf, sent_at)
             return
-        if shelf.next != since:
+        if shelf.next_event != since:
             # A watcher has told these events and newer ones meanwhile.
             return
-        shelf.next = page.next
+        shelf.next_event = page.next
         self._take(shelf, page.events)
         shelf.polled_at = sent_at
         if page.clock_s is not None:
             # The store told its clock before the answer came, so this is a lower
             # bound of the difference and transfers end no later than meant.
             shelf.clock_offset_s = page.clock_s - clock.now()
-            shelf.clock_at = (sent_at, page.clock_s)
+            shelf.clock_sample = (sent_at, page.clock_s)
             if self._beliefs.watches(shelf.store.name):
                 self._tell(shelf, since, page, page.clock_s)
 
     def _tell(
         self,
-        shelf: kv_index.Shelf,
+        shelf: kv_index.StoreState,
         since: int,
         page: ports.StoreEvents,
         clock_s: float,
@@ -161,10 +161,10 @@
 
     def _hear(self, told: messages.ShelfRead) -> None:
         """Take from a watcher what changed in a store."""
-        shelf = self._beliefs.index.shelves.get(told.store)
-        if shelf is None or shelf.clock_at is None or told.epoch != shelf.epoch:
+        shelf = self._beliefs.index.store_states.get(told.store)
+        if shelf is None or shelf.clock_sample is None or told.epoch != shelf.epoch:
             return
-        if told.since > shelf.next or told.next < shelf.next:
+        if told.since > shelf.next_event or told.next < shelf.next_event:
             return
         now = clock.now()
         for salt, part, tokens in told.stored:
@@ -172,28 +172,28 @@
                 shelf.add((salt, part), tokens, now)
             else:
                 shelf.drop((salt, part))
-        shelf.next = told.next
+        shelf.next_event = told.next
         # The store's clock tells how old the watcher's poll is at least.
-        sent_at, clock_s = shelf.clock_at
+        sent_at, clock_s = shelf.clock_sample
         polled_at = sent_at + told.clock_s - clock_s
         shelf.polled_at = max(shelf.polled_at, min(now, polled_at))
 
-    async def _read_all(self, shelf: kv_index.Shelf, sent_at: float) -> None:
+    async def _read_all(self, shelf: kv_index.StoreState, sent_at: float) -> None:
         """Read the whole list after a gap in the events."""
         addr = (shelf.store.host, shelf.store.port)
         page = await self._machines.store_list(addr)
         if isinstance(page, ports.Unavailable) or page.epoch != shelf.epoch:
             shelf.polled_at = -1e9
             return
-        shelf.forget()
+        shelf.clear()
         for part in page.parts:
             shelf.add(part.key, part.tokens, clock.now())
-        shelf.next = page.next
+        shelf.next_event = page.next
         shelf.polled_at = sent_at
         lines.event(LOG, "shelf_listed", store=shelf.store.name, parts=len(page.parts))
 
     def _take(
-        self, shelf: kv_index.Shelf, events: list[ports.Stored | ports.Freed]
+        self, shelf: kv_index.StoreState, events: list[ports.Stored | ports.Freed]
     ) -> None:
         for event in events:
             match event:
@@ -202,9 +202,9 @@
                 case ports.Freed(key):
                     shelf.drop(key)
 
-    async def _free(self, shelf: kv_index.Shelf) -> None:
+    async def _free(self, shelf: kv_index.StoreState) -> None:
         """Free the parts that no request can read any more."""
-        keys = list(kv_index.outdated(shelf, clock.now()))
+        keys = list(kv_index.outdated_parts(shelf, clock.now()))
         epoch = shelf.epoch
         is_freed = epoch is not None
         # Space is scarce after new weights: stores hold little more than one version.
@@ -219,11 +219,11 @@
                 store=shelf.store.name,
                 count=len(keys),
                 is_freed=is_freed,
-                versions=[f"{m}.{v}" for m, v in shelf.generations],
+                versions=[f"{m}.{v}" for m, v in shelf.versions],
             )
 
     async def _free_some(
-        self, shelf: kv_index.Shelf, keys: list[kv_index.PartKey], epoch: int
+        self, shelf: kv_index.StoreState, keys: list[kv_index.PartKey], epoch: int
     ) -> bool:
         addr = (shelf.store.host, shelf.store.port)
         is_freed = await self._machines.free(addr, keys, epoch)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -91,7 +91,7 @@
 
     def knows_stores(self, now: float) -> bool:
         """Tell whether all stores of KV cache have told what they hold."""
-        return all(shelf.is_fresh(now) for shelf in self.index.shelves.values())
+        return all(shelf.is_fresh(now) for shelf in self.index.store_states.values())
 
     @property
     def nodes(self) -> int:
@@ -113,7 +113,7 @@
     def may_use_stores(self, model: str, version: int, now: float) -> bool:
         """Tell whether parts of a weight version may be read from stores."""
         named = self.named.get(model)
-        return named is None or kv_index.is_in_use(version, named.times, now)
+        return named is None or kv_index.is_version_usable(version, named.times, now)
 
     def held_tokens(self, upstream: fleet.Upstream) -> float:
         """Return how many tokens an engine is taken to keep cached."""
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -74,9 +74,9 @@
     """Build an index whose stores have all answered just now."""
     index = kv_index.Index()
     index.set_stores(stores or (kv_store(),))
-    for shelf in index.shelves.values():
-        shelf.restart(1, now)
-        shelf.settled_at = now
-        shelf.polled_at = now
-        shelf.clock_offset_s = 0.0
+    for state in index.store_states.values():
+        state.restart(1, now)
+        state.saves_allowed_at = now
+        state.polled_at = now
+        state.clock_offset_s = 0.0
     return index
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -14,23 +14,23 @@
 PARTS = (choice.PromptPart("shared", 12_800), choice.PromptPart("own", 4_000))
 SALT = kv_index.salt("m", 1, None)
 KEY = (SALT, "shared")
-SHARED = ["shared", *(f"shared-{i}" for i in range(1, kv_index.NEWER_PARTS))]
+SHARED = ["shared", *(f"shared-{i}" for i in range(1, kv_index.MIN_NEWER_PARTS))]
 
 
 def test_part_is_saved_once_and_then_read() -> None:
     """Guards against shared parts that engines read again and again."""
     index = relay_builders.fresh_index(0.0)
-    (shelf,) = index.shelves.values()
+    (state,) = index.store_states.values()
     first = index.plan(PARTS, SALT, 0.1)
-    assert first.targets == (shelf.store, None)
+    assert first.targets == (state.store, None)
     assert not any(first.sources)
     second = index.plan(PARTS, SALT, 0.2)
     assert not any(second.targets)
-    shelf.add(KEY, 12_800, 0.3)
+    state.add(KEY, 12_800, 0.3)
     third = index.plan(PARTS, SALT, 0.3)
-    assert third.sources == (kv_index.Source(shelf.store, 12_800), None)
+    assert third.sources == (kv_index.Source(state.store, 12_800), None)
     assert not any(third.targets)
-    assert third.until_s == 0.3 + kv_index.FETCH_S
+    assert third.deadline_s == 0.3 + kv_index.FETCH_TIMEOUT_S
 
 
 def test_own_part_is_never_stored() -> None:
@@ -75,26 +75,31 @@
 def test_parts_of_old_versions_are_found() -> None:
     """Guards against stores that fill up with parts of replaced weights."""
     index = relay_builders.fresh_index(0.0)
-    (shelf,) = index.shelves.values()
+    (state,) = index.store_states.values()
     isolated = catalog.Team("t", is_isolated=True)
     old = (kv_index.salt("a.b", 1, isolated), "p")
     new = kv_index.salt("a.b", 2, isolated)
-    shelf.add(old, 10, 0.0)
-    for number in range(kv_index.NEWER_PARTS):
-        assert list(kv_index.outdated(shelf, 100.0)) == []
-        shelf.add((new, f"p{number}"), 10, 1.0)
-    assert list(kv_index.outdated(shelf, 1.0 + kv_index.FREE_AFTER_S)) == []
-    assert list(kv_index.outdated(shelf, 1.1 + kv_index.FREE_AFTER_S)) == [old]
+    state.add(old, 10, 0.0)
+    for number in range(kv_index.MIN_NEWER_PARTS):
+        assert list(kv_index.outdated_parts(state, 100.0)) == []
+        state.add((new, f"p{number}"), 10, 1.0)
+    assert (
+        list(kv_index.outdated_parts(state, 1.0 + kv_index.OLD_VERSION_FREE_DELAY_S))
+        == []
+    )
+    assert list(
+        kv_index.outdated_parts(state, 1.1 + kv_index.OLD_VERSION_FREE_DELAY_S)
+    ) == [old]
 
 
 def test_full_store_yields_to_the_next() -> None:
     """Guards against saves that are lost because one store is full."""
     stores = [relay_builders.kv_store(f"s{i}") for i in range(3)]
     index = relay_builders.fresh_index(0.0, *stores)
-    order = index.order(PARTS[0])
-    order[0].add((SALT, "other"), 999_000, 0.0)
+    ranked_stores = index.ranked_stores(PARTS[0])
+    ranked_stores[0].add((SALT, "other"), 999_000, 0.0)
     plan = index.plan(PARTS, SALT, 0.1)
-    assert plan.targets[0] == order[1].store
+    assert plan.targets[0] == ranked_stores[1].store
 
 
 def test_small_parts_prefer_stores_that_start_soon() -> None:
@@ -106,7 +111,7 @@
     index = relay_builders.fresh_index(0.0, *stores)
     for number in range(20):
         part = choice.PromptPart(f"p{number}", 300)
-        assert index.order(part)[0].store.name == "fast"
+        assert index.ranked_stores(part)[0].store.name == "fast"
 
 
 def test_stores_get_parts_by_their_space() -> None:
@@ -117,7 +122,7 @@
     ]
     index = relay_builders.fresh_index(0.0, *stores)
     homes = collections.Counter(
-        index.order(choice.PromptPart(f"p{i}", 5_000))[0].store.name
+        index.ranked_stores(choice.PromptPart(f"p{i}", 5_000))[0].store.name
         for i in range(2_000)
     )
     assert 0.70 < homes["large"] / 2_000 < 0.80
@@ -162,8 +167,8 @@
         for number in range(3):
             self.poll(number)
 
-    def shelf(self, node: Reader) -> kv_index.Shelf:
-        return next(iter(node.index.shelves.values()))
+    def state(self, node: Reader) -> kv_index.StoreState:
+        return next(iter(node.index.store_states.values()))
 
     @stateful.rule(
         seconds=st.sampled_from([0.3, 0.8, 1.5]),
@@ -188,15 +193,15 @@
     @stateful.rule(number=st.integers(0, 2))
     def poll(self, number: int) -> None:
         """Read the whole content, as after events without a gap."""
-        shelf = self.shelf(self.nodes[number])
-        if shelf.epoch != self.epoch:
-            shelf.restart(self.epoch, self.now)
-        for key in list(shelf.parts):
+        state = self.state(self.nodes[number])
+        if state.epoch != self.epoch:
+            state.restart(self.epoch, self.now)
+        for key in list(state.parts):
             if key not in self.complete:
-                shelf.drop(key)
+                state.drop(key)
         for key, tokens in self.complete.items():
-            shelf.add(key, tokens, self.now)
-        shelf.polled_at = self.now
+            state.add(key, tokens, self.now)
+        state.polled_at = self.now
 
     @stateful.rule(number=st.integers(0, 2))
     def confirm(self, number: int) -> None:
@@ -215,7 +220,7 @@
         """
         node = self.nodes[number]
         version = max(1, node.newest - is_old)
-        if not kv_index.is_in_use(version, node.named_at, self.now):
+        if not kv_index.is_version_usable(version, node.named_at, self.now):
             return
         salt = kv_index.salt("m", version, None)
         parts = (choice.PromptPart(part, 12_800), choice.PromptPart("own", 4_000))
@@ -223,9 +228,9 @@
         key = (salt, part)
         if any(plan.sources):
             assert key not in self.writing, "a part that is not whole is read"
-            assert plan.until_s is not None
+            assert plan.deadline_s is not None
             if key in self.complete:
-                self.fetches.append(Fetch(key, plan.until_s))
+                self.fetches.append(Fetch(key, plan.deadline_s))
         if any(plan.targets) and key not in self.complete:
             self.writing.setdefault(key, self.now + 1.0)
 
@@ -253,14 +258,14 @@
     def free(self, number: int) -> None:
         """Free as the node that cleans the store does."""
         node = self.nodes[number]
-        shelf = self.shelf(node)
-        if not shelf.is_fresh(self.now) or shelf.epoch != self.epoch:
+        state = self.state(node)
+        if not state.is_fresh(self.now) or state.epoch != self.epoch:
             return
-        for key in list(kv_index.outdated(shelf, self.now)):
+        for key in list(kv_index.outdated_parts(state, self.now)):
             busy = [f for f in self.fetches if f.part == key]
             assert not busy, "a part is freed while it is read"
             self.complete.pop(key, None)
-            shelf.drop(key)
+            state.drop(key)
 
 
 Stores.TestCase.settings = hypothesis.settings(
@@ -276,14 +281,14 @@
     """
     store = relay_builders.kv_store()
     first, second = (relay_builders.fresh_index(0.0, store) for _ in range(2))
-    (first_shelf,), (second_shelf,) = (
-        index.shelves.values() for index in (first, second)
+    (first_state,), (second_state,) = (
+        index.store_states.values() for index in (first, second)
     )
-    second_shelf.add(KEY, 12_800, 0.0)
-    first_shelf.restart(2, 0.1)
+    second_state.add(KEY, 12_800, 0.0)
+    first_state.restart(2, 0.1)
     for tick in range(1, 100):
         now = 0.1 + tick / 20
-        first_shelf.polled_at = now
+        first_state.polled_at = now
         reads = any(second.plan(PARTS, SALT, now).sources)
         saves = any(first.plan(PARTS, SALT, now).targets)
         assert not (reads and saves)
@@ -295,10 +300,10 @@
 def test_unheard_store_is_not_read() -> None:
     """Guards against parts of a store that may have restarted."""
     index = relay_builders.fresh_index(0.0)
-    (shelf,) = index.shelves.values()
-    shelf.add(KEY, 12_800, 0.0)
-    assert any(index.plan(PARTS, SALT, kv_index.FRESH_S - 0.1).sources)
-    assert not any(index.plan(PARTS, SALT, kv_index.FRESH_S).sources)
+    (state,) = index.store_states.values()
+    state.add(KEY, 12_800, 0.0)
+    assert any(index.plan(PARTS, SALT, kv_index.MAX_POLL_AGE_S - 0.1).sources)
+    assert not any(index.plan(PARTS, SALT, kv_index.MAX_POLL_AGE_S).sources)
 
 
 @pytest.mark.parametrize("polled_before_s", [0.0, 0.5, 1.0, 1.55])
@@ -314,9 +319,9 @@
     """
     store = relay_builders.kv_store()
     cleaner, user = (relay_builders.fresh_index(0.0, store) for _ in range(2))
-    (freeing,), (reading,) = (index.shelves.values() for index in (cleaner, user))
-    for shelf in (freeing, reading):
-        shelf.add(KEY, 12_800, 0.0)
+    (freeing,), (reading,) = (index.store_states.values() for index in (cleaner, user))
+    for state in (freeing, reading):
+        state.add(KEY, 12_800, 0.0)
     newer = [(kv_index.salt("m", 2, None), part) for part in SHARED]
     for key in newer:
         freeing.add(key, 12_800, 0.0)
@@ -330,20 +335,20 @@
             reading.polled_at = now
         if any(user.plan(PARTS, SALT, now).sources):
             last_use = now
-        if freed_at is None and any(kv_index.outdated(freeing, now)):
+        if freed_at is None and any(kv_index.outdated_parts(freeing, now)):
             freed_at = now
     assert freed_at is not None
-    assert 0.0 < last_use + kv_index.FETCH_S < freed_at
+    assert 0.0 < last_use + kv_index.FETCH_TIMEOUT_S < freed_at
 
 
 def test_node_that_starts_does_not_read_what_is_freed_now() -> None:
     """Guards against a new node that takes old and newer parts for equally old."""
     index = kv_index.Index()
     index.set_stores((relay_builders.kv_store(),))
-    (shelf,) = index.shelves.values()
-    shelf.restart(1, 100.0)
-    shelf.add(KEY, 12_800, 100.0)
-    shelf.add((kv_index.salt("m", 2, None), "shared"), 12_800, 100.0)
-    shelf.polled_at, shelf.clock_offset_s = 100.0, 0.0
+    (state,) = index.store_states.values()
+    state.restart(1, 100.0)
+    state.add(KEY, 12_800, 100.0)
+    state.add((kv_index.salt("m", 2, None), "shared"), 12_800, 100.0)
+    state.polled_at, state.clock_offset_s = 100.0, 0.0
     assert not any(index.plan(PARTS, SALT, 100.1).sources)
     assert any(index.plan(PARTS, kv_index.salt("m", 2, None), 100.1).sources)
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -144,7 +144,7 @@
             await trio.sleep(0.05)
         # Two watchers poll once a second.
         assert sound.polls - before <= 2 * (3 + 1)
-    assert max(ages) < kv_index.FRESH_S
+    assert max(ages) < kv_index.MAX_POLL_AGE_S
 
 
 async def test_lapsed_entries_that_come_back_are_used_by_all_nodes() -> None:
