Rename rollout, watcher, overload, attempt and retry to common terms

attempt.Next is Action and Result.TURNED_AWAY REJECTED (its value stays); rollout's Held is HeldLease, plan plan_orders, settle prune_orders; retry's try_retry is try_acquire and share node_share; watcher.pick is pick_readers.

--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -5,10 +5,10 @@
 
 from snipelug_core import catalog
 
-MOST_SENDS = 4
+MAX_SENDS = 4
 """Sends of one request, those that upstreams turned away included."""
 
-MIN_LEFT_S = 0.02
+MIN_REMAINING_S = 0.02
 """With less time left no further attempt is made."""
 
 
@@ -20,17 +20,17 @@
     """The upstream answered with a failure of its own, so the request ran."""
     NOT_CONNECTED = "not_connected"
     """No byte was sent."""
-    TURNED_AWAY = "turned_away"
+    REJECTED = "turned_away"
     """The upstream says that it did not run the request."""
     LOST = "lost"
     """Whether the request ran is not known."""
 
 
-NOT_RUN = (Result.NOT_CONNECTED, Result.TURNED_AWAY)
+NOT_RUN = (Result.NOT_CONNECTED, Result.REJECTED)
 """Results after which the upstream has not run the request and never will."""
 
 
-class Next(enum.Enum):
+class Action(enum.Enum):
     """What to do next."""
 
     DELIVER = "deliver"
@@ -55,12 +55,12 @@
 
     sends: int = 0
     runs: int = 0
-    connects_failed: int = 0
+    failed_connects: int = 0
 
     def add(self, result: Result) -> None:
         """Count an attempt."""
         if result is Result.NOT_CONNECTED:
-            self.connects_failed += 1
+            self.failed_connects += 1
             return
         self.sends += 1
         if result not in NOT_RUN:
@@ -71,9 +71,9 @@
     result: Result,
     history: History,
     route: catalog.Route,
-    left_s: float,
+    remaining_s: float,
     has_budget: bool,
-) -> Next:
+) -> Action:
     """Decide after an attempt that ``history`` already counts.
 
     Parameters
@@ -84,20 +84,20 @@
         The retry budget allows one more send.
     """
     if result is Result.ANSWERED:
-        return Next.DELIVER
+        return Action.DELIVER
     may_run_again = (
         route.repeat is not catalog.RepeatPolicy.AT_MOST_ONCE
         and history.runs < route.max_attempts
     )
     may_send = (
-        history.sends < MOST_SENDS
-        and history.connects_failed <= MOST_SENDS
-        and left_s > MIN_LEFT_S
+        history.sends < MAX_SENDS
+        and history.failed_connects <= MAX_SENDS
+        and remaining_s > MIN_REMAINING_S
         and (has_budget or result is Result.NOT_CONNECTED)
         and (history.runs == 0 or may_run_again)
     )
     if may_send:
-        return Next.TRY_AGAIN
+        return Action.TRY_AGAIN
     if result is Result.FAILED:
-        return Next.DELIVER
-    return Next.REFUSE if history.runs == 0 else Next.FAIL
+        return Action.DELIVER
+    return Action.REFUSE if history.runs == 0 else Action.FAIL
--- a/packages/snipelug-core/src/snipelug_core/overload.py
+++ b/packages/snipelug-core/src/snipelug_core/overload.py
@@ -9,38 +9,38 @@
 
 import random
 
-LATE_PART = 0.75
+LATE_FRACTION = 0.75
 """Expected time to the first token, in objectives, above which a prompt is late.
 
 Load reports lag behind: of prompts that were expected right at the objective, most
 came later.
 """
 
-READ_PART = 0.5
+MAX_PREFILL_FRACTION = 0.5
 """Most of the objective that the time to read the prompt itself counts for.
 
 Long prompts are turned away first, as each makes many short ones late; without a bound
 the longest would be turned away each time.
 """
 
-SPARE_S = 0.1
+ANSWER_MARGIN_S = 0.1
 """Time that an answer needs beside the wait."""
 
 MIN_RETRY_S = 0.3
 """Shortest time after which a caller may come back; a queue moves little sooner."""
 
-RETRY_PART = 1 / 3
+MAX_RETRY_FRACTION = 1 / 3
 """Part of a caller's time that it waits at most before it comes back."""
 
-SPREAD = 0.5
+JITTER = 0.5
 """Part of the pause that is random, so that callers do not come back together."""
 
 
 def retry_after(
     wait_s: float,
-    read_s: float,
+    prefill_s: float,
     objective_s: float,
-    left_s: float,
+    remaining_s: float,
     rng: random.Random,
 ) -> float | None:
     """Return the pause after which a prompt should come back, or None to send it.
@@ -61,8 +61,11 @@
     float or None
         Pause in seconds.
     """
-    counted_s = wait_s + min(read_s, READ_PART * objective_s)
-    if counted_s <= LATE_PART * objective_s and wait_s + SPARE_S <= left_s:
+    counted_s = wait_s + min(prefill_s, MAX_PREFILL_FRACTION * objective_s)
+    if (
+        counted_s <= LATE_FRACTION * objective_s
+        and wait_s + ANSWER_MARGIN_S <= remaining_s
+    ):
         return None
-    pause_s = max(MIN_RETRY_S, wait_s) * rng.uniform(1.0 - SPREAD / 2, 1.0 + SPREAD / 2)
-    return min(pause_s, RETRY_PART * left_s)
+    pause_s = max(MIN_RETRY_S, wait_s) * rng.uniform(1.0 - JITTER / 2, 1.0 + JITTER / 2)
+    return min(pause_s, MAX_RETRY_FRACTION * remaining_s)
--- a/packages/snipelug-core/src/snipelug_core/retry.py
+++ b/packages/snipelug-core/src/snipelug_core/retry.py
@@ -2,13 +2,13 @@
 
 import dataclasses
 
-RETRY_PART = 0.1
+RETRY_RATIO = 0.1
 """Retries per request, so that retries add at most a tenth to an upstream's load."""
 
-MIN_PER_S = 0.1
+MIN_RETRIES_PER_S = 0.1
 """Retries per second that are allowed even without other requests."""
 
-DEPTH = 10.0
+MAX_SAVED_RETRIES = 10.0
 """Most retries saved up."""
 
 
@@ -26,15 +26,15 @@
         Most retries saved up.
     """
 
-    part: float = RETRY_PART
-    per_s: float = MIN_PER_S
-    depth: float = DEPTH
+    ratio: float = RETRY_RATIO
+    min_per_s: float = MIN_RETRIES_PER_S
+    capacity: float = MAX_SAVED_RETRIES
 
 
-DEFAULT = Policy()
+DEFAULT_POLICY = Policy()
 
 
-def share(part: float, extra: float, nodes: int) -> Policy:
+def node_share(ratio: float, extra: float, nodes: int) -> Policy:
     """Return one node's share of a budget that all nodes have together.
 
     Parameters
@@ -46,7 +46,7 @@
     nodes : int
         Nodes that share the budget.
     """
-    return Policy(0.75 * part, 0.0, max(1.0, 0.75 * extra / max(1, nodes)))
+    return Policy(0.75 * ratio, 0.0, max(1.0, 0.75 * extra / max(1, nodes)))
 
 
 @dataclasses.dataclass
@@ -61,21 +61,21 @@
         Monotonic time up to which the level is computed, in seconds.
     """
 
-    level: float = 1.0
-    filled_at: float = 0.0
+    available: float = 1.0
+    refilled_at: float = 0.0
 
 
-def note_request(budget: Budget, policy: Policy = DEFAULT) -> None:
+def record_request(budget: Budget, policy: Policy = DEFAULT_POLICY) -> None:
     """Count a first attempt."""
-    budget.level = min(policy.depth, budget.level + policy.part)
+    budget.available = min(policy.capacity, budget.available + policy.ratio)
 
 
-def try_retry(budget: Budget, now: float, policy: Policy = DEFAULT) -> bool:
+def try_acquire(budget: Budget, now: float, policy: Policy = DEFAULT_POLICY) -> bool:
     """Take one retry from the budget, if it allows one."""
-    gained = policy.per_s * max(0.0, now - budget.filled_at)
-    budget.level = min(policy.depth, budget.level + gained)
-    budget.filled_at = max(now, budget.filled_at)
-    if budget.level < 1.0:
+    gained = policy.min_per_s * max(0.0, now - budget.refilled_at)
+    budget.available = min(policy.capacity, budget.available + gained)
+    budget.refilled_at = max(now, budget.refilled_at)
+    if budget.available < 1.0:
         return False
-    budget.level -= 1.0
+    budget.available -= 1.0
     return True
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -11,16 +11,16 @@
 
 from snipelug_core import fleet
 
-ROLLOUT_S = 5.0
+ROLLOUT_TARGET_S = 5.0
 """Time in which all engines are to serve a version after it was named.
 
 Shorter leaves too few engines for the load; the deployments allow 8 s in all.
 """
 
-LOAD_S = 0.8
+LOAD_DURATION_S = 0.8
 """Time for which an engine is away: its runs finish, then the weights load."""
 
-MOST_PART = 1 / 2
+MAX_LOADING_FRACTION = 1 / 2
 """Part of the engines that load at once, at most; the rest serve meanwhile."""
 
 LEASE_MARGIN_MS = 400.0
@@ -32,7 +32,7 @@
 ORDER_REPEAT_S = 2.5
 """An order without visible effect is given again after this time."""
 
-SETTLE_MS = 200.0
+TAKEOVER_DELAY_MS = 200.0
 """Time beyond the end of a lease before another node takes it."""
 
 
@@ -54,7 +54,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Held:
+class HeldLease:
     """A lease of this node.
 
     Attributes
@@ -69,7 +69,7 @@
     sent_at: float
     store_ms: float
 
-    def left_ms(self, now: float) -> float:
+    def remaining_ms(self, now: float) -> float:
         """Return for how long orders may be given, in milliseconds.
 
         The store answered after ``sent_at``, so its clock now is at most
@@ -83,7 +83,7 @@
     """Tell whether a node may take the lease that it read from the store."""
     if row is None or row.holder == node_id:
         return True
-    return store_ms > row.until_ms + SETTLE_MS
+    return store_ms > row.until_ms + TAKEOVER_DELAY_MS
 
 
 @dataclasses.dataclass
@@ -105,7 +105,7 @@
 """Orders by upstream."""
 
 
-def outdated(
+def outdated_upstreams(
     upstreams: collections.abc.Iterable[fleet.Upstream],
     newest: collections.abc.Mapping[str, int],
 ) -> collections.abc.Iterator[tuple[fleet.Upstream, str, int]]:
@@ -118,7 +118,7 @@
                 yield upstream, model, newest[model]
 
 
-def settle(
+def prune_orders(
     orders: Orders,
     upstreams: collections.abc.Mapping[str, fleet.Upstream],
     now: float,
@@ -133,7 +133,7 @@
             del orders[upstream_id]
 
 
-def plan(
+def plan_orders(
     upstreams: collections.abc.Collection[fleet.Upstream],
     newest: collections.abc.Mapping[str, int],
     orders: Orders,
@@ -147,15 +147,19 @@
         Time since the newest version was named, in seconds.
     """
     waiting = [
-        item for item in outdated(upstreams, newest) if item[0].entry.id not in orders
+        item
+        for item in outdated_upstreams(upstreams, newest)
+        if item[0].entry.id not in orders
     ]
-    room = at_once(len(upstreams), len(waiting) + len(orders), age_s) - len(orders)
+    room = max_concurrent_loads(
+        len(upstreams), len(waiting) + len(orders), age_s
+    ) - len(orders)
     waiting.sort(key=lambda item: (item[0].running, item[0].entry.id))
     return waiting[: max(0, room)]
 
 
-def at_once(engines: int, outdated_engines: int, age_s: float) -> int:
+def max_concurrent_loads(engines: int, outdated_engines: int, age_s: float) -> int:
     """Return how many engines load at once, so that all are done in time."""
-    waves = max(1.0, (ROLLOUT_S - age_s) / LOAD_S)
-    most = max(1, math.floor(MOST_PART * engines))
+    waves = max(1.0, (ROLLOUT_TARGET_S - age_s) / LOAD_DURATION_S)
+    most = max(1, math.floor(MAX_LOADING_FRACTION * engines))
     return min(most, max(1, math.ceil(outdated_engines / waves)))
--- a/packages/snipelug-core/src/snipelug_core/watcher.py
+++ b/packages/snipelug-core/src/snipelug_core/watcher.py
@@ -5,17 +5,17 @@
 
 from snipelug_core import hashing
 
-PER_ZONE = 2
+READERS_PER_ZONE = 2
 """Nodes that read; two, so that the loss of one is not noticed."""
 
-PER_STORE = 1
+READERS_PER_STORE = 1
 """Nodes that read one store of KV cache; without it the others read for themselves.
 
 Their number spreads what is told over the links of a zone: at 500 parts a second one
 node that tells 25 others of all stores fills a link of 5 Mbit/s.
 """
 
-ALL_UP_TO = 4
+MAX_NODES_WITHOUT_READERS = 4
 """In zones with at most so many nodes each reads for itself."""
 
 
@@ -27,7 +27,7 @@
     zone: str
 
 
-def pick(
+def pick_readers(
     nodes: collections.abc.Iterable[Node],
     zone: str,
     store: str | None = None,
@@ -40,8 +40,8 @@
         A store of KV cache; None for the tables of the platform's store.
     """
     ids = [node.id for node in nodes if node.zone == zone]
-    if len(ids) <= ALL_UP_TO:
+    if len(ids) <= MAX_NODES_WITHOUT_READERS:
         return ids
     if store is None:
-        return hashing.rank(zone, ids)[:PER_ZONE]
-    return hashing.rank(f"{zone}/{store}", ids)[:PER_STORE]
+        return hashing.rank(zone, ids)[:READERS_PER_ZONE]
+    return hashing.rank(f"{zone}/{store}", ids)[:READERS_PER_STORE]
--- a/packages/snipelug-node/src/snipelug_node/retries.py
+++ b/packages/snipelug-node/src/snipelug_node/retries.py
@@ -14,8 +14,8 @@
     def note_request(self, upstream_id: str, now: float) -> None:
         """Count a first send."""
         del now
-        retry.note_request(self._budgets[upstream_id])
+        retry.record_request(self._budgets[upstream_id])
 
     def take_retry(self, upstream_id: str, now: float) -> bool:
         """Take one retry from the budget if there is one."""
-        return retry.try_retry(self._budgets[upstream_id], now)
+        return retry.try_acquire(self._budgets[upstream_id], now)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -127,12 +127,14 @@
         )
         service = known.pick_service(route, ask.request_id)
         budget = self._budgets.setdefault(service, retry.Budget())
-        retry.note_request(budget, self._policy())
+        retry.record_request(budget, self._policy())
         return job.Job(ask, route, team, service, now, now + wait_s)
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
-        return retry.share(bounds.retry_part, bounds.retry_extra, self._beliefs.nodes)
+        return retry.node_share(
+            bounds.retry_part, bounds.retry_extra, self._beliefs.nodes
+        )
 
     async def _answer(self, work: job.Job) -> http_server.Response:
         while True:
@@ -141,21 +143,21 @@
                 return self._refuse(work, pick)
             outcome = await self._attempt(work, pick, work.ask.resume_after)
             decision = self._decide(work, outcome)
-            if decision is attempt.Next.TRY_AGAIN:
+            if decision is attempt.Action.TRY_AGAIN:
                 continue
-            if decision is attempt.Next.DELIVER and outcome.reply is not None:
+            if decision is attempt.Action.DELIVER and outcome.reply is not None:
                 return self._stream(work, outcome)
-            if decision is attempt.Next.DELIVER and outcome.response is not None:
+            if decision is attempt.Action.DELIVER and outcome.response is not None:
                 is_good = outcome.response.status < SERVER_ERROR
                 self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
-            if decision is attempt.Next.REFUSE:
+            if decision is attempt.Action.REFUSE:
                 return self._refuse(
                     work, self._selector.turned_away(work, outcome.reason)
                 )
             return self._fail(work, outcome)
 
-    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Next:
+    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
         work.history.add(outcome.result)
         self._stats.attempts.labels(work.service, outcome.result.value).inc()
         if outcome.visit is not None:
@@ -164,7 +166,7 @@
                 outcome.visit.entry["reason"] = outcome.reason
         is_last = outcome.result is attempt.Result.ANSWERED
         may_try = not is_last and self._could_retry(work)
-        has_budget = may_try and retry.try_retry(
+        has_budget = may_try and retry.try_acquire(
             self._budgets[work.service], clock.now(), self._policy()
         )
         return attempt.decide(
@@ -176,7 +178,7 @@
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
-        return decision is attempt.Next.TRY_AGAIN
+        return decision is attempt.Action.TRY_AGAIN
 
     async def _attempt(
         self, work: job.Job, pick: choice.Choice, resume_after: str | None
@@ -324,7 +326,7 @@
             reason = f"turned away with {reply.status}"
             if verdict.is_other_instance:
                 reason += ", another instance or version"
-            return job.Outcome(attempt.Result.TURNED_AWAY, reason)
+            return job.Outcome(attempt.Result.REJECTED, reason)
         if not verdict.is_own:
             reason = f"status {reply.status} without signature or with another id"
             return job.Outcome(attempt.Result.LOST, reason)
@@ -409,7 +411,7 @@
                 failures=upstream.connect_failures,
                 reason=outcome.reason,
             )
-        elif outcome.result is not attempt.Result.TURNED_AWAY:
+        elif outcome.result is not attempt.Result.REJECTED:
             upstream.record_outcome(outcome.result is attempt.Result.LOST, now)
 
     def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
@@ -424,7 +426,7 @@
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
-            if self._decide(work, lost) is not attempt.Next.TRY_AGAIN:
+            if self._decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
             pick = await self._selector.pick(work)
             if isinstance(pick, refusal.Refusal):
@@ -451,7 +453,7 @@
         return self._dialect.refuse(work.ask, reason)
 
     def _fail(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
-        is_late = work.left_s() <= attempt.MIN_LEFT_S
+        is_late = work.left_s() <= attempt.MIN_REMAINING_S
         kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
         self._finish(work, "failed", outcome.reason, kind.code)
         reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -289,5 +289,5 @@
 
     def _is_picked(self, store: str | None) -> bool:
         nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
-        picked = watcher.pick(nodes, self.cfg.zone, store)
+        picked = watcher.pick_readers(nodes, self.cfg.zone, store)
         return self.cfg.node_id in picked or not picked
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -50,7 +50,7 @@
         self._store = store
         self._machines = machines
         self._stats = metrics
-        self._held: rollout.Held | None = None
+        self._held: rollout.HeldLease | None = None
         self._row_version = 0
         self._is_renewing = False
         self._orders: rollout.Orders = {}
@@ -98,7 +98,7 @@
     def _is_needed(self) -> bool:
         newest = self._beliefs.newest()
         return any(
-            next(rollout.outdated(group, newest), None) is not None
+            next(rollout.outdated_upstreams(group, newest), None) is not None
             for group in self._engines()
         )
 
@@ -111,7 +111,7 @@
     def _left_ms(self) -> float:
         """Return for how long this node may give orders, in milliseconds."""
         held = self._held
-        return held.left_ms(clock.now()) if held is not None else 0.0
+        return held.remaining_ms(clock.now()) if held is not None else 0.0
 
     def _renew_soon(self, nursery: trio.Nursery) -> None:
         """Renew the lease beside the orders, which go on while it lasts."""
@@ -139,7 +139,9 @@
                 self._wait_until = clock.now() + RANK_S
         else:
             assert row.lease is not None
-            left_s = (row.lease.until_ms + rollout.SETTLE_MS - row.clock_ms) / 1e3
+            left_s = (
+                row.lease.until_ms + rollout.TAKEOVER_DELAY_MS - row.clock_ms
+            ) / 1e3
             self._wait_until = clock.now() + left_s + 0.01
 
     async def _write(self, fencing: int | None, store_ms: float, expected: int) -> bool:
@@ -162,7 +164,7 @@
             return False
         if fencing is None:
             lines.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
-        self._held = rollout.Held(lease, sent_at, answer.clock_ms)
+        self._held = rollout.HeldLease(lease, sent_at, answer.clock_ms)
         self._row_version = answer.version
         return True
 
@@ -174,10 +176,10 @@
                 for upstream_id in list(self._orders):
                     if upstream_id in known:
                         nursery.start_soon(self._look, known[upstream_id])
-        rollout.settle(self._orders, self._beliefs.fleet.upstreams, clock.now())
+        rollout.prune_orders(self._orders, self._beliefs.fleet.upstreams, clock.now())
         async with trio.open_nursery() as nursery:
             for group in self._engines():
-                for upstream, model, version in rollout.plan(
+                for upstream, model, version in rollout.plan_orders(
                     group, newest, self._orders, self._age_s()
                 ):
                     order = rollout.Order(model, version, clock.now())
@@ -219,7 +221,7 @@
         self._keep_away(upstream, SWITCH_S + DRAIN_S)
         await trio.sleep(DRAIN_S)
         held = self._held
-        if held is None or held.left_ms(clock.now()) <= 0:
+        if held is None or held.remaining_ms(clock.now()) <= 0:
             self._orders.pop(upstream.entry.id, None)
             self._keep_away(upstream, 0.0)
             return
@@ -236,7 +238,7 @@
             before=served,
             accepted=report.orders,
             fencing=held.lease.fencing,
-            lease_left_ms=round(held.left_ms(clock.now())),
+            lease_left_ms=round(held.remaining_ms(clock.now())),
             status=answer.status,
             reason=answer.reason,
         )
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -211,7 +211,7 @@
     @property
     def has_watchers(self) -> bool:
         """Whether two nodes read from the platform for the others."""
-        return len(self.nodes) > watcher.ALL_UP_TO
+        return len(self.nodes) > watcher.MAX_NODES_WITHOUT_READERS
 
     # Faults. Each returns after it has ended.
 
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -7,31 +7,33 @@
 from snipelug_core import attempt, catalog, retry
 from tests import relay_builders
 
-Result, Next, Repeat = attempt.Result, attempt.Next, catalog.RepeatPolicy
+Result, Action, Repeat = attempt.Result, attempt.Action, catalog.RepeatPolicy
 
 CASES = [
-    (Repeat.IDEMPOTENT, [Result.LOST], Next.TRY_AGAIN),
-    (Repeat.IDEMPOTENT, [Result.FAILED], Next.TRY_AGAIN),
-    (Repeat.IDEMPOTENT, [Result.LOST, Result.FAILED], Next.DELIVER),
-    (Repeat.IDEMPOTENT, [Result.LOST, Result.LOST], Next.FAIL),
-    (Repeat.IDEMPOTENT, [Result.TURNED_AWAY, Result.LOST], Next.TRY_AGAIN),
-    (Repeat.RESUMABLE, [Result.LOST], Next.TRY_AGAIN),
-    (Repeat.RESUMABLE, [Result.LOST, Result.TURNED_AWAY], Next.TRY_AGAIN),
-    (Repeat.RESUMABLE, [Result.LOST, Result.LOST], Next.FAIL),
-    (Repeat.AT_MOST_ONCE, [Result.LOST], Next.FAIL),
-    (Repeat.AT_MOST_ONCE, [Result.FAILED], Next.DELIVER),
-    (Repeat.AT_MOST_ONCE, [Result.TURNED_AWAY], Next.TRY_AGAIN),
-    (Repeat.AT_MOST_ONCE, [Result.NOT_CONNECTED], Next.TRY_AGAIN),
-    (Repeat.AT_MOST_ONCE, [Result.TURNED_AWAY, Result.LOST], Next.FAIL),
-    (Repeat.AT_MOST_ONCE, [Result.TURNED_AWAY] * 4, Next.REFUSE),
-    (Repeat.IDEMPOTENT, [Result.NOT_CONNECTED] * 6, Next.REFUSE),
-    (Repeat.IDEMPOTENT, [Result.ANSWERED], Next.DELIVER),
+    (Repeat.IDEMPOTENT, [Result.LOST], Action.TRY_AGAIN),
+    (Repeat.IDEMPOTENT, [Result.FAILED], Action.TRY_AGAIN),
+    (Repeat.IDEMPOTENT, [Result.LOST, Result.FAILED], Action.DELIVER),
+    (Repeat.IDEMPOTENT, [Result.LOST, Result.LOST], Action.FAIL),
+    (Repeat.IDEMPOTENT, [Result.REJECTED, Result.LOST], Action.TRY_AGAIN),
+    (Repeat.RESUMABLE, [Result.LOST], Action.TRY_AGAIN),
+    (Repeat.RESUMABLE, [Result.LOST, Result.REJECTED], Action.TRY_AGAIN),
+    (Repeat.RESUMABLE, [Result.LOST, Result.LOST], Action.FAIL),
+    (Repeat.AT_MOST_ONCE, [Result.LOST], Action.FAIL),
+    (Repeat.AT_MOST_ONCE, [Result.FAILED], Action.DELIVER),
+    (Repeat.AT_MOST_ONCE, [Result.REJECTED], Action.TRY_AGAIN),
+    (Repeat.AT_MOST_ONCE, [Result.NOT_CONNECTED], Action.TRY_AGAIN),
+    (Repeat.AT_MOST_ONCE, [Result.REJECTED, Result.LOST], Action.FAIL),
+    (Repeat.AT_MOST_ONCE, [Result.REJECTED] * 4, Action.REFUSE),
+    (Repeat.IDEMPOTENT, [Result.NOT_CONNECTED] * 6, Action.REFUSE),
+    (Repeat.IDEMPOTENT, [Result.ANSWERED], Action.DELIVER),
 ]
 
 
 @pytest.mark.parametrize(("repeat", "results", "expected"), CASES)
 def test_decision(
-    repeat: catalog.RepeatPolicy, results: list[attempt.Result], expected: attempt.Next
+    repeat: catalog.RepeatPolicy,
+    results: list[attempt.Result],
+    expected: attempt.Action,
 ) -> None:
     """Guards against a second run of an order and against false refusals."""
     route = relay_builders.route(repeat=repeat)
@@ -53,24 +55,24 @@
         for result in results:
             history.add(result)
             decision = attempt.decide(result, history, route, 1.0, True)
-            if decision is Next.REFUSE:
+            if decision is Action.REFUSE:
                 assert history.runs == 0
-            if decision is not Next.TRY_AGAIN:
+            if decision is not Action.TRY_AGAIN:
                 break
         assert history.runs <= most
 
 
-WITHOUT = [(0.0, True), (1.0, False)]
+NO_TIME_OR_BUDGET = [(0.0, True), (1.0, False)]
 
 
-@pytest.mark.parametrize(("left_s", "has_budget"), WITHOUT)
-def test_no_retry_without_time_or_budget(left_s: float, has_budget: bool) -> None:
+@pytest.mark.parametrize(("left_s", "has_budget"), NO_TIME_OR_BUDGET)
+def test_no_retry_without_time_or_budget(remaining_s: float, has_budget: bool) -> None:
     """Guards against retries that nobody waits for and that overload upstreams."""
     history = attempt.History()
-    history.add(Result.TURNED_AWAY)
+    history.add(Result.REJECTED)
     route = relay_builders.route()
-    decision = attempt.decide(Result.TURNED_AWAY, history, route, left_s, has_budget)
-    assert decision is Next.REFUSE
+    decision = attempt.decide(Result.REJECTED, history, route, remaining_s, has_budget)
+    assert decision is Action.REFUSE
 
 
 @pytest.mark.parametrize("nodes", [1, 6, 79])
@@ -79,13 +81,13 @@
 
     All nodes retry whatever their share allows, at 20 requests a second each.
     """
-    policy = retry.share(0.2, 52.0, nodes)
-    budgets = [retry.Budget(level=policy.depth) for _ in range(nodes)]
+    policy = retry.node_share(0.2, 52.0, nodes)
+    budgets = [retry.Budget(available=policy.capacity) for _ in range(nodes)]
     requests, retries = 0, 0
     for _ in range(200):
         for budget in budgets:
-            retry.note_request(budget, policy)
+            retry.record_request(budget, policy)
             requests += 1
-            retries += retry.try_retry(budget, 0.0, policy)
+            retries += retry.try_acquire(budget, 0.0, policy)
     allowed = 0.2 * requests + (52.0 if nodes < 40 else 198.0)
     assert retries <= allowed
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -110,10 +110,10 @@
     requests = retries = 0
     for number, is_retry in enumerate(attempts):
         if is_retry:
-            retries += retry.try_retry(budget, number * step)
+            retries += retry.try_acquire(budget, number * step)
         else:
             requests += 1
-            retry.note_request(budget)
+            retry.record_request(budget)
     allowed = 1.0 + 0.1 * requests + 0.1 * step * len(attempts)
     assert retries <= allowed + 1e-6
 
@@ -121,7 +121,9 @@
 def test_quiet_upstream_still_gets_retries() -> None:
     """Guards against no retry at all where requests are rare."""
     budget = retry.Budget()
-    taken = [retry.try_retry(budget, now) for now in (0.0, 0.1, 10.2, 1000.0)]
+    taken = [retry.try_acquire(budget, now) for now in (0.0, 0.1, 10.2, 1000.0)]
     assert taken == [True, False, True, True]
-    burst = itertools.takewhile(bool, (retry.try_retry(budget, 2e3) for _ in "x" * 50))
+    burst = itertools.takewhile(
+        bool, (retry.try_acquire(budget, 2e3) for _ in "x" * 50)
+    )
     assert len(list(burst)) == 10
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -13,12 +13,12 @@
 
 OBJECTIVE_S = 0.8
 DEADLINE_S = 4.0
-GIVES_UP_S = 3.2
+CALLER_PATIENCE_S = 3.2
 """Time without a first token after which a caller leaves."""
 
 ENGINES = 4
 SLOTS = relay_builders.ENGINE.slots
-WORK_S = SLOTS * choice.QUEUED_REQUEST_S
+SLOT_TIME_S = SLOTS * choice.QUEUED_REQUEST_S
 """Time that a prompt holds a slot; an engine ends one each ``WAITING_S``."""
 
 RATE_PER_S = 125
@@ -38,14 +38,14 @@
 
 @pytest.mark.parametrize(("wait_s", "read_s", "left_s", "is_sent"), CASES)
 def test_what_would_come_late_is_turned_away(
-    wait_s: float, read_s: float, left_s: float, is_sent: bool
+    wait_s: float, prefill_s: float, remaining_s: float, is_sent: bool
 ) -> None:
     """Guards against prompts sent in vain, and refusals that help nobody."""
     rng = random.Random(1)
-    pause_s = overload.retry_after(wait_s, read_s, OBJECTIVE_S, left_s, rng)
+    pause_s = overload.retry_after(wait_s, prefill_s, OBJECTIVE_S, remaining_s, rng)
     assert (pause_s is None) == is_sent
     if pause_s is not None:
-        assert 0.0 < pause_s <= left_s / 3
+        assert 0.0 < pause_s <= remaining_s / 3
 
 
 @dataclasses.dataclass
@@ -56,13 +56,13 @@
     has_ended: bool = False
 
 
-class Play:
+class OverloadSimulation:
     """Engines with queues, callers that leave and come back, and one node."""
 
-    def __init__(self, turns_away: bool) -> None:
+    def __init__(self, rejects_late: bool) -> None:
         entries = [relay_builders.entry(f"u{i}") for i in range(ENGINES)]
         self.upstreams = relay_builders.upstreams(*entries)
-        self.turns_away = turns_away
+        self.rejects_late = rejects_late
         self.rng = random.Random(5)
         self.queues: dict[str, collections.deque[Prompt]] = {
             entry.id: collections.deque() for entry in entries
@@ -105,11 +105,15 @@
             self.upstreams, request, relay_builders.context(), (), now, self.rng
         )
         assert found is not None
-        left_s = prompt.deadline - now
+        remaining_s = prompt.deadline - now
         pause_s = overload.retry_after(
-            found.wait_s, found.ttft_s - found.wait_s, OBJECTIVE_S, left_s, self.rng
+            found.wait_s,
+            found.ttft_s - found.wait_s,
+            OBJECTIVE_S,
+            remaining_s,
+            self.rng,
         )
-        if self.turns_away and pause_s is not None:
+        if self.rejects_late and pause_s is not None:
             # A caller comes back once.
             if now == prompt.asked_at:
                 self.at(now + pause_s, "ask", prompt)
@@ -117,7 +121,7 @@
         prompt.upstream = found.upstream
         found.upstream.running += 1
         self.queues[found.upstream.entry.id].append(prompt)
-        self.at(min(now + GIVES_UP_S, prompt.deadline), "leave", prompt)
+        self.at(min(now + CALLER_PATIENCE_S, prompt.deadline), "leave", prompt)
 
     def begin(self, upstream: fleet.Upstream, now: float) -> list[Prompt]:
         queue, begun = self.queues[upstream.entry.id], []
@@ -128,7 +132,7 @@
             self.free[upstream.entry.id] -= 1
             prompt.has_ended = True
             begun.append(prompt)
-            self.at(now + WORK_S, "end", prompt)
+            self.at(now + SLOT_TIME_S, "end", prompt)
         return begun
 
     def end(self, prompt: Prompt) -> None:
@@ -157,8 +161,8 @@
     assert found is not None
     assert found.ttft_s > OBJECTIVE_S
     rng = random.Random(1)
-    read_s = found.ttft_s - found.wait_s
-    assert overload.retry_after(found.wait_s, read_s, OBJECTIVE_S, 8.0, rng) is None
+    prefill_s = found.ttft_s - found.wait_s
+    assert overload.retry_after(found.wait_s, prefill_s, OBJECTIVE_S, 8.0, rng) is None
 
 
 def test_queues_do_not_outlast_their_cause() -> None:
@@ -166,8 +170,8 @@
 
     Plays 94% of what all engines serve; the backlog of 4 s would need 30 s to drain.
     """
-    with_queues = Play(turns_away=False).run()
-    with_refusals = Play(turns_away=True).run()
+    with_queues = OverloadSimulation(rejects_late=False).run()
+    with_refusals = OverloadSimulation(rejects_late=True).run()
     assert on_time(with_queues, AWAY_TO_S + 1) < 0.2
     assert on_time(with_refusals, AWAY_TO_S + 1) > 0.9
     assert on_time(with_refusals, 0) > on_time(with_queues, 0) + 0.2
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -17,18 +17,18 @@
 def test_all_nodes_pick_the_same_watchers() -> None:
     """Guards against zones without watchers and against many of them."""
     nodes = [watcher.Node(f"n{i}", "a" if i < 9 else "b") for i in range(12)]
-    picked = watcher.pick(nodes, "a")
-    assert picked == watcher.pick(reversed(nodes), "a")
-    assert len(picked) == watcher.PER_ZONE
-    assert sorted(watcher.pick(nodes, "b")) == ["n10", "n11", "n9"]
+    picked = watcher.pick_readers(nodes, "a")
+    assert picked == watcher.pick_readers(reversed(nodes), "a")
+    assert len(picked) == watcher.READERS_PER_ZONE
+    assert sorted(watcher.pick_readers(nodes, "b")) == ["n10", "n11", "n9"]
 
 
 def test_loss_of_a_watcher_moves_one_role() -> None:
     """Guards against all roles moving when one node goes."""
     nodes = [watcher.Node(f"n{i}", "a") for i in range(9)]
-    first, second = watcher.pick(nodes, "a")
+    first, second = watcher.pick_readers(nodes, "a")
     left = [node for node in nodes if node.id != first]
-    assert second in watcher.pick(left, "a")
+    assert second in watcher.pick_readers(left, "a")
 
 
 def test_stores_are_read_by_many_nodes_of_a_zone() -> None:
@@ -39,12 +39,12 @@
     """
     nodes = [watcher.Node(f"n{i}", "a") for i in range(27)]
     stores = [f"kv{i}" for i in range(17)]
-    watchers = [watcher.pick(nodes, "a", store) for store in stores]
+    watchers = [watcher.pick_readers(nodes, "a", store) for store in stores]
     assert all(len(picked) == 1 for picked in watchers)
     loads = collections.Counter(node for (node,) in watchers)
     share = max(loads.values()) / len(stores)
     assert 8 * share * 540 * 35 * (len(nodes) - 1) < 0.25 * 5e6
-    assert watcher.pick(nodes[:3], "a", "kv0") == ["n0", "n1", "n2"]
+    assert watcher.pick_readers(nodes[:3], "a", "kv0") == ["n0", "n1", "n2"]
 
 
 async def zone_known(world: platform_world.World) -> None:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -21,7 +21,7 @@
     )
     for number, upstream in enumerate(upstreams):
         upstream.running = 9 - number
-    planned = rollout.plan(upstreams, {MODEL: 2}, {}, age_s=0.0)
+    planned = rollout.plan_orders(upstreams, {MODEL: 2}, {}, age_s=0.0)
     assert [item[0].entry.id for item in planned] == ["u8", "u7"]
 
 
@@ -42,7 +42,7 @@
     engines: int, outdated: int, age_s: float, expected: int
 ) -> None:
     """Guards against rollouts that take too many engines away or too long."""
-    assert rollout.at_once(engines, outdated, age_s) == expected
+    assert rollout.max_concurrent_loads(engines, outdated, age_s) == expected
 
 
 def test_orders_are_repeated_and_forgotten() -> None:
@@ -56,19 +56,19 @@
         "u2": rollout.Order(MODEL, 2, 10.0),
         "gone": rollout.Order(MODEL, 2, 10.0),
     }
-    by_id["u1"].note_version(MODEL, 2)
-    rollout.settle(orders, by_id, 11.0)
+    by_id["u1"].set_version(MODEL, 2)
+    rollout.prune_orders(orders, by_id, 11.0)
     assert set(orders) == {"u2"}
-    rollout.settle(orders, by_id, 10.1 + rollout.ORDER_REPEAT_S)
+    rollout.prune_orders(orders, by_id, 10.1 + rollout.ORDER_REPEAT_S)
     assert not orders
 
 
 @dataclasses.dataclass
-class Giver:
+class LeaseNode:
     """One node; ``held`` is what it believes."""
 
     id: str
-    held: rollout.Held | None = None
+    held: rollout.HeldLease | None = None
     row_version: int = 0
 
 
@@ -83,7 +83,7 @@
         self.now = 10.0
         self.row: rollout.Lease | None = None
         self.version = 0
-        self.nodes = [Giver(f"n{i}") for i in range(3)]
+        self.nodes = [LeaseNode(f"n{i}") for i in range(3)]
         self.last_order: tuple[str, int, float] | None = None
 
     def store_ms(self) -> float:
@@ -105,7 +105,7 @@
         """Read the row and write it, as a node without a lease does."""
         node = self.nodes[number]
         row, read_version, read_ms = self.row, self.version, self.store_ms()
-        if node.held is not None and node.held.left_ms(self.now) > 0:
+        if node.held is not None and node.held.remaining_ms(self.now) > 0:
             return
         if not rollout.may_take(row, node.id, read_ms):
             return
@@ -126,7 +126,7 @@
     def renew(self, number: int, delay_s: float, is_lost: bool) -> None:
         node = self.nodes[number]
         held = node.held
-        if held is None or held.left_ms(self.now) <= 0:
+        if held is None or held.remaining_ms(self.now) <= 0:
             return
         sent_at = self.now
         until_ms = held.store_ms + 1_000 * (sent_at - held.sent_at) + LEASE_MS
@@ -138,7 +138,7 @@
 
     def _write(
         self,
-        node: Giver,
+        node: LeaseNode,
         lease: rollout.Lease,
         expected: int,
         sent_at: float,
@@ -151,22 +151,22 @@
         self.version += 1 + other_writes
         self.row = lease
         if not is_lost:
-            node.held = rollout.Held(lease, sent_at, self.store_ms())
+            node.held = rollout.HeldLease(lease, sent_at, self.store_ms())
             node.row_version = self.version
 
     @stateful.rule(number=st.integers(0, 2))
     def order(self, number: int) -> None:
         node = self.nodes[number]
-        if node.held is None or node.held.left_ms(self.now) <= 0:
+        if node.held is None or node.held.remaining_ms(self.now) <= 0:
             return
         token = node.held.lease.fencing
         for other in self.nodes:
-            is_giver = other.held is not None and other.held.left_ms(self.now) > 0
-            assert other is node or not is_giver, "two nodes give orders"
+            has_lease = other.held is not None and other.held.remaining_ms(self.now) > 0
+            assert other is node or not has_lease, "two nodes give orders"
         if self.last_order is not None:
-            giver, last_token, _ = self.last_order
+            last_holder, last_token, _ = self.last_order
             assert token >= last_token, "a fencing number went back"
-            assert giver == node.id or token > last_token, "one number for two"
+            assert last_holder == node.id or token > last_token, "one number for two"
         self.last_order = (node.id, token, self.now)
 
 
@@ -181,12 +181,12 @@
     """Guards against two givers, also where the answer to the write came late."""
     read_ms = 50_000.0
     lease = rollout.Lease("n0", read_ms + LEASE_MS + rollout.LEASE_MARGIN_MS, 1)
-    held = rollout.Held(lease, sent_at=10.0, store_ms=read_ms + 1_000 * delay_s)
+    held = rollout.HeldLease(lease, sent_at=10.0, store_ms=read_ms + 1_000 * delay_s)
     could_order = False
     for tick in range(100):
         now = 10.0 + tick / 20
         store_ms = read_ms + 1_000 * (now - 10.0)
-        orders = now >= 10.0 + delay_s and held.left_ms(now) > 0
+        orders = now >= 10.0 + delay_s and held.remaining_ms(now) > 0
         could_order = could_order or orders
         assert not (orders and rollout.may_take(lease, "n1", store_ms))
     assert could_order is (delay_s < 1.5)
