--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -1,4 +1,4 @@
-"""What follows after one attempt of a request: answer, try again, or give up."""
+"""Decides after each attempt of a request whether to answer, retry or give up."""
 
 import dataclasses
 import enum
@@ -6,10 +6,10 @@
 from snipelug_core import catalog
 
 MAX_SENDS = 4
-"""Sends of one request, those that upstreams turned away included."""
+"""Maximum sends of one request, including those that upstreams rejected."""
 
 MIN_REMAINING_S = 0.02
-"""With less time left no further attempt is made."""
+"""Minimum time to the deadline for a further attempt."""
 
 
 class Result(enum.Enum):
@@ -17,33 +17,33 @@
 
     ANSWERED = "answered"
     FAILED = "failed"
-    """The upstream answered with a failure of its own, so the request ran."""
+    """The upstream ran the request and answered with an error."""
     NOT_CONNECTED = "not_connected"
     """No byte was sent."""
     REJECTED = "turned_away"
-    """The upstream says that it did not run the request."""
+    """The upstream reported that it did not run the request."""
     LOST = "lost"
-    """Whether the request ran is not known."""
+    """It is unknown whether the request ran."""
 
 
 NOT_RUN = (Result.NOT_CONNECTED, Result.REJECTED)
-"""Results after which the upstream has not run the request and never will."""
+"""Results that guarantee that the upstream did not and will not run the request."""
 
 
 class Action(enum.Enum):
-    """What to do next."""
+    """The next step for a request."""
 
     DELIVER = "deliver"
     TRY_AGAIN = "try_again"
     REFUSE = "refuse"
-    """Answer that nothing was run and nothing will be."""
+    """Answer that the request did not run and will not run."""
     FAIL = "fail"
-    """Answer that nothing is known about the request."""
+    """Answer that the outcome of the request is unknown."""
 
 
 @dataclasses.dataclass
 class History:
-    """The attempts of one request so far.
+    """Counts of the attempts of one request so far.
 
     Attributes
     ----------
@@ -51,6 +51,8 @@
         Attempts that reached or may have reached an upstream.
     runs : int
         Attempts that ran or may have run.
+    failed_connects : int
+        Attempts that failed to connect.
     """
 
     sends: int = 0
@@ -74,14 +76,14 @@
     remaining_s: float,
     has_budget: bool,
 ) -> Action:
-    """Decide after an attempt that ``history`` already counts.
+    """Return the next step after an attempt that ``history`` already includes.
 
     Parameters
     ----------
-    left_s : float
+    remaining_s : float
         Time until the deadline, in seconds.
     has_budget : bool
-        The retry budget allows one more send.
+        Whether the retry budget allows one more send.
     """
     if result is Result.ANSWERED:
         return Action.DELIVER
--- a/packages/snipelug-core/src/snipelug_core/catalog.py
+++ b/packages/snipelug-core/src/snipelug_core/catalog.py
@@ -1,4 +1,4 @@
-"""The routes, services and teams in force, for requests that name a route."""
+"""The active routes, services and teams."""
 
 import dataclasses
 import enum
@@ -7,7 +7,7 @@
 
 
 class RepeatPolicy(enum.Enum):
-    """What may be done again when the outcome of a request is not known."""
+    """Whether a request may be repeated when its outcome is unknown."""
 
     IDEMPOTENT = "idempotent"
     AT_MOST_ONCE = "at_most_once"
@@ -16,20 +16,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Route:
-    """Where requests of one host and path go, and what callers were promised.
+    """Target services and guarantees for requests of one host and path prefix.
 
     Attributes
     ----------
     services : tuple of (str, int)
-        Services and their shares of the requests.
+        Service names with their weights in the traffic split.
     timeout_s : float
-        Longest time until the final answer, in seconds.
+        Maximum time until the complete response, in seconds.
     objective_s : float
-        Time until the answer, for streams until the first event, in seconds.
+        Latency objective for the response or the first event of a stream, in seconds.
     max_attempts : int
-        Most upstreams that may run one request.
+        Maximum number of upstreams that may run one request.
     priority : int
-        Rank; 0 comes first.
+        Priority; 0 is the highest.
     """
 
     name: str
@@ -47,14 +47,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Engine:
-    """What the model engines of a service have in common.
+    """Properties shared by the engines of a service.
 
     Attributes
     ----------
     kv_token_bytes : int
-        Size of one token's KV cache.
+        KV cache size per token, in bytes.
     link_bits_per_s : float
-        Rate of an engine's transfers of KV cache.
+        Bandwidth of an engine's KV cache transfers.
     models : tuple of str
         Models that the engines serve.
     """
@@ -68,14 +68,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """A group of equal upstreams.
+    """A group of interchangeable upstreams.
 
     Attributes
     ----------
     cold_per_s : float
-        Requests a second that an upstream sustains while cold; 0 for no bound.
+        Requests per second that a cold upstream can sustain; 0 for no limit.
     connection_limit : int
-        Connections that one upstream accepts from all nodes together.
+        Maximum connections to one upstream from all nodes together.
     """
 
     name: str
@@ -86,11 +86,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class KvStore:
-    """A store instance of KV cache.
+    """One KV cache store.
 
     Attributes
     ----------
-    first_s : float
+    setup_s : float
         Time before a transfer starts, in seconds.
     """
 
@@ -105,14 +105,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Team:
-    """A customer.
+    """A team that calls with its own API keys.
 
     Attributes
     ----------
     priority : int or None
-        Rank of the team's requests; goes before the route's.
+        Priority of the team's requests; overrides that of the route.
     is_isolated : bool
-        The team shares no cached block with other teams.
+        The team shares no KV cache blocks with other teams.
     """
 
     name: str
@@ -123,7 +123,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
-    """Bounds on what callers send; times in seconds, sizes in bytes."""
+    """Limits on requests from callers; times in seconds, sizes in bytes."""
 
     body_bytes: int = 4 * 1024 * 1024
     head_s: float = 10.0
@@ -136,7 +136,7 @@
     Parameters
     ----------
     version : int
-        Grows with each change.
+        Increases with each change.
     """
 
     def __init__(
@@ -167,18 +167,18 @@
         return refusal.refuse(refusal.NOT_FOUND, f"no route for {host}{path}")
 
     def find_team(self, route: Route, key: str | None) -> Team | refusal.Refusal | None:
-        """Return the team of a key, or None for a caller without a team.
+        """Return the team of an API key, or None for a caller without a team.
 
-        A key that is not known is refused only where the route asks for one.
+        An unknown key is refused only if the route requires authentication.
         """
         team = self._team_by_key.get(key) if key is not None else None
         if team is not None or route.allows_anonymous or not self.teams:
             return team
-        message = "no key was given" if key is None else "the key is not known"
+        message = "no API key was given" if key is None else "the API key is unknown"
         return refusal.refuse(refusal.UNAUTHENTICATED, message)
 
     def pick_service(self, route: Route, request_id: str) -> str:
-        """Return one service of a route, by its shares and the request's id."""
+        """Select a service of the route by weight and by a hash of the request id."""
         total = sum(weight for _, weight in route.services)
         if len(route.services) == 1 or total <= 0:
             return route.services[0][0]
@@ -187,4 +187,4 @@
             point -= weight
             if point < 0:
                 return name
-        raise AssertionError("the point lies within the sum of all weights")
+        raise AssertionError("hash point exceeds the sum of all weights")
--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -1,4 +1,4 @@
-"""Choice of an upstream for a request: the one with the least expected cost."""
+"""Choice of the upstream with the lowest expected cost for a request."""
 
 import collections.abc
 import dataclasses
@@ -7,75 +7,82 @@
 from snipelug_core import catalog, fleet, hashing
 
 PREFILL_TOKENS_PER_S = 50_000.0
-"""Speed at which engines read prompts; the sites' sheets say 51 to 64 a ms."""
+"""Prefill speed of engines; the site specifications give 51 to 64 tokens per ms."""
 
 ATTENTION_S_PER_TOKEN_PAIR = 5e-10
-"""Time for each pair of tokens of a prompt; the sheets say 0.32 and 0.65 ns."""
+"""Attention time per pair of tokens; the specifications give 0.32 and 0.65 ns."""
 
 BATCH_STEP_S = 0.005
-"""Time that one more running request costs the others; a step of a batch."""
+"""Delay that one more running request adds for the others: one batch step."""
 
 QUEUED_REQUEST_S = 0.03
-"""Wait behind each request that is queued at an upstream."""
+"""Expected wait for each request that is queued at an upstream."""
 
 PLAIN_SERVICE_S = 0.03
-"""Time that a plain service works on a request; the sheets say 22 to 69 ms."""
+"""Processing time of a request at a plain service.
+
+The site specifications give 22 to 69 ms.
+"""
 
 CROSS_ZONE_COST_S = 0.03
-"""Cost of leaving the caller's zone, beside the bytes that cross."""
+"""Fixed cost of an upstream in another zone, in addition to the cost per byte."""
 
 CROSS_ZONE_COST_S_PER_BYTE = 4e-6
-"""Cost of each byte that crosses zones; it weighs 34 KB prompts like 140 ms."""
+"""Cost of each byte sent to another zone; a 34 KB prompt costs about 140 ms."""
 
 FAILURE_COST_S = 1.0
-"""Cost of an upstream all of whose latest requests failed."""
+"""Cost of an upstream whose recent requests all failed; scaled by its failure rate."""
 
 SILENCE_TIMEOUT_S = 0.7
-"""Silence, while requests wait, after which an upstream is avoided."""
+"""Time without a response to waiting requests after which an upstream is avoided."""
 
 SILENCE_COST_S = 3.0
 OLD_WEIGHTS_COST_S = 0.05
-"""Cost of weights older than the version named, while upstreams load it.
+"""Cost of an engine with outdated weights while engines load the requested version.
 
-An answer made on old weights is worth more than one that comes late, and at a higher
-cost all nodes together overload the first engines that serve the new ones.
+An answer from outdated weights is better than a late one. At a higher cost, all nodes
+together overload the first engines that serve the new version.
 """
 
 OLD_WEIGHTS_PREFILL_FACTOR = 0.5
-"""Cost of reading on old weights, per second, as new ones need it read again."""
+"""Cost per second of prefill on outdated weights.
+
+Engines with the new weights must compute the same prompt parts again.
+"""
 
 KV_CACHE_FULL_COST_S = 0.25
-"""Cost of a prompt that does not fit beside those that already run."""
+"""Cost of a prompt that does not fit into the KV cache with the running requests."""
 
 COLD_START_COST_S = 0.5
-"""Cost of an upstream in cold start, which works slowly."""
+"""Cost of an upstream in cold start, during which it is slow."""
 
 COLD_START_LOAD_FRACTION = 0.7
-"""Part of the sustained load of a cold upstream that is used."""
+"""Fraction of a cold upstream's sustainable load that the nodes use."""
 
 LONG_PREFILL_TOKENS = 3_000
-"""Prompts that are read for longer than 60 ms, a fifth of the allowed pause."""
+"""Minimum size of a long prefill: 60 ms, a fifth of the allowed pause."""
 
 LONG_PREFILL_FACTOR = 0.5
-"""Cost, per second of reading, of a long prompt at an upstream that reads none.
+"""Cost per second of a long prefill at an upstream that has no other long prefill.
 
-It keeps long prompts together when engines are busy, so that short ones find
-engines on which they need not wait.
+It concentrates long prompts on few engines under load, so that short prompts find
+engines without a queue.
 """
 
 AFFINITY_BONUS_S = 0.03
-"""Preference for the upstream that ranks first for a prompt's parts."""
+"""Cost reduction for the upstream that ranks first for the shared prompt part."""
 
 MAX_NODES_WITHOUT_SAMPLING = 12
-"""With more nodes each hears of an engine too seldom to choose among all.
+"""Number of nodes above which each chooses among a random sample of the engines.
 
-Nodes that know the same would all send to the engine that looks best, such as the
-first ones with new weights.
+With many nodes, each receives load reports of an engine too rarely to compare all
+engines. Nodes with the same information would all send to the engine that looks best,
+such as the first ones with new weights.
 """
 
 SAMPLE_SAME_ZONE = 4
 SAMPLE_OTHER_ZONES = 2
-"""Engines of the node's zone and of others that are weighed where nodes are many."""
+"""Sample size for engines of the node's own zone and of the other zones."""
 
 
 NO_TRANSFERS: collections.abc.Mapping[str, float] = {}
@@ -83,7 +90,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PromptPart:
-    """A part of a prompt that other requests may share."""
+    """A part of a prompt that other requests may have in common with it."""
 
     id: str
     tokens: int
@@ -91,27 +98,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """What a request needs of an upstream.
+    """Properties of a request that determine the choice of an upstream.
 
     Attributes
     ----------
     zone : str
         The node's availability zone.
     body_bytes : int
-        Size of the request.
+        Size of the request body.
     model : str
-        Model for engines, empty for plain services.
-    parts : tuple of Part
+        Requested model; empty for plain services.
+    parts : tuple of PromptPart
         Parts of the prompt in order.
     version : int
         Newest weight version of the model; 0 if none is known.
     least_version : int
-        Older weights must not be used any more.
+        Oldest weight version that may still be used.
     fetch_s : collections.abc.Mapping
-        Time in which parts can be fetched from a store, in seconds, by weight
-        version and part.
+        Transfer time of prompt parts from a KV cache store, in seconds, by weight
+        version and part id.
     output_tokens : int
-        Most tokens of the answer.
+        Maximum number of tokens in the answer.
     """
 
     service: str
@@ -127,22 +134,22 @@
     output_tokens: int = 0
 
     def transfer_times_s(self, version: int) -> collections.abc.Mapping[str, float]:
-        """Return the times of transfers to an engine that serves a weight version."""
+        """Return the transfer times to an engine that serves the given weight version."""
         return self.fetch_s.get(version, NO_TRANSFERS)
 
 
 @dataclasses.dataclass(frozen=True)
 class Context:
-    """What all upstreams of a choice have in common.
+    """State that is common to all upstreams considered for a request.
 
     Attributes
     ----------
     zones_out : frozenset of str
-        Zones that get no new work.
+        Zones that receive no new requests.
     nodes : int
-        Nodes that share the upstreams.
+        Number of nodes that share the upstreams.
     mean_load : (float, float)
-        Requests of other nodes that run and wait at an upstream, on average.
+        Average requests of other nodes running and waiting at an upstream.
     """
 
     service: catalog.Service
@@ -153,20 +160,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """An upstream and what decided for it.
+    """The chosen upstream and the estimate that led to the choice.
 
     Attributes
     ----------
     cost_s : float
         Expected cost, in seconds.
     candidates : int
-        Upstreams that were weighed.
+        Number of upstreams that were compared.
     prefill_tokens : int
-        Tokens that the upstream is expected to read.
+        Tokens that the upstream is expected to prefill.
     wait_s : float
-        Expected time before its prompt is read, in seconds; 0 for plain services.
-    first_s : float
-        Expected time to the first token, in seconds; 0 for plain services.
+        Expected time before prefill starts, in seconds; 0 for plain services.
+    ttft_s : float
+        Expected time to first token, in seconds; 0 for plain services.
     """
 
     upstream: fleet.Upstream
@@ -179,12 +186,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Estimate:
-    """What is expected of one upstream.
+    """Expected performance of one upstream for a request.
 
     Attributes
     ----------
     cost_s : float
-        Time to the first token, and what weighs for and against it, in seconds.
+        Expected wait plus all penalties and bonuses, in seconds.
     """
 
     cost_s: float
@@ -219,10 +226,10 @@
 def has_cold_start_budget(
     upstream: fleet.Upstream, context: Context, now: float
 ) -> bool:
-    """Tell whether this node's share lets a cold upstream have a request now.
+    """Return whether this node's share of a cold upstream's capacity allows a request.
 
-    The shares of all nodes add up to what the upstream sustains. A node's level
-    starts at a random point, so that many nodes do not send at the same moment.
+    The shares of all nodes add up to the rate that the upstream can sustain. A node's
+    token bucket starts at a random level, so that many nodes do not send at once.
     """
     if now >= upstream.cold_until or context.service.cold_per_s <= 0:
         return True
@@ -238,7 +245,7 @@
 
 
 def record_sent(upstream: fleet.Upstream, now: float) -> None:
-    """Count a request against the share of a cold upstream."""
+    """Charge a request to this node's share of a cold upstream."""
     if now < upstream.cold_until:
         upstream.cold_start_budget -= 1.0
 
@@ -252,12 +259,12 @@
     rng: random.Random,
     consider_all: bool = False,
 ) -> Choice | None:
-    """Return the eligible upstream with the least expected cost, if there is one.
+    """Return the eligible upstream with the lowest expected cost, if there is one.
 
     Parameters
     ----------
     weigh_all : bool
-        Weigh all upstreams also where nodes are many.
+        Compare all upstreams, even if there are too many nodes to do so by default.
     """
     candidates = list(eligible(upstreams, request, context, tried, now))
     if not candidates:
@@ -285,7 +292,7 @@
 
 
 def shared_part(parts: tuple[PromptPart, ...]) -> PromptPart | None:
-    """Return the last part that other requests share; the very last is their own."""
+    """Return the last shared part; the final part is specific to the request."""
     return parts[-2] if len(parts) > 1 else None
 
 
@@ -295,7 +302,7 @@
     preferred: fleet.Upstream | None,
     rng: random.Random,
 ) -> list[fleet.Upstream]:
-    """Return some random upstreams, and the one that ranks first."""
+    """Return a random sample of the upstreams and the preferred one."""
     same_zone = [u for u in candidates if u.entry.zone == request.zone]
     other_zones = [u for u in candidates if u.entry.zone != request.zone]
     picked = rng.sample(same_zone, min(SAMPLE_SAME_ZONE, len(same_zone)))
@@ -310,8 +317,9 @@
 ) -> fleet.Upstream | None:
     """Return the upstream that all nodes prefer for the prompt's shared part.
 
-    It is one that has read the part or reads it now, as long as no store holds it,
-    and else one of the node's zone, so that prompts stay in their zone.
+    If no KV cache store holds the part, upstreams that have computed it or are
+    computing it take precedence. Otherwise, upstreams in the node's zone do, so that
+    prompts stay in their zone.
     """
     shared = shared_part(request.parts)
     if shared is None:
@@ -355,7 +363,7 @@
         stored = shared is not None and shared.id in request.transfer_times_s(
             request.version
         )
-        # The upstream that ranks first is where other nodes send the same part.
+        # Other nodes send the same part to the preferred upstream too.
         saved_s = 0.0 if stored else tokens / PREFILL_TOKENS_PER_S
         cost -= AFFINITY_BONUS_S + 0.5 * saved_s
     return dataclasses.replace(at_engine, cost_s=cost + at_engine.cost_s)
@@ -371,7 +379,7 @@
 
 
 def _attention_s(prompt: int, prefill: int) -> float:
-    """Return the time of attention for the last tokens of a prompt, in seconds."""
+    """Return the attention time for the uncached tail of a prompt, in seconds."""
     return ATTENTION_S_PER_TOKEN_PAIR * prefill * (prompt - prefill / 2)
 
 
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -1,4 +1,4 @@
-"""What a node believes about the upstreams that the platform lists."""
+"""A node's view of the upstreams that the platform lists."""
 
 import collections
 import collections.abc
@@ -6,40 +6,41 @@
 import math
 
 REMOVAL_GRACE_S = 2.2
-"""Entries that lapsed during an outage of the list are back within 2 s of its end."""
+"""Retention of vanished entries; after an outage of the list they return within 2 s."""
 
 CACHED_PARTS_FRACTION = 0.3
-"""Part of an engine's memory that is taken to keep the parts that nodes told of.
+"""Fraction of an engine's KV cache that is assumed to hold known prompt parts.
 
-Running requests and short parts of other nodes, which are not told, fill the rest.
+Running requests and short parts sent by other nodes, which are not announced, use the
+rest.
 """
 
 FAILURE_DECAY_PER_S = 0.25
-"""Part of the remembered failure rate that is forgotten each second."""
+"""Linear decay of the failure rate per second without a new outcome."""
 
 MEAN_LOAD_WINDOW_S = 1.0
-"""Time over which the load that upstreams tell of is averaged."""
+"""Time constant of the moving average over reported load."""
 
 MEAN_LOAD_MIN_WEIGHT = 0.1
-"""Least weight of one report in that average, for reports that come together."""
+"""Minimum weight of a report in the average, for reports that arrive together."""
 
 MEAN_LOAD_MAX_AGE_S = 3.0
-"""Age at which that average no longer counts."""
+"""Age at which the average is no longer used."""
 
 FAILURE_WEIGHT = 0.2
-"""Weight of the newest outcome in the failure rate."""
+"""Weight of the latest outcome in the failure rate."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """One upstream as listed.
+    """Entry of one upstream in the platform's list.
 
     Attributes
     ----------
     born : int
-        Start of the process in Unix milliseconds; 0 if not told.
+        Start of the process in Unix milliseconds; 0 if unknown.
     cold_s : float
-        How much longer it stays cold, in seconds, when the entry was written.
+        Remaining cold start time when the entry was written, in seconds.
     versions : dict of str to int
         Weight version of each model.
     """
@@ -63,14 +64,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
-    """Load that an upstream told with an answer.
+    """Load that an upstream reported with a response.
 
     Attributes
     ----------
     own : int
-        Requests of this node that ran there then.
+        Requests that this node had in flight there at that time.
     at : float
-        Monotonic time of the answer, in seconds.
+        Monotonic time of the response, in seconds.
     """
 
     running: int
@@ -79,7 +80,7 @@
     at: float
 
     def other_nodes_load(self) -> tuple[int, int]:
-        """Return other nodes' requests running and waiting."""
+        """Return the numbers of other nodes' running and waiting requests."""
         total = max(0, self.running + self.waiting - self.own)
         waiting = min(self.waiting, total)
         return total - waiting, waiting
@@ -87,12 +88,12 @@
 
 @dataclasses.dataclass
 class MeanLoad:
-    """Mean load of other nodes at the upstreams of one service, as told lately.
+    """Moving average of other nodes' load per upstream of a service.
 
     Attributes
     ----------
     at : float
-        When the last report came, in seconds.
+        Monotonic time of the last report, in seconds.
     """
 
     running: float = 0.0
@@ -100,7 +101,7 @@
     at: float = -math.inf
 
     def add(self, load: LoadReport) -> None:
-        """Add what an upstream told."""
+        """Add a load report of one upstream."""
         weight = 1.0 - math.exp(-max(0.0, load.at - self.at) / MEAN_LOAD_WINDOW_S)
         weight = max(MEAN_LOAD_MIN_WEIGHT, weight)
         running, waiting = load.other_nodes_load()
@@ -109,7 +110,7 @@
         self.at = load.at
 
     def value_at(self, now: float) -> tuple[float, float]:
-        """Return requests running and waiting; an old average fades."""
+        """Return the average running and waiting requests, decayed with age."""
         fade = max(0.0, 1.0 - (now - self.at) / MEAN_LOAD_MAX_AGE_S)
         return fade * self.running, fade * self.waiting
 
@@ -121,7 +122,7 @@
     Attributes
     ----------
     until : float
-        When it no longer counts, in seconds.
+        Monotonic time at which it is no longer counted, in seconds.
     """
 
     tokens: int
@@ -130,26 +131,29 @@
 
 @dataclasses.dataclass
 class Upstream:
-    """One upstream and what this node knows of it.
+    """One upstream and what this node knows about it.
 
     Attributes
     ----------
     running : int
-        Requests that this node has there.
+        Requests that this node has in flight there.
     prefill_tokens : int
-        Prompt tokens of this node's requests without a first event.
-    oldest_silence_at : float or None
-        Since when a request waits and nothing has been heard, in seconds.
+        Prompt tokens of this node's requests that have not received a first event.
+    reserved_tokens : int
+        Prompt and maximum output tokens of this node's requests.
+    silent_since : float or None
+        Since when a request has waited without any response, in seconds.
     failure_rate : float
-        Part of the latest requests that failed.
+        Moving average of the fraction of requests that failed.
     blocked_until : float
-        No request is sent before, after connecting failed; in seconds.
+        No request is sent before this time, after a failed connect; in seconds.
     switching_until : float
-        The upstream loads weights and turns requests away; in seconds.
+        Until then the upstream loads weights and rejects requests; in seconds.
     announced : dict
-        Prompts of other nodes, by sender and number.
-    held : collections.OrderedDict
-        Parts of prompts that it is taken to have cached, with their tokens.
+        Prompts announced by other nodes, by sender and number.
+    cached_parts : collections.OrderedDict
+        Prompt parts assumed to be in its cache, with their token counts, least
+        recently sent first.
     """
 
     entry: Entry
@@ -176,24 +180,24 @@
     )
 
     def announced_tokens(self, now: float) -> int:
-        """Return the prompt tokens of other nodes that wait to be read."""
+        """Return the prompt tokens of other nodes that await prefill."""
         for key in [k for k, item in self.announced.items() if item.expires_at <= now]:
             del self.announced[key]
         return sum(item.tokens for item in self.announced.values())
 
     def set_version(self, model: str, version: int) -> None:
-        """Note the weight version that the upstream serves now."""
+        """Set the weight version; a new version invalidates the cached parts."""
         if self.versions.get(model) != version:
             self.versions[model] = version
             self.clear_cache()
 
     def clear_cache(self) -> None:
-        """Forget which parts are cached there."""
+        """Discard the record of cached parts."""
         self.cached_parts.clear()
         self.cached_part_tokens = 0
 
     def add_cached_part(self, part: str, tokens: int, capacity: float) -> None:
-        """Note a part that was sent there; the least recently sent ones yield."""
+        """Record a sent part as cached and evict the least recently sent ones."""
         if part in self.cached_parts:
             self.cached_parts.move_to_end(part)
             return
@@ -210,7 +214,7 @@
         self.failure_rate_updated_at = now
 
     def failure_rate_at(self, now: float) -> float:
-        """Return the failure rate, which fades while nothing is sent."""
+        """Return the failure rate, decayed since the last outcome."""
         fade = max(
             0.0, 1.0 - FAILURE_DECAY_PER_S * (now - self.failure_rate_updated_at)
         )
@@ -219,10 +223,10 @@
     def other_nodes_load(
         self, now: float, mean: tuple[float, float] = (0.0, 0.0), fade_s: float = 1.0
     ) -> tuple[float, float]:
-        """Return other nodes' requests running and waiting.
+        """Return the estimated numbers of other nodes' running and waiting requests.
 
-        What the upstream told last gives way to the mean load of its service as it
-        ages, so that the one heard of longest ago does not look idle.
+        As the last report ages, its weight shifts to the mean load of the service, so
+        that the upstream with the oldest report does not look idle.
         """
         if self.load is None:
             return mean
@@ -236,14 +240,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Change:
-    """A change of what the node believes about an upstream, for the log."""
+    """A change in the known state of an upstream, for the log."""
 
     upstream_id: str
     what: str
 
 
 class Fleet:
-    """The upstreams by id, and those whose entries vanished during an outage."""
+    """The upstreams by id, including entries that vanished during an outage."""
 
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
@@ -256,18 +260,18 @@
         return self._by_service.get(name, [])
 
     def record_load(self, upstream: Upstream, load: LoadReport) -> None:
-        """Take the load that an upstream told with an answer."""
+        """Record the load that an upstream reported with a response."""
         upstream.load = load
         service = upstream.entry.service
         self._mean_loads.setdefault(service, MeanLoad()).add(load)
 
     def mean_load(self, service: str, now: float) -> tuple[float, float]:
-        """Return other nodes' requests running and waiting at a mean upstream."""
+        """Return other nodes' running and waiting requests at an average upstream."""
         mean = self._mean_loads.get(service)
         return (0.0, 0.0) if mean is None else mean.value_at(now)
 
     def put(self, entry: Entry, now: float) -> Change | None:
-        """Take a listed entry."""
+        """Add or update a listed entry."""
         was_missing = self._removal_due.pop(entry.id, None) is not None
         known = self.upstreams.get(entry.id)
         if known is None or known.entry.born != entry.born:
@@ -287,12 +291,12 @@
         return Change(entry.id, "leaving" if entry.is_leaving else "ready")
 
     def differs(self, entry: Entry) -> bool:
-        """Tell whether an entry changes what is known, a missing one included."""
+        """Return whether an entry is new, changed or back after it was missing."""
         known = self.upstreams.get(entry.id)
         return known is None or known.entry != entry or entry.id in self._removal_due
 
     def remove(self, upstream_id: str, now: float, in_grace: bool) -> Change | None:
-        """Take the removal of an entry; one that may have lapsed is kept a while."""
+        """Remove an entry, or during a grace period schedule its removal."""
         if upstream_id not in self.upstreams:
             return None
         if in_grace:
@@ -306,7 +310,7 @@
     def replace(
         self, entries: collections.abc.Sequence[Entry], now: float, in_grace: bool
     ) -> collections.abc.Iterator[Change]:
-        """Take the whole list."""
+        """Replace all entries by a complete list."""
         listed = {entry.id for entry in entries}
         for entry in entries:
             if (change := self.put(entry, now)) is not None:
@@ -316,7 +320,7 @@
                 yield change
 
     def expire(self, now: float) -> collections.abc.Iterator[Change]:
-        """Remove the entries that did not come back after an outage."""
+        """Remove missing entries whose grace period has ended."""
         for upstream_id in [i for i, at in self._removal_due.items() if at <= now]:
             if (change := self.remove(upstream_id, now, in_grace=False)) is not None:
                 yield change
--- a/packages/snipelug-core/src/snipelug_core/hashing.py
+++ b/packages/snipelug-core/src/snipelug_core/hashing.py
@@ -7,14 +7,14 @@
 
 
 def keyed_digest(key: bytes, *parts: bytes) -> bytes:
-    """Hash the parts under a key, each part preceded by its length.
+    """Return the keyed hash of the parts, each preceded by its length.
 
     Parameters
     ----------
     key : bytes
-        Secret of at most 64 bytes.
+        Secret key of at most 64 bytes.
     *parts : bytes
-        Length prefixes make ("ab", "c") and ("a", "bc") differ.
+        Values to hash. Length prefixes make ("ab", "c") and ("a", "bc") differ.
 
     Returns
     -------
@@ -29,13 +29,13 @@
 
 
 def rendezvous_score(item: str, candidate: str) -> int:
-    """Return the weight of a candidate for an item, the same in every process."""
+    """Return the rendezvous hashing score, which is the same in every process."""
     text = f"{item}\0{candidate}".encode()
     return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
 
 def rank(item: str, candidates: collections.abc.Iterable[str]) -> list[str]:
-    """Order candidates for an item by highest random weight.
+    """Sort candidates for an item by descending rendezvous score.
 
     Removing a candidate leaves the order of the others unchanged.
     """
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -1,16 +1,19 @@
-"""Which parts of prompts the stores of KV cache hold, and who may use them.
+"""Index of the prompt parts in the KV cache stores, and rules for their use.
 
-A store neither drops parts nor knows its readers, so three rules keep readers
-from parts that are not whole:
+A store neither evicts parts nor knows its readers, so three rules keep readers
+from incomplete parts:
 
 * A part is read only after the store has reported it as complete, in the epoch
-  that the last poll saw, and only while that poll is younger than ``MAX_POLL_AGE_S``.
-* After a store has restarted, nothing is saved to it for ``RESTART_SAVE_DELAY_S``. Every node
-  has seen the new epoch or its polls are too old by then.
-* Parts of replaced weights are read for ``OLD_VERSION_READ_S`` after the last poll that saw no
-  newer ones in the same store, and freed ``OLD_VERSION_FREE_DELAY_S`` after several newer ones
-  were seen there. So a node needs nothing but its polls of that store to know that
-  what it reads stays, also while it does not reach the platform.
+  seen by the last poll, and only while that poll is younger than
+  ``MAX_POLL_AGE_S``.
+* After a store has restarted, nothing is saved to it for
+  ``RESTART_SAVE_DELAY_S``. By then, each node has seen the new epoch or its last
+  poll is too old.
+* Parts of an outdated weight version are read for ``OLD_VERSION_READ_S`` after the
+  last poll that saw no parts of a newer version in the same store, and freed
+  ``OLD_VERSION_FREE_DELAY_S`` after several of these were seen there. A node
+  therefore needs only its polls of that store to know that a part will not be freed
+  during a read, even while it cannot reach the platform.
 """
 
 import collections.abc
@@ -20,48 +23,48 @@
 from snipelug_core import catalog, choice, hashing
 
 MAX_POLL_AGE_S = 1.6
-"""Age of a store's last answered poll up to which its parts are read."""
+"""Maximum age of a store's last successful poll at which its parts are read."""
 
 RESTART_SAVE_DELAY_S = 2.0
-"""Time without saves after a store's restart; more than ``MAX_POLL_AGE_S``."""
+"""Time without saves after a store restart; longer than ``MAX_POLL_AGE_S``."""
 
 FETCH_TIMEOUT_S = 1.0
-"""Longest transfer from a store; later ones are discarded by the engine."""
+"""Maximum duration of a transfer; engines discard transfers that take longer."""
 
 OLD_VERSION_READ_S = 3.0
-"""Time for which parts of replaced weights are used while engines switch."""
+"""Time for which outdated parts are read while engines load new weights."""
 
 MIN_NEWER_PARTS = 3
-"""Newer parts seen before older ones are freed; about one event in 100 gets lost."""
+"""Newer parts required before older ones are freed; about 1% of events are lost."""
 
 MAX_EVENT_DELAY_S = 0.2
-"""Most that an event can be late; the sites' stores tell them after 60 to 80 ms."""
+"""Maximum delay of a store event; the stores report events after 60 to 80 ms."""
 
 OLD_VERSION_FREE_DELAY_S = (
     OLD_VERSION_READ_S + FETCH_TIMEOUT_S + MAX_EVENT_DELAY_S + 0.3
 )
-"""Time after which nothing reads parts of replaced weights."""
+"""Time after which no node reads parts of outdated weights."""
 
 MIN_STORED_TOKENS = 128
-"""Prompts that share less are read again in less time than a transfer needs."""
+"""Minimum shared tokens; for fewer, prefill is faster than a transfer."""
 
 SMALL_PART_TOKENS = 2048
-"""Smaller parts go to the stores that start a transfer soonest."""
+"""Smaller parts go to the stores with the shortest setup time."""
 
 SAVE_TIMEOUT_S = 3.0
-"""Time for which a save counts as under way at the node that asked for it."""
+"""Time for which a save is considered pending at the node that requested it."""
 
 MAX_FILL_FRACTION = 0.97
-"""Part of a store's space above which no save is asked for."""
+"""Fraction of a store's capacity above which no save is requested."""
 
 CROSS_ZONE_FACTOR = 2.0
-"""Transfers between zones take twice as long."""
+"""Relative duration of transfers between zones."""
 
 MAX_CACHED_RANKINGS = 20_000
-"""Orders of stores that are kept, about 4 MB."""
+"""Maximum number of cached store rankings, about 4 MB."""
 
 PartKey = tuple[str, str]
-"""Salt and id of a part."""
+"""Cache salt and id of a part."""
 
 ModelVersion = tuple[str, int]
 """Model and weight version."""
@@ -69,16 +72,16 @@
 
 @dataclasses.dataclass
 class VersionStatus:
-    """Parts of one weight version in a store.
+    """Reported parts of one weight version in a store.
 
     Attributes
     ----------
-    since : float
-        When the last poll before the first of them was sent, in seconds.
+    first_seen_at : float
+        Send time of the last poll before the first part was reported, in seconds.
     parts : int
-        Parts that were reported so far.
+        Number of parts reported so far.
     confirmed_at : float
-        When ``MIN_NEWER_PARTS`` had been reported, in seconds.
+        When ``MIN_NEWER_PARTS`` parts had been reported, in seconds.
     """
 
     first_seen_at: float
@@ -88,26 +91,28 @@
 
 @dataclasses.dataclass
 class StoreState:
-    """What one node knows of one store.
+    """What this node knows about one KV cache store.
 
     Attributes
     ----------
     epoch : int or None
-        Changes when the store restarts; None before the first answer.
-    next : int
-        Number from which the next events are read.
+        Changes when the store restarts; None before the first response.
+    next_event : int
+        Sequence number of the next event to read.
     polled_at : float
-        When the last answered poll was sent, in seconds.
-    settled_at : float
-        When saves may begin, in seconds.
+        Send time of the last successful poll, in seconds.
+    saves_allowed_at : float
+        Time from which saves are allowed, in seconds.
     clock_offset_s : float
-        The store's clock minus this node's, at least, in seconds.
-    clock_at : (float, float) or None
-        When a poll was sent, in seconds, and the store's clock in its answer.
+        Lower bound of the store's clock minus this node's, in seconds.
+    clock_sample : (float, float) or None
+        Send time of a poll, in seconds, and the store's clock in the response.
     parts : dict of PartKey to int
-        Complete parts with their tokens.
-    generations : dict of Weights to Generation
-        The weight versions whose parts it has or had.
+        Complete parts with their token counts.
+    pending_saves : dict of PartKey to float
+        When this node requested saves that have not completed, in seconds.
+    versions : dict of ModelVersion to VersionStatus
+        Weight versions whose parts are or were in the store.
     """
 
     store: catalog.KvStore
@@ -125,20 +130,23 @@
     used_tokens: int = 0
 
     def clear(self) -> None:
-        """Drop everything known of the store's content."""
+        """Discard all information on the store's content."""
         self.parts.clear()
         self.pending_saves.clear()
         self.used_tokens = 0
 
     def restart(self, epoch: int, now: float) -> None:
-        """Take a new epoch; a node that has just started cannot tell if it is new."""
+        """Start a new epoch.
+
+        A node that has just started cannot tell whether the store has restarted.
+        """
         self.clear()
         self.versions.clear()
         self.epoch = epoch
         self.saves_allowed_at = now + RESTART_SAVE_DELAY_S
 
     def add(self, key: PartKey, tokens: int, now: float) -> None:
-        """Take the report that a part is complete, before ``polled_at`` is set anew."""
+        """Record that a part is complete; call this before updating ``polled_at``."""
         if key not in self.parts:
             weights = model_version_of(key)
             found = self.versions.setdefault(weights, VersionStatus(self.polled_at))
@@ -150,16 +158,16 @@
         self.pending_saves.pop(key, None)
 
     def drop(self, key: PartKey) -> None:
-        """Take the report that a part is no longer there."""
+        """Record that a part is no longer in the store."""
         self.used_tokens -= self.parts.pop(key, 0)
         self.pending_saves.pop(key, None)
 
     def is_fresh(self, now: float) -> bool:
-        """Tell whether the known parts may be read."""
+        """Return whether the last poll is recent enough to read parts."""
         return self.epoch is not None and now - self.polled_at < MAX_POLL_AGE_S
 
     def is_superseded(self, key_salt: str, now: float) -> bool:
-        """Tell whether newer parts are there for so long that this one may be freed."""
+        """Return whether newer parts have existed so long that this one may be freed."""
         model, version = model_version_of((key_salt, ""))
         return any(
             known == model
@@ -169,11 +177,11 @@
         )
 
     def has_pending_save(self, key: PartKey, now: float) -> bool:
-        """Tell whether this node has asked for the part to be saved just now."""
+        """Return whether this node has recently requested a save of the part."""
         return now - self.pending_saves.get(key, -1e9) < SAVE_TIMEOUT_S
 
     def may_save(self, key: PartKey, tokens: int, now: float) -> bool:
-        """Tell whether a part should be saved."""
+        """Return whether the part may be saved to this store."""
         if not self.is_fresh(now) or now < self.saves_allowed_at or key in self.parts:
             return False
         return (
@@ -183,12 +191,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Source:
-    """Where one part is read from, or None in its place.
+    """Store from which one part is read.
 
     Attributes
     ----------
     tokens : int
-        Tokens that the store reported as complete.
+        Number of tokens that the store reported as complete.
     """
 
     store: catalog.KvStore
@@ -197,16 +205,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """Which parts of a prompt are read from stores and which are saved.
+    """Transfers for a prompt: which parts to read from and save to stores.
 
     Attributes
     ----------
     sources : tuple of (Source or None)
-        One for each part.
+        Store to read each part from, or None.
     targets : tuple of (catalog.KvStore or None)
-        One for each part.
-    until_s : float or None
-        Time on the stores' clock at which transfers are discarded, in seconds.
+        Store to save each part to, or None.
+    deadline_s : float or None
+        Time on the stores' clock after which engines discard transfers, in seconds.
     """
 
     sources: tuple[Source | None, ...] = ()
@@ -218,9 +226,9 @@
 
 
 def salt(model: str, version: int, team: catalog.Team | None) -> str:
-    """Return the name under which a request's parts are cached.
+    """Return the cache salt for the parts of a request.
 
-    It binds the weight version, and the team where that team shares nothing.
+    It contains the weight version and, for an isolated team, a digest of its name.
     """
     owner = team.name if team is not None and team.is_isolated else ""
     owned = hashing.keyed_digest(b"salt", owner.encode()).hex()[:12] if owner else "-"
@@ -228,20 +236,20 @@
 
 
 def model_version_of(key: PartKey) -> ModelVersion:
-    """Return the model and weight version that a part's salt binds."""
+    """Return the model and weight version from the salt of a part."""
     model, version, _ = key[0].rsplit(".", 2)
     return model, int(version)
 
 
 class Index:
-    """The stores by name."""
+    """The known state of all KV cache stores."""
 
     def __init__(self) -> None:
         self.store_states: dict[str, StoreState] = {}
         self._rankings: dict[tuple[str, bool], list[StoreState]] = {}
 
     def set_stores(self, stores: collections.abc.Iterable[catalog.KvStore]) -> None:
-        """Take the stores in force; those that moved start empty."""
+        """Set the configured stores; new and changed ones start without known parts."""
         wanted = {store.name: store for store in stores}
         self._rankings.clear()
         for name in [n for n in self.store_states if n not in wanted]:
@@ -252,10 +260,10 @@
                 self.store_states[name] = StoreState(store)
 
     def ranked_stores(self, part: choice.PromptPart) -> list[StoreState]:
-        """Return the stores in the order in which they keep a part.
+        """Return the stores in order of preference for a part.
 
-        The order is a rendezvous weighted by space; small parts go first to the
-        stores that start a transfer soonest.
+        The order follows rendezvous hashing weighted by capacity; small parts prefer
+        the stores with the shortest setup time.
         """
         is_small = part.tokens < SMALL_PART_TOKENS
         known = self._rankings.get((part.id, is_small))
@@ -285,7 +293,7 @@
         zone: str,
         now: float,
     ) -> dict[str, float]:
-        """Return the time of a transfer, in seconds, for each part in a store."""
+        """Return the transfer time in seconds for each part that a store holds."""
         times = {}
         for part in _storable_parts(parts):
             state = self._readable_store(part, key_salt, now)
@@ -303,7 +311,7 @@
         key_salt: str,
         now: float,
     ) -> Plan:
-        """Decide which parts the chosen engine reads and saves."""
+        """Plan which parts the chosen engine reads from and saves to stores."""
         sources: list[Source | None] = []
         targets: list[catalog.KvStore | None] = []
         offsets: list[float] = []
@@ -329,7 +337,7 @@
     def cancel_saves(
         self, plan: Plan, parts: tuple[choice.PromptPart, ...], key_salt: str
     ) -> None:
-        """Forget the saves of a request that no engine has run."""
+        """Cancel the pending saves of a request that no engine has run."""
         for part, target in zip(parts, plan.targets, strict=False):
             state = self.store_states.get(target.name) if target is not None else None
             if state is not None:
@@ -365,7 +373,7 @@
 def _storable_parts(
     parts: tuple[choice.PromptPart, ...],
 ) -> tuple[choice.PromptPart, ...]:
-    """Return the shared parts of a prompt, none if they are short together."""
+    """Return the shared parts of a prompt, or none if they are short in total."""
     shared = parts[:-1]
     return shared if sum(part.tokens for part in shared) >= MIN_STORED_TOKENS else ()
 
@@ -373,7 +381,7 @@
 def is_version_usable(
     version: int, named_at: collections.abc.Mapping[int, float], now: float
 ) -> bool:
-    """Tell whether parts of a weight version may be read and saved.
+    """Return whether parts of a weight version may be read and saved.
 
     Parameters
     ----------
@@ -385,7 +393,7 @@
 
 
 def outdated_parts(state: StoreState, now: float) -> collections.abc.Iterator[PartKey]:
-    """Yield the parts that nothing reads any more, as newer ones are there."""
+    """Yield the parts that newer versions have replaced and no node reads any more."""
     newest: dict[str, int] = {}
     for (model, version), found in state.versions.items():
         if now - found.confirmed_at > OLD_VERSION_FREE_DELAY_S:
--- a/packages/snipelug-core/src/snipelug_core/overload.py
+++ b/packages/snipelug-core/src/snipelug_core/overload.py
@@ -1,39 +1,39 @@
-"""Which prompts are turned away while engines are overloaded.
+"""Load shedding: which prompts are rejected while engines are overloaded.
 
-Answers the load that follows when many engines were away at once: new weights, crashes,
-a restart of all nodes. The queues outlast their cause, because each prompt then comes
-late, holds memory in which parts of prompts could be kept, and is asked for again when
-its caller gives up. Turning away what would come late anyway empties the queues, and
-those who are turned away come back once that has helped.
+Queues build up when many engines are unavailable at once: during a weight rollout,
+after crashes or after a restart of all nodes. They outlast their cause, because each
+queued prompt is answered late, occupies memory that could hold cached prompt parts, and
+is sent again when its caller gives up. Rejecting prompts that would be late anyway
+drains the queues. Rejected callers retry after a pause, when the queues are shorter.
 """
 
 import random
 
 LATE_FRACTION = 0.75
-"""Expected time to the first token, in objectives, above which a prompt is late.
+"""Fraction of the latency objective above which an expected first token is late.
 
-Load reports lag behind: of prompts that were expected right at the objective, most
-came later.
+Load reports lag behind: most prompts that were expected to just meet the objective
+missed it.
 """
 
 MAX_PREFILL_FRACTION = 0.5
-"""Most of the objective that the time to read the prompt itself counts for.
+"""Maximum fraction of the objective that the prompt's own prefill counts for.
 
-Long prompts are turned away first, as each makes many short ones late; without a bound
-the longest would be turned away each time.
+Long prompts are rejected first, because each delays many short ones. Without this
+limit, the longest prompts would be rejected every time.
 """
 
 ANSWER_MARGIN_S = 0.1
-"""Time that an answer needs beside the wait."""
+"""Time required for an answer in addition to the wait."""
 
 MIN_RETRY_S = 0.3
-"""Shortest time after which a caller may come back; a queue moves little sooner."""
+"""Minimum retry delay; queues change little in less time."""
 
 MAX_RETRY_FRACTION = 1 / 3
-"""Part of a caller's time that it waits at most before it comes back."""
+"""Maximum retry delay as a fraction of the time to the caller's deadline."""
 
 JITTER = 0.5
-"""Part of the pause that is random, so that callers do not come back together."""
+"""Random fraction of the retry delay, so that callers do not retry together."""
 
 
 def retry_after(
@@ -43,23 +43,23 @@
     remaining_s: float,
     rng: random.Random,
 ) -> float | None:
-    """Return the pause after which a prompt should come back, or None to send it.
+    """Return the delay after which the caller should retry, or None to send now.
 
     Parameters
     ----------
     wait_s : float
-        Expected time before the prompt is read at the best engine, in seconds.
-    read_s : float
-        Expected time to read it, in seconds.
+        Expected time before prefill starts at the best engine, in seconds.
+    prefill_s : float
+        Expected duration of prefill, in seconds.
     objective_s : float
-        Time within which the first token is on time, in seconds.
-    left_s : float
+        Latency objective for the first token, in seconds.
+    remaining_s : float
         Time until the caller's deadline, in seconds.
 
     Returns
     -------
     float or None
-        Pause in seconds.
+        Retry delay in seconds.
     """
     counted_s = wait_s + min(prefill_s, MAX_PREFILL_FRACTION * objective_s)
     if (
--- a/packages/snipelug-core/src/snipelug_core/retry.py
+++ b/packages/snipelug-core/src/snipelug_core/retry.py
@@ -1,15 +1,15 @@
-"""Retry budgets: a token bucket per node and upstream."""
+"""Retry budgets: one token bucket per node and upstream."""
 
 import dataclasses
 
 RETRY_RATIO = 0.1
-"""Retries per request, so that retries add at most a tenth to an upstream's load."""
+"""Retries per request; retries add at most 10% to an upstream's load."""
 
 MIN_RETRIES_PER_S = 0.1
-"""Retries per second that are allowed even without other requests."""
+"""Retries per second that are allowed even without requests."""
 
 MAX_SAVED_RETRIES = 10.0
-"""Most retries saved up."""
+"""Capacity of the token bucket."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,12 +18,12 @@
 
     Attributes
     ----------
-    part : float
+    ratio : float
         Retries per request.
-    per_s : float
-        Retries per second that are allowed even without other requests.
-    depth : float
-        Most retries saved up.
+    min_per_s : float
+        Retries per second that are allowed even without requests.
+    capacity : float
+        Maximum number of accumulated retries.
     """
 
     ratio: float = RETRY_RATIO
@@ -35,30 +35,30 @@
 
 
 def node_share(ratio: float, extra: float, nodes: int) -> Policy:
-    """Return one node's share of a budget that all nodes have together.
+    """Return one node's share of a budget for all nodes together.
 
     Parameters
     ----------
-    part : float
+    ratio : float
         Retries per request that all nodes may send.
     extra : float
-        Retries that they may send beside these in one window.
+        Additional retries that they may send within one window.
     nodes : int
-        Nodes that share the budget.
+        Number of nodes that share the budget.
     """
     return Policy(0.75 * ratio, 0.0, max(1.0, 0.75 * extra / max(1, nodes)))
 
 
 @dataclasses.dataclass
 class Budget:
-    """Retries that one node may send on behalf of requests to one upstream.
+    """Token bucket for the retries of one node at one upstream.
 
     Attributes
     ----------
-    level : float
-        Retries allowed now.
-    filled_at : float
-        Monotonic time up to which the level is computed, in seconds.
+    available : float
+        Retries available now.
+    refilled_at : float
+        Monotonic time of the last refill, in seconds.
     """
 
     available: float = 1.0
@@ -66,12 +66,12 @@
 
 
 def record_request(budget: Budget, policy: Policy = DEFAULT_POLICY) -> None:
-    """Count a first attempt."""
+    """Add the retries earned by a first attempt."""
     budget.available = min(policy.capacity, budget.available + policy.ratio)
 
 
 def try_acquire(budget: Budget, now: float, policy: Policy = DEFAULT_POLICY) -> bool:
-    """Take one retry from the budget, if it allows one."""
+    """Take one retry from the budget and return whether it had one."""
     gained = policy.min_per_s * max(0.0, now - budget.refilled_at)
     budget.available = min(policy.capacity, budget.available + gained)
     budget.refilled_at = max(now, budget.refilled_at)
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -1,8 +1,8 @@
-"""Which engines are ordered to load newer weights, and when.
+"""Rollout of new weight versions: which engines load them, and when.
 
-One node at a time gives the orders, under a lease whose row is kept in the
-platform's store. The store's clock decides when the lease ends, so that nodes
-need no common time of day.
+One node at a time gives the orders. It holds a lease that is a row in the platform's
+store. The lease expires by the store's clock, so that nodes need no synchronized
+clocks.
 """
 
 import collections.abc
@@ -12,40 +12,41 @@
 from snipelug_core import fleet
 
 ROLLOUT_TARGET_S = 5.0
-"""Time in which all engines are to serve a version after it was named.
+"""Target duration of a rollout to all engines.
 
-Shorter leaves too few engines for the load; the deployments allow 8 s in all.
+A shorter rollout leaves too few engines for the load; the deployments allow 8 s in
+total.
 """
 
 LOAD_DURATION_S = 0.8
-"""Time for which an engine is away: its runs finish, then the weights load."""
+"""Time an engine is unavailable: running requests finish, then the weights load."""
 
 MAX_LOADING_FRACTION = 1 / 2
-"""Part of the engines that load at once, at most; the rest serve meanwhile."""
+"""Maximum fraction of the engines that load at once; the others keep serving."""
 
 LEASE_MARGIN_MS = 400.0
-"""The holder stops this long before its lease ends on the store's clock."""
+"""Safety margin: the holder stops this long before the lease expires."""
 
 RENEW_BEFORE_MS = 2_200.0
-"""A lease that ends sooner is renewed before the next order."""
+"""A lease with less remaining time is renewed before the next order."""
 
 ORDER_REPEAT_S = 2.5
-"""An order without visible effect is given again after this time."""
+"""Time after which an order without visible effect is repeated."""
 
 TAKEOVER_DELAY_MS = 200.0
-"""Time beyond the end of a lease before another node takes it."""
+"""Delay after the end of a lease before another node takes it."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Lease:
-    """The row that names the node that gives orders.
+    """Row in the platform's store that names the node that gives orders.
 
     Attributes
     ----------
     until_ms : float
         End of the lease on the store's clock, in milliseconds.
     fencing : int
-        Grows with each holder.
+        Fencing token; increases with each holder.
     """
 
     holder: str
@@ -55,14 +56,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class HeldLease:
-    """A lease of this node.
+    """A lease that this node holds.
 
     Attributes
     ----------
     sent_at : float
-        Monotonic time at which the write that gained it was sent, in seconds.
+        Monotonic send time of the write that acquired it, in seconds.
     store_ms : float
-        The store's clock in the answer to that write, in milliseconds.
+        The store's clock in the response to that write, in milliseconds.
     """
 
     lease: Lease
@@ -70,17 +71,17 @@
     store_ms: float
 
     def remaining_ms(self, now: float) -> float:
-        """Return for how long orders may be given, in milliseconds.
+        """Return the time for which orders may still be given, in milliseconds.
 
-        The store answered after ``sent_at``, so its clock now is at most
-        ``store_ms`` plus the time since then.
+        The store responded after ``sent_at``, so its clock is now at most
+        ``store_ms`` plus the time since ``sent_at``.
         """
         store_now = self.store_ms + 1000.0 * (now - self.sent_at)
         return self.lease.until_ms - LEASE_MARGIN_MS - store_now
 
 
 def may_take(row: Lease | None, node_id: str, store_ms: float) -> bool:
-    """Tell whether a node may take the lease that it read from the store."""
+    """Return whether a node may acquire the lease that it read from the store."""
     if row is None or row.holder == node_id:
         return True
     return store_ms > row.until_ms + TAKEOVER_DELAY_MS
@@ -88,12 +89,12 @@
 
 @dataclasses.dataclass
 class Order:
-    """An order that was given and is not seen carried out.
+    """An order to load weights that is not known to be completed.
 
     Attributes
     ----------
     at : float
-        Monotonic time, in seconds.
+        Monotonic time at which it was given, in seconds.
     """
 
     model: str
@@ -102,14 +103,14 @@
 
 
 Orders = dict[str, Order]
-"""Orders by upstream."""
+"""Outstanding orders by upstream id."""
 
 
 def outdated_upstreams(
     upstreams: collections.abc.Iterable[fleet.Upstream],
     newest: collections.abc.Mapping[str, int],
 ) -> collections.abc.Iterator[tuple[fleet.Upstream, str, int]]:
-    """Yield the upstreams that serve old weights, with model and newest version."""
+    """Yield the upstreams with outdated weights, with model and newest version."""
     for upstream in upstreams:
         if upstream.entry.is_leaving:
             continue
@@ -123,7 +124,7 @@
     upstreams: collections.abc.Mapping[str, fleet.Upstream],
     now: float,
 ) -> None:
-    """Forget orders that were carried out, that concern lost upstreams, or are old."""
+    """Remove orders that are completed, expired or for upstreams that are gone."""
     for upstream_id, order in list(orders.items()):
         upstream = upstreams.get(upstream_id)
         is_done = (
@@ -139,12 +140,12 @@
     orders: Orders,
     age_s: float,
 ) -> list[tuple[fleet.Upstream, str, int]]:
-    """Return the upstreams to order now, those with the least work first.
+    """Return the upstreams to order now, those with the fewest requests first.
 
     Parameters
     ----------
     age_s : float
-        Time since the newest version was named, in seconds.
+        Time since the newest version was requested, in seconds.
     """
     waiting = [
         item
@@ -159,7 +160,7 @@
 
 
 def max_concurrent_loads(engines: int, outdated_engines: int, age_s: float) -> int:
-    """Return how many engines load at once, so that all are done in time."""
+    """Return how many engines should load at once to finish in time."""
     waves = max(1.0, (ROLLOUT_TARGET_S - age_s) / LOAD_DURATION_S)
     most = max(1, math.floor(MAX_LOADING_FRACTION * engines))
     return min(most, max(1, math.ceil(outdated_engines / waves)))
--- a/packages/snipelug-core/src/snipelug_core/watcher.py
+++ b/packages/snipelug-core/src/snipelug_core/watcher.py
@@ -1,4 +1,4 @@
-"""Which nodes of a zone read from the platform for the others."""
+"""Selection of the nodes that read from the platform for their zone."""
 
 import collections.abc
 import dataclasses
@@ -6,17 +6,18 @@
 from snipelug_core import hashing
 
 READERS_PER_ZONE = 2
-"""Nodes that read; two, so that the loss of one is not noticed."""
+"""Nodes per zone that read; two, so that the loss of one has no effect."""
 
 READERS_PER_STORE = 1
-"""Nodes that read one store of KV cache; without it the others read for themselves.
+"""Nodes per zone that poll one KV cache store; without one, all nodes poll it.
 
-Their number spreads what is told over the links of a zone: at 500 parts a second one
-node that tells 25 others of all stores fills a link of 5 Mbit/s.
+A reader for each store spreads the load over the links of a zone: at 500 parts per
+second, a single node that forwards the events of all stores to 25 others saturates a
+5 Mbit/s link.
 """
 
 MAX_NODES_WITHOUT_READERS = 4
-"""In zones with at most so many nodes each reads for itself."""
+"""Maximum size of a zone in which each node reads for itself."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,12 +33,12 @@
     zone: str,
     store: str | None = None,
 ) -> collections.abc.Sequence[str]:
-    """Return the nodes of a zone that read for it, the same at every node.
+    """Return the nodes that read for a zone; all nodes compute the same result.
 
     Parameters
     ----------
     store : str or None
-        A store of KV cache; None for the tables of the platform's store.
+        Name of a KV cache store; None for the tables in the platform's store.
     """
     ids = [node.id for node in nodes if node.zone == zone]
     if len(ids) <= MAX_NODES_WITHOUT_READERS:
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -66,12 +66,12 @@
 
 
 @pytest.mark.parametrize(("left_s", "has_budget"), NO_TIME_OR_BUDGET)
-def test_no_retry_without_time_or_budget(remaining_s: float, has_budget: bool) -> None:
+def test_no_retry_without_time_or_budget(left_s: float, has_budget: bool) -> None:
     """Guards against retries that nobody waits for and that overload upstreams."""
     history = attempt.History()
     history.add(Result.REJECTED)
     route = relay_builders.route()
-    decision = attempt.decide(Result.REJECTED, history, route, remaining_s, has_budget)
+    decision = attempt.decide(Result.REJECTED, history, route, left_s, has_budget)
     assert decision is Action.REFUSE
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -38,14 +38,14 @@
 
 @pytest.mark.parametrize(("wait_s", "read_s", "left_s", "is_sent"), CASES)
 def test_what_would_come_late_is_turned_away(
-    wait_s: float, prefill_s: float, remaining_s: float, is_sent: bool
+    wait_s: float, read_s: float, left_s: float, is_sent: bool
 ) -> None:
     """Guards against prompts sent in vain, and refusals that help nobody."""
     rng = random.Random(1)
-    pause_s = overload.retry_after(wait_s, prefill_s, OBJECTIVE_S, remaining_s, rng)
+    pause_s = overload.retry_after(wait_s, read_s, OBJECTIVE_S, left_s, rng)
     assert (pause_s is None) == is_sent
     if pause_s is not None:
-        assert 0.0 < pause_s <= remaining_s / 3
+        assert 0.0 < pause_s <= left_s / 3
 
 
 @dataclasses.dataclass
@@ -105,12 +105,12 @@
             self.upstreams, request, relay_builders.context(), (), now, self.rng
         )
         assert found is not None
-        remaining_s = prompt.deadline - now
+        left_s = prompt.deadline - now
         pause_s = overload.retry_after(
             found.wait_s,
             found.ttft_s - found.wait_s,
             OBJECTIVE_S,
-            remaining_s,
+            left_s,
             self.rng,
         )
         if self.rejects_late and pause_s is not None:
@@ -161,8 +161,8 @@
     assert found is not None
     assert found.ttft_s > OBJECTIVE_S
     rng = random.Random(1)
-    prefill_s = found.ttft_s - found.wait_s
-    assert overload.retry_after(found.wait_s, prefill_s, OBJECTIVE_S, 8.0, rng) is None
+    read_s = found.ttft_s - found.wait_s
+    assert overload.retry_after(found.wait_s, read_s, OBJECTIVE_S, 8.0, rng) is None
 
 
 def test_queues_do_not_outlast_their_cause() -> None:
