--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -134,7 +134,7 @@
     output_tokens: int = 0
 
     def transfer_times_s(self, version: int) -> collections.abc.Mapping[str, float]:
-        """Return the transfer times to an engine that serves the given weight version."""
+        """Return the transfer times to an engine with the given weight version."""
         return self.fetch_s.get(version, NO_TRANSFERS)
 
 
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -167,7 +167,7 @@
         return self.epoch is not None and now - self.polled_at < MAX_POLL_AGE_S
 
     def is_superseded(self, key_salt: str, now: float) -> bool:
-        """Return whether newer parts have existed so long that this one may be freed."""
+        """Return whether newer parts were seen too long ago to read this one."""
         model, version = model_version_of((key_salt, ""))
         return any(
             known == model
--- a/tests/test_attempt.py
+++ b/tests/test_attempt.py
@@ -1,4 +1,4 @@
-"""What follows an attempt."""
+"""Tests for the decision after an attempt and for retry budgets."""
 
 import itertools
 
@@ -35,7 +35,7 @@
     results: list[attempt.Result],
     expected: attempt.Action,
 ) -> None:
-    """Guards against a second run of an order and against false refusals."""
+    """Guards against a second run of a non-idempotent request and false refusals."""
     route = relay_builders.route(repeat=repeat)
     history = attempt.History()
     for result in results:
@@ -47,9 +47,9 @@
 def test_no_more_runs_than_allowed_and_no_false_refusal(
     repeat: catalog.RepeatPolicy,
 ) -> None:
-    """Guards against runs beyond the limit, for every series of five results."""
+    """Guards against runs beyond the limit, for all sequences of five results."""
     route = relay_builders.route(repeat=repeat, max_attempts=2)
-    most = 1 if repeat is Repeat.AT_MOST_ONCE else 2
+    max_runs = 1 if repeat is Repeat.AT_MOST_ONCE else 2
     for results in itertools.product(Result, repeat=5):
         history = attempt.History()
         for result in results:
@@ -59,7 +59,7 @@
                 assert history.runs == 0
             if decision is not Action.TRY_AGAIN:
                 break
-        assert history.runs <= most
+        assert history.runs <= max_runs
 
 
 NO_TIME_OR_BUDGET = [(0.0, True), (1.0, False)]
@@ -67,7 +67,7 @@
 
 @pytest.mark.parametrize(("left_s", "has_budget"), NO_TIME_OR_BUDGET)
 def test_no_retry_without_time_or_budget(left_s: float, has_budget: bool) -> None:
-    """Guards against retries that nobody waits for and that overload upstreams."""
+    """Guards against retries after the deadline and retries that overload upstreams."""
     history = attempt.History()
     history.add(Result.REJECTED)
     route = relay_builders.route()
@@ -76,10 +76,10 @@
 
 
 @pytest.mark.parametrize("nodes", [1, 6, 79])
-def test_shares_of_the_retry_budget(nodes: int) -> None:
-    """Guards against the sum of all nodes' retries in a window of 10 s.
+def test_node_shares_of_retry_budget(nodes: int) -> None:
+    """Guards against too many retries by all nodes together in a window of 10 s.
 
-    All nodes retry whatever their share allows, at 20 requests a second each.
+    Each node sends 20 requests per second and all retries that its share allows.
     """
     policy = retry.node_share(0.2, 52.0, nodes)
     budgets = [retry.Budget(available=policy.capacity) for _ in range(nodes)]
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -1,4 +1,4 @@
-"""Routes, teams and services in force."""
+"""Tests for the active routes, services and teams."""
 
 import collections
 
@@ -26,14 +26,14 @@
 
 @pytest.mark.parametrize(("host", "path", "name"), PATHS)
 def test_longest_prefix_wins(host: str, path: str, name: str | None) -> None:
-    """Guards against a request on another route's service."""
-    found = CATALOG.find_route(host, path)
+    """Guards against requests sent to the service of another route."""
+    result = CATALOG.find_route(host, path)
     if name is None:
-        assert isinstance(found, refusal.Refusal)
-        assert found.kind is refusal.NOT_FOUND
+        assert isinstance(result, refusal.Refusal)
+        assert result.kind is refusal.NOT_FOUND
     else:
-        assert isinstance(found, catalog.Route)
-        assert found.name == name
+        assert isinstance(result, catalog.Route)
+        assert result.name == name
 
 
 KEYS = [
@@ -48,21 +48,23 @@
 
 
 @pytest.mark.parametrize(("route_name", "key", "expected"), KEYS)
-def test_keys(route_name: str, key: str | None, expected: str | None) -> None:
-    """Guards against a team's work for a caller without its key."""
+def test_team_of_api_key(
+    route_name: str, key: str | None, expected: str | None
+) -> None:
+    """Guards against requests on behalf of a team without one of its API keys."""
     route = next(route for route in ROUTES if route.name == route_name)
-    found = CATALOG.find_team(route, key)
+    result = CATALOG.find_team(route, key)
     if expected == "refused":
-        assert isinstance(found, refusal.Refusal)
-        assert found.kind is refusal.UNAUTHENTICATED
+        assert isinstance(result, refusal.Refusal)
+        assert result.kind is refusal.UNAUTHENTICATED
     elif expected is None:
-        assert found is None
+        assert result is None
     else:
-        assert found == TEAM
+        assert result == TEAM
 
 
-def test_shares_of_a_split_route() -> None:
-    """Guards against shares that are not kept, and against a request that moves."""
+def test_traffic_split_by_weight() -> None:
+    """Guards against wrong shares, and repeated requests that change the service."""
     route = relay_builders.route(services=(("x", 90), ("y", 10)))
     ids = [f"{i:08x}" for i in range(2_000)]
     picked = [CATALOG.pick_service(route, request_id) for request_id in ids]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,4 +1,4 @@
-"""Choice of an upstream."""
+"""Tests for the choice of an upstream."""
 
 import collections
 import dataclasses
@@ -26,8 +26,8 @@
     return None if found is None else found.upstream.entry.id
 
 
-def test_zone_that_is_out_gets_nothing() -> None:
-    """Guards against work for a zone that operators took out."""
+def test_drained_zone_gets_no_requests() -> None:
+    """Guards against requests to a zone that operators have taken out of service."""
     upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
     request = relay_builders.request(100, 10)
     assert pick(upstreams, request) == "near"
@@ -42,14 +42,14 @@
 
 
 @pytest.mark.parametrize("changes", UNUSABLE)
-def test_unusable_entries(changes: dict[str, object]) -> None:
-    """Guards against sends to upstreams that leave or lack the model."""
+def test_unusable_upstreams_are_excluded(changes: dict[str, object]) -> None:
+    """Guards against requests to upstreams that are draining or lack the model."""
     upstreams = relay_builders.upstreams(ENTRY(**changes))
     assert pick(upstreams, relay_builders.request(100, 10)) is None
 
 
-def test_tried_blocked_and_switching_are_passed_over() -> None:
-    """Guards against a second send to an upstream that has just turned one away."""
+def test_tried_blocked_and_switching_upstreams_are_excluded() -> None:
+    """Guards against a retry at an upstream that has just rejected the request."""
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"), ENTRY("u3"))
     upstreams[0].blocked_until = NOW + 1
     upstreams[1].switching_until = NOW + 1
@@ -59,8 +59,8 @@
     assert pick(upstreams, request) == "u3"
 
 
-def test_short_prompt_avoids_engine_that_reads_a_long_one() -> None:
-    """Guards against short questions that wait behind long prompts of other nodes."""
+def test_short_prompt_avoids_engine_with_long_prefill() -> None:
+    """Guards against short prompts that queue behind long prompts of other nodes."""
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
     request = relay_builders.request(50, 250, 80)
     first = pick(upstreams, request)
@@ -69,16 +69,16 @@
     assert pick(upstreams, request) != first
 
 
-def test_all_nodes_prefer_one_engine_for_a_new_part() -> None:
-    """Guards against a shared part that several engines read at once."""
+def test_all_nodes_prefer_the_same_engine_for_a_new_part() -> None:
+    """Guards against prefill of the same shared part on several engines."""
     entries = [ENTRY(f"u{i}") for i in range(6)]
     request = relay_builders.request(12_800, 4_000)
     first = pick(relay_builders.upstreams(*entries), request)
     assert pick(relay_builders.upstreams(*reversed(entries)), request) == first
 
 
-def test_prompts_stay_in_the_zone_unless_it_is_busy() -> None:
-    """Guards against bytes between zones that buy no time."""
+def test_prompts_stay_in_zone_unless_it_is_busy() -> None:
+    """Guards against cross-zone traffic that does not reduce latency."""
     upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
     request = relay_builders.request(12_800, 4_000, body_bytes=34_000)
     assert pick(upstreams, request) == "near"
@@ -86,8 +86,11 @@
     assert pick(upstreams, request) == "far"
 
 
-def test_old_weights_are_used_only_while_new_ones_are_busy_or_due() -> None:
-    """Guards against late answers for new weights, and old weights after the bound."""
+def test_old_weights_are_used_only_before_deadline_and_under_load() -> None:
+    """Guards against outdated weights after the rollout deadline.
+
+    Before that, engines with old weights relieve busy ones with new weights.
+    """
     upstreams = relay_builders.upstreams(
         ENTRY("new", versions={relay_builders.MODEL: 2}), ENTRY("old")
     )
@@ -100,23 +103,23 @@
     assert pick(upstreams[1:], due) is None
 
 
-def test_engine_on_old_weights_fetches_what_others_must_read() -> None:
-    """Guards against long prompts read anew by the few engines with new weights."""
+def test_engine_on_old_weights_is_chosen_for_stored_parts() -> None:
+    """Guards against prefill of stored prompts on the few engines with new weights."""
     entries = [ENTRY("new", versions={relay_builders.MODEL: 2}), ENTRY("old")]
     request = relay_builders.request(12_800, 4_000, version=2)
     stored = dataclasses.replace(request, fetch_s={1: {"p0": 0.04}})
-    for known, expected in ((request, "new"), (stored, "old")):
+    for prompt, expected in ((request, "new"), (stored, "old")):
         upstreams = relay_builders.upstreams(*entries)
         upstreams[0].prefill_tokens = 15_000
-        assert pick(upstreams, known) == expected
+        assert pick(upstreams, prompt) == expected
 
 
-def test_long_prompts_keep_together() -> None:
-    """Guards against short questions that find a long prompt on every engine.
+def test_long_prompts_are_concentrated() -> None:
+    """Guards against long prompts on every engine, which delay all short prompts.
 
-    Plays the load of new weights: no part is cached, and long prompts come faster
-    than one engine reads them. Counts engines without a long prompt when half of
-    the engines could hold all of them within the objective.
+    Simulates the load after a weight rollout: no part is cached, and long prompts
+    arrive faster than one engine can prefill them. Half of the engines can serve
+    them within the latency objective, so some engines must remain without any.
     """
     upstreams = relay_builders.upstreams(*(ENTRY(f"u{i}") for i in range(6)))
     context = relay_builders.context()
@@ -135,10 +138,10 @@
 
 
 def test_many_nodes_spread_over_engines_with_new_weights() -> None:
-    """Guards against 26 nodes of a zone that all send to one engine at once.
+    """Guards against 26 nodes of a zone that all send to the same engine at once.
 
-    Plays the first moment of new weights: 3 of 12 engines of each zone serve them, and
-    no node has heard of the load that the others cause.
+    Simulates the start of a weight rollout: 3 of 12 engines of each zone serve the
+    new version, and no node knows about the load from the other nodes.
     """
     entries = [
         ENTRY(
@@ -161,25 +164,26 @@
     assert max(sends.values()) <= 26 / 2
 
 
-def test_engine_heard_of_long_ago_does_not_look_idle() -> None:
-    """Guards against a queue at the engine whose report is oldest when all are busy."""
+def test_engine_with_old_load_report_does_not_look_idle() -> None:
+    """Guards against a queue at the engine with the oldest report when all are busy."""
     registry = fleet.Fleet()
     for name in ("u1", "u2"):
         registry.put(ENTRY(name), 0.0)
-    told, silent = registry.upstreams.values()
-    registry.record_load(silent, fleet.LoadReport(4, 10, 0, NOW - 2.0))
+    reported, unreported = registry.upstreams.values()
+    registry.record_load(unreported, fleet.LoadReport(4, 10, 0, NOW - 2.0))
     for age_s in (1.0, 0.5, 0.0):
-        registry.record_load(told, fleet.LoadReport(4, 10, 0, NOW - age_s))
+        registry.record_load(reported, fleet.LoadReport(4, 10, 0, NOW - age_s))
     context = relay_builders.context(mean_load=registry.mean_load("engines", NOW))
     request = relay_builders.request(100, 10)
     waits = [
-        choice.choose([one], request, context, (), NOW, RNG) for one in (told, silent)
+        choice.choose([one], request, context, (), NOW, RNG)
+        for one in (reported, unreported)
     ]
     assert all(found is not None and found.wait_s > 0.3 for found in waits)
 
 
 def test_failing_and_silent_upstreams_are_avoided() -> None:
-    """Guards against an upstream that fails requests while it is listed as ready."""
+    """Guards against requests to a failing upstream that is still listed as ready."""
     request = relay_builders.request()
     upstreams = relay_builders.upstreams(ENTRY("u1"), ENTRY("u2"))
     first = pick(upstreams, request)
@@ -193,8 +197,8 @@
 
 
 @pytest.mark.parametrize("nodes", [1, 6, 79])
-def test_cold_upstream_gets_what_it_sustains_from_all_nodes(nodes: int) -> None:
-    """Guards against the sum of all nodes' sends to an upstream in cold start.
+def test_cold_upstream_rate_limit_over_all_nodes(nodes: int) -> None:
+    """Guards against overload of an upstream in cold start by all nodes together.
 
     Each node has a request for it every 10 ms.
     """
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,11 @@
-"""Beliefs about listed upstreams."""
+"""Tests for the known state of listed upstreams."""
 
 from snipelug_core import fleet
 from tests import relay_builders
 
 
-def test_same_id_after_restart_knows_nothing() -> None:
-    """Guards against load and cached parts of an earlier process of the same id."""
+def test_restart_with_same_id_clears_state() -> None:
+    """Guards against load and cached parts of a previous process with the same id."""
     registry = fleet.Fleet()
     registry.put(relay_builders.entry(born=1), 0.0)
     registry.upstreams["u1"].running = 3
@@ -15,8 +15,8 @@
     assert not registry.upstreams["u1"].cached_parts
 
 
-def test_leaving_upstream_gets_no_work() -> None:
-    """Guards against work for an upstream that drains."""
+def test_leaving_upstream_is_not_listed_for_service() -> None:
+    """Guards against requests to an upstream that is draining."""
     registry = fleet.Fleet()
     registry.put(relay_builders.entry(), 0.0)
     assert [u.entry.id for u in registry.of_service("engines")] == ["u1"]
@@ -25,8 +25,8 @@
     assert registry.of_service("engines") == []
 
 
-def test_entry_that_lapsed_in_an_outage_is_kept_for_a_while() -> None:
-    """Guards against refusals because the list came back empty after an outage."""
+def test_missing_entry_is_kept_for_grace_period() -> None:
+    """Guards against refused requests when the list is empty after an outage."""
     registry = fleet.Fleet()
     registry.put(relay_builders.entry("u1"), 0.0)
     registry.put(relay_builders.entry("u2"), 0.0)
@@ -38,8 +38,8 @@
     assert set(registry.upstreams) == {"u1"}
 
 
-def test_return_of_a_lapsed_entry_is_a_change() -> None:
-    """Guards against nodes that are not told that a lapsed entry is back."""
+def test_return_of_missing_entry_is_a_change() -> None:
+    """Guards against other nodes not being notified that a missing entry is back."""
     registry = fleet.Fleet()
     entry = relay_builders.entry()
     registry.put(entry, 0.0)
@@ -50,16 +50,16 @@
     assert not registry.differs(entry)
 
 
-def test_removed_entry_is_gone_at_once() -> None:
-    """Guards against work for an upstream that left without draining."""
+def test_removal_outside_grace_period_is_immediate() -> None:
+    """Guards against requests to an upstream that left without draining."""
     registry = fleet.Fleet()
     registry.put(relay_builders.entry(), 0.0)
     assert registry.remove("u1", 1.0, in_grace=False) == fleet.Change("u1", "gone")
     assert registry.of_service("engines") == []
 
 
-def test_new_weights_forget_cached_parts() -> None:
-    """Guards against cost estimates from parts of replaced weights."""
+def test_new_weights_clear_cached_parts() -> None:
+    """Guards against cost estimates based on parts of outdated weights."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
     upstream.add_cached_part("p", 10, 100)
     upstream.set_version(relay_builders.MODEL, 1)
@@ -68,16 +68,16 @@
     assert not upstream.cached_parts
 
 
-def test_held_parts_yield() -> None:
-    """Guards against unbounded memory for parts that an engine has dropped."""
+def test_least_recently_sent_parts_are_evicted() -> None:
+    """Guards against unbounded memory for parts that an engine has evicted."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
     for number in range(10):
         upstream.add_cached_part(f"p{number}", 30, 100)
     assert list(upstream.cached_parts) == ["p7", "p8", "p9"]
 
 
-def test_failures_fade() -> None:
-    """Guards against an upstream that is never tried again after failures."""
+def test_failure_rate_decays() -> None:
+    """Guards against an upstream that is never used again after failures."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
     for _ in range(20):
         upstream.record_outcome(is_failure=True, now=1.0)
@@ -85,8 +85,8 @@
     assert upstream.failure_rate_at(6.0) == 0.0
 
 
-def test_announced_prompts_end_by_themselves() -> None:
-    """Guards against an engine that is avoided because a datagram was lost."""
+def test_announced_prompts_expire() -> None:
+    """Guards against an engine being avoided forever because a datagram was lost."""
     (upstream,) = relay_builders.upstreams(relay_builders.entry())
     upstream.announced[("10.0.0.2", 1)] = fleet.AnnouncedPrompt(5_000, 2.0)
     assert upstream.announced_tokens(1.0) == 5_000
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -1,4 +1,7 @@
-"""Stores of KV cache: nothing is read that is not whole, of another team or version."""
+"""Tests for the index of KV cache stores.
+
+No part is read that is incomplete or that belongs to another team or weight version.
+"""
 
 import collections
 import dataclasses
@@ -18,7 +21,7 @@
 
 
 def test_part_is_saved_once_and_then_read() -> None:
-    """Guards against shared parts that engines read again and again."""
+    """Guards against repeated prefill of shared parts."""
     index = relay_builders.fresh_index(0.0)
     (state,) = index.store_states.values()
     first = index.plan(PARTS, SALT, 0.1)
@@ -33,14 +36,14 @@
     assert third.deadline_s == 0.3 + kv_index.FETCH_TIMEOUT_S
 
 
-def test_own_part_is_never_stored() -> None:
-    """Guards against stores filled with parts that nobody asks for again."""
+def test_private_part_is_never_stored() -> None:
+    """Guards against stores filled with parts that no other request uses."""
     index = relay_builders.fresh_index(0.0)
     assert index.plan((choice.PromptPart("own", 9_000),), SALT, 0.1) is kv_index.NO_PLAN
 
 
-def test_short_prompts_need_no_transfer() -> None:
-    """Guards against transfers that take longer than reading."""
+def test_short_prompts_are_not_transferred() -> None:
+    """Guards against transfers that take longer than prefill."""
     index = relay_builders.fresh_index(0.0)
     parts = (choice.PromptPart("tiny", 50), choice.PromptPart("own", 90))
     assert index.plan(parts, SALT, 0.1) is kv_index.NO_PLAN
@@ -62,18 +65,18 @@
     one: tuple[str, int, catalog.Team | None],
     other: tuple[str, int, catalog.Team | None],
 ) -> None:
-    """Guards against parts of another weight version or of an isolated team."""
+    """Guards against use of parts of another weight version or an isolated team."""
     assert kv_index.salt(*one) != kv_index.salt(*other)
 
 
-def test_teams_that_are_not_isolated_share() -> None:
-    """Guards against parts read again for each team."""
+def test_teams_share_parts_unless_isolated() -> None:
+    """Guards against repeated prefill of the same part for each team."""
     team = catalog.Team("t")
     assert kv_index.salt("m", 1, team) == kv_index.salt("m", 1, None)
 
 
-def test_parts_of_old_versions_are_found() -> None:
-    """Guards against stores that fill up with parts of replaced weights."""
+def test_outdated_parts_are_found() -> None:
+    """Guards against stores that fill up with parts of outdated weights."""
     index = relay_builders.fresh_index(0.0)
     (state,) = index.store_states.values()
     isolated = catalog.Team("t", is_isolated=True)
@@ -92,8 +95,8 @@
     ) == [old]
 
 
-def test_full_store_yields_to_the_next() -> None:
-    """Guards against saves that are lost because one store is full."""
+def test_full_store_falls_back_to_next() -> None:
+    """Guards against skipped saves because one store is full."""
     stores = [relay_builders.kv_store(f"s{i}") for i in range(3)]
     index = relay_builders.fresh_index(0.0, *stores)
     ranked_stores = index.ranked_stores(PARTS[0])
@@ -102,8 +105,8 @@
     assert plan.targets[0] == ranked_stores[1].store
 
 
-def test_small_parts_prefer_stores_that_start_soon() -> None:
-    """Guards against short parts behind stores that are slow to start."""
+def test_small_parts_prefer_stores_with_short_setup() -> None:
+    """Guards against slow transfers of small parts."""
     stores = [
         relay_builders.kv_store("slow", setup_s=0.006),
         relay_builders.kv_store("fast", setup_s=0.0005, capacity_tokens=1_000),
@@ -114,26 +117,26 @@
         assert index.ranked_stores(part)[0].store.name == "fast"
 
 
-def test_stores_get_parts_by_their_space() -> None:
-    """Guards against small stores that overflow while large ones stay empty."""
+def test_parts_are_distributed_by_store_capacity() -> None:
+    """Guards against small stores that fill up while large ones stay empty."""
     stores = [
         relay_builders.kv_store("large", capacity_tokens=900_000),
         relay_builders.kv_store("small", capacity_tokens=300_000),
     ]
     index = relay_builders.fresh_index(0.0, *stores)
-    homes = collections.Counter(
+    first_choices = collections.Counter(
         index.ranked_stores(choice.PromptPart(f"p{i}", 5_000))[0].store.name
         for i in range(2_000)
     )
-    assert 0.70 < homes["large"] / 2_000 < 0.80
+    assert 0.70 < first_choices["large"] / 2_000 < 0.80
 
 
 @dataclasses.dataclass
-class Reader:
-    """One node's index and the fetches that it has asked for."""
+class Node:
+    """A node's index and the weight versions that it knows."""
 
     index: kv_index.Index
-    newest: int = 1
+    newest_version: int = 1
     named_at: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
@@ -143,11 +146,11 @@
     until: float
 
 
-class Stores(stateful.RuleBasedStateMachine):
-    """One store, three nodes, late polls, freezes, restarts and new weights.
+class StoreMachine(stateful.RuleBasedStateMachine):
+    """State machine: one store, three nodes, late polls, pauses, restarts, new weights.
 
-    The store keeps what was saved in its epoch. A save takes a second. A fetch
-    that is under way must find its part complete from its start to its end.
+    The store keeps the parts saved in its current epoch. A save takes one second. A
+    part must stay complete during every fetch of it.
     """
 
     def __init__(self) -> None:
@@ -160,39 +163,39 @@
         self.version = 1
         store = relay_builders.kv_store()
         self.nodes = [
-            Reader(relay_builders.fresh_index(self.now, store)) for _ in range(3)
+            Node(relay_builders.fresh_index(self.now, store)) for _ in range(3)
         ]
-        # All nodes know some parts, so that short series of steps reach a reader.
+        # All nodes know some parts, so that a few steps suffice to start a fetch.
         self.complete |= {(SALT, part): 12_800 for part in SHARED}
         for number in range(3):
             self.poll(number)
 
-    def state(self, node: Reader) -> kv_index.StoreState:
+    def state(self, node: Node) -> kv_index.StoreState:
         return next(iter(node.index.store_states.values()))
 
     @stateful.rule(
         seconds=st.sampled_from([0.3, 0.8, 1.5]),
-        polls=st.sampled_from([(), (0, 1, 2), (0, 1, 2), (1, 2)]),
-        confirms=st.sampled_from([(), (0, 1, 2), (1, 2)]),
+        pollers=st.sampled_from([(), (0, 1, 2), (0, 1, 2), (1, 2)]),
+        version_readers=st.sampled_from([(), (0, 1, 2), (1, 2)]),
     )
-    def wait(
-        self, seconds: float, polls: tuple[int, ...], confirms: tuple[int, ...]
+    def advance_time(
+        self, seconds: float, pollers: tuple[int, ...], version_readers: tuple[int, ...]
     ) -> None:
-        """Let time pass, after which some nodes hear from the stores."""
+        """Advance the time, then let some nodes poll the store or read the versions."""
         self.now += seconds
         for key, at in list(self.writing.items()):
             if at <= self.now:
                 del self.writing[key]
                 self.complete[key] = 12_800
         self.fetches = [f for f in self.fetches if f.until > self.now]
-        for number in polls:
+        for number in pollers:
             self.poll(number)
-        for number in confirms:
-            self.confirm(number)
+        for number in version_readers:
+            self.read_versions(number)
 
     @stateful.rule(number=st.integers(0, 2))
     def poll(self, number: int) -> None:
-        """Read the whole content, as after events without a gap."""
+        """Read the complete content, as by events without a gap."""
         state = self.state(self.nodes[number])
         if state.epoch != self.epoch:
             state.restart(self.epoch, self.now)
@@ -204,22 +207,22 @@
         state.polled_at = self.now
 
     @stateful.rule(number=st.integers(0, 2))
-    def confirm(self, number: int) -> None:
-        """Read the operator's intents."""
+    def read_versions(self, number: int) -> None:
+        """Learn the newest weight version requested by the operator."""
         node = self.nodes[number]
-        node.newest = self.version
+        node.newest_version = self.version
         node.named_at.setdefault(self.version, self.now)
 
     @stateful.rule(
         number=st.integers(0, 2), is_old=st.booleans(), part=st.sampled_from(SHARED)
     )
-    def ask(self, number: int, is_old: bool, part: str) -> None:
-        """Send a request to an engine, which may still serve the last version.
+    def send_request(self, number: int, is_old: bool, part: str) -> None:
+        """Send a request to an engine, which may still serve the previous version.
 
-        The node may not have heard of new weights for as long as it likes.
+        The node may not know about new weights for an arbitrarily long time.
         """
         node = self.nodes[number]
-        version = max(1, node.newest - is_old)
+        version = max(1, node.newest_version - is_old)
         if not kv_index.is_version_usable(version, node.named_at, self.now):
             return
         salt = kv_index.salt("m", version, None)
@@ -227,7 +230,7 @@
         plan = node.index.plan(parts, salt, self.now)
         key = (salt, part)
         if any(plan.sources):
-            assert key not in self.writing, "a part that is not whole is read"
+            assert key not in self.writing, "an incomplete part is read"
             assert plan.deadline_s is not None
             if key in self.complete:
                 self.fetches.append(Fetch(key, plan.deadline_s))
@@ -235,15 +238,15 @@
             self.writing.setdefault(key, self.now + 1.0)
 
     @stateful.rule(number=st.integers(0, 2))
-    def ask_all(self, number: int) -> None:
-        """Send a request for each part, after which newer parts replace older ones."""
-        self.confirm(number)
+    def send_request_for_each_part(self, number: int) -> None:
+        """Send a request for each part, so that newer parts can replace older ones."""
+        self.read_versions(number)
         for part in SHARED:
-            self.ask(number, False, part)
+            self.send_request(number, False, part)
 
     @stateful.rule()
     def restart(self) -> None:
-        """Lose everything; a fetch under way fails, which harms nobody."""
+        """Restart the store without its parts; current fetches fail, which is safe."""
         self.epoch += 1
         self.complete.clear()
         self.writing.clear()
@@ -251,33 +254,33 @@
 
     @stateful.precondition(lambda self: self.version < 4)
     @stateful.rule()
-    def name_version(self) -> None:
+    def release_version(self) -> None:
         self.version += 1
 
     @stateful.rule(number=st.integers(0, 2))
-    def free(self, number: int) -> None:
-        """Free as the node that cleans the store does."""
+    def free_outdated_parts(self, number: int) -> None:
+        """Free outdated parts like the node that cleans up the store."""
         node = self.nodes[number]
         state = self.state(node)
         if not state.is_fresh(self.now) or state.epoch != self.epoch:
             return
         for key in list(kv_index.outdated_parts(state, self.now)):
-            busy = [f for f in self.fetches if f.part == key]
-            assert not busy, "a part is freed while it is read"
+            in_use = [f for f in self.fetches if f.part == key]
+            assert not in_use, "a part is freed during a read"
             self.complete.pop(key, None)
             state.drop(key)
 
 
-Stores.TestCase.settings = hypothesis.settings(
+StoreMachine.TestCase.settings = hypothesis.settings(
     max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
 )
-TestStores = Stores.TestCase
+TestStoreMachine = StoreMachine.TestCase
 
 
-def test_restarted_store_gets_no_save_before_all_nodes_know() -> None:
-    """Guards against a reader that takes a part for complete while it is written anew.
+def test_no_save_to_restarted_store_before_all_nodes_know() -> None:
+    """Guards against a read of a part that is being written again after a restart.
 
-    The second node polls as late as a node may that still reads parts.
+    The second node does not poll after the restart; its last poll still allows reads.
     """
     store = relay_builders.kv_store()
     first, second = (relay_builders.fresh_index(0.0, store) for _ in range(2))
@@ -297,8 +300,8 @@
     raise AssertionError("nothing was ever saved after the restart")
 
 
-def test_unheard_store_is_not_read() -> None:
-    """Guards against parts of a store that may have restarted."""
+def test_store_without_recent_poll_is_not_read() -> None:
+    """Guards against reads from a store that may have restarted."""
     index = relay_builders.fresh_index(0.0)
     (state,) = index.store_states.values()
     state.add(KEY, 12_800, 0.0)
@@ -308,14 +311,14 @@
 
 @pytest.mark.parametrize("polled_before_s", [0.0, 0.5, 1.0, 1.55])
 @pytest.mark.parametrize("pause_s", [0.5, 1.0, 1.55])
-def test_old_parts_are_freed_only_when_no_node_uses_them(
+def test_outdated_parts_are_freed_only_when_unused(
     polled_before_s: float, pause_s: float
 ) -> None:
-    """Guards against a part that is freed under a request to an engine on old weights.
+    """Guards against a part that is freed while an engine on old weights reads it.
 
-    The node that frees sees the newer parts at once; the other one polled some time
-    before, does not know of new weights, and still sends to an engine that has not
-    switched.
+    The node that frees parts sees the newer ones at once. The other node polled
+    earlier, does not know about the new weights, and still sends requests to an
+    engine that has not loaded them.
     """
     store = relay_builders.kv_store()
     cleaner, user = (relay_builders.fresh_index(0.0, store) for _ in range(2))
@@ -341,8 +344,8 @@
     assert 0.0 < last_use + kv_index.FETCH_TIMEOUT_S < freed_at
 
 
-def test_node_that_starts_does_not_read_what_is_freed_now() -> None:
-    """Guards against a new node that takes old and newer parts for equally old."""
+def test_starting_node_does_not_read_outdated_parts() -> None:
+    """Guards against a new node that has seen old and newer parts for the same time."""
     index = kv_index.Index()
     index.set_stores((relay_builders.kv_store(),))
     (state,) = index.store_states.values()
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,4 +1,4 @@
-"""Turning prompts away while engines are overloaded."""
+"""Tests for load shedding while engines are overloaded."""
 
 import collections
 import dataclasses
@@ -14,19 +14,22 @@
 OBJECTIVE_S = 0.8
 DEADLINE_S = 4.0
 CALLER_PATIENCE_S = 3.2
-"""Time without a first token after which a caller leaves."""
+"""Time without a first token after which a caller gives up."""
 
 ENGINES = 4
 SLOTS = relay_builders.ENGINE.slots
 SLOT_TIME_S = SLOTS * choice.QUEUED_REQUEST_S
-"""Time that a prompt holds a slot; an engine ends one each ``WAITING_S``."""
+"""Time that a prompt occupies a slot.
+
+An engine finishes one prompt per ``QUEUED_REQUEST_S``.
+"""
 
 RATE_PER_S = 125
-AWAY_FROM_S, AWAY_TO_S = 5.0, 9.0
+OUTAGE_START_S, OUTAGE_END_S = 5.0, 9.0
 END_S = 25.0
 
 CASES = [
-    # expected wait, time to read, time left, whether the prompt is sent
+    # expected wait, prefill time, time to the deadline, whether the prompt is sent
     (0.1, 0.0, 4.0, True),
     (0.55, 0.0, 4.0, True),
     (0.65, 0.0, 4.0, False),
@@ -37,10 +40,10 @@
 
 
 @pytest.mark.parametrize(("wait_s", "read_s", "left_s", "is_sent"), CASES)
-def test_what_would_come_late_is_turned_away(
+def test_late_prompts_are_rejected(
     wait_s: float, read_s: float, left_s: float, is_sent: bool
 ) -> None:
-    """Guards against prompts sent in vain, and refusals that help nobody."""
+    """Guards against prompts answered late and against needless rejections."""
     rng = random.Random(1)
     pause_s = overload.retry_after(wait_s, read_s, OBJECTIVE_S, left_s, rng)
     assert (pause_s is None) == is_sent
@@ -50,14 +53,14 @@
 
 @dataclasses.dataclass
 class Prompt:
-    asked_at: float
+    sent_at: float
     deadline: float
     upstream: fleet.Upstream | None = None
     has_ended: bool = False
 
 
 class OverloadSimulation:
-    """Engines with queues, callers that leave and come back, and one node."""
+    """Simulates engines with queues, callers that give up and retry, and one node."""
 
     def __init__(self, rejects_late: bool) -> None:
         entries = [relay_builders.entry(f"u{i}") for i in range(ENGINES)]
@@ -67,39 +70,39 @@
         self.queues: dict[str, collections.deque[Prompt]] = {
             entry.id: collections.deque() for entry in entries
         }
-        self.free = {entry.id: SLOTS for entry in entries}
-        self.numbers = itertools.count()
+        self.free_slots = {entry.id: SLOTS for entry in entries}
+        self.sequence = itertools.count()
         self.events: list[tuple[float, int, str, Prompt]] = []
         self.ttft_s: dict[int, float] = {}
 
-    def at(self, time: float, what: str, prompt: Prompt) -> None:
-        heapq.heappush(self.events, (time, next(self.numbers), what, prompt))
+    def schedule(self, time: float, action: str, prompt: Prompt) -> None:
+        heapq.heappush(self.events, (time, next(self.sequence), action, prompt))
 
     def run(self) -> list[tuple[float, float | None]]:
-        """Return for each caller when it asked and how long it waited."""
+        """Return the send time and the wait, if answered, of each caller."""
         waits: dict[float, float | None] = {}
         for number in range(int(END_S * RATE_PER_S)):
-            asked_at = number / RATE_PER_S
-            waits[asked_at] = None
-            self.at(asked_at, "ask", Prompt(asked_at, asked_at + DEADLINE_S))
+            sent_at = number / RATE_PER_S
+            waits[sent_at] = None
+            self.schedule(sent_at, "ask", Prompt(sent_at, sent_at + DEADLINE_S))
         while self.events:
-            now, _, what, prompt = heapq.heappop(self.events)
-            match what:
+            now, _, action, prompt = heapq.heappop(self.events)
+            match action:
                 case "ask":
-                    self.ask(prompt, now)
+                    self.send(prompt, now)
                 case "end":
-                    self.end(prompt)
+                    self.finish(prompt)
                 case "leave" if prompt.upstream is not None and not prompt.has_ended:
                     self.leave(prompt, now)
             for upstream in self.upstreams:
-                for begun in self.begin(upstream, now):
-                    waits[begun.asked_at] = now - begun.asked_at
+                for started in self.start_queued(upstream, now):
+                    waits[started.sent_at] = now - started.sent_at
         return sorted(waits.items())
 
-    def ask(self, prompt: Prompt, now: float) -> None:
-        is_away = AWAY_FROM_S <= now < AWAY_TO_S
+    def send(self, prompt: Prompt, now: float) -> None:
+        is_outage = OUTAGE_START_S <= now < OUTAGE_END_S
         for upstream in self.upstreams[: ENGINES // 2]:
-            upstream.switching_until = AWAY_TO_S if is_away else 0.0
+            upstream.switching_until = OUTAGE_END_S if is_outage else 0.0
         request = relay_builders.request(1, 1)
         found = choice.choose(
             self.upstreams, request, relay_builders.context(), (), now, self.rng
@@ -114,31 +117,31 @@
             self.rng,
         )
         if self.rejects_late and pause_s is not None:
-            # A caller comes back once.
-            if now == prompt.asked_at:
-                self.at(now + pause_s, "ask", prompt)
+            # A caller retries once.
+            if now == prompt.sent_at:
+                self.schedule(now + pause_s, "ask", prompt)
             return
         prompt.upstream = found.upstream
         found.upstream.running += 1
         self.queues[found.upstream.entry.id].append(prompt)
-        self.at(min(now + CALLER_PATIENCE_S, prompt.deadline), "leave", prompt)
+        self.schedule(min(now + CALLER_PATIENCE_S, prompt.deadline), "leave", prompt)
 
-    def begin(self, upstream: fleet.Upstream, now: float) -> list[Prompt]:
-        queue, begun = self.queues[upstream.entry.id], []
-        while queue and self.free[upstream.entry.id] > 0:
+    def start_queued(self, upstream: fleet.Upstream, now: float) -> list[Prompt]:
+        queue, started = self.queues[upstream.entry.id], []
+        while queue and self.free_slots[upstream.entry.id] > 0:
             prompt = queue.popleft()
             if prompt.has_ended:
                 continue
-            self.free[upstream.entry.id] -= 1
+            self.free_slots[upstream.entry.id] -= 1
             prompt.has_ended = True
-            begun.append(prompt)
-            self.at(now + SLOT_TIME_S, "end", prompt)
-        return begun
+            started.append(prompt)
+            self.schedule(now + SLOT_TIME_S, "end", prompt)
+        return started
 
-    def end(self, prompt: Prompt) -> None:
+    def finish(self, prompt: Prompt) -> None:
         assert prompt.upstream is not None
         prompt.upstream.running -= 1
-        self.free[prompt.upstream.entry.id] += 1
+        self.free_slots[prompt.upstream.entry.id] += 1
 
     def leave(self, prompt: Prompt, now: float) -> None:
         assert prompt.upstream is not None
@@ -146,13 +149,13 @@
         prompt.upstream.running -= 1
 
 
-def on_time(waits: list[tuple[float, float | None]], since: float) -> float:
-    found = [w for at, w in waits if since <= at < END_S - DEADLINE_S]
+def fraction_on_time(waits: list[tuple[float, float | None]], since: float) -> float:
+    found = [w for sent_at, w in waits if since <= sent_at < END_S - DEADLINE_S]
     return sum(w is not None and w <= OBJECTIVE_S for w in found) / len(found)
 
 
-def test_longest_prompts_are_sent_while_nothing_waits() -> None:
-    """Guards against prompts that are turned away each time because of their size."""
+def test_longest_prompts_are_sent_without_load() -> None:
+    """Guards against prompts that are always rejected because of their size."""
     request = relay_builders.request(34_000, 17_000)
     upstreams = relay_builders.upstreams(relay_builders.entry())
     found = choice.choose(
@@ -165,17 +168,18 @@
     assert overload.retry_after(found.wait_s, read_s, OBJECTIVE_S, 8.0, rng) is None
 
 
-def test_queues_do_not_outlast_their_cause() -> None:
-    """Guards against answers that stay late after half of the engines were away.
+def test_queues_drain_after_engines_return() -> None:
+    """Guards against late answers long after an outage of half of the engines.
 
-    Plays 94% of what all engines serve; the backlog of 4 s would need 30 s to drain.
+    Simulates 94% of the total capacity. Without rejection, the backlog of 4 s would
+    take 30 s to drain.
     """
     with_queues = OverloadSimulation(rejects_late=False).run()
-    with_refusals = OverloadSimulation(rejects_late=True).run()
-    assert on_time(with_queues, AWAY_TO_S + 1) < 0.2
-    assert on_time(with_refusals, AWAY_TO_S + 1) > 0.9
-    assert on_time(with_refusals, 0) > on_time(with_queues, 0) + 0.2
+    with_rejection = OverloadSimulation(rejects_late=True).run()
+    assert fraction_on_time(with_queues, OUTAGE_END_S + 1) < 0.2
+    assert fraction_on_time(with_rejection, OUTAGE_END_S + 1) > 0.9
+    assert fraction_on_time(with_rejection, 0) > fraction_on_time(with_queues, 0) + 0.2
     served = [
-        sum(w is not None for _, w in waits) for waits in (with_queues, with_refusals)
+        sum(w is not None for _, w in waits) for waits in (with_queues, with_rejection)
     ]
     assert served[1] >= 0.95 * served[0]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,4 +1,4 @@
-"""Orders to load weights: one giver at a time, with growing fencing numbers."""
+"""Tests for weight rollouts: one node gives orders, with increasing fencing tokens."""
 
 import dataclasses
 
@@ -14,8 +14,8 @@
 MODEL = relay_builders.MODEL
 
 
-def test_engines_with_the_least_work_come_first() -> None:
-    """Guards against runs that delay the first engines of a rollout."""
+def test_engines_with_fewest_requests_load_first() -> None:
+    """Guards against running requests that delay the first engines of a rollout."""
     upstreams = relay_builders.upstreams(
         *(relay_builders.entry(f"u{i}") for i in range(9))
     )
@@ -26,7 +26,7 @@
 
 
 AT_ONCE = [
-    # Engines, engines with old weights, time since the naming, expected.
+    # engines, engines with old weights, time since the version was requested, expected
     (9, 9, 0.0, 2),
     (9, 9, 3.6, 4),
     (9, 1, 0.0, 1),
@@ -38,15 +38,15 @@
 
 
 @pytest.mark.parametrize(("engines", "outdated", "age_s", "expected"), AT_ONCE)
-def test_engines_at_once(
+def test_number_of_concurrent_loads(
     engines: int, outdated: int, age_s: float, expected: int
 ) -> None:
-    """Guards against rollouts that take too many engines away or too long."""
+    """Guards against rollouts that use too many engines at once or take too long."""
     assert rollout.max_concurrent_loads(engines, outdated, age_s) == expected
 
 
-def test_orders_are_repeated_and_forgotten() -> None:
-    """Guards against an order that was lost, and against one that was carried out."""
+def test_lost_orders_expire_and_completed_ones_are_removed() -> None:
+    """Guards against unrepeated lost orders and repeated completed ones."""
     upstreams = relay_builders.upstreams(
         relay_builders.entry("u1"), relay_builders.entry("u2")
     )
@@ -65,17 +65,17 @@
 
 @dataclasses.dataclass
 class LeaseNode:
-    """One node; ``held`` is what it believes."""
+    """One node; ``held`` is the lease that it believes to hold."""
 
     id: str
     held: rollout.HeldLease | None = None
     row_version: int = 0
 
 
-class Leases(stateful.RuleBasedStateMachine):
-    """Three nodes, a store with a clock, late and lost answers, freezes.
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """State machine: three nodes, a store clock, late and lost responses, pauses.
 
-    Two nodes never give orders at one time, and fencing numbers grow.
+    Two nodes never give orders at the same time, and fencing tokens increase.
     """
 
     def __init__(self) -> None:
@@ -90,7 +90,7 @@
         return 1_000 * self.now + 7_777
 
     @stateful.rule(seconds=st.sampled_from([0.3, 1.0, 2.0, 4.0]))
-    def wait(self, seconds: float) -> None:
+    def advance_time(self, seconds: float) -> None:
         self.now += seconds
 
     @stateful.rule(
@@ -99,10 +99,10 @@
         is_lost=st.sampled_from([False, False, True]),
         other_writes=st.integers(0, 3),
     )
-    def take(
+    def acquire(
         self, number: int, delay_s: float, is_lost: bool, other_writes: int
     ) -> None:
-        """Read the row and write it, as a node without a lease does."""
+        """Read the row and write it, like a node without a lease."""
         node = self.nodes[number]
         row, read_version, read_ms = self.row, self.version, self.store_ms()
         if node.held is not None and node.held.remaining_ms(self.now) > 0:
@@ -165,29 +165,31 @@
             assert other is node or not has_lease, "two nodes give orders"
         if self.last_order is not None:
             last_holder, last_token, _ = self.last_order
-            assert token >= last_token, "a fencing number went back"
-            assert last_holder == node.id or token > last_token, "one number for two"
+            assert token >= last_token, "the fencing token decreased"
+            assert last_holder == node.id or token > last_token, (
+                "two nodes share a token"
+            )
         self.last_order = (node.id, token, self.now)
 
 
-Leases.TestCase.settings = hypothesis.settings(
+LeaseMachine.TestCase.settings = hypothesis.settings(
     max_examples=400, stateful_step_count=40, deadline=None, derandomize=True
 )
-TestLeases = Leases.TestCase
+TestLeaseMachine = LeaseMachine.TestCase
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.2, 1.0, 2.5])
-def test_lease_has_ended_when_another_node_may_take_it(delay_s: float) -> None:
-    """Guards against two givers, also where the answer to the write came late."""
+def test_lease_ends_before_another_node_may_acquire_it(delay_s: float) -> None:
+    """Guards against two lease holders, even if the response to the write is late."""
     read_ms = 50_000.0
     lease = rollout.Lease("n0", read_ms + LEASE_MS + rollout.LEASE_MARGIN_MS, 1)
     held = rollout.HeldLease(lease, sent_at=10.0, store_ms=read_ms + 1_000 * delay_s)
-    could_order = False
+    has_given_orders = False
     for tick in range(100):
         now = 10.0 + tick / 20
         store_ms = read_ms + 1_000 * (now - 10.0)
         orders = now >= 10.0 + delay_s and held.remaining_ms(now) > 0
-        could_order = could_order or orders
+        has_given_orders = has_given_orders or orders
         assert not (orders and rollout.may_take(lease, "n1", store_ms))
-    assert could_order is (delay_s < 1.5)
+    assert has_given_orders is (delay_s < 1.5)
     assert rollout.may_take(lease, "n1", read_ms + 4_000)
