--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -20,7 +20,7 @@
 
 Address = tuple[str, int]
 
-LastCheck = collections.abc.Callable[[float], bool]
+PreSendCheck = collections.abc.Callable[[float], bool]
 """Called with the connection's opening time right before the first byte is sent."""
 
 
@@ -344,7 +344,7 @@
         self._idle: dict[Address, collections.deque[_Connection]] = {}
 
     async def send(
-        self, call: Call, last_check: LastCheck | None = None
+        self, call: Call, pre_send_check: PreSendCheck | None = None
     ) -> Reply | NotSent | Withheld | Lost:
         """Send a request and wait for the head of its response.
 
@@ -352,7 +352,7 @@
         ----------
         call : Call
             The request.
-        last_check : LastCheck, optional
+        pre_send_check : PreSendCheck, optional
             Evaluated without any suspension before the first byte is sent, so
             that a right that has lapsed while this process was paused is seen.
         """
@@ -363,7 +363,7 @@
         if call.body:
             data += conn.proto.send(h11.Data(data=call.body)) or b""
         data += conn.proto.send(h11.EndOfMessage()) or b""
-        if last_check is not None and not last_check(conn.opened_at):
+        if pre_send_check is not None and not pre_send_check(conn.opened_at):
             # Kept, so that a report newer than the connection can clear it.
             conn.reset()
             self._keep_fresh(conn)
@@ -374,10 +374,10 @@
         self,
         call: Call,
         limit_bytes: int = 16 * 1024 * 1024,
-        last_check: LastCheck | None = None,
+        pre_send_check: PreSendCheck | None = None,
     ) -> Full | NotSent | Withheld | Lost | TooLarge:
         """Send a request and read the whole response."""
-        reply = await self.send(call, last_check)
+        reply = await self.send(call, pre_send_check)
         if not isinstance(reply, Reply):
             return reply
         body = await reply.read(limit_bytes, call.timeout_s)
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -58,7 +58,7 @@
         Bytes of the request have been sent to an upstream that did not decline.
     pinned_version : str
         The only weight version that may go on with the answer; empty for any.
-    granted : LastCheck or None
+    granted : PreSendCheck or None
         Further check before the first byte, of the claim of this request.
     first_data_at : float or None
         Monotonic time at which the answer's first part was relayed, in seconds.
@@ -81,7 +81,7 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     sent: bool = False
     pinned_version: str = ""
-    granted: http_client.LastCheck | None = None
+    granted: http_client.PreSendCheck | None = None
     first_data_at: float | None = None
     is_suspect: bool = False
     crash_epoch: int = 0
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -282,7 +282,9 @@
         streamed = job.chat.body.stream
         job.chat.body.stream = False
 
-        async def send(granted: http_client.LastCheck, _send_by: float) -> order.Sent:
+        async def send(
+            granted: http_client.PreSendCheck, _send_by: float
+        ) -> order.Sent:
             job.granted = grant_again(granted)
             whole = await self.dispatcher.collect(job)
             if isinstance(whole, refusal.Refusal):
@@ -354,7 +356,7 @@
                 return order.Answer(answer.status, answer.headers, answer.body)
             return sent.refusal
 
-        async def send(granted: http_client.LastCheck, send_by: float) -> order.Sent:
+        async def send(granted: http_client.PreSendCheck, send_by: float) -> order.Sent:
             return await self._send_service(call, granted, False, send_by)
 
         req = call.req
@@ -366,7 +368,7 @@
     async def _send_service(
         self,
         call: "ServiceCall",
-        granted: http_client.LastCheck | None,
+        granted: http_client.PreSendCheck | None,
         repeatable: bool,
         send_by: float,
     ) -> order.Sent:
@@ -438,7 +440,7 @@
         self,
         call: "ServiceCall",
         upstream: table.Upstream,
-        granted: http_client.LastCheck | None,
+        granted: http_client.PreSendCheck | None,
         send_by: float,
     ) -> (
         http_client.Full
@@ -502,7 +504,7 @@
             self._leave()
 
 
-def grant_again(granted: http_client.LastCheck) -> http_client.LastCheck:
+def grant_again(granted: http_client.PreSendCheck) -> http_client.PreSendCheck:
     """Let a granted call be sent again for a short time.
 
     The dispatcher sends a keyed call again only after an engine answered that it
--- a/packages/snipelug-node/src/snipelug_node/loader.py
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -83,7 +83,7 @@
             ORDER_TIMEOUT_S,
         )
         outcome = await self.pool.fetch(
-            call, last_check=lambda _: self.fencing_of(inst.id) == load.fencing
+            call, pre_send_check=lambda _: self.fencing_of(inst.id) == load.fencing
         )
         done = (
             isinstance(outcome, http_client.Full)
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -44,14 +44,14 @@
 """What a dispatch returns: answered in full, no byte sent, or bytes sent."""
 
 Send = collections.abc.Callable[
-    [http_client.LastCheck, float], collections.abc.Awaitable[Sent]
+    [http_client.PreSendCheck, float], collections.abc.Awaitable[Sent]
 ]
 """Sends a call; must evaluate the last check right before the first byte, after
 all other checks, and must not send without its consent or twice. Waits for what it
 needs until the given time at most."""
 
 _SendInTime = collections.abc.Callable[
-    [http_client.LastCheck], collections.abc.Awaitable[Sent]
+    [http_client.PreSendCheck], collections.abc.Awaitable[Sent]
 ]
 
 
@@ -280,8 +280,8 @@
         self._jobs[place] = job
         send_by = until - SETTLE_S
 
-        async def send_in_time(last_check: http_client.LastCheck) -> Sent:
-            return await send(last_check, send_by)
+        async def send_in_time(pre_send_check: http_client.PreSendCheck) -> Sent:
+            return await send(pre_send_check, send_by)
 
         call = claim.Call(row, until)
         self._nursery.start_soon(self._work, job, call, send_in_time)
@@ -359,12 +359,12 @@
         )
 
     async def _dispatch(self, job: _Job, nonce: str, send: _SendInTime) -> Sent:
-        def last_check(_opened_at: float) -> bool:
+        def pre_send_check(_opened_at: float) -> bool:
             return self.ledger.grant(nonce, trio.current_time())
 
         outcome: Sent
         try:
-            outcome = await send(last_check)
+            outcome = await send(pre_send_check)
         except Exception:
             LOG.exception("dispatch_failed")
             reason = "the dispatch failed inside the node"
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -174,7 +174,7 @@
         upstream: table.Upstream,
         call: http_client.Call,
         deadline: float,
-        granted: http_client.LastCheck | None = None,
+        granted: http_client.PreSendCheck | None = None,
         is_suspect: bool = False,
         may_wait: bool = True,
     ) -> Outcome:
@@ -188,7 +188,7 @@
             The request.
         deadline : float
             Monotonic time until which a slot is waited for, in seconds.
-        granted : LastCheck, optional
+        granted : PreSendCheck, optional
             Evaluated last of all, after the upstream was judged to be able to
             take the request; for claims, it marks the claim as sent.
         is_suspect : bool
@@ -207,7 +207,7 @@
                 refused = await self._prepare(permit, deadline, is_suspect, may_wait)
                 if refused is not None:
                     return Blocked(refused, is_busy=not may_wait)
-                outcome = await self.pool.send(call, _last_check(permit, granted))
+                outcome = await self.pool.send(call, _pre_send_check(permit, granted))
                 if isinstance(outcome, http_client.Reply):
                     if permit.slot is not None:
                         permit.slot.arrived(trio.current_time())
@@ -281,9 +281,9 @@
         return await self.slots.acquire(upstream_id, deadline)
 
 
-def _last_check(
-    permit: Permit, granted: http_client.LastCheck | None
-) -> http_client.LastCheck:
+def _pre_send_check(
+    permit: Permit, granted: http_client.PreSendCheck | None
+) -> http_client.PreSendCheck:
     def check(conn_opened_at: float) -> bool:
         if not permit.check(conn_opened_at):
             return False
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -193,7 +193,7 @@
         is_kept = False
         try:
             with trio.move_on_after(self._patience_s(work, pick)):
-                sent = await self._pool.send(call, self._last_check(work, pick))
+                sent = await self._pool.send(call, self._pre_send_check(work, pick))
                 if isinstance(sent, http_client.Reply):
                     reply = sent
                     visit.hear(clock.now())
@@ -277,7 +277,9 @@
         for part in ask.parts[:-1]:
             upstream.note_held(part.id, part.tokens, capacity)
 
-    def _last_check(self, work: job.Job, pick: choice.Choice) -> http_client.LastCheck:
+    def _pre_send_check(
+        self, work: job.Job, pick: choice.Choice
+    ) -> http_client.PreSendCheck:
         """Return the check that comes right before the first byte is sent."""
         entry = pick.upstream.entry
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -63,8 +63,8 @@
     ) -> load.Verdict:
         """Judge a send; the script's verdicts withhold it."""
         fault = self.faults[0] if self.faults else self.rest
-        is_last_check = conn_opened_at >= 0
-        if fault != "cold" and (fault != "withheld" or not is_last_check):
+        is_pre_send_check = conn_opened_at >= 0
+        if fault != "cold" and (fault != "withheld" or not is_pre_send_check):
             return load.Allowed()
         del self.faults[:1]
         if fault == "cold":
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -349,7 +349,7 @@
 
     class Pool:
         async def send(
-            self, call: http_client.Call, last_check: http_client.LastCheck
+            self, call: http_client.Call, pre_send_check: http_client.PreSendCheck
         ) -> http_client.NotSent:
             return http_client.NotSent("nobody listens")
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -48,14 +48,16 @@
     assert msgspec.json.decode(body)["error"]["run_state"] == "not_run"
 
 
-async def test_last_check_withholds_request(nursery: trio.Nursery) -> None:
+async def test_pre_send_check_withholds_request(nursery: trio.Nursery) -> None:
     """Guards against sending on a right that lapsed while connecting."""
     server = http_server.Server(echo)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
     pool = http_client.Pool()
     call = http_client.Call(("127.0.0.1", port), "GET", "/x")
-    assert await pool.fetch(call, last_check=lambda _: False) == http_client.Withheld()
-    full = await pool.fetch(call, last_check=lambda _: True)
+    assert (
+        await pool.fetch(call, pre_send_check=lambda _: False) == http_client.Withheld()
+    )
+    full = await pool.fetch(call, pre_send_check=lambda _: True)
     assert isinstance(full, http_client.Full)
     assert full.body == b"/x"
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -27,7 +27,7 @@
         self.has_no_slot = False
 
     async def send(
-        self, last_check: http_client.LastCheck, send_by: float
+        self, pre_send_check: http_client.PreSendCheck, send_by: float
     ) -> order.Sent:
         if self.has_no_slot:
             await trio.sleep_until(send_by)
@@ -35,7 +35,7 @@
         await trio.sleep(self.before_check_s)
         if self.broken == "before":
             raise RuntimeError("broken")
-        if not last_check(0.0):
+        if not pre_send_check(0.0):
             return claim.NotSent(DOWN)
         self.runs += 1
         await trio.sleep(self.delay_s)
@@ -357,9 +357,11 @@
     port = await nursery.start(http_server.Server(handler).serve, "127.0.0.1", 0)
     pool = http_client.Pool()
 
-    async def send(last_check: http_client.LastCheck, send_by: float) -> order.Sent:
+    async def send(
+        pre_send_check: http_client.PreSendCheck, send_by: float
+    ) -> order.Sent:
         call = http_client.Call(("127.0.0.1", port), "POST", "/x", body=b"b")
-        match await pool.fetch(call, last_check=last_check):
+        match await pool.fetch(call, pre_send_check=pre_send_check):
             case http_client.Full(status, headers, body):
                 return claim.Delivered(claim.Answer(status, headers, body))
             case http_client.NotSent() | http_client.Withheld():
