--- a/bench/relay.py
+++ b/bench/relay.py
@@ -125,7 +125,7 @@
     pool: http_client.Pool, call: http_client.Call, out: _Counter
 ) -> None:
     reply = await pool.send(call)
-    if not isinstance(reply, http_client.Reply) or reply.status != 200:
+    if not isinstance(reply, http_client.StreamingResponse) or reply.status != 200:
         out.failures += 1
         return
     while True:
@@ -172,7 +172,7 @@
         call = request(addr, 4, f"question {number}")
         begin = time.perf_counter()
         reply = await pool.send(call)
-        assert isinstance(reply, http_client.Reply), reply
+        assert isinstance(reply, http_client.StreamingResponse), reply
         await reply.next_part()
         times.append((time.perf_counter() - begin) * 1000)
         await reply.read(1 << 20, 30.0)
--- a/packages/snipelug-cli/src/snipelug_cli/api.py
+++ b/packages/snipelug-cli/src/snipelug_cli/api.py
@@ -118,7 +118,7 @@
     for url in settings.urls:
         reply = await _call_one(settings, url, method, path, body, wait_s)
         match reply:
-            case http_client.Full():
+            case http_client.FullResponse():
                 last = _read_answer(reply)
                 if not _should_try_next(last):
                     return last
@@ -148,7 +148,7 @@
     body: Content | None,
     wait_s: float,
 ) -> (
-    http_client.Full
+    http_client.FullResponse
     | http_client.NotSent
     | http_client.Withheld
     | http_client.Lost
@@ -173,7 +173,7 @@
         await pool.aclose()
 
 
-def _read_answer(reply: http_client.Full) -> Done | Refused:
+def _read_answer(reply: http_client.FullResponse) -> Done | Refused:
     try:
         content = msgspec.json.decode(reply.body, type=Content)
     except msgspec.MsgspecError:
--- a/packages/snipelug-cli/src/snipelug_cli/deployment.py
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -112,7 +112,7 @@
     call = http_client.Call(addr, "GET", "/metrics", timeout_s=METRICS_S)
     with trio.move_on_after(METRICS_S):
         found = await pool.fetch(call)
-        if not isinstance(found, http_client.Full) or found.status != OK:
+        if not isinstance(found, http_client.FullResponse) or found.status != OK:
             return {"metrics": "not served"}
         text = found.body.decode("utf-8", "replace")
         try:
--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -88,7 +88,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Full:
+class FullResponse:
     """A complete response."""
 
     status: int
@@ -105,7 +105,7 @@
 """Takes a body part without waiting; returns whether it can take more now."""
 
 
-class Reply:
+class StreamingResponse:
     """A response whose head has arrived and whose body can be read.
 
     Attributes
@@ -345,7 +345,7 @@
 
     async def send(
         self, call: Call, pre_send_check: PreSendCheck | None = None
-    ) -> Reply | NotSent | Withheld | Lost:
+    ) -> StreamingResponse | NotSent | Withheld | Lost:
         """Send a request and wait for the head of its response.
 
         Parameters
@@ -375,15 +375,15 @@
         call: Call,
         limit_bytes: int = 16 * 1024 * 1024,
         pre_send_check: PreSendCheck | None = None,
-    ) -> Full | NotSent | Withheld | Lost | TooLarge:
+    ) -> FullResponse | NotSent | Withheld | Lost | TooLarge:
         """Send a request and read the whole response."""
         reply = await self.send(call, pre_send_check)
-        if not isinstance(reply, Reply):
+        if not isinstance(reply, StreamingResponse):
             return reply
         body = await reply.read(limit_bytes, call.timeout_s)
         if not isinstance(body, bytes):
             return body
-        return Full(reply.status, reply.headers, body)
+        return FullResponse(reply.status, reply.headers, body)
 
     def give_back(self, conn: _Connection) -> None:
         """Keep a connection for reuse, or close it if it cannot be reused."""
@@ -428,14 +428,14 @@
 
     async def _exchange(
         self, call: Call, conn: _Connection, data: bytes
-    ) -> Reply | Lost:
+    ) -> StreamingResponse | Lost:
         lost = Lost(f"no response within {call.timeout_s} s")
         try:
             with trio.move_on_after(call.timeout_s):
                 event = await self._send_and_receive(call, conn, data)
                 if isinstance(event, h11.Response):
                     conn.server_idle_s = _announced_idle_s(event)
-                    return Reply(self, conn, event)
+                    return StreamingResponse(self, conn, event)
                 lost = Lost("connection closed before the response", is_closed=True)
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
             lost = Lost(str(exc) or "connection broken", is_closed=True)
--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -104,7 +104,7 @@
         )
         async with limit:
             full = await self.pool.fetch(call, ANSWER_BYTES)
-        status = full.status if isinstance(full, http_client.Full) else 0
+        status = full.status if isinstance(full, http_client.FullResponse) else 0
         if status in (http.HTTPStatus.OK, http.HTTPStatus.NO_CONTENT):
             self.counts["deleted"] += 1
         elif status in (http.HTTPStatus.NOT_FOUND, http.HTTPStatus.PRECONDITION_FAILED):
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -177,7 +177,7 @@
     run_id: str
     permit: sender.Permit
     router: Router
-    reply: http_client.Reply | None = None
+    reply: http_client.StreamingResponse | None = None
     fault: str = ""
     is_closed: bool = False
     idle: bool = False
@@ -310,7 +310,7 @@
         )
 
     async def _declined(
-        self, job: Job, exchange: Exchange, reply: http_client.Reply
+        self, job: Job, exchange: Exchange, reply: http_client.StreamingResponse
     ) -> "_Refused":
         """Account for an engine that answered with an error."""
         upstream_id = exchange.choice.upstream.instance.id
--- a/packages/snipelug-node/src/snipelug_node/engine.py
+++ b/packages/snipelug-node/src/snipelug_node/engine.py
@@ -113,7 +113,7 @@
     error: _ErrorDetail | str
 
 
-async def read_error(reply: http_client.Reply) -> Declined | Failed:
+async def read_error(reply: http_client.StreamingResponse) -> Declined | Failed:
     """Read the body of an answer whose status is not 200."""
     body = await reply.read(MAX_ERROR_BYTES, timeout_s=5.0)
     message = ""
--- a/packages/snipelug-node/src/snipelug_node/feeds.py
+++ b/packages/snipelug-node/src/snipelug_node/feeds.py
@@ -117,7 +117,10 @@
             timeout_s=FEED_TIMEOUT_S,
         )
         full = await self.pool.fetch(call, FEED_BYTES)
-        if not isinstance(full, http_client.Full) or full.status != http.HTTPStatus.OK:
+        if (
+            not isinstance(full, http_client.FullResponse)
+            or full.status != http.HTTPStatus.OK
+        ):
             self.counts["unusable"] += 1
             return
         try:
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -388,7 +388,7 @@
             excluded.add(upstream.instance.id)
             outcome = await self._try_service(call, upstream, granted, send_by)
             match outcome:
-                case http_client.Full(status, headers, body):
+                case http_client.FullResponse(status, headers, body):
                     kept = service.answer_headers(headers)
                     kept["x-snipelug-upstream"] = upstream.instance.id
                     return claim.Delivered(claim.Answer(status, kept, body))
@@ -443,7 +443,7 @@
         granted: http_client.PreSendCheck | None,
         send_by: float,
     ) -> (
-        http_client.Full
+        http_client.FullResponse
         | http_client.NotSent
         | http_client.Lost
         | http_client.TooLarge
@@ -464,7 +464,7 @@
                 await sent.reply.aclose()
         if not isinstance(body, bytes):
             return body
-        return http_client.Full(sent.reply.status, sent.reply.headers, body)
+        return http_client.FullResponse(sent.reply.status, sent.reply.headers, body)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-node/src/snipelug_node/loader.py
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -86,7 +86,7 @@
             call, pre_send_check=lambda _: self.fencing_of(inst.id) == load.fencing
         )
         done = (
-            isinstance(outcome, http_client.Full)
+            isinstance(outcome, http_client.FullResponse)
             and outcome.status == http.HTTPStatus.OK
         )
         lines.event(
--- a/packages/snipelug-node/src/snipelug_node/platform.py
+++ b/packages/snipelug-node/src/snipelug_node/platform.py
@@ -95,13 +95,13 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         limit_bytes: int = TABLE_LIMIT_BYTES,
-    ) -> http_client.Full | ports.Unavailable:
+    ) -> http_client.FullResponse | ports.Unavailable:
         """Send one request; every transport fault becomes ``Unavailable``."""
         call = http_client.Call(
             self._addr, method, target, headers or {}, body, self._timeout_s
         )
         match await self._pool.fetch(call, limit_bytes):
-            case http_client.Full() as full:
+            case http_client.FullResponse() as full:
                 return full
             case http_client.NotSent(reason):
                 return ports.Unavailable(reason, maybe_applied=False)
@@ -303,7 +303,7 @@
     return etag.removeprefix("W/").strip('"')
 
 
-def _version_of(full: http_client.Full) -> str:
+def _version_of(full: http_client.FullResponse) -> str:
     return _unquote(full.headers.get("etag", ""))
 
 
@@ -326,7 +326,7 @@
     return _TransactionWrite(write.table, write.key, content, text)
 
 
-def _unexpected(full: http_client.Full) -> ports.Unavailable:
+def _unexpected(full: http_client.FullResponse) -> ports.Unavailable:
     # Proxies also answer 5xx, 503 included, when the connection behind them
     # breaks after the request was passed on. Only a 4xx proves a refusal.
     reason = f"status {full.status}: {full.body[:200]!r}"
@@ -334,7 +334,7 @@
 
 
 def _deleted(
-    full: http_client.Full, expect: ports.Precondition
+    full: http_client.FullResponse, expect: ports.Precondition
 ) -> ports.Written | ports.Conflict | ports.Unavailable:
     if full.status // 100 == 2:
         return ports.Written(_version_of(full))
@@ -344,7 +344,7 @@
     return _unexpected(full)
 
 
-def _stored(full: http_client.Full) -> ports.Written | ports.Unavailable:
+def _stored(full: http_client.FullResponse) -> ports.Written | ports.Unavailable:
     if full.status // 100 != 2:
         return _unexpected(full)
     version = _version_of(full)
@@ -354,7 +354,7 @@
 
 
 def _decode(
-    full: http_client.Full, kind: type[Structure]
+    full: http_client.FullResponse, kind: type[Structure]
 ) -> Structure | ports.Unavailable:
     try:
         return msgspec.json.decode(full.body, type=kind)
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -381,7 +381,10 @@
 
 
 def _read(full: object) -> Status | None:
-    if not isinstance(full, http_client.Full) or full.status != http.HTTPStatus.OK:
+    if (
+        not isinstance(full, http_client.FullResponse)
+        or full.status != http.HTTPStatus.OK
+    ):
         return None
     try:
         return msgspec.json.decode(full.body, type=Status)
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -134,7 +134,7 @@
     """The head of a response arrived; the caller releases the permit."""
 
     permit: Permit
-    reply: http_client.Reply
+    reply: http_client.StreamingResponse
 
 
 @dataclasses.dataclass(frozen=True)
@@ -208,7 +208,7 @@
                 if refused is not None:
                     return Blocked(refused, is_busy=not may_wait)
                 outcome = await self.pool.send(call, _pre_send_check(permit, granted))
-                if isinstance(outcome, http_client.Reply):
+                if isinstance(outcome, http_client.StreamingResponse):
                     if permit.slot is not None:
                         permit.slot.arrived(trio.current_time())
                     kept, permit = permit, Permit(upstream, self.may_send)
--- a/packages/snipelug-node/src/snipelug_node/transfers.py
+++ b/packages/snipelug-node/src/snipelug_node/transfers.py
@@ -344,7 +344,7 @@
             timeout_s,
         )
         full = await self.pool.fetch(call, ANSWER_BYTES)
-        if not isinstance(full, http_client.Full):
+        if not isinstance(full, http_client.FullResponse):
             return TransferFailed(f"{path} at {engine.id}: {full}")
         if full.status != http.HTTPStatus.OK:
             return TransferFailed(f"{path} at {engine.id}: status {full.status}")
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -200,7 +200,7 @@
             (inst.host, inst.port), "GET", "/load", timeout_s=LOAD_TIMEOUT_S
         )
         full = await self.pool.fetch(call, MAX_REPORT_BYTES)
-        if not isinstance(full, http_client.Full):
+        if not isinstance(full, http_client.FullResponse):
             return
         try:
             wire = msgspec.json.decode(full.body, type=WireReport)
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -98,7 +98,7 @@
 
     Attributes
     ----------
-    reply : http_client.Reply or None
+    reply : http_client.StreamingResponse or None
         The open answer of a stream.
     events : bytes
         Its first whole events.
@@ -109,7 +109,7 @@
     result: attempt.Result
     reason: str = ""
     visit: Visit | None = None
-    reply: http_client.Reply | None = None
+    reply: http_client.StreamingResponse | None = None
     splitter: sse.Splitter | None = None
     events: bytes = b""
     has_ended: bool = False
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -188,13 +188,13 @@
         entry = pick.upstream.entry
         shared = choice.shared_part(work.ask.parts)
         visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
-        reply: http_client.Reply | None = None
+        reply: http_client.StreamingResponse | None = None
         outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
         try:
             with trio.move_on_after(self._patience_s(work, pick)):
                 sent = await self._pool.send(call, self._pre_send_check(work, pick))
-                if isinstance(sent, http_client.Reply):
+                if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
                     visit.hear(clock.now())
                     outcome = await self._read(work, visit, reply, resume_after)
@@ -315,7 +315,7 @@
         self,
         work: job.Job,
         visit: job.Visit,
-        reply: http_client.Reply,
+        reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
         verdict = self._dialect.judge(work.ask, reply.status, reply.headers)
@@ -344,7 +344,10 @@
         return job.Outcome(attempt.Result.ANSWERED, response=response)
 
     async def _read_first(
-        self, visit: job.Visit, reply: http_client.Reply, resume_after: str | None
+        self,
+        visit: job.Visit,
+        reply: http_client.StreamingResponse,
+        resume_after: str | None,
     ) -> job.Outcome:
         """Read a stream up to its first whole event."""
         splitter = sse.Splitter(resume_after)
--- a/packages/snipelug-standins/src/snipelug_standins/kv.py
+++ b/packages/snipelug-standins/src/snipelug_standins/kv.py
@@ -73,7 +73,7 @@
         TRANSFER_TIMEOUT_S,
     )
     full = await pool.fetch(call)
-    if not isinstance(full, http_client.Full) or full.status != CREATED:
+    if not isinstance(full, http_client.FullResponse) or full.status != CREATED:
         return None
     return Stored(key, order.generation, checksum)
 
@@ -90,7 +90,7 @@
         timeout_s=TRANSFER_TIMEOUT_S,
     )
     full = await pool.fetch(call, LIMIT_BYTES)
-    if not isinstance(full, http_client.Full) or full.status != OK:
+    if not isinstance(full, http_client.FullResponse) or full.status != OK:
         return None
     # The body can have changed on the way or in the store.
     if store.checksum(full.body) != block.checksum:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -106,7 +106,7 @@
     expected: str,
 ) -> None:
     reply = await pool.send(call)
-    if not isinstance(reply, http_client.Reply):
+    if not isinstance(reply, http_client.StreamingResponse):
         result.problem = f"no answer: {reply}"
         return
     _note_head(result, reply.status, reply.headers)
@@ -173,7 +173,7 @@
     start = trio.current_time()
     full = await pool.fetch(call)
     result = Result(total_s=trio.current_time() - start)
-    if not isinstance(full, http_client.Full):
+    if not isinstance(full, http_client.FullResponse):
         result.problem = f"no answer: {full}"
         return result
     _note_head(result, full.status, full.headers)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -226,7 +226,7 @@
         addr = (HOST, child.port if port is None else port)
         call = http_client.Call(addr, method, target, headers or {}, body, timeout_s)
         full = await self.pool.fetch(call, 256 * 1024 * 1024)
-        if not isinstance(full, http_client.Full):
+        if not isinstance(full, http_client.FullResponse):
             return None
         return Answer(full.status, full.headers, full.body)
 
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -246,7 +246,7 @@
         target = "/admin/v1" + path
         call = http_client.Call(admin, method, target, headers, body, 30.0)
         full = await self.running.pool.fetch(call)
-        if not isinstance(full, http_client.Full):
+        if not isinstance(full, http_client.FullResponse):
             raise cluster.ProcessError(f"no answer to {method} {target}: {full}")
         return cluster.Answer(full.status, full.headers, full.body)
 
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -348,7 +348,7 @@
 
     async def call_once(
         self, pool: http_client.Pool, node: Process, kind: str
-    ) -> http_client.Full | None:
+    ) -> http_client.FullResponse | None:
         """Send one request and check its answer; return a success."""
         request_id = f"{next(self.ids):08x}"
         headers = {
@@ -368,14 +368,16 @@
         body = b"" if method == "GET" else b"x"
         call = http_client.Call(addr, method, f"/{kind}/x", headers, body, 4.0)
         found = await pool.fetch(call)
-        if not isinstance(found, http_client.Full):
+        if not isinstance(found, http_client.FullResponse):
             self.outcomes[f"{kind} {type(found).__name__}"] += 1
             return None
         self.outcomes[f"{kind} {found.status}"] += 1
         self.check(kind, request_id, found)
         return found if found.status == 200 else None
 
-    def check(self, kind: str, request_id: str, found: http_client.Full) -> None:
+    def check(
+        self, kind: str, request_id: str, found: http_client.FullResponse
+    ) -> None:
         """Check an answer against what its request promised."""
         if found.headers.get("request-id") not in (None, request_id):
             self.blame("own answer", f"{request_id} got {found.headers}")
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -203,15 +203,15 @@
 
     async def send(
         self, method: str, target: str, body: bytes = b"", **headers: str
-    ) -> http_client.Full | http_client.Lost:
+    ) -> http_client.FullResponse | http_client.Lost:
         """Send a request and read its whole answer."""
         found = await self.pool.fetch(self.call(method, target, body, **headers))
-        assert isinstance(found, http_client.Full | http_client.Lost), found
+        assert isinstance(found, http_client.FullResponse | http_client.Lost), found
         return found
 
     async def ask(
         self, target: str, parts: str = "aa:200,bb:50", **headers: str
-    ) -> http_client.Full | http_client.Lost:
+    ) -> http_client.FullResponse | http_client.Lost:
         """Send a prompt."""
         return await self.send(
             "POST",
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -77,7 +77,7 @@
             addr = ("127.0.0.1", int(url[1]))
             call = http_client.Call(addr, "GET", "/readyz", {}, timeout_s=5.0)
             answer = await http_client.Pool().fetch(call, 1024)
-            assert isinstance(answer, http_client.Full)
+            assert isinstance(answer, http_client.FullResponse)
             assert answer.status == 200
             process.send_signal(signal.SIGINT)
             assert await process.wait() == 0
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -241,7 +241,7 @@
     class Pool:
         async def fetch(
             self, call: http_client.Call, limit_bytes: int
-        ) -> http_client.Full | http_client.Lost:
+        ) -> http_client.FullResponse | http_client.Lost:
             name = f"u{call.addr[1]}"
             if name in silent:
                 await trio.sleep(call.timeout_s)
@@ -251,7 +251,7 @@
             body = msgspec.json.encode(
                 {"boot_id": "x", "seq": len(reads), "running": running}
             )
-            return http_client.Full(200, {}, body)
+            return http_client.FullResponse(200, {}, body)
 
     upstreams = {
         f"u{port}": table.Upstream(dataclasses.replace(builders.INSTANCE, port=port))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -58,7 +58,7 @@
         await pool.fetch(call, pre_send_check=lambda _: False) == http_client.Withheld()
     )
     full = await pool.fetch(call, pre_send_check=lambda _: True)
-    assert isinstance(full, http_client.Full)
+    assert isinstance(full, http_client.FullResponse)
     assert full.body == b"/x"
 
 
@@ -150,7 +150,7 @@
         name, _, take, _ = FOLLOWED[number]
         call = http_client.Call(("127.0.0.1", port), "GET", f"/{number}")
         reply = await pool.send(call)
-        assert isinstance(reply, http_client.Reply)
+        assert isinstance(reply, http_client.StreamingResponse)
         first = await reply.next_part()
         assert isinstance(first, bytes)
         texts[number] += first
@@ -168,7 +168,7 @@
             ends[number] = exc
         await reply.aclose()
 
-    async def abort_later(reply: http_client.Reply) -> None:
+    async def abort_later(reply: http_client.StreamingResponse) -> None:
         await trio.sleep(0.1)
         reply.abort()
 
@@ -390,7 +390,7 @@
     bodies = []
     for request_id in ("1", "2"):
         full = await pool.fetch(numbered(port, request_id))
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         bodies.append(full.body)
     assert bodies == [b"first", b"new"]
     nursery.cancel_scope.cancel()
@@ -404,7 +404,7 @@
     port = await serve_script(nursery, twice)
     pool = http_client.Pool()
     full = await pool.fetch(numbered(port, "1"))
-    assert isinstance(full, http_client.Full)
+    assert isinstance(full, http_client.FullResponse)
     assert full.body == b"a"
     assert pool.idle_count(("127.0.0.1", port)) == 0
     nursery.cancel_scope.cancel()
@@ -416,7 +416,7 @@
     pool = http_client.Pool()
     with trio.fail_after(2):
         full = await pool.fetch(numbered(port, "1", b"x" * 8_000_000))
-    assert isinstance(full, http_client.Full)
+    assert isinstance(full, http_client.FullResponse)
     assert full.body == b"no"
     assert pool.idle_count(("127.0.0.1", port)) == 0
     nursery.cancel_scope.cancel()
@@ -458,7 +458,7 @@
     port = await nursery.start(http_server.Server(keep).serve, "127.0.0.1", 0)
     fields = (("host", "h"), ("x-a", "1"), ("x-a", "2"))
     call = http_client.Call(("127.0.0.1", port), "GET", "/%2F?a=%20", fields=fields)
-    assert isinstance(await http_client.Pool().fetch(call), http_client.Full)
+    assert isinstance(await http_client.Pool().fetch(call), http_client.FullResponse)
     assert seen[0].target == "/%2F?a=%20"
     assert [f for f in seen[0].fields if f[0] == "x-a"] == [("x-a", "1"), ("x-a", "2")]
     nursery.cancel_scope.cancel()
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -362,7 +362,7 @@
     ) -> order.Sent:
         call = http_client.Call(("127.0.0.1", port), "POST", "/x", body=b"b")
         match await pool.fetch(call, pre_send_check=pre_send_check):
-            case http_client.Full(status, headers, body):
+            case http_client.FullResponse(status, headers, body):
                 return claim.Delivered(claim.Answer(status, headers, body))
             case http_client.NotSent() | http_client.Withheld():
                 return claim.NotSent(DOWN)
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -21,7 +21,7 @@
         full = await caller.send(
             "POST", "/order/%2F?a=1&b=%20", b"body", x_kept="2", tenant="forged"
         )
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == 200
         (seen,) = [s for app in world.apps for s in app.seen]
         assert seen.target == "/order/%2F?a=1&b=%20"
@@ -51,7 +51,7 @@
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         full = await caller.send("POST", target, b"x", **headers)
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == status
         assert not [s for app in world.apps for s in app.seen]
 
@@ -75,13 +75,13 @@
         (used,) = [app for app in world.apps if app.seen]
         break_first([used], turns_away=1)
         again = await caller.send("POST", "/order/", b"x")
-        assert isinstance(first, http_client.Full)
-        assert isinstance(again, http_client.Full)
+        assert isinstance(first, http_client.FullResponse)
+        assert isinstance(again, http_client.FullResponse)
         assert (first.status, again.status) == (200, 200)
         assert runs(world.apps) == 2
         break_first(world.apps, loses=1)
         lost = await caller.send("POST", "/order/", b"x")
-        assert isinstance(lost, http_client.Full)
+        assert isinstance(lost, http_client.FullResponse)
         assert lost.status == 502
         assert runs(world.apps) == 3
 
@@ -92,7 +92,7 @@
         caller = platform_world.Caller(world.nodes[0])
         break_first(world.apps, turns_away=3)
         full = await caller.send("POST", "/order/", b"x")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == 503
         assert float(full.headers["retry-after"]) > 0
         assert runs(world.apps) == 0
@@ -109,7 +109,7 @@
             break_first(world.apps[1:], **{fault: 0})
             for _ in range(3):
                 full = await caller.send("GET", "/look/x")
-                assert isinstance(full, http_client.Full)
+                assert isinstance(full, http_client.FullResponse)
                 assert full.status == 200
 
 
@@ -121,7 +121,7 @@
         with trio.fail_after(1.5):
             for _ in range(2):
                 full = await caller.send("GET", "/look/x")
-                assert isinstance(full, http_client.Full)
+                assert isinstance(full, http_client.FullResponse)
                 assert full.status == 200
 
 
@@ -133,7 +133,7 @@
             app.faults.is_silent = True
         began = trio.current_time()
         full = await caller.send("POST", "/order/", b"x")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == 504
         assert 1.9 < trio.current_time() - began < 2.4
 
@@ -143,7 +143,7 @@
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         full = await caller.ask("/ask/")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.body == EVENTS
         assert full.headers["weight-versions"] == "1"
 
@@ -159,7 +159,7 @@
             with trio.fail_after(8):
                 for _ in range(2):
                     full = await caller.ask("/check/")
-                    assert isinstance(full, http_client.Full)
+                    assert isinstance(full, http_client.FullResponse)
                     assert full.body == EVENTS
 
 
@@ -182,7 +182,7 @@
             "POST", "/ask/", b"x", model="m", token_usage="9,9", prompt_prefix="aa:9"
         )
         reply = await caller.pool.send(call)
-        assert isinstance(reply, http_client.Reply)
+        assert isinstance(reply, http_client.StreamingResponse)
         assert sum(item.running for item in world.engines) == 1
         reply.abort()
         with trio.fail_after(1.0):
@@ -198,13 +198,13 @@
         world.configure(2, routes=[added])
         await wait_for_status(caller, "/new/", 200)
         full = await caller.send("GET", "/look/")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == 404
         world.configure(1)
         world.store.forget_history()
         await trio.sleep(0.3)
         full = await caller.send("GET", "/new/")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == 200
 
 
@@ -215,7 +215,7 @@
     with trio.fail_after(platform_world.WAIT_S):
         while True:
             full = await caller.send("GET", target)
-            if isinstance(full, http_client.Full) and full.status == status:
+            if isinstance(full, http_client.FullResponse) and full.status == status:
                 return
             await trio.sleep(0.02)
 
@@ -234,7 +234,7 @@
         before = len(leaving.seen)
         for _ in range(6):
             full = await caller.send("GET", "/look/", authorization="Token other")
-            assert isinstance(full, http_client.Full)
+            assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
         assert len(leaving.seen) == before
 
@@ -252,8 +252,8 @@
             await trio.sleep(0.2)
             full = await caller.send("POST", "/order/", b"x")
             stream = await caller.ask("/ask/")
-            assert isinstance(full, http_client.Full)
-            assert isinstance(stream, http_client.Full)
+            assert isinstance(full, http_client.FullResponse)
+            assert isinstance(stream, http_client.FullResponse)
             assert (full.status, stream.body) == (200, EVENTS)
         assert world.nodes[0].is_ready
 
@@ -266,7 +266,7 @@
         await trio.sleep(0.3)
         assert not late.is_ready
         full = await platform_world.Caller(late).send("GET", "/look/")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.status == 503
         world.store.faults.is_down = False
         await platform_world.until(lambda: late.is_ready)
@@ -304,7 +304,7 @@
         assert len({order["holder"] for order in orders}) == 1
         assert len({order["fencing_token"] for order in orders}) == 1
         full = await platform_world.Caller(world.nodes[0]).ask("/ask/")
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.headers["weight-versions"] == "2"
 
 
@@ -401,7 +401,7 @@
         await trio.sleep(kv_index.SETTLE_S)
         engine.faults.turns_away = 1
         refused = await caller.ask("/ask/", parts="aa:2000,bb:50")
-        assert isinstance(refused, http_client.Full)
+        assert isinstance(refused, http_client.FullResponse)
         assert refused.status == 503
         await trio.sleep(0.5)
         await caller.ask("/ask/", parts="aa:2000,cc:50")
@@ -455,7 +455,7 @@
             assert isinstance(late, http_client.NotSent)
         assert not world.nodes[0].is_ready
         (full,) = answers
-        assert isinstance(full, http_client.Full)
+        assert isinstance(full, http_client.FullResponse)
         assert full.body.count(b"\n\n") == 60
 
 
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -76,11 +76,11 @@
         for node in world.nodes:
             caller = platform_world.Caller(node)
             full = await caller.send("GET", "/look/")
-            assert isinstance(full, http_client.Full)
+            assert isinstance(full, http_client.FullResponse)
             assert full.status == 401
             for _ in range(2):
                 full = await caller.send("GET", "/look/", authorization="Token other")
-                assert isinstance(full, http_client.Full)
+                assert isinstance(full, http_client.FullResponse)
                 assert full.status == 200
         assert not leaving.seen
         assert len(stays.seen) == 2 * NODES
@@ -101,12 +101,12 @@
         await trio.sleep(2.8)
         for node in world.nodes:
             full = await platform_world.Caller(node).send("GET", "/look/")
-            assert isinstance(full, http_client.Full)
+            assert isinstance(full, http_client.FullResponse)
             assert full.status == 401
             full = await platform_world.Caller(node).send(
                 "GET", "/look/", authorization="Token other"
             )
-            assert isinstance(full, http_client.Full)
+            assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
         assert not leaving.seen
 
@@ -166,5 +166,5 @@
         await trio.sleep(3.0)
         for node in world.nodes:
             full = await platform_world.Caller(node).send("GET", "/look/")
-            assert isinstance(full, http_client.Full)
+            assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
