--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -101,7 +101,7 @@
     """The reader of a followed body asked to stop; the body may go on."""
 
 
-Take = collections.abc.Callable[[bytes], bool]
+PartReceiver = collections.abc.Callable[[bytes], bool]
 """Takes a body part without waiting; returns whether it can take more now."""
 
 
@@ -141,7 +141,9 @@
                 self._lose(exc)
         return self._lost
 
-    async def follow(self, by: poller.Poller, take: Take) -> Lost | Paused | None:
+    async def read_with(
+        self, by: poller.Poller, take: PartReceiver
+    ) -> Lost | Paused | None:
         """Hand on body parts as a poller reads them, without a switch of tasks.
 
         Must not be called before ``next_part`` has returned the first part.
@@ -171,7 +173,7 @@
 
         self._poller = by
         try:
-            await by.follow(fd, on_readable)
+            await by.watch(fd, on_readable)
         finally:
             self._poller = None
         return Paused() if is_paused else self._lost
@@ -235,7 +237,7 @@
         if self._finished:
             return
         if self._poller is not None:
-            self._poller.stop(self._conn.stream.socket.fileno())
+            self._poller.unwatch(self._conn.stream.socket.fileno())
         self._lose(trio.ClosedResourceError("closed by this process"))
 
     async def aclose(self) -> None:
@@ -414,7 +416,7 @@
         """Return the number of idle connections to an address."""
         return len(self._idle.get(addr, ()))
 
-    async def warm(self, addr: Address) -> None:
+    async def preconnect(self, addr: Address) -> None:
         """Open one idle connection."""
         conn = await self._open(addr)
         if isinstance(conn, _Connection):
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -65,7 +65,7 @@
     fields: tuple[tuple[str, str], ...] = ()
 
 
-class Parts(typing.Protocol):
+class BodyStream(typing.Protocol):
     """A body that is sent in parts; closed once, also if it was not read."""
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
@@ -77,10 +77,10 @@
         ...
 
 
-class Sink(typing.Protocol):
+class BodyWriter(typing.Protocol):
     """Where a body that sends itself writes its parts."""
 
-    def offer(self, part: bytes) -> bool:
+    def write_nowait(self, part: bytes) -> bool:
         """Send what the client takes now; return whether nothing is left over.
 
         What is left over is kept, so ``drain`` must come before the next part.
@@ -93,10 +93,10 @@
 
 
 @typing.runtime_checkable
-class Pushed(typing.Protocol):
+class PushedBody(typing.Protocol):
     """A body that sends itself; closed once, also if it was not sent."""
 
-    async def send_to(self, sink: Sink) -> None:
+    async def send_to(self, sink: BodyWriter) -> None:
         """Send all parts."""
         ...
 
@@ -105,7 +105,7 @@
         ...
 
 
-Body = bytes | Parts | Pushed
+Body = bytes | BodyStream | PushedBody
 
 
 @dataclasses.dataclass
@@ -234,7 +234,7 @@
         for scope in self.idle_scopes:
             scope.cancel()
 
-    async def cut(self) -> None:
+    async def abort(self) -> None:
         """Close the listener and all connections; wait for the end of their work."""
         self._connections_scope.cancel()
         await self._ended.wait()
@@ -414,11 +414,11 @@
             return
         await self._send_stream(out, response.body)
 
-    async def _send_stream(self, head: bytes, body: Parts | Pushed) -> None:
+    async def _send_stream(self, head: bytes, body: BodyStream | PushedBody) -> None:
         try:
             await self._write(head)
-            if isinstance(body, Pushed):
-                await body.send_to(_Sink(self))
+            if isinstance(body, PushedBody):
+                await body.send_to(_BodyWriter(self))
             else:
                 async for part in body:
                     if part:
@@ -462,14 +462,14 @@
         return data[count:]
 
 
-class _Sink:
+class _BodyWriter:
     """Writes the body parts of one response."""
 
     def __init__(self, conn: _Connection) -> None:
         self._conn = conn
         self._rest = b""
 
-    def offer(self, part: bytes) -> bool:
+    def write_nowait(self, part: bytes) -> bool:
         assert not self._rest, "a part was offered before the last one was drained"
         self._rest = self._conn.write_part_now(part)
         return not self._rest
--- a/packages/snipelug-net/src/snipelug_net/poller.py
+++ b/packages/snipelug-net/src/snipelug_net/poller.py
@@ -18,7 +18,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Follower:
+class _Watch:
     task: trio.lowlevel.Task
     on_readable: OnReadable
     exc: Exception | None = None
@@ -39,13 +39,13 @@
     def __init__(self, next_pass_at: NextPassAt) -> None:
         self.next_pass_at = next_pass_at
         self._epoll = select.epoll()
-        self._followers: dict[int, _Follower] = {}
+        self._watches: dict[int, _Watch] = {}
 
     async def run(self) -> None:
         """Read until cancelled."""
         try:
             while True:
-                ready = self._epoll.poll(0, max(1, len(self._followers)))
+                ready = self._epoll.poll(0, max(1, len(self._watches)))
                 if not ready:
                     await trio.lowlevel.wait_readable(self._epoll.fileno())
                     continue
@@ -56,7 +56,7 @@
             trio.lowlevel.notify_closing(self._epoll.fileno())
             self._epoll.close()
 
-    async def follow(self, fd: int, on_readable: OnReadable) -> None:
+    async def watch(self, fd: int, on_readable: OnReadable) -> None:
         """Have a socket read in each pass until its reader returns False.
 
         Parameters
@@ -66,42 +66,42 @@
         on_readable : OnReadable
             Must not wait. What it raises is raised here.
         """
-        follower = _Follower(trio.lowlevel.current_task(), on_readable)
+        watch = _Watch(trio.lowlevel.current_task(), on_readable)
         self._epoll.register(fd, select.EPOLLIN)
-        self._followers[fd] = follower
+        self._watches[fd] = watch
 
         def abort(_: trio.lowlevel.RaiseCancelT) -> trio.lowlevel.Abort:
             self._drop(fd)
             return trio.lowlevel.Abort.SUCCEEDED
 
         await trio.lowlevel.wait_task_rescheduled(abort)
-        if follower.exc is not None:
-            raise follower.exc
+        if watch.exc is not None:
+            raise watch.exc
 
-    def stop(self, fd: int) -> None:
+    def unwatch(self, fd: int) -> None:
         """End the following of a socket, if it is followed."""
-        if fd in self._followers:
+        if fd in self._watches:
             trio.lowlevel.reschedule(self._drop(fd).task)
 
-    def _drop(self, fd: int) -> _Follower:
+    def _drop(self, fd: int) -> _Watch:
         # A reader that finds its connection broken closes it, which unregisters it.
         with contextlib.suppress(OSError):
             self._epoll.unregister(fd)
-        return self._followers.pop(fd)
+        return self._watches.pop(fd)
 
     async def _pass(self, ready: list[tuple[int, int]]) -> None:
         for number, (fd, _) in enumerate(ready, 1):
-            follower = self._followers.get(fd)
-            if follower is not None and not _read(follower):
+            watch = self._watches.get(fd)
+            if watch is not None and not _read(watch):
                 trio.lowlevel.reschedule(self._drop(fd).task)
             if number % YIELD_AFTER == 0:
                 await trio.lowlevel.checkpoint()
 
 
-def _read(follower: _Follower) -> bool:
+def _read(watch: _Watch) -> bool:
     try:
-        return follower.on_readable()
+        return watch.on_readable()
     except Exception as exc:
         # The fault of one stream must not end the task that reads all.
-        follower.exc = exc
+        watch.exc = exc
         return False
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -359,7 +359,9 @@
         )
         return _Refused(refused, final=not recorded.allows_retry)
 
-    async def relay(self, job: Job, exchange: Exchange, sink: http_server.Sink) -> None:
+    async def relay(
+        self, job: Job, exchange: Exchange, sink: http_server.BodyWriter
+    ) -> None:
         """Send the events of the answer; an error event if it cannot be whole."""
         current = exchange
         try:
@@ -373,7 +375,7 @@
                     return
                 following = await self._recover(job, current)
                 if not isinstance(following, Exchange):
-                    sink.offer(following)
+                    sink.write_nowait(following)
                     await sink.drain()
                     return
                 current = following
@@ -399,7 +401,9 @@
                     exchange.reply.abort()
                 exchange.idle = True
 
-    async def _read(self, job: Job, exchange: Exchange, sink: http_server.Sink) -> None:
+    async def _read(
+        self, job: Job, exchange: Exchange, sink: http_server.BodyWriter
+    ) -> None:
         """Send the relayed events of one run, as they are read."""
         reply = exchange.reply
         assert reply is not None
@@ -417,7 +421,7 @@
                 job.first_data_at = trio.current_time()
                 self.router.first_token(exchange.choice, exchange.run_id)
             # A caller that does not read stops the reading of its engine.
-            return sink.offer(data) and not exchange.fault
+            return sink.write_nowait(data) and not exchange.fault
 
         # The first part does not wait for a pass of the poller.
         first = await reply.next_part()
@@ -433,7 +437,7 @@
             exchange.is_paused = exchange.idle = False
             if exchange.fault:
                 return
-            ended = await reply.follow(self.poller, take)
+            ended = await reply.read_with(self.poller, take)
         if ended is not None and not exchange.fault:
             exchange.fault, exchange.is_closed = ended.reason, ended.is_closed
 
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -492,7 +492,7 @@
         self._exchange = exchange
         self._leave = leave
 
-    async def send_to(self, sink: http_server.Sink) -> None:
+    async def send_to(self, sink: http_server.BodyWriter) -> None:
         """Relay the answer."""
         await self._dispatcher.relay(self._job, self._exchange, sink)
 
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -370,7 +370,7 @@
         if inst is None:
             return
         for _ in range(action.count):
-            await self.pool.warm((inst.host, inst.port))
+            await self.pool.preconnect((inst.host, inst.port))
 
     def _connection_closed(self, addr: http_client.Address) -> None:
         now = trio.current_time()
@@ -468,7 +468,7 @@
             lines.warning(LOG, "request_cut", **dataclasses.asdict(request))
         for call in orders:
             lines.warning(LOG, "order_cut", **dataclasses.asdict(call))
-        await callers.cut()
+        await callers.abort()
         await self.orders.cut()
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -225,7 +225,7 @@
 
     async def cut(self) -> None:
         """Close the connections of callers that are left."""
-        await self._callers.cut()
+        await self._callers.abort()
 
     async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
         return http_server.Response(OK if self.is_ready else UNAVAILABLE)
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -26,7 +26,7 @@
 
 
 class Stream:
-    """The body of a streamed answer; implements ``http_server.Parts``."""
+    """The body of a streamed answer; implements ``http_server.BodyStream``."""
 
     def __init__(self, relay: Resumer, work: job.Job, first: job.Outcome) -> None:
         self._relay = relay
--- a/packages/snipelug-standins/src/snipelug_standins/standin.py
+++ b/packages/snipelug-standins/src/snipelug_standins/standin.py
@@ -162,7 +162,7 @@
 async def _consume(body: http_server.Body) -> None:
     if isinstance(body, bytes):
         return
-    assert not isinstance(body, http_server.Pushed), "stand-ins send parts"
+    assert not isinstance(body, http_server.PushedBody), "stand-ins send parts"
     try:
         async for _ in body:
             pass
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -262,7 +262,7 @@
         self.drained = drained
         self._has_rest = False
 
-    def offer(self, part: bytes) -> bool:
+    def write_nowait(self, part: bytes) -> bool:
         assert not self._has_rest, "offered a part before the rest was drained"
         self.received += part
         self.offers += 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -102,13 +102,13 @@
         # On a busy machine the first read would bring the next parts as well.
         self.first_was_read = trio.Event()
 
-    async def send_to(self, sink: http_server.Sink) -> None:
+    async def send_to(self, sink: http_server.BodyWriter) -> None:
         for part in self.parts:
             if part == "cut":
                 raise trio.BrokenResourceError
             if part == "silence":
                 await trio.sleep_forever()
-            sink.offer(part.encode())
+            sink.write_nowait(part.encode())
             await sink.drain()
             await self.first_was_read.wait()
             await trio.sleep(0.001)
@@ -163,7 +163,7 @@
         if name == "aborted":
             nursery.start_soon(abort_later, reply)
         try:
-            ends[number] = await reply.follow(reader, take_part)
+            ends[number] = await reply.read_with(reader, take_part)
         except ValueError as exc:
             ends[number] = exc
         await reply.aclose()
@@ -201,7 +201,7 @@
                 reads.append(number)
                 return True
 
-            await reader.follow(here.fileno(), on_readable)
+            await reader.watch(here.fileno(), on_readable)
     assert reads == [0, 1, 2]
 
 
