--- a/packages/snipelug-net/src/snipelug_net/poller.py
+++ b/packages/snipelug-net/src/snipelug_net/poller.py
@@ -1,4 +1,4 @@
-"""One task that reads the sockets of many streams."""
+"""An epoll loop that reads the sockets of many streams in one task."""
 
 import collections.abc
 import contextlib
@@ -7,14 +7,14 @@
 
 import trio
 
-YIELD_AFTER = 32
-"""Reads of one pass after which other tasks run; a read and its write take 50 us."""
+READS_PER_CHECKPOINT = 32
+"""Reads after which a pass yields to other tasks; a read and its write take 50 us."""
 
 OnReadable = collections.abc.Callable[[], bool]
-"""Reads a socket without waiting; returns whether the socket is followed further."""
+"""Reads a socket without blocking; returns whether to keep watching it."""
 
 NextPassAt = collections.abc.Callable[[float, int], float]
-"""Returns when the next pass may begin, from the start and reads of the last one."""
+"""Returns the earliest start of the next pass, from the start and reads of the last."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,15 +25,15 @@
 
 
 class Poller:
-    """Read sockets in passes, so that a chunk costs no switch of tasks.
+    """Read sockets in passes, so that a chunk costs no task switch.
 
-    Each pass calls the followers of all sockets that are readable. The sockets
-    are registered once per stream and not once per chunk.
+    Each pass calls the callbacks of all readable sockets. A socket is registered
+    once per stream, not once per chunk.
 
     Parameters
     ----------
     next_pass_at : NextPassAt
-        Time between passes, in which more sockets become readable.
+        Spaces out the passes, so that one pass reads several sockets.
     """
 
     def __init__(self, next_pass_at: NextPassAt) -> None:
@@ -42,36 +42,36 @@
         self._watches: dict[int, _Watch] = {}
 
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Run passes until cancelled."""
         try:
             while True:
                 ready = self._epoll.poll(0, max(1, len(self._watches)))
                 if not ready:
                     await trio.lowlevel.wait_readable(self._epoll.fileno())
                     continue
-                begun_at = trio.current_time()
-                await self._pass(ready)
-                await trio.sleep_until(self.next_pass_at(begun_at, len(ready)))
+                started_at = trio.current_time()
+                await self._run_pass(ready)
+                await trio.sleep_until(self.next_pass_at(started_at, len(ready)))
         finally:
             trio.lowlevel.notify_closing(self._epoll.fileno())
             self._epoll.close()
 
     async def watch(self, fd: int, on_readable: OnReadable) -> None:
-        """Have a socket read in each pass until its reader returns False.
+        """Read a socket in each pass until its callback returns False.
 
         Parameters
         ----------
         fd : int
-            Socket; ``stop`` must be called before another task closes it.
+            Socket; ``unwatch`` must be called before another task closes it.
         on_readable : OnReadable
-            Must not wait. What it raises is raised here.
+            Must not block. Its exceptions are raised here.
         """
         watch = _Watch(trio.lowlevel.current_task(), on_readable)
         self._epoll.register(fd, select.EPOLLIN)
         self._watches[fd] = watch
 
         def abort(_: trio.lowlevel.RaiseCancelT) -> trio.lowlevel.Abort:
-            self._drop(fd)
+            self._remove(fd)
             return trio.lowlevel.Abort.SUCCEEDED
 
         await trio.lowlevel.wait_task_rescheduled(abort)
@@ -79,29 +79,29 @@
             raise watch.exc
 
     def unwatch(self, fd: int) -> None:
-        """End the following of a socket, if it is followed."""
+        """Stop watching a socket; do nothing if it is not watched."""
         if fd in self._watches:
-            trio.lowlevel.reschedule(self._drop(fd).task)
+            trio.lowlevel.reschedule(self._remove(fd).task)
 
-    def _drop(self, fd: int) -> _Watch:
-        # A reader that finds its connection broken closes it, which unregisters it.
+    def _remove(self, fd: int) -> _Watch:
+        # A callback that finds its connection broken closes it, which unregisters it.
         with contextlib.suppress(OSError):
             self._epoll.unregister(fd)
         return self._watches.pop(fd)
 
-    async def _pass(self, ready: list[tuple[int, int]]) -> None:
+    async def _run_pass(self, ready: list[tuple[int, int]]) -> None:
         for number, (fd, _) in enumerate(ready, 1):
             watch = self._watches.get(fd)
-            if watch is not None and not _read(watch):
-                trio.lowlevel.reschedule(self._drop(fd).task)
-            if number % YIELD_AFTER == 0:
+            if watch is not None and not _call_reader(watch):
+                trio.lowlevel.reschedule(self._remove(fd).task)
+            if number % READS_PER_CHECKPOINT == 0:
                 await trio.lowlevel.checkpoint()
 
 
-def _read(watch: _Watch) -> bool:
+def _call_reader(watch: _Watch) -> bool:
     try:
         return watch.on_readable()
     except Exception as exc:
-        # The fault of one stream must not end the task that reads all.
+        # An error in one stream must not end the task that reads all of them.
         watch.exc = exc
         return False
