--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 client: h11 over trio, pooled connections, outcomes as values."""
+"""HTTP/1.1 client on h11 and trio, with pooled connections and outcomes as values."""
 
 import collections
 import collections.abc
@@ -15,13 +15,13 @@
 
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
-IDLE_MARGIN_S = 0.5
-"""Connections are dropped this long before the server's announced idle timeout."""
+IDLE_TIMEOUT_MARGIN_S = 0.5
+"""Connections are discarded this long before the server's announced idle timeout."""
 
 Address = tuple[str, int]
 
 PreSendCheck = collections.abc.Callable[[float], bool]
-"""Called with the connection's opening time right before the first byte is sent."""
+"""Called with the connection's opening time, just before the first byte is sent."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -31,14 +31,14 @@
     Attributes
     ----------
     timeout_s : float
-        Time from the start of the call to the response head, in seconds.
+        Longest time from the start of the call to the response head, in seconds.
     fields : tuple of (str, str)
-        Header fields in order, which may repeat names; sent in place of
-        ``headers`` unless empty. The host must be among them.
+        Header fields in order; names may repeat. Unless empty, they are sent
+        in place of ``headers`` and must include the host.
     echo : str
-        Name in lower case of a header field that the server repeats in its
-        response. A response with another value answers an earlier request and
-        is skipped. Empty if the server repeats none.
+        Lower-case name of a request header that the server echoes in its
+        response. A response with another value belongs to an earlier request
+        and is discarded. Empty if the server echoes none.
     max_idle_s : float
         Longest time that a reused connection may have been idle, in seconds.
     """
@@ -63,17 +63,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Withheld:
-    """The last check before sending said no; no byte of the request was sent."""
+    """The pre-send check failed; no byte of the request was sent."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Lost:
-    """Bytes of the request were sent and no complete response came back.
+    """Bytes of the request were sent, but no complete response was received.
 
     Attributes
     ----------
     is_closed : bool
-        The server closed the connection; otherwise the time ran out here.
+        True if the connection was closed, False if the call timed out.
     """
 
     reason: str
@@ -82,7 +82,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class TooLarge:
-    """The response body is larger than the caller accepts."""
+    """The response body exceeds the caller's limit."""
 
     limit_bytes: int
 
@@ -98,20 +98,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Paused:
-    """The reader of a followed body asked to stop; the body may go on."""
+    """The receiver of a body asked to stop; more of the body may follow."""
 
 
 PartReceiver = collections.abc.Callable[[bytes], bool]
-"""Takes a body part without waiting; returns whether it can take more now."""
+"""Receives a body part without blocking; returns whether it accepts more now."""
 
 
 class StreamingResponse:
-    """A response whose head has arrived and whose body can be read.
+    """A response whose head has been received and whose body can be read.
 
     Attributes
     ----------
     has_ended : bool
-        The whole body was read.
+        True once the whole body has been read.
     """
 
     def __init__(self, pool: "Pool", conn: "_Connection", head: h11.Response) -> None:
@@ -122,99 +122,99 @@
         self.opened_at = conn.opened_at
         self._pool = pool
         self._conn = conn
-        self._finished = False
+        self._is_done = False
         self._lost: Lost | None = None
         self._poller: poller.Poller | None = None
         self.has_ended = False
 
     async def next_part(self) -> bytes | Lost | None:
-        """Return the next body part, None at the end, or Lost if it was cut off."""
-        while not self._finished:
-            part = self._extract()
+        """Return the next body part, None at the end, or Lost if it was truncated."""
+        while not self._is_done:
+            part = self._read_events()
             if part:
                 return part
-            if self._finished:
+            if self._is_done:
                 break
             try:
                 self._conn.proto.receive_data(await self._conn.receive())
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                self._lose(exc)
+                self._fail(exc)
         return self._lost
 
     async def read_with(
-        self, by: poller.Poller, take: PartReceiver
+        self, body_poller: poller.Poller, on_part: PartReceiver
     ) -> Lost | Paused | None:
-        """Hand on body parts as a poller reads them, without a switch of tasks.
+        """Pass on body parts as a poller reads them, without a task switch.
 
         Must not be called before ``next_part`` has returned the first part.
 
         Parameters
         ----------
-        by : poller.Poller
+        body_poller : poller.Poller
             Reads the connection.
-        take : Take
-            Called with each part. What it raises is raised here.
+        on_part : PartReceiver
+            Called with each part. Its exceptions are raised here.
 
         Returns
         -------
         Lost, Paused or None
-            None at the end of the body; Paused once ``take`` returned False.
+            None at the end of the body; Paused once ``on_part`` returned False.
         """
-        if self._finished:
+        if self._is_done:
             return self._lost
         fd = self._conn.stream.socket.fileno()
-        is_paused = False
+        stop_requested = False
 
         def on_readable() -> bool:
-            nonlocal is_paused
-            part = self._read_now(fd)
-            is_paused = bool(part) and not take(part)
-            return not (is_paused or self._finished)
+            nonlocal stop_requested
+            part = self._read_nowait(fd)
+            stop_requested = bool(part) and not on_part(part)
+            return not (stop_requested or self._is_done)
 
-        self._poller = by
+        self._poller = body_poller
         try:
-            await by.watch(fd, on_readable)
+            await body_poller.watch(fd, on_readable)
         finally:
             self._poller = None
-        return Paused() if is_paused else self._lost
+        return Paused() if stop_requested else self._lost
 
-    def _read_now(self, fd: int) -> bytes:
+    def _read_nowait(self, fd: int) -> bytes:
         try:
             received = os.read(fd, RECEIVE_BYTES)
         except BlockingIOError:
             return b""
         except OSError as exc:
-            self._lose(exc)
+            self._fail(exc)
             return b""
         self._conn.proto.receive_data(received)
-        return self._extract()
+        return self._read_events()
 
-    def _extract(self) -> bytes:
-        """Return the body that has been received; note its end."""
+    def _read_events(self) -> bytes:
+        """Return the body bytes received so far; release the connection at its end."""
         proto = self._conn.proto
         parts = []
         try:
             while isinstance(event := proto.next_event(), h11.Data):
                 parts.append(event.data)
-                # Only the line end after a chunk is left, so no event follows.
+                # Only the CRLF after the chunk is buffered, so no further event is due.
                 if event.chunk_end and proto.trailing_data[0] == b"\r\n":
                     return b"".join(parts)
         except h11.RemoteProtocolError as exc:
-            self._lose(exc)
+            self._fail(exc)
             return b"".join(parts)
         if event is not h11.NEED_DATA:
-            self._finished = True
+            self._is_done = True
             self.has_ended = True
-            self._pool.give_back(self._conn)
+            self._pool.release(self._conn)
         return b"".join(parts)
 
-    def _lose(self, exc: Exception) -> None:
-        self._finished = True
+    def _fail(self, exc: Exception) -> None:
+        self._is_done = True
         self._lost = Lost(str(exc) or "connection broken", is_closed=True)
         self._conn.stream.socket.close()
 
     async def read(self, limit_bytes: int, timeout_s: float) -> bytes | Lost | TooLarge:
-        """Read the whole body."""
+        """Read the whole body, up to a size limit and within a time limit."""
         parts: list[bytes] = []
         size = 0
         with trio.move_on_after(timeout_s):
@@ -233,36 +233,36 @@
         return Lost(f"the response body did not end within {timeout_s} s")
 
     def abort(self) -> None:
-        """Close the connection; a pending read ends with Lost."""
-        if self._finished:
+        """Close the connection; a pending read returns Lost."""
+        if self._is_done:
             return
         if self._poller is not None:
             self._poller.unwatch(self._conn.stream.socket.fileno())
-        self._lose(trio.ClosedResourceError("closed by this process"))
+        self._fail(trio.ClosedResourceError("closed by this process"))
 
     async def aclose(self) -> None:
-        """Close the connection if the body was not read to its end."""
-        if not self._finished:
-            self._finished = True
+        """Close the connection unless the body was read to its end."""
+        if not self._is_done:
+            self._is_done = True
             await trio.aclose_forcefully(self._conn.stream)
 
 
 class _Connection:
-    """One connection to a server."""
+    """A connection to a server, with the state of its current request."""
 
     def __init__(self, addr: Address, stream: trio.SocketStream) -> None:
         self.addr = addr
         self.stream = stream
         self.opened_at = trio.current_time()
         self.idle_since = self.opened_at
-        self.server_idle_s = math.inf
+        self.server_idle_timeout_s = math.inf
         self.is_sending = False
         self.proto = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
 
     def reset(self) -> None:
-        """Forget a request of which no byte was sent."""
+        """Discard a request of which no byte was sent."""
         self.proto = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -274,8 +274,8 @@
                 return event
             self.proto.receive_data(await self.receive())
 
-    def send_now(self, data: bytes) -> bytes:
-        """Write what the socket takes without waiting; return the rest."""
+    def send_nowait(self, data: bytes) -> bytes:
+        """Write what the socket accepts without blocking; return the rest."""
         try:
             count = os.write(self.stream.socket.fileno(), data)
         except BlockingIOError:
@@ -284,13 +284,15 @@
             raise trio.BrokenResourceError(f"connection broken: {exc}") from exc
         return data[count:]
 
-    async def skip_response(self, call: Call) -> None:
-        """Read a response to its end and expect another one for the same request."""
+    async def discard_response(self, call: Call) -> None:
+        """Read a stray response to its end, then expect the response to the request."""
         while isinstance(await self.next_event(), h11.Data):
             pass
         trailing, is_closed = self.proto.trailing_data
         if self.proto.their_state is not h11.DONE or is_closed:
-            raise trio.BrokenResourceError("the response of an earlier request came")
+            raise trio.BrokenResourceError(
+                "received the response to an earlier request"
+            )
         self.reset()
         self.proto.send(_request_head(call))
         if call.body:
@@ -300,8 +302,8 @@
             self.proto.receive_data(trailing)
 
     async def receive(self) -> bytes:
-        # Waiting first saves the failed read and the second pass of the scheduler
-        # that a receive through trio costs for each token of a stream.
+        # Waiting before the read avoids the failed read and the second scheduler
+        # pass that trio's receive_some costs for each token of a stream.
         sock = self.stream.socket
         while True:
             await trio.lowlevel.wait_readable(sock)
@@ -314,22 +316,22 @@
 
     def is_usable(self, max_idle_s: float) -> bool:
         idle_s = trio.current_time() - self.idle_since
-        if idle_s > min(max_idle_s, self.server_idle_s - IDLE_MARGIN_S):
+        if idle_s > min(max_idle_s, self.server_idle_timeout_s - IDLE_TIMEOUT_MARGIN_S):
             return False
-        # An idle connection becomes readable when the server closes it, and when
-        # bytes come that belong to no request.
+        # An idle connection is readable once the server has closed it or has sent
+        # bytes that belong to no request.
         return not self.stream.socket.is_readable()
 
 
 class Pool:
-    """Connections kept open for reuse, by server address.
+    """Pool of reusable connections, keyed by server address.
 
     Parameters
     ----------
     connect_timeout_s : float
-        Time allowed to open a connection, in seconds.
+        Longest time to open a connection, in seconds.
     idle_per_addr : int
-        Most idle connections kept for one address.
+        Maximum number of idle connections per address.
     on_closed : callable, optional
         Called with the address when an idle connection is found closed.
     """
@@ -355,10 +357,11 @@
         call : Call
             The request.
         pre_send_check : PreSendCheck, optional
-            Evaluated without any suspension before the first byte is sent, so
-            that a right that has lapsed while this process was paused is seen.
+            Called just before the first byte is sent, with no await in between,
+            so that it notices a permission that expired while this process was
+            paused.
         """
-        conn = await self._take(call.addr, call.max_idle_s)
+        conn = await self._acquire(call.addr, call.max_idle_s)
         if isinstance(conn, NotSent):
             return conn
         data = conn.proto.send(_request_head(call)) or b""
@@ -366,11 +369,11 @@
             data += conn.proto.send(h11.Data(data=call.body)) or b""
         data += conn.proto.send(h11.EndOfMessage()) or b""
         if pre_send_check is not None and not pre_send_check(conn.opened_at):
-            # Kept, so that a report newer than the connection can clear it.
+            # Keep the connection: a load report newer than it may make the check pass.
             conn.reset()
-            self._keep_fresh(conn)
+            self._keep_unused(conn)
             return Withheld()
-        return await self._exchange(call, conn, data)
+        return await self._send_on(call, conn, data)
 
     async def fetch(
         self,
@@ -387,11 +390,11 @@
             return body
         return FullResponse(reply.status, reply.headers, body)
 
-    def give_back(self, conn: _Connection) -> None:
-        """Keep a connection for reuse, or close it if it cannot be reused."""
+    def release(self, conn: _Connection) -> None:
+        """Return a connection to the pool, or close it if it cannot be reused."""
         proto = conn.proto
         is_done = proto.our_state is h11.DONE and proto.their_state is h11.DONE
-        # Bytes beyond the response belong to no request of this process.
+        # Bytes after the end of the response belong to no request sent from here.
         if is_done and not conn.is_sending and not proto.trailing_data[0]:
             proto.start_next_cycle()
             conn.idle_since = trio.current_time()
@@ -399,10 +402,10 @@
         else:
             conn.stream.socket.close()
 
-    def _keep_fresh(self, conn: _Connection) -> None:
-        """Keep a connection that is used after those that carried requests.
+    def _keep_unused(self, conn: _Connection) -> None:
+        """Return a connection that carried no request; it is reused after the others.
 
-        Last checks may ask for a connection of some age, so the youngest come last.
+        Pre-send checks may require a minimum age, so the newest connection is last.
         """
         self._idle.setdefault(conn.addr, collections.deque()).appendleft(conn)
 
@@ -413,14 +416,14 @@
             idle.popleft().stream.socket.close()
 
     def idle_count(self, addr: Address) -> int:
-        """Return the number of idle connections to an address."""
+        """Return how many idle connections to an address there are."""
         return len(self._idle.get(addr, ()))
 
     async def preconnect(self, addr: Address) -> None:
-        """Open one idle connection."""
+        """Open one connection in advance and keep it idle."""
         conn = await self._open(addr)
         if isinstance(conn, _Connection):
-            self._keep_fresh(conn)
+            self._keep_unused(conn)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
@@ -428,7 +431,7 @@
             await trio.aclose_forcefully(conn.stream)
         self._idle.clear()
 
-    async def _exchange(
+    async def _send_on(
         self, call: Call, conn: _Connection, data: bytes
     ) -> StreamingResponse | Lost:
         lost = Lost(f"no response within {call.timeout_s} s")
@@ -436,7 +439,7 @@
             with trio.move_on_after(call.timeout_s):
                 event = await self._send_and_receive(call, conn, data)
                 if isinstance(event, h11.Response):
-                    conn.server_idle_s = _announced_idle_s(event)
+                    conn.server_idle_timeout_s = _announced_idle_timeout_s(event)
                     return StreamingResponse(self, conn, event)
                 lost = Lost("connection closed before the response", is_closed=True)
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
@@ -452,10 +455,10 @@
     ) -> object:
         """Send the request and return the head of its response.
 
-        The head may come before the request was sent whole. The rest is then not
-        sent, and the connection is not used again.
+        The head may arrive before the whole request was sent. The rest is then not
+        sent, and the connection is not reused.
         """
-        rest = conn.send_now(data)
+        rest = conn.send_nowait(data)
         if not rest:
             return await self._next_head(call, conn)
         conn.is_sending = True
@@ -479,12 +482,12 @@
             event = await conn.next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
-            if isinstance(event, h11.Response) and _is_stray(call, event):
-                await conn.skip_response(call)
+            if isinstance(event, h11.Response) and _answers_other_request(call, event):
+                await conn.discard_response(call)
                 continue
             return event
 
-    async def _take(self, addr: Address, max_idle_s: float) -> _Connection | NotSent:
+    async def _acquire(self, addr: Address, max_idle_s: float) -> _Connection | NotSent:
         idle = self._idle.get(addr)
         while idle:
             conn = idle.pop()
@@ -506,11 +509,11 @@
 
 def _request_head(call: Call) -> h11.Request:
     return h11.Request(
-        method=call.method, target=call.target, headers=_head_fields(call)
+        method=call.method, target=call.target, headers=_header_fields(call)
     )
 
 
-def _head_fields(call: Call) -> list[tuple[str, str]]:
+def _header_fields(call: Call) -> list[tuple[str, str]]:
     if call.fields:
         fields = list(call.fields)
     else:
@@ -522,8 +525,8 @@
     return fields
 
 
-def _is_stray(call: Call, event: h11.Response) -> bool:
-    """Tell whether a response names another request than the one that was sent."""
+def _answers_other_request(call: Call, event: h11.Response) -> bool:
+    """Return whether a response echoes the header of another request."""
     if not call.echo:
         return False
     sent = dict(call.fields or call.headers.items()).get(call.echo)
@@ -531,8 +534,8 @@
     return any(k == name and v.decode("latin-1") != sent for k, v in event.headers)
 
 
-def _announced_idle_s(event: h11.Response) -> float:
-    """Return the idle timeout that a response announces, infinite if none."""
+def _announced_idle_timeout_s(event: h11.Response) -> float:
+    """Return the idle timeout announced by a response; infinity if there is none."""
     for name, value in event.headers:
         if name == b"keep-alive":
             match = re.search(rb"timeout=(\d+)", value)
