--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -1,4 +1,4 @@
-"""An HTTP/1.1 server: h11 for the protocol, trio for input and output."""
+"""HTTP/1.1 server on h11 and trio."""
 
 import collections.abc
 import dataclasses
@@ -16,24 +16,24 @@
 
 MAX_HEAD_BYTES = 32 * 1024
 RECEIVE_BYTES = 16 * 1024
-# h11 checks the size of a head only while the head is incomplete, so the last
-# read can add RECEIVE_BYTES to what was checked.
+# h11 checks the size of a request head only while the head is incomplete, so the
+# last read can exceed the checked size by RECEIVE_BYTES.
 MAX_INCOMPLETE_HEAD_BYTES = MAX_HEAD_BYTES - RECEIVE_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
-    """Bounds that keep the memory and time of one connection finite.
+    """Limits on the memory and time that connections may use.
 
     Attributes
     ----------
     body_bytes : int
-        Largest request body, in bytes.
+        Maximum size of a request body, in bytes.
     head_s, body_s, idle_s, write_s : float
-        Time allowed for a request head, a body, an idle connection and one
-        write, in seconds.
+        Timeouts for reading a request head, reading a body, an idle connection
+        and one write, in seconds.
     connections : int
-        Most connections open at once; further ones are closed at once.
+        Maximum number of open connections; further ones are closed on arrival.
     """
 
     body_bytes: int = 4 * 1024 * 1024
@@ -51,9 +51,9 @@
     Attributes
     ----------
     target : str
-        The request target as it was sent, not decoded.
+        The request target as received, without decoding.
     fields : tuple of (str, str)
-        All header fields in order, repeated ones included.
+        All header fields in order, including repeated ones.
     """
 
     method: str
@@ -66,7 +66,7 @@
 
 
 class BodyStream(typing.Protocol):
-    """A body that is sent in parts; closed once, also if it was not read."""
+    """A body that is iterated over in parts; closed exactly once, even if not read."""
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         """Return the iterator over the parts."""
@@ -78,26 +78,26 @@
 
 
 class BodyWriter(typing.Protocol):
-    """Where a body that sends itself writes its parts."""
+    """Writer to which a pushed body sends its parts."""
 
     def write_nowait(self, part: bytes) -> bool:
-        """Send what the client takes now; return whether nothing is left over.
+        """Write what the socket accepts now; return whether that was the whole part.
 
-        What is left over is kept, so ``drain`` must come before the next part.
+        The rest is buffered, and ``drain`` must be called before the next part.
         """
         ...
 
     async def drain(self) -> None:
-        """Wait until the client has taken what was left over."""
+        """Wait until the buffered rest has been written."""
         ...
 
 
 @typing.runtime_checkable
 class PushedBody(typing.Protocol):
-    """A body that sends itself; closed once, also if it was not sent."""
+    """A body that writes its own parts; closed exactly once, even if not sent."""
 
     async def send_to(self, sink: BodyWriter) -> None:
-        """Send all parts."""
+        """Write all parts."""
         ...
 
     async def aclose(self) -> None:
@@ -110,7 +110,7 @@
 
 @dataclasses.dataclass
 class Response:
-    """A response; a body given in parts is sent in chunks."""
+    """A response; a body that is not bytes is sent with chunked encoding."""
 
     status: int
     body: Body = b""
@@ -122,16 +122,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class BadRequest:
-    """A request that cannot be read.
+    """A request that could not be read.
 
     Attributes
     ----------
     status : int
-        HTTP status of the answer.
+        HTTP status of the response.
     code : str
-        Stable code for programs.
+        Stable, machine-readable error code.
     message : str
-        What was wrong, for people.
+        Human-readable description of the error.
     """
 
     status: int
@@ -141,7 +141,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Closed:
-    """The client closed the connection or sent nothing within the idle time."""
+    """The client closed the connection or the idle timeout expired."""
 
 
 def json_response(
@@ -154,7 +154,7 @@
 
 
 def error_response(error: BadRequest) -> Response:
-    """Build the JSON answer to a request that was not run because it is malformed."""
+    """Build the JSON response to a malformed request, which was not run."""
     detail = {
         "code": error.code,
         "message": error.message,
@@ -179,16 +179,16 @@
     handler : Handler
         Called once for each complete request.
     limits : Limits
-        Bounds for each connection.
+        Limits on connections.
 
     Attributes
     ----------
     open_requests : int
-        Requests read and not yet answered in full.
+        Requests that were read and whose response is not yet complete.
     draining : bool
-        While true, each response closes its connection.
+        If true, each response closes its connection.
     idle_scopes : set of trio.CancelScope
-        The waits of connections without a request.
+        Cancel scopes of the connections that wait for a request.
     """
 
     def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
@@ -200,7 +200,7 @@
         self.idle_scopes: set[trio.CancelScope] = set()
         self._accept_scope = trio.CancelScope()
         self._connections_scope = trio.CancelScope()
-        self._ended = trio.Event()
+        self._stopped = trio.Event()
 
     async def serve(
         self,
@@ -208,7 +208,7 @@
         port: int,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections; report the bound port once listening."""
+        """Accept connections; pass the bound port to ``task_status`` once listening."""
         listeners = await trio.open_tcp_listeners(port, host=host, backlog=1024)
         bound_port = listeners[0].socket.getsockname()[1]
         try:
@@ -222,22 +222,22 @@
                             handler_nursery=connections,
                         )
         finally:
-            self._ended.set()
+            self._stopped.set()
 
     def stop_accepting(self) -> None:
-        """Close the listener; connections in use go on to the end of their request."""
+        """Close the listener; requests in progress are completed."""
         self.draining = True
         self._accept_scope.cancel()
 
     def close_idle(self) -> None:
-        """Close the connections on which no request has begun."""
+        """Close the connections that are waiting for a request."""
         for scope in self.idle_scopes:
             scope.cancel()
 
     async def abort(self) -> None:
-        """Close the listener and all connections; wait for the end of their work."""
+        """Close the listener and all connections; wait until their tasks have ended."""
         self._connections_scope.cancel()
-        await self._ended.wait()
+        await self._stopped.wait()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self.open_connections >= self.limits.connections:
@@ -247,8 +247,7 @@
         try:
             async with stream:
                 await _Connection(self, stream).run()
-        # Errors raised while a request is answered arrive in an exception group,
-        # because the answer runs in a nursery.
+        # Handlers run in a nursery, so their errors arrive in an exception group.
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             LOG.debug("client connection broken")
         except* h11.LocalProtocolError as group:
@@ -258,7 +257,7 @@
 
 
 class _Connection:
-    """One client connection: reads requests and writes their responses in turn."""
+    """A client connection, which reads requests and writes responses one at a time."""
 
     def __init__(self, server: Server, stream: trio.SocketStream) -> None:
         self.server = server
@@ -269,7 +268,7 @@
 
     @property
     def limits(self) -> Limits:
-        """The server's limits, which may change while a connection is open."""
+        """The server's limits, which may change while the connection is open."""
         return self.server.limits
 
     async def run(self) -> None:
@@ -282,7 +281,7 @@
                 return
             self.server.open_requests += 1
             try:
-                await self._answer(req)
+                await self._handle(req)
             finally:
                 self.server.open_requests -= 1
             if self.proto.our_state is h11.MUST_CLOSE or self.server.draining:
@@ -299,8 +298,10 @@
             if event is not h11.NEED_DATA:
                 return event
             if self.proto.they_are_waiting_for_100_continue:
-                go_on = h11.InformationalResponse(status_code=100, headers=[])
-                await self._write(self.proto.send(go_on) or b"")
+                continue_response = h11.InformationalResponse(
+                    status_code=100, headers=[]
+                )
+                await self._write(self.proto.send(continue_response) or b"")
             self.proto.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
 
     async def _read_request(self) -> Request | BadRequest | Closed:
@@ -313,7 +314,7 @@
             return BadRequest(
                 http.HTTPStatus.REQUEST_TIMEOUT,
                 "request_timeout",
-                "the request was not complete in time",
+                "the request was not received completely within the time limit",
             )
 
     async def _read_head_and_body(self) -> Request | BadRequest | Closed:
@@ -351,7 +352,7 @@
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
-                reason = "the connection ended inside the request body"
+                reason = "the connection was closed before the end of the request body"
                 return BadRequest(
                     http.HTTPStatus.BAD_REQUEST, "truncated_request", reason
                 )
@@ -363,7 +364,7 @@
                 )
             parts.append(bytes(event.data))
 
-    async def _answer(self, req: Request) -> None:
+    async def _handle(self, req: Request) -> None:
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch_disconnect, scope)
@@ -372,7 +373,7 @@
                 nursery.cancel_scope.cancel()
 
     async def _watch_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel the request when the client leaves before its answer is complete."""
+        """Cancel the request if the client disconnects before it is answered."""
         if self.proto.trailing_data[0]:
             return
         try:
@@ -390,8 +391,8 @@
         await self._send(error_response(error), head_only=False)
         with trio.move_on_after(1.0):
             await self.stream.send_eof()
-            # Unread input would make the kernel reset the connection and
-            # could destroy the error answer before the client reads it.
+            # If input is left unread, the kernel resets the connection, and the
+            # client may lose the error response before reading it.
             while await self.stream.receive_some(RECEIVE_BYTES):
                 pass
 
@@ -429,27 +430,27 @@
                 await body.aclose()
 
     async def write_part(self, part: bytes) -> None:
-        await self.finish_write(self.write_part_now(part))
+        await self.write_rest(self.write_part_nowait(part))
 
-    def write_part_now(self, part: bytes) -> bytes:
-        """Write what the socket takes of a body part; return the rest."""
-        return self._write_now(self.proto.send(h11.Data(data=part)) or b"")
+    def write_part_nowait(self, part: bytes) -> bytes:
+        """Write what the socket accepts of a body part; return the rest."""
+        return self._write_nowait(self.proto.send(h11.Data(data=part)) or b"")
 
     async def _write(self, data: bytes) -> None:
-        await self.finish_write(self._write_now(data))
+        await self.write_rest(self._write_nowait(data))
 
-    async def finish_write(self, rest: bytes) -> None:
+    async def write_rest(self, rest: bytes) -> None:
         if not rest:
             return
         with trio.move_on_after(self.limits.write_s) as scope:
             await self.stream.send_all(rest)
         if scope.cancelled_caught:
-            raise trio.BrokenResourceError("the client does not read its answer")
+            raise trio.BrokenResourceError("the client is not reading the response")
 
-    def _write_now(self, data: bytes) -> bytes:
-        """Write what the socket takes without waiting; return the rest.
+    def _write_nowait(self, data: bytes) -> bytes:
+        """Write what the socket accepts without blocking; return the rest.
 
-        A write through trio costs a pass of its scheduler for each token.
+        Writing through trio would cost a scheduler pass for each token.
         """
         if not data:
             return b""
@@ -463,17 +464,17 @@
 
 
 class _BodyWriter:
-    """Writes the body parts of one response."""
+    """Writes the parts of a response body; buffers what the socket does not accept."""
 
     def __init__(self, conn: _Connection) -> None:
         self._conn = conn
         self._rest = b""
 
     def write_nowait(self, part: bytes) -> bool:
-        assert not self._rest, "a part was offered before the last one was drained"
-        self._rest = self._conn.write_part_now(part)
+        assert not self._rest, "a part was written before the previous one was drained"
+        self._rest = self._conn.write_part_nowait(part)
         return not self._rest
 
     async def drain(self) -> None:
         rest, self._rest = self._rest, b""
-        await self._conn.finish_write(rest)
+        await self._conn.write_rest(rest)
