--- a/packages/snipelug-net/src/snipelug_net/rpc.py
+++ b/packages/snipelug-net/src/snipelug_net/rpc.py
@@ -1,4 +1,4 @@
-"""Authenticated calls between nodes: grpclib on trio, messages as msgspec structs."""
+"""Authenticated RPC between nodes: grpclib on trio, with msgspec messages."""
 
 import asyncio
 import collections.abc
@@ -19,8 +19,8 @@
 import trio_asyncio
 
 SIGNATURE_BYTES = 16
-# grpclib drops the transport of a connection that breaks while a call is about to
-# use it, and the call then meets a missing attribute or a closed h2 connection.
+# If a connection breaks just before a call uses it, grpclib has already dropped its
+# transport, and the call raises AttributeError or an h2 error.
 BROKEN_CONNECTION_ERRORS = (AttributeError, h2.exceptions.H2Error)
 
 Message = typing.TypeVar("Message", bound=msgspec.Struct)
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Method(typing.Generic[Message, Answer]):
-    """A remote procedure: its name and the types of its two messages."""
+    """A remote procedure: its name, and its request and reply types."""
 
     name: str
     request: type[Message]
@@ -37,23 +37,23 @@
 
     @property
     def path(self) -> str:
-        """Path of the method in the gRPC protocol."""
+        """The gRPC path of the method."""
         return f"/snipelug.Peer/{self.name}"
 
 
 @dataclasses.dataclass(frozen=True)
 class Unreachable:
-    """The call brought no answer; whether the peer ran it is unknown."""
+    """The call got no reply; whether the peer executed it is unknown."""
 
     reason: str
 
 
 class BadSignatureError(Exception):
-    """A message without a valid signature arrived."""
+    """A message with an invalid signature was received."""
 
 
 class SignedCodec(grpclib.encoding.base.CodecBase):
-    """Encode structs as MessagePack behind a keyed hash of type and content.
+    """Encode structs as MessagePack, prefixed with a keyed hash of type and content.
 
     Parameters
     ----------
@@ -79,7 +79,7 @@
         return self._signature(message_type, body) + body
 
     def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
-        """Check the signature of a message, then validate its content."""
+        """Verify the signature of a message, then decode and validate its content."""
         body = bytes(data[SIGNATURE_BYTES:])
         expected = self._signature(message_type, body)
         if not hmac.compare_digest(bytes(data[:SIGNATURE_BYTES]), expected):
@@ -92,42 +92,44 @@
 ]
 
 
-class _JoiningTransport:
-    """Transport that joins the writes of one pass of the event loop.
+class _CoalescingTransport:
+    """Transport that coalesces the writes of one event loop iteration.
 
-    grpclib writes the head, the message and the end of a call separately. Joined,
-    they take one segment and wake the other side once.
+    grpclib writes the headers, the message and the end of a call separately.
+    Coalesced, they fit one TCP segment and wake the peer once.
     """
 
     def __init__(self, transport: typing.Any) -> None:
         self._transport = transport
         self._loop = asyncio.get_running_loop()
-        self._parts: list[bytes] = []
+        self._buffered: list[bytes] = []
 
     def __getattr__(self, name: str) -> typing.Any:
         return getattr(self._transport, name)
 
     def write(self, data: bytes) -> None:
-        """Queue data for the end of this pass."""
-        if not self._parts:
+        """Buffer data until the next iteration of the event loop."""
+        if not self._buffered:
             self._loop.call_soon(self._flush)
-        self._parts.append(data)
+        self._buffered.append(data)
 
     def close(self) -> None:
-        """Send what is queued and close the connection."""
+        """Flush the buffer and close the connection."""
         self._flush()
         self._transport.close()
 
     def _flush(self) -> None:
-        data = b"".join(self._parts)
-        self._parts.clear()
+        data = b"".join(self._buffered)
+        self._buffered.clear()
         if data and not self._transport.is_closing():
             self._transport.write(data)
 
 
 class _Protocol(grpclib.protocol.H2Protocol):
     def connection_made(self, transport: typing.Any) -> None:
-        super().connection_made(typing.cast(typing.Any, _JoiningTransport(transport)))
+        super().connection_made(
+            typing.cast(typing.Any, _CoalescingTransport(transport))
+        )
 
 
 class _Channel(grpclib.client.Channel):
@@ -143,7 +145,7 @@
 
 
 class _Service:
-    """Adapter that lets grpclib call trio procedures."""
+    """Adapter through which grpclib calls trio procedures."""
 
     def __init__(
         self, procedures: dict[Method[typing.Any, typing.Any], Procedure]
@@ -189,7 +191,7 @@
 
 
 class Client:
-    """Call procedures of one peer; needs an open trio-asyncio loop."""
+    """Client of one peer; needs an open trio-asyncio loop."""
 
     def __init__(self, host: str, port: int, key: bytes) -> None:
         self._channel = _Channel(host, port, codec=SignedCodec(key))
@@ -198,15 +200,15 @@
     async def call(
         self, method: Method[Message, Answer], message: Message, timeout_s: float
     ) -> Answer | Unreachable:
-        """Call a procedure and return its answer, or why there is none."""
+        """Call a procedure; return its reply, or Unreachable with the reason."""
         if self._closed:
             return Unreachable("the client is closed")
         try:
             return await self._call(method, message, timeout_s)
         finally:
-            # A connection that was being made while the client was closed is open
-            # now. grpclib reports one that is collected while open to the event
-            # loop, which ends the process.
+            # A connection attempt in progress when the client was closed may have
+            # completed since. If an open connection is garbage-collected, grpclib
+            # reports it to the event loop, which ends the process.
             if self._closed:
                 self._channel.close()
 
@@ -232,6 +234,6 @@
         return Unreachable(f"no answer within {timeout_s} s")
 
     def close(self) -> None:
-        """Close the connection; further calls are not sent."""
+        """Close the connection; later calls return Unreachable."""
         self._closed = True
         self._channel.close()
