--- a/packages/snipelug-cli/src/snipelug_cli/__init__.py
+++ b/packages/snipelug-cli/src/snipelug_cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command line, `snipelug`."""
+"""The `snipelug` command line for operators."""
--- a/packages/snipelug-cli/src/snipelug_cli/api.py
+++ b/packages/snipelug-cli/src/snipelug_cli/api.py
@@ -1,4 +1,4 @@
-"""Calls of the operators' API of a node, with outcomes as values."""
+"""Client of the admin API of nodes, with outcomes as values."""
 
 import collections.abc
 import dataclasses
@@ -13,7 +13,7 @@
 from snipelug_net import http_client
 
 PREFIX = "/admin/v1"
-# A node takes up to 18 s to find out what a silent store did with a change.
+# A node needs up to 18 s to determine whether an unresponsive store applied a change.
 ANSWER_MARGIN_S = 20.0
 CONNECT_TIMEOUT_S = 3.0
 
@@ -22,14 +22,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Where and as whom to call.
+    """Connection settings.
 
     Attributes
     ----------
     urls : tuple of str
         Base URLs of nodes, tried in order.
     key : str
-        Operators' bearer key.
+        Bearer key of the admin API.
     """
 
     urls: tuple[str, ...]
@@ -37,8 +37,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Done:
-    """The node did what was asked."""
+class Succeeded:
+    """The node executed the call."""
 
     status: int
     content: Content
@@ -46,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refused:
-    """The node refused; its answer has a code and a message."""
+    """The node refused the call with an error code and a message."""
 
     status: int
     code: str
@@ -56,32 +56,32 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unreachable:
-    """No node gave an answer.
+    """No node answered the call.
 
     Attributes
     ----------
     reasons : tuple of str
-        One for each URL.
+        One reason for each URL.
     maybe_done : bool
-        A node may have received the call.
+        Whether a node may have received and executed the call.
     """
 
     reasons: tuple[str, ...]
-    maybe_done: bool
+    may_have_run: bool
 
 
 @dataclasses.dataclass(frozen=True)
 class BadUrl:
-    """A URL cannot be used."""
+    """The URL of a node is invalid."""
 
     message: str
 
 
-Answer = Done | Refused | Unreachable
+Answer = Succeeded | Refused | Unreachable
 
 
 def parse_address(url: str) -> http_client.Address | BadUrl:
-    """Return host and port of a base URL."""
+    """Parse the host and port of a base URL."""
     split = urllib.parse.urlsplit(url)
     try:
         port = split.port
@@ -101,42 +101,44 @@
     body: Content | None = None,
     wait_s: float = 0.0,
 ) -> Answer:
-    """Call a node; a call without an answer is repeated at the next URL.
+    """Call a node; if it does not answer, retry with the next URL.
 
-    Repeating is safe because proposals carry a nonce and the other operations
-    have the same effect when they run twice.
+    Retries are safe, because proposals carry a nonce and all other operations are
+    idempotent.
     """
-    return trio.run(functools.partial(_call_any, settings, method, path, body, wait_s))
+    return trio.run(
+        functools.partial(_call_in_order, settings, method, path, body, wait_s)
+    )
 
 
-async def _call_any(
+async def _call_in_order(
     settings: Settings, method: str, path: str, body: Content | None, wait_s: float
 ) -> Answer:
     reasons: list[str] = []
-    maybe_done = False
-    last: Done | Refused | None = None
+    may_have_run = False
+    last: Succeeded | Refused | None = None
     for url in settings.urls:
         reply = await _call_one(settings, url, method, path, body, wait_s)
         match reply:
             case http_client.FullResponse():
-                last = _read_answer(reply)
+                last = _decode_answer(reply)
                 if not _should_try_next(last):
                     return last
                 reasons.append(f"{url}: {last.message}")
             case http_client.Lost(reason=reason):
-                maybe_done = True
+                may_have_run = True
                 reasons.append(f"{url}: {reason}")
             case http_client.NotSent(reason=reason) | BadUrl(message=reason):
                 reasons.append(f"{url}: {reason}")
             case _:
                 reasons.append(f"{url}: {reply}")
-    if last is not None and not maybe_done:
+    if last is not None and not may_have_run:
         return last
-    return Unreachable(tuple(reasons), maybe_done)
+    return Unreachable(tuple(reasons), may_have_run)
 
 
-def _should_try_next(answer: Done | Refused) -> typing.TypeGuard[Refused]:
-    """Return whether another node may succeed where this one refused."""
+def _should_try_next(answer: Succeeded | Refused) -> typing.TypeGuard[Refused]:
+    """Return whether another node may accept a call that this one refused."""
     return isinstance(answer, Refused) and answer.code in ("not_allowed", "unclear")
 
 
@@ -173,21 +175,21 @@
         await pool.aclose()
 
 
-def _read_answer(reply: http_client.FullResponse) -> Done | Refused:
+def _decode_answer(reply: http_client.FullResponse) -> Succeeded | Refused:
     try:
         content = msgspec.json.decode(reply.body, type=Content)
     except msgspec.MsgspecError:
         text = reply.body[:200].decode(errors="replace")
         return Refused(reply.status, "not_json", f"unexpected answer: {text}", {})
     if reply.status < http.HTTPStatus.BAD_REQUEST:
-        return Done(reply.status, content)
+        return Succeeded(reply.status, content)
     error = content.get("error", {})
     code = str(error.get("code", reply.status))
     message = str(error.get("message", "no message"))
     return Refused(reply.status, code, message, content)
 
 
-def query(path: str, fields: collections.abc.Mapping[str, object]) -> str:
-    """Append query parameters; those that are None are left out."""
+def add_query(path: str, fields: collections.abc.Mapping[str, object]) -> str:
+    """Append the query parameters that are not None to a path."""
     given = {k: v for k, v in fields.items() if v is not None}
     return f"{path}?{urllib.parse.urlencode(given)}" if given else path
--- a/packages/snipelug-cli/src/snipelug_cli/deployment.py
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -1,4 +1,4 @@
-"""What runs on the users' platform, read from its store and from the nodes."""
+"""State of a deployment on the platform, read from its store and from the nodes."""
 
 import dataclasses
 import typing
@@ -15,37 +15,38 @@
 from snipelug_platform import settings
 from snipelug_relay import ports
 
-METRICS_S = 1.0
-"""Time for a node to tell its metrics; one that is frozen is shown without them."""
+METRICS_TIMEOUT_S = 1.0
+"""Timeout for the metrics of a node; a hung node is shown without them."""
 
-GAUGES = {
+GAUGE_COLUMNS = {
     "snipelug_configuration_version": "configuration",
     "snipelug_configuration_age_seconds": "configuration_age_s",
     "snipelug_upstreams": "upstreams",
 }
-"""Names of columns by the gauges of a node."""
+"""Column names by the name of the node's gauge."""
 
-OK = 200
+HTTP_OK = 200
 
 
 @dataclasses.dataclass(frozen=True)
 class Status:
-    """What the platform's store and the nodes tell.
+    """State reported by the platform's store and the nodes.
 
     Attributes
     ----------
     configuration : int or None
-        Newest version that the operator wrote; None if there is none.
+        Newest configuration version written by the operator; None if there is none.
     weights : dict of str to int
-        Newest weight version of each model that the operator named.
+        Weight version of each model, as set by the operator.
     zones_out : list of str
-        Zones that get no new work.
+        Zones that receive no new work.
     unreadable : list of str
-        Rows of the operator or of upstreams that cannot be read, with the reason.
+        Operator and upstream rows that cannot be parsed, with the reason.
     nodes, upstreams : list of dict
-        One row for each.
+        One row for each node and each upstream.
     orders : dict or None
-        The node that orders weights, with its fencing number and the time left.
+        The node that holds the lease for ordering weights, with its fencing token
+        and the remaining time.
     """
 
     configuration: int | None
@@ -57,7 +58,7 @@
     orders: api.Content | None
 
 
-async def read(
+async def read_status(
     store: ports.ControlStore, pool: http_client.Pool, metrics_port: int
 ) -> Status | ports.Unavailable:
     """Read the state of a deployment."""
@@ -81,13 +82,13 @@
         unreadable=[
             f"{i.key}: {i.reason}" for i in items if isinstance(i, ports.Unreadable)
         ],
-        nodes=await _nodes(members, pool, metrics_port),
-        upstreams=[_upstream(i) for i in items if isinstance(i, fleet.Entry)],
-        orders=_orders(lease),
+        nodes=await _read_node_rows(members, pool, metrics_port),
+        upstreams=[_upstream_row(i) for i in items if isinstance(i, fleet.Entry)],
+        orders=_order_lease_row(lease),
     )
 
 
-async def _nodes(
+async def _read_node_rows(
     members: ports.Page[ports.Member], pool: http_client.Pool, metrics_port: int
 ) -> list[api.Content]:
     rows: list[api.Content] = []
@@ -99,7 +100,7 @@
             "seen_s_ago": (members.clock_ms - member.seen_ms) / 1e3,
         }
         if member.addr is not None:
-            row |= await _gauges(pool, (member.addr[0], metrics_port))
+            row |= await _read_gauges(pool, (member.addr[0], metrics_port))
         rows.append(row)
 
     async with trio.open_nursery() as nursery:
@@ -108,25 +109,27 @@
     return sorted(rows, key=lambda row: str(row["node"]))
 
 
-async def _gauges(pool: http_client.Pool, addr: http_client.Address) -> api.Content:
-    call = http_client.Call(addr, "GET", "/metrics", timeout_s=METRICS_S)
-    with trio.move_on_after(METRICS_S):
-        found = await pool.fetch(call)
-        if not isinstance(found, http_client.FullResponse) or found.status != OK:
+async def _read_gauges(
+    pool: http_client.Pool, addr: http_client.Address
+) -> api.Content:
+    call = http_client.Call(addr, "GET", "/metrics", timeout_s=METRICS_TIMEOUT_S)
+    with trio.move_on_after(METRICS_TIMEOUT_S):
+        result = await pool.fetch(call)
+        if not isinstance(result, http_client.FullResponse) or result.status != HTTP_OK:
             return {"metrics": "not served"}
-        text = found.body.decode("utf-8", "replace")
+        text = result.body.decode("utf-8", "replace")
         try:
             return {
-                GAUGES[family.name]: family.samples[0].value
+                GAUGE_COLUMNS[family.name]: family.samples[0].value
                 for family in parser.text_string_to_metric_families(text)
-                if family.name in GAUGES
+                if family.name in GAUGE_COLUMNS
             }
         except ValueError as exc:
             return {"metrics": f"not readable: {exc}"}
-    return {"metrics": f"no answer within {METRICS_S} s"}
+    return {"metrics": f"no answer within {METRICS_TIMEOUT_S} s"}
 
 
-def _upstream(entry: fleet.Entry) -> api.Content:
+def _upstream_row(entry: fleet.Entry) -> api.Content:
     return {
         "upstream": entry.id,
         "service": entry.service,
@@ -138,7 +141,7 @@
     }
 
 
-def _orders(row: ports.LeaseRow) -> api.Content | None:
+def _order_lease_row(row: ports.LeaseRow) -> api.Content | None:
     if row.lease is None:
         return None
     return {
@@ -156,30 +159,36 @@
         ),
     ],
     metrics_port: typing.Annotated[
-        int, typer.Option(help="Port at which nodes serve their metrics.")
+        int, typer.Option(help="Port on which nodes serve their metrics.")
     ] = settings.METRICS_PORT,
-    as_json: output.Json = False,
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Show nodes, configuration, weights, upstreams and orders on the platform."""
+    """Show the configuration, weights, nodes, upstreams and orders on the platform."""
     addr = settings.parse_address(store)
     if isinstance(addr, settings.Invalid):
-        calls.fail(calls.Exit.INVALID, f"--store {store!r} is not IP:PORT")
+        calls.fail(calls.ExitCode.INVALID, f"--store {store!r} is not IP:PORT")
 
     async def run() -> Status | ports.Unavailable:
-        pool = http_client.Pool(METRICS_S)
-        return await read(platform_main.control_store(pool, addr), pool, metrics_port)
-
-    found = trio.run(run)
-    if isinstance(found, ports.Unavailable):
-        calls.fail(calls.Exit.UNREACHABLE, f"the store does not answer: {found.reason}")
-    content = msgspec.to_builtins(found)
+        pool = http_client.Pool(METRICS_TIMEOUT_S)
+        return await read_status(
+            platform_main.control_store(pool, addr), pool, metrics_port
+        )
+
+    result = trio.run(run)
+    if isinstance(result, ports.Unavailable):
+        calls.fail(
+            calls.ExitCode.UNREACHABLE, f"the store does not answer: {result.reason}"
+        )
+    content = msgspec.to_builtins(result)
     if as_json:
         output.print_json(content)
         return
     rows = [[name, content[name]] for name in ("configuration", "zones_out")]
-    rows += [[f"weights of {model}", v] for model, v in sorted(found.weights.items())]
-    rows += [["unreadable", text] for text in found.unreadable]
+    rows += [[f"weights of {model}", v] for model, v in sorted(result.weights.items())]
+    rows += [["unreadable", text] for text in result.unreadable]
     output.print_table("Operator", ("what", "value"), rows)
-    output.print_rows("Nodes", found.nodes)
-    output.print_rows("Upstreams", found.upstreams)
-    output.print_rows("Orders of weights", [found.orders] if found.orders else [])
+    output.print_rows("Nodes", result.nodes)
+    output.print_rows("Upstreams", result.upstreams)
+    output.print_rows(
+        "Lease for weight orders", [result.orders] if result.orders else []
+    )
--- a/packages/snipelug-cli/src/snipelug_cli/explain.py
+++ b/packages/snipelug-cli/src/snipelug_cli/explain.py
@@ -1,4 +1,4 @@
-"""What the logs of a relay tell of one request, and which line decided it."""
+"""Explanation of the outcome of a request, derived from the logs of nodes."""
 
 import collections.abc
 import dataclasses
@@ -10,10 +10,10 @@
 
 from snipelug_cli import calls, output
 
-CONTEXT_S = 3.0
-"""How long before the request's end other lines are shown; a wave of orders."""
+CONTEXT_WINDOW_S = 3.0
+"""Events this long before the request are included; covers one round of orders."""
 
-BELIEFS = frozenset(
+STATE_EVENTS = frozenset(
     {
         "configuration",
         "history_lost",
@@ -35,23 +35,23 @@
         "zones_out",
     }
 )
-"""Events that change what a node believes."""
+"""Events that change the state on which a node bases its decisions."""
 
 Line = dict[str, typing.Any]
 
 
 @dataclasses.dataclass(frozen=True)
 class Explanation:
-    """The lines about a request.
+    """The log lines that explain a request.
 
     Attributes
     ----------
     request : dict
-        The line of the request itself.
+        The log line of the request itself.
     beliefs : list of dict
-        What the same node came to believe shortly before the request ended.
+        State changes of the same node during and shortly before the request.
     verdict : str
-        One sentence for people.
+        Human-readable summary in one sentence.
     """
 
     request: Line
@@ -59,8 +59,8 @@
     verdict: str
 
 
-def read(files: collections.abc.Iterable[pathlib.Path]) -> list[Line]:
-    """Read log lines; other text before a line's JSON and other lines are skipped."""
+def read_lines(files: collections.abc.Iterable[pathlib.Path]) -> list[Line]:
+    """Read JSON log lines; skip text before the JSON, and lines without any."""
     lines = []
     for path in files:
         for text in path.read_text(errors="replace").splitlines():
@@ -76,8 +76,8 @@
     return sorted(lines, key=lambda line: float(line["t"]))
 
 
-def find(lines: list[Line], request_id: str) -> Explanation | None:
-    """Explain a request, or return None if no line names it."""
+def build_explanation(lines: list[Line], request_id: str) -> Explanation | None:
+    """Explain a request; return None if no log line has its id."""
     named = [
         line
         for line in lines
@@ -87,19 +87,19 @@
         return None
     request = named[-1]
     end = float(request["t"])
-    begin = end - float(request.get("ms") or 0.0) / 1000 - CONTEXT_S
+    begin = end - float(request.get("ms") or 0.0) / 1000 - CONTEXT_WINDOW_S
     beliefs = [
         line
         for line in lines
         if line["node"] == request["node"]
-        and line["event"] in BELIEFS
+        and line["event"] in STATE_EVENTS
         and begin <= float(line["t"]) <= end
     ]
     return Explanation(request, beliefs, _verdict(request))
 
 
 def _verdict(request: Line) -> str:
-    """Say in one sentence what decided the request."""
+    """Summarize the outcome of the request and its cause in one sentence."""
     attempts = request.get("attempts") or []
     last = attempts[-1] if attempts else {}
     where = f"at {last['upstream']}" if last else "before any upstream was asked"
@@ -123,24 +123,24 @@
 
 
 def explain(
-    request_id: typing.Annotated[str, typer.Argument(help="Id of the request.")],
+    request_id: typing.Annotated[str, typer.Argument(help="ID of the request.")],
     files: typing.Annotated[
-        list[pathlib.Path], typer.Argument(help="Files with log lines of nodes.")
+        list[pathlib.Path], typer.Argument(help="Log files of nodes.")
     ],
-    as_json: output.Json = False,
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Show what the logs tell of one request, and what decided it."""
+    """Show the log lines about a request and the cause of its outcome."""
     try:
-        lines = read(files)
+        lines = read_lines(files)
     except OSError as exc:
-        calls.fail(calls.Exit.INVALID, "a log file cannot be read", (str(exc),))
-    found = find(lines, request_id)
+        calls.fail(calls.ExitCode.INVALID, "a log file cannot be read", (str(exc),))
+    found = build_explanation(lines, request_id)
     if found is None:
         message = (
-            f"no line names request {request_id}; routine lines are sampled, so a "
+            f"no log line for request {request_id}; routine lines are sampled, so a "
             "request that was answered in time may have none"
         )
-        calls.fail(calls.Exit.REFUSED, message)
+        calls.fail(calls.ExitCode.REFUSED, message)
     if as_json:
         output.print_json(dataclasses.asdict(found))
         return
@@ -172,19 +172,19 @@
         ],
     )
     output.print_table(
-        f"What {request['node']} came to believe before",
-        ("seconds before the end", "event", "details"),
+        f"State changes of {request['node']} before the end of the request",
+        ("seconds before end", "event", "details"),
         [
             [
                 round(float(request["t"]) - float(line["t"]), 3),
                 line["event"],
-                _details(line),
+                _format_details(line),
             ]
             for line in found.beliefs
         ],
     )
 
 
-def _details(line: Line) -> str:
+def _format_details(line: Line) -> str:
     hidden = {"t", "level", "node", "logger", "event"}
     return ", ".join(f"{k}={v}" for k, v in line.items() if k not in hidden)
--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -1,8 +1,8 @@
 """Command line for operators.
 
-Exit codes: 0 done; 1 refused by the node; 2 usage error or invalid input, with all
-mistakes listed; 3 no node gave a usable answer; 4 accepted, but not in force on all
-members within the wait.
+Exit codes: 0 success; 1 refused by the node; 2 usage error or invalid input, with all
+errors listed; 3 no usable answer from any node; 4 accepted, but not in force on all
+members before the timeout.
 """
 
 import pathlib
@@ -25,16 +25,23 @@
 
 HELP = """Operate snipelug: contracts, zones, instances, models, status.
 
-Exit codes: 0 done; 1 refused by the node; 2 usage error or invalid input; 3 no node
-gave a usable answer; 4 accepted, but not in force on all members within the wait.
+Exit codes: 0 success; 1 refused by the node; 2 usage error or invalid input; 3 no
+usable answer from any node; 4 accepted, but not in force on all members before the
+timeout.
 """
 app = typer.Typer(help=HELP, no_args_is_help=True, pretty_exceptions_enable=False)
-contracts_app = typer.Typer(help="Contracts of teams.", no_args_is_help=True)
-zones_app = typer.Typer(help="Availability zones.", no_args_is_help=True)
-instances_app = typer.Typer(help="Single instances.", no_args_is_help=True)
-models_app = typer.Typer(help="Models as served.", no_args_is_help=True)
-quarantine_app = typer.Typer(help="Requests that crash upstreams.")
-claims_app = typer.Typer(help="Orders whose execution is unknown.")
+contracts_app = typer.Typer(help="Manage the contracts of teams.", no_args_is_help=True)
+zones_app = typer.Typer(
+    help="Take availability zones out of service.", no_args_is_help=True
+)
+instances_app = typer.Typer(
+    help="Take single instances out of service.", no_args_is_help=True
+)
+models_app = typer.Typer(
+    help="Manage the models that are served.", no_args_is_help=True
+)
+quarantine_app = typer.Typer(help="Manage requests that crash upstreams.")
+claims_app = typer.Typer(help="Settle orders with an unknown outcome.")
 app.add_typer(contracts_app, name="contracts")
 app.add_typer(zones_app, name="zones")
 app.add_typer(instances_app, name="instances")
@@ -47,7 +54,7 @@
 switches.add_commands(instances_app, switches.INSTANCES)
 
 Files = typing.Annotated[
-    list[pathlib.Path], typer.Argument(help="Contract files, .json or .toml.")
+    list[pathlib.Path], typer.Argument(help="Contract files in JSON or TOML.")
 ]
 
 
@@ -58,22 +65,23 @@
         str,
         typer.Option(
             envvar="SNIPELUG_ADMIN_URL",
-            help="Node's admin URL, http://HOST:PORT; several separated by commas.",
+            help="Admin URLs of nodes, http://HOST:PORT, comma-separated.",
         ),
     ] = "http://127.0.0.1:8081",
     key: typing.Annotated[
-        str, typer.Option(envvar="SNIPELUG_ADMIN_KEY", help="Operators' bearer key.")
+        str,
+        typer.Option(envvar="SNIPELUG_ADMIN_KEY", help="Bearer key of the admin API."),
     ] = "",
 ) -> None:
-    """Read where and as whom to call."""
+    """Store the admin URLs and the bearer key for the commands."""
     urls = tuple(part.strip() for part in url.split(",") if part.strip())
     ctx.obj = api.Settings(urls, key)
 
 
-def _load(files: list[pathlib.Path]) -> tuple[change.Operation, ...]:
+def _load_operations(files: list[pathlib.Path]) -> tuple[change.Operation, ...]:
     loaded = document.load(files)
-    if isinstance(loaded, document.Mistakes):
-        calls.fail(calls.Exit.INVALID, "the files are invalid", loaded.messages)
+    if isinstance(loaded, document.LoadErrors):
+        calls.fail(calls.ExitCode.INVALID, "the files are invalid", loaded.messages)
     return loaded.operations
 
 
@@ -81,13 +89,13 @@
 def check_contracts(
     ctx: typer.Context,
     files: Files,
-    as_json: output.Json = False,
+    as_json: output.JsonOption = False,
     offline: typing.Annotated[
-        bool, typer.Option(help="Check the files alone, without a node.")
+        bool, typer.Option(help="Check only the files, without calling a node.")
     ] = False,
 ) -> None:
-    """Check contract files, also against the configuration in force."""
-    operations = _load(files)
+    """Check contract files, by default also against the configuration in force."""
+    operations = _load_operations(files)
     content: api.Content = {"outcome": "valid", "revision": None}
     if not offline:
         content = calls.call(ctx, "POST", "/check", {"operations": operations})
@@ -103,25 +111,25 @@
 def apply_contracts(
     ctx: typer.Context,
     files: Files,
-    expect: proposal.Expect = None,
-    wait: proposal.Wait = proposal.DEFAULT_WAIT_S,
-    author: proposal.Author = "",
-    as_json: output.Json = False,
+    expect: proposal.ExpectOption = None,
+    wait: proposal.WaitOption = proposal.DEFAULT_WAIT_S,
+    author: proposal.AuthorOption = "",
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Put the contracts and models of files into force, all in one change.
+    """Apply the contracts and models in the files as a single change.
 
-    A change by another operator between the check and the write is refused. Give
-    --expect with the revision that the files were prepared on to refuse changes
-    since then as well.
+    The command fails if another operator makes a change between the check and the
+    write. To fail on any change since the files were prepared, pass the revision
+    they are based on as --expect.
     """
-    operations = _load(files)
+    operations = _load_operations(files)
     if expect is None:
         checked = calls.call(ctx, "POST", "/check", {"operations": operations})
         expect = checked["revision"]
     proposal.propose(
         ctx,
         operations,
-        proposal.Options(expect, wait, proposal.author(author)),
+        proposal.Options(expect, wait, proposal.resolve_author(author)),
         as_json,
     )
 
@@ -130,14 +138,16 @@
 def remove_contracts(
     ctx: typer.Context,
     teams: list[str],
-    expect: proposal.Expect = None,
-    wait: proposal.Wait = proposal.DEFAULT_WAIT_S,
-    author: proposal.Author = "",
-    as_json: output.Json = False,
+    expect: proposal.ExpectOption = None,
+    wait: proposal.WaitOption = proposal.DEFAULT_WAIT_S,
+    author: proposal.AuthorOption = "",
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Remove the contracts of teams; their requests are refused from then on."""
-    operations = proposal.build(change.RemoveContract, ({"team": t} for t in teams))
-    options = proposal.Options(expect, wait, proposal.author(author))
+    """Remove the contracts of teams; further requests of the teams are refused."""
+    operations = proposal.build_operations(
+        change.RemoveContract, ({"team": t} for t in teams)
+    )
+    options = proposal.Options(expect, wait, proposal.resolve_author(author))
     proposal.propose(ctx, operations, options, as_json)
 
 
@@ -145,14 +155,16 @@
 def show_contracts(
     ctx: typer.Context,
     team: typing.Annotated[str | None, typer.Argument()] = None,
-    as_json: output.Json = False,
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Show the contracts in force, or all of one team's."""
+    """List the contracts in force, or show all fields of one team's contract."""
     content = calls.call(ctx, "GET", "/config")
     contracts = [c for c in content["contracts"] if team in (None, c["team"])]
     if team is not None and not contracts:
         known = ", ".join(c["team"] for c in content["contracts"]) or "none"
-        calls.fail(calls.Exit.REFUSED, f"no contract of team {team!r} (known: {known})")
+        calls.fail(
+            calls.ExitCode.REFUSED, f"no contract of team {team!r} (known: {known})"
+        )
     if as_json:
         output.print_json({"revision": content["revision"], "contracts": contracts})
         return
@@ -169,13 +181,13 @@
 def show_history(
     ctx: typer.Context,
     after: typing.Annotated[
-        int | None, typer.Option(min=0, help="Show changes after this revision.")
+        int | None, typer.Option(min=0, help="Show only changes after this revision.")
     ] = None,
     limit: typing.Annotated[int, typer.Option(min=1, max=500)] = 20,
-    as_json: output.Json = False,
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Show the newest changes, or those after a revision."""
-    path = api.query("/changes", {"after": after, "limit": limit})
+    """Show the latest changes, or those after a revision."""
+    path = api.add_query("/changes", {"after": after, "limit": limit})
     content = calls.call(ctx, "GET", path)
     if as_json:
         output.print_json(content)
@@ -185,7 +197,7 @@
             c["revision"],
             output.format_time(c["wall"]),
             c["author"],
-            output.describe(c["operations"]),
+            output.format_operations(c["operations"]),
         ]
         for c in content["changes"]
     ]
@@ -197,7 +209,7 @@
     """Read a bearer key from standard input and print its hash for a contract."""
     key = sys.stdin.readline().strip()
     if not key:
-        calls.fail(calls.Exit.INVALID, "standard input holds no key")
+        calls.fail(calls.ExitCode.INVALID, "no key on standard input")
     typer.echo(contract.hash_key(key))
 
 
@@ -208,30 +220,30 @@
     weight_version: typing.Annotated[
         str,
         typer.Option(
-            help="Version that engines are ordered to load; empty leaves it to them."
+            help="Version that engines must load; if empty, they choose their own."
         ),
     ] = "",
     tokenizer: str = "bytes4",
     adapter: str = "",
-    expect: proposal.Expect = None,
-    wait: proposal.Wait = proposal.DEFAULT_WAIT_S,
-    author: proposal.Author = "",
-    as_json: output.Json = False,
+    expect: proposal.ExpectOption = None,
+    wait: proposal.WaitOption = proposal.DEFAULT_WAIT_S,
+    author: proposal.AuthorOption = "",
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Create or replace a model; new requests use its weight version."""
+    """Create or replace a model; new requests use the given weight version."""
     fields = {
         "name": name,
         "weight_version": weight_version,
         "tokenizer": tokenizer,
         "adapter": adapter,
     }
-    operations = proposal.build(change.PutModel, [{"model": fields}])
-    options = proposal.Options(expect, wait, proposal.author(author))
+    operations = proposal.build_operations(change.PutModel, [{"model": fields}])
+    options = proposal.Options(expect, wait, proposal.resolve_author(author))
     proposal.propose(ctx, operations, options, as_json)
 
 
 @models_app.command("list")
-def list_models(ctx: typer.Context, as_json: output.Json = False) -> None:
+def list_models(ctx: typer.Context, as_json: output.JsonOption = False) -> None:
     """List the models in force."""
     content = calls.call(ctx, "GET", "/config")
     if as_json:
@@ -243,8 +255,8 @@
 
 
 @app.command("status")
-def show_status(ctx: typer.Context, as_json: output.Json = False) -> None:
-    """Show nodes with their revision, upstreams, leases and queues."""
+def show_status(ctx: typer.Context, as_json: output.JsonOption = False) -> None:
+    """Show the nodes and their revisions, upstreams, leases and queues."""
     content = calls.call(ctx, "GET", "/status")
     if as_json:
         output.print_json(content)
@@ -259,8 +271,8 @@
 
 
 @quarantine_app.command("list")
-def list_quarantine(ctx: typer.Context, as_json: output.Json = False) -> None:
-    """List quarantined requests by fingerprint."""
+def list_quarantine(ctx: typer.Context, as_json: output.JsonOption = False) -> None:
+    """List the fingerprints of quarantined requests."""
     content = calls.call(ctx, "GET", "/quarantine")
     if as_json:
         output.print_json(content)
@@ -272,11 +284,11 @@
 def release_quarantine(
     ctx: typer.Context,
     fingerprint: str,
-    author: proposal.Author = "",
-    as_json: output.Json = False,
+    author: proposal.AuthorOption = "",
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Let a quarantined request run again."""
-    body = {"fingerprint": fingerprint, "author": proposal.author(author)}
+    """Release a request from quarantine, so that it can run again."""
+    body = {"fingerprint": fingerprint, "author": proposal.resolve_author(author)}
     content = calls.call(ctx, "POST", "/quarantine/release", body)
     if as_json:
         output.print_json(content)
@@ -285,8 +297,8 @@
 
 
 @claims_app.command("list")
-def list_claims(ctx: typer.Context, as_json: output.Json = False) -> None:
-    """List orders of which nobody knows whether they ran."""
+def list_claims(ctx: typer.Context, as_json: output.JsonOption = False) -> None:
+    """List orders for which it is unknown whether they ran."""
     content = calls.call(ctx, "GET", "/claims")
     if as_json:
         output.print_json(content)
@@ -303,19 +315,19 @@
         bool,
         typer.Option(
             "--ran/--not-run",
-            help="What the upstream's records say; --not-run lets the order run again.",
+            help="Whether the upstream ran the order; --not-run lets it run again.",
             show_default=False,
         ),
     ],
-    author: proposal.Author = "",
-    as_json: output.Json = False,
+    author: proposal.AuthorOption = "",
+    as_json: output.JsonOption = False,
 ) -> None:
-    """Record whether an unknown order ran; look at the upstream's records first."""
+    """Settle whether an order ran; check the records of the upstream first."""
     body = {
         "team": team,
         "key": key,
         "ran": ran,
-        "author": proposal.author(author),
+        "author": proposal.resolve_author(author),
     }
     content = calls.call(ctx, "POST", "/claims/settle", body)
     if as_json:
@@ -325,5 +337,5 @@
 
 
 def run() -> None:
-    """Run the command."""
+    """Entry point of the `snipelug` command."""
     app()
--- a/packages/snipelug-cli/src/snipelug_cli/proposal.py
+++ b/packages/snipelug-cli/src/snipelug_cli/proposal.py
@@ -1,4 +1,4 @@
-"""Proposals of changes, and the options that all of them have."""
+"""Proposing of changes, and the command options common to all changes."""
 
 import collections.abc
 import dataclasses
@@ -15,11 +15,11 @@
 DEFAULT_WAIT_S = 20.0
 MAX_WAIT_S = 60.0
 
-Expect = typing.Annotated[
+ExpectOption = typing.Annotated[
     int | None,
-    typer.Option(min=0, help="Refuse if the newest revision is another."),
+    typer.Option(min=0, help="Fail unless this is the newest revision."),
 ]
-Wait = typing.Annotated[
+WaitOption = typing.Annotated[
     float,
     typer.Option(
         min=0.0,
@@ -27,20 +27,22 @@
         help="Seconds to wait until the change is in force on all members.",
     ),
 ]
-Author = typing.Annotated[
+AuthorOption = typing.Annotated[
     str,
     typer.Option(
-        envvar="SNIPELUG_AUTHOR", help="Name in the history.", show_default="user name"
+        envvar="SNIPELUG_AUTHOR",
+        help="Author name for the history.",
+        show_default="user name",
     ),
 ]
-Force = typing.Annotated[
-    bool, typer.Option(help="Allow names that the platform's list does not contain.")
+ForceOption = typing.Annotated[
+    bool, typer.Option(help="Allow names that are not in the platform's list.")
 ]
 
 
 @dataclasses.dataclass(frozen=True)
 class Options:
-    """How a change is proposed."""
+    """Options of a proposed change."""
 
     expected: int | None
     wait_s: float
@@ -48,31 +50,37 @@
     force: bool = False
 
 
-def author(given: str) -> str:
-    """Return the name for the history; the user's by default."""
+def resolve_author(given: str) -> str:
+    """Return the author name for the history; by default that of the current user."""
     if given:
         return given
     try:
         return getpass.getuser()
     except (KeyError, OSError):
         calls.fail(
-            calls.Exit.INVALID, "the user has no name: set SNIPELUG_AUTHOR or --author"
+            calls.ExitCode.INVALID,
+            "the current user has no name: set SNIPELUG_AUTHOR or --author",
         )
 
 
-def build(
-    kind: type[typing.Any], values: collections.abc.Iterable[dict[str, typing.Any]]
+def build_operations(
+    operation_type: type[typing.Any],
+    values: collections.abc.Iterable[dict[str, typing.Any]],
 ) -> list[typing.Any]:
-    """Build operations from arguments; end the command if any is invalid."""
+    """Build operations from arguments; exit the command if any is invalid."""
     built = []
-    mistakes = []
+    errors = []
     for value in values:
         try:
-            built.append(msgspec.convert({"type": kind.__name__, **value}, kind))
+            built.append(
+                msgspec.convert(
+                    {"type": operation_type.__name__, **value}, operation_type
+                )
+            )
         except msgspec.ValidationError as exc:
-            mistakes.append(f"{value}: {exc}")
-    if mistakes:
-        calls.fail(calls.Exit.INVALID, "invalid arguments", mistakes)
+            errors.append(f"{value}: {exc}")
+    if errors:
+        calls.fail(calls.ExitCode.INVALID, "invalid arguments", errors)
     return built
 
 
@@ -82,7 +90,7 @@
     options: Options,
     as_json: bool,
 ) -> None:
-    """Propose one change, wait for it and report where it is in force."""
+    """Propose a change, wait until it is in force and report the result."""
     body = {
         "operations": operations,
         "author": options.author,
@@ -101,24 +109,24 @@
         missing = ", ".join(content["missing"])
         message = (
             f"revision {content['revision']} is not known to be in force on: "
-            f"{missing}. These nodes take it over when they next see the table "
-            "service or a peer, and refuse new work until then; look with "
+            f"{missing}. These nodes adopt it when they next reach the table "
+            "service or a peer, and refuse new work until then; check with "
             "'snipelug status'"
         )
-        calls.fail(calls.Exit.NOT_EVERYWHERE, message)
+        calls.fail(calls.ExitCode.NOT_IN_FORCE, message)
     if content["outcome"] == "recorded":
-        message = "the change is stored, but no majority has reported it yet"
-        calls.fail(calls.Exit.NOT_EVERYWHERE, message)
+        message = "the change is stored, but not yet confirmed by a majority of nodes"
+        calls.fail(calls.ExitCode.NOT_IN_FORCE, message)
 
 
 def _wait_in_force(
     ctx: typer.Context, content: api.Content, wait_s: float
 ) -> api.Content:
-    """Wait on any node, so that one that hangs does not hold the change up."""
+    """Wait for the change through any node, so that a hung one does not block it."""
     fields = {"revision": content["revision"], "wait_s": wait_s}
-    path = api.query("/in-force", fields)
+    path = api.add_query("/in-force", fields)
     answer = api.call(ctx.obj, "GET", path, wait_s=wait_s)
-    if not isinstance(answer, api.Done):
+    if not isinstance(answer, api.Succeeded):
         return content
     rollout = {k: answer.content[k] for k in ("in_force", "missing")}
     outcome = content["outcome"]
--- a/packages/snipelug-cli/src/snipelug_cli/switches.py
+++ b/packages/snipelug-cli/src/snipelug_cli/switches.py
@@ -1,4 +1,4 @@
-"""Commands that take availability zones and instances out and put them back."""
+"""Commands that take availability zones and instances out of and into service."""
 
 import dataclasses
 import typing
@@ -10,17 +10,19 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Kind:
-    """Something that operators take out of service and put back.
+class ResourceKind:
+    """A kind of resource that can be taken out of service.
 
     Attributes
     ----------
     plural, title : str
-        Name in texts and above the table.
+        Name in help texts and as the table title.
     field : str
-        Field of the operations.
+        Name of the field of the operations.
+    take_out, put_in : type
+        Operations that take a resource out of service and put it back.
     known, out : str
-        Fields of the configuration: what is listed, and what is out of service.
+        Configuration fields with the listed and the out-of-service resources.
     """
 
     plural: str
@@ -32,7 +34,7 @@
     out: str
 
 
-ZONES = Kind(
+ZONES = ResourceKind(
     "availability zones",
     "Availability zones",
     "zone",
@@ -41,7 +43,7 @@
     "zones",
     "zones_out",
 )
-INSTANCES = Kind(
+INSTANCES = ResourceKind(
     "instances",
     "Instances",
     "instance",
@@ -52,47 +54,49 @@
 )
 
 
-def add_commands(app: typer.Typer, kind: Kind) -> None:
-    """Add the commands out, in and list of one kind."""
+def add_commands(app: typer.Typer, kind: ResourceKind) -> None:
+    """Add the commands ``out``, ``in`` and ``list`` for a kind of resource."""
     names = typer.Argument(metavar=f"{kind.field.upper()}S")
 
     @app.command(
-        "out", help=f"Take {kind.plural} out of service; work in progress goes on."
+        "out", help=f"Take {kind.plural} out of service; work in progress is completed."
     )
     def take_out(
         ctx: typer.Context,
         names: typing.Annotated[list[str], names],
-        expect: proposal.Expect = None,
-        wait: proposal.Wait = proposal.DEFAULT_WAIT_S,
-        author: proposal.Author = "",
-        force: proposal.Force = False,
-        as_json: output.Json = False,
+        expect: proposal.ExpectOption = None,
+        wait: proposal.WaitOption = proposal.DEFAULT_WAIT_S,
+        author: proposal.AuthorOption = "",
+        force: proposal.ForceOption = False,
+        as_json: output.JsonOption = False,
     ) -> None:
-        operations = proposal.build(
+        operations = proposal.build_operations(
             kind.take_out, ({kind.field: name} for name in names)
         )
-        options = proposal.Options(expect, wait, proposal.author(author), force)
+        options = proposal.Options(expect, wait, proposal.resolve_author(author), force)
         proposal.propose(ctx, operations, options, as_json)
 
     @app.command("in", help=f"Put {kind.plural} back into service.")
     def put_in(
         ctx: typer.Context,
         names: typing.Annotated[list[str], names],
-        expect: proposal.Expect = None,
-        wait: proposal.Wait = proposal.DEFAULT_WAIT_S,
-        author: proposal.Author = "",
-        as_json: output.Json = False,
+        expect: proposal.ExpectOption = None,
+        wait: proposal.WaitOption = proposal.DEFAULT_WAIT_S,
+        author: proposal.AuthorOption = "",
+        as_json: output.JsonOption = False,
     ) -> None:
-        operations = proposal.build(kind.put_in, ({kind.field: name} for name in names))
-        options = proposal.Options(expect, wait, proposal.author(author))
+        operations = proposal.build_operations(
+            kind.put_in, ({kind.field: name} for name in names)
+        )
+        options = proposal.Options(expect, wait, proposal.resolve_author(author))
         proposal.propose(ctx, operations, options, as_json)
 
     @app.command("list", help=f"List {kind.plural} and whether they are in service.")
-    def show(ctx: typer.Context, as_json: output.Json = False) -> None:
+    def show(ctx: typer.Context, as_json: output.JsonOption = False) -> None:
         _show(ctx, kind, as_json)
 
 
-def _show(ctx: typer.Context, kind: Kind, as_json: bool) -> None:
+def _show(ctx: typer.Context, kind: ResourceKind, as_json: bool) -> None:
     content = calls.call(ctx, "GET", "/config")
     listed, out = content[kind.known], content[kind.out]
     rows: list[list[object]] = [
@@ -103,4 +107,4 @@
         shown = [{"name": n, "state": s, "listed": k} for n, s, k in rows]
         output.print_json({"revision": content["revision"], kind.known: shown})
         return
-    output.print_table(kind.title, ["name", "state", "in platform's list"], rows)
+    output.print_table(kind.title, ["name", "state", "in platform list"], rows)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""Tests of the operators' command against a real admin API over a socket."""
+"""Tests of the command line against a real admin API over a socket."""
 
 import collections.abc
 import contextlib
@@ -22,8 +22,8 @@
 RUNNER = typer.testing.CliRunner()
 
 
-class Backing:
-    """Quarantine and claims as the other parts of a node would hold them."""
+class FakeProviders:
+    """In-memory quarantine and claims in place of the other parts of a node."""
 
     def __init__(self) -> None:
         self.fingerprints = ["f1"]
@@ -63,10 +63,10 @@
 
 
 class Operator:
-    """Runs commands in a thread, so that the nodes go on in this one."""
+    """Runs commands in a worker thread, while the nodes run in the main thread."""
 
-    def __init__(self, made: fleet.Fleet, urls: list[str]) -> None:
-        self.made = made
+    def __init__(self, cluster: fleet.Fleet, urls: list[str]) -> None:
+        self.cluster = cluster
         self.env = {
             "SNIPELUG_ADMIN_URL": ",".join(urls),
             "SNIPELUG_ADMIN_KEY": KEY,
@@ -87,14 +87,16 @@
 
 @contextlib.asynccontextmanager
 async def operator(size: int = 1) -> collections.abc.AsyncIterator[Operator]:
-    async with fleet.fleet(size) as made, trio.open_nursery() as nursery:
+    async with fleet.fleet(size) as cluster, trio.open_nursery() as nursery:
         urls = []
-        for running in made.nodes.values():
-            api = admin.Admin(running.keeper, running.peers, KEY, Backing().providers())
+        for running in cluster.nodes.values():
+            api = admin.Admin(
+                running.keeper, running.peers, KEY, FakeProviders().providers()
+            )
             server = http_server.Server(api.handle)
             port = await nursery.start(server.serve, "127.0.0.1", 0)
             urls.append(f"http://127.0.0.1:{port}")
-        yield Operator(made, urls)
+        yield Operator(cluster, urls)
         nursery.cancel_scope.cancel()
 
 
@@ -114,103 +116,103 @@
     return str(path)
 
 
-async def test_contracts_from_file_to_force(tmp_path: pathlib.Path) -> None:
-    """Guards against contracts that the command accepts and nodes do not have."""
+async def test_contracts_from_files_come_into_force(tmp_path: pathlib.Path) -> None:
+    """Guards against contracts that are accepted but not in force on the nodes."""
     file = write(tmp_path / "c.toml", CONTRACT)
-    async with operator(2) as ann:
-        assert "valid against revision 0" in await ann.run("contracts", "check", file)
-        applied = await ann.run("contracts", "apply", file)
+    async with operator(2) as cli:
+        assert "valid against revision 0" in await cli.run("contracts", "check", file)
+        applied = await cli.run("contracts", "apply", file)
         assert "accepted; revision 1 is in force on 2 of 2" in applied
-        for running in ann.made.nodes.values():
+        for running in cli.cluster.nodes.values():
             assert running.keeper.cfg.contracts["t1"].limits.in_flight == 8
-        assert "nothing to change" in await ann.run("contracts", "apply", file)
-        assert "t1" in await ann.run("contracts", "show")
-        shown = await ann.json("contracts", "show", "t1")
+        assert "nothing to change" in await cli.run("contracts", "apply", file)
+        assert "t1" in await cli.run("contracts", "show")
+        shown = await cli.json("contracts", "show", "t1")
         assert shown["revision"] == 1
-        assert "PutContract t1" in await ann.run("contracts", "history")
-        assert "no contract" in await ann.run("contracts", "show", "t9", code=1)
-        assert "m1" in await ann.run("models", "list")
-        await ann.run("models", "put", "m1", "--weight-version", "w2")
-        await ann.run("contracts", "remove", "t1")
-        assert ann.made.nodes["n0"].keeper.cfg.contracts == {}
-        assert ann.made.nodes["n0"].keeper.cfg.models["m1"].weight_version == "w2"
+        assert "PutContract t1" in await cli.run("contracts", "history")
+        assert "no contract" in await cli.run("contracts", "show", "t9", code=1)
+        assert "m1" in await cli.run("models", "list")
+        await cli.run("models", "put", "m1", "--weight-version", "w2")
+        await cli.run("contracts", "remove", "t1")
+        assert cli.cluster.nodes["n0"].keeper.cfg.contracts == {}
+        assert cli.cluster.nodes["n0"].keeper.cfg.models["m1"].weight_version == "w2"
 
 
 async def test_zones_and_instances() -> None:
-    """Guards against a misspelt zone that is accepted without effect."""
-    async with operator() as ann:
-        assert "unknown zone" in await ann.run("zones", "out", "tamra-a", code=2)
-        await ann.run("zones", "out", "tamar-a", "esk-b")
-        await ann.run("zones", "in", "esk-b")
-        listed = await ann.json("zones", "list")
+    """Guards against a misspelled zone that is accepted without effect."""
+    async with operator() as cli:
+        assert "unknown zone" in await cli.run("zones", "out", "tamra-a", code=2)
+        await cli.run("zones", "out", "tamar-a", "esk-b")
+        await cli.run("zones", "in", "esk-b")
+        listed = await cli.json("zones", "list")
         assert listed["zones"] == [
             {"name": "esk-b", "state": "in", "listed": True},
             {"name": "tamar-a", "state": "out", "listed": True},
         ]
-        await ann.run("instances", "out", "e1")
-        await ann.run("instances", "out", "e9", "--force")
-        assert "e9" in await ann.run("instances", "list")
-        await ann.run("instances", "in", "e1", "e9")
-        assert ann.made.nodes["n0"].keeper.cfg.instances_out == frozenset()
+        await cli.run("instances", "out", "e1")
+        await cli.run("instances", "out", "e9", "--force")
+        assert "e9" in await cli.run("instances", "list")
+        await cli.run("instances", "in", "e1", "e9")
+        assert cli.cluster.nodes["n0"].keeper.cfg.instances_out == frozenset()
 
 
-async def test_losing_operator_is_told_the_newer_revision() -> None:
-    """Guards against overwriting a change that the operator has not seen."""
-    async with operator() as ann:
-        await ann.run("zones", "out", "tamar-a", "--expect", "0")
-        late = await ann.run("zones", "out", "esk-b", "--expect", "0", code=1)
-        assert "revision 1 by ann came first" in late
+async def test_conflicting_change_reports_newer_revision() -> None:
+    """Guards against overwriting a concurrent change that the operator has not seen."""
+    async with operator() as cli:
+        await cli.run("zones", "out", "tamar-a", "--expect", "0")
+        conflicting = await cli.run("zones", "out", "esk-b", "--expect", "0", code=1)
+        assert "revision 1 by ann came first" in conflicting
 
 
-async def test_partial_force_and_unreachable_have_their_codes() -> None:
-    """Guards against scripts that take a partial or failed change for done."""
-    async with operator(3) as ann:
-        ann.made.nodes["n2"].scope.cancel()
+async def test_exit_codes_for_partial_rollout_and_unreachable_nodes() -> None:
+    """Guards against exit codes that report a partial or failed change as success."""
+    async with operator(3) as cli:
+        cli.cluster.nodes["n2"].scope.cancel()
         args = ("zones", "out", "tamar-a", "--wait", "1")
-        assert "in force on: n2" in await ann.run(*args, code=4)
-        ann.made.table.up = False
-        assert "cannot accept" in await ann.run("zones", "out", "esk-b", code=1)
-        ann.env["SNIPELUG_ADMIN_URL"] = "http://127.0.0.1:1"
-        assert "no node answered" in await ann.run("status", code=3)
-
-
-async def test_next_node_is_asked_when_the_first_is_down() -> None:
-    """Guards against a command that depends on one node."""
-    async with operator() as ann:
-        ann.env["SNIPELUG_ADMIN_URL"] = (
-            "http://127.0.0.1:1," + ann.env["SNIPELUG_ADMIN_URL"]
+        assert "in force on: n2" in await cli.run(*args, code=4)
+        cli.cluster.table.up = False
+        assert "cannot accept" in await cli.run("zones", "out", "esk-b", code=1)
+        cli.env["SNIPELUG_ADMIN_URL"] = "http://127.0.0.1:1"
+        assert "no node answered" in await cli.run("status", code=3)
+
+
+async def test_next_node_is_called_when_first_is_down() -> None:
+    """Guards against commands that depend on a single node."""
+    async with operator() as cli:
+        cli.env["SNIPELUG_ADMIN_URL"] = (
+            "http://127.0.0.1:1," + cli.env["SNIPELUG_ADMIN_URL"]
         )
-        assert "accepted" in await ann.run("zones", "out", "tamar-a")
+        assert "accepted" in await cli.run("zones", "out", "tamar-a")
 
 
 async def test_status_quarantine_and_claims() -> None:
-    """Guards against operators who cannot see or settle what needs a decision."""
-    async with operator() as ann:
-        status = await ann.run("status")
+    """Guards against quarantined requests and claims that operators cannot resolve."""
+    async with operator() as cli:
+        status = await cli.run("status")
         assert "current by rule store" in status
         assert "cold" in status
-        assert (await ann.json("status"))["node"] == "n0"
-        assert "f1" in await ann.run("quarantine", "list")
-        await ann.run("quarantine", "release", "f1")
-        assert "is not there" in await ann.run("quarantine", "release", "f1", code=1)
-        assert "k1" in await ann.run("claims", "list")
-        assert "3 s old" in await ann.run(
+        assert (await cli.json("status"))["node"] == "n0"
+        assert "f1" in await cli.run("quarantine", "list")
+        await cli.run("quarantine", "release", "f1")
+        assert "is not there" in await cli.run("quarantine", "release", "f1", code=1)
+        assert "k1" in await cli.run("claims", "list")
+        assert "3 s old" in await cli.run(
             "claims", "settle", "t1", "k1", "--ran", code=1
         )
-        await ann.run("claims", "settle", "t1", "k1", "--not-run")
-        await ann.run("claims", "settle", "t1", "k1", code=2)
+        await cli.run("claims", "settle", "t1", "k1", "--not-run")
+        await cli.run("claims", "settle", "t1", "k1", code=2)
 
 
 async def test_wrong_or_missing_key_is_refused() -> None:
-    """Guards against an admin API that is open to callers."""
-    async with operator() as ann:
-        ann.env["SNIPELUG_ADMIN_KEY"] = "guess"
-        assert "check SNIPELUG_ADMIN_KEY" in await ann.run("status", code=1)
-        ann.env["SNIPELUG_ADMIN_KEY"] = ""
-        assert "set SNIPELUG_ADMIN_KEY" in await ann.run("status", code=2)
-        ann.env["SNIPELUG_ADMIN_KEY"] = KEY
-        ann.env["SNIPELUG_ADMIN_URL"] = "127.0.0.1"
-        assert "not of the form" in await ann.run("status", code=2)
+    """Guards against an admin API that is accessible without the key."""
+    async with operator() as cli:
+        cli.env["SNIPELUG_ADMIN_KEY"] = "guess"
+        assert "check SNIPELUG_ADMIN_KEY" in await cli.run("status", code=1)
+        cli.env["SNIPELUG_ADMIN_KEY"] = ""
+        assert "set SNIPELUG_ADMIN_KEY" in await cli.run("status", code=2)
+        cli.env["SNIPELUG_ADMIN_KEY"] = KEY
+        cli.env["SNIPELUG_ADMIN_URL"] = "127.0.0.1"
+        assert "not of the form" in await cli.run("status", code=2)
 
 
 BAD_CALLS = [
@@ -225,13 +227,13 @@
 
 
 @pytest.mark.parametrize(("method", "target", "body", "status", "text"), BAD_CALLS)
-async def test_bad_call_gets_clear_error(
+async def test_invalid_call_gets_clear_error(
     method: str, target: str, body: bytes, status: int, text: str
 ) -> None:
-    """Guards against tracebacks and silent defaults on malformed input."""
-    async with fleet.fleet(1) as made:
-        node = made.nodes["n0"]
-        api = admin.Admin(node.keeper, node.peers, KEY, Backing().providers())
+    """Guards against tracebacks, and malformed input that is silently ignored."""
+    async with fleet.fleet(1) as cluster:
+        node = cluster.nodes["n0"]
+        api = admin.Admin(node.keeper, node.peers, KEY, FakeProviders().providers())
         path, query = http_server.parse_target(target)
         headers = {"authorization": f"Bearer {KEY}"}
         request = http_server.Request(method, path, query, headers, body)
@@ -262,19 +264,19 @@
 def test_invalid_file_lists_all_mistakes(
     tmp_path: pathlib.Path, name: str, text: str, messages: list[str]
 ) -> None:
-    """Guards against an operator who repairs a file one error at a time."""
+    """Guards against reporting only the first error in a file."""
     file = write(tmp_path / name, text)
     result = RUNNER.invoke(main.app, ["contracts", "check", "--offline", file])
-    assert result.exit_code == calls.Exit.INVALID
+    assert result.exit_code == calls.ExitCode.INVALID
     for message in messages:
         assert message in result.output
 
 
 def test_missing_file_and_key_hash(tmp_path: pathlib.Path) -> None:
-    """Guards against tracebacks, and keys in contract files."""
+    """Guards against tracebacks for missing files, and plain keys in contract files."""
     missing = str(tmp_path / "no.json")
     result = RUNNER.invoke(main.app, ["contracts", "check", "--offline", missing])
-    assert result.exit_code == calls.Exit.INVALID
+    assert result.exit_code == calls.ExitCode.INVALID
     assert "No such file" in result.output
     hashed = RUNNER.invoke(main.app, ["contracts", "hash-key"], input="secret\n")
     assert hashed.output.strip() == HASH
--- a/tests/test_cli_platform.py
+++ b/tests/test_cli_platform.py
@@ -1,4 +1,4 @@
-"""The operators' view of a deployment on the platform."""
+"""Tests of the command that shows a deployment on the platform."""
 
 import msgspec
 import trio
@@ -16,30 +16,30 @@
     return await trio.to_thread.run_sync(RUNNER.invoke, main.app, ["platform", *args])
 
 
-async def test_platform_shows_what_the_store_and_the_nodes_tell(
+async def test_platform_shows_state_of_store_and_nodes(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against operators who do not see what a node believes."""
+    """Guards against output that omits the state of the store or of a node."""
     async with platform_world.deployment(
         apps=1, engines=1, nodes=1, has_peers=True
     ) as world:
-        beliefs = state.State(world.settings("n1"))
+        node_state = state.State(world.settings("n1"))
 
-        async def tell(_req: http_server.Request) -> http_server.Response:
-            return http_server.Response(200, stats.Stats().render(beliefs, 0.0, 0))
+        async def serve_metrics(_req: http_server.Request) -> http_server.Response:
+            return http_server.Response(200, stats.Stats().render(node_state, 0.0, 0))
 
-        metrics = http_server.Server(tell)
-        port = await nursery.start(metrics.serve, "127.0.0.1", 0)
+        metrics_server = http_server.Server(serve_metrics)
+        port = await nursery.start(metrics_server.serve, "127.0.0.1", 0)
         world.store.put("op", "version/m", {"model": "m", "version": 1})
         world.store.put("op", "evacuate/zone-b", {})
         world.store.put_raw("servers", "broken", "!")
-        began = clock.now()
+        started_at = clock.now()
         await platform_world.until(
             lambda: world.store.content("members", "n1") is not None
         )
         store = f"127.0.0.1:{world.store_port}"
         result = await invoke("--store", store, "--metrics-port", str(port), "--json")
-        assert result.exit_code == calls.Exit.DONE, result.output
+        assert result.exit_code == calls.ExitCode.DONE, result.output
         content = msgspec.json.decode(result.output)
         assert content["configuration"] == 1
         assert content["weights"] == {"m": 1}
@@ -48,25 +48,25 @@
         (node,) = content["nodes"]
         assert node["node"] == "n1"
         assert node["configuration"] == 0.0
-        assert 0.0 <= node["seen_s_ago"] <= clock.now() - began + 5.0
+        assert 0.0 <= node["seen_s_ago"] <= clock.now() - started_at + 5.0
         services = {row["service"]: row for row in content["upstreams"]}
         assert set(services) == {"app", "llm"}
         assert services["llm"]["weights"] == ["m 1"]
         table = await invoke("--store", store, "--metrics-port", str(port))
-        assert table.exit_code == calls.Exit.DONE
+        assert table.exit_code == calls.ExitCode.DONE
         assert "Upstreams" in table.output
         nursery.cancel_scope.cancel()
 
 
-async def test_platform_says_that_the_store_is_away() -> None:
-    """Guards against empty tables in place of an error."""
+async def test_platform_reports_unavailable_store() -> None:
+    """Guards against empty tables instead of an error if the store is unavailable."""
     result = await invoke("--store", "127.0.0.1:1")
-    assert result.exit_code == calls.Exit.UNREACHABLE
+    assert result.exit_code == calls.ExitCode.UNREACHABLE
     assert "the store does not answer" in result.output
 
 
-async def test_platform_checks_its_address() -> None:
-    """Guards against a traceback for a mistyped address."""
+async def test_platform_rejects_invalid_address() -> None:
+    """Guards against a traceback for an invalid address."""
     result = await invoke("--store", "nowhere")
-    assert result.exit_code == calls.Exit.INVALID
+    assert result.exit_code == calls.ExitCode.INVALID
     assert "'nowhere' is not IP:PORT" in result.output
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -1,4 +1,4 @@
-"""The command that explains a request from log lines."""
+"""Tests of the command that explains a request from log lines."""
 
 import json
 import pathlib
@@ -11,7 +11,7 @@
 RUNNER = typer.testing.CliRunner()
 
 
-def request(request_id: str, t: float, **changes: object) -> dict[str, object]:
+def build_request(request_id: str, t: float, **changes: object) -> dict[str, object]:
     attempts = [
         {
             "upstream": "u1",
@@ -40,15 +40,15 @@
     {"t": 9.5, "node": "n1", "event": "upstream_blocked", "upstream": "u1"},
     {"t": 9.6, "node": "n2", "event": "store_lost", "reason": "silence"},
     {"t": 1.0, "node": "n1", "event": "start"},
-    request("aa", 10.0),
-    request("bb", 10.1, outcome="refused", attempts=[], reason="none is free"),
-    request("cc", 10.2, outcome="answered", first_ms=900.0, reason=""),
-    request("dd", 10.3, outcome="left"),
+    build_request("aa", 10.0),
+    build_request("bb", 10.1, outcome="refused", attempts=[], reason="none is free"),
+    build_request("cc", 10.2, outcome="answered", first_ms=900.0, reason=""),
+    build_request("dd", 10.3, outcome="left"),
 ]
 
 
 @pytest.fixture
-def log(tmp_path: pathlib.Path) -> pathlib.Path:
+def log_file(tmp_path: pathlib.Path) -> pathlib.Path:
     path = tmp_path / "n1.log"
     text = "\n".join(f"  9.1 node {json.dumps(line)}" for line in LINES)
     path.write_text(f"build output\n{text}\n" + '{"t": broken\n')
@@ -64,26 +64,26 @@
 
 
 @pytest.mark.parametrize(("request_id", "verdict"), CASES)
-def test_verdict(log: pathlib.Path, request_id: str, verdict: str) -> None:
-    """Guards against an explanation that names another cause than the log."""
-    result = RUNNER.invoke(main.app, ["explain", request_id, str(log)])
-    assert result.exit_code == calls.Exit.DONE
+def test_verdict(log_file: pathlib.Path, request_id: str, verdict: str) -> None:
+    """Guards against a summary that states a different cause than the log."""
+    result = RUNNER.invoke(main.app, ["explain", request_id, str(log_file)])
+    assert result.exit_code == calls.ExitCode.DONE
     assert result.stdout.startswith(verdict)
 
 
-def test_beliefs_are_those_of_the_node_shortly_before(log: pathlib.Path) -> None:
-    """Guards against events of other nodes and times among the causes."""
-    result = RUNNER.invoke(main.app, ["explain", "aa", str(log), "--json"])
+def test_beliefs_are_recent_events_of_same_node(log_file: pathlib.Path) -> None:
+    """Guards against including events of other nodes or long before the request."""
+    result = RUNNER.invoke(main.app, ["explain", "aa", str(log_file), "--json"])
     found = json.loads(result.stdout)
     assert [line["event"] for line in found["beliefs"]] == ["upstream_blocked"]
 
 
-def test_unknown_request_and_file_are_named(log: pathlib.Path) -> None:
-    """Guards against an empty answer for a wrong id or path."""
-    result = RUNNER.invoke(main.app, ["explain", "zz", str(log)])
-    assert result.exit_code == calls.Exit.REFUSED
+def test_error_names_unknown_request_or_file(log_file: pathlib.Path) -> None:
+    """Guards against empty output for an unknown request ID or file."""
+    result = RUNNER.invoke(main.app, ["explain", "zz", str(log_file)])
+    assert result.exit_code == calls.ExitCode.REFUSED
     assert "zz" in result.stderr
-    missing = str(log.with_name("none.log"))
+    missing = str(log_file.with_name("none.log"))
     result = RUNNER.invoke(main.app, ["explain", "aa", missing])
-    assert result.exit_code == calls.Exit.INVALID
+    assert result.exit_code == calls.ExitCode.INVALID
     assert "none.log" in result.stderr
