--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,4 @@
-"""Contract tests of the transports over real sockets."""
+"""Tests of the HTTP and RPC transports over real sockets."""
 
 import collections
 import collections.abc
@@ -34,7 +34,7 @@
 async def test_malformed_request_gets_clear_error(
     nursery: trio.Nursery, data: bytes, status: int
 ) -> None:
-    """Guards against silent closes and unbounded reads on bad input."""
+    """Guards against malformed requests that get no error or are read without limit."""
     server = http_server.Server(echo, LIMITS)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
     stream = await trio.open_tcp_stream("127.0.0.1", port)
@@ -49,7 +49,7 @@
 
 
 async def test_pre_send_check_withholds_request(nursery: trio.Nursery) -> None:
-    """Guards against sending on a right that lapsed while connecting."""
+    """Guards against sending with a permission that expired while connecting."""
     server = http_server.Server(echo)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
     pool = http_client.Pool()
@@ -68,8 +68,8 @@
     assert isinstance(await http_client.Pool().fetch(call), http_client.NotSent)
 
 
-async def test_client_reset_leaves_server_up(nursery: trio.Nursery) -> None:
-    """Guards against one client's reset ending the whole server process."""
+async def test_client_reset_does_not_stop_server(nursery: trio.Nursery) -> None:
+    """Guards against a client's connection reset that ends the server process."""
 
     async def endless() -> collections.abc.AsyncGenerator[bytes, None]:
         while True:
@@ -93,14 +93,14 @@
     await again.aclose()
 
 
-class Pushed:
-    """A body that sends itself; the last of its parts may be a fault."""
+class PushedParts:
+    """Pushed body; its last part may stand for a broken connection or a stall."""
 
     def __init__(self, parts: list[str]) -> None:
         self.parts = parts
-        self.closed = 0
-        # On a busy machine the first read would bring the next parts as well.
-        self.first_was_read = trio.Event()
+        self.close_count = 0
+        # Without it, the first read on a busy machine could include the next parts.
+        self.first_part_read = trio.Event()
 
     async def send_to(self, sink: http_server.BodyWriter) -> None:
         for part in self.parts:
@@ -110,30 +110,30 @@
                 await trio.sleep_forever()
             sink.write_nowait(part.encode())
             await sink.drain()
-            await self.first_was_read.wait()
+            await self.first_part_read.wait()
             await trio.sleep(0.001)
 
     async def aclose(self) -> None:
-        self.closed += 1
+        self.close_count += 1
 
 
-def raise_fault(part: bytes) -> bool:
-    raise ValueError("fault of one reader")
+def raise_error(part: bytes) -> bool:
+    raise ValueError("error in one reader")
 
 
-FOLLOWED = [
+STREAMS = [
     ("whole", ["a", "b", "c"], lambda _: True, None),
     ("large", ["a" * 300_000, "b" * 300_000], lambda _: True, None),
     ("cut", ["a", "b", "cut"], lambda _: True, http_client.Lost),
     ("paused", ["a", "b", "silence"], lambda _: False, http_client.Paused),
     ("aborted", ["a", "b", "silence"], lambda _: True, http_client.Lost),
-    ("reader fails", ["a", "b", "silence"], raise_fault, ValueError),
+    ("reader fails", ["a", "b", "silence"], raise_error, ValueError),
 ]
 
 
-async def test_followed_bodies_end_apart(nursery: trio.Nursery) -> None:
-    """Guards against one stream's end or fault that ends or stalls the others."""
-    bodies = [Pushed(parts) for _, parts, _, _ in FOLLOWED]
+async def test_polled_streams_end_independently(nursery: trio.Nursery) -> None:
+    """Guards against the end of, or an error in, one stream that affects the others."""
+    bodies = [PushedParts(parts) for _, parts, _, _ in STREAMS]
 
     async def answer(req: http_server.Request) -> http_server.Response:
         return http_server.Response(200, bodies[int(req.path[1:])])
@@ -143,29 +143,29 @@
     reader = poller.Poller(lambda begun_at, _: begun_at + 0.005)
     nursery.start_soon(reader.run)
     pool = http_client.Pool()
-    ends: list[object] = [None] * len(FOLLOWED)
-    texts = [b""] * len(FOLLOWED)
+    results: list[object] = [None] * len(STREAMS)
+    received_bodies = [b""] * len(STREAMS)
 
-    async def follow(number: int) -> None:
-        name, _, take, _ = FOLLOWED[number]
+    async def read_stream(number: int) -> None:
+        name, _, on_part, _ = STREAMS[number]
         call = http_client.Call(("127.0.0.1", port), "GET", f"/{number}")
         reply = await pool.send(call)
         assert isinstance(reply, http_client.StreamingResponse)
         first = await reply.next_part()
         assert isinstance(first, bytes)
-        texts[number] += first
-        bodies[number].first_was_read.set()
+        received_bodies[number] += first
+        bodies[number].first_part_read.set()
 
-        def take_part(part: bytes) -> bool:
-            texts[number] += part
-            return take(part)
+        def record_part(part: bytes) -> bool:
+            received_bodies[number] += part
+            return on_part(part)
 
         if name == "aborted":
             nursery.start_soon(abort_later, reply)
         try:
-            ends[number] = await reply.read_with(reader, take_part)
+            results[number] = await reply.read_with(reader, record_part)
         except ValueError as exc:
-            ends[number] = exc
+            results[number] = exc
         await reply.aclose()
 
     async def abort_later(reply: http_client.StreamingResponse) -> None:
@@ -173,24 +173,24 @@
         reply.abort()
 
     with trio.fail_after(5):
-        async with trio.open_nursery() as followers:
-            for number in range(len(FOLLOWED)):
-                followers.start_soon(follow, number)
-        for number, (name, parts, _, kind) in enumerate(FOLLOWED):
+        async with trio.open_nursery() as readers:
+            for number in range(len(STREAMS)):
+                readers.start_soon(read_stream, number)
+        for number, (name, parts, _, kind) in enumerate(STREAMS):
             expected = "".join(p for p in parts if p not in ("cut", "silence"))
-            assert texts[number] == expected.encode(), name
-            assert isinstance(ends[number], kind or type(None)), name
-        # The server notices the connections that were closed from here.
-        while any(body.closed != 1 for body in bodies):
+            assert received_bodies[number] == expected.encode(), name
+            assert isinstance(results[number], kind or type(None)), name
+        # Wait until the server has noticed the connections closed by the client.
+        while any(body.close_count != 1 for body in bodies):
             await trio.sleep(0.01)
     assert pool.idle_count(("127.0.0.1", port)) == 2
 
 
-async def test_cancelled_follower_leaves_its_socket(nursery: trio.Nursery) -> None:
-    """Guards against a descriptor that is reused while it is still followed."""
+async def test_cancelled_watch_unregisters_its_socket(nursery: trio.Nursery) -> None:
+    """Guards against a file descriptor that is reused while it is still watched."""
     reader = poller.Poller(lambda begun_at, _: begun_at)
     nursery.start_soon(reader.run)
-    reads: list[int] = []
+    read_numbers: list[int] = []
     for number in range(3):
         here, there = socket.socketpair()
         with here, there, trio.move_on_after(0.02):
@@ -198,11 +198,11 @@
 
             def on_readable(sock: socket.socket = here, number: int = number) -> bool:
                 sock.recv(1)
-                reads.append(number)
+                read_numbers.append(number)
                 return True
 
             await reader.watch(here.fileno(), on_readable)
-    assert reads == [0, 1, 2]
+    assert read_numbers == [0, 1, 2]
 
 
 class Ping(msgspec.Struct):
@@ -214,7 +214,7 @@
 
 @pytest.mark.parametrize("key", [b"right", b"wrong"])
 async def test_rpc_needs_deployment_key(key: bytes) -> None:
-    """Guards against accepting messages of processes without the shared key."""
+    """Guards against accepting messages from processes without the shared key."""
 
     async def reply(message: Ping) -> Ping:
         return Ping(message.text + "!")
@@ -236,10 +236,10 @@
 
 
 @pytest.mark.parametrize("greeting", [b"", b"not HTTP/2 " * 10])
-async def test_rpc_survives_connections_that_break(greeting: bytes) -> None:
-    """Guards against a peer's broken connections ending the calling process."""
+async def test_rpc_survives_broken_connections(greeting: bytes) -> None:
+    """Guards against broken connections to a peer that end the calling process."""
 
-    async def break_off(stream: trio.SocketStream) -> None:
+    async def reset_connection(stream: trio.SocketStream) -> None:
         if greeting:
             await stream.send_all(greeting)
         await trio.sleep(0.002)
@@ -249,33 +249,33 @@
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
-        nursery.start_soon(trio.serve_listeners, break_off, listeners)
+        nursery.start_soon(trio.serve_listeners, reset_connection, listeners)
         client = rpc.Client("127.0.0.1", port, b"key")
 
-        async def call_often() -> None:
+        async def call_repeatedly() -> None:
             for _ in range(100):
                 answer = await client.call(PING, Ping("hi"), timeout_s=1.0)
                 assert isinstance(answer, rpc.Unreachable)
 
         async with trio.open_nursery() as callers:
             for _ in range(5):
-                callers.start_soon(call_often)
+                callers.start_soon(call_repeatedly)
         client.close()
         nursery.cancel_scope.cancel()
 
 
 @pytest.mark.parametrize("closes_at", ["before_call", "while_connecting", "in_call"])
-async def test_rpc_client_closed_by_another_task(closes_at: str) -> None:
-    """Guards against a connection made after closing, whose collection ends a node.
+async def test_rpc_client_closed_concurrently(closes_at: str) -> None:
+    """Guards against a connection that is opened after its client was closed.
 
-    The library reports a connection that is collected while open to the event loop,
-    which then ends the process. Peers close the client of a frozen node while other
-    calls to it go on.
+    If it is garbage-collected while open, grpclib reports it to the event loop, which
+    ends the process. This happens when peers close the client of a frozen node while
+    other calls to it are in progress.
     """
     listener = trio.socket.socket()
     await listener.bind(("127.0.0.1", 0))
-    # One connection fits the queue; the kernel completes a second one, a second or
-    # two later, once the first has been accepted.
+    # The backlog holds one connection. The kernel completes a second one only after
+    # the first has been accepted, with a delay of one to two seconds.
     listener.listen(0)
     port = listener.getsockname()[1]
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
@@ -307,39 +307,39 @@
     listener.close()
 
 
-async def test_rpc_takes_one_write_in_each_direction() -> None:
-    """Guards against calls whose head, message and end are sent one by one."""
+async def test_rpc_uses_one_write_in_each_direction() -> None:
+    """Guards against separate writes for the headers, message and end of a call."""
     chunks: collections.Counter[str] = collections.Counter()
 
-    async def pong(message: Ping) -> Ping:
+    async def echo_message(message: Ping) -> Ping:
         return message
 
-    async def copy(
+    async def forward_chunks(
         name: str, source: trio.SocketStream, target: trio.SocketStream
     ) -> None:
         async for data in source:
             chunks[name] += 1
             await target.send_all(data)
 
-    async def forward(near: trio.SocketStream) -> None:
-        far = await trio.open_tcp_stream("127.0.0.1", port)
+    async def proxy(client_stream: trio.SocketStream) -> None:
+        server_stream = await trio.open_tcp_stream("127.0.0.1", port)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(copy, "there", near, far)
-            nursery.start_soon(copy, "back", far, near)
+            nursery.start_soon(forward_chunks, "there", client_stream, server_stream)
+            nursery.start_soon(forward_chunks, "back", server_stream, client_stream)
 
     listener = trio.socket.socket()
     await listener.bind(("127.0.0.1", 0))
     port = listener.getsockname()[1]
     listener.close()
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    relay_port = listeners[0].socket.getsockname()[1]
+    proxy_port = listeners[0].socket.getsockname()[1]
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
-        await nursery.start(rpc.serve, "127.0.0.1", port, b"key", {PING: pong})
-        nursery.start_soon(trio.serve_listeners, forward, listeners)
-        client = rpc.Client("127.0.0.1", relay_port, b"key")
+        await nursery.start(rpc.serve, "127.0.0.1", port, b"key", {PING: echo_message})
+        nursery.start_soon(trio.serve_listeners, proxy, listeners)
+        client = rpc.Client("127.0.0.1", proxy_port, b"key")
         for number in range(11):
             if number == 1:
-                # The first call also exchanges the settings of the connection.
+                # The first call also exchanges the HTTP/2 settings.
                 await trio.sleep(0.2)
                 chunks.clear()
             answer = await client.call(PING, Ping("hi"), timeout_s=5.0)
@@ -349,14 +349,14 @@
         nursery.cancel_scope.cancel()
 
 
-async def serve_script(
-    nursery: trio.Nursery, *answers: bytes, reads: int = 65536
+async def serve_responses(
+    nursery: trio.Nursery, *answers: bytes, receive_bytes: int = 65536
 ) -> int:
-    """Serve one connection: read once, send the next answer, for each answer."""
+    """Serve connections that read once before they send each of the given responses."""
 
     async def handle(stream: trio.SocketStream) -> None:
         for answer in answers:
-            if not await stream.receive_some(reads):
+            if not await stream.receive_some(receive_bytes):
                 return
             await stream.send_all(answer)
         await trio.sleep_forever()
@@ -367,12 +367,12 @@
     return port
 
 
-def scripted(body: bytes, request_id: str, extra: str = "") -> bytes:
+def build_response(body: bytes, request_id: str, extra: str = "") -> bytes:
     head = f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\n{extra}"
     return f"{head}content-length: {len(body)}\r\n\r\n".encode() + body
 
 
-def numbered(port: int, request_id: str, body: bytes = b"") -> http_client.Call:
+def build_call(port: int, request_id: str, body: bytes = b"") -> http_client.Call:
     fields = (("host", "h"), ("x-id", request_id))
     addr = ("127.0.0.1", port)
     return http_client.Call(
@@ -380,85 +380,88 @@
     )
 
 
-async def test_late_response_of_an_earlier_request_is_skipped(
+async def test_late_response_to_earlier_request_is_discarded(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against another request's answer on a connection used again."""
-    both = scripted(b"old", "1") + scripted(b"new", "2")
-    port = await serve_script(nursery, scripted(b"first", "1"), both)
+    """Guards against the response to an earlier request on a reused connection."""
+    old_and_new = build_response(b"old", "1") + build_response(b"new", "2")
+    port = await serve_responses(nursery, build_response(b"first", "1"), old_and_new)
     pool = http_client.Pool()
     bodies = []
     for request_id in ("1", "2"):
-        full = await pool.fetch(numbered(port, request_id))
+        full = await pool.fetch(build_call(port, request_id))
         assert isinstance(full, http_client.FullResponse)
         bodies.append(full.body)
     assert bodies == [b"first", b"new"]
     nursery.cancel_scope.cancel()
 
 
-async def test_connection_with_extra_bytes_is_not_used_again(
+async def test_connection_with_extra_bytes_is_not_reused(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against bytes behind a response that are taken for the next one."""
-    twice = scripted(b"a", "1") + scripted(b"b", "1")
-    port = await serve_script(nursery, twice)
+    """Guards against reading extra bytes after a response as the next response."""
+    doubled = build_response(b"a", "1") + build_response(b"b", "1")
+    port = await serve_responses(nursery, doubled)
     pool = http_client.Pool()
-    full = await pool.fetch(numbered(port, "1"))
+    full = await pool.fetch(build_call(port, "1"))
     assert isinstance(full, http_client.FullResponse)
     assert full.body == b"a"
     assert pool.idle_count(("127.0.0.1", port)) == 0
     nursery.cancel_scope.cancel()
 
 
-async def test_answer_before_the_body_was_read(nursery: trio.Nursery) -> None:
-    """Guards against a connection on which the rest of a body is still due."""
-    port = await serve_script(nursery, scripted(b"no", "1"), reads=10)
+async def test_response_before_body_was_read(nursery: trio.Nursery) -> None:
+    """Guards against reusing a connection before the request body was fully sent."""
+    port = await serve_responses(nursery, build_response(b"no", "1"), receive_bytes=10)
     pool = http_client.Pool()
     with trio.fail_after(2):
-        full = await pool.fetch(numbered(port, "1", b"x" * 8_000_000))
+        full = await pool.fetch(build_call(port, "1", b"x" * 8_000_000))
     assert isinstance(full, http_client.FullResponse)
     assert full.body == b"no"
     assert pool.idle_count(("127.0.0.1", port)) == 0
     nursery.cancel_scope.cancel()
 
 
-async def test_idle_connections_end_before_the_server_closes_them(
+async def test_idle_connections_expire_before_server_timeout(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against requests on connections that the server is about to close."""
-    keep = "keep-alive: timeout=1\r\n"
-    port = await serve_script(nursery, scripted(b"a", "1", keep))
+    """Guards against reusing connections that the server is about to close."""
+    keep_alive = "keep-alive: timeout=1\r\n"
+    port = await serve_responses(nursery, build_response(b"a", "1", keep_alive))
     pool = http_client.Pool()
     addr = ("127.0.0.1", port)
-    await pool.fetch(numbered(port, "1"))
+    await pool.fetch(build_call(port, "1"))
     assert pool.idle_count(addr) == 1
     await trio.sleep(0.6)
-    again_at = trio.current_time()
+    resent_at = trio.current_time()
     opened_at: list[float] = []
 
-    def note_opening(opening: float) -> bool:
-        opened_at.append(opening)
+    def record_opening(opening_time: float) -> bool:
+        opened_at.append(opening_time)
         return False
 
-    await pool.send(numbered(port, "2"), note_opening)
-    assert opened_at[0] >= again_at
+    await pool.send(build_call(port, "2"), record_opening)
+    assert opened_at[0] >= resent_at
     nursery.cancel_scope.cancel()
 
 
-async def test_request_keeps_its_target_and_repeated_fields(
+async def test_request_keeps_raw_target_and_repeated_fields(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against targets that are decoded and fields that are merged."""
-    seen: list[http_server.Request] = []
+    """Guards against decoding the request target or merging repeated fields."""
+    received_requests: list[http_server.Request] = []
 
-    async def keep(req: http_server.Request) -> http_server.Response:
-        seen.append(req)
+    async def record_request(req: http_server.Request) -> http_server.Response:
+        received_requests.append(req)
         return http_server.Response(200)
 
-    port = await nursery.start(http_server.Server(keep).serve, "127.0.0.1", 0)
+    port = await nursery.start(http_server.Server(record_request).serve, "127.0.0.1", 0)
     fields = (("host", "h"), ("x-a", "1"), ("x-a", "2"))
     call = http_client.Call(("127.0.0.1", port), "GET", "/%2F?a=%20", fields=fields)
     assert isinstance(await http_client.Pool().fetch(call), http_client.FullResponse)
-    assert seen[0].target == "/%2F?a=%20"
-    assert [f for f in seen[0].fields if f[0] == "x-a"] == [("x-a", "1"), ("x-a", "2")]
+    assert received_requests[0].target == "/%2F?a=%20"
+    assert [f for f in received_requests[0].fields if f[0] == "x-a"] == [
+        ("x-a", "1"),
+        ("x-a", "2"),
+    ]
     nursery.cancel_scope.cancel()
