--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""Tests of the settings samples under ``examples``."""
+"""Tests of the sample settings under ``examples``."""
 
 import functools
 import os
@@ -16,36 +16,36 @@
 from snipelug_net import http_client
 from tests import deployment
 
-SERVE_LIMIT_S = 60.0
+SERVE_TIMEOUT_S = 60.0
 SAMPLES = ("tas-north", "cantabrico")
-SERVICES_WITH_KEY = {"tas-north": "ordering/orders", "cantabrico": "permits/issue"}
+KEYED_SERVICES = {"tas-north": "ordering/orders", "cantabrico": "permits/issue"}
 
 
 @pytest.mark.parametrize("name", SAMPLES)
 def test_operations_are_valid(name: str) -> None:
-    """Guards against samples that a node refuses, or that protect no orders."""
+    """Guards against samples that a node rejects or that require no idempotency key."""
     data = (deployment.EXAMPLES / name / "operations.json").read_bytes()
     operations = msgspec.json.decode(data, type=change.Operations)
     cfg = change.apply_operations(contract.Config(), operations)
     sample = deployment.read_sample(name)
     assert len(cfg.contracts) == 10
     assert set(cfg.models) == {sample.model}
-    for team, terms in cfg.contracts.items():
+    for team, team_contract in cfg.contracts.items():
         key = deployment.bearer_key(team)
-        assert contract.find_contract(cfg, key) == terms
-        assert terms.models == (sample.model,)
-        assert terms.services == (sample.service["name"],)
-        assert SERVICES_WITH_KEY[name] in terms.require_key
+        assert contract.find_contract(cfg, key) == team_contract
+        assert team_contract.models == (sample.model,)
+        assert team_contract.services == (sample.service["name"],)
+        assert KEYED_SERVICES[name] in team_contract.require_key
 
 
 @pytest.mark.parametrize("name", SAMPLES)
 def test_node_settings_are_valid(name: str) -> None:
-    """Guards against sample settings that a node does not start with."""
-    lines = (deployment.EXAMPLES / name / "node.env").read_text().splitlines()
-    pairs = [line.split("=", 1) for line in lines if not line.startswith("#")]
+    """Guards against sample settings with which a node does not start."""
+    rows = (deployment.EXAMPLES / name / "node.env").read_text().splitlines()
+    pairs = [line.split("=", 1) for line in rows if not line.startswith("#")]
     variables = {key: value.strip('"') for key, value in pairs}
     command = [sys.executable, "-m", "snipelug_node.main", "--check"]
-    done = subprocess.run(
+    result = subprocess.run(
         command,
         env=os.environ | variables,
         capture_output=True,
@@ -53,15 +53,15 @@
         check=False,
         timeout=30,
     )
-    assert done.returncode == 0, done.stderr
+    assert result.returncode == 0, result.stderr
     assert variables["SNIPELUG_ZONE"] in deployment.read_sample(name).zones
 
 
-async def test_deployment_of_make_serve_serves_until_a_signal() -> None:
-    """Guards against printed addresses that do not answer, and processes left over."""
+async def test_make_serve_runs_until_signal() -> None:
+    """Guards against printed addresses that are not served, and leftover processes."""
     command = [sys.executable, "-m", "demo", "--stay"]
     cwd = pathlib.Path(__file__).parent.parent
-    with trio.fail_after(SERVE_LIMIT_S):
+    with trio.fail_after(SERVE_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
             process: trio.Process = await nursery.start(
                 functools.partial(
