--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -35,7 +35,7 @@
     fields : tuple of (str, str)
         Header fields in order; names may repeat. Unless empty, they are sent
         in place of ``headers`` and must include the host.
-    echo : str
+    echoed_header : str
         Lower-case name of a request header that the server echoes in its
         response. A response with another value belongs to an earlier request
         and is discarded. Empty if the server echoes none.
@@ -50,7 +50,7 @@
     body: bytes = b""
     timeout_s: float = 10.0
     fields: tuple[tuple[str, str], ...] = ()
-    echo: str = ""
+    echoed_header: str = ""
     max_idle_s: float = math.inf
 
 
@@ -527,10 +527,10 @@
 
 def _answers_other_request(call: Call, event: h11.Response) -> bool:
     """Return whether a response echoes the header of another request."""
-    if not call.echo:
+    if not call.echoed_header:
         return False
-    sent = dict(call.fields or call.headers.items()).get(call.echo)
-    name = call.echo.encode()
+    sent = dict(call.fields or call.headers.items()).get(call.echoed_header)
+    name = call.echoed_header.encode()
     return any(k == name and v.decode("latin-1") != sent for k, v in event.headers)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 LIMITS = http_server.Limits(body_bytes=100, head_s=0.2, body_s=0.2)
 
 
-async def echo(req: http_server.Request) -> http_server.Response:
+async def echo_body(req: http_server.Request) -> http_server.Response:
     return http_server.Response(200, req.body or req.path.encode())
 
 
@@ -35,7 +35,7 @@
     nursery: trio.Nursery, data: bytes, status: int
 ) -> None:
     """Guards against malformed requests that get no error or are read without limit."""
-    server = http_server.Server(echo, LIMITS)
+    server = http_server.Server(echo_body, LIMITS)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
     stream = await trio.open_tcp_stream("127.0.0.1", port)
     await stream.send_all(data)
@@ -50,7 +50,7 @@
 
 async def test_pre_send_check_withholds_request(nursery: trio.Nursery) -> None:
     """Guards against sending with a permission that expired while connecting."""
-    server = http_server.Server(echo)
+    server = http_server.Server(echo_body)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
     pool = http_client.Pool()
     call = http_client.Call(("127.0.0.1", port), "GET", "/x")
@@ -376,7 +376,7 @@
     fields = (("host", "h"), ("x-id", request_id))
     addr = ("127.0.0.1", port)
     return http_client.Call(
-        addr, "POST", "/", body=body, timeout_s=2.0, fields=fields, echo="x-id"
+        addr, "POST", "/", body=body, timeout_s=2.0, fields=fields, echoed_header="x-id"
     )
 
 
