--- a/packages/snipelug-cli/src/snipelug_cli/proposal.py
+++ b/packages/snipelug-cli/src/snipelug_cli/proposal.py
@@ -1,4 +1,4 @@
-"""Proposing of changes, and the command options common to all changes."""
+"""Proposals of changes, and the command options that they share."""
 
 import collections.abc
 import dataclasses
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -17,8 +17,8 @@
 from tests import fleet
 
 KEY = "operators"
-HASH = contract.hash_key("secret")
-ZONES = change.Inventory(frozenset({"tamar-a", "esk-b"}), frozenset({"e1", "e2"}))
+KEY_HASH = contract.hash_key("secret")
+INVENTORY = change.Inventory(frozenset({"tamar-a", "esk-b"}), frozenset({"e1", "e2"}))
 RUNNER = typer.testing.CliRunner()
 
 
@@ -54,7 +54,7 @@
             upstreams=lambda: [{"id": "e1", "state": "cold"}],
             leases=lambda: [],
             queues=lambda: [{"team": "t1", "waiting": 0}],
-            inventory=lambda: ZONES,
+            inventory=lambda: INVENTORY,
             quarantined=self.quarantined,
             release=self.release,
             unknown_claims=self.unknown_claims,
@@ -105,7 +105,7 @@
 name = "m1"
 [[contracts]]
 team = "t1"
-key_hashes = ["{HASH}"]
+key_hashes = ["{KEY_HASH}"]
 models = ["m1"]
 limits = {{ in_flight = 8 }}
 """
@@ -279,4 +279,4 @@
     assert result.exit_code == calls.ExitCode.INVALID
     assert "No such file" in result.output
     hashed = RUNNER.invoke(main.app, ["contracts", "hash-key"], input="secret\n")
-    assert hashed.output.strip() == HASH
+    assert hashed.output.strip() == KEY_HASH
