--- a/packages/snipelug-core/src/snipelug_core/change.py
+++ b/packages/snipelug-core/src/snipelug_core/change.py
@@ -88,7 +88,7 @@
         What to change, in order.
     """
 
-    revision: contract.Count
+    revision: contract.PositiveInt
     nonce: typing.Annotated[str, msgspec.Meta(min_length=8, max_length=64)]
     author: typing.Annotated[str, msgspec.Meta(max_length=128)]
     wall: float
@@ -185,7 +185,7 @@
     instances: frozenset[str] | None = None
 
 
-def find_mistakes(
+def validate_operations(
     cfg: contract.Config,
     operations: collections.abc.Sequence[Operation],
     inventory: Inventory | None = None,
@@ -267,7 +267,7 @@
                 yield f"team {team!r}: unknown model {name!r}; put the model first"
 
 
-def changes_nothing(
+def is_noop(
     cfg: contract.Config, operations: collections.abc.Sequence[Operation]
 ) -> bool:
     """Return whether the configuration already is as the operations ask."""
@@ -285,7 +285,7 @@
     )
 
 
-def load_snapshot(cfg: contract.Config, snapshot: Snapshot) -> contract.Config:
+def apply_snapshot(cfg: contract.Config, snapshot: Snapshot) -> contract.Config:
     """Return the newer of a configuration and a snapshot."""
     if snapshot.revision <= cfg.revision:
         return cfg
--- a/packages/snipelug-core/src/snipelug_core/contract.py
+++ b/packages/snipelug-core/src/snipelug_core/contract.py
@@ -12,8 +12,8 @@
     str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._-]{0,63})?$")
 ]
 KeyHash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
-Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
-Count = typing.Annotated[int, msgspec.Meta(ge=1)]
+PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+PositiveInt = typing.Annotated[int, msgspec.Meta(ge=1)]
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -31,11 +31,11 @@
         Longest prompt, in tokens.
     """
 
-    in_flight: Count = 64
-    requests_per_s: Positive = 50.0
-    tokens_per_s: Positive = 200_000.0
-    queue_length: Count = 128
-    prompt_tokens: Count = 200_000
+    in_flight: PositiveInt = 64
+    requests_per_s: PositiveFloat = 50.0
+    tokens_per_s: PositiveFloat = 200_000.0
+    queue_length: PositiveInt = 128
+    prompt_tokens: PositiveInt = 200_000
 
 
 class Contract(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -67,9 +67,9 @@
     models: tuple[Name, ...] = ()
     services: tuple[Name, ...] = ()
     limits: Limits = Limits()
-    weight: Positive = 1.0
+    weight: PositiveFloat = 1.0
     priority: int = 0
-    deadline_s: Positive = 30.0
+    deadline_s: PositiveFloat = 30.0
     require_key: tuple[str, ...] = ()
 
 
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -265,10 +265,10 @@
         inventory: change.Inventory | None = None,
     ) -> Invalid | Unchanged | None:
         """Check operations against the configuration in force; None if valid."""
-        mistakes = change.find_mistakes(self.cfg, operations, inventory)
+        mistakes = change.validate_operations(self.cfg, operations, inventory)
         if mistakes:
             return Invalid(tuple(mistakes))
-        if change.changes_nothing(self.cfg, operations):
+        if change.is_noop(self.cfg, operations):
             return Unchanged(self.cfg.revision)
         return None
 
@@ -492,7 +492,7 @@
         if not isinstance(reply, DeltasReply):
             return False
         if reply.snapshot is not None:
-            self._take_over(change.load_snapshot(self.cfg, reply.snapshot))
+            self._take_over(change.apply_snapshot(self.cfg, reply.snapshot))
         self._apply(reply.changes)
         return self.cfg.revision > own
 
@@ -563,7 +563,7 @@
             return
         snapshot = _decode(row, change.Snapshot)
         if snapshot is not None:
-            self._take_over(change.load_snapshot(self.cfg, snapshot))
+            self._take_over(change.apply_snapshot(self.cfg, snapshot))
 
     async def _write_snapshot(self) -> None:
         content = msgspec.json.encode(change.take_snapshot(self.cfg))
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -36,7 +36,7 @@
     """Guards against accepting a change that breaks isolation or does nothing."""
     cfg = contract.Config(contracts={"old": contract.Contract("old", (HASH_B,))})
     inventory = change.Inventory(frozenset({"tamar-a"}), frozenset({"e1"}))
-    found = change.find_mistakes(cfg, operations, inventory)
+    found = change.validate_operations(cfg, operations, inventory)
     assert len(found) == 1
     assert message in found[0]
 
@@ -45,7 +45,7 @@
     """Guards against checking intermediate states instead of the result."""
     cfg = contract.Config(contracts={"t1": contract.Contract("t1", (HASH_A,))})
     operations = [put("t2", HASH_A), put("t1", HASH_B)]
-    assert change.find_mistakes(cfg, operations) == []
+    assert change.validate_operations(cfg, operations) == []
 
 
 @hypothesis.given(st.lists(st.integers(1, 6), max_size=30))
@@ -75,6 +75,6 @@
         assert isinstance(outcome, change.Applied)
         cfg = outcome.cfg
     snapshot = change.take_snapshot(cfg)
-    assert change.load_snapshot(contract.Config(), snapshot) == cfg
+    assert change.apply_snapshot(contract.Config(), snapshot) == cfg
     newer = contract.Config(revision=9)
-    assert change.load_snapshot(newer, snapshot) is newer
+    assert change.apply_snapshot(newer, snapshot) is newer
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -133,7 +133,7 @@
         reply = await made.nodes["n1"].peers.call("n0", revision.DELTAS, request, 1.0)
         assert isinstance(reply, revision.DeltasReply)
         assert reply.snapshot is not None
-        loaded = change.load_snapshot(contract.Config(), reply.snapshot)
+        loaded = change.apply_snapshot(contract.Config(), reply.snapshot)
         assert loaded == keeper.cfg
         history = await keeper.history(0, 10)
         assert isinstance(history, list)
