Rename functions of core.currency used by the node

judge -> evaluate, hear_reply -> record_heartbeat_reply, answer_heartbeat -> build_heartbeat_reply, in_force -> members_at_revision, wanted_revision -> latest_known_revision.

--- a/packages/snipelug-core/src/snipelug_core/currency.py
+++ b/packages/snipelug-core/src/snipelug_core/currency.py
@@ -206,7 +206,7 @@
         state.confirmation = confirmation
 
 
-def wanted_revision(state: State, members: member.Members) -> int:
+def latest_known_revision(state: State, members: member.Members) -> int:
     """Return the newest revision known to exist."""
     pending = max((item.revision for item in state.pending), default=0)
     return max(pending, members.newest_revision(), state.revision)
@@ -233,7 +233,7 @@
     )
 
 
-def answer_heartbeat(
+def build_heartbeat_reply(
     state: State,
     members: member.Members,
     now: float,
@@ -255,7 +255,7 @@
     )
 
 
-def hear_reply(
+def record_heartbeat_reply(
     state: State, members: member.Members, asked_at: float, reply: HeartbeatReply
 ) -> None:
     """Record the answer to a heartbeat that was sent at ``asked_at``."""
@@ -295,7 +295,7 @@
     return {k: v for k, v in fresh.items() if v.established}
 
 
-def judge(state: State, members: member.Members, now: float) -> Current | NotCurrent:
+def evaluate(state: State, members: member.Members, now: float) -> Current | NotCurrent:
     """Decide whether this node may serve new work now."""
     refresh(state, members, now)
     if not state.established:
@@ -326,7 +326,7 @@
     state: State, members: member.Members, now: float
 ) -> MayAccept | MayNotAccept:
     """Decide whether this node may write a change."""
-    outcome = judge(state, members, now)
+    outcome = evaluate(state, members, now)
     if isinstance(outcome, NotCurrent):
         return MayNotAccept(outcome.reason)
     if not sees_store(state, now, CONFIRMED_AGE_S):
@@ -339,7 +339,7 @@
     return MayAccept()
 
 
-def in_force(
+def members_at_revision(
     state: State, members: member.Members, revision: int, now: float
 ) -> frozenset[str]:
     """Return the members that reported the revision lately, this one included."""
@@ -354,4 +354,4 @@
     state: State, members: member.Members, revision: int, now: float
 ) -> bool:
     """Return whether a written change may be answered "accepted"."""
-    return members.is_majority(in_force(state, members, revision, now))
+    return members.is_majority(members_at_revision(state, members, revision, now))
--- a/packages/snipelug-node/src/snipelug_node/peer.py
+++ b/packages/snipelug-node/src/snipelug_node/peer.py
@@ -245,7 +245,7 @@
     ) -> currency.HeartbeatReply:
         if message.revision > self.state.revision:
             self.on_newer()
-        return currency.answer_heartbeat(
+        return currency.build_heartbeat_reply(
             self.state, self.members, self.clock(), self.rng, message.wants_rows
         )
 
@@ -274,6 +274,6 @@
             extra = {"peer": node_id, "reason": reply.reason}
             LOG.debug("no answer to a heartbeat", extra=extra)
             return
-        currency.hear_reply(state, self.members, asked_at, reply)
-        if currency.wanted_revision(state, self.members) > state.revision:
+        currency.record_heartbeat_reply(state, self.members, asked_at, reply)
+        if currency.latest_known_revision(state, self.members) > state.revision:
             self.on_newer()
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -223,7 +223,7 @@
 
     def judge(self, now: float) -> currency.Current | currency.NotCurrent:
         """Decide whether this node may serve new work, and by which rule."""
-        return currency.judge(self._state, self._members, now)
+        return currency.evaluate(self._state, self._members, now)
 
     def is_current(self, now: float) -> bool:
         """Return whether this node may serve new work."""
@@ -232,7 +232,7 @@
     def rollout(self, revision: int) -> Rollout:
         """Return on which members a revision is known to be in force."""
         now = self._clock()
-        having = currency.in_force(self._state, self._members, revision, now)
+        having = currency.members_at_revision(self._state, self._members, revision, now)
         missing = self._members.voters() - having
         return Rollout(revision, tuple(sorted(having)), tuple(sorted(missing)))
 
@@ -471,14 +471,14 @@
         while True:
             await self._news.wait()
             self._news = trio.Event()
-            wanted = currency.wanted_revision(self._state, self._members)
+            wanted = currency.latest_known_revision(self._state, self._members)
             while self.cfg.revision < wanted:
                 before = self.cfg.revision
                 if not await self._fetch_from_peer():
                     await self._fetch_from_store()
                 if self.cfg.revision == before:
                     await trio.sleep(RETRY_S)
-                wanted = currency.wanted_revision(self._state, self._members)
+                wanted = currency.latest_known_revision(self._state, self._members)
 
     async def _fetch_from_peer(self) -> bool:
         own = self.cfg.revision
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -136,14 +136,16 @@
         def receive() -> None:
             if not self.linked(node.node_id, peer_id):
                 return
-            reply = currency.answer_heartbeat(
+            reply = currency.build_heartbeat_reply(
                 peer.state, peer.members, self.clock(peer), self.rng, wants_rows
             )
             newer = [v for k, v in peer.log.items() if k > node.state.revision]
             self.on(
                 node,
                 self.transit(),
-                lambda: currency.hear_reply(node.state, node.members, asked_at, reply),
+                lambda: currency.record_heartbeat_reply(
+                    node.state, node.members, asked_at, reply
+                ),
             )
             if newer:
                 self.on(node, self.transit(), lambda: self.learn(node, newer))
@@ -300,7 +302,7 @@
         if not node.alive or node.frozen:
             return
         now = self.clock(node)
-        outcome = currency.judge(node.state, node.members, now)
+        outcome = currency.evaluate(node.state, node.members, now)
         if isinstance(outcome, currency.NotCurrent):
             return
         for answer in self.answers:
--- a/tests/test_currency.py
+++ b/tests/test_currency.py
@@ -164,7 +164,7 @@
 
 def rule_of(sim: changes_sim.Sim, index: int) -> str:
     node = sim.nodes[f"n{index}"]
-    outcome = currency.judge(node.state, node.members, sim.clock(node))
+    outcome = currency.evaluate(node.state, node.members, sim.clock(node))
     return outcome.rule if isinstance(outcome, currency.Current) else outcome.reason
 
 
