--- a/packages/snipelug-core/src/snipelug_core/proposal.py
+++ b/packages/snipelug-core/src/snipelug_core/proposal.py
@@ -40,7 +40,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class NotDone:
+class NotExecuted:
     """It is known that the transaction neither took nor will take effect."""
 
 
@@ -54,7 +54,7 @@
     """The row does not exist."""
 
 
-Result = Inserted | Conflicted | NotDone | NoAnswer | NoRow | change.Change
+Result = Inserted | Conflicted | NotExecuted | NoAnswer | NoRow | change.Change
 
 
 @dataclasses.dataclass(frozen=True)
@@ -81,12 +81,12 @@
     """The store is silent; the change may be or may still come into force."""
 
 
-Verdict = Recorded | LostRace | NotWritten | Unclear
+Outcome = Recorded | LostRace | NotWritten | Unclear
 
 
-def write(
+def write_change(
     proposed: change.Change, max_inserts: int = MAX_INSERTS
-) -> collections.abc.Generator[Step, Result, Verdict]:
+) -> collections.abc.Generator[Step, Result, Outcome]:
     """Yield the steps that write a change and return what is known at the end.
 
     After a lost answer an absent row proves nothing, because the transaction may
@@ -98,7 +98,7 @@
         result = yield Insert(proposed)
         if isinstance(result, Inserted):
             return Recorded(proposed)
-        if isinstance(result, NotDone) and not unclear:
+        if isinstance(result, NotExecuted) and not unclear:
             return NotWritten()
         unclear = unclear or isinstance(result, NoAnswer)
         row = yield ReadBack(proposed.revision)
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -349,14 +349,14 @@
             proposed.operations,
         )
 
-    async def _write(self, item: change.Change) -> proposal.Verdict:
-        steps = proposal.write(item)
+    async def _write(self, item: change.Change) -> proposal.Outcome:
+        steps = proposal.write_change(item)
         result: proposal.Result | None = None
         while True:
             try:
                 step = next(steps) if result is None else steps.send(result)
             except StopIteration as stop:
-                return typing.cast(proposal.Verdict, stop.value)
+                return typing.cast(proposal.Outcome, stop.value)
             result = await self._execute(step)
             if isinstance(result, proposal.NoAnswer):
                 await trio.sleep(RETRY_S)
@@ -371,7 +371,7 @@
     async def _insert(self, item: change.Change) -> proposal.Result:
         row = await _ask(self._table.read("head", "head"))
         if isinstance(row, ports.Unavailable):
-            return proposal.NotDone()
+            return proposal.NotExecuted()
         expect: ports.Precondition = ports.Expect.ABSENT
         if isinstance(row, ports.Row):
             expect = row.version
@@ -393,7 +393,7 @@
             case ports.Unavailable(maybe_applied=True):
                 return proposal.NoAnswer()
             case _:
-                return proposal.NotDone()
+                return proposal.NotExecuted()
 
     async def _read_change(self, revision: int) -> proposal.Result:
         row = await _ask(self._table.read("changes", change.row_key(revision)))
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -225,7 +225,7 @@
         item = change.Change(revision, f"nonce-{number:04d}", "op", 0.0, operations)
         answer = Answer(item)
         self.answers.append(answer)
-        steps = proposal.write(item)
+        steps = proposal.write_change(item)
 
         def drive(result: proposal.Result | None) -> None:
             try:
@@ -241,7 +241,7 @@
 
         drive(None)
 
-    def settle(self, node: Node, answer: Answer, verdict: proposal.Verdict) -> None:
+    def settle(self, node: Node, answer: Answer, verdict: proposal.Outcome) -> None:
         match verdict:
             case proposal.Recorded(change=item):
                 answer.verdict = "recorded"
