--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -59,7 +59,7 @@
     return hashing.keyed_digest(key, team.encode(), body).hex()
 
 
-def judge(record: Record | None) -> Standing:
+def classify(record: Record | None) -> Standing:
     """Judge a request by the crashes of its fingerprint."""
     count = 0 if record is None else len(record.crashes)
     if count == 0:
@@ -67,7 +67,7 @@
     return Standing.QUARANTINED if count >= CRASH_LIMIT else Standing.SUSPECT
 
 
-def add(record: Record, crash: Crash) -> Record:
+def add_crash(record: Record, crash: Crash) -> Record:
     """Add a crash unless it belongs to an earlier epoch."""
     crashes = frozenset({crash})
     return merge(
@@ -84,7 +84,7 @@
     return dataclasses.replace(known, crashes=known.crashes | other.crashes)
 
 
-def learn(records: Records, other: Record) -> bool:
+def merge_record(records: Records, other: Record) -> bool:
     """Merge a record from a peer or the table; True if it brought news."""
     known = records.get(other.fingerprint)
     merged = merge(known, other)
@@ -97,7 +97,7 @@
     return dataclasses.replace(record, epoch=record.epoch + 1, crashes=frozenset())
 
 
-def refuse(record: Record) -> refusal.Refusal:
+def build_refusal(record: Record) -> refusal.Refusal:
     """Return the refusal of a quarantined request."""
     upstreams = ", ".join(sorted({crash.upstream_id for crash in record.crashes}))
     message = (
--- a/packages/snipelug-node/src/snipelug_node/crashes.py
+++ b/packages/snipelug-node/src/snipelug_node/crashes.py
@@ -152,9 +152,9 @@
             ``SUSPECT`` asks for a slot of the upstream's suspect part.
         """
         record = self._records.get(fingerprint)
-        standing = quarantine.judge(record)
+        standing = quarantine.classify(record)
         if record is not None and standing is quarantine.Standing.QUARANTINED:
-            return quarantine.refuse(record)
+            return quarantine.build_refusal(record)
         return standing
 
     async def record(
@@ -174,7 +174,7 @@
         crash_id = f"{self._session_id}/{next(self._numbers)}"
         crash = quarantine.Crash(crash_id, upstream_id, epoch)
         known = self._records.get(fingerprint, quarantine.Record(fingerprint, team))
-        self._learn(quarantine.add(known, crash), self._wall())
+        self._learn(quarantine.add_crash(known, crash), self._wall())
         self._unwritten.add(fingerprint)
         untold: list[str] = []
         async with trio.open_nursery() as nursery:
@@ -182,7 +182,7 @@
                 if peer != self._peers.node_id:
                     nursery.start_soon(self._tell, peer, fingerprint, untold)
             await self._write(fingerprint)
-        standing = quarantine.judge(self._records[fingerprint])
+        standing = quarantine.classify(self._records[fingerprint])
         is_written = fingerprint not in self._unwritten
         return Recorded(standing, is_written, tuple(sorted(untold)))
 
@@ -214,7 +214,7 @@
         """Return the quarantined requests, for operators."""
         wanted = quarantine.Standing.QUARANTINED
         records = sorted(self._records.values(), key=lambda one: one.fingerprint)
-        return [one for one in records if quarantine.judge(one) is wanted]
+        return [one for one in records if quarantine.classify(one) is wanted]
 
     async def run(self) -> None:
         """Read the table and write what it misses, until cancelled."""
@@ -240,7 +240,7 @@
             after = rows[-1].key
 
     def _learn(self, record: quarantine.Record, written_at: float) -> None:
-        quarantine.learn(self._records, record)
+        quarantine.merge_record(self._records, record)
         known_at = self._changed_at.get(record.fingerprint, written_at)
         self._changed_at[record.fingerprint] = max(known_at, written_at)
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -30,8 +30,8 @@
     """Guards against a repeated report of one crash counting twice."""
     record = RECORD
     for crash in crashes:
-        record = quarantine.add(record, crash)
-    assert quarantine.judge(record) is standing
+        record = quarantine.add_crash(record, crash)
+    assert quarantine.classify(record) is standing
 
 
 CRASHES = st.builds(
@@ -44,7 +44,7 @@
     record = RECORD
     for event in events:
         if isinstance(event, quarantine.Crash):
-            record = quarantine.add(record, event)
+            record = quarantine.add_crash(record, event)
         else:
             record = quarantine.release(record)
     return record
@@ -71,9 +71,9 @@
     epoch: int, standing: quarantine.Standing
 ) -> None:
     """Guards against a late crash report undoing an operator's release."""
-    released = quarantine.release(quarantine.add(RECORD, CRASH))
+    released = quarantine.release(quarantine.add_crash(RECORD, CRASH))
     late = quarantine.Crash("c3", "u3", epoch)
-    assert quarantine.judge(quarantine.add(released, late)) is standing
+    assert quarantine.classify(quarantine.add_crash(released, late)) is standing
 
 
 def test_fingerprint_depends_on_team_and_body() -> None:
@@ -88,8 +88,8 @@
 
 def test_refusal_names_the_upstreams() -> None:
     """Guards against a refusal that does not say what happened."""
-    record = quarantine.add(quarantine.add(RECORD, CRASH), OTHER)
-    answer = quarantine.refuse(record)
+    record = quarantine.add_crash(quarantine.add_crash(RECORD, CRASH), OTHER)
+    answer = quarantine.build_refusal(record)
     assert answer.kind is refusal.QUARANTINED
     assert "u1, u2" in answer.message
 
@@ -117,24 +117,24 @@
     )
     def send(self, number: int, told: set[int], write_twice: bool) -> None:
         records = self.nodes[number]
-        quarantine.learn(records, self.row)
+        quarantine.merge_record(records, self.row)
         known = records["f"]
-        if quarantine.judge(known) is Standing.QUARANTINED:
+        if quarantine.classify(known) is Standing.QUARANTINED:
             return
         self.sent_in_epoch += 1
         crash = quarantine.Crash(str(next(self.ids)), "u", known.epoch)
-        quarantine.learn(records, quarantine.add(known, crash))
+        quarantine.merge_record(records, quarantine.add_crash(known, crash))
         for _ in range(1 + write_twice):
             self.row = quarantine.merge(self.row, records["f"])
         for peer in told:
-            quarantine.learn(self.nodes[peer], records["f"])
+            quarantine.merge_record(self.nodes[peer], records["f"])
         self.late.append(records["f"])
 
     @stateful.rule(number=st.integers(0, 2))
     def deliver_late(self, number: int) -> None:
         """Deliver old reports again, also those from before a release."""
         for record in self.late:
-            quarantine.learn(self.nodes[number], record)
+            quarantine.merge_record(self.nodes[number], record)
 
     @stateful.rule(number=st.integers(0, 2))
     def write_late(self, number: int) -> None:
@@ -162,8 +162,8 @@
 
     def teardown(self) -> None:
         for records in self.nodes:
-            quarantine.learn(records, self.row)
-            assert quarantine.judge(records["f"]) is quarantine.judge(self.row)
+            quarantine.merge_record(records, self.row)
+            assert quarantine.classify(records["f"]) is quarantine.classify(self.row)
 
 
 RepeatedRequest.TestCase.settings = hypothesis.settings(
