Rename names of core.load used by the node and the bench

Barred -> Excluded, judge_warmth -> check_warmth, needs_look -> needs_recheck, is_quiet -> is_idle, mark_closed -> mark_connection_closed, note_sent -> record_sent, note_ended -> record_ended.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -302,7 +302,9 @@
                 server.restart()
                 # The nodes see their connections close.
                 for node in self.nodes:
-                    load.mark_closed(node.upstreams[server.inst.id], self.now)
+                    load.mark_connection_closed(
+                        node.upstreams[server.inst.id], self.now
+                    )
         self._switch(frozenset())
 
     def _move(self) -> None:
@@ -384,7 +386,7 @@
         name = upstream.instance.id
         server = self.servers[name]
         queue = load.estimate_queue(upstream)
-        cold = isinstance(load.judge_warmth(upstream, -math.inf), load.NeedsGrant)
+        cold = isinstance(load.check_warmth(upstream, -math.inf), load.NeedsGrant)
         if upstream.report is None:
             cold = False
         if upstream.instance.role is table.Role.SERVICE:
@@ -452,7 +454,7 @@
         facts: route.Facts,
     ) -> None:
         server = self.servers[chosen.id]
-        load.note_sent(node.upstreams[chosen.id], self.now)
+        load.record_sent(node.upstreams[chosen.id], self.now)
         if server.inst.zone == self.dep.leaving:
             late = self.leave_at + 5.0 < self.now < self.back_at
             self.out.late_in_zone += late
@@ -586,7 +588,7 @@
         server = self.servers[name]
         server.running -= 1
         server.cold_answers = max(0, server.cold_answers - 1)
-        load.note_ended(node.upstreams[name], self.now)
+        load.record_ended(node.upstreams[name], self.now)
         node.backlog.ended(name, arrival.id, self.now)
         self.out.answered += 1
         if arrival.chain is None:
--- a/packages/snipelug-core/src/snipelug_core/load.py
+++ b/packages/snipelug-core/src/snipelug_core/load.py
@@ -51,13 +51,13 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Barred:
+class Excluded:
     """No new work may go to the upstream."""
 
     reason: Reason
 
 
-Verdict = Allowed | NeedsGrant | Barred
+Verdict = Allowed | NeedsGrant | Excluded
 
 
 def accept_report(
@@ -112,13 +112,13 @@
     return (report.boot_id, report.seq) == (known.boot_id, known.seq)
 
 
-def note_sent(upstream: table.Upstream, now: float) -> None:
+def record_sent(upstream: table.Upstream, now: float) -> None:
     """Count a request as sent to the upstream."""
     upstream.in_flight += 1
     upstream.changes.append((now, 1))
 
 
-def note_ended(upstream: table.Upstream, now: float) -> None:
+def record_ended(upstream: table.Upstream, now: float) -> None:
     """Count a request of this node at the upstream as ended."""
     upstream.in_flight -= 1
     upstream.changes.append((now, -1))
@@ -140,7 +140,7 @@
     return running + upstream.queued
 
 
-def mark_closed(upstream: table.Upstream, now: float) -> None:
+def mark_connection_closed(upstream: table.Upstream, now: float) -> None:
     """Count the upstream as cold because a connection to it was closed.
 
     Also applies to a peer's notice, with the time at which it arrived. Lasts until
@@ -150,20 +150,20 @@
         upstream.suspect_since = now
 
 
-def is_quiet(upstream: table.Upstream) -> bool:
+def is_idle(upstream: table.Upstream) -> bool:
     """Return whether the upstream is known as warm and without any request."""
     report = upstream.report
     return (
         report is not None
-        and isinstance(judge_warmth(upstream, -math.inf), Allowed)
+        and isinstance(check_warmth(upstream, -math.inf), Allowed)
         and upstream.in_flight == report.running == report.waiting == 0
     )
 
 
-def needs_look(upstream: table.Upstream, now: float) -> bool:
+def needs_recheck(upstream: table.Upstream, now: float) -> bool:
     """Return whether the load of a quiet upstream is to be read before a send."""
     heard_at = upstream.heard_at
-    return heard_at is not None and now - heard_at > LOOK_S and is_quiet(upstream)
+    return heard_at is not None and now - heard_at > LOOK_S and is_idle(upstream)
 
 
 def judge_leaving(
@@ -171,7 +171,7 @@
     cfg: contract.Config,
     now: float,
     list_tried_at: float | None,
-) -> Barred | None:
+) -> Excluded | None:
     """Return why the upstream gets no new work at all, if so.
 
     Parameters
@@ -191,21 +191,21 @@
     inst = upstream.instance
     report = upstream.report
     if inst.zone in cfg.zones_out:
-        return Barred(Reason.ZONE_OUT)
+        return Excluded(Reason.ZONE_OUT)
     if inst.id in cfg.instances_out:
-        return Barred(Reason.INSTANCE_OUT)
+        return Excluded(Reason.INSTANCE_OUT)
     if inst.leaving:
-        return Barred(Reason.LISTED_LEAVING)
+        return Excluded(Reason.LISTED_LEAVING)
     if report is not None and report.state is table.Warmth.LEAVING:
-        return Barred(Reason.REPORTED_LEAVING)
+        return Excluded(Reason.REPORTED_LEAVING)
     if list_tried_at is None or now - list_tried_at > STALE_S:
-        return Barred(Reason.LIST_STALE)
+        return Excluded(Reason.LIST_STALE)
     if upstream.heard_at is None or now - upstream.heard_at > STALE_S:
-        return Barred(Reason.REPORT_STALE)
+        return Excluded(Reason.REPORT_STALE)
     return None
 
 
-def judge_warmth(
+def check_warmth(
     upstream: table.Upstream, conn_opened_at: float
 ) -> Allowed | NeedsGrant:
     """Judge whether the upstream is warm on one connection.
@@ -246,4 +246,4 @@
     barred = judge_leaving(upstream, cfg, now, list_tried_at)
     if barred is not None:
         return barred
-    return judge_warmth(upstream, conn_opened_at)
+    return check_warmth(upstream, conn_opened_at)
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -278,7 +278,7 @@
             case sender.Blocked(refused, is_busy):
                 return _Refused(refused, is_free=True, is_busy=is_busy)
             case http_client.NotSent(reason):
-                load.mark_closed(upstream, trio.current_time())
+                load.mark_connection_closed(upstream, trio.current_time())
                 refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
                 return _Refused(refused, is_free=True)
             case http_client.Lost():
@@ -342,7 +342,7 @@
         """Account for an engine that was lost after bytes were sent."""
         job.sent = True
         upstream = choice.upstream
-        load.mark_closed(upstream, trio.current_time())
+        load.mark_connection_closed(upstream, trio.current_time())
         lines.warning(
             LOG,
             "engine_lost",
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -391,13 +391,13 @@
                     kept["x-snipelug-upstream"] = upstream.instance.id
                     return claim.Delivered(claim.Answer(status, kept, body))
                 case http_client.NotSent(reason):
-                    load.mark_closed(upstream, trio.current_time())
+                    load.mark_connection_closed(upstream, trio.current_time())
                     refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
                 case sender.Blocked(blocked):
                     refused = blocked
                 case http_client.Lost() | http_client.TooLarge():
                     has_left = True
-                    load.mark_closed(upstream, trio.current_time())
+                    load.mark_connection_closed(upstream, trio.current_time())
                     text = f"the service's answer was lost: {outcome}"
                     refused = refusal.refuse(
                         refusal.UPSTREAM_LOST, text, refusal.RunState.UNKNOWN
@@ -427,7 +427,7 @@
             and upstream.instance.name == name
             and upstream.instance.id not in excluded
             and not isinstance(
-                self.dispatcher.sender.may_send(upstream, now, now), load.Barred
+                self.dispatcher.sender.may_send(upstream, now, now), load.Excluded
             )
         ]
         if not able:
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -270,7 +270,7 @@
         self, upstream: table.Upstream, conn_opened_at: float, now: float
     ) -> load.Verdict:
         if not self.keeper.is_current(now):
-            return load.Barred(load.Reason.NOT_CURRENT)
+            return load.Excluded(load.Reason.NOT_CURRENT)
         return load.may_send(
             upstream,
             self.keeper.cfg,
@@ -377,7 +377,7 @@
         for upstream in self.tables.upstreams.values():
             inst = upstream.instance
             if (inst.host, inst.port) == addr:
-                load.mark_closed(upstream, now)
+                load.mark_connection_closed(upstream, now)
 
     def _subset(
         self, upstreams: collections.abc.Iterable[table.Instance]
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -187,7 +187,7 @@
             backlog_s += self.grants.wait_s(upstream, now)
         target = route.make_target(upstream, profile, queue, needs_grant, backlog_s)
         full = upstream.in_flight >= self.settings.upstream_in_flight
-        if isinstance(verdict, load.Barred) or full:
+        if isinstance(verdict, load.Excluded) or full:
             target = dataclasses.replace(target, leaving=True)
         return target
 
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -96,7 +96,7 @@
         """Judge the send; must be the last step before the first byte."""
         now = trio.current_time()
         self.verdict = self.may_send(self.upstream, conn_opened_at, now)
-        if isinstance(self.verdict, load.Barred):
+        if isinstance(self.verdict, load.Excluded):
             return False
         if self.slot is None:
             return False
@@ -107,7 +107,7 @@
 
     def count(self) -> None:
         """Count the request as in flight."""
-        load.note_sent(self.upstream, trio.current_time())
+        load.record_sent(self.upstream, trio.current_time())
         self.counted = True
 
     def release(self, has_ended: bool) -> None:
@@ -126,7 +126,7 @@
             self.suspect_slot = None
         if self.counted:
             self.counted = False
-            load.note_ended(self.upstream, trio.current_time())
+            load.record_ended(self.upstream, trio.current_time())
 
 
 @dataclasses.dataclass(frozen=True)
@@ -199,7 +199,7 @@
         """
         give_up_at = min(deadline, trio.current_time() + WITHHELD_WAIT_S)
         permit = Permit(upstream, self.may_send)
-        if load.needs_look(upstream, trio.current_time()):
+        if load.needs_recheck(upstream, trio.current_time()):
             with trio.move_on_after(LOOK_TIMEOUT_S):
                 await self.refresh(upstream)
         try:
@@ -237,7 +237,7 @@
         if verdict is None:
             # Connections of any age are judged again before the send.
             verdict = self.may_send(permit.upstream, -1.0, trio.current_time())
-        if isinstance(verdict, load.Barred):
+        if isinstance(verdict, load.Excluded):
             return None
         slot = permit.slot
         if slot is not None and not slot.covers_cold and _is_newer(verdict):
@@ -276,7 +276,7 @@
             if slot is not None:
                 return slot
         verdict = judge()
-        if isinstance(verdict, load.Barred):
+        if isinstance(verdict, load.Excluded):
             return _barred(upstream, verdict.reason.value)
         return await self.slots.acquire(upstream_id, deadline)
 
@@ -306,7 +306,7 @@
 
 def _withheld(permit: Permit) -> refusal.Refusal:
     reason = "the right to send has lapsed"
-    if isinstance(permit.verdict, load.Barred | load.NeedsGrant):
+    if isinstance(permit.verdict, load.Excluded | load.NeedsGrant):
         reason = permit.verdict.reason.value
     return _barred(permit.upstream, reason)
 
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -180,7 +180,7 @@
                 continue
             heard_at = upstream.heard_at
             is_recent = heard_at is not None and now - heard_at < QUIET_AGE_S
-            if is_active or not is_recent or not load.is_quiet(upstream):
+            if is_active or not is_recent or not load.is_idle(upstream):
                 yield upstream
 
     async def _read_alone(self, upstream: table.Upstream) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -218,11 +218,11 @@
         now = node.clock(self.now)
         conn = next((c for c in node.conns if c.is_open), Conn(now))
         if any(not c.is_open for c in node.conns):
-            load.mark_closed(node.upstream, now)
+            load.mark_connection_closed(node.upstream, now)
             node.conns = [c for c in node.conns if c.is_open]
         tried_at = node.list_tried_at
         verdict = load.may_send(node.upstream, CFG, conn.opened_at, now, tried_at)
-        if isinstance(verdict, load.Barred):
+        if isinstance(verdict, load.Excluded):
             return None
         nonce = str(next(self.nonces))
         grant = admission.Grant("u1", part, holder.id, nonce, now)
@@ -273,7 +273,7 @@
         tried_at = node.list_tried_at
         opened_at = req.conn.opened_at
         verdict = load.may_send(node.upstream, CFG, opened_at, now, tried_at)
-        is_barred = isinstance(verdict, load.Barred)
+        is_barred = isinstance(verdict, load.Excluded)
         grant = req.grant
         req.uses_grant = grant is not None and admission.is_valid(grant, now)
         req.checked_at = self.now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -69,7 +69,7 @@
         del self.faults[:1]
         if fault == "cold":
             return load.NeedsGrant(load.Reason.REPORTED_COLD)
-        return load.Barred(load.Reason.REPORTED_LEAVING)
+        return load.Excluded(load.Reason.REPORTED_LEAVING)
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
         fault = self.faults.pop(0) if self.faults else self.rest
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -84,9 +84,9 @@
             at_cut = (now, foreign + upstream.in_flight)
         now += gap
         if is_send:
-            load.note_sent(upstream, now)
+            load.record_sent(upstream, now)
         elif upstream.in_flight:
-            load.note_ended(upstream, now)
+            load.record_ended(upstream, now)
     made_at, running = at_cut
     report = builders.load_report(made_at, seq=1, running=running)
     load.accept_report(upstream, report, made_at)
@@ -96,14 +96,14 @@
 def test_estimate_covers_own_requests() -> None:
     """Guards against an idle report hiding requests that this node still has."""
     upstream = builders.upstream()
-    load.note_sent(upstream, 1.0)
+    load.record_sent(upstream, 1.0)
     load.accept_report(upstream, builders.load_report(2.0), 2.0)
     assert load.estimate_queue(upstream) == 1
 
 
 LEAVING = dataclasses.replace(builders.INSTANCE, leaving=True)
 NEEDS = load.NeedsGrant
-BARRED = load.Barred
+BARRED = load.Excluded
 REASON = load.Reason
 
 
@@ -160,7 +160,7 @@
 def test_closed_connection_lasts_until_later_warm_report() -> None:
     """Guards against trusting a report made before a connection was closed."""
     upstream = builders.upstream(builders.load_report(10.0))
-    load.mark_closed(upstream, 10.5)
+    load.mark_connection_closed(upstream, 10.5)
     closed = NEEDS(REASON.CONNECTION_CLOSED)
     assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
     load.accept_report(upstream, builders.load_report(10.4, seq=2), 10.4)
@@ -199,14 +199,14 @@
         # The check comes first: after a pause it sees what was known before.
         if now > leaves_at + 3.0:
             verdict = load.may_send(upstream, CFG, -1.0, now, tried_at)
-            assert isinstance(verdict, load.Barred)
+            assert isinstance(verdict, load.Excluded)
         gone = now >= leaves_at
         seq += 1
         state = table.Warmth.LEAVING if gone and not by_list else WARM
         load.accept_report(upstream, builders.load_report(now, state, seq), now)
         if now > leaves_at + 3.0 and by_list:
             verdict = load.may_send(upstream, CFG, -1.0, now, tried_at)
-            assert isinstance(verdict, load.Barred)
+            assert isinstance(verdict, load.Excluded)
         tried_at = now
         if not list_down:
             upstream.instance = dataclasses.replace(
