--- a/packages/snipelug-core/src/snipelug_core/weights.py
+++ b/packages/snipelug-core/src/snipelug_core/weights.py
@@ -6,7 +6,7 @@
 from snipelug_core import contract, table
 
 TABLE = "loads"
-KEY = "slots"
+ROW_KEY = "slots"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,7 +24,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Load:
+class LoadOrder:
     """An engine to order.
 
     Attributes
@@ -53,11 +53,11 @@
     return versions.pop() if len(versions) == 1 else ""
 
 
-def plan(
+def plan_loads(
     tables: table.Tables,
     cfg: contract.Config,
     fencing_of: collections.abc.Callable[[str], int | None],
-) -> collections.abc.Iterator[Load]:
+) -> collections.abc.Iterator[LoadOrder]:
     """Yield the loads that this node's engines need, as reported now.
 
     The comparison with the reported version is repeated on every tick. If a late
@@ -73,11 +73,11 @@
         wanted = wanted_version(inst, cfg)
         if fencing is None or not wanted or report.weight_version == wanted:
             continue
-        yield Load(inst.id, wanted, fencing)
+        yield LoadOrder(inst.id, wanted, fencing)
 
 
 @dataclasses.dataclass(frozen=True)
-class Taken:
+class SlotTaken:
     """A slot is held; write these holders if they differ from those read."""
 
     holders: tuple[Holder, ...]
@@ -95,7 +95,7 @@
     mine: Holder,
     live_sessions: collections.abc.Container[str],
     limit: int,
-) -> Taken | NoSlot:
+) -> SlotTaken | NoSlot:
     """Take one of the slots for loads at once.
 
     Parameters
@@ -113,7 +113,7 @@
     others = [h for h in kept if h.upstream != mine.upstream]
     if len(others) >= limit:
         return NoSlot(len(others))
-    return Taken((*others, mine))
+    return SlotTaken((*others, mine))
 
 
 def free_slot(
--- a/packages/snipelug-node/src/snipelug_node/loader.py
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -50,11 +50,11 @@
     refresh: collections.abc.Callable[[table.Upstream], collections.abc.Awaitable[None]]
     limit: int
 
-    def plan(self) -> collections.abc.Iterator[weights.Load]:
+    def plan(self) -> collections.abc.Iterator[weights.LoadOrder]:
         """Yield the loads that are needed now."""
-        return weights.plan(self.tables, self.cfg(), self.fencing_of)
+        return weights.plan_loads(self.tables, self.cfg(), self.fencing_of)
 
-    async def execute(self, load: weights.Load) -> None:
+    async def execute(self, load: weights.LoadOrder) -> None:
         """Order one load if a slot is free."""
         mine = weights.Holder(load.upstream_id, self.session())
         if not mine.session or not await self._take(mine):
@@ -65,7 +65,7 @@
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 5.0):
                 await self._free(mine)
 
-    async def _order(self, load: weights.Load) -> None:
+    async def _order(self, load: weights.LoadOrder) -> None:
         upstream = self.tables.upstreams.get(load.upstream_id)
         if upstream is None:
             return
@@ -124,7 +124,7 @@
                 return
 
     async def _read(self) -> tuple[list[weights.Holder], ports.Precondition] | None:
-        row = await self.store.read(weights.TABLE, weights.KEY)
+        row = await self.store.read(weights.TABLE, weights.ROW_KEY)
         if isinstance(row, ports.Unavailable):
             return None
         if isinstance(row, ports.Absent):
@@ -137,5 +137,5 @@
         expect: ports.Precondition,
     ) -> bool:
         content = msgspec.json.encode(SlotsRow(list(holders)))
-        write = ports.Write(weights.TABLE, weights.KEY, content, expect)
+        write = ports.Write(weights.TABLE, weights.ROW_KEY, content, expect)
         return isinstance(await self.store.write(write), ports.Written)
