--- a/packages/snipelug-core/src/snipelug_core/connection.py
+++ b/packages/snipelug-core/src/snipelug_core/connection.py
@@ -15,20 +15,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Open:
+class OpenConnections:
     """Open idle connections to an upstream."""
 
     upstream_id: str
     count: int
 
 
-def plan(
+def plan_connections(
     tables: table.Tables, idle_count: collections.abc.Callable[[table.Instance], int]
-) -> collections.abc.Iterator[Open]:
+) -> collections.abc.Iterator[OpenConnections]:
     """Yield the connections to open now."""
     for upstream in tables.upstreams.values():
         inst = upstream.instance
         reachable = upstream.report is not None and not inst.leaving
         missing = IDLE_CONNECTIONS - idle_count(inst)
         if reachable and missing > 0:
-            yield Open(inst.id, missing)
+            yield OpenConnections(inst.id, missing)
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -360,12 +360,12 @@
     def _is_suspect(self, fingerprint: str) -> bool:
         return self.crashes.check(fingerprint) is quarantine.Standing.SUSPECT
 
-    def _plan_connections(self) -> collections.abc.Iterator[connection.Open]:
-        return connection.plan(
+    def _plan_connections(self) -> collections.abc.Iterator[connection.OpenConnections]:
+        return connection.plan_connections(
             self.tables, lambda inst: self.pool.idle_count((inst.host, inst.port))
         )
 
-    async def _connect(self, action: connection.Open) -> None:
+    async def _connect(self, action: connection.OpenConnections) -> None:
         inst = self.tables.instances.get(action.upstream_id)
         if inst is None:
             return
