--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -11,7 +11,7 @@
 MAX_EVENT_BYTES = 256 * 1024
 """Longest event of a stream; engines send a few hundred bytes per token."""
 
-HOLD_S = 0.010
+MAX_RELAY_DELAY_S = 0.010
 """Longest time that a token waits in the relay, in seconds."""
 
 PASS_INTERVAL_S = 0.006
@@ -198,7 +198,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Crossed:
+class WrongRun:
     """A chunk of another run; the connection must be closed."""
 
     expected_id: str
@@ -206,7 +206,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Late:
+class AfterEnd:
     """A chunk after the end of the answer; the connection must be closed."""
 
     chunk_id: str
@@ -226,7 +226,7 @@
     offset: int
 
 
-Verdict = Relay | Ignored | Crossed | Late | Malformed | Diverged
+Verdict = Relay | Ignored | WrongRun | AfterEnd | Malformed | Diverged
 
 
 @dataclasses.dataclass(frozen=True)
@@ -263,7 +263,7 @@
     own_after: bytes
 
 
-class Answer:
+class Response:
     """Account for the answer to one request over all of its runs.
 
     Parameters
@@ -318,11 +318,11 @@
         except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
             return Malformed(str(exc)[:200])
         if chunk.id != self.run_id:
-            return Crossed(self.run_id, chunk.id[:200])
+            return WrongRun(self.run_id, chunk.id[:200])
         if self._done or (self._finish_reason is not None and chunk.choices):
-            return Late(chunk.id)
+            return AfterEnd(chunk.id)
         if self._usage is not None and self._finish_reason is not None:
-            return Late(chunk.id)
+            return AfterEnd(chunk.id)
         return self._accept_chunk(chunk, event.data)
 
     def accept_alike(self, piece: bytes) -> bytes | None:
@@ -392,7 +392,7 @@
 
     def _accept_done(self) -> Verdict:
         if self._done:
-            return Late(self.run_id)
+            return AfterEnd(self.run_id)
         if self._finish_reason is None or self._usage is None:
             return Malformed("the stream ends before the final chunk")
         self._done = True
@@ -524,20 +524,20 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Finish:
+class SendDone:
     """Send ``DONE_EVENT``; nothing else of the answer is missing."""
 
 
 @dataclasses.dataclass(frozen=True)
-class End:
+class EndWithError:
     """End the stream with an error event."""
 
     refusal: refusal.Refusal
 
 
 def recover(
-    answer: Answer, sampling: Sampling, ran_version: str, next_version: str
-) -> Restart | Resume | Finish | End:
+    answer: Response, sampling: Sampling, ran_version: str, next_version: str
+) -> Restart | Resume | SendDone | EndWithError:
     """Decide how an answer goes on after its upstream was lost.
 
     Parameters
@@ -554,7 +554,7 @@
     outcome = answer.outcome()
     missing = outcome.missing if isinstance(outcome, Incomplete) else ()
     if "usage" not in missing and "finish_reason" not in missing:
-        return Finish()
+        return SendDone()
     if "finish_reason" not in missing:
         # A run that continues a finished text would add to it.
         return _end("upstream lost before the usage of the answer", text)
@@ -576,9 +576,9 @@
     return b"data: " + _encoder.encode(reason.content()) + b"\n\n"
 
 
-def _end(message: str, text: str) -> End:
+def _end(message: str, text: str) -> EndWithError:
     state = refusal.RunState.RAN if text else refusal.RunState.UNKNOWN
-    return End(refusal.refuse(refusal.UPSTREAM_LOST, message, state))
+    return EndWithError(refusal.refuse(refusal.UPSTREAM_LOST, message, state))
 
 
 # Reading of all streams in passes.
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -50,7 +50,7 @@
         Monotonic time by which the answer has to start, in seconds.
     once : bool
         The request must not be sent again after a byte of it was sent.
-    answer : stream.Answer
+    answer : stream.Response
         Account of the answer over all runs.
     excluded : set of str
         Upstreams that are not tried again.
@@ -76,7 +76,7 @@
     fingerprint: str
     started_at: float
     deadline: float
-    answer: stream.Answer
+    answer: stream.Response
     once: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
     sent: bool = False
@@ -446,12 +446,12 @@
         refused = await self._lost(job, lost.choice, reason)
         sampling = stream.Sampling(job.chat.body.temperature, job.chat.body.seed)
         decision = stream.recover(job.answer, sampling, version, version)
-        if refused.final and not isinstance(decision, stream.Finish):
-            decision = stream.End(refused.refusal)
+        if refused.final and not isinstance(decision, stream.SendDone):
+            decision = stream.EndWithError(refused.refusal)
         match decision:
-            case stream.Finish():
+            case stream.SendDone():
                 return stream.DONE_EVENT
-            case stream.End(refused_now):
+            case stream.EndWithError(refused_now):
                 return self._end(job, refused_now)
             case stream.Resume() | stream.Restart():
                 pass
--- a/packages/snipelug-node/src/snipelug_node/engine.py
+++ b/packages/snipelug-node/src/snipelug_node/engine.py
@@ -153,7 +153,7 @@
         return stream.Malformed(str(exc)[:200])
     answer_id = content.get("id")
     if answer_id != run_id:
-        return stream.Crossed(run_id, str(answer_id)[:200])
+        return stream.WrongRun(run_id, str(answer_id)[:200])
     if not content.get("choices"):
         return stream.Malformed("the answer has no choices")
     content["id"] = request_id
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -192,7 +192,7 @@
             fingerprint=quarantine.fingerprint(self.key, team.team, req.body),
             started_at=now,
             deadline=now + team.deadline_s,
-            answer=stream.Answer(request_id),
+            answer=stream.Response(request_id),
             once=bool(key),
         )
         cost = parsed.prompt_tokens + (
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -249,7 +249,7 @@
     assert isinstance(parsed, chat.Chat)
     now = trio.current_time()
     team = contract.Contract("team", ())
-    answer = stream.Answer("req")
+    answer = stream.Response("req")
     return dispatch.Job("req", team, parsed, "f", now, now + 5, answer, once)
 
 
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -27,8 +27,8 @@
     return text
 
 
-R, N, C = stream.Relay, stream.Ignored, stream.Crossed
-L, M = stream.Late, stream.Malformed
+R, N, C = stream.Relay, stream.Ignored, stream.WrongRun
+L, M = stream.AfterEnd, stream.Malformed
 DONE = stream.DONE
 FAULTS = [
     ("whole", [builders.chunk("a"), builders.final(), DONE], [R, R, R], ()),
@@ -74,7 +74,7 @@
     contents: list[object], kinds: list[type], missing: tuple[str, ...] | None
 ) -> None:
     """Guards against another answer's chunks and against cut answers."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     verdicts = [answer.accept(builders.event(c)) for c in contents]
     assert [type(v) for v in verdicts] == kinds
     outcome = answer.outcome()
@@ -96,20 +96,32 @@
     ([builders.chunk("a")], GREEDY, "w1", "w1", stream.Resume),
     ([builders.chunk("a")], SEEDED, "w1", "w1", stream.Resume),
     ([UNUSED], GREEDY, "w1", "w1", stream.Resume),
-    ([builders.chunk("a")], GREEDY, "w1", "w2", stream.End),
-    ([builders.chunk("a")], GREEDY, "", "", stream.End),
-    ([builders.chunk("a")], stream.Sampling(), "w1", "w1", stream.End),
-    ([builders.chunk("a")], stream.Sampling(temperature=0.1), "w1", "w1", stream.End),
-    ([builders.chunk("a")], stream.Sampling(0, None, 2), "w1", "w1", stream.End),
-    ([TOOL], GREEDY, "w1", "w1", stream.End),
-    ([SECOND], GREEDY, "w1", "w1", stream.End),
-    ([builders.chunk("a", finish="stop")], GREEDY, "w1", "w1", stream.End),
+    ([builders.chunk("a")], GREEDY, "w1", "w2", stream.EndWithError),
+    ([builders.chunk("a")], GREEDY, "", "", stream.EndWithError),
+    ([builders.chunk("a")], stream.Sampling(), "w1", "w1", stream.EndWithError),
+    (
+        [builders.chunk("a")],
+        stream.Sampling(temperature=0.1),
+        "w1",
+        "w1",
+        stream.EndWithError,
+    ),
+    (
+        [builders.chunk("a")],
+        stream.Sampling(0, None, 2),
+        "w1",
+        "w1",
+        stream.EndWithError,
+    ),
+    ([TOOL], GREEDY, "w1", "w1", stream.EndWithError),
+    ([SECOND], GREEDY, "w1", "w1", stream.EndWithError),
+    ([builders.chunk("a", finish="stop")], GREEDY, "w1", "w1", stream.EndWithError),
     (
         [builders.chunk("a"), builders.final()],
         stream.Sampling(),
         "w1",
         "w2",
-        stream.Finish,
+        stream.SendDone,
     ),
 ]
 
@@ -123,12 +135,12 @@
     kind: type,
 ) -> None:
     """Guards against an answer mixed from two versions or two samplings."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     for content in contents:
         answer.accept(builders.event(content))
     decision = stream.recover(answer, sampling, ran, other)
     assert type(decision) is kind
-    if isinstance(decision, stream.End):
+    if isinstance(decision, stream.EndWithError):
         content = json.loads(stream.error_event(decision.refusal)[6:])
         assert content["error"]["code"] == "upstream_lost"
         assert content["error"]["run_state"] != refusal.RunState.NOT_RUN
@@ -136,12 +148,12 @@
 
 def test_attempts_are_bounded() -> None:
     """Guards against a request that is resumed for ever."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     answer.accept(builders.event(builders.chunk("a")))
     for _ in range(stream.MAX_ATTEMPTS - 1):
         assert stream.recover(answer, GREEDY, "w", "w") == stream.Resume("a")
         answer.resume(repeats=False)
-    assert isinstance(stream.recover(answer, GREEDY, "w", "w"), stream.End)
+    assert isinstance(stream.recover(answer, GREEDY, "w", "w"), stream.EndWithError)
 
 
 def pieces(text: str, cuts: list[int]) -> list[str]:
@@ -165,7 +177,7 @@
     repeats: bool,
 ) -> None:
     """Guards against repeated or lost text when an upstream dies mid-stream."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     relays: list[bytes] = []
 
     def take(content: object) -> None:
@@ -180,7 +192,7 @@
         so_far = answer.resume(repeats)
         assert so_far == received(relays)
         assert isinstance(
-            answer.accept(builders.event(builders.chunk("late"))), stream.Crossed
+            answer.accept(builders.event(builders.chunk("late"))), stream.WrongRun
         )
         rest = pieces(text if repeats else text[len(so_far) :], cuts)
         for piece in rest if attempt == 3 else rest[:lost]:
@@ -194,7 +206,7 @@
 @hypothesis.given(st.text("ab", max_size=8), st.text("ab", max_size=8))
 def test_other_text_in_a_repeated_run_is_reported(sent: str, again: str) -> None:
     """Guards against gluing the end of one text to the start of another."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     answer.accept(builders.event(builders.chunk(sent)))
     answer.resume(repeats=True)
     verdict = answer.accept(builders.event(builders.final("r.2", again)))
@@ -279,7 +291,7 @@
     contents: list[object], compact: bool, plain: bool, noise: int
 ) -> None:
     """Guards against a chunk that passes unparsed and would not pass parsed."""
-    parsed, mixed = stream.Answer("r"), stream.Answer("r")
+    parsed, mixed = stream.Response("r"), stream.Response("r")
     for number, content in enumerate(contents):
         data = encode(content, compact, plain)
         if number % 3 == 2:
@@ -318,7 +330,7 @@
 @pytest.mark.parametrize(("name", "raw", "is_alike"), ALIKE)
 def test_only_other_text_passes_unparsed(name: str, raw: bytes, is_alike: bool) -> None:
     """Guards against a text that ends its chunk early, and against a dead fast path."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     delta = b'{"role":"assistant","content":"a"}'
     data = b'{"id":"r.1","choices":[{"index":0,"delta":%s}]}' % delta
     assert answer.accept_alike(b"data: " + data + b"\n\n") is None
@@ -340,11 +352,11 @@
     pass_at = 0.0
     while arrivals:
         read_at = max(arrivals[0], pass_at)
-        assert read_at - arrivals[0] <= stream.HOLD_S
+        assert read_at - arrivals[0] <= stream.MAX_RELAY_DELAY_S
         reads = sum(at <= read_at for at in arrivals)
         arrivals = arrivals[reads:]
         pass_at = stream.next_pass_at(read_at, reads)
-        assert read_at <= pass_at <= read_at + stream.HOLD_S
+        assert read_at <= pass_at <= read_at + stream.MAX_RELAY_DELAY_S
 
 
 PASSES = [
@@ -383,7 +395,7 @@
 
 def test_fields_that_are_not_known_reach_the_caller() -> None:
     """Guards against answers that lack log probabilities or vendors' fields."""
-    answer = stream.Answer("r")
+    answer = stream.Response("r")
     data = (
         b'{"id":"r.1","vendor":7,"choices":[{"index":0,"delta":{"content":"a"},'
         b'"logprobs":{"content":[{"token":"a","logprob":-0.5}]}}]}'
