--- a/packages/snipelug-core/src/snipelug_core/member.py
+++ b/packages/snipelug-core/src/snipelug_core/member.py
@@ -247,7 +247,7 @@
     )
 
 
-def choose_targets(members: Members, rng: random.Random) -> list[str]:
+def choose_heartbeat_targets(members: Members, rng: random.Random) -> list[str]:
     """Choose the nodes that get a heartbeat now.
 
     In small deployments all members are chosen, so that each node hears all of
--- a/packages/snipelug-node/src/snipelug_node/peer.py
+++ b/packages/snipelug-node/src/snipelug_node/peer.py
@@ -252,7 +252,7 @@
     async def _send_heartbeats(self, nursery: trio.Nursery) -> None:
         while True:
             self._drop_removed_links()
-            for node_id in member.choose_targets(self.members, self.rng):
+            for node_id in member.choose_heartbeat_targets(self.members, self.rng):
                 nursery.start_soon(self._send_heartbeat, node_id)
             await ticker.sleep(HEARTBEAT_S)
 
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -123,7 +123,7 @@
         self.on(node, self.rng.uniform(0, 0.2), lambda: self.beat(node))
 
     def beat(self, node: Node) -> None:
-        for peer_id in member.choose_targets(node.members, self.rng):
+        for peer_id in member.choose_heartbeat_targets(node.members, self.rng):
             self.heartbeat(node, peer_id)
         self.poll(node)
         self.on(node, 1.0, lambda: self.beat(node))
