--- a/packages/snipelug-core/src/snipelug_core/currency.py
+++ b/packages/snipelug-core/src/snipelug_core/currency.py
@@ -260,7 +260,7 @@
 ) -> None:
     """Record the answer to a heartbeat that was sent at ``asked_at``."""
     members.learn(map(member.load_row, reply.rows), reply.total)
-    members.hear(reply.status, asked_at)
+    members.record_status(reply.status, asked_at)
     for relayed in reply.digest:
         members.hear_relayed(relayed, asked_at, reply.status.revision)
     told = reply.confirmation
@@ -279,7 +279,7 @@
         return
     asked_after = state.started_at + BOOT_WAIT_S
     heard = _agreeing(state, members, now) or {}
-    settled = [k for k, v in heard.items() if v.said_at >= asked_after]
+    settled = [k for k, v in heard.items() if v.reported_at >= asked_after]
     state.established = members.is_majority(settled)
 
 
@@ -287,9 +287,9 @@
     state: State, members: member.Members, now: float
 ) -> dict[str, member.Report] | None:
     """Return established fresh reports, or None if one contradicts the majority."""
-    fresh = members.fresh(now)
+    fresh = members.fresh_reports(now)
     for report in fresh.values():
-        is_new = now - report.said_at < member.HEARD_AGE_S
+        is_new = now - report.reported_at < member.HEARD_AGE_S
         if report.revision > state.revision or (report.sees_store and is_new):
             return None
     return {k: v for k, v in fresh.items() if v.established}
@@ -318,7 +318,7 @@
         count = len(members.voters() & {*heard, state.node_id})
         total = len(members.voters())
         return NotCurrent(f"no store, and only {count} of {total} members are heard")
-    oldest = min((report.said_at for report in heard.values()), default=now)
+    oldest = min((report.reported_at for report in heard.values()), default=now)
     return Current("majority", now - oldest)
 
 
@@ -331,7 +331,7 @@
         return MayNotAccept(outcome.reason)
     if not sees_store(state, now, CONFIRMED_AGE_S):
         return MayNotAccept("the table service does not answer")
-    heard = {*members.fresh(now), state.node_id}
+    heard = {*members.fresh_reports(now), state.node_id}
     if not members.is_majority(heard):
         count = len(members.voters() & heard)
         total = len(members.voters())
@@ -343,7 +343,7 @@
     state: State, members: member.Members, revision: int, now: float
 ) -> frozenset[str]:
     """Return the members that reported the revision lately, this one included."""
-    fresh = members.fresh(now, ACK_AGE_S)
+    fresh = members.fresh_reports(now, ACK_AGE_S)
     having = {k for k, v in fresh.items() if v.revision >= revision}
     if state.revision >= revision:
         having.add(state.node_id)
--- a/packages/snipelug-core/src/snipelug_core/member.py
+++ b/packages/snipelug-core/src/snipelug_core/member.py
@@ -126,7 +126,7 @@
     revision: int
     established: bool
     sees_store: bool
-    said_at: float
+    reported_at: float
 
 
 @dataclasses.dataclass
@@ -162,7 +162,7 @@
             self.rows[row.node_id] = row
         self.complete = total > 0 and len(self.rows) >= total
 
-    def hear(self, status: NodeStatus, asked_at: float) -> None:
+    def record_status(self, status: NodeStatus, asked_at: float) -> None:
         """Record a status that came in the answer to a call.
 
         Parameters
@@ -208,14 +208,16 @@
         """Age up to which a report counts as heard, in seconds."""
         return LARGE_HEARD_AGE_S if self.is_large else HEARD_AGE_S
 
-    def live(self, now: float) -> list[str]:
+    def live_node_ids(self, now: float) -> list[str]:
         """Return the ids of the nodes heard of lately, this one included."""
-        return sorted({self.node_id, *self.fresh(now)})
+        return sorted({self.node_id, *self.fresh_reports(now)})
 
-    def fresh(self, now: float, age_s: float | None = None) -> dict[str, Report]:
+    def fresh_reports(
+        self, now: float, age_s: float | None = None
+    ) -> dict[str, Report]:
         """Return the reports younger than an age, ``heard_age_s`` by default."""
         after = now - (self.heard_age_s if age_s is None else age_s)
-        return {k: v for k, v in self.reports.items() if v.said_at > after}
+        return {k: v for k, v in self.reports.items() if v.reported_at > after}
 
     def voters(self) -> frozenset[str]:
         """Return the ids that count for majorities; empty while incomplete."""
@@ -236,7 +238,7 @@
 def _newer_report(known: Report | None, report: Report) -> Report:
     if known is None:
         return report
-    newer = report if report.said_at >= known.said_at else known
+    newer = report if report.reported_at >= known.reported_at else known
     if known.tag != report.tag:
         return newer
     # One process never goes back, so the larger revision holds for both times.
@@ -276,15 +278,17 @@
     now : float
         Own monotonic time, in seconds.
     """
-    fresh = members.fresh(now).items()
-    newest = heapq.nlargest(DIGEST_ENTRIES, fresh, key=lambda item: item[1].said_at)
+    fresh_reports = members.fresh_reports(now).items()
+    newest = heapq.nlargest(
+        DIGEST_ENTRIES, fresh_reports, key=lambda item: item[1].reported_at
+    )
     return tuple(
         Relayed(
             node_id,
             report.tag,
             revision - report.revision,
             ESTABLISHED_FLAG * report.established | SEES_STORE_FLAG * report.sees_store,
-            max(math.ceil((now - report.said_at) / AGE_STEP_S), 0),
+            max(math.ceil((now - report.reported_at) / AGE_STEP_S), 0),
         )
         for node_id, report in newest
     )
--- a/packages/snipelug-node/src/snipelug_node/admin.py
+++ b/packages/snipelug-node/src/snipelug_node/admin.py
@@ -296,7 +296,7 @@
             "zone": row.zone,
             "revoked": row.revoked,
             "revision": report.revision if report else None,
-            "age_s": now - report.said_at if report else None,
+            "age_s": now - report.reported_at if report else None,
             "live": node_id in self._peers.live(),
         }
         if node_id == self._peers.node_id:
--- a/packages/snipelug-node/src/snipelug_node/peer.py
+++ b/packages/snipelug-node/src/snipelug_node/peer.py
@@ -137,7 +137,7 @@
 
     def live(self) -> list[str]:
         """Return the ids of the nodes heard of lately, this one included."""
-        return self.members.live(self.clock())
+        return self.members.live_node_ids(self.clock())
 
     def register(
         self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -441,7 +441,7 @@
             asked_at = self._clock()
             reply = await self._peers.call(node_id, PUSH, Push(item), PEER_TIMEOUT_S)
         if isinstance(reply, PushReply):
-            self._members.hear(reply.status, asked_at)
+            self._members.record_status(reply.status, asked_at)
 
     # Following the sequence
 
@@ -482,7 +482,7 @@
 
     async def _fetch_from_peer(self) -> bool:
         own = self.cfg.revision
-        fresh = self._members.fresh(self._clock())
+        fresh = self._members.fresh_reports(self._clock())
         having = [k for k, v in sorted(fresh.items()) if v.revision > own]
         if not having:
             return False
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -273,7 +273,11 @@
                 return
             self.learn(peer, [item])
             status = currency.own_status(peer.state, self.clock(peer))
-            self.on(node, self.transit(), lambda: node.members.hear(status, asked_at))
+            self.on(
+                node,
+                self.transit(),
+                lambda: node.members.record_status(status, asked_at),
+            )
 
         self.on(peer, self.transit(), receive)
 
