--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -305,7 +305,7 @@
         return "".join(self._parts)
 
     @property
-    def plain(self) -> bool:
+    def is_plain_text(self) -> bool:
         """Whether all that was relayed is the text of a single choice."""
         return self._plain
 
@@ -325,7 +325,7 @@
             return AfterEnd(chunk.id)
         return self._accept_chunk(chunk, event.data)
 
-    def accept_alike(self, piece: bytes) -> bytes | None:
+    def relay_by_template(self, piece: bytes) -> bytes | None:
         """Relay an event that differs in its text only from one that was accepted.
 
         Such an event needs no parsing: all other bytes, the run's id among them,
@@ -560,11 +560,11 @@
         return _end("upstream lost before the usage of the answer", text)
     if answer.attempt >= MAX_ATTEMPTS:
         return _end(f"upstream lost in attempt {answer.attempt}", text)
-    if answer.plain and not text:
+    if answer.is_plain_text and not text:
         return Restart()
     if not sampling.deterministic:
         return _end("upstream lost, and the request is not deterministic", text)
-    if not answer.plain or sampling.choices != 1:
+    if not answer.is_plain_text or sampling.choices != 1:
         return _end("upstream lost, and the answer is not plain text", text)
     if not ran_version or ran_version != next_version:
         return _end("upstream lost, and its weight version is not available", text)
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -408,7 +408,9 @@
 
         def take(part: bytes) -> bool:
             exchange.idle = False
-            data = answer.accept_alike(part) if parser.is_between_events() else None
+            data = (
+                answer.relay_by_template(part) if parser.is_between_events() else None
+            )
             if data is None:
                 data = b"".join([_judge(job, exchange, e) for e in parser.feed(part)])
             if not data:
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -300,13 +300,13 @@
         if b"\n" in data or b"\r" in data:
             continue
         verdict = parsed.accept(stream.Event(data))
-        relayed = mixed.accept_alike(b"data: " + data + b"\n\n")
+        relayed = mixed.relay_by_template(b"data: " + data + b"\n\n")
         if relayed is None:
             assert mixed.accept(stream.Event(data)) == verdict
         else:
             assert verdict == stream.Relay(relayed)
         assert mixed.text == parsed.text
-        assert mixed.plain == parsed.plain
+        assert mixed.is_plain_text == parsed.is_plain_text
         assert mixed.outcome() == parsed.outcome()
 
 
@@ -333,16 +333,16 @@
     answer = stream.Response("r")
     delta = b'{"role":"assistant","content":"a"}'
     data = b'{"id":"r.1","choices":[{"index":0,"delta":%s}]}' % delta
-    assert answer.accept_alike(b"data: " + data + b"\n\n") is None
+    assert answer.relay_by_template(b"data: " + data + b"\n\n") is None
     answer.accept(stream.Event(data))
     other = data.replace(b'"a"', b'"' + raw + b'"')
-    relayed = answer.accept_alike(b"data: " + other + b"\n\n")
+    relayed = answer.relay_by_template(b"data: " + other + b"\n\n")
     own = b"data: " + other.replace(b"r.1", b"r") + b"\n\n"
     assert relayed == (own if is_alike else None)
-    assert answer.accept_alike(own) is None
-    assert answer.accept_alike(b"data: " + other[:-1] + b"\n\n") is None
+    assert answer.relay_by_template(own) is None
+    assert answer.relay_by_template(b"data: " + other[:-1] + b"\n\n") is None
     answer.resume(repeats=False)
-    assert answer.accept_alike(b"data: " + other + b"\n\n") is None
+    assert answer.relay_by_template(b"data: " + other + b"\n\n") is None
 
 
 @hypothesis.given(st.lists(st.floats(0, 0.03), min_size=1, max_size=60))
