--- a/packages/snipelug-core/src/snipelug_core/confirmation.py
+++ b/packages/snipelug-core/src/snipelug_core/confirmation.py
@@ -81,9 +81,9 @@
 def report_age_s(upstream: table.Upstream) -> float:
     """Return how old the newest report was when it was read, in seconds."""
     report = upstream.report
-    if report is None or upstream.heard_at is None:
+    if report is None or upstream.load_read_at is None:
         return 0.0
-    return max(0.0, upstream.heard_at - report.made_at)
+    return max(0.0, upstream.load_read_at - report.made_at)
 
 
 def expected_wait_s(unconfirmed: int, limit: int, age_s: float) -> float:
--- a/packages/snipelug-core/src/snipelug_core/load.py
+++ b/packages/snipelug-core/src/snipelug_core/load.py
@@ -87,8 +87,8 @@
     is_newer = _is_newer(report, known)
     if not is_newer and not _is_same(report, known):
         return False
-    if upstream.heard_at is None or asked_at > upstream.heard_at:
-        upstream.heard_at = asked_at
+    if upstream.load_read_at is None or asked_at > upstream.load_read_at:
+        upstream.load_read_at = asked_at
     if not is_newer:
         return False
     upstream.report = report
@@ -162,8 +162,10 @@
 
 def needs_recheck(upstream: table.Upstream, now: float) -> bool:
     """Return whether the load of a quiet upstream is to be read before a send."""
-    heard_at = upstream.heard_at
-    return heard_at is not None and now - heard_at > LOOK_S and is_idle(upstream)
+    load_read_at = upstream.load_read_at
+    return (
+        load_read_at is not None and now - load_read_at > LOOK_S and is_idle(upstream)
+    )
 
 
 def judge_leaving(
@@ -200,7 +202,7 @@
         return Excluded(Reason.REPORTED_LEAVING)
     if list_tried_at is None or now - list_tried_at > STALE_S:
         return Excluded(Reason.LIST_STALE)
-    if upstream.heard_at is None or now - upstream.heard_at > STALE_S:
+    if upstream.load_read_at is None or now - upstream.load_read_at > STALE_S:
         return Excluded(Reason.REPORT_STALE)
     return None
 
--- a/packages/snipelug-core/src/snipelug_core/table.py
+++ b/packages/snipelug-core/src/snipelug_core/table.py
@@ -100,7 +100,7 @@
     suspect_since: float | None = None
     in_flight: int = 0
     queued: int = 0
-    heard_at: float | None = None
+    load_read_at: float | None = None
     changes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=collections.deque
     )
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -178,8 +178,8 @@
         for upstream in self.tables.upstreams.values():
             if upstream.instance.id in self._reading:
                 continue
-            heard_at = upstream.heard_at
-            is_recent = heard_at is not None and now - heard_at < QUIET_AGE_S
+            load_read_at = upstream.load_read_at
+            is_recent = load_read_at is not None and now - load_read_at < QUIET_AGE_S
             if is_active or not is_recent or not load.is_idle(upstream):
                 yield upstream
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -51,9 +51,9 @@
     upstream = builders.upstream(builders.load_report(10.0, seq=3))
     load.accept_report(upstream, builders.load_report(9.0, boot_id="y"), 12.0)
     load.accept_report(upstream, builders.load_report(10.0, seq=2), 12.0)
-    assert upstream.heard_at == 10.0
+    assert upstream.load_read_at == 10.0
     load.accept_report(upstream, builders.load_report(10.0, seq=3), 12.0)
-    assert upstream.heard_at == 12.0
+    assert upstream.load_read_at == 12.0
 
 
 def test_older_boot_by_error_does_not_last() -> None:
