Reword core.change and core.contract

Private names: KEY_DIGITS -> ROW_KEY_DIGITS, _operation_mistakes -> _operation_errors, _contract_mistakes -> _contract_errors, _shared_keys -> _shared_key_errors, _unknown_models -> _unknown_model_errors.

--- a/packages/snipelug-core/src/snipelug_core/change.py
+++ b/packages/snipelug-core/src/snipelug_core/change.py
@@ -1,4 +1,4 @@
-"""The one sequence of configuration changes: validation and application."""
+"""The sequence of configuration changes: validation and application."""
 
 import collections
 import collections.abc
@@ -10,7 +10,7 @@
 from snipelug_core import contract
 
 MAX_OPERATIONS = 100
-KEY_DIGITS = 12
+ROW_KEY_DIGITS = 12
 
 
 class PutContract(msgspec.Struct, frozen=True, tag=True, forbid_unknown_fields=True):
@@ -71,21 +71,23 @@
 
 
 class Change(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One element of the sequence; its operations take effect together.
+    """One entry of the change sequence; its operations are applied atomically.
 
     Attributes
     ----------
     revision : int
         Position in the sequence, from 1.
     nonce : str
-        Chosen by the proposer; tells its own change from a rival's when the
-        answer to the write is lost.
+        Unique identifier chosen by the proposer. If the response to the write is
+        lost, it tells whether the stored change is the proposer's own or that of
+        a concurrent proposer.
     author : str
         Operator who proposed the change.
     wall : float
-        Wall time of the proposal, in seconds since 1970; for people only.
+        Wall-clock time of the proposal, in seconds since the Unix epoch.
+        Informational; nothing is ordered by it.
     operations : tuple of Operation
-        What to change, in order.
+        Operations, in the order in which they are applied.
     """
 
     revision: contract.PositiveInt
@@ -96,7 +98,7 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """A whole configuration, as sent to a node that is far behind."""
+    """A complete configuration, sent to a node that lags far behind."""
 
     revision: int
     contracts: tuple[contract.Contract, ...]
@@ -107,26 +109,32 @@
 
 @dataclasses.dataclass(frozen=True)
 class Applied:
-    """The change is the next one; the configuration includes it."""
+    """The change was the next in sequence and has been applied."""
 
     cfg: contract.Config
 
 
 @dataclasses.dataclass(frozen=True)
 class AlreadyApplied:
-    """The configuration is at this revision or a newer one."""
+    """The configuration already includes the change.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the configuration.
+    """
 
     revision: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Gap:
-    """Changes before this one are missing.
+    """The change cannot be applied yet, because earlier changes are missing.
 
     Attributes
     ----------
     expected : int
-        Revision that has to come next.
+        Revision that must be applied next.
     """
 
     expected: int
@@ -136,7 +144,7 @@
 
 
 def apply(cfg: contract.Config, change: Change) -> Outcome:
-    """Apply a change if it is the next one; never go back to an older revision."""
+    """Apply a change if it is the next in sequence; revisions never decrease."""
     if change.revision <= cfg.revision:
         return AlreadyApplied(cfg.revision)
     if change.revision > cfg.revision + 1:
@@ -148,7 +156,7 @@
 def apply_operations(
     cfg: contract.Config, operations: collections.abc.Iterable[Operation]
 ) -> contract.Config:
-    """Return the configuration after the operations, at an unchanged revision."""
+    """Apply operations to a configuration without changing its revision."""
     for operation in operations:
         cfg = _apply_operation(cfg, operation)
     return cfg
@@ -179,7 +187,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Inventory:
-    """Names that the platform's list contains; None where the list is unknown."""
+    """Names in the platform's instance list; None if the list is not available."""
 
     zones: frozenset[str] | None = None
     instances: frozenset[str] | None = None
@@ -190,27 +198,32 @@
     operations: collections.abc.Sequence[Operation],
     inventory: Inventory | None = None,
 ) -> list[str]:
-    """List everything that is wrong with proposed operations; empty if valid.
+    """Return an error message for each problem with the proposed operations.
 
     Parameters
     ----------
     cfg : Config
-        Configuration that the operations would change.
+        Configuration to which the operations would be applied.
     operations : sequence of Operation
-        Checked in order, each against the result of those before it.
+        Each operation is checked against the result of the preceding ones.
     inventory : Inventory, optional
-        Zones and instances that may be taken out; not checked if None.
+        Zones and instances that exist; names are not checked against it if None.
+
+    Returns
+    -------
+    list of str
+        Error messages; empty if the operations are valid.
     """
-    mistakes: list[str] = []
+    errors: list[str] = []
     for operation in operations:
-        mistakes.extend(_operation_mistakes(cfg, operation, inventory or Inventory()))
+        errors.extend(_operation_errors(cfg, operation, inventory or Inventory()))
         cfg = _apply_operation(cfg, operation)
-    mistakes.extend(_shared_keys(cfg))
-    mistakes.extend(_unknown_models(cfg, operations))
-    return mistakes
+    errors.extend(_shared_key_errors(cfg))
+    errors.extend(_unknown_model_errors(cfg, operations))
+    return errors
 
 
-def _operation_mistakes(
+def _operation_errors(
     cfg: contract.Config, operation: Operation, inventory: Inventory
 ) -> collections.abc.Iterator[str]:
     match operation:
@@ -218,7 +231,7 @@
             known = ", ".join(sorted(cfg.contracts)) or "none"
             yield f"cannot remove team {team!r}: unknown team (known: {known})"
         case PutContract(contract=item):
-            yield from _contract_mistakes(item)
+            yield from _contract_errors(item)
         case ZoneOut(zone=zone) if _is_unknown(zone, inventory.zones):
             known = ", ".join(sorted(inventory.zones or ()))
             yield f"cannot take out zone {zone!r}: unknown zone (known: {known})"
@@ -232,9 +245,9 @@
     return known is not None and name not in known
 
 
-def _contract_mistakes(item: contract.Contract) -> collections.abc.Iterator[str]:
+def _contract_errors(item: contract.Contract) -> collections.abc.Iterator[str]:
     if not item.key_hashes:
-        yield f"team {item.team!r}: key_hashes is empty, so nobody could call"
+        yield f"team {item.team!r}: key_hashes is empty, so nobody could authenticate"
     counts = collections.Counter(item.key_hashes)
     for key_hash in sorted(k for k, n in counts.items() if n > 1):
         yield f"team {item.team!r}: key hash {key_hash[:12]}... is listed twice"
@@ -246,7 +259,7 @@
             )
 
 
-def _shared_keys(cfg: contract.Config) -> collections.abc.Iterator[str]:
+def _shared_key_errors(cfg: contract.Config) -> collections.abc.Iterator[str]:
     teams: dict[str, list[str]] = {}
     for item in cfg.contracts.values():
         for key_hash in set(item.key_hashes):
@@ -257,11 +270,13 @@
             yield f"teams {names} have the same key hash {key_hash[:12]}..."
 
 
-def _unknown_models(
+def _unknown_model_errors(
     cfg: contract.Config, operations: collections.abc.Sequence[Operation]
 ) -> collections.abc.Iterator[str]:
-    put = {op.contract.team for op in operations if isinstance(op, PutContract)}
-    for team in sorted(put & set(cfg.contracts)):
+    updated_teams = {
+        op.contract.team for op in operations if isinstance(op, PutContract)
+    }
+    for team in sorted(updated_teams & set(cfg.contracts)):
         for name in cfg.contracts[team].models:
             if name not in cfg.models:
                 yield f"team {team!r}: unknown model {name!r}; put the model first"
@@ -270,12 +285,12 @@
 def is_noop(
     cfg: contract.Config, operations: collections.abc.Sequence[Operation]
 ) -> bool:
-    """Return whether the configuration already is as the operations ask."""
+    """Return whether the operations leave the configuration unchanged."""
     return apply_operations(cfg, operations) == cfg
 
 
 def take_snapshot(cfg: contract.Config) -> Snapshot:
-    """Return the configuration in its wire form."""
+    """Convert a configuration to its wire format."""
     return Snapshot(
         cfg.revision,
         tuple(cfg.contracts.values()),
@@ -286,7 +301,7 @@
 
 
 def apply_snapshot(cfg: contract.Config, snapshot: Snapshot) -> contract.Config:
-    """Return the newer of a configuration and a snapshot."""
+    """Return the newer of a configuration and a snapshot, as a configuration."""
     if snapshot.revision <= cfg.revision:
         return cfg
     return contract.Config(
@@ -299,5 +314,5 @@
 
 
 def row_key(revision: int) -> str:
-    """Return the key of a change in table ``changes``; keys sort by revision."""
-    return f"{revision:0{KEY_DIGITS}d}"
+    """Return the row key of a change in table ``changes``; keys sort by revision."""
+    return f"{revision:0{ROW_KEY_DIGITS}d}"
--- a/packages/snipelug-core/src/snipelug_core/contract.py
+++ b/packages/snipelug-core/src/snipelug_core/contract.py
@@ -1,4 +1,4 @@
-"""Contracts of teams, and the configuration that they and the switches make up."""
+"""Team contracts, models, and the configuration that contains them."""
 
 import collections.abc
 import dataclasses
@@ -17,18 +17,18 @@
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Limits of a team over all nodes together.
+    """Limits of a team, enforced across all nodes unless stated otherwise.
 
     Attributes
     ----------
     in_flight : int
-        Requests running at once.
+        Maximum number of concurrent requests.
     requests_per_s, tokens_per_s : float
-        Rates of requests and of prompt plus generated tokens, per second.
+        Maximum rates of requests and of tokens (prompt plus generated).
     queue_length : int
-        Requests waiting at one node.
+        Maximum number of requests queued at one node.
     prompt_tokens : int
-        Longest prompt, in tokens.
+        Maximum prompt length, in tokens.
     """
 
     in_flight: PositiveInt = 64
@@ -39,27 +39,27 @@
 
 
 class Contract(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What one team may use.
+    """Permissions and limits of a team.
 
     Attributes
     ----------
     team : str
         Name of the team.
     key_hashes : tuple of str
-        SHA-256 of each bearer key, in hexadecimal; keys are never stored.
+        SHA-256 of each bearer key, in hexadecimal; the keys are never stored.
     models, services : tuple of str
-        Models and plain services that the team may call.
+        Models and non-model HTTP services that the team may call.
     limits : Limits
-        Limits over all nodes.
+        Limits of the team.
     weight : float
-        Share of the team when several teams wait.
+        Weight of the team in fair queueing when several teams have requests queued.
     priority : int
-        Priority passed to engines; lower runs earlier.
+        Scheduling priority passed to engines; lower values run first.
     deadline_s : float
-        Default time to the first byte of an answer, in seconds.
+        Default deadline for the first byte of a response, in seconds.
     require_key : tuple of str
-        Service paths (``NAME/PREFIX``) whose POST and PATCH calls need an
-        ``Idempotency-Key``.
+        Service paths (``NAME/PREFIX``) whose POST and PATCH requests must carry
+        an ``Idempotency-Key`` header.
     """
 
     team: Name
@@ -74,13 +74,13 @@
 
 
 class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A model as served: everything that a cached block depends on.
+    """A served model: all properties that a KV cache block depends on.
 
     Attributes
     ----------
     weight_version : str
-        Version that engines are ordered to load; empty to leave the choice to
-        the vendor, whose engines report what they serve.
+        Version that engines are instructed to load. If empty, the vendor
+        chooses it and the engines report the version that they serve.
     """
 
     name: Name
@@ -96,13 +96,14 @@
     Attributes
     ----------
     revision : int
-        Number of the last change applied; 0 before the first.
+        Revision of the last applied change; 0 before the first.
     contracts : mapping of str to Contract
         Contracts by team.
     models : mapping of str to Model
         Models by name.
     zones_out, instances_out : frozenset of str
-        Availability zones and instances that operators have taken out.
+        Availability zones and instances that operators have taken out of
+        service.
     """
 
     revision: int = 0
@@ -117,12 +118,12 @@
 
 
 def hash_key(bearer_key: str) -> str:
-    """Return the hash under which a bearer key is kept in contracts."""
+    """Return the hash of a bearer key as it is stored in contracts."""
     return hashlib.sha256(bearer_key.encode()).hexdigest()
 
 
 def find_contract(cfg: Config, bearer_key: str) -> Contract | None:
-    """Return the contract that a bearer key belongs to."""
+    """Return the contract that lists a bearer key, or None."""
     key_hash = hash_key(bearer_key)
     for contract in cfg.contracts.values():
         if key_hash in contract.key_hashes:
