Reword core.currency and core.member

Names used only in the two modules: CONFIRMED_AGE_S -> CONFIRMATION_TTL_S, SEES_STORE_AGE_S -> STORE_READ_TTL_S, ACK_AGE_S -> ACK_TTL_S, HEARD_AGE_S -> REPORT_TTL_S, DIGEST_ENTRIES -> MAX_DIGEST_ENTRIES, MEMBER_ROWS -> MAX_MEMBER_ROWS, refresh -> update_established, learn -> add_rows, hear_relayed -> record_relayed_status, counts -> is_voter, digest -> build_digest, select_rows -> sample_rows, load_row -> member_from_row.

--- a/packages/snipelug-core/src/snipelug_core/currency.py
+++ b/packages/snipelug-core/src/snipelug_core/currency.py
@@ -1,20 +1,31 @@
-"""Currency: whether a node can show that no newer revision is in force elsewhere.
-
-Why a change that was answered "accepted" is known to every node that serves
-later than ``CONFIRMED_AGE_S`` after the answer:
-
-* A confirmation (a, b) says that at a given time the store held no revision newer
-  than the confirmed one. Its time is counted from before the question was sent.
-* A change counts as accepted only after a strict majority of members reported it
-  within ``ACK_AGE_S``. A node that serves by majority (c) heard a strict majority
-  within ``heard_age_s``; the two share a node, which reports the change.
-* In deployments of more than ``LARGE_SIZE`` members both ages are 12 s instead,
-  because news travels there over several nodes; the bound grows with them.
-* A process that restarted has lost what it reported. It counts in no majority until
-  it is established: by a confirmation made after its start, or by a majority of
-  established others asked later than ``BOOT_WAIT_S`` after its start. By then a
-  change that counted the report of the earlier process is accepted, so that one
-  of the others knows it, or it is not accepted with that report.
+"""Configuration currency: whether a node can show that its revision is the newest.
+
+A node is current, and may serve, under one of three rules:
+
+* ``store``: it read the store itself a short time ago;
+* ``peer``: a peer passed on a confirmation from its own read of the store;
+* ``majority``: the store is unreachable, and a strict majority of the members
+  reports no newer revision.
+
+Once a change has been answered with "accepted", every node that still serves more
+than ``CONFIRMATION_TTL_S`` later has applied it, for these reasons:
+
+* A confirmation (rules ``store`` and ``peer``) states that at a given time the store
+  held no revision newer than the confirmed one. That time is taken before the
+  request is sent.
+* A change is accepted only after a strict majority of the members has reported it
+  within ``ACK_TTL_S``. A node that serves under the rule ``majority`` has reports
+  from a strict majority that are younger than ``report_ttl_s``. The two majorities
+  have a node in common, and that node reports the change.
+* In deployments of more than ``LARGE_SIZE`` members, confirmations and reports are
+  valid for 12 s instead, because reports take several hops there; the bound above
+  grows accordingly.
+* A restarted process has lost the revisions that its predecessor reported. It
+  counts toward no majority until it is established, either by a confirmation made
+  after its start or by a majority of other established members that were asked
+  more than ``BOOT_WAIT_S`` after its start. By that time, a change that relied on
+  a report of the predecessor has either been accepted, so that one of the other
+  members knows it, or can no longer be accepted on the strength of that report.
 """
 
 import dataclasses
@@ -24,31 +35,31 @@
 
 from snipelug_core import member
 
-CONFIRMED_AGE_S = 5.0
-LARGE_CONFIRMED_AGE_S = 12.0
-# Shorter than CONFIRMED_AGE_S, so that nodes agree that the store is silent before
-# their last confirmation expires; otherwise each outage starts with a second or two
-# in which no rule holds.
-SEES_STORE_AGE_S = 2.5
-ACK_AGE_S = 3.0
-# ACK_AGE_S of a node whose clock is up to 10% slow, with this clock 10% fast, is
-# 3.7 s.
+CONFIRMATION_TTL_S = 5.0
+LARGE_CONFIRMATION_TTL_S = 12.0
+# Shorter than CONFIRMATION_TTL_S, so that the nodes agree that the store is
+# unreachable before their last confirmation expires. Otherwise no rule would hold
+# for the first second or two of each store outage.
+STORE_READ_TTL_S = 2.5
+ACK_TTL_S = 3.0
+# ACK_TTL_S measured on a clock that is 10% slow lasts 3.7 s on a clock that is 10%
+# fast.
 BOOT_WAIT_S = 4.0
 MAX_PENDING = 8
 
 
 @dataclasses.dataclass(frozen=True)
 class Confirmation:
-    """At a time, the store held no revision newer than this one.
+    """Evidence that the store held no revision newer than this one at a given time.
 
     Attributes
     ----------
     revision : int
-        Newest revision in the store.
+        Newest revision in the store at that time.
     at : float
-        Own monotonic time before which the store was not read, in seconds.
+        Local monotonic time, in seconds, taken before the store was read.
     own : bool
-        This node read the store itself.
+        Whether this node read the store itself.
     """
 
     revision: int
@@ -57,19 +68,19 @@
 
 
 class WireConfirmation(msgspec.Struct, frozen=True, array_like=True):
-    """A confirmation with its age in seconds, as told to peers."""
+    """A confirmation as sent to peers, with its age in seconds."""
 
     revision: int
     age_s: float
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
-    """Question of one node to another; its revision tells the peer to catch up.
+    """Periodic request to a peer; its revision tells the peer whether it lags behind.
 
     Attributes
     ----------
     wants_rows : bool
-        The asking node does not know all members yet.
+        The sender does not know all members yet and asks for member rows.
     """
 
     node_id: str
@@ -79,20 +90,20 @@
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True):
-    """Answer to a heartbeat.
+    """Response to a heartbeat.
 
     Attributes
     ----------
     status : NodeStatus
-        The answering node about itself.
+        Status of the responding node.
     confirmation : WireConfirmation or None
-        Its newest confirmation at or below its revision.
+        Its newest confirmation of a revision that it has applied.
     digest : tuple of Relayed
-        What it heard from others lately.
+        Recent statuses of other nodes.
     rows : tuple of MemberRow
-        Some members that it knows.
+        A selection of member rows, if they were asked for.
     total : int
-        Number of members it knows; 0 if it does not know all.
+        Total number of members; 0 if the node does not know all of them.
     """
 
     status: member.NodeStatus
@@ -104,22 +115,23 @@
 
 @dataclasses.dataclass
 class State:
-    """What one process knows about its own currency.
+    """State from which a process derives whether it is current.
 
     Attributes
     ----------
     started_at : float
-        Own monotonic time at the start of the process, in seconds.
+        Local monotonic time at which the process started, in seconds.
     revision : int
-        Revision in force at this node.
+        Newest revision applied at this node.
     established : bool
-        Currency was shown since the start.
+        Whether the process has shown since its start that it is current.
     confirmation : Confirmation or None
-        Newest confirmation that is not newer than ``revision``.
+        Latest confirmation of a revision that is not newer than ``revision``.
     pending : list of Confirmation
-        Confirmations of revisions that this node does not have yet.
+        Confirmations of revisions that this node has not applied yet.
     store_read_at : float or None
-        Time before the last successful read of the store was sent, in seconds.
+        Local monotonic time, in seconds, taken before the last successful read of
+        the store was sent.
     """
 
     node_id: str
@@ -139,9 +151,9 @@
     Attributes
     ----------
     rule : str
-        ``store``, ``peer`` or ``majority``.
+        Rule that holds: ``store``, ``peer`` or ``majority``.
     age_s : float
-        Age of the oldest fact that the decision rests on, in seconds.
+        Age of the oldest evidence that the decision relies on, in seconds.
     """
 
     rule: str
@@ -173,29 +185,29 @@
     Parameters
     ----------
     state : State
-        Changed in place.
+        Updated in place.
     asked_at : float
-        Own monotonic time before the read was sent, in seconds.
+        Local monotonic time, in seconds, taken before the read was sent.
     head_revision : int
-        Revision that ``head`` names.
+        Revision that ``head`` refers to.
     """
     if state.store_read_at is None or asked_at > state.store_read_at:
         state.store_read_at = asked_at
-    _offer(state, Confirmation(head_revision, asked_at, own=True))
+    _add_confirmation(state, Confirmation(head_revision, asked_at, own=True))
 
 
 def record_revision(state: State, revision: int) -> None:
-    """Record that a newer revision is in force at this node."""
+    """Record that this node has applied a newer revision."""
     if revision <= state.revision:
         return
     state.revision = revision
-    waiting = state.pending
+    pending = state.pending
     state.pending = []
-    for confirmation in waiting:
-        _offer(state, confirmation)
+    for confirmation in pending:
+        _add_confirmation(state, confirmation)
 
 
-def _offer(state: State, confirmation: Confirmation) -> None:
+def _add_confirmation(state: State, confirmation: Confirmation) -> None:
     if confirmation.revision > state.revision:
         state.pending.append(confirmation)
         state.pending.sort(key=lambda item: item.at)
@@ -207,23 +219,23 @@
 
 
 def latest_known_revision(state: State, members: member.Members) -> int:
-    """Return the newest revision known to exist."""
+    """Return the newest revision that this node knows to exist."""
     pending = max((item.revision for item in state.pending), default=0)
     return max(pending, members.newest_revision(), state.revision)
 
 
-def sees_store(state: State, now: float, age_s: float = SEES_STORE_AGE_S) -> bool:
-    """Return whether the store was read lately."""
+def sees_store(state: State, now: float, age_s: float = STORE_READ_TTL_S) -> bool:
+    """Return whether the store was read within the last ``age_s`` seconds."""
     return state.store_read_at is not None and now - state.store_read_at < age_s
 
 
-def confirmed_age_s(members: member.Members) -> float:
-    """Return the age up to which a confirmation counts, in seconds."""
-    return LARGE_CONFIRMED_AGE_S if members.is_large else CONFIRMED_AGE_S
+def confirmation_ttl_s(members: member.Members) -> float:
+    """Return the age up to which a confirmation is valid, in seconds."""
+    return LARGE_CONFIRMATION_TTL_S if members.is_large else CONFIRMATION_TTL_S
 
 
 def own_status(state: State, now: float) -> member.NodeStatus:
-    """Return what this node says about itself now."""
+    """Return the current status of this node."""
     return member.NodeStatus(
         state.node_id,
         state.incarnation,
@@ -240,17 +252,17 @@
     rng: random.Random,
     wants_rows: bool,
 ) -> HeartbeatReply:
-    """Build the answer to a heartbeat."""
-    refresh(state, members, now)
-    told = None
+    """Build the response to a heartbeat."""
+    update_established(state, members, now)
+    shared = None
     known = state.confirmation
-    if known is not None and now - known.at < confirmed_age_s(members):
-        told = WireConfirmation(known.revision, now - known.at)
+    if known is not None and now - known.at < confirmation_ttl_s(members):
+        shared = WireConfirmation(known.revision, now - known.at)
     return HeartbeatReply(
         own_status(state, now),
-        told,
-        member.digest(members, state.revision, now),
-        member.select_rows(members, rng) if wants_rows else (),
+        shared,
+        member.build_digest(members, state.revision, now),
+        member.sample_rows(members, rng) if wants_rows else (),
         len(members.rows) if members.complete else 0,
     )
 
@@ -258,19 +270,19 @@
 def record_heartbeat_reply(
     state: State, members: member.Members, asked_at: float, reply: HeartbeatReply
 ) -> None:
-    """Record the answer to a heartbeat that was sent at ``asked_at``."""
-    members.learn(map(member.load_row, reply.rows), reply.total)
+    """Record the response to a heartbeat that was sent at ``asked_at``."""
+    members.add_rows(map(member.member_from_row, reply.rows), reply.total)
     members.record_status(reply.status, asked_at)
     for relayed in reply.digest:
-        members.hear_relayed(relayed, asked_at, reply.status.revision)
-    told = reply.confirmation
-    if told is not None:
-        at = asked_at - max(told.age_s, 0.0)
-        _offer(state, Confirmation(told.revision, at, own=False))
+        members.record_relayed_status(relayed, asked_at, reply.status.revision)
+    shared = reply.confirmation
+    if shared is not None:
+        at = asked_at - max(shared.age_s, 0.0)
+        _add_confirmation(state, Confirmation(shared.revision, at, own=False))
 
 
-def refresh(state: State, members: member.Members, now: float) -> None:
-    """Establish the process once it has shown currency since its start."""
+def update_established(state: State, members: member.Members, now: float) -> None:
+    """Mark the process as established once it has been current since its start."""
     if state.established:
         return
     known = state.confirmation
@@ -278,47 +290,50 @@
         state.established = True
         return
     asked_after = state.started_at + BOOT_WAIT_S
-    heard = _agreeing(state, members, now) or {}
-    settled = [k for k, v in heard.items() if v.reported_at >= asked_after]
-    state.established = members.is_majority(settled)
+    reports = _consistent_reports(state, members, now) or {}
+    confirming = [k for k, v in reports.items() if v.reported_at >= asked_after]
+    state.established = members.is_majority(confirming)
 
 
-def _agreeing(
+def _consistent_reports(
     state: State, members: member.Members, now: float
 ) -> dict[str, member.Report] | None:
-    """Return established fresh reports, or None if one contradicts the majority."""
+    """Return fresh reports of established nodes; None if a report rules out `majority`.
+
+    It does so if its node has a newer revision or can still read the store.
+    """
     fresh = members.fresh_reports(now)
     for report in fresh.values():
-        is_new = now - report.reported_at < member.HEARD_AGE_S
+        is_new = now - report.reported_at < member.REPORT_TTL_S
         if report.revision > state.revision or (report.sees_store and is_new):
             return None
     return {k: v for k, v in fresh.items() if v.established}
 
 
 def evaluate(state: State, members: member.Members, now: float) -> Current | NotCurrent:
-    """Decide whether this node may serve new work now."""
-    refresh(state, members, now)
+    """Decide whether this node may accept new work now."""
+    update_established(state, members, now)
     if not state.established:
-        return NotCurrent("the node has not shown currency since its start")
+        return NotCurrent("the node has not shown that it is current since its start")
     known = state.confirmation
-    if known is not None and now - known.at < confirmed_age_s(members):
+    if known is not None and now - known.at < confirmation_ttl_s(members):
         return Current("store" if known.own else "peer", now - known.at)
-    return _judge_by_majority(state, members, now)
+    return _evaluate_majority(state, members, now)
 
 
-def _judge_by_majority(
+def _evaluate_majority(
     state: State, members: member.Members, now: float
 ) -> Current | NotCurrent:
     if sees_store(state, now):
         return NotCurrent("the store holds a newer revision")
-    heard = _agreeing(state, members, now)
-    if heard is None:
-        return NotCurrent("a peer sees the store or has a newer revision")
-    if not members.is_majority({*heard, state.node_id}):
-        count = len(members.voters() & {*heard, state.node_id})
+    reports = _consistent_reports(state, members, now)
+    if reports is None:
+        return NotCurrent("a peer can read the store or has a newer revision")
+    if not members.is_majority({*reports, state.node_id}):
+        count = len(members.voters() & {*reports, state.node_id})
         total = len(members.voters())
         return NotCurrent(f"no store, and only {count} of {total} members are heard")
-    oldest = min((report.reported_at for report in heard.values()), default=now)
+    oldest = min((report.reported_at for report in reports.values()), default=now)
     return Current("majority", now - oldest)
 
 
@@ -329,11 +344,11 @@
     outcome = evaluate(state, members, now)
     if isinstance(outcome, NotCurrent):
         return MayNotAccept(outcome.reason)
-    if not sees_store(state, now, CONFIRMED_AGE_S):
+    if not sees_store(state, now, CONFIRMATION_TTL_S):
         return MayNotAccept("the table service does not answer")
-    heard = {*members.fresh_reports(now), state.node_id}
-    if not members.is_majority(heard):
-        count = len(members.voters() & heard)
+    reachable = {*members.fresh_reports(now), state.node_id}
+    if not members.is_majority(reachable):
+        count = len(members.voters() & reachable)
         total = len(members.voters())
         return MayNotAccept(f"only {count} of {total} members are heard")
     return MayAccept()
@@ -342,16 +357,19 @@
 def members_at_revision(
     state: State, members: member.Members, revision: int, now: float
 ) -> frozenset[str]:
-    """Return the members that reported the revision lately, this one included."""
-    fresh = members.fresh_reports(now, ACK_AGE_S)
-    having = {k for k, v in fresh.items() if v.revision >= revision}
+    """Return the members that have recently reported the revision.
+
+    This node is included if it has applied the revision.
+    """
+    fresh = members.fresh_reports(now, ACK_TTL_S)
+    up_to_date = {k for k, v in fresh.items() if v.revision >= revision}
     if state.revision >= revision:
-        having.add(state.node_id)
-    return members.voters() & having
+        up_to_date.add(state.node_id)
+    return members.voters() & up_to_date
 
 
 def is_accepted(
     state: State, members: member.Members, revision: int, now: float
 ) -> bool:
-    """Return whether a written change may be answered "accepted"."""
+    """Return whether a written change may be answered with "accepted"."""
     return members.is_majority(members_at_revision(state, members, revision, now))
--- a/packages/snipelug-core/src/snipelug_core/member.py
+++ b/packages/snipelug-core/src/snipelug_core/member.py
@@ -1,4 +1,4 @@
-"""The members table: who belongs to the deployment and who was heard lately."""
+"""Membership: the nodes of the deployment and their most recent status reports."""
 
 import collections.abc
 import dataclasses
@@ -10,12 +10,15 @@
 
 import msgspec
 
-HEARD_AGE_S = 3.0
-# In large deployments reports travel over several nodes, once a second each.
+REPORT_TTL_S = 3.0
+# In deployments of more than LARGE_SIZE members, reports take several hops, and each
+# hop can add a heartbeat interval of one second.
 LARGE_SIZE = 20
-LARGE_HEARD_AGE_S = 12.0
-DIGEST_ENTRIES = 48
-MEMBER_ROWS = 16
+LARGE_REPORT_TTL_S = 12.0
+MAX_DIGEST_ENTRIES = 48
+MAX_MEMBER_ROWS = 16
+# With fewer peers than FULL_FAN_OUT, each heartbeat round goes to all of them;
+# otherwise to FAN_OUT of them, chosen at random.
 FULL_FAN_OUT = 8
 FAN_OUT = 3
 AGE_STEP_S = 0.1
@@ -25,16 +28,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Member:
-    """One row of table ``sessions``, or one entry of a static peer list.
+    """A member: a row of table ``sessions`` or an entry of a static peer list.
 
     Attributes
     ----------
     incarnation : str
-        Differs between processes that had the same node id; empty if unknown.
+        Distinguishes processes that ran under the same node id; empty if unknown.
     revoked : bool
-        Another node has ended the session.
+        Whether another node has revoked the session.
     gone : bool
-        The platform's list no longer contains the instance.
+        Whether the instance has disappeared from the platform's instance list.
     """
 
     node_id: str
@@ -46,25 +49,26 @@
     gone: bool = False
 
     @property
-    def counts(self) -> bool:
-        """Whether the member counts for majorities.
+    def is_voter(self) -> bool:
+        """Whether the member counts toward majorities.
 
-        A revoked node that is cut off may still serve by the majority rule with
-        the members it last read, so it counts until its instance is gone.
+        A revoked node that is partitioned from the rest may still serve under the
+        majority rule, based on the member rows that it last read. It therefore
+        counts until its instance is gone.
         """
         return not (self.revoked and self.gone)
 
 
 class NodeStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What a node says about itself.
+    """Status of a node, as reported by the node itself.
 
     Attributes
     ----------
     established : bool
-        The process has shown currency since it started; only then may others
-        count it in a majority.
+        Whether the process has shown since its start that it is current; only
+        then may others count it toward a majority.
     sees_store : bool
-        It read the table service lately.
+        Whether it has recently read the table service.
     """
 
     node_id: str
@@ -75,19 +79,19 @@
 
 
 class Relayed(msgspec.Struct, frozen=True, array_like=True):
-    """What another node said about itself, in few bytes.
+    """Compact status of a third node, relayed by a peer.
 
     Attributes
     ----------
     tag : int
         Hash of the incarnation.
     lag : int
-        Revision of the relaying node less that of the other.
+        Revision of the relaying node minus that of the reported node.
     flags : int
-        ``ESTABLISHED_FLAG`` and ``SEES_STORE_FLAG``.
+        Bit field of ``ESTABLISHED_FLAG`` and ``SEES_STORE_FLAG``.
     age : int
-        Upper bound of the time since it said so, in steps of ``AGE_STEP_S``; it
-        grows at each relay.
+        Upper bound of the age of the status, in units of ``AGE_STEP_S``; each hop
+        increases it.
     """
 
     node_id: str
@@ -98,7 +102,7 @@
 
 
 class MemberRow(msgspec.Struct, frozen=True, array_like=True):
-    """A member in its wire form."""
+    """Wire format of a member."""
 
     node_id: str
     incarnation: str
@@ -111,15 +115,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Report:
-    """The newest status of a node, on the receiver's clock.
+    """The newest status of a node, timed by the receiver's clock.
 
     Attributes
     ----------
     tag : int
         Hash of the incarnation.
-    said_at : float
-        Receiver's monotonic time before which the status was not made, in
-        seconds.
+    reported_at : float
+        Lower bound of the time at which the status was created, in seconds of
+        the receiver's monotonic clock.
     """
 
     tag: int
@@ -131,16 +135,16 @@
 
 @dataclasses.dataclass
 class Members:
-    """The members as one node knows them.
+    """A node's view of the members.
 
     Attributes
     ----------
     rows : dict of str to Member
         Members by node id.
     complete : bool
-        All rows are known; majorities are not computed before.
+        Whether all rows are known; until then there is no majority.
     reports : dict of str to Report
-        Newest report by node id, this node's own excluded.
+        Newest report by node id, excluding this node.
     """
 
     node_id: str
@@ -149,13 +153,13 @@
     reports: dict[str, Report] = dataclasses.field(default_factory=dict)
 
     def replace(self, rows: collections.abc.Iterable[Member]) -> None:
-        """Take over the rows of a complete read; forget reports of others."""
+        """Replace the rows after a complete read; drop reports of nodes not listed."""
         self.rows = {row.node_id: row for row in rows}
         self.complete = True
         self.reports = {k: v for k, v in self.reports.items() if k in self.rows}
 
-    def learn(self, rows: collections.abc.Iterable[Member], total: int) -> None:
-        """Add rows heard from a peer until a complete view is known."""
+    def add_rows(self, rows: collections.abc.Iterable[Member], total: int) -> None:
+        """Add rows received from a peer until the view is complete."""
         if self.complete:
             return
         for row in rows:
@@ -163,15 +167,15 @@
         self.complete = total > 0 and len(self.rows) >= total
 
     def record_status(self, status: NodeStatus, asked_at: float) -> None:
-        """Record a status that came in the answer to a call.
+        """Record a status received in the response to a call.
 
         Parameters
         ----------
         status : NodeStatus
-            What a node said.
+            Status of the responding node.
         asked_at : float
-            Own monotonic time before the call was sent, in seconds. The time of
-            arrival would hide the transit time, which has no bound.
+            Local monotonic time, in seconds, taken before the call was sent. The
+            time of arrival would hide the transit time, which is unbounded.
         """
         report = Report(
             zlib.crc32(status.incarnation.encode()),
@@ -182,8 +186,10 @@
         )
         self._record(status.node_id, report)
 
-    def hear_relayed(self, item: Relayed, asked_at: float, revision: int) -> None:
-        """Record what a peer at a revision relayed in the answer to a call."""
+    def record_relayed_status(
+        self, item: Relayed, asked_at: float, revision: int
+    ) -> None:
+        """Record a status relayed by a peer whose own revision is ``revision``."""
         report = Report(
             item.tag,
             revision - item.lag,
@@ -200,30 +206,30 @@
 
     @property
     def is_large(self) -> bool:
-        """Whether reports need several hops to reach all members."""
+        """Whether reports take several hops to reach all members."""
         return len(self.rows) > LARGE_SIZE
 
     @property
-    def heard_age_s(self) -> float:
-        """Age up to which a report counts as heard, in seconds."""
-        return LARGE_HEARD_AGE_S if self.is_large else HEARD_AGE_S
+    def report_ttl_s(self) -> float:
+        """Age up to which a report is valid, in seconds."""
+        return LARGE_REPORT_TTL_S if self.is_large else REPORT_TTL_S
 
     def live_node_ids(self, now: float) -> list[str]:
-        """Return the ids of the nodes heard of lately, this one included."""
+        """Return the ids of the nodes with fresh reports, including this node."""
         return sorted({self.node_id, *self.fresh_reports(now)})
 
     def fresh_reports(
         self, now: float, age_s: float | None = None
     ) -> dict[str, Report]:
-        """Return the reports younger than an age, ``heard_age_s`` by default."""
-        after = now - (self.heard_age_s if age_s is None else age_s)
+        """Return the reports younger than ``age_s``, by default ``report_ttl_s``."""
+        after = now - (self.report_ttl_s if age_s is None else age_s)
         return {k: v for k, v in self.reports.items() if v.reported_at > after}
 
     def voters(self) -> frozenset[str]:
-        """Return the ids that count for majorities; empty while incomplete."""
+        """Return the ids that count toward majorities; empty until ``complete``."""
         if not self.complete:
             return frozenset()
-        return frozenset(k for k, row in self.rows.items() if row.counts)
+        return frozenset(k for k, row in self.rows.items() if row.is_voter)
 
     def is_majority(self, node_ids: collections.abc.Iterable[str]) -> bool:
         """Return whether the nodes are a strict majority of the members."""
@@ -241,7 +247,8 @@
     newer = report if report.reported_at >= known.reported_at else known
     if known.tag != report.tag:
         return newer
-    # One process never goes back, so the larger revision holds for both times.
+    # Within one process revisions never decrease, so both reports support the larger
+    # one.
     return dataclasses.replace(
         newer,
         revision=max(known.revision, report.revision),
@@ -250,37 +257,38 @@
 
 
 def choose_heartbeat_targets(members: Members, rng: random.Random) -> list[str]:
-    """Choose the nodes that get a heartbeat now.
+    """Choose the nodes to send heartbeats to in this round.
 
-    In small deployments all members are chosen, so that each node hears all of
-    them directly. In larger ones a fixed number bounds the control traffic.
+    In small deployments all members are chosen, so that each node gets their
+    statuses directly. In larger ones, a fixed number bounds the control traffic.
     """
     others = sorted(
-        k for k, row in members.rows.items() if k != members.node_id and row.counts
+        k for k, row in members.rows.items() if k != members.node_id and row.is_voter
     )
     if len(others) < FULL_FAN_OUT:
         return others
     return rng.sample(others, FAN_OUT)
 
 
-def digest(members: Members, revision: int, now: float) -> tuple[Relayed, ...]:
-    """Return the newest reports, to relay them.
+def build_digest(members: Members, revision: int, now: float) -> tuple[Relayed, ...]:
+    """Build the digest of the newest reports that is relayed to peers.
 
-    Random fresh reports would mostly be about to expire: at 780 members a node
-    then knows fresh reports of 288 members in simulation, no majority.
+    Relaying randomly chosen fresh reports instead spreads mostly reports that are
+    about to expire: in a simulation of 780 members, a node then had fresh reports
+    of only 288 members, which is no majority.
 
     Parameters
     ----------
     members : Members
-        Holds the reports.
+        Members and their reports.
     revision : int
         Revision of this node.
     now : float
-        Own monotonic time, in seconds.
+        Local monotonic time, in seconds.
     """
     fresh_reports = members.fresh_reports(now).items()
     newest = heapq.nlargest(
-        DIGEST_ENTRIES, fresh_reports, key=lambda item: item[1].reported_at
+        MAX_DIGEST_ENTRIES, fresh_reports, key=lambda item: item[1].reported_at
     )
     return tuple(
         Relayed(
@@ -294,11 +302,11 @@
     )
 
 
-def select_rows(members: Members, rng: random.Random) -> tuple[MemberRow, ...]:
-    """Return a bounded random selection of member rows in wire form."""
+def sample_rows(members: Members, rng: random.Random) -> tuple[MemberRow, ...]:
+    """Return at most ``MAX_MEMBER_ROWS`` random member rows in wire format."""
     rows = sorted(members.rows.items())
-    if len(rows) > MEMBER_ROWS:
-        rows = rng.sample(rows, MEMBER_ROWS)
+    if len(rows) > MAX_MEMBER_ROWS:
+        rows = rng.sample(rows, MAX_MEMBER_ROWS)
     return tuple(
         MemberRow(
             row.node_id,
@@ -313,8 +321,8 @@
     )
 
 
-def load_row(row: MemberRow) -> Member:
-    """Return the member that a wire row describes."""
+def member_from_row(row: MemberRow) -> Member:
+    """Convert a member from its wire format."""
     return Member(
         row.node_id,
         row.incarnation,
