--- a/packages/snipelug-core/src/snipelug_core/currency.py
+++ b/packages/snipelug-core/src/snipelug_core/currency.py
@@ -298,9 +298,10 @@
 def _consistent_reports(
     state: State, members: member.Members, now: float
 ) -> dict[str, member.Report] | None:
-    """Return fresh reports of established nodes; None if a report rules out `majority`.
+    """Return the fresh reports of established nodes.
 
-    It does so if its node has a newer revision or can still read the store.
+    Returns None if any fresh report rules out the majority rule, because its node
+    has a newer revision or can still read the store.
     """
     fresh = members.fresh_reports(now)
     for report in fresh.values():
