--- a/packages/snipelug-core/src/snipelug_core/proposal.py
+++ b/packages/snipelug-core/src/snipelug_core/proposal.py
@@ -1,7 +1,7 @@
-"""The steps by which a node writes a proposed change, without input or output.
+"""The protocol by which a node writes a proposed change, free of I/O.
 
-The steps form a generator: the driver executes each yielded step and sends its
-result back. The node and the simulation in the tests drive the same generator.
+The protocol is a generator: its driver executes each yielded step and sends back the
+result. The node and the simulation in the tests drive the same generator.
 """
 
 import collections.abc
@@ -14,14 +14,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Insert:
-    """Insert the change's row if absent and move ``head``, in one transaction."""
+    """Insert the change's row if absent and advance ``head``, in one transaction."""
 
     change: change.Change
 
 
 @dataclasses.dataclass(frozen=True)
 class ReadBack:
-    """Read the change at a revision."""
+    """Read the change stored at a revision."""
 
     revision: int
 
@@ -31,22 +31,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class Inserted:
-    """The transaction took effect."""
+    """The transaction was committed."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Conflicted:
-    """A precondition of the transaction did not hold."""
+    """A precondition of the transaction failed."""
 
 
 @dataclasses.dataclass(frozen=True)
 class NotExecuted:
-    """It is known that the transaction neither took nor will take effect."""
+    """The transaction was not executed and will not be executed later."""
 
 
 @dataclasses.dataclass(frozen=True)
 class NoAnswer:
-    """Whether the step took effect, or still will, is unknown."""
+    """No response; the step may have taken effect or may still do so."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,26 +59,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class Recorded:
-    """The change is in the store and will be in force; it cannot be lost."""
+    """The change is in the store, cannot be lost, and will come into force."""
 
     change: change.Change
 
 
 @dataclasses.dataclass(frozen=True)
 class LostRace:
-    """Another change has the revision; this one is not and will not be in force."""
+    """Another change took the revision; this one will never come into force."""
 
     winner: change.Change
 
 
 @dataclasses.dataclass(frozen=True)
 class NotWritten:
-    """The store did not take the change."""
+    """The store did not accept the change."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Unclear:
-    """The store is silent; the change may be or may still come into force."""
+    """The store did not respond; the change may be in force or may come into force."""
 
 
 Outcome = Recorded | LostRace | NotWritten | Unclear
@@ -87,11 +87,11 @@
 def write_change(
     proposed: change.Change, max_inserts: int = MAX_INSERTS
 ) -> collections.abc.Generator[Step, Result, Outcome]:
-    """Yield the steps that write a change and return what is known at the end.
+    """Yield the steps that write a change and return the outcome.
 
-    After a lost answer an absent row proves nothing, because the transaction may
-    still be on its way. The same change is inserted again, until a row with either
-    nonce settles the matter.
+    After a lost response, an absent row is inconclusive, because the transaction may
+    still be in flight. The same change is inserted again until a row exists, whose
+    nonce then tells which change was written.
     """
     unclear = False
     for _ in range(max_inserts):
@@ -101,14 +101,16 @@
         if isinstance(result, NotExecuted) and not unclear:
             return NotWritten()
         unclear = unclear or isinstance(result, NoAnswer)
-        row = yield ReadBack(proposed.revision)
-        if isinstance(row, change.Change):
-            return _compare(proposed, row)
-        unclear = unclear or isinstance(row, NoAnswer)
+        stored = yield ReadBack(proposed.revision)
+        if isinstance(stored, change.Change):
+            return _compare_nonces(proposed, stored)
+        unclear = unclear or isinstance(stored, NoAnswer)
     return Unclear() if unclear else NotWritten()
 
 
-def _compare(proposed: change.Change, row: change.Change) -> Recorded | LostRace:
-    if row.nonce == proposed.nonce:
-        return Recorded(row)
-    return LostRace(row)
+def _compare_nonces(
+    proposed: change.Change, stored: change.Change
+) -> Recorded | LostRace:
+    if stored.nonce == proposed.nonce:
+        return Recorded(stored)
+    return LostRace(stored)
