--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -1,4 +1,4 @@
-"""Requests whose upstreams died: crash counts, suspects and quarantine."""
+"""Quarantine of requests that repeatedly crash the upstreams they run on."""
 
 import dataclasses
 import enum
@@ -6,11 +6,11 @@
 from snipelug_core import hashing, refusal
 
 CRASH_LIMIT = 2
-"""Crashes over the fleet after which a request is not sent again."""
+"""Number of crashes, over all nodes, after which a request is not sent again."""
 
 
 class Standing(enum.StrEnum):
-    """What the crash count of a request permits."""
+    """Classification of a request by its crash count."""
 
     CLEAR = "clear"
     SUSPECT = "suspect"
@@ -19,14 +19,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Crash:
-    """One request's loss of its upstream.
+    """The loss of an upstream while it was running a request.
 
     Attributes
     ----------
     id : str
-        Names the event, so that a report that arrives twice counts once.
+        Unique id of the event, so that a duplicate report is counted once.
     epoch : int
-        Epoch of the record that the node knew when it sent the request.
+        Epoch of the record as the node knew it when it sent the request.
     """
 
     id: str
@@ -36,12 +36,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Record:
-    """What is known about one fingerprint.
+    """Crashes recorded for one request fingerprint.
 
     Attributes
     ----------
     epoch : int
-        Grows with each release by an operator; crashes of requests sent in an
+        Incremented at each release by an operator; crashes of requests sent in an
         earlier epoch no longer count.
     """
 
@@ -60,7 +60,7 @@
 
 
 def classify(record: Record | None) -> Standing:
-    """Judge a request by the crashes of its fingerprint."""
+    """Classify a request by the number of crashes recorded for its fingerprint."""
     count = 0 if record is None else len(record.crashes)
     if count == 0:
         return Standing.CLEAR
@@ -76,7 +76,7 @@
 
 
 def merge(known: Record | None, other: Record) -> Record:
-    """Merge two views of a fingerprint; the order of merges does not matter."""
+    """Merge two records of a fingerprint; commutative, associative and idempotent."""
     if known is None or other.epoch > known.epoch:
         return other
     if other.epoch < known.epoch:
@@ -85,7 +85,7 @@
 
 
 def merge_record(records: Records, other: Record) -> bool:
-    """Merge a record from a peer or the table; True if it brought news."""
+    """Merge a record from a peer or the table; return whether anything changed."""
     known = records.get(other.fingerprint)
     merged = merge(known, other)
     records[other.fingerprint] = merged
@@ -93,12 +93,12 @@
 
 
 def release(record: Record) -> Record:
-    """Return the record after an operator released the request."""
+    """Return the record after its release from quarantine by an operator."""
     return dataclasses.replace(record, epoch=record.epoch + 1, crashes=frozenset())
 
 
 def build_refusal(record: Record) -> refusal.Refusal:
-    """Return the refusal of a quarantined request."""
+    """Build the refusal of a quarantined request."""
     upstreams = ", ".join(sorted({crash.upstream_id for crash in record.crashes}))
     message = (
         f"request {record.fingerprint} was running when {len(record.crashes)}"
