--- a/packages/snipelug-core/src/snipelug_core/load.py
+++ b/packages/snipelug-core/src/snipelug_core/load.py
@@ -1,4 +1,8 @@
-"""Lagged load reports, corrected by this node's own sends, and what they permit."""
+"""Load reports, corrected for this node's recent requests, and checks before a send.
+
+Reports lag behind the actual load, so the requests that this node has sent or
+completed since a report was made are added to it.
+"""
 
 import dataclasses
 import enum
@@ -7,23 +11,24 @@
 from snipelug_core import contract, table
 
 STALE_S = 2.0
-"""Longest time without an answered load read or a finished list read before a send.
+"""Age of the last load report or instance list read at which sending stops.
 
-Below the bound of 3 s on new work for a leaving upstream: a notice that appears
-right after a read is seen, or sending stops, within this time. The rest is for
+A leaving upstream must get no new work after 3 s. A notice that appears right after
+a read is seen within this time, or else sending stops. The remaining second is for
 the send itself.
 """
 
-LOOK_S = 0.75
-"""Age of a quiet upstream's load from which a send reads it again first.
+RECHECK_AGE_S = 0.75
+"""Age of an idle upstream's load report from which a send reads it again first.
 
-Without callers quiet upstreams are read only every second; the look keeps a silent
-change to cold visible as early as at upstreams that are read every 0.5 s.
+Without callers, idle upstreams are polled only once a second. The additional read
+detects an upstream that has turned cold as early as at upstreams that are polled
+every 0.5 s.
 """
 
 
 class Reason(enum.StrEnum):
-    """Why an upstream may not be sent to, or needs a grant."""
+    """Why no request may be sent to an upstream, or why it needs a grant."""
 
     NOT_CURRENT = "node_not_current"
     ZONE_OUT = "zone_out"
@@ -45,14 +50,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class NeedsGrant:
-    """The upstream counts as cold on this connection."""
+    """The upstream counts as cold on this connection, so a grant is needed."""
 
     reason: Reason
 
 
 @dataclasses.dataclass(frozen=True)
 class Excluded:
-    """No new work may go to the upstream."""
+    """No new request may be sent to the upstream."""
 
     reason: Reason
 
@@ -63,25 +68,25 @@
 def accept_report(
     upstream: table.Upstream, report: table.LoadReport, asked_at: float
 ) -> bool:
-    """Take a load report unless a newer one is known.
+    """Store a load report unless a newer one is known.
 
-    Reports of one boot are ordered by ``seq``. Boot ids have no order, so reports
-    of different boots are ordered by ``made_at``; an error there lasts until the
-    next report, since no boot id is excluded for good.
+    Reports of one boot are ordered by ``seq``. Boot ids are unordered, so reports
+    of different boots are ordered by ``made_at``. A wrong order lasts only until
+    the next report, since no boot id is ever excluded permanently.
 
     Parameters
     ----------
     upstream : Upstream
-        Changed in place.
+        Updated in place.
     report : LoadReport
-        The report read.
+        The received report.
     asked_at : float
-        Monotonic time before the report was asked for, in seconds.
+        Monotonic time, in seconds, taken before the report was requested.
 
     Returns
     -------
     bool
-        Whether the report was taken.
+        Whether the report was stored.
     """
     known = upstream.report
     is_newer = _is_newer(report, known)
@@ -113,45 +118,45 @@
 
 
 def record_sent(upstream: table.Upstream, now: float) -> None:
-    """Count a request as sent to the upstream."""
+    """Record that this node has sent a request to the upstream."""
     upstream.in_flight += 1
     upstream.changes.append((now, 1))
 
 
 def record_ended(upstream: table.Upstream, now: float) -> None:
-    """Count a request of this node at the upstream as ended."""
+    """Record that a request of this node at the upstream has ended."""
     upstream.in_flight -= 1
     upstream.changes.append((now, -1))
 
 
 def estimate_queue(upstream: table.Upstream) -> int:
-    """Estimate the requests running and waiting at the upstream now.
+    """Estimate the number of requests running and waiting at the upstream.
 
-    The report plus this node's sends since it was made, less the ends since then, and
-    what this node is about to send.
-    It is never below the requests that this node has at the upstream, which a late
-    report of an older state would otherwise hide.
+    The estimate is the reported number, plus the requests that this node has sent
+    since the report, minus those that have ended, plus those that it has queued for
+    the upstream. The part at the upstream is at least the number of requests that
+    this node has in flight there, which an outdated report would otherwise hide.
     """
     report = upstream.report
     if report is None:
         return upstream.in_flight + upstream.queued
-    since = sum(step for _, step in upstream.changes)
-    running = max(report.running + report.waiting + since, upstream.in_flight)
+    net_change = sum(delta for _, delta in upstream.changes)
+    running = max(report.running + report.waiting + net_change, upstream.in_flight)
     return running + upstream.queued
 
 
 def mark_connection_closed(upstream: table.Upstream, now: float) -> None:
-    """Count the upstream as cold because a connection to it was closed.
+    """Treat the upstream as cold because a connection to it was closed.
 
-    Also applies to a peer's notice, with the time at which it arrived. Lasts until
-    a report made later says warm.
+    Also used for notices from peers, with their time of arrival. The effect lasts
+    until a report made later than ``now`` says warm.
     """
     if upstream.suspect_since is None or now > upstream.suspect_since:
         upstream.suspect_since = now
 
 
 def is_idle(upstream: table.Upstream) -> bool:
-    """Return whether the upstream is known as warm and without any request."""
+    """Return whether the upstream is known to be warm and to have no requests."""
     report = upstream.report
     return (
         report is not None
@@ -161,34 +166,36 @@
 
 
 def needs_recheck(upstream: table.Upstream, now: float) -> bool:
-    """Return whether the load of a quiet upstream is to be read before a send."""
+    """Return whether an idle upstream's load must be read again before a send."""
     load_read_at = upstream.load_read_at
     return (
-        load_read_at is not None and now - load_read_at > LOOK_S and is_idle(upstream)
+        load_read_at is not None
+        and now - load_read_at > RECHECK_AGE_S
+        and is_idle(upstream)
     )
 
 
-def judge_leaving(
+def find_exclusion(
     upstream: table.Upstream,
     cfg: contract.Config,
     now: float,
     list_tried_at: float | None,
 ) -> Excluded | None:
-    """Return why the upstream gets no new work at all, if so.
+    """Return why the upstream must not get new work; None if it may.
 
     Parameters
     ----------
     upstream : Upstream
-        The upstream.
+        Upstream to check.
     cfg : Config
-        Configuration in force. The caller checks that it is current.
+        Configuration in force. The caller must check that it is current.
     now : float
         Monotonic time in seconds.
     list_tried_at : float or None
-        Monotonic time before the newest finished read of the instance list was
-        started, in seconds. A read that failed counts as finished: an outage of the
-        list stops no work, but a node that was paused reads the list before it
-        sends again.
+        Monotonic time, in seconds, taken before the start of the most recent
+        completed read of the instance list. A failed read counts as completed, so
+        that an outage of the list does not stop all work, while a node that was
+        paused reads the list before it sends again.
     """
     inst = upstream.instance
     report = upstream.report
@@ -210,15 +217,15 @@
 def check_warmth(
     upstream: table.Upstream, conn_opened_at: float
 ) -> Allowed | NeedsGrant:
-    """Judge whether the upstream is warm on one connection.
+    """Check whether the upstream counts as warm on a connection.
 
     Parameters
     ----------
     upstream : Upstream
-        The upstream.
+        Upstream to check.
     conn_opened_at : float
         Monotonic time at which the connection was opened, in seconds; ``inf``
-        for one that is still to be opened.
+        for a connection that is not open yet.
     """
     report = upstream.report
     if report is None:
@@ -240,12 +247,13 @@
     now: float,
     list_tried_at: float | None,
 ) -> Verdict:
-    """Judge whether a request may go to the upstream over one connection now.
+    """Check whether a request may be sent to the upstream over a connection now.
 
-    Pure and without suspension, so that it can be the last step before the bytes
-    are sent. Parameters as in `judge_leaving` and `judge_warmth`.
+    The check has no side effects and does not suspend, so that it can be the last
+    step before the bytes are sent. For the parameters see `find_exclusion` and
+    `check_warmth`.
     """
-    barred = judge_leaving(upstream, cfg, now, list_tried_at)
-    if barred is not None:
-        return barred
+    excluded = find_exclusion(upstream, cfg, now, list_tried_at)
+    if excluded is not None:
+        return excluded
     return check_warmth(upstream, conn_opened_at)
