--- a/packages/snipelug-core/src/snipelug_core/table.py
+++ b/packages/snipelug-core/src/snipelug_core/table.py
@@ -1,4 +1,4 @@
-"""Entities shared by the systems, in tables keyed by id."""
+"""Instances, load reports and upstreams, in tables keyed by id."""
 
 import collections
 import dataclasses
@@ -6,7 +6,7 @@
 
 
 class Role(enum.StrEnum):
-    """What an instance does."""
+    """Role of an instance."""
 
     NODE = "node"
     ENGINE = "engine"
@@ -15,7 +15,7 @@
 
 
 class Warmth(enum.StrEnum):
-    """State of an upstream as this node may assume it."""
+    """Readiness state of an upstream."""
 
     COLD = "cold"
     WARM = "warm"
@@ -24,14 +24,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Instance:
-    """One row of the platform's instance list.
+    """An entry of the platform's instance list.
 
     Attributes
     ----------
     name : str
-        For a service, the name under which callers reach it; else empty.
+        For a service, the name under which callers reach it; for an engine, its
+        model, or empty if it serves all models.
     leaving : bool
-        The platform will remove the instance.
+        Whether the platform is about to remove the instance.
     """
 
     id: str
@@ -45,23 +46,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
-    """A load report of an upstream.
+    """A load report received from an upstream.
 
     Attributes
     ----------
     boot_id : str
-        Changes when the upstream restarts.
+        Identifies one run of the upstream; changes when it restarts.
     state : Warmth
-        State that the upstream reports.
+        State reported by the upstream.
     running, waiting : int
-        Requests in execution and in the upstream's own queue.
+        Number of requests running and waiting in the upstream's own queue.
     seq : int
-        Grows with each report of one boot.
+        Increases with each report of one boot.
     made_at : float
-        Receiver's monotonic time before it asked for the report, in seconds,
-        less the reported age.
+        Lower bound of the time at which the report was made: the receiver's
+        monotonic time before it requested the report, minus the reported age, in
+        seconds.
     weight_version : str
-        Weight version that new requests will run on.
+        Weight version that new requests run on.
     """
 
     boot_id: str
@@ -75,24 +77,27 @@
 
 @dataclasses.dataclass
 class Upstream:
-    """An engine or plain service, as one node sees it.
+    """A node's view of an engine or a service.
 
     Attributes
     ----------
     report : LoadReport or None
-        Newest load report.
+        Newest load report, if any was received.
     suspect_since : float or None
         Monotonic time since which the upstream counts as cold because a
-        connection to it closed, until a newer report says warm.
+        connection to it was closed. Superseded by a newer report that says warm.
     in_flight : int
-        Requests of this node now at the upstream.
+        Number of requests of this node that are running or waiting at the
+        upstream.
     queued : int
-        Requests of this node that wait for the right to be sent there.
-    heard_at : float or None
-        Monotonic time before the newest answered load read was asked, in seconds.
+        Number of requests of this node that wait for permission to be sent to
+        the upstream.
+    load_read_at : float or None
+        Monotonic time, in seconds, taken before the most recent successful read
+        of the load report was started.
     changes : deque of (float, int)
-        Times of this node's sends (+1) and of their ends (-1) since the report
-        was made, in seconds.
+        Times, in seconds, at which this node's requests were sent (+1) or ended
+        (-1) since the report was made.
     """
 
     instance: Instance
@@ -108,7 +113,7 @@
 
 @dataclasses.dataclass
 class Tables:
-    """All entities that one node's systems share."""
+    """Tables shared by the components of a node."""
 
     instances: dict[str, Instance] = dataclasses.field(default_factory=dict)
     upstreams: dict[str, Upstream] = dataclasses.field(default_factory=dict)
