Reword core.stream

Private names: _parts -> _text_parts, _repeat -> _replay_text, _repeated -> _replay_matched, _sent_id -> _run_id_field, _own_id -> _caller_id_field, _with_own_id -> _with_caller_id, _learn -> _build_template, _account -> _record_choice, _take -> _process_line, _skip_repeated -> _skip_replayed, _end -> _end_with_error, _held_bytes -> _buffered_bytes (read by test_stream, which follows).

--- a/packages/snipelug-core/src/snipelug_core/stream.py
+++ b/packages/snipelug-core/src/snipelug_core/stream.py
@@ -1,4 +1,4 @@
-"""Answers as streams: parsing, identity, completeness, resumption, pace."""
+"""Streamed responses: event parsing, run ids, completeness, resumption, read timing."""
 
 import collections.abc
 import dataclasses
@@ -9,20 +9,21 @@
 from snipelug_core import refusal
 
 MAX_EVENT_BYTES = 256 * 1024
-"""Longest event of a stream; engines send a few hundred bytes per token."""
+"""Maximum size of an event; engines send a few hundred bytes per token."""
 
 MAX_RELAY_DELAY_S = 0.010
-"""Longest time that a token waits in the relay, in seconds."""
+"""Maximum time that a token waits in the relay, in seconds."""
 
 PASS_INTERVAL_S = 0.006
-"""Time between reads of all streams.
+"""Time between passes that read all streams, in seconds.
 
-The rest of ``HOLD_S`` is for the reads of a pass and for timers, which trio rounds
-up to a millisecond; with 8 ms, 8% of tokens waited longer than ``HOLD_S``.
+The remainder of ``MAX_RELAY_DELAY_S`` covers the reads of a pass and timers, which
+trio rounds up to a millisecond. With 8 ms, 8% of the tokens waited longer than
+``MAX_RELAY_DELAY_S``.
 """
 
 MAX_ATTEMPTS = 3
-"""Runs of one answer, the first included."""
+"""Maximum number of runs of one request, including the first."""
 
 DONE = b"[DONE]"
 DATA_FIELD = b"data: "
@@ -31,17 +32,21 @@
 TEXT_FIELDS = frozenset({"role", "content"})
 
 MAX_TEMPLATES = 4
-"""Templates learned per run; an engine whose chunks all differ gains nothing."""
+"""Maximum number of templates built per run.
+
+Templates do not pay off for an engine whose chunks all differ, so building stops.
+"""
 
 PLACEHOLDER = "snipelug-placeholder"
-"""Text that stands for a chunk's text while its template is checked."""
+"""Stands in for the text of a chunk while its template is verified."""
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
 # Incremental parsing of server-sent events.
 
 
-# Not frozen: that doubles the time to make one (0.6 us), and there is one per token.
+# Not frozen, because that doubles the construction time (0.6 us), and there is one per
+# token.
 @dataclasses.dataclass(slots=True)
 class Event:
     """The data of one server-sent event."""
@@ -51,20 +56,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Oversized:
-    """An event is longer than the parser accepts; the stream is unusable."""
+    """An event exceeds the size limit of the parser; the stream is unusable."""
 
     limit_bytes: int
 
 
 class Parser:
-    """Parse server-sent events from pieces of any size.
+    """Incremental parser of server-sent events.
 
-    Memory is bounded by the longest event plus the piece that is being parsed.
+    Memory is bounded by the maximum event size plus the piece being parsed.
 
     Parameters
     ----------
     limit_bytes : int
-        Longest event accepted, in bytes.
+        Maximum size of an event, in bytes.
     """
 
     def __init__(self, limit_bytes: int = MAX_EVENT_BYTES) -> None:
@@ -77,8 +82,8 @@
         self._failed = False
 
     def feed(self, piece: bytes) -> list[Event | Oversized]:
-        """Return the events that a piece completes; consume it wholly."""
-        # Most pieces are one event of one line.
+        """Consume a piece of any size and return the events that it completes."""
+        # Fast path: most pieces consist of exactly one event of one line.
         end = len(piece) - len(EVENT_END)
         if (
             piece.startswith(DATA_FIELD)
@@ -93,24 +98,24 @@
         return list(self._feed_lines(piece))
 
     def is_between_events(self) -> bool:
-        """Return whether the next piece begins a line of a new event."""
+        """Return whether the next piece starts at the beginning of an event."""
         return not (self._line or self._data or self._after_cr or self._failed)
 
     def _feed_lines(self, piece: bytes) -> collections.abc.Iterator[Event | Oversized]:
         for line in self._lines(piece):
             if self._failed:
                 break
-            event = self._take(line)
+            event = self._process_line(line)
             if event is not None:
                 yield event
-        if not self._failed and self._held_bytes() > self.limit_bytes:
+        if not self._failed and self._buffered_bytes() > self.limit_bytes:
             self._failed = True
         if self._failed:
             self._line.clear()
             self._data.clear()
             yield Oversized(self.limit_bytes)
 
-    def _held_bytes(self) -> int:
+    def _buffered_bytes(self) -> int:
         return len(self._line) + self._data_bytes
 
     def _lines(self, piece: bytes) -> collections.abc.Iterator[bytes]:
@@ -122,12 +127,12 @@
             if not ended:
                 self._line += line
                 return
-            whole = bytes(self._line) + line if self._line else line
+            complete_line = bytes(self._line) + line if self._line else line
             self._line.clear()
-            yield whole.rstrip(b"\r\n")
+            yield complete_line.rstrip(b"\r\n")
         self._after_cr = piece.endswith(b"\r")
 
-    def _take(self, line: bytes) -> Event | None:
+    def _process_line(self, line: bytes) -> Event | None:
         if self._at_start:
             line = line.removeprefix(b"\xef\xbb\xbf")
             self._at_start = False
@@ -150,7 +155,7 @@
         return event
 
 
-# Chunks of an answer.
+# Chunks of a response.
 
 
 class Usage(msgspec.Struct, frozen=True):
@@ -162,7 +167,7 @@
 
 
 class Choice(msgspec.Struct):
-    """One choice of a chunk."""
+    """One choice within a chunk."""
 
     index: int = 0
     delta: dict[str, typing.Any] = {}
@@ -187,19 +192,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Relay:
-    """Bytes of one event that the caller receives."""
+    """The event is forwarded to the caller in this form."""
 
     data: bytes
 
 
 @dataclasses.dataclass(frozen=True)
 class Ignored:
-    """Nothing for the caller, such as the repeated start of a resumed run."""
+    """The event is not forwarded, such as the replayed start of a resumed run."""
 
 
 @dataclasses.dataclass(frozen=True)
 class WrongRun:
-    """A chunk of another run; the connection must be closed."""
+    """The chunk belongs to another run; the connection must be closed."""
 
     expected_id: str
     chunk_id: str
@@ -207,21 +212,27 @@
 
 @dataclasses.dataclass(frozen=True)
 class AfterEnd:
-    """A chunk after the end of the answer; the connection must be closed."""
+    """The chunk came after the end of the response; the connection must be closed."""
 
     chunk_id: str
 
 
 @dataclasses.dataclass(frozen=True)
 class Malformed:
-    """An event that is not a chunk; the connection must be closed."""
+    """The event is not a valid chunk; the connection must be closed."""
 
     reason: str
 
 
 @dataclasses.dataclass(frozen=True)
 class Diverged:
-    """A resumed run repeated other text than the caller has received."""
+    """A resumed run replayed a different text than the caller has received.
+
+    Attributes
+    ----------
+    offset : int
+        Number of characters that matched.
+    """
 
     offset: int
 
@@ -231,7 +242,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Complete:
-    """The whole answer arrived."""
+    """The complete response arrived."""
 
     usage: Usage
     finish_reason: str
@@ -239,7 +250,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Incomplete:
-    """The answer lacks parts."""
+    """Parts of the response are missing."""
 
     missing: tuple[str, ...]
 
@@ -248,51 +259,51 @@
     """Return the id of one run of a request.
 
     Each attempt has its own id, so that a late chunk of the first run is not
-    taken for one of the resumed run.
+    mistaken for a chunk of the resumed run.
     """
     return f"{request_id}.{attempt}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Template:
-    """What surrounds the text in the events of a run, as sent and as relayed."""
+    """Bytes around the text in the events of a run, as received and as relayed."""
 
-    sent_before: bytes
-    sent_after: bytes
-    own_before: bytes
-    own_after: bytes
+    received_before: bytes
+    received_after: bytes
+    relayed_before: bytes
+    relayed_after: bytes
 
 
 class Response:
-    """Account for the answer to one request over all of its runs.
+    """Track the streamed response to one request over all of its runs.
 
     Parameters
     ----------
     request_id : str
-        Id that the caller sees in each chunk.
+        Id in each chunk that the caller receives.
 
     Attributes
     ----------
     attempt : int
-        Number of the run that is accepted now, from 1.
+        Number of the current run, starting at 1.
     run_id : str
-        Id that each chunk of the accepted run must carry.
+        Id that each chunk of the current run must carry.
     """
 
     def __init__(self, request_id: str) -> None:
         self.request_id = request_id
         self.attempt = 0
         self._start_run()
-        self._parts: list[str] = []
-        self._repeat = ""
-        self._repeated = 0
-        self._plain = True
+        self._text_parts: list[str] = []
+        self._replay_text = ""
+        self._replay_matched = 0
+        self._is_plain_text = True
 
     def _start_run(self) -> None:
         self.attempt += 1
         self.run_id = run_id(self.request_id, self.attempt)
-        self._sent_id = b'"id":"%s"' % self.run_id.encode()
-        self._own_id = b'"id":"%s"' % self.request_id.encode()
+        self._run_id_field = b'"id":"%s"' % self.run_id.encode()
+        self._caller_id_field = b'"id":"%s"' % self.request_id.encode()
         self._finish_reason: str | None = None
         self._usage: Usage | None = None
         self._done = False
@@ -302,15 +313,15 @@
     @property
     def text(self) -> str:
         """Text relayed so far."""
-        return "".join(self._parts)
+        return "".join(self._text_parts)
 
     @property
     def is_plain_text(self) -> bool:
-        """Whether all that was relayed is the text of a single choice."""
-        return self._plain
+        """Whether only the text of a single choice was relayed so far."""
+        return self._is_plain_text
 
     def accept(self, event: Event) -> Verdict:
-        """Judge one event of the accepted run."""
+        """Process an event of the current run."""
         if event.data == DONE:
             return self._accept_done()
         try:
@@ -326,25 +337,25 @@
         return self._accept_chunk(chunk, event.data)
 
     def relay_by_template(self, piece: bytes) -> bytes | None:
-        """Relay an event that differs in its text only from one that was accepted.
+        """Relay an event that differs from an accepted one only in its text.
 
-        Such an event needs no parsing: all other bytes, the run's id among them,
-        are compared, and a text without quotes and escapes can't end early.
+        Such an event needs no parsing: all other bytes, including the id of the run,
+        are compared, and a text without quotes and escapes cannot end early.
 
         Parameters
         ----------
         piece : bytes
-            Bytes of the stream that begin where an event begins.
+            Bytes of the stream, starting at the beginning of an event.
 
         Returns
         -------
         bytes or None
-            What the caller receives; None if the piece must be parsed.
+            The event to forward to the caller; None if the piece must be parsed.
         """
-        known = self._template
-        if known is None:
+        template = self._template
+        if template is None:
             return None
-        before, after = known.sent_before, known.sent_after
+        before, after = template.received_before, template.received_after
         raw = piece[len(before) : -len(after)]
         if (
             len(piece) < len(before) + len(after)
@@ -358,34 +369,34 @@
             text = raw.decode()
         except UnicodeDecodeError:
             return None
-        # Control characters, line ends among them, are not printable.
+        # Control characters, including line breaks, are not printable.
         if not text.isprintable():
             return None
-        self._parts.append(text)
-        return b"%s%s%s" % (known.own_before, raw, known.own_after)
+        self._text_parts.append(text)
+        return b"%s%s%s" % (template.relayed_before, raw, template.relayed_after)
 
     def resume(self, repeats: bool) -> str:
-        """Start the next run and return the text that it continues.
+        """Start the next run and return the text relayed so far.
 
         Parameters
         ----------
         repeats : bool
-            Whether the run sends the earlier text again, as a run from the
-            prompt does; the text is then checked and not relayed twice.
+            Whether the run produces the text so far again, as a run that starts
+            from the prompt does. That text is then verified and not relayed again.
         """
         self._start_run()
-        self._repeat = self.text if repeats else ""
-        self._repeated = 0
+        self._replay_text = self.text if repeats else ""
+        self._replay_matched = 0
         return self.text
 
     def outcome(self) -> Complete | Incomplete:
-        """Return whether the answer is complete, once its connection ended."""
+        """Return whether the response was complete when its connection ended."""
         parts = {
             "finish_reason": self._finish_reason is not None,
             "usage": self._usage is not None,
             "done": self._done,
         }
-        missing = tuple(name for name, there in parts.items() if not there)
+        missing = tuple(name for name, present in parts.items() if not present)
         if missing or self._finish_reason is None or self._usage is None:
             return Incomplete(missing)
         return Complete(self._usage, self._finish_reason)
@@ -399,27 +410,27 @@
         return Relay(DONE_EVENT)
 
     def _accept_chunk(self, chunk: Chunk, data: bytes) -> Verdict:
-        cut = self._repeated < len(self._repeat)
-        if self._repeated < len(self._repeat):
-            fault = self._skip_repeated(chunk)
+        trimmed = self._replay_matched < len(self._replay_text)
+        if self._replay_matched < len(self._replay_text):
+            fault = self._skip_replayed(chunk)
             if fault is not None:
                 return fault
         for choice in chunk.choices:
-            self._account(choice)
+            self._record_choice(choice)
         if chunk.usage is not None:
             self._usage = chunk.usage
         if not chunk.choices and chunk.usage is None:
             return Ignored()
         if self._finish_reason is not None:
             self._template = None
-        elif self._templates_left and not cut:
-            self._learn(chunk, data)
+        elif self._templates_left and not trimmed:
+            self._build_template(chunk, data)
         chunk.id = self.request_id
-        own = None if cut else self._with_own_id(data)
-        return Relay(own or b"%s%s\n\n" % (DATA_FIELD, _encoder.encode(chunk)))
+        rewritten = None if trimmed else self._with_caller_id(data)
+        return Relay(rewritten or b"%s%s\n\n" % (DATA_FIELD, _encoder.encode(chunk)))
 
-    def _learn(self, chunk: Chunk, data: bytes) -> None:
-        """Make a template of a chunk that has one choice and does not end it."""
+    def _build_template(self, chunk: Chunk, data: bytes) -> None:
+        """Build a template from a chunk that carries one choice and no usage."""
         if len(chunk.choices) != 1 or chunk.usage is not None:
             return
         choice = chunk.choices[0]
@@ -430,76 +441,78 @@
         if not found:
             return
         self._templates_left -= 1
-        place = b'"%s"' % PLACEHOLDER.encode()
-        other = before + place + after
+        quoted = b'"%s"' % PLACEHOLDER.encode()
+        other = before + quoted + after
         try:
             decoded = _decoder.decode(other)
         except (msgspec.MsgspecError, ValueError, RecursionError):
             return
-        # Proves that the place found is the one from which the text was taken.
+        # Verifies that the text was found in the content of the choice, not elsewhere.
         delta = choice.delta | {"content": PLACEHOLDER}
         expected = msgspec.structs.replace(choice, delta=delta)
         if decoded != msgspec.structs.replace(chunk, choices=[expected]):
             return
-        own = self._with_own_id(other)
-        if own is None or own.count(place) != 1:
+        rewritten = self._with_caller_id(other)
+        if rewritten is None or rewritten.count(quoted) != 1:
             return
-        own_before, _, own_after = own.partition(place)
+        relayed_before, _, relayed_after = rewritten.partition(quoted)
         self._template = _Template(
             DATA_FIELD + before + b'"',
             b'"' + after + EVENT_END,
-            own_before + b'"',
-            b'"' + own_after,
+            relayed_before + b'"',
+            b'"' + relayed_after,
         )
 
-    def _with_own_id(self, data: bytes) -> bytes | None:
-        """Return the event as sent, with the caller's id; None if that is not safe.
+    def _with_caller_id(self, data: bytes) -> bytes | None:
+        """Replace the id in the raw event by the caller's; None if that is unsafe.
 
-        Encoding it again would drop the fields that this module does not know.
+        Re-encoding the chunk would drop the fields that this module does not know.
         """
-        before, found, after = data.partition(self._sent_id)
-        if not found or self._sent_id in after or b"\n" in data:
+        before, found, after = data.partition(self._run_id_field)
+        if not found or self._run_id_field in after or b"\n" in data:
             return None
-        return b"%s%s%s%s\n\n" % (DATA_FIELD, before, self._own_id, after)
+        return b"%s%s%s%s\n\n" % (DATA_FIELD, before, self._caller_id_field, after)
 
-    def _skip_repeated(self, chunk: Chunk) -> Ignored | Diverged | None:
-        """Cut repeated text from a chunk; None if something remains of it."""
+    def _skip_replayed(self, chunk: Chunk) -> Ignored | Diverged | None:
+        """Remove replayed text from a chunk; return None if there is more to relay."""
         remains = chunk.usage is not None
         for choice in chunk.choices:
             text = choice.delta.get("content") or ""
             if choice.index != 0 or not isinstance(text, str):
-                return Diverged(self._repeated)
-            expected = self._repeat[self._repeated : self._repeated + len(text)]
+                return Diverged(self._replay_matched)
+            expected = self._replay_text[
+                self._replay_matched : self._replay_matched + len(text)
+            ]
             if not text.startswith(expected):
-                return Diverged(self._repeated)
-            self._repeated += len(expected)
+                return Diverged(self._replay_matched)
+            self._replay_matched += len(expected)
             choice.delta = {"content": text[len(expected) :]}
             ended = choice.finish_reason is not None
-            if ended and self._repeated < len(self._repeat):
-                return Diverged(self._repeated)
+            if ended and self._replay_matched < len(self._replay_text):
+                return Diverged(self._replay_matched)
             remains = remains or ended or len(text) > len(expected)
         return None if remains else Ignored()
 
-    def _account(self, choice: Choice) -> None:
+    def _record_choice(self, choice: Choice) -> None:
         if choice.finish_reason is not None:
             self._finish_reason = choice.finish_reason
         content = choice.delta.get("content")
         if isinstance(content, str):
-            self._parts.append(content)
+            self._text_parts.append(content)
             if choice.delta.keys() <= TEXT_FIELDS and choice.index == 0:
                 return
         used = {name for name, value in choice.delta.items() if value is not None}
         text_only = content is None or isinstance(content, str)
         if choice.index != 0 or not used <= TEXT_FIELDS or not text_only:
-            self._plain = False
+            self._is_plain_text = False
 
 
-# What to do when the upstream is lost.
+# Recovery after the loss of an upstream.
 
 
 @dataclasses.dataclass(frozen=True)
 class Sampling:
-    """The parts of a request that decide whether its answer can be repeated."""
+    """Request parameters that determine whether its response is reproducible."""
 
     temperature: float | None = None
     seed: int | None = None
@@ -507,25 +520,25 @@
 
     @property
     def deterministic(self) -> bool:
-        """Whether a second run gives the same text."""
+        """Whether a second run produces the same text."""
         return self.temperature == 0 or self.seed is not None
 
 
 @dataclasses.dataclass(frozen=True)
 class Restart:
-    """Run the request again from the start; the caller has received nothing."""
+    """Run the request again from the start; the caller has received no content."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Resume:
-    """Run the rest of the request and send the text so far along."""
+    """Continue the response in a new run from the text so far."""
 
     text: str
 
 
 @dataclasses.dataclass(frozen=True)
 class SendDone:
-    """Send ``DONE_EVENT``; nothing else of the answer is missing."""
+    """Send ``DONE_EVENT``; only that is missing from the response."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -536,67 +549,73 @@
 
 
 def recover(
-    answer: Response, sampling: Sampling, ran_version: str, next_version: str
+    response: Response, sampling: Sampling, ran_version: str, next_version: str
 ) -> Restart | Resume | SendDone | EndWithError:
-    """Decide how an answer goes on after its upstream was lost.
+    """Decide how to proceed with a response after its upstream was lost.
 
     Parameters
     ----------
-    answer : Answer
-        Account of the answer so far.
+    response : Response
+        State of the response.
     sampling : Sampling
-        How the request is sampled.
+        Sampling parameters of the request.
     ran_version, next_version : str
-        Weight version of the lost run and of the upstream that could go on;
+        Weight versions of the lost run and of the upstream that could continue it;
         empty if unknown.
     """
-    text = answer.text
-    outcome = answer.outcome()
+    text = response.text
+    outcome = response.outcome()
     missing = outcome.missing if isinstance(outcome, Incomplete) else ()
     if "usage" not in missing and "finish_reason" not in missing:
         return SendDone()
     if "finish_reason" not in missing:
-        # A run that continues a finished text would add to it.
-        return _end("upstream lost before the usage of the answer", text)
-    if answer.attempt >= MAX_ATTEMPTS:
-        return _end(f"upstream lost in attempt {answer.attempt}", text)
-    if answer.is_plain_text and not text:
+        # A new run that continued the finished text would append to it.
+        return _end_with_error("upstream lost before the usage of the response", text)
+    if response.attempt >= MAX_ATTEMPTS:
+        return _end_with_error(f"upstream lost in attempt {response.attempt}", text)
+    if response.is_plain_text and not text:
         return Restart()
     if not sampling.deterministic:
-        return _end("upstream lost, and the request is not deterministic", text)
-    if not answer.is_plain_text or sampling.choices != 1:
-        return _end("upstream lost, and the answer is not plain text", text)
+        return _end_with_error(
+            "upstream lost, and the request is not deterministic", text
+        )
+    if not response.is_plain_text or sampling.choices != 1:
+        return _end_with_error(
+            "upstream lost, and the response is not plain text", text
+        )
     if not ran_version or ran_version != next_version:
-        return _end("upstream lost, and its weight version is not available", text)
+        return _end_with_error(
+            "upstream lost, and its weight version is not available", text
+        )
     return Resume(text)
 
 
 def error_event(reason: refusal.Refusal) -> bytes:
-    """Render the event that ends a stream without ``[DONE]``."""
+    """Encode the error event that ends a stream in place of ``[DONE]``."""
     return b"data: " + _encoder.encode(reason.content()) + b"\n\n"
 
 
-def _end(message: str, text: str) -> EndWithError:
-    state = refusal.RunState.RAN if text else refusal.RunState.UNKNOWN
-    return EndWithError(refusal.refuse(refusal.UPSTREAM_LOST, message, state))
+def _end_with_error(message: str, text: str) -> EndWithError:
+    run_state = refusal.RunState.RAN if text else refusal.RunState.UNKNOWN
+    return EndWithError(refusal.refuse(refusal.UPSTREAM_LOST, message, run_state))
 
 
-# Reading of all streams in passes.
+# Reading all streams in passes.
 
 
 def next_pass_at(begun_at: float, reads: int) -> float:
-    """Return when all streams that have data are read again.
+    """Return when the next pass over all streams with data starts.
 
-    What was read is written at once. Passes that find several streams with data
-    are ``PASS_INTERVAL_S`` apart, so that one wake-up serves many chunks and chunks
-    of one stream share a read and a write; while there is little to read, chunks
-    are read as they arrive.
+    Data is written as soon as it is read. After a pass that read several streams, the
+    next one starts ``PASS_INTERVAL_S`` later, so that one wake-up serves many chunks
+    and chunks of one stream share a read and a write. Under low load, chunks are read
+    as they arrive.
 
     Parameters
     ----------
     begun_at : float
-        Time at which the last pass began, in seconds.
+        Time at which the last pass started, in seconds.
     reads : int
-        Streams that it read.
+        Number of streams that it read.
     """
     return begun_at + PASS_INTERVAL_S if reads > 1 else begun_at
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -256,7 +256,7 @@
     parser = stream.Parser(limit_bytes=100)
     outcomes = [list(parser.feed(line)) for _ in range(1000)]
     assert outcomes[-1] == [stream.Oversized(100)]
-    assert parser._held_bytes() <= 100 + len(line)
+    assert parser._buffered_bytes() <= 100 + len(line)
 
 
 VARIED = st.lists(
