--- a/packages/snipelug-core/src/snipelug_core/connection.py
+++ b/packages/snipelug-core/src/snipelug_core/connection.py
@@ -1,4 +1,4 @@
-"""Which connections to upstreams are opened before they are needed."""
+"""Planning of connections to upstreams that are opened in advance."""
 
 import collections.abc
 import dataclasses
@@ -6,17 +6,17 @@
 from snipelug_core import table
 
 IDLE_CONNECTIONS = 8
-"""Idle connections kept per upstream.
+"""Number of idle connections kept per upstream.
 
-A connection may carry requests without a grant only once a load report newer than
-the connection has arrived, so one opened for a request would delay it by the lag
-of the reports.
+A connection may carry requests without a grant only after a load report newer than
+the connection has arrived. Opening a connection on demand would therefore delay the
+request by the lag of the load reports.
 """
 
 
 @dataclasses.dataclass(frozen=True)
 class OpenConnections:
-    """Open idle connections to an upstream."""
+    """An action: open a number of idle connections to an upstream."""
 
     upstream_id: str
     count: int
@@ -25,7 +25,7 @@
 def plan_connections(
     tables: table.Tables, idle_count: collections.abc.Callable[[table.Instance], int]
 ) -> collections.abc.Iterator[OpenConnections]:
-    """Yield the connections to open now."""
+    """Yield the connections to open now, for all reachable upstreams."""
     for upstream in tables.upstreams.values():
         inst = upstream.instance
         reachable = upstream.report is not None and not inst.leaving
--- a/packages/snipelug-core/src/snipelug_core/refusal.py
+++ b/packages/snipelug-core/src/snipelug_core/refusal.py
@@ -1,11 +1,11 @@
-"""Refusals: why a request is not answered, and whether it ran."""
+"""Refusals: why a request was refused, and whether an upstream executed it."""
 
 import dataclasses
 import enum
 
 
 class RunState(enum.StrEnum):
-    """What is known about the execution of a refused request."""
+    """Whether an upstream executed a refused request."""
 
     NOT_RUN = "not_run"
     RAN = "ran"
@@ -19,11 +19,11 @@
     Attributes
     ----------
     code : str
-        Stable code that programs may compare.
+        Stable, machine-readable error code.
     status : int
-        HTTP status of the answer.
+        HTTP status of the response.
     retry_after_s : float or None
-        Default of the time after which a retry can help, in seconds.
+        Default time after which a retry may succeed, in seconds.
     """
 
     code: str
@@ -33,18 +33,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refusal:
-    """One refusal, as a value.
+    """The refusal of one request.
 
     Attributes
     ----------
     kind : Kind
         The kind of refusal.
     message : str
-        What was wrong, for people.
+        Human-readable explanation.
     run_state : RunState
-        ``NOT_RUN`` only if it is known that nothing was sent to an upstream.
+        ``NOT_RUN`` only if the request was certainly not sent to an upstream.
     retry_after_s : float or None
-        Time after which a retry can help, in seconds.
+        Time after which a retry may succeed, in seconds.
     """
 
     kind: Kind
@@ -53,7 +53,7 @@
     retry_after_s: float | None = None
 
     def content(self) -> dict[str, object]:
-        """Return the JSON content of the refusal."""
+        """Return the JSON body of the error response."""
         detail = {
             "code": self.kind.code,
             "message": self.message,
@@ -91,6 +91,6 @@
     run_state: RunState = RunState.NOT_RUN,
     retry_after_s: float | None = None,
 ) -> Refusal:
-    """Build a refusal; the kind's default is used if no retry time is given."""
+    """Build a refusal; the retry time defaults to that of the kind."""
     wait_s = kind.retry_after_s if retry_after_s is None else retry_after_s
     return Refusal(kind, message, run_state, wait_s)
--- a/packages/snipelug-core/src/snipelug_core/weights.py
+++ b/packages/snipelug-core/src/snipelug_core/weights.py
@@ -1,4 +1,4 @@
-"""Which engines are ordered to load weights, and when."""
+"""Weight loads: which engines must load another version, and how many at once."""
 
 import collections.abc
 import dataclasses
@@ -11,7 +11,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Holder:
-    """One weight load in progress, in the row that limits loads at once.
+    """A weight load in progress, as listed in the row that limits concurrent loads.
 
     Attributes
     ----------
@@ -25,14 +25,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadOrder:
-    """An engine to order.
+    """An order to an engine to load a weight version.
 
     Attributes
     ----------
     weight_version : str
-        Orders are absolute, so that repeating one does no harm.
+        Version to load. Orders are idempotent because they name the target version.
     fencing : int
-        Fencing number of this node's owner row for the engine.
+        Fencing token of this node's owner row for the engine.
     """
 
     upstream_id: str
@@ -41,10 +41,10 @@
 
 
 def wanted_version(inst: table.Instance, cfg: contract.Config) -> str:
-    """Return the weight version that an engine should serve, empty for any.
+    """Return the weight version that an engine should serve; empty for any version.
 
-    An engine without a model name serves all models; it is ordered only if all
-    of them name the same version.
+    An engine without a model name serves all models. It has a wanted version only if
+    all models specify the same one.
     """
     if inst.name:
         model = cfg.models.get(inst.name)
@@ -58,11 +58,11 @@
     cfg: contract.Config,
     fencing_of: collections.abc.Callable[[str], int | None],
 ) -> collections.abc.Iterator[LoadOrder]:
-    """Yield the loads that this node's engines need, as reported now.
+    """Yield load orders for this node's engines that report an unwanted version.
 
-    The comparison with the reported version is repeated on every tick. If a late
-    order of an earlier owner took effect at an engine that ignores fencing
-    numbers, the next report shows it and the load is ordered again.
+    The comparison with the reported version is repeated on every tick. If a delayed
+    order of a previous owner took effect at an engine that ignores fencing tokens,
+    the next report shows it and the load is ordered again.
     """
     for upstream in tables.upstreams.values():
         inst = upstream.instance
@@ -78,46 +78,46 @@
 
 @dataclasses.dataclass(frozen=True)
 class SlotTaken:
-    """A slot is held; write these holders if they differ from those read."""
+    """A slot was taken; write these holders if they differ from those read."""
 
     holders: tuple[Holder, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class NoSlot:
-    """As many loads are in progress as the deployment allows."""
+    """No slot is free: the maximum number of concurrent loads is in progress."""
 
     in_progress: int
 
 
 def take_slot(
     holders: collections.abc.Iterable[Holder],
-    mine: Holder,
+    requested: Holder,
     live_sessions: collections.abc.Container[str],
     limit: int,
 ) -> SlotTaken | NoSlot:
-    """Take one of the slots for loads at once.
+    """Take one of the slots that limit concurrent loads.
 
     Parameters
     ----------
     holders : iterable of Holder
-        Holders in the row as read; the result is written over that version.
-    mine : Holder
+        Holders in the row as read; the result replaces that version of the row.
+    requested : Holder
         The load to start.
     live_sessions : container of str
-        Sessions that exist; the slots of others are free.
+        Existing sessions; slots held by other sessions are free.
     limit : int
-        Loads allowed at once in the deployment.
+        Maximum number of concurrent loads in the deployment.
     """
     kept = [h for h in holders if h.session in live_sessions]
-    others = [h for h in kept if h.upstream != mine.upstream]
+    others = [h for h in kept if h.upstream != requested.upstream]
     if len(others) >= limit:
         return NoSlot(len(others))
-    return SlotTaken((*others, mine))
+    return SlotTaken((*others, requested))
 
 
 def free_slot(
-    holders: collections.abc.Iterable[Holder], mine: Holder
+    holders: collections.abc.Iterable[Holder], requested: Holder
 ) -> tuple[Holder, ...]:
-    """Return the holders without this load."""
-    return tuple(h for h in holders if h != mine)
+    """Return the holders without the given load."""
+    return tuple(h for h in holders if h != requested)
