--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -91,7 +91,7 @@
 
     def knows_stores(self, now: float) -> bool:
         """Tell whether all stores of KV cache have told what they hold."""
-        return all(shelf.is_fresh(now) for shelf in self.index.shelves.values())
+        return all(shelf.is_fresh(now) for shelf in self.index.store_states.values())
 
     @property
     def nodes(self) -> int:
@@ -113,7 +113,7 @@
     def may_use_stores(self, model: str, version: int, now: float) -> bool:
         """Tell whether parts of a weight version may be read from stores."""
         named = self.named.get(model)
-        return named is None or kv_index.is_in_use(version, named.times, now)
+        return named is None or kv_index.is_version_usable(version, named.times, now)
 
     def held_tokens(self, upstream: fleet.Upstream) -> float:
         """Return how many tokens an engine is taken to keep cached."""
@@ -121,15 +121,15 @@
         service = known.services.get(upstream.entry.service) if known else None
         if service is None or service.engine is None:
             return 0.0
-        return fleet.HELD_PART * service.engine.kv_capacity_tokens
+        return fleet.CACHED_PARTS_FRACTION * service.engine.kv_capacity_tokens
 
-    def view(self, service: str) -> choice.View | None:
+    def context(self, service: str) -> choice.Context | None:
         """Return what all upstreams of a service have in common."""
         if self.catalog is None or service not in self.catalog.services:
             return None
         found = self.catalog.services[service]
         mean = self.fleet.mean_load(service, clock.now())
-        return choice.View(found, self.zones_out, self.nodes, mean)
+        return choice.Context(found, self.zones_out, self.nodes, mean)
 
     def take_intents(
         self,
@@ -289,5 +289,5 @@
 
     def _is_picked(self, store: str | None) -> bool:
         nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
-        picked = watcher.pick(nodes, self.cfg.zone, store)
+        picked = watcher.pick_readers(nodes, self.cfg.zone, store)
         return self.cfg.node_id in picked or not picked
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -26,25 +26,25 @@
 
 
 def upstreams(*entries: fleet.Entry) -> list[fleet.Upstream]:
-    table = fleet.Fleet()
+    registry = fleet.Fleet()
     for item in entries:
-        table.put(item, 0.0)
-    return list(table.upstreams.values())
+        registry.put(item, 0.0)
+    return list(registry.upstreams.values())
 
 
-def view(**changes: object) -> choice.View:
+def context(**changes: object) -> choice.Context:
     service = catalog.Service("engines", engine=ENGINE, cold_per_s=24.0)
     values: dict[str, object] = {"service": service}
-    return choice.View(**(values | changes))  # type: ignore[arg-type]
+    return choice.Context(**(values | changes))  # type: ignore[arg-type]
 
 
-def need(*tokens: int, **changes: object) -> choice.Need:
+def request(*tokens: int, **changes: object) -> choice.Request:
     """Build a need for a prompt whose last part is the request's own."""
-    parts = tuple(choice.Part(f"p{i}", n) for i, n in enumerate(tokens))
+    parts = tuple(choice.PromptPart(f"p{i}", n) for i, n in enumerate(tokens))
     values: dict[str, object] = {"service": "engines", "zone": "a", "parts": parts}
     if tokens:
         values |= {"model": MODEL, "version": 1}
-    return choice.Need(**(values | changes))  # type: ignore[arg-type]
+    return choice.Request(**(values | changes))  # type: ignore[arg-type]
 
 
 def route(**changes: object) -> catalog.Route:
@@ -53,7 +53,7 @@
         "host": "h",
         "prefix": "/a/",
         "services": (("engines", 1),),
-        "repeat": catalog.Repeat.IDEMPOTENT,
+        "repeat": catalog.RepeatPolicy.IDEMPOTENT,
         "max_attempts": 2,
     }
     return catalog.Route(**(values | changes))  # type: ignore[arg-type]
@@ -74,9 +74,9 @@
     """Build an index whose stores have all answered just now."""
     index = kv_index.Index()
     index.set_stores(stores or (kv_store(),))
-    for shelf in index.shelves.values():
-        shelf.restart(1, now)
-        shelf.settled_at = now
-        shelf.polled_at = now
-        shelf.clock_offset_s = 0.0
+    for state in index.store_states.values():
+        state.restart(1, now)
+        state.saves_allowed_at = now
+        state.polled_at = now
+        state.clock_offset_s = 0.0
     return index
