Rename the outward names of admission

begin -> start_holding, end -> stop_holding, observe -> apply_report, Ask -> SlotRequest, Withdrawn -> AlreadyReleased, SETTLE_S -> ARRIVAL_BOUND_S, PAUSE_COVERED_S -> MAX_SEND_DELAY_S, CLOCK_RATIO -> MAX_CLOCK_RATE_RATIO.

--- a/packages/snipelug-core/src/snipelug_core/admission.py
+++ b/packages/snipelug-core/src/snipelug_core/admission.py
@@ -13,20 +13,20 @@
 
 from snipelug_core import table
 
-CLOCK_RATIO = 1.1
+MAX_CLOCK_RATE_RATIO = 1.1
 """Bound on the ratio of the rates of any two nodes' clocks."""
 
 GRANT_VALID_S = 3.0
 """Time from before a grant is asked for until the last moment to send, in seconds."""
 
-PAUSE_COVERED_S = 10.0
+MAX_SEND_DELAY_S = 10.0
 """Longest time from a requester's last check to the arrival of its request at the
 upstream for which the limit holds. It covers a paused process and a slow link."""
 
 MAX_DURATION_S = 600.0
 """Longest time from asking for a grant to the end of the request, in seconds."""
 
-SETTLE_S = CLOCK_RATIO * (GRANT_VALID_S + PAUSE_COVERED_S)
+ARRIVAL_BOUND_S = MAX_CLOCK_RATE_RATIO * (GRANT_VALID_S + MAX_SEND_DELAY_S)
 """Time after which a granted request has arrived at the upstream or never will."""
 
 TOMBSTONE_S = 60.0
@@ -48,7 +48,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Ask:
+class SlotRequest:
     """A request for one slot.
 
     Attributes
@@ -90,7 +90,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Withdrawn:
+class AlreadyReleased:
     """The requester already released this nonce."""
 
 
@@ -107,7 +107,7 @@
     limit_s: float
 
 
-Decision = Granted | Full | NotHolder | Withdrawn | TooLong
+Decision = Granted | Full | NotHolder | AlreadyReleased | TooLong
 
 
 @dataclasses.dataclass
@@ -164,11 +164,11 @@
     return cold_limit - 1 if name is PartName.LEASED else 1
 
 
-def begin(part: Part, cold_limit: int, now: float, had_holder: bool) -> None:
+def start_holding(part: Part, cold_limit: int, now: float, had_holder: bool) -> None:
     """Start to hold a part.
 
     Grants of an earlier holder may still be in use. Each slot counts as used until
-    load reports made `SETTLE_S` after this moment show otherwise, or until no grant
+    load reports made `ARRIVAL_BOUND_S` after this moment show otherwise, or until no grant
     of the earlier holder can be running.
 
     Parameters
@@ -186,17 +186,17 @@
     part.slots.clear()
     if not had_holder:
         return
-    expires_at = now + CLOCK_RATIO * (MAX_DURATION_S + PAUSE_COVERED_S)
+    expires_at = now + MAX_CLOCK_RATE_RATIO * (MAX_DURATION_S + MAX_SEND_DELAY_S)
     for number in range(capacity(part.name, cold_limit)):
         part.slots[f"earlier-{number}"] = Slot(now, expires_at)
 
 
-def end(part: Part) -> None:
+def stop_holding(part: Part) -> None:
     """Stop to hold a part; before its row is handed over."""
     part.held = False
 
 
-def observe(part: Part, report: table.LoadReport) -> None:
+def apply_report(part: Part, report: table.LoadReport) -> None:
     """Take the newest load report of the upstream.
 
     An idle upstream shows that every request that must have arrived has ended. A
@@ -212,7 +212,7 @@
 
 
 def _has_arrived(slot: Slot, report: table.LoadReport) -> bool:
-    arrived_at = min(slot.granted_at + SETTLE_S, slot.arrived_at)
+    arrived_at = min(slot.granted_at + ARRIVAL_BOUND_S, slot.arrived_at)
     return not slot.local and arrived_at < report.made_at
 
 
@@ -242,7 +242,7 @@
 
 
 def admit(
-    part: Part, ask: Ask, cold_limit: int, now: float, holds_row: bool
+    part: Part, ask: SlotRequest, cold_limit: int, now: float, holds_row: bool
 ) -> Decision:
     """Decide on a request for a slot.
 
@@ -267,7 +267,7 @@
     if ask.duration_s > MAX_DURATION_S:
         return TooLong(MAX_DURATION_S)
     if ask.nonce in part.released:
-        return Withdrawn()
+        return AlreadyReleased()
     if ask.nonce in part.slots:
         return Granted()
     used = count_used(part, cold_limit)
@@ -279,7 +279,7 @@
 
 
 def _hold_s(duration_s: float) -> float:
-    return CLOCK_RATIO * (duration_s + PAUSE_COVERED_S)
+    return MAX_CLOCK_RATE_RATIO * (duration_s + MAX_SEND_DELAY_S)
 
 
 def release(
--- a/packages/snipelug-core/src/snipelug_core/confirmation.py
+++ b/packages/snipelug-core/src/snipelug_core/confirmation.py
@@ -25,7 +25,7 @@
 STALL_S = 5.0
 """Time without any slot after which a node uses its allowance.
 
-A node that dies keeps its slots for `admission.SETTLE_S`; a warm upstream must not
+A node that dies keeps its slots for `admission.ARRIVAL_BOUND_S`; a warm upstream must not
 stand still for that long.
 """
 
--- a/packages/snipelug-node/src/snipelug_node/admitter.py
+++ b/packages/snipelug-node/src/snipelug_node/admitter.py
@@ -183,19 +183,21 @@
         limit = self._cold_limit_of(upstream_id)
         now = trio.current_time()
         for name in _held_with(part):
-            admission.begin(self._part(upstream_id, name), limit, now, had_holder)
+            admission.start_holding(
+                self._part(upstream_id, name), limit, now, had_holder
+            )
 
     def end(self, upstream_id: str, part: admission.PartName) -> None:
         """Stop to hold a part, before its row is handed over."""
         for name in _held_with(part):
-            admission.end(self._part(upstream_id, name))
+            admission.stop_holding(self._part(upstream_id, name))
 
     def observe(self, upstream_id: str, report: table.LoadReport) -> None:
         """Take the newest load report of an upstream."""
         for name in admission.PartName:
             part = self._parts.get((upstream_id, name))
             if part is not None:
-                admission.observe(part, report)
+                admission.apply_report(part, report)
 
     def limit_of(self, upstream_id: str, report: table.LoadReport | None) -> int:
         """Return the slots of an upstream, given its newest load report."""
@@ -326,7 +328,7 @@
     async def _answer_admit(self, message: Admit) -> Admitted:
         part = self._part(message.upstream_id, message.part)
         is_local = message.node_id == self._peers.node_id
-        ask = admission.Ask(message.nonce, message.duration_s, is_local)
+        ask = admission.SlotRequest(message.nonce, message.duration_s, is_local)
         decision = admission.admit(
             part,
             ask,
@@ -360,7 +362,7 @@
             return f"all slots in use ({used})"
         case admission.NotHolder():
             return "the asked node does not hold this part"
-        case admission.Withdrawn():
+        case admission.AlreadyReleased():
             return "the request was withdrawn"
         case admission.TooLong(limit_s=limit_s):
             return f"a request may take at most {limit_s} s"
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -58,7 +58,7 @@
         running=wire.running,
         waiting=wire.waiting,
         seq=wire.seq,
-        made_at=asked_at - admission.CLOCK_RATIO * wire.age_s,
+        made_at=asked_at - admission.MAX_CLOCK_RATE_RATIO * wire.age_s,
         weight_version=wire.weight_version,
     )
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 The model represents the windows that the design names and counts nothing else as
 an exception: a granted request whose process was paused for more than
-`admission.PAUSE_COVERED_S` between the last check and the write, and a request that
+`admission.MAX_SEND_DELAY_S` between the last check and the write, and a request that
 was running when a report said warm, before the upstream turned cold silently. Sends
 on a node's allowance (`confirmation.may_use_allowance`) are not part of the model.
 """
@@ -122,7 +122,9 @@
         first = self.nodes["n0"]
         first.owns = first.has_outage = True
         for part in first.parts.values():
-            admission.begin(part, cold_limit, first.clock(self.now), had_holder=False)
+            admission.start_holding(
+                part, cold_limit, first.clock(self.now), had_holder=False
+            )
         self.tick(4)
 
     def add(self, node_id: str, rate: float) -> None:
@@ -153,7 +155,7 @@
         now = node.clock(self.now)
         for name in node.to_begin:
             part = node.parts[name]
-            admission.begin(part, self.cold_limit, now, had_holder=True)
+            admission.start_holding(part, self.cold_limit, now, had_holder=True)
         node.owns |= LEASED in node.to_begin
         node.has_outage |= OUTAGE in node.to_begin
         node.to_begin = set()
@@ -192,11 +194,11 @@
     def poll(self, node: Node, now: float) -> None:
         at, boot, seq, state, busy = self.reports[-1 - LAG_TICKS :][0]
         # Ticks make reports and sends coincide, which rounding must not order.
-        made_at = now - admission.CLOCK_RATIO * (self.now - at) - ROUNDING_S
+        made_at = now - admission.MAX_CLOCK_RATE_RATIO * (self.now - at) - ROUNDING_S
         report = table.LoadReport(str(boot), state, busy, 0, seq, made_at)
         if load.accept_report(node.upstream, report, now):
             for part in node.parts.values():
-                admission.observe(part, report)
+                admission.apply_report(part, report)
             is_warm = report.state is table.Warmth.WARM
             for req in self.running() if is_warm else ():
                 if req.node is node and req.sent is not None:
@@ -261,7 +263,7 @@
         holds_lease = holder.owns and now < holder.lease_end
         holds = holds_lease if grant.part is LEASED else holder.has_outage
         duration_s = admission.GRANT_VALID_S + req.run_s
-        ask = admission.Ask(grant.nonce, duration_s, holder is req.node)
+        ask = admission.SlotRequest(grant.nonce, duration_s, holder is req.node)
         part = holder.parts[grant.part]
         decision = admission.admit(part, ask, self.cold_limit, now, holds)
         is_granted = isinstance(decision, admission.Granted)
@@ -295,7 +297,7 @@
         assert req.grant is not None
         # A late request of the outage part's holder uses its own slot.
         is_own = req.grant.part is OUTAGE and req.holder is req.node
-        req.is_residual = pause > admission.PAUSE_COVERED_S and not is_own
+        req.is_residual = pause > admission.MAX_SEND_DELAY_S and not is_own
 
     def finish(self, req: Req, is_answered: bool, is_lost: bool = False) -> None:
         """End a request; its node learns of it and releases the slot if it can."""
@@ -547,7 +549,7 @@
             return
         if not holder.parts[part].held or node.id not in world.read_list():
             return
-        admission.end(holder.parts[part])
+        admission.stop_holding(holder.parts[part])
         if part is LEASED:
             world.owner = node.key
             holder.owns = False
@@ -614,7 +616,7 @@
 def build_part(held: bool = True) -> admission.Part:
     part = admission.Part(LEASED)
     if held:
-        admission.begin(part, 3, 0.0, had_holder=False)
+        admission.start_holding(part, 3, 0.0, had_holder=False)
     return part
 
 
@@ -622,7 +624,7 @@
     return table.LoadReport("x", table.Warmth.COLD, running, 0, 1, made_at)
 
 
-ASK = admission.Ask("a", 10.0)
+ASK = admission.SlotRequest("a", 10.0)
 
 
 def test_ask_after_own_release_takes_no_slot() -> None:
@@ -630,7 +632,7 @@
     part = build_part()
     admission.release(part, "a", True, 1.0)
     decision = admission.admit(part, ASK, 3, 2.0, holds_row=True)
-    assert decision == admission.Withdrawn()
+    assert decision == admission.AlreadyReleased()
     assert not part.slots
 
 
@@ -655,7 +657,7 @@
     held: bool, holds_row: bool, duration_s: float, decision: admission.Decision
 ) -> None:
     """Guards against grants without the row, or longer than a slot is held."""
-    ask = admission.Ask("a", duration_s)
+    ask = admission.SlotRequest("a", duration_s)
     part = build_part(held)
     assert admission.admit(part, ask, 3, 1.0, holds_row) == decision
 
@@ -664,10 +666,10 @@
     """Guards against a lost release that counts again once the upstream is busy."""
     part = build_part()
     admission.admit(part, ASK, 3, 1.0, holds_row=True)
-    admission.observe(part, build_report(1.0 + admission.SETTLE_S, 0))
+    admission.apply_report(part, build_report(1.0 + admission.ARRIVAL_BOUND_S, 0))
     assert admission.count_used(part, 3) == 1
-    admission.observe(part, build_report(1.1 + admission.SETTLE_S, 0))
-    admission.observe(part, build_report(1.2 + admission.SETTLE_S, 1))
+    admission.apply_report(part, build_report(1.1 + admission.ARRIVAL_BOUND_S, 0))
+    admission.apply_report(part, build_report(1.2 + admission.ARRIVAL_BOUND_S, 1))
     assert admission.count_used(part, 3) == 0
 
 
@@ -676,16 +678,16 @@
     part = build_part()
     admission.admit(part, ASK, 3, 1.0, holds_row=True)
     admission.release(part, "a", False, 2.0, has_arrived=True)
-    admission.observe(part, build_report(2.0, 0))
+    admission.apply_report(part, build_report(2.0, 0))
     assert admission.count_used(part, 3) == 1
-    admission.observe(part, build_report(2.1, 0))
+    admission.apply_report(part, build_report(2.1, 0))
     assert admission.count_used(part, 3) == 0
 
 
 def test_requests_from_warm_time_count() -> None:
     """Guards against grants on top of what a silently cold upstream still runs."""
     part = build_part()
-    admission.observe(part, build_report(5.0, 3))
+    admission.apply_report(part, build_report(5.0, 3))
     decision = admission.admit(part, ASK, 3, 6.0, holds_row=True)
     assert decision == admission.Full(2)
 
@@ -712,9 +714,9 @@
 def test_one_suspect_at_a_time() -> None:
     """Guards against two suspects on one upstream, and against none on a busy one."""
     part = admission.Part(admission.PartName.SUSPECT)
-    admission.begin(part, 3, 0.0, had_holder=False)
-    admission.observe(part, build_report(1.0, 30))
-    other = admission.Ask("b", 10.0)
+    admission.start_holding(part, 3, 0.0, had_holder=False)
+    admission.apply_report(part, build_report(1.0, 30))
+    other = admission.SlotRequest("b", 10.0)
     assert admission.admit(part, ASK, 3, 2.0, True) == admission.Granted()
     assert admission.admit(part, other, 3, 2.0, True) == admission.Full(1)
     admission.release(part, "a", True, 3.0)
