--- a/packages/snipelug-core/src/snipelug_core/claim.py
+++ b/packages/snipelug-core/src/snipelug_core/claim.py
@@ -333,7 +333,7 @@
 class _Free:
     """The row may be taken over with this precondition."""
 
-    expect: step.Expect
+    expect: step.Precondition
     now: float
 
 
@@ -359,7 +359,7 @@
         By ``return``; steps are yielded and events sent in. A refusal says
         ``not_run`` only if this attempt sent nothing and never will.
     """
-    expect: step.Expect = step.ABSENT
+    expect: step.Precondition = step.ABSENT
     while True:
         mine = dataclasses.replace(call.claim, nonce=next(nonces))
         ledger.begin(mine.nonce, now)
@@ -376,7 +376,7 @@
 
 
 def _claim(
-    call: Call, mine: Row, expect: step.Expect, ledger: Ledger
+    call: Call, mine: Row, expect: step.Precondition, ledger: Ledger
 ) -> collections.abc.Generator[Step, step.Event, _Claimed | _Taken | refusal.Refusal]:
     """Write the claim; on a lost answer read back and compare the nonce."""
     silent = 0
@@ -402,13 +402,13 @@
             case step.Missing():
                 expect = step.ABSENT
                 writing = True
-            case step.Refused():
+            case step.PreconditionFailed():
                 contested = True
                 writing = False
             case step.Malformed(reason):
                 ledger.abandon(mine.nonce)
                 return _unreadable(reason)
-            case step.Silent(reason):
+            case step.NoAnswer(reason):
                 silent += 1
                 if silent < CLAIM_ATTEMPTS:
                     event = yield step.Wait(CLAIM_RETRY_S * silent)
@@ -473,7 +473,7 @@
     There is no limit of attempts: claims need the store, so during an outage
     only the calls that were running at its start wait here.
     """
-    expect: step.Expect = version
+    expect: step.Precondition = version
     delay_s = RECORD_RETRY_MIN_S
     writing = True
     while True:
@@ -500,7 +500,7 @@
             case step.Malformed(reason):
                 yield Alarm(f"claim {call.row_key} cannot be read: {reason}")
                 break
-            case step.Silent():
+            case step.NoAnswer():
                 yield step.Wait(delay_s)
                 delay_s = min(delay_s * 2, RECORD_RETRY_MAX_S)
                 writing = False
--- a/packages/snipelug-core/src/snipelug_core/ownership.py
+++ b/packages/snipelug-core/src/snipelug_core/ownership.py
@@ -217,7 +217,7 @@
 def _take(
     owners: Owners,
     key: str,
-    expect: step.Expect,
+    expect: step.Precondition,
     old: Row | None,
     unlisted: Unlisted,
     now: float,
@@ -244,7 +244,7 @@
         yield from _write_mine(owners, key, row, seen.version)
 
 
-def _write_mine(owners: Owners, key: str, row: Row, expect: step.Expect) -> Flow:
+def _write_mine(owners: Owners, key: str, row: Row, expect: step.Precondition) -> Flow:
     event = yield step.Write(TABLE, key, row, expect)
     if isinstance(event.outcome, step.Applied):
         # This write replaced the version that a late hand-over would need.
--- a/packages/snipelug-core/src/snipelug_core/session.py
+++ b/packages/snipelug-core/src/snipelug_core/session.py
@@ -150,7 +150,7 @@
     match event.outcome:
         case step.Applied(version):
             _confirm(lease, version, lease.seq)
-        case step.Refused() | step.Silent():
+        case step.PreconditionFailed() | step.NoAnswer():
             return (yield from _read_back(lease))
     return event.now
 
@@ -164,7 +164,7 @@
             _confirm(lease, version, row.seq)
         case step.Missing() if lease.version:
             lease.drop()
-        case step.Silent():
+        case step.NoAnswer():
             return None
     return event.now
 
--- a/packages/snipelug-core/src/snipelug_core/step.py
+++ b/packages/snipelug-core/src/snipelug_core/step.py
@@ -19,7 +19,7 @@
 ABSENT: typing.Final = _Absent()
 """Precondition: the row does not exist."""
 
-Expect = str | _Absent
+Precondition = str | _Absent
 """Precondition: this row version, or ``ABSENT``."""
 
 
@@ -30,7 +30,7 @@
     table: str
     key: str
     content: object | None
-    expect: Expect
+    expect: Precondition
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,12 +57,12 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Refused:
+class PreconditionFailed:
     """The precondition did not hold; nothing was written."""
 
 
 @dataclasses.dataclass(frozen=True)
-class Silent:
+class NoAnswer:
     """The store gave no usable answer.
 
     Attributes
--- a/packages/snipelug-node/src/snipelug_node/executor.py
+++ b/packages/snipelug-node/src/snipelug_node/executor.py
@@ -24,12 +24,12 @@
         case ports.Absent():
             return step.Missing()
         case ports.Unavailable(reason):
-            return step.Silent(reason)
+            return step.NoAnswer(reason)
 
 
 async def _write(
     tables: ports.TableService, taken: step.Write
-) -> step.Applied | step.Refused | step.Silent:
+) -> step.Applied | step.PreconditionFailed | step.NoAnswer:
     content = None if taken.content is None else msgspec.json.encode(taken.content)
     absent = not isinstance(taken.expect, str)
     expect = ports.Expect.ABSENT if absent else typing.cast(str, taken.expect)
@@ -38,9 +38,9 @@
         case ports.Written(version):
             return step.Applied(version)
         case ports.Conflict():
-            return step.Refused()
+            return step.PreconditionFailed()
         case ports.Unavailable(reason, maybe_applied):
-            return step.Silent(reason, maybe_applied)
+            return step.NoAnswer(reason, maybe_applied)
 
 
 def decode(version: str, content: bytes, kind: type) -> step.Found | step.Malformed:
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -351,7 +351,7 @@
         key = f"claims/{write.key}/{row.nonce}"
         stored = await self._objects.put(key, row.answer.body)
         if isinstance(stored, ports.Unavailable):
-            return step.Silent(stored.reason, maybe_applied=False)
+            return step.NoAnswer(stored.reason, maybe_applied=False)
         answer = dataclasses.replace(row.answer, body=b"", object_key=key)
         content = dataclasses.replace(row, answer=answer)
         return await executor.perform(
@@ -473,9 +473,9 @@
         match await executor.perform(self._tables, write):
             case step.Applied():
                 return Settled(verdict)
-            case step.Refused():
+            case step.PreconditionFailed():
                 return Changed()
-            case step.Silent(reason, maybe_applied):
+            case step.NoAnswer(reason, maybe_applied):
                 return ports.Unavailable(reason, maybe_applied)
         raise AssertionError("a write has no other outcome")
 
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -27,10 +27,10 @@
 STEPS: dict[str, tuple[type, object, float]] = {
     "write": (step.Write, step.Applied("2"), 0),
     "write-10s": (step.Write, step.Applied("2"), 10),
-    "write-refused": (step.Write, step.Refused(), 0),
-    "write-silent": (step.Write, step.Silent("down"), 0),
+    "write-refused": (step.Write, step.PreconditionFailed(), 0),
+    "write-silent": (step.Write, step.NoAnswer("down"), 0),
     "wait": (step.Wait, None, 0),
-    "read-silent": (step.Read, step.Silent("down"), 0),
+    "read-silent": (step.Read, step.NoAnswer("down"), 0),
     "read-missing": (step.Read, step.Missing(), 0),
     "read-malformed": (step.Read, step.Malformed("bad"), 0),
     "read-mine": (step.Read, step.Found("1", MINE), 0),
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,7 +25,7 @@
         old = self.rows.get(place)
         found = step.ABSENT if old is None else old[0]
         if found != write.expect:
-            return step.Refused()
+            return step.PreconditionFailed()
         if write.table == ownership.TABLE:
             number = 0 if old is None else old[1].fencing
             assert write.content is not None, "owner rows are not deleted"
@@ -39,15 +39,15 @@
 
     def perform(self, taken: step.Write | step.Read, fault: str) -> object:
         if fault == "down":
-            return step.Silent("down", maybe_applied=False)
+            return step.NoAnswer("down", maybe_applied=False)
         if isinstance(taken, step.Write):
             if fault == "late":
                 self.late.append(taken)
-                return step.Silent("late")
+                return step.NoAnswer("late")
             outcome = self.apply(taken)
-            return step.Silent("lost") if fault == "lost" else outcome
+            return step.NoAnswer("lost") if fault == "lost" else outcome
         if fault:
-            return step.Silent("lost")
+            return step.NoAnswer("lost")
         row = self.rows.get((taken.table, taken.key))
         return step.Missing() if row is None else step.Found(*row)
 
@@ -221,7 +221,7 @@
         elif isinstance(taken, Scan):
             silent = self.store_fault(node, fault)
             rows = self._rows(taken.table)
-            task.outcome = step.Silent("lost") if silent else rows
+            task.outcome = step.NoAnswer("lost") if silent else rows
         elif isinstance(taken, claim.Dispatch):
             task.granted = node.ledger.grant(taken.nonce, self.clock(node))
             task.outcome = "granted" if task.granted else "withheld"
