--- a/packages/snipelug-core/src/snipelug_core/quota.py
+++ b/packages/snipelug-core/src/snipelug_core/quota.py
@@ -5,7 +5,7 @@
 and slices in force never exceeds the limit while any two clocks' rates differ by less
 than 10%. Requests in flight may outlast a slice, so the owner counts what borrowers
 report. Windows remain for a borrower that is cut off from the owner: what it started on
-slices counts for `CARRY_S` at most, not after its session is revoked, and not at a new
+slices counts for `IN_FLIGHT_RETENTION_S` at most, not after its session is revoked, and not at a new
 owner that it never reached. Each adds at most the borrower's own last share.
 """
 
@@ -15,39 +15,39 @@
 
 from snipelug_core import contract
 
-FLOOR_PART = 0.25
+FLOOR_FRACTION = 0.25
 """Part of each limit that is divided into floors."""
 
-SLICE_S = 10.0
+SLICE_LEASE_S = 10.0
 """Time for which the owner counts a slice as lent, on its clock, in seconds."""
 
-USE_S = 8.0
+SLICE_USE_S = 8.0
 """Time from before a slice is asked for until the borrower stops using it, on its
 clock, in seconds."""
 
-OWNER_WAIT_S = 12.0
+NEW_OWNER_WAIT_S = 12.0
 """Time for which a new owner lends nothing, so that earlier slices end, in seconds."""
 
-CARRY_S = 60.0
+IN_FLIGHT_RETENTION_S = 60.0
 """Time for which requests in flight of a silent borrower count, in seconds."""
 
 JOIN_WAIT_S = 30.0
 """Time for which a new member uses no floor, so that all members learn of it and
 reduce their own floors, in seconds."""
 
-HEADROOM = 1.5
+MAX_DEMAND_RATIO = 1.5
 """Most that a borrower gets as a multiple of its demand; the rest stays free for
 borrowers that did not ask yet."""
 
-BASE_PART = 0.5
+EVEN_SHARE_FRACTION = 0.5
 """Part of the pool from which each borrower gets an even share whatever it asks for,
 so that the request after a quiet moment does not wait for a larger slice."""
 
-BASE_OF_FREE = 0.25
+EVEN_SHARE_OF_FREE = 0.25
 """Most of what is free that an even share takes, so that the next borrower finds some
 also when the owner knows too few members."""
 
-ASK_EVERY_S = 3.0
+REQUEST_INTERVAL_S = 3.0
 """Time after which a borrower asks again, in seconds. It asks while it has demand, or
 runs requests, above its floor; a new owner so hears of them before it lends."""
 
@@ -80,7 +80,7 @@
         )
 
 
-NOTHING = Amounts()
+ZERO = Amounts()
 
 
 def floor(limits: contract.Limits, members: int, joined_for_s: float) -> Amounts:
@@ -96,8 +96,8 @@
         Time since this node wrote its session row, in seconds.
     """
     if joined_for_s < JOIN_WAIT_S:
-        return NOTHING
-    part = FLOOR_PART / max(1, members)
+        return ZERO
+    part = FLOOR_FRACTION / max(1, members)
     return Amounts(
         int(limits.in_flight * part),
         limits.requests_per_s * part,
@@ -107,16 +107,16 @@
 
 def pool(limits: contract.Limits) -> Amounts:
     """Return what the owner may lend in total."""
-    part = 1.0 - FLOOR_PART
+    part = 1.0 - FLOOR_FRACTION
     return Amounts(
-        limits.in_flight - int(limits.in_flight * FLOOR_PART),
+        limits.in_flight - int(limits.in_flight * FLOOR_FRACTION),
         limits.requests_per_s * part,
         limits.tokens_per_s * part,
     )
 
 
 @dataclasses.dataclass(frozen=True)
-class Ask:
+class SliceRequest:
     """A request for a slice.
 
     Attributes
@@ -139,7 +139,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Lent:
-    """The borrower may use the amounts for `USE_S` from before it asked."""
+    """The borrower may use the amounts for `SLICE_USE_S` from before it asked."""
 
     amounts: Amounts
 
@@ -150,7 +150,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Wait:
+class OwnerNotReady:
     """Slices of an earlier owner may still be in use.
 
     Attributes
@@ -167,7 +167,7 @@
     """A later request of this borrower was already answered."""
 
 
-Reply = Lent | NotOwner | Wait | Outdated
+Reply = Lent | NotOwner | OwnerNotReady | Outdated
 
 
 @dataclasses.dataclass(frozen=True)
@@ -192,7 +192,7 @@
     number: int = -1
     in_flight: int = 0
     reported_at: float = -math.inf
-    demand: Amounts = NOTHING
+    demand: Amounts = ZERO
     slices: list[Slice] = dataclasses.field(default_factory=list)
 
 
@@ -215,7 +215,7 @@
 
 def lend(
     owner: Owner,
-    ask: Ask,
+    ask: SliceRequest,
     limits: contract.Limits,
     members: collections.abc.Collection[str],
     now: float,
@@ -248,22 +248,22 @@
     borrower.reported_at = now
     borrower.demand = ask.demand
     borrower.slices = [one for one in borrower.slices if one.expires_at > now]
-    _drop_gone(owner, members, now)
-    wait_s = owner.since + OWNER_WAIT_S - now if owner.had_owner else 0.0
+    _remove_departed(owner, members, now)
+    wait_s = owner.since + NEW_OWNER_WAIT_S - now if owner.had_owner else 0.0
     if wait_s > 0:
-        return Wait(wait_s)
-    amounts = _divide(owner, borrower, pool(limits), len(members), now)
-    borrower.slices.append(Slice(amounts, now + SLICE_S))
+        return OwnerNotReady(wait_s)
+    amounts = _allocate(owner, borrower, pool(limits), len(members), now)
+    borrower.slices.append(Slice(amounts, now + SLICE_LEASE_S))
     return Lent(amounts)
 
 
-def _drop_gone(
+def _remove_departed(
     owner: Owner, members: collections.abc.Collection[str], now: float
 ) -> None:
     gone = [
         node_id
         for node_id, borrower in owner.borrowers.items()
-        if node_id not in members and borrower.reported_at + SLICE_S <= now
+        if node_id not in members and borrower.reported_at + SLICE_LEASE_S <= now
     ]
     for node_id in gone:
         del owner.borrowers[node_id]
@@ -275,9 +275,9 @@
     carried = [
         one.amounts.in_flight
         for one in borrower.slices
-        if one.expires_at + CARRY_S > now
+        if one.expires_at + IN_FLIGHT_RETENTION_S > now
     ]
-    if borrower.reported_at + CARRY_S > now:
+    if borrower.reported_at + IN_FLIGHT_RETENTION_S > now:
         carried.append(borrower.in_flight)
     return Amounts(
         max(carried, default=0),
@@ -286,12 +286,12 @@
     )
 
 
-def _divide(
+def _allocate(
     owner: Owner, borrower: Borrower, total: Amounts, members: int, now: float
 ) -> Amounts:
     others = [one for one in owner.borrowers.values() if one is not borrower]
     taken = [_committed(one, now) for one in others]
-    active = [one.demand for one in others if one.reported_at + SLICE_S > now]
+    active = [one.demand for one in others if one.reported_at + SLICE_LEASE_S > now]
     demand = borrower.demand
 
     def share(name: str) -> float:
@@ -300,8 +300,10 @@
         limit = float(getattr(total, name))
         free = limit - sum(float(getattr(one, name)) for one in taken)
         fair = limit * wanted / all_wanted if all_wanted > 0 else 0.0
-        base = min(limit * BASE_PART / max(1, members), free * BASE_OF_FREE)
-        return max(0.0, min(free, max(fair, base), wanted * HEADROOM + base))
+        base = min(
+            limit * EVEN_SHARE_FRACTION / max(1, members), free * EVEN_SHARE_OF_FREE
+        )
+        return max(0.0, min(free, max(fair, base), wanted * MAX_DEMAND_RATIO + base))
 
     return Amounts(
         int(share("in_flight")), share("requests_per_s"), share("tokens_per_s")
@@ -326,7 +328,7 @@
     level: float = 0.0
     filled_at: float = 0.0
 
-    def fill(self, until: float, rate: float) -> None:
+    def refill(self, until: float, rate: float) -> None:
         """Add what a rate, in units per second, gives up to a time."""
         if until <= self.filled_at:
             return
@@ -349,7 +351,7 @@
         Time before that slice was asked for, in seconds.
     """
 
-    lent: Amounts = NOTHING
+    lent: Amounts = ZERO
     lent_until: float = -math.inf
     lent_asked_at: float = -math.inf
     in_flight: int = 0
@@ -357,16 +359,16 @@
     tokens: Bucket = dataclasses.field(default_factory=Bucket)
 
 
-def take_slice(
+def apply_slice(
     account: Account, amounts: Amounts, asked_at: float, own_floor: Amounts
 ) -> None:
     """Use a slice that was lent, unless one asked for later is known."""
     if asked_at <= account.lent_asked_at:
         return
-    _fill(account, own_floor, asked_at)
+    _refill_buckets(account, own_floor, asked_at)
     account.lent = amounts
     account.lent_asked_at = asked_at
-    account.lent_until = asked_at + USE_S
+    account.lent_until = asked_at + SLICE_USE_S
 
 
 def share_in_force(account: Account, own_floor: Amounts, now: float) -> Amounts:
@@ -374,14 +376,14 @@
     return own_floor.plus(account.lent) if now < account.lent_until else own_floor
 
 
-def _fill(account: Account, own_floor: Amounts, now: float) -> None:
+def _refill_buckets(account: Account, own_floor: Amounts, now: float) -> None:
     before = share_in_force(account, own_floor, -math.inf)
     for until, share in ((min(now, account.lent_until), before), (now, own_floor)):
-        account.requests.fill(until, share.requests_per_s)
-        account.tokens.fill(until, share.tokens_per_s)
+        account.requests.refill(until, share.requests_per_s)
+        account.tokens.refill(until, share.tokens_per_s)
 
 
-def try_enter(account: Account, own_floor: Amounts, cost: float, now: float) -> bool:
+def try_start(account: Account, own_floor: Amounts, cost: float, now: float) -> bool:
     """Count a request as started if all three limits permit it.
 
     Parameters
@@ -395,7 +397,7 @@
     now : float
         Monotonic time in seconds.
     """
-    _fill(account, own_floor, now)
+    _refill_buckets(account, own_floor, now)
     share = share_in_force(account, own_floor, now)
     if account.in_flight >= share.in_flight:
         return False
@@ -407,7 +409,7 @@
     return True
 
 
-def leave(account: Account, unused_tokens: float = 0.0) -> None:
+def finish(account: Account, unused_tokens: float = 0.0) -> None:
     """Count a request as ended; tokens used beyond the cost are a negative rest."""
     account.in_flight -= 1
     account.tokens.level += unused_tokens
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -355,7 +355,7 @@
         team = self._teams[entry.team]
         own_floor = self._floor(team)
         now = trio.current_time()
-        return quota.try_enter(team.account, own_floor, entry.cost, now)
+        return quota.try_start(team.account, own_floor, entry.cost, now)
 
     def _dispatch(self) -> None:
         now = trio.current_time()
@@ -373,7 +373,7 @@
     def _leave(self, ticket: Ticket, unused_tokens: float) -> None:
         now = trio.current_time()
         team = self._teams[ticket.team]
-        quota.leave(team.account, unused_tokens)
+        quota.finish(team.account, unused_tokens)
         team.hold_s += HOLD_WEIGHT * (now - ticket.started_at - team.hold_s)
         team.used_at = now
         self._running -= 1
@@ -405,12 +405,14 @@
         if now < team.ask_after:
             return False
         if name in self._queues.queues:
-            has_grown = self._wanted(name, team) > quota.HEADROOM * team.asked_for
+            has_grown = (
+                self._wanted(name, team) > quota.MAX_DEMAND_RATIO * team.asked_for
+            )
             if has_grown or not self._has_slice(team):
                 return now - team.asked_at >= ASK_SOON_S
         is_used = self._above_floor(team) > 0 or team.arrived > 0
         is_used = is_used or name in self._queues.queues
-        return is_used and now - team.asked_at >= quota.ASK_EVERY_S
+        return is_used and now - team.asked_at >= quota.REQUEST_INTERVAL_S
 
     def _wanted(self, name: str, team: _Team) -> int:
         queue = self._queues.queues.get(name)
@@ -424,7 +426,7 @@
         queue = self._queues.queues.get(name)
         waiting = 0 if queue is None else len(queue.entries)
         tokens = 0.0 if queue is None else sum(e.cost for e in queue.entries)
-        interval_s = min(quota.SLICE_S, max(1.0, now - team.asked_at))
+        interval_s = min(quota.SLICE_LEASE_S, max(1.0, now - team.asked_at))
         held = self._above_floor(team)
         return SliceAsk(
             name,
@@ -466,7 +468,7 @@
         amounts = quota.Amounts(
             answer.in_flight, answer.requests_per_s, answer.tokens_per_s
         )
-        quota.take_slice(team.account, amounts, now, self._floor(team))
+        quota.apply_slice(team.account, amounts, now, self._floor(team))
         self._dispatch()
 
     async def _answer_slice(self, message: SliceAsk) -> SliceReply:
@@ -478,7 +480,9 @@
         demand = quota.Amounts(
             message.in_flight, message.requests_per_s, message.tokens_per_s
         )
-        ask = quota.Ask(message.session_id, message.number, message.held, demand)
+        ask = quota.SliceRequest(
+            message.session_id, message.number, message.held, demand
+        )
         now = trio.current_time()
         holds = self._holds_now(message.team)
         reply = quota.lend(owner, ask, limits, self._members(), now, holds)
@@ -490,7 +494,7 @@
                     amounts.requests_per_s,
                     amounts.tokens_per_s,
                 )
-            case quota.Wait(wait_s=wait_s):
+            case quota.OwnerNotReady(wait_s=wait_s):
                 return SliceReply(False, wait_s=wait_s)
         return SliceReply(False)
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -10,7 +10,7 @@
 
 from snipelug_core import contract, quota
 
-CARRY_S = 60.0
+IN_FLIGHT_RETENTION_S = 60.0
 RATES = (1.0, 1.05, 1.0999)
 OLD = 1000.0
 
@@ -43,7 +43,7 @@
         ]
         self.owner_index = 0
         self.since = 0.0
-        self.asks: list[quota.Ask] = []
+        self.asks: list[quota.SliceRequest] = []
         self.late: list[tuple[Node, quota.Amounts, float]] = []
         self.floor = quota.floor(self.limits, len(rates), OLD)
 
@@ -64,7 +64,7 @@
         asked_at = node.clock(self.now)
         above = max(0, node.account.in_flight - self.floor.in_flight)
         demand = quota.Amounts(above + wanted, wanted, wanted * 20.0)
-        message = quota.Ask(node.id, next(self.number), above, demand)
+        message = quota.SliceRequest(node.id, next(self.number), above, demand)
         self.asks.append(message)
         members = [one.id for one in self.nodes]
         at = holder.clock(self.now)
@@ -79,7 +79,7 @@
         if fate == "late":
             self.late.append((node, reply.amounts, asked_at))
             return
-        quota.take_slice(node.account, reply.amounts, asked_at, self.floor)
+        quota.apply_slice(node.account, reply.amounts, asked_at, self.floor)
         if then == "start":
             self.start(number)
 
@@ -95,7 +95,7 @@
     @stateful.rule()
     def deliver_late(self) -> None:
         for node, amounts, asked_at in self.late:
-            quota.take_slice(node.account, amounts, asked_at, self.floor)
+            quota.apply_slice(node.account, amounts, asked_at, self.floor)
         self.late.clear()
 
     @stateful.rule(number=st.integers(0, 3))
@@ -128,14 +128,14 @@
     @stateful.rule(lost=st.integers(0, 4))
     def reports(self, lost: int) -> None:
         """Let all nodes but one report, and the clock move past the owner's wait."""
-        self.now += quota.ASK_EVERY_S
+        self.now += quota.REQUEST_INTERVAL_S
         for number, node in enumerate(self.nodes):
             if number != lost:
                 self.ask(self.nodes.index(node), 0, "ok", "wait")
 
     @stateful.invariant()
     def shares_never_exceed_limit(self) -> None:
-        total = quota.NOTHING
+        total = quota.ZERO
         for node in self.nodes:
             at = node.clock(self.now)
             total = total.plus(quota.share_in_force(node.account, self.floor, at))
@@ -149,7 +149,7 @@
             silent_s = self.now - node.reported_at
             heard_s = node.reported_at - self.since
             above = max(0, node.account.in_flight - self.floor.in_flight)
-            if silent_s >= CARRY_S / 1.1 or heard_s < 8.0:
+            if silent_s >= IN_FLIGHT_RETENTION_S / 1.1 or heard_s < 8.0:
                 node.unheard = max(node.unheard, above)
 
     @stateful.invariant()
@@ -242,7 +242,7 @@
     for number, now in enumerate((1.0, 4.0, 7.0, 10.0, 13.0)):
         for node_id, wanted in (("a", 90), ("b", 30)):
             demand = quota.Amounts(wanted, wanted, wanted)
-            ask = quota.Ask(node_id, number, 0, demand)
+            ask = quota.SliceRequest(node_id, number, 0, demand)
             lent[node_id] = quota.lend(owner, ask, limits, ["a", "b"], now, True)
     assert lent["a"] == quota.Lent(quota.Amounts(56, 56.25, 56.25))
     assert lent["b"] == quota.Lent(quota.Amounts(18, 18.75, 18.75))
@@ -254,11 +254,11 @@
     """Guards against more requests or tokens than the rate and one burst allow."""
     share = quota.Amounts(10**6, rate, 300.0)
     account = quota.Account()
-    quota.try_enter(account, share, 0.0, 0.0)
+    quota.try_start(account, share, 0.0, 0.0)
     passed = 0
     steps = 6000
     for step in range(steps):
-        passed += quota.try_enter(account, share, cost, 100.0 + step / 100)
+        passed += quota.try_start(account, share, cost, 100.0 + step / 100)
     by_requests = rate * 60.0 + max(1.0, rate)
     by_tokens = (300.0 * 61.0) / cost + 1
     assert passed <= min(by_requests, by_tokens)
@@ -269,9 +269,9 @@
     """Guards against filling a bucket at the rate of a slice that has ended."""
     own = quota.Amounts(9, 1.0, 100.0)
     account = quota.Account()
-    quota.take_slice(account, quota.Amounts(9, 99.0, 900.0), 0.0, own)
+    quota.apply_slice(account, quota.Amounts(9, 99.0, 900.0), 0.0, own)
     account.tokens.level = -10_000.0
-    quota.try_enter(account, own, 0.0, 20.0)
+    quota.try_start(account, own, 0.0, 20.0)
     assert account.tokens.level == -10_000.0 + 8.0 * 1000.0 + 12.0 * 100.0
 
 
@@ -279,16 +279,16 @@
     """Guards against an answer that arrives late ending a newer slice early."""
     account = quota.Account()
     newer = quota.Amounts(5, 5.0, 5.0)
-    quota.take_slice(account, newer, 3.0, quota.NOTHING)
-    quota.take_slice(account, quota.Amounts(1, 1.0, 1.0), 0.0, quota.NOTHING)
-    assert quota.share_in_force(account, quota.NOTHING, 10.9) == newer
-    assert quota.share_in_force(account, quota.NOTHING, 11.0) == quota.NOTHING
+    quota.apply_slice(account, newer, 3.0, quota.ZERO)
+    quota.apply_slice(account, quota.Amounts(1, 1.0, 1.0), 0.0, quota.ZERO)
+    assert quota.share_in_force(account, quota.ZERO, 10.9) == newer
+    assert quota.share_in_force(account, quota.ZERO, 11.0) == quota.ZERO
 
 
 def test_reply_to_a_node_that_lost_the_row() -> None:
     """Guards against slices from a node that no longer owns the team."""
     owner = quota.Owner(0.0, had_owner=False)
-    ask = quota.Ask("a", 1, 0, quota.NOTHING)
+    ask = quota.SliceRequest("a", 1, 0, quota.ZERO)
     reply = quota.lend(owner, ask, contract.Limits(), ["a"], 1.0, holds_row=False)
     assert reply == quota.NotOwner()
 
@@ -301,7 +301,7 @@
     owner = quota.Owner(0.0, had_owner=False)
     demand = quota.Amounts(1, 1.0, 100.0)
     for number in range(8):
-        ask = quota.Ask(f"n{number}", 0, 0, demand)
+        ask = quota.SliceRequest(f"n{number}", 0, 0, demand)
         reply = quota.lend(owner, ask, limits, {"n0"}, 1.0, holds_row=True)
         assert isinstance(reply, quota.Lent)
         assert reply.amounts.in_flight >= 1
