Rename Place and Stale of session

Place -> NodeAddress, Stale -> StaleSession, Lease.place -> address, Lease.unclear -> unanswered, Lease.created -> sessions_created; within session also Sighting -> Observation and sightings -> observations.

--- a/packages/snipelug-core/src/snipelug_core/session.py
+++ b/packages/snipelug-core/src/snipelug_core/session.py
@@ -46,7 +46,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Place:
+class NodeAddress:
     """Where other nodes reach a node."""
 
     host: str = ""
@@ -74,13 +74,13 @@
 
     node: str
     process: str
-    place: Place = Place()
+    address: NodeAddress = NodeAddress()
     session: str = ""
     version: str = ""
     seq: int = 0
-    created: int = 0
+    sessions_created: int = 0
     valid_until: float = -math.inf
-    unclear: dict[int, float] = dataclasses.field(default_factory=dict)
+    unanswered: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def valid(self, now: float) -> bool:
         """Tell whether the lease is in force; compare right before acting."""
@@ -91,7 +91,7 @@
         self.session = ""
         self.version = ""
         self.valid_until = -math.inf
-        self.unclear.clear()
+        self.unanswered.clear()
 
 
 Flow = collections.abc.Generator[step.Write | step.Read, step.Event, None]
@@ -130,20 +130,20 @@
             lease.drop()
         return answered_at
     if not lease.session:
-        lease.created += 1
+        lease.sessions_created += 1
         lease.seq = 0
-        lease.session = f"{lease.node}@{lease.process}.{lease.created}"
+        lease.session = f"{lease.node}@{lease.process}.{lease.sessions_created}"
     lease.seq += 1
-    lease.unclear[lease.seq] = now
-    place = lease.place
+    lease.unanswered[lease.seq] = now
+    address = lease.address
     row = Row(
         lease.session,
         lease.node,
         lease.process,
         lease.seq,
-        place.host,
-        place.rpc_port,
-        place.zone,
+        address.host,
+        address.rpc_port,
+        address.zone,
     )
     expect = lease.version or step.ABSENT
     event = yield step.Write(TABLE, lease.session, row, expect)
@@ -171,11 +171,11 @@
 
 def _confirm(lease: Lease, version: str, seq: int) -> None:
     """Note that the renewal with this number took effect."""
-    sent_at = lease.unclear.get(seq, -math.inf)
+    sent_at = lease.unanswered.get(seq, -math.inf)
     lease.valid_until = max(lease.valid_until, sent_at + LEASE_S)
     if version != lease.version:
         # Every unclear renewal expected the version before this one.
-        lease.unclear.clear()
+        lease.unanswered.clear()
     lease.version = version
 
 
@@ -188,7 +188,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Sighting:
+class Observation:
     """When this node first saw a version of a session row."""
 
     version: str
@@ -196,7 +196,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Stale:
+class StaleSession:
     """A session that may be revoked.
 
     Attributes
@@ -214,7 +214,7 @@
 class Watch:
     """What this node has seen of all sessions, by session id."""
 
-    sightings: dict[str, Sighting] = dataclasses.field(default_factory=dict)
+    observations: dict[str, Observation] = dataclasses.field(default_factory=dict)
 
 
 def observe(
@@ -222,7 +222,7 @@
     versions: collections.abc.Mapping[str, str],
     asked_at: float,
     now: float,
-) -> collections.abc.Iterator[Stale]:
+) -> collections.abc.Iterator[StaleSession]:
     """Take in a reading of the table and yield the sessions to revoke.
 
     Parameters
@@ -234,18 +234,18 @@
     asked_at, now : float
         Monotonic time before the reading was asked for and after it arrived.
     """
-    for session in [name for name in watch.sightings if name not in versions]:
-        del watch.sightings[session]
+    for session in [name for name in watch.observations if name not in versions]:
+        del watch.observations[session]
     for session, version in versions.items():
-        seen = watch.sightings.get(session)
+        seen = watch.observations.get(session)
         if seen is None or seen.version != version:
-            watch.sightings[session] = Sighting(version, now)
+            watch.observations[session] = Observation(version, now)
             continue
         unchanged_s = asked_at - seen.seen_at
         if unchanged_s >= REVOKE_AFTER_S:
-            yield Stale(session, version, unchanged_s)
+            yield StaleSession(session, version, unchanged_s)
 
 
-def revoke(stale: Stale) -> step.Write:
+def revoke(stale: StaleSession) -> step.Write:
     """Return the write that revokes a session unless it was renewed."""
     return step.Write(TABLE, stale.session, None, stale.version)
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -69,11 +69,11 @@
         peers: ports.Peers,
         wanted: collections.abc.Callable[[], collections.abc.Iterable[Item]],
         rng: random.Random,
-        place: session.Place | None = None,
+        place: session.NodeAddress | None = None,
         reads_sessions: bool = True,
     ) -> None:
         self.node_id = peers.node_id
-        self.lease = session.Lease(self.node_id, process, place or session.Place())
+        self.lease = session.Lease(self.node_id, process, place or session.NodeAddress())
         me = ownership.Process(self.node_id, process)
         self.owners = ownership.Owners(me, self.lease)
         self.stopping = False
@@ -302,7 +302,7 @@
             return True
         return self._sessions is None or name in self._sessions
 
-    def _should_revoke(self, stale: session.Stale) -> bool:
+    def _should_revoke(self, stale: session.StaleSession) -> bool:
         if stale.unchanged_s >= LATE_REVOKE_S:
             return True
         first = hashing.rank(stale.session, self._peers.live())[:REVOKERS]
@@ -346,7 +346,7 @@
         while not self.stopping:
             # Renewed sooner after a silent store, so that orders are refused no
             # longer than needed; at 780 nodes this is 312 writes a second.
-            period_s = RETRY_RENEW_S if self.lease.unclear else session.RENEW_S
+            period_s = RETRY_RENEW_S if self.lease.unanswered else session.RENEW_S
             await trio.sleep(period_s * self._rng.uniform(1 - JITTER, 1.0))
             await self.renew()
 
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -113,7 +113,7 @@
             self.peers,
             self._owned_items,
             self.rng,
-            session.Place(*cfg.rpc_address, cfg.zone),
+            session.NodeAddress(*cfg.rpc_address, cfg.zone),
             reads_sessions=False,
         )
         self.keeper.on_sessions = self.lease.take_sessions
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -48,7 +48,7 @@
     def revoke(self, node: world.Node) -> None:
         place = (session.TABLE, node.lease.session)
         version = self.store.rows[place][0]
-        stale = session.Stale(node.lease.session, version, 30.0)
+        stale = session.StaleSession(node.lease.session, version, 30.0)
         assert isinstance(self.store.apply(session.revoke(stale)), step.Applied)
 
     def owners(self, *nodes: world.Node) -> list[str]:
