--- a/packages/snipelug-core/src/snipelug_core/ownership.py
+++ b/packages/snipelug-core/src/snipelug_core/ownership.py
@@ -14,7 +14,7 @@
 
 TABLE = "owners"
 
-UNLISTED_S = 30.0
+REMOVAL_DELAY_S = 30.0
 """Time that an instance must be missing from all readings of the lagging
 instance list before its outage slot moves."""
 
@@ -60,7 +60,7 @@
 
 
 @dataclasses.dataclass
-class Seen:
+class KnownRow:
     """An owner row as this process last saw it.
 
     Attributes
@@ -80,17 +80,17 @@
     row: Row
     since: float
     outage_since: float
-    given_up: bool = False
-    outage_given_up: bool = False
+    relinquished: bool = False
+    outage_relinquished: bool = False
 
 
 @dataclasses.dataclass
-class Owners:
+class OwnerRows:
     """What this process knows of owner rows, by row key."""
 
-    me: Process
+    own_process: Process
     lease: session.Lease
-    seen: dict[str, Seen] = dataclasses.field(default_factory=dict)
+    known_rows: dict[str, KnownRow] = dataclasses.field(default_factory=dict)
 
 
 def row_key(kind: Kind, key: str) -> str:
@@ -98,33 +98,35 @@
     return f"{kind.value}:{key}"
 
 
-def fencing(owners: Owners, key: str, now: float) -> int | None:
+def fencing_token(owners: OwnerRows, key: str, now: float) -> int | None:
     """Return the fencing number if this process owns the item now."""
-    seen = owners.seen.get(key)
-    if seen is None or seen.given_up or not owners.lease.valid(now):
+    seen = owners.known_rows.get(key)
+    if seen is None or seen.relinquished or not owners.lease.valid(now):
         return None
-    return seen.row.fencing if _is_mine(owners, seen.row) else None
+    return seen.row.fencing if _is_owned_here(owners, seen.row) else None
 
 
-def has_outage_slot(owners: Owners, key: str) -> bool:
+def has_outage_slot(owners: OwnerRows, key: str) -> bool:
     """Tell whether this process holds the outage slot, with or without a lease."""
-    seen = owners.seen.get(key)
-    if seen is None or seen.outage_given_up:
+    seen = owners.known_rows.get(key)
+    if seen is None or seen.outage_relinquished:
         return False
-    return seen.row.outage_holder == owners.me
+    return seen.row.outage_holder == owners.own_process
 
 
-def note(owners: Owners, key: str, version: str, row: Row, now: float) -> None:
+def observe_row(
+    owners: OwnerRows, key: str, version: str, row: Row, now: float
+) -> None:
     """Take in a row that was read; a reading older than the known row is ignored."""
-    old = owners.seen.get(key)
+    old = owners.known_rows.get(key)
     if old is not None and row.fencing < old.row.fencing:
         return
     if old is None:
-        owners.seen[key] = Seen(version, row, now, now)
+        owners.known_rows[key] = KnownRow(version, row, now, now)
         return
-    old.given_up = old.given_up and _is_mine(owners, row)
-    holds_slot = row.outage_holder == owners.me
-    old.outage_given_up = old.outage_given_up and holds_slot
+    old.relinquished = old.relinquished and _is_owned_here(owners, row)
+    holds_slot = row.outage_holder == owners.own_process
+    old.outage_relinquished = old.outage_relinquished and holds_slot
     if row.session != old.row.session:
         old.since = now
     if row.outage_holder != old.row.outage_holder:
@@ -133,7 +135,7 @@
 
 
 @dataclasses.dataclass
-class Unlisted:
+class InstanceListView:
     """What the last reading of the instance list showed.
 
     Attributes
@@ -142,17 +144,17 @@
         Since when nodes are missing, on this node's clock.
     """
 
-    since: dict[str, float] = dataclasses.field(default_factory=dict)
+    missing_since: dict[str, float] = dataclasses.field(default_factory=dict)
     observed_at: float = -math.inf
     self_listed: bool = False
     listed: frozenset[str] = frozenset()
 
 
-def observe_list(
-    unlisted: Unlisted,
+def observe_instance_list(
+    instance_list: InstanceListView,
     listed: collections.abc.Set[str],
     nodes: collections.abc.Iterable[str],
-    me: str,
+    own_node: str,
     now: float,
 ) -> None:
     """Take in a reading of the instance list.
@@ -171,26 +173,28 @@
     now : float
         Monotonic time, in seconds.
     """
-    unlisted.listed = frozenset(listed)
-    unlisted.self_listed = me in listed
-    if not unlisted.self_listed:
-        unlisted.since.clear()
+    instance_list.listed = frozenset(listed)
+    instance_list.self_listed = own_node in listed
+    if not instance_list.self_listed:
+        instance_list.missing_since.clear()
         return
-    unlisted.observed_at = now
+    instance_list.observed_at = now
     absent = [node for node in nodes if node not in listed]
-    unlisted.since = {node: unlisted.since.get(node, now) for node in absent}
+    instance_list.missing_since = {
+        node: instance_list.missing_since.get(node, now) for node in absent
+    }
 
 
-def is_removed(unlisted: Unlisted, node: str) -> bool:
+def is_removed(instance_list: InstanceListView, node: str) -> bool:
     """Tell whether the list has not contained the node for long enough."""
-    since = unlisted.since.get(node, math.inf)
-    return unlisted.observed_at - since >= UNLISTED_S
+    since = instance_list.missing_since.get(node, math.inf)
+    return instance_list.observed_at - since >= REMOVAL_DELAY_S
 
 
 Flow = collections.abc.Generator[step.Write | step.Read, step.Event, None]
 
 
-def acquire(owners: Owners, key: str, unlisted: Unlisted) -> Flow:
+def acquire(owners: OwnerRows, key: str, instance_list: InstanceListView) -> Flow:
     """Read an owner row and take the item if nobody owns it.
 
     The caller runs it for items that this node is preferred for, while its
@@ -199,27 +203,31 @@
     event = yield step.Read(TABLE, key, Row)
     match event.outcome:
         case step.Missing():
-            yield from _take(owners, key, step.ABSENT, None, unlisted, event.now)
+            yield from _take_ownership(
+                owners, key, step.ABSENT, None, instance_list, event.now
+            )
         case step.Found(version, row):
-            note(owners, key, version, row, event.now)
-            if _is_mine(owners, row) and not owners.seen[key].given_up:
-                yield from _claim_outage_slot(owners, key, unlisted)
+            observe_row(owners, key, version, row, event.now)
+            if _is_owned_here(owners, row) and not owners.known_rows[key].relinquished:
+                yield from _take_outage_slot(owners, key, instance_list)
                 return
             # The session is read after the owner row: a session exists before
             # it takes a row, so an absent one has ended.
-            if row.session and not _is_mine(owners, row):
+            if row.session and not _is_owned_here(owners, row):
                 event = yield step.Read(session.TABLE, row.session, session.Row)
                 if not isinstance(event.outcome, step.Missing):
                     return
-            yield from _take(owners, key, version, row, unlisted, event.now)
+            yield from _take_ownership(
+                owners, key, version, row, instance_list, event.now
+            )
 
 
-def _take(
-    owners: Owners,
+def _take_ownership(
+    owners: OwnerRows,
     key: str,
     expect: step.Precondition,
     old: Row | None,
-    unlisted: Unlisted,
+    instance_list: InstanceListView,
     now: float,
 ) -> Flow:
     if not owners.lease.valid(now):
@@ -228,43 +236,53 @@
         return
     number = 1 if old is None else old.fencing + 1
     slot = None if old is None else old.outage_holder
-    if _may_take_slot(owners, slot, unlisted):
-        slot = owners.me
-    row = Row(owners.lease.session, owners.me, number, slot)
-    yield from _write_mine(owners, key, row, expect)
+    if _may_take_slot(owners, slot, instance_list):
+        slot = owners.own_process
+    row = Row(owners.lease.session, owners.own_process, number, slot)
+    yield from _write_own_row(owners, key, row, expect)
 
 
-def _claim_outage_slot(owners: Owners, key: str, unlisted: Unlisted) -> Flow:
-    seen = owners.seen[key]
+def _take_outage_slot(
+    owners: OwnerRows, key: str, instance_list: InstanceListView
+) -> Flow:
+    seen = owners.known_rows[key]
     slot = seen.row.outage_holder
-    stuck = slot == owners.me and seen.outage_given_up
-    if stuck or (slot != owners.me and _may_take_slot(owners, slot, unlisted)):
+    stuck = slot == owners.own_process and seen.outage_relinquished
+    if stuck or (
+        slot != owners.own_process and _may_take_slot(owners, slot, instance_list)
+    ):
         number = seen.row.fencing + 1
-        row = dataclasses.replace(seen.row, fencing=number, outage_holder=owners.me)
-        yield from _write_mine(owners, key, row, seen.version)
+        row = dataclasses.replace(
+            seen.row, fencing=number, outage_holder=owners.own_process
+        )
+        yield from _write_own_row(owners, key, row, seen.version)
 
 
-def _write_mine(owners: Owners, key: str, row: Row, expect: step.Precondition) -> Flow:
+def _write_own_row(
+    owners: OwnerRows, key: str, row: Row, expect: step.Precondition
+) -> Flow:
     event = yield step.Write(TABLE, key, row, expect)
     if isinstance(event.outcome, step.Applied):
         # This write replaced the version that a late hand-over would need.
-        note(owners, key, event.outcome.version, row, event.now)
-        owners.seen[key].given_up = False
-        owners.seen[key].outage_given_up = False
+        observe_row(owners, key, event.outcome.version, row, event.now)
+        owners.known_rows[key].relinquished = False
+        owners.known_rows[key].outage_relinquished = False
 
 
-def _may_take_slot(owners: Owners, slot: Process | None, unlisted: Unlisted) -> bool:
+def _may_take_slot(
+    owners: OwnerRows, slot: Process | None, instance_list: InstanceListView
+) -> bool:
     """Tell whether the outage slot is free.
 
     A node that the list does not contain yet takes none, because others
     would see its instance as removed. An earlier process of this node has
     ended, since this one listens on its port.
     """
-    if not unlisted.self_listed:
+    if not instance_list.self_listed:
         return False
-    if slot is None or slot.node == owners.me.node:
+    if slot is None or slot.node == owners.own_process.node:
         return True
-    return is_removed(unlisted, slot.node)
+    return is_removed(instance_list, slot.node)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -283,40 +301,40 @@
     listed: bool = False
 
 
-def hand_over(owners: Owners, key: str, successor: Successor | None) -> Flow:
+def hand_over(owners: OwnerRows, key: str, successor: Successor | None) -> Flow:
     """Give away what this process has of an item; without a successor, free it.
 
     This process stops using the item before the write is sent, whatever
     becomes of the write.
     """
     for _ in range(HAND_OVER_ATTEMPTS):
-        seen = owners.seen.get(key)
-        if seen is None or not _gives_anything(owners, seen.row):
+        seen = owners.known_rows.get(key)
+        if seen is None or not _holds_anything(owners, seen.row):
             return
-        seen.given_up = _is_mine(owners, seen.row)
-        seen.outage_given_up = seen.row.outage_holder == owners.me
-        row = _without_me(owners, seen.row, successor)
+        seen.relinquished = _is_owned_here(owners, seen.row)
+        seen.outage_relinquished = seen.row.outage_holder == owners.own_process
+        row = _handed_over_row(owners, seen.row, successor)
         event = yield step.Write(TABLE, key, row, seen.version)
         if isinstance(event.outcome, step.Applied):
-            note(owners, key, event.outcome.version, row, event.now)
+            observe_row(owners, key, event.outcome.version, row, event.now)
             return
         event = yield step.Read(TABLE, key, Row)
         if isinstance(event.outcome, step.Found):
             found = event.outcome
-            note(owners, key, found.version, found.content, event.now)
+            observe_row(owners, key, found.version, found.content, event.now)
 
 
-def _gives_anything(owners: Owners, row: Row) -> bool:
-    return _is_mine(owners, row) or row.outage_holder == owners.me
+def _holds_anything(owners: OwnerRows, row: Row) -> bool:
+    return _is_owned_here(owners, row) or row.outage_holder == owners.own_process
 
 
-def _without_me(owners: Owners, row: Row, successor: Successor | None) -> Row:
-    if not _is_mine(owners, row):
+def _handed_over_row(owners: OwnerRows, row: Row, successor: Successor | None) -> Row:
+    if not _is_owned_here(owners, row):
         # Only the outage slot is this process's; the item's owner takes it
         # when the list contains the owner.
         return dataclasses.replace(row, fencing=row.fencing + 1, outage_holder=None)
     slot = row.outage_holder
-    if slot == owners.me:
+    if slot == owners.own_process:
         slot = successor.process if successor and successor.listed else None
     return Row(
         successor.session if successor else "",
@@ -326,5 +344,5 @@
     )
 
 
-def _is_mine(owners: Owners, row: Row) -> bool:
+def _is_owned_here(owners: OwnerRows, row: Row) -> bool:
     return bool(row.session) and row.session == owners.lease.session
--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -73,9 +73,11 @@
         reads_sessions: bool = True,
     ) -> None:
         self.node_id = peers.node_id
-        self.lease = session.Lease(self.node_id, process, place or session.NodeAddress())
+        self.lease = session.Lease(
+            self.node_id, process, place or session.NodeAddress()
+        )
         me = ownership.Process(self.node_id, process)
-        self.owners = ownership.Owners(me, self.lease)
+        self.owners = ownership.OwnerRows(me, self.lease)
         self.stopping = False
         self._reads_sessions = reads_sessions
         self._tables = tables
@@ -83,7 +85,7 @@
         self._wanted = wanted
         self._rng = rng
         self._watch = session.Watch()
-        self._unlisted = ownership.Unlisted()
+        self._unlisted = ownership.InstanceListView()
         self._sessions: dict[str, session.Row] | None = None
         self._scanned_from = -math.inf
         self._preferred: dict[str, str] = {}
@@ -99,11 +101,11 @@
 
     def holds(self, kind: ownership.Kind, key: str, now: float) -> int | None:
         """Return the fencing number if this node owns the item at this moment."""
-        return ownership.fencing(self.owners, ownership.row_key(kind, key), now)
+        return ownership.fencing_token(self.owners, ownership.row_key(kind, key), now)
 
     def taken_at(self, kind: ownership.Kind, key: str) -> float:
         """Return when this node learnt of the item's owner, infinite if never."""
-        seen = self.owners.seen.get(ownership.row_key(kind, key))
+        seen = self.owners.known_rows.get(ownership.row_key(kind, key))
         return math.inf if seen is None else seen.since
 
     def outage_holder(self, kind: ownership.Kind, key: str) -> bool:
@@ -112,7 +114,7 @@
 
     def outage_since(self, kind: ownership.Kind, key: str) -> float:
         """Return when this node learnt of the outage holder, infinite if never."""
-        seen = self.owners.seen.get(ownership.row_key(kind, key))
+        seen = self.owners.known_rows.get(ownership.row_key(kind, key))
         return math.inf if seen is None else seen.outage_since
 
     def owner_of(self, kind: ownership.Kind, key: str) -> str | None:
@@ -122,11 +124,11 @@
         is not known; only ``holds`` on the asked node is binding.
         """
         item = ownership.row_key(kind, key)
-        seen = self.owners.seen.get(item)
+        seen = self.owners.known_rows.get(item)
         if seen is None or not self._may_live(seen):
             return self._preferred.get(item)
         owner = seen.row.owner
-        if owner is None or (seen.given_up and owner == self.owners.me):
+        if owner is None or (seen.relinquished and owner == self.owners.own_process):
             return self._preferred.get(item)
         return owner.node
 
@@ -157,9 +159,11 @@
     ) -> None:
         """Take in a reading of the instance list; outage slots depend on it."""
         listed = frozenset(instance.id for instance in instances)
-        slots = (seen.row.outage_holder for seen in self.owners.seen.values())
+        slots = (seen.row.outage_holder for seen in self.owners.known_rows.values())
         nodes = {slot.node for slot in slots if slot is not None}
-        ownership.observe_list(self._unlisted, listed, nodes, self.node_id, now)
+        ownership.observe_instance_list(
+            self._unlisted, listed, nodes, self.node_id, now
+        )
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -183,7 +187,7 @@
         self.stopping = True
         with trio.move_on_after(STOP_S) as scope:
             async with self._owning:
-                for item in list(self.owners.seen):
+                for item in list(self.owners.known_rows):
                     heir = self._successor(item)
                     flow = ownership.hand_over(self.owners, item, heir)
                     await executor.run(self._tables, flow)
@@ -242,7 +246,7 @@
         now = trio.current_time()
         versions = {row.key: row.version for row in rows}
         for key, row in _decoded(rows, ownership.Row):
-            ownership.note(self.owners, key, versions[key], row, now)
+            ownership.observe_row(self.owners, key, versions[key], row, now)
         return sum(len(row.content) for row in rows)
 
     async def acquire(self) -> None:
@@ -273,7 +277,9 @@
         taken = step.Read(ownership.TABLE, item, ownership.Row)
         match await executor.perform(self._tables, taken):
             case step.Found(version, row):
-                ownership.note(self.owners, item, version, row, trio.current_time())
+                ownership.observe_row(
+                    self.owners, item, version, row, trio.current_time()
+                )
 
     async def _acquire_one(self, item: str) -> None:
         async with self._owning:
@@ -286,14 +292,14 @@
                 self._due[item] = trio.current_time() + RECHECK_S
 
     def _is_due(self, item: str, now: float) -> bool:
-        seen = self.owners.seen.get(item)
+        seen = self.owners.known_rows.get(item)
         if seen is None or not self._lives(seen.row.session):
             return True
-        if seen.row.owner == self.owners.me and seen.row.outage_holder is None:
+        if seen.row.owner == self.owners.own_process and seen.row.outage_holder is None:
             return True
         return now >= self._due.get(item, -math.inf)
 
-    def _may_live(self, seen: ownership.Seen) -> bool:
+    def _may_live(self, seen: ownership.KnownRow) -> bool:
         # A session learnt of since the last scan began may be newer than the scan.
         return self._lives(seen.row.session) or seen.since > self._scanned_from
 
--- a/packages/snipelug-node/src/snipelug_node/operations.py
+++ b/packages/snipelug-node/src/snipelug_node/operations.py
@@ -140,8 +140,8 @@
         now = trio.current_time()
         return [
             {"item": key, "fencing": seen.row.fencing, "valid": self.lease.valid(now)}
-            for key, seen in sorted(self.lease.owners.seen.items())
-            if ownership.fencing(self.lease.owners, key, now) is not None
+            for key, seen in sorted(self.lease.owners.known_rows.items())
+            if ownership.fencing_token(self.lease.owners, key, now) is not None
         ]
 
 
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -348,13 +348,16 @@
         """
         key = ownership.row_key(ownership.Kind.UPSTREAM, upstream_id)
         owners = self._keeper.owners
-        seen = owners.seen.get(key)
+        seen = owners.known_rows.get(key)
         if seen is None:
             return None
         if part is admission.PartName.OUTAGE:
-            mine = seen.row.outage_holder == owners.me and not seen.outage_given_up
+            mine = (
+                seen.row.outage_holder == owners.own_process
+                and not seen.outage_relinquished
+            )
         else:
-            mine = seen.row.owner == owners.me and not seen.given_up
+            mine = seen.row.owner == owners.own_process and not seen.relinquished
         return seen.row.fencing if mine else None
 
 
@@ -373,7 +376,7 @@
     kind = ownership.Kind.UPSTREAM
     if part is not admission.PartName.OUTAGE:
         return keeper.owner_of(kind, upstream_id)
-    seen = keeper.owners.seen.get(ownership.row_key(kind, upstream_id))
+    seen = keeper.owners.known_rows.get(ownership.row_key(kind, upstream_id))
     if seen is None or seen.row.outage_holder is None:
         return None
     return seen.row.outage_holder.node
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -80,7 +80,9 @@
         successor = None
         if heir is not node and heir.lease.session:
             listed = heir.id in node.unlisted.listed
-            successor = ownership.Successor(heir.lease.session, heir.owners.me, listed)
+            successor = ownership.Successor(
+                heir.lease.session, heir.owners.own_process, listed
+            )
         flow = ownership.hand_over(node.owners, item, successor)
         self.world.start(node, item, flow)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -55,7 +55,7 @@
         return [
             node.id
             for node in nodes
-            if ownership.fencing(node.owners, ITEM, self.now) is not None
+            if ownership.fencing_token(node.owners, ITEM, self.now) is not None
         ]
 
     def holders(self, *nodes: world.Node) -> list[str]:
@@ -101,7 +101,7 @@
     bench = Bench()
     a, b = bench.node("a"), bench.node("b")
     bench.acquire(a)
-    heir = ownership.Successor(b.lease.session, b.owners.me, listed=True)
+    heir = ownership.Successor(b.lease.session, b.owners.own_process, listed=True)
     lost = ["late", "lost"] * ownership.HAND_OVER_ATTEMPTS
     bench.run(ownership.hand_over(a.owners, ITEM, heir), *lost)
     late = bench.store.late.pop()
@@ -121,7 +121,7 @@
     bench.acquire(a)
     old = bench.store.rows[(ownership.TABLE, ITEM)]
     bench.run(ownership.hand_over(a.owners, ITEM, None))
-    ownership.note(a.owners, ITEM, *old, bench.now)
+    ownership.observe_row(a.owners, ITEM, *old, bench.now)
     assert bench.owners(a) == []
     assert bench.holders(a) == []
 
@@ -148,11 +148,11 @@
     for now, listed in [(40.0, {"a", "b"}), (50.0, {"b"}), (79.0, {"b"})]:
         bench.now = now
         bench.run(session.renew(b.lease, now))
-        ownership.observe_list(b.unlisted, listed, ["a"], "b", now)
+        ownership.observe_instance_list(b.unlisted, listed, ["a"], "b", now)
         bench.acquire(b)
         assert bench.owners(a, b) == ["b"]
         assert bench.holders(a, b) == ["a"]
-    ownership.observe_list(b.unlisted, {"b"}, ["a"], "b", 80.0)
+    ownership.observe_instance_list(b.unlisted, {"b"}, ["a"], "b", 80.0)
     bench.acquire(b)
     assert bench.holders(b) == ["b"]
 
@@ -161,11 +161,11 @@
     """Guards against a new node whose slot others see as free."""
     bench = Bench()
     a = bench.node("a")
-    ownership.observe_list(a.unlisted, {"b"}, [], "a", 0.0)
+    ownership.observe_instance_list(a.unlisted, {"b"}, [], "a", 0.0)
     bench.acquire(a)
     assert bench.owners(a) == ["a"]
     assert bench.holders(a) == []
-    ownership.observe_list(a.unlisted, {"a", "b"}, [], "a", 0.0)
+    ownership.observe_instance_list(a.unlisted, {"a", "b"}, [], "a", 0.0)
     bench.acquire(a)
     assert bench.holders(a) == ["a"]
 
@@ -199,14 +199,14 @@
     a, b, c = (bench.node(name) for name in "abc")
     b.unlisted.self_listed = False
     bench.acquire(a)
-    heir = ownership.Successor(b.lease.session, b.owners.me)
+    heir = ownership.Successor(b.lease.session, b.owners.own_process)
     bench.run(ownership.hand_over(a.owners, ITEM, heir))
     bench.acquire(b)
     bench.revoke(b)
     for now in (0.0, 31.0):
         bench.now = now
         bench.run(session.renew(c.lease, now))
-        ownership.observe_list(c.unlisted, {"a", "c"}, ["b"], "c", now)
+        ownership.observe_instance_list(c.unlisted, {"a", "c"}, ["b"], "c", now)
         bench.acquire(c)
         bench.acquire(c)
     assert bench.owners(a, b, c) == ["c"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -68,8 +68,8 @@
         self.lease = session.Lease(self.id, self.process)
         self.ledger = claim.Ledger(self.process)
         me = ownership.Process(self.id, self.process)
-        self.owners = ownership.Owners(me, self.lease)
-        self.unlisted = ownership.Unlisted()
+        self.owners = ownership.OwnerRows(me, self.lease)
+        self.unlisted = ownership.InstanceListView()
         self.watch = session.Watch()
 
 
@@ -141,10 +141,10 @@
         listed = recent[0] if lagging else self.listed
         holders = {
             seen.row.outage_holder.node
-            for seen in node.owners.seen.values()
+            for seen in node.owners.known_rows.values()
             if seen.row.outage_holder
         }
-        ownership.observe_list(
+        ownership.observe_instance_list(
             node.unlisted, listed, holders, node.id, self.clock(node)
         )
 
@@ -192,7 +192,7 @@
         event = yield Scan(ownership.TABLE)
         if isinstance(event.outcome, dict):
             for key, row in event.outcome.items():
-                ownership.note(node.owners, key, *row, event.now)
+                ownership.observe_row(node.owners, key, *row, event.now)
 
     def settle_flow(self, key: str, wall: float) -> Flow:
         place = claim.row_key("team", key)
@@ -294,12 +294,13 @@
         """Assert what must hold at every moment."""
         for key, runs in self.runs.items():
             assert len(runs) <= 1, f"key {key} ran {len(runs)} times"
-        items = {key for node in self.alive() for key in node.owners.seen}
+        items = {key for node in self.alive() for key in node.owners.known_rows}
         for item in items:
             owners = [
                 node.id
                 for node in self.alive()
-                if ownership.fencing(node.owners, item, self.clock(node)) is not None
+                if ownership.fencing_token(node.owners, item, self.clock(node))
+                is not None
             ]
             assert len(owners) <= 1, f"{item} has the owners {owners}"
             holders = [
