Rename Sent and may_use_allowance of confirmation

Sent -> SentRequest, may_use_allowance -> may_send_without_slot, STALL_S -> SLOT_STALL_S; within confirmation ARRIVAL_S -> ACCEPTANCE_DELAY_S, ALLOWANCE -> MAX_SENT_WITHOUT_SLOT, arrived_by -> latest_arrival.

--- a/packages/snipelug-core/src/snipelug_core/confirmation.py
+++ b/packages/snipelug-core/src/snipelug_core/confirmation.py
@@ -12,7 +12,7 @@
 
 from snipelug_core import table
 
-ARRIVAL_S = 0.25
+ACCEPTANCE_DELAY_S = 0.25
 """Time after a send within which the upstream has accepted the request, where its
 answer has not started yet. The head of an answer shows it earlier."""
 
@@ -22,19 +22,19 @@
 COLD_READ_S = 0.25
 """Time between two reads of the load of an upstream that is not warm."""
 
-STALL_S = 5.0
+SLOT_STALL_S = 5.0
 """Time without any slot after which a node uses its allowance.
 
 A node that dies keeps its slots for `admission.ARRIVAL_BOUND_S`; a warm upstream must not
 stand still for that long.
 """
 
-ALLOWANCE = 1
+MAX_SENT_WITHOUT_SLOT = 1
 """Unconfirmed requests of one node at one warm upstream without a slot."""
 
 
 @dataclasses.dataclass
-class Sent:
+class SentRequest:
     """A request that was sent.
 
     Attributes
@@ -49,20 +49,22 @@
     head_at: float | None = None
 
 
-def arrived_by(sent: Sent) -> float:
+def latest_arrival(sent: SentRequest) -> float:
     """Return a time by which the upstream had accepted the request."""
-    return sent.at + ARRIVAL_S if sent.head_at is None else sent.head_at
+    return sent.at + ACCEPTANCE_DELAY_S if sent.head_at is None else sent.head_at
 
 
-def is_confirmed(sent: Sent, report: table.LoadReport | None) -> bool:
+def is_confirmed(sent: SentRequest, report: table.LoadReport | None) -> bool:
     """Return whether the upstream was warm after the request arrived."""
     if report is None or report.state is not table.Warmth.WARM:
         return False
-    return report.made_at > arrived_by(sent)
+    return report.made_at > latest_arrival(sent)
 
 
 def next_read_at(
-    sents: collections.abc.Iterable[Sent], upstream: table.Upstream, now: float
+    sent_requests: collections.abc.Iterable[SentRequest],
+    upstream: table.Upstream,
+    now: float,
 ) -> float:
     """Return when to read the load so that it may confirm a request.
 
@@ -72,9 +74,9 @@
     report = upstream.report
     if report is None or report.state is not table.Warmth.WARM:
         return now + COLD_READ_S
-    due = min((arrived_by(sent) for sent in sents), default=now) + report_age_s(
-        upstream
-    )
+    due = min(
+        (latest_arrival(sent) for sent in sent_requests), default=now
+    ) + report_age_s(upstream)
     return max(now + MIN_READ_S, due)
 
 
@@ -102,7 +104,7 @@
     return math.ceil(max(0, ahead) / limit) * (age_s + MIN_READ_S)
 
 
-def may_use_allowance(
+def may_send_without_slot(
     silent_slots: int, rank: int, stalled_s: float, used: int
 ) -> bool:
     """Return whether a node may send to a warm upstream without a slot.
@@ -122,4 +124,6 @@
     used : int
         Unconfirmed requests that this node has sent there on its allowance.
     """
-    return used < ALLOWANCE and (rank < silent_slots or stalled_s >= STALL_S)
+    return used < MAX_SENT_WITHOUT_SLOT and (
+        rank < silent_slots or stalled_s >= SLOT_STALL_S
+    )
--- a/packages/snipelug-node/src/snipelug_node/confirmer.py
+++ b/packages/snipelug-node/src/snipelug_node/confirmer.py
@@ -22,7 +22,7 @@
         Monotonic time at which the request was cut off; its upstream may run it.
     """
 
-    sent: confirmation.Sent | None
+    sent: confirmation.SentRequest | None
     cut_at: float | None
 
     @property
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -35,7 +35,7 @@
     held: admitter.Slot | None
     on_release: collections.abc.Callable[[], None]
     uses: confirmer.Confirmer | None = None
-    sent: confirmation.Sent | None = None
+    sent: confirmation.SentRequest | None = None
     cut_at: float | None = None
     is_over: bool = False
 
@@ -55,7 +55,7 @@
             return False
         if self.held is not None and not self.held.may_send(now):
             return False
-        self.sent = confirmation.Sent(now)
+        self.sent = confirmation.SentRequest(now)
         if self.uses is not None:
             self.uses.add(self.upstream_id, self)
         return True
@@ -214,7 +214,7 @@
             return held
         queue.full_at = trio.current_time()
         stalled_s = queue.full_at - queue.stalled_since
-        if not confirmation.may_use_allowance(
+        if not confirmation.may_send_without_slot(
             held.silent_slots,
             self._asking.rank(upstream_id),
             stalled_s,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 an exception: a granted request whose process was paused for more than
 `admission.MAX_SEND_DELAY_S` between the last check and the write, and a request that
 was running when a report said warm, before the upstream turned cold silently. Sends
-on a node's allowance (`confirmation.may_use_allowance`) are not part of the model.
+on a node's allowance (`confirmation.may_send_without_slot`) are not part of the model.
 """
 
 import dataclasses
@@ -92,7 +92,7 @@
     holder: Node | None
     checked_at: float = 0.0
     arrived_at: float = 0.0
-    sent: confirmation.Sent | None = None
+    sent: confirmation.SentRequest | None = None
     ends_at: float = 0.0
     uses_grant: bool = False
     is_residual: bool = False
@@ -205,7 +205,7 @@
                     self.confirm(req, req.sent, report)
 
     def confirm(
-        self, req: Req, sent: confirmation.Sent, report: table.LoadReport
+        self, req: Req, sent: confirmation.SentRequest, report: table.LoadReport
     ) -> None:
         if req.holder is None or not confirmation.is_confirmed(sent, report):
             return
@@ -293,7 +293,7 @@
         req.ends_at = self.now + req.run_s
         req.arrived_at = self.now
         now = req.node.clock(self.now)
-        req.sent = confirmation.Sent(now, head_at=now)
+        req.sent = confirmation.SentRequest(now, head_at=now)
         assert req.grant is not None
         # A late request of the outage part's holder uses its own slot.
         is_own = req.grant.part is OUTAGE and req.holder is req.node
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -26,7 +26,7 @@
 ) -> None:
     """Guards against slots given back while the upstream may be cold."""
     report = table.LoadReport("x", state, 0, 0, 1, made_at)
-    sent = confirmation.Sent(10.0, head_at)
+    sent = confirmation.SentRequest(10.0, head_at)
     assert confirmation.is_confirmed(sent, report) is is_confirmed
     assert not confirmation.is_confirmed(sent, None)
 
@@ -40,10 +40,12 @@
     used = [0] * nodes
     for _ in range(3):
         for rank in range(nodes):
-            used[rank] += confirmation.may_use_allowance(silent, rank, 0.0, used[rank])
+            used[rank] += confirmation.may_send_without_slot(
+                silent, rank, 0.0, used[rank]
+            )
     assert sum(used) == min(silent, nodes)
-    assert confirmation.may_use_allowance(0, 9, confirmation.STALL_S, 0)
-    assert not confirmation.may_use_allowance(0, 9, confirmation.STALL_S, 1)
+    assert confirmation.may_send_without_slot(0, 9, confirmation.SLOT_STALL_S, 0)
+    assert not confirmation.may_send_without_slot(0, 9, confirmation.SLOT_STALL_S, 1)
 
 
 @pytest.mark.parametrize(
