--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -38,7 +38,7 @@
 
 
 class SliceAsk(msgspec.Struct, frozen=True):
-    """Asks a team's owner for a slice; see `quota.Ask`."""
+    """Asks a team's owner for a slice; see `quota.SliceRequest`."""
 
     team: Identifier
     session_id: Identifier
