Rename the outward names of claim

Answer -> Response, Ask -> QueryStatus, Told -> StatusReply, NotReached -> Unreachable, SessionLives -> SessionMayExist, SessionGone -> SessionEnded, Unclear -> OutcomeUnknown, Alarm -> ReportViolation, NotOpen -> NotSettleable, is_open -> needs_operator, unclear_refusal -> as_possibly_run, session_gone -> session_ended; and names that only claim uses.

--- a/packages/snipelug-core/src/snipelug_core/claim.py
+++ b/packages/snipelug-core/src/snipelug_core/claim.py
@@ -25,19 +25,19 @@
 RETENTION_S = 7 * 24 * 3600.0
 """Age from which a finished claim is deleted; its key is then free again."""
 
-CLAIM_ATTEMPTS = 3
+MAX_UNANSWERED_CLAIM_STEPS = 3
 """Store operations without an answer after which a claim is abandoned."""
 
 CLAIM_RETRY_S = 0.2
 RECORD_RETRY_MIN_S = 0.2
 RECORD_RETRY_MAX_S = 5.0
-ASK_WAIT_S = 2.0
+STATUS_WAIT_S = 2.0
 """Longest time that a claiming node is asked to wait before it answers."""
 
-POLL_S = 0.5
+STATUS_POLL_INTERVAL_S = 0.5
 """Time between two questions to a claiming node that cannot be reached."""
 
-LEDGER_LIMIT = 65_536
+MAX_FINISHED_CLAIMS = 65_536
 """Most finished claims remembered; forgotten ones are never called abandoned."""
 
 
@@ -52,7 +52,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Answer:
+class Response:
     """The answer of the upstream to the one execution.
 
     Attributes
@@ -92,7 +92,7 @@
     nonce: str
     claimed_wall: float
     state: State = State.CLAIMED
-    answer: Answer | None = None
+    answer: Response | None = None
     note: str = ""
 
 
@@ -148,7 +148,7 @@
 class _Entry:
     status: Status
     send_before: float
-    answer: Answer | None = None
+    answer: Response | None = None
 
 
 class Ledger:
@@ -160,7 +160,7 @@
         Incarnation of this process.
     """
 
-    def __init__(self, process: str, limit: int = LEDGER_LIMIT) -> None:
+    def __init__(self, process: str, limit: int = MAX_FINISHED_CLAIMS) -> None:
         self.process = process
         self._limit = limit
         self._entries: dict[str, _Entry] = {}
@@ -196,21 +196,21 @@
         self._finish(nonce, Status.ABANDONED)
         return True
 
-    def ran(self, nonce: str, answer: Answer) -> None:
+    def mark_ran(self, nonce: str, answer: Response) -> None:
         """Note the answer, which is not recorded yet."""
         entry = self._entries[nonce]
         entry.status = Status.RAN
         entry.answer = answer
 
-    def unclear(self, nonce: str) -> None:
+    def mark_unknown(self, nonce: str) -> None:
         """Note that bytes were sent and no complete answer came."""
         self._entries[nonce].status = Status.UNKNOWN
 
-    def recorded(self, nonce: str) -> None:
+    def mark_recorded(self, nonce: str) -> None:
         """Note that the row holds the outcome."""
         self._finish(nonce, Status.RECORDED)
 
-    def status(self, process: str, nonce: str) -> tuple[Status, Answer | None]:
+    def status(self, process: str, nonce: str) -> tuple[Status, Response | None]:
         """Return what is known of a claim, and its answer if not recorded yet."""
         if process != self.process:
             return Status.GONE, None
@@ -245,7 +245,7 @@
 class Delivered:
     """The upstream answered in full."""
 
-    answer: Answer
+    answer: Response
 
 
 @dataclasses.dataclass(frozen=True)
@@ -256,14 +256,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Unclear:
+class OutcomeUnknown:
     """Bytes were sent and no complete answer came back."""
 
     refusal: refusal.Refusal
 
 
 @dataclasses.dataclass(frozen=True)
-class Ask:
+class QueryStatus:
     """Ask a process for the status of its claim."""
 
     node: str
@@ -273,15 +273,15 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Told:
+class StatusReply:
     """What the claiming process, or its successor on the node, answered."""
 
     status: Status
-    answer: Answer | None = None
+    answer: Response | None = None
 
 
 @dataclasses.dataclass(frozen=True)
-class NotReached:
+class Unreachable:
     """The claiming process did not answer."""
 
 
@@ -293,24 +293,32 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class SessionLives:
+class SessionMayExist:
     """The session row exists, or the store did not tell."""
 
 
 @dataclasses.dataclass(frozen=True)
-class SessionGone:
+class SessionEnded:
     """The session was revoked or removed."""
 
 
 @dataclasses.dataclass(frozen=True)
-class Alarm:
+class ReportViolation:
     """Tell operators that a rule was broken from outside; has no outcome."""
 
     message: str
 
 
-Step = step.Write | step.Read | step.Wait | Dispatch | Ask | LookUpSession | Alarm
-Result = Answer | refusal.Refusal
+Step = (
+    step.Write
+    | step.Read
+    | step.Wait
+    | Dispatch
+    | QueryStatus
+    | LookUpSession
+    | ReportViolation
+)
+Result = Response | refusal.Refusal
 Flow = collections.abc.Generator[Step, step.Event, Result]
 
 
@@ -321,7 +329,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Taken:
+class _HeldByOther:
     """Another attempt's row is there."""
 
     version: str
@@ -363,21 +371,23 @@
     while True:
         mine = dataclasses.replace(call.claim, nonce=next(nonces))
         ledger.begin(mine.nonce, now)
-        claimed = yield from _claim(call, mine, expect, ledger)
+        claimed = yield from _write_claim(call, mine, expect, ledger)
         if isinstance(claimed, refusal.Refusal):
             return claimed
         if isinstance(claimed, _Claimed):
-            return (yield from _dispatch(call, mine, claimed, ledger))
-        resolved = yield from _resolve(call, claimed)
+            return (yield from _dispatch_claimed(call, mine, claimed, ledger))
+        resolved = yield from _resolve_other(call, claimed)
         if not isinstance(resolved, _Free):
             return resolved
         expect = resolved.expect
         now = resolved.now
 
 
-def _claim(
+def _write_claim(
     call: Call, mine: Row, expect: step.Precondition, ledger: Ledger
-) -> collections.abc.Generator[Step, step.Event, _Claimed | _Taken | refusal.Refusal]:
+) -> collections.abc.Generator[
+    Step, step.Event, _Claimed | _HeldByOther | refusal.Refusal
+]:
     """Write the claim; on a lost answer read back and compare the nonce."""
     silent = 0
     contested = False
@@ -395,7 +405,7 @@
                     return _Claimed(version, event.now)
                 if version != expect:
                     ledger.abandon(mine.nonce)
-                    return _Taken(version, row, event.now)
+                    return _HeldByOther(version, row, event.now)
                 # The row to take over is unchanged. A late effect of the first
                 # write and this one exclude each other by the row version.
                 writing = True
@@ -410,51 +420,51 @@
                 return _unreadable(reason)
             case step.NoAnswer(reason):
                 silent += 1
-                if silent < CLAIM_ATTEMPTS:
+                if silent < MAX_UNANSWERED_CLAIM_STEPS:
                     event = yield step.Wait(CLAIM_RETRY_S * silent)
-                if silent >= CLAIM_ATTEMPTS:
+                if silent >= MAX_UNANSWERED_CLAIM_STEPS:
                     ledger.abandon(mine.nonce)
-                    return _store_silent(reason, contested)
+                    return _store_unavailable(reason, contested)
                 writing = False
         if not ledger.in_window(mine.nonce, event.now):
             ledger.abandon(mine.nonce)
-            return _store_silent("the claim took too long", contested)
+            return _store_unavailable("the claim took too long", contested)
 
 
-def _dispatch(call: Call, mine: Row, claimed: _Claimed, ledger: Ledger) -> Flow:
+def _dispatch_claimed(call: Call, mine: Row, claimed: _Claimed, ledger: Ledger) -> Flow:
     """Send the claimed call, then record its outcome."""
     if not ledger.in_window(mine.nonce, claimed.now):
         reason = f"the claim was not complete within {SEND_WINDOW_S:g} s"
         refused = refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
-        return (yield from _release(call, mine, claimed, ledger, refused))
+        return (yield from _release_claim(call, mine, claimed, ledger, refused))
     if claimed.now >= call.deadline:
         reason = "the deadline passed before the call was sent"
         refused = refusal.refuse(refusal.DEADLINE_UNREACHABLE, reason)
-        return (yield from _release(call, mine, claimed, ledger, refused))
+        return (yield from _release_claim(call, mine, claimed, ledger, refused))
     event = yield Dispatch(mine.nonce)
     match event.outcome:
         case Delivered(answer):
-            ledger.ran(mine.nonce, answer)
+            ledger.mark_ran(mine.nonce, answer)
             row = dataclasses.replace(mine, state=State.DONE, answer=answer)
-            yield from _record(call, row, claimed.version, ledger)
+            yield from _record_outcome(call, row, claimed.version, ledger)
             return answer
         case NotSent(refused):
             if ledger.status(ledger.process, mine.nonce)[0] is Status.ACTIVE:
-                return (yield from _release(call, mine, claimed, ledger, refused))
+                return (yield from _release_claim(call, mine, claimed, ledger, refused))
             # The last check granted the send, so bytes may have left.
-            refused = unclear_refusal(refused)
-        case Unclear(refused):
-            refused = unclear_refusal(refused)
+            refused = as_possibly_run(refused)
+        case OutcomeUnknown(refused):
+            refused = as_possibly_run(refused)
         case other:
             raise AssertionError(f"unexpected outcome of a dispatch: {other!r}")
-    ledger.unclear(mine.nonce)
+    ledger.mark_unknown(mine.nonce)
     note = refused.message
     row = dataclasses.replace(mine, state=State.UNKNOWN, note=note)
-    yield from _record(call, row, claimed.version, ledger)
+    yield from _record_outcome(call, row, claimed.version, ledger)
     return refused
 
 
-def _release(
+def _release_claim(
     call: Call, mine: Row, claimed: _Claimed, ledger: Ledger, refused: refusal.Refusal
 ) -> Flow:
     """Abandon a claim that was not sent and free its row."""
@@ -465,7 +475,7 @@
     return refused
 
 
-def _record(
+def _record_outcome(
     call: Call, row: Row, version: str, ledger: Ledger
 ) -> collections.abc.Generator[Step, step.Event, None]:
     """Write the outcome until it is known to be stored.
@@ -485,7 +495,9 @@
             case step.Applied():
                 break
             case step.Found(_, found) if found.nonce != row.nonce:
-                yield Alarm(f"claim {call.row_key} was taken over while it ran")
+                yield ReportViolation(
+                    f"claim {call.row_key} was taken over while it ran"
+                )
                 break
             case step.Found(_, found) if found.state is row.state:
                 break
@@ -498,7 +510,7 @@
                 expect = step.ABSENT
                 writing = True
             case step.Malformed(reason):
-                yield Alarm(f"claim {call.row_key} cannot be read: {reason}")
+                yield ReportViolation(f"claim {call.row_key} cannot be read: {reason}")
                 break
             case step.NoAnswer():
                 yield step.Wait(delay_s)
@@ -506,11 +518,11 @@
                 writing = False
             case _:
                 writing = False
-    ledger.recorded(row.nonce)
+    ledger.mark_recorded(row.nonce)
 
 
-def _resolve(
-    call: Call, taken: _Taken
+def _resolve_other(
+    call: Call, taken: _HeldByOther
 ) -> collections.abc.Generator[Step, step.Event, _Free | Result]:
     """Find out what became of another attempt, until the caller's deadline."""
     version, row, now = taken.version, taken.row, taken.now
@@ -526,39 +538,41 @@
                 return row.answer
             case State.SETTLED_RAN:
                 reason = f"settled by an operator as run: {row.note}"
-                return _known_unanswered(reason, refusal.RunState.RAN)
+                return _outcome_unknown(reason, refusal.RunState.RAN)
             case State.CLAIMED if not claimant_is_gone:
                 pass
             case State.CLAIMED:
                 reason = f"node {row.node} stopped while it ran this key"
-                return _known_unanswered(reason)
+                return _outcome_unknown(reason)
             case _:
                 reason = f"the outcome of the first attempt is unknown: {row.note}"
-                return _known_unanswered(reason)
+                return _outcome_unknown(reason)
         if now >= call.deadline:
             reason = "an earlier call with this key did not end before the deadline"
             state = refusal.RunState.UNKNOWN
             return refusal.refuse(refusal.IN_PROGRESS, reason, state)
         asked_at = now
-        wait_s = min(ASK_WAIT_S, call.deadline - now)
-        event = yield Ask(row.node, row.process, row.nonce, wait_s)
+        wait_s = min(STATUS_WAIT_S, call.deadline - now)
+        event = yield QueryStatus(row.node, row.process, row.nonce, wait_s)
         match event.outcome:
-            case Told(Status.ABANDONED):
+            case StatusReply(Status.ABANDONED):
                 return _Free(version, event.now)
-            case Told(Status.RAN, answer) if answer is not None:
+            case StatusReply(Status.RAN, answer) if answer is not None:
                 return answer
-            case Told(Status.UNKNOWN):
+            case StatusReply(Status.UNKNOWN):
                 reason = "the outcome of the first attempt is unknown"
-                return _known_unanswered(reason)
-            case Told(Status.GONE | Status.FORGOTTEN | Status.RECORDED):
+                return _outcome_unknown(reason)
+            case StatusReply(Status.GONE | Status.FORGOTTEN | Status.RECORDED):
                 # Only a row that is still unchanged when it is read again
                 # shows that no outcome will come.
                 claimant_is_gone = True
-            case NotReached():
+            case Unreachable():
                 event = yield LookUpSession(row.session)
-                claimant_is_gone = isinstance(event.outcome, SessionGone)
-        if not claimant_is_gone and event.now - asked_at < POLL_S:
-            yield step.Wait(min(POLL_S, max(0.0, call.deadline - event.now)))
+                claimant_is_gone = isinstance(event.outcome, SessionEnded)
+        if not claimant_is_gone and event.now - asked_at < STATUS_POLL_INTERVAL_S:
+            yield step.Wait(
+                min(STATUS_POLL_INTERVAL_S, max(0.0, call.deadline - event.now))
+            )
         event = yield step.Read(TABLE, call.row_key, Row)
         now = event.now
         match event.outcome:
@@ -569,29 +583,29 @@
             case step.Malformed(reason):
                 return _unreadable(reason)
             case step.Missing():
-                return _known_unanswered("the claim was removed while it was read")
+                return _outcome_unknown("the claim was removed while it was read")
             case _:
                 claimant_is_gone = False
 
 
-def unclear_refusal(refused: refusal.Refusal) -> refusal.Refusal:
+def as_possibly_run(refused: refusal.Refusal) -> refusal.Refusal:
     """Correct a refusal of a call whose bytes may have left: never ``not_run``."""
     if refused.run_state is refusal.RunState.NOT_RUN:
         return dataclasses.replace(refused, run_state=refusal.RunState.UNKNOWN)
     return refused
 
 
-def _known_unanswered(
+def _outcome_unknown(
     reason: str, state: refusal.RunState = refusal.RunState.UNKNOWN
 ) -> refusal.Refusal:
     return refusal.refuse(refusal.OUTCOME_UNKNOWN, reason, state)
 
 
 def _unreadable(reason: str) -> refusal.Refusal:
-    return _known_unanswered(f"the claim row cannot be read: {reason}")
+    return _outcome_unknown(f"the claim row cannot be read: {reason}")
 
 
-def _store_silent(reason: str, contested: bool) -> refusal.Refusal:
+def _store_unavailable(reason: str, contested: bool) -> refusal.Refusal:
     if contested:
         text = f"another call with this key exists and cannot be read: {reason}"
         state = refusal.RunState.UNKNOWN
@@ -615,15 +629,15 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class NotOpen:
+class NotSettleable:
     """The claim is not left unknown."""
 
     reason: str
 
 
 def settle(
-    row: Row, verdict: Verdict, session_gone: bool, wall: float, note: str
-) -> Row | TooEarly | NotOpen:
+    row: Row, verdict: Verdict, session_ended: bool, wall: float, note: str
+) -> Row | TooEarly | NotSettleable:
     """Return the row that settles a claim.
 
     Parameters
@@ -639,8 +653,8 @@
     note : str
         Kept in the row, for example the operator's name.
     """
-    if not is_open(row, session_gone):
-        return NotOpen(_why_not_open(row))
+    if not needs_operator(row, session_ended):
+        return NotSettleable(_why_not_open(row))
     age_s = wall - row.claimed_wall
     if age_s < SETTLE_AGE_S:
         return TooEarly(SETTLE_AGE_S - age_s)
@@ -654,12 +668,12 @@
     return finished and wall - row.claimed_wall > RETENTION_S
 
 
-def is_open(row: Row, session_gone: bool) -> bool:
+def needs_operator(row: Row, session_ended: bool) -> bool:
     """Tell whether only an operator can settle the claim."""
     if row.state is State.UNKNOWN:
         # Recorded by the claimant itself, which never sends again.
         return True
-    return row.state is State.CLAIMED and session_gone
+    return row.state is State.CLAIMED and session_ended
 
 
 def _why_not_open(row: Row) -> str:
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -286,13 +286,13 @@
             job.granted = grant_again(granted)
             whole = await self.dispatcher.collect(job)
             if isinstance(whole, refusal.Refusal):
-                return claim.Unclear(whole) if job.sent else claim.NotSent(whole)
+                return claim.OutcomeUnknown(whole) if job.sent else claim.NotSent(whole)
             body = msgspec.json.encode(whole.content)
             headers = {
                 "content-type": "application/json",
                 "x-snipelug-upstream": whole.upstream_id,
             }
-            return claim.Delivered(claim.Answer(http.HTTPStatus.OK, headers, body))
+            return claim.Delivered(claim.Response(http.HTTPStatus.OK, headers, body))
 
         answer = await self.orders.run(
             job.contract.team, key, "POST", CHAT_PATH, sent_body, send, job.deadline
@@ -389,7 +389,7 @@
                 case http_client.Full(status, headers, body):
                     kept = service.answer_headers(headers)
                     kept["x-snipelug-upstream"] = upstream.instance.id
-                    return claim.Delivered(claim.Answer(status, kept, body))
+                    return claim.Delivered(claim.Response(status, kept, body))
                 case http_client.NotSent(reason):
                     load.mark_closed(upstream, trio.current_time())
                     refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
@@ -408,7 +408,7 @@
             return claim.NotSent(refused)
         # The last instance may have been sent nothing, while an earlier one was.
         unknown = refusal.RunState.UNKNOWN
-        return claim.Unclear(dataclasses.replace(refused, run_state=unknown))
+        return claim.OutcomeUnknown(dataclasses.replace(refused, run_state=unknown))
 
     def _may_try(self, upstream: table.Upstream, is_retry: bool) -> bool:
         budget = self.dispatcher.budget
--- a/packages/snipelug-node/src/snipelug_node/operations.py
+++ b/packages/snipelug-node/src/snipelug_node/operations.py
@@ -125,7 +125,7 @@
             case claim.TooEarly(wait_s):
                 message = f"the claim may be settled in {wait_s:.0f} s"
                 return refusal.refuse(refusal.IN_PROGRESS, message)
-            case claim.NotOpen(reason):
+            case claim.NotSettleable(reason):
                 return refusal.refuse(refusal.FORBIDDEN, reason)
             case order.Changed():
                 message = "the claim changed meanwhile; look at it again"
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -40,7 +40,7 @@
 ASK_MARGIN_S = 1.0
 MAX_ASK_WAIT_S = 10.0
 
-Sent = claim.Delivered | claim.NotSent | claim.Unclear
+Sent = claim.Delivered | claim.NotSent | claim.OutcomeUnknown
 """What a dispatch returns: answered in full, no byte sent, or bytes sent."""
 
 Send = collections.abc.Callable[
@@ -89,7 +89,7 @@
     """Status of a claim; the answer is given if it ran and is not recorded."""
 
     status: claim.Status
-    answer: claim.Answer | None = None
+    answer: claim.Response | None = None
 
 
 CLAIM_STATUS = rpc.Method("ClaimStatus", ClaimStatusRequest, ClaimStatusReply)
@@ -136,11 +136,11 @@
     Settled
     | Changed
     | claim.TooEarly
-    | claim.NotOpen
+    | claim.NotSettleable
     | ports.Absent
     | ports.Unavailable
 )
-Result = claim.Answer | refusal.Refusal
+Result = claim.Response | refusal.Refusal
 
 
 @dataclasses.dataclass(frozen=True)
@@ -334,13 +334,13 @@
                 return None
             case claim.Dispatch(nonce):
                 return await self._dispatch(job, nonce, send)
-            case claim.Ask():
+            case claim.QueryStatus():
                 return await self._ask(taken)
             case claim.LookUpSession(name):
                 found = await self._tables.read(session.TABLE, name)
                 gone = isinstance(found, ports.Absent)
-                return claim.SessionGone() if gone else claim.SessionLives()
-            case claim.Alarm(message):
+                return claim.SessionEnded() if gone else claim.SessionMayExist()
+            case claim.ReportViolation(message):
                 LOG.error("claim_rule_broken", extra={"reason": message})
                 return None
 
@@ -371,12 +371,12 @@
             outcome = claim.NotSent(refusal.refuse(refusal.UPSTREAM_LOST, reason))
         granted = self.ledger.status(self.ledger.process, nonce)[0] is claim.Status.SENT
         if isinstance(outcome, claim.NotSent) and granted:
-            outcome = claim.Unclear(outcome.refusal)
+            outcome = claim.OutcomeUnknown(outcome.refusal)
         match outcome:
             case claim.Delivered(answer):
                 job.own_outcome = _answer(answer, answer.body, repeated=False)
-            case claim.Unclear(refused):
-                job.own_outcome = claim.unclear_refusal(refused)
+            case claim.OutcomeUnknown(refused):
+                job.own_outcome = claim.as_possibly_run(refused)
             case claim.NotSent():
                 return outcome
         assert self._nursery is not None
@@ -399,15 +399,17 @@
         reason = "the call ran; its answer cannot be read from the object store now"
         return refusal.refuse(refusal.STORE_UNAVAILABLE, reason, refusal.RunState.RAN)
 
-    async def _ask(self, ask: claim.Ask) -> claim.Told | claim.NotReached:
+    async def _ask(
+        self, ask: claim.QueryStatus
+    ) -> claim.StatusReply | claim.Unreachable:
         wait_s = min(max(ask.wait_s, 0.0), MAX_ASK_WAIT_S)
         request = ClaimStatusRequest(ask.process, ask.nonce, wait_s)
         reply = await self._peers.call(
             ask.node, CLAIM_STATUS, request, wait_s + ASK_MARGIN_S
         )
         if isinstance(reply, rpc.Unreachable):
-            return claim.NotReached()
-        return claim.Told(reply.status, reply.answer)
+            return claim.Unreachable()
+        return claim.StatusReply(reply.status, reply.answer)
 
     async def _claim_status(self, request: ClaimStatusRequest) -> ClaimStatusReply:
         status, answer = self.ledger.status(request.process, request.nonce)
@@ -444,7 +446,7 @@
                 if isinstance(is_gone, ports.Unavailable):
                     return is_gone
                 gone[row.session] = is_gone
-            if claim.is_open(row, gone.get(row.session, False)):
+            if claim.needs_operator(row, gone.get(row.session, False)):
                 item = OpenClaim(
                     row.team, row.key, row.node, row.claimed_wall, row.note
                 )
@@ -461,7 +463,7 @@
             return stored
         decoded = executor.decode(stored.version, stored.content, claim.Row)
         if isinstance(decoded, step.Malformed):
-            return claim.NotOpen(f"the claim cannot be read: {decoded.reason}")
+            return claim.NotSettleable(f"the claim cannot be read: {decoded.reason}")
         gone = await self._session_gone(decoded.content.session)
         if isinstance(gone, ports.Unavailable):
             return gone
@@ -491,5 +493,5 @@
     return isinstance(result, refusal.Refusal) and result.kind == in_progress
 
 
-def _answer(answer: claim.Answer, body: bytes, repeated: bool) -> Answer:
+def _answer(answer: claim.Response, body: bytes, repeated: bool) -> Answer:
     return Answer(answer.status, answer.headers, body, repeated)
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -10,7 +10,7 @@
 
 OWN = claim.Row("team", "key", "print", "n1", "p1", "s1", "", 0.0)
 OTHER = dataclasses.replace(OWN, node="n2", process="p2", session="s2", nonce="x")
-ANSWER = claim.Answer(200, {}, b"made")
+ANSWER = claim.Response(200, {}, b"made")
 DONE = dataclasses.replace(OTHER, state=claim.State.DONE, answer=ANSWER)
 RELEASED = dataclasses.replace(OTHER, state=claim.State.RELEASED)
 UNKNOWN = dataclasses.replace(OTHER, state=claim.State.UNKNOWN)
@@ -44,15 +44,15 @@
     "read-ran": (step.Read, step.Found("1", RAN), 0),
     "send": (claim.Dispatch, SENT, 0),
     "send-nothing": (claim.Dispatch, claim.NotSent(NO_UPSTREAM), 0),
-    "send-lost": (claim.Dispatch, claim.Unclear(LOST), 0),
-    "ask-active": (claim.Ask, claim.Told(claim.Status.ACTIVE), 2),
-    "ask-active-60s": (claim.Ask, claim.Told(claim.Status.ACTIVE), 60),
-    "ask-abandoned": (claim.Ask, claim.Told(claim.Status.ABANDONED), 0),
-    "ask-ran": (claim.Ask, claim.Told(claim.Status.RAN, ANSWER), 0),
-    "ask-gone": (claim.Ask, claim.Told(claim.Status.GONE), 1),
-    "ask-unreached": (claim.Ask, claim.NotReached(), 1),
-    "session-lives": (claim.LookUpSession, claim.SessionLives(), 0),
-    "session-gone": (claim.LookUpSession, claim.SessionGone(), 0),
+    "send-lost": (claim.Dispatch, claim.OutcomeUnknown(LOST), 0),
+    "ask-active": (claim.QueryStatus, claim.StatusReply(claim.Status.ACTIVE), 2),
+    "ask-active-60s": (claim.QueryStatus, claim.StatusReply(claim.Status.ACTIVE), 60),
+    "ask-abandoned": (claim.QueryStatus, claim.StatusReply(claim.Status.ABANDONED), 0),
+    "ask-ran": (claim.QueryStatus, claim.StatusReply(claim.Status.RAN, ANSWER), 0),
+    "ask-gone": (claim.QueryStatus, claim.StatusReply(claim.Status.GONE), 1),
+    "ask-unreached": (claim.QueryStatus, claim.Unreachable(), 1),
+    "session-lives": (claim.LookUpSession, claim.SessionMayExist(), 0),
+    "session-gone": (claim.LookUpSession, claim.SessionEnded(), 0),
 }
 SILENCE = "wait read-silent wait read-silent"
 FOREIGN = "write-refused read-other"
@@ -211,10 +211,10 @@
 SETTLEMENTS = [
     (OTHER, True, 60.0, claim.State.RELEASED),
     (OTHER, True, 59.0, claim.TooEarly(1.0)),
-    (OTHER, False, 600.0, claim.NotOpen),
+    (OTHER, False, 600.0, claim.NotSettleable),
     (UNKNOWN, False, 60.0, claim.State.RELEASED),
-    (DONE, True, 600.0, claim.NotOpen),
-    (RELEASED, True, 600.0, claim.NotOpen),
+    (DONE, True, 600.0, claim.NotSettleable),
+    (RELEASED, True, 600.0, claim.NotSettleable),
 ]
 
 
@@ -230,5 +230,5 @@
     elif isinstance(result, claim.TooEarly):
         assert result == expected
     else:
-        assert isinstance(result, claim.NotOpen)
-        assert expected is claim.NotOpen
+        assert isinstance(result, claim.NotSettleable)
+        assert expected is claim.NotSettleable
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -42,7 +42,7 @@
         if self.broken == "after":
             raise RuntimeError("broken")
         body = str(self.runs).encode() * self.size
-        return claim.Delivered(claim.Answer(201, {"x": "y"}, body))
+        return claim.Delivered(claim.Response(201, {"x": "y"}, body))
 
 
 class Cluster:
@@ -227,7 +227,7 @@
     node = cluster.nodes["b"]
     verdict = claim.Verdict.NOT_RUN
     settle = await node.settle("team", "key", verdict, "operator")
-    assert isinstance(settle, claim.NotOpen)
+    assert isinstance(settle, claim.NotSettleable)
     await cluster.revoke("a")
     assert code(await cluster.call("b")) == "outcome_unknown unknown"
     page = await node.open_claims("team")
@@ -237,7 +237,9 @@
     assert isinstance(settle, claim.TooEarly)
     await trio.sleep(settle.wait_s)
     assert await node.settle("team", "key", verdict, "op") == order.Settled(verdict)
-    assert isinstance(await node.settle("team", "key", verdict, "op"), claim.NotOpen)
+    assert isinstance(
+        await node.settle("team", "key", verdict, "op"), claim.NotSettleable
+    )
     assert cluster.upstream.runs == 1
     assert isinstance(await cluster.call("b"), order.Answer)
     assert cluster.upstream.runs == 2
@@ -361,11 +363,11 @@
         call = http_client.Call(("127.0.0.1", port), "POST", "/x", body=b"b")
         match await pool.fetch(call, last_check=last_check):
             case http_client.Full(status, headers, body):
-                return claim.Delivered(claim.Answer(status, headers, body))
+                return claim.Delivered(claim.Response(status, headers, body))
             case http_client.NotSent() | http_client.Withheld():
                 return claim.NotSent(DOWN)
         lost = refusal.refuse(refusal.UPSTREAM_LOST, "cut", refusal.RunState.UNKNOWN)
-        return claim.Unclear(lost)
+        return claim.OutcomeUnknown(lost)
 
     cluster = Cluster(nursery)
     await cluster.start("a")
--- a/tests/world.py
+++ b/tests/world.py
@@ -225,13 +225,13 @@
         elif isinstance(taken, claim.Dispatch):
             task.granted = node.ledger.grant(taken.nonce, self.clock(node))
             task.outcome = "granted" if task.granted else "withheld"
-        elif isinstance(taken, claim.Ask):
+        elif isinstance(taken, claim.QueryStatus):
             task.outcome = self._ask(node, taken, fault)
         elif isinstance(taken, claim.LookUpSession):
             read = step.Read(session.TABLE, taken.session, session.Row)
             found = self._store_step(node, read, fault)
             gone = isinstance(found, step.Missing)
-            task.outcome = claim.SessionGone() if gone else claim.SessionLives()
+            task.outcome = claim.SessionEnded() if gone else claim.SessionMayExist()
         else:
             task.outcome = "done"
 
@@ -264,11 +264,11 @@
         rows = self.store.rows.items()
         return {key: row for (place, key), row in rows if place == table}
 
-    def _ask(self, asker: Node, ask: claim.Ask, fault: str) -> object:
+    def _ask(self, asker: Node, ask: claim.QueryStatus, fault: str) -> object:
         for node in self.alive():
             if node.id == ask.node and not (self.cut(node) or self.cut(asker) or fault):
-                return claim.Told(*node.ledger.status(ask.process, ask.nonce))
-        return claim.NotReached()
+                return claim.StatusReply(*node.ledger.status(ask.process, ask.nonce))
+        return claim.Unreachable()
 
     def _send(self, task: Task, nonce: str, fault: str) -> object:
         if not task.granted:
@@ -278,11 +278,11 @@
         task.sent += 1
         self.runs[task.key].append(nonce)
         if fault:
-            return claim.Unclear(refusal.refuse(refusal.UPSTREAM_LOST, "cut"))
-        return claim.Delivered(claim.Answer(200, {}, nonce.encode()))
+            return claim.OutcomeUnknown(refusal.refuse(refusal.UPSTREAM_LOST, "cut"))
+        return claim.Delivered(claim.Response(200, {}, nonce.encode()))
 
     def _check_result(self, task: Task, result: object) -> None:
-        if isinstance(result, claim.Answer):
+        if isinstance(result, claim.Response):
             assert [result.body.decode()] == self.runs[task.key], "one answer"
         elif isinstance(result, refusal.Refusal):
             if result.run_state is refusal.RunState.NOT_RUN:
