--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -35,7 +35,7 @@
     held: admitter.Slot | None
     on_release: collections.abc.Callable[[], None]
     uses: confirmer.Confirmer | None = None
-    sent: confirmation.Sent | None = None
+    sent: confirmation.SentRequest | None = None
     cut_at: float | None = None
     is_over: bool = False
 
@@ -55,7 +55,7 @@
             return False
         if self.held is not None and not self.held.may_send(now):
             return False
-        self.sent = confirmation.Sent(now)
+        self.sent = confirmation.SentRequest(now)
         if self.uses is not None:
             self.uses.add(self.upstream_id, self)
         return True
@@ -214,7 +214,7 @@
             return held
         queue.full_at = trio.current_time()
         stalled_s = queue.full_at - queue.stalled_since
-        if not confirmation.may_use_allowance(
+        if not confirmation.may_send_without_slot(
             held.silent_slots,
             self._asking.rank(upstream_id),
             stalled_s,
@@ -348,13 +348,16 @@
         """
         key = ownership.row_key(ownership.Kind.UPSTREAM, upstream_id)
         owners = self._keeper.owners
-        seen = owners.seen.get(key)
+        seen = owners.known_rows.get(key)
         if seen is None:
             return None
         if part is admission.PartName.OUTAGE:
-            mine = seen.row.outage_holder == owners.me and not seen.outage_given_up
+            mine = (
+                seen.row.outage_holder == owners.own_process
+                and not seen.outage_relinquished
+            )
         else:
-            mine = seen.row.owner == owners.me and not seen.given_up
+            mine = seen.row.owner == owners.own_process and not seen.relinquished
         return seen.row.fencing if mine else None
 
 
@@ -373,7 +376,7 @@
     kind = ownership.Kind.UPSTREAM
     if part is not admission.PartName.OUTAGE:
         return keeper.owner_of(kind, upstream_id)
-    seen = keeper.owners.seen.get(ownership.row_key(kind, upstream_id))
+    seen = keeper.owners.known_rows.get(ownership.row_key(kind, upstream_id))
     if seen is None or seen.row.outage_holder is None:
         return None
     return seen.row.outage_holder.node
