Rename routing names used across modules

route.Facts -> RoutingContext, ByCost -> LowestCost, Why -> ChoiceReason, screen -> filter_targets, price -> estimate_costs, TIE_S -> TIE_MARGIN_S, TIE_SHARE -> TIE_MARGIN_SHARE, TIE_CANDIDATES -> MAX_TIED_CANDIDATES, Mode.spread -> second_copy, Decision.why -> reason.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -48,7 +48,7 @@
 CLEAN_SHARE = 0.03
 SERVICE_S = 0.020
 OVERHEAD_S = 0.002
-ORACLE = route.Mode("oracle", ttft=0.01, recompute=100.0, spread=1.0)
+ORACLE = route.Mode("oracle", ttft=0.01, recompute=100.0, second_copy=1.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,11 +70,11 @@
 
 
 POLICIES = (
-    Policy("snipelug", lambda d: route.ByCost(route.MODES[d.mode]), stores=True),
+    Policy("snipelug", lambda d: route.LowestCost(route.MODES[d.mode]), stores=True),
     Policy("round_robin", lambda _: baseline.RoundRobin()),
     Policy("least_loaded", lambda _: baseline.LeastLoaded()),
     Policy("prefix_affinity", lambda _: baseline.PrefixAffinity()),
-    Policy("oracle", lambda _: route.ByCost(ORACLE), stores=True, exact=True),
+    Policy("oracle", lambda _: route.LowestCost(ORACLE), stores=True, exact=True),
 )
 
 
@@ -400,10 +400,10 @@
         has_slot = server.running < model.COLD_LIMIT
         return dataclasses.replace(made, granted=cold and has_slot)
 
-    def _facts(self, node: Node, arrival: workload.Arrival) -> route.Facts:
+    def _facts(self, node: Node, arrival: workload.Arrival) -> route.RoutingContext:
         delay = dict.fromkeys(self.dep.zones, self.dep.delay_s / 2)
         if not self.policy.stores or arrival.chain is None:
-            return route.Facts(node.cfg, delay_s=delay)
+            return route.RoutingContext(node.cfg, delay_s=delay)
         keys = arrival.chain.keys
         if self.policy.exact:
             found = self._exact_found(keys)
@@ -417,7 +417,7 @@
             for z in self.dep.zones
             if s.inst.zone not in node.cfg.zones_out
         }
-        return route.Facts(node.cfg, found, delay, links, model.BLOCK_BYTES)
+        return route.RoutingContext(node.cfg, found, delay, links, model.BLOCK_BYTES)
 
     def _link(self, node: Node, store: model.Store, zone: str) -> link.Link:
         delay_s = 0.0 if store.inst.zone == zone else 2 * self.dep.delay_s
@@ -449,7 +449,7 @@
         node: Node,
         arrival: workload.Arrival,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
     ) -> None:
         server = self.servers[chosen.id]
         load.note_sent(node.upstreams[chosen.id], self.now)
@@ -493,7 +493,7 @@
         node: Node,
         arrival: workload.Arrival,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
         now: float,
     ) -> tuple[float, int]:
         """Import blocks; return when the request can start, and how many came."""
@@ -535,7 +535,7 @@
         arrival: workload.Arrival,
         chosen: route.Candidate,
         imported: tuple[block.Key, ...],
-        facts: route.Facts,
+        facts: route.RoutingContext,
     ) -> None:
         assert arrival.chain is not None
         name = chosen.id
@@ -555,7 +555,7 @@
         arrival: workload.Arrival,
         held: int,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
     ) -> None:
         assert arrival.chain is not None
         inside = [s.blocks for s in self.stores.values() if s.inst.zone in self.leaving]
--- a/bench/loss.py
+++ b/bench/loss.py
@@ -77,7 +77,7 @@
         keys: collections.abc.Sequence[block.Key],
         held: int,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
         outside: collections.abc.Sequence[collections.abc.Container[block.Key]],
         inside: collections.abc.Sequence[collections.abc.Container[block.Key]],
     ) -> tuple[Cause, ...]:
@@ -91,7 +91,7 @@
             Keys that an earlier request computed, in the prompt's order.
         held : int
             Leading blocks that were reused.
-        chosen, facts : route.Candidate, route.Facts
+        chosen, facts : route.Candidate, route.RoutingContext
             Decision on this request and what it was based on.
         outside, inside : sequence of container of bytes
             Blocks of the stores in zones in service, and of those that are out.
@@ -108,7 +108,7 @@
         return tuple(causes)
 
 
-def _unread(i: int, chosen: route.Candidate, facts: route.Facts) -> Cause:
+def _unread(i: int, chosen: route.Candidate, facts: route.RoutingContext) -> Cause:
     stored = facts.found.stored
     if i >= len(stored) or not stored[i]:
         return Cause.UNKNOWN
--- a/bench/micro.py
+++ b/bench/micro.py
@@ -46,13 +46,13 @@
     chosen.update({t.id: t.zone for t in targets.values()})
     links = {(s, z): link.Link(3e9) for s in ("s0", "s1") for z in dep.zones}
     cfg = workload.config(dep)
-    router = route.ByCost(route.MODES["ttft"])
+    router = route.LowestCost(route.MODES["ttft"])
     rounds = []
     for _ in range(ROUNDS):
         started = time.perf_counter()
         for prompt in prompts:
             found = shard.lookup(prompt.keys, 1.0)
-            facts = route.Facts(cfg, found, {}, links, model.BLOCK_BYTES)
+            facts = route.RoutingContext(cfg, found, {}, links, model.BLOCK_BYTES)
             req = route.Request(
                 "r", "team0", workload.MODEL, workload.WEIGHT_VERSION, prompt
             )
--- a/packages/snipelug-core/src/snipelug_core/baseline.py
+++ b/packages/snipelug-core/src/snipelug_core/baseline.py
@@ -6,13 +6,13 @@
 
 from snipelug_core import hashing, index, route
 
-_NEUTRAL = route.Mode("neutral", ttft=1.0, recompute=0.0, spread=0.0)
+_NEUTRAL = route.Mode("neutral", ttft=1.0, recompute=0.0, second_copy=0.0)
 
 
-def _without_stores(facts: route.Facts) -> route.Facts:
+def _without_stores(context: route.RoutingContext) -> route.RoutingContext:
     """Drop the copies in stores: the baselines only reuse engines' memory."""
-    found = index.Found(facts.found.memory)
-    return dataclasses.replace(facts, found=found)
+    found = index.Found(context.found.memory)
+    return dataclasses.replace(context, found=found)
 
 
 class _Baseline:
@@ -24,22 +24,22 @@
         self,
         req: route.Request,
         targets: collections.abc.Iterable[route.Target],
-        facts: route.Facts,
+        context: route.RoutingContext,
         rng: random.Random,
     ) -> route.Decision | route.NoUpstream:
         """Choose by the baseline's rule."""
         rejected: list[route.Rejected] = []
-        admitted = list(route.screen(targets, req, facts.cfg, rejected))
+        admitted = list(route.filter_targets(targets, req, context.cfg, rejected))
         if not admitted:
             return route.NoUpstream(tuple(rejected))
-        target, why = self._pick(req, admitted, rng)
-        priced = route.price([target], req, _without_stores(facts), _NEUTRAL)
+        target, reason = self._pick(req, admitted, rng)
+        priced = route.estimate_costs([target], req, _without_stores(context), _NEUTRAL)
         candidates = tuple(priced)
-        return route.Decision(candidates[0], why, candidates, tuple(rejected))
+        return route.Decision(candidates[0], reason, candidates, tuple(rejected))
 
     def _pick(
         self, req: route.Request, targets: list[route.Target], rng: random.Random
-    ) -> tuple[route.Target, route.Why]:
+    ) -> tuple[route.Target, route.ChoiceReason]:
         raise NotImplementedError
 
 
@@ -53,11 +53,11 @@
 
     def _pick(
         self, req: route.Request, targets: list[route.Target], rng: random.Random
-    ) -> tuple[route.Target, route.Why]:
+    ) -> tuple[route.Target, route.ChoiceReason]:
         del req, rng
         self._count += 1
         ordered = sorted(targets, key=lambda t: t.id)
-        return ordered[self._count % len(ordered)], route.Why.TURN
+        return ordered[self._count % len(ordered)], route.ChoiceReason.TURN
 
 
 class LeastLoaded(_Baseline):
@@ -67,11 +67,11 @@
 
     def _pick(
         self, req: route.Request, targets: list[route.Target], rng: random.Random
-    ) -> tuple[route.Target, route.Why]:
+    ) -> tuple[route.Target, route.ChoiceReason]:
         del req
         lowest = min(t.queue / t.slots for t in targets)
         equal = [t for t in targets if t.queue / t.slots == lowest]
-        return rng.choice(equal), route.Why.SHORTEST_QUEUE
+        return rng.choice(equal), route.ChoiceReason.SHORTEST_QUEUE
 
 
 class PrefixAffinity(_Baseline):
@@ -81,11 +81,11 @@
 
     def _pick(
         self, req: route.Request, targets: list[route.Target], rng: random.Random
-    ) -> tuple[route.Target, route.Why]:
+    ) -> tuple[route.Target, route.ChoiceReason]:
         if req.chain is None:
-            return rng.choice(targets), route.Why.TIE
+            return rng.choice(targets), route.ChoiceReason.TIE
         conversation = req.chain.conversation
         best = max(
             targets, key=lambda t: (hashing.rendezvous_score(conversation, t.id), t.id)
         )
-        return best, route.Why.AFFINITY
+        return best, route.ChoiceReason.AFFINITY
--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -290,7 +290,7 @@
             continue
         if len(zones_with_copy) == 2:
             break
-        weight = mode.spread if is_second else 1.0
+        weight = mode.second_copy if is_second else 1.0
         value_s = prompt.value_s * weight
         reserve = SECOND_COPY_RESERVE if is_second else 0.0
         wanted = _missing(prompt, store)
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -10,11 +10,11 @@
 
 from snipelug_core import block, contract, index, link, table
 
-TIE_S = 0.002
-TIE_SHARE = 0.03
+TIE_MARGIN_S = 0.002
+TIE_MARGIN_SHARE = 0.03
 """Scores this close count as equal: load reports lag by more than that."""
 
-TIE_CANDIDATES = 4
+MAX_TIED_CANDIDATES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -36,12 +36,12 @@
     name: str
     ttft: float
     recompute: float
-    spread: float
+    second_copy: float
 
 
 MODES: collections.abc.Mapping[str, Mode] = {
-    "ttft": Mode("ttft", ttft=1.0, recompute=1.0, spread=0.25),
-    "reuse": Mode("reuse", ttft=1.0, recompute=3.0, spread=1.0),
+    "ttft": Mode("ttft", ttft=1.0, recompute=1.0, second_copy=0.25),
+    "reuse": Mode("reuse", ttft=1.0, recompute=3.0, second_copy=1.0),
 }
 """Even for TTFT a second of prefill counts twice: once for its own request, once for
 the requests that queue behind it. A weight of 0.25 gave a higher p95."""
@@ -131,7 +131,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Facts:
+class RoutingContext:
     """What a node knows when it decides.
 
     Attributes
@@ -226,7 +226,7 @@
     return sorted(counts, key=lambda v: (v != expected, -counts[v], v))
 
 
-def screen(
+def filter_targets(
     targets: collections.abc.Iterable[Target],
     req: Request,
     cfg: contract.Config,
@@ -300,13 +300,15 @@
     decision is blocks times zones and not blocks times candidates.
     """
 
-    def __init__(self, facts: Facts, mode: Mode, zone: str, prefill_s: float) -> None:
-        self.copies = list(_best_copies(facts, zone))
+    def __init__(
+        self, context: RoutingContext, mode: Mode, zone: str, prefill_s: float
+    ) -> None:
+        self.copies = list(_best_copies(context, zone))
         count = len(self.copies)
         links = [path for _, path in self.copies]
         self._latency_s = max((k.latency_s for k in links if k), default=0.0)
         step_s = [
-            facts.block_bytes / k.free_bytes_per_s if k else math.inf for k in links
+            context.block_bytes / k.free_bytes_per_s if k else math.inf for k in links
         ]
         full_weight = mode.ttft + mode.recompute
         gain = full_weight * prefill_s * block.BLOCK_TOKENS
@@ -333,11 +335,11 @@
 
 
 def _best_copies(
-    facts: Facts, zone: str
+    context: RoutingContext, zone: str
 ) -> collections.abc.Iterator[tuple[index.Stored | None, link.Link | None]]:
     """Yield the copy of each leading block that arrives first in a zone."""
-    for copies in facts.found.stored:
-        links = [(c, facts.links.get((c.store, zone))) for c in copies]
+    for copies in context.found.stored:
+        links = [(c, context.links.get((c.store, zone))) for c in copies]
         usable = [(c, k) for c, k in links if k and k.free_bytes_per_s > 0]
         if usable:
             yield max(usable, key=lambda pair: pair[1].free_bytes_per_s)
@@ -345,29 +347,37 @@
             yield None, None
 
 
-def price(
-    targets: collections.abc.Iterable[Target], req: Request, facts: Facts, mode: Mode
+def estimate_costs(
+    targets: collections.abc.Iterable[Target],
+    req: Request,
+    context: RoutingContext,
+    mode: Mode,
 ) -> collections.abc.Iterator[Candidate]:
     """Yield each upstream with its expected cost."""
     splits: dict[tuple[str, float], _Splits] = {}
     tokens = req.chain.tokens if req.chain else 0
     for target in targets:
-        held = facts.found.memory.get(target.id, 0)
+        held = context.found.memory.get(target.id, 0)
         split = _Split(held, 0.0)
-        if facts.found.stored:
+        if context.found.stored:
             name = (target.zone, target.prefill_s)
             if name not in splits:
-                splits[name] = _Splits(facts, mode, *name)
+                splits[name] = _Splits(context, mode, *name)
             split = splits[name].after(held)
         rest = max(0, tokens - split.blocks * block.BLOCK_TOKENS)
-        yield _candidate(target, held, split, rest, facts, mode)
+        yield _candidate(target, held, split, rest, context, mode)
 
 
 def _candidate(
-    target: Target, held: int, split: _Split, rest: int, facts: Facts, mode: Mode
+    target: Target,
+    held: int,
+    split: _Split,
+    rest: int,
+    context: RoutingContext,
+    mode: Mode,
 ) -> Candidate:
     wait_s = target.wait_s()
-    delay_s = 2 * facts.delay_s.get(target.zone, 0.0)
+    delay_s = 2 * context.delay_s.get(target.zone, 0.0)
     prefill_s = rest * target.prefill_s
     ttft_s = wait_s + delay_s + split.fetch_s + prefill_s
     return Candidate(
@@ -384,18 +394,18 @@
     )
 
 
-def plan_fetch(chosen: Candidate, facts: Facts) -> list[Fetch]:
+def plan_fetch(chosen: Candidate, context: RoutingContext) -> list[Fetch]:
     """Return the blocks that the chosen engine must import, in order."""
     first = chosen.memory_blocks
     last = first + chosen.fetch_blocks
-    copies = list(_best_copies(facts, chosen.zone))[first:last]
+    copies = list(_best_copies(context, chosen.zone))[first:last]
     return [Fetch(i, c) for i, (c, _) in enumerate(copies, start=first) if c]
 
 
 # The decision and its record.
 
 
-class Why(enum.StrEnum):
+class ChoiceReason(enum.StrEnum):
     """Why the chosen candidate was taken."""
 
     ONLY = "only_candidate"
@@ -411,7 +421,7 @@
     """The chosen upstream, and what it was chosen from."""
 
     chosen: Candidate
-    why: Why
+    reason: ChoiceReason
     candidates: tuple[Candidate, ...]
     rejected: tuple[Rejected, ...]
 
@@ -440,7 +450,7 @@
         self,
         req: Request,
         targets: collections.abc.Iterable[Target],
-        facts: Facts,
+        context: RoutingContext,
         rng: random.Random,
     ) -> Decision | NoUpstream:
         """Choose among the upstreams of the node's subset."""
@@ -448,7 +458,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class ByCost:
+class LowestCost:
     """Choose the lowest weighted cost; equal scores are settled at random.
 
     The random choice keeps nodes with the same lagging reports from sending all
@@ -462,23 +472,23 @@
         self,
         req: Request,
         targets: collections.abc.Iterable[Target],
-        facts: Facts,
+        context: RoutingContext,
         rng: random.Random,
     ) -> Decision | NoUpstream:
         """Choose by expected cost."""
         rejected: list[Rejected] = []
-        admitted = screen(targets, req, facts.cfg, rejected)
-        priced = price(admitted, req, facts, self.mode)
+        admitted = filter_targets(targets, req, context.cfg, rejected)
+        priced = estimate_costs(admitted, req, context, self.mode)
         ranked = sorted(priced, key=lambda c: (c.score, c.id))
         if not ranked:
             return NoUpstream(tuple(rejected))
-        limit = ranked[0].score + max(TIE_S, TIE_SHARE * ranked[0].score)
-        equal = [c for c in ranked[:TIE_CANDIDATES] if c.score <= limit]
+        limit = ranked[0].score + max(TIE_MARGIN_S, TIE_MARGIN_SHARE * ranked[0].score)
+        equal = [c for c in ranked[:MAX_TIED_CANDIDATES] if c.score <= limit]
         chosen = rng.choice(equal)
-        why = Why.TIE if len(equal) > 1 else Why.LOWEST_SCORE
+        reason = ChoiceReason.TIE if len(equal) > 1 else ChoiceReason.LOWEST_SCORE
         if len(ranked) == 1:
-            why = Why.ONLY
-        return Decision(chosen, why, tuple(ranked), tuple(rejected))
+            reason = ChoiceReason.ONLY
+        return Decision(chosen, reason, tuple(ranked), tuple(rejected))
 
 
 def record(
@@ -499,7 +509,7 @@
     chosen = outcome.chosen.id
     return fields | {
         "chosen": chosen,
-        "reason": outcome.why.value,
+        "reason": outcome.reason.value,
         "candidates": listed,
     }
 
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -226,7 +226,7 @@
             grants=self.slots,
             is_suspect=self._is_suspect,
             suspects_at=lambda _: 0,
-            chooser=route.ByCost(route.MODES[cfg.mode]),
+            chooser=route.LowestCost(route.MODES[cfg.mode]),
             rng=self.rng,
             backlog=self.backlog,
         )
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -219,11 +219,11 @@
             excluded=frozenset(job.excluded),
         )
 
-    def _facts(self, cfg: contract.Config, found: index.Found) -> route.Facts:
+    def _facts(self, cfg: contract.Config, found: index.Found) -> route.RoutingContext:
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
         own = self.settings.zone
         delays = {z: settings.zone_delay_s(self.settings, own, z) for z in zones}
-        return route.Facts(
+        return route.RoutingContext(
             cfg=cfg,
             found=found,
             delay_s=delays,
@@ -232,7 +232,7 @@
         )
 
     async def _prepare(
-        self, req: route.Request, decision: route.Decision, facts: route.Facts
+        self, req: route.Request, decision: route.Decision, facts: route.RoutingContext
     ) -> dispatch.Choice:
         assert req.chain is not None
         upstream = self.tables.upstreams[decision.chosen.id]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -173,7 +173,7 @@
         assert target.zone != "out"
         assert export.positions == tuple(range(len(export.positions)))
         assert len(export.positions) * SIZE <= min(target.free_bytes, burst)
-        weight = mode.spread if i else 1.0
+        weight = mode.second_copy if i else 1.0
         assert request.value_s * weight >= target.price_s(is_second=i > 0)
 
 
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -26,8 +26,8 @@
 CONTRACT = contract.Contract("t", (), models=("m",), services=("stock",))
 CFG = contract.Config(1, {"t": CONTRACT})
 ROUTERS = [
-    route.ByCost(route.MODES["ttft"]),
-    route.ByCost(route.MODES["reuse"]),
+    route.LowestCost(route.MODES["ttft"]),
+    route.LowestCost(route.MODES["reuse"]),
     baseline.RoundRobin(),
     baseline.LeastLoaded(),
     baseline.PrefixAffinity(),
@@ -69,12 +69,12 @@
 ) -> None:
     """Guards against work for a cold, leaving, switched-off or foreign upstream."""
     req = dataclasses.replace(builders.request(), **of_request)
-    facts = route.Facts(dataclasses.replace(CFG, **of_cfg))
+    context = route.RoutingContext(dataclasses.replace(CFG, **of_cfg))
     targets = [
         builders.target(**of_target),
         builders.target("other", serves=frozenset()),
     ]
-    outcome = router.choose(req, targets, facts, random.Random(1))
+    outcome = router.choose(req, targets, context, random.Random(1))
     reasons = {r.id: r.reason for r in outcome.rejected}
     assert reasons.pop("other") is route.Reason.OTHER_MODEL
     if reason is None:
@@ -93,7 +93,7 @@
 
 
 @st.composite
-def scenes(draw: st.DrawFn) -> tuple[list[route.Target], route.Facts, int]:
+def scenes(draw: st.DrawFn) -> tuple[list[route.Target], route.RoutingContext, int]:
     """Draw upstreams, links and the known locations of a prompt of n blocks."""
     n = draw(st.integers(0, 6))
     names = draw(st.lists(st.sampled_from("efgh"), unique=True, min_size=1))
@@ -118,27 +118,29 @@
         for e in names
     ]
     found = index.Found(held, copies)
-    facts = route.Facts(CFG, found, {"a": 0.1}, links, block_bytes=2.0)
-    return targets, facts, n
+    context = route.RoutingContext(CFG, found, {"a": 0.1}, links, block_bytes=2.0)
+    return targets, context, n
 
 
-def cheapest(one: route.Target, facts: route.Facts, mode: route.Mode, n: int) -> float:
+def cheapest(
+    one: route.Target, context: route.RoutingContext, mode: route.Mode, n: int
+) -> float:
     """Try all split points one by one."""
     tokens = builders.chain(n, rest=10).tokens
-    fixed = one.wait_s() + 2 * facts.delay_s.get(one.zone, 0.0)
+    fixed = one.wait_s() + 2 * context.delay_s.get(one.zone, 0.0)
     nothing = link.Link(0.0)
     best = []
-    for copies in facts.found.stored:
-        links = [facts.links.get((c.store, one.zone), nothing) for c in copies]
+    for copies in context.found.stored:
+        links = [context.links.get((c.store, one.zone), nothing) for c in copies]
         best.append(max([nothing, *links], key=lambda k: k.free_bytes_per_s))
     latency = max((k.latency_s for k in best if k.free_bytes_per_s), default=0.0)
-    held = facts.found.memory[one.id]
+    held = context.found.memory[one.id]
     costs, fetch = [], 0.0
     for end in range(held, len(best) + 1):
         if end > held:
             if not best[end - 1].free_bytes_per_s:
                 break
-            fetch += facts.block_bytes / best[end - 1].free_bytes_per_s
+            fetch += context.block_bytes / best[end - 1].free_bytes_per_s
         prefill_s = (tokens - end * block.BLOCK_TOKENS) * one.prefill_s
         wait = fixed + fetch + (latency if end > held else 0.0)
         costs.append(mode.ttft * (wait + prefill_s) + mode.recompute * prefill_s)
@@ -148,42 +150,48 @@
 @hypothesis.settings(max_examples=400)
 @hypothesis.given(scenes(), MODES, st.integers(0, 9))
 def test_cost_is_the_minimum_over_split_points(
-    scene: tuple[list[route.Target], route.Facts, int], mode: route.Mode, seed: int
+    scene: tuple[list[route.Target], route.RoutingContext, int],
+    mode: route.Mode,
+    seed: int,
 ) -> None:
     """Guards against fetching what is slower than recomputing, and the reverse."""
-    targets, facts, n = scene
+    targets, context, n = scene
     req = builders.request(chain=builders.chain(n, rest=10))
-    outcome = route.ByCost(mode).choose(req, targets, facts, random.Random(seed))
-    again = route.ByCost(mode).choose(req, targets[::-1], facts, random.Random(seed))
+    outcome = route.LowestCost(mode).choose(req, targets, context, random.Random(seed))
+    again = route.LowestCost(mode).choose(
+        req, targets[::-1], context, random.Random(seed)
+    )
     assert isinstance(outcome, route.Decision)
     assert isinstance(again, route.Decision)
     assert again.chosen == outcome.chosen
-    expected = {t.id: cheapest(t, facts, mode, n) for t in targets}
+    expected = {t.id: cheapest(t, context, mode, n) for t in targets}
     scores = {c.id: c.score for c in outcome.candidates}
     assert scores == pytest.approx(expected, abs=1e-9)
     lowest = min(scores.values())
-    margin = max(route.TIE_S, route.TIE_SHARE * lowest)
+    margin = max(route.TIE_MARGIN_S, route.TIE_MARGIN_SHARE * lowest)
     assert outcome.chosen.score <= lowest + margin
     for candidate in outcome.candidates:
-        fetches = route.plan_fetch(candidate, facts)
+        fetches = route.plan_fetch(candidate, context)
         first = candidate.memory_blocks
         assert [f.position for f in fetches] == list(
             range(first, first + candidate.fetch_blocks)
         )
-        assert all(f.copy in facts.found.stored[f.position] for f in fetches)
+        assert all(f.copy in context.found.stored[f.position] for f in fetches)
 
 
 def test_equal_candidates_share_the_requests() -> None:
     """Guards against all nodes sending to the first of equal upstreams."""
     targets = [builders.target(f"e{i}") for i in range(10)]
-    router = route.ByCost(route.MODES["ttft"])
+    router = route.LowestCost(route.MODES["ttft"])
     rng = random.Random(1)
     chosen = set()
     for _ in range(200):
-        outcome = router.choose(builders.request(), targets, route.Facts(CFG), rng)
+        outcome = router.choose(
+            builders.request(), targets, route.RoutingContext(CFG), rng
+        )
         assert isinstance(outcome, route.Decision)
         chosen.add(outcome.chosen.id)
-    assert len(chosen) == route.TIE_CANDIDATES
+    assert len(chosen) == route.MAX_TIED_CANDIDATES
 
 
 class Counted(dict[str, route.Target]):
@@ -206,10 +214,10 @@
     targets = Counted({n: builders.target(n) for n in names})
     own = subset.Subset("n1")
     own.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
-    router = route.ByCost(route.MODES["ttft"])
+    router = route.LowestCost(route.MODES["ttft"])
     chosen = own.select(targets)
     outcome = router.choose(
-        builders.request(), chosen, route.Facts(CFG), random.Random(1)
+        builders.request(), chosen, route.RoutingContext(CFG), random.Random(1)
     )
     assert isinstance(outcome, route.Decision)
     assert targets.reads == len(outcome.candidates) == min(fleet, subset.SUBSET_SIZE)
