Reword route.py

Renamed inside the module: reject -> rejection_reason, _is_other_version -> _is_version_mismatch, _Split -> _SplitPoint, _Splits -> _SplitTable, _Splits.after -> best_split, _candidate -> _make_candidate, and local names.

--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -1,4 +1,4 @@
-"""Choice of an upstream by expected time to first token and recomputed tokens."""
+"""Upstream selection by expected time to first token and recomputed tokens."""
 
 import collections
 import collections.abc
@@ -12,25 +12,26 @@
 
 TIE_MARGIN_S = 0.002
 TIE_MARGIN_SHARE = 0.03
-"""Scores this close count as equal: load reports lag by more than that."""
+"""Scores within these margins count as equal: the lag of load reports causes larger
+errors."""
 
 MAX_TIED_CANDIDATES = 4
 
 
 @dataclasses.dataclass(frozen=True)
 class Mode:
-    """Weights of the aims that a deployment balances.
+    """Weights of the routing and placement objectives of a deployment.
 
     Attributes
     ----------
     name : str
         Name in settings and log lines.
     ttft : float
-        Weight of a second until the first token.
+        Weight of one second of time to first token.
     recompute : float
-        Additional weight of a second of prefill that a cache could have saved.
+        Additional weight of one second of prefill that a cache hit would have saved.
     spread : float
-        Weight of a second copy of a prompt's blocks outside the zone.
+        Weight of the value of a second copy of a prompt's blocks in another zone.
     """
 
     name: str
@@ -43,13 +44,16 @@
     "ttft": Mode("ttft", ttft=1.0, recompute=1.0, second_copy=0.25),
     "reuse": Mode("reuse", ttft=1.0, recompute=3.0, second_copy=1.0),
 }
-"""Even for TTFT a second of prefill counts twice: once for its own request, once for
-the requests that queue behind it. A weight of 0.25 gave a higher p95."""
+"""Weights of each mode, by name.
+
+Even in the mode ``ttft``, prefill counts twice: once for its own request and once for
+the requests queued behind it. A recompute weight of 0.25 gave a higher p95.
+"""
 
 
 @dataclasses.dataclass(frozen=True)
 class Profile:
-    """What is known of upstreams of one kind; fields as in `Target`."""
+    """Capacity and speed of one kind of upstream; fields as in `Target`."""
 
     serves: frozenset[str]
     slots: int = 1
@@ -59,7 +63,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """An upstream as a routing decision sees it.
+    """State of an upstream as used in a routing decision.
 
     Attributes
     ----------
@@ -68,19 +72,22 @@
     queue : int
         Estimated requests running and waiting (``load.estimate_queue``).
     slots : int
-        Requests that the upstream runs at once.
+        Requests that the upstream runs concurrently.
     service_s : float
-        Mean time that a request occupies a slot, in seconds.
+        Mean time for which a request occupies a slot, in seconds.
     prefill_s : float
-        Prefill of one token, in seconds.
+        Prefill time of one token, in seconds.
     backlog_s : float
-        Prefill ahead of a new request (`prefill.Backlog.estimate_s`), in seconds.
+        Prefill time queued ahead of a new request (`prefill.Backlog.estimate_s`),
+        in seconds.
     weight_version : str
-        Version that new requests run on; empty if unknown.
+        Weight version that new requests run on; empty if unknown.
     needs_grant : bool
-        The upstream counts as cold.
+        Whether the upstream counts as cold, so that a request needs a cold-start slot.
+    granted : bool
+        Whether this node has been granted a cold-start slot for the upstream.
     suspects : int
-        Requests with one crash that run there now.
+        Running requests that have already crashed an upstream once.
     """
 
     id: str
@@ -98,27 +105,27 @@
     suspects: int = 0
 
     def wait_s(self) -> float:
-        """Return the expected time until the prefill of a new request, in seconds."""
+        """Return the expected wait before prefill of a new request, in seconds."""
         ahead = self.queue + 1 - self.slots
         return max(0, ahead) * self.service_s / self.slots + self.backlog_s
 
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """What a routing decision needs to know of a request.
+    """Properties of a request that matter for routing.
 
     Attributes
     ----------
     wants : str
-        Model or plain service.
+        Name of the requested model or plain service.
     weight_version : str
-        Weight version that the block keys are bound to; empty for a service.
+        Weight version that the block keys were computed for; empty for a service.
     chain : block.Chain or None
-        The prompt's identity in the cache; None for a service.
+        Block keys of the prompt; None for a service.
     suspect : bool
-        The request has crashed an upstream once.
+        Whether the request has already crashed an upstream once.
     excluded : frozenset of str
-        Upstreams that this request has already failed on.
+        Upstreams on which this request has already failed.
     """
 
     id: str
@@ -132,16 +139,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class RoutingContext:
-    """What a node knows when it decides.
+    """Node state that a routing decision is based on.
 
     Attributes
     ----------
+    cfg : contract.Config
+        Configuration in force.
+    found : index.Found
+        Known locations of the prompt's blocks.
     delay_s : mapping of str to float
-        One-way delay from this node to each zone, in seconds.
+        One-way network delay from this node to each zone, in seconds.
     links : mapping of (str, str) to link.Link
-        Link by store and zone; a store without a link is not read.
+        Links by store and zone; stores without a link are not read.
     block_bytes : float
-        Size of the KV cache of one block, in bytes.
+        Size of one KV cache block, in bytes.
     """
 
     cfg: contract.Config
@@ -155,11 +166,11 @@
     block_bytes: float = 0.0
 
 
-# Filters.
+# Filtering.
 
 
 class Reason(enum.StrEnum):
-    """Why an upstream is no candidate."""
+    """Why an upstream is not a candidate."""
 
     OTHER_MODEL = "other_model"
     NOT_IN_CONTRACT = "not_in_contract"
@@ -174,18 +185,23 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rejected:
-    """An upstream that is no candidate, and why."""
+    """An upstream that is not a candidate, with the reason."""
 
     id: str
     reason: Reason
 
 
-def reject(target: Target, req: Request, cfg: contract.Config) -> Reason | None:
-    """Return why a request may not go to an upstream; None if it may."""
-    agreed = cfg.contracts.get(req.team)
+def rejection_reason(
+    target: Target, req: Request, cfg: contract.Config
+) -> Reason | None:
+    """Return why an upstream may not run a request; None if it may."""
+    team_contract = cfg.contracts.get(req.team)
     if req.wants not in target.serves:
         return Reason.OTHER_MODEL
-    if agreed is None or req.wants not in (*agreed.models, *agreed.services):
+    if team_contract is None or req.wants not in (
+        *team_contract.models,
+        *team_contract.services,
+    ):
         return Reason.NOT_IN_CONTRACT
     if target.zone in cfg.zones_out:
         return Reason.ZONE_OUT
@@ -193,7 +209,7 @@
         return Reason.INSTANCE_OUT
     if target.leaving:
         return Reason.LEAVING
-    if _is_other_version(target, req):
+    if _is_version_mismatch(target, req):
         return Reason.OTHER_VERSION
     if target.id in req.excluded:
         return Reason.FAILED_BEFORE
@@ -204,19 +220,19 @@
     return None
 
 
-def _is_other_version(target: Target, req: Request) -> bool:
-    # An engine refuses a request that names a version that it does not run.
-    known = bool(target.weight_version and req.weight_version)
-    return known and target.weight_version != req.weight_version
+def _is_version_mismatch(target: Target, req: Request) -> bool:
+    # Engines refuse requests that name a weight version they do not run.
+    both_known = bool(target.weight_version and req.weight_version)
+    return both_known and target.weight_version != req.weight_version
 
 
 def weight_versions(
     targets: collections.abc.Iterable[Target], model: str, expected: str
 ) -> list[str]:
-    """Return the versions of a model that can be asked for, the best first.
+    """Return the weight versions of a model that can be requested, best first.
 
-    Vendors swap weights without notice, so the version that is configured may run
-    nowhere. It comes first if it does, then the others by number of upstreams.
+    Vendors replace weights without notice, so the configured version may not run
+    anywhere. If it does, it comes first; other versions follow by upstream count.
     """
     counts = collections.Counter(
         t.weight_version for t in targets if model in t.serves and t.weight_version
@@ -232,21 +248,21 @@
     cfg: contract.Config,
     rejected: list[Rejected],
 ) -> collections.abc.Iterator[Target]:
-    """Yield the upstreams that may run a request; append the others to a list."""
+    """Yield the upstreams that may run a request; append the others to `rejected`."""
     for target in targets:
-        reason = reject(target, req, cfg)
+        reason = rejection_reason(target, req, cfg)
         if reason is None:
             yield target
         else:
             rejected.append(Rejected(target.id, reason))
 
 
-# Cost of a candidate.
+# Cost estimation.
 
 
 @dataclasses.dataclass(frozen=True)
 class Fetch:
-    """A block that the engine imports before it runs the request."""
+    """A KV cache block that the engine imports before it runs the request."""
 
     position: int
     copy: index.Stored
@@ -254,18 +270,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Candidate:
-    """An upstream with its expected cost for one request.
+    """An upstream with the expected cost of running one request there.
 
     Attributes
     ----------
     score : float
         Weighted cost in seconds; the lowest wins.
     wait_s, delay_s, fetch_s, prefill_s : float
-        Parts of the expected time to first token, in seconds.
+        Components of the expected time to first token, in seconds.
     memory_blocks, fetch_blocks : int
-        Leading blocks in the upstream's memory, and following ones to import.
+        Leading blocks in the upstream's memory, and the following ones to import.
     recomputed_tokens : int
-        Tokens of the prompt to prefill.
+        Prompt tokens to prefill.
     """
 
     id: str
@@ -286,18 +302,26 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Split:
-    """How many blocks to have before the prefill of the rest starts."""
+class _SplitPoint:
+    """A split of a prompt into leading cached blocks and a rest to prefill.
+
+    Attributes
+    ----------
+    blocks : int
+        Number of leading blocks in the engine's memory when prefill starts.
+    fetch_s : float
+        Time to import those that the engine lacks, in seconds.
+    """
 
     blocks: int
     fetch_s: float
 
 
-class _Splits:
+class _SplitTable:
     """Best split points of one prompt for the engines of one zone.
 
-    All start points are solved in one pass from the end, so that the cost of a
-    decision is blocks times zones and not blocks times candidates.
+    One pass from the last block computes them for every number of blocks already
+    held, so a decision takes O(blocks * zones) and not O(blocks * candidates) time.
     """
 
     def __init__(
@@ -307,37 +331,37 @@
         count = len(self.copies)
         links = [path for _, path in self.copies]
         self._latency_s = max((k.latency_s for k in links if k), default=0.0)
-        step_s = [
+        block_fetch_s = [
             context.block_bytes / k.free_bytes_per_s if k else math.inf for k in links
         ]
         full_weight = mode.ttft + mode.recompute
-        gain = full_weight * prefill_s * block.BLOCK_TOKENS
-        # best[m] is the split with the lowest cost among those from m on, with the
-        # cost and the fetch time counted from m.
-        self._best = [(0.0, _Split(count, 0.0))]
+        prefill_gain = full_weight * prefill_s * block.BLOCK_TOKENS
+        # After the final reverse, _best[m] is the cheapest split at or after block m,
+        # with its cost and fetch time counted from block m.
+        self._best = [(0.0, _SplitPoint(count, 0.0))]
         for m in range(count - 1, -1, -1):
             cost, split = self._best[-1]
-            cost += mode.ttft * step_s[m] - gain
-            further = _Split(split.blocks, split.fetch_s + step_s[m])
-            stop = _Split(m, 0.0)
-            self._best.append((cost, further) if cost < 0 else (0.0, stop))
+            cost += mode.ttft * block_fetch_s[m] - prefill_gain
+            extended = _SplitPoint(split.blocks, split.fetch_s + block_fetch_s[m])
+            stop = _SplitPoint(m, 0.0)
+            self._best.append((cost, extended) if cost < 0 else (0.0, stop))
         self._best.reverse()
         self._latency_cost = mode.ttft * self._latency_s
 
-    def after(self, memory_blocks: int) -> _Split:
-        """Return the best split for an engine that holds some leading blocks."""
+    def best_split(self, memory_blocks: int) -> _SplitPoint:
+        """Return the best split for an engine with some leading blocks in memory."""
         if memory_blocks >= len(self.copies):
-            return _Split(memory_blocks, 0.0)
+            return _SplitPoint(memory_blocks, 0.0)
         cost, split = self._best[memory_blocks]
         if split.blocks == memory_blocks or cost + self._latency_cost >= 0:
-            return _Split(memory_blocks, 0.0)
-        return _Split(split.blocks, split.fetch_s + self._latency_s)
+            return _SplitPoint(memory_blocks, 0.0)
+        return _SplitPoint(split.blocks, split.fetch_s + self._latency_s)
 
 
 def _best_copies(
     context: RoutingContext, zone: str
 ) -> collections.abc.Iterator[tuple[index.Stored | None, link.Link | None]]:
-    """Yield the copy of each leading block that arrives first in a zone."""
+    """Yield the copy of each leading block over the fastest link to a zone."""
     for copies in context.found.stored:
         links = [(c, context.links.get((c.store, zone))) for c in copies]
         usable = [(c, k) for c, k in links if k and k.free_bytes_per_s > 0]
@@ -353,32 +377,32 @@
     context: RoutingContext,
     mode: Mode,
 ) -> collections.abc.Iterator[Candidate]:
-    """Yield each upstream with its expected cost."""
-    splits: dict[tuple[str, float], _Splits] = {}
+    """Yield each upstream with the expected cost of the request."""
+    split_tables: dict[tuple[str, float], _SplitTable] = {}
     tokens = req.chain.tokens if req.chain else 0
     for target in targets:
         held = context.found.memory.get(target.id, 0)
-        split = _Split(held, 0.0)
+        split = _SplitPoint(held, 0.0)
         if context.found.stored:
             name = (target.zone, target.prefill_s)
-            if name not in splits:
-                splits[name] = _Splits(context, mode, *name)
-            split = splits[name].after(held)
-        rest = max(0, tokens - split.blocks * block.BLOCK_TOKENS)
-        yield _candidate(target, held, split, rest, context, mode)
+            if name not in split_tables:
+                split_tables[name] = _SplitTable(context, mode, *name)
+            split = split_tables[name].best_split(held)
+        recomputed_tokens = max(0, tokens - split.blocks * block.BLOCK_TOKENS)
+        yield _make_candidate(target, held, split, recomputed_tokens, context, mode)
 
 
-def _candidate(
+def _make_candidate(
     target: Target,
     held: int,
-    split: _Split,
-    rest: int,
+    split: _SplitPoint,
+    recomputed_tokens: int,
     context: RoutingContext,
     mode: Mode,
 ) -> Candidate:
     wait_s = target.wait_s()
     delay_s = 2 * context.delay_s.get(target.zone, 0.0)
-    prefill_s = rest * target.prefill_s
+    prefill_s = recomputed_tokens * target.prefill_s
     ttft_s = wait_s + delay_s + split.fetch_s + prefill_s
     return Candidate(
         id=target.id,
@@ -390,23 +414,23 @@
         prefill_s=prefill_s,
         memory_blocks=held,
         fetch_blocks=split.blocks - held,
-        recomputed_tokens=rest,
+        recomputed_tokens=recomputed_tokens,
     )
 
 
 def plan_fetch(chosen: Candidate, context: RoutingContext) -> list[Fetch]:
-    """Return the blocks that the chosen engine must import, in order."""
+    """Return the blocks that the chosen engine imports, in prompt order."""
     first = chosen.memory_blocks
     last = first + chosen.fetch_blocks
     copies = list(_best_copies(context, chosen.zone))[first:last]
     return [Fetch(i, c) for i, (c, _) in enumerate(copies, start=first) if c]
 
 
-# The decision and its record.
+# Decisions.
 
 
 class ChoiceReason(enum.StrEnum):
-    """Why the chosen candidate was taken."""
+    """Why a candidate was chosen."""
 
     ONLY = "only_candidate"
     LOWEST_SCORE = "lowest_score"
@@ -418,7 +442,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Decision:
-    """The chosen upstream, and what it was chosen from."""
+    """The chosen upstream, with all candidates and rejected upstreams."""
 
     chosen: Candidate
     reason: ChoiceReason
@@ -428,18 +452,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class NoUpstream:
-    """No upstream may run the request."""
+    """Result of a decision in which no upstream may run the request."""
 
     rejected: tuple[Rejected, ...]
 
     def awaiting_grant(self) -> list[str]:
-        """Return the upstreams that lack only a grant of a cold-start slot."""
+        """Return the upstreams rejected only for want of a cold-start slot."""
         reason = Reason.COLD_WITHOUT_GRANT
         return [r.id for r in self.rejected if r.reason is reason]
 
 
 class Router(typing.Protocol):
-    """A way to choose an upstream."""
+    """Interface of a routing policy."""
 
     @property
     def name(self) -> str:
@@ -453,16 +477,16 @@
         context: RoutingContext,
         rng: random.Random,
     ) -> Decision | NoUpstream:
-        """Choose among the upstreams of the node's subset."""
+        """Choose one of the given upstreams."""
         ...
 
 
 @dataclasses.dataclass(frozen=True)
 class LowestCost:
-    """Choose the lowest weighted cost; equal scores are settled at random.
+    """Choose the upstream with the lowest weighted cost; break ties at random.
 
-    The random choice keeps nodes with the same lagging reports from sending all
-    their requests to the same upstream.
+    Nodes see the same outdated load reports. Random tie-breaking keeps them from
+    all sending their requests to the same upstream.
     """
 
     mode: Mode
@@ -475,17 +499,17 @@
         context: RoutingContext,
         rng: random.Random,
     ) -> Decision | NoUpstream:
-        """Choose by expected cost."""
+        """Choose the upstream with the lowest expected cost."""
         rejected: list[Rejected] = []
-        admitted = filter_targets(targets, req, context.cfg, rejected)
-        priced = estimate_costs(admitted, req, context, self.mode)
-        ranked = sorted(priced, key=lambda c: (c.score, c.id))
+        eligible = filter_targets(targets, req, context.cfg, rejected)
+        estimated = estimate_costs(eligible, req, context, self.mode)
+        ranked = sorted(estimated, key=lambda c: (c.score, c.id))
         if not ranked:
             return NoUpstream(tuple(rejected))
         limit = ranked[0].score + max(TIE_MARGIN_S, TIE_MARGIN_SHARE * ranked[0].score)
-        equal = [c for c in ranked[:MAX_TIED_CANDIDATES] if c.score <= limit]
-        chosen = rng.choice(equal)
-        reason = ChoiceReason.TIE if len(equal) > 1 else ChoiceReason.LOWEST_SCORE
+        tied = [c for c in ranked[:MAX_TIED_CANDIDATES] if c.score <= limit]
+        chosen = rng.choice(tied)
+        reason = ChoiceReason.TIE if len(tied) > 1 else ChoiceReason.LOWEST_SCORE
         if len(ranked) == 1:
             reason = ChoiceReason.ONLY
         return Decision(chosen, reason, tuple(ranked), tuple(rejected))
@@ -494,7 +518,7 @@
 def record(
     req: Request, router: Router, outcome: Decision | NoUpstream
 ) -> dict[str, object]:
-    """Return the fields of the log line of one decision."""
+    """Return the log fields of a routing decision."""
     fields: dict[str, object] = {
         "event": "route",
         "request": req.id,
@@ -527,14 +551,14 @@
     needs_grant: bool,
     backlog_s: float = 0.0,
 ) -> Target:
-    """Build the view of an upstream from the node's table.
+    """Build a routing target from the node's table entry of an upstream.
 
     Parameters
     ----------
     upstream : table.Upstream
-        Row of the upstream.
+        Table entry of the upstream.
     profile : Profile
-        What is known of upstreams of its kind.
+        Capacity and speed of this kind of upstream.
     queue : int
         Result of ``load.estimate_queue``.
     needs_grant : bool
@@ -542,11 +566,11 @@
     backlog_s : float
         Result of `prefill.Backlog.estimate_s`.
     """
-    inst, report = upstream.instance, upstream.report
+    instance, report = upstream.instance, upstream.report
     reported_leaving = report is not None and report.state is table.Warmth.LEAVING
     return Target(
-        id=inst.id,
-        zone=inst.zone,
+        id=instance.id,
+        zone=instance.zone,
         serves=profile.serves,
         queue=queue,
         slots=profile.slots,
@@ -554,6 +578,6 @@
         prefill_s=profile.prefill_s,
         backlog_s=backlog_s,
         weight_version=report.weight_version if report else "",
-        leaving=inst.leaving or reported_leaving,
+        leaving=instance.leaving or reported_leaving,
         needs_grant=needs_grant,
     )
