Rename block index names used across modules

index.Found -> PrefixLocations, Stored -> StoredCopy, Added -> BlockAdded, Dropped -> BlockDropped, Index.cheapest -> least_valuable, the argument use of Index.lookup -> mark_used.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -249,23 +249,23 @@
         for name, report in made.items():
             self.index.observe_boot(index.Source(name, report.boot_id))
 
-    def _drain_events(self) -> list[index.Added | index.Dropped]:
-        events: list[index.Added | index.Dropped] = []
+    def _drain_events(self) -> list[index.BlockAdded | index.BlockDropped]:
+        events: list[index.BlockAdded | index.BlockDropped] = []
         for name, server in self.servers.items():
             source = index.Source(name, server.boot_id)
             for _, added, key in server.events:
-                kind = index.Added if added else index.Dropped
+                kind = index.BlockAdded if added else index.BlockDropped
                 events.append(kind(source, key, next(self._seq)))
             server.events.clear()
         for name, store in self.stores.items():
             source = index.Source(name, "b1", is_store=True)
             for added, key, generation in store.events:
-                kind = index.Added if added else index.Dropped
+                kind = index.BlockAdded if added else index.BlockDropped
                 events.append(kind(source, key, next(self._seq), generation))
             store.events.clear()
         return events
 
-    def _apply(self, events: list[index.Added | index.Dropped]) -> None:
+    def _apply(self, events: list[index.BlockAdded | index.BlockDropped]) -> None:
         for event in events:
             self.index.apply(event, self.now)
 
@@ -276,7 +276,7 @@
         for name, store in self.stores.items():
             free = 1 - len(store.blocks) / model.STORE_BLOCKS
             if free < CLEAN_BELOW:
-                for copy in self.index.cheapest(name, CLEAN_SHARE, out):
+                for copy in self.index.least_valuable(name, CLEAN_SHARE, out):
                     store.delete(copy.key)
                     self._fates.note([copy.key], loss.Cause.DELETED)
 
@@ -338,7 +338,7 @@
             keys = arrival.chain.keys
             if not keys or not any(keys[0] in s.blocks for s in inside):
                 continue
-            found = self.index.lookup(keys, self.now, use=False)
+            found = self.index.lookup(keys, self.now, mark_used=False)
             chance = _chance(node, arrival)
             value_s = chance * block.BLOCK_TOKENS / model.PREFILL_TOKENS_PER_S
             size = model.BLOCK_BYTES
@@ -408,7 +408,7 @@
         if self.policy.exact:
             found = self._exact_found(keys)
         elif self.rng.random() < LOOKUP_LOSS:
-            found = index.Found()
+            found = index.PrefixLocations()
         else:
             found = self.index.lookup(keys, self.now)
         links = {
@@ -428,21 +428,21 @@
         delay_s += node.backlog.estimate_s(name, 0, self.now)
         return node.watches[name].link(model.LINK_BYTES_PER_S, delay_s, self.now)
 
-    def _exact_found(self, keys: tuple[block.Key, ...]) -> index.Found:
+    def _exact_found(self, keys: tuple[block.Key, ...]) -> index.PrefixLocations:
         engines = [s for s in self.servers.values() if s.inst.id.startswith("e")]
         memory = {s.inst.id: s.held(keys) for s in engines}
         longest = max(memory.values(), default=0)
-        stored: list[tuple[index.Stored, ...]] = []
+        stored: list[tuple[index.StoredCopy, ...]] = []
         for i, key in enumerate(keys):
             copies = tuple(
-                index.Stored(n, "b1", s.blocks[key], "")
+                index.StoredCopy(n, "b1", s.blocks[key], "")
                 for n, s in self.stores.items()
                 if key in s.blocks
             )
             if not copies and i >= longest:
                 break
             stored.append(copies)
-        return index.Found(memory, tuple(stored))
+        return index.PrefixLocations(memory, tuple(stored))
 
     def _send(
         self,
@@ -506,7 +506,7 @@
             store = self.stores[copy.store]
             if store.blocks.get(key) != copy.generation:
                 source = index.Source(copy.store, "b1", is_store=True)
-                missed = index.Dropped(source, key, 0, copy.generation)
+                missed = index.BlockDropped(source, key, 0, copy.generation)
                 self.index.apply(missed, self.now)
                 break
             counts[copy.store] += 1
@@ -627,7 +627,7 @@
         held = self.servers[prompt.upstream].held(prompt.chain.keys)
         keys = prompt.chain.keys[:held]
         chain = dataclasses.replace(prompt.chain, keys=keys)
-        found = self.index.lookup(keys, self.now, use=False)
+        found = self.index.lookup(keys, self.now, mark_used=False)
         prompt = dataclasses.replace(prompt, chain=chain, found=found)
         mode = route.MODES[self.dep.mode]
         stores = self._store_views()
--- a/bench/micro.py
+++ b/bench/micro.py
@@ -28,8 +28,8 @@
         source = index.Source(f"e{rng.randrange(fleet)}", "b1")
         copy = index.Source(f"s{rng.randrange(2)}", "b1", is_store=True)
         for key in prompt.keys:
-            shard.apply(index.Added(source, key, 1), 0.0)
-            shard.apply(index.Added(copy, key, 1, 1, "c"), 0.0)
+            shard.apply(index.BlockAdded(source, key, 1), 0.0)
+            shard.apply(index.BlockAdded(copy, key, 1, 1, "c"), 0.0)
     targets = {
         f"e{i}": route.Target(
             f"e{i}",
@@ -71,7 +71,9 @@
         key = os.urandom(24)
         for source in sources:
             checksum = os.urandom(16).hex()
-            shard.apply(index.Added(source, key, 1000 + i, 1000 + i, checksum), 0.0)
+            shard.apply(
+                index.BlockAdded(source, key, 1000 + i, 1000 + i, checksum), 0.0
+            )
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     return used / ENTRIES
--- a/packages/snipelug-core/src/snipelug_core/baseline.py
+++ b/packages/snipelug-core/src/snipelug_core/baseline.py
@@ -11,7 +11,7 @@
 
 def _without_stores(context: route.RoutingContext) -> route.RoutingContext:
     """Drop the copies in stores: the baselines only reuse engines' memory."""
-    found = index.Found(context.found.memory)
+    found = index.PrefixLocations(context.found.memory)
     return dataclasses.replace(context, found=found)
 
 
--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -47,7 +47,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Stored:
+class StoredCopy:
     """A readable copy of a block in a store.
 
     Attributes
@@ -63,7 +63,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Added:
+class BlockAdded:
     """A source holds a block.
 
     Attributes
@@ -80,7 +80,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Dropped:
+class BlockDropped:
     """A source no longer holds a block.
 
     Attributes
@@ -98,7 +98,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Found:
+class PrefixLocations:
     """What is known of a prompt's leading blocks.
 
     Attributes
@@ -111,7 +111,7 @@
     """
 
     memory: dict[str, int] = dataclasses.field(default_factory=dict)
-    stored: tuple[tuple[Stored, ...], ...] = ()
+    stored: tuple[tuple[StoredCopy, ...], ...] = ()
 
     def prefixes(self) -> dict[str, int]:
         """Return the longest usable prefix of each location, in blocks."""
@@ -143,7 +143,7 @@
 
     __slots__ = ("boot", "checksum", "generation", "seq")
 
-    def __init__(self, boot: _Boot, event: Added) -> None:
+    def __init__(self, boot: _Boot, event: BlockAdded) -> None:
         self.boot = boot
         self.seq = event.seq
         self.generation = event.generation
@@ -194,12 +194,12 @@
         entries = len(self._entries) * BYTES_PER_ENTRY
         return entries + self._locations * BYTES_PER_LOCATION
 
-    def apply(self, event: Added | Dropped, now: float) -> bool:
+    def apply(self, event: BlockAdded | BlockDropped, now: float) -> bool:
         """Apply one event, whatever its order; return whether it changed anything."""
         boot = self._boot(event.source)
         if boot is None:
             return False
-        if isinstance(event, Dropped):
+        if isinstance(event, BlockDropped):
             return self._drop(event, boot)
         return self._add(event, boot, now)
 
@@ -243,8 +243,11 @@
                 self._keep_early(key, log_value)
 
     def lookup(
-        self, keys: collections.abc.Sequence[block.Key], now: float, use: bool = True
-    ) -> Found:
+        self,
+        keys: collections.abc.Sequence[block.Key],
+        now: float,
+        mark_used: bool = True,
+    ) -> PrefixLocations:
         """Return the known locations of a prompt's leading blocks.
 
         Parameters
@@ -253,12 +256,12 @@
             Keys in the prompt's order.
         now : float
             Time in seconds.
-        use : bool
+        mark_used : bool
             Whether the look-up is for a request and keeps the entries longer; a
             scan over many prompts would make them all look recent.
         """
         memory: dict[str, int] = {}
-        stored: list[tuple[Stored, ...]] = []
+        stored: list[tuple[StoredCopy, ...]] = []
         for position, key in enumerate(keys):
             entry = self._entries.get(key)
             if entry is None:
@@ -269,16 +272,16 @@
                 break
             memory.update(dict.fromkeys(reached, position + 1))
             stored.append(copies)
-            if use:
+            if mark_used:
                 self._touch(key, entry, position, now)
-        return Found(memory, tuple(stored))
+        return PrefixLocations(memory, tuple(stored))
 
-    def cheapest(
+    def least_valuable(
         self,
         store_id: str,
         share: float,
         unreadable: collections.abc.Container[str] = frozenset(),
-    ) -> list[Added]:
+    ) -> list[BlockAdded]:
         """Return the copies in a store that are worth the least.
 
         Each shard frees the same share of what it knows, so that a full store gets
@@ -305,13 +308,13 @@
         count = math.ceil(share * len(held))
         chosen = heapq.nsmallest(count, held, key=lambda item: item[:3])
         return [
-            Added(p.boot.source, key, p.seq, p.generation, p.checksum)
+            BlockAdded(p.boot.source, key, p.seq, p.generation, p.checksum)
             for _, _, key, p in chosen
         ]
 
-    def _usable(self, entry: _Entry) -> tuple[list[str], tuple[Stored, ...]]:
+    def _usable(self, entry: _Entry) -> tuple[list[str], tuple[StoredCopy, ...]]:
         holders: list[str] = []
-        copies: list[Stored] = []
+        copies: list[StoredCopy] = []
         for place in entry.places:
             source = place.boot.source
             if not place.boot.alive:
@@ -319,7 +322,9 @@
             if not source.is_store:
                 holders.append(source.id)
                 continue
-            copy = Stored(source.id, source.boot_id, place.generation, place.checksum)
+            copy = StoredCopy(
+                source.id, source.boot_id, place.generation, place.checksum
+            )
             copies.append(copy)
         return holders, tuple(copies)
 
@@ -340,7 +345,7 @@
         self._boots[source.id] = boot
         return boot
 
-    def _add(self, event: Added, boot: _Boot, now: float) -> bool:
+    def _add(self, event: BlockAdded, boot: _Boot, now: float) -> bool:
         if 0 < event.seq < self._tombstones.get((boot, event.key), 0):
             return False
         entry = self._entries.get(event.key) or _Entry()
@@ -357,7 +362,7 @@
         self._evict()
         return True
 
-    def _drop(self, event: Dropped, boot: _Boot) -> bool:
+    def _drop(self, event: BlockDropped, boot: _Boot) -> bool:
         entry = self._entries.get(event.key)
         others, known = _split(entry, boot) if entry else ([], None)
         if event.seq:
@@ -382,7 +387,7 @@
         while len(self._early) > MAX_EARLY_VALUES:
             self._early.popitem(last=False)
 
-    def _bury(self, event: Dropped, boot: _Boot) -> None:
+    def _bury(self, event: BlockDropped, boot: _Boot) -> None:
         """Remember a drop, so that an older addition that comes later is ignored."""
         name = (boot, event.key)
         self._tombstones[name] = max(event.seq, self._tombstones.pop(name, 0))
@@ -441,7 +446,7 @@
     return place is not first
 
 
-def _supersedes(event: Added, known: _Place) -> bool:
+def _supersedes(event: BlockAdded, known: _Place) -> bool:
     # A store keeps the last write, whose generation may be lower when two nodes
     # export at once. Only its feed knows the order.
     if event.seq and known.seq:
--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -37,9 +37,9 @@
 SCARCE_SHARE = 0.07
 """Free share of a store below which the price rises from the lowest to the highest.
 
-A store that fills up loses what is worth the least (`Index.cheapest`) before the price
-reaches the value of common prompts. A price that rose earlier would keep out new
-prompts in favour of old ones of the same value.
+A full store loses its least valuable blocks (`Index.least_valuable`) before the price
+reaches the value of common prompts. A price that rose earlier would reject new prompts
+in favor of old ones of the same value.
 """
 
 SECOND_SCARCE_SHARE = 0.5
@@ -196,7 +196,7 @@
         Probability of a return (`Returns.probability`).
     block_s : float
         Prefill of one block, in seconds.
-    found : index.Found
+    found : index.PrefixLocations
         Copies that the index knows.
     ordered : frozenset of (str, int)
         Stores and positions of blocks that are on their way there.
@@ -209,7 +209,7 @@
     chance: float
     block_s: float
     block_bytes: float
-    found: index.Found = index.Found()
+    found: index.PrefixLocations = index.PrefixLocations()
     ordered: frozenset[tuple[str, int]] = frozenset()
 
     @property
@@ -473,7 +473,7 @@
         Expected seconds that one of its blocks saves.
     upstreams : tuple of str
         Engines of the zone that hold all the blocks in memory.
-    copies : tuple of tuple of index.Stored
+    copies : tuple of tuple of index.StoredCopy
         Copies in stores of each block, in the prompt's order.
     """
 
@@ -482,7 +482,7 @@
     value_s: float
     block_bytes: float
     upstreams: tuple[str, ...] = ()
-    copies: tuple[tuple[index.Stored, ...], ...] = ()
+    copies: tuple[tuple[index.StoredCopy, ...], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -145,7 +145,7 @@
     ----------
     cfg : contract.Config
         Configuration in force.
-    found : index.Found
+    found : index.PrefixLocations
         Known locations of the prompt's blocks.
     delay_s : mapping of str to float
         One-way network delay from this node to each zone, in seconds.
@@ -156,7 +156,7 @@
     """
 
     cfg: contract.Config
-    found: index.Found = index.Found()
+    found: index.PrefixLocations = index.PrefixLocations()
     delay_s: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
@@ -265,7 +265,7 @@
     """A KV cache block that the engine imports before it runs the request."""
 
     position: int
-    copy: index.Stored
+    copy: index.StoredCopy
 
 
 @dataclasses.dataclass(frozen=True)
@@ -360,7 +360,7 @@
 
 def _best_copies(
     context: RoutingContext, zone: str
-) -> collections.abc.Iterator[tuple[index.Stored | None, link.Link | None]]:
+) -> collections.abc.Iterator[tuple[index.StoredCopy | None, link.Link | None]]:
     """Yield the copy of each leading block over the fastest link to a zone."""
     for copies in context.found.stored:
         links = [(c, context.links.get((c.store, zone))) for c in copies]
--- a/packages/snipelug-node/src/snipelug_node/cache.py
+++ b/packages/snipelug-node/src/snipelug_node/cache.py
@@ -54,7 +54,7 @@
 
 
 class Copy(msgspec.Struct, frozen=True, array_like=True):
-    """A copy in a store, as ``index.Stored``."""
+    """A copy in a store, as ``index.StoredCopy``."""
 
     store: Name
     boot_id: Name
@@ -63,7 +63,7 @@
 
 
 class LookupReply(msgspec.Struct, frozen=True):
-    """Known locations, as ``index.Found``."""
+    """Known locations, as ``index.PrefixLocations``."""
 
     memory: dict[str, int] = {}
     stored: list[list[Copy]] = []
@@ -150,24 +150,28 @@
         return Recorded()
 
 
-def _to_wire(copy: index.Stored) -> Copy:
+def _to_wire(copy: index.StoredCopy) -> Copy:
     return Copy(copy.store, copy.boot_id, copy.generation, copy.checksum)
 
 
-def _to_found(reply: LookupReply) -> index.Found:
+def _to_found(reply: LookupReply) -> index.PrefixLocations:
     stored = tuple(
-        tuple(index.Stored(c.store, c.boot_id, c.generation, c.checksum) for c in at)
+        tuple(
+            index.StoredCopy(c.store, c.boot_id, c.generation, c.checksum) for c in at
+        )
         for at in reply.stored
     )
-    return index.Found(reply.memory, stored)
+    return index.PrefixLocations(reply.memory, stored)
 
 
-def _to_event(source: index.Source, change: Change) -> index.Added | index.Dropped:
+def _to_event(
+    source: index.Source, change: Change
+) -> index.BlockAdded | index.BlockDropped:
     if change.added:
-        return index.Added(
+        return index.BlockAdded(
             source, change.key, change.seq, change.generation, change.checksum
         )
-    return index.Dropped(source, change.key, change.seq, change.generation)
+    return index.BlockDropped(source, change.key, change.seq, change.generation)
 
 
 def lookup_timeout_s(blocks: int) -> float:
@@ -265,10 +269,12 @@
         self._queued = trio.Event()
         self._waiting = 0
 
-    async def lookup(self, keys: collections.abc.Sequence[block.Key]) -> index.Found:
+    async def lookup(
+        self, keys: collections.abc.Sequence[block.Key]
+    ) -> index.PrefixLocations:
         """Return the known locations; none if the shard does not answer in time."""
         if not keys:
-            return index.Found()
+            return index.PrefixLocations()
         self.counts["lookups"] += 1
         self.shards.update(self.peers.live())
         owner = self.shards.owner(slot_of(keys[0]))
@@ -280,7 +286,7 @@
                 if isinstance(reply, LookupReply):
                     return _to_found(reply)
         self.counts["lookup_misses"] += 1
-        return index.Found()
+        return index.PrefixLocations()
 
     def note(
         self, source: index.Source, changes: collections.abc.Iterable[Change]
--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -82,17 +82,21 @@
             inst = self.instances(store.id)
             is_low = store.free_bytes < CLEAN_BELOW_SHARE * store.size_bytes
             if inst is not None and store.alive and is_low:
-                copies = self.shard.index.cheapest(store.id, CLEAN_SHARE, unreadable)
+                copies = self.shard.index.least_valuable(
+                    store.id, CLEAN_SHARE, unreadable
+                )
                 await self._clean(inst, copies)
 
-    async def _clean(self, inst: table.Instance, copies: list[index.Added]) -> None:
+    async def _clean(
+        self, inst: table.Instance, copies: list[index.BlockAdded]
+    ) -> None:
         limit = trio.CapacityLimiter(DELETES_AT_ONCE)
         async with trio.open_nursery() as nursery:
             for copy in copies:
                 nursery.start_soon(self._delete, inst, copy, limit)
 
     async def _delete(
-        self, inst: table.Instance, copy: index.Added, limit: trio.CapacityLimiter
+        self, inst: table.Instance, copy: index.BlockAdded, limit: trio.CapacityLimiter
     ) -> None:
         headers = {"if-match": f'"{copy.generation}-{copy.checksum}"'}
         call = http_client.Call(
@@ -112,5 +116,5 @@
         else:
             self.counts["failed"] += 1
             return
-        dropped = index.Dropped(copy.source, copy.key, 0, copy.generation)
+        dropped = index.BlockDropped(copy.source, copy.key, 0, copy.generation)
         self.shard.index.apply(dropped, trio.current_time())
--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -105,7 +105,7 @@
         Version that the engine reports; empty before its first report.
     chain : block.Chain
         The prompt's identity in the cache, for that version.
-    found : index.Found
+    found : index.PrefixLocations
         Locations of the prompt's blocks, as known before the run.
     work_s : float
         Expected time of the fetch and prefill, in seconds.
@@ -116,7 +116,7 @@
     upstream: table.Upstream
     weight_version: str
     chain: block.Chain
-    found: index.Found
+    found: index.PrefixLocations
     work_s: float = 0.0
     sent_at: float = 0.0
 
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -123,7 +123,7 @@
 
     # Before a request
 
-    async def lookup(self, chain: block.Chain) -> index.Found:
+    async def lookup(self, chain: block.Chain) -> index.PrefixLocations:
         """Return the known locations of a prompt's blocks."""
         return await self.directory.lookup(chain.keys)
 
@@ -194,7 +194,7 @@
     # After an answer
 
     def answered(
-        self, job: dispatch.Job, choice: dispatch.Choice, found: index.Found
+        self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Note that an engine holds a prompt's blocks, and place copies of them."""
         chain = choice.chain
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -33,7 +33,7 @@
 class Cache(typing.Protocol):
     """The block index and the transfers between engines and stores."""
 
-    async def lookup(self, chain: block.Chain) -> index.Found:
+    async def lookup(self, chain: block.Chain) -> index.PrefixLocations:
         """Return the known locations of a prompt's blocks."""
         ...
 
@@ -52,7 +52,7 @@
         ...
 
     def answered(
-        self, job: dispatch.Job, choice: dispatch.Choice, found: index.Found
+        self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Take note of a whole answer: the engine now holds the prompt's blocks."""
         ...
@@ -219,7 +219,9 @@
             excluded=frozenset(job.excluded),
         )
 
-    def _facts(self, cfg: contract.Config, found: index.Found) -> route.RoutingContext:
+    def _facts(
+        self, cfg: contract.Config, found: index.PrefixLocations
+    ) -> route.RoutingContext:
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
         own = self.settings.zone
         delays = {z: settings.zone_delay_s(self.settings, own, z) for z in zones}
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -100,7 +100,7 @@
     await first.directory.flush()
     assert await held_by(second, KEYS) == [{"e1", "s1"}] * len(KEYS)
     found = await second.directory.lookup(KEYS[:1])
-    assert found.stored == ((index.Stored("s1", "b1", 7, "c"),),)
+    assert found.stored == ((index.StoredCopy("s1", "b1", 7, "c"),),)
     assert all(len(n.shard.index) for n in net.nodes.values())
     first.directory.announce(index.Source("e1", "b2"))
     await first.directory.flush()
@@ -169,7 +169,7 @@
     await node.directory.flush()
     assert node.directory.counts["changes_dropped"] == 40
     assert await held_by(node, KEYS[:1]) == [set()]
-    assert await node.directory.lookup([]) == index.Found()
+    assert await node.directory.lookup([]) == index.PrefixLocations()
 
 
 MALFORMED = [
@@ -287,7 +287,7 @@
     assert await poll() == [{"s1"}, set()]
     assert await poll() == [{"e1", "s1"}, set()]
     found = await net.nodes["n3"].directory.lookup(KEYS[:1])
-    assert found.stored == ((index.Stored("s1", "b1", 7, "c"),),)
+    assert found.stored == ((index.StoredCopy("s1", "b1", 7, "c"),),)
 
 
 async def test_new_node_gets_the_events_of_its_shard(net: Net, start: Start) -> None:
@@ -341,8 +341,8 @@
     assert await held_by(node, KEYS[:1]) == [{"e2"}]
 
 
-def copy_of(store: str) -> index.Stored:
-    return index.Stored(store, "b1", 7, "c")
+def copy_of(store: str) -> index.StoredCopy:
+    return index.StoredCopy(store, "b1", 7, "c")
 
 
 def link_s(store_id: str, blocks: int) -> float:
@@ -432,7 +432,7 @@
     await net.nodes["n1"].directory.flush()
     found = await net.nodes["n2"].directory.lookup(KEYS[:1])
     generation = exported["generation"]
-    assert found.stored == ((index.Stored("s1", "b1", generation, "d"),),)
+    assert found.stored == ((index.StoredCopy("s1", "b1", generation, "d"),),)
     assert await held_by(net.nodes["n2"], [KEYS[9]]) == [set()]
 
 
@@ -493,9 +493,9 @@
     upstream.status = status
     shard = net.nodes["n1"].shard
     out = index.Source("s0", "b1", is_store=True)
-    shard.index.apply(index.Added(out, KEYS[0], 1, 7, "c"), 0.0)
+    shard.index.apply(index.BlockAdded(out, KEYS[0], 1, 7, "c"), 0.0)
     for i, k in enumerate(KEYS[:4]):
-        shard.index.apply(index.Added(STORE, k, i + 1, 7, "c"), 0.0)
+        shard.index.apply(index.BlockAdded(STORE, k, i + 1, 7, "c"), 0.0)
         shard.index.appraise([k], 4.0 - i, 0.0)
     views = [placement.Store("s1", "a", "b1", True, free, 1000.0)]
     gone = dataclasses.replace(views[0], id="s9")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -125,7 +125,7 @@
         for upstream in self.upstreams:
             if upstream.instance.id not in job.excluded:
                 chain = block.Chain((), 3, "c")
-                return dispatch.Choice(upstream, "w1", chain, index.Found())
+                return dispatch.Choice(upstream, "w1", chain, index.PrefixLocations())
         return refusal.refuse(refusal.NO_UPSTREAM, "all engines were tried")
 
     def sent(self, choice: dispatch.Choice, run_id: str) -> None:
--- a/tests/test_index.py
+++ b/tests/test_index.py
@@ -31,12 +31,12 @@
 )
 
 
-def feed(steps: list[Step]) -> list[index.Added | index.Dropped]:
+def feed(steps: list[Step]) -> list[index.BlockAdded | index.BlockDropped]:
     """Build the events of one engine and one store in the order of their feeds."""
-    events: list[index.Added | index.Dropped] = []
+    events: list[index.BlockAdded | index.BlockDropped] = []
     for seq, (k, is_add, is_store) in enumerate(steps, start=1):
         source = store() if is_store else engine()
-        kind = index.Added if is_add else index.Dropped
+        kind = index.BlockAdded if is_add else index.BlockDropped
         events.append(kind(source, KEYS[k], seq))
     return events
 
@@ -69,7 +69,9 @@
         shard.apply(event, 0.0)
     for key in KEYS:
         added = {
-            e.source.id for e in events if e.key == key and isinstance(e, index.Added)
+            e.source.id
+            for e in events
+            if e.key == key and isinstance(e, index.BlockAdded)
         }
         assert holds(shard, key) <= added
 
@@ -113,7 +115,7 @@
     for key, names in zip(keys, held, strict=True):
         for name in names:
             source = index.Source(name, "b1", name.startswith("s"))
-            shard.apply(index.Added(source, key, 1, 7, "c"), 0.0)
+            shard.apply(index.BlockAdded(source, key, 1, 7, "c"), 0.0)
     expected = {}
     for name in ("e1", "e2", "s1", "s2"):
         misses = [i for i, names in enumerate(held) if name not in names]
@@ -141,10 +143,10 @@
         key = bytes([k]) * block.KEY_BYTES
         for copy in range(index.MAX_LOCATIONS + 2):
             source = engine(name=f"{name}{copy}")
-            shard.apply(index.Added(source, key, now + 1), float(now))
+            shard.apply(index.BlockAdded(source, key, now + 1), float(now))
         shard.appraise([key], value, float(now))
         if name == "a":
-            shard.apply(index.Dropped(engine(name="a0"), key, now + 1), float(now))
+            shard.apply(index.BlockDropped(engine(name="a0"), key, now + 1), float(now))
         assert shard.size_bytes <= limit * ONE
         held = sum(len(e.places) for e in shard._entries.values())
         assert shard._locations == held
@@ -155,7 +157,7 @@
 def test_queue_of_evictions_is_bounded() -> None:
     """Guards against memory growing with changes of value."""
     shard = index.Index(ROOMY)
-    shard.apply(index.Added(engine(), KEYS[0], 1), 0.0)
+    shard.apply(index.BlockAdded(engine(), KEYS[0], 1), 0.0)
     for i in range(1000):
         shard.appraise(KEYS[:1], 1.0 + i % 2, 0.0)
     assert len(shard._heap) <= 2 + 65
@@ -165,7 +167,7 @@
     """Guards against memory growing with drops of unknown blocks."""
     shard = index.Index(ROOMY)
     for i in range(2 * index.MAX_TOMBSTONES):
-        shard.apply(index.Dropped(engine(), i.to_bytes(24, "big"), i + 1), 0.0)
+        shard.apply(index.BlockDropped(engine(), i.to_bytes(24, "big"), i + 1), 0.0)
     assert len(shard._tombstones) == index.MAX_TOMBSTONES
 
 
@@ -174,14 +176,14 @@
     shard = index.Index(4 * ONE)
     keys = [bytes([i]) * block.KEY_BYTES for i in range(12)]
     for key in keys[:3]:
-        shard.apply(index.Added(store(), key, 1), 0.0)
+        shard.apply(index.BlockAdded(store(), key, 1), 0.0)
     shard.appraise(keys[:3], 0.5, 0.0)
     for i, key in enumerate(keys[3:]):
-        shard.apply(index.Added(store(), key, 1), 60.0 + i)
+        shard.apply(index.BlockAdded(store(), key, 1), 60.0 + i)
     assert len(shard.lookup(keys[:3], 100.0).stored) == 3
     shard.appraise(keys[:3], 1e-9, 200.0)
     for key in keys[3:]:
-        shard.apply(index.Added(store(), key, 2), 200.0)
+        shard.apply(index.BlockAdded(store(), key, 2), 200.0)
         shard.appraise([key], 0.5, 200.0)
     assert len(shard.lookup(keys[:3], 300.0).stored) < 3
 
@@ -190,15 +192,15 @@
     """Guards against a full store that keeps what nobody asks for again."""
     shard = index.Index(ROOMY)
     for i, key in enumerate(KEYS):
-        shard.apply(index.Added(store(), key, i + 1, 7, "c"), 0.0)
+        shard.apply(index.BlockAdded(store(), key, i + 1, 7, "c"), 0.0)
         shard.appraise([key], 1.0 + i, 0.0)
-    shard.apply(index.Added(store(name="s2"), b"\xff" * block.KEY_BYTES, 1), 0.0)
-    expected = [index.Added(store(), KEYS[i], i + 1, 7, "c") for i in range(2)]
-    assert shard.cheapest("s1", 0.5) == expected
-    assert shard.cheapest("s9", 0.5) == []
-    shard.apply(index.Added(store(name="s2"), KEYS[3], 2), 0.0)
-    assert [c.key for c in shard.cheapest("s2", 0.5)] == [KEYS[3]]
-    assert shard.cheapest("s1", 0.5) == expected
+    shard.apply(index.BlockAdded(store(name="s2"), b"\xff" * block.KEY_BYTES, 1), 0.0)
+    expected = [index.BlockAdded(store(), KEYS[i], i + 1, 7, "c") for i in range(2)]
+    assert shard.least_valuable("s1", 0.5) == expected
+    assert shard.least_valuable("s9", 0.5) == []
+    shard.apply(index.BlockAdded(store(name="s2"), KEYS[3], 2), 0.0)
+    assert [c.key for c in shard.least_valuable("s2", 0.5)] == [KEYS[3]]
+    assert shard.least_valuable("s1", 0.5) == expected
 
 
 @pytest.mark.parametrize(
@@ -209,11 +211,11 @@
 ) -> None:
     """Guards against the last readable copies being deleted while a zone is out."""
     shard = index.Index(ROOMY)
-    shard.apply(index.Added(store(name="s1"), KEYS[2], 1), 0.0)
+    shard.apply(index.BlockAdded(store(name="s1"), KEYS[2], 1), 0.0)
     for i, key in enumerate(KEYS[:3]):
-        shard.apply(index.Added(store(name="s2"), key, i + 1), 0.0)
+        shard.apply(index.BlockAdded(store(name="s2"), key, i + 1), 0.0)
         shard.appraise([key], 1.0 + i, 0.0)
-    assert shard.cheapest("s2", 0.1, unreadable)[0].key == KEYS[first]
+    assert shard.least_valuable("s2", 0.1, unreadable)[0].key == KEYS[first]
 
 
 def test_value_that_comes_before_the_block_counts() -> None:
@@ -221,8 +223,8 @@
     shard = index.Index(ROOMY)
     shard.appraise(KEYS[:1], 0.5, 0.0)
     for key in KEYS[:2]:
-        shard.apply(index.Added(store(), key, 1), 1.0)
-    assert [c.key for c in shard.cheapest("s1", 0.5)] == [KEYS[1]]
+        shard.apply(index.BlockAdded(store(), key, 1), 1.0)
+    assert [c.key for c in shard.least_valuable("s1", 0.5)] == [KEYS[1]]
     for i in range(2 * index.MAX_EARLY_VALUES):
         shard.appraise([i.to_bytes(24, "big")], 0.5, 0.0)
     assert len(shard._early) <= index.MAX_EARLY_VALUES
@@ -232,10 +234,10 @@
     """Guards against a zone's move that makes all prompts look recently used."""
     shard = index.Index(ROOMY)
     for key in KEYS[:2]:
-        shard.apply(index.Added(store(), key, 1), 0.0)
-    shard.lookup(KEYS[:1], 100.0, use=True)
-    shard.lookup(KEYS[1:2], 200.0, use=False)
-    assert [c.key for c in shard.cheapest("s1", 0.5)] == [KEYS[1]]
+        shard.apply(index.BlockAdded(store(), key, 1), 0.0)
+    shard.lookup(KEYS[:1], 100.0, mark_used=True)
+    shard.lookup(KEYS[1:2], 200.0, mark_used=False)
+    assert [c.key for c in shard.least_valuable("s1", 0.5)] == [KEYS[1]]
 
 
 def test_a_prompt_loses_its_end_first() -> None:
@@ -243,10 +245,10 @@
     shard = index.Index(4 * ONE)
     keys = [bytes([i]) * block.KEY_BYTES for i in range(6)]
     for key in keys[:4]:
-        shard.apply(index.Added(store(), key, 1), 0.0)
+        shard.apply(index.BlockAdded(store(), key, 1), 0.0)
     shard.appraise(keys[:4], 1e-3, 1.0)
     for key in keys[4:]:
-        shard.apply(index.Added(store(), key, 1), 2.0)
+        shard.apply(index.BlockAdded(store(), key, 1), 2.0)
     assert len(shard.lookup(keys[:4], 3.0).stored) == 2
 
 
@@ -257,8 +259,8 @@
 def test_a_missed_read_removes_only_what_it_read(generation: int, left: int) -> None:
     """Guards against a late miss that hides a newer copy, and against repeated ones."""
     shard = index.Index(ROOMY)
-    shard.apply(index.Added(store(), KEYS[0], 3, 5, "c"), 0.0)
-    shard.apply(index.Dropped(store(), KEYS[0], 0, generation), 0.0)
+    shard.apply(index.BlockAdded(store(), KEYS[0], 3, 5, "c"), 0.0)
+    shard.apply(index.BlockDropped(store(), KEYS[0], 0, generation), 0.0)
     assert len(holds(shard, KEYS[0])) == left
 
 
@@ -278,13 +280,13 @@
     """Guards against reads that miss because of a write that was replaced."""
     shard = index.Index(ROOMY)
     for seq, generation in writes:
-        shard.apply(index.Added(store(), KEYS[0], seq, generation), 0.0)
+        shard.apply(index.BlockAdded(store(), KEYS[0], seq, generation), 0.0)
     assert shard.lookup(KEYS[:1], 0.0).stored[0][0].generation == kept
 
 
 def test_removed_source_is_not_offered() -> None:
     """Guards against offers of an instance that the platform has removed."""
     shard = index.Index(ROOMY)
-    shard.apply(index.Added(store(), KEYS[0], 3), 0.0)
+    shard.apply(index.BlockAdded(store(), KEYS[0], 3), 0.0)
     shard.remove_source("s1")
     assert holds(shard, KEYS[0]) == set()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -21,8 +21,8 @@
     return {pair: placement.Bucket(rate, burst) for pair in pairs}
 
 
-def copies(*stores: str, boot: str = "b1") -> tuple[index.Stored, ...]:
-    return tuple(index.Stored(s, boot, 1, "c") for s in stores)
+def copies(*stores: str, boot: str = "b1") -> tuple[index.StoredCopy, ...]:
+    return tuple(index.StoredCopy(s, boot, 1, "c") for s in stores)
 
 
 SINGLE = [
@@ -85,7 +85,7 @@
     (
         "rest only",
         builders.store(),
-        {"found": index.Found({}, (copies("s1"), copies("s2")))},
+        {"found": index.PrefixLocations({}, (copies("s1"), copies("s2")))},
         1e9,
         REASON.PLACED,
         (1, 2),
@@ -93,7 +93,7 @@
     (
         "all there",
         builders.store(),
-        {"found": index.Found({}, (copies("s1"),) * 3)},
+        {"found": index.PrefixLocations({}, (copies("s1"),) * 3)},
         1e9,
         REASON.THERE,
         (),
@@ -101,7 +101,7 @@
     (
         "copies of an old boot",
         builders.store(),
-        {"found": index.Found({}, (copies("s1", boot="b0"),) * 3)},
+        {"found": index.PrefixLocations({}, (copies("s1", boot="b0"),) * 3)},
         1e9,
         REASON.PLACED,
         (0, 1, 2),
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -34,8 +34,8 @@
 ]
 
 
-def copy(store: str) -> index.Stored:
-    return index.Stored(store, "b", 1, "c")
+def copy(store: str) -> index.StoredCopy:
+    return index.StoredCopy(store, "b", 1, "c")
 
 
 FILTERS = [
@@ -117,7 +117,7 @@
         )
         for e in names
     ]
-    found = index.Found(held, copies)
+    found = index.PrefixLocations(held, copies)
     context = route.RoutingContext(CFG, found, {"a": 0.1}, links, block_bytes=2.0)
     return targets, context, n
 
