Rename placement names used across modules

placement.Bucket -> TokenBucket, Bucket.take -> TokenBucket.consume, Returns -> ReuseEstimator, Judged -> StoreDecision, Placement.judged -> decisions, Waiting -> ExportQueue, Held -> CachedConversation, Postponed -> PostponedMove, with_ordered -> with_in_transit, Prompt.ordered -> in_transit, is_unfinished -> is_retryable.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -89,9 +89,9 @@
     upstreams: dict[str, table.Upstream]
     subset: subset.Subset
     backlog: prefill.Backlog
-    returns: placement.Returns
-    budgets: dict[tuple[str, str], placement.Bucket]
-    waiting: placement.Waiting
+    returns: placement.ReuseEstimator
+    budgets: dict[tuple[str, str], placement.TokenBucket]
+    waiting: placement.ExportQueue
     watches: dict[str, link.LinkWatch]
 
 
@@ -174,15 +174,15 @@
             upstreams={k: table.Upstream(s.inst) for k, s in self.servers.items()},
             subset=own,
             backlog=prefill.Backlog(),
-            returns=placement.Returns(),
+            returns=placement.ReuseEstimator(),
             budgets=budgets,
-            waiting=placement.Waiting(),
+            waiting=placement.ExportQueue(),
             watches={s: link.LinkWatch() for s in self.stores},
         )
 
-    def _budgets(self, rate: float) -> dict[tuple[str, str], placement.Bucket]:
+    def _budgets(self, rate: float) -> dict[tuple[str, str], placement.TokenBucket]:
         """Return one bucket per store, whose link all zones share."""
-        buckets = {s: placement.Bucket(rate, BURST_BYTES) for s in self.stores}
+        buckets = {s: placement.TokenBucket(rate, BURST_BYTES) for s in self.stores}
         return {(s, z): buckets[s] for s in self.stores for z in self.dep.zones}
 
     # Clock.
@@ -319,7 +319,7 @@
             zone, held, stores, engines, self.move_budgets, frozenset(), self.now
         )
         for step in plan:
-            if isinstance(step, placement.Postponed):
+            if isinstance(step, placement.PostponedMove):
                 self.out.postponed += 1
                 continue
             self.out.moved += 1
@@ -330,7 +330,9 @@
             store = self.stores[step.export.store]
             self._write(mover, store, step.export.keys, done)
 
-    def _held_in(self, zone: str) -> collections.abc.Iterator[placement.Held]:
+    def _held_in(
+        self, zone: str
+    ) -> collections.abc.Iterator[placement.CachedConversation]:
         node = self.nodes[0]
         inside = [s for s in self.stores.values() if s.inst.zone == zone]
         for conversation, arrival in self._seen.items():
@@ -344,7 +346,7 @@
             size = model.BLOCK_BYTES
             count = len(found.stored)
             holders = tuple(e for e, n in found.memory.items() if n >= count)
-            yield placement.Held(
+            yield placement.CachedConversation(
                 conversation, keys[:count], value_s, size, holders, found.stored
             )
 
@@ -638,8 +640,8 @@
         self._fates.note_placed(keys, placed)
         for export in placed.exports:
             self._write(node, self.stores[export.store], export.keys, self.now)
-        if placement.is_unfinished(placed):
-            node.waiting.add(placement.with_ordered(prompt, placed), self.now)
+        if placement.is_retryable(placed):
+            node.waiting.add(placement.with_in_transit(prompt, placed), self.now)
         else:
             node.waiting.remove(prompt)
 
--- a/bench/loss.py
+++ b/bench/loss.py
@@ -66,7 +66,7 @@
         self, keys: collections.abc.Iterable[block.Key], placed: placement.Placement
     ) -> None:
         """Note why blocks are not exported; exports are noted as they start."""
-        causes = [PLACED[j.reason] for j in placed.judged if j.reason in PLACED]
+        causes = [PLACED[j.reason] for j in placed.decisions if j.reason in PLACED]
         if causes:
             for key in keys:
                 if self._causes.get(key) is not Cause.ON_THE_WAY:
--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -58,7 +58,7 @@
     returns: float = 0.0
 
 
-class Returns:
+class ReuseEstimator:
     """Estimate how likely a prompt comes back, per team, turns and length.
 
     Parameters
@@ -100,7 +100,7 @@
 # Link budgets.
 
 
-class Bucket:
+class TokenBucket:
     """A token bucket for the bytes that may use one link.
 
     Parameters
@@ -125,7 +125,7 @@
         self._at = now if self._at is None else max(now, self._at)
         return self._level
 
-    def take(self, size_bytes: float, now: float, reserve: float = 0.0) -> bool:
+    def consume(self, size_bytes: float, now: float, reserve: float = 0.0) -> bool:
         """Use up bytes if they are available.
 
         More than the burst is allowed when the bucket is full and leaves a debt;
@@ -193,12 +193,12 @@
     Attributes
     ----------
     chance : float
-        Probability of a return (`Returns.probability`).
+        Probability of a return (`ReuseEstimator.probability`).
     block_s : float
         Prefill of one block, in seconds.
     found : index.PrefixLocations
         Copies that the index knows.
-    ordered : frozenset of (str, int)
+    in_transit : frozenset of (str, int)
         Stores and positions of blocks that are on their way there.
     """
 
@@ -210,7 +210,7 @@
     block_s: float
     block_bytes: float
     found: index.PrefixLocations = index.PrefixLocations()
-    ordered: frozenset[tuple[str, int]] = frozenset()
+    in_transit: frozenset[tuple[str, int]] = frozenset()
 
     @property
     def value_s(self) -> float:
@@ -244,7 +244,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Judged:
+class StoreDecision:
     """One store's part in a decision."""
 
     store: str
@@ -258,10 +258,10 @@
     """The exports of one prompt, and how each store was judged."""
 
     exports: tuple[Export, ...]
-    judged: tuple[Judged, ...]
+    decisions: tuple[StoreDecision, ...]
 
 
-Budgets = collections.abc.Mapping[tuple[str, str], Bucket]
+Budgets = collections.abc.Mapping[tuple[str, str], TokenBucket]
 """Budget of each link, by store and engine zone."""
 
 
@@ -282,7 +282,7 @@
     wait, in seconds, than `MAX_LINK_WAIT_S` takes nothing now.
     """
     exports: list[Export] = []
-    judged: list[Judged] = []
+    decisions: list[StoreDecision] = []
     zones_with_copy: set[str] = set()
     for store in _order(prompt, stores):
         is_second = bool(zones_with_copy)
@@ -302,13 +302,13 @@
         if reason is Reason.PLACED:
             bucket = budgets.get((store.id, prompt.zone))
             reason, positions = _spend(prompt, wanted, fitting, bucket, reserve, now)
-        judged.append(Judged(store.id, reason, price_s, value_s))
+        decisions.append(StoreDecision(store.id, reason, price_s, value_s))
         if reason in (Reason.PLACED, Reason.PARTLY, Reason.THERE):
             zones_with_copy.add(store.zone)
         if positions:
             keys = tuple(prompt.chain.keys[i] for i in positions)
             exports.append(Export(prompt.upstream, store.id, positions, keys))
-    return Placement(tuple(exports), tuple(judged))
+    return Placement(tuple(exports), tuple(decisions))
 
 
 def _order(
@@ -318,7 +318,7 @@
 
     Within a zone the conversation ranks the stores, so that its blocks stay together.
     """
-    held = collections.Counter(store for store, _ in prompt.ordered)
+    held = collections.Counter(store for store, _ in prompt.in_transit)
     held.update(prompt.found.prefixes())
     by_id = {s.id: s for s in stores}
     ranked = hashing.rank(prompt.chain.conversation, by_id)
@@ -332,7 +332,7 @@
         for position, copies in enumerate(prompt.found.stored)
         if any(c.store == store.id and c.boot_id == store.boot_id for c in copies)
     }
-    held.update(position for s, position in prompt.ordered if s == store.id)
+    held.update(position for s, position in prompt.in_transit if s == store.id)
     return [i for i in range(len(prompt.chain.keys)) if i not in held]
 
 
@@ -363,7 +363,7 @@
     prompt: Prompt,
     wanted: list[int],
     fitting: int,
-    bucket: Bucket | None,
+    bucket: TokenBucket | None,
     reserve: float,
     now: float,
 ) -> tuple[Reason, tuple[int, ...]]:
@@ -373,7 +373,7 @@
     """
     allowed = 0
     while bucket and allowed < min(fitting, len(wanted)):
-        if not bucket.take(prompt.block_bytes, now, reserve):
+        if not bucket.consume(prompt.block_bytes, now, reserve):
             break
         allowed += 1
     if allowed == 0:
@@ -388,7 +388,7 @@
 MAX_WAITING = 512
 
 
-class Waiting:
+class ExportQueue:
     """Prompts whose export waits for link budget, the most valuable first.
 
     A link that is busy when an answer ends is often free some seconds later, while
@@ -424,16 +424,16 @@
         return self._prompts[conversation][0].value_s
 
 
-def with_ordered(prompt: Prompt, placed: Placement) -> Prompt:
+def with_in_transit(prompt: Prompt, placed: Placement) -> Prompt:
     """Note exports, so that they are not ordered again before the index hears."""
     new = {(e.store, position) for e in placed.exports for position in e.positions}
-    return dataclasses.replace(prompt, ordered=prompt.ordered | new)
+    return dataclasses.replace(prompt, in_transit=prompt.in_transit | new)
 
 
-def is_unfinished(placed: Placement) -> bool:
+def is_retryable(placed: Placement) -> bool:
     """Return whether only a link's budget or wait keeps blocks from a store."""
     passing = (Reason.BUDGET, Reason.BUSY, Reason.PARTLY)
-    return any(j.reason in passing for j in placed.judged)
+    return any(j.reason in passing for j in placed.decisions)
 
 
 def record(prompt: Prompt, placement: Placement, request_id: str) -> dict[str, object]:
@@ -447,16 +447,16 @@
         "chance": round(prompt.chance, 4),
         "value_s": round(prompt.value_s, 6),
         "exports": {e.store: len(e.keys) for e in placement.exports},
-        "stores": [_judged_fields(j) for j in placement.judged],
+        "stores": [_judged_fields(j) for j in placement.decisions],
     }
 
 
-def _judged_fields(judged: Judged) -> dict[str, object]:
+def _judged_fields(decisions: StoreDecision) -> dict[str, object]:
     return {
-        "store": judged.store,
-        "reason": judged.reason.value,
-        "price_s": round(judged.price_s, 6),
-        "value_s": round(judged.value_s, 6),
+        "store": decisions.store,
+        "reason": decisions.reason.value,
+        "price_s": round(decisions.price_s, 6),
+        "value_s": round(decisions.value_s, 6),
     }
 
 
@@ -464,7 +464,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Held:
+class CachedConversation:
     """A conversation whose blocks are in a zone that leaves.
 
     Attributes
@@ -503,7 +503,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Postponed:
+class PostponedMove:
     """A conversation that is not copied now, and why."""
 
     conversation: str
@@ -512,13 +512,13 @@
 
 def plan_move(
     zone: str,
-    held: collections.abc.Iterable[Held],
+    held: collections.abc.Iterable[CachedConversation],
     stores: collections.abc.Iterable[Store],
     engines: collections.abc.Sequence[str],
     budgets: Budgets,
     zones_out: collections.abc.Set[str],
     now: float,
-) -> collections.abc.Iterator[Move | Postponed]:
+) -> collections.abc.Iterator[Move | PostponedMove]:
     """Yield the copies that leave a zone, the highest expected return first.
 
     Call again with what was postponed for lack of budget. Conversations with a
@@ -551,7 +551,7 @@
         yield _move(zone, item, wanted, room, engines, budgets, now)
 
 
-def _not_outside(item: Held, boots: dict[str, str]) -> list[int]:
+def _not_outside(item: CachedConversation, boots: dict[str, str]) -> list[int]:
     outside = {
         position
         for position, copies in enumerate(item.copies)
@@ -562,15 +562,15 @@
 
 def _move(
     zone: str,
-    item: Held,
+    item: CachedConversation,
     wanted: list[int],
     room: dict[str, float],
     engines: collections.abc.Sequence[str],
     budgets: Budgets,
     now: float,
-) -> Move | Postponed:
+) -> Move | PostponedMove:
     if not room:
-        return Postponed(item.conversation, Reason.DEAD)
+        return PostponedMove(item.conversation, Reason.DEAD)
     carriers = [e for e in item.upstreams if e in engines]
     imports: tuple[route.Fetch, ...] = ()
     if not carriers:
@@ -578,24 +578,26 @@
         imports = tuple(_readable(item, wanted))
         wanted = [fetch.position for fetch in imports]
     if not carriers or not wanted:
-        return Postponed(item.conversation, Reason.NO_SOURCE)
+        return PostponedMove(item.conversation, Reason.NO_SOURCE)
     size_bytes = len(wanted) * item.block_bytes
     fitting = [s for s in room if room[s] >= size_bytes]
     if not fitting:
-        return Postponed(item.conversation, Reason.FULL)
+        return PostponedMove(item.conversation, Reason.FULL)
     for store_id in hashing.rank(item.conversation, fitting):
         bucket = budgets.get((store_id, zone))
-        if bucket is None or not bucket.take(size_bytes, now):
+        if bucket is None or not bucket.consume(size_bytes, now):
             continue
         room[store_id] -= size_bytes
         upstream = hashing.rank(item.conversation, carriers)[0]
         keys = tuple(item.keys[i] for i in wanted)
         export = Export(upstream, store_id, tuple(wanted), keys)
         return Move(item.conversation, upstream, imports, export, item.value_s)
-    return Postponed(item.conversation, Reason.BUDGET)
+    return PostponedMove(item.conversation, Reason.BUDGET)
 
 
-def _readable(item: Held, wanted: list[int]) -> collections.abc.Iterator[route.Fetch]:
+def _readable(
+    item: CachedConversation, wanted: list[int]
+) -> collections.abc.Iterator[route.Fetch]:
     """Yield reads of the wanted blocks up to the first without a copy."""
     for position in wanted:
         copies = item.copies[position] if position < len(item.copies) else ()
@@ -604,14 +606,14 @@
         yield route.Fetch(position, copies[0])
 
 
-def record_move(zone: str, step: Move | Postponed) -> dict[str, object]:
+def record_move(zone: str, step: Move | PostponedMove) -> dict[str, object]:
     """Return the fields of the log line of one step of a zone's move."""
     fields: dict[str, object] = {
         "event": "move",
         "zone": zone,
         "conversation": step.conversation,
     }
-    if isinstance(step, Postponed):
+    if isinstance(step, PostponedMove):
         return fields | {"reason": step.reason.value}
     return fields | {
         "reason": Reason.PLACED.value,
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -114,10 +114,10 @@
         self.block_s = block_s
         self.backlog = backlog
         self.stores: dict[str, StoreState] = {}
-        self.budgets: dict[tuple[str, str], placement.Bucket] = {}
+        self.budgets: dict[tuple[str, str], placement.TokenBucket] = {}
         self.watches: dict[tuple[str, str], link.LinkWatch] = {}
-        self.returns = placement.Returns()
-        self.waiting = placement.Waiting()
+        self.returns = placement.ReuseEstimator()
+        self.waiting = placement.ExportQueue()
         self.recent: collections.OrderedDict[str, placement.Prompt]
         self.recent = collections.OrderedDict()
 
@@ -238,8 +238,8 @@
         lines.event(LOG, str(fields.pop("event")), **fields)
         for export in decision.exports:
             self._submit(export, ())
-        if placement.is_unfinished(decision):
-            self.waiting.add(placement.with_ordered(prompt, decision), now)
+        if placement.is_retryable(decision):
+            self.waiting.add(placement.with_in_transit(prompt, decision), now)
         else:
             self.waiting.remove(prompt)
 
@@ -278,7 +278,7 @@
             bucket = self.budgets.get((store_id, zone))
             if bucket is None:
                 burst = max(rate * BURST_S, 64.0 * self.cfg.block_bytes)
-                self.budgets[store_id, zone] = placement.Bucket(rate, burst)
+                self.budgets[store_id, zone] = placement.TokenBucket(rate, burst)
             else:
                 bucket.rate = rate
 
@@ -359,7 +359,7 @@
         postponed = set()
         for move in steps:
             fields = placement.record_move(zone, move)
-            if isinstance(move, placement.Postponed):
+            if isinstance(move, placement.PostponedMove):
                 postponed.add(move.conversation)
                 continue
             lines.event(LOG, str(fields.pop("event")), **fields)
@@ -369,8 +369,8 @@
                 del self.recent[conversation]
 
 
-def _held(prompt: placement.Prompt) -> placement.Held:
-    return placement.Held(
+def _held(prompt: placement.Prompt) -> placement.CachedConversation:
+    return placement.CachedConversation(
         prompt.chain.conversation,
         prompt.chain.keys,
         prompt.value_s,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,7 +18,7 @@
 
 def budgets(burst: float = 1e9, rate: float = 0.0) -> placement.Budgets:
     pairs = [(s, z) for s in ("s1", "s2", "s3") for z in ("a", "b")]
-    return {pair: placement.Bucket(rate, burst) for pair in pairs}
+    return {pair: placement.TokenBucket(rate, burst) for pair in pairs}
 
 
 def copies(*stores: str, boot: str = "b1") -> tuple[index.StoredCopy, ...]:
@@ -123,9 +123,9 @@
     request = builders.prompt(**fields)
     links = budgets(burst if burst else 1.0)
     if not burst:
-        assert links["s1", "a"].take(1.0, 0.0)
+        assert links["s1", "a"].consume(1.0, 0.0)
     placed = placement.place(request, [target], links, TTFT, {"out"}, 0.0)
-    assert [j.reason for j in placed.judged] == [reason]
+    assert [j.reason for j in placed.decisions] == [reason]
     assert [e.positions for e in placed.exports] == ([positions] if positions else [])
     assert json.loads(json.dumps(placement.record(request, placed, "r")))
 
@@ -197,11 +197,11 @@
     steps: list[tuple[float, float]], burst: float, rate: float
 ) -> None:
     """Guards against exports that crowd out the reads of waiting requests."""
-    bucket = placement.Bucket(rate, burst)
+    bucket = placement.TokenBucket(rate, burst)
     now = sent = largest = 0.0
     for gap, size in steps:
         now += gap
-        if bucket.take(size, now):
+        if bucket.consume(size, now):
             sent += size
             largest = max(largest, size)
         bucket.available(now - 1.0)
@@ -210,15 +210,15 @@
 
 def test_transfer_larger_than_the_burst_starts_and_is_paid_back() -> None:
     """Guards against long prompts that never fit a budget."""
-    bucket = placement.Bucket(rate=1.0, burst=10.0)
-    assert bucket.take(30.0, 0.0)
-    assert not bucket.take(10.0, 29.0)
-    assert bucket.take(10.0, 30.0)
+    bucket = placement.TokenBucket(rate=1.0, burst=10.0)
+    assert bucket.consume(30.0, 0.0)
+    assert not bucket.consume(10.0, 29.0)
+    assert bucket.consume(10.0, 30.0)
 
 
 def test_returns_are_learned_per_team_turns_and_length() -> None:
     """Guards against one team's or kind's habits deciding on other copies."""
-    returns = placement.Returns()
+    returns = placement.ReuseEstimator()
     unknown = returns.probability("new", 0, 5)
     for _ in range(200):
         for turns in range(3):
@@ -243,8 +243,8 @@
     for now in range(4):
         placed = placement.place(request, stores, links, TTFT, set(), float(now))
         seen += [(e.store, p) for e in placed.exports for p in e.positions]
-        assert placement.is_unfinished(placed) == (now < 2)
-        request = placement.with_ordered(request, placed)
+        assert placement.is_retryable(placed) == (now < 2)
+        request = placement.with_in_transit(request, placed)
     assert [position for _, position in seen] == [0, 1, 2, 3, 4]
     assert len({name for name, _ in seen}) == 1
 
@@ -253,7 +253,7 @@
 def test_rest_of_a_prompt_follows_its_start(name: str) -> None:
     """Guards against a prompt that is scattered over stores while it is written."""
     stores = [builders.store("s1", "a"), builders.store("s2", "a")]
-    request = builders.prompt(3, ordered=frozenset({(name, 0), (name, 1)}))
+    request = builders.prompt(3, in_transit=frozenset({(name, 0), (name, 1)}))
     placed = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
     assert [(e.store, e.positions) for e in placed.exports] == [(name, (2,))]
 
@@ -299,7 +299,7 @@
 ) -> None:
     """Guards against lost prompts and overused links when a zone leaves."""
     held = [
-        placement.Held(
+        placement.CachedConversation(
             f"c{i}",
             builders.chain(n).keys,
             v,
@@ -315,7 +315,9 @@
     ]
     stores.append(builders.store("s3", "out"))
 
-    def run(items: list[placement.Held]) -> list[placement.Move | placement.Postponed]:
+    def run(
+        items: list[placement.CachedConversation],
+    ) -> list[placement.Move | placement.PostponedMove]:
         engines = ["e1", "e2"]
         links = budgets(burst)
         plan = placement.plan_move("a", items, stores, engines, links, {"out"}, 0.0)
@@ -339,7 +341,7 @@
     used: dict[str, float] = collections.Counter()
     for step in steps:
         json.dumps(placement.record_move("a", step))
-        if isinstance(step, placement.Postponed):
+        if isinstance(step, placement.PostponedMove):
             continue
         item = by_id[step.conversation]
         assert step.export.store == "s2"
@@ -355,7 +357,7 @@
         assert step.upstream in ("e1", "e2")
     assert used["s2"] <= min(free if alive else 0.0, burst + 4 * SIZE)
     if alive and free == 1000.0 and burst == 1e9:
-        lost = [s for s in steps if isinstance(s, placement.Postponed)]
+        lost = [s for s in steps if isinstance(s, placement.PostponedMove)]
         assert all(s.reason is REASON.NO_SOURCE for s in lost)
         for step in lost:
             first = wanted[step.conversation][0]
@@ -364,7 +366,7 @@
 
 def test_waiting_exports_are_bounded_and_ordered() -> None:
     """Guards against exports that pile up, and against worthless ones going first."""
-    waiting = placement.Waiting(wait_s=10.0, limit=3)
+    waiting = placement.ExportQueue(wait_s=10.0, limit=3)
     prompts = [
         placement.Prompt(builders.chain(1, f"c{i}"), "t", "e1", "a", c, 0.2, SIZE)
         for i, c in enumerate([0.1, 0.4, 0.3, 0.2])
@@ -387,15 +389,15 @@
     placed = placement.place(
         builders.prompt(), [builders.store()], links, TTFT, set(), 0.0
     )
-    assert placement.is_unfinished(placed) == expected
+    assert placement.is_retryable(placed) == expected
     waits = {"s1": 2 * placement.MAX_LINK_WAIT_S}
     placed = placement.place(
         builders.prompt(), [builders.store()], links, TTFT, set(), 0.0, waits
     )
-    assert placement.is_unfinished(placed)
+    assert placement.is_retryable(placed)
     dead = [builders.store(alive=False)]
     placed = placement.place(builders.prompt(), dead, links, TTFT, set(), 0.0)
-    assert not placement.is_unfinished(placed)
+    assert not placement.is_retryable(placed)
 
 
 @pytest.mark.parametrize(
@@ -410,7 +412,7 @@
     links = budgets()
     placed = placement.place(builders.prompt(), stores, links, TTFT, set(), 0.0, waits)
     assert [e.store for e in placed.exports][:1] == expected
-    by_store = {j.store: j.reason for j in placed.judged}
+    by_store = {j.store: j.reason for j in placed.decisions}
     assert all(by_store[s] is REASON.BUSY for s in waits)
 
 
