Rename link, prefill and queue names used across modules

link.LinkWatch -> LinkWaitEstimator, prefill.Backlog -> PrefillBacklog, prefill.PEERS_FRESH_S -> PEER_SUM_MAX_AGE_S, backlog.Pace -> StartRates, backlog.offer -> enqueue, backlog.take_next -> start_next.

--- a/bench/drive.py
+++ b/bench/drive.py
@@ -88,11 +88,11 @@
     cfg: contract.Config
     upstreams: dict[str, table.Upstream]
     subset: subset.Subset
-    backlog: prefill.Backlog
+    backlog: prefill.PrefillBacklog
     returns: placement.ReuseEstimator
     budgets: dict[tuple[str, str], placement.TokenBucket]
     waiting: placement.ExportQueue
-    watches: dict[str, link.LinkWatch]
+    watches: dict[str, link.LinkWaitEstimator]
 
 
 @dataclasses.dataclass
@@ -173,11 +173,11 @@
             cfg=workload.config(self.dep),
             upstreams={k: table.Upstream(s.inst) for k, s in self.servers.items()},
             subset=own,
-            backlog=prefill.Backlog(),
+            backlog=prefill.PrefillBacklog(),
             returns=placement.ReuseEstimator(),
             budgets=budgets,
             waiting=placement.ExportQueue(),
-            watches={s: link.LinkWatch() for s in self.stores},
+            watches={s: link.LinkWaitEstimator() for s in self.stores},
         )
 
     def _budgets(self, rate: float) -> dict[tuple[str, str], placement.TokenBucket]:
@@ -475,7 +475,7 @@
         self.at(start_at, lambda: self._prefill(node, arrival, chosen, imported, facts))
 
     def _hear(
-        self, watch: link.LinkWatch, size: float, took_s: float, known_s: float
+        self, watch: link.LinkWaitEstimator, size: float, took_s: float, known_s: float
     ) -> collections.abc.Callable[[], None]:
         return lambda: watch.note(
             model.LINK_BYTES_PER_S, size, took_s, self.now, known_s
--- a/packages/snipelug-core/src/snipelug_core/backlog.py
+++ b/packages/snipelug-core/src/snipelug_core/backlog.py
@@ -36,7 +36,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Pace:
+class StartRates:
     """How fast this node may start requests of a team.
 
     Attributes
@@ -81,7 +81,9 @@
     )
 
 
-def estimate_wait(entries: collections.abc.Collection[Entry], pace: Pace) -> float:
+def estimate_wait(
+    entries: collections.abc.Collection[Entry], pace: StartRates
+) -> float:
     """Estimate the time until the queued entries have started, in seconds.
 
     The slowest of the three limits decides.
@@ -101,8 +103,12 @@
     return amount / rate if rate > 0 else math.inf
 
 
-def offer(
-    backlog: Backlog, entry: Entry, owner: contract.Contract, pace: Pace, now: float
+def enqueue(
+    backlog: Backlog,
+    entry: Entry,
+    owner: contract.Contract,
+    pace: StartRates,
+    now: float,
 ) -> refusal.Refusal | None:
     """Queue an entry, or refuse it because it could not start in time.
 
@@ -172,7 +178,7 @@
     return [(entry, answer) for entry in late]
 
 
-def take_next(
+def start_next(
     backlog: Backlog, try_start: collections.abc.Callable[[Entry], bool]
 ) -> Entry | None:
     """Start the next entry by weighted deficit round robin.
--- a/packages/snipelug-core/src/snipelug_core/link.py
+++ b/packages/snipelug-core/src/snipelug_core/link.py
@@ -24,7 +24,7 @@
     latency_s: float = 0.0
 
 
-class LinkWatch:
+class LinkWaitEstimator:
     """Estimate the wait on a link from the imports that used it.
 
     The rate left over by other traffic says too little: exports are spread out and
--- a/packages/snipelug-core/src/snipelug_core/prefill.py
+++ b/packages/snipelug-core/src/snipelug_core/prefill.py
@@ -7,7 +7,7 @@
 LEARNING = 0.05
 """Weight of a new observation in the running means."""
 
-PEERS_FRESH_S = 2.0
+PEER_SUM_MAX_AGE_S = 2.0
 """Age up to which the other nodes' sum is used instead of the means, in seconds."""
 
 
@@ -18,7 +18,7 @@
     first_at: float | None = None
 
 
-class Backlog:
+class PrefillBacklog:
     """Estimate the prefill that waits at each upstream of one node.
 
     The same sums are kept of the transfers that use the link of a store.
@@ -93,7 +93,7 @@
         own_s = self._own_s(runs)
         told_s, told_at = self._peers.get(upstream, (0.0, -math.inf))
         age_s = now - told_at
-        if age_s <= PEERS_FRESH_S:
+        if age_s <= PEER_SUM_MAX_AGE_S:
             return own_s + max(0.0, told_s - age_s)
         if own_s > 0:
             # Engines prefill in order: the oldest has run since it was sent.
--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -78,8 +78,8 @@
     prefill_s : float
         Prefill time of one token, in seconds.
     backlog_s : float
-        Prefill time queued ahead of a new request (`prefill.Backlog.estimate_s`),
-        in seconds.
+        Prefill time queued ahead of a new request, in seconds
+        (`prefill.PrefillBacklog.estimate_s`).
     weight_version : str
         Weight version that new requests run on; empty if unknown.
     needs_grant : bool
@@ -564,7 +564,7 @@
     needs_grant : bool
         Whether ``load.judge_warmth`` asks for a grant.
     backlog_s : float
-        Result of `prefill.Backlog.estimate_s`.
+        Result of `prefill.PrefillBacklog.estimate_s`.
     """
     instance, report = upstream.instance, upstream.report
     reported_leaving = report is not None and report.state is table.Warmth.LEAVING
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -263,7 +263,9 @@
         team.arrived_tokens += cost_tokens
         team.used_at = now
         entry = backlog.Entry(next(self._numbers), name, cost_tokens, deadline)
-        refused = backlog.offer(self._queues, entry, owner, self._pace(team, now), now)
+        refused = backlog.enqueue(
+            self._queues, entry, owner, self._pace(team, now), now
+        )
         if refused is not None:
             return refused
         waiter = self._waiters[entry.number] = _Waiter(entry)
@@ -335,7 +337,7 @@
     def _has_slice(self, team: _Team) -> bool:
         return trio.current_time() < team.account.lent_until
 
-    def _pace(self, team: _Team, now: float) -> backlog.Pace:
+    def _pace(self, team: _Team, now: float) -> backlog.StartRates:
         """Return the team's pace.
 
         Slices follow demand, so the share in force bounds the pace only once the
@@ -345,7 +347,7 @@
         share = quota.share_in_force(team.account, own_floor, now)
         if team.may_grow:
             share = own_floor.plus(quota.pool(team.limits))
-        return backlog.Pace(
+        return backlog.StartRates(
             share.in_flight, share.requests_per_s, share.tokens_per_s, team.hold_s
         )
 
@@ -361,7 +363,7 @@
         now = trio.current_time()
         for entry, answer in backlog.expire(self._queues, now):
             self._settle(entry, answer)
-        while (head := backlog.take_next(self._queues, self._try_start)) is not None:
+        while (head := backlog.start_next(self._queues, self._try_start)) is not None:
             self._running += 1
             self._settle(head, Ticket(self, head.team, head.cost, now))
 
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -186,7 +186,7 @@
         self.shard = cache.Shard(INDEX_BYTES)
         self.shard.register(self.peers)
         self.directory = cache.Directory(self.peers)
-        self.backlog = prefill.Backlog()
+        self.backlog = prefill.PrefillBacklog()
         self.feeds = feeds.Feeds(self.pool, self.directory, self._read_here)
         self.transfers = transfers.Transfers(
             self.pool,
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -76,7 +76,7 @@
 
 def _drop_old(told: dict[str, tuple[float, float]], now: float) -> None:
     for node, (_, at) in list(told.items()):
-        if now - at > prefill.PEERS_FRESH_S:
+        if now - at > prefill.PEER_SUM_MAX_AGE_S:
             del told[node]
 
 
@@ -95,7 +95,7 @@
     def __init__(
         self,
         peers: ports.Peers,
-        backlog: prefill.Backlog,
+        backlog: prefill.PrefillBacklog,
         board: Board,
         upstreams: collections.abc.Callable[[], collections.abc.Iterable[str]],
         is_active: collections.abc.Callable[[], bool] = lambda: True,
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -88,7 +88,7 @@
         The configuration in force.
     block_s : callable
         Prefill time of one block at an engine, in seconds.
-    backlog : prefill.Backlog
+    backlog : prefill.PrefillBacklog
         Pending transfers on the links of stores, of this node and of the others.
     """
 
@@ -102,7 +102,7 @@
         carrier: transfers.Transfers,
         config: collections.abc.Callable[[], contract.Config],
         block_s: collections.abc.Callable[[table.Instance], float],
-        backlog: prefill.Backlog,
+        backlog: prefill.PrefillBacklog,
     ) -> None:
         self.cfg = cfg
         self.mode = mode
@@ -115,7 +115,7 @@
         self.backlog = backlog
         self.stores: dict[str, StoreState] = {}
         self.budgets: dict[tuple[str, str], placement.TokenBucket] = {}
-        self.watches: dict[tuple[str, str], link.LinkWatch] = {}
+        self.watches: dict[tuple[str, str], link.LinkWaitEstimator] = {}
         self.returns = placement.ReuseEstimator()
         self.waiting = placement.ExportQueue()
         self.recent: collections.OrderedDict[str, placement.Prompt]
@@ -159,8 +159,8 @@
             return 0.0
         return blocks * float(self.cfg.block_bytes) / state.rate
 
-    def _watch(self, store_id: str, zone: str) -> link.LinkWatch:
-        return self.watches.setdefault((store_id, zone), link.LinkWatch())
+    def _watch(self, store_id: str, zone: str) -> link.LinkWaitEstimator:
+        return self.watches.setdefault((store_id, zone), link.LinkWaitEstimator())
 
     async def fetch(
         self,
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -95,7 +95,9 @@
     chooser: route.Router
     rng: random.Random
     paces: dict[str, pace.Pace] = dataclasses.field(default_factory=dict)
-    backlog: prefill.Backlog = dataclasses.field(default_factory=prefill.Backlog)
+    backlog: prefill.PrefillBacklog = dataclasses.field(
+        default_factory=prefill.PrefillBacklog
+    )
 
     async def choose(self, job: dispatch.Job) -> dispatch.Choice | refusal.Refusal:
         """Choose an engine that is not excluded, and prepare its cache."""
--- a/packages/snipelug-node/src/snipelug_node/transfers.py
+++ b/packages/snipelug-node/src/snipelug_node/transfers.py
@@ -115,7 +115,7 @@
     ----------
     instances : callable
         Returns the instance with an id, or None.
-    backlog : prefill.Backlog
+    backlog : prefill.PrefillBacklog
         Told of the time that transfers need on the link of a store.
     link_s : callable
         Returns the time of a number of blocks on the idle link of a store, in
@@ -132,7 +132,7 @@
         pool: http_client.Pool,
         directory: cache.Directory,
         instances: collections.abc.Callable[[str], table.Instance | None],
-        backlog: prefill.Backlog,
+        backlog: prefill.PrefillBacklog,
         link_s: collections.abc.Callable[[str, int], float],
     ) -> None:
         self.pool = pool
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -9,7 +9,7 @@
 from snipelug_core import backlog, refusal, retry
 from tests import builders
 
-PACE = backlog.Pace(10, 10.0, 10_000.0, 1.0)
+PACE = backlog.StartRates(10, 10.0, 10_000.0, 1.0)
 
 
 def fill(
@@ -18,7 +18,7 @@
     terms = builders.terms(team, weight)
     for number, cost in enumerate(costs):
         entry = backlog.Entry(number, team, cost, 1e9)
-        assert backlog.offer(queues, entry, terms, PACE, 0.0) is None
+        assert backlog.enqueue(queues, entry, terms, PACE, 0.0) is None
 
 
 COSTS = st.lists(st.floats(1.0, 200_000.0), min_size=30, max_size=60)
@@ -35,7 +35,7 @@
     served = {"a": 0.0, "b": 0.0}
     largest = max(first + second)
     while len(queues.queues) == 2:
-        entry = backlog.take_next(queues, lambda _: True)
+        entry = backlog.start_next(queues, lambda _: True)
         assert entry is not None
         served[entry.team] += entry.cost
         if len(queues.queues) == 2:
@@ -49,7 +49,7 @@
     queues = backlog.Backlog()
     fill(queues, "a", [1.0] * 3)
     fill(queues, "b", [90_000.0] * 3)
-    order = [backlog.take_next(queues, lambda e: e.team == "b") for _ in range(4)]
+    order = [backlog.start_next(queues, lambda e: e.team == "b") for _ in range(4)]
     assert [entry.team if entry else None for entry in order] == ["b", "b", "b", None]
     assert queues.queues["a"].deficit == 0.0
 
@@ -72,7 +72,7 @@
     fill(queues, "a", [10.0] * waiting)
     entry = backlog.Entry(99, "a", 10.0, deadline)
     terms = builders.terms("a", length=length)
-    answer = backlog.offer(queues, entry, terms, PACE, 0.0)
+    answer = backlog.enqueue(queues, entry, terms, PACE, 0.0)
     assert (answer.kind if answer else None) == kind
     queued = sum(len(queue.entries) for queue in queues.queues.values())
     assert queued == waiting + (kind is None)
@@ -85,9 +85,9 @@
     queues = backlog.Backlog()
     fill(queues, "a", [10.0])
     entry = backlog.Entry(9, "a", 10.0, 5.0)
-    pace = backlog.Pace(0, 0.0, 0.0, 1.0)
+    pace = backlog.StartRates(0, 0.0, 0.0, 1.0)
     terms = builders.terms("a")
-    assert backlog.offer(queues, entry, terms, pace, 0.0) is None
+    assert backlog.enqueue(queues, entry, terms, pace, 0.0) is None
 
 
 def test_expired_entries_leave_the_queue() -> None:
@@ -96,11 +96,11 @@
     terms = builders.terms("a")
     for number, deadline in enumerate((5.0, 9.0)):
         entry = backlog.Entry(number, "a", 10.0, deadline)
-        backlog.offer(queues, entry, terms, PACE, 0.0)
+        backlog.enqueue(queues, entry, terms, PACE, 0.0)
     late = backlog.expire(queues, 5.0)
     assert [entry.number for entry, _ in late] == [0]
-    assert backlog.take_next(queues, lambda _: True) is not None
-    assert backlog.take_next(queues, lambda _: True) is None
+    assert backlog.start_next(queues, lambda _: True) is not None
+    assert backlog.start_next(queues, lambda _: True) is None
 
 
 @hypothesis.given(st.lists(st.booleans(), max_size=300), st.floats(0.0, 0.2))
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -357,7 +357,11 @@
     store = table.Instance("s1", table.Role.STORE, "10.0.0.9", 7000, "a")
     directory = net.nodes["n1"].directory
     made = transfers.Transfers(
-        http_client.Pool(), directory, {"s1": store}.get, prefill.Backlog(), link_s
+        http_client.Pool(),
+        directory,
+        {"s1": store}.get,
+        prefill.PrefillBacklog(),
+        link_s,
     )
     return upstream, inst, made
 
@@ -552,7 +556,7 @@
         *parts,
         lambda: contract.Config(**out),
         lambda _: 0.1,
-        prefill.Backlog(),
+        prefill.PrefillBacklog(),
     )
     for name, zone in (("s1", "z1"), ("s2", "z2")):
         view = placement.Store(name, zone, "b1")
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -17,7 +17,7 @@
     def __init__(self, node: test_cache.Node) -> None:
         self.board = pending.Board()
         self.board.register(node)
-        self.backlog = prefill.Backlog()
+        self.backlog = prefill.PrefillBacklog()
         self.exchange = pending.Exchange(
             node, self.backlog, self.board, lambda: UPSTREAMS
         )
@@ -87,7 +87,7 @@
     assert members[0].estimate_s("e0") == 9.0
     await trio.sleep(1.0)
     assert members[0].estimate_s("e0") == 8.0
-    await trio.sleep(prefill.PEERS_FRESH_S)
+    await trio.sleep(prefill.PEER_SUM_MAX_AGE_S)
     assert members[0].estimate_s("e0") == 0.0
     net.cut = set(net.nodes)
     await exchange(members)
@@ -95,7 +95,7 @@
     net.cut = set()
     await members[0].exchange.exchange()
     assert members[0].estimate_s("e0") == 0.0
-    await trio.sleep(2 * prefill.PEERS_FRESH_S)
+    await trio.sleep(2 * prefill.PEER_SUM_MAX_AGE_S)
     for member in members:
         member.board.prune()
         assert not member.board._told
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -248,7 +248,7 @@
 
 def test_slow_imports_raise_the_estimate_for_a_while() -> None:
     """Guards against fetches over a congested link, and against never trying again."""
-    watch = link.LinkWatch(decay_s=5.0)
+    watch = link.LinkWaitEstimator(decay_s=5.0)
     assert watch.link(10.0, 0.1, 0.0) == link.Link(10.0, 0.1)
     for _ in range(30):
         watch.note(10.0, 20.0, 5.0, 0.0)
@@ -282,7 +282,7 @@
 
 def test_backlog_counts_long_prompts_and_other_nodes() -> None:
     """Guards against a short question that waits behind a long specification."""
-    backlog = prefill.Backlog()
+    backlog = prefill.PrefillBacklog()
     backlog.sent("e", "long", 4.0, now=0.0)
     backlog.sent("e", "short", 0.5, now=1.0)
     assert backlog.estimate_s("e", 2, now=1.0) == pytest.approx(3.5)
