--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -88,7 +88,7 @@
         The configuration in force.
     block_s : callable
         Prefill time of one block at an engine, in seconds.
-    backlog : prefill.Backlog
+    backlog : prefill.PrefillBacklog
         Pending transfers on the links of stores, of this node and of the others.
     """
 
@@ -102,7 +102,7 @@
         carrier: transfers.Transfers,
         config: collections.abc.Callable[[], contract.Config],
         block_s: collections.abc.Callable[[table.Instance], float],
-        backlog: prefill.Backlog,
+        backlog: prefill.PrefillBacklog,
     ) -> None:
         self.cfg = cfg
         self.mode = mode
@@ -114,16 +114,16 @@
         self.block_s = block_s
         self.backlog = backlog
         self.stores: dict[str, StoreState] = {}
-        self.budgets: dict[tuple[str, str], placement.Bucket] = {}
-        self.watches: dict[tuple[str, str], link.LinkWatch] = {}
-        self.returns = placement.Returns()
-        self.waiting = placement.Waiting()
+        self.budgets: dict[tuple[str, str], placement.TokenBucket] = {}
+        self.watches: dict[tuple[str, str], link.LinkWaitEstimator] = {}
+        self.returns = placement.ReuseEstimator()
+        self.waiting = placement.ExportQueue()
         self.recent: collections.OrderedDict[str, placement.Prompt]
         self.recent = collections.OrderedDict()
 
     # Before a request
 
-    async def lookup(self, chain: block.Chain) -> index.Found:
+    async def lookup(self, chain: block.Chain) -> index.PrefixLocations:
         """Return the known locations of a prompt's blocks."""
         return await self.directory.lookup(chain.keys)
 
@@ -159,8 +159,8 @@
             return 0.0
         return blocks * float(self.cfg.block_bytes) / state.rate
 
-    def _watch(self, store_id: str, zone: str) -> link.LinkWatch:
-        return self.watches.setdefault((store_id, zone), link.LinkWatch())
+    def _watch(self, store_id: str, zone: str) -> link.LinkWaitEstimator:
+        return self.watches.setdefault((store_id, zone), link.LinkWaitEstimator())
 
     async def fetch(
         self,
@@ -194,7 +194,7 @@
     # After an answer
 
     def answered(
-        self, job: dispatch.Job, choice: dispatch.Choice, found: index.Found
+        self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Note that an engine holds a prompt's blocks, and place copies of them."""
         chain = choice.chain
@@ -238,8 +238,8 @@
         lines.event(LOG, str(fields.pop("event")), **fields)
         for export in decision.exports:
             self._submit(export, ())
-        if placement.is_unfinished(decision):
-            self.waiting.add(placement.with_ordered(prompt, decision), now)
+        if placement.is_retryable(decision):
+            self.waiting.add(placement.with_in_transit(prompt, decision), now)
         else:
             self.waiting.remove(prompt)
 
@@ -278,7 +278,7 @@
             bucket = self.budgets.get((store_id, zone))
             if bucket is None:
                 burst = max(rate * BURST_S, 64.0 * self.cfg.block_bytes)
-                self.budgets[store_id, zone] = placement.Bucket(rate, burst)
+                self.budgets[store_id, zone] = placement.TokenBucket(rate, burst)
             else:
                 bucket.rate = rate
 
@@ -359,7 +359,7 @@
         postponed = set()
         for move in steps:
             fields = placement.record_move(zone, move)
-            if isinstance(move, placement.Postponed):
+            if isinstance(move, placement.PostponedMove):
                 postponed.add(move.conversation)
                 continue
             lines.event(LOG, str(fields.pop("event")), **fields)
@@ -369,8 +369,8 @@
                 del self.recent[conversation]
 
 
-def _held(prompt: placement.Prompt) -> placement.Held:
-    return placement.Held(
+def _held(prompt: placement.Prompt) -> placement.CachedConversation:
+    return placement.CachedConversation(
         prompt.chain.conversation,
         prompt.chain.keys,
         prompt.value_s,
