--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -50,7 +50,7 @@
         Monotonic time by which the answer has to start, in seconds.
     once : bool
         The request must not be sent again after a byte of it was sent.
-    answer : stream.Answer
+    answer : stream.Response
         Account of the answer over all runs.
     excluded : set of str
         Upstreams that are not tried again.
@@ -76,7 +76,7 @@
     fingerprint: str
     started_at: float
     deadline: float
-    answer: stream.Answer
+    answer: stream.Response
     once: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
     sent: bool = False
@@ -105,7 +105,7 @@
         Version that the engine reports; empty before its first report.
     chain : block.Chain
         The prompt's identity in the cache, for that version.
-    found : index.Found
+    found : index.PrefixLocations
         Locations of the prompt's blocks, as known before the run.
     work_s : float
         Expected time of the fetch and prefill, in seconds.
@@ -116,7 +116,7 @@
     upstream: table.Upstream
     weight_version: str
     chain: block.Chain
-    found: index.Found
+    found: index.PrefixLocations
     work_s: float = 0.0
     sent_at: float = 0.0
 
@@ -278,7 +278,7 @@
             case sender.Blocked(refused, is_busy):
                 return _Refused(refused, is_free=True, is_busy=is_busy)
             case http_client.NotSent(reason):
-                load.mark_closed(upstream, trio.current_time())
+                load.mark_connection_closed(upstream, trio.current_time())
                 refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
                 return _Refused(refused, is_free=True)
             case http_client.Lost():
@@ -342,7 +342,7 @@
         """Account for an engine that was lost after bytes were sent."""
         job.sent = True
         upstream = choice.upstream
-        load.mark_closed(upstream, trio.current_time())
+        load.mark_connection_closed(upstream, trio.current_time())
         lines.warning(
             LOG,
             "engine_lost",
@@ -412,7 +412,9 @@
 
         def take(part: bytes) -> bool:
             exchange.idle = False
-            data = answer.accept_alike(part) if parser.is_between_events() else None
+            data = (
+                answer.relay_by_template(part) if parser.is_between_events() else None
+            )
             if data is None:
                 data = b"".join([_judge(job, exchange, e) for e in parser.feed(part)])
             if not data:
@@ -450,12 +452,12 @@
         refused = await self._lost(job, lost.choice, reason)
         sampling = stream.Sampling(job.chat.body.temperature, job.chat.body.seed)
         decision = stream.recover(job.answer, sampling, version, version)
-        if refused.final and not isinstance(decision, stream.Finish):
-            decision = stream.End(refused.refusal)
+        if refused.final and not isinstance(decision, stream.SendDone):
+            decision = stream.EndWithError(refused.refusal)
         match decision:
-            case stream.Finish():
+            case stream.SendDone():
                 return stream.DONE_EVENT
-            case stream.End(refused_now):
+            case stream.EndWithError(refused_now):
                 return self._end(job, refused_now)
             case stream.Resume() | stream.Restart():
                 pass
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -113,7 +113,7 @@
             self.peers,
             self._owned_items,
             self.rng,
-            session.Place(*cfg.rpc_address, cfg.zone),
+            session.NodeAddress(*cfg.rpc_address, cfg.zone),
             reads_sessions=False,
         )
         self.keeper.on_sessions = self.lease.take_sessions
@@ -186,7 +186,7 @@
         self.shard = cache.Shard(INDEX_BYTES)
         self.shard.register(self.peers)
         self.directory = cache.Directory(self.peers)
-        self.backlog = prefill.Backlog()
+        self.backlog = prefill.PrefillBacklog()
         self.feeds = feeds.Feeds(self.pool, self.directory, self._read_here)
         self.transfers = transfers.Transfers(
             self.pool,
@@ -226,7 +226,7 @@
             grants=self.slots,
             is_suspect=self._is_suspect,
             suspects_at=lambda _: 0,
-            chooser=route.ByCost(route.MODES[cfg.mode]),
+            chooser=route.LowestCost(route.MODES[cfg.mode]),
             rng=self.rng,
             backlog=self.backlog,
         )
@@ -270,7 +270,7 @@
         self, upstream: table.Upstream, conn_opened_at: float, now: float
     ) -> load.Verdict:
         if not self.keeper.is_current(now):
-            return load.Barred(load.Reason.NOT_CURRENT)
+            return load.Excluded(load.Reason.NOT_CURRENT)
         return load.may_send(
             upstream,
             self.keeper.cfg,
@@ -360,12 +360,12 @@
     def _is_suspect(self, fingerprint: str) -> bool:
         return self.crashes.check(fingerprint) is quarantine.Standing.SUSPECT
 
-    def _plan_connections(self) -> collections.abc.Iterator[connection.Open]:
-        return connection.plan(
+    def _plan_connections(self) -> collections.abc.Iterator[connection.OpenConnections]:
+        return connection.plan_connections(
             self.tables, lambda inst: self.pool.idle_count((inst.host, inst.port))
         )
 
-    async def _connect(self, action: connection.Open) -> None:
+    async def _connect(self, action: connection.OpenConnections) -> None:
         inst = self.tables.instances.get(action.upstream_id)
         if inst is None:
             return
@@ -377,7 +377,7 @@
         for upstream in self.tables.upstreams.values():
             inst = upstream.instance
             if (inst.host, inst.port) == addr:
-                load.mark_closed(upstream, now)
+                load.mark_connection_closed(upstream, now)
 
     def _subset(
         self, upstreams: collections.abc.Iterable[table.Instance]
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -223,7 +223,7 @@
 
     def judge(self, now: float) -> currency.Current | currency.NotCurrent:
         """Decide whether this node may serve new work, and by which rule."""
-        return currency.judge(self._state, self._members, now)
+        return currency.evaluate(self._state, self._members, now)
 
     def is_current(self, now: float) -> bool:
         """Return whether this node may serve new work."""
@@ -232,7 +232,7 @@
     def rollout(self, revision: int) -> Rollout:
         """Return on which members a revision is known to be in force."""
         now = self._clock()
-        having = currency.in_force(self._state, self._members, revision, now)
+        having = currency.members_at_revision(self._state, self._members, revision, now)
         missing = self._members.voters() - having
         return Rollout(revision, tuple(sorted(having)), tuple(sorted(missing)))
 
@@ -265,10 +265,10 @@
         inventory: change.Inventory | None = None,
     ) -> Invalid | Unchanged | None:
         """Check operations against the configuration in force; None if valid."""
-        mistakes = change.find_mistakes(self.cfg, operations, inventory)
+        mistakes = change.validate_operations(self.cfg, operations, inventory)
         if mistakes:
             return Invalid(tuple(mistakes))
-        if change.changes_nothing(self.cfg, operations):
+        if change.is_noop(self.cfg, operations):
             return Unchanged(self.cfg.revision)
         return None
 
@@ -349,14 +349,14 @@
             proposed.operations,
         )
 
-    async def _write(self, item: change.Change) -> proposal.Verdict:
-        steps = proposal.write(item)
+    async def _write(self, item: change.Change) -> proposal.Outcome:
+        steps = proposal.write_change(item)
         result: proposal.Result | None = None
         while True:
             try:
                 step = next(steps) if result is None else steps.send(result)
             except StopIteration as stop:
-                return typing.cast(proposal.Verdict, stop.value)
+                return typing.cast(proposal.Outcome, stop.value)
             result = await self._execute(step)
             if isinstance(result, proposal.NoAnswer):
                 await trio.sleep(RETRY_S)
@@ -371,7 +371,7 @@
     async def _insert(self, item: change.Change) -> proposal.Result:
         row = await _ask(self._table.read("head", "head"))
         if isinstance(row, ports.Unavailable):
-            return proposal.NotDone()
+            return proposal.NotExecuted()
         expect: ports.Precondition = ports.Expect.ABSENT
         if isinstance(row, ports.Row):
             expect = row.version
@@ -393,7 +393,7 @@
             case ports.Unavailable(maybe_applied=True):
                 return proposal.NoAnswer()
             case _:
-                return proposal.NotDone()
+                return proposal.NotExecuted()
 
     async def _read_change(self, revision: int) -> proposal.Result:
         row = await _ask(self._table.read("changes", change.row_key(revision)))
@@ -441,7 +441,7 @@
             asked_at = self._clock()
             reply = await self._peers.call(node_id, PUSH, Push(item), PEER_TIMEOUT_S)
         if isinstance(reply, PushReply):
-            self._members.hear(reply.status, asked_at)
+            self._members.record_status(reply.status, asked_at)
 
     # Following the sequence
 
@@ -471,18 +471,18 @@
         while True:
             await self._news.wait()
             self._news = trio.Event()
-            wanted = currency.wanted_revision(self._state, self._members)
+            wanted = currency.latest_known_revision(self._state, self._members)
             while self.cfg.revision < wanted:
                 before = self.cfg.revision
                 if not await self._fetch_from_peer():
                     await self._fetch_from_store()
                 if self.cfg.revision == before:
                     await trio.sleep(RETRY_S)
-                wanted = currency.wanted_revision(self._state, self._members)
+                wanted = currency.latest_known_revision(self._state, self._members)
 
     async def _fetch_from_peer(self) -> bool:
         own = self.cfg.revision
-        fresh = self._members.fresh(self._clock())
+        fresh = self._members.fresh_reports(self._clock())
         having = [k for k, v in sorted(fresh.items()) if v.revision > own]
         if not having:
             return False
@@ -492,7 +492,7 @@
         if not isinstance(reply, DeltasReply):
             return False
         if reply.snapshot is not None:
-            self._take_over(change.load_snapshot(self.cfg, reply.snapshot))
+            self._take_over(change.apply_snapshot(self.cfg, reply.snapshot))
         self._apply(reply.changes)
         return self.cfg.revision > own
 
@@ -563,7 +563,7 @@
             return
         snapshot = _decode(row, change.Snapshot)
         if snapshot is not None:
-            self._take_over(change.load_snapshot(self.cfg, snapshot))
+            self._take_over(change.apply_snapshot(self.cfg, snapshot))
 
     async def _write_snapshot(self) -> None:
         content = msgspec.json.encode(change.take_snapshot(self.cfg))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -69,7 +69,7 @@
         del self.faults[:1]
         if fault == "cold":
             return load.NeedsGrant(load.Reason.REPORTED_COLD)
-        return load.Barred(load.Reason.REPORTED_LEAVING)
+        return load.Excluded(load.Reason.REPORTED_LEAVING)
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
         fault = self.faults.pop(0) if self.faults else self.rest
@@ -125,7 +125,7 @@
         for upstream in self.upstreams:
             if upstream.instance.id not in job.excluded:
                 chain = block.Chain((), 3, "c")
-                return dispatch.Choice(upstream, "w1", chain, index.Found())
+                return dispatch.Choice(upstream, "w1", chain, index.PrefixLocations())
         return refusal.refuse(refusal.NO_UPSTREAM, "all engines were tried")
 
     def sent(self, choice: dispatch.Choice, run_id: str) -> None:
@@ -249,7 +249,7 @@
     assert isinstance(parsed, chat.Chat)
     now = trio.current_time()
     team = contract.Contract("team", ())
-    answer = stream.Answer("req")
+    answer = stream.Response("req")
     return dispatch.Job("req", team, parsed, "f", now, now + 5, answer, once)
 
 
