--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -73,7 +73,7 @@
         ...
 
     async def aclose(self) -> None:
-        """Free what the body holds."""
+        """Release the resources of the body."""
         ...
 
 
@@ -101,7 +101,7 @@
         ...
 
     async def aclose(self) -> None:
-        """Free what the body holds."""
+        """Release the resources of the body."""
         ...
 
 
