--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -140,7 +140,7 @@
 
     server = http_server.Server(answer)
     port = await nursery.start(server.serve, "127.0.0.1", 0)
-    reader = poller.Poller(lambda begun_at, _: begun_at + 0.005)
+    reader = poller.Poller(lambda started_at, _: started_at + 0.005)
     nursery.start_soon(reader.run)
     pool = http_client.Pool()
     results: list[object] = [None] * len(STREAMS)
@@ -188,20 +188,22 @@
 
 async def test_cancelled_watch_unregisters_its_socket(nursery: trio.Nursery) -> None:
     """Guards against a file descriptor that is reused while it is still watched."""
-    reader = poller.Poller(lambda begun_at, _: begun_at)
+    reader = poller.Poller(lambda started_at, _: started_at)
     nursery.start_soon(reader.run)
     read_numbers: list[int] = []
     for number in range(3):
-        here, there = socket.socketpair()
-        with here, there, trio.move_on_after(0.02):
-            there.send(b"x")
+        read_end, write_end = socket.socketpair()
+        with read_end, write_end, trio.move_on_after(0.02):
+            write_end.send(b"x")
 
-            def on_readable(sock: socket.socket = here, number: int = number) -> bool:
+            def on_readable(
+                sock: socket.socket = read_end, number: int = number
+            ) -> bool:
                 sock.recv(1)
                 read_numbers.append(number)
                 return True
 
-            await reader.watch(here.fileno(), on_readable)
+            await reader.watch(read_end.fileno(), on_readable)
     assert read_numbers == [0, 1, 2]
 
 
@@ -352,7 +354,7 @@
 async def serve_responses(
     nursery: trio.Nursery, *answers: bytes, receive_bytes: int = 65536
 ) -> int:
-    """Serve connections that read once before they send each of the given responses."""
+    """Serve connections: for each given response, read once, then send it."""
 
     async def handle(stream: trio.SocketStream) -> None:
         for answer in answers:
