--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -58,7 +58,7 @@
         Bytes of the request have been sent to an upstream that did not decline.
     pinned_version : str
         The only weight version that may go on with the answer; empty for any.
-    granted : LastCheck or None
+    granted : PreSendCheck or None
         Further check before the first byte, of the claim of this request.
     first_data_at : float or None
         Monotonic time at which the answer's first part was relayed, in seconds.
@@ -81,7 +81,7 @@
     excluded: set[str] = dataclasses.field(default_factory=set)
     sent: bool = False
     pinned_version: str = ""
-    granted: http_client.LastCheck | None = None
+    granted: http_client.PreSendCheck | None = None
     first_data_at: float | None = None
     is_suspect: bool = False
     crash_epoch: int = 0
@@ -177,7 +177,7 @@
     run_id: str
     permit: sender.Permit
     router: Router
-    reply: http_client.Reply | None = None
+    reply: http_client.StreamingResponse | None = None
     fault: str = ""
     is_closed: bool = False
     idle: bool = False
@@ -310,7 +310,7 @@
         )
 
     async def _declined(
-        self, job: Job, exchange: Exchange, reply: http_client.Reply
+        self, job: Job, exchange: Exchange, reply: http_client.StreamingResponse
     ) -> "_Refused":
         """Account for an engine that answered with an error."""
         upstream_id = exchange.choice.upstream.instance.id
@@ -359,7 +359,9 @@
         )
         return _Refused(refused, final=not recorded.allows_retry)
 
-    async def relay(self, job: Job, exchange: Exchange, sink: http_server.Sink) -> None:
+    async def relay(
+        self, job: Job, exchange: Exchange, sink: http_server.BodyWriter
+    ) -> None:
         """Send the events of the answer; an error event if it cannot be whole."""
         current = exchange
         try:
@@ -373,7 +375,7 @@
                     return
                 following = await self._recover(job, current)
                 if not isinstance(following, Exchange):
-                    sink.offer(following)
+                    sink.write_nowait(following)
                     await sink.drain()
                     return
                 current = following
@@ -399,7 +401,9 @@
                     exchange.reply.abort()
                 exchange.idle = True
 
-    async def _read(self, job: Job, exchange: Exchange, sink: http_server.Sink) -> None:
+    async def _read(
+        self, job: Job, exchange: Exchange, sink: http_server.BodyWriter
+    ) -> None:
         """Send the relayed events of one run, as they are read."""
         reply = exchange.reply
         assert reply is not None
@@ -419,7 +423,7 @@
                 job.first_data_at = trio.current_time()
                 self.router.first_token(exchange.choice, exchange.run_id)
             # A caller that does not read stops the reading of its engine.
-            return sink.offer(data) and not exchange.fault
+            return sink.write_nowait(data) and not exchange.fault
 
         # The first part does not wait for a pass of the poller.
         first = await reply.next_part()
@@ -435,7 +439,7 @@
             exchange.is_paused = exchange.idle = False
             if exchange.fault:
                 return
-            ended = await reply.follow(self.poller, take)
+            ended = await reply.read_with(self.poller, take)
         if ended is not None and not exchange.fault:
             exchange.fault, exchange.is_closed = ended.reason, ended.is_closed
 
--- a/packages/snipelug-node/src/snipelug_node/loader.py
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -83,10 +83,10 @@
             ORDER_TIMEOUT_S,
         )
         outcome = await self.pool.fetch(
-            call, last_check=lambda _: self.fencing_of(inst.id) == load.fencing
+            call, pre_send_check=lambda _: self.fencing_of(inst.id) == load.fencing
         )
         done = (
-            isinstance(outcome, http_client.Full)
+            isinstance(outcome, http_client.FullResponse)
             and outcome.status == http.HTTPStatus.OK
         )
         lines.event(
