--- a/packages/snipelug-core/src/snipelug_core/load.py
+++ b/packages/snipelug-core/src/snipelug_core/load.py
@@ -11,7 +11,7 @@
 from snipelug_core import contract, table
 
 STALE_S = 2.0
-"""Age of the last load report or instance list read at which sending stops.
+"""Maximum age of the last successful load read and completed list read at a send.
 
 A leaving upstream must get no new work after 3 s. A notice that appears right after
 a read is seen within this time, or else sending stops. The remaining second is for
--- a/packages/snipelug-core/src/snipelug_core/proposal.py
+++ b/packages/snipelug-core/src/snipelug_core/proposal.py
@@ -90,8 +90,8 @@
     """Yield the steps that write a change and return the outcome.
 
     After a lost response, an absent row is inconclusive, because the transaction may
-    still be in flight. The same change is inserted again until a row exists, whose
-    nonce then tells which change was written.
+    still be in flight. The same change is inserted again, at most ``max_inserts``
+    times in total, until a row exists whose nonce tells which change was written.
     """
     unclear = False
     for _ in range(max_inserts):
--- a/packages/snipelug-core/src/snipelug_core/weights.py
+++ b/packages/snipelug-core/src/snipelug_core/weights.py
@@ -58,7 +58,7 @@
     cfg: contract.Config,
     fencing_of: collections.abc.Callable[[str], int | None],
 ) -> collections.abc.Iterator[LoadOrder]:
-    """Yield load orders for this node's engines that report an unwanted version.
+    """Yield orders for those of this node's engines that report a different version.
 
     The comparison with the reported version is repeated on every tick. If a delayed
     order of a previous owner took effect at an engine that ignores fencing tokens,
@@ -117,7 +117,7 @@
 
 
 def free_slot(
-    holders: collections.abc.Iterable[Holder], requested: Holder
+    holders: collections.abc.Iterable[Holder], released: Holder
 ) -> tuple[Holder, ...]:
     """Return the holders without the given load."""
-    return tuple(h for h in holders if h != requested)
+    return tuple(h for h in holders if h != released)
