Reword test_change, test_currency and changes_sim

changes_sim: Answer -> Proposal, answers -> proposals, Answer.at -> accepted_at, at -> schedule, on -> schedule_on, beat -> send_heartbeats, learn -> apply_changes, settle -> record_outcome.

--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -1,4 +1,7 @@
-"""A simulated deployment: nodes with skewed clocks, lossy links, a flaky store."""
+"""Simulation of a deployment with skewed clocks, lossy links and an unreliable store.
+
+Each node runs the code of `currency`, `member` and `proposal` on its own clock.
+"""
 
 import collections.abc
 import dataclasses
@@ -10,15 +13,15 @@
 
 MAX_SKEW = 0.05
 GUARANTEE_S = 5.0
-ANSWER_TIMEOUT_S = 1.5
-PUSH_S = 6.0
+RESPONSE_TIMEOUT_S = 1.5
+PUSH_TIMEOUT_S = 6.0
 
 Callback = collections.abc.Callable[[], None]
 
 
 @dataclasses.dataclass
 class Node:
-    """One process; a reboot makes a new one with the same id."""
+    """One process of a node; a restart creates another with the same id."""
 
     node_id: str
     offset: float
@@ -33,23 +36,23 @@
 
 
 @dataclasses.dataclass
-class Answer:
-    """What an operator was told about a change."""
+class Proposal:
+    """A proposed change and the outcome reported to the operator."""
 
     change: change.Change
     verdict: str = "open"
-    at: float = 0.0
+    accepted_at: float = 0.0
 
 
 class Sim:
-    """Event queue over true time; each node reads only its own clock."""
+    """Event queue in simulated time; each node reads only its own clock."""
 
     def __init__(self, size: int, seed: int) -> None:
         self.rng = random.Random(seed)
         self.now = 0.0
         self.bound_s = GUARANTEE_S / (1 - MAX_SKEW) + 0.001
         self.queue: list[tuple[float, int, Callback]] = []
-        self.order = itertools.count()
+        self.sequence = itertools.count()
         self.ids = [f"n{i}" for i in range(size)]
         self.rows = [member.Member(k, "", "h", 1) for k in self.ids]
         self.store: dict[int, change.Change] = {}
@@ -57,20 +60,23 @@
         self.lose_answers = False
         self.delay_s = 0.05
         self.cut: set[frozenset[str]] = set()
-        self.answers: list[Answer] = []
+        self.proposals: list[Proposal] = []
         self.nodes: dict[str, Node] = {}
-        self.boots = itertools.count()
-        self.unique = itertools.count()
+        self.boot_numbers = itertools.count()
+        self.proposal_numbers = itertools.count()
         for node_id in self.ids:
             self.boot(node_id)
 
-    # Time and delivery
+    # Time and message delivery
+
+    def schedule(self, delay: float, action: Callback) -> None:
+        heapq.heappush(self.queue, (self.now + delay, next(self.sequence), action))
 
-    def at(self, delay: float, action: Callback) -> None:
-        heapq.heappush(self.queue, (self.now + delay, next(self.order), action))
+    def schedule_on(self, node: Node, delay: float, action: Callback) -> None:
+        """Run an action at a node.
 
-    def on(self, node: Node, delay: float, action: Callback) -> None:
-        """Run an action at a node: never once dead, later while frozen."""
+        The action is dropped if the node is dead and deferred while it is frozen.
+        """
 
         def run() -> None:
             if node.frozen:
@@ -78,7 +84,7 @@
             elif node.alive:
                 action()
 
-        self.at(delay, run)
+        self.schedule(delay, run)
 
     def advance(self, seconds: float) -> None:
         end = self.now + seconds
@@ -90,22 +96,22 @@
     def clock(self, node: Node) -> float:
         return node.offset + node.rate * self.now
 
-    def transit(self) -> float:
+    def transit_time(self) -> float:
         return self.rng.uniform(0.001, self.delay_s)
 
-    def linked(self, a: str, b: str) -> bool:
+    def is_linked(self, a: str, b: str) -> bool:
         return frozenset((a, b)) not in self.cut
 
     def cut_between(
         self, a: collections.abc.Iterable[str], b: collections.abc.Iterable[str]
     ) -> None:
-        """Cut the links between two groups; answers in flight still arrive."""
+        """Cut the links between two groups; responses in flight still arrive."""
         self.cut |= {frozenset(pair) for pair in itertools.product(a, b)}
 
     def thaw(self, node: Node) -> None:
         node.frozen = False
-        waiting, node.deferred = node.deferred, []
-        for action in waiting:
+        deferred_actions, node.deferred = node.deferred, []
+        for action in deferred_actions:
             action()
 
     # Processes
@@ -113,46 +119,50 @@
     def boot(self, node_id: str) -> None:
         rate = self.rng.uniform(1 - MAX_SKEW, 1 + MAX_SKEW)
         offset = self.rng.uniform(0, 1e5)
-        incarnation = f"i{next(self.boots)}"
+        incarnation = f"i{next(self.boot_numbers)}"
         started_at = offset + rate * self.now
         state = currency.State(node_id, incarnation, started_at)
         members = member.Members(node_id)
         members.rows = {row.node_id: row for row in self.rows}
         node = Node(node_id, offset, rate, state, members)
         self.nodes[node_id] = node
-        self.on(node, self.rng.uniform(0, 0.2), lambda: self.beat(node))
+        self.schedule_on(
+            node, self.rng.uniform(0, 0.2), lambda: self.send_heartbeats(node)
+        )
 
-    def beat(self, node: Node) -> None:
+    def send_heartbeats(self, node: Node) -> None:
         for peer_id in member.choose_heartbeat_targets(node.members, self.rng):
-            self.heartbeat(node, peer_id)
-        self.poll(node)
-        self.on(node, 1.0, lambda: self.beat(node))
+            self.send_heartbeat(node, peer_id)
+        self.poll_store(node)
+        self.schedule_on(node, 1.0, lambda: self.send_heartbeats(node))
 
-    def heartbeat(self, node: Node, peer_id: str) -> None:
+    def send_heartbeat(self, node: Node, peer_id: str) -> None:
         asked_at = self.clock(node)
         peer = self.nodes[peer_id]
         wants_rows = not node.members.complete
 
         def receive() -> None:
-            if not self.linked(node.node_id, peer_id):
+            if not self.is_linked(node.node_id, peer_id):
                 return
             reply = currency.build_heartbeat_reply(
                 peer.state, peer.members, self.clock(peer), self.rng, wants_rows
             )
             newer = [v for k, v in peer.log.items() if k > node.state.revision]
-            self.on(
+            self.schedule_on(
                 node,
-                self.transit(),
+                self.transit_time(),
                 lambda: currency.record_heartbeat_reply(
                     node.state, node.members, asked_at, reply
                 ),
             )
             if newer:
-                self.on(node, self.transit(), lambda: self.learn(node, newer))
+                self.schedule_on(
+                    node, self.transit_time(), lambda: self.apply_changes(node, newer)
+                )
 
-        self.on(peer, self.transit(), receive)
+        self.schedule_on(peer, self.transit_time(), receive)
 
-    def learn(self, node: Node, changes: list[change.Change]) -> None:
+    def apply_changes(self, node: Node, changes: list[change.Change]) -> None:
         for item in sorted(changes, key=lambda c: c.revision):
             outcome = change.apply(node.cfg, item)
             if isinstance(outcome, change.Applied):
@@ -168,46 +178,46 @@
         effect: collections.abc.Callable[[], object],
         done: collections.abc.Callable[[object], None],
     ) -> None:
-        """Run an effect in the store; ``done`` gets None if no answer came."""
-        settled = False
+        """Run an effect in the store; ``done`` gets None if no response arrived."""
+        finished = False
 
         def finish(result: object) -> None:
-            nonlocal settled
-            if not settled:
-                settled = True
+            nonlocal finished
+            if not finished:
+                finished = True
                 done(result)
 
         def execute() -> None:
-            if not self.store_up or not self.linked(node.node_id, "store"):
+            if not self.store_up or not self.is_linked(node.node_id, "store"):
                 return
             result = effect()
             if not (self.lose_answers and self.rng.random() < 0.7):
-                self.on(node, self.transit(), lambda: finish(result))
+                self.schedule_on(node, self.transit_time(), lambda: finish(result))
 
-        self.at(self.transit(), execute)
-        self.on(node, ANSWER_TIMEOUT_S, lambda: finish(None))
+        self.schedule(self.transit_time(), execute)
+        self.schedule_on(node, RESPONSE_TIMEOUT_S, lambda: finish(None))
 
-    def poll(self, node: Node) -> None:
+    def poll_store(self, node: Node) -> None:
         asked_at = self.clock(node)
 
         def done(result: object) -> None:
             if isinstance(result, list):
                 node.members.replace(self.rows)
                 currency.record_store_read(node.state, asked_at, len(result))
-                self.learn(node, result)
+                self.apply_changes(node, result)
 
         self.ask_store(node, lambda: list(self.store.values()), done)
 
-    def insert(self, item: change.Change) -> proposal.Result:
+    def insert_change(self, item: change.Change) -> proposal.Result:
         if len(self.store) != item.revision - 1:
             return proposal.Conflicted()
         self.store[item.revision] = item
         return proposal.Inserted()
 
-    def run_step(self, step: proposal.Step) -> proposal.Result:
+    def execute_step(self, step: proposal.Step) -> proposal.Result:
         match step:
             case proposal.Insert(change=item):
-                return self.insert(item)
+                return self.insert_change(item)
             case proposal.ReadBack(revision=revision):
                 return self.store.get(revision, proposal.NoRow())
 
@@ -219,79 +229,85 @@
             currency.may_accept(node.state, node.members, now), currency.MayAccept
         ):
             return
-        number = next(self.unique)
-        operations = (change.ZoneOut(f"z{number}"),)
+        serial = next(self.proposal_numbers)
+        operations = (change.ZoneOut(f"z{serial}"),)
         revision = node.state.revision + 1
-        item = change.Change(revision, f"nonce-{number:04d}", "op", 0.0, operations)
-        answer = Answer(item)
-        self.answers.append(answer)
+        item = change.Change(revision, f"nonce-{serial:04d}", "op", 0.0, operations)
+        proposed = Proposal(item)
+        self.proposals.append(proposed)
         steps = proposal.write_change(item)
 
         def drive(result: proposal.Result | None) -> None:
             try:
                 step = next(steps) if result is None else steps.send(result)
-            except StopIteration as stop:
-                self.settle(node, answer, stop.value)
+            except StopIteration as stop_iteration:
+                self.record_outcome(node, proposed, stop_iteration.value)
                 return
             self.ask_store(
                 node,
-                lambda: self.run_step(step),
+                lambda: self.execute_step(step),
                 lambda r: drive(proposal.NoAnswer() if r is None else r),  # type: ignore[arg-type]
             )
 
         drive(None)
 
-    def settle(self, node: Node, answer: Answer, verdict: proposal.Outcome) -> None:
+    def record_outcome(
+        self, node: Node, proposed: Proposal, verdict: proposal.Outcome
+    ) -> None:
         match verdict:
             case proposal.Recorded(change=item):
-                answer.verdict = "recorded"
-                self.learn(node, [item])
-                self.push(node, answer, self.now + PUSH_S)
+                proposed.verdict = "recorded"
+                self.apply_changes(node, [item])
+                self.push(node, proposed, self.now + PUSH_TIMEOUT_S)
             case proposal.Unclear():
-                answer.verdict = "unclear"
+                proposed.verdict = "unclear"
             case _:
-                answer.verdict = "refused"
+                proposed.verdict = "refused"
 
-    def push(self, node: Node, answer: Answer, until: float) -> None:
+    def push(self, node: Node, proposed: Proposal, until: float) -> None:
         now = self.clock(node)
-        revision = answer.change.revision
+        revision = proposed.change.revision
         if currency.is_accepted(node.state, node.members, revision, now):
-            answer.verdict = "accepted"
-            answer.at = self.now
+            proposed.verdict = "accepted"
+            proposed.accepted_at = self.now
         elif self.now < until:
             for peer_id in self.ids:
                 if peer_id != node.node_id:
-                    self.push_to(node, peer_id, answer.change)
-            self.on(node, 0.3, lambda: self.push(node, answer, until))
+                    self.push_to(node, peer_id, proposed.change)
+            self.schedule_on(node, 0.3, lambda: self.push(node, proposed, until))
 
     def push_to(self, node: Node, peer_id: str, item: change.Change) -> None:
         asked_at = self.clock(node)
         peer = self.nodes[peer_id]
 
         def receive() -> None:
-            if not self.linked(node.node_id, peer_id):
+            if not self.is_linked(node.node_id, peer_id):
                 return
-            self.learn(peer, [item])
+            self.apply_changes(peer, [item])
             status = currency.own_status(peer.state, self.clock(peer))
-            self.on(
+            self.schedule_on(
                 node,
-                self.transit(),
+                self.transit_time(),
                 lambda: node.members.record_status(status, asked_at),
             )
 
-        self.on(peer, self.transit(), receive)
+        self.schedule_on(peer, self.transit_time(), receive)
 
     # Invariants
 
     def check(self) -> None:
         nonces = {item.nonce for item in self.store.values()}
-        for answer in self.answers:
-            revision = answer.change.revision
-            if answer.verdict in ("accepted", "recorded"):
+        for proposed in self.proposals:
+            revision = proposed.change.revision
+            if proposed.verdict in ("accepted", "recorded"):
                 winner = self.store[revision].nonce
-                assert winner == answer.change.nonce, "two operators won one revision"
-            if answer.verdict == "refused":
-                assert answer.change.nonce not in nonces, "wrong refusal"
+                assert winner == proposed.change.nonce, (
+                    "two proposals were accepted for one revision"
+                )
+            if proposed.verdict == "refused":
+                assert proposed.change.nonce not in nonces, (
+                    "a refused change was written"
+                )
         for node in self.nodes.values():
             self.check_node(node)
 
@@ -301,18 +317,23 @@
             zone
             for k in range(1, revision + 1)
             for zone in [self.store[k].operations[0].zone]  # type: ignore[union-attr]
-        }, "a change is missing or reverted"
-        assert node.state.revision == revision, "a node went back"
+        }, "a change is missing or was reverted"
+        assert node.state.revision == revision, (
+            "the state and the configuration differ in revision"
+        )
         if not node.alive or node.frozen:
             return
         now = self.clock(node)
         outcome = currency.evaluate(node.state, node.members, now)
         if isinstance(outcome, currency.NotCurrent):
             return
-        for answer in self.answers:
-            late = answer.verdict == "accepted" and self.now > answer.at + self.bound_s
-            assert not late or revision >= answer.change.revision, (
-                f"{node.node_id} serves by {outcome} at revision {revision} "
-                f"{self.now - answer.at:.2f} s after {answer.change.revision} "
-                "was accepted"
+        for proposed in self.proposals:
+            late = (
+                proposed.verdict == "accepted"
+                and self.now > proposed.accepted_at + self.bound_s
+            )
+            assert not late or revision >= proposed.change.revision, (
+                f"{node.node_id} serves under {outcome} at revision {revision} "
+                f"{self.now - proposed.accepted_at:.2f} s after "
+                f"{proposed.change.revision} was accepted"
             )
--- a/tests/test_change.py
+++ b/tests/test_change.py
@@ -1,4 +1,4 @@
-"""Tests of the revision sequence."""
+"""Tests of the sequence of configuration changes."""
 
 import hypothesis
 import hypothesis.strategies as st
@@ -10,50 +10,52 @@
 HASH_B = contract.hash_key("b")
 
 
-def put(team: str, *hashes: str, **fields: object) -> change.PutContract:
+def put_contract(team: str, *hashes: str, **fields: object) -> change.PutContract:
     return change.PutContract(contract.Contract(team, hashes, **fields))  # type: ignore[arg-type]
 
 
-def number(revision: int, *operations: change.Operation) -> change.Change:
-    chosen = operations or (change.ZoneOut(f"z{revision}"),)
-    return change.Change(revision, f"nonce-{revision}", "op", 0.0, chosen)
+def make_change(revision: int, *operations: change.Operation) -> change.Change:
+    applied = operations or (change.ZoneOut(f"z{revision}"),)
+    return change.Change(revision, f"nonce-{revision}", "op", 0.0, applied)
 
 
-MISTAKES = [
-    ([put("t1", HASH_A), put("t2", HASH_A)], "same key hash"),
-    ([put("t1", HASH_A, HASH_A)], "listed twice"),
-    ([put("t1")], "key_hashes is empty"),
-    ([put("t1", HASH_A, models=("m",))], "unknown model 'm'"),
-    ([put("t1", HASH_A, require_key=("s/x",))], "require_key path 's/x'"),
+INVALID_OPERATIONS = [
+    ([put_contract("t1", HASH_A), put_contract("t2", HASH_A)], "same key hash"),
+    ([put_contract("t1", HASH_A, HASH_A)], "listed twice"),
+    ([put_contract("t1")], "key_hashes is empty"),
+    ([put_contract("t1", HASH_A, models=("m",))], "unknown model 'm'"),
+    ([put_contract("t1", HASH_A, require_key=("s/x",))], "require_key path 's/x'"),
     ([change.RemoveContract("nobody")], "unknown team (known: old)"),
     ([change.ZoneOut("tamra-a")], "unknown zone (known: tamar-a)"),
     ([change.InstanceOut("e9")], "not in the instance list"),
 ]
 
 
-@pytest.mark.parametrize(("operations", "message"), MISTAKES)
-def test_mistake_is_named(operations: list[change.Operation], message: str) -> None:
-    """Guards against accepting a change that breaks isolation or does nothing."""
+@pytest.mark.parametrize(("operations", "message"), INVALID_OPERATIONS)
+def test_invalid_operation_is_reported(
+    operations: list[change.Operation], message: str
+) -> None:
+    """Guards against accepting a change that breaks isolation or has no effect."""
     cfg = contract.Config(contracts={"old": contract.Contract("old", (HASH_B,))})
     inventory = change.Inventory(frozenset({"tamar-a"}), frozenset({"e1"}))
-    found = change.validate_operations(cfg, operations, inventory)
-    assert len(found) == 1
-    assert message in found[0]
+    errors = change.validate_operations(cfg, operations, inventory)
+    assert len(errors) == 1
+    assert message in errors[0]
 
 
 def test_key_can_move_between_teams_in_one_change() -> None:
-    """Guards against checking intermediate states instead of the result."""
+    """Guards against validating intermediate states instead of the result."""
     cfg = contract.Config(contracts={"t1": contract.Contract("t1", (HASH_A,))})
-    operations = [put("t2", HASH_A), put("t1", HASH_B)]
+    operations = [put_contract("t2", HASH_A), put_contract("t1", HASH_B)]
     assert change.validate_operations(cfg, operations) == []
 
 
 @hypothesis.given(st.lists(st.integers(1, 6), max_size=30))
-def test_any_order_of_deltas_never_goes_back(order: list[int]) -> None:
-    """Guards against late, repeated or missing deltas that revert a change."""
+def test_revision_never_decreases_in_any_order_of_deltas(order: list[int]) -> None:
+    """Guards against late, duplicate or missing deltas that revert a change."""
     cfg = contract.Config()
     for revision in order:
-        outcome = change.apply(cfg, number(revision))
+        outcome = change.apply(cfg, make_change(revision))
         match outcome:
             case change.Applied(cfg=after):
                 assert after.revision == revision == cfg.revision + 1
@@ -66,12 +68,12 @@
     assert cfg.zones_out == {f"z{n}" for n in range(1, cfg.revision + 1)}
 
 
-def test_snapshot_round_trip_keeps_newer() -> None:
-    """Guards against a snapshot that loses content or replaces a newer state."""
+def test_snapshot_round_trip_keeps_newer_configuration() -> None:
+    """Guards against a snapshot that loses content or overwrites a newer state."""
     cfg = contract.Config()
-    steps = [put("t1", HASH_A), change.PutModel(contract.Model("m"))]
-    for revision, step in enumerate(steps, start=1):
-        outcome = change.apply(cfg, number(revision, step))
+    applied = [put_contract("t1", HASH_A), change.PutModel(contract.Model("m"))]
+    for revision, operation in enumerate(applied, start=1):
+        outcome = change.apply(cfg, make_change(revision, operation))
         assert isinstance(outcome, change.Applied)
         cfg = outcome.cfg
     snapshot = change.take_snapshot(cfg)
--- a/tests/test_currency.py
+++ b/tests/test_currency.py
@@ -1,4 +1,4 @@
-"""Properties of the revision sequence and the currency rule under failures."""
+"""Property tests of configuration changes and the currency rules under failures."""
 
 import hypothesis
 import hypothesis.stateful
@@ -9,12 +9,12 @@
 from tests import changes_sim
 
 SIZE = 5
-CHECK_S = 0.2
+CHECK_INTERVAL_S = 0.2
 NODE = st.integers(0, SIZE - 1)
 
 
 class Deployment(hypothesis.stateful.RuleBasedStateMachine):
-    """Five nodes and a store; faults in any order and combination."""
+    """Five nodes and a store, with faults in any order and combination."""
 
     @hypothesis.stateful.initialize(seed=st.integers(0, 2**32))
     def start(self, seed: int) -> None:
@@ -24,7 +24,7 @@
     def run(self, seconds: float) -> None:
         end = self.sim.now + seconds
         while self.sim.now < end:
-            self.sim.advance(CHECK_S)
+            self.sim.advance(CHECK_INTERVAL_S)
             self.sim.check()
 
     def node(self, index: int) -> changes_sim.Node:
@@ -116,7 +116,7 @@
     @hypothesis.stateful.rule(
         index=NODE, slow=st.sets(NODE), delay_s=st.floats(1.0, 4.0)
     )
-    def isolate_with_answers_in_flight(
+    def isolate_with_responses_in_flight(
         self, index: int, slow: set[int], delay_s: float
     ) -> None:
         self.sim.delay_s = delay_s
@@ -135,7 +135,10 @@
 
 
 class LargeDeployment(Deployment):
-    """The rules of large deployments: few heartbeats, relayed reports, 12 s."""
+    """The same under the rules of large deployments.
+
+    Heartbeats go to few nodes, reports are relayed, and the guarantee is 12 s.
+    """
 
     @hypothesis.stateful.initialize(seed=st.integers(0, 2**32))
     def start(self, seed: int) -> None:
@@ -162,37 +165,44 @@
     return sim
 
 
-def rule_of(sim: changes_sim.Sim, index: int) -> str:
+def current_rule(sim: changes_sim.Sim, index: int) -> str:
     node = sim.nodes[f"n{index}"]
     outcome = currency.evaluate(node.state, node.members, sim.clock(node))
     return outcome.rule if isinstance(outcome, currency.Current) else outcome.reason
 
 
 def test_all_serve_through_an_outage_without_interruption() -> None:
-    """Guards against a gap between the last confirmation and the majority rule."""
+    """Guards against a gap between the last confirmation and the majority rule.
+
+    When the store fails, nodes must be able to serve by majority before their last
+    confirmation expires.
+    """
     sim = start()
     sim.store_up = False
     for _ in range(150):
         sim.advance(0.1)
         for index in range(SIZE):
-            assert rule_of(sim, index) in ("store", "peer", "majority")
-    assert {rule_of(sim, index) for index in range(SIZE)} == {"majority"}
+            assert current_rule(sim, index) in ("store", "peer", "majority")
+    assert {current_rule(sim, index) for index in range(SIZE)} == {"majority"}
+
 
+def test_minority_stops_and_majority_with_store_accepts_changes() -> None:
+    """Guards against a minority that serves and a majority that cannot change.
 
-def test_minority_without_store_stops_and_majority_with_store_changes() -> None:
-    """Guards against service on the losing side, or none on the winning side."""
+    A partition separates two nodes from the other three and the store.
+    """
     sim = start()
-    small, large = {"n0", "n1"}, {"n2", "n3", "n4", "store"}
-    sim.cut = {frozenset((a, b)) for a in small for b in large}
+    minority, majority = {"n0", "n1"}, {"n2", "n3", "n4", "store"}
+    sim.cut = {frozenset((a, b)) for a in minority for b in majority}
     sim.propose(sim.nodes["n2"])
     sim.advance(7.0)
-    assert sim.answers[0].verdict == "accepted"
-    assert [rule_of(sim, k) for k in (2, 3, 4)] == ["store"] * 3
-    assert "only 2 of 5" in rule_of(sim, 0)
+    assert sim.proposals[0].verdict == "accepted"
+    assert [current_rule(sim, k) for k in (2, 3, 4)] == ["store"] * 3
+    assert "only 2 of 5" in current_rule(sim, 0)
 
 
 def test_node_boots_during_an_outage() -> None:
-    """Guards against a fleet that cannot replace a node while the store is down."""
+    """Guards against nodes that cannot be replaced while the store is down."""
     sim = start()
     sim.propose(sim.nodes["n1"])
     sim.advance(3.0)
@@ -201,33 +211,37 @@
     sim.nodes["n0"].alive = False
     sim.boot("n0")
     sim.advance(3.0)
-    assert "since its start" in rule_of(sim, 0)
+    assert "since its start" in current_rule(sim, 0)
     sim.advance(4.0)
-    assert rule_of(sim, 0) == "majority"
+    assert current_rule(sim, 0) == "majority"
     assert sim.nodes["n0"].cfg.revision == 1
 
 
-def test_restarted_node_does_not_forget_what_it_reported() -> None:
-    """Guards against a restart that undoes a report on which an acceptance rests."""
+def test_restart_does_not_invalidate_an_acceptance() -> None:
+    """Guards against a restart that invalidates a report behind an acceptance.
+
+    A node reports a revision, restarts and forgets it. If it counted in a majority
+    at once, nodes without the revision could serve after the change was accepted.
+    """
     sim = start()
-    writer, acker, late, others = "n0", "n1", "n2", ["n3", "n4"]
+    writer, reporter, late, others = "n0", "n1", "n2", ["n3", "n4"]
     sim.cut_between(sim.ids[1:], ["store"])
     sim.advance(3.0)
     sim.propose(sim.nodes[writer])
-    sim.cut_between([writer, acker], [late, *others])
+    sim.cut_between([writer, reporter], [late, *others])
     sim.advance(2.7)
-    assert sim.nodes[acker].cfg.revision == 1
-    sim.nodes[acker].alive = False
-    sim.boot(acker)
+    assert sim.nodes[reporter].cfg.revision == 1
+    sim.nodes[reporter].alive = False
+    sim.boot(reporter)
     sim.cut = set()
     sim.cut_between(sim.ids[1:], ["store"])
-    sim.cut_between([writer], [acker, late, *others])
+    sim.cut_between([writer], [reporter, late, *others])
     sim.advance(1.8)
     sim.cut -= {frozenset((writer, late))}
-    sim.cut_between([late], [acker, *others])
+    sim.cut_between([late], [reporter, *others])
     sim.advance(1.2)
     assert sim.nodes[late].cfg.revision == 1
-    assert sim.answers[0].verdict == "accepted"
+    assert sim.proposals[0].verdict == "accepted"
     sim.nodes[late].alive = False
     sim.cut_between([writer], sim.ids[1:])
     for _ in range(60):
@@ -236,15 +250,17 @@
 
 
 def test_peer_with_store_confirms_others() -> None:
-    """Guards against needless refusals when only some nodes see the store."""
+    """Guards against needless refusals when only some nodes can read the store."""
     sim = start()
     sim.cut = {frozenset((f"n{k}", "store")) for k in range(1, SIZE)}
     sim.advance(20.0)
-    assert [rule_of(sim, k) for k in range(SIZE)] == ["store"] + ["peer"] * (SIZE - 1)
+    assert [current_rule(sim, k) for k in range(SIZE)] == ["store"] + ["peer"] * (
+        SIZE - 1
+    )
 
 
 def test_revoked_member_counts_until_its_instance_is_gone() -> None:
-    """Guards against a majority that shrinks while the revoked nodes still serve."""
+    """Guards against a majority that shrinks while revoked nodes may still serve."""
     members = member.Members("a")
     rows = [member.Member(k, "", "h", 1) for k in "abc"]
     rows += [member.Member(k, "", "h", 1, revoked=True) for k in "de"]
