--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,4 @@
-"""Load reports, the corrected queue estimate and the verdicts before a send."""
+"""Tests of load reports, the corrected queue estimate and the checks before a send."""
 
 import dataclasses
 import itertools
@@ -34,20 +34,20 @@
 def test_newest_report_wins(
     first: table.LoadReport, second: table.LoadReport, kept: int
 ) -> None:
-    """Guards against a late or older-boot report replacing a newer one."""
+    """Guards against a late report or one of an older boot replacing a newer one."""
     upstream = builders.upstream(first, second)
     assert upstream.report == (first, second)[kept]
 
 
-def test_age_on_a_slow_clock_makes_no_report_newer() -> None:
-    """Guards against a report that seems made after a send by clocks' rates alone."""
-    made_at = 8.9  # At least: 1 s on a clock that is slower by the ratio of 1.1.
+def test_age_from_a_slow_clock_never_makes_a_report_newer() -> None:
+    """Guards against different clock rates dating a report after a later send."""
+    made_at = 8.9  # Lower bound: 1 s on a clock that is 1.1 times slower is 1.1 s here.
     report = watcher.to_report(watcher.WireReport("x", age_s=1.0), asked_at=10.0)
     assert report.made_at == pytest.approx(made_at)
 
 
-def test_rejected_report_does_not_count_as_heard() -> None:
-    """Guards against an ignored report passing for fresh knowledge."""
+def test_rejected_report_does_not_update_the_read_time() -> None:
+    """Guards against an ignored report that refreshes the time of the last read."""
     upstream = builders.upstream(builders.load_report(10.0, seq=3))
     load.accept_report(upstream, builders.load_report(9.0, boot_id="y"), 12.0)
     load.accept_report(upstream, builders.load_report(10.0, seq=2), 12.0)
@@ -56,8 +56,8 @@
     assert upstream.load_read_at == 12.0
 
 
-def test_older_boot_by_error_does_not_last() -> None:
-    """Guards against a live boot being excluded after one misordered report."""
+def test_misordered_boot_is_corrected_by_the_next_report() -> None:
+    """Guards against permanently excluding a live boot after one misordered report."""
     live = builders.load_report(10.0, boot_id="live")
     late = builders.load_report(11.0, boot_id="gone")
     upstream = builders.upstream(
@@ -94,7 +94,7 @@
 
 
 def test_estimate_covers_own_requests() -> None:
-    """Guards against an idle report hiding requests that this node still has."""
+    """Guards against an idle report that hides requests still in flight."""
     upstream = builders.upstream()
     load.record_sent(upstream, 1.0)
     load.accept_report(upstream, builders.load_report(2.0), 2.0)
@@ -102,45 +102,45 @@
 
 
 LEAVING = dataclasses.replace(builders.INSTANCE, leaving=True)
-NEEDS = load.NeedsGrant
-BARRED = load.Excluded
+NEEDS_GRANT = load.NeedsGrant
+EXCLUDED = load.Excluded
 REASON = load.Reason
 
 
 @pytest.mark.parametrize(
     ("upstream", "opened_at", "verdict"),
     [
-        (builders.upstream(), 1.0, BARRED(REASON.REPORT_STALE)),
+        (builders.upstream(), 1.0, EXCLUDED(REASON.REPORT_STALE)),
         (builders.upstream(builders.load_report()), 9.0, load.Allowed()),
         (
             builders.upstream(builders.load_report()),
             10.0,
-            NEEDS(REASON.CONNECTION_NEWER),
+            NEEDS_GRANT(REASON.CONNECTION_NEWER),
         ),
         (
             builders.upstream(builders.load_report(state=COLD)),
             9.0,
-            NEEDS(REASON.REPORTED_COLD),
+            NEEDS_GRANT(REASON.REPORTED_COLD),
         ),
         (
             builders.upstream(
                 builders.load_report(), builders.load_report(10.5, COLD, boot_id="y")
             ),
             9.0,
-            NEEDS(REASON.REPORTED_COLD),
+            NEEDS_GRANT(REASON.REPORTED_COLD),
         ),
         (
             builders.upstream(builders.load_report(state=table.Warmth.LEAVING)),
             9.0,
-            BARRED(REASON.REPORTED_LEAVING),
+            EXCLUDED(REASON.REPORTED_LEAVING),
         ),
-        (table.Upstream(LEAVING), 9.0, BARRED(REASON.LISTED_LEAVING)),
+        (table.Upstream(LEAVING), 9.0, EXCLUDED(REASON.LISTED_LEAVING)),
     ],
 )
 def test_verdict(
     upstream: table.Upstream, opened_at: float, verdict: load.Verdict
 ) -> None:
-    """Guards against a wrong verdict for each state that an upstream can be in."""
+    """Guards against a wrong verdict in any state of an upstream."""
     assert load.may_send(upstream, CFG, opened_at, 11.0, 11.0) == verdict
 
 
@@ -151,17 +151,19 @@
         (contract.Config(instances_out=frozenset({"u1"})), REASON.INSTANCE_OUT),
     ],
 )
-def test_operators_switches_bar(cfg: contract.Config, reason: load.Reason) -> None:
-    """Guards against new work for a zone or instance that is switched out."""
+def test_zone_or_instance_out_excludes_upstream(
+    cfg: contract.Config, reason: load.Reason
+) -> None:
+    """Guards against new work for a zone or instance taken out of service."""
     upstream = builders.upstream(builders.load_report())
-    assert load.may_send(upstream, cfg, 9.0, 10.0, 10.0) == BARRED(reason)
+    assert load.may_send(upstream, cfg, 9.0, 10.0, 10.0) == EXCLUDED(reason)
 
 
 def test_closed_connection_lasts_until_later_warm_report() -> None:
     """Guards against trusting a report made before a connection was closed."""
     upstream = builders.upstream(builders.load_report(10.0))
     load.mark_connection_closed(upstream, 10.5)
-    closed = NEEDS(REASON.CONNECTION_CLOSED)
+    closed = NEEDS_GRANT(REASON.CONNECTION_CLOSED)
     assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
     load.accept_report(upstream, builders.load_report(10.4, seq=2), 10.4)
     assert load.may_send(upstream, CFG, 9.0, 10.6, 10.6) == closed
@@ -185,7 +187,7 @@
     by_list: bool,
     list_down: bool,
 ) -> None:
-    """Guards against work for a leaving upstream after 3 s, also after a pause."""
+    """Guards against work for a leaving upstream after 3 s, even after a pause."""
     hypothesis.assume(not (by_list and list_down))
     upstream = table.Upstream(builders.INSTANCE)
     tried_at = None
@@ -196,7 +198,7 @@
         if now >= paused_at and not paused:
             paused = True
             now += pause
-        # The check comes first: after a pause it sees what was known before.
+        # Checks before the next read, so that after a pause the state is still old.
         if now > leaves_at + 3.0:
             verdict = load.may_send(upstream, CFG, -1.0, now, tried_at)
             assert isinstance(verdict, load.Excluded)
@@ -219,12 +221,12 @@
     ("heard_at", "tried_at", "reason"),
     [(7.9, 10.0, REASON.REPORT_STALE), (10.0, 7.9, REASON.LIST_STALE)],
 )
-def test_stale_knowledge_bars(
+def test_stale_information_excludes_upstream(
     heard_at: float, tried_at: float, reason: load.Reason
 ) -> None:
     """Guards against sending on one fresh source while the other is stale."""
     upstream = builders.upstream(builders.load_report(heard_at))
-    assert load.may_send(upstream, CFG, 5.0, 10.0, tried_at) == BARRED(reason)
+    assert load.may_send(upstream, CFG, 5.0, 10.0, tried_at) == EXCLUDED(reason)
 
 
 def test_list_outage_stops_no_work() -> None:
@@ -234,8 +236,8 @@
     assert verdict == load.Allowed()
 
 
-def listen(silent: set[str]) -> tuple[watcher.Watcher, list[tuple[str, float]]]:
-    """Return a watcher of three upstreams; silent ones never answer."""
+def make_watcher(silent: set[str]) -> tuple[watcher.Watcher, list[tuple[str, float]]]:
+    """Return a watcher of three upstreams; silent ones never respond."""
     reads: list[tuple[str, float]] = []
 
     class Pool:
@@ -260,19 +262,19 @@
     for name, upstream in upstreams.items():
         upstream.instance = dataclasses.replace(upstream.instance, id=name)
 
-    def take(name: str, report: table.LoadReport, asked_at: float) -> None:
+    def accept_report(name: str, report: table.LoadReport, asked_at: float) -> None:
         load.accept_report(upstreams[name], report, asked_at)
 
-    watched = watcher.Watcher(
+    load_watcher = watcher.Watcher(
         table.Tables(upstreams=upstreams),
         typing.cast(ports.InstanceList, None),
         typing.cast(http_client.Pool, Pool()),
         list,
-        take,
+        accept_report,
         lambda *_: None,
         lambda: False,
     )
-    return watched, reads
+    return load_watcher, reads
 
 
 @pytest.mark.parametrize(
@@ -292,11 +294,15 @@
     name: str,
     gap_s: float,
 ) -> None:
-    """Guards against reports so old that a lost read stops work, and lost savings."""
-    watched, reads = listen(silent)
-    watched.is_active = lambda: active
+    """Guards against reading loads too rarely or too often.
+
+    If reports are too old, a single lost read stops all work. Idle upstreams without
+    callers should be read less often.
+    """
+    load_watcher, reads = make_watcher(silent)
+    load_watcher.is_active = lambda: active
     with trio.move_on_after(20.2):
-        await watched._watch_loads()
+        await load_watcher._watch_loads()
     times = [at for read, at in reads if read == name]
     gaps = [after - before for before, after in itertools.pairwise(times)]
     assert len(gaps) >= 19
@@ -307,9 +313,9 @@
 
 
 def test_slow_list_stops_no_work() -> None:
-    """Guards against periods that let the last list read grow too old.
+    """Guards against a period and timeout that let the last list read expire.
 
-    The next read starts a period after the last and ends a timeout later.
+    The next read starts one period after the last and takes at most one timeout.
     """
     assert watcher.LIST_PERIOD_S + watcher.LIST_TIMEOUT_S < load.STALE_S
     assert watcher.LIST_PERIOD_S >= watcher.LIST_TIMEOUT_S
@@ -320,16 +326,16 @@
     [(0, 0.5, 0), (0, 0.9, 1), (1, 0.9, 0)],
     ids=["recent", "quiet", "busy"],
 )
-async def test_old_load_of_a_quiet_upstream_is_read_before_a_send(
+async def test_old_load_of_an_idle_upstream_is_read_before_a_send(
     autojump_clock: trio.testing.MockClock, running: int, age_s: float, looks: int
 ) -> None:
-    """Guards against a burst to an upstream that became cold while it was idle."""
+    """Guards against a burst to an upstream that turned cold while it was idle."""
     now = trio.current_time()
     upstream = builders.upstream(builders.load_report(now - age_s, running=running))
-    looked: list[str] = []
+    rechecked: list[str] = []
 
-    async def look(upstream: table.Upstream) -> None:
-        looked.append(upstream.instance.id)
+    async def recheck(upstream: table.Upstream) -> None:
+        rechecked.append(upstream.instance.id)
         load.accept_report(upstream, builders.load_report(now, COLD, 2), now)
 
     verdicts: list[load.Verdict] = []
@@ -357,11 +363,11 @@
         typing.cast(http_client.Pool, Pool()),
         typing.cast(sender.Slots, Slots()),
         judge,
-        look,
+        recheck,
     )
     call = http_client.Call(("127.0.0.1", 1), "POST", "/")
     outcome = await outgoing.send(upstream, call, now + 10.0)
-    assert len(looked) == looks
+    assert len(rechecked) == looks
     assert isinstance(outcome, sender.Blocked) == bool(looks)
 
 
@@ -371,7 +377,7 @@
 def test_periodic_tasks_wake_together_and_never_late(
     now: float, period_s: float
 ) -> None:
-    """Guards against a period that grows, a task that spins, and lost savings."""
+    """Guards against drifting periods, busy loops and tasks that wake separately."""
     first = ticker.wake_time(now, period_s)
     assert now < first <= now + period_s
     second = ticker.wake_time(first, period_s)
@@ -383,7 +389,7 @@
 
 @hypothesis.given(now=st.floats(0.0, 2e6))
 def test_loads_are_read_between_ticks(now: float) -> None:
-    """Guards against reports made just before connections that they should clear."""
+    """Guards against reports made just before connections that they should cover."""
     tick_at = ticker.phase_time(now, ticker.TICK_S)
     read_at = ticker.phase_time(now, watcher.LOAD_INTERVAL_S, watcher.LOAD_OFFSET_S)
     assert now < tick_at <= now + ticker.TICK_S
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,4 +1,4 @@
-"""Crash counts over the fleet under lost, late and repeated reports."""
+"""Tests of crash counts under lost, late and duplicate reports."""
 
 import itertools
 
@@ -27,7 +27,7 @@
 def test_standing(
     crashes: list[quarantine.Crash], standing: quarantine.Standing
 ) -> None:
-    """Guards against a repeated report of one crash counting twice."""
+    """Guards against counting a duplicate report of a crash twice."""
     record = RECORD
     for crash in crashes:
         record = quarantine.add_crash(record, crash)
@@ -56,7 +56,7 @@
     second: list[quarantine.Crash | str],
     third: list[quarantine.Crash | str],
 ) -> None:
-    """Guards against nodes that keep different counts after the same messages."""
+    """Guards against nodes with different counts after the same messages."""
     a, b, c = build_record(first), build_record(second), build_record(third)
     assert quarantine.merge(a, b) == quarantine.merge(b, a)
     left = quarantine.merge(quarantine.merge(a, b), c)
@@ -70,7 +70,7 @@
 def test_crash_of_request_sent_before_release(
     epoch: int, standing: quarantine.Standing
 ) -> None:
-    """Guards against a late crash report undoing an operator's release."""
+    """Guards against a late crash report that undoes an operator's release."""
     released = quarantine.release(quarantine.add_crash(RECORD, CRASH))
     late = quarantine.Crash("c3", "u3", epoch)
     assert quarantine.classify(quarantine.add_crash(released, late)) is standing
@@ -87,19 +87,19 @@
 
 
 def test_refusal_names_the_upstreams() -> None:
-    """Guards against a refusal that does not say what happened."""
+    """Guards against a refusal that does not name the crashed upstreams."""
     record = quarantine.add_crash(quarantine.add_crash(RECORD, CRASH), OTHER)
-    answer = quarantine.build_refusal(record)
-    assert answer.kind is refusal.QUARANTINED
-    assert "u1, u2" in answer.message
+    refused = quarantine.build_refusal(record)
+    assert refused.kind is refusal.QUARANTINED
+    assert "u1, u2" in refused.message
 
 
 class RepeatedRequest(stateful.RuleBasedStateMachine):
-    """One request that crashes each upstream, sent again through several nodes.
+    """A request that crashes every upstream, retried through several nodes.
 
-    A caller sends again only after an answer, and an answer is given only after the
-    crash was written to the table. Nodes scan the table before they send, or were told
-    by a peer; a scan may be up to date with every write but the last.
+    A caller retries only after a response, and a response is sent only after the crash
+    was written to the table. Before sending, a node has scanned the table or received
+    the record from a peer; a scan may miss at most the last write.
     """
 
     def __init__(self) -> None:
@@ -107,16 +107,18 @@
         self.row = RECORD
         self.nodes: list[quarantine.Records] = [{} for _ in range(3)]
         self.ids = itertools.count()
-        self.late: list[quarantine.Record] = []
+        self.late_records: list[quarantine.Record] = []
         self.sent_in_epoch = 0
 
     @stateful.rule(
-        number=st.integers(0, 2),
-        told=st.sets(st.integers(0, 2)),
+        node_index=st.integers(0, 2),
+        notified_peers=st.sets(st.integers(0, 2)),
         write_twice=st.booleans(),
     )
-    def send(self, number: int, told: set[int], write_twice: bool) -> None:
-        records = self.nodes[number]
+    def send(
+        self, node_index: int, notified_peers: set[int], write_twice: bool
+    ) -> None:
+        records = self.nodes[node_index]
         quarantine.merge_record(records, self.row)
         known = records["f"]
         if quarantine.classify(known) is Standing.QUARANTINED:
@@ -126,24 +128,24 @@
         quarantine.merge_record(records, quarantine.add_crash(known, crash))
         for _ in range(1 + write_twice):
             self.row = quarantine.merge(self.row, records["f"])
-        for peer in told:
+        for peer in notified_peers:
             quarantine.merge_record(self.nodes[peer], records["f"])
-        self.late.append(records["f"])
-
-    @stateful.rule(number=st.integers(0, 2))
-    def deliver_late(self, number: int) -> None:
-        """Deliver old reports again, also those from before a release."""
-        for record in self.late:
-            quarantine.merge_record(self.nodes[number], record)
-
-    @stateful.rule(number=st.integers(0, 2))
-    def write_late(self, number: int) -> None:
-        if "f" in self.nodes[number]:
-            self.row = quarantine.merge(self.row, self.nodes[number]["f"])
-
-    @stateful.rule(number=st.integers(0, 2))
-    def restart_node(self, number: int) -> None:
-        self.nodes[number] = {}
+        self.late_records.append(records["f"])
+
+    @stateful.rule(node_index=st.integers(0, 2))
+    def deliver_late(self, node_index: int) -> None:
+        """Deliver old reports again, including those from before a release."""
+        for record in self.late_records:
+            quarantine.merge_record(self.nodes[node_index], record)
+
+    @stateful.rule(node_index=st.integers(0, 2))
+    def write_late(self, node_index: int) -> None:
+        if "f" in self.nodes[node_index]:
+            self.row = quarantine.merge(self.row, self.nodes[node_index]["f"])
+
+    @stateful.rule(node_index=st.integers(0, 2))
+    def restart_node(self, node_index: int) -> None:
+        self.nodes[node_index] = {}
 
     @stateful.precondition(lambda self: self.row.crashes)
     @stateful.rule()
--- a/tests/test_stream.py
+++ b/tests/test_stream.py
@@ -1,4 +1,4 @@
-"""Fault cases and property tests of streamed answers."""
+"""Fault cases and property tests of streamed responses."""
 
 import itertools
 import json
@@ -70,14 +70,14 @@
 
 
 @pytest.mark.parametrize(("contents", "kinds", "missing"), [f[1:] for f in FAULTS])
-def test_faults_are_dropped_and_reported(
+def test_faulty_chunks_are_dropped_and_reported(
     contents: list[object], kinds: list[type], missing: tuple[str, ...] | None
 ) -> None:
-    """Guards against another answer's chunks and against cut answers."""
-    answer = stream.Response("r")
-    verdicts = [answer.accept(builders.event(c)) for c in contents]
+    """Guards against relaying chunks of another response or a truncated response."""
+    response = stream.Response("r")
+    verdicts = [response.accept(builders.event(c)) for c in contents]
     assert [type(v) for v in verdicts] == kinds
-    outcome = answer.outcome()
+    outcome = response.outcome()
     if missing == ():
         expected = stream.Usage(**builders.USAGE)
         assert outcome == stream.Complete(expected, "stop")
@@ -134,11 +134,11 @@
     other: str,
     kind: type,
 ) -> None:
-    """Guards against an answer mixed from two versions or two samplings."""
-    answer = stream.Response("r")
+    """Guards against a response mixed from two weight versions or two samplings."""
+    response = stream.Response("r")
     for content in contents:
-        answer.accept(builders.event(content))
-    decision = stream.recover(answer, sampling, ran, other)
+        response.accept(builders.event(content))
+    decision = stream.recover(response, sampling, ran, other)
     assert type(decision) is kind
     if isinstance(decision, stream.EndWithError):
         content = json.loads(stream.error_event(decision.refusal)[6:])
@@ -147,19 +147,19 @@
 
 
 def test_attempts_are_bounded() -> None:
-    """Guards against a request that is resumed for ever."""
-    answer = stream.Response("r")
-    answer.accept(builders.event(builders.chunk("a")))
+    """Guards against a request that is resumed forever."""
+    response = stream.Response("r")
+    response.accept(builders.event(builders.chunk("a")))
     for _ in range(stream.MAX_ATTEMPTS - 1):
-        assert stream.recover(answer, GREEDY, "w", "w") == stream.Resume("a")
-        answer.resume(repeats=False)
-    assert isinstance(stream.recover(answer, GREEDY, "w", "w"), stream.EndWithError)
+        assert stream.recover(response, GREEDY, "w", "w") == stream.Resume("a")
+        response.resume(repeats=False)
+    assert isinstance(stream.recover(response, GREEDY, "w", "w"), stream.EndWithError)
 
 
-def pieces(text: str, cuts: list[int]) -> list[str]:
-    """Cut a text at the given places."""
-    places = sorted({c % (len(text) + 1) for c in cuts} | {0, len(text)})
-    return [text[a:b] for a, b in itertools.pairwise(places)]
+def split_text(text: str, cuts: list[int]) -> list[str]:
+    """Split a text at the given positions."""
+    positions = sorted({c % (len(text) + 1) for c in cuts} | {0, len(text)})
+    return [text[a:b] for a, b in itertools.pairwise(positions)]
 
 
 CUTS = st.lists(st.integers(0, 1000), max_size=6)
@@ -176,40 +176,40 @@
     lost: int,
     repeats: bool,
 ) -> None:
-    """Guards against repeated or lost text when an upstream dies mid-stream."""
-    answer = stream.Response("r")
+    """Guards against duplicate or lost text when an upstream dies mid-stream."""
+    response = stream.Response("r")
     relays: list[bytes] = []
 
-    def take(content: object) -> None:
-        verdict = answer.accept(builders.event(content))
+    def feed_chunk(content: object) -> None:
+        verdict = response.accept(builders.event(content))
         assert isinstance(verdict, stream.Relay | stream.Ignored)
         if isinstance(verdict, stream.Relay):
             relays.append(verdict.data)
 
-    for piece in pieces(text, first)[:lost]:
-        take(builders.chunk(piece))
+    for piece in split_text(text, first)[:lost]:
+        feed_chunk(builders.chunk(piece))
     for attempt, cuts in ((2, second), (3, third)):
-        so_far = answer.resume(repeats)
+        so_far = response.resume(repeats)
         assert so_far == received(relays)
         assert isinstance(
-            answer.accept(builders.event(builders.chunk("late"))), stream.WrongRun
+            response.accept(builders.event(builders.chunk("late"))), stream.WrongRun
         )
-        rest = pieces(text if repeats else text[len(so_far) :], cuts)
+        rest = split_text(text if repeats else text[len(so_far) :], cuts)
         for piece in rest if attempt == 3 else rest[:lost]:
-            take(builders.chunk(piece, f"r.{attempt}"))
-    take(builders.final("r.3"))
-    take(DONE)
+            feed_chunk(builders.chunk(piece, f"r.{attempt}"))
+    feed_chunk(builders.final("r.3"))
+    feed_chunk(DONE)
     assert received(relays) == text
-    assert isinstance(answer.outcome(), stream.Complete)
+    assert isinstance(response.outcome(), stream.Complete)
 
 
 @hypothesis.given(st.text("ab", max_size=8), st.text("ab", max_size=8))
 def test_other_text_in_a_repeated_run_is_reported(sent: str, again: str) -> None:
-    """Guards against gluing the end of one text to the start of another."""
-    answer = stream.Response("r")
-    answer.accept(builders.event(builders.chunk(sent)))
-    answer.resume(repeats=True)
-    verdict = answer.accept(builders.event(builders.final("r.2", again)))
+    """Guards against joining the start of one text to the end of another."""
+    response = stream.Response("r")
+    response.accept(builders.event(builders.chunk(sent)))
+    response.resume(repeats=True)
+    verdict = response.accept(builders.event(builders.final("r.2", again)))
     same = again.startswith(sent)
     assert isinstance(verdict, stream.Relay if same else stream.Diverged)
 
@@ -221,7 +221,7 @@
 
 
 def parse_whole(lines: list[bytes]) -> list[bytes]:
-    """Parse complete lines by the letter of the standard."""
+    """Parse complete lines exactly as the standard specifies."""
     events, data = [], []
     for line in lines:
         name, _, text = line.partition(b":")
@@ -237,12 +237,12 @@
 def test_parser_gives_the_same_events_for_any_pieces(
     lines: list[bytes], end: bytes, cuts: list[int], mark: bytes
 ) -> None:
-    """Guards against tokens lost or split where network reads are cut."""
+    """Guards against tokens lost or split at the boundaries of network reads."""
     raw = mark + b"".join(line + end for line in lines)
-    places = sorted({c % (len(raw) + 1) for c in cuts} | {0, len(raw)})
+    positions = sorted({c % (len(raw) + 1) for c in cuts} | {0, len(raw)})
     parser = stream.Parser()
     events = []
-    for a, b in itertools.pairwise(places):
+    for a, b in itertools.pairwise(positions):
         events += list(parser.feed(raw[a:b]))
     assert events == [stream.Event(data) for data in parse_whole(lines)]
     parser = stream.Parser()
@@ -259,7 +259,7 @@
     assert parser._buffered_bytes() <= 100 + len(line)
 
 
-VARIED = st.lists(
+VARIED_CHUNKS = st.lists(
     st.one_of(
         st.builds(builders.chunk, st.text(max_size=4)),
         st.builds(
@@ -286,11 +286,11 @@
     return text.encode(errors="replace")
 
 
-@hypothesis.given(VARIED, st.booleans(), st.booleans(), st.integers(0, 255))
-def test_chunks_alike_are_judged_as_parsed_ones(
+@hypothesis.given(VARIED_CHUNKS, st.booleans(), st.booleans(), st.integers(0, 255))
+def test_template_relays_chunks_as_the_parser_does(
     contents: list[object], compact: bool, plain: bool, noise: int
 ) -> None:
-    """Guards against a chunk that passes unparsed and would not pass parsed."""
+    """Guards against a fast path that relays a chunk differently from the parser."""
     parsed, mixed = stream.Response("r"), stream.Response("r")
     for number, content in enumerate(contents):
         data = encode(content, compact, plain)
@@ -310,7 +310,7 @@
         assert mixed.outcome() == parsed.outcome()
 
 
-ALIKE = [
+TEMPLATE_CASES = [
     ("plain", b" b", True),
     ("empty", b"", True),
     ("not ASCII", "é字".encode(), True),
@@ -327,27 +327,29 @@
 ]
 
 
-@pytest.mark.parametrize(("name", "raw", "is_alike"), ALIKE)
-def test_only_other_text_passes_unparsed(name: str, raw: bytes, is_alike: bool) -> None:
-    """Guards against a text that ends its chunk early, and against a dead fast path."""
-    answer = stream.Response("r")
+@pytest.mark.parametrize(("name", "raw", "is_alike"), TEMPLATE_CASES)
+def test_template_applies_only_if_text_alone_differs(
+    name: str, raw: bytes, is_alike: bool
+) -> None:
+    """Guards against a text that ends its chunk early, and an unused fast path."""
+    response = stream.Response("r")
     delta = b'{"role":"assistant","content":"a"}'
     data = b'{"id":"r.1","choices":[{"index":0,"delta":%s}]}' % delta
-    assert answer.relay_by_template(b"data: " + data + b"\n\n") is None
-    answer.accept(stream.Event(data))
+    assert response.relay_by_template(b"data: " + data + b"\n\n") is None
+    response.accept(stream.Event(data))
     other = data.replace(b'"a"', b'"' + raw + b'"')
-    relayed = answer.relay_by_template(b"data: " + other + b"\n\n")
+    relayed = response.relay_by_template(b"data: " + other + b"\n\n")
     own = b"data: " + other.replace(b"r.1", b"r") + b"\n\n"
     assert relayed == (own if is_alike else None)
-    assert answer.relay_by_template(own) is None
-    assert answer.relay_by_template(b"data: " + other[:-1] + b"\n\n") is None
-    answer.resume(repeats=False)
-    assert answer.relay_by_template(b"data: " + other + b"\n\n") is None
+    assert response.relay_by_template(own) is None
+    assert response.relay_by_template(b"data: " + other[:-1] + b"\n\n") is None
+    response.resume(repeats=False)
+    assert response.relay_by_template(b"data: " + other + b"\n\n") is None
 
 
 @hypothesis.given(st.lists(st.floats(0, 0.03), min_size=1, max_size=60))
 def test_no_chunk_waits_longer_than_the_limit(gaps: list[float]) -> None:
-    """Guards against tokens that wait for others that never come."""
+    """Guards against tokens that wait for others that never arrive."""
     arrivals = list(itertools.accumulate(gaps))
     pass_at = 0.0
     while arrivals:
@@ -368,8 +370,8 @@
 
 
 @pytest.mark.parametrize(("reads", "pause_s"), PASSES)
-def test_only_shared_passes_are_apart(reads: int, pause_s: float) -> None:
-    """Guards against delayed tokens where there is little to read."""
+def test_only_passes_with_several_reads_are_delayed(reads: int, pause_s: float) -> None:
+    """Guards against delaying tokens under low load."""
     assert stream.next_pass_at(1.0, reads) == 1.0 + pause_s
 
 
@@ -386,19 +388,19 @@
     ],
 )
 def test_one_piece_gives_the_same_events_as_single_bytes(piece: bytes) -> None:
-    """Guards against events split or joined wrongly when several arrive together."""
+    """Guards against splitting or joining events that arrive together incorrectly."""
     whole = list(stream.Parser().feed(piece))
     parser = stream.Parser()
     single = [e for i in range(len(piece)) for e in parser.feed(piece[i : i + 1])]
     assert whole == single
 
 
-def test_fields_that_are_not_known_reach_the_caller() -> None:
-    """Guards against answers that lack log probabilities or vendors' fields."""
-    answer = stream.Response("r")
+def test_unknown_fields_reach_the_caller() -> None:
+    """Guards against dropping log probabilities or vendor-specific fields."""
+    response = stream.Response("r")
     data = (
         b'{"id":"r.1","vendor":7,"choices":[{"index":0,"delta":{"content":"a"},'
         b'"logprobs":{"content":[{"token":"a","logprob":-0.5}]}}]}'
     )
-    verdict = answer.accept(stream.Event(data))
+    verdict = response.accept(stream.Event(data))
     assert verdict == stream.Relay(b"data: " + data.replace(b"r.1", b"r") + b"\n\n")
