--- a/packages/snipelug-core/src/snipelug_core/route.py
+++ b/packages/snipelug-core/src/snipelug_core/route.py
@@ -528,7 +528,7 @@
     queue : int
         Result of ``load.estimate_queue``.
     needs_grant : bool
-        Whether ``load.judge_warmth`` asks for a grant.
+        Whether ``load.check_warmth`` asks for a grant.
     backlog_s : float
         Result of `prefill.Backlog.estimate_s`.
     """
