--- a/bench/drive.py
+++ b/bench/drive.py
@@ -48,7 +48,7 @@
 CLEAN_SHARE = 0.03
 SERVICE_S = 0.020
 OVERHEAD_S = 0.002
-ORACLE = route.Mode("oracle", ttft=0.01, recompute=100.0, spread=1.0)
+ORACLE = route.Mode("oracle", ttft=0.01, recompute=100.0, second_copy=1.0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,11 +70,11 @@
 
 
 POLICIES = (
-    Policy("snipelug", lambda d: route.ByCost(route.MODES[d.mode]), stores=True),
+    Policy("snipelug", lambda d: route.LowestCost(route.MODES[d.mode]), stores=True),
     Policy("round_robin", lambda _: baseline.RoundRobin()),
     Policy("least_loaded", lambda _: baseline.LeastLoaded()),
     Policy("prefix_affinity", lambda _: baseline.PrefixAffinity()),
-    Policy("oracle", lambda _: route.ByCost(ORACLE), stores=True, exact=True),
+    Policy("oracle", lambda _: route.LowestCost(ORACLE), stores=True, exact=True),
 )
 
 
@@ -88,11 +88,11 @@
     cfg: contract.Config
     upstreams: dict[str, table.Upstream]
     subset: subset.Subset
-    backlog: prefill.Backlog
-    returns: placement.Returns
-    budgets: dict[tuple[str, str], placement.Bucket]
-    waiting: placement.Waiting
-    watches: dict[str, link.LinkWatch]
+    backlog: prefill.PrefillBacklog
+    returns: placement.ReuseEstimator
+    budgets: dict[tuple[str, str], placement.TokenBucket]
+    waiting: placement.ExportQueue
+    watches: dict[str, link.LinkWaitEstimator]
 
 
 @dataclasses.dataclass
@@ -173,16 +173,16 @@
             cfg=workload.config(self.dep),
             upstreams={k: table.Upstream(s.inst) for k, s in self.servers.items()},
             subset=own,
-            backlog=prefill.Backlog(),
-            returns=placement.Returns(),
+            backlog=prefill.PrefillBacklog(),
+            returns=placement.ReuseEstimator(),
             budgets=budgets,
-            waiting=placement.Waiting(),
-            watches={s: link.LinkWatch() for s in self.stores},
+            waiting=placement.ExportQueue(),
+            watches={s: link.LinkWaitEstimator() for s in self.stores},
         )
 
-    def _budgets(self, rate: float) -> dict[tuple[str, str], placement.Bucket]:
+    def _budgets(self, rate: float) -> dict[tuple[str, str], placement.TokenBucket]:
         """Return one bucket per store, whose link all zones share."""
-        buckets = {s: placement.Bucket(rate, BURST_BYTES) for s in self.stores}
+        buckets = {s: placement.TokenBucket(rate, BURST_BYTES) for s in self.stores}
         return {(s, z): buckets[s] for s in self.stores for z in self.dep.zones}
 
     # Clock.
@@ -249,23 +249,23 @@
         for name, report in made.items():
             self.index.observe_boot(index.Source(name, report.boot_id))
 
-    def _drain_events(self) -> list[index.Added | index.Dropped]:
-        events: list[index.Added | index.Dropped] = []
+    def _drain_events(self) -> list[index.BlockAdded | index.BlockDropped]:
+        events: list[index.BlockAdded | index.BlockDropped] = []
         for name, server in self.servers.items():
             source = index.Source(name, server.boot_id)
             for _, added, key in server.events:
-                kind = index.Added if added else index.Dropped
+                kind = index.BlockAdded if added else index.BlockDropped
                 events.append(kind(source, key, next(self._seq)))
             server.events.clear()
         for name, store in self.stores.items():
             source = index.Source(name, "b1", is_store=True)
             for added, key, generation in store.events:
-                kind = index.Added if added else index.Dropped
+                kind = index.BlockAdded if added else index.BlockDropped
                 events.append(kind(source, key, next(self._seq), generation))
             store.events.clear()
         return events
 
-    def _apply(self, events: list[index.Added | index.Dropped]) -> None:
+    def _apply(self, events: list[index.BlockAdded | index.BlockDropped]) -> None:
         for event in events:
             self.index.apply(event, self.now)
 
@@ -276,7 +276,7 @@
         for name, store in self.stores.items():
             free = 1 - len(store.blocks) / model.STORE_BLOCKS
             if free < CLEAN_BELOW:
-                for copy in self.index.cheapest(name, CLEAN_SHARE, out):
+                for copy in self.index.least_valuable(name, CLEAN_SHARE, out):
                     store.delete(copy.key)
                     self._fates.note([copy.key], loss.Cause.DELETED)
 
@@ -321,7 +321,7 @@
             zone, held, stores, engines, self.move_budgets, frozenset(), self.now
         )
         for step in plan:
-            if isinstance(step, placement.Postponed):
+            if isinstance(step, placement.PostponedMove):
                 self.out.postponed += 1
                 continue
             self.out.moved += 1
@@ -332,7 +332,9 @@
             store = self.stores[step.export.store]
             self._write(mover, store, step.export.keys, done)
 
-    def _held_in(self, zone: str) -> collections.abc.Iterator[placement.Held]:
+    def _held_in(
+        self, zone: str
+    ) -> collections.abc.Iterator[placement.CachedConversation]:
         node = self.nodes[0]
         inside = [s for s in self.stores.values() if s.inst.zone == zone]
         for conversation, arrival in self._seen.items():
@@ -340,13 +342,13 @@
             keys = arrival.chain.keys
             if not keys or not any(keys[0] in s.blocks for s in inside):
                 continue
-            found = self.index.lookup(keys, self.now, use=False)
+            found = self.index.lookup(keys, self.now, mark_used=False)
             chance = _chance(node, arrival)
             value_s = chance * block.BLOCK_TOKENS / model.PREFILL_TOKENS_PER_S
             size = model.BLOCK_BYTES
             count = len(found.stored)
             holders = tuple(e for e, n in found.memory.items() if n >= count)
-            yield placement.Held(
+            yield placement.CachedConversation(
                 conversation, keys[:count], value_s, size, holders, found.stored
             )
 
@@ -402,15 +404,15 @@
         has_slot = server.running < model.COLD_LIMIT
         return dataclasses.replace(made, granted=cold and has_slot)
 
-    def _facts(self, node: Node, arrival: workload.Arrival) -> route.Facts:
+    def _facts(self, node: Node, arrival: workload.Arrival) -> route.RoutingContext:
         delay = dict.fromkeys(self.dep.zones, self.dep.delay_s / 2)
         if not self.policy.stores or arrival.chain is None:
-            return route.Facts(node.cfg, delay_s=delay)
+            return route.RoutingContext(node.cfg, delay_s=delay)
         keys = arrival.chain.keys
         if self.policy.exact:
             found = self._exact_found(keys)
         elif self.rng.random() < LOOKUP_LOSS:
-            found = index.Found()
+            found = index.PrefixLocations()
         else:
             found = self.index.lookup(keys, self.now)
         links = {
@@ -419,7 +421,7 @@
             for z in self.dep.zones
             if s.inst.zone not in node.cfg.zones_out
         }
-        return route.Facts(node.cfg, found, delay, links, model.BLOCK_BYTES)
+        return route.RoutingContext(node.cfg, found, delay, links, model.BLOCK_BYTES)
 
     def _link(self, node: Node, store: model.Store, zone: str) -> link.Link:
         delay_s = 0.0 if store.inst.zone == zone else 2 * self.dep.delay_s
@@ -430,28 +432,28 @@
         delay_s += node.backlog.estimate_s(name, 0, self.now)
         return node.watches[name].link(model.LINK_BYTES_PER_S, delay_s, self.now)
 
-    def _exact_found(self, keys: tuple[block.Key, ...]) -> index.Found:
+    def _exact_found(self, keys: tuple[block.Key, ...]) -> index.PrefixLocations:
         engines = [s for s in self.servers.values() if s.inst.id.startswith("e")]
         memory = {s.inst.id: s.held(keys) for s in engines}
         longest = max(memory.values(), default=0)
-        stored: list[tuple[index.Stored, ...]] = []
+        stored: list[tuple[index.StoredCopy, ...]] = []
         for i, key in enumerate(keys):
             copies = tuple(
-                index.Stored(n, "b1", s.blocks[key], "")
+                index.StoredCopy(n, "b1", s.blocks[key], "")
                 for n, s in self.stores.items()
                 if key in s.blocks
             )
             if not copies and i >= longest:
                 break
             stored.append(copies)
-        return index.Found(memory, tuple(stored))
+        return index.PrefixLocations(memory, tuple(stored))
 
     def _send(
         self,
         node: Node,
         arrival: workload.Arrival,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
     ) -> None:
         server = self.servers[chosen.id]
         load.record_sent(node.upstreams[chosen.id], self.now)
@@ -475,7 +477,7 @@
         self.at(start_at, lambda: self._prefill(node, arrival, chosen, imported, facts))
 
     def _hear(
-        self, watch: link.LinkWatch, size: float, took_s: float, known_s: float
+        self, watch: link.LinkWaitEstimator, size: float, took_s: float, known_s: float
     ) -> collections.abc.Callable[[], None]:
         return lambda: watch.note(
             model.LINK_BYTES_PER_S, size, took_s, self.now, known_s
@@ -495,7 +497,7 @@
         node: Node,
         arrival: workload.Arrival,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
         now: float,
     ) -> tuple[float, int]:
         """Import blocks; return when the request can start, and how many came."""
@@ -508,7 +510,7 @@
             store = self.stores[copy.store]
             if store.blocks.get(key) != copy.generation:
                 source = index.Source(copy.store, "b1", is_store=True)
-                missed = index.Dropped(source, key, 0, copy.generation)
+                missed = index.BlockDropped(source, key, 0, copy.generation)
                 self.index.apply(missed, self.now)
                 break
             counts[copy.store] += 1
@@ -537,7 +539,7 @@
         arrival: workload.Arrival,
         chosen: route.Candidate,
         imported: tuple[block.Key, ...],
-        facts: route.Facts,
+        facts: route.RoutingContext,
     ) -> None:
         assert arrival.chain is not None
         name = chosen.id
@@ -557,7 +559,7 @@
         arrival: workload.Arrival,
         held: int,
         chosen: route.Candidate,
-        facts: route.Facts,
+        facts: route.RoutingContext,
     ) -> None:
         assert arrival.chain is not None
         inside = [s.blocks for s in self.stores.values() if s.inst.zone in self.leaving]
@@ -629,7 +631,7 @@
         held = self.servers[prompt.upstream].held(prompt.chain.keys)
         keys = prompt.chain.keys[:held]
         chain = dataclasses.replace(prompt.chain, keys=keys)
-        found = self.index.lookup(keys, self.now, use=False)
+        found = self.index.lookup(keys, self.now, mark_used=False)
         prompt = dataclasses.replace(prompt, chain=chain, found=found)
         mode = route.MODES[self.dep.mode]
         stores = self._store_views()
@@ -640,8 +642,8 @@
         self._fates.note_placed(keys, placed)
         for export in placed.exports:
             self._write(node, self.stores[export.store], export.keys, self.now)
-        if placement.is_unfinished(placed):
-            node.waiting.add(placement.with_ordered(prompt, placed), self.now)
+        if placement.is_retryable(placed):
+            node.waiting.add(placement.with_in_transit(prompt, placed), self.now)
         else:
             node.waiting.remove(prompt)
 
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -282,17 +282,19 @@
         streamed = job.chat.body.stream
         job.chat.body.stream = False
 
-        async def send(granted: http_client.LastCheck, _send_by: float) -> order.Sent:
+        async def send(
+            granted: http_client.PreSendCheck, _send_by: float
+        ) -> order.Sent:
             job.granted = grant_again(granted)
             whole = await self.dispatcher.collect(job)
             if isinstance(whole, refusal.Refusal):
-                return claim.Unclear(whole) if job.sent else claim.NotSent(whole)
+                return claim.OutcomeUnknown(whole) if job.sent else claim.NotSent(whole)
             body = msgspec.json.encode(whole.content)
             headers = {
                 "content-type": "application/json",
                 "x-snipelug-upstream": whole.upstream_id,
             }
-            return claim.Delivered(claim.Answer(http.HTTPStatus.OK, headers, body))
+            return claim.Delivered(claim.Response(http.HTTPStatus.OK, headers, body))
 
         answer = await self.orders.run(
             job.contract.team, key, "POST", CHAT_PATH, sent_body, send, job.deadline
@@ -354,7 +356,7 @@
                 return order.Answer(answer.status, answer.headers, answer.body)
             return sent.refusal
 
-        async def send(granted: http_client.LastCheck, send_by: float) -> order.Sent:
+        async def send(granted: http_client.PreSendCheck, send_by: float) -> order.Sent:
             return await self._send_service(call, granted, False, send_by)
 
         req = call.req
@@ -366,7 +368,7 @@
     async def _send_service(
         self,
         call: "ServiceCall",
-        granted: http_client.LastCheck | None,
+        granted: http_client.PreSendCheck | None,
         repeatable: bool,
         send_by: float,
     ) -> order.Sent:
@@ -386,10 +388,10 @@
             excluded.add(upstream.instance.id)
             outcome = await self._try_service(call, upstream, granted, send_by)
             match outcome:
-                case http_client.Full(status, headers, body):
+                case http_client.FullResponse(status, headers, body):
                     kept = service.answer_headers(headers)
                     kept["x-snipelug-upstream"] = upstream.instance.id
-                    return claim.Delivered(claim.Answer(status, kept, body))
+                    return claim.Delivered(claim.Response(status, kept, body))
                 case http_client.NotSent(reason):
                     load.mark_connection_closed(upstream, trio.current_time())
                     refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
@@ -408,7 +410,7 @@
             return claim.NotSent(refused)
         # The last instance may have been sent nothing, while an earlier one was.
         unknown = refusal.RunState.UNKNOWN
-        return claim.Unclear(dataclasses.replace(refused, run_state=unknown))
+        return claim.OutcomeUnknown(dataclasses.replace(refused, run_state=unknown))
 
     def _may_try(self, upstream: table.Upstream, is_retry: bool) -> bool:
         budget = self.dispatcher.budget
@@ -438,10 +440,10 @@
         self,
         call: "ServiceCall",
         upstream: table.Upstream,
-        granted: http_client.LastCheck | None,
+        granted: http_client.PreSendCheck | None,
         send_by: float,
     ) -> (
-        http_client.Full
+        http_client.FullResponse
         | http_client.NotSent
         | http_client.Lost
         | http_client.TooLarge
@@ -462,7 +464,7 @@
                 await sent.reply.aclose()
         if not isinstance(body, bytes):
             return body
-        return http_client.Full(sent.reply.status, sent.reply.headers, body)
+        return http_client.FullResponse(sent.reply.status, sent.reply.headers, body)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -490,7 +492,7 @@
         self._exchange = exchange
         self._leave = leave
 
-    async def send_to(self, sink: http_server.Sink) -> None:
+    async def send_to(self, sink: http_server.BodyWriter) -> None:
         """Relay the answer."""
         await self._dispatcher.relay(self._job, self._exchange, sink)
 
@@ -502,7 +504,7 @@
             self._leave()
 
 
-def grant_again(granted: http_client.LastCheck) -> http_client.LastCheck:
+def grant_again(granted: http_client.PreSendCheck) -> http_client.PreSendCheck:
     """Let a granted call be sent again for a short time.
 
     The dispatcher sends a keyed call again only after an engine answered that it
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -113,7 +113,7 @@
             self.peers,
             self._owned_items,
             self.rng,
-            session.Place(*cfg.rpc_address, cfg.zone),
+            session.NodeAddress(*cfg.rpc_address, cfg.zone),
             reads_sessions=False,
         )
         self.keeper.on_sessions = self.lease.take_sessions
@@ -186,7 +186,7 @@
         self.shard = cache.Shard(INDEX_BYTES)
         self.shard.register(self.peers)
         self.directory = cache.Directory(self.peers)
-        self.backlog = prefill.Backlog()
+        self.backlog = prefill.PrefillBacklog()
         self.feeds = feeds.Feeds(self.pool, self.directory, self._read_here)
         self.transfers = transfers.Transfers(
             self.pool,
@@ -226,7 +226,7 @@
             grants=self.slots,
             is_suspect=self._is_suspect,
             suspects_at=lambda _: 0,
-            chooser=route.ByCost(route.MODES[cfg.mode]),
+            chooser=route.LowestCost(route.MODES[cfg.mode]),
             rng=self.rng,
             backlog=self.backlog,
         )
@@ -370,7 +370,7 @@
         if inst is None:
             return
         for _ in range(action.count):
-            await self.pool.warm((inst.host, inst.port))
+            await self.pool.preconnect((inst.host, inst.port))
 
     def _connection_closed(self, addr: http_client.Address) -> None:
         now = trio.current_time()
@@ -468,7 +468,7 @@
             lines.warning(LOG, "request_cut", **dataclasses.asdict(request))
         for call in orders:
             lines.warning(LOG, "order_cut", **dataclasses.asdict(call))
-        await callers.cut()
+        await callers.abort()
         await self.orders.cut()
 
 
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -58,7 +58,7 @@
         running=wire.running,
         waiting=wire.waiting,
         seq=wire.seq,
-        made_at=asked_at - admission.CLOCK_RATIO * wire.age_s,
+        made_at=asked_at - admission.MAX_CLOCK_RATE_RATIO * wire.age_s,
         weight_version=wire.weight_version,
     )
 
@@ -200,7 +200,7 @@
             (inst.host, inst.port), "GET", "/load", timeout_s=LOAD_TIMEOUT_S
         )
         full = await self.pool.fetch(call, MAX_REPORT_BYTES)
-        if not isinstance(full, http_client.Full):
+        if not isinstance(full, http_client.FullResponse):
             return
         try:
             wire = msgspec.json.decode(full.body, type=WireReport)
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -142,7 +142,7 @@
 
     def store_age_s(self, name: str) -> float:
         """Return the age of what is known of a store of KV cache, in seconds."""
-        return clock.now() - self._beliefs.index.shelves[name].polled_at
+        return clock.now() - self._beliefs.index.store_states[name].polled_at
 
     @property
     def members(self) -> int:
@@ -225,7 +225,7 @@
 
     async def cut(self) -> None:
         """Close the connections of callers that are left."""
-        await self._callers.cut()
+        await self._callers.abort()
 
     async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
         return http_server.Response(OK if self.is_ready else UNAVAILABLE)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -127,12 +127,14 @@
         )
         service = known.pick_service(route, ask.request_id)
         budget = self._budgets.setdefault(service, retry.Budget())
-        retry.note_request(budget, self._policy())
+        retry.record_request(budget, self._policy())
         return job.Job(ask, route, team, service, now, now + wait_s)
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
-        return retry.share(bounds.retry_part, bounds.retry_extra, self._beliefs.nodes)
+        return retry.node_share(
+            bounds.retry_part, bounds.retry_extra, self._beliefs.nodes
+        )
 
     async def _answer(self, work: job.Job) -> http_server.Response:
         while True:
@@ -141,21 +143,21 @@
                 return self._refuse(work, pick)
             outcome = await self._attempt(work, pick, work.ask.resume_after)
             decision = self._decide(work, outcome)
-            if decision is attempt.Next.TRY_AGAIN:
+            if decision is attempt.Action.TRY_AGAIN:
                 continue
-            if decision is attempt.Next.DELIVER and outcome.reply is not None:
+            if decision is attempt.Action.DELIVER and outcome.reply is not None:
                 return self._stream(work, outcome)
-            if decision is attempt.Next.DELIVER and outcome.response is not None:
+            if decision is attempt.Action.DELIVER and outcome.response is not None:
                 is_good = outcome.response.status < SERVER_ERROR
                 self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
-            if decision is attempt.Next.REFUSE:
+            if decision is attempt.Action.REFUSE:
                 return self._refuse(
                     work, self._selector.turned_away(work, outcome.reason)
                 )
             return self._fail(work, outcome)
 
-    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Next:
+    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
         work.history.add(outcome.result)
         self._stats.attempts.labels(work.service, outcome.result.value).inc()
         if outcome.visit is not None:
@@ -164,7 +166,7 @@
                 outcome.visit.entry["reason"] = outcome.reason
         is_last = outcome.result is attempt.Result.ANSWERED
         may_try = not is_last and self._could_retry(work)
-        has_budget = may_try and retry.try_retry(
+        has_budget = may_try and retry.try_acquire(
             self._budgets[work.service], clock.now(), self._policy()
         )
         return attempt.decide(
@@ -176,7 +178,7 @@
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
-        return decision is attempt.Next.TRY_AGAIN
+        return decision is attempt.Action.TRY_AGAIN
 
     async def _attempt(
         self, work: job.Job, pick: choice.Choice, resume_after: str | None
@@ -188,13 +190,13 @@
         entry = pick.upstream.entry
         shared = choice.shared_part(work.ask.parts)
         visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
-        reply: http_client.Reply | None = None
+        reply: http_client.StreamingResponse | None = None
         outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
         try:
             with trio.move_on_after(self._patience_s(work, pick)):
-                sent = await self._pool.send(call, self._last_check(work, pick))
-                if isinstance(sent, http_client.Reply):
+                sent = await self._pool.send(call, self._pre_send_check(work, pick))
+                if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
                     visit.hear(clock.now())
                     outcome = await self._read(work, visit, reply, resume_after)
@@ -222,7 +224,7 @@
         ask = work.ask
         upstream = pick.upstream
         work.tried.add(upstream.entry.id)
-        choice.note_sent(upstream, now)
+        choice.record_sent(upstream, now)
         plan = kv_index.NO_PLAN
         version = upstream.versions.get(ask.model) if ask.model else None
         key_salt = ""
@@ -245,7 +247,7 @@
             resume_after,
         )
         call = self._dialect.call(ask, orders, upstream.entry.addr)
-        if work.route.repeat is catalog.Repeat.AT_MOST_ONCE:
+        if work.route.repeat is catalog.RepeatPolicy.AT_MOST_ONCE:
             call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
         entry: dict[str, object] = {
             "upstream": upstream.entry.id,
@@ -268,16 +270,18 @@
         visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
         if any(plan.targets):
             visit.on_not_run = functools.partial(
-                self._beliefs.index.withdraw, plan, ask.parts, key_salt
+                self._beliefs.index.cancel_saves, plan, ask.parts, key_salt
             )
         return visit, call
 
     def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
         capacity = self._beliefs.held_tokens(upstream)
         for part in ask.parts[:-1]:
-            upstream.note_held(part.id, part.tokens, capacity)
+            upstream.add_cached_part(part.id, part.tokens, capacity)
 
-    def _last_check(self, work: job.Job, pick: choice.Choice) -> http_client.LastCheck:
+    def _pre_send_check(
+        self, work: job.Job, pick: choice.Choice
+    ) -> http_client.PreSendCheck:
         """Return the check that comes right before the first byte is sent."""
         entry = pick.upstream.entry
 
@@ -302,18 +306,18 @@
         if work.history.runs + 1 >= work.route.max_attempts:
             return left_s
         match work.route.repeat:
-            case catalog.Repeat.IDEMPOTENT:
+            case catalog.RepeatPolicy.IDEMPOTENT:
                 return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
-            case catalog.Repeat.RESUMABLE:
-                return min(left_s, FIRST_EVENT_S + pick.first_s)
-            case catalog.Repeat.AT_MOST_ONCE:
+            case catalog.RepeatPolicy.RESUMABLE:
+                return min(left_s, FIRST_EVENT_S + pick.ttft_s)
+            case catalog.RepeatPolicy.AT_MOST_ONCE:
                 return left_s
 
     async def _read(
         self,
         work: job.Job,
         visit: job.Visit,
-        reply: http_client.Reply,
+        reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
         verdict = self._dialect.judge(work.ask, reply.status, reply.headers)
@@ -324,7 +328,7 @@
             reason = f"turned away with {reply.status}"
             if verdict.is_other_instance:
                 reason += ", another instance or version"
-            return job.Outcome(attempt.Result.TURNED_AWAY, reason)
+            return job.Outcome(attempt.Result.REJECTED, reason)
         if not verdict.is_own:
             reason = f"status {reply.status} without signature or with another id"
             return job.Outcome(attempt.Result.LOST, reason)
@@ -342,7 +346,10 @@
         return job.Outcome(attempt.Result.ANSWERED, response=response)
 
     async def _read_first(
-        self, visit: job.Visit, reply: http_client.Reply, resume_after: str | None
+        self,
+        visit: job.Visit,
+        reply: http_client.StreamingResponse,
+        resume_after: str | None,
     ) -> job.Outcome:
         """Read a stream up to its first whole event."""
         splitter = sse.Splitter(resume_after)
@@ -369,13 +376,13 @@
         now = clock.now()
         if verdict.load is not None:
             running, waiting, _ = verdict.load
-            load = fleet.LoadNote(running, waiting, upstream.running, now)
-            self._beliefs.fleet.note_load(upstream, load)
+            load = fleet.LoadReport(running, waiting, upstream.running, now)
+            self._beliefs.fleet.record_load(upstream, load)
         if verdict.cold_s is not None and verdict.cold_s > 0:
             upstream.cold_until = now + verdict.cold_s
         model = work.ask.model
         if model and verdict.version is not None:
-            upstream.note_version(model, verdict.version)
+            upstream.set_version(model, verdict.version)
         if not verdict.is_turned_away:
             return
         if verdict.is_other_instance and model:
@@ -391,7 +398,7 @@
         """Take that the upstream does not serve the version it was taken to serve."""
         named = self._beliefs.named.get(model)
         if named is not None and upstream.versions.get(model, 0) < named.version:
-            upstream.note_version(model, named.version)
+            upstream.set_version(model, named.version)
         else:
             upstream.switching_until = now + SWITCHING_S
 
@@ -409,8 +416,8 @@
                 failures=upstream.connect_failures,
                 reason=outcome.reason,
             )
-        elif outcome.result is not attempt.Result.TURNED_AWAY:
-            upstream.note_outcome(outcome.result is attempt.Result.LOST, now)
+        elif outcome.result is not attempt.Result.REJECTED:
+            upstream.record_outcome(outcome.result is attempt.Result.LOST, now)
 
     def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         assert outcome.reply is not None
@@ -424,7 +431,7 @@
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
-            if self._decide(work, lost) is not attempt.Next.TRY_AGAIN:
+            if self._decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
             pick = await self._selector.pick(work)
             if isinstance(pick, refusal.Refusal):
@@ -451,7 +458,7 @@
         return self._dialect.refuse(work.ask, reason)
 
     def _fail(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
-        is_late = work.left_s() <= attempt.MIN_LEFT_S
+        is_late = work.left_s() <= attempt.MIN_REMAINING_S
         kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
         self._finish(work, "failed", outcome.reason, kind.code)
         reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -63,8 +63,8 @@
     ) -> load.Verdict:
         """Judge a send; the script's verdicts withhold it."""
         fault = self.faults[0] if self.faults else self.rest
-        is_last_check = conn_opened_at >= 0
-        if fault != "cold" and (fault != "withheld" or not is_last_check):
+        is_pre_send_check = conn_opened_at >= 0
+        if fault != "cold" and (fault != "withheld" or not is_pre_send_check):
             return load.Allowed()
         del self.faults[:1]
         if fault == "cold":
@@ -125,7 +125,7 @@
         for upstream in self.upstreams:
             if upstream.instance.id not in job.excluded:
                 chain = block.Chain((), 3, "c")
-                return dispatch.Choice(upstream, "w1", chain, index.Found())
+                return dispatch.Choice(upstream, "w1", chain, index.PrefixLocations())
         return refusal.refuse(refusal.NO_UPSTREAM, "all engines were tried")
 
     def sent(self, choice: dispatch.Choice, run_id: str) -> None:
@@ -262,7 +262,7 @@
         self.drained = drained
         self._has_rest = False
 
-    def offer(self, part: bytes) -> bool:
+    def write_nowait(self, part: bytes) -> bool:
         assert not self._has_rest, "offered a part before the rest was drained"
         self.received += part
         self.offers += 1
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -243,7 +243,7 @@
     class Pool:
         async def fetch(
             self, call: http_client.Call, limit_bytes: int
-        ) -> http_client.Full | http_client.Lost:
+        ) -> http_client.FullResponse | http_client.Lost:
             name = f"u{call.addr[1]}"
             if name in silent:
                 await trio.sleep(call.timeout_s)
@@ -253,7 +253,7 @@
             body = msgspec.json.encode(
                 {"boot_id": "x", "seq": len(reads), "running": running}
             )
-            return http_client.Full(200, {}, body)
+            return http_client.FullResponse(200, {}, body)
 
     upstreams = {
         f"u{port}": table.Upstream(dataclasses.replace(builders.INSTANCE, port=port))
@@ -355,7 +355,7 @@
 
     class Pool:
         async def send(
-            self, call: http_client.Call, last_check: http_client.LastCheck
+            self, call: http_client.Call, pre_send_check: http_client.PreSendCheck
         ) -> http_client.NotSent:
             return http_client.NotSent("nobody listens")
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -27,7 +27,7 @@
         self.has_no_slot = False
 
     async def send(
-        self, last_check: http_client.LastCheck, send_by: float
+        self, pre_send_check: http_client.PreSendCheck, send_by: float
     ) -> order.Sent:
         if self.has_no_slot:
             await trio.sleep_until(send_by)
@@ -35,14 +35,14 @@
         await trio.sleep(self.before_check_s)
         if self.broken == "before":
             raise RuntimeError("broken")
-        if not last_check(0.0):
+        if not pre_send_check(0.0):
             return claim.NotSent(DOWN)
         self.runs += 1
         await trio.sleep(self.delay_s)
         if self.broken == "after":
             raise RuntimeError("broken")
         body = str(self.runs).encode() * self.size
-        return claim.Delivered(claim.Answer(201, {"x": "y"}, body))
+        return claim.Delivered(claim.Response(201, {"x": "y"}, body))
 
 
 class Cluster:
@@ -227,7 +227,7 @@
     node = cluster.nodes["b"]
     verdict = claim.Verdict.NOT_RUN
     settle = await node.settle("team", "key", verdict, "operator")
-    assert isinstance(settle, claim.NotOpen)
+    assert isinstance(settle, claim.NotSettleable)
     await cluster.revoke("a")
     assert code(await cluster.call("b")) == "outcome_unknown unknown"
     page = await node.open_claims("team")
@@ -237,7 +237,9 @@
     assert isinstance(settle, claim.TooEarly)
     await trio.sleep(settle.wait_s)
     assert await node.settle("team", "key", verdict, "op") == order.Settled(verdict)
-    assert isinstance(await node.settle("team", "key", verdict, "op"), claim.NotOpen)
+    assert isinstance(
+        await node.settle("team", "key", verdict, "op"), claim.NotSettleable
+    )
     assert cluster.upstream.runs == 1
     assert isinstance(await cluster.call("b"), order.Answer)
     assert cluster.upstream.runs == 2
@@ -357,15 +359,17 @@
     port = await nursery.start(http_server.Server(handler).serve, "127.0.0.1", 0)
     pool = http_client.Pool()
 
-    async def send(last_check: http_client.LastCheck, send_by: float) -> order.Sent:
+    async def send(
+        pre_send_check: http_client.PreSendCheck, send_by: float
+    ) -> order.Sent:
         call = http_client.Call(("127.0.0.1", port), "POST", "/x", body=b"b")
-        match await pool.fetch(call, last_check=last_check):
-            case http_client.Full(status, headers, body):
-                return claim.Delivered(claim.Answer(status, headers, body))
+        match await pool.fetch(call, pre_send_check=pre_send_check):
+            case http_client.FullResponse(status, headers, body):
+                return claim.Delivered(claim.Response(status, headers, body))
             case http_client.NotSent() | http_client.Withheld():
                 return claim.NotSent(DOWN)
         lost = refusal.refuse(refusal.UPSTREAM_LOST, "cut", refusal.RunState.UNKNOWN)
-        return claim.Unclear(lost)
+        return claim.OutcomeUnknown(lost)
 
     cluster = Cluster(nursery)
     await cluster.start("a")
--- a/tests/world.py
+++ b/tests/world.py
@@ -25,7 +25,7 @@
         old = self.rows.get(place)
         found = step.ABSENT if old is None else old[0]
         if found != write.expect:
-            return step.Refused()
+            return step.PreconditionFailed()
         if write.table == ownership.TABLE:
             number = 0 if old is None else old[1].fencing
             assert write.content is not None, "owner rows are not deleted"
@@ -39,15 +39,15 @@
 
     def perform(self, taken: step.Write | step.Read, fault: str) -> object:
         if fault == "down":
-            return step.Silent("down", maybe_applied=False)
+            return step.NoAnswer("down", maybe_applied=False)
         if isinstance(taken, step.Write):
             if fault == "late":
                 self.late.append(taken)
-                return step.Silent("late")
+                return step.NoAnswer("late")
             outcome = self.apply(taken)
-            return step.Silent("lost") if fault == "lost" else outcome
+            return step.NoAnswer("lost") if fault == "lost" else outcome
         if fault:
-            return step.Silent("lost")
+            return step.NoAnswer("lost")
         row = self.rows.get((taken.table, taken.key))
         return step.Missing() if row is None else step.Found(*row)
 
@@ -68,8 +68,8 @@
         self.lease = session.Lease(self.id, self.process)
         self.ledger = claim.Ledger(self.process)
         me = ownership.Process(self.id, self.process)
-        self.owners = ownership.Owners(me, self.lease)
-        self.unlisted = ownership.Unlisted()
+        self.owners = ownership.OwnerRows(me, self.lease)
+        self.unlisted = ownership.InstanceListView()
         self.watch = session.Watch()
 
 
@@ -141,10 +141,10 @@
         listed = recent[0] if lagging else self.listed
         holders = {
             seen.row.outage_holder.node
-            for seen in node.owners.seen.values()
+            for seen in node.owners.known_rows.values()
             if seen.row.outage_holder
         }
-        ownership.observe_list(
+        ownership.observe_instance_list(
             node.unlisted, listed, holders, node.id, self.clock(node)
         )
 
@@ -192,7 +192,7 @@
         event = yield Scan(ownership.TABLE)
         if isinstance(event.outcome, dict):
             for key, row in event.outcome.items():
-                ownership.note(node.owners, key, *row, event.now)
+                ownership.observe_row(node.owners, key, *row, event.now)
 
     def settle_flow(self, key: str, wall: float) -> Flow:
         place = claim.row_key("team", key)
@@ -221,17 +221,17 @@
         elif isinstance(taken, Scan):
             silent = self.store_fault(node, fault)
             rows = self._rows(taken.table)
-            task.outcome = step.Silent("lost") if silent else rows
+            task.outcome = step.NoAnswer("lost") if silent else rows
         elif isinstance(taken, claim.Dispatch):
             task.granted = node.ledger.grant(taken.nonce, self.clock(node))
             task.outcome = "granted" if task.granted else "withheld"
-        elif isinstance(taken, claim.Ask):
+        elif isinstance(taken, claim.QueryStatus):
             task.outcome = self._ask(node, taken, fault)
         elif isinstance(taken, claim.LookUpSession):
             read = step.Read(session.TABLE, taken.session, session.Row)
             found = self._store_step(node, read, fault)
             gone = isinstance(found, step.Missing)
-            task.outcome = claim.SessionGone() if gone else claim.SessionLives()
+            task.outcome = claim.SessionEnded() if gone else claim.SessionMayExist()
         else:
             task.outcome = "done"
 
@@ -264,11 +264,11 @@
         rows = self.store.rows.items()
         return {key: row for (place, key), row in rows if place == table}
 
-    def _ask(self, asker: Node, ask: claim.Ask, fault: str) -> object:
+    def _ask(self, asker: Node, ask: claim.QueryStatus, fault: str) -> object:
         for node in self.alive():
             if node.id == ask.node and not (self.cut(node) or self.cut(asker) or fault):
-                return claim.Told(*node.ledger.status(ask.process, ask.nonce))
-        return claim.NotReached()
+                return claim.StatusReply(*node.ledger.status(ask.process, ask.nonce))
+        return claim.Unreachable()
 
     def _send(self, task: Task, nonce: str, fault: str) -> object:
         if not task.granted:
@@ -278,11 +278,11 @@
         task.sent += 1
         self.runs[task.key].append(nonce)
         if fault:
-            return claim.Unclear(refusal.refuse(refusal.UPSTREAM_LOST, "cut"))
-        return claim.Delivered(claim.Answer(200, {}, nonce.encode()))
+            return claim.OutcomeUnknown(refusal.refuse(refusal.UPSTREAM_LOST, "cut"))
+        return claim.Delivered(claim.Response(200, {}, nonce.encode()))
 
     def _check_result(self, task: Task, result: object) -> None:
-        if isinstance(result, claim.Answer):
+        if isinstance(result, claim.Response):
             assert [result.body.decode()] == self.runs[task.key], "one answer"
         elif isinstance(result, refusal.Refusal):
             if result.run_state is refusal.RunState.NOT_RUN:
@@ -294,12 +294,13 @@
         """Assert what must hold at every moment."""
         for key, runs in self.runs.items():
             assert len(runs) <= 1, f"key {key} ran {len(runs)} times"
-        items = {key for node in self.alive() for key in node.owners.seen}
+        items = {key for node in self.alive() for key in node.owners.known_rows}
         for item in items:
             owners = [
                 node.id
                 for node in self.alive()
-                if ownership.fencing(node.owners, item, self.clock(node)) is not None
+                if ownership.fencing_token(node.owners, item, self.clock(node))
+                is not None
             ]
             assert len(owners) <= 1, f"{item} has the owners {owners}"
             holders = [
