Reword admission and its tests

Renamed inside admission: _hold_s -> _slot_lifetime_s, parameter ask -> request and locals; in the tests: Req -> Request, Conn -> Connection, rare -> change_environment, wake -> resume.

--- a/packages/snipelug-core/src/snipelug_core/admission.py
+++ b/packages/snipelug-core/src/snipelug_core/admission.py
@@ -1,9 +1,10 @@
-"""Cold-start slots of an upstream: accounting by their holder, use by requesters.
+"""Admission of requests to an upstream in cold start by means of slots.
 
-An upstream sustains ``cold_limit`` concurrent requests while cold. Its slots are
-divided into two parts with separate holders: the leased part (``cold_limit - 1``)
-of the node whose session owns the upstream, and the outage part (1). A holder
-counts a slot as used from the grant until the request has surely ended.
+An upstream in cold start sustains ``cold_limit`` concurrent requests. Its slots are
+divided into two parts, each granted by one node: the leased part (``cold_limit - 1``)
+by the node whose session owns the upstream, and the outage part (1) by its outage
+holder, which needs no lease. A holder counts a slot as used from the grant until the
+request has certainly ended.
 """
 
 import collections.abc
@@ -14,32 +15,36 @@
 from snipelug_core import table
 
 MAX_CLOCK_RATE_RATIO = 1.1
-"""Bound on the ratio of the rates of any two nodes' clocks."""
+"""Upper bound on the ratio of the clock rates of any two nodes."""
 
 GRANT_VALID_S = 3.0
-"""Time from before a grant is asked for until the last moment to send, in seconds."""
+"""Validity of a grant in seconds, counted from before the request for it was sent."""
 
 MAX_SEND_DELAY_S = 10.0
-"""Longest time from a requester's last check to the arrival of its request at the
-upstream for which the limit holds. It covers a paused process and a slow link."""
+"""Longest delay, in seconds, between a requester's last check and the arrival of its
+request at the upstream for which the limit is guaranteed. It covers a paused process
+and a slow link."""
 
 MAX_DURATION_S = 600.0
-"""Longest time from asking for a grant to the end of the request, in seconds."""
+"""Longest time from the request for a slot to the end of the upstream request, in
+seconds."""
 
 ARRIVAL_BOUND_S = MAX_CLOCK_RATE_RATIO * (GRANT_VALID_S + MAX_SEND_DELAY_S)
-"""Time after which a granted request has arrived at the upstream or never will."""
+"""Time after a grant, in seconds, by which its request has reached the upstream or
+never will."""
 
 TOMBSTONE_S = 60.0
-"""Time for which a release is remembered, so that a grant request that arrives
-after its own release takes no slot."""
+"""Time in seconds for which a release is remembered, so that a slot request that
+arrives after its own release takes no slot."""
 
 
 class PartName(enum.StrEnum):
     """Parts of the slots of one upstream.
 
-    ``SUSPECT`` is one further slot, of the leased part's holder, for requests that
-    were running when another upstream died. It is needed warm or cold, besides a
-    cold-start slot where the upstream is cold.
+    ``SUSPECT`` is one additional slot, granted by the holder of the leased part, for
+    requests that were running when another upstream died. Such a request needs it
+    whether the upstream is warm or cold, in addition to a cold-start slot if it is
+    cold.
     """
 
     LEASED = "leased"
@@ -54,9 +59,9 @@
     Attributes
     ----------
     nonce : str
-        Never used for another slot.
+        Identifies the slot; never reused for another one.
     duration_s : float
-        Time from asking to the latest end of the request, in seconds.
+        Time from this request to the latest end of the upstream request, in seconds.
     local : bool
         The requester is the holder's own process.
     """
@@ -68,7 +73,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Granted:
-    """The requester may send one request within `GRANT_VALID_S` of its asking."""
+    """The requester may send one request within `GRANT_VALID_S` of asking."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -86,12 +91,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotHolder:
-    """The asked node does not hold the part now."""
+    """The node does not currently hold the part."""
 
 
 @dataclasses.dataclass(frozen=True)
 class AlreadyReleased:
-    """The requester already released this nonce."""
+    """The requester has already released the slot with this nonce."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -101,7 +106,7 @@
     Attributes
     ----------
     limit_s : float
-        Longest duration accepted, in seconds.
+        Longest accepted duration, in seconds.
     """
 
     limit_s: float
@@ -112,7 +117,7 @@
 
 @dataclasses.dataclass
 class Slot:
-    """One slot in use.
+    """A slot in use.
 
     Attributes
     ----------
@@ -121,10 +126,12 @@
     released_at : float
         Time of the release; infinite while the slot is in use.
     local : bool
-        In use by the holder's own process. Such a slot ends by its release only: a
-        process that was paused right before it sent must find its slot in use.
+        Used by the holder's own process. Such a slot does not expire and is freed only
+        by its release: if the process is paused right before it sends, the slot must
+        still be counted when it resumes.
     arrived_at : float
-        Time by which the request is known to have arrived; infinite if unknown.
+        Time by which the request is known to have reached the upstream; infinite if
+        unknown.
     """
 
     granted_at: float
@@ -136,20 +143,21 @@
 
 @dataclasses.dataclass
 class Part:
-    """One part of an upstream's slots, in the memory of its holder.
+    """One part of an upstream's slots, kept in its holder's memory.
 
     Attributes
     ----------
     name : PartName
         Which part.
     held : bool
-        Whether this process began to hold the part and did not end it.
+        Whether this process holds the part.
     slots : dict of str to Slot
         Slots in use, by nonce.
     released : dict of str to Slot
-        Slots released lately, and nonces released before they were asked for.
+        Recently released slots by nonce, including releases that arrived before their
+        slot request.
     report : LoadReport or None
-        Newest load report of the upstream.
+        Latest load report of the upstream.
     """
 
     name: PartName
@@ -160,27 +168,27 @@
 
 
 def capacity(name: PartName, cold_limit: int) -> int:
-    """Return the number of slots of a part of an upstream's limit while cold."""
+    """Return the number of slots in a part, given the upstream's cold limit."""
     return cold_limit - 1 if name is PartName.LEASED else 1
 
 
 def start_holding(part: Part, cold_limit: int, now: float, had_holder: bool) -> None:
-    """Start to hold a part.
+    """Start holding a part.
 
-    Grants of an earlier holder may still be in use. Each slot counts as used until
-    load reports made `ARRIVAL_BOUND_S` after this moment show otherwise, or until no grant
-    of the earlier holder can be running.
+    Grants of a previous holder may still be in use. Each slot therefore counts as used
+    until a load report made at least `ARRIVAL_BOUND_S` from now shows otherwise, or
+    until no request granted by the previous holder can still be running.
 
     Parameters
     ----------
     part : Part
-        Changed in place.
+        Modified in place.
     cold_limit : int
         Concurrent requests that the upstream sustains while cold.
     now : float
-        Monotonic time, in seconds, after the holder's row was written.
+        Monotonic time, in seconds, after the row that names the holder was written.
     had_holder : bool
-        False only if the row did not exist before this node inserted it.
+        False only if this node inserted the row and it did not exist before.
     """
     part.held = True
     part.slots.clear()
@@ -192,22 +200,23 @@
 
 
 def stop_holding(part: Part) -> None:
-    """Stop to hold a part; before its row is handed over."""
+    """Stop holding a part; call it before the row is handed over."""
     part.held = False
 
 
 def apply_report(part: Part, report: table.LoadReport) -> None:
-    """Take the newest load report of the upstream.
+    """Update a part with the latest load report of the upstream.
 
-    An idle upstream shows that every request that must have arrived has ended. A
-    warm one needs no slots for them any more, but for suspects.
+    A report of an idle upstream proves that all requests that must have arrived by then
+    have ended. A warm upstream no longer needs slots for those requests, except for
+    suspect requests.
     """
     part.report = report
     is_warm = report.state is table.Warmth.WARM and part.name is not PartName.SUSPECT
     if report.running + report.waiting > 0 and not is_warm:
         return
-    settled = [n for n, slot in part.slots.items() if _has_arrived(slot, report)]
-    for nonce in settled:
+    ended = [n for n, slot in part.slots.items() if _has_arrived(slot, report)]
+    for nonce in ended:
         del part.slots[nonce]
 
 
@@ -219,90 +228,92 @@
 def count_used(part: Part, cold_limit: int) -> int:
     """Count the slots of a part that are, or may be, in use.
 
-    Of the slots whose requests arrived before the newest report was made, at most
-    as many are in use as that report counts requests. Requests in the report that
-    neither part granted count as used as well: they were sent while the upstream
-    was warm. Those that a warm upstream runs are no part of a cold start.
+    Among slots whose requests arrived before the latest report was made, no more are in
+    use than that report counts requests. Requests in the report that neither part
+    granted also count as used: they were sent while the upstream was warm. Requests
+    that a warm upstream runs do not count towards a cold start.
     """
     report = part.report
     is_suspect = part.name is PartName.SUSPECT
     if report is None or (report.state is table.Warmth.WARM and not is_suspect):
         return len(part.slots)
-    busy = report.running + report.waiting
+    active = report.running + report.waiting
     arrived = sum(_has_arrived(slot, report) for slot in part.slots.values())
-    own = len(part.slots) - arrived + min(arrived, busy)
+    used_by_part = len(part.slots) - arrived + min(arrived, active)
     if is_suspect:
-        return own
+        return used_by_part
     slots = [*part.slots.values(), *part.released.values()]
-    held_then = sum(
+    counted_at_report = sum(
         slot.granted_at <= report.made_at < slot.released_at for slot in slots
     )
-    other_part = cold_limit - capacity(part.name, cold_limit)
-    return own + max(0, busy - held_then - other_part)
+    other_capacity = cold_limit - capacity(part.name, cold_limit)
+    return used_by_part + max(0, active - counted_at_report - other_capacity)
 
 
 def admit(
-    part: Part, ask: SlotRequest, cold_limit: int, now: float, holds_row: bool
+    part: Part, request: SlotRequest, cold_limit: int, now: float, holds_row: bool
 ) -> Decision:
     """Decide on a request for a slot.
 
     Parameters
     ----------
     part : Part
-        Changed in place.
-    ask : Ask
-        The request. Asked again with the same nonce, it gets the same slot.
+        Modified in place.
+    request : SlotRequest
+        The request. A repeated request with the same nonce gets the same slot.
     cold_limit : int
         Concurrent requests that the upstream sustains while cold.
     now : float
         Monotonic time, in seconds.
     holds_row : bool
-        Whether this node holds the part at this moment: for the leased part by an
-        owner row and a lease that is valid on its own clock, for the outage part by
-        being named in the row.
+        Whether this node holds the part at this moment. The leased part requires an
+        owner row and a lease that is valid on this node's clock; the outage part
+        requires that the row names this node as its outage holder.
     """
     _drop_expired(part, now)
     if not (part.held and holds_row):
         return NotHolder()
-    if ask.duration_s > MAX_DURATION_S:
+    if request.duration_s > MAX_DURATION_S:
         return TooLong(MAX_DURATION_S)
-    if ask.nonce in part.released:
+    if request.nonce in part.released:
         return AlreadyReleased()
-    if ask.nonce in part.slots:
+    if request.nonce in part.slots:
         return Granted()
     used = count_used(part, cold_limit)
     if used >= capacity(part.name, cold_limit):
         return Full(used)
-    expires_at = math.inf if ask.local else now + _hold_s(ask.duration_s)
-    part.slots[ask.nonce] = Slot(now, expires_at, local=ask.local)
+    expires_at = (
+        math.inf if request.local else now + _slot_lifetime_s(request.duration_s)
+    )
+    part.slots[request.nonce] = Slot(now, expires_at, local=request.local)
     return Granted()
 
 
-def _hold_s(duration_s: float) -> float:
+def _slot_lifetime_s(duration_s: float) -> float:
     return MAX_CLOCK_RATE_RATIO * (duration_s + MAX_SEND_DELAY_S)
 
 
 def release(
     part: Part, nonce: str, has_ended: bool, now: float, has_arrived: bool = False
 ) -> None:
-    """Take the release of a slot.
+    """Release a slot.
 
     Parameters
     ----------
     part : Part
-        Changed in place.
+        Modified in place.
     nonce : str
-        The nonce under which the slot was asked for.
+        The nonce of the slot request.
     has_ended : bool
-        True if nothing was sent, the answer came to its end, or the upstream was warm
-        after the request arrived. False if the connection was closed before: the
-        upstream may still run the request, and the slot stays in use until it expires
-        or a report shows the upstream idle or warm.
+        True if nothing was sent, the response was complete, or the upstream was warm
+        after the request arrived. False if the connection was closed earlier: the
+        upstream may still be running the request, so the slot stays in use until it
+        expires or a report shows the upstream idle or warm.
     now : float
         Monotonic time, in seconds.
     has_arrived : bool
-        The head of the answer was read, so that a report made from now on tells of
-        this request.
+        The response headers were read, so any report made from now on accounts for this
+        request.
     """
     slot = part.slots.get(nonce)
     if has_ended:
@@ -316,7 +327,7 @@
     if slot.local:
         slot.local = False
         slot.granted_at = now
-        slot.expires_at = now + _hold_s(MAX_DURATION_S)
+        slot.expires_at = now + _slot_lifetime_s(MAX_DURATION_S)
     if has_arrived:
         slot.arrived_at = now
 
@@ -325,7 +336,8 @@
     expired = [nonce for nonce, slot in part.slots.items() if slot.expires_at <= now]
     for nonce in expired:
         del part.slots[nonce]
-    # Releases are kept in the order of their ends; a warm upstream has many.
+    # Releases are ordered by expiry. A warm upstream has many, so stop at the first
+    # one that has not expired.
     while part.released:
         nonce = next(iter(part.released))
         if part.released[nonce].expires_at > now:
@@ -335,7 +347,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Grant:
-    """A slot as its requester holds it.
+    """A granted slot as seen by the requester.
 
     Attributes
     ----------
@@ -353,7 +365,7 @@
 
 
 def is_valid(grant: Grant, now: float) -> bool:
-    """Return whether a request may be sent on the grant; the last step before it."""
+    """Return whether a request may be sent; the last check before sending."""
     return now - grant.asked_at < GRANT_VALID_S
 
 
@@ -364,13 +376,13 @@
     list_asked_at: float,
     row_read_at: float,
 ) -> bool:
-    """Return whether the outage part's holder is gone, so that it may be taken.
+    """Return whether the holder of the outage part is gone, so this node may take it.
 
-    A node takes the part only while the list names its own instance, so the list
-    named the holder before the holder's row was written. A list that was asked for
-    after that row was read and lacks the holder therefore shows its removal, and not
-    a lag in naming a new instance. A node on the holder's own instance replaces the
-    holder's process, which has ended.
+    A node takes the part only while the instance list contains its own instance, so the
+    list contained the holder before the holder's row was written. Therefore, if a list
+    requested after reading that row lacks the holder, its instance was removed; the
+    list is not merely late in showing a new instance. A node on the holder's own
+    instance replaces the holder's process, which has ended.
 
     Parameters
     ----------
@@ -379,7 +391,7 @@
     listed : collection of str
         Ids of the instances in the list.
     list_asked_at, row_read_at : float
-        Monotonic times before the list was asked for and after the row was read, in
+        Monotonic times before the list was requested and after the row was read, in
         seconds.
     """
     if list_asked_at <= row_read_at or own_instance not in listed:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,10 +1,10 @@
-"""Cold-start slots under lapse, take-over, kill, freeze, cut and lost messages.
+"""Cold-start slots under lapsed leases, takeovers, kills, pauses and lost messages.
 
-The model represents the windows that the design names and counts nothing else as
-an exception: a granted request whose process was paused for more than
-`admission.MAX_SEND_DELAY_S` between the last check and the write, and a request that
-was running when a report said warm, before the upstream turned cold silently. Sends
-on a node's allowance (`confirmation.may_send_without_slot`) are not part of the model.
+The model checks that the limit is never exceeded, with two known exceptions: a granted
+request whose process was paused for more than `admission.MAX_SEND_DELAY_S` between the
+last check and the write, and a request that was running when a report said warm, before
+the upstream turned cold without notice. Sends without a slot
+(`confirmation.may_send_without_slot`) are not part of the model.
 """
 
 import dataclasses
@@ -43,14 +43,14 @@
 
 
 @dataclasses.dataclass
-class Conn:
+class Connection:
     opened_at: float
     is_open: bool = True
 
 
 @dataclasses.dataclass
 class Node:
-    """One process; ``proc`` tells the processes of one instance apart."""
+    """One process; ``proc`` distinguishes successive processes of one instance."""
 
     id: str
     proc: int
@@ -68,7 +68,7 @@
         default_factory=dict
     )
     to_begin: set[admission.PartName] = dataclasses.field(default_factory=set)
-    conns: list[Conn] = dataclasses.field(default_factory=list)
+    connections: list[Connection] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.parts = {name: admission.Part(name) for name in PARTS}
@@ -83,9 +83,9 @@
 
 
 @dataclasses.dataclass
-class Req:
+class Request:
     node: Node
-    conn: Conn
+    conn: Connection
     run_s: float
     stage: Stage
     grant: admission.Grant | None
@@ -99,7 +99,7 @@
 
 
 class World:
-    """Nodes, platform and one engine, moved on by ticks of real time."""
+    """Nodes, platform and one engine, advanced in ticks of real time."""
 
     def __init__(self, cold_limit: int, rates: list[float]) -> None:
         self.cold_limit = cold_limit
@@ -109,7 +109,7 @@
         self.sessions: dict[tuple[str, int], int] = {}
         self.owner = self.outage = ("n0", 0)
         self.listed: list[tuple[float, frozenset[str]]] = [(0.0, frozenset())]
-        self.reqs: list[Req] = []
+        self.reqs: list[Request] = []
         self.procs = itertools.count()
         self.nonces = itertools.count()
         self.boot = 0
@@ -133,7 +133,7 @@
         self.sessions[node.key] = 0
         self.listed.append((self.now, frozenset(self.nodes)))
 
-    def running(self) -> list[Req]:
+    def running(self) -> list[Request]:
         return [req for req in self.reqs if req.stage is Stage.RUNNING]
 
     def tick(self, count: int) -> None:
@@ -193,7 +193,7 @@
 
     def poll(self, node: Node, now: float) -> None:
         at, boot, seq, state, busy = self.reports[-1 - LAG_TICKS :][0]
-        # Ticks make reports and sends coincide, which rounding must not order.
+        # Reports and sends coincide on ticks; rounding errors must not order them.
         made_at = now - admission.MAX_CLOCK_RATE_RATIO * (self.now - at) - ROUNDING_S
         report = table.LoadReport(str(boot), state, busy, 0, seq, made_at)
         if load.accept_report(node.upstream, report, now):
@@ -205,7 +205,7 @@
                     self.confirm(req, req.sent, report)
 
     def confirm(
-        self, req: Req, sent: confirmation.SentRequest, report: table.LoadReport
+        self, req: Request, sent: confirmation.SentRequest, report: table.LoadReport
     ) -> None:
         if req.holder is None or not confirmation.is_confirmed(sent, report):
             return
@@ -215,25 +215,25 @@
 
     def ask(
         self, node: Node, holder: Node, part: admission.PartName, run_s: float
-    ) -> Req | None:
-        """Start a request; it needs a grant also if the upstream counts as warm."""
+    ) -> Request | None:
+        """Start a request; it needs a grant even if the upstream counts as warm."""
         now = node.clock(self.now)
-        conn = next((c for c in node.conns if c.is_open), Conn(now))
-        if any(not c.is_open for c in node.conns):
+        conn = next((c for c in node.connections if c.is_open), Connection(now))
+        if any(not c.is_open for c in node.connections):
             load.mark_closed(node.upstream, now)
-            node.conns = [c for c in node.conns if c.is_open]
+            node.connections = [c for c in node.connections if c.is_open]
         tried_at = node.list_tried_at
         verdict = load.may_send(node.upstream, CFG, conn.opened_at, now, tried_at)
         if isinstance(verdict, load.Barred):
             return None
         nonce = str(next(self.nonces))
         grant = admission.Grant("u1", part, holder.id, nonce, now)
-        req = Req(node, conn, run_s, Stage.ASKED, grant, holder)
+        req = Request(node, conn, run_s, Stage.ASKED, grant, holder)
         self.reqs.append(req)
         return req
 
-    def advance(self, req: Req, until: Stage) -> None:
-        """Move a request on to a stage if its node and the network allow it."""
+    def advance(self, req: Request, until: Stage) -> None:
+        """Advance a request up to a stage, as far as its node and the network allow."""
         while req.stage < until and not req.node.frozen:
             before = req.stage
             if before is Stage.ASKED:
@@ -247,7 +247,7 @@
             if req.stage is before:
                 return
 
-    def connected(self, req: Req) -> bool:
+    def connected(self, req: Request) -> bool:
         holder = req.holder
         if holder is None or self.nodes.get(holder.id) is not holder:
             return False
@@ -255,7 +255,7 @@
             return True
         return not (holder.frozen or holder.cut_peers or req.node.cut_peers)
 
-    def deliver_ask(self, req: Req) -> None:
+    def deliver_ask(self, req: Request) -> None:
         grant, holder = req.grant, req.holder
         if grant is None or holder is None or not self.connected(req):
             return
@@ -269,7 +269,7 @@
         is_granted = isinstance(decision, admission.Granted)
         req.stage = Stage.GRANTED if is_granted else Stage.DONE
 
-    def check(self, req: Req) -> None:
+    def check(self, req: Request) -> None:
         node = req.node
         now = node.clock(self.now)
         tried_at = node.list_tried_at
@@ -284,7 +284,7 @@
         else:
             self.finish(req, is_answered=True)
 
-    def write(self, req: Req) -> None:
+    def write(self, req: Request) -> None:
         if not req.conn.is_open or req.node.cut_engine:
             self.finish(req, is_answered=True)
             return
@@ -299,14 +299,14 @@
         is_own = req.grant.part is OUTAGE and req.holder is req.node
         req.is_residual = pause > admission.MAX_SEND_DELAY_S and not is_own
 
-    def finish(self, req: Req, is_answered: bool, is_lost: bool = False) -> None:
+    def finish(self, req: Request, is_answered: bool, is_lost: bool = False) -> None:
         """End a request; its node learns of it and releases the slot if it can."""
         req.stage = Stage.DONE
         grant, holder, node = req.grant, req.holder, req.node
         if grant is None or holder is None:
             return
         is_gone = self.nodes.get(node.id) is not node
-        # A process always tells itself, at the latest when it goes on.
+        # A release to the own process is never lost; a frozen one gets it on resuming.
         is_lost |= node.frozen or not self.connected(req)
         if is_gone or (is_lost and holder is not node):
             return
@@ -324,7 +324,7 @@
                 req.is_residual = True
         if closes:
             for node in self.nodes.values():
-                for conn in node.conns:
+                for conn in node.connections:
                     conn.is_open = False
             for req in self.reqs:
                 req.conn.is_open = False
@@ -364,12 +364,12 @@
         return nodes[number % len(nodes)] if nodes else None
 
     def holders(self, part: admission.PartName) -> list[Node]:
-        """Return the nodes that hold the part or still believe so."""
+        """Return the nodes that hold the part or still assume that they do."""
         return [n for n in self.world.nodes.values() if n.parts[part].held]
 
     @stateful.rule(run_s=st.sampled_from(RUNS_S))
     def fill(self, run_s: float) -> None:
-        """Let every node ask every holder until none grants any more."""
+        """Let every node request slots from every holder until none grants any more."""
         for part in PARTS:
             asks = itertools.product(self.world.nodes.values(), self.holders(part))
             for node, holder in list(asks):
@@ -387,7 +387,7 @@
     def request(
         self, number: int, part: admission.PartName, run_s: float, until: Stage
     ) -> None:
-        """Leave a request at a stage; between check and write the node freezes."""
+        """Leave a request at a stage; between check and write its node is frozen."""
         node = self.pick(number)
         if node is None:
             return
@@ -402,7 +402,7 @@
 
     @stateful.rule(params=DISTURBANCE)
     def disturb(self, params: dict[str, typing.Any]) -> None:
-        """Leave a request at a stage, disturb the holder, fill, then go on."""
+        """Leave a request at a stage, inject a fault, fill all slots, then resume."""
         number, part, event = params["number"], params["part"], params["event"]
         self.request(number, part, params["run_s"], params["until"])
         if event == "hand_over":
@@ -419,13 +419,13 @@
                 self.kill(index, restarts=False, is_noticed=False)
         if event == "replace":
             self.world.tick(6)
-            self.rare("add")
+            self.change_environment("add")
         self.world.tick(params["ticks"])
         self.fill(60.0)
         self.proceed()
-        self.wake()
+        self.resume()
         self.never_more_than_limit()
-        # The first report after waking was made before the late request arrived.
+        # The first report after resuming was made before the late request arrived.
         self.world.tick(1)
         self.fill(60.0)
 
@@ -441,8 +441,8 @@
             node.frozen = True
 
     @stateful.rule()
-    def wake(self) -> None:
-        """Let processes go on; a pending write is the first thing that they do."""
+    def resume(self) -> None:
+        """Resume frozen processes; a pending write is the first thing that they do."""
         frozen = [n for n in self.world.nodes.values() if n.frozen]
         for node in frozen:
             node.frozen = False
@@ -458,7 +458,7 @@
         number=st.integers(0, 9), how=st.sampled_from(["end", "lost", "cancel"])
     )
     def end_request(self, number: int, how: str) -> None:
-        """End a request, or let its node close the connection while it runs on."""
+        """End a request, or close its connection while the upstream runs on."""
         running = self.world.running()
         if not running:
             return
@@ -472,7 +472,7 @@
 
     @stateful.rule(is_lost=st.booleans())
     def give_up(self, is_lost: bool) -> None:
-        """Lose the answer to an ask: the node releases and never sends."""
+        """Lose the reply to a slot request: its node releases and never sends."""
         for req in self.world.reqs:
             if req.stage <= Stage.HELD and not req.node.frozen:
                 self.world.finish(req, is_answered=True, is_lost=is_lost)
@@ -489,17 +489,17 @@
 
     @stateful.rule(
         closes=st.booleans(),
-        opens_conns=st.booleans(),
+        opens_connections=st.booleans(),
         ticks=st.lists(st.sampled_from([1, 2, 3, 40]), max_size=3),
     )
     def warm_and_turn_cold(
-        self, closes: bool, opens_conns: bool, ticks: list[int]
+        self, closes: bool, opens_connections: bool, ticks: list[int]
     ) -> None:
         """Turn cold after bursts; slots in use then count together with later ones."""
         world = self.world
         for node in world.nodes.values():
-            if opens_conns:
-                node.conns.append(Conn(node.clock(world.now)))
+            if opens_connections:
+                node.connections.append(Connection(node.clock(world.now)))
         world.is_cold = False
         world.tick(6)
         self.fill(60.0)
@@ -509,7 +509,7 @@
         world.turn_cold(closes)
 
     @stateful.rule(kind=st.sampled_from(["store", "heal", "add"]))
-    def rare(self, kind: str) -> None:
+    def change_environment(self, kind: str) -> None:
         world = self.world
         if kind == "store":
             world.store_up = not world.store_up
@@ -524,7 +524,7 @@
         number=st.integers(0, 2), restarts=st.booleans(), is_noticed=st.booleans()
     )
     def kill(self, number: int, restarts: bool, is_noticed: bool) -> None:
-        """Restart a process on its instance, or drop the instance from the list."""
+        """Restart a process on its instance, or remove the instance from the list."""
         world = self.world
         nodes = list(world.nodes.values())
         if len(nodes) < 2:
@@ -538,7 +538,7 @@
 
     @stateful.rule(number=st.integers(0, 2), part=st.sampled_from(PARTS))
     def hand_over(self, number: int, part: admission.PartName) -> None:
-        """End a part at its holder, then write the row in the successor's name."""
+        """Stop holding a part at its holder, then write the row for the successor."""
         world = self.world
         node = self.pick(number)
         key = world.owner if part is LEASED else world.outage
@@ -566,12 +566,12 @@
             assert len(counted) <= world.cold_limit
 
     def teardown(self) -> None:
-        """In a store outage a cold upstream gets work through the outage slot."""
+        """Check that in a store outage a cold upstream gets work by the outage slot."""
         if not hasattr(self, "world"):
             return
         world = self.world
         world.store_up = False
-        self.wake()
+        self.resume()
         for node in world.nodes.values():
             node.cut_peers = node.cut_engine = False
         for req in world.reqs:
@@ -602,9 +602,9 @@
 def test_limit_holds_after_few_disturbances(
     cold_limit: int, rates: list[float], disturbances: list[dict[str, typing.Any]]
 ) -> None:
-    """Guards against more than the limit, or no work, after one to three faults.
+    """Guards against exceeding the limit, or a stall, after one to three faults.
 
-    Long runs of the state machine seldom reach these states from a healthy start.
+    Long runs of the state machine rarely reach these states from a healthy start.
     """
     machine = ColdUpstream()
     machine.build(cold_limit, rates)
@@ -628,7 +628,7 @@
 
 
 def test_ask_after_own_release_takes_no_slot() -> None:
-    """Guards against a slot held for a request that its node gave up on."""
+    """Guards against a slot that stays in use after its request was abandoned."""
     part = build_part()
     admission.release(part, "a", True, 1.0)
     decision = admission.admit(part, ASK, 3, 2.0, holds_row=True)
@@ -637,7 +637,7 @@
 
 
 def test_repeated_ask_takes_one_slot() -> None:
-    """Guards against a second slot when an ask is repeated after a lost answer."""
+    """Guards against a second slot when a request is repeated after a lost reply."""
     part = build_part()
     for now in (1.0, 2.0):
         decision = admission.admit(part, ASK, 2, now, holds_row=True)
@@ -656,14 +656,14 @@
 def test_ask_is_declined(
     held: bool, holds_row: bool, duration_s: float, decision: admission.Decision
 ) -> None:
-    """Guards against grants without the row, or longer than a slot is held."""
+    """Guards against grants without the row, or for longer than a slot can be held."""
     ask = admission.SlotRequest("a", duration_s)
     part = build_part(held)
     assert admission.admit(part, ask, 3, 1.0, holds_row) == decision
 
 
 def test_idle_report_frees_slots_for_good() -> None:
-    """Guards against a lost release that counts again once the upstream is busy."""
+    """Guards against a slot with a lost release counting again on a busy upstream."""
     part = build_part()
     admission.admit(part, ASK, 3, 1.0, holds_row=True)
     admission.apply_report(part, build_report(1.0 + admission.ARRIVAL_BOUND_S, 0))
@@ -674,7 +674,7 @@
 
 
 def test_cut_request_that_arrived_ends_with_an_idle_report() -> None:
-    """Guards against slots that stay in use for the time of a late arrival."""
+    """Guards against holding a slot for `ARRIVAL_BOUND_S` after an early arrival."""
     part = build_part()
     admission.admit(part, ASK, 3, 1.0, holds_row=True)
     admission.release(part, "a", False, 2.0, has_arrived=True)
@@ -685,7 +685,7 @@
 
 
 def test_requests_from_warm_time_count() -> None:
-    """Guards against grants on top of what a silently cold upstream still runs."""
+    """Guards against ignoring requests from before an unnoticed turn to cold."""
     part = build_part()
     admission.apply_report(part, build_report(5.0, 3))
     decision = admission.admit(part, ASK, 3, 6.0, holds_row=True)
@@ -712,7 +712,7 @@
 
 
 def test_one_suspect_at_a_time() -> None:
-    """Guards against two suspects on one upstream, and against none on a busy one."""
+    """Guards against two suspect requests on one upstream, and none on a busy one."""
     part = admission.Part(admission.PartName.SUSPECT)
     admission.start_holding(part, 3, 0.0, had_holder=False)
     admission.apply_report(part, build_report(1.0, 30))
