Reword quota and its tests

Renamed inside quota: parameter ask -> request and locals; in the tests: note_unheard -> record_unreported, unheard -> unreported, OLD -> LONG_JOINED_S.

--- a/packages/snipelug-core/src/snipelug_core/quota.py
+++ b/packages/snipelug-core/src/snipelug_core/quota.py
@@ -1,12 +1,13 @@
-"""Contract limits over all nodes: a floor at each node and slices from one owner.
-
-A quarter of each limit is divided evenly between the members as floors, which need
-no owner. The team's owner lends the rest in slices by demand. The sum of all floors
-and slices in force never exceeds the limit while any two clocks' rates differ by less
-than 10%. Requests in flight may outlast a slice, so the owner counts what borrowers
-report. Windows remain for a borrower that is cut off from the owner: what it started on
-slices counts for `IN_FLIGHT_RETENTION_S` at most, not after its session is revoked, and not at a new
-owner that it never reached. Each adds at most the borrower's own last share.
+"""Team limits shared by all nodes: a floor per node and slices lent by one owner.
+
+A quarter of each limit is divided evenly between the members as floors, guaranteed
+shares that need no owner. The team's owner lends the rest in slices according to
+demand. The sum of all floors and slices in force never exceeds the limit while the
+clock rates of any two nodes differ by less than 10%. Requests in flight may outlast a
+slice, so the owner counts those that borrowers report. The in-flight limit can still be
+exceeded when a borrower is cut off from the owner: requests that it started on slices
+count for at most `IN_FLIGHT_RETENTION_S`, not after its session is revoked, and not at
+a new owner that it has never reached. Each case adds at most the borrower's last share.
 """
 
 import collections.abc
@@ -16,43 +17,44 @@
 from snipelug_core import contract
 
 FLOOR_FRACTION = 0.25
-"""Part of each limit that is divided into floors."""
+"""Fraction of each limit that is divided into floors."""
 
 SLICE_LEASE_S = 10.0
-"""Time for which the owner counts a slice as lent, on its clock, in seconds."""
+"""Time for which the owner counts a slice as lent, on the owner's clock, in seconds."""
 
 SLICE_USE_S = 8.0
-"""Time from before a slice is asked for until the borrower stops using it, on its
-clock, in seconds."""
+"""Time for which a borrower may use a slice, counted from before it asked, on the
+borrower's clock, in seconds."""
 
 NEW_OWNER_WAIT_S = 12.0
-"""Time for which a new owner lends nothing, so that earlier slices end, in seconds."""
+"""Time in seconds for which a new owner lends nothing, so earlier slices expire."""
 
 IN_FLIGHT_RETENTION_S = 60.0
-"""Time for which requests in flight of a silent borrower count, in seconds."""
+"""Time for which the in-flight requests of a silent borrower count, in seconds."""
 
 JOIN_WAIT_S = 30.0
-"""Time for which a new member uses no floor, so that all members learn of it and
-reduce their own floors, in seconds."""
+"""Time for which a new member uses no floor, in seconds. Meanwhile all members learn
+of it and reduce their own floors."""
 
 MAX_DEMAND_RATIO = 1.5
-"""Most that a borrower gets as a multiple of its demand; the rest stays free for
-borrowers that did not ask yet."""
+"""Largest slice as a multiple of the borrower's demand, besides the even share. The
+rest stays free for borrowers that have not asked yet."""
 
 EVEN_SHARE_FRACTION = 0.5
-"""Part of the pool from which each borrower gets an even share whatever it asks for,
-so that the request after a quiet moment does not wait for a larger slice."""
+"""Fraction of the pool that is shared evenly between the members regardless of
+demand, so that a request after an idle period does not wait for a larger slice."""
 
 EVEN_SHARE_OF_FREE = 0.25
-"""Most of what is free that an even share takes, so that the next borrower finds some
-also when the owner knows too few members."""
+"""Largest fraction of the free amount that an even share may take. It leaves some
+for the next borrower even if the owner knows too few members."""
 
 REQUEST_INTERVAL_S = 3.0
-"""Time after which a borrower asks again, in seconds. It asks while it has demand, or
-runs requests, above its floor; a new owner so hears of them before it lends."""
+"""Interval between a borrower's slice requests, in seconds. A borrower asks while it
+has demand or running requests above its floor, so a new owner learns of them before
+it lends."""
 
 BURST_S = 1.0
-"""Depth of a rate's bucket, as seconds of that rate."""
+"""Depth of a rate's token bucket, in seconds of that rate."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,7 +74,7 @@
     tokens_per_s: float = 0.0
 
     def plus(self, other: "Amounts") -> "Amounts":
-        """Return the sum."""
+        """Return the sum of both amounts."""
         return Amounts(
             self.in_flight + other.in_flight,
             self.requests_per_s + other.requests_per_s,
@@ -84,14 +86,14 @@
 
 
 def floor(limits: contract.Limits, members: int, joined_for_s: float) -> Amounts:
-    """Return the share that a node may use without an owner.
+    """Return a node's floor: the share that it may use without an owner.
 
     Parameters
     ----------
     limits : Limits
         Limits of the team.
     members : int
-        Highest number of members that this node read or heard of lately.
+        Largest recent number of members that this node has read or received.
     joined_for_s : float
         Time since this node wrote its session row, in seconds.
     """
@@ -106,7 +108,7 @@
 
 
 def pool(limits: contract.Limits) -> Amounts:
-    """Return what the owner may lend in total."""
+    """Return the total amounts that the owner may lend."""
     part = 1.0 - FLOOR_FRACTION
     return Amounts(
         limits.in_flight - int(limits.in_flight * FLOOR_FRACTION),
@@ -124,9 +126,9 @@
     node_id : str
         The borrower.
     number : int
-        Grows with each request of one borrower.
+        Increases with each request of one borrower.
     in_flight : int
-        Requests that the borrower runs now above its floor.
+        Requests that the borrower currently runs above its floor.
     demand : Amounts
         What the borrower could use above its floor.
     """
@@ -146,12 +148,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotOwner:
-    """The asked node does not own the team now."""
+    """The node does not currently own the team."""
 
 
 @dataclasses.dataclass(frozen=True)
 class OwnerNotReady:
-    """Slices of an earlier owner may still be in use.
+    """Slices of a previous owner may still be in use.
 
     Attributes
     ----------
@@ -164,7 +166,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Outdated:
-    """A later request of this borrower was already answered."""
+    """A later request of this borrower has already been answered."""
 
 
 Reply = Lent | NotOwner | OwnerNotReady | Outdated
@@ -172,7 +174,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Slice:
-    """A slice lent, as its owner counts it."""
+    """A lent slice, as its owner counts it."""
 
     amounts: Amounts
     expires_at: float
@@ -180,13 +182,13 @@
 
 @dataclasses.dataclass
 class Borrower:
-    """What the owner knows of one borrower.
+    """The owner's record of one borrower.
 
     Attributes
     ----------
     slices : list of Slice
-        Slices not covered by a later report. The answer that brought a newer slice
-        may be lost, so the borrower counts with the largest.
+        Slices not covered by a later report. The reply with the newest one may have
+        been lost, so the borrower is charged for the largest.
     """
 
     number: int = -1
@@ -198,7 +200,7 @@
 
 @dataclasses.dataclass
 class Owner:
-    """A team's owner, in the memory of the node that holds the team's row.
+    """State of a team's owner, kept by the node that holds the team's row.
 
     Attributes
     ----------
@@ -215,7 +217,7 @@
 
 def lend(
     owner: Owner,
-    ask: SliceRequest,
+    request: SliceRequest,
     limits: contract.Limits,
     members: collections.abc.Collection[str],
     now: float,
@@ -226,28 +228,28 @@
     Parameters
     ----------
     owner : Owner
-        Changed in place.
-    ask : Ask
+        Modified in place.
+    request : SliceRequest
         The request.
     limits : Limits
         Limits of the team.
     members : collection of str
         Ids of the nodes whose sessions are not revoked.
     now : float
-        Monotonic time in seconds.
+        Monotonic time, in seconds.
     holds_row : bool
         Whether this node holds the team's row, with a valid lease, at this moment.
     """
     if not holds_row:
         return NotOwner()
-    borrower = owner.borrowers.setdefault(ask.node_id, Borrower())
-    if ask.number <= borrower.number:
+    borrower = owner.borrowers.setdefault(request.node_id, Borrower())
+    if request.number <= borrower.number:
         return Outdated()
-    borrower.number = ask.number
-    borrower.in_flight = ask.in_flight
+    borrower.number = request.number
+    borrower.in_flight = request.in_flight
     borrower.reported_at = now
-    borrower.demand = ask.demand
-    borrower.slices = [one for one in borrower.slices if one.expires_at > now]
+    borrower.demand = request.demand
+    borrower.slices = [slice_ for slice_ in borrower.slices if slice_.expires_at > now]
     _remove_departed(owner, members, now)
     wait_s = owner.since + NEW_OWNER_WAIT_S - now if owner.had_owner else 0.0
     if wait_s > 0:
@@ -270,12 +272,12 @@
 
 
 def _committed(borrower: Borrower, now: float) -> Amounts:
-    """Return what a borrower may be using at most."""
-    in_use = [one.amounts for one in borrower.slices if one.expires_at > now]
+    """Return the maximum amounts that a borrower may be using."""
+    in_use = [slice_.amounts for slice_ in borrower.slices if slice_.expires_at > now]
     carried = [
-        one.amounts.in_flight
-        for one in borrower.slices
-        if one.expires_at + IN_FLIGHT_RETENTION_S > now
+        slice_.amounts.in_flight
+        for slice_ in borrower.slices
+        if slice_.expires_at + IN_FLIGHT_RETENTION_S > now
     ]
     if borrower.reported_at + IN_FLIGHT_RETENTION_S > now:
         carried.append(borrower.in_flight)
@@ -289,17 +291,19 @@
 def _allocate(
     owner: Owner, borrower: Borrower, total: Amounts, members: int, now: float
 ) -> Amounts:
-    others = [one for one in owner.borrowers.values() if one is not borrower]
-    taken = [_committed(one, now) for one in others]
-    active = [one.demand for one in others if one.reported_at + SLICE_LEASE_S > now]
+    others = [other for other in owner.borrowers.values() if other is not borrower]
+    committed = [_committed(other, now) for other in others]
+    active = [
+        other.demand for other in others if other.reported_at + SLICE_LEASE_S > now
+    ]
     demand = borrower.demand
 
     def share(name: str) -> float:
         wanted = float(getattr(demand, name))
-        all_wanted = wanted + sum(float(getattr(one, name)) for one in active)
+        total_wanted = wanted + sum(float(getattr(amounts, name)) for amounts in active)
         limit = float(getattr(total, name))
-        free = limit - sum(float(getattr(one, name)) for one in taken)
-        fair = limit * wanted / all_wanted if all_wanted > 0 else 0.0
+        free = limit - sum(float(getattr(amounts, name)) for amounts in committed)
+        fair = limit * wanted / total_wanted if total_wanted > 0 else 0.0
         base = min(
             limit * EVEN_SHARE_FRACTION / max(1, members), free * EVEN_SHARE_OF_FREE
         )
@@ -314,13 +318,14 @@
 class Bucket:
     """A token bucket whose rate changes with the share in force.
 
-    A request passes if the level is positive and may take it below zero, so a request
-    larger than the depth passes too and is paid for by the following wait.
+    A request passes while the level is positive and may make it negative. A request
+    larger than the depth therefore passes too; later requests wait until the level has
+    recovered.
 
     Attributes
     ----------
     level : float
-        Units that may be used now.
+        Units available now.
     filled_at : float
         Monotonic time up to which the level is computed, in seconds.
     """
@@ -329,7 +334,7 @@
     filled_at: float = 0.0
 
     def refill(self, until: float, rate: float) -> None:
-        """Add what a rate, in units per second, gives up to a time."""
+        """Add the units accrued up to a time, at a rate in units per second."""
         if until <= self.filled_at:
             return
         depth = max(1.0, rate * BURST_S)
@@ -339,7 +344,7 @@
 
 @dataclasses.dataclass
 class Account:
-    """A team's limits as one node uses them.
+    """A node's use of a team's limits.
 
     Attributes
     ----------
@@ -348,7 +353,7 @@
     lent_until : float
         Time at which this node stops using the slice, in seconds.
     lent_asked_at : float
-        Time before that slice was asked for, in seconds.
+        Time before that slice was requested, in seconds.
     """
 
     lent: Amounts = ZERO
@@ -362,7 +367,7 @@
 def apply_slice(
     account: Account, amounts: Amounts, asked_at: float, own_floor: Amounts
 ) -> None:
-    """Use a slice that was lent, unless one asked for later is known."""
+    """Use a lent slice, unless a slice from a later request is already known."""
     if asked_at <= account.lent_asked_at:
         return
     _refill_buckets(account, own_floor, asked_at)
@@ -372,7 +377,7 @@
 
 
 def share_in_force(account: Account, own_floor: Amounts, now: float) -> Amounts:
-    """Return the floor plus the slice while it is valid."""
+    """Return the floor, plus the slice while it is valid."""
     return own_floor.plus(account.lent) if now < account.lent_until else own_floor
 
 
@@ -384,18 +389,18 @@
 
 
 def try_start(account: Account, own_floor: Amounts, cost: float, now: float) -> bool:
-    """Count a request as started if all three limits permit it.
+    """Start a request if all three limits permit it; return whether they do.
 
     Parameters
     ----------
     account : Account
-        Changed in place.
+        Modified in place.
     own_floor : Amounts
         This node's floor.
     cost : float
-        Expected prompt plus generated tokens.
+        Expected number of prompt and generated tokens.
     now : float
-        Monotonic time in seconds.
+        Monotonic time, in seconds.
     """
     _refill_buckets(account, own_floor, now)
     share = share_in_force(account, own_floor, now)
@@ -410,6 +415,6 @@
 
 
 def finish(account: Account, unused_tokens: float = 0.0) -> None:
-    """Count a request as ended; tokens used beyond the cost are a negative rest."""
+    """End a request; ``unused_tokens`` is negative if it used more than its cost."""
     account.in_flight -= 1
     account.tokens.level += unused_tokens
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -1,4 +1,4 @@
-"""Floors and slices under owner changes, cuts, lost answers and skewed clocks."""
+"""Floors and slices under owner changes, partitions, lost answers and clock skew."""
 
 import dataclasses
 import itertools
@@ -12,7 +12,7 @@
 
 IN_FLIGHT_RETENTION_S = 60.0
 RATES = (1.0, 1.05, 1.0999)
-OLD = 1000.0
+LONG_JOINED_S = 1000.0
 
 
 @dataclasses.dataclass
@@ -22,7 +22,7 @@
     owner: quota.Owner
     account: quota.Account = dataclasses.field(default_factory=quota.Account)
     reported_at: float = 0.0
-    unheard: int = 0
+    unreported: int = 0
 
     def clock(self, now: float) -> float:
         return now * self.rate
@@ -45,7 +45,7 @@
         self.since = 0.0
         self.asks: list[quota.SliceRequest] = []
         self.late: list[tuple[Node, quota.Amounts, float]] = []
-        self.floor = quota.floor(self.limits, len(rates), OLD)
+        self.floor = quota.floor(self.limits, len(rates), LONG_JOINED_S)
 
     def pick(self, number: int) -> Node:
         return self.nodes[number % len(self.nodes)]
@@ -73,7 +73,7 @@
             node.reported_at = self.now
         if not isinstance(reply, quota.Lent):
             return
-        self.note_unheard()
+        self.record_unreported()
         if fate == "lost":
             return
         if fate == "late":
@@ -85,7 +85,7 @@
 
     @stateful.rule(number=st.integers(0, 9))
     def replay_ask(self, number: int) -> None:
-        """Deliver an ask again after later ones; its answer reaches nobody."""
+        """Deliver a request again after later ones; its reply reaches nobody."""
         holder = self.pick(self.owner_index)
         members = [one.id for one in self.nodes]
         at = holder.clock(self.now)
@@ -100,7 +100,7 @@
 
     @stateful.rule(number=st.integers(0, 3))
     def start(self, number: int) -> None:
-        """Start requests up to the share; the rates are tested apart."""
+        """Start requests up to the share; the rates are tested separately."""
         node = self.pick(number)
         account = node.account
         share = quota.share_in_force(account, self.floor, node.clock(self.now))
@@ -113,7 +113,7 @@
 
     @stateful.rule(seconds=st.sampled_from([0.5, 2.0, 3.0, 7.5, 9.0, 12.5, 70.0]))
     def pass_time(self, seconds: float) -> None:
-        """Let time pass without reports; what ran on a slice may run on."""
+        """Advance the clock without reports; requests started on a slice may run on."""
         self.now += seconds
 
     @stateful.rule(seconds=st.sampled_from([2.0, 9.0]))
@@ -127,7 +127,7 @@
 
     @stateful.rule(lost=st.integers(0, 4))
     def reports(self, lost: int) -> None:
-        """Let all nodes but one report, and the clock move past the owner's wait."""
+        """Let all nodes but one report, and advance the clock past the owner's wait."""
         self.now += quota.REQUEST_INTERVAL_S
         for number, node in enumerate(self.nodes):
             if number != lost:
@@ -143,23 +143,23 @@
         assert total.requests_per_s <= self.limits.requests_per_s * (1 + 1e-9)
         assert total.tokens_per_s <= self.limits.tokens_per_s * (1 + 1e-9)
 
-    def note_unheard(self) -> None:
-        """Note what nodes run that are cut off from the owner while it lends."""
+    def record_unreported(self) -> None:
+        """Record what nodes run that the owner cannot know of while it lends."""
         for node in self.nodes:
             silent_s = self.now - node.reported_at
             heard_s = node.reported_at - self.since
             above = max(0, node.account.in_flight - self.floor.in_flight)
             if silent_s >= IN_FLIGHT_RETENTION_S / 1.1 or heard_s < 8.0:
-                node.unheard = max(node.unheard, above)
+                node.unreported = max(node.unreported, above)
 
     @stateful.invariant()
     def in_flight_never_exceeds_limit(self) -> None:
-        """Count all but what the owner could not know of when it lent."""
+        """Count everything except what the owner could not know of when it lent."""
         counted = 0
         for node in self.nodes:
             above = max(0, node.account.in_flight - self.floor.in_flight)
-            node.unheard = min(node.unheard, above)
-            counted += node.account.in_flight - node.unheard
+            node.unreported = min(node.unreported, above)
+            counted += node.account.in_flight - node.unreported
         assert counted <= self.limits.in_flight
 
 
@@ -198,7 +198,7 @@
 def test_two_borrowers_never_exceed_limit(
     rate: float, other_rate: float, steps: list[tuple[str, int, float]]
 ) -> None:
-    """Guards against an overshoot within the few steps around one fault."""
+    """Guards against exceeding the limit in the few steps around a single fault."""
     machine = Limits()
     machine.build([rate, other_rate], 20)
     for action, number, seconds in steps:
@@ -228,14 +228,14 @@
 ) -> None:
     """Guards against floors of nodes that do not know of each other yet."""
     limits = contract.Limits(in_flight)
-    known = [quota.floor(limits, members, OLD) for _ in range(members)]
+    known = [quota.floor(limits, members, LONG_JOINED_S) for _ in range(members)]
     fresh = [quota.floor(limits, members + joining, 29.0) for _ in range(joining)]
     total = sum(one.in_flight for one in known + fresh)
     assert total + quota.pool(limits).in_flight <= in_flight
 
 
 def test_division_follows_demand() -> None:
-    """Guards against equal shares for unequal demand, and unused shares."""
+    """Guards against equal shares for unequal demand, and against unused shares."""
     limits = contract.Limits(100, 100.0, 100.0)
     owner = quota.Owner(0.0, had_owner=False)
     lent: dict[str, quota.Reply] = {}
@@ -251,7 +251,7 @@
 @pytest.mark.parametrize("rate", [0.4, 5.0, 60.0])
 @pytest.mark.parametrize("cost", [1.0, 900.0])
 def test_rates_hold_over_a_minute(rate: float, cost: float) -> None:
-    """Guards against more requests or tokens than the rate and one burst allow."""
+    """Guards against passing more than the rate plus one burst allows."""
     share = quota.Amounts(10**6, rate, 300.0)
     account = quota.Account()
     quota.try_start(account, share, 0.0, 0.0)
@@ -266,7 +266,7 @@
 
 
 def test_slice_gives_no_rate_after_its_end() -> None:
-    """Guards against filling a bucket at the rate of a slice that has ended."""
+    """Guards against refilling a bucket at the rate of an expired slice."""
     own = quota.Amounts(9, 1.0, 100.0)
     account = quota.Account()
     quota.apply_slice(account, quota.Amounts(9, 99.0, 900.0), 0.0, own)
@@ -276,7 +276,7 @@
 
 
 def test_late_answer_does_not_replace_newer_slice() -> None:
-    """Guards against an answer that arrives late ending a newer slice early."""
+    """Guards against a late reply that ends a newer slice early."""
     account = quota.Account()
     newer = quota.Amounts(5, 5.0, 5.0)
     quota.apply_slice(account, newer, 3.0, quota.ZERO)
