--- a/packages/snipelug-core/src/snipelug_core/ownership.py
+++ b/packages/snipelug-core/src/snipelug_core/ownership.py
@@ -1,8 +1,8 @@
-"""Owner rows with fencing numbers for upstreams, teams and stores.
+"""Owner rows with fencing tokens for upstreams, teams and KV cache stores.
 
-A row names the session that owns an item. It is taken over only after that
-session is gone, or is given away by its owner, so while a session's lease is
-valid on its holder's clock its rows belong to nobody else.
+A row names the session that owns an item. Another session may take the row over only
+after that session has ended or its owner has handed it over. While a session's lease
+is valid on its holder's clock, its rows therefore belong to no other session.
 """
 
 import collections.abc
@@ -15,14 +15,14 @@
 TABLE = "owners"
 
 REMOVAL_DELAY_S = 30.0
-"""Time that an instance must be missing from all readings of the lagging
-instance list before its outage slot moves."""
+"""Time in seconds for which an instance must be missing from all readings of the
+instance list, which lags, before its outage slot may move."""
 
 HAND_OVER_ATTEMPTS = 3
 
 
 class Kind(enum.StrEnum):
-    """What is owned."""
+    """Type of an owned item."""
 
     UPSTREAM = "upstream"
     TEAM = "team"
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Process:
-    """A process of a node; the node id is its id in the instance list."""
+    """A process of a node; the node id is also its id in the instance list."""
 
     node: str
     process: str
@@ -44,11 +44,12 @@
     Attributes
     ----------
     session : str
-        Session that owns the item; empty if the last owner freed it.
+        Session that owns the item; empty if the last owner released it.
     owner : Process or None
         The process with that session.
     fencing : int
-        Grows with every write of the row, so it also orders readings.
+        Fencing token. It increases with every write of the row, so it also orders
+        readings of the row.
     outage_holder : Process or None
         The process that may use the outage slot, with or without a lease.
     """
@@ -66,13 +67,13 @@
     Attributes
     ----------
     since : float
-        Monotonic time at which this process learnt of the row's session.
+        Monotonic time at which this process learned of the row's session.
     outage_since : float
-        Monotonic time at which it learnt of the row's outage holder.
-    given_up : bool
-        This process began to hand the item over; only a new write by this
-        process makes it the owner again.
-    outage_given_up : bool
+        Monotonic time at which it learned of the row's outage holder.
+    relinquished : bool
+        This process has begun to hand the item over; it becomes the owner again only
+        by a new write of its own.
+    outage_relinquished : bool
         The same for the outage slot.
     """
 
@@ -86,7 +87,7 @@
 
 @dataclasses.dataclass
 class OwnerRows:
-    """What this process knows of owner rows, by row key."""
+    """The owner rows known to this process, by row key."""
 
     own_process: Process
     lease: session.Lease
@@ -99,25 +100,25 @@
 
 
 def fencing_token(owners: OwnerRows, key: str, now: float) -> int | None:
-    """Return the fencing number if this process owns the item now."""
-    seen = owners.known_rows.get(key)
-    if seen is None or seen.relinquished or not owners.lease.valid(now):
+    """Return the fencing token if this process owns the item now."""
+    known = owners.known_rows.get(key)
+    if known is None or known.relinquished or not owners.lease.valid(now):
         return None
-    return seen.row.fencing if _is_owned_here(owners, seen.row) else None
+    return known.row.fencing if _is_owned_here(owners, known.row) else None
 
 
 def has_outage_slot(owners: OwnerRows, key: str) -> bool:
-    """Tell whether this process holds the outage slot, with or without a lease."""
-    seen = owners.known_rows.get(key)
-    if seen is None or seen.outage_relinquished:
+    """Return whether this process holds the outage slot, with or without a lease."""
+    known = owners.known_rows.get(key)
+    if known is None or known.outage_relinquished:
         return False
-    return seen.row.outage_holder == owners.own_process
+    return known.row.outage_holder == owners.own_process
 
 
 def observe_row(
     owners: OwnerRows, key: str, version: str, row: Row, now: float
 ) -> None:
-    """Take in a row that was read; a reading older than the known row is ignored."""
+    """Record a row that was read; a reading older than the known row is ignored."""
     old = owners.known_rows.get(key)
     if old is not None and row.fencing < old.row.fencing:
         return
@@ -136,12 +137,12 @@
 
 @dataclasses.dataclass
 class InstanceListView:
-    """What the last reading of the instance list showed.
+    """State derived from readings of the instance list.
 
     Attributes
     ----------
-    since : dict
-        Since when nodes are missing, on this node's clock.
+    missing_since : dict
+        Time since which each missing node has been missing, on this node's clock.
     """
 
     missing_since: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -157,19 +158,19 @@
     own_node: str,
     now: float,
 ) -> None:
-    """Take in a reading of the instance list.
+    """Record a reading of the instance list.
 
     Parameters
     ----------
-    unlisted : Unlisted
-        Changed in place.
+    instance_list : InstanceListView
+        Modified in place.
     listed : set of str
         Ids in the list.
     nodes : iterable of str
-        Nodes whose absence matters.
-    me : str
-        This node; a reading without it is older than this process and proves
-        nothing about others.
+        Nodes whose absence is tracked.
+    own_node : str
+        This node. A reading without it predates this process, so it proves nothing
+        about other nodes.
     now : float
         Monotonic time, in seconds.
     """
@@ -186,7 +187,7 @@
 
 
 def is_removed(instance_list: InstanceListView, node: str) -> bool:
-    """Tell whether the list has not contained the node for long enough."""
+    """Return whether the node has been missing from the list for long enough."""
     since = instance_list.missing_since.get(node, math.inf)
     return instance_list.observed_at - since >= REMOVAL_DELAY_S
 
@@ -195,10 +196,10 @@
 
 
 def acquire(owners: OwnerRows, key: str, instance_list: InstanceListView) -> Flow:
-    """Read an owner row and take the item if nobody owns it.
+    """Read an owner row and take ownership if nobody owns the item.
 
-    The caller runs it for items that this node is preferred for, while its
-    lease is valid, and one flow at a time for an item.
+    The caller runs this while its lease is valid, for the items that this node is
+    preferred for, and only one flow at a time per item.
     """
     event = yield step.Read(TABLE, key, Row)
     match event.outcome:
@@ -211,8 +212,8 @@
             if _is_owned_here(owners, row) and not owners.known_rows[key].relinquished:
                 yield from _take_outage_slot(owners, key, instance_list)
                 return
-            # The session is read after the owner row: a session exists before
-            # it takes a row, so an absent one has ended.
+            # Read the session after the owner row: a session exists before it
+            # takes a row, so a missing session has ended.
             if row.session and not _is_owned_here(owners, row):
                 event = yield step.Read(session.TABLE, row.session, session.Row)
                 if not isinstance(event.outcome, step.Missing):
@@ -231,31 +232,31 @@
     now: float,
 ) -> Flow:
     if not owners.lease.valid(now):
-        # A session whose creation is unclear may be missing from its table,
-        # and others would take this row for abandoned.
+        # A session whose creation is unconfirmed may be missing from its table, and
+        # other nodes would consider this row abandoned.
         return
-    number = 1 if old is None else old.fencing + 1
+    token = 1 if old is None else old.fencing + 1
     slot = None if old is None else old.outage_holder
     if _may_take_slot(owners, slot, instance_list):
         slot = owners.own_process
-    row = Row(owners.lease.session, owners.own_process, number, slot)
+    row = Row(owners.lease.session, owners.own_process, token, slot)
     yield from _write_own_row(owners, key, row, expect)
 
 
 def _take_outage_slot(
     owners: OwnerRows, key: str, instance_list: InstanceListView
 ) -> Flow:
-    seen = owners.known_rows[key]
-    slot = seen.row.outage_holder
-    stuck = slot == owners.own_process and seen.outage_relinquished
+    known = owners.known_rows[key]
+    slot = known.row.outage_holder
+    stuck = slot == owners.own_process and known.outage_relinquished
     if stuck or (
         slot != owners.own_process and _may_take_slot(owners, slot, instance_list)
     ):
-        number = seen.row.fencing + 1
+        token = known.row.fencing + 1
         row = dataclasses.replace(
-            seen.row, fencing=number, outage_holder=owners.own_process
+            known.row, fencing=token, outage_holder=owners.own_process
         )
-        yield from _write_own_row(owners, key, row, seen.version)
+        yield from _write_own_row(owners, key, row, known.version)
 
 
 def _write_own_row(
@@ -263,7 +264,7 @@
 ) -> Flow:
     event = yield step.Write(TABLE, key, row, expect)
     if isinstance(event.outcome, step.Applied):
-        # This write replaced the version that a late hand-over would need.
+        # This write replaced the version that a delayed hand-over write expects.
         observe_row(owners, key, event.outcome.version, row, event.now)
         owners.known_rows[key].relinquished = False
         owners.known_rows[key].outage_relinquished = False
@@ -272,11 +273,11 @@
 def _may_take_slot(
     owners: OwnerRows, slot: Process | None, instance_list: InstanceListView
 ) -> bool:
-    """Tell whether the outage slot is free.
+    """Return whether this process may take the outage slot.
 
-    A node that the list does not contain yet takes none, because others
-    would see its instance as removed. An earlier process of this node has
-    ended, since this one listens on its port.
+    A node that is not in the instance list yet takes none, because other nodes would
+    consider its instance removed. An earlier process of this node must have ended,
+    since this process listens on its port.
     """
     if not instance_list.self_listed:
         return False
@@ -287,13 +288,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Successor:
-    """A live session that receives an item.
+    """A session in force that receives an item.
 
     Attributes
     ----------
     listed : bool
-        The instance list contains its node. Others see an unlisted node as
-        removed, so it does not receive the outage slot.
+        The instance list contains its node. Other nodes consider an unlisted node
+        removed, so it must not receive the outage slot.
     """
 
     session: str
@@ -302,19 +303,19 @@
 
 
 def hand_over(owners: OwnerRows, key: str, successor: Successor | None) -> Flow:
-    """Give away what this process has of an item; without a successor, free it.
+    """Hand over what this process holds of an item; without a successor, release it.
 
-    This process stops using the item before the write is sent, whatever
-    becomes of the write.
+    This process stops using the item before the write is sent, whether or not the write
+    succeeds.
     """
     for _ in range(HAND_OVER_ATTEMPTS):
-        seen = owners.known_rows.get(key)
-        if seen is None or not _holds_anything(owners, seen.row):
+        known = owners.known_rows.get(key)
+        if known is None or not _holds_anything(owners, known.row):
             return
-        seen.relinquished = _is_owned_here(owners, seen.row)
-        seen.outage_relinquished = seen.row.outage_holder == owners.own_process
-        row = _handed_over_row(owners, seen.row, successor)
-        event = yield step.Write(TABLE, key, row, seen.version)
+        known.relinquished = _is_owned_here(owners, known.row)
+        known.outage_relinquished = known.row.outage_holder == owners.own_process
+        row = _handed_over_row(owners, known.row, successor)
+        event = yield step.Write(TABLE, key, row, known.version)
         if isinstance(event.outcome, step.Applied):
             observe_row(owners, key, event.outcome.version, row, event.now)
             return
@@ -330,8 +331,8 @@
 
 def _handed_over_row(owners: OwnerRows, row: Row, successor: Successor | None) -> Row:
     if not _is_owned_here(owners, row):
-        # Only the outage slot is this process's; the item's owner takes it
-        # when the list contains the owner.
+        # This process holds only the outage slot. The item's owner takes it once
+        # the instance list contains the owner.
         return dataclasses.replace(row, fencing=row.fencing + 1, outage_holder=None)
     slot = row.outage_holder
     if slot == owners.own_process:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -11,7 +11,7 @@
 ITEM = "upstream:u"
 
 
-class Bench:
+class Harness:
     """Nodes whose flows run step by step against one store."""
 
     def __init__(self) -> None:
@@ -30,7 +30,7 @@
         flow: collections.abc.Generator[typing.Any, step.Event, None],
         *faults: str,
     ) -> None:
-        """Run a flow; its steps meet the given faults in turn."""
+        """Run a flow, applying the given faults to its steps in order."""
         left = list(faults)
         outcome: object = None
         try:
@@ -64,126 +64,126 @@
 
 def test_late_creation_does_not_bring_a_session_back() -> None:
     """Guards against a second write that creates the same session id."""
-    bench = Bench()
-    a, b = bench.node("a", with_session=False), bench.node("b")
-    bench.run(session.renew(a.lease, 0.0), "late")
+    harness = Harness()
+    a, b = harness.node("a", with_session=False), harness.node("b")
+    harness.run(session.renew(a.lease, 0.0), "late")
     for _ in range(2):
-        bench.run(session.renew(a.lease, 0.0))
-    bench.acquire(a)
-    assert bench.owners(a, b) == ["a"]
-    bench.revoke(a)
-    bench.now = 40.0
-    bench.run(session.renew(b.lease, 40.0))
-    bench.acquire(b)
-    bench.store.apply(bench.store.late.pop())
+        harness.run(session.renew(a.lease, 0.0))
+    harness.acquire(a)
+    assert harness.owners(a, b) == ["a"]
+    harness.revoke(a)
+    harness.now = 40.0
+    harness.run(session.renew(b.lease, 40.0))
+    harness.acquire(b)
+    harness.store.apply(harness.store.late.pop())
     for _ in range(3):
-        bench.run(session.renew(a.lease, 40.0))
+        harness.run(session.renew(a.lease, 40.0))
     assert a.lease.valid(40.0)
-    assert bench.owners(a, b) == ["b"]
+    assert harness.owners(a, b) == ["b"]
 
 
 @pytest.mark.parametrize("revoked", [False, True])
 def test_lease_is_fresh_once_the_store_answers(revoked: bool) -> None:
-    """Guards against a read-back of an old renewal that leaves a lapsing lease."""
-    bench = Bench()
-    a = bench.node("a")
-    bench.now = 5.0
-    bench.run(session.renew(a.lease, 5.0), "lost", "lost")
+    """Guards against confirming only an old renewal, so that the lease soon expires."""
+    harness = Harness()
+    a = harness.node("a")
+    harness.now = 5.0
+    harness.run(session.renew(a.lease, 5.0), "lost", "lost")
     if revoked:
-        bench.revoke(a)
-    bench.now = 19.0
-    bench.run(session.renew(a.lease, 19.0))
+        harness.revoke(a)
+    harness.now = 19.0
+    harness.run(session.renew(a.lease, 19.0))
     assert a.lease.valid(19.0 + session.RENEW_S)
 
 
 def test_late_hand_over_does_not_meet_a_resumed_owner() -> None:
     """Guards against two owners after a hand-over whose answers were lost."""
-    bench = Bench()
-    a, b = bench.node("a"), bench.node("b")
-    bench.acquire(a)
-    heir = ownership.Successor(b.lease.session, b.owners.own_process, listed=True)
+    harness = Harness()
+    a, b = harness.node("a"), harness.node("b")
+    harness.acquire(a)
+    successor = ownership.Successor(b.lease.session, b.owners.own_process, listed=True)
     lost = ["late", "lost"] * ownership.HAND_OVER_ATTEMPTS
-    bench.run(ownership.hand_over(a.owners, ITEM, heir), *lost)
-    late = bench.store.late.pop()
-    bench.acquire(a, "", "late")
-    bench.store.apply(late)
-    bench.acquire(b)
-    assert len(bench.owners(a, b)) <= 1
-    assert len(bench.holders(a, b)) <= 1
-    bench.acquire(a)
-    assert len(bench.owners(a, b)) == 1
+    harness.run(ownership.hand_over(a.owners, ITEM, successor), *lost)
+    late = harness.store.late.pop()
+    harness.acquire(a, "", "late")
+    harness.store.apply(late)
+    harness.acquire(b)
+    assert len(harness.owners(a, b)) <= 1
+    assert len(harness.holders(a, b)) <= 1
+    harness.acquire(a)
+    assert len(harness.owners(a, b)) == 1
 
 
 def test_reading_older_than_a_hand_over_is_ignored() -> None:
-    """Guards against a slow scan that returns an item to its last owner."""
-    bench = Bench()
-    a = bench.node("a")
-    bench.acquire(a)
-    old = bench.store.rows[(ownership.TABLE, ITEM)]
-    bench.run(ownership.hand_over(a.owners, ITEM, None))
-    ownership.observe_row(a.owners, ITEM, *old, bench.now)
-    assert bench.owners(a) == []
-    assert bench.holders(a) == []
+    """Guards against a slow scan that returns an item to its previous owner."""
+    harness = Harness()
+    a = harness.node("a")
+    harness.acquire(a)
+    old = harness.store.rows[(ownership.TABLE, ITEM)]
+    harness.run(ownership.hand_over(a.owners, ITEM, None))
+    ownership.observe_row(a.owners, ITEM, *old, harness.now)
+    assert harness.owners(a) == []
+    assert harness.holders(a) == []
 
 
 def test_session_with_unclear_creation_takes_nothing() -> None:
-    """Guards against a row of a session that others see as missing."""
-    bench = Bench()
-    a, b = bench.node("a", with_session=False), bench.node("b")
-    bench.run(session.renew(a.lease, 0.0), "late", "lost")
-    bench.acquire(a)
-    bench.acquire(b)
-    bench.store.apply(bench.store.late.pop())
-    bench.run(session.renew(a.lease, 0.0))
-    bench.run(session.renew(a.lease, 0.0))
-    assert bench.owners(a, b) == ["b"]
+    """Guards against an owner row of a session that other nodes see as missing."""
+    harness = Harness()
+    a, b = harness.node("a", with_session=False), harness.node("b")
+    harness.run(session.renew(a.lease, 0.0), "late", "lost")
+    harness.acquire(a)
+    harness.acquire(b)
+    harness.store.apply(harness.store.late.pop())
+    harness.run(session.renew(a.lease, 0.0))
+    harness.run(session.renew(a.lease, 0.0))
+    assert harness.owners(a, b) == ["b"]
 
 
 def test_outage_slot_outlives_the_lease_and_moves_on_removal() -> None:
-    """Guards against a slot that moves while its holder may still use it."""
-    bench = Bench()
-    a, b = bench.node("a"), bench.node("b")
-    bench.acquire(a)
-    bench.revoke(a)
+    """Guards against moving a slot while its holder may still use it."""
+    harness = Harness()
+    a, b = harness.node("a"), harness.node("b")
+    harness.acquire(a)
+    harness.revoke(a)
     for now, listed in [(40.0, {"a", "b"}), (50.0, {"b"}), (79.0, {"b"})]:
-        bench.now = now
-        bench.run(session.renew(b.lease, now))
+        harness.now = now
+        harness.run(session.renew(b.lease, now))
         ownership.observe_instance_list(b.unlisted, listed, ["a"], "b", now)
-        bench.acquire(b)
-        assert bench.owners(a, b) == ["b"]
-        assert bench.holders(a, b) == ["a"]
+        harness.acquire(b)
+        assert harness.owners(a, b) == ["b"]
+        assert harness.holders(a, b) == ["a"]
     ownership.observe_instance_list(b.unlisted, {"b"}, ["a"], "b", 80.0)
-    bench.acquire(b)
-    assert bench.holders(b) == ["b"]
+    harness.acquire(b)
+    assert harness.holders(b) == ["b"]
 
 
 def test_unlisted_node_takes_no_outage_slot() -> None:
-    """Guards against a new node whose slot others see as free."""
-    bench = Bench()
-    a = bench.node("a")
+    """Guards against a new node whose slot other nodes consider free."""
+    harness = Harness()
+    a = harness.node("a")
     ownership.observe_instance_list(a.unlisted, {"b"}, [], "a", 0.0)
-    bench.acquire(a)
-    assert bench.owners(a) == ["a"]
-    assert bench.holders(a) == []
+    harness.acquire(a)
+    assert harness.owners(a) == ["a"]
+    assert harness.holders(a) == []
     ownership.observe_instance_list(a.unlisted, {"a", "b"}, [], "a", 0.0)
-    bench.acquire(a)
-    assert bench.holders(a) == ["a"]
+    harness.acquire(a)
+    assert harness.holders(a) == ["a"]
 
 
 def test_renewal_with_lost_answer_counts_from_its_sending() -> None:
-    """Guards against a lease that outlives what observers wait for."""
-    bench = Bench()
-    a = bench.node("a")
-    bench.run(session.renew(a.lease, 5.0), "lost", "lost")
+    """Guards against a lease that is valid longer than observers wait."""
+    harness = Harness()
+    a = harness.node("a")
+    harness.run(session.renew(a.lease, 5.0), "lost", "lost")
     assert a.lease.valid(14.9)
     assert not a.lease.valid(15.0)
-    bench.run(session.renew(a.lease, 10.0))
+    harness.run(session.renew(a.lease, 10.0))
     assert a.lease.valid(19.9)
     assert not a.lease.valid(20.0)
 
 
 def test_session_is_revoked_after_it_was_seen_unchanged() -> None:
-    """Guards against revoking a session that was renewed in between."""
+    """Guards against revoking a session that was renewed in the meantime."""
     watch = session.Watch()
     assert list(session.observe(watch, {"s": "1"}, 0.0, 1.0)) == []
     assert list(session.observe(watch, {"s": "1"}, 30.9, 32.0)) == []
@@ -194,20 +194,20 @@
 
 
 def test_slot_is_not_handed_to_an_unlisted_node() -> None:
-    """Guards against a hand-over whose receiver others see as removed."""
-    bench = Bench()
-    a, b, c = (bench.node(name) for name in "abc")
+    """Guards against a hand-over to a node that other nodes consider removed."""
+    harness = Harness()
+    a, b, c = (harness.node(name) for name in "abc")
     b.unlisted.self_listed = False
-    bench.acquire(a)
-    heir = ownership.Successor(b.lease.session, b.owners.own_process)
-    bench.run(ownership.hand_over(a.owners, ITEM, heir))
-    bench.acquire(b)
-    bench.revoke(b)
+    harness.acquire(a)
+    successor = ownership.Successor(b.lease.session, b.owners.own_process)
+    harness.run(ownership.hand_over(a.owners, ITEM, successor))
+    harness.acquire(b)
+    harness.revoke(b)
     for now in (0.0, 31.0):
-        bench.now = now
-        bench.run(session.renew(c.lease, now))
+        harness.now = now
+        harness.run(session.renew(c.lease, now))
         ownership.observe_instance_list(c.unlisted, {"a", "c"}, ["b"], "c", now)
-        bench.acquire(c)
-        bench.acquire(c)
-    assert bench.owners(a, b, c) == ["c"]
-    assert len(bench.holders(a, b, c)) <= 1
+        harness.acquire(c)
+        harness.acquire(c)
+    assert harness.owners(a, b, c) == ["c"]
+    assert len(harness.holders(a, b, c)) <= 1
