--- a/packages/snipelug-core/src/snipelug_core/claim.py
+++ b/packages/snipelug-core/src/snipelug_core/claim.py
@@ -1,8 +1,8 @@
 """At-most-once execution of calls that carry an idempotency key.
 
-A claim row is written before anything is sent. ``execute`` decides one call;
-its driver performs the yielded steps. ``Ledger`` is the node's memory of its
-own claims and grants the one permission to send.
+A claim row is written before anything is sent. ``execute`` decides one call as a
+generator of steps, which its driver performs. ``Ledger`` keeps the claims of this
+process and permits each call to be sent at most once.
 """
 
 import collections
@@ -16,29 +16,29 @@
 TABLE = "claims"
 
 SEND_WINDOW_S = 10.0
-"""Time from the first write of a claim in which its call may be sent."""
+"""Time in seconds, from the first write of a claim, in which its call may be sent."""
 
 SETTLE_AGE_S = 60.0
-"""Age from which an operator may settle a claim: the send window plus 50 s for
-a process paused between its last check and the send."""
+"""Age in seconds from which an operator may settle a claim: the send window plus
+50 s for a process that was paused between its last check and the send."""
 
 RETENTION_S = 7 * 24 * 3600.0
-"""Age from which a finished claim is deleted; its key is then free again."""
+"""Age in seconds after which a finished claim is deleted and its key may be reused."""
 
 MAX_UNANSWERED_CLAIM_STEPS = 3
-"""Store operations without an answer after which a claim is abandoned."""
+"""Number of unanswered store operations after which a claim is abandoned."""
 
 CLAIM_RETRY_S = 0.2
 RECORD_RETRY_MIN_S = 0.2
 RECORD_RETRY_MAX_S = 5.0
 STATUS_WAIT_S = 2.0
-"""Longest time that a claiming node is asked to wait before it answers."""
+"""Longest time in seconds that a claiming node may wait before reporting a status."""
 
 STATUS_POLL_INTERVAL_S = 0.5
-"""Time between two questions to a claiming node that cannot be reached."""
+"""Interval between two status queries to an unreachable claiming node, in seconds."""
 
 MAX_FINISHED_CLAIMS = 65_536
-"""Most finished claims remembered; forgotten ones are never called abandoned."""
+"""Maximum number of finished claims kept; evicted ones never count as abandoned."""
 
 
 class State(enum.StrEnum):
@@ -53,12 +53,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Response:
-    """The answer of the upstream to the one execution.
+    """The upstream's response to the only execution of a call.
 
     Attributes
     ----------
     object_key : str
-        Where the body is kept in the object store; empty if it is in ``body``.
+        Object store key of the body; empty if the body is in ``body``.
     """
 
     status: int
@@ -78,9 +78,9 @@
     session : str
         Session that the claiming node held when it claimed.
     nonce : str
-        Identifies the attempt; a new one for each attempt.
+        Identifies the attempt; unique for each attempt.
     claimed_wall : float
-        Wall clock of the claiming node, for operators, in seconds.
+        Wall-clock time of the claiming node in seconds, for operators.
     """
 
     team: str
@@ -98,7 +98,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Call:
-    """One call with an idempotency key, at the node that received it.
+    """A call with an idempotency key, at the node that received it.
 
     Attributes
     ----------
@@ -118,18 +118,18 @@
 
 
 def row_key(team: str, key: str) -> str:
-    """Return the row key; the caller's key is hashed because any text is allowed."""
+    """Return the row key; it hashes the caller's key, which may contain any text."""
     digest = hashlib.blake2b(key.encode(), digest_size=16).hexdigest()
     return f"{team}:{digest}"
 
 
 def fingerprint(method: str, target: str, body: bytes) -> str:
-    """Return a digest that tells whether two calls ask for the same thing."""
+    """Return a digest that is equal for two calls only if their requests are equal."""
     return hashing.keyed_digest(b"", method.encode(), target.encode(), body).hex()
 
 
 class Status(enum.StrEnum):
-    """What the claiming process knows of one of its claims."""
+    """State of a claim as known to the claiming process."""
 
     ACTIVE = "active"
     SENT = "sent"
@@ -167,11 +167,11 @@
         self._finished: collections.deque[str] = collections.deque()
 
     def begin(self, nonce: str, now: float) -> None:
-        """Note a claim before its first write is sent."""
+        """Add a claim; call it before the claim's first write is sent."""
         self._entries[nonce] = _Entry(Status.ACTIVE, now + SEND_WINDOW_S)
 
     def grant(self, nonce: str, now: float) -> bool:
-        """Permit the send, at most once for a nonce and only in its window.
+        """Permit the send, at most once for a nonce and only within its send window.
 
         Call it as the last step before the first byte is sent.
         """
@@ -184,12 +184,12 @@
         return True
 
     def in_window(self, nonce: str, now: float) -> bool:
-        """Tell whether the send may still be granted."""
+        """Return whether the send may still be granted."""
         entry = self._entries[nonce]
         return entry.status is Status.ACTIVE and now < entry.send_before
 
     def abandon(self, nonce: str) -> bool:
-        """Give the claim up for ever; False if its send was granted."""
+        """Abandon the claim permanently; return False if its send was granted."""
         entry = self._entries[nonce]
         if entry.status is Status.SENT:
             return False
@@ -197,21 +197,21 @@
         return True
 
     def mark_ran(self, nonce: str, answer: Response) -> None:
-        """Note the answer, which is not recorded yet."""
+        """Store the response, whose outcome is not yet recorded in the claim row."""
         entry = self._entries[nonce]
         entry.status = Status.RAN
         entry.answer = answer
 
     def mark_unknown(self, nonce: str) -> None:
-        """Note that bytes were sent and no complete answer came."""
+        """Mark the claim as sent without a complete response."""
         self._entries[nonce].status = Status.UNKNOWN
 
     def mark_recorded(self, nonce: str) -> None:
-        """Note that the row holds the outcome."""
+        """Mark the outcome as stored in the claim row."""
         self._finish(nonce, Status.RECORDED)
 
     def status(self, process: str, nonce: str) -> tuple[Status, Response | None]:
-        """Return what is known of a claim, and its answer if not recorded yet."""
+        """Return the status of a claim, and its response if not recorded yet."""
         if process != self.process:
             return Status.GONE, None
         entry = self._entries.get(nonce)
@@ -236,14 +236,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Dispatch:
-    """Send the call; the last check must be ``Ledger.grant``."""
+    """Send the call; the driver's last check must be ``Ledger.grant``."""
 
     nonce: str
 
 
 @dataclasses.dataclass(frozen=True)
 class Delivered:
-    """The upstream answered in full."""
+    """The upstream's response was received completely."""
 
     answer: Response
 
@@ -257,14 +257,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class OutcomeUnknown:
-    """Bytes were sent and no complete answer came back."""
+    """Bytes were sent, but no complete response was received."""
 
     refusal: refusal.Refusal
 
 
 @dataclasses.dataclass(frozen=True)
 class QueryStatus:
-    """Ask a process for the status of its claim."""
+    """Query the claiming process for the status of its claim."""
 
     node: str
     process: str
@@ -274,7 +274,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StatusReply:
-    """What the claiming process, or its successor on the node, answered."""
+    """Reply of the claiming process, or of its successor on the node."""
 
     status: Status
     answer: Response | None = None
@@ -287,14 +287,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class LookUpSession:
-    """Find out whether a session row exists."""
+    """Look up whether a session row exists."""
 
     session: str
 
 
 @dataclasses.dataclass(frozen=True)
 class SessionMayExist:
-    """The session row exists, or the store did not tell."""
+    """The session row exists, or the store gave no usable answer."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -304,7 +304,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReportViolation:
-    """Tell operators that a rule was broken from outside; has no outcome."""
+    """Alert operators that an external change broke a claim rule; has no outcome."""
 
     message: str
 
@@ -330,7 +330,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _HeldByOther:
-    """Another attempt's row is there."""
+    """The row belongs to another attempt."""
 
     version: str
     row: Row
@@ -339,7 +339,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Free:
-    """The row may be taken over with this precondition."""
+    """The row may be taken over under this precondition."""
 
     expect: step.Precondition
     now: float
@@ -348,34 +348,34 @@
 def execute(
     call: Call, ledger: Ledger, nonces: collections.abc.Iterator[str], now: float
 ) -> Flow:
-    """Decide one call.
+    """Execute one call.
 
     Parameters
     ----------
     call : Call
-        The call; the nonce of ``call.claim`` is replaced for each claim.
+        The call; each claim replaces the nonce of ``call.claim``.
     ledger : Ledger
         Claims of this process.
     nonces : iterator of str
-        Yields a fresh nonce for each claim.
+        Yields a new nonce for each claim.
     now : float
         Monotonic time, in seconds.
 
     Returns
     -------
-    Answer or Refusal
-        By ``return``; steps are yielded and events sent in. A refusal says
-        ``not_run`` only if this attempt sent nothing and never will.
+    Response or Refusal
+        The generator's return value; it yields steps and is sent events. A refusal
+        says ``not_run`` only if this attempt has sent nothing and never will.
     """
     expect: step.Precondition = step.ABSENT
     while True:
-        mine = dataclasses.replace(call.claim, nonce=next(nonces))
-        ledger.begin(mine.nonce, now)
-        claimed = yield from _write_claim(call, mine, expect, ledger)
+        own_row = dataclasses.replace(call.claim, nonce=next(nonces))
+        ledger.begin(own_row.nonce, now)
+        claimed = yield from _write_claim(call, own_row, expect, ledger)
         if isinstance(claimed, refusal.Refusal):
             return claimed
         if isinstance(claimed, _Claimed):
-            return (yield from _dispatch_claimed(call, mine, claimed, ledger))
+            return (yield from _dispatch_claimed(call, own_row, claimed, ledger))
         resolved = yield from _resolve_other(call, claimed)
         if not isinstance(resolved, _Free):
             return resolved
@@ -384,93 +384,101 @@
 
 
 def _write_claim(
-    call: Call, mine: Row, expect: step.Precondition, ledger: Ledger
+    call: Call, own_row: Row, expect: step.Precondition, ledger: Ledger
 ) -> collections.abc.Generator[
     Step, step.Event, _Claimed | _HeldByOther | refusal.Refusal
 ]:
-    """Write the claim; on a lost answer read back and compare the nonce."""
-    silent = 0
-    contested = False
+    """Write the claim; if the answer is lost, read the row and compare the nonce."""
+    unanswered = 0
+    key_in_use = False
     writing = True
     while True:
         if writing:
-            event = yield step.Write(TABLE, call.row_key, mine, expect)
+            event = yield step.Write(TABLE, call.row_key, own_row, expect)
         else:
             event = yield step.Read(TABLE, call.row_key, Row)
         match event.outcome:
             case step.Applied(version):
                 return _Claimed(version, event.now)
             case step.Found(version, row):
-                if row.nonce == mine.nonce and row.state is State.CLAIMED:
+                if row.nonce == own_row.nonce and row.state is State.CLAIMED:
                     return _Claimed(version, event.now)
                 if version != expect:
-                    ledger.abandon(mine.nonce)
+                    ledger.abandon(own_row.nonce)
                     return _HeldByOther(version, row, event.now)
-                # The row to take over is unchanged. A late effect of the first
-                # write and this one exclude each other by the row version.
+                # The row to take over is unchanged. If the first write still takes
+                # effect later, the row version lets only one of the two succeed.
                 writing = True
             case step.Missing():
                 expect = step.ABSENT
                 writing = True
             case step.PreconditionFailed():
-                contested = True
+                key_in_use = True
                 writing = False
             case step.Malformed(reason):
-                ledger.abandon(mine.nonce)
+                ledger.abandon(own_row.nonce)
                 return _unreadable(reason)
             case step.NoAnswer(reason):
-                silent += 1
-                if silent < MAX_UNANSWERED_CLAIM_STEPS:
-                    event = yield step.Wait(CLAIM_RETRY_S * silent)
-                if silent >= MAX_UNANSWERED_CLAIM_STEPS:
-                    ledger.abandon(mine.nonce)
-                    return _store_unavailable(reason, contested)
+                unanswered += 1
+                if unanswered < MAX_UNANSWERED_CLAIM_STEPS:
+                    event = yield step.Wait(CLAIM_RETRY_S * unanswered)
+                if unanswered >= MAX_UNANSWERED_CLAIM_STEPS:
+                    ledger.abandon(own_row.nonce)
+                    return _store_unavailable(reason, key_in_use)
                 writing = False
-        if not ledger.in_window(mine.nonce, event.now):
-            ledger.abandon(mine.nonce)
-            return _store_unavailable("the claim took too long", contested)
+        if not ledger.in_window(own_row.nonce, event.now):
+            ledger.abandon(own_row.nonce)
+            return _store_unavailable("writing the claim took too long", key_in_use)
 
 
-def _dispatch_claimed(call: Call, mine: Row, claimed: _Claimed, ledger: Ledger) -> Flow:
+def _dispatch_claimed(
+    call: Call, own_row: Row, claimed: _Claimed, ledger: Ledger
+) -> Flow:
     """Send the claimed call, then record its outcome."""
-    if not ledger.in_window(mine.nonce, claimed.now):
-        reason = f"the claim was not complete within {SEND_WINDOW_S:g} s"
+    if not ledger.in_window(own_row.nonce, claimed.now):
+        reason = f"the claim was not written within {SEND_WINDOW_S:g} s"
         refused = refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
-        return (yield from _release_claim(call, mine, claimed, ledger, refused))
+        return (yield from _release_claim(call, own_row, claimed, ledger, refused))
     if claimed.now >= call.deadline:
         reason = "the deadline passed before the call was sent"
         refused = refusal.refuse(refusal.DEADLINE_UNREACHABLE, reason)
-        return (yield from _release_claim(call, mine, claimed, ledger, refused))
-    event = yield Dispatch(mine.nonce)
+        return (yield from _release_claim(call, own_row, claimed, ledger, refused))
+    event = yield Dispatch(own_row.nonce)
     match event.outcome:
         case Delivered(answer):
-            ledger.mark_ran(mine.nonce, answer)
-            row = dataclasses.replace(mine, state=State.DONE, answer=answer)
+            ledger.mark_ran(own_row.nonce, answer)
+            row = dataclasses.replace(own_row, state=State.DONE, answer=answer)
             yield from _record_outcome(call, row, claimed.version, ledger)
             return answer
         case NotSent(refused):
-            if ledger.status(ledger.process, mine.nonce)[0] is Status.ACTIVE:
-                return (yield from _release_claim(call, mine, claimed, ledger, refused))
-            # The last check granted the send, so bytes may have left.
+            if ledger.status(ledger.process, own_row.nonce)[0] is Status.ACTIVE:
+                return (
+                    yield from _release_claim(call, own_row, claimed, ledger, refused)
+                )
+            # The send was granted, so bytes may have been sent.
             refused = as_possibly_run(refused)
         case OutcomeUnknown(refused):
             refused = as_possibly_run(refused)
         case other:
             raise AssertionError(f"unexpected outcome of a dispatch: {other!r}")
-    ledger.mark_unknown(mine.nonce)
+    ledger.mark_unknown(own_row.nonce)
     note = refused.message
-    row = dataclasses.replace(mine, state=State.UNKNOWN, note=note)
+    row = dataclasses.replace(own_row, state=State.UNKNOWN, note=note)
     yield from _record_outcome(call, row, claimed.version, ledger)
     return refused
 
 
 def _release_claim(
-    call: Call, mine: Row, claimed: _Claimed, ledger: Ledger, refused: refusal.Refusal
+    call: Call,
+    own_row: Row,
+    claimed: _Claimed,
+    ledger: Ledger,
+    refused: refusal.Refusal,
 ) -> Flow:
-    """Abandon a claim that was not sent and free its row."""
-    ledger.abandon(mine.nonce)
-    row = dataclasses.replace(mine, state=State.RELEASED, note=refused.message)
-    # If this write fails, later callers ask this process and hear "abandoned".
+    """Abandon a claim that was not sent and release its row."""
+    ledger.abandon(own_row.nonce)
+    row = dataclasses.replace(own_row, state=State.RELEASED, note=refused.message)
+    # If this write fails, this process still reports the claim as abandoned.
     yield step.Write(TABLE, call.row_key, row, claimed.version)
     return refused
 
@@ -478,10 +486,10 @@
 def _record_outcome(
     call: Call, row: Row, version: str, ledger: Ledger
 ) -> collections.abc.Generator[Step, step.Event, None]:
-    """Write the outcome until it is known to be stored.
+    """Write the outcome, retrying until it is known to be stored.
 
-    There is no limit of attempts: claims need the store, so during an outage
-    only the calls that were running at its start wait here.
+    The number of attempts is unlimited: new claims need the store, so during an outage
+    only the calls that were running when it began wait here.
     """
     expect: step.Precondition = version
     delay_s = RECORD_RETRY_MIN_S
@@ -496,14 +504,14 @@
                 break
             case step.Found(_, found) if found.nonce != row.nonce:
                 yield ReportViolation(
-                    f"claim {call.row_key} was taken over while it ran"
+                    f"claim {call.row_key} was taken over while its call was running"
                 )
                 break
             case step.Found(_, found) if found.state is row.state:
                 break
             case step.Found(found_version, _):
-                # Unchanged, or settled by an operator meanwhile: what this
-                # process knows replaces what the operator assumed.
+                # Either unchanged or settled by an operator in the meantime: this
+                # process knows the outcome, so it overrides the operator.
                 expect = found_version
                 writing = True
             case step.Missing():
@@ -524,9 +532,9 @@
 def _resolve_other(
     call: Call, taken: _HeldByOther
 ) -> collections.abc.Generator[Step, step.Event, _Free | Result]:
-    """Find out what became of another attempt, until the caller's deadline."""
+    """Determine the outcome of another attempt, until the caller's deadline."""
     version, row, now = taken.version, taken.row, taken.now
-    claimant_is_gone = False
+    claimant_gone = False
     while True:
         if row.fingerprint != call.claim.fingerprint:
             reason = "the idempotency key was used for another request"
@@ -539,16 +547,16 @@
             case State.SETTLED_RAN:
                 reason = f"settled by an operator as run: {row.note}"
                 return _outcome_unknown(reason, refusal.RunState.RAN)
-            case State.CLAIMED if not claimant_is_gone:
+            case State.CLAIMED if not claimant_gone:
                 pass
             case State.CLAIMED:
-                reason = f"node {row.node} stopped while it ran this key"
+                reason = f"node {row.node} stopped while it ran the call with this key"
                 return _outcome_unknown(reason)
             case _:
                 reason = f"the outcome of the first attempt is unknown: {row.note}"
                 return _outcome_unknown(reason)
         if now >= call.deadline:
-            reason = "an earlier call with this key did not end before the deadline"
+            reason = "an earlier call with this key did not finish before the deadline"
             state = refusal.RunState.UNKNOWN
             return refusal.refuse(refusal.IN_PROGRESS, reason, state)
         asked_at = now
@@ -563,13 +571,13 @@
                 reason = "the outcome of the first attempt is unknown"
                 return _outcome_unknown(reason)
             case StatusReply(Status.GONE | Status.FORGOTTEN | Status.RECORDED):
-                # Only a row that is still unchanged when it is read again
-                # shows that no outcome will come.
-                claimant_is_gone = True
+                # The outcome may have been recorded meanwhile. Only if the row is
+                # unchanged when read again will no outcome follow.
+                claimant_gone = True
             case Unreachable():
                 event = yield LookUpSession(row.session)
-                claimant_is_gone = isinstance(event.outcome, SessionEnded)
-        if not claimant_is_gone and event.now - asked_at < STATUS_POLL_INTERVAL_S:
+                claimant_gone = isinstance(event.outcome, SessionEnded)
+        if not claimant_gone and event.now - asked_at < STATUS_POLL_INTERVAL_S:
             yield step.Wait(
                 min(STATUS_POLL_INTERVAL_S, max(0.0, call.deadline - event.now))
             )
@@ -577,19 +585,21 @@
         now = event.now
         match event.outcome:
             case step.Found(found_version, found):
-                # What was heard concerns the nonce that was asked for.
-                claimant_is_gone = claimant_is_gone and found.nonce == row.nonce
+                # The reply applies only to the nonce that was queried.
+                claimant_gone = claimant_gone and found.nonce == row.nonce
                 version, row = found_version, found
             case step.Malformed(reason):
                 return _unreadable(reason)
             case step.Missing():
-                return _outcome_unknown("the claim was removed while it was read")
+                return _outcome_unknown(
+                    "the claim row was deleted before its outcome was known"
+                )
             case _:
-                claimant_is_gone = False
+                claimant_gone = False
 
 
 def as_possibly_run(refused: refusal.Refusal) -> refusal.Refusal:
-    """Correct a refusal of a call whose bytes may have left: never ``not_run``."""
+    """Return the refusal of a call that may have been sent: never ``not_run``."""
     if refused.run_state is refusal.RunState.NOT_RUN:
         return dataclasses.replace(refused, run_state=refusal.RunState.UNKNOWN)
     return refused
@@ -605,8 +615,8 @@
     return _outcome_unknown(f"the claim row cannot be read: {reason}")
 
 
-def _store_unavailable(reason: str, contested: bool) -> refusal.Refusal:
-    if contested:
+def _store_unavailable(reason: str, key_in_use: bool) -> refusal.Refusal:
+    if key_in_use:
         text = f"another call with this key exists and cannot be read: {reason}"
         state = refusal.RunState.UNKNOWN
         return refusal.refuse(refusal.STORE_UNAVAILABLE, text, state)
@@ -615,7 +625,7 @@
 
 
 class Verdict(enum.StrEnum):
-    """What an operator found out about a claim left unknown."""
+    """An operator's finding about a claim with an unknown outcome."""
 
     RAN = "ran"
     NOT_RUN = "not_run"
@@ -623,14 +633,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class TooEarly:
-    """The claim may be settled after this time, in seconds."""
+    """The claim may be settled only after this time, in seconds."""
 
     wait_s: float
 
 
 @dataclasses.dataclass(frozen=True)
 class NotSettleable:
-    """The claim is not left unknown."""
+    """The claim does not need an operator to settle it."""
 
     reason: str
 
@@ -643,15 +653,15 @@
     Parameters
     ----------
     row : Row
-        The claim as last read; write the result only over that version.
+        The claim as last read; the result may replace only that row version.
     verdict : Verdict
-        What the operator found out at the upstream.
-    session_gone : bool
+        What the operator found at the upstream.
+    session_ended : bool
         The claiming session was revoked or removed.
     wall : float
-        Wall clock, in seconds.
+        Wall-clock time, in seconds.
     note : str
-        Kept in the row, for example the operator's name.
+        Stored in the row, for example the operator's name.
     """
     if not needs_operator(row, session_ended):
         return NotSettleable(_why_not_open(row))
@@ -663,20 +673,20 @@
 
 
 def is_expired(row: Row, wall: float) -> bool:
-    """Tell whether a finished claim may be deleted; unsettled ones never are."""
+    """Return whether a finished claim may be deleted; unsettled claims never are."""
     finished = row.state in (State.DONE, State.RELEASED, State.SETTLED_RAN)
     return finished and wall - row.claimed_wall > RETENTION_S
 
 
 def needs_operator(row: Row, session_ended: bool) -> bool:
-    """Tell whether only an operator can settle the claim."""
+    """Return whether only an operator can settle the claim."""
     if row.state is State.UNKNOWN:
-        # Recorded by the claimant itself, which never sends again.
+        # The claiming process recorded this itself and never sends again.
         return True
     return row.state is State.CLAIMED and session_ended
 
 
 def _why_not_open(row: Row) -> str:
     if row.state is State.CLAIMED:
-        return f"node {row.node} still holds its session and may settle the claim"
+        return f"node {row.node} still has its session and may record the outcome"
     return f"the claim is {row.state.value}"
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -23,7 +23,7 @@
 
 SENT = claim.Delivered(ANSWER)
 MINE_DONE = dataclasses.replace(DONE, nonce="m1")
-# Expected step, its outcome, and the seconds that it takes.
+# Expected step, its outcome, and its duration in seconds.
 STEPS: dict[str, tuple[type, object, float]] = {
     "write": (step.Write, step.Applied("2"), 0),
     "write-10s": (step.Write, step.Applied("2"), 10),
@@ -132,7 +132,7 @@
 def play(
     script: str, ledger: claim.Ledger
 ) -> tuple[object, collections.abc.Iterator[str]]:
-    """Run a call against scripted outcomes; every script must be used up."""
+    """Run a call against scripted outcomes; all outcomes must be consumed."""
     nonces = (f"m{n}" for n in itertools.count(1))
     now = 100.0
     flow = claim.execute(claim.Call(OWN, now + 60), ledger, nonces, now)
@@ -153,7 +153,7 @@
 
 @pytest.mark.parametrize(("script", "expected"), CASES.values(), ids=list(CASES))
 def test_call_survives(script: str, expected: object) -> None:
-    """Guards against a second run, a false ``not_run`` and a lost answer."""
+    """Guards against a second execution, a false ``not_run`` and a lost answer."""
     result, _ = play(script, claim.Ledger("p1"))
     if isinstance(result, refusal.Refusal):
         assert f"{result.kind.code} {result.run_state}" == expected
@@ -165,7 +165,7 @@
     "name", ["store down before the claim", "paused beyond the window", "not sent"]
 )
 def test_abandoned_claim_is_never_granted(name: str) -> None:
-    """Guards against a send after others were told that the claim is abandoned."""
+    """Guards against sending after the claim was reported to others as abandoned."""
     ledger = claim.Ledger("p1")
     play(CASES[name][0], ledger)
     assert ledger.status("p1", "m1")[0] is claim.Status.ABANDONED
@@ -173,7 +173,7 @@
 
 
 def test_grant_is_given_once_and_in_its_window() -> None:
-    """Guards against a retry inside the dispatch and a send after a pause."""
+    """Guards against a retry inside the dispatch, and a send after a long pause."""
     ledger = claim.Ledger("p1")
     ledger.begin("a", 0.0)
     ledger.begin("b", 0.0)
@@ -184,7 +184,7 @@
 
 
 def test_forgotten_claim_is_not_called_abandoned() -> None:
-    """Guards against a bounded memory that makes an old claim look unsent."""
+    """Guards against an evicted old claim that appears not to have been sent."""
     ledger = claim.Ledger("p1", limit=1)
     for nonce in ("a", "b"):
         ledger.begin(nonce, 0.0)
@@ -195,7 +195,7 @@
 
 
 def test_dispatch_that_denies_a_granted_send_is_unclear() -> None:
-    """Guards against ``not_run`` for a call whose last check had passed."""
+    """Guards against ``not_run`` for a call whose send had been granted."""
     ledger = claim.Ledger("p1")
     flow = claim.execute(claim.Call(OWN, 60.0), ledger, iter(["m1"]), 0.0)
     next(flow)
