--- a/packages/snipelug-core/src/snipelug_core/confirmation.py
+++ b/packages/snipelug-core/src/snipelug_core/confirmation.py
@@ -1,9 +1,9 @@
 """Requests sent to an upstream since it was last known to be warm.
 
-Nothing but a load report says whether an upstream is warm: one in cold start accepts
-requests and sends first tokens like a warm one, until it gets too many. Reports lag.
-Every request therefore takes one of the slots of a cold start, and gives it back when
-it has ended or when a report made after its arrival says warm.
+Only a load report shows whether an upstream is warm. An upstream in cold start accepts
+requests and sends first tokens like a warm one until it gets too many, and reports lag.
+Every request therefore takes a cold-start slot and returns it when it has ended, or
+when a report made after its arrival shows that the upstream was warm.
 """
 
 import collections.abc
@@ -13,24 +13,24 @@
 from snipelug_core import table
 
 ACCEPTANCE_DELAY_S = 0.25
-"""Time after a send within which the upstream has accepted the request, where its
-answer has not started yet. The head of an answer shows it earlier."""
+"""Time in seconds after a send by which the upstream has accepted the request, used
+until its response starts. The response headers prove acceptance earlier."""
 
 MIN_READ_S = 0.02
-"""Shortest time between two reads of the load of a warm upstream."""
+"""Shortest interval between two reads of a warm upstream's load, in seconds."""
 
 COLD_READ_S = 0.25
-"""Time between two reads of the load of an upstream that is not warm."""
+"""Interval in seconds between two reads of the load of an upstream that is not warm."""
 
 SLOT_STALL_S = 5.0
-"""Time without any slot after which a node uses its allowance.
+"""Time in seconds without any slot after which a node sends without one.
 
-A node that dies keeps its slots for `admission.ARRIVAL_BOUND_S`; a warm upstream must not
-stand still for that long.
+The slots of a node that dies stay in use for `admission.ARRIVAL_BOUND_S`; a warm
+upstream must not be idle for that long.
 """
 
 MAX_SENT_WITHOUT_SLOT = 1
-"""Unconfirmed requests of one node at one warm upstream without a slot."""
+"""Unconfirmed requests that one node may have at one warm upstream without a slot."""
 
 
 @dataclasses.dataclass
@@ -42,7 +42,7 @@
     at : float
         Monotonic time of the send, in seconds.
     head_at : float or None
-        Monotonic time at which the head of its answer was read, in seconds.
+        Monotonic time at which the response headers were read, in seconds.
     """
 
     at: float
@@ -55,7 +55,7 @@
 
 
 def is_confirmed(sent: SentRequest, report: table.LoadReport | None) -> bool:
-    """Return whether the upstream was warm after the request arrived."""
+    """Return whether the report shows a warm upstream after the request arrived."""
     if report is None or report.state is not table.Warmth.WARM:
         return False
     return report.made_at > latest_arrival(sent)
@@ -66,10 +66,10 @@
     upstream: table.Upstream,
     now: float,
 ) -> float:
-    """Return when to read the load so that it may confirm a request.
+    """Return when to read the load next so that it may confirm a request.
 
-    The lag of the newest report tells when a report made after the arrival can be
-    read, so that reads before that time are saved.
+    The age of the latest report tells how soon a report made after the arrival can be
+    read, which avoids useless reads before that time.
     """
     report = upstream.report
     if report is None or report.state is not table.Warmth.WARM:
@@ -81,7 +81,7 @@
 
 
 def report_age_s(upstream: table.Upstream) -> float:
-    """Return how old the newest report was when it was read, in seconds."""
+    """Return the age of the latest report when it was read, in seconds."""
     report = upstream.report
     if report is None or upstream.heard_at is None:
         return 0.0
@@ -94,11 +94,12 @@
     Parameters
     ----------
     unconfirmed : int
-        Requests in slots, and those that wait for one.
+        Requests in slots or waiting for one.
     limit : int
         Slots of the upstream.
     age_s : float
-        Age of reports when they are read, in seconds: slots in use get free after it.
+        Age of reports when they are read, in seconds; slots in use become free after
+        it.
     """
     ahead = unconfirmed - limit + 1
     return math.ceil(max(0, ahead) / limit) * (age_s + MIN_READ_S)
@@ -109,20 +110,20 @@
 ) -> bool:
     """Return whether a node may send to a warm upstream without a slot.
 
-    While a holder is silent, as many nodes as it has slots may: those that rank first
-    for the upstream among the live nodes. So a warm upstream is served on, and nodes
-    that agree on who is live do not exceed the limit.
+    While holders do not answer, as many nodes as those holders have slots may send: the
+    nodes that rank first for the upstream among the live nodes. A warm upstream is thus
+    still served, and nodes that agree on the live nodes do not exceed the limit.
 
     Parameters
     ----------
     silent_slots : int
-        Slots of the parts that have no holder, or one that does not answer.
+        Slots of the parts without a holder, or whose holder does not answer.
     rank : int
-        Place of this node among the live nodes, from 0.
+        Position of this node among the live nodes, from 0.
     stalled_s : float
-        Time for which this node has asked for slots and got none, in seconds.
+        Time for which this node has requested slots and got none, in seconds.
     used : int
-        Unconfirmed requests that this node has sent there on its allowance.
+        Unconfirmed requests that this node has sent there without a slot.
     """
     return used < MAX_SENT_WITHOUT_SLOT and (
         rank < silent_slots or stalled_s >= SLOT_STALL_S
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -24,7 +24,7 @@
 def test_only_a_warm_report_made_after_the_arrival_confirms(
     state: table.Warmth, made_at: float, head_at: float | None, is_confirmed: bool
 ) -> None:
-    """Guards against slots given back while the upstream may be cold."""
+    """Guards against returning slots while the upstream may be cold."""
     report = table.LoadReport("x", state, 0, 0, 1, made_at)
     sent = confirmation.SentRequest(10.0, head_at)
     assert confirmation.is_confirmed(sent, report) is is_confirmed
@@ -32,10 +32,10 @@
 
 
 @hypothesis.given(st.integers(1, 4), st.integers(1, 8), st.integers(0, 4))
-def test_allowances_stay_within_the_silent_slots(
+def test_sends_without_slot_stay_within_the_silent_slots(
     limit: int, nodes: int, silent: int
 ) -> None:
-    """Guards against all nodes sending at once while holders are silent."""
+    """Guards against all nodes sending at once while holders do not answer."""
     silent = min(limit, silent)
     used = [0] * nodes
     for _ in range(3):
