--- a/packages/snipelug-core/src/snipelug_core/session.py
+++ b/packages/snipelug-core/src/snipelug_core/session.py
@@ -1,8 +1,8 @@
 """A node's lease session: renewal, validity and revocation.
 
-A session is one row of the table ``sessions``; its key is the session id,
-which is never used again. Revoking deletes the row under the condition that
-it is unchanged, so a late renewal fails.
+A session is one row of the table ``sessions``, keyed by the session id, which is never
+reused. Revoking a session deletes its row if the row is unchanged, so a late renewal
+fails.
 """
 
 import collections.abc
@@ -15,11 +15,11 @@
 
 RENEW_S = 5.0
 LEASE_S = 15.0
-"""Validity on the holder's clock, from before the renewal was sent."""
+"""Validity in seconds on the holder's clock, from before the renewal was sent."""
 
 REVOKE_AFTER_S = 30.0
-"""Time that an observer sees a row unchanged before it revokes the session.
-Twice the lease, so clocks may differ in rate by nearly a factor of two."""
+"""Time in seconds for which an observer must see a row unchanged before it revokes
+the session. Twice the lease, so clock rates may differ by almost a factor of two."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,7 +33,7 @@
     seq : int
         Number of the renewal; 1 for the creation.
     host, rpc_port, zone : str, int, str
-        Where other nodes reach the node.
+        Address at which other nodes reach the node, and its availability zone.
     """
 
     session: str
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class NodeAddress:
-    """Where other nodes reach a node."""
+    """Address at which other nodes reach a node, and its availability zone."""
 
     host: str = ""
     rpc_port: int = 0
@@ -63,13 +63,13 @@
     session : str
         Id of the current session, empty if there is none.
     version : str
-        Version of the row as last known.
+        Last known version of the row.
     seq : int
         Number of the last renewal sent.
     valid_until : float
         Monotonic time of this node, in seconds.
-    unclear : dict
-        When each renewal without an answer was sent, by its number.
+    unanswered : dict
+        Send time of each renewal whose outcome is unknown, by its number.
     """
 
     node: str
@@ -83,11 +83,11 @@
     unanswered: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def valid(self, now: float) -> bool:
-        """Tell whether the lease is in force; compare right before acting."""
+        """Return whether the lease is in force; check it right before acting."""
         return now < self.valid_until
 
     def drop(self) -> None:
-        """Forget the session; the next renewal creates another."""
+        """Forget the session; the next renewal creates a new one."""
         self.session = ""
         self.version = ""
         self.valid_until = -math.inf
@@ -98,12 +98,12 @@
 
 
 def renew(lease: Lease, now: float) -> Flow:
-    """Create the session or renew it once, and read back an unclear outcome.
+    """Create or renew the session once; on an unknown outcome, read the row back.
 
-    Run one flow at a time for a lease. A read-back can confirm a renewal that
-    was sent long ago, or show that the session is gone; since the store
-    answers again, the lease is then renewed at once. Without this a node
-    refused orders for up to 5 s after an outage.
+    Run only one flow at a time for a lease. Reading back may confirm a renewal that was
+    sent long ago, or show that the session is gone. Because the store answers again by
+    then, the lease is renewed immediately; without this, a node refused orders for up
+    to 5 s after an outage.
     """
     answered_at = yield from _renew_once(lease, now)
     if answered_at is None:
@@ -115,18 +115,18 @@
 def _renew_once(
     lease: Lease, now: float
 ) -> collections.abc.Generator[step.Write | step.Read, step.Event, float | None]:
-    """Send one renewal or settle an unclear one.
+    """Send one renewal, or resolve one whose outcome is unknown.
 
     Returns
     -------
     float or None
-        When the store answered, None if it stayed silent.
+        Time at which the store answered, None if it did not.
     """
     if lease.session and not lease.version:
         answered_at = yield from _read_back(lease)
         if lease.session and not lease.version:
-            # A session id is created by one write only: a delayed second
-            # creation could bring a revoked session back.
+            # Never send a second creation of a session id: if it were delayed, it
+            # could bring a revoked session back.
             lease.drop()
         return answered_at
     if not lease.session:
@@ -170,17 +170,18 @@
 
 
 def _confirm(lease: Lease, version: str, seq: int) -> None:
-    """Note that the renewal with this number took effect."""
+    """Record that the renewal with this number took effect."""
     sent_at = lease.unanswered.get(seq, -math.inf)
     lease.valid_until = max(lease.valid_until, sent_at + LEASE_S)
     if version != lease.version:
-        # Every unclear renewal expected the version before this one.
+        # Every unanswered renewal expected an earlier version and can no longer
+        # take effect.
         lease.unanswered.clear()
     lease.version = version
 
 
 def end(lease: Lease) -> Flow:
-    """Remove the session in a planned stop, after everything was handed over."""
+    """Remove the session on a planned stop, after everything has been handed over."""
     key, version = lease.session, lease.version
     lease.drop()
     if key and version:
@@ -189,7 +190,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Observation:
-    """When this node first saw a version of a session row."""
+    """Time at which this node first saw a version of a session row."""
 
     version: str
     seen_at: float
@@ -202,7 +203,7 @@
     Attributes
     ----------
     unchanged_s : float
-        Time that the row was seen unchanged, on this node's clock.
+        Time for which the row was seen unchanged, on this node's clock.
     """
 
     session: str
@@ -212,7 +213,7 @@
 
 @dataclasses.dataclass
 class Watch:
-    """What this node has seen of all sessions, by session id."""
+    """Observations of all sessions by this node, by session id."""
 
     observations: dict[str, Observation] = dataclasses.field(default_factory=dict)
 
@@ -223,16 +224,16 @@
     asked_at: float,
     now: float,
 ) -> collections.abc.Iterator[StaleSession]:
-    """Take in a reading of the table and yield the sessions to revoke.
+    """Process a reading of the table and yield the sessions to revoke.
 
     Parameters
     ----------
     watch : Watch
-        Changed in place.
+        Modified in place.
     versions : mapping of str to str
         Row version of each session in the reading.
     asked_at, now : float
-        Monotonic time before the reading was asked for and after it arrived.
+        Monotonic times before the reading was requested and after it arrived.
     """
     for session in [name for name in watch.observations if name not in versions]:
         del watch.observations[session]
@@ -247,5 +248,5 @@
 
 
 def revoke(stale: StaleSession) -> step.Write:
-    """Return the write that revokes a session unless it was renewed."""
+    """Return the write that revokes a session unless it has been renewed."""
     return step.Write(TABLE, stale.session, None, stale.version)
