--- a/packages/snipelug-core/src/snipelug_core/step.py
+++ b/packages/snipelug-core/src/snipelug_core/step.py
@@ -1,8 +1,7 @@
 """Steps that decision logic asks its driver to perform on the table service.
 
-Decision logic that needs several store operations is written as a generator:
-it yields a step and is sent an ``Event`` with the step's outcome and the time
-at which the outcome arrived.
+Decision logic that needs several store operations is a generator: it yields a step and
+is sent an ``Event`` with the step's outcome and the time at which the outcome arrived.
 """
 
 import dataclasses
@@ -25,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Write:
-    """Write a row if its precondition holds; content None deletes the row."""
+    """Write a row if its precondition holds; if ``content`` is None, delete the row."""
 
     table: str
     key: str
@@ -44,7 +43,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Wait:
-    """Let time pass, in seconds."""
+    """Wait for the given time, in seconds."""
 
     delay_s: float
 
@@ -68,7 +67,7 @@
     Attributes
     ----------
     maybe_applied : bool
-        The write may have taken effect, or may take effect later.
+        The write may have taken effect already, or may still do so later.
     """
 
     reason: str
@@ -90,7 +89,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Malformed:
-    """The row exists and cannot be decoded."""
+    """The row exists but cannot be decoded."""
 
     reason: str
 
@@ -102,7 +101,7 @@
     Attributes
     ----------
     outcome : object
-        One of the outcome types of the step.
+        One of the outcome types that the step allows.
     now : float
         Monotonic time of this node when the outcome arrived, in seconds.
     """
