--- a/bench/micro.py
+++ b/bench/micro.py
@@ -28,8 +28,8 @@
         source = index.Source(f"e{rng.randrange(fleet)}", "b1")
         copy = index.Source(f"s{rng.randrange(2)}", "b1", is_store=True)
         for key in prompt.keys:
-            shard.apply(index.Added(source, key, 1), 0.0)
-            shard.apply(index.Added(copy, key, 1, 1, "c"), 0.0)
+            shard.apply(index.BlockAdded(source, key, 1), 0.0)
+            shard.apply(index.BlockAdded(copy, key, 1, 1, "c"), 0.0)
     targets = {
         f"e{i}": route.Target(
             f"e{i}",
@@ -46,13 +46,13 @@
     chosen.update({t.id: t.zone for t in targets.values()})
     links = {(s, z): link.Link(3e9) for s in ("s0", "s1") for z in dep.zones}
     cfg = workload.config(dep)
-    router = route.ByCost(route.MODES["ttft"])
+    router = route.LowestCost(route.MODES["ttft"])
     rounds = []
     for _ in range(ROUNDS):
         started = time.perf_counter()
         for prompt in prompts:
             found = shard.lookup(prompt.keys, 1.0)
-            facts = route.Facts(cfg, found, {}, links, model.BLOCK_BYTES)
+            facts = route.RoutingContext(cfg, found, {}, links, model.BLOCK_BYTES)
             req = route.Request(
                 "r", "team0", workload.MODEL, workload.WEIGHT_VERSION, prompt
             )
@@ -71,7 +71,9 @@
         key = os.urandom(24)
         for source in sources:
             checksum = os.urandom(16).hex()
-            shard.apply(index.Added(source, key, 1000 + i, 1000 + i, checksum), 0.0)
+            shard.apply(
+                index.BlockAdded(source, key, 1000 + i, 1000 + i, checksum), 0.0
+            )
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     return used / ENTRIES
--- a/packages/snipelug-core/src/snipelug_core/confirmation.py
+++ b/packages/snipelug-core/src/snipelug_core/confirmation.py
@@ -83,9 +83,9 @@
 def report_age_s(upstream: table.Upstream) -> float:
     """Return the age of the latest report when it was read, in seconds."""
     report = upstream.report
-    if report is None or upstream.heard_at is None:
+    if report is None or upstream.load_read_at is None:
         return 0.0
-    return max(0.0, upstream.heard_at - report.made_at)
+    return max(0.0, upstream.load_read_at - report.made_at)
 
 
 def expected_wait_s(unconfirmed: int, limit: int, age_s: float) -> float:
--- a/packages/snipelug-node/src/snipelug_node/peer.py
+++ b/packages/snipelug-node/src/snipelug_node/peer.py
@@ -137,7 +137,7 @@
 
     def live(self) -> list[str]:
         """Return the ids of the nodes heard of lately, this one included."""
-        return self.members.live(self.clock())
+        return self.members.live_node_ids(self.clock())
 
     def register(
         self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
@@ -245,14 +245,14 @@
     ) -> currency.HeartbeatReply:
         if message.revision > self.state.revision:
             self.on_newer()
-        return currency.answer_heartbeat(
+        return currency.build_heartbeat_reply(
             self.state, self.members, self.clock(), self.rng, message.wants_rows
         )
 
     async def _send_heartbeats(self, nursery: trio.Nursery) -> None:
         while True:
             self._drop_removed_links()
-            for node_id in member.choose_targets(self.members, self.rng):
+            for node_id in member.choose_heartbeat_targets(self.members, self.rng):
                 nursery.start_soon(self._send_heartbeat, node_id)
             await ticker.sleep(HEARTBEAT_S)
 
@@ -274,6 +274,6 @@
             extra = {"peer": node_id, "reason": reply.reason}
             LOG.debug("no answer to a heartbeat", extra=extra)
             return
-        currency.hear_reply(state, self.members, asked_at, reply)
-        if currency.wanted_revision(state, self.members) > state.revision:
+        currency.record_heartbeat_reply(state, self.members, asked_at, reply)
+        if currency.latest_known_revision(state, self.members) > state.revision:
             self.on_newer()
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -96,7 +96,7 @@
         """Judge the send; must be the last step before the first byte."""
         now = trio.current_time()
         self.verdict = self.may_send(self.upstream, conn_opened_at, now)
-        if isinstance(self.verdict, load.Barred):
+        if isinstance(self.verdict, load.Excluded):
             return False
         if self.slot is None:
             return False
@@ -107,7 +107,7 @@
 
     def count(self) -> None:
         """Count the request as in flight."""
-        load.note_sent(self.upstream, trio.current_time())
+        load.record_sent(self.upstream, trio.current_time())
         self.counted = True
 
     def release(self, has_ended: bool) -> None:
@@ -126,7 +126,7 @@
             self.suspect_slot = None
         if self.counted:
             self.counted = False
-            load.note_ended(self.upstream, trio.current_time())
+            load.record_ended(self.upstream, trio.current_time())
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,7 +134,7 @@
     """The head of a response arrived; the caller releases the permit."""
 
     permit: Permit
-    reply: http_client.Reply
+    reply: http_client.StreamingResponse
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,7 +174,7 @@
         upstream: table.Upstream,
         call: http_client.Call,
         deadline: float,
-        granted: http_client.LastCheck | None = None,
+        granted: http_client.PreSendCheck | None = None,
         is_suspect: bool = False,
         may_wait: bool = True,
     ) -> Outcome:
@@ -188,7 +188,7 @@
             The request.
         deadline : float
             Monotonic time until which a slot is waited for, in seconds.
-        granted : LastCheck, optional
+        granted : PreSendCheck, optional
             Evaluated last of all, after the upstream was judged to be able to
             take the request; for claims, it marks the claim as sent.
         is_suspect : bool
@@ -199,7 +199,7 @@
         """
         give_up_at = min(deadline, trio.current_time() + WITHHELD_WAIT_S)
         permit = Permit(upstream, self.may_send)
-        if load.needs_look(upstream, trio.current_time()):
+        if load.needs_recheck(upstream, trio.current_time()):
             with trio.move_on_after(LOOK_TIMEOUT_S):
                 await self.refresh(upstream)
         try:
@@ -207,8 +207,8 @@
                 refused = await self._prepare(permit, deadline, is_suspect, may_wait)
                 if refused is not None:
                     return Blocked(refused, is_busy=not may_wait)
-                outcome = await self.pool.send(call, _last_check(permit, granted))
-                if isinstance(outcome, http_client.Reply):
+                outcome = await self.pool.send(call, _pre_send_check(permit, granted))
+                if isinstance(outcome, http_client.StreamingResponse):
                     if permit.slot is not None:
                         permit.slot.arrived(trio.current_time())
                     kept, permit = permit, Permit(upstream, self.may_send)
@@ -237,7 +237,7 @@
         if verdict is None:
             # Connections of any age are judged again before the send.
             verdict = self.may_send(permit.upstream, -1.0, trio.current_time())
-        if isinstance(verdict, load.Barred):
+        if isinstance(verdict, load.Excluded):
             return None
         slot = permit.slot
         if slot is not None and not slot.covers_cold and _is_newer(verdict):
@@ -276,14 +276,14 @@
             if slot is not None:
                 return slot
         verdict = judge()
-        if isinstance(verdict, load.Barred):
+        if isinstance(verdict, load.Excluded):
             return _barred(upstream, verdict.reason.value)
         return await self.slots.acquire(upstream_id, deadline)
 
 
-def _last_check(
-    permit: Permit, granted: http_client.LastCheck | None
-) -> http_client.LastCheck:
+def _pre_send_check(
+    permit: Permit, granted: http_client.PreSendCheck | None
+) -> http_client.PreSendCheck:
     def check(conn_opened_at: float) -> bool:
         if not permit.check(conn_opened_at):
             return False
@@ -306,7 +306,7 @@
 
 def _withheld(permit: Permit) -> refusal.Refusal:
     reason = "the right to send has lapsed"
-    if isinstance(permit.verdict, load.Barred | load.NeedsGrant):
+    if isinstance(permit.verdict, load.Excluded | load.NeedsGrant):
         reason = permit.verdict.reason.value
     return _barred(permit.upstream, reason)
 
--- a/tests/changes_sim.py
+++ b/tests/changes_sim.py
@@ -123,7 +123,7 @@
         self.on(node, self.rng.uniform(0, 0.2), lambda: self.beat(node))
 
     def beat(self, node: Node) -> None:
-        for peer_id in member.choose_targets(node.members, self.rng):
+        for peer_id in member.choose_heartbeat_targets(node.members, self.rng):
             self.heartbeat(node, peer_id)
         self.poll(node)
         self.on(node, 1.0, lambda: self.beat(node))
@@ -136,14 +136,16 @@
         def receive() -> None:
             if not self.linked(node.node_id, peer_id):
                 return
-            reply = currency.answer_heartbeat(
+            reply = currency.build_heartbeat_reply(
                 peer.state, peer.members, self.clock(peer), self.rng, wants_rows
             )
             newer = [v for k, v in peer.log.items() if k > node.state.revision]
             self.on(
                 node,
                 self.transit(),
-                lambda: currency.hear_reply(node.state, node.members, asked_at, reply),
+                lambda: currency.record_heartbeat_reply(
+                    node.state, node.members, asked_at, reply
+                ),
             )
             if newer:
                 self.on(node, self.transit(), lambda: self.learn(node, newer))
@@ -223,7 +225,7 @@
         item = change.Change(revision, f"nonce-{number:04d}", "op", 0.0, operations)
         answer = Answer(item)
         self.answers.append(answer)
-        steps = proposal.write(item)
+        steps = proposal.write_change(item)
 
         def drive(result: proposal.Result | None) -> None:
             try:
@@ -239,7 +241,7 @@
 
         drive(None)
 
-    def settle(self, node: Node, answer: Answer, verdict: proposal.Verdict) -> None:
+    def settle(self, node: Node, answer: Answer, verdict: proposal.Outcome) -> None:
         match verdict:
             case proposal.Recorded(change=item):
                 answer.verdict = "recorded"
@@ -271,7 +273,11 @@
                 return
             self.learn(peer, [item])
             status = currency.own_status(peer.state, self.clock(peer))
-            self.on(node, self.transit(), lambda: node.members.hear(status, asked_at))
+            self.on(
+                node,
+                self.transit(),
+                lambda: node.members.record_status(status, asked_at),
+            )
 
         self.on(peer, self.transit(), receive)
 
@@ -300,7 +306,7 @@
         if not node.alive or node.frozen:
             return
         now = self.clock(node)
-        outcome = currency.judge(node.state, node.members, now)
+        outcome = currency.evaluate(node.state, node.members, now)
         if isinstance(outcome, currency.NotCurrent):
             return
         for answer in self.answers:
