--- a/packages/snipelug-core/src/snipelug_core/claim.py
+++ b/packages/snipelug-core/src/snipelug_core/claim.py
@@ -197,7 +197,7 @@
         return True
 
     def mark_ran(self, nonce: str, answer: Response) -> None:
-        """Store the response, whose outcome is not yet recorded in the claim row."""
+        """Store the response until the claim row records it."""
         entry = self._entries[nonce]
         entry.status = Status.RAN
         entry.answer = answer
