--- a/packages/snipelug-core/src/snipelug_core/index.py
+++ b/packages/snipelug-core/src/snipelug_core/index.py
@@ -1,7 +1,7 @@
-"""One shard of the block index: where the KV cache of prompts is kept.
+"""One shard of the block index, which maps KV cache blocks to their locations.
 
-Entries are hints. Engines and stores check what they read themselves, so a wrong
-entry costs time and never a wrong answer.
+Entries are hints. Engines and stores verify the blocks that they read, so a wrong entry
+costs time but never leads to a wrong answer.
 """
 
 import collections
@@ -16,20 +16,23 @@
 BYTES_PER_LOCATION = 224
 """Memory of an entry and of each of its locations, in bytes.
 
-``python -m bench`` measures both; the constants are set above the measured sizes.
+Both are set above the sizes that ``python -m bench`` measures.
 """
 
 DECAY_S = 86_400.0
-"""Time after which an unused entry's value counts as 1/e, in seconds.
+"""Time in which the value of an unused entry decays to 1/e, in seconds.
 
-Of the order of the gaps before a return.
+Chosen to be of the order of the time between two uses of a prompt.
 """
 
 DEFAULT_VALUE = 1e-3
-"""Value of an entry known only from a feed: below that of any recorded prompt."""
+"""Value of a block known only from an event feed, in seconds.
+
+Lower than the value of any prompt that a node has recorded.
+"""
 
 POSITION_WEIGHT = 1e-6
-"""Lowers the rank of later blocks, so that a prompt loses its end first."""
+"""Rank decrease per position, so that a prompt's last blocks are evicted first."""
 
 MAX_LOCATIONS = 6
 MAX_TOMBSTONES = 4096
@@ -39,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Source:
-    """An engine or store instance during one boot."""
+    """An engine or a KV cache store, from one start of its process to the next."""
 
     id: str
     boot_id: str
@@ -48,12 +51,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoredCopy:
-    """A readable copy of a block in a store.
+    """A readable copy of a block in a KV cache store.
 
     Attributes
     ----------
     generation, checksum : int, str
-        A read that finds others is a miss.
+        Expected generation and checksum; a read that finds others is a miss.
     """
 
     store: str
@@ -64,12 +67,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class BlockAdded:
-    """A source holds a block.
+    """Event: a source now holds a block.
 
     Attributes
     ----------
     seq : int
-        Number of the event in the source's feed; 0 if it comes from elsewhere.
+        Sequence number in the source's event feed; 0 if the event is not from a feed.
     """
 
     source: Source
@@ -81,14 +84,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class BlockDropped:
-    """A source no longer holds a block.
+    """Event: a source no longer holds a block.
 
     Attributes
     ----------
     seq : int
-        Number of the event in the source's feed; 0 if a read missed.
+        Sequence number in the source's event feed; 0 if the event is a missed read.
     generation : int
-        Generation that the read expected; a newer one stays.
+        Generation that the missed read expected; a newer copy is kept.
     """
 
     source: Source
@@ -99,12 +102,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class PrefixLocations:
-    """What is known of a prompt's leading blocks.
+    """Known locations of a prompt's leading blocks.
 
     Attributes
     ----------
     memory : dict of str to int
-        Number of leading blocks that each upstream holds.
+        Number of leading blocks in the memory of each upstream.
     stored : tuple of tuple of Stored
         Copies in stores of each leading block; a block that only upstreams hold
         has none.
@@ -114,7 +117,7 @@
     stored: tuple[tuple[StoredCopy, ...], ...] = ()
 
     def prefixes(self) -> dict[str, int]:
-        """Return the longest usable prefix of each location, in blocks."""
+        """Return the longest usable prefix at each location, in blocks."""
         lengths = dict(self.memory)
         held = self._stores_at(0)
         for i in range(len(self.stored)):
@@ -129,7 +132,10 @@
 
 
 class _Boot:
-    """A boot of a source; shared by all places so that one flag ends them all."""
+    """One boot of a source.
+
+    All places at the source share it, so clearing `alive` invalidates all of them.
+    """
 
     __slots__ = ("alive", "source")
 
@@ -139,7 +145,7 @@
 
 
 class _Place:
-    """A block at one source."""
+    """Location of a block at one source."""
 
     __slots__ = ("boot", "checksum", "generation", "seq")
 
@@ -151,7 +157,7 @@
 
 
 class _Entry:
-    """All places of one block."""
+    """All known locations of one block."""
 
     __slots__ = ("log_value", "places", "rank")
 
@@ -162,41 +168,41 @@
 
 
 class Index:
-    """Locations of blocks, bounded in memory.
+    """Index of block locations with bounded memory.
 
     Parameters
     ----------
     limit_bytes : int
-        Memory allowed, in bytes; entries of the least expected value are evicted.
+        Memory limit in bytes; the entries of least expected value are evicted.
     decay_s : float
-        Time after which an unused entry's value counts as 1/e, in seconds.
+        Time in which the value of an unused entry decays to 1/e, in seconds.
     """
 
     def __init__(self, limit_bytes: int, decay_s: float = DECAY_S) -> None:
         self.limit_bytes = limit_bytes
         self.decay_s = decay_s
-        self._locations = 0
+        self._location_count = 0
         self._entries: dict[block.Key, _Entry] = {}
         self._heap: list[tuple[float, block.Key]] = []
         self._boots: dict[str, _Boot] = {}
-        self._past: dict[str, collections.deque[str]] = {}
+        self._past_boots: dict[str, collections.deque[str]] = {}
         self._tombstones: collections.OrderedDict[tuple[_Boot, block.Key], int]
         self._tombstones = collections.OrderedDict()
-        self._early: collections.OrderedDict[block.Key, float]
-        self._early = collections.OrderedDict()
+        self._early_values: collections.OrderedDict[block.Key, float]
+        self._early_values = collections.OrderedDict()
 
     def __len__(self) -> int:
         return len(self._entries)
 
     @property
     def size_bytes(self) -> int:
-        """Memory of all entries, by the sizes measured for one."""
+        """Estimated memory of all entries, in bytes."""
         entries = len(self._entries) * BYTES_PER_ENTRY
-        return entries + self._locations * BYTES_PER_LOCATION
+        return entries + self._location_count * BYTES_PER_LOCATION
 
     def apply(self, event: BlockAdded | BlockDropped, now: float) -> bool:
-        """Apply one event, whatever its order; return whether it changed anything."""
-        boot = self._boot(event.source)
+        """Apply an event, in any order; return whether the index has changed."""
+        boot = self._register_boot(event.source)
         if boot is None:
             return False
         if isinstance(event, BlockDropped):
@@ -204,32 +210,32 @@
         return self._add(event, boot, now)
 
     def observe_boot(self, source: Source) -> None:
-        """Note the boot that a load report or a store's status names."""
-        self._boot(source)
+        """Record the boot that a load report or store status names."""
+        self._register_boot(source)
 
     def remove_source(self, source_id: str) -> None:
-        """Forget what an instance holds, because it is gone."""
+        """Remove a source that no longer exists, with all its locations."""
         boot = self._boots.pop(source_id, None)
         if boot is not None:
             boot.alive = False
-        self._past.pop(source_id, None)
+        self._past_boots.pop(source_id, None)
 
     def retain(self, source_ids: collections.abc.Container[str]) -> None:
-        """Forget the sources that are not among these."""
+        """Remove all sources except the given ones."""
         for source_id in [i for i in self._boots if i not in source_ids]:
             self.remove_source(source_id)
 
     def appraise(
         self, keys: collections.abc.Iterable[block.Key], value: float, now: float
     ) -> None:
-        """Set the expected value of a prompt's blocks and mark them as used.
+        """Set the expected value of a prompt's blocks and mark the blocks as used.
 
         Parameters
         ----------
         keys : iterable of bytes
-            Keys in the prompt's order.
+            Keys in prompt order.
         value : float
-            Expected seconds saved by a return, per block.
+            Expected prefill time that one cached block saves, in seconds.
         now : float
             Time in seconds.
         """
@@ -240,7 +246,7 @@
                 entry.log_value = log_value
                 self._touch(key, entry, position, now)
             else:
-                self._keep_early(key, log_value)
+                self._keep_early_value(key, log_value)
 
     def lookup(
         self,
@@ -253,12 +259,12 @@
         Parameters
         ----------
         keys : sequence of bytes
-            Keys in the prompt's order.
+            Keys in prompt order.
         now : float
             Time in seconds.
         mark_used : bool
-            Whether the look-up is for a request and keeps the entries longer; a
-            scan over many prompts would make them all look recent.
+            Whether to mark the entries as used, which delays their eviction. False
+            for scans of many prompts, which would make all entries look recent.
         """
         memory: dict[str, int] = {}
         stored: list[tuple[StoredCopy, ...]] = []
@@ -267,10 +273,10 @@
             if entry is None:
                 break
             holders, copies = self._usable(entry)
-            reached = {u for u in holders if memory.get(u, 0) == position}
-            if not reached and not copies:
+            contiguous = {u for u in holders if memory.get(u, 0) == position}
+            if not contiguous and not copies:
                 break
-            memory.update(dict.fromkeys(reached, position + 1))
+            memory.update(dict.fromkeys(contiguous, position + 1))
             stored.append(copies)
             if mark_used:
                 self._touch(key, entry, position, now)
@@ -282,25 +288,25 @@
         share: float,
         unreadable: collections.abc.Container[str] = frozenset(),
     ) -> list[BlockAdded]:
-        """Return the copies in a store that are worth the least.
+        """Return the least valuable copies in a store.
 
-        Each shard frees the same share of what it knows, so that a full store gets
-        room without an owner that would have to know the value of all blocks. Copies
-        that are not a block's oldest readable one go first.
+        Each shard returns the same share of the copies that it knows, so that no node
+        has to know the value of all blocks in a full store. Redundant copies, which
+        are not the oldest readable copy of their block, come first.
 
         Parameters
         ----------
         store_id : str
-            The store.
+            Id of the store.
         share : float
-            Share of this shard's copies in that store to return.
+            Share of this shard's copies in the store to return.
         unreadable : container of str
-            Stores that cannot be read now. A copy is not spare because of one there:
-            while a zone is out, the copies outside it are all that is left.
+            Stores that cannot be read now. Their copies make no other copy redundant:
+            while a zone is out, only the copies outside it can be read.
         """
         boot = self._boots.get(store_id)
         held = [
-            (not _is_spare(entry, place, unreadable), entry.rank, key, place)
+            (not _is_redundant(entry, place, unreadable), entry.rank, key, place)
             for key, entry in self._entries.items()
             for place in entry.places
             if place.boot is boot
@@ -328,12 +334,12 @@
             copies.append(copy)
         return holders, tuple(copies)
 
-    def _boot(self, source: Source) -> _Boot | None:
-        """Return the boot of a source; None if a later one is known."""
+    def _register_boot(self, source: Source) -> _Boot | None:
+        """Return the boot of a source; None if a later boot is known."""
         current = self._boots.get(source.id)
         if current is not None and current.source == source:
             return current
-        past = self._past.setdefault(
+        past = self._past_boots.setdefault(
             source.id, collections.deque(maxlen=MAX_PAST_BOOTS)
         )
         if source.boot_id in past:
@@ -349,14 +355,14 @@
         if 0 < event.seq < self._tombstones.get((boot, event.key), 0):
             return False
         entry = self._entries.get(event.key) or _Entry()
-        others, known = _split(entry, boot)
+        others, known = _split_by_boot(entry, boot)
         if known is not None and not _supersedes(event, known):
             return False
         kept = others[-(MAX_LOCATIONS - 1) :]
-        self._place(entry, (*kept, _Place(boot, event)))
+        self._set_places(entry, (*kept, _Place(boot, event)))
         if event.key not in self._entries:
             self._entries[event.key] = entry
-            entry.log_value = self._early.pop(event.key, entry.log_value)
+            entry.log_value = self._early_values.pop(event.key, entry.log_value)
             entry.rank = entry.log_value + now / self.decay_s
             self._push(event.key, entry)
         self._evict()
@@ -364,31 +370,31 @@
 
     def _drop(self, event: BlockDropped, boot: _Boot) -> bool:
         entry = self._entries.get(event.key)
-        others, known = _split(entry, boot) if entry else ([], None)
+        others, known = _split_by_boot(entry, boot) if entry else ([], None)
         if event.seq:
-            self._bury(event, boot)
+            self._add_tombstone(event, boot)
         if entry is None or known is None or (0 < event.seq < known.seq):
             return False
         if 0 < event.generation < known.generation:
             return False
-        self._place(entry, tuple(others))
+        self._set_places(entry, tuple(others))
         if not others:
             del self._entries[event.key]
         return True
 
-    def _place(self, entry: _Entry, places: tuple[_Place, ...]) -> None:
-        self._locations += len(places) - len(entry.places)
+    def _set_places(self, entry: _Entry, places: tuple[_Place, ...]) -> None:
+        self._location_count += len(places) - len(entry.places)
         entry.places = places
 
-    def _keep_early(self, key: block.Key, log_value: float) -> None:
-        """Remember the value of a block whose first event is still on its way."""
-        self._early[key] = log_value
-        self._early.move_to_end(key)
-        while len(self._early) > MAX_EARLY_VALUES:
-            self._early.popitem(last=False)
+    def _keep_early_value(self, key: block.Key, log_value: float) -> None:
+        """Keep the value of a block whose first event has not arrived yet."""
+        self._early_values[key] = log_value
+        self._early_values.move_to_end(key)
+        while len(self._early_values) > MAX_EARLY_VALUES:
+            self._early_values.popitem(last=False)
 
-    def _bury(self, event: BlockDropped, boot: _Boot) -> None:
-        """Remember a drop, so that an older addition that comes later is ignored."""
+    def _add_tombstone(self, event: BlockDropped, boot: _Boot) -> None:
+        """Record a drop, so that an older addition that arrives later is ignored."""
         name = (boot, event.key)
         self._tombstones[name] = max(event.seq, self._tombstones.pop(name, 0))
         while len(self._tombstones) > MAX_TOMBSTONES:
@@ -396,9 +402,9 @@
 
     def _touch(self, key: block.Key, entry: _Entry, position: int, now: float) -> None:
         rank = entry.log_value + now / self.decay_s - position * POSITION_WEIGHT
-        has_fallen = rank < entry.rank
+        has_decreased = rank < entry.rank
         entry.rank = rank
-        if has_fallen:
+        if has_decreased:
             self._push(key, entry)
 
     def _push(self, key: block.Key, entry: _Entry) -> None:
@@ -408,8 +414,8 @@
             heapq.heapify(self._heap)
 
     def _evict(self) -> None:
-        # An entry's rank in the heap may be out of date, but never above its rank
-        # now. One that has risen is pushed again instead of being evicted.
+        # The rank stored in the heap may be outdated but never exceeds the current
+        # rank. An entry whose rank has risen is pushed again instead of being evicted.
         while self._entries and self.size_bytes > self.limit_bytes:
             rank, key = heapq.heappop(self._heap)
             entry = self._entries.get(key)
@@ -418,21 +424,21 @@
             if entry.rank > rank and any(p.boot.alive for p in entry.places):
                 self._push(key, entry)
                 continue
-            self._place(entry, ())
+            self._set_places(entry, ())
             del self._entries[key]
 
 
-def _split(entry: _Entry, boot: _Boot) -> tuple[list[_Place], _Place | None]:
-    """Separate the place at one boot from the other places that are alive."""
+def _split_by_boot(entry: _Entry, boot: _Boot) -> tuple[list[_Place], _Place | None]:
+    """Split an entry's places into the live ones at other boots and that at `boot`."""
     others = [p for p in entry.places if p.boot is not boot and p.boot.alive]
     known = next((p for p in entry.places if p.boot is boot), None)
     return others, known
 
 
-def _is_spare(
+def _is_redundant(
     entry: _Entry, place: _Place, unreadable: collections.abc.Container[str]
 ) -> bool:
-    """Return whether another store has an older copy that can be read."""
+    """Return whether another store has an older readable copy."""
     first = next(
         p
         for p in entry.places
@@ -447,8 +453,8 @@
 
 
 def _supersedes(event: BlockAdded, known: _Place) -> bool:
-    # A store keeps the last write, whose generation may be lower when two nodes
-    # export at once. Only its feed knows the order.
+    # A store keeps the last write. If two nodes export at once, its generation may be
+    # the lower one, so only the sequence numbers of the store's feed give the order.
     if event.seq and known.seq:
         return event.seq > known.seq
     if event.generation != known.generation:
