--- a/packages/snipelug-core/src/snipelug_core/placement.py
+++ b/packages/snipelug-core/src/snipelug_core/placement.py
@@ -1,4 +1,4 @@
-"""Where copies of cached blocks are kept, by the expected value of a return."""
+"""Placement of KV cache blocks in stores, by the expected value of their reuse."""
 
 import collections
 import collections.abc
@@ -9,32 +9,32 @@
 
 from snipelug_core import block, hashing, index, route
 
-PRIOR_RETURNS = 1.0
-PRIOR_ANSWERS = 4.0
-"""A team without history counts as returning once in four answers."""
+PRIOR_USES = 1.0
+PRIOR_PROMPTS = 4.0
+"""Prior for a team without history: one in four prompts is reused."""
 
-TURN_BUCKETS = 3
-"""Prompts are told apart by earlier turns: none, one, more."""
+TURN_CLASSES = 3
+"""Prompts are counted apart by the number of earlier turns: none, one or more."""
 
-LONG_BLOCKS = 2
-"""Prompts of at least this many blocks are counted apart from short questions."""
+LONG_PROMPT_BLOCKS = 2
+"""Prompts of at least this many blocks are counted apart from shorter ones."""
 
 SECOND_COPY_RESERVE = 0.5
-"""Share of a link's saved-up budget that second copies leave to first ones."""
+"""Share of a link's burst budget that second copies leave to first copies."""
 
 MAX_LINK_WAIT_S = 0.4
-"""Expected wait on a link above which exports leave it to reads, in seconds.
+"""Expected wait on a link above which nothing is exported over it, in seconds.
 
-A request waits for its reads, and nothing waits for an export.
+Reads take precedence: requests wait for them, and nothing waits for an export.
 """
 
 MIN_PRICE_S = 1e-3
-"""Expected seconds saved per block below which an export is not worth a write."""
+"""Lowest price, in expected seconds saved per block; a write is not worth less."""
 
 FULL_PRICE_S = 1.0
-"""Expected seconds saved per block that the last free bytes of a store cost."""
+"""Highest price, in expected seconds saved per block, for a store's last free bytes."""
 
-SCARCE_SHARE = 0.07
+SCARCE_FREE_SHARE = 0.07
 """Free share of a store below which the price rises from the lowest to the highest.
 
 A full store loses its least valuable blocks (`Index.least_valuable`) before the price
@@ -42,108 +42,110 @@
 in favor of old ones of the same value.
 """
 
-SECOND_SCARCE_SHARE = 0.5
-"""The same for second copies, which only use space to spare."""
+SECOND_COPY_SCARCE_FREE_SHARE = 0.5
+"""The same share for second copies, which use only space that is not scarce."""
 
-RESERVE_SHARE = 0.02
-"""Free share of a store below which nothing is placed there."""
+RESERVED_FREE_SHARE = 0.02
+"""Free share of a store that is kept unused; below it nothing is placed there."""
 
 
-# Probability of a return.
+# Reuse probability.
 
 
 @dataclasses.dataclass
-class _Count:
-    answers: float = 0.0
-    returns: float = 0.0
+class _ReuseCount:
+    prompts: float = 0.0
+    uses: float = 0.0
 
 
 class ReuseEstimator:
-    """Estimate how likely a prompt comes back, per team, turns and length.
+    """Estimate the probability that a prompt is reused, by team, turns and length.
 
     Parameters
     ----------
     half_life : int
-        Answers of a team after which older ones count half.
+        Number of prompts of a team after which older ones count half.
     """
 
     def __init__(self, half_life: int = 2000) -> None:
-        self._keep = 0.5 ** (1 / half_life)
-        self._counts: dict[tuple[str, int, bool], _Count] = {}
+        self._decay = 0.5 ** (1 / half_life)
+        self._counts: dict[tuple[str, int, bool], _ReuseCount] = {}
 
     def observe(self, team: str, turns: int, blocks: int) -> None:
-        """Count a prompt of some blocks with a number of earlier turns.
+        """Count a prompt with the given numbers of earlier turns and of blocks.
 
-        A prompt with earlier turns is the return of the previous one.
+        A prompt with earlier turns reuses the prompt of the previous turn.
         """
         count = self._count(team, turns, blocks)
-        count.answers = count.answers * self._keep + 1
-        count.returns *= self._keep
+        count.prompts = count.prompts * self._decay + 1
+        count.uses *= self._decay
         if turns > 0:
-            self._count(team, turns - 1, blocks).returns += 1
+            self._count(team, turns - 1, blocks).uses += 1
 
     def probability(self, team: str, turns: int, blocks: int) -> float:
-        """Return the estimated probability that the prompt comes back."""
+        """Return the estimated probability that the prompt is reused."""
         count = self._count(team, turns, blocks)
-        share = PRIOR_RETURNS + count.returns
-        return min(1.0, share / (PRIOR_ANSWERS + count.answers))
+        share = PRIOR_USES + count.uses
+        return min(1.0, share / (PRIOR_PROMPTS + count.prompts))
 
     def forget(self, teams: collections.abc.Container[str]) -> None:
-        """Drop teams that no longer have a contract."""
+        """Drop the counts of teams that no longer have a contract."""
         self._counts = {k: v for k, v in self._counts.items() if k[0] not in teams}
 
-    def _count(self, team: str, turns: int, blocks: int) -> _Count:
-        bucket = (team, min(turns, TURN_BUCKETS - 1), blocks >= LONG_BLOCKS)
-        return self._counts.setdefault(bucket, _Count())
+    def _count(self, team: str, turns: int, blocks: int) -> _ReuseCount:
+        bucket = (team, min(turns, TURN_CLASSES - 1), blocks >= LONG_PROMPT_BLOCKS)
+        return self._counts.setdefault(bucket, _ReuseCount())
 
 
 # Link budgets.
 
 
 class TokenBucket:
-    """A token bucket for the bytes that may use one link.
+    """A token bucket that limits the bytes sent over one link.
 
     Parameters
     ----------
     rate : float
-        Bytes per second.
+        Refill rate in bytes per second.
     burst : float
-        Most bytes saved up.
+        Capacity in bytes.
     """
 
     def __init__(self, rate: float, burst: float) -> None:
         self.rate = rate
         self.burst = burst
-        self._level = burst
-        self._at: float | None = None
+        self._available_bytes = burst
+        self._updated_at: float | None = None
 
     def available(self, now: float) -> float:
         """Return the bytes that may be sent now."""
-        if self._at is not None:
-            gained = max(0.0, now - self._at) * self.rate
-            self._level = min(self.burst, self._level + gained)
-        self._at = now if self._at is None else max(now, self._at)
-        return self._level
+        if self._updated_at is not None:
+            refilled = max(0.0, now - self._updated_at) * self.rate
+            self._available_bytes = min(self.burst, self._available_bytes + refilled)
+        self._updated_at = (
+            now if self._updated_at is None else max(now, self._updated_at)
+        )
+        return self._available_bytes
 
     def consume(self, size_bytes: float, now: float, reserve: float = 0.0) -> bool:
-        """Use up bytes if they are available.
+        """Consume bytes from the budget if they are available.
 
-        More than the burst is allowed when the bucket is full and leaves a debt;
-        a transfer of that size could otherwise never start.
+        A full bucket also allows a transfer larger than the burst, which could
+        otherwise never start. The level is negative afterwards.
 
         Parameters
         ----------
         size_bytes : float
-            Bytes to use.
+            Bytes to consume.
         now : float
             Time in seconds.
         reserve : float
-            Share of the burst that must remain.
+            Share of the burst that must remain available.
         """
         needed = min(size_bytes + reserve * self.burst, self.burst)
         if self.available(now) < needed:
             return False
-        self._level -= size_bytes
+        self._available_bytes -= size_bytes
         return True
 
 
@@ -152,14 +154,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Store:
-    """A store instance as last seen.
+    """Last known state of a KV cache store.
 
     Attributes
     ----------
     alive : bool
-        Whether it answered its last status request.
+        Whether the store answered the last status request.
     free_bytes, size_bytes : float
-        Over all tiers.
+        Free space and capacity over all tiers, in bytes.
     """
 
     id: str
@@ -169,37 +171,39 @@
     free_bytes: float = 0.0
     size_bytes: float = 0.0
 
-    def price_s(self, is_second: bool = False) -> float:
-        """Return the expected seconds that a block must save to get a place.
+    def price_s(self, is_second_copy: bool = False) -> float:
+        """Return the expected time that a block must save to be placed, in seconds.
 
-        The price rises as the store fills, so that the last space is kept for
+        The price rises as the store fills up, so that the last space is kept for
         the prompts that save the most.
 
         Parameters
         ----------
-        is_second : bool
-            Whether another zone has a copy.
+        is_second_copy : bool
+            Whether another zone already has a copy.
         """
-        scarce_share = SECOND_SCARCE_SHARE if is_second else SCARCE_SHARE
+        scarce_free_share = (
+            SECOND_COPY_SCARCE_FREE_SHARE if is_second_copy else SCARCE_FREE_SHARE
+        )
         free = self.free_bytes / self.size_bytes if self.size_bytes > 0 else 0.0
-        scarcity = max(0.0, 1 - free / scarce_share)
+        scarcity = max(0.0, 1 - free / scarce_free_share)
         return MIN_PRICE_S * math.pow(FULL_PRICE_S / MIN_PRICE_S, scarcity)
 
 
 @dataclasses.dataclass(frozen=True)
 class Prompt:
-    """An answered prompt whose blocks an engine holds.
+    """An answered prompt whose KV cache blocks are in an engine's memory.
 
     Attributes
     ----------
     chance : float
-        Probability of a return (`ReuseEstimator.probability`).
+        Probability that the prompt is reused (`ReuseEstimator.probability`).
     block_s : float
-        Prefill of one block, in seconds.
+        Prefill time of one block, in seconds.
     found : index.PrefixLocations
-        Copies that the index knows.
+        Copies that the block index knows.
     in_transit : frozenset of (str, int)
-        Stores and positions of blocks that are on their way there.
+        Blocks that are being exported, as store id and position.
     """
 
     chain: block.Chain
@@ -214,12 +218,12 @@
 
     @property
     def value_s(self) -> float:
-        """Expected seconds that one block saves."""
+        """Expected prefill time that one cached block saves, in seconds."""
         return self.chance * self.block_s
 
 
 class Reason(enum.StrEnum):
-    """Why blocks are or are not placed in a store."""
+    """Why blocks are placed in a store or not."""
 
     PLACED = "placed"
     PARTLY = "partly_placed"
@@ -235,7 +239,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Export:
-    """Order an engine to write blocks to a store."""
+    """Instruction to an engine to write blocks to a store."""
 
     upstream: str
     store: str
@@ -245,7 +249,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreDecision:
-    """One store's part in a decision."""
+    """The decision on one store, with the price and value it is based on."""
 
     store: str
     reason: Reason
@@ -255,14 +259,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Placement:
-    """The exports of one prompt, and how each store was judged."""
+    """The exports of one prompt, and the decision on each store considered."""
 
     exports: tuple[Export, ...]
     decisions: tuple[StoreDecision, ...]
 
 
 Budgets = collections.abc.Mapping[tuple[str, str], TokenBucket]
-"""Budget of each link, by store and engine zone."""
+"""Link budgets by store and engine zone."""
 
 
 def place(
@@ -276,32 +280,37 @@
 ) -> Placement:
     """Decide which blocks of a prompt to export, and to which stores.
 
-    The first copy goes to the first store that takes it, the engine's own zone
-    first. A second copy goes to another zone if its value, weighted by the mode's
-    spread, still exceeds the price there. A store whose link has a longer expected
-    wait, in seconds, than `MAX_LINK_WAIT_S` takes nothing now.
+    The first copy goes to the first store that accepts it; stores in the engine's
+    zone are tried before others. A second copy goes to another zone if its value,
+    weighted by `route.Mode.second_copy`, is at least the price there. Nothing is
+    exported to a store whose expected link wait in `waits`, in seconds, exceeds
+    `MAX_LINK_WAIT_S`.
     """
     exports: list[Export] = []
     decisions: list[StoreDecision] = []
     zones_with_copy: set[str] = set()
-    for store in _order(prompt, stores):
-        is_second = bool(zones_with_copy)
-        if is_second and store.zone in zones_with_copy:
+    for store in _rank_stores(prompt, stores):
+        is_second_copy = bool(zones_with_copy)
+        if is_second_copy and store.zone in zones_with_copy:
             continue
         if len(zones_with_copy) == 2:
             break
-        weight = mode.second_copy if is_second else 1.0
+        weight = mode.second_copy if is_second_copy else 1.0
         value_s = prompt.value_s * weight
-        reserve = SECOND_COPY_RESERVE if is_second else 0.0
-        wanted = _missing(prompt, store)
-        price_s = store.price_s(is_second)
-        reason, fitting = _judge(prompt, store, wanted, value_s >= price_s, zones_out)
+        reserve = SECOND_COPY_RESERVE if is_second_copy else 0.0
+        wanted = _missing_positions(prompt, store)
+        price_s = store.price_s(is_second_copy)
+        reason, fitting = _check_store(
+            prompt, store, wanted, value_s >= price_s, zones_out
+        )
         positions: tuple[int, ...] = ()
         if reason is Reason.PLACED and waits.get(store.id, 0.0) > MAX_LINK_WAIT_S:
             reason = Reason.BUSY
         if reason is Reason.PLACED:
             bucket = budgets.get((store.id, prompt.zone))
-            reason, positions = _spend(prompt, wanted, fitting, bucket, reserve, now)
+            reason, positions = _consume_budget(
+                prompt, wanted, fitting, bucket, reserve, now
+            )
         decisions.append(StoreDecision(store.id, reason, price_s, value_s))
         if reason in (Reason.PLACED, Reason.PARTLY, Reason.THERE):
             zones_with_copy.add(store.zone)
@@ -311,12 +320,13 @@
     return Placement(tuple(exports), tuple(decisions))
 
 
-def _order(
+def _rank_stores(
     prompt: Prompt, stores: collections.abc.Iterable[Store]
 ) -> collections.abc.Iterator[Store]:
-    """Yield stores with part of the prompt first, then the own zone, then others.
+    """Yield stores holding part of the prompt, then the engine's zone, then others.
 
-    Within a zone the conversation ranks the stores, so that its blocks stay together.
+    Within a zone, stores are ranked by conversation, so that the blocks of a
+    conversation stay together.
     """
     held = collections.Counter(store for store, _ in prompt.in_transit)
     held.update(prompt.found.prefixes())
@@ -326,7 +336,7 @@
     return (by_id[i] for i in ordered)
 
 
-def _missing(prompt: Prompt, store: Store) -> list[int]:
+def _missing_positions(prompt: Prompt, store: Store) -> list[int]:
     held = {
         position
         for position, copies in enumerate(prompt.found.stored)
@@ -336,30 +346,30 @@
     return [i for i in range(len(prompt.chain.keys)) if i not in held]
 
 
-def _judge(
+def _check_store(
     prompt: Prompt,
     store: Store,
     wanted: list[int],
-    is_worth_it: bool,
+    meets_price: bool,
     zones_out: collections.abc.Set[str],
 ) -> tuple[Reason, int]:
-    """Return whether a store takes blocks, and how many fit."""
+    """Return whether a store accepts blocks, and how many fit."""
     if not store.alive:
         return Reason.DEAD, 0
     if store.zone in zones_out:
         return Reason.LEAVING, 0
     if not wanted:
         return Reason.THERE, 0
-    room = store.free_bytes - RESERVE_SHARE * store.size_bytes
-    fitting = int(room // prompt.block_bytes) if prompt.block_bytes > 0 else 0
+    usable_bytes = store.free_bytes - RESERVED_FREE_SHARE * store.size_bytes
+    fitting = int(usable_bytes // prompt.block_bytes) if prompt.block_bytes > 0 else 0
     if fitting <= 0:
         return Reason.FULL, 0
-    if not is_worth_it:
+    if not meets_price:
         return Reason.VALUE, 0
     return Reason.PLACED, fitting
 
 
-def _spend(
+def _consume_budget(
     prompt: Prompt,
     wanted: list[int],
     fitting: int,
@@ -367,35 +377,37 @@
     reserve: float,
     now: float,
 ) -> tuple[Reason, tuple[int, ...]]:
-    """Return the positions that the link's budget allows.
+    """Return the leading positions that fit the store and the link's budget.
 
-    Later blocks are useless without the earlier ones, so the end is left out.
+    Blocks are useless without those before them, so the last ones are left out.
     """
-    allowed = 0
-    while bucket and allowed < min(fitting, len(wanted)):
+    affordable = 0
+    while bucket and affordable < min(fitting, len(wanted)):
         if not bucket.consume(prompt.block_bytes, now, reserve):
             break
-        allowed += 1
-    if allowed == 0:
+        affordable += 1
+    if affordable == 0:
         return Reason.BUDGET, ()
-    reason = Reason.PLACED if allowed == len(wanted) else Reason.PARTLY
-    return reason, tuple(wanted[:allowed])
+    reason = Reason.PLACED if affordable == len(wanted) else Reason.PARTLY
+    return reason, tuple(wanted[:affordable])
 
 
-WAIT_S = 20.0
-"""Time after which an engine is expected to have evicted a waiting prompt."""
+EXPORT_WAIT_S = 20.0
+"""Time after which an engine has probably evicted a waiting prompt, in seconds."""
 
-MAX_WAITING = 512
+MAX_WAITING_PROMPTS = 512
 
 
 class ExportQueue:
-    """Prompts whose export waits for link budget, the most valuable first.
+    """Queue of prompts whose export waits for a link, the most valuable first.
 
-    A link that is busy when an answer ends is often free some seconds later, while
+    A link that is busy when a response ends is often free a few seconds later, while
     the engine still holds the blocks.
     """
 
-    def __init__(self, wait_s: float = WAIT_S, limit: int = MAX_WAITING) -> None:
+    def __init__(
+        self, wait_s: float = EXPORT_WAIT_S, limit: int = MAX_WAITING_PROMPTS
+    ) -> None:
         self.wait_s = wait_s
         self.limit = limit
         self._prompts: dict[str, tuple[Prompt, float]] = {}
@@ -404,20 +416,20 @@
         return len(self._prompts)
 
     def add(self, prompt: Prompt, now: float) -> None:
-        """Add a prompt; a newer one of the same conversation replaces it."""
+        """Add a prompt, which replaces an older one of the same conversation."""
         self._prompts[prompt.chain.conversation] = (prompt, now + self.wait_s)
         if len(self._prompts) > self.limit:
             least = min(self._prompts, key=lambda c: (self._value(c), c))
             del self._prompts[least]
 
     def due(self, now: float) -> list[Prompt]:
-        """Return what still waits, in order of value."""
+        """Return the prompts that have not expired, the most valuable first."""
         self._prompts = {c: p for c, p in self._prompts.items() if p[1] > now}
         order = sorted(self._prompts, key=lambda c: (-self._value(c), c))
         return [self._prompts[c][0] for c in order]
 
     def remove(self, prompt: Prompt) -> None:
-        """Remove a prompt that was placed, or that no store will take."""
+        """Remove a prompt that was placed or that no store accepts."""
         self._prompts.pop(prompt.chain.conversation, None)
 
     def _value(self, conversation: str) -> float:
@@ -425,19 +437,25 @@
 
 
 def with_in_transit(prompt: Prompt, placed: Placement) -> Prompt:
-    """Note exports, so that they are not ordered again before the index hears."""
+    """Return the prompt with new exports marked as in transit.
+
+    This prevents a second export before the block index learns of the first.
+    """
     new = {(e.store, position) for e in placed.exports for position in e.positions}
     return dataclasses.replace(prompt, in_transit=prompt.in_transit | new)
 
 
 def is_retryable(placed: Placement) -> bool:
-    """Return whether only a link's budget or wait keeps blocks from a store."""
-    passing = (Reason.BUDGET, Reason.BUSY, Reason.PARTLY)
-    return any(j.reason in passing for j in placed.decisions)
+    """Return whether blocks are missing in a store only because a link was busy.
+
+    Such a placement is worth another try.
+    """
+    temporary = (Reason.BUDGET, Reason.BUSY, Reason.PARTLY)
+    return any(j.reason in temporary for j in placed.decisions)
 
 
 def record(prompt: Prompt, placement: Placement, request_id: str) -> dict[str, object]:
-    """Return the fields of the log line of one placement decision."""
+    """Return the log fields of a placement decision."""
     return {
         "event": "place",
         "request": request_id,
@@ -447,34 +465,34 @@
         "chance": round(prompt.chance, 4),
         "value_s": round(prompt.value_s, 6),
         "exports": {e.store: len(e.keys) for e in placement.exports},
-        "stores": [_judged_fields(j) for j in placement.decisions],
+        "stores": [_store_decision_fields(j) for j in placement.decisions],
     }
 
 
-def _judged_fields(decisions: StoreDecision) -> dict[str, object]:
+def _store_decision_fields(decision: StoreDecision) -> dict[str, object]:
     return {
-        "store": decisions.store,
-        "reason": decisions.reason.value,
-        "price_s": round(decisions.price_s, 6),
-        "value_s": round(decisions.value_s, 6),
+        "store": decision.store,
+        "reason": decision.reason.value,
+        "price_s": round(decision.price_s, 6),
+        "value_s": round(decision.value_s, 6),
     }
 
 
-# Planned moves of a zone.
+# Evacuation of a zone.
 
 
 @dataclasses.dataclass(frozen=True)
 class CachedConversation:
-    """A conversation whose blocks are in a zone that leaves.
+    """A conversation with blocks in a zone that is to be evacuated.
 
     Attributes
     ----------
     value_s : float
-        Expected seconds that one of its blocks saves.
+        Expected prefill time that one cached block saves, in seconds.
     upstreams : tuple of str
         Engines of the zone that hold all the blocks in memory.
     copies : tuple of tuple of index.StoredCopy
-        Copies in stores of each block, in the prompt's order.
+        Copies of each block in stores, in prompt order.
     """
 
     conversation: str
@@ -487,12 +505,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Move:
-    """Order an engine of the zone to copy blocks to a store outside.
+    """Instruction to an engine to copy blocks to a store outside the zone.
 
     Attributes
     ----------
     imports : tuple of route.Fetch
-        Blocks that the engine reads first because it does not hold them.
+        Blocks that the engine imports first because it does not hold them.
     """
 
     conversation: str
@@ -504,7 +522,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PostponedMove:
-    """A conversation that is not copied now, and why."""
+    """A conversation that is not copied now, with the reason."""
 
     conversation: str
     reason: Reason
@@ -519,86 +537,90 @@
     zones_out: collections.abc.Set[str],
     now: float,
 ) -> collections.abc.Iterator[Move | PostponedMove]:
-    """Yield the copies that leave a zone, the highest expected return first.
+    """Yield the copies to make when a zone is evacuated, the most valuable first.
 
-    Call again with what was postponed for lack of budget. Conversations with a
-    complete copy outside the zone are left out.
+    Conversations with a complete copy outside the zone are skipped. Those postponed
+    for lack of link budget can be passed in again later.
 
     Parameters
     ----------
     zone : str
-        Zone that leaves.
-    held : iterable of Held
+        Zone to evacuate.
+    held : iterable of CachedConversation
         Conversations with blocks in the zone.
     stores : iterable of Store
         All stores.
     engines : sequence of str
-        Engines of the zone that can carry out copies.
-    budgets : mapping of (str, str) to Bucket
-        Budget of each link from an engine zone to a store.
+        Engines of the zone that can make copies.
+    budgets : mapping of (str, str) to TokenBucket
+        Link budgets by store and engine zone.
     zones_out : set of str
-        Zones that take no copies.
+        Zones that accept no copies.
     now : float
         Time in seconds.
     """
     usable = [s for s in stores if s.alive and s.zone not in {zone, *zones_out}]
-    room = {s.id: s.free_bytes - RESERVE_SHARE * s.size_bytes for s in usable}
-    boots = {s.id: s.boot_id for s in usable}
+    usable_bytes = {
+        s.id: s.free_bytes - RESERVED_FREE_SHARE * s.size_bytes for s in usable
+    }
+    boot_ids = {s.id: s.boot_id for s in usable}
     for item in sorted(held, key=lambda h: (-h.value_s, h.conversation)):
-        wanted = _not_outside(item, boots)
+        wanted = _missing_outside(item, boot_ids)
         if not wanted:
             continue
-        yield _move(zone, item, wanted, room, engines, budgets, now)
+        yield _plan_conversation(
+            zone, item, wanted, usable_bytes, engines, budgets, now
+        )
 
 
-def _not_outside(item: CachedConversation, boots: dict[str, str]) -> list[int]:
+def _missing_outside(item: CachedConversation, boot_ids: dict[str, str]) -> list[int]:
     outside = {
         position
         for position, copies in enumerate(item.copies)
-        if any(boots.get(c.store) == c.boot_id for c in copies)
+        if any(boot_ids.get(c.store) == c.boot_id for c in copies)
     }
     return [i for i in range(len(item.keys)) if i not in outside]
 
 
-def _move(
+def _plan_conversation(
     zone: str,
     item: CachedConversation,
     wanted: list[int],
-    room: dict[str, float],
+    usable_bytes: dict[str, float],
     engines: collections.abc.Sequence[str],
     budgets: Budgets,
     now: float,
 ) -> Move | PostponedMove:
-    if not room:
+    if not usable_bytes:
         return PostponedMove(item.conversation, Reason.DEAD)
-    carriers = [e for e in item.upstreams if e in engines]
+    exporters = [e for e in item.upstreams if e in engines]
     imports: tuple[route.Fetch, ...] = ()
-    if not carriers:
-        carriers = list(engines)
-        imports = tuple(_readable(item, wanted))
+    if not exporters:
+        exporters = list(engines)
+        imports = tuple(_readable_fetches(item, wanted))
         wanted = [fetch.position for fetch in imports]
-    if not carriers or not wanted:
+    if not exporters or not wanted:
         return PostponedMove(item.conversation, Reason.NO_SOURCE)
     size_bytes = len(wanted) * item.block_bytes
-    fitting = [s for s in room if room[s] >= size_bytes]
+    fitting = [s for s in usable_bytes if usable_bytes[s] >= size_bytes]
     if not fitting:
         return PostponedMove(item.conversation, Reason.FULL)
     for store_id in hashing.rank(item.conversation, fitting):
         bucket = budgets.get((store_id, zone))
         if bucket is None or not bucket.consume(size_bytes, now):
             continue
-        room[store_id] -= size_bytes
-        upstream = hashing.rank(item.conversation, carriers)[0]
+        usable_bytes[store_id] -= size_bytes
+        upstream = hashing.rank(item.conversation, exporters)[0]
         keys = tuple(item.keys[i] for i in wanted)
         export = Export(upstream, store_id, tuple(wanted), keys)
         return Move(item.conversation, upstream, imports, export, item.value_s)
     return PostponedMove(item.conversation, Reason.BUDGET)
 
 
-def _readable(
+def _readable_fetches(
     item: CachedConversation, wanted: list[int]
 ) -> collections.abc.Iterator[route.Fetch]:
-    """Yield reads of the wanted blocks up to the first without a copy."""
+    """Yield fetches of the wanted blocks up to the first one without a copy."""
     for position in wanted:
         copies = item.copies[position] if position < len(item.copies) else ()
         if not copies:
@@ -607,7 +629,7 @@
 
 
 def record_move(zone: str, step: Move | PostponedMove) -> dict[str, object]:
-    """Return the fields of the log line of one step of a zone's move."""
+    """Return the log fields of one step of a zone evacuation."""
     fields: dict[str, object] = {
         "event": "move",
         "zone": zone,
--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -18,8 +18,8 @@
 """Free share of a store below which its cheapest copies are deleted.
 
 Space above it is wasted: each percent holds copies that are deleted too early. The
-rest above ``placement.RESERVE_SHARE`` is room for writes between two cleanings, in
-which a link of 4 GB/s fills at most 2.5% of a store of 800 GB; as it gets less, the
+rest above ``placement.RESERVED_FREE_SHARE`` is room for writes between two cleanings,
+in which a link of 4 GB/s fills at most 2.5% of a store of 800 GB; as it gets less, the
 price keeps out what is worth little.
 """
 CLEAN_SHARE = 0.03
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Tests of where copies of cached blocks are placed."""
+"""Tests of the placement of KV cache blocks in stores."""
 
 import collections
 import json
@@ -25,7 +25,7 @@
     return tuple(index.StoredCopy(s, boot, 1, "c") for s in stores)
 
 
-SINGLE = [
+SINGLE_STORE_CASES = [
     ("whole", builders.store(), {}, 1e9, REASON.PLACED, (0, 1, 2)),
     ("dead", builders.store(alive=False), {}, 1e9, REASON.DEAD, ()),
     ("full", builders.store(free_bytes=25.0), {}, 1e9, REASON.FULL, ()),
@@ -110,16 +110,17 @@
 
 
 @pytest.mark.parametrize(
-    ("target", "fields", "burst", "reason", "positions"), [c[1:] for c in SINGLE]
+    ("target", "fields", "burst", "reason", "positions"),
+    [c[1:] for c in SINGLE_STORE_CASES],
 )
-def test_store_state_decides_what_is_placed(
+def test_store_and_link_state_decide_what_is_placed(
     target: placement.Store,
     fields: dict[str, object],
     burst: float,
     reason: placement.Reason,
     positions: tuple[int, ...],
 ) -> None:
-    """Guards against writes to dead or full stores and against useless ones."""
+    """Guards against writes to dead or full stores, and against worthless writes."""
     request = builders.prompt(**fields)
     links = budgets(burst if burst else 1.0)
     if not burst:
@@ -158,7 +159,7 @@
     burst: float,
     rng: random.Random,
 ) -> None:
-    """Guards against overfull stores, overused links and copies side by side."""
+    """Guards against overfull stores, overused links and two copies in one zone."""
     request = builders.prompt(blocks, chance=chance, block_s=2.0)
     placed = placement.place(request, stores, budgets(burst), mode, {"out"}, 0.0)
     shuffled = rng.sample(stores, len(stores))
@@ -174,11 +175,11 @@
         assert export.positions == tuple(range(len(export.positions)))
         assert len(export.positions) * SIZE <= min(target.free_bytes, burst)
         weight = mode.second_copy if i else 1.0
-        assert request.value_s * weight >= target.price_s(is_second=i > 0)
+        assert request.value_s * weight >= target.price_s(is_second_copy=i > 0)
 
 
-def test_spread_decides_on_the_second_copy() -> None:
-    """Guards against a mode whose spread has no effect."""
+def test_mode_decides_on_the_second_copy() -> None:
+    """Guards against a mode whose weight of the second copy has no effect."""
     stores = [builders.store("s1", "a"), builders.store("s2", "b", free_bytes=300.0)]
     request = builders.prompt(chance=0.3, block_s=0.2)
     counts = {}
@@ -196,7 +197,7 @@
 def test_link_budget_is_not_exceeded(
     steps: list[tuple[float, float]], burst: float, rate: float
 ) -> None:
-    """Guards against exports that crowd out the reads of waiting requests."""
+    """Guards against exports that delay the reads of waiting requests."""
     bucket = placement.TokenBucket(rate, burst)
     now = sent = largest = 0.0
     for gap, size in steps:
@@ -208,58 +209,58 @@
     assert sent <= burst + rate * now + max(0.0, largest - burst) + 1e-6
 
 
-def test_transfer_larger_than_the_burst_starts_and_is_paid_back() -> None:
-    """Guards against long prompts that never fit a budget."""
+def test_transfer_larger_than_the_burst_starts_and_leaves_a_debt() -> None:
+    """Guards against long prompts that never fit into a link's budget."""
     bucket = placement.TokenBucket(rate=1.0, burst=10.0)
     assert bucket.consume(30.0, 0.0)
     assert not bucket.consume(10.0, 29.0)
     assert bucket.consume(10.0, 30.0)
 
 
-def test_returns_are_learned_per_team_turns_and_length() -> None:
-    """Guards against one team's or kind's habits deciding on other copies."""
-    returns = placement.ReuseEstimator()
-    unknown = returns.probability("new", 0, 5)
+def test_reuse_is_estimated_per_team_turns_and_length() -> None:
+    """Guards against estimates that mix teams or kinds of prompts."""
+    estimator = placement.ReuseEstimator()
+    unknown = estimator.probability("new", 0, 5)
     for _ in range(200):
         for turns in range(3):
-            returns.observe("faithful", turns, 5)
-        returns.observe("faithful", 0, 0)
-        returns.observe("once", 0, 5)
-    assert returns.probability("new", 0, 5) == unknown
-    assert returns.probability("once", 0, 5) < 0.05
-    assert returns.probability("faithful", 0, 0) < 0.05
-    assert returns.probability("faithful", 0, 5) > 0.9
-    assert 0.9 < returns.probability("faithful", 1, 5) <= 1.0
-    returns.forget({"faithful"})
-    assert returns.probability("faithful", 0, 5) == unknown
-
-
-def test_blocks_on_their_way_are_not_ordered_again() -> None:
-    """Guards against links filled with copies that the index does not know yet."""
+            estimator.observe("faithful", turns, 5)
+        estimator.observe("faithful", 0, 0)
+        estimator.observe("once", 0, 5)
+    assert estimator.probability("new", 0, 5) == unknown
+    assert estimator.probability("once", 0, 5) < 0.05
+    assert estimator.probability("faithful", 0, 0) < 0.05
+    assert estimator.probability("faithful", 0, 5) > 0.9
+    assert 0.9 < estimator.probability("faithful", 1, 5) <= 1.0
+    estimator.forget({"faithful"})
+    assert estimator.probability("faithful", 0, 5) == unknown
+
+
+def test_blocks_in_transit_are_not_exported_again() -> None:
+    """Guards against repeated exports of blocks that the index does not know yet."""
     links = budgets(burst=2 * SIZE, rate=2 * SIZE)
     stores = [builders.store("s1", "a"), builders.store("s2", "a")]
     request = builders.prompt(5)
-    seen: list[tuple[str, int]] = []
+    exported: list[tuple[str, int]] = []
     for now in range(4):
         placed = placement.place(request, stores, links, TTFT, set(), float(now))
-        seen += [(e.store, p) for e in placed.exports for p in e.positions]
+        exported += [(e.store, p) for e in placed.exports for p in e.positions]
         assert placement.is_retryable(placed) == (now < 2)
         request = placement.with_in_transit(request, placed)
-    assert [position for _, position in seen] == [0, 1, 2, 3, 4]
-    assert len({name for name, _ in seen}) == 1
+    assert [position for _, position in exported] == [0, 1, 2, 3, 4]
+    assert len({name for name, _ in exported}) == 1
 
 
 @pytest.mark.parametrize("name", ["s1", "s2"])
-def test_rest_of_a_prompt_follows_its_start(name: str) -> None:
-    """Guards against a prompt that is scattered over stores while it is written."""
+def test_remaining_blocks_go_to_the_store_of_the_first(name: str) -> None:
+    """Guards against a prompt scattered over several stores while it is exported."""
     stores = [builders.store("s1", "a"), builders.store("s2", "a")]
     request = builders.prompt(3, in_transit=frozenset({(name, 0), (name, 1)}))
     placed = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
     assert [(e.store, e.positions) for e in placed.exports] == [(name, (2,))]
 
 
-def test_second_copies_leave_budget_to_first_ones() -> None:
-    """Guards against prompts without any copy because others have two."""
+def test_second_copies_leave_budget_to_first_copies() -> None:
+    """Guards against prompts without a copy because others have two."""
     stores = [builders.store("s1", "a"), builders.store("s2", "b")]
     links = budgets(burst=4 * SIZE)
     first = placement.place(builders.prompt(3), stores, links, REUSE, set(), 0.0)
@@ -269,8 +270,8 @@
     assert [len(e.keys) for e in later.exports] == [2]
 
 
-TWICE = (copies("s1", "s2"),)
-ITEMS = st.lists(
+TWO_COPIES = (copies("s1", "s2"),)
+CONVERSATIONS = st.lists(
     st.tuples(
         st.integers(1, 4),
         st.sampled_from([0.1, 0.2, 0.3]),
@@ -284,20 +285,20 @@
 
 @hypothesis.settings(max_examples=300)
 @hypothesis.given(
-    ITEMS,
+    CONVERSATIONS,
     st.sampled_from([35.0, 1e9]),
     st.sampled_from([0.0, 60.0, 1000.0]),
     st.booleans(),
     st.randoms(use_true_random=False),
 )
-def test_move_copies_the_most_expected_first(
+def test_evacuation_copies_the_most_valuable_first(
     drawn: list[tuple[int, float, tuple[str, ...], tuple[str, ...], int]],
     burst: float,
     free: float,
     alive: bool,
     rng: random.Random,
 ) -> None:
-    """Guards against lost prompts and overused links when a zone leaves."""
+    """Guards against lost prompts and overused links when a zone is evacuated."""
     held = [
         placement.CachedConversation(
             f"c{i}",
@@ -330,13 +331,13 @@
         h.conversation: [
             i
             for i in range(len(h.keys))
-            if not (alive and h.copies[i : i + 1] == TWICE)
+            if not (alive and h.copies[i : i + 1] == TWO_COPIES)
         ]
         for h in held
     }
-    safe = {c for c, positions in wanted.items() if not positions}
+    complete = {c for c, positions in wanted.items() if not positions}
     assert [s.conversation for s in steps] == sorted(
-        set(by_id) - safe, key=lambda c: (-by_id[c].value_s, c)
+        set(by_id) - complete, key=lambda c: (-by_id[c].value_s, c)
     )
     used: dict[str, float] = collections.Counter()
     for step in steps:
@@ -349,42 +350,42 @@
         assert step.export.keys == tuple(item.keys[i] for i in positions)
         used["s2"] += len(step.export.keys) * SIZE
         imported = [f.position for f in step.imports]
-        holds = step.upstream in item.upstreams
-        assert imported == ([] if holds else positions)
+        holds_blocks = step.upstream in item.upstreams
+        assert imported == ([] if holds_blocks else positions)
         readable = [i for i in wanted[step.conversation] if item.copies[i : i + 1]]
         readable = [i for i in readable if item.copies[i]]
-        assert positions == (wanted[step.conversation] if holds else readable)
+        assert positions == (wanted[step.conversation] if holds_blocks else readable)
         assert step.upstream in ("e1", "e2")
     assert used["s2"] <= min(free if alive else 0.0, burst + 4 * SIZE)
     if alive and free == 1000.0 and burst == 1e9:
-        lost = [s for s in steps if isinstance(s, placement.PostponedMove)]
-        assert all(s.reason is REASON.NO_SOURCE for s in lost)
-        for step in lost:
+        postponed = [s for s in steps if isinstance(s, placement.PostponedMove)]
+        assert all(s.reason is REASON.NO_SOURCE for s in postponed)
+        for step in postponed:
             first = wanted[step.conversation][0]
             assert not any(by_id[step.conversation].copies[first : first + 1])
 
 
 def test_waiting_exports_are_bounded_and_ordered() -> None:
-    """Guards against exports that pile up, and against worthless ones going first."""
-    waiting = placement.ExportQueue(wait_s=10.0, limit=3)
+    """Guards against an unbounded queue, and against exporting low values first."""
+    queue = placement.ExportQueue(wait_s=10.0, limit=3)
     prompts = [
         placement.Prompt(builders.chain(1, f"c{i}"), "t", "e1", "a", c, 0.2, SIZE)
         for i, c in enumerate([0.1, 0.4, 0.3, 0.2])
     ]
     for now, request in enumerate(prompts):
-        waiting.add(request, float(now))
-    waiting.add(prompts[1], 5.0)
-    assert waiting.due(6.0) == [prompts[1], prompts[2], prompts[3]]
-    waiting.remove(prompts[2])
-    assert waiting.due(13.5) == [prompts[1]]
-    assert len(waiting) == 1
+        queue.add(request, float(now))
+    queue.add(prompts[1], 5.0)
+    assert queue.due(6.0) == [prompts[1], prompts[2], prompts[3]]
+    queue.remove(prompts[2])
+    assert queue.due(13.5) == [prompts[1]]
+    assert len(queue) == 1
 
 
 @pytest.mark.parametrize(("burst", "expected"), [(25.0, True), (1e9, False)])
-def test_only_a_lack_of_budget_is_worth_waiting_for(
+def test_only_a_busy_link_makes_a_placement_retryable(
     burst: float, expected: bool
 ) -> None:
-    """Guards against exports that are tried again though no store takes them."""
+    """Guards against retries of exports that no store accepts."""
     links = budgets(burst)
     placed = placement.place(
         builders.prompt(), [builders.store()], links, TTFT, set(), 0.0
@@ -404,10 +405,10 @@
     ("waits", "expected"),
     [({}, ["s1"]), ({"s1": 1.0}, ["s2"]), ({"s1": 1.0, "s2": 1.0}, [])],
 )
-def test_exports_leave_busy_links_to_reads(
+def test_nothing_is_exported_over_busy_links(
     waits: dict[str, float], expected: list[str]
 ) -> None:
-    """Guards against requests that wait because blocks are written."""
+    """Guards against exports that delay the reads of waiting requests."""
     stores = [builders.store("s1", "a"), builders.store("s2", "b")]
     links = budgets()
     placed = placement.place(builders.prompt(), stores, links, TTFT, set(), 0.0, waits)
@@ -416,8 +417,8 @@
     assert all(by_store[s] is REASON.BUSY for s in waits)
 
 
-def test_stores_of_a_zone_share_the_conversations() -> None:
-    """Guards against all prompts going to the first store."""
+def test_conversations_are_spread_over_the_stores_of_a_zone() -> None:
+    """Guards against placing all prompts in the first store."""
     stores = [builders.store("s1"), builders.store("s2")]
     first = collections.Counter(
         hashing.rank(f"c{i}", [s.id for s in stores])[0] for i in range(100)
@@ -427,7 +428,7 @@
         request = placement.Prompt(
             builders.chain(1, f"c{i}"), "t", "e1", "a", 0.5, 0.2, SIZE
         )
-        done = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
-        placed.update(e.store for e in done.exports)
+        decision = placement.place(request, stores, budgets(), TTFT, set(), 0.0)
+        placed.update(e.store for e in decision.exports)
     assert placed == first
     assert min(first.values()) > 25
