--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -50,7 +50,7 @@
         Monotonic time by which the answer has to start, in seconds.
     once : bool
         The request must not be sent again after a byte of it was sent.
-    answer : stream.Answer
+    answer : stream.Response
         Account of the answer over all runs.
     excluded : set of str
         Upstreams that are not tried again.
@@ -58,7 +58,7 @@
         Bytes of the request have been sent to an upstream that did not decline.
     pinned_version : str
         The only weight version that may go on with the answer; empty for any.
-    granted : LastCheck or None
+    granted : PreSendCheck or None
         Further check before the first byte, of the claim of this request.
     first_data_at : float or None
         Monotonic time at which the answer's first part was relayed, in seconds.
@@ -76,12 +76,12 @@
     fingerprint: str
     started_at: float
     deadline: float
-    answer: stream.Answer
+    answer: stream.Response
     once: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
     sent: bool = False
     pinned_version: str = ""
-    granted: http_client.LastCheck | None = None
+    granted: http_client.PreSendCheck | None = None
     first_data_at: float | None = None
     is_suspect: bool = False
     crash_epoch: int = 0
@@ -105,7 +105,7 @@
         Version that the engine reports; empty before its first report.
     chain : block.Chain
         The prompt's identity in the cache, for that version.
-    found : index.Found
+    found : index.PrefixLocations
         Locations of the prompt's blocks, as known before the run.
     work_s : float
         Expected time of the fetch and prefill, in seconds.
@@ -116,7 +116,7 @@
     upstream: table.Upstream
     weight_version: str
     chain: block.Chain
-    found: index.Found
+    found: index.PrefixLocations
     work_s: float = 0.0
     sent_at: float = 0.0
 
@@ -177,7 +177,7 @@
     run_id: str
     permit: sender.Permit
     router: Router
-    reply: http_client.Reply | None = None
+    reply: http_client.StreamingResponse | None = None
     fault: str = ""
     is_closed: bool = False
     idle: bool = False
@@ -278,7 +278,7 @@
             case sender.Blocked(refused, is_busy):
                 return _Refused(refused, is_free=True, is_busy=is_busy)
             case http_client.NotSent(reason):
-                load.mark_closed(upstream, trio.current_time())
+                load.mark_connection_closed(upstream, trio.current_time())
                 refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
                 return _Refused(refused, is_free=True)
             case http_client.Lost():
@@ -310,7 +310,7 @@
         )
 
     async def _declined(
-        self, job: Job, exchange: Exchange, reply: http_client.Reply
+        self, job: Job, exchange: Exchange, reply: http_client.StreamingResponse
     ) -> "_Refused":
         """Account for an engine that answered with an error."""
         upstream_id = exchange.choice.upstream.instance.id
@@ -342,7 +342,7 @@
         """Account for an engine that was lost after bytes were sent."""
         job.sent = True
         upstream = choice.upstream
-        load.mark_closed(upstream, trio.current_time())
+        load.mark_connection_closed(upstream, trio.current_time())
         lines.warning(
             LOG,
             "engine_lost",
@@ -359,7 +359,9 @@
         )
         return _Refused(refused, final=not recorded.allows_retry)
 
-    async def relay(self, job: Job, exchange: Exchange, sink: http_server.Sink) -> None:
+    async def relay(
+        self, job: Job, exchange: Exchange, sink: http_server.BodyWriter
+    ) -> None:
         """Send the events of the answer; an error event if it cannot be whole."""
         current = exchange
         try:
@@ -373,7 +375,7 @@
                     return
                 following = await self._recover(job, current)
                 if not isinstance(following, Exchange):
-                    sink.offer(following)
+                    sink.write_nowait(following)
                     await sink.drain()
                     return
                 current = following
@@ -399,7 +401,9 @@
                     exchange.reply.abort()
                 exchange.idle = True
 
-    async def _read(self, job: Job, exchange: Exchange, sink: http_server.Sink) -> None:
+    async def _read(
+        self, job: Job, exchange: Exchange, sink: http_server.BodyWriter
+    ) -> None:
         """Send the relayed events of one run, as they are read."""
         reply = exchange.reply
         assert reply is not None
@@ -408,7 +412,9 @@
 
         def take(part: bytes) -> bool:
             exchange.idle = False
-            data = answer.accept_alike(part) if parser.is_between_events() else None
+            data = (
+                answer.relay_by_template(part) if parser.is_between_events() else None
+            )
             if data is None:
                 data = b"".join([_judge(job, exchange, e) for e in parser.feed(part)])
             if not data:
@@ -417,7 +423,7 @@
                 job.first_data_at = trio.current_time()
                 self.router.first_token(exchange.choice, exchange.run_id)
             # A caller that does not read stops the reading of its engine.
-            return sink.offer(data) and not exchange.fault
+            return sink.write_nowait(data) and not exchange.fault
 
         # The first part does not wait for a pass of the poller.
         first = await reply.next_part()
@@ -433,7 +439,7 @@
             exchange.is_paused = exchange.idle = False
             if exchange.fault:
                 return
-            ended = await reply.follow(self.poller, take)
+            ended = await reply.read_with(self.poller, take)
         if ended is not None and not exchange.fault:
             exchange.fault, exchange.is_closed = ended.reason, ended.is_closed
 
@@ -446,12 +452,12 @@
         refused = await self._lost(job, lost.choice, reason)
         sampling = stream.Sampling(job.chat.body.temperature, job.chat.body.seed)
         decision = stream.recover(job.answer, sampling, version, version)
-        if refused.final and not isinstance(decision, stream.Finish):
-            decision = stream.End(refused.refusal)
+        if refused.final and not isinstance(decision, stream.SendDone):
+            decision = stream.EndWithError(refused.refusal)
         match decision:
-            case stream.Finish():
+            case stream.SendDone():
                 return stream.DONE_EVENT
-            case stream.End(refused_now):
+            case stream.EndWithError(refused_now):
                 return self._end(job, refused_now)
             case stream.Resume() | stream.Restart():
                 pass
--- a/packages/snipelug-node/src/snipelug_node/operations.py
+++ b/packages/snipelug-node/src/snipelug_node/operations.py
@@ -125,7 +125,7 @@
             case claim.TooEarly(wait_s):
                 message = f"the claim may be settled in {wait_s:.0f} s"
                 return refusal.refuse(refusal.IN_PROGRESS, message)
-            case claim.NotOpen(reason):
+            case claim.NotSettleable(reason):
                 return refusal.refuse(refusal.FORBIDDEN, reason)
             case order.Changed():
                 message = "the claim changed meanwhile; look at it again"
@@ -140,8 +140,8 @@
         now = trio.current_time()
         return [
             {"item": key, "fencing": seen.row.fencing, "valid": self.lease.valid(now)}
-            for key, seen in sorted(self.lease.owners.seen.items())
-            if ownership.fencing(self.lease.owners, key, now) is not None
+            for key, seen in sorted(self.lease.owners.known_rows.items())
+            if ownership.fencing_token(self.lease.owners, key, now) is not None
         ]
 
 
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -33,7 +33,7 @@
 class Cache(typing.Protocol):
     """The block index and the transfers between engines and stores."""
 
-    async def lookup(self, chain: block.Chain) -> index.Found:
+    async def lookup(self, chain: block.Chain) -> index.PrefixLocations:
         """Return the known locations of a prompt's blocks."""
         ...
 
@@ -52,7 +52,7 @@
         ...
 
     def answered(
-        self, job: dispatch.Job, choice: dispatch.Choice, found: index.Found
+        self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Take note of a whole answer: the engine now holds the prompt's blocks."""
         ...
@@ -95,7 +95,9 @@
     chooser: route.Router
     rng: random.Random
     paces: dict[str, pace.Pace] = dataclasses.field(default_factory=dict)
-    backlog: prefill.Backlog = dataclasses.field(default_factory=prefill.Backlog)
+    backlog: prefill.PrefillBacklog = dataclasses.field(
+        default_factory=prefill.PrefillBacklog
+    )
 
     async def choose(self, job: dispatch.Job) -> dispatch.Choice | refusal.Refusal:
         """Choose an engine that is not excluded, and prepare its cache."""
@@ -187,7 +189,7 @@
             backlog_s += self.grants.wait_s(upstream, now)
         target = route.make_target(upstream, profile, queue, needs_grant, backlog_s)
         full = upstream.in_flight >= self.settings.upstream_in_flight
-        if isinstance(verdict, load.Barred) or full:
+        if isinstance(verdict, load.Excluded) or full:
             target = dataclasses.replace(target, leaving=True)
         return target
 
@@ -219,11 +221,13 @@
             excluded=frozenset(job.excluded),
         )
 
-    def _facts(self, cfg: contract.Config, found: index.Found) -> route.Facts:
+    def _facts(
+        self, cfg: contract.Config, found: index.PrefixLocations
+    ) -> route.RoutingContext:
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
         own = self.settings.zone
         delays = {z: settings.zone_delay_s(self.settings, own, z) for z in zones}
-        return route.Facts(
+        return route.RoutingContext(
             cfg=cfg,
             found=found,
             delay_s=delays,
@@ -232,7 +236,7 @@
         )
 
     async def _prepare(
-        self, req: route.Request, decision: route.Decision, facts: route.Facts
+        self, req: route.Request, decision: route.Decision, facts: route.RoutingContext
     ) -> dispatch.Choice:
         assert req.chain is not None
         upstream = self.tables.upstreams[decision.chosen.id]
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -58,7 +58,7 @@
         running=wire.running,
         waiting=wire.waiting,
         seq=wire.seq,
-        made_at=asked_at - admission.CLOCK_RATIO * wire.age_s,
+        made_at=asked_at - admission.MAX_CLOCK_RATE_RATIO * wire.age_s,
         weight_version=wire.weight_version,
     )
 
@@ -178,9 +178,9 @@
         for upstream in self.tables.upstreams.values():
             if upstream.instance.id in self._reading:
                 continue
-            heard_at = upstream.heard_at
-            is_recent = heard_at is not None and now - heard_at < QUIET_AGE_S
-            if is_active or not is_recent or not load.is_quiet(upstream):
+            load_read_at = upstream.load_read_at
+            is_recent = load_read_at is not None and now - load_read_at < QUIET_AGE_S
+            if is_active or not is_recent or not load.is_idle(upstream):
                 yield upstream
 
     async def _read_alone(self, upstream: table.Upstream) -> None:
@@ -200,7 +200,7 @@
             (inst.host, inst.port), "GET", "/load", timeout_s=LOAD_TIMEOUT_S
         )
         full = await self.pool.fetch(call, MAX_REPORT_BYTES)
-        if not isinstance(full, http_client.Full):
+        if not isinstance(full, http_client.FullResponse):
             return
         try:
             wire = msgspec.json.decode(full.body, type=WireReport)
