--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -263,7 +263,7 @@
 
     Parameters
     ----------
-    weigh_all : bool
+    consider_all : bool
         Compare all upstreams, even if there are too many nodes to do so by default.
     """
     candidates = list(eligible(upstreams, request, context, tried, now))
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -121,7 +121,7 @@
 
     Attributes
     ----------
-    until : float
+    expires_at : float
         Monotonic time at which it is no longer counted, in seconds.
     """
 
