--- a/packages/snipelug-core/src/snipelug_core/block.py
+++ b/packages/snipelug-core/src/snipelug_core/block.py
@@ -1,4 +1,4 @@
-"""Keys of KV cache blocks: a chain of keyed hashes over the rendered prompt."""
+"""KV cache block keys, computed as a chain of keyed hashes over the rendered prompt."""
 
 import collections.abc
 import dataclasses
@@ -15,19 +15,19 @@
 KEY_BYTES = CONVERSATION_BYTES + hashing.DIGEST_BYTES
 
 Key = bytes
-"""A block's key: the conversation's id and the block's own hash.
+"""Key of a block: the id of its conversation followed by the hash of the block.
 
-Cache events of engines and feeds of stores name blocks by key only. The id in
-front lets any node find the index shard that must hear of the event.
+Events from engines and stores identify blocks by key only. The leading conversation id
+lets every node find the index shard that is responsible for the event.
 """
 
 
 class Tokenizer(typing.Protocol):
-    """What block keys need to know of a model's tokenizer."""
+    """Interface of a model's tokenizer as used for block keys."""
 
     @property
     def name(self) -> str:
-        """Name under which models refer to the tokenizer."""
+        """Name by which models refer to the tokenizer."""
         ...
 
     def count(self, text: bytes) -> int:
@@ -35,29 +35,29 @@
         ...
 
     def cut(self, text: bytes, tokens: int) -> collections.abc.Iterator[bytes]:
-        """Yield the consecutive full pieces of the given number of tokens.
+        """Yield consecutive pieces of exactly the given number of tokens.
 
-        The pieces of a text's prefix must be a prefix of the text's pieces.
+        The pieces of a prefix of a text must be a prefix of the pieces of the text.
         """
         ...
 
 
 @dataclasses.dataclass(frozen=True)
 class Bytes4:
-    """Count four bytes of the rendered prompt as one token.
+    """Tokenizer that counts four bytes of the rendered prompt as one token.
 
-    The estimate needs no vocabulary and depends on the bytes alone, so that all
-    nodes cut a prompt at the same places whatever an engine's tokenizer does.
+    The estimate needs no vocabulary and depends only on the bytes, so all nodes split
+    a prompt at the same positions regardless of the engine's tokenizer.
     """
 
     name: str = "bytes4"
 
     def count(self, text: bytes) -> int:
-        """Return the number of tokens, a started one included."""
+        """Return the number of tokens, rounded up."""
         return -(-len(text) // BYTES_PER_TOKEN)
 
     def cut(self, text: bytes, tokens: int) -> collections.abc.Iterator[bytes]:
-        """Yield the consecutive full pieces."""
+        """Yield consecutive pieces of exactly the given number of tokens."""
         size = tokens * BYTES_PER_TOKEN
         for end in range(size, len(text) + 1, size):
             yield text[end - size : end]
@@ -68,16 +68,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Chain:
-    """A prompt's identity in the cache.
+    """Identification of a prompt in the KV cache.
 
     Attributes
     ----------
     keys : tuple of bytes
-        Keys of the full blocks, in the prompt's order.
+        Keys of the full blocks, in prompt order.
     tokens : int
-        Tokens of the whole prompt.
+        Number of tokens in the whole prompt.
     conversation : str
-        Id that picks the index shard, in hexadecimal.
+        Conversation id in hexadecimal; determines the index shard.
     """
 
     keys: tuple[Key, ...]
@@ -85,11 +85,11 @@
     conversation: str
 
     def hex_keys(self) -> list[str]:
-        """Return the keys as requests to engines carry them."""
+        """Return the keys in hexadecimal, as sent to engines."""
         return [key.hex() for key in self.keys]
 
     def tokens_after(self, blocks: int) -> int:
-        """Return the tokens that remain behind the first blocks."""
+        """Return the number of tokens after the given number of leading blocks."""
         return self.tokens - blocks * BLOCK_TOKENS
 
 
@@ -97,17 +97,17 @@
     messages: collections.abc.Iterable[collections.abc.Mapping[str, object]],
     preamble: object = None,
 ) -> bytes:
-    """Render chat messages, each as one line of JSON.
+    """Render chat messages as one line of JSON each.
 
-    Lines make the rendering injective, and the rendering of a conversation's
-    first messages a prefix of the rendering of the whole.
+    With one line per message, the rendering is injective, and the rendering of the
+    first messages of a conversation is a prefix of the rendering of all of them.
 
     Parameters
     ----------
     messages : iterable of mapping
         Messages in order.
     preamble : object, optional
-        What engines place before the messages, such as tool definitions.
+        Content that engines place before the messages, such as tool definitions.
     """
     lines = [msgspec.json.encode(m, order="sorted") for m in messages]
     if preamble is not None:
@@ -127,37 +127,39 @@
     Parameters
     ----------
     secret : bytes
-        The deployment's secret, 1 to 64 bytes.
+        Secret of the deployment, 1 to 64 bytes.
     team : str
         Team that sent the prompt.
     model : contract.Model
-        Model that runs it.
+        Model that runs the prompt.
     prompt : bytes
         Rendered prompt.
     tokenizer : Tokenizer, optional
-        The tokenizer that `model` names, if it is not a shipped one.
+        Tokenizer named by `model`, if it is not one of `TOKENIZERS`.
 
     Raises
     ------
     ValueError
-        If the secret is empty, the keys would not be keyed, or if the tokenizer
-        is not the one that the model names.
+        If the secret is empty, which would leave the hashes unkeyed, or if the
+        tokenizer is not the one that the model names.
     """
     _check_secret(secret)
-    used = tokenizer or TOKENIZERS.get(model.tokenizer)
-    if used is None or used.name != model.tokenizer:
-        raise ValueError(f"model {model.name} needs tokenizer {model.tokenizer}")
-    root = _root(secret, team, model)
+    selected = tokenizer or TOKENIZERS.get(model.tokenizer)
+    if selected is None or selected.name != model.tokenizer:
+        raise ValueError(f"model {model.name} requires tokenizer {model.tokenizer}")
+    root = _root_digest(secret, team, model)
     keys: list[Key] = []
     previous = root
-    for piece in used.cut(prompt, BLOCK_TOKENS):
+    for piece in selected.cut(prompt, BLOCK_TOKENS):
         previous = hashing.keyed_digest(secret, b"block", previous, piece)
         first = keys[0] if keys else previous
         keys.append(first[:CONVERSATION_BYTES] + previous)
     if not keys:
-        whole = hashing.keyed_digest(secret, b"short", root, prompt)
-        return Chain((), used.count(prompt), whole[:CONVERSATION_BYTES].hex())
-    return Chain(tuple(keys), used.count(prompt), conversation(keys[0]))
+        prompt_digest = hashing.keyed_digest(secret, b"short", root, prompt)
+        return Chain(
+            (), selected.count(prompt), prompt_digest[:CONVERSATION_BYTES].hex()
+        )
+    return Chain(tuple(keys), selected.count(prompt), conversation(keys[0]))
 
 
 def conversation(key: Key) -> str:
@@ -166,13 +168,13 @@
 
 
 def cache_salt(secret: bytes, team: str) -> str:
-    """Return the salt that separates a team's prefix cache inside engines."""
+    """Return the salt that isolates a team's prefix cache inside engines."""
     _check_secret(secret)
     return hashing.keyed_digest(secret, b"salt", team.encode()).hex()
 
 
 def parse_key(text: str) -> Key | None:
-    """Read a key in hexadecimal; None if it is not one."""
+    """Parse a key in hexadecimal; return None if it is malformed."""
     try:
         key = bytes.fromhex(text)
     except ValueError:
@@ -182,9 +184,9 @@
 
 def _check_secret(secret: bytes) -> None:
     if not secret:
-        raise ValueError("the secret of block keys is empty")
+        raise ValueError("secret for block keys is empty")
 
 
-def _root(secret: bytes, team: str, model: contract.Model) -> bytes:
+def _root_digest(secret: bytes, team: str, model: contract.Model) -> bytes:
     parts = (team, model.name, model.adapter, model.tokenizer, model.weight_version)
     return hashing.keyed_digest(secret, b"root", *(p.encode() for p in parts))
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -11,16 +11,16 @@
 
 SECRET = b"s" * 32
 NAMES = st.text("abc-", min_size=1, max_size=4).filter(lambda s: s[0] != "-")
-SIZE = block.BLOCK_TOKENS * block.BYTES_PER_TOKEN
+BLOCK_BYTES = block.BLOCK_TOKENS * block.BYTES_PER_TOKEN
 
 
 @dataclasses.dataclass(frozen=True)
-class Renamed(block.Bytes4):
+class NamedTokenizer(block.Bytes4):
     name: str = "a"
 
 
 @dataclasses.dataclass(frozen=True)
-class Identity:
+class PromptIdentity:
     team: str
     name: str
     adapter: str
@@ -30,51 +30,53 @@
     def chain(self, prompt: bytes, secret: bytes = SECRET) -> block.Chain:
         fields = dataclasses.asdict(self)
         model = contract.Model(**{k: v for k, v in fields.items() if k != "team"})
-        tokenizer = Renamed(self.tokenizer)
+        tokenizer = NamedTokenizer(self.tokenizer)
         return block.chain(secret, self.team, model, prompt, tokenizer)
 
 
-IDENTITIES = st.builds(Identity, NAMES, NAMES, NAMES | st.just(""), NAMES, NAMES)
+IDENTITIES = st.builds(PromptIdentity, NAMES, NAMES, NAMES | st.just(""), NAMES, NAMES)
 
 
 @st.composite
 def prompts(draw: st.DrawFn) -> bytes:
     letters = draw(st.lists(st.sampled_from(b"xyz"), max_size=4))
     tail = draw(st.binary(max_size=20))
-    return b"".join(bytes([letter]) * SIZE for letter in letters) + tail
+    return b"".join(bytes([letter]) * BLOCK_BYTES for letter in letters) + tail
 
 
 @hypothesis.given(IDENTITIES, IDENTITIES, prompts(), prompts())
-def test_keys_are_equal_only_for_equal_identity_and_text(
-    one: Identity, other: Identity, text: bytes, other_text: bytes
+def test_keys_are_equal_only_for_equal_identity_and_prefix(
+    identity: PromptIdentity, other: PromptIdentity, text: bytes, other_text: bytes
 ) -> None:
-    """Guards against a block of another team, model or version being read."""
-    first, second = one.chain(text), other.chain(other_text)
+    """Guards against reading a block of another team, model or weight version."""
+    first, second = identity.chain(text), other.chain(other_text)
     for i, a in enumerate(first.keys):
         for j, b in enumerate(second.keys):
-            same_text = text[: (i + 1) * SIZE] == other_text[: (j + 1) * SIZE]
-            assert (a == b) == (one == other and same_text)
+            same_text = (
+                text[: (i + 1) * BLOCK_BYTES] == other_text[: (j + 1) * BLOCK_BYTES]
+            )
+            assert (a == b) == (identity == other and same_text)
 
 
-@pytest.mark.parametrize("field", [f.name for f in dataclasses.fields(Identity)])
+@pytest.mark.parametrize("field", [f.name for f in dataclasses.fields(PromptIdentity)])
 @hypothesis.given(IDENTITIES, prompts())
 def test_each_part_of_the_identity_changes_every_key(
-    field: str, one: Identity, text: bytes
+    field: str, identity: PromptIdentity, text: bytes
 ) -> None:
-    """Guards against one part of the identity being left out of the hash."""
-    other = dataclasses.replace(one, **{field: getattr(one, field) + "x"})
-    first, second = one.chain(text), other.chain(text)
+    """Guards against leaving one part of the identity out of the hash."""
+    other = dataclasses.replace(identity, **{field: getattr(identity, field) + "x"})
+    first, second = identity.chain(text), other.chain(text)
     assert not set(first.keys) & set(second.keys)
     assert first.conversation != second.conversation
 
 
 @hypothesis.given(IDENTITIES, prompts(), prompts())
 def test_longer_prompt_keeps_keys_of_its_prefix(
-    one: Identity, text: bytes, more: bytes
+    identity: PromptIdentity, text: bytes, suffix: bytes
 ) -> None:
-    """Guards against returning prompts that miss the blocks of earlier turns."""
-    first, longer = one.chain(text), one.chain(text + more)
-    assert len(first.keys) == len(text) // SIZE
+    """Guards against later turns that cannot reuse the blocks of earlier ones."""
+    first, longer = identity.chain(text), identity.chain(text + suffix)
+    assert len(first.keys) == len(text) // BLOCK_BYTES
     assert longer.keys[: len(first.keys)] == first.keys
     if first.keys:
         assert longer.conversation == first.conversation
@@ -87,24 +89,24 @@
     st.lists(st.fixed_dictionaries({"role": NAMES, "content": st.text()})),
 )
 def test_rendering_is_injective_and_keeps_prefixes(
-    messages: list[dict[str, str]], more: list[dict[str, str]]
+    messages: list[dict[str, str]], suffix: list[dict[str, str]]
 ) -> None:
-    """Guards against two conversations that share a rendered prompt."""
+    """Guards against different conversations with the same rendered prompt."""
     text = block.render(messages)
-    assert block.render(messages + more).startswith(text)
+    assert block.render(messages + suffix).startswith(text)
     assert [msgspec.json.decode(line) for line in text.splitlines()] == messages
 
 
 @hypothesis.given(NAMES, NAMES)
 def test_salts_differ_by_team_and_secret(team: str, other: str) -> None:
-    """Guards against engines sharing one prefix cache between teams."""
+    """Guards against engines that share a prefix cache between teams."""
     salt = block.cache_salt(SECRET, team)
     assert (salt == block.cache_salt(SECRET, other)) == (team == other)
     assert salt != block.cache_salt(b"t" * 32, team)
 
 
-def test_unusable_arguments_are_refused() -> None:
-    """Guards against unkeyed hashes and against cutting by a wrong tokenizer."""
+def test_invalid_arguments_raise() -> None:
+    """Guards against unkeyed hashes and against splitting by the wrong tokenizer."""
     model = contract.Model(name="m", tokenizer="other")
     with pytest.raises(ValueError, match="secret"):
         block.cache_salt(b"", "a")
@@ -114,5 +116,5 @@
 
 @pytest.mark.parametrize("text", ["", "zz", "00" * 23, "00" * 25, "é"])
 def test_malformed_key_is_none(text: str) -> None:
-    """Guards against keys of a wrong length from a peer or a store."""
+    """Guards against malformed keys from another node or a store."""
     assert block.parse_key(text) is None
