--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -1,15 +1,15 @@
-"""What follows after one attempt of a request: answer, try again, or give up."""
+"""Decides after each attempt of a request whether to answer, retry or give up."""
 
 import dataclasses
 import enum
 
 from snipelug_core import catalog
 
-MOST_SENDS = 4
-"""Sends of one request, those that upstreams turned away included."""
+MAX_SENDS = 4
+"""Maximum sends of one request, including those that upstreams rejected."""
 
-MIN_LEFT_S = 0.02
-"""With less time left no further attempt is made."""
+MIN_REMAINING_S = 0.02
+"""Minimum time to the deadline for a further attempt."""
 
 
 class Result(enum.Enum):
@@ -17,33 +17,33 @@
 
     ANSWERED = "answered"
     FAILED = "failed"
-    """The upstream answered with a failure of its own, so the request ran."""
+    """The upstream ran the request and answered with an error."""
     NOT_CONNECTED = "not_connected"
     """No byte was sent."""
-    TURNED_AWAY = "turned_away"
-    """The upstream says that it did not run the request."""
+    REJECTED = "turned_away"
+    """The upstream reported that it did not run the request."""
     LOST = "lost"
-    """Whether the request ran is not known."""
+    """It is unknown whether the request ran."""
 
 
-NOT_RUN = (Result.NOT_CONNECTED, Result.TURNED_AWAY)
-"""Results after which the upstream has not run the request and never will."""
+NOT_RUN = (Result.NOT_CONNECTED, Result.REJECTED)
+"""Results that guarantee that the upstream did not and will not run the request."""
 
 
-class Next(enum.Enum):
-    """What to do next."""
+class Action(enum.Enum):
+    """The next step for a request."""
 
     DELIVER = "deliver"
     TRY_AGAIN = "try_again"
     REFUSE = "refuse"
-    """Answer that nothing was run and nothing will be."""
+    """Answer that the request did not run and will not run."""
     FAIL = "fail"
-    """Answer that nothing is known about the request."""
+    """Answer that the outcome of the request is unknown."""
 
 
 @dataclasses.dataclass
 class History:
-    """The attempts of one request so far.
+    """Counts of the attempts of one request so far.
 
     Attributes
     ----------
@@ -51,16 +51,18 @@
         Attempts that reached or may have reached an upstream.
     runs : int
         Attempts that ran or may have run.
+    failed_connects : int
+        Attempts that failed to connect.
     """
 
     sends: int = 0
     runs: int = 0
-    connects_failed: int = 0
+    failed_connects: int = 0
 
     def add(self, result: Result) -> None:
         """Count an attempt."""
         if result is Result.NOT_CONNECTED:
-            self.connects_failed += 1
+            self.failed_connects += 1
             return
         self.sends += 1
         if result not in NOT_RUN:
@@ -71,33 +73,33 @@
     result: Result,
     history: History,
     route: catalog.Route,
-    left_s: float,
+    remaining_s: float,
     has_budget: bool,
-) -> Next:
-    """Decide after an attempt that ``history`` already counts.
+) -> Action:
+    """Return the next step after an attempt that ``history`` already includes.
 
     Parameters
     ----------
-    left_s : float
+    remaining_s : float
         Time until the deadline, in seconds.
     has_budget : bool
-        The retry budget allows one more send.
+        Whether the retry budget allows one more send.
     """
     if result is Result.ANSWERED:
-        return Next.DELIVER
+        return Action.DELIVER
     may_run_again = (
-        route.repeat is not catalog.Repeat.AT_MOST_ONCE
+        route.repeat is not catalog.RepeatPolicy.AT_MOST_ONCE
         and history.runs < route.max_attempts
     )
     may_send = (
-        history.sends < MOST_SENDS
-        and history.connects_failed <= MOST_SENDS
-        and left_s > MIN_LEFT_S
+        history.sends < MAX_SENDS
+        and history.failed_connects <= MAX_SENDS
+        and remaining_s > MIN_REMAINING_S
         and (has_budget or result is Result.NOT_CONNECTED)
         and (history.runs == 0 or may_run_again)
     )
     if may_send:
-        return Next.TRY_AGAIN
+        return Action.TRY_AGAIN
     if result is Result.FAILED:
-        return Next.DELIVER
-    return Next.REFUSE if history.runs == 0 else Next.FAIL
+        return Action.DELIVER
+    return Action.REFUSE if history.runs == 0 else Action.FAIL
--- a/packages/snipelug-core/src/snipelug_core/retry.py
+++ b/packages/snipelug-core/src/snipelug_core/retry.py
@@ -1,15 +1,15 @@
-"""Retry budgets: a token bucket per node and upstream."""
+"""Retry budgets: one token bucket per node and upstream."""
 
 import dataclasses
 
-RETRY_PART = 0.1
-"""Retries per request, so that retries add at most a tenth to an upstream's load."""
+RETRY_RATIO = 0.1
+"""Retries per request; retries add at most 10% to an upstream's load."""
 
-MIN_PER_S = 0.1
-"""Retries per second that are allowed even without other requests."""
+MIN_RETRIES_PER_S = 0.1
+"""Retries per second that are allowed even without requests."""
 
-DEPTH = 10.0
-"""Most retries saved up."""
+MAX_SAVED_RETRIES = 10.0
+"""Capacity of the token bucket."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -18,64 +18,64 @@
 
     Attributes
     ----------
-    part : float
+    ratio : float
         Retries per request.
-    per_s : float
-        Retries per second that are allowed even without other requests.
-    depth : float
-        Most retries saved up.
+    min_per_s : float
+        Retries per second that are allowed even without requests.
+    capacity : float
+        Maximum number of accumulated retries.
     """
 
-    part: float = RETRY_PART
-    per_s: float = MIN_PER_S
-    depth: float = DEPTH
+    ratio: float = RETRY_RATIO
+    min_per_s: float = MIN_RETRIES_PER_S
+    capacity: float = MAX_SAVED_RETRIES
 
 
-DEFAULT = Policy()
+DEFAULT_POLICY = Policy()
 
 
-def share(part: float, extra: float, nodes: int) -> Policy:
-    """Return one node's share of a budget that all nodes have together.
+def node_share(ratio: float, extra: float, nodes: int) -> Policy:
+    """Return one node's share of a budget for all nodes together.
 
     Parameters
     ----------
-    part : float
+    ratio : float
         Retries per request that all nodes may send.
     extra : float
-        Retries that they may send beside these in one window.
+        Additional retries that they may send within one window.
     nodes : int
-        Nodes that share the budget.
+        Number of nodes that share the budget.
     """
-    return Policy(0.75 * part, 0.0, max(1.0, 0.75 * extra / max(1, nodes)))
+    return Policy(0.75 * ratio, 0.0, max(1.0, 0.75 * extra / max(1, nodes)))
 
 
 @dataclasses.dataclass
 class Budget:
-    """Retries that one node may send on behalf of requests to one upstream.
+    """Token bucket for the retries of one node at one upstream.
 
     Attributes
     ----------
-    level : float
-        Retries allowed now.
-    filled_at : float
-        Monotonic time up to which the level is computed, in seconds.
+    available : float
+        Retries available now.
+    refilled_at : float
+        Monotonic time of the last refill, in seconds.
     """
 
-    level: float = 1.0
-    filled_at: float = 0.0
+    available: float = 1.0
+    refilled_at: float = 0.0
 
 
-def note_request(budget: Budget, policy: Policy = DEFAULT) -> None:
-    """Count a first attempt."""
-    budget.level = min(policy.depth, budget.level + policy.part)
+def record_request(budget: Budget, policy: Policy = DEFAULT_POLICY) -> None:
+    """Add the retries earned by a first attempt."""
+    budget.available = min(policy.capacity, budget.available + policy.ratio)
 
 
-def try_retry(budget: Budget, now: float, policy: Policy = DEFAULT) -> bool:
-    """Take one retry from the budget, if it allows one."""
-    gained = policy.per_s * max(0.0, now - budget.filled_at)
-    budget.level = min(policy.depth, budget.level + gained)
-    budget.filled_at = max(now, budget.filled_at)
-    if budget.level < 1.0:
+def try_acquire(budget: Budget, now: float, policy: Policy = DEFAULT_POLICY) -> bool:
+    """Take one retry from the budget and return whether it had one."""
+    gained = policy.min_per_s * max(0.0, now - budget.refilled_at)
+    budget.available = min(policy.capacity, budget.available + gained)
+    budget.refilled_at = max(now, budget.refilled_at)
+    if budget.available < 1.0:
         return False
-    budget.level -= 1.0
+    budget.available -= 1.0
     return True
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -10,7 +10,7 @@
 
 OWN = claim.Row("team", "key", "print", "n1", "p1", "s1", "", 0.0)
 OTHER = dataclasses.replace(OWN, node="n2", process="p2", session="s2", nonce="x")
-ANSWER = claim.Answer(200, {}, b"made")
+ANSWER = claim.Response(200, {}, b"made")
 DONE = dataclasses.replace(OTHER, state=claim.State.DONE, answer=ANSWER)
 RELEASED = dataclasses.replace(OTHER, state=claim.State.RELEASED)
 UNKNOWN = dataclasses.replace(OTHER, state=claim.State.UNKNOWN)
@@ -23,14 +23,14 @@
 
 SENT = claim.Delivered(ANSWER)
 MINE_DONE = dataclasses.replace(DONE, nonce="m1")
-# Expected step, its outcome, and the seconds that it takes.
+# Expected step, its outcome, and its duration in seconds.
 STEPS: dict[str, tuple[type, object, float]] = {
     "write": (step.Write, step.Applied("2"), 0),
     "write-10s": (step.Write, step.Applied("2"), 10),
-    "write-refused": (step.Write, step.Refused(), 0),
-    "write-silent": (step.Write, step.Silent("down"), 0),
+    "write-refused": (step.Write, step.PreconditionFailed(), 0),
+    "write-silent": (step.Write, step.NoAnswer("down"), 0),
     "wait": (step.Wait, None, 0),
-    "read-silent": (step.Read, step.Silent("down"), 0),
+    "read-silent": (step.Read, step.NoAnswer("down"), 0),
     "read-missing": (step.Read, step.Missing(), 0),
     "read-malformed": (step.Read, step.Malformed("bad"), 0),
     "read-mine": (step.Read, step.Found("1", MINE), 0),
@@ -44,15 +44,15 @@
     "read-ran": (step.Read, step.Found("1", RAN), 0),
     "send": (claim.Dispatch, SENT, 0),
     "send-nothing": (claim.Dispatch, claim.NotSent(NO_UPSTREAM), 0),
-    "send-lost": (claim.Dispatch, claim.Unclear(LOST), 0),
-    "ask-active": (claim.Ask, claim.Told(claim.Status.ACTIVE), 2),
-    "ask-active-60s": (claim.Ask, claim.Told(claim.Status.ACTIVE), 60),
-    "ask-abandoned": (claim.Ask, claim.Told(claim.Status.ABANDONED), 0),
-    "ask-ran": (claim.Ask, claim.Told(claim.Status.RAN, ANSWER), 0),
-    "ask-gone": (claim.Ask, claim.Told(claim.Status.GONE), 1),
-    "ask-unreached": (claim.Ask, claim.NotReached(), 1),
-    "session-lives": (claim.LookUpSession, claim.SessionLives(), 0),
-    "session-gone": (claim.LookUpSession, claim.SessionGone(), 0),
+    "send-lost": (claim.Dispatch, claim.OutcomeUnknown(LOST), 0),
+    "ask-active": (claim.QueryStatus, claim.StatusReply(claim.Status.ACTIVE), 2),
+    "ask-active-60s": (claim.QueryStatus, claim.StatusReply(claim.Status.ACTIVE), 60),
+    "ask-abandoned": (claim.QueryStatus, claim.StatusReply(claim.Status.ABANDONED), 0),
+    "ask-ran": (claim.QueryStatus, claim.StatusReply(claim.Status.RAN, ANSWER), 0),
+    "ask-gone": (claim.QueryStatus, claim.StatusReply(claim.Status.GONE), 1),
+    "ask-unreached": (claim.QueryStatus, claim.Unreachable(), 1),
+    "session-lives": (claim.LookUpSession, claim.SessionMayExist(), 0),
+    "session-gone": (claim.LookUpSession, claim.SessionEnded(), 0),
 }
 SILENCE = "wait read-silent wait read-silent"
 FOREIGN = "write-refused read-other"
@@ -132,7 +132,7 @@
 def play(
     script: str, ledger: claim.Ledger
 ) -> tuple[object, collections.abc.Iterator[str]]:
-    """Run a call against scripted outcomes; every script must be used up."""
+    """Run a call against scripted outcomes; all outcomes must be consumed."""
     nonces = (f"m{n}" for n in itertools.count(1))
     now = 100.0
     flow = claim.execute(claim.Call(OWN, now + 60), ledger, nonces, now)
@@ -153,7 +153,7 @@
 
 @pytest.mark.parametrize(("script", "expected"), CASES.values(), ids=list(CASES))
 def test_call_survives(script: str, expected: object) -> None:
-    """Guards against a second run, a false ``not_run`` and a lost answer."""
+    """Guards against a second execution, a false ``not_run`` and a lost answer."""
     result, _ = play(script, claim.Ledger("p1"))
     if isinstance(result, refusal.Refusal):
         assert f"{result.kind.code} {result.run_state}" == expected
@@ -165,7 +165,7 @@
     "name", ["store down before the claim", "paused beyond the window", "not sent"]
 )
 def test_abandoned_claim_is_never_granted(name: str) -> None:
-    """Guards against a send after others were told that the claim is abandoned."""
+    """Guards against sending after the claim was reported to others as abandoned."""
     ledger = claim.Ledger("p1")
     play(CASES[name][0], ledger)
     assert ledger.status("p1", "m1")[0] is claim.Status.ABANDONED
@@ -173,7 +173,7 @@
 
 
 def test_grant_is_given_once_and_in_its_window() -> None:
-    """Guards against a retry inside the dispatch and a send after a pause."""
+    """Guards against a retry inside the dispatch, and a send after a long pause."""
     ledger = claim.Ledger("p1")
     ledger.begin("a", 0.0)
     ledger.begin("b", 0.0)
@@ -184,7 +184,7 @@
 
 
 def test_forgotten_claim_is_not_called_abandoned() -> None:
-    """Guards against a bounded memory that makes an old claim look unsent."""
+    """Guards against an evicted old claim that appears not to have been sent."""
     ledger = claim.Ledger("p1", limit=1)
     for nonce in ("a", "b"):
         ledger.begin(nonce, 0.0)
@@ -195,7 +195,7 @@
 
 
 def test_dispatch_that_denies_a_granted_send_is_unclear() -> None:
-    """Guards against ``not_run`` for a call whose last check had passed."""
+    """Guards against ``not_run`` for a call whose send had been granted."""
     ledger = claim.Ledger("p1")
     flow = claim.execute(claim.Call(OWN, 60.0), ledger, iter(["m1"]), 0.0)
     next(flow)
@@ -211,10 +211,10 @@
 SETTLEMENTS = [
     (OTHER, True, 60.0, claim.State.RELEASED),
     (OTHER, True, 59.0, claim.TooEarly(1.0)),
-    (OTHER, False, 600.0, claim.NotOpen),
+    (OTHER, False, 600.0, claim.NotSettleable),
     (UNKNOWN, False, 60.0, claim.State.RELEASED),
-    (DONE, True, 600.0, claim.NotOpen),
-    (RELEASED, True, 600.0, claim.NotOpen),
+    (DONE, True, 600.0, claim.NotSettleable),
+    (RELEASED, True, 600.0, claim.NotSettleable),
 ]
 
 
@@ -230,5 +230,5 @@
     elif isinstance(result, claim.TooEarly):
         assert result == expected
     else:
-        assert isinstance(result, claim.NotOpen)
-        assert expected is claim.NotOpen
+        assert isinstance(result, claim.NotSettleable)
+        assert expected is claim.NotSettleable
