--- a/packages/snipelug-core/src/snipelug_core/baseline.py
+++ b/packages/snipelug-core/src/snipelug_core/baseline.py
@@ -1,4 +1,4 @@
-"""Simple routers that benchmarks compare the router by cost with."""
+"""Simple routing policies, as baselines for benchmarks of `route.LowestCost`."""
 
 import collections.abc
 import dataclasses
@@ -10,13 +10,13 @@
 
 
 def _without_stores(context: route.RoutingContext) -> route.RoutingContext:
-    """Drop the copies in stores: the baselines only reuse engines' memory."""
+    """Drop the copies in stores, because baselines reuse only engines' memory."""
     found = index.PrefixLocations(context.found.memory)
     return dataclasses.replace(context, found=found)
 
 
 class _Baseline:
-    """Screening that all baselines share; they differ in the choice only."""
+    """Base class that filters upstreams; subclasses choose among the eligible ones."""
 
     name: str
 
@@ -27,14 +27,16 @@
         context: route.RoutingContext,
         rng: random.Random,
     ) -> route.Decision | route.NoUpstream:
-        """Choose by the baseline's rule."""
+        """Choose one of the eligible upstreams by the policy of the subclass."""
         rejected: list[route.Rejected] = []
-        admitted = list(route.filter_targets(targets, req, context.cfg, rejected))
-        if not admitted:
+        eligible = list(route.filter_targets(targets, req, context.cfg, rejected))
+        if not eligible:
             return route.NoUpstream(tuple(rejected))
-        target, reason = self._pick(req, admitted, rng)
-        priced = route.estimate_costs([target], req, _without_stores(context), _NEUTRAL)
-        candidates = tuple(priced)
+        target, reason = self._pick(req, eligible, rng)
+        estimated = route.estimate_costs(
+            [target], req, _without_stores(context), _NEUTRAL
+        )
+        candidates = tuple(estimated)
         return route.Decision(candidates[0], reason, candidates, tuple(rejected))
 
     def _pick(
@@ -44,7 +46,7 @@
 
 
 class RoundRobin(_Baseline):
-    """Take the upstreams in turn."""
+    """Choose the upstreams in turn."""
 
     name = "round_robin"
 
@@ -61,7 +63,7 @@
 
 
 class LeastLoaded(_Baseline):
-    """Take the upstream with the fewest requests per slot."""
+    """Choose the upstream with the fewest requests per slot."""
 
     name = "least_loaded"
 
@@ -70,12 +72,12 @@
     ) -> tuple[route.Target, route.ChoiceReason]:
         del req
         lowest = min(t.queue / t.slots for t in targets)
-        equal = [t for t in targets if t.queue / t.slots == lowest]
-        return rng.choice(equal), route.ChoiceReason.SHORTEST_QUEUE
+        tied = [t for t in targets if t.queue / t.slots == lowest]
+        return rng.choice(tied), route.ChoiceReason.SHORTEST_QUEUE
 
 
 class PrefixAffinity(_Baseline):
-    """Send each conversation to the upstream that its id ranks first."""
+    """Send each conversation to the upstream ranked first by rendezvous hashing."""
 
     name = "prefix_affinity"
 
