--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -259,7 +259,7 @@
                 await trio.sleep(self.rng.uniform(0.3, 2.0))
                 faults.loses_answers = False
             case "history":
-                self.rows.forget_history()
+                self.rows.clear_history()
             case "one":
                 await self.proxy_fault([self.rng.choice(self.store_proxies)])
             case "all":
@@ -398,11 +398,14 @@
         runs: collections.Counter[str] = collections.Counter()
         for item in [*self.servers, *self.gone]:
             drained_at = self.drained.get(item.id)
-            for seen in item.seen:
+            for seen in item.executed:
                 once = seen.target.startswith(("/order/", "/ask/"))
                 runs[seen.headers["request-id"]] += once
-                late = drained_at is not None and seen.at > drained_at + DRAIN_S + 0.3
-                if late and seen.at > self.last_fault + QUIET_S:
+                late = (
+                    drained_at is not None
+                    and seen.received_at > drained_at + DRAIN_S + 0.3
+                )
+                if late and seen.received_at > self.last_fault + QUIET_S:
                     self.blame("drain", f"{item.id} got work after it left")
             tokens = [typing.cast(int, o["fencing_token"]) for o in item.orders]
             if tokens != sorted(tokens):
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -23,7 +23,7 @@
         )
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 200
-        (seen,) = [s for app in world.apps for s in app.seen]
+        (seen,) = [s for app in world.apps for s in app.executed]
         assert seen.target == "/order/%2F?a=1&b=%20"
         assert seen.body == b"body"
         assert seen.headers["tenant"] == "team-1"
@@ -53,7 +53,7 @@
         full = await caller.send("POST", target, b"x", **headers)
         assert isinstance(full, http_client.FullResponse)
         assert full.status == status
-        assert not [s for app in world.apps for s in app.seen]
+        assert not [s for app in world.apps for s in app.executed]
 
 
 def break_first(servers: list[server.Server], **faults: int) -> None:
@@ -64,7 +64,7 @@
 
 
 def runs(servers: list[server.Server]) -> int:
-    return sum(len(item.seen) for item in servers)
+    return sum(len(item.executed) for item in servers)
 
 
 async def test_order_is_tried_elsewhere_only_if_it_did_not_run() -> None:
@@ -72,7 +72,7 @@
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         first = await caller.send("POST", "/order/", b"x")
-        (used,) = [app for app in world.apps if app.seen]
+        (used,) = [app for app in world.apps if app.executed]
         break_first([used], turns_away=1)
         again = await caller.send("POST", "/order/", b"x")
         assert isinstance(first, http_client.FullResponse)
@@ -201,7 +201,7 @@
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 404
         world.configure(1)
-        world.store.forget_history()
+        world.store.clear_history()
         await trio.sleep(0.3)
         full = await caller.send("GET", "/new/")
         assert isinstance(full, http_client.FullResponse)
@@ -228,15 +228,15 @@
         leaving = world.apps[0]
         leaving.state = "draining"
         world.store.put("servers", leaving.id, leaving.entry())
-        world.store.forget_history()
+        world.store.clear_history()
         await wait_for_status(caller, "/look/", 401)
         await trio.sleep(1.0)
-        before = len(leaving.seen)
+        before = len(leaving.executed)
         for _ in range(6):
             full = await caller.send("GET", "/look/", authorization="Token other")
             assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
-        assert len(leaving.seen) == before
+        assert len(leaving.executed) == before
 
 
 OUTAGES = ["is_down", "is_silent"]
@@ -279,15 +279,15 @@
         gone, stays = world.apps
         world.store.delete("servers", gone.id)
         await trio.sleep(1.2)
-        before = len(gone.seen)
+        before = len(gone.executed)
         for _ in range(4):
             await caller.send("GET", "/look/")
-        assert len(gone.seen) == before
+        assert len(gone.executed) == before
         world.store.put("op", "evacuate/zone-a", {})
         await wait_for_status(caller, "/look/", 503)
-        before = len(stays.seen)
+        before = len(stays.executed)
         await caller.send("GET", "/look/")
-        assert len(stays.seen) == before
+        assert len(stays.executed) == before
         world.store.delete("op", "evacuate/zone-a")
         await wait_for_status(caller, "/look/", 200)
 
@@ -379,14 +379,14 @@
         await platform_world.until(lambda: world.nodes[0].knows_stores)
         await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
         await caller.ask("/ask/", parts="aa:2000,bb:50")
-        first = engine.seen[-1].headers
+        first = engine.executed[-1].headers
         address = f"127.0.0.1:{kv.port}"
         assert first["cache-target"] == f"{address},-"
         assert "cache-source" not in first
-        kv.complete(first["cache-salt"], "aa", 2000, "m")
+        kv.add_part(first["cache-salt"], "aa", 2000, "m")
         await trio.sleep(1.3)
         await caller.ask("/ask/", parts="aa:2000,bb:50")
-        second = engine.seen[-1].headers
+        second = engine.executed[-1].headers
         assert second["cache-source"] == f"{address}/2000,-"
         assert "cache-target" not in second
         assert int(second["cache-retain-until"]) > 0
@@ -405,7 +405,7 @@
         assert refused.status == 503
         await trio.sleep(0.5)
         await caller.ask("/ask/", parts="aa:2000,cc:50")
-        assert "cache-target" in engine.seen[-1].headers
+        assert "cache-target" in engine.executed[-1].headers
 
 
 async def test_stored_parts_are_read_while_the_platform_is_away() -> None:
@@ -414,12 +414,12 @@
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
         salt = kv_index.salt(platform_world.MODEL, 1, None)
-        kv.complete(salt, "aa", 2000, platform_world.MODEL)
+        kv.add_part(salt, "aa", 2000, platform_world.MODEL)
         await trio.sleep(1.3)
         world.store.faults.is_down = True
         await trio.sleep(4.0)
         await caller.ask("/ask/", parts="aa:2000,bb:50")
-        source = engine.seen[-1].headers["cache-source"]
+        source = engine.executed[-1].headers["cache-source"]
         assert source == f"127.0.0.1:{kv.port}/2000,-"
 
 
@@ -435,7 +435,7 @@
     """
     async with platform_world.deployment(apps=0, engines=1) as world:
         world.engines[0].events = 60
-        world.engines[0].step_s = 0.05
+        world.engines[0].event_interval_s = 0.05
         slow = platform_world.route("slow", "/slow/", "streaming", "llm")
         world.configure(2, routes=[slow | {"timeout_ms": 6000}])
         caller = platform_world.Caller(world.nodes[0])
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -82,8 +82,8 @@
                 full = await caller.send("GET", "/look/", authorization="Token other")
                 assert isinstance(full, http_client.FullResponse)
                 assert full.status == 200
-        assert not leaving.seen
-        assert len(stays.seen) == 2 * NODES
+        assert not leaving.executed
+        assert len(stays.executed) == 2 * NODES
 
 
 async def test_silent_watchers_are_replaced_by_own_reads() -> None:
@@ -108,7 +108,7 @@
             )
             assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
-        assert not leaving.seen
+        assert not leaving.executed
 
 
 async def test_told_configuration_is_young() -> None:
