--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -16,7 +16,7 @@
 HOST = "h.example"
 KEY = "key-1"
 MODEL = "m"
-WAIT_S = 10.0
+WAIT_TIMEOUT_S = 10.0
 
 
 def route(
@@ -90,7 +90,7 @@
     nodes: list[node.Node] = dataclasses.field(default_factory=list)
     has_peers: bool = False
 
-    def list_all(self) -> None:
+    def publish_entries(self) -> None:
         """Write the entries of all servers."""
         for item in [*self.apps, *self.engines]:
             self.store.put("servers", item.id, item.entry())
@@ -119,10 +119,10 @@
         self.nodes.append(built)
         return built
 
-    async def ready(self, index: int = 0) -> node.Node:
+    async def wait_ready(self, index: int = 0) -> node.Node:
         """Wait until a node is ready."""
         found = self.nodes[index]
-        await until(lambda: found.is_ready)
+        await wait_until(lambda: found.is_ready)
         return found
 
 
@@ -134,9 +134,9 @@
     return port
 
 
-async def until(is_true: collections.abc.Callable[[], bool]) -> None:
+async def wait_until(is_true: collections.abc.Callable[[], bool]) -> None:
     """Wait for a condition."""
-    with trio.fail_after(WAIT_S):
+    with trio.fail_after(WAIT_TIMEOUT_S):
         while not is_true():
             await trio.sleep(0.01)
 
@@ -161,11 +161,11 @@
         for item in [*world.apps, *world.engines, *world.kv_stores]:
             await nursery.start(item.serve)
         world.configure(1)
-        world.list_all()
+        world.publish_entries()
         for number in range(nodes):
             await world.add_node(f"n{number + 1}")
         for number in range(nodes):
-            await world.ready(number)
+            await world.wait_ready(number)
         yield world
         nursery.cancel_scope.cancel()
 
@@ -209,7 +209,7 @@
         assert isinstance(found, http_client.FullResponse | http_client.Lost), found
         return found
 
-    async def ask(
+    async def send_prompt(
         self, target: str, parts: str = "aa:200,bb:50", **headers: str
     ) -> http_client.FullResponse | http_client.Lost:
         """Send a prompt."""
--- a/tests/test_cli_platform.py
+++ b/tests/test_cli_platform.py
@@ -34,7 +34,7 @@
         world.store.put("op", "evacuate/zone-b", {})
         world.store.put_raw("servers", "broken", "!")
         started_at = clock.now()
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: world.store.content("members", "n1") is not None
         )
         store = f"127.0.0.1:{world.store_port}"
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -142,7 +142,7 @@
     """Guards against lost, doubled or changed events."""
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
-        full = await caller.ask("/ask/")
+        full = await caller.send_prompt("/ask/")
         assert isinstance(full, http_client.FullResponse)
         assert full.body == EVENTS
         assert full.headers["weight-versions"] == "1"
@@ -158,7 +158,7 @@
                 item.faults = server.Faults()
             with trio.fail_after(8):
                 for _ in range(2):
-                    full = await caller.ask("/check/")
+                    full = await caller.send_prompt("/check/")
                     assert isinstance(full, http_client.FullResponse)
                     assert full.body == EVENTS
 
@@ -168,7 +168,7 @@
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         break_first(world.engines, breaks_after=2)
-        assert isinstance(await caller.ask("/ask/"), http_client.Lost)
+        assert isinstance(await caller.send_prompt("/ask/"), http_client.Lost)
         assert runs(world.engines) == 1
 
 
@@ -212,7 +212,7 @@
     caller: platform_world.Caller, target: str, status: int
 ) -> None:
     """Ask until an answer has the status."""
-    with trio.fail_after(platform_world.WAIT_S):
+    with trio.fail_after(platform_world.WAIT_TIMEOUT_S):
         while True:
             full = await caller.send("GET", target)
             if isinstance(full, http_client.FullResponse) and full.status == status:
@@ -251,7 +251,7 @@
         for _ in range(10):
             await trio.sleep(0.2)
             full = await caller.send("POST", "/order/", b"x")
-            stream = await caller.ask("/ask/")
+            stream = await caller.send_prompt("/ask/")
             assert isinstance(full, http_client.FullResponse)
             assert isinstance(stream, http_client.FullResponse)
             assert (full.status, stream.body) == (200, EVENTS)
@@ -269,7 +269,7 @@
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 503
         world.store.faults.is_down = False
-        await platform_world.until(lambda: late.is_ready)
+        await platform_world.wait_until(lambda: late.is_ready)
 
 
 async def test_zone_and_server_that_leave_get_nothing_new() -> None:
@@ -296,14 +296,14 @@
     """Guards against engines on old weights and against two givers of orders."""
     async with platform_world.deployment(apps=0, engines=3, nodes=2) as world:
         world.store.put("op", "version/m", {"model": "m", "version": 2})
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 2 for item in world.engines)
         )
         orders = [order for item in world.engines for order in item.orders]
         assert len(orders) == 3
         assert len({order["holder"] for order in orders}) == 1
         assert len({order["fencing_token"] for order in orders}) == 1
-        full = await platform_world.Caller(world.nodes[0]).ask("/ask/")
+        full = await platform_world.Caller(world.nodes[0]).send_prompt("/ask/")
         assert isinstance(full, http_client.FullResponse)
         assert full.headers["weight-versions"] == "2"
 
@@ -315,7 +315,7 @@
     ) as world:
         (engine,) = world.engines
         tables = [one._beliefs.fleet.upstreams for one in world.nodes]
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(len(one._beliefs.members) == 2 for one in world.nodes)
         )
         world.store.put("op", "version/m", {"model": "m", "version": 2})
@@ -336,7 +336,7 @@
         world.store.put("op", "version/m", {"model": "m", "version": 2})
         await trio.sleep(1.5)
         world.store.faults.loses_answers = False
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 2 for item in world.engines)
         )
         tokens = [o["fencing_token"] for item in world.engines for o in item.orders]
@@ -353,12 +353,12 @@
             item.faults.late_orders = 1
         began = trio.current_time()
         world.store.put("op", "version/m", {"model": "m", "version": 2})
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 2 for item in world.engines)
         )
         assert trio.current_time() - began < 6.0
         world.store.put("op", "version/m", {"model": "m", "version": 3})
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 3 for item in world.engines)
         )
         await trio.sleep(3.5)
@@ -376,16 +376,16 @@
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
-        await platform_world.until(lambda: world.nodes[0].knows_stores)
+        await platform_world.wait_until(lambda: world.nodes[0].knows_stores)
         await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
-        await caller.ask("/ask/", parts="aa:2000,bb:50")
+        await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         first = engine.executed[-1].headers
         address = f"127.0.0.1:{kv.port}"
         assert first["cache-target"] == f"{address},-"
         assert "cache-source" not in first
         kv.add_part(first["cache-salt"], "aa", 2000, "m")
         await trio.sleep(1.3)
-        await caller.ask("/ask/", parts="aa:2000,bb:50")
+        await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         second = engine.executed[-1].headers
         assert second["cache-source"] == f"{address}/2000,-"
         assert "cache-target" not in second
@@ -400,11 +400,11 @@
         (engine,) = world.engines
         await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
         engine.faults.turns_away = 1
-        refused = await caller.ask("/ask/", parts="aa:2000,bb:50")
+        refused = await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         assert isinstance(refused, http_client.FullResponse)
         assert refused.status == 503
         await trio.sleep(0.5)
-        await caller.ask("/ask/", parts="aa:2000,cc:50")
+        await caller.send_prompt("/ask/", parts="aa:2000,cc:50")
         assert "cache-target" in engine.executed[-1].headers
 
 
@@ -418,7 +418,7 @@
         await trio.sleep(1.3)
         world.store.faults.is_down = True
         await trio.sleep(4.0)
-        await caller.ask("/ask/", parts="aa:2000,bb:50")
+        await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         source = engine.executed[-1].headers["cache-source"]
         assert source == f"127.0.0.1:{kv.port}/2000,-"
 
@@ -442,12 +442,12 @@
         answers: list[object] = []
 
         async def ask() -> None:
-            answers.append(await caller.ask("/slow/", request_deadline="6000"))
+            answers.append(await caller.send_prompt("/slow/", request_deadline="6000"))
 
         await wait_for_status(caller, "/look/", 404)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
-            await platform_world.until(lambda: world.engines[0].running == 1)
+            await platform_world.wait_until(lambda: world.engines[0].running == 1)
             nursery.start_soon(stop, world)
             await trio.sleep(node.ROTATION_S + 0.2)
             assert not answers
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -49,7 +49,9 @@
 
 async def zone_known(world: platform_world.World) -> None:
     """Wait until all nodes know one another and one poll has passed."""
-    await platform_world.until(lambda: all(n.members == NODES for n in world.nodes))
+    await platform_world.wait_until(
+        lambda: all(n.members == NODES for n in world.nodes)
+    )
     await trio.sleep(1.5)
 
 
