--- a/packages/snipelug-cli/src/snipelug_cli/deployment.py
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -165,7 +165,7 @@
 ) -> None:
     """Show the configuration, weights, nodes, upstreams and orders on the platform."""
     addr = settings.parse_address(store)
-    if isinstance(addr, settings.Invalid):
+    if isinstance(addr, settings.InvalidSettings):
         calls.fail(calls.ExitCode.INVALID, f"--store {store!r} is not IP:PORT")
 
     async def run() -> Status | ports.Unavailable:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -35,15 +35,15 @@
 
 
 def test_all_mistakes_are_told_at_once(tmp_path: pathlib.Path) -> None:
-    """Guards against operators who find one mistake a start."""
+    """Guards against operators who find one error a start."""
     path = tmp_path / "local.conf"
     path.write_text(
         "zone=a\nlisten.frontend=nowhere\nlisten.ready=127.0.0.1:99999\n"
         "platform.address=127.0.0.1:1\nbounds.grace_period_s=soon\n"
     )
     found = settings.load(path)
-    assert isinstance(found, settings.Invalid)
-    names = {mistake.partition(":")[0] for mistake in found.mistakes}
+    assert isinstance(found, settings.InvalidSettings)
+    names = {error.partition(":")[0] for error in found.errors}
     expected = {"node_name", "listen.frontend", "listen.ready"}
     assert names == expected | {"bounds.grace_period_s"}
 
@@ -51,8 +51,8 @@
 def test_missing_file_is_named(tmp_path: pathlib.Path) -> None:
     """Guards against a start without settings."""
     found = settings.load(tmp_path / "none.conf")
-    assert isinstance(found, settings.Invalid)
-    assert "none.conf" in found.mistakes[0]
+    assert isinstance(found, settings.InvalidSettings)
+    assert "none.conf" in found.errors[0]
 
 
 CONFIG: dict[str, typing.Any] = {
