Rename the shelf log events, logger and module of the relay after KV cache stores

Log events shelf_epoch, shelf_lost and shelf_listed -> kv_store_epoch, kv_store_lost and kv_store_listed; logger snipelug.shelves -> snipelug.kv_stores; module shelves -> kv_stores; Shelves -> KvStorePoller; ShelfRead -> KvStoreRead; ShelvesRead -> KvStoresRead.

--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -89,7 +89,7 @@
     is_cut: bool = False
 
 
-class ShelfRead(msgspec.Struct, array_like=True):
+class KvStoreRead(msgspec.Struct, array_like=True):
     """What the events of one store of KV cache told.
 
     Attributes
@@ -110,10 +110,10 @@
     stored: list[tuple[str, str, int]]
 
 
-class ShelvesRead(msgspec.Struct, array_like=True, tag=6):
+class KvStoresRead(msgspec.Struct, array_like=True, tag=6):
     """The events of stores of KV cache were read."""
 
-    shelves: list[ShelfRead]
+    kv_stores: list[KvStoreRead]
 
 
-Message = Prefill | Switching | Serving | IntentsRead | ListRead | ShelvesRead
+Message = Prefill | Switching | Serving | IntentsRead | ListRead | KvStoresRead
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -12,10 +12,10 @@
 from snipelug_relay import (
     announce,
     clock,
+    kv_stores,
     ports,
     record,
     relay,
-    shelves,
     state,
     stats,
     watch,
@@ -121,7 +121,7 @@
             self._stats,
             self._announcer,
         )
-        self._shelves = shelves.Shelves(
+        self._kv_stores = kv_stores.KvStorePoller(
             cfg, self._beliefs, platform.machines, self._announcer
         )
 
@@ -184,7 +184,7 @@
                 self._watch.run_members,
                 self._announcer.run,
                 self._weights.run,
-                self._shelves.run,
+                self._kv_stores.run,
                 self._watch_settings,
                 self._tend,
             ):
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -91,7 +91,10 @@
 
     def knows_stores(self, now: float) -> bool:
         """Tell whether all stores of KV cache have told what they hold."""
-        return all(shelf.is_fresh(now) for shelf in self.index.store_states.values())
+        return all(
+            store_state.is_fresh(now)
+            for store_state in self.index.store_states.values()
+        )
 
     @property
     def nodes(self) -> int:
