Rename the relay's port types and dialect methods

ports: Ask -> CallerRequest, CallerRequest.passed -> forwarded_headers, Orders -> AttemptOptions, Verdict -> ResponseHead, Taken -> LeaseWritten, Beaten -> LeaseConflict. Dialect: read -> decode_request, call -> build_call, judge -> decode_head, answer_headers -> response_headers, refuse -> build_refusal. job: Job.ask -> request. All uses follow.

--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -22,7 +22,7 @@
         One entry for each attempt, for the log.
     """
 
-    ask: ports.Ask
+    request: ports.CallerRequest
     route: catalog.Route
     team: catalog.Team | None
     service: str
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -48,7 +48,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Ask:
+class CallerRequest:
     """A caller's request, decoded.
 
     Attributes
@@ -78,12 +78,12 @@
     model: str
     parts: tuple[choice.PromptPart, ...]
     output_tokens: int
-    passed: tuple[tuple[str, str], ...]
+    forwarded_headers: tuple[tuple[str, str], ...]
     body: bytes
 
 
 @dataclasses.dataclass(frozen=True)
-class Orders:
+class AttemptOptions:
     """What the relay tells an upstream beside the caller's request.
 
     Attributes
@@ -109,7 +109,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Verdict:
+class ResponseHead:
     """What the head of an upstream's answer says.
 
     Attributes
@@ -139,25 +139,31 @@
 class Dialect(typing.Protocol):
     """The header fields of callers and upstreams."""
 
-    def read(self, req: http_server.Request) -> Ask | refusal.Refusal:
+    def decode_request(
+        self, req: http_server.Request
+    ) -> CallerRequest | refusal.Refusal:
         """Decode a caller's request."""
         ...
 
-    def call(
-        self, ask: Ask, orders: Orders, addr: http_client.Address
+    def build_call(
+        self, request: CallerRequest, options: AttemptOptions, addr: http_client.Address
     ) -> http_client.Call:
         """Build the request to an upstream."""
         ...
 
-    def judge(self, ask: Ask, status: int, headers: dict[str, str]) -> Verdict:
+    def decode_head(
+        self, request: CallerRequest, status: int, headers: dict[str, str]
+    ) -> ResponseHead:
         """Read the head of an upstream's answer."""
         ...
 
-    def answer_headers(self, headers: dict[str, str]) -> dict[str, str]:
+    def response_headers(self, headers: dict[str, str]) -> dict[str, str]:
         """Return the header fields of an upstream's answer for the caller."""
         ...
 
-    def refuse(self, ask: Ask | None, reason: refusal.Refusal) -> http_server.Response:
+    def build_refusal(
+        self, request: CallerRequest | None, reason: refusal.Refusal
+    ) -> http_server.Response:
         """Build the answer to a request that this node does not relay."""
         ...
 
@@ -274,7 +280,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Taken:
+class LeaseWritten:
     """The lease was written.
 
     Attributes
@@ -288,7 +294,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Beaten:
+class LeaseConflict:
     """Another node wrote the row first."""
 
 
@@ -333,7 +339,7 @@
 
     async def write_lease(
         self, lease: rollout.Lease, expected: int
-    ) -> Taken | Beaten | Unavailable:
+    ) -> LeaseWritten | LeaseConflict | Unavailable:
         """Write the lease if its row still has the expected version."""
         ...
 
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -96,39 +96,40 @@
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
         """Answer one request."""
-        ask = self._dialect.read(req)
-        if isinstance(ask, refusal.Refusal):
-            lines.warning(LOG, "request_unreadable", reason=ask.message)
-            return self._dialect.refuse(None, ask)
-        work = self._begin(ask)
+        request = self._dialect.decode_request(req)
+        if isinstance(request, refusal.Refusal):
+            lines.warning(LOG, "request_unreadable", reason=request.message)
+            return self._dialect.build_refusal(None, request)
+        work = self._begin(request)
         if isinstance(work, refusal.Refusal):
-            self._log_refused(ask, work)
-            return self._dialect.refuse(ask, work)
+            self._log_refused(request, work)
+            return self._dialect.build_refusal(request, work)
         try:
             return await self._answer(work)
         except trio.Cancelled:
             self._finish(work, "left", "the caller closed the connection")
             raise
 
-    def _begin(self, ask: ports.Ask) -> job.Job | refusal.Refusal:
+    def _begin(self, request: ports.CallerRequest) -> job.Job | refusal.Refusal:
         known = self._beliefs.catalog
         if known is None or not self._beliefs.list_known:
             message = "the node has not read its configuration"
             return refusal.refuse(refusal.NODE_NOT_CURRENT, message)
-        route = known.find_route(ask.host, ask.path)
+        route = known.find_route(request.host, request.path)
         if isinstance(route, refusal.Refusal):
             return route
-        team = known.find_team(route, ask.key)
+        team = known.find_team(route, request.key)
         if isinstance(team, refusal.Refusal):
             return team
         now = clock.now()
         wait_s = min(
-            math.inf if ask.time_left_s is None else ask.time_left_s, route.timeout_s
+            math.inf if request.time_left_s is None else request.time_left_s,
+            route.timeout_s,
         )
-        service = known.pick_service(route, ask.request_id)
+        service = known.pick_service(route, request.request_id)
         budget = self._budgets.setdefault(service, retry.Budget())
         retry.record_request(budget, self._policy())
-        return job.Job(ask, route, team, service, now, now + wait_s)
+        return job.Job(request, route, team, service, now, now + wait_s)
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
@@ -141,7 +142,7 @@
             pick = await self._selector.pick(work)
             if isinstance(pick, refusal.Refusal):
                 return self._refuse(work, pick)
-            outcome = await self._attempt(work, pick, work.ask.resume_after)
+            outcome = await self._attempt(work, pick, work.request.resume_after)
             decision = self._decide(work, outcome)
             if decision is attempt.Action.TRY_AGAIN:
                 continue
@@ -188,7 +189,7 @@
         visit, call = self._prepare(work, pick, resume_after, now)
         visit.begin(now)
         entry = pick.upstream.entry
-        shared = choice.shared_part(work.ask.parts)
+        shared = choice.shared_part(work.request.parts)
         visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
         reply: http_client.StreamingResponse | None = None
         outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
@@ -221,32 +222,32 @@
         resume_after: str | None,
         now: float,
     ) -> tuple[job.Visit, http_client.Call]:
-        ask = work.ask
+        request = work.request
         upstream = pick.upstream
         work.tried.add(upstream.entry.id)
         choice.record_sent(upstream, now)
         plan = kv_index.NO_PLAN
-        version = upstream.versions.get(ask.model) if ask.model else None
+        version = upstream.versions.get(request.model) if request.model else None
         key_salt = ""
         if version is not None:
             key_salt = self._selector.salt(work, version)
-            if self._beliefs.may_use_stores(ask.model, version, now):
-                plan = self._beliefs.index.plan(ask.parts, key_salt, now)
-            self._note_held(upstream, ask)
+            if self._beliefs.may_use_stores(request.model, version, now):
+                plan = self._beliefs.index.plan(request.parts, key_salt, now)
+            self._note_held(upstream, request)
         priority = work.route.priority
         if work.team is not None and work.team.priority is not None:
             priority = work.team.priority
-        orders = ports.Orders(
+        options = ports.AttemptOptions(
             upstream.entry.id,
             work.left_s(),
             work.team.name if work.team is not None else None,
             version,
             key_salt,
             plan,
-            priority if ask.model else None,
+            priority if request.model else None,
             resume_after,
         )
-        call = self._dialect.call(ask, orders, upstream.entry.addr)
+        call = self._dialect.build_call(request, options, upstream.entry.addr)
         if work.route.repeat is catalog.RepeatPolicy.AT_MOST_ONCE:
             call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
         entry: dict[str, object] = {
@@ -260,23 +261,25 @@
         if version is not None:
             entry["version"] = version
             entry["prefill"] = pick.prefill_tokens
-            shared = choice.shared_part(ask.parts)
+            shared = choice.shared_part(request.parts)
             entry["part"] = shared.id if shared is not None else None
             entry["salt"] = key_salt
             entry["fetched"] = sum(s is not None for s in plan.sources)
             entry["saved"] = sum(s is not None for s in plan.targets)
         work.trace.append(entry)
-        tokens = sum(part.tokens for part in ask.parts) + ask.output_tokens
+        tokens = sum(part.tokens for part in request.parts) + request.output_tokens
         visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
         if any(plan.targets):
             visit.on_not_run = functools.partial(
-                self._beliefs.index.cancel_saves, plan, ask.parts, key_salt
+                self._beliefs.index.cancel_saves, plan, request.parts, key_salt
             )
         return visit, call
 
-    def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
+    def _note_held(
+        self, upstream: fleet.Upstream, request: ports.CallerRequest
+    ) -> None:
         capacity = self._beliefs.held_tokens(upstream)
-        for part in ask.parts[:-1]:
+        for part in request.parts[:-1]:
             upstream.add_cached_part(part.id, part.tokens, capacity)
 
     def _pre_send_check(
@@ -320,7 +323,7 @@
         reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
-        verdict = self._dialect.judge(work.ask, reply.status, reply.headers)
+        verdict = self._dialect.decode_head(work.request, reply.status, reply.headers)
         self._take_verdict(work, visit, verdict)
         if verdict.is_turned_away:
             # Reading to the end keeps the connection.
@@ -337,7 +340,7 @@
         body = await reply.read(ANSWER_LIMIT_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
             return job.Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
-        headers = self._dialect.answer_headers(reply.headers)
+        headers = self._dialect.response_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
         if reply.status >= SERVER_ERROR:
             reason = f"the upstream answered {reply.status}"
@@ -370,7 +373,7 @@
                 )
 
     def _take_verdict(
-        self, work: job.Job, visit: job.Visit, verdict: ports.Verdict
+        self, work: job.Job, visit: job.Visit, verdict: ports.ResponseHead
     ) -> None:
         upstream = visit.upstream
         now = clock.now()
@@ -380,7 +383,7 @@
             self._beliefs.fleet.record_load(upstream, load)
         if verdict.cold_s is not None and verdict.cold_s > 0:
             upstream.cold_until = now + verdict.cold_s
-        model = work.ask.model
+        model = work.request.model
         if model and verdict.version is not None:
             upstream.set_version(model, verdict.version)
         if not verdict.is_turned_away:
@@ -422,7 +425,7 @@
     def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         assert outcome.reply is not None
         work.first_at = clock.now()
-        headers = self._dialect.answer_headers(outcome.reply.headers)
+        headers = self._dialect.response_headers(outcome.reply.headers)
         body = stream.Stream(self, work, outcome)
         return http_server.Response(outcome.reply.status, body, headers)
 
@@ -455,27 +458,29 @@
         if work.history.runs > 0:
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason.message))
         self._finish(work, "refused", reason.message, reason.kind.code)
-        return self._dialect.refuse(work.ask, reason)
+        return self._dialect.build_refusal(work.request, reason)
 
     def _fail(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         is_late = work.left_s() <= attempt.MIN_REMAINING_S
         kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
         self._finish(work, "failed", outcome.reason, kind.code)
         reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
-        return self._dialect.refuse(work.ask, reason)
+        return self._dialect.build_refusal(work.request, reason)
 
-    def _log_refused(self, ask: ports.Ask, reason: refusal.Refusal) -> None:
+    def _log_refused(
+        self, request: ports.CallerRequest, reason: refusal.Refusal
+    ) -> None:
         known = self._beliefs.catalog
         self._stats.requests.labels("", "refused", reason.kind.code).inc()
         lines.warning(
             LOG,
             "request",
-            id=ask.request_id,
+            id=request.request_id,
             outcome="refused",
             code=reason.kind.code,
             reason=reason.message,
-            host=ask.host,
-            path=ask.path,
+            host=request.host,
+            path=request.path,
             config=known.version if known is not None else None,
         )
 
@@ -500,7 +505,7 @@
             return
         known = self._beliefs.catalog
         fields: dict[str, object] = {
-            "id": work.ask.request_id,
+            "id": work.request.request_id,
             "route": work.route.name,
             "team": work.team.name if work.team is not None else None,
             "outcome": outcome,
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -76,7 +76,7 @@
 
     def retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
         """Return when a caller should come back, or None if it need not."""
-        if not work.ask.model:
+        if not work.request.model:
             return None
         return overload.retry_after(
             pick.wait_s,
@@ -102,28 +102,28 @@
     def _request(
         self, work: job.Job, context: choice.Context, now: float
     ) -> choice.Request:
-        ask = work.ask
+        request = work.request
         engine = context.service.engine
         if engine is None:
-            return choice.Request(work.service, self._cfg.zone, len(ask.body))
-        named = self._beliefs.named.get(ask.model)
-        version = self._beliefs.newest_version(ask.model, work.service)
+            return choice.Request(work.service, self._cfg.zone, len(request.body))
+        named = self._beliefs.named.get(request.model)
+        version = self._beliefs.newest_version(request.model, work.service)
         fetch_s = {
             usable: self._beliefs.index.transfer_times_s(
-                ask.parts, self.salt(work, usable), engine, self._cfg.zone, now
+                request.parts, self.salt(work, usable), engine, self._cfg.zone, now
             )
             for usable in self._stored_versions(work, version, now)
         }
         return choice.Request(
             work.service,
             self._cfg.zone,
-            len(ask.body),
-            ask.model,
-            ask.parts,
+            len(request.body),
+            request.model,
+            request.parts,
             version,
             named.settled(now, self._version_due_s()) if named is not None else 0,
             fetch_s,
-            ask.output_tokens,
+            request.output_tokens,
         )
 
     def _stored_versions(
@@ -134,14 +134,14 @@
         While engines load new weights, those that have not yet done so can still
         fetch what the others must read.
         """
-        ask = work.ask
+        request = work.request
         versions = {newest}
-        named = self._beliefs.named.get(ask.model)
+        named = self._beliefs.named.get(request.model)
         if named is not None and now - named.at < kv_index.OLD_VERSION_READ_S:
             upstreams = self._beliefs.fleet.of_service(work.service)
-            versions |= {u.versions.get(ask.model, newest) for u in upstreams}
-        for version in versions if ask.parts else ():
-            if self._beliefs.may_use_stores(ask.model, version, now):
+            versions |= {u.versions.get(request.model, newest) for u in upstreams}
+        for version in versions if request.parts else ():
+            if self._beliefs.may_use_stores(request.model, version, now):
                 yield version
 
     def _version_due_s(self) -> float:
@@ -150,7 +150,7 @@
 
     def salt(self, work: job.Job, version: int) -> str:
         """Return the name under which the parts of a request are cached."""
-        return kv_index.salt(work.ask.model, version, work.team)
+        return kv_index.salt(work.request.model, version, work.team)
 
     def _next_free(self, work: job.Job, now: float) -> float | None:
         """Return when the first upstream may be asked again."""
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -156,10 +156,10 @@
         token = expected + 1 if fencing is None else fencing
         lease = rollout.Lease(self._cfg.node_id, until_ms, token)
         answer = await self._store.write_lease(lease, expected)
-        if not isinstance(answer, ports.Taken):
+        if not isinstance(answer, ports.LeaseWritten):
             reason = getattr(answer, "reason", "another node wrote it first")
             lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
-            if isinstance(answer, ports.Beaten):
+            if isinstance(answer, ports.LeaseConflict):
                 self._held = None
             return False
         if fencing is None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -215,9 +215,9 @@
     )
 
 
-def ask(**changes: str) -> ports.Ask:
-    found = dialect.Dialect().read(request(HEADERS | changes))
-    assert isinstance(found, ports.Ask)
+def ask(**changes: str) -> ports.CallerRequest:
+    found = dialect.Dialect().decode_request(request(HEADERS | changes))
+    assert isinstance(found, ports.CallerRequest)
     return found
 
 
@@ -236,8 +236,8 @@
 
 def test_server_gets_no_field_that_only_the_system_sets() -> None:
     """Guards against callers who set another team, salt, hold or the key itself."""
-    orders = ports.Orders("i-1", 1.2, "t1", version=3, salt="s", priority=4)
-    call = dialect.Dialect().call(ask(), orders, ("127.0.0.1", 1))
+    orders = ports.AttemptOptions("i-1", 1.2, "t1", version=3, salt="s", priority=4)
+    call = dialect.Dialect().build_call(ask(), orders, ("127.0.0.1", 1))
     sent = dict(call.fields)
     assert len(sent) == len(call.fields)
     assert not [name for name, value in sent.items() if value == "forged"]
@@ -258,8 +258,8 @@
     plan = kv_index.Plan(
         (kv_index.Source(store, 700), None, None), (None, store, None), 2.5
     )
-    orders = ports.Orders("i-1", 1.0, plan=plan)
-    sent = dict(dialect.Dialect().call(ask(), orders, ("127.0.0.1", 1)).fields)
+    orders = ports.AttemptOptions("i-1", 1.0, plan=plan)
+    sent = dict(dialect.Dialect().build_call(ask(), orders, ("127.0.0.1", 1)).fields)
     assert sent["cache-source"] == "10.0.0.9:90/700,-,-"
     assert sent["cache-target"] == "-,10.0.0.9:90,-"
     assert sent["cache-retain-until"] == "2500"
@@ -271,7 +271,7 @@
 @pytest.mark.parametrize("changes", BAD)
 def test_unreadable_requests(changes: dict[str, str]) -> None:
     """Guards against a request that is sent on with a prompt that nobody can read."""
-    found = dialect.Dialect().read(request(HEADERS | changes))
+    found = dialect.Dialect().decode_request(request(HEADERS | changes))
     assert isinstance(found, refusal.Refusal)
 
 
@@ -295,7 +295,7 @@
     status: int, headers: dict[str, str], is_turned_away: bool, is_own: bool
 ) -> None:
     """Guards against another request's answer and against false refusals."""
-    found = dialect.Dialect().judge(ask(), status, headers)
+    found = dialect.Dialect().decode_head(ask(), status, headers)
     assert found.is_turned_away is is_turned_away
     assert found.is_own is is_own
 
@@ -303,7 +303,7 @@
 def test_refusal_tells_when_to_come_back() -> None:
     """Guards against callers who come back at once."""
     reason = refusal.refuse(refusal.NO_UPSTREAM, "none", retry_after_s=0.25)
-    response = dialect.Dialect().refuse(ask(), reason)
+    response = dialect.Dialect().build_refusal(ask(), reason)
     assert response.status == 503
     assert response.headers["retry-after"] == "0.25"
     assert response.headers["request-id"] == "ab12"
