Rename the node state of the relay and its accessors

state: Named -> NamedVersion, Named.at -> learned_at, times -> learned_times, settled -> newest_learned_before; State.named -> named_versions, newest -> latest_versions, newest_version -> latest_version, take_intents -> apply_intents, take_listings -> apply_listings, take_members -> apply_members, is_watcher -> is_reader, watches -> reads_store, cleans -> frees_store, held_tokens -> assumed_cached_tokens, known_since -> configured_since, list_known -> upstream_list_known. Variables named beliefs are node_state or _state.

--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -53,9 +53,11 @@
         Address of this node for other nodes; None to send nothing.
     """
 
-    def __init__(self, addr: http_client.Address | None, beliefs: state.State) -> None:
+    def __init__(
+        self, addr: http_client.Address | None, node_state: state.State
+    ) -> None:
         self._addr = addr
-        self._beliefs = beliefs
+        self._state = node_state
         self._numbers = itertools.count(1)
         self._sock: socket.socket | None = None
         self._handlers: dict[type, Handler] = {}
@@ -93,7 +95,7 @@
         message = messages.Prefill(upstream_id, number, tokens)
         if shared is not None:
             message.part, message.part_tokens = shared.id, shared.tokens
-        if len(self._beliefs.members) > FEW_NODES:
+        if len(self._state.members) > FEW_NODES:
             # Engines of the own zone come first, and each datagram costs a wake-up.
             message.lasts_s = lasts_s
             self.tell_zone(message)
@@ -124,8 +126,8 @@
 
     def tell_zone(self, message: messages.Message) -> bool:
         """Send to the nodes of this node's zone; return whether it fits."""
-        zone = self._beliefs.cfg.zone
-        mates = [m for m in self._beliefs.members if m.zone == zone]
+        zone = self._state.cfg.zone
+        mates = [m for m in self._state.members if m.zone == zone]
         return self._send(message, mates)
 
     def _send(
@@ -139,8 +141,8 @@
         data = msgspec.msgpack.encode(message)
         if len(data) > DATAGRAM_BYTES:
             return False
-        for member in self._beliefs.members if to is None else to:
-            if member.node_id == self._beliefs.cfg.node_id or member.addr is None:
+        for member in self._state.members if to is None else to:
+            if member.node_id == self._state.cfg.node_id or member.addr is None:
                 continue
             try:
                 sock.sendto(data, member.addr)
@@ -150,7 +152,7 @@
         return True
 
     def _receive(self, sock: socket.socket) -> None:
-        known = {member.addr[0] for member in self._beliefs.members if member.addr}
+        known = {member.addr[0] for member in self._state.members if member.addr}
         while True:
             try:
                 data, sender = sock.recvfrom(DATAGRAM_BYTES)
@@ -177,7 +179,7 @@
             message, messages.Prefill | messages.Switching | messages.Serving
         ):
             return
-        upstream = self._beliefs.fleet.upstreams.get(message.upstream_id)
+        upstream = self._state.fleet.upstreams.get(message.upstream_id)
         if upstream is None:
             return
         now = clock.now()
@@ -193,7 +195,7 @@
                     upstream.add_cached_part(
                         message.part,
                         message.part_tokens,
-                        self._beliefs.held_tokens(upstream),
+                        self._state.assumed_cached_tokens(upstream),
                     )
             case messages.Switching(_, for_s):
                 upstream.switching_until = now + min(for_s, MOST_SWITCH_S)
--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -36,7 +36,7 @@
     def __init__(
         self,
         cfg: ports.Settings,
-        beliefs: state.State,
+        node_state: state.State,
         machines: ports.Machines,
         announcer: announce.Announcer,
     ) -> None:
@@ -46,7 +46,7 @@
         self._visited_at: dict[str, float] = {}
         announcer.on(messages.KvStoresRead, self._hear_all)
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._machines = machines
 
     async def run(self) -> None:
@@ -54,7 +54,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 began = clock.now()
-                known = list(self._beliefs.index.store_states.values())
+                known = list(self._state.index.store_states.values())
                 due = [
                     store_state
                     for store_state in known
@@ -66,15 +66,15 @@
                     await trio.sleep(GATHER_S)
                     self._tell_all()
                 with trio.move_on_after(max(0.0, began + LOOK_S - clock.now())):
-                    await self._beliefs.stores_changed.wait()
-                self._beliefs.stores_changed = trio.Event()
+                    await self._state.stores_changed.wait()
+                self._state.stores_changed = trio.Event()
 
     def _is_due(self, store_state: kv_index.StoreState, now: float) -> bool:
         """Tell whether this node polls a store now, for others or for itself."""
         name = store_state.store.name
         if name in self._visited:
             return False
-        if self._beliefs.watches(name) or self._beliefs.cleans(name):
+        if self._state.reads_store(name) or self._state.frees_store(name):
             # Half a look is left over, as the looks come a little late.
             return now - self._visited_at.get(name, -1e9) > POLL_S - LOOK_S / 2
         return now - store_state.polled_at > TOLD_S
@@ -87,7 +87,7 @@
             await self._poll(store_state)
         finally:
             self._visited.discard(name)
-        if store_state.is_fresh(clock.now()) and self._beliefs.cleans(name):
+        if store_state.is_fresh(clock.now()) and self._state.frees_store(name):
             await self._free(store_state)
 
     async def _poll(self, store_state: kv_index.StoreState) -> None:
@@ -129,7 +129,7 @@
             # bound of the difference and transfers end no later than meant.
             store_state.clock_offset_s = page.clock_s - clock.now()
             store_state.clock_sample = (sent_at, page.clock_s)
-            if self._beliefs.watches(store_state.store.name):
+            if self._state.reads_store(store_state.store.name):
                 self._tell(store_state, since, page, page.clock_s)
 
     def _tell(
@@ -168,7 +168,7 @@
 
     def _hear(self, told: messages.KvStoreRead) -> None:
         """Take from a watcher what changed in a store."""
-        store_state = self._beliefs.index.store_states.get(told.store)
+        store_state = self._state.index.store_states.get(told.store)
         if (
             store_state is None
             or store_state.clock_sample is None
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -86,15 +86,15 @@
         self._reload = reload
         self._log = log
         self._stats = stats.Stats()
-        self._beliefs = state.State(cfg)
+        self._state = state.State(cfg)
         self._pool = http_client.Pool(CONNECT_S, idle_per_addr=MOST_IDLE)
         control_pool = http_client.Pool(CONTROL_CONNECT_S, idle_per_addr=4)
         platform = build(cfg, control_pool)
         self._store = platform.store
-        self._announcer = announce.Announcer(cfg.peers, self._beliefs)
+        self._announcer = announce.Announcer(cfg.peers, self._state)
         self._relay = relay.Relay(
             cfg,
-            self._beliefs,
+            self._state,
             platform.dialect,
             self._pool,
             self._stats,
@@ -107,7 +107,7 @@
         self._metrics = http_server.Server(self._tell_metrics)
         self._watch = watch.Watch(
             cfg,
-            self._beliefs,
+            self._state,
             platform.store,
             self._stats,
             self._take_intent,
@@ -115,39 +115,39 @@
         )
         self._weights = weights.Weights(
             cfg,
-            self._beliefs,
+            self._state,
             platform.store,
             platform.machines,
             self._stats,
             self._announcer,
         )
         self._kv_stores = kv_stores.KvStorePoller(
-            cfg, self._beliefs, platform.machines, self._announcer
+            cfg, self._state, platform.machines, self._announcer
         )
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may send callers here."""
-        return self._beliefs.is_ready
+        return self._state.is_ready
 
     @property
     def knows_stores(self) -> bool:
         """Whether all stores of KV cache have told what they hold."""
-        return self._beliefs.knows_stores(clock.now())
+        return self._state.knows_stores(clock.now())
 
     @property
     def configuration_age_s(self) -> float:
         """Time since the operator's intents were last confirmed, in seconds."""
-        return clock.now() - self._beliefs.confirmed_at
+        return clock.now() - self._state.confirmed_at
 
     def store_age_s(self, name: str) -> float:
         """Return the age of what is known of a store of KV cache, in seconds."""
-        return clock.now() - self._beliefs.index.store_states[name].polled_at
+        return clock.now() - self._state.index.store_states[name].polled_at
 
     @property
     def members(self) -> int:
         """Number of nodes known, this one included."""
-        return self._beliefs.nodes
+        return self._state.nodes
 
     def drop_datagrams(self) -> None:
         """Neither send nor take datagrams from now on, as behind a bad link."""
@@ -202,7 +202,7 @@
     async def stop(self) -> None:
         """Leave the load balancer, let requests finish, then close."""
         began = clock.now()
-        self._beliefs.is_stopping = True
+        self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
         self._callers.draining = True
         last = began + self._cfg.bounds.grace_s - EXIT_BEFORE_S
@@ -234,13 +234,13 @@
         if req.path != "/metrics":
             return http_server.Response(NOT_FOUND)
         left_out = self._relay.sampler.left_out
-        text = self._stats.render(self._beliefs, clock.now(), left_out)
+        text = self._stats.render(self._state, clock.now(), left_out)
         return http_server.Response(OK, text, {"content-type": "text/plain"})
 
     def _take_intent(self) -> None:
         """Apply what the operator wants of this node itself."""
         self._weights.wake()
-        known = self._beliefs.catalog
+        known = self._state.catalog
         if known is None:
             return
         limits = known.limits
@@ -253,7 +253,7 @@
         fewest = min(
             (s.connection_limit for s in known.services.values()), default=MOST_IDLE
         )
-        return max(2, min(MOST_IDLE, int(IDLE_PART * fewest / self._beliefs.nodes)))
+        return max(2, min(MOST_IDLE, int(IDLE_PART * fewest / self._state.nodes)))
 
     async def _tend(self) -> None:
         """Forget upstreams that stay away after an outage of the list."""
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -78,7 +78,7 @@
     def __init__(
         self,
         cfg: ports.Settings,
-        beliefs: state.State,
+        node_state: state.State,
         dialect: ports.Dialect,
         pool: http_client.Pool,
         metrics: stats.Stats,
@@ -86,12 +86,12 @@
     ) -> None:
         self._announcer = announcer
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._dialect = dialect
         self._pool = pool
         self._stats = metrics
         self._budgets: dict[str, retry.Budget] = {}
-        self._selector = selection.Selector(cfg, beliefs)
+        self._selector = selection.Selector(cfg, node_state)
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -111,8 +111,8 @@
             raise
 
     def _begin(self, request: ports.CallerRequest) -> job.Job | refusal.Refusal:
-        known = self._beliefs.catalog
-        if known is None or not self._beliefs.list_known:
+        known = self._state.catalog
+        if known is None or not self._state.upstream_list_known:
             message = "the node has not read its configuration"
             return refusal.refuse(refusal.NODE_NOT_CURRENT, message)
         route = known.find_route(request.host, request.path)
@@ -134,7 +134,7 @@
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
         return retry.node_share(
-            bounds.retry_part, bounds.retry_extra, self._beliefs.nodes
+            bounds.retry_part, bounds.retry_extra, self._state.nodes
         )
 
     async def _answer(self, work: job.Job) -> http_server.Response:
@@ -231,8 +231,8 @@
         key_salt = ""
         if version is not None:
             key_salt = self._selector.salt(work, version)
-            if self._beliefs.may_use_stores(request.model, version, now):
-                plan = self._beliefs.index.plan(request.parts, key_salt, now)
+            if self._state.may_use_stores(request.model, version, now):
+                plan = self._state.index.plan(request.parts, key_salt, now)
             self._note_held(upstream, request)
         priority = work.route.priority
         if work.team is not None and work.team.priority is not None:
@@ -271,14 +271,14 @@
         visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
         if any(plan.targets):
             visit.on_not_run = functools.partial(
-                self._beliefs.index.cancel_saves, plan, request.parts, key_salt
+                self._state.index.cancel_saves, plan, request.parts, key_salt
             )
         return visit, call
 
     def _note_held(
         self, upstream: fleet.Upstream, request: ports.CallerRequest
     ) -> None:
-        capacity = self._beliefs.held_tokens(upstream)
+        capacity = self._state.assumed_cached_tokens(upstream)
         for part in request.parts[:-1]:
             upstream.add_cached_part(part.id, part.tokens, capacity)
 
@@ -289,11 +289,11 @@
         entry = pick.upstream.entry
 
         def is_still_right(_opened_at: float) -> bool:
-            known = self._beliefs.fleet.upstreams.get(entry.id)
+            known = self._state.fleet.upstreams.get(entry.id)
             return (
                 known is pick.upstream
                 and not known.entry.is_leaving
-                and entry.zone not in self._beliefs.zones_out
+                and entry.zone not in self._state.zones_out
                 and clock.now() < work.deadline
             )
 
@@ -380,7 +380,7 @@
         if verdict.load is not None:
             running, waiting, _ = verdict.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
-            self._beliefs.fleet.record_load(upstream, load)
+            self._state.fleet.record_load(upstream, load)
         if verdict.cold_s is not None and verdict.cold_s > 0:
             upstream.cold_until = now + verdict.cold_s
         model = work.request.model
@@ -399,7 +399,7 @@
         self, upstream: fleet.Upstream, model: str, now: float
     ) -> None:
         """Take that the upstream does not serve the version it was taken to serve."""
-        named = self._beliefs.named.get(model)
+        named = self._state.named_versions.get(model)
         if named is not None and upstream.versions.get(model, 0) < named.version:
             upstream.set_version(model, named.version)
         else:
@@ -470,7 +470,7 @@
     def _log_refused(
         self, request: ports.CallerRequest, reason: refusal.Refusal
     ) -> None:
-        known = self._beliefs.catalog
+        known = self._state.catalog
         self._stats.requests.labels("", "refused", reason.kind.code).inc()
         lines.warning(
             LOG,
@@ -503,7 +503,7 @@
         )
         if is_routine and not self.sampler.admit():
             return
-        known = self._beliefs.catalog
+        known = self._state.catalog
         fields: dict[str, object] = {
             "id": work.request.request_id,
             "route": work.route.name,
@@ -516,7 +516,7 @@
             "allowed_ms": round(1000 * (work.deadline - work.started_at)),
             "attempts": work.trace,
             "config": known.version if known is not None else None,
-            "config_age_s": round(now - self._beliefs.confirmed_at, 2),
+            "config_age_s": round(now - self._state.confirmed_at, 2),
         }
         left_out = self.sampler.take_left_out()
         if left_out:
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -28,9 +28,9 @@
 class Selector:
     """Applies the decisions of ``choice`` and ``overload`` to what a node believes."""
 
-    def __init__(self, cfg: ports.Settings, beliefs: state.State) -> None:
+    def __init__(self, cfg: ports.Settings, node_state: state.State) -> None:
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._rng = random.Random()
 
     async def pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
@@ -90,10 +90,10 @@
         self, work: job.Job, now: float, consider_all: bool = False
     ) -> choice.Choice | None:
         """Return the upstream with the least expected cost that may be used now."""
-        context = self._beliefs.context(work.service)
+        context = self._state.context(work.service)
         if context is None:
             return None
-        upstreams = self._beliefs.fleet.of_service(work.service)
+        upstreams = self._state.fleet.of_service(work.service)
         request = self._request(work, context, now)
         return choice.choose(
             upstreams, request, context, work.tried, now, self._rng, consider_all
@@ -106,10 +106,10 @@
         engine = context.service.engine
         if engine is None:
             return choice.Request(work.service, self._cfg.zone, len(request.body))
-        named = self._beliefs.named.get(request.model)
-        version = self._beliefs.newest_version(request.model, work.service)
+        named = self._state.named_versions.get(request.model)
+        version = self._state.latest_version(request.model, work.service)
         fetch_s = {
-            usable: self._beliefs.index.transfer_times_s(
+            usable: self._state.index.transfer_times_s(
                 request.parts, self.salt(work, usable), engine, self._cfg.zone, now
             )
             for usable in self._stored_versions(work, version, now)
@@ -121,7 +121,9 @@
             request.model,
             request.parts,
             version,
-            named.settled(now, self._version_due_s()) if named is not None else 0,
+            named.newest_learned_before(now, self._version_due_s())
+            if named is not None
+            else 0,
             fetch_s,
             request.output_tokens,
         )
@@ -136,12 +138,12 @@
         """
         request = work.request
         versions = {newest}
-        named = self._beliefs.named.get(request.model)
-        if named is not None and now - named.at < kv_index.OLD_VERSION_READ_S:
-            upstreams = self._beliefs.fleet.of_service(work.service)
+        named = self._state.named_versions.get(request.model)
+        if named is not None and now - named.learned_at < kv_index.OLD_VERSION_READ_S:
+            upstreams = self._state.fleet.of_service(work.service)
             versions |= {u.versions.get(request.model, newest) for u in upstreams}
         for version in versions if request.parts else ():
-            if self._beliefs.may_use_stores(request.model, version, now):
+            if self._state.may_use_stores(request.model, version, now):
                 yield version
 
     def _version_due_s(self) -> float:
@@ -156,7 +158,7 @@
         """Return when the first upstream may be asked again."""
         times = [
             max(upstream.blocked_until, upstream.switching_until)
-            for upstream in self._beliefs.fleet.of_service(work.service)
+            for upstream in self._state.fleet.of_service(work.service)
             if upstream.entry.id not in work.tried
         ]
         return min((at for at in times if at > now), default=None)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -12,11 +12,11 @@
 
 LOG = logging.getLogger("snipelug.state")
 
-MEMBER_S = 50.0
+MEMBER_MAX_AGE_S = 50.0
 """Age at which a member's row no longer counts; rows are written every 15 s."""
 
 
-STORES_WAIT_S = 1.0
+STORES_READY_TIMEOUT_S = 1.0
 """How long a node that starts waits for the stores of KV cache before it is ready.
 
 Without them every prompt is read anew; a store that is down stops no node.
@@ -24,24 +24,24 @@
 
 
 @dataclasses.dataclass
-class Named:
+class NamedVersion:
     """The newest weight version of a model.
 
     Attributes
     ----------
-    at : float
+    learned_at : float
         When this node learned of it, in seconds.
-    times : dict of int to float
+    learned_times : dict of int to float
         When this node learned of each version, in seconds.
     """
 
     version: int
-    at: float
-    times: dict[int, float] = dataclasses.field(default_factory=dict)
+    learned_at: float
+    learned_times: dict[int, float] = dataclasses.field(default_factory=dict)
 
-    def settled(self, now: float, after_s: float) -> int:
+    def newest_learned_before(self, now: float, after_s: float) -> int:
         """Return the newest version that was named at least a time ago, or 0."""
-        ages = (v for v, at in self.times.items() if now - at > after_s)
+        ages = (v for v, at in self.learned_times.items() if now - at > after_s)
         return max(ages, default=0)
 
 
@@ -67,27 +67,34 @@
     def __init__(self, cfg: ports.Settings) -> None:
         self.cfg = cfg
         self.catalog: catalog.Catalog | None = None
-        self.named: dict[str, Named] = {}
+        self.named_versions: dict[str, NamedVersion] = {}
         self.zones_out: frozenset[str] = frozenset()
         self.fleet = fleet.Fleet()
         self.index = kv_index.Index()
         self.confirmed_at = -1e9
-        self.list_known = False
+        self.upstream_list_known = False
         self.members: list[ports.Member] = []
-        self.is_watcher = True
-        self._watched: dict[str, bool] = {}
-        self._cleaned: dict[str, bool] = {}
+        self.is_reader = True
+        self._reads_store: dict[str, bool] = {}
+        self._frees_store: dict[str, bool] = {}
         self.stores_changed = trio.Event()
-        self.known_since: float | None = None
+        self.configured_since: float | None = None
         self.is_stopping = False
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        if self.known_since is None or not self.list_known or self.is_stopping:
+        if (
+            self.configured_since is None
+            or not self.upstream_list_known
+            or self.is_stopping
+        ):
             return False
         now = clock.now()
-        return self.knows_stores(now) or now - self.known_since > STORES_WAIT_S
+        return (
+            self.knows_stores(now)
+            or now - self.configured_since > STORES_READY_TIMEOUT_S
+        )
 
     def knows_stores(self, now: float) -> bool:
         """Tell whether all stores of KV cache have told what they hold."""
@@ -101,13 +108,13 @@
         """Number of nodes that share the upstreams, this one included."""
         return max(1, len(self.members))
 
-    def newest(self) -> dict[str, int]:
+    def latest_versions(self) -> dict[str, int]:
         """Return the newest weight version of each model."""
-        return {model: named.version for model, named in self.named.items()}
+        return {model: named.version for model, named in self.named_versions.items()}
 
-    def newest_version(self, model: str, service: str) -> int:
+    def latest_version(self, model: str, service: str) -> int:
         """Return the newest weight version named, or served if none is named."""
-        named = self.named.get(model)
+        named = self.named_versions.get(model)
         if named is not None:
             return named.version
         upstreams = self.fleet.of_service(service)
@@ -115,10 +122,12 @@
 
     def may_use_stores(self, model: str, version: int, now: float) -> bool:
         """Tell whether parts of a weight version may be read from stores."""
-        named = self.named.get(model)
-        return named is None or kv_index.is_version_usable(version, named.times, now)
+        named = self.named_versions.get(model)
+        return named is None or kv_index.is_version_usable(
+            version, named.learned_times, now
+        )
 
-    def held_tokens(self, upstream: fleet.Upstream) -> float:
+    def assumed_cached_tokens(self, upstream: fleet.Upstream) -> float:
         """Return how many tokens an engine is taken to keep cached."""
         known = self.catalog
         service = known.services.get(upstream.entry.service) if known else None
@@ -134,7 +143,7 @@
         mean = self.fleet.mean_load(service, clock.now())
         return choice.Context(found, self.zones_out, self.nodes, mean)
 
-    def take_intents(
+    def apply_intents(
         self,
         items: collections.abc.Iterable[ports.Intent],
         read_at: float,
@@ -153,9 +162,9 @@
         for item in items:
             match item:
                 case catalog.Catalog():
-                    self._take_catalog(item)
+                    self._apply_catalog(item)
                 case ports.Version(model, version):
-                    self._take_version(model, version)
+                    self._apply_version(model, version)
                 case ports.Evacuation(zone):
                     zones.add(zone)
                 case ports.Removed(ports.Evacuation(zone)):
@@ -171,7 +180,7 @@
         """Note that the operator's intents were up to date at a time."""
         self.confirmed_at = max(self.confirmed_at, at)
 
-    def _take_catalog(self, new: catalog.Catalog) -> None:
+    def _apply_catalog(self, new: catalog.Catalog) -> None:
         if self.catalog is not None and new.version <= self.catalog.version:
             return
         lines.event(
@@ -185,18 +194,18 @@
         self.catalog = new
         self.index.set_stores(new.stores)
         self.stores_changed.set()
-        if self.known_since is None:
-            self.known_since = clock.now()
+        if self.configured_since is None:
+            self.configured_since = clock.now()
 
-    def _take_version(self, model: str, version: int) -> None:
-        known = self.named.get(model)
+    def _apply_version(self, model: str, version: int) -> None:
+        known = self.named_versions.get(model)
         if known is not None and version <= known.version:
             return
         # Weights that were named before this node started are not new.
-        at = clock.now() if self.list_known else -1e9
-        times = dict(known.times) if known is not None else {}
+        at = clock.now() if self.upstream_list_known else -1e9
+        times = dict(known.learned_times) if known is not None else {}
         times[version] = at
-        self.named[model] = Named(version, at, times)
+        self.named_versions[model] = NamedVersion(version, at, times)
         lines.event(
             LOG,
             "weights_named",
@@ -205,7 +214,7 @@
             before=known.version if known is not None else None,
         )
 
-    def take_listings(
+    def apply_listings(
         self,
         items: collections.abc.Iterable[ports.Listing],
         is_whole: bool,
@@ -236,10 +245,10 @@
                     changes.append(self.fleet.remove(key, now, in_grace=False))
         if is_whole:
             changes += self.fleet.replace(entries, now, in_grace)
-            self.list_known = True
+            self.upstream_list_known = True
         for change in changes:
             if change is not None:
-                self._log(change)
+                self._log_change(change)
 
     def expire(self) -> bool:
         """Remove upstreams that did not come back after an outage of the list.
@@ -251,10 +260,10 @@
         """
         changes = list(self.fleet.expire(clock.now()))
         for change in changes:
-            self._log(change)
+            self._log_change(change)
         return bool(changes)
 
-    def _log(self, change: fleet.Change) -> None:
+    def _log_change(self, change: fleet.Change) -> None:
         upstream = self.fleet.upstreams.get(change.upstream_id)
         lines.event(
             LOG,
@@ -266,31 +275,31 @@
             versions=upstream.versions if upstream is not None else None,
         )
 
-    def take_members(self, page: ports.Page[ports.Member]) -> None:
+    def apply_members(self, page: ports.Page[ports.Member]) -> None:
         """Take the rows of all nodes; old ones do not count."""
-        oldest = page.clock_ms - 1000 * MEMBER_S
+        oldest = page.clock_ms - 1000 * MEMBER_MAX_AGE_S
         live = [member for member in page.items if member.seen_ms >= oldest]
         if len(live) != len(self.members):
             lines.event(LOG, "members", count=len(live), before=len(self.members))
         self.members = live
-        self.is_watcher = self._is_picked(None)
-        self._watched.clear()
-        self._cleaned.clear()
+        self.is_reader = self._is_assigned_reader(None)
+        self._reads_store.clear()
+        self._frees_store.clear()
 
-    def watches(self, store: str) -> bool:
+    def reads_store(self, store: str) -> bool:
         """Tell whether this node reads a store of KV cache for its zone or itself."""
-        if store not in self._watched:
-            self._watched[store] = self._is_picked(store)
-        return self._watched[store]
+        if store not in self._reads_store:
+            self._reads_store[store] = self._is_assigned_reader(store)
+        return self._reads_store[store]
 
-    def cleans(self, store: str) -> bool:
+    def frees_store(self, store: str) -> bool:
         """Tell whether this node frees what nothing reads any more in a store."""
-        if store not in self._cleaned:
+        if store not in self._frees_store:
             ids = {member.node_id for member in self.members} | {self.cfg.node_id}
-            self._cleaned[store] = hashing.rank(store, ids)[0] == self.cfg.node_id
-        return self._cleaned[store]
+            self._frees_store[store] = hashing.rank(store, ids)[0] == self.cfg.node_id
+        return self._frees_store[store]
 
-    def _is_picked(self, store: str | None) -> bool:
+    def _is_assigned_reader(self, store: str | None) -> bool:
         nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
         picked = watcher.pick_readers(nodes, self.cfg.zone, store)
         return self.cfg.node_id in picked or not picked
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -71,14 +71,14 @@
             )
         }
 
-    def render(self, beliefs: state.State, now: float, left_out: int) -> bytes:
+    def render(self, node_state: state.State, now: float, left_out: int) -> bytes:
         """Return all metrics as text."""
-        known = beliefs.catalog
+        known = node_state.catalog
         values = {
             "configuration_version": known.version if known is not None else 0,
-            "configuration_age_seconds": now - beliefs.confirmed_at,
-            "upstreams": len(beliefs.fleet.upstreams),
-            "members": beliefs.nodes,
+            "configuration_age_seconds": now - node_state.confirmed_at,
+            "upstreams": len(node_state.fleet.upstreams),
+            "members": node_state.nodes,
             "lines_left_out": left_out,
         }
         for name, value in values.items():
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -105,7 +105,7 @@
     def __init__(
         self,
         cfg: ports.Settings,
-        beliefs: state.State,
+        node_state: state.State,
         store: ports.ControlStore,
         metrics: stats.Stats,
         on_intent: collections.abc.Callable[[], None],
@@ -118,7 +118,7 @@
         announcer.on(messages.IntentsRead, self._hear_intents)
         announcer.on(messages.ListRead, self._hear_listings)
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._store = store
         self._stats = metrics
         self._on_intent = on_intent
@@ -135,24 +135,24 @@
             if position is None:
                 page = await self._store.read_intents()
             else:
-                wait_s = INTENT_WAIT_S if self._beliefs.is_watcher else 0.0
+                wait_s = INTENT_WAIT_S if self._state.is_reader else 0.0
                 page = await self._store.watch_intents(position, wait_s)
             if isinstance(page, ports.HistoryLost):
                 lines.event(LOG, "history_lost", call="intents", position=position)
                 self._intents.position = None
             elif await contact.note(page) and isinstance(page, ports.Page):
-                self._take_intents(page, position, sent_at)
+                self._apply_intents(page, position, sent_at)
 
-    def _take_intents(
+    def _apply_intents(
         self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
     ) -> None:
         # A partition can delay the answer, so it is as old as its call.
-        self._beliefs.take_intents(page.items, sent_at, is_whole=since is None)
+        self._state.apply_intents(page.items, sent_at, is_whole=since is None)
         # The call may have been held, so only unheld ones bound the store's clock.
-        if since is None or not self._beliefs.is_watcher:
+        if since is None or not self._state.is_reader:
             self._clock = (sent_at, page.clock_ms)
         self._intents.note(page.position)
-        if since is not None and self._beliefs.is_watcher:
+        if since is not None and self._state.is_reader:
             self._announcer.tell_zone(
                 messages.IntentsRead(
                     since, page.position, page.clock_ms, bool(page.items)
@@ -170,7 +170,7 @@
             return
         sent_at, clock_ms = self._clock
         confirmed_at = sent_at + (told.clock_ms - clock_ms) / 1e3
-        self._beliefs.confirm(min(clock.now(), confirmed_at))
+        self._state.confirm(min(clock.now(), confirmed_at))
         self._intents.note(told.position)
 
     async def run_upstreams(self) -> None:
@@ -196,15 +196,15 @@
             if now - contact.answered_at > pause_s + OUTAGE_S:
                 grace_until = now + fleet.REMOVAL_GRACE_S
             if await contact.note(page) and isinstance(page, ports.Page):
-                self._take_listings(page, position, now < grace_until)
-                await trio.sleep(pause_s if self._beliefs.is_watcher else 0.0)
+                self._apply_listings(page, position, now < grace_until)
+                await trio.sleep(pause_s if self._state.is_reader else 0.0)
 
-    def _take_listings(
+    def _apply_listings(
         self, page: ports.Page[ports.Listing], since: int | None, in_grace: bool
     ) -> None:
-        if since is not None and self._beliefs.is_watcher:
+        if since is not None and self._state.is_reader:
             self._tell_listings(page, since, in_grace)
-        self._beliefs.take_listings(page.items, since is None, in_grace)
+        self._state.apply_listings(page.items, since is None, in_grace)
         self._list.note(page.position)
 
     def _tell_listings(
@@ -215,7 +215,7 @@
         for item in page.items:
             match item:
                 case fleet.Entry():
-                    if self._beliefs.fleet.differs(item):
+                    if self._state.fleet.differs(item):
                         entries.append(item)
                 case ports.Removed(str() as upstream_id):
                     removed.append(upstream_id)
@@ -232,7 +232,7 @@
         The whole list is read then: an entry that came back between two reads of a
         watcher was no change for it, and was not told to those who miss it.
         """
-        if self._beliefs.expire():
+        if self._state.expire():
             self._list.position = None
             self._list.ask()
 
@@ -246,7 +246,7 @@
             return
         items: list[ports.Listing] = [*told.entries]
         items += [ports.Removed(upstream_id) for upstream_id in told.removed]
-        self._beliefs.take_listings(items, False, told.in_grace)
+        self._state.apply_listings(items, False, told.in_grace)
         self._list.note(told.position)
 
     async def _is_told(self, followed: "Followed", limit_s: float) -> bool:
@@ -257,7 +257,7 @@
         bool
             False if this node must read the table itself now.
         """
-        if self._beliefs.is_watcher or followed.position is None:
+        if self._state.is_reader or followed.position is None:
             return False
         left_s = followed.noted_at + limit_s - clock.now()
         if left_s <= 0 or followed.asked.is_set():
@@ -287,6 +287,6 @@
                 )
                 if await contact.note(await self._store.write_member(member)):
                     written_at = now
-            self._beliefs.take_members(page)
+            self._state.apply_members(page)
             await trio.sleep(pause_s)
             pause_s = next(pauses, MEMBER_READ_S[-1])
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -38,7 +38,7 @@
     def __init__(
         self,
         cfg: ports.Settings,
-        beliefs: state.State,
+        node_state: state.State,
         store: ports.ControlStore,
         machines: ports.Machines,
         metrics: stats.Stats,
@@ -46,7 +46,7 @@
     ) -> None:
         self._announcer = announcer
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._store = store
         self._machines = machines
         self._stats = metrics
@@ -89,14 +89,14 @@
             await trio.sleep(TICK_S)
 
     def _engines(self) -> list[list[fleet.Upstream]]:
-        known = self._beliefs.catalog
+        known = self._state.catalog
         services: list[catalog.Service] = []
         if known is not None:
             services = [s for s in known.services.values() if s.engine is not None]
-        return [self._beliefs.fleet.of_service(s.name) for s in services]
+        return [self._state.fleet.of_service(s.name) for s in services]
 
     def _is_needed(self) -> bool:
-        newest = self._beliefs.newest()
+        newest = self._state.latest_versions()
         return any(
             next(rollout.outdated_upstreams(group, newest), None) is not None
             for group in self._engines()
@@ -104,7 +104,7 @@
 
     def _rank(self) -> int:
         """Return this node's place in the order that all nodes agree on."""
-        ids = {member.node_id for member in self._beliefs.members}
+        ids = {member.node_id for member in self._state.members}
         ids.add(self._cfg.node_id)
         return hashing.rank("weights", ids).index(self._cfg.node_id)
 
@@ -169,14 +169,14 @@
         return True
 
     async def _give_orders(self) -> None:
-        newest = self._beliefs.newest()
+        newest = self._state.latest_versions()
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 known = {u.entry.id: u for u in group}
                 for upstream_id in list(self._orders):
                     if upstream_id in known:
                         nursery.start_soon(self._look, known[upstream_id])
-        rollout.prune_orders(self._orders, self._beliefs.fleet.upstreams, clock.now())
+        rollout.prune_orders(self._orders, self._state.fleet.upstreams, clock.now())
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 for upstream, model, version in rollout.plan_orders(
@@ -188,8 +188,8 @@
 
     def _age_s(self) -> float:
         """Return the time since the last version was named, in seconds."""
-        named = self._beliefs.named.values()
-        return clock.now() - max(item.at for item in named)
+        named = self._state.named_versions.values()
+        return clock.now() - max(item.learned_at for item in named)
 
     async def _look(self, upstream: fleet.Upstream) -> ports.Report | None:
         report = await self._machines.report(upstream.entry.addr)
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -24,28 +24,28 @@
 def node(name: str, host: str) -> tuple[announce.Announcer, state.State]:
     addr = (host, free_port(host))
     cfg = ports.Settings(name, "a", addr, addr, addr, peers=addr)
-    beliefs = state.State(cfg)
-    beliefs.fleet.put(relay_builders.entry(), clock.now())
-    return announce.Announcer(addr, beliefs), beliefs
+    node_state = state.State(cfg)
+    node_state.fleet.put(relay_builders.entry(), clock.now())
+    return announce.Announcer(addr, node_state), node_state
 
 
-def introduce(*all_beliefs: state.State) -> None:
-    members = [ports.Member(b.cfg.node_id, "a", 0.0, b.cfg.peers) for b in all_beliefs]
-    for beliefs in all_beliefs:
-        beliefs.members = members
+def introduce(*all_states: state.State) -> None:
+    members = [ports.Member(b.cfg.node_id, "a", 0.0, b.cfg.peers) for b in all_states]
+    for node_state in all_states:
+        node_state.members = members
 
 
 async def test_prompts_and_switches_reach_the_other_nodes(
     nursery: trio.Nursery,
 ) -> None:
     """Guards against requests behind prompts, or at switches, that a peer knows of."""
-    first, first_beliefs = node("n1", "127.0.0.1")
-    second, second_beliefs = node("n2", "127.0.0.2")
-    introduce(first_beliefs, second_beliefs)
+    first, first_state = node("n1", "127.0.0.1")
+    second, second_state = node("n2", "127.0.0.2")
+    introduce(first_state, second_state)
     nursery.start_soon(first.run)
     nursery.start_soon(second.run)
     await trio.testing.wait_all_tasks_blocked()
-    upstream = second_beliefs.fleet.upstreams["u1"]
+    upstream = second_state.fleet.upstreams["u1"]
     is_read = first.begin("u1", 9_000)
     assert is_read is not None
     first.switching("u1", 1.0)
@@ -70,19 +70,19 @@
     nursery: trio.Nursery, data: bytes
 ) -> None:
     """Guards against a node that ends at, or believes, what others send."""
-    first, beliefs = node("n1", "127.0.0.1")
+    first, node_state = node("n1", "127.0.0.1")
     _, other = node("n2", "127.0.0.2")
-    introduce(beliefs, other)
+    introduce(node_state, other)
     nursery.start_soon(first.run)
     await trio.testing.wait_all_tasks_blocked()
     switch = msgspec.msgpack.encode(messages.Switching("u1", 9.0))
-    assert beliefs.cfg.peers is not None
+    assert node_state.cfg.peers is not None
     for host, content in (("127.0.0.2", data), ("127.0.0.3", switch)):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.bind((host, 0))
-            sock.sendto(content, beliefs.cfg.peers)
+            sock.sendto(content, node_state.cfg.peers)
     await trio.sleep(0.1)
-    assert beliefs.fleet.upstreams["u1"].switching_until == 0.0
+    assert node_state.fleet.upstreams["u1"].switching_until == 0.0
     nursery.cancel_scope.cancel()
 
 
@@ -93,18 +93,18 @@
 
     The peer's zone is another one, so this node would prefer its own engine.
     """
-    first, first_beliefs = node("n1", "127.0.0.1")
-    second, second_beliefs = node("n2", "127.0.0.2")
-    introduce(first_beliefs, second_beliefs)
+    first, first_state = node("n1", "127.0.0.1")
+    second, second_state = node("n2", "127.0.0.2")
+    introduce(first_state, second_state)
     engines = catalog.Service("engines", engine=relay_builders.ENGINE)
     known = [catalog.Catalog(1, (), (engines,))]
-    second_beliefs.take_intents(known, clock.now(), is_whole=True)
-    second_beliefs.fleet.put(relay_builders.entry("near", zone="b"), clock.now())
+    second_state.apply_intents(known, clock.now(), is_whole=True)
+    second_state.fleet.put(relay_builders.entry("near", zone="b"), clock.now())
     nursery.start_soon(first.run)
     nursery.start_soon(second.run)
     await trio.testing.wait_all_tasks_blocked()
     request = relay_builders.request(16_000, 500, zone="b", body_bytes=34_000)
-    upstreams = second_beliefs.fleet.of_service("engines")
+    upstreams = second_state.fleet.of_service("engines")
     context = relay_builders.context()
     rng = random.Random(1)
     before = choice.choose(upstreams, request, context, (), clock.now(), rng)
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -314,9 +314,9 @@
         apps=0, engines=1, nodes=2, has_peers=True
     ) as world:
         (engine,) = world.engines
-        tables = [one._beliefs.fleet.upstreams for one in world.nodes]
+        tables = [one._state.fleet.upstreams for one in world.nodes]
         await platform_world.until(
-            lambda: all(len(one._beliefs.members) == 2 for one in world.nodes)
+            lambda: all(len(one._state.members) == 2 for one in world.nodes)
         )
         world.store.put("op", "version/m", {"model": "m", "version": 2})
         since = math.inf
@@ -367,8 +367,12 @@
 
 def test_weights_are_given_up_by_the_oldest_newer_version() -> None:
     """Guards against a bound that starts anew with each version that is named."""
-    named = state.Named(3, 17.0, {1: -1e9, 2: 15.0, 3: 17.0})
-    assert [named.settled(at, 7.0) for at in (21.9, 22.1, 24.1)] == [1, 2, 3]
+    named = state.NamedVersion(3, 17.0, {1: -1e9, 2: 15.0, 3: 17.0})
+    assert [named.newest_learned_before(at, 7.0) for at in (21.9, 22.1, 24.1)] == [
+        1,
+        2,
+        3,
+    ]
 
 
 async def test_shared_part_is_saved_then_fetched() -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -31,23 +31,23 @@
     A watcher that reads only after the entry is back tells its zone nothing.
     """
     addr = ("127.0.0.1", 1)
-    beliefs = state.State(ports.Settings("n1", "a", addr, addr, addr))
-    beliefs.is_watcher = False
+    node_state = state.State(ports.Settings("n1", "a", addr, addr, addr))
+    node_state.is_reader = False
     rows = Listed()
     followed = watch.Watch(
-        beliefs.cfg,
-        beliefs,
+        node_state.cfg,
+        node_state,
         rows,  # type: ignore[arg-type]
         stats.Stats(),
         lambda: None,
-        announce.Announcer(None, beliefs),
+        announce.Announcer(None, node_state),
     )
     nursery.start_soon(followed.run_upstreams)
     await trio.sleep(0.1)
-    beliefs.take_listings([ports.Removed("u1")], is_whole=False, in_grace=True)
+    node_state.apply_listings([ports.Removed("u1")], is_whole=False, in_grace=True)
     await trio.sleep(fleet.REMOVAL_GRACE_S + 0.1)
     followed.expire()
     await trio.sleep(0.1)
-    assert set(beliefs.fleet.upstreams) == {"u1"}
+    assert set(node_state.fleet.upstreams) == {"u1"}
     assert rows.whole_reads == 2
     nursery.cancel_scope.cancel()
