--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -21,22 +21,22 @@
 
 LOG = logging.getLogger("snipelug.announce")
 
-MIN_TOKENS = 1_000
+MIN_PROMPT_TOKENS = 1_000
 """Shorter prompts are read in under 20 ms."""
 
-DATAGRAM_BYTES = 8_192
+MAX_DATAGRAM_BYTES = 8_192
 """Longer messages are not sent; nodes read for themselves instead."""
 
-MOST_SWITCH_S = 3.0
+MAX_SWITCH_S = 3.0
 """Longest pause that another node can ask for."""
 
-SPARE_S = 1.0
+PROMPT_MARGIN_S = 1.0
 """A prompt counts for twice its expected reading time and this, at most."""
 
-MOST_READ_S = 5.0
+MAX_PROMPT_S = 5.0
 """Longest time for which another node's prompt counts."""
 
-FEW_NODES = 12
+MAX_NODES_FOR_BROADCAST = 12
 """Up to so many nodes each prompt is told to all, and its end as well."""
 
 
@@ -84,35 +84,35 @@
             finally:
                 self._sock = None
 
-    def begin(
+    def announce_prompt(
         self, upstream_id: str, tokens: int, shared: choice.PromptPart | None = None
     ) -> collections.abc.Callable[[], None] | None:
         """Announce a prompt; return what announces that it has been read."""
-        if self._sock is None or tokens < MIN_TOKENS:
+        if self._sock is None or tokens < MIN_PROMPT_TOKENS:
             return None
         number = next(self._numbers)
         lasts_s = tokens / choice.PREFILL_TOKENS_PER_S
         message = messages.Prefill(upstream_id, number, tokens)
         if shared is not None:
             message.part, message.part_tokens = shared.id, shared.tokens
-        if len(self._state.members) > FEW_NODES:
+        if len(self._state.members) > MAX_NODES_FOR_BROADCAST:
             # Engines of the own zone come first, and each datagram costs a wake-up.
             message.lasts_s = lasts_s
-            self.tell_zone(message)
+            self.send_to_zone(message)
             return None
-        message.lasts_s = 2 * lasts_s + SPARE_S
+        message.lasts_s = 2 * lasts_s + PROMPT_MARGIN_S
         self._send(message)
 
-        def tell_read() -> None:
+        def announce_read() -> None:
             self._send(messages.Prefill(upstream_id, number, 0))
 
-        return tell_read
+        return announce_read
 
-    def switching(self, upstream_id: str, for_s: float) -> None:
+    def announce_switching(self, upstream_id: str, for_s: float) -> None:
         """Announce that an engine loads weights."""
         self._send(messages.Switching(upstream_id, for_s))
 
-    def serving(self, upstream_id: str, model: str, version: int) -> None:
+    def announce_serving(self, upstream_id: str, model: str, version: int) -> None:
         """Announce the weight version that an engine serves now."""
         self._send(messages.Serving(upstream_id, model, version))
 
@@ -120,15 +120,15 @@
         """Stop sending and receiving."""
         self._sock = None
 
-    def on(self, kind: type, handler: Handler) -> None:
+    def set_handler(self, kind: type, handler: Handler) -> None:
         """Take messages of a kind with a handler."""
         self._handlers[kind] = handler
 
-    def tell_zone(self, message: messages.Message) -> bool:
+    def send_to_zone(self, message: messages.Message) -> bool:
         """Send to the nodes of this node's zone; return whether it fits."""
         zone = self._state.cfg.zone
-        mates = [m for m in self._state.members if m.zone == zone]
-        return self._send(message, mates)
+        zone_members = [m for m in self._state.members if m.zone == zone]
+        return self._send(message, zone_members)
 
     def _send(
         self,
@@ -139,7 +139,7 @@
         if sock is None:
             return True
         data = msgspec.msgpack.encode(message)
-        if len(data) > DATAGRAM_BYTES:
+        if len(data) > MAX_DATAGRAM_BYTES:
             return False
         for member in self._state.members if to is None else to:
             if member.node_id == self._state.cfg.node_id or member.addr is None:
@@ -155,7 +155,7 @@
         known = {member.addr[0] for member in self._state.members if member.addr}
         while True:
             try:
-                data, sender = sock.recvfrom(DATAGRAM_BYTES)
+                data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             except OSError as exc:
@@ -168,9 +168,9 @@
             except msgspec.DecodeError as exc:
                 lines.warning(LOG, "announcement_unreadable", reason=str(exc))
                 continue
-            self._take(sender[0], message)
+            self._handle(sender[0], message)
 
-    def _take(self, sender: str, message: messages.Message) -> None:
+    def _handle(self, sender: str, message: messages.Message) -> None:
         handler = self._handlers.get(type(message))
         if handler is not None:
             handler(message)
@@ -188,7 +188,7 @@
                 upstream.announced.pop((sender, number), None)
             case messages.Prefill(_, number, tokens):
                 upstream.announced[(sender, number)] = fleet.AnnouncedPrompt(
-                    tokens, now + min(message.lasts_s, MOST_READ_S)
+                    tokens, now + min(message.lasts_s, MAX_PROMPT_S)
                 )
                 # The next prompt with this part is cheapest where it is read now.
                 if message.part:
@@ -198,7 +198,7 @@
                         self._state.assumed_cached_tokens(upstream),
                     )
             case messages.Switching(_, for_s):
-                upstream.switching_until = now + min(for_s, MOST_SWITCH_S)
+                upstream.switching_until = now + min(for_s, MAX_SWITCH_S)
             case messages.Serving(_, model, version):
                 upstream.set_version(model, version)
                 upstream.switching_until = 0.0
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -31,7 +31,7 @@
     history: attempt.History = dataclasses.field(default_factory=attempt.History)
     tried: set[str] = dataclasses.field(default_factory=set)
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
-    first_at: float | None = None
+    first_byte_at: float | None = None
     is_finished: bool = False
 
     def left_s(self) -> float:
@@ -40,7 +40,7 @@
 
 
 @dataclasses.dataclass
-class Visit:
+class UpstreamAttempt:
     """One send to an upstream, and what is counted there until it ends.
 
     Attributes
@@ -52,12 +52,12 @@
     upstream: fleet.Upstream
     tokens: int
     prefill_tokens: int
-    entry: dict[str, object]
-    on_read: collections.abc.Callable[[], None] | None = None
+    trace_entry: dict[str, object]
+    on_prompt_read: collections.abc.Callable[[], None] | None = None
     on_not_run: collections.abc.Callable[[], None] | None = None
     has_ended: bool = False
 
-    def begin(self, now: float) -> None:
+    def start(self, now: float) -> None:
         """Count the request at the upstream."""
         upstream = self.upstream
         upstream.running += 1
@@ -66,26 +66,26 @@
         if upstream.silent_since is None:
             upstream.silent_since = now
 
-    def hear(self, now: float) -> None:
+    def record_data(self, now: float) -> None:
         """Note that the upstream has answered something."""
         self.upstream.connect_failures = 0
         waits = self.upstream.running > 1
         self.upstream.silent_since = now if waits else None
 
-    def begin_output(self) -> None:
+    def record_prompt_read(self) -> None:
         """Note that the prompt has been read."""
         self.upstream.prefill_tokens -= self.prefill_tokens
         self.prefill_tokens = 0
-        if self.on_read is not None:
-            self.on_read()
-            self.on_read = None
+        if self.on_prompt_read is not None:
+            self.on_prompt_read()
+            self.on_prompt_read = None
 
-    def end(self) -> None:
+    def finish(self) -> None:
         """Stop counting the request."""
         if self.has_ended:
             return
         self.has_ended = True
-        self.begin_output()
+        self.record_prompt_read()
         self.upstream.running -= 1
         self.upstream.reserved_tokens -= self.tokens
         if self.upstream.running == 0:
@@ -108,7 +108,7 @@
 
     result: attempt.Result
     reason: str = ""
-    visit: Visit | None = None
+    upstream_attempt: UpstreamAttempt | None = None
     reply: http_client.StreamingResponse | None = None
     splitter: sse.Splitter | None = None
     events: bytes = b""
--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -10,23 +10,23 @@
 
 LOG = logging.getLogger("snipelug.kv_stores")
 
-POLL_S = 1.0
+POLL_INTERVAL_S = 1.0
 """Time from one poll to the next; parts stay usable for 1.6 s after a poll."""
 
-GATHER_S = 0.15
+GATHER_TIMEOUT_S = 0.15
 """Time for the answers of stores before they are told; later ones wait for the next.
 
 The sum with ``POLL_S`` stays below ``TOLD_S``, so one silent store does not make all
 nodes of a zone poll the others.
 """
 
-LOOK_S = 0.5
+CHECK_INTERVAL_S = 0.5
 """Pause between looks at which stores are due; half of ``POLL_S``."""
 
-TOLD_S = 1.25
+MAX_REPORT_AGE_S = 1.25
 """Age of a store's last poll after which a node that does not watch it polls itself."""
 
-FREE_AT_ONCE = 200
+FREE_BATCH_SIZE = 200
 """Parts freed by one call, about 10 KB."""
 
 
@@ -41,10 +41,10 @@
         announcer: announce.Announcer,
     ) -> None:
         self._announcer = announcer
-        self._told: list[messages.KvStoreRead] = []
-        self._visited: set[str] = set()
-        self._visited_at: dict[str, float] = {}
-        announcer.on(messages.KvStoresRead, self._hear_all)
+        self._pending_reports: list[messages.KvStoreRead] = []
+        self._polling: set[str] = set()
+        self._poll_started_at: dict[str, float] = {}
+        announcer.set_handler(messages.KvStoresRead, self._on_stores_read)
         self._cfg = cfg
         self._state = node_state
         self._machines = machines
@@ -53,40 +53,45 @@
         """Poll all stores until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                began = clock.now()
+                started_at = clock.now()
                 known = list(self._state.index.store_states.values())
                 due = [
                     store_state
                     for store_state in known
-                    if self._is_due(store_state, began)
+                    if self._is_due(store_state, started_at)
                 ]
                 for store_state in due:
-                    nursery.start_soon(self._visit, store_state)
+                    nursery.start_soon(self._poll_and_free, store_state)
                 if due:
-                    await trio.sleep(GATHER_S)
-                    self._tell_all()
-                with trio.move_on_after(max(0.0, began + LOOK_S - clock.now())):
+                    await trio.sleep(GATHER_TIMEOUT_S)
+                    self._announce_reports()
+                with trio.move_on_after(
+                    max(0.0, started_at + CHECK_INTERVAL_S - clock.now())
+                ):
                     await self._state.stores_changed.wait()
                 self._state.stores_changed = trio.Event()
 
     def _is_due(self, store_state: kv_index.StoreState, now: float) -> bool:
         """Tell whether this node polls a store now, for others or for itself."""
         name = store_state.store.name
-        if name in self._visited:
+        if name in self._polling:
             return False
         if self._state.reads_store(name) or self._state.frees_store(name):
             # Half a look is left over, as the looks come a little late.
-            return now - self._visited_at.get(name, -1e9) > POLL_S - LOOK_S / 2
-        return now - store_state.polled_at > TOLD_S
+            return (
+                now - self._poll_started_at.get(name, -1e9)
+                > POLL_INTERVAL_S - CHECK_INTERVAL_S / 2
+            )
+        return now - store_state.polled_at > MAX_REPORT_AGE_S
 
-    async def _visit(self, store_state: kv_index.StoreState) -> None:
+    async def _poll_and_free(self, store_state: kv_index.StoreState) -> None:
         name = store_state.store.name
-        self._visited.add(name)
-        self._visited_at[name] = clock.now()
+        self._polling.add(name)
+        self._poll_started_at[name] = clock.now()
         try:
             await self._poll(store_state)
         finally:
-            self._visited.discard(name)
+            self._polling.discard(name)
         if store_state.is_fresh(clock.now()) and self._state.frees_store(name):
             await self._free(store_state)
 
@@ -122,7 +127,7 @@
             # A watcher has told these events and newer ones meanwhile.
             return
         store_state.next_event = page.next
-        self._take(store_state, page.events)
+        self._apply_events(store_state, page.events)
         store_state.polled_at = sent_at
         if page.clock_s is not None:
             # The store told its clock before the answer came, so this is a lower
@@ -130,9 +135,9 @@
             store_state.clock_offset_s = page.clock_s - clock.now()
             store_state.clock_sample = (sent_at, page.clock_s)
             if self._state.reads_store(store_state.store.name):
-                self._tell(store_state, since, page, page.clock_s)
+                self._queue_report(store_state, since, page, page.clock_s)
 
-    def _tell(
+    def _queue_report(
         self,
         store_state: kv_index.StoreState,
         since: int,
@@ -143,50 +148,53 @@
             (*event.key, event.tokens if isinstance(event, ports.Stored) else 0)
             for event in page.events
         ]
-        told = messages.KvStoreRead(
+        message = messages.KvStoreRead(
             store_state.store.name, page.epoch, since, page.next, clock_s, stored
         )
-        self._told.append(told)
+        self._pending_reports.append(message)
 
-    def _tell_all(self) -> None:
+    def _announce_reports(self) -> None:
         """Tell the zone what this round of polls has shown, in few datagrams."""
-        told, self._told = self._told, []
-        self._tell_some(told)
+        message, self._pending_reports = self._pending_reports, []
+        self._announce_batch(message)
 
-    def _tell_some(self, told: list[messages.KvStoreRead]) -> None:
-        if not told or self._announcer.tell_zone(messages.KvStoresRead(told)):
+    def _announce_batch(self, message: list[messages.KvStoreRead]) -> None:
+        if not message or self._announcer.send_to_zone(messages.KvStoresRead(message)):
             return
         # A store with too many events for a datagram is polled by the others.
-        half = len(told) // 2
+        half = len(message) // 2
         if half:
-            self._tell_some(told[:half])
-            self._tell_some(told[half:])
+            self._announce_batch(message[:half])
+            self._announce_batch(message[half:])
 
-    def _hear_all(self, told: messages.KvStoresRead) -> None:
-        for item in told.kv_stores:
-            self._hear(item)
+    def _on_stores_read(self, message: messages.KvStoresRead) -> None:
+        for item in message.kv_stores:
+            self._apply_report(item)
 
-    def _hear(self, told: messages.KvStoreRead) -> None:
+    def _apply_report(self, message: messages.KvStoreRead) -> None:
         """Take from a watcher what changed in a store."""
-        store_state = self._state.index.store_states.get(told.store)
+        store_state = self._state.index.store_states.get(message.store)
         if (
             store_state is None
             or store_state.clock_sample is None
-            or told.epoch != store_state.epoch
+            or message.epoch != store_state.epoch
         ):
             return
-        if told.since > store_state.next_event or told.next < store_state.next_event:
+        if (
+            message.since > store_state.next_event
+            or message.next < store_state.next_event
+        ):
             return
         now = clock.now()
-        for salt, part, tokens in told.stored:
+        for salt, part, tokens in message.stored:
             if tokens > 0:
                 store_state.add((salt, part), tokens, now)
             else:
                 store_state.drop((salt, part))
-        store_state.next_event = told.next
+        store_state.next_event = message.next
         # The store's clock tells how old the watcher's poll is at least.
         sent_at, clock_s = store_state.clock_sample
-        polled_at = sent_at + told.clock_s - clock_s
+        polled_at = sent_at + message.clock_s - clock_s
         store_state.polled_at = max(store_state.polled_at, min(now, polled_at))
 
     async def _read_all(self, store_state: kv_index.StoreState, sent_at: float) -> None:
@@ -205,7 +213,7 @@
             LOG, "kv_store_listed", store=store_state.store.name, parts=len(page.parts)
         )
 
-    def _take(
+    def _apply_events(
         self, store_state: kv_index.StoreState, events: list[ports.Stored | ports.Freed]
     ) -> None:
         for event in events:
@@ -221,10 +229,10 @@
         epoch = store_state.epoch
         is_freed = epoch is not None
         # Space is scarce after new weights: stores hold little more than one version.
-        for start in range(0, len(keys), FREE_AT_ONCE):
-            some = keys[start : start + FREE_AT_ONCE]
+        for start in range(0, len(keys), FREE_BATCH_SIZE):
+            batch = keys[start : start + FREE_BATCH_SIZE]
             if is_freed and epoch is not None:
-                is_freed = await self._free_some(store_state, some, epoch)
+                is_freed = await self._free_batch(store_state, batch, epoch)
         if keys:
             lines.event(
                 LOG,
@@ -235,7 +243,7 @@
                 versions=[f"{m}.{v}" for m, v in store_state.versions],
             )
 
-    async def _free_some(
+    async def _free_batch(
         self, store_state: kv_index.StoreState, keys: list[kv_index.PartKey], epoch: int
     ) -> bool:
         addr = (store_state.store.host, store_state.store.port)
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -24,25 +24,25 @@
 
 LOG = logging.getLogger("snipelug.node")
 
-ROTATION_S = 2.6
+DEREGISTRATION_S = 2.6
 """Time until the load balancer has seen two refusals, one a second, after a stop."""
 
-EXIT_BEFORE_S = 0.5
+EXIT_MARGIN_S = 0.5
 """The process ends this long before the platform would kill it."""
 
-CONNECT_S = 0.3
+CONNECT_TIMEOUT_S = 0.3
 """Time to connect to an upstream; zones are 1.4 ms apart."""
 
-CONTROL_CONNECT_S = 0.5
+CONTROL_CONNECT_TIMEOUT_S = 0.5
 """Time to connect to the store, engines and stores of KV cache for control."""
 
-IDLE_PART = 0.6
+IDLE_FRACTION = 0.6
 """Part of an upstream's connections that all nodes together keep open."""
 
-MOST_IDLE = 64
-TEND_S = 0.5
-SETTINGS_CHECK_S = 2.0
-CLOSE_CHECK_S = 0.05
+MAX_IDLE = 64
+EXPIRY_INTERVAL_S = 0.5
+SETTINGS_CHECK_INTERVAL_S = 2.0
+CLOSE_CHECK_INTERVAL_S = 0.05
 
 OK = 200
 UNAVAILABLE = 503
@@ -87,8 +87,8 @@
         self._log = log
         self._stats = stats.Stats()
         self._state = state.State(cfg)
-        self._pool = http_client.Pool(CONNECT_S, idle_per_addr=MOST_IDLE)
-        control_pool = http_client.Pool(CONTROL_CONNECT_S, idle_per_addr=4)
+        self._pool = http_client.Pool(CONNECT_TIMEOUT_S, idle_per_addr=MAX_IDLE)
+        control_pool = http_client.Pool(CONTROL_CONNECT_TIMEOUT_S, idle_per_addr=4)
         platform = build(cfg, control_pool)
         self._store = platform.store
         self._announcer = announce.Announcer(cfg.peers, self._state)
@@ -103,17 +103,17 @@
         self.callers_port = 0
         self.ready_port = 0
         self._callers = http_server.Server(self._relay.handle)
-        self._ready = http_server.Server(self._tell_ready)
-        self._metrics = http_server.Server(self._tell_metrics)
+        self._ready = http_server.Server(self._handle_ready)
+        self._metrics = http_server.Server(self._handle_metrics)
         self._watch = watch.Watch(
             cfg,
             self._state,
             platform.store,
             self._stats,
-            self._take_intent,
+            self._apply_intents,
             self._announcer,
         )
-        self._weights = weights.Weights(
+        self._weights = weights.WeightUpdater(
             cfg,
             self._state,
             platform.store,
@@ -162,7 +162,7 @@
                 async for number in signals:
                     if number == signal.SIGTERM:
                         break
-                    self._look_at_settings(is_asked=True)
+                    self._check_settings(is_requested=True)
                 await self.stop()
                 nursery.cancel_scope.cancel()
         self._log.write_out()
@@ -186,7 +186,7 @@
                 self._weights.run,
                 self._kv_stores.run,
                 self._watch_settings,
-                self._tend,
+                self._expire_upstreams,
             ):
                 nursery.start_soon(part)
             lines.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
@@ -205,16 +205,16 @@
         self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
         self._callers.draining = True
-        last = began + self._cfg.bounds.grace_s - EXIT_BEFORE_S
+        last = began + self._cfg.bounds.grace_s - EXIT_MARGIN_S
         with trio.move_on_after(1.0):
             await self._store.remove_member(self._cfg.node_id)
-        await trio.sleep(max(0.0, began + ROTATION_S - clock.now()))
+        await trio.sleep(max(0.0, began + DEREGISTRATION_S - clock.now()))
         # Requests that come later could not be finished, so callers must go elsewhere.
         self._callers.stop_accepting()
         self._callers.close_idle()
         # A connection on which a request is being read counts as well.
         while self._callers.open_connections and clock.now() < last:
-            await trio.sleep(CLOSE_CHECK_S)
+            await trio.sleep(CLOSE_CHECK_INTERVAL_S)
             self._callers.close_idle()
         lines.event(
             LOG,
@@ -223,21 +223,21 @@
             after_s=round(clock.now() - began, 2),
         )
 
-    async def cut(self) -> None:
+    async def abort_connections(self) -> None:
         """Close the connections of callers that are left."""
         await self._callers.abort()
 
-    async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
+    async def _handle_ready(self, _req: http_server.Request) -> http_server.Response:
         return http_server.Response(OK if self.is_ready else UNAVAILABLE)
 
-    async def _tell_metrics(self, req: http_server.Request) -> http_server.Response:
+    async def _handle_metrics(self, req: http_server.Request) -> http_server.Response:
         if req.path != "/metrics":
             return http_server.Response(NOT_FOUND)
         left_out = self._relay.sampler.left_out
         text = self._stats.render(self._state, clock.now(), left_out)
         return http_server.Response(OK, text, {"content-type": "text/plain"})
 
-    def _take_intent(self) -> None:
+    def _apply_intents(self) -> None:
         """Apply what the operator wants of this node itself."""
         self._weights.wake()
         known = self._state.catalog
@@ -251,26 +251,26 @@
 
     def _idle_connections(self, known: catalog.Catalog) -> int:
         fewest = min(
-            (s.connection_limit for s in known.services.values()), default=MOST_IDLE
+            (s.connection_limit for s in known.services.values()), default=MAX_IDLE
         )
-        return max(2, min(MOST_IDLE, int(IDLE_PART * fewest / self._state.nodes)))
+        return max(2, min(MAX_IDLE, int(IDLE_FRACTION * fewest / self._state.nodes)))
 
-    async def _tend(self) -> None:
+    async def _expire_upstreams(self) -> None:
         """Forget upstreams that stay away after an outage of the list."""
         while True:
-            await trio.sleep(TEND_S)
+            await trio.sleep(EXPIRY_INTERVAL_S)
             self._watch.expire()
 
     async def _watch_settings(self) -> None:
         while True:
-            await trio.sleep(SETTINGS_CHECK_S)
-            self._look_at_settings(is_asked=False)
+            await trio.sleep(SETTINGS_CHECK_INTERVAL_S)
+            self._check_settings(is_requested=False)
 
-    def _look_at_settings(self, is_asked: bool) -> None:
+    def _check_settings(self, is_requested: bool) -> None:
         found = self._reload()
         if isinstance(found, str):
             lines.warning(LOG, "settings_invalid", reason=found)
-        elif found is not None or is_asked:
+        elif found is not None or is_requested:
             # Addresses take effect at the next start; the rest is the same here.
             lines.event(LOG, "reload", is_changed=found is not None)
 
--- a/packages/snipelug-relay/src/snipelug_relay/record.py
+++ b/packages/snipelug-relay/src/snipelug_relay/record.py
@@ -33,7 +33,7 @@
         self._node_id = node_id
         self._fd = fd
         self._lines: collections.deque[bytes] = collections.deque()
-        self._rest = b""
+        self._unwritten = b""
         self.dropped = 0
         self._has_lines = trio.Event()
 
@@ -56,29 +56,29 @@
 
     def write_out(self) -> None:
         """Write what standard output takes now."""
-        while self._rest or self._lines:
-            if not self._rest:
-                self._rest = b"".join(self._lines)
+        while self._unwritten or self._lines:
+            if not self._unwritten:
+                self._unwritten = b"".join(self._lines)
                 self._lines.clear()
             try:
-                count = os.write(self._fd, self._rest)
+                count = os.write(self._fd, self._unwritten)
             except BlockingIOError:
                 return
             except OSError:
                 # Nobody reads the log any more; there is nowhere to say so.
-                self._rest = b""
+                self._unwritten = b""
                 return
-            self._rest = self._rest[count:]
+            self._unwritten = self._unwritten[count:]
 
     async def run(self) -> None:
         """Write lines until cancelled."""
         while True:
             await self._has_lines.wait()
             await trio.sleep(FLUSH_S)
-            if not self._rest:
+            if not self._unwritten:
                 self._has_lines = trio.Event()
             self.write_out()
-            if self._rest:
+            if self._unwritten:
                 self._has_lines.set()
 
 
@@ -98,22 +98,24 @@
 
     def __init__(self, per_s: float = ROUTINE_PER_S) -> None:
         self._per_s = per_s
-        self._level = per_s
-        self._at = time.monotonic()
+        self._tokens = per_s
+        self._refilled_at = time.monotonic()
         self.left_out = 0
 
     def admit(self) -> bool:
         """Tell whether a routine line is written."""
         now = time.monotonic()
-        self._level = min(self._per_s, self._level + self._per_s * (now - self._at))
-        self._at = now
-        if self._level < 1.0:
+        self._tokens = min(
+            self._per_s, self._tokens + self._per_s * (now - self._refilled_at)
+        )
+        self._refilled_at = now
+        if self._tokens < 1.0:
             self.left_out += 1
             return False
-        self._level -= 1.0
+        self._tokens -= 1.0
         return True
 
-    def take_left_out(self) -> int:
+    def pop_left_out(self) -> int:
         """Return how many lines were left out since the last call."""
         count, self.left_out = self.left_out, 0
         return count
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -32,32 +32,32 @@
 
 LOG = logging.getLogger("snipelug.relay")
 
-ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
-FIRST_EVENT_S = 2.0
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+FIRST_EVENT_TIMEOUT_S = 2.0
 """Wait for the first event before a resumable stream is asked for elsewhere.
 
 Callers leave after 3 s without a first event on the sites' routes.
 """
 
-RETRY_OBJECTIVES = 2.0
+ATTEMPT_TIMEOUT_OBJECTIVES = 2.0
 """An idempotent request is tried elsewhere after this many objectives."""
 
-ORDER_IDLE_S = 1.0
+AT_MOST_ONCE_MAX_IDLE_S = 1.0
 """Connections idle for longer carry no request that must not be repeated.
 
 The upstream may close them at that moment, and then nobody knows whether the
 request ran.
 """
 
-BLOCK_S = 0.25
+CONNECT_BACKOFF_S = 0.25
 """Pause after the first failed connection; doubles with each further one."""
 
-MOST_BLOCK_S = 2.0
-TURNED_AWAY_READ_S = 0.2
+MAX_CONNECT_BACKOFF_S = 2.0
+REJECTION_READ_TIMEOUT_S = 0.2
 """Time to read the rest of an answer that turns a request away."""
 
-TURNED_AWAY_S = 0.1
-SWITCHING_S = 0.3
+REJECTION_PAUSE_S = 0.1
+SWITCHING_PAUSE_S = 0.3
 """Pauses after an upstream turned a request away."""
 
 OK = 200
@@ -100,17 +100,17 @@
         if isinstance(request, refusal.Refusal):
             lines.warning(LOG, "request_unreadable", reason=request.message)
             return self._dialect.build_refusal(None, request)
-        work = self._begin(request)
+        work = self._create_job(request)
         if isinstance(work, refusal.Refusal):
             self._log_refused(request, work)
             return self._dialect.build_refusal(request, work)
         try:
-            return await self._answer(work)
+            return await self._run_attempts(work)
         except trio.Cancelled:
             self._finish(work, "left", "the caller closed the connection")
             raise
 
-    def _begin(self, request: ports.CallerRequest) -> job.Job | refusal.Refusal:
+    def _create_job(self, request: ports.CallerRequest) -> job.Job | refusal.Refusal:
         known = self._state.catalog
         if known is None or not self._state.upstream_list_known:
             message = "the node has not read its configuration"
@@ -137,13 +137,13 @@
             bounds.retry_part, bounds.retry_extra, self._state.nodes
         )
 
-    async def _answer(self, work: job.Job) -> http_server.Response:
+    async def _run_attempts(self, work: job.Job) -> http_server.Response:
         while True:
-            pick = await self._selector.pick(work)
-            if isinstance(pick, refusal.Refusal):
-                return self._refuse(work, pick)
-            outcome = await self._attempt(work, pick, work.request.resume_after)
-            decision = self._decide(work, outcome)
+            chosen = await self._selector.pick(work)
+            if isinstance(chosen, refusal.Refusal):
+                return self._refuse(work, chosen)
+            outcome = await self._attempt(work, chosen, work.request.resume_after)
+            decision = self._record_and_decide(work, outcome)
             if decision is attempt.Action.TRY_AGAIN:
                 continue
             if decision is attempt.Action.DELIVER and outcome.reply is not None:
@@ -154,19 +154,19 @@
                 return outcome.response
             if decision is attempt.Action.REFUSE:
                 return self._refuse(
-                    work, self._selector.turned_away(work, outcome.reason)
+                    work, self._selector.refuse_rejected(work, outcome.reason)
                 )
             return self._fail(work, outcome)
 
-    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
+    def _record_and_decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
         work.history.add(outcome.result)
         self._stats.attempts.labels(work.service, outcome.result.value).inc()
-        if outcome.visit is not None:
-            outcome.visit.entry["result"] = outcome.result.value
+        if outcome.upstream_attempt is not None:
+            outcome.upstream_attempt.trace_entry["result"] = outcome.result.value
             if outcome.reason:
-                outcome.visit.entry["reason"] = outcome.reason
+                outcome.upstream_attempt.trace_entry["reason"] = outcome.reason
         is_last = outcome.result is attempt.Result.ANSWERED
-        may_try = not is_last and self._could_retry(work)
+        may_try = not is_last and self._can_retry(work)
         has_budget = may_try and retry.try_acquire(
             self._budgets[work.service], clock.now(), self._policy()
         )
@@ -174,7 +174,7 @@
             outcome.result, work.history, work.route, work.left_s(), has_budget
         )
 
-    def _could_retry(self, work: job.Job) -> bool:
+    def _can_retry(self, work: job.Job) -> bool:
         """Tell whether another upstream could be asked, before budget is spent."""
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
@@ -182,48 +182,55 @@
         return decision is attempt.Action.TRY_AGAIN
 
     async def _attempt(
-        self, work: job.Job, pick: choice.Choice, resume_after: str | None
+        self, work: job.Job, chosen: choice.Choice, resume_after: str | None
     ) -> job.Outcome:
         """Send the request once and read its answer, for streams the first events."""
         now = clock.now()
-        visit, call = self._prepare(work, pick, resume_after, now)
-        visit.begin(now)
-        entry = pick.upstream.entry
+        upstream_attempt, call = self._prepare(work, chosen, resume_after, now)
+        upstream_attempt.start(now)
+        entry = chosen.upstream.entry
         shared = choice.shared_part(work.request.parts)
-        visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
+        upstream_attempt.on_prompt_read = self._announcer.announce_prompt(
+            entry.id, upstream_attempt.prefill_tokens, shared
+        )
         reply: http_client.StreamingResponse | None = None
         outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
         is_kept = False
         try:
-            with trio.move_on_after(self._patience_s(work, pick)):
-                sent = await self._pool.send(call, self._pre_send_check(work, pick))
+            with trio.move_on_after(self._attempt_timeout_s(work, chosen)):
+                sent = await self._pool.send(call, self._pre_send_check(work, chosen))
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
-                    visit.hear(clock.now())
-                    outcome = await self._read(work, visit, reply, resume_after)
+                    upstream_attempt.record_data(clock.now())
+                    outcome = await self._read_response(
+                        work, upstream_attempt, reply, resume_after
+                    )
                 else:
-                    outcome = _not_answered(sent)
+                    outcome = _send_failure(sent)
             is_kept = outcome.reply is not None
         finally:
             if not is_kept:
-                visit.end()
+                upstream_attempt.finish()
                 if reply is not None:
                     reply.abort()
-        outcome.visit = visit
-        if visit.on_not_run is not None and outcome.result in attempt.NOT_RUN:
-            visit.on_not_run()
-        self._note(pick.upstream, outcome)
+        outcome.upstream_attempt = upstream_attempt
+        if (
+            upstream_attempt.on_not_run is not None
+            and outcome.result in attempt.NOT_RUN
+        ):
+            upstream_attempt.on_not_run()
+        self._update_upstream(chosen.upstream, outcome)
         return outcome
 
     def _prepare(
         self,
         work: job.Job,
-        pick: choice.Choice,
+        chosen: choice.Choice,
         resume_after: str | None,
         now: float,
-    ) -> tuple[job.Visit, http_client.Call]:
+    ) -> tuple[job.UpstreamAttempt, http_client.Call]:
         request = work.request
-        upstream = pick.upstream
+        upstream = chosen.upstream
         work.tried.add(upstream.entry.id)
         choice.record_sent(upstream, now)
         plan = kv_index.NO_PLAN
@@ -233,7 +240,7 @@
             key_salt = self._selector.salt(work, version)
             if self._state.may_use_stores(request.model, version, now):
                 plan = self._state.index.plan(request.parts, key_salt, now)
-            self._note_held(upstream, request)
+            self._record_cached_parts(upstream, request)
         priority = work.route.priority
         if work.team is not None and work.team.priority is not None:
             priority = work.team.priority
@@ -249,18 +256,18 @@
         )
         call = self._dialect.build_call(request, options, upstream.entry.addr)
         if work.route.repeat is catalog.RepeatPolicy.AT_MOST_ONCE:
-            call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
+            call = dataclasses.replace(call, max_idle_s=AT_MOST_ONCE_MAX_IDLE_S)
         entry: dict[str, object] = {
             "upstream": upstream.entry.id,
             "at_ms": round(1000 * (now - work.started_at), 1),
-            "cost_ms": round(1000 * pick.cost_s, 1),
-            "wait_ms": round(1000 * pick.wait_s, 1),
-            "candidates": pick.candidates,
+            "cost_ms": round(1000 * chosen.cost_s, 1),
+            "wait_ms": round(1000 * chosen.wait_s, 1),
+            "candidates": chosen.candidates,
             "running": upstream.running,
         }
         if version is not None:
             entry["version"] = version
-            entry["prefill"] = pick.prefill_tokens
+            entry["prefill"] = chosen.prefill_tokens
             shared = choice.shared_part(request.parts)
             entry["part"] = shared.id if shared is not None else None
             entry["salt"] = key_salt
@@ -268,14 +275,16 @@
             entry["saved"] = sum(s is not None for s in plan.targets)
         work.trace.append(entry)
         tokens = sum(part.tokens for part in request.parts) + request.output_tokens
-        visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
+        upstream_attempt = job.UpstreamAttempt(
+            upstream, tokens, chosen.prefill_tokens, entry
+        )
         if any(plan.targets):
-            visit.on_not_run = functools.partial(
+            upstream_attempt.on_not_run = functools.partial(
                 self._state.index.cancel_saves, plan, request.parts, key_salt
             )
-        return visit, call
+        return upstream_attempt, call
 
-    def _note_held(
+    def _record_cached_parts(
         self, upstream: fleet.Upstream, request: ports.CallerRequest
     ) -> None:
         capacity = self._state.assumed_cached_tokens(upstream)
@@ -283,23 +292,23 @@
             upstream.add_cached_part(part.id, part.tokens, capacity)
 
     def _pre_send_check(
-        self, work: job.Job, pick: choice.Choice
+        self, work: job.Job, chosen: choice.Choice
     ) -> http_client.PreSendCheck:
         """Return the check that comes right before the first byte is sent."""
-        entry = pick.upstream.entry
+        entry = chosen.upstream.entry
 
-        def is_still_right(_opened_at: float) -> bool:
+        def is_still_usable(_opened_at: float) -> bool:
             known = self._state.fleet.upstreams.get(entry.id)
             return (
-                known is pick.upstream
+                known is chosen.upstream
                 and not known.entry.is_leaving
                 and entry.zone not in self._state.zones_out
                 and clock.now() < work.deadline
             )
 
-        return is_still_right
+        return is_still_usable
 
-    def _patience_s(self, work: job.Job, pick: choice.Choice) -> float:
+    def _attempt_timeout_s(self, work: job.Job, chosen: choice.Choice) -> float:
         """Return how long an attempt may take, in seconds.
 
         A prompt that is expected to wait is not given up while it does, as another
@@ -310,34 +319,36 @@
             return left_s
         match work.route.repeat:
             case catalog.RepeatPolicy.IDEMPOTENT:
-                return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
+                return min(left_s, ATTEMPT_TIMEOUT_OBJECTIVES * work.route.objective_s)
             case catalog.RepeatPolicy.RESUMABLE:
-                return min(left_s, FIRST_EVENT_S + pick.ttft_s)
+                return min(left_s, FIRST_EVENT_TIMEOUT_S + chosen.ttft_s)
             case catalog.RepeatPolicy.AT_MOST_ONCE:
                 return left_s
 
-    async def _read(
+    async def _read_response(
         self,
         work: job.Job,
-        visit: job.Visit,
+        upstream_attempt: job.UpstreamAttempt,
         reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
-        verdict = self._dialect.decode_head(work.request, reply.status, reply.headers)
-        self._take_verdict(work, visit, verdict)
-        if verdict.is_turned_away:
+        response_head = self._dialect.decode_head(
+            work.request, reply.status, reply.headers
+        )
+        self._apply_response_head(work, upstream_attempt, response_head)
+        if response_head.is_turned_away:
             # Reading to the end keeps the connection.
-            await reply.read(ANSWER_LIMIT_BYTES, TURNED_AWAY_READ_S)
+            await reply.read(MAX_RESPONSE_BYTES, REJECTION_READ_TIMEOUT_S)
             reason = f"turned away with {reply.status}"
-            if verdict.is_other_instance:
+            if response_head.is_other_instance:
                 reason += ", another instance or version"
             return job.Outcome(attempt.Result.REJECTED, reason)
-        if not verdict.is_own:
+        if not response_head.is_own:
             reason = f"status {reply.status} without signature or with another id"
             return job.Outcome(attempt.Result.LOST, reason)
         if work.route.is_stream and reply.status == OK:
-            return await self._read_first(visit, reply, resume_after)
-        body = await reply.read(ANSWER_LIMIT_BYTES, max(0.0, work.left_s()))
+            return await self._read_first_event(upstream_attempt, reply, resume_after)
+        body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
             return job.Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
         headers = self._dialect.response_headers(reply.headers)
@@ -345,12 +356,12 @@
         if reply.status >= SERVER_ERROR:
             reason = f"the upstream answered {reply.status}"
             return job.Outcome(attempt.Result.FAILED, reason, response=response)
-        work.first_at = clock.now()
+        work.first_byte_at = clock.now()
         return job.Outcome(attempt.Result.ANSWERED, response=response)
 
-    async def _read_first(
+    async def _read_first_event(
         self,
-        visit: job.Visit,
+        upstream_attempt: job.UpstreamAttempt,
         reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
@@ -363,7 +374,7 @@
                 return job.Outcome(attempt.Result.LOST, reason)
             events = splitter.push(part or b"")
             if part is None or events:
-                visit.begin_output()
+                upstream_attempt.record_prompt_read()
                 return job.Outcome(
                     attempt.Result.ANSWERED,
                     reply=reply,
@@ -372,30 +383,33 @@
                     has_ended=part is None,
                 )
 
-    def _take_verdict(
-        self, work: job.Job, visit: job.Visit, verdict: ports.ResponseHead
+    def _apply_response_head(
+        self,
+        work: job.Job,
+        upstream_attempt: job.UpstreamAttempt,
+        response_head: ports.ResponseHead,
     ) -> None:
-        upstream = visit.upstream
+        upstream = upstream_attempt.upstream
         now = clock.now()
-        if verdict.load is not None:
-            running, waiting, _ = verdict.load
+        if response_head.load is not None:
+            running, waiting, _ = response_head.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
             self._state.fleet.record_load(upstream, load)
-        if verdict.cold_s is not None and verdict.cold_s > 0:
-            upstream.cold_until = now + verdict.cold_s
+        if response_head.cold_s is not None and response_head.cold_s > 0:
+            upstream.cold_until = now + response_head.cold_s
         model = work.request.model
-        if model and verdict.version is not None:
-            upstream.set_version(model, verdict.version)
-        if not verdict.is_turned_away:
+        if model and response_head.version is not None:
+            upstream.set_version(model, response_head.version)
+        if not response_head.is_turned_away:
             return
-        if verdict.is_other_instance and model:
-            self._take_misdirected(upstream, model, now)
+        if response_head.is_other_instance and model:
+            self._apply_version_mismatch(upstream, model, now)
         elif model:
-            upstream.switching_until = now + SWITCHING_S
+            upstream.switching_until = now + SWITCHING_PAUSE_S
         else:
-            upstream.blocked_until = now + TURNED_AWAY_S
+            upstream.blocked_until = now + REJECTION_PAUSE_S
 
-    def _take_misdirected(
+    def _apply_version_mismatch(
         self, upstream: fleet.Upstream, model: str, now: float
     ) -> None:
         """Take that the upstream does not serve the version it was taken to serve."""
@@ -403,12 +417,14 @@
         if named is not None and upstream.versions.get(model, 0) < named.version:
             upstream.set_version(model, named.version)
         else:
-            upstream.switching_until = now + SWITCHING_S
+            upstream.switching_until = now + SWITCHING_PAUSE_S
 
-    def _note(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
+    def _update_upstream(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
         now = clock.now()
         if outcome.result is attempt.Result.NOT_CONNECTED:
-            pause_s = min(MOST_BLOCK_S, BLOCK_S * 2**upstream.connect_failures)
+            pause_s = min(
+                MAX_CONNECT_BACKOFF_S, CONNECT_BACKOFF_S * 2**upstream.connect_failures
+            )
             upstream.blocked_until = now + pause_s
             upstream.connect_failures += 1
             lines.event(
@@ -424,7 +440,7 @@
 
     def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         assert outcome.reply is not None
-        work.first_at = clock.now()
+        work.first_byte_at = clock.now()
         headers = self._dialect.response_headers(outcome.reply.headers)
         body = stream.Stream(self, work, outcome)
         return http_server.Response(outcome.reply.status, body, headers)
@@ -434,24 +450,28 @@
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
-            if self._decide(work, lost) is not attempt.Action.TRY_AGAIN:
+            if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
-            pick = await self._selector.pick(work)
-            if isinstance(pick, refusal.Refusal):
+            chosen = await self._selector.pick(work)
+            if isinstance(chosen, refusal.Refusal):
                 return None
-            outcome = await self._attempt(work, pick, last_id)
+            outcome = await self._attempt(work, chosen, last_id)
             if outcome.reply is None:
                 lost = outcome
                 continue
             if sse.follows(last_id, outcome.events):
-                outcome_entry = outcome.visit.entry if outcome.visit else {}
-                outcome_entry["resumed_after"] = last_id
+                trace_entry = (
+                    outcome.upstream_attempt.trace_entry
+                    if outcome.upstream_attempt
+                    else {}
+                )
+                trace_entry["resumed_after"] = last_id
                 return outcome
             outcome.reply.abort()
-            if outcome.visit is not None:
-                outcome.visit.end()
+            if outcome.upstream_attempt is not None:
+                outcome.upstream_attempt.finish()
             reason = "the resumed stream does not go on after the last event"
-            lost = job.Outcome(attempt.Result.LOST, reason, outcome.visit)
+            lost = job.Outcome(attempt.Result.LOST, reason, outcome.upstream_attempt)
 
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
         """Answer a request that has not run; after a run the outcome is unknown."""
@@ -491,10 +511,14 @@
         work.is_finished = True
         now = clock.now()
         self._stats.requests.labels(work.route.name, outcome, code).inc()
-        first_s = None if work.first_at is None else work.first_at - work.started_at
+        first_s = (
+            None if work.first_byte_at is None else work.first_byte_at - work.started_at
+        )
         if first_s is not None:
             self._stats.first_byte.labels(work.route.name).observe(first_s)
-        self._stats.whole.labels(work.route.name).observe(now - work.started_at)
+        self._stats.request_seconds.labels(work.route.name).observe(
+            now - work.started_at
+        )
         is_routine = (
             outcome == "answered"
             and len(work.trace) == 1
@@ -518,7 +542,7 @@
             "config": known.version if known is not None else None,
             "config_age_s": round(now - self._state.confirmed_at, 2),
         }
-        left_out = self.sampler.take_left_out()
+        left_out = self.sampler.pop_left_out()
         if left_out:
             fields["left_out"] = left_out
         lines.event(LOG, "request", **fields)
@@ -528,7 +552,7 @@
         self._finish(work, outcome, reason)
 
 
-def _not_answered(
+def _send_failure(
     sent: http_client.NotSent | http_client.Withheld | http_client.Lost,
 ) -> job.Outcome:
     match sent:
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -15,7 +15,7 @@
 requests wait there for up to 1.3 s when many engines load weights.
 """
 
-WAIT_PART = 0.25
+WAIT_FRACTION = 0.25
 """Part of the objective for which a request waits for an upstream to come back."""
 
 RETRY_AFTER_S = 0.5
@@ -35,7 +35,7 @@
 
     async def pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
         """Choose an upstream; wait a little for one that comes back soon."""
-        wait_until = work.started_at + WAIT_PART * work.route.objective_s
+        wait_until = work.started_at + WAIT_FRACTION * work.route.objective_s
         while True:
             now = clock.now()
             if now >= work.deadline:
@@ -43,8 +43,8 @@
                 return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
             pick = self.choose(work, now)
             if pick is not None:
-                return self._check_load(work, pick, now)
-            at = self._next_free(work, now)
+                return self._check_overload(work, pick, now)
+            at = self._next_available_at(work, now)
             if at is None or at > min(wait_until, work.deadline):
                 wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
                 message = f"no upstream of {work.service} can be used now"
@@ -53,14 +53,14 @@
                 )
             await trio.sleep(max(0.005, at - now))
 
-    def _check_load(
+    def _check_overload(
         self, work: job.Job, pick: choice.Choice, now: float
     ) -> choice.Choice | refusal.Refusal:
         """Turn a prompt away at once if even the best engine would answer it late.
 
         Streams that have begun go on, and what was sent before is not refused.
         """
-        if work.first_at is not None or work.history.runs > 0:
+        if work.first_byte_at is not None or work.history.runs > 0:
             return pick
         wait_s = self.retry_after(work, pick)
         if wait_s is not None:
@@ -112,7 +112,7 @@
             usable: self._state.index.transfer_times_s(
                 request.parts, self.salt(work, usable), engine, self._cfg.zone, now
             )
-            for usable in self._stored_versions(work, version, now)
+            for usable in self._usable_store_versions(work, version, now)
         }
         return choice.Request(
             work.service,
@@ -121,14 +121,14 @@
             request.model,
             request.parts,
             version,
-            named.newest_learned_before(now, self._version_due_s())
+            named.newest_learned_before(now, self._old_version_limit_s())
             if named is not None
             else 0,
             fetch_s,
             request.output_tokens,
         )
 
-    def _stored_versions(
+    def _usable_store_versions(
         self, work: job.Job, newest: int, now: float
     ) -> collections.abc.Iterator[int]:
         """Yield the weight versions whose parts may be read from stores.
@@ -146,7 +146,7 @@
             if self._state.may_use_stores(request.model, version, now):
                 yield version
 
-    def _version_due_s(self) -> float:
+    def _old_version_limit_s(self) -> float:
         """Return the time after which old weights are not used, in seconds."""
         return self._cfg.bounds.version_s - VERSION_MARGIN_S
 
@@ -154,7 +154,7 @@
         """Return the name under which the parts of a request are cached."""
         return kv_index.salt(work.request.model, version, work.team)
 
-    def _next_free(self, work: job.Job, now: float) -> float | None:
+    def _next_available_at(self, work: job.Job, now: float) -> float | None:
         """Return when the first upstream may be asked again."""
         times = [
             max(upstream.blocked_until, upstream.switching_until)
@@ -163,7 +163,7 @@
         ]
         return min((at for at in times if at > now), default=None)
 
-    def turned_away(self, work: job.Job, reason: str) -> refusal.Refusal:
+    def refuse_rejected(self, work: job.Job, reason: str) -> refusal.Refusal:
         """Refuse a request that no upstream took, though none has run it."""
         other = self.choose(work, clock.now())
         has_room = other is not None and self.retry_after(work, other) is None
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -33,7 +33,7 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self.whole = prometheus_client.Histogram(
+        self.request_seconds = prometheus_client.Histogram(
             "snipelug_request_seconds",
             "Time until the end of the answer.",
             ["route"],
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -9,7 +9,7 @@
 from snipelug_net import http_client
 from snipelug_relay import clock, job
 
-GAP_S = 1.2
+MAX_EVENT_GAP_S = 1.2
 """Pause after which a resumable stream is resumed elsewhere; sites allow 0.3 s."""
 
 
@@ -35,24 +35,24 @@
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         """Return the iterator over the whole events."""
-        return self._parts()
+        return self._events()
 
-    async def _parts(self) -> collections.abc.AsyncIterator[bytes]:
+    async def _events(self) -> collections.abc.AsyncIterator[bytes]:
         if self._current.events:
             yield self._current.events
         while not self._current.has_ended:
-            part = await self._next()
+            part = await self._next_events()
             if isinstance(part, http_client.Lost):
                 yield await self._resume(part)
                 continue
             if part:
                 yield part
-        rest = self._rest()
+        rest = self._partial_event()
         if rest:
             yield rest
         self._relay.finish_stream(self._work, "answered", "")
 
-    async def _next(self) -> bytes | http_client.Lost:
+    async def _next_events(self) -> bytes | http_client.Lost:
         """Return the next whole events, none at the end, or why there are none."""
         reply, splitter = self._current.reply, self._current.splitter
         assert reply is not None
@@ -60,12 +60,14 @@
         is_resumable = self._work.route.repeat is catalog.RepeatPolicy.RESUMABLE
         left_s = max(0.0, self._work.left_s())
         part: bytes | http_client.Lost | None = http_client.Lost("no event in time")
-        with trio.move_on_after(min(left_s, GAP_S) if is_resumable else left_s):
+        with trio.move_on_after(
+            min(left_s, MAX_EVENT_GAP_S) if is_resumable else left_s
+        ):
             part = await reply.next_part()
         if isinstance(part, http_client.Lost):
             return part
-        if self._current.visit is not None:
-            self._current.visit.hear(clock.now())
+        if self._current.upstream_attempt is not None:
+            self._current.upstream_attempt.record_data(clock.now())
         if part is not None:
             return splitter.push(part)
         if splitter.rest and not _is_framed(reply.headers):
@@ -73,7 +75,7 @@
         self._current.has_ended = True
         return b""
 
-    def _rest(self) -> bytes:
+    def _partial_event(self) -> bytes:
         splitter = self._current.splitter
         return splitter.rest if splitter is not None else b""
 
@@ -84,11 +86,11 @@
         broken = job.Outcome(
             attempt.Result.LOST,
             reason,
-            self._current.visit,
+            self._current.upstream_attempt,
             splitter=self._current.splitter,
         )
-        if self._current.visit is not None:
-            self._current.visit.upstream.record_outcome(True, clock.now())
+        if self._current.upstream_attempt is not None:
+            self._current.upstream_attempt.upstream.record_outcome(True, clock.now())
         # The attempt was counted when the stream began.
         self._work.history.runs -= 1
         self._work.history.sends -= 1
@@ -102,8 +104,8 @@
     def _close(self) -> None:
         if self._current.reply is not None:
             self._current.reply.abort()
-        if self._current.visit is not None:
-            self._current.visit.end()
+        if self._current.upstream_attempt is not None:
+            self._current.upstream_attempt.finish()
 
     async def aclose(self) -> None:
         """Free the upstream's connection."""
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -12,66 +12,68 @@
 
 LOG = logging.getLogger("snipelug.watch")
 
-INTENT_WAIT_S = 1.0
+INTENT_LONG_POLL_S = 1.0
 """How long the store holds a call for the operator's next change.
 
 An answer tells nothing of the time after its call arrived, so intents that a watcher
 told are up to two waits old; configurations are to be in force within 2 or 3 s.
 """
 
-LIST_PART = 0.4
+LIST_INTERVAL_FRACTION = 0.4
 """Part of the time for a drain after which the list of upstreams is read again."""
 
-RETRY_S = 0.2
-MOST_RETRY_S = 0.5
+RETRY_PAUSE_S = 0.2
+MAX_RETRY_PAUSE_S = 0.5
 """Pauses after calls that failed."""
 
-OUTAGE_S = 1.2
+MIN_OUTAGE_S = 1.2
 """A longer time without the list may have let entries lapse; one heartbeat."""
 
-TOLD_SPARE_S = 0.3
+READER_LATENESS_S = 0.3
 """Lateness of a watcher after which a node reads for itself."""
 
-MEMBER_WRITE_S = 15.0
-MEMBER_READ_S = (0.5, 1.0, 2.0, 4.0, 8.0, 12.0)
+MEMBER_WRITE_INTERVAL_S = 15.0
+MEMBER_READ_INTERVALS_S = (0.5, 1.0, 2.0, 4.0, 8.0, 12.0)
 """Times between reads of the members; the last one goes on."""
 
-Answer = typing.TypeVar("Answer")
+Response = typing.TypeVar("Response")
 
 
-class Contact:
+class CallStatus:
     """Whether one kind of call to the store works, for the log."""
 
     def __init__(self, name: str, metrics: stats.Stats) -> None:
         self._name = name
         self._stats = metrics
-        self._pause_s = RETRY_S
+        self._pause_s = RETRY_PAUSE_S
         self.lost_at: float | None = None
         self.answered_at = clock.now()
 
-    async def note(self, answer: Answer | ports.Unavailable) -> bool:
+    async def record(self, response: Response | ports.Unavailable) -> bool:
         """Note an answer; pause after a failed call. Return whether it worked."""
         now = clock.now()
-        is_good = not isinstance(answer, ports.Unavailable)
-        outcome = "answered" if is_good else "unavailable"
+        is_success = not isinstance(response, ports.Unavailable)
+        outcome = "answered" if is_success else "unavailable"
         self._stats.store_calls.labels(self._name, outcome).inc()
-        if isinstance(answer, ports.Unavailable):
+        if isinstance(response, ports.Unavailable):
             if self.lost_at is None:
                 self.lost_at = now
-                lines.warning(LOG, "store_lost", call=self._name, reason=answer.reason)
+                lines.warning(
+                    LOG, "store_lost", call=self._name, reason=response.reason
+                )
             await trio.sleep(self._pause_s)
-            self._pause_s = min(MOST_RETRY_S, 2 * self._pause_s)
+            self._pause_s = min(MAX_RETRY_PAUSE_S, 2 * self._pause_s)
             return False
         if self.lost_at is not None:
-            away_s = round(now - self.lost_at, 2)
-            lines.event(LOG, "store_regained", call=self._name, after_s=away_s)
+            outage_s = round(now - self.lost_at, 2)
+            lines.event(LOG, "store_regained", call=self._name, after_s=outage_s)
         self.lost_at = None
         self.answered_at = now
-        self._pause_s = RETRY_S
+        self._pause_s = RETRY_PAUSE_S
         return True
 
 
-class Followed:
+class TableCursor:
     """How far a table has been read.
 
     Attributes
@@ -86,17 +88,17 @@
 
     def __init__(self) -> None:
         self.position: int | None = None
-        self.noted_at = -1e9
-        self.asked = trio.Event()
+        self.current_at = -1e9
+        self.read_requested = trio.Event()
 
-    def note(self, position: int) -> None:
+    def advance(self, position: int) -> None:
         """Note that the table has been read up to a position."""
         self.position = position
-        self.noted_at = clock.now()
+        self.current_at = clock.now()
 
-    def ask(self) -> None:
+    def request_read(self) -> None:
         """Read the table at once."""
-        self.asked.set()
+        self.read_requested.set()
 
 
 class Watch:
@@ -112,11 +114,11 @@
         announcer: announce.Announcer,
     ) -> None:
         self._announcer = announcer
-        self._intents = Followed()
-        self._list = Followed()
+        self._intents_cursor = TableCursor()
+        self._list_cursor = TableCursor()
         self._clock: tuple[float, float] | None = None
-        announcer.on(messages.IntentsRead, self._hear_intents)
-        announcer.on(messages.ListRead, self._hear_listings)
+        announcer.set_handler(messages.IntentsRead, self._on_intents_read)
+        announcer.set_handler(messages.ListRead, self._on_list_read)
         self._cfg = cfg
         self._state = node_state
         self._store = store
@@ -125,22 +127,24 @@
 
     async def run_intents(self) -> None:
         """Follow what the operator wants."""
-        contact = Contact("intents", self._stats)
+        call_status = CallStatus("intents", self._stats)
         while True:
-            if await self._is_told(self._intents, INTENT_WAIT_S + TOLD_SPARE_S):
+            if await self._wait_for_reader(
+                self._intents_cursor, INTENT_LONG_POLL_S + READER_LATENESS_S
+            ):
                 continue
-            position = self._intents.position
+            position = self._intents_cursor.position
             sent_at = clock.now()
             page: ports.Page[ports.Intent] | ports.HistoryLost | ports.Unavailable
             if position is None:
                 page = await self._store.read_intents()
             else:
-                wait_s = INTENT_WAIT_S if self._state.is_reader else 0.0
+                wait_s = INTENT_LONG_POLL_S if self._state.is_reader else 0.0
                 page = await self._store.watch_intents(position, wait_s)
             if isinstance(page, ports.HistoryLost):
                 lines.event(LOG, "history_lost", call="intents", position=position)
-                self._intents.position = None
-            elif await contact.note(page) and isinstance(page, ports.Page):
+                self._intents_cursor.position = None
+            elif await call_status.record(page) and isinstance(page, ports.Page):
                 self._apply_intents(page, position, sent_at)
 
     def _apply_intents(
@@ -151,38 +155,40 @@
         # The call may have been held, so only unheld ones bound the store's clock.
         if since is None or not self._state.is_reader:
             self._clock = (sent_at, page.clock_ms)
-        self._intents.note(page.position)
+        self._intents_cursor.advance(page.position)
         if since is not None and self._state.is_reader:
-            self._announcer.tell_zone(
+            self._announcer.send_to_zone(
                 messages.IntentsRead(
                     since, page.position, page.clock_ms, bool(page.items)
                 )
             )
         self._on_intent()
 
-    def _hear_intents(self, told: messages.IntentsRead) -> None:
+    def _on_intents_read(self, message: messages.IntentsRead) -> None:
         """Take from a watcher that the operator's table has not changed."""
-        position = self._intents.position
-        if position is None or self._clock is None or told.position < position:
+        position = self._intents_cursor.position
+        if position is None or self._clock is None or message.position < position:
             return
-        if told.since > position or told.has_changes:
-            self._intents.ask()
+        if message.since > position or message.has_changes:
+            self._intents_cursor.request_read()
             return
         sent_at, clock_ms = self._clock
-        confirmed_at = sent_at + (told.clock_ms - clock_ms) / 1e3
+        confirmed_at = sent_at + (message.clock_ms - clock_ms) / 1e3
         self._state.confirm(min(clock.now(), confirmed_at))
-        self._intents.note(told.position)
+        self._intents_cursor.advance(message.position)
 
     async def run_upstreams(self) -> None:
         """Follow the list of upstreams."""
-        contact = Contact("upstreams", self._stats)
+        call_status = CallStatus("upstreams", self._stats)
         grace_until = 0.0
-        pause_s = LIST_PART * self._cfg.bounds.drain_s
+        pause_s = LIST_INTERVAL_FRACTION * self._cfg.bounds.drain_s
         while True:
-            if await self._is_told(self._list, pause_s + TOLD_SPARE_S):
-                contact.answered_at = clock.now()
+            if await self._wait_for_reader(
+                self._list_cursor, pause_s + READER_LATENESS_S
+            ):
+                call_status.answered_at = clock.now()
                 continue
-            position = self._list.position
+            position = self._list_cursor.position
             page: ports.Page[ports.Listing] | ports.HistoryLost | ports.Unavailable
             if position is None:
                 page = await self._store.read_upstreams()
@@ -191,11 +197,11 @@
             now = clock.now()
             if isinstance(page, ports.HistoryLost):
                 lines.event(LOG, "history_lost", call="upstreams", position=position)
-                self._list.position = None
+                self._list_cursor.position = None
                 continue
-            if now - contact.answered_at > pause_s + OUTAGE_S:
+            if now - call_status.answered_at > pause_s + MIN_OUTAGE_S:
                 grace_until = now + fleet.REMOVAL_GRACE_S
-            if await contact.note(page) and isinstance(page, ports.Page):
+            if await call_status.record(page) and isinstance(page, ports.Page):
                 self._apply_listings(page, position, now < grace_until)
                 await trio.sleep(pause_s if self._state.is_reader else 0.0)
 
@@ -203,11 +209,11 @@
         self, page: ports.Page[ports.Listing], since: int | None, in_grace: bool
     ) -> None:
         if since is not None and self._state.is_reader:
-            self._tell_listings(page, since, in_grace)
+            self._announce_listings(page, since, in_grace)
         self._state.apply_listings(page.items, since is None, in_grace)
-        self._list.note(page.position)
+        self._list_cursor.advance(page.position)
 
-    def _tell_listings(
+    def _announce_listings(
         self, page: ports.Page[ports.Listing], since: int, in_grace: bool
     ) -> None:
         """Tell the zone what differs from what this node knew."""
@@ -221,10 +227,10 @@
                     removed.append(upstream_id)
                 case ports.Unreadable(key):
                     removed.append(key)
-        told = messages.ListRead(since, page.position, in_grace, entries, removed)
-        if not self._announcer.tell_zone(told):
+        message = messages.ListRead(since, page.position, in_grace, entries, removed)
+        if not self._announcer.send_to_zone(message):
             cut = messages.ListRead(since, page.position, in_grace, [], [], True)
-            self._announcer.tell_zone(cut)
+            self._announcer.send_to_zone(cut)
 
     def expire(self) -> None:
         """Remove upstreams that did not come back after an outage of the list.
@@ -233,23 +239,23 @@
         watcher was no change for it, and was not told to those who miss it.
         """
         if self._state.expire():
-            self._list.position = None
-            self._list.ask()
+            self._list_cursor.position = None
+            self._list_cursor.request_read()
 
-    def _hear_listings(self, told: messages.ListRead) -> None:
+    def _on_list_read(self, message: messages.ListRead) -> None:
         """Take from a watcher what changed in the list."""
-        position = self._list.position
-        if position is None or told.position < position:
+        position = self._list_cursor.position
+        if position is None or message.position < position:
             return
-        if told.since > position or told.is_cut:
-            self._list.ask()
+        if message.since > position or message.is_cut:
+            self._list_cursor.request_read()
             return
-        items: list[ports.Listing] = [*told.entries]
-        items += [ports.Removed(upstream_id) for upstream_id in told.removed]
-        self._state.apply_listings(items, False, told.in_grace)
-        self._list.note(told.position)
+        items: list[ports.Listing] = [*message.entries]
+        items += [ports.Removed(upstream_id) for upstream_id in message.removed]
+        self._state.apply_listings(items, False, message.in_grace)
+        self._list_cursor.advance(message.position)
 
-    async def _is_told(self, followed: "Followed", limit_s: float) -> bool:
+    async def _wait_for_reader(self, cursor: "TableCursor", limit_s: float) -> bool:
         """Wait while a watcher of the zone reads a table for this node.
 
         Returns
@@ -257,36 +263,36 @@
         bool
             False if this node must read the table itself now.
         """
-        if self._state.is_reader or followed.position is None:
+        if self._state.is_reader or cursor.position is None:
             return False
-        left_s = followed.noted_at + limit_s - clock.now()
-        if left_s <= 0 or followed.asked.is_set():
-            followed.asked = trio.Event()
+        left_s = cursor.current_at + limit_s - clock.now()
+        if left_s <= 0 or cursor.read_requested.is_set():
+            cursor.read_requested = trio.Event()
             return False
         with trio.move_on_after(min(left_s, limit_s)):
-            await followed.asked.wait()
+            await cursor.read_requested.wait()
         return True
 
     async def run_members(self) -> None:
         """Keep this node's row and follow the rows of the others."""
-        contact = Contact("members", self._stats)
-        pauses = iter(MEMBER_READ_S)
+        call_status = CallStatus("members", self._stats)
+        pauses = iter(MEMBER_READ_INTERVALS_S)
         pause_s = next(pauses)
         written_at = -1e9
         while True:
             page = await self._store.read_members()
-            if not (await contact.note(page) and isinstance(page, ports.Page)):
+            if not (await call_status.record(page) and isinstance(page, ports.Page)):
                 continue
             now = clock.now()
-            if now - written_at >= MEMBER_WRITE_S - 1.0:
+            if now - written_at >= MEMBER_WRITE_INTERVAL_S - 1.0:
                 member = ports.Member(
                     self._cfg.node_id,
                     self._cfg.zone,
                     page.clock_ms,
                     self._cfg.peers,
                 )
-                if await contact.note(await self._store.write_member(member)):
+                if await call_status.record(await self._store.write_member(member)):
                     written_at = now
             self._state.apply_members(page)
             await trio.sleep(pause_s)
-            pause_s = next(pauses, MEMBER_READ_S[-1])
+            pause_s = next(pauses, MEMBER_READ_INTERVALS_S[-1])
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -10,19 +10,19 @@
 
 LOG = logging.getLogger("snipelug.weights")
 
-TICK_S = 0.15
+ACTIVE_INTERVAL_S = 0.15
 """Pause between looks at the engines while orders are under way."""
 
-IDLE_S = 1.0
+IDLE_INTERVAL_S = 1.0
 """Pause between looks while all engines serve the newest weights."""
 
-RANK_S = 0.35
+RANK_DELAY_S = 0.35
 """Head start of each node before the next one tries to get the lease."""
 
-SWITCH_S = 1.5
+MAX_SWITCH_S = 1.5
 """Time for which an engine that was ordered to switch gets no requests, at most."""
 
-DRAIN_S = 0.15
+PRE_ORDER_DELAY_S = 0.15
 """Pause between telling the nodes and the order, in which waiting requests start.
 
 An engine turns away what waits there when it gets the order.
@@ -32,7 +32,7 @@
 FENCED = 412
 
 
-class Weights:
+class WeightUpdater:
     """Gives orders to engines while this node holds the lease."""
 
     def __init__(
@@ -65,28 +65,28 @@
     async def run(self) -> None:
         """Work until cancelled."""
         async with trio.open_nursery() as nursery:
-            await self._work(nursery)
+            await self._run_loop(nursery)
 
-    async def _work(self, nursery: trio.Nursery) -> None:
+    async def _run_loop(self, nursery: trio.Nursery) -> None:
         while True:
             if not self._is_needed():
                 self._needed_since = None
                 self._orders.clear()
                 self._changed = trio.Event()
-                with trio.move_on_after(IDLE_S):
+                with trio.move_on_after(IDLE_INTERVAL_S):
                     await self._changed.wait()
                 continue
             now = clock.now()
             if self._needed_since is None:
                 self._needed_since = now
-                self._wait_until = now + RANK_S * self._rank()
-            if self._left_ms() > 0:
+                self._wait_until = now + RANK_DELAY_S * self._rank()
+            if self._lease_remaining_ms() > 0:
                 self._renew_soon(nursery)
-                await self._give_orders()
+                await self._send_orders()
             elif now >= self._wait_until:
-                await self._take_lease()
+                await self._acquire_lease()
                 continue
-            await trio.sleep(TICK_S)
+            await trio.sleep(ACTIVE_INTERVAL_S)
 
     def _engines(self) -> list[list[fleet.Upstream]]:
         known = self._state.catalog
@@ -108,14 +108,14 @@
         ids.add(self._cfg.node_id)
         return hashing.rank("weights", ids).index(self._cfg.node_id)
 
-    def _left_ms(self) -> float:
+    def _lease_remaining_ms(self) -> float:
         """Return for how long this node may give orders, in milliseconds."""
         held = self._held
         return held.remaining_ms(clock.now()) if held is not None else 0.0
 
     def _renew_soon(self, nursery: trio.Nursery) -> None:
         """Renew the lease beside the orders, which go on while it lasts."""
-        is_due = self._left_ms() < rollout.RENEW_BEFORE_MS
+        is_due = self._lease_remaining_ms() < rollout.RENEW_BEFORE_MS
         if is_due and not self._is_renewing:
             self._is_renewing = True
             nursery.start_soon(self._renew)
@@ -124,19 +124,21 @@
         try:
             held = self._held
             if held is not None:
-                await self._write(held.lease.fencing, held.store_ms, self._row_version)
+                await self._write_lease(
+                    held.lease.fencing, held.store_ms, self._row_version
+                )
         finally:
             self._is_renewing = False
 
-    async def _take_lease(self) -> None:
+    async def _acquire_lease(self) -> None:
         self._held = None
         row = await self._store.read_lease()
         if isinstance(row, ports.Unavailable):
             lines.warning(LOG, "lease_unreadable", reason=row.reason)
-            self._wait_until = clock.now() + RANK_S
+            self._wait_until = clock.now() + RANK_DELAY_S
         elif rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
-            if not await self._write(None, row.clock_ms, row.version):
-                self._wait_until = clock.now() + RANK_S
+            if not await self._write_lease(None, row.clock_ms, row.version):
+                self._wait_until = clock.now() + RANK_DELAY_S
         else:
             assert row.lease is not None
             left_s = (
@@ -144,7 +146,9 @@
             ) / 1e3
             self._wait_until = clock.now() + left_s + 0.01
 
-    async def _write(self, fencing: int | None, store_ms: float, expected: int) -> bool:
+    async def _write_lease(
+        self, fencing: int | None, store_ms: float, expected: int
+    ) -> bool:
         """Write the lease; a new holder gets a fencing number beyond all earlier ones.
 
         The row's version grows with each write, so the number taken from it does.
@@ -155,43 +159,43 @@
         until_ms = store_ms + self._cfg.bounds.lease_ms + rollout.LEASE_MARGIN_MS
         token = expected + 1 if fencing is None else fencing
         lease = rollout.Lease(self._cfg.node_id, until_ms, token)
-        answer = await self._store.write_lease(lease, expected)
-        if not isinstance(answer, ports.LeaseWritten):
-            reason = getattr(answer, "reason", "another node wrote it first")
+        response = await self._store.write_lease(lease, expected)
+        if not isinstance(response, ports.LeaseWritten):
+            reason = getattr(response, "reason", "another node wrote it first")
             lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
-            if isinstance(answer, ports.LeaseConflict):
+            if isinstance(response, ports.LeaseConflict):
                 self._held = None
             return False
         if fencing is None:
             lines.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
-        self._held = rollout.HeldLease(lease, sent_at, answer.clock_ms)
-        self._row_version = answer.version
+        self._held = rollout.HeldLease(lease, sent_at, response.clock_ms)
+        self._row_version = response.version
         return True
 
-    async def _give_orders(self) -> None:
+    async def _send_orders(self) -> None:
         newest = self._state.latest_versions()
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 known = {u.entry.id: u for u in group}
                 for upstream_id in list(self._orders):
                     if upstream_id in known:
-                        nursery.start_soon(self._look, known[upstream_id])
+                        nursery.start_soon(self._refresh_report, known[upstream_id])
         rollout.prune_orders(self._orders, self._state.fleet.upstreams, clock.now())
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 for upstream, model, version in rollout.plan_orders(
-                    group, newest, self._orders, self._age_s()
+                    group, newest, self._orders, self._latest_version_age_s()
                 ):
                     order = rollout.Order(model, version, clock.now())
                     self._orders[upstream.entry.id] = order
-                    nursery.start_soon(self._order, upstream, order)
+                    nursery.start_soon(self._send_order, upstream, order)
 
-    def _age_s(self) -> float:
+    def _latest_version_age_s(self) -> float:
         """Return the time since the last version was named, in seconds."""
         named = self._state.named_versions.values()
         return clock.now() - max(item.learned_at for item in named)
 
-    async def _look(self, upstream: fleet.Upstream) -> ports.Report | None:
+    async def _refresh_report(self, upstream: fleet.Upstream) -> ports.Report | None:
         report = await self._machines.report(upstream.entry.addr)
         if isinstance(report, ports.Unavailable):
             return None
@@ -199,16 +203,16 @@
             if upstream.versions.get(model) != version:
                 upstream.set_version(model, version)
                 upstream.switching_until = 0.0
-                self._announcer.serving(upstream.entry.id, model, version)
+                self._announcer.announce_serving(upstream.entry.id, model, version)
         return report
 
-    def _keep_away(self, upstream: fleet.Upstream, for_s: float) -> None:
+    def _exclude(self, upstream: fleet.Upstream, for_s: float) -> None:
         """Send no requests to an engine for a time, here and at the other nodes."""
         upstream.switching_until = clock.now() + for_s
-        self._announcer.switching(upstream.entry.id, for_s)
+        self._announcer.announce_switching(upstream.entry.id, for_s)
 
-    async def _order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
-        report = await self._look(upstream)
+    async def _send_order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
+        report = await self._refresh_report(upstream)
         held = self._held
         served = upstream.versions.get(order.model, 0)
         if report is None or report.is_busy or served >= order.version:
@@ -218,17 +222,17 @@
                     LOG, "order_skipped", upstream=upstream.entry.id, reason=reason
                 )
             return
-        self._keep_away(upstream, SWITCH_S + DRAIN_S)
-        await trio.sleep(DRAIN_S)
+        self._exclude(upstream, MAX_SWITCH_S + PRE_ORDER_DELAY_S)
+        await trio.sleep(PRE_ORDER_DELAY_S)
         held = self._held
         if held is None or held.remaining_ms(clock.now()) <= 0:
             self._orders.pop(upstream.entry.id, None)
-            self._keep_away(upstream, 0.0)
+            self._exclude(upstream, 0.0)
             return
-        answer = await self._machines.order_version(
+        response = await self._machines.order_version(
             upstream.entry, order.model, order.version, held.lease, report.orders
         )
-        self._stats.orders.labels(str(answer.status)).inc()
+        self._stats.orders.labels(str(response.status)).inc()
         lines.event(
             LOG,
             "order",
@@ -239,16 +243,16 @@
             accepted=report.orders,
             fencing=held.lease.fencing,
             lease_left_ms=round(held.remaining_ms(clock.now())),
-            status=answer.status,
-            reason=answer.reason,
+            status=response.status,
+            reason=response.reason,
         )
-        if answer.status == 0:
+        if response.status == 0:
             # It may be carried out later, but then another order has been accepted.
             self._orders.pop(upstream.entry.id, None)
-        if answer.status == ACCEPTED:
-            upstream.switching_until = clock.now() + SWITCH_S
-        elif answer.status != 0:
-            self._keep_away(upstream, 0.0)
-        if answer.status == FENCED:
+        if response.status == ACCEPTED:
+            upstream.switching_until = clock.now() + MAX_SWITCH_S
+        elif response.status != 0:
+            self._exclude(upstream, 0.0)
+        if response.status == FENCED:
             self._held = None
             self._wait_until = clock.now() + self._cfg.bounds.lease_ms / 1e3
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -46,19 +46,19 @@
     nursery.start_soon(second.run)
     await trio.testing.wait_all_tasks_blocked()
     upstream = second_state.fleet.upstreams["u1"]
-    is_read = first.begin("u1", 9_000)
-    assert is_read is not None
-    first.switching("u1", 1.0)
+    announce_read = first.announce_prompt("u1", 9_000)
+    assert announce_read is not None
+    first.announce_switching("u1", 1.0)
     await trio.sleep(0.1)
     assert upstream.announced_tokens(clock.now()) == 9_000
     assert upstream.switching_until > clock.now()
-    is_read()
-    first.serving("u1", relay_builders.MODEL, 2)
+    announce_read()
+    first.announce_serving("u1", relay_builders.MODEL, 2)
     await trio.sleep(0.1)
     assert upstream.announced_tokens(clock.now()) == 0
     assert upstream.switching_until == 0.0
     assert upstream.versions[relay_builders.MODEL] == 2
-    assert first.begin("u1", announce.MIN_TOKENS - 1) is None
+    assert first.announce_prompt("u1", announce.MIN_PROMPT_TOKENS - 1) is None
     nursery.cancel_scope.cancel()
 
 
@@ -108,7 +108,7 @@
     context = relay_builders.context()
     rng = random.Random(1)
     before = choice.choose(upstreams, request, context, (), clock.now(), rng)
-    first.begin("u1", 16_500, request.parts[0])
+    first.announce_prompt("u1", 16_500, request.parts[0])
     await trio.sleep(0.1)
     after = choice.choose(upstreams, request, context, (), clock.now(), rng)
     assert before is not None
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -453,7 +453,7 @@
             nursery.start_soon(ask)
             await platform_world.until(lambda: world.engines[0].running == 1)
             nursery.start_soon(stop, world)
-            await trio.sleep(node.ROTATION_S + 0.2)
+            await trio.sleep(node.DEREGISTRATION_S + 0.2)
             assert not answers
             late = await caller.pool.fetch(caller.call("GET", "/look/"))
             assert isinstance(late, http_client.NotSent)
@@ -475,8 +475,8 @@
         ).encode()
         received = b""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(stop_and_cut, world)
-            await trio.sleep(node.ROTATION_S - 0.2)
+            nursery.start_soon(stop_and_abort, world)
+            await trio.sleep(node.DEREGISTRATION_S - 0.2)
             await stream.send_all(head + b"bo")
             await trio.sleep(0.4)
             await stream.send_all(b"dy")
@@ -486,7 +486,7 @@
         assert runs(world.apps) == 1
 
 
-async def stop_and_cut(world: platform_world.World) -> None:
+async def stop_and_abort(world: platform_world.World) -> None:
     """Stop a node and end its connections, as the end of its process does."""
     await world.nodes[0].stop()
-    await world.nodes[0].cut()
+    await world.nodes[0].abort_connections()
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -94,8 +94,8 @@
         now = tick / 100
         admitted += sampler.admit()
     assert 100 <= admitted <= 111
-    assert sampler.take_left_out() == 1_000 - admitted
-    assert sampler.take_left_out() == 0
+    assert sampler.pop_left_out() == 1_000 - admitted
+    assert sampler.pop_left_out() == 0
 
 
 async def test_lines_are_written_while_the_node_runs(
