--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -0,0 +1,253 @@
+"""Follows the stores of KV cache and frees parts of replaced weights."""
+
+import logging
+
+import trio
+
+from snipelug_core import kv_index
+from snipelug_net import lines
+from snipelug_relay import announce, clock, messages, ports, state
+
+LOG = logging.getLogger("snipelug.kv_stores")
+
+POLL_INTERVAL_S = 1.0
+"""Time from one poll to the next; parts stay usable for 1.6 s after a poll."""
+
+GATHER_TIMEOUT_S = 0.15
+"""Time for the answers of stores before they are told; later ones wait for the next.
+
+The sum with ``POLL_S`` stays below ``TOLD_S``, so one silent store does not make all
+nodes of a zone poll the others.
+"""
+
+CHECK_INTERVAL_S = 0.5
+"""Pause between looks at which stores are due; half of ``POLL_S``."""
+
+MAX_REPORT_AGE_S = 1.25
+"""Age of a store's last poll after which a node that does not watch it polls itself."""
+
+FREE_BATCH_SIZE = 200
+"""Parts freed by one call, about 10 KB."""
+
+
+class KvStorePoller:
+    """Polls each store."""
+
+    def __init__(
+        self,
+        cfg: ports.Settings,
+        node_state: state.State,
+        machines: ports.Machines,
+        announcer: announce.Announcer,
+    ) -> None:
+        self._announcer = announcer
+        self._pending_reports: list[messages.KvStoreRead] = []
+        self._polling: set[str] = set()
+        self._poll_started_at: dict[str, float] = {}
+        announcer.set_handler(messages.KvStoresRead, self._on_stores_read)
+        self._cfg = cfg
+        self._state = node_state
+        self._machines = machines
+
+    async def run(self) -> None:
+        """Poll all stores until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                started_at = clock.now()
+                known = list(self._state.index.store_states.values())
+                due = [
+                    store_state
+                    for store_state in known
+                    if self._is_due(store_state, started_at)
+                ]
+                for store_state in due:
+                    nursery.start_soon(self._poll_and_free, store_state)
+                if due:
+                    await trio.sleep(GATHER_TIMEOUT_S)
+                    self._announce_reports()
+                with trio.move_on_after(
+                    max(0.0, started_at + CHECK_INTERVAL_S - clock.now())
+                ):
+                    await self._state.stores_changed.wait()
+                self._state.stores_changed = trio.Event()
+
+    def _is_due(self, store_state: kv_index.StoreState, now: float) -> bool:
+        """Tell whether this node polls a store now, for others or for itself."""
+        name = store_state.store.name
+        if name in self._polling:
+            return False
+        if self._state.reads_store(name) or self._state.frees_store(name):
+            # Half a look is left over, as the looks come a little late.
+            return (
+                now - self._poll_started_at.get(name, -1e9)
+                > POLL_INTERVAL_S - CHECK_INTERVAL_S / 2
+            )
+        return now - store_state.polled_at > MAX_REPORT_AGE_S
+
+    async def _poll_and_free(self, store_state: kv_index.StoreState) -> None:
+        name = store_state.store.name
+        self._polling.add(name)
+        self._poll_started_at[name] = clock.now()
+        try:
+            await self._poll(store_state)
+        finally:
+            self._polling.discard(name)
+        if store_state.is_fresh(clock.now()) and self._state.frees_store(name):
+            await self._free(store_state)
+
+    async def _poll(self, store_state: kv_index.StoreState) -> None:
+        addr = (store_state.store.host, store_state.store.port)
+        sent_at = clock.now()
+        since = store_state.next_event
+        page = await self._machines.store_events(addr, since)
+        if isinstance(page, ports.Unavailable):
+            if store_state.epoch is not None and store_state.is_fresh(sent_at):
+                lines.warning(
+                    LOG,
+                    "kv_store_lost",
+                    store=store_state.store.name,
+                    reason=page.reason,
+                )
+            store_state.polled_at = -1e9
+            return
+        is_new = page.epoch != store_state.epoch
+        if is_new:
+            lines.event(
+                LOG,
+                "kv_store_epoch",
+                store=store_state.store.name,
+                epoch=page.epoch,
+                before=store_state.epoch,
+            )
+            store_state.restart(page.epoch, sent_at)
+        if (is_new and store_state.next_event > 0) or page.has_gap:
+            await self._read_all(store_state, sent_at)
+            return
+        if store_state.next_event != since:
+            # A watcher has told these events and newer ones meanwhile.
+            return
+        store_state.next_event = page.next
+        self._apply_events(store_state, page.events)
+        store_state.polled_at = sent_at
+        if page.clock_s is not None:
+            # The store told its clock before the answer came, so this is a lower
+            # bound of the difference and transfers end no later than meant.
+            store_state.clock_offset_s = page.clock_s - clock.now()
+            store_state.clock_sample = (sent_at, page.clock_s)
+            if self._state.reads_store(store_state.store.name):
+                self._queue_report(store_state, since, page, page.clock_s)
+
+    def _queue_report(
+        self,
+        store_state: kv_index.StoreState,
+        since: int,
+        page: ports.StoreEvents,
+        clock_s: float,
+    ) -> None:
+        stored = [
+            (*event.key, event.tokens if isinstance(event, ports.Stored) else 0)
+            for event in page.events
+        ]
+        message = messages.KvStoreRead(
+            store_state.store.name, page.epoch, since, page.next, clock_s, stored
+        )
+        self._pending_reports.append(message)
+
+    def _announce_reports(self) -> None:
+        """Tell the zone what this round of polls has shown, in few datagrams."""
+        message, self._pending_reports = self._pending_reports, []
+        self._announce_batch(message)
+
+    def _announce_batch(self, message: list[messages.KvStoreRead]) -> None:
+        if not message or self._announcer.send_to_zone(messages.KvStoresRead(message)):
+            return
+        # A store with too many events for a datagram is polled by the others.
+        half = len(message) // 2
+        if half:
+            self._announce_batch(message[:half])
+            self._announce_batch(message[half:])
+
+    def _on_stores_read(self, message: messages.KvStoresRead) -> None:
+        for item in message.kv_stores:
+            self._apply_report(item)
+
+    def _apply_report(self, message: messages.KvStoreRead) -> None:
+        """Take from a watcher what changed in a store."""
+        store_state = self._state.index.store_states.get(message.store)
+        if (
+            store_state is None
+            or store_state.clock_sample is None
+            or message.epoch != store_state.epoch
+        ):
+            return
+        if (
+            message.since > store_state.next_event
+            or message.next < store_state.next_event
+        ):
+            return
+        now = clock.now()
+        for salt, part, tokens in message.stored:
+            if tokens > 0:
+                store_state.add((salt, part), tokens, now)
+            else:
+                store_state.drop((salt, part))
+        store_state.next_event = message.next
+        # The store's clock tells how old the watcher's poll is at least.
+        sent_at, clock_s = store_state.clock_sample
+        polled_at = sent_at + message.clock_s - clock_s
+        store_state.polled_at = max(store_state.polled_at, min(now, polled_at))
+
+    async def _read_all(self, store_state: kv_index.StoreState, sent_at: float) -> None:
+        """Read the whole list after a gap in the events."""
+        addr = (store_state.store.host, store_state.store.port)
+        page = await self._machines.store_list(addr)
+        if isinstance(page, ports.Unavailable) or page.epoch != store_state.epoch:
+            store_state.polled_at = -1e9
+            return
+        store_state.clear()
+        for part in page.parts:
+            store_state.add(part.key, part.tokens, clock.now())
+        store_state.next_event = page.next
+        store_state.polled_at = sent_at
+        lines.event(
+            LOG, "kv_store_listed", store=store_state.store.name, parts=len(page.parts)
+        )
+
+    def _apply_events(
+        self, store_state: kv_index.StoreState, events: list[ports.Stored | ports.Freed]
+    ) -> None:
+        for event in events:
+            match event:
+                case ports.Stored(key, tokens):
+                    store_state.add(key, tokens, clock.now())
+                case ports.Freed(key):
+                    store_state.drop(key)
+
+    async def _free(self, store_state: kv_index.StoreState) -> None:
+        """Free the parts that no request can read any more."""
+        keys = list(kv_index.outdated_parts(store_state, clock.now()))
+        epoch = store_state.epoch
+        is_freed = epoch is not None
+        # Space is scarce after new weights: stores hold little more than one version.
+        for start in range(0, len(keys), FREE_BATCH_SIZE):
+            batch = keys[start : start + FREE_BATCH_SIZE]
+            if is_freed and epoch is not None:
+                is_freed = await self._free_batch(store_state, batch, epoch)
+        if keys:
+            lines.event(
+                LOG,
+                "parts_freed",
+                store=store_state.store.name,
+                count=len(keys),
+                is_freed=is_freed,
+                versions=[f"{m}.{v}" for m, v in store_state.versions],
+            )
+
+    async def _free_batch(
+        self, store_state: kv_index.StoreState, keys: list[kv_index.PartKey], epoch: int
+    ) -> bool:
+        addr = (store_state.store.host, store_state.store.port)
+        is_freed = await self._machines.free(addr, keys, epoch)
+        for key in keys if is_freed else ():
+            store_state.drop(key)
+        return is_freed
