Rename the limiter's interface

limiter: Ticket -> Permit, Ticket.leave -> Permit.release, enter -> acquire, begin -> start_owning, end -> stop_owning; teams and limiter: joined_for -> session_age_s, note_asked -> note_unowned_request.

--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -216,28 +216,28 @@
         team: contract.Contract,
         cost: float,
         deadline: float,
-    ) -> limiter.Ticket | refusal.Refusal:
+    ) -> limiter.Permit | refusal.Refusal:
         """Wait for the right to run a request; it is open from here on."""
         self.open[opened.request] = opened
-        ticket: limiter.Ticket | refusal.Refusal | None = None
+        ticket: limiter.Permit | refusal.Refusal | None = None
         try:
-            ticket = await self.limits.enter(team, cost, deadline)
+            ticket = await self.limits.acquire(team, cost, deadline)
             return ticket
         finally:
-            if not isinstance(ticket, limiter.Ticket):
+            if not isinstance(ticket, limiter.Permit):
                 del self.open[opened.request]
 
     def _leaver(
         self,
         opened: OpenRequest,
-        ticket: limiter.Ticket,
+        ticket: limiter.Permit,
         job: dispatch.Job | None = None,
     ) -> collections.abc.Callable[[], None]:
         """Return a function that ends a request's accounting, once."""
 
         def leave() -> None:
             if self.open.pop(opened.request, None) is not None:
-                ticket.leave(job.used_tokens if job is not None else None)
+                ticket.release(job.used_tokens if job is not None else None)
 
         return leave
 
--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -108,8 +108,8 @@
     used_at: float = 0.0
 
 
-class Ticket:
-    """The right to run one request, until `leave`."""
+class Permit:
+    """The right to run one request, until `release`."""
 
     def __init__(
         self, limiter: "Limiter", team: str, cost: float, started_at: float
@@ -120,7 +120,7 @@
         self.cost = cost
         self.started_at = started_at
 
-    def leave(self, used_tokens: float | None = None) -> None:
+    def release(self, used_tokens: float | None = None) -> None:
         """Give the right back, once the request has ended.
 
         Parameters
@@ -139,7 +139,7 @@
 class _Waiter:
     entry: backlog.Entry
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
-    outcome: Ticket | refusal.Refusal | None = None
+    outcome: Permit | refusal.Refusal | None = None
 
 
 class Limiter:
@@ -157,14 +157,14 @@
         Returns whether this node owns a team, with a valid lease, at this moment.
     members : callable
         Returns the ids of the sessions that are not revoked.
-    joined_for : callable
+    session_age_s : callable
         Returns the time since this node wrote its session row, in seconds.
     is_listed : callable
         Returns whether the sessions were read after this node wrote its own, so
         that `members` has every node that wrote its session earlier.
     limits_of : callable
         Returns a team's limits in the configuration in force.
-    note_asked : callable
+    note_unowned_request : callable
         Told of each team that a node asked for and this one does not own.
     capacity : int
         Requests that this node runs at once over all teams.
@@ -177,10 +177,10 @@
         owner_of: collections.abc.Callable[[str], str | None],
         holds_now: collections.abc.Callable[[str], bool],
         members: collections.abc.Callable[[], collections.abc.Collection[str]],
-        joined_for: collections.abc.Callable[[], float],
+        session_age_s: collections.abc.Callable[[], float],
         is_listed: collections.abc.Callable[[], bool],
         limits_of: collections.abc.Callable[[str], contract.Limits | None],
-        note_asked: collections.abc.Callable[[str], None] = lambda _: None,
+        note_unowned_request: collections.abc.Callable[[str], None] = lambda _: None,
         capacity: int = 4096,
     ) -> None:
         self._peers = peers
@@ -188,12 +188,12 @@
         self._owner_of = owner_of
         self._holds_now = holds_now
         self._members = members
-        self._joined_for = joined_for
+        self._session_age_s = session_age_s
         self._is_listed = is_listed
         self._counted_by: set[str] = set()
         self._joined_s = 0.0
         self._limits_of = limits_of
-        self._note_asked = note_asked
+        self._note_unowned_request = note_unowned_request
         self._capacity = capacity
         self._teams: dict[str, _Team] = {}
         self._owned: dict[str, quota.Owner] = {}
@@ -207,11 +207,11 @@
         peers.register(SLICE, self._answer_slice)
         peers.register(JOIN, self._answer_join)
 
-    def begin(self, team: str, had_owner: bool) -> None:
+    def start_owning(self, team: str, had_owner: bool) -> None:
         """Start to own a team, after its row names this node."""
         self._owned[team] = quota.Owner(trio.current_time(), had_owner)
 
-    def end(self, team: str) -> None:
+    def stop_owning(self, team: str) -> None:
         """Stop to own a team, before its row is handed over."""
         self._owned.pop(team, None)
 
@@ -239,9 +239,9 @@
                     self._ask_soon(name)
                 await ticker.sleep(ASK_SOON_S)
 
-    async def enter(
+    async def acquire(
         self, owner: contract.Contract, cost_tokens: float, deadline: float
-    ) -> Ticket | refusal.Refusal:
+    ) -> Permit | refusal.Refusal:
         """Wait for the right to run a request.
 
         Parameters
@@ -277,8 +277,8 @@
                 self._ask_soon(name)
             await waiter.done.wait()
         except trio.Cancelled:
-            if isinstance(waiter.outcome, Ticket):
-                waiter.outcome.leave(0.0)
+            if isinstance(waiter.outcome, Permit):
+                waiter.outcome.release(0.0)
             raise
         finally:
             self._waiters.pop(entry.number, None)
@@ -292,7 +292,7 @@
 
     def _floor(self, team: _Team) -> quota.Amounts:
         is_counted = self._is_counted_by_all()
-        joined_s = math.inf if is_counted else self._joined_for()
+        joined_s = math.inf if is_counted else self._session_age_s()
         return quota.floor(team.limits, len(self._members()), joined_s)
 
     def _is_counted_by_all(self) -> bool:
@@ -306,7 +306,7 @@
 
     def _nodes_to_join(self) -> list[str]:
         """Return the nodes that may not count this one yet."""
-        joined_s = self._joined_for()
+        joined_s = self._session_age_s()
         if joined_s < self._joined_s:
             # With a new session this node has to be counted anew.
             self._counted_by.clear()
@@ -319,7 +319,7 @@
         session_s = self._joined_s
         message = JoinAsk(self._session_id)
         answer = await self._peers.call(node_id, JOIN, message, CALL_TIMEOUT_S)
-        is_same_session = self._joined_for() >= session_s
+        is_same_session = self._session_age_s() >= session_s
         if isinstance(answer, JoinReply) and answer.is_counted and is_same_session:
             self._counted_by.add(answer.session_id)
             self._dispatch()
@@ -365,14 +365,14 @@
             self._settle(entry, answer)
         while (head := backlog.start_next(self._queues, self._try_start)) is not None:
             self._running += 1
-            self._settle(head, Ticket(self, head.team, head.cost, now))
+            self._settle(head, Permit(self, head.team, head.cost, now))
 
-    def _settle(self, entry: backlog.Entry, outcome: Ticket | refusal.Refusal) -> None:
+    def _settle(self, entry: backlog.Entry, outcome: Permit | refusal.Refusal) -> None:
         waiter = self._waiters[entry.number]
         waiter.outcome = outcome
         waiter.done.set()
 
-    def _leave(self, ticket: Ticket, unused_tokens: float) -> None:
+    def _leave(self, ticket: Permit, unused_tokens: float) -> None:
         now = trio.current_time()
         team = self._teams[ticket.team]
         quota.finish(team.account, unused_tokens)
@@ -477,7 +477,7 @@
         limits = self._limits_of(message.team)
         owner = self._owned.get(message.team)
         if limits is None or owner is None:
-            self._note_asked(message.team)
+            self._note_unowned_request(message.team)
             return SliceReply(False, owner=self._owner_of(message.team) or "")
         demand = quota.Amounts(
             message.in_flight, message.requests_per_s, message.tokens_per_s
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -176,10 +176,10 @@
             self.teams.owner_of,
             self.teams.holds,
             self._sharers,
-            self.teams.joined_for,
+            self.teams.session_age_s,
             self.lease.is_listed,
             self.teams.limits_of,
-            self.teams.note_asked,
+            self.teams.note_unowned_request,
         )
 
     def _build_cache(self) -> None:
@@ -343,9 +343,9 @@
                 await self.lease.look_for_owner(ownership.Kind.TEAM, team)
             case teams.Begin(team, had_owner):
                 lines.event(LOG, "team_taken", team=team, had_owner=had_owner)
-                self.limiter.begin(team, had_owner)
+                self.limiter.start_owning(team, had_owner)
             case teams.End(team):
-                self.limiter.end(team)
+                self.limiter.stop_owning(team)
 
     def _sharers(self) -> frozenset[str]:
         """Return all processes that may use a share of a limit.
--- a/packages/snipelug-node/src/snipelug_node/teams.py
+++ b/packages/snipelug-node/src/snipelug_node/teams.py
@@ -74,7 +74,7 @@
         """Return the node that owns a team, as far as known."""
         return self._keeper.owner_of(ownership.Kind.TEAM, team)
 
-    def note_asked(self, team: str) -> None:
+    def note_unowned_request(self, team: str) -> None:
         """Note that a slice of a team that this node does not own was asked for."""
         if self.owner_of(team) == self._keeper.node_id:
             self._asked_for.add(team)
@@ -93,7 +93,7 @@
         found = self._cfg().contracts.get(team)
         return None if found is None else found.limits
 
-    def joined_for(self) -> float:
+    def session_age_s(self) -> float:
         """Return the time since this node's session was created, in seconds."""
         if not self._session:
             return 0.0
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -28,14 +28,14 @@
             owner_of=lambda _: "a",
             holds_now=lambda _, own=name: own == "a",
             members=lambda: ["a/1", "b/1"],
-            joined_for=lambda: joined_for_s,
+            session_age_s=lambda: joined_for_s,
             is_listed=lambda: is_listed,
             limits_of=lambda _: LIMITS,
             capacity=capacity,
         )
         for name in ("a", "b")
     ]
-    built[0].begin("t", had_owner)
+    built[0].start_owning("t", had_owner)
     for one in built:
         nursery.start_soon(one.run)
     return built
@@ -43,13 +43,13 @@
 
 async def enter_many(
     one: limiter.Limiter, count: int, wait_s: float, nursery: trio.Nursery
-) -> list[limiter.Ticket]:
+) -> list[limiter.Permit]:
     """Return the tickets of those of ``count`` requests that start in time."""
-    tickets: list[limiter.Ticket] = []
+    tickets: list[limiter.Permit] = []
 
     async def enter() -> None:
-        answer = await one.enter(TEAM, 10.0, trio.current_time() + wait_s)
-        if isinstance(answer, limiter.Ticket):
+        answer = await one.acquire(TEAM, 10.0, trio.current_time() + wait_s)
+        if isinstance(answer, limiter.Permit):
             tickets.append(answer)
 
     for _ in range(count):
@@ -130,16 +130,16 @@
 ) -> None:
     """Guards against a queue that stands still after a request has left."""
     first, _ = build(peer_fakes.Net(), nursery, capacity=1)
-    ticket = await first.enter(TEAM, 10.0, trio.current_time() + 9.0)
-    assert isinstance(ticket, limiter.Ticket)
+    ticket = await first.acquire(TEAM, 10.0, trio.current_time() + 9.0)
+    assert isinstance(ticket, limiter.Permit)
     with trio.move_on_after(1.0) as scope:
-        await first.enter(TEAM, 10.0, trio.current_time() + 9.0)
+        await first.acquire(TEAM, 10.0, trio.current_time() + 9.0)
     assert scope.cancelled_caught
-    ticket.leave()
-    ticket.leave()
-    later = await first.enter(TEAM, 10.0, trio.current_time() + 9.0)
-    assert isinstance(later, limiter.Ticket)
-    blocked = await first.enter(TEAM, 10.0, trio.current_time() + 1.0)
+    ticket.release()
+    ticket.release()
+    later = await first.acquire(TEAM, 10.0, trio.current_time() + 9.0)
+    assert isinstance(later, limiter.Permit)
+    blocked = await first.acquire(TEAM, 10.0, trio.current_time() + 1.0)
     assert isinstance(blocked, refusal.Refusal)
     assert blocked.kind is refusal.DEADLINE_UNREACHABLE
 
@@ -169,7 +169,7 @@
     _, second = build(net, nursery, joined_for_s=0.0)
     net.down = {"a"}
     started_at = trio.current_time()
-    answer = await second.enter(TEAM, 10.0, started_at + 2.0)
+    answer = await second.acquire(TEAM, 10.0, started_at + 2.0)
     assert isinstance(answer, refusal.Refusal)
     assert answer.run_state is refusal.RunState.NOT_RUN
     assert trio.current_time() - started_at < 2.1
@@ -182,11 +182,11 @@
     first, _ = build(peer_fakes.Net(), nursery)
     for used, allowed_s in ((10.0, 0.5), (5e6, 99.0)):
         started_at = trio.current_time()
-        ticket = await first.enter(TEAM, 2e6, started_at + 99.0)
-        assert isinstance(ticket, limiter.Ticket)
-        ticket.leave(used)
+        ticket = await first.acquire(TEAM, 2e6, started_at + 99.0)
+        assert isinstance(ticket, limiter.Permit)
+        ticket.release(used)
         assert trio.current_time() - started_at < allowed_s
     before = trio.current_time()
-    last = await first.enter(TEAM, 10.0, before + 99.0)
-    assert isinstance(last, limiter.Ticket)
+    last = await first.acquire(TEAM, 10.0, before + 99.0)
+    assert isinstance(last, limiter.Permit)
     assert trio.current_time() - before > 3.0
