--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -335,16 +335,18 @@
             ticker.System("connections", self._plan_connections, self._connect),
         ]
 
-    async def _change_team(self, action: teams.Begin | teams.End | teams.Look) -> None:
+    async def _change_team(
+        self, action: teams.StartOwning | teams.StopOwning | teams.FindOwner
+    ) -> None:
         match action:
-            case teams.Look(""):
+            case teams.FindOwner(""):
                 await self.lease.acquire()
-            case teams.Look(team):
+            case teams.FindOwner(team):
                 await self.lease.look_for_owner(ownership.Kind.TEAM, team)
-            case teams.Begin(team, had_owner):
+            case teams.StartOwning(team, had_owner):
                 lines.event(LOG, "team_taken", team=team, had_owner=had_owner)
                 self.limiter.start_owning(team, had_owner)
-            case teams.End(team):
+            case teams.StopOwning(team):
                 self.limiter.stop_owning(team)
 
     def _sharers(self) -> frozenset[str]:
--- a/packages/snipelug-node/src/snipelug_node/teams.py
+++ b/packages/snipelug-node/src/snipelug_node/teams.py
@@ -10,7 +10,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Begin:
+class StartOwning:
     """Start to own a team.
 
     Attributes
@@ -25,14 +25,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class End:
+class StopOwning:
     """Stop to own a team."""
 
     team: str
 
 
 @dataclasses.dataclass(frozen=True)
-class Look:
+class FindOwner:
     """Look for teams without an owner.
 
     Attributes
@@ -99,26 +99,26 @@
             return 0.0
         return trio.current_time() - self._joined_at
 
-    def plan(self) -> collections.abc.Iterator[Begin | End | Look]:
+    def plan(self) -> collections.abc.Iterator[StartOwning | StopOwning | FindOwner]:
         """Yield what changed about the teams that this node owns."""
         self._note_session()
         contracts = frozenset(self._cfg().contracts)
         if contracts - self._contracts:
-            yield Look()
+            yield FindOwner()
         self._contracts = contracts
         for team in self._asked_for & contracts:
-            yield Look(team)
+            yield FindOwner(team)
         self._asked_for.clear()
         for team in {*self._cfg().contracts, *self._begun}:
             taken_at = self._taken_at(team)
             known = self._begun.get(team)
             if known is not None and taken_at is None:
                 del self._begun[team]
-                yield End(team)
+                yield StopOwning(team)
             # The row's number also grows when this node writes its own row again.
             if taken_at is not None and taken_at != known:
                 self._begun[team] = taken_at
-                yield Begin(team, self._had_owner(team))
+                yield StartOwning(team, self._had_owner(team))
 
     def _taken_at(self, team: str) -> float | None:
         """Return when this node took a team that it owns now."""
