Rename the interface of slots between nodes

admitter: begin -> start_holding, end -> stop_holding, observe -> apply_report; slots: Begin -> StartHolding, End -> StopHolding; confirmer: take_report -> apply_report.

--- a/packages/snipelug-node/src/snipelug_node/admitter.py
+++ b/packages/snipelug-node/src/snipelug_node/admitter.py
@@ -176,7 +176,7 @@
         """Id of this node."""
         return self._peers.node_id
 
-    def begin(
+    def start_holding(
         self, upstream_id: str, part: admission.PartName, had_holder: bool
     ) -> None:
         """Start to hold a part, after its row names this node."""
@@ -187,12 +187,12 @@
                 self._part(upstream_id, name), limit, now, had_holder
             )
 
-    def end(self, upstream_id: str, part: admission.PartName) -> None:
+    def stop_holding(self, upstream_id: str, part: admission.PartName) -> None:
         """Stop to hold a part, before its row is handed over."""
         for name in _held_with(part):
             admission.stop_holding(self._part(upstream_id, name))
 
-    def observe(self, upstream_id: str, report: table.LoadReport) -> None:
+    def apply_report(self, upstream_id: str, report: table.LoadReport) -> None:
         """Take the newest load report of an upstream."""
         for name in admission.PartName:
             part = self._parts.get((upstream_id, name))
--- a/packages/snipelug-node/src/snipelug_node/confirmer.py
+++ b/packages/snipelug-node/src/snipelug_node/confirmer.py
@@ -78,7 +78,7 @@
         if use in known:
             known.remove(use)
 
-    def take_report(self, upstream_id: str) -> None:
+    def apply_report(self, upstream_id: str) -> None:
         """Give back the slots that the newest report confirms."""
         upstream = self._tables.upstreams.get(upstream_id)
         report = None if upstream is None else upstream.report
@@ -104,5 +104,5 @@
             now = trio.current_time()
             await trio.sleep_until(confirmation.next_read_at(sents, upstream, now))
             await self._refresh(upstream)
-            self.take_report(upstream_id)
+            self.apply_report(upstream_id)
         del self._open[upstream_id]
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -286,8 +286,8 @@
         if upstream is None:
             return
         if load.accept_report(upstream, report, asked_at):
-            self.admitter.observe(upstream_id, report)
-            self.confirmer.take_report(upstream_id)
+            self.admitter.apply_report(upstream_id, report)
+            self.confirmer.apply_report(upstream_id)
 
     def _take_list(self, listed: list[table.Instance], now: float) -> None:
         self.lease.note_instances(listed, now)
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -109,7 +109,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Begin:
+class StartHolding:
     """Start to hold a part.
 
     Attributes
@@ -124,7 +124,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class End:
+class StopHolding:
     """Stop to hold a part."""
 
     upstream_id: str
@@ -306,7 +306,7 @@
         """Whether this node holds a part, and so must follow the upstream's load."""
         return any(self._fencing(upstream_id, p) for p in admitter.COLD_PARTS)
 
-    def plan(self) -> collections.abc.Iterator[Begin | End]:
+    def plan(self) -> collections.abc.Iterator[StartHolding | StopHolding]:
         """Yield what changed about the parts that this node holds."""
         for upstream_id in self._upstream_ids():
             for part in admitter.COLD_PARTS:
@@ -315,14 +315,16 @@
                 known = self._begun.get(place)
                 if known is not None and taken_at is None:
                     del self._begun[place]
-                    yield End(upstream_id, part)
+                    yield StopHolding(upstream_id, part)
                 # The row's number also grows when this node writes its own row again.
                 if taken_at is not None and taken_at != known:
                     is_first = place not in self._ever_begun
                     number = self._fencing(upstream_id, part)
                     self._begun[place] = taken_at
                     self._ever_begun.add(place)
-                    yield Begin(upstream_id, part, not (is_first and number == 1))
+                    yield StartHolding(
+                        upstream_id, part, not (is_first and number == 1)
+                    )
 
     def _taken_at(self, upstream_id: str, part: admission.PartName) -> float | None:
         """Return when this node took a part that its row names it for."""
@@ -333,13 +335,13 @@
             return self._keeper.outage_since(kind, upstream_id)
         return self._keeper.taken_at(kind, upstream_id)
 
-    async def execute(self, action: Begin | End) -> None:
+    async def execute(self, action: StartHolding | StopHolding) -> None:
         """Start or stop to hold a part."""
         match action:
-            case Begin(upstream_id, part, had_holder):
-                self._asking.begin(upstream_id, part, had_holder)
-            case End(upstream_id, part):
-                self._asking.end(upstream_id, part)
+            case StartHolding(upstream_id, part, had_holder):
+                self._asking.start_holding(upstream_id, part, had_holder)
+            case StopHolding(upstream_id, part):
+                self._asking.stop_holding(upstream_id, part)
 
     def _fencing(self, upstream_id: str, part: admission.PartName) -> int | None:
         """Return the number of the row that names this process, valid or not.
--- a/tests/test_admitter.py
+++ b/tests/test_admitter.py
@@ -23,8 +23,8 @@
             incarnation="1",
             nursery=nursery,
         )
-    built["b"].begin("u", LEASED, had_holder=False)
-    built["c"].begin("u", admission.PartName.OUTAGE, had_holder=False)
+    built["b"].start_holding("u", LEASED, had_holder=False)
+    built["c"].start_holding("u", admission.PartName.OUTAGE, had_holder=False)
     return built["a"]
 
 
