Rename the interface of the lease keeper

lease.Keeper: look_for_owner -> read_or_acquire_owner, note_instances -> observe_instance_list, take_sessions -> apply_sessions, taken_at -> owner_since.

--- a/packages/snipelug-node/src/snipelug_node/lease.py
+++ b/packages/snipelug-node/src/snipelug_node/lease.py
@@ -59,7 +59,7 @@
         Where other nodes reach this one; written into the session row.
     reads_sessions : bool, optional
         Read the table ``sessions`` here; otherwise another part of the node hands
-        its readings to ``take_sessions``.
+        its readings to ``apply_sessions``.
     """
 
     def __init__(
@@ -103,7 +103,7 @@
         """Return the fencing number if this node owns the item at this moment."""
         return ownership.fencing_token(self.owners, ownership.row_key(kind, key), now)
 
-    def taken_at(self, kind: ownership.Kind, key: str) -> float:
+    def owner_since(self, kind: ownership.Kind, key: str) -> float:
         """Return when this node learnt of the item's owner, infinite if never."""
         seen = self.owners.known_rows.get(ownership.row_key(kind, key))
         return math.inf if seen is None else seen.since
@@ -154,7 +154,7 @@
         """Tell whether the session was there when the table was last read."""
         return self._lives(name)
 
-    def note_instances(
+    def observe_instance_list(
         self, instances: collections.abc.Iterable[table.Instance], now: float
     ) -> None:
         """Take in a reading of the instance list; outage slots depend on it."""
@@ -213,10 +213,10 @@
         rows = await executor.scan_all(self._tables, session.TABLE)
         if isinstance(rows, ports.Unavailable):
             return 0
-        await self.take_sessions(rows, asked_at)
+        await self.apply_sessions(rows, asked_at)
         return sum(len(row.content) for row in rows)
 
-    async def take_sessions(self, rows: list[ports.Row], asked_at: float) -> None:
+    async def apply_sessions(self, rows: list[ports.Row], asked_at: float) -> None:
         """Take in a reading of all sessions and revoke stale ones.
 
         Parameters
@@ -256,7 +256,7 @@
         for item in items:
             await self._acquire_one(item)
 
-    async def look_for_owner(self, kind: ownership.Kind, key: str) -> None:
+    async def read_or_acquire_owner(self, kind: ownership.Kind, key: str) -> None:
         """Read who owns an item that this node is preferred for, or take it.
 
         For items that are asked for here and not owned here: until the next scan
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -116,7 +116,7 @@
             session.NodeAddress(*cfg.rpc_address, cfg.zone),
             reads_sessions=False,
         )
-        self.keeper.on_sessions = self.lease.take_sessions
+        self.keeper.on_sessions = self.lease.apply_sessions
         self.objects = platform.HttpObjectStore(self.pool, cfg.objects)
         self.orders = order.Orders(
             self.peers.settings.incarnation,
@@ -290,7 +290,7 @@
             self.confirmer.apply_report(upstream_id)
 
     def _take_list(self, listed: list[table.Instance], now: float) -> None:
-        self.lease.note_instances(listed, now)
+        self.lease.observe_instance_list(listed, now)
         self.shard.retain({inst.id for inst in listed})
 
     def _owned_items(self) -> list[lease.Item]:
@@ -342,7 +342,7 @@
             case teams.FindOwner(""):
                 await self.lease.acquire()
             case teams.FindOwner(team):
-                await self.lease.look_for_owner(ownership.Kind.TEAM, team)
+                await self.lease.read_or_acquire_owner(ownership.Kind.TEAM, team)
             case teams.StartOwning(team, had_owner):
                 lines.event(LOG, "team_taken", team=team, had_owner=had_owner)
                 self.limiter.start_owning(team, had_owner)
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -333,7 +333,7 @@
         kind = ownership.Kind.UPSTREAM
         if part is admission.PartName.OUTAGE:
             return self._keeper.outage_since(kind, upstream_id)
-        return self._keeper.taken_at(kind, upstream_id)
+        return self._keeper.owner_since(kind, upstream_id)
 
     async def execute(self, action: StartHolding | StopHolding) -> None:
         """Start or stop to hold a part."""
--- a/packages/snipelug-node/src/snipelug_node/teams.py
+++ b/packages/snipelug-node/src/snipelug_node/teams.py
@@ -124,7 +124,7 @@
         """Return when this node took a team that it owns now."""
         if not self.holds(team):
             return None
-        return self._keeper.taken_at(ownership.Kind.TEAM, team)
+        return self._keeper.owner_since(ownership.Kind.TEAM, team)
 
     def _had_owner(self, team: str) -> bool:
         now = trio.current_time()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -48,7 +48,7 @@
             for name in self.keepers
         ]
         for keeper in self.keepers.values():
-            keeper.note_instances(listed, trio.current_time())
+            keeper.observe_instance_list(listed, trio.current_time())
 
     def kill(self, name: str) -> None:
         self.scopes[name].cancel()
@@ -88,7 +88,7 @@
     assert new_number > number
     assert cluster.keepers["a"].outage_holder(*lost)
     assert not taker.outage_holder(*lost)
-    assert taker.taken_at(*lost) <= trio.current_time()
+    assert taker.owner_since(*lost) <= trio.current_time()
     nursery.cancel_scope.cancel()
 
 
@@ -202,7 +202,7 @@
         random.Random("a"),
         reads_sessions=False,
     )
-    reader.on_sessions = keeper.take_sessions
+    reader.on_sessions = keeper.apply_sessions
     await nursery.start(reader.run)
     await nursery.start(keeper.run)
     await trio.sleep(60)
