--- a/packages/snipelug-node/src/snipelug_node/admin.py
+++ b/packages/snipelug-node/src/snipelug_node/admin.py
@@ -266,7 +266,7 @@
 
     async def _show_status(self, _: http_server.Request) -> http_server.Response:
         now = self._peers.clock()
-        judged = self._keeper.judge(now)
+        judged = self._keeper.evaluate(now)
         current: dict[str, typing.Any] = {"current": False}
         match judged:
             case currency.Current(rule=rule, age_s=age_s):
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -221,13 +221,13 @@
 
     # What the rest of the node asks
 
-    def judge(self, now: float) -> currency.Current | currency.NotCurrent:
+    def evaluate(self, now: float) -> currency.Current | currency.NotCurrent:
         """Decide whether this node may serve new work, and by which rule."""
         return currency.evaluate(self._state, self._members, now)
 
     def is_current(self, now: float) -> bool:
         """Return whether this node may serve new work."""
-        return isinstance(self.judge(now), currency.Current)
+        return isinstance(self.evaluate(now), currency.Current)
 
     def rollout(self, revision: int) -> Rollout:
         """Return on which members a revision is known to be in force."""
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -34,7 +34,7 @@
         await trio.sleep(5.2)
         for node_id in ("n0", "n1"):
             running = made.nodes[node_id]
-            judged = running.keeper.judge(running.peers.clock())
+            judged = running.keeper.evaluate(running.peers.clock())
             assert isinstance(judged, currency.Current)
             assert judged.rule == "majority"
         booted = await made.boot("n2")
