--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -230,7 +230,7 @@
             rng=self.rng,
             backlog=self.backlog,
         )
-        board = pending.Board()
+        board = pending.PendingSums()
         board.register(self.peers)
         self.exchange = pending.Exchange(
             self.peers,
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -45,7 +45,7 @@
 PENDING = rpc.Method("Pending", Pending, PendingReply)
 
 
-class Board:
+class PendingSums:
     """Sums of pending work at the instances that rendezvous gives to this node."""
 
     def __init__(self) -> None:
@@ -96,7 +96,7 @@
         self,
         peers: ports.Peers,
         backlog: prefill.PrefillBacklog,
-        board: Board,
+        board: PendingSums,
         upstreams: collections.abc.Callable[[], collections.abc.Iterable[str]],
         is_active: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -15,7 +15,7 @@
     """A node with its board, its backlog and its exchange."""
 
     def __init__(self, node: test_cache.Node) -> None:
-        self.board = pending.Board()
+        self.board = pending.PendingSums()
         self.board.register(node)
         self.backlog = prefill.PrefillBacklog()
         self.exchange = pending.Exchange(
