--- a/packages/snipelug-node/src/snipelug_node/limiter.py
+++ b/packages/snipelug-node/src/snipelug_node/limiter.py
@@ -1,4 +1,8 @@
-"""Limits of contracts at one node: slices from the teams' owners, and the backlog."""
+"""Enforces the limits of contracts at one node.
+
+Each team has an owner node, which lends slices of the team's limits to the nodes that
+serve its requests. Requests that exceed the slice wait in a backlog.
+"""
 
 import collections.abc
 import dataclasses
@@ -14,23 +18,23 @@
 from snipelug_node import ports, ticker
 
 CALL_TIMEOUT_S = 1.0
-TICK_S = 0.01
-"""Time between looks at waiting requests, whose rates refill with time."""
+QUEUE_POLL_S = 0.01
+"""Interval at which waiting requests are checked, since token buckets refill."""
 
-ASK_SOON_S = 0.25
-"""Time between requests for a slice while requests wait and no slice is held, or while
-demand outgrows the last request, in seconds."""
+EARLY_REQUEST_INTERVAL_S = 0.25
+"""Interval between slice requests, in seconds, while requests wait without a slice or
+demand has outgrown the last slice request."""
 
-IDLE_S = 60.0
-"""Time after which the account of a team without requests is dropped, in seconds."""
+TEAM_IDLE_TIMEOUT_S = 60.0
+"""Time without requests after which a team's account is dropped, in seconds."""
 
-JOIN_NODES = 20
-"""Most other nodes that a new member asks whether they count it; in larger
-deployments, whose members learn of one another over several nodes, it waits for
-`quota.JOIN_WAIT_S` instead of sending so many calls."""
+MAX_JOIN_CALLS = 20
+"""Maximum number of other nodes to which a new member sends `JoinAsk`. In larger
+deployments, where members learn of each other indirectly, it waits for
+`quota.JOIN_WAIT_S` instead of sending that many calls."""
 
-HOLD_WEIGHT = 0.1
-"""Weight of the newest request in the mean time that a team's requests run."""
+RUN_TIME_WEIGHT = 0.1
+"""Weight of the newest sample in the moving average of a team's request duration."""
 
 Identifier = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Natural = typing.Annotated[int, msgspec.Meta(ge=0)]
@@ -38,7 +42,7 @@
 
 
 class SliceAsk(msgspec.Struct, frozen=True):
-    """Asks a team's owner for a slice; see `quota.SliceRequest`."""
+    """Requests a slice from a team's owner; see `quota.SliceRequest`."""
 
     team: Identifier
     session_id: Identifier
@@ -50,12 +54,12 @@
 
 
 class SliceReply(msgspec.Struct, frozen=True):
-    """Answers `SliceAsk`; the amounts count only if lent.
+    """Answers `SliceAsk`; the amounts are valid only if `is_lent` is true.
 
     Attributes
     ----------
     owner : str
-        Node to ask instead, if the asked one knows; empty otherwise.
+        Node to which the request should be redirected; empty if unknown.
     """
 
     is_lent: bool
@@ -70,7 +74,7 @@
 
 
 class JoinAsk(msgspec.Struct, frozen=True):
-    """Asks a node whether it divides the limits by a member count with the asker."""
+    """Asks a node whether it counts the sender when it divides limits among members."""
 
     session_id: Identifier
 
@@ -81,7 +85,7 @@
     Attributes
     ----------
     session_id : str
-        The answering process.
+        Identifies the answering process.
     """
 
     session_id: Identifier
@@ -93,46 +97,60 @@
 
 @dataclasses.dataclass
 class _Team:
-    """A team's account at this node and what its demand is estimated from."""
+    """A team's account at this node and the inputs of its demand estimate.
+
+    Attributes
+    ----------
+    mean_run_s : float
+        Moving average of the duration of requests, in seconds.
+    new_requests, new_tokens : int, float
+        Requests and expected tokens that arrived since the last slice request.
+    requested_in_flight : int
+        Requests running or waiting when the last slice was requested.
+    is_demand_met : bool
+        Whether the owner lent all that was last requested.
+    redirected_to : str
+        Owner named by the node that was asked last; empty if none was named.
+    """
 
     limits: contract.Limits
     account: quota.Account = dataclasses.field(default_factory=quota.Account)
-    hold_s: float = 1.0
-    arrived: int = 0
-    arrived_tokens: float = 0.0
-    asked_at: float = -math.inf
-    asked_for: int = 0
-    ask_after: float = -math.inf
-    may_grow: bool = True
-    told_owner: str = ""
-    used_at: float = 0.0
+    mean_run_s: float = 1.0
+    new_requests: int = 0
+    new_tokens: float = 0.0
+    requested_at: float = -math.inf
+    requested_in_flight: int = 0
+    next_request_at: float = -math.inf
+    is_demand_met: bool = True
+    redirected_to: str = ""
+    last_active_at: float = 0.0
 
 
 class Permit:
-    """The right to run one request, until `release`."""
+    """Permission to run one request, valid until `release`."""
 
     def __init__(
         self, limiter: "Limiter", team: str, cost: float, started_at: float
     ) -> None:
         self._limiter = limiter
-        self._has_left = False
+        self._is_released = False
         self.team = team
         self.cost = cost
         self.started_at = started_at
 
     def release(self, used_tokens: float | None = None) -> None:
-        """Give the right back, once the request has ended.
+        """Return the permit after the request has ended; later calls have no effect.
 
         Parameters
         ----------
         used_tokens : float, optional
-            Tokens really used; the difference to the cost is settled.
+            Tokens actually used; the difference from the cost is refunded or charged.
         """
-        if self._has_left:
+        if self._is_released:
             return
-        self._has_left = True
+        self._is_released = True
         unused = 0.0 if used_tokens is None else self.cost - used_tokens
-        self._limiter._leave(self, unused)
+        self._limiter._release(self, unused)
 
 
 @dataclasses.dataclass
@@ -143,31 +161,31 @@
 
 
 class Limiter:
-    """Admits requests within their team's limits, and lends slices as an owner.
+    """Admits requests within their team's limits and lends slices of owned teams.
 
     Parameters
     ----------
     peers : Peers
         The other nodes.
     session_id : str
-        Names this process; differs after a restart.
+        Identifies this process; changes on restart.
     owner_of : callable
-        Returns the node that owns a team, as far as known.
+        Returns the node that owns a team, or None if unknown.
     holds_now : callable
-        Returns whether this node owns a team, with a valid lease, at this moment.
+        Returns whether this node currently owns a team under a valid lease.
     members : callable
         Returns the ids of the sessions that are not revoked.
     session_age_s : callable
         Returns the time since this node wrote its session row, in seconds.
     is_listed : callable
-        Returns whether the sessions were read after this node wrote its own, so
-        that `members` has every node that wrote its session earlier.
+        Returns whether sessions were read after this node wrote its own row, in
+        which case `members` includes every node that wrote its session earlier.
     limits_of : callable
-        Returns a team's limits in the configuration in force.
+        Returns a team's limits in the active configuration.
     note_unowned_request : callable
-        Told of each team that a node asked for and this one does not own.
+        Called with the team of each slice request for a team not owned by this node.
     capacity : int
-        Requests that this node runs at once over all teams.
+        Maximum number of requests that this node runs concurrently over all teams.
     """
 
     def __init__(
@@ -190,8 +208,8 @@
         self._members = members
         self._session_age_s = session_age_s
         self._is_listed = is_listed
-        self._counted_by: set[str] = set()
-        self._joined_s = 0.0
+        self._counting_sessions: set[str] = set()
+        self._last_session_age_s = 0.0
         self._limits_of = limits_of
         self._note_unowned_request = note_unowned_request
         self._capacity = capacity
@@ -200,7 +218,7 @@
         self._queues = backlog.Backlog()
         self._waiters: dict[int, _Waiter] = {}
         self._numbers = itertools.count()
-        self._asks = itertools.count()
+        self._request_numbers = itertools.count()
         self._running = 0
         self._nursery: trio.Nursery | None = None
         self._has_waiters = trio.Event()
@@ -208,63 +226,63 @@
         peers.register(JOIN, self._answer_join)
 
     def start_owning(self, team: str, had_owner: bool) -> None:
-        """Start to own a team, after its row names this node."""
+        """Start lending a team's limits, after its row names this node as owner."""
         self._owned[team] = quota.Owner(trio.current_time(), had_owner)
 
     def stop_owning(self, team: str) -> None:
-        """Stop to own a team, before its row is handed over."""
+        """Stop lending a team's limits, before its row is handed over."""
         self._owned.pop(team, None)
 
     def describe(self) -> list[dict[str, object]]:
-        """Return one row per team that this node serves now, for operators."""
+        """Return one row for each team that this node serves now, for operators."""
         now = trio.current_time()
         return [
             {
                 "team": name,
                 "in_flight": team.account.in_flight,
-                "waiting": max(0, self._wanted(name, team) - team.account.in_flight),
+                "waiting": max(0, self._demand(name, team) - team.account.in_flight),
                 "slice_s": round(max(0.0, team.account.lent_until - now), 1),
             }
             for name, team in sorted(self._teams.items())
         ]
 
     async def run(self) -> None:
-        """Serve the queues and renew slices until cancelled."""
+        """Process the queues and renew slices until cancelled."""
         async with trio.open_nursery() as self._nursery:
-            self._nursery.start_soon(self._serve_queues)
+            self._nursery.start_soon(self._poll_queues)
             while True:
                 for node_id in self._nodes_to_join():
                     self._nursery.start_soon(self._join, node_id)
-                for name in self._teams_to_ask():
-                    self._ask_soon(name)
-                await ticker.sleep(ASK_SOON_S)
+                for name in self._teams_due():
+                    self._schedule_request(name)
+                await ticker.sleep(EARLY_REQUEST_INTERVAL_S)
 
     async def acquire(
         self, owner: contract.Contract, cost_tokens: float, deadline: float
     ) -> Permit | refusal.Refusal:
-        """Wait for the right to run a request.
+        """Wait for permission to run a request.
 
         Parameters
         ----------
         owner : Contract
             Contract of the request's team.
         cost_tokens : float
-            Expected prompt plus generated tokens.
+            Expected total of prompt and generated tokens.
         deadline : float
-            Monotonic time by which the request has to start, in seconds.
+            Monotonic time by which the request must start, in seconds.
         """
-        # Waiters whose deadline has passed must not count in the expected wait.
+        # Expired waiters must not contribute to the expected wait.
         self._dispatch()
         now = trio.current_time()
         name = owner.team
         team = self._teams.setdefault(name, _Team(owner.limits))
         team.limits = owner.limits
-        team.arrived += 1
-        team.arrived_tokens += cost_tokens
-        team.used_at = now
+        team.new_requests += 1
+        team.new_tokens += cost_tokens
+        team.last_active_at = now
         entry = backlog.Entry(next(self._numbers), name, cost_tokens, deadline)
         refused = backlog.enqueue(
-            self._queues, entry, owner, self._pace(team, now), now
+            self._queues, entry, owner, self._start_rates(team, now), now
         )
         if refused is not None:
             return refused
@@ -273,8 +291,8 @@
         self._dispatch()
         try:
             if waiter.outcome is None and not self._has_slice(team):
-                # The first requests of a team do not wait for the next round.
-                self._ask_soon(name)
+                # A team's first requests don't wait for the next periodic check.
+                self._schedule_request(name)
             await waiter.done.wait()
         except trio.Cancelled:
             if isinstance(waiter.outcome, Permit):
@@ -286,46 +304,48 @@
         assert waiter.outcome is not None
         return waiter.outcome
 
-    def _ask_soon(self, name: str) -> None:
+    def _schedule_request(self, name: str) -> None:
         if self._nursery is not None:
-            self._nursery.start_soon(self._ask, name)
+            self._nursery.start_soon(self._request_slice, name)
 
     def _floor(self, team: _Team) -> quota.Amounts:
         is_counted = self._is_counted_by_all()
-        joined_s = math.inf if is_counted else self._session_age_s()
-        return quota.floor(team.limits, len(self._members()), joined_s)
+        session_age_s = math.inf if is_counted else self._session_age_s()
+        return quota.floor(team.limits, len(self._members()), session_age_s)
 
     def _is_counted_by_all(self) -> bool:
-        """Tell whether every other member divides the limits with this node.
+        """Return whether every other member counts this node when dividing limits.
 
-        Of two nodes that join at once, the one that wrote its session later has
-        read the other's and needs its answer, so neither uses too large a share.
+        If two nodes join concurrently, the one that wrote its session later has read
+        the other's session and needs its answer, so neither uses too large a share.
         """
         others = set(self._members()) - {self._session_id}
-        return self._is_listed() and others <= self._counted_by
+        return self._is_listed() and others <= self._counting_sessions
 
     def _nodes_to_join(self) -> list[str]:
-        """Return the nodes that may not count this one yet."""
-        joined_s = self._session_age_s()
-        if joined_s < self._joined_s:
-            # With a new session this node has to be counted anew.
-            self._counted_by.clear()
-        self._joined_s = joined_s
+        """Return the nodes that might not count this node yet."""
+        session_age_s = self._session_age_s()
+        if session_age_s < self._last_session_age_s:
+            # The session is new, so the other nodes must confirm it again.
+            self._counting_sessions.clear()
+        self._last_session_age_s = session_age_s
         others = [name for name in self._peers.live() if name != self._peers.node_id]
-        is_due = 0.0 < joined_s < quota.JOIN_WAIT_S and len(others) <= JOIN_NODES
+        is_due = (
+            0.0 < session_age_s < quota.JOIN_WAIT_S and len(others) <= MAX_JOIN_CALLS
+        )
         return others if is_due and not self._is_counted_by_all() else []
 
     async def _join(self, node_id: str) -> None:
-        session_s = self._joined_s
+        age_at_call_s = self._last_session_age_s
         message = JoinAsk(self._session_id)
         answer = await self._peers.call(node_id, JOIN, message, CALL_TIMEOUT_S)
-        is_same_session = self._session_age_s() >= session_s
+        is_same_session = self._session_age_s() >= age_at_call_s
         if isinstance(answer, JoinReply) and answer.is_counted and is_same_session:
-            self._counted_by.add(answer.session_id)
+            self._counting_sessions.add(answer.session_id)
             self._dispatch()
 
     async def _answer_join(self, message: JoinAsk) -> JoinReply:
-        """Confirm a member once no team has more requests than the smaller share."""
+        """Confirm a member once every team's requests fit into the reduced share."""
         now = trio.current_time()
         is_counted = message.session_id in self._members() and all(
             team.account.in_flight
@@ -337,18 +357,18 @@
     def _has_slice(self, team: _Team) -> bool:
         return trio.current_time() < team.account.lent_until
 
-    def _pace(self, team: _Team, now: float) -> backlog.StartRates:
-        """Return the team's pace.
+    def _start_rates(self, team: _Team, now: float) -> backlog.StartRates:
+        """Return the rates at which the team's requests can start.
 
-        Slices follow demand, so the share in force bounds the pace only once the
-        owner could not lend all that was asked for.
+        Slices grow with demand, so the current share is a bound only after the owner
+        could not lend all that was requested.
         """
         own_floor = self._floor(team)
         share = quota.share_in_force(team.account, own_floor, now)
-        if team.may_grow:
+        if team.is_demand_met:
             share = own_floor.plus(quota.pool(team.limits))
         return backlog.StartRates(
-            share.in_flight, share.requests_per_s, share.tokens_per_s, team.hold_s
+            share.in_flight, share.requests_per_s, share.tokens_per_s, team.mean_run_s
         )
 
     def _try_start(self, entry: backlog.Entry) -> bool:
@@ -362,110 +382,120 @@
     def _dispatch(self) -> None:
         now = trio.current_time()
         for entry, answer in backlog.expire(self._queues, now):
-            self._settle(entry, answer)
+            self._complete(entry, answer)
         while (head := backlog.start_next(self._queues, self._try_start)) is not None:
             self._running += 1
-            self._settle(head, Permit(self, head.team, head.cost, now))
+            self._complete(head, Permit(self, head.team, head.cost, now))
 
-    def _settle(self, entry: backlog.Entry, outcome: Permit | refusal.Refusal) -> None:
+    def _complete(
+        self, entry: backlog.Entry, outcome: Permit | refusal.Refusal
+    ) -> None:
         waiter = self._waiters[entry.number]
         waiter.outcome = outcome
         waiter.done.set()
 
-    def _leave(self, ticket: Permit, unused_tokens: float) -> None:
+    def _release(self, permit: Permit, unused_tokens: float) -> None:
         now = trio.current_time()
-        team = self._teams[ticket.team]
+        team = self._teams[permit.team]
         quota.finish(team.account, unused_tokens)
-        team.hold_s += HOLD_WEIGHT * (now - ticket.started_at - team.hold_s)
-        team.used_at = now
+        team.mean_run_s += RUN_TIME_WEIGHT * (now - permit.started_at - team.mean_run_s)
+        team.last_active_at = now
         self._running -= 1
         self._dispatch()
 
-    async def _serve_queues(self) -> None:
+    async def _poll_queues(self) -> None:
         while True:
             if not self._waiters:
                 self._has_waiters = trio.Event()
                 await self._has_waiters.wait()
             self._dispatch()
-            await trio.sleep(TICK_S)
+            await trio.sleep(QUEUE_POLL_S)
 
-    def _teams_to_ask(self) -> list[str]:
+    def _teams_due(self) -> list[str]:
+        """Drop idle teams and return those that need a slice request."""
         now = trio.current_time()
         idle = [
             name
             for name, team in self._teams.items()
             if team.account.in_flight == 0
             and name not in self._queues.queues
-            and now - team.used_at > IDLE_S
+            and now - team.last_active_at > TEAM_IDLE_TIMEOUT_S
         ]
         for name in idle:
             del self._teams[name]
-        return [name for name, team in self._teams.items() if self._is_due(name, team)]
+        return [
+            name
+            for name, team in self._teams.items()
+            if self._needs_request(name, team)
+        ]
 
-    def _is_due(self, name: str, team: _Team) -> bool:
+    def _needs_request(self, name: str, team: _Team) -> bool:
         now = trio.current_time()
-        if now < team.ask_after:
+        if now < team.next_request_at:
             return False
         if name in self._queues.queues:
             has_grown = (
-                self._wanted(name, team) > quota.MAX_DEMAND_RATIO * team.asked_for
+                self._demand(name, team)
+                > quota.MAX_DEMAND_RATIO * team.requested_in_flight
             )
             if has_grown or not self._has_slice(team):
-                return now - team.asked_at >= ASK_SOON_S
-        is_used = self._above_floor(team) > 0 or team.arrived > 0
+                return now - team.requested_at >= EARLY_REQUEST_INTERVAL_S
+        is_used = self._above_floor(team) > 0 or team.new_requests > 0
         is_used = is_used or name in self._queues.queues
-        return is_used and now - team.asked_at >= quota.REQUEST_INTERVAL_S
+        return is_used and now - team.requested_at >= quota.REQUEST_INTERVAL_S
 
-    def _wanted(self, name: str, team: _Team) -> int:
+    def _demand(self, name: str, team: _Team) -> int:
         queue = self._queues.queues.get(name)
         return team.account.in_flight + (0 if queue is None else len(queue.entries))
 
     def _above_floor(self, team: _Team) -> int:
         return max(0, team.account.in_flight - self._floor(team).in_flight)
 
-    def _message(self, name: str, team: _Team, now: float) -> SliceAsk:
-        """Ask for what arrived since the last request, and for what waits."""
+    def _build_request(self, name: str, team: _Team, now: float) -> SliceAsk:
+        """Build a request that covers recent arrivals and waiting requests."""
         queue = self._queues.queues.get(name)
         waiting = 0 if queue is None else len(queue.entries)
         tokens = 0.0 if queue is None else sum(e.cost for e in queue.entries)
-        interval_s = min(quota.SLICE_LEASE_S, max(1.0, now - team.asked_at))
+        interval_s = min(quota.SLICE_LEASE_S, max(1.0, now - team.requested_at))
         held = self._above_floor(team)
         return SliceAsk(
             name,
             self._session_id,
-            next(self._asks),
+            next(self._request_numbers),
             held,
-            max(0, self._wanted(name, team) - self._floor(team).in_flight),
-            team.arrived / interval_s + waiting,
-            team.arrived_tokens / interval_s + tokens,
+            max(0, self._demand(name, team) - self._floor(team).in_flight),
+            team.new_requests / interval_s + waiting,
+            team.new_tokens / interval_s + tokens,
         )
 
-    async def _ask(self, name: str) -> None:
+    async def _request_slice(self, name: str) -> None:
         team = self._teams.get(name)
         now = trio.current_time()
         if team is None:
             return
-        was_told = bool(team.told_owner)
-        holder = team.told_owner or self._owner_of(name)
-        if holder is None or now < team.ask_after or now <= team.asked_at:
+        was_redirected = bool(team.redirected_to)
+        owner_id = team.redirected_to or self._owner_of(name)
+        if owner_id is None or now < team.next_request_at or now <= team.requested_at:
             return
-        message = self._message(name, team, now)
-        team.asked_at = now
-        team.asked_for = self._wanted(name, team)
-        team.arrived = 0
-        team.arrived_tokens = 0.0
-        answer = await self._peers.call(holder, SLICE, message, CALL_TIMEOUT_S)
-        team.may_grow = isinstance(answer, SliceReply) and _is_met(answer, message)
-        team.told_owner = ""
+        message = self._build_request(name, team, now)
+        team.requested_at = now
+        team.requested_in_flight = self._demand(name, team)
+        team.new_requests = 0
+        team.new_tokens = 0.0
+        answer = await self._peers.call(owner_id, SLICE, message, CALL_TIMEOUT_S)
+        team.is_demand_met = isinstance(answer, SliceReply) and _covers_demand(
+            answer, message
+        )
+        team.redirected_to = ""
         if isinstance(answer, rpc.Unreachable):
             return
         if not answer.is_lent:
-            team.ask_after = now + answer.wait_s
-            if answer.owner not in ("", holder) and not was_told:
-                # The asked node is not the owner, and a request may be waiting.
-                team.told_owner = answer.owner
-                team.asked_at = -math.inf
-                self._ask_soon(name)
+            team.next_request_at = now + answer.wait_s
+            if answer.owner not in ("", owner_id) and not was_redirected:
+                # Follow the redirect at once, since requests may be waiting.
+                team.redirected_to = answer.owner
+                team.requested_at = -math.inf
+                self._schedule_request(name)
             return
         amounts = quota.Amounts(
             answer.in_flight, answer.requests_per_s, answer.tokens_per_s
@@ -501,7 +531,7 @@
         return SliceReply(False)
 
 
-def _is_met(answer: SliceReply, message: SliceAsk) -> bool:
+def _covers_demand(answer: SliceReply, message: SliceAsk) -> bool:
     return (
         answer.is_lent
         and answer.in_flight >= message.in_flight
