Reword slots.py and confirmer.py

Renames: confirmer.Use -> UnconfirmedSlot, Confirmer.uses -> unconfirmed, give_back -> release_now, cut_at -> aborted_at, admitter used_here -> slots_in_use and silent_slots -> unavailable_slots, and private names and locals after what they hold.

--- a/packages/snipelug-node/src/snipelug_node/admitter.py
+++ b/packages/snipelug-node/src/snipelug_node/admitter.py
@@ -74,12 +74,12 @@
     ----------
     reasons : tuple of str
         One per holder asked.
-    silent_slots : int
+    unavailable_slots : int
         Slots of the parts that have no holder, or one that does not answer.
     """
 
     reasons: tuple[str, ...]
-    silent_slots: int = 0
+    unavailable_slots: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -206,7 +206,7 @@
             return cold_limit
         return max(cold_limit, self._warm_limit)
 
-    def used_here(self, upstream_id: str) -> int:
+    def slots_in_use(self, upstream_id: str) -> int:
         """Return the slots in use of the parts that this node holds."""
         parts = [self._parts.get((upstream_id, name)) for name in COLD_PARTS]
         return sum(len(part.slots) for part in parts if part is not None and part.held)
@@ -251,7 +251,7 @@
             The upstream was last known to be warm: do not wait for silent holders.
         """
         reasons: list[str] = []
-        silent_slots = 0
+        unavailable_slots = 0
         own_id = self._peers.node_id
         own_first = sorted(
             parts, key=lambda part: self._holder_of(upstream_id, part) != own_id
@@ -262,7 +262,7 @@
                 reasons.append(f"{part}: {answer.reason}")
                 if answer.is_silent:
                     limit = self._cold_limit_of(upstream_id)
-                    silent_slots += admission.capacity(part, limit)
+                    unavailable_slots += admission.capacity(part, limit)
                 continue
             held = Slot(answer)
             try:
@@ -273,7 +273,7 @@
                     self._release, answer, has_ended, held.has_arrived
                 )
             return
-        yield Denied(tuple(reasons), silent_slots)
+        yield Denied(tuple(reasons), unavailable_slots)
 
     async def _ask(
         self,
--- a/packages/snipelug-node/src/snipelug_node/confirmer.py
+++ b/packages/snipelug-node/src/snipelug_node/confirmer.py
@@ -1,4 +1,4 @@
-"""Gives slots back once a load report confirms that their upstream was warm."""
+"""Releases slots once a load report confirms that their upstream was warm."""
 
 import collections.abc
 import typing
@@ -7,31 +7,32 @@
 
 from snipelug_core import confirmation, table
 
-GIVE_UP_S = 2.0
-"""Time for which the slot of a request that was cut off waits for a report."""
+ABORTED_SLOT_WAIT_S = 2.0
+"""Time for which the slot of an aborted request waits for a confirming report."""
 
 
-class Use(typing.Protocol):
-    """A slot in use by a request.
+class UnconfirmedSlot(typing.Protocol):
+    """A slot whose request may have been sent and is not confirmed by a report.
 
     Attributes
     ----------
-    sent : Sent or None
-        The send, once it is made.
-    cut_at : float or None
-        Monotonic time at which the request was cut off; its upstream may run it.
+    sent : SentRequest or None
+        The request, once sent.
+    aborted_at : float or None
+        Monotonic time at which the request was cut off, in seconds; its upstream may
+        still run it.
     """
 
     sent: confirmation.SentRequest | None
-    cut_at: float | None
+    aborted_at: float | None
 
     @property
     def holder(self) -> str:
         """Node that granted the slot."""
         ...
 
-    def give_back(self, has_ended: bool) -> None:
-        """Give the slot back."""
+    def release_now(self, has_ended: bool) -> None:
+        """Release the slot at once."""
         ...
 
 
@@ -39,14 +40,14 @@
 
 
 class Confirmer:
-    """Slots whose requests were sent and are not confirmed yet, by upstream.
+    """Tracks unconfirmed slots by upstream and reads load reports for them.
 
     Parameters
     ----------
     tables : table.Tables
         The upstreams and their newest reports.
     refresh : callable
-        Reads an upstream's load report now.
+        Reads an upstream's load report immediately.
     nursery : trio.Nursery
         Runs the reads.
     """
@@ -57,52 +58,54 @@
         self._tables = tables
         self._refresh = refresh
         self._nursery = nursery
-        self._open: dict[str, list[Use]] = {}
+        self._unconfirmed: dict[str, list[UnconfirmedSlot]] = {}
 
-    def add(self, upstream_id: str, use: Use) -> None:
-        """Follow a slot whose request is being sent."""
-        known = self._open.get(upstream_id)
+    def add(self, upstream_id: str, slot: UnconfirmedSlot) -> None:
+        """Track a slot whose request is being sent."""
+        known = self._unconfirmed.get(upstream_id)
         if known is not None:
-            known.append(use)
+            known.append(slot)
             return
-        self._open[upstream_id] = [use]
+        self._unconfirmed[upstream_id] = [slot]
         self._nursery.start_soon(self._watch, upstream_id)
 
-    def uses(self, upstream_id: str) -> list[Use]:
-        """Return the slots at an upstream that wait for a report."""
-        return list(self._open.get(upstream_id, ()))
+    def unconfirmed(self, upstream_id: str) -> list[UnconfirmedSlot]:
+        """Return an upstream's slots that wait for a confirming report."""
+        return list(self._unconfirmed.get(upstream_id, ()))
 
-    def discard(self, upstream_id: str, use: Use) -> None:
-        """Stop to follow a slot that was given back."""
-        known = self._open.get(upstream_id, [])
-        if use in known:
-            known.remove(use)
+    def discard(self, upstream_id: str, slot: UnconfirmedSlot) -> None:
+        """Stop tracking a slot that was released."""
+        known = self._unconfirmed.get(upstream_id, [])
+        if slot in known:
+            known.remove(slot)
 
     def apply_report(self, upstream_id: str) -> None:
-        """Give back the slots that the newest report confirms."""
+        """Release the slots that the newest report confirms."""
         upstream = self._tables.upstreams.get(upstream_id)
         report = None if upstream is None else upstream.report
         now = trio.current_time()
         is_warm = report is not None and report.state is table.Warmth.WARM
-        for use in list(self._open.get(upstream_id, ())):
-            if use.sent is None or confirmation.is_confirmed(use.sent, report):
-                use.give_back(has_ended=True)
-            elif use.cut_at is None:
+        for slot in list(self._unconfirmed.get(upstream_id, ())):
+            if slot.sent is None or confirmation.is_confirmed(slot.sent, report):
+                slot.release_now(has_ended=True)
+            elif slot.aborted_at is None:
                 continue
-            elif not is_warm or now - use.cut_at > GIVE_UP_S:
-                use.give_back(has_ended=False)
+            elif not is_warm or now - slot.aborted_at > ABORTED_SLOT_WAIT_S:
+                slot.release_now(has_ended=False)
 
     async def _watch(self, upstream_id: str) -> None:
-        """Read the load until no slot waits for a report."""
-        while uses := self._open[upstream_id]:
+        """Read load reports until no slot waits for one."""
+        while unconfirmed := self._unconfirmed[upstream_id]:
             upstream = self._tables.upstreams.get(upstream_id)
             if upstream is None:
-                for use in list(uses):
-                    use.give_back(has_ended=False)
+                for slot in list(unconfirmed):
+                    slot.release_now(has_ended=False)
                 break
-            sents = [use.sent for use in uses if use.sent is not None]
+            sent_requests = [slot.sent for slot in unconfirmed if slot.sent is not None]
             now = trio.current_time()
-            await trio.sleep_until(confirmation.next_read_at(sents, upstream, now))
+            await trio.sleep_until(
+                confirmation.next_read_at(sent_requests, upstream, now)
+            )
             await self._refresh(upstream)
             self.apply_report(upstream_id)
-        del self._open[upstream_id]
+        del self._unconfirmed[upstream_id]
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -1,4 +1,7 @@
-"""Cold-start slots as the request path uses them, and who holds their parts."""
+"""Cold-start slots for the request path, and ownership of their parts.
+
+The slots of an upstream are divided into parts, each granted by one holder node.
+"""
 
 import collections.abc
 import contextlib
@@ -10,38 +13,42 @@
 from snipelug_core import admission, confirmation, ownership, refusal, table
 from snipelug_node import admitter, confirmer, lease
 
-RETRY_S = 0.1
-"""Pause between two requests for a slot of an upstream whose slots are in use."""
+RETRY_INTERVAL_S = 0.1
+"""Pause before requesting a slot again from an upstream whose slots are all in use."""
 
-WARM_RETRY_S = 0.03
-"""The same for a warm upstream, whose slots get free within the lag of a report."""
+WARM_RETRY_INTERVAL_S = 0.03
+"""The same for a warm upstream, whose slots are freed as soon as a report arrives."""
 
 
 @dataclasses.dataclass(eq=False)
 class HeldSlot:
-    """A slot for one send; implements ``sender.Slot`` and ``confirmer.Use``.
+    """A slot for one send; implements ``sender.Slot`` and `confirmer.UnconfirmedSlot`.
 
     Attributes
     ----------
     held : admitter.Slot or None
-        The slot as granted; None for a send on this node's allowance.
+        The granted slot; None for a send that uses this node's allowance.
     on_release : callable
-        Called once when the slot is given back.
-    uses : Confirmer or None
-        Where sends are followed; None for slots that a warm upstream needs as well.
+        Called once when the slot is released.
+    tracker : Confirmer or None
+        Tracks the slot until a report confirms its request; None for slots that are
+        required for warm upstreams too.
+    aborted_at : float or None
+        Monotonic time at which the request was cut off, in seconds; its upstream may
+        still run it.
     """
 
     upstream_id: str
     held: admitter.Slot | None
     on_release: collections.abc.Callable[[], None]
-    uses: confirmer.Confirmer | None = None
+    tracker: confirmer.Confirmer | None = None
     sent: confirmation.SentRequest | None = None
-    cut_at: float | None = None
-    is_over: bool = False
+    aborted_at: float | None = None
+    is_released: bool = False
 
     @property
     def holder(self) -> str:
-        """Node that granted the slot; empty for a send on the allowance."""
+        """Node that granted the slot; empty for a send that uses the allowance."""
         return "" if self.held is None else self.held.grant.holder
 
     @property
@@ -50,35 +57,35 @@
         return self.held is not None
 
     def valid(self, now: float) -> bool:
-        """Whether the request may be sent now; consents once."""
-        if self.sent is not None or self.is_over:
+        """Return whether the request may be sent now; true at most once."""
+        if self.sent is not None or self.is_released:
             return False
         if self.held is not None and not self.held.may_send(now):
             return False
         self.sent = confirmation.SentRequest(now)
-        if self.uses is not None:
-            self.uses.add(self.upstream_id, self)
+        if self.tracker is not None:
+            self.tracker.add(self.upstream_id, self)
         return True
 
     def arrived(self, now: float) -> None:
-        """Note that the upstream accepted the request."""
+        """Record that the upstream accepted the request."""
         if self.sent is not None:
             self.sent.head_at = now
 
     def release(self, has_ended: bool) -> None:
-        """Give the slot back; one whose request may still run waits for a report."""
-        if self.uses is None or self.sent is None or has_ended:
-            self.give_back(has_ended)
-        elif self.cut_at is None:
-            self.cut_at = trio.current_time()
-
-    def give_back(self, has_ended: bool) -> None:
-        """Give the slot back; its holder keeps it if the request may still run."""
-        if self.is_over:
+        """Release the slot; if the request may still run, wait for a load report."""
+        if self.tracker is None or self.sent is None or has_ended:
+            self.release_now(has_ended)
+        elif self.aborted_at is None:
+            self.aborted_at = trio.current_time()
+
+    def release_now(self, has_ended: bool) -> None:
+        """Release the slot at once; its holder keeps it while the request may run."""
+        if self.is_released:
             return
-        self.is_over = True
-        if self.uses is not None:
-            self.uses.discard(self.upstream_id, self)
+        self.is_released = True
+        if self.tracker is not None:
+            self.tracker.discard(self.upstream_id, self)
         if self.held is not None:
             self.held.has_ended = has_ended
             was_accepted = self.sent is not None and self.sent.head_at is not None
@@ -87,35 +94,35 @@
 
 
 @dataclasses.dataclass
-class _Queue:
+class _WarmQueue:
     """Requests of this node that wait for slots of one warm upstream.
 
     Attributes
     ----------
     lock : trio.Lock
-        Held by the request that asks, so that waiting requests cost no calls.
+        Held by the one request that asks for a slot, so that the others make no calls.
     stalled_since : float or None
-        Monotonic time since which this node asks and gets no slot, in seconds.
-    full_at : float
+        Monotonic time since which requests for a slot have failed, in seconds.
+    last_full_at : float
         Monotonic time at which all slots were last found in use, in seconds.
     allowance_used : int
-        Unconfirmed requests without a slot.
+        Number of unconfirmed requests that were sent without a slot.
     """
 
     lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
     stalled_since: float | None = None
-    full_at: float = -math.inf
+    last_full_at: float = -math.inf
     allowance_used: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class StartHolding:
-    """Start to hold a part.
+    """Start holding a part.
 
     Attributes
     ----------
     had_holder : bool
-        False if this node created the row, so that nobody can hold a grant.
+        False if this node created the row, so that no grant can be outstanding.
     """
 
     upstream_id: str
@@ -125,7 +132,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StopHolding:
-    """Stop to hold a part."""
+    """Stop holding a part."""
 
     upstream_id: str
     part: admission.PartName
@@ -136,40 +143,42 @@
 
     Parameters
     ----------
+    slot_admitter : admitter.Admitter
+        Requests slots from their holders.
     keeper : lease.Keeper
-        Tells which parts this node holds, and who holds the others.
+        Knows which node holds each part.
     upstream_ids : callable
-        All upstreams of the deployment.
-    uses : confirmer.Confirmer
-        Gives slots back when a report confirms that the upstream is warm.
+        Returns the ids of all upstreams of the deployment.
+    tracker : confirmer.Confirmer
+        Releases slots when a report confirms that their upstream is warm.
     nursery : trio.Nursery
-        Runs releases.
+        Runs releases in the background.
     """
 
     def __init__(
         self,
-        asking: admitter.Admitter,
+        slot_admitter: admitter.Admitter,
         keeper: lease.Keeper,
         upstream_ids: collections.abc.Callable[[], collections.abc.Iterable[str]],
-        uses: confirmer.Confirmer,
+        tracker: confirmer.Confirmer,
         nursery: trio.Nursery,
     ) -> None:
-        self._asking = asking
-        self._node_id = asking.node_id
-        self._uses = uses
-        self._queues: dict[str, _Queue] = {}
+        self._admitter = slot_admitter
+        self._node_id = slot_admitter.node_id
+        self._tracker = tracker
+        self._queues: dict[str, _WarmQueue] = {}
         self._keeper = keeper
         self._upstream_ids = upstream_ids
         self._nursery = nursery
-        self._begun: dict[tuple[str, admission.PartName], float] = {}
-        self._ever_begun: set[tuple[str, admission.PartName]] = set()
+        self._started_parts: dict[tuple[str, admission.PartName], float] = {}
+        self._ever_started: set[tuple[str, admission.PartName]] = set()
 
     async def acquire(
         self, upstream_id: str, deadline: float
     ) -> HeldSlot | refusal.Refusal:
-        """Obtain a cold-start slot, waiting for one until the deadline."""
+        """Acquire a cold-start slot, waiting until the deadline."""
         return await self._acquire(
-            upstream_id, deadline, admitter.COLD_PARTS, self._uses
+            upstream_id, deadline, admitter.COLD_PARTS, self._tracker
         )
 
     async def acquire_warm(
@@ -179,14 +188,14 @@
         is_warm: collections.abc.Callable[[], bool],
         may_wait: bool = True,
     ) -> HeldSlot | refusal.Refusal | None:
-        """Obtain a slot of an upstream that was last known to be warm.
+        """Acquire a slot of an upstream that was last known to be warm.
 
         Returns
         -------
         HeldSlot, Refusal or None
-            None if the upstream is not known to be warm any more.
+            None if the upstream is no longer known to be warm.
         """
-        queue = self._queues.setdefault(upstream_id, _Queue())
+        queue = self._queues.setdefault(upstream_id, _WarmQueue())
         message = f"all slots of upstream {upstream_id} are in use"
         busy = refusal.refuse(refusal.NO_UPSTREAM, message)
         if queue.lock.locked() and not may_wait:
@@ -199,24 +208,24 @@
                         return slot
                     if not may_wait:
                         return busy
-                    await trio.sleep(WARM_RETRY_S)
+                    await trio.sleep(WARM_RETRY_INTERVAL_S)
                 return None
         return busy
 
-    async def _try_warm(self, upstream_id: str, queue: _Queue) -> HeldSlot | None:
+    async def _try_warm(self, upstream_id: str, queue: _WarmQueue) -> HeldSlot | None:
         now = trio.current_time()
         if queue.stalled_since is None:
             queue.stalled_since = now
         parts = admitter.COLD_PARTS
-        held = await self._enter(upstream_id, parts, self._uses, is_warm=True)
+        held = await self._request_slot(upstream_id, parts, self._tracker, is_warm=True)
         if isinstance(held, HeldSlot):
             queue.stalled_since = None
             return held
-        queue.full_at = trio.current_time()
-        stalled_s = queue.full_at - queue.stalled_since
+        queue.last_full_at = trio.current_time()
+        stalled_s = queue.last_full_at - queue.stalled_since
         if not confirmation.may_send_without_slot(
-            held.silent_slots,
-            self._asking.rank(upstream_id),
+            held.unavailable_slots,
+            self._admitter.rank(upstream_id),
             stalled_s,
             queue.allowance_used,
         ):
@@ -227,27 +236,27 @@
         def on_release() -> None:
             queue.allowance_used -= 1
 
-        return HeldSlot(upstream_id, None, on_release, self._uses)
+        return HeldSlot(upstream_id, None, on_release, self._tracker)
 
-    async def _enter(
+    async def _request_slot(
         self,
         upstream_id: str,
         parts: tuple[admission.PartName, ...],
-        uses: confirmer.Confirmer | None,
+        tracker: confirmer.Confirmer | None,
         is_warm: bool = False,
     ) -> HeldSlot | admitter.Denied:
         stack = contextlib.AsyncExitStack()
         duration_s = admission.MAX_DURATION_S
-        slot = self._asking.slot(upstream_id, duration_s, parts, is_warm)
+        slot = self._admitter.slot(upstream_id, duration_s, parts, is_warm)
         held = await stack.enter_async_context(slot)
         if isinstance(held, admitter.Slot):
 
             def on_release() -> None:
                 self._nursery.start_soon(stack.aclose)
 
-            return HeldSlot(upstream_id, held, on_release, uses)
+            return HeldSlot(upstream_id, held, on_release, tracker)
         await stack.aclose()
-        if held.silent_slots:
+        if held.unavailable_slots:
             kind = ownership.Kind.UPSTREAM
             self._nursery.start_soon(self._keeper.read_owner, kind, upstream_id)
         return held
@@ -255,7 +264,7 @@
     async def acquire_suspect(
         self, upstream_id: str, deadline: float
     ) -> HeldSlot | refusal.Refusal:
-        """Obtain the slot for suspect requests, waiting until the deadline."""
+        """Acquire the slot for suspect requests, waiting until the deadline."""
         return await self._acquire(upstream_id, deadline, admitter.SUSPECT_PARTS, None)
 
     async def _acquire(
@@ -263,72 +272,73 @@
         upstream_id: str,
         deadline: float,
         parts: tuple[admission.PartName, ...],
-        uses: confirmer.Confirmer | None,
+        tracker: confirmer.Confirmer | None,
     ) -> HeldSlot | refusal.Refusal:
         denied = admitter.Denied(())
         while trio.current_time() < deadline:
-            held = await self._enter(upstream_id, parts, uses)
+            held = await self._request_slot(upstream_id, parts, tracker)
             if isinstance(held, HeldSlot):
                 return held
             denied = held
-            await trio.sleep(RETRY_S)
+            await trio.sleep(RETRY_INTERVAL_S)
         reasons = "; ".join(denied.reasons) or "the deadline passed"
         message = f"upstream {upstream_id} has no free slot: {reasons}"
         return refusal.refuse(refusal.NO_UPSTREAM, message)
 
     def is_granted(self, upstream_id: str, now: float) -> bool:
-        """Whether this node can grant itself a slot now."""
+        """Return whether this node can grant itself a slot now."""
         del now
         return any(
             holds(self._keeper, upstream_id, part)
-            and self._asking.has_free_slot(upstream_id, part)
+            and self._admitter.has_free_slot(upstream_id, part)
             for part in admitter.COLD_PARTS
         )
 
     def wait_s(self, upstream: table.Upstream, now: float) -> float:
         """Return the expected wait for a slot of a warm upstream, in seconds.
 
-        Slots that other nodes lend to others are unknown here; when all were found in
-        use, they are taken to be so until a report can free them.
+        This node does not see slots that other nodes grant to each other. Once all
+        slots were found in use, it assumes so until a report can free them.
         """
         upstream_id = upstream.instance.id
-        limit = self._asking.limit_of(upstream_id, upstream.report)
+        limit = self._admitter.limit_of(upstream_id, upstream.report)
         age_s = confirmation.report_age_s(upstream)
-        uses = self._uses.uses(upstream_id)
-        elsewhere = sum(use.holder != self._node_id for use in uses)
-        used = self._asking.used_here(upstream_id) + elsewhere
+        unconfirmed = self._tracker.unconfirmed(upstream_id)
+        used_elsewhere = sum(slot.holder != self._node_id for slot in unconfirmed)
+        used = self._admitter.slots_in_use(upstream_id) + used_elsewhere
         queue = self._queues.get(upstream_id)
-        if queue is not None and now < queue.full_at + age_s:
+        if queue is not None and now < queue.last_full_at + age_s:
             used = max(used, limit)
         return confirmation.expected_wait_s(used + upstream.queued, limit, age_s)
 
     def has_part(self, upstream_id: str) -> bool:
-        """Whether this node holds a part, and so must follow the upstream's load."""
-        return any(self._fencing(upstream_id, p) for p in admitter.COLD_PARTS)
+        """Return whether this node holds a part, so that it must watch the load."""
+        return any(self._own_fencing_token(upstream_id, p) for p in admitter.COLD_PARTS)
 
     def plan(self) -> collections.abc.Iterator[StartHolding | StopHolding]:
-        """Yield what changed about the parts that this node holds."""
+        """Yield the changes to the set of parts that this node holds."""
         for upstream_id in self._upstream_ids():
             for part in admitter.COLD_PARTS:
-                place = (upstream_id, part)
-                taken_at = self._taken_at(upstream_id, part)
-                known = self._begun.get(place)
-                if known is not None and taken_at is None:
-                    del self._begun[place]
+                part_key = (upstream_id, part)
+                own_since = self._own_since(upstream_id, part)
+                known_since = self._started_parts.get(part_key)
+                if known_since is not None and own_since is None:
+                    del self._started_parts[part_key]
                     yield StopHolding(upstream_id, part)
-                # The row's number also grows when this node writes its own row again.
-                if taken_at is not None and taken_at != known:
-                    is_first = place not in self._ever_begun
-                    number = self._fencing(upstream_id, part)
-                    self._begun[place] = taken_at
-                    self._ever_begun.add(place)
+                # Compares times, since the fencing token also grows when this node
+                # rewrites its own row.
+                if own_since is not None and own_since != known_since:
+                    is_first = part_key not in self._ever_started
+                    fencing_token = self._own_fencing_token(upstream_id, part)
+                    self._started_parts[part_key] = own_since
+                    self._ever_started.add(part_key)
                     yield StartHolding(
-                        upstream_id, part, not (is_first and number == 1)
+                        upstream_id, part, not (is_first and fencing_token == 1)
                     )
 
-    def _taken_at(self, upstream_id: str, part: admission.PartName) -> float | None:
-        """Return when this node took a part that its row names it for."""
-        if self._fencing(upstream_id, part) is None:
+    def _own_since(self, upstream_id: str, part: admission.PartName) -> float | None:
+        """Return since when a part's row names this process, or None if it doesn't."""
+        if self._own_fencing_token(upstream_id, part) is None:
             return None
         kind = ownership.Kind.UPSTREAM
         if part is admission.PartName.OUTAGE:
@@ -336,35 +346,39 @@
         return self._keeper.owner_since(kind, upstream_id)
 
     async def execute(self, action: StartHolding | StopHolding) -> None:
-        """Start or stop to hold a part."""
+        """Start or stop holding a part."""
         match action:
             case StartHolding(upstream_id, part, had_holder):
-                self._asking.start_holding(upstream_id, part, had_holder)
+                self._admitter.start_holding(upstream_id, part, had_holder)
             case StopHolding(upstream_id, part):
-                self._asking.stop_holding(upstream_id, part)
+                self._admitter.stop_holding(upstream_id, part)
 
-    def _fencing(self, upstream_id: str, part: admission.PartName) -> int | None:
-        """Return the number of the row that names this process, valid or not.
+    def _own_fencing_token(
+        self, upstream_id: str, part: admission.PartName
+    ) -> int | None:
+        """Return the fencing token of the row if it names this process, else None.
 
-        A lease that lapses for a moment changes nothing about the slots in use.
+        The lease need not be valid: a brief lapse does not affect the slots in use.
         """
         key = ownership.row_key(ownership.Kind.UPSTREAM, upstream_id)
         owners = self._keeper.owners
-        seen = owners.known_rows.get(key)
-        if seen is None:
+        known_row = owners.known_rows.get(key)
+        if known_row is None:
             return None
         if part is admission.PartName.OUTAGE:
-            mine = (
-                seen.row.outage_holder == owners.own_process
-                and not seen.outage_relinquished
+            is_own = (
+                known_row.row.outage_holder == owners.own_process
+                and not known_row.outage_relinquished
             )
         else:
-            mine = seen.row.owner == owners.own_process and not seen.relinquished
-        return seen.row.fencing if mine else None
+            is_own = (
+                known_row.row.owner == owners.own_process and not known_row.relinquished
+            )
+        return known_row.row.fencing if is_own else None
 
 
 def holds(keeper: lease.Keeper, upstream_id: str, part: admission.PartName) -> bool:
-    """Return whether this node may grant slots of a part at this moment."""
+    """Return whether this node may grant slots of a part now."""
     kind = ownership.Kind.UPSTREAM
     if part is admission.PartName.OUTAGE:
         return keeper.outage_holder(kind, upstream_id)
@@ -374,11 +388,11 @@
 def holder_of(
     keeper: lease.Keeper, upstream_id: str, part: admission.PartName
 ) -> str | None:
-    """Return the node to ask for a slot of a part, as far as known."""
+    """Return the node that grants slots of a part, or None if unknown."""
     kind = ownership.Kind.UPSTREAM
     if part is not admission.PartName.OUTAGE:
         return keeper.owner_of(kind, upstream_id)
-    seen = keeper.owners.known_rows.get(ownership.row_key(kind, upstream_id))
-    if seen is None or seen.row.outage_holder is None:
+    known_row = keeper.owners.known_rows.get(ownership.row_key(kind, upstream_id))
+    if known_row is None or known_row.row.outage_holder is None:
         return None
-    return seen.row.outage_holder.node
+    return known_row.row.outage_holder.node
