Reword admitter.py and its tests

Renames: SILENT_S -> UNREACHABLE_SKIP_S, _ask -> _request_slot, _silent_until -> _skip_until, WARM_TIMEOUT_S -> WARM_CALL_TIMEOUT_S, RELEASE_PAUSE_S -> RELEASE_RETRY_INTERVAL_S; two test names.

--- a/packages/snipelug-node/src/snipelug_node/admitter.py
+++ b/packages/snipelug-node/src/snipelug_node/admitter.py
@@ -1,4 +1,4 @@
-"""Slots of cold upstreams between nodes: asked for, granted and released."""
+"""Requests, grants and releases of slots of cold upstreams between nodes."""
 
 import collections.abc
 import contextlib
@@ -14,15 +14,15 @@
 from snipelug_node import ports
 
 CALL_TIMEOUT_S = 1.0
-"""Time for one call; three fit into the validity of a grant."""
+"""Timeout of one call; three timeouts fit into the validity of a grant."""
 
-WARM_TIMEOUT_S = 0.5
-SILENT_S = 2.0
-"""Time for which a holder that did not answer is not asked for slots of a warm
-upstream, so that requests are not held up one after the other."""
+WARM_CALL_TIMEOUT_S = 0.5
+UNREACHABLE_SKIP_S = 2.0
+"""Time for which an unreachable holder is not asked for slots of a warm upstream, so
+that requests do not wait for the call timeout one after another."""
 
 RELEASE_ATTEMPTS = 3
-RELEASE_PAUSE_S = 1.0
+RELEASE_RETRY_INTERVAL_S = 1.0
 
 COLD_PARTS = (admission.PartName.LEASED, admission.PartName.OUTAGE)
 SUSPECT_PARTS = (admission.PartName.SUSPECT,)
@@ -31,7 +31,7 @@
 
 
 class Admit(msgspec.Struct, frozen=True):
-    """Asks the holder of a part for one slot."""
+    """Requests one slot from the holder of a part."""
 
     upstream_id: Identifier
     part: admission.PartName
@@ -49,7 +49,7 @@
 
 
 class Release(msgspec.Struct, frozen=True):
-    """Gives a slot back."""
+    """Releases a slot."""
 
     upstream_id: Identifier
     part: admission.PartName
@@ -73,9 +73,9 @@
     Attributes
     ----------
     reasons : tuple of str
-        One per holder asked.
+        One reason per holder that was asked.
     unavailable_slots : int
-        Slots of the parts that have no holder, or one that does not answer.
+        Slots of the parts whose holder is unknown or did not answer.
     """
 
     reasons: tuple[str, ...]
@@ -84,7 +84,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Refused:
-    """One holder granted no slot."""
+    """One holder did not grant a slot."""
 
     reason: str
     is_silent: bool = True
@@ -99,9 +99,9 @@
     was_sent : bool
         Whether the first byte may have been sent; set by `may_send`.
     has_ended : bool
-        Whether the answer came to its end; set by the user of the slot.
+        Whether the response is complete; set by the user of the slot.
     has_arrived : bool
-        Whether the answer has begun; set by the user of the slot.
+        Whether the response has started; set by the user of the slot.
     """
 
     grant: admission.Grant
@@ -110,10 +110,9 @@
     has_arrived: bool = False
 
     def may_send(self, now: float) -> bool:
-        """Return whether the request may be sent now, once.
+        """Return whether the request may be sent now; true at most once.
 
-        To be called as the last step before the first byte, without any suspension
-        in between.
+        Call it directly before sending the first byte, without an await in between.
         """
         if self.was_sent or not admission.is_valid(self.grant, now):
             return False
@@ -127,25 +126,26 @@
 
 
 class Admitter:
-    """Both sides of the slots: this node's own parts, and its requests for slots.
+    """Grants slots of the parts that this node holds, and requests slots of others.
 
     Parameters
     ----------
     peers : Peers
         The other nodes.
     holder_of : callable
-        Returns the node that holds a part of an upstream, as far as known.
+        Returns the node that holds a part of an upstream, or None if unknown.
     holds_now : callable
-        Returns whether this node holds a part at this moment.
+        Returns whether this node holds a part now.
     cold_limit_of : callable
-        Returns the concurrent requests that an upstream sustains while cold.
-    warm_limit : int
-        Unconfirmed requests at one upstream that was last known to be warm, where
-        they are more than it sustains while cold.
+        Returns the number of concurrent requests that an upstream sustains while cold.
     incarnation : str
         Differs between processes of one node, so that nonces do not repeat.
     nursery : Nursery
-        Runs releases, so that an unreachable holder delays no request.
+        Runs releases in the background, so that an unreachable holder delays no
+        request.
+    warm_limit : int
+        Maximum number of unconfirmed requests at an upstream that was last known to be
+        warm, if greater than its cold limit.
     """
 
     def __init__(
@@ -165,9 +165,9 @@
         self._cold_limit_of = cold_limit_of
         self._incarnation = incarnation
         self._nursery = nursery
-        self._numbers = itertools.count()
+        self._nonce_numbers = itertools.count()
         self._parts: dict[tuple[str, admission.PartName], admission.Part] = {}
-        self._silent_until: dict[str, float] = {}
+        self._skip_until: dict[str, float] = {}
         peers.register(ADMIT, self._answer_admit)
         peers.register(RELEASE, self._answer_release)
 
@@ -179,45 +179,45 @@
     def start_holding(
         self, upstream_id: str, part: admission.PartName, had_holder: bool
     ) -> None:
-        """Start to hold a part, after its row names this node."""
+        """Start holding a part, after its row names this node."""
         limit = self._cold_limit_of(upstream_id)
         now = trio.current_time()
-        for name in _held_with(part):
+        for name in _parts_held_with(part):
             admission.start_holding(
                 self._part(upstream_id, name), limit, now, had_holder
             )
 
     def stop_holding(self, upstream_id: str, part: admission.PartName) -> None:
-        """Stop to hold a part, before its row is handed over."""
-        for name in _held_with(part):
+        """Stop holding a part, before its row is handed over."""
+        for name in _parts_held_with(part):
             admission.stop_holding(self._part(upstream_id, name))
 
     def apply_report(self, upstream_id: str, report: table.LoadReport) -> None:
-        """Take the newest load report of an upstream."""
+        """Apply the newest load report of an upstream to the parts held here."""
         for name in admission.PartName:
             part = self._parts.get((upstream_id, name))
             if part is not None:
                 admission.apply_report(part, report)
 
     def limit_of(self, upstream_id: str, report: table.LoadReport | None) -> int:
-        """Return the slots of an upstream, given its newest load report."""
+        """Return the number of slots of an upstream, given its newest load report."""
         cold_limit = self._cold_limit_of(upstream_id)
         if report is None or report.state is not table.Warmth.WARM:
             return cold_limit
         return max(cold_limit, self._warm_limit)
 
     def slots_in_use(self, upstream_id: str) -> int:
-        """Return the slots in use of the parts that this node holds."""
+        """Return the number of slots in use of the parts that this node holds."""
         parts = [self._parts.get((upstream_id, name)) for name in COLD_PARTS]
         return sum(len(part.slots) for part in parts if part is not None and part.held)
 
     def rank(self, upstream_id: str) -> int:
-        """Return this node's place among the live nodes for an upstream, from 0."""
+        """Return this node's rank among the live nodes for an upstream, from 0."""
         live = {*self._peers.live(), self._peers.node_id}
         return hashing.rank(upstream_id, live).index(self._peers.node_id)
 
     def has_free_slot(self, upstream_id: str, name: admission.PartName) -> bool:
-        """Return whether this node, if it holds the part, could grant a slot now."""
+        """Return whether this node holds the part and could grant a slot now."""
         part = self._parts.get((upstream_id, name))
         if part is None or not part.held:
             return False
@@ -235,9 +235,9 @@
     ) -> collections.abc.AsyncIterator[Slot | Denied]:
         """Hold a slot of an upstream for one send.
 
-        The parts' holders are asked in turn, this node first. On leaving, the slot
-        is released; without ``has_ended`` after a send, the holder keeps it until the
-        request must have ended.
+        The holders of the parts are asked in turn, this node first. On exit the slot is
+        released. If the request was sent and ``has_ended`` is not set, the holder keeps
+        the slot until the request must have ended.
 
         Parameters
         ----------
@@ -246,18 +246,19 @@
         duration_s : float
             Time from now within which the request ends, in seconds.
         parts : tuple of PartName
-            Parts to ask for: those for a cold upstream, or the one for suspects.
+            Parts to try: those for cold upstreams, or the one for suspect requests.
         is_warm : bool
-            The upstream was last known to be warm: do not wait for silent holders.
+            Whether the upstream was last known to be warm. If so, calls have a shorter
+            timeout, and holders that did not answer recently are skipped.
         """
         reasons: list[str] = []
         unavailable_slots = 0
         own_id = self._peers.node_id
-        own_first = sorted(
+        ordered_parts = sorted(
             parts, key=lambda part: self._holder_of(upstream_id, part) != own_id
         )
-        for part in own_first:
-            answer = await self._ask(upstream_id, part, duration_s, is_warm)
+        for part in ordered_parts:
+            answer = await self._request_slot(upstream_id, part, duration_s, is_warm)
             if isinstance(answer, _Refused):
                 reasons.append(f"{part}: {answer.reason}")
                 if answer.is_silent:
@@ -275,7 +276,7 @@
             return
         yield Denied(tuple(reasons), unavailable_slots)
 
-    async def _ask(
+    async def _request_slot(
         self,
         upstream_id: str,
         part: admission.PartName,
@@ -284,24 +285,24 @@
     ) -> admission.Grant | _Refused:
         holder = self._holder_of(upstream_id, part)
         if holder is None:
-            return _Refused("holder unknown")
-        if is_warm and trio.current_time() < self._silent_until.get(holder, 0.0):
-            return _Refused("holder did not answer lately")
+            return _Refused("no holder is known")
+        if is_warm and trio.current_time() < self._skip_until.get(holder, 0.0):
+            return _Refused("the holder did not answer recently")
         own_id = self._peers.node_id
-        nonce = f"{own_id}/{self._incarnation}/{next(self._numbers)}"
+        nonce = f"{own_id}/{self._incarnation}/{next(self._nonce_numbers)}"
         grant = admission.Grant(upstream_id, part, holder, nonce, trio.current_time())
         message = Admit(upstream_id, part, nonce, duration_s, own_id)
-        is_known = False
+        is_answered = False
         try:
-            timeout_s = WARM_TIMEOUT_S if is_warm else CALL_TIMEOUT_S
+            timeout_s = WARM_CALL_TIMEOUT_S if is_warm else CALL_TIMEOUT_S
             answer = await self._peers.call(holder, ADMIT, message, timeout_s)
-            is_known = isinstance(answer, Admitted)
+            is_answered = isinstance(answer, Admitted)
         finally:
-            # A lost answer may have been a grant, which is never used.
-            if not is_known:
+            # The lost answer may have been a grant, which nothing would release.
+            if not is_answered:
                 self._nursery.start_soon(self._release, grant, True)
         if isinstance(answer, rpc.Unreachable):
-            self._silent_until[holder] = trio.current_time() + SILENT_S
+            self._skip_until[holder] = trio.current_time() + UNREACHABLE_SKIP_S
             return _Refused(answer.reason)
         if answer.is_granted:
             return grant
@@ -315,7 +316,7 @@
         )
         for attempt in range(RELEASE_ATTEMPTS):
             if attempt > 0:
-                await trio.sleep(RELEASE_PAUSE_S)
+                await trio.sleep(RELEASE_RETRY_INTERVAL_S)
             answer = await self._peers.call(
                 grant.holder, RELEASE, message, CALL_TIMEOUT_S
             )
@@ -328,10 +329,10 @@
     async def _answer_admit(self, message: Admit) -> Admitted:
         part = self._part(message.upstream_id, message.part)
         is_local = message.node_id == self._peers.node_id
-        ask = admission.SlotRequest(message.nonce, message.duration_s, is_local)
+        request = admission.SlotRequest(message.nonce, message.duration_s, is_local)
         decision = admission.admit(
             part,
-            ask,
+            request,
             self.limit_of(message.upstream_id, part.report),
             trio.current_time(),
             self._holds_now(message.upstream_id, message.part),
@@ -350,7 +351,7 @@
         return Released()
 
 
-def _held_with(part: admission.PartName) -> tuple[admission.PartName, ...]:
+def _parts_held_with(part: admission.PartName) -> tuple[admission.PartName, ...]:
     if part is admission.PartName.LEASED:
         return (part, admission.PartName.SUSPECT)
     return (part,)
@@ -361,9 +362,9 @@
         case admission.Full(used=used):
             return f"all slots in use ({used})"
         case admission.NotHolder():
-            return "the asked node does not hold this part"
+            return "the node does not hold this part"
         case admission.AlreadyReleased():
-            return "the request was withdrawn"
+            return "the slot was already released"
         case admission.TooLong(limit_s=limit_s):
             return f"a request may take at most {limit_s} s"
     return ""
--- a/tests/test_admitter.py
+++ b/tests/test_admitter.py
@@ -1,4 +1,4 @@
-"""Slots between nodes: lost messages, fallback to the outage part, single use."""
+"""Tests of slots between nodes: lost messages, the outage part and single use."""
 
 import trio
 import trio.testing
@@ -10,7 +10,7 @@
 LEASED = admission.PartName.LEASED
 
 
-def build_pair(net: peer_fakes.Net, nursery: trio.Nursery) -> admitter.Admitter:
+def build_cluster(net: peer_fakes.Net, nursery: trio.Nursery) -> admitter.Admitter:
     """Return node a's admitter; b holds the leased part, c the outage part."""
     holders = {LEASED: "b", admission.PartName.SUSPECT: "b"}
     built = {}
@@ -31,10 +31,10 @@
 async def test_slot_is_used_once_and_released(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a second send on one grant and slots that are never freed."""
-    admit = build_pair(peer_fakes.Net(), nursery)
+    """Guards against a second send on one grant and against slots never freed."""
+    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
     for _ in range(5):
-        async with admit.slot("u", 30.0) as slot:
+        async with slot_admitter.slot("u", 30.0) as slot:
             assert isinstance(slot, admitter.Slot)
             assert slot.grant.part is LEASED
             assert slot.may_send(trio.current_time())
@@ -46,25 +46,31 @@
 async def test_limit_over_both_parts(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against more slots than the limit, and an unused outage part."""
-    admit = build_pair(peer_fakes.Net(), nursery)
-    async with admit.slot("u", 30.0) as first, admit.slot("u", 30.0) as second:
+    """Guards against exceeding the limit and against an unused outage part."""
+    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    async with (
+        slot_admitter.slot("u", 30.0) as first,
+        slot_admitter.slot("u", 30.0) as second,
+    ):
         assert isinstance(first, admitter.Slot)
         assert isinstance(second, admitter.Slot)
         assert second.grant.part is admission.PartName.OUTAGE
-        async with admit.slot("u", 30.0) as third:
+        async with slot_admitter.slot("u", 30.0) as third:
             assert isinstance(third, admitter.Denied)
             assert "leased: all slots in use (1)" in third.reasons
 
 
-async def test_unreachable_holder_delays_nothing(
+async def test_unreachable_holder_does_not_delay_requests(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against waiting for the release of a slot that was never granted."""
+    """Guards against a request that waits for the release of an ungranted slot.
+
+    The release to the unreachable holder must run in the background.
+    """
     net = peer_fakes.Net()
-    admit = build_pair(net, nursery)
+    slot_admitter = build_cluster(net, nursery)
     net.down = {"b"}
-    async with admit.slot("u", 30.0) as slot:
+    async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         assert slot.grant.holder == "c"
     assert net.calls[:2] == [("b", "Admit"), ("c", "Admit")]
@@ -73,15 +79,15 @@
 async def test_lost_answer_frees_the_slot(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against slots lost with the answer that granted them."""
+    """Guards against slots that stay in use because the granting answer was lost."""
     net = peer_fakes.Net()
-    admit = build_pair(net, nursery)
+    slot_admitter = build_cluster(net, nursery)
     net.lose_answers = {"Admit"}
-    async with admit.slot("u", 30.0) as slot:
+    async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Denied)
     await trio.sleep(0.1)
     net.lose_answers = set()
-    async with admit.slot("u", 30.0) as slot:
+    async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         assert slot.grant.part is LEASED
 
@@ -89,37 +95,37 @@
 async def test_grant_expires(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a send on a grant that its holder may count as unused."""
-    admit = build_pair(peer_fakes.Net(), nursery)
-    async with admit.slot("u", 30.0) as slot:
+    """Guards against a send on an expired grant, which its holder may have reused."""
+    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         await trio.sleep(admission.GRANT_VALID_S)
         assert not slot.may_send(trio.current_time())
 
 
-async def test_cut_request_keeps_its_slot(
+async def test_aborted_request_keeps_its_slot(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a slot freed while the upstream may still run its request."""
-    admit = build_pair(peer_fakes.Net(), nursery)
-    async with admit.slot("u", 30.0) as slot:
+    """Guards against freeing a slot while the upstream may still run its request."""
+    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         slot.may_send(trio.current_time())
     await trio.sleep(35.0)
-    async with admit.slot("u", 30.0, (LEASED,)) as again:
+    async with slot_admitter.slot("u", 30.0, (LEASED,)) as again:
         assert isinstance(again, admitter.Denied)
     await trio.sleep(10.0)
-    async with admit.slot("u", 30.0, (LEASED,)) as again:
+    async with slot_admitter.slot("u", 30.0, (LEASED,)) as again:
         assert isinstance(again, admitter.Slot)
 
 
 async def test_suspect_slot_is_exclusive(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against two suspects on one upstream."""
-    admit = build_pair(peer_fakes.Net(), nursery)
+    """Guards against two suspect requests at one upstream at the same time."""
+    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
     parts = admitter.SUSPECT_PARTS
-    async with admit.slot("u", 30.0, parts) as first:
+    async with slot_admitter.slot("u", 30.0, parts) as first:
         assert isinstance(first, admitter.Slot)
-        async with admit.slot("u", 30.0, parts) as second:
+        async with slot_admitter.slot("u", 30.0, parts) as second:
             assert isinstance(second, admitter.Denied)
