--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -1,12 +1,12 @@
-"""Randomized soak: real nodes as processes, faults from outside, promises checked.
+"""Randomized soak test: node processes, injected faults, checked guarantees.
 
     python -m tests.platform_soak --seed 1 --seconds 30
     python -m tests.platform_soak --seed 1 --seconds 30 --nodes 7
 
-Nodes are processes of the real program. The platform is played by the stand-ins in
-this process; proxies between them and the nodes delay, reset, silence or cut one way.
-Signals stop, pause and kill nodes, which then start anew. The exit code is 1 if a
-promise was broken; each is printed with the seed.
+Nodes run as processes of the real program. The stand-ins for the platform run in this
+process; proxies between them and the nodes delay, reset or block traffic, or block the
+responses only. Signals stop, pause and kill nodes, which are then restarted. The exit
+code is 1 if a guarantee was violated; each violation is printed with the seed.
 """
 
 import argparse
@@ -30,27 +30,29 @@
 from snipelug_platform_standin import kv_store, server, store
 from tests import platform_world
 
-NODES = 3
-"""Nodes of one zone; with five or more, two of them read for the others."""
+DEFAULT_NODES = 3
+"""Nodes of one zone; with five or more, two of them read from the platform for all."""
 
 CALLERS = 6
 GRACE_S = 4.0
 DRAIN_S = 2.0
-CALM_S = 6.0
-"""Time without faults after which everything must be well again."""
+RECOVERY_TIMEOUT_S = 6.0
+"""Time without faults after which all nodes must serve again."""
 
-QUIET_S = 5.0
-"""A node is in touch with the store once no fault has touched it for so long."""
+STORE_SYNC_S = 5.0
+"""Time after the last fault from which a node must be up to date with the store."""
 
-SERVED_S = 2.0
-STALL_CHECK_S = 0.05
-EVENTS = 6
-REFUSALS = (408, 421, 429, 503)
-WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+PROBE_TIMEOUT_S = 2.0
+STALL_CHECK_INTERVAL_S = 0.05
+EVENTS_PER_STREAM = 6
+REFUSAL_STATUSES = (408, 421, 429, 503)
+FULL_STREAM = b"".join(
+    b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS_PER_STREAM + 1)
+)
 
 
 class Proxy:
-    """Forwards connections to a port; ``mode`` says what goes wrong."""
+    """Forwards connections to a port; ``mode`` selects the injected fault."""
 
     def __init__(self, target: int) -> None:
         self.target = target
@@ -63,36 +65,38 @@
         task_status.started()
         await trio.serve_listeners(self._forward, listeners)
 
-    async def _forward(self, near: trio.SocketStream) -> None:
+    async def _forward(self, client: trio.SocketStream) -> None:
         with contextlib.suppress(OSError, trio.BrokenResourceError):
-            async with await trio.open_tcp_stream("127.0.0.1", self.target) as far:
+            async with await trio.open_tcp_stream(
+                "127.0.0.1", self.target
+            ) as server_stream:
                 async with trio.open_nursery() as nursery:
                     scope = nursery.cancel_scope
-                    nursery.start_soon(self._pump, near, far, False, scope)
-                    nursery.start_soon(self._pump, far, near, True, scope)
-        await trio.aclose_forcefully(near)
+                    nursery.start_soon(self._pump, client, server_stream, False, scope)
+                    nursery.start_soon(self._pump, server_stream, client, True, scope)
+        await trio.aclose_forcefully(client)
 
     async def _pump(
         self,
         source: trio.SocketStream,
-        sink: trio.SocketStream,
-        is_answer: bool,
+        destination: trio.SocketStream,
+        is_response: bool,
         scope: trio.CancelScope,
     ) -> None:
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             while data := await source.receive_some(65536):
-                while self.mode == "silent" or (self.mode == "one_way" and is_answer):
+                while self.mode == "silent" or (self.mode == "one_way" and is_response):
                     await trio.sleep(0.05)
                 if self.mode == "reset":
                     break
                 if self.mode == "delay":
                     await trio.sleep(0.2)
-                await sink.send_all(data)
+                await destination.send_all(data)
         scope.cancel()
 
 
-class Process:
-    """One node's process, started again whenever it ends."""
+class NodeProcess:
+    """One node process, restarted whenever it exits."""
 
     def __init__(self, number: int, folder: pathlib.Path, store_port: int) -> None:
         self.name = f"n{number}"
@@ -114,36 +118,36 @@
             "bounds.lease_ms": 1000,
         }
         self.path.write_text("".join(f"{k}={v}\n" for k, v in values.items()))
-        self.running: subprocess.Popen[bytes] | None = None
+        self.process: subprocess.Popen[bytes] | None = None
 
     async def run(self) -> None:
-        """Keep the node running; end it with this task."""
+        """Keep the node running until this task is cancelled."""
         with self.log.open("ab") as log:
             try:
                 while True:
-                    self.running = subprocess.Popen(
+                    self.process = subprocess.Popen(
                         [sys.executable, "-m", "snipelug_node.entry"],
                         env={"SNIPELUG_CONFIG": str(self.path)},
                         stdout=log,
                         stderr=log,
                     )
-                    while self.running.poll() is None:
+                    while self.process.poll() is None:
                         await trio.sleep(0.05)
                     await trio.sleep(0.2)
             finally:
-                if self.running is not None and self.running.poll() is None:
-                    self.running.kill()
-                    self.running.wait()
+                if self.process is not None and self.process.poll() is None:
+                    self.process.kill()
+                    self.process.wait()
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to this node's own process."""
-        if self.running is not None and self.running.poll() is None:
-            self.running.send_signal(number)
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process of this node."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
 
 
 @dataclasses.dataclass
 class Soak:
-    """The deployment, the faults under way, and what was broken."""
+    """The deployment, the state of the injected faults and the violations found."""
 
     seed: int
     nursery: trio.Nursery
@@ -152,30 +156,32 @@
     rows: store.Store
     kv: kv_store.KvStore = dataclasses.field(default_factory=kv_store.KvStore)
     servers: list[server.Server] = dataclasses.field(default_factory=list)
-    gone: list[server.Server] = dataclasses.field(default_factory=list)
+    removed_servers: list[server.Server] = dataclasses.field(default_factory=list)
     server_proxies: dict[str, Proxy] = dataclasses.field(default_factory=dict)
     store_proxies: list[Proxy] = dataclasses.field(default_factory=list)
-    nodes: list[Process] = dataclasses.field(default_factory=list)
-    drained: dict[str, float] = dataclasses.field(default_factory=dict)
-    last_fault: float = 0.0
+    nodes: list[NodeProcess] = dataclasses.field(default_factory=list)
+    drain_times: dict[str, float] = dataclasses.field(default_factory=dict)
+    last_fault_at: float = 0.0
     longest_stall_s: float = 0.0
     version: int = 1
-    weights: int = 1
+    weight_version: int = 1
     ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
-    refused: set[str] = dataclasses.field(default_factory=set)
+    refused_ids: set[str] = dataclasses.field(default_factory=set)
     outcomes: "collections.Counter[str]" = dataclasses.field(
         default_factory=collections.Counter
     )
-    broken: list[str] = dataclasses.field(default_factory=list)
+    violations: list[str] = dataclasses.field(default_factory=list)
 
-    def blame(self, promise: str, detail: str) -> None:
-        """Note a broken promise."""
-        self.broken.append(f"seed {self.seed}: {promise}: {detail}")
+    def report_violation(self, guarantee: str, detail: str) -> None:
+        """Record the violation of a guarantee."""
+        self.violations.append(f"seed {self.seed}: {guarantee}: {detail}")
 
     async def add_server(self, service: str) -> None:
-        """Start a server behind a proxy and list it."""
+        """Start an upstream behind a proxy and list it."""
         model = platform_world.MODEL if service == "llm" else ""
-        item = server.Server(service, model=model, version=self.weights, events=EVENTS)
+        item = server.Server(
+            service, model=model, version=self.weight_version, events=EVENTS_PER_STREAM
+        )
         await self.nursery.start(item.serve)
         proxy = Proxy(item.port)
         await self.nursery.start(proxy.serve)
@@ -184,25 +190,25 @@
         self.list_server(item)
 
     def list_server(self, item: server.Server) -> None:
-        """Write a server's entry with the address of its proxy."""
+        """Write the entry of an upstream with the address of its proxy."""
         address = f"127.0.0.1:{self.server_proxies[item.id].port}"
         self.rows.put("servers", item.id, item.entry() | {"address": address})
 
     def configure(self) -> None:
-        """Write the next configuration."""
+        """Write the next configuration version."""
         self.rows.put("op", "config", platform_world.config(self.version, [self.kv]))
         self.version += 1
 
-    async def watch_stalls(self) -> None:
-        """Measure how late this process runs; it plays the platform and its servers."""
+    async def measure_stalls(self) -> None:
+        """Measure scheduling delays of this process, which runs all the stand-ins."""
         while True:
-            due = trio.current_time() + STALL_CHECK_S
+            due = trio.current_time() + STALL_CHECK_INTERVAL_S
             await trio.sleep_until(due)
             late_s = trio.current_time() - due
             self.longest_stall_s = max(self.longest_stall_s, late_s)
 
-    async def heartbeats(self) -> None:
-        """Let servers write what they serve, as the platform's servers do."""
+    async def write_heartbeats(self) -> None:
+        """Rewrite the entries of all upstreams periodically, as real upstreams do."""
         while True:
             for item in self.servers if not self.rows.faults.is_down else ():
                 self.list_server(item)
@@ -213,7 +219,7 @@
         """Whether two nodes read from the platform for the others."""
         return len(self.nodes) > watcher.MAX_NODES_WITHOUT_READERS
 
-    # Faults. Each returns after it has ended.
+    # Faults. Each method returns after its fault has ended.
 
     async def proxy_fault(self, proxies: list[Proxy]) -> None:
         mode = self.rng.choice(["delay", "silent", "reset", "one_way"])
@@ -227,25 +233,25 @@
         node = self.rng.choice(self.nodes)
         match self.rng.choice(["pause", "kill", "term", "hup", "kill_all"]):
             case "pause":
-                node.send(signal.SIGSTOP)
+                node.send_signal(signal.SIGSTOP)
                 await trio.sleep(self.rng.uniform(0.3, 3.0))
-                node.send(signal.SIGCONT)
+                node.send_signal(signal.SIGCONT)
             case "kill":
-                node.send(signal.SIGKILL)
+                node.send_signal(signal.SIGKILL)
             case "term":
-                node.send(signal.SIGTERM)
+                node.send_signal(signal.SIGTERM)
                 await trio.sleep(GRACE_S)
             case "hup":
-                node.send(signal.SIGHUP)
+                node.send_signal(signal.SIGHUP)
             case "kill_all":
                 for item in self.nodes:
-                    item.send(signal.SIGKILL)
+                    item.send_signal(signal.SIGKILL)
 
     async def store_fault(self) -> None:
         faults = self.rows.faults
         match self.rng.choice(["down", "silent", "lost", "history", "one", "all"]):
             case "down" if self.has_watchers:
-                await self.lapse()
+                await self.expire_entries()
             case "down":
                 faults.is_down = True
                 await trio.sleep(self.rng.uniform(0.3, 3.0))
@@ -265,8 +271,8 @@
             case "all":
                 await self.proxy_fault(self.store_proxies)
 
-    async def lapse(self) -> None:
-        """Take the store away so long that the servers' entries lapse."""
+    async def expire_entries(self) -> None:
+        """Make the store unavailable until the entries of the upstreams expire."""
         self.rows.faults.is_down = True
         await trio.sleep(self.rng.uniform(1.5, 3.0))
         for item in self.servers:
@@ -285,17 +291,20 @@
             case "lose":
                 item.faults.loses = self.rng.randint(1, 3)
             case "break":
-                item.faults.breaks_after = self.rng.randint(0, EVENTS - 1)
+                item.faults.breaks_after = self.rng.randint(0, EVENTS_PER_STREAM - 1)
             case "order":
                 item.faults.late_orders = 1
 
-    async def change(self) -> None:
+    async def change_fault(self) -> None:
         match self.rng.choice(["config", "weights", "drain", "kv", "events"]):
             case "config":
                 self.configure()
             case "weights":
-                self.weights += 1
-                content = {"model": platform_world.MODEL, "version": self.weights}
+                self.weight_version += 1
+                content = {
+                    "model": platform_world.MODEL,
+                    "version": self.weight_version,
+                }
                 self.rows.put("op", f"version/{platform_world.MODEL}", content)
             case "drain":
                 await self.replace_server()
@@ -307,27 +316,32 @@
                 self.kv.loses_events = False
 
     async def replace_server(self) -> None:
-        """Start a new server, drain an old one and take it off the list."""
+        """Start a new upstream, drain an old one and remove it from the list."""
         item = self.rng.choice(self.servers)
         await self.add_server(item.service)
         if item not in self.servers:
             return
         self.servers.remove(item)
-        self.gone.append(item)
+        self.removed_servers.append(item)
         item.state = "draining"
         self.list_server(item)
-        self.drained[item.id] = trio.current_time()
+        self.drain_times[item.id] = trio.current_time()
         await trio.sleep(DRAIN_S + 1.0)
         self.rows.delete("servers", item.id)
 
-    async def make_trouble(self, seconds: float) -> None:
-        """Start faults in series that overlap, for a time."""
-        kinds = [self.node_fault, self.store_fault, self.server_fault, self.change]
+    async def inject_faults(self, seconds: float) -> None:
+        """Start random, overlapping faults for the given time."""
+        kinds = [
+            self.node_fault,
+            self.store_fault,
+            self.server_fault,
+            self.change_fault,
+        ]
         end = trio.current_time() + seconds
 
         async def run(fault: collections.abc.Callable[[], typing.Any]) -> None:
             await fault()
-            self.last_fault = trio.current_time()
+            self.last_fault_at = trio.current_time()
 
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
@@ -336,20 +350,20 @@
         for item in self.servers:
             item.faults = server.Faults()
 
-    # Callers.
+    # Load.
 
-    async def call_forever(self) -> None:
-        """Send requests of all kinds to all nodes over kept connections."""
+    async def send_requests(self) -> None:
+        """Send requests of all kinds to all nodes over persistent connections."""
         pool = http_client.Pool(0.5)
         while True:
             kind = self.rng.choice(["order", "look", "ask", "check"])
-            await self.call_once(pool, self.rng.choice(self.nodes), kind)
+            await self.send_request(pool, self.rng.choice(self.nodes), kind)
             await trio.sleep(0.02)
 
-    async def call_once(
-        self, pool: http_client.Pool, node: Process, kind: str
+    async def send_request(
+        self, pool: http_client.Pool, node: NodeProcess, kind: str
     ) -> http_client.FullResponse | None:
-        """Send one request and check its answer; return a success."""
+        """Send one request and check the response; return it if it succeeded."""
         request_id = f"{next(self.ids):08x}"
         headers = {
             "host": platform_world.HOST,
@@ -372,78 +386,93 @@
             self.outcomes[f"{kind} {type(found).__name__}"] += 1
             return None
         self.outcomes[f"{kind} {found.status}"] += 1
-        self.check(kind, request_id, found)
+        self.check_response(kind, request_id, found)
         return found if found.status == 200 else None
 
-    def check(
+    def check_response(
         self, kind: str, request_id: str, found: http_client.FullResponse
     ) -> None:
-        """Check an answer against what its request promised."""
+        """Check a response against the guarantees for its request."""
         if found.headers.get("request-id") not in (None, request_id):
-            self.blame("own answer", f"{request_id} got {found.headers}")
-        if found.status in REFUSALS and kind in ("order", "ask"):
-            self.refused.add(request_id)
+            self.report_violation("own answer", f"{request_id} got {found.headers}")
+        if found.status in REFUSAL_STATUSES and kind in ("order", "ask"):
+            self.refused_ids.add(request_id)
         if found.status != 200:
             return
         owner = found.headers.get("server-signature", "").partition(".")[0]
-        if kind in ("ask", "check") and found.body != WHOLE:
-            self.blame("whole stream", f"{request_id} got {found.body!r}")
+        if kind in ("ask", "check") and found.body != FULL_STREAM:
+            self.report_violation("whole stream", f"{request_id} got {found.body!r}")
         if kind in ("order", "look") and found.body != f"{owner}:ok".encode():
-            self.blame("own answer", f"{request_id} got {found.body!r} of {owner}")
+            self.report_violation(
+                "own answer", f"{request_id} got {found.body!r} of {owner}"
+            )
 
-    # What must hold.
+    # Guarantees.
 
-    def check_runs(self) -> None:
-        """Check what the servers ran."""
+    def check_executions(self) -> None:
+        """Check the requests and weight orders that the upstreams executed."""
         runs: collections.Counter[str] = collections.Counter()
-        for item in [*self.servers, *self.gone]:
-            drained_at = self.drained.get(item.id)
-            for seen in item.executed:
-                once = seen.target.startswith(("/order/", "/ask/"))
-                runs[seen.headers["request-id"]] += once
-                late = (
+        for item in [*self.servers, *self.removed_servers]:
+            drained_at = self.drain_times.get(item.id)
+            for request in item.executed:
+                is_at_most_once = request.target.startswith(("/order/", "/ask/"))
+                runs[request.headers["request-id"]] += is_at_most_once
+                is_late = (
                     drained_at is not None
-                    and seen.received_at > drained_at + DRAIN_S + 0.3
+                    and request.received_at > drained_at + DRAIN_S + 0.3
                 )
-                if late and seen.received_at > self.last_fault + QUIET_S:
-                    self.blame("drain", f"{item.id} got work after it left")
+                if is_late and request.received_at > self.last_fault_at + STORE_SYNC_S:
+                    self.report_violation(
+                        "drain", f"{item.id} received a request after it was drained"
+                    )
             tokens = [typing.cast(int, o["fencing_token"]) for o in item.orders]
             if tokens != sorted(tokens):
-                self.blame("fencing", f"{item.id} took {tokens}")
+                self.report_violation(
+                    "fencing", f"{item.id} accepted the tokens {tokens}"
+                )
         for request_id, count in runs.items():
             if count > 1:
-                self.blame("at most once", f"{request_id} ran {count} times")
-            if count and request_id in self.refused:
-                self.blame("true refusal", f"{request_id} was refused and ran")
+                self.report_violation(
+                    "at most once", f"{request_id} was executed {count} times"
+                )
+            if count and request_id in self.refused_ids:
+                self.report_violation(
+                    "true refusal", f"{request_id} was refused and executed"
+                )
 
-    async def check_calm(self) -> None:
-        """Check that everything is well some time after the last fault."""
-        self.last_fault = trio.current_time()
+    async def check_recovery(self) -> None:
+        """Check that all nodes and weights recover in time after the last fault."""
+        self.last_fault_at = trio.current_time()
         pool = http_client.Pool(0.5)
-        with trio.move_on_after(CALM_S):
-            while not all([await self.serves(pool, node) for node in self.nodes]):
+        with trio.move_on_after(RECOVERY_TIMEOUT_S):
+            while not all([await self.is_serving(pool, node) for node in self.nodes]):
                 await trio.sleep(0.2)
         for node in self.nodes:
-            if not await self.serves(pool, node):
-                self.blame("recovery", f"{node.name} does not serve")
+            if not await self.is_serving(pool, node):
+                self.report_violation(
+                    "recovery", f"{node.name} does not serve requests"
+                )
         for item in self.servers:
-            if item.models.get(platform_world.MODEL, self.weights) != self.weights:
-                self.blame("weights", f"{item.id} serves {item.models}")
-
-    async def serves(self, pool: http_client.Pool, node: Process) -> bool:
-        """Tell whether a node answers one request of each kind in time."""
-        with trio.move_on_after(SERVED_S):
+            if (
+                item.models.get(platform_world.MODEL, self.weight_version)
+                != self.weight_version
+            ):
+                self.report_violation("weights", f"{item.id} serves {item.models}")
+
+    async def is_serving(self, pool: http_client.Pool, node: NodeProcess) -> bool:
+        """Return whether a node answers one request of each kind in time."""
+        with trio.move_on_after(PROBE_TIMEOUT_S):
             for kind in ("order", "look", "ask", "check"):
-                if await self.call_once(pool, node, kind) is None:
+                if await self.send_request(pool, node, kind) is None:
                     return False
             return True
         return False
 
 
 async def run(
-    seed: int, seconds: float, folder: pathlib.Path, nodes: int = NODES
+    seed: int, seconds: float, folder: pathlib.Path, nodes: int = DEFAULT_NODES
 ) -> Soak:
-    """Run one soak; the result says what was broken."""
+    """Run one seed; the result lists the violations."""
     async with trio.open_nursery() as nursery:
         rows = store.Store()
         soak = Soak(seed, nursery, folder, random.Random(seed), rows)
@@ -456,32 +485,36 @@
             proxy = Proxy(store_port)
             await nursery.start(proxy.serve)
             soak.store_proxies.append(proxy)
-            soak.nodes.append(Process(number, folder, proxy.port))
+            soak.nodes.append(NodeProcess(number, folder, proxy.port))
             nursery.start_soon(soak.nodes[-1].run)
-        nursery.start_soon(soak.heartbeats)
-        nursery.start_soon(soak.watch_stalls)
-        await soak.check_calm()
+        nursery.start_soon(soak.write_heartbeats)
+        nursery.start_soon(soak.measure_stalls)
+        await soak.check_recovery()
         async with trio.open_nursery() as callers:
             for _ in range(CALLERS):
-                callers.start_soon(soak.call_forever)
-            await soak.make_trouble(seconds)
-            await soak.check_calm()
+                callers.start_soon(soak.send_requests)
+            await soak.inject_faults(seconds)
+            await soak.check_recovery()
             callers.cancel_scope.cancel()
-        soak.check_runs()
+        soak.check_executions()
         nursery.cancel_scope.cancel()
     return soak
 
 
 def main() -> int:
-    """Run seeds one after the other and print what was broken."""
+    """Run the seeds in sequence and print the violations."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--count", type=int, default=1, help="seeds in a row")
+    parser.add_argument(
+        "--count", type=int, default=1, help="number of consecutive seeds"
+    )
     parser.add_argument("--seconds", type=float, default=15.0)
-    parser.add_argument("--nodes", type=int, default=NODES)
-    parser.add_argument("--keep", type=pathlib.Path, help="folder for the logs")
+    parser.add_argument("--nodes", type=int, default=DEFAULT_NODES)
+    parser.add_argument(
+        "--keep", type=pathlib.Path, help="directory in which the node logs are kept"
+    )
     args = parser.parse_args()
-    is_broken = False
+    has_violations = False
     for seed in range(args.seed, args.seed + args.count):
         with contextlib.ExitStack() as stack:
             if args.keep is None:
@@ -493,11 +526,14 @@
             soak = trio.run(run, seed, args.seconds, folder, args.nodes)
         counts = dict(sorted(soak.outcomes.items()))
         stall = f"longest stall {soak.longest_stall_s:.2f} s"
-        print(f"seed {seed}: {len(soak.broken)} broken, {stall}, {counts}", flush=True)
-        for line in soak.broken[:20]:
+        print(
+            f"seed {seed}: {len(soak.violations)} violations, {stall}, {counts}",
+            flush=True,
+        )
+        for line in soak.violations[:20]:
             print(f"  {line}", flush=True)
-        is_broken = is_broken or bool(soak.broken)
-    return int(is_broken)
+        has_violations = has_violations or bool(soak.violations)
+    return int(has_violations)
 
 
 if __name__ == "__main__":
