--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,4 +1,4 @@
-"""A small deployment on the stand-ins of the platform, in one process."""
+"""A small deployment on the platform stand-ins, in one process."""
 
 import collections.abc
 import contextlib
@@ -79,7 +79,7 @@
 
 @dataclasses.dataclass
 class World:
-    """The parts of a deployment."""
+    """A running deployment: store, upstreams, KV cache stores and nodes."""
 
     store: store.Store
     store_port: int
@@ -91,16 +91,16 @@
     has_peers: bool = False
 
     def publish_entries(self) -> None:
-        """Write the entries of all servers."""
+        """Write the list entries of all upstreams."""
         for item in [*self.apps, *self.engines]:
             self.store.put("servers", item.id, item.entry())
 
     def configure(self, version: int, **more: object) -> None:
-        """Write a configuration."""
+        """Write a configuration to the store."""
         self.store.put("op", "config", config(version, self.kv_stores, **more))
 
     def settings(self, name: str) -> ports.Settings:
-        """Return the settings of a node on free ports."""
+        """Return the settings of a node that listens on free ports."""
         return ports.Settings(
             node_id=name,
             zone="zone-a",
@@ -112,7 +112,7 @@
         )
 
     async def add_node(self, name: str = "n1") -> node.Node:
-        """Start a node and wait until it serves callers."""
+        """Start a node and wait until it listens; it may not be ready yet."""
         log = record.Buffer(name, 1)
         built = node.Node(self.settings(name), main.build, lambda: None, log)
         await self.nursery.start(built.serve)
@@ -127,7 +127,7 @@
 
 
 def free_port() -> int:
-    """Return a UDP port that nobody has bound."""
+    """Return an unused UDP port."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
         port: int = sock.getsockname()[1]
@@ -135,7 +135,7 @@
 
 
 async def wait_until(is_true: collections.abc.Callable[[], bool]) -> None:
-    """Wait for a condition."""
+    """Poll a condition until it is true; fail after ``WAIT_TIMEOUT_S``."""
     with trio.fail_after(WAIT_TIMEOUT_S):
         while not is_true():
             await trio.sleep(0.01)
@@ -149,7 +149,7 @@
     nodes: int = 1,
     has_peers: bool = False,
 ) -> collections.abc.AsyncIterator[World]:
-    """Run a deployment; its nodes are ready."""
+    """Run a deployment; all nodes are ready when the context is entered."""
     logging.getLogger().setLevel(logging.INFO)
     async with trio.open_nursery() as nursery:
         rows = store.Store()
@@ -177,7 +177,7 @@
     Attributes
     ----------
     number : int
-        Counts the requests, for their ids.
+        Number of requests sent; request ids are derived from it.
     """
 
     node: node.Node
@@ -187,7 +187,7 @@
     def call(
         self, method: str, target: str, body: bytes = b"", **headers: str
     ) -> http_client.Call:
-        """Build a request; underscores in names of fields stand for dashes."""
+        """Build a request; underscores in the names of headers become dashes."""
         self.number += 1
         fields = {
             "host": HOST,
@@ -204,7 +204,7 @@
     async def send(
         self, method: str, target: str, body: bytes = b"", **headers: str
     ) -> http_client.FullResponse | http_client.Lost:
-        """Send a request and read its whole answer."""
+        """Send a request and read the whole response."""
         found = await self.pool.fetch(self.call(method, target, body, **headers))
         assert isinstance(found, http_client.FullResponse | http_client.Lost), found
         return found
@@ -212,7 +212,7 @@
     async def send_prompt(
         self, target: str, parts: str = "aa:200,bb:50", **headers: str
     ) -> http_client.FullResponse | http_client.Lost:
-        """Send a prompt."""
+        """Send a prompt to an engine."""
         return await self.send(
             "POST",
             target,
