Reword test_platform_adapter.py

Tests renamed, with the same assertions: test_all_mistakes_are_told_at_once -> test_all_errors_are_reported_at_once, test_missing_file_is_named -> test_error_names_missing_file, test_foreign_entries_name_no_server -> test_malformed_entries_are_unreadable, test_server_gets_no_field_that_only_the_system_sets -> test_reserved_headers_from_callers_are_dropped, test_transfers_are_told_for_each_part -> test_transfers_are_listed_for_each_part, test_unreadable_requests -> test_malformed_requests_are_refused, test_verdicts -> test_response_heads, test_refusal_tells_when_to_come_back -> test_refusal_has_retry_after. docs/proofs.md follows the renames of two tests and of two methods of the dialect.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,4 +1,4 @@
-"""The adapter: what the platform sends is decoded once and checked."""
+"""Tests that the adapter decodes and validates what the platform sends."""
 
 import pathlib
 import typing
@@ -25,7 +25,7 @@
 
 
 def test_settings_are_decoded() -> None:
-    """Guards against figures in another unit than the platform's."""
+    """Guards against values interpreted in the wrong unit."""
     found = settings.decode(settings.parse(SETTINGS))
     assert isinstance(found, ports.Settings)
     assert found.node_id == "front-a-1"
@@ -34,8 +34,8 @@
     assert found.bounds.drain_s == 2.0
 
 
-def test_all_mistakes_are_told_at_once(tmp_path: pathlib.Path) -> None:
-    """Guards against operators who find one error a start."""
+def test_all_errors_are_reported_at_once(tmp_path: pathlib.Path) -> None:
+    """Guards against reporting only the first of several errors."""
     path = tmp_path / "local.conf"
     path.write_text(
         "zone=a\nlisten.frontend=nowhere\nlisten.ready=127.0.0.1:99999\n"
@@ -48,8 +48,8 @@
     assert names == expected | {"bounds.grace_period_s"}
 
 
-def test_missing_file_is_named(tmp_path: pathlib.Path) -> None:
-    """Guards against a start without settings."""
+def test_error_names_missing_file(tmp_path: pathlib.Path) -> None:
+    """Guards against starting without settings, and errors that omit the file."""
     found = settings.load(tmp_path / "none.conf")
     assert isinstance(found, settings.InvalidSettings)
     assert "none.conf" in found.errors[0]
@@ -115,7 +115,7 @@
 
 
 def test_configuration_is_decoded() -> None:
-    """Guards against names of the platform that mean something else here."""
+    """Guards against misinterpreted fields of the platform's configuration."""
     found = rows.decode_config(msgspec.json.encode(CONFIG))
     first, second = found.routes
     assert first.repeat is catalog.RepeatPolicy.RESUMABLE
@@ -143,7 +143,7 @@
 
 
 def test_server_entry_is_decoded() -> None:
-    """Guards against wrong units and versions of an upstream."""
+    """Guards against wrong units and weight versions in an upstream entry."""
     found = rows.decode_server("i-1", msgspec.json.encode(SERVER))
     assert found == relay_builders.entry(
         "i-1",
@@ -157,7 +157,7 @@
     )
 
 
-FOREIGN = [
+MALFORMED_ENTRIES = [
     b"\xff\xfe",
     b"[]",
     msgspec.json.encode({k: v for k, v in SERVER.items() if k != "address"}),
@@ -168,15 +168,15 @@
 ]
 
 
-@pytest.mark.parametrize("value", FOREIGN)
-def test_foreign_entries_name_no_server(value: bytes) -> None:
-    """Guards against a watch that ends at an entry of another writer."""
+@pytest.mark.parametrize("value", MALFORMED_ENTRIES)
+def test_malformed_entries_are_unreadable(value: bytes) -> None:
+    """Guards against a watch that fails on a malformed or foreign entry."""
     assert isinstance(rows.decode_server("i-1", value), ports.Unreadable)
 
 
 @pytest.mark.parametrize("key", ["config", "version/m"])
 def test_unreadable_intents_change_nothing(key: str) -> None:
-    """Guards against a configuration that is lost by a bad row."""
+    """Guards against a malformed row that replaces the configuration in use."""
     assert isinstance(rows.decode_intent(key, b"{}"), ports.Unreadable)
 
 
@@ -222,7 +222,7 @@
 
 
 def test_request_is_decoded() -> None:
-    """Guards against changed targets and lost parts of a prompt."""
+    """Guards against modified targets and missing prompt parts."""
     found = ask()
     assert found.target == "/a/%78?q=1"
     assert found.path == "/a/%78"
@@ -234,10 +234,10 @@
     assert found.resume_after == "12"
 
 
-def test_server_gets_no_field_that_only_the_system_sets() -> None:
-    """Guards against callers who set another team, salt, hold or the key itself."""
-    orders = ports.AttemptOptions("i-1", 1.2, "t1", version=3, salt="s", priority=4)
-    call = dialect.Dialect().build_call(ask(), orders, ("127.0.0.1", 1))
+def test_reserved_headers_from_callers_are_dropped() -> None:
+    """Guards against callers that set the team, salt, hold or API key themselves."""
+    options = ports.AttemptOptions("i-1", 1.2, "t1", version=3, salt="s", priority=4)
+    call = dialect.Dialect().build_call(ask(), options, ("127.0.0.1", 1))
     sent = dict(call.fields)
     assert len(sent) == len(call.fields)
     assert not [name for name, value in sent.items() if value == "forged"]
@@ -252,31 +252,35 @@
     assert sent["prompt-prefix"] == HEADERS["prompt-prefix"]
 
 
-def test_transfers_are_told_for_each_part() -> None:
-    """Guards against a source or target that is taken for another part's."""
+def test_transfers_are_listed_for_each_part() -> None:
+    """Guards against a source or target assigned to the wrong prompt part."""
     store = relay_builders.kv_store()
     plan = kv_index.Plan(
         (kv_index.Source(store, 700), None, None), (None, store, None), 2.5
     )
-    orders = ports.AttemptOptions("i-1", 1.0, plan=plan)
-    sent = dict(dialect.Dialect().build_call(ask(), orders, ("127.0.0.1", 1)).fields)
+    options = ports.AttemptOptions("i-1", 1.0, plan=plan)
+    sent = dict(dialect.Dialect().build_call(ask(), options, ("127.0.0.1", 1)).fields)
     assert sent["cache-source"] == "10.0.0.9:90/700,-,-"
     assert sent["cache-target"] == "-,10.0.0.9:90,-"
     assert sent["cache-retain-until"] == "2500"
 
 
-BAD = [{"request-id": ""}, {"prompt-prefix": "zz:1"}, {"prompt-prefix": "5c:"}]
+MALFORMED_REQUESTS = [
+    {"request-id": ""},
+    {"prompt-prefix": "zz:1"},
+    {"prompt-prefix": "5c:"},
+]
 
 
-@pytest.mark.parametrize("changes", BAD)
-def test_unreadable_requests(changes: dict[str, str]) -> None:
-    """Guards against a request that is sent on with a prompt that nobody can read."""
+@pytest.mark.parametrize("changes", MALFORMED_REQUESTS)
+def test_malformed_requests_are_refused(changes: dict[str, str]) -> None:
+    """Guards against forwarding requests without an id or with malformed parts."""
     found = dialect.Dialect().decode_request(request(HEADERS | changes))
     assert isinstance(found, refusal.Refusal)
 
 
-VERDICTS = [
-    # Status, fields, turned away, own answer.
+RESPONSE_HEADS = [
+    # Status, headers, is_turned_away, is_own.
     (200, {"request-id": "ab12", "server-signature": "s"}, False, True),
     (200, {"request-id": "ab12"}, False, False),
     (200, {"request-id": "other", "server-signature": "s"}, False, False),
@@ -290,18 +294,20 @@
 ]
 
 
-@pytest.mark.parametrize(("status", "headers", "is_turned_away", "is_own"), VERDICTS)
-def test_verdicts(
+@pytest.mark.parametrize(
+    ("status", "headers", "is_turned_away", "is_own"), RESPONSE_HEADS
+)
+def test_response_heads(
     status: int, headers: dict[str, str], is_turned_away: bool, is_own: bool
 ) -> None:
-    """Guards against another request's answer and against false refusals."""
+    """Guards against responses to other requests and against false refusals."""
     found = dialect.Dialect().decode_head(ask(), status, headers)
     assert found.is_turned_away is is_turned_away
     assert found.is_own is is_own
 
 
-def test_refusal_tells_when_to_come_back() -> None:
-    """Guards against callers who come back at once."""
+def test_refusal_has_retry_after() -> None:
+    """Guards against callers that retry immediately."""
     reason = refusal.refuse(refusal.NO_UPSTREAM, "none", retry_after_s=0.25)
     response = dialect.Dialect().build_refusal(ask(), reason)
     assert response.status == 503
