--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Installs the pinned libraries into target/deps, unless they are newer than the pins.
+# Installs the pinned dependencies into target/deps, unless they are up to date.
 set -eu
 pins=deploy/requirements.txt
 if [ target/deps -nt "$pins" ]; then
--- a/deploy/snipelugd.py
+++ b/deploy/snipelugd.py
@@ -1,4 +1,4 @@
-"""Starts snipelugd from a checkout whose libraries are in target/deps."""
+"""Runs snipelugd from a checkout whose dependencies are in target/deps."""
 
 import pathlib
 import sys
