--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -37,10 +37,10 @@
 GRACE_S = 4.0
 DRAIN_S = 2.0
 RECOVERY_TIMEOUT_S = 6.0
-"""Time without faults after which all nodes must serve again."""
+"""Time after the last fault within which all nodes must serve again."""
 
 STORE_SYNC_S = 5.0
-"""Time after the last fault from which a node must be up to date with the store."""
+"""Time without faults after which a node is assumed to be in sync with the store."""
 
 PROBE_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.05
@@ -179,20 +179,20 @@
     async def add_server(self, service: str) -> None:
         """Start an upstream behind a proxy and list it."""
         model = platform_world.MODEL if service == "llm" else ""
-        item = server.Server(
+        upstream = server.Server(
             service, model=model, version=self.weight_version, events=EVENTS_PER_STREAM
         )
-        await self.nursery.start(item.serve)
-        proxy = Proxy(item.port)
+        await self.nursery.start(upstream.serve)
+        proxy = Proxy(upstream.port)
         await self.nursery.start(proxy.serve)
-        self.server_proxies[item.id] = proxy
-        self.servers.append(item)
-        self.list_server(item)
+        self.server_proxies[upstream.id] = proxy
+        self.servers.append(upstream)
+        self.list_server(upstream)
 
-    def list_server(self, item: server.Server) -> None:
+    def list_server(self, upstream: server.Server) -> None:
         """Write the entry of an upstream with the address of its proxy."""
-        address = f"127.0.0.1:{self.server_proxies[item.id].port}"
-        self.rows.put("servers", item.id, item.entry() | {"address": address})
+        address = f"127.0.0.1:{self.server_proxies[upstream.id].port}"
+        self.rows.put("servers", upstream.id, upstream.entry() | {"address": address})
 
     def configure(self) -> None:
         """Write the next configuration version."""
@@ -210,8 +210,8 @@
     async def write_heartbeats(self) -> None:
         """Rewrite the entries of all upstreams periodically, as real upstreams do."""
         while True:
-            for item in self.servers if not self.rows.faults.is_down else ():
-                self.list_server(item)
+            for upstream in self.servers if not self.rows.faults.is_down else ():
+                self.list_server(upstream)
             await trio.sleep(0.4)
 
     @property
@@ -244,8 +244,8 @@
             case "hup":
                 node.send_signal(signal.SIGHUP)
             case "kill_all":
-                for item in self.nodes:
-                    item.send_signal(signal.SIGKILL)
+                for other in self.nodes:
+                    other.send_signal(signal.SIGKILL)
 
     async def store_fault(self) -> None:
         faults = self.rows.faults
@@ -275,27 +275,29 @@
         """Make the store unavailable until the entries of the upstreams expire."""
         self.rows.faults.is_down = True
         await trio.sleep(self.rng.uniform(1.5, 3.0))
-        for item in self.servers:
-            self.rows.delete("servers", item.id)
+        for upstream in self.servers:
+            self.rows.delete("servers", upstream.id)
         self.rows.faults.is_down = False
 
     async def server_fault(self) -> None:
-        item = self.rng.choice(self.servers)
+        upstream = self.rng.choice(self.servers)
         match self.rng.choice(["proxy", "away", "fail", "lose", "break", "order"]):
             case "proxy":
-                await self.proxy_fault([self.server_proxies[item.id]])
+                await self.proxy_fault([self.server_proxies[upstream.id]])
             case "away":
-                item.faults.turns_away = self.rng.randint(1, 5)
+                upstream.faults.turns_away = self.rng.randint(1, 5)
             case "fail":
-                item.faults.fails = self.rng.randint(1, 3)
+                upstream.faults.fails = self.rng.randint(1, 3)
             case "lose":
-                item.faults.loses = self.rng.randint(1, 3)
+                upstream.faults.loses = self.rng.randint(1, 3)
             case "break":
-                item.faults.breaks_after = self.rng.randint(0, EVENTS_PER_STREAM - 1)
+                upstream.faults.breaks_after = self.rng.randint(
+                    0, EVENTS_PER_STREAM - 1
+                )
             case "order":
-                item.faults.late_orders = 1
+                upstream.faults.late_orders = 1
 
-    async def change_fault(self) -> None:
+    async def apply_change(self) -> None:
         match self.rng.choice(["config", "weights", "drain", "kv", "events"]):
             case "config":
                 self.configure()
@@ -317,17 +319,17 @@
 
     async def replace_server(self) -> None:
         """Start a new upstream, drain an old one and remove it from the list."""
-        item = self.rng.choice(self.servers)
-        await self.add_server(item.service)
-        if item not in self.servers:
+        upstream = self.rng.choice(self.servers)
+        await self.add_server(upstream.service)
+        if upstream not in self.servers:
             return
-        self.servers.remove(item)
-        self.removed_servers.append(item)
-        item.state = "draining"
-        self.list_server(item)
-        self.drain_times[item.id] = trio.current_time()
+        self.servers.remove(upstream)
+        self.removed_servers.append(upstream)
+        upstream.state = "draining"
+        self.list_server(upstream)
+        self.drain_times[upstream.id] = trio.current_time()
         await trio.sleep(DRAIN_S + 1.0)
-        self.rows.delete("servers", item.id)
+        self.rows.delete("servers", upstream.id)
 
     async def inject_faults(self, seconds: float) -> None:
         """Start random, overlapping faults for the given time."""
@@ -335,7 +337,7 @@
             self.node_fault,
             self.store_fault,
             self.server_fault,
-            self.change_fault,
+            self.apply_change,
         ]
         end = trio.current_time() + seconds
 
@@ -347,8 +349,8 @@
             while trio.current_time() < end:
                 nursery.start_soon(run, self.rng.choice(kinds))
                 await trio.sleep(self.rng.choice([0.1, 0.5, 1.5]))
-        for item in self.servers:
-            item.faults = server.Faults()
+        for upstream in self.servers:
+            upstream.faults = server.Faults()
 
     # Load.
 
@@ -381,30 +383,30 @@
         addr = (node.host, node.port)
         body = b"" if method == "GET" else b"x"
         call = http_client.Call(addr, method, f"/{kind}/x", headers, body, 4.0)
-        found = await pool.fetch(call)
-        if not isinstance(found, http_client.FullResponse):
-            self.outcomes[f"{kind} {type(found).__name__}"] += 1
+        response = await pool.fetch(call)
+        if not isinstance(response, http_client.FullResponse):
+            self.outcomes[f"{kind} {type(response).__name__}"] += 1
             return None
-        self.outcomes[f"{kind} {found.status}"] += 1
-        self.check_response(kind, request_id, found)
-        return found if found.status == 200 else None
+        self.outcomes[f"{kind} {response.status}"] += 1
+        self.check_response(kind, request_id, response)
+        return response if response.status == 200 else None
 
     def check_response(
-        self, kind: str, request_id: str, found: http_client.FullResponse
+        self, kind: str, request_id: str, response: http_client.FullResponse
     ) -> None:
         """Check a response against the guarantees for its request."""
-        if found.headers.get("request-id") not in (None, request_id):
-            self.report_violation("own answer", f"{request_id} got {found.headers}")
-        if found.status in REFUSAL_STATUSES and kind in ("order", "ask"):
+        if response.headers.get("request-id") not in (None, request_id):
+            self.report_violation("own answer", f"{request_id} got {response.headers}")
+        if response.status in REFUSAL_STATUSES and kind in ("order", "ask"):
             self.refused_ids.add(request_id)
-        if found.status != 200:
+        if response.status != 200:
             return
-        owner = found.headers.get("server-signature", "").partition(".")[0]
-        if kind in ("ask", "check") and found.body != FULL_STREAM:
-            self.report_violation("whole stream", f"{request_id} got {found.body!r}")
-        if kind in ("order", "look") and found.body != f"{owner}:ok".encode():
+        owner = response.headers.get("server-signature", "").partition(".")[0]
+        if kind in ("ask", "check") and response.body != FULL_STREAM:
+            self.report_violation("whole stream", f"{request_id} got {response.body!r}")
+        if kind in ("order", "look") and response.body != f"{owner}:ok".encode():
             self.report_violation(
-                "own answer", f"{request_id} got {found.body!r} of {owner}"
+                "own answer", f"{request_id} got {response.body!r} of {owner}"
             )
 
     # Guarantees.
@@ -412,9 +414,9 @@
     def check_executions(self) -> None:
         """Check the requests and weight orders that the upstreams executed."""
         runs: collections.Counter[str] = collections.Counter()
-        for item in [*self.servers, *self.removed_servers]:
-            drained_at = self.drain_times.get(item.id)
-            for request in item.executed:
+        for upstream in [*self.servers, *self.removed_servers]:
+            drained_at = self.drain_times.get(upstream.id)
+            for request in upstream.executed:
                 is_at_most_once = request.target.startswith(("/order/", "/ask/"))
                 runs[request.headers["request-id"]] += is_at_most_once
                 is_late = (
@@ -423,12 +425,13 @@
                 )
                 if is_late and request.received_at > self.last_fault_at + STORE_SYNC_S:
                     self.report_violation(
-                        "drain", f"{item.id} received a request after it was drained"
+                        "drain",
+                        f"{upstream.id} received a request after it was drained",
                     )
-            tokens = [typing.cast(int, o["fencing_token"]) for o in item.orders]
+            tokens = [typing.cast(int, o["fencing_token"]) for o in upstream.orders]
             if tokens != sorted(tokens):
                 self.report_violation(
-                    "fencing", f"{item.id} accepted the tokens {tokens}"
+                    "fencing", f"{upstream.id} accepted the tokens {tokens}"
                 )
         for request_id, count in runs.items():
             if count > 1:
@@ -452,12 +455,14 @@
                 self.report_violation(
                     "recovery", f"{node.name} does not serve requests"
                 )
-        for item in self.servers:
+        for upstream in self.servers:
             if (
-                item.models.get(platform_world.MODEL, self.weight_version)
+                upstream.models.get(platform_world.MODEL, self.weight_version)
                 != self.weight_version
             ):
-                self.report_violation("weights", f"{item.id} serves {item.models}")
+                self.report_violation(
+                    "weights", f"{upstream.id} serves {upstream.models}"
+                )
 
     async def is_serving(self, pool: http_client.Pool, node: NodeProcess) -> bool:
         """Return whether a node answers one request of each kind in time."""
