--- a/packages/snipelug-relay/src/snipelug_relay/__init__.py
+++ b/packages/snipelug-relay/src/snipelug_relay/__init__.py
@@ -1,1 +1,1 @@
-"""Relay of requests whose routes an operator keeps in the platform's store."""
+"""Relays requests along routes that an operator keeps in the platform's store."""
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -1,9 +1,10 @@
-"""Tells the other nodes what this node has just done at an upstream.
+"""Announces a node's recent use of upstreams to the other nodes, by UDP.
 
-What an upstream tells of its load is as old as its last answer, and what it tells
-of its weights as old as its last heartbeat. Without these messages two nodes send
-long prompts to one upstream, short ones behind them, and requests to an engine
-that loads weights. A lost datagram costs time only: each message ends by itself.
+An upstream's load report is as old as its last response, and its reported weight
+versions as old as its last heartbeat. Without announcements, two nodes send long
+prompts to the same upstream, queue short ones behind them, and send requests to an
+engine that loads weights. A lost datagram only costs time, as the effect of each
+message expires by itself.
 """
 
 import collections.abc
@@ -22,26 +23,26 @@
 LOG = logging.getLogger("snipelug.announce")
 
 MIN_PROMPT_TOKENS = 1_000
-"""Shorter prompts are read in under 20 ms."""
+"""Minimum prompt to announce; prefill of shorter ones takes less than 20 ms."""
 
 MAX_DATAGRAM_BYTES = 8_192
-"""Longer messages are not sent; nodes read for themselves instead."""
+"""Maximum message size; for longer ones the other nodes read for themselves."""
 
 MAX_SWITCH_S = 3.0
-"""Longest pause that another node can ask for."""
+"""Maximum pause of an upstream that another node can request."""
 
 PROMPT_MARGIN_S = 1.0
-"""A prompt counts for twice its expected reading time and this, at most."""
+"""Added to twice the expected prefill time to limit how long a prompt counts."""
 
 MAX_PROMPT_S = 5.0
-"""Longest time for which another node's prompt counts."""
+"""Maximum time for which the prompt of another node counts."""
 
 MAX_NODES_FOR_BROADCAST = 12
-"""Up to so many nodes each prompt is told to all, and its end as well."""
+"""Maximum number of nodes for which prompts and their ends are announced to all."""
 
 
 Handler = collections.abc.Callable[[typing.Any], None]
-"""Takes one kind of message."""
+"""Handles one type of message."""
 
 
 class Announcer:
@@ -50,7 +51,7 @@
     Parameters
     ----------
     addr : http_client.Address or None
-        Address of this node for other nodes; None to send nothing.
+        Address on which this node receives; None to disable announcements.
     """
 
     def __init__(
@@ -64,7 +65,7 @@
         self._decoder = msgspec.msgpack.Decoder(messages.Message)
 
     async def run(self) -> None:
-        """Receive until cancelled."""
+        """Receive messages until cancelled."""
         if self._addr is None:
             return
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
@@ -87,7 +88,7 @@
     def announce_prompt(
         self, upstream_id: str, tokens: int, shared: choice.PromptPart | None = None
     ) -> collections.abc.Callable[[], None] | None:
-        """Announce a prompt; return what announces that it has been read."""
+        """Announce a prompt; return a function to announce the end of its prefill."""
         if self._sock is None or tokens < MIN_PROMPT_TOKENS:
             return None
         number = next(self._numbers)
@@ -96,7 +97,8 @@
         if shared is not None:
             message.part, message.part_tokens = shared.id, shared.tokens
         if len(self._state.members) > MAX_NODES_FOR_BROADCAST:
-            # Engines of the own zone come first, and each datagram costs a wake-up.
+            # Engines of a node's own zone are preferred, and each datagram costs the
+            # receiver a wake-up.
             message.lasts_s = lasts_s
             self.send_to_zone(message)
             return None
@@ -109,11 +111,11 @@
         return announce_read
 
     def announce_switching(self, upstream_id: str, for_s: float) -> None:
-        """Announce that an engine loads weights."""
+        """Announce that an engine is loading weights."""
         self._send(messages.Switching(upstream_id, for_s))
 
     def announce_serving(self, upstream_id: str, model: str, version: int) -> None:
-        """Announce the weight version that an engine serves now."""
+        """Announce the weight version that an engine now serves."""
         self._send(messages.Serving(upstream_id, model, version))
 
     def close(self) -> None:
@@ -121,11 +123,11 @@
         self._sock = None
 
     def set_handler(self, kind: type, handler: Handler) -> None:
-        """Take messages of a kind with a handler."""
+        """Set the handler for a type of message."""
         self._handlers[kind] = handler
 
     def send_to_zone(self, message: messages.Message) -> bool:
-        """Send to the nodes of this node's zone; return whether it fits."""
+        """Send to the nodes of this node's zone; return whether the message fits."""
         zone = self._state.cfg.zone
         zone_members = [m for m in self._state.members if m.zone == zone]
         return self._send(message, zone_members)
@@ -147,7 +149,7 @@
             try:
                 sock.sendto(data, member.addr)
             except OSError as exc:
-                # The message only improves a choice; the others do without it.
+                # Announcements only improve routing, so a failed one is not retried.
                 lines.event(LOG, "not_announced", to=member.node_id, reason=str(exc))
         return True
 
@@ -190,7 +192,7 @@
                 upstream.announced[(sender, number)] = fleet.AnnouncedPrompt(
                     tokens, now + min(message.lasts_s, MAX_PROMPT_S)
                 )
-                # The next prompt with this part is cheapest where it is read now.
+                # The next prompt with this part is cheapest where it is being read.
                 if message.part:
                     upstream.add_cached_part(
                         message.part,
--- a/packages/snipelug-relay/src/snipelug_relay/clock.py
+++ b/packages/snipelug-relay/src/snipelug_relay/clock.py
@@ -1,11 +1,11 @@
-"""The clock of all decisions of the relay."""
+"""The monotonic clock of the relay."""
 
 import time
 
 
 def now() -> float:
-    """Return a steady time in seconds that also counts while the machine sleeps.
+    """Return a monotonic time in seconds that includes suspension of the machine.
 
-    What a node believed before it was suspended is then as old as it is.
+    The state of a node that was suspended thus has its actual age.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -1,4 +1,4 @@
-"""One request under way, its sends to upstreams, and how they ended."""
+"""A request in progress, its attempts on upstreams, and their outcomes."""
 
 import collections.abc
 import dataclasses
@@ -10,16 +10,16 @@
 
 @dataclasses.dataclass
 class Job:
-    """One request under way.
+    """A request in progress.
 
     Attributes
     ----------
     deadline : float
-        When the answer must be complete, in seconds.
+        Monotonic time by which the response must be complete, in seconds.
     tried : set of str
-        Upstreams that got the request.
+        Upstreams to which the request was sent.
     trace : list of dict
-        One entry for each attempt, for the log.
+        One log entry per attempt.
     """
 
     request: ports.CallerRequest
@@ -41,12 +41,14 @@
 
 @dataclasses.dataclass
 class UpstreamAttempt:
-    """One send to an upstream, and what is counted there until it ends.
+    """One attempt on an upstream, counted in the upstream's load until it ends.
 
     Attributes
     ----------
+    on_prompt_read : callable or None
+        Announces to other nodes that the prompt has been read.
     on_not_run : callable or None
-        Takes back what follows only if the upstream runs the request.
+        Reverts what assumed that the upstream runs the request.
     """
 
     upstream: fleet.Upstream
@@ -58,7 +60,7 @@
     has_ended: bool = False
 
     def start(self, now: float) -> None:
-        """Count the request at the upstream."""
+        """Add the request to the upstream's load."""
         upstream = self.upstream
         upstream.running += 1
         upstream.reserved_tokens += self.tokens
@@ -67,13 +69,13 @@
             upstream.silent_since = now
 
     def record_data(self, now: float) -> None:
-        """Note that the upstream has answered something."""
+        """Record that the upstream has sent data."""
         self.upstream.connect_failures = 0
         waits = self.upstream.running > 1
         self.upstream.silent_since = now if waits else None
 
     def record_prompt_read(self) -> None:
-        """Note that the prompt has been read."""
+        """Record that prefill of the prompt is complete."""
         self.upstream.prefill_tokens -= self.prefill_tokens
         self.prefill_tokens = 0
         if self.on_prompt_read is not None:
@@ -81,7 +83,7 @@
             self.on_prompt_read = None
 
     def finish(self) -> None:
-        """Stop counting the request."""
+        """Remove the request from the upstream's load."""
         if self.has_ended:
             return
         self.has_ended = True
@@ -94,16 +96,16 @@
 
 @dataclasses.dataclass
 class Outcome:
-    """How one attempt ended.
+    """Outcome of one attempt.
 
     Attributes
     ----------
     reply : http_client.StreamingResponse or None
-        The open answer of a stream.
+        The open response of a stream.
     events : bytes
-        Its first whole events.
+        Its first complete events.
     response : http_server.Response or None
-        The whole answer of any other request.
+        The complete response to any other request.
     """
 
     result: attempt.Result
--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -1,4 +1,4 @@
-"""Follows the stores of KV cache and frees parts of replaced weights."""
+"""Polls the KV cache stores and frees parts of outdated weight versions."""
 
 import logging
 
@@ -11,27 +11,28 @@
 LOG = logging.getLogger("snipelug.kv_stores")
 
 POLL_INTERVAL_S = 1.0
-"""Time from one poll to the next; parts stay usable for 1.6 s after a poll."""
+"""Interval between polls of a store; its parts stay usable for 1.6 s after a poll."""
 
 GATHER_TIMEOUT_S = 0.15
-"""Time for the answers of stores before they are told; later ones wait for the next.
+"""Time to wait for responses before they are announced to the zone.
 
-The sum with ``POLL_S`` stays below ``TOLD_S``, so one silent store does not make all
-nodes of a zone poll the others.
+Later responses are announced in the next round. The sum with ``POLL_INTERVAL_S`` is
+below ``MAX_REPORT_AGE_S``, so that one unresponsive store does not make all nodes of a
+zone poll the other stores.
 """
 
 CHECK_INTERVAL_S = 0.5
-"""Pause between looks at which stores are due; half of ``POLL_S``."""
+"""Interval between checks for stores that are due; half of ``POLL_INTERVAL_S``."""
 
 MAX_REPORT_AGE_S = 1.25
-"""Age of a store's last poll after which a node that does not watch it polls itself."""
+"""Age of a store's last poll at which nodes that are not its reader poll it, too."""
 
 FREE_BATCH_SIZE = 200
-"""Parts freed by one call, about 10 KB."""
+"""Parts freed per call; a call is about 10 KB."""
 
 
 class KvStorePoller:
-    """Polls each store."""
+    """Polls each store and shares the results with the zone."""
 
     def __init__(
         self,
@@ -72,12 +73,12 @@
                 self._state.stores_changed = trio.Event()
 
     def _is_due(self, store_state: kv_index.StoreState, now: float) -> bool:
-        """Tell whether this node polls a store now, for others or for itself."""
+        """Return whether this node polls a store now, for its zone or for itself."""
         name = store_state.store.name
         if name in self._polling:
             return False
         if self._state.reads_store(name) or self._state.frees_store(name):
-            # Half a look is left over, as the looks come a little late.
+            # Half a check interval of tolerance, as the checks run slightly late.
             return (
                 now - self._poll_started_at.get(name, -1e9)
                 > POLL_INTERVAL_S - CHECK_INTERVAL_S / 2
@@ -124,14 +125,14 @@
             await self._read_all(store_state, sent_at)
             return
         if store_state.next_event != since:
-            # A watcher has told these events and newer ones meanwhile.
+            # A reader has announced these and newer events in the meantime.
             return
         store_state.next_event = page.next
         self._apply_events(store_state, page.events)
         store_state.polled_at = sent_at
         if page.clock_s is not None:
-            # The store told its clock before the answer came, so this is a lower
-            # bound of the difference and transfers end no later than meant.
+            # The store read its clock before the response arrived, so this is a lower
+            # bound of the offset, and transfers end no later than intended.
             store_state.clock_offset_s = page.clock_s - clock.now()
             store_state.clock_sample = (sent_at, page.clock_s)
             if self._state.reads_store(store_state.store.name):
@@ -154,14 +155,14 @@
         self._pending_reports.append(message)
 
     def _announce_reports(self) -> None:
-        """Tell the zone what this round of polls has shown, in few datagrams."""
+        """Announce the results of this round of polls to the zone, in few datagrams."""
         message, self._pending_reports = self._pending_reports, []
         self._announce_batch(message)
 
     def _announce_batch(self, message: list[messages.KvStoreRead]) -> None:
         if not message or self._announcer.send_to_zone(messages.KvStoresRead(message)):
             return
-        # A store with too many events for a datagram is polled by the others.
+        # Other nodes poll a store whose events do not fit into one datagram.
         half = len(message) // 2
         if half:
             self._announce_batch(message[:half])
@@ -172,7 +173,7 @@
             self._apply_report(item)
 
     def _apply_report(self, message: messages.KvStoreRead) -> None:
-        """Take from a watcher what changed in a store."""
+        """Apply the changes of a store that a reader has announced."""
         store_state = self._state.index.store_states.get(message.store)
         if (
             store_state is None
@@ -192,13 +193,13 @@
             else:
                 store_state.drop((salt, part))
         store_state.next_event = message.next
-        # The store's clock tells how old the watcher's poll is at least.
+        # The store's clock gives a lower bound for the age of the reader's poll.
         sent_at, clock_s = store_state.clock_sample
         polled_at = sent_at + message.clock_s - clock_s
         store_state.polled_at = max(store_state.polled_at, min(now, polled_at))
 
     async def _read_all(self, store_state: kv_index.StoreState, sent_at: float) -> None:
-        """Read the whole list after a gap in the events."""
+        """Read the complete list after a gap in the events."""
         addr = (store_state.store.host, store_state.store.port)
         page = await self._machines.store_list(addr)
         if isinstance(page, ports.Unavailable) or page.epoch != store_state.epoch:
@@ -224,11 +225,11 @@
                     store_state.drop(key)
 
     async def _free(self, store_state: kv_index.StoreState) -> None:
-        """Free the parts that no request can read any more."""
+        """Free the parts that no request can read any longer."""
         keys = list(kv_index.outdated_parts(store_state, clock.now()))
         epoch = store_state.epoch
         is_freed = epoch is not None
-        # Space is scarce after new weights: stores hold little more than one version.
+        # Space is scarce during a rollout: stores hold little more than one version.
         for start in range(0, len(keys), FREE_BATCH_SIZE):
             batch = keys[start : start + FREE_BATCH_SIZE]
             if is_freed and epoch is not None:
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -1,4 +1,4 @@
-"""Datagrams between nodes."""
+"""Messages that nodes exchange in UDP datagrams."""
 
 import msgspec
 
@@ -6,20 +6,20 @@
 
 
 class Prefill(msgspec.Struct, array_like=True, tag=1):
-    """A prompt that was sent or has been read.
+    """A prompt that was sent to an upstream, or the end of its prefill.
 
     Attributes
     ----------
     number : int
-        Counts the sender's prompts.
+        Sequence number of the prompt at the sender.
     tokens : int
-        Tokens to read; 0 once they have been read.
+        Tokens that need prefill; 0 once prefill is complete.
     part : str
-        Id of the last part that the prompt shares with others.
+        Id of the last prompt part that is shared with other prompts.
     part_tokens : int
-        Tokens of that part.
+        Token count of that part.
     lasts_s : float
-        Time after which the prompt has been read, also without a second message.
+        Time after which the prompt no longer counts if no second message arrives.
     """
 
     upstream_id: str
@@ -31,14 +31,14 @@
 
 
 class Switching(msgspec.Struct, array_like=True, tag=2):
-    """An engine was ordered to load weights and turns requests away meanwhile."""
+    """An engine was ordered to load weights and rejects requests until it has."""
 
     upstream_id: str
     for_s: float
 
 
 class Serving(msgspec.Struct, array_like=True, tag=3):
-    """An engine serves a weight version now."""
+    """An engine now serves a weight version."""
 
     upstream_id: str
     model: str
@@ -51,11 +51,11 @@
     Attributes
     ----------
     since, position : int
-        The part of the table's history that was read.
+        The range of the table's history that was read.
     clock_ms : float
-        The store's clock in the answer, in milliseconds.
+        The store's clock in the response, in milliseconds.
     has_changes : bool
-        The table changed in between.
+        Whether the table changed in this range.
     """
 
     since: int
@@ -70,15 +70,15 @@
     Attributes
     ----------
     since, position : int
-        The part of the list's history that was read.
+        The range of the list's history that was read.
     in_grace : bool
-        Removed entries may have lapsed during an outage.
+        Whether removed entries may have expired during an outage.
     entries : list of fleet.Entry
-        Entries that differ from what the sender knew.
+        Entries that have changed for the sender.
     removed : list of str
         Upstreams without an entry.
     is_cut : bool
-        There were more changes than a datagram holds.
+        Whether the changes were omitted because they exceed a datagram.
     """
 
     since: int
@@ -90,16 +90,16 @@
 
 
 class KvStoreRead(msgspec.Struct, array_like=True):
-    """What the events of one store of KV cache told.
+    """Events read from one KV cache store.
 
     Attributes
     ----------
     since, next : int
-        The part of the store's events that was read.
+        The range of the store's events that was read.
     clock_s : float
-        The store's clock in the answer, in seconds.
+        The store's clock in the response, in seconds.
     stored : list of (str, str, int)
-        Salt, part and tokens of each part, in order; no tokens once it was freed.
+        Salt, id and token count of each part, in order; 0 tokens if it was freed.
     """
 
     store: str
@@ -111,7 +111,7 @@
 
 
 class KvStoresRead(msgspec.Struct, array_like=True, tag=6):
-    """The events of stores of KV cache were read."""
+    """Events read from several KV cache stores."""
 
     kv_stores: list[KvStoreRead]
 
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -1,4 +1,4 @@
-"""One relaying node: its parts, its start and its planned stop."""
+"""A relay node: its components, its start and its graceful shutdown."""
 
 import collections.abc
 import dataclasses
@@ -25,19 +25,19 @@
 LOG = logging.getLogger("snipelug.node")
 
 DEREGISTRATION_S = 2.6
-"""Time until the load balancer has seen two refusals, one a second, after a stop."""
+"""Time for the load balancer to see two failed health checks, one per second."""
 
 EXIT_MARGIN_S = 0.5
-"""The process ends this long before the platform would kill it."""
+"""Margin between the end of the process and the time the platform would kill it."""
 
 CONNECT_TIMEOUT_S = 0.3
-"""Time to connect to an upstream; zones are 1.4 ms apart."""
+"""Connect timeout for upstreams; zones are 1.4 ms apart."""
 
 CONTROL_CONNECT_TIMEOUT_S = 0.5
-"""Time to connect to the store, engines and stores of KV cache for control."""
+"""Connect timeout for control calls to the store, engines and KV cache stores."""
 
 IDLE_FRACTION = 0.6
-"""Part of an upstream's connections that all nodes together keep open."""
+"""Fraction of an upstream's connections that all nodes together keep idle."""
 
 MAX_IDLE = 64
 EXPIRY_INTERVAL_S = 0.5
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Platform:
-    """The adapters of one platform."""
+    """Adapters for one platform."""
 
     dialect: ports.Dialect
     store: ports.ControlStore
@@ -59,24 +59,24 @@
 
 
 Build = collections.abc.Callable[[ports.Settings, http_client.Pool], Platform]
-"""Builds the adapters."""
+"""Builds the platform adapters."""
 
 Reload = collections.abc.Callable[[], ports.Settings | str | None]
-"""Returns changed settings, what is wrong with them, or None if nothing changed."""
+"""Returns changed settings, an error message, or None if nothing changed."""
 
 
 class Node:
-    """One node.
+    """A relay node.
 
     Attributes
     ----------
     callers_port, ready_port : int
-        Ports that were bound.
+        Bound ports.
 
     Parameters
     ----------
     reload : Reload
-        Looks for changed settings.
+        Checks for changed settings.
     """
 
     def __init__(
@@ -127,34 +127,34 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the load balancer may send callers here."""
+        """Whether the load balancer may send requests to this node."""
         return self._state.is_ready
 
     @property
     def knows_stores(self) -> bool:
-        """Whether all stores of KV cache have told what they hold."""
+        """Whether the contents of all KV cache stores are known."""
         return self._state.knows_stores(clock.now())
 
     @property
     def configuration_age_s(self) -> float:
-        """Time since the operator's intents were last confirmed, in seconds."""
+        """Time since the operator's intents were last known up to date, in seconds."""
         return clock.now() - self._state.confirmed_at
 
     def store_age_s(self, name: str) -> float:
-        """Return the age of what is known of a store of KV cache, in seconds."""
+        """Return the age of the last poll of a KV cache store, in seconds."""
         return clock.now() - self._state.index.store_states[name].polled_at
 
     @property
     def members(self) -> int:
-        """Number of nodes known, this one included."""
+        """Number of known nodes, including this one."""
         return self._state.nodes
 
     def drop_datagrams(self) -> None:
-        """Neither send nor take datagrams from now on, as behind a bad link."""
+        """Stop sending and receiving datagrams, to simulate a network failure."""
         self._announcer.close()
 
     async def run(self) -> None:
-        """Serve until a planned stop is complete."""
+        """Serve until a graceful shutdown is complete."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._log.run)
@@ -170,7 +170,7 @@
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Serve until cancelled; report once callers can connect."""
+        """Serve until cancelled; report as started once callers can connect."""
         async with trio.open_nursery() as nursery:
             self.callers_port = await nursery.start(
                 self._callers.serve, *self._cfg.callers
@@ -200,7 +200,7 @@
             lines.warning(LOG, "metrics_not_served", reason=str(exc))
 
     async def stop(self) -> None:
-        """Leave the load balancer, let requests finish, then close."""
+        """Leave the load balancer, let open requests finish, then close."""
         began = clock.now()
         self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
@@ -209,10 +209,10 @@
         with trio.move_on_after(1.0):
             await self._store.remove_member(self._cfg.node_id)
         await trio.sleep(max(0.0, began + DEREGISTRATION_S - clock.now()))
-        # Requests that come later could not be finished, so callers must go elsewhere.
+        # Later requests could not be finished, so callers must use another node.
         self._callers.stop_accepting()
         self._callers.close_idle()
-        # A connection on which a request is being read counts as well.
+        # This includes connections on which a request is still being read.
         while self._callers.open_connections and clock.now() < last:
             await trio.sleep(CLOSE_CHECK_INTERVAL_S)
             self._callers.close_idle()
@@ -224,7 +224,7 @@
         )
 
     async def abort_connections(self) -> None:
-        """Close the connections of callers that are left."""
+        """Abort the remaining connections of callers."""
         await self._callers.abort()
 
     async def _handle_ready(self, _req: http_server.Request) -> http_server.Response:
@@ -238,7 +238,7 @@
         return http_server.Response(OK, text, {"content-type": "text/plain"})
 
     def _apply_intents(self) -> None:
-        """Apply what the operator wants of this node itself."""
+        """Apply the operator's intents that concern this node itself."""
         self._weights.wake()
         known = self._state.catalog
         if known is None:
@@ -256,7 +256,7 @@
         return max(2, min(MAX_IDLE, int(IDLE_FRACTION * fewest / self._state.nodes)))
 
     async def _expire_upstreams(self) -> None:
-        """Forget upstreams that stay away after an outage of the list."""
+        """Remove upstreams that do not return after an outage of the list."""
         while True:
             await trio.sleep(EXPIRY_INTERVAL_S)
             self._watch.expire()
@@ -271,11 +271,11 @@
         if isinstance(found, str):
             lines.warning(LOG, "settings_invalid", reason=found)
         elif found is not None or is_requested:
-            # Addresses take effect at the next start; the rest is the same here.
+            # Changed addresses only take effect at the next start.
             lines.event(LOG, "reload", is_changed=found is not None)
 
 
 def run(cfg: ports.Settings, build: Build, reload: Reload) -> None:
-    """Run a node until its planned stop."""
+    """Run a node until its graceful shutdown is complete."""
     log = record.setup(cfg.node_id)
     trio.run(Node(cfg, build, reload, log).run)
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -1,4 +1,4 @@
-"""What the relay needs of the platform, and the values that pass between them."""
+"""Interfaces of the relay to the platform, and the values that they exchange."""
 
 import collections.abc
 import dataclasses
@@ -10,7 +10,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
-    """Figures that the deployment promises, in the units of their names."""
+    """Bounds that the deployment guarantees, in the units of their names."""
 
     drain_s: float = 2.0
     grace_s: float = 8.0
@@ -29,11 +29,11 @@
     callers, ready : (str, int)
         Addresses for callers and for the load balancer.
     metrics : (str, int) or None
-        Address of the metrics; None for none.
+        Address that serves metrics; None to disable them.
     store : (str, int)
         Address of the platform's store.
     peers : (str, int) or None
-        Address for datagrams of other nodes; None for none.
+        Address that receives datagrams of other nodes; None to disable them.
     """
 
     node_id: str
@@ -49,22 +49,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class CallerRequest:
-    """A caller's request, decoded.
+    """A decoded request of a caller.
 
     Attributes
     ----------
     time_left_s : float or None
-        How long the caller waits, in seconds; None if it did not say.
+        How long the caller waits, in seconds; None if not given.
     resume_after : str or None
-        Id of the last event that the caller has.
+        Id of the last event that the caller has received.
     model : str
-        Model asked for; empty for plain services.
+        Requested model; empty for services without engines.
     parts : tuple of choice.PromptPart
         Parts of the prompt in order.
     output_tokens : int
-        Most tokens of the answer.
-    passed : tuple of (str, str)
-        Header fields that upstreams get as they are.
+        Maximum tokens of the response.
+    forwarded_headers : tuple of (str, str)
+        Header fields that are sent to upstreams unchanged.
     """
 
     request_id: str
@@ -84,7 +84,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AttemptOptions:
-    """What the relay tells an upstream beside the caller's request.
+    """Parameters of one attempt that are sent in addition to the caller's request.
 
     Attributes
     ----------
@@ -93,9 +93,9 @@
     version : int or None
         Weight version that the upstream must serve.
     salt : str
-        Name under which the prompt's parts are cached; empty for plain services.
+        Cache salt of the prompt's parts; empty for services without engines.
     priority : int or None
-        Rank at the upstream; 0 comes first.
+        Priority at the upstream; 0 is the highest.
     """
 
     upstream_id: str
@@ -110,22 +110,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class ResponseHead:
-    """What the head of an upstream's answer says.
+    """Decoded status and header fields of an upstream's response.
 
     Attributes
     ----------
     is_turned_away : bool
-        The upstream did not run the request.
+        Whether the upstream rejected the request without running it.
     is_own : bool
-        The answer bears the upstream's signature and this request's id.
+        Whether the response has an upstream's signature and this request's id.
     is_other_instance : bool
-        Another upstream than the expected one answered.
+        Whether the upstream is not the expected instance or weight version.
     load : tuple of (int, int, int) or None
-        Requests running and waiting, and slots.
+        Numbers of running requests, waiting requests and slots.
     version : int or None
         Weight version that serves the request.
     cold_s : float or None
-        How much longer the upstream stays cold, in seconds.
+        Remaining cold start time of the upstream, in seconds.
     """
 
     is_turned_away: bool
@@ -137,7 +137,7 @@
 
 
 class Dialect(typing.Protocol):
-    """The header fields of callers and upstreams."""
+    """Codec for the header fields of callers and upstreams."""
 
     def decode_request(
         self, req: http_server.Request
@@ -154,23 +154,23 @@
     def decode_head(
         self, request: CallerRequest, status: int, headers: dict[str, str]
     ) -> ResponseHead:
-        """Read the head of an upstream's answer."""
+        """Decode the status and header fields of an upstream's response."""
         ...
 
     def response_headers(self, headers: dict[str, str]) -> dict[str, str]:
-        """Return the header fields of an upstream's answer for the caller."""
+        """Return the header fields of an upstream's response for the caller."""
         ...
 
     def build_refusal(
         self, request: CallerRequest | None, reason: refusal.Refusal
     ) -> http_server.Response:
-        """Build the answer to a request that this node does not relay."""
+        """Build the response to a request that this node does not relay."""
         ...
 
 
 @dataclasses.dataclass(frozen=True)
 class Version:
-    """Weights named for a model."""
+    """Weight version named for a model."""
 
     model: str
     version: int
@@ -178,7 +178,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unreadable:
-    """An entry that cannot be decoded; it changes nothing."""
+    """An entry that cannot be decoded."""
 
     key: str
     reason: str
@@ -186,7 +186,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Evacuation:
-    """A zone that gets no new work."""
+    """An availability zone that receives no new requests."""
 
     zone: str
 
@@ -197,32 +197,30 @@
 
     Attributes
     ----------
-    key : str
-        Key as the platform spells it.
     item : Evacuation, Version or str
-        What the row was about; an upstream's id for the list of upstreams.
+        Decoded content of the row; an upstream's id for the list of upstreams.
     """
 
     item: "Evacuation | Version | str"
 
 
 Intent = catalog.Catalog | Version | Evacuation | Removed | Unreadable
-"""What the operator's table says."""
+"""An entry of the operator's table."""
 
 Listing = fleet.Entry | Removed | Unreadable
-"""What the list of upstreams says."""
+"""An entry of the list of upstreams."""
 
 Item = typing.TypeVar("Item")
 
 
 @dataclasses.dataclass(frozen=True)
 class Page(typing.Generic[Item]):
-    """Rows of one table.
+    """Rows or changes of one table.
 
     Attributes
     ----------
     position : int
-        From where the next changes are read.
+        Position from which the next changes are read.
     clock_ms : float
         The store's clock, in milliseconds.
     """
@@ -234,26 +232,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class HistoryLost:
-    """The store no longer has the changes that were asked for."""
+    """The store no longer has the requested changes."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Unavailable:
-    """The store gave no usable answer."""
+    """The call failed or its response is not usable."""
 
     reason: str
 
 
 @dataclasses.dataclass(frozen=True)
 class Member:
-    """A node's row in the table of members.
+    """A node's row in the member table.
 
     Attributes
     ----------
     seen_ms : float
-        The store's clock when the row was written, at most, in milliseconds.
+        Upper bound of the store's clock when the row was written, in milliseconds.
     addr : (str, int) or None
-        Where the node receives datagrams.
+        Address at which the node receives datagrams.
     """
 
     node_id: str
@@ -264,7 +262,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseRow:
-    """The row of the lease for orders as read.
+    """The row of the lease for weight orders.
 
     Attributes
     ----------
@@ -286,7 +284,7 @@
     Attributes
     ----------
     version : int
-        Version of the row; grows with each transaction of the store.
+        Version of the row; increases with each transaction of the store.
     """
 
     version: int
@@ -299,16 +297,16 @@
 
 
 class ControlStore(typing.Protocol):
-    """The platform's store, as far as the relay uses it."""
+    """The platform's store as used by the relay."""
 
     async def read_intents(self) -> Page[Intent] | Unavailable:
-        """Read all that the operator wants."""
+        """Read the operator's whole table."""
         ...
 
     async def watch_intents(
         self, position: int, wait_s: float
     ) -> Page[Intent] | HistoryLost | Unavailable:
-        """Wait for what the operator wants next."""
+        """Wait for changes of the operator's table."""
         ...
 
     async def read_upstreams(self) -> Page[Listing] | Unavailable:
@@ -322,7 +320,7 @@
         ...
 
     async def read_members(self) -> Page[Member] | Unavailable:
-        """Read the table of members."""
+        """Read the member table."""
         ...
 
     async def write_member(self, member: Member) -> Unavailable | None:
@@ -334,7 +332,7 @@
         ...
 
     async def read_lease(self) -> LeaseRow | Unavailable:
-        """Read the lease for orders."""
+        """Read the lease for weight orders."""
         ...
 
     async def write_lease(
@@ -346,14 +344,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Report:
-    """An engine's state as it tells it.
+    """State that an engine reports.
 
     Attributes
     ----------
     orders : int
-        Orders that it has accepted.
+        Number of orders that it has accepted.
     is_busy : bool
-        An order is being carried out.
+        Whether it is carrying out an order.
     """
 
     versions: dict[str, int]
@@ -363,7 +361,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Stored:
-    """A part that a store has completed."""
+    """A part that is complete in a KV cache store."""
 
     key: kv_index.PartKey
     tokens: int
@@ -371,21 +369,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Freed:
-    """A part that a store no longer has."""
+    """A part that was removed from a KV cache store."""
 
     key: kv_index.PartKey
 
 
 @dataclasses.dataclass(frozen=True)
 class StoreEvents:
-    """What a store tells of its content.
+    """Events of a KV cache store.
 
     Attributes
     ----------
     has_gap : bool
-        Some events before these are lost.
+        Whether events before these are lost.
     clock_s : float or None
-        The store's clock, in seconds, if it told it.
+        The store's clock, in seconds, if reported.
     """
 
     epoch: int
@@ -397,7 +395,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreList:
-    """All parts that a store has completed."""
+    """All complete parts in a KV cache store."""
 
     epoch: int
     next: int
@@ -405,17 +403,17 @@
 
 
 class OrderAnswer(typing.NamedTuple):
-    """How an engine answered an order; status 0 if it did not answer."""
+    """An engine's response to an order; status 0 if there was none."""
 
     status: int
     reason: str
 
 
 class Machines(typing.Protocol):
-    """Direct calls to engines and stores of KV cache."""
+    """Direct calls to engines and KV cache stores."""
 
     async def report(self, addr: http_client.Address) -> Report | Unavailable:
-        """Ask an engine for its state."""
+        """Read the state of an engine."""
         ...
 
     async def order_version(
@@ -426,17 +424,17 @@
         lease: rollout.Lease,
         accepted_orders: int,
     ) -> OrderAnswer:
-        """Order an engine to load a weight version, if no other order came since."""
+        """Order an engine to load weights, unless it has accepted newer orders."""
         ...
 
     async def store_events(
         self, addr: http_client.Address, since: int
     ) -> StoreEvents | Unavailable:
-        """Ask a store for what changed."""
+        """Read the events of a KV cache store."""
         ...
 
     async def store_list(self, addr: http_client.Address) -> StoreList | Unavailable:
-        """Ask a store for all that it has."""
+        """Read the complete list of a KV cache store."""
         ...
 
     async def free(
@@ -445,5 +443,5 @@
         keys: collections.abc.Sequence[kv_index.PartKey],
         epoch: int,
     ) -> bool:
-        """Free parts of a store, if it has not restarted."""
+        """Free parts of a KV cache store, unless it has restarted."""
         ...
--- a/packages/snipelug-relay/src/snipelug_relay/record.py
+++ b/packages/snipelug-relay/src/snipelug_relay/record.py
@@ -1,8 +1,7 @@
-"""Log lines as JSON on standard output, bounded and never waited for.
+"""Non-blocking JSON logging to standard output.
 
-A line that the reader of standard output does not take at once is kept in a
-buffer of bounded size. Lines beyond it are dropped and counted; the count is
-part of the next line that is written.
+Lines that cannot be written at once are kept in a buffer of bounded size. Lines
+that exceed it are dropped and counted; the next line contains the count.
 """
 
 import collections
@@ -16,17 +15,17 @@
 from snipelug_net import lines
 
 BUFFER_LINES = 2_000
-"""About 1 MB of lines at most, against 128 MB of memory on the smallest machine."""
+"""Maximum buffered lines, about 1 MB; the smallest machine has 128 MB of memory."""
 
 FLUSH_S = 0.25
-"""Lines are written together, because each write costs a system call."""
+"""Interval between writes; batching saves system calls."""
 
 ROUTINE_PER_S = 10.0
-"""Lines a second for requests that were answered in time; others are counted."""
+"""Maximum lines per second for requests answered in time; the rest are counted."""
 
 
 class Buffer(logging.Handler):
-    """Formats records and keeps them until they are written."""
+    """Log handler that formats records and buffers them until they are written."""
 
     def __init__(self, node_id: str, fd: int) -> None:
         super().__init__()
@@ -38,7 +37,7 @@
         self._has_lines = trio.Event()
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Keep one line, or count it if the buffer is full."""
+        """Buffer one line, or count it as dropped if the buffer is full."""
         if len(self._lines) >= BUFFER_LINES:
             self.dropped += 1
             return
@@ -55,7 +54,7 @@
         self._has_lines.set()
 
     def write_out(self) -> None:
-        """Write what standard output takes now."""
+        """Write as many lines as possible without blocking."""
         while self._unwritten or self._lines:
             if not self._unwritten:
                 self._unwritten = b"".join(self._lines)
@@ -65,13 +64,13 @@
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads the log any more; there is nowhere to say so.
+                # The log has no reader any longer, so the error cannot be reported.
                 self._unwritten = b""
                 return
             self._unwritten = self._unwritten[count:]
 
     async def run(self) -> None:
-        """Write lines until cancelled."""
+        """Write buffered lines until cancelled."""
         while True:
             await self._has_lines.wait()
             await trio.sleep(FLUSH_S)
@@ -94,7 +93,7 @@
 
 
 class Sampler:
-    """Lets routine lines through at a bounded rate and counts the others."""
+    """Limits the rate of routine log lines and counts those left out."""
 
     def __init__(self, per_s: float = ROUTINE_PER_S) -> None:
         self._per_s = per_s
@@ -103,7 +102,7 @@
         self.left_out = 0
 
     def admit(self) -> bool:
-        """Tell whether a routine line is written."""
+        """Return whether to write a routine line."""
         now = time.monotonic()
         self._tokens = min(
             self._per_s, self._tokens + self._per_s * (now - self._refilled_at)
@@ -116,6 +115,6 @@
         return True
 
     def pop_left_out(self) -> int:
-        """Return how many lines were left out since the last call."""
+        """Return the number of lines left out since the last call."""
         count, self.left_out = self.left_out, 0
         return count
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -1,4 +1,4 @@
-"""Relays callers' requests to upstreams: choice, sends, retries and streams."""
+"""Relays callers' requests to upstreams: selection, attempts, retries and streams."""
 
 import dataclasses
 import functools
@@ -34,45 +34,48 @@
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 FIRST_EVENT_TIMEOUT_S = 2.0
-"""Wait for the first event before a resumable stream is asked for elsewhere.
+"""Timeout for the first event of a resumable stream, before prefill is added.
 
-Callers leave after 3 s without a first event on the sites' routes.
+On the routes of the deployments, callers disconnect after 3 s without a first event.
 """
 
 ATTEMPT_TIMEOUT_OBJECTIVES = 2.0
-"""An idempotent request is tried elsewhere after this many objectives."""
+"""Timeout of an idempotent attempt, as a multiple of the route's objective."""
 
 AT_MOST_ONCE_MAX_IDLE_S = 1.0
-"""Connections idle for longer carry no request that must not be repeated.
+"""Maximum idle time of a connection that is reused for an at-most-once request.
 
-The upstream may close them at that moment, and then nobody knows whether the
-request ran.
+The upstream may close an idle connection just as the request is sent, which leaves
+unknown whether the request ran.
 """
 
 CONNECT_BACKOFF_S = 0.25
-"""Pause after the first failed connection; doubles with each further one."""
+"""Backoff after the first failed connect; doubles with each further failure."""
 
 MAX_CONNECT_BACKOFF_S = 2.0
 REJECTION_READ_TIMEOUT_S = 0.2
-"""Time to read the rest of an answer that turns a request away."""
+"""Timeout for reading the rest of a response that rejects a request."""
 
 REJECTION_PAUSE_S = 0.1
 SWITCHING_PAUSE_S = 0.3
-"""Pauses after an upstream turned a request away."""
+"""Pauses before the next request to an upstream that rejected one.
+
+The longer one applies to engines, which reject requests while they load weights.
+"""
 
 OK = 200
 SERVER_ERROR = 500
 
 
 class Relay:
-    """Answers callers' requests.
+    """Relays requests from callers to upstreams.
 
     Parameters
     ----------
     pool : http_client.Pool
         Connections to upstreams.
     dialect : ports.Dialect
-        Header fields of the platform.
+        Codec for the header fields of the platform.
     """
 
     def __init__(
@@ -95,7 +98,7 @@
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         request = self._dialect.decode_request(req)
         if isinstance(request, refusal.Refusal):
             lines.warning(LOG, "request_unreadable", reason=request.message)
@@ -175,7 +178,7 @@
         )
 
     def _can_retry(self, work: job.Job) -> bool:
-        """Tell whether another upstream could be asked, before budget is spent."""
+        """Return whether a retry is possible, without spending retry budget."""
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
@@ -184,7 +187,7 @@
     async def _attempt(
         self, work: job.Job, chosen: choice.Choice, resume_after: str | None
     ) -> job.Outcome:
-        """Send the request once and read its answer, for streams the first events."""
+        """Send the request once and read the response, or a stream's first events."""
         now = clock.now()
         upstream_attempt, call = self._prepare(work, chosen, resume_after, now)
         upstream_attempt.start(now)
@@ -194,7 +197,7 @@
             entry.id, upstream_attempt.prefill_tokens, shared
         )
         reply: http_client.StreamingResponse | None = None
-        outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
+        outcome = job.Outcome(attempt.Result.LOST, "no response in time")
         is_kept = False
         try:
             with trio.move_on_after(self._attempt_timeout_s(work, chosen)):
@@ -294,7 +297,7 @@
     def _pre_send_check(
         self, work: job.Job, chosen: choice.Choice
     ) -> http_client.PreSendCheck:
-        """Return the check that comes right before the first byte is sent."""
+        """Return the check to run immediately before the first byte is sent."""
         entry = chosen.upstream.entry
 
         def is_still_usable(_opened_at: float) -> bool:
@@ -309,10 +312,10 @@
         return is_still_usable
 
     def _attempt_timeout_s(self, work: job.Job, chosen: choice.Choice) -> float:
-        """Return how long an attempt may take, in seconds.
+        """Return the timeout of an attempt, in seconds.
 
-        A prompt that is expected to wait is not given up while it does, as another
-        engine would read it anew.
+        For streams it includes the expected time to the first token: abandoning a
+        prompt that is still queued would repeat its prefill on another engine.
         """
         left_s = max(0.0, work.left_s())
         if work.history.runs + 1 >= work.route.max_attempts:
@@ -337,24 +340,28 @@
         )
         self._apply_response_head(work, upstream_attempt, response_head)
         if response_head.is_turned_away:
-            # Reading to the end keeps the connection.
+            # Reading the whole body allows the connection to be reused.
             await reply.read(MAX_RESPONSE_BYTES, REJECTION_READ_TIMEOUT_S)
-            reason = f"turned away with {reply.status}"
+            reason = f"rejected with status {reply.status}"
             if response_head.is_other_instance:
-                reason += ", another instance or version"
+                reason += ", wrong instance or weight version"
             return job.Outcome(attempt.Result.REJECTED, reason)
         if not response_head.is_own:
-            reason = f"status {reply.status} without signature or with another id"
+            reason = (
+                f"status {reply.status} without a signature or with another request id"
+            )
             return job.Outcome(attempt.Result.LOST, reason)
         if work.route.is_stream and reply.status == OK:
             return await self._read_first_event(upstream_attempt, reply, resume_after)
         body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
-            return job.Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
+            return job.Outcome(
+                attempt.Result.LOST, f"the response was interrupted: {body}"
+            )
         headers = self._dialect.response_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
         if reply.status >= SERVER_ERROR:
-            reason = f"the upstream answered {reply.status}"
+            reason = f"the upstream responded with status {reply.status}"
             return job.Outcome(attempt.Result.FAILED, reason, response=response)
         work.first_byte_at = clock.now()
         return job.Outcome(attempt.Result.ANSWERED, response=response)
@@ -365,12 +372,12 @@
         reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
-        """Read a stream up to its first whole event."""
+        """Read a stream up to its first complete event."""
         splitter = sse.Splitter(resume_after)
         while True:
             part = await reply.next_part()
             if isinstance(part, http_client.Lost):
-                reason = f"the stream was cut: {part.reason}"
+                reason = f"the stream was interrupted: {part.reason}"
                 return job.Outcome(attempt.Result.LOST, reason)
             events = splitter.push(part or b"")
             if part is None or events:
@@ -412,7 +419,7 @@
     def _apply_version_mismatch(
         self, upstream: fleet.Upstream, model: str, now: float
     ) -> None:
-        """Take that the upstream does not serve the version it was taken to serve."""
+        """Record that the upstream does not serve the expected weight version."""
         named = self._state.named_versions.get(model)
         if named is not None and upstream.versions.get(model, 0) < named.version:
             upstream.set_version(model, named.version)
@@ -446,7 +453,7 @@
         return http_server.Response(outcome.reply.status, body, headers)
 
     async def resume(self, work: job.Job, lost: job.Outcome) -> job.Outcome | None:
-        """Go on with a stream at another upstream; None if that is not possible."""
+        """Resume a stream on another upstream; return None if that is not possible."""
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
@@ -470,11 +477,11 @@
             outcome.reply.abort()
             if outcome.upstream_attempt is not None:
                 outcome.upstream_attempt.finish()
-            reason = "the resumed stream does not go on after the last event"
+            reason = "the resumed stream does not continue after the last event"
             lost = job.Outcome(attempt.Result.LOST, reason, outcome.upstream_attempt)
 
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
-        """Answer a request that has not run; after a run the outcome is unknown."""
+        """Refuse a request that has not run; fail one that may have run."""
         if work.history.runs > 0:
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason.message))
         self._finish(work, "refused", reason.message, reason.kind.code)
@@ -505,7 +512,7 @@
         )
 
     def _finish(self, work: job.Job, outcome: str, reason: str, code: str = "") -> None:
-        """Log and count the end of a request, once."""
+        """Log and count the end of a request; further calls have no effect."""
         if work.is_finished:
             return
         work.is_finished = True
@@ -548,7 +555,7 @@
         lines.event(LOG, "request", **fields)
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
-        """Log and count the end of a stream, once."""
+        """Log and count the end of a stream; further calls have no effect."""
         self._finish(work, outcome, reason)
 
 
@@ -559,7 +566,7 @@
         case http_client.NotSent(reason):
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Withheld():
-            reason = "the upstream left before the request was sent"
+            reason = "the upstream became unusable before the request was sent"
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Lost(reason):
             return job.Outcome(attempt.Result.LOST, reason)
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -1,4 +1,4 @@
-"""Picks the upstream for a request, or says why none should get it now."""
+"""Selects the upstream for a request, or refuses the request with a reason."""
 
 import collections.abc
 import random
@@ -9,24 +9,24 @@
 from snipelug_relay import clock, job, ports, state
 
 VERSION_MARGIN_S = 2.0
-"""Old weights are given up this long before the deployment's bound.
+"""Margin before the deployment's bound at which outdated weights are no longer used.
 
-The bound holds for the moment at which an engine begins with a request, and
-requests wait there for up to 1.3 s when many engines load weights.
+The bound applies to the moment at which an engine starts a request, and requests
+queue there for up to 1.3 s when many engines load weights.
 """
 
 WAIT_FRACTION = 0.25
-"""Part of the objective for which a request waits for an upstream to come back."""
+"""Fraction of the objective that a request waits for an upstream to be available."""
 
 RETRY_AFTER_S = 0.5
-"""Pause for callers while no upstream can be used."""
+"""Retry-after time while no upstream is available."""
 
 RETRY_ELSEWHERE_S = 0.1
-"""Pause for callers while another upstream has room, but no retry is left."""
+"""Retry-after time if another upstream has capacity, but no retry is left."""
 
 
 class Selector:
-    """Applies the decisions of ``choice`` and ``overload`` to what a node believes."""
+    """Applies the rules of ``choice`` and ``overload`` to the state of a node."""
 
     def __init__(self, cfg: ports.Settings, node_state: state.State) -> None:
         self._cfg = cfg
@@ -34,12 +34,12 @@
         self._rng = random.Random()
 
     async def pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
-        """Choose an upstream; wait a little for one that comes back soon."""
+        """Choose an upstream; wait for one if it becomes available soon enough."""
         wait_until = work.started_at + WAIT_FRACTION * work.route.objective_s
         while True:
             now = clock.now()
             if now >= work.deadline:
-                message = "the deadline passed"
+                message = "the deadline has passed"
                 return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
             pick = self.choose(work, now)
             if pick is not None:
@@ -47,7 +47,7 @@
             at = self._next_available_at(work, now)
             if at is None or at > min(wait_until, work.deadline):
                 wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
-                message = f"no upstream of {work.service} can be used now"
+                message = f"no upstream of {work.service} is available"
                 return refusal.refuse(
                     refusal.NO_UPSTREAM, message, retry_after_s=wait_s
                 )
@@ -56,9 +56,9 @@
     def _check_overload(
         self, work: job.Job, pick: choice.Choice, now: float
     ) -> choice.Choice | refusal.Refusal:
-        """Turn a prompt away at once if even the best engine would answer it late.
+        """Refuse a prompt at once if even the best engine would respond too late.
 
-        Streams that have begun go on, and what was sent before is not refused.
+        Streams that have started and requests that may have run are not refused.
         """
         if work.first_byte_at is not None or work.history.runs > 0:
             return pick
@@ -69,13 +69,13 @@
         if wait_s is None:
             return pick
         message = (
-            f"expected wait of {pick.wait_s:.2f} s at the best of "
+            f"expected wait is {pick.wait_s:.2f} s on the best of "
             f"{pick.candidates} engines, {work.left_s():.2f} s left"
         )
         return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
 
     def retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
-        """Return when a caller should come back, or None if it need not."""
+        """Return after how many seconds to retry, or None if there is no overload."""
         if not work.request.model:
             return None
         return overload.retry_after(
@@ -89,7 +89,7 @@
     def choose(
         self, work: job.Job, now: float, consider_all: bool = False
     ) -> choice.Choice | None:
-        """Return the upstream with the least expected cost that may be used now."""
+        """Return the available upstream with the lowest expected cost."""
         context = self._state.context(work.service)
         if context is None:
             return None
@@ -131,10 +131,10 @@
     def _usable_store_versions(
         self, work: job.Job, newest: int, now: float
     ) -> collections.abc.Iterator[int]:
-        """Yield the weight versions whose parts may be read from stores.
+        """Yield the weight versions whose parts may be read from KV cache stores.
 
-        While engines load new weights, those that have not yet done so can still
-        fetch what the others must read.
+        During a rollout, engines on the old version can still fetch the old parts,
+        while the others must compute them.
         """
         request = work.request
         versions = {newest}
@@ -147,15 +147,15 @@
                 yield version
 
     def _old_version_limit_s(self) -> float:
-        """Return the time after which old weights are not used, in seconds."""
+        """Return the time after which outdated weights are not used, in seconds."""
         return self._cfg.bounds.version_s - VERSION_MARGIN_S
 
     def salt(self, work: job.Job, version: int) -> str:
-        """Return the name under which the parts of a request are cached."""
+        """Return the cache salt for the parts of a request."""
         return kv_index.salt(work.request.model, version, work.team)
 
     def _next_available_at(self, work: job.Job, now: float) -> float | None:
-        """Return when the first upstream may be asked again."""
+        """Return when the next untried upstream becomes available."""
         times = [
             max(upstream.blocked_until, upstream.switching_until)
             for upstream in self._state.fleet.of_service(work.service)
@@ -164,9 +164,9 @@
         return min((at for at in times if at > now), default=None)
 
     def refuse_rejected(self, work: job.Job, reason: str) -> refusal.Refusal:
-        """Refuse a request that no upstream took, though none has run it."""
+        """Refuse a request that all tried upstreams rejected without running it."""
         other = self.choose(work, clock.now())
         has_room = other is not None and self.retry_after(work, other) is None
         wait_s = RETRY_ELSEWHERE_S if has_room else RETRY_AFTER_S
-        message = f"no upstream took the request: {reason}"
+        message = f"no upstream accepted the request: {reason}"
         return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
--- a/packages/snipelug-relay/src/snipelug_relay/sse.py
+++ b/packages/snipelug-relay/src/snipelug_relay/sse.py
@@ -1,4 +1,4 @@
-"""Server-sent events, cut at their ends so that only whole ones are passed on."""
+"""Splits server-sent event streams so that only complete events are forwarded."""
 
 import re
 
@@ -7,12 +7,12 @@
 
 
 class Splitter:
-    """Collects the bytes of a stream and returns them up to the last whole event.
+    """Buffers the bytes of a stream and returns complete events.
 
     Attributes
     ----------
     last_id : str or None
-        Id of the last whole event that was returned.
+        Id of the last complete event that was returned.
     """
 
     def __init__(self, last_id: str | None = None) -> None:
@@ -20,21 +20,21 @@
         self._rest = b""
 
     def push(self, data: bytes) -> bytes:
-        """Add bytes; return the whole events."""
+        """Add bytes and return the events that are now complete."""
         self._rest += data
         end = self._rest.rfind(EVENT_END)
         if end < 0:
             return b""
-        whole = self._rest[: end + len(EVENT_END)]
+        complete = self._rest[: end + len(EVENT_END)]
         self._rest = self._rest[end + len(EVENT_END) :]
-        ids = EVENT_ID.findall(whole)
+        ids = EVENT_ID.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
-        return whole
+        return complete
 
     @property
     def rest(self) -> bytes:
-        """What came after the last whole event."""
+        """The bytes after the last complete event."""
         return self._rest
 
 
@@ -45,7 +45,7 @@
 
 
 def follows(last_id: str | None, events: bytes) -> bool:
-    """Tell whether events go on after the one with the last id."""
+    """Return whether events continue after the event with the last id."""
     first = first_id(events)
     if last_id is None or first is None:
         return True
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -1,4 +1,4 @@
-"""What a node believes: the operator's intents, upstreams, stores and members."""
+"""State of a node: the operator's intents, upstreams, KV cache stores and members."""
 
 import collections.abc
 import dataclasses
@@ -13,13 +13,14 @@
 LOG = logging.getLogger("snipelug.state")
 
 MEMBER_MAX_AGE_S = 50.0
-"""Age at which a member's row no longer counts; rows are written every 15 s."""
+"""Age at which a member's row is ignored; rows are written every 15 s."""
 
 
 STORES_READY_TIMEOUT_S = 1.0
-"""How long a node that starts waits for the stores of KV cache before it is ready.
+"""Maximum time a starting node waits for the KV cache stores before it is ready.
 
-Without them every prompt is read anew; a store that is down stops no node.
+Without them every prompt needs a full prefill. The limit keeps a store that is down
+from blocking the start of nodes.
 """
 
 
@@ -30,9 +31,9 @@
     Attributes
     ----------
     learned_at : float
-        When this node learned of it, in seconds.
+        Monotonic time at which this node learned of it, in seconds.
     learned_times : dict of int to float
-        When this node learned of each version, in seconds.
+        Monotonic time at which this node learned of each version, in seconds.
     """
 
     version: int
@@ -40,28 +41,28 @@
     learned_times: dict[int, float] = dataclasses.field(default_factory=dict)
 
     def newest_learned_before(self, now: float, after_s: float) -> int:
-        """Return the newest version that was named at least a time ago, or 0."""
+        """Return the newest version known for longer than ``after_s``, or 0."""
         ages = (v for v, at in self.learned_times.items() if now - at > after_s)
         return max(ages, default=0)
 
 
 class State:
-    """The tables that the systems of a node read and write.
+    """Shared state of the components of a node.
 
     Attributes
     ----------
     catalog : catalog.Catalog or None
-        None until the store was read.
+        The configuration; None until the store has been read.
     confirmed_at : float
-        When the operator's intents were last confirmed, in seconds.
-    list_known : bool
-        The list of upstreams was read.
-    known_since : float or None
-        When the first configuration was read, in seconds.
-    is_watcher : bool
-        This node reads from the platform for its zone, or for itself.
+        Monotonic time at which the intents were last up to date, in seconds.
+    upstream_list_known : bool
+        Whether the list of upstreams has been read.
+    configured_since : float or None
+        Monotonic time at which the first configuration was read, in seconds.
+    is_reader : bool
+        Whether this node reads from the platform, for its zone or for itself.
     stores_changed : trio.Event
-        Set when the configuration may name other stores of KV cache.
+        Set when the configuration may have changed the KV cache stores.
     """
 
     def __init__(self, cfg: ports.Settings) -> None:
@@ -83,7 +84,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers may be sent here."""
+        """Whether this node may receive requests."""
         if (
             self.configured_since is None
             or not self.upstream_list_known
@@ -97,7 +98,7 @@
         )
 
     def knows_stores(self, now: float) -> bool:
-        """Tell whether all stores of KV cache have told what they hold."""
+        """Return whether the contents of all KV cache stores are known."""
         return all(
             store_state.is_fresh(now)
             for store_state in self.index.store_states.values()
@@ -105,7 +106,7 @@
 
     @property
     def nodes(self) -> int:
-        """Number of nodes that share the upstreams, this one included."""
+        """Number of nodes that share the upstreams, including this one."""
         return max(1, len(self.members))
 
     def latest_versions(self) -> dict[str, int]:
@@ -113,7 +114,7 @@
         return {model: named.version for model, named in self.named_versions.items()}
 
     def latest_version(self, model: str, service: str) -> int:
-        """Return the newest weight version named, or served if none is named."""
+        """Return the newest named weight version, or the newest served one if none."""
         named = self.named_versions.get(model)
         if named is not None:
             return named.version
@@ -121,14 +122,14 @@
         return max((u.versions.get(model, 0) for u in upstreams), default=0)
 
     def may_use_stores(self, model: str, version: int, now: float) -> bool:
-        """Tell whether parts of a weight version may be read from stores."""
+        """Return whether parts of a weight version may be read from KV cache stores."""
         named = self.named_versions.get(model)
         return named is None or kv_index.is_version_usable(
             version, named.learned_times, now
         )
 
     def assumed_cached_tokens(self, upstream: fleet.Upstream) -> float:
-        """Return how many tokens an engine is taken to keep cached."""
+        """Return how many tokens an engine is assumed to keep cached."""
         known = self.catalog
         service = known.services.get(upstream.entry.service) if known else None
         if service is None or service.engine is None:
@@ -136,7 +137,7 @@
         return fleet.CACHED_PARTS_FRACTION * service.engine.kv_capacity_tokens
 
     def context(self, service: str) -> choice.Context | None:
-        """Return what all upstreams of a service have in common."""
+        """Return the routing context shared by all upstreams of a service."""
         if self.catalog is None or service not in self.catalog.services:
             return None
         found = self.catalog.services[service]
@@ -149,14 +150,14 @@
         read_at: float,
         is_whole: bool,
     ) -> None:
-        """Take what the operator wants.
+        """Apply the operator's intents.
 
         Parameters
         ----------
         read_at : float
-            Time at which the items were up to date at least, in seconds.
+            Latest time at which the items are known to be up to date, in seconds.
         is_whole : bool
-            The items are all there are, not only changes.
+            Whether the items are the whole table rather than changes.
         """
         zones = set() if is_whole else set(self.zones_out)
         for item in items:
@@ -177,7 +178,7 @@
         self.confirm(read_at)
 
     def confirm(self, at: float) -> None:
-        """Note that the operator's intents were up to date at a time."""
+        """Record that the operator's intents were up to date at a time."""
         self.confirmed_at = max(self.confirmed_at, at)
 
     def _apply_catalog(self, new: catalog.Catalog) -> None:
@@ -201,7 +202,7 @@
         known = self.named_versions.get(model)
         if known is not None and version <= known.version:
             return
-        # Weights that were named before this node started are not new.
+        # Versions named before this node started do not count as new.
         at = clock.now() if self.upstream_list_known else -1e9
         times = dict(known.learned_times) if known is not None else {}
         times[version] = at
@@ -220,14 +221,14 @@
         is_whole: bool,
         in_grace: bool,
     ) -> None:
-        """Take entries of the list of upstreams.
+        """Apply entries of the list of upstreams.
 
         Parameters
         ----------
         is_whole : bool
-            The items are the whole list, not only changes.
+            Whether the items are the whole list rather than changes.
         in_grace : bool
-            Missing entries may have lapsed during an outage of the list.
+            Whether missing entries may have expired during an outage of the list.
         """
         now = clock.now()
         entries = []
@@ -251,12 +252,12 @@
                 self._log_change(change)
 
     def expire(self) -> bool:
-        """Remove upstreams that did not come back after an outage of the list.
+        """Remove upstreams that did not return after an outage of the list.
 
         Returns
         -------
         bool
-            Whether there were any.
+            Whether any were removed.
         """
         changes = list(self.fleet.expire(clock.now()))
         for change in changes:
@@ -276,7 +277,7 @@
         )
 
     def apply_members(self, page: ports.Page[ports.Member]) -> None:
-        """Take the rows of all nodes; old ones do not count."""
+        """Apply the rows of all nodes, ignoring expired ones."""
         oldest = page.clock_ms - 1000 * MEMBER_MAX_AGE_S
         live = [member for member in page.items if member.seen_ms >= oldest]
         if len(live) != len(self.members):
@@ -287,13 +288,13 @@
         self._frees_store.clear()
 
     def reads_store(self, store: str) -> bool:
-        """Tell whether this node reads a store of KV cache for its zone or itself."""
+        """Return whether this node polls a KV cache store, for its zone or itself."""
         if store not in self._reads_store:
             self._reads_store[store] = self._is_assigned_reader(store)
         return self._reads_store[store]
 
     def frees_store(self, store: str) -> bool:
-        """Tell whether this node frees what nothing reads any more in a store."""
+        """Return whether this node frees the outdated parts of a KV cache store."""
         if store not in self._frees_store:
             ids = {member.node_id for member in self.members} | {self.cfg.node_id}
             self._frees_store[store] = hashing.rank(store, ids)[0] == self.cfg.node_id
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and latency histograms, in the text format of Prometheus."""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 import prometheus_client
 from prometheus_client import exposition
@@ -6,11 +6,11 @@
 from snipelug_relay import state
 
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
-"""Bounds around the objectives of the sites, 0.1 to 0.8 s."""
+"""Bucket bounds around the objectives of the deployments, 0.1 to 0.8 s."""
 
 
 class Stats:
-    """The metrics of one node."""
+    """Metrics of one node."""
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -1,4 +1,4 @@
-"""The body of a streamed answer, which goes on at another upstream if need be."""
+"""Body of a streamed response, resumed on another upstream after a failure."""
 
 import collections.abc
 import typing
@@ -10,23 +10,26 @@
 from snipelug_relay import clock, job
 
 MAX_EVENT_GAP_S = 1.2
-"""Pause after which a resumable stream is resumed elsewhere; sites allow 0.3 s."""
+"""Gap between events after which a resumable stream is resumed elsewhere.
+
+The deployments allow gaps of 0.3 s.
+"""
 
 
 class Resumer(typing.Protocol):
-    """What a stream needs of the relay."""
+    """The methods of the relay that a stream uses."""
 
     async def resume(self, work: job.Job, lost: job.Outcome) -> job.Outcome | None:
-        """Go on with a stream at another upstream; None if that is not possible."""
+        """Resume a stream on another upstream; return None if that is not possible."""
         ...
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
-        """Log and count the end of a stream, once."""
+        """Log and count the end of a stream; further calls have no effect."""
         ...
 
 
 class Stream:
-    """The body of a streamed answer; implements ``http_server.BodyStream``."""
+    """Body of a streamed response; implements ``http_server.BodyStream``."""
 
     def __init__(self, relay: Resumer, work: job.Job, first: job.Outcome) -> None:
         self._relay = relay
@@ -34,7 +37,7 @@
         self._current = first
 
     def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        """Return the iterator over the whole events."""
+        """Return an iterator over the complete events."""
         return self._events()
 
     async def _events(self) -> collections.abc.AsyncIterator[bytes]:
@@ -53,7 +56,7 @@
         self._relay.finish_stream(self._work, "answered", "")
 
     async def _next_events(self) -> bytes | http_client.Lost:
-        """Return the next whole events, none at the end, or why there are none."""
+        """Return the next complete events, nothing at the end, or the failure."""
         reply, splitter = self._current.reply, self._current.splitter
         assert reply is not None
         assert splitter is not None
@@ -71,7 +74,7 @@
         if part is not None:
             return splitter.push(part)
         if splitter.rest and not _is_framed(reply.headers):
-            return http_client.Lost("the stream ended inside an event")
+            return http_client.Lost("the stream ended within an event")
         self._current.has_ended = True
         return b""
 
@@ -80,9 +83,9 @@
         return splitter.rest if splitter is not None else b""
 
     async def _resume(self, lost: http_client.Lost) -> bytes:
-        """Go on at another upstream, or break the answer off."""
+        """Resume on another upstream, or abort the response."""
         self._close()
-        reason = f"the stream was cut: {lost.reason}"
+        reason = f"the stream was interrupted: {lost.reason}"
         broken = job.Outcome(
             attempt.Result.LOST,
             reason,
@@ -91,7 +94,7 @@
         )
         if self._current.upstream_attempt is not None:
             self._current.upstream_attempt.upstream.record_outcome(True, clock.now())
-        # The attempt was counted when the stream began.
+        # resume() counts this attempt again; it was counted when the stream started.
         self._work.history.runs -= 1
         self._work.history.sends -= 1
         resumed = await self._relay.resume(self._work, broken)
@@ -108,7 +111,7 @@
             self._current.upstream_attempt.finish()
 
     async def aclose(self) -> None:
-        """Free the upstream's connection."""
+        """Release the connection to the upstream."""
         self._close()
         self._relay.finish_stream(
             self._work, "left", "the caller closed the connection"
@@ -116,5 +119,5 @@
 
 
 def _is_framed(headers: dict[str, str]) -> bool:
-    """Tell whether the end of a body differs from the end of its connection."""
+    """Return whether the end of the body is marked, not just the connection closed."""
     return "content-length" in headers or "transfer-encoding" in headers
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -1,4 +1,4 @@
-"""Keeps a node's beliefs up to date from the platform's store."""
+"""Keeps the state of a node up to date with the platform's store."""
 
 import collections.abc
 import logging
@@ -13,34 +13,37 @@
 LOG = logging.getLogger("snipelug.watch")
 
 INTENT_LONG_POLL_S = 1.0
-"""How long the store holds a call for the operator's next change.
+"""Long poll timeout for the operator's next change.
 
-An answer tells nothing of the time after its call arrived, so intents that a watcher
-told are up to two waits old; configurations are to be in force within 2 or 3 s.
+A response says nothing about the time after its call arrived, so intents announced by
+a reader are up to two timeouts old. A configuration must be in force within 2 or 3 s.
 """
 
 LIST_INTERVAL_FRACTION = 0.4
-"""Part of the time for a drain after which the list of upstreams is read again."""
+"""Interval between reads of the upstream list, as a fraction of the drain time."""
 
 RETRY_PAUSE_S = 0.2
 MAX_RETRY_PAUSE_S = 0.5
-"""Pauses after calls that failed."""
+"""Initial and maximum pause after a failed call."""
 
 MIN_OUTAGE_S = 1.2
-"""A longer time without the list may have let entries lapse; one heartbeat."""
+"""Additional time without the list after which entries may have expired.
+
+Equals one heartbeat of the upstreams.
+"""
 
 READER_LATENESS_S = 0.3
-"""Lateness of a watcher after which a node reads for itself."""
+"""Delay of a reader's announcement after which a node reads for itself."""
 
 MEMBER_WRITE_INTERVAL_S = 15.0
 MEMBER_READ_INTERVALS_S = (0.5, 1.0, 2.0, 4.0, 8.0, 12.0)
-"""Times between reads of the members; the last one goes on."""
+"""Intervals between reads of the member table; the last one repeats."""
 
 Response = typing.TypeVar("Response")
 
 
 class CallStatus:
-    """Whether one kind of call to the store works, for the log."""
+    """Tracks and logs whether one kind of call to the store succeeds."""
 
     def __init__(self, name: str, metrics: stats.Stats) -> None:
         self._name = name
@@ -50,7 +53,7 @@
         self.answered_at = clock.now()
 
     async def record(self, response: Response | ports.Unavailable) -> bool:
-        """Note an answer; pause after a failed call. Return whether it worked."""
+        """Record a response and pause if it failed; return whether it succeeded."""
         now = clock.now()
         is_success = not isinstance(response, ports.Unavailable)
         outcome = "answered" if is_success else "unavailable"
@@ -74,15 +77,15 @@
 
 
 class TableCursor:
-    """How far a table has been read.
+    """Progress of reading one table.
 
     Attributes
     ----------
     position : int or None
-        From where changes are read next; None to read the whole table.
-    noted_at : float
-        When this was last known to be up to date, in seconds.
-    asked : trio.Event
+        Position from which changes are read next; None to read the whole table.
+    current_at : float
+        When the table was last known to be up to date, in seconds.
+    read_requested : trio.Event
         Set when this node must read the table itself.
     """
 
@@ -92,17 +95,17 @@
         self.read_requested = trio.Event()
 
     def advance(self, position: int) -> None:
-        """Note that the table has been read up to a position."""
+        """Record that the table has been read up to a position."""
         self.position = position
         self.current_at = clock.now()
 
     def request_read(self) -> None:
-        """Read the table at once."""
+        """Request that this node read the table at once."""
         self.read_requested.set()
 
 
 class Watch:
-    """Reads the operator's intents, the list of upstreams and the members."""
+    """Watches the operator's intents, the list of upstreams and the member table."""
 
     def __init__(
         self,
@@ -126,7 +129,7 @@
         self._on_intent = on_intent
 
     async def run_intents(self) -> None:
-        """Follow what the operator wants."""
+        """Watch the operator's intents."""
         call_status = CallStatus("intents", self._stats)
         while True:
             if await self._wait_for_reader(
@@ -150,9 +153,9 @@
     def _apply_intents(
         self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
     ) -> None:
-        # A partition can delay the answer, so it is as old as its call.
+        # A partition can delay the response, so its data is as old as the call.
         self._state.apply_intents(page.items, sent_at, is_whole=since is None)
-        # The call may have been held, so only unheld ones bound the store's clock.
+        # A long poll delays the response, so only other calls bound the store's clock.
         if since is None or not self._state.is_reader:
             self._clock = (sent_at, page.clock_ms)
         self._intents_cursor.advance(page.position)
@@ -165,7 +168,7 @@
         self._on_intent()
 
     def _on_intents_read(self, message: messages.IntentsRead) -> None:
-        """Take from a watcher that the operator's table has not changed."""
+        """Apply a reader's announcement on the operator's table."""
         position = self._intents_cursor.position
         if position is None or self._clock is None or message.position < position:
             return
@@ -178,7 +181,7 @@
         self._intents_cursor.advance(message.position)
 
     async def run_upstreams(self) -> None:
-        """Follow the list of upstreams."""
+        """Watch the list of upstreams."""
         call_status = CallStatus("upstreams", self._stats)
         grace_until = 0.0
         pause_s = LIST_INTERVAL_FRACTION * self._cfg.bounds.drain_s
@@ -216,7 +219,7 @@
     def _announce_listings(
         self, page: ports.Page[ports.Listing], since: int, in_grace: bool
     ) -> None:
-        """Tell the zone what differs from what this node knew."""
+        """Announce the changes since this node's previous read to the zone."""
         entries, removed = [], []
         for item in page.items:
             match item:
@@ -233,17 +236,17 @@
             self._announcer.send_to_zone(cut)
 
     def expire(self) -> None:
-        """Remove upstreams that did not come back after an outage of the list.
+        """Remove upstreams that did not return after an outage of the list.
 
-        The whole list is read then: an entry that came back between two reads of a
-        watcher was no change for it, and was not told to those who miss it.
+        The whole list is read afterwards: an entry that returned between two reads of
+        a reader was no change to it, so it was not announced to nodes that lack it.
         """
         if self._state.expire():
             self._list_cursor.position = None
             self._list_cursor.request_read()
 
     def _on_list_read(self, message: messages.ListRead) -> None:
-        """Take from a watcher what changed in the list."""
+        """Apply the changes of the list that a reader has announced."""
         position = self._list_cursor.position
         if position is None or message.position < position:
             return
@@ -256,12 +259,12 @@
         self._list_cursor.advance(message.position)
 
     async def _wait_for_reader(self, cursor: "TableCursor", limit_s: float) -> bool:
-        """Wait while a watcher of the zone reads a table for this node.
+        """Wait while a reader of the zone reads a table for this node.
 
         Returns
         -------
         bool
-            False if this node must read the table itself now.
+            Whether to keep waiting; False if this node must read the table itself.
         """
         if self._state.is_reader or cursor.position is None:
             return False
@@ -274,7 +277,7 @@
         return True
 
     async def run_members(self) -> None:
-        """Keep this node's row and follow the rows of the others."""
+        """Refresh this node's row in the member table and read the other rows."""
         call_status = CallStatus("members", self._stats)
         pauses = iter(MEMBER_READ_INTERVALS_S)
         pause_s = next(pauses)
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -1,4 +1,4 @@
-"""Brings engines to the weight versions that the operator named."""
+"""Orders engines to load the weight versions that the operator named."""
 
 import logging
 
@@ -11,21 +11,22 @@
 LOG = logging.getLogger("snipelug.weights")
 
 ACTIVE_INTERVAL_S = 0.15
-"""Pause between looks at the engines while orders are under way."""
+"""Interval between rounds of orders during a rollout."""
 
 IDLE_INTERVAL_S = 1.0
-"""Pause between looks while all engines serve the newest weights."""
+"""Interval between checks while all engines serve the newest weights."""
 
 RANK_DELAY_S = 0.35
-"""Head start of each node before the next one tries to get the lease."""
+"""Delay per rank before a node tries to acquire the lease."""
 
 MAX_SWITCH_S = 1.5
-"""Time for which an engine that was ordered to switch gets no requests, at most."""
+"""Maximum time without requests for an engine that was ordered to load weights."""
 
 PRE_ORDER_DELAY_S = 0.15
-"""Pause between telling the nodes and the order, in which waiting requests start.
+"""Delay between the announcement to the nodes and the order to the engine.
 
-An engine turns away what waits there when it gets the order.
+Queued requests start during this time; an engine rejects those still queued when it
+gets the order.
 """
 
 ACCEPTED = 202
@@ -33,7 +34,7 @@
 
 
 class WeightUpdater:
-    """Gives orders to engines while this node holds the lease."""
+    """Orders engines to load weights while this node holds the lease."""
 
     def __init__(
         self,
@@ -59,11 +60,11 @@
         self._changed = trio.Event()
 
     def wake(self) -> None:
-        """Look at once, because the operator's intents have changed."""
+        """Check the engines at once, as the operator's intents have changed."""
         self._changed.set()
 
     async def run(self) -> None:
-        """Work until cancelled."""
+        """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             await self._run_loop(nursery)
 
@@ -103,18 +104,18 @@
         )
 
     def _rank(self) -> int:
-        """Return this node's place in the order that all nodes agree on."""
+        """Return this node's rank; all nodes compute the same ranking."""
         ids = {member.node_id for member in self._state.members}
         ids.add(self._cfg.node_id)
         return hashing.rank("weights", ids).index(self._cfg.node_id)
 
     def _lease_remaining_ms(self) -> float:
-        """Return for how long this node may give orders, in milliseconds."""
+        """Return the remaining time of this node's lease, in milliseconds."""
         held = self._held
         return held.remaining_ms(clock.now()) if held is not None else 0.0
 
     def _renew_soon(self, nursery: trio.Nursery) -> None:
-        """Renew the lease beside the orders, which go on while it lasts."""
+        """Renew a lease that ends soon, concurrently with the orders."""
         is_due = self._lease_remaining_ms() < rollout.RENEW_BEFORE_MS
         if is_due and not self._is_renewing:
             self._is_renewing = True
@@ -149,9 +150,9 @@
     async def _write_lease(
         self, fencing: int | None, store_ms: float, expected: int
     ) -> bool:
-        """Write the lease; a new holder gets a fencing number beyond all earlier ones.
+        """Write the lease; a new holder gets a higher fencing token than all before.
 
-        The row's version grows with each write, so the number taken from it does.
+        The token is derived from the row's version, which increases with each write.
         """
         sent_at = clock.now()
         if self._held is not None:
@@ -161,7 +162,9 @@
         lease = rollout.Lease(self._cfg.node_id, until_ms, token)
         response = await self._store.write_lease(lease, expected)
         if not isinstance(response, ports.LeaseWritten):
-            reason = getattr(response, "reason", "another node wrote it first")
+            reason = getattr(
+                response, "reason", "another node wrote the lease row first"
+            )
             lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
             if isinstance(response, ports.LeaseConflict):
                 self._held = None
@@ -191,7 +194,7 @@
                     nursery.start_soon(self._send_order, upstream, order)
 
     def _latest_version_age_s(self) -> float:
-        """Return the time since the last version was named, in seconds."""
+        """Return the time since the latest version was named, in seconds."""
         named = self._state.named_versions.values()
         return clock.now() - max(item.learned_at for item in named)
 
@@ -207,7 +210,7 @@
         return report
 
     def _exclude(self, upstream: fleet.Upstream, for_s: float) -> None:
-        """Send no requests to an engine for a time, here and at the other nodes."""
+        """Exclude an engine from requests for a time, on this node and all others."""
         upstream.switching_until = clock.now() + for_s
         self._announcer.announce_switching(upstream.entry.id, for_s)
 
@@ -247,7 +250,8 @@
             reason=response.reason,
         )
         if response.status == 0:
-            # It may be carried out later, but then another order has been accepted.
+            # The order may still arrive; the engine then rejects it if it has accepted
+            # another one since.
             self._orders.pop(upstream.entry.id, None)
         if response.status == ACCEPTED:
             upstream.switching_until = clock.now() + MAX_SWITCH_S
