--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -156,17 +156,17 @@
 
     def _announce_reports(self) -> None:
         """Announce the results of this round of polls to the zone, in few datagrams."""
-        message, self._pending_reports = self._pending_reports, []
-        self._announce_batch(message)
+        reports, self._pending_reports = self._pending_reports, []
+        self._announce_batch(reports)
 
-    def _announce_batch(self, message: list[messages.KvStoreRead]) -> None:
-        if not message or self._announcer.send_to_zone(messages.KvStoresRead(message)):
+    def _announce_batch(self, reports: list[messages.KvStoreRead]) -> None:
+        if not reports or self._announcer.send_to_zone(messages.KvStoresRead(reports)):
             return
         # Other nodes poll a store whose events do not fit into one datagram.
-        half = len(message) // 2
+        half = len(reports) // 2
         if half:
-            self._announce_batch(message[:half])
-            self._announce_batch(message[half:])
+            self._announce_batch(reports[:half])
+            self._announce_batch(reports[half:])
 
     def _on_stores_read(self, message: messages.KvStoresRead) -> None:
         for item in message.kv_stores:
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -31,7 +31,7 @@
 
 
 class Switching(msgspec.Struct, array_like=True, tag=2):
-    """An engine was ordered to load weights and rejects requests until it has."""
+    """An engine was ordered to load weights and rejects requests meanwhile."""
 
     upstream_id: str
     for_s: float
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -25,7 +25,7 @@
 LOG = logging.getLogger("snipelug.node")
 
 DEREGISTRATION_S = 2.6
-"""Time for the load balancer to see two failed health checks, one per second."""
+"""Time after a stop until the load balancer has seen two refusals, one per second."""
 
 EXIT_MARGIN_S = 0.5
 """Margin between the end of the process and the time the platform would kill it."""
@@ -271,7 +271,7 @@
         if isinstance(found, str):
             lines.warning(LOG, "settings_invalid", reason=found)
         elif found is not None or is_requested:
-            # Changed addresses only take effect at the next start.
+            # Addresses take effect at the next start; nothing else changes here.
             lines.event(LOG, "reload", is_changed=found is not None)
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -34,7 +34,7 @@
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 FIRST_EVENT_TIMEOUT_S = 2.0
-"""Timeout for the first event of a resumable stream, before prefill is added.
+"""Timeout for the first event of a resumable stream, plus the expected wait for it.
 
 On the routes of the deployments, callers disconnect after 3 s without a first event.
 """
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -166,7 +166,7 @@
     def refuse_rejected(self, work: job.Job, reason: str) -> refusal.Refusal:
         """Refuse a request that all tried upstreams rejected without running it."""
         other = self.choose(work, clock.now())
-        has_room = other is not None and self.retry_after(work, other) is None
-        wait_s = RETRY_ELSEWHERE_S if has_room else RETRY_AFTER_S
+        has_capacity = other is not None and self.retry_after(work, other) is None
+        wait_s = RETRY_ELSEWHERE_S if has_capacity else RETRY_AFTER_S
         message = f"no upstream accepted the request: {reason}"
         return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -42,8 +42,8 @@
 
     def newest_learned_before(self, now: float, after_s: float) -> int:
         """Return the newest version known for longer than ``after_s``, or 0."""
-        ages = (v for v, at in self.learned_times.items() if now - at > after_s)
-        return max(ages, default=0)
+        versions = (v for v, at in self.learned_times.items() if now - at > after_s)
+        return max(versions, default=0)
 
 
 class State:
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -232,8 +232,8 @@
                     removed.append(key)
         message = messages.ListRead(since, page.position, in_grace, entries, removed)
         if not self._announcer.send_to_zone(message):
-            cut = messages.ListRead(since, page.position, in_grace, [], [], True)
-            self._announcer.send_to_zone(cut)
+            omitted = messages.ListRead(since, page.position, in_grace, [], [], True)
+            self._announcer.send_to_zone(omitted)
 
     def expire(self) -> None:
         """Remove upstreams that did not return after an outage of the list.
