--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -1,4 +1,4 @@
-"""Builders of test data for the relay's decisions."""
+"""Builders of test data for the relay's routing decisions."""
 
 from snipelug_core import catalog, choice, fleet, kv_index
 
@@ -39,7 +39,7 @@
 
 
 def request(*tokens: int, **changes: object) -> choice.Request:
-    """Build a need for a prompt whose last part is the request's own."""
+    """Build a request with a prompt whose last part is not shared."""
     parts = tuple(choice.PromptPart(f"p{i}", n) for i, n in enumerate(tokens))
     values: dict[str, object] = {"service": "engines", "zone": "a", "parts": parts}
     if tokens:
@@ -71,7 +71,7 @@
 
 
 def fresh_index(now: float, *stores: catalog.KvStore) -> kv_index.Index:
-    """Build an index whose stores have all answered just now."""
+    """Build an index whose stores have all just been polled."""
     index = kv_index.Index()
     index.set_stores(stores or (kv_store(),))
     for state in index.store_states.values():
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -1,4 +1,4 @@
-"""Messages between nodes about upstreams."""
+"""Tests of the announcements between nodes."""
 
 import contextlib
 import random
@@ -38,7 +38,7 @@
 async def test_prompts_and_switches_reach_the_other_nodes(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against requests behind prompts, or at switches, that a peer knows of."""
+    """Guards against requests queued behind a peer's prompts or at loading engines."""
     first, first_state = node("n1", "127.0.0.1")
     second, second_state = node("n2", "127.0.0.2")
     introduce(first_state, second_state)
@@ -69,7 +69,7 @@
 async def test_bad_and_foreign_datagrams_change_nothing(
     nursery: trio.Nursery, data: bytes
 ) -> None:
-    """Guards against a node that ends at, or believes, what others send."""
+    """Guards against a crash at bad datagrams and against trust in unknown senders."""
     first, node_state = node("n1", "127.0.0.1")
     _, other = node("n2", "127.0.0.2")
     introduce(node_state, other)
@@ -89,9 +89,9 @@
 async def test_part_that_a_peer_reads_is_not_read_elsewhere(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against one shared part that two zones read at the same time.
+    """Guards against prefill of one shared part in two zones at the same time.
 
-    The peer's zone is another one, so this node would prefer its own engine.
+    The peer is in another zone, so this node would prefer an engine of its own zone.
     """
     first, first_state = node("n1", "127.0.0.1")
     second, second_state = node("n2", "127.0.0.2")
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -1,4 +1,4 @@
-"""A node against stand-ins of the platform: what callers and servers see."""
+"""Tests of a node with platform stand-ins, as seen by callers and servers."""
 
 import math
 
@@ -15,7 +15,7 @@
 
 
 async def test_plain_call_reaches_a_server_unchanged() -> None:
-    """Guards against changed targets, bodies and fields on the way."""
+    """Guards against changes of targets, bodies and header fields in transit."""
     async with platform_world.deployment() as world:
         caller = platform_world.Caller(world.nodes[0])
         full = await caller.send(
@@ -47,7 +47,7 @@
 async def test_refused_requests_reach_no_server(
     target: str, headers: dict[str, str], status: int
 ) -> None:
-    """Guards against work for callers without a key or route."""
+    """Guards against forwarding requests without a valid key or route."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         full = await caller.send("POST", target, b"x", **headers)
@@ -56,8 +56,8 @@
         assert not [s for app in world.apps for s in app.seen]
 
 
-def break_first(servers: list[server.Server], **faults: int) -> None:
-    """Give every server the same fault, so that the first choice has it."""
+def inject_faults(servers: list[server.Server], **faults: int) -> None:
+    """Give every server the same fault, so that the first one chosen has it."""
     for item in servers:
         for name, value in faults.items():
             setattr(item.faults, name, value)
@@ -67,30 +67,30 @@
     return sum(len(item.seen) for item in servers)
 
 
-async def test_order_is_tried_elsewhere_only_if_it_did_not_run() -> None:
-    """Guards against a second run of an order, and against needless refusals."""
+async def test_at_most_once_request_is_retried_only_if_it_did_not_run() -> None:
+    """Guards against running an order twice and against needless refusals."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         first = await caller.send("POST", "/order/", b"x")
         (used,) = [app for app in world.apps if app.seen]
-        break_first([used], turns_away=1)
+        inject_faults([used], turns_away=1)
         again = await caller.send("POST", "/order/", b"x")
         assert isinstance(first, http_client.FullResponse)
         assert isinstance(again, http_client.FullResponse)
         assert (first.status, again.status) == (200, 200)
         assert runs(world.apps) == 2
-        break_first(world.apps, loses=1)
+        inject_faults(world.apps, loses=1)
         lost = await caller.send("POST", "/order/", b"x")
         assert isinstance(lost, http_client.FullResponse)
         assert lost.status == 502
         assert runs(world.apps) == 3
 
 
-async def test_refusal_promises_that_nothing_ran() -> None:
+async def test_refusal_means_that_the_request_did_not_run() -> None:
     """Guards against a 503 for an order that a server has run."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
-        break_first(world.apps, turns_away=3)
+        inject_faults(world.apps, turns_away=3)
         full = await caller.send("POST", "/order/", b"x")
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 503
@@ -98,23 +98,23 @@
         assert runs(world.apps) == 0
 
 
-async def test_lookup_is_repeated_after_a_loss_or_failure() -> None:
-    """Guards against failures that another server would have answered."""
+async def test_lookup_is_retried_after_a_lost_or_failed_attempt() -> None:
+    """Guards against failing a request that another server would answer."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         for fault in ("loses", "fails"):
             for app in world.apps:
                 app.faults = server.Faults()
-            break_first(world.apps[:1], **{fault: 1})
-            break_first(world.apps[1:], **{fault: 0})
+            inject_faults(world.apps[:1], **{fault: 1})
+            inject_faults(world.apps[1:], **{fault: 0})
             for _ in range(3):
                 full = await caller.send("GET", "/look/x")
                 assert isinstance(full, http_client.FullResponse)
                 assert full.status == 200
 
 
-async def test_silent_server_costs_a_lookup_some_time_only() -> None:
-    """Guards against lookups that wait for a dead server until their deadline."""
+async def test_lookup_is_retried_when_a_server_is_silent() -> None:
+    """Guards against lookups that wait for a hung server until their deadline."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         world.apps[0].faults.is_silent = True
@@ -125,8 +125,8 @@
                 assert full.status == 200
 
 
-async def test_route_timeout_is_kept() -> None:
-    """Guards against callers who wait longer than the operator allows."""
+async def test_route_timeout_is_enforced() -> None:
+    """Guards against callers that wait longer than the route's timeout."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         for app in world.apps:
@@ -138,8 +138,8 @@
         assert 1.9 < trio.current_time() - began < 2.4
 
 
-async def test_stream_comes_whole() -> None:
-    """Guards against lost, doubled or changed events."""
+async def test_stream_is_relayed_unchanged() -> None:
+    """Guards against lost, duplicate or changed events."""
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         full = await caller.ask("/ask/")
@@ -148,12 +148,12 @@
         assert full.headers["weight-versions"] == "1"
 
 
-async def test_stream_is_resumed_within_one_answer() -> None:
-    """Guards against doubled and missing events when a server breaks off."""
+async def test_stream_is_resumed_within_one_response() -> None:
+    """Guards against duplicate and missing events when a server fails mid-stream."""
     for fault in ("breaks_after", "pauses_after"):
         async with platform_world.deployment(apps=0) as world:
             caller = platform_world.Caller(world.nodes[0])
-            break_first(world.engines, **{fault: 2})
+            inject_faults(world.engines, **{fault: 2})
             for item in world.engines[1:]:
                 item.faults = server.Faults()
             with trio.fail_after(8):
@@ -163,17 +163,17 @@
                     assert full.body == EVENTS
 
 
-async def test_stream_that_must_not_be_repeated_breaks_visibly() -> None:
-    """Guards against a cut stream that looks complete."""
+async def test_at_most_once_stream_fails_visibly() -> None:
+    """Guards against a truncated stream that looks complete."""
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
-        break_first(world.engines, breaks_after=2)
+        inject_faults(world.engines, breaks_after=2)
         assert isinstance(await caller.ask("/ask/"), http_client.Lost)
         assert runs(world.engines) == 1
 
 
 async def test_server_stops_when_its_caller_leaves() -> None:
-    """Guards against work for callers who have gone."""
+    """Guards against work for callers that have disconnected."""
     async with platform_world.deployment(apps=0) as world:
         for item in world.engines:
             item.events = 1000
@@ -190,8 +190,8 @@
                 await trio.sleep(0.01)
 
 
-async def test_new_configuration_takes_hold_and_never_reverts() -> None:
-    """Guards against routes that stay dropped, stay served or come back."""
+async def test_new_configuration_is_applied_and_never_reverts() -> None:
+    """Guards against new routes that are missing and old ones that stay or return."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         added = platform_world.route("new", "/new/", "idempotent", "app")
@@ -211,7 +211,7 @@
 async def wait_for_status(
     caller: platform_world.Caller, target: str, status: int
 ) -> None:
-    """Ask until an answer has the status."""
+    """Send requests until a response has the status."""
     with trio.fail_after(platform_world.WAIT_S):
         while True:
             full = await caller.send("GET", target)
@@ -220,8 +220,8 @@
             await trio.sleep(0.02)
 
 
-async def test_lost_history_of_the_store_loses_nothing() -> None:
-    """Guards against a key or a drain that is missed when feeds are cut."""
+async def test_changes_are_applied_after_the_store_lost_its_history() -> None:
+    """Guards against a missed key or drain when the store's change feed is lost."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         world.configure(2, tenants=[{"name": "team-2", "api_keys": ["other"]}])
@@ -243,8 +243,8 @@
 
 
 @pytest.mark.parametrize("fault", OUTAGES)
-async def test_store_outage_stops_no_request(fault: str) -> None:
-    """Guards against refusals because the store is away."""
+async def test_requests_succeed_during_a_store_outage(fault: str) -> None:
+    """Guards against refusals while the store is unavailable."""
     async with platform_world.deployment() as world:
         caller = platform_world.Caller(world.nodes[0])
         setattr(world.store.faults, fault, True)
@@ -258,8 +258,8 @@
         assert world.nodes[0].is_ready
 
 
-async def test_node_without_configuration_is_not_ready_and_says_so() -> None:
-    """Guards against 404 for routes that the node has not read yet."""
+async def test_node_without_configuration_is_not_ready() -> None:
+    """Guards against status 404 for routes that the node has not read yet."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         world.store.faults.is_down = True
         late = await world.add_node("late")
@@ -272,8 +272,8 @@
         await platform_world.until(lambda: late.is_ready)
 
 
-async def test_zone_and_server_that_leave_get_nothing_new() -> None:
-    """Guards against work for a zone that is out and for a removed entry."""
+async def test_removed_zone_and_server_get_no_new_requests() -> None:
+    """Guards against requests to an evacuated zone or a removed server."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         gone, stays = world.apps
@@ -293,7 +293,7 @@
 
 
 async def test_weights_are_brought_up_to_date_once() -> None:
-    """Guards against engines on old weights and against two givers of orders."""
+    """Guards against engines on old weights and against two nodes that give orders."""
     async with platform_world.deployment(apps=0, engines=3, nodes=2) as world:
         world.store.put("op", "version/m", {"model": "m", "version": 2})
         await platform_world.until(
@@ -308,8 +308,8 @@
         assert full.headers["weight-versions"] == "2"
 
 
-async def test_nodes_keep_away_before_an_engine_is_ordered_to_load() -> None:
-    """Guards against requests that wait at an engine when an order turns them away."""
+async def test_engine_is_excluded_before_it_is_ordered_to_load() -> None:
+    """Guards against queued requests that an engine rejects because of an order."""
     async with platform_world.deployment(
         apps=0, engines=1, nodes=2, has_peers=True
     ) as world:
@@ -325,12 +325,12 @@
             if all(table[engine.id].switching_until > now for table in tables):
                 since = min(since, now)
             await trio.sleep(0.002)
-        # Two requests start in this time at a busy engine.
+        # A busy engine starts two requests in this time.
         assert clock.now() - since >= 0.06
 
 
-async def test_lost_answers_of_the_store_stop_no_orders() -> None:
-    """Guards against a rollout that waits for a lease that this node has written."""
+async def test_lost_responses_of_the_store_do_not_stop_a_rollout() -> None:
+    """Guards against a rollout that waits for a lease that the node itself holds."""
     async with platform_world.deployment(apps=0, engines=2) as world:
         world.store.faults.loses_answers = True
         world.store.put("op", "version/m", {"model": "m", "version": 2})
@@ -343,10 +343,10 @@
         assert len(tokens) == 2
 
 
-async def test_orders_without_answer_are_given_again_and_do_not_win_late() -> None:
-    """Guards against engines that stay on, or go back to, old weights.
+async def test_orders_without_response_are_repeated_and_late_ones_rejected() -> None:
+    """Guards against engines that stay on or return to old weights.
 
-    The first order to each engine gets no answer and comes back after newer ones.
+    The first order to each engine gets no response and arrives after newer ones.
     """
     async with platform_world.deployment(apps=0, engines=3) as world:
         for item in world.engines:
@@ -365,8 +365,8 @@
         assert all(item.models["m"] == 3 for item in world.engines)
 
 
-def test_weights_are_given_up_by_the_oldest_newer_version() -> None:
-    """Guards against a bound that starts anew with each version that is named."""
+def test_outdated_weights_expire_by_the_oldest_newer_version() -> None:
+    """Guards against a time bound that restarts with each newly named version."""
     named = state.NamedVersion(3, 17.0, {1: -1e9, 2: 15.0, 3: 17.0})
     assert [named.newest_learned_before(at, 7.0) for at in (21.9, 22.1, 24.1)] == [
         1,
@@ -376,7 +376,7 @@
 
 
 async def test_shared_part_is_saved_then_fetched() -> None:
-    """Guards against shared parts that are read again, and against wrong salts."""
+    """Guards against repeated prefill of shared parts and against wrong salts."""
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
@@ -397,8 +397,8 @@
         assert second["cache-salt"] == first["cache-salt"]
 
 
-async def test_part_is_saved_by_the_next_request_if_none_ran() -> None:
-    """Guards against a part that counts as being saved though no engine read it."""
+async def test_part_is_saved_by_the_next_request_after_a_rejection() -> None:
+    """Guards against a part that counts as pending save though no engine read it."""
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,) = world.engines
@@ -412,8 +412,8 @@
         assert "cache-target" in engine.seen[-1].headers
 
 
-async def test_stored_parts_are_read_while_the_platform_is_away() -> None:
-    """Guards against prompts read anew for as long as the platform's store is away."""
+async def test_stored_parts_are_fetched_during_a_platform_outage() -> None:
+    """Guards against full prefill of prompts while the platform's store is down."""
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
@@ -431,11 +431,11 @@
     await world.nodes[0].stop()
 
 
-async def test_planned_stop_finishes_open_requests() -> None:
-    """Guards against answers that a planned stop cuts.
+async def test_graceful_shutdown_finishes_open_requests() -> None:
+    """Guards against responses that a graceful shutdown interrupts.
 
-    The answer takes longer than the node stays in the load balancer's rotation. A
-    request that comes after that time is not taken, as it could not be finished.
+    The response takes longer than the node stays in the load balancer. Requests that
+    arrive later are not accepted, as they could not be finished.
     """
     async with platform_world.deployment(apps=0, engines=1) as world:
         world.engines[0].events = 60
@@ -463,8 +463,8 @@
         assert full.body.count(b"\n\n") == 60
 
 
-async def test_planned_stop_answers_a_request_that_is_being_read() -> None:
-    """Guards against a request that is cut because it was read as the node closed."""
+async def test_graceful_shutdown_answers_a_request_that_is_being_read() -> None:
+    """Guards against aborting a request whose body is still arriving at shutdown."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         port = world.nodes[0].callers_port
         stream = await trio.open_tcp_stream("127.0.0.1", port)
@@ -487,6 +487,6 @@
 
 
 async def stop_and_abort(world: platform_world.World) -> None:
-    """Stop a node and end its connections, as the end of its process does."""
+    """Stop a node and abort its connections, as the end of its process does."""
     await world.nodes[0].stop()
     await world.nodes[0].abort_connections()
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -1,4 +1,4 @@
-"""Nodes of one zone that read from the platform for one another."""
+"""Tests of nodes that read from the platform for the other nodes of their zone."""
 
 import collections
 
@@ -10,12 +10,12 @@
 from tests import platform_world
 
 NODES = 6
-TOLD_AGE_S = 2.5
-"""Zones with watchers have 3 s to bring a configuration into force."""
+MAX_ANNOUNCED_AGE_S = 2.5
+"""Maximum configuration age in zones with readers; the bound there is 3 s."""
 
 
-def test_all_nodes_pick_the_same_watchers() -> None:
-    """Guards against zones without watchers and against many of them."""
+def test_all_nodes_pick_the_same_readers() -> None:
+    """Guards against zones without readers or with too many of them."""
     nodes = [watcher.Node(f"n{i}", "a" if i < 9 else "b") for i in range(12)]
     picked = watcher.pick_readers(nodes, "a")
     assert picked == watcher.pick_readers(reversed(nodes), "a")
@@ -23,8 +23,8 @@
     assert sorted(watcher.pick_readers(nodes, "b")) == ["n10", "n11", "n9"]
 
 
-def test_loss_of_a_watcher_moves_one_role() -> None:
-    """Guards against all roles moving when one node goes."""
+def test_loss_of_a_reader_moves_one_role() -> None:
+    """Guards against a change of all readers when one node leaves."""
     nodes = [watcher.Node(f"n{i}", "a") for i in range(9)]
     first, second = watcher.pick_readers(nodes, "a")
     left = [node for node in nodes if node.id != first]
@@ -32,10 +32,10 @@
 
 
 def test_stores_are_read_by_many_nodes_of_a_zone() -> None:
-    """Guards against the links of two nodes that are full of what they tell.
+    """Guards against announcements that saturate the links of two nodes.
 
-    The largest zone has 27 nodes and 17 stores; two nodes told 25 others of 540 parts a
-    second, 35 B each, over links of 5 and 10 Mbit/s.
+    In the largest zone, of 27 nodes and 17 stores, two nodes announced 540 parts per
+    second of 35 B each to 25 others, over links of 5 and 10 Mbit/s.
     """
     nodes = [watcher.Node(f"n{i}", "a") for i in range(27)]
     stores = [f"kv{i}" for i in range(17)]
@@ -48,7 +48,7 @@
 
 
 async def zone_known(world: platform_world.World) -> None:
-    """Wait until all nodes know one another and one poll has passed."""
+    """Wait until all nodes know each other and have polled once."""
     await platform_world.until(lambda: all(n.members == NODES for n in world.nodes))
     await trio.sleep(1.5)
 
@@ -59,14 +59,14 @@
     return rows.calls - before
 
 
-async def test_few_nodes_read_and_all_know() -> None:
-    """Guards against calls that grow with the nodes, and against stale nodes."""
+async def test_few_nodes_read_for_all() -> None:
+    """Guards against calls that grow with the number of nodes, and stale nodes."""
     async with platform_world.deployment(
         engines=0, nodes=NODES, has_peers=True
     ) as world:
         await zone_known(world)
         calls = await count_calls(world.store, 3.0)
-        # Two watchers, each with the list every 0.8 s and the intents every second.
+        # Two readers, each with the list every 0.8 s and the intents every second.
         assert calls["/api/rows-feed"] <= 2 * (4 + 3) + 2
         leaving, stays = world.apps
         leaving.state = "draining"
@@ -86,8 +86,8 @@
         assert len(stays.seen) == 2 * NODES
 
 
-async def test_silent_watchers_are_replaced_by_own_reads() -> None:
-    """Guards against nodes that know nothing new because no datagram comes."""
+async def test_nodes_read_for_themselves_without_announcements() -> None:
+    """Guards against nodes that become stale because no datagrams arrive."""
     async with platform_world.deployment(
         engines=0, nodes=NODES, has_peers=True
     ) as world:
@@ -111,8 +111,8 @@
         assert not leaving.seen
 
 
-async def test_told_configuration_is_young() -> None:
-    """Guards against nodes that act on a configuration which they were told late."""
+async def test_announced_configuration_is_recent() -> None:
+    """Guards against nodes that use a configuration that was announced too late."""
     ages: list[float] = []
     async with platform_world.deployment(
         engines=0, nodes=NODES, has_peers=True
@@ -121,13 +121,13 @@
         for _ in range(80):
             ages += [node.configuration_age_s for node in world.nodes]
             await trio.sleep(0.05)
-    assert max(ages) < TOLD_AGE_S
+    assert max(ages) < MAX_ANNOUNCED_AGE_S
 
 
-async def test_silent_store_does_not_age_the_others() -> None:
-    """Guards against all nodes polling all stores while one store is silent.
+async def test_silent_store_does_not_delay_polls_of_the_others() -> None:
+    """Guards against all nodes polling all stores while one store is unresponsive.
 
-    Polls of the silent store end after 0.6 s, and parts of the others can be read for
+    Polls of that store time out after 0.6 s, and parts of the others are used for
     1.6 s after a poll.
     """
     ages: list[float] = []
@@ -142,15 +142,15 @@
         for _ in range(60):
             ages += [node.store_age_s("kv1") for node in world.nodes]
             await trio.sleep(0.05)
-        # Two watchers poll once a second.
+        # Two readers poll once per second.
         assert sound.polls - before <= 2 * (3 + 1)
     assert max(ages) < kv_index.MAX_POLL_AGE_S
 
 
-async def test_lapsed_entries_that_come_back_are_used_by_all_nodes() -> None:
-    """Guards against nodes that only hear of a removal, not of the entry's return.
+async def test_expired_entries_that_return_are_used_by_all_nodes() -> None:
+    """Guards against nodes that learn of a removal but not of the entry's return.
 
-    Entries lapse while the store is away; the same entry is back within 2 s.
+    Entries expire while the store is unavailable; the entry returns within 2 s.
     """
     async with platform_world.deployment(
         apps=1, engines=0, nodes=NODES, has_peers=True
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -1,4 +1,4 @@
-"""Log lines: bounded, never waited for, never lost silently."""
+"""Tests of the log: bounded, non-blocking, and without silent loss of lines."""
 
 import json
 import logging
@@ -21,11 +21,11 @@
     return logger
 
 
-def test_reader_that_stalls_stops_nothing() -> None:
+def test_stalled_reader_does_not_block_logging() -> None:
     """Guards against requests that wait for the reader of the log.
 
-    Nobody reads the pipe. Writing ends at once, memory is bounded, and the number
-    of dropped lines is told once somebody reads again.
+    While nobody reads the pipe, writes return at once and memory is bounded. The
+    number of dropped lines is reported when reading resumes.
     """
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
@@ -53,8 +53,8 @@
     os.close(writer)
 
 
-def test_gone_reader_ends_nothing() -> None:
-    """Guards against a process that ends because its log is closed."""
+def test_closed_reader_does_not_end_the_process() -> None:
+    """Guards against a process that exits because its log is closed."""
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
     os.close(reader)
@@ -65,7 +65,7 @@
 
 
 def test_lines_are_json_with_their_fields() -> None:
-    """Guards against lines that programs cannot read."""
+    """Guards against lines that programs cannot parse."""
     reader, writer = os.pipe()
     buffer = record.Buffer("n1", writer)
     logger = logger_for(buffer)
@@ -85,7 +85,7 @@
 def test_routine_lines_are_bounded_and_counted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a log that grows with the load."""
+    """Guards against a log volume that grows with the load."""
     now = 0.0
     monkeypatch.setattr(record.time, "monotonic", lambda: now)
     sampler = record.Sampler(10.0)
@@ -101,7 +101,7 @@
 async def test_lines_are_written_while_the_node_runs(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against lines that appear only at the end of the process."""
+    """Guards against lines that are only written when the process exits."""
     reader, writer = os.pipe()
     buffer = record.Buffer("n1", writer)
     nursery.start_soon(buffer.run)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,4 +1,4 @@
-"""How a node follows the platform's store."""
+"""Tests of how a node watches the platform's store."""
 
 import trio
 
@@ -7,8 +7,8 @@
 from tests import relay_builders
 
 
-class Listed:
-    """A store whose list of upstreams has one entry and tells no changes."""
+class OneEntryStore:
+    """A store whose list of upstreams has one entry and reports no changes."""
 
     def __init__(self) -> None:
         self.whole_reads = 0
@@ -26,28 +26,28 @@
 async def test_list_is_read_whole_before_an_upstream_stays_away(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against an upstream lost for good whose return was no change to others.
+    """Guards against the permanent loss of an upstream whose entry has returned.
 
-    A watcher that reads only after the entry is back tells its zone nothing.
+    A reader whose next read follows the return sees no change and announces none.
     """
     addr = ("127.0.0.1", 1)
     node_state = state.State(ports.Settings("n1", "a", addr, addr, addr))
     node_state.is_reader = False
-    rows = Listed()
-    followed = watch.Watch(
+    store = OneEntryStore()
+    watcher = watch.Watch(
         node_state.cfg,
         node_state,
-        rows,  # type: ignore[arg-type]
+        store,  # type: ignore[arg-type]
         stats.Stats(),
         lambda: None,
         announce.Announcer(None, node_state),
     )
-    nursery.start_soon(followed.run_upstreams)
+    nursery.start_soon(watcher.run_upstreams)
     await trio.sleep(0.1)
     node_state.apply_listings([ports.Removed("u1")], is_whole=False, in_grace=True)
     await trio.sleep(fleet.REMOVAL_GRACE_S + 0.1)
-    followed.expire()
+    watcher.expire()
     await trio.sleep(0.1)
     assert set(node_state.fleet.upstreams) == {"u1"}
-    assert rows.whole_reads == 2
+    assert store.whole_reads == 2
     nursery.cancel_scope.cancel()
