--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -116,7 +116,7 @@
             session.NodeAddress(*cfg.rpc_address, cfg.zone),
             reads_sessions=False,
         )
-        self.keeper.on_sessions = self.lease.take_sessions
+        self.keeper.on_sessions = self.lease.apply_sessions
         self.objects = platform.HttpObjectStore(self.pool, cfg.objects)
         self.orders = order.Orders(
             self.peers.settings.incarnation,
@@ -176,10 +176,10 @@
             self.teams.owner_of,
             self.teams.holds,
             self._sharers,
-            self.teams.joined_for,
+            self.teams.session_age_s,
             self.lease.is_listed,
             self.teams.limits_of,
-            self.teams.note_asked,
+            self.teams.note_unowned_request,
         )
 
     def _build_cache(self) -> None:
@@ -230,7 +230,7 @@
             rng=self.rng,
             backlog=self.backlog,
         )
-        board = pending.Board()
+        board = pending.PendingSums()
         board.register(self.peers)
         self.exchange = pending.Exchange(
             self.peers,
@@ -286,11 +286,11 @@
         if upstream is None:
             return
         if load.accept_report(upstream, report, asked_at):
-            self.admitter.observe(upstream_id, report)
-            self.confirmer.take_report(upstream_id)
+            self.admitter.apply_report(upstream_id, report)
+            self.confirmer.apply_report(upstream_id)
 
     def _take_list(self, listed: list[table.Instance], now: float) -> None:
-        self.lease.note_instances(listed, now)
+        self.lease.observe_instance_list(listed, now)
         self.shard.retain({inst.id for inst in listed})
 
     def _owned_items(self) -> list[lease.Item]:
@@ -335,17 +335,19 @@
             ticker.System("connections", self._plan_connections, self._connect),
         ]
 
-    async def _change_team(self, action: teams.Begin | teams.End | teams.Look) -> None:
+    async def _change_team(
+        self, action: teams.StartOwning | teams.StopOwning | teams.FindOwner
+    ) -> None:
         match action:
-            case teams.Look(""):
+            case teams.FindOwner(""):
                 await self.lease.acquire()
-            case teams.Look(team):
-                await self.lease.look_for_owner(ownership.Kind.TEAM, team)
-            case teams.Begin(team, had_owner):
+            case teams.FindOwner(team):
+                await self.lease.read_or_acquire_owner(ownership.Kind.TEAM, team)
+            case teams.StartOwning(team, had_owner):
                 lines.event(LOG, "team_taken", team=team, had_owner=had_owner)
-                self.limiter.begin(team, had_owner)
-            case teams.End(team):
-                self.limiter.end(team)
+                self.limiter.start_owning(team, had_owner)
+            case teams.StopOwning(team):
+                self.limiter.stop_owning(team)
 
     def _sharers(self) -> frozenset[str]:
         """Return all processes that may use a share of a limit.
