--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -117,7 +117,7 @@
     is_turned_away : bool
         Whether the upstream rejected the request without running it.
     is_own : bool
-        Whether the response has an upstream's signature and this request's id.
+        Whether the response has the upstream's signature and this request's id.
     is_other_instance : bool
         Whether the upstream is not the expected instance or weight version.
     load : tuple of (int, int, int) or None
