--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,4 +1,4 @@
-"""Tests of the tasks that keep sessions and owner rows, on a virtual clock."""
+"""Tests of the maintenance of sessions and owner rows, on a virtual clock."""
 
 import random
 
@@ -10,11 +10,11 @@
 from tests import fakes
 
 UPSTREAM = ownership.Kind.UPSTREAM
-ITEMS = [(UPSTREAM, f"u{number}") for number in range(6)]
+ITEMS = [(UPSTREAM, f"u{fencing_token}") for fencing_token in range(6)]
 
 
 class Cluster:
-    """Keepers on one table service."""
+    """Lease keepers that share one table service."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
@@ -31,7 +31,7 @@
             )
             self.keepers[name] = keeper
             self.scopes[name] = await self.nursery.start(self._run, keeper)
-        self.list_all()
+        self.publish_instance_list()
 
     async def _run(
         self,
@@ -42,7 +42,7 @@
             task_status.started(scope)
             await keeper.run()
 
-    def list_all(self) -> None:
+    def publish_instance_list(self) -> None:
         listed = [
             table.Instance(name, table.Role.NODE, "127.0.0.1", 1, "z")
             for name in self.keepers
@@ -67,35 +67,35 @@
 async def test_items_are_owned_and_taken_over(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against items without an owner, and a take-over before 30 s."""
+    """Guards against items without an owner and against a takeover before 30 s."""
     cluster = Cluster(nursery)
     await cluster.start("a", "b", "c")
     await trio.sleep(20)
     assert cluster.all_owned_by("a", "b", "c")
-    before = {i: cluster.keepers["b"].owner_of(*i) for i in ITEMS}
-    assert {i: cluster.owners(i)[0] for i in ITEMS} == before
-    lost = next(i for i in ITEMS if before[i] == "a")
-    number = cluster.keepers["a"].holds(*lost, trio.current_time())
-    assert number is not None
+    owner_before = {i: cluster.keepers["b"].owner_of(*i) for i in ITEMS}
+    assert {i: cluster.owners(i)[0] for i in ITEMS} == owner_before
+    lost_item = next(i for i in ITEMS if owner_before[i] == "a")
+    fencing_token = cluster.keepers["a"].holds(*lost_item, trio.current_time())
+    assert fencing_token is not None
     cluster.kill("a")
     await trio.sleep(24)
-    assert cluster.owners(lost) == []
+    assert cluster.owners(lost_item) == []
     await trio.sleep(41)
     assert cluster.all_owned_by("b", "c")
-    taker = cluster.keepers[cluster.owners(lost)[0]]
-    new_number = taker.holds(*lost, trio.current_time())
-    assert new_number is not None
-    assert new_number > number
-    assert cluster.keepers["a"].outage_holder(*lost)
-    assert not taker.outage_holder(*lost)
-    assert taker.owner_since(*lost) <= trio.current_time()
+    new_owner = cluster.keepers[cluster.owners(lost_item)[0]]
+    new_token = new_owner.holds(*lost_item, trio.current_time())
+    assert new_token is not None
+    assert new_token > fencing_token
+    assert cluster.keepers["a"].outage_holder(*lost_item)
+    assert not new_owner.outage_holder(*lost_item)
+    assert new_owner.owner_since(*lost_item) <= trio.current_time()
     nursery.cancel_scope.cancel()
 
 
 async def test_preferred_node_names_an_owner_it_just_read(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against requests that wait for a scan to learn of a team's owner."""
+    """Guards against requests that wait for the next scan to learn a team's owner."""
     cluster = Cluster(nursery)
     peers = cluster.network.join("b")
     b = lease.Keeper("b-p", cluster.tables, peers, lambda: ITEMS, random.Random("b"))
@@ -113,7 +113,7 @@
 async def test_owner_is_read_for_requests_that_wait(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against requests that wait for a scan, and against a read for each."""
+    """Guards against requests that wait for a scan, and against a read per request."""
     cluster = Cluster(nursery)
     peers = cluster.network.join("b")
     b = lease.Keeper("b-p", cluster.tables, peers, lambda: ITEMS, random.Random("b"))
@@ -125,7 +125,7 @@
         await b.read_owner(*ITEMS[0])
     assert b.owner_of(*ITEMS[0]) == "a"
     assert cluster.tables.reads == 1
-    await trio.sleep(lease.READ_AGAIN_S)
+    await trio.sleep(lease.MIN_REREAD_INTERVAL_S)
     await b.read_owner(*ITEMS[0])
     assert cluster.tables.reads == 2
     nursery.cancel_scope.cancel()
@@ -134,7 +134,7 @@
 async def test_planned_stop_hands_everything_over(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a stop that leaves items and slots unowned for 30 s."""
+    """Guards against a planned stop that leaves items and slots unowned for 30 s."""
     cluster = Cluster(nursery)
     await cluster.start("a", "b")
     await trio.sleep(20)
@@ -153,27 +153,29 @@
 async def test_outage_ends_leases_but_not_outage_slots(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against acting as owner without a lease, and against a lost slot."""
+    """Guards against owning without a lease and against losing an outage slot."""
     cluster = Cluster(nursery)
     await cluster.start("a", "b")
     await trio.sleep(20)
-    slots = {i: n for i in ITEMS for n in "ab" if cluster.keepers[n].outage_holder(*i)}
-    assert len(slots) == len(ITEMS)
+    outage_holders = {
+        i: n for i in ITEMS for n in "ab" if cluster.keepers[n].outage_holder(*i)
+    }
+    assert len(outage_holders) == len(ITEMS)
     cluster.tables.down = True
     await trio.sleep(120)
     assert all(cluster.owners(item) == [] for item in ITEMS)
-    assert all(cluster.keepers[n].outage_holder(*i) for i, n in slots.items())
+    assert all(cluster.keepers[n].outage_holder(*i) for i, n in outage_holders.items())
     cluster.tables.down = False
     await trio.sleep(60)
     assert cluster.all_owned_by("a", "b")
-    assert all(cluster.keepers[n].outage_holder(*i) for i, n in slots.items())
+    assert all(cluster.keepers[n].outage_holder(*i) for i, n in outage_holders.items())
     nursery.cancel_scope.cancel()
 
 
 async def test_store_load_of_an_idle_node(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a node that writes more than its session renewals."""
+    """Guards against an idle node that writes more than its session renewals."""
     cluster = Cluster(nursery)
     await cluster.start("a")
     await trio.sleep(30)
@@ -188,12 +190,12 @@
 async def test_sessions_are_read_once_for_members_and_revocation(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against two readers, and against one that revokes too early or late."""
+    """Guards against reading sessions twice and against revoking too early or late."""
     cluster = Cluster(nursery)
     await cluster.start("b")
     tables = cluster.tables
     settings = peer.Settings("a", "a-p", "127.0.0.1", 1, b"key")
-    reader = revision.Keeper(tables, peer.Peers(settings))
+    revision_keeper = revision.Keeper(tables, peer.Peers(settings))
     keeper = lease.Keeper(
         "a-p",
         tables,
@@ -202,16 +204,16 @@
         random.Random("a"),
         reads_sessions=False,
     )
-    reader.on_sessions = keeper.apply_sessions
-    await nursery.start(reader.run)
+    revision_keeper.on_sessions = keeper.apply_sessions
+    await nursery.start(revision_keeper.run)
     await nursery.start(keeper.run)
     await trio.sleep(60)
-    assert keeper.members() == {"a", "b"} == set(reader._members.rows)
+    assert keeper.members() == {"a", "b"} == set(revision_keeper._members.rows)
     cluster.kill("b")
     tables.scans = 0
     await trio.sleep(25)
     assert keeper.members() == {"a", "b"}
-    # Sessions and owners, each every 5 s.
+    # Sessions and owners are each scanned every 5 s.
     assert tables.scans <= 2 * 25 / 5 + 1
     await trio.sleep(20)
     assert keeper.members() == {"a"}
