--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -1,4 +1,4 @@
-"""Crash counts between nodes: lost reports, table outages, races and releases."""
+"""Tests of crash counts between nodes: lost reports, table outages, races, releases."""
 
 import pytest
 import trio
@@ -18,7 +18,7 @@
         self.tables = peer_fakes.Tables()
         self.wall_s = 1e9
         self.nodes = {name: self.start(name) for name in NAMES}
-        self.print = self.nodes["a"].fingerprint("t", b"body")
+        self.fingerprint = self.nodes["a"].fingerprint("t", b"body")
 
     def start(self, name: str) -> crashes.Crashes:
         peers = peer_fakes.Peers(self.net, name)
@@ -28,11 +28,11 @@
 
     async def crash(self, name: str, upstream_id: str) -> crashes.Recorded:
         node = self.nodes[name]
-        epoch = node.epoch(self.print)
-        return await node.record(self.print, "t", upstream_id, epoch)
+        epoch = node.epoch(self.fingerprint)
+        return await node.record(self.fingerprint, "t", upstream_id, epoch)
 
     def standings(self) -> list[object]:
-        checks = [node.check(self.print) for node in self.nodes.values()]
+        checks = [node.check(self.fingerprint) for node in self.nodes.values()]
         return [
             "refused" if isinstance(check, refusal.Refusal) else check
             for check in checks
@@ -40,7 +40,7 @@
 
 
 async def test_two_crashes_quarantine_everywhere() -> None:
-    """Guards against a third upstream dying of the same request."""
+    """Guards against one request that crashes a third upstream."""
     fleet = Fleet()
     first = await fleet.crash("a", "u1")
     assert first == crashes.Recorded(Standing.SUSPECT, True, ())
@@ -52,8 +52,8 @@
     assert len(fleet.nodes["c"].quarantined()) == 1
 
 
-async def test_count_survives_all_nodes() -> None:
-    """Guards against a count that is lost with the memory of nodes."""
+async def test_count_survives_restart_of_all_nodes() -> None:
+    """Guards against a crash count that is lost when all nodes restart."""
     fleet = Fleet()
     fleet.net.down = set(NAMES)
     for name in ("a", "b"):
@@ -66,7 +66,7 @@
 
 
 async def test_racing_nodes_lose_no_crash() -> None:
-    """Guards against one node's write replacing another's crash."""
+    """Guards against a write of one node that overwrites another node's crash."""
     fleet = Fleet()
     fleet.net.down = set(NAMES)
     async with trio.open_nursery() as nursery:
@@ -77,7 +77,7 @@
 
 
 async def test_lost_answer_counts_once() -> None:
-    """Guards against one crash counting twice after an unclear write."""
+    """Guards against counting one crash twice if the answer to the write is lost."""
     fleet = Fleet()
     fleet.tables.lose_answers = 1
     recorded = await fleet.crash("a", "u1")
@@ -89,7 +89,7 @@
 
 @pytest.mark.parametrize(("down", "allows"), [(set(), True), ({"c"}, False)])
 async def test_table_outage(down: set[str], allows: bool) -> None:
-    """Guards against a retry that a node could not know of, and a lost count."""
+    """Guards against a lost count, and a retry while some node misses the crash."""
     fleet = Fleet()
     fleet.tables.is_down = True
     fleet.net.down = down
@@ -104,16 +104,19 @@
     assert fleet.standings() == [Standing.SUSPECT] * 3
 
 
-async def test_release_holds_against_late_reports() -> None:
-    """Guards against a late report undoing a release, and against one for good."""
+async def test_late_report_does_not_undo_a_release() -> None:
+    """Guards against a late report undoing a release.
+
+    Crashes after the release must still be counted.
+    """
     fleet = Fleet()
     await fleet.crash("a", "u1")
     await fleet.crash("b", "u2")
     fleet.net.down = {"c"}
-    answer = await fleet.nodes["a"].release(fleet.print)
+    answer = await fleet.nodes["a"].release(fleet.fingerprint)
     assert isinstance(answer, crashes.Released)
     assert fleet.standings() == [Standing.CLEAR, Standing.CLEAR, "refused"]
-    late = await fleet.nodes["b"].record(fleet.print, "t", "u3", epoch=0)
+    late = await fleet.nodes["b"].record(fleet.fingerprint, "t", "u3", epoch=0)
     assert late.standing is Standing.CLEAR
     await fleet.nodes["c"].scan()
     assert fleet.standings() == [Standing.CLEAR] * 3
@@ -121,17 +124,17 @@
     assert again.standing is Standing.SUSPECT
     assert isinstance(await fleet.nodes["a"].release("f0"), crashes.Unknown)
     fleet.tables.is_down = True
-    down = await fleet.nodes["a"].release(fleet.print)
+    down = await fleet.nodes["a"].release(fleet.fingerprint)
     assert isinstance(down, ports.Unavailable)
 
 
-async def test_old_suspects_are_forgotten(
+async def test_old_suspects_are_deleted(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a table of suspects that grows without end."""
+    """Guards against unbounded growth of the table of suspects."""
     fleet = Fleet()
     await fleet.crash("a", "u1")
-    fleet.wall_s += crashes.SUSPECT_KEEP_S + 1
+    fleet.wall_s += crashes.SUSPECT_RETENTION_S + 1
     for node in fleet.nodes.values():
         nursery.start_soon(node.run)
     await trio.sleep(5.0)
@@ -139,8 +142,8 @@
     assert not fleet.tables.rows
 
 
-async def test_damaged_row_blocks_nothing() -> None:
-    """Guards against one unreadable row stopping the whole scan."""
+async def test_corrupt_row_does_not_block_the_scan() -> None:
+    """Guards against one unreadable row that aborts the whole scan."""
     fleet = Fleet()
     await fleet.crash("a", "u1")
     await fleet.tables.write(
