--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -39,9 +39,9 @@
     """
     nodes = [watcher.Node(f"n{i}", "a") for i in range(27)]
     stores = [f"kv{i}" for i in range(17)]
-    watchers = [watcher.pick_readers(nodes, "a", store) for store in stores]
-    assert all(len(picked) == 1 for picked in watchers)
-    loads = collections.Counter(node for (node,) in watchers)
+    readers = [watcher.pick_readers(nodes, "a", store) for store in stores]
+    assert all(len(picked) == 1 for picked in readers)
+    loads = collections.Counter(node for (node,) in readers)
     share = max(loads.values()) / len(stores)
     assert 8 * share * 540 * 35 * (len(nodes) - 1) < 0.25 * 5e6
     assert watcher.pick_readers(nodes[:3], "a", "kv0") == ["n0", "n1", "n2"]
