Reword revision.py, peer.py and their tests

Renames: peer.BadPeer -> InvalidPeer, Peers.on_newer -> on_newer_revision, _Link -> _Connection; revision: interval constants, _take_over -> _activate, _learn -> _apply_or_fetch, _ask -> _call_platform, _news -> _newer_revision_seen, _follow_members -> _poll_members.

--- a/packages/snipelug-node/src/snipelug_node/peer.py
+++ b/packages/snipelug-node/src/snipelug_node/peer.py
@@ -1,4 +1,4 @@
-"""RPC between nodes: connections, heartbeats and the members heard of lately."""
+"""RPC between nodes: connections, heartbeats and the recently reported members."""
 
 import collections.abc
 import dataclasses
@@ -17,10 +17,10 @@
 
 LOG = logging.getLogger("snipelug.peer")
 
-HEARTBEAT_S = 1.0
+HEARTBEAT_INTERVAL_S = 1.0
 HEARTBEAT_TIMEOUT_S = 1.5
-# A peer that vanished without closing its connection leaves one that the kernel
-# keeps for minutes; a new one is opened after this many calls without an answer.
+# If a peer vanishes without closing its connection, the kernel keeps the connection for
+# minutes. After this many consecutive calls without an answer, a new one is opened.
 FAILURES_BEFORE_RECONNECT = 3
 
 HEARTBEAT = rpc.Method("Heartbeat", currency.Heartbeat, currency.HeartbeatReply)
@@ -32,14 +32,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Settings:
-    """Identity of this node and what it knows before it reads the store.
+    """Identity of this node and the peers it knows before it reads the store.
 
     Attributes
     ----------
     host, rpc_port : str, int
-        Address under which other nodes reach this one.
+        Address at which other nodes reach this one.
     listen : tuple of (str, int), optional
-        Address to bind, if it is another.
+        Address to bind, if it differs.
     key : bytes
         Secret that signs messages between nodes.
     static : tuple of Member
@@ -67,25 +67,25 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class BadPeer:
-    """A peer in the settings cannot be read."""
+class InvalidPeer:
+    """A peer in the settings has an invalid format."""
 
     reason: str
 
 
-def parse_peer(text: str) -> member.Member | BadPeer:
-    """Read a peer given as ``ID=HOST:PORT``."""
+def parse_peer(text: str) -> member.Member | InvalidPeer:
+    """Parse a peer given as ``ID=HOST:PORT``."""
     node_id, equals, address = text.partition("=")
     host, colon, port = address.rpartition(":")
     if not (node_id and equals and host and colon and port.isdecimal()):
-        return BadPeer(f"peer {text!r} is not of the form ID=HOST:PORT")
+        return InvalidPeer(f"peer {text!r} is not of the form ID=HOST:PORT")
     if not 0 < int(port) < 65536:
-        return BadPeer(f"peer {text!r}: port {port} is not between 1 and 65535")
+        return InvalidPeer(f"peer {text!r}: port {port} is not between 1 and 65535")
     return member.Member(node_id, "", host.strip("[]"), int(port))
 
 
 @dataclasses.dataclass
-class _Link:
+class _Connection:
     """The connection to one peer."""
 
     address: tuple[str, int]
@@ -94,25 +94,27 @@
 
 
 class Peers:
-    """The other nodes; implements ``ports.Peers``. Needs a trio-asyncio loop.
+    """The other nodes; implements ``ports.Peers``. Requires a trio-asyncio loop.
 
     Parameters
     ----------
     settings : Settings
         Identity and static peers.
     clock : callable, optional
-        Monotonic time in seconds; the same for all parts of the node.
+        Monotonic time in seconds; shared by all parts of the node.
     rng : random.Random, optional
-        Source for the choice of targets.
+        Used to choose heartbeat targets.
 
     Attributes
     ----------
     node_id : str
         Id of this node.
     state : State
-        Currency of this node, shared with the keeper of revisions.
+        Currency of this node, shared with `revision.Keeper`.
     members : Members
-        Members as this node knows them.
+        Members known to this node.
+    on_newer_revision : callable
+        Called when a peer reports a newer revision than this node has.
     """
 
     def __init__(
@@ -128,22 +130,22 @@
         self.state = currency.State(settings.node_id, settings.incarnation, clock())
         self.members = member.Members(settings.node_id)
         self.members.rows = {row.node_id: row for row in settings.static_members()}
-        self.on_newer: collections.abc.Callable[[], None] = lambda: None
+        self.on_newer_revision: collections.abc.Callable[[], None] = lambda: None
         self._procedures: dict[rpc.Method[typing.Any, typing.Any], rpc.Procedure] = {}
-        self._links: dict[str, _Link] = {}
-        self._serving = False
-        self._closed = False
+        self._connections: dict[str, _Connection] = {}
+        self._is_serving = False
+        self._is_closed = False
         self.register(HEARTBEAT, self._answer_heartbeat)
 
     def live(self) -> list[str]:
-        """Return the ids of the nodes heard of lately, this one included."""
+        """Return the ids of the recently reported nodes, including this one."""
         return self.members.live_node_ids(self.clock())
 
     def register(
         self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
     ) -> None:
-        """Offer a procedure to the other nodes; before ``run`` is called."""
-        if self._serving:
+        """Offer a procedure to the other nodes; call this before ``run``."""
+        if self._is_serving:
             raise RuntimeError(f"{method.name} is registered after serving began")
         self._procedures[method] = procedure
 
@@ -157,21 +159,21 @@
         """Call a procedure of a node; a call to this node runs locally."""
         if node_id == self.node_id:
             return await self._call_locally(method, message, timeout_s)
-        link = self._link(node_id)
-        if link is None:
+        connection = self._connect(node_id)
+        if connection is None:
             return rpc.Unreachable(f"node {node_id} is not a known member")
-        answer = await link.client.call(method, message, timeout_s)
+        answer = await connection.client.call(method, message, timeout_s)
         if isinstance(answer, rpc.Unreachable):
-            self._count_failure(node_id, link)
+            self._count_failure(node_id, connection)
         else:
-            link.failures = 0
+            connection.failures = 0
         return answer
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve peers and send heartbeats until cancelled."""
-        self._serving = True
+        self._is_serving = True
         settings = self.settings
         try:
             async with trio.open_nursery() as nursery:
@@ -179,7 +181,10 @@
                     rpc.serve,
                     *(settings.listen or (settings.host, settings.rpc_port)),
                     settings.key,
-                    {k: self._guard(v) for k, v in self._procedures.items()},
+                    {
+                        method: self._reject_when_closed(procedure)
+                        for method, procedure in self._procedures.items()
+                    },
                 )
                 task_status.started()
                 await self._send_heartbeats(nursery)
@@ -187,17 +192,17 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connections to all peers and answer no further calls."""
-        self._closed = True
-        for link in self._links.values():
-            link.client.close()
-        self._links.clear()
+        """Close the connections to all peers and stop answering calls."""
+        self._is_closed = True
+        for connection in self._connections.values():
+            connection.client.close()
+        self._connections.clear()
 
-    def _guard(self, procedure: rpc.Procedure) -> rpc.Procedure:
-        """Refuse calls once closed; the RPC server leaves open connections open."""
+    def _reject_when_closed(self, procedure: rpc.Procedure) -> rpc.Procedure:
+        """Reject calls after closing, since the RPC server keeps connections open."""
 
         async def run(message: typing.Any) -> msgspec.Struct:
-            if self._closed:
+            if self._is_closed:
                 raise grpclib.exceptions.GRPCError(
                     grpclib.const.Status.UNAVAILABLE, "the node is closed"
                 )
@@ -218,47 +223,49 @@
             return typing.cast(Answer, await procedure(message))
         return rpc.Unreachable(f"no answer within {timeout_s} s")
 
-    def _link(self, node_id: str) -> _Link | None:
+    def _connect(self, node_id: str) -> _Connection | None:
         row = self.members.rows.get(node_id)
         if row is None:
             return None
         address = (row.host, row.rpc_port)
-        link = self._links.get(node_id)
-        if link is not None and link.address == address:
-            return link
-        if link is not None:
-            link.client.close()
-        link = _Link(address, rpc.Client(*address, self.settings.key))
-        self._links[node_id] = link
-        return link
-
-    def _count_failure(self, node_id: str, link: _Link) -> None:
-        link.failures += 1
-        if link.failures < FAILURES_BEFORE_RECONNECT:
+        connection = self._connections.get(node_id)
+        if connection is not None and connection.address == address:
+            return connection
+        if connection is not None:
+            connection.client.close()
+        connection = _Connection(address, rpc.Client(*address, self.settings.key))
+        self._connections[node_id] = connection
+        return connection
+
+    def _count_failure(self, node_id: str, connection: _Connection) -> None:
+        connection.failures += 1
+        if connection.failures < FAILURES_BEFORE_RECONNECT:
             return
-        if self._links.get(node_id) is link:
-            del self._links[node_id]
-            link.client.close()
+        if self._connections.get(node_id) is connection:
+            del self._connections[node_id]
+            connection.client.close()
 
     async def _answer_heartbeat(
         self, message: currency.Heartbeat
     ) -> currency.HeartbeatReply:
         if message.revision > self.state.revision:
-            self.on_newer()
+            self.on_newer_revision()
         return currency.build_heartbeat_reply(
             self.state, self.members, self.clock(), self.rng, message.wants_rows
         )
 
     async def _send_heartbeats(self, nursery: trio.Nursery) -> None:
         while True:
-            self._drop_removed_links()
+            self._drop_removed_connections()
             for node_id in member.choose_heartbeat_targets(self.members, self.rng):
                 nursery.start_soon(self._send_heartbeat, node_id)
-            await ticker.sleep(HEARTBEAT_S)
+            await ticker.sleep(HEARTBEAT_INTERVAL_S)
 
-    def _drop_removed_links(self) -> None:
-        for node_id in [k for k in self._links if k not in self.members.rows]:
-            self._links.pop(node_id).client.close()
+    def _drop_removed_connections(self) -> None:
+        for node_id in [
+            key for key in self._connections if key not in self.members.rows
+        ]:
+            self._connections.pop(node_id).client.close()
 
     async def _send_heartbeat(self, node_id: str) -> None:
         state = self.state
@@ -276,4 +283,4 @@
             return
         currency.record_heartbeat_reply(state, self.members, asked_at, reply)
         if currency.latest_known_revision(state, self.members) > state.revision:
-            self.on_newer()
+            self.on_newer_revision()
--- a/packages/snipelug-node/src/snipelug_node/revision.py
+++ b/packages/snipelug-node/src/snipelug_node/revision.py
@@ -1,4 +1,8 @@
-"""The configuration in force at this node: follow the sequence, accept changes."""
+"""Maintains the active configuration of this node and accepts changes to it.
+
+Changes form a sequence of revisions in the store. Each node follows the sequence with
+the help of its peers.
+"""
 
 import collections.abc
 import dataclasses
@@ -23,23 +27,23 @@
 
 LOG = logging.getLogger("snipelug.revision")
 
-POLL_S = 1.0
-POLL_TIMEOUT_S = 4.5
+HEAD_POLL_INTERVAL_S = 1.0
+HEAD_POLL_TIMEOUT_S = 4.5
 STORE_TIMEOUT_S = 2.0
-MEMBERS_S = 2.0
-# Nobody waits for a reading while all members are known; a change of members in
-# the last half minute is often followed by others.
-SETTLED_MEMBERS_S = 5.0
+MEMBERS_INTERVAL_S = 2.0
+# While all members are known, nothing waits for a reading. Members changed within the
+# last MEMBERS_CHANGING_S often change again, so they are read more often.
+STABLE_MEMBERS_INTERVAL_S = 5.0
 MEMBERS_CHANGING_S = 30.0
-# All nodes together scan the sessions at most this often per second.
+# Maximum number of scans of the sessions per second by all nodes together.
 MEMBERS_SCANS_PER_S = 20.0
-INSTANCES_S = 2.0
+INSTANCES_INTERVAL_S = 2.0
 PEER_TIMEOUT_S = 1.0
-PUSH_EVERY_S = 0.3
+PUSH_INTERVAL_S = 0.3
 PUSH_CONCURRENCY = 64
 ACCEPT_WAIT_S = 5.0
-RETRY_S = 0.3
-MAX_RACES = 5
+RETRY_INTERVAL_S = 0.3
+MAX_WRITE_ATTEMPTS = 5
 LOG_LENGTH = 1000
 DELTAS_PER_REPLY = 200
 PAGE_ROWS = 500
@@ -47,7 +51,7 @@
 
 Fetched = typing.TypeVar("Fetched")
 
-SessionsTaker = collections.abc.Callable[
+SessionsCallback = collections.abc.Callable[
     [list[ports.Row], float], collections.abc.Awaitable[None]
 ]
 
@@ -59,26 +63,26 @@
 
 
 class DeltasRequest(msgspec.Struct, frozen=True, array_like=True):
-    """Ask for the changes after a revision."""
+    """Requests the changes after a revision."""
 
     after: int
 
 
 class DeltasReply(msgspec.Struct, frozen=True, array_like=True):
-    """Changes in order; a snapshot first if older changes are not in memory."""
+    """Changes in order, preceded by a snapshot if older ones are not in memory."""
 
     changes: tuple[change.Change, ...]
     snapshot: change.Snapshot | None
 
 
 class Push(msgspec.Struct, frozen=True, array_like=True):
-    """A change that is in the store."""
+    """Sends a change that is in the store to a peer."""
 
     change: change.Change
 
 
 class PushReply(msgspec.Struct, frozen=True, array_like=True):
-    """The receiver about itself, after it applied what it could."""
+    """Status of the receiver after it applied what it could."""
 
     status: member.NodeStatus
 
@@ -89,14 +93,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Proposal:
-    """A change that an operator asks for.
+    """A change requested by an operator.
 
     Attributes
     ----------
     expected : int or None
-        Revision that the operator looked at; None applies to whichever is newest.
+        Revision on which the change is based; None applies it to the newest revision.
     nonce : str
-        Chosen by the operator's client and the same when it repeats the call.
+        Chosen by the operator's client; the same when the client repeats the call.
     """
 
     operations: tuple[change.Operation, ...]
@@ -107,7 +111,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Rollout:
-    """On which members a revision is known to be in force."""
+    """Members on which a revision is known to be in force, and the other members."""
 
     revision: int
     in_force: tuple[str, ...]
@@ -116,35 +120,35 @@
 
 @dataclasses.dataclass(frozen=True)
 class Accepted:
-    """In the store and in force on a strict majority of members."""
+    """The change is stored and in force on a strict majority of members."""
 
     rollout: Rollout
 
 
 @dataclasses.dataclass(frozen=True)
 class RecordedOnly:
-    """In the store for good, but no majority has reported it in time."""
+    """The change is stored permanently, but no majority has reported it in time."""
 
     rollout: Rollout
 
 
 @dataclasses.dataclass(frozen=True)
 class Unchanged:
-    """The configuration already is as proposed; nothing was written."""
+    """The proposal does not change the configuration; nothing was written."""
 
     revision: int
 
 
 @dataclasses.dataclass(frozen=True)
 class Invalid:
-    """The proposal contradicts the configuration; nothing was written."""
+    """The proposal is invalid for the configuration; nothing was written."""
 
     mistakes: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True)
 class Outdated:
-    """Another change came first; nothing of this one was or will be written."""
+    """Another change came first; this one was not and will not be written."""
 
     revision: int
     author: str
@@ -152,14 +156,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotAllowed:
-    """The node may not write changes now; nothing was written."""
+    """The node can't write changes now; nothing was written."""
 
     reason: str
 
 
 @dataclasses.dataclass(frozen=True)
 class Unclear:
-    """The store is silent; the change may be or may still come into force."""
+    """The store did not answer; the change may be, or may still come, in force."""
 
     revision: int
     nonce: str
@@ -171,7 +175,7 @@
 
 
 class Keeper:
-    """Hold the configuration in force and keep it current.
+    """Holds the active configuration and keeps it current.
 
     Parameters
     ----------
@@ -180,19 +184,19 @@
     peers : Peers
         The other nodes.
     instances : InstanceList, optional
-        Tells which revoked members are gone. Without it they never cease to
-        count for majorities until their row is deleted.
+        Tells which members with a revoked session are gone. Without it, they count
+        for majorities until their row is deleted.
     wall : callable, optional
-        Wall time in seconds, noted in changes.
+        Wall time in seconds, recorded in changes.
 
     Attributes
     ----------
     cfg : Config
-        Configuration in force at this node.
+        Active configuration of this node.
     on_sessions : callable
         Called with each complete reading of the table ``sessions`` and the
-        monotonic time before it was asked for, in seconds; a node reads the table
-        once for all of its parts.
+        monotonic time before it was requested, in seconds, so that a node reads
+        the table once for all of its parts.
     """
 
     def __init__(
@@ -211,18 +215,18 @@
         self._state = peers.state
         self._members = peers.members
         self._log: dict[int, change.Change] = {}
-        self._listed: dict[str, member.Member] | None = None
-        self._news = trio.Event()
+        self._listed_nodes: dict[str, member.Member] | None = None
+        self._newer_revision_seen = trio.Event()
         self._write_lock = trio.Lock()
-        self.on_sessions: SessionsTaker = _ignore_sessions
-        peers.on_newer = self._wake
+        self.on_sessions: SessionsCallback = _ignore_sessions
+        peers.on_newer_revision = self._wake_catch_up
         peers.register(DELTAS, self._answer_deltas)
         peers.register(PUSH, self._answer_push)
 
-    # What the rest of the node asks
+    # Queries by the rest of the node
 
     def evaluate(self, now: float) -> currency.Current | currency.NotCurrent:
-        """Decide whether this node may serve new work, and by which rule."""
+        """Return whether this node may serve new work, and by which rule."""
         return currency.evaluate(self._state, self._members, now)
 
     def is_current(self, now: float) -> bool:
@@ -230,16 +234,18 @@
         return isinstance(self.evaluate(now), currency.Current)
 
     def rollout(self, revision: int) -> Rollout:
-        """Return on which members a revision is known to be in force."""
+        """Return the members on which a revision is known to be in force."""
         now = self._clock()
-        having = currency.members_at_revision(self._state, self._members, revision, now)
-        missing = self._members.voters() - having
-        return Rollout(revision, tuple(sorted(having)), tuple(sorted(missing)))
+        in_force_on = currency.members_at_revision(
+            self._state, self._members, revision, now
+        )
+        missing = self._members.voters() - in_force_on
+        return Rollout(revision, tuple(sorted(in_force_on)), tuple(sorted(missing)))
 
     async def history(
         self, after: int = 0, limit: int = 100
     ) -> list[change.Change] | ports.Unavailable:
-        """Return changes after a revision, from memory or else from the store."""
+        """Return changes after a revision, from memory or otherwise from the store."""
         if after + 1 in self._log or after >= self.cfg.revision:
             wanted = range(after + 1, min(after + limit, self.cfg.revision) + 1)
             return [self._log[k] for k in wanted]
@@ -248,13 +254,13 @@
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Follow the sequence until cancelled; needs ``Peers.run`` as well."""
+        """Follow the sequence until cancelled; requires a running ``Peers.run``."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll_head, nursery)
-            nursery.start_soon(self._follow_members)
+            nursery.start_soon(self._poll_members)
             nursery.start_soon(self._catch_up)
             if self._instances is not None:
-                nursery.start_soon(self._follow_instances, self._instances)
+                nursery.start_soon(self._poll_instances, self._instances)
             task_status.started()
 
     # Accepting changes
@@ -264,7 +270,7 @@
         operations: collections.abc.Sequence[change.Operation],
         inventory: change.Inventory | None = None,
     ) -> Invalid | Unchanged | None:
-        """Check operations against the configuration in force; None if valid."""
+        """Check operations against the active configuration; return None if valid."""
         mistakes = change.validate_operations(self.cfg, operations, inventory)
         if mistakes:
             return Invalid(tuple(mistakes))
@@ -275,7 +281,7 @@
     async def propose(
         self, proposed: Proposal, inventory: change.Inventory | None = None
     ) -> Outcome:
-        """Write a change, push it, and wait until a majority has it in force."""
+        """Write a change, push it to peers and wait until a majority applied it."""
         async with self._write_lock:
             written = await self._write_proposal(proposed, inventory)
         if not isinstance(written, change.Change):
@@ -283,35 +289,35 @@
         return await self._roll_out(written)
 
     async def wait_in_force(self, revision: int, timeout_s: float) -> Rollout:
-        """Wait until a revision is in force on all members, or the time is over."""
-        # A member that reported the revision once keeps it; reports expire.
-        having = set(self.rollout(revision).in_force)
+        """Wait until a revision is in force on all members or the time has passed."""
+        # Reports expire, but a member that reported the revision once keeps it.
+        in_force_on = set(self.rollout(revision).in_force)
         with trio.move_on_after(timeout_s):
-            while self._members.voters() - having:
+            while self._members.voters() - in_force_on:
                 item = self._log.get(revision)
                 if item is not None:
-                    await self._push(item, having)
-                having.update(self.rollout(revision).in_force)
-                await trio.sleep(PUSH_EVERY_S)
+                    await self._push(item, in_force_on)
+                in_force_on.update(self.rollout(revision).in_force)
+                await trio.sleep(PUSH_INTERVAL_S)
         voters = self._members.voters()
-        missing = tuple(sorted(voters - having))
-        return Rollout(revision, tuple(sorted(voters & having)), missing)
+        missing = tuple(sorted(voters - in_force_on))
+        return Rollout(revision, tuple(sorted(voters & in_force_on)), missing)
 
     async def _write_proposal(
         self, proposed: Proposal, inventory: change.Inventory | None
     ) -> change.Change | Outcome:
-        outcome: Outcome = NotAllowed("other operators' changes keep coming first")
-        for _ in range(MAX_RACES):
-            repeated = self._find_nonce(proposed.nonce)
+        outcome: Outcome = NotAllowed("other operators' changes were written first")
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            repeated = self._find_by_nonce(proposed.nonce)
             if repeated is not None:
                 return repeated
-            refused = self._find_obstacle(proposed, inventory)
+            refused = self._find_refusal(proposed, inventory)
             if refused is not None:
                 return refused
-            verdict = await self._write(self._build_change(proposed))
-            match verdict:
+            write_outcome = await self._write(self._build_change(proposed))
+            match write_outcome:
                 case proposal.Recorded(change=item):
-                    await self._learn([item])
+                    await self._apply_or_fetch([item])
                     return item
                 case proposal.NotWritten():
                     return NotAllowed("the table service did not take the change")
@@ -319,21 +325,21 @@
                     return Unclear(self.cfg.revision + 1, proposed.nonce)
                 case proposal.LostRace(winner=winner):
                     outcome = Outdated(winner.revision, winner.author)
-                    await self._learn([winner])
+                    await self._apply_or_fetch([winner])
             if proposed.expected is not None:
                 return outcome
         return outcome
 
-    def _find_nonce(self, nonce: str) -> change.Change | None:
+    def _find_by_nonce(self, nonce: str) -> change.Change | None:
         found = [item for item in self._log.values() if item.nonce == nonce]
         return found[0] if found else None
 
-    def _find_obstacle(
+    def _find_refusal(
         self, proposed: Proposal, inventory: change.Inventory | None
     ) -> Outcome | None:
-        allowed = currency.may_accept(self._state, self._members, self._clock())
-        if isinstance(allowed, currency.MayNotAccept):
-            return NotAllowed(allowed.reason)
+        permission = currency.may_accept(self._state, self._members, self._clock())
+        if isinstance(permission, currency.MayNotAccept):
+            return NotAllowed(permission.reason)
         revision = self.cfg.revision
         if proposed.expected is not None and proposed.expected != revision:
             last = self._log.get(revision)
@@ -359,7 +365,7 @@
                 return typing.cast(proposal.Outcome, stop.value)
             result = await self._execute(step)
             if isinstance(result, proposal.NoAnswer):
-                await trio.sleep(RETRY_S)
+                await trio.sleep(RETRY_INTERVAL_S)
 
     async def _execute(self, step: proposal.Step) -> proposal.Result:
         match step:
@@ -369,7 +375,7 @@
                 return await self._read_change(revision)
 
     async def _insert(self, item: change.Change) -> proposal.Result:
-        row = await _ask(self._table.read("head", "head"))
+        row = await _call_platform(self._table.read("head", "head"))
         if isinstance(row, ports.Unavailable):
             return proposal.NotExecuted()
         expect: ports.Precondition = ports.Expect.ABSENT
@@ -384,7 +390,7 @@
             ports.Write("changes", key, content, ports.Expect.ABSENT),
             ports.Write("head", "head", head, expect),
         ]
-        result = await _ask(self._table.transact(writes))
+        result = await _call_platform(self._table.transact(writes))
         match result:
             case ports.Written():
                 return proposal.Inserted()
@@ -396,7 +402,9 @@
                 return proposal.NotExecuted()
 
     async def _read_change(self, revision: int) -> proposal.Result:
-        row = await _ask(self._table.read("changes", change.row_key(revision)))
+        row = await _call_platform(
+            self._table.read("changes", change.row_key(revision))
+        )
         if isinstance(row, ports.Unavailable):
             return proposal.NoAnswer()
         if isinstance(row, ports.Absent):
@@ -405,15 +413,15 @@
         return proposal.NoAnswer() if item is None else item
 
     async def _roll_out(self, item: change.Change) -> Outcome:
-        # A majority of members that left meanwhile, or of too few, would not
-        # share a node with each group that may serve.
+        # Reads the current members first: a majority of an outdated or incomplete
+        # list need not intersect each group of nodes that may serve.
         await self._read_members()
         with trio.move_on_after(ACCEPT_WAIT_S):
             while not self._is_accepted(item.revision):
                 await self._push(item)
                 if self._is_accepted(item.revision):
                     break
-                await trio.sleep(PUSH_EVERY_S)
+                await trio.sleep(PUSH_INTERVAL_S)
         rollout = self.rollout(item.revision)
         if not self._is_accepted(item.revision):
             return RecordedOnly(rollout)
@@ -426,12 +434,12 @@
         return currency.is_accepted(self._state, self._members, revision, now)
 
     async def _push(
-        self, item: change.Change, having: collections.abc.Set[str] = frozenset()
+        self, item: change.Change, in_force_on: collections.abc.Set[str] = frozenset()
     ) -> None:
         limiter = trio.CapacityLimiter(PUSH_CONCURRENCY)
         async with trio.open_nursery() as nursery:
             for node_id in self.rollout(item.revision).missing:
-                if node_id != self._peers.node_id and node_id not in having:
+                if node_id != self._peers.node_id and node_id not in in_force_on:
                     nursery.start_soon(self._push_to, node_id, item, limiter)
 
     async def _push_to(
@@ -445,19 +453,20 @@
 
     # Following the sequence
 
-    def _wake(self) -> None:
-        self._news.set()
+    def _wake_catch_up(self) -> None:
+        self._newer_revision_seen.set()
 
     async def _poll_head(self, nursery: trio.Nursery) -> None:
-        # Polls overlap, so that a store that answers slowly still confirms
-        # every second.
+        # Polls overlap, so that a slow store still confirms the revision every second.
         while True:
             nursery.start_soon(self._poll_head_once)
-            await ticker.sleep(POLL_S)
+            await ticker.sleep(HEAD_POLL_INTERVAL_S)
 
     async def _poll_head_once(self) -> None:
         asked_at = self._clock()
-        row = await _ask(self._table.read("head", "head"), POLL_TIMEOUT_S)
+        row = await _call_platform(
+            self._table.read("head", "head"), HEAD_POLL_TIMEOUT_S
+        )
         if isinstance(row, ports.Unavailable):
             return
         revision = _head_revision(row)
@@ -465,34 +474,34 @@
             return
         currency.record_store_read(self._state, asked_at, revision)
         if revision > self.cfg.revision:
-            self._wake()
+            self._wake_catch_up()
 
     async def _catch_up(self) -> None:
         while True:
-            await self._news.wait()
-            self._news = trio.Event()
+            await self._newer_revision_seen.wait()
+            self._newer_revision_seen = trio.Event()
             wanted = currency.latest_known_revision(self._state, self._members)
             while self.cfg.revision < wanted:
                 before = self.cfg.revision
                 if not await self._fetch_from_peer():
                     await self._fetch_from_store()
                 if self.cfg.revision == before:
-                    await trio.sleep(RETRY_S)
+                    await trio.sleep(RETRY_INTERVAL_S)
                 wanted = currency.latest_known_revision(self._state, self._members)
 
     async def _fetch_from_peer(self) -> bool:
         own = self.cfg.revision
         fresh = self._members.fresh_reports(self._clock())
-        having = [k for k, v in sorted(fresh.items()) if v.revision > own]
-        if not having:
+        newer_nodes = [k for k, v in sorted(fresh.items()) if v.revision > own]
+        if not newer_nodes:
             return False
-        node_id = self._peers.rng.choice(having)
+        node_id = self._peers.rng.choice(newer_nodes)
         request = DeltasRequest(own)
         reply = await self._peers.call(node_id, DELTAS, request, PEER_TIMEOUT_S)
         if not isinstance(reply, DeltasReply):
             return False
         if reply.snapshot is not None:
-            self._take_over(change.apply_snapshot(self.cfg, reply.snapshot))
+            self._activate(change.apply_snapshot(self.cfg, reply.snapshot))
         self._apply(reply.changes)
         return self.cfg.revision > own
 
@@ -507,13 +516,13 @@
         self, after: int, limit: int
     ) -> list[change.Change] | ports.Unavailable:
         scan = self._table.scan("changes", after=change.row_key(after), limit=limit)
-        rows = await _ask(scan)
+        rows = await _call_platform(scan)
         if isinstance(rows, ports.Unavailable):
             return rows
         decoded = map(_decode_change, rows)
         return [item for item in decoded if item is not None]
 
-    async def _learn(self, changes: list[change.Change]) -> None:
+    async def _apply_or_fetch(self, changes: list[change.Change]) -> None:
         self._apply(changes)
         newest = max(item.revision for item in changes)
         if self.cfg.revision < newest:
@@ -525,14 +534,14 @@
                 case change.Applied(cfg=cfg):
                     self._log[item.revision] = item
                     self._log.pop(item.revision - LOG_LENGTH, None)
-                    self._take_over(cfg)
+                    self._activate(cfg)
                 case change.Gap():
-                    self._wake()
+                    self._wake_catch_up()
                     return
                 case change.AlreadyApplied():
                     continue
 
-    def _take_over(self, cfg: contract.Config) -> None:
+    def _activate(self, cfg: contract.Config) -> None:
         if cfg.revision <= self.cfg.revision:
             return
         if cfg.revision != self.cfg.revision + 1:
@@ -558,106 +567,104 @@
         return PushReply(currency.own_status(self._state, self._clock()))
 
     async def _read_snapshot(self) -> None:
-        row = await _ask(self._table.read("snapshots", "latest"))
+        row = await _call_platform(self._table.read("snapshots", "latest"))
         if not isinstance(row, ports.Row):
             return
         snapshot = _decode(row, change.Snapshot)
         if snapshot is not None:
-            self._take_over(change.apply_snapshot(self.cfg, snapshot))
+            self._activate(change.apply_snapshot(self.cfg, snapshot))
 
     async def _write_snapshot(self) -> None:
         content = msgspec.json.encode(change.take_snapshot(self.cfg))
         write = ports.Write("snapshots", "latest", content, ports.Expect.ANY)
-        result = await _ask(self._table.write(write))
+        result = await _call_platform(self._table.write(write))
         if not isinstance(result, ports.Written):
             LOG.warning("snapshot_not_written", extra={"result": str(result)})
 
     # Members
 
-    async def _follow_members(self) -> None:
+    async def _poll_members(self) -> None:
         known: frozenset[str] = frozenset()
         changed_at = self._clock()
         while True:
             asked_at = self._clock()
             rows = await self._read_sessions()
-            period_s = MEMBERS_S
+            period_s = MEMBERS_INTERVAL_S
             if rows is not None:
-                self._take_members(rows)
+                self._update_members(rows)
                 await self.on_sessions(rows, asked_at)
                 found = frozenset(row.key for row in rows)
                 if found != known:
                     known, changed_at = found, asked_at
                 if asked_at - changed_at >= MEMBERS_CHANGING_S:
-                    period_s = SETTLED_MEMBERS_S
-            share_s = len(self._members.rows) / MEMBERS_SCANS_PER_S
-            await trio.sleep(max(period_s, share_s))
+                    period_s = STABLE_MEMBERS_INTERVAL_S
+            min_period_s = len(self._members.rows) / MEMBERS_SCANS_PER_S
+            await trio.sleep(max(period_s, min_period_s))
 
     async def _read_members(self) -> None:
         rows = await self._read_sessions()
         if rows is not None:
-            self._take_members(rows)
+            self._update_members(rows)
 
     async def _read_sessions(self) -> list[ports.Row] | None:
         rows: list[ports.Row] = []
         while True:
             after = rows[-1].key if rows else ""
             scan = self._table.scan("sessions", after=after, limit=PAGE_ROWS)
-            page = await _ask(scan)
+            page = await _call_platform(scan)
             if isinstance(page, ports.Unavailable):
                 return None
             rows.extend(page)
             if len(page) < PAGE_ROWS:
                 return rows
 
-    def _take_members(self, rows: collections.abc.Iterable[ports.Row]) -> None:
+    def _update_members(self, rows: collections.abc.Iterable[ports.Row]) -> None:
         sessions = [_decode(row, session.Row) for row in rows]
         if any(item is None for item in sessions):
             return
-        members = {
-            item.node: _load_session(item) for item in sessions if item is not None
-        }
+        members = {item.node: _to_member(item) for item in sessions if item is not None}
         if not members:
             self._members.replace(self._peers.settings.static_members())
             return
         self._members.replace([*members.values(), *self._without_session(members)])
 
     def _without_session(
-        self, having: collections.abc.Container[str]
+        self, with_session: collections.abc.Container[str]
     ) -> list[member.Member]:
-        """Return the nodes that may run although their session was revoked.
+        """Return the nodes that may still run although their session was revoked.
 
-        A revoked session has no row. Its node may be cut off and serve by the
-        majority rule, so it counts until the platform's list drops its instance.
+        A revoked session has no row. Its node may be partitioned and still serve by
+        the majority rule, so it counts until the platform stops listing its instance.
         """
-        if self._listed is None:
+        if self._listed_nodes is None:
             known = self._members.rows.values() if self._members.complete else ()
-            lost = [row for row in known if row.incarnation]
+            earlier_members = [row for row in known if row.incarnation]
         else:
-            lost = list(self._listed.values())
+            earlier_members = list(self._listed_nodes.values())
         return [
             dataclasses.replace(row, revoked=True)
-            for row in lost
-            if row.node_id not in having
+            for row in earlier_members
+            if row.node_id not in with_session
         ]
 
-    async def _follow_instances(self, instances: ports.InstanceList) -> None:
+    async def _poll_instances(self, instances: ports.InstanceList) -> None:
         while True:
-            listed = await _ask(instances.read())
+            listed = await _call_platform(instances.read())
             if not isinstance(listed, ports.Unavailable):
                 nodes = {
                     item.id: member.Member(item.id, "", item.host, item.port, item.zone)
                     for item in listed
                     if item.role is table.Role.NODE
                 }
-                # A list without this running node proves nothing about others.
-                self._listed = nodes if self._peers.node_id in nodes else None
-            await ticker.sleep(INSTANCES_S)
+                # A list that lacks this running node is not reliable for others.
+                self._listed_nodes = nodes if self._peers.node_id in nodes else None
+            await ticker.sleep(INSTANCES_INTERVAL_S)
 
 
-async def _ask(
+async def _call_platform(
     call: collections.abc.Awaitable[Fetched], timeout_s: float = STORE_TIMEOUT_S
 ) -> Fetched | ports.Unavailable:
-    """Bound the time of a call to the platform; the effect is unknown after it."""
+    """Call the platform with a timeout, after which the call's effect is unknown."""
     with trio.move_on_after(timeout_s):
         return await call
     return ports.Unavailable(f"no answer within {timeout_s} s", maybe_applied=True)
@@ -667,7 +674,7 @@
     del rows, asked_at
 
 
-def _load_session(item: session.Row) -> member.Member:
+def _to_member(item: session.Row) -> member.Member:
     return member.Member(item.node, item.process, item.host, item.rpc_port, item.zone)
 
 
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -1,4 +1,4 @@
-"""Tests of nodes that follow and accept changes, over real RPC connections."""
+"""Tests of following and accepting configuration changes over real RPC connections."""
 
 import msgspec
 import pytest
@@ -18,7 +18,7 @@
 
 
 async def test_change_is_in_force_everywhere_and_survives_outage() -> None:
-    """Guards against a change that is accepted and then missing on some node."""
+    """Guards against an accepted change that is later missing on some node."""
     async with fleet.fleet(3) as made:
         outcome = await made.nodes["n0"].keeper.propose(zone_out("tamar-a", expected=0))
         assert isinstance(outcome, revision.Accepted)
@@ -37,13 +37,13 @@
             judged = running.keeper.evaluate(running.peers.clock())
             assert isinstance(judged, currency.Current)
             assert judged.rule == "majority"
-        booted = await made.boot("n2")
-        await made.until(lambda: booted.keeper.is_current(booted.peers.clock()))
-        assert booted.keeper.cfg.zones_out == {"tamar-a"}
+        restarted = await made.boot("n2")
+        await made.until(lambda: restarted.keeper.is_current(restarted.peers.clock()))
+        assert restarted.keeper.cfg.zones_out == {"tamar-a"}
 
 
 async def test_racing_operators_get_one_winner() -> None:
-    """Guards against two operators who both believe that they have a revision."""
+    """Guards against two operators who are both told that they wrote one revision."""
     async with fleet.fleet(3) as made:
         outcomes: dict[str, revision.Outcome] = {}
 
@@ -65,7 +65,7 @@
 
 
 async def test_lost_answer_and_repeated_call_are_one_change() -> None:
-    """Guards against a lost answer that becomes a refusal or a second change."""
+    """Guards against a lost answer that causes a refusal or a duplicate change."""
     async with fleet.fleet(3) as made:
         made.table.lose_answers = 1
         first = await made.nodes["n0"].keeper.propose(zone_out("esk-b", expected=0))
@@ -76,7 +76,7 @@
 
 
 async def test_unclear_write_is_settled_by_repeating_the_call() -> None:
-    """Guards against a definite answer about a write that nobody can check."""
+    """Guards against a definite answer about a write whose outcome is unknown."""
     async with fleet.fleet(3) as made:
         made.table.fail_after_write = True
         first = await made.nodes["n0"].keeper.propose(zone_out("esk-b", expected=0))
@@ -92,7 +92,7 @@
 async def test_written_change_without_majority_is_not_called_accepted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against "accepted" for a change that an outage could hide."""
+    """Guards against reporting a change as accepted that an outage could hide."""
     monkeypatch.setattr(revision, "ACCEPT_WAIT_S", 1.0)
     async with fleet.fleet(3) as made:
         for node_id in ("n1", "n2"):
@@ -105,7 +105,7 @@
 
 
 async def test_node_alone_neither_accepts_nor_serves_without_store() -> None:
-    """Guards against a minority that goes on with an old configuration."""
+    """Guards against a minority that continues with an outdated configuration."""
     async with fleet.fleet(3) as made:
         for node_id in ("n1", "n2"):
             made.nodes[node_id].scope.cancel()
@@ -122,7 +122,7 @@
 async def test_late_node_catches_up_from_snapshot_of_peer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a node that cannot boot once old changes left the memory."""
+    """Guards against a node that cannot boot after peers dropped old changes."""
     monkeypatch.setattr(revision, "LOG_LENGTH", 2)
     async with fleet.fleet(2) as made:
         for number in range(5):
@@ -133,15 +133,15 @@
         reply = await made.nodes["n1"].peers.call("n0", revision.DELTAS, request, 1.0)
         assert isinstance(reply, revision.DeltasReply)
         assert reply.snapshot is not None
-        loaded = change.apply_snapshot(contract.Config(), reply.snapshot)
-        assert loaded == keeper.cfg
+        config = change.apply_snapshot(contract.Config(), reply.snapshot)
+        assert config == keeper.cfg
         history = await keeper.history(0, 10)
         assert isinstance(history, list)
         assert [item.revision for item in history] == [1, 2, 3, 4, 5]
 
 
 async def test_members_come_from_sessions_once_written() -> None:
-    """Guards against majorities over peers that are not members."""
+    """Guards against counting peers that are not members for majorities."""
     async with fleet.fleet(2) as made:
         for node_id, port in made.ports.items():
             row = session.Row(f"{node_id}@1.1", node_id, "1", 1, "127.0.0.1", port)
@@ -151,14 +151,14 @@
         members = made.nodes["n0"].peers.members
         await made.until(lambda: "n9" in members.rows)
         assert members.voters() == {"n0", "n1", "n9"}
-        # A revoked session leaves no row, but its node may still run.
+        # A revoked session has no row, but its node may still run.
         del made.table.rows["sessions", lost.session]
         await made.until(lambda: members.rows["n9"].revoked)
         assert members.voters() == {"n0", "n1", "n9"}
 
 
 async def test_unknown_node_is_unreachable_and_local_call_is_direct() -> None:
-    """Guards against calls that hang or leave the process needlessly."""
+    """Guards against calls to unknown nodes that hang and remote calls to itself."""
     async with fleet.fleet(1) as made:
         peers = made.nodes["n0"].peers
         message = currency.Heartbeat("n0", "1", 0, False)
@@ -172,12 +172,12 @@
 PEERS = [
     ("n1=10.0.0.1:7000", member.Member("n1", "", "10.0.0.1", 7000)),
     ("n1=[::1]:7000", member.Member("n1", "", "::1", 7000)),
-    ("n1", peer.BadPeer("peer 'n1' is not of the form ID=HOST:PORT")),
-    ("n1=h:0", peer.BadPeer("peer 'n1=h:0': port 0 is not between 1 and 65535")),
+    ("n1", peer.InvalidPeer("peer 'n1' is not of the form ID=HOST:PORT")),
+    ("n1=h:0", peer.InvalidPeer("peer 'n1=h:0': port 0 is not between 1 and 65535")),
 ]
 
 
 @pytest.mark.parametrize(("text", "expected"), PEERS)
 def test_peer_setting(text: str, expected: object) -> None:
-    """Guards against a mistyped peer that is silently ignored."""
+    """Guards against silently ignoring a mistyped peer."""
     assert peer.parse_peer(text) == expected
