Reword pending.py and its tests

Renames: PendingSums.tell -> report, Exchange.board -> sums, TIMEOUT_S -> CALL_TIMEOUT_S, _cut -> _split, _slot -> _shard_slot; one test name.

--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -1,4 +1,4 @@
-"""Exchange of pending work between the nodes that share upstreams and stores."""
+"""Exchange of pending work between nodes that share upstreams and stores."""
 
 import collections
 import collections.abc
@@ -13,14 +13,14 @@
 from snipelug_node import cache, ports, ticker
 
 INTERVAL_S = 0.25
-"""Time between two exchanges.
+"""Interval between exchanges.
 
-In the decision benchmark p95 TTFT rises from 2.5 s to 3.2 s with an interval of 1 s
-(trial on 300 s of tas-north).
+An interval of 1 s raises p95 TTFT in the decision benchmark from 2.5 s to 3.2 s (trial
+on 300 s of tas-north).
 """
 
-TIMEOUT_S = 0.2
-SLOT_BYTES = 2
+CALL_TIMEOUT_S = 0.2
+SHARD_HASH_BYTES = 2
 MAX_UPSTREAMS = 256
 
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0, le=1e6)]
@@ -29,7 +29,7 @@
 class Pending(msgspec.Struct, frozen=True):
     """One node's pending work at some upstreams and stores, in seconds.
 
-    That of an upstream is prefill, that of a store is transfers over its link.
+    For an upstream this is prefill, for a store it is transfers over its link.
     """
 
     node: cache.Name
@@ -37,7 +37,7 @@
 
 
 class PendingReply(msgspec.Struct, frozen=True):
-    """The sum of all other nodes' pending work at the same upstreams and stores."""
+    """The other nodes' total pending work at the same upstreams and stores."""
 
     others_s: dict[str, Seconds]
 
@@ -46,57 +46,59 @@
 
 
 class PendingSums:
-    """Sums of pending work at the instances that rendezvous gives to this node."""
+    """Sums of pending work at the instances that rendezvous hashing assigns here."""
 
     def __init__(self) -> None:
-        self._told: dict[str, dict[str, tuple[float, float]]] = {}
+        self._reported: dict[str, dict[str, tuple[float, float]]] = {}
 
     def register(self, peers: ports.Peers) -> None:
-        """Offer the board to the other nodes."""
-        peers.register(PENDING, self.tell)
+        """Offer the sums to the other nodes."""
+        peers.register(PENDING, self.report)
 
-    async def tell(self, message: Pending) -> PendingReply:
-        """Take one node's values and answer with the sums of the others."""
+    async def report(self, message: Pending) -> PendingReply:
+        """Store one node's values and return the sums of the other nodes' values."""
         now = trio.current_time()
         others: dict[str, float] = {}
         for upstream, work_s in message.work_s.items():
-            told = self._told.setdefault(upstream, {})
-            told[message.node] = (work_s, now)
-            others[upstream] = sum(w for n, (w, _) in told.items() if n != message.node)
+            reported = self._reported.setdefault(upstream, {})
+            reported[message.node] = (work_s, now)
+            others[upstream] = sum(
+                w for n, (w, _) in reported.items() if n != message.node
+            )
         return PendingReply(others)
 
     def prune(self) -> None:
-        """Forget what no node tells any more."""
+        """Drop values that no node has reported recently."""
         now = trio.current_time()
-        for upstream in list(self._told):
-            _drop_old(self._told[upstream], now)
-            if not self._told[upstream]:
-                del self._told[upstream]
+        for upstream in list(self._reported):
+            _drop_expired(self._reported[upstream], now)
+            if not self._reported[upstream]:
+                del self._reported[upstream]
 
 
-def _drop_old(told: dict[str, tuple[float, float]], now: float) -> None:
-    for node, (_, at) in list(told.items()):
-        if now - at > prefill.PEER_SUM_MAX_AGE_S:
-            del told[node]
+def _drop_expired(reported: dict[str, tuple[float, float]], now: float) -> None:
+    for node, (_, reported_at) in list(reported.items()):
+        if now - reported_at > prefill.PEER_SUM_MAX_AGE_S:
+            del reported[node]
 
 
 class Exchange:
-    """Tell the boards what is pending here, and learn what is pending elsewhere.
+    """Reports this node's pending work and collects that of the other nodes.
 
     Parameters
     ----------
     upstreams : callable
-        Returns the ids of the upstreams and stores that this node works with.
+        Returns the ids of the upstreams and stores that this node uses.
     is_active : callable, optional
-        Returns whether this node decides now; without decisions and own requests
-        nothing is exchanged, because an idle node has little processor time to spend.
+        Returns whether this node currently makes routing decisions. An inactive node
+        without pending work exchanges nothing, which saves processor time.
     """
 
     def __init__(
         self,
         peers: ports.Peers,
         backlog: prefill.PrefillBacklog,
-        board: PendingSums,
+        sums: PendingSums,
         upstreams: collections.abc.Callable[[], collections.abc.Iterable[str]],
         is_active: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
@@ -104,7 +106,7 @@
         self.was_pending = False
         self.peers = peers
         self.backlog = backlog
-        self.board = board
+        self.sums = sums
         self.upstreams = upstreams
         self._owners = cache.ShardMap()
 
@@ -118,43 +120,43 @@
             await ticker.sleep(INTERVAL_S)
 
     async def exchange(self) -> None:
-        """Exchange once with all boards that keep this node's upstreams."""
-        self.board.prune()
+        """Exchange once with all nodes that keep sums for this node's upstreams."""
+        self.sums.prune()
         self._owners.update(self.peers.live())
         known = set(self.upstreams())
         self.backlog.retain(known)
         pending = self.backlog.pending_s()
         if not (pending or self.was_pending or self.is_active()):
             return
-        # Zeros are told once, so that the boards forget this node's share.
+        # Zeros are reported once, so that other nodes drop this node's share.
         self.was_pending = bool(pending)
         parts: dict[str, dict[str, float]] = collections.defaultdict(dict)
         for upstream in known:
-            owner = self._owners.owner(_slot(upstream))
+            owner = self._owners.owner(_shard_slot(upstream))
             if owner is not None:
                 parts[owner][upstream] = pending.get(upstream, 0.0)
         async with trio.open_nursery() as nursery:
             for owner, work_s in parts.items():
-                for piece in _cut(work_s):
-                    nursery.start_soon(self._tell, owner, piece)
+                for chunk in _split(work_s):
+                    nursery.start_soon(self._report, owner, chunk)
 
-    async def _tell(self, owner: str, work_s: dict[str, float]) -> None:
+    async def _report(self, owner: str, work_s: dict[str, float]) -> None:
         asked_at = trio.current_time()
         message = Pending(self.peers.node_id, work_s)
-        reply = await self.peers.call(owner, PENDING, message, TIMEOUT_S)
+        reply = await self.peers.call(owner, PENDING, message, CALL_TIMEOUT_S)
         if isinstance(reply, rpc.Unreachable):
             return
         for upstream, others_s in reply.others_s.items():
             self.backlog.note_peers(upstream, others_s, asked_at)
 
 
-def _cut(work_s: dict[str, float]) -> collections.abc.Iterator[dict[str, float]]:
-    """Yield pieces that a message may hold."""
+def _split(work_s: dict[str, float]) -> collections.abc.Iterator[dict[str, float]]:
+    """Yield chunks that fit into one message."""
     items = iter(work_s.items())
-    while piece := dict(itertools.islice(items, MAX_UPSTREAMS)):
-        yield piece
+    while chunk := dict(itertools.islice(items, MAX_UPSTREAMS)):
+        yield chunk
 
 
-def _slot(upstream: str) -> int:
+def _shard_slot(upstream: str) -> int:
     digest = hashing.keyed_digest(b"pending", upstream.encode())
-    return int.from_bytes(digest[:SLOT_BYTES], "big") % cache.SLOTS
+    return int.from_bytes(digest[:SHARD_HASH_BYTES], "big") % cache.SLOTS
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -12,14 +12,14 @@
 
 
 class Member:
-    """A node with its board, its backlog and its exchange."""
+    """A node with its sums of pending work, its backlog and its exchange."""
 
     def __init__(self, node: test_cache.Node) -> None:
-        self.board = pending.PendingSums()
-        self.board.register(node)
+        self.sums = pending.PendingSums()
+        self.sums.register(node)
         self.backlog = prefill.PrefillBacklog()
         self.exchange = pending.Exchange(
-            node, self.backlog, self.board, lambda: UPSTREAMS
+            node, self.backlog, self.sums, lambda: UPSTREAMS
         )
 
     def estimate_s(self, upstream: str) -> float:
@@ -48,7 +48,7 @@
 async def test_nodes_learn_what_others_have_pending(
     members: list[Member], autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against nodes that send long prompts to the same upstream."""
+    """Guards against nodes that unknowingly send long prompts to the same upstream."""
     for i, member in enumerate(members):
         for upstream in UPSTREAMS:
             member.backlog.sent(upstream, "r", 1.0 + i, trio.current_time())
@@ -61,10 +61,10 @@
     assert members[0].estimate_s("e0") == 5.0
 
 
-async def test_many_instances_are_told_in_several_messages(
+async def test_many_instances_are_reported_in_several_messages(
     members: list[Member], autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against a message that is refused because it names too many."""
+    """Guards against a message that is rejected because it has too many entries."""
     names = [f"e{i}" for i in range(3 * pending.MAX_UPSTREAMS + 1)]
     for member in members:
         member.exchange.upstreams = lambda: names
@@ -81,7 +81,7 @@
     members: list[Member],
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    """Guards against pending work of a dead node that counts for ever."""
+    """Guards against counting the pending work of a dead node forever."""
     members[1].backlog.sent("e0", "r", 9.0, trio.current_time())
     await exchange(members)
     assert members[0].estimate_s("e0") == 9.0
@@ -97,14 +97,14 @@
     assert members[0].estimate_s("e0") == 0.0
     await trio.sleep(2 * prefill.PEER_SUM_MAX_AGE_S)
     for member in members:
-        member.board.prune()
-        assert not member.board._told
+        member.sums.prune()
+        assert not member.sums._reported
 
 
 async def test_upstreams_that_are_gone_are_forgotten(
     members: list[Member], autojump_clock: trio.testing.MockClock
 ) -> None:
-    """Guards against memory growing with replaced upstreams."""
+    """Guards against memory that grows with each replaced upstream."""
     members[1].backlog.sent("e0", "r", 9.0, trio.current_time())
     await exchange(members)
     members[0].backlog.retain({"e1"})
@@ -113,7 +113,7 @@
 
 @pytest.mark.parametrize("work_s", [-1.0, float("nan"), 1e9, "x"])
 def test_malformed_values_are_refused(work_s: object) -> None:
-    """Guards against a faulty peer that makes an upstream look free or full."""
+    """Guards against a faulty peer that makes an upstream appear idle or full."""
     data = msgspec.msgpack.encode({"node": "n", "work_s": {"e0": work_s}})
     with pytest.raises(msgspec.ValidationError):
         msgspec.msgpack.decode(data, type=pending.Pending)
