--- a/packages/snipelug-node/src/snipelug_node/retries.py
+++ b/packages/snipelug-node/src/snipelug_node/retries.py
@@ -1,4 +1,4 @@
-"""Retry budgets of this node, one for each upstream."""
+"""Retry budgets of this node, one per upstream."""
 
 import collections
 
@@ -6,16 +6,16 @@
 
 
 class Budgets:
-    """Implements ``dispatch.Budget``."""
+    """Retry budgets by upstream; implements ``dispatch.Budget``."""
 
     def __init__(self) -> None:
         self._budgets: dict[str, retry.Budget] = collections.defaultdict(retry.Budget)
 
     def note_request(self, upstream_id: str, now: float) -> None:
-        """Count a first send."""
+        """Record a first attempt, which increases the budget."""
         del now
         retry.record_request(self._budgets[upstream_id])
 
     def take_retry(self, upstream_id: str, now: float) -> bool:
-        """Take one retry from the budget if there is one."""
+        """Consume one retry from the budget; return whether one was available."""
         return retry.try_acquire(self._budgets[upstream_id], now)
