--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -1,4 +1,4 @@
-"""Fakes of the node's ports that run in one process."""
+"""In-process fakes of the node's ports."""
 
 import typing
 
@@ -9,8 +9,8 @@
 from snipelug_node import ports
 
 
-class Net:
-    """Connects fake peers; calls to ``down`` nodes or with lost answers fail."""
+class Network:
+    """Connects fake peers; calls to nodes in ``down`` and lost answers fail."""
 
     def __init__(self) -> None:
         self.nodes: dict[str, Peers] = {}
@@ -20,16 +20,16 @@
 
 
 class Peers:
-    """One node's view of a `Net`; messages take the way through the codec."""
+    """One node's view of a `Network`; messages are encoded and decoded."""
 
-    def __init__(self, net: Net, node_id: str) -> None:
+    def __init__(self, network: Network, node_id: str) -> None:
         self.node_id = node_id
-        self.net = net
+        self.network = network
         self.procedures: dict[str, rpc.Procedure] = {}
-        net.nodes[node_id] = self
+        network.nodes[node_id] = self
 
     def live(self) -> list[str]:
-        return sorted(set(self.net.nodes) - self.net.down)
+        return sorted(set(self.network.nodes) - self.network.down)
 
     async def call(
         self,
@@ -38,13 +38,13 @@
         message: msgspec.Struct,
         timeout_s: float,
     ) -> typing.Any:
-        self.net.calls.append((node_id, method.name))
-        if node_id in self.net.down:
+        self.network.calls.append((node_id, method.name))
+        if node_id in self.network.down:
             return rpc.Unreachable("down")
-        coded = msgspec.msgpack.encode(message)
-        received = msgspec.msgpack.decode(coded, type=method.request)
-        answer = await self.net.nodes[node_id].procedures[method.name](received)
-        if method.name in self.net.lose_answers:
+        encoded = msgspec.msgpack.encode(message)
+        received = msgspec.msgpack.decode(encoded, type=method.request)
+        answer = await self.network.nodes[node_id].procedures[method.name](received)
+        if method.name in self.network.lose_answers:
             return rpc.Unreachable("answer lost")
         return answer
 
@@ -55,7 +55,7 @@
 
 
 class Tables:
-    """A table service in memory, with an outage and lost answers."""
+    """An in-memory table service that can simulate an outage and lost answers."""
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], ports.Row] = {}
@@ -68,7 +68,7 @@
     ) -> ports.Row | ports.Absent | ports.Unavailable:
         if self.is_down:
             return ports.Unavailable("down", maybe_applied=False)
-        # Lets others run between a read and the write that depends on it.
+        # Lets other tasks run between a read and the write that depends on it.
         row = self.rows.get((table_name, key), ports.Absent())
         await trio.lowlevel.checkpoint()
         return row
@@ -87,17 +87,17 @@
     ) -> ports.Written | ports.Conflict | ports.Unavailable:
         if self.is_down:
             return ports.Unavailable("down", maybe_applied=False)
-        at = (write.table, write.key)
-        row = self.rows.get(at)
+        row_id = (write.table, write.key)
+        row = self.rows.get(row_id)
         version = row.version if row else ports.Expect.ABSENT
         if write.expect not in (version, ports.Expect.ANY):
             return ports.Conflict()
         if write.content is None:
-            del self.rows[at]
+            del self.rows[row_id]
             return ports.Written("")
         self.version += 1
         new = ports.Row(write.table, write.key, str(self.version), write.content)
-        self.rows[at] = new
+        self.rows[row_id] = new
         if self.lose_answers > 0:
             self.lose_answers -= 1
             return ports.Unavailable("answer lost", maybe_applied=True)
--- a/tests/test_admitter.py
+++ b/tests/test_admitter.py
@@ -10,13 +10,15 @@
 LEASED = admission.PartName.LEASED
 
 
-def build_cluster(net: peer_fakes.Net, nursery: trio.Nursery) -> admitter.Admitter:
+def build_cluster(
+    network: peer_fakes.Network, nursery: trio.Nursery
+) -> admitter.Admitter:
     """Return node a's admitter; b holds the leased part, c the outage part."""
     holders = {LEASED: "b", admission.PartName.SUSPECT: "b"}
     built = {}
     for node_id in ("a", "b", "c"):
         built[node_id] = admitter.Admitter(
-            peer_fakes.Peers(net, node_id),
+            peer_fakes.Peers(network, node_id),
             holder_of=lambda _, part: holders.get(part, "c"),
             holds_now=lambda _, part, own=node_id: holders.get(part, "c") == own,
             cold_limit_of=lambda _: 2,
@@ -32,7 +34,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a second send on one grant and against slots never freed."""
-    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    slot_admitter = build_cluster(peer_fakes.Network(), nursery)
     for _ in range(5):
         async with slot_admitter.slot("u", 30.0) as slot:
             assert isinstance(slot, admitter.Slot)
@@ -47,7 +49,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against exceeding the limit and against an unused outage part."""
-    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    slot_admitter = build_cluster(peer_fakes.Network(), nursery)
     async with (
         slot_admitter.slot("u", 30.0) as first,
         slot_admitter.slot("u", 30.0) as second,
@@ -67,26 +69,26 @@
 
     The release to the unreachable holder must run in the background.
     """
-    net = peer_fakes.Net()
-    slot_admitter = build_cluster(net, nursery)
-    net.down = {"b"}
+    network = peer_fakes.Network()
+    slot_admitter = build_cluster(network, nursery)
+    network.down = {"b"}
     async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         assert slot.grant.holder == "c"
-    assert net.calls[:2] == [("b", "Admit"), ("c", "Admit")]
+    assert network.calls[:2] == [("b", "Admit"), ("c", "Admit")]
 
 
 async def test_lost_answer_frees_the_slot(
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against slots that stay in use because the granting answer was lost."""
-    net = peer_fakes.Net()
-    slot_admitter = build_cluster(net, nursery)
-    net.lose_answers = {"Admit"}
+    network = peer_fakes.Network()
+    slot_admitter = build_cluster(network, nursery)
+    network.lose_answers = {"Admit"}
     async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Denied)
     await trio.sleep(0.1)
-    net.lose_answers = set()
+    network.lose_answers = set()
     async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         assert slot.grant.part is LEASED
@@ -96,7 +98,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a send on an expired grant, which its holder may have reused."""
-    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    slot_admitter = build_cluster(peer_fakes.Network(), nursery)
     async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         await trio.sleep(admission.GRANT_VALID_S)
@@ -107,7 +109,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against freeing a slot while the upstream may still run its request."""
-    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    slot_admitter = build_cluster(peer_fakes.Network(), nursery)
     async with slot_admitter.slot("u", 30.0) as slot:
         assert isinstance(slot, admitter.Slot)
         slot.may_send(trio.current_time())
@@ -123,7 +125,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against two suspect requests at one upstream at the same time."""
-    slot_admitter = build_cluster(peer_fakes.Net(), nursery)
+    slot_admitter = build_cluster(peer_fakes.Network(), nursery)
     parts = admitter.SUSPECT_PARTS
     async with slot_admitter.slot("u", 30.0, parts) as first:
         assert isinstance(first, admitter.Slot)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -14,14 +14,14 @@
 
 class Fleet:
     def __init__(self) -> None:
-        self.net = peer_fakes.Net()
+        self.network = peer_fakes.Network()
         self.tables = peer_fakes.Tables()
         self.wall_s = 1e9
         self.nodes = {name: self.start(name) for name in NAMES}
         self.fingerprint = self.nodes["a"].fingerprint("t", b"body")
 
     def start(self, name: str) -> crashes.Crashes:
-        peers = peer_fakes.Peers(self.net, name)
+        peers = peer_fakes.Peers(self.network, name)
         return crashes.Crashes(
             peers, self.tables, b"k", f"{name}/1", lambda: self.wall_s
         )
@@ -55,7 +55,7 @@
 async def test_count_survives_restart_of_all_nodes() -> None:
     """Guards against a crash count that is lost when all nodes restart."""
     fleet = Fleet()
-    fleet.net.down = set(NAMES)
+    fleet.network.down = set(NAMES)
     for name in ("a", "b"):
         recorded = await fleet.crash(name, "u")
         assert recorded.is_written
@@ -68,7 +68,7 @@
 async def test_racing_nodes_lose_no_crash() -> None:
     """Guards against a write of one node that overwrites another node's crash."""
     fleet = Fleet()
-    fleet.net.down = set(NAMES)
+    fleet.network.down = set(NAMES)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(fleet.crash, "a", "u1")
         nursery.start_soon(fleet.crash, "b", "u2")
@@ -92,7 +92,7 @@
     """Guards against a lost count, and a retry while some node misses the crash."""
     fleet = Fleet()
     fleet.tables.is_down = True
-    fleet.net.down = down
+    fleet.network.down = down
     live = sorted(NAMES)
     fleet.nodes["a"]._peers.live = lambda: live
     recorded = await fleet.crash("a", "u1")
@@ -112,7 +112,7 @@
     fleet = Fleet()
     await fleet.crash("a", "u1")
     await fleet.crash("b", "u2")
-    fleet.net.down = {"c"}
+    fleet.network.down = {"c"}
     answer = await fleet.nodes["a"].release(fleet.fingerprint)
     assert isinstance(answer, crashes.Released)
     assert fleet.standings() == [Standing.CLEAR, Standing.CLEAR, "refused"]
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -13,7 +13,7 @@
 
 
 def build(
-    net: peer_fakes.Net,
+    network: peer_fakes.Network,
     nursery: trio.Nursery,
     had_owner: bool = False,
     capacity: int = 4096,
@@ -23,7 +23,7 @@
     """Return the limiters of nodes a and b; a owns the team."""
     built = [
         limiter.Limiter(
-            peer_fakes.Peers(net, name),
+            peer_fakes.Peers(network, name),
             f"{name}/1",
             owner_of=lambda _: "a",
             holds_now=lambda _, own=name: own == "a",
@@ -62,7 +62,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against nodes that together exceed a team's concurrency limit."""
-    first, second = build(peer_fakes.Net(), nursery)
+    first, second = build(peer_fakes.Network(), nursery)
     permits = [
         *await acquire_many(first, 40, 0.9, nursery),
         *await acquire_many(second, 40, 0.9, nursery),
@@ -74,9 +74,9 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against serving nothing, or the full limit, without a live owner."""
-    net = peer_fakes.Net()
-    _, second = build(net, nursery)
-    net.down = {"a"}
+    network = peer_fakes.Network()
+    _, second = build(network, nursery)
+    network.down = {"a"}
     assert len(await acquire_many(second, 40, 0.9, nursery)) == 2
 
 
@@ -88,10 +88,10 @@
     A new member may use its floor before `quota.JOIN_WAIT_S` once every other member
     has confirmed that it counts it.
     """
-    net = peer_fakes.Net()
-    _, second = build(net, nursery, session_age_s=5.0)
+    network = peer_fakes.Network()
+    _, second = build(network, nursery, session_age_s=5.0)
     await trio.sleep(1.0)
-    net.down = {"a"}
+    network.down = {"a"}
     assert len(await acquire_many(second, 40, 0.9, nursery)) == 2
 
 
@@ -104,9 +104,9 @@
     The owner is unreachable, the session list is older than the node's session, or
     another member still runs more requests than its reduced share.
     """
-    net = peer_fakes.Net()
+    network = peer_fakes.Network()
     first, second = build(
-        net,
+        network,
         nursery,
         had_owner=True,
         session_age_s=5.0,
@@ -118,9 +118,9 @@
         team.account.in_flight = 12
         first._teams["t"] = team
     if case == "unheard":
-        net.down = {"a"}
+        network.down = {"a"}
     await trio.sleep(1.0)
-    net.down = {"a"}
+    network.down = {"a"}
     assert await acquire_many(second, 40, 0.9, nursery) == []
 
 
@@ -128,7 +128,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against lending while slices of the previous owner are still in use."""
-    _, second = build(peer_fakes.Net(), nursery, had_owner=True)
+    _, second = build(peer_fakes.Network(), nursery, had_owner=True)
     assert len(await acquire_many(second, 40, 11.0, nursery)) == 2
     assert len(await acquire_many(second, 40, 6.0, nursery)) > 2
 
@@ -137,7 +137,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a queue that does not advance after a permit is released."""
-    first, _ = build(peer_fakes.Net(), nursery, capacity=1)
+    first, _ = build(peer_fakes.Network(), nursery, capacity=1)
     permit = await first.acquire(TEAM, 10.0, trio.current_time() + 9.0)
     assert isinstance(permit, limiter.Permit)
     with trio.move_on_after(1.0) as scope:
@@ -156,7 +156,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against early refusals estimated from the floor's rates alone."""
-    _, second = build(peer_fakes.Net(), nursery)
+    _, second = build(peer_fakes.Network(), nursery)
     assert len(await acquire_many(second, 12, 0.9, nursery)) == 12
 
 
@@ -164,7 +164,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a burst that waits 3 s for the next slice request."""
-    _, second = build(peer_fakes.Net(), nursery)
+    _, second = build(peer_fakes.Network(), nursery)
     assert len(await acquire_many(second, 1, 0.5, nursery)) == 1
     assert len(await acquire_many(second, 11, 0.9, nursery)) == 11
 
@@ -173,9 +173,9 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against a caller that waits past its deadline."""
-    net = peer_fakes.Net()
-    _, second = build(net, nursery, session_age_s=0.0)
-    net.down = {"a"}
+    network = peer_fakes.Network()
+    _, second = build(network, nursery, session_age_s=0.0)
+    network.down = {"a"}
     started_at = trio.current_time()
     answer = await second.acquire(TEAM, 10.0, started_at + 2.0)
     assert isinstance(answer, refusal.Refusal)
@@ -187,7 +187,7 @@
     nursery: trio.Nursery, autojump_clock: trio.testing.MockClock
 ) -> None:
     """Guards against charging the estimated instead of the actual token use."""
-    first, _ = build(peer_fakes.Net(), nursery)
+    first, _ = build(peer_fakes.Network(), nursery)
     for used, allowed_s in ((10.0, 0.5), (5e6, 99.0)):
         started_at = trio.current_time()
         permit = await first.acquire(TEAM, 2e6, started_at + 99.0)
