--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -1,4 +1,4 @@
-"""One relaying node: its parts, its start and its planned stop."""
+"""A relay node: its components, its start and its graceful shutdown."""
 
 import collections.abc
 import dataclasses
@@ -12,10 +12,10 @@
 from snipelug_relay import (
     announce,
     clock,
+    kv_stores,
     ports,
     record,
     relay,
-    shelves,
     state,
     stats,
     watch,
@@ -24,25 +24,25 @@
 
 LOG = logging.getLogger("snipelug.node")
 
-ROTATION_S = 2.6
-"""Time until the load balancer has seen two refusals, one a second, after a stop."""
+DEREGISTRATION_S = 2.6
+"""Time after a stop until the load balancer has seen two refusals, one per second."""
 
-EXIT_BEFORE_S = 0.5
-"""The process ends this long before the platform would kill it."""
+EXIT_MARGIN_S = 0.5
+"""Margin between the end of the process and the time the platform would kill it."""
 
-CONNECT_S = 0.3
-"""Time to connect to an upstream; zones are 1.4 ms apart."""
+CONNECT_TIMEOUT_S = 0.3
+"""Connect timeout for upstreams; zones are 1.4 ms apart."""
 
-CONTROL_CONNECT_S = 0.5
-"""Time to connect to the store, engines and stores of KV cache for control."""
+CONTROL_CONNECT_TIMEOUT_S = 0.5
+"""Connect timeout for control calls to the store, engines and KV cache stores."""
 
-IDLE_PART = 0.6
-"""Part of an upstream's connections that all nodes together keep open."""
+IDLE_FRACTION = 0.6
+"""Fraction of an upstream's connections that all nodes together keep idle."""
 
-MOST_IDLE = 64
-TEND_S = 0.5
-SETTINGS_CHECK_S = 2.0
-CLOSE_CHECK_S = 0.05
+MAX_IDLE = 64
+EXPIRY_INTERVAL_S = 0.5
+SETTINGS_CHECK_INTERVAL_S = 2.0
+CLOSE_CHECK_INTERVAL_S = 0.05
 
 OK = 200
 UNAVAILABLE = 503
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Platform:
-    """The adapters of one platform."""
+    """Adapters for one platform."""
 
     dialect: ports.Dialect
     store: ports.ControlStore
@@ -59,24 +59,24 @@
 
 
 Build = collections.abc.Callable[[ports.Settings, http_client.Pool], Platform]
-"""Builds the adapters."""
+"""Builds the platform adapters."""
 
 Reload = collections.abc.Callable[[], ports.Settings | str | None]
-"""Returns changed settings, what is wrong with them, or None if nothing changed."""
+"""Returns changed settings, an error message, or None if nothing changed."""
 
 
 class Node:
-    """One node.
+    """A relay node.
 
     Attributes
     ----------
     callers_port, ready_port : int
-        Ports that were bound.
+        Bound ports.
 
     Parameters
     ----------
     reload : Reload
-        Looks for changed settings.
+        Checks for changed settings.
     """
 
     def __init__(
@@ -86,15 +86,15 @@
         self._reload = reload
         self._log = log
         self._stats = stats.Stats()
-        self._beliefs = state.State(cfg)
-        self._pool = http_client.Pool(CONNECT_S, idle_per_addr=MOST_IDLE)
-        control_pool = http_client.Pool(CONTROL_CONNECT_S, idle_per_addr=4)
+        self._state = state.State(cfg)
+        self._pool = http_client.Pool(CONNECT_TIMEOUT_S, idle_per_addr=MAX_IDLE)
+        control_pool = http_client.Pool(CONTROL_CONNECT_TIMEOUT_S, idle_per_addr=4)
         platform = build(cfg, control_pool)
         self._store = platform.store
-        self._announcer = announce.Announcer(cfg.peers, self._beliefs)
+        self._announcer = announce.Announcer(cfg.peers, self._state)
         self._relay = relay.Relay(
             cfg,
-            self._beliefs,
+            self._state,
             platform.dialect,
             self._pool,
             self._stats,
@@ -103,58 +103,58 @@
         self.callers_port = 0
         self.ready_port = 0
         self._callers = http_server.Server(self._relay.handle)
-        self._ready = http_server.Server(self._tell_ready)
-        self._metrics = http_server.Server(self._tell_metrics)
+        self._ready = http_server.Server(self._handle_ready)
+        self._metrics = http_server.Server(self._handle_metrics)
         self._watch = watch.Watch(
             cfg,
-            self._beliefs,
+            self._state,
             platform.store,
             self._stats,
-            self._take_intent,
+            self._apply_intents,
             self._announcer,
         )
-        self._weights = weights.Weights(
+        self._weights = weights.WeightUpdater(
             cfg,
-            self._beliefs,
+            self._state,
             platform.store,
             platform.machines,
             self._stats,
             self._announcer,
         )
-        self._shelves = shelves.Shelves(
-            cfg, self._beliefs, platform.machines, self._announcer
+        self._kv_stores = kv_stores.KvStorePoller(
+            cfg, self._state, platform.machines, self._announcer
         )
 
     @property
     def is_ready(self) -> bool:
-        """Whether the load balancer may send callers here."""
-        return self._beliefs.is_ready
+        """Whether the load balancer may send requests to this node."""
+        return self._state.is_ready
 
     @property
     def knows_stores(self) -> bool:
-        """Whether all stores of KV cache have told what they hold."""
-        return self._beliefs.knows_stores(clock.now())
+        """Whether the contents of all KV cache stores are known."""
+        return self._state.knows_stores(clock.now())
 
     @property
     def configuration_age_s(self) -> float:
-        """Time since the operator's intents were last confirmed, in seconds."""
-        return clock.now() - self._beliefs.confirmed_at
+        """Time since the operator's intents were last known up to date, in seconds."""
+        return clock.now() - self._state.confirmed_at
 
     def store_age_s(self, name: str) -> float:
-        """Return the age of what is known of a store of KV cache, in seconds."""
-        return clock.now() - self._beliefs.index.store_states[name].polled_at
+        """Return the age of the last poll of a KV cache store, in seconds."""
+        return clock.now() - self._state.index.store_states[name].polled_at
 
     @property
     def members(self) -> int:
-        """Number of nodes known, this one included."""
-        return self._beliefs.nodes
+        """Number of known nodes, including this one."""
+        return self._state.nodes
 
     def drop_datagrams(self) -> None:
-        """Neither send nor take datagrams from now on, as behind a bad link."""
+        """Stop sending and receiving datagrams, to simulate a network failure."""
         self._announcer.close()
 
     async def run(self) -> None:
-        """Serve until a planned stop is complete."""
+        """Serve until a graceful shutdown is complete."""
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._log.run)
@@ -162,7 +162,7 @@
                 async for number in signals:
                     if number == signal.SIGTERM:
                         break
-                    self._look_at_settings(is_asked=True)
+                    self._check_settings(is_requested=True)
                 await self.stop()
                 nursery.cancel_scope.cancel()
         self._log.write_out()
@@ -170,7 +170,7 @@
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Serve until cancelled; report once callers can connect."""
+        """Serve until cancelled; report as started once callers can connect."""
         async with trio.open_nursery() as nursery:
             self.callers_port = await nursery.start(
                 self._callers.serve, *self._cfg.callers
@@ -184,9 +184,9 @@
                 self._watch.run_members,
                 self._announcer.run,
                 self._weights.run,
-                self._shelves.run,
+                self._kv_stores.run,
                 self._watch_settings,
-                self._tend,
+                self._expire_upstreams,
             ):
                 nursery.start_soon(part)
             lines.event(LOG, "start", settings=dataclasses.asdict(self._cfg))
@@ -200,21 +200,21 @@
             lines.warning(LOG, "metrics_not_served", reason=str(exc))
 
     async def stop(self) -> None:
-        """Leave the load balancer, let requests finish, then close."""
+        """Leave the load balancer, let open requests finish, then close."""
         began = clock.now()
-        self._beliefs.is_stopping = True
+        self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
         self._callers.draining = True
-        last = began + self._cfg.bounds.grace_s - EXIT_BEFORE_S
+        last = began + self._cfg.bounds.grace_s - EXIT_MARGIN_S
         with trio.move_on_after(1.0):
             await self._store.remove_member(self._cfg.node_id)
-        await trio.sleep(max(0.0, began + ROTATION_S - clock.now()))
-        # Requests that come later could not be finished, so callers must go elsewhere.
+        await trio.sleep(max(0.0, began + DEREGISTRATION_S - clock.now()))
+        # Later requests could not be finished, so callers must use another node.
         self._callers.stop_accepting()
         self._callers.close_idle()
-        # A connection on which a request is being read counts as well.
+        # This includes connections on which a request is still being read.
         while self._callers.open_connections and clock.now() < last:
-            await trio.sleep(CLOSE_CHECK_S)
+            await trio.sleep(CLOSE_CHECK_INTERVAL_S)
             self._callers.close_idle()
         lines.event(
             LOG,
@@ -223,24 +223,24 @@
             after_s=round(clock.now() - began, 2),
         )
 
-    async def cut(self) -> None:
-        """Close the connections of callers that are left."""
+    async def abort_connections(self) -> None:
+        """Abort the remaining connections of callers."""
         await self._callers.abort()
 
-    async def _tell_ready(self, _req: http_server.Request) -> http_server.Response:
+    async def _handle_ready(self, _req: http_server.Request) -> http_server.Response:
         return http_server.Response(OK if self.is_ready else UNAVAILABLE)
 
-    async def _tell_metrics(self, req: http_server.Request) -> http_server.Response:
+    async def _handle_metrics(self, req: http_server.Request) -> http_server.Response:
         if req.path != "/metrics":
             return http_server.Response(NOT_FOUND)
         left_out = self._relay.sampler.left_out
-        text = self._stats.render(self._beliefs, clock.now(), left_out)
+        text = self._stats.render(self._state, clock.now(), left_out)
         return http_server.Response(OK, text, {"content-type": "text/plain"})
 
-    def _take_intent(self) -> None:
-        """Apply what the operator wants of this node itself."""
+    def _apply_intents(self) -> None:
+        """Apply the operator's intents that concern this node itself."""
         self._weights.wake()
-        known = self._beliefs.catalog
+        known = self._state.catalog
         if known is None:
             return
         limits = known.limits
@@ -251,31 +251,31 @@
 
     def _idle_connections(self, known: catalog.Catalog) -> int:
         fewest = min(
-            (s.connection_limit for s in known.services.values()), default=MOST_IDLE
+            (s.connection_limit for s in known.services.values()), default=MAX_IDLE
         )
-        return max(2, min(MOST_IDLE, int(IDLE_PART * fewest / self._beliefs.nodes)))
+        return max(2, min(MAX_IDLE, int(IDLE_FRACTION * fewest / self._state.nodes)))
 
-    async def _tend(self) -> None:
-        """Forget upstreams that stay away after an outage of the list."""
+    async def _expire_upstreams(self) -> None:
+        """Remove upstreams that do not return after an outage of the list."""
         while True:
-            await trio.sleep(TEND_S)
+            await trio.sleep(EXPIRY_INTERVAL_S)
             self._watch.expire()
 
     async def _watch_settings(self) -> None:
         while True:
-            await trio.sleep(SETTINGS_CHECK_S)
-            self._look_at_settings(is_asked=False)
+            await trio.sleep(SETTINGS_CHECK_INTERVAL_S)
+            self._check_settings(is_requested=False)
 
-    def _look_at_settings(self, is_asked: bool) -> None:
+    def _check_settings(self, is_requested: bool) -> None:
         found = self._reload()
         if isinstance(found, str):
             lines.warning(LOG, "settings_invalid", reason=found)
-        elif found is not None or is_asked:
-            # Addresses take effect at the next start; the rest is the same here.
+        elif found is not None or is_requested:
+            # Addresses take effect at the next start; nothing else changes here.
             lines.event(LOG, "reload", is_changed=found is not None)
 
 
 def run(cfg: ports.Settings, build: Build, reload: Reload) -> None:
-    """Run a node until its planned stop."""
+    """Run a node until its graceful shutdown is complete."""
     log = record.setup(cfg.node_id)
     trio.run(Node(cfg, build, reload, log).run)
--- a/packages/snipelug-relay/src/snipelug_relay/record.py
+++ b/packages/snipelug-relay/src/snipelug_relay/record.py
@@ -1,8 +1,7 @@
-"""Log lines as JSON on standard output, bounded and never waited for.
+"""Non-blocking JSON logging to standard output.
 
-A line that the reader of standard output does not take at once is kept in a
-buffer of bounded size. Lines beyond it are dropped and counted; the count is
-part of the next line that is written.
+Lines that cannot be written at once are kept in a buffer of bounded size. Lines
+that exceed it are dropped and counted; the next line contains the count.
 """
 
 import collections
@@ -16,29 +15,29 @@
 from snipelug_net import lines
 
 BUFFER_LINES = 2_000
-"""About 1 MB of lines at most, against 128 MB of memory on the smallest machine."""
+"""Maximum buffered lines, about 1 MB; the smallest machine has 128 MB of memory."""
 
 FLUSH_S = 0.25
-"""Lines are written together, because each write costs a system call."""
+"""Interval between writes; batching saves system calls."""
 
 ROUTINE_PER_S = 10.0
-"""Lines a second for requests that were answered in time; others are counted."""
+"""Maximum lines per second for requests answered in time; the rest are counted."""
 
 
 class Buffer(logging.Handler):
-    """Formats records and keeps them until they are written."""
+    """Log handler that formats records and buffers them until they are written."""
 
     def __init__(self, node_id: str, fd: int) -> None:
         super().__init__()
         self._node_id = node_id
         self._fd = fd
         self._lines: collections.deque[bytes] = collections.deque()
-        self._rest = b""
+        self._unwritten = b""
         self.dropped = 0
         self._has_lines = trio.Event()
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Keep one line, or count it if the buffer is full."""
+        """Buffer one line, or count it as dropped if the buffer is full."""
         if len(self._lines) >= BUFFER_LINES:
             self.dropped += 1
             return
@@ -55,30 +54,30 @@
         self._has_lines.set()
 
     def write_out(self) -> None:
-        """Write what standard output takes now."""
-        while self._rest or self._lines:
-            if not self._rest:
-                self._rest = b"".join(self._lines)
+        """Write as many lines as possible without blocking."""
+        while self._unwritten or self._lines:
+            if not self._unwritten:
+                self._unwritten = b"".join(self._lines)
                 self._lines.clear()
             try:
-                count = os.write(self._fd, self._rest)
+                count = os.write(self._fd, self._unwritten)
             except BlockingIOError:
                 return
             except OSError:
-                # Nobody reads the log any more; there is nowhere to say so.
-                self._rest = b""
+                # The log has no reader any longer, so the error cannot be reported.
+                self._unwritten = b""
                 return
-            self._rest = self._rest[count:]
+            self._unwritten = self._unwritten[count:]
 
     async def run(self) -> None:
-        """Write lines until cancelled."""
+        """Write buffered lines until cancelled."""
         while True:
             await self._has_lines.wait()
             await trio.sleep(FLUSH_S)
-            if not self._rest:
+            if not self._unwritten:
                 self._has_lines = trio.Event()
             self.write_out()
-            if self._rest:
+            if self._unwritten:
                 self._has_lines.set()
 
 
@@ -94,26 +93,28 @@
 
 
 class Sampler:
-    """Lets routine lines through at a bounded rate and counts the others."""
+    """Limits the rate of routine log lines and counts those left out."""
 
     def __init__(self, per_s: float = ROUTINE_PER_S) -> None:
         self._per_s = per_s
-        self._level = per_s
-        self._at = time.monotonic()
+        self._tokens = per_s
+        self._refilled_at = time.monotonic()
         self.left_out = 0
 
     def admit(self) -> bool:
-        """Tell whether a routine line is written."""
+        """Return whether to write a routine line."""
         now = time.monotonic()
-        self._level = min(self._per_s, self._level + self._per_s * (now - self._at))
-        self._at = now
-        if self._level < 1.0:
+        self._tokens = min(
+            self._per_s, self._tokens + self._per_s * (now - self._refilled_at)
+        )
+        self._refilled_at = now
+        if self._tokens < 1.0:
             self.left_out += 1
             return False
-        self._level -= 1.0
+        self._tokens -= 1.0
         return True
 
-    def take_left_out(self) -> int:
-        """Return how many lines were left out since the last call."""
+    def pop_left_out(self) -> int:
+        """Return the number of lines left out since the last call."""
         count, self.left_out = self.left_out, 0
         return count
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -1,4 +1,4 @@
-"""Brings engines to the weight versions that the operator named."""
+"""Orders engines to load the weight versions that the operator named."""
 
 import logging
 
@@ -10,35 +10,36 @@
 
 LOG = logging.getLogger("snipelug.weights")
 
-TICK_S = 0.15
-"""Pause between looks at the engines while orders are under way."""
+ACTIVE_INTERVAL_S = 0.15
+"""Interval between rounds of orders during a rollout."""
 
-IDLE_S = 1.0
-"""Pause between looks while all engines serve the newest weights."""
+IDLE_INTERVAL_S = 1.0
+"""Interval between checks while all engines serve the newest weights."""
 
-RANK_S = 0.35
-"""Head start of each node before the next one tries to get the lease."""
+RANK_DELAY_S = 0.35
+"""Delay per rank before a node tries to acquire the lease."""
 
-SWITCH_S = 1.5
-"""Time for which an engine that was ordered to switch gets no requests, at most."""
+MAX_SWITCH_S = 1.5
+"""Maximum time without requests for an engine that was ordered to load weights."""
 
-DRAIN_S = 0.15
-"""Pause between telling the nodes and the order, in which waiting requests start.
+PRE_ORDER_DELAY_S = 0.15
+"""Delay between the announcement to the nodes and the order to the engine.
 
-An engine turns away what waits there when it gets the order.
+Queued requests start during this time; an engine rejects those still queued when it
+gets the order.
 """
 
 ACCEPTED = 202
 FENCED = 412
 
 
-class Weights:
-    """Gives orders to engines while this node holds the lease."""
+class WeightUpdater:
+    """Orders engines to load weights while this node holds the lease."""
 
     def __init__(
         self,
         cfg: ports.Settings,
-        beliefs: state.State,
+        node_state: state.State,
         store: ports.ControlStore,
         machines: ports.Machines,
         metrics: stats.Stats,
@@ -46,7 +47,7 @@
     ) -> None:
         self._announcer = announcer
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._store = store
         self._machines = machines
         self._stats = metrics
@@ -59,63 +60,63 @@
         self._changed = trio.Event()
 
     def wake(self) -> None:
-        """Look at once, because the operator's intents have changed."""
+        """Check the engines at once, as the operator's intents have changed."""
         self._changed.set()
 
     async def run(self) -> None:
-        """Work until cancelled."""
+        """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            await self._work(nursery)
+            await self._run_loop(nursery)
 
-    async def _work(self, nursery: trio.Nursery) -> None:
+    async def _run_loop(self, nursery: trio.Nursery) -> None:
         while True:
             if not self._is_needed():
                 self._needed_since = None
                 self._orders.clear()
                 self._changed = trio.Event()
-                with trio.move_on_after(IDLE_S):
+                with trio.move_on_after(IDLE_INTERVAL_S):
                     await self._changed.wait()
                 continue
             now = clock.now()
             if self._needed_since is None:
                 self._needed_since = now
-                self._wait_until = now + RANK_S * self._rank()
-            if self._left_ms() > 0:
+                self._wait_until = now + RANK_DELAY_S * self._rank()
+            if self._lease_remaining_ms() > 0:
                 self._renew_soon(nursery)
-                await self._give_orders()
+                await self._send_orders()
             elif now >= self._wait_until:
-                await self._take_lease()
+                await self._acquire_lease()
                 continue
-            await trio.sleep(TICK_S)
+            await trio.sleep(ACTIVE_INTERVAL_S)
 
     def _engines(self) -> list[list[fleet.Upstream]]:
-        known = self._beliefs.catalog
+        known = self._state.catalog
         services: list[catalog.Service] = []
         if known is not None:
             services = [s for s in known.services.values() if s.engine is not None]
-        return [self._beliefs.fleet.of_service(s.name) for s in services]
+        return [self._state.fleet.of_service(s.name) for s in services]
 
     def _is_needed(self) -> bool:
-        newest = self._beliefs.newest()
+        newest = self._state.latest_versions()
         return any(
             next(rollout.outdated_upstreams(group, newest), None) is not None
             for group in self._engines()
         )
 
     def _rank(self) -> int:
-        """Return this node's place in the order that all nodes agree on."""
-        ids = {member.node_id for member in self._beliefs.members}
+        """Return this node's rank; all nodes compute the same ranking."""
+        ids = {member.node_id for member in self._state.members}
         ids.add(self._cfg.node_id)
         return hashing.rank("weights", ids).index(self._cfg.node_id)
 
-    def _left_ms(self) -> float:
-        """Return for how long this node may give orders, in milliseconds."""
+    def _lease_remaining_ms(self) -> float:
+        """Return the remaining time of this node's lease, in milliseconds."""
         held = self._held
         return held.remaining_ms(clock.now()) if held is not None else 0.0
 
     def _renew_soon(self, nursery: trio.Nursery) -> None:
-        """Renew the lease beside the orders, which go on while it lasts."""
-        is_due = self._left_ms() < rollout.RENEW_BEFORE_MS
+        """Renew a lease that ends soon, concurrently with the orders."""
+        is_due = self._lease_remaining_ms() < rollout.RENEW_BEFORE_MS
         if is_due and not self._is_renewing:
             self._is_renewing = True
             nursery.start_soon(self._renew)
@@ -124,19 +125,21 @@
         try:
             held = self._held
             if held is not None:
-                await self._write(held.lease.fencing, held.store_ms, self._row_version)
+                await self._write_lease(
+                    held.lease.fencing, held.store_ms, self._row_version
+                )
         finally:
             self._is_renewing = False
 
-    async def _take_lease(self) -> None:
+    async def _acquire_lease(self) -> None:
         self._held = None
         row = await self._store.read_lease()
         if isinstance(row, ports.Unavailable):
             lines.warning(LOG, "lease_unreadable", reason=row.reason)
-            self._wait_until = clock.now() + RANK_S
+            self._wait_until = clock.now() + RANK_DELAY_S
         elif rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
-            if not await self._write(None, row.clock_ms, row.version):
-                self._wait_until = clock.now() + RANK_S
+            if not await self._write_lease(None, row.clock_ms, row.version):
+                self._wait_until = clock.now() + RANK_DELAY_S
         else:
             assert row.lease is not None
             left_s = (
@@ -144,10 +147,12 @@
             ) / 1e3
             self._wait_until = clock.now() + left_s + 0.01
 
-    async def _write(self, fencing: int | None, store_ms: float, expected: int) -> bool:
-        """Write the lease; a new holder gets a fencing number beyond all earlier ones.
+    async def _write_lease(
+        self, fencing: int | None, store_ms: float, expected: int
+    ) -> bool:
+        """Write the lease; a new holder gets a higher fencing token than all before.
 
-        The row's version grows with each write, so the number taken from it does.
+        The token is derived from the row's version, which increases with each write.
         """
         sent_at = clock.now()
         if self._held is not None:
@@ -155,43 +160,45 @@
         until_ms = store_ms + self._cfg.bounds.lease_ms + rollout.LEASE_MARGIN_MS
         token = expected + 1 if fencing is None else fencing
         lease = rollout.Lease(self._cfg.node_id, until_ms, token)
-        answer = await self._store.write_lease(lease, expected)
-        if not isinstance(answer, ports.Taken):
-            reason = getattr(answer, "reason", "another node wrote it first")
+        response = await self._store.write_lease(lease, expected)
+        if not isinstance(response, ports.LeaseWritten):
+            reason = getattr(
+                response, "reason", "another node wrote the lease row first"
+            )
             lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
-            if isinstance(answer, ports.Beaten):
+            if isinstance(response, ports.LeaseConflict):
                 self._held = None
             return False
         if fencing is None:
             lines.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
-        self._held = rollout.HeldLease(lease, sent_at, answer.clock_ms)
-        self._row_version = answer.version
+        self._held = rollout.HeldLease(lease, sent_at, response.clock_ms)
+        self._row_version = response.version
         return True
 
-    async def _give_orders(self) -> None:
-        newest = self._beliefs.newest()
+    async def _send_orders(self) -> None:
+        newest = self._state.latest_versions()
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 known = {u.entry.id: u for u in group}
                 for upstream_id in list(self._orders):
                     if upstream_id in known:
-                        nursery.start_soon(self._look, known[upstream_id])
-        rollout.prune_orders(self._orders, self._beliefs.fleet.upstreams, clock.now())
+                        nursery.start_soon(self._refresh_report, known[upstream_id])
+        rollout.prune_orders(self._orders, self._state.fleet.upstreams, clock.now())
         async with trio.open_nursery() as nursery:
             for group in self._engines():
                 for upstream, model, version in rollout.plan_orders(
-                    group, newest, self._orders, self._age_s()
+                    group, newest, self._orders, self._latest_version_age_s()
                 ):
                     order = rollout.Order(model, version, clock.now())
                     self._orders[upstream.entry.id] = order
-                    nursery.start_soon(self._order, upstream, order)
+                    nursery.start_soon(self._send_order, upstream, order)
 
-    def _age_s(self) -> float:
-        """Return the time since the last version was named, in seconds."""
-        named = self._beliefs.named.values()
-        return clock.now() - max(item.at for item in named)
+    def _latest_version_age_s(self) -> float:
+        """Return the time since the latest version was named, in seconds."""
+        named = self._state.named_versions.values()
+        return clock.now() - max(item.learned_at for item in named)
 
-    async def _look(self, upstream: fleet.Upstream) -> ports.Report | None:
+    async def _refresh_report(self, upstream: fleet.Upstream) -> ports.Report | None:
         report = await self._machines.report(upstream.entry.addr)
         if isinstance(report, ports.Unavailable):
             return None
@@ -199,16 +206,16 @@
             if upstream.versions.get(model) != version:
                 upstream.set_version(model, version)
                 upstream.switching_until = 0.0
-                self._announcer.serving(upstream.entry.id, model, version)
+                self._announcer.announce_serving(upstream.entry.id, model, version)
         return report
 
-    def _keep_away(self, upstream: fleet.Upstream, for_s: float) -> None:
-        """Send no requests to an engine for a time, here and at the other nodes."""
+    def _exclude(self, upstream: fleet.Upstream, for_s: float) -> None:
+        """Exclude an engine from requests for a time, on this node and all others."""
         upstream.switching_until = clock.now() + for_s
-        self._announcer.switching(upstream.entry.id, for_s)
+        self._announcer.announce_switching(upstream.entry.id, for_s)
 
-    async def _order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
-        report = await self._look(upstream)
+    async def _send_order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
+        report = await self._refresh_report(upstream)
         held = self._held
         served = upstream.versions.get(order.model, 0)
         if report is None or report.is_busy or served >= order.version:
@@ -218,17 +225,17 @@
                     LOG, "order_skipped", upstream=upstream.entry.id, reason=reason
                 )
             return
-        self._keep_away(upstream, SWITCH_S + DRAIN_S)
-        await trio.sleep(DRAIN_S)
+        self._exclude(upstream, MAX_SWITCH_S + PRE_ORDER_DELAY_S)
+        await trio.sleep(PRE_ORDER_DELAY_S)
         held = self._held
         if held is None or held.remaining_ms(clock.now()) <= 0:
             self._orders.pop(upstream.entry.id, None)
-            self._keep_away(upstream, 0.0)
+            self._exclude(upstream, 0.0)
             return
-        answer = await self._machines.order_version(
+        response = await self._machines.order_version(
             upstream.entry, order.model, order.version, held.lease, report.orders
         )
-        self._stats.orders.labels(str(answer.status)).inc()
+        self._stats.orders.labels(str(response.status)).inc()
         lines.event(
             LOG,
             "order",
@@ -239,16 +246,17 @@
             accepted=report.orders,
             fencing=held.lease.fencing,
             lease_left_ms=round(held.remaining_ms(clock.now())),
-            status=answer.status,
-            reason=answer.reason,
+            status=response.status,
+            reason=response.reason,
         )
-        if answer.status == 0:
-            # It may be carried out later, but then another order has been accepted.
+        if response.status == 0:
+            # The order may still arrive; the engine then rejects it if it has accepted
+            # another one since.
             self._orders.pop(upstream.entry.id, None)
-        if answer.status == ACCEPTED:
-            upstream.switching_until = clock.now() + SWITCH_S
-        elif answer.status != 0:
-            self._keep_away(upstream, 0.0)
-        if answer.status == FENCED:
+        if response.status == ACCEPTED:
+            upstream.switching_until = clock.now() + MAX_SWITCH_S
+        elif response.status != 0:
+            self._exclude(upstream, 0.0)
+        if response.status == FENCED:
             self._held = None
             self._wait_until = clock.now() + self._cfg.bounds.lease_ms / 1e3
