--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -20,7 +20,7 @@
 
 
 def route(
-    name: str, prefix: str, kind: str, service: str, **more: object
+    name: str, prefix: str, kind: str, service: str, **overrides: object
 ) -> dict[str, object]:
     base: dict[str, object] = {
         "name": name,
@@ -33,10 +33,10 @@
         "service": service,
         "max_attempts": 1,
     }
-    return base | more
+    return base | overrides
 
 
-def config(version: int, stores: list[kv_store.KvStore], **more: object) -> object:
+def config(version: int, stores: list[kv_store.KvStore], **overrides: object) -> object:
     engine = {
         "slots": 4,
         "kv_capacity_tokens": 70_000,
@@ -74,7 +74,7 @@
         "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
         "tenants": [{"name": "team-1", "api_keys": [KEY], "priority": 2}],
     }
-    return base | more
+    return base | overrides
 
 
 @dataclasses.dataclass
@@ -95,9 +95,9 @@
         for item in [*self.apps, *self.engines]:
             self.store.put("servers", item.id, item.entry())
 
-    def configure(self, version: int, **more: object) -> None:
+    def configure(self, version: int, **overrides: object) -> None:
         """Write a configuration to the store."""
-        self.store.put("op", "config", config(version, self.kv_stores, **more))
+        self.store.put("op", "config", config(version, self.kv_stores, **overrides))
 
     def settings(self, name: str) -> ports.Settings:
         """Return the settings of a node that listens on free ports."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -215,7 +215,7 @@
     )
 
 
-def ask(**changes: str) -> ports.CallerRequest:
+def caller_request(**changes: str) -> ports.CallerRequest:
     found = dialect.Dialect().decode_request(request(HEADERS | changes))
     assert isinstance(found, ports.CallerRequest)
     return found
@@ -223,7 +223,7 @@
 
 def test_request_is_decoded() -> None:
     """Guards against modified targets and missing prompt parts."""
-    found = ask()
+    found = caller_request()
     assert found.target == "/a/%78?q=1"
     assert found.path == "/a/%78"
     assert found.host == "h.example"
@@ -237,7 +237,7 @@
 def test_reserved_headers_from_callers_are_dropped() -> None:
     """Guards against callers that set the team, salt, hold or API key themselves."""
     options = ports.AttemptOptions("i-1", 1.2, "t1", version=3, salt="s", priority=4)
-    call = dialect.Dialect().build_call(ask(), options, ("127.0.0.1", 1))
+    call = dialect.Dialect().build_call(caller_request(), options, ("127.0.0.1", 1))
     sent = dict(call.fields)
     assert len(sent) == len(call.fields)
     assert not [name for name, value in sent.items() if value == "forged"]
@@ -259,7 +259,9 @@
         (kv_index.Source(store, 700), None, None), (None, store, None), 2.5
     )
     options = ports.AttemptOptions("i-1", 1.0, plan=plan)
-    sent = dict(dialect.Dialect().build_call(ask(), options, ("127.0.0.1", 1)).fields)
+    sent = dict(
+        dialect.Dialect().build_call(caller_request(), options, ("127.0.0.1", 1)).fields
+    )
     assert sent["cache-source"] == "10.0.0.9:90/700,-,-"
     assert sent["cache-target"] == "-,10.0.0.9:90,-"
     assert sent["cache-retain-until"] == "2500"
@@ -301,7 +303,7 @@
     status: int, headers: dict[str, str], is_turned_away: bool, is_own: bool
 ) -> None:
     """Guards against responses to other requests and against false refusals."""
-    found = dialect.Dialect().decode_head(ask(), status, headers)
+    found = dialect.Dialect().decode_head(caller_request(), status, headers)
     assert found.is_turned_away is is_turned_away
     assert found.is_own is is_own
 
@@ -309,7 +311,7 @@
 def test_refusal_has_retry_after() -> None:
     """Guards against callers that retry immediately."""
     reason = refusal.refuse(refusal.NO_UPSTREAM, "none", retry_after_s=0.25)
-    response = dialect.Dialect().build_refusal(ask(), reason)
+    response = dialect.Dialect().build_refusal(caller_request(), reason)
     assert response.status == 503
     assert response.headers["retry-after"] == "0.25"
     assert response.headers["request-id"] == "ab12"
