Rename the names of order.py that other modules use

Orders -> KeyedCalls, Orders.cut -> abort, open_calls -> active_calls, open_claims -> unresolved_claims, OpenClaim(s) -> UnresolvedClaim(s), OpenCall -> ActiveCall, Answer -> Response, Sent -> SendOutcome, INLINE_BYTES -> MAX_INLINE_BYTES; Gateway.orders, Operations.orders and Node.orders -> keyed_calls.

--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -84,7 +84,7 @@
     pool: http_client.Pool
     dispatcher: dispatch.Dispatcher
     limits: limiter.Limiter
-    orders: order.Orders
+    keyed_calls: order.KeyedCalls
     metrics: metrics.Metrics
     stopping: bool = False
     open: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
@@ -284,7 +284,7 @@
 
         async def send(
             granted: http_client.PreSendCheck, _send_by: float
-        ) -> order.Sent:
+        ) -> order.SendOutcome:
             job.granted = grant_again(granted)
             whole = await self.dispatcher.collect(job)
             if isinstance(whole, refusal.Refusal):
@@ -296,7 +296,7 @@
             }
             return claim.Delivered(claim.Response(http.HTTPStatus.OK, headers, body))
 
-        answer = await self.orders.run(
+        answer = await self.keyed_calls.run(
             job.contract.team, key, "POST", CHAT_PATH, sent_body, send, job.deadline
         )
         if isinstance(answer, refusal.Refusal):
@@ -347,21 +347,23 @@
 
     async def _run_service(
         self, call: "ServiceCall", team: contract.Contract, key: str
-    ) -> order.Answer | refusal.Refusal:
+    ) -> order.Response | refusal.Refusal:
         repeatable = call.req.method in service.IDEMPOTENT_METHODS
         if not key:
             sent = await self._send_service(call, None, repeatable, call.deadline)
             if isinstance(sent, claim.Delivered):
                 answer = sent.answer
-                return order.Answer(answer.status, answer.headers, answer.body)
+                return order.Response(answer.status, answer.headers, answer.body)
             return sent.refusal
 
-        async def send(granted: http_client.PreSendCheck, send_by: float) -> order.Sent:
+        async def send(
+            granted: http_client.PreSendCheck, send_by: float
+        ) -> order.SendOutcome:
             return await self._send_service(call, granted, False, send_by)
 
         req = call.req
         target = req.path + "?" + urllib.parse.urlencode(req.query)
-        return await self.orders.run(
+        return await self.keyed_calls.run(
             team.team, key, req.method, target, req.body, send, call.deadline
         )
 
@@ -371,7 +373,7 @@
         granted: http_client.PreSendCheck | None,
         repeatable: bool,
         send_by: float,
-    ) -> order.Sent:
+    ) -> order.SendOutcome:
         """Send a call to the service's instances until one has taken it."""
         refused = refusal.refuse(
             refusal.NO_UPSTREAM, f"no instance of service {call.target.name!r} is up"
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -118,7 +118,7 @@
         )
         self.keeper.on_sessions = self.lease.take_sessions
         self.objects = platform.HttpObjectStore(self.pool, cfg.objects)
-        self.orders = order.Orders(
+        self.keyed_calls = order.KeyedCalls(
             self.peers.settings.incarnation,
             self.lease.lease,
             self.store,
@@ -133,7 +133,7 @@
             self.tables,
             self.keeper,
             self.lease,
-            self.orders,
+            self.keyed_calls,
             self.crashes,
             self.limiter,
             self._may_send,
@@ -260,7 +260,7 @@
             pool=self.pool,
             dispatcher=self.dispatcher,
             limits=self.limiter,
-            orders=self.orders,
+            keyed_calls=self.keyed_calls,
             metrics=self.metrics,
         )
 
@@ -426,7 +426,7 @@
         await nursery.start(self.keeper.run)
         await nursery.start(self.watcher.run)
         await nursery.start(self.lease.run)
-        await nursery.start(self.orders.serve)
+        await nursery.start(self.keyed_calls.serve)
         await nursery.start(self.expiry.run)
         await nursery.start(self.directory.run)
         await nursery.start(self.feeds.run)
@@ -450,10 +450,10 @@
                     nursery.start_soon(_cut_on_second_signal, signals, limit)
                     await trio.sleep(UNREADY_S)
                     callers.stop_accepting()
-                    while callers.open_requests or self.orders.open_calls():
+                    while callers.open_requests or self.keyed_calls.active_calls():
                         await trio.sleep(LOOK_S)
                     nursery.cancel_scope.cancel()
-        if callers.open_requests or self.orders.open_calls():
+        if callers.open_requests or self.keyed_calls.active_calls():
             await self._cut(callers)
 
     async def _cut(self, callers: http_server.Server) -> None:
@@ -462,14 +462,14 @@
         What is handed over next must not be in use here any more.
         """
         requests = list(self.gateway.open.values())
-        orders = self.orders.open_calls()
+        orders = self.keyed_calls.active_calls()
         lines.warning(LOG, "requests_cut", requests=len(requests), orders=len(orders))
         for request in requests:
             lines.warning(LOG, "request_cut", **dataclasses.asdict(request))
         for call in orders:
             lines.warning(LOG, "order_cut", **dataclasses.asdict(call))
         await callers.abort()
-        await self.orders.cut()
+        await self.keyed_calls.abort()
 
 
 async def _cut_on_second_signal(
--- a/packages/snipelug-node/src/snipelug_node/operations.py
+++ b/packages/snipelug-node/src/snipelug_node/operations.py
@@ -37,7 +37,7 @@
     tables: table.Tables
     revisions: revision.Keeper
     lease: lease.Keeper
-    orders: order.Orders
+    keyed_calls: order.KeyedCalls
     crashes: crashes.Crashes
     limiter: limiter.Limiter
     may_send: MaySend
@@ -103,7 +103,7 @@
         for team in self.revisions.cfg.contracts:
             after = ""
             while True:
-                page = await self.orders.open_claims(team, after)
+                page = await self.keyed_calls.unresolved_claims(team, after)
                 if isinstance(page, ports.Unavailable):
                     message = f"claims cannot be read: {page.reason}"
                     return refusal.refuse(refusal.STORE_UNAVAILABLE, message)
@@ -117,7 +117,9 @@
         self, team: str, key: str, ran: bool, author: str
     ) -> refusal.Refusal | None:
         verdict = claim.Verdict.RAN if ran else claim.Verdict.NOT_RUN
-        outcome = await self.orders.settle(team, key, verdict, f"settled by {author}")
+        outcome = await self.keyed_calls.settle(
+            team, key, verdict, f"settled by {author}"
+        )
         match outcome:
             case order.Settled():
                 lines.event(LOG, "claim_settled", team=team, ran=ran, author=author)
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -16,7 +16,7 @@
 
 LOG = logging.getLogger("snipelug.order")
 
-INLINE_BYTES = 64 * 1024
+MAX_INLINE_BYTES = 64 * 1024
 """Largest answer body kept in the claim row; larger ones are objects."""
 
 TOLD_BYTES = 1024 * 1024
@@ -40,23 +40,23 @@
 ASK_MARGIN_S = 1.0
 MAX_ASK_WAIT_S = 10.0
 
-Sent = claim.Delivered | claim.NotSent | claim.OutcomeUnknown
+SendOutcome = claim.Delivered | claim.NotSent | claim.OutcomeUnknown
 """What a dispatch returns: answered in full, no byte sent, or bytes sent."""
 
-Send = collections.abc.Callable[
-    [http_client.PreSendCheck, float], collections.abc.Awaitable[Sent]
+SendCall = collections.abc.Callable[
+    [http_client.PreSendCheck, float], collections.abc.Awaitable[SendOutcome]
 ]
 """Sends a call; must evaluate the last check right before the first byte, after
 all other checks, and must not send without its consent or twice. Waits for what it
 needs until the given time at most."""
 
 _SendInTime = collections.abc.Callable[
-    [http_client.PreSendCheck], collections.abc.Awaitable[Sent]
+    [http_client.PreSendCheck], collections.abc.Awaitable[SendOutcome]
 ]
 
 
 @dataclasses.dataclass(frozen=True)
-class Answer:
+class Response:
     """The answer of the one execution.
 
     Attributes
@@ -96,7 +96,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OpenClaim:
+class UnresolvedClaim:
     """A claim that only an operator can settle."""
 
     team: str
@@ -107,7 +107,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OpenClaims:
+class UnresolvedClaims:
     """One page of open claims.
 
     Attributes
@@ -116,7 +116,7 @@
         Row key to go on from; empty at the end of the table.
     """
 
-    claims: list[OpenClaim]
+    claims: list[UnresolvedClaim]
     after: str
 
 
@@ -144,7 +144,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class OpenCall:
+class ActiveCall:
     """A keyed call that runs or is being recorded."""
 
     team: str
@@ -154,20 +154,20 @@
 class _Job:
     """A call in execution on this node; it goes on when its caller leaves."""
 
-    def __init__(self, call: OpenCall, fingerprint: str) -> None:
+    def __init__(self, call: ActiveCall, fingerprint: str) -> None:
         self.call = call
         self.fingerprint = fingerprint
-        self.own_outcome: Answer | refusal.Refusal | None = None
-        self.result: Answer | refusal.Refusal | None = None
+        self.own_outcome: Response | refusal.Refusal | None = None
+        self.result: Response | refusal.Refusal | None = None
         self.done = trio.Event()
 
-    def finish(self, result: Answer | refusal.Refusal) -> None:
+    def finish(self, result: Response | refusal.Refusal) -> None:
         if self.result is None:
             self.result = result
             self.done.set()
 
 
-class Orders:
+class KeyedCalls:
     """Executes keyed calls of this node and answers peers about them.
 
     Parameters
@@ -215,11 +215,11 @@
         while self._jobs:
             await self._progress.wait()
 
-    def open_calls(self) -> list[OpenCall]:
+    def active_calls(self) -> list[ActiveCall]:
         """Return the calls that run or are being recorded."""
         return [job.call for job in self._jobs.values()]
 
-    async def cut(self) -> None:
+    async def abort(self) -> None:
         """End all calls where they are; their claims stay as they are."""
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
@@ -232,9 +232,9 @@
         method: str,
         target: str,
         body: bytes,
-        send: Send,
+        send: SendCall,
         deadline: float | None = None,
-    ) -> Answer | refusal.Refusal:
+    ) -> Response | refusal.Refusal:
         """Execute a call at most once and return its first answer.
 
         Parameters
@@ -276,11 +276,11 @@
             "",
             self._wall(),
         )
-        job = _Job(OpenCall(team, key), fingerprint)
+        job = _Job(ActiveCall(team, key), fingerprint)
         self._jobs[place] = job
         send_by = until - SETTLE_S
 
-        async def send_in_time(pre_send_check: http_client.PreSendCheck) -> Sent:
+        async def send_in_time(pre_send_check: http_client.PreSendCheck) -> SendOutcome:
             return await send(pre_send_check, send_by)
 
         call = claim.Call(row, until)
@@ -289,17 +289,17 @@
 
     async def _join(
         self, job: _Job, fingerprint: str, until: float
-    ) -> Answer | refusal.Refusal:
+    ) -> Response | refusal.Refusal:
         """Share the outcome of the same call on this node."""
         if job.fingerprint != fingerprint:
             reason = "the idempotency key was used for another request"
             return refusal.refuse(refusal.KEY_REUSED, reason)
         result = await self._result(job, until)
-        if isinstance(result, Answer):
+        if isinstance(result, Response):
             return dataclasses.replace(result, repeated=True)
         return result
 
-    async def _result(self, job: _Job, until: float) -> Answer | refusal.Refusal:
+    async def _result(self, job: _Job, until: float) -> Response | refusal.Refusal:
         with trio.move_on_at(until):
             await job.done.wait()
         if job.result is not None:
@@ -346,7 +346,7 @@
 
     async def _write(self, write: step.Write) -> object:
         row = typing.cast(claim.Row, write.content)
-        if row.answer is None or len(row.answer.body) <= INLINE_BYTES:
+        if row.answer is None or len(row.answer.body) <= MAX_INLINE_BYTES:
             return await executor.perform(self._tables, write)
         key = f"claims/{write.key}/{row.nonce}"
         stored = await self._objects.put(key, row.answer.body)
@@ -358,11 +358,11 @@
             self._tables, dataclasses.replace(write, content=content)
         )
 
-    async def _dispatch(self, job: _Job, nonce: str, send: _SendInTime) -> Sent:
+    async def _dispatch(self, job: _Job, nonce: str, send: _SendInTime) -> SendOutcome:
         def pre_send_check(_opened_at: float) -> bool:
             return self.ledger.grant(nonce, trio.current_time())
 
-        outcome: Sent
+        outcome: SendOutcome
         try:
             outcome = await send(pre_send_check)
         except Exception:
@@ -383,12 +383,14 @@
         self._nursery.start_soon(self._finish_later, job, job.own_outcome)
         return outcome
 
-    async def _finish_later(self, job: _Job, result: Answer | refusal.Refusal) -> None:
+    async def _finish_later(
+        self, job: _Job, result: Response | refusal.Refusal
+    ) -> None:
         with trio.move_on_after(RECORD_WAIT_S):
             await job.done.wait()
         job.finish(result)
 
-    async def _finished(self, result: Result) -> Answer | refusal.Refusal:
+    async def _finished(self, result: Result) -> Response | refusal.Refusal:
         if isinstance(result, refusal.Refusal):
             return result
         if not result.object_key:
@@ -425,16 +427,16 @@
         self._progress.set()
         self._progress = trio.Event()
 
-    async def open_claims(
+    async def unresolved_claims(
         self, team: str, after: str = "", limit: int = PAGE_ROWS
-    ) -> OpenClaims | ports.Unavailable:
+    ) -> UnresolvedClaims | ports.Unavailable:
         """Read one page of a team's claims and return those left unknown."""
         prefix = f"{team}:"
         rows = await self._tables.scan(claim.TABLE, prefix, after, limit)
         if isinstance(rows, ports.Unavailable):
             return rows
         gone: dict[str, bool] = {}
-        found: list[OpenClaim] = []
+        found: list[UnresolvedClaim] = []
         for stored in rows:
             decoded = executor.decode(stored.version, stored.content, claim.Row)
             if isinstance(decoded, step.Malformed):
@@ -447,11 +449,11 @@
                     return is_gone
                 gone[row.session] = is_gone
             if claim.needs_operator(row, gone.get(row.session, False)):
-                item = OpenClaim(
+                item = UnresolvedClaim(
                     row.team, row.key, row.node, row.claimed_wall, row.note
                 )
                 found.append(item)
-        return OpenClaims(found, rows[-1].key if len(rows) == limit else "")
+        return UnresolvedClaims(found, rows[-1].key if len(rows) == limit else "")
 
     async def settle(
         self, team: str, key: str, verdict: claim.Verdict, note: str
@@ -488,10 +490,10 @@
         return isinstance(found, ports.Absent)
 
 
-def _ended_for_others(result: Answer | refusal.Refusal) -> bool:
+def _ended_for_others(result: Response | refusal.Refusal) -> bool:
     in_progress = refusal.IN_PROGRESS
     return isinstance(result, refusal.Refusal) and result.kind == in_progress
 
 
-def _answer(answer: claim.Response, body: bytes, repeated: bool) -> Answer:
-    return Answer(answer.status, answer.headers, body, repeated)
+def _answer(answer: claim.Response, body: bytes, repeated: bool) -> Response:
+    return Response(answer.status, answer.headers, body, repeated)
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -28,7 +28,7 @@
 
     async def send(
         self, pre_send_check: http_client.PreSendCheck, send_by: float
-    ) -> order.Sent:
+    ) -> order.SendOutcome:
         if self.has_no_slot:
             await trio.sleep_until(send_by)
             return claim.NotSent(DOWN)
@@ -54,7 +54,7 @@
         self.objects = fakes.Objects()
         self.network = fakes.Network()
         self.upstream = Upstream()
-        self.nodes: dict[str, order.Orders] = {}
+        self.nodes: dict[str, order.KeyedCalls] = {}
         self.leases: dict[str, session.Lease] = {}
         self.scopes: dict[str, trio.CancelScope] = {}
 
@@ -63,7 +63,7 @@
         await executor.run(self.tables, session.renew(lease, trio.current_time()))
         lease.valid_until = float("inf")
         self.leases[name] = lease
-        node = order.Orders(
+        node = order.KeyedCalls(
             lease.process,
             lease,
             self.tables,
@@ -76,7 +76,7 @@
 
     async def _serve(
         self,
-        node: order.Orders,
+        node: order.KeyedCalls,
         task_status: trio.TaskStatus[trio.CancelScope] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         with trio.CancelScope() as scope:
@@ -92,7 +92,7 @@
 
     async def call(
         self, name: str, body: bytes = b"b", wait_s: float = 30.0
-    ) -> order.Answer | refusal.Refusal:
+    ) -> order.Response | refusal.Refusal:
         until = trio.current_time() + wait_s
         return await self.nodes[name].run(
             "team", "key", "POST", "/x", body, self.upstream.send, until
@@ -114,7 +114,7 @@
     nursery.cancel_scope.cancel()
 
 
-def code(result: order.Answer | refusal.Refusal) -> str:
+def code(result: order.Response | refusal.Refusal) -> str:
     assert isinstance(result, refusal.Refusal)
     return f"{result.kind.code} {result.run_state}"
 
@@ -123,10 +123,10 @@
     cluster: Cluster, autojump_clock: Clock
 ) -> None:
     """Guards against more store load than the table service can carry."""
-    assert await cluster.call("a") == order.Answer(201, {"x": "y"}, b"11")
+    assert await cluster.call("a") == order.Response(201, {"x": "y"}, b"11")
     assert cluster.count() == (2, 0)
     repeat = await cluster.call("b")
-    assert repeat == order.Answer(201, {"x": "y"}, b"11", repeated=True)
+    assert repeat == order.Response(201, {"x": "y"}, b"11", repeated=True)
     assert cluster.count() == (1, 1)
     cluster.upstream.before_check_s = 11.0
     until = trio.current_time() + 30
@@ -142,10 +142,10 @@
 ) -> None:
     """Guards against a second run after the answer of a claim was lost."""
     cluster.tables.lose = 1
-    assert isinstance(await cluster.call("a"), order.Answer)
+    assert isinstance(await cluster.call("a"), order.Response)
     assert cluster.count() == (2, 1)
     cluster.tables.lose = 2
-    assert isinstance(await cluster.call("b"), order.Answer)
+    assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
@@ -157,7 +157,7 @@
     assert code(await cluster.call("a")) == "store_unavailable not_run"
     assert cluster.upstream.runs == 0
     cluster.tables.down = False
-    assert isinstance(await cluster.call("b"), order.Answer)
+    assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
@@ -174,7 +174,7 @@
     tables.lose = 1
     assert code(await cluster.call("a")) == "store_unavailable not_run"
     tables.read = read  # type: ignore[method-assign]
-    assert isinstance(await cluster.call("b"), order.Answer)
+    assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
@@ -189,7 +189,7 @@
     refused = await cluster.call("a", wait_s=6.0)
     assert code(refused) == f"{DOWN.kind.code} not_run"
     cluster.upstream.has_no_slot = False
-    assert isinstance(await cluster.call("a"), order.Answer)
+    assert isinstance(await cluster.call("a"), order.Response)
 
 
 async def test_repeat_waits_for_the_running_call(
@@ -207,9 +207,9 @@
         for name, wait_s in [("b", 30), ("a", 30), ("b", 3), ("a", 3)]:
             nursery.start_soon(repeat, name, wait_s)
         first = await cluster.call("a")
-    assert isinstance(first, order.Answer)
+    assert isinstance(first, order.Response)
     assert cluster.upstream.runs == 1
-    again = order.Answer(first.status, first.headers, first.body, repeated=True)
+    again = order.Response(first.status, first.headers, first.body, repeated=True)
     assert results.count(again) == 2
     late = [r for r in results if isinstance(r, refusal.Refusal)]
     assert [code(r) for r in late] == ["in_progress unknown"] * 2
@@ -230,8 +230,8 @@
     assert isinstance(settle, claim.NotSettleable)
     await cluster.revoke("a")
     assert code(await cluster.call("b")) == "outcome_unknown unknown"
-    page = await node.open_claims("team")
-    assert isinstance(page, order.OpenClaims)
+    page = await node.unresolved_claims("team")
+    assert isinstance(page, order.UnresolvedClaims)
     assert [(found.key, found.node) for found in page.claims] == [("key", "a")]
     settle = await node.settle("team", "key", verdict, "operator")
     assert isinstance(settle, claim.TooEarly)
@@ -241,7 +241,7 @@
         await node.settle("team", "key", verdict, "op"), claim.NotSettleable
     )
     assert cluster.upstream.runs == 1
-    assert isinstance(await cluster.call("b"), order.Answer)
+    assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 2
 
 
@@ -268,9 +268,9 @@
     with trio.move_on_after(1):
         await cluster.call("a")
     await cluster.nodes["a"].drain()
-    assert cluster.nodes["a"].open_calls() == []
+    assert cluster.nodes["a"].active_calls() == []
     answer = await cluster.call("b")
-    assert isinstance(answer, order.Answer)
+    assert isinstance(answer, order.Response)
     assert (answer.repeated, cluster.upstream.runs) == (True, 1)
 
 
@@ -285,16 +285,16 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(cut_store)
-        assert isinstance(await cluster.call("a"), order.Answer)
+        assert isinstance(await cluster.call("a"), order.Response)
     assert trio.current_time() - start < 1 + order.RECORD_WAIT_S + 0.5
-    assert len(cluster.nodes["a"].open_calls()) == 1
+    assert len(cluster.nodes["a"].active_calls()) == 1
     joined = await cluster.call("a")
-    assert isinstance(joined, order.Answer)
+    assert isinstance(joined, order.Response)
     await trio.sleep(60)
     cluster.tables.down = False
     await cluster.nodes["a"].drain()
     cluster.kill("a")
-    assert isinstance(await cluster.call("b"), order.Answer)
+    assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
@@ -302,13 +302,13 @@
     cluster: Cluster, autojump_clock: Clock
 ) -> None:
     """Guards against rows larger than the table service should hold."""
-    cluster.upstream.size = order.INLINE_BYTES + 1
+    cluster.upstream.size = order.MAX_INLINE_BYTES + 1
     first = await cluster.call("a")
-    assert isinstance(first, order.Answer)
+    assert isinstance(first, order.Response)
     assert len(cluster.objects.contents) == 1
     assert all(len(content) < 1000 for _, content in cluster.tables.rows.values())
     again = await cluster.call("b")
-    assert isinstance(again, order.Answer)
+    assert isinstance(again, order.Response)
     assert again.body == first.body
     cluster.objects.down = True
     assert code(await cluster.call("b")) == "store_unavailable ran"
@@ -361,7 +361,7 @@
 
     async def send(
         pre_send_check: http_client.PreSendCheck, send_by: float
-    ) -> order.Sent:
+    ) -> order.SendOutcome:
         call = http_client.Call(("127.0.0.1", port), "POST", "/x", body=b"b")
         match await pool.fetch(call, pre_send_check=pre_send_check):
             case http_client.FullResponse(status, headers, body):
@@ -375,7 +375,7 @@
     await cluster.start("a")
     for repeated in (False, True):
         result = await cluster.nodes["a"].run("t", "k", "POST", "/x", b"b", send)
-        assert isinstance(result, order.Answer)
+        assert isinstance(result, order.Response)
         assert (result.body, result.repeated) == (b"made", repeated)
     assert received == [b"b"]
     nursery.cancel_scope.cancel()
@@ -407,7 +407,7 @@
         return {found.content.key for found in decoded}
 
     await call("small")
-    await call("large", size=order.INLINE_BYTES + 1)
+    await call("large", size=order.MAX_INLINE_BYTES + 1)
     await call("released", broken="before")
     await call("open", broken="after")
     everything = {"small", "large", "released", "open"}
@@ -427,18 +427,18 @@
     cluster: Cluster, autojump_clock: Clock
 ) -> None:
     """Guards against a page of claims above the limit of a response."""
-    cluster.upstream.size = order.INLINE_BYTES // 3
+    cluster.upstream.size = order.MAX_INLINE_BYTES // 3
     node = cluster.nodes["a"]
     until = trio.current_time() + 30
     for number in range(300):
         key = f"key-{number}"
         cluster.upstream.broken = "after" if number % 100 == 99 else ""
         await node.run("team", key, "POST", "/x", b"", cluster.upstream.send, until)
-    found: list[order.OpenClaim] = []
+    found: list[order.UnresolvedClaim] = []
     after = ""
     while not found or after:
-        page = await node.open_claims("team", after)
-        assert isinstance(page, order.OpenClaims), page
+        page = await node.unresolved_claims("team", after)
+        assert isinstance(page, order.UnresolvedClaims), page
         found += page.claims
         after = page.after
     assert {item.key for item in found} == {"key-99", "key-199", "key-299"}
