--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -128,19 +128,19 @@
         """Choose an engine that is not excluded, and prepare its cache."""
         ...
 
-    def sent(self, choice: Choice, run_id: str) -> None:
+    def record_sent(self, choice: Choice, run_id: str) -> None:
         """Take note of a run that was sent."""
         ...
 
-    def first_token(self, choice: Choice, run_id: str) -> None:
+    def record_first_token(self, choice: Choice, run_id: str) -> None:
         """Take note of a run's first token."""
         ...
 
-    def ended(self, choice: Choice, run_id: str) -> None:
+    def record_ended(self, choice: Choice, run_id: str) -> None:
         """Take note of the end of a run, also of one that was not answered."""
         ...
 
-    def completed(self, job: Job, choice: Choice, usage: stream.Usage) -> None:
+    def record_completed(self, job: Job, choice: Choice, usage: stream.Usage) -> None:
         """Take note of a whole answer."""
         ...
 
@@ -148,11 +148,11 @@
 class Budget(typing.Protocol):
     """Retry budgets."""
 
-    def note_request(self, upstream_id: str, now: float) -> None:
+    def record_request(self, upstream_id: str, now: float) -> None:
         """Count a first send."""
         ...
 
-    def take_retry(self, upstream_id: str, now: float) -> bool:
+    def try_acquire(self, upstream_id: str, now: float) -> bool:
         """Take one retry from the budget if there is one."""
         ...
 
@@ -187,7 +187,7 @@
         """End the run: its connection, slot and count of requests in flight."""
         has_ended = self.reply is not None and self.reply.has_ended
         self.permit.release(has_ended)
-        self.router.ended(self.choice, self.run_id)
+        self.router.record_ended(self.choice, self.run_id)
         if self.reply is not None:
             reply = self.reply
             self.reply = None
@@ -259,8 +259,8 @@
         upstream_id = choice.upstream.instance.id
         now = trio.current_time()
         if is_retry:
-            return self.budget.take_retry(upstream_id, now)
-        self.budget.note_request(upstream_id, now)
+            return self.budget.try_acquire(upstream_id, now)
+        self.budget.record_request(upstream_id, now)
         return True
 
     async def _try(
@@ -286,7 +286,7 @@
             case sender.Opened(permit, reply):
                 run_id = job.answer.run_id
                 exchange = Exchange(choice, run_id, permit, self.router, reply)
-                self.router.sent(choice, run_id)
+                self.router.record_sent(choice, run_id)
         if reply.status == http.HTTPStatus.OK:
             job.sent = True
             return exchange
@@ -386,10 +386,10 @@
 
     def _completed(self, job: Job, choice: Choice, usage: stream.Usage) -> None:
         job.used_tokens = usage.prompt_tokens + usage.completion_tokens
-        self.router.completed(job, choice, usage)
+        self.router.record_completed(job, choice, usage)
         self.on_finished(job, choice, usage)
 
-    async def watch(self) -> None:
+    async def abort_stalled_streams(self) -> None:
         """End streams on which nothing arrives, until cancelled."""
         while True:
             await trio.sleep(CHUNK_GAP_S / 2)
@@ -421,7 +421,7 @@
                 return not exchange.fault
             if job.first_data_at is None:
                 job.first_data_at = trio.current_time()
-                self.router.first_token(exchange.choice, exchange.run_id)
+                self.router.record_first_token(exchange.choice, exchange.run_id)
             # A caller that does not read stops the reading of its engine.
             return sink.write_nowait(data) and not exchange.fault
 
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -73,7 +73,7 @@
         Secret of the deployment.
     stopping : bool
         A planned stop has begun; new work is refused.
-    open : dict
+    open_requests : dict
         Requests that wait or run, by request id.
     """
 
@@ -87,7 +87,7 @@
     keyed_calls: order.KeyedCalls
     metrics: metrics.Metrics
     stopping: bool = False
-    open: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
+    open_requests: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
     called_at: float = -math.inf
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -113,7 +113,7 @@
 
     def is_active(self, now: float) -> bool:
         """Return whether callers were here lately."""
-        return bool(self.open) or now - self.called_at < ACTIVE_S
+        return bool(self.open_requests) or now - self.called_at < ACTIVE_S
 
     def unready_reason(self) -> refusal.Refusal | None:
         """Return why this node takes no new work, if so."""
@@ -218,14 +218,14 @@
         deadline: float,
     ) -> limiter.Ticket | refusal.Refusal:
         """Wait for the right to run a request; it is open from here on."""
-        self.open[opened.request] = opened
+        self.open_requests[opened.request] = opened
         ticket: limiter.Ticket | refusal.Refusal | None = None
         try:
             ticket = await self.limits.enter(team, cost, deadline)
             return ticket
         finally:
             if not isinstance(ticket, limiter.Ticket):
-                del self.open[opened.request]
+                del self.open_requests[opened.request]
 
     def _leaver(
         self,
@@ -236,7 +236,7 @@
         """Return a function that ends a request's accounting, once."""
 
         def leave() -> None:
-            if self.open.pop(opened.request, None) is not None:
+            if self.open_requests.pop(opened.request, None) is not None:
                 ticket.leave(job.used_tokens if job is not None else None)
 
         return leave
@@ -418,8 +418,8 @@
         budget = self.dispatcher.budget
         now = trio.current_time()
         if is_retry:
-            return budget.take_retry(upstream.instance.id, now)
-        budget.note_request(upstream.instance.id, now)
+            return budget.try_acquire(upstream.instance.id, now)
+        budget.record_request(upstream.instance.id, now)
         return True
 
     def _choose_service(self, name: str, excluded: set[str]) -> table.Upstream | None:
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -437,7 +437,7 @@
         nursery.start_soon(self.crashes.run)
         nursery.start_soon(self.limiter.run)
         nursery.start_soon(self.poller.run)
-        nursery.start_soon(self.dispatcher.watch)
+        nursery.start_soon(self.dispatcher.abort_stalled_streams)
         nursery.start_soon(ticker.run, self._systems())
 
     async def _wait_for_stop(self, callers: http_server.Server) -> None:
@@ -461,7 +461,7 @@
 
         What is handed over next must not be in use here any more.
         """
-        requests = list(self.gateway.open.values())
+        requests = list(self.gateway.open_requests.values())
         orders = self.keyed_calls.active_calls()
         lines.warning(LOG, "requests_cut", requests=len(requests), orders=len(orders))
         for request in requests:
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -193,7 +193,7 @@
 
     # After an answer
 
-    def answered(
+    def record_response(
         self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Note that an engine holds a prompt's blocks, and place copies of them."""
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -26,7 +26,7 @@
 
 LOG = logging.getLogger("snipelug.router")
 
-ENGINE_SLOTS = 16
+DEFAULT_ENGINE_SLOTS = 16
 """Requests that an engine runs at once, where settings do not say otherwise."""
 
 
@@ -51,7 +51,7 @@
         """Have an engine import blocks."""
         ...
 
-    def answered(
+    def record_response(
         self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Take note of a whole answer: the engine now holds the prompt's blocks."""
@@ -122,7 +122,7 @@
         message = f"no engine can run model {job.chat.body.model!r} now"
         return refusal.refuse(refusal.NO_UPSTREAM, message)
 
-    def completed(
+    def record_completed(
         self, job: dispatch.Job, choice: dispatch.Choice, usage: stream.Usage
     ) -> None:
         """Learn from a whole answer."""
@@ -134,19 +134,19 @@
             service_s=max(0.0, now - choice.sent_at),
         )
         pace.observe(self.pace_of(choice.upstream.instance), sample)
-        self.cache.answered(job, choice, choice.found)
+        self.cache.record_response(job, choice, choice.found)
 
-    def sent(self, choice: dispatch.Choice, run_id: str) -> None:
+    def record_sent(self, choice: dispatch.Choice, run_id: str) -> None:
         """Note that a run was sent."""
         upstream_id = choice.upstream.instance.id
         self.backlog.sent(upstream_id, run_id, choice.work_s, trio.current_time())
 
-    def first_token(self, choice: dispatch.Choice, run_id: str) -> None:
+    def record_first_token(self, choice: dispatch.Choice, run_id: str) -> None:
         """Note that a run brought its first token."""
         upstream_id = choice.upstream.instance.id
         self.backlog.first_token(upstream_id, run_id, trio.current_time())
 
-    def ended(self, choice: dispatch.Choice, run_id: str) -> None:
+    def record_ended(self, choice: dispatch.Choice, run_id: str) -> None:
         """Note that a run ended."""
         upstream_id = choice.upstream.instance.id
         self.backlog.ended(upstream_id, run_id, trio.current_time())
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -26,7 +26,7 @@
         """Whether the request may be sent to an upstream known to be cold."""
         ...
 
-    def arrived(self, now: float) -> None:
+    def record_accepted(self, now: float) -> None:
         """Note that the upstream accepted the request."""
         ...
 
@@ -210,7 +210,7 @@
                 outcome = await self.pool.send(call, _pre_send_check(permit, granted))
                 if isinstance(outcome, http_client.StreamingResponse):
                     if permit.slot is not None:
-                        permit.slot.arrived(trio.current_time())
+                        permit.slot.record_accepted(trio.current_time())
                     kept, permit = permit, Permit(upstream, self.may_send)
                     return Opened(kept, outcome)
                 if not isinstance(outcome, http_client.Withheld):
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -60,7 +60,7 @@
             self.uses.add(self.upstream_id, self)
         return True
 
-    def arrived(self, now: float) -> None:
+    def record_accepted(self, now: float) -> None:
         """Note that the upstream accepted the request."""
         if self.sent is not None:
             self.sent.head_at = now
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -128,12 +128,12 @@
                 return dispatch.Choice(upstream, "w1", chain, index.PrefixLocations())
         return refusal.refuse(refusal.NO_UPSTREAM, "all engines were tried")
 
-    def sent(self, choice: dispatch.Choice, run_id: str) -> None:
+    def record_sent(self, choice: dispatch.Choice, run_id: str) -> None:
         pass
 
-    first_token = ended = sent
+    record_first_token = record_ended = record_sent
 
-    def completed(
+    def record_completed(
         self, job: dispatch.Job, choice: dispatch.Choice, usage: stream.Usage
     ) -> None:
         self.finished.append(choice.upstream.instance.id)
@@ -173,10 +173,10 @@
         standing = kind.SUSPECT if self.crashes_left > 0 else kind.QUARANTINED
         return crashes.Recorded(standing, True, ())
 
-    def note_request(self, upstream_id: str, now: float) -> None:
+    def record_request(self, upstream_id: str, now: float) -> None:
         pass
 
-    def take_retry(self, upstream_id: str, now: float) -> bool:
+    def try_acquire(self, upstream_id: str, now: float) -> bool:
         return True
 
     async def acquire(self, upstream_id: str, deadline: float) -> refusal.Refusal:
@@ -452,7 +452,7 @@
     opened = await made.open(job)
     assert isinstance(opened, dispatch.Exchange)
     caller = Caller(drained=trio.Event())
-    nursery.start_soon(made.watch)
+    nursery.start_soon(made.abort_stalled_streams)
     async with trio.open_nursery() as callers:
         callers.start_soon(made.relay, job, opened, caller)
         sent = -1
