--- a/packages/snipelug-node/src/snipelug_node/chat.py
+++ b/packages/snipelug-node/src/snipelug_node/chat.py
@@ -1,4 +1,4 @@
-"""Chat requests: validation at the border, and their form inside."""
+"""Validates chat requests and converts them to their internal form."""
 
 import dataclasses
 import typing
@@ -8,7 +8,7 @@
 from snipelug_core import block, refusal
 
 MAX_MESSAGES = 4096
-MAX_GENERATED_TOKENS = 32_768
+MAX_COMPLETION_TOKENS = 32_768
 
 
 class Message(msgspec.Struct):
@@ -19,7 +19,7 @@
 
 
 class Body(msgspec.Struct):
-    """The fields of a chat request that the node reads; others are passed on."""
+    """The fields of a chat request that the node reads; others are only forwarded."""
 
     model: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
     messages: typing.Annotated[
@@ -29,11 +29,11 @@
     temperature: typing.Annotated[float, msgspec.Meta(ge=0, le=2)] | None = None
     seed: int | None = None
     max_tokens: (
-        typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_GENERATED_TOKENS)] | None
+        typing.Annotated[int, msgspec.Meta(ge=1, le=MAX_COMPLETION_TOKENS)] | None
     ) = None
 
 
-# Set by the node itself; a caller's values would reach other teams' cache.
+# The node sets these fields. Values from a caller could reach other teams' cache.
 RESERVED_FIELDS = (
     "cache_salt",
     "priority",
@@ -45,7 +45,7 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Chat:
+class ChatRequest:
     """A valid chat request.
 
     Attributes
@@ -53,11 +53,11 @@
     body : Body
         The fields that the node reads.
     fields : dict
-        All fields as sent, less those reserved for the node.
+        All fields as received, without those in ``RESERVED_FIELDS``.
     prompt : bytes
-        The messages rendered as one text, which block keys are made from.
+        The messages rendered as one text, from which block keys are computed.
     prompt_tokens : int
-        Estimated length of the prompt, in tokens.
+        Estimated length of the prompt in tokens.
     """
 
     body: Body
@@ -66,12 +66,12 @@
     prompt_tokens: int
 
     @property
-    def deterministic(self) -> bool:
-        """Whether a second run gives the same text."""
+    def is_deterministic(self) -> bool:
+        """Whether a second run produces the same text."""
         return self.body.temperature == 0 or self.body.seed is not None
 
 
-def parse(data: bytes) -> Chat | refusal.Refusal:
+def parse(data: bytes) -> ChatRequest | refusal.Refusal:
     """Validate the body of a chat request."""
     try:
         fields = msgspec.json.decode(data, type=dict[str, object])
@@ -82,4 +82,4 @@
         fields.pop(name, None)
     messages = typing.cast(list[dict[str, object]], fields["messages"])
     prompt = block.render(messages, fields.get("tools"))
-    return Chat(body, fields, prompt, block.Bytes4().count(prompt))
+    return ChatRequest(body, fields, prompt, block.Bytes4().count(prompt))
--- a/packages/snipelug-node/src/snipelug_node/entry.py
+++ b/packages/snipelug-node/src/snipelug_node/entry.py
@@ -1,8 +1,8 @@
-"""The program `snipelugd`: picks the interface that its settings name.
+"""Entry point of `snipelugd`; selects the interface that the settings ask for.
 
-A settings file in ``SNIPELUG_CONFIG`` means the platform of the project's users.
-Without one, flags and environment variables set up the project's own interface.
-Only the picked one is imported, because imports make most of a start's work.
+If ``SNIPELUG_CONFIG`` names a settings file, the platform's interface is used.
+Otherwise flags and environment variables configure the built-in interface. Only the
+selected one is imported, because imports take most of the start-up time.
 """
 
 import os
@@ -11,7 +11,7 @@
 
 
 def run() -> None:
-    """Run the program."""
+    """Run snipelugd until it stops."""
     path = os.environ.get(PLATFORM_SETTINGS)
     if path:
         from snipelug_platform import main as platform_main
--- a/packages/snipelug-node/src/snipelug_node/executor.py
+++ b/packages/snipelug-node/src/snipelug_node/executor.py
@@ -1,4 +1,4 @@
-"""Performs the store steps of decision logic on the table service."""
+"""Performs the store steps of the decision logic on the table service."""
 
 import collections.abc
 import typing
@@ -14,13 +14,15 @@
 Result = typing.TypeVar("Result")
 
 
-async def perform(tables: ports.TableService, taken: step.Write | step.Read) -> object:
-    """Perform one step and return its outcome, one of the types in ``step``."""
-    if isinstance(taken, step.Write):
-        return await _write(tables, taken)
-    match await tables.read(taken.table, taken.key):
+async def perform(
+    tables: ports.TableService, operation: step.Write | step.Read
+) -> object:
+    """Perform one step and return its outcome as one of the types in ``step``."""
+    if isinstance(operation, step.Write):
+        return await _write(tables, operation)
+    match await tables.read(operation.table, operation.key):
         case ports.Row(version=version, content=content):
-            return decode(version, content, taken.kind)
+            return decode(version, content, operation.kind)
         case ports.Absent():
             return step.Missing()
         case ports.Unavailable(reason):
@@ -28,12 +30,16 @@
 
 
 async def _write(
-    tables: ports.TableService, taken: step.Write
+    tables: ports.TableService, operation: step.Write
 ) -> step.Applied | step.PreconditionFailed | step.NoAnswer:
-    content = None if taken.content is None else msgspec.json.encode(taken.content)
-    absent = not isinstance(taken.expect, str)
-    expect = ports.Expect.ABSENT if absent else typing.cast(str, taken.expect)
-    write = ports.Write(taken.table, taken.key, content, expect)
+    content = (
+        None if operation.content is None else msgspec.json.encode(operation.content)
+    )
+    must_be_absent = not isinstance(operation.expect, str)
+    expect = (
+        ports.Expect.ABSENT if must_be_absent else typing.cast(str, operation.expect)
+    )
+    write = ports.Write(operation.table, operation.key, content, expect)
     match await tables.write(write):
         case ports.Written(version):
             return step.Applied(version)
@@ -44,7 +50,7 @@
 
 
 def decode(version: str, content: bytes, kind: type) -> step.Found | step.Malformed:
-    """Decode the content of a row as a dataclass."""
+    """Decode the content of a row to a dataclass."""
     try:
         return step.Found(version, msgspec.json.decode(content, type=kind))
     except msgspec.MsgspecError as exc:
@@ -55,12 +61,12 @@
     tables: ports.TableService,
     flow: collections.abc.Generator[step.Write | step.Read, step.Event, Result],
 ) -> Result:
-    """Run a flow that has only store steps."""
+    """Run a generator whose steps are all store steps, and return its result."""
     try:
-        taken = next(flow)
+        operation = next(flow)
         while True:
-            outcome = await perform(tables, taken)
-            taken = flow.send(step.Event(outcome, trio.current_time()))
+            outcome = await perform(tables, operation)
+            operation = flow.send(step.Event(outcome, trio.current_time()))
     except StopIteration as stop:
         return typing.cast(Result, stop.value)
 
@@ -68,7 +74,7 @@
 async def scan_all(
     tables: ports.TableService, table_name: str, prefix: str = ""
 ) -> list[ports.Row] | ports.Unavailable:
-    """Read all rows of a table, page by page."""
+    """Read all rows of a table with the key prefix, page by page."""
     rows: list[ports.Row] = []
     after = ""
     while True:
--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -1,4 +1,4 @@
-"""The callers' HTTP interface."""
+"""HTTP interface for callers."""
 
 import collections.abc
 import dataclasses
@@ -29,16 +29,18 @@
 
 CHAT_PATH = "/v1/chat/completions"
 MAX_KEY_CHARS = 255
-DEFAULT_GENERATED_TOKENS = 256
-SERVICE_TOKENS = 1
-"""Cost of a plain service call where limits count tokens."""
+DEFAULT_COMPLETION_TOKENS = 256
+SERVICE_CALL_TOKENS = 1
+"""Tokens that a plain service call counts as under a team's limits."""
 
-BEARER = "bearer "
+BEARER_PREFIX = "bearer "
 
-ACTIVE_S = 2.0
+ACTIVITY_WINDOW_S = 2.0
+"""Time after a call in which the node counts as active, in seconds."""
 
-REPEAT_S = 5.0
-"""Time in which a keyed chat call may go to another engine after one declined it."""
+RESEND_WINDOW_S = 5.0
+"""Time in seconds in which a keyed chat call may be sent again after an engine declined
+it."""
 
 
 class Revisions(typing.Protocol):
@@ -46,17 +48,17 @@
 
     @property
     def cfg(self) -> contract.Config:
-        """Newest configuration known."""
+        """The newest known configuration."""
         ...
 
     def is_current(self, now: float) -> bool:
-        """Whether no newer revision can be in force elsewhere."""
+        """Return whether no other node can have a newer revision in force."""
         ...
 
 
 @dataclasses.dataclass(frozen=True)
 class OpenRequest:
-    """A request that waits or runs."""
+    """A request that is waiting or running."""
 
     request: str
     team: str
@@ -65,16 +67,18 @@
 
 @dataclasses.dataclass
 class Gateway:
-    """Answers callers.
+    """Handles the requests of callers.
 
     Attributes
     ----------
     key : bytes
-        Secret of the deployment.
+        Secret key of the deployment.
     stopping : bool
-        A planned stop has begun; new work is refused.
+        Whether a planned stop has begun; new requests are refused.
     open_requests : dict
-        Requests that wait or run, by request id.
+        Waiting and running requests, by request id.
+    last_call_at : float
+        Monotonic time of the last call, in seconds.
     """
 
     node_id: str
@@ -88,47 +92,47 @@
     metrics: metrics.Metrics
     stopping: bool = False
     open_requests: dict[str, OpenRequest] = dataclasses.field(default_factory=dict)
-    called_at: float = -math.inf
+    last_call_at: float = -math.inf
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         if req.path == "/healthz":
             return http_server.json_response(http.HTTPStatus.OK, {"alive": True})
         if req.path == "/readyz":
             return self._readiness()
-        self.called_at = trio.current_time()
+        self.last_call_at = trio.current_time()
         caller = self._authenticate(req)
         if isinstance(caller, refusal.Refusal):
-            return self._refuse(caller, req.path)
+            return self._refusal_response(caller, req.path)
         if req.path == CHAT_PATH:
-            answer = await self._chat(req, caller)
+            response = await self._chat(req, caller)
         elif req.path.startswith(service.PREFIX):
-            answer = await self._service(req, caller)
+            response = await self._service(req, caller)
         else:
             message = f"path {req.path!r} does not exist"
-            answer = refusal.refuse(refusal.NOT_FOUND, message)
-        if isinstance(answer, refusal.Refusal):
-            return self._refuse(answer, req.path)
-        return answer
+            response = refusal.refuse(refusal.NOT_FOUND, message)
+        if isinstance(response, refusal.Refusal):
+            return self._refusal_response(response, req.path)
+        return response
 
     def is_active(self, now: float) -> bool:
-        """Return whether callers were here lately."""
-        return bool(self.open_requests) or now - self.called_at < ACTIVE_S
+        """Return whether a request is open or arrived recently."""
+        return bool(self.open_requests) or now - self.last_call_at < ACTIVITY_WINDOW_S
 
     def unready_reason(self) -> refusal.Refusal | None:
-        """Return why this node takes no new work, if so."""
+        """Return why this node accepts no new requests, or None if it does."""
         if self.stopping:
-            message = "this node is being stopped"
+            message = "this node is stopping"
             return refusal.refuse(refusal.NODE_STOPPING, message)
         if not self.revisions.is_current(trio.current_time()):
-            message = "this node cannot show that its configuration is current"
+            message = "this node cannot prove that its configuration is current"
             return refusal.refuse(refusal.NODE_NOT_CURRENT, message)
         return None
 
     def _readiness(self) -> http_server.Response:
         reason = self.unready_reason()
         if reason is not None:
-            return self._refuse(reason, "/readyz")
+            return self._refusal_response(reason, "/readyz")
         content = {"ready": True, "revision": self.revisions.cfg.revision}
         return http_server.json_response(http.HTTPStatus.OK, content)
 
@@ -138,17 +142,21 @@
         unready = self.unready_reason()
         if unready is not None:
             return unready
-        field = req.headers.get("authorization", "")
-        if not field.lower().startswith(BEARER):
+        header = req.headers.get("authorization", "")
+        if not header.lower().startswith(BEARER_PREFIX):
             message = "the request has no bearer key"
             return refusal.refuse(refusal.UNAUTHENTICATED, message)
-        found = contract.find_contract(self.revisions.cfg, field[len(BEARER) :].strip())
-        if found is None:
+        matched = contract.find_contract(
+            self.revisions.cfg, header[len(BEARER_PREFIX) :].strip()
+        )
+        if matched is None:
             message = "the bearer key belongs to no contract"
             return refusal.refuse(refusal.UNAUTHENTICATED, message)
-        return found
+        return matched
 
-    def _refuse(self, refused: refusal.Refusal, path: str) -> http_server.Response:
+    def _refusal_response(
+        self, refused: refusal.Refusal, path: str
+    ) -> http_server.Response:
         headers: dict[str, str] = {}
         if refused.retry_after_s is not None:
             headers["retry-after"] = str(max(1, round(refused.retry_after_s)))
@@ -192,121 +200,125 @@
             fingerprint=quarantine.fingerprint(self.key, team.team, req.body),
             started_at=now,
             deadline=now + team.deadline_s,
-            answer=stream.Response(request_id),
-            once=bool(key),
+            response=stream.Response(request_id),
+            at_most_once=bool(key),
         )
         cost = parsed.prompt_tokens + (
-            parsed.body.max_tokens or DEFAULT_GENERATED_TOKENS
+            parsed.body.max_tokens or DEFAULT_COMPLETION_TOKENS
         )
-        opened = OpenRequest(request_id, team.team, req.path)
-        ticket = await self._enter(opened, team, cost, job.deadline)
-        if isinstance(ticket, refusal.Refusal):
-            return ticket
-        leave = self._leaver(opened, ticket, job)
+        open_request = OpenRequest(request_id, team.team, req.path)
+        permit = await self._acquire_permit(open_request, team, cost, job.deadline)
+        if isinstance(permit, refusal.Refusal):
+            return permit
+        release_request = self._release_callback(open_request, permit, job)
         if key:
             try:
-                return await self._chat_once(job, key, req.body)
+                return await self._chat_keyed(job, key, req.body)
             finally:
-                leave()
-        return await self._chat_answer(job, leave)
+                release_request()
+        return await self._chat_unkeyed(job, release_request)
 
-    async def _enter(
+    async def _acquire_permit(
         self,
-        opened: OpenRequest,
+        open_request: OpenRequest,
         team: contract.Contract,
         cost: float,
         deadline: float,
     ) -> limiter.Ticket | refusal.Refusal:
-        """Wait for the right to run a request; it is open from here on."""
-        self.open_requests[opened.request] = opened
-        ticket: limiter.Ticket | refusal.Refusal | None = None
+        """Add an open request and wait until its team's limits permit it to run."""
+        self.open_requests[open_request.request] = open_request
+        permit: limiter.Ticket | refusal.Refusal | None = None
         try:
-            ticket = await self.limits.enter(team, cost, deadline)
-            return ticket
+            permit = await self.limits.enter(team, cost, deadline)
+            return permit
         finally:
-            if not isinstance(ticket, limiter.Ticket):
-                del self.open_requests[opened.request]
+            if not isinstance(permit, limiter.Ticket):
+                del self.open_requests[open_request.request]
 
-    def _leaver(
+    def _release_callback(
         self,
-        opened: OpenRequest,
-        ticket: limiter.Ticket,
+        open_request: OpenRequest,
+        permit: limiter.Ticket,
         job: dispatch.Job | None = None,
     ) -> collections.abc.Callable[[], None]:
-        """Return a function that ends a request's accounting, once."""
+        """Return a function that closes a request and releases its permit once."""
 
-        def leave() -> None:
-            if self.open_requests.pop(opened.request, None) is not None:
-                ticket.leave(job.used_tokens if job is not None else None)
+        def release_request() -> None:
+            if self.open_requests.pop(open_request.request, None) is not None:
+                permit.leave(job.used_tokens if job is not None else None)
 
-        return leave
+        return release_request
 
-    async def _chat_answer(
-        self, job: dispatch.Job, leave: collections.abc.Callable[[], None]
+    async def _chat_unkeyed(
+        self, job: dispatch.Job, release_request: collections.abc.Callable[[], None]
     ) -> http_server.Response | refusal.Refusal:
-        handed_over = False
+        is_handed_over = False
         try:
             if not job.chat.body.stream:
-                whole = await self.dispatcher.collect(job)
-                if isinstance(whole, refusal.Refusal):
-                    return whole
-                return self._json_answer(job, whole)
-            opened = await self.dispatcher.open(job)
-            if isinstance(opened, refusal.Refusal):
-                return opened
+                complete = await self.dispatcher.collect(job)
+                if isinstance(complete, refusal.Refusal):
+                    return complete
+                return self._json_response(job, complete)
+            exchange = await self.dispatcher.open(job)
+            if isinstance(exchange, refusal.Refusal):
+                return exchange
             headers = self._headers(job)
             headers["content-type"] = "text/event-stream"
             headers["cache-control"] = "no-store"
-            headers["x-snipelug-upstream"] = opened.choice.upstream.instance.id
-            handed_over = True
-            body = StreamBody(self.dispatcher, job, opened, leave)
+            headers["x-snipelug-upstream"] = exchange.choice.upstream.instance.id
+            is_handed_over = True
+            body = StreamBody(self.dispatcher, job, exchange, release_request)
             return http_server.Response(http.HTTPStatus.OK, body, headers)
         finally:
-            if not handed_over:
-                leave()
+            if not is_handed_over:
+                release_request()
 
     def _headers(self, job: dispatch.Job) -> dict[str, str]:
         return {"x-request-id": job.request_id, "x-snipelug-node": self.node_id}
 
-    def _json_answer(
-        self, job: dispatch.Job, whole: engine.Whole
+    def _json_response(
+        self, job: dispatch.Job, complete: engine.CompleteResponse
     ) -> http_server.Response:
         headers = self._headers(job)
-        headers["x-snipelug-upstream"] = whole.upstream_id
-        return http_server.json_response(http.HTTPStatus.OK, whole.content, headers)
+        headers["x-snipelug-upstream"] = complete.upstream_id
+        return http_server.json_response(http.HTTPStatus.OK, complete.content, headers)
 
-    async def _chat_once(
-        self, job: dispatch.Job, key: str, sent_body: bytes
+    async def _chat_keyed(
+        self, job: dispatch.Job, key: str, request_body: bytes
     ) -> http_server.Response | refusal.Refusal:
-        """Run a chat request at most once; its answer is kept as JSON."""
-        streamed = job.chat.body.stream
+        """Run a chat request at most once; its response is stored as JSON."""
+        is_streamed = job.chat.body.stream
         job.chat.body.stream = False
 
         async def send(
-            granted: http_client.PreSendCheck, _send_by: float
+            claim_check: http_client.PreSendCheck, _send_by: float
         ) -> order.SendOutcome:
-            job.granted = grant_again(granted)
-            whole = await self.dispatcher.collect(job)
-            if isinstance(whole, refusal.Refusal):
-                return claim.OutcomeUnknown(whole) if job.sent else claim.NotSent(whole)
-            body = msgspec.json.encode(whole.content)
+            job.claim_check = allow_resend(claim_check)
+            complete = await self.dispatcher.collect(job)
+            if isinstance(complete, refusal.Refusal):
+                return (
+                    claim.OutcomeUnknown(complete)
+                    if job.may_have_run
+                    else claim.NotSent(complete)
+                )
+            body = msgspec.json.encode(complete.content)
             headers = {
                 "content-type": "application/json",
-                "x-snipelug-upstream": whole.upstream_id,
+                "x-snipelug-upstream": complete.upstream_id,
             }
             return claim.Delivered(claim.Response(http.HTTPStatus.OK, headers, body))
 
-        answer = await self.keyed_calls.run(
-            job.contract.team, key, "POST", CHAT_PATH, sent_body, send, job.deadline
+        response = await self.keyed_calls.run(
+            job.contract.team, key, "POST", CHAT_PATH, request_body, send, job.deadline
         )
-        if isinstance(answer, refusal.Refusal):
-            return answer
-        headers = self._headers(job) | answer.headers
-        if not streamed:
-            return http_server.Response(answer.status, answer.body, headers)
+        if isinstance(response, refusal.Refusal):
+            return response
+        headers = self._headers(job) | response.headers
+        if not is_streamed:
+            return http_server.Response(response.status, response.body, headers)
         headers["content-type"] = "text/event-stream"
         return http_server.Response(
-            answer.status, engine.as_events(answer.body), headers
+            response.status, engine.to_events(response.body), headers
         )
 
     # Plain services
@@ -323,43 +335,45 @@
         key = idempotency_key(req)
         if isinstance(key, refusal.Refusal):
             return key
-        if not key and service.needs_key(target, req.method, team.require_key):
+        if not key and service.requires_key(target, req.method, team.require_key):
             message = f"{req.method} {req.path} needs an Idempotency-Key"
             return refusal.refuse(refusal.KEY_REQUIRED, message)
         call = ServiceCall(
             req, target, uuid.uuid4().hex, trio.current_time() + team.deadline_s
         )
-        opened = OpenRequest(call.request_id, team.team, req.path)
-        ticket = await self._enter(opened, team, SERVICE_TOKENS, call.deadline)
-        if isinstance(ticket, refusal.Refusal):
-            return ticket
-        leave = self._leaver(opened, ticket)
+        open_request = OpenRequest(call.request_id, team.team, req.path)
+        permit = await self._acquire_permit(
+            open_request, team, SERVICE_CALL_TOKENS, call.deadline
+        )
+        if isinstance(permit, refusal.Refusal):
+            return permit
+        release_request = self._release_callback(open_request, permit)
         try:
-            answer = await self._run_service(call, team, key)
+            response = await self._run_service(call, team, key)
         finally:
-            leave()
-        if isinstance(answer, refusal.Refusal):
-            return answer
-        headers = dict(answer.headers)
+            release_request()
+        if isinstance(response, refusal.Refusal):
+            return response
+        headers = dict(response.headers)
         headers["x-request-id"] = call.request_id
         headers["x-snipelug-node"] = self.node_id
-        return http_server.Response(answer.status, answer.body, headers)
+        return http_server.Response(response.status, response.body, headers)
 
     async def _run_service(
         self, call: "ServiceCall", team: contract.Contract, key: str
     ) -> order.Response | refusal.Refusal:
-        repeatable = call.req.method in service.IDEMPOTENT_METHODS
+        may_resend = call.req.method in service.IDEMPOTENT_METHODS
         if not key:
-            sent = await self._send_service(call, None, repeatable, call.deadline)
+            sent = await self._send_service(call, None, may_resend, call.deadline)
             if isinstance(sent, claim.Delivered):
-                answer = sent.answer
-                return order.Response(answer.status, answer.headers, answer.body)
+                response = sent.answer
+                return order.Response(response.status, response.headers, response.body)
             return sent.refusal
 
         async def send(
-            granted: http_client.PreSendCheck, send_by: float
+            claim_check: http_client.PreSendCheck, send_by: float
         ) -> order.SendOutcome:
-            return await self._send_service(call, granted, False, send_by)
+            return await self._send_service(call, claim_check, False, send_by)
 
         req = call.req
         target = req.path + "?" + urllib.parse.urlencode(req.query)
@@ -370,51 +384,51 @@
     async def _send_service(
         self,
         call: "ServiceCall",
-        granted: http_client.PreSendCheck | None,
-        repeatable: bool,
+        claim_check: http_client.PreSendCheck | None,
+        may_resend: bool,
         send_by: float,
     ) -> order.SendOutcome:
-        """Send a call to the service's instances until one has taken it."""
+        """Send a call to the service's instances in turn until one accepts it."""
         refused = refusal.refuse(
             refusal.NO_UPSTREAM, f"no instance of service {call.target.name!r} is up"
         )
-        has_left = False
+        was_sent = False
         excluded: set[str] = set()
-        for _ in range(dispatch.MAX_TRIES):
-            upstream = self._choose_service(call.target.name, excluded)
+        for _ in range(dispatch.MAX_SENDS):
+            upstream = self._choose_instance(call.target.name, excluded)
             if upstream is None or trio.current_time() >= send_by:
                 break
-            # An instance that was not sent anything costs no retry budget.
-            if not self._may_try(upstream, is_retry=has_left):
+            # Attempts before the first byte was sent consume no retry budget.
+            if not self._allow_attempt(upstream, is_retry=was_sent):
                 break
             excluded.add(upstream.instance.id)
-            outcome = await self._try_service(call, upstream, granted, send_by)
+            outcome = await self._send_to_instance(call, upstream, claim_check, send_by)
             match outcome:
                 case http_client.FullResponse(status, headers, body):
-                    kept = service.answer_headers(headers)
-                    kept["x-snipelug-upstream"] = upstream.instance.id
-                    return claim.Delivered(claim.Response(status, kept, body))
+                    kept_headers = service.response_headers(headers)
+                    kept_headers["x-snipelug-upstream"] = upstream.instance.id
+                    return claim.Delivered(claim.Response(status, kept_headers, body))
                 case http_client.NotSent(reason):
                     load.mark_connection_closed(upstream, trio.current_time())
                     refused = refusal.refuse(refusal.NO_UPSTREAM, reason)
                 case sender.Blocked(blocked):
                     refused = blocked
                 case http_client.Lost() | http_client.TooLarge():
-                    has_left = True
+                    was_sent = True
                     load.mark_connection_closed(upstream, trio.current_time())
-                    text = f"the service's answer was lost: {outcome}"
+                    text = f"the service's response was lost: {outcome}"
                     refused = refusal.refuse(
                         refusal.UPSTREAM_LOST, text, refusal.RunState.UNKNOWN
                     )
-                    if not repeatable:
+                    if not may_resend:
                         break
-        if not has_left:
+        if not was_sent:
             return claim.NotSent(refused)
-        # The last instance may have been sent nothing, while an earlier one was.
+        # The last attempt may have sent nothing although an earlier one did.
         unknown = refusal.RunState.UNKNOWN
         return claim.OutcomeUnknown(dataclasses.replace(refused, run_state=unknown))
 
-    def _may_try(self, upstream: table.Upstream, is_retry: bool) -> bool:
+    def _allow_attempt(self, upstream: table.Upstream, is_retry: bool) -> bool:
         budget = self.dispatcher.budget
         now = trio.current_time()
         if is_retry:
@@ -422,9 +436,9 @@
         budget.record_request(upstream.instance.id, now)
         return True
 
-    def _choose_service(self, name: str, excluded: set[str]) -> table.Upstream | None:
+    def _choose_instance(self, name: str, excluded: set[str]) -> table.Upstream | None:
         now = trio.current_time()
-        able = [
+        candidates = [
             upstream
             for upstream in self.tables.upstreams.values()
             if upstream.instance.role is table.Role.SERVICE
@@ -434,15 +448,15 @@
                 self.dispatcher.sender.may_send(upstream, now, now), load.Excluded
             )
         ]
-        if not able:
+        if not candidates:
             return None
-        return min(able, key=lambda u: (load.estimate_queue(u), u.instance.id))
+        return min(candidates, key=lambda u: (load.estimate_queue(u), u.instance.id))
 
-    async def _try_service(
+    async def _send_to_instance(
         self,
         call: "ServiceCall",
         upstream: table.Upstream,
-        granted: http_client.PreSendCheck | None,
+        claim_check: http_client.PreSendCheck | None,
         send_by: float,
     ) -> (
         http_client.FullResponse
@@ -451,15 +465,15 @@
         | http_client.TooLarge
         | sender.Blocked
     ):
-        left_s = max(0.0, call.deadline - trio.current_time())
+        remaining_s = max(0.0, call.deadline - trio.current_time())
         wire = service.build_call(
-            upstream.instance, call.target, call.req, call.request_id, left_s
+            upstream.instance, call.target, call.req, call.request_id, remaining_s
         )
-        sent = await self.dispatcher.sender.send(upstream, wire, send_by, granted)
+        sent = await self.dispatcher.sender.send(upstream, wire, send_by, claim_check)
         if not isinstance(sent, sender.Opened):
             return sent
         try:
-            body = await sent.reply.read(service.MAX_ANSWER_BYTES, left_s)
+            body = await sent.reply.read(service.MAX_RESPONSE_BYTES, remaining_s)
         finally:
             sent.permit.release(sent.reply.has_ended)
             with trio.CancelScope(shield=True):
@@ -471,7 +485,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServiceCall:
-    """One call of a plain service."""
+    """A call to a plain service."""
 
     req: http_server.Request
     target: service.Target
@@ -480,48 +494,48 @@
 
 
 class StreamBody:
-    """The body of a streamed answer; closing it ends the run even if unsent."""
+    """The body of a streamed response; closing it ends the run even if never sent."""
 
     def __init__(
         self,
         dispatcher: dispatch.Dispatcher,
         job: dispatch.Job,
         exchange: dispatch.Exchange,
-        leave: collections.abc.Callable[[], None],
+        release_request: collections.abc.Callable[[], None],
     ) -> None:
         self._dispatcher = dispatcher
         self._job = job
         self._exchange = exchange
-        self._leave = leave
+        self._release_request = release_request
 
-    async def send_to(self, sink: http_server.BodyWriter) -> None:
-        """Relay the answer."""
-        await self._dispatcher.relay(self._job, self._exchange, sink)
+    async def send_to(self, writer: http_server.BodyWriter) -> None:
+        """Relay the response."""
+        await self._dispatcher.relay(self._job, self._exchange, writer)
 
     async def aclose(self) -> None:
         """End the run."""
         try:
             await self._exchange.aclose()
         finally:
-            self._leave()
+            self._release_request()
 
 
-def grant_again(granted: http_client.PreSendCheck) -> http_client.PreSendCheck:
-    """Let a granted call be sent again for a short time.
+def allow_resend(claim_check: http_client.PreSendCheck) -> http_client.PreSendCheck:
+    """Return a check that permits resends for a short time after the first send.
 
-    The dispatcher sends a keyed call again only after an engine answered that it
-    did not run it; the claim's own check consents only once.
+    The dispatcher resends a keyed call only after an engine responded that it did
+    not run the call; the claim's own check succeeds only once.
     """
-    granted_at: float | None = None
+    first_permitted_at: float | None = None
 
     def check(conn_opened_at: float) -> bool:
-        nonlocal granted_at
+        nonlocal first_permitted_at
         now = trio.current_time()
-        if granted_at is not None:
-            return now - granted_at < REPEAT_S
-        if not granted(conn_opened_at):
+        if first_permitted_at is not None:
+            return now - first_permitted_at < RESEND_WINDOW_S
+        if not claim_check(conn_opened_at):
             return False
-        granted_at = now
+        first_permitted_at = now
         return True
 
     return check
@@ -533,7 +547,7 @@
     choice: dispatch.Choice,
     usage: stream.Usage,
 ) -> None:
-    """Log a whole answer and update the metrics."""
+    """Log a complete response and update the metrics."""
     now = trio.current_time()
     first_at = job.first_data_at or now
     ttft_ms = (first_at - job.started_at) * 1000
@@ -549,7 +563,7 @@
         team=job.contract.team,
         model=job.chat.body.model,
         upstream=choice.upstream.instance.id,
-        attempts=job.answer.attempt,
+        attempts=job.response.attempt,
         ttft_ms=round(ttft_ms, 1),
         elapsed_ms=round((now - job.started_at) * 1000, 1),
         prompt_tokens=usage.prompt_tokens,
@@ -559,7 +573,7 @@
 
 
 def idempotency_key(req: http_server.Request) -> str | refusal.Refusal:
-    """Return the call's idempotency key, empty if it has none."""
+    """Return the request's idempotency key, or an empty string if it has none."""
     key = req.headers.get("idempotency-key", "")
     if len(key) > MAX_KEY_CHARS:
         message = f"the Idempotency-Key is longer than {MAX_KEY_CHARS} characters"
@@ -568,9 +582,9 @@
 
 
 def check_model(
-    parsed: chat.Chat, team: contract.Contract, cfg: contract.Config
+    parsed: chat.ChatRequest, team: contract.Contract, cfg: contract.Config
 ) -> refusal.Refusal | None:
-    """Return why the team may not send this chat request, if so."""
+    """Return why the team may not send this chat request, or None if it may."""
     model = parsed.body.model
     if model not in team.models or model not in cfg.models:
         message = f"the contract does not include model {model!r}"
--- a/packages/snipelug-node/src/snipelug_node/service.py
+++ b/packages/snipelug-node/src/snipelug_node/service.py
@@ -1,4 +1,4 @@
-"""Calls of plain services."""
+"""Builds calls to plain services."""
 
 import dataclasses
 import urllib.parse
@@ -8,8 +8,8 @@
 
 PREFIX = "/services/"
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# Hop-by-hop fields of RFC 9110 and those that hold the caller's credentials.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Hop-by-hop fields of RFC 9110, and fields that hold the caller's credentials.
 DROPPED_HEADERS = frozenset(
     {
         "authorization",
@@ -29,22 +29,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """A service call's destination: the service's name and the rest of the path."""
+    """Destination of a service call: the service's name and the path within it."""
 
     name: str
     path: str
 
 
 def parse_path(path: str) -> Target | refusal.Refusal:
-    """Split ``/services/NAME/REST``."""
+    """Parse ``/services/NAME/PATH``."""
     name, _, rest = path.removeprefix(PREFIX).partition("/")
     if not name:
-        return refusal.refuse(refusal.NOT_FOUND, f"{path!r} names no service")
+        return refusal.refuse(
+            refusal.NOT_FOUND, f"path {path!r} does not name a service"
+        )
     return Target(name, "/" + rest)
 
 
-def needs_key(target: Target, method: str, prefixes: tuple[str, ...]) -> bool:
-    """Whether the contract requires an idempotency key for this call."""
+def requires_key(target: Target, method: str, prefixes: tuple[str, ...]) -> bool:
+    """Return whether the contract requires an idempotency key for this call."""
     if method in IDEMPOTENT_METHODS:
         return False
     full = target.name + target.path
@@ -58,7 +60,7 @@
     request_id: str,
     timeout_s: float,
 ) -> http_client.Call:
-    """Build the call to one service instance."""
+    """Build the HTTP request to one service instance."""
     headers = {k: v for k, v in req.headers.items() if k not in DROPPED_HEADERS}
     headers["x-request-id"] = request_id
     path = urllib.parse.quote(target.path)
@@ -69,6 +71,6 @@
     )
 
 
-def answer_headers(headers: dict[str, str]) -> dict[str, str]:
-    """Return the headers of an answer that are passed on to the caller."""
+def response_headers(headers: dict[str, str]) -> dict[str, str]:
+    """Return the response headers that are forwarded to the caller."""
     return {k: v for k, v in headers.items() if k not in DROPPED_HEADERS}
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -246,7 +246,7 @@
     if seed is not None:
         body["seed"] = seed
     parsed = chat.parse(json.dumps(body).encode())
-    assert isinstance(parsed, chat.Chat)
+    assert isinstance(parsed, chat.ChatRequest)
     now = trio.current_time()
     team = contract.Contract("team", ())
     answer = stream.Response("req")
@@ -379,7 +379,11 @@
     st.just(["refused"]), st.lists(st.sampled_from(FAULTS), min_size=1, max_size=2)
 )
 HANG_S = 0.1
-WAITS = {"NEXT_LOOK_S": 0.001, "WAIT_FOR_ENGINE_S": 0.02, "CHUNK_GAP_S": HANG_S}
+WAITS = {
+    "RETRY_INTERVAL_S": 0.001,
+    "ENGINE_WAIT_S": 0.02,
+    "STREAM_IDLE_TIMEOUT_S": HANG_S,
+}
 
 
 @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
@@ -445,7 +449,7 @@
     nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against memory that grows, and a run that ends, with a slow caller."""
-    monkeypatch.setattr(dispatch, "CHUNK_GAP_S", 0.2)
+    monkeypatch.setattr(dispatch, "STREAM_IDLE_TIMEOUT_S", 0.2)
     engine = Flood([])
     made, _ = await build(nursery, [engine])
     job = make_job(streamed=True)
@@ -460,9 +464,9 @@
             sent = engine.sent
             await trio.sleep(0.1)
         assert 0 < engine.sent < 400
-        await trio.sleep(3 * dispatch.CHUNK_GAP_S)
+        await trio.sleep(3 * dispatch.STREAM_IDLE_TIMEOUT_S)
         assert caller.offers == 1
         assert len(caller.received) <= http_client.RECEIVE_BYTES
         caller.drained.set()
     assert caller.received.endswith(b"data: [DONE]\n\n")
-    assert len(job.answer.text) == 400 * 40_000
+    assert len(job.response.text) == 400 * 40_000
