Reword order, sender, router and expiry

sender.Permit -> SendPermit, MaySend -> SendCheck, the argument granted of Sender.send -> claim_check; constants of order.py (TOLD_BYTES -> MAX_STATUS_BODY_BYTES, KEY_CHARS -> MAX_KEY_CHARS, DEADLINE_S -> DEFAULT_DEADLINE_S, SETTLE_S -> SEND_CUTOFF_S, ASK_MARGIN_S -> QUERY_MARGIN_S, MAX_ASK_WAIT_S -> MAX_QUERY_WAIT_S, JOIN_RETRY_S -> JOIN_RETRY_INTERVAL_S), of sender.py (WITHHELD_WAIT_S -> MAX_REPORT_WAIT_S, REPORT_POLL_S -> REPORT_POLL_INTERVAL_S, LOOK_TIMEOUT_S -> LOAD_READ_TIMEOUT_S) and of expiry.py (SWEEP_BYTES_PER_S -> MAX_SWEEP_BYTES_PER_S, PASS_INTERVAL_S -> SWEEP_INTERVAL_S); private and local names.

--- a/packages/snipelug-node/src/snipelug_node/dispatch.py
+++ b/packages/snipelug-node/src/snipelug_node/dispatch.py
@@ -180,7 +180,7 @@
 
     choice: Choice
     run_id: str
-    permit: sender.Permit
+    permit: sender.SendPermit
     router: Router
     reply: http_client.StreamingResponse | None = None
     fault: str = ""
--- a/packages/snipelug-node/src/snipelug_node/expiry.py
+++ b/packages/snipelug-node/src/snipelug_node/expiry.py
@@ -1,4 +1,4 @@
-"""Deletion of claims whose retention has passed."""
+"""Deletes claims whose retention time has passed."""
 
 import collections
 import collections.abc
@@ -14,31 +14,31 @@
 
 LOG = logging.getLogger("snipelug.order")
 
-SWEEP_BYTES_PER_S = 1000.0
-"""Bound on what one node reads of claims: a ninth of its 9 KB/s for control."""
+MAX_SWEEP_BYTES_PER_S = 1000.0
+"""Maximum rate at which a node reads claims; a ninth of its 9 KB/s of control traffic."""
 
-PASS_INTERVAL_S = 600.0
+SWEEP_INTERVAL_S = 600.0
 
 
 class Expiry:
-    """Delete the finished claims of the teams that this node owns.
+    """Deletes the expired claims of the teams that this node owns.
 
-    Every deletion expects the version that was read, so two nodes that sweep the
-    same team do no harm. A clock that runs ahead must not free keys early:
-    ages are taken against the newest claim that an earlier pass has seen, if that is
-    older than this node's wall clock.
+    Each deletion requires the version that was read, so two nodes may safely sweep
+    the same team. A clock that runs ahead must not free keys early, so ages are
+    computed relative to the newest claim seen by an earlier pass, if that is older
+    than this node's wall clock.
 
     Parameters
     ----------
     owned : callable
         Returns the teams to sweep.
     wall : callable
-        Wall clock, in seconds.
+        Returns the wall-clock time in seconds.
 
     Attributes
     ----------
     counts : Counter
-        ``deleted`` and ``failed``.
+        Counts of deletions: ``deleted`` and ``failed``.
     """
 
     def __init__(
@@ -53,7 +53,7 @@
         self._objects = objects
         self._owned = owned
         self._wall = wall
-        self._newest: dict[str, float] = {}
+        self._newest_seen_wall: dict[str, float] = {}
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -63,13 +63,13 @@
         while True:
             for team in list(self._owned()):
                 await self.sweep(team)
-            await trio.sleep(PASS_INTERVAL_S)
+            await trio.sleep(SWEEP_INTERVAL_S)
 
     async def sweep(self, team: str) -> None:
-        """Pass once over a team's claims; stop early if the store is silent."""
+        """Sweep the claims of a team once; stop early if they cannot be read."""
         deleted_before = self.counts["deleted"]
-        reference = min(self._wall(), self._newest.get(team, -math.inf))
-        newest = -math.inf
+        reference_wall = min(self._wall(), self._newest_seen_wall.get(team, -math.inf))
+        newest_wall = -math.inf
         after = ""
         while True:
             page = await self._tables.scan(
@@ -81,15 +81,15 @@
                 decoded = executor.decode(stored.version, stored.content, claim.Row)
                 if isinstance(decoded, step.Malformed):
                     continue
-                newest = max(newest, decoded.content.claimed_wall)
-                if claim.is_expired(decoded.content, reference):
+                newest_wall = max(newest_wall, decoded.content.claimed_wall)
+                if claim.is_expired(decoded.content, reference_wall):
                     await self._delete(stored, decoded.content)
             if len(page) < order.PAGE_ROWS:
                 break
             after = page[-1].key
-            size = sum(len(row.content) for row in page)
-            await trio.sleep(size / SWEEP_BYTES_PER_S)
-        self._newest[team] = newest
+            page_bytes = sum(len(row.content) for row in page)
+            await trio.sleep(page_bytes / MAX_SWEEP_BYTES_PER_S)
+        self._newest_seen_wall[team] = newest_wall
         deleted = self.counts["deleted"] - deleted_before
         if deleted:
             lines.event(LOG, "claims_deleted", team=team, claims=deleted)
@@ -97,8 +97,8 @@
     async def _delete(self, stored: ports.Row, row: claim.Row) -> None:
         object_key = row.answer.object_key if row.answer else ""
         if object_key:
-            # Before the row: a repeat in between hears that the call ran, and the
-            # next pass finds the row again.
+            # The object is deleted before the row, so that a repeat in between is
+            # still told that the call ran, and the next pass can retry the row.
             outcome = await self._objects.delete(object_key)
             if isinstance(outcome, ports.Unavailable):
                 self.counts["failed"] += 1
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -1,4 +1,4 @@
-"""Runs calls with an idempotency key at most once."""
+"""Runs calls that have an idempotency key at most once."""
 
 import collections.abc
 import dataclasses
@@ -17,52 +17,54 @@
 LOG = logging.getLogger("snipelug.order")
 
 MAX_INLINE_BYTES = 64 * 1024
-"""Largest answer body kept in the claim row; larger ones are objects."""
+"""Largest response body stored in the claim row, in bytes; larger ones are objects."""
 
-TOLD_BYTES = 1024 * 1024
-"""Largest unrecorded answer body sent to a peer, below the RPC message limit."""
+MAX_STATUS_BODY_BYTES = 1024 * 1024
+"""Largest unrecorded response body sent to a peer, in bytes; below the size limit of an
+RPC message."""
 
 PAGE_ROWS = 100
-"""Claims read at once; their inline answers then take at most 9 MB in base64,
-which is below the limit of a response of the table service."""
+"""Number of claims read at once. Their inline responses take at most 9 MB in base64,
+which is below the size limit of a response of the table service."""
 
-KEY_CHARS = 255
-DEADLINE_S = 60.0
+MAX_KEY_CHARS = 255
+DEFAULT_DEADLINE_S = 60.0
 
-SETTLE_S = 0.5
-"""A call that is not sent by so long before its deadline is given up, so that its claim
-is withdrawn and its caller is told in time that nothing ran."""
+SEND_CUTOFF_S = 0.5
+"""A call that was not sent by this long before its deadline is not sent any more. Its
+claim can then be released and its caller told before the deadline that nothing ran."""
 
 RECORD_WAIT_S = 2.0
-"""Time that a caller waits for its answer to be recorded; recording goes on."""
+"""Longest time in seconds that a caller waits until its response is recorded; recording
+continues after it."""
 
-JOIN_RETRY_S = 0.05
-ASK_MARGIN_S = 1.0
-MAX_ASK_WAIT_S = 10.0
+JOIN_RETRY_INTERVAL_S = 0.05
+QUERY_MARGIN_S = 1.0
+MAX_QUERY_WAIT_S = 10.0
 
 SendOutcome = claim.Delivered | claim.NotSent | claim.OutcomeUnknown
-"""What a dispatch returns: answered in full, no byte sent, or bytes sent."""
+"""Outcome of a send: a complete response, no byte sent, or an unknown result."""
 
 SendCall = collections.abc.Callable[
     [http_client.PreSendCheck, float], collections.abc.Awaitable[SendOutcome]
 ]
-"""Sends a call; must evaluate the last check right before the first byte, after
-all other checks, and must not send without its consent or twice. Waits for what it
-needs until the given time at most."""
+"""Sends a call. It must evaluate the check after all other checks, right before the
+first byte; it must not send if the check fails, and not send twice. The second argument
+is the monotonic time until which it may wait before sending, in seconds."""
 
-_SendInTime = collections.abc.Callable[
+_SendBeforeCutoff = collections.abc.Callable[
     [http_client.PreSendCheck], collections.abc.Awaitable[SendOutcome]
 ]
 
 
 @dataclasses.dataclass(frozen=True)
 class Response:
-    """The answer of the one execution.
+    """The response to the only execution of a call.
 
     Attributes
     ----------
     repeated : bool
-        The call was executed for an earlier request with the same key.
+        Whether the call was executed for another request with the same key.
     """
 
     status: int
@@ -72,21 +74,21 @@
 
 
 class ClaimStatusRequest(msgspec.Struct, frozen=True):
-    """Asks a process for one of its claims.
+    """Queries a process for the status of one of its claims.
 
     Attributes
     ----------
     wait_s : float
-        Time to wait for the end of a running call, in seconds.
+        Longest time to wait for the end of a running call, in seconds.
     """
 
     process: str
     nonce: str
-    wait_s: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_ASK_WAIT_S)]
+    wait_s: typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_QUERY_WAIT_S)]
 
 
 class ClaimStatusReply(msgspec.Struct, frozen=True):
-    """Status of a claim; the answer is given if it ran and is not recorded."""
+    """Status of a claim, with the response if the call ran and is not recorded yet."""
 
     status: claim.Status
     answer: claim.Response | None = None
@@ -97,7 +99,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class UnresolvedClaim:
-    """A claim that only an operator can settle."""
+    """An unresolved claim, which only an operator can settle."""
 
     team: str
     key: str
@@ -108,12 +110,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class UnresolvedClaims:
-    """One page of open claims.
+    """One page of unresolved claims.
 
     Attributes
     ----------
     after : str
-        Row key to go on from; empty at the end of the table.
+        Row key after which the next page starts; empty on the last page.
     """
 
     claims: list[UnresolvedClaim]
@@ -129,7 +131,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Changed:
-    """The claim changed meanwhile, for example by another operator."""
+    """The claim was changed concurrently, for example by another operator."""
 
 
 Settlement = (
@@ -145,19 +147,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class ActiveCall:
-    """A keyed call that runs or is being recorded."""
+    """A keyed call that is running or being recorded."""
 
     team: str
     key: str
 
 
-class _Job:
-    """A call in execution on this node; it goes on when its caller leaves."""
+class _RunningCall:
+    """A call that this node executes, even if its caller disconnects."""
 
     def __init__(self, call: ActiveCall, fingerprint: str) -> None:
         self.call = call
         self.fingerprint = fingerprint
-        self.own_outcome: Response | refusal.Refusal | None = None
+        self.sent_result: Response | refusal.Refusal | None = None
         self.result: Response | refusal.Refusal | None = None
         self.done = trio.Event()
 
@@ -168,17 +170,17 @@
 
 
 class KeyedCalls:
-    """Executes keyed calls of this node and answers peers about them.
+    """Executes the keyed calls of this node and reports their status to peers.
 
     Parameters
     ----------
     process : str
-        Incarnation of this process, never used before.
+        Incarnation of this process; unique for each start.
     lease : session.Lease
-        Session of this node; a claim starts only while it is valid, so a
+        Session of this node. A call is claimed only while it is valid, so a
         revoked session proves that its calls can no longer be sent.
     wall : callable
-        Wall clock, in seconds; operators' settlements depend on it.
+        Wall clock in seconds; it decides when an operator may settle a claim.
     """
 
     def __init__(
@@ -196,7 +198,7 @@
         self._objects = objects
         self._peers = peers
         self._wall = wall
-        self._jobs: dict[str, _Job] = {}
+        self._running_calls: dict[str, _RunningCall] = {}
         self._nursery: trio.Nursery | None = None
         self._progress = trio.Event()
         peers.register(CLAIM_STATUS, self._claim_status)
@@ -204,7 +206,7 @@
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Run the calls; keep it running until ``drain`` has returned."""
+        """Run the calls until cancelled; must not end before ``drain`` has returned."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -212,15 +214,15 @@
 
     async def drain(self) -> None:
         """Wait until every call has ended and its outcome is recorded."""
-        while self._jobs:
+        while self._running_calls:
             await self._progress.wait()
 
     def active_calls(self) -> list[ActiveCall]:
-        """Return the calls that run or are being recorded."""
-        return [job.call for job in self._jobs.values()]
+        """Return the calls that are running or being recorded."""
+        return [running_call.call for running_call in self._running_calls.values()]
 
     async def abort(self) -> None:
-        """End all calls where they are; their claims stay as they are."""
+        """Cancel all calls and leave their claims unchanged."""
         if self._nursery is not None:
             self._nursery.cancel_scope.cancel()
         await self.drain()
@@ -235,36 +237,38 @@
         send: SendCall,
         deadline: float | None = None,
     ) -> Response | refusal.Refusal:
-        """Execute a call at most once and return its first answer.
+        """Execute a call at most once and return the response to its execution.
 
         Parameters
         ----------
         team, key : str
             The team and its idempotency key.
         method, target, body : str, str, bytes
-            What is asked for; the same key with another request is refused.
+            The request; the same key with a different request is refused.
         send : Send
-            Dispatches the call; called at most once.
+            Sends the call; invoked at most once.
         deadline : float, optional
             Monotonic time until which the caller waits, in seconds; the call
-            itself goes on.
+            itself continues.
         """
         now = trio.current_time()
-        until = now + DEADLINE_S if deadline is None else deadline
-        if not 0 < len(key) <= KEY_CHARS:
-            reason = f"Idempotency-Key must have 1 to {KEY_CHARS} characters"
+        wait_until = now + DEFAULT_DEADLINE_S if deadline is None else deadline
+        if not 0 < len(key) <= MAX_KEY_CHARS:
+            reason = f"Idempotency-Key must have 1 to {MAX_KEY_CHARS} characters"
             return refusal.refuse(refusal.BAD_REQUEST, reason)
-        place = claim.row_key(team, key)
+        row_key = claim.row_key(team, key)
         fingerprint = claim.fingerprint(method, target, body)
-        while place in self._jobs:
-            joined = await self._join(self._jobs[place], fingerprint, until)
-            if not _ended_for_others(joined) or trio.current_time() >= until:
-                return joined
-            # The other caller's deadline was earlier than this one's.
-            await trio.sleep(JOIN_RETRY_S)
+        while row_key in self._running_calls:
+            shared_result = await self._share_result(
+                self._running_calls[row_key], fingerprint, wait_until
+            )
+            if not _is_in_progress(shared_result) or trio.current_time() >= wait_until:
+                return shared_result
+            # The running call belongs to a caller with an earlier deadline.
+            await trio.sleep(JOIN_RETRY_INTERVAL_S)
         now = trio.current_time()
         if self._nursery is None or not self._lease.valid(now):
-            reason = "this node has no valid session to claim the call with"
+            reason = "this node has no valid session with which to claim the call"
             return refusal.refuse(refusal.NODE_NOT_CURRENT, reason)
         row = claim.Row(
             team,
@@ -276,70 +280,83 @@
             "",
             self._wall(),
         )
-        job = _Job(ActiveCall(team, key), fingerprint)
-        self._jobs[place] = job
-        send_by = until - SETTLE_S
+        running_call = _RunningCall(ActiveCall(team, key), fingerprint)
+        self._running_calls[row_key] = running_call
+        send_by = wait_until - SEND_CUTOFF_S
 
-        async def send_in_time(pre_send_check: http_client.PreSendCheck) -> SendOutcome:
+        async def send_before_cutoff(
+            pre_send_check: http_client.PreSendCheck,
+        ) -> SendOutcome:
             return await send(pre_send_check, send_by)
 
-        call = claim.Call(row, until)
-        self._nursery.start_soon(self._work, job, call, send_in_time)
-        return await self._result(job, until)
+        call = claim.Call(row, wait_until)
+        self._nursery.start_soon(self._execute, running_call, call, send_before_cutoff)
+        return await self._wait_for_result(running_call, wait_until)
 
-    async def _join(
-        self, job: _Job, fingerprint: str, until: float
+    async def _share_result(
+        self, running_call: _RunningCall, fingerprint: str, wait_until: float
     ) -> Response | refusal.Refusal:
-        """Share the outcome of the same call on this node."""
-        if job.fingerprint != fingerprint:
-            reason = "the idempotency key was used for another request"
+        """Return the result of the same call that already runs on this node."""
+        if running_call.fingerprint != fingerprint:
+            reason = "the idempotency key was used for a different request"
             return refusal.refuse(refusal.KEY_REUSED, reason)
-        result = await self._result(job, until)
+        result = await self._wait_for_result(running_call, wait_until)
         if isinstance(result, Response):
             return dataclasses.replace(result, repeated=True)
         return result
 
-    async def _result(self, job: _Job, until: float) -> Response | refusal.Refusal:
-        with trio.move_on_at(until):
-            await job.done.wait()
-        if job.result is not None:
-            return job.result
-        reason = "the call goes on after its deadline; repeat it with the same key"
+    async def _wait_for_result(
+        self, running_call: _RunningCall, wait_until: float
+    ) -> Response | refusal.Refusal:
+        with trio.move_on_at(wait_until):
+            await running_call.done.wait()
+        if running_call.result is not None:
+            return running_call.result
+        reason = "the call continues after its deadline; repeat it with the same key"
         return refusal.refuse(refusal.IN_PROGRESS, reason, refusal.RunState.UNKNOWN)
 
-    async def _work(self, job: _Job, call: claim.Call, send: _SendInTime) -> None:
+    async def _execute(
+        self, running_call: _RunningCall, call: claim.Call, send: _SendBeforeCutoff
+    ) -> None:
         nonces = iter(lambda: secrets.token_hex(12), "")
         flow = claim.execute(call, self.ledger, nonces, trio.current_time())
         try:
-            taken = next(flow)
+            current_step = next(flow)
             while True:
-                outcome = await self._perform(job, taken, send)
-                taken = flow.send(step.Event(outcome, trio.current_time()))
-                self._notify()
+                outcome = await self._perform_step(running_call, current_step, send)
+                current_step = flow.send(step.Event(outcome, trio.current_time()))
+                self._notify_progress()
         except StopIteration as stop:
             result = typing.cast(Result, stop.value)
-            job.finish(job.own_outcome or await self._finished(result))
+            running_call.finish(
+                running_call.sent_result or await self._recorded_result(result)
+            )
         finally:
-            del self._jobs[call.row_key]
-            self._notify()
+            del self._running_calls[call.row_key]
+            self._notify_progress()
 
-    async def _perform(self, job: _Job, taken: claim.Step, send: _SendInTime) -> object:
-        match taken:
+    async def _perform_step(
+        self,
+        running_call: _RunningCall,
+        current_step: claim.Step,
+        send: _SendBeforeCutoff,
+    ) -> object:
+        match current_step:
             case step.Write():
-                return await self._write(taken)
+                return await self._write(current_step)
             case step.Read():
-                return await executor.perform(self._tables, taken)
+                return await executor.perform(self._tables, current_step)
             case step.Wait(delay_s):
                 await trio.sleep(delay_s)
                 return None
             case claim.Dispatch(nonce):
-                return await self._dispatch(job, nonce, send)
+                return await self._dispatch(running_call, nonce, send)
             case claim.QueryStatus():
-                return await self._ask(taken)
+                return await self._query_status(current_step)
             case claim.LookUpSession(name):
                 found = await self._tables.read(session.TABLE, name)
-                gone = isinstance(found, ports.Absent)
-                return claim.SessionEnded() if gone else claim.SessionMayExist()
+                has_ended = isinstance(found, ports.Absent)
+                return claim.SessionEnded() if has_ended else claim.SessionMayExist()
             case claim.ReportViolation(message):
                 LOG.error("claim_rule_broken", extra={"reason": message})
                 return None
@@ -358,7 +375,9 @@
             self._tables, dataclasses.replace(write, content=content)
         )
 
-    async def _dispatch(self, job: _Job, nonce: str, send: _SendInTime) -> SendOutcome:
+    async def _dispatch(
+        self, running_call: _RunningCall, nonce: str, send: _SendBeforeCutoff
+    ) -> SendOutcome:
         def pre_send_check(_opened_at: float) -> bool:
             return self.ledger.grant(nonce, trio.current_time())
 
@@ -374,40 +393,44 @@
             outcome = claim.OutcomeUnknown(outcome.refusal)
         match outcome:
             case claim.Delivered(answer):
-                job.own_outcome = _answer(answer, answer.body, repeated=False)
+                running_call.sent_result = _to_response(
+                    answer, answer.body, repeated=False
+                )
             case claim.OutcomeUnknown(refused):
-                job.own_outcome = claim.as_possibly_run(refused)
+                running_call.sent_result = claim.as_possibly_run(refused)
             case claim.NotSent():
                 return outcome
         assert self._nursery is not None
-        self._nursery.start_soon(self._finish_later, job, job.own_outcome)
+        self._nursery.start_soon(
+            self._finish_after_wait, running_call, running_call.sent_result
+        )
         return outcome
 
-    async def _finish_later(
-        self, job: _Job, result: Response | refusal.Refusal
+    async def _finish_after_wait(
+        self, running_call: _RunningCall, result: Response | refusal.Refusal
     ) -> None:
         with trio.move_on_after(RECORD_WAIT_S):
-            await job.done.wait()
-        job.finish(result)
+            await running_call.done.wait()
+        running_call.finish(result)
 
-    async def _finished(self, result: Result) -> Response | refusal.Refusal:
+    async def _recorded_result(self, result: Result) -> Response | refusal.Refusal:
         if isinstance(result, refusal.Refusal):
             return result
         if not result.object_key:
-            return _answer(result, result.body, repeated=True)
+            return _to_response(result, result.body, repeated=True)
         body = await self._objects.get(result.object_key)
         if isinstance(body, bytes):
-            return _answer(result, body, repeated=True)
-        reason = "the call ran; its answer cannot be read from the object store now"
+            return _to_response(result, body, repeated=True)
+        reason = "the call ran; its response cannot be read from the object store now"
         return refusal.refuse(refusal.STORE_UNAVAILABLE, reason, refusal.RunState.RAN)
 
-    async def _ask(
-        self, ask: claim.QueryStatus
+    async def _query_status(
+        self, query: claim.QueryStatus
     ) -> claim.StatusReply | claim.Unreachable:
-        wait_s = min(max(ask.wait_s, 0.0), MAX_ASK_WAIT_S)
-        request = ClaimStatusRequest(ask.process, ask.nonce, wait_s)
+        wait_s = min(max(query.wait_s, 0.0), MAX_QUERY_WAIT_S)
+        request = ClaimStatusRequest(query.process, query.nonce, wait_s)
         reply = await self._peers.call(
-            ask.node, CLAIM_STATUS, request, wait_s + ASK_MARGIN_S
+            query.node, CLAIM_STATUS, request, wait_s + QUERY_MARGIN_S
         )
         if isinstance(reply, rpc.Unreachable):
             return claim.Unreachable()
@@ -419,23 +442,23 @@
             while status in (claim.Status.ACTIVE, claim.Status.SENT):
                 await self._progress.wait()
                 status, answer = self.ledger.status(request.process, request.nonce)
-        if answer is not None and len(answer.body) > TOLD_BYTES:
+        if answer is not None and len(answer.body) > MAX_STATUS_BODY_BYTES:
             answer = None
         return ClaimStatusReply(status, answer)
 
-    def _notify(self) -> None:
+    def _notify_progress(self) -> None:
         self._progress.set()
         self._progress = trio.Event()
 
     async def unresolved_claims(
         self, team: str, after: str = "", limit: int = PAGE_ROWS
     ) -> UnresolvedClaims | ports.Unavailable:
-        """Read one page of a team's claims and return those left unknown."""
+        """Read a page of a team's claims and return the unresolved ones."""
         prefix = f"{team}:"
         rows = await self._tables.scan(claim.TABLE, prefix, after, limit)
         if isinstance(rows, ports.Unavailable):
             return rows
-        gone: dict[str, bool] = {}
+        ended_sessions: dict[str, bool] = {}
         found: list[UnresolvedClaim] = []
         for stored in rows:
             decoded = executor.decode(stored.version, stored.content, claim.Row)
@@ -443,12 +466,12 @@
                 LOG.error("claim_unreadable", extra={"key": stored.key})
                 continue
             row: claim.Row = decoded.content
-            if row.state is claim.State.CLAIMED and row.session not in gone:
-                is_gone = await self._session_gone(row.session)
-                if isinstance(is_gone, ports.Unavailable):
-                    return is_gone
-                gone[row.session] = is_gone
-            if claim.needs_operator(row, gone.get(row.session, False)):
+            if row.state is claim.State.CLAIMED and row.session not in ended_sessions:
+                has_ended = await self._has_session_ended(row.session)
+                if isinstance(has_ended, ports.Unavailable):
+                    return has_ended
+                ended_sessions[row.session] = has_ended
+            if claim.needs_operator(row, ended_sessions.get(row.session, False)):
                 item = UnresolvedClaim(
                     row.team, row.key, row.node, row.claimed_wall, row.note
                 )
@@ -458,22 +481,22 @@
     async def settle(
         self, team: str, key: str, verdict: claim.Verdict, note: str
     ) -> Settlement:
-        """Settle a claim left unknown, as an operator found it at the upstream."""
-        place = claim.row_key(team, key)
-        stored = await self._tables.read(claim.TABLE, place)
+        """Settle an unresolved claim with what an operator found at the upstream."""
+        row_key = claim.row_key(team, key)
+        stored = await self._tables.read(claim.TABLE, row_key)
         if not isinstance(stored, ports.Row):
             return stored
         decoded = executor.decode(stored.version, stored.content, claim.Row)
         if isinstance(decoded, step.Malformed):
             return claim.NotSettleable(f"the claim cannot be read: {decoded.reason}")
-        gone = await self._session_gone(decoded.content.session)
-        if isinstance(gone, ports.Unavailable):
-            return gone
+        has_ended = await self._has_session_ended(decoded.content.session)
+        if isinstance(has_ended, ports.Unavailable):
+            return has_ended
         wall = self._wall()
-        settled = claim.settle(decoded.content, verdict, gone, wall, note)
+        settled = claim.settle(decoded.content, verdict, has_ended, wall, note)
         if not isinstance(settled, claim.Row):
             return settled
-        write = step.Write(claim.TABLE, place, settled, stored.version)
+        write = step.Write(claim.TABLE, row_key, settled, stored.version)
         match await executor.perform(self._tables, write):
             case step.Applied():
                 return Settled(verdict)
@@ -483,17 +506,17 @@
                 return ports.Unavailable(reason, maybe_applied)
         raise AssertionError("a write has no other outcome")
 
-    async def _session_gone(self, name: str) -> bool | ports.Unavailable:
+    async def _has_session_ended(self, name: str) -> bool | ports.Unavailable:
         found = await self._tables.read(session.TABLE, name)
         if isinstance(found, ports.Unavailable):
             return found
         return isinstance(found, ports.Absent)
 
 
-def _ended_for_others(result: Response | refusal.Refusal) -> bool:
+def _is_in_progress(result: Response | refusal.Refusal) -> bool:
     in_progress = refusal.IN_PROGRESS
     return isinstance(result, refusal.Refusal) and result.kind == in_progress
 
 
-def _answer(answer: claim.Response, body: bytes, repeated: bool) -> Response:
+def _to_response(answer: claim.Response, body: bytes, repeated: bool) -> Response:
     return Response(answer.status, answer.headers, body, repeated)
--- a/packages/snipelug-node/src/snipelug_node/router.py
+++ b/packages/snipelug-node/src/snipelug_node/router.py
@@ -1,4 +1,4 @@
-"""Chooses engines for chat requests and prepares their cache."""
+"""Chooses engines for chat requests and prepares their caches."""
 
 import collections.abc
 import dataclasses
@@ -27,18 +27,18 @@
 LOG = logging.getLogger("snipelug.router")
 
 DEFAULT_ENGINE_SLOTS = 16
-"""Requests that an engine runs at once, where settings do not say otherwise."""
+"""Number of requests that an engine runs concurrently unless the settings differ."""
 
 
 class Cache(typing.Protocol):
-    """The block index and the transfers between engines and stores."""
+    """The block index and the transfers between engines and KV cache stores."""
 
     async def lookup(self, chain: block.Chain) -> index.PrefixLocations:
-        """Return the known locations of a prompt's blocks."""
+        """Return the known locations of a prompt's KV cache blocks."""
         ...
 
     def links(self) -> collections.abc.Mapping[tuple[str, str], link.Link]:
-        """Return the free rate of each link, by store and zone."""
+        """Return the available rate of each link, by KV cache store and zone."""
         ...
 
     async def fetch(
@@ -48,21 +48,21 @@
         keys: collections.abc.Sequence[block.Key],
         expected_s: float,
     ) -> None:
-        """Have an engine import blocks."""
+        """Make an engine import KV cache blocks."""
         ...
 
     def record_response(
         self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
-        """Take note of a whole answer: the engine now holds the prompt's blocks."""
+        """Record a complete response; the engine now has the prompt's blocks cached."""
         ...
 
 
 class Grants(typing.Protocol):
-    """Cold-start slots, as far as routing needs to know them."""
+    """What routing needs to know about cold-start slots."""
 
     def is_granted(self, upstream_id: str, now: float) -> bool:
-        """Whether this node can send to a cold upstream without asking others."""
+        """Return whether this node itself can grant a send to a cold upstream."""
         ...
 
     def wait_s(self, upstream: table.Upstream, now: float) -> float:
@@ -77,17 +77,17 @@
     Attributes
     ----------
     cfg : callable
-        The configuration in force.
+        Returns the configuration in force.
     is_suspect : callable
-        Whether a request has crashed an engine before, by its fingerprint.
+        Returns whether a request, given its fingerprint, crashed an engine before.
     suspects_at : callable
-        Requests with one crash that this node runs at an upstream.
+        Returns how many requests with one crash this node runs on an upstream.
     """
 
     settings: settings.Settings
     tables: table.Tables
     cfg: collections.abc.Callable[[], contract.Config]
-    may_send: sender.MaySend
+    may_send: sender.SendCheck
     cache: Cache
     grants: Grants
     is_suspect: collections.abc.Callable[[str], bool]
@@ -100,21 +100,21 @@
     )
 
     async def choose(self, job: dispatch.Job) -> dispatch.Choice | refusal.Refusal:
-        """Choose an engine that is not excluded, and prepare its cache."""
+        """Choose an engine that is not excluded and prepare its cache."""
         cfg = self.cfg()
         targets = list(self._targets(cfg))
         outcome: route.Decision | route.NoUpstream = route.NoUpstream(())
         req = self._request(job, "", cfg)
-        for version in self._versions(job, targets, cfg):
+        for version in self._weight_versions(job, targets, cfg):
             req = self._request(job, version, cfg)
             assert req.chain is not None
             found = await self.cache.lookup(req.chain)
-            facts = self._facts(cfg, found)
-            outcome = self.chooser.choose(req, targets, facts, self.rng)
+            context = self._routing_context(cfg, found)
+            outcome = self.chooser.choose(req, targets, context, self.rng)
             fields = route.record(req, self.chooser, outcome)
             lines.event(LOG, str(fields.pop("event")), **fields)
             if isinstance(outcome, route.Decision):
-                return await self._prepare(req, outcome, facts)
+                return await self._prepare(req, outcome, context)
             awaiting = outcome.awaiting_grant()
             if awaiting:
                 upstream = self.tables.upstreams[self.rng.choice(awaiting)]
@@ -125,7 +125,7 @@
     def record_completed(
         self, job: dispatch.Job, choice: dispatch.Choice, usage: stream.Usage
     ) -> None:
-        """Learn from a whole answer."""
+        """Update the speed estimates and the cache from a complete response."""
         now = trio.current_time()
         first_at = job.first_data_at or now
         sample = pace.Sample(
@@ -137,22 +137,22 @@
         self.cache.record_response(job, choice, choice.found)
 
     def record_sent(self, choice: dispatch.Choice, run_id: str) -> None:
-        """Note that a run was sent."""
+        """Record that a run was sent."""
         upstream_id = choice.upstream.instance.id
         self.backlog.sent(upstream_id, run_id, choice.work_s, trio.current_time())
 
     def record_first_token(self, choice: dispatch.Choice, run_id: str) -> None:
-        """Note that a run brought its first token."""
+        """Record the first token of a run."""
         upstream_id = choice.upstream.instance.id
         self.backlog.first_token(upstream_id, run_id, trio.current_time())
 
     def record_ended(self, choice: dispatch.Choice, run_id: str) -> None:
-        """Note that a run ended."""
+        """Record the end of a run."""
         upstream_id = choice.upstream.instance.id
         self.backlog.ended(upstream_id, run_id, trio.current_time())
 
     def pace_of(self, inst: table.Instance) -> pace.Pace:
-        """Return what is known of the speed of engines of this kind."""
+        """Return the speed estimates of engines with this instance's name."""
         return self.paces.setdefault(inst.name, pace.Pace())
 
     def _targets(self, cfg: contract.Config) -> collections.abc.Iterator[route.Target]:
@@ -172,15 +172,15 @@
         self, upstream: table.Upstream, cfg: contract.Config, now: float
     ) -> route.Target:
         inst = upstream.instance
-        known = self.pace_of(inst)
-        serves = frozenset({inst.name}) if inst.name else frozenset(cfg.models)
+        engine_pace = self.pace_of(inst)
+        served_names = frozenset({inst.name}) if inst.name else frozenset(cfg.models)
         profile = route.Profile(
-            serves=serves,
+            serves=served_names,
             slots=self.settings.engine_slots,
-            service_s=known.service_s,
-            prefill_s=known.prefill_s,
+            service_s=engine_pace.service_s,
+            prefill_s=engine_pace.prefill_s,
         )
-        # A connection that is newer than the last report is judged when it is used.
+        # Whether the connection is newer than the last report is checked at the send.
         verdict = self.may_send(upstream, -1.0, now)
         needs_grant = isinstance(verdict, load.NeedsGrant)
         queue = load.estimate_queue(upstream)
@@ -188,12 +188,12 @@
         if not needs_grant:
             backlog_s += self.grants.wait_s(upstream, now)
         target = route.make_target(upstream, profile, queue, needs_grant, backlog_s)
-        full = upstream.in_flight >= self.settings.upstream_in_flight
-        if isinstance(verdict, load.Excluded) or full:
+        is_full = upstream.in_flight >= self.settings.upstream_in_flight
+        if isinstance(verdict, load.Excluded) or is_full:
             target = dataclasses.replace(target, leaving=True)
         return target
 
-    def _versions(
+    def _weight_versions(
         self,
         job: dispatch.Job,
         targets: collections.abc.Iterable[route.Target],
@@ -208,9 +208,9 @@
         self, job: dispatch.Job, version: str, cfg: contract.Config
     ) -> route.Request:
         body = job.chat.body
-        served = with_version(cfg.models[body.model], version)
+        served_model = with_version(cfg.models[body.model], version)
         secret = self.settings.key
-        chain = block.chain(secret, job.contract.team, served, job.chat.prompt)
+        chain = block.chain(secret, job.contract.team, served_model, job.chat.prompt)
         return route.Request(
             id=job.request_id,
             team=job.contract.team,
@@ -221,12 +221,12 @@
             excluded=frozenset(job.excluded),
         )
 
-    def _facts(
+    def _routing_context(
         self, cfg: contract.Config, found: index.PrefixLocations
     ) -> route.RoutingContext:
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
-        own = self.settings.zone
-        delays = {z: settings.zone_delay_s(self.settings, own, z) for z in zones}
+        own_zone = self.settings.zone
+        delays = {z: settings.zone_delay_s(self.settings, own_zone, z) for z in zones}
         return route.RoutingContext(
             cfg=cfg,
             found=found,
@@ -236,11 +236,14 @@
         )
 
     async def _prepare(
-        self, req: route.Request, decision: route.Decision, facts: route.RoutingContext
+        self,
+        req: route.Request,
+        decision: route.Decision,
+        context: route.RoutingContext,
     ) -> dispatch.Choice:
         assert req.chain is not None
         upstream = self.tables.upstreams[decision.chosen.id]
-        fetches = route.plan_fetch(decision.chosen, facts)
+        fetches = route.plan_fetch(decision.chosen, context)
         if fetches:
             expected_s = decision.chosen.fetch_s
             await self.cache.fetch(
@@ -248,10 +251,10 @@
             )
         work_s = decision.chosen.fetch_s + decision.chosen.prefill_s
         return dispatch.Choice(
-            upstream, req.weight_version, req.chain, facts.found, work_s
+            upstream, req.weight_version, req.chain, context.found, work_s
         )
 
 
 def with_version(model: contract.Model, version: str) -> contract.Model:
-    """Return a model with the weight version that an engine serves."""
+    """Return the model with the weight version that an engine serves."""
     return contract.Model(model.name, model.tokenizer, model.adapter, version)
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -1,4 +1,4 @@
-"""Sends to upstreams, each judged again right before its first byte."""
+"""Sends requests to upstreams; checks again right before the first byte of each."""
 
 import collections.abc
 import dataclasses
@@ -9,13 +9,14 @@
 from snipelug_core import load, refusal, table
 from snipelug_net import http_client
 
-WITHHELD_WAIT_S = 2.0
-"""Longest time that a send waits for a load report newer than its connection."""
+MAX_REPORT_WAIT_S = 2.0
+"""Longest time in seconds to wait for a load report newer than the connection."""
 
-REPORT_POLL_S = 0.02
+REPORT_POLL_INTERVAL_S = 0.02
 
-LOOK_TIMEOUT_S = 0.1
-"""Bound on the read of a quiet upstream's load; load.STALE_S holds without it."""
+LOAD_READ_TIMEOUT_S = 0.1
+"""Timeout in seconds for reading the load of an idle upstream before a send. The send
+then proceeds; load.STALE_S is enforced independently of this read."""
 
 
 class Slot(typing.Protocol):
@@ -27,25 +28,25 @@
         ...
 
     def record_accepted(self, now: float) -> None:
-        """Note that the upstream accepted the request."""
+        """Record that the upstream accepted the request."""
         ...
 
     def valid(self, now: float) -> bool:
-        """Whether the permission still holds."""
+        """Return whether the permission is still valid."""
         ...
 
     def release(self, has_ended: bool) -> None:
-        """Give the slot back; say whether a sent request has surely ended."""
+        """Release the slot; ``has_ended`` if the request certainly runs no more."""
         ...
 
 
 class Slots(typing.Protocol):
-    """Cold-start slots of all upstreams."""
+    """The cold-start slots of all upstreams."""
 
     async def acquire(
         self, upstream_id: str, deadline: float
     ) -> Slot | refusal.Refusal:
-        """Obtain a slot."""
+        """Acquire a slot."""
         ...
 
     async def acquire_warm(
@@ -55,45 +56,46 @@
         is_warm: collections.abc.Callable[[], bool],
         may_wait: bool = True,
     ) -> Slot | refusal.Refusal | None:
-        """Obtain a slot while the upstream is known to be warm; None afterwards."""
+        """Acquire a slot while the upstream is warm; return None if it no longer is."""
         ...
 
     async def acquire_suspect(
         self, upstream_id: str, deadline: float
     ) -> Slot | refusal.Refusal:
-        """Obtain the one slot for requests that crashed an upstream before."""
+        """Acquire the only slot for requests that crashed an upstream before."""
         ...
 
 
-MaySend = collections.abc.Callable[[table.Upstream, float, float], load.Verdict]
-"""Judges a send from the upstream, its connection's opening time and now."""
+SendCheck = collections.abc.Callable[[table.Upstream, float, float], load.Verdict]
+"""Evaluates a send, given the upstream, the opening time of the connection and the
+current time."""
 
 
 @dataclasses.dataclass
-class Permit:
-    """Leave to send one request to an upstream, from the check to its end.
+class SendPermit:
+    """Permission to send one request to an upstream, held until the request ends.
 
     Attributes
     ----------
     slot : Slot or None
-        Cold-start slot; a warm upstream may have turned cold without notice.
+        Cold-start slot; warm upstreams need one too, as they may turn cold unannounced.
     suspect_slot : Slot or None
         Slot of a request that crashed an upstream before.
-    counted : bool
-        The request counts as in flight at the upstream.
+    is_counted : bool
+        Whether the request counts as in flight at the upstream.
     verdict : load.Verdict or None
         Result of the last check.
     """
 
     upstream: table.Upstream
-    may_send: MaySend
+    may_send: SendCheck
     slot: Slot | None = None
     suspect_slot: Slot | None = None
-    counted: bool = False
+    is_counted: bool = False
     verdict: load.Verdict | None = None
 
     def check(self, conn_opened_at: float) -> bool:
-        """Judge the send; must be the last step before the first byte."""
+        """Check the send; must be the last step before the first byte."""
         now = trio.current_time()
         self.verdict = self.may_send(self.upstream, conn_opened_at, now)
         if isinstance(self.verdict, load.Excluded):
@@ -108,15 +110,15 @@
     def count(self) -> None:
         """Count the request as in flight."""
         load.record_sent(self.upstream, trio.current_time())
-        self.counted = True
+        self.is_counted = True
 
     def release(self, has_ended: bool) -> None:
-        """End the request's accounting; later calls have no effect.
+        """Release the slots and stop counting the request; later calls have no effect.
 
         Parameters
         ----------
         has_ended : bool
-            The answer came to its end, so the upstream runs the request no more.
+            Whether the response ended, so that the upstream no longer runs the request.
         """
         if self.slot is not None:
             self.slot.release(has_ended)
@@ -124,8 +126,8 @@
         if self.suspect_slot is not None:
             self.suspect_slot.release(has_ended)
             self.suspect_slot = None
-        if self.counted:
-            self.counted = False
+        if self.is_counted:
+            self.is_counted = False
             load.record_ended(self.upstream, trio.current_time())
 
 
@@ -133,18 +135,18 @@
 class Opened:
     """The head of a response arrived; the caller releases the permit."""
 
-    permit: Permit
+    permit: SendPermit
     reply: http_client.StreamingResponse
 
 
 @dataclasses.dataclass(frozen=True)
 class Blocked:
-    """Nothing was sent, because the upstream may not be sent to.
+    """Nothing was sent because the request may not be sent to the upstream.
 
     Attributes
     ----------
     is_busy : bool
-        The upstream is warm, and its slots are in use.
+        Whether the upstream is warm and all its slots are in use.
     """
 
     refusal: refusal.Refusal
@@ -156,17 +158,17 @@
 
 @dataclasses.dataclass
 class Sender:
-    """Sends requests to upstreams that may take them.
+    """Sends requests to upstreams as soon as they may be sent to.
 
     Attributes
     ----------
     refresh : callable
-        Reads an upstream's load report now.
+        Reads an upstream's load report immediately.
     """
 
     pool: http_client.Pool
     slots: Slots
-    may_send: MaySend
+    may_send: SendCheck
     refresh: collections.abc.Callable[[table.Upstream], collections.abc.Awaitable[None]]
 
     async def send(
@@ -174,7 +176,7 @@
         upstream: table.Upstream,
         call: http_client.Call,
         deadline: float,
-        granted: http_client.PreSendCheck | None = None,
+        claim_check: http_client.PreSendCheck | None = None,
         is_suspect: bool = False,
         may_wait: bool = True,
     ) -> Outcome:
@@ -183,66 +185,70 @@
         Parameters
         ----------
         upstream : table.Upstream
-            Where to send.
+            The destination.
         call : http_client.Call
             The request.
         deadline : float
-            Monotonic time until which a slot is waited for, in seconds.
-        granted : PreSendCheck, optional
-            Evaluated last of all, after the upstream was judged to be able to
-            take the request; for claims, it marks the claim as sent.
+            Monotonic time until which to wait for a slot, in seconds.
+        claim_check : PreSendCheck, optional
+            Evaluated last, after the check of the upstream passed; it marks the
+            request's claim as sent.
         is_suspect : bool
-            The request crashed an upstream before, so it runs alone among such
-            requests; a request that only ran beside it does not meet it again.
+            Whether the request crashed an upstream before. Only one such request
+            runs on an upstream at a time, so a request that merely ran beside the
+            one at fault does not run beside it again.
         may_wait : bool
-            Wait for a slot of a warm upstream; otherwise the outcome is busy.
+            Whether to wait for a slot of a warm upstream; otherwise the outcome is
+            ``Blocked`` with ``is_busy``.
         """
-        give_up_at = min(deadline, trio.current_time() + WITHHELD_WAIT_S)
-        permit = Permit(upstream, self.may_send)
+        give_up_at = min(deadline, trio.current_time() + MAX_REPORT_WAIT_S)
+        permit = SendPermit(upstream, self.may_send)
         if load.needs_recheck(upstream, trio.current_time()):
-            with trio.move_on_after(LOOK_TIMEOUT_S):
+            with trio.move_on_after(LOAD_READ_TIMEOUT_S):
                 await self.refresh(upstream)
         try:
             while True:
                 refused = await self._prepare(permit, deadline, is_suspect, may_wait)
                 if refused is not None:
                     return Blocked(refused, is_busy=not may_wait)
-                outcome = await self.pool.send(call, _pre_send_check(permit, granted))
+                outcome = await self.pool.send(
+                    call, _pre_send_check(permit, claim_check)
+                )
                 if isinstance(outcome, http_client.StreamingResponse):
                     if permit.slot is not None:
                         permit.slot.record_accepted(trio.current_time())
-                    kept, permit = permit, Permit(upstream, self.may_send)
-                    return Opened(kept, outcome)
+                    opened_permit, permit = permit, SendPermit(upstream, self.may_send)
+                    return Opened(opened_permit, outcome)
                 if not isinstance(outcome, http_client.Withheld):
                     return outcome
-                if not _worth_waiting(permit) or trio.current_time() > give_up_at:
-                    return Blocked(_withheld(permit))
+                if not _needs_grant(permit) or trio.current_time() > give_up_at:
+                    return Blocked(_withheld_refusal(permit))
         finally:
             permit.release(has_ended=False)
 
     async def _prepare(
-        self, permit: Permit, deadline: float, is_suspect: bool, may_wait: bool
+        self, permit: SendPermit, deadline: float, is_suspect: bool, may_wait: bool
     ) -> refusal.Refusal | None:
-        """Obtain what the request and the last verdict ask for."""
+        """Acquire the slots or wait for the report that the last verdict requires."""
         upstream_id = permit.upstream.instance.id
         if is_suspect:
             if permit.suspect_slot is not None:
                 permit.suspect_slot.release(has_ended=False)
                 permit.suspect_slot = None
-            alone = await self.slots.acquire_suspect(upstream_id, deadline)
-            if isinstance(alone, refusal.Refusal):
-                return alone
-            permit.suspect_slot = alone
+            suspect_slot = await self.slots.acquire_suspect(upstream_id, deadline)
+            if isinstance(suspect_slot, refusal.Refusal):
+                return suspect_slot
+            permit.suspect_slot = suspect_slot
         verdict = permit.verdict
         if verdict is None:
-            # Connections of any age are judged again before the send.
+            # The age of the connection is checked only right before the send.
             verdict = self.may_send(permit.upstream, -1.0, trio.current_time())
         if isinstance(verdict, load.Excluded):
             return None
         slot = permit.slot
-        if slot is not None and not slot.covers_cold and _is_newer(verdict):
+        if slot is not None and not slot.covers_cold and _is_connection_newer(verdict):
             await self.refresh(permit.upstream)
-            await trio.sleep(REPORT_POLL_S)
+            await trio.sleep(REPORT_POLL_INTERVAL_S)
             return None
         if slot is not None:
             slot.release(has_ended=False)
@@ -260,13 +266,13 @@
     async def _acquire(
         self, upstream: table.Upstream, deadline: float, may_wait: bool
     ) -> Slot | refusal.Refusal:
-        """Obtain a slot: quickly while the upstream is warm, else a cold start's."""
+        """Acquire a slot of a warm upstream, or else a cold-start slot."""
 
-        def judge() -> load.Verdict:
+        def evaluate() -> load.Verdict:
             return self.may_send(upstream, -1.0, trio.current_time())
 
         def is_warm() -> bool:
-            return isinstance(judge(), load.Allowed)
+            return isinstance(evaluate(), load.Allowed)
 
         upstream_id = upstream.instance.id
         if is_warm():
@@ -275,19 +281,19 @@
             )
             if slot is not None:
                 return slot
-        verdict = judge()
+        verdict = evaluate()
         if isinstance(verdict, load.Excluded):
-            return _barred(upstream, verdict.reason.value)
+            return _blocked_refusal(upstream, verdict.reason.value)
         return await self.slots.acquire(upstream_id, deadline)
 
 
 def _pre_send_check(
-    permit: Permit, granted: http_client.PreSendCheck | None
+    permit: SendPermit, claim_check: http_client.PreSendCheck | None
 ) -> http_client.PreSendCheck:
     def check(conn_opened_at: float) -> bool:
         if not permit.check(conn_opened_at):
             return False
-        if granted is not None and not granted(conn_opened_at):
+        if claim_check is not None and not claim_check(conn_opened_at):
             return False
         permit.count()
         return True
@@ -295,22 +301,22 @@
     return check
 
 
-def _is_newer(verdict: load.Verdict) -> bool:
+def _is_connection_newer(verdict: load.Verdict) -> bool:
     newer = load.Reason.CONNECTION_NEWER
     return isinstance(verdict, load.NeedsGrant) and verdict.reason is newer
 
 
-def _worth_waiting(permit: Permit) -> bool:
+def _needs_grant(permit: SendPermit) -> bool:
     return isinstance(permit.verdict, load.NeedsGrant)
 
 
-def _withheld(permit: Permit) -> refusal.Refusal:
-    reason = "the right to send has lapsed"
+def _withheld_refusal(permit: SendPermit) -> refusal.Refusal:
+    reason = "the permission to send has expired"
     if isinstance(permit.verdict, load.Excluded | load.NeedsGrant):
         reason = permit.verdict.reason.value
-    return _barred(permit.upstream, reason)
+    return _blocked_refusal(permit.upstream, reason)
 
 
-def _barred(upstream: table.Upstream, reason: str) -> refusal.Refusal:
+def _blocked_refusal(upstream: table.Upstream, reason: str) -> refusal.Refusal:
     message = f"upstream {upstream.instance.id} may not be sent to: {reason}"
     return refusal.refuse(refusal.NO_UPSTREAM, message)
