--- a/packages/snipelug-node/src/snipelug_node/expiry.py
+++ b/packages/snipelug-node/src/snipelug_node/expiry.py
@@ -15,7 +15,7 @@
 LOG = logging.getLogger("snipelug.order")
 
 MAX_SWEEP_BYTES_PER_S = 1000.0
-"""Maximum rate at which a node reads claims; a ninth of its 9 KB/s of control traffic."""
+"""Maximum rate at which a node reads claims: a ninth of its 9 KB/s control traffic."""
 
 SWEEP_INTERVAL_S = 600.0
 
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -43,7 +43,7 @@
 MAX_QUERY_WAIT_S = 10.0
 
 SendOutcome = claim.Delivered | claim.NotSent | claim.OutcomeUnknown
-"""Outcome of a send: a complete response, no byte sent, or an unknown result."""
+"""Outcome of a send: complete response, no byte sent, or sent with unknown result."""
 
 SendCall = collections.abc.Callable[
     [http_client.PreSendCheck, float], collections.abc.Awaitable[SendOutcome]
