--- a/packages/snipelug-node/src/snipelug_node/gateway.py
+++ b/packages/snipelug-node/src/snipelug_node/gateway.py
@@ -224,28 +224,28 @@
         team: contract.Contract,
         cost: float,
         deadline: float,
-    ) -> limiter.Ticket | refusal.Refusal:
+    ) -> limiter.Permit | refusal.Refusal:
         """Add an open request and wait until its team's limits permit it to run."""
         self.open_requests[open_request.request] = open_request
-        permit: limiter.Ticket | refusal.Refusal | None = None
+        permit: limiter.Permit | refusal.Refusal | None = None
         try:
-            permit = await self.limits.enter(team, cost, deadline)
+            permit = await self.limits.acquire(team, cost, deadline)
             return permit
         finally:
-            if not isinstance(permit, limiter.Ticket):
+            if not isinstance(permit, limiter.Permit):
                 del self.open_requests[open_request.request]
 
     def _release_callback(
         self,
         open_request: OpenRequest,
-        permit: limiter.Ticket,
+        permit: limiter.Permit,
         job: dispatch.Job | None = None,
     ) -> collections.abc.Callable[[], None]:
         """Return a function that closes a request and releases its permit once."""
 
         def release_request() -> None:
             if self.open_requests.pop(open_request.request, None) is not None:
-                permit.leave(job.used_tokens if job is not None else None)
+                permit.release(job.used_tokens if job is not None else None)
 
         return release_request
 
