--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,4 +1,4 @@
-"""Tests of chat runs against scripted engines over real sockets."""
+"""Tests chat runs with scripted engines over real sockets."""
 
 import collections.abc
 import json
@@ -22,32 +22,33 @@
 from snipelug_net import http_client, http_server, poller
 from snipelug_node import chat, crashes, dispatch, sender, slots
 
-# Never listened on: ports below 1024 are privileged.
+# No process listens on it, as ports below 1024 are privileged.
 CLOSED_PORT = 1
-NEVER = float("inf")
-DECLINES = ("400", "409", "429", "503")
+UNLIMITED = float("inf")
+DECLINING_STATUSES = ("400", "409", "429", "503")
 WORDS = ["alpha ", "beta ", "gamma ", "delta "]
 
 
-def event(run_id: str, **fields: object) -> bytes:
+def sse_event(run_id: str, **fields: object) -> bytes:
     content = {"id": run_id, "weight_version": "w1", **fields}
     return b"data: " + json.dumps(content).encode() + b"\n\n"
 
 
-def delta(run_id: str, text: str) -> bytes:
-    return event(run_id, choices=[{"index": 0, "delta": {"content": text}}])
+def delta_event(run_id: str, text: str) -> bytes:
+    return sse_event(run_id, choices=[{"index": 0, "delta": {"content": text}}])
 
 
-def ending(run_id: str) -> bytes:
+def final_events(run_id: str) -> bytes:
     choices = [{"index": 0, "delta": {}, "finish_reason": "stop"}]
     usage = {"prompt_tokens": 3, "completion_tokens": len(WORDS)}
-    return event(run_id, choices=choices, usage=usage) + b"data: [DONE]\n\n"
+    return sse_event(run_id, choices=choices, usage=usage) + b"data: [DONE]\n\n"
 
 
 class Engine:
-    """An engine that goes through a script, one fault per request.
+    """An engine that follows a script of faults, one for each request.
 
-    ``rest`` follows the script; ``possible_runs`` counts what was not declined.
+    ``rest`` is the fault of all requests after the script; ``possible_runs`` counts the
+    requests that were not declined.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
     def may_send(
         self, upstream: table.Upstream, conn_opened_at: float, now: float
     ) -> load.Verdict:
-        """Judge a send; the script's verdicts withhold it."""
+        """Evaluate a send; the script's faults may prevent it."""
         fault = self.faults[0] if self.faults else self.rest
         is_pre_send_check = conn_opened_at >= 0
         if fault != "cold" and (fault != "withheld" or not is_pre_send_check):
@@ -74,7 +75,7 @@
     async def handle(self, req: http_server.Request) -> http_server.Response:
         fault = self.faults.pop(0) if self.faults else self.rest
         fields = json.loads(req.body)
-        self.possible_runs += fault not in DECLINES
+        self.possible_runs += fault not in DECLINING_STATUSES
         if fault.isdigit():
             error = {"error": {"message": "scripted"}}
             return http_server.json_response(int(fault), error)
@@ -105,23 +106,23 @@
             if number == 2 and fault == "cut":
                 raise trio.BrokenResourceError
             if number == 2 and fault == "crossed":
-                yield delta("another", "secret ")
-            yield delta(run_id, word)
+                yield delta_event("another", "secret ")
+            yield delta_event(run_id, word)
             await trio.sleep(0)
         if fault != "unfinished":
-            yield ending(run_id)
+            yield final_events(run_id)
 
 
 class Router:
-    """Chooses engines in order and records what it is told."""
+    """Chooses engines in order and records the pinned versions and completed runs."""
 
     def __init__(self, upstreams: list[table.Upstream]) -> None:
         self.upstreams = upstreams
-        self.finished: list[str] = []
-        self.pins: list[str] = []
+        self.completed_by: list[str] = []
+        self.pinned_versions: list[str] = []
 
     async def choose(self, job: dispatch.Job) -> dispatch.Choice | refusal.Refusal:
-        self.pins.append(job.pinned_version)
+        self.pinned_versions.append(job.pinned_version)
         for upstream in self.upstreams:
             if upstream.instance.id not in job.excluded:
                 chain = block.Chain((), 3, "c")
@@ -136,29 +137,30 @@
     def record_completed(
         self, job: dispatch.Job, choice: dispatch.Choice, usage: stream.Usage
     ) -> None:
-        self.finished.append(choice.upstream.instance.id)
+        self.completed_by.append(choice.upstream.instance.id)
 
 
-class Permissive:
-    """Crash counts, budgets and slots that allow everything, up to a number of crashes.
+class PermissiveLimits:
+    """Crash records, retry budgets and slots that permit everything by default.
 
-    After ``looks`` checks a peer has reported more crashes than are allowed. Sends to
-    ``busy`` upstreams get no slot, once each.
+    A request is quarantined after ``crashes`` crashes, or after ``checks_allowed``
+    checks, as if a peer had reported crashes. For each entry in ``busy`` one send to
+    that upstream gets no slot.
     """
 
     def __init__(
         self,
-        crashes: float = NEVER,
-        looks: float = NEVER,
+        crashes: float = UNLIMITED,
+        checks_allowed: float = UNLIMITED,
         busy: collections.abc.Iterable[str] = (),
     ) -> None:
         self.crashes_left = crashes
-        self.looks_left = looks
+        self.checks_left = checks_allowed
         self.busy = list(busy)
 
     def check(self, fingerprint: str) -> quarantine.Standing | refusal.Refusal:
-        self.looks_left -= 1
-        if self.looks_left < 0:
+        self.checks_left -= 1
+        if self.checks_left < 0:
             return refusal.refuse(refusal.QUARANTINED, "crashed too often")
         return quarantine.Standing.CLEAR
 
@@ -195,11 +197,11 @@
     await trio.sleep(0)
 
 
-async def build(
+async def build_dispatcher(
     nursery: trio.Nursery,
     engines: list[Engine],
-    crashes_allowed: float = NEVER,
-    looks_allowed: float = NEVER,
+    crashes_allowed: float = UNLIMITED,
+    checks_allowed: float = UNLIMITED,
     busy: collections.abc.Iterable[str] = (),
 ) -> tuple[dispatch.Dispatcher, Router]:
     upstreams = []
@@ -210,9 +212,9 @@
             port = await nursery.start(server.serve, "127.0.0.1", 0)
         inst = table.Instance(f"e{number}", table.Role.ENGINE, "127.0.0.1", port, "z")
         upstreams.append(table.Upstream(inst))
-    router, permissive = (
+    router, limits = (
         Router(upstreams),
-        Permissive(crashes_allowed, looks_allowed, busy),
+        PermissiveLimits(crashes_allowed, checks_allowed, busy),
     )
     by_id = {u.instance.id: e for u, e in zip(upstreams, engines, strict=True)}
 
@@ -221,19 +223,19 @@
     ) -> load.Verdict:
         return by_id[upstream.instance.id].may_send(upstream, conn_opened_at, now)
 
-    outgoing = sender.Sender(http_client.Pool(), permissive, may_send, refresh)
-    reader = poller.Poller(stream.next_pass_at)
-    nursery.start_soon(reader.run)
-    made = dispatch.Dispatcher(
-        outgoing,
+    request_sender = sender.Sender(http_client.Pool(), limits, may_send, refresh)
+    body_poller = poller.Poller(stream.next_pass_at)
+    nursery.start_soon(body_poller.run)
+    dispatcher = dispatch.Dispatcher(
+        request_sender,
         router,
-        permissive,
-        permissive,
+        limits,
+        limits,
         lambda _: "salt",
         lambda *_: None,
-        reader,
+        body_poller,
     )
-    return made, router
+    return dispatcher, router
 
 
 def make_job(streamed: bool, once: bool = False, seed: int | None = 1) -> dispatch.Job:
@@ -254,33 +256,33 @@
 
 
 class Caller:
-    """A caller's connection that takes every other part only after a wait."""
+    """A caller's connection that must be drained after every other write."""
 
     def __init__(self, drained: trio.Event | None = None) -> None:
         self.received = b""
-        self.offers = 0
+        self.writes = 0
         self.drained = drained
-        self._has_rest = False
+        self._must_drain = False
 
     def write_nowait(self, part: bytes) -> bool:
-        assert not self._has_rest, "offered a part before the rest was drained"
+        assert not self._must_drain, "wrote a part before the connection was drained"
         self.received += part
-        self.offers += 1
-        self._has_rest = self.offers % 2 == 1
-        return not self._has_rest
+        self.writes += 1
+        self._must_drain = self.writes % 2 == 1
+        return not self._must_drain
 
     async def drain(self) -> None:
-        if self._has_rest and self.drained is not None:
+        if self._must_drain and self.drained is not None:
             await self.drained.wait()
-        self._has_rest = False
+        self._must_drain = False
 
 
-async def relay(made: dispatch.Dispatcher, job: dispatch.Job) -> bytes | str:
-    opened = await made.open(job)
+async def relay(dispatcher: dispatch.Dispatcher, job: dispatch.Job) -> bytes | str:
+    opened = await dispatcher.open(job)
     if isinstance(opened, refusal.Refusal):
         return opened.run_state.value
     caller = Caller()
-    await made.relay(job, opened, caller)
+    await dispatcher.relay(job, opened, caller)
     return caller.received
 
 
@@ -289,7 +291,7 @@
     ("declined elsewhere", ["503"], 1, "whole"),
     ("other version elsewhere", ["409"], 1, "whole"),
     ("cut and resumed", ["cut"], 1, "whole"),
-    ("crossed and resumed", ["crossed"], 1, "whole"),
+    ("event of another run and resumed", ["crossed"], 1, "whole"),
     ("unfinished and resumed", ["unfinished"], 1, "whole"),
     ("cut, not deterministic", ["cut"], None, "error"),
     ("all decline", ["503", "503"], 1, "not_run"),
@@ -301,10 +303,10 @@
 async def test_stream_is_whole_or_ends_with_an_error(
     nursery: trio.Nursery, name: str, faults: list[str], seed: int | None, expected: str
 ) -> None:
-    """Guards against silent cuts, foreign chunks and false run states."""
+    """Guards against unreported cuts, chunks of other runs and false run states."""
     engines = [Engine(faults[:1]), Engine(faults[1:])]
-    made, router = await build(nursery, engines)
-    result = await relay(made, make_job(streamed=True, seed=seed))
+    dispatcher, router = await build_dispatcher(nursery, engines)
+    result = await relay(dispatcher, make_job(streamed=True, seed=seed))
     if isinstance(result, str):
         assert result == expected
         return
@@ -320,7 +322,7 @@
     texts = [c["choices"][0]["delta"].get("content", "") for c in chunks]
     assert "".join(texts) == "".join(WORDS)
     assert {c["id"] for c in chunks} == {"req"}
-    assert len(router.finished) == 1
+    assert len(router.completed_by) == 1
 
 
 WHOLE = [
@@ -339,10 +341,10 @@
 async def test_keyed_request_is_never_run_again(
     nursery: trio.Nursery, faults: list[str], once: bool, expected: str, runs: int
 ) -> None:
-    """Guards against a second run of a request that may have run, and false states."""
+    """Guards against a second run of a keyed request and against false run states."""
     engines = [Engine(faults[:1]), Engine(faults[1:])]
-    made, _ = await build(nursery, engines)
-    result = await made.collect(make_job(streamed=False, once=once))
+    dispatcher, _ = await build_dispatcher(nursery, engines)
+    result = await dispatcher.collect(make_job(streamed=False, once=once))
     assert sum(len(engine.runs) for engine in engines) == runs
     if isinstance(result, refusal.Refusal):
         assert result.run_state.value == expected
@@ -352,34 +354,34 @@
 
 
 @pytest.mark.parametrize("busy", [["e0"], ["e0", "e1"], ["e0", "e1"] * 2])
-async def test_busy_engines_are_passed_over_and_then_waited_for(
+async def test_busy_engines_are_skipped_and_then_waited_for(
     nursery: trio.Nursery, busy: list[str]
 ) -> None:
     """Guards against refusals while all warm engines wait for load reports."""
-    made, _ = await build(nursery, [Engine([]), Engine([])], busy=busy)
-    assert isinstance(await relay(made, make_job(streamed=True)), bytes)
+    dispatcher, _ = await build_dispatcher(nursery, [Engine([]), Engine([])], busy=busy)
+    assert isinstance(await relay(dispatcher, make_job(streamed=True)), bytes)
 
 
 async def test_resumed_run_is_pinned_to_the_weight_version(
     nursery: trio.Nursery,
 ) -> None:
-    """Guards against one answer from two weight versions, and forged salts."""
+    """Guards against responses from two weight versions and against forged salts."""
     engines = [Engine(["cut"]), Engine([])]
-    made, router = await build(nursery, engines)
-    await relay(made, make_job(streamed=True))
-    assert router.pins == ["", "w1"]
+    dispatcher, router = await build_dispatcher(nursery, engines)
+    await relay(dispatcher, make_job(streamed=True))
+    assert router.pinned_versions == ["", "w1"]
     assert engines[1].runs[0]["resume_text"] == "alpha beta "
     assert engines[1].runs[0]["cache_salt"] == "salt"
 
 
 FAILURES = ["lost", "hang", "cut", "crossed", "unfinished", "500", "502", "202"]
-FAULTS = ["withheld", "cold", *DECLINES, *FAILURES, "none"]
-# The last fault of a script stays; an engine that refuses connections stays so.
-SCRIPT = st.one_of(
+FAULTS = ["withheld", "cold", *DECLINING_STATUSES, *FAILURES, "none"]
+# The last fault of a script persists, as does the refusal of connections.
+SCRIPTS = st.one_of(
     st.just(["refused"]), st.lists(st.sampled_from(FAULTS), min_size=1, max_size=2)
 )
 HANG_S = 0.1
-WAITS = {
+SHORT_TIMES = {
     "RETRY_INTERVAL_S": 0.001,
     "ENGINE_WAIT_S": 0.02,
     "STREAM_IDLE_TIMEOUT_S": HANG_S,
@@ -388,9 +390,11 @@
 
 @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
 @hypothesis.given(
-    st.lists(SCRIPT, min_size=1, max_size=4),
+    st.lists(SCRIPTS, min_size=1, max_size=4),
     st.sampled_from(["streamed", "whole", "once"]),
-    st.sampled_from([(1, NEVER), (2, NEVER), (NEVER, 2), (NEVER, NEVER)]),
+    st.sampled_from(
+        [(1, UNLIMITED), (2, UNLIMITED), (UNLIMITED, 2), (UNLIMITED, UNLIMITED)]
+    ),
     st.sampled_from([None, 1]),
 )
 def test_not_run_is_said_only_if_no_engine_may_have_run(
@@ -399,20 +403,20 @@
     crashes_allowed: tuple[float, float],
     seed: int | None,
 ) -> None:
-    """Guards against a false state after any sequence of tries at engines."""
+    """Guards against a false run state after any sequence of attempts."""
     engines = [Engine(script[:-1], rest=script[-1]) for script in scripts]
 
-    async def state() -> str:
+    async def run_state() -> str:
         async with trio.open_nursery() as nursery:
-            made, _ = await build(nursery, engines, *crashes_allowed)
+            dispatcher, _ = await build_dispatcher(nursery, engines, *crashes_allowed)
             job = make_job(form == "streamed", form == "once", seed)
             if any("hang" in script for script in scripts):
                 job.deadline = trio.current_time() + HANG_S
             result: object
             if form == "streamed":
-                result = await relay(made, job)
+                result = await relay(dispatcher, job)
             else:
-                result = await made.collect(job)
+                result = await dispatcher.collect(job)
             nursery.cancel_scope.cancel()
         if isinstance(result, refusal.Refusal):
             return result.run_state.value
@@ -420,19 +424,21 @@
             return str(json.loads(result.split(b"\n\n")[-2][6:])["error"]["run_state"])
         return result if isinstance(result, str) else "whole"
 
-    with mock.patch.multiple(dispatch, **WAITS):
-        found = trio.run(state)
+    with mock.patch.multiple(dispatch, **SHORT_TIMES):
+        reported_state = trio.run(run_state)
     possible_runs = sum(engine.possible_runs for engine in engines)
-    assert not (found == "not_run" and possible_runs)
-    assert not (found == "whole" and not any(engine.runs for engine in engines))
+    assert not (reported_state == "not_run" and possible_runs)
+    assert not (
+        reported_state == "whole" and not any(engine.runs for engine in engines)
+    )
     assert form != "once" or possible_runs <= 1
-    # A request that left in the last moment before a deadline may not arrive.
+    # A request that is sent right before the deadline may not arrive.
     is_timely = not any("hang" in script for script in scripts)
-    assert found == "not_run" or possible_runs or not is_timely
+    assert reported_state == "not_run" or possible_runs or not is_timely
 
 
-class Flood(Engine):
-    """An engine that sends as fast as its connection takes it."""
+class FloodingEngine(Engine):
+    """An engine that sends as fast as its connection permits."""
 
     sent = 0
 
@@ -440,32 +446,32 @@
         self, fields: dict[str, object], run_id: str, fault: str
     ) -> collections.abc.AsyncGenerator[bytes, None]:
         for _ in range(400):
-            yield delta(run_id, "x" * 40_000)
+            yield delta_event(run_id, "x" * 40_000)
             self.sent += 1
-        yield ending(run_id)
+        yield final_events(run_id)
 
 
-async def test_caller_that_does_not_read_stops_its_engine(
+async def test_reading_from_the_engine_pauses_for_a_slow_caller(
     nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against memory that grows, and a run that ends, with a slow caller."""
+    """Guards against growing buffers and an aborted run when the caller is slow."""
     monkeypatch.setattr(dispatch, "STREAM_IDLE_TIMEOUT_S", 0.2)
-    engine = Flood([])
-    made, _ = await build(nursery, [engine])
+    engine = FloodingEngine([])
+    dispatcher, _ = await build_dispatcher(nursery, [engine])
     job = make_job(streamed=True)
-    opened = await made.open(job)
+    opened = await dispatcher.open(job)
     assert isinstance(opened, dispatch.Exchange)
     caller = Caller(drained=trio.Event())
-    nursery.start_soon(made.abort_stalled_streams)
+    nursery.start_soon(dispatcher.abort_stalled_streams)
     async with trio.open_nursery() as callers:
-        callers.start_soon(made.relay, job, opened, caller)
+        callers.start_soon(dispatcher.relay, job, opened, caller)
         sent = -1
         while sent < engine.sent:
             sent = engine.sent
             await trio.sleep(0.1)
         assert 0 < engine.sent < 400
         await trio.sleep(3 * dispatch.STREAM_IDLE_TIMEOUT_S)
-        assert caller.offers == 1
+        assert caller.writes == 1
         assert len(caller.received) <= http_client.RECEIVE_BYTES
         caller.drained.set()
     assert caller.received.endswith(b"data: [DONE]\n\n")
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -1,4 +1,4 @@
-"""Tests of keyed calls on several nodes with in-memory platform services."""
+"""Tests keyed calls on several nodes with in-memory platform services."""
 
 import collections.abc
 
@@ -11,12 +11,12 @@
 from snipelug_node import executor, expiry, order, ports
 from tests import fakes
 
-Clock = trio.testing.MockClock
-DOWN = refusal.refuse(refusal.NO_UPSTREAM, "none")
+MockClock = trio.testing.MockClock
+NO_UPSTREAM_REFUSAL = refusal.refuse(refusal.NO_UPSTREAM, "none")
 
 
 class Upstream:
-    """Counts executions; each answer names its execution."""
+    """Counts executions; the body of each response has the number of its execution."""
 
     def __init__(self, size: int = 2, delay_s: float = 0.0) -> None:
         self.runs = 0
@@ -31,12 +31,12 @@
     ) -> order.SendOutcome:
         if self.has_no_slot:
             await trio.sleep_until(send_by)
-            return claim.NotSent(DOWN)
+            return claim.NotSent(NO_UPSTREAM_REFUSAL)
         await trio.sleep(self.before_check_s)
         if self.broken == "before":
             raise RuntimeError("broken")
         if not pre_send_check(0.0):
-            return claim.NotSent(DOWN)
+            return claim.NotSent(NO_UPSTREAM_REFUSAL)
         self.runs += 1
         await trio.sleep(self.delay_s)
         if self.broken == "after":
@@ -46,7 +46,7 @@
 
 
 class Cluster:
-    """Nodes on one table service and one upstream."""
+    """Several nodes that share a table service and an upstream."""
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
@@ -93,78 +93,78 @@
     async def call(
         self, name: str, body: bytes = b"b", wait_s: float = 30.0
     ) -> order.Response | refusal.Refusal:
-        until = trio.current_time() + wait_s
+        wait_until = trio.current_time() + wait_s
         return await self.nodes[name].run(
-            "team", "key", "POST", "/x", body, self.upstream.send, until
+            "team", "key", "POST", "/x", body, self.upstream.send, wait_until
         )
 
-    def count(self) -> tuple[int, int]:
-        counted = (self.tables.writes, self.tables.reads)
+    def take_counts(self) -> tuple[int, int]:
+        counts = (self.tables.writes, self.tables.reads)
         self.tables.writes = self.tables.reads = 0
-        return counted
+        return counts
 
 
 @pytest.fixture
 async def cluster(nursery: trio.Nursery) -> collections.abc.AsyncIterator[Cluster]:
-    started = Cluster(nursery)
-    await started.start("a")
-    await started.start("b")
-    started.count()
-    yield started
+    new_cluster = Cluster(nursery)
+    await new_cluster.start("a")
+    await new_cluster.start("b")
+    new_cluster.take_counts()
+    yield new_cluster
     nursery.cancel_scope.cancel()
 
 
-def code(result: order.Response | refusal.Refusal) -> str:
+def code_and_state(result: order.Response | refusal.Refusal) -> str:
     assert isinstance(result, refusal.Refusal)
     return f"{result.kind.code} {result.run_state}"
 
 
-async def test_store_operations_of_an_order(
-    cluster: Cluster, autojump_clock: Clock
+async def test_store_operations_of_a_keyed_call(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against more store load than the table service can carry."""
+    """Guards against more operations per call than the table service can handle."""
     assert await cluster.call("a") == order.Response(201, {"x": "y"}, b"11")
-    assert cluster.count() == (2, 0)
+    assert cluster.take_counts() == (2, 0)
     repeat = await cluster.call("b")
     assert repeat == order.Response(201, {"x": "y"}, b"11", repeated=True)
-    assert cluster.count() == (1, 1)
+    assert cluster.take_counts() == (1, 1)
     cluster.upstream.before_check_s = 11.0
-    until = trio.current_time() + 30
+    wait_until = trio.current_time() + 30
     await cluster.nodes["a"].run(
-        "team", "other", "POST", "/x", b"", cluster.upstream.send, until
+        "team", "other", "POST", "/x", b"", cluster.upstream.send, wait_until
     )
-    assert cluster.count() == (2, 0)
+    assert cluster.take_counts() == (2, 0)
     assert cluster.upstream.runs == 1
 
 
-async def test_lost_answers_of_both_writes(
-    cluster: Cluster, autojump_clock: Clock
+async def test_lost_responses_of_both_writes(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a second run after the answer of a claim was lost."""
+    """Guards against a second run after the response to a claim's write was lost."""
     cluster.tables.lose = 1
     assert isinstance(await cluster.call("a"), order.Response)
-    assert cluster.count() == (2, 1)
+    assert cluster.take_counts() == (2, 1)
     cluster.tables.lose = 2
     assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
 async def test_store_outage_before_the_claim(
-    cluster: Cluster, autojump_clock: Clock
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a send without a claim."""
+    """Guards against a send without a stored claim."""
     cluster.tables.down = True
-    assert code(await cluster.call("a")) == "store_unavailable not_run"
+    assert code_and_state(await cluster.call("a")) == "store_unavailable not_run"
     assert cluster.upstream.runs == 0
     cluster.tables.down = False
     assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
-async def test_claim_abandoned_by_a_living_node_is_taken_over(
-    cluster: Cluster, autojump_clock: Clock
+async def test_claim_abandoned_by_a_running_node_is_taken_over(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a claim that took effect unseen and blocks its key."""
+    """Guards against a claim whose write seemed lost and that blocks its key."""
     tables = cluster.tables
 
     async def no_read(table_name: str, key: str) -> ports.Unavailable:
@@ -172,30 +172,30 @@
 
     read, tables.read = tables.read, no_read  # type: ignore[method-assign,assignment]
     tables.lose = 1
-    assert code(await cluster.call("a")) == "store_unavailable not_run"
+    assert code_and_state(await cluster.call("a")) == "store_unavailable not_run"
     tables.read = read  # type: ignore[method-assign]
     assert isinstance(await cluster.call("b"), order.Response)
     assert cluster.upstream.runs == 1
 
 
-async def test_call_that_could_not_be_sent_is_refused_in_time(
-    cluster: Cluster, autojump_clock: Clock
+async def test_call_that_could_not_be_sent_is_refused_before_its_deadline(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against "unknown" for an order that waited for a slot until its deadline.
+    """Guards against ``unknown`` for a call that waits for a slot until its deadline.
 
     Right after a planned stop the service's slots may be in use for 14 s.
     """
     cluster.upstream.has_no_slot = True
     refused = await cluster.call("a", wait_s=6.0)
-    assert code(refused) == f"{DOWN.kind.code} not_run"
+    assert code_and_state(refused) == f"{NO_UPSTREAM_REFUSAL.kind.code} not_run"
     cluster.upstream.has_no_slot = False
     assert isinstance(await cluster.call("a"), order.Response)
 
 
 async def test_repeat_waits_for_the_running_call(
-    cluster: Cluster, autojump_clock: Clock
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a second run, or a refusal, while the first still runs."""
+    """Guards against a second run or a refusal while the first run is in progress."""
     cluster.upstream.delay_s = 7.0
     results: list[object] = []
 
@@ -209,27 +209,29 @@
         first = await cluster.call("a")
     assert isinstance(first, order.Response)
     assert cluster.upstream.runs == 1
-    again = order.Response(first.status, first.headers, first.body, repeated=True)
-    assert results.count(again) == 2
-    late = [r for r in results if isinstance(r, refusal.Refusal)]
-    assert [code(r) for r in late] == ["in_progress unknown"] * 2
+    repeated_response = order.Response(
+        first.status, first.headers, first.body, repeated=True
+    )
+    assert results.count(repeated_response) == 2
+    refusals = [r for r in results if isinstance(r, refusal.Refusal)]
+    assert [code_and_state(r) for r in refusals] == ["in_progress unknown"] * 2
 
 
-async def test_node_death_leaves_unknown_until_settled(
-    cluster: Cluster, autojump_clock: Clock
+async def test_outcome_is_unknown_after_a_crash_until_settled(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a second run after the claiming node died."""
+    """Guards against a second run after the claiming node crashed."""
     cluster.upstream.delay_s = 7.0
     with trio.move_on_after(1):
         await cluster.call("a")
     cluster.kill("a")
-    assert code(await cluster.call("b", wait_s=5)) == "in_progress unknown"
+    assert code_and_state(await cluster.call("b", wait_s=5)) == "in_progress unknown"
     node = cluster.nodes["b"]
     verdict = claim.Verdict.NOT_RUN
     settle = await node.settle("team", "key", verdict, "operator")
     assert isinstance(settle, claim.NotSettleable)
     await cluster.revoke("a")
-    assert code(await cluster.call("b")) == "outcome_unknown unknown"
+    assert code_and_state(await cluster.call("b")) == "outcome_unknown unknown"
     page = await node.unresolved_claims("team")
     assert isinstance(page, order.UnresolvedClaims)
     assert [(found.key, found.node) for found in page.claims] == [("key", "a")]
@@ -246,9 +248,9 @@
 
 
 async def test_restarted_node_does_not_repeat(
-    cluster: Cluster, autojump_clock: Clock
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a new process that takes over its predecessor's claims."""
+    """Guards against a restarted node that executes its predecessor's calls again."""
     cluster.upstream.delay_s = 7.0
     with trio.move_on_after(1):
         await cluster.call("a")
@@ -256,14 +258,14 @@
     cluster.network.cut.clear()
     await cluster.start("a", "q")
     for name in ("a", "b"):
-        assert code(await cluster.call(name)) == "outcome_unknown unknown"
+        assert code_and_state(await cluster.call(name)) == "outcome_unknown unknown"
     assert cluster.upstream.runs == 1
 
 
-async def test_caller_that_leaves_does_not_stop_its_call(
-    cluster: Cluster, autojump_clock: Clock
+async def test_disconnect_of_the_caller_does_not_stop_the_call(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against an order whose result is lost with the connection."""
+    """Guards against losing the result of a call together with its connection."""
     cluster.upstream.delay_s = 2.0
     with trio.move_on_after(1):
         await cluster.call("a")
@@ -274,17 +276,19 @@
     assert (answer.repeated, cluster.upstream.runs) == (True, 1)
 
 
-async def test_outage_after_the_run(cluster: Cluster, autojump_clock: Clock) -> None:
-    """Guards against a caller without answer, and a result never recorded."""
+async def test_outage_after_the_run(
+    cluster: Cluster, autojump_clock: MockClock
+) -> None:
+    """Guards against callers without a response and results that are never recorded."""
     cluster.upstream.delay_s = 1.0
     start = trio.current_time()
 
-    async def cut_store() -> None:
+    async def stop_store() -> None:
         await trio.sleep(0.5)
         cluster.tables.down = True
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(cut_store)
+        nursery.start_soon(stop_store)
         assert isinstance(await cluster.call("a"), order.Response)
     assert trio.current_time() - start < 1 + order.RECORD_WAIT_S + 0.5
     assert len(cluster.nodes["a"].active_calls()) == 1
@@ -298,20 +302,20 @@
     assert cluster.upstream.runs == 1
 
 
-async def test_large_answer_goes_to_the_object_store(
-    cluster: Cluster, autojump_clock: Clock
+async def test_large_response_is_stored_as_an_object(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against rows larger than the table service should hold."""
+    """Guards against rows that are too large for the table service."""
     cluster.upstream.size = order.MAX_INLINE_BYTES + 1
     first = await cluster.call("a")
     assert isinstance(first, order.Response)
     assert len(cluster.objects.contents) == 1
     assert all(len(content) < 1000 for _, content in cluster.tables.rows.values())
-    again = await cluster.call("b")
-    assert isinstance(again, order.Response)
-    assert again.body == first.body
+    repeated_response = await cluster.call("b")
+    assert isinstance(repeated_response, order.Response)
+    assert repeated_response.body == first.body
     cluster.objects.down = True
-    assert code(await cluster.call("b")) == "store_unavailable ran"
+    assert code_and_state(await cluster.call("b")) == "store_unavailable ran"
 
 
 @pytest.mark.parametrize(
@@ -322,34 +326,34 @@
     ],
 )
 async def test_dispatch_that_raises(
-    cluster: Cluster, autojump_clock: Clock, broken: str, expected: str, later: str
+    cluster: Cluster, autojump_clock: MockClock, broken: str, expected: str, later: str
 ) -> None:
-    """Guards against a crash, and ``not_run`` once bytes may have been sent."""
+    """Guards against a crash, and against ``not_run`` after a possible send."""
     cluster.upstream.broken = broken
-    assert code(await cluster.call("a")) == expected
+    assert code_and_state(await cluster.call("a")) == expected
     cluster.upstream.broken = ""
     result = await cluster.call("b")
     if later:
-        assert code(result) == later
+        assert code_and_state(result) == later
     assert cluster.upstream.runs == 1
 
 
 async def test_refused_before_anything_is_written(
-    cluster: Cluster, autojump_clock: Clock
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against claims with bad keys, other bodies or a lapsed lease."""
+    """Guards against claims with invalid keys, other bodies or an expired lease."""
     bad = await cluster.nodes["a"].run("t", "", "POST", "/", b"", cluster.upstream.send)
-    assert code(bad) == "bad_request not_run"
+    assert code_and_state(bad) == "bad_request not_run"
     cluster.leases["a"].valid_until = 0.0
-    assert code(await cluster.call("a")) == "node_not_current not_run"
-    assert cluster.count() == (0, 0)
+    assert code_and_state(await cluster.call("a")) == "node_not_current not_run"
+    assert cluster.take_counts() == (0, 0)
     await cluster.call("b")
-    assert code(await cluster.call("b", body=b"c")) == "key_reused not_run"
+    assert code_and_state(await cluster.call("b", body=b"c")) == "key_reused not_run"
     assert cluster.upstream.runs == 1
 
 
-async def test_order_over_a_real_connection(nursery: trio.Nursery) -> None:
-    """Guards against a last check that the HTTP client does not evaluate."""
+async def test_keyed_call_over_a_real_connection(nursery: trio.Nursery) -> None:
+    """Guards against a pre-send check that the HTTP client does not evaluate."""
     received: list[bytes] = []
 
     async def handler(req: http_server.Request) -> http_server.Response:
@@ -367,7 +371,7 @@
             case http_client.FullResponse(status, headers, body):
                 return claim.Delivered(claim.Response(status, headers, body))
             case http_client.NotSent() | http_client.Withheld():
-                return claim.NotSent(DOWN)
+                return claim.NotSent(NO_UPSTREAM_REFUSAL)
         lost = refusal.refuse(refusal.UPSTREAM_LOST, "cut", refusal.RunState.UNKNOWN)
         return claim.OutcomeUnknown(lost)
 
@@ -381,13 +385,15 @@
     nursery.cancel_scope.cancel()
 
 
-async def test_finished_claims_expire(cluster: Cluster, autojump_clock: Clock) -> None:
-    """Guards against claims kept for ever, keys freed early and lost open claims."""
+async def test_finished_claims_expire(
+    cluster: Cluster, autojump_clock: MockClock
+) -> None:
+    """Guards against claims kept forever, keys freed early and lost open claims."""
     node, claims = cluster.nodes["a"], cluster.tables.rows
     sweeper = expiry.Expiry(
         cluster.tables, cluster.objects, lambda: ["team"], trio.current_time
     )
-    ahead = expiry.Expiry(
+    fast_clock_sweeper = expiry.Expiry(
         cluster.tables,
         cluster.objects,
         lambda: ["team"],
@@ -396,10 +402,12 @@
 
     async def call(key: str, size: int = 2, broken: str = "") -> None:
         cluster.upstream.size, cluster.upstream.broken = size, broken
-        until = trio.current_time() + 30
-        await node.run("team", key, "POST", "/x", b"", cluster.upstream.send, until)
+        wait_until = trio.current_time() + 30
+        await node.run(
+            "team", key, "POST", "/x", b"", cluster.upstream.send, wait_until
+        )
 
-    async def left_after_passes(*sweepers: expiry.Expiry) -> set[str]:
+    async def keys_after_sweeps(*sweepers: expiry.Expiry) -> set[str]:
         for item in sweepers * 2:
             await item.sweep("team")
         rows = [stored for (name, _), stored in claims.items() if name == claim.TABLE]
@@ -410,30 +418,32 @@
     await call("large", size=order.MAX_INLINE_BYTES + 1)
     await call("released", broken="before")
     await call("open", broken="after")
-    everything = {"small", "large", "released", "open"}
+    all_keys = {"small", "large", "released", "open"}
     await trio.sleep(claim.RETENTION_S - 60)
-    assert await left_after_passes(sweeper, ahead) == everything
+    assert await keys_after_sweeps(sweeper, fast_clock_sweeper) == all_keys
     await trio.sleep(120)
-    assert await left_after_passes(sweeper, ahead) == everything
+    assert await keys_after_sweeps(sweeper, fast_clock_sweeper) == all_keys
     await call("new")
     cluster.objects.down = True
-    assert await left_after_passes(sweeper) == {"large", "open", "new"}
+    assert await keys_after_sweeps(sweeper) == {"large", "open", "new"}
     cluster.objects.down = False
-    assert await left_after_passes(sweeper) == {"open", "new"}
+    assert await keys_after_sweeps(sweeper) == {"open", "new"}
     assert cluster.objects.contents == {}
 
 
-async def test_open_claims_among_large_answers(
-    cluster: Cluster, autojump_clock: Clock
+async def test_unresolved_claims_among_large_responses(
+    cluster: Cluster, autojump_clock: MockClock
 ) -> None:
-    """Guards against a page of claims above the limit of a response."""
+    """Guards against a page of claims that exceeds the size limit of a response."""
     cluster.upstream.size = order.MAX_INLINE_BYTES // 3
     node = cluster.nodes["a"]
-    until = trio.current_time() + 30
+    wait_until = trio.current_time() + 30
     for number in range(300):
         key = f"key-{number}"
         cluster.upstream.broken = "after" if number % 100 == 99 else ""
-        await node.run("team", key, "POST", "/x", b"", cluster.upstream.send, until)
+        await node.run(
+            "team", key, "POST", "/x", b"", cluster.upstream.send, wait_until
+        )
     found: list[order.UnresolvedClaim] = []
     after = ""
     while not found or after:
