--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -245,7 +245,7 @@
             The team and its idempotency key.
         method, target, body : str, str, bytes
             The request; the same key with a different request is refused.
-        send : Send
+        send : SendCall
             Sends the call; invoked at most once.
         deadline : float, optional
             Monotonic time until which the caller waits, in seconds; the call
