--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -298,7 +298,7 @@
     ) -> Response | refusal.Refusal:
         """Return the result of the same call that already runs on this node."""
         if running_call.fingerprint != fingerprint:
-            reason = "the idempotency key was used for a different request"
+            reason = "the idempotency key was used for another request"
             return refusal.refuse(refusal.KEY_REUSED, reason)
         result = await self._wait_for_result(running_call, wait_until)
         if isinstance(result, Response):
