--- a/packages/snipelug-node/src/snipelug_node/expiry.py
+++ b/packages/snipelug-node/src/snipelug_node/expiry.py
@@ -98,7 +98,7 @@
         object_key = row.answer.object_key if row.answer else ""
         if object_key:
             # The object is deleted before the row, so that a repeat in between is
-            # still told that the call ran, and the next pass can retry the row.
+            # still told that the call ran, and the next pass can delete the row.
             outcome = await self._objects.delete(object_key)
             if isinstance(outcome, ports.Unavailable):
                 self.counts["failed"] += 1
--- a/packages/snipelug-node/src/snipelug_node/order.py
+++ b/packages/snipelug-node/src/snipelug_node/order.py
@@ -369,8 +369,8 @@
         stored = await self._objects.put(key, row.answer.body)
         if isinstance(stored, ports.Unavailable):
             return step.NoAnswer(stored.reason, maybe_applied=False)
-        answer = dataclasses.replace(row.answer, body=b"", object_key=key)
-        content = dataclasses.replace(row, answer=answer)
+        response = dataclasses.replace(row.answer, body=b"", object_key=key)
+        content = dataclasses.replace(row, answer=response)
         return await executor.perform(
             self._tables, dataclasses.replace(write, content=content)
         )
@@ -392,9 +392,9 @@
         if isinstance(outcome, claim.NotSent) and granted:
             outcome = claim.OutcomeUnknown(outcome.refusal)
         match outcome:
-            case claim.Delivered(answer):
+            case claim.Delivered(response):
                 running_call.sent_result = _to_response(
-                    answer, answer.body, repeated=False
+                    response, response.body, repeated=False
                 )
             case claim.OutcomeUnknown(refused):
                 running_call.sent_result = claim.as_possibly_run(refused)
@@ -437,14 +437,14 @@
         return claim.StatusReply(reply.status, reply.answer)
 
     async def _claim_status(self, request: ClaimStatusRequest) -> ClaimStatusReply:
-        status, answer = self.ledger.status(request.process, request.nonce)
+        status, response = self.ledger.status(request.process, request.nonce)
         with trio.move_on_after(request.wait_s):
             while status in (claim.Status.ACTIVE, claim.Status.SENT):
                 await self._progress.wait()
-                status, answer = self.ledger.status(request.process, request.nonce)
-        if answer is not None and len(answer.body) > MAX_STATUS_BODY_BYTES:
-            answer = None
-        return ClaimStatusReply(status, answer)
+                status, response = self.ledger.status(request.process, request.nonce)
+        if response is not None and len(response.body) > MAX_STATUS_BODY_BYTES:
+            response = None
+        return ClaimStatusReply(status, response)
 
     def _notify_progress(self) -> None:
         self._progress.set()
@@ -518,5 +518,5 @@
     return isinstance(result, refusal.Refusal) and result.kind == in_progress
 
 
-def _to_response(answer: claim.Response, body: bytes, repeated: bool) -> Response:
-    return Response(answer.status, answer.headers, body, repeated)
+def _to_response(response: claim.Response, body: bytes, repeated: bool) -> Response:
+    return Response(response.status, response.headers, body, repeated)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -251,8 +251,8 @@
     assert isinstance(parsed, chat.ChatRequest)
     now = trio.current_time()
     team = contract.Contract("team", ())
-    answer = stream.Response("req")
-    return dispatch.Job("req", team, parsed, "f", now, now + 5, answer, once)
+    response = stream.Response("req")
+    return dispatch.Job("req", team, parsed, "f", now, now + 5, response, once)
 
 
 class Caller:
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -271,9 +271,9 @@
         await cluster.call("a")
     await cluster.nodes["a"].drain()
     assert cluster.nodes["a"].active_calls() == []
-    answer = await cluster.call("b")
-    assert isinstance(answer, order.Response)
-    assert (answer.repeated, cluster.upstream.runs) == (True, 1)
+    response = await cluster.call("b")
+    assert isinstance(response, order.Response)
+    assert (response.repeated, cluster.upstream.runs) == (True, 1)
 
 
 async def test_outage_after_the_run(
