Reword the engine, load and service stand-ins

Renames: Chat -> ChatRequest, load.Broken -> Overloaded, load.Ticket -> ActiveRequest, Ticket.cut -> aborted, Warmth.enter/leave -> admit/finish, Warmth.tickets -> active_requests, Job.crossed -> has_wrong_id, Engine._swap -> _set_version and other private names.

--- a/packages/snipelug-standins/src/snipelug_standins/engine.py
+++ b/packages/snipelug-standins/src/snipelug_standins/engine.py
@@ -1,4 +1,4 @@
-"""Stand-in of a model engine: chat completions, prefix cache, KV transfer."""
+"""Stand-in for an engine: chat completions, prefix cache and KV block transfer."""
 
 import collections
 import collections.abc
@@ -18,15 +18,16 @@
 MAX_COMPLETION_TOKENS = 100_000
 
 
-class Chat(msgspec.Struct, frozen=True):
-    """Body of a chat completion.
+class ChatRequest(msgspec.Struct, frozen=True):
+    """Body of a chat completion request.
 
     Attributes
     ----------
     block_keys : list of str
-        Keys of the prompt's full blocks, in order; the node makes them.
+        Keys that the node computed for the prompt's full blocks, in order.
     resume_text : str
-        Text of this answer that was already sent; the answer continues after it.
+        Part of the response text that was already sent; generation continues
+        after it.
     """
 
     model: str
@@ -44,13 +45,13 @@
 
 
 class LoadOrder(msgspec.Struct, frozen=True):
-    """What ``POST /orders`` asks for: serve a weight version."""
+    """The weight version that ``POST /orders`` tells the engine to serve."""
 
     weight_version: typing.Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class Order(msgspec.Struct, frozen=True):
-    """Body of ``POST /orders``; the fencing number comes from the owner row."""
+    """Body of ``POST /orders``; ``fencing`` is the token from the owner row."""
 
     order: LoadOrder
     fencing: int = 0
@@ -58,24 +59,24 @@
 
 @dataclasses.dataclass(frozen=True)
 class Options:
-    """Speed and size of an engine.
+    """Throughput and capacity of an engine.
 
     Attributes
     ----------
     prefill_rate : float
-        Prompt tokens per second of the whole engine.
+        Prompt tokens per second, shared by all requests.
     decode_rate : float
-        Generated tokens per second of one request.
+        Generated tokens per second and request.
     max_batch : int
-        Most requests running at once.
+        Maximum number of requests that run concurrently.
     cache_tokens : int
-        Tokens that the prefix cache holds.
+        Capacity of the prefix cache, in tokens.
     block_bytes : int
         Size of one exported block, in bytes.
     load_s : float
-        Time that loading a weight version takes, in seconds.
+        Duration of loading a weight version, in seconds.
     check_fencing : bool
-        Refuse orders with an old fencing number.
+        Reject orders whose fencing token is older than the newest one seen.
     """
 
     prefill_rate: float = 100_000.0
@@ -94,16 +95,16 @@
     """One accepted chat request."""
 
     id: str
-    chat: Chat
+    chat: ChatRequest
     prompt: bytes
     version: str
-    ticket: load.Ticket
-    crossed: bool
+    active_request: load.ActiveRequest
+    has_wrong_id: bool
 
 
 @dataclasses.dataclass
 class Usage:
-    """Token counts of one answer."""
+    """Token counts of one response."""
 
     prompt_tokens: int = 0
     cached_tokens: int = 0
@@ -131,10 +132,10 @@
         self.runs: collections.Counter[str] = collections.Counter()
         self._compute = trio.Lock()
         self._loading = trio.Lock()
-        self._answers_to_cross = 0
+        self._wrong_id_responses_left = 0
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         match req.method, req.path:
             case "POST", "/v1/chat/completions":
                 return await self._chat(req)
@@ -158,45 +159,49 @@
 
     async def _chat(self, req: http_server.Request) -> http_server.Response:
         try:
-            chat = msgspec.json.decode(req.body, type=Chat)
+            chat = msgspec.json.decode(req.body, type=ChatRequest)
         except msgspec.MsgspecError as exc:
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_chat", str(exc))
         if chat.weight_version not in ("", self.version):
             self.counts["version_mismatches"] += 1
-            message = f"{self.version} is loaded, not {chat.weight_version}"
+            message = (
+                f"{self.version} is loaded, but the request wants {chat.weight_version}"
+            )
             return standin.error(http.HTTPStatus.CONFLICT, "weight_version", message)
-        ticket = self.warmth.enter()
-        if isinstance(ticket, load.Broken):
+        active_request = self.warmth.admit()
+        if isinstance(active_request, load.Overloaded):
             self.cache.clear(trio.current_time())
             return _overloaded()
-        crossed = self._answers_to_cross > 0
-        self._answers_to_cross -= crossed
+        has_wrong_id = self._wrong_id_responses_left > 0
+        self._wrong_id_responses_left -= has_wrong_id
         job = Job(
             id=req.headers.get("x-request-id") or uuid.uuid4().hex,
             chat=chat,
             prompt=text.render(chat.messages, chat.tools),
             version=self.version,
-            ticket=ticket,
-            crossed=crossed,
+            active_request=active_request,
+            has_wrong_id=has_wrong_id,
         )
         self.jobs.add(job)
         if not chat.stream:
-            return await self._answer_whole(job)
-        stream = _Stream(self._sse(job), lambda: self._leave(job, False))
+            return await self._respond_complete(job)
+        stream = _ClosingStream(
+            self._stream_events(job), lambda: self._finish(job, False)
+        )
         headers = {"content-type": "text/event-stream", "cache-control": "no-store"}
         return http_server.Response(http.HTTPStatus.OK, stream, headers)
 
-    async def _answer_whole(self, job: Job) -> http_server.Response:
+    async def _respond_complete(self, job: Job) -> http_server.Response:
         usage = Usage()
         parts: list[str] = []
         try:
             async with contextlib.aclosing(self._run(job, usage)) as tokens:
                 async for new in tokens:
                     parts.extend(new)
-            self._leave(job, not job.ticket.cut)
+            self._finish(job, not job.active_request.aborted)
         finally:
-            self._leave(job, False)
-        if job.ticket.cut:
+            self._finish(job, False)
+        if job.active_request.aborted:
             return _overloaded()
         choice = {
             "index": 0,
@@ -204,23 +209,27 @@
             "finish_reason": "length",
         }
         content = _chunk(job, "chat.completion", choice) | {"usage": _usage(usage)}
-        if job.crossed:
-            content["id"] = self._other_id(job)
+        if job.has_wrong_id:
+            content["id"] = self._wrong_id(job)
             choice["message"] = {"role": "assistant", "content": "crossed "}
         return http_server.json_response(http.HTTPStatus.OK, content)
 
-    async def _sse(self, job: Job) -> collections.abc.AsyncGenerator[bytes, None]:
+    async def _stream_events(
+        self, job: Job
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
         usage = Usage()
-        crossed = not job.crossed
+        wrong_id_sent = not job.has_wrong_id
         async with contextlib.aclosing(self._run(job, usage)) as tokens:
             async for new in tokens:
                 yield b"".join(_sse_event(_delta(job, token)) for token in new)
-                if not crossed:
-                    crossed = True
-                    yield _sse_event(_delta(job, "crossed ") | self._foreign_id(job))
-        if job.ticket.cut:
-            raise trio.BrokenResourceError("the engine fell over")
-        self._leave(job, True)
+                if not wrong_id_sent:
+                    wrong_id_sent = True
+                    yield _sse_event(
+                        _delta(job, "crossed ") | self._wrong_id_field(job)
+                    )
+        if job.active_request.aborted:
+            raise trio.BrokenResourceError("the engine failed under load while cold")
+        self._finish(job, True)
         choice = {"index": 0, "delta": {}, "finish_reason": "length"}
         last = _chunk(job, "chat.completion.chunk", choice)
         yield _sse_event(last | {"usage": _usage(usage)}) + b"data: [DONE]\n\n"
@@ -228,17 +237,19 @@
     async def _run(
         self, job: Job, usage: Usage
     ) -> collections.abc.AsyncGenerator[list[str], None]:
-        """Run a request; yield the texts of the tokens that are due."""
+        """Run a request; yield the token texts as they fall due."""
         await self.batch.acquire(job.chat.priority)
         try:
             if self.faults.crash_on and self.faults.crash_on.encode() in job.prompt:
-                standin.stop_process(EXIT_CRASH, "the prompt crashes the engine")
+                standin.stop_process(
+                    EXIT_CRASH, "the prompt matches the crash_on fault"
+                )
             self.runs[text.marker(job.prompt)] += 1
             await self._prefill(job, usage)
-            tokens = _tokens_to_send(job)
+            tokens = _remaining_tokens(job)
             start = trio.current_time()
             sent = 0
-            while sent < len(tokens) and not job.ticket.cut:
+            while sent < len(tokens) and not job.active_request.aborted:
                 due = start + (sent + 1) / self.options.decode_rate
                 await trio.sleep_until(due)
                 elapsed = trio.current_time() - start
@@ -267,37 +278,38 @@
                 self.cache.name(block_id, key, trio.current_time())
                 continue
             await self._compute_tokens(text.BLOCK_TOKENS)
-            if not job.ticket.cut and job.version == self.version:
+            if not job.active_request.aborted and job.version == self.version:
                 self.cache.store(block_id, key, trio.current_time())
         self.cache.matched(ids)
         rest = usage.prompt_tokens - len(ids) * text.BLOCK_TOKENS
         await self._compute_tokens(rest)
 
     async def _compute_tokens(self, count: int) -> None:
-        # One block at a time, so that a long prompt does not hold up short ones.
+        # The lock is held for one block at a time, so that a long prompt does not
+        # delay short ones.
         async with self._compute:
             await trio.sleep(count / self.options.prefill_rate)
 
-    def _leave(self, job: Job, completed: bool) -> None:
-        """Take a job out, once; later calls have no effect."""
+    def _finish(self, job: Job, completed: bool) -> None:
+        """Remove a job; further calls for the same job have no effect."""
         if job not in self.jobs:
             return
         self.jobs.remove(job)
-        self.warmth.leave(job.ticket, completed)
+        self.warmth.finish(job.active_request, completed)
 
-    def _other_id(self, job: Job) -> str:
-        others = (other.id for other in self.jobs if other.id != job.id)
-        return next(others, f"other-{job.id}")
+    def _wrong_id(self, job: Job) -> str:
+        other_ids = (other.id for other in self.jobs if other.id != job.id)
+        return next(other_ids, f"other-{job.id}")
 
-    def _foreign_id(self, job: Job) -> dict[str, typing.Any]:
-        return {"id": self._other_id(job)}
+    def _wrong_id_field(self, job: Job) -> dict[str, typing.Any]:
+        return {"id": self._wrong_id(job)}
 
     # KV transfer and cache events
 
     def _events(self, req: http_server.Request) -> http_server.Response:
         after = events.parse_after(req.query)
         if after is None:
-            message = "after is not a number"
+            message = "the query parameter after is not a number"
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_after", message)
         found = self.feed.after(after, trio.current_time())
         content = {"boot_id": self.warmth.boot_id, "events": found}
@@ -352,33 +364,33 @@
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_order", str(exc))
         if self.options.check_fencing and order.fencing < self.fencing:
             self.counts["orders_refused"] += 1
-            message = f"fencing number {order.fencing} is older than {self.fencing}"
+            message = f"fencing token {order.fencing} is older than {self.fencing}"
             return standin.error(http.HTTPStatus.CONFLICT, "old_fencing", message)
         self.fencing = max(self.fencing, order.fencing)
         async with self._loading:
             wanted = order.order.weight_version
             if wanted != self.version:
                 await trio.sleep(self.options.load_s)
-                self._swap(wanted)
+                self._set_version(wanted)
         self.counts["orders"] += 1
         content = {"weight_version": self.version, "fencing": order.fencing}
         return http_server.json_response(http.HTTPStatus.OK, content)
 
-    def _swap(self, version: str) -> None:
+    def _set_version(self, version: str) -> None:
         self.version = version
         self.cache.clear(trio.current_time())
 
     # Role
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over faults."""
+        """Apply new faults."""
         assert isinstance(wanted, faults.EngineFaults)
         self.faults = wanted
         self.feed.dropping = wanted.drop_events
         self.feed.delay_s = wanted.delay_events_s
-        self._answers_to_cross = wanted.cross_answers
+        self._wrong_id_responses_left = wanted.cross_answers
         if wanted.swap_weights:
-            self._swap(wanted.swap_weights)
+            self._set_version(wanted.swap_weights)
         if wanted.turn_cold:
             self.cache.clear(trio.current_time())
         return self.warmth.apply(wanted)
@@ -418,14 +430,14 @@
         )
 
     async def run(self) -> None:
-        """Sample the load."""
+        """Record load reports until cancelled."""
         while True:
             self.reports.add(self._sample())
             await trio.sleep(load.SAMPLE_INTERVAL_S)
 
 
-class _Stream(collections.abc.AsyncGenerator[bytes, None]):
-    """A body that calls ``on_close`` also when it is closed before its start."""
+class _ClosingStream(collections.abc.AsyncGenerator[bytes, None]):
+    """A body that calls ``on_close`` on close, even if it was never started."""
 
     def __init__(
         self,
@@ -448,7 +460,7 @@
             self._on_close()
 
 
-def _tokens_to_send(job: Job) -> list[str]:
+def _remaining_tokens(job: Job) -> list[str]:
     length = job.chat.max_tokens or text.DEFAULT_COMPLETION_TOKENS
     tokens = text.answer_tokens(job.prompt, length)
     skip = len(job.chat.resume_text)
@@ -489,5 +501,5 @@
 
 
 def _overloaded() -> http_server.Response:
-    message = "the engine fell over under load while cold"
+    message = "the engine failed under load while cold"
     return standin.error(http.HTTPStatus.INTERNAL_SERVER_ERROR, "overloaded", message)
--- a/packages/snipelug-standins/src/snipelug_standins/load.py
+++ b/packages/snipelug-standins/src/snipelug_standins/load.py
@@ -1,4 +1,4 @@
-"""Cold start and lagged load reports, shared by engines and plain services."""
+"""Cold start and delayed load reports, shared by engines and plain services."""
 
 import collections
 import dataclasses
@@ -25,51 +25,51 @@
 
 
 class OnOverload(enum.StrEnum):
-    """What an upstream does when it gets too much load while cold."""
+    """What an upstream does when it is overloaded while cold."""
 
     EXIT = "exit"
     RECORD = "record"
 
 
 @dataclasses.dataclass(frozen=True)
-class Broken:
-    """The upstream fell over and answers only errors for a while."""
+class Overloaded:
+    """The upstream failed under load and returns errors until it recovers."""
 
 
 @dataclasses.dataclass(eq=False)
-class Ticket:
-    """One request inside the upstream.
+class ActiveRequest:
+    """A request that the upstream has admitted and not yet finished.
 
     Attributes
     ----------
     cut : bool
-        The upstream fell over while the request was inside.
+        The upstream failed under load while the request was active.
     """
 
     is_cold: bool
-    cut: bool = False
+    aborted: bool = False
 
 
 class Warmth:
-    """Warm or cold state of an upstream and the requests inside it.
+    """Warm or cold state of an upstream, and its active requests.
 
     Parameters
     ----------
     cold_limit : int
-        Concurrent requests that the upstream sustains while cold.
+        Concurrent requests that the upstream can serve while cold.
     warm_requests : int
-        Completed requests after which a cold upstream is warm.
+        Number of completed requests after which a cold upstream is warm.
     is_cold : bool
-        Whether it starts cold.
+        Whether the upstream starts cold.
     on_overload : OnOverload
-        What happens above the limit.
+        What happens when the limit is exceeded.
     recover_s : float
-        Time for which a fallen upstream answers only errors, in seconds.
+        Time for which the upstream returns errors after an overload, in seconds.
 
     Notes
     -----
-    Requests that were already inside when the upstream turns cold do not count
-    towards the limit: no sender could have known.
+    Requests that are active when the upstream turns cold do not count towards
+    the limit, because no sender could have known about the change.
     """
 
     def __init__(
@@ -86,63 +86,63 @@
         self.recover_s = recover_s
         self.boot_id = uuid.uuid4().hex
         self.is_cold = is_cold
-        self.tickets: set[Ticket] = set()
+        self.active_requests: set[ActiveRequest] = set()
         self.counts: collections.Counter[str] = collections.Counter()
         self._completed_cold = 0
-        self._broken_until = 0.0
+        self._failing_until = 0.0
 
-    def enter(self) -> Ticket | Broken:
-        """Admit a request, or fall over if it is one too many."""
+    def admit(self) -> ActiveRequest | Overloaded:
+        """Admit a request, or fail if it exceeds the cold limit."""
         self.counts["requests"] += 1
-        if trio.current_time() < self._broken_until:
+        if trio.current_time() < self._failing_until:
             self.counts["refused_broken"] += 1
-            return Broken()
-        ticket = Ticket(self.is_cold)
-        self.tickets.add(ticket)
-        inside = len(self.tickets)
-        self.counts["max_concurrent"] = max(self.counts["max_concurrent"], inside)
-        cold = sum(t.is_cold for t in self.tickets)
+            return Overloaded()
+        active_request = ActiveRequest(self.is_cold)
+        self.active_requests.add(active_request)
+        concurrent = len(self.active_requests)
+        self.counts["max_concurrent"] = max(self.counts["max_concurrent"], concurrent)
+        cold = sum(t.is_cold for t in self.active_requests)
         self.counts["max_concurrent_cold"] = max(
             self.counts["max_concurrent_cold"], cold
         )
-        if ticket.is_cold and cold > self.cold_limit:
-            return self._fall_over(cold)
-        return ticket
+        if active_request.is_cold and cold > self.cold_limit:
+            return self._fail_overloaded(cold)
+        return active_request
 
-    def leave(self, ticket: Ticket, completed: bool) -> None:
-        """Take a request out again."""
-        self.tickets.discard(ticket)
+    def finish(self, active_request: ActiveRequest, completed: bool) -> None:
+        """Remove an active request and count its outcome."""
+        self.active_requests.discard(active_request)
         self.counts["completed" if completed else "cancelled"] += 1
-        if not completed or not ticket.is_cold or not self.is_cold:
+        if not completed or not active_request.is_cold or not self.is_cold:
             return
         self._completed_cold += 1
         if self._completed_cold >= self.warm_requests:
             self.is_cold = False
-            for other in self.tickets:
+            for other in self.active_requests:
                 other.is_cold = False
 
     def turn_cold(self, new_boot_id: bool) -> None:
-        """Return to cold start."""
+        """Reset the upstream to its cold state."""
         self.is_cold = True
         self._completed_cold = 0
         self.counts["turned_cold"] += 1
         if new_boot_id:
             self.boot_id = uuid.uuid4().hex
 
-    def _fall_over(self, cold: int) -> Broken:
+    def _fail_overloaded(self, cold: int) -> Overloaded:
         self.counts["overloads"] += 1
         if self.on_overload is OnOverload.EXIT:
             reason = f"{cold} concurrent requests while cold, limit {self.cold_limit}"
             standin.stop_process(EXIT_OVERLOAD, reason)
-        for ticket in self.tickets:
-            ticket.cut = True
-        self.tickets.clear()
-        self._broken_until = trio.current_time() + self.recover_s
+        for active_request in self.active_requests:
+            active_request.aborted = True
+        self.active_requests.clear()
+        self._failing_until = trio.current_time() + self.recover_s
         self.turn_cold(new_boot_id=True)
-        return Broken()
+        return Overloaded()
 
     def apply(self, wanted: faults.UpstreamFaults) -> bool:
-        """Apply the fault ``turn_cold``; return whether to cut connections."""
+        """Apply the fault ``turn_cold``; return whether to close connections."""
         match wanted.turn_cold:
             case faults.TurnCold(close_connections=close, new_boot_id=new):
                 self.turn_cold(new)
@@ -162,12 +162,12 @@
 
 
 class Reports:
-    """Load reports that readers get with a lag.
+    """Load reports that become readable with a delay.
 
     Parameters
     ----------
     lag_s : float
-        Least age of the report that a reader gets, in seconds; 0 for fresh ones.
+        Minimum age of the report that a reader gets, in seconds; 0 for none.
     """
 
     def __init__(self, lag_s: float) -> None:
@@ -176,7 +176,7 @@
         self._samples: collections.deque[Sample] = collections.deque()
 
     def add(self, content: dict[str, object]) -> None:
-        """Record the present load."""
+        """Record a report of the current load."""
         now = trio.current_time()
         self._samples.append(Sample(now, next(self._numbers), content))
         newest = now - self.lag_s
@@ -184,7 +184,7 @@
             self._samples.popleft()
 
     def read(self) -> dict[str, object]:
-        """Return the newest report that is old enough, else the oldest one."""
+        """Return the newest report of the minimum age, or else the oldest report."""
         now = trio.current_time()
         old = [s for s in self._samples if s.made_at <= now - self.lag_s]
         sample = old[-1] if old else self._samples[0]
--- a/packages/snipelug-standins/src/snipelug_standins/service.py
+++ b/packages/snipelug-standins/src/snipelug_standins/service.py
@@ -1,4 +1,4 @@
-"""Stand-in of a plain service, which counts how often each order runs."""
+"""Stand-in for a plain service that counts how often each order runs."""
 
 import collections
 import hashlib
@@ -13,16 +13,16 @@
 
 
 class Service:
-    """Answers any path; a POST with an ``order_id`` counts as one run of it.
+    """A service on all paths; each POST with an ``order_id`` is a run of that order.
 
     Parameters
     ----------
     time_s : float
-        Time that each call takes after its effect, in seconds.
+        Duration of each call after it took effect, in seconds.
     warmth : load.Warmth
         Warm or cold state.
     lag_s : float
-        Lag of load reports, in seconds.
+        Minimum age of load reports, in seconds.
     """
 
     faults_type = faults.UpstreamFaults
@@ -36,25 +36,25 @@
         self.bodies: collections.Counter[str] = collections.Counter()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         if req.path == "/load" and req.method == "GET":
             if not self.reports.lag_s:
                 self.reports.add(self._sample())
             return http_server.json_response(http.HTTPStatus.OK, self.reports.read())
-        ticket = self.warmth.enter()
-        if isinstance(ticket, load.Broken):
+        active_request = self.warmth.admit()
+        if isinstance(active_request, load.Overloaded):
             return _overloaded()
         completed = False
         try:
             response = self._run(req)
             await trio.sleep(self.time_s)
-            completed = not ticket.cut
+            completed = not active_request.aborted
         finally:
-            self.warmth.leave(ticket, completed)
+            self.warmth.finish(active_request, completed)
         return response if completed else _overloaded()
 
     def _run(self, req: http_server.Request) -> http_server.Response:
-        # The effect comes first, so that a caller who leaves cannot undo it.
+        # Runs before the delay, so that a caller that disconnects cannot prevent it.
         digest = hashlib.sha256(req.body).hexdigest()
         order_id = _order_id(req)
         if req.method not in standin.SAFE_METHODS:
@@ -74,10 +74,12 @@
         return http_server.json_response(status, content)
 
     def _sample(self) -> dict[str, object]:
-        return load.sample(self.warmth, self.leaving, len(self.warmth.tickets), 0, "")
+        return load.sample(
+            self.warmth, self.leaving, len(self.warmth.active_requests), 0, ""
+        )
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over faults."""
+        """Apply new faults."""
         assert isinstance(wanted, faults.UpstreamFaults)
         self.leaving = wanted.leaving
         return self.warmth.apply(wanted)
@@ -88,14 +90,14 @@
         return load.warmth_stats(self.warmth) | runs
 
     async def run(self) -> None:
-        """Sample the load."""
+        """Record load reports until cancelled."""
         while True:
             self.reports.add(self._sample())
             await trio.sleep(load.SAMPLE_INTERVAL_S)
 
 
 def _overloaded() -> http_server.Response:
-    message = "the upstream fell over under load while cold"
+    message = "the upstream failed under load while cold"
     return standin.error(http.HTTPStatus.INTERNAL_SERVER_ERROR, "overloaded", message)
 
 
