--- a/packages/snipelug-standins/src/snipelug_standins/batch.py
+++ b/packages/snipelug-standins/src/snipelug_standins/batch.py
@@ -1,4 +1,4 @@
-"""Running batch of an engine and the queue in front of it."""
+"""Running batch of an engine, and its queue of waiting requests."""
 
 import heapq
 import itertools
@@ -7,16 +7,16 @@
 
 
 class Batch:
-    """Slots for running requests, handed out by priority, then by arrival.
+    """Slots for running requests, assigned by priority, then in order of arrival.
 
     Parameters
     ----------
-    size : int
-        Most requests running at once.
+    capacity : int
+        Maximum number of requests that run concurrently.
     """
 
-    def __init__(self, size: int) -> None:
-        self.size = size
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
         self.running = 0
         self._waiting: list[tuple[int, int, trio.Event]] = []
         self._numbers = itertools.count()
@@ -27,8 +27,8 @@
         return len(self._waiting)
 
     async def acquire(self, priority: int) -> None:
-        """Wait for a slot; lower priorities go first."""
-        if self.running < self.size and not self._waiting:
+        """Wait for a slot; lower priority values go first."""
+        if self.running < self.capacity and not self._waiting:
             self.running += 1
             return
         entry = (priority, next(self._numbers), trio.Event())
@@ -36,17 +36,17 @@
         try:
             await entry[2].wait()
         except trio.Cancelled:
-            self._give_up(entry)
+            self._cancel_wait(entry)
             raise
 
     def release(self) -> None:
-        """Hand the slot to the first waiting request."""
+        """Release a slot, to the first waiting request if there is one."""
         if self._waiting:
             heapq.heappop(self._waiting)[2].set()
             return
         self.running -= 1
 
-    def _give_up(self, entry: tuple[int, int, trio.Event]) -> None:
+    def _cancel_wait(self, entry: tuple[int, int, trio.Event]) -> None:
         if entry[2].is_set():
             self.release()
             return
--- a/packages/snipelug-standins/src/snipelug_standins/engine.py
+++ b/packages/snipelug-standins/src/snipelug_standins/engine.py
@@ -263,9 +263,11 @@
             self.batch.release()
 
     async def _prefill(self, job: Job, usage: Usage) -> None:
-        ids = prefix.chain(job.chat.cache_salt, job.chat.model, job.version, job.prompt)
+        ids = prefix.hash_blocks(
+            job.chat.cache_salt, job.chat.model, job.version, job.prompt
+        )
         keys = job.chat.block_keys
-        cached_blocks = self.cache.matched(ids)
+        cached_blocks = self.cache.match_prefix(ids)
         usage.prompt_tokens = text.count_tokens(job.prompt)
         usage.cached_tokens = cached_blocks * text.BLOCK_TOKENS
         recomputed = usage.prompt_tokens - usage.cached_tokens
@@ -275,12 +277,12 @@
         for index, block_id in enumerate(ids):
             key = keys[index] if index < len(keys) else ""
             if index < cached_blocks:
-                self.cache.name(block_id, key, trio.current_time())
+                self.cache.set_key(block_id, key, trio.current_time())
                 continue
             await self._compute_tokens(text.BLOCK_TOKENS)
             if not job.active_request.aborted and job.version == self.version:
                 self.cache.store(block_id, key, trio.current_time())
-        self.cache.matched(ids)
+        self.cache.match_prefix(ids)
         rest = usage.prompt_tokens - len(ids) * text.BLOCK_TOKENS
         await self._compute_tokens(rest)
 
@@ -311,7 +313,7 @@
         if after is None:
             message = "the query parameter after is not a number"
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_after", message)
-        found = self.feed.after(after, trio.current_time())
+        found = self.feed.read_after(after, trio.current_time())
         content = {"boot_id": self.warmth.boot_id, "events": found}
         return http_server.json_response(http.HTTPStatus.OK, content)
 
@@ -320,7 +322,7 @@
             order = msgspec.json.decode(req.body, type=kv.ExportOrder)
         except msgspec.MsgspecError as exc:
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_export", str(exc))
-        stored: list[kv.Stored] = []
+        stored: list[kv.StoredBlock] = []
         missed: list[str] = []
         for block in order.blocks:
             block_id = self.cache.id_of(block.key)
--- a/packages/snipelug-standins/src/snipelug_standins/kv.py
+++ b/packages/snipelug-standins/src/snipelug_standins/kv.py
@@ -1,4 +1,4 @@
-"""Transfer of cached blocks between an engine and store instances."""
+"""Transfer of KV cache blocks between an engine and KV cache stores."""
 
 import msgspec
 
@@ -6,21 +6,21 @@
 from snipelug_standins import store
 
 TRANSFER_TIMEOUT_S = 30.0
-LIMIT_BYTES = 256 * 1024 * 1024
+MAX_BLOCK_BYTES = 256 * 1024 * 1024
 ID_BYTES = 32
 CREATED = 201
 OK = 200
 
 
 class StoreAddress(msgspec.Struct, frozen=True):
-    """Where a store instance listens."""
+    """Address of a KV cache store."""
 
     host: str
     port: int
 
 
 class ExportBlock(msgspec.Struct, frozen=True):
-    """A block to export, by the key that the node gave it."""
+    """A block to export, identified by the key that the node computed for it."""
 
     key: str
 
@@ -33,8 +33,8 @@
     generation: int | str
 
 
-class Stored(msgspec.Struct, frozen=True):
-    """A block as it lies in a store."""
+class StoredBlock(msgspec.Struct, frozen=True):
+    """Identity of a block in a KV cache store."""
 
     key: str
     generation: int | str
@@ -44,25 +44,25 @@
 class ImportOrder(msgspec.Struct, frozen=True):
     """Body of ``POST /kv/import``."""
 
-    blocks: list[Stored]
+    blocks: list[StoredBlock]
     store: StoreAddress
 
 
 def pack(block_id: str, size_bytes: int) -> bytes:
-    """Return the opaque bytes of a block; they name the block's content."""
+    """Return the body of a block, which starts with the block id."""
     filler = block_id.encode() * (1 + size_bytes // ID_BYTES)
     return filler[: max(size_bytes, ID_BYTES)]
 
 
 def unpack(body: bytes) -> str:
-    """Return the id of the block in these bytes."""
+    """Return the block id from the body of a block."""
     return body[:ID_BYTES].decode("ascii", "replace")
 
 
 async def export_block(
     pool: http_client.Pool, order: ExportOrder, key: str, body: bytes
-) -> Stored | None:
-    """Write one block to the store; None if the store did not take it."""
+) -> StoredBlock | None:
+    """Write one block to the store; return None if the write failed."""
     checksum = store.checksum(body)
     call = http_client.Call(
         (order.store.host, order.store.port),
@@ -75,11 +75,11 @@
     full = await pool.fetch(call)
     if not isinstance(full, http_client.FullResponse) or full.status != CREATED:
         return None
-    return Stored(key, order.generation, checksum)
+    return StoredBlock(key, order.generation, checksum)
 
 
 async def import_block(
-    pool: http_client.Pool, address: StoreAddress, block: Stored
+    pool: http_client.Pool, address: StoreAddress, block: StoredBlock
 ) -> str | None:
     """Read one block from the store; return its id, or None for a miss."""
     call = http_client.Call(
@@ -89,10 +89,10 @@
         {"if-match": f'"{block.generation}-{block.checksum}"'},
         timeout_s=TRANSFER_TIMEOUT_S,
     )
-    full = await pool.fetch(call, LIMIT_BYTES)
+    full = await pool.fetch(call, MAX_BLOCK_BYTES)
     if not isinstance(full, http_client.FullResponse) or full.status != OK:
         return None
-    # The body can have changed on the way or in the store.
+    # Detects corruption in transit or in the store.
     if store.checksum(full.body) != block.checksum:
         return None
     return unpack(full.body)
--- a/packages/snipelug-standins/src/snipelug_standins/prefix.py
+++ b/packages/snipelug-standins/src/snipelug_standins/prefix.py
@@ -1,4 +1,4 @@
-"""Prefix cache of an engine: blocks of prompt tokens in limited memory."""
+"""Prefix cache of an engine: blocks of prompt tokens, limited in number."""
 
 import collections
 import hashlib
@@ -8,8 +8,8 @@
 DIGEST_BYTES = 16
 
 
-def chain(salt: str, model: str, version: str, prompt: bytes) -> list[str]:
-    """Return the ids of the prompt's full blocks, each depending on all before."""
+def hash_blocks(salt: str, model: str, version: str, prompt: bytes) -> list[str]:
+    """Return the ids of the prompt's full blocks; each hash covers its predecessors."""
     parent = _digest(b"", "\0".join((salt, model, version)).encode())
     ids = []
     for start in range(0, len(prompt) - text.BLOCK_BYTES + 1, text.BLOCK_BYTES):
@@ -23,41 +23,42 @@
 
 
 class Cache:
-    """Least recently used blocks leave first.
+    """A cache of blocks that evicts the least recently used ones.
 
     Parameters
     ----------
     capacity_blocks : int
-        Most blocks kept.
+        Maximum number of blocks.
     feed : events.Feed
-        Receives an event for each stored or removed block with a known key.
+        Receives an event for each block with a known key that is stored or
+        removed.
     """
 
     def __init__(self, capacity_blocks: int, feed: events.Feed) -> None:
         self.capacity_blocks = capacity_blocks
         self.feed = feed
         self.evictions = 0
-        # Block id to the key under which nodes know it; least recently used first.
+        # Keys that nodes use, by block id; least recently used first.
         self._blocks: collections.OrderedDict[str, str] = collections.OrderedDict()
         self._id_by_key: dict[str, str] = {}
 
     def __len__(self) -> int:
         return len(self._blocks)
 
-    def matched(self, ids: list[str]) -> int:
-        """Return how many of the first blocks are cached, and use them."""
+    def match_prefix(self, ids: list[str]) -> int:
+        """Return the length of the cached prefix in blocks, and mark it as used."""
         count = 0
         for block_id in ids:
             if block_id not in self._blocks:
                 break
             count += 1
-        # The first block stays longest: the others are useless without it.
+        # Keeps the first block longest: later blocks are unusable without it.
         for block_id in reversed(ids[:count]):
             self._blocks.move_to_end(block_id)
         return count
 
-    def name(self, block_id: str, key: str, now: float) -> None:
-        """Give a cached block the key under which nodes know it."""
+    def set_key(self, block_id: str, key: str, now: float) -> None:
+        """Set the key that nodes use for a cached block."""
         if not key or self._blocks.get(block_id, key) == key:
             return
         self._blocks[block_id] = key
@@ -65,10 +66,10 @@
         self.feed.append(now, "stored", key)
 
     def store(self, block_id: str, key: str, now: float) -> None:
-        """Add a block; an empty key stands for a block that no node named."""
+        """Add a block; the key is empty if no node supplied one."""
         self._blocks.setdefault(block_id, "")
         self._blocks.move_to_end(block_id)
-        self.name(block_id, key, now)
+        self.set_key(block_id, key, now)
         while len(self._blocks) > self.capacity_blocks:
             self.evictions += 1
             self._remove(next(iter(self._blocks)), now)
--- a/packages/snipelug-standins/src/snipelug_standins/store.py
+++ b/packages/snipelug-standins/src/snipelug_standins/store.py
@@ -1,4 +1,4 @@
-"""Stand-in of a KV cache store instance with a memory and a disk tier."""
+"""Stand-in for a KV cache store with a memory tier and a disk tier."""
 
 import collections
 import collections.abc
@@ -20,7 +20,7 @@
 
 
 class Tier(enum.StrEnum):
-    """Where the bytes of a block are."""
+    """Storage tier of a block."""
 
     MEMORY = "memory"
     DISK = "disk"
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass
 class Block:
-    """One complete block."""
+    """A completely written block."""
 
     generation: str
     checksum: str
@@ -37,41 +37,41 @@
 
     @property
     def etag(self) -> str:
-        """Entity tag that a reader must name."""
+        """Entity tag that ``If-Match`` is compared with."""
         return f'"{self.generation}-{self.checksum}"'
 
 
 def checksum(body: bytes) -> str:
-    """Return the checksum of a block's bytes, in hexadecimal."""
+    """Return the hexadecimal checksum of a block body."""
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-class _Half:
-    """Part of a body, after which the process ends."""
+class _TruncatedBody:
+    """A body that ends the process after sending only a part."""
 
     def __init__(self, part: bytes) -> None:
-        self._part = part
+        self._content = part
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the part."""
-        yield self._part
+        """Yield the part, then stop the process."""
+        yield self._content
         standin.stop_process(standin.EXIT_DIE, "fault die_in_transfer")
 
     async def aclose(self) -> None:
-        """Free nothing."""
+        """Do nothing; there are no resources to release."""
 
 
 class Store:
-    """Blocks by key; the least recently used ones move from memory to disk.
+    """Blocks by key; the least recently used are moved from memory to disk.
 
     Parameters
     ----------
     memory_bytes, disk_bytes : int
-        Size of the tiers, in bytes.
+        Capacity of each tier, in bytes.
     memory_rate, disk_rate : float
-        Bandwidth of the links to the tiers, in bytes per second; 0 for unlimited.
+        Bandwidth of the link to each tier, in bytes per second; 0 for unlimited.
     directory : pathlib.Path, optional
-        Keeps a file for each block, so that blocks outlast the process.
+        Directory with a file per block, so that blocks survive a restart.
     """
 
     faults_type = faults.StoreFaults
@@ -101,7 +101,7 @@
         self._transfers_before_exit: int | None = None
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         if req.path == "/status" and req.method == "GET":
             return http_server.json_response(http.HTTPStatus.OK, self._status())
         if req.path == "/blocks" and req.method == "GET":
@@ -122,25 +122,27 @@
         generation = req.headers.get("x-generation", "")
         expected = req.headers.get("x-checksum", "")
         if not generation or not expected:
-            message = "X-Generation and X-Checksum are required"
+            message = "the headers X-Generation and X-Checksum are required"
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_block", message)
         actual = checksum(req.body)
         if actual != expected:
-            message = f"the checksum of the body is {actual}, not {expected}"
+            message = (
+                f"the body has the checksum {actual}, but the header says {expected}"
+            )
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_checksum", message)
         if self.faults.full:
-            return self._answer_full(key)
-        # The block becomes visible only after the whole transfer.
-        self._keep_part(key, req.body[: len(req.body) // 2])
-        if self._breaks_off():
+            return self._full_response(key)
+        # The block becomes visible only after the transfer is complete.
+        self._write_part_file(key, req.body[: len(req.body) // 2])
+        if self._dies_in_transfer():
             standin.stop_process(standin.EXIT_DIE, "fault die_in_transfer")
-        await self.links[Tier.MEMORY].carry(len(req.body))
+        await self.links[Tier.MEMORY].transfer(len(req.body))
         tier = self._make_room(len(req.body), key)
         if tier is None:
-            return self._answer_full(key)
+            return self._full_response(key)
         self._remove(key)
         block = Block(generation, expected, req.body, tier)
-        self._keep(key, block)
+        self._write_block_file(key, block)
         self.blocks[key] = block
         self.counts["writes"] += 1
         self._publish("stored", key, block)
@@ -151,7 +153,7 @@
         block = self.blocks.get(key)
         if block is None:
             self.counts["misses"] += 1
-            message = f"there is no block {key}"
+            message = f"block {key} does not exist"
             return standin.error(http.HTTPStatus.NOT_FOUND, "absent", message)
         wanted = req.headers.get("if-match", "*").strip()
         if wanted not in ("*", block.etag):
@@ -161,23 +163,23 @@
                 http.HTTPStatus.PRECONDITION_FAILED, "precondition_failed", message
             )
         self.blocks.move_to_end(key)
-        await self.links[block.tier].carry(len(block.body))
+        await self.links[block.tier].transfer(len(block.body))
         self.counts["reads"] += 1
         body = block.body
         if self._corrupt_reads > 0:
             self._corrupt_reads -= 1
             body = bytes(reversed(body))
         headers = {"etag": block.etag, "x-tier": block.tier.value}
-        if self._breaks_off():
-            half = _Half(body[: len(body) // 2])
-            return http_server.Response(http.HTTPStatus.OK, half, headers)
+        if self._dies_in_transfer():
+            truncated = _TruncatedBody(body[: len(body) // 2])
+            return http_server.Response(http.HTTPStatus.OK, truncated, headers)
         return http_server.Response(http.HTTPStatus.OK, body, headers)
 
     def _delete(self, key: str, req: http_server.Request) -> http_server.Response:
         block = self.blocks.get(key)
         wanted = req.headers.get("if-match", "*").strip()
         if block is None:
-            message = f"there is no block {key}"
+            message = f"block {key} does not exist"
             return standin.error(http.HTTPStatus.NOT_FOUND, "absent", message)
         if wanted not in ("*", block.etag):
             message = f"block {key} has the entity tag {block.etag}"
@@ -190,68 +192,74 @@
     def _list(self, req: http_server.Request) -> http_server.Response:
         after = events.parse_after(req.query)
         if after is None:
-            message = "after is not a number"
+            message = "the query parameter after is not a number"
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_after", message)
-        found = self.feed.after(after, trio.current_time())
-        content = {"boot_id": self.boot_id, "blocks": found}
+        entries = self.feed.read_after(after, trio.current_time())
+        content = {"boot_id": self.boot_id, "blocks": entries}
         return http_server.json_response(http.HTTPStatus.OK, content)
 
-    def _answer_full(self, key: str) -> http_server.Response:
+    def _full_response(self, key: str) -> http_server.Response:
         self.counts["full"] += 1
-        message = f"there is no room for block {key}"
+        message = f"not enough space for block {key}"
         return standin.error(http.HTTPStatus.INSUFFICIENT_STORAGE, "full", message)
 
-    def _used(self, tier: Tier) -> int:
+    def _used_bytes(self, tier: Tier) -> int:
         return sum(len(b.body) for b in self.blocks.values() if b.tier is tier)
 
-    def _free(self, tier: Tier, without: str) -> int:
-        """Return the free bytes of a tier as if one block were not there."""
-        used = self._used(tier)
-        old = self.blocks.get(without)
+    def _free_bytes(self, tier: Tier, excluded_key: str) -> int:
+        """Return the free bytes of a tier, not counting one block as used."""
+        used = self._used_bytes(tier)
+        old = self.blocks.get(excluded_key)
         if old is not None and old.tier is tier:
             used -= len(old.body)
         return self.sizes[tier] - used
 
     def _make_room(self, size_bytes: int, replaced: str) -> Tier | None:
-        """Move blocks to disk until a new one fits; return its tier."""
+        """Move blocks to disk until a new block fits; return the tier for it."""
         for key, block in self.blocks.items():
-            if size_bytes <= self._free(Tier.MEMORY, replaced):
+            if size_bytes <= self._free_bytes(Tier.MEMORY, replaced):
                 return Tier.MEMORY
-            fits_disk = len(block.body) <= self._free(Tier.DISK, replaced)
+            fits_disk = len(block.body) <= self._free_bytes(Tier.DISK, replaced)
             if key != replaced and block.tier is Tier.MEMORY and fits_disk:
                 block.tier = Tier.DISK
-        return next((t for t in Tier if size_bytes <= self._free(t, replaced)), None)
+        return next(
+            (t for t in Tier if size_bytes <= self._free_bytes(t, replaced)), None
+        )
 
     def _remove(self, key: str) -> None:
         block = self.blocks.pop(key, None)
         if block is not None:
             if self._directory is not None:
-                self._path(self._directory, key, block).unlink()
+                self._block_path(self._directory, key, block).unlink()
             self._publish("removed", key, block)
 
-    # Files of blocks
+    # Block files
 
     @staticmethod
-    def _path(directory: pathlib.Path, key: str, block: Block) -> pathlib.Path:
+    def _block_path(directory: pathlib.Path, key: str, block: Block) -> pathlib.Path:
         fields = (key, block.generation, block.checksum)
         names = [urllib.parse.quote(f, safe="").replace(".", "%2E") for f in fields]
         return directory / ".".join((*names, SUFFIX))
 
-    def _keep_part(self, key: str, part: bytes) -> None:
+    def _write_part_file(self, key: str, part: bytes) -> None:
         if self._directory is not None:
             name = urllib.parse.quote(key, safe="")
             (self._directory / f"{name}.part").write_bytes(part)
 
-    def _keep(self, key: str, block: Block) -> None:
-        """Write the file of a whole block; only then it has a block's name."""
+    def _write_block_file(self, key: str, block: Block) -> None:
+        """Write the file of a complete block.
+
+        The rename at the end ensures that no partly written file has the
+        name of a block file.
+        """
         if self._directory is None:
             return
-        self._keep_part(key, block.body)
+        self._write_part_file(key, block.body)
         part = self._directory / f"{urllib.parse.quote(key, safe='')}.part"
-        part.rename(self._path(self._directory, key, block))
+        part.rename(self._block_path(self._directory, key, block))
 
-    def _load(self) -> None:
-        """Take over the blocks of an earlier process."""
+    def _load_block_files(self) -> None:
+        """Load the blocks that an earlier process wrote."""
         if self._directory is None:
             return
         self._directory.mkdir(exist_ok=True)
@@ -262,8 +270,8 @@
             self.blocks[key] = block
             self._publish("stored", key, block)
 
-    def _breaks_off(self) -> bool:
-        """Count a transfer; return whether this process ends in its middle."""
+    def _dies_in_transfer(self) -> bool:
+        """Count a transfer; return whether the process must exit during it."""
         left = self._transfers_before_exit
         if left:
             self._transfers_before_exit = left - 1
@@ -284,7 +292,7 @@
         tiers = {
             tier.value: {
                 "size_bytes": self.sizes[tier],
-                "used_bytes": self._used(tier),
+                "used_bytes": self._used_bytes(tier),
                 "rate_bytes_per_s": self.rates[tier] / self.faults.slowdown,
                 "carried_bytes": self.links[tier].carried_bytes,
             }
@@ -293,7 +301,7 @@
         return {"boot_id": self.boot_id, "blocks": len(self.blocks), "tiers": tiers}
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over faults."""
+        """Apply new faults."""
         assert isinstance(wanted, faults.StoreFaults)
         self.faults = wanted
         self._corrupt_reads = wanted.corrupt_reads
@@ -309,6 +317,6 @@
         return {name: self.counts[name] for name in names} | self._status()
 
     async def run(self) -> None:
-        """Take over kept blocks; do nothing afterwards."""
-        self._load()
+        """Load the blocks on disk, then wait for cancellation."""
+        self._load_block_files()
         await trio.sleep_forever()
--- a/packages/snipelug-standins/src/snipelug_standins/text.py
+++ b/packages/snipelug-standins/src/snipelug_standins/text.py
@@ -1,4 +1,4 @@
-"""Prompts and answers as text; an answer is a function of its prompt."""
+"""Prompts and responses as text; a response depends only on its prompt."""
 
 import collections.abc
 import hashlib
@@ -19,14 +19,14 @@
 def render(
     messages: collections.abc.Iterable[Message], preamble: object = None
 ) -> bytes:
-    """Return the prompt that the model sees: one line of JSON per message.
+    """Render chat messages as the prompt: one line of JSON per message.
 
     Parameters
     ----------
     messages : iterable of mapping
-        Chat messages, each with all its fields.
+        Chat messages, including all fields.
     preamble : object, optional
-        What comes before the messages, such as tool definitions.
+        Content that precedes the messages, such as tool definitions.
     """
     lines = [msgspec.json.encode(m, order="sorted") for m in messages]
     if preamble is not None:
@@ -35,17 +35,17 @@
 
 
 def count_tokens(prompt: bytes) -> int:
-    """Return the length of a prompt, in tokens."""
+    """Return the number of tokens in a prompt, rounded up."""
     return -(-len(prompt) // TOKEN_BYTES)
 
 
 def marker(prompt: bytes) -> str:
-    """Return the word that starts the answer to a prompt and names it."""
+    """Return the first word of the response, a hash that identifies the prompt."""
     return "m" + hashlib.blake2b(prompt, digest_size=6).hexdigest()
 
 
 def answer_tokens(prompt: bytes, length: int) -> list[str]:
-    """Return the answer to a prompt as a list of ``length`` token texts."""
+    """Return the first ``length`` token texts of the response to a prompt."""
     digest = hashlib.shake_256(prompt).hexdigest(2 * length)
     words = (digest[i : i + WORD_CHARS] + " " for i in range(0, WORD_CHARS * length, 3))
     return [marker(prompt) + " ", *words][:length]
@@ -55,5 +55,5 @@
     messages: collections.abc.Iterable[Message],
     length: int = DEFAULT_COMPLETION_TOKENS,
 ) -> str:
-    """Return the whole text that an engine answers; tests compare with it."""
+    """Return the complete response text of an engine, for tests to compare with."""
     return "".join(answer_tokens(render(messages), length))
--- a/packages/snipelug-standins/src/snipelug_standins/transfer.py
+++ b/packages/snipelug-standins/src/snipelug_standins/transfer.py
@@ -6,7 +6,7 @@
 
 
 class Link:
-    """A link that carries one transfer after the other.
+    """A link that runs its transfers one at a time.
 
     Parameters
     ----------
@@ -20,8 +20,8 @@
         self.carried_bytes = 0
         self._lock = trio.Lock()
 
-    async def carry(self, size_bytes: int) -> None:
-        """Wait as long as the transfer takes."""
+    async def transfer(self, size_bytes: int) -> None:
+        """Wait for the duration of a transfer."""
         async with self._lock:
             await trio.sleep(size_bytes / self.bytes_per_s * self.slowdown)
         self.carried_bytes += size_bytes
