Reword node.py

LOOK_S -> DRAIN_POLL_INTERVAL_S, UNREADY_S -> LISTENER_CLOSE_DELAY_S, GC_ALLOCATIONS -> GC_THRESHOLD, INDEX_BYTES -> MAX_INDEX_BYTES, and private methods: _take_report -> _apply_report, _take_list -> _apply_instance_list, _sharers -> _processes_sharing_limits, _subset -> _choose_upstreams, _read_here -> _instances_to_read, _block_s -> _block_prefill_s, _cut -> _abort_open_requests.

--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -1,4 +1,4 @@
-"""Composition of a node from its parts, and its planned stop."""
+"""Builds a node from its components and runs it until a planned stop."""
 
 import collections.abc
 import dataclasses
@@ -64,27 +64,30 @@
 
 LOG = logging.getLogger("snipelug.node")
 
-INDEX_BYTES = 48 * 1024 * 1024
-"""Memory of this node's shard of the block index."""
+MAX_INDEX_BYTES = 48 * 1024 * 1024
+"""Memory limit of this node's shard of the block index."""
 
-UNREADY_S = 2.0
-"""Time between reporting not ready and closing the listener, for the balancer."""
+LISTENER_CLOSE_DELAY_S = 2.0
+"""Time between reporting not ready and closing the listener.
 
-LOOK_S = 0.05
+Lets the load balancer stop sending requests to this node first.
+"""
 
-GC_ALLOCATIONS = 20_000
+DRAIN_POLL_INTERVAL_S = 0.05
+
+GC_THRESHOLD = 20_000
 """Allocations between collections; the default of 700 took 4% of the relay's time."""
 
 
 class Node:
-    """All parts of one node.
+    """All components of one node.
 
     Parameters
     ----------
     cfg : settings.Settings
-        Settings.
+        Settings of the node.
     nursery : trio.Nursery
-        Runs what goes on in the background until the process ends.
+        Runs the background tasks until the process ends.
     """
 
     def __init__(self, cfg: settings.Settings, nursery: trio.Nursery) -> None:
@@ -101,9 +104,9 @@
             self.tables,
             self.instance_list,
             self.pool,
-            self._subset,
-            self._take_report,
-            self._take_list,
+            self._choose_upstreams,
+            self._apply_report,
+            self._apply_instance_list,
             lambda: self.gateway.is_active(trio.current_time()),
         )
         self.keeper = revision.Keeper(self.store, self.peers, self.watcher)
@@ -129,7 +132,7 @@
         self._build_limits()
         self._build_cache()
         self._build_request_path()
-        offered = operations.Operations(
+        operator_actions = operations.Operations(
             self.tables,
             self.keeper,
             self.lease,
@@ -139,7 +142,7 @@
             self._may_send,
         )
         self.admin = admin.Admin(
-            self.keeper, self.peers, cfg.admin_key, offered.providers()
+            self.keeper, self.peers, cfg.admin_key, operator_actions.providers()
         )
 
     def _build_slots(self) -> None:
@@ -175,7 +178,7 @@
             process,
             self.teams.owner_of,
             self.teams.holds,
-            self._sharers,
+            self._processes_sharing_limits,
             self.teams.joined_for,
             self.lease.is_listed,
             self.teams.limits_of,
@@ -183,11 +186,11 @@
         )
 
     def _build_cache(self) -> None:
-        self.shard = cache.Shard(INDEX_BYTES)
+        self.shard = cache.Shard(MAX_INDEX_BYTES)
         self.shard.register(self.peers)
         self.directory = cache.Directory(self.peers)
         self.backlog = prefill.PrefillBacklog()
-        self.feeds = feeds.Feeds(self.pool, self.directory, self._read_here)
+        self.feeds = feeds.Feeds(self.pool, self.directory, self._instances_to_read)
         self.transfers = transfers.Transfers(
             self.pool,
             self.directory,
@@ -203,7 +206,7 @@
             self.directory,
             self.transfers,
             lambda: self.keeper.cfg,
-            self._block_s,
+            self._block_prefill_s,
             self.backlog,
         )
 
@@ -264,7 +267,7 @@
             metrics=self.metrics,
         )
 
-    # What the parts ask of each other
+    # Callbacks between components
 
     def _may_send(
         self, upstream: table.Upstream, conn_opened_at: float, now: float
@@ -279,7 +282,7 @@
             self.watcher.list_tried_at,
         )
 
-    def _take_report(
+    def _apply_report(
         self, upstream_id: str, report: table.LoadReport, asked_at: float
     ) -> None:
         upstream = self.tables.upstreams.get(upstream_id)
@@ -289,12 +292,12 @@
             self.admitter.observe(upstream_id, report)
             self.confirmer.take_report(upstream_id)
 
-    def _take_list(self, listed: list[table.Instance], now: float) -> None:
+    def _apply_instance_list(self, listed: list[table.Instance], now: float) -> None:
         self.lease.note_instances(listed, now)
         self.shard.retain({inst.id for inst in listed})
 
     def _owned_items(self) -> list[lease.Item]:
-        """Return everything that needs one owner over all nodes."""
+        """Return the items that need exactly one owner among all nodes."""
         kinds = {
             table.Role.ENGINE: ownership.Kind.UPSTREAM,
             table.Role.SERVICE: ownership.Kind.UPSTREAM,
@@ -317,7 +320,7 @@
         return self.lease.holds(ownership.Kind.UPSTREAM, upstream_id, now)
 
     def _systems(self) -> list[ticker.System[typing.Any]]:
-        loads = loader.Loader(
+        weight_loader = loader.Loader(
             tables=self.tables,
             store=self.store,
             pool=self.pool,
@@ -331,7 +334,7 @@
         return [
             ticker.System("slots", self.slots.plan, self.slots.execute),
             ticker.System("teams", self.teams.plan, self._change_team),
-            ticker.System("weights", loads.plan, loads.execute),
+            ticker.System("weights", weight_loader.plan, weight_loader.execute),
             ticker.System("connections", self._plan_connections, self._connect),
         ]
 
@@ -347,11 +350,12 @@
             case teams.End(team):
                 self.limiter.end(team)
 
-    def _sharers(self) -> frozenset[str]:
+    def _processes_sharing_limits(self) -> frozenset[str]:
         """Return all processes that may use a share of a limit.
 
-        Right after a start the table of sessions was read before other nodes wrote
-        theirs; too few members would make the shares too large.
+        Includes the members besides the sessions: shortly after a start, the sessions
+        may have been read before other nodes wrote theirs, and counting too few
+        processes would make the shares too large.
         """
         members = self.peers.members.rows.values()
         known = frozenset(row.incarnation or row.node_id for row in members)
@@ -379,7 +383,7 @@
             if (inst.host, inst.port) == addr:
                 load.mark_connection_closed(upstream, now)
 
-    def _subset(
+    def _choose_upstreams(
         self, upstreams: collections.abc.Iterable[table.Instance]
     ) -> list[table.Instance]:
         by_id = {inst.id: inst for inst in upstreams}
@@ -388,8 +392,8 @@
         owned = [i for i in by_id if i not in chosen.ids and self.slots.has_part(i)]
         return [by_id[i] for i in (*chosen.ids, *owned)]
 
-    def _read_here(self) -> list[table.Instance]:
-        """Return the engines and stores whose feeds this node reads."""
+    def _instances_to_read(self) -> list[table.Instance]:
+        """Return the engines and KV cache stores whose feeds this node reads."""
         live = self.peers.live()
         roles = (table.Role.ENGINE, table.Role.STORE)
         return [
@@ -398,25 +402,25 @@
             if inst.role in roles and cache.reader_of(inst.id, live) == self.cfg.node_id
         ]
 
-    def _block_s(self, inst: table.Instance) -> float:
+    def _block_prefill_s(self, inst: table.Instance) -> float:
         return self.router.pace_of(inst).prefill_s * block.BLOCK_TOKENS
 
-    # Life of the process
+    # Start and stop
 
     async def run(self) -> None:
-        """Serve until a planned stop is complete."""
+        """Serve requests until a planned stop is complete."""
         cfg = self.cfg
         gc.freeze()
-        gc.set_threshold(GC_ALLOCATIONS)
-        callers = http_server.Server(self.gateway.handle)
-        operators = http_server.Server(self.admin.handle)
+        gc.set_threshold(GC_THRESHOLD)
+        caller_server = http_server.Server(self.gateway.handle)
+        admin_server = http_server.Server(self.admin.handle)
         await self._start_background()
-        await self.nursery.start(callers.serve, cfg.host, cfg.port)
-        await self.nursery.start(operators.serve, cfg.host, cfg.admin_port)
+        await self.nursery.start(caller_server.serve, cfg.host, cfg.port)
+        await self.nursery.start(admin_server.serve, cfg.host, cfg.admin_port)
         lines.event(
             LOG, "started", zone=cfg.zone, port=cfg.port, admin_port=cfg.admin_port
         )
-        await self._wait_for_stop(callers)
+        await self._wait_for_stop(caller_server)
         await self.lease.stop()
         lines.event(LOG, "stopped")
 
@@ -440,26 +444,28 @@
         nursery.start_soon(self.dispatcher.watch)
         nursery.start_soon(ticker.run, self._systems())
 
-    async def _wait_for_stop(self, callers: http_server.Server) -> None:
+    async def _wait_for_stop(self, caller_server: http_server.Server) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             await anext(signals)
             self.gateway.stopping = True
-            lines.event(LOG, "stopping", open_requests=callers.open_requests)
-            with trio.move_on_after(self.cfg.drain_s) as limit:
+            lines.event(LOG, "stopping", open_requests=caller_server.open_requests)
+            with trio.move_on_after(self.cfg.drain_s) as drain_scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(_cut_on_second_signal, signals, limit)
-                    await trio.sleep(UNREADY_S)
-                    callers.stop_accepting()
-                    while callers.open_requests or self.orders.open_calls():
-                        await trio.sleep(LOOK_S)
+                    nursery.start_soon(
+                        _end_drain_on_second_signal, signals, drain_scope
+                    )
+                    await trio.sleep(LISTENER_CLOSE_DELAY_S)
+                    caller_server.stop_accepting()
+                    while caller_server.open_requests or self.orders.open_calls():
+                        await trio.sleep(DRAIN_POLL_INTERVAL_S)
                     nursery.cancel_scope.cancel()
-        if callers.open_requests or self.orders.open_calls():
-            await self._cut(callers)
+        if caller_server.open_requests or self.orders.open_calls():
+            await self._abort_open_requests(caller_server)
 
-    async def _cut(self, callers: http_server.Server) -> None:
-        """End what is still open, and log it.
+    async def _abort_open_requests(self, caller_server: http_server.Server) -> None:
+        """Abort the requests and keyed calls that are still open, and log them.
 
-        What is handed over next must not be in use here any more.
+        Leases are handed over next, so nothing may run under them any more.
         """
         requests = list(self.gateway.open.values())
         orders = self.orders.open_calls()
@@ -468,19 +474,19 @@
             lines.warning(LOG, "request_cut", **dataclasses.asdict(request))
         for call in orders:
             lines.warning(LOG, "order_cut", **dataclasses.asdict(call))
-        await callers.abort()
+        await caller_server.abort()
         await self.orders.cut()
 
 
-async def _cut_on_second_signal(
-    signals: collections.abc.AsyncIterator[int], limit: trio.CancelScope
+async def _end_drain_on_second_signal(
+    signals: collections.abc.AsyncIterator[int], drain_scope: trio.CancelScope
 ) -> None:
     await anext(signals)
-    limit.cancel()
+    drain_scope.cancel()
 
 
 def peer_settings(cfg: settings.Settings) -> peer.Settings:
-    """Return the part of the settings that concerns other nodes."""
+    """Return the settings of the communication with other nodes."""
     static = tuple(
         member.Member(node_id, "", host, port)
         for node_id, (host, port) in cfg.peers.items()
@@ -498,7 +504,7 @@
 
 
 async def run(cfg: settings.Settings) -> None:
-    """Run a node with these settings."""
+    """Run a node until it is stopped."""
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         await Node(cfg, nursery).run()
         nursery.cancel_scope.cancel()
