Reword platform.py and ports.py

Also rewords test_platform.py and fakes.py: FAULTS -> ERRORS, HANG -> NO_RESPONSE, LISTED -> INSTANCE, LISTS -> LIST_RESPONSES, DELAY_S -> SERVICE_DELAY_S, test_answers_become_outcomes -> test_responses_become_outcomes, test_faults_are_unavailable -> test_errors_are_unavailable.

--- a/packages/snipelug-node/src/snipelug_node/platform.py
+++ b/packages/snipelug-node/src/snipelug_node/platform.py
@@ -1,7 +1,7 @@
-"""Adapters over HTTP for the platform's table service, object store and list.
+"""HTTP clients of the platform's table service, object store and instance list.
 
-Every method is bounded in time: connecting takes at most the pool's connect
-timeout, the response head and the response body at most ``timeout_s`` each.
+Every method has a time limit: connecting takes at most the pool's connect
+timeout, reading the response head and its body at most ``timeout_s`` each.
 """
 
 import collections.abc
@@ -19,14 +19,14 @@
 LOG = logging.getLogger("snipelug.platform")
 
 TIMEOUT_S = 2.0
-TABLE_LIMIT_BYTES = 16 * 1024 * 1024
-OBJECT_LIMIT_BYTES = 64 * 1024 * 1024
+MAX_TABLE_RESPONSE_BYTES = 16 * 1024 * 1024
+MAX_OBJECT_BYTES = 64 * 1024 * 1024
 
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
 PRECONDITION_FAILED = 412
-SERVER_ERRORS = 500
+MIN_SERVER_ERROR = 500
 
 
 class _ScanRow(msgspec.Struct):
@@ -79,7 +79,7 @@
 
 
 class _Endpoint:
-    """One platform service, reached over a shared connection pool."""
+    """One platform service, called over a shared connection pool."""
 
     def __init__(
         self, pool: http_client.Pool, addr: http_client.Address, timeout_s: float
@@ -94,15 +94,15 @@
         target: str,
         headers: dict[str, str] | None = None,
         body: bytes = b"",
-        limit_bytes: int = TABLE_LIMIT_BYTES,
+        max_bytes: int = MAX_TABLE_RESPONSE_BYTES,
     ) -> http_client.FullResponse | ports.Unavailable:
-        """Send one request; every transport fault becomes ``Unavailable``."""
+        """Send one request; every transport error becomes ``Unavailable``."""
         call = http_client.Call(
             self._addr, method, target, headers or {}, body, self._timeout_s
         )
-        match await self._pool.fetch(call, limit_bytes):
-            case http_client.FullResponse() as full:
-                return full
+        match await self._pool.fetch(call, max_bytes):
+            case http_client.FullResponse() as response:
+                return response
             case http_client.NotSent(reason):
                 return ports.Unavailable(reason, maybe_applied=False)
             case http_client.Withheld():
@@ -120,11 +120,11 @@
     Parameters
     ----------
     pool : http_client.Pool
-        Connections, which may be shared with other adapters.
+        Connection pool, which may be shared with other clients.
     addr : http_client.Address
-        Host and port of the service.
+        IP address and port of the service.
     timeout_s : float
-        Time allowed for the response head and again for its body, in seconds.
+        Timeout of the response head, and again of its body, in seconds.
     """
 
     def __init__(
@@ -139,17 +139,17 @@
         self, table_name: str, key: str
     ) -> ports.Row | ports.Absent | ports.Unavailable:
         """Read one row."""
-        full = await self._endpoint.fetch("GET", _row_target(table_name, key))
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status == NOT_FOUND:
+        response = await self._endpoint.fetch("GET", _row_path(table_name, key))
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status == NOT_FOUND:
             return ports.Absent()
-        if full.status != OK:
-            return _unexpected(full)
-        version = _version_of(full)
+        if response.status != OK:
+            return _unexpected_status(response)
+        version = _read_version(response)
         if not version:
-            return ports.Unavailable("the row came without an ETag", False)
-        return ports.Row(table_name, key, version, full.body)
+            return ports.Unavailable("the response has no ETag header", False)
+        return ports.Row(table_name, key, version, response.body)
 
     async def scan(
         self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
@@ -158,17 +158,17 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "limit": limit}
         )
-        target = f"/tables/{_encode(table_name)}/rows?{query}"
-        full = await self._endpoint.fetch("GET", target)
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status != OK:
-            return _unexpected(full)
-        reply = _decode(full, _ScanReply)
+        target = f"/tables/{_quote_path_part(table_name)}/rows?{query}"
+        response = await self._endpoint.fetch("GET", target)
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status != OK:
+            return _unexpected_status(response)
+        reply = _decode(response, _ScanReply)
         if isinstance(reply, ports.Unavailable):
             return reply
         return [
-            ports.Row(table_name, row.key, _unquote(row.version), bytes(row.content))
+            ports.Row(table_name, row.key, _parse_etag(row.version), bytes(row.content))
             for row in reply.rows
         ]
 
@@ -177,39 +177,39 @@
     ) -> ports.Written | ports.Conflict | ports.Unavailable:
         """Write or delete one row if its precondition holds."""
         method = "DELETE" if write.content is None else "PUT"
-        full = await self._endpoint.fetch(
+        response = await self._endpoint.fetch(
             method,
-            _row_target(write.table, write.key),
+            _row_path(write.table, write.key),
             _precondition_headers(write.expect) | _content_headers(write.content),
             write.content or b"",
         )
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status == PRECONDITION_FAILED:
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status == PRECONDITION_FAILED:
             return ports.Conflict()
         if write.content is None:
-            return _deleted(full, write.expect)
-        return _stored(full)
+            return _delete_outcome(response, write.expect)
+        return _write_outcome(response)
 
     async def transact(
         self, writes: collections.abc.Sequence[ports.Write]
     ) -> ports.Written | ports.Conflict | ports.Unavailable:
         """Apply all writes, or none if any precondition does not hold."""
-        items = [_transaction_write(write) for write in writes]
+        items = [_to_transaction_write(write) for write in writes]
         body = msgspec.json.encode(_Transaction(items))
-        full = await self._endpoint.fetch(
+        response = await self._endpoint.fetch(
             "POST", "/transactions", _content_headers(body), body
         )
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status in (CONFLICT, PRECONDITION_FAILED):
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status in (CONFLICT, PRECONDITION_FAILED):
             return ports.Conflict()
-        if full.status != OK:
-            return _unexpected(full)
-        reply = _decode(full, _TransactionReply)
+        if response.status != OK:
+            return _unexpected_status(response)
+        reply = _decode(response, _TransactionReply)
         if isinstance(reply, ports.Unavailable):
             return reply
-        return ports.Written(_unquote(reply.version))
+        return ports.Written(_parse_etag(reply.version))
 
 
 class HttpObjectStore:
@@ -225,34 +225,36 @@
 
     async def get(self, key: str) -> bytes | ports.Absent | ports.Unavailable:
         """Read an object."""
-        full = await self._endpoint.fetch(
-            "GET", f"/objects/{_encode(key)}", limit_bytes=OBJECT_LIMIT_BYTES
+        response = await self._endpoint.fetch(
+            "GET", f"/objects/{_quote_path_part(key)}", max_bytes=MAX_OBJECT_BYTES
         )
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status == NOT_FOUND:
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status == NOT_FOUND:
             return ports.Absent()
-        if full.status != OK:
-            return _unexpected(full)
-        return full.body
+        if response.status != OK:
+            return _unexpected_status(response)
+        return response.body
 
     async def put(self, key: str, content: bytes) -> ports.Written | ports.Unavailable:
         """Write an object."""
         headers = {"content-type": "application/octet-stream"}
-        target = f"/objects/{_encode(key)}"
-        full = await self._endpoint.fetch("PUT", target, headers, content)
-        if isinstance(full, ports.Unavailable):
-            return full
-        return _stored(full)
+        target = f"/objects/{_quote_path_part(key)}"
+        response = await self._endpoint.fetch("PUT", target, headers, content)
+        if isinstance(response, ports.Unavailable):
+            return response
+        return _write_outcome(response)
 
     async def delete(self, key: str) -> ports.Written | ports.Unavailable:
         """Delete an object; one that does not exist counts as deleted."""
-        full = await self._endpoint.fetch("DELETE", f"/objects/{_encode(key)}")
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status // 100 == 2 or full.status == NOT_FOUND:
+        response = await self._endpoint.fetch(
+            "DELETE", f"/objects/{_quote_path_part(key)}"
+        )
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status // 100 == 2 or response.status == NOT_FOUND:
             return ports.Written("")
-        return _unexpected(full)
+        return _unexpected_status(response)
 
 
 class HttpInstanceList:
@@ -269,21 +271,21 @@
     async def read(self) -> list[table.Instance] | ports.Unavailable:
         """Read the list.
 
-        A malformed entry makes the whole list unusable: skipping it would make
-        a listed instance look removed, and rights move to others on removal.
-        Entries with a role unknown to this version are left out.
+        A malformed entry makes the whole list unusable: skipping it would make a
+        listed instance look removed, and what a removed node owns goes to others.
+        Entries with a role unknown to this version are skipped.
         """
-        full = await self._endpoint.fetch("GET", "/instances")
-        if isinstance(full, ports.Unavailable):
-            return full
-        if full.status != OK:
-            return _unexpected(full)
-        entries = _decode(full, list[msgspec.Raw])
+        response = await self._endpoint.fetch("GET", "/instances")
+        if isinstance(response, ports.Unavailable):
+            return response
+        if response.status != OK:
+            return _unexpected_status(response)
+        entries = _decode(response, list[msgspec.Raw])
         if isinstance(entries, ports.Unavailable):
             return entries
         try:
             return [
-                _instance(msgspec.json.decode(entry, type=_ListedInstance))
+                _to_instance(msgspec.json.decode(entry, type=_ListedInstance))
                 for entry in entries
                 if msgspec.json.decode(entry, type=_ListedRole).role in KNOWN_ROLES
             ]
@@ -291,20 +293,20 @@
             return ports.Unavailable(f"malformed instance entry: {exc}", False)
 
 
-def _encode(part: str) -> str:
+def _quote_path_part(part: str) -> str:
     return urllib.parse.quote(part, safe="")
 
 
-def _row_target(table_name: str, key: str) -> str:
-    return f"/tables/{_encode(table_name)}/rows/{_encode(key)}"
+def _row_path(table_name: str, key: str) -> str:
+    return f"/tables/{_quote_path_part(table_name)}/rows/{_quote_path_part(key)}"
 
 
-def _unquote(etag: str) -> str:
+def _parse_etag(etag: str) -> str:
     return etag.removeprefix("W/").strip('"')
 
 
-def _version_of(full: http_client.FullResponse) -> str:
-    return _unquote(full.headers.get("etag", ""))
+def _read_version(response: http_client.FullResponse) -> str:
+    return _parse_etag(response.headers.get("etag", ""))
 
 
 def _precondition_headers(expect: ports.Precondition) -> dict[str, str]:
@@ -319,50 +321,52 @@
     return {} if content is None else {"content-type": "application/json"}
 
 
-def _transaction_write(write: ports.Write) -> _TransactionWrite:
+def _to_transaction_write(write: ports.Write) -> _TransactionWrite:
     content = None if write.content is None else msgspec.Raw(write.content)
     expect = write.expect
-    text = expect.value if isinstance(expect, ports.Expect) else expect
-    return _TransactionWrite(write.table, write.key, content, text)
+    expect_text = expect.value if isinstance(expect, ports.Expect) else expect
+    return _TransactionWrite(write.table, write.key, content, expect_text)
 
 
-def _unexpected(full: http_client.FullResponse) -> ports.Unavailable:
-    # Proxies also answer 5xx, 503 included, when the connection behind them
-    # breaks after the request was passed on. Only a 4xx proves a refusal.
-    reason = f"status {full.status}: {full.body[:200]!r}"
-    return ports.Unavailable(reason, maybe_applied=full.status >= SERVER_ERRORS)
+def _unexpected_status(response: http_client.FullResponse) -> ports.Unavailable:
+    # Proxies also answer 5xx, including 503, when the connection behind them breaks
+    # after they forwarded the request. Only a 4xx proves that nothing was applied.
+    reason = f"status {response.status}: {response.body[:200]!r}"
+    return ports.Unavailable(reason, maybe_applied=response.status >= MIN_SERVER_ERROR)
 
 
-def _deleted(
-    full: http_client.FullResponse, expect: ports.Precondition
+def _delete_outcome(
+    response: http_client.FullResponse, expect: ports.Precondition
 ) -> ports.Written | ports.Conflict | ports.Unavailable:
-    if full.status // 100 == 2:
-        return ports.Written(_version_of(full))
-    if full.status == NOT_FOUND:
+    if response.status // 100 == 2:
+        return ports.Written(_read_version(response))
+    if response.status == NOT_FOUND:
         expects_row = not isinstance(expect, ports.Expect)
         return ports.Conflict() if expects_row else ports.Written("")
-    return _unexpected(full)
+    return _unexpected_status(response)
 
 
-def _stored(full: http_client.FullResponse) -> ports.Written | ports.Unavailable:
-    if full.status // 100 != 2:
-        return _unexpected(full)
-    version = _version_of(full)
+def _write_outcome(
+    response: http_client.FullResponse,
+) -> ports.Written | ports.Unavailable:
+    if response.status // 100 != 2:
+        return _unexpected_status(response)
+    version = _read_version(response)
     if not version:
-        return ports.Unavailable("the write was answered without an ETag", True)
+        return ports.Unavailable("the response to a write has no ETag header", True)
     return ports.Written(version)
 
 
 def _decode(
-    full: http_client.FullResponse, kind: type[Structure]
+    response: http_client.FullResponse, kind: type[Structure]
 ) -> Structure | ports.Unavailable:
     try:
-        return msgspec.json.decode(full.body, type=kind)
+        return msgspec.json.decode(response.body, type=kind)
     except msgspec.MsgspecError as exc:
         return ports.Unavailable(f"malformed response: {exc}", maybe_applied=True)
 
 
-def _instance(entry: _ListedInstance) -> table.Instance:
+def _to_instance(entry: _ListedInstance) -> table.Instance:
     return table.Instance(
         entry.id,
         entry.role,
--- a/packages/snipelug-node/src/snipelug_node/ports.py
+++ b/packages/snipelug-node/src/snipelug_node/ports.py
@@ -1,4 +1,4 @@
-"""Interfaces between the parts of a node and the systems that they call."""
+"""Interfaces of a node's components to the platform and to other nodes."""
 
 import collections.abc
 import dataclasses
@@ -21,7 +21,7 @@
     Attributes
     ----------
     version : str
-        Opaque; differs after every write of the row.
+        Opaque; changes with every write of the row.
     content : bytes
         JSON.
     """
@@ -51,12 +51,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Unavailable:
-    """The platform's service gave no usable answer.
+    """The platform service returned no usable response.
 
     Attributes
     ----------
     maybe_applied : bool
-        False only if it is known that the write did not take effect.
+        False only if the write certainly did not take effect.
     """
 
     reason: str
@@ -71,7 +71,7 @@
 
 
 Precondition = str | Expect
-"""A row version that must still be there, or one of ``Expect``."""
+"""The expected row version, or one of ``Expect``."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,7 +125,7 @@
 
 
 class InstanceList(typing.Protocol):
-    """The platform's lagging list of instances."""
+    """The platform's instance list, which lags behind."""
 
     async def read(self) -> list[table.Instance] | Unavailable:
         """Read the list."""
@@ -138,7 +138,7 @@
     node_id: str
 
     def live(self) -> list[str]:
-        """Return the ids of the nodes heard of lately, this one included."""
+        """Return the ids of the nodes with a recent heartbeat, including this one."""
         ...
 
     async def call(
@@ -148,11 +148,11 @@
         message: Message,
         timeout_s: float,
     ) -> Answer | rpc.Unreachable:
-        """Call a procedure of a node; a call to this node runs locally."""
+        """Call an RPC method of a node; a call to this node runs locally."""
         ...
 
     def register(
         self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
     ) -> None:
-        """Offer a procedure to the other nodes; before the node starts serving."""
+        """Register the handler of an RPC method; call before the node starts serving."""
         ...
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""In-memory platform services and peers that follow the Protocols in ``ports``."""
+"""In-memory fakes of the platform services and peers in ``snipelug_node.ports``."""
 
 import collections.abc
 import itertools
@@ -10,18 +10,18 @@
 from snipelug_net import rpc
 from snipelug_node import platform, ports
 
-DELAY_S = 0.001
+SERVICE_DELAY_S = 0.001
 
 
 class Tables:
-    """A table service that counts operations and can fail.
+    """A fake table service that counts operations and can fail.
 
     Attributes
     ----------
     down : bool
-        Refuse everything without effect.
+        Fail every operation without effect.
     lose : int
-        Number of coming writes that take effect without an answer.
+        Number of next writes that take effect but whose response is lost.
     reads, writes, scans : int
         Operations received.
     """
@@ -39,7 +39,7 @@
         self, table_name: str, key: str
     ) -> ports.Row | ports.Absent | ports.Unavailable:
         self.reads += 1
-        await trio.sleep(DELAY_S)
+        await trio.sleep(SERVICE_DELAY_S)
         if self.down:
             return ports.Unavailable("down", False)
         row = self.rows.get((table_name, key))
@@ -49,7 +49,7 @@
         self, table_name: str, prefix: str = "", after: str = "", limit: int = 1000
     ) -> list[ports.Row] | ports.Unavailable:
         self.scans += 1
-        await trio.sleep(DELAY_S)
+        await trio.sleep(SERVICE_DELAY_S)
         if self.down:
             return ports.Unavailable("down", False)
         found = [
@@ -58,7 +58,7 @@
             if name == table_name and key.startswith(prefix) and key > after
         ]
         page = sorted(found, key=lambda row: row.key)[:limit]
-        if sum(len(row.content) for row in page) > platform.TABLE_LIMIT_BYTES:
+        if sum(len(row.content) for row in page) > platform.MAX_TABLE_RESPONSE_BYTES:
             return ports.Unavailable("the response is too large", True)
         return page
 
@@ -66,7 +66,7 @@
         self, write: ports.Write
     ) -> ports.Written | ports.Conflict | ports.Unavailable:
         self.writes += 1
-        await trio.sleep(DELAY_S)
+        await trio.sleep(SERVICE_DELAY_S)
         if self.down:
             return ports.Unavailable("down", False)
         outcome = self._apply(write)
@@ -81,42 +81,44 @@
         raise NotImplementedError("these tests need no transactions")
 
     def _apply(self, write: ports.Write) -> ports.Written | ports.Conflict:
-        place = (write.table, write.key)
-        old = self.rows.get(place)
-        if write.expect is ports.Expect.ABSENT and old is not None:
+        row_key = (write.table, write.key)
+        current = self.rows.get(row_key)
+        if write.expect is ports.Expect.ABSENT and current is not None:
             return ports.Conflict()
-        if isinstance(write.expect, str) and (old is None or old[0] != write.expect):
+        if isinstance(write.expect, str) and (
+            current is None or current[0] != write.expect
+        ):
             return ports.Conflict()
         if write.content is None:
-            self.rows.pop(place, None)
+            self.rows.pop(row_key, None)
             return ports.Written("")
         version = str(next(self._versions))
-        self.rows[place] = (version, write.content)
+        self.rows[row_key] = (version, write.content)
         return ports.Written(version)
 
 
 class Objects:
-    """An object store."""
+    """A fake object store."""
 
     def __init__(self) -> None:
         self.contents: dict[str, bytes] = {}
         self.down = False
 
     async def get(self, key: str) -> bytes | ports.Absent | ports.Unavailable:
-        await trio.sleep(DELAY_S)
+        await trio.sleep(SERVICE_DELAY_S)
         if self.down:
             return ports.Unavailable("down", False)
         return self.contents.get(key, ports.Absent())
 
     async def put(self, key: str, content: bytes) -> ports.Written | ports.Unavailable:
-        await trio.sleep(DELAY_S)
+        await trio.sleep(SERVICE_DELAY_S)
         if self.down:
             return ports.Unavailable("down", False)
         self.contents[key] = content
         return ports.Written("1")
 
     async def delete(self, key: str) -> ports.Written | ports.Unavailable:
-        await trio.sleep(DELAY_S)
+        await trio.sleep(SERVICE_DELAY_S)
         if self.down:
             return ports.Unavailable("down", False)
         self.contents.pop(key, None)
@@ -124,7 +126,7 @@
 
 
 class Network:
-    """Connects peers; ``cut`` holds the ids of nodes that nobody reaches."""
+    """Connects fake peers; ``cut`` holds the ids of unreachable nodes."""
 
     def __init__(self) -> None:
         self.peers: dict[str, Peers] = {}
@@ -136,7 +138,7 @@
 
 
 class Peers:
-    """One node's view of the others."""
+    """The peers of one node."""
 
     def __init__(self, network: Network, node_id: str) -> None:
         self.node_id = node_id
@@ -158,12 +160,12 @@
         peer = self._network.peers.get(node_id)
         if peer is None:
             return rpc.Unreachable("no such node")
-        wire = msgspec.msgpack.encode(message)
+        encoded_request = msgspec.msgpack.encode(message)
         with trio.move_on_after(timeout_s):
-            request = msgspec.msgpack.decode(wire, type=method.request)
+            request = msgspec.msgpack.decode(encoded_request, type=method.request)
             answer = await peer._procedures[method.name](request)
-            encoded = msgspec.msgpack.encode(answer)
-            return msgspec.msgpack.decode(encoded, type=method.reply)
+            encoded_reply = msgspec.msgpack.encode(answer)
+            return msgspec.msgpack.decode(encoded_reply, type=method.reply)
         return rpc.Unreachable("no answer in time")
 
     def register(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""Tests of the platform adapters against a scripted server on a real socket."""
+"""Tests of the HTTP clients of the platform, against a scripted TCP server."""
 
 import collections.abc
 import dataclasses
@@ -13,29 +13,29 @@
 from snipelug_node import platform, ports
 
 TIMEOUT_S = 0.3
-HANG = b"hang"
+NO_RESPONSE = b"hang"
 
 
 @dataclasses.dataclass
 class ScriptedServer:
-    """Answers each connection's first request with fixed bytes, then closes it."""
+    """Answers the first request on each connection with fixed bytes, then closes it."""
 
     answer: bytes
     received: bytes = b""
 
     async def handle(self, stream: trio.SocketStream) -> None:
-        while not self._complete():
-            part = await stream.receive_some(65536)
-            if not part:
+        while not self._is_complete():
+            data = await stream.receive_some(65536)
+            if not data:
                 return
-            self.received += part
-        if self.answer == HANG:
+            self.received += data
+        if self.answer == NO_RESPONSE:
             await trio.sleep_forever()
         if self.answer:
             await stream.send_all(self.answer)
         await stream.aclose()
 
-    def _complete(self) -> bool:
+    def _is_complete(self) -> bool:
         head, separator, body = self.received.partition(b"\r\n\r\n")
         length = 0
         for line in head.lower().split(b"\r\n"):
@@ -121,19 +121,19 @@
 
 
 @pytest.mark.parametrize(("operation", "answer", "expected"), OUTCOMES)
-async def test_answers_become_outcomes(
+async def test_responses_become_outcomes(
     nursery: trio.Nursery, operation: Operation, answer: bytes, expected: object
 ) -> None:
-    """Guards against a misread answer, such as a conflict taken for a write."""
+    """Guards against a misread response, such as a conflict taken for a write."""
     _, addr = await start(nursery, answer)
     service = platform.HttpTableService(http_client.Pool(), addr, TIMEOUT_S)
     assert await operation(service) == expected
     nursery.cancel_scope.cancel()
 
 
-FAULTS: list[tuple[Operation, bytes, bool]] = [
+ERRORS: list[tuple[Operation, bytes, bool]] = [
     (put, b"", True),
-    (put, HANG, True),
+    (put, NO_RESPONSE, True),
     (put, b"HTTP/1.1 200 X\r\ncontent-length: 9\r\n\r\n{", True),
     (put, b"nonsense\r\n\r\n", True),
     (put, response(200), True),
@@ -144,12 +144,12 @@
     (delete, b"", True),
     (delete, response(503), True),
     (transact, b"", True),
-    (transact, HANG, True),
+    (transact, NO_RESPONSE, True),
     (transact, response(503), True),
     (transact, response(200, b"{}"), True),
     (transact, response(400), False),
     (read, b"", True),
-    (read, HANG, True),
+    (read, NO_RESPONSE, True),
     (read, response(503), True),
     (read, response(200, b"{}"), False),
     (scan, response(503), True),
@@ -157,11 +157,11 @@
 ]
 
 
-@pytest.mark.parametrize(("operation", "answer", "maybe_applied"), FAULTS)
-async def test_faults_are_unavailable(
+@pytest.mark.parametrize(("operation", "answer", "maybe_applied"), ERRORS)
+async def test_errors_are_unavailable(
     nursery: trio.Nursery, operation: Operation, answer: bytes, maybe_applied: bool
 ) -> None:
-    """Guards against a lost answer being taken for a write that did not happen."""
+    """Guards against a lost response being taken for a write that was not applied."""
     _, addr = await start(nursery, answer)
     service = platform.HttpTableService(http_client.Pool(), addr, TIMEOUT_S)
     with trio.fail_after(5):
@@ -172,7 +172,7 @@
 
 
 async def test_refused_connection_is_known_not_applied() -> None:
-    """Guards against needless read-backs when no byte was sent."""
+    """Guards against re-reading a row after a write of which no byte was sent."""
     service = platform.HttpTableService(http_client.Pool(), ("127.0.0.1", 1), TIMEOUT_S)
     outcome = await service.write(PUT)
     assert isinstance(outcome, ports.Unavailable)
@@ -203,16 +203,16 @@
 
 
 async def test_objects(nursery: trio.Nursery) -> None:
-    """Guards against object answers and faults being confused."""
+    """Guards against object store responses and errors being confused."""
     server, addr = await start(nursery, response(200, b"\x00\xff", etag='"1"'))
-    objects = platform.HttpObjectStore(http_client.Pool(), addr, TIMEOUT_S)
-    assert await objects.get("a/b") == b"\x00\xff"
-    assert await objects.put("a/b", b"x") == ports.Written("1")
+    object_store = platform.HttpObjectStore(http_client.Pool(), addr, TIMEOUT_S)
+    assert await object_store.get("a/b") == b"\x00\xff"
+    assert await object_store.put("a/b", b"x") == ports.Written("1")
     server.answer = response(404)
-    assert await objects.get("a/b") == ports.Absent()
+    assert await object_store.get("a/b") == ports.Absent()
     server.answer = response(503)
-    assert isinstance(await objects.get("a"), ports.Unavailable)
-    assert isinstance(await objects.put("a", b"x"), ports.Unavailable)
+    assert isinstance(await object_store.get("a"), ports.Unavailable)
+    assert isinstance(await object_store.put("a", b"x"), ports.Unavailable)
     nursery.cancel_scope.cancel()
 
 
@@ -220,24 +220,24 @@
     b'{"id":"n1","role":"node","host":"127.0.0.1","port":7,"zone":"z",'
     b'"name":"","state":"leaving"}'
 )
-LISTED = table.Instance("n1", table.Role.NODE, "127.0.0.1", 7, "z", "", True)
-LISTS = [
-    (b"[" + ENTRY + b"]", [LISTED]),
-    (b"[" + ENTRY + b',{"role":"cache","id":4}]', [LISTED]),
+INSTANCE = table.Instance("n1", table.Role.NODE, "127.0.0.1", 7, "z", "", True)
+LIST_RESPONSES = [
+    (b"[" + ENTRY + b"]", [INSTANCE]),
+    (b"[" + ENTRY + b',{"role":"cache","id":4}]', [INSTANCE]),
     (b"[" + ENTRY.replace(b":7", b":0") + b"]", None),
     (b"[" + ENTRY.replace(b"leaving", b"gone") + b"]", None),
     (b'{"a":1}', None),
 ]
 
 
-@pytest.mark.parametrize(("body", "expected"), LISTS)
+@pytest.mark.parametrize(("body", "expected"), LIST_RESPONSES)
 async def test_instance_list(
     nursery: trio.Nursery, body: bytes, expected: list[table.Instance] | None
 ) -> None:
-    """Guards against a malformed entry making an instance look removed."""
+    """Guards against a malformed entry that makes an instance look removed."""
     _, addr = await start(nursery, response(200, body))
-    source = platform.HttpInstanceList(http_client.Pool(), addr, TIMEOUT_S)
-    outcome = await source.read()
+    instance_list = platform.HttpInstanceList(http_client.Pool(), addr, TIMEOUT_S)
+    outcome = await instance_list.read()
     if expected is None:
         assert isinstance(outcome, ports.Unavailable)
     else:
