Reword cache.py and test_cache.py

In cache.py: SLOTS -> SHARD_SLOTS (also used by pending.py), slot_of -> shard_slot_of, reader_of -> feed_reader, Number -> NonNegativeInt, Directory.note -> record_changes, Directory.announce -> announce_boot, FLUSH_S -> FLUSH_INTERVAL_S, PENDING_EVENTS -> MAX_QUEUED_CHANGES, and the look-up timeouts.

In test_cache.py: Net.cut -> unreachable (also used by test_pending.py), Upstream -> ScriptedUpstream, held_by -> sources_of, start -> start_upstream, ready -> transfer_setup, BAD_PAGES -> INVALID_PAGES, FAULTS -> IMPORT_ERRORS, CLEANINGS -> CLEANER_CASES.

--- a/packages/snipelug-node/src/snipelug_node/feeds.py
+++ b/packages/snipelug-node/src/snipelug_node/feeds.py
@@ -23,7 +23,7 @@
 class FeedEvent(msgspec.Struct):
     """An event of an engine's or a store's feed."""
 
-    seq: cache.Number
+    seq: cache.NonNegativeInt
     event: str
     key: str
     generation: int | str = 0
@@ -131,7 +131,7 @@
             return
         source = index.Source(inst.id, page.boot_id, is_store)
         if page.boot_id != feed.boot_id:
-            self.directory.announce(source)
+            self.directory.announce_boot(source)
             restarted = feed.after > 0
             feed.boot_id, feed.after, feed.sent = page.boot_id, 0, 0
             feed.moved.clear()
@@ -150,7 +150,7 @@
             if change is None:
                 self.counts["unusable"] += 1
                 continue
-            slot = cache.slot_of(change.key)
+            slot = cache.shard_slot_of(change.key)
             self._shards.owner(slot)
             if event.seq > feed.sent or slot in feed.moved:
                 changes.append(change)
@@ -158,7 +158,7 @@
             feed.moved.clear()
             feed.sent = feed.after
         self.counts["events"] += len(changes)
-        self.directory.note(source, changes)
+        self.directory.record_changes(source, changes)
 
 
 def to_change(event: FeedEvent) -> cache.Change | None:
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -399,7 +399,8 @@
         return [
             inst
             for inst in self.tables.instances.values()
-            if inst.role in roles and cache.reader_of(inst.id, live) == self.cfg.node_id
+            if inst.role in roles
+            and cache.feed_reader(inst.id, live) == self.cfg.node_id
         ]
 
     def _block_prefill_s(self, inst: table.Instance) -> float:
--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -157,4 +157,4 @@
 
 def _slot(upstream: str) -> int:
     digest = hashing.keyed_digest(b"pending", upstream.encode())
-    return int.from_bytes(digest[:SLOT_BYTES], "big") % cache.SLOTS
+    return int.from_bytes(digest[:SLOT_BYTES], "big") % cache.SHARD_SLOTS
--- a/packages/snipelug-node/src/snipelug_node/ports.py
+++ b/packages/snipelug-node/src/snipelug_node/ports.py
@@ -154,5 +154,5 @@
     def register(
         self, method: rpc.Method[typing.Any, typing.Any], procedure: rpc.Procedure
     ) -> None:
-        """Register the handler of an RPC method; call before the node starts serving."""
+        """Register the handler of an RPC method, before the node starts serving."""
         ...
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -206,7 +206,7 @@
         boot_id = self._boot_of(inst.id)
         if boot_id:
             changes = [cache.Change(key, True) for key in chain.keys]
-            self.directory.note(index.Source(inst.id, boot_id), changes)
+            self.directory.record_changes(index.Source(inst.id, boot_id), changes)
         prompt = placement.Prompt(
             chain=chain,
             team=job.contract.team,
--- a/packages/snipelug-node/src/snipelug_node/transfers.py
+++ b/packages/snipelug-node/src/snipelug_node/transfers.py
@@ -259,7 +259,7 @@
             changes = [
                 cache.Change(k, True, 0, generation, b.checksum) for k, b in done
             ]
-            self.directory.note(source, changes)
+            self.directory.record_changes(source, changes)
         return Transferred(tuple(k for k, _ in done))
 
     async def _import(
@@ -315,12 +315,14 @@
     ) -> None:
         if boot_id:
             source = index.Source(engine.id, boot_id)
-            self.directory.note(source, [cache.Change(k, True) for k in imported])
+            self.directory.record_changes(
+                source, [cache.Change(k, True) for k in imported]
+            )
         for fetch in missed:
             copy = fetch.copy
             source = index.Source(copy.store, copy.boot_id, is_store=True)
             change = cache.Change(keys[fetch.position], False, 0, copy.generation)
-            self.directory.note(source, [change])
+            self.directory.record_changes(source, [change])
 
     def _fail(self, engine: table.Instance, reason: str) -> TransferFailed:
         self.counts["failed"] += 1
--- a/tests/test_pending.py
+++ b/tests/test_pending.py
@@ -89,10 +89,10 @@
     assert members[0].estimate_s("e0") == 8.0
     await trio.sleep(prefill.PEER_SUM_MAX_AGE_S)
     assert members[0].estimate_s("e0") == 0.0
-    net.cut = set(net.nodes)
+    net.unreachable = set(net.nodes)
     await exchange(members)
     assert members[0].estimate_s("e0") == 0.0
-    net.cut = set()
+    net.unreachable = set()
     await members[0].exchange.exchange()
     assert members[0].estimate_s("e0") == 0.0
     await trio.sleep(2 * prefill.PEER_SUM_MAX_AGE_S)
