--- a/packages/snipelug-node/src/snipelug_node/transfers.py
+++ b/packages/snipelug-node/src/snipelug_node/transfers.py
@@ -1,4 +1,4 @@
-"""Transfers of blocks between engines and stores, on this node's order."""
+"""KV cache transfers between engines and stores, requested by this node."""
 
 import collections
 import collections.abc
@@ -19,13 +19,13 @@
 LOG = logging.getLogger("snipelug.cache")
 
 EXPORT_TIMEOUT_S = 60.0
-EXPORTS_AT_ONCE = 4
-EXPORTS_WAITING = 256
-ANSWER_BYTES = 4 * 1024 * 1024
+MAX_CONCURRENT_EXPORTS = 4
+MAX_QUEUED_EXPORTS = 256
+MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 
 
 class StoreAddress(msgspec.Struct, frozen=True):
-    """Where the engine reaches a store."""
+    """Address at which an engine reaches a store."""
 
     host: str
     port: int
@@ -46,7 +46,7 @@
 
 
 class StoredBlock(msgspec.Struct, frozen=True):
-    """A block that a store took."""
+    """A block that a store has stored."""
 
     key: str
     generation: int | str
@@ -54,7 +54,7 @@
 
 
 class ExportAnswer(msgspec.Struct, frozen=True):
-    """Answer of ``POST /kv/export``."""
+    """Response to ``POST /kv/export``."""
 
     stored: list[StoredBlock]
 
@@ -77,7 +77,7 @@
 
 
 class ImportAnswer(msgspec.Struct, frozen=True):
-    """Answer of ``POST /kv/import``."""
+    """Response to ``POST /kv/import``."""
 
     imported: list[str]
     missed: list[str]
@@ -92,14 +92,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class TransferFailed:
-    """The order brought no usable answer; the engine computes what it lacks."""
+    """No usable response; the engine recomputes the blocks that it lacks."""
 
     reason: str
 
 
 @dataclasses.dataclass(frozen=True)
 class ExportJob:
-    """An export to carry out after an answer, with the boots of both sides."""
+    """An export to execute after a response, with the boot ids of both sides."""
 
     engine: table.Instance
     engine_boot_id: str
@@ -109,16 +109,16 @@
 
 
 class Transfers:
-    """Order engines to read blocks from stores and to write them there.
+    """Has engines import blocks from stores and export blocks to them.
 
     Parameters
     ----------
     instances : callable
         Returns the instance with an id, or None.
     backlog : prefill.PrefillBacklog
-        Told of the time that transfers need on the link of a store.
+        Records the pending transfer time on the link of each store.
     link_s : callable
-        Returns the time of a number of blocks on the idle link of a store, in
+        Returns how long a store's idle link takes to transfer a number of blocks, in
         seconds.
 
     Attributes
@@ -140,9 +140,11 @@
         self.instances = instances
         self.backlog = backlog
         self.link_s = link_s
-        self._numbers = itertools.count()
+        self._transfer_numbers = itertools.count()
         self.counts: collections.Counter[str] = collections.Counter()
-        self._send, self._receive = trio.open_memory_channel[ExportJob](EXPORTS_WAITING)
+        self._send, self._receive = trio.open_memory_channel[ExportJob](
+            MAX_QUEUED_EXPORTS
+        )
 
     async def import_blocks(
         self,
@@ -159,13 +161,13 @@
         engine : table.Instance
             The engine.
         boot_id : str
-            Its boot.
+            Boot id of the engine.
         keys : sequence of bytes
             Keys of the prompt.
         fetches : iterable of route.Fetch
             Blocks to import.
         timeout_s : float
-            Time after which computing the blocks is cheaper than waiting, in
+            Time after which recomputing the blocks is cheaper than waiting, in
             seconds.
         """
         by_store: dict[str, list[route.Fetch]] = collections.defaultdict(list)
@@ -174,7 +176,7 @@
         imported: list[block.Key] = []
         failures: list[str] = []
 
-        async def read(store_id: str, wanted: list[route.Fetch]) -> None:
+        async def import_from(store_id: str, wanted: list[route.Fetch]) -> None:
             done = await self._import(engine, boot_id, store_id, keys, wanted)
             if isinstance(done, TransferFailed):
                 failures.append(done.reason)
@@ -184,7 +186,7 @@
         with trio.move_on_after(timeout_s) as scope:
             async with trio.open_nursery() as nursery:
                 for store_id, wanted in by_store.items():
-                    nursery.start_soon(read, store_id, wanted)
+                    nursery.start_soon(import_from, store_id, wanted)
         if scope.cancelled_caught:
             failures.append(f"imports did not end within {timeout_s:.3f} s")
         if failures:
@@ -196,7 +198,7 @@
         return Transferred(tuple(imported))
 
     def submit(self, job: ExportJob) -> bool:
-        """Queue an export; return whether there was room for it."""
+        """Queue an export; return False if the queue is full."""
         try:
             self._send.send_nowait(job)
         except trio.WouldBlock:
@@ -207,28 +209,28 @@
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Carry out queued exports until cancelled."""
+        """Execute queued exports until cancelled."""
         task_status.started()
         async with trio.open_nursery() as nursery:
-            for _ in range(EXPORTS_AT_ONCE):
-                nursery.start_soon(self._work)
+            for _ in range(MAX_CONCURRENT_EXPORTS):
+                nursery.start_soon(self._run_worker)
 
-    async def _work(self) -> None:
+    async def _run_worker(self) -> None:
         while True:
-            await self.carry_out(await self._receive.receive())
+            await self.execute(await self._receive.receive())
 
-    async def carry_out(self, job: ExportJob) -> Transferred | TransferFailed:
-        """Have an engine write blocks to a store, after the imports it needs."""
+    async def execute(self, job: ExportJob) -> Transferred | TransferFailed:
+        """Have an engine export blocks to a store, after importing those it lacks."""
         if job.imports:
-            # Positions index the keys of the whole prompt, of which the job has
-            # only the exported ones, in the same order.
+            # Positions refer to the keys of the whole prompt. The job has only the
+            # exported keys, in the same order.
             await self._import_for_export(job)
         return await self._export(job)
 
     async def _import_for_export(self, job: ExportJob) -> None:
         by_position = dict(zip(job.export.positions, job.export.keys, strict=True))
-        size = max(by_position, default=-1) + 1
-        keys = [by_position.get(i, b"") for i in range(size)]
+        prompt_blocks = max(by_position, default=-1) + 1
+        keys = [by_position.get(i, b"") for i in range(prompt_blocks)]
         await self.import_blocks(
             job.engine, job.engine_boot_id, keys, job.imports, EXPORT_TIMEOUT_S
         )
@@ -236,26 +238,28 @@
     async def _export(self, job: ExportJob) -> Transferred | TransferFailed:
         store = self.instances(job.export.store)
         if store is None:
-            return self._fail(job.engine, f"store {job.export.store} is not listed")
+            return self._record_export_failure(
+                job.engine, f"store {job.export.store} is not listed"
+            )
         generation = time.time_ns() // 1000
-        order = ExportOrder(
+        request = ExportOrder(
             [ExportBlock(key.hex()) for key in job.export.keys],
             StoreAddress(store.host, store.port),
             generation,
         )
-        with self._on_link(store.id, len(order.blocks)):
-            answer = await self._order(
-                job.engine, "/kv/export", order, ExportAnswer, EXPORT_TIMEOUT_S
+        with self._pending_on_link(store.id, len(request.blocks)):
+            response = await self._post(
+                job.engine, "/kv/export", request, ExportAnswer, EXPORT_TIMEOUT_S
             )
-        if isinstance(answer, TransferFailed):
-            return self._fail(job.engine, answer.reason)
+        if isinstance(response, TransferFailed):
+            return self._record_export_failure(job.engine, response.reason)
         ordered = set(job.export.keys)
-        pairs = [(block.parse_key(b.key), b) for b in answer.stored]
+        pairs = [(block.parse_key(b.key), b) for b in response.stored]
         done = [(k, b) for k, b in pairs if k is not None and k in ordered]
         self.counts["exported"] += len(done)
         source = index.Source(store.id, job.store_boot_id, is_store=True)
         if job.store_boot_id:
-            # The store's feed reports the same later, with numbers.
+            # The store's feed reports the same changes later, with sequence numbers.
             changes = [
                 cache.Change(k, True, 0, generation, b.checksum) for k, b in done
             ]
@@ -280,24 +284,28 @@
             )
             for key, f in by_key.items()
         ]
-        order = ImportOrder(blocks, StoreAddress(store.host, store.port))
-        with self._on_link(store_id, len(blocks)):
-            answer = await self._order(
-                engine, "/kv/import", order, ImportAnswer, EXPORT_TIMEOUT_S
+        request = ImportOrder(blocks, StoreAddress(store.host, store.port))
+        with self._pending_on_link(store_id, len(blocks)):
+            response = await self._post(
+                engine, "/kv/import", request, ImportAnswer, EXPORT_TIMEOUT_S
             )
-        if isinstance(answer, TransferFailed):
-            return answer
-        imported = _known(answer.imported, by_key)
-        missed = _known(answer.missed, by_key)
+        if isinstance(response, TransferFailed):
+            return response
+        imported = _parse_keys(response.imported, by_key)
+        missed = _parse_keys(response.missed, by_key)
         self.counts["imported"] += len(imported)
         self.counts["missed"] += len(missed)
-        self._note_import(engine, boot_id, imported, [by_key[k] for k in missed], keys)
+        self._record_import(
+            engine, boot_id, imported, [by_key[k] for k in missed], keys
+        )
         return Transferred(tuple(imported))
 
     @contextlib.contextmanager
-    def _on_link(self, store_id: str, blocks: int) -> collections.abc.Iterator[None]:
-        """Count a transfer as pending on a store's link while it runs."""
-        run_id = f"transfer{next(self._numbers)}"
+    def _pending_on_link(
+        self, store_id: str, blocks: int
+    ) -> collections.abc.Iterator[None]:
+        """Count a transfer as pending on a store's link until it ends."""
+        run_id = f"transfer{next(self._transfer_numbers)}"
         work_s = self.link_s(store_id, blocks)
         self.backlog.sent(store_id, run_id, work_s, trio.current_time())
         try:
@@ -305,7 +313,7 @@
         finally:
             self.backlog.ended(store_id, run_id, trio.current_time())
 
-    def _note_import(
+    def _record_import(
         self,
         engine: table.Instance,
         boot_id: str,
@@ -324,12 +332,14 @@
             change = cache.Change(keys[fetch.position], False, 0, copy.generation)
             self.directory.record_changes(source, [change])
 
-    def _fail(self, engine: table.Instance, reason: str) -> TransferFailed:
+    def _record_export_failure(
+        self, engine: table.Instance, reason: str
+    ) -> TransferFailed:
         self.counts["failed"] += 1
         LOG.warning("export_failed", extra={"upstream": engine.id, "reason": reason})
         return TransferFailed(reason)
 
-    async def _order(
+    async def _post(
         self,
         engine: table.Instance,
         path: str,
@@ -345,7 +355,7 @@
             msgspec.json.encode(body),
             timeout_s,
         )
-        full = await self.pool.fetch(call, ANSWER_BYTES)
+        full = await self.pool.fetch(call, MAX_RESPONSE_BYTES)
         if not isinstance(full, http_client.FullResponse):
             return TransferFailed(f"{path} at {engine.id}: {full}")
         if full.status != http.HTTPStatus.OK:
@@ -356,7 +366,7 @@
             return TransferFailed(f"{path} at {engine.id}: {exc}")
 
 
-def _known(
+def _parse_keys(
     texts: list[str], by_key: collections.abc.Mapping[block.Key, route.Fetch]
 ) -> list[block.Key]:
     keys = (block.parse_key(text) for text in texts)
--- a/tests/test_cache.py
+++ b/tests/test_cache.py
@@ -442,7 +442,7 @@
     export = placement.Export("e1", "s1", (0, 1), tuple(KEYS[:2]))
     fetch = route.Fetch(1, stored_copy("s1"))
     job = transfers.ExportJob(inst, "b1", "b1", export, (fetch,))
-    outcome = await block_transfers.carry_out(job)
+    outcome = await block_transfers.execute(job)
     assert outcome == transfers.Transferred((KEYS[0],))
     assert [path for path, _ in upstream.requests] == ["/kv/import", "/kv/export"]
     imported, exported = (body for _, body in upstream.requests)
@@ -471,7 +471,7 @@
     else:
         export = placement.Export("e1", "s1", (0, 1), tuple(KEYS[:2]))
         job = transfers.ExportJob(inst, "b1", "b1", export)
-        nursery.start_soon(block_transfers.carry_out, job)
+        nursery.start_soon(block_transfers.execute, job)
     await trio.sleep(0.05)
     assert block_transfers.backlog.pending_s() == {"s1": 1.0}
     if is_import:
@@ -492,12 +492,12 @@
     export = placement.Export("e1", "s1", (0,), (KEYS[0],))
     job = transfers.ExportJob(inst, "b1", "b1", export)
     accepted = [
-        block_transfers.submit(job) for _ in range(transfers.EXPORTS_WAITING + 5)
+        block_transfers.submit(job) for _ in range(transfers.MAX_QUEUED_EXPORTS + 5)
     ]
     assert accepted.count(False) == block_transfers.counts["exports_dropped"] == 5
     await nursery.start(block_transfers.run)
     with trio.fail_after(10):
-        while len(upstream.requests) < transfers.EXPORTS_WAITING:
+        while len(upstream.requests) < transfers.MAX_QUEUED_EXPORTS:
             await trio.sleep(0.01)
 
 
