Reword watcher.py

LIST_PERIOD_S -> LIST_INTERVAL_S and _watch_loads -> _poll_loads (both also used by tests/test_load.py), _watch_list -> _poll_list, QUIET_AGE_S -> IDLE_READ_AGE_S, _read_alone -> _read_load_once, _due -> _due_upstreams.

--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -1,4 +1,4 @@
-"""Tasks that keep the tables of instances and upstreams up to date."""
+"""Polling of the instance list and of the load of upstreams."""
 
 import collections.abc
 import dataclasses
@@ -14,19 +14,21 @@
 
 LOG = logging.getLogger("snipelug.watcher")
 
-LIST_PERIOD_S = 1.25
+LIST_INTERVAL_S = 1.25
 LIST_TIMEOUT_S = 0.7
-# Together below load.STALE_S, so that a slow list does not stop all work.
+# Together less than load.STALE_S, so that one slow read of the list does not stop all
+# work.
 LOAD_INTERVAL_S = 0.5
 LOAD_OFFSET_S = 0.25
-"""Time from the tick at which connections are opened to the read of loads. A
-connection carries requests only after a report made later; reports lag by 0.2 s."""
+"""Delay of load reads after the tick at which connections are opened. A connection
+carries requests only after a report made later; reports lag by 0.2 s."""
 
 LOAD_TIMEOUT_S = 1.0
-QUIET_AGE_S = 0.75
-"""Age of the last read from which a quiet upstream is read, while no caller is
-here. Between two intervals, so it is read at every second one: a read that times
-out is followed by the next within load.STALE_S of the last answered one."""
+IDLE_READ_AGE_S = 0.75
+"""Age of the last read at which an idle upstream is read again while this node has
+no callers. It lies between one and two intervals, so that an idle upstream is read
+at every second one: after a read that times out, the next one still starts within
+load.STALE_S of the last successful one."""
 MAX_REPORT_BYTES = 64 * 1024
 UPSTREAM_ROLES = frozenset({table.Role.ENGINE, table.Role.SERVICE})
 
@@ -47,19 +49,20 @@
     weight_version: str = ""
 
 
-def to_report(wire: WireReport, asked_at: float) -> table.LoadReport:
-    """Convert a report; its time is the earliest at which it can have been made.
+def to_report(message: WireReport, asked_at: float) -> table.LoadReport:
+    """Convert a report; ``made_at`` is the earliest time it can have been made.
 
-    The age is told on the upstream's clock, which may run slower than this node's.
+    The upstream measures the age on its own clock, which may run slower than this
+    node's.
     """
     return table.LoadReport(
-        boot_id=wire.boot_id,
-        state=table.Warmth(wire.state),
-        running=wire.running,
-        waiting=wire.waiting,
-        seq=wire.seq,
-        made_at=asked_at - admission.MAX_CLOCK_RATE_RATIO * wire.age_s,
-        weight_version=wire.weight_version,
+        boot_id=message.boot_id,
+        state=table.Warmth(message.state),
+        running=message.running,
+        waiting=message.waiting,
+        seq=message.seq,
+        made_at=asked_at - admission.MAX_CLOCK_RATE_RATIO * message.age_s,
+        weight_version=message.weight_version,
     )
 
 
@@ -68,7 +71,7 @@
     listed: collections.abc.Iterable[table.Instance],
     subset: Subset,
 ) -> list[str]:
-    """Bring the tables in line with the instance list.
+    """Update the tables from the instance list.
 
     Returns
     -------
@@ -100,15 +103,15 @@
     ----------
     on_report : callable
         Called with the upstream's id, each report read, and the monotonic time
-        before it was asked for, in seconds.
+        before it was requested, in seconds.
     on_list : callable
-        Called with each list read, and the monotonic time of its arrival.
+        Called with each list read, and the monotonic time at which it arrived.
     is_active : callable
-        Returns whether callers were here lately.
+        Returns whether this node had callers recently.
     list_outcome : list of table.Instance or ports.Unavailable
-        Outcome of the newest finished read.
+        Outcome of the latest finished read of the instance list.
     list_tried_at : float or None
-        Monotonic time before the newest finished read of the instance list was
+        Monotonic time just before the latest finished read of the instance list
         started, whether or not it succeeded, in seconds.
     """
 
@@ -121,9 +124,9 @@
     is_active: collections.abc.Callable[[], bool] = lambda: True
     list_tried_at: float | None = None
     list_outcome: list[table.Instance] | ports.Unavailable = ports.Unavailable(
-        "the list was not read yet", False
+        "the instance list has not been read yet", False
     )
-    _reading: set[str] = dataclasses.field(default_factory=set)
+    _ids_being_read: set[str] = dataclasses.field(default_factory=set)
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -131,20 +134,20 @@
         """Poll until cancelled."""
         task_status.started()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_list)
-            nursery.start_soon(self._watch_loads)
+            nursery.start_soon(self._poll_list)
+            nursery.start_soon(self._poll_loads)
 
-    async def _watch_list(self) -> None:
+    async def _poll_list(self) -> None:
         while True:
             started_at = trio.current_time()
             await self.read_list()
-            await trio.sleep_until(ticker.wake_time(started_at, LIST_PERIOD_S))
+            await trio.sleep_until(ticker.wake_time(started_at, LIST_INTERVAL_S))
 
     async def read_list(self) -> None:
         """Read the instance list once."""
         tried_at = trio.current_time()
         listed: list[table.Instance] | ports.Unavailable
-        listed = ports.Unavailable(f"no answer within {LIST_TIMEOUT_S} s", False)
+        listed = ports.Unavailable(f"no response within {LIST_TIMEOUT_S} s", False)
         with trio.move_on_after(LIST_TIMEOUT_S):
             listed = await self.instance_list.read()
         self.list_tried_at = tried_at
@@ -158,42 +161,44 @@
             lines.event(LOG, "upstreams_added", upstreams=added)
 
     async def read(self) -> list[table.Instance] | ports.Unavailable:
-        """Return the newest outcome, so that other parts need no reads of their own.
+        """Return the latest outcome, so that other components need not read the list.
 
         Implements ``ports.InstanceList``.
         """
         return self.list_outcome
 
-    async def _watch_loads(self) -> None:
+    async def _poll_loads(self) -> None:
         async with trio.open_nursery() as nursery:
             while True:
-                for upstream in self._due(trio.current_time()):
-                    nursery.start_soon(self._read_alone, upstream)
+                for upstream in self._due_upstreams(trio.current_time()):
+                    nursery.start_soon(self._read_load_once, upstream)
                 now = trio.current_time()
                 due_at = ticker.phase_time(now, LOAD_INTERVAL_S, LOAD_OFFSET_S)
                 await trio.sleep_until(due_at)
 
-    def _due(self, now: float) -> collections.abc.Iterator[table.Upstream]:
+    def _due_upstreams(self, now: float) -> collections.abc.Iterator[table.Upstream]:
         is_active = self.is_active()
         for upstream in self.tables.upstreams.values():
-            if upstream.instance.id in self._reading:
+            if upstream.instance.id in self._ids_being_read:
                 continue
             load_read_at = upstream.load_read_at
-            is_recent = load_read_at is not None and now - load_read_at < QUIET_AGE_S
+            is_recent = (
+                load_read_at is not None and now - load_read_at < IDLE_READ_AGE_S
+            )
             if is_active or not is_recent or not load.is_idle(upstream):
                 yield upstream
 
-    async def _read_alone(self, upstream: table.Upstream) -> None:
-        """Read a load; an upstream that does not answer delays no other."""
+    async def _read_load_once(self, upstream: table.Upstream) -> None:
+        """Read a load unless a read runs; a slow upstream does not delay the others."""
         upstream_id = upstream.instance.id
-        self._reading.add(upstream_id)
+        self._ids_being_read.add(upstream_id)
         try:
             await self.read_load(upstream)
         finally:
-            self._reading.discard(upstream_id)
+            self._ids_being_read.discard(upstream_id)
 
     async def read_load(self, upstream: table.Upstream) -> None:
-        """Ask one upstream for its load."""
+        """Read the load of one upstream."""
         asked_at = trio.current_time()
         inst = upstream.instance
         call = http_client.Call(
@@ -203,8 +208,8 @@
         if not isinstance(full, http_client.FullResponse):
             return
         try:
-            wire = msgspec.json.decode(full.body, type=WireReport)
+            message = msgspec.json.decode(full.body, type=WireReport)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             lines.warning(LOG, "load_report_invalid", upstream=inst.id, reason=str(exc))
             return
-        self.on_report(inst.id, to_report(wire, asked_at), asked_at)
+        self.on_report(inst.id, to_report(message, asked_at), asked_at)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -302,7 +302,7 @@
     load_watcher, reads = make_watcher(silent)
     load_watcher.is_active = lambda: active
     with trio.move_on_after(20.2):
-        await load_watcher._watch_loads()
+        await load_watcher._poll_loads()
     times = [at for read, at in reads if read == name]
     gaps = [after - before for before, after in itertools.pairwise(times)]
     assert len(gaps) >= 19
@@ -317,8 +317,8 @@
 
     The next read starts one period after the last and takes at most one timeout.
     """
-    assert watcher.LIST_PERIOD_S + watcher.LIST_TIMEOUT_S < load.STALE_S
-    assert watcher.LIST_PERIOD_S >= watcher.LIST_TIMEOUT_S
+    assert watcher.LIST_INTERVAL_S + watcher.LIST_TIMEOUT_S < load.STALE_S
+    assert watcher.LIST_INTERVAL_S >= watcher.LIST_TIMEOUT_S
 
 
 @pytest.mark.parametrize(
