--- a/packages/snipelug-node/src/snipelug_node/feeds.py
+++ b/packages/snipelug-node/src/snipelug_node/feeds.py
@@ -1,4 +1,4 @@
-"""Feeds of cache events, read from engines and stores."""
+"""Polling of the KV cache event feeds of engines and stores."""
 
 import collections
 import collections.abc
@@ -17,11 +17,11 @@
 
 FEED_INTERVAL_S = 0.5
 FEED_TIMEOUT_S = 2.0
-FEED_BYTES = 16 * 1024 * 1024
+MAX_FEED_BYTES = 16 * 1024 * 1024
 
 
 class FeedEvent(msgspec.Struct):
-    """An event of an engine's or a store's feed."""
+    """An event in the feed of an engine or a store."""
 
     seq: cache.NonNegativeInt
     event: str
@@ -31,7 +31,7 @@
 
 
 class FeedPage(msgspec.Struct):
-    """Answer of ``/cache/events`` (`events`) or ``/blocks`` (`blocks`)."""
+    """Response to ``/cache/events`` (`events`) or ``/blocks`` (`blocks`)."""
 
     boot_id: cache.Name
     events: list[FeedEvent] = []
@@ -44,35 +44,35 @@
 
     Attributes
     ----------
-    after : int
-        cache.Number of the last event read.
-    sent : int
-        Highest number that was sent to shards.
-    moved : set of int
-        Slots whose node has changed; their earlier events are sent again.
+    last_seq : int
+        Sequence number of the last event read.
+    last_sent_seq : int
+        Highest sequence number that was sent to shards.
+    moved_slots : set of int
+        Slots whose owner has changed; their earlier events are sent again.
     """
 
     boot_id: str = ""
-    after: int = 0
-    sent: int = 0
-    moved: set[int] = dataclasses.field(default_factory=set)
+    last_seq: int = 0
+    last_sent_seq: int = 0
+    moved_slots: set[int] = dataclasses.field(default_factory=set)
 
 
-Owned = collections.abc.Callable[[], collections.abc.Iterable[table.Instance]]
-"""Engines and stores whose feeds this node reads, because it owns them."""
+ListOwned = collections.abc.Callable[[], collections.abc.Iterable[table.Instance]]
+"""Returns the engines and stores whose feeds this node reads."""
 
 
 class Feeds:
-    """Read the feeds of the instances that this node owns.
+    """Reads the feeds that are assigned to this node.
 
     Attributes
     ----------
     counts : Counter
-        ``events``, ``gaps`` (numbers missing in a feed), ``unusable``.
+        ``events``, ``gaps`` (sequence numbers missing in a feed), ``unusable``.
     """
 
     def __init__(
-        self, pool: http_client.Pool, directory: cache.Directory, owned: Owned
+        self, pool: http_client.Pool, directory: cache.Directory, owned: ListOwned
     ) -> None:
         self.pool = pool
         self.directory = directory
@@ -91,7 +91,7 @@
             await ticker.sleep(FEED_INTERVAL_S)
 
     async def poll(self) -> None:
-        """Read the new events of all owned instances once."""
+        """Read the new events of all assigned feeds once."""
         owned = {i.id: i for i in self.owned()}
         self._feeds = {i: self._feeds.get(i, _Feed()) for i in owned}
         self._resend_moved()
@@ -100,12 +100,12 @@
                 nursery.start_soon(self._read, inst, self._feeds[inst.id])
 
     def _resend_moved(self) -> None:
-        """Read feeds from the start for slots that have a new node."""
-        moved = self._shards.update(self.directory.peers.live())
+        """Read feeds from the start if slots have a new owner."""
+        moved_slots = self._shards.update(self.directory.peers.live())
         for feed in self._feeds.values():
-            if moved and feed.sent:
-                feed.moved |= moved
-                feed.after = 0
+            if moved_slots and feed.last_sent_seq:
+                feed.moved_slots |= moved_slots
+                feed.last_seq = 0
 
     async def _read(self, inst: table.Instance, feed: _Feed) -> None:
         is_store = inst.role is table.Role.STORE
@@ -113,10 +113,10 @@
         call = http_client.Call(
             (inst.host, inst.port),
             "GET",
-            f"{path}?after={feed.after}",
+            f"{path}?after={feed.last_seq}",
             timeout_s=FEED_TIMEOUT_S,
         )
-        full = await self.pool.fetch(call, FEED_BYTES)
+        full = await self.pool.fetch(call, MAX_FEED_BYTES)
         if (
             not isinstance(full, http_client.FullResponse)
             or full.status != http.HTTPStatus.OK
@@ -132,39 +132,42 @@
         source = index.Source(inst.id, page.boot_id, is_store)
         if page.boot_id != feed.boot_id:
             self.directory.announce_boot(source)
-            restarted = feed.after > 0
-            feed.boot_id, feed.after, feed.sent = page.boot_id, 0, 0
-            feed.moved.clear()
-            if restarted:
-                # Numbers count from 1 again; the page was asked for with an old one.
+            has_restarted = feed.last_seq > 0
+            feed.boot_id, feed.last_seq, feed.last_sent_seq = page.boot_id, 0, 0
+            feed.moved_slots.clear()
+            if has_restarted:
+                # Sequence numbers start from 1 again, but the page was requested with
+                # one of the previous boot.
                 return
-        self._take(source, feed, page.blocks if is_store else page.events)
+        self._record_events(source, feed, page.blocks if is_store else page.events)
 
-    def _take(self, source: index.Source, feed: _Feed, events: list[FeedEvent]) -> None:
+    def _record_events(
+        self, source: index.Source, feed: _Feed, events: list[FeedEvent]
+    ) -> None:
         changes: list[cache.Change] = []
         for event in events:
-            if feed.after and event.seq > feed.after + 1:
+            if feed.last_seq and event.seq > feed.last_seq + 1:
                 self.counts["gaps"] += 1
-            feed.after = max(feed.after, event.seq)
+            feed.last_seq = max(feed.last_seq, event.seq)
             change = to_change(event)
             if change is None:
                 self.counts["unusable"] += 1
                 continue
             slot = cache.shard_slot_of(change.key)
             self._shards.owner(slot)
-            if event.seq > feed.sent or slot in feed.moved:
+            if event.seq > feed.last_sent_seq or slot in feed.moved_slots:
                 changes.append(change)
-        if feed.after >= feed.sent:
-            feed.moved.clear()
-            feed.sent = feed.after
+        if feed.last_seq >= feed.last_sent_seq:
+            feed.moved_slots.clear()
+            feed.last_sent_seq = feed.last_seq
         self.counts["events"] += len(changes)
         self.directory.record_changes(source, changes)
 
 
 def to_change(event: FeedEvent) -> cache.Change | None:
-    """Convert an event; None if it names no block of this system."""
+    """Convert an event; return None if it is unknown or its fields are invalid."""
     key = block.parse_key(event.key)
-    generation = _number(event.generation)
+    generation = _parse_generation(event.generation)
     if key is None or generation is None or event.event not in ("stored", "removed"):
         return None
     return cache.Change(
@@ -172,8 +175,8 @@
     )
 
 
-def _number(value: int | str) -> int | None:
-    # Stores send the generation back as they received it, in a header.
+def _parse_generation(value: int | str) -> int | None:
+    # Stores return the generation as they received it in a header, as a string.
     if isinstance(value, str):
         return int(value) if value.isascii() and value.isdecimal() else None
     return value if value >= 0 else None
