--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -1,4 +1,4 @@
-"""Reuse of cached blocks: look-up before a request, placement after its answer."""
+"""Reuse of KV cache blocks: look-up before a request, placement after its response."""
 
 import collections
 import collections.abc
@@ -17,24 +17,25 @@
 
 STATUS_INTERVAL_S = 1.0
 STATUS_TIMEOUT_S = 1.0
-STATUS_BYTES = 64 * 1024
-EXPORT_SHARE = 0.8
-"""Share of a link that exports may use while no reads before requests wait."""
+MAX_STATUS_BYTES = 64 * 1024
+EXPORT_LINK_SHARE = 0.8
+"""Share of a link that exports may use while no imports for requests wait."""
 
-BURST_S = 10.0
-"""Time for which an idle link saves up its export budget, in seconds."""
+EXPORT_BURST_S = 10.0
+"""Longest time over which an idle link accumulates export budget, in seconds."""
 
-MAX_FETCH_FACTOR = 3.0
-MIN_FETCH_S = 0.25
-"""Imports are given up after this factor of the expected time, plus this time."""
+IMPORT_TIMEOUT_FACTOR = 3.0
+IMPORT_TIMEOUT_MARGIN_S = 0.25
+"""Imports time out after the expected time multiplied by the factor, plus the margin,
+in seconds."""
 
-RECENT_CONVERSATIONS = 4096
+MAX_RECENT_CONVERSATIONS = 4096
 MOVE_INTERVAL_S = 0.5
-WAITING_INTERVAL_S = 0.5
+EXPORT_RETRY_INTERVAL_S = 0.5
 
 
 class Tier(msgspec.Struct):
-    """State of one tier of a store."""
+    """State of one tier of a KV cache store."""
 
     size_bytes: float = 0.0
     used_bytes: float = 0.0
@@ -42,7 +43,7 @@
 
 
 class Status(msgspec.Struct):
-    """Answer of a store's ``/status``."""
+    """Response of a store to ``/status``."""
 
     boot_id: str
     tiers: dict[str, Tier] = msgspec.field(default_factory=dict)
@@ -50,19 +51,19 @@
 
 @dataclasses.dataclass
 class StoreState:
-    """A store as this node last saw it.
+    """Latest known state of a KV cache store.
 
     Attributes
     ----------
     rate : float
-        Rate of its idle link, in bytes per second.
+        Transfer rate of its idle link, in bytes per second.
     """
 
     view: placement.Store
     rate: float
 
 
-def store_view(inst: table.Instance, status: Status) -> placement.Store:
+def to_store(inst: table.Instance, status: Status) -> placement.Store:
     """Summarise the tiers of a store."""
     size = sum(tier.size_bytes for tier in status.tiers.values())
     used = sum(tier.used_bytes for tier in status.tiers.values())
@@ -70,26 +71,26 @@
 
 
 def link_rate(status: Status, limit: float) -> float:
-    """Return the rate of a store's idle link, that of its slowest tier."""
+    """Return the rate of a store's idle link, which its slowest tier limits."""
     rates = [t.rate_bytes_per_s for t in status.tiers.values() if t.rate_bytes_per_s]
     return min([limit, *rates])
 
 
 class Reuse:
-    """The cache as the request path sees it; implements ``router.Cache``.
+    """The KV cache for the request path; implements ``router.Cache``.
 
     Parameters
     ----------
     cfg : settings.Settings
         Settings of the node.
     mode : route.Mode
-        Weights of the deployment.
+        Routing mode of the deployment, with its weights.
     config : callable
         The configuration in force.
     block_s : callable
         Prefill time of one block at an engine, in seconds.
     backlog : prefill.PrefillBacklog
-        Pending transfers on the links of stores, of this node and of the others.
+        Pending transfers of all nodes on the links of the stores.
     """
 
     def __init__(
@@ -99,7 +100,7 @@
         tables: table.Tables,
         pool: http_client.Pool,
         directory: cache.Directory,
-        carrier: transfers.Transfers,
+        block_transfers: transfers.Transfers,
         config: collections.abc.Callable[[], contract.Config],
         block_s: collections.abc.Callable[[table.Instance], float],
         backlog: prefill.PrefillBacklog,
@@ -109,15 +110,15 @@
         self.tables = tables
         self.pool = pool
         self.directory = directory
-        self.transfers = carrier
+        self.transfers = block_transfers
         self.config = config
         self.block_s = block_s
         self.backlog = backlog
         self.stores: dict[str, StoreState] = {}
         self.budgets: dict[tuple[str, str], placement.TokenBucket] = {}
-        self.watches: dict[tuple[str, str], link.LinkWaitEstimator] = {}
-        self.returns = placement.ReuseEstimator()
-        self.waiting = placement.ExportQueue()
+        self.link_waits: dict[tuple[str, str], link.LinkWaitEstimator] = {}
+        self.reuse_estimator = placement.ReuseEstimator()
+        self.export_queue = placement.ExportQueue()
         self.recent: collections.OrderedDict[str, placement.Prompt]
         self.recent = collections.OrderedDict()
 
@@ -128,15 +129,15 @@
         return await self.directory.lookup(chain.keys)
 
     def links(self) -> collections.abc.Mapping[tuple[str, str], link.Link]:
-        """Return the free rate of each link, by store and zone.
+        """Return the usable links, by store and zone.
 
-        Stores out of service are left out: reading them would be new work there.
+        Omits stores out of service, which must not get new work.
         """
         zones_out = self.config().zones_out
         now = trio.current_time()
         zones = {u.instance.zone for u in self.tables.upstreams.values()}
         return {
-            (store_id, zone): self._watch(store_id, zone).link(
+            (store_id, zone): self._link_wait(store_id, zone).link(
                 state.rate,
                 2 * settings.zone_delay_s(self.cfg, state.view.zone, zone)
                 + self.backlog.estimate_s(store_id, 0, now),
@@ -148,19 +149,19 @@
         }
 
     def _in_service(self) -> dict[str, StoreState]:
-        """Return the stores that operators have not taken out one by one."""
+        """Return the stores except those that operators took out of service by id."""
         out = self.config().instances_out
         return {k: state for k, state in self.stores.items() if k not in out}
 
     def link_s(self, store_id: str, blocks: int) -> float:
-        """Return the time of some blocks on the idle link of a store, in seconds."""
+        """Return how long a store's idle link takes to transfer blocks, in seconds."""
         state = self.stores.get(store_id)
         if state is None or state.rate <= 0:
             return 0.0
         return blocks * float(self.cfg.block_bytes) / state.rate
 
-    def _watch(self, store_id: str, zone: str) -> link.LinkWaitEstimator:
-        return self.watches.setdefault((store_id, zone), link.LinkWaitEstimator())
+    def _link_wait(self, store_id: str, zone: str) -> link.LinkWaitEstimator:
+        return self.link_waits.setdefault((store_id, zone), link.LinkWaitEstimator())
 
     async def fetch(
         self,
@@ -169,21 +170,21 @@
         keys: collections.abc.Sequence[block.Key],
         expected_s: float,
     ) -> None:
-        """Have an engine import blocks; what it does not get, it recomputes."""
+        """Have an engine import blocks; it recomputes those that it does not get."""
         boot_id = self._boot_of(inst.id)
-        timeout_s = MIN_FETCH_S + MAX_FETCH_FACTOR * expected_s
+        timeout_s = IMPORT_TIMEOUT_MARGIN_S + IMPORT_TIMEOUT_FACTOR * expected_s
         started_at = trio.current_time()
         counts = collections.Counter(fetch.copy.store for fetch in blocks)
         pending_s = {s: self.backlog.estimate_s(s, 0, started_at) for s in counts}
         await self.transfers.import_blocks(inst, boot_id, keys, blocks, timeout_s)
-        took_s = trio.current_time() - started_at
+        elapsed_s = trio.current_time() - started_at
         for store_id, count in counts.items():
             state = self.stores.get(store_id)
             if state is not None:
                 size = count * float(self.cfg.block_bytes)
-                watch = self._watch(store_id, inst.zone)
-                now = started_at + took_s
-                watch.note(state.rate, size, took_s, now, pending_s[store_id])
+                link_wait = self._link_wait(store_id, inst.zone)
+                now = started_at + elapsed_s
+                link_wait.note(state.rate, size, elapsed_s, now, pending_s[store_id])
 
     def _boot_of(self, upstream_id: str) -> str:
         upstream = self.tables.upstreams.get(upstream_id)
@@ -191,16 +192,16 @@
             return ""
         return upstream.report.boot_id
 
-    # After an answer
+    # After a response
 
     def answered(
         self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
-        """Note that an engine holds a prompt's blocks, and place copies of them."""
+        """Record that an engine caches a prompt's blocks, and place copies of them."""
         chain = choice.chain
         inst = choice.upstream.instance
         turns = sum(message.role == "assistant" for message in job.chat.body.messages)
-        self.returns.observe(job.contract.team, turns, len(chain.keys))
+        self.reuse_estimator.observe(job.contract.team, turns, len(chain.keys))
         if not chain.keys:
             return
         boot_id = self._boot_of(inst.id)
@@ -212,7 +213,9 @@
             team=job.contract.team,
             upstream=inst.id,
             zone=inst.zone,
-            chance=self.returns.probability(job.contract.team, turns, len(chain.keys)),
+            chance=self.reuse_estimator.probability(
+                job.contract.team, turns, len(chain.keys)
+            ),
             block_s=self.block_s(inst),
             block_bytes=float(self.cfg.block_bytes),
             found=found,
@@ -221,11 +224,11 @@
         self._place(prompt, job.request_id)
         self.recent[chain.conversation] = prompt
         self.recent.move_to_end(chain.conversation)
-        while len(self.recent) > RECENT_CONVERSATIONS:
+        while len(self.recent) > MAX_RECENT_CONVERSATIONS:
             self.recent.popitem(last=False)
 
     def _place(self, prompt: placement.Prompt, request_id: str) -> None:
-        """Export a prompt's blocks now; what lacks link budget waits for some."""
+        """Export a prompt's blocks, or queue the prompt if a link lacks budget."""
         stores = [state.view for state in self._in_service().values()]
         zones_out = self.config().zones_out
         now = trio.current_time()
@@ -239,14 +242,14 @@
         for export in decision.exports:
             self._submit(export, ())
         if placement.is_retryable(decision):
-            self.waiting.add(placement.with_in_transit(prompt, decision), now)
+            self.export_queue.add(placement.with_in_transit(prompt, decision), now)
         else:
-            self.waiting.remove(prompt)
+            self.export_queue.remove(prompt)
 
-    async def _place_waiting(self) -> None:
+    async def _retry_placements(self) -> None:
         while True:
-            await ticker.sleep(WAITING_INTERVAL_S)
-            for prompt in self.waiting.due(trio.current_time()):
+            await ticker.sleep(EXPORT_RETRY_INTERVAL_S)
+            for prompt in self.export_queue.due(trio.current_time()):
                 if self._has_budget(prompt):
                     self._place(prompt, "")
 
@@ -271,13 +274,16 @@
         )
 
     def _add_budgets(self, zone: str) -> None:
-        """Give each link from a zone a budget: this node's share of its rate."""
+        """Create or update the export budget of each link of a zone.
+
+        A budget is this node's share of the link's rate.
+        """
         nodes = max(1, len(self.directory.peers.live()))
-        rate = self.cfg.link_bytes_per_s * EXPORT_SHARE / nodes
+        rate = self.cfg.link_bytes_per_s * EXPORT_LINK_SHARE / nodes
         for store_id in self.stores:
             bucket = self.budgets.get((store_id, zone))
             if bucket is None:
-                burst = max(rate * BURST_S, 64.0 * self.cfg.block_bytes)
+                burst = max(rate * EXPORT_BURST_S, 64.0 * self.cfg.block_bytes)
                 self.budgets[store_id, zone] = placement.TokenBucket(rate, burst)
             else:
                 bucket.rate = rate
@@ -287,14 +293,14 @@
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Follow the stores and copy blocks out of leaving zones until cancelled."""
+        """Poll the stores and evacuate zones out of service until cancelled."""
         task_status.started()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_stores)
-            nursery.start_soon(self._leave_zones)
-            nursery.start_soon(self._place_waiting)
+            nursery.start_soon(self._poll_stores)
+            nursery.start_soon(self._evacuate_zones)
+            nursery.start_soon(self._retry_placements)
 
-    async def _follow_stores(self) -> None:
+    async def _poll_stores(self) -> None:
         while True:
             listed = [
                 inst
@@ -312,44 +318,44 @@
         call = http_client.Call(
             (inst.host, inst.port), "GET", "/status", timeout_s=STATUS_TIMEOUT_S
         )
-        full = await self.pool.fetch(call, STATUS_BYTES)
-        status = _read(full)
+        full = await self.pool.fetch(call, MAX_STATUS_BYTES)
+        status = _decode_status(full)
         known = self.stores.get(inst.id)
         if status is None:
             if known is not None:
                 known.view = dataclasses.replace(known.view, alive=False)
             return
         rate = link_rate(status, self.cfg.link_bytes_per_s)
-        self.stores[inst.id] = StoreState(store_view(inst, status), rate)
+        self.stores[inst.id] = StoreState(to_store(inst, status), rate)
 
-    # Planned moves of a zone
+    # Planned evacuation of a zone
 
-    async def _leave_zones(self) -> None:
+    async def _evacuate_zones(self) -> None:
         while True:
             for zone in self.config().zones_out:
-                self._copy_out(zone)
+                self._evacuate_zone(zone)
             await ticker.sleep(MOVE_INTERVAL_S)
 
-    def _copy_out(self, zone: str) -> None:
-        """Copy recent conversations out of a zone, as far as budgets allow now."""
-        waiting = {
+    def _evacuate_zone(self, zone: str) -> None:
+        """Copy recent conversations out of a zone, as far as export budgets allow."""
+        prompts = {
             conversation: prompt
             for conversation, prompt in self.recent.items()
             if prompt.zone == zone
         }
-        if not waiting:
+        if not prompts:
             return
         self._add_budgets(zone)
-        held = [_held(prompt) for prompt in waiting.values()]
+        cached = [_to_cached_conversation(prompt) for prompt in prompts.values()]
         engines = [
             u.instance.id
             for u in self.tables.upstreams.values()
             if u.instance.role is table.Role.ENGINE and u.instance.zone == zone
         ]
         stores = [state.view for state in self._in_service().values()]
-        steps = placement.plan_move(
+        moves = placement.plan_move(
             zone,
-            held,
+            cached,
             stores,
             engines,
             self.budgets,
@@ -357,19 +363,19 @@
             trio.current_time(),
         )
         postponed = set()
-        for move in steps:
+        for move in moves:
             fields = placement.record_move(zone, move)
             if isinstance(move, placement.PostponedMove):
                 postponed.add(move.conversation)
                 continue
             lines.event(LOG, str(fields.pop("event")), **fields)
             self._submit(move.export, move.imports)
-        for conversation in waiting:
+        for conversation in prompts:
             if conversation not in postponed:
                 del self.recent[conversation]
 
 
-def _held(prompt: placement.Prompt) -> placement.CachedConversation:
+def _to_cached_conversation(prompt: placement.Prompt) -> placement.CachedConversation:
     return placement.CachedConversation(
         prompt.chain.conversation,
         prompt.chain.keys,
@@ -380,7 +386,7 @@
     )
 
 
-def _read(full: object) -> Status | None:
+def _decode_status(full: object) -> Status | None:
     if (
         not isinstance(full, http_client.FullResponse)
         or full.status != http.HTTPStatus.OK
