Reword cleaner.py

CLEAN_BELOW_SHARE -> MIN_FREE_SHARE, DELETES_AT_ONCE -> MAX_CONCURRENT_DELETES, ANSWER_BYTES -> MAX_RESPONSE_BYTES, Stores -> ListStores, _clean -> _delete_copies.

--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -1,4 +1,4 @@
-"""Deletion of the cheapest copies from stores that fill up."""
+"""Deletion of the least valuable copies from KV cache stores that fill up."""
 
 import collections
 import collections.abc
@@ -14,46 +14,46 @@
 LOG = logging.getLogger("snipelug.cache")
 
 CLEAN_INTERVAL_S = 5.0
-CLEAN_BELOW_SHARE = 0.04
-"""Free share of a store below which its cheapest copies are deleted.
+MIN_FREE_SHARE = 0.04
+"""Free share of a store below which its least valuable copies are deleted.
 
-Space above it is wasted: each percent holds copies that are deleted too early. The
-rest above ``placement.RESERVED_FREE_SHARE`` is room for writes between two cleanings,
-in which a link of 4 GB/s fills at most 2.5% of a store of 800 GB; as it gets less, the
-price keeps out what is worth little.
+A larger share wastes space: each percent would hold copies that are deleted too early.
+The part above ``placement.RESERVED_FREE_SHARE`` is room for writes between two
+cleanings, in which a link of 4 GB/s fills at most 2.5% of a store of 800 GB. As that
+room shrinks, the price keeps out blocks of low value.
 """
 CLEAN_SHARE = 0.03
 DELETE_TIMEOUT_S = 2.0
-ANSWER_BYTES = 64 * 1024
-DELETES_AT_ONCE = 4
+MAX_RESPONSE_BYTES = 64 * 1024
+MAX_CONCURRENT_DELETES = 4
 
 
-Stores = collections.abc.Callable[[], collections.abc.Iterable[placement.Store]]
-"""The stores as last seen, from their status."""
+ListStores = collections.abc.Callable[[], collections.abc.Iterable[placement.Store]]
+"""Returns the latest known state of the stores."""
 
 
 class Cleaner:
-    """Delete the copies that are worth the least from stores that fill up.
+    """Deletes the least valuable copies from stores that fill up.
 
-    Each node deletes a share of what its own shard knows, so that all nodes
+    Each node deletes a share of the copies in its own index shard, so that all nodes
     together free about that share of a store.
 
     Parameters
     ----------
     zones_out : callable
-        Returns the zones out of service, whose copies do not count.
+        Returns the zones out of service; copies there do not count as readable.
 
     Attributes
     ----------
     counts : Counter
-        ``deleted``, ``absent`` (gone or replaced meanwhile), ``failed``.
+        ``deleted``, ``absent`` (already deleted or replaced), ``failed``.
     """
 
     def __init__(
         self,
         pool: http_client.Pool,
         shard: cache.Shard,
-        stores: Stores,
+        stores: ListStores,
         instances: collections.abc.Callable[[str], table.Instance | None],
         zones_out: collections.abc.Callable[[], collections.abc.Container[str]],
     ) -> None:
@@ -74,29 +74,32 @@
             await self.clean()
 
     async def clean(self) -> None:
-        """Delete once from all stores that are nearly full."""
+        """Delete copies from all stores that are nearly full, once."""
         zones_out = self.zones_out()
         stores = list(self.stores())
         unreadable = {s.id for s in stores if not s.alive or s.zone in zones_out}
         for store in stores:
             inst = self.instances(store.id)
-            is_low = store.free_bytes < CLEAN_BELOW_SHARE * store.size_bytes
+            is_low = store.free_bytes < MIN_FREE_SHARE * store.size_bytes
             if inst is not None and store.alive and is_low:
                 copies = self.shard.index.least_valuable(
                     store.id, CLEAN_SHARE, unreadable
                 )
-                await self._clean(inst, copies)
+                await self._delete_copies(inst, copies)
 
-    async def _clean(
+    async def _delete_copies(
         self, inst: table.Instance, copies: list[index.BlockAdded]
     ) -> None:
-        limit = trio.CapacityLimiter(DELETES_AT_ONCE)
+        limiter = trio.CapacityLimiter(MAX_CONCURRENT_DELETES)
         async with trio.open_nursery() as nursery:
             for copy in copies:
-                nursery.start_soon(self._delete, inst, copy, limit)
+                nursery.start_soon(self._delete, inst, copy, limiter)
 
     async def _delete(
-        self, inst: table.Instance, copy: index.BlockAdded, limit: trio.CapacityLimiter
+        self,
+        inst: table.Instance,
+        copy: index.BlockAdded,
+        limiter: trio.CapacityLimiter,
     ) -> None:
         headers = {"if-match": f'"{copy.generation}-{copy.checksum}"'}
         call = http_client.Call(
@@ -106,8 +109,8 @@
             headers,
             timeout_s=DELETE_TIMEOUT_S,
         )
-        async with limit:
-            full = await self.pool.fetch(call, ANSWER_BYTES)
+        async with limiter:
+            full = await self.pool.fetch(call, MAX_RESPONSE_BYTES)
         status = full.status if isinstance(full, http_client.FullResponse) else 0
         if status in (http.HTTPStatus.OK, http.HTTPStatus.NO_CONTENT):
             self.counts["deleted"] += 1
