Reword loader.py

Private names only: _take -> _acquire_slot, _free -> _release_slot, _order -> _send_order, _read -> _read_holders, _write -> _write_holders.

--- a/packages/snipelug-node/src/snipelug_node/loader.py
+++ b/packages/snipelug-node/src/snipelug_node/loader.py
@@ -1,4 +1,4 @@
-"""Orders to engines to load weights, a few at once over the deployment."""
+"""Orders engines to load weights, with a limit on concurrent loads per deployment."""
 
 import collections.abc
 import dataclasses
@@ -18,7 +18,7 @@
 
 
 class SlotsRow(msgspec.Struct):
-    """Row of the loads in progress."""
+    """Row of the slots taken by loads in progress."""
 
     holders: list[weights.Holder] = msgspec.field(default_factory=list)
 
@@ -30,14 +30,14 @@
     Attributes
     ----------
     fencing_of : callable
-        Fencing number of this node's owner row for an upstream; None if this
-        node is not its owner now.
+        Returns the fencing token of this node's owner row for an upstream, or None if
+        this node is not its owner now.
     session : callable
-        Id of this node's session, empty if it has none.
+        Returns the id of this node's session, empty if it has none.
     live_sessions : callable
-        Ids of all sessions that exist.
+        Returns the ids of all sessions that exist.
     limit : int
-        Loads at once in the deployment.
+        Highest number of concurrent loads in the deployment.
     """
 
     tables: table.Tables
@@ -56,16 +56,16 @@
 
     async def execute(self, load: weights.LoadOrder) -> None:
         """Order one load if a slot is free."""
-        mine = weights.Holder(load.upstream_id, self.session())
-        if not mine.session or not await self._take(mine):
+        holder = weights.Holder(load.upstream_id, self.session())
+        if not holder.session or not await self._acquire_slot(holder):
             return
         try:
-            await self._order(load)
+            await self._send_order(load)
         finally:
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 5.0):
-                await self._free(mine)
+                await self._release_slot(holder)
 
-    async def _order(self, load: weights.LoadOrder) -> None:
+    async def _send_order(self, load: weights.LoadOrder) -> None:
         upstream = self.tables.upstreams.get(load.upstream_id)
         if upstream is None:
             return
@@ -85,7 +85,7 @@
         outcome = await self.pool.fetch(
             call, pre_send_check=lambda _: self.fencing_of(inst.id) == load.fencing
         )
-        done = (
+        is_loaded = (
             isinstance(outcome, http_client.FullResponse)
             and outcome.status == http.HTTPStatus.OK
         )
@@ -95,35 +95,37 @@
             upstream=inst.id,
             weight_version=load.weight_version,
             fencing=load.fencing,
-            done=done,
-            outcome="" if done else str(outcome)[:200],
+            done=is_loaded,
+            outcome="" if is_loaded else str(outcome)[:200],
         )
         await self.refresh(upstream)
 
-    async def _take(self, mine: weights.Holder) -> bool:
-        read = await self._read()
+    async def _acquire_slot(self, holder: weights.Holder) -> bool:
+        read = await self._read_holders()
         if read is None:
             return False
         holders, expect = read
         live = self.live_sessions()
-        decision = weights.take_slot(holders, mine, live, self.limit)
+        decision = weights.take_slot(holders, holder, live, self.limit)
         if isinstance(decision, weights.NoSlot):
             return False
-        return await self._write(decision.holders, expect)
+        return await self._write_holders(decision.holders, expect)
 
-    async def _free(self, mine: weights.Holder) -> None:
-        """Give a slot back; if the store is silent, the session's end frees it."""
+    async def _release_slot(self, holder: weights.Holder) -> None:
+        """Release a slot; if that fails, the end of the session frees the slot."""
         for _ in range(3):
-            read = await self._read()
+            read = await self._read_holders()
             if read is None:
                 continue
             holders, expect = read
-            if mine not in holders:
+            if holder not in holders:
                 return
-            if await self._write(weights.free_slot(holders, mine), expect):
+            if await self._write_holders(weights.free_slot(holders, holder), expect):
                 return
 
-    async def _read(self) -> tuple[list[weights.Holder], ports.Precondition] | None:
+    async def _read_holders(
+        self,
+    ) -> tuple[list[weights.Holder], ports.Precondition] | None:
         row = await self.store.read(weights.TABLE, weights.ROW_KEY)
         if isinstance(row, ports.Unavailable):
             return None
@@ -131,7 +133,7 @@
             return [], ports.Expect.ABSENT
         return msgspec.json.decode(row.content, type=SlotsRow).holders, row.version
 
-    async def _write(
+    async def _write_holders(
         self,
         holders: collections.abc.Iterable[weights.Holder],
         expect: ports.Precondition,
