--- a/packages/snipelug-node/src/snipelug_node/journal.py
+++ b/packages/snipelug-node/src/snipelug_node/journal.py
@@ -1,4 +1,4 @@
-"""Log lines as JSON, one object a line, with stable event names."""
+"""Logging as JSON lines with stable event names."""
 
 import logging
 import sys
@@ -15,7 +15,7 @@
         self._node_id = node_id
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return the line for one record."""
+        """Return the JSON line for one record."""
         line: dict[str, object] = {
             "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
             + f".{int(record.msecs):03d}Z",
@@ -26,12 +26,12 @@
         return lines.encode(record, line).decode()
 
 
-def setup(node_id: str, level: str) -> None:
-    """Send all log records to standard error as JSON lines."""
+def configure_logging(node_id: str, level: str) -> None:
+    """Log to standard error as JSON lines."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(JsonFormatter(node_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
-    # HTTP/2 frames of the RPC library are logged at DEBUG.
+    # At DEBUG, the RPC library's HTTP/2 codec logs every frame.
     logging.getLogger("hpack").setLevel(logging.WARNING)
--- a/packages/snipelug-node/src/snipelug_node/main.py
+++ b/packages/snipelug-node/src/snipelug_node/main.py
@@ -92,26 +92,26 @@
     ] = False,
 ) -> None:
     """Serve callers, operators and other nodes until stopped."""
-    read = settings.Reader()
+    parser = settings.Parser()
     cfg = settings.Settings(
-        node_id=read.required("--node-id", node_id),
-        zone=read.required("--zone", zone),
-        host=read.ip("--host", host),
-        port=read.port("--port", port),
-        admin_port=read.port("--admin-port", admin_port),
-        rpc_port=read.port("--rpc-port", rpc_port),
-        tables=read.address("--tables", tables),
-        objects=read.address("--objects", objects),
-        instances=read.address("--instances", instances),
-        key=read.key("--key", key),
-        admin_key=read.key("--admin-key", admin_key).decode(),
-        peers=read.peers("--peer", peer or []),
-        zone_delays_s=read.zone_delays("--zone-delay", zone_delay or []),
+        node_id=parser.required("--node-id", node_id),
+        zone=parser.required("--zone", zone),
+        host=parser.ip("--host", host),
+        port=parser.port("--port", port),
+        admin_port=parser.port("--admin-port", admin_port),
+        rpc_port=parser.port("--rpc-port", rpc_port),
+        tables=parser.address("--tables", tables),
+        objects=parser.address("--objects", objects),
+        instances=parser.address("--instances", instances),
+        key=parser.key("--key", key),
+        admin_key=parser.key("--admin-key", admin_key).decode(),
+        peers=parser.peers("--peer", peer or []),
+        zone_delays_s=parser.zone_delays("--zone-delay", zone_delay or []),
         rpc_advertise=(
-            read.address("--rpc-advertise", rpc_advertise) if rpc_advertise else None
+            parser.address("--rpc-advertise", rpc_advertise) if rpc_advertise else None
         ),
-        statsd=read.address("--statsd", statsd) if statsd else None,
-        mode=read.one_of("--mode", mode, settings.MODES),
+        statsd=parser.address("--statsd", statsd) if statsd else None,
+        mode=parser.one_of("--mode", mode, settings.MODES),
         cold_limit=cold_limit,
         unconfirmed_limit=unconfirmed_limit,
         weight_loads=weight_loads,
@@ -120,26 +120,26 @@
         block_bytes=block_bytes,
         link_bytes_per_s=link_bytes_per_s,
         drain_s=drain_s,
-        log_level=read.one_of("--log-level", log_level, settings.LOG_LEVELS),
+        log_level=parser.one_of("--log-level", log_level, settings.LOG_LEVELS),
     )
-    read.at_least("--cold-limit", cold_limit, 1)
-    read.at_least("--unconfirmed-limit", unconfirmed_limit, 0)
-    read.at_least("--weight-loads", weight_loads, 1)
-    read.at_least("--upstream-in-flight", upstream_in_flight, 1)
-    read.at_least("--engine-slots", engine_slots, 1)
-    read.at_least("--block-bytes", block_bytes, 1)
-    read.at_least("--link-bytes-per-s", link_bytes_per_s, 1)
-    read.at_least("--drain-s", drain_s, 0)
+    parser.at_least("--cold-limit", cold_limit, 1)
+    parser.at_least("--unconfirmed-limit", unconfirmed_limit, 0)
+    parser.at_least("--weight-loads", weight_loads, 1)
+    parser.at_least("--upstream-in-flight", upstream_in_flight, 1)
+    parser.at_least("--engine-slots", engine_slots, 1)
+    parser.at_least("--block-bytes", block_bytes, 1)
+    parser.at_least("--link-bytes-per-s", link_bytes_per_s, 1)
+    parser.at_least("--drain-s", drain_s, 0)
     if len({port, admin_port, rpc_port}) < 3:
-        read.fail("--port, --admin-port, --rpc-port", "must differ")
-    if read.mistakes:
-        for mistake in read.mistakes:
-            typer.echo(f"snipelugd: {mistake}", err=True)
+        parser.add_error("--port, --admin-port, --rpc-port", "must differ")
+    if parser.errors:
+        for error in parser.errors:
+            typer.echo(f"snipelugd: {error}", err=True)
         raise typer.Exit(EXIT_INVALID_SETTINGS)
     if check:
         typer.echo("settings are valid")
         return
-    journal.setup(cfg.node_id, cfg.log_level)
+    journal.configure_logging(cfg.node_id, cfg.log_level)
     trio.run(node.run, cfg)
 
 
--- a/packages/snipelug-node/src/snipelug_node/settings.py
+++ b/packages/snipelug-node/src/snipelug_node/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a node, from flags and environment variables, validated together."""
+"""Settings of a node, validated together so that all errors are reported at once."""
 
 import collections.abc
 import dataclasses
@@ -22,42 +22,42 @@
     node_id, zone : str
         Instance id of this node and its availability zone.
     host : str
-        IP address that all listeners bind.
+        IP address to which all listeners bind.
     port, admin_port, rpc_port : int
         Ports for callers, operators and other nodes.
     rpc_advertise : tuple of (str, int) or None
-        Address under which other nodes reach ``rpc_port``, if it is another.
+        Address at which other nodes reach ``rpc_port``, if it is another.
     tables, objects, instances : tuple of (str, int)
-        Addresses of the platform's services.
+        Addresses of the platform services.
     peers : mapping of str to (str, int)
         RPC addresses of other nodes, used until the members table is read.
     key : bytes
-        Secret shared by the nodes of one deployment.
+        Secret shared by all nodes of a deployment.
     admin_key : str
         Bearer key of the operators.
     statsd : tuple of (str, int) or None
-        Where metrics are sent.
+        Address of the metrics receiver.
     mode : str
         Routing mode, one of ``MODES``.
     zone_delays_s : mapping of (str, str) to float
         One-way delay between two zones, in seconds; names in sorted order.
     cold_limit : int
-        Requests that an upstream can sustain at once while cold.
+        Concurrent requests that an upstream can sustain while cold.
     unconfirmed_limit : int
-        Requests over all nodes that one warm upstream gets before a load report made
-        after them; no less than ``cold_limit``.
+        Requests from all nodes that a warm upstream gets until it sends a load report
+        made after them; at least ``cold_limit``.
     weight_loads : int
-        Weight loads allowed at once in the deployment.
+        Highest number of concurrent weight loads in the deployment.
     upstream_in_flight : int
-        Most requests of this node at one upstream.
+        Highest number of concurrent requests of this node at one upstream.
     engine_slots : int
-        Requests that one engine runs at once.
+        Requests that one engine runs concurrently.
     block_bytes : int
-        Size of the KV cache of one block, in bytes.
+        Size of one KV cache block, in bytes.
     link_bytes_per_s : float
-        Rate of the link from a store to one zone, in bytes per second.
+        Rate of the link from a KV cache store to one zone, in bytes per second.
     drain_s : float
-        Time that a planned stop waits for open requests, in seconds.
+        Longest time that a planned stop waits for open requests, in seconds.
     """
 
     node_id: str
@@ -88,24 +88,24 @@
 
     @property
     def rpc_address(self) -> http_client.Address:
-        """Address under which other nodes reach this one."""
+        """Address at which other nodes reach this one."""
         return self.rpc_advertise or (self.host, self.rpc_port)
 
 
-class Reader:
-    """Parse single settings and collect what is wrong with them."""
+class Parser:
+    """Parses and checks single settings, and collects the errors."""
 
     def __init__(self) -> None:
-        self.mistakes: list[str] = []
+        self.errors: list[str] = []
 
-    def fail(self, name: str, reason: str) -> None:
-        """Note one mistake."""
-        self.mistakes.append(f"{name}: {reason}")
+    def add_error(self, name: str, reason: str) -> None:
+        """Add an error about one setting."""
+        self.errors.append(f"{name}: {reason}")
 
     def required(self, name: str, value: str) -> str:
-        """Check that a setting is given."""
+        """Check that a setting is not empty."""
         if not value:
-            self.fail(name, "is required")
+            self.add_error(name, "is required")
         return value
 
     def ip(self, name: str, value: str) -> str:
@@ -113,25 +113,25 @@
         try:
             ipaddress.ip_address(value)
         except ValueError:
-            self.fail(name, f"{value!r} is not an IP address")
+            self.add_error(name, f"{value!r} is not an IP address")
         return value
 
     def port(self, name: str, value: int) -> int:
         """Check a port number."""
         if not 0 < value <= MAX_PORT:
-            self.fail(name, f"{value} is not a port between 1 and {MAX_PORT}")
+            self.add_error(name, f"{value} is not a port between 1 and {MAX_PORT}")
         return value
 
     def at_least(self, name: str, value: float, least: float) -> None:
         """Check a lower bound."""
         if value < least:
-            self.fail(name, f"{value} is less than {least}")
+            self.add_error(name, f"{value} is less than {least}")
 
     def address(self, name: str, value: str) -> http_client.Address:
         """Parse ``IP:PORT``."""
         host, colon, port = value.rpartition(":")
         if not colon or not port.isdigit():
-            self.fail(name, f"{value!r} is not of the form IP:PORT")
+            self.add_error(name, f"{value!r} is not of the form IP:PORT")
             return ("", 0)
         return self.ip(name, host), self.port(name, int(port))
 
@@ -139,22 +139,22 @@
         self, name: str, values: collections.abc.Sequence[str]
     ) -> dict[str, http_client.Address]:
         """Parse entries of the form ``ID=IP:PORT``."""
-        found: dict[str, http_client.Address] = {}
+        parsed: dict[str, http_client.Address] = {}
         for value in values:
             node_id, equals, address = value.partition("=")
             if not equals:
-                self.fail(name, f"{value!r} is not of the form ID=IP:PORT")
+                self.add_error(name, f"{value!r} is not of the form ID=IP:PORT")
                 continue
-            if node_id in found:
-                self.fail(name, f"{node_id!r} is given twice")
-            found[node_id] = self.address(name, address)
-        return found
+            if node_id in parsed:
+                self.add_error(name, f"{node_id!r} is given twice")
+            parsed[node_id] = self.address(name, address)
+        return parsed
 
     def zone_delays(
         self, name: str, values: collections.abc.Sequence[str]
     ) -> dict[tuple[str, str], float]:
         """Parse entries of the form ``ZONE:ZONE=MILLISECONDS``."""
-        found: dict[tuple[str, str], float] = {}
+        parsed: dict[tuple[str, str], float] = {}
         for value in values:
             pair, _, delay_ms = value.partition("=")
             first, _, second = pair.partition(":")
@@ -163,26 +163,28 @@
             except ValueError:
                 delay_s = -1.0
             if not first or not second or delay_s < 0:
-                self.fail(name, f"{value!r} is not of the form ZONE:ZONE=MILLISECONDS")
+                self.add_error(
+                    name, f"{value!r} is not of the form ZONE:ZONE=MILLISECONDS"
+                )
                 continue
-            found[min(first, second), max(first, second)] = delay_s
-        return found
+            parsed[min(first, second), max(first, second)] = delay_s
+        return parsed
 
     def key(self, name: str, value: str) -> bytes:
         """Check a shared secret."""
         data = value.encode()
         if len(value) < MIN_KEY_CHARS:
-            self.fail(name, f"has fewer than {MIN_KEY_CHARS} characters")
+            self.add_error(name, f"has fewer than {MIN_KEY_CHARS} characters")
         if len(data) > MAX_KEY_BYTES:
-            self.fail(name, f"is longer than {MAX_KEY_BYTES} bytes")
+            self.add_error(name, f"is longer than {MAX_KEY_BYTES} bytes")
         return data
 
     def one_of(
         self, name: str, value: str, allowed: collections.abc.Sequence[str]
     ) -> str:
-        """Check a choice."""
+        """Check that a value is one of those allowed."""
         if value not in allowed:
-            self.fail(name, f"{value!r} is not one of {', '.join(allowed)}")
+            self.add_error(name, f"{value!r} is not one of {', '.join(allowed)}")
         return value
 
 
