--- a/packages/snipelug-node/src/snipelug_node/metrics.py
+++ b/packages/snipelug-node/src/snipelug_node/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics, sent by statsd over UDP."""
+"""Metrics, sent to a statsd server over UDP."""
 
 import typing
 
@@ -8,7 +8,7 @@
 
 
 class Metrics(typing.Protocol):
-    """What the node needs of a metrics client."""
+    """Interface of a metrics client."""
 
     def incr(self, stat: str, count: int = 1) -> None:
         """Count events."""
@@ -23,22 +23,22 @@
         ...
 
 
-class Disabled:
-    """Metrics that go nowhere, used when no statsd address is set."""
+class NullMetrics:
+    """A metrics client that discards everything; used if no statsd address is set."""
 
     def incr(self, stat: str, count: int = 1) -> None:
-        """Ignore a count."""
+        """Discard a count."""
 
     def timing(self, stat: str, delta: float) -> None:
-        """Ignore a duration."""
+        """Discard a duration."""
 
     def gauge(self, stat: str, value: float) -> None:
-        """Ignore a value."""
+        """Discard a value."""
 
 
-def build(addr: http_client.Address | None) -> Metrics:
-    """Return a client for the address, or one that does nothing without one."""
+def build_client(addr: http_client.Address | None) -> Metrics:
+    """Return a client for the address, or ``NullMetrics`` if it is None."""
     if addr is None:
-        return Disabled()
+        return NullMetrics()
     client = statsd.StatsClient(addr[0], addr[1], prefix="snipelug")
     return typing.cast(Metrics, client)
--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -95,7 +95,7 @@
         self.nursery = nursery
         self.rng = random.Random()
         self.tables = table.Tables()
-        self.metrics = metrics.build(cfg.statsd)
+        self.metrics = metrics.build_client(cfg.statsd)
         self.pool = http_client.Pool(on_closed=self._connection_closed)
         self.store = platform.HttpTableService(self.pool, cfg.tables)
         self.instance_list = platform.HttpInstanceList(self.pool, cfg.instances)
