--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -382,8 +382,8 @@
     assert now < first <= now + period_s
     second = ticker.wake_time(first, period_s)
     assert first < second <= first + period_s
-    if period_s >= ticker.GRID_S:
-        assert first % ticker.GRID_S == 0.0
+    if period_s >= ticker.WAKE_GRID_S:
+        assert first % ticker.WAKE_GRID_S == 0.0
         assert second - first == period_s
 
 
