--- a/packages/snipelug-node/src/snipelug_node/admin.py
+++ b/packages/snipelug-node/src/snipelug_node/admin.py
@@ -1,4 +1,4 @@
-"""The operators' HTTP API: changes, status, quarantine and unknown claims."""
+"""HTTP API for operators: changes, status, quarantine and claims of unknown outcome."""
 
 import collections.abc
 import dataclasses
@@ -37,20 +37,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Providers:
-    """What other parts of the node tell and do; JSON content as dictionaries.
+    """Functions of other components that the API calls; rows are JSON objects.
 
     Attributes
     ----------
     upstreams, leases, queues : callable
-        Rows for the status.
+        Return rows for the status.
     inventory : callable
-        Zones and instances that the platform's list contains.
+        Returns the zones and instances in the platform's instance list.
     quarantined, unknown_claims : async callable
-        Rows, or a refusal if the store does not answer.
+        Return rows, or a refusal if the table service is unavailable.
     release : async callable
-        Takes fingerprint and operator.
+        Releases a fingerprint from quarantine; takes the fingerprint and the operator.
     settle : async callable
-        Takes team, key, whether the call ran, and operator.
+        Settles a claim; takes team, key, whether the call ran, and the operator.
     """
 
     upstreams: ListRows
@@ -64,7 +64,7 @@
 
 
 class CheckBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of a dry check.
+    """Body of a check of a change, which is not made.
 
     Attributes
     ----------
@@ -82,11 +82,11 @@
     Attributes
     ----------
     nonce : str
-        The same when the client repeats the call; the change is made once.
+        Identifies the change when the client repeats the call; it is made only once.
     expected : int or None
-        Revision that the change was prepared on; None for whichever is newest.
+        Revision on which the change is based; None for the newest one.
     wait_s : float
-        Longest wait for the change to be in force on all members, in seconds.
+        Longest time to wait until the change is in force on all members, in seconds.
     """
 
     operations: change.Operations
@@ -105,7 +105,7 @@
 
 
 class SettleBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of a settlement of an unknown claim."""
+    """Body of the settlement of a claim of unknown outcome."""
 
     team: contract.Name
     key: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=512)]
@@ -120,7 +120,7 @@
 
 
 class Admin:
-    """Answer operators' requests; ``handle`` is an HTTP handler.
+    """Handles operators' requests; ``handle`` is an HTTP handler.
 
     Parameters
     ----------
@@ -131,7 +131,7 @@
     admin_key : str
         Bearer key of the operators, from the settings.
     providers : Providers
-        The parts of the node that the API shows.
+        Functions of other components that the API calls.
     """
 
     def __init__(
@@ -161,20 +161,20 @@
         }
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         if not self._is_operator(req):
             message = "the Authorization header needs the operators' bearer key"
-            return _refused(refusal.refuse(refusal.UNAUTHENTICATED, message))
+            return _refusal_response(refusal.refuse(refusal.UNAUTHENTICATED, message))
         path = req.path.removeprefix(PREFIX)
         endpoint = self._endpoints.get((req.method, path))
         if endpoint is None or not req.path.startswith(PREFIX):
             message = f"no operation {req.method} {req.path}"
-            return _refused(refusal.refuse(refusal.NOT_FOUND, message))
+            return _refusal_response(refusal.refuse(refusal.NOT_FOUND, message))
         return await endpoint(req)
 
     def _is_operator(self, req: http_server.Request) -> bool:
-        scheme, _, given = req.headers.get("authorization", "").partition(" ")
-        matches = hmac.compare_digest(given.strip().encode(), self._key)
+        scheme, _, token = req.headers.get("authorization", "").partition(" ")
+        matches = hmac.compare_digest(token.strip().encode(), self._key)
         return scheme.lower() == "bearer" and matches
 
     # Configuration
@@ -197,27 +197,27 @@
         newest = self._keeper.cfg.revision
         limit = _read_number(req, "limit", 20, 1, MAX_HISTORY)
         if isinstance(limit, refusal.Refusal):
-            return _refused(limit)
+            return _refusal_response(limit)
         oldest = max(newest - int(limit), 0)
         after = _read_number(req, "after", oldest, 0, math.inf)
         if isinstance(after, refusal.Refusal):
-            return _refused(after)
+            return _refusal_response(after)
         changes = await self._keeper.history(int(after), int(limit))
         if isinstance(changes, ports.Unavailable):
             message = f"older changes cannot be read: {changes.reason}"
-            return _refused(refusal.refuse(refusal.STORE_UNAVAILABLE, message))
+            return _refusal_response(refusal.refuse(refusal.STORE_UNAVAILABLE, message))
         content = {"revision": newest, "changes": changes}
         return http_server.json_response(http.HTTPStatus.OK, content)
 
     async def _check(self, req: http_server.Request) -> http_server.Response:
         body = _read_body(req, CheckBody)
         if isinstance(body, refusal.Refusal):
-            return _refused(body)
-        found = self._keeper.check(body.operations, self._inventory(body.force))
-        if isinstance(found, revision.Invalid):
-            return _invalid(found)
+            return _refusal_response(body)
+        invalid = self._keeper.check(body.operations, self._inventory(body.force))
+        if isinstance(invalid, revision.Invalid):
+            return _invalid_response(invalid)
         content = {
-            "outcome": "valid" if found is None else "unchanged",
+            "outcome": "valid" if invalid is None else "unchanged",
             "revision": self._keeper.cfg.revision,
         }
         return http_server.json_response(http.HTTPStatus.OK, content)
@@ -225,23 +225,23 @@
     async def _propose(self, req: http_server.Request) -> http_server.Response:
         body = _read_body(req, ProposeBody)
         if isinstance(body, refusal.Refusal):
-            return _refused(body)
-        proposed = revision.Proposal(
+            return _refusal_response(body)
+        proposal = revision.Proposal(
             body.operations, body.author, body.nonce, body.expected
         )
-        outcome = await self._keeper.propose(proposed, self._inventory(body.force))
+        outcome = await self._keeper.propose(proposal, self._inventory(body.force))
         match outcome:
             case revision.Accepted(rollout=rollout):
-                return await self._accepted("accepted", rollout, body.wait_s)
+                return await self._recorded_response("accepted", rollout, body.wait_s)
             case revision.RecordedOnly(rollout=rollout):
-                return await self._accepted("recorded", rollout, body.wait_s)
+                return await self._recorded_response("recorded", rollout, body.wait_s)
             case revision.Unchanged(revision=number):
                 rollout = await self._keeper.wait_in_force(number, body.wait_s)
                 return _rollout_response("unchanged", rollout)
             case _:
-                return _proposal_refused(outcome)
+                return _proposal_refusal_response(outcome)
 
-    async def _accepted(
+    async def _recorded_response(
         self, outcome: str, rollout: revision.Rollout, wait_s: float
     ) -> http_server.Response:
         if rollout.missing and wait_s > 0:
@@ -252,10 +252,10 @@
         newest = self._keeper.cfg.revision
         number = _read_number(req, "revision", newest, 0, math.inf)
         if isinstance(number, refusal.Refusal):
-            return _refused(number)
+            return _refusal_response(number)
         wait_s = _read_number(req, "wait_s", 0.0, 0.0, MAX_WAIT_S)
         if isinstance(wait_s, refusal.Refusal):
-            return _refused(wait_s)
+            return _refusal_response(wait_s)
         rollout = await self._keeper.wait_in_force(int(number), wait_s)
         return _rollout_response("shown", rollout)
 
@@ -266,9 +266,9 @@
 
     async def _show_status(self, _: http_server.Request) -> http_server.Response:
         now = self._peers.clock()
-        judged = self._keeper.judge(now)
+        currency_state = self._keeper.judge(now)
         current: dict[str, typing.Any] = {"current": False}
-        match judged:
+        match currency_state:
             case currency.Current(rule=rule, age_s=age_s):
                 current = {"current": True, "rule": rule, "age_s": age_s}
             case currency.NotCurrent(reason=reason):
@@ -291,7 +291,7 @@
     def _describe_node(self, node_id: str, now: float) -> dict[str, typing.Any]:
         row = self._peers.members.rows[node_id]
         report = self._peers.members.reports.get(node_id)
-        described: dict[str, typing.Any] = {
+        row_content: dict[str, typing.Any] = {
             "node": node_id,
             "zone": row.zone,
             "revoked": row.revoked,
@@ -300,9 +300,9 @@
             "live": node_id in self._peers.live(),
         }
         if node_id == self._peers.node_id:
-            described["revision"] = self._keeper.cfg.revision
-            described["age_s"] = 0.0
-        return described
+            row_content["revision"] = self._keeper.cfg.revision
+            row_content["age_s"] = 0.0
+        return row_content
 
     # Quarantine and claims
 
@@ -312,9 +312,9 @@
     async def _release(self, req: http_server.Request) -> http_server.Response:
         body = _read_body(req, ReleaseBody)
         if isinstance(body, refusal.Refusal):
-            return _refused(body)
+            return _refusal_response(body)
         refused = await self._providers.release(body.fingerprint, body.author)
-        return _done_response("released", refused)
+        return _action_response("released", refused)
 
     async def _show_claims(self, _: http_server.Request) -> http_server.Response:
         return _rows_response("claims", await self._providers.unknown_claims())
@@ -322,11 +322,11 @@
     async def _settle(self, req: http_server.Request) -> http_server.Response:
         body = _read_body(req, SettleBody)
         if isinstance(body, refusal.Refusal):
-            return _refused(body)
+            return _refusal_response(body)
         refused = await self._providers.settle(
             body.team, body.key, body.ran, body.author
         )
-        return _done_response("settled", refused)
+        return _action_response("settled", refused)
 
 
 def _read_body(req: http_server.Request, kind: type[Body]) -> Body | refusal.Refusal:
@@ -352,7 +352,7 @@
     return refusal.refuse(refusal.BAD_REQUEST, message)
 
 
-def _refused(
+def _refusal_response(
     refused: refusal.Refusal, extra: dict[str, typing.Any] | None = None
 ) -> http_server.Response:
     headers = {}
@@ -362,32 +362,34 @@
     return http_server.json_response(refused.kind.status, content, headers)
 
 
-def _invalid(found: revision.Invalid) -> http_server.Response:
-    message = f"{len(found.mistakes)} mistakes; nothing was changed"
+def _invalid_response(invalid: revision.Invalid) -> http_server.Response:
+    message = f"{len(invalid.mistakes)} mistakes; nothing was changed"
     refused = refusal.refuse(INVALID, message)
-    return _refused(refused, {"mistakes": list(found.mistakes)})
+    return _refusal_response(refused, {"mistakes": list(invalid.mistakes)})
 
 
-def _proposal_refused(outcome: revision.Outcome) -> http_server.Response:
+def _proposal_refusal_response(outcome: revision.Outcome) -> http_server.Response:
     match outcome:
         case revision.Invalid():
-            return _invalid(outcome)
+            return _invalid_response(outcome)
         case revision.Outdated(revision=number, author=author):
             message = (
                 f"revision {number} by {author} came first; nothing was changed. "
                 "Look at the newer configuration and propose again"
             )
-            return _refused(refusal.refuse(OUTDATED, message), {"revision": number})
+            return _refusal_response(
+                refusal.refuse(OUTDATED, message), {"revision": number}
+            )
         case revision.NotAllowed(reason=reason):
             message = f"this node cannot accept changes now: {reason}"
-            return _refused(refusal.refuse(NOT_ALLOWED, message))
+            return _refusal_response(refusal.refuse(NOT_ALLOWED, message))
         case revision.Unclear(revision=number, nonce=nonce):
             message = (
                 "the table service did not say whether the change was written. "
                 f"Repeat the call with nonce {nonce}: it is made at most once"
             )
             refused = refusal.refuse(UNCLEAR, message, refusal.RunState.UNKNOWN)
-            return _refused(refused, {"revision": number, "nonce": nonce})
+            return _refusal_response(refused, {"revision": number, "nonce": nonce})
         case _:
             raise AssertionError(f"{outcome} is not a refusal")
 
@@ -407,13 +409,13 @@
 
 def _rows_response(name: str, rows: Rows | refusal.Refusal) -> http_server.Response:
     if isinstance(rows, refusal.Refusal):
-        return _refused(rows)
+        return _refusal_response(rows)
     return http_server.json_response(http.HTTPStatus.OK, {name: rows})
 
 
-def _done_response(
+def _action_response(
     outcome: str, refused: refusal.Refusal | None
 ) -> http_server.Response:
     if refused is not None:
-        return _refused(refused)
+        return _refusal_response(refused)
     return http_server.json_response(http.HTTPStatus.OK, {"outcome": outcome})
--- a/packages/snipelug-node/src/snipelug_node/operations.py
+++ b/packages/snipelug-node/src/snipelug_node/operations.py
@@ -1,4 +1,4 @@
-"""What operators see of a node and do through it."""
+"""Status rows and actions behind the operators' API."""
 
 import collections.abc
 import dataclasses
@@ -25,13 +25,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Operations:
-    """Rows of the status, and operators' actions other than changes.
+    """Provides the rows of the status, and the operators' actions except changes.
 
     Attributes
     ----------
     may_send : callable
-        Judges whether an upstream may get new work, from when the connection was
-        opened and the time now.
+        Returns whether an upstream may get new work, given when the connection was
+        opened and the current time.
     """
 
     tables: table.Tables
@@ -43,7 +43,7 @@
     may_send: MaySend
 
     def providers(self) -> admin.Providers:
-        """Return what the operators' API calls."""
+        """Return the functions that the operators' API calls."""
         return admin.Providers(
             upstreams=self._upstream_rows,
             leases=self._lease_rows,
@@ -51,7 +51,7 @@
             inventory=self._inventory,
             quarantined=self._quarantined,
             release=self._release,
-            unknown_claims=self._open_claims,
+            unknown_claims=self._unresolved_claims,
             settle=self._settle,
         )
 
@@ -93,12 +93,12 @@
                 message = f"fingerprint {fingerprint} has no crash on record"
                 return refusal.refuse(refusal.NOT_FOUND, message)
             case ports.Conflict():
-                message = "the record changed meanwhile; repeat the release"
+                message = "the record was changed concurrently; repeat the release"
                 return refusal.refuse(refusal.IN_PROGRESS, message)
             case ports.Unavailable(reason):
                 return refusal.refuse(refusal.STORE_UNAVAILABLE, reason)
 
-    async def _open_claims(self) -> admin.Rows | refusal.Refusal:
+    async def _unresolved_claims(self) -> admin.Rows | refusal.Refusal:
         rows: admin.Rows = []
         for team in self.revisions.cfg.contracts:
             after = ""
@@ -128,7 +128,7 @@
             case claim.NotSettleable(reason):
                 return refusal.refuse(refusal.FORBIDDEN, reason)
             case order.Changed():
-                message = "the claim changed meanwhile; look at it again"
+                message = "the claim was changed concurrently; read it again"
                 return refusal.refuse(refusal.IN_PROGRESS, message)
             case ports.Absent():
                 message = f"team {team!r} has no claim with this key"
@@ -139,18 +139,24 @@
     def _lease_rows(self) -> admin.Rows:
         now = trio.current_time()
         return [
-            {"item": key, "fencing": seen.row.fencing, "valid": self.lease.valid(now)}
-            for key, seen in sorted(self.lease.owners.known_rows.items())
+            {
+                "item": key,
+                "fencing": owner_row.row.fencing,
+                "valid": self.lease.valid(now),
+            }
+            for key, owner_row in sorted(self.lease.owners.known_rows.items())
             if ownership.fencing_token(self.lease.owners, key, now) is not None
         ]
 
 
 def describe_upstream(
-    upstream: table.Upstream, verdict: load.Verdict, now: float
+    upstream: table.Upstream, eligibility: load.Verdict, now: float
 ) -> dict[str, object]:
-    """Return the row of an upstream in the status."""
+    """Return the status row of an upstream."""
     report = upstream.report
-    state = "open" if isinstance(verdict, load.Allowed) else verdict.reason.value
+    state = (
+        "open" if isinstance(eligibility, load.Allowed) else eligibility.reason.value
+    )
     return {
         "id": upstream.instance.id,
         "role": upstream.instance.role.value,
