--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -105,7 +105,7 @@
                 await trio.sleep(RETRY_S)
 
     async def order_loop(self) -> None:
-        """Place orders one after the other, repeating each until its outcome is final."""
+        """Place orders one after the other; repeat each until its outcome is final."""
         while not self.stopping:
             await self.order(f"order-{next(self._numbers)}")
             await trio.sleep(0.05)
