--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -1,4 +1,4 @@
-"""One request under way, its sends to upstreams, and how they ended."""
+"""A request in progress, its attempts on upstreams, and their outcomes."""
 
 import collections.abc
 import dataclasses
@@ -10,19 +10,19 @@
 
 @dataclasses.dataclass
 class Job:
-    """One request under way.
+    """A request in progress.
 
     Attributes
     ----------
     deadline : float
-        When the answer must be complete, in seconds.
+        Monotonic time by which the response must be complete, in seconds.
     tried : set of str
-        Upstreams that got the request.
+        Upstreams to which the request was sent.
     trace : list of dict
-        One entry for each attempt, for the log.
+        One log entry per attempt.
     """
 
-    ask: ports.Ask
+    request: ports.CallerRequest
     route: catalog.Route
     team: catalog.Team | None
     service: str
@@ -31,7 +31,7 @@
     history: attempt.History = dataclasses.field(default_factory=attempt.History)
     tried: set[str] = dataclasses.field(default_factory=set)
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
-    first_at: float | None = None
+    first_byte_at: float | None = None
     is_finished: bool = False
 
     def left_s(self) -> float:
@@ -40,25 +40,27 @@
 
 
 @dataclasses.dataclass
-class Visit:
-    """One send to an upstream, and what is counted there until it ends.
+class UpstreamAttempt:
+    """One attempt on an upstream, counted in the upstream's load until it ends.
 
     Attributes
     ----------
+    on_prompt_read : callable or None
+        Announces to other nodes that the prompt has been read.
     on_not_run : callable or None
-        Takes back what follows only if the upstream runs the request.
+        Reverts what assumed that the upstream runs the request.
     """
 
     upstream: fleet.Upstream
     tokens: int
     prefill_tokens: int
-    entry: dict[str, object]
-    on_read: collections.abc.Callable[[], None] | None = None
+    trace_entry: dict[str, object]
+    on_prompt_read: collections.abc.Callable[[], None] | None = None
     on_not_run: collections.abc.Callable[[], None] | None = None
     has_ended: bool = False
 
-    def begin(self, now: float) -> None:
-        """Count the request at the upstream."""
+    def start(self, now: float) -> None:
+        """Add the request to the upstream's load."""
         upstream = self.upstream
         upstream.running += 1
         upstream.reserved_tokens += self.tokens
@@ -66,26 +68,26 @@
         if upstream.silent_since is None:
             upstream.silent_since = now
 
-    def hear(self, now: float) -> None:
-        """Note that the upstream has answered something."""
+    def record_data(self, now: float) -> None:
+        """Record that the upstream has sent data."""
         self.upstream.connect_failures = 0
         waits = self.upstream.running > 1
         self.upstream.silent_since = now if waits else None
 
-    def begin_output(self) -> None:
-        """Note that the prompt has been read."""
+    def record_prompt_read(self) -> None:
+        """Record that prefill of the prompt is complete."""
         self.upstream.prefill_tokens -= self.prefill_tokens
         self.prefill_tokens = 0
-        if self.on_read is not None:
-            self.on_read()
-            self.on_read = None
+        if self.on_prompt_read is not None:
+            self.on_prompt_read()
+            self.on_prompt_read = None
 
-    def end(self) -> None:
-        """Stop counting the request."""
+    def finish(self) -> None:
+        """Remove the request from the upstream's load."""
         if self.has_ended:
             return
         self.has_ended = True
-        self.begin_output()
+        self.record_prompt_read()
         self.upstream.running -= 1
         self.upstream.reserved_tokens -= self.tokens
         if self.upstream.running == 0:
@@ -94,21 +96,21 @@
 
 @dataclasses.dataclass
 class Outcome:
-    """How one attempt ended.
+    """Outcome of one attempt.
 
     Attributes
     ----------
     reply : http_client.StreamingResponse or None
-        The open answer of a stream.
+        The open response of a stream.
     events : bytes
-        Its first whole events.
+        Its first complete events.
     response : http_server.Response or None
-        The whole answer of any other request.
+        The complete response to any other request.
     """
 
     result: attempt.Result
     reason: str = ""
-    visit: Visit | None = None
+    upstream_attempt: UpstreamAttempt | None = None
     reply: http_client.StreamingResponse | None = None
     splitter: sse.Splitter | None = None
     events: bytes = b""
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -1,4 +1,4 @@
-"""Relays callers' requests to upstreams: choice, sends, retries and streams."""
+"""Relays callers' requests to upstreams: selection, attempts, retries and streams."""
 
 import dataclasses
 import functools
@@ -32,53 +32,56 @@
 
 LOG = logging.getLogger("snipelug.relay")
 
-ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
-FIRST_EVENT_S = 2.0
-"""Wait for the first event before a resumable stream is asked for elsewhere.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+FIRST_EVENT_TIMEOUT_S = 2.0
+"""Timeout for the first event of a resumable stream, plus the expected wait for it.
 
-Callers leave after 3 s without a first event on the sites' routes.
+On the routes of the deployments, callers disconnect after 3 s without a first event.
 """
 
-RETRY_OBJECTIVES = 2.0
-"""An idempotent request is tried elsewhere after this many objectives."""
+ATTEMPT_TIMEOUT_OBJECTIVES = 2.0
+"""Timeout of an idempotent attempt, as a multiple of the route's objective."""
 
-ORDER_IDLE_S = 1.0
-"""Connections idle for longer carry no request that must not be repeated.
+AT_MOST_ONCE_MAX_IDLE_S = 1.0
+"""Maximum idle time of a connection that is reused for an at-most-once request.
 
-The upstream may close them at that moment, and then nobody knows whether the
-request ran.
+The upstream may close an idle connection just as the request is sent, which leaves
+unknown whether the request ran.
 """
 
-BLOCK_S = 0.25
-"""Pause after the first failed connection; doubles with each further one."""
+CONNECT_BACKOFF_S = 0.25
+"""Backoff after the first failed connect; doubles with each further failure."""
 
-MOST_BLOCK_S = 2.0
-TURNED_AWAY_READ_S = 0.2
-"""Time to read the rest of an answer that turns a request away."""
+MAX_CONNECT_BACKOFF_S = 2.0
+REJECTION_READ_TIMEOUT_S = 0.2
+"""Timeout for reading the rest of a response that rejects a request."""
 
-TURNED_AWAY_S = 0.1
-SWITCHING_S = 0.3
-"""Pauses after an upstream turned a request away."""
+REJECTION_PAUSE_S = 0.1
+SWITCHING_PAUSE_S = 0.3
+"""Pauses before the next request to an upstream that rejected one.
+
+The longer one applies to engines, which reject requests while they load weights.
+"""
 
 OK = 200
 SERVER_ERROR = 500
 
 
 class Relay:
-    """Answers callers' requests.
+    """Relays requests from callers to upstreams.
 
     Parameters
     ----------
     pool : http_client.Pool
         Connections to upstreams.
     dialect : ports.Dialect
-        Header fields of the platform.
+        Codec for the header fields of the platform.
     """
 
     def __init__(
         self,
         cfg: ports.Settings,
-        beliefs: state.State,
+        node_state: state.State,
         dialect: ports.Dialect,
         pool: http_client.Pool,
         metrics: stats.Stats,
@@ -86,63 +89,64 @@
     ) -> None:
         self._announcer = announcer
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._dialect = dialect
         self._pool = pool
         self._stats = metrics
         self._budgets: dict[str, retry.Budget] = {}
-        self._selector = selection.Selector(cfg, beliefs)
+        self._selector = selection.Selector(cfg, node_state)
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
-        ask = self._dialect.read(req)
-        if isinstance(ask, refusal.Refusal):
-            lines.warning(LOG, "request_unreadable", reason=ask.message)
-            return self._dialect.refuse(None, ask)
-        work = self._begin(ask)
+        """Handle one request."""
+        request = self._dialect.decode_request(req)
+        if isinstance(request, refusal.Refusal):
+            lines.warning(LOG, "request_unreadable", reason=request.message)
+            return self._dialect.build_refusal(None, request)
+        work = self._create_job(request)
         if isinstance(work, refusal.Refusal):
-            self._log_refused(ask, work)
-            return self._dialect.refuse(ask, work)
+            self._log_refused(request, work)
+            return self._dialect.build_refusal(request, work)
         try:
-            return await self._answer(work)
+            return await self._run_attempts(work)
         except trio.Cancelled:
             self._finish(work, "left", "the caller closed the connection")
             raise
 
-    def _begin(self, ask: ports.Ask) -> job.Job | refusal.Refusal:
-        known = self._beliefs.catalog
-        if known is None or not self._beliefs.list_known:
+    def _create_job(self, request: ports.CallerRequest) -> job.Job | refusal.Refusal:
+        known = self._state.catalog
+        if known is None or not self._state.upstream_list_known:
             message = "the node has not read its configuration"
             return refusal.refuse(refusal.NODE_NOT_CURRENT, message)
-        route = known.find_route(ask.host, ask.path)
+        route = known.find_route(request.host, request.path)
         if isinstance(route, refusal.Refusal):
             return route
-        team = known.find_team(route, ask.key)
+        team = known.find_team(route, request.key)
         if isinstance(team, refusal.Refusal):
             return team
         now = clock.now()
         wait_s = min(
-            math.inf if ask.time_left_s is None else ask.time_left_s, route.timeout_s
+            math.inf if request.time_left_s is None else request.time_left_s,
+            route.timeout_s,
         )
-        service = known.pick_service(route, ask.request_id)
+        service = known.pick_service(route, request.request_id)
         budget = self._budgets.setdefault(service, retry.Budget())
         retry.record_request(budget, self._policy())
-        return job.Job(ask, route, team, service, now, now + wait_s)
+        return job.Job(request, route, team, service, now, now + wait_s)
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
         return retry.node_share(
-            bounds.retry_part, bounds.retry_extra, self._beliefs.nodes
+            bounds.retry_part, bounds.retry_extra, self._state.nodes
         )
 
-    async def _answer(self, work: job.Job) -> http_server.Response:
+    async def _run_attempts(self, work: job.Job) -> http_server.Response:
         while True:
-            pick = await self._selector.pick(work)
-            if isinstance(pick, refusal.Refusal):
-                return self._refuse(work, pick)
-            outcome = await self._attempt(work, pick, work.ask.resume_after)
-            decision = self._decide(work, outcome)
+            chosen = await self._selector.pick(work)
+            if isinstance(chosen, refusal.Refusal):
+                return self._refuse(work, chosen)
+            outcome = await self._attempt(work, chosen, work.request.resume_after)
+            decision = self._record_and_decide(work, outcome)
             if decision is attempt.Action.TRY_AGAIN:
                 continue
             if decision is attempt.Action.DELIVER and outcome.reply is not None:
@@ -153,19 +157,19 @@
                 return outcome.response
             if decision is attempt.Action.REFUSE:
                 return self._refuse(
-                    work, self._selector.turned_away(work, outcome.reason)
+                    work, self._selector.refuse_rejected(work, outcome.reason)
                 )
             return self._fail(work, outcome)
 
-    def _decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
+    def _record_and_decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
         work.history.add(outcome.result)
         self._stats.attempts.labels(work.service, outcome.result.value).inc()
-        if outcome.visit is not None:
-            outcome.visit.entry["result"] = outcome.result.value
+        if outcome.upstream_attempt is not None:
+            outcome.upstream_attempt.trace_entry["result"] = outcome.result.value
             if outcome.reason:
-                outcome.visit.entry["reason"] = outcome.reason
+                outcome.upstream_attempt.trace_entry["reason"] = outcome.reason
         is_last = outcome.result is attempt.Result.ANSWERED
-        may_try = not is_last and self._could_retry(work)
+        may_try = not is_last and self._can_retry(work)
         has_budget = may_try and retry.try_acquire(
             self._budgets[work.service], clock.now(), self._policy()
         )
@@ -173,194 +177,211 @@
             outcome.result, work.history, work.route, work.left_s(), has_budget
         )
 
-    def _could_retry(self, work: job.Job) -> bool:
-        """Tell whether another upstream could be asked, before budget is spent."""
+    def _can_retry(self, work: job.Job) -> bool:
+        """Return whether a retry is possible, without spending retry budget."""
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
         return decision is attempt.Action.TRY_AGAIN
 
     async def _attempt(
-        self, work: job.Job, pick: choice.Choice, resume_after: str | None
+        self, work: job.Job, chosen: choice.Choice, resume_after: str | None
     ) -> job.Outcome:
-        """Send the request once and read its answer, for streams the first events."""
+        """Send the request once and read the response, or a stream's first events."""
         now = clock.now()
-        visit, call = self._prepare(work, pick, resume_after, now)
-        visit.begin(now)
-        entry = pick.upstream.entry
-        shared = choice.shared_part(work.ask.parts)
-        visit.on_read = self._announcer.begin(entry.id, visit.prefill_tokens, shared)
+        upstream_attempt, call = self._prepare(work, chosen, resume_after, now)
+        upstream_attempt.start(now)
+        entry = chosen.upstream.entry
+        shared = choice.shared_part(work.request.parts)
+        upstream_attempt.on_prompt_read = self._announcer.announce_prompt(
+            entry.id, upstream_attempt.prefill_tokens, shared
+        )
         reply: http_client.StreamingResponse | None = None
-        outcome = job.Outcome(attempt.Result.LOST, "no answer in time")
+        outcome = job.Outcome(attempt.Result.LOST, "no response in time")
         is_kept = False
         try:
-            with trio.move_on_after(self._patience_s(work, pick)):
-                sent = await self._pool.send(call, self._pre_send_check(work, pick))
+            with trio.move_on_after(self._attempt_timeout_s(work, chosen)):
+                sent = await self._pool.send(call, self._pre_send_check(work, chosen))
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
-                    visit.hear(clock.now())
-                    outcome = await self._read(work, visit, reply, resume_after)
+                    upstream_attempt.record_data(clock.now())
+                    outcome = await self._read_response(
+                        work, upstream_attempt, reply, resume_after
+                    )
                 else:
-                    outcome = _not_answered(sent)
+                    outcome = _send_failure(sent)
             is_kept = outcome.reply is not None
         finally:
             if not is_kept:
-                visit.end()
+                upstream_attempt.finish()
                 if reply is not None:
                     reply.abort()
-        outcome.visit = visit
-        if visit.on_not_run is not None and outcome.result in attempt.NOT_RUN:
-            visit.on_not_run()
-        self._note(pick.upstream, outcome)
+        outcome.upstream_attempt = upstream_attempt
+        if (
+            upstream_attempt.on_not_run is not None
+            and outcome.result in attempt.NOT_RUN
+        ):
+            upstream_attempt.on_not_run()
+        self._update_upstream(chosen.upstream, outcome)
         return outcome
 
     def _prepare(
         self,
         work: job.Job,
-        pick: choice.Choice,
+        chosen: choice.Choice,
         resume_after: str | None,
         now: float,
-    ) -> tuple[job.Visit, http_client.Call]:
-        ask = work.ask
-        upstream = pick.upstream
+    ) -> tuple[job.UpstreamAttempt, http_client.Call]:
+        request = work.request
+        upstream = chosen.upstream
         work.tried.add(upstream.entry.id)
         choice.record_sent(upstream, now)
         plan = kv_index.NO_PLAN
-        version = upstream.versions.get(ask.model) if ask.model else None
+        version = upstream.versions.get(request.model) if request.model else None
         key_salt = ""
         if version is not None:
             key_salt = self._selector.salt(work, version)
-            if self._beliefs.may_use_stores(ask.model, version, now):
-                plan = self._beliefs.index.plan(ask.parts, key_salt, now)
-            self._note_held(upstream, ask)
+            if self._state.may_use_stores(request.model, version, now):
+                plan = self._state.index.plan(request.parts, key_salt, now)
+            self._record_cached_parts(upstream, request)
         priority = work.route.priority
         if work.team is not None and work.team.priority is not None:
             priority = work.team.priority
-        orders = ports.Orders(
+        options = ports.AttemptOptions(
             upstream.entry.id,
             work.left_s(),
             work.team.name if work.team is not None else None,
             version,
             key_salt,
             plan,
-            priority if ask.model else None,
+            priority if request.model else None,
             resume_after,
         )
-        call = self._dialect.call(ask, orders, upstream.entry.addr)
+        call = self._dialect.build_call(request, options, upstream.entry.addr)
         if work.route.repeat is catalog.RepeatPolicy.AT_MOST_ONCE:
-            call = dataclasses.replace(call, max_idle_s=ORDER_IDLE_S)
+            call = dataclasses.replace(call, max_idle_s=AT_MOST_ONCE_MAX_IDLE_S)
         entry: dict[str, object] = {
             "upstream": upstream.entry.id,
             "at_ms": round(1000 * (now - work.started_at), 1),
-            "cost_ms": round(1000 * pick.cost_s, 1),
-            "wait_ms": round(1000 * pick.wait_s, 1),
-            "candidates": pick.candidates,
+            "cost_ms": round(1000 * chosen.cost_s, 1),
+            "wait_ms": round(1000 * chosen.wait_s, 1),
+            "candidates": chosen.candidates,
             "running": upstream.running,
         }
         if version is not None:
             entry["version"] = version
-            entry["prefill"] = pick.prefill_tokens
-            shared = choice.shared_part(ask.parts)
+            entry["prefill"] = chosen.prefill_tokens
+            shared = choice.shared_part(request.parts)
             entry["part"] = shared.id if shared is not None else None
             entry["salt"] = key_salt
             entry["fetched"] = sum(s is not None for s in plan.sources)
             entry["saved"] = sum(s is not None for s in plan.targets)
         work.trace.append(entry)
-        tokens = sum(part.tokens for part in ask.parts) + ask.output_tokens
-        visit = job.Visit(upstream, tokens, pick.prefill_tokens, entry)
+        tokens = sum(part.tokens for part in request.parts) + request.output_tokens
+        upstream_attempt = job.UpstreamAttempt(
+            upstream, tokens, chosen.prefill_tokens, entry
+        )
         if any(plan.targets):
-            visit.on_not_run = functools.partial(
-                self._beliefs.index.cancel_saves, plan, ask.parts, key_salt
+            upstream_attempt.on_not_run = functools.partial(
+                self._state.index.cancel_saves, plan, request.parts, key_salt
             )
-        return visit, call
+        return upstream_attempt, call
 
-    def _note_held(self, upstream: fleet.Upstream, ask: ports.Ask) -> None:
-        capacity = self._beliefs.held_tokens(upstream)
-        for part in ask.parts[:-1]:
+    def _record_cached_parts(
+        self, upstream: fleet.Upstream, request: ports.CallerRequest
+    ) -> None:
+        capacity = self._state.assumed_cached_tokens(upstream)
+        for part in request.parts[:-1]:
             upstream.add_cached_part(part.id, part.tokens, capacity)
 
     def _pre_send_check(
-        self, work: job.Job, pick: choice.Choice
+        self, work: job.Job, chosen: choice.Choice
     ) -> http_client.PreSendCheck:
-        """Return the check that comes right before the first byte is sent."""
-        entry = pick.upstream.entry
+        """Return the check to run immediately before the first byte is sent."""
+        entry = chosen.upstream.entry
 
-        def is_still_right(_opened_at: float) -> bool:
-            known = self._beliefs.fleet.upstreams.get(entry.id)
+        def is_still_usable(_opened_at: float) -> bool:
+            known = self._state.fleet.upstreams.get(entry.id)
             return (
-                known is pick.upstream
+                known is chosen.upstream
                 and not known.entry.is_leaving
-                and entry.zone not in self._beliefs.zones_out
+                and entry.zone not in self._state.zones_out
                 and clock.now() < work.deadline
             )
 
-        return is_still_right
+        return is_still_usable
 
-    def _patience_s(self, work: job.Job, pick: choice.Choice) -> float:
-        """Return how long an attempt may take, in seconds.
+    def _attempt_timeout_s(self, work: job.Job, chosen: choice.Choice) -> float:
+        """Return the timeout of an attempt, in seconds.
 
-        A prompt that is expected to wait is not given up while it does, as another
-        engine would read it anew.
+        For streams it includes the expected time to the first token: abandoning a
+        prompt that is still queued would repeat its prefill on another engine.
         """
         left_s = max(0.0, work.left_s())
         if work.history.runs + 1 >= work.route.max_attempts:
             return left_s
         match work.route.repeat:
             case catalog.RepeatPolicy.IDEMPOTENT:
-                return min(left_s, RETRY_OBJECTIVES * work.route.objective_s)
+                return min(left_s, ATTEMPT_TIMEOUT_OBJECTIVES * work.route.objective_s)
             case catalog.RepeatPolicy.RESUMABLE:
-                return min(left_s, FIRST_EVENT_S + pick.ttft_s)
+                return min(left_s, FIRST_EVENT_TIMEOUT_S + chosen.ttft_s)
             case catalog.RepeatPolicy.AT_MOST_ONCE:
                 return left_s
 
-    async def _read(
+    async def _read_response(
         self,
         work: job.Job,
-        visit: job.Visit,
+        upstream_attempt: job.UpstreamAttempt,
         reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
-        verdict = self._dialect.judge(work.ask, reply.status, reply.headers)
-        self._take_verdict(work, visit, verdict)
-        if verdict.is_turned_away:
-            # Reading to the end keeps the connection.
-            await reply.read(ANSWER_LIMIT_BYTES, TURNED_AWAY_READ_S)
-            reason = f"turned away with {reply.status}"
-            if verdict.is_other_instance:
-                reason += ", another instance or version"
+        response_head = self._dialect.decode_head(
+            work.request, reply.status, reply.headers
+        )
+        self._apply_response_head(work, upstream_attempt, response_head)
+        if response_head.is_turned_away:
+            # Reading the whole body allows the connection to be reused.
+            await reply.read(MAX_RESPONSE_BYTES, REJECTION_READ_TIMEOUT_S)
+            reason = f"rejected with status {reply.status}"
+            if response_head.is_other_instance:
+                reason += ", wrong instance or weight version"
             return job.Outcome(attempt.Result.REJECTED, reason)
-        if not verdict.is_own:
-            reason = f"status {reply.status} without signature or with another id"
+        if not response_head.is_own:
+            reason = (
+                f"status {reply.status} without a signature or with another request id"
+            )
             return job.Outcome(attempt.Result.LOST, reason)
         if work.route.is_stream and reply.status == OK:
-            return await self._read_first(visit, reply, resume_after)
-        body = await reply.read(ANSWER_LIMIT_BYTES, max(0.0, work.left_s()))
+            return await self._read_first_event(upstream_attempt, reply, resume_after)
+        body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
-            return job.Outcome(attempt.Result.LOST, f"the answer was cut: {body}")
-        headers = self._dialect.answer_headers(reply.headers)
+            return job.Outcome(
+                attempt.Result.LOST, f"the response was interrupted: {body}"
+            )
+        headers = self._dialect.response_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
         if reply.status >= SERVER_ERROR:
-            reason = f"the upstream answered {reply.status}"
+            reason = f"the upstream responded with status {reply.status}"
             return job.Outcome(attempt.Result.FAILED, reason, response=response)
-        work.first_at = clock.now()
+        work.first_byte_at = clock.now()
         return job.Outcome(attempt.Result.ANSWERED, response=response)
 
-    async def _read_first(
+    async def _read_first_event(
         self,
-        visit: job.Visit,
+        upstream_attempt: job.UpstreamAttempt,
         reply: http_client.StreamingResponse,
         resume_after: str | None,
     ) -> job.Outcome:
-        """Read a stream up to its first whole event."""
+        """Read a stream up to its first complete event."""
         splitter = sse.Splitter(resume_after)
         while True:
             part = await reply.next_part()
             if isinstance(part, http_client.Lost):
-                reason = f"the stream was cut: {part.reason}"
+                reason = f"the stream was interrupted: {part.reason}"
                 return job.Outcome(attempt.Result.LOST, reason)
             events = splitter.push(part or b"")
             if part is None or events:
-                visit.begin_output()
+                upstream_attempt.record_prompt_read()
                 return job.Outcome(
                     attempt.Result.ANSWERED,
                     reply=reply,
@@ -369,43 +390,48 @@
                     has_ended=part is None,
                 )
 
-    def _take_verdict(
-        self, work: job.Job, visit: job.Visit, verdict: ports.Verdict
+    def _apply_response_head(
+        self,
+        work: job.Job,
+        upstream_attempt: job.UpstreamAttempt,
+        response_head: ports.ResponseHead,
     ) -> None:
-        upstream = visit.upstream
+        upstream = upstream_attempt.upstream
         now = clock.now()
-        if verdict.load is not None:
-            running, waiting, _ = verdict.load
+        if response_head.load is not None:
+            running, waiting, _ = response_head.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
-            self._beliefs.fleet.record_load(upstream, load)
-        if verdict.cold_s is not None and verdict.cold_s > 0:
-            upstream.cold_until = now + verdict.cold_s
-        model = work.ask.model
-        if model and verdict.version is not None:
-            upstream.set_version(model, verdict.version)
-        if not verdict.is_turned_away:
+            self._state.fleet.record_load(upstream, load)
+        if response_head.cold_s is not None and response_head.cold_s > 0:
+            upstream.cold_until = now + response_head.cold_s
+        model = work.request.model
+        if model and response_head.version is not None:
+            upstream.set_version(model, response_head.version)
+        if not response_head.is_turned_away:
             return
-        if verdict.is_other_instance and model:
-            self._take_misdirected(upstream, model, now)
+        if response_head.is_other_instance and model:
+            self._apply_version_mismatch(upstream, model, now)
         elif model:
-            upstream.switching_until = now + SWITCHING_S
+            upstream.switching_until = now + SWITCHING_PAUSE_S
         else:
-            upstream.blocked_until = now + TURNED_AWAY_S
+            upstream.blocked_until = now + REJECTION_PAUSE_S
 
-    def _take_misdirected(
+    def _apply_version_mismatch(
         self, upstream: fleet.Upstream, model: str, now: float
     ) -> None:
-        """Take that the upstream does not serve the version it was taken to serve."""
-        named = self._beliefs.named.get(model)
+        """Record that the upstream does not serve the expected weight version."""
+        named = self._state.named_versions.get(model)
         if named is not None and upstream.versions.get(model, 0) < named.version:
             upstream.set_version(model, named.version)
         else:
-            upstream.switching_until = now + SWITCHING_S
+            upstream.switching_until = now + SWITCHING_PAUSE_S
 
-    def _note(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
+    def _update_upstream(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
         now = clock.now()
         if outcome.result is attempt.Result.NOT_CONNECTED:
-            pause_s = min(MOST_BLOCK_S, BLOCK_S * 2**upstream.connect_failures)
+            pause_s = min(
+                MAX_CONNECT_BACKOFF_S, CONNECT_BACKOFF_S * 2**upstream.connect_failures
+            )
             upstream.blocked_until = now + pause_s
             upstream.connect_failures += 1
             lines.event(
@@ -421,75 +447,85 @@
 
     def _stream(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         assert outcome.reply is not None
-        work.first_at = clock.now()
-        headers = self._dialect.answer_headers(outcome.reply.headers)
+        work.first_byte_at = clock.now()
+        headers = self._dialect.response_headers(outcome.reply.headers)
         body = stream.Stream(self, work, outcome)
         return http_server.Response(outcome.reply.status, body, headers)
 
     async def resume(self, work: job.Job, lost: job.Outcome) -> job.Outcome | None:
-        """Go on with a stream at another upstream; None if that is not possible."""
+        """Resume a stream on another upstream; return None if that is not possible."""
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
-            if self._decide(work, lost) is not attempt.Action.TRY_AGAIN:
+            if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
-            pick = await self._selector.pick(work)
-            if isinstance(pick, refusal.Refusal):
+            chosen = await self._selector.pick(work)
+            if isinstance(chosen, refusal.Refusal):
                 return None
-            outcome = await self._attempt(work, pick, last_id)
+            outcome = await self._attempt(work, chosen, last_id)
             if outcome.reply is None:
                 lost = outcome
                 continue
             if sse.follows(last_id, outcome.events):
-                outcome_entry = outcome.visit.entry if outcome.visit else {}
-                outcome_entry["resumed_after"] = last_id
+                trace_entry = (
+                    outcome.upstream_attempt.trace_entry
+                    if outcome.upstream_attempt
+                    else {}
+                )
+                trace_entry["resumed_after"] = last_id
                 return outcome
             outcome.reply.abort()
-            if outcome.visit is not None:
-                outcome.visit.end()
-            reason = "the resumed stream does not go on after the last event"
-            lost = job.Outcome(attempt.Result.LOST, reason, outcome.visit)
+            if outcome.upstream_attempt is not None:
+                outcome.upstream_attempt.finish()
+            reason = "the resumed stream does not continue after the last event"
+            lost = job.Outcome(attempt.Result.LOST, reason, outcome.upstream_attempt)
 
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
-        """Answer a request that has not run; after a run the outcome is unknown."""
+        """Refuse a request that has not run; fail one that may have run."""
         if work.history.runs > 0:
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason.message))
         self._finish(work, "refused", reason.message, reason.kind.code)
-        return self._dialect.refuse(work.ask, reason)
+        return self._dialect.build_refusal(work.request, reason)
 
     def _fail(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         is_late = work.left_s() <= attempt.MIN_REMAINING_S
         kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
         self._finish(work, "failed", outcome.reason, kind.code)
         reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
-        return self._dialect.refuse(work.ask, reason)
+        return self._dialect.build_refusal(work.request, reason)
 
-    def _log_refused(self, ask: ports.Ask, reason: refusal.Refusal) -> None:
-        known = self._beliefs.catalog
+    def _log_refused(
+        self, request: ports.CallerRequest, reason: refusal.Refusal
+    ) -> None:
+        known = self._state.catalog
         self._stats.requests.labels("", "refused", reason.kind.code).inc()
         lines.warning(
             LOG,
             "request",
-            id=ask.request_id,
+            id=request.request_id,
             outcome="refused",
             code=reason.kind.code,
             reason=reason.message,
-            host=ask.host,
-            path=ask.path,
+            host=request.host,
+            path=request.path,
             config=known.version if known is not None else None,
         )
 
     def _finish(self, work: job.Job, outcome: str, reason: str, code: str = "") -> None:
-        """Log and count the end of a request, once."""
+        """Log and count the end of a request; further calls have no effect."""
         if work.is_finished:
             return
         work.is_finished = True
         now = clock.now()
         self._stats.requests.labels(work.route.name, outcome, code).inc()
-        first_s = None if work.first_at is None else work.first_at - work.started_at
+        first_s = (
+            None if work.first_byte_at is None else work.first_byte_at - work.started_at
+        )
         if first_s is not None:
             self._stats.first_byte.labels(work.route.name).observe(first_s)
-        self._stats.whole.labels(work.route.name).observe(now - work.started_at)
+        self._stats.request_seconds.labels(work.route.name).observe(
+            now - work.started_at
+        )
         is_routine = (
             outcome == "answered"
             and len(work.trace) == 1
@@ -498,9 +534,9 @@
         )
         if is_routine and not self.sampler.admit():
             return
-        known = self._beliefs.catalog
+        known = self._state.catalog
         fields: dict[str, object] = {
-            "id": work.ask.request_id,
+            "id": work.request.request_id,
             "route": work.route.name,
             "team": work.team.name if work.team is not None else None,
             "outcome": outcome,
@@ -511,26 +547,26 @@
             "allowed_ms": round(1000 * (work.deadline - work.started_at)),
             "attempts": work.trace,
             "config": known.version if known is not None else None,
-            "config_age_s": round(now - self._beliefs.confirmed_at, 2),
+            "config_age_s": round(now - self._state.confirmed_at, 2),
         }
-        left_out = self.sampler.take_left_out()
+        left_out = self.sampler.pop_left_out()
         if left_out:
             fields["left_out"] = left_out
         lines.event(LOG, "request", **fields)
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
-        """Log and count the end of a stream, once."""
+        """Log and count the end of a stream; further calls have no effect."""
         self._finish(work, outcome, reason)
 
 
-def _not_answered(
+def _send_failure(
     sent: http_client.NotSent | http_client.Withheld | http_client.Lost,
 ) -> job.Outcome:
     match sent:
         case http_client.NotSent(reason):
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Withheld():
-            reason = "the upstream left before the request was sent"
+            reason = "the upstream became unusable before the request was sent"
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Lost(reason):
             return job.Outcome(attempt.Result.LOST, reason)
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -1,4 +1,4 @@
-"""Picks the upstream for a request, or says why none should get it now."""
+"""Selects the upstream for a request, or refuses the request with a reason."""
 
 import collections.abc
 import random
@@ -9,58 +9,58 @@
 from snipelug_relay import clock, job, ports, state
 
 VERSION_MARGIN_S = 2.0
-"""Old weights are given up this long before the deployment's bound.
+"""Margin before the deployment's bound at which outdated weights are no longer used.
 
-The bound holds for the moment at which an engine begins with a request, and
-requests wait there for up to 1.3 s when many engines load weights.
+The bound applies to the moment at which an engine starts a request, and requests
+queue there for up to 1.3 s when many engines load weights.
 """
 
-WAIT_PART = 0.25
-"""Part of the objective for which a request waits for an upstream to come back."""
+WAIT_FRACTION = 0.25
+"""Fraction of the objective that a request waits for an upstream to be available."""
 
 RETRY_AFTER_S = 0.5
-"""Pause for callers while no upstream can be used."""
+"""Retry-after time while no upstream is available."""
 
 RETRY_ELSEWHERE_S = 0.1
-"""Pause for callers while another upstream has room, but no retry is left."""
+"""Retry-after time if another upstream has capacity, but no retry is left."""
 
 
 class Selector:
-    """Applies the decisions of ``choice`` and ``overload`` to what a node believes."""
+    """Applies the rules of ``choice`` and ``overload`` to the state of a node."""
 
-    def __init__(self, cfg: ports.Settings, beliefs: state.State) -> None:
+    def __init__(self, cfg: ports.Settings, node_state: state.State) -> None:
         self._cfg = cfg
-        self._beliefs = beliefs
+        self._state = node_state
         self._rng = random.Random()
 
     async def pick(self, work: job.Job) -> choice.Choice | refusal.Refusal:
-        """Choose an upstream; wait a little for one that comes back soon."""
-        wait_until = work.started_at + WAIT_PART * work.route.objective_s
+        """Choose an upstream; wait for one if it becomes available soon enough."""
+        wait_until = work.started_at + WAIT_FRACTION * work.route.objective_s
         while True:
             now = clock.now()
             if now >= work.deadline:
-                message = "the deadline passed"
+                message = "the deadline has passed"
                 return refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
             pick = self.choose(work, now)
             if pick is not None:
-                return self._check_load(work, pick, now)
-            at = self._next_free(work, now)
+                return self._check_overload(work, pick, now)
+            at = self._next_available_at(work, now)
             if at is None or at > min(wait_until, work.deadline):
                 wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
-                message = f"no upstream of {work.service} can be used now"
+                message = f"no upstream of {work.service} is available"
                 return refusal.refuse(
                     refusal.NO_UPSTREAM, message, retry_after_s=wait_s
                 )
             await trio.sleep(max(0.005, at - now))
 
-    def _check_load(
+    def _check_overload(
         self, work: job.Job, pick: choice.Choice, now: float
     ) -> choice.Choice | refusal.Refusal:
-        """Turn a prompt away at once if even the best engine would answer it late.
+        """Refuse a prompt at once if even the best engine would respond too late.
 
-        Streams that have begun go on, and what was sent before is not refused.
+        Streams that have started and requests that may have run are not refused.
         """
-        if work.first_at is not None or work.history.runs > 0:
+        if work.first_byte_at is not None or work.history.runs > 0:
             return pick
         wait_s = self.retry_after(work, pick)
         if wait_s is not None:
@@ -69,14 +69,14 @@
         if wait_s is None:
             return pick
         message = (
-            f"expected wait of {pick.wait_s:.2f} s at the best of "
+            f"expected wait is {pick.wait_s:.2f} s on the best of "
             f"{pick.candidates} engines, {work.left_s():.2f} s left"
         )
         return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
 
     def retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
-        """Return when a caller should come back, or None if it need not."""
-        if not work.ask.model:
+        """Return after how many seconds to retry, or None if there is no overload."""
+        if not work.request.model:
             return None
         return overload.retry_after(
             pick.wait_s,
@@ -89,11 +89,11 @@
     def choose(
         self, work: job.Job, now: float, consider_all: bool = False
     ) -> choice.Choice | None:
-        """Return the upstream with the least expected cost that may be used now."""
-        context = self._beliefs.context(work.service)
+        """Return the available upstream with the lowest expected cost."""
+        context = self._state.context(work.service)
         if context is None:
             return None
-        upstreams = self._beliefs.fleet.of_service(work.service)
+        upstreams = self._state.fleet.of_service(work.service)
         request = self._request(work, context, now)
         return choice.choose(
             upstreams, request, context, work.tried, now, self._rng, consider_all
@@ -102,69 +102,71 @@
     def _request(
         self, work: job.Job, context: choice.Context, now: float
     ) -> choice.Request:
-        ask = work.ask
+        request = work.request
         engine = context.service.engine
         if engine is None:
-            return choice.Request(work.service, self._cfg.zone, len(ask.body))
-        named = self._beliefs.named.get(ask.model)
-        version = self._beliefs.newest_version(ask.model, work.service)
+            return choice.Request(work.service, self._cfg.zone, len(request.body))
+        named = self._state.named_versions.get(request.model)
+        version = self._state.latest_version(request.model, work.service)
         fetch_s = {
-            usable: self._beliefs.index.transfer_times_s(
-                ask.parts, self.salt(work, usable), engine, self._cfg.zone, now
+            usable: self._state.index.transfer_times_s(
+                request.parts, self.salt(work, usable), engine, self._cfg.zone, now
             )
-            for usable in self._stored_versions(work, version, now)
+            for usable in self._usable_store_versions(work, version, now)
         }
         return choice.Request(
             work.service,
             self._cfg.zone,
-            len(ask.body),
-            ask.model,
-            ask.parts,
+            len(request.body),
+            request.model,
+            request.parts,
             version,
-            named.settled(now, self._version_due_s()) if named is not None else 0,
+            named.newest_learned_before(now, self._old_version_limit_s())
+            if named is not None
+            else 0,
             fetch_s,
-            ask.output_tokens,
+            request.output_tokens,
         )
 
-    def _stored_versions(
+    def _usable_store_versions(
         self, work: job.Job, newest: int, now: float
     ) -> collections.abc.Iterator[int]:
-        """Yield the weight versions whose parts may be read from stores.
+        """Yield the weight versions whose parts may be read from KV cache stores.
 
-        While engines load new weights, those that have not yet done so can still
-        fetch what the others must read.
+        During a rollout, engines on the old version can still fetch the old parts,
+        while the others must compute them.
         """
-        ask = work.ask
+        request = work.request
         versions = {newest}
-        named = self._beliefs.named.get(ask.model)
-        if named is not None and now - named.at < kv_index.OLD_VERSION_READ_S:
-            upstreams = self._beliefs.fleet.of_service(work.service)
-            versions |= {u.versions.get(ask.model, newest) for u in upstreams}
-        for version in versions if ask.parts else ():
-            if self._beliefs.may_use_stores(ask.model, version, now):
+        named = self._state.named_versions.get(request.model)
+        if named is not None and now - named.learned_at < kv_index.OLD_VERSION_READ_S:
+            upstreams = self._state.fleet.of_service(work.service)
+            versions |= {u.versions.get(request.model, newest) for u in upstreams}
+        for version in versions if request.parts else ():
+            if self._state.may_use_stores(request.model, version, now):
                 yield version
 
-    def _version_due_s(self) -> float:
-        """Return the time after which old weights are not used, in seconds."""
+    def _old_version_limit_s(self) -> float:
+        """Return the time after which outdated weights are not used, in seconds."""
         return self._cfg.bounds.version_s - VERSION_MARGIN_S
 
     def salt(self, work: job.Job, version: int) -> str:
-        """Return the name under which the parts of a request are cached."""
-        return kv_index.salt(work.ask.model, version, work.team)
+        """Return the cache salt for the parts of a request."""
+        return kv_index.salt(work.request.model, version, work.team)
 
-    def _next_free(self, work: job.Job, now: float) -> float | None:
-        """Return when the first upstream may be asked again."""
+    def _next_available_at(self, work: job.Job, now: float) -> float | None:
+        """Return when the next untried upstream becomes available."""
         times = [
             max(upstream.blocked_until, upstream.switching_until)
-            for upstream in self._beliefs.fleet.of_service(work.service)
+            for upstream in self._state.fleet.of_service(work.service)
             if upstream.entry.id not in work.tried
         ]
         return min((at for at in times if at > now), default=None)
 
-    def turned_away(self, work: job.Job, reason: str) -> refusal.Refusal:
-        """Refuse a request that no upstream took, though none has run it."""
+    def refuse_rejected(self, work: job.Job, reason: str) -> refusal.Refusal:
+        """Refuse a request that all tried upstreams rejected without running it."""
         other = self.choose(work, clock.now())
-        has_room = other is not None and self.retry_after(work, other) is None
-        wait_s = RETRY_ELSEWHERE_S if has_room else RETRY_AFTER_S
-        message = f"no upstream took the request: {reason}"
+        has_capacity = other is not None and self.retry_after(work, other) is None
+        wait_s = RETRY_ELSEWHERE_S if has_capacity else RETRY_AFTER_S
+        message = f"no upstream accepted the request: {reason}"
         return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and latency histograms, in the text format of Prometheus."""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 import prometheus_client
 from prometheus_client import exposition
@@ -6,11 +6,11 @@
 from snipelug_relay import state
 
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 8.0)
-"""Bounds around the objectives of the sites, 0.1 to 0.8 s."""
+"""Bucket bounds around the objectives of the deployments, 0.1 to 0.8 s."""
 
 
 class Stats:
-    """The metrics of one node."""
+    """Metrics of one node."""
 
     def __init__(self) -> None:
         self.registry = prometheus_client.CollectorRegistry()
@@ -33,7 +33,7 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
-        self.whole = prometheus_client.Histogram(
+        self.request_seconds = prometheus_client.Histogram(
             "snipelug_request_seconds",
             "Time until the end of the answer.",
             ["route"],
@@ -71,14 +71,14 @@
             )
         }
 
-    def render(self, beliefs: state.State, now: float, left_out: int) -> bytes:
+    def render(self, node_state: state.State, now: float, left_out: int) -> bytes:
         """Return all metrics as text."""
-        known = beliefs.catalog
+        known = node_state.catalog
         values = {
             "configuration_version": known.version if known is not None else 0,
-            "configuration_age_seconds": now - beliefs.confirmed_at,
-            "upstreams": len(beliefs.fleet.upstreams),
-            "members": beliefs.nodes,
+            "configuration_age_seconds": now - node_state.confirmed_at,
+            "upstreams": len(node_state.fleet.upstreams),
+            "members": node_state.nodes,
             "lines_left_out": left_out,
         }
         for name, value in values.items():
