--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -30,7 +30,7 @@
 in seconds."""
 
 MAX_RECENT_CONVERSATIONS = 4096
-MOVE_INTERVAL_S = 0.5
+EVACUATION_INTERVAL_S = 0.5
 EXPORT_RETRY_INTERVAL_S = 0.5
 
 
@@ -334,7 +334,7 @@
         while True:
             for zone in self.config().zones_out:
                 self._evacuate_zone(zone)
-            await ticker.sleep(MOVE_INTERVAL_S)
+            await ticker.sleep(EVACUATION_INTERVAL_S)
 
     def _evacuate_zone(self, zone: str) -> None:
         """Copy recent conversations out of a zone, as far as export budgets allow."""
