--- a/packages/snipelug-node/src/snipelug_node/admin.py
+++ b/packages/snipelug-node/src/snipelug_node/admin.py
@@ -64,7 +64,7 @@
 
 
 class CheckBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Body of a check of a change, which is not made.
+    """Body of a dry run of a change.
 
     Attributes
     ----------
--- a/packages/snipelug-node/src/snipelug_node/cleaner.py
+++ b/packages/snipelug-node/src/snipelug_node/cleaner.py
@@ -110,8 +110,10 @@
             timeout_s=DELETE_TIMEOUT_S,
         )
         async with limiter:
-            full = await self.pool.fetch(call, MAX_RESPONSE_BYTES)
-        status = full.status if isinstance(full, http_client.FullResponse) else 0
+            response = await self.pool.fetch(call, MAX_RESPONSE_BYTES)
+        status = (
+            response.status if isinstance(response, http_client.FullResponse) else 0
+        )
         if status in (http.HTTPStatus.OK, http.HTTPStatus.NO_CONTENT):
             self.counts["deleted"] += 1
         elif status in (http.HTTPStatus.NOT_FOUND, http.HTTPStatus.PRECONDITION_FAILED):
--- a/packages/snipelug-node/src/snipelug_node/feeds.py
+++ b/packages/snipelug-node/src/snipelug_node/feeds.py
@@ -116,15 +116,15 @@
             f"{path}?after={feed.last_seq}",
             timeout_s=FEED_TIMEOUT_S,
         )
-        full = await self.pool.fetch(call, MAX_FEED_BYTES)
+        response = await self.pool.fetch(call, MAX_FEED_BYTES)
         if (
-            not isinstance(full, http_client.FullResponse)
-            or full.status != http.HTTPStatus.OK
+            not isinstance(response, http_client.FullResponse)
+            or response.status != http.HTTPStatus.OK
         ):
             self.counts["unusable"] += 1
             return
         try:
-            page = msgspec.json.decode(full.body, type=FeedPage)
+            page = msgspec.json.decode(response.body, type=FeedPage)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             self.counts["unusable"] += 1
             LOG.warning("feed_invalid", extra={"instance": inst.id, "reason": str(exc)})
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -318,8 +318,8 @@
         call = http_client.Call(
             (inst.host, inst.port), "GET", "/status", timeout_s=STATUS_TIMEOUT_S
         )
-        full = await self.pool.fetch(call, MAX_STATUS_BYTES)
-        status = _decode_status(full)
+        response = await self.pool.fetch(call, MAX_STATUS_BYTES)
+        status = _decode_status(response)
         known = self.stores.get(inst.id)
         if status is None:
             if known is not None:
@@ -386,13 +386,13 @@
     )
 
 
-def _decode_status(full: object) -> Status | None:
+def _decode_status(response: object) -> Status | None:
     if (
-        not isinstance(full, http_client.FullResponse)
-        or full.status != http.HTTPStatus.OK
+        not isinstance(response, http_client.FullResponse)
+        or response.status != http.HTTPStatus.OK
     ):
         return None
     try:
-        return msgspec.json.decode(full.body, type=Status)
+        return msgspec.json.decode(response.body, type=Status)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
--- a/packages/snipelug-node/src/snipelug_node/transfers.py
+++ b/packages/snipelug-node/src/snipelug_node/transfers.py
@@ -355,13 +355,13 @@
             msgspec.json.encode(body),
             timeout_s,
         )
-        full = await self.pool.fetch(call, MAX_RESPONSE_BYTES)
-        if not isinstance(full, http_client.FullResponse):
-            return TransferFailed(f"{path} at {engine.id}: {full}")
-        if full.status != http.HTTPStatus.OK:
-            return TransferFailed(f"{path} at {engine.id}: status {full.status}")
+        response = await self.pool.fetch(call, MAX_RESPONSE_BYTES)
+        if not isinstance(response, http_client.FullResponse):
+            return TransferFailed(f"{path} at {engine.id}: {response}")
+        if response.status != http.HTTPStatus.OK:
+            return TransferFailed(f"{path} at {engine.id}: status {response.status}")
         try:
-            return msgspec.json.decode(full.body, type=kind)
+            return msgspec.json.decode(response.body, type=kind)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             return TransferFailed(f"{path} at {engine.id}: {exc}")
 
--- a/packages/snipelug-node/src/snipelug_node/watcher.py
+++ b/packages/snipelug-node/src/snipelug_node/watcher.py
@@ -204,11 +204,11 @@
         call = http_client.Call(
             (inst.host, inst.port), "GET", "/load", timeout_s=LOAD_TIMEOUT_S
         )
-        full = await self.pool.fetch(call, MAX_REPORT_BYTES)
-        if not isinstance(full, http_client.FullResponse):
+        response = await self.pool.fetch(call, MAX_REPORT_BYTES)
+        if not isinstance(response, http_client.FullResponse):
             return
         try:
-            message = msgspec.json.decode(full.body, type=WireReport)
+            message = msgspec.json.decode(response.body, type=WireReport)
         except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
             lines.warning(LOG, "load_report_invalid", upstream=inst.id, reason=str(exc))
             return
