--- a/packages/snipelug-node/src/snipelug_node/node.py
+++ b/packages/snipelug-node/src/snipelug_node/node.py
@@ -121,7 +121,7 @@
         )
         self.keeper.on_sessions = self.lease.apply_sessions
         self.objects = platform.HttpObjectStore(self.pool, cfg.objects)
-        self.orders = order.Orders(
+        self.keyed_calls = order.KeyedCalls(
             self.peers.settings.incarnation,
             self.lease.lease,
             self.store,
@@ -136,7 +136,7 @@
             self.tables,
             self.keeper,
             self.lease,
-            self.orders,
+            self.keyed_calls,
             self.crashes,
             self.limiter,
             self._may_send,
@@ -263,7 +263,7 @@
             pool=self.pool,
             dispatcher=self.dispatcher,
             limits=self.limiter,
-            orders=self.orders,
+            keyed_calls=self.keyed_calls,
             metrics=self.metrics,
         )
 
@@ -433,7 +433,7 @@
         await nursery.start(self.keeper.run)
         await nursery.start(self.watcher.run)
         await nursery.start(self.lease.run)
-        await nursery.start(self.orders.serve)
+        await nursery.start(self.keyed_calls.serve)
         await nursery.start(self.expiry.run)
         await nursery.start(self.directory.run)
         await nursery.start(self.feeds.run)
@@ -444,7 +444,7 @@
         nursery.start_soon(self.crashes.run)
         nursery.start_soon(self.limiter.run)
         nursery.start_soon(self.poller.run)
-        nursery.start_soon(self.dispatcher.watch)
+        nursery.start_soon(self.dispatcher.abort_stalled_streams)
         nursery.start_soon(ticker.run, self._systems())
 
     async def _wait_for_stop(self, caller_server: http_server.Server) -> None:
@@ -459,10 +459,12 @@
                     )
                     await trio.sleep(LISTENER_CLOSE_DELAY_S)
                     caller_server.stop_accepting()
-                    while caller_server.open_requests or self.orders.open_calls():
+                    while (
+                        caller_server.open_requests or self.keyed_calls.active_calls()
+                    ):
                         await trio.sleep(DRAIN_POLL_INTERVAL_S)
                     nursery.cancel_scope.cancel()
-        if caller_server.open_requests or self.orders.open_calls():
+        if caller_server.open_requests or self.keyed_calls.active_calls():
             await self._abort_open_requests(caller_server)
 
     async def _abort_open_requests(self, caller_server: http_server.Server) -> None:
@@ -470,15 +472,15 @@
 
         Leases are handed over next, so nothing may run under them any more.
         """
-        requests = list(self.gateway.open.values())
-        orders = self.orders.open_calls()
+        requests = list(self.gateway.open_requests.values())
+        orders = self.keyed_calls.active_calls()
         lines.warning(LOG, "requests_cut", requests=len(requests), orders=len(orders))
         for request in requests:
             lines.warning(LOG, "request_cut", **dataclasses.asdict(request))
         for call in orders:
             lines.warning(LOG, "order_cut", **dataclasses.asdict(call))
         await caller_server.abort()
-        await self.orders.cut()
+        await self.keyed_calls.abort()
 
 
 async def _end_drain_on_second_signal(
--- a/packages/snipelug-node/src/snipelug_node/reuse.py
+++ b/packages/snipelug-node/src/snipelug_node/reuse.py
@@ -194,7 +194,7 @@
 
     # After a response
 
-    def answered(
+    def record_response(
         self, job: dispatch.Job, choice: dispatch.Choice, found: index.PrefixLocations
     ) -> None:
         """Record that an engine caches a prompt's blocks, and place copies of them."""
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -23,7 +23,7 @@
         )
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 200
-        (seen,) = [s for app in world.apps for s in app.seen]
+        (seen,) = [s for app in world.apps for s in app.executed]
         assert seen.target == "/order/%2F?a=1&b=%20"
         assert seen.body == b"body"
         assert seen.headers["tenant"] == "team-1"
@@ -53,7 +53,7 @@
         full = await caller.send("POST", target, b"x", **headers)
         assert isinstance(full, http_client.FullResponse)
         assert full.status == status
-        assert not [s for app in world.apps for s in app.seen]
+        assert not [s for app in world.apps for s in app.executed]
 
 
 def inject_faults(servers: list[server.Server], **faults: int) -> None:
@@ -64,7 +64,7 @@
 
 
 def runs(servers: list[server.Server]) -> int:
-    return sum(len(item.seen) for item in servers)
+    return sum(len(item.executed) for item in servers)
 
 
 async def test_at_most_once_request_is_retried_only_if_it_did_not_run() -> None:
@@ -72,7 +72,7 @@
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         first = await caller.send("POST", "/order/", b"x")
-        (used,) = [app for app in world.apps if app.seen]
+        (used,) = [app for app in world.apps if app.executed]
         inject_faults([used], turns_away=1)
         again = await caller.send("POST", "/order/", b"x")
         assert isinstance(first, http_client.FullResponse)
@@ -142,7 +142,7 @@
     """Guards against lost, duplicate or changed events."""
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
-        full = await caller.ask("/ask/")
+        full = await caller.send_prompt("/ask/")
         assert isinstance(full, http_client.FullResponse)
         assert full.body == EVENTS
         assert full.headers["weight-versions"] == "1"
@@ -158,7 +158,7 @@
                 item.faults = server.Faults()
             with trio.fail_after(8):
                 for _ in range(2):
-                    full = await caller.ask("/check/")
+                    full = await caller.send_prompt("/check/")
                     assert isinstance(full, http_client.FullResponse)
                     assert full.body == EVENTS
 
@@ -168,7 +168,7 @@
     async with platform_world.deployment(apps=0) as world:
         caller = platform_world.Caller(world.nodes[0])
         inject_faults(world.engines, breaks_after=2)
-        assert isinstance(await caller.ask("/ask/"), http_client.Lost)
+        assert isinstance(await caller.send_prompt("/ask/"), http_client.Lost)
         assert runs(world.engines) == 1
 
 
@@ -201,7 +201,7 @@
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 404
         world.configure(1)
-        world.store.forget_history()
+        world.store.clear_history()
         await trio.sleep(0.3)
         full = await caller.send("GET", "/new/")
         assert isinstance(full, http_client.FullResponse)
@@ -212,7 +212,7 @@
     caller: platform_world.Caller, target: str, status: int
 ) -> None:
     """Send requests until a response has the status."""
-    with trio.fail_after(platform_world.WAIT_S):
+    with trio.fail_after(platform_world.WAIT_TIMEOUT_S):
         while True:
             full = await caller.send("GET", target)
             if isinstance(full, http_client.FullResponse) and full.status == status:
@@ -228,15 +228,15 @@
         leaving = world.apps[0]
         leaving.state = "draining"
         world.store.put("servers", leaving.id, leaving.entry())
-        world.store.forget_history()
+        world.store.clear_history()
         await wait_for_status(caller, "/look/", 401)
         await trio.sleep(1.0)
-        before = len(leaving.seen)
+        before = len(leaving.executed)
         for _ in range(6):
             full = await caller.send("GET", "/look/", authorization="Token other")
             assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
-        assert len(leaving.seen) == before
+        assert len(leaving.executed) == before
 
 
 OUTAGES = ["is_down", "is_silent"]
@@ -251,7 +251,7 @@
         for _ in range(10):
             await trio.sleep(0.2)
             full = await caller.send("POST", "/order/", b"x")
-            stream = await caller.ask("/ask/")
+            stream = await caller.send_prompt("/ask/")
             assert isinstance(full, http_client.FullResponse)
             assert isinstance(stream, http_client.FullResponse)
             assert (full.status, stream.body) == (200, EVENTS)
@@ -269,7 +269,7 @@
         assert isinstance(full, http_client.FullResponse)
         assert full.status == 503
         world.store.faults.is_down = False
-        await platform_world.until(lambda: late.is_ready)
+        await platform_world.wait_until(lambda: late.is_ready)
 
 
 async def test_removed_zone_and_server_get_no_new_requests() -> None:
@@ -279,15 +279,15 @@
         gone, stays = world.apps
         world.store.delete("servers", gone.id)
         await trio.sleep(1.2)
-        before = len(gone.seen)
+        before = len(gone.executed)
         for _ in range(4):
             await caller.send("GET", "/look/")
-        assert len(gone.seen) == before
+        assert len(gone.executed) == before
         world.store.put("op", "evacuate/zone-a", {})
         await wait_for_status(caller, "/look/", 503)
-        before = len(stays.seen)
+        before = len(stays.executed)
         await caller.send("GET", "/look/")
-        assert len(stays.seen) == before
+        assert len(stays.executed) == before
         world.store.delete("op", "evacuate/zone-a")
         await wait_for_status(caller, "/look/", 200)
 
@@ -296,14 +296,14 @@
     """Guards against engines on old weights and against two nodes that give orders."""
     async with platform_world.deployment(apps=0, engines=3, nodes=2) as world:
         world.store.put("op", "version/m", {"model": "m", "version": 2})
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 2 for item in world.engines)
         )
         orders = [order for item in world.engines for order in item.orders]
         assert len(orders) == 3
         assert len({order["holder"] for order in orders}) == 1
         assert len({order["fencing_token"] for order in orders}) == 1
-        full = await platform_world.Caller(world.nodes[0]).ask("/ask/")
+        full = await platform_world.Caller(world.nodes[0]).send_prompt("/ask/")
         assert isinstance(full, http_client.FullResponse)
         assert full.headers["weight-versions"] == "2"
 
@@ -315,7 +315,7 @@
     ) as world:
         (engine,) = world.engines
         tables = [one._state.fleet.upstreams for one in world.nodes]
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(len(one._state.members) == 2 for one in world.nodes)
         )
         world.store.put("op", "version/m", {"model": "m", "version": 2})
@@ -336,7 +336,7 @@
         world.store.put("op", "version/m", {"model": "m", "version": 2})
         await trio.sleep(1.5)
         world.store.faults.loses_answers = False
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 2 for item in world.engines)
         )
         tokens = [o["fencing_token"] for item in world.engines for o in item.orders]
@@ -353,12 +353,12 @@
             item.faults.late_orders = 1
         began = trio.current_time()
         world.store.put("op", "version/m", {"model": "m", "version": 2})
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 2 for item in world.engines)
         )
         assert trio.current_time() - began < 6.0
         world.store.put("op", "version/m", {"model": "m", "version": 3})
-        await platform_world.until(
+        await platform_world.wait_until(
             lambda: all(item.models["m"] == 3 for item in world.engines)
         )
         await trio.sleep(3.5)
@@ -380,17 +380,17 @@
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
-        await platform_world.until(lambda: world.nodes[0].knows_stores)
+        await platform_world.wait_until(lambda: world.nodes[0].knows_stores)
         await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
-        await caller.ask("/ask/", parts="aa:2000,bb:50")
-        first = engine.seen[-1].headers
+        await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
+        first = engine.executed[-1].headers
         address = f"127.0.0.1:{kv.port}"
         assert first["cache-target"] == f"{address},-"
         assert "cache-source" not in first
-        kv.complete(first["cache-salt"], "aa", 2000, "m")
+        kv.add_part(first["cache-salt"], "aa", 2000, "m")
         await trio.sleep(1.3)
-        await caller.ask("/ask/", parts="aa:2000,bb:50")
-        second = engine.seen[-1].headers
+        await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
+        second = engine.executed[-1].headers
         assert second["cache-source"] == f"{address}/2000,-"
         assert "cache-target" not in second
         assert int(second["cache-retain-until"]) > 0
@@ -404,12 +404,12 @@
         (engine,) = world.engines
         await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
         engine.faults.turns_away = 1
-        refused = await caller.ask("/ask/", parts="aa:2000,bb:50")
+        refused = await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         assert isinstance(refused, http_client.FullResponse)
         assert refused.status == 503
         await trio.sleep(0.5)
-        await caller.ask("/ask/", parts="aa:2000,cc:50")
-        assert "cache-target" in engine.seen[-1].headers
+        await caller.send_prompt("/ask/", parts="aa:2000,cc:50")
+        assert "cache-target" in engine.executed[-1].headers
 
 
 async def test_stored_parts_are_fetched_during_a_platform_outage() -> None:
@@ -418,12 +418,12 @@
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
         salt = kv_index.salt(platform_world.MODEL, 1, None)
-        kv.complete(salt, "aa", 2000, platform_world.MODEL)
+        kv.add_part(salt, "aa", 2000, platform_world.MODEL)
         await trio.sleep(1.3)
         world.store.faults.is_down = True
         await trio.sleep(4.0)
-        await caller.ask("/ask/", parts="aa:2000,bb:50")
-        source = engine.seen[-1].headers["cache-source"]
+        await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
+        source = engine.executed[-1].headers["cache-source"]
         assert source == f"127.0.0.1:{kv.port}/2000,-"
 
 
@@ -439,19 +439,19 @@
     """
     async with platform_world.deployment(apps=0, engines=1) as world:
         world.engines[0].events = 60
-        world.engines[0].step_s = 0.05
+        world.engines[0].event_interval_s = 0.05
         slow = platform_world.route("slow", "/slow/", "streaming", "llm")
         world.configure(2, routes=[slow | {"timeout_ms": 6000}])
         caller = platform_world.Caller(world.nodes[0])
         answers: list[object] = []
 
         async def ask() -> None:
-            answers.append(await caller.ask("/slow/", request_deadline="6000"))
+            answers.append(await caller.send_prompt("/slow/", request_deadline="6000"))
 
         await wait_for_status(caller, "/look/", 404)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask)
-            await platform_world.until(lambda: world.engines[0].running == 1)
+            await platform_world.wait_until(lambda: world.engines[0].running == 1)
             nursery.start_soon(stop, world)
             await trio.sleep(node.DEREGISTRATION_S + 0.2)
             assert not answers
