--- a/packages/snipelug-standins/src/snipelug_standins/__init__.py
+++ b/packages/snipelug-standins/src/snipelug_standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of outside systems, each a process of its own on TCP."""
+"""Stand-ins for external systems; each is a separate process that listens on TCP."""
--- a/packages/snipelug-standins/src/snipelug_standins/faults.py
+++ b/packages/snipelug-standins/src/snipelug_standins/faults.py
@@ -1,29 +1,29 @@
-"""Faults that tests switch on in a stand-in through ``POST /faults``."""
+"""Faults that tests inject into a stand-in with ``POST /faults``."""
 
 import typing
 
 import msgspec
 
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
-Count = typing.Annotated[int, msgspec.Meta(ge=0)]
-Factor = typing.Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeInt = typing.Annotated[int, msgspec.Meta(ge=0)]
+PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
 class DieAfter(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Exit on the first effect request that follows ``after`` further ones."""
+    """Exit on the first effect request after ``after`` others."""
 
-    after: Count
+    after: NonNegativeInt
 
 
 class TurnCold(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Lose all cached blocks and warmth.
+    """Discard all cached blocks and return to the cold state.
 
     Attributes
     ----------
     close_connections : bool
-        Cut all open connections, as a restart does.
+        Close all open connections, as a restart does.
     new_boot_id : bool
-        Report a new boot id afterwards.
+        Report a new boot ID afterwards.
     """
 
     close_connections: bool = False
@@ -31,29 +31,29 @@
 
 
 class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """Faults of every role; each ``POST`` replaces the set in force.
+    """Faults of every role; each ``POST`` replaces the previous set.
 
-    An effect request is one whose method is not GET, HEAD or OPTIONS, other
-    than ``/faults`` itself.
+    An effect request is any request with a method other than GET, HEAD and
+    OPTIONS, except those to ``/faults``.
 
     Attributes
     ----------
     die : bool or DieAfter
         Exit the process.
     pause_s : float
-        Stop the whole process once for this time, in seconds.
+        Pause the whole process once for this time, in seconds.
     slow_s : float
-        Delay of each answer after its effect, in seconds.
+        Delay of each response after the request took effect, in seconds.
     lose_answers : int
-        Number of effect requests whose connection closes without an answer.
+        Number of effect requests whose connection is closed without a response.
     refuse : bool
-        Answer 503 to everything without any effect.
+        Respond 503 to every request, without any effect.
     """
 
     die: bool | DieAfter = False
     pause_s: Seconds = 0.0
     slow_s: Seconds = 0.0
-    lose_answers: Count = 0
+    lose_answers: NonNegativeInt = 0
     refuse: bool = False
 
 
@@ -63,7 +63,7 @@
     Attributes
     ----------
     turn_cold : bool or TurnCold
-        Return to cold start once, without notice.
+        Return to the cold state once, without notice.
     leaving : bool
         Report the state ``leaving``.
     """
@@ -80,20 +80,20 @@
     Attributes
     ----------
     drop_events : bool
-        Cache events made meanwhile are lost; their sequence numbers are skipped.
+        Drop new cache events; their sequence numbers are skipped.
     delay_events_s : float
-        Age at which a cache event becomes readable, in seconds.
+        Minimum age of a readable cache event, in seconds.
     cross_answers : int
-        Number of answers that carry another request's id.
+        Number of responses that carry the ID of another request.
     crash_on : str
-        Exit when a prompt with this text starts to run; empty for never.
+        Exit when a prompt that contains this text starts to run; empty for never.
     swap_weights : str
-        Load this weight version once, without an order; empty for none.
+        Switch to this weight version once, without an order; empty for none.
     """
 
     drop_events: bool = False
     delay_events_s: Seconds = 0.0
-    cross_answers: Count = 0
+    cross_answers: NonNegativeInt = 0
     crash_on: str = ""
     swap_weights: str = ""
 
@@ -104,18 +104,18 @@
     Attributes
     ----------
     full : bool
-        Answer 507 to every write.
+        Respond 507 to every write.
     slowdown : float
-        Factor by which transfers take longer.
+        Factor by which the duration of transfers increases.
     corrupt_reads : int
-        Number of reads that return changed bytes.
+        Number of reads that return corrupted bytes.
     die_in_transfer : DieAfter or None
-        Exit when half of a block was sent or kept, after some whole transfers.
+        Exit halfway through a transfer, after ``after`` complete ones.
     """
 
     full: bool = False
-    slowdown: Factor = 1.0
-    corrupt_reads: Count = 0
+    slowdown: PositiveFloat = 1.0
+    corrupt_reads: NonNegativeInt = 0
     die_in_transfer: DieAfter | None = None
 
 
@@ -125,9 +125,9 @@
     Attributes
     ----------
     cut : bool
-        Forward nothing; connections stay open and hang.
+        Forward nothing; connections stay open and stall.
     reset : bool
-        Reset open connections and each new one.
+        Reset all open and new connections.
     delay_s : float
         Delay of data in each direction, in seconds.
     """
--- a/packages/snipelug-standins/src/snipelug_standins/instances.py
+++ b/packages/snipelug-standins/src/snipelug_standins/instances.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's lagging list of instances."""
+"""Stand-in for the platform's instance list, which lags behind changes."""
 
 import collections
 import http
@@ -14,16 +14,16 @@
 
 
 class Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What operators of the platform put for one instance.
+    """Entry that platform operators write for one instance.
 
     Attributes
     ----------
     address : str
         ``HOST:PORT``.
     host, port : str, int
-        The same address in two fields; filled in from ``address``.
+        Parts of ``address``, which the stand-in fills in.
     name : str
-        For a plain service, the name under which callers reach it.
+        For a plain service, the name that callers use.
     """
 
     role: typing.Literal["node", "engine", "service", "store"]
@@ -37,7 +37,7 @@
 
 
 class Instances:
-    """The list, readable with a lag.
+    """An instance list that readers see with a lag.
 
     Parameters
     ----------
@@ -51,16 +51,18 @@
         self.lag_s = lag_s
         self.entries: dict[str, Entry] = {}
         self.reads = 0
-        # The empty list is readable from the start, hence the infinite age.
+        # The infinite age makes the empty list readable from the start.
         self._history: collections.deque[tuple[float, list[Entry]]] = collections.deque(
             [(float("-inf"), [])]
         )
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         if req.path == "/instances" and req.method == "GET":
             self.reads += 1
-            return http_server.json_response(http.HTTPStatus.OK, self._visible())
+            return http_server.json_response(
+                http.HTTPStatus.OK, self._visible_entries()
+            )
         instance_id = req.path.removeprefix(PREFIX)
         if not req.path.startswith(PREFIX) or not instance_id:
             return standin.not_found(req)
@@ -69,7 +71,7 @@
                 return self._put(instance_id, req.body)
             case "DELETE":
                 self.entries.pop(instance_id, None)
-                self._record()
+                self._record_history()
                 return http_server.json_response(http.HTTPStatus.OK, {})
         return standin.not_found(req)
 
@@ -82,20 +84,20 @@
         self.entries[instance_id] = msgspec.structs.replace(
             entry, id=instance_id, host=host, port=int(port)
         )
-        self._record()
+        self._record_history()
         return http_server.json_response(http.HTTPStatus.OK, self.entries[instance_id])
 
-    def _record(self) -> None:
+    def _record_history(self) -> None:
         self._history.append((trio.current_time(), list(self.entries.values())))
 
-    def _visible(self) -> list[Entry]:
-        newest = trio.current_time() - self.lag_s
-        while len(self._history) > 1 and self._history[1][0] <= newest:
+    def _visible_entries(self) -> list[Entry]:
+        max_recorded_at = trio.current_time() - self.lag_s
+        while len(self._history) > 1 and self._history[1][0] <= max_recorded_at:
             self._history.popleft()
         return self._history[0][1]
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over faults; the list has none of its own."""
+        """Ignore faults; the instance list has none of its own."""
         del wanted
         return False
 
@@ -104,5 +106,5 @@
         return {"reads": self.reads, "instances": len(self.entries)}
 
     async def run(self) -> None:
-        """Do nothing in the background."""
+        """Wait for cancellation; there is no background work."""
         await trio.sleep_forever()
--- a/packages/snipelug-standins/src/snipelug_standins/objects.py
+++ b/packages/snipelug-standins/src/snipelug_standins/objects.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's object store."""
+"""Stand-in for the platform's object store."""
 
 import trio
 
@@ -17,21 +17,21 @@
         self.objects = records.Records()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         key = req.path.removeprefix(PREFIX)
         if not req.path.startswith(PREFIX) or not key:
             return standin.not_found(req)
         match req.method:
             case "GET":
-                return tables.get(self.objects, key)
+                return tables.read_response(self.objects, key)
             case "PUT":
-                return tables.write(self.objects, req, key, req.body)
+                return tables.write_response(self.objects, req, key, req.body)
             case "DELETE":
-                return tables.write(self.objects, req, key, None)
+                return tables.write_response(self.objects, req, key, None)
         return standin.not_found(req)
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over faults; the object store has none of its own."""
+        """Ignore faults; the object store has none of its own."""
         del wanted
         return False
 
@@ -45,5 +45,5 @@
         }
 
     async def run(self) -> None:
-        """Do nothing in the background."""
+        """Wait for cancellation; there is no background work."""
         await trio.sleep_forever()
--- a/packages/snipelug-standins/src/snipelug_standins/records.py
+++ b/packages/snipelug-standins/src/snipelug_standins/records.py
@@ -10,14 +10,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Record:
-    """One stored value; the version differs after each write."""
+    """One stored value; each write assigns a new version."""
 
     version: str
     content: bytes
 
 
-def expectation(headers: collections.abc.Mapping[str, str]) -> str:
-    """Translate ``If-None-Match`` and ``If-Match`` to an expected version.
+def expected_version(headers: collections.abc.Mapping[str, str]) -> str:
+    """Convert ``If-None-Match`` and ``If-Match`` to an expected version.
 
     Returns
     -------
@@ -42,7 +42,8 @@
     Attributes
     ----------
     reads, writes, conflicts : int
-        Records read, writes applied and writes refused by a precondition.
+        Number of records read, writes applied and writes that failed their
+        precondition.
     """
 
     by_key: dict[str, Record] = dataclasses.field(default_factory=dict)
@@ -54,12 +55,12 @@
     )
 
     def read(self, key: str) -> Record | None:
-        """Return a record, or None."""
+        """Return a record, or None if it does not exist."""
         self.reads += 1
         return self.by_key.get(key)
 
-    def holds(self, key: str, expect: str) -> bool:
-        """Tell whether a precondition holds."""
+    def precondition_holds(self, key: str, expect: str) -> bool:
+        """Return whether a precondition holds."""
         record = self.by_key.get(key)
         if expect == ANY:
             return True
@@ -70,7 +71,7 @@
         return expect == "*" or expect.strip('"') == record.version
 
     def next_version(self) -> str:
-        """Return a version that was never used before."""
+        """Return a new version."""
         return f"v{next(self._versions)}"
 
     def put(self, key: str, content: bytes | None, version: str) -> None:
@@ -83,7 +84,7 @@
 
     def write(self, key: str, content: bytes | None, expect: str) -> str | None:
         """Write if the precondition holds; return the new version or None."""
-        if not self.holds(key, expect):
+        if not self.precondition_holds(key, expect):
             self.conflicts += 1
             return None
         version = self.next_version()
--- a/packages/snipelug-standins/src/snipelug_standins/standin.py
+++ b/packages/snipelug-standins/src/snipelug_standins/standin.py
@@ -1,4 +1,4 @@
-"""The process around a stand-in: HTTP server, common faults and counters."""
+"""Process of a stand-in: HTTP server, common faults and counters."""
 
 import collections.abc
 import http
@@ -17,8 +17,9 @@
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 EXIT_DIE = 9
-# Lets the answer to POST /faults leave before the process stops or cuts connections.
-FAULT_DELAY_S = 0.02
+# Lets the response to POST /faults be sent before the process stops or closes
+# connections.
+FAULT_RESPONSE_DELAY_S = 0.02
 LIMITS = http_server.Limits(body_bytes=256 * 1024 * 1024, body_s=300.0, write_s=300.0)
 
 Request = http_server.Request
@@ -26,7 +27,7 @@
 
 
 class Role(typing.Protocol):
-    """What a stand-in does behind its HTTP server."""
+    """Behavior of a stand-in behind its HTTP server."""
 
     @property
     def faults_type(self) -> type[faults.Faults]:
@@ -34,11 +35,11 @@
         ...
 
     async def handle(self, req: Request) -> Response:
-        """Answer one request."""
+        """Handle one request."""
         ...
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over new faults; return whether to cut all open connections."""
+        """Apply new faults; return whether to close all open connections."""
         ...
 
     def stats(self) -> dict[str, object]:
@@ -51,33 +52,33 @@
 
 
 def error(status: int, code: str, message: str) -> Response:
-    """Build a JSON error."""
+    """Build a JSON error response."""
     return http_server.json_response(
         status, {"error": {"code": code, "message": message}}
     )
 
 
 def not_found(req: Request) -> Response:
-    """Answer a request for which the stand-in has no route."""
+    """Build the response to a request without a matching route."""
     message = f"no route for {req.method} {req.path}"
     return error(http.HTTPStatus.NOT_FOUND, "no_route", message)
 
 
 def stop_process(code: int, reason: str) -> typing.NoReturn:
-    """End this process at once, as a crash does."""
-    LOG.error("process exits: %s", reason)
+    """End this process immediately, without cleanup, as a crash does."""
+    LOG.error("stopping the process: %s", reason)
     os._exit(code)
 
 
 class StandIn:
-    """Serve one role with the faults that all roles share."""
+    """Serves one role and applies the faults that all roles share."""
 
     def __init__(self, role: Role, nursery: trio.Nursery) -> None:
         self.role = role
         self.nursery = nursery
         self.faults = role.faults_type()
         self._connections = trio.CancelScope()
-        self._answers_to_lose = 0
+        self._responses_to_drop = 0
         self._effects_before_exit: int | None = None
 
     async def listen(
@@ -91,20 +92,20 @@
         while True:
             with trio.CancelScope() as self._connections:
                 async with trio.open_nursery() as nursery:
-                    server = http_server.Server(self.answer, LIMITS)
+                    server = http_server.Server(self.respond, LIMITS)
                     bound_port = await nursery.start(server.serve, host, bound_port)
                     task_status.started(bound_port)
-            # Connections were cut on purpose: listen again on the same port.
+            # A fault closed all connections: listen again on the same port.
             task_status = trio.TASK_STATUS_IGNORED
 
-    async def answer(self, req: Request) -> Response:
-        """Answer a request under the faults in force."""
+    async def respond(self, req: Request) -> Response:
+        """Handle a request subject to the current faults."""
         if req.path == "/faults":
-            return self._answer_faults(req)
+            return self._handle_faults(req)
         if req.path == "/stats":
             return http_server.json_response(http.HTTPStatus.OK, self.role.stats())
         if self.faults.refuse:
-            message = "the stand-in refuses requests"
+            message = "the refuse fault is active"
             return error(http.HTTPStatus.SERVICE_UNAVAILABLE, "outage", message)
         has_effect = req.method not in SAFE_METHODS
         if has_effect:
@@ -112,10 +113,12 @@
         response = await self.role.handle(req)
         if self.faults.slow_s:
             await trio.sleep(self.faults.slow_s)
-        if has_effect and self._answers_to_lose > 0:
-            self._answers_to_lose -= 1
-            await _consume(response.body)
-            raise trio.BrokenResourceError("the answer is lost on purpose")
+        if has_effect and self._responses_to_drop > 0:
+            self._responses_to_drop -= 1
+            await _drain(response.body)
+            raise trio.BrokenResourceError(
+                "the lose_answers fault dropped the response"
+            )
         return response
 
     def _count_effect(self) -> None:
@@ -125,7 +128,7 @@
             stop_process(EXIT_DIE, "fault die")
         self._effects_before_exit -= 1
 
-    def _answer_faults(self, req: Request) -> Response:
+    def _handle_faults(self, req: Request) -> Response:
         if req.method == "GET":
             return http_server.json_response(http.HTTPStatus.OK, self.faults)
         if req.method != "POST":
@@ -139,30 +142,32 @@
 
     def _apply(self, wanted: faults.Faults) -> None:
         self.faults = wanted
-        self._answers_to_lose = wanted.lose_answers
+        self._responses_to_drop = wanted.lose_answers
         self._effects_before_exit = None
         if isinstance(wanted.die, faults.DieAfter):
             self._effects_before_exit = wanted.die.after
         if self.role.set_faults(wanted):
-            self._later(self._connections.cancel)
+            self._run_later(self._connections.cancel)
         if wanted.die is True:
-            self._later(lambda: stop_process(EXIT_DIE, "fault die"))
+            self._run_later(lambda: stop_process(EXIT_DIE, "fault die"))
         if wanted.pause_s:
-            # Blocks the whole event loop, as a paused process does.
-            self._later(lambda: time.sleep(wanted.pause_s))
+            # Blocks the event loop to simulate a paused process.
+            self._run_later(lambda: time.sleep(wanted.pause_s))
 
-    def _later(self, action: collections.abc.Callable[[], object]) -> None:
+    def _run_later(self, action: collections.abc.Callable[[], object]) -> None:
         async def act() -> None:
-            await trio.sleep(FAULT_DELAY_S)
+            await trio.sleep(FAULT_RESPONSE_DELAY_S)
             action()
 
         self.nursery.start_soon(act)
 
 
-async def _consume(body: http_server.Body) -> None:
+async def _drain(body: http_server.Body) -> None:
     if isinstance(body, bytes):
         return
-    assert not isinstance(body, http_server.PushedBody), "stand-ins send parts"
+    assert not isinstance(body, http_server.PushedBody), (
+        "stand-ins have no pushed bodies"
+    )
     try:
         async for _ in body:
             pass
@@ -171,7 +176,7 @@
 
 
 async def serve(role: Role, host: str, port: int) -> None:
-    """Run a stand-in; print its port on standard output once it listens."""
+    """Run a stand-in; print its port on standard output once it is listening."""
     async with trio.open_nursery() as nursery:
         standin = StandIn(role, nursery)
         nursery.start_soon(role.run)
--- a/packages/snipelug-standins/src/snipelug_standins/tables.py
+++ b/packages/snipelug-standins/src/snipelug_standins/tables.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's transactional table service."""
+"""Stand-in for the platform's transactional table service."""
 
 import http
 import typing
@@ -9,13 +9,13 @@
 from snipelug_net import http_server
 from snipelug_standins import faults, records, standin
 
-SCAN_LIMIT = 1000
-# Separates table and key in the store; neither can contain it.
+DEFAULT_SCAN_LIMIT = 1000
+# Joins table and key to one record key; neither can contain it.
 SEPARATOR = "\0"
 
 
 class Write(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """One write of a transaction; a null content deletes the row."""
+    """One write of a transaction; null content deletes the row."""
 
     table: typing.Annotated[str, msgspec.Meta(min_length=1)]
     key: typing.Annotated[str, msgspec.Meta(min_length=1)]
@@ -24,13 +24,13 @@
 
 
 class Transaction(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Writes that are applied all or none."""
+    """Writes that are applied atomically."""
 
     writes: typing.Annotated[list[Write], msgspec.Meta(min_length=1)]
 
 
 class ScannedRow(msgspec.Struct):
-    """A row in the answer to a scan."""
+    """A row in the response to a scan."""
 
     key: str
     version: str
@@ -48,7 +48,7 @@
         self.transactions = 0
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
-        """Answer one request."""
+        """Handle one request."""
         if req.path == "/transactions" and req.method == "POST":
             return self._transact(req)
         parts = req.path.split("/", 4)
@@ -66,23 +66,23 @@
     def _row(self, req: http_server.Request, row_key: str) -> http_server.Response:
         match req.method:
             case "GET":
-                return get(self.rows, row_key)
+                return read_response(self.rows, row_key)
             case "PUT":
                 if not _is_json(req.body):
                     message = "the row content is not JSON"
                     return standin.error(
                         http.HTTPStatus.BAD_REQUEST, "bad_row", message
                     )
-                return write(self.rows, req, row_key, req.body)
+                return write_response(self.rows, req, row_key, req.body)
             case "DELETE":
-                return write(self.rows, req, row_key, None)
+                return write_response(self.rows, req, row_key, None)
         return standin.not_found(req)
 
     def _scan(self, table: str, query: dict[str, str]) -> http_server.Response:
         self.scans += 1
-        limit = query.get("limit") or str(SCAN_LIMIT)
+        limit = query.get("limit") or str(DEFAULT_SCAN_LIMIT)
         if not limit.isdecimal():
-            message = f"limit {limit!r} is not a number"
+            message = f"limit {limit!r} is not a decimal number"
             return standin.error(http.HTTPStatus.BAD_REQUEST, "bad_limit", message)
         start = table + SEPARATOR + query.get("prefix", "")
         after = table + SEPARATOR + query.get("after", "")
@@ -106,21 +106,23 @@
                 http.HTTPStatus.BAD_REQUEST, "bad_transaction", str(exc)
             )
         self.transactions += 1
-        for item in transaction.writes:
-            if not self.rows.holds(_row_key(item), item.expect):
+        for row_write in transaction.writes:
+            if not self.rows.precondition_holds(_row_key(row_write), row_write.expect):
                 self.rows.conflicts += 1
-                message = f"precondition of {item.table}/{item.key} does not hold"
+                message = (
+                    f"precondition of {row_write.table}/{row_write.key} does not hold"
+                )
                 return standin.error(http.HTTPStatus.CONFLICT, "conflict", message)
         version = self.rows.next_version()
-        for item in transaction.writes:
-            content = bytes(item.content)
+        for row_write in transaction.writes:
+            content = bytes(row_write.content)
             self.rows.put(
-                _row_key(item), None if content == b"null" else content, version
+                _row_key(row_write), None if content == b"null" else content, version
             )
         return http_server.json_response(http.HTTPStatus.OK, {"version": version})
 
     def set_faults(self, wanted: faults.Faults) -> bool:
-        """Take over faults; tables have none of their own."""
+        """Ignore faults; the table service has none of its own."""
         del wanted
         return False
 
@@ -136,25 +138,25 @@
         }
 
     async def run(self) -> None:
-        """Do nothing in the background."""
+        """Wait for cancellation; there is no background work."""
         await trio.sleep_forever()
 
 
-def get(rows: records.Records, key: str) -> http_server.Response:
-    """Answer a read of one record."""
+def read_response(rows: records.Records, key: str) -> http_server.Response:
+    """Build the response to a read of one record."""
     record = rows.read(key)
     if record is None:
-        message = "there is no such record"
+        message = "the record does not exist"
         return standin.error(http.HTTPStatus.NOT_FOUND, "absent", message)
     headers = {"etag": records.etag(record.version)}
     return http_server.Response(http.HTTPStatus.OK, record.content, headers)
 
 
-def write(
+def write_response(
     rows: records.Records, req: http_server.Request, key: str, content: bytes | None
 ) -> http_server.Response:
-    """Answer a conditional write of one record."""
-    version = rows.write(key, content, records.expectation(req.headers))
+    """Write one record conditionally and build the response."""
+    version = rows.write(key, content, records.expected_version(req.headers))
     if version is None:
         message = "the precondition does not hold"
         return standin.error(
@@ -164,8 +166,8 @@
     return http_server.json_response(http.HTTPStatus.OK, {"version": version}, headers)
 
 
-def _row_key(item: Write) -> str:
-    return item.table + SEPARATOR + item.key
+def _row_key(row_write: Write) -> str:
+    return row_write.table + SEPARATOR + row_write.key
 
 
 def _is_json(body: bytes) -> bool:
