--- a/packages/snipelug-core/src/snipelug_core/backlog.py
+++ b/packages/snipelug-core/src/snipelug_core/backlog.py
@@ -1,4 +1,4 @@
-"""Bounded queues with deadlines, served by weighted deficit round robin."""
+"""Bounded per-team queues with deadlines, served by weighted deficit round robin."""
 
 import collections
 import collections.abc
@@ -8,25 +8,25 @@
 from snipelug_core import contract, refusal
 
 QUANTUM_TOKENS = 2048.0
-"""Tokens that a team of weight 1 may use per round; about one piece of a prompt."""
+"""Tokens granted per round to a team of weight 1; about one chunk of a prompt."""
 
 ROUNDING_TOKENS = 1e-3
-"""Tolerance of sums of quanta; without it the round that pays for an entry may fall
-short of its cost by a rounding error."""
+"""Tolerance when comparing a deficit with a cost. Without it, rounding errors in the
+sum of quanta could leave the deficit just short of the cost of an entry."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Entry:
-    """A request that waits.
+    """A queued request.
 
     Attributes
     ----------
     number : int
-        Identifies the entry at this node.
+        Identifier of the entry, unique within this node.
     cost : float
-        Expected prompt plus generated tokens.
+        Expected number of prompt and generated tokens.
     deadline : float
-        Monotonic time by which it has to start, in seconds.
+        Monotonic time by which the request must start, in seconds.
     """
 
     number: int
@@ -37,22 +37,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class StartRates:
-    """How fast this node may start requests of a team.
+    """The limits on how fast this node may start requests of a team.
 
     Attributes
     ----------
     in_flight : int
-        Requests that may run at once.
+        Maximum number of concurrent requests.
     requests_per_s, tokens_per_s : float
-        Rates per second.
+        Maximum rates of requests and tokens per second.
     hold_s : float
-        Mean time that a request of the team runs, in seconds.
+        Mean run time of the team's requests, in seconds.
     """
 
     in_flight: int
     requests_per_s: float
     tokens_per_s: float
-    hold_s: float
+    mean_run_s: float
 
 
 @dataclasses.dataclass
@@ -62,7 +62,7 @@
     Attributes
     ----------
     deficit : float
-        Tokens that the team may use in the current round.
+        Tokens that the team may still use in the current round.
     """
 
     weight: float
@@ -74,7 +74,7 @@
 
 @dataclasses.dataclass
 class Backlog:
-    """All queues of a node; the first key is the team whose turn it is."""
+    """All queues of a node; the first key is the team to serve next."""
 
     queues: collections.OrderedDict[str, Queue] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -82,18 +82,18 @@
 
 
 def estimate_wait(
-    entries: collections.abc.Collection[Entry], pace: StartRates
+    entries: collections.abc.Collection[Entry], rates: StartRates
 ) -> float:
-    """Estimate the time until the queued entries have started, in seconds.
+    """Estimate the time until all queued entries have started, in seconds.
 
-    The slowest of the three limits decides.
+    The most restrictive of the three limits determines the result.
     """
     count = len(entries)
     cost = sum(entry.cost for entry in entries)
     return max(
-        _divide(count, pace.requests_per_s),
-        _divide(cost, pace.tokens_per_s),
-        _divide(count * pace.hold_s, pace.in_flight),
+        _divide(count, rates.requests_per_s),
+        _divide(cost, rates.tokens_per_s),
+        _divide(count * rates.mean_run_s, rates.in_flight),
     )
 
 
@@ -106,54 +106,56 @@
 def enqueue(
     backlog: Backlog,
     entry: Entry,
-    owner: contract.Contract,
-    pace: StartRates,
+    team_contract: contract.Contract,
+    rates: StartRates,
     now: float,
 ) -> refusal.Refusal | None:
-    """Queue an entry, or refuse it because it could not start in time.
+    """Queue an entry, or refuse it if the queue is full or the deadline out of reach.
 
     Parameters
     ----------
     backlog : Backlog
-        Changed in place unless the entry is refused.
+        Modified in place unless the entry is refused.
     entry : Entry
-        The request.
-    owner : Contract
+        The request to queue.
+    team_contract : Contract
         Contract of the entry's team.
-    pace : Pace
-        The team's pace at this node.
+    rates : StartRates
+        The team's start rates at this node.
     now : float
-        Monotonic time in seconds.
+        Current monotonic time, in seconds.
 
     Returns
     -------
     Refusal or None
-        ``queue_full``, or ``deadline_unreachable`` with the expected wait.
+        ``queue_full`` or ``deadline_unreachable``, with the expected wait if it is
+        finite; None if the entry was queued.
     """
     queue = backlog.queues.get(entry.team)
     waiting = () if queue is None else queue.entries
-    limit = owner.limits.queue_length
-    wait_s = estimate_wait(waiting, pace)
-    retry_s = wait_s if math.isfinite(wait_s) else None
+    limit = team_contract.limits.queue_length
+    wait_s = estimate_wait(waiting, rates)
+    retry_after_s = wait_s if math.isfinite(wait_s) else None
     if len(waiting) >= limit:
-        message = f"team {entry.team} has {limit} requests waiting at this node"
-        return refusal.refuse(refusal.QUEUE_FULL, message, retry_after_s=retry_s)
-    time_left = entry.deadline - now
-    if time_left <= 0 or (math.isfinite(wait_s) and wait_s > time_left):
+        message = f"team {entry.team} has {limit} requests queued at this node"
+        return refusal.refuse(refusal.QUEUE_FULL, message, retry_after_s=retry_after_s)
+    remaining_s = entry.deadline - now
+    if remaining_s <= 0 or (math.isfinite(wait_s) and wait_s > remaining_s):
         message = (
-            f"expected wait {wait_s:.1f} s, but {max(time_left, 0.0):.1f} s are left"
+            f"expected wait is {wait_s:.1f} s, but only "
+            f"{max(remaining_s, 0.0):.1f} s remain until the deadline"
         )
         kind = refusal.DEADLINE_UNREACHABLE
-        return refusal.refuse(kind, message, retry_after_s=retry_s)
+        return refusal.refuse(kind, message, retry_after_s=retry_after_s)
     if queue is None:
-        queue = backlog.queues[entry.team] = Queue(owner.weight)
-    queue.weight = owner.weight
+        queue = backlog.queues[entry.team] = Queue(team_contract.weight)
+    queue.weight = team_contract.weight
     queue.entries.append(entry)
     return None
 
 
 def remove(backlog: Backlog, entry: Entry) -> bool:
-    """Take an entry out of its queue; False if it is not there."""
+    """Remove an entry from its queue; return False if it is not queued."""
     queue = backlog.queues.get(entry.team)
     if queue is None or entry not in queue.entries:
         return False
@@ -164,18 +166,18 @@
 
 
 def expire(backlog: Backlog, now: float) -> list[tuple[Entry, refusal.Refusal]]:
-    """Take out the entries whose deadline has passed."""
-    late = [
+    """Remove the entries whose deadline has passed, each with its refusal."""
+    expired = [
         entry
         for queue in backlog.queues.values()
         for entry in queue.entries
         if entry.deadline <= now
     ]
-    for entry in late:
+    for entry in expired:
         remove(backlog, entry)
-    message = "the deadline passed while the request waited"
-    answer = refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
-    return [(entry, answer) for entry in late]
+    message = "the deadline passed while the request was queued"
+    refused = refusal.refuse(refusal.DEADLINE_UNREACHABLE, message)
+    return [(entry, refused) for entry in expired]
 
 
 def start_next(
@@ -183,59 +185,62 @@
 ) -> Entry | None:
     """Start the next entry by weighted deficit round robin.
 
-    A team whose own limits hold it back neither blocks the others nor saves up
-    deficit meanwhile.
+    A team that its own limits prevent from starting neither blocks other teams nor
+    accumulates deficit.
 
     Parameters
     ----------
     backlog : Backlog
-        Changed in place.
+        Modified in place.
     try_start : callable
-        Takes the entry's share of its team's limits, or returns False.
+        Reserves what the entry needs of its team's limits, or returns False.
 
     Returns
     -------
     Entry or None
-        The entry started; None if none can start.
+        The started entry, or None if no entry can start.
     """
     blocked: set[str] = set()
     while len(blocked) < len(backlog.queues):
-        turns = _turns_to_first(backlog, blocked)
+        rounds = _rounds_to_first(backlog, blocked)
         for team in list(backlog.queues):
             if team in blocked:
                 continue
             queue = backlog.queues[team]
             entry = queue.entries[0]
-            deficit = queue.deficit + turns * queue.weight * QUANTUM_TOKENS
+            deficit = queue.deficit + rounds * queue.weight * QUANTUM_TOKENS
             if deficit + ROUNDING_TOKENS < entry.cost:
                 continue
             if not try_start(entry):
                 blocked.add(team)
                 break
-            _grant_turns(backlog, blocked, turns, team)
+            _grant_quanta(backlog, blocked, rounds, team)
             queue.deficit -= entry.cost
             remove(backlog, entry)
             return entry
     return None
 
 
-def _turns_to_first(backlog: Backlog, blocked: set[str]) -> int:
-    """Return how many rounds pass until the first team can afford its head."""
-    missing = (
+def _rounds_to_first(backlog: Backlog, blocked: set[str]) -> int:
+    """Return the rounds until a team's deficit covers the cost of its first entry."""
+    rounds_needed = (
         (queue.entries[0].cost - queue.deficit) / (queue.weight * QUANTUM_TOKENS)
         for team, queue in backlog.queues.items()
         if team not in blocked
     )
-    return max(0, math.ceil(min(missing)))
+    return max(0, math.ceil(min(rounds_needed)))
 
 
-def _grant_turns(backlog: Backlog, blocked: set[str], turns: int, team: str) -> None:
-    """Give the rounds' quanta; the team served stays first while it can afford."""
-    if turns == 0:
+def _grant_quanta(backlog: Backlog, blocked: set[str], rounds: int, team: str) -> None:
+    """Add the quanta of the rounds and move the served team to the front.
+
+    It stays there while its deficit covers its next entry. Does nothing for 0 rounds.
+    """
+    if rounds == 0:
         return
     for name, queue in backlog.queues.items():
         if name not in blocked:
-            queue.deficit += turns * queue.weight * QUANTUM_TOKENS
+            queue.deficit += rounds * queue.weight * QUANTUM_TOKENS
     names = list(backlog.queues)
     for name in names[: names.index(team)]:
         backlog.queues.move_to_end(name)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -59,8 +59,8 @@
     return placement.Prompt(chain(blocks), "t", "e1", **(values | fields))
 
 
-def terms(team: str, weight: float = 1.0, length: int = 99) -> contract.Contract:
-    limits = contract.Limits(queue_length=length)
+def terms(team: str, weight: float = 1.0, queue_length: int = 99) -> contract.Contract:
+    limits = contract.Limits(queue_length=queue_length)
     return contract.Contract(team, (), limits=limits, weight=weight)
 
 
