--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,4 +1,4 @@
-"""Builders of test data."""
+"""Builders of test data for the core package."""
 
 import json
 
@@ -23,10 +23,10 @@
 
 
 def upstream(*reports: table.LoadReport) -> table.Upstream:
-    made = table.Upstream(INSTANCE)
+    result = table.Upstream(INSTANCE)
     for report in reports:
-        load.accept_report(made, report, report.made_at)
-    return made
+        load.accept_report(result, report, report.made_at)
+    return result
 
 
 # Prompts, routing and placement.
@@ -64,7 +64,7 @@
     return contract.Contract(team, (), limits=limits, weight=weight)
 
 
-# Streamed answers.
+# Streamed responses.
 
 
 def chunk(
--- a/tests/test_route.py
+++ b/tests/test_route.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of an upstream."""
+"""Tests of upstream selection."""
 
 import collections.abc
 import dataclasses
@@ -34,7 +34,7 @@
 ]
 
 
-def copy(store: str) -> index.StoredCopy:
+def stored_copy(store: str) -> index.StoredCopy:
     return index.StoredCopy(store, "b", 1, "c")
 
 
@@ -67,7 +67,7 @@
     of_cfg: dict[str, object],
     reason: route.Reason | None,
 ) -> None:
-    """Guards against work for a cold, leaving, switched-off or foreign upstream."""
+    """Guards against routing to a cold, leaving, disabled or unsuitable upstream."""
     req = dataclasses.replace(builders.request(), **of_request)
     context = route.RoutingContext(dataclasses.replace(CFG, **of_cfg))
     targets = [
@@ -93,14 +93,16 @@
 
 
 @st.composite
-def scenes(draw: st.DrawFn) -> tuple[list[route.Target], route.RoutingContext, int]:
-    """Draw upstreams, links and the known locations of a prompt of n blocks."""
-    n = draw(st.integers(0, 6))
+def routing_scenarios(
+    draw: st.DrawFn,
+) -> tuple[list[route.Target], route.RoutingContext, int]:
+    """Draw upstreams, links and the known block locations of a prompt of n blocks."""
+    blocks = draw(st.integers(0, 6))
     names = draw(st.lists(st.sampled_from("efgh"), unique=True, min_size=1))
     per_block = st.sets(st.sampled_from(["s1", "s2"]))
-    stored = draw(st.lists(per_block, max_size=n))
-    copies = tuple(tuple(copy(s) for s in sorted(at)) for at in stored)
-    held = {e: draw(st.integers(0, len(copies))) for e in names}
+    stored = draw(st.lists(per_block, max_size=blocks))
+    copies = tuple(tuple(stored_copy(s) for s in sorted(at)) for at in stored)
+    cached = {e: draw(st.integers(0, len(copies))) for e in names}
     pairs = [(s, z) for s in ("s1", "s2") for z in ZONES]
     links = {
         p: link.Link(draw(RATES), draw(st.sampled_from([0.0, 0.5])))
@@ -117,59 +119,61 @@
         )
         for e in names
     ]
-    found = index.PrefixLocations(held, copies)
+    found = index.PrefixLocations(cached, copies)
     context = route.RoutingContext(CFG, found, {"a": 0.1}, links, block_bytes=2.0)
-    return targets, context, n
+    return targets, context, blocks
 
 
-def cheapest(
-    one: route.Target, context: route.RoutingContext, mode: route.Mode, n: int
+def lowest_cost(
+    target: route.Target, context: route.RoutingContext, mode: route.Mode, blocks: int
 ) -> float:
-    """Try all split points one by one."""
-    tokens = builders.chain(n, rest=10).tokens
-    fixed = one.wait_s() + 2 * context.delay_s.get(one.zone, 0.0)
-    nothing = link.Link(0.0)
-    best = []
+    """Compute the lowest cost by trying all split points."""
+    tokens = builders.chain(blocks, rest=10).tokens
+    fixed_s = target.wait_s() + 2 * context.delay_s.get(target.zone, 0.0)
+    no_link = link.Link(0.0)
+    best_links = []
     for copies in context.found.stored:
-        links = [context.links.get((c.store, one.zone), nothing) for c in copies]
-        best.append(max([nothing, *links], key=lambda k: k.free_bytes_per_s))
-    latency = max((k.latency_s for k in best if k.free_bytes_per_s), default=0.0)
-    held = context.found.memory[one.id]
-    costs, fetch = [], 0.0
-    for end in range(held, len(best) + 1):
-        if end > held:
-            if not best[end - 1].free_bytes_per_s:
+        links = [context.links.get((c.store, target.zone), no_link) for c in copies]
+        best_links.append(max([no_link, *links], key=lambda k: k.free_bytes_per_s))
+    latency_s = max(
+        (k.latency_s for k in best_links if k.free_bytes_per_s), default=0.0
+    )
+    cached = context.found.memory[target.id]
+    costs, fetch_s = [], 0.0
+    for end in range(cached, len(best_links) + 1):
+        if end > cached:
+            if not best_links[end - 1].free_bytes_per_s:
                 break
-            fetch += context.block_bytes / best[end - 1].free_bytes_per_s
-        prefill_s = (tokens - end * block.BLOCK_TOKENS) * one.prefill_s
-        wait = fixed + fetch + (latency if end > held else 0.0)
-        costs.append(mode.ttft * (wait + prefill_s) + mode.recompute * prefill_s)
+            fetch_s += context.block_bytes / best_links[end - 1].free_bytes_per_s
+        prefill_s = (tokens - end * block.BLOCK_TOKENS) * target.prefill_s
+        wait_s = fixed_s + fetch_s + (latency_s if end > cached else 0.0)
+        costs.append(mode.ttft * (wait_s + prefill_s) + mode.recompute * prefill_s)
     return min(costs)
 
 
 @hypothesis.settings(max_examples=400)
-@hypothesis.given(scenes(), MODES, st.integers(0, 9))
+@hypothesis.given(routing_scenarios(), MODES, st.integers(0, 9))
 def test_cost_is_the_minimum_over_split_points(
-    scene: tuple[list[route.Target], route.RoutingContext, int],
+    scenario: tuple[list[route.Target], route.RoutingContext, int],
     mode: route.Mode,
     seed: int,
 ) -> None:
-    """Guards against fetching what is slower than recomputing, and the reverse."""
-    targets, context, n = scene
-    req = builders.request(chain=builders.chain(n, rest=10))
+    """Guards against fetching blocks when recomputing is faster, and the reverse."""
+    targets, context, blocks = scenario
+    req = builders.request(chain=builders.chain(blocks, rest=10))
     outcome = route.LowestCost(mode).choose(req, targets, context, random.Random(seed))
-    again = route.LowestCost(mode).choose(
+    reversed_outcome = route.LowestCost(mode).choose(
         req, targets[::-1], context, random.Random(seed)
     )
     assert isinstance(outcome, route.Decision)
-    assert isinstance(again, route.Decision)
-    assert again.chosen == outcome.chosen
-    expected = {t.id: cheapest(t, context, mode, n) for t in targets}
+    assert isinstance(reversed_outcome, route.Decision)
+    assert reversed_outcome.chosen == outcome.chosen
+    expected = {t.id: lowest_cost(t, context, mode, blocks) for t in targets}
     scores = {c.id: c.score for c in outcome.candidates}
     assert scores == pytest.approx(expected, abs=1e-9)
     lowest = min(scores.values())
-    margin = max(route.TIE_MARGIN_S, route.TIE_MARGIN_SHARE * lowest)
-    assert outcome.chosen.score <= lowest + margin
+    margin_s = max(route.TIE_MARGIN_S, route.TIE_MARGIN_SHARE * lowest)
+    assert outcome.chosen.score <= lowest + margin_s
     for candidate in outcome.candidates:
         fetches = route.plan_fetch(candidate, context)
         first = candidate.memory_blocks
@@ -180,7 +184,7 @@
 
 
 def test_equal_candidates_share_the_requests() -> None:
-    """Guards against all nodes sending to the first of equal upstreams."""
+    """Guards against all nodes choosing the first of several equal upstreams."""
     targets = [builders.target(f"e{i}") for i in range(10)]
     router = route.LowestCost(route.MODES["ttft"])
     rng = random.Random(1)
@@ -194,8 +198,8 @@
     assert len(chosen) == route.MAX_TIED_CANDIDATES
 
 
-class Counted(dict[str, route.Target]):
-    """A table that counts its reads and cannot be walked."""
+class CountingDict(dict[str, route.Target]):
+    """A mapping that counts its reads and rejects iteration."""
 
     reads = 0
 
@@ -204,18 +208,18 @@
         return super().get(key)
 
     def __iter__(self) -> collections.abc.Iterator[str]:
-        raise AssertionError("the whole fleet was walked")
+        raise AssertionError("the whole fleet was iterated over")
 
 
 @pytest.mark.parametrize("fleet", [12, 120, 2700])
-def test_a_decision_reads_only_the_subset(fleet: int) -> None:
-    """Guards against decisions whose cost grows with the fleet."""
+def test_decision_reads_only_the_subset(fleet: int) -> None:
+    """Guards against decisions whose cost grows with the size of the fleet."""
     names = [f"e{i}" for i in range(fleet)]
-    targets = Counted({n: builders.target(n) for n in names})
-    own = subset.Subset("n1")
-    own.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
+    targets = CountingDict({n: builders.target(n) for n in names})
+    node_subset = subset.Subset("n1")
+    node_subset.update({n: f"zone{i % 3}" for i, n in enumerate(names)})
     router = route.LowestCost(route.MODES["ttft"])
-    chosen = own.select(targets)
+    chosen = node_subset.select(targets)
     outcome = router.choose(
         builders.request(), chosen, route.RoutingContext(CFG), random.Random(1)
     )
@@ -231,23 +235,23 @@
 def test_subset_is_stable_and_covers_groups(
     groups: dict[str, str], size: int, data: st.DataObject
 ) -> None:
-    """Guards against subsets that miss a zone or change wholly with one instance."""
+    """Guards against subsets that omit a zone or change entirely with one instance."""
     before, after = subset.Subset("n1", size), subset.Subset("n1", size)
     before.update(groups)
-    gone = data.draw(st.sampled_from(sorted(groups)))
-    after.update({k: v for k, v in groups.items() if k != gone})
+    removed_id = data.draw(st.sampled_from(sorted(groups)))
+    after.update({k: v for k, v in groups.items() if k != removed_id})
     assert len(before.ids) == len(set(before.ids)) == min(size, len(groups))
     assert {groups[i] for i in before.ids} == set(groups.values())
-    kept = set(before.ids) - {gone}
-    has_last_of_group = list(groups.values()).count(groups[gone]) == 1
+    kept = set(before.ids) - {removed_id}
+    has_last_of_group = list(groups.values()).count(groups[removed_id]) == 1
     if not has_last_of_group:
         assert len(kept - set(after.ids)) <= 1
-    if gone not in before.ids:
+    if removed_id not in before.ids:
         assert before.ids == after.ids
 
 
 def test_slow_imports_raise_the_estimate_for_a_while() -> None:
-    """Guards against fetches over a congested link, and against never trying again."""
+    """Guards against fetching over a congested link, and against never retrying it."""
     watch = link.LinkWaitEstimator(decay_s=5.0)
     assert watch.link(10.0, 0.1, 0.0) == link.Link(10.0, 0.1)
     for _ in range(30):
@@ -272,7 +276,7 @@
 
 @pytest.mark.parametrize(("running", "expected"), VERSIONS)
 def test_versions_follow_the_fleet(running: list[str], expected: list[str]) -> None:
-    """Guards against an outage when a vendor swaps weights without notice."""
+    """Guards against an outage when a vendor changes weights without notice."""
     targets = [
         builders.target(f"e{i}", weight_version=v) for i, v in enumerate(running)
     ]
@@ -281,7 +285,7 @@
 
 
 def test_backlog_counts_long_prompts_and_other_nodes() -> None:
-    """Guards against a short question that waits behind a long specification."""
+    """Guards against queueing a short prompt behind a long one."""
     backlog = prefill.PrefillBacklog()
     backlog.sent("e", "long", 4.0, now=0.0)
     backlog.sent("e", "short", 0.5, now=1.0)
@@ -303,8 +307,8 @@
     assert waiting == expected
 
 
-def test_target_takes_the_state_of_the_upstream() -> None:
-    """Guards against a leaving upstream that passes as live."""
+def test_target_reflects_upstream_state() -> None:
+    """Guards against treating a leaving upstream as live."""
     inst = table.Instance("e", table.Role.ENGINE, "h", 1, "a")
     report = table.LoadReport("b", table.Warmth.LEAVING, 1, 0, 1, 0.0, "w1")
     profile = route.Profile(frozenset({"m"}), slots=4)
@@ -313,5 +317,5 @@
         (table.Upstream(dataclasses.replace(inst, leaving=True)), True),
         (table.Upstream(inst), False),
     ]:
-        made = route.make_target(upstream, profile, 3, needs_grant=False)
-        assert (made.leaving, made.queue, made.slots) == (leaving, 3, 4)
+        target = route.make_target(upstream, profile, 3, needs_grant=False)
+        assert (target.leaving, target.queue, target.slots) == (leaving, 3, 4)
