--- a/packages/snipelug-standins/src/snipelug_standins/engine.py
+++ b/packages/snipelug-standins/src/snipelug_standins/engine.py
@@ -464,7 +464,7 @@
 
 def _remaining_tokens(job: Job) -> list[str]:
     length = job.chat.max_tokens or text.DEFAULT_COMPLETION_TOKENS
-    tokens = text.answer_tokens(job.prompt, length)
+    tokens = text.response_tokens(job.prompt, length)
     skip = len(job.chat.resume_text)
     while tokens and skip >= len(tokens[0]):
         skip -= len(tokens.pop(0))
--- a/packages/snipelug-standins/src/snipelug_standins/text.py
+++ b/packages/snipelug-standins/src/snipelug_standins/text.py
@@ -44,16 +44,16 @@
     return "m" + hashlib.blake2b(prompt, digest_size=6).hexdigest()
 
 
-def answer_tokens(prompt: bytes, length: int) -> list[str]:
+def response_tokens(prompt: bytes, length: int) -> list[str]:
     """Return the first ``length`` token texts of the response to a prompt."""
     digest = hashlib.shake_256(prompt).hexdigest(2 * length)
     words = (digest[i : i + WORD_CHARS] + " " for i in range(0, WORD_CHARS * length, 3))
     return [marker(prompt) + " ", *words][:length]
 
 
-def answer(
+def expected_response(
     messages: collections.abc.Iterable[Message],
     length: int = DEFAULT_COMPLETION_TOKENS,
 ) -> str:
     """Return the complete response text of an engine, for tests to compare with."""
-    return "".join(answer_tokens(render(messages), length))
+    return "".join(response_tokens(render(messages), length))
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -91,7 +91,9 @@
     result = Result()
     start = trio.current_time()
     with trio.move_on_after(timeout_s) as scope:
-        await _stream(pool, call, result, start, text.answer(conversation, max_tokens))
+        await _stream(
+            pool, call, result, start, text.expected_response(conversation, max_tokens)
+        )
     if scope.cancelled_caught:
         result.problem = f"no whole answer within {timeout_s} s"
     result.total_s = trio.current_time() - start
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -37,7 +37,7 @@
 
 
 def expected_text(content: str, length: int = text.DEFAULT_COMPLETION_TOKENS) -> str:
-    return text.answer([{"role": "user", "content": content}], length)
+    return text.expected_response([{"role": "user", "content": content}], length)
 
 
 def response_text(response: cluster.Answer) -> str:
