--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,4 +1,4 @@
-"""Builders of test data."""
+"""Builders of test data for the core package."""
 
 import json
 
@@ -23,10 +23,10 @@
 
 
 def upstream(*reports: table.LoadReport) -> table.Upstream:
-    made = table.Upstream(INSTANCE)
+    result = table.Upstream(INSTANCE)
     for report in reports:
-        load.accept_report(made, report, report.made_at)
-    return made
+        load.accept_report(result, report, report.made_at)
+    return result
 
 
 # Prompts, routing and placement.
@@ -59,12 +59,12 @@
     return placement.Prompt(chain(blocks), "t", "e1", **(values | fields))
 
 
-def terms(team: str, weight: float = 1.0, length: int = 99) -> contract.Contract:
-    limits = contract.Limits(queue_length=length)
+def terms(team: str, weight: float = 1.0, queue_length: int = 99) -> contract.Contract:
+    limits = contract.Limits(queue_length=queue_length)
     return contract.Contract(team, (), limits=limits, weight=weight)
 
 
-# Streamed answers.
+# Streamed responses.
 
 
 def chunk(
