--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -71,7 +71,7 @@
     @stateful.rule(number=INDICES, item=ITEMS)
     def acquire(self, number: int, item: str) -> None:
         node = self.pick_node(number)
-        flow = ownership.acquire(node.owners, item, node.unlisted)
+        flow = ownership.acquire(node.owners, item, node.instance_list_view)
         self.world.start(node, item, flow)
 
     @stateful.rule(number=INDICES, item=ITEMS, other=INDICES)
@@ -79,7 +79,7 @@
         node, successor_node = self.pick_node(number), self.pick_node(other)
         successor = None
         if successor_node is not node and successor_node.lease.session:
-            listed = successor_node.id in node.unlisted.listed
+            listed = successor_node.id in node.instance_list_view.listed
             successor = ownership.Successor(
                 successor_node.lease.session, successor_node.owners.own_process, listed
             )
@@ -191,7 +191,9 @@
     def random_pause(self, rng: random.Random) -> None:
         """Freeze a node at a step, at the send if any task is about to send."""
         tasks = [task for task in self.world.tasks if task.outcome is None]
-        sending = [task for task in tasks if isinstance(task.taken, claim.Dispatch)]
+        sending = [
+            task for task in tasks if isinstance(task.pending_step, claim.Dispatch)
+        ]
         if not tasks:
             return
         task = rng.choice(sending or tasks)
@@ -276,7 +278,7 @@
     machine.call(0, "a", "x")
     task = model.tasks[-1]
     machine.step(task, "", "")
-    assert isinstance(task.taken, claim.Dispatch)
+    assert isinstance(task.pending_step, claim.Dispatch)
     machine.pass_time(20, frozen=0)
     machine.settle(1, "a")
     machine.advance_others(4, frozen=0)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -20,7 +20,7 @@
 
     def node(self, name: str, with_session: bool = True) -> world.Node:
         node = world.Node(name, "p", 1.0, 0.0)
-        node.unlisted.self_listed = True
+        node.instance_list_view.self_listed = True
         if with_session:
             self.run(session.renew(node.lease, self.now))
         return node
@@ -34,16 +34,16 @@
         left = list(faults)
         outcome: object = None
         try:
-            taken = next(flow)
+            pending_step = next(flow)
             while True:
                 fault = left.pop(0) if left else ""
-                outcome = self.store.perform(taken, fault)
-                taken = flow.send(step.Event(outcome, self.now))
+                outcome = self.store.perform(pending_step, fault)
+                pending_step = flow.send(step.Event(outcome, self.now))
         except StopIteration:
             return
 
     def acquire(self, node: world.Node, *faults: str) -> None:
-        self.run(ownership.acquire(node.owners, ITEM, node.unlisted), *faults)
+        self.run(ownership.acquire(node.owners, ITEM, node.instance_list_view), *faults)
 
     def revoke(self, node: world.Node) -> None:
         place = (session.TABLE, node.lease.session)
@@ -148,11 +148,11 @@
     for now, listed in [(40.0, {"a", "b"}), (50.0, {"b"}), (79.0, {"b"})]:
         harness.now = now
         harness.run(session.renew(b.lease, now))
-        ownership.observe_instance_list(b.unlisted, listed, ["a"], "b", now)
+        ownership.observe_instance_list(b.instance_list_view, listed, ["a"], "b", now)
         harness.acquire(b)
         assert harness.owners(a, b) == ["b"]
         assert harness.holders(a, b) == ["a"]
-    ownership.observe_instance_list(b.unlisted, {"b"}, ["a"], "b", 80.0)
+    ownership.observe_instance_list(b.instance_list_view, {"b"}, ["a"], "b", 80.0)
     harness.acquire(b)
     assert harness.holders(b) == ["b"]
 
@@ -161,11 +161,11 @@
     """Guards against a new node whose slot other nodes consider free."""
     harness = Harness()
     a = harness.node("a")
-    ownership.observe_instance_list(a.unlisted, {"b"}, [], "a", 0.0)
+    ownership.observe_instance_list(a.instance_list_view, {"b"}, [], "a", 0.0)
     harness.acquire(a)
     assert harness.owners(a) == ["a"]
     assert harness.holders(a) == []
-    ownership.observe_instance_list(a.unlisted, {"a", "b"}, [], "a", 0.0)
+    ownership.observe_instance_list(a.instance_list_view, {"a", "b"}, [], "a", 0.0)
     harness.acquire(a)
     assert harness.holders(a) == ["a"]
 
@@ -197,7 +197,7 @@
     """Guards against a hand-over to a node that other nodes consider removed."""
     harness = Harness()
     a, b, c = (harness.node(name) for name in "abc")
-    b.unlisted.self_listed = False
+    b.instance_list_view.self_listed = False
     harness.acquire(a)
     successor = ownership.Successor(b.lease.session, b.owners.own_process)
     harness.run(ownership.hand_over(a.owners, ITEM, successor))
@@ -206,7 +206,9 @@
     for now in (0.0, 31.0):
         harness.now = now
         harness.run(session.renew(c.lease, now))
-        ownership.observe_instance_list(c.unlisted, {"a", "c"}, ["b"], "c", now)
+        ownership.observe_instance_list(
+            c.instance_list_view, {"a", "c"}, ["b"], "c", now
+        )
         harness.acquire(c)
         harness.acquire(c)
     assert harness.owners(a, b, c) == ["c"]
--- a/tests/world.py
+++ b/tests/world.py
@@ -1,4 +1,4 @@
-"""A model of nodes with skewed clocks, a faulty table service and an upstream."""
+"""Simulation of nodes with skewed clocks, a faulty table service and an upstream."""
 
 import collections
 import collections.abc
@@ -13,7 +13,7 @@
 
 
 class Store:
-    """A table service whose answers can be lost and whose writes can be late."""
+    """A table service that can lose responses and apply writes late."""
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], tuple[str, typing.Any]] = {}
@@ -22,14 +22,14 @@
 
     def apply(self, write: step.Write) -> object:
         place = (write.table, write.key)
-        old = self.rows.get(place)
-        found = step.ABSENT if old is None else old[0]
+        current_row = self.rows.get(place)
+        found = step.ABSENT if current_row is None else current_row[0]
         if found != write.expect:
             return step.PreconditionFailed()
         if write.table == ownership.TABLE:
-            number = 0 if old is None else old[1].fencing
-            assert write.content is not None, "owner rows are not deleted"
-            assert write.content.fencing > number, "fencing numbers grow"
+            number = 0 if current_row is None else current_row[1].fencing
+            assert write.content is not None, "owner rows must not be deleted"
+            assert write.content.fencing > number, "fencing tokens must increase"
         if write.content is None:
             del self.rows[place]
             return step.Applied("")
@@ -37,24 +37,24 @@
         self.rows[place] = (version, write.content)
         return step.Applied(version)
 
-    def perform(self, taken: step.Write | step.Read, fault: str) -> object:
+    def perform(self, pending_step: step.Write | step.Read, fault: str) -> object:
         if fault == "down":
             return step.NoAnswer("down", maybe_applied=False)
-        if isinstance(taken, step.Write):
+        if isinstance(pending_step, step.Write):
             if fault == "late":
-                self.late.append(taken)
+                self.late.append(pending_step)
                 return step.NoAnswer("late")
-            outcome = self.apply(taken)
+            outcome = self.apply(pending_step)
             return step.NoAnswer("lost") if fault == "lost" else outcome
         if fault:
             return step.NoAnswer("lost")
-        row = self.rows.get((taken.table, taken.key))
+        row = self.rows.get((pending_step.table, pending_step.key))
         return step.Missing() if row is None else step.Found(*row)
 
 
 @dataclasses.dataclass
 class Node:
-    """One process."""
+    """One simulated node process."""
 
     id: str
     process: str
@@ -67,9 +67,9 @@
     def __post_init__(self) -> None:
         self.lease = session.Lease(self.id, self.process)
         self.ledger = claim.Ledger(self.process)
-        me = ownership.Process(self.id, self.process)
-        self.owners = ownership.OwnerRows(me, self.lease)
-        self.unlisted = ownership.InstanceListView()
+        own_process = ownership.Process(self.id, self.process)
+        self.owners = ownership.OwnerRows(own_process, self.lease)
+        self.instance_list_view = ownership.InstanceListView()
         self.watch = session.Watch()
 
 
@@ -82,26 +82,26 @@
 
 @dataclasses.dataclass
 class Task:
-    """A running flow; ``outcome`` is set between a step's effect and its answer.
+    """A running flow; ``outcome`` is set between a step's effect and its response.
 
     Attributes
     ----------
     name : str
-        Tasks with the same name run one at a time on a node.
+        A node runs at most one task of each name at a time.
     """
 
     node: Node
     name: str
     flow: Flow
     key: str = ""
-    taken: object = None
+    pending_step: object = None
     outcome: object = None
     granted: bool = False
     sent: int = 0
 
 
 class World:
-    """Everything, with the true time ``now``."""
+    """The state of the whole simulation; ``now`` is the true time."""
 
     def __init__(self) -> None:
         self.now = 1000.0
@@ -145,7 +145,7 @@
             if seen.row.outage_holder
         }
         ownership.observe_instance_list(
-            node.unlisted, listed, holders, node.id, self.clock(node)
+            node.instance_list_view, listed, holders, node.id, self.clock(node)
         )
 
     def start(self, node: Node, name: str, flow: Flow, key: str = "") -> None:
@@ -153,7 +153,7 @@
             return
         task = Task(node, name, flow, key)
         try:
-            task.taken = next(flow)
+            task.pending_step = next(flow)
         except StopIteration:
             return
         self.tasks.append(task)
@@ -182,8 +182,8 @@
         if not isinstance(event.outcome, dict):
             return
         found = event.outcome
-        mine = node.lease.session
-        others = {key: row[0] for key, row in found.items() if key != mine}
+        own_session = node.lease.session
+        others = {key: row[0] for key, row in found.items() if key != own_session}
         stale = list(session.observe(node.watch, others, asked_at, event.now))
         for item in stale:
             yield session.revoke(item)
@@ -202,8 +202,8 @@
         version, row = event.outcome.version, event.outcome.content
         event = yield step.Read(session.TABLE, row.session, session.Row)
         gone = isinstance(event.outcome, step.Missing)
-        # Operators look at the upstream. A process that is paused between its
-        # last check and the send for longer than SETTLE_AGE_S escapes them.
+        # Operators inspect the upstream before settling. They cannot detect a process
+        # that pauses longer than SETTLE_AGE_S between its last check and the send.
         if any(task.granted and task.key == key for task in self.tasks):
             return
         ran = bool(self.runs[key])
@@ -213,22 +213,22 @@
             yield step.Write(claim.TABLE, place, settled, version)
 
     def perform(self, task: Task, fault: str) -> None:
-        """Let the pending step of a task take effect."""
-        taken = task.taken
+        """Apply the effect of the pending step of a task."""
+        pending_step = task.pending_step
         node = task.node
-        if isinstance(taken, (step.Write, step.Read)):
-            task.outcome = self._store_step(node, taken, fault)
-        elif isinstance(taken, Scan):
+        if isinstance(pending_step, (step.Write, step.Read)):
+            task.outcome = self._store_step(node, pending_step, fault)
+        elif isinstance(pending_step, Scan):
             silent = self.store_fault(node, fault)
-            rows = self._rows(taken.table)
+            rows = self._rows(pending_step.table)
             task.outcome = step.NoAnswer("lost") if silent else rows
-        elif isinstance(taken, claim.Dispatch):
-            task.granted = node.ledger.grant(taken.nonce, self.clock(node))
+        elif isinstance(pending_step, claim.Dispatch):
+            task.granted = node.ledger.grant(pending_step.nonce, self.clock(node))
             task.outcome = "granted" if task.granted else "withheld"
-        elif isinstance(taken, claim.QueryStatus):
-            task.outcome = self._ask(node, taken, fault)
-        elif isinstance(taken, claim.LookUpSession):
-            read = step.Read(session.TABLE, taken.session, session.Row)
+        elif isinstance(pending_step, claim.QueryStatus):
+            task.outcome = self._ask(node, pending_step, fault)
+        elif isinstance(pending_step, claim.LookUpSession):
+            read = step.Read(session.TABLE, pending_step.session, session.Row)
             found = self._store_step(node, read, fault)
             gone = isinstance(found, step.Missing)
             task.outcome = claim.SessionEnded() if gone else claim.SessionMayExist()
@@ -236,13 +236,13 @@
             task.outcome = "done"
 
     def resume(self, task: Task, fault: str) -> None:
-        """Let a task learn the outcome of its step and go on to the next."""
-        if isinstance(task.taken, claim.Dispatch):
-            task.outcome = self._send(task, task.taken.nonce, fault)
+        """Pass a task the outcome of its step and advance it to the next step."""
+        if isinstance(task.pending_step, claim.Dispatch):
+            task.outcome = self._send(task, task.pending_step.nonce, fault)
         event = step.Event(task.outcome, self.clock(task.node))
         task.outcome = None
         try:
-            task.taken = task.flow.send(event)
+            task.pending_step = task.flow.send(event)
         except StopIteration as stop:
             self.tasks.remove(task)
             self._check_result(task, stop.value)
@@ -253,9 +253,9 @@
         return "late" if self.cut(node) else fault
 
     def _store_step(
-        self, node: Node, taken: step.Write | step.Read, fault: str
+        self, node: Node, pending_step: step.Write | step.Read, fault: str
     ) -> object:
-        return self.store.perform(taken, self.store_fault(node, fault))
+        return self.store.perform(pending_step, self.store_fault(node, fault))
 
     def cut(self, node: Node) -> bool:
         return self.now < node.cut_until
@@ -283,15 +283,19 @@
 
     def _check_result(self, task: Task, result: object) -> None:
         if isinstance(result, claim.Response):
-            assert [result.body.decode()] == self.runs[task.key], "one answer"
+            assert [result.body.decode()] == self.runs[task.key], (
+                "the response must come from the only run"
+            )
         elif isinstance(result, refusal.Refusal):
             if result.run_state is refusal.RunState.NOT_RUN:
-                assert task.sent == 0, "not_run is never said of a call that ran"
+                assert task.sent == 0, "a call that ran must not be reported as not_run"
             if result.run_state is refusal.RunState.RAN:
-                assert self.runs[task.key], "ran is only said of a call that ran"
+                assert self.runs[task.key], (
+                    "only a call that ran may be reported as ran"
+                )
 
     def check(self) -> None:
-        """Assert what must hold at every moment."""
+        """Assert the invariants of the simulation."""
         for key, runs in self.runs.items():
             assert len(runs) <= 1, f"key {key} ran {len(runs)} times"
         items = {key for node in self.alive() for key in node.owners.known_rows}
