--- a/packages/snipelug-node/src/snipelug_node/pending.py
+++ b/packages/snipelug-node/src/snipelug_node/pending.py
@@ -159,4 +159,4 @@
 
 def _shard_slot(upstream: str) -> int:
     digest = hashing.keyed_digest(b"pending", upstream.encode())
-    return int.from_bytes(digest[:SHARD_HASH_BYTES], "big") % cache.SLOTS
+    return int.from_bytes(digest[:SHARD_HASH_BYTES], "big") % cache.SHARD_SLOTS
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,4 +1,4 @@
-"""A small deployment on the stand-ins of the platform, in one process."""
+"""A small deployment on the platform stand-ins, in one process."""
 
 import collections.abc
 import contextlib
@@ -16,11 +16,11 @@
 HOST = "h.example"
 KEY = "key-1"
 MODEL = "m"
-WAIT_S = 10.0
+WAIT_TIMEOUT_S = 10.0
 
 
 def route(
-    name: str, prefix: str, kind: str, service: str, **more: object
+    name: str, prefix: str, kind: str, service: str, **overrides: object
 ) -> dict[str, object]:
     base: dict[str, object] = {
         "name": name,
@@ -33,10 +33,10 @@
         "service": service,
         "max_attempts": 1,
     }
-    return base | more
+    return base | overrides
 
 
-def config(version: int, stores: list[kv_store.KvStore], **more: object) -> object:
+def config(version: int, stores: list[kv_store.KvStore], **overrides: object) -> object:
     engine = {
         "slots": 4,
         "kv_capacity_tokens": 70_000,
@@ -74,12 +74,12 @@
         "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
         "tenants": [{"name": "team-1", "api_keys": [KEY], "priority": 2}],
     }
-    return base | more
+    return base | overrides
 
 
 @dataclasses.dataclass
 class World:
-    """The parts of a deployment."""
+    """A running deployment: store, upstreams, KV cache stores and nodes."""
 
     store: store.Store
     store_port: int
@@ -90,17 +90,17 @@
     nodes: list[node.Node] = dataclasses.field(default_factory=list)
     has_peers: bool = False
 
-    def list_all(self) -> None:
-        """Write the entries of all servers."""
+    def publish_entries(self) -> None:
+        """Write the list entries of all upstreams."""
         for item in [*self.apps, *self.engines]:
             self.store.put("servers", item.id, item.entry())
 
-    def configure(self, version: int, **more: object) -> None:
-        """Write a configuration."""
-        self.store.put("op", "config", config(version, self.kv_stores, **more))
+    def configure(self, version: int, **overrides: object) -> None:
+        """Write a configuration to the store."""
+        self.store.put("op", "config", config(version, self.kv_stores, **overrides))
 
     def settings(self, name: str) -> ports.Settings:
-        """Return the settings of a node on free ports."""
+        """Return the settings of a node that listens on free ports."""
         return ports.Settings(
             node_id=name,
             zone="zone-a",
@@ -112,31 +112,31 @@
         )
 
     async def add_node(self, name: str = "n1") -> node.Node:
-        """Start a node and wait until it serves callers."""
+        """Start a node and wait until it listens; it may not be ready yet."""
         log = record.Buffer(name, 1)
         built = node.Node(self.settings(name), main.build, lambda: None, log)
         await self.nursery.start(built.serve)
         self.nodes.append(built)
         return built
 
-    async def ready(self, index: int = 0) -> node.Node:
+    async def wait_ready(self, index: int = 0) -> node.Node:
         """Wait until a node is ready."""
         found = self.nodes[index]
-        await until(lambda: found.is_ready)
+        await wait_until(lambda: found.is_ready)
         return found
 
 
 def free_port() -> int:
-    """Return a UDP port that nobody has bound."""
+    """Return an unused UDP port."""
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
         port: int = sock.getsockname()[1]
     return port
 
 
-async def until(is_true: collections.abc.Callable[[], bool]) -> None:
-    """Wait for a condition."""
-    with trio.fail_after(WAIT_S):
+async def wait_until(is_true: collections.abc.Callable[[], bool]) -> None:
+    """Poll a condition until it is true; fail after ``WAIT_TIMEOUT_S``."""
+    with trio.fail_after(WAIT_TIMEOUT_S):
         while not is_true():
             await trio.sleep(0.01)
 
@@ -149,7 +149,7 @@
     nodes: int = 1,
     has_peers: bool = False,
 ) -> collections.abc.AsyncIterator[World]:
-    """Run a deployment; its nodes are ready."""
+    """Run a deployment; all nodes are ready when the context is entered."""
     logging.getLogger().setLevel(logging.INFO)
     async with trio.open_nursery() as nursery:
         rows = store.Store()
@@ -161,11 +161,11 @@
         for item in [*world.apps, *world.engines, *world.kv_stores]:
             await nursery.start(item.serve)
         world.configure(1)
-        world.list_all()
+        world.publish_entries()
         for number in range(nodes):
             await world.add_node(f"n{number + 1}")
         for number in range(nodes):
-            await world.ready(number)
+            await world.wait_ready(number)
         yield world
         nursery.cancel_scope.cancel()
 
@@ -177,7 +177,7 @@
     Attributes
     ----------
     number : int
-        Counts the requests, for their ids.
+        Number of requests sent; request ids are derived from it.
     """
 
     node: node.Node
@@ -187,7 +187,7 @@
     def call(
         self, method: str, target: str, body: bytes = b"", **headers: str
     ) -> http_client.Call:
-        """Build a request; underscores in names of fields stand for dashes."""
+        """Build a request; underscores in the names of headers become dashes."""
         self.number += 1
         fields = {
             "host": HOST,
@@ -204,15 +204,15 @@
     async def send(
         self, method: str, target: str, body: bytes = b"", **headers: str
     ) -> http_client.FullResponse | http_client.Lost:
-        """Send a request and read its whole answer."""
+        """Send a request and read the whole response."""
         found = await self.pool.fetch(self.call(method, target, body, **headers))
         assert isinstance(found, http_client.FullResponse | http_client.Lost), found
         return found
 
-    async def ask(
+    async def send_prompt(
         self, target: str, parts: str = "aa:200,bb:50", **headers: str
     ) -> http_client.FullResponse | http_client.Lost:
-        """Send a prompt."""
+        """Send a prompt to an engine."""
         return await self.send(
             "POST",
             target,
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -49,7 +49,9 @@
 
 async def zone_known(world: platform_world.World) -> None:
     """Wait until all nodes know each other and have polled once."""
-    await platform_world.until(lambda: all(n.members == NODES for n in world.nodes))
+    await platform_world.wait_until(
+        lambda: all(n.members == NODES for n in world.nodes)
+    )
     await trio.sleep(1.5)
 
 
@@ -82,8 +84,8 @@
                 full = await caller.send("GET", "/look/", authorization="Token other")
                 assert isinstance(full, http_client.FullResponse)
                 assert full.status == 200
-        assert not leaving.seen
-        assert len(stays.seen) == 2 * NODES
+        assert not leaving.executed
+        assert len(stays.executed) == 2 * NODES
 
 
 async def test_nodes_read_for_themselves_without_announcements() -> None:
@@ -108,7 +110,7 @@
             )
             assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
-        assert not leaving.seen
+        assert not leaving.executed
 
 
 async def test_announced_configuration_is_recent() -> None:
