--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -27,7 +27,7 @@
 
 
 def test_drained_zone_gets_no_requests() -> None:
-    """Guards against requests to a zone that operators have taken out of service."""
+    """Guards against requests to a zone that is out of service."""
     upstreams = relay_builders.upstreams(ENTRY("near"), ENTRY("far", zone="b"))
     request = relay_builders.request(100, 10)
     assert pick(upstreams, request) == "near"
