--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -40,6 +40,11 @@
     learned_at: float
     learned_times: dict[int, float] = dataclasses.field(default_factory=dict)
 
+    def bound_left_s(self, version: int, now: float, bound_s: float) -> float | None:
+        """Return how long an outdated version may still be used, in seconds."""
+        newer = [at for known, at in self.learned_times.items() if known > version]
+        return min(newer) + bound_s - now if newer else None
+
     def newest_learned_before(self, now: float, after_s: float) -> int:
         """Return the newest version known for longer than ``after_s``, or 0."""
         versions = (v for v, at in self.learned_times.items() if now - at > after_s)
@@ -235,6 +240,7 @@
             model=model,
             version=version,
             before=known.version if known is not None else None,
+            age_s=round(clock.now() - at, 2),
         )
 
     def apply_listings(
