Show requests on outdated weights past their bound in tests that fail

A restarted node whose read of the intents is answered after the list of upstreams, and a node that reads a version late, serve on outdated weights for the whole bound again. A request that queues at its engine begins there after the bound.

--- /dev/null
+++ b/tests/test_outdated_weights.py
@@ -0,0 +1,93 @@
+"""Tests of the bound on outdated weights, which runs from the acknowledgement."""
+
+import pytest
+import trio
+
+from snipelug_net import http_client
+from snipelug_relay import watch
+from tests import platform_world
+
+VERSION_S = 5.0
+"""Bound in these tests; shorter than in the deployments, to save time."""
+
+
+def name_version(world: platform_world.World, version: int) -> float:
+    """Name a weight version that no engine loads; return when it was named."""
+    for engine in world.engines:
+        engine.is_busy = True
+    content = {"model": platform_world.MODEL, "version": version}
+    world.store.put("op", f"version/{platform_world.MODEL}", content)
+    return trio.current_time()
+
+
+def configuration_version(world: platform_world.World) -> int:
+    known = world.nodes[0]._state.catalog
+    return known.version if known is not None else 0
+
+
+def runs(world: platform_world.World) -> int:
+    return sum(len(engine.executed) for engine in world.engines)
+
+
+async def ask(world: platform_world.World, index: int = 0) -> int:
+    """Send a prompt through a node; return the status of the response."""
+    full = await platform_world.Caller(world.nodes[index]).send_prompt("/ask/")
+    assert isinstance(full, http_client.FullResponse)
+    return full.status
+
+
+@pytest.mark.parametrize("late_table", ["op", "servers"])
+async def test_restart_does_not_start_the_bound_on_outdated_weights_anew(
+    late_table: str,
+) -> None:
+    """Guards against requests on outdated weights through a restarted node."""
+    async with platform_world.deployment(
+        apps=0, engines=1, version_s=VERSION_S
+    ) as world:
+        named_at = name_version(world, 2)
+        await trio.sleep_until(named_at + VERSION_S)
+        world.store.faults.late_reads[late_table] = 0.2
+        await world.add_node("n2")
+        await world.wait_ready(1)
+        assert await ask(world, 1) == 503
+        assert runs(world) == 0
+
+
+async def test_late_read_does_not_extend_the_bound_on_outdated_weights() -> None:
+    """Guards against a bound that runs from the end of an outage of the store."""
+    async with platform_world.deployment(
+        apps=0, engines=1, version_s=VERSION_S
+    ) as world:
+        world.store.faults.is_down = True
+        await trio.sleep(watch.INTENT_LONG_POLL_S)
+        named_at = name_version(world, 2)
+        await trio.sleep_until(named_at + VERSION_S)
+        world.store.faults.is_down = False
+        await platform_world.wait_until(
+            lambda: bool(world.nodes[0]._state.latest_versions())
+        )
+        assert await ask(world) == 503
+        assert runs(world) == 0
+
+
+@pytest.mark.parametrize("is_resumable", [False, True])
+async def test_queued_request_does_not_begin_on_weights_past_their_bound(
+    is_resumable: bool,
+) -> None:
+    """Guards against requests that wait at an engine until the bound has passed."""
+    async with platform_world.deployment(
+        apps=0, engines=1, version_s=VERSION_S
+    ) as world:
+        route = platform_world.route(
+            "ask", "/ask/", "streaming", "llm", resumable=is_resumable
+        )
+        world.configure(2, routes=[route | {"timeout_ms": 9000}])
+        await platform_world.wait_until(lambda: configuration_version(world) == 2)
+        (engine,) = world.engines
+        engine.queue_s = 4.5
+        named_at = name_version(world, 2)
+        await trio.sleep_until(named_at + 1.0)
+        caller = platform_world.Caller(world.nodes[0])
+        await caller.send_prompt("/ask/", request_deadline="9000")
+        await trio.sleep_until(named_at + 6.0)
+        assert [r.received_at - named_at for r in engine.executed] == []
