Count the bound on outdated weights from the naming at the platform's store

Callers' requests began on an older weight version up to 15.3 s after a newer one was acknowledged (bound 8 s): each node counted the bound from the time at which it learned of the version. A restarted node counted from its start whenever the list of upstreams arrived before the intents, and a node that read late, from that read.

The bound now runs from the latest time, on the store's clock, at which the table was known not to have the newer version: the clock in the last response without it, also if a reader announced that response. Such times stay true, so nodes merge them in any order (core/retirement). One of the nodes that were reading writes them to a row of the store; nodes that start or read late merge that row, and use no outdated weights before. core/store_clock bounds the store's clock from above, however late responses are, and replaces the pair of times that dated announcements.

The time of a naming was also used for the pace of rollouts and for reads of parts of outdated weights; both use the same history, so nothing is measured from a node's own learning.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -378,18 +378,15 @@
     return shared if sum(part.tokens for part in shared) >= MIN_STORED_TOKENS else ()
 
 
-def is_version_usable(
-    version: int, named_at: collections.abc.Mapping[int, float], now: float
-) -> bool:
+def is_version_usable(outdated_ms: float) -> bool:
     """Return whether parts of a weight version may be read and saved.
 
     Parameters
     ----------
-    named_at : mapping of int to float
-        When this node learned of each version, in seconds.
+    outdated_ms : float
+        Time since a newer version was named, in milliseconds.
     """
-    newer = [at for named, at in named_at.items() if named > version]
-    return not newer or now - min(newer) < OLD_VERSION_READ_S
+    return outdated_ms < 1e3 * OLD_VERSION_READ_S
 
 
 def outdated_parts(state: StoreState, now: float) -> collections.abc.Iterator[PartKey]:
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -16,6 +16,7 @@
     ports,
     record,
     relay,
+    retirements,
     state,
     stats,
     supervise,
@@ -122,6 +123,9 @@
             self._stats,
             self._announcer,
         )
+        self._retirements = retirements.RetirementSync(
+            cfg, self._state, platform.store, self._stats
+        )
         self._kv_stores = kv_stores.KvStorePoller(
             cfg, self._state, platform.machines, self._announcer
         )
@@ -185,6 +189,7 @@
                 "members": self._watch.run_members,
                 "announcements": self._announcer.run,
                 "weights": self._weights.run,
+                "retirements": self._retirements.run,
                 "kv_stores": self._kv_stores.run,
                 "settings": self._watch_settings,
                 "expiry": self._expire_upstreams,
@@ -242,6 +247,7 @@
     def _apply_intents(self) -> None:
         """Apply the operator's intents that concern this node itself."""
         self._weights.wake()
+        self._retirements.wake()
         known = self._state.catalog
         if known is None:
             return
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -4,7 +4,7 @@
 import dataclasses
 import typing
 
-from snipelug_core import catalog, choice, fleet, kv_index, refusal, rollout
+from snipelug_core import catalog, choice, fleet, kv_index, refusal, retirement, rollout
 from snipelug_net import http_client, http_server
 
 
@@ -296,10 +296,25 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class LeaseConflict:
+class Conflict:
     """Another node wrote the row first."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RetirementRow:
+    """A row with the times at which the weight versions of a model were named.
+
+    Attributes
+    ----------
+    row_version : int
+        Version of the row, 0 if it does not exist.
+    """
+
+    model: str
+    history: retirement.History
+    row_version: int
+
+
 class ControlStore(typing.Protocol):
     """The platform's store as used by the relay."""
 
@@ -341,10 +356,20 @@
 
     async def write_lease(
         self, lease: rollout.Lease, expected: int
-    ) -> LeaseWritten | LeaseConflict | Unavailable:
+    ) -> LeaseWritten | Conflict | Unavailable:
         """Write the lease if its row still has the expected version."""
         ...
 
+    async def read_retirements(self) -> Page[RetirementRow] | Unavailable:
+        """Read the times at which weight versions were named."""
+        ...
+
+    async def write_retirement(
+        self, row: RetirementRow
+    ) -> Conflict | Unavailable | None:
+        """Write the times of one model if its row still has the same version."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class Report:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -295,10 +295,9 @@
         }
         if version is not None:
             entry["version"] = version
-            named = self._state.named_versions.get(request.model)
-            if named is not None:
-                left_s = named.bound_left_s(version, now, self._cfg.bounds.version_s)
-                entry["version_left_s"] = left_s and round(left_s, 2)
+            retired_at = self._state.retired_at(request.model, version)
+            if not math.isinf(retired_at):
+                entry["version_left_s"] = round(retired_at - now, 2)
             entry["prefill"] = chosen.prefill_tokens
             shared = choice.shared_part(request.parts)
             entry["part"] = shared.id if shared is not None else None
--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/retirements.py
@@ -0,0 +1,140 @@
+"""Shares with other nodes when weight versions were named.
+
+A node that starts, or reads a version late, does not know when it was named. Nodes that
+were reading the operator's table at that time write it to the platform's store.
+"""
+
+import collections.abc
+import dataclasses
+import logging
+
+import trio
+
+from snipelug_core import retirement
+from snipelug_net import lines
+from snipelug_relay import clock, ports, state, stats, watch
+
+LOG = logging.getLogger("snipelug.retirements")
+
+RANK_DELAY_S = 0.35
+"""Delay per rank before a node compares the row with what it knows.
+
+The first nodes write; most of the others find the row written.
+"""
+
+RETRY_INTERVAL_S = 0.25
+"""Interval between reads while other nodes may still write what this node lacks."""
+
+MIN_GAIN_MS = 300.0
+"""Time by which a write must prolong the use of outdated versions."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Exchange:
+    """An exchange about the newest version of a model that is not complete.
+
+    Attributes
+    ----------
+    version : int
+        The newest version when the exchange began.
+    write_at, ends_at : float
+        Monotonic times from which this node may write, and at which it gives up.
+    """
+
+    version: int
+    write_at: float
+    ends_at: float
+
+
+class RetirementSync:
+    """Reads and writes the rows with the times of namings when a version is named."""
+
+    def __init__(
+        self,
+        cfg: ports.Settings,
+        node_state: state.State,
+        store: ports.ControlStore,
+        metrics: stats.Stats,
+    ) -> None:
+        self._cfg = cfg
+        self._state = node_state
+        self._store = store
+        self._stats = metrics
+        self._begun: dict[str, int] = {}
+        self._open: dict[str, Exchange] = {}
+        self._changed = trio.Event()
+
+    def wake(self) -> None:
+        """Begin an exchange for each model with a version that is new to this node."""
+        now = clock.now()
+        for model, version in self._state.latest_versions().items():
+            if self._begun.get(model) != version:
+                self._begun[model] = version
+                write_at = now + RANK_DELAY_S * self._state.rank("retirements")
+                ends_at = now + self._cfg.bounds.version_s
+                self._open[model] = Exchange(version, write_at, ends_at)
+                self._changed.set()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        call_status = watch.CallStatus("retirements", self._stats)
+        while True:
+            self._changed = trio.Event()
+            if not self._open:
+                await self._changed.wait()
+            elif any(self._due_at(model) <= clock.now() for model in self._open):
+                page = await self._read()
+                if await call_status.record(page) and isinstance(page, ports.Page):
+                    await self._exchange(page.items)
+            with trio.move_on_after(RETRY_INTERVAL_S if self._open else 0.0):
+                await self._changed.wait()
+            self._give_up_expired()
+
+    def _due_at(self, model: str) -> float:
+        """Return when to read the rows; at once if this node lacks information."""
+        known = self._state.named_versions[model]
+        return 0.0 if known.is_uncertain else self._open[model].write_at
+
+    def _give_up_expired(self) -> None:
+        now = clock.now()
+        self._open = {m: item for m, item in self._open.items() if now < item.ends_at}
+
+    async def _read(self) -> ports.Page[ports.RetirementRow] | ports.Unavailable:
+        sent_at = clock.now()
+        page = await self._store.read_retirements()
+        if isinstance(page, ports.Page):
+            self._state.store_clock.record(sent_at, clock.now(), page.clock_ms)
+        return page
+
+    async def _exchange(
+        self, rows: collections.abc.Iterable[ports.RetirementRow]
+    ) -> None:
+        """Merge the rows into the state, and write what this node knows better."""
+        found = {row.model: row for row in rows}
+        for model, row in found.items():
+            if model in self._state.named_versions:
+                self._state.merge_history(model, row.history)
+        for model, item in list(self._open.items()):
+            empty = ports.RetirementRow(model, retirement.History(), 0)
+            if await self._is_complete(item, found.get(model, empty)):
+                self._open.pop(model, None)
+
+    async def _is_complete(self, item: Exchange, row: ports.RetirementRow) -> bool:
+        """Write the row if needed; return whether the exchange is complete."""
+        known = self._state.named_versions[row.model]
+        if not known.improves(row.history, MIN_GAIN_MS):
+            return not known.is_uncertain
+        if clock.now() < item.write_at:
+            return False
+        merged = row.history.merge(known)
+        written = await self._store.write_retirement(
+            dataclasses.replace(row, history=merged)
+        )
+        lines.event(
+            LOG,
+            "retirement_written",
+            model=row.model,
+            version=known.version,
+            reason=getattr(written, "reason", None) or type(written).__name__,
+        )
+        return written is None and not known.is_uncertain
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -107,7 +107,6 @@
         engine = context.service.engine
         if engine is None:
             return choice.Request(work.service, self._cfg.zone, len(request.body))
-        named = self._state.named_versions.get(request.model)
         version = self._state.latest_version(request.model, work.service)
         fetch_s = {
             usable: self._state.index.transfer_times_s(
@@ -122,9 +121,7 @@
             request.model,
             request.parts,
             version,
-            named.newest_learned_before(now, self._old_version_limit_s())
-            if named is not None
-            else 0,
+            self._state.least_version(request.model, now, VERSION_MARGIN_S),
             fetch_s,
             request.output_tokens,
         )
@@ -140,17 +137,15 @@
         request = work.request
         versions = {newest}
         named = self._state.named_versions.get(request.model)
-        if named is not None and now - named.learned_at < kv_index.OLD_VERSION_READ_S:
+        if named is not None and self._state.may_use_stores(
+            request.model, named.version - 1, now
+        ):
             upstreams = self._state.fleet.of_service(work.service)
             versions |= {u.versions.get(request.model, newest) for u in upstreams}
         for version in versions if request.parts else ():
             if self._state.may_use_stores(request.model, version, now):
                 yield version
 
-    def _old_version_limit_s(self) -> float:
-        """Return the time after which outdated weights are not used, in seconds."""
-        return self._cfg.bounds.version_s - VERSION_MARGIN_S
-
     def salt(self, work: job.Job, version: int) -> str:
         """Return the cache salt for the parts of a request."""
         return kv_index.salt(work.request.model, version, work.team)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -1,12 +1,22 @@
 """State of a node: the operator's intents, upstreams, KV cache stores and members."""
 
 import collections.abc
-import dataclasses
 import logging
+import math
 
 import trio
 
-from snipelug_core import catalog, choice, fleet, hashing, kv_index, retry, watcher
+from snipelug_core import (
+    catalog,
+    choice,
+    fleet,
+    hashing,
+    kv_index,
+    retirement,
+    retry,
+    store_clock,
+    watcher,
+)
 from snipelug_net import lines
 from snipelug_relay import clock, ports
 
@@ -24,33 +34,6 @@
 """
 
 
-@dataclasses.dataclass
-class NamedVersion:
-    """The newest weight version of a model.
-
-    Attributes
-    ----------
-    learned_at : float
-        Monotonic time at which this node learned of it, in seconds.
-    learned_times : dict of int to float
-        Monotonic time at which this node learned of each version, in seconds.
-    """
-
-    version: int
-    learned_at: float
-    learned_times: dict[int, float] = dataclasses.field(default_factory=dict)
-
-    def bound_left_s(self, version: int, now: float, bound_s: float) -> float | None:
-        """Return how long an outdated version may still be used, in seconds."""
-        newer = [at for known, at in self.learned_times.items() if known > version]
-        return min(newer) + bound_s - now if newer else None
-
-    def newest_learned_before(self, now: float, after_s: float) -> int:
-        """Return the newest version known for longer than ``after_s``, or 0."""
-        versions = (v for v, at in self.learned_times.items() if now - at > after_s)
-        return max(versions, default=0)
-
-
 class State:
     """Shared state of the components of a node.
 
@@ -58,8 +41,14 @@
     ----------
     catalog : catalog.Catalog or None
         The configuration; None until the store has been read.
+    store_clock : store_clock.StoreClock
+        Bounds of the clock of the platform's store.
+    named_versions : dict of str to retirement.History
+        The named weight versions of each model.
+    intents_current_ms : float
+        Time on the store's clock at which the intents were last up to date.
     confirmed_at : float
-        Monotonic time at which the intents were last up to date, in seconds.
+        The same as a monotonic time, in seconds.
     upstream_list_known : bool
         Whether the list of upstreams has been read.
     configured_since : float or None
@@ -77,7 +66,9 @@
     def __init__(self, cfg: ports.Settings) -> None:
         self.cfg = cfg
         self.catalog: catalog.Catalog | None = None
-        self.named_versions: dict[str, NamedVersion] = {}
+        self.store_clock = store_clock.StoreClock()
+        self.named_versions: dict[str, retirement.History] = {}
+        self.intents_current_ms = -math.inf
         self.zones_out: frozenset[str] = frozenset()
         self.fleet = fleet.Fleet()
         self.index = kv_index.Index()
@@ -137,9 +128,46 @@
         """Return whether parts of a weight version may be read from KV cache stores."""
         named = self.named_versions.get(model)
         return named is None or kv_index.is_version_usable(
-            version, named.learned_times, now
+            named.outdated_ms(version, self.store_clock.latest_ms(now))
         )
 
+    def least_version(self, model: str, now: float, margin_s: float) -> int:
+        """Return the oldest weight version of a model that may still be used.
+
+        Parameters
+        ----------
+        margin_s : float
+            Time before the end of the deployment's bound, in seconds.
+        """
+        named = self.named_versions.get(model)
+        if named is None:
+            return 0
+        return named.least_usable(
+            self.store_clock.latest_ms(now),
+            1e3 * (self.cfg.bounds.version_s - margin_s),
+        )
+
+    def retired_at(self, model: str, version: int) -> float:
+        """Return the monotonic time from which a version must not be used any more."""
+        named = self.named_versions.get(model)
+        if named is None or version >= named.version:
+            return math.inf
+        last_ms = named.last_current_ms(version) + 1e3 * self.cfg.bounds.version_s
+        return self.store_clock.earliest_at(last_ms)
+
+    def merge_history(self, model: str, other: retirement.History) -> None:
+        """Add what another node knows about the times of a model's versions."""
+        known = self.named_versions.get(model, retirement.History())
+        merged = known.merge(other)
+        if merged != known:
+            self.named_versions[model] = merged
+            self._log_named(model, known, "node")
+
+    def rank(self, purpose: str) -> int:
+        """Return this node's rank; all nodes compute the same ranking."""
+        ids = {member.node_id for member in self.members} | {self.cfg.node_id}
+        return hashing.rank(purpose, ids).index(self.cfg.node_id)
+
     def assumed_cached_tokens(self, upstream: fleet.Upstream) -> float:
         """Return how many tokens an engine is assumed to keep cached."""
         known = self.catalog
@@ -174,15 +202,15 @@
     def apply_intents(
         self,
         items: collections.abc.Iterable[ports.Intent],
-        read_at: float,
+        clock_ms: float,
         is_whole: bool,
     ) -> None:
         """Apply the operator's intents.
 
         Parameters
         ----------
-        read_at : float
-            Latest time at which the items are known to be up to date, in seconds.
+        clock_ms : float
+            Time on the store's clock at which the items were up to date.
         is_whole : bool
             Whether the items are the whole table rather than changes.
         """
@@ -202,10 +230,14 @@
         if zones != self.zones_out:
             self.zones_out = frozenset(zones)
             lines.event(LOG, "zones_out", zones=sorted(zones))
-        self.confirm(read_at)
-
-    def confirm(self, at: float) -> None:
-        """Record that the operator's intents were up to date at a time."""
+        self.confirm(clock_ms)
+
+    def confirm(self, clock_ms: float) -> None:
+        """Record that the operator's intents were up to date at a time of the store."""
+        # A malformed announcement must not date the intents into the future.
+        clock_ms = min(clock_ms, self.store_clock.latest_ms(clock.now()))
+        self.intents_current_ms = max(self.intents_current_ms, clock_ms)
+        at = self.store_clock.earliest_at(clock_ms)
         self.confirmed_at = max(self.confirmed_at, at)
 
     def _apply_catalog(self, new: catalog.Catalog) -> None:
@@ -226,21 +258,27 @@
             self.configured_since = clock.now()
 
     def _apply_version(self, model: str, version: int) -> None:
-        known = self.named_versions.get(model)
-        if known is not None and version <= known.version:
+        known = self.named_versions.get(model, retirement.History())
+        if version <= known.version:
             return
-        # Versions named before this node started do not count as new.
-        at = clock.now() if self.upstream_list_known else -1e9
-        times = dict(known.learned_times) if known is not None else {}
-        times[version] = at
-        self.named_versions[model] = NamedVersion(version, at, times)
+        now_ms = self.store_clock.latest_ms(clock.now())
+        self.named_versions[model] = known.observe(
+            version, self.intents_current_ms, now_ms
+        )
+        self._log_named(model, known, "operator")
+
+    def _log_named(self, model: str, before: retirement.History, source: str) -> None:
+        named = self.named_versions[model]
+        now_ms = self.store_clock.latest_ms(clock.now())
+        bound_age_ms = now_ms - named.last_current_ms(named.version - 1)
         lines.event(
             LOG,
             "weights_named",
             model=model,
-            version=version,
-            before=known.version if known is not None else None,
-            age_s=round(clock.now() - at, 2),
+            version=named.version,
+            before=before.version or None,
+            source=source,
+            age_s=None if math.isinf(bound_age_ms) else round(bound_age_ms / 1e3, 2),
         )
 
     def apply_listings(
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -163,7 +163,6 @@
         self._announcer = announcer
         self._intents_cursor = TableCursor()
         self._list_cursor = TableCursor()
-        self._clock: tuple[float, float] | None = None
         announcer.set_handler(messages.IntentsRead, self._on_intents_read)
         announcer.set_handler(messages.ListRead, self._on_list_read)
         self._cfg = cfg
@@ -197,11 +196,9 @@
     def _apply_intents(
         self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
     ) -> None:
+        self._state.store_clock.record(sent_at, clock.now(), page.clock_ms)
         # A partition can delay the response, so its data is as old as the call.
-        self._state.apply_intents(page.items, sent_at, is_whole=since is None)
-        # A long poll delays the response, so only other calls bound the store's clock.
-        if since is None or not self._state.is_reader:
-            self._clock = (sent_at, page.clock_ms)
+        self._state.apply_intents(page.items, page.clock_ms, is_whole=since is None)
         self._intents_cursor.advance(page.position)
         if since is not None and self._state.is_reader:
             self._announcer.send_to_zone(
@@ -214,14 +211,12 @@
     def _on_intents_read(self, message: messages.IntentsRead) -> None:
         """Apply a reader's announcement on the operator's table."""
         position = self._intents_cursor.position
-        if position is None or self._clock is None or message.position < position:
+        if position is None or message.position < position:
             return
         if message.since > position or message.has_changes:
             self._intents_cursor.request_read()
             return
-        sent_at, clock_ms = self._clock
-        confirmed_at = sent_at + (message.clock_ms - clock_ms) / 1e3
-        self._state.confirm(min(clock.now(), confirmed_at))
+        self._state.confirm(message.clock_ms)
         self._intents_cursor.advance(message.position)
 
     async def run_upstreams(self) -> None:
@@ -328,10 +323,12 @@
         written_at = -1e9
         demand = DemandMeter(clock.now())
         while True:
+            sent_at = clock.now()
             page = await self._store.read_members()
             if not (await call_status.record(page) and isinstance(page, ports.Page)):
                 continue
             now = clock.now()
+            self._state.store_clock.record(sent_at, now, page.clock_ms)
             if now - written_at >= MEMBER_WRITE_INTERVAL_S - 1.0:
                 member = ports.Member(
                     self._cfg.node_id,
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from snipelug_core import catalog, fleet, hashing, rollout
+from snipelug_core import catalog, fleet, rollout
 from snipelug_net import lines
 from snipelug_relay import announce, clock, ports, state, stats
 
@@ -91,7 +91,7 @@
             now = clock.now()
             if self._needed_since is None:
                 self._needed_since = now
-                self._wait_until = now + RANK_DELAY_S * self._rank()
+                self._wait_until = now + RANK_DELAY_S * self._state.rank("weights")
             if self._lease_remaining_ms() > 0:
                 self._renew_soon(nursery)
                 await self._send_orders(nursery)
@@ -114,12 +114,6 @@
             for group in self._engines()
         )
 
-    def _rank(self) -> int:
-        """Return this node's rank; all nodes compute the same ranking."""
-        ids = {member.node_id for member in self._state.members}
-        ids.add(self._cfg.node_id)
-        return hashing.rank("weights", ids).index(self._cfg.node_id)
-
     def _lease_remaining_ms(self) -> float:
         """Return the remaining time of this node's lease, in milliseconds."""
         held = self._held
@@ -177,7 +171,7 @@
                 response, "reason", "another node wrote the lease row first"
             )
             lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
-            if isinstance(response, ports.LeaseConflict):
+            if isinstance(response, ports.Conflict):
                 self._held = None
             return False
         if fencing is None:
@@ -206,8 +200,9 @@
 
     def _latest_version_age_s(self) -> float:
         """Return the time since the latest version was named, in seconds."""
+        now_ms = self._state.store_clock.latest_ms(clock.now())
         named = self._state.named_versions.values()
-        return clock.now() - max(item.learned_at for item in named)
+        return min(item.outdated_ms(item.version - 1, now_ms) for item in named) / 1e3
 
     async def _refresh_report(self, upstream: fleet.Upstream) -> ports.Report | None:
         report = await self._machines.report(upstream.entry.addr)
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -98,7 +98,7 @@
     introduce(first_state, second_state)
     engines = catalog.Service("engines", engine=relay_builders.ENGINE)
     known = [catalog.Catalog(1, (), (engines,))]
-    second_state.apply_intents(known, clock.now(), is_whole=True)
+    second_state.apply_intents(known, 0.0, is_whole=True)
     second_state.fleet.put(relay_builders.entry("near", zone="b"), clock.now())
     nursery.start_soon(first.run)
     nursery.start_soon(second.run)
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -5,13 +5,14 @@
 
 import collections
 import dataclasses
+import math
 
 import hypothesis
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from snipelug_core import catalog, choice, kv_index
+from snipelug_core import catalog, choice, kv_index, retirement
 from tests import relay_builders
 
 PARTS = (choice.PromptPart("shared", 12_800), choice.PromptPart("own", 4_000))
@@ -137,7 +138,10 @@
 
     index: kv_index.Index
     newest_version: int = 1
-    named_at: dict[int, float] = dataclasses.field(default_factory=dict)
+    named: retirement.History = dataclasses.field(
+        default_factory=lambda: retirement.History().observe(1, -math.inf, 0.0)
+    )
+    current_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -211,7 +215,8 @@
         """Learn the newest weight version requested by the operator."""
         node = self.nodes[number]
         node.newest_version = self.version
-        node.named_at.setdefault(self.version, self.now)
+        node.named = node.named.observe(self.version, node.current_ms, 1e3 * self.now)
+        node.current_ms = 1e3 * self.now
 
     @stateful.rule(
         number=st.integers(0, 2), is_old=st.booleans(), part=st.sampled_from(SHARED)
@@ -223,7 +228,8 @@
         """
         node = self.nodes[number]
         version = max(1, node.newest_version - is_old)
-        if not kv_index.is_version_usable(version, node.named_at, self.now):
+        outdated_ms = node.named.outdated_ms(version, 1e3 * self.now)
+        if not kv_index.is_version_usable(outdated_ms):
             return
         salt = kv_index.salt("m", version, None)
         parts = (choice.PromptPart(part, 12_800), choice.PromptPart("own", 4_000))
--- a/tests/test_outdated_weights.py
+++ b/tests/test_outdated_weights.py
@@ -53,6 +53,21 @@
         assert runs(world) == 0
 
 
+async def test_restarted_node_uses_outdated_weights_until_their_bound() -> None:
+    """Guards against refusals by nodes that start while engines load new weights."""
+    async with platform_world.deployment(apps=0, engines=1) as world:
+        named_at = name_version(world, 2)
+        await platform_world.wait_until(
+            lambda: world.store.content("retirements", platform_world.MODEL) is not None
+        )
+        await world.add_node("n2")
+        await world.wait_ready(1)
+        await trio.sleep_until(named_at + 3.0)
+        assert [await ask(world, index) for index in (0, 1)] == [200, 200]
+        await trio.sleep_until(named_at + world.version_s)
+        assert [await ask(world, index) for index in (0, 1)] == [503, 503]
+
+
 async def test_late_read_does_not_extend_the_bound_on_outdated_weights() -> None:
     """Guards against a bound that runs from the end of an outage of the store."""
     async with platform_world.deployment(
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -9,7 +9,7 @@
 from snipelug_core import kv_index
 from snipelug_net import http_client
 from snipelug_platform_standin import server
-from snipelug_relay import clock, node, state, weights
+from snipelug_relay import clock, node, weights
 from tests import platform_world
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
@@ -443,16 +443,6 @@
         assert all(item.models["m"] == 3 for item in world.engines)
 
 
-def test_outdated_weights_expire_by_the_oldest_newer_version() -> None:
-    """Guards against a time bound that restarts with each newly named version."""
-    named = state.NamedVersion(3, 17.0, {1: -1e9, 2: 15.0, 3: 17.0})
-    assert [named.newest_learned_before(at, 7.0) for at in (21.9, 22.1, 24.1)] == [
-        1,
-        2,
-        3,
-    ]
-
-
 async def test_shared_part_is_saved_then_fetched() -> None:
     """Guards against repeated prefill of shared parts and against wrong salts."""
     async with platform_world.deployment(apps=0, engines=1) as world:
