Abort requests that an engine has not begun before its weights are retired

A request that was sent in time on outdated weights could queue at its engine and begin there after the bound: the attempt ran until its own timeout. An attempt now ends 0.25 s before the bound if the engine has not sent a first event, and goes on at another engine where the route allows it. Attempts that were sent before the newer version was named are limited when it is named, and the check right before the first byte includes the bound.

The margin for the choice was 2 s to allow for that queue.

Evidence: test_queued_request_does_not_begin_on_weights_past_their_bound failed for routes that may be resumed and those that may not.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -246,6 +246,7 @@
 
     def _apply_intents(self) -> None:
         """Apply the operator's intents that concern this node itself."""
+        self._relay.apply_versions()
         self._weights.wake()
         self._retirements.wake()
         known = self._state.catalog
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -1,6 +1,7 @@
 """Relays callers' requests to upstreams: selection, attempts, retries and streams."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import functools
 import logging
@@ -65,6 +66,13 @@
 The longer one applies to engines, which reject requests while they load weights.
 """
 
+BEGIN_MARGIN_S = 0.25
+"""Margin before the bound on outdated weights at which a queued request is aborted.
+
+An engine drops a request when its connection closes, which takes a round trip and the
+engine's current step.
+"""
+
 WAITED = (attempt.Result.ANSWERED, attempt.Result.LOST)
 """Results that show how long a prompt has waited at least."""
 
@@ -72,6 +80,32 @@
 SERVER_ERROR = 500
 
 
+@dataclasses.dataclass(eq=False)
+class Beginning:
+    """An attempt of which it is not known that the engine has begun it.
+
+    Attributes
+    ----------
+    timeout_at : float
+        Monotonic time at which the attempt ends in any case, in seconds.
+    """
+
+    model: str
+    version: int
+    timeout_at: float
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
+
+    @property
+    def is_cut_short(self) -> bool:
+        """Whether the attempt was aborted before its timeout."""
+        return self.scope.cancelled_caught and clock.now() < self.timeout_at
+
+    def limit(self, retired_at: float) -> None:
+        """Abort the attempt before a weight version must not be used any more."""
+        ends_at = min(self.timeout_at, retired_at - BEGIN_MARGIN_S)
+        self.scope.deadline = trio.current_time() + ends_at - clock.now()
+
+
 class Relay:
     """Relays requests from callers to upstreams.
 
@@ -100,6 +134,7 @@
         self._stats = metrics
         self._budgets: dict[str, retry.Budget] = {}
         self._selector = selection.Selector(cfg, node_state)
+        self._beginning: set[Beginning] = set()
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -224,7 +259,7 @@
         outcome = job.Outcome(attempt.Result.LOST, "no response in time")
         is_kept = False
         try:
-            with trio.move_on_after(self._attempt_timeout_s(work, chosen)):
+            with self._limit_beginning(work, chosen) as beginning:
                 sent = await self._pool.send(call, self._pre_send_check(work, chosen))
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
@@ -234,6 +269,8 @@
                     )
                 else:
                     outcome = _send_failure(sent)
+            if beginning.is_cut_short:
+                outcome.reason = "not begun before its weights had to be retired"
             is_kept = outcome.reply is not None
         finally:
             if not is_kept:
@@ -252,6 +289,28 @@
         self._update_upstream(chosen.upstream, outcome)
         return outcome
 
+    @contextlib.contextmanager
+    def _limit_beginning(
+        self, work: job.Job, chosen: choice.Choice
+    ) -> collections.abc.Iterator[Beginning]:
+        """End an attempt at its timeout, or before its weights are retired."""
+        model = work.request.model
+        version = chosen.upstream.versions.get(model, 0)
+        timeout_at = clock.now() + self._attempt_timeout_s(work, chosen)
+        beginning = Beginning(model, version, timeout_at)
+        beginning.limit(self._state.retired_at(model, version))
+        self._beginning.add(beginning)
+        try:
+            with beginning.scope:
+                yield beginning
+        finally:
+            self._beginning.discard(beginning)
+
+    def apply_versions(self) -> None:
+        """Limit the attempts whose weights are outdated by now."""
+        for item in self._beginning:
+            item.limit(self._state.retired_at(item.model, item.version))
+
     def _prepare(
         self,
         work: job.Job,
@@ -327,6 +386,8 @@
     ) -> http_client.PreSendCheck:
         """Return the check to run immediately before the first byte is sent."""
         entry = chosen.upstream.entry
+        model = work.request.model
+        version = chosen.upstream.versions.get(model, 0)
 
         def is_still_usable(_opened_at: float) -> bool:
             known = self._state.fleet.upstreams.get(entry.id)
@@ -335,6 +396,8 @@
                 and not known.entry.is_leaving
                 and entry.zone not in self._state.zones_out
                 and clock.now() < work.deadline
+                and clock.now() + BEGIN_MARGIN_S
+                < self._state.retired_at(model, version)
             )
 
         return is_still_usable
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -8,11 +8,11 @@
 from snipelug_core import choice, kv_index, overload, refusal
 from snipelug_relay import clock, job, ports, state
 
-VERSION_MARGIN_S = 2.0
-"""Margin before the deployment's bound at which outdated weights are no longer used.
+VERSION_MARGIN_S = 1.0
+"""Margin before the deployment's bound at which outdated weights are no longer chosen.
 
-The bound applies to the moment at which an engine starts a request, and requests
-queue there for up to 1.3 s when many engines load weights.
+The bound applies to the moment at which an engine starts a request. One that queues
+there for longer is aborted before the bound.
 """
 
 WAIT_FRACTION = 0.25
