Send nothing new to an upstream that states in a response that it leaves

Upstreams that leave state it in all their responses. The list may call them ready for a while, or never report them as draining, so callers' requests reached upstreams that were about to exit.

The relay reads the statement when the head of any response arrives, also of errors, rejections and engines' reports. It is kept for the process (id and start) that made it, so neither a list that still says ready nor an entry that vanishes and returns unchanged undoes it; a new start under the same id is used again. The check before the first byte and resumed streams apply it, and other nodes learn of it by datagram (tag 7). The header is not passed to callers.

Evidence: on the code before, test_upstream_notices test_upstream_that_states_that_it_leaves_gets_nothing_new failed for success, error and rejection: the leaving upstream went on receiving requests. The other tests there failed as the statement did not exist.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -222,7 +222,7 @@
     """Yield the upstreams to which the request may be sent now."""
     for upstream in upstreams:
         entry = upstream.entry
-        if entry.is_leaving or entry.zone in context.zones_out or entry.id in tried:
+        if upstream.is_leaving or entry.zone in context.zones_out or entry.id in tried:
             continue
         if now < upstream.blocked_until or now < upstream.switching_until:
             continue
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -29,6 +29,9 @@
 MEAN_LOAD_MAX_AGE_S = 3.0
 """Age at which the average is no longer used."""
 
+MAX_NOTICES = 4096
+"""Maximum number of processes whose notices are remembered after they are unlisted."""
+
 FAILURE_WEIGHT = 0.2
 """Weight of the latest outcome in the failure rate."""
 
@@ -131,6 +134,19 @@
     expires_at: float
 
 
+@dataclasses.dataclass
+class Notice:
+    """What one process of an upstream stated about itself in its responses.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether it is leaving. The statement is never withdrawn.
+    """
+
+    is_leaving: bool = False
+
+
 @dataclasses.dataclass
 class Upstream:
     """One upstream and what this node knows about it.
@@ -143,6 +159,8 @@
         Prompt tokens of this node's requests that have not received a first event.
     reserved_tokens : int
         Prompt and maximum output tokens of this node's requests.
+    notice : Notice
+        Its own statements; they outlast a removal from the list.
     silent_since : float or None
         Since when a request has waited without any response, in seconds.
     failure_rate : float
@@ -159,6 +177,7 @@
     """
 
     entry: Entry
+    notice: Notice = dataclasses.field(default_factory=Notice)
     cold_until: float = 0.0
     cold_start_budget: float = 0.0
     cold_start_refilled_at: float = 0.0
@@ -181,6 +200,11 @@
         default_factory=dict
     )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the list or the upstream itself states that it is leaving."""
+        return self.entry.is_leaving or self.notice.is_leaving
+
     def announced_tokens(self, now: float) -> int:
         """Return the prompt tokens of other nodes that await prefill."""
         for key in [k for k, item in self.announced.items() if item.expires_at <= now]:
@@ -264,6 +288,9 @@
         self._wait_models: dict[str, queueing.WaitModel] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._removal_due: dict[str, float] = {}
+        self._notices: collections.OrderedDict[tuple[str, int], Notice] = (
+            collections.OrderedDict()
+        )
 
     def of_service(self, name: str) -> list[Upstream]:
         """Return the upstreams of a service."""
@@ -289,20 +316,48 @@
         was_missing = self._removal_due.pop(entry.id, None) is not None
         known = self.upstreams.get(entry.id)
         if known is None or known.entry.born != entry.born:
-            known = Upstream(entry, versions=dict(entry.versions))
+            notice = self._notices.get((entry.id, entry.born), Notice())
+            known = Upstream(entry, notice, versions=dict(entry.versions))
             known.cold_until = now + entry.cold_s
             self.upstreams[entry.id] = known
             self._rebuild_index()
             return Change(entry.id, "listed")
+        was_leaving = known.is_leaving
         before, known.entry = known.entry, entry
         known.cold_until = now + entry.cold_s if entry.cold_s > 0 else 0.0
         for model, version in entry.versions.items():
             if before.versions.get(model) != version:
                 known.set_version(model, version)
-        if (before.service, before.is_leaving) == (entry.service, entry.is_leaving):
+        if (before.service, was_leaving) == (entry.service, known.is_leaving):
             return Change(entry.id, "back") if was_missing else None
         self._rebuild_index()
-        return Change(entry.id, "leaving" if entry.is_leaving else "ready")
+        return Change(entry.id, "leaving" if known.is_leaving else "ready")
+
+    def record_leaving(self, upstream: Upstream) -> bool:
+        """Record that an upstream stated that it leaves; return whether this is new.
+
+        The statement concerns one process: it holds while the list still states that
+        the upstream is ready, and if the entry vanishes and returns unchanged.
+        """
+        notice = self._remembered_notice(upstream)
+        if notice.is_leaving:
+            return False
+        notice.is_leaving = True
+        self._rebuild_index()
+        return True
+
+    def _remembered_notice(self, upstream: Upstream) -> Notice:
+        """Return the notice of an upstream's process, which is now remembered."""
+        key = upstream.entry.id, upstream.entry.born
+        notice = self._notices.setdefault(key, upstream.notice)
+        self._notices.move_to_end(key)
+        if len(self._notices) > MAX_NOTICES:
+            self._notices.popitem(last=False)
+        listed = self.upstreams.get(upstream.entry.id)
+        for item in (upstream, listed):
+            if item is not None and item.entry.born == upstream.entry.born:
+                item.notice = notice
+        return notice
 
     def differs(self, entry: Entry) -> bool:
         """Return whether an entry is new, changed or back after it was missing."""
@@ -342,6 +397,6 @@
     def _rebuild_index(self) -> None:
         self._by_service = {}
         for upstream in self.upstreams.values():
-            if not upstream.entry.is_leaving:
+            if not upstream.is_leaving:
                 name = upstream.entry.service
                 self._by_service.setdefault(name, []).append(upstream)
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -112,7 +112,7 @@
 ) -> collections.abc.Iterator[tuple[fleet.Upstream, str, int]]:
     """Yield the upstreams with outdated weights, with model and newest version."""
     for upstream in upstreams:
-        if upstream.entry.is_leaving:
+        if upstream.is_leaving:
             continue
         for model, version in upstream.versions.items():
             if version < newest.get(model, 0):
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -118,6 +118,16 @@
         """Announce the weight version that an engine now serves."""
         self._send(messages.Serving(upstream_id, model, version))
 
+    def record_leaving(self, upstream: fleet.Upstream, reason: str) -> None:
+        """Exclude an upstream that stated that it leaves, on this node and all others.
+
+        The list may state that it is ready until it has left, or never report it.
+        """
+        if not self._state.fleet.record_leaving(upstream):
+            return
+        _log_leaving(upstream, reason)
+        self._send(messages.Leaving(upstream.entry.id, upstream.entry.born))
+
     def close(self) -> None:
         """Stop sending and receiving."""
         self._sock = None
@@ -182,7 +192,8 @@
             handler(message)
             return
         if not isinstance(
-            message, messages.Prefill | messages.Switching | messages.Serving
+            message,
+            messages.Prefill | messages.Switching | messages.Serving | messages.Leaving,
         ):
             return
         upstream = self._state.fleet.upstreams.get(message.upstream_id)
@@ -208,3 +219,18 @@
             case messages.Serving(_, model, version):
                 upstream.set_version(model, version)
                 upstream.switching_until = 0.0
+            case messages.Leaving(_, born) if born == upstream.entry.born:
+                if self._state.fleet.record_leaving(upstream):
+                    _log_leaving(upstream, f"announced by the node at {sender}")
+
+
+def _log_leaving(upstream: fleet.Upstream, reason: str) -> None:
+    lines.event(
+        LOG,
+        "upstream_leaving",
+        upstream=upstream.entry.id,
+        service=upstream.entry.service,
+        zone=upstream.entry.zone,
+        born=upstream.entry.born,
+        reason=reason,
+    )
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -116,4 +116,19 @@
     kv_stores: list[KvStoreRead]
 
 
-Message = Prefill | Switching | Serving | IntentsRead | ListRead | KvStoresRead
+class Leaving(msgspec.Struct, array_like=True, tag=7):
+    """An upstream stated in a response that it is leaving.
+
+    Attributes
+    ----------
+    born : int
+        Start of the process that stated it, in Unix milliseconds.
+    """
+
+    upstream_id: str
+    born: int
+
+
+Message = (
+    Prefill | Switching | Serving | IntentsRead | ListRead | KvStoresRead | Leaving
+)
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -127,6 +127,8 @@
         Weight version that serves the request.
     cold_s : float or None
         Remaining cold start time of the upstream, in seconds.
+    is_leaving : bool
+        Whether the upstream states that it is leaving.
     """
 
     is_turned_away: bool
@@ -135,6 +137,7 @@
     load: tuple[int, int, int] | None = None
     version: int | None = None
     cold_s: float | None = None
+    is_leaving: bool = False
 
 
 class Dialect(typing.Protocol):
@@ -358,12 +361,15 @@
         Whether it is carrying out an order.
     waiting : int
         Number of requests that it has not started.
+    is_leaving : bool
+        Whether it states that it is leaving.
     """
 
     versions: dict[str, int]
     orders: int
     is_busy: bool
     waiting: int = 0
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -329,7 +329,7 @@
             known = self._state.fleet.upstreams.get(entry.id)
             return (
                 known is chosen.upstream
-                and not known.entry.is_leaving
+                and not known.is_leaving
                 and entry.zone not in self._state.zones_out
                 and clock.now() < work.deadline
             )
@@ -425,6 +425,10 @@
     ) -> None:
         upstream = upstream_attempt.upstream
         now = clock.now()
+        if response_head.is_leaving:
+            self._announcer.record_leaving(
+                upstream, "the upstream states it in a response to a request"
+            )
         if response_head.load is not None:
             running, waiting, _ = response_head.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -213,6 +213,8 @@
         report = await self._machines.report(upstream.entry.addr)
         if isinstance(report, ports.Unavailable):
             return None
+        if report.is_leaving:
+            self._announcer.record_leaving(upstream, "the engine's report states it")
         for model, version in report.versions.items():
             if upstream.versions.get(model) != version:
                 upstream.set_version(model, version)
--- /dev/null
+++ b/tests/test_upstream_notices.py
@@ -0,0 +1,178 @@
+"""Tests of what upstreams state about themselves in their responses."""
+
+import collections.abc
+
+import pytest
+import trio
+
+from snipelug_core import fleet
+from snipelug_net import http_client
+from snipelug_platform import dialect
+from snipelug_platform_standin import server
+from tests import platform_world, relay_builders
+
+LEAVING_STATES = [
+    pytest.param(server.Faults(leaves=True), id="success"),
+    pytest.param(server.Faults(leaves=True, fails=1), id="error"),
+    pytest.param(server.Faults(leaves=True, turns_away=1), id="rejection"),
+]
+
+
+def received(item: server.Server) -> int:
+    """Return the number of requests that reached an upstream."""
+    return len(item.executed) + len(item.turned_away)
+
+
+async def send_until(
+    caller: platform_world.Caller, is_true: collections.abc.Callable[[], bool]
+) -> None:
+    """Send requests of an idempotent route until a condition is true."""
+    with trio.fail_after(platform_world.WAIT_TIMEOUT_S):
+        while not is_true():
+            await caller.send("GET", "/look/x")
+
+
+@pytest.mark.parametrize("faults", LEAVING_STATES)
+async def test_upstream_that_states_that_it_leaves_gets_nothing_new(
+    faults: server.Faults,
+) -> None:
+    """Guards against requests to a leaving upstream that the list calls ready."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        leaving, other = world.apps
+        leaving.faults = faults
+        await send_until(caller, lambda: received(leaving) > 0)
+        # The upstream writes its entry again, which states that it is ready.
+        world.publish_entries()
+        await trio.sleep(1.2)
+        for _ in range(20):
+            full = await caller.send("GET", "/look/x")
+            assert isinstance(full, http_client.FullResponse)
+            assert full.status == 200
+            assert "server-leaving" not in full.headers
+        assert received(leaving) == 1
+        assert len(other.executed) >= 20
+
+
+async def test_request_that_waits_for_a_connection_is_withheld() -> None:
+    """Guards against a request that was assigned before the upstream left."""
+    async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
+        node = world.nodes[0]
+        caller = platform_world.Caller(node)
+        (app,) = world.apps
+        upstream = node._state.fleet.upstreams[app.id]
+        acquire = node._relay._pool._acquire
+
+        async def acquire_late(addr: http_client.Address, max_idle_s: float) -> object:
+            found = await acquire(addr, max_idle_s)
+            node._state.fleet.record_leaving(upstream)
+            return found
+
+        node._relay._pool._acquire = acquire_late  # type: ignore[method-assign,assignment]
+        full = await caller.send("GET", "/look/x")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 503
+        assert received(app) == 0
+
+
+async def test_broken_stream_is_not_resumed_at_a_leaving_upstream() -> None:
+    """Guards against a resumed stream at an upstream that stated that it leaves."""
+    async with platform_world.deployment(apps=0, engines=3, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        leaving = world.engines[0]
+        registry = world.nodes[0]._state.fleet
+        registry.record_leaving(registry.upstreams[leaving.id])
+        for engine in world.engines[1:]:
+            engine.faults.breaks_after = 1
+        for _ in range(4):
+            await caller.send_prompt("/check/")
+        assert received(leaving) == 0
+
+
+async def test_other_nodes_learn_that_an_upstream_leaves() -> None:
+    """Guards against a leaving upstream that gets a request from each other node."""
+    async with platform_world.deployment(
+        engines=0, kv_stores=0, nodes=2, has_peers=True
+    ) as world:
+        await platform_world.wait_until(
+            lambda: all(len(one._state.members) == 2 for one in world.nodes)
+        )
+        leaving = world.apps[0]
+        leaving.faults.leaves = True
+        await send_until(
+            platform_world.Caller(world.nodes[0]), lambda: received(leaving) > 0
+        )
+        upstreams = world.nodes[1]._state.fleet.upstreams
+        await platform_world.wait_until(lambda: upstreams[leaving.id].is_leaving)
+
+
+async def test_report_of_an_engine_states_that_it_leaves() -> None:
+    """Guards against requests to an engine whose report stated that it leaves."""
+    async with platform_world.deployment(apps=0, engines=1, kv_stores=0) as world:
+        (engine,) = world.engines
+        engine.faults.leaves = True
+        upstream = world.nodes[0]._state.fleet.upstreams[engine.id]
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        await platform_world.wait_until(lambda: upstream.is_leaving)
+        assert received(engine) == 0
+
+
+HEADERS = [({"server-leaving": "1"}, True), ({"server-leaving": "0"}, False)]
+
+
+@pytest.mark.parametrize(("headers", "expected"), [*HEADERS, ({}, False)])
+def test_leaving_header(headers: dict[str, str], expected: bool) -> None:
+    """Guards against a malformed header that excludes an upstream for good."""
+    assert dialect.is_leaving(headers) is expected
+
+
+ENTRY = relay_builders.entry("u1", born=1)
+LISTINGS = [
+    # Entries after the statement, None for a removal; whether it still leaves.
+    pytest.param([ENTRY], True, id="ready_again"),
+    pytest.param([None, ENTRY], True, id="back_unchanged"),
+    pytest.param([relay_builders.entry("u1", born=1, slots=9)], True, id="changed"),
+    pytest.param([relay_builders.entry("u1", born=2)], False, id="restarted"),
+    pytest.param(
+        [None, relay_builders.entry("u1", born=2)], False, id="back_as_new_process"
+    ),
+]
+
+
+@pytest.mark.parametrize(("entries", "still_leaves"), LISTINGS)
+def test_list_does_not_undo_what_an_upstream_stated(
+    entries: list[fleet.Entry | None], still_leaves: bool
+) -> None:
+    """Guards against a stale list that makes a leaving upstream usable again."""
+    registry = fleet.Fleet()
+    registry.put(ENTRY, 0.0)
+    assert registry.record_leaving(registry.upstreams["u1"])
+    assert not registry.record_leaving(registry.upstreams["u1"])
+    assert registry.of_service("engines") == []
+    for entry in entries:
+        if entry is None:
+            registry.remove("u1", 1.0, in_grace=False)
+        else:
+            registry.put(entry, 1.0)
+    assert registry.upstreams["u1"].is_leaving is still_leaves
+    assert len(registry.of_service("engines")) == (not still_leaves)
+
+
+def test_late_statement_of_a_former_process_concerns_only_that_process() -> None:
+    """Guards against excluding the successor of an upstream that left."""
+    registry = fleet.Fleet()
+    registry.put(ENTRY, 0.0)
+    former = registry.upstreams["u1"]
+    registry.put(relay_builders.entry("u1", born=2), 1.0)
+    registry.record_leaving(former)
+    assert not registry.upstreams["u1"].is_leaving
+
+
+def test_remembered_statements_are_bounded() -> None:
+    """Guards against memory that grows with each upstream that ever left."""
+    registry = fleet.Fleet()
+    for number in range(2 * fleet.MAX_NOTICES):
+        registry.put(relay_builders.entry(f"u{number}"), 0.0)
+        registry.record_leaving(registry.upstreams[f"u{number}"])
+        registry.remove(f"u{number}", 0.0, in_grace=False)
+    assert len(registry._notices) == fleet.MAX_NOTICES
