Pause an upstream for as long as its 503 asks

An upstream that answers 503 with a retry-after time wants nothing from this node for so long. The header was ignored: rejections paused the upstream for 0.1 s (0.3 s for engines), its own errors not at all, so it received further requests during the whole time. Callers whose requests were rejected by all upstreams were told to return after 0.5 s, whatever the upstreams had asked.

The pause belongs to the process that asked for it and is checked again before the first byte. The latest end of all requested pauses counts, at most 300 s. If no upstream is available, callers are refused at once with the time to the earliest one. A request that is withheld no longer counts as a failed connect, which prolonged the exclusion of the upstream by up to 2 s.

Evidence: on the code before, test_upstream_notices test_upstream_gets_nothing_for_the_time_that_it_asked_for failed for a rejection and for an own error (further requests arrived during the pause), as did test_callers_are_told_the_shortest_pause_at_once.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -224,7 +224,7 @@
         entry = upstream.entry
         if upstream.is_leaving or entry.zone in context.zones_out or entry.id in tried:
             continue
-        if now < upstream.blocked_until or now < upstream.switching_until:
+        if now < upstream.available_at:
             continue
         if request.model and request.model not in upstream.versions:
             continue
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -29,6 +29,13 @@
 MEAN_LOAD_MAX_AGE_S = 3.0
 """Age at which the average is no longer used."""
 
+MAX_PAUSE_S = 300.0
+"""Maximum pause that an upstream can request with one response.
+
+A wrong value does not exclude an upstream for good. After it, one request shows
+whether the pause goes on.
+"""
+
 MAX_NOTICES = 4096
 """Maximum number of processes whose notices are remembered after they are unlisted."""
 
@@ -142,9 +149,12 @@
     ----------
     is_leaving : bool
         Whether it is leaving. The statement is never withdrawn.
+    paused_until : float
+        Monotonic time before which it asked this node for no requests, in seconds.
     """
 
     is_leaving: bool = False
+    paused_until: float = 0.0
 
 
 @dataclasses.dataclass
@@ -205,6 +215,11 @@
         """Whether the list or the upstream itself states that it is leaving."""
         return self.entry.is_leaving or self.notice.is_leaving
 
+    @property
+    def available_at(self) -> float:
+        """Monotonic time from which it may receive requests, in seconds."""
+        return max(self.blocked_until, self.switching_until, self.notice.paused_until)
+
     def announced_tokens(self, now: float) -> int:
         """Return the prompt tokens of other nodes that await prefill."""
         for key in [k for k, item in self.announced.items() if item.expires_at <= now]:
@@ -346,6 +361,19 @@
         self._rebuild_index()
         return True
 
+    def record_pause(self, upstream: Upstream, for_s: float, now: float) -> bool:
+        """Record that an upstream asked for a pause; return whether one starts.
+
+        The latest end of all requested pauses counts: responses on several
+        connections overtake each other, and a shorter pause that is requested later
+        does not withdraw the earlier request.
+        """
+        notice = self._remembered_notice(upstream)
+        starts = notice.paused_until <= now
+        until = now + min(for_s, MAX_PAUSE_S)
+        notice.paused_until = max(notice.paused_until, until)
+        return starts and until > now
+
     def _remembered_notice(self, upstream: Upstream) -> Notice:
         """Return the notice of an upstream's process, which is now remembered."""
         key = upstream.entry.id, upstream.entry.born
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -113,6 +113,8 @@
         Its first complete events.
     response : http_server.Response or None
         The complete response to any other request.
+    is_withheld : bool
+        Whether nothing was sent as the upstream must not be used any more.
     """
 
     result: attempt.Result
@@ -123,3 +125,4 @@
     events: bytes = b""
     has_ended: bool = False
     response: http_server.Response | None = None
+    is_withheld: bool = False
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -129,6 +129,8 @@
         Remaining cold start time of the upstream, in seconds.
     is_leaving : bool
         Whether the upstream states that it is leaving.
+    pause_s : float or None
+        Time for which the upstream wants no requests from this node, in seconds.
     """
 
     is_turned_away: bool
@@ -138,6 +140,7 @@
     version: int | None = None
     cold_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class Dialect(typing.Protocol):
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -327,11 +327,13 @@
 
         def is_still_usable(_opened_at: float) -> bool:
             known = self._state.fleet.upstreams.get(entry.id)
+            now = clock.now()
             return (
                 known is chosen.upstream
                 and not known.is_leaving
+                and now >= known.notice.paused_until
                 and entry.zone not in self._state.zones_out
-                and clock.now() < work.deadline
+                and now < work.deadline
             )
 
         return is_still_usable
@@ -429,6 +431,8 @@
             self._announcer.record_leaving(
                 upstream, "the upstream states it in a response to a request"
             )
+        if response_head.pause_s is not None:
+            self._record_pause(upstream, response_head)
         if response_head.load is not None:
             running, waiting, _ = response_head.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
@@ -447,6 +451,23 @@
         else:
             upstream.blocked_until = now + REJECTION_PAUSE_S
 
+    def _record_pause(
+        self, upstream: fleet.Upstream, response_head: ports.ResponseHead
+    ) -> None:
+        """Record that the upstream asked this node to send nothing for a time."""
+        assert response_head.pause_s is not None
+        now = clock.now()
+        if self._state.fleet.record_pause(upstream, response_head.pause_s, now):
+            run = "did not run" if response_head.is_turned_away else "may have run"
+            lines.event(
+                LOG,
+                "upstream_paused",
+                upstream=upstream.entry.id,
+                service=upstream.entry.service,
+                for_s=round(upstream.notice.paused_until - now, 2),
+                reason=f"requested in a response to a request that {run}",
+            )
+
     def _apply_version_mismatch(
         self, upstream: fleet.Upstream, model: str, now: float
     ) -> None:
@@ -459,6 +480,8 @@
 
     def _update_upstream(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
         now = clock.now()
+        if outcome.result is attempt.Result.NOT_CONNECTED and outcome.is_withheld:
+            return
         if outcome.result is attempt.Result.NOT_CONNECTED:
             pause_s = min(
                 MAX_CONNECT_BACKOFF_S, CONNECT_BACKOFF_S * 2**upstream.connect_failures
@@ -612,6 +635,6 @@
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Withheld():
             reason = "the upstream became unusable before the request was sent"
-            return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
+            return job.Outcome(attempt.Result.NOT_CONNECTED, reason, is_withheld=True)
         case http_client.Lost(reason):
             return job.Outcome(attempt.Result.LOST, reason)
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -46,7 +46,9 @@
                 return self._check_overload(work, pick, now)
             at = self._next_available_at(work, now)
             if at is None or at > min(wait_until, work.deadline):
-                wait_s = RETRY_AFTER_S if at is None else max(0.1, at - now)
+                wait_s = self._soonest_s(work, now)
+                if at is not None:
+                    wait_s = max(0.1, min(at - now, wait_s))
                 message = f"no upstream of {work.service} is available"
                 return refusal.refuse(
                     refusal.NO_UPSTREAM, message, retry_after_s=wait_s
@@ -158,16 +160,26 @@
     def _next_available_at(self, work: job.Job, now: float) -> float | None:
         """Return when the next untried upstream becomes available."""
         times = [
-            max(upstream.blocked_until, upstream.switching_until)
+            upstream.available_at
             for upstream in self._state.fleet.of_service(work.service)
             if upstream.entry.id not in work.tried
         ]
         return min((at for at in times if at > now), default=None)
 
+    def _soonest_s(self, work: job.Job, now: float) -> float:
+        """Return after how many seconds a caller's next request may be accepted.
+
+        It may go to upstreams that this request has tried.
+        """
+        upstreams = self._state.fleet.of_service(work.service)
+        soonest = min((upstream.available_at for upstream in upstreams), default=now)
+        return max(RETRY_AFTER_S, soonest - now)
+
     def refuse_rejected(self, work: job.Job, reason: str) -> refusal.Refusal:
         """Refuse a request that all tried upstreams rejected without running it."""
-        other = self.choose(work, clock.now())
+        now = clock.now()
+        other = self.choose(work, now)
         has_capacity = other is not None and self.retry_after(work, other) is None
-        wait_s = RETRY_ELSEWHERE_S if has_capacity else RETRY_AFTER_S
+        wait_s = RETRY_ELSEWHERE_S if has_capacity else self._soonest_s(work, now)
         message = f"no upstream accepted the request: {reason}"
         return refusal.refuse(refusal.NO_UPSTREAM, message, retry_after_s=wait_s)
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -1,6 +1,7 @@
 """Tests of what upstreams state about themselves in their responses."""
 
 import collections.abc
+import dataclasses
 
 import pytest
 import trio
@@ -9,6 +10,7 @@
 from snipelug_net import http_client
 from snipelug_platform import dialect
 from snipelug_platform_standin import server
+from snipelug_relay import clock
 from tests import platform_world, relay_builders
 
 LEAVING_STATES = [
@@ -176,3 +178,137 @@
         registry.record_leaving(registry.upstreams[f"u{number}"])
         registry.remove(f"u{number}", 0.0, in_grace=False)
     assert len(registry._notices) == fleet.MAX_NOTICES
+
+
+REJECTION = server.Faults(turns_away=1, retry_after="1.2")
+OWN_ERROR = server.Faults(fails=1, fail_status=503, retry_after="1.2")
+
+
+@pytest.mark.parametrize("faults", [REJECTION, OWN_ERROR], ids=["rejection", "error"])
+async def test_upstream_gets_nothing_for_the_time_that_it_asked_for(
+    faults: server.Faults,
+) -> None:
+    """Guards against requests to an upstream that asked for a pause."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        pausing, other = world.apps
+        pausing.faults = dataclasses.replace(faults)
+        await send_until(caller, lambda: received(pausing) > 0)
+        began = trio.current_time()
+        while trio.current_time() - began < 1.0:
+            full = await caller.send("GET", "/look/x")
+            assert isinstance(full, http_client.FullResponse)
+            assert full.status == 200
+            assert "retry-after" not in full.headers
+        assert received(pausing) == 1
+        assert len(other.executed) > 10
+        await send_until(caller, lambda: received(pausing) > 1)
+        assert 1.0 < trio.current_time() - began < 2.0
+
+
+async def test_callers_are_told_the_shortest_pause_at_once() -> None:
+    """Guards against callers that wait for, or return during, a known pause."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        for app, retry_after in zip(world.apps, ("3", "2"), strict=True):
+            app.faults = server.Faults(turns_away=99, retry_after=retry_after)
+        refused = await caller.send("POST", "/order/", b"x")
+        began = trio.current_time()
+        again = await caller.send("POST", "/order/", b"x")
+        assert trio.current_time() - began < 0.1
+        for full in (refused, again):
+            assert isinstance(full, http_client.FullResponse)
+            assert full.status == 503
+            assert 1.7 < float(full.headers["retry-after"]) <= 2.0
+        assert [received(app) for app in world.apps] == [1, 1]
+
+
+async def test_long_pause_of_one_upstream_is_no_pause_of_its_service() -> None:
+    """Guards against callers that are sent away although another upstream is near."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        registry = world.nodes[0]._state.fleet
+        paused, other = world.apps
+        registry.record_pause(registry.upstreams[paused.id], 60.0, clock.now())
+        other.faults.turns_away = 1
+        full = await caller.send("POST", "/order/", b"x")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 503
+        assert float(full.headers["retry-after"]) <= 0.5
+
+
+async def test_request_that_waits_for_a_connection_respects_a_pause() -> None:
+    """Guards against requests that were assigned before the upstream asked."""
+    async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
+        node = world.nodes[0]
+        caller = platform_world.Caller(node)
+        (app,) = world.apps
+        upstream = node._state.fleet.upstreams[app.id]
+        acquire = node._relay._pool._acquire
+
+        async def acquire_late(addr: http_client.Address, max_idle_s: float) -> object:
+            found = await acquire(addr, max_idle_s)
+            node._state.fleet.record_pause(upstream, 0.4, clock.now())
+            return found
+
+        node._relay._pool._acquire = acquire_late  # type: ignore[method-assign,assignment]
+        full = await caller.send("GET", "/look/x")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 503
+        assert received(app) == 0
+        assert upstream.connect_failures == 0
+
+
+PAUSES = [
+    # Time and length of each request for a pause, and the time at which all end.
+    ([(1.0, 5.0)], 6.0),
+    ([(1.0, 5.0), (2.0, 1.0)], 6.0),
+    ([(1.0, 5.0), (5.0, 2.0)], 7.0),
+    ([(1.0, 0.0)], 1.0),
+    ([(1.0, 1e9)], 1.0 + fleet.MAX_PAUSE_S),
+]
+
+
+@pytest.mark.parametrize(("pauses", "ends_at"), PAUSES)
+def test_longest_of_the_requested_pauses_counts(
+    pauses: list[tuple[float, float]], ends_at: float
+) -> None:
+    """Guards against responses that overtake each other and shorten a pause."""
+    registry = fleet.Fleet()
+    registry.put(ENTRY, 0.0)
+    for at, for_s in pauses:
+        registry.record_pause(registry.upstreams["u1"], for_s, at)
+    registry.remove("u1", 5.0, in_grace=False)
+    registry.put(ENTRY, 5.0)
+    assert registry.upstreams["u1"].available_at == ends_at
+    registry.put(relay_builders.entry("u1", born=2), 5.0)
+    assert registry.upstreams["u1"].available_at == 0.0
+
+
+RETRY_AFTER_VALUES = [
+    (503, "2", 2.0),
+    (503, "0.25", 0.25),
+    (503, " 3. ", 3.0),
+    (503, "0", 0.0),
+    (503, "9" * 25, 1e25),
+    (503, "-1", None),
+    (503, "+1", None),
+    (503, "1e3", None),
+    (503, "nan", None),
+    (503, "inf", None),
+    (503, "", None),
+    (503, "1,2", None),
+    (503, "\u0663", None),
+    (503, "9" * 4000, None),
+    (503, "Fri, 31 Dec 2027 23:59:59 GMT", None),
+    (500, "2", None),
+    (429, "2", None),
+    (200, "2", None),
+]
+
+
+@pytest.mark.parametrize(("status", "value", "expected"), RETRY_AFTER_VALUES)
+def test_retry_after_values(status: int, value: str, expected: float | None) -> None:
+    """Guards against malformed values that pause an upstream, or for too long."""
+    assert dialect.parse_pause(status, {"retry-after": value}) == expected
+    assert dialect.parse_pause(status, {}) is None
