Take a refusal without an id as the answer only on a new connection

A faulty upstream may write an earlier refusal once more on a kept connection. Callers were then told that a request did not run, or it was sent to a second upstream, although the first one had run it. A copy with the earlier request's id was discarded already; one without an id was taken for the answer to the request on that connection, a gap listed in docs/proofs.md.

A response that does not repeat the request's id is now attributed to it only if the connection has carried no other request.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -121,9 +121,19 @@
     ----------
     has_ended : bool
         True once the whole body has been read.
+    is_identified : bool
+        Whether it belongs to this request: it echoes the request's header, or the
+        connection has carried no other request, of which it may be a late copy.
     """
 
-    def __init__(self, pool: "Pool", conn: "_Connection", head: h11.Response) -> None:
+    def __init__(
+        self,
+        pool: "Pool",
+        conn: "_Connection",
+        head: h11.Response,
+        is_identified: bool = True,
+    ) -> None:
+        self.is_identified = is_identified
         self.status = head.status_code
         self.headers = {
             k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers
@@ -270,6 +280,7 @@
         self.idle_since = self.opened_at
         self.server_idle_timeout_s = math.inf
         self.is_sending = False
+        self.requests = 0
         self.proto = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -464,12 +475,14 @@
         self, call: Call, conn: _Connection, data: bytes
     ) -> StreamingResponse | Lost:
         lost = Lost(f"no response within {call.timeout_s} s")
+        conn.requests += 1
         try:
             with trio.move_on_after(call.timeout_s):
                 event = await self._send_and_receive(call, conn, data)
                 if isinstance(event, h11.Response):
                     conn.server_idle_timeout_s = _announced_idle_timeout_s(event)
-                    return StreamingResponse(self, conn, event)
+                    is_identified = conn.requests == 1 or _echoes_header(call, event)
+                    return StreamingResponse(self, conn, event, is_identified)
                 lost = Lost("connection closed before the response", is_closed=True)
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
             lost = Lost(str(exc) or "connection broken", is_closed=True)
@@ -570,6 +583,12 @@
     return any(k == name and v.decode("latin-1") != sent for k, v in event.headers)
 
 
+def _echoes_header(call: Call, event: h11.Response) -> bool:
+    """Return whether a response echoes the header, if the server echoes any."""
+    name = call.echoed_header.encode()
+    return not name or any(k == name for k, _ in event.headers)
+
+
 def _announced_idle_timeout_s(event: h11.Response) -> float:
     """Return the idle timeout announced by a response; infinity if there is none."""
     for name, value in event.headers:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -365,6 +365,9 @@
         response_head = self._dialect.decode_head(
             work.request, reply.status, reply.headers
         )
+        if not reply.is_identified:
+            # It may be a copy of the response to an earlier request.
+            response_head = dataclasses.replace(response_head, is_turned_away=False)
         self._apply_response_head(work, upstream_attempt, response_head)
         if response_head.is_turned_away:
             # Reading the whole body allows the connection to be reused.
