Resume a broken stream only with events that follow its last one

A resumable stream that broke off was continued with whatever the next upstream answered with status 200: a page of text, a page with another content type, text before the first event, or nothing at all. Callers found the text in the middle of their stream, or the stream ended as if it were complete.

A response now continues a stream only if its content type is that of an event stream (or is missing) and its first event, comments aside, has an id after the last one. Anything else counts as lost: another upstream is asked if the route allows one, else the stream is aborted. A stream without ids is not resumed, since another upstream would start it anew. A response with status 200 and another content type to a new request on a streaming route is read whole and delivered as it is.

--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -131,6 +131,8 @@
         Whether the upstream states that it is leaving.
     pause_s : float or None
         Time for which the upstream wants no requests from this node, in seconds.
+    is_event_stream : bool
+        Whether the body may be a stream of events, by its content type.
     """
 
     is_turned_away: bool
@@ -141,6 +143,7 @@
     cold_s: float | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    is_event_stream: bool = True
 
 
 class Dialect(typing.Protocol):
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -381,7 +381,8 @@
                 f"status {reply.status} without a signature or with another request id"
             )
             return job.Outcome(attempt.Result.LOST, reason)
-        if work.route.is_stream and reply.status == OK:
+        is_events = work.route.is_stream and response_head.is_event_stream
+        if is_events and reply.status == OK:
             return await self._read_first_event(upstream_attempt, reply, resume_after)
         body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
@@ -536,6 +537,11 @@
             outcome = await self._attempt(work, chosen, last_id)
             if outcome.reply is None:
                 lost = outcome
+                if outcome.response is not None:
+                    reason = f"no events but status {outcome.response.status}"
+                    lost = dataclasses.replace(
+                        outcome, result=attempt.Result.LOST, reason=reason
+                    )
                 continue
             if sse.follows(last_id, outcome.events):
                 trace_entry = (
--- a/packages/snipelug-relay/src/snipelug_relay/sse.py
+++ b/packages/snipelug-relay/src/snipelug_relay/sse.py
@@ -55,10 +55,16 @@
 
 
 def follows(last_id: str | None, events: bytes) -> bool:
-    """Return whether events continue after the event with the last id."""
-    first = first_id(events)
-    if last_id is None or first is None:
+    """Return whether events continue after the event with the last id.
+
+    Events continue nothing if the first one, comments aside, has no id.
+    """
+    if last_id is None:
         return True
+    blocks = events.split(EVENT_END)
+    first = first_id(next((b for b in blocks if not b.startswith(b":")), b""))
+    if first is None:
+        return False
     if last_id.isdigit() and first.isdigit():
         return int(first) > int(last_id)
     return first != last_id
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -132,12 +132,15 @@
         )
         if self._current.upstream_attempt is not None:
             self._current.upstream_attempt.upstream.record_outcome(True, clock.now())
-        # resume() counts this attempt again; it was counted when the stream started.
-        self._work.history.runs -= 1
-        self._work.history.sends -= 1
         if not isinstance(failure, Stalled):
             self._close()
-        resumed = await self._relay.resume(self._work, broken, self._close)
+        resumed: job.Outcome | None = None
+        # Without an id, another upstream would start the stream anew.
+        if broken.splitter is not None and broken.splitter.last_id is not None:
+            # resume() counts this attempt again; it was counted when the stream began.
+            self._work.history.runs -= 1
+            self._work.history.sends -= 1
+            resumed = await self._relay.resume(self._work, broken, self._close)
         if resumed is not None:
             self._current = resumed
             return resumed.events
--- a/tests/test_scripted_upstreams.py
+++ b/tests/test_scripted_upstreams.py
@@ -1,5 +1,7 @@
 """Tests with upstreams whose responses are wrong in one place, as callers see them."""
 
+import dataclasses
+
 import pytest
 import trio
 
@@ -87,3 +89,160 @@
         assert isinstance(full, http_client.FullResponse)
         assert full.status == status
         assert [r.connection for r in upstream.received] == [1, connection]
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+EVENT_STREAM = "Content-Type: text/event-stream"
+PAGE = b"HTTP/1.1 500 Oops\r\nX-A: b\r\n\r\nno such run\n\nid: 3 is unknown\n\n"
+
+
+def chunks(*parts: bytes) -> bytes:
+    """Encode a whole body in chunks."""
+    return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in (*parts, b""))
+
+
+def unframed(body: bytes) -> bytes:
+    """Build a stream with neither a length nor chunks."""
+    return scripted.head(200, ID_IN_REQUEST, EVENT_STREAM, "Connection: close") + body
+
+
+def framed(body: bytes, *fields: str) -> bytes:
+    return scripted.whole(200, ID_IN_REQUEST, body, *fields)
+
+
+def chunked(*parts: bytes) -> bytes:
+    head = scripted.head(200, ID_IN_REQUEST, EVENT_STREAM, CHUNKED)
+    return head + chunks(*parts)
+
+
+ID_IN_REQUEST = "IDENTITY"
+"""Replaced by the id of the request that is answered."""
+
+
+def fill(answer: scripted.Answer, received: scripted.Received) -> scripted.Answer:
+    """Write the id of the request into its answer."""
+    data = answer.data.replace(ID_IN_REQUEST.encode(), received.request_id.encode())
+    return dataclasses.replace(answer, data=data)
+
+
+BROKEN = scripted.Answer(
+    scripted.head(200, ID_IN_REQUEST, EVENT_STREAM, CHUNKED)
+    + chunks(scripted.events(1, 2))[: -len(b"0\r\n\r\n")],
+    end="close",
+)
+"""A stream of which two events arrive before the connection is closed."""
+
+NOT_RESUMED = {
+    "error": scripted.Answer(scripted.whole(500, ID_IN_REQUEST, PAGE)),
+    "client_error": scripted.Answer(scripted.whole(404, ID_IN_REQUEST, PAGE)),
+    "rejection": scripted.Answer(scripted.rejection(ID_IN_REQUEST)),
+    "page_with_status_200": scripted.Answer(framed(PAGE, "Content-Type: text/html")),
+    "page_without_type": scripted.Answer(framed(PAGE)),
+    "page_in_place_of_events": scripted.Answer(framed(PAGE, EVENT_STREAM)),
+    "page_without_blank_line": scripted.Answer(framed(b"no such run", EVENT_STREAM)),
+    "page_before_events": scripted.Answer(
+        chunked(b"no such run\n\n" + scripted.events(3, 4))
+    ),
+    "events_in_a_page": scripted.Answer(
+        framed(scripted.events(3, 4), "Content-Type: text/html")
+    ),
+    "empty": scripted.Answer(framed(b"", EVENT_STREAM)),
+    "empty_chunked": scripted.Answer(chunked()),
+    "empty_unframed": scripted.Answer(unframed(b""), end="close"),
+    "unframed_page": scripted.Answer(unframed(PAGE), end="close"),
+    "part_of_an_event": scripted.Answer(unframed(b"id: 3\nda"), end="close"),
+    "other_request": scripted.Answer(scripted.whole(200, "ff", scripted.events(3, 4))),
+    "unsigned": scripted.Answer(
+        framed(scripted.events(3, 4)).replace(b"Server-Signature", b"X-Signature")
+    ),
+    "from_the_start": scripted.Answer(chunked(scripted.events(1, 4))),
+    "half_a_head": scripted.Answer(chunked(scripted.events(3, 4))[:40], end="close"),
+    "bytes_without_a_head": scripted.Answer(PAGE[9:], end="close"),
+}
+
+
+async def streaming_world(
+    world: platform_world.World, script: scripted.Script, upstreams: int = 2
+) -> list[scripted.Upstream]:
+    """List engines that answer by one script."""
+    return [
+        await scripted.add(
+            world,
+            scripted.Upstream(
+                script, service="llm", model=platform_world.MODEL, id=f"i-{number}"
+            ),
+        )
+        for number in range(upstreams)
+    ]
+
+
+async def read_until_end(
+    caller: platform_world.Caller, target: str
+) -> tuple[int, bytes, bool]:
+    """Send a prompt; return the status, the body, and whether it looks complete."""
+    call = caller.call(
+        "POST",
+        target,
+        b"prompt",
+        model=platform_world.MODEL,
+        token_usage="250,10",
+        prompt_prefix="aa:200,bb:50",
+    )
+    with trio.fail_after(5.0):
+        reply = await caller.pool.send(call)
+        assert isinstance(reply, http_client.StreamingResponse), reply
+        body = b""
+        while isinstance(part := await reply.next_part(), bytes):
+            body += part
+    return reply.status, body, part is None
+
+
+@pytest.mark.parametrize("second", NOT_RESUMED.values(), ids=NOT_RESUMED)
+async def test_broken_stream_does_not_go_on_with_something_else(
+    second: scripted.Answer,
+) -> None:
+    """Guards against an error in the middle of a stream, or as its end."""
+    upstreams: list[scripted.Upstream] = []
+
+    def script(received: scripted.Received) -> scripted.Answer:
+        is_first = sum(len(u.received) for u in upstreams) == 1
+        return fill(BROKEN if is_first else second, received)
+
+    async with platform_world.deployment(apps=0, engines=0, kv_stores=0) as world:
+        upstreams += await streaming_world(world, script)
+        caller = platform_world.Caller(world.nodes[0])
+        status, body, is_complete = await read_until_end(caller, "/check/")
+        assert (status, body, is_complete) == (200, scripted.events(1, 2), False)
+        assert [len(u.received) for u in upstreams] == [1, 1]
+
+
+RESUMED = {
+    "chunked": scripted.Answer(chunked(scripted.events(3, 4))),
+    "length": scripted.Answer(framed(scripted.events(3, 4), EVENT_STREAM)),
+    "no_type": scripted.Answer(framed(scripted.events(3, 4))),
+    "type_with_charset": scripted.Answer(
+        framed(scripted.events(3, 4), f"{EVENT_STREAM}; charset=utf-8")
+    ),
+    "unframed": scripted.Answer(unframed(scripted.events(3, 4)), end="close"),
+    "comment_first": scripted.Answer(chunked(b": ping\n\n" + scripted.events(3, 4))),
+    "other_weights": scripted.Answer(
+        framed(scripted.events(3, 4), EVENT_STREAM, "Weight-Versions: 2")
+    ),
+}
+
+
+@pytest.mark.parametrize("second", RESUMED.values(), ids=RESUMED)
+async def test_broken_stream_goes_on_elsewhere(second: scripted.Answer) -> None:
+    """Guards against giving up a stream that another upstream continues."""
+    upstreams: list[scripted.Upstream] = []
+
+    def script(received: scripted.Received) -> scripted.Answer:
+        is_first = sum(len(u.received) for u in upstreams) == 1
+        return fill(BROKEN if is_first else second, received)
+
+    async with platform_world.deployment(apps=0, engines=0, kv_stores=0) as world:
+        upstreams += await streaming_world(world, script)
+        caller = platform_world.Caller(world.nodes[0])
+        status, body, is_complete = await read_until_end(caller, "/check/")
+        assert (status, is_complete) == (200, True)
+        assert body.replace(b": ping\n\n", b"") == scripted.events(1, 4)
