Treat a stream that ends inside an event as broken off in any framing

A stream that ended inside an event was delivered as whole if its end was marked by a length or a chunk, and, without a length or chunks, if it ended inside its first event. Callers took the truncated stream for complete, and resumable streams were not resumed.

Such a stream is now lost after its last whole event, whatever its framing: resumed if the route allows it, else aborted. So is a stream without length or chunks whose connection ends before its first event. Line ends after the last event are no event and are still passed on.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -146,6 +146,11 @@
         self._poller: poller.Poller | None = None
         self.has_ended = False
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the end of the body is marked, not just by the connection's end."""
+        return "content-length" in self.headers or "transfer-encoding" in self.headers
+
     async def next_part(self) -> bytes | Lost | None:
         """Return the next body part, None at the end, or Lost if it was truncated."""
         while not self._is_done:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -413,6 +413,10 @@
             events = splitter.push(part or b"")
             if splitter.is_overlong:
                 return job.Outcome(attempt.Result.LOST, stream.OVERLONG_EVENT)
+            if part is None and splitter.ends_in_event:
+                return job.Outcome(attempt.Result.LOST, stream.PARTIAL_EVENT)
+            if part is None and not reply.is_framed:
+                return job.Outcome(attempt.Result.LOST, stream.NO_EVENT)
             if part is None or events:
                 upstream_attempt.record_prompt_read()
                 return job.Outcome(
--- a/packages/snipelug-relay/src/snipelug_relay/sse.py
+++ b/packages/snipelug-relay/src/snipelug_relay/sse.py
@@ -42,6 +42,11 @@
         """The bytes after the last complete event."""
         return bytes(self._rest)
 
+    @property
+    def ends_in_event(self) -> bool:
+        """Whether an event has begun but is not complete."""
+        return bool(self._rest.strip(b"\r\n"))
+
     @property
     def is_overlong(self) -> bool:
         """Whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -17,6 +17,8 @@
 The deployments allow gaps of 0.3 s. Bytes that complete no event do not end a gap.
 """
 
+PARTIAL_EVENT = "the stream ended within an event"
+NO_EVENT = "the connection was closed before the first event"
 OVERLONG_EVENT = f"an event has more than {sse.MAX_EVENT_BYTES} bytes"
 
 
@@ -63,9 +65,9 @@
                 part = await self._resume(part)
             if part:
                 yield part
-        rest = self._partial_event()
-        if rest:
-            yield rest
+        blank_lines = self._blank_lines()
+        if blank_lines:
+            yield blank_lines
         self._relay.finish_stream(self._work, "answered", "")
 
     async def _next_events(self) -> bytes | http_client.Lost | Stalled:
@@ -85,8 +87,8 @@
                 return http_client.Lost(OVERLONG_EVENT)
         if part is not None:
             return part
-        if splitter.rest and not _is_framed(self._headers()):
-            return http_client.Lost("the stream ended within an event")
+        if splitter.ends_in_event:
+            return http_client.Lost(PARTIAL_EVENT)
         self._current.has_ended = True
         return b""
 
@@ -106,10 +108,8 @@
             self._current.upstream_attempt.record_data(clock.now())
         return part
 
-    def _headers(self) -> dict[str, str]:
-        return self._current.reply.headers if self._current.reply is not None else {}
-
-    def _partial_event(self) -> bytes:
+    def _blank_lines(self) -> bytes:
+        """Return the line ends after the last event, which belong to the body."""
         splitter = self._current.splitter
         return splitter.rest if splitter is not None else b""
 
@@ -166,8 +166,3 @@
         self._relay.finish_stream(
             self._work, "left", "the caller closed the connection"
         )
-
-
-def _is_framed(headers: dict[str, str]) -> bool:
-    """Return whether the end of the body is marked, not just the connection closed."""
-    return "content-length" in headers or "transfer-encoding" in headers
--- a/tests/test_scripted_upstreams.py
+++ b/tests/test_scripted_upstreams.py
@@ -246,3 +246,144 @@
         status, body, is_complete = await read_until_end(caller, "/check/")
         assert (status, is_complete) == (200, True)
         assert body.replace(b": ping\n\n", b"") == scripted.events(1, 4)
+
+
+def cut_stream(framing: str, body: bytes, end: str) -> scripted.Answer:
+    """Build a stream that ends after the given bytes.
+
+    With ``close``, a framing that marks the end of the body marks it there.
+    """
+    if framing == "unframed":
+        return scripted.Answer(unframed(body), end)
+    if framing == "length":
+        missing = 0 if end == "close" else 9
+        length = f"Content-Length: {len(body) + missing}"
+        head = scripted.head(200, ID_IN_REQUEST, EVENT_STREAM, length)
+        return scripted.Answer(head + body, end)
+    head = scripted.head(200, ID_IN_REQUEST, EVENT_STREAM, CHUNKED)
+    data = chunks(body) if body else chunks()
+    return scripted.Answer(head + (data if end == "close" else data[:-5]), end)
+
+
+FRAMINGS = ["unframed", "length", "chunked"]
+BODIES = {
+    "whole": (scripted.events(1, 2), scripted.events(1, 2)),
+    "in_first_event": (b"id: 1\ndata: pie", b""),
+    "before_blank_line": (scripted.events(1, 1)[:-1], b""),
+    "in_second_event": (scripted.events(1, 2)[:-5], scripted.events(1, 1)),
+    "blank_line_missing": (scripted.events(1, 2)[:-1], scripted.events(1, 1)),
+    "empty": (b"", b""),
+}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize(("sent", "whole_events"), BODIES.values(), ids=BODIES)
+async def test_stream_that_ends_inside_an_event_was_broken_off(
+    framing: str, end: str, sent: bytes, whole_events: bytes
+) -> None:
+    """Guards against truncated streams that look complete, and whole ones that fail."""
+
+    def script(received: scripted.Received) -> scripted.Answer:
+        return fill(cut_stream(framing, sent, end), received)
+
+    async with platform_world.deployment(apps=0, engines=0, kv_stores=0) as world:
+        (upstream,) = await streaming_world(world, script, upstreams=1)
+        caller = platform_world.Caller(world.nodes[0])
+        status, body, is_complete = await read_until_end(caller, "/ask/")
+        assert len(upstream.received) == 1
+        is_whole = end == "close" and sent == whole_events
+        if is_whole and (sent or framing != "unframed"):
+            assert (status, body, is_complete) == (200, sent, True)
+        elif whole_events:
+            assert (status, body, is_complete) == (200, whole_events, False)
+        else:
+            assert status == UNKNOWN
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("sent", [scripted.events(1, 2)[:-5], b"id: 1\ndata: pie"])
+async def test_stream_that_ends_inside_an_event_is_resumed(
+    framing: str, end: str, sent: bytes
+) -> None:
+    """Guards against a truncated stream that another upstream could complete."""
+    upstreams: list[scripted.Upstream] = []
+
+    def script(received: scripted.Received) -> scripted.Answer:
+        if sum(len(u.received) for u in upstreams) == 1:
+            return fill(cut_stream(framing, sent, end), received)
+        first = 1 + int(received.headers.get("last-event-id", "0"))
+        return fill(scripted.Answer(chunked(scripted.events(first, 4))), received)
+
+    async with platform_world.deployment(apps=0, engines=0, kv_stores=0) as world:
+        upstreams += await streaming_world(world, script)
+        caller = platform_world.Caller(world.nodes[0])
+        found = await read_until_end(caller, "/check/")
+        assert found == (200, scripted.events(1, 4), True)
+
+
+@pytest.mark.parametrize(
+    ("end", "status"), [("close", ANSWERED), ("reset", UNKNOWN)], ids=["close", "reset"]
+)
+async def test_answer_without_length_ends_with_its_connection(
+    end: str, status: int
+) -> None:
+    """Guards against truncated answers that look whole, and whole ones that fail."""
+    body = b"x" * 70_000
+
+    def script(received: scripted.Received) -> scripted.Answer:
+        return scripted.Answer(scripted.head(200, received.request_id) + body, end)
+
+    async with platform_world.deployment(apps=0, engines=0, kv_stores=0) as world:
+        upstream = await scripted.add(world, scripted.Upstream(script))
+        full = await platform_world.Caller(world.nodes[0]).send("POST", "/order/", b"x")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == status
+        assert (full.body == body) is (status == ANSWERED)
+        assert len(upstream.received) == 1
+
+
+CUT_ANSWERS = {
+    "plain": ("/order/", scripted.whole(200, ID_IN_REQUEST, b"ok", "X-A: b")),
+    "plain_unframed": ("/order/", scripted.head(200, ID_IN_REQUEST, "X-A: b")),
+    "stream": ("/ask/", chunked(scripted.events(1, 1))),
+    "stream_unframed": ("/ask/", unframed(b"id: 1\ndata: pie")),
+}
+
+
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize(("target", "data"), CUT_ANSWERS.values(), ids=CUT_ANSWERS)
+async def test_answer_that_ends_in_its_head_is_no_success(
+    target: str, data: bytes, end: str
+) -> None:
+    """Guards against an empty or short body that is framed as whole."""
+    head_bytes = data.index(b"\r\n\r\n") + len(b"\r\n\r\n")
+
+    def script(received: scripted.Received) -> scripted.Answer:
+        cut = int(received.headers["x-cut"])
+        return scripted.Answer(fill(scripted.Answer(data), received).data[:cut], end)
+
+    async with platform_world.deployment(apps=0, engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        if target == "/order/":
+            await scripted.add(world, scripted.Upstream(script))
+        else:
+            await streaming_world(world, script, upstreams=1)
+        statuses: dict[int, int] = {}
+
+        async def ask(cut: int) -> None:
+            full = await caller.send_prompt(target, x_cut=str(cut))
+            assert isinstance(full, http_client.FullResponse), (cut, full)
+            statuses[cut] = full.status
+
+        limit = trio.CapacityLimiter(20)
+
+        async def ask_limited(cut: int) -> None:
+            async with limit:
+                await ask(cut)
+
+        async with trio.open_nursery() as nursery:
+            for cut in range(head_bytes):
+                nursery.start_soon(ask_limited, cut)
+        assert statuses == dict.fromkeys(range(head_bytes), UNKNOWN)
