--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -127,6 +127,12 @@
         Weight version that serves the request.
     cold_s : float or None
         Remaining cold start time of the upstream, in seconds.
+    is_leaving : bool
+        Whether the upstream states that it is leaving.
+    pause_s : float or None
+        Time for which the upstream wants no requests from this node, in seconds.
+    is_event_stream : bool
+        Whether the body may be a stream of events, by its content type.
     """
 
     is_turned_away: bool
@@ -135,6 +141,9 @@
     load: tuple[int, int, int] | None = None
     version: int | None = None
     cold_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
+    is_event_stream: bool = True
 
 
 class Dialect(typing.Protocol):
@@ -383,12 +392,15 @@
         Whether it is carrying out an order.
     waiting : int
         Number of requests that it has not started.
+    is_leaving : bool
+        Whether it states that it is leaving.
     """
 
     versions: dict[str, int]
     orders: int
     is_busy: bool
     waiting: int = 0
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -391,13 +391,14 @@
 
         def is_still_usable(_opened_at: float) -> bool:
             known = self._state.fleet.upstreams.get(entry.id)
+            now = clock.now()
             return (
                 known is chosen.upstream
-                and not known.entry.is_leaving
+                and not known.is_leaving
+                and now >= known.notice.paused_until
                 and entry.zone not in self._state.zones_out
-                and clock.now() < work.deadline
-                and clock.now() + BEGIN_MARGIN_S
-                < self._state.retired_at(model, version)
+                and now < work.deadline
+                and now + BEGIN_MARGIN_S < self._state.retired_at(model, version)
             )
 
         return is_still_usable
@@ -429,6 +430,9 @@
         response_head = self._dialect.decode_head(
             work.request, reply.status, reply.headers
         )
+        if not reply.is_identified:
+            # It may be a copy of the response to an earlier request.
+            response_head = dataclasses.replace(response_head, is_turned_away=False)
         self._apply_response_head(work, upstream_attempt, response_head)
         if response_head.is_turned_away:
             # Reading the whole body allows the connection to be reused.
@@ -442,7 +446,8 @@
                 f"status {reply.status} without a signature or with another request id"
             )
             return job.Outcome(attempt.Result.LOST, reason)
-        if work.route.is_stream and reply.status == OK:
+        is_events = work.route.is_stream and response_head.is_event_stream
+        if is_events and reply.status == OK:
             return await self._read_first_event(upstream_attempt, reply, resume_after)
         body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
@@ -473,6 +478,10 @@
             events = splitter.push(part or b"")
             if splitter.is_overlong:
                 return job.Outcome(attempt.Result.LOST, stream.OVERLONG_EVENT)
+            if part is None and splitter.ends_in_event:
+                return job.Outcome(attempt.Result.LOST, stream.PARTIAL_EVENT)
+            if part is None and not reply.is_framed:
+                return job.Outcome(attempt.Result.LOST, stream.NO_EVENT)
             if part is None or events:
                 upstream_attempt.record_prompt_read()
                 return job.Outcome(
@@ -491,6 +500,12 @@
     ) -> None:
         upstream = upstream_attempt.upstream
         now = clock.now()
+        if response_head.is_leaving:
+            self._announcer.record_leaving(
+                upstream, "the upstream states it in a response to a request"
+            )
+        if response_head.pause_s is not None:
+            self._record_pause(upstream, response_head)
         if response_head.load is not None:
             running, waiting, _ = response_head.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
@@ -509,6 +524,23 @@
         else:
             upstream.blocked_until = now + REJECTION_PAUSE_S
 
+    def _record_pause(
+        self, upstream: fleet.Upstream, response_head: ports.ResponseHead
+    ) -> None:
+        """Record that the upstream asked this node to send nothing for a time."""
+        assert response_head.pause_s is not None
+        now = clock.now()
+        if self._state.fleet.record_pause(upstream, response_head.pause_s, now):
+            run = "did not run" if response_head.is_turned_away else "may have run"
+            lines.event(
+                LOG,
+                "upstream_paused",
+                upstream=upstream.entry.id,
+                service=upstream.entry.service,
+                for_s=round(upstream.notice.paused_until - now, 2),
+                reason=f"requested in a response to a request that {run}",
+            )
+
     def _apply_version_mismatch(
         self, upstream: fleet.Upstream, model: str, now: float
     ) -> None:
@@ -521,6 +553,8 @@
 
     def _update_upstream(self, upstream: fleet.Upstream, outcome: job.Outcome) -> None:
         now = clock.now()
+        if outcome.result is attempt.Result.NOT_CONNECTED and outcome.is_withheld:
+            return
         if outcome.result is attempt.Result.NOT_CONNECTED:
             pause_s = min(
                 MAX_CONNECT_BACKOFF_S, CONNECT_BACKOFF_S * 2**upstream.connect_failures
@@ -572,6 +606,11 @@
             outcome = await self._attempt(work, chosen, last_id)
             if outcome.reply is None:
                 lost = outcome
+                if outcome.response is not None:
+                    reason = f"no events but status {outcome.response.status}"
+                    lost = dataclasses.replace(
+                        outcome, result=attempt.Result.LOST, reason=reason
+                    )
                 continue
             if sse.follows(last_id, outcome.events):
                 trace_entry = (
@@ -674,6 +713,6 @@
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
         case http_client.Withheld():
             reason = "the upstream became unusable before the request was sent"
-            return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
+            return job.Outcome(attempt.Result.NOT_CONNECTED, reason, is_withheld=True)
         case http_client.Lost(reason):
             return job.Outcome(attempt.Result.LOST, reason)
--- a/packages/snipelug-relay/src/snipelug_relay/sse.py
+++ b/packages/snipelug-relay/src/snipelug_relay/sse.py
@@ -42,6 +42,11 @@
         """The bytes after the last complete event."""
         return bytes(self._rest)
 
+    @property
+    def ends_in_event(self) -> bool:
+        """Whether an event has begun but is not complete."""
+        return bool(self._rest.strip(b"\r\n"))
+
     @property
     def is_overlong(self) -> bool:
         """Whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
@@ -55,10 +60,16 @@
 
 
 def follows(last_id: str | None, events: bytes) -> bool:
-    """Return whether events continue after the event with the last id."""
-    first = first_id(events)
-    if last_id is None or first is None:
+    """Return whether events continue after the event with the last id.
+
+    Events continue nothing if the first one, comments aside, has no id.
+    """
+    if last_id is None:
         return True
+    blocks = events.split(EVENT_END)
+    first = first_id(next((b for b in blocks if not b.startswith(b":")), b""))
+    if first is None:
+        return False
     if last_id.isdigit() and first.isdigit():
         return int(first) > int(last_id)
     return first != last_id
