Log crashes of upstreams with the attempts that were running there

From the log an operator could not tell whether lost attempts came from one crash, which requests had begun there, or what the crashes had in common. `upstream_crashed` lists the attempts without a first event (with their parts) and those with events, `snipelug_upstream_crashes_total` counts crashes. A crash is a closed connection followed by a refused connect, or a later start in the list; a hang or the reset of an idle connection is none.

No change of what is sent or answered.

--- /dev/null
+++ b/packages/snipelug-relay/src/snipelug_relay/crashes.py
@@ -0,0 +1,212 @@
+"""Detects crashes of upstreams by the attempts that they broke off.
+
+An upstream has crashed if it closed the connection of an attempt and then refuses
+connections, or is listed again with a later start. A hang, a partition or the reset of
+an idle connection is no crash.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import logging
+
+import trio
+
+from snipelug_core import fleet
+from snipelug_net import http_client, lines
+from snipelug_relay import clock, job, state, stats
+
+LOG = logging.getLogger("snipelug.crashes")
+
+CONNECT_TIMEOUT_S = 0.3
+"""Timeout of the connect that tells a crash from a closed connection."""
+
+COLLECT_S = 0.05
+"""Time for which losses at one upstream are collected into one log line."""
+
+RESTART_WINDOW_S = 15.0
+"""Time after a loss in which a later start in the list shows a crash."""
+
+RESTART_CHECK_INTERVAL_S = 0.5
+MAX_LOSSES = 256
+"""Maximum number of upstream incarnations whose losses are remembered."""
+
+MAX_LOGGED_ATTEMPTS = 50
+
+
+def crash_id(entry: fleet.Entry) -> str:
+    """Return the id of the crash of an upstream incarnation, the same on all nodes.
+
+    Ids sort by the start of the upstream.
+    """
+    return f"{entry.born:013d}/{entry.id}"
+
+
+@dataclasses.dataclass(frozen=True)
+class LostAttempt:
+    """An attempt whose connection the upstream closed.
+
+    Attributes
+    ----------
+    has_begun : bool
+        Whether an event of its response had arrived.
+    """
+
+    work: job.Job
+    has_begun: bool
+
+
+@dataclasses.dataclass
+class Losses:
+    """Attempts that one incarnation of an upstream broke off.
+
+    Attributes
+    ----------
+    verdict : trio.Event or None
+        Set at the end of the connect that is in progress, if any.
+    """
+
+    entry: fleet.Entry
+    lost_at: float
+    attempts: list[LostAttempt] = dataclasses.field(default_factory=list)
+    has_crashed: bool = False
+    is_logged: bool = False
+    verdict: trio.Event | None = None
+
+
+OnCrash = collections.abc.Callable[[str, job.Job], None]
+"""Called with the crash id for each attempt that had not begun."""
+
+
+class Detector:
+    """Tells crashes of upstreams from other failures.
+
+    Attributes
+    ----------
+    on_crash : OnCrash or None
+        Called once for each attempt that had not begun on a crashed upstream.
+    """
+
+    def __init__(self, node_state: state.State, metrics: stats.Stats) -> None:
+        self._state = node_state
+        self._stats = metrics
+        self._losses: collections.OrderedDict[str, Losses] = collections.OrderedDict()
+        self._changed = trio.Event()
+        self.on_crash: OnCrash | None = None
+
+    async def record_lost(self, work: job.Job, entry: fleet.Entry) -> None:
+        """Record an attempt that had not begun; return once it is classified."""
+        losses = self._add(work, entry, has_begun=False)
+        if losses.has_crashed:
+            self._charge(losses, work)
+            return
+        await self._connect(losses)
+
+    def record_broken(self, work: job.Job, entry: fleet.Entry) -> None:
+        """Record an attempt that had begun; it is classified in the background."""
+        self._add(work, entry, has_begun=True)
+
+    def _add(self, work: job.Job, entry: fleet.Entry, has_begun: bool) -> Losses:
+        key = crash_id(entry)
+        now = clock.now()
+        losses = self._losses.get(key)
+        if losses is None or now - losses.lost_at > RESTART_WINDOW_S:
+            losses = self._losses[key] = Losses(entry, now)
+            while len(self._losses) > MAX_LOSSES:
+                self._losses.popitem(last=False)
+        losses.attempts.append(LostAttempt(work, has_begun))
+        self._changed.set()
+        return losses
+
+    async def _connect(self, losses: Losses) -> None:
+        """Find out whether the upstream refuses connections."""
+        if losses.verdict is not None:
+            await losses.verdict.wait()
+            return
+        losses.verdict = trio.Event()
+        try:
+            with trio.CancelScope(shield=True):
+                if await is_refusing(losses.entry.addr):
+                    self._confirm(losses)
+        finally:
+            losses.verdict.set()
+            losses.verdict = None
+
+    def _confirm(self, losses: Losses) -> None:
+        if losses.has_crashed:
+            return
+        losses.has_crashed = True
+        self._stats.crashes.labels(losses.entry.service).inc()
+        for lost in losses.attempts:
+            if not lost.has_begun:
+                self._charge(losses, lost.work)
+
+    def _charge(self, losses: Losses, work: job.Job) -> None:
+        if self.on_crash is not None:
+            self.on_crash(crash_id(losses.entry), work)
+
+    async def run(self) -> None:
+        """Classify what is still open and log crashes, until cancelled."""
+        while True:
+            with trio.move_on_after(RESTART_CHECK_INTERVAL_S):
+                await self._changed.wait()
+                await trio.sleep(COLLECT_S)
+            self._changed = trio.Event()
+            now = clock.now()
+            for losses in list(self._losses.values()):
+                await self._review(losses, now)
+
+    async def _review(self, losses: Losses, now: float) -> None:
+        key = crash_id(losses.entry)
+        if now - losses.lost_at > RESTART_WINDOW_S:
+            if self._losses.get(key) is losses:
+                del self._losses[key]
+            return
+        if not losses.has_crashed and self._has_restarted(losses.entry):
+            self._confirm(losses)
+        only_begun = all(lost.has_begun for lost in losses.attempts)
+        if not losses.has_crashed and only_begun and now - losses.lost_at < 1.0:
+            await self._connect(losses)
+        if losses.has_crashed and not losses.is_logged:
+            losses.is_logged = True
+            self._log(losses)
+
+    def _has_restarted(self, entry: fleet.Entry) -> bool:
+        known = self._state.fleet.upstreams.get(entry.id)
+        return known is not None and known.entry.born > entry.born
+
+    def _log(self, losses: Losses) -> None:
+        waiting = [lost.work for lost in losses.attempts if not lost.has_begun]
+        begun = [lost.work for lost in losses.attempts if lost.has_begun]
+        lines.warning(
+            LOG,
+            "upstream_crashed",
+            upstream=losses.entry.id,
+            born=losses.entry.born,
+            service=losses.entry.service,
+            zone=losses.entry.zone,
+            waiting=[
+                {
+                    "id": work.request.request_id,
+                    "route": work.route.name,
+                    "parts": [part.id for part in work.request.parts[:-1]],
+                }
+                for work in waiting[:MAX_LOGGED_ATTEMPTS]
+            ],
+            begun=[work.request.request_id for work in begun[:MAX_LOGGED_ATTEMPTS]],
+            waiting_count=len(waiting),
+            begun_count=len(begun),
+        )
+
+
+async def is_refusing(addr: http_client.Address) -> bool:
+    """Return whether a connect to an address is refused."""
+    with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM) as sock:
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                await sock.connect(addr)
+            except ConnectionRefusedError:
+                return True
+            except OSError:
+                return False
+    return False
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -111,6 +111,8 @@
         The open response of a stream.
     events : bytes
         Its first complete events.
+    is_closed : bool
+        Whether the upstream closed the connection before the response was complete.
     response : http_server.Response or None
         The complete response to any other request.
     """
@@ -122,4 +124,5 @@
     splitter: sse.Splitter | None = None
     events: bytes = b""
     has_ended: bool = False
+    is_closed: bool = False
     response: http_server.Response | None = None
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -12,6 +12,7 @@
 from snipelug_relay import (
     announce,
     clock,
+    crashes,
     kv_stores,
     ports,
     record,
@@ -93,6 +94,7 @@
         platform = build(cfg, control_pool)
         self._store = platform.store
         self._announcer = announce.Announcer(cfg.peers, self._state)
+        self._detector = crashes.Detector(self._state, self._stats)
         self._relay = relay.Relay(
             cfg,
             self._state,
@@ -100,6 +102,7 @@
             self._pool,
             self._stats,
             self._announcer,
+            self._detector,
         )
         self.callers_port = 0
         self.ready_port = 0
@@ -188,6 +191,7 @@
                 "kv_stores": self._kv_stores.run,
                 "settings": self._watch_settings,
                 "expiry": self._expire_upstreams,
+                "crashes": self._detector.run,
             }
             for name, task in tasks.items():
                 nursery.start_soon(supervise.run, task, name, self._stats)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -21,6 +21,7 @@
 from snipelug_relay import (
     announce,
     clock,
+    crashes,
     job,
     ports,
     record,
@@ -81,6 +82,8 @@
         Connections to upstreams.
     dialect : ports.Dialect
         Codec for the header fields of the platform.
+    detector : crashes.Detector
+        Classifies attempts that were broken off.
     """
 
     def __init__(
@@ -91,8 +94,10 @@
         pool: http_client.Pool,
         metrics: stats.Stats,
         announcer: announce.Announcer,
+        detector: crashes.Detector,
     ) -> None:
         self._announcer = announcer
+        self._detector = detector
         self._cfg = cfg
         self._state = node_state
         self._dialect = dialect
@@ -250,6 +255,8 @@
         ):
             upstream_attempt.on_not_run()
         self._update_upstream(chosen.upstream, outcome)
+        if outcome.is_closed:
+            await self._detector.record_lost(work, entry)
         return outcome
 
     def _prepare(
@@ -381,7 +388,9 @@
         body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
             return job.Outcome(
-                attempt.Result.LOST, f"the response was interrupted: {body}"
+                attempt.Result.LOST,
+                f"the response was interrupted: {body}",
+                is_closed=isinstance(body, http_client.Lost) and body.is_closed,
             )
         headers = self._dialect.response_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
@@ -403,7 +412,7 @@
             part = await reply.next_part()
             if isinstance(part, http_client.Lost):
                 reason = f"the stream was interrupted: {part.reason}"
-                return job.Outcome(attempt.Result.LOST, reason)
+                return job.Outcome(attempt.Result.LOST, reason, is_closed=True)
             events = splitter.push(part or b"")
             if splitter.is_overlong:
                 return job.Outcome(attempt.Result.LOST, stream.OVERLONG_EVENT)
@@ -494,6 +503,9 @@
         """
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
+        if lost.is_closed and lost.upstream_attempt is not None:
+            entry = lost.upstream_attempt.upstream.entry
+            self._detector.record_broken(work, entry)
         while True:
             if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
@@ -609,5 +621,5 @@
         case http_client.Withheld():
             reason = "the upstream became unusable before the request was sent"
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason)
-        case http_client.Lost(reason):
-            return job.Outcome(attempt.Result.LOST, reason)
+        case http_client.Lost(reason, is_closed):
+            return job.Outcome(attempt.Result.LOST, reason, is_closed=is_closed)
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -58,6 +58,12 @@
             ["call", "outcome"],
             registry=self.registry,
         )
+        self.crashes = prometheus_client.Counter(
+            "snipelug_upstream_crashes",
+            "Crashes of upstreams that broke off attempts of this node.",
+            ["service"],
+            registry=self.registry,
+        )
         self.task_failures = prometheus_client.Counter(
             "snipelug_task_failures",
             "Unexpected errors of background tasks, which were restarted.",
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -129,6 +129,7 @@
             reason,
             self._current.upstream_attempt,
             splitter=self._current.splitter,
+            is_closed=not isinstance(failure, Stalled),
         )
         if self._current.upstream_attempt is not None:
             self._current.upstream_attempt.upstream.record_outcome(True, clock.now())
