Reproduce crashes of engines by a part that new prompts have in common

The stand-in engine can crash when it begins to answer a prompt with a given part or body; it refuses connections until it is back as a new incarnation.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
 import logging
 import socket
 
@@ -95,6 +96,11 @@
         for item in [*self.apps, *self.engines]:
             self.store.put("servers", item.id, item.entry())
 
+    def replace_entry(self, item: server.Server, previous: str) -> None:
+        """Replace the list entry of an upstream that has restarted."""
+        self.store.delete("servers", previous)
+        self.store.put("servers", item.id, item.entry())
+
     def configure(self, version: int, **overrides: object) -> None:
         """Write a configuration to the store."""
         self.store.put("op", "config", config(version, self.kv_stores, **overrides))
@@ -158,6 +164,8 @@
         world.apps = [server.Server("app") for _ in range(apps)]
         world.engines = [server.Server("llm", model=MODEL) for _ in range(engines)]
         world.kv_stores = [kv_store.KvStore() for _ in range(kv_stores)]
+        for item in [*world.apps, *world.engines]:
+            item.on_restart = functools.partial(world.replace_entry, item)
         for item in [*world.apps, *world.engines, *world.kv_stores]:
             await nursery.start(item.serve)
         world.configure(1)
