Withhold requests with a prompt part that crashes upstreams, on all nodes

Cause: a node judged each request by its own history. New prompts with the part had none, so each was sent to two engines, on every node.

Change: `core/quarantine.py` also counts crashes by suspect, which is a prompt part other than the last, or a whole request. When an upstream has crashed, the attempts that had not begun there are charged. A complete answer clears its parts, and parts answered in the last 10 s are not charged, so that crashes with another cause do not withhold parts in use. After three crashes, over all nodes, requests that contain everything that is equally suspect are withheld: callers get 503 `quarantined` if nothing ran and 502 otherwise, and attempts that have not begun are aborted. After two, a charged request is not retried. Nodes share suspects by repeated datagrams and by rows of the store, which are read before a node is ready. After 60 s, doubling, one request over all nodes is sent again.

The crash id is that of the upstream incarnation, so charges of several nodes for one crash count once; merging is a union, without clocks.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -1,5 +1,7 @@
 """Quarantine of requests that repeatedly crash the upstreams they run on."""
 
+import collections
+import collections.abc
 import dataclasses
 import enum
 
@@ -105,3 +107,189 @@
         f" upstreams died ({upstreams}); an operator can release it"
     )
     return refusal.refuse(refusal.QUARANTINED, message)
+
+
+SUSPECT_LIMIT = 3
+"""Number of crashes, over all nodes, after which requests with a suspect are withheld.
+
+Crashes of upstreams break off sound requests as well, so one more than
+``CRASH_LIMIT`` is needed where requests are charged by what they have in common.
+"""
+
+RETRY_LIMIT = 2
+"""Number of crashes after which a charged request is not sent to another upstream."""
+
+MAX_SUSPECT_ID_LENGTH = 150
+MAX_CRASHES = 16
+"""Maximum number of crashes that are counted for a suspect; the newest are kept."""
+
+MAX_CLEARED = 64
+"""Maximum number of cleared crashes that are remembered for a suspect."""
+
+MAX_SUSPICIONS = 4096
+"""Maximum number of suspects that are remembered; the oldest are dropped first."""
+
+
+def part_suspect(model: str, part_id: str) -> str:
+    """Return the suspect for a part of a model's prompts."""
+    suspect = f"part/{model}/{part_id}"
+    if len(suspect) <= MAX_SUSPECT_ID_LENGTH and suspect.isascii():
+        return suspect
+    return f"part/{hashing.keyed_digest(b'', suspect.encode()).hex()}"
+
+
+def request_suspect(target: str, team: str, body: bytes) -> str:
+    """Return the suspect for a whole request."""
+    return f"request/{fingerprint(b'', f'{team} {target}', body)}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspicion:
+    """Crashes charged to one suspect: a prompt part or a whole request.
+
+    Attributes
+    ----------
+    crashes : dict of str to frozenset of str
+        Ids of the crashes that are not cleared. The value is the suspects, including
+        this one, that all requests charged with that crash had in common with it.
+    cleared : frozenset of str
+        Ids of crashes that this suspect did not cause: a request with it was answered
+        completely afterwards.
+    """
+
+    suspect: str
+    crashes: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
+    cleared: frozenset[str] = frozenset()
+
+    def merged(self, other: "Suspicion") -> "Suspicion":
+        """Merge two states; commutative, associative and idempotent.
+
+        Both limits keep the newest crashes, as ids sort by time.
+        """
+        cleared = self.cleared | other.cleared
+        crashes = {
+            crash_id: _intersect(self.crashes, other.crashes, crash_id)
+            for crash_id in sorted(self.crashes.keys() | other.crashes.keys())
+            if crash_id not in cleared
+        }
+        crashes = dict(list(crashes.items())[-MAX_CRASHES:])
+        if len(cleared) > MAX_CLEARED:
+            cleared = frozenset(sorted(cleared)[-MAX_CLEARED:])
+        return Suspicion(self.suspect, crashes, cleared)
+
+    @property
+    def company(self) -> frozenset[str]:
+        """Suspects that were in every request charged with this one."""
+        return frozenset.intersection(*self.crashes.values())
+
+
+def shorten(
+    suspicion: Suspicion, fits: collections.abc.Callable[[Suspicion], bool]
+) -> Suspicion:
+    """Drop the oldest crashes, then the oldest cleared ones, until a message fits."""
+    while not fits(suspicion) and (suspicion.crashes or suspicion.cleared):
+        crashes = dict(list(suspicion.crashes.items())[1:])
+        cleared = suspicion.cleared
+        if not suspicion.crashes:
+            cleared = frozenset(sorted(cleared)[1:])
+        suspicion = Suspicion(suspicion.suspect, crashes, cleared)
+    return suspicion
+
+
+def _intersect(
+    first: dict[str, frozenset[str]], second: dict[str, frozenset[str]], crash_id: str
+) -> frozenset[str]:
+    if crash_id not in first:
+        return second[crash_id]
+    return first[crash_id] & second.get(crash_id, first[crash_id])
+
+
+class Ledger:
+    """Crashes charged to suspects, as known to one node."""
+
+    def __init__(self) -> None:
+        self._suspicions: collections.OrderedDict[str, Suspicion] = (
+            collections.OrderedDict()
+        )
+        self._repeated: dict[str, None] = {}
+
+    def __len__(self) -> int:
+        return len(self._suspicions)
+
+    def repeated(self) -> list[Suspicion]:
+        """Return the suspicions with ``RETRY_LIMIT`` crashes or more."""
+        return [self._suspicions[suspect] for suspect in self._repeated]
+
+    @property
+    def has_repeated(self) -> bool:
+        """Whether a suspect has ``RETRY_LIMIT`` crashes or more."""
+        return bool(self._repeated)
+
+    def get(self, suspect: str) -> Suspicion:
+        """Return what is known of a suspect."""
+        return self._suspicions.get(suspect) or Suspicion(suspect)
+
+    def merge(self, other: Suspicion) -> bool:
+        """Merge a state from another node or a row; return whether anything changed."""
+        known = self.get(other.suspect)
+        merged = known.merged(other)
+        if merged == known:
+            return False
+        self._suspicions[other.suspect] = merged
+        self._suspicions.move_to_end(other.suspect)
+        if len(merged.crashes) >= RETRY_LIMIT:
+            self._repeated[other.suspect] = None
+        else:
+            self._repeated.pop(other.suspect, None)
+        while len(self._suspicions) > MAX_SUSPICIONS:
+            once = (s for s in self._suspicions if s not in self._repeated)
+            self.forget(next(once, next(iter(self._suspicions))))
+        return True
+
+    def forget(self, suspect: str) -> None:
+        """Forget a suspect."""
+        self._suspicions.pop(suspect, None)
+        self._repeated.pop(suspect, None)
+
+    def charge(
+        self, crash_id: str, suspects: collections.abc.Collection[str]
+    ) -> list[str]:
+        """Charge a crash to a request that had not begun; return what changed."""
+        company = frozenset(suspects)
+        return [
+            suspect
+            for suspect in suspects
+            if self.merge(Suspicion(suspect, {crash_id: company}))
+        ]
+
+    def clear(self, suspect: str) -> bool:
+        """Clear a suspect of all known crashes; return whether there were any."""
+        crashes = frozenset(self.get(suspect).crashes)
+        return bool(crashes) and self.merge(Suspicion(suspect, {}, crashes))
+
+    def count(self, suspect: str) -> int:
+        """Return the number of crashes of which a suspect is not cleared."""
+        return len(self.get(suspect).crashes)
+
+    def find(
+        self, suspects: collections.abc.Collection[str], limit: int
+    ) -> Suspicion | None:
+        """Return the suspicion because of which a request is withheld, if any.
+
+        Suspects that were never seen apart cannot be told apart. A request is therefore
+        withheld only if it contains all of them; one that contains a sound one alone
+        is answered and clears it.
+        """
+        for suspect in suspects:
+            suspicion = self._suspicions.get(suspect)
+            if suspicion is None or len(suspicion.crashes) < limit:
+                continue
+            if all(
+                other in suspects or not self._is_equally_suspect(other, suspicion)
+                for other in suspicion.company
+            ):
+                return suspicion
+        return None
+
+    def _is_equally_suspect(self, other: str, suspicion: Suspicion) -> bool:
+        return suspicion.crashes.keys() <= self.get(other).crashes.keys()
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -126,6 +126,10 @@
         """Set the handler for a type of message."""
         self._handlers[kind] = handler
 
+    def send_to_all(self, message: messages.Message) -> bool:
+        """Send to all nodes; return whether the message fits."""
+        return self._send(message)
+
     def send_to_zone(self, message: messages.Message) -> bool:
         """Send to the nodes of this node's zone; return whether the message fits."""
         zone = self._state.cfg.zone
--- a/packages/snipelug-relay/src/snipelug_relay/crashes.py
+++ b/packages/snipelug-relay/src/snipelug_relay/crashes.py
@@ -62,6 +62,8 @@
 
     Attributes
     ----------
+    connected_at : float
+        Monotonic time at which it last accepted a connection, in seconds.
     verdict : trio.Event or None
         Set at the end of the connect that is in progress, if any.
     """
@@ -71,6 +73,7 @@
     attempts: list[LostAttempt] = dataclasses.field(default_factory=list)
     has_crashed: bool = False
     is_logged: bool = False
+    connected_at: float = -1e9
     verdict: trio.Event | None = None
 
 
@@ -81,18 +84,20 @@
 class Detector:
     """Tells crashes of upstreams from other failures.
 
-    Attributes
+    Parameters
     ----------
-    on_crash : OnCrash or None
+    on_crash : OnCrash
         Called once for each attempt that had not begun on a crashed upstream.
     """
 
-    def __init__(self, node_state: state.State, metrics: stats.Stats) -> None:
+    def __init__(
+        self, node_state: state.State, metrics: stats.Stats, on_crash: OnCrash
+    ) -> None:
         self._state = node_state
         self._stats = metrics
         self._losses: collections.OrderedDict[str, Losses] = collections.OrderedDict()
         self._changed = trio.Event()
-        self.on_crash: OnCrash | None = None
+        self._on_crash = on_crash
 
     async def record_lost(self, work: job.Job, entry: fleet.Entry) -> None:
         """Record an attempt that had not begun; return once it is classified."""
@@ -123,11 +128,15 @@
         if losses.verdict is not None:
             await losses.verdict.wait()
             return
+        if clock.now() - losses.connected_at < COLLECT_S:
+            return
         losses.verdict = trio.Event()
         try:
             with trio.CancelScope(shield=True):
                 if await is_refusing(losses.entry.addr):
                     self._confirm(losses)
+                else:
+                    losses.connected_at = clock.now()
         finally:
             losses.verdict.set()
             losses.verdict = None
@@ -142,8 +151,7 @@
                 self._charge(losses, lost.work)
 
     def _charge(self, losses: Losses, work: job.Job) -> None:
-        if self.on_crash is not None:
-            self.on_crash(crash_id(losses.entry), work)
+        self._on_crash(crash_id(losses.entry), work)
 
     async def run(self) -> None:
         """Classify what is still open and log crashes, until cancelled."""
@@ -164,16 +172,19 @@
             return
         if not losses.has_crashed and self._has_restarted(losses.entry):
             self._confirm(losses)
-        only_begun = all(lost.has_begun for lost in losses.attempts)
-        if not losses.has_crashed and only_begun and now - losses.lost_at < 1.0:
+        is_unknown = not losses.has_crashed and losses.connected_at < losses.lost_at
+        if is_unknown and now - losses.lost_at < 1.0:
             await self._connect(losses)
         if losses.has_crashed and not losses.is_logged:
             losses.is_logged = True
             self._log(losses)
 
     def _has_restarted(self, entry: fleet.Entry) -> bool:
-        known = self._state.fleet.upstreams.get(entry.id)
-        return known is not None and known.entry.born > entry.born
+        return any(
+            (other.id == entry.id or other.addr == entry.addr)
+            and other.born > entry.born
+            for other in (u.entry for u in self._state.fleet.of_service(entry.service))
+        )
 
     def _log(self, losses: Losses) -> None:
         waiting = [lost.work for lost in losses.attempts if not lost.has_begun]
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -20,6 +20,10 @@
         Upstreams to which the request was sent.
     trace : list of dict
         One log entry per attempt.
+    suspects : frozenset of str or None
+        What crashes may be charged to; None if not needed yet.
+    is_probe : bool
+        Whether it is sent to find out if a withheld suspect still crashes upstreams.
     """
 
     request: ports.CallerRequest
@@ -33,6 +37,8 @@
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
     first_byte_at: float | None = None
     is_finished: bool = False
+    suspects: frozenset[str] | None = None
+    is_probe: bool = False
 
     @property
     def priority(self) -> int:
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from snipelug_core import fleet
+from snipelug_core import fleet, quarantine
 
 
 class Prefill(msgspec.Struct, array_like=True, tag=1):
@@ -116,4 +116,12 @@
     kv_stores: list[KvStoreRead]
 
 
-Message = Prefill | Switching | Serving | IntentsRead | ListRead | KvStoresRead
+class Suspects(msgspec.Struct, array_like=True, tag=20):
+    """What the sender knows of suspects of crashes."""
+
+    suspicions: list[quarantine.Suspicion]
+
+
+Message = (
+    Prefill | Switching | Serving | IntentsRead | ListRead | KvStoresRead | Suspects
+)
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -20,6 +20,7 @@
     state,
     stats,
     supervise,
+    suspects,
     watch,
     weights,
 )
@@ -94,7 +95,12 @@
         platform = build(cfg, control_pool)
         self._store = platform.store
         self._announcer = announce.Announcer(cfg.peers, self._state)
-        self._detector = crashes.Detector(self._state, self._stats)
+        self._suspects = suspects.Suspects(
+            cfg, self._state, platform.store, self._stats, self._announcer
+        )
+        self._detector = crashes.Detector(
+            self._state, self._stats, self._suspects.charge
+        )
         self._relay = relay.Relay(
             cfg,
             self._state,
@@ -103,6 +109,7 @@
             self._stats,
             self._announcer,
             self._detector,
+            self._suspects,
         )
         self.callers_port = 0
         self.ready_port = 0
@@ -192,6 +199,7 @@
                 "settings": self._watch_settings,
                 "expiry": self._expire_upstreams,
                 "crashes": self._detector.run,
+                "suspects": self._suspects.run,
             }
             for name, task in tasks.items():
                 nursery.start_soon(supervise.run, task, name, self._stats)
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -4,7 +4,7 @@
 import dataclasses
 import typing
 
-from snipelug_core import catalog, choice, fleet, kv_index, refusal, rollout
+from snipelug_core import catalog, choice, fleet, kv_index, quarantine, refusal, rollout
 from snipelug_net import http_client, http_server
 
 
@@ -300,6 +300,26 @@
     """Another node wrote the row first."""
 
 
+@dataclasses.dataclass(frozen=True)
+class SuspectRow:
+    """The row of a suspect of crashes.
+
+    Attributes
+    ----------
+    probe_at_ms : float
+        Time of the store's clock from which one node may send a request with it.
+    probes : int
+        Number of requests that were sent that way.
+    version : int
+        Version of the row, 0 if it does not exist.
+    """
+
+    suspicion: quarantine.Suspicion
+    probe_at_ms: float
+    probes: int
+    version: int
+
+
 class ControlStore(typing.Protocol):
     """The platform's store as used by the relay."""
 
@@ -345,6 +365,18 @@
         """Write the lease if its row still has the expected version."""
         ...
 
+    async def read_suspects(self) -> Page[SuspectRow] | Unavailable:
+        """Read the rows of all suspects of crashes."""
+        ...
+
+    async def write_suspect(self, row: SuspectRow) -> bool | Unavailable:
+        """Write a row if its version is unchanged; return whether it was written."""
+        ...
+
+    async def remove_suspect(self, suspect: str, version: int) -> bool | Unavailable:
+        """Remove a row if its version is unchanged; return whether it was removed."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class Report:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -30,6 +30,7 @@
     state,
     stats,
     stream,
+    suspects,
 )
 
 LOG = logging.getLogger("snipelug.relay")
@@ -84,6 +85,8 @@
         Codec for the header fields of the platform.
     detector : crashes.Detector
         Classifies attempts that were broken off.
+    suspect_requests : suspects.Suspects
+        Decides which requests are withheld because they may crash upstreams.
     """
 
     def __init__(
@@ -95,9 +98,11 @@
         metrics: stats.Stats,
         announcer: announce.Announcer,
         detector: crashes.Detector,
+        suspect_requests: suspects.Suspects,
     ) -> None:
         self._announcer = announcer
         self._detector = detector
+        self._suspects = suspect_requests
         self._cfg = cfg
         self._state = node_state
         self._dialect = dialect
@@ -162,9 +167,14 @@
 
     async def _run_attempts(self, work: job.Job) -> http_server.Response:
         while True:
+            withheld = await self._suspects.check(work)
+            if withheld is not None:
+                return self._refuse(work, withheld)
             chosen = await self._selector.pick(work)
             if isinstance(chosen, refusal.Refusal):
                 return self._refuse(work, chosen)
+            if self._suspects.is_withheld(work):
+                continue
             outcome = await self._attempt(work, chosen, work.request.resume_after)
             decision = self._record_and_decide(work, outcome)
             if decision is attempt.Action.TRY_AGAIN:
@@ -205,6 +215,8 @@
 
     def _can_retry(self, work: job.Job) -> bool:
         """Return whether a retry is possible, without spending retry budget."""
+        if self._suspects.stops_retry(work):
+            return False
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
@@ -229,7 +241,10 @@
         outcome = job.Outcome(attempt.Result.LOST, "no response in time")
         is_kept = False
         try:
-            with trio.move_on_after(self._attempt_timeout_s(work, chosen)):
+            with (
+                trio.move_on_after(self._attempt_timeout_s(work, chosen)) as scope,
+                self._suspects.track(work, scope) as waiting,
+            ):
                 sent = await self._pool.send(call, self._pre_send_check(work, chosen))
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
@@ -239,6 +254,10 @@
                     )
                 else:
                     outcome = _send_failure(sent)
+            if scope.cancelled_caught and waiting.is_withheld:
+                outcome = job.Outcome(attempt.Result.LOST, "aborted: suspect withheld")
+                outcome.upstream_attempt = upstream_attempt
+                return outcome
             is_kept = outcome.reply is not None
         finally:
             if not is_kept:
@@ -510,7 +529,7 @@
             if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
             chosen = await self._selector.pick(work)
-            if isinstance(chosen, refusal.Refusal):
+            if isinstance(chosen, refusal.Refusal) or self._suspects.is_withheld(work):
                 if lost.result is not attempt.Result.NOT_CONNECTED:
                     retry.put_back(self._budgets[work.service], self._policy())
                 return None
@@ -569,6 +588,8 @@
         if work.is_finished:
             return
         work.is_finished = True
+        if outcome == "answered":
+            self._suspects.record_sound(work)
         now = clock.now()
         self._stats.requests.labels(work.route.name, outcome, code).inc()
         first_s = (
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -17,10 +17,10 @@
 
 
 STORES_READY_TIMEOUT_S = 1.0
-"""Maximum time a starting node waits for the KV cache stores before it is ready.
+"""Maximum time a starting node waits for KV cache stores and suspects.
 
-Without them every prompt needs a full prefill. The limit keeps a store that is down
-from blocking the start of nodes.
+Without the stores every prompt needs a full prefill. The limit keeps a store that is
+down from blocking the start of nodes.
 """
 
 
@@ -65,6 +65,8 @@
         Requests of callers on known routes since the start.
     is_reader : bool
         Whether this node reads from the platform, for its zone or for itself.
+    suspects_known : bool
+        Whether the suspects of crashes have been read.
     stores_changed : trio.Event
         Set when the configuration may have changed the KV cache stores.
     """
@@ -87,6 +89,7 @@
         self._frees_store: dict[str, bool] = {}
         self.stores_changed = trio.Event()
         self.configured_since: float | None = None
+        self.suspects_known = False
         self.is_stopping = False
 
     @property
@@ -100,9 +103,8 @@
             return False
         now = clock.now()
         return (
-            self.knows_stores(now)
-            or now - self.configured_since > STORES_READY_TIMEOUT_S
-        )
+            self.knows_stores(now) and self.suspects_known
+        ) or now - self.configured_since > STORES_READY_TIMEOUT_S
 
     def knows_stores(self, now: float) -> bool:
         """Return whether the contents of all KV cache stores are known."""
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -64,6 +64,12 @@
             ["service"],
             registry=self.registry,
         )
+        self.suspects = prometheus_client.Counter(
+            "snipelug_suspects",
+            "Suspects of crashes: suspected, withheld or cleared; attempts aborted.",
+            ["what"],
+            registry=self.registry,
+        )
         self.task_failures = prometheus_client.Counter(
             "snipelug_task_failures",
             "Unexpected errors of background tasks, which were restarted.",
