Merge the quarantine of prompt parts that crash upstreams

In the merge, a stream without a length that ends before or inside its first event also counts as closed by the upstream, so that it can show a crash.

--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -20,6 +20,10 @@
         Upstreams to which the request was sent.
     trace : list of dict
         One log entry per attempt.
+    suspects : frozenset of str or None
+        What crashes may be charged to; None if not needed yet.
+    is_probe : bool
+        Whether it is sent to find out if a withheld suspect still crashes upstreams.
     """
 
     request: ports.CallerRequest
@@ -33,6 +37,8 @@
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
     first_byte_at: float | None = None
     is_finished: bool = False
+    suspects: frozenset[str] | None = None
+    is_probe: bool = False
 
     @property
     def priority(self) -> int:
@@ -111,6 +117,8 @@
         The open response of a stream.
     events : bytes
         Its first complete events.
+    is_closed : bool
+        Whether the upstream closed the connection before the response was complete.
     response : http_server.Response or None
         The complete response to any other request.
     is_withheld : bool
@@ -124,5 +132,6 @@
     splitter: sse.Splitter | None = None
     events: bytes = b""
     has_ended: bool = False
+    is_closed: bool = False
     response: http_server.Response | None = None
     is_withheld: bool = False
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from snipelug_core import fleet
+from snipelug_core import fleet, quarantine
 
 
 class Prefill(msgspec.Struct, array_like=True, tag=1):
@@ -129,6 +129,19 @@
     born: int
 
 
+class Suspects(msgspec.Struct, array_like=True, tag=20):
+    """What the sender knows of suspects of crashes."""
+
+    suspicions: list[quarantine.Suspicion]
+
+
 Message = (
-    Prefill | Switching | Serving | IntentsRead | ListRead | KvStoresRead | Leaving
+    Prefill
+    | Switching
+    | Serving
+    | IntentsRead
+    | ListRead
+    | KvStoresRead
+    | Leaving
+    | Suspects
 )
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -22,6 +22,7 @@
 from snipelug_relay import (
     announce,
     clock,
+    crashes,
     job,
     ports,
     record,
@@ -30,6 +31,7 @@
     state,
     stats,
     stream,
+    suspects,
 )
 
 LOG = logging.getLogger("snipelug.relay")
@@ -115,6 +117,10 @@
         Connections to upstreams.
     dialect : ports.Dialect
         Codec for the header fields of the platform.
+    detector : crashes.Detector
+        Classifies attempts that were broken off.
+    suspect_requests : suspects.Suspects
+        Decides which requests are withheld because they may crash upstreams.
     """
 
     def __init__(
@@ -125,8 +131,12 @@
         pool: http_client.Pool,
         metrics: stats.Stats,
         announcer: announce.Announcer,
+        detector: crashes.Detector,
+        suspect_requests: suspects.Suspects,
     ) -> None:
         self._announcer = announcer
+        self._detector = detector
+        self._suspects = suspect_requests
         self._cfg = cfg
         self._state = node_state
         self._dialect = dialect
@@ -192,9 +202,14 @@
 
     async def _run_attempts(self, work: job.Job) -> http_server.Response:
         while True:
+            withheld = await self._suspects.check(work)
+            if withheld is not None:
+                return self._refuse(work, withheld)
             chosen = await self._selector.pick(work)
             if isinstance(chosen, refusal.Refusal):
                 return self._refuse(work, chosen)
+            if self._suspects.is_withheld(work):
+                continue
             outcome = await self._attempt(work, chosen, work.request.resume_after)
             decision = self._record_and_decide(work, outcome)
             if decision is attempt.Action.TRY_AGAIN:
@@ -235,6 +250,8 @@
 
     def _can_retry(self, work: job.Job) -> bool:
         """Return whether a retry is possible, without spending retry budget."""
+        if self._suspects.stops_retry(work):
+            return False
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
         )
@@ -259,7 +276,10 @@
         outcome = job.Outcome(attempt.Result.LOST, "no response in time")
         is_kept = False
         try:
-            with self._limit_beginning(work, chosen) as beginning:
+            with (
+                self._limit_beginning(work, chosen) as beginning,
+                self._suspects.track(work, beginning.scope) as waiting,
+            ):
                 sent = await self._pool.send(call, self._pre_send_check(work, chosen))
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
@@ -269,6 +289,10 @@
                     )
                 else:
                     outcome = _send_failure(sent)
+            if beginning.scope.cancelled_caught and waiting.is_withheld:
+                outcome = job.Outcome(attempt.Result.LOST, "aborted: suspect withheld")
+                outcome.upstream_attempt = upstream_attempt
+                return outcome
             if beginning.is_cut_short:
                 outcome.reason = "not begun before its weights had to be retired"
             is_kept = outcome.reply is not None
@@ -287,6 +311,8 @@
         ):
             upstream_attempt.on_not_run()
         self._update_upstream(chosen.upstream, outcome)
+        if outcome.is_closed:
+            await self._detector.record_lost(work, entry)
         return outcome
 
     @contextlib.contextmanager
@@ -452,7 +478,9 @@
         body = await reply.read(MAX_RESPONSE_BYTES, max(0.0, work.left_s()))
         if not isinstance(body, bytes):
             return job.Outcome(
-                attempt.Result.LOST, f"the response was interrupted: {body}"
+                attempt.Result.LOST,
+                f"the response was interrupted: {body}",
+                is_closed=isinstance(body, http_client.Lost) and body.is_closed,
             )
         headers = self._dialect.response_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
@@ -474,14 +502,17 @@
             part = await reply.next_part()
             if isinstance(part, http_client.Lost):
                 reason = f"the stream was interrupted: {part.reason}"
-                return job.Outcome(attempt.Result.LOST, reason)
+                return job.Outcome(attempt.Result.LOST, reason, is_closed=True)
             events = splitter.push(part or b"")
             if splitter.is_overlong:
                 return job.Outcome(attempt.Result.LOST, stream.OVERLONG_EVENT)
-            if part is None and splitter.ends_in_event:
-                return job.Outcome(attempt.Result.LOST, stream.PARTIAL_EVENT)
-            if part is None and not reply.is_framed:
-                return job.Outcome(attempt.Result.LOST, stream.NO_EVENT)
+            if part is None and (splitter.ends_in_event or not reply.is_framed):
+                reason = (
+                    stream.PARTIAL_EVENT if splitter.ends_in_event else stream.NO_EVENT
+                )
+                return job.Outcome(
+                    attempt.Result.LOST, reason, is_closed=not reply.is_framed
+                )
             if part is None or events:
                 upstream_attempt.record_prompt_read()
                 return job.Outcome(
@@ -594,11 +625,14 @@
         """
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
+        if lost.is_closed and lost.upstream_attempt is not None:
+            entry = lost.upstream_attempt.upstream.entry
+            self._detector.record_broken(work, entry)
         while True:
             if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
             chosen = await self._selector.pick(work)
-            if isinstance(chosen, refusal.Refusal):
+            if isinstance(chosen, refusal.Refusal) or self._suspects.is_withheld(work):
                 if lost.result is not attempt.Result.NOT_CONNECTED:
                     retry.put_back(self._budgets[work.service], self._policy())
                 return None
@@ -662,6 +696,8 @@
         if work.is_finished:
             return
         work.is_finished = True
+        if outcome == "answered":
+            self._suspects.record_sound(work)
         now = clock.now()
         self._stats.requests.labels(work.route.name, outcome, code).inc()
         first_s = (
@@ -714,5 +750,5 @@
         case http_client.Withheld():
             reason = "the upstream became unusable before the request was sent"
             return job.Outcome(attempt.Result.NOT_CONNECTED, reason, is_withheld=True)
-        case http_client.Lost(reason):
-            return job.Outcome(attempt.Result.LOST, reason)
+        case http_client.Lost(reason, is_closed):
+            return job.Outcome(attempt.Result.LOST, reason, is_closed=is_closed)
