--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -380,6 +380,11 @@
             reason = (
                 f"status {reply.status} without a signature or with another request id"
             )
+            if not reply.is_identified:
+                reason = (
+                    f"status {reply.status} without the request's id, on a connection "
+                    "that has carried other requests"
+                )
             return job.Outcome(attempt.Result.LOST, reason)
         is_events = work.route.is_stream and response_head.is_event_stream
         if is_events and reply.status == OK:
