Date a table by its first page

A table of several pages was returned with the clock of its last page, although a change that was made while the pages were read may be missing. The bound on outdated weights would then run from a time after the naming. The operator's table of the deployments has one page, so no caller saw it.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,8 +7,8 @@
 import pytest
 
 from snipelug_core import catalog, choice, kv_index, refusal
-from snipelug_net import http_server
-from snipelug_platform import dialect, rows, settings
+from snipelug_net import http_client, http_server
+from snipelug_platform import calls, dialect, rows, settings, store
 from snipelug_relay import ports
 from tests import relay_builders
 
@@ -315,3 +315,24 @@
     assert response.status == 503
     assert response.headers["retry-after"] == "0.25"
     assert response.headers["request-id"] == "ab12"
+
+
+async def test_clock_of_a_table_is_that_of_its_first_page(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a clock later than a change that the pages do not have."""
+    pages = iter(
+        [
+            b'{"rows":[{"key":"a"}],"ver":7,"now_ms":100,"truncated":true}',
+            b'{"rows":[{"key":"b"}],"ver":9,"now_ms":400,"truncated":false}',
+        ]
+    )
+
+    async def fetch(*_args: object) -> http_client.FullResponse:
+        return http_client.FullResponse(200, {}, next(pages))
+
+    monkeypatch.setattr(calls, "fetch", fetch)
+    client = store.Store(http_client.Pool(), ("127.0.0.1", 1))
+    page = await client.read_intents()
+    assert isinstance(page, ports.Page)
+    assert (page.position, page.clock_ms) == (7, 100.0)
