Date a held response of the store by its call

A held call that reports no change was dated by the clock in its response. The response is now as old as its call for this node and for those that read through it, as docs/platform.md states.

Evidence: test_held_response_is_as_old_as_its_call failed before.

--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -196,15 +196,15 @@
     def _apply_intents(
         self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
     ) -> None:
-        self._state.store_clock.record(sent_at, clock.now(), page.clock_ms)
-        # A partition can delay the response, so its data is as old as the call.
-        self._state.apply_intents(page.items, page.clock_ms, is_whole=since is None)
+        store_clock = self._state.store_clock
+        store_clock.record(sent_at, clock.now(), page.clock_ms)
+        # A change can be missing from a held response, so it is as old as its call.
+        clock_ms = min(page.clock_ms, store_clock.latest_ms(sent_at))
+        self._state.apply_intents(page.items, clock_ms, is_whole=since is None)
         self._intents_cursor.advance(page.position)
         if since is not None and self._state.is_reader:
             self._announcer.send_to_zone(
-                messages.IntentsRead(
-                    since, page.position, page.clock_ms, bool(page.items)
-                )
+                messages.IntentsRead(since, page.position, clock_ms, bool(page.items))
             )
         self._on_intent()
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -107,3 +107,46 @@
     assert 8 <= store.calls["read_upstreams"] <= 12
     assert 3 <= store.calls["read_members"] <= 6
     nursery.cancel_scope.cancel()
+
+
+class HoldingStore:
+    """A store that reports its clock at the end of a held call."""
+
+    HOLD_S = 0.2
+
+    def clock_ms(self) -> float:
+        return 1e3 * clock.now() + 5_000.0
+
+    async def read_intents(self) -> ports.Page[ports.Intent]:
+        return ports.Page([], 1, self.clock_ms())
+
+    async def watch_intents(
+        self, position: int, wait_s: float
+    ) -> ports.Page[ports.Intent]:
+        await trio.sleep(self.HOLD_S)
+        return ports.Page([], position, self.clock_ms())
+
+
+async def test_held_response_is_as_old_as_its_call(nursery: trio.Nursery) -> None:
+    """Guards against a change missing from a held response that counts as unmade."""
+    addr = ("127.0.0.1", 1)
+    node_state = state.State(ports.Settings("n1", "a", addr, addr, addr))
+    store = HoldingStore()
+    ages_ms: list[float] = []
+
+    def record_age() -> None:
+        ages_ms.append(store.clock_ms() - node_state.intents_current_ms)
+
+    watcher = watch.Watch(
+        node_state.cfg,
+        node_state,
+        store,  # type: ignore[arg-type]
+        stats.Stats(),
+        record_age,
+        announce.Announcer(None, node_state),
+    )
+    nursery.start_soon(watcher.run_intents)
+    await trio.sleep(3.5 * store.HOLD_S)
+    nursery.cancel_scope.cancel()
+    assert len(ages_ms) >= 3
+    assert all(age_ms >= 1e3 * store.HOLD_S - 5.0 for age_ms in ages_ms[1:])
