--- a/packages/snipelug-relay/src/snipelug_relay/retirements.py
+++ b/packages/snipelug-relay/src/snipelug_relay/retirements.py
@@ -135,6 +135,6 @@
             "retirement_written",
             model=row.model,
             version=known.version,
-            reason=getattr(written, "reason", None) or type(written).__name__,
+            result="written" if written is None else type(written).__name__,
         )
         return written is None and not known.is_uncertain
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -142,9 +142,20 @@
         before_s=st.sampled_from([0.0, 0.0, 0.002, 1.0, 3.0]),
         after_s=st.sampled_from([0.0, 0.0, 0.002, 1.0, 3.0]),
         is_held=st.booleans(),
+        is_overtaken=st.sampled_from([False, False, True]),
     )
-    def read(self, number: int, before_s: float, after_s: float, is_held: bool) -> None:
-        """Read the operator's table; a held call tells the clock of its arrival."""
+    def read(
+        self,
+        number: int,
+        before_s: float,
+        after_s: float,
+        is_held: bool,
+        is_overtaken: bool = False,
+    ) -> None:
+        """Read the operator's table; a held call tells the clock of its arrival.
+
+        A version may be named while the response is on its way.
+        """
         node = self.nodes[number]
         sent_at = self.local(node)
         self.now += before_s
@@ -152,6 +163,8 @@
         if is_held:
             self.now += 1.0
             version = self.newest
+        if is_overtaken and self.newest < 5:
+            self.name_version()
         self.now += after_s
         node.clock.record(sent_at, self.local(node), clock_ms)
         now_ms = node.clock.latest_ms(self.local(node))
@@ -159,6 +172,7 @@
             node.named = node.named.observe(version, node.current_ms, now_ms)
         node.current_ms = max(node.current_ms, clock_ms)
         node.is_started = True
+        assert node.named.version >= version
         self.announced.append((version, clock_ms))
 
     @stateful.precondition(lambda self: self.announced)
