Test suspects of crashes over nodes that restart and lose messages

A hypothesis machine lets nodes send crashing and sound requests, freeze, restart and lose messages while engines are killed with requests queued. Variants that were tried and found: nodes that withhold nothing (machine), rows not read after a restart (machine), a sound answer that clears the parts of others (machine), company ignored, united or never cleared (cases), crashes replaced instead of united and cleared crashes counted again (merge test).

--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,272 @@
+"""Tests of suspects of crashes under lost messages, restarts and other crashes."""
+
+import collections
+import itertools
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from snipelug_core import quarantine
+from tests import suspect_builders
+
+LIMIT = quarantine.SUSPECT_LIMIT
+SUSPICIONS = suspect_builders.suspicions("p")
+
+
+@hypothesis.given(SUSPICIONS, SUSPICIONS, SUSPICIONS)
+def test_merging_suspicions_does_not_depend_on_order(
+    first: quarantine.Suspicion,
+    second: quarantine.Suspicion,
+    third: quarantine.Suspicion,
+) -> None:
+    """Guards against nodes that judge differently after the same messages."""
+    assert first.merged(second) == second.merged(first)
+    left = first.merged(second).merged(third)
+    assert left == first.merged(second.merged(third))
+    assert left.merged(second) == left
+
+
+def test_crash_reported_by_several_nodes_counts_once() -> None:
+    """Guards against withholding a part after one crash seen by three nodes."""
+    ledger = quarantine.Ledger()
+    for request in ("r1", "r2", "r3"):
+        ledger.charge("crash", ["part", request])
+    assert ledger.get("part").crashes == {"crash": {"part"}}
+
+
+CHARGED = [("bad", "good"), ("bad", "good"), ("bad", "good")]
+CASES = [
+    pytest.param(CHARGED, (), ("bad", "good"), True, id="both"),
+    pytest.param(CHARGED, (), ("good",), False, id="one-of-two-never-seen-apart"),
+    pytest.param(CHARGED, ("good",), ("bad",), True, id="the-other-is-cleared"),
+    pytest.param(CHARGED, ("good",), ("good", "new"), False, id="cleared"),
+    pytest.param(CHARGED[:2], (), ("bad", "good"), False, id="two-crashes"),
+    pytest.param(
+        [("bad", "a"), ("bad", "b"), ("bad", "c")], (), ("bad", "d"), True, id="new"
+    ),
+]
+
+
+@pytest.mark.parametrize(("charged", "cleared", "request_", "is_withheld"), CASES)
+def test_only_requests_with_everything_suspect_are_withheld(
+    charged: list[tuple[str, ...]],
+    cleared: tuple[str, ...],
+    request_: tuple[str, ...],
+    is_withheld: bool,
+) -> None:
+    """Guards against withholding requests that share sound parts with others."""
+    ledger = quarantine.Ledger()
+    for number, suspects in enumerate(charged):
+        ledger.charge(f"crash-{number}", suspects)
+    for suspect in cleared:
+        ledger.clear(suspect)
+    assert (ledger.find(request_, LIMIT) is not None) is is_withheld
+
+
+def test_memory_for_suspects_is_bounded() -> None:
+    """Guards against memory that grows with each crash and each request."""
+    ledger = quarantine.Ledger()
+    for number in range(LIMIT):
+        ledger.charge(f"{number:04d}", ["bad"])
+    for number in range(quarantine.MAX_SUSPICIONS + 100):
+        ledger.charge("1000", [f"request-{number}"])
+    assert len(ledger) == quarantine.MAX_SUSPICIONS
+    assert ledger.find(["bad"], LIMIT) is not None
+    for number in range(200):
+        ledger.charge(f"2{number:04d}", ["bad", "often"])
+        ledger.clear("often")
+    assert len(ledger.get("bad").crashes) == quarantine.MAX_CRASHES
+    assert len(ledger.get("often").cleared) <= quarantine.MAX_CLEARED
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        (("m", "a"), ("n", "a")),
+        (("m", "a"), ("m", "b")),
+        (("m" * 200, "a"), ("m" * 200, "b")),
+        (("é", "a"), ("é", "b")),
+    ],
+)
+def test_parts_of_different_models_are_different_suspects(
+    first: tuple[str, str], second: tuple[str, str]
+) -> None:
+    """Guards against row keys that collide or that the store rejects."""
+    suspects = [quarantine.part_suspect(*each) for each in (first, second)]
+    assert suspects[0] != suspects[1]
+    assert all(len(suspect.encode()) <= 200 for suspect in suspects)
+
+
+def test_message_of_a_long_suspicion_is_shortened() -> None:
+    """Guards against a suspect that is not announced because it exceeds a datagram."""
+    ledger = quarantine.Ledger()
+    for number in range(8):
+        ledger.charge(f"{number}", ["p", "q"])
+    short = quarantine.shorten(ledger.get("p"), lambda s: len(s.crashes) <= LIMIT)
+    assert sorted(short.crashes) == ["5", "6", "7"]
+
+
+class Nodes(stateful.RuleBasedStateMachine):
+    """Nodes that send crashing and sound requests, restart and lose messages.
+
+    One part crashes each engine that begins a request with it. A node that crashes an
+    engine writes the row of a repeated suspect before it sends anything else; other
+    nodes learn of crashes by messages, which may be lost, or from the rows when they
+    start. Several copies of a request may be queued at an engine that crashes.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.nodes = [quarantine.Ledger() for _ in range(3)]
+        self.rows: dict[str, quarantine.Suspicion] = {}
+        self.frozen: dict[int, list[quarantine.Suspicion]] = {}
+        self.crash_ids = (f"{number:06d}" for number in itertools.count())
+        self.request_ids = (f"r{number}" for number in itertools.count())
+        self.sends_after_sync: collections.Counter[int] = collections.Counter()
+        self.is_synced = False
+
+    def _request(self, parts: frozenset[str]) -> frozenset[str]:
+        return parts | {next(self.request_ids)}
+
+    def _share(self, node: int, suspects: frozenset[str], heard: set[int]) -> None:
+        for suspect in suspects:
+            known = self.nodes[node].get(suspect)
+            if len(known.crashes) >= quarantine.RETRY_LIMIT or suspect in self.rows:
+                row = self.rows.get(suspect, quarantine.Suspicion(suspect))
+                self.rows[suspect] = row.merged(known)
+            for peer in heard:
+                if peer in self.frozen:
+                    self.frozen[peer].append(known)
+                else:
+                    self.nodes[peer].merge(known)
+
+    @stateful.rule(
+        node=st.integers(0, 2),
+        others=suspect_builders.SOUND_PARTS,
+        queued=st.lists(suspect_builders.SOUND_PARTS, max_size=2),
+        copies=st.sets(st.integers(0, 2)),
+        heard=st.sets(st.integers(0, 2)),
+        times=st.integers(1, 4),
+    )
+    def send_crashing(
+        self,
+        node: int,
+        others: frozenset[str],
+        queued: list[frozenset[str]],
+        copies: set[int],
+        heard: set[int],
+        times: int,
+    ) -> None:
+        """Send requests with the part, while others wait at the same engine."""
+        for _ in range(0 if node in self.frozen else times):
+            self._send_crashing(node, others, queued, copies, heard)
+
+    def _send_crashing(
+        self,
+        node: int,
+        others: frozenset[str],
+        queued: list[frozenset[str]],
+        copies: set[int],
+        heard: set[int],
+    ) -> None:
+        request = self._request(others | {suspect_builders.BAD})
+        if self.nodes[node].find(request, LIMIT) is not None:
+            return
+        self.sends_after_sync[node] += self.is_synced
+        crash_id = next(self.crash_ids)
+        for charged in (request, *map(self._request, queued)):
+            self.nodes[node].charge(crash_id, charged)
+            self._share(node, charged, heard)
+        for copy in copies - self.frozen.keys():
+            again = self._request(others | {suspect_builders.BAD})
+            self.nodes[copy].charge(crash_id, again)
+            self._share(copy, again, heard)
+
+    @stateful.rule(
+        node=st.integers(0, 2),
+        parts=suspect_builders.SOUND_PARTS,
+        heard=st.sets(st.integers(0, 2)),
+    )
+    def send_sound(self, node: int, parts: frozenset[str], heard: set[int]) -> None:
+        """Send a sound request; it is answered unless it is withheld."""
+        request = self._request(parts)
+        if node in self.frozen or self.nodes[node].find(request, LIMIT) is not None:
+            return
+        for suspect in request:
+            self.nodes[node].clear(suspect)
+        self._share(node, request, heard)
+
+    @stateful.rule(
+        node=st.integers(0, 2),
+        queued=st.lists(suspect_builders.SOUND_PARTS, min_size=1, max_size=3),
+        heard=st.sets(st.integers(0, 2)),
+    )
+    def kill_engine(
+        self, node: int, queued: list[frozenset[str]], heard: set[int]
+    ) -> None:
+        """Kill an engine at which sound requests wait."""
+        if node in self.frozen:
+            return
+        crash_id = next(self.crash_ids)
+        for request in map(self._request, queued):
+            self.nodes[node].charge(crash_id, request)
+            self._share(node, request, heard)
+
+    @stateful.rule(node=st.integers(0, 2))
+    def restart(self, node: int) -> None:
+        self.frozen.pop(node, None)
+        self.nodes[node] = quarantine.Ledger()
+        for row in self.rows.values():
+            self.nodes[node].merge(row)
+
+    @stateful.rule(node=st.integers(0, 2))
+    def freeze(self, node: int) -> None:
+        self.frozen.setdefault(node, [])
+
+    @stateful.rule(node=st.integers(0, 2))
+    def thaw(self, node: int) -> None:
+        for message in self.frozen.pop(node, []):
+            self.nodes[node].merge(message)
+
+    @stateful.precondition(lambda self: not self.frozen)
+    @stateful.rule()
+    def exchange(self) -> None:
+        """Let each node hear of all repeated suspects, as it does every few seconds."""
+        repeated = {s.suspect for node in self.nodes for s in node.repeated()}
+        for suspect in sorted(repeated):
+            for sender, receiver in itertools.permutations(self.nodes, 2):
+                receiver.merge(sender.get(suspect))
+            row = self.rows.get(suspect, quarantine.Suspicion(suspect))
+            for node in self.nodes:
+                row = row.merged(node.get(suspect))
+            self.rows[suspect] = row
+        if any(n.count(suspect_builders.BAD) >= LIMIT for n in self.nodes):
+            self.is_synced = True
+
+    @stateful.invariant()
+    def crashing_requests_stop(self) -> None:
+        """Guard against more than one send for each part that was never seen apart."""
+        largest = max(self.sends_after_sync.values(), default=0)
+        assert largest <= suspect_builders.MAX_SOUND_PARTS
+
+    @stateful.invariant()
+    def crashing_part_is_never_cleared(self) -> None:
+        assert not any(n.get(suspect_builders.BAD).cleared for n in self.nodes)
+
+    def teardown(self) -> None:
+        """Sound parts are answered again after one answer of each."""
+        for node, ledger in enumerate(self.nodes):
+            if node in self.frozen:
+                continue
+            for part in suspect_builders.SOUND:
+                ledger.clear(part)
+                request = self._request(frozenset({part}))
+                assert ledger.find(request, LIMIT) is None
+
+
+Nodes.TestCase.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestNodes = Nodes.TestCase
