Test withheld requests with nodes; tell a crash from the last accepted connect

Tests: another node, a starting node, sound prompts with the same first part, prompts in flight, whole requests, killed engines, closed connections, probes.

--- a/packages/snipelug-relay/src/snipelug_relay/crashes.py
+++ b/packages/snipelug-relay/src/snipelug_relay/crashes.py
@@ -7,6 +7,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import logging
 
@@ -21,6 +22,10 @@
 CONNECT_TIMEOUT_S = 0.3
 """Timeout of the connect that tells a crash from a closed connection."""
 
+CLOSE_TIMEOUT_S = 0.02
+"""Time for which an accepted connection must stay open."""
+
+MAX_CONNECTS = 3
 COLLECT_S = 0.05
 """Time for which losses at one upstream are collected into one log line."""
 
@@ -211,13 +216,27 @@
 
 
 async def is_refusing(addr: http_client.Address) -> bool:
-    """Return whether a connect to an address is refused."""
-    with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM) as sock:
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                await sock.connect(addr)
-            except ConnectionRefusedError:
-                return True
-            except OSError:
+    """Return whether connects to an address are refused.
+
+    A process that ends may accept one more connection and close it at once.
+    """
+    for _ in range(MAX_CONNECTS):
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM) as sock:
+            with trio.move_on_after(CONNECT_TIMEOUT_S) as timeout:
+                try:
+                    await sock.connect(addr)
+                except ConnectionRefusedError:
+                    return True
+                except OSError:
+                    return False
+            if timeout.cancelled_caught or not await _is_closed_soon(sock):
                 return False
     return False
+
+
+async def _is_closed_soon(sock: trio.socket.SocketType) -> bool:
+    with trio.move_on_after(CLOSE_TIMEOUT_S):
+        with contextlib.suppress(OSError):
+            await sock.recv(1)
+        return True
+    return False
--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -43,7 +43,6 @@
 TICK_S = 0.02
 MESSAGE_BYTES = 6_000
 ROWS_DELAY_S = 0.3
-ROWS_RETRY_S = 1.0
 MIN_ROWS_INTERVAL_S = 2.0
 ROWS_INTERVAL_PER_NODE_S = 0.02
 """Contribution of each node to the interval at which rows are read while there are
@@ -117,6 +116,7 @@
         self._changed_at: dict[str, float] = {}
         self._unwritten: set[str] = set()
         self._has_work = trio.Event()
+        self._rows_due = trio.Event()
         self._rng = random.Random()
 
     async def check(self, work: job.Job) -> refusal.Refusal | None:
@@ -262,7 +262,7 @@
 
     def _mark_unwritten(self, suspect: str) -> None:
         self._unwritten.add(suspect)
-        self._has_work.set()
+        self._rows_due.set()
 
     def _on_message(self, message: messages.Suspects) -> None:
         for received in message.suspicions:
@@ -339,12 +339,16 @@
             interval_s = max(
                 MIN_ROWS_INTERVAL_S, ROWS_INTERVAL_PER_NODE_S * self._state.nodes
             )
-            if self._unwritten:
-                interval_s = ROWS_DELAY_S
-            await trio.sleep(interval_s)
+            with trio.move_on_after(interval_s):
+                await self._rows_due.wait()
+            self._rows_due = trio.Event()
+            # A suspect that is sound is mostly cleared by then.
+            await trio.sleep(ROWS_DELAY_S)
             self._forget_old()
             if self._unwritten or self._ledger.has_repeated:
                 await call_status.record(await self._sync_rows())
+            if self._unwritten:
+                self._rows_due.set()
 
     def _forget_old(self) -> None:
         """Forget suspects that are not withheld and have not changed for long."""
--- a/tests/quarantine_builders.py
+++ b/tests/quarantine_builders.py
@@ -17,24 +17,31 @@
     first_event_s: float = 0.02,
     **faults: object,
 ) -> None:
-    """Make upstreams crash by a prompt part, or by other faults that are given."""
+    """Inject faults into upstreams; by default they crash by a prompt part."""
     for item in upstreams:
         item.first_event_s = first_event_s
         for name, value in (faults or {"crash_part": CRASH_PART}).items():
             setattr(item.faults, name, value)
 
 
+async def wait_for_members(world: platform_world.World) -> None:
+    """Wait until each node sends its datagrams to all others."""
+    await platform_world.wait_until(
+        lambda: all(node.members == len(world.nodes) for node in world.nodes)
+    )
+
+
 def crashes(world: platform_world.World) -> int:
     """Return the number of crashes of all upstreams."""
     return sum(item.crashes for item in [*world.apps, *world.engines])
 
 
-def crashing_prompt(number: int) -> str:
+def crashing(number: int) -> str:
     """Return the parts of a prompt that crashes engines, no two alike."""
     return f"{SHARED_PART}:200,{CRASH_PART}:100,{number:x}:50"
 
 
-def sound_prompt(number: int) -> str:
+def sound(number: int) -> str:
     """Return the parts of a prompt that shares its first part with crashing ones."""
     return f"{SHARED_PART}:200,50{number % 3:x}:100,{number:x}:50"
 
@@ -46,11 +53,33 @@
     pause_s: float = 0.1,
 ) -> list[int]:
     """Send crashing prompts through callers in turn; return the statuses."""
+    prompts = [crashing(0x1000 + number) for number in range(count)]
+    return await _send(callers, prompts, target, pause_s)
+
+
+async def send_sound(
+    callers: collections.abc.Sequence[platform_world.Caller],
+    count: int,
+    target: str = "/check/",
+) -> list[int]:
+    """Send sound prompts through callers in turn; return the statuses."""
+    prompts = [sound(0x2000 + number) for number in range(count)]
+    return await _send(callers, prompts, target, 0.0)
+
+
+async def _send(
+    callers: collections.abc.Sequence[platform_world.Caller],
+    prompts: list[str],
+    target: str,
+    pause_s: float,
+) -> list[int]:
     statuses = []
-    for number in range(count):
+    for number, prompt in enumerate(prompts):
         caller = callers[number % len(callers)]
-        full = await caller.send_prompt(target, crashing_prompt(0x1000 + number))
-        assert isinstance(full, http_client.FullResponse)
-        statuses.append(full.status)
+        full = await caller.send_prompt(target, prompt)
+        # 0 stands for a stream that broke off.
+        statuses.append(
+            full.status if isinstance(full, http_client.FullResponse) else 0
+        )
         await trio.sleep(pause_s)
     return statuses
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -1,14 +1,186 @@
 """Tests of requests that crash upstreams, with nodes and platform stand-ins."""
 
+import msgspec
+import pytest
+import trio
+
+from snipelug_core import quarantine
+from snipelug_net import http_client
+from snipelug_relay import crashes, suspects
 from tests import platform_world, quarantine_builders
 
+LIMIT = quarantine.SUSPECT_LIMIT
+BAD = quarantine.part_suspect(platform_world.MODEL, quarantine_builders.CRASH_PART)
+
 
 async def test_prompt_part_does_not_crash_engine_after_engine() -> None:
     """Guards against new requests with a part that has crashed engines before."""
     async with platform_world.deployment(
         apps=0, engines=4, nodes=2, has_peers=True
     ) as world:
+        await quarantine_builders.wait_for_members(world)
         quarantine_builders.arm(world.engines)
         callers = [platform_world.Caller(node) for node in world.nodes]
         await quarantine_builders.send_crashing(callers, 8)
         assert quarantine_builders.crashes(world) <= 5
+
+
+async def test_node_learns_of_crashes_from_another() -> None:
+    """Guards against a part that crashes as many engines again at the next node."""
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        first, second = (platform_world.Caller(node) for node in world.nodes)
+        await quarantine_builders.send_crashing([first], LIMIT)
+        count = quarantine_builders.crashes(world)
+        full = await second.send_prompt("/check/", quarantine_builders.crashing(1))
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 503
+        assert msgspec.json.decode(full.body)["error"]["code"] == "quarantined"
+        assert 50 < float(full.headers["retry-after"]) <= suspects.PROBE_AFTER_S
+        assert quarantine_builders.crashes(world) == count
+
+
+async def test_starting_node_knows_of_crashes_before_it_is_ready() -> None:
+    """Guards against a restart after which a part crashes engines again."""
+    async with platform_world.deployment(apps=0, engines=6) as world:
+        quarantine_builders.arm(world.engines)
+        caller = platform_world.Caller(world.nodes[0])
+        await quarantine_builders.send_crashing([caller], LIMIT)
+        await platform_world.wait_until(
+            lambda: (
+                len((world.store.content("suspects", BAD) or {}).get("crashes", ()))
+                >= LIMIT
+            )
+        )
+        count = quarantine_builders.crashes(world)
+        await world.add_node("n2")
+        late = platform_world.Caller(await world.wait_ready(1))
+        assert await quarantine_builders.send_crashing([late], 3) == [503] * 3
+        assert quarantine_builders.crashes(world) == count
+
+
+async def test_sound_prompts_with_the_same_first_part_are_answered() -> None:
+    """Guards against withholding the sound requests beside the crashing ones."""
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        await quarantine_builders.send_crashing(callers, 6)
+        assert await quarantine_builders.send_sound(callers, 12) == [200] * 12
+
+
+async def test_prompts_in_flight_are_aborted_once_their_part_is_withheld() -> None:
+    """Guards against crashes by the prompts that wait when the limit is reached."""
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        world.engines[0].first_event_s = 2.0
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        statuses: list[int] = []
+
+        async def send(number: int) -> None:
+            caller = callers[number % 2]
+            prompt = quarantine_builders.crashing(number)
+            full = await caller.send_prompt("/ask/", prompt)
+            assert isinstance(full, http_client.FullResponse)
+            statuses.append(full.status)
+
+        with trio.fail_after(1.9):
+            async with trio.open_nursery() as nursery:
+                for number in range(16):
+                    nursery.start_soon(send, number)
+        assert set(statuses) <= {502, 503}
+        assert world.engines[0].crashes == 0
+        assert quarantine_builders.crashes(world) <= 5
+
+
+async def test_request_that_crashes_upstreams_is_withheld_as_a_whole() -> None:
+    """Guards against a request without a prompt that crashes server after server."""
+    async with platform_world.deployment(
+        apps=6, engines=0, kv_stores=0, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.apps, crash_body=b"bad")
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        for number in range(6):
+            full = await callers[number % 2].send("POST", "/look/", b"bad")
+            assert isinstance(full, http_client.FullResponse)
+            assert full.status in {502, 503}
+            await trio.sleep(0.1)
+        assert quarantine_builders.crashes(world) == LIMIT
+        full = await callers[0].send("POST", "/look/", b"good")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 200
+
+
+async def test_part_in_use_is_not_withheld_when_engines_are_killed() -> None:
+    """Guards against withholding sound parts because engines crash by themselves."""
+    async with platform_world.deployment(
+        apps=0, engines=5, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        quarantine_builders.arm(world.engines, first_event_s=0.3, restart_s=0.3)
+        assert await quarantine_builders.send_sound(callers, 2) == [200] * 2
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(quarantine_builders.send_sound, callers, 8)
+            for engine in world.engines[:4]:
+                await trio.sleep(0.15)
+                engine.crash()
+        statuses = await quarantine_builders.send_sound(callers, 6)
+        assert statuses == [200] * 6
+
+
+async def test_closed_connections_are_no_crashes() -> None:
+    """Guards against withholding requests because of resets by sound engines."""
+    async with platform_world.deployment(apps=0, engines=2) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        for engine in world.engines:
+            engine.faults.loses = 3
+        for number in range(6):
+            await caller.send_prompt("/ask/", quarantine_builders.sound(number))
+        assert await quarantine_builders.send_sound([caller], 3) == [200] * 3
+
+
+@pytest.mark.parametrize("is_repaired", [True, False])
+async def test_one_request_over_all_nodes_finds_out_if_a_part_still_crashes(
+    is_repaired: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a part that is never free again, and against many probes."""
+    monkeypatch.setattr(suspects, "PROBE_AFTER_S", 1.5)
+    monkeypatch.setattr(suspects, "CLAIM_RETRY_S", 0.2)
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        await quarantine_builders.send_crashing(callers, 4)
+        count = quarantine_builders.crashes(world)
+        if is_repaired:
+            quarantine_builders.arm(world.engines, crash_part="")
+        await trio.sleep(2.5)
+        statuses = await quarantine_builders.send_crashing(callers, 8)
+        if is_repaired:
+            assert statuses == [200] * 8
+            return
+        assert quarantine_builders.crashes(world) == count + 1
+        assert sorted(statuses) == [502] + [503] * 7
+
+
+async def test_crash_is_told_from_an_open_port() -> None:
+    """Guards against taking an upstream that accepts connections for crashed."""
+    async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
+        addr = ("127.0.0.1", world.apps[0].port)
+        assert not await crashes.is_refusing(addr)
+        world.apps[0].crash()
+        await trio.sleep(0.05)
+        assert await crashes.is_refusing(addr)
