Treat a stream that ends before its first event as broken off

A stream may come with neither a length nor chunks and end with its connection. If it ended before its first complete event, callers got 200 with an empty or partial event, which looked complete; later ends within an event were already detected. Such an attempt is now lost: it is retried where the route allows it, answered 502 otherwise, and charged if the upstream has crashed.

test_stream_that_ends_before_its_first_event_is_lost failed before (200 in both cases).

--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -435,6 +435,9 @@
             events = splitter.push(part or b"")
             if splitter.is_overlong:
                 return job.Outcome(attempt.Result.LOST, stream.OVERLONG_EVENT)
+            if part is None and not events and not stream.is_framed(reply.headers):
+                reason = "the stream ended before its first event"
+                return job.Outcome(attempt.Result.LOST, reason, is_closed=True)
             if part is None or events:
                 upstream_attempt.record_prompt_read()
                 return job.Outcome(
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -85,7 +85,7 @@
                 return http_client.Lost(OVERLONG_EVENT)
         if part is not None:
             return part
-        if splitter.rest and not _is_framed(self._headers()):
+        if splitter.rest and not is_framed(self._headers()):
             return http_client.Lost("the stream ended within an event")
         self._current.has_ended = True
         return b""
@@ -166,6 +166,6 @@
         )
 
 
-def _is_framed(headers: dict[str, str]) -> bool:
+def is_framed(headers: dict[str, str]) -> bool:
     """Return whether the end of the body is marked, not just the connection closed."""
     return "content-length" in headers or "transfer-encoding" in headers
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -7,7 +7,7 @@
 from snipelug_core import quarantine
 from snipelug_net import http_client
 from snipelug_relay import crashes, suspects
-from tests import platform_world, quarantine_builders
+from tests import platform_world, quarantine_builders, raw_upstream
 
 LIMIT = quarantine.SUSPECT_LIMIT
 BAD = quarantine.part_suspect(platform_world.MODEL, quarantine_builders.CRASH_PART)
@@ -184,3 +184,19 @@
         world.apps[0].crash()
         await trio.sleep(0.05)
         assert await crashes.is_refusing(addr)
+
+
+@pytest.mark.parametrize("body", [b"", b"id: 1\nda"])
+async def test_stream_that_ends_before_its_first_event_is_lost(body: bytes) -> None:
+    """Guards against an answer that looks complete but broke off within an event."""
+    async with platform_world.deployment(apps=0, engines=0) as world:
+        upstream = raw_upstream.RawUpstream(body)
+        await upstream.serve(world)
+        caller = platform_world.Caller(world.nodes[0])
+        await platform_world.wait_until(
+            lambda: "i-raw" in world.nodes[0]._state.fleet.upstreams
+        )
+        full = await caller.send_prompt("/ask/")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 502
+        assert upstream.requests == 1
