Answer 502 where an upstream's status alone says that an order did not run

Cause: a response with status 408, 429 or 503 and a signature, but without the statement that the request did not run, was passed on unchanged. To callers these statuses mean that the request did not run and never will. What callers saw: permission to send an order again that may have run. Change: such a response counts as a failure of the upstream; requests that may run again go to another one, others get 502 of the node. Evidence: test_error_of_an_upstream_that_ran_an_order_is_no_refusal[408], [429] and [503] failed before.

--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -80,6 +80,8 @@
 
 OK = 200
 SERVER_ERROR = 500
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that tell a caller that its request did not run and never will."""
 
 
 @dataclasses.dataclass(eq=False)
@@ -487,6 +489,9 @@
                 f"the response was interrupted: {body}",
                 is_closed=isinstance(body, http_client.Lost) and body.is_closed,
             )
+        if reply.status in NOT_RUN_STATUSES:
+            reason = f"status {reply.status}, but the request may have run"
+            return job.Outcome(attempt.Result.FAILED, reason)
         headers = self._dialect.response_headers(reply.headers)
         response = http_server.Response(reply.status, body, headers)
         if reply.status >= SERVER_ERROR:
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -87,6 +87,19 @@
         assert runs(world.apps) == 3
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_error_of_an_upstream_that_ran_an_order_is_no_refusal(
+    status: int,
+) -> None:
+    """Guards against "did not run" for an order of which only the status says so."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        inject_faults(world.apps, fails=1, fail_status=status)
+        full = await caller.send("POST", "/order/", b"x")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == (503 if status == 421 else 502)
+
+
 async def test_refusal_means_that_the_request_did_not_run() -> None:
     """Guards against a 503 for an order that a server has run."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
