--- a/tests/test_outdated_weights.py
+++ b/tests/test_outdated_weights.py
@@ -2,9 +2,11 @@
 
 import pytest
 import trio
+import trio.testing
 
+from snipelug_core import retirement
 from snipelug_net import http_client
-from snipelug_relay import watch
+from snipelug_relay import clock, ports, retirements, state, stats, watch
 from tests import platform_world
 
 VERSION_S = 5.0
@@ -106,3 +108,50 @@
         await caller.send_prompt("/ask/", request_deadline="9000")
         await trio.sleep_until(named_at + 6.0)
         assert [r.received_at - named_at for r in engine.executed] == []
+
+
+class ContestedStore:
+    """A store in which another node writes the row between a read and a write."""
+
+    def __init__(self, other: retirement.History) -> None:
+        self.rows = [ports.RetirementRow("m", retirement.History(), 0)]
+        self.other = ports.RetirementRow("m", other, 7)
+
+    async def read_retirements(self) -> ports.Page[ports.RetirementRow]:
+        return ports.Page([self.rows[-1]], 1, 50_000.0)
+
+    async def write_retirement(self, row: ports.RetirementRow) -> ports.Conflict | None:
+        if row.row_version == 0:
+            self.rows.append(self.other)
+            return ports.Conflict()
+        self.rows.append(row)
+        return None
+
+
+async def test_row_that_another_node_wrote_first_is_not_overwritten(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against the loss of an earlier version's times in a race of two nodes."""
+    other = retirement.History({1: retirement.Span(1.0, 39_000.0)})
+    store = ContestedStore(other)
+    addr = ("127.0.0.1", 1)
+    node_state = state.State(ports.Settings("n1", "a", addr, addr, addr))
+    now = clock.now()
+    node_state.store_clock.record(now, now, 41_000.0)
+    node_state.apply_intents([ports.Version("m", 2)], 40_000.0, is_whole=True)
+    node_state.apply_intents([ports.Version("m", 3)], 41_000.0, is_whole=False)
+    sync = retirements.RetirementSync(
+        node_state.cfg,
+        node_state,
+        store,  # type: ignore[arg-type]
+        stats.Stats(),
+    )
+    nursery.start_soon(sync.run)
+    await trio.testing.wait_all_tasks_blocked()
+    sync.wake()
+    await platform_world.wait_until(lambda: len(store.rows) == 3)
+    nursery.cancel_scope.cancel()
+    written = store.rows[-1].history
+    assert written.last_current_ms(1) == 39_000.0
+    assert written.last_current_ms(2) == 40_000.0
+    assert node_state.named_versions["m"] == written
