Free the slots of a request that was withheld before its first byte

The last check before a send marks a cold-start slot as sent, and then checks the slot for suspect requests and the request's claim. If one of those failed, nothing was sent, but the slot was released as that of a cut request. Its holder kept it for ARRIVAL_BOUND_S (14.3 s), even at an idle upstream. A suspect request takes its suspect slot first, so its grant expires (3 s) whenever the wait for a cold-start slot is longer.

A request counts as in flight only once all checks have passed, so slots of a request that was never counted are now released as ended.

test_slots_of_withheld_request_are_free failed before for an expired suspect grant and for a lost claim.

--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -120,6 +120,8 @@
         has_ended : bool
             Whether the response ended, so that the upstream no longer runs the request.
         """
+        # A request whose check failed is not counted, and none of it was sent.
+        has_ended = has_ended or not self.is_counted
         if self.slot is not None:
             self.slot.release(has_ended)
             self.slot = None
@@ -229,11 +231,14 @@
     async def _prepare(
         self, permit: SendPermit, deadline: float, is_suspect: bool, may_wait: bool
     ) -> refusal.Refusal | None:
-        """Acquire the slots or wait for the report that the last verdict requires."""
+        """Acquire the slots or wait for the report that the last verdict requires.
+
+        Slots of an earlier attempt are free again: its request was withheld.
+        """
         upstream_id = permit.upstream.instance.id
         if is_suspect:
             if permit.suspect_slot is not None:
-                permit.suspect_slot.release(has_ended=False)
+                permit.suspect_slot.release(has_ended=True)
                 permit.suspect_slot = None
             suspect_slot = await self.slots.acquire_suspect(upstream_id, deadline)
             if isinstance(suspect_slot, refusal.Refusal):
@@ -251,7 +256,7 @@
             await trio.sleep(REPORT_POLL_INTERVAL_S)
             return None
         if slot is not None:
-            slot.release(has_ended=False)
+            slot.release(has_ended=True)
             permit.slot = None
         permit.upstream.queued += 1
         try:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,9 +11,9 @@
 import trio.testing
 from hypothesis import strategies as st
 
-from snipelug_core import contract, load, refusal, table
+from snipelug_core import admission, contract, load, refusal, table
 from snipelug_net import http_client
-from snipelug_node import ports, sender, slots, ticker, watcher
+from snipelug_node import admitter, ports, sender, slots, ticker, watcher
 from tests import builders
 
 WARM = table.Warmth.WARM
@@ -371,6 +371,56 @@
     assert isinstance(outcome, sender.Blocked) == bool(looks)
 
 
+@pytest.mark.parametrize(
+    ("suspect_age_s", "is_claimed", "has_ended"),
+    [(0.0, True, False), (0.0, False, True), (admission.GRANT_VALID_S, True, True)],
+    ids=["sent", "claim-lost", "suspect-grant-expired"],
+)
+async def test_slots_of_withheld_request_are_free(
+    autojump_clock: trio.testing.MockClock,
+    suspect_age_s: float,
+    is_claimed: bool,
+    has_ended: bool,
+) -> None:
+    """Guards against a slot in use for `ARRIVAL_BOUND_S` by a request never sent."""
+    now = trio.current_time()
+    upstream = builders.upstream(builders.load_report(now, COLD, 1))
+    held = []
+    for part, age_s in (("leased", 0.0), ("suspect", suspect_age_s)):
+        name = admission.PartName(part)
+        grant = admission.Grant("u", name, "b", part, now - age_s)
+        held.append(slots.HeldSlot("u", admitter.Slot(grant), lambda: None))
+
+    class Slots:
+        async def acquire(self, *_: object) -> slots.HeldSlot:
+            return held[0]
+
+        async def acquire_suspect(self, *_: object) -> slots.HeldSlot:
+            return held[1]
+
+    class Pool:
+        async def send(
+            self, call: http_client.Call, pre_send_check: http_client.PreSendCheck
+        ) -> http_client.Withheld | http_client.Lost:
+            if pre_send_check(now):
+                return http_client.Lost("closed", is_closed=True)
+            await trio.sleep(sender.MAX_REPORT_WAIT_S + 1.0)
+            return http_client.Withheld()
+
+    async def refresh(_: table.Upstream) -> None:
+        pass
+
+    outgoing = sender.Sender(
+        typing.cast(http_client.Pool, Pool()),
+        typing.cast(sender.Slots, Slots()),
+        lambda *_: load.NeedsGrant(load.Reason.REPORTED_COLD),
+        refresh,
+    )
+    call = http_client.Call(("127.0.0.1", 1), "POST", "/")
+    await outgoing.send(upstream, call, now + 10.0, lambda _: is_claimed, True)
+    assert [h.held.has_ended for h in held if h.held] == [has_ended] * 2
+
+
 @hypothesis.given(
     now=st.floats(0.0, 2e6), period_s=st.sampled_from([0.01, 0.25, 0.5, 1.0, 1.25, 5.0])
 )
