--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -2,11 +2,13 @@
 
     python -m tests.platform_soak --seed 1 --seconds 30
     python -m tests.platform_soak --seed 1 --seconds 30 --nodes 7
+    python -m tests.platform_soak --seed 2000 --seconds 30 --faults restarts,changes
 
 Nodes run as processes of the real program. The stand-ins for the platform run in this
 process; proxies between them and the nodes delay, reset or block traffic, or block the
-responses only. Signals stop, pause and kill nodes, which are then restarted. The exit
-code is 1 if a guarantee was violated; each violation is printed with the seed.
+responses only. Signals stop, pause and kill nodes, which are then restarted. Seeds from
+2000 on play series of the selected families of faults, with calm times between them.
+The exit code is 1 if a guarantee was violated; each violation is printed with the seed.
 """
 
 import argparse
@@ -28,6 +30,7 @@
 from snipelug_core import watcher
 from snipelug_net import http_client
 from snipelug_platform_standin import kv_store, server, store
+from tests import platform_soak_checks as checks
 from tests import platform_world
 
 DEFAULT_NODES = 3
@@ -45,6 +48,46 @@
 FIRST_SEED_WITH_STALLS = 1_000
 """Lower seeds play the faults that they played when they found a violation."""
 
+FIRST_SEED_WITH_SERIES = 2_000
+"""Seeds from here on play series of faults; lower seeds play single faults."""
+
+FAMILIES = {
+    "restarts": ("restart_series", "rolling_restart", "reload_series"),
+    "signals": ("node_fault",),
+    "store": ("store_fault",),
+    "upstreams": ("server_fault",),
+    "changes": ("apply_series", "replace_server"),
+    "keys": ("withdraw_key",),
+    "zones": ("evacuate_zone",),
+    "weights": ("name_versions", "restart_after_naming"),
+    "leaving": ("leave",),
+    "pauses": ("pause_server",),
+    "crashes": ("crash_engines",),
+}
+"""Methods of each family of faults."""
+
+DEFAULT_FAMILIES = (
+    "restarts",
+    "signals",
+    "store",
+    "upstreams",
+    "changes",
+    "keys",
+    "zones",
+)
+VERSION_MS = 4000
+"""Bound on outdated weights in runs with the family ``weights``."""
+
+MAX_ORDER_LAG_S = 6.0
+WEIGHTS_TIMEOUT_S = MAX_ORDER_LAG_S + 1.5 * VERSION_MS / 1000
+"""Time after the last fault within which all engines must have the newest weights."""
+
+CALLERS_PER_NODE = 2
+MAX_CALLERS = 120
+KEPT_PAUSE_S = 0.05
+SECOND_KEY = "key-2"
+SECOND_ZONE = "zone-b"
+CRASH_PART = "badbad"
 PROBE_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.05
 EVENTS_PER_STREAM = 6
@@ -101,8 +144,16 @@
 class NodeProcess:
     """One node process, restarted whenever it exits."""
 
-    def __init__(self, number: int, folder: pathlib.Path, store_port: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        folder: pathlib.Path,
+        store_port: int,
+        record: checks.Record,
+        settings: dict[str, object],
+    ) -> None:
         self.name = f"n{number}"
+        self.record = record
         self.host = f"127.0.0.{20 + number}"
         self.port, self.ready_port, self.udp_port = (
             platform_world.free_port() for _ in range(3)
@@ -119,7 +170,7 @@
             "bounds.drain_timeout_ms": int(1000 * DRAIN_S),
             "bounds.grace_period_s": GRACE_S,
             "bounds.lease_ms": 1000,
-        }
+        } | settings
         self.path.write_text("".join(f"{k}={v}\n" for k, v in values.items()))
         self.process: subprocess.Popen[bytes] | None = None
 
@@ -128,6 +179,7 @@
         with self.log.open("ab") as log:
             try:
                 while True:
+                    self.record.add_event(self.name, is_planned=True)
                     self.process = subprocess.Popen(
                         [sys.executable, "-m", "snipelug_node.entry"],
                         env={"SNIPELUG_CONFIG": str(self.path)},
@@ -136,15 +188,28 @@
                     )
                     while self.process.poll() is None:
                         await trio.sleep(0.05)
+                    self.check_exit(self.process.returncode)
                     await trio.sleep(0.2)
             finally:
                 if self.process is not None and self.process.poll() is None:
                     self.process.kill()
                     self.process.wait()
 
+    def check_exit(self, code: int) -> None:
+        """Record an exit that no signal of the soak has caused."""
+        if code not in (0, -signal.SIGTERM, -signal.SIGKILL):
+            self.record.exits.append(f"{self.name} ended with code {code}")
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process of this node is running."""
+        return self.process is not None and self.process.poll() is None
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process of this node."""
         if self.process is not None and self.process.poll() is None:
+            if number != signal.SIGHUP:
+                self.record.add_event(self.name, is_planned=number == signal.SIGTERM)
             self.process.send_signal(number)
 
 
@@ -161,13 +226,16 @@
     servers: list[server.Server] = dataclasses.field(default_factory=list)
     removed_servers: list[server.Server] = dataclasses.field(default_factory=list)
     server_proxies: dict[str, Proxy] = dataclasses.field(default_factory=dict)
-    store_proxies: list[Proxy] = dataclasses.field(default_factory=list)
+    store_proxies: dict[str, Proxy] = dataclasses.field(default_factory=dict)
     nodes: list[NodeProcess] = dataclasses.field(default_factory=list)
     drain_times: dict[str, float] = dataclasses.field(default_factory=dict)
     last_fault_at: float = 0.0
     longest_stall_s: float = 0.0
     version: int = 1
     weight_version: int = 1
+    families: tuple[str, ...] = ()
+    record: checks.Record = dataclasses.field(default_factory=checks.Record)
+    tenants: dict[str, object] = dataclasses.field(default_factory=dict)
     ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
     refused_ids: set[str] = dataclasses.field(default_factory=set)
     outcomes: "collections.Counter[str]" = dataclasses.field(
@@ -179,12 +247,28 @@
         """Record the violation of a guarantee."""
         self.violations.append(f"seed {self.seed}: {guarantee}: {detail}")
 
-    async def add_server(self, service: str) -> None:
+    @property
+    def plays_series(self) -> bool:
+        """Whether this seed plays series of faults."""
+        return self.seed >= FIRST_SEED_WITH_SERIES
+
+    @property
+    def all_servers(self) -> list[server.Server]:
+        """All upstreams of this run, listed or removed."""
+        return [*self.servers, *self.removed_servers]
+
+    async def add_server(self, service: str, zone: str = "zone-a") -> None:
         """Start an upstream behind a proxy and list it."""
         model = platform_world.MODEL if service == "llm" else ""
         upstream = server.Server(
-            service, model=model, version=self.weight_version, events=EVENTS_PER_STREAM
+            service,
+            zone,
+            model=model,
+            version=self.weight_version,
+            events=EVENTS_PER_STREAM,
         )
+        if self.plays_series:
+            upstream.answer_delay_s = self.rng.choice([0.0, 0.05, 0.3])
         await self.nursery.start(upstream.serve)
         proxy = Proxy(upstream.port)
         await self.nursery.start(proxy.serve)
@@ -194,12 +278,16 @@
 
     def list_server(self, upstream: server.Server) -> None:
         """Write the entry of an upstream with the address of its proxy."""
-        address = f"127.0.0.1:{self.server_proxies[upstream.id].port}"
+        # A proxy would accept connections while a crashed upstream refuses them.
+        is_direct = "crashes" in self.families and upstream.service == "llm"
+        port = upstream.port if is_direct else self.server_proxies[upstream.id].port
+        address = f"127.0.0.1:{port}"
         self.rows.put("servers", upstream.id, upstream.entry() | {"address": address})
 
     def configure(self) -> None:
         """Write the next configuration version."""
-        self.rows.put("op", "config", platform_world.config(self.version, [self.kv]))
+        content = platform_world.config(self.version, [self.kv], **self.tenants)
+        self.rows.put("op", "config", content)
         self.version += 1
 
     async def measure_stalls(self) -> None:
@@ -214,7 +302,8 @@
         """Rewrite the entries of all upstreams periodically, as real upstreams do."""
         while True:
             for upstream in self.servers if not self.rows.faults.is_down else ():
-                self.list_server(upstream)
+                if not upstream.is_down and not upstream.faults.is_leaving:
+                    self.list_server(upstream)
             await trio.sleep(0.4)
 
     @property
@@ -224,21 +313,23 @@
 
     # Faults. Each method returns after its fault has ended.
 
-    async def proxy_fault(self, proxies: list[Proxy]) -> None:
+    async def proxy_fault(self, proxies: dict[str, Proxy]) -> None:
         mode = self.rng.choice(["delay", "silent", "reset", "one_way"])
-        for proxy in proxies:
-            proxy.mode = mode
-        await trio.sleep(self.rng.uniform(0.3, 2.5))
-        for proxy in proxies:
-            proxy.mode = "ok"
+        with self.record.disturbed(*proxies):
+            for proxy in proxies.values():
+                proxy.mode = mode
+            await trio.sleep(self.rng.uniform(0.3, 2.5))
+            for proxy in proxies.values():
+                proxy.mode = "ok"
 
     async def node_fault(self) -> None:
         node = self.rng.choice(self.nodes)
         match self.rng.choice(["pause", "kill", "term", "hup", "kill_all"]):
             case "pause":
-                node.send_signal(signal.SIGSTOP)
-                await trio.sleep(self.rng.uniform(0.3, 3.0))
-                node.send_signal(signal.SIGCONT)
+                with self.record.disturbed(node.name):
+                    node.send_signal(signal.SIGSTOP)
+                    await trio.sleep(self.rng.uniform(0.3, 3.0))
+                    node.send_signal(signal.SIGCONT)
             case "kill":
                 node.send_signal(signal.SIGKILL)
             case "term":
@@ -251,29 +342,31 @@
                     other.send_signal(signal.SIGKILL)
 
     async def store_fault(self) -> None:
-        faults = self.rows.faults
         match self.rng.choice(["down", "silent", "lost", "history", "one", "all"]):
             case "down" if self.has_watchers:
-                await self.expire_entries()
+                with self.record.disturbed(checks.STORE):
+                    await self.expire_entries()
             case "down":
-                faults.is_down = True
-                await trio.sleep(self.rng.uniform(0.3, 3.0))
-                faults.is_down = False
+                await self.disrupt_store("is_down", 3.0)
             case "silent":
-                faults.is_silent = True
-                await trio.sleep(self.rng.uniform(0.3, 3.0))
-                faults.is_silent = False
+                await self.disrupt_store("is_silent", 3.0)
             case "lost":
-                faults.loses_answers = True
-                await trio.sleep(self.rng.uniform(0.3, 2.0))
-                faults.loses_answers = False
+                await self.disrupt_store("loses_answers", 2.0)
             case "history":
                 self.rows.clear_history()
             case "one":
-                await self.proxy_fault([self.rng.choice(self.store_proxies)])
+                name = self.rng.choice(list(self.store_proxies))
+                await self.proxy_fault({name: self.store_proxies[name]})
             case "all":
                 await self.proxy_fault(self.store_proxies)
 
+    async def disrupt_store(self, fault: str, max_s: float) -> None:
+        """Inject a fault into all calls to the store."""
+        with self.record.disturbed(checks.STORE):
+            setattr(self.rows.faults, fault, True)
+            await trio.sleep(self.rng.uniform(0.3, max_s))
+            setattr(self.rows.faults, fault, False)
+
     async def expire_entries(self) -> None:
         """Make the store unavailable until the entries of the upstreams expire."""
         self.rows.faults.is_down = True
@@ -289,7 +382,8 @@
             kinds += ["stall"]
         match self.rng.choice(kinds):
             case "proxy":
-                await self.proxy_fault([self.server_proxies[upstream.id]])
+                proxy = self.server_proxies[upstream.id]
+                await self.proxy_fault({upstream.id: proxy})
             case "away":
                 upstream.faults.turns_away = self.rng.randint(1, 5)
             case "fail":
@@ -311,12 +405,7 @@
             case "config":
                 self.configure()
             case "weights":
-                self.weight_version += 1
-                content = {
-                    "model": platform_world.MODEL,
-                    "version": self.weight_version,
-                }
-                self.rows.put("op", f"version/{platform_world.MODEL}", content)
+                self.name_version()
             case "drain":
                 await self.replace_server()
             case "kv":
@@ -326,12 +415,22 @@
                 await trio.sleep(1.0)
                 self.kv.loses_events = False
 
+    def name_version(self) -> None:
+        """Name the next weight version."""
+        self.weight_version += 1
+        content = {"model": platform_world.MODEL, "version": self.weight_version}
+        self.rows.put("op", f"version/{platform_world.MODEL}", content)
+        self.record.named.append((trio.current_time(), self.weight_version))
+
     async def replace_server(self) -> None:
         """Start a new upstream, drain an old one and remove it from the list."""
         upstream = self.rng.choice(self.servers)
-        await self.add_server(upstream.service)
-        if upstream not in self.servers:
-            return
+        await self.add_server(upstream.service, upstream.zone)
+        if upstream in self.servers:
+            await self.drain_server(upstream)
+
+    async def drain_server(self, upstream: server.Server) -> None:
+        """List an upstream as draining and then remove it from the list."""
         self.servers.remove(upstream)
         self.removed_servers.append(upstream)
         upstream.state = "draining"
@@ -340,6 +439,136 @@
         await trio.sleep(DRAIN_S + 1.0)
         self.rows.delete("servers", upstream.id)
 
+    # Faults that are played in series.
+
+    async def restart_series(self) -> None:
+        """Send several signals to one node, some of them while it stops."""
+        node = self.rng.choice(self.nodes)
+        for _ in range(self.rng.randint(1, 4)):
+            number = self.rng.choice([signal.SIGTERM, signal.SIGTERM, signal.SIGHUP])
+            node.send_signal(number)
+            await trio.sleep(self.rng.choice([0.0, 0.2, 1.0, GRACE_S + 1.0]))
+
+    async def rolling_restart(self) -> None:
+        """Stop the nodes one after the other, some before the last one is back."""
+        pause_s = self.rng.choice([0.5, 1.5, GRACE_S])
+        nodes = self.rng.sample(self.nodes, min(len(self.nodes), 4))
+        for node in nodes:
+            node.send_signal(signal.SIGTERM)
+            await trio.sleep(pause_s)
+
+    async def reload_series(self) -> None:
+        """Reload nodes while the configuration changes and other nodes stop."""
+        for node in self.rng.sample(self.nodes, min(len(self.nodes), 3)):
+            node.send_signal(signal.SIGHUP)
+            self.configure()
+            await trio.sleep(self.rng.choice([0.0, 0.1, 0.5]))
+        self.rng.choice(self.nodes).send_signal(signal.SIGTERM)
+
+    async def apply_series(self) -> None:
+        """Write configurations in quick succession and disturb the KV cache store."""
+        for _ in range(self.rng.randint(1, 4)):
+            self.configure()
+            await trio.sleep(self.rng.choice([0.0, 0.1, 0.6]))
+        if self.rng.random() < 0.5:
+            self.kv.restart()
+
+    async def withdraw_key(self) -> None:
+        """Withdraw the second key for a while."""
+        self.set_keys([platform_world.KEY])
+        await trio.sleep(self.rng.choice([0.3, 2.0, 6.0]))
+        self.set_keys([platform_world.KEY, SECOND_KEY])
+
+    def set_keys(self, keys: list[str]) -> None:
+        """Configure the keys of the team."""
+        tenant = {"name": "team-1", "api_keys": keys, "priority": 2}
+        self.tenants = {"tenants": [tenant]}
+        self.configure()
+        self.record.keys.append((trio.current_time(), SECOND_KEY in keys))
+
+    async def evacuate_zone(self) -> None:
+        """Evacuate the second zone for a while."""
+        key = f"evacuate/{SECOND_ZONE}"
+        self.rows.put("op", key, {"zone": SECOND_ZONE})
+        self.record.zones.append((trio.current_time(), True))
+        await trio.sleep(self.rng.choice([0.5, 3.0, checks.EVACUATION_S + 3.0]))
+        self.rows.delete("op", key)
+        self.record.zones.append((trio.current_time(), False))
+
+    async def name_versions(self) -> None:
+        """Name weight versions in quick succession to engines that load them late."""
+        for upstream in self.servers:
+            upstream.faults.order_lag_s = self.rng.choice(
+                [0.0, 0.5, 3.0, MAX_ORDER_LAG_S]
+            )
+        if self.rng.random() < 0.3:
+            self.rng.choice(self.servers).faults.late_orders = 1
+        for _ in range(self.rng.randint(1, 3)):
+            self.name_version()
+            await trio.sleep(self.rng.choice([0.1, 1.0, 3.0]))
+
+    async def restart_after_naming(self) -> None:
+        """Restart nodes while engines have not loaded the newest weights."""
+        await self.name_versions()
+        nodes = self.rng.sample(self.nodes, self.rng.randint(1, len(self.nodes)))
+        number = self.rng.choice([signal.SIGKILL, signal.SIGTERM])
+        for node in nodes:
+            node.send_signal(number)
+            await trio.sleep(self.rng.choice([0.0, 0.3]))
+
+    async def leave(self) -> None:
+        """Let an upstream announce that it leaves before the list says so."""
+        upstream = self.rng.choice(self.servers)
+        await self.add_server(upstream.service, upstream.zone)
+        if upstream not in self.servers or upstream.faults.is_leaving:
+            return
+        upstream.faults.is_leaving = True
+        await trio.sleep(self.rng.choice([0.5, 3.0, 6.0]))
+        await self.drain_server(upstream)
+
+    async def pause_server(self) -> None:
+        """Let an upstream reject all requests with a time to wait."""
+        upstream = self.rng.choice(self.servers)
+        wait_s = self.rng.choice([2.0, 3.0, 5.0])
+        upstream.faults.pauses_until = trio.current_time() + wait_s
+        await trio.sleep(wait_s)
+
+    async def crash_engines(self) -> None:
+        """Send requests with a part that crashes each engine that runs them."""
+        pool = http_client.Pool(0.5)
+        crash_after = self.rng.choice([None, 0, 2])
+        for _ in range(12):
+            for upstream in self.servers:
+                upstream.faults.crash_part = CRASH_PART
+                upstream.faults.crash_after = crash_after
+            node = self.rng.choice(self.nodes)
+            kind = self.rng.choice(["ask", "check"])
+            parts = f"0:2000,{CRASH_PART}:50"
+            await self.send_request(pool, node, kind, parts)
+            await trio.sleep(self.rng.choice([0.2, 0.5]))
+
+    async def inject_series(self, seconds: float) -> None:
+        """Play overlapping series of faults, with calm times between them."""
+        names = [name for family in self.families for name in FAMILIES[family]]
+        end = trio.current_time() + seconds
+
+        async def run_series(names: list[str]) -> None:
+            for name in names:
+                await getattr(self, name)()
+
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                for _ in range(self.rng.randint(1, 3)):
+                    series = [
+                        self.rng.choice(names) for _ in range(self.rng.randint(1, 3))
+                    ]
+                    nursery.start_soon(run_series, series)
+                    await trio.sleep(self.rng.choice([0.0, 0.3, 1.0]))
+                await trio.sleep(self.rng.choice([0.5, 3.0, 7.0]))
+        for upstream in self.all_servers:
+            is_leaving = upstream.faults.is_leaving
+            upstream.faults = server.Faults(is_leaving=is_leaving)
+
     async def inject_faults(self, seconds: float) -> None:
         """Start random, overlapping faults for the given time."""
         kinds = [
@@ -371,28 +600,51 @@
             await self.send_request(pool, self.rng.choice(self.nodes), kind)
             await trio.sleep(0.02)
 
+    async def use_node(self, number: int) -> None:
+        """Send requests to one node on a connection kept until the node closes it."""
+        node = self.nodes[number % len(self.nodes)]
+        rng = random.Random(f"{self.seed} {number}")
+        pool = http_client.Pool(0.5, idle_per_addr=1)
+        while True:
+            kind = rng.choice(["order", "look", "ask", "check"])
+            await self.send_request(pool, node, kind, rng=rng)
+            await trio.sleep(rng.uniform(0.0, 2 * KEPT_PAUSE_S))
+
     async def send_request(
-        self, pool: http_client.Pool, node: NodeProcess, kind: str
+        self,
+        pool: http_client.Pool,
+        node: NodeProcess,
+        kind: str,
+        parts: str = "",
+        rng: random.Random | None = None,
     ) -> http_client.FullResponse | None:
         """Send one request and check the response; return it if it succeeded."""
         request_id = f"{next(self.ids):08x}"
+        key = platform_world.KEY
+        if rng is not None and "keys" in self.families and kind in ("order", "look"):
+            key = rng.choice([key, SECOND_KEY])
         headers = {
             "host": platform_world.HOST,
             "request-id": request_id,
             "request-deadline": "2000",
-            "authorization": f"Token {platform_world.KEY}",
+            "authorization": f"Token {key}",
         }
         if kind in ("ask", "check"):
+            number = (rng or self.rng).randrange(8)
+            parts = parts or f"{number:x}:2000,{request_id}:50"
             headers |= {
                 "model": platform_world.MODEL,
                 "token-usage": "250,10",
-                "prompt-prefix": f"{self.rng.randrange(8):x}:2000,{request_id}:50",
+                "prompt-prefix": parts,
             }
         method = "GET" if kind == "look" else "POST"
         addr = (node.host, node.port)
         body = b"" if method == "GET" else b"x"
         call = http_client.Call(addr, method, f"/{kind}/x", headers, body, 4.0)
+        sent = checks.Sent(kind, node.name, key, parts, trio.current_time())
+        self.record.requests[request_id] = sent
         response = await pool.fetch(call)
+        self.record.requests[request_id] = checks.ended(sent, response)
         if not isinstance(response, http_client.FullResponse):
             self.outcomes[f"{kind} {type(response).__name__}"] += 1
             return None
@@ -423,7 +675,7 @@
     def check_executions(self) -> None:
         """Check the requests and weight orders that the upstreams executed."""
         runs: collections.Counter[str] = collections.Counter()
-        for upstream in [*self.servers, *self.removed_servers]:
+        for upstream in self.all_servers:
             drained_at = self.drain_times.get(upstream.id)
             for request in upstream.executed:
                 is_at_most_once = request.target.startswith(("/order/", "/ask/"))
@@ -452,6 +704,25 @@
                     "true refusal", f"{request_id} was refused and executed"
                 )
 
+    def check_series(self) -> None:
+        """Check the bounds in time from what callers and upstreams have seen."""
+        record, servers = self.record, self.all_servers
+        for upstream in servers:
+            record.add_crashes(upstream)
+        record.drained = self.drain_times
+        for guarantee, detail in itertools.chain(
+            (("exit", detail) for detail in record.exits),
+            checks.check_versions(record, servers, VERSION_MS / 1000),
+            checks.check_drains(record, servers, DRAIN_S),
+            checks.check_leaving(record, servers, DRAIN_S),
+            checks.check_pauses(record, servers),
+            checks.check_crashes(record, servers, CRASH_PART),
+            checks.check_closed(record, servers),
+            checks.check_keys(record, servers, SECOND_KEY),
+            checks.check_zones(record, servers, SECOND_ZONE),
+        ):
+            self.report_violation(guarantee, detail)
+
     async def check_recovery(self) -> None:
         """Check that all nodes and weights recover in time after the last fault."""
         self.last_fault_at = trio.current_time()
@@ -464,15 +735,20 @@
                 self.report_violation(
                     "recovery", f"{node.name} does not serve requests"
                 )
+        with trio.move_on_after(WEIGHTS_TIMEOUT_S if self.plays_series else 0.0):
+            while any(self.has_old_weights(upstream) for upstream in self.servers):
+                await trio.sleep(0.2)
         for upstream in self.servers:
-            if (
-                upstream.models.get(platform_world.MODEL, self.weight_version)
-                != self.weight_version
-            ):
+            if self.has_old_weights(upstream):
                 self.report_violation(
                     "weights", f"{upstream.id} serves {upstream.models}"
                 )
 
+    def has_old_weights(self, upstream: server.Server) -> bool:
+        """Return whether an upstream serves an outdated version of the weights."""
+        newest = self.weight_version
+        return upstream.models.get(platform_world.MODEL, newest) != newest
+
     async def is_serving(self, pool: http_client.Pool, node: NodeProcess) -> bool:
         """Return whether a node answers one request of each kind in time."""
         with trio.move_on_after(PROBE_TIMEOUT_S):
@@ -484,37 +760,65 @@
 
 
 async def run(
-    seed: int, seconds: float, folder: pathlib.Path, nodes: int = DEFAULT_NODES
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    nodes: int = DEFAULT_NODES,
+    families: collections.abc.Sequence[str] = DEFAULT_FAMILIES,
 ) -> Soak:
     """Run one seed; the result lists the violations."""
     async with trio.open_nursery() as nursery:
         rows = store.Store()
         soak = Soak(seed, nursery, folder, random.Random(seed), rows)
+        if soak.plays_series:
+            soak.families = tuple(families)
+            soak.set_keys([platform_world.KEY, SECOND_KEY])
         store_port = await nursery.start(rows.serve)
         await nursery.start(soak.kv.serve)
         soak.configure()
         for service in ("app", "app", "app", "llm", "llm", "llm"):
             await soak.add_server(service)
+        for service in ("app", "llm") if "zones" in soak.families else ():
+            await soak.add_server(service, SECOND_ZONE)
+        settings: dict[str, object] = {}
+        if "weights" in soak.families:
+            settings["bounds.version_ms"] = VERSION_MS
         for number in range(nodes):
             proxy = Proxy(store_port)
             await nursery.start(proxy.serve)
-            soak.store_proxies.append(proxy)
-            soak.nodes.append(NodeProcess(number, folder, proxy.port))
-            nursery.start_soon(soak.nodes[-1].run)
+            node = NodeProcess(number, folder, proxy.port, soak.record, settings)
+            soak.store_proxies[checks.store_path(node.name)] = proxy
+            soak.nodes.append(node)
+            nursery.start_soon(node.run)
         nursery.start_soon(soak.write_heartbeats)
         nursery.start_soon(soak.measure_stalls)
         await soak.check_recovery()
         async with trio.open_nursery() as callers:
-            for _ in range(CALLERS):
-                callers.start_soon(soak.send_requests)
-            await soak.inject_faults(seconds)
+            if soak.plays_series:
+                for number in range(min(CALLERS_PER_NODE * nodes, MAX_CALLERS)):
+                    callers.start_soon(soak.use_node, number)
+                await soak.inject_series(seconds)
+            else:
+                for _ in range(CALLERS):
+                    callers.start_soon(soak.send_requests)
+                await soak.inject_faults(seconds)
             await soak.check_recovery()
             callers.cancel_scope.cancel()
         soak.check_executions()
+        if soak.plays_series:
+            soak.check_series()
         nursery.cancel_scope.cancel()
     return soak
 
 
+def parse_families(text: str) -> tuple[str, ...]:
+    """Parse a comma-separated list of families of faults."""
+    names = tuple(text.split(","))
+    if unknown := set(names) - set(FAMILIES):
+        raise argparse.ArgumentTypeError(f"unknown families: {sorted(unknown)}")
+    return names
+
+
 def main() -> int:
     """Run the seeds in sequence and print the violations."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -524,6 +828,13 @@
     )
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--nodes", type=int, default=DEFAULT_NODES)
+    parser.add_argument(
+        "--faults",
+        type=parse_families,
+        default=DEFAULT_FAMILIES,
+        help=f"families of faults from seed {FIRST_SEED_WITH_SERIES} on: "
+        + ", ".join(FAMILIES),
+    )
     parser.add_argument(
         "--keep", type=pathlib.Path, help="directory in which the node logs are kept"
     )
@@ -537,7 +848,7 @@
             else:
                 folder = args.keep / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
-            soak = trio.run(run, seed, args.seconds, folder, args.nodes)
+            soak = trio.run(run, seed, args.seconds, folder, args.nodes, args.faults)
         counts = dict(sorted(soak.outcomes.items()))
         stall = f"longest stall {soak.longest_stall_s:.2f} s"
         print(
--- /dev/null
+++ b/tests/platform_soak_checks.py
@@ -0,0 +1,365 @@
+"""What callers and upstreams saw during a soak, and checks of the bounds in time.
+
+Each check is a generator of violations. A bound counts from the event or from the end
+of the last disturbance of the metadata store, whichever is later, and only for nodes
+that were not disturbed during ``CONTACT_S`` before the request.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import math
+
+import trio
+
+from snipelug_net import http_client
+from snipelug_platform_standin import server
+
+CONTACT_S = 3.0
+CONFIG_APPLY_S = 2.0
+EVACUATION_S = 5.0
+LOSS_SLACK_S = 0.2
+PAUSE_SLACK_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+CRASHES_BEFORE_LIMIT = 5
+MAX_REQUESTS_AFTER_CRASHES = 3
+MIN_SOUND_REQUESTS = 10
+DRAIN_SLACK_S = 0.3
+STORE = "store"
+
+Violations = collections.abc.Iterator[tuple[str, str]]
+"""Names of guarantees, with what was seen."""
+
+
+@dataclasses.dataclass
+class Disturbance:
+    """A time in which a node, a link or the store was disturbed.
+
+    Attributes
+    ----------
+    subject : str
+        Name of a node, id of an upstream, ``STORE``, or the path of a node to it.
+    is_planned : bool
+        Whether a request that was read must still be answered.
+    """
+
+    subject: str
+    start: float
+    end: float = math.inf
+    is_planned: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """A caller's request, and how it ended.
+
+    Attributes
+    ----------
+    outcome : int or str
+        Status of the response, or the kind of failure.
+    """
+
+    kind: str
+    node: str
+    key: str
+    parts: str
+    sent_at: float
+    ended_at: float = math.inf
+    outcome: int | str = ""
+    is_closed: bool = False
+
+
+@dataclasses.dataclass
+class Record:
+    """Requests by id, changes with their times, and disturbances.
+
+    Attributes
+    ----------
+    named : list of (float, int)
+        Times and numbers of new weight versions.
+    keys : list of (float, bool)
+        Times at which the second key was added (True) or withdrawn.
+    zones : list of (float, bool)
+        Times at which the second zone was evacuated (True) or taken back.
+    drained : dict
+        Times at which the list said that an upstream is draining.
+    exits : list of str
+        Nodes that ended by themselves.
+    """
+
+    requests: dict[str, Sent] = dataclasses.field(default_factory=dict)
+    disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
+    named: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    keys: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
+    zones: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
+    drained: dict[str, float] = dataclasses.field(default_factory=dict)
+    exits: list[str] = dataclasses.field(default_factory=list)
+
+    @contextlib.contextmanager
+    def disturbed(self, *subjects: str) -> collections.abc.Iterator[None]:
+        """Record that the subjects are disturbed within the context."""
+        now = trio.current_time()
+        added = [Disturbance(subject, now) for subject in subjects]
+        self.disturbances += added
+        try:
+            yield
+        finally:
+            for item in added:
+                item.end = trio.current_time()
+
+    def add_event(self, subject: str, is_planned: bool = False) -> None:
+        """Record a disturbance without duration."""
+        now = trio.current_time()
+        self.disturbances.append(Disturbance(subject, now, now, is_planned))
+
+    def add_crashes(self, upstream: server.Server) -> None:
+        """Record the crashes of an upstream as disturbances."""
+        self.disturbances += (
+            Disturbance(upstream.id, at, at + server.CRASH_DOWNTIME_S)
+            for at in upstream.crashed_at
+        )
+
+    def calm_since(self, subjects: collections.abc.Container[str], at: float) -> float:
+        """Return the end of the last disturbance that began before a time."""
+        ends = (
+            item.end
+            for item in self.disturbances
+            if item.subject in subjects and item.start <= at
+        )
+        return max(ends, default=-math.inf)
+
+    def is_late(
+        self, event_at: float, bound_s: float, at: float, node: str, upstream: str = ""
+    ) -> bool:
+        """Return whether a time is after the bound, at a node without disturbance."""
+        core = (STORE, store_path(node))
+        since = max(event_at, self.calm_since(core, at))
+        in_touch_since = self.calm_since((*core, node, upstream), at) + CONTACT_S
+        return at > since + bound_s and at > in_touch_since
+
+
+def ended(sent: Sent, response: object) -> Sent:
+    """Return a request with its outcome."""
+    now = trio.current_time()
+    if isinstance(response, http_client.FullResponse):
+        return dataclasses.replace(sent, ended_at=now, outcome=response.status)
+    return dataclasses.replace(
+        sent,
+        ended_at=now,
+        outcome=type(response).__name__,
+        is_closed=isinstance(response, http_client.Lost) and response.is_closed,
+    )
+
+
+def store_path(node: str) -> str:
+    """Return the subject of the link between a node and the store."""
+    return f"{STORE} {node}"
+
+
+Servers = collections.abc.Sequence[server.Server]
+Received = collections.abc.Iterator[tuple[server.Server, server.ReceivedRequest, Sent]]
+
+
+def executed(record: Record, servers: Servers) -> Received:
+    """Generate the requests that upstreams executed."""
+    for upstream in servers:
+        for request in upstream.executed:
+            yield upstream, request, record.requests[request.headers["request-id"]]
+
+
+def received(record: Record, servers: Servers) -> Received:
+    """Generate all requests that reached upstreams."""
+    yield from executed(record, servers)
+    for upstream in servers:
+        for request in upstream.turned_away:
+            yield upstream, request, record.requests[request.headers["request-id"]]
+
+
+def check_versions(record: Record, servers: Servers, bound_s: float) -> Violations:
+    """Check that no request begins on outdated weights after the bound."""
+    for upstream, request, sent in executed(record, servers):
+        newer = [at for at, version in record.named if 0 < request.version < version]
+        at = request.received_at
+        if newer and record.is_late(newer[0], bound_s, at, sent.node, upstream.id):
+            yield (
+                "outdated weights",
+                f"{_describe(upstream, request, sent)} began on version "
+                f"{request.version}, {at - newer[0]:.2f} s after a newer one was named",
+            )
+
+
+def check_drains(record: Record, servers: Servers, drain_s: float) -> Violations:
+    """Check that upstreams listed as draining receive nothing after the bound."""
+    for upstream, request, sent in executed(record, servers):
+        drained_at = record.drained.get(upstream.id, math.inf)
+        at = request.received_at
+        bound_s = drain_s + DRAIN_SLACK_S
+        if record.is_late(drained_at, bound_s, at, sent.node, upstream.id):
+            yield (
+                "drain",
+                f"{_describe(upstream, request, sent)} arrived {at - drained_at:.2f} s "
+                "after the list said that the upstream is draining",
+            )
+
+
+def check_leaving(record: Record, servers: Servers, drain_s: float) -> Violations:
+    """Check that an upstream that said it leaves gets nothing sent after the bound."""
+    answers: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
+    for upstream in servers:
+        for request_id in upstream.leaving_ids:
+            sent = record.requests[request_id]
+            answers[sent.node, upstream.id].append(sent.ended_at)
+    for upstream, request, sent in received(record, servers):
+        restarted_at = record.calm_since((sent.node,), request.received_at)
+        told_at = min(
+            (at for at in answers[sent.node, upstream.id] if at > restarted_at),
+            default=math.inf,
+        )
+        if sent.sent_at > told_at + drain_s:
+            yield (
+                "leaving upstream",
+                f"{_describe(upstream, request, sent)} was sent "
+                f"{sent.sent_at - told_at:.2f} s after an answer with Server-Leaving",
+            )
+
+
+def check_pauses(record: Record, servers: Servers) -> Violations:
+    """Check that nodes wait for the time that a rejecting upstream asks for."""
+    arrivals: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
+    for upstream, request, sent in received(record, servers):
+        arrivals[sent.node, upstream.id].append(request.received_at)
+    for upstream in servers:
+        for request, retry_after_s in upstream.pauses:
+            node = record.requests[request.headers["request-id"]].node
+            start = request.received_at + PAUSE_SLACK_S
+            end = request.received_at + retry_after_s
+            count = sum(start < at < end for at in arrivals[node, upstream.id])
+            calm_since = record.calm_since((node, upstream.id, store_path(node)), end)
+            is_calm = calm_since < request.received_at - CONTACT_S
+            if count > MAX_REQUESTS_IN_PAUSE and is_calm:
+                yield (
+                    "retry after",
+                    f"{upstream.id} got {count} requests of {node} within "
+                    f"{retry_after_s:.1f} s after it had rejected one",
+                )
+
+
+def check_crashes(record: Record, servers: Servers, part: str) -> Violations:
+    """Check that a part that crashes engines is held back, and others are not."""
+    bad = sorted(
+        (request.received_at, sent.node, upstream.id)
+        for upstream, request, sent in executed(record, servers)
+        if part in sent.parts
+    )
+    if len(bad) < CRASHES_BEFORE_LIMIT:
+        return
+    limit_at = bad[CRASHES_BEFORE_LIMIT - 1][0] + CONTACT_S
+    late = [
+        item
+        for item in bad
+        if item[0] > limit_at
+        and item[0] > record.calm_since((item[1],), item[0]) + CONTACT_S
+    ]
+    if len(late) > MAX_REQUESTS_AFTER_CRASHES:
+        yield "crashing request", f"{len(late)} of {len(bad)} came late: {late[:8]}"
+    first = next(s.parts for s in record.requests.values() if part in s.parts)
+    sound = [
+        sent.outcome == 200
+        for sent in record.requests.values()
+        if sent.sent_at > limit_at
+        and part not in sent.parts
+        and sent.parts.startswith(first.partition(",")[0])
+    ]
+    if len(sound) > MIN_SOUND_REQUESTS and 2 * sum(sound) < len(sound):
+        yield (
+            "sound requests",
+            f"{sum(sound)} of {len(sound)} with the same first part were served",
+        )
+
+
+def check_closed(record: Record, servers: Servers) -> Violations:
+    """Check that requests that were read are answered, during planned stops too."""
+    ran = {
+        request.headers["request-id"]: upstream.id
+        for upstream in servers
+        for request in upstream.executed
+    }
+    broken = set().union(*(upstream.broken_ids for upstream in servers))
+    unplanned = [item for item in record.disturbances if not item.is_planned]
+    for request_id, sent in record.requests.items():
+        took_s = sent.ended_at - sent.sent_at
+        if not sent.is_closed or request_id in broken:
+            continue
+        is_disturbed = any(
+            item.start <= sent.ended_at and item.end >= sent.sent_at - CONTACT_S
+            for item in unplanned
+            if item.subject in (sent.node, ran.get(request_id))
+        )
+        if not is_disturbed and (request_id in ran or took_s > LOSS_SLACK_S):
+            where = f"executed by {ran[request_id]}" if request_id in ran else "unrun"
+            planned = [
+                f"{sent.ended_at - item.start:.2f} s"
+                for item in record.disturbances
+                if item.subject == sent.node and item.start <= sent.ended_at
+            ]
+            yield (
+                "closed without an answer",
+                f"{sent.kind} {request_id} at {sent.node}, {where}, after "
+                f"{took_s:.2f} s; signals before: {planned[-3:]}",
+            )
+
+
+def check_keys(record: Record, servers: Servers, key: str) -> Violations:
+    """Check that a withdrawn key is refused in time, and a restored one accepted."""
+    for upstream, request, sent in executed(record, servers):
+        change = _last_change(record.keys, sent.sent_at)
+        if sent.key != key or change is None or change[1]:
+            continue
+        if record.is_late(change[0], CONFIG_APPLY_S, sent.sent_at, sent.node):
+            yield (
+                "withdrawn key",
+                f"{_describe(upstream, request, sent)} was sent "
+                f"{sent.sent_at - change[0]:.2f} s after its key was withdrawn",
+            )
+    for request_id, sent in record.requests.items():
+        change = _last_change(record.keys, sent.sent_at)
+        if sent.key != key or sent.outcome != 401 or change is None or not change[1]:
+            continue
+        is_same = change == _last_change(record.keys, sent.ended_at)
+        if is_same and record.is_late(
+            change[0], CONFIG_APPLY_S, sent.sent_at, sent.node
+        ):
+            yield (
+                "restored key",
+                f"{request_id} at {sent.node} got 401, "
+                f"{sent.sent_at - change[0]:.2f} s after its key was added",
+            )
+
+
+def check_zones(record: Record, servers: Servers, zone: str) -> Violations:
+    """Check that upstreams of an evacuated zone receive nothing after the bound."""
+    for upstream, request, sent in executed(record, servers):
+        at = request.received_at
+        change = _last_change(record.zones, at)
+        if upstream.zone != zone or change is None or not change[1]:
+            continue
+        if record.is_late(change[0], EVACUATION_S, at, sent.node, upstream.id):
+            yield (
+                "evacuated zone",
+                f"{_describe(upstream, request, sent)} arrived "
+                f"{at - change[0]:.2f} s after its zone was evacuated",
+            )
+
+
+def _last_change(
+    changes: list[tuple[float, bool]], at: float
+) -> tuple[float, bool] | None:
+    return max((change for change in changes if change[0] <= at), default=None)
+
+
+def _describe(
+    upstream: server.Server, request: server.ReceivedRequest, sent: Sent
+) -> str:
+    request_id = request.headers["request-id"]
+    return f"{sent.kind} {request_id} of {sent.node} to {upstream.id}"
