--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -11,6 +11,9 @@
     (1, 7, 8.0),
     # Expired entries that were written again were not passed on within the zone.
     (501, 7, 12.0),
+    # Series of faults.
+    (2000, 3, 8.0),
+    (2001, 7, 8.0),
 ]
 """Seed, nodes and seconds; seeds that found a violation are kept with the cause."""
 
--- /dev/null
+++ b/tests/test_platform_standin.py
@@ -0,0 +1,92 @@
+"""Tests of the faults of the stand-in for an upstream of the platform."""
+
+import trio
+
+from snipelug_net import http_client
+from snipelug_platform_standin import server
+
+MODEL = "m"
+
+
+def prompt(upstream: server.Server, part: str = "aa") -> http_client.Call:
+    headers = {"host": "h", "request-id": "1", "model": MODEL}
+    headers["prompt-prefix"] = f"00:10,{part}:5"
+    addr = ("127.0.0.1", upstream.port)
+    return http_client.Call(addr, "POST", "/ask/x", headers, b"x", 2.0)
+
+
+async def test_crash_closes_connections_and_changes_the_incarnation(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a crash that leaves the listener or other streams open."""
+    for crash_after in (None, 0, 1):
+        upstream = server.Server("llm", model=MODEL, event_interval_s=0.5)
+        upstream.faults.crash_part = "bad"
+        upstream.faults.crash_after = crash_after
+        await nursery.start(upstream.serve)
+        pool = http_client.Pool(0.5)
+        other = await pool.send(prompt(upstream))
+        assert isinstance(other, http_client.StreamingResponse)
+        born = upstream.born
+        assert isinstance(await pool.fetch(prompt(upstream, "bad")), http_client.Lost)
+        assert isinstance(await other.read(10_000, 1.0), http_client.Lost)
+        assert isinstance(await pool.fetch(prompt(upstream)), http_client.NotSent)
+        with trio.fail_after(5.0):
+            while upstream.is_down:
+                await trio.sleep(0.05)
+        assert upstream.born > born
+        full = await pool.fetch(prompt(upstream))
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 200
+
+
+async def test_pause_is_announced_and_ends(nursery: trio.Nursery) -> None:
+    """Guards against rejections that do not say how long they last."""
+    upstream = server.Server("llm", model=MODEL)
+    await nursery.start(upstream.serve)
+    upstream.faults.pauses_until = trio.current_time() + 0.3
+    pool = http_client.Pool(0.5)
+    full = await pool.fetch(prompt(upstream))
+    assert isinstance(full, http_client.FullResponse)
+    assert (full.status, full.headers["retry-after"]) == (503, "1")
+    assert full.headers["not-executed"] == "1"
+    assert [seconds for _, seconds in upstream.pauses] == [1]
+    await trio.sleep(0.35)
+    full = await pool.fetch(prompt(upstream))
+    assert isinstance(full, http_client.FullResponse)
+    assert full.status == 200
+    assert len(upstream.executed) == 1
+
+
+async def test_late_order_keeps_the_weights_until_it_is_carried_out(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against an accepted order that changes the weights at once."""
+    upstream = server.Server("llm", model=MODEL)
+    await nursery.start(upstream.serve)
+    upstream.faults.order_lag_s = 0.3
+    addr = ("127.0.0.1", upstream.port)
+    body = b'{"model":"m","version":2,"fencing_token":1,"expected":0}'
+    call = http_client.Call(addr, "POST", "/api/order", {"host": "h"}, body, 2.0)
+    pool = http_client.Pool(0.5)
+    full = await pool.fetch(call)
+    assert isinstance(full, http_client.FullResponse)
+    assert full.status == 202
+    await pool.fetch(prompt(upstream))
+    await trio.sleep(0.4)
+    await pool.fetch(prompt(upstream))
+    assert [request.version for request in upstream.executed] == [1, 2]
+
+
+async def test_leaving_upstream_says_so_in_all_responses(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against rejections without the header."""
+    upstream = server.Server("llm", model=MODEL)
+    await nursery.start(upstream.serve)
+    pool = http_client.Pool(0.5)
+    upstream.faults.is_leaving = True
+    for upstream.faults.turns_away in (0, 1):
+        full = await pool.fetch(prompt(upstream))
+        assert isinstance(full, http_client.FullResponse)
+        assert full.headers["server-leaving"] == "1"
