Ignore signals that arrive during a graceful shutdown

Cause: signals left in the receiver of `Node.run` were raised again once it was closed. A second SIGTERM, or a SIGHUP during the stop, then ended the process by its default action before the last log lines were written.

Seen by callers: nothing; requests had been completed. Operators saw exit code -15 or -1 and no "stopped" line.

Change: signals that arrive during the stop are read and logged as "signal_ignored".

Result: tests/test_platform_process.py sends SIGTERM, SIGHUP or both 0.2 s into a stop.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -164,10 +164,19 @@
                     if number == signal.SIGTERM:
                         break
                     self._check_settings(is_requested=True)
+                nursery.start_soon(self._ignore_signals, signals)
                 await self.stop()
                 nursery.cancel_scope.cancel()
         self._log.write_out()
 
+    async def _ignore_signals(
+        self, signals: collections.abc.AsyncIterator[int]
+    ) -> None:
+        # Signals that are left in the receiver would end the process by their default
+        # action, before the last log lines are written.
+        async for number in signals:
+            lines.event(LOG, "signal_ignored", signal=signal.Signals(number).name)
+
     async def serve(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,75 @@
+"""Tests of a node on the platform as a process of its own."""
+
+import contextlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+import trio
+
+from snipelug_net import http_client
+from snipelug_platform_standin import store
+from tests import platform_world
+
+EXIT_TIMEOUT_S = 10.0
+
+
+def free_tcp_ports(count: int) -> list[int]:
+    """Return different ports that nothing listens on."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+async def start_node(folder: pathlib.Path, store_port: int) -> subprocess.Popen[bytes]:
+    """Start a node and wait until it is ready."""
+    port, ready_port = free_tcp_ports(2)
+    path = folder / "node.conf"
+    path.write_text(
+        "node_name=n1\nzone=zone-a\nbounds.grace_period_s=4\n"
+        f"listen.frontend=127.0.0.1:{port}\nlisten.ready=127.0.0.1:{ready_port}\n"
+        f"platform.address=127.0.0.1:{store_port}\n"
+    )
+    with (folder / "log").open("wb") as log:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "snipelug_node.entry"],
+            env={"SNIPELUG_CONFIG": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+    call = http_client.Call(("127.0.0.1", ready_port), "GET", "/api/ready")
+    with trio.fail_after(platform_world.WAIT_TIMEOUT_S):
+        while True:
+            full = await http_client.Pool().fetch(call)
+            if isinstance(full, http_client.FullResponse) and full.status == 200:
+                return process
+            await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    "later", [(), (signal.SIGTERM,), (signal.SIGHUP,), (signal.SIGHUP, signal.SIGTERM)]
+)
+async def test_later_signals_do_not_disturb_a_stop(
+    tmp_path: pathlib.Path, nursery: trio.Nursery, later: tuple[signal.Signals, ...]
+) -> None:
+    """Guards against a stop that a later signal ends without its last log lines."""
+    rows = store.Store()
+    store_port = await nursery.start(rows.serve)
+    rows.put("op", "config", platform_world.config(1, []))
+    process = await start_node(tmp_path, store_port)
+    try:
+        for number in (signal.SIGTERM, *later):
+            process.send_signal(number)
+            await trio.sleep(0.2)
+        with trio.fail_after(EXIT_TIMEOUT_S):
+            while process.poll() is None:
+                await trio.sleep(0.05)
+    finally:
+        process.kill()
+    assert process.returncode == 0
+    assert '"event":"stopped"' in (tmp_path / "log").read_text()
