Log the soak's signals, and check recovery after the last stop

Change: the recovery check waits for the time of one graceful shutdown. The key check takes only requests that were sent and run under the same configuration. Signals, starts and exits are written to the log of their node.

Result: tests/test_platform_soak_checks.py passes, with a case for the restored key.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -23,6 +23,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import typing
 
 import trio
@@ -184,6 +185,7 @@
             try:
                 while True:
                     self.record.add_event(self.name, is_planned=True)
+                    self.write_log("started")
                     self.process = subprocess.Popen(
                         [sys.executable, "-m", "snipelug_node.entry"],
                         env={"SNIPELUG_CONFIG": str(self.path)},
@@ -201,6 +203,7 @@
 
     def check_exit(self, code: int) -> None:
         """Record an exit that no signal of the soak has caused."""
+        self.write_log(f"exit code {code}")
         if code not in (0, -signal.SIGTERM, -signal.SIGKILL):
             self.record.exits.append(f"{self.name} ended with code {code}")
 
@@ -214,8 +217,14 @@
         if self.process is not None and self.process.poll() is None:
             if number != signal.SIGHUP:
                 self.record.add_event(self.name, is_planned=number == signal.SIGTERM)
+            self.write_log(f"sent {number.name}")
             self.process.send_signal(number)
 
+    def write_log(self, event: str) -> None:
+        """Add an event of the soak to the log of this node."""
+        with self.log.open("a") as log:
+            log.write(f'{{"t":{time.time():.3f},"event":"soak: {event}"}}\n')
+
 
 @dataclasses.dataclass
 class Soak:
@@ -570,6 +579,8 @@
                     nursery.start_soon(run_series, series)
                     await trio.sleep(self.rng.choice([0.0, 0.3, 1.0]))
                 await trio.sleep(self.rng.choice([0.5, 3.0, 7.0]))
+        # A stopping node still serves, so recovery is checked after the last stop.
+        await trio.sleep(GRACE_S)
         for upstream in self.all_servers:
             is_leaving = upstream.faults.is_leaving
             upstream.faults = server.Faults(is_leaving=is_leaving)
@@ -731,6 +742,8 @@
     async def check_recovery(self) -> None:
         """Check that all nodes and weights recover in time after the last fault."""
         self.last_fault_at = trio.current_time()
+        for node in self.nodes:
+            node.write_log("waiting until all nodes serve")
         pool = http_client.Pool(0.5)
         with trio.move_on_after(RECOVERY_TIMEOUT_S):
             while not all([await self.is_serving(pool, node) for node in self.nodes]):
--- a/tests/platform_soak_checks.py
+++ b/tests/platform_soak_checks.py
@@ -314,7 +314,8 @@
     """Check that a withdrawn key is refused in time, and a restored one accepted."""
     for upstream, request, sent in executed(record, servers):
         change = _last_change(record.keys, sent.sent_at)
-        if sent.key != key or change is None or change[1]:
+        is_same = change == _last_change(record.keys, request.received_at)
+        if sent.key != key or change is None or change[1] or not is_same:
             continue
         if record.is_late(change[0], CONFIG_APPLY_S, sent.sent_at, sent.node):
             yield (
--- a/tests/test_platform_soak_checks.py
+++ b/tests/test_platform_soak_checks.py
@@ -114,6 +114,14 @@
     scene.send(at)
 
 
+def restore_key_after_sending(scene: Scene, at: float) -> None:
+    use_withdrawn_key(scene, at)
+    request = scene.upstream.executed.pop()
+    request = dataclasses.replace(request, received_at=at + 0.2)
+    scene.upstream.executed.append(request)
+    scene.record.keys.append((at + 0.1, True))
+
+
 def refuse_restored_key(scene: Scene, at: float) -> None:
     scene.record.keys += [(0.0, False), (10.0, True)]
     scene.send(at, outcome=401)
@@ -145,6 +153,7 @@
     (close_unread_request, 10.3, "closed without an answer"),
     (use_withdrawn_key, 11.9, ""),
     (use_withdrawn_key, 12.1, "withdrawn key"),
+    (restore_key_after_sending, 12.1, ""),
     (refuse_restored_key, 11.9, ""),
     (refuse_restored_key, 12.1, "restored key"),
     (use_evacuated_zone, 14.9, ""),
