Announce only the newest state of an entry, relative to what is known

Cause: a reader compared a page of the list with what it knew when the page arrived. If a peer's announcement had been applied since the call was sent, the older entry in the page differed and was announced, and the newer one did not and was left out. A page older than the announcement was applied as well. An entry that was removed and listed again within one page was announced as removed only.

Seen by callers: none directly. Nodes of the zone took a leaving upstream for ready until its entry was removed: requests arrived up to 3.5 s after the list had said that it is draining, with a bound of 2 s.

Change: pages that are older than what is known are ignored. Others are reduced to the newest item of each upstream, and are announced as changes since the position that the node knows, not since the position that it asked for. A node that missed the peer's announcement notices the gap and reads for itself.

--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -148,6 +148,20 @@
         self.read_requested.set()
 
 
+def _newest(
+    items: collections.abc.Iterable[ports.Listing],
+) -> collections.abc.Iterator[ports.Listing]:
+    """Generate the last item of each upstream."""
+    newest: dict[str, ports.Listing] = {}
+    for item in items:
+        match item:
+            case fleet.Entry(upstream_id):
+                newest[upstream_id] = item
+            case ports.Removed(str() as upstream_id) | ports.Unreadable(upstream_id):
+                newest[upstream_id] = item
+    yield from newest.values()
+
+
 class Watch:
     """Watches the operator's intents, the list of upstreams and the member table."""
 
@@ -255,17 +269,27 @@
     def _apply_listings(
         self, page: ports.Page[ports.Listing], since: int | None, in_grace: bool
     ) -> None:
-        if since is not None and self._state.is_reader:
-            self._announce_listings(page, since, in_grace)
-        self._state.apply_listings(page.items, since is None, in_grace)
+        # A peer's announcement may have been applied since the read was sent, or the
+        # whole list requested.
+        position = self._list_cursor.position
+        if since is not None and (position is None or page.position < position):
+            return
+        items = list(_newest(page.items))
+        if since is not None and position is not None and self._state.is_reader:
+            self._announce_listings(items, position, page.position, in_grace)
+        self._state.apply_listings(items, since is None, in_grace)
         self._list_cursor.advance(page.position)
 
     def _announce_listings(
-        self, page: ports.Page[ports.Listing], since: int, in_grace: bool
+        self,
+        items: collections.abc.Iterable[ports.Listing],
+        since: int,
+        position: int,
+        in_grace: bool,
     ) -> None:
-        """Announce the changes since this node's previous read to the zone."""
+        """Announce the changes to what this node knows to the zone."""
         entries, removed = [], []
-        for item in page.items:
+        for item in items:
             match item:
                 case fleet.Entry():
                     if self._state.fleet.differs(item):
@@ -274,9 +298,9 @@
                     removed.append(upstream_id)
                 case ports.Unreadable(key):
                     removed.append(key)
-        message = messages.ListRead(since, page.position, in_grace, entries, removed)
+        message = messages.ListRead(since, position, in_grace, entries, removed)
         if not self._announcer.send_to_zone(message):
-            omitted = messages.ListRead(since, page.position, in_grace, [], [], True)
+            omitted = messages.ListRead(since, position, in_grace, [], [], True)
             self._announcer.send_to_zone(omitted)
 
     def expire(self) -> None:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,6 +1,7 @@
 """Tests of how a node watches the platform's store."""
 
 import collections
+import collections.abc
 import time
 
 import pytest
@@ -8,7 +9,7 @@
 import trio.testing
 
 from snipelug_core import fleet
-from snipelug_relay import announce, clock, ports, state, stats, watch
+from snipelug_relay import announce, clock, messages, ports, state, stats, watch
 from tests import relay_builders
 
 
@@ -107,3 +108,100 @@
     assert 8 <= store.calls["read_upstreams"] <= 12
     assert 3 <= store.calls["read_members"] <= 6
     nursery.cancel_scope.cancel()
+
+
+ZONE_ENTRIES = [relay_builders.entry(is_leaving=leaving) for leaving in (False, True)]
+"""The entry of an upstream as listed before it leaves, and while it leaves."""
+
+
+class ReadDuringAnnouncement:
+    """A store that answers a read of changes after a peer's announcement arrived.
+
+    Attributes
+    ----------
+    on_read : callable
+        Called before the response is returned.
+    """
+
+    def __init__(self, page: ports.Page[ports.Listing]) -> None:
+        self.page = page
+        self.on_read: collections.abc.Callable[[], None] = lambda: None
+        self.has_read = False
+
+    async def read_upstreams(self) -> ports.Page[ports.Listing]:
+        return ports.Page([ZONE_ENTRIES[0]], 5, 0.0)
+
+    async def watch_upstreams(
+        self, position: int, wait_s: float
+    ) -> ports.Page[ports.Listing]:
+        if self.has_read:
+            await trio.sleep_forever()
+        self.has_read = True
+        self.on_read()
+        return self.page
+
+
+class SentToZone:
+    """Records the messages that a node sends to its zone."""
+
+    def __init__(self) -> None:
+        self.messages: list[messages.Message] = []
+
+    def set_handler(self, kind: type, handler: object) -> None:
+        pass
+
+    def send_to_zone(self, message: messages.Message) -> bool:
+        self.messages.append(message)
+        return True
+
+
+@pytest.mark.parametrize(
+    ("items", "position"),
+    [
+        # The response has the changes that a peer has already announced.
+        (ZONE_ENTRIES, 7),
+        # The response is older than the peer's announcement.
+        (ZONE_ENTRIES[:1], 6),
+    ],
+)
+async def test_read_that_a_peer_overtakes_restores_nothing(
+    nursery: trio.Nursery, items: list[ports.Listing], position: int
+) -> None:
+    """Guards against a leaving upstream that is announced as ready.
+
+    A reader filtered a page by what it knew from a peer since it had asked for it: the
+    older entry differed and was announced, the newer one did not and was omitted.
+    """
+    addr = ("127.0.0.1", 1)
+    settings = ports.Settings("n1", "a", addr, addr, addr)
+    node_states = [state.State(settings) for _ in range(2)]
+    sent = SentToZone()
+    store = ReadDuringAnnouncement(ports.Page(items, position, 0.0))
+    reader, peer = (
+        watch.Watch(
+            node_state.cfg,
+            node_state,
+            store,  # type: ignore[arg-type]
+            stats.Stats(),
+            lambda: None,
+            sent,  # type: ignore[arg-type]
+        )
+        for node_state in node_states
+    )
+    peer._apply_listings(ports.Page(ZONE_ENTRIES[:1], 5, 0.0), None, False)
+    leaving = messages.ListRead(5, 7, False, ZONE_ENTRIES[1:], [])
+    store.on_read = lambda: reader._on_list_read(leaving)
+    nursery.start_soon(reader.run_upstreams)
+    with trio.fail_after(5.0):
+        while not store.has_read:
+            await trio.sleep(0.01)
+    await trio.sleep(0.1)
+    for message in sent.messages:
+        if isinstance(message, messages.ListRead):
+            peer._on_list_read(message)
+    is_leaving = [s.fleet.upstreams["u1"].entry.is_leaving for s in node_states]
+    assert is_leaving[0]
+    assert reader._list_cursor.position == 7
+    # The first announcement has not reached this peer, so it must read again.
+    assert is_leaving[1] or peer._list_cursor.position in (5, 6)
+    nursery.cancel_scope.cancel()
