--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,6 +14,8 @@
     # Series of faults.
     (2000, 3, 8.0),
     (2001, 7, 8.0),
+    # Readers announced an entry from before a drain after its newer state.
+    (2213, 3, 8.0),
 ]
 """Seed, nodes and seconds; seeds that found a violation are kept with the cause."""
 
