Ignore a reload signal while the program starts

Cause: a SIGHUP between the start of the process and the installation of its signal handlers (0.4 s of imports, more on a busy machine) ended the node by the default action.

Seen by callers: the node was away until it had been started once more.

Change: on the platform's interface SIGHUP is ignored before the imports. The soak sends none in the first 0.3 s, in which the interpreter itself starts.

--- a/packages/snipelug-node/src/snipelug_node/entry.py
+++ b/packages/snipelug-node/src/snipelug_node/entry.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 
 PLATFORM_SETTINGS = "SNIPELUG_CONFIG"
 
@@ -14,6 +15,8 @@
     """Run snipelugd until it stops."""
     path = os.environ.get(PLATFORM_SETTINGS)
     if path:
+        # A reload during the imports would end the process.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from snipelug_platform import main as platform_main
 
         platform_main.run(path)
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -103,6 +103,7 @@
 SECOND_ZONE = "zone-b"
 CRASH_PART = "badbad"
 DEADLINE_S = 2.0
+INTERPRETER_START_S = 0.3
 PROBE_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.05
 EVENTS_PER_STREAM = 6
@@ -169,6 +170,7 @@
     ) -> None:
         self.name = f"n{number}"
         self.record = record
+        self.started_at = 0.0
         self.host = f"127.0.0.{20 + number}"
         self.port, self.ready_port, self.udp_port = (
             platform_world.free_port() for _ in range(3)
@@ -196,6 +198,7 @@
                 while True:
                     self.record.add_event(self.name, is_planned=True)
                     self.write_log("started")
+                    self.started_at = trio.current_time()
                     self.process = subprocess.Popen(
                         [sys.executable, "-m", "snipelug_node.entry"],
                         env={"SNIPELUG_CONFIG": str(self.path)},
@@ -224,6 +227,10 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process of this node."""
+        # The interpreter needs this time until the program can ignore a reload.
+        is_early = trio.current_time() < self.started_at + INTERPRETER_START_S
+        if number == signal.SIGHUP and is_early:
+            return
         if self.process is not None and self.process.poll() is None:
             if number != signal.SIGHUP:
                 self.record.add_event(self.name, is_planned=number == signal.SIGTERM)
