Count a version without a known time of naming as named long ago

Cause: the time since a naming was minus infinity if a row has no time for the newest version, so parts of outdated weights counted as usable and rollouts as just begun. Evidence: test_version_without_a_known_time_counts_as_named_long_ago failed before.

--- a/packages/snipelug-core/src/snipelug_core/retirement.py
+++ b/packages/snipelug-core/src/snipelug_core/retirement.py
@@ -130,7 +130,8 @@
         if self.last_current_ms(version) == -math.inf:
             return math.inf
         newer = (span.first_ms for v, span in self.spans.items() if v > version)
-        return now_ms - min(newer)
+        first_ms = min(newer)
+        return now_ms - first_ms if first_ms < math.inf else math.inf
 
     @property
     def is_uncertain(self) -> bool:
--- a/tests/test_retirement.py
+++ b/tests/test_retirement.py
@@ -35,6 +35,12 @@
     assert named.least_usable(now_ms, 7_000.0) == version
 
 
+def test_version_without_a_known_time_counts_as_named_long_ago() -> None:
+    """Guards against reads of outdated parts after a row without times."""
+    history = retirement.History({1: retirement.Span(0.0, 10.0), 2: retirement.UNKNOWN})
+    assert history.outdated_ms(1, 1_000.0) == math.inf
+
+
 def test_version_that_no_read_showed_does_not_extend_the_bound() -> None:
     """Guards against counting the bound from the later of two namings."""
     first = retirement.History().observe(1, -math.inf, 0.0)
