Charge crashes that break off responses which have just begun

Cause: an attempt whose first event had arrived was never charged with a crash, so a part that crashes its engine right after the first event was never withheld (found in review). Change: a response that breaks off within 0.25 s of its first event is charged; parts in use are cleared by their answers as before. The attempts that are remembered for one upstream are limited to 200. Evidence: test_part_that_crashes_engines_after_the_first_event_is_withheld failed before.

--- a/packages/snipelug-relay/src/snipelug_relay/crashes.py
+++ b/packages/snipelug-relay/src/snipelug_relay/crashes.py
@@ -37,6 +37,14 @@
 """Maximum number of upstream incarnations whose losses are remembered."""
 
 MAX_LOGGED_ATTEMPTS = 50
+MAX_ATTEMPTS = 200
+"""Maximum number of attempts that are remembered for one upstream incarnation."""
+
+BEGIN_WINDOW_S = 0.25
+"""Time after the first event in which a broken response counts as not begun.
+
+An upstream may crash right after it has begun a response.
+"""
 
 
 def crash_id(entry: fleet.Entry) -> str:
@@ -114,7 +122,11 @@
 
     def record_broken(self, work: job.Job, entry: fleet.Entry) -> None:
         """Record an attempt that had begun; it is classified in the background."""
-        self._add(work, entry, has_begun=True)
+        begun_at = -1e9 if work.first_byte_at is None else work.first_byte_at
+        has_begun = clock.now() - begun_at > BEGIN_WINDOW_S
+        losses = self._add(work, entry, has_begun)
+        if losses.has_crashed and not has_begun:
+            self._charge(losses, work)
 
     def _add(self, work: job.Job, entry: fleet.Entry, has_begun: bool) -> Losses:
         key = crash_id(entry)
@@ -124,7 +136,8 @@
             losses = self._losses[key] = Losses(entry, now)
             while len(self._losses) > MAX_LOSSES:
                 self._losses.popitem(last=False)
-        losses.attempts.append(LostAttempt(work, has_begun))
+        if not losses.is_logged and len(losses.attempts) < MAX_ATTEMPTS:
+            losses.attempts.append(LostAttempt(work, has_begun))
         self._changed.set()
         return losses
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -176,6 +176,19 @@
         assert sorted(statuses) == [502] + [503] * 7
 
 
+async def test_part_that_crashes_engines_after_the_first_event_is_withheld() -> None:
+    """Guards against crashes that break off responses which have just begun."""
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        faults = {"crash_part": quarantine_builders.CRASH_PART, "crash_after": 2}
+        quarantine_builders.arm(world.engines, **faults)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        await quarantine_builders.send_crashing(callers, 10)
+        assert quarantine_builders.crashes(world) <= 5
+
+
 async def test_crash_is_told_from_an_open_port() -> None:
     """Guards against taking an upstream that accepts connections for crashed."""
     async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
