Clear suspects of crashes only by successful responses

Cause: a response with status 4xx counted as a complete answer, which cleared the parts of its request on all nodes although nothing was generated (found in review). Evidence: test_error_response_does_not_clear_a_suspect failed before for 400 and 404.

--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -79,6 +79,7 @@
 """Results that show how long a prompt has waited at least."""
 
 OK = 200
+CLIENT_ERROR = 400
 SERVER_ERROR = 500
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell a caller that its request did not run and never will."""
@@ -220,6 +221,8 @@
                 return self._stream(work, outcome)
             if decision is attempt.Action.DELIVER and outcome.response is not None:
                 is_good = outcome.response.status < SERVER_ERROR
+                if outcome.response.status < CLIENT_ERROR:
+                    self._suspects.record_sound(work)
                 self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
             if decision is attempt.Action.REFUSE:
@@ -706,8 +709,6 @@
         if work.is_finished:
             return
         work.is_finished = True
-        if outcome == "answered":
-            self._suspects.record_sound(work)
         now = clock.now()
         self._stats.requests.labels(work.route.name, outcome, code).inc()
         first_s = (
@@ -748,6 +749,8 @@
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream; further calls have no effect."""
+        if outcome == "answered" and not work.is_finished:
+            self._suspects.record_sound(work)
         self._finish(work, outcome, reason)
 
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -189,6 +189,23 @@
         assert quarantine_builders.crashes(world) <= 5
 
 
+@pytest.mark.parametrize("status", [400, 404])
+async def test_error_response_does_not_clear_a_suspect(status: int) -> None:
+    """Guards against a part that is taken for sound as its request was rejected."""
+    async with platform_world.deployment(apps=0, engines=6) as world:
+        quarantine_builders.arm(world.engines)
+        caller = platform_world.Caller(world.nodes[0])
+        await quarantine_builders.send_crashing([caller], 1)
+        ledger = world.nodes[0]._suspects._ledger
+        assert ledger.count(BAD) == LIMIT - 1
+        for engine in world.engines:
+            engine.faults.fails, engine.faults.fail_status = 1, status
+        full = await caller.send_prompt("/check/", quarantine_builders.crashing(9))
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == status
+        assert ledger.count(BAD) == LIMIT - 1
+
+
 async def test_crash_is_told_from_an_open_port() -> None:
     """Guards against taking an upstream that accepts connections for crashed."""
     async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
