Write the rows of all suspects although the store rejects one

Change: rows are limited to 48,000 bytes, and a failed write does not end the round. Evidence: test_row_that_the_store_rejects_does_not_keep_back_the_others failed before.

--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -42,6 +42,9 @@
 
 TICK_S = 0.02
 MESSAGE_BYTES = 6_000
+ROW_BYTES = 48_000
+"""Maximum size of a row; the platform's store accepts 64 KiB."""
+
 ROWS_DELAY_S = 0.3
 MIN_ROWS_INTERVAL_S = 2.0
 ROWS_INTERVAL_PER_NODE_S = 0.02
@@ -366,14 +369,16 @@
         if isinstance(page, ports.Unavailable):
             return page
         rows = {row.suspicion.suspect: row for row in page.items}
+        failure: ports.Unavailable | None = None
         for suspect in sorted(self._unwritten):
             row = rows.get(suspect)
             written = await self._write_row(suspect, row, page.clock_ms)
             if isinstance(written, ports.Unavailable):
-                return written
-            if written:
+                # A row that the store rejects must not keep back the others.
+                failure = written
+            elif written:
                 self._unwritten.discard(suspect)
-        return page
+        return failure or page
 
     async def _read_rows(self) -> ports.Page[ports.SuspectRow] | ports.Unavailable:
         page = await self._store.read_suspects()
@@ -400,12 +405,13 @@
             if row is None:
                 return True
             return await self._store.remove_suspect(suspect, row.version)
-        if row is not None and row.suspicion == known:
+        if row is not None and row.suspicion == quarantine.shorten(known, _fits_row):
             return True
         probe_at_ms, probes, version = clock_ms + 1000 * PROBE_AFTER_S, 0, 0
         if row is not None:
             probe_at_ms, probes, version = row.probe_at_ms, row.probes, row.version
-        new = ports.SuspectRow(known, probe_at_ms, probes, version)
+        fitting = quarantine.shorten(known, _fits_row)
+        new = ports.SuspectRow(fitting, probe_at_ms, probes, version)
         return await self._store.write_suspect(new)
 
     async def _claim_probe(self, suspect: str) -> bool:
@@ -425,7 +431,7 @@
         probes = 1 if row is None else row.probes + 1
         pause_s = PROBE_AFTER_S * 2 ** min(probes, MAX_PROBE_DOUBLINGS)
         claim = ports.SuspectRow(
-            known,
+            quarantine.shorten(known, _fits_row),
             page.clock_ms + 1000 * pause_s,
             probes,
             0 if row is None else row.version,
@@ -457,3 +463,7 @@
 
 def _fits(suspicion: quarantine.Suspicion) -> bool:
     return len(msgspec.msgpack.encode(suspicion)) <= MESSAGE_BYTES
+
+
+def _fits_row(suspicion: quarantine.Suspicion) -> bool:
+    return len(msgspec.json.encode(suspicion)) <= ROW_BYTES
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -6,7 +6,7 @@
 
 from snipelug_core import quarantine
 from snipelug_net import http_client
-from snipelug_relay import crashes, suspects
+from snipelug_relay import crashes, ports, suspects
 from tests import platform_world, quarantine_builders, raw_upstream
 
 LIMIT = quarantine.SUSPECT_LIMIT
@@ -206,6 +206,32 @@
         assert ledger.count(BAD) == LIMIT - 1
 
 
+async def test_row_that_the_store_rejects_does_not_keep_back_the_others() -> None:
+    """Guards against a starting node that does not know of most suspects."""
+    async with platform_world.deployment(apps=0, engines=1) as world:
+        node = world.nodes[0]
+        known = node._suspects
+        company = {f"part/m/{number:064x}" for number in range(60)}
+        for crash in range(quarantine.MAX_CRASHES):
+            known._ledger.charge(f"{crash:013d}/i", company | {"a", "b"})
+        for suspect in ("a", "b"):
+            known._mark_unwritten(suspect)
+        write = node._store.write_suspect
+
+        async def write_all_but_one(row: ports.SuspectRow) -> bool | ports.Unavailable:
+            if row.suspicion.suspect == "a":
+                return ports.Unavailable("rejected")
+            return await write(row)
+
+        node._store.write_suspect = write_all_but_one  # type: ignore[method-assign]
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", "b") is not None
+        )
+        stored = world.store.content("suspects", "b")
+        assert len(msgspec.json.encode(stored)) < 49_152
+        assert len(known._ledger.get("b").crashes) == quarantine.MAX_CRASHES
+
+
 async def test_crash_is_told_from_an_open_port() -> None:
     """Guards against taking an upstream that accepts connections for crashed."""
     async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
