Forget suspects that no request has contained for long

Cause: suspects with three crashes were never forgotten, and forgetting others removed no row, so they returned with the next read; all nodes read the rows and repeated suspects without end after one part that nobody sends any more (found in review). Evidence: test_part_that_nobody_sends_any_more_is_forgotten failed before.

--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -354,15 +354,26 @@
                 self._rows_due.set()
 
     def _forget_old(self) -> None:
-        """Forget suspects that are not withheld and have not changed for long."""
+        """Forget suspects that no request has contained for long.
+
+        Those that other nodes and rows hold as well are cleared first, as they would
+        otherwise return from there.
+        """
         oldest = clock.now() - RETENTION_S
         for suspect, changed_at in list(self._changed_at.items()):
             if changed_at > oldest:
                 continue
-            if self._ledger.count(suspect) < quarantine.SUSPECT_LIMIT:
+            count = self._ledger.count(suspect)
+            if count < quarantine.RETRY_LIMIT:
                 self._ledger.forget(suspect)
                 self._own.discard(suspect)
                 del self._changed_at[suspect]
+            elif (
+                count < quarantine.SUSPECT_LIMIT
+                or self._hold(suspect).probe_at < oldest
+            ):
+                self._clear(suspect, 0.0)
+                self._changed_at[suspect] = clock.now()
 
     async def _sync_rows(self) -> ports.Page[ports.SuspectRow] | ports.Unavailable:
         page = await self._read_rows()
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -232,6 +232,29 @@
         assert len(known._ledger.get("b").crashes) == quarantine.MAX_CRASHES
 
 
+async def test_part_that_nobody_sends_any_more_is_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against suspects and rows that stay for ever."""
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        await quarantine_builders.send_crashing(callers, 4)
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", BAD) is not None
+        )
+        monkeypatch.setattr(suspects, "RETENTION_S", -100.0)
+        await platform_world.wait_until(
+            lambda: (
+                world.store.content("suspects", BAD) is None
+                and not any(node._suspects._ledger.has_repeated for node in world.nodes)
+            )
+        )
+
+
 async def test_crash_is_told_from_an_open_port() -> None:
     """Guards against taking an upstream that accepts connections for crashed."""
     async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
