Send sound prompts in tests once the nodes know which engines run

Cause: two tests of sound prompts send them right after engines have crashed. Change: the tests wait until the nodes list just the engines that run; all prompts must still be answered.

--- a/tests/quarantine_builders.py
+++ b/tests/quarantine_builders.py
@@ -31,6 +31,21 @@
     )
 
 
+async def wait_for_list(world: platform_world.World) -> None:
+    """Wait until the nodes know which engines run, also those that restarted.
+
+    A request to an engine that has restarted is rejected, and its retry is limited.
+    """
+
+    def is_current() -> bool:
+        running = {engine.id for engine in world.engines if not engine.is_down}
+        return len(running) == len(world.engines) and all(
+            set(node._state.fleet.upstreams) == running for node in world.nodes
+        )
+
+    await platform_world.wait_until(is_current)
+
+
 def crashes(world: platform_world.World) -> int:
     """Return the number of crashes of all upstreams."""
     return sum(item.crashes for item in [*world.apps, *world.engines])
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -71,6 +71,7 @@
         quarantine_builders.arm(world.engines)
         callers = [platform_world.Caller(node) for node in world.nodes]
         await quarantine_builders.send_crashing(callers, 6)
+        await quarantine_builders.wait_for_list(world)
         assert await quarantine_builders.send_sound(callers, 12) == [200] * 12
 
 
@@ -135,6 +136,7 @@
             for engine in world.engines[:4]:
                 await trio.sleep(0.15)
                 engine.crash()
+        await quarantine_builders.wait_for_list(world)
         statuses = await quarantine_builders.send_sound(callers, 6)
         assert statuses == [200] * 6
 
