--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -71,8 +71,7 @@
 BEGIN_MARGIN_S = 0.25
 """Margin before the bound on outdated weights at which a queued request is aborted.
 
-An engine drops a request when its connection closes, which takes a round trip and the
-engine's current step.
+An engine notices a closed connection only after a round trip and its current step.
 """
 
 WAITED = (attempt.Result.ANSWERED, attempt.Result.LOST)
