--- a/packages/snipelug-core/src/snipelug_core/retirement.py
+++ b/packages/snipelug-core/src/snipelug_core/retirement.py
@@ -1,10 +1,10 @@
 """Retirement of weight versions: when an outdated version must no longer be used.
 
-The bound runs from the write of a newer version to the platform's store. A node does not
-observe that moment. It knows times on the store's clock at which no newer
-version was named yet, from its own reads and from other nodes, and counts the bound
-from the latest of them. Facts of this kind stay true, so they can be merged in any
-order, and a lost one only ends the use of a version earlier.
+The bound runs from the write of a newer version to the platform's store. A node does
+not observe that moment. It knows times on the store's clock at which no newer version
+was named yet, from its own reads and from other nodes, and counts the bound from the
+latest of them. Facts of this kind stay true, so they can be merged in any order, and a
+lost one only ends the use of a version earlier.
 """
 
 import collections.abc
