--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -141,6 +141,23 @@
         assert statuses == [200] * 6
 
 
+async def test_new_part_is_not_withheld_when_all_engines_fail_at_once() -> None:
+    """Guards against refusing all prompts because one event ended several engines."""
+    async with platform_world.deployment(apps=0, engines=3) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        quarantine_builders.arm(world.engines, first_event_s=1.0, restart_s=0.3)
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                prompt = quarantine_builders.sound(number)
+                nursery.start_soon(caller.send_prompt, "/check/", prompt)
+            await trio.sleep(0.5)
+            for engine in world.engines:
+                engine.crash()
+        quarantine_builders.arm(world.engines, first_event_s=0.02, restart_s=0.3)
+        await quarantine_builders.wait_for_list(world)
+        assert await quarantine_builders.send_sound([caller], 6) == [200] * 6
+
+
 async def test_closed_connections_are_no_crashes() -> None:
     """Guards against withholding requests because of resets by sound engines."""
     async with platform_world.deployment(apps=0, engines=2) as world:
