Decode the epoch of the platform's store and log when it is restored

No log line told that the store had gone back to a copy, so a lost change could not be told from one that was never written. The header field is decoded once, in the adapter; a malformed one makes the response unusable. The stand-in can be restored from a copy: later rows and the history are gone, and versions are given out again.

No decision depends on the epoch yet.

--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -242,11 +242,15 @@
         Position from which the next changes are read.
     clock_ms : float
         The store's clock, in milliseconds.
+    epoch : int
+        Number of times the store has been restored from a copy. Positions and versions
+        of rows from different epochs are not comparable.
     """
 
     items: list[Item]
     position: int
     clock_ms: float
+    epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -297,6 +301,7 @@
     lease: rollout.Lease | None
     version: int
     clock_ms: float
+    epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -311,6 +316,7 @@
 
     version: int
     clock_ms: float
+    epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/retirements.py
+++ b/packages/snipelug-relay/src/snipelug_relay/retirements.py
@@ -110,7 +110,7 @@
         sent_at = clock.now()
         page = await self._store.read_retirements()
         if isinstance(page, ports.Page):
-            self._state.store_clock.record(sent_at, clock.now(), page.clock_ms)
+            self._state.record_response(page, sent_at, clock.now())
         return page
 
     async def _exchange(
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -3,6 +3,7 @@
 import collections.abc
 import logging
 import math
+import typing
 
 import trio
 
@@ -43,6 +44,8 @@
         The configuration; None until the store has been read.
     store_clock : store_clock.StoreClock
         Bounds of the clock of the platform's store.
+    store_epoch : int or None
+        Newest epoch of the platform's store; None until it has responded.
     named_versions : dict of str to retirement.History
         The named weight versions of each model.
     intents_current_ms : float
@@ -69,6 +72,7 @@
         self.cfg = cfg
         self.catalog: catalog.Catalog | None = None
         self.store_clock = store_clock.StoreClock()
+        self.store_epoch: int | None = None
         self.named_versions: dict[str, retirement.History] = {}
         self.intents_current_ms = -math.inf
         self.zones_out: frozenset[str] = frozenset()
@@ -201,6 +205,29 @@
             waits.scale(priority, now),
         )
 
+    def record_response(
+        self, page: ports.Page[typing.Any], sent_at: float, received_at: float
+    ) -> None:
+        """Record the clock and the epoch in a response of the platform's store."""
+        self.store_clock.record(sent_at, received_at, page.clock_ms)
+        self.record_epoch(page)
+
+    def record_epoch(self, page: ports.Page[typing.Any]) -> None:
+        """Record and log that the platform's store has been restored from a copy."""
+        known = self.store_epoch
+        if known is not None and page.epoch <= known:
+            return
+        self.store_epoch = page.epoch
+        if known is not None:
+            lines.warning(
+                LOG,
+                "store_restored",
+                epoch=page.epoch,
+                before=known,
+                position=page.position,
+                clock_ms=page.clock_ms,
+            )
+
     def apply_intents(
         self,
         items: collections.abc.Iterable[ports.Intent],
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -211,7 +211,7 @@
         self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
     ) -> None:
         store_clock = self._state.store_clock
-        store_clock.record(sent_at, clock.now(), page.clock_ms)
+        self._state.record_response(page, sent_at, clock.now())
         # A change can be missing from a held response, so it is as old as its call.
         clock_ms = min(page.clock_ms, store_clock.latest_ms(sent_at))
         self._state.apply_intents(page.items, clock_ms, is_whole=since is None)
@@ -258,6 +258,7 @@
             if now - call_status.answered_at > pause_s + MIN_OUTAGE_S:
                 grace_until = now + fleet.REMOVAL_GRACE_S
             if await call_status.record(page) and isinstance(page, ports.Page):
+                self._state.record_epoch(page)
                 self._apply_listings(page, position, now < grace_until)
                 await trio.sleep(pause_s if self._state.is_reader else 0.0)
 
@@ -352,7 +353,7 @@
             if not (await call_status.record(page) and isinstance(page, ports.Page)):
                 continue
             now = clock.now()
-            self._state.store_clock.record(sent_at, now, page.clock_ms)
+            self._state.record_response(page, sent_at, now)
             if now - written_at >= MEMBER_WRITE_INTERVAL_S - 1.0:
                 member = ports.Member(
                     self._cfg.node_id,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -336,3 +336,15 @@
     page = await client.read_intents()
     assert isinstance(page, ports.Page)
     assert (page.position, page.clock_ms) == (7, 100.0)
+
+
+@pytest.mark.parametrize(
+    ("text", "epoch"),
+    [(None, 0), ("0", 0), ("7", 7), ("-1", None), ("x", None), ("9" * 10, None)],
+)
+def test_epoch_of_a_response_is_decoded(text: str | None, epoch: int | None) -> None:
+    """Guards against a malformed epoch that is taken for the first one."""
+    headers = {} if text is None else {"store-era": text}
+    full = http_client.FullResponse(200, headers, b'{"rows": [], "ver": 3}')
+    found = store._decode_response(full)
+    assert getattr(found, "epoch", None) == epoch
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -3,7 +3,9 @@
 import trio
 
 from snipelug_net import http_client
-from snipelug_platform_standin import server
+from snipelug_platform import store as platform_store
+from snipelug_platform_standin import server, store
+from snipelug_relay import ports
 
 MODEL = "m"
 
@@ -90,3 +92,46 @@
         full = await pool.fetch(prompt(upstream))
         assert isinstance(full, http_client.FullResponse)
         assert full.headers["server-leaving"] == "1"
+
+
+async def test_restored_store_loses_what_came_after_the_copy(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a stand-in that keeps rows or positions from before a restore."""
+    rows = store.Store()
+    port = await nursery.start(rows.serve)
+    client = platform_store.Store(http_client.Pool(0.5), ("127.0.0.1", port))
+    rows.put("op", "evacuate/a", {})
+    copy = rows.copy()
+    rows.put("op", "evacuate/b", {})
+    before = await client.read_intents()
+    assert isinstance(before, ports.Page)
+    assert (before.epoch, before.position, len(before.items)) == (0, 2, 2)
+    rows.restore(copy)
+    restored = await client.read_intents()
+    assert isinstance(restored, ports.Page)
+    assert (restored.epoch, restored.position) == (1, 1)
+    assert restored.items == [ports.Evacuation("a")]
+    lost = await client.watch_intents(before.position, 0.0)
+    assert isinstance(lost, ports.HistoryLost)
+    assert rows.put("op", "evacuate/c", {}) == before.position
+
+
+async def test_held_call_ends_when_the_store_is_restored(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a stand-in that holds calls on positions that are gone."""
+    rows = store.Store()
+    port = await nursery.start(rows.serve)
+    client = platform_store.Store(http_client.Pool(0.5), ("127.0.0.1", port))
+    copy = rows.copy()
+    position = rows.put("op", "evacuate/a", {})
+
+    async def restore() -> None:
+        await trio.sleep(0.1)
+        rows.restore(copy)
+
+    nursery.start_soon(restore)
+    with trio.fail_after(1.0):
+        lost = await client.watch_intents(position, 5.0)
+    assert isinstance(lost, ports.HistoryLost)
