--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -35,6 +35,10 @@
 """
 
 
+RestoreHandler = collections.abc.Callable[[], None]
+"""Handles a restore of the platform's store from a copy."""
+
+
 class State:
     """Shared state of the components of a node.
 
@@ -73,6 +77,7 @@
         self.catalog: catalog.Catalog | None = None
         self.store_clock = store_clock.StoreClock()
         self.store_epoch: int | None = None
+        self._restore_handlers: list[RestoreHandler] = []
         self.named_versions: dict[str, retirement.History] = {}
         self.intents_current_ms = -math.inf
         self.zones_out: frozenset[str] = frozenset()
@@ -210,23 +215,23 @@
     ) -> None:
         """Record the clock and the epoch in a response of the platform's store."""
         self.store_clock.record(sent_at, received_at, page.clock_ms)
-        self.record_epoch(page)
+        self.record_epoch(page.epoch)
 
-    def record_epoch(self, page: ports.Page[typing.Any]) -> None:
-        """Record and log that the platform's store has been restored from a copy."""
-        known = self.store_epoch
-        if known is not None and page.epoch <= known:
+    def record_epoch(self, epoch: int) -> None:
+        """Record the store's epoch; call the handlers if it has been restored."""
+        before = self.store_epoch
+        if before is not None and epoch <= before:
             return
-        self.store_epoch = page.epoch
-        if known is not None:
-            lines.warning(
-                LOG,
-                "store_restored",
-                epoch=page.epoch,
-                before=known,
-                position=page.position,
-                clock_ms=page.clock_ms,
-            )
+        self.store_epoch = epoch
+        if before is None:
+            return
+        lines.warning(LOG, "store_restored", epoch=epoch, before=before)
+        for handler in self._restore_handlers:
+            handler()
+
+    def add_restore_handler(self, handler: RestoreHandler) -> None:
+        """Add a handler that is called when the store was restored from a copy."""
+        self._restore_handlers.append(handler)
 
     def apply_intents(
         self,
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -258,7 +258,7 @@
             if now - call_status.answered_at > pause_s + MIN_OUTAGE_S:
                 grace_until = now + fleet.REMOVAL_GRACE_S
             if await call_status.record(page) and isinstance(page, ports.Page):
-                self._state.record_epoch(page)
+                self._state.record_epoch(page.epoch)
                 self._apply_listings(page, position, now < grace_until)
                 await trio.sleep(pause_s if self._state.is_reader else 0.0)
 
