Keep a silent stream until another upstream has begun to continue it

An upstream that fell silent for 1.2 s within a resumable stream lost its attempt as soon as the request was sent to another one. If that one rejected the request, failed, broke off or was silent as well, the caller's answer was cut, although the first upstream went on a moment later: something that had been accepted ended without an answer.

The first stream is now read on while the other attempt is under way, and is closed when the other one has sent its first events. Whichever sends events first goes on; the other is closed at once. A cancelled attempt counts as a run for the route's limit.

--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -622,24 +622,10 @@
         body = stream.Stream(self, work, outcome)
         return http_server.Response(outcome.reply.status, body, headers)
 
-    async def resume(
-        self,
-        work: job.Job,
-        lost: job.Outcome,
-        release: collections.abc.Callable[[], None],
-    ) -> job.Outcome | None:
-        """Resume a stream on another upstream; return None if that is not possible.
-
-        Parameters
-        ----------
-        release : callable
-            Ends the previous attempt; called before the request is sent again.
-        """
+    async def resume(self, work: job.Job, lost: job.Outcome) -> job.Outcome | None:
+        """Resume a stream on another upstream; return None if that is not possible."""
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
-        if lost.is_closed and lost.upstream_attempt is not None:
-            entry = lost.upstream_attempt.upstream.entry
-            self._detector.record_broken(work, entry)
         while True:
             if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
@@ -648,8 +634,13 @@
                 if lost.result is not attempt.Result.NOT_CONNECTED:
                     retry.put_back(self._budgets[work.service], self._policy())
                 return None
-            release()
-            outcome = await self._attempt(work, chosen, last_id)
+            try:
+                outcome = await self._attempt(work, chosen, last_id)
+            except trio.Cancelled:
+                # The upstream may have run it, which counts for the route's limit.
+                work.history.add(attempt.Result.LOST)
+                work.trace[-1]["reason"] = "cancelled: the previous upstream went on"
+                raise
             if outcome.reply is None:
                 lost = outcome
                 if outcome.response is not None:
@@ -746,6 +737,12 @@
             fields["left_out"] = left_out
         lines.event(LOG, "request", **fields)
 
+    def record_broken(self, work: job.Job, outcome: job.Outcome) -> None:
+        """Record that the upstream of a stream closed the connection within it."""
+        if outcome.upstream_attempt is not None:
+            entry = outcome.upstream_attempt.upstream.entry
+            self._detector.record_broken(work, entry)
+
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream; further calls have no effect."""
         if outcome == "answered" and not work.is_finished:
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -30,15 +30,14 @@
 class Resumer(typing.Protocol):
     """The methods of the relay that a stream uses."""
 
-    async def resume(
-        self,
-        work: job.Job,
-        lost: job.Outcome,
-        release: collections.abc.Callable[[], None],
-    ) -> job.Outcome | None:
+    async def resume(self, work: job.Job, lost: job.Outcome) -> job.Outcome | None:
         """Resume a stream on another upstream; return None if that is not possible."""
         ...
 
+    def record_broken(self, work: job.Job, outcome: job.Outcome) -> None:
+        """Record that the upstream of a stream closed the connection within it."""
+        ...
+
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream; further calls have no effect."""
         ...
@@ -70,12 +69,14 @@
             yield blank_lines
         self._relay.finish_stream(self._work, "answered", "")
 
-    async def _next_events(self) -> bytes | http_client.Lost | Stalled:
+    async def _next_events(
+        self, max_gap_s: float = MAX_EVENT_GAP_S
+    ) -> bytes | http_client.Lost | Stalled:
         """Return the next complete events, nothing at the end, or the failure."""
         splitter = self._current.splitter
         assert splitter is not None
         is_resumable = self._work.route.repeat is catalog.RepeatPolicy.RESUMABLE
-        stalls_at = clock.now() + MAX_EVENT_GAP_S if is_resumable else math.inf
+        stalls_at = clock.now() + max_gap_s if is_resumable else math.inf
         while True:
             part = await self._next_part(min(stalls_at, self._work.deadline))
             if part is None or isinstance(part, http_client.Lost | Stalled):
@@ -118,48 +119,82 @@
 
         A stalled stream goes on where it is if no other upstream can take it.
         """
-        lost_reason = (
-            f"no event within {MAX_EVENT_GAP_S} s"
-            if isinstance(failure, Stalled)
-            else failure.reason
-        )
-        reason = f"the stream was interrupted: {lost_reason}"
-        broken = job.Outcome(
-            attempt.Result.LOST,
-            reason,
-            self._current.upstream_attempt,
-            splitter=self._current.splitter,
-            is_closed=not isinstance(failure, Stalled),
-        )
         if self._current.upstream_attempt is not None:
             self._current.upstream_attempt.upstream.record_outcome(True, clock.now())
-        if not isinstance(failure, Stalled):
-            self._close()
+        if isinstance(failure, Stalled):
+            part = await self._resume_or_wait()
+            if isinstance(part, bytes):
+                return part
+            failure = part
+        else:
+            self._close_lost()
+            resumed = await self._resume_elsewhere(failure.reason, is_closed=True)
+            if resumed is not None:
+                self._current = resumed
+                return resumed.events
+        reason = f"the stream was interrupted: {failure.reason}"
+        self._relay.finish_stream(self._work, "broken", reason)
+        raise trio.BrokenResourceError(reason)
+
+    async def _resume_or_wait(self) -> bytes | http_client.Lost:
+        """Wait for the first events of another upstream or the next of this one.
+
+        A silent upstream may go on by itself, and the other one may fail, so this one
+        is kept until the other one sends events.
+        """
         resumed: job.Outcome | None = None
-        # Without an id, another upstream would start the stream anew.
-        if broken.splitter is not None and broken.splitter.last_id is not None:
-            # resume() counts this attempt again; it was counted when the stream began.
-            self._work.history.runs -= 1
-            self._work.history.sends -= 1
-            resumed = await self._relay.resume(self._work, broken, self._close)
+        waited: bytes | http_client.Lost | Stalled = Stalled()
+        async with trio.open_nursery() as nursery:
+
+            async def wait() -> None:
+                nonlocal waited
+                waited = await self._next_events(max_gap_s=math.inf)
+                if isinstance(waited, bytes):
+                    nursery.cancel_scope.cancel()
+                else:
+                    self._close_lost()
+
+            nursery.start_soon(wait)
+            reason = f"no event within {MAX_EVENT_GAP_S} s"
+            resumed = await self._resume_elsewhere(reason, is_closed=False)
+            nursery.cancel_scope.cancel()
+        if isinstance(waited, bytes):
+            if resumed is not None:
+                _release(resumed)
+            return waited
         if resumed is not None:
+            self._close()
             self._current = resumed
             return resumed.events
-        if isinstance(failure, Stalled) and not self._is_closed:
-            return b""
-        self._relay.finish_stream(self._work, "broken", reason)
-        raise trio.BrokenResourceError(reason)
+        return waited if isinstance(waited, http_client.Lost) else b""
 
-    @property
-    def _is_closed(self) -> bool:
-        current = self._current.upstream_attempt
-        return current is None or current.has_ended
+    async def _resume_elsewhere(
+        self, reason: str, is_closed: bool
+    ) -> job.Outcome | None:
+        """Send the request to another upstream; return None if it cannot go on."""
+        lost = job.Outcome(
+            attempt.Result.LOST,
+            f"the stream was interrupted: {reason}",
+            self._current.upstream_attempt,
+            splitter=self._current.splitter,
+            is_closed=is_closed,
+        )
+        # Without an id, another upstream would start the stream anew.
+        if lost.splitter is None or lost.splitter.last_id is None:
+            return None
+        # resume() counts this attempt again; it was counted when the stream began.
+        self._work.history.runs -= 1
+        self._work.history.sends -= 1
+        return await self._relay.resume(self._work, lost)
+
+    def _close_lost(self) -> None:
+        """Close the stream of an upstream that has broken it off."""
+        if self._current.splitter is not None and self._current.splitter.last_id:
+            self._relay.record_broken(self._work, self._current)
+        self._close()
 
     def _close(self) -> None:
-        if self._current.reply is not None:
-            self._current.reply.abort()
-        if self._current.upstream_attempt is not None:
-            self._current.upstream_attempt.finish()
+        _release(self._current)
 
     async def aclose(self) -> None:
         """Release the connection to the upstream."""
@@ -167,3 +202,11 @@
         self._relay.finish_stream(
             self._work, "left", "the caller closed the connection"
         )
+
+
+def _release(outcome: job.Outcome) -> None:
+    """End the attempt of a stream and close its connection."""
+    if outcome.reply is not None:
+        outcome.reply.abort()
+    if outcome.upstream_attempt is not None:
+        outcome.upstream_attempt.finish()
