Play restored stores, silent engines, odd entries, limits and raw requests in the soak

Families of faults: the store goes back to a copy while the operator and the upstreams write again and past the versions that nodes have read; engines pause within a stream; another writer leaves odd entries; limits change in series; callers half-close their connection or complete a body during a planned stop.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -12,6 +12,7 @@
 """
 
 import argparse
+import base64
 import collections
 import collections.abc
 import contextlib
@@ -19,6 +20,7 @@
 import itertools
 import pathlib
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -64,6 +66,11 @@
     "leaving": ("leave",),
     "pauses": ("pause_server",),
     "crashes": ("crash_engines",),
+    "restores": ("restore_store",),
+    "silences": ("silence_engine",),
+    "odd": ("write_odd_entry",),
+    "limits": ("change_limits",),
+    "raw": ("half_close", "send_late_bodies"),
 }
 """Methods of each family of faults."""
 
@@ -107,6 +114,26 @@
 PROBE_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.05
 EVENTS_PER_STREAM = 6
+ODD_ENTRY = {
+    "service": "llm",
+    "address": "127.0.0.1:9",
+    "zone": "zone-a",
+    "slots": 1,
+    "state": "ready",
+}
+ODD_FIELDS: list[dict[str, object]] = [
+    {"slots": 2**70},
+    {"born": -(2**63)},
+    {"models": [{"name": "m", "version": 2**64}]},
+    {"address": "127.0.0.1:99999"},
+    {"cold_remaining_ms": 1e308},
+]
+MAX_EVACUATION_S = checks.EVACUATION_S + 3.0
+CHANGE_AFTER_RESTORE_S = MAX_EVACUATION_S + 2.0
+"""Time for which a change after a restore lasts, so that its check has time."""
+
+MAX_DEPTH = 10_000
+FINAL_STATUS = re.compile(rb"HTTP/1\.1 ([2-5]\d\d) ")
 REFUSAL_STATUSES = (408, 421, 429, 503)
 FULL_STREAM = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS_PER_STREAM + 1)
@@ -262,11 +289,13 @@
     last_fault_at: float = 0.0
     longest_stall_s: float = 0.0
     processor_share: float = 0.0
-    version: int = 1
+    version: int = 0
     weight_version: int = 1
     families: tuple[str, ...] = ()
     record: checks.Record = dataclasses.field(default_factory=checks.Record)
-    tenants: dict[str, object] = dataclasses.field(default_factory=dict)
+    overrides: dict[str, object] = dataclasses.field(default_factory=dict)
+    is_restoring: bool = False
+    unlisted: set[str] = dataclasses.field(default_factory=set)
     ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
     refused_ids: set[str] = dataclasses.field(default_factory=set)
     outcomes: "collections.Counter[str]" = dataclasses.field(
@@ -318,9 +347,13 @@
 
     def configure(self) -> None:
         """Write the next configuration version."""
-        content = platform_world.config(self.version, [self.kv], **self.tenants)
-        self.rows.put("op", "config", content)
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the current configuration version."""
+        content = platform_world.config(self.version, [self.kv], **self.overrides)
+        self.rows.put("op", "config", content)
 
     async def measure_stalls(self) -> None:
         """Measure delays and load of this process, which runs all the stand-ins."""
@@ -454,9 +487,13 @@
     def name_version(self) -> None:
         """Name the next weight version."""
         self.weight_version += 1
+        self.write_version()
+        self.record.named.append((trio.current_time(), self.weight_version))
+
+    def write_version(self) -> None:
+        """Write the newest weight version."""
         content = {"model": platform_world.MODEL, "version": self.weight_version}
         self.rows.put("op", f"version/{platform_world.MODEL}", content)
-        self.record.named.append((trio.current_time(), self.weight_version))
 
     async def replace_server(self) -> None:
         """Start a new upstream, drain an old one and remove it from the list."""
@@ -473,6 +510,7 @@
         self.list_server(upstream)
         self.drain_times[upstream.id] = trio.current_time()
         await trio.sleep(DRAIN_S + 1.0)
+        self.unlisted.add(upstream.id)
         self.rows.delete("servers", upstream.id)
 
     # Faults that are played in series.
@@ -509,28 +547,35 @@
         if self.rng.random() < 0.5:
             self.kv.restart()
 
-    async def withdraw_key(self) -> None:
+    async def withdraw_key(self, for_s: float | None = None) -> None:
         """Withdraw the second key for a while."""
         self.set_keys([platform_world.KEY])
-        await trio.sleep(self.rng.choice([0.3, 2.0, 6.0]))
+        await trio.sleep(for_s or self.rng.choice([0.3, 2.0, 6.0]))
         self.set_keys([platform_world.KEY, SECOND_KEY])
 
     def set_keys(self, keys: list[str]) -> None:
         """Configure the keys of the team."""
         tenant = {"name": "team-1", "api_keys": keys, "priority": 2}
-        self.tenants = {"tenants": [tenant]}
+        self.overrides["tenants"] = [tenant]
         self.configure()
         self.record.keys.append((trio.current_time(), SECOND_KEY in keys))
 
-    async def evacuate_zone(self) -> None:
+    async def evacuate_zone(self, for_s: float | None = None) -> None:
         """Evacuate the second zone for a while."""
-        key = f"evacuate/{SECOND_ZONE}"
-        self.rows.put("op", key, {"zone": SECOND_ZONE})
+        self.write_zone(is_out=True)
         self.record.zones.append((trio.current_time(), True))
-        await trio.sleep(self.rng.choice([0.5, 3.0, checks.EVACUATION_S + 3.0]))
-        self.rows.delete("op", key)
+        await trio.sleep(for_s or self.rng.choice([0.5, 3.0, MAX_EVACUATION_S]))
+        self.write_zone(is_out=False)
         self.record.zones.append((trio.current_time(), False))
 
+    def write_zone(self, is_out: bool) -> None:
+        """Evacuate the second zone or take it back."""
+        key = f"evacuate/{SECOND_ZONE}"
+        if is_out:
+            self.rows.put("op", key, {"zone": SECOND_ZONE})
+        else:
+            self.rows.delete("op", key)
+
     async def name_versions(self) -> None:
         """Name weight versions in quick succession to engines that load them late."""
         for upstream in self.servers:
@@ -584,6 +629,95 @@
             await self.send_request(pool, node, kind, parts)
             await trio.sleep(self.rng.choice([0.2, 0.5]))
 
+    async def restore_store(self) -> None:
+        """Restore the store from a copy, and write again what was lost.
+
+        One restore at a time: a further one would hide that a node missed a change.
+        """
+        if self.is_restoring:
+            return
+        self.is_restoring = True
+        copy = self.rows.copy()
+        await trio.sleep(self.rng.choice([0.3, 3.0, 6.0]))
+        with self.record.disturbed(checks.STORE):
+            self.rows.faults.is_down = True
+            await trio.sleep(self.rng.choice([0.0, 1.3, 2.0]))
+            self.rows.restore(copy)
+            self.rows.faults.is_down = False
+            changes = [self.withdraw_key]
+            if "zones" in self.families:
+                changes.append(self.evacuate_zone)
+            change = self.rng.choice(changes)
+            self.nursery.start_soon(change, CHANGE_AFTER_RESTORE_S)
+            await trio.sleep(0.01)
+            self.rewrite_rows()
+            # Gives out again the versions that nodes have read before.
+            for _ in range(self.rng.choice([0, 300, 300])):
+                self.rows.put("other", "row", {})
+        await trio.sleep(CHANGE_AFTER_RESTORE_S)
+        self.is_restoring = False
+
+    def rewrite_rows(self) -> None:
+        """Write all rows of the operator and of the upstreams again."""
+        self.write_configuration()
+        if self.weight_version > 1:
+            self.write_version()
+        if self.record.zones:
+            self.write_zone(self.record.zones[-1][1])
+        for upstream in self.all_servers:
+            if upstream.id in self.unlisted:
+                self.rows.delete("servers", upstream.id)
+            else:
+                self.list_server(upstream)
+
+    async def silence_engine(self) -> None:
+        """Let the next stream of an engine pause for a moment and go on."""
+        engines = [item for item in self.servers if item.service == "llm"]
+        upstream = self.rng.choice(engines)
+        upstream.faults.silence_s = self.rng.uniform(0.8, 1.7)
+        upstream.faults.silent_after = self.rng.randint(1, EVENTS_PER_STREAM - 1)
+        await trio.sleep(0.5)
+
+    async def write_odd_entry(self) -> None:
+        """Write an entry of the list that names no upstream, and remove it."""
+        if self.rng.random() < 0.2:
+            deep = base64.b64encode(b"[" * MAX_DEPTH + b"]" * MAX_DEPTH).decode()
+            self.rows.put_raw("servers", "odd", deep)
+        else:
+            content = ODD_ENTRY | self.rng.choice(ODD_FIELDS)
+            self.rows.put("servers", "odd", content)
+        await trio.sleep(self.rng.choice([0.1, 1.0, 3.0]))
+        self.rows.delete("servers", "odd")
+
+    async def change_limits(self) -> None:
+        """Raise and lower the limits on callers in quick succession."""
+        for _ in range(self.rng.randint(1, 4)):
+            self.overrides["limits"] = {
+                "max_body_bytes": self.rng.choice([10_000, 100_000]),
+                "idle_timeout_ms": self.rng.choice([1_000, 5_000, 15_000]),
+                "header_timeout_ms": self.rng.choice([2_000, 10_000]),
+            }
+            self.configure()
+            await trio.sleep(self.rng.choice([0.1, 0.5, 1.5]))
+
+    async def half_close(self) -> None:
+        """Send requests on connections that are half-closed after the request."""
+        for _ in range(5):
+            kind = self.rng.choice(["order", "look", "ask", "check"])
+            await self.send_raw(self.rng.choice(self.nodes), kind)
+            await trio.sleep(0.1)
+
+    async def send_late_bodies(self) -> None:
+        """Stop a node, and complete requests to it during its stop."""
+        node = self.rng.choice(self.nodes)
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                late_s = self.rng.uniform(0.0, GRACE_S)
+                kind = self.rng.choice(["order", "order", "ask", "check"])
+                nursery.start_soon(self.send_raw, node, kind, late_s)
+            await trio.sleep(0.2)
+            node.send_signal(signal.SIGTERM)
+
     async def inject_series(self, seconds: float) -> None:
         """Play overlapping series of faults, with calm times between them."""
         names = [name for family in self.families for name in FAMILIES[family]]
@@ -663,7 +797,8 @@
         """Send one request and check the response; return it if it succeeded."""
         request_id = f"{next(self.ids):08x}"
         key = platform_world.KEY
-        if rng is not None and "keys" in self.families and kind in ("order", "look"):
+        uses_keys = not {"keys", "restores"}.isdisjoint(self.families)
+        if rng is not None and uses_keys and kind in ("order", "look"):
             key = rng.choice([key, SECOND_KEY])
         headers = {
             "host": platform_world.HOST,
@@ -694,6 +829,60 @@
         self.check_response(kind, request_id, response)
         return response if response.status == 200 else None
 
+    async def send_raw(
+        self, node: NodeProcess, kind: str, late_s: float | None = None
+    ) -> None:
+        """Send a request on a connection of its own, and record how it ended.
+
+        Parameters
+        ----------
+        late_s : float or None
+            Delay of the last byte of the body; None to half-close the connection.
+        """
+        request_id = f"{next(self.ids):08x}"
+        fields = {
+            "host": platform_world.HOST,
+            "request-id": request_id,
+            "request-deadline": str(int(1000 * DEADLINE_S)),
+            "authorization": f"Token {platform_world.KEY}",
+            "content-length": "2",
+        }
+        if kind in ("ask", "check"):
+            fields |= {"model": platform_world.MODEL, "token-usage": "250,10"}
+            fields["prompt-prefix"] = f"1:2000,{request_id}:50"
+        method = "GET" if kind == "look" else "POST"
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        request = f"{method} /{kind}/x HTTP/1.1\r\n{head}\r\nxx".encode()
+        received = b""
+        sent: checks.Sent | None = None
+        with contextlib.suppress(OSError, trio.BrokenResourceError):
+            async with await trio.open_tcp_stream(node.host, node.port) as stream:
+                await stream.send_all(request[:-1])
+                await trio.sleep(late_s or 0.0)
+                sent = checks.Sent(
+                    kind, node.name, platform_world.KEY, "", trio.current_time()
+                )
+                self.record.requests[request_id] = sent
+                await stream.send_all(request[-1:])
+                if late_s is None:
+                    await stream.send_eof()
+                with trio.move_on_after(2 * DEADLINE_S):
+                    while part := await stream.receive_some():
+                        received += part
+        if sent is None:
+            return
+        status = FINAL_STATUS.search(received)
+        outcome = "Lost" if status is None else int(status[1])
+        self.outcomes[f"raw {kind} {outcome}"] += 1
+        if outcome in REFUSAL_STATUSES and kind in ("order", "ask"):
+            self.refused_ids.add(request_id)
+        self.record.requests[request_id] = dataclasses.replace(
+            sent,
+            ended_at=trio.current_time(),
+            outcome=outcome,
+            is_closed=status is None,
+        )
+
     def check_response(
         self, kind: str, request_id: str, response: http_client.FullResponse
     ) -> None:
