Answer every request before a planned stop ends

Cause: a stopping node compared no request with the time that was left, and aborted what was open at the end. A request whose body became whole late in the grace period was sent to an upstream, ran there, and its connection was closed without an answer, also on routes that may run once. Requests that waited for an upstream or were sent again ended in the same way, and upstreams were given more time than the node had left.

Change: `shutdown` divides the grace period and decides which requests are still sent. A request that is not streamed is sent if the route's objective, and the longest of its recent response times, end before the final responses; the whole allowed time counts only if it is shorter. Streams are served as before until the listener is closed, afterwards only if their whole allowed time ends before the cut. All others are refused as not run with a short retry-after time. Requests that are open shortly before the end get their final answer: 503 if they were not sent, 502 `node_stopped` with an unknown outcome if they may have run. Retries follow the same decision, and deadlines for upstreams end with the node. A grace period of less than 4 s no longer ends before the listener is closed.

--- a/packages/snipelug-core/src/snipelug_core/refusal.py
+++ b/packages/snipelug-core/src/snipelug_core/refusal.py
@@ -83,6 +83,7 @@
 IN_PROGRESS = Kind("in_progress", 409, 2.0)
 UPSTREAM_LOST = Kind("upstream_lost", 502)
 UPSTREAM_TIMEOUT = Kind("upstream_timeout", 504)
+NODE_STOPPED = Kind("node_stopped", 502)
 OUTCOME_UNKNOWN = Kind("outcome_unknown", 409)
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -3,12 +3,14 @@
 import collections.abc
 import dataclasses
 
-from snipelug_core import attempt, catalog, fleet
+import trio
+
+from snipelug_core import attempt, catalog, fleet, shutdown
 from snipelug_net import http_client, http_server
 from snipelug_relay import clock, ports, sse
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Job:
     """A request in progress.
 
@@ -16,6 +18,13 @@
     ----------
     deadline : float
         Monotonic time by which the response must be complete, in seconds.
+    allowed_until : float
+        The deadline that the caller and the route set. While the node stops,
+        ``deadline`` may be earlier.
+    scope : trio.CancelScope
+        Cancelled when the node answers its open requests at the end of a stop.
+    is_under_way : bool
+        Whether an attempt has sent the request and has not ended.
     tried : set of str
         Upstreams to which the request was sent.
     trace : list of dict
@@ -32,6 +41,9 @@
     service: str
     started_at: float
     deadline: float
+    allowed_until: float
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
+    is_under_way: bool = False
     history: attempt.History = dataclasses.field(default_factory=attempt.History)
     tried: set[str] = dataclasses.field(default_factory=set)
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
@@ -47,6 +59,22 @@
             return self.team.priority
         return self.route.priority
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return self.is_under_way or self.history.runs > 0
+
+    @property
+    def is_shortened(self) -> bool:
+        """Whether the end of the node comes before the request's own deadline."""
+        return self.deadline < self.allowed_until
+
+    def limit(self, plan: shutdown.Schedule) -> None:
+        """End the request before the node ends."""
+        self.deadline = plan.limit(self.allowed_until, self.route.is_stream)
+        left_s = plan.answers_at - clock.now()
+        self.scope.deadline = trio.current_time() + left_s
+
     def left_s(self) -> float:
         """Return the time until the deadline, in seconds."""
         return self.deadline - clock.now()
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from snipelug_core import catalog
+from snipelug_core import catalog, shutdown
 from snipelug_net import http_client, http_server, lines
 from snipelug_relay import (
     announce,
@@ -31,9 +31,6 @@
 DEREGISTRATION_S = 2.6
 """Time after a stop until the load balancer has seen two refusals, one per second."""
 
-EXIT_MARGIN_S = 0.5
-"""Margin between the end of the process and the time the platform would kill it."""
-
 CONNECT_TIMEOUT_S = 0.3
 """Connect timeout for upstreams; zones are 1.4 ms apart."""
 
@@ -229,26 +226,29 @@
 
     async def stop(self) -> None:
         """Leave the load balancer, let open requests finish, then close."""
-        began = clock.now()
+        plan = shutdown.schedule(
+            clock.now(), self._cfg.bounds.grace_s, DEREGISTRATION_S
+        )
         self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
+        self._relay.begin_stop(plan)
         self._callers.draining = True
-        last = began + self._cfg.bounds.grace_s - EXIT_MARGIN_S
-        with trio.move_on_after(1.0):
+        with trio.move_on_after(min(1.0, plan.closes_at - plan.began_at)):
             await self._store.remove_member(self._cfg.node_id)
-        await trio.sleep(max(0.0, began + DEREGISTRATION_S - clock.now()))
+        await trio.sleep(max(0.0, plan.closes_at - clock.now()))
         # Later requests could not be finished, so callers must use another node.
         self._callers.stop_accepting()
         self._callers.close_idle()
         # This includes connections on which a request is still being read.
-        while self._callers.open_connections and clock.now() < last:
-            await trio.sleep(CLOSE_CHECK_INTERVAL_S)
+        while self._callers.open_connections and clock.now() < plan.cut_at:
+            left_s = max(0.0, plan.cut_at - clock.now())
+            await trio.sleep(min(CLOSE_CHECK_INTERVAL_S, left_s))
             self._callers.close_idle()
         lines.event(
             LOG,
             "stopped",
             cut_requests=self._callers.open_requests,
-            after_s=round(clock.now() - began, 2),
+            after_s=round(clock.now() - plan.began_at, 2),
         )
 
     async def abort_connections(self) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -17,6 +17,7 @@
     kv_index,
     refusal,
     retry,
+    shutdown,
 )
 from snipelug_net import http_client, http_server, lines
 from snipelug_relay import (
@@ -147,6 +148,9 @@
         self._budgets: dict[str, retry.Budget] = {}
         self._selector = selection.Selector(cfg, node_state)
         self._beginning: set[Beginning] = set()
+        self._open: set[job.Job] = set()
+        self._response_times: dict[str, shutdown.LongestTime] = {}
+        self._stop_plan: shutdown.Schedule | None = None
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -159,8 +163,13 @@
         if isinstance(work, refusal.Refusal):
             self._log_refused(request, work)
             return self._dialect.build_refusal(request, work)
+        self._open.add(work)
+        if self._stop_plan is not None:
+            work.limit(self._stop_plan)
         try:
-            return await self._run_attempts(work)
+            with work.scope:
+                return await self._run_attempts(work)
+            return self._answer_at_stop(work)
         except trio.Cancelled:
             self._finish(work, "left", "the caller closed the connection")
             raise
@@ -169,6 +178,44 @@
             reason = f"unexpected error: {exc!r}"
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason))
 
+    def begin_stop(self, plan: shutdown.Schedule) -> None:
+        """End all requests within the times of a shutdown, open ones included."""
+        self._stop_plan = plan
+        for work in self._open:
+            work.limit(plan)
+
+    def _refuse_for_stop(self, work: job.Job) -> refusal.Refusal | None:
+        """Refuse a request that may not end before the node does."""
+        plan = self._stop_plan
+        if plan is None:
+            return None
+        now = clock.now()
+        longest = self._response_times.get(work.route.name)
+        may_send = shutdown.may_send(
+            plan,
+            now,
+            work.route,
+            work.allowed_until,
+            0.0 if longest is None else longest.longest_s(now),
+            work.first_byte_at is not None,
+        )
+        if may_send:
+            return None
+        message = "the node is stopping and has too little time left for the request"
+        return refusal.refuse(
+            refusal.NODE_STOPPING, message, retry_after_s=shutdown.RETRY_AFTER_S
+        )
+
+    def _answer_at_stop(self, work: job.Job) -> http_server.Response:
+        """Answer a request that is open when the node sends its final responses."""
+        if work.is_under_way and work.trace:
+            work.trace[-1]["result"] = attempt.Result.LOST.value
+        message = "the node stopped before the request was answered"
+        stopping = refusal.refuse(
+            refusal.NODE_STOPPING, message, retry_after_s=shutdown.RETRY_AFTER_S
+        )
+        return self._refuse(work, stopping)
+
     def _create_job(self, request: ports.CallerRequest) -> job.Job | refusal.Refusal:
         known = self._state.catalog
         if known is None or not self._state.upstream_list_known:
@@ -191,7 +238,8 @@
         if service not in self._budgets:
             self._budgets[service] = retry.Budget(policy.initial, now)
         retry.record_request(self._budgets[service], policy)
-        return job.Job(request, route, team, service, now, now + wait_s)
+        deadline = now + wait_s
+        return job.Job(request, route, team, service, now, deadline, deadline)
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
@@ -205,9 +253,15 @@
     async def _run_attempts(self, work: job.Job) -> http_server.Response:
         while True:
             withheld = await self._suspects.check(work)
+            if withheld is None:
+                withheld = self._refuse_for_stop(work)
             if withheld is not None:
                 return self._refuse(work, withheld)
             chosen = await self._selector.pick(work)
+            # The request may have waited for an upstream.
+            stopping = self._refuse_for_stop(work)
+            if stopping is not None:
+                return self._refuse(work, stopping)
             if isinstance(chosen, refusal.Refusal):
                 return self._refuse(work, chosen)
             if self._suspects.is_withheld(work):
@@ -225,13 +279,15 @@
                 self._finish(work, "answered" if is_good else "failed", outcome.reason)
                 return outcome.response
             if decision is attempt.Action.REFUSE:
-                return self._refuse(
-                    work, self._selector.refuse_rejected(work, outcome.reason)
-                )
+                rejected = self._refuse_for_stop(work)
+                if rejected is None:
+                    rejected = self._selector.refuse_rejected(work, outcome.reason)
+                return self._refuse(work, rejected)
             return self._fail(work, outcome)
 
     def _record_and_decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
         work.history.add(outcome.result)
+        work.is_under_way = False
         self._stats.attempts.labels(work.service, outcome.result.value).inc()
         if outcome.upstream_attempt is not None:
             outcome.upstream_attempt.trace_entry["result"] = outcome.result.value
@@ -254,7 +310,7 @@
 
     def _can_retry(self, work: job.Job) -> bool:
         """Return whether a retry is possible, without spending retry budget."""
-        if self._suspects.stops_retry(work):
+        if self._suspects.stops_retry(work) or self._refuse_for_stop(work) is not None:
             return False
         decision = attempt.decide(
             attempt.Result.LOST, work.history, work.route, work.left_s(), True
@@ -422,7 +478,7 @@
         def is_still_usable(_opened_at: float) -> bool:
             known = self._state.fleet.upstreams.get(entry.id)
             now = clock.now()
-            return (
+            work.is_under_way = (
                 known is chosen.upstream
                 and not known.is_leaving
                 and now >= known.notice.paused_until
@@ -430,6 +486,7 @@
                 and now < work.deadline
                 and now + BEGIN_MARGIN_S < self._state.retired_at(model, version)
             )
+            return work.is_under_way
 
         return is_still_usable
 
@@ -629,6 +686,8 @@
         while True:
             if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
+            if self._refuse_for_stop(work) is not None:
+                return None
             chosen = await self._selector.pick(work)
             if isinstance(chosen, refusal.Refusal) or self._suspects.is_withheld(work):
                 if lost.result is not attempt.Result.NOT_CONNECTED:
@@ -665,7 +724,7 @@
 
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
         """Refuse a request that has not run; fail one that may have run."""
-        if work.history.runs > 0:
+        if work.may_have_run:
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason.message))
         self._finish(work, "refused", reason.message, reason.kind.code)
         return self._dialect.build_refusal(work.request, reason)
@@ -673,6 +732,9 @@
     def _fail(self, work: job.Job, outcome: job.Outcome) -> http_server.Response:
         is_late = work.left_s() <= attempt.MIN_REMAINING_S
         kind = refusal.UPSTREAM_TIMEOUT if is_late else refusal.UPSTREAM_LOST
+        plan = self._stop_plan
+        if plan is not None and _has_come(plan.answers_at) and work.is_shortened:
+            kind = refusal.NODE_STOPPED
         self._finish(work, "failed", outcome.reason, kind.code)
         reason = refusal.refuse(kind, outcome.reason, refusal.RunState.UNKNOWN)
         return self._dialect.build_refusal(work.request, reason)
@@ -699,7 +761,13 @@
         if work.is_finished:
             return
         work.is_finished = True
+        self._open.discard(work)
         now = clock.now()
+        if outcome in ("answered", "failed") and not work.route.is_stream:
+            times = self._response_times.setdefault(
+                work.route.name, shutdown.LongestTime()
+            )
+            times.record(now - work.started_at, now)
         self._stats.requests.labels(work.route.name, outcome, code).inc()
         first_s = (
             None if work.first_byte_at is None else work.first_byte_at - work.started_at
@@ -727,7 +795,7 @@
             "code": code,
             "first_ms": None if first_s is None else round(1000 * first_s, 1),
             "ms": round(1000 * (now - work.started_at), 1),
-            "allowed_ms": round(1000 * (work.deadline - work.started_at)),
+            "allowed_ms": round(1000 * (work.allowed_until - work.started_at)),
             "attempts": work.trace,
             "config": known.version if known is not None else None,
             "config_age_s": round(now - self._state.confirmed_at, 2),
@@ -750,6 +818,11 @@
         self._finish(work, outcome, reason)
 
 
+def _has_come(at: float) -> bool:
+    """Return whether a time of a shutdown has come, or comes within an attempt."""
+    return clock.now() >= at - attempt.MIN_REMAINING_S
+
+
 def _send_failure(
     sent: http_client.NotSent | http_client.Withheld | http_client.Lost,
 ) -> job.Outcome:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -91,6 +91,7 @@
     nodes: list[node.Node] = dataclasses.field(default_factory=list)
     has_peers: bool = False
     version_s: float = 8.0
+    grace_s: float = 4.0
 
     def publish_entries(self) -> None:
         """Write the list entries of all upstreams."""
@@ -115,7 +116,9 @@
             ready=("127.0.0.1", 0),
             store=("127.0.0.1", self.store_port),
             peers=("127.0.0.1", free_port()) if self.has_peers else None,
-            bounds=ports.Bounds(grace_s=4.0, lease_ms=600.0, version_s=self.version_s),
+            bounds=ports.Bounds(
+                grace_s=self.grace_s, lease_ms=600.0, version_s=self.version_s
+            ),
         )
 
     async def add_node(self, name: str = "n1") -> node.Node:
@@ -156,6 +159,7 @@
     nodes: int = 1,
     has_peers: bool = False,
     version_s: float = 8.0,
+    grace_s: float = 4.0,
 ) -> collections.abc.AsyncIterator[World]:
     """Run a deployment; all nodes are ready when the context is entered."""
     logging.getLogger().setLevel(logging.INFO)
@@ -164,6 +168,7 @@
         world = World(rows, await nursery.start(rows.serve), nursery)
         world.has_peers = has_peers
         world.version_s = version_s
+        world.grace_s = grace_s
         world.apps = [server.Server("app") for _ in range(apps)]
         world.engines = [server.Server("llm", model=MODEL) for _ in range(engines)]
         world.kv_stores = [kv_store.KvStore() for _ in range(kv_stores)]
