Refuse requests that are still being read when a planned stop ends

Cause: a stop waited for connections on which a request was being read, and then aborted them. A caller with a slow body got nothing, and could not know that its request had not run.

The log line `stopped` has their number.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -132,11 +132,14 @@
         Stable, machine-readable error code.
     message : str
         Human-readable description of the error.
+    retry_after_s : float or None
+        Time after which a retry may succeed, in seconds.
     """
 
     status: int
     code: str
     message: str
+    retry_after_s: float | None = None
 
 
 INTERNAL_ERROR = RequestError(
@@ -170,9 +173,12 @@
         "code": error.code,
         "message": error.message,
         "run_state": run_state,
-        "retry_after_s": None,
+        "retry_after_s": error.retry_after_s,
     }
-    return json_response(error.status, {"error": detail}, {"connection": "close"})
+    headers = {"connection": "close"}
+    if error.retry_after_s is not None:
+        headers["retry-after"] = f"{error.retry_after_s:.2f}"
+    return json_response(error.status, {"error": detail}, headers)
 
 
 def _is_broken_connection(exc: Exception) -> bool:
@@ -255,6 +261,7 @@
         self.open_connections = 0
         self.draining = False
         self.idle_scopes: set[trio.CancelScope] = set()
+        self._reading: set[_Connection] = set()
         self._accept_scope = trio.CancelScope()
         self._connections_scope = trio.CancelScope()
         self._stopped = trio.Event()
@@ -296,6 +303,13 @@
         for scope in self.idle_scopes:
             scope.cancel()
 
+    def refuse_incomplete(self, error: RequestError) -> int:
+        """Refuse the requests that are being read; return their number."""
+        reading = [conn for conn in self._reading if conn.has_begun_request]
+        for conn in reading:
+            conn.refuse_request(error)
+        return len(reading)
+
     async def abort(self) -> None:
         """Close the listener and all connections; wait until their tasks have ended."""
         self._connections_scope.cancel()
@@ -330,6 +344,19 @@
         self.proto = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_HEAD_BYTES
         )
+        self._read_scope = trio.CancelScope()
+        self._refused: RequestError | None = None
+
+    @property
+    def has_begun_request(self) -> bool:
+        """Whether a part of the next request has been received."""
+        is_head_read = self.proto.their_state is not h11.IDLE
+        return is_head_read or bool(self.proto.trailing_data[0])
+
+    def refuse_request(self, error: RequestError) -> None:
+        """Stop reading the request and respond with an error."""
+        self._refused = error
+        self._read_scope.cancel()
 
     @property
     def limits(self) -> Limits:
@@ -370,8 +397,12 @@
             self.proto.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
 
     async def _read_request(self) -> Request | RequestError | Closed:
+        self._read_scope = trio.CancelScope()
+        self.server._reading.add(self)
         try:
-            return await self._read_head_and_body()
+            with self._read_scope:
+                return await self._read_head_and_body()
+            return self._refused or Closed()
         except h11.RemoteProtocolError as exc:
             status = exc.error_status_hint or http.HTTPStatus.BAD_REQUEST
             return RequestError(status, "malformed_request", str(exc))
@@ -381,6 +412,8 @@
                 "request_timeout",
                 "the request was not received completely within the time limit",
             )
+        finally:
+            self.server._reading.discard(self)
 
     async def _read_head_and_body(self) -> Request | RequestError | Closed:
         if not self.proto.trailing_data[0]:
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from snipelug_core import catalog, shutdown
+from snipelug_core import catalog, refusal, shutdown
 from snipelug_net import http_client, http_server, lines
 from snipelug_relay import (
     announce,
@@ -49,6 +49,14 @@
 UNAVAILABLE = 503
 NOT_FOUND = 404
 
+STOPPING = http_server.RequestError(
+    UNAVAILABLE,
+    refusal.NODE_STOPPING.code,
+    "the node stopped before it had received the whole request",
+    shutdown.RETRY_AFTER_S,
+)
+"""The refusal of requests that are still being read at the end of a stop."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Platform:
@@ -239,15 +247,19 @@
         # Later requests could not be finished, so callers must use another node.
         self._callers.stop_accepting()
         self._callers.close_idle()
+        incomplete = 0
         # This includes connections on which a request is still being read.
         while self._callers.open_connections and clock.now() < plan.cut_at:
             left_s = max(0.0, plan.cut_at - clock.now())
             await trio.sleep(min(CLOSE_CHECK_INTERVAL_S, left_s))
             self._callers.close_idle()
+            if clock.now() >= plan.reading_ends_at:
+                incomplete += self._callers.refuse_incomplete(STOPPING)
         lines.event(
             LOG,
             "stopped",
             cut_requests=self._callers.open_requests,
+            incomplete_requests=incomplete,
             after_s=round(clock.now() - plan.began_at, 2),
         )
 
--- a/tests/raw_caller.py
+++ b/tests/raw_caller.py
@@ -54,6 +54,10 @@
         await self._send(self.proto.send(head) or b"")
         await self._send(self.proto.send(h11.Data(data=BODY[:2])) or b"")
 
+    async def send_partial_head(self) -> None:
+        """Send the beginning of the head of a request."""
+        await self._send(b"POST /order/ HTTP/1.1\r\nhost: ")
+
     async def finish_body(self) -> None:
         """Send the other half of the body."""
         await self._send(self.proto.send(h11.Data(data=BODY[2:])) or b"")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -171,6 +171,35 @@
         assert stop.took_s <= grace_s - KILL_MARGIN_S
 
 
+@pytest.mark.parametrize("has_head", [True, False])
+async def test_request_that_never_becomes_whole_is_refused(
+    caplog: pytest.LogCaptureFixture, has_head: bool
+) -> None:
+    """Guards against a request that is cut while it is still being read."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        stop = Stop(world, caplog)
+        answers: list[raw_caller.Answer] = []
+
+        async def begin() -> None:
+            conn = await raw_caller.connect(world.nodes[0].callers_port)
+            if has_head:
+                await conn.send_head("/order/", "begun")
+            else:
+                await conn.send_partial_head()
+            answers.append(await conn.read_answer())
+
+        await run_stop(stop, begin)
+        (answer,) = answers
+        assert (answer.status, answer.is_complete) == (503, True)
+        assert answer.headers["connection"] == "close"
+        assert 0 < float(answer.headers["retry-after"]) <= 0.5
+        detail = json.loads(answer.body)["error"]
+        assert (detail["code"], detail["run_state"]) == ("node_stopping", "not_run")
+        assert executions(world, "begun") == 0
+        (stopped,) = stop.lines("stopped")
+        assert stopped["incomplete_requests"] == 1
+
+
 async def test_kept_connections_are_answered_or_closed_unused(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -11,8 +11,8 @@
 import trio
 
 from snipelug_net import http_client
-from snipelug_platform_standin import store
-from tests import platform_world
+from snipelug_platform_standin import server, store
+from tests import platform_world, raw_caller
 
 EXIT_TIMEOUT_S = 10.0
 
@@ -34,10 +34,14 @@
 
 
 async def start_node(
-    folder: pathlib.Path, store_port: int, reloads_early: bool = False
+    folder: pathlib.Path,
+    store_port: int,
+    reloads_early: bool = False,
+    callers_port: int | None = None,
 ) -> subprocess.Popen[bytes]:
     """Start a node and wait until it is ready."""
     port, ready_port = free_tcp_ports(2)
+    port = port if callers_port is None else callers_port
     path = folder / "node.conf"
     path.write_text(
         "node_name=n1\nzone=zone-a\nbounds.grace_period_s=4\n"
@@ -89,6 +93,53 @@
     assert '"event":"stopped"' in (tmp_path / "log").read_text()
 
 
+@pytest.mark.parametrize(
+    "later", [(), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)]
+)
+async def test_later_signals_cut_no_request(
+    tmp_path: pathlib.Path, nursery: trio.Nursery, later: tuple[signal.Signals, ...]
+) -> None:
+    """Guards against signals beside a stop that end it with unanswered requests.
+
+    The requests become whole late in the grace period, after the other signals.
+    """
+    rows = store.Store()
+    store_port = await nursery.start(rows.serve)
+    rows.put("op", "config", platform_world.config(1, []))
+    app = server.Server("app")
+    await nursery.start(app.serve)
+    rows.put("servers", app.id, app.entry())
+    (port,) = free_tcp_ports(1)
+    process = await start_node(tmp_path, store_port, callers_port=port)
+    try:
+        conns = [await raw_caller.connect(port) for _ in range(3)]
+        for number, conn in enumerate(conns):
+            await conn.send_head("/order/", f"r{number}")
+        await trio.sleep(0.2)
+        began = trio.current_time()
+        for sent in (signal.SIGTERM, *later):
+            process.send_signal(sent)
+            await trio.sleep(0.2)
+        answers = []
+        for conn, whole_s in ((conns[0], 2.8), (conns[1], 3.1)):
+            await trio.sleep_until(began + whole_s)
+            await conn.finish_body()
+            answers.append(await conn.read_answer())
+        answers.append(await conns[2].read_answer())
+        with trio.fail_after(EXIT_TIMEOUT_S):
+            while process.poll() is None:
+                await trio.sleep(0.01)
+        took_s = trio.current_time() - began
+    finally:
+        process.kill()
+        process.wait()
+    assert [answer.status for answer in answers] == [200, 503, 503]
+    assert all(answer.is_complete for answer in answers)
+    assert [seen.headers["request-id"] for seen in app.executed] == ["r0"]
+    assert process.returncode == 0
+    assert took_s <= 3.5
+
+
 async def test_reload_during_the_start_does_not_end_the_process(
     tmp_path: pathlib.Path, nursery: trio.Nursery
 ) -> None:
