Name the responses that a planned stop cuts

Cause: a node that aborted its own connections logged their requests as `left`, as if their callers had gone, and `stopped` only counted them.

Change: such a request ends as `cut`, with its reason, and `stopped` names the ids of cut requests (up to 100), also of those whose response was still being written. `snipelug explain` tells a cut from a caller that left.

--- a/packages/snipelug-cli/src/snipelug_cli/explain.py
+++ b/packages/snipelug-cli/src/snipelug_cli/explain.py
@@ -111,6 +111,8 @@
             return f"Failed {where} in attempt {len(attempts)}: {reason}."
         case "left":
             return f"The caller left {where} after {request.get('ms')} ms."
+        case "cut":
+            return f"Cut {where} after {request.get('ms')} ms: {reason}."
         case "answered" if last:
             return (
                 f"Answered by {last['upstream']}: first byte after "
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -246,8 +246,6 @@
 
     Attributes
     ----------
-    open_requests : int
-        Requests that were read and whose response is not yet complete.
     draining : bool
         If true, each response closes its connection.
     idle_scopes : set of trio.CancelScope
@@ -257,15 +255,25 @@
     def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
         self.handler = handler
         self.limits = limits or Limits()
-        self.open_requests = 0
         self.open_connections = 0
         self.draining = False
         self.idle_scopes: set[trio.CancelScope] = set()
+        self._handled: dict[_Connection, Request] = {}
         self._reading: set[_Connection] = set()
         self._accept_scope = trio.CancelScope()
         self._connections_scope = trio.CancelScope()
         self._stopped = trio.Event()
 
+    @property
+    def open_requests(self) -> int:
+        """Number of requests that were read and whose response is not complete."""
+        return len(self._handled)
+
+    @property
+    def unfinished_requests(self) -> list[Request]:
+        """The requests that were read and whose response is not complete."""
+        return list(self._handled.values())
+
     async def serve(
         self,
         host: str,
@@ -371,11 +379,11 @@
             if isinstance(req, RequestError):
                 await self._reject(req)
                 return
-            self.server.open_requests += 1
+            self.server._handled[self] = req
             try:
                 await self._handle(req)
             finally:
-                self.server.open_requests -= 1
+                del self.server._handled[self]
             if self.proto.our_state is h11.MUST_CLOSE or self.server.draining:
                 return
             if self.proto.our_state is not h11.DONE:
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -31,6 +31,12 @@
 DEREGISTRATION_S = 2.6
 """Time after a stop until the load balancer has seen two refusals, one per second."""
 
+ABORT_TIMEOUT_S = 0.1
+"""Timeout for the end of the connections that are aborted at the end of a stop."""
+
+MAX_LOGGED_IDS = 100
+"""Maximum number of cut requests that are named in one log line."""
+
 CONNECT_TIMEOUT_S = 0.3
 """Connect timeout for upstreams; zones are 1.4 ms apart."""
 
@@ -255,10 +261,15 @@
             self._callers.close_idle()
             if clock.now() >= plan.reading_ends_at:
                 incomplete += self._callers.refuse_incomplete(STOPPING)
+        cut = [self._relay.request_id(req) for req in self._callers.unfinished_requests]
+        with trio.move_on_after(ABORT_TIMEOUT_S):
+            await self._callers.abort()
+        cut_ids = list(dict.fromkeys([*cut, *self._relay.cut_ids]))
         lines.event(
             LOG,
             "stopped",
-            cut_requests=self._callers.open_requests,
+            cut_requests=len(cut_ids),
+            cut_ids=cut_ids[:MAX_LOGGED_IDS],
             incomplete_requests=incomplete,
             after_s=round(clock.now() - plan.began_at, 2),
         )
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -151,6 +151,7 @@
         self._open: set[job.Job] = set()
         self._response_times: dict[str, shutdown.LongestTime] = {}
         self._stop_plan: shutdown.Schedule | None = None
+        self.cut_ids: list[str] = []
         self.sampler = record.Sampler()
 
     async def handle(self, req: http_server.Request) -> http_server.Response:
@@ -178,6 +179,11 @@
             reason = f"unexpected error: {exc!r}"
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason))
 
+    def request_id(self, req: http_server.Request) -> str:
+        """Return the id of a request, empty if it has none."""
+        request = self._dialect.decode_request(req)
+        return "" if isinstance(request, refusal.Refusal) else request.request_id
+
     def begin_stop(self, plan: shutdown.Schedule) -> None:
         """End all requests within the times of a shutdown, open ones included."""
         self._stop_plan = plan
@@ -763,6 +769,9 @@
         work.is_finished = True
         self._open.discard(work)
         now = clock.now()
+        if outcome in ("left", "broken") and self._is_cut(work):
+            outcome, reason = "cut", "the node stopped within the response"
+            self.cut_ids.append(work.request.request_id)
         if outcome in ("answered", "failed") and not work.route.is_stream:
             times = self._response_times.setdefault(
                 work.route.name, shutdown.LongestTime()
@@ -805,6 +814,11 @@
             fields["left_out"] = left_out
         lines.event(LOG, "request", **fields)
 
+    def _is_cut(self, work: job.Job) -> bool:
+        """Return whether the end of the node has ended a response."""
+        plan = self._stop_plan
+        return plan is not None and work.is_shortened and _has_come(plan.cut_at)
+
     def record_broken(self, work: job.Job, outcome: job.Outcome) -> None:
         """Record that the upstream of a stream closed the connection within it."""
         if outcome.upstream_attempt is not None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -44,6 +44,7 @@
     build_request("bb", 10.1, outcome="refused", attempts=[], reason="none is free"),
     build_request("cc", 10.2, outcome="answered", first_ms=900.0, reason=""),
     build_request("dd", 10.3, outcome="left"),
+    build_request("ee", 10.4, outcome="cut", reason="the node stopped"),
 ]
 
 
@@ -60,6 +61,7 @@
     ("bb", "Refused before any upstream was asked after 0 attempts: none is free."),
     ("cc", "Answered by u1: first byte after 900.0 ms"),
     ("dd", "The caller left at u1 after 100.0 ms."),
+    ("ee", "Cut at u1 after 100.0 ms: the node stopped."),
 ]
 
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -274,6 +274,30 @@
                 assert executions(world, sent.request_id) == 0, sent
 
 
+@pytest.mark.parametrize("target", ["/ask/", "/check/"])
+async def test_stream_under_way_at_the_end_of_a_stop_is_named(
+    caplog: pytest.LogCaptureFixture, target: str
+) -> None:
+    """Guards against a cut stream that looks complete, or is logged as left."""
+    async with platform_world.deployment(apps=0, kv_stores=0) as world:
+        for item in world.engines:
+            item.events, item.event_interval_s = 1000, 0.05
+        kinds = {"/ask/": {}, "/check/": {"resumable": True, "max_attempts": 2}}
+        slow = platform_world.route("slow", target, "streaming", "llm", **kinds[target])
+        world.configure(2, routes=[slow | {"timeout_ms": 20_000}])
+        stop = Stop(world, caplog)
+        sent = Sent(target, 0.3)
+        await run_stop(stop, functools.partial(send_during, stop, sent))
+        assert (sent.answer.status, sent.answer.is_complete) == (200, False)
+        assert sent.answer.body.count(b"\n\n") > 40
+        (stopped,) = stop.lines("stopped")
+        assert stopped["cut_ids"] == [sent.request_id]
+        assert stopped["cut_requests"] == 1
+        line = stop.request_line(sent.request_id)
+        assert line["outcome"] == "cut"
+        assert "stop" in line["reason"]
+
+
 async def test_answered_at_the_end_of_a_stop_is_logged_with_its_reason(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
