--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from snipelug_core import catalog
+from snipelug_core import catalog, refusal, shutdown
 from snipelug_net import http_client, http_server, lines
 from snipelug_relay import (
     announce,
@@ -31,8 +31,11 @@
 DEREGISTRATION_S = 2.6
 """Time after a stop until the load balancer has seen two refusals, one per second."""
 
-EXIT_MARGIN_S = 0.5
-"""Margin between the end of the process and the time the platform would kill it."""
+ABORT_TIMEOUT_S = 0.1
+"""Timeout for the end of the connections that are aborted at the end of a stop."""
+
+MAX_LOGGED_IDS = 100
+"""Maximum number of cut requests that are named in one log line."""
 
 CONNECT_TIMEOUT_S = 0.3
 """Connect timeout for upstreams; zones are 1.4 ms apart."""
@@ -52,6 +55,14 @@
 UNAVAILABLE = 503
 NOT_FOUND = 404
 
+STOPPING = http_server.RequestError(
+    UNAVAILABLE,
+    refusal.NODE_STOPPING.code,
+    "the node stopped before it had received the whole request",
+    shutdown.RETRY_AFTER_S,
+)
+"""The refusal of requests that are still being read at the end of a stop."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Platform:
@@ -229,26 +240,38 @@
 
     async def stop(self) -> None:
         """Leave the load balancer, let open requests finish, then close."""
-        began = clock.now()
+        plan = shutdown.schedule(
+            clock.now(), self._cfg.bounds.grace_s, DEREGISTRATION_S
+        )
         self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
+        self._relay.begin_stop(plan)
         self._callers.draining = True
-        last = began + self._cfg.bounds.grace_s - EXIT_MARGIN_S
-        with trio.move_on_after(1.0):
+        with trio.move_on_after(min(1.0, plan.closes_at - plan.began_at)):
             await self._store.remove_member(self._cfg.node_id)
-        await trio.sleep(max(0.0, began + DEREGISTRATION_S - clock.now()))
+        await trio.sleep(max(0.0, plan.closes_at - clock.now()))
         # Later requests could not be finished, so callers must use another node.
         self._callers.stop_accepting()
         self._callers.close_idle()
+        incomplete = 0
         # This includes connections on which a request is still being read.
-        while self._callers.open_connections and clock.now() < last:
-            await trio.sleep(CLOSE_CHECK_INTERVAL_S)
+        while self._callers.open_connections and clock.now() < plan.cut_at:
+            left_s = max(0.0, plan.cut_at - clock.now())
+            await trio.sleep(min(CLOSE_CHECK_INTERVAL_S, left_s))
             self._callers.close_idle()
+            if clock.now() >= plan.reading_ends_at:
+                incomplete += self._callers.refuse_incomplete(STOPPING)
+        cut = [self._relay.request_id(req) for req in self._callers.unfinished_requests]
+        with trio.move_on_after(ABORT_TIMEOUT_S):
+            await self._callers.abort()
+        cut_ids = list(dict.fromkeys([*cut, *self._relay.cut_ids]))
         lines.event(
             LOG,
             "stopped",
-            cut_requests=self._callers.open_requests,
-            after_s=round(clock.now() - began, 2),
+            cut_requests=len(cut_ids),
+            cut_ids=cut_ids[:MAX_LOGGED_IDS],
+            incomplete_requests=incomplete,
+            after_s=round(clock.now() - plan.began_at, 2),
         )
 
     async def abort_connections(self) -> None:
