Deliver the response to clients that have closed only their sending side

Cause: the end of a client's input was taken for its departure. The request was cancelled, although it had been sent to an upstream.

What callers saw: a caller that shuts down its sending side after a whole request, which HTTP allows, got a closed connection without an answer. A departure after further input was not noticed, because the connection was watched only until the first bytes of it.

Change: after the end of the input the server sends data that changes neither the response nor its body: an interim response before the response, a leading zero of the next chunk's size within a silent chunked body. A closed socket answers it with a reset, a half-closed one does not. A body that breaks off after such a zero ends in a missing chunk, because lenient clients take "0" at the end of the connection for the end of the body. HTTP/1.0 clients cannot be probed: the end of their input ends requests with an idempotent method only. Up to 16 KiB (one more read at most) of further input are buffered, and the connection is watched for its end without being read after that.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -1,10 +1,12 @@
 """HTTP/1.1 server on h11 and trio."""
 
 import collections.abc
+import contextlib
 import dataclasses
 import http
 import logging
 import os
+import select
 import typing
 import urllib.parse
 
@@ -20,6 +22,32 @@
 # last read can exceed the checked size by RECEIVE_BYTES.
 MAX_INCOMPLETE_HEAD_BYTES = MAX_HEAD_BYTES - RECEIVE_BYTES
 
+MAX_READ_AHEAD_BYTES = 16 * 1024
+"""Input after a request that is buffered until its response is complete.
+
+A larger rest stays in the kernel's buffers, which stops the client.
+"""
+
+PROBE_INTERVAL_S = 0.4
+"""Interval between probes of a client whose input has ended; departures have to be
+noticed within 0.5 s."""
+
+MAX_PROBES = 4
+"""Maximum number of probes without a write in between.
+
+Some clients accept no more than five interim responses, of which one may follow an
+``Expect`` field, and no more than 16 digits in the size of a chunk.
+"""
+
+MIN_RESET_CHECK_S = 0.01
+MAX_RESET_CHECK_S = 0.1
+"""Shortest and longest interval between checks whether a probe was answered with a
+reset; doubles in between."""
+
+RESET_EVENTS = select.POLLHUP | select.POLLERR
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
+
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
@@ -330,12 +358,21 @@
         self.proto = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_HEAD_BYTES
         )
+        self._is_writing = False
+        self._is_chunked = False
+        self._has_written = False
+        self._probes = 0
+        self._probe_rest = b""
 
     @property
     def limits(self) -> Limits:
         """The server's limits, which may change while the connection is open."""
         return self.server.limits
 
+    @property
+    def _speaks_http_1_1(self) -> bool:
+        return (self.proto.their_http_version or b"") >= b"1.1"
+
     async def run(self) -> None:
         while True:
             req = await self._read_request()
@@ -440,7 +477,7 @@
     async def _handle(self, req: Request) -> None:
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_disconnect, scope)
+                nursery.start_soon(self._watch_disconnect, scope, req.method)
                 response = await self._respond(req)
                 await self._send(response, req.method == "HEAD")
                 nursery.cancel_scope.cancel()
@@ -455,18 +492,78 @@
             LOG.error("handler_failed", extra={"target": req.target}, exc_info=exc)
             return _error_response(INTERNAL_ERROR, "unknown")
 
-    async def _watch_disconnect(self, scope: trio.CancelScope) -> None:
+    async def _watch_disconnect(self, scope: trio.CancelScope, method: str) -> None:
         """Cancel the request if the client disconnects before it is answered."""
-        if self.proto.trailing_data[0]:
-            return
         try:
-            received = await self.stream.receive_some(RECEIVE_BYTES)
+            await self._wait_input_end()
+            await self._wait_reset(method)
         except trio.BrokenResourceError:
-            received = b""
-        if received:
+            pass
+        scope.cancel()
+
+    async def _wait_input_end(self) -> None:
+        """Buffer a limited amount of input until the client closes its sending side."""
+        while len(self.proto.trailing_data[0]) < MAX_READ_AHEAD_BYTES:
+            received = await self.stream.receive_some(RECEIVE_BYTES)
+            if not received:
+                return
             self.proto.receive_data(received)
+        while not self._poll(select.POLLRDHUP | RESET_EVENTS):
+            await trio.sleep(MAX_RESET_CHECK_S)
+
+    async def _wait_reset(self, method: str) -> None:
+        """Wait until a client whose input has ended has closed the whole connection.
+
+        Data for a closed socket is answered with a reset. A client that has only
+        closed its sending side still waits for the response. A client that speaks
+        HTTP/1.0 can't be probed: it counts as disconnected if it may repeat the
+        request, and otherwise gets the response.
+        """
+        if not self._speaks_http_1_1 and method in IDEMPOTENT_METHODS:
+            return
+        pause_s = MIN_RESET_CHECK_S
+        probe_at = trio.current_time()
+        self._has_written = False
+        while not self._poll(RESET_EVENTS):
+            if trio.current_time() >= probe_at:
+                if not self._has_written:
+                    self._probe()
+                self._has_written = False
+                probe_at = trio.current_time() + PROBE_INTERVAL_S
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RESET_CHECK_S)
+
+    def _poll(self, events: int) -> bool:
+        """Return whether any of the events is pending at the socket."""
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), events)
+        return bool(poll.poll(0))
+
+    def _probe(self) -> None:
+        """Send bytes that change neither the response nor its body.
+
+        Before the response this is an interim response. Within a chunked body it is a
+        leading zero of the next chunk's size.
+        """
+        if self._is_writing or self._probes >= MAX_PROBES:
+            return
+        if not self._speaks_http_1_1:
+            return
+        if self.proto.our_state is h11.SEND_RESPONSE:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            data = self.proto.send(interim) or b""
+        elif self.proto.our_state is h11.SEND_BODY and self._is_chunked:
+            data = b"0"
         else:
-            scope.cancel()
+            return
+        try:
+            self._probe_rest = data[os.write(self.stream.socket.fileno(), data) :]
+        except BlockingIOError:
+            # Earlier data is still on its way and serves as a probe.
+            return
+        except OSError as exc:
+            raise trio.BrokenResourceError("client connection broken") from exc
+        self._probes += 1
 
     async def _reject(self, error: RequestError) -> None:
         if self.proto.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -485,6 +582,11 @@
             headers["content-length"] = str(len(response.body))
         elif not head_only:
             headers["transfer-encoding"] = "chunked"
+        self._is_chunked = (
+            "transfer-encoding" in headers
+            and response.status not in BODILESS_STATUSES
+            and self._speaks_http_1_1
+        )
         if self.server.draining:
             headers["connection"] = "close"
         head = h11.Response(
@@ -509,9 +611,20 @@
                         await self.write_part(part)
             await self._write(self.proto.send(h11.EndOfMessage()) or b"")
         finally:
+            self._end_probed_chunk()
             with trio.CancelScope(shield=True, deadline=trio.current_time() + 5.0):
                 await body.aclose()
 
+    def _end_probed_chunk(self) -> None:
+        """Make a chunk size that a probe has begun that of a missing chunk.
+
+        Some clients take a size of 0 at the end of the connection for the end of the
+        body.
+        """
+        if self.proto.our_state is h11.SEND_BODY and self._probes and self._is_chunked:
+            with contextlib.suppress(OSError):
+                os.write(self.stream.socket.fileno(), b"1\r\n")
+
     async def write_part(self, part: bytes) -> None:
         await self.write_rest(self.write_part_nowait(part))
 
@@ -529,6 +642,7 @@
             await self.stream.send_all(rest)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the client is not reading the response")
+        self._is_writing = False
 
     def _write_nowait(self, data: bytes) -> bytes:
         """Write what the socket accepts without blocking; return the rest.
@@ -537,12 +651,17 @@
         """
         if not data:
             return b""
+        data = self._probe_rest + data
+        self._probe_rest = b""
+        self._probes = 0
+        self._has_written = True
         try:
             count = os.write(self.stream.socket.fileno(), data)
         except BlockingIOError:
             count = 0
         except OSError as exc:
             raise trio.BrokenResourceError("client connection broken") from exc
+        self._is_writing = count < len(data)
         return data[count:]
 
 
