Keep the limits that were in force when a read began until it ends

Cause: the timeouts of a read in progress were those at its start, and the limit on the size of a body was the newest one.

What callers saw beside a change of the limits: a kept connection that was closed at the old idle timeout after that had been raised; a 408 for a head that was in time under the new limit; a 413, which nobody repeats, for a body that was small enough when it was sent.

Change: higher timeouts extend the reads in progress, lower limits apply to later reads.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -256,6 +256,20 @@
             await self._listener.aclose()
 
 
+@dataclasses.dataclass(eq=False)
+class _TimedRead:
+    """A read whose timeout is one of the server's limits."""
+
+    scope: trio.CancelScope
+    started_at: float
+    timeout_s: collections.abc.Callable[[Limits], float]
+
+    def extend(self, limits: Limits) -> None:
+        """Apply changed limits, but keep the time that was granted before."""
+        until = self.started_at + self.timeout_s(limits)
+        self.scope.deadline = max(self.scope.deadline, until)
+
+
 class Server:
     """Serve HTTP on one address until cancelled.
 
@@ -278,7 +292,8 @@
 
     def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
         self.handler = handler
-        self.limits = limits or Limits()
+        self._limits = limits or Limits()
+        self._timed_reads: set[_TimedRead] = set()
         self.open_requests = 0
         self.open_connections = 0
         self.draining = False
@@ -287,6 +302,33 @@
         self._connections_scope = trio.CancelScope()
         self._stopped = trio.Event()
 
+    @property
+    def limits(self) -> Limits:
+        """Limits on connections.
+
+        Higher ones extend the reads in progress; lower ones apply to later reads.
+        """
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: Limits) -> None:
+        self._limits = limits
+        for read in self._timed_reads:
+            read.extend(limits)
+
+    @contextlib.contextmanager
+    def limit_read(
+        self, timeout_s: collections.abc.Callable[[Limits], float]
+    ) -> collections.abc.Iterator[trio.CancelScope]:
+        """Cancel the block at a timeout, which a change of the limits may extend."""
+        with trio.move_on_after(timeout_s(self.limits)) as scope:
+            read = _TimedRead(scope, trio.current_time(), timeout_s)
+            self._timed_reads.add(read)
+            try:
+                yield scope
+            finally:
+                self._timed_reads.discard(read)
+
     async def serve(
         self,
         host: str,
@@ -422,7 +464,7 @@
     async def _read_head_and_body(self) -> Request | RequestError | Closed:
         if not self.proto.trailing_data[0]:
             first = b""
-            with trio.move_on_after(self.limits.idle_s) as idle:
+            with self.server.limit_read(lambda limits: limits.idle_s) as idle:
                 self.server.idle_scopes.add(idle)
                 try:
                     first = bytes(await self.stream.receive_some(RECEIVE_BYTES))
@@ -434,12 +476,17 @@
             if not first:
                 return Closed()
             self.proto.receive_data(first)
-        with trio.fail_after(self.limits.head_s):
+        limit_bytes = self.limits.body_bytes
+        with self.server.limit_read(lambda limits: limits.head_s) as head:
             event = await self._next_event()
+        if head.cancelled_caught:
+            raise trio.TooSlowError
         if not isinstance(event, h11.Request):
             return Closed()
-        with trio.fail_after(self.limits.body_s):
-            body = await self._read_body()
+        with self.server.limit_read(lambda limits: limits.body_s) as reading:
+            body = await self._read_body(limit_bytes)
+        if reading.cancelled_caught:
+            raise trio.TooSlowError
         if isinstance(body, RequestError):
             return body
         target = event.target.decode("latin-1")
@@ -454,7 +501,14 @@
         method = event.method.decode("ascii")
         return Request(method, path, query, dict(fields), body, target, fields)
 
-    async def _read_body(self) -> bytes | RequestError:
+    async def _read_body(self, limit_bytes: int) -> bytes | RequestError:
+        """Read the body.
+
+        Parameters
+        ----------
+        limit_bytes : int
+            Limit when the request began, which may have been lowered since.
+        """
         parts: list[bytes] = []
         size = 0
         while True:
@@ -467,8 +521,9 @@
                     http.HTTPStatus.BAD_REQUEST, "truncated_request", reason
                 )
             size += len(event.data)
-            if size > self.limits.body_bytes:
-                reason = f"the request body exceeds {self.limits.body_bytes} bytes"
+            limit_bytes = max(limit_bytes, self.limits.body_bytes)
+            if size > limit_bytes:
+                reason = f"the request body exceeds {limit_bytes} bytes"
                 return RequestError(
                     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", reason
                 )
--- a/tests/test_half_close.py
+++ b/tests/test_half_close.py
@@ -11,88 +11,12 @@
 import trio
 
 from snipelug_net import http_server
-from tests import platform_world
+from tests import platform_world, raw_caller
 
 NOTICE_S = 0.5
 """Time within which a departure must be noticed."""
 
 EVENTS = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in (1, 2, 3))
-INTERIM = b"HTTP/1.1 100 "
-
-
-def request(
-    method: str,
-    target: str,
-    body: bytes = b"",
-    version: str = "1.1",
-    number: int = 1,
-    **headers: str,
-) -> bytes:
-    """Build the bytes of a request; underscores in names become dashes."""
-    fields = {
-        "host": platform_world.HOST,
-        "request-id": f"{number:08x}",
-        "request-deadline": "8000",
-        "authorization": f"Token {platform_world.KEY}",
-        "content-length": str(len(body)),
-    }
-    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
-    lines = [f"{method} {target} HTTP/{version}"]
-    lines += [f"{name}: {value}" for name, value in fields.items()]
-    return "\r\n".join([*lines, "", ""]).encode() + body
-
-
-def prompt(target: str, version: str = "1.1") -> bytes:
-    """Build the bytes of a prompt."""
-    fields = {"model": "m", "token_usage": "9,9", "prompt_prefix": "aa:9"}
-    return request("POST", target, b"x", version, **fields)
-
-
-async def connect(world: platform_world.World) -> trio.SocketStream:
-    return await trio.open_tcp_stream("127.0.0.1", world.nodes[0].callers_port)
-
-
-async def read_all(stream: trio.SocketStream) -> bytes:
-    """Read up to the end of the connection."""
-    received = b""
-    with trio.fail_after(5.0):
-        async for part in stream:
-            received += part
-    return received
-
-
-async def read_until(stream: trio.SocketStream, end: bytes) -> bytes:
-    """Read until the received bytes end with ``end``."""
-    received = b""
-    with trio.fail_after(5.0):
-        while not received.endswith(end):
-            part = await stream.receive_some()
-            assert part, received
-            received += part
-    return received
-
-
-def split_interim(received: bytes) -> tuple[int, bytes]:
-    """Return the number of leading interim responses, and the rest."""
-    count = 0
-    while received.startswith(INTERIM):
-        count += 1
-        received = received.partition(b"\r\n\r\n")[2]
-    return count, received
-
-
-def decode_chunks(data: bytes) -> bytes:
-    """Decode a chunked body that must be complete."""
-    body = b""
-    while True:
-        line, _, data = data.partition(b"\r\n")
-        size = int(line, 16)
-        if size == 0:
-            assert data == b"\r\n"
-            return body
-        body += data[:size]
-        assert data[size : size + 2] == b"\r\n"
-        data = data[size + 2 :]
 
 
 async def wait_executed(world: platform_world.World, count: int = 1) -> None:
@@ -140,11 +64,11 @@
 async def test_half_closed_caller_gets_its_answer(target: str, delay_s: float) -> None:
     """Guards against taking the end of a caller's input for its departure."""
     async with slow_apps() as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", target, b"x"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.request("POST", target, b"x"))
         await trio.sleep(delay_s)
         await stream.send_eof()
-        count, answer = split_interim(await read_all(stream))
+        count, answer = raw_caller.split_interim(await raw_caller.read_all(stream))
         assert answer.startswith(b"HTTP/1.1 200")
         assert answer.endswith(b":ok")
         assert 1 <= count <= http_server.MAX_PROBES
@@ -154,13 +78,13 @@
 async def test_half_closed_caller_gets_answer_on_kept_connection() -> None:
     """Guards against a half-close that is mistaken on a connection in use again."""
     async with slow_apps() as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", "/wait/", b"x", number=1))
-        first = await read_until(stream, b":ok")
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.request("POST", "/wait/", b"x", number=1))
+        first = await raw_caller.read_until(stream, b":ok")
         assert first.startswith(b"HTTP/1.1 200")
-        await stream.send_all(request("POST", "/wait/", b"x", number=2))
+        await stream.send_all(raw_caller.request("POST", "/wait/", b"x", number=2))
         await stream.send_eof()
-        _, answer = split_interim(await read_all(stream))
+        _, answer = raw_caller.split_interim(await raw_caller.read_all(stream))
         assert answer.startswith(b"HTTP/1.1 200")
         assert answer.endswith(b":ok")
 
@@ -168,11 +92,11 @@
 async def test_half_closed_caller_gets_answers_to_pipelined_requests() -> None:
     """Guards against losing a request that was sent before the end of the input."""
     async with slow_apps(0.3) as world:
-        stream = await connect(world)
-        both = [request("POST", "/wait/", b"x", number=n) for n in (1, 2)]
+        stream = await raw_caller.connect(world)
+        both = [raw_caller.request("POST", "/wait/", b"x", number=n) for n in (1, 2)]
         await stream.send_all(b"".join(both))
         await stream.send_eof()
-        received = await read_all(stream)
+        received = await raw_caller.read_all(stream)
         assert received.count(b"HTTP/1.1 200") == 2
         assert received.endswith(b":ok")
 
@@ -180,10 +104,10 @@
 async def test_unfinished_request_of_half_closed_caller_is_not_run() -> None:
     """Guards against running a request whose body was cut by the end of the input."""
     async with slow_apps() as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", "/order/", b"body")[:-2])
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.request("POST", "/order/", b"body")[:-2])
         await stream.send_eof()
-        received = await read_all(stream)
+        received = await raw_caller.read_all(stream)
         assert received.startswith(b"HTTP/1.1 400")
         assert not world.apps[0].executed
 
@@ -197,28 +121,28 @@
         if silence_s:
             engine.faults.silent_after = 1
             engine.faults.silence_s = silence_s
-        stream = await connect(world)
-        await stream.send_all(prompt("/check/"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.prompt("/check/"))
         await wait_executed(world)
         await trio.sleep(0.02)
         await stream.send_eof()
-        head, _, body = (await read_all(stream)).partition(b"\r\n\r\n")
+        head, _, body = (await raw_caller.read_all(stream)).partition(b"\r\n\r\n")
         assert head.startswith(b"HTTP/1.1 200")
-        assert decode_chunks(body) == EVENTS
+        assert raw_caller.decode_chunks(body) == EVENTS
 
 
 async def test_stream_that_begins_after_the_half_close_is_delivered() -> None:
     """Guards against an interim response within the response that follows it."""
     async with platform_world.deployment(apps=0, engines=1, kv_stores=0) as world:
         world.engines[0].first_event_s = 0.6
-        stream = await connect(world)
-        await stream.send_all(prompt("/check/"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.prompt("/check/"))
         await stream.send_eof()
-        count, answer = split_interim(await read_all(stream))
+        count, answer = raw_caller.split_interim(await raw_caller.read_all(stream))
         head, _, body = answer.partition(b"\r\n\r\n")
         assert count >= 1
         assert head.startswith(b"HTTP/1.1 200")
-        assert decode_chunks(body) == EVENTS
+        assert raw_caller.decode_chunks(body) == EVENTS
 
 
 class ReceivedBytes:
@@ -236,13 +160,13 @@
     async with platform_world.deployment(apps=0, engines=1, kv_stores=0) as world:
         world.engines[0].faults.silent_after = 1
         world.engines[0].faults.silence_s = 5.0
-        stream = await connect(world)
-        await stream.send_all(prompt("/ask/"))
-        received = await read_until(stream, b"piece 1\n\n\r\n")
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.prompt("/ask/"))
+        received = await raw_caller.read_until(stream, b"piece 1\n\n\r\n")
         await stream.send_eof()
         await trio.sleep(0.2)
         world.engines[0].crash()
-        received += await read_all(stream)
+        received += await raw_caller.read_all(stream)
         response = http.client.HTTPResponse(ReceivedBytes(received))  # type: ignore[arg-type]
         response.begin()
         with pytest.raises(http.client.IncompleteRead):
@@ -252,12 +176,14 @@
 async def test_http_1_0_caller_gets_no_interim_response() -> None:
     """Guards against sending responses that HTTP/1.0 does not have."""
     async with slow_apps(0.4) as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", "/order/", b"x", version="1.0"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(
+            raw_caller.request("POST", "/order/", b"x", version="1.0")
+        )
         await stream.send_eof()
-        received = await read_all(stream)
+        received = await raw_caller.read_all(stream)
         assert received.startswith(b"HTTP/1.1 200")
-        assert INTERIM not in received
+        assert raw_caller.INTERIM not in received
 
 
 DEPARTURES = ["close", "reset", "half, then close"]
@@ -281,8 +207,10 @@
 ) -> None:
     """Guards against work for callers that have closed the whole connection."""
     async with slow_apps(5.0) as world:
-        stream = await connect(world)
-        await stream.send_all(request(method, "/wait/", b"x", version=version))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(
+            raw_caller.request(method, "/wait/", b"x", version=version)
+        )
         await wait_executed(world)
         await leave(stream, how)
         await assert_noticed(world)
@@ -294,9 +222,9 @@
     async with platform_world.deployment(apps=0, engines=1, kv_stores=0) as world:
         world.engines[0].faults.silent_after = 1
         world.engines[0].faults.silence_s = 5.0
-        stream = await connect(world)
-        await stream.send_all(prompt("/ask/"))
-        await read_until(stream, b"piece 1\n\n\r\n")
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.prompt("/ask/"))
+        await raw_caller.read_until(stream, b"piece 1\n\n\r\n")
         await leave(stream, how)
         await assert_noticed(world)
 
@@ -306,8 +234,8 @@
 async def test_departure_is_noticed_after_further_input(how: str, sent_on: int) -> None:
     """Guards against watching a connection only until more input arrives."""
     async with slow_apps(5.0) as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", "/wait/", b"x"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.request("POST", "/wait/", b"x"))
         await wait_executed(world)
         await stream.send_all(b"x" * sent_on)
         await trio.sleep(0.1)
@@ -318,8 +246,8 @@
 async def test_input_during_a_request_is_bounded() -> None:
     """Guards against a caller that fills the memory by sending on while it waits."""
     async with slow_apps(5.0) as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", "/wait/", b"x"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.request("POST", "/wait/", b"x"))
         sent = 0
         # The kernel buffers the rest on both sides, up to some MiB.
         with trio.move_on_after(1.0):
@@ -333,13 +261,13 @@
 async def test_stopping_node_answers_a_half_closed_caller() -> None:
     """Guards against a planned stop that treats a half-close as a departure."""
     async with slow_apps(1.0) as world:
-        stream = await connect(world)
-        await stream.send_all(request("POST", "/order/", b"x"))
+        stream = await raw_caller.connect(world)
+        await stream.send_all(raw_caller.request("POST", "/order/", b"x"))
         await wait_executed(world)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(world.nodes[0].stop)
             await trio.sleep(0.1)
             await stream.send_eof()
-            _, answer = split_interim(await read_all(stream))
+            _, answer = raw_caller.split_interim(await raw_caller.read_all(stream))
         assert answer.startswith(b"HTTP/1.1 200")
         assert b"connection: close" in answer.lower()
