Finish requests on the service that the configuration had when they arrived

Cause: each attempt looked its service up in the newest configuration. Once the service had been removed there, no upstream was found.

What callers saw: beside a change that removes a service, a stream that had to be resumed was cut, although other upstreams could go on with it, and an idempotent request whose first attempt was lost got a 502.

Change: a request keeps the service of the configuration with which it arrived.

--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -24,6 +24,9 @@
         What crashes may be charged to; None if not needed yet.
     is_probe : bool
         Whether it is sent to find out if a withheld suspect still crashes upstreams.
+    service_cfg : catalog.Service or None
+        The service in the configuration with which the request arrived. It is used
+        after the operator has removed the service.
     """
 
     request: ports.CallerRequest
@@ -39,6 +42,7 @@
     is_finished: bool = False
     suspects: frozenset[str] | None = None
     is_probe: bool = False
+    service_cfg: catalog.Service | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -191,7 +191,15 @@
         if service not in self._budgets:
             self._budgets[service] = retry.Budget(policy.initial, now)
         retry.record_request(self._budgets[service], policy)
-        return job.Job(request, route, team, service, now, now + wait_s)
+        return job.Job(
+            request,
+            route,
+            team,
+            service,
+            now,
+            now + wait_s,
+            service_cfg=known.services.get(service),
+        )
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -93,7 +93,7 @@
         self, work: job.Job, now: float, consider_all: bool = False
     ) -> choice.Choice | None:
         """Return the available upstream with the lowest expected cost."""
-        context = self._state.context(work.service, work.priority)
+        context = self._state.context(work.service, work.priority, work.service_cfg)
         if context is None:
             return None
         upstreams = self._state.fleet.of_service(work.service)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -187,17 +187,21 @@
             return 0.0
         return fleet.CACHED_PARTS_FRACTION * service.engine.kv_capacity_tokens
 
-    def context(self, service: str, priority: int) -> choice.Context | None:
+    def context(
+        self, service: str, priority: int, removed: catalog.Service | None = None
+    ) -> choice.Context | None:
         """Return the routing context shared by all upstreams of a service.
 
         Parameters
         ----------
+        removed : catalog.Service or None
+            The service if it has been removed from the configuration.
         priority : int
             Priority of the request; 0 is the highest.
         """
-        if self.catalog is None or service not in self.catalog.services:
+        found = self.catalog.services.get(service, removed) if self.catalog else None
+        if found is None:
             return None
-        found = self.catalog.services[service]
         now = clock.now()
         mean = self.fleet.mean_load(service, now)
         waits = self.fleet.wait_model(service)
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -167,6 +167,29 @@
         assert answers["/check/"].body == scripted.events(1, 3)  # type: ignore[attr-defined]
 
 
+@pytest.mark.parametrize("change", CHANGES)
+async def test_change_between_attempts(change: str) -> None:
+    """Guards against a change that leaves a request without answer or refusal."""
+    async with platform_world.deployment(apps=2, engines=0) as world:
+        await configure(world, 2, **configuration())
+        for item in world.apps:
+            item.answer_delay_s = 0.3
+        caller = platform_world.Caller(world.nodes[0])
+        answers: list[object] = []
+
+        async def ask() -> None:
+            answers.append(await caller.send("POST", "/look/", b"x"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await platform_world.wait_until(lambda: any(a.executed for a in world.apps))
+            await configure(world, 3, **CHANGES[change])
+            next(a for a in world.apps if a.executed).crash()
+        (full,) = answers
+        assert isinstance(full, http_client.FullResponse), full
+        assert full.status == 200
+
+
 @pytest.mark.parametrize("change", CHANGES)
 async def test_change_while_a_request_waits_for_an_upstream(change: str) -> None:
     """Guards against a change that leaves a waiting request without an answer."""
@@ -193,6 +216,38 @@
         assert (full.status == 200) == bool(world.apps[0].executed)
 
 
+RESUMES = ["breaks_after", "pauses_after", "silent_after"]
+
+
+@pytest.mark.parametrize("fault", RESUMES)
+@pytest.mark.parametrize("change", CHANGES)
+async def test_change_while_a_stream_is_resumed(change: str, fault: str) -> None:
+    """Guards against a change that cuts a stream which others could continue."""
+    async with platform_world.deployment(apps=0, engines=2) as world:
+        await configure(world, 2, **configuration())
+        for item in world.engines:
+            item.event_interval_s = 0.15
+            setattr(item.faults, fault, 2)
+        caller = platform_world.Caller(world.nodes[0])
+        answers: list[object] = []
+
+        async def ask() -> None:
+            answers.append(await caller.send_prompt("/check/"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await platform_world.wait_until(
+                lambda: any(e.running for e in world.engines)
+            )
+            for item in world.engines:
+                if not item.running:
+                    setattr(item.faults, fault, None)
+            await configure(world, 3, **CHANGES[change])
+        (full,) = answers
+        assert isinstance(full, http_client.FullResponse), full
+        assert full.body == scripted.events(1, 3)
+
+
 SERIES: dict[str, collections.abc.Callable[[int], dict[str, typing.Any]]] = {
     "limits": lambda n: configuration(
         idle_timeout_ms=[150, 15_000][n % 2], max_body_bytes=[10, 100_000][n % 2]
