Apply each operator's row and each consequence of a change on its own

Cause: an error while one row of the operator was applied, or in one of the handlers that follow, ended the watch. The page was then read again and failed again, or its position had advanced, and the remaining handlers were not called until the next change.

What operators would see: limits, an evacuation or a configuration that a node never follows, beside task_failed lines twice a second. No value is known that raises such an error; the tests inject one.

Change: errors are logged for the row or handler concerned, the others go on.

Evidence: the two tests of injected errors in tests/test_configuration_changes.py failed before and pass now.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -267,9 +267,15 @@
 
     def _apply_intents(self) -> None:
         """Apply the operator's intents that concern this node itself."""
-        self._relay.apply_versions()
-        self._weights.wake()
-        self._retirements.wake()
+        handlers: dict[str, supervise.Handler] = {
+            "limits": self._apply_limits,
+            "attempts": self._relay.apply_versions,
+            "wake_weights": self._weights.wake,
+            "wake_retirements": self._retirements.wake,
+        }
+        supervise.call_each(handlers, self._stats)
+
+    def _apply_limits(self) -> None:
         known = self._state.catalog
         if known is None:
             return
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -254,22 +254,29 @@
         """
         zones = set() if is_whole else set(self.zones_out)
         for item in items:
-            match item:
-                case catalog.Catalog():
-                    self._apply_catalog(item)
-                case ports.Version(model, version):
-                    self._apply_version(model, version)
-                case ports.Evacuation(zone):
-                    zones.add(zone)
-                case ports.Removed(ports.Evacuation(zone)):
-                    zones.discard(zone)
-                case ports.Unreadable(key, reason):
-                    lines.warning(LOG, "intent_unreadable", key=key, reason=reason)
+            try:
+                self._apply_intent(item, zones)
+            except Exception as exc:
+                # The page is not read again, so the other items must not be lost.
+                LOG.error("intent_failed", extra={"intent": repr(item)}, exc_info=exc)
         if zones != self.zones_out:
             self.zones_out = frozenset(zones)
             lines.event(LOG, "zones_out", zones=sorted(zones))
         self.confirm(clock_ms)
 
+    def _apply_intent(self, item: ports.Intent, zones: set[str]) -> None:
+        match item:
+            case catalog.Catalog():
+                self._apply_catalog(item)
+            case ports.Version(model, version):
+                self._apply_version(model, version)
+            case ports.Evacuation(zone):
+                zones.add(zone)
+            case ports.Removed(ports.Evacuation(zone)):
+                zones.discard(zone)
+            case ports.Unreadable(key, reason):
+                lines.warning(LOG, "intent_unreadable", key=key, reason=reason)
+
     def confirm(self, clock_ms: float) -> None:
         """Record that the operator's intents were up to date at a time of the store."""
         # A malformed announcement must not date the intents into the future.
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -248,6 +248,45 @@
         assert full.body == scripted.events(1, 3)
 
 
+async def test_error_in_one_consequence_of_a_change_keeps_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against limits and watches that stay behind because of another error."""
+    async with platform_world.deployment(**SMALL) as world:
+        node = world.nodes[0]
+
+        def fail() -> None:
+            raise KeyError("injected")
+
+        for name, owner in [
+            ("apply_versions", node._relay),
+            ("wake", node._weights),
+            ("wake", node._retirements),
+        ]:
+            monkeypatch.setattr(owner, name, fail)
+        limits = configuration(max_body_bytes=10)
+        await configure(world, 2, **limits)
+        await platform_world.wait_until(lambda: node._callers.limits.body_bytes == 10)
+
+
+async def test_error_in_one_intent_keeps_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a row that keeps all other rows from being followed."""
+    async with platform_world.deployment(**SMALL) as world:
+        node = world.nodes[0]
+
+        def fail(*_: object) -> None:
+            raise KeyError("injected")
+
+        monkeypatch.setattr(node._state, "_apply_version", fail)
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        world.store.put("op", "evacuate/zone-b", {})
+        await platform_world.wait_until(lambda: "zone-b" in node._state.zones_out)
+        await configure(world, 2, **configuration(max_body_bytes=10))
+        await platform_world.wait_until(lambda: node._callers.limits.body_bytes == 10)
+
+
 SERIES: dict[str, collections.abc.Callable[[int], dict[str, typing.Any]]] = {
     "limits": lambda n: configuration(
         idle_timeout_ms=[150, 15_000][n % 2], max_body_bytes=[10, 100_000][n % 2]
