Close idle connections to upstreams above a lowered limit at once

What operators would see: after max_connections of a service was lowered, a node kept the earlier number of idle connections open for good, and upstreams reset the connections beyond the limit.

Change: setting the limit closes the oldest idle connections above it.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -382,11 +382,22 @@
         on_closed: collections.abc.Callable[[Address], None] | None = None,
     ) -> None:
         self.connect_timeout_s = connect_timeout_s
-        self.idle_per_addr = idle_per_addr
+        self._idle_per_addr = idle_per_addr
         self.on_closed = on_closed
         self.buffered_bytes = 0
         self._idle: dict[Address, collections.deque[_Connection]] = {}
 
+    @property
+    def idle_per_addr(self) -> int:
+        """Maximum number of idle connections per address; a lower one closes some."""
+        return self._idle_per_addr
+
+    @idle_per_addr.setter
+    def idle_per_addr(self, idle_per_addr: int) -> None:
+        self._idle_per_addr = idle_per_addr
+        for idle in self._idle.values():
+            self._trim(idle)
+
     @property
     def is_buffer_full(self) -> bool:
         """Whether the response bodies that are being read exceed their memory."""
@@ -457,7 +468,10 @@
     def _keep(self, conn: _Connection) -> None:
         idle = self._idle.setdefault(conn.addr, collections.deque())
         idle.append(conn)
-        if len(idle) > self.idle_per_addr:
+        self._trim(idle)
+
+    def _trim(self, idle: collections.deque[_Connection]) -> None:
+        while len(idle) > self._idle_per_addr:
             idle.popleft().stream.socket.close()
 
     def idle_count(self, addr: Address) -> int:
