Keep polling the other KV cache stores after an error at one of them

Cause: all polls run in the nursery of one task, so an unexpected error at one store cancelled the polls of the others and ended the task, twice a second.

What callers would see: no part is read from any store, so all prompts are computed again. No response of a store is known that raises such an error; the test injects one, with another store that answers after 0.05 s.

Change: the error is logged for its store (kv_store_failed).

Evidence: test_error_at_one_store_keeps_no_other in tests/test_configuration_changes.py failed before (the other store had not been polled for 2.5 s) and passes now.

--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -62,7 +62,7 @@
                     if self._is_due(store_state, started_at)
                 ]
                 for store_state in due:
-                    nursery.start_soon(self._poll_and_free, store_state)
+                    nursery.start_soon(self._update, store_state)
                 if due:
                     await trio.sleep(GATHER_TIMEOUT_S)
                     self._announce_reports()
@@ -85,6 +85,14 @@
             )
         return now - store_state.polled_at > MAX_REPORT_AGE_S
 
+    async def _update(self, store_state: kv_index.StoreState) -> None:
+        """Poll and free one store; its errors must not end the polls of the others."""
+        try:
+            await self._poll_and_free(store_state)
+        except Exception as exc:
+            name = store_state.store.name
+            LOG.error("kv_store_failed", extra={"store": name}, exc_info=exc)
+
     async def _poll_and_free(self, store_state: kv_index.StoreState) -> None:
         name = store_state.store.name
         self._polling.add(name)
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -288,6 +288,27 @@
         await platform_world.wait_until(lambda: node._callers.limits.body_bytes == 10)
 
 
+async def test_error_at_one_store_keeps_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a store whose polls fail and that keeps the others from polls."""
+    async with platform_world.deployment(apps=1, engines=0, kv_stores=2) as world:
+        node = world.nodes[0]
+        machines = node._kv_stores._machines
+        poll = machines.store_events
+        failing_port = world.kv_stores[0].port
+
+        async def store_events(addr: http_client.Address, since: int) -> object:
+            if addr[1] == failing_port:
+                raise KeyError("injected")
+            await trio.sleep(0.05)
+            return await poll(addr, since)
+
+        monkeypatch.setattr(machines, "store_events", store_events)
+        await trio.sleep(2.5)
+        assert node.store_age_s("kv1") < 2.0
+
+
 async def test_lowered_connection_limit_closes_idle_connections() -> None:
     """Guards against idle connections above an upstream's limit that stay open."""
     async with platform_world.deployment(**SMALL) as world:
