--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -245,7 +245,16 @@
             self._budgets[service] = retry.Budget(policy.initial, now)
         retry.record_request(self._budgets[service], policy)
         deadline = now + wait_s
-        return job.Job(request, route, team, service, now, deadline, deadline)
+        return job.Job(
+            request,
+            route,
+            team,
+            service,
+            now,
+            deadline,
+            deadline,
+            service_cfg=known.services.get(service),
+        )
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -12,7 +12,7 @@
 from snipelug_net import http_client
 from snipelug_platform_standin import server
 from snipelug_relay import clock
-from tests import platform_world, raw_caller
+from tests import platform_world, slow_caller
 
 PROMPT = {"model": platform_world.MODEL, "token_usage": "9,9", "prompt_prefix": "aa:9"}
 HEADERS: dict[str, dict[str, str]] = {
@@ -84,7 +84,7 @@
 
     target: str
     whole_s: float
-    answer: raw_caller.Answer = dataclasses.field(default_factory=raw_caller.Answer)
+    answer: slow_caller.Answer = dataclasses.field(default_factory=slow_caller.Answer)
 
     @property
     def request_id(self) -> str:
@@ -96,7 +96,7 @@
     stop: Stop, sent: Sent, is_kept: bool = False, **headers: str
 ) -> None:
     """Send a request during a stop; its connection was opened before."""
-    conn = await raw_caller.connect(stop.world.nodes[0].callers_port)
+    conn = await slow_caller.connect(stop.world.nodes[0].callers_port)
     if not is_kept:
         await conn.send_head(
             sent.target, sent.request_id, **HEADERS[sent.target], **headers
@@ -178,10 +178,10 @@
     """Guards against a request that is cut while it is still being read."""
     async with platform_world.deployment(engines=0, kv_stores=0) as world:
         stop = Stop(world, caplog)
-        answers: list[raw_caller.Answer] = []
+        answers: list[slow_caller.Answer] = []
 
         async def begin() -> None:
-            conn = await raw_caller.connect(world.nodes[0].callers_port)
+            conn = await slow_caller.connect(world.nodes[0].callers_port)
             if has_head:
                 await conn.send_head("/order/", "begun")
             else:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -12,7 +12,7 @@
 
 from snipelug_net import http_client
 from snipelug_platform_standin import server, store
-from tests import platform_world, raw_caller
+from tests import platform_world, slow_caller
 
 EXIT_TIMEOUT_S = 10.0
 
@@ -112,7 +112,7 @@
     (port,) = free_tcp_ports(1)
     process = await start_node(tmp_path, store_port, callers_port=port)
     try:
-        conns = [await raw_caller.connect(port) for _ in range(3)]
+        conns = [await slow_caller.connect(port) for _ in range(3)]
         for number, conn in enumerate(conns):
             await conn.send_head("/order/", f"r{number}")
         await trio.sleep(0.2)
