Keep what nodes know when the platform's store is restored from a copy

A copy lacks what was written since it was made. Read as the truth, it took a zone back in that the operator had taken out, called a leaving upstream ready, listed processes that were gone (also in place of their successors) and gave engines older weights.

For 5 s after the first read in a new epoch, what a node knew counts beside the table: zones stay out until their row is written or deleted, and processes that were gone are withheld until their row is written again. Then the table alone counts. Leaving and weight versions of one process, and the configuration in force, never go back; the same version with other content replaces it if it was read in a newer epoch.

--- a/packages/snipelug-core/src/snipelug_core/catalog.py
+++ b/packages/snipelug-core/src/snipelug_core/catalog.py
@@ -159,6 +159,16 @@
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
             self._routes_by_host.setdefault(route.host, []).append(route)
 
+    def has_same_content(self, other: "Catalog") -> bool:
+        """Return whether all but the version is the same."""
+        return (
+            self.routes == other.routes
+            and self.services == other.services
+            and self.stores == other.stores
+            and self.teams == other.teams
+            and self.limits == other.limits
+        )
+
     def find_route(self, host: str, path: str) -> Route | refusal.Refusal:
         """Return the route of the host with the longest prefix of the path."""
         for route in self._routes_by_host.get(host, ()):
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -5,7 +5,7 @@
 import dataclasses
 import math
 
-from snipelug_core import queueing
+from snipelug_core import queueing, restore
 
 REMOVAL_GRACE_S = 2.2
 """Retention of vanished entries; after an outage of the list they return within 2 s."""
@@ -39,6 +39,9 @@
 MAX_NOTICES = 4096
 """Maximum number of processes whose notices are remembered after they are unlisted."""
 
+MAX_GONE = 4096
+"""Maximum number of processes that are remembered as gone."""
+
 FAILURE_WEIGHT = 0.2
 """Weight of the latest outcome in the failure rate."""
 
@@ -303,6 +306,12 @@
         self._wait_models: dict[str, queueing.WaitModel] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._removal_due: dict[str, float] = {}
+        # Processes, by id and start, that were listed once and are not any more.
+        self._gone: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
+        self._withheld: set[tuple[str, int]] = set()
+        self._withheld_until = math.inf
         self._notices: collections.OrderedDict[tuple[str, int], Notice] = (
             collections.OrderedDict()
         )
@@ -328,9 +337,13 @@
 
     def put(self, entry: Entry, now: float) -> Change | None:
         """Add or update a listed entry."""
+        self._gone.pop((entry.id, entry.born), None)
+        self._withheld.discard((entry.id, entry.born))
         was_missing = self._removal_due.pop(entry.id, None) is not None
         known = self.upstreams.get(entry.id)
         if known is None or known.entry.born != entry.born:
+            if known is not None:
+                self._remember_gone(known)
             notice = self._notices.get((entry.id, entry.born), Notice())
             known = Upstream(entry, notice, versions=dict(entry.versions))
             known.cold_until = now + entry.cold_s
@@ -341,7 +354,10 @@
         before, known.entry = known.entry, entry
         known.cold_until = now + entry.cold_s if entry.cold_s > 0 else 0.0
         for model, version in entry.versions.items():
-            if before.versions.get(model) != version:
+            # A process never returns to older weights, but a restored copy of the list
+            # can have them.
+            is_listed = before.versions.get(model) != version
+            if is_listed and version > known.versions.get(model, -1):
                 known.set_version(model, version)
         if (before.service, was_leaving) == (entry.service, known.is_leaving):
             return Change(entry.id, "back") if was_missing else None
@@ -399,23 +415,71 @@
         if in_grace:
             self._removal_due.setdefault(upstream_id, now + REMOVAL_GRACE_S)
             return Change(upstream_id, "missing")
-        del self.upstreams[upstream_id]
+        self._remember_gone(self.upstreams.pop(upstream_id))
         self._removal_due.pop(upstream_id, None)
         self._rebuild_index()
         return Change(upstream_id, "gone")
 
     def replace(
-        self, entries: collections.abc.Sequence[Entry], now: float, in_grace: bool
+        self,
+        entries: collections.abc.Sequence[Entry],
+        now: float,
+        in_grace: bool,
+        is_restored: bool = False,
     ) -> collections.abc.Iterator[Change]:
-        """Replace all entries by a complete list."""
-        listed = {entry.id for entry in entries}
+        """Replace all entries by a complete list.
+
+        After a restore from a copy, a process that was gone is withheld until its row
+        is written again or ``restore.RESTORE_GRACE_S`` have passed, and a process that
+        was leaving stays leaving, as this is never withdrawn.
+
+        Parameters
+        ----------
+        is_restored : bool
+            Whether this is the first read of the list since a restore.
+        """
+        if is_restored:
+            self._withheld = {(e.id, e.born) for e in entries} & self._gone.keys()
+            self._withheld_until = now + restore.RESTORE_GRACE_S
+            for upstream in self.upstreams.values():
+                self._remember_leaving(upstream)
+        used = [e for e in entries if (e.id, e.born) not in self._withheld]
+        listed = {entry.id for entry in used}
         for entry in entries:
+            if entry.id not in listed:
+                yield Change(entry.id, "withheld")
+        for entry in used:
             if (change := self.put(entry, now)) is not None:
                 yield change
         for upstream_id in [i for i in self.upstreams if i not in listed]:
             if (change := self.remove(upstream_id, now, in_grace)) is not None:
                 yield change
 
+    def end_withholding(self, now: float) -> bool:
+        """Stop withholding processes after the grace period of a restore.
+
+        Returns
+        -------
+        bool
+            Whether the list must be read whole, as processes were withheld.
+        """
+        if now < self._withheld_until:
+            return False
+        had_any = bool(self._withheld)
+        self._withheld.clear()
+        self._withheld_until = math.inf
+        return had_any
+
+    def _remember_leaving(self, upstream: Upstream) -> None:
+        if upstream.entry.is_leaving:
+            self._remembered_notice(upstream).is_leaving = True
+
+    def _remember_gone(self, upstream: Upstream) -> None:
+        self._remember_leaving(upstream)
+        self._gone[(upstream.entry.id, upstream.entry.born)] = None
+        if len(self._gone) > MAX_GONE:
+            self._gone.popitem(last=False)
+
     def expire(self, now: float) -> collections.abc.Iterator[Change]:
         """Remove missing entries whose grace period has ended."""
         for upstream_id in [i for i, at in self._removal_due.items() if at <= now]:
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -13,6 +13,7 @@
     fleet,
     hashing,
     kv_index,
+    restore,
     retirement,
     retry,
     store_clock,
@@ -75,11 +76,14 @@
     def __init__(self, cfg: ports.Settings) -> None:
         self.cfg = cfg
         self.catalog: catalog.Catalog | None = None
+        self._catalog_epoch = 0
         self.store_clock = store_clock.StoreClock()
         self.store_epoch: int | None = None
         self._restore_handlers: list[RestoreHandler] = []
         self.named_versions: dict[str, retirement.History] = {}
         self.intents_current_ms = -math.inf
+        self._intents_epoch: int | None = None
+        self._zones = restore.ZonesOut()
         self.zones_out: frozenset[str] = frozenset()
         self.fleet = fleet.Fleet()
         self.index = kv_index.Index()
@@ -238,6 +242,7 @@
         items: collections.abc.Iterable[ports.Intent],
         clock_ms: float,
         is_whole: bool,
+        epoch: int = 0,
     ) -> None:
         """Apply the operator's intents.
 
@@ -247,24 +252,36 @@
             Time on the store's clock at which the items were up to date.
         is_whole : bool
             Whether the items are the whole table rather than changes.
+        epoch : int
+            Epoch of the store in which they were read.
         """
-        zones = set() if is_whole else set(self.zones_out)
+        is_restored = self._intents_epoch is not None and epoch > self._intents_epoch
+        self._intents_epoch = epoch
+        listed_zones = set()
         for item in items:
             match item:
                 case catalog.Catalog():
-                    self._apply_catalog(item)
+                    self._apply_catalog(item, epoch)
                 case ports.Version(model, version):
                     self._apply_version(model, version)
+                case ports.Evacuation(zone) if is_whole:
+                    listed_zones.add(zone)
                 case ports.Evacuation(zone):
-                    zones.add(zone)
+                    self._zones.add(zone)
                 case ports.Removed(ports.Evacuation(zone)):
-                    zones.discard(zone)
+                    self._zones.discard(zone)
                 case ports.Unreadable(key, reason):
                     lines.warning(LOG, "intent_unreadable", key=key, reason=reason)
+        if is_whole:
+            self._zones.replace(listed_zones, clock.now(), is_restored)
+        self._update_zones_out()
+        self.confirm(clock_ms)
+
+    def _update_zones_out(self) -> None:
+        zones = self._zones.zones
         if zones != self.zones_out:
-            self.zones_out = frozenset(zones)
+            self.zones_out = zones
             lines.event(LOG, "zones_out", zones=sorted(zones))
-        self.confirm(clock_ms)
 
     def confirm(self, clock_ms: float) -> None:
         """Record that the operator's intents were up to date at a time of the store."""
@@ -274,14 +291,29 @@
         at = self.store_clock.earliest_at(clock_ms)
         self.confirmed_at = max(self.confirmed_at, at)
 
-    def _apply_catalog(self, new: catalog.Catalog) -> None:
-        if self.catalog is not None and new.version <= self.catalog.version:
+    def _apply_catalog(self, new: catalog.Catalog, epoch: int) -> None:
+        known = self.catalog
+        if known is not None and not restore.replaces_configuration(
+            new.version,
+            known.version,
+            epoch,
+            self._catalog_epoch,
+            new.has_same_content(known),
+        ):
+            if new.version < known.version:
+                lines.warning(
+                    LOG,
+                    "configuration_ignored",
+                    version=new.version,
+                    in_force=known.version,
+                )
             return
+        self._catalog_epoch = epoch
         lines.event(
             LOG,
             "configuration",
             version=new.version,
-            before=self.catalog.version if self.catalog is not None else None,
+            before=known.version if known is not None else None,
             routes=len(new.routes),
             teams=len(new.teams),
         )
@@ -320,6 +352,7 @@
         items: collections.abc.Iterable[ports.Listing],
         is_whole: bool,
         in_grace: bool,
+        is_restored: bool = False,
     ) -> None:
         """Apply entries of the list of upstreams.
 
@@ -329,6 +362,8 @@
             Whether the items are the whole list rather than changes.
         in_grace : bool
             Whether missing entries may have expired during an outage of the list.
+        is_restored : bool
+            Whether this is the first read of the list since a restore of the store.
         """
         now = clock.now()
         entries = []
@@ -345,24 +380,27 @@
                     lines.warning(LOG, "entry_unreadable", key=key, reason=reason)
                     changes.append(self.fleet.remove(key, now, in_grace=False))
         if is_whole:
-            changes += self.fleet.replace(entries, now, in_grace)
+            changes += self.fleet.replace(entries, now, in_grace, is_restored)
             self.upstream_list_known = True
         for change in changes:
             if change is not None:
                 self._log_change(change)
 
     def expire(self) -> bool:
-        """Remove upstreams that did not return after an outage of the list.
+        """End what is kept for some time after an outage or a restore of the store.
 
         Returns
         -------
         bool
-            Whether any were removed.
+            Whether the list of upstreams must be read whole.
         """
-        changes = list(self.fleet.expire(clock.now()))
+        now = clock.now()
+        self._zones.expire(now)
+        self._update_zones_out()
+        changes = list(self.fleet.expire(now))
         for change in changes:
             self._log_change(change)
-        return bool(changes)
+        return self.fleet.end_withholding(now) or bool(changes)
 
     def _log_change(self, change: fleet.Change) -> None:
         upstream = self.fleet.upstreams.get(change.upstream_id)
