Read tables whole when the platform's store was restored from a copy

A restored store gives versions out again. Nodes went on from positions of before: when the store was written past them before they asked again, they never saw what lay between (a configuration, a removed key, an entry, a drain, a zone, a weight version), and announced their positions to the nodes of their zone. 410 does not show it then.

Positions now have an epoch, and snipelug_core.cursor decides what a response or an announcement means: changes apply only to a position of the same epoch, a newer epoch has the table read whole, and what is of an earlier one changes and confirms nothing. Readers announce a restore at once, so that the others read for themselves. Pages of one read that are of two epochs, or whose versions go back, are not usable. Datagrams of older programs decode as epoch 0; a store without the header keeps epoch 0.

--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -56,12 +56,15 @@
         The store's clock in the response, in milliseconds.
     has_changes : bool
         Whether the table changed in this range.
+    epoch : int
+        Epoch of the store to which the positions belong.
     """
 
     since: int
     position: int
     clock_ms: float
     has_changes: bool
+    epoch: int = 0
 
 
 class ListRead(msgspec.Struct, array_like=True, tag=5):
@@ -79,6 +82,8 @@
         Upstreams without an entry.
     is_cut : bool
         Whether the changes were omitted because they exceed a datagram.
+    epoch : int
+        Epoch of the store to which the positions belong.
     """
 
     since: int
@@ -87,6 +92,7 @@
     entries: list[fleet.Entry]
     removed: list[str]
     is_cut: bool = False
+    epoch: int = 0
 
 
 class KvStoreRead(msgspec.Struct, array_like=True):
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from snipelug_core import fleet
+from snipelug_core import cursor, fleet
 from snipelug_net import lines
 from snipelug_relay import announce, clock, messages, ports, state, stats
 
@@ -127,6 +127,8 @@
     ----------
     position : int or None
         Position from which changes are read next; None to read the whole table.
+    epoch : int or None
+        Epoch of the store in which the table was last read; None before the first read.
     current_at : float
         When the table was last known to be up to date, in seconds.
     read_requested : trio.Event
@@ -135,14 +137,32 @@
 
     def __init__(self) -> None:
         self.position: int | None = None
+        self.epoch: int | None = None
         self.current_at = -1e9
         self.read_requested = trio.Event()
 
-    def advance(self, position: int) -> None:
+    @property
+    def known(self) -> cursor.Position | None:
+        """The position with its epoch; None to read the whole table."""
+        if self.position is None or self.epoch is None:
+            return None
+        return cursor.Position(self.epoch, self.position)
+
+    def is_restored(self, epoch: int) -> bool:
+        """Return whether the store was restored since the table was last read."""
+        return self.epoch is not None and epoch > self.epoch
+
+    def advance(self, position: int, epoch: int) -> None:
         """Record that the table has been read up to a position."""
         self.position = position
+        self.epoch = epoch
         self.current_at = clock.now()
 
+    def restart(self) -> None:
+        """Request that this node read the whole table at once."""
+        self.position = None
+        self.request_read()
+
     def request_read(self) -> None:
         """Request that this node read the table at once."""
         self.read_requested.set()
@@ -179,12 +199,53 @@
         self._list_cursor = TableCursor()
         announcer.set_handler(messages.IntentsRead, self._on_intents_read)
         announcer.set_handler(messages.ListRead, self._on_list_read)
+        self._list_kept_until = -1e9
+        node_state.add_restore_handler(self._on_restore)
         self._cfg = cfg
         self._state = node_state
         self._store = store
         self._stats = metrics
         self._on_intent = on_intent
 
+    def _on_restore(self) -> None:
+        """Read both tables whole, as positions ended with the epoch of the store."""
+        for table in (self._intents_cursor, self._list_cursor):
+            if table.position is not None:
+                table.restart()
+
+    @property
+    def _newest_epoch(self) -> int:
+        return self._state.store_epoch or 0
+
+    def _judge(
+        self, table: TableCursor, since: cursor.Position | None, read: cursor.Position
+    ) -> cursor.Decision:
+        """Decide what to do with a response on a table."""
+        if since is None:
+            return cursor.judge_whole(read, self._newest_epoch)
+        decision = cursor.judge_changes(table.known, since, read, self._newest_epoch)
+        if decision is cursor.Decision.READ:
+            table.position = None
+        return decision
+
+    def _judge_announcement(
+        self,
+        table: TableCursor,
+        message: messages.IntentsRead | messages.ListRead,
+        is_complete: bool,
+    ) -> cursor.Decision:
+        """Decide what to do with an announcement on a table."""
+        decision = cursor.judge_announcement(
+            table.known,
+            message.since,
+            cursor.Position(message.epoch, message.position),
+            is_complete,
+            self._newest_epoch,
+        )
+        if decision is cursor.Decision.READ:
+            table.request_read()
+        return decision
+
     async def run_intents(self) -> None:
         """Watch the operator's intents."""
         call_status = CallStatus("intents", self._stats)
@@ -193,45 +254,61 @@
                 self._intents_cursor, INTENT_LONG_POLL_S + READER_LATENESS_S
             ):
                 continue
-            position = self._intents_cursor.position
+            since = self._intents_cursor.known
             sent_at = clock.now()
             page: ports.Page[ports.Intent] | ports.HistoryLost | ports.Unavailable
-            if position is None:
+            if since is None:
                 page = await self._store.read_intents()
             else:
                 wait_s = INTENT_LONG_POLL_S if self._state.is_reader else 0.0
-                page = await self._store.watch_intents(position, wait_s)
+                page = await self._store.watch_intents(since.version, wait_s)
             if isinstance(page, ports.HistoryLost):
+                position = self._intents_cursor.position
                 lines.event(LOG, "history_lost", call="intents", position=position)
                 self._intents_cursor.position = None
             elif await call_status.record(page) and isinstance(page, ports.Page):
-                self._apply_intents(page, position, sent_at)
+                decision = self._apply_intents(page, since, sent_at)
+                if decision is cursor.Decision.DROP:
+                    await trio.sleep(RETRY_PAUSE_S)
 
     def _apply_intents(
-        self, page: ports.Page[ports.Intent], since: int | None, sent_at: float
-    ) -> None:
+        self,
+        page: ports.Page[ports.Intent],
+        since: cursor.Position | None,
+        sent_at: float,
+    ) -> cursor.Decision:
         store_clock = self._state.store_clock
         self._state.record_response(page, sent_at, clock.now())
+        table = self._intents_cursor
+        decision = self._judge(table, since, cursor.Position(page.epoch, page.position))
+        if decision is not cursor.Decision.APPLY:
+            return decision
+        is_restored = table.is_restored(page.epoch)
         # A change can be missing from a held response, so it is as old as its call.
         clock_ms = min(page.clock_ms, store_clock.latest_ms(sent_at))
-        self._state.apply_intents(page.items, clock_ms, is_whole=since is None)
-        self._intents_cursor.advance(page.position)
-        if since is not None and self._state.is_reader:
+        self._state.apply_intents(
+            page.items, clock_ms, is_whole=since is None, epoch=page.epoch
+        )
+        table.advance(page.position, page.epoch)
+        if self._state.is_reader and (since is not None or is_restored):
+            # After a restore the other nodes must read the table for themselves.
+            start = page.position if since is None else since.version
+            has_changes = since is not None and bool(page.items)
             self._announcer.send_to_zone(
-                messages.IntentsRead(since, page.position, clock_ms, bool(page.items))
+                messages.IntentsRead(
+                    start, page.position, clock_ms, has_changes, page.epoch
+                )
             )
         self._on_intent()
+        return decision
 
     def _on_intents_read(self, message: messages.IntentsRead) -> None:
         """Apply a reader's announcement on the operator's table."""
-        position = self._intents_cursor.position
-        if position is None or message.position < position:
-            return
-        if message.since > position or message.has_changes:
-            self._intents_cursor.request_read()
-            return
-        self._state.confirm(message.clock_ms)
-        self._intents_cursor.advance(message.position)
+        table = self._intents_cursor
+        decision = self._judge_announcement(table, message, not message.has_changes)
+        if decision is cursor.Decision.APPLY:
+            self._state.confirm(message.clock_ms)
+            table.advance(message.position, message.epoch)
 
     async def run_upstreams(self) -> None:
         """Watch the list of upstreams."""
@@ -244,14 +321,15 @@
             ):
                 call_status.answered_at = clock.now()
                 continue
-            position = self._list_cursor.position
+            since = self._list_cursor.known
             page: ports.Page[ports.Listing] | ports.HistoryLost | ports.Unavailable
-            if position is None:
+            if since is None:
                 page = await self._store.read_upstreams()
             else:
-                page = await self._store.watch_upstreams(position, 0.0)
+                page = await self._store.watch_upstreams(since.version, 0.0)
             now = clock.now()
             if isinstance(page, ports.HistoryLost):
+                position = self._list_cursor.position
                 lines.event(LOG, "history_lost", call="upstreams", position=position)
                 self._list_cursor.position = None
                 continue
@@ -259,28 +337,47 @@
                 grace_until = now + fleet.REMOVAL_GRACE_S
             if await call_status.record(page) and isinstance(page, ports.Page):
                 self._state.record_epoch(page.epoch)
-                self._apply_listings(page, position, now < grace_until)
-                await trio.sleep(pause_s if self._state.is_reader else 0.0)
+                match self._apply_listings(page, since, now < grace_until):
+                    case cursor.Decision.APPLY if self._state.is_reader:
+                        await trio.sleep(pause_s)
+                    case cursor.Decision.DROP:
+                        await trio.sleep(RETRY_PAUSE_S)
 
     def _apply_listings(
-        self, page: ports.Page[ports.Listing], since: int | None, in_grace: bool
-    ) -> None:
+        self,
+        page: ports.Page[ports.Listing],
+        since: cursor.Position | None,
+        in_grace: bool,
+    ) -> cursor.Decision:
         # A peer's announcement may have been applied since the read was sent, or the
         # whole list requested.
-        position = self._list_cursor.position
-        if since is not None and (position is None or page.position < position):
-            return
+        table = self._list_cursor
+        known = table.known
+        read = cursor.Position(page.epoch, page.position)
+        decision = self._judge(table, since, read)
+        if decision is not cursor.Decision.APPLY:
+            return decision
+        is_restored = table.is_restored(page.epoch)
         items = list(_newest(page.items))
-        if since is not None and position is not None and self._state.is_reader:
-            self._announce_listings(items, position, page.position, in_grace)
-        self._state.apply_listings(items, since is None, in_grace)
-        self._list_cursor.advance(page.position)
+        if self._state.is_reader:
+            if since is not None and known is not None:
+                self._announce_listings(items, known.version, read, in_grace)
+            elif is_restored:
+                # The other nodes must read the list for themselves.
+                self._announce_listings([], page.position, read, in_grace)
+        if is_restored:
+            self._list_kept_until = clock.now() + fleet.REMOVAL_GRACE_S
+        if since is None:
+            in_grace = in_grace or clock.now() < self._list_kept_until
+        self._state.apply_listings(items, since is None, in_grace, is_restored)
+        table.advance(page.position, page.epoch)
+        return decision
 
     def _announce_listings(
         self,
         items: collections.abc.Iterable[ports.Listing],
         since: int,
-        position: int,
+        read: cursor.Position,
         in_grace: bool,
     ) -> None:
         """Announce the changes to what this node knows to the zone."""
@@ -294,35 +391,37 @@
                     removed.append(upstream_id)
                 case ports.Unreadable(key):
                     removed.append(key)
-        message = messages.ListRead(since, position, in_grace, entries, removed)
+        message = messages.ListRead(
+            since, read.version, in_grace, entries, removed, epoch=read.epoch
+        )
         if not self._announcer.send_to_zone(message):
-            omitted = messages.ListRead(since, position, in_grace, [], [], True)
+            omitted = messages.ListRead(
+                since, read.version, in_grace, [], [], True, read.epoch
+            )
             self._announcer.send_to_zone(omitted)
 
     def expire(self) -> None:
-        """Remove upstreams that did not return after an outage of the list.
+        """End what is kept for some time after an outage or a restore of the store.
 
         The whole list is read afterwards: an entry that returned between two reads of
         a reader was no change to it, so it was not announced to nodes that lack it.
         """
         if self._state.expire():
-            self._list_cursor.position = None
-            self._list_cursor.request_read()
+            self._list_cursor.restart()
 
     def _on_list_read(self, message: messages.ListRead) -> None:
         """Apply the changes of the list that a reader has announced."""
-        position = self._list_cursor.position
-        if position is None or message.position < position:
-            return
-        if message.since > position or message.is_cut:
-            self._list_cursor.request_read()
+        decision = self._judge_announcement(
+            self._list_cursor, message, not message.is_cut
+        )
+        if decision is not cursor.Decision.APPLY:
             return
         items: list[ports.Listing] = [*message.entries]
         items += [ports.Removed(upstream_id) for upstream_id in message.removed]
         self._state.apply_listings(items, False, message.in_grace)
-        self._list_cursor.advance(message.position)
+        self._list_cursor.advance(message.position, message.epoch)
 
-    async def _wait_for_reader(self, cursor: "TableCursor", limit_s: float) -> bool:
+    async def _wait_for_reader(self, table: TableCursor, limit_s: float) -> bool:
         """Wait while a reader of the zone reads a table for this node.
 
         Returns
@@ -330,14 +429,14 @@
         bool
             Whether to keep waiting; False if this node must read the table itself.
         """
-        if self._state.is_reader or cursor.position is None:
+        if self._state.is_reader or table.position is None:
             return False
-        left_s = cursor.current_at + limit_s - clock.now()
-        if left_s <= 0 or cursor.read_requested.is_set():
-            cursor.read_requested = trio.Event()
+        left_s = table.current_at + limit_s - clock.now()
+        if left_s <= 0 or table.read_requested.is_set():
+            table.read_requested = trio.Event()
             return False
         with trio.move_on_after(min(left_s, limit_s)):
-            await cursor.read_requested.wait()
+            await table.read_requested.wait()
         return True
 
     async def run_members(self) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -348,3 +348,54 @@
     full = http_client.FullResponse(200, headers, b'{"rows": [], "ver": 3}')
     found = store._decode_response(full)
     assert getattr(found, "epoch", None) == epoch
+
+
+def row_page(key: str, version: int, is_truncated: bool = False) -> bytes:
+    """Build a response of the store that has one row."""
+    body = {"rows": [{"key": key}], "ver": version, "truncated": is_truncated}
+    return msgspec.json.encode(body)
+
+
+@pytest.mark.parametrize(
+    ("epochs", "versions", "is_usable"),
+    [
+        ((1, 1), (7, 9), True),
+        ((1, 2), (7, 9), False),
+        ((2, 1), (7, 9), False),
+        ((1, 1), (9, 7), False),
+    ],
+)
+async def test_pages_of_one_read_are_of_one_store(
+    monkeypatch: pytest.MonkeyPatch,
+    epochs: tuple[int, int],
+    versions: tuple[int, int],
+    is_usable: bool,
+) -> None:
+    """Guards against a table of which a part is from before a restore."""
+    bodies = [row_page("a", versions[0], True), row_page("b", versions[1])]
+    pages = iter(zip(epochs, bodies, strict=True))
+
+    async def fetch(*_args: object) -> http_client.FullResponse:
+        epoch, body = next(pages)
+        return http_client.FullResponse(200, {"store-era": str(epoch)}, body)
+
+    monkeypatch.setattr(calls, "fetch", fetch)
+    client = store.Store(http_client.Pool(), ("127.0.0.1", 1))
+    page = await client.read_upstreams()
+    assert isinstance(page, ports.Page) is is_usable
+
+
+async def test_response_of_an_earlier_epoch_is_not_usable(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a late response of a store that has been restored since."""
+    epochs = iter(["1", "2", "1", "2"])
+
+    async def fetch(*_args: object) -> http_client.FullResponse:
+        headers = {"store-era": next(epochs)}
+        return http_client.FullResponse(200, headers, row_page("a", 5))
+
+    monkeypatch.setattr(calls, "fetch", fetch)
+    client = store.Store(http_client.Pool(), ("127.0.0.1", 1))
+    found = [await client.watch_upstreams(4, 0.0) for _ in range(4)]
+    assert [isinstance(page, ports.Page) for page in found] == [True, True, False, True]
