Test that nodes keep what a restored copy lacks

The store forgets a configuration, a zone that was taken out, an upstream that left, one that is leaving and one that was added; one, three and six nodes must keep all of them for their time, and follow the table alone afterwards.

--- a/tests/test_restored_reads.py
+++ b/tests/test_restored_reads.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from snipelug_core import restore
+from snipelug_core import fleet, restore
 from snipelug_net import http_client
 from snipelug_platform_standin import server
 from snipelug_relay import messages
@@ -170,3 +170,65 @@
     assert isinstance(found, kind)
     assert isinstance(found, messages.IntentsRead | messages.ListRead)
     assert (found.since, found.position, found.epoch) == (1, 2, 0)
+
+
+@pytest.mark.parametrize("nodes", NODES)
+async def test_nodes_keep_what_the_copy_lacks(nodes: int) -> None:
+    """Guards against a copy that undoes what nodes have acknowledged as in force.
+
+    The store forgets a configuration, a zone that was taken out, an upstream that has
+    left, one that is leaving and one that was added; nobody writes them again.
+    """
+    async with platform_world.deployment(
+        apps=3, engines=0, kv_stores=0, nodes=nodes, has_peers=True
+    ) as world:
+        leaving, gone, _ = world.apps
+
+        def lose(world: World) -> None:
+            use_other_key(world)
+            evacuate(world, "zone-b")
+            drain(world)
+            world.store.delete("servers", gone.id)
+            world.store.put("servers", "i-new", world.apps[2].entry())
+
+        await restore_and_write(world, lambda _: None, lose)
+        listed_again = f"{gone.id} is listed again"
+        with trio.move_on_after(fleet.REMOVAL_GRACE_S - 0.5):
+            while True:
+                for running in world.nodes:
+                    known = running._state
+                    assert holds_key(world, running, "other")
+                    assert known.zones_out == {"zone-b"}
+                    assert known.fleet.upstreams[leaving.id].is_leaving
+                    assert gone.id not in known.fleet.upstreams, listed_again
+                    assert "i-new" in known.fleet.upstreams
+                await trio.sleep(0.05)
+        epochs = {n._watch._list_cursor.epoch for n in world.nodes}
+        assert epochs == {1}, "not all nodes have read the copy"
+        await trio.sleep(restore.RESTORE_GRACE_S + IN_FORCE_S)
+        for running in world.nodes:
+            known = running._state
+            assert holds_key(world, running, "other")
+            assert known.zones_out == frozenset()
+            assert known.fleet.upstreams[leaving.id].is_leaving
+            assert gone.id in known.fleet.upstreams
+            assert "i-new" not in known.fleet.upstreams
+
+
+@pytest.mark.parametrize("nodes", NODES)
+async def test_upstream_that_is_written_again_is_used_at_once(nodes: int) -> None:
+    """Guards against an upstream that is withheld although it is there."""
+    async with platform_world.deployment(
+        engines=0, kv_stores=0, nodes=nodes, has_peers=True
+    ) as world:
+        back = world.apps[0]
+        await restore_and_write(
+            world,
+            lambda _: None,
+            lambda world: world.store.delete("servers", back.id),
+        )
+        await trio.sleep(1.5)
+        assert all(back.id not in n._state.fleet.upstreams for n in world.nodes)
+        world.store.put("servers", back.id, back.entry())
+        await trio.sleep(1.5)
+        assert all(back.id in n._state.fleet.upstreams for n in world.nodes)
