Keep the lease for weight orders to one node when the store is restored

A restored store names an old holder or nobody, and gives out versions of rows again. Another node took the lease at once while its holder still gave orders, and fencing tokens, which were derived from the row's version alone, went back below those that engines had accepted: rollouts stalled at 412.

Tokens are now derived from the epoch and the version of the row, and the row tells the epoch in which its holder read it. A row of an earlier epoch, or a missing one, is taken only after it was seen unchanged for the longest time of a lease, or at once by the holder in force. A write whose response comes from another epoch gives no lease. The decisions moved from the relay into snipelug_core.order_lease.

--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -47,11 +47,14 @@
         End of the lease on the store's clock, in milliseconds.
     fencing : int
         Fencing token; increases with each holder.
+    epoch : int
+        Epoch of the store in which the holder read the row that it replaced.
     """
 
     holder: str
     until_ms: float
     fencing: int
+    epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from snipelug_core import catalog, fleet, rollout
+from snipelug_core import catalog, fleet, order_lease, rollout
 from snipelug_net import lines
 from snipelug_relay import announce, clock, ports, state, stats
 
@@ -62,13 +62,13 @@
         self._store = store
         self._machines = machines
         self._stats = metrics
-        self._held: rollout.HeldLease | None = None
-        self._row_version = 0
+        self._candidate = order_lease.Candidate(cfg.node_id, cfg.bounds.lease_ms)
         self._is_renewing = False
         self._orders: rollout.Orders = {}
         self._needed_since: float | None = None
         self._wait_until = 0.0
         self._changed = trio.Event()
+        node_state.add_restore_handler(self.wake)
 
     def wake(self) -> None:
         """Check the engines at once, as the operator's intents have changed."""
@@ -85,6 +85,7 @@
                 self._needed_since = None
                 self._orders.clear()
                 self._changed = trio.Event()
+                await self._see_row()
                 with trio.move_on_after(IDLE_INTERVAL_S):
                     await self._changed.wait()
                 continue
@@ -114,11 +115,24 @@
             for group in self._engines()
         )
 
+    def _held(self) -> rollout.HeldLease | None:
+        return self._candidate.held(self._state.store_epoch or 0, clock.now())
+
     def _lease_remaining_ms(self) -> float:
         """Return the remaining time of this node's lease, in milliseconds."""
-        held = self._held
+        held = self._held()
         return held.remaining_ms(clock.now()) if held is not None else 0.0
 
+    async def _see_row(self) -> None:
+        """Read the lease row once in each epoch of the store.
+
+        A row of an earlier epoch may be taken only some time after it was first read,
+        which is better spent before a version is named.
+        """
+        epoch = self._state.store_epoch
+        if epoch is not None and not self._candidate.has_seen(epoch):
+            await self._read_lease()
+
     def _renew_soon(self, nursery: trio.Nursery) -> None:
         """Renew a lease that ends soon, concurrently with the orders."""
         is_due = self._lease_remaining_ms() < rollout.RENEW_BEFORE_MS
@@ -128,57 +142,61 @@
 
     async def _renew(self) -> None:
         try:
-            held = self._held
+            held = self._held()
             if held is not None:
-                await self._write_lease(
-                    held.lease.fencing, held.store_ms, self._row_version
-                )
+                await self._write_lease(self._candidate.renewal(held, clock.now()))
         finally:
             self._is_renewing = False
 
-    async def _acquire_lease(self) -> None:
-        self._held = None
+    async def _read_lease(self) -> ports.LeaseRow | ports.Unavailable:
         row = await self._store.read_lease()
         if isinstance(row, ports.Unavailable):
             lines.warning(LOG, "lease_unreadable", reason=row.reason)
+            return row
+        self._state.record_epoch(row.epoch)
+        if row.epoch < (self._state.store_epoch or 0):
+            return ports.Unavailable("the response precedes a restore of the store")
+        self._candidate.record_row(row.epoch, row.version, clock.now())
+        return row
+
+    async def _acquire_lease(self) -> None:
+        row = await self._read_lease()
+        now = clock.now()
+        if isinstance(row, ports.Unavailable):
+            self._wait_until = now + RANK_DELAY_S
+            return
+        wait_s = self._candidate.takeover_wait_s(row.lease, row.clock_ms, now)
+        if wait_s > 0:
+            self._wait_until = now + wait_s + 0.01
+            return
+        claim = self._candidate.claim(row.clock_ms, now)
+        if await self._write_lease(claim):
+            lines.event(
+                LOG,
+                "lease_taken",
+                fencing=claim.lease.fencing,
+                until_ms=claim.lease.until_ms,
+            )
+        else:
             self._wait_until = clock.now() + RANK_DELAY_S
-        elif rollout.may_take(row.lease, self._cfg.node_id, row.clock_ms):
-            if not await self._write_lease(None, row.clock_ms, row.version):
-                self._wait_until = clock.now() + RANK_DELAY_S
+
+    async def _write_lease(self, write: order_lease.Write) -> bool:
+        """Write the lease row; return whether this node holds the lease now."""
+        response = await self._store.write_lease(write.lease, write.expected)
+        if isinstance(response, ports.LeaseWritten):
+            self._state.record_epoch(response.epoch)
+            if self._candidate.record_written(
+                write, response.epoch, response.version, response.clock_ms
+            ):
+                return True
+            reason = "the store was restored meanwhile"
+        elif isinstance(response, ports.Conflict):
+            self._candidate.record_conflict()
+            reason = "another node wrote the lease row first"
         else:
-            assert row.lease is not None
-            left_s = (
-                row.lease.until_ms + rollout.TAKEOVER_DELAY_MS - row.clock_ms
-            ) / 1e3
-            self._wait_until = clock.now() + left_s + 0.01
-
-    async def _write_lease(
-        self, fencing: int | None, store_ms: float, expected: int
-    ) -> bool:
-        """Write the lease; a new holder gets a higher fencing token than all before.
-
-        The token is derived from the row's version, which increases with each write.
-        """
-        sent_at = clock.now()
-        if self._held is not None:
-            store_ms += 1e3 * (sent_at - self._held.sent_at)
-        until_ms = store_ms + self._cfg.bounds.lease_ms + rollout.LEASE_MARGIN_MS
-        token = expected + 1 if fencing is None else fencing
-        lease = rollout.Lease(self._cfg.node_id, until_ms, token)
-        response = await self._store.write_lease(lease, expected)
-        if not isinstance(response, ports.LeaseWritten):
-            reason = getattr(
-                response, "reason", "another node wrote the lease row first"
-            )
-            lines.event(LOG, "lease_not_taken", reason=reason, expected=expected)
-            if isinstance(response, ports.Conflict):
-                self._held = None
-            return False
-        if fencing is None:
-            lines.event(LOG, "lease_taken", fencing=token, until_ms=until_ms)
-        self._held = rollout.HeldLease(lease, sent_at, response.clock_ms)
-        self._row_version = response.version
-        return True
+            reason = response.reason
+        lines.event(LOG, "lease_not_taken", reason=reason, expected=write.expected)
+        return False
 
     async def _send_orders(self, nursery: trio.Nursery) -> None:
         """Start the orders that are due, without waiting for the engines' queues."""
@@ -235,7 +253,6 @@
 
     async def _send_order(self, upstream: fleet.Upstream, order: rollout.Order) -> None:
         report = await self._refresh_report(upstream)
-        held = self._held
         served = upstream.versions.get(order.model, 0)
         if report is None:
             reason = "the engine does not report its state"
@@ -248,8 +265,8 @@
             return
         self._exclude(upstream, MAX_SWITCH_S + MAX_QUEUE_DRAIN_S)
         report = await self._wait_for_empty_queue(upstream, report)
-        held = self._held
-        if held is None or held.remaining_ms(clock.now()) <= 0:
+        held = self._held()
+        if held is None:
             self._orders.pop(upstream.entry.id, None)
             self._exclude(upstream, 0.0)
             return
@@ -280,5 +297,5 @@
         elif response.status != 0:
             self._exclude(upstream, 0.0)
         if response.status == FENCED:
-            self._held = None
+            self._candidate.record_fenced()
             self._wait_until = clock.now() + self._cfg.bounds.lease_ms / 1e3
--- /dev/null
+++ b/tests/test_restored_rows.py
@@ -0,0 +1,221 @@
+"""Tests of what nodes write to the platform's store after it was restored."""
+
+import pytest
+import trio
+
+from snipelug_core import quarantine
+from snipelug_relay import node, ports, suspects
+from tests import platform_world, quarantine_builders
+
+BAD = quarantine.part_suspect(platform_world.MODEL, quarantine_builders.CRASH_PART)
+
+
+def name_version(world: platform_world.World, version: int) -> None:
+    content = {"model": platform_world.MODEL, "version": version}
+    world.store.put("op", f"version/{platform_world.MODEL}", content)
+
+
+def write_elsewhere(world: platform_world.World, count: int) -> None:
+    """Raise the store's version by rows that nodes do not use."""
+    for number in range(count):
+        world.store.put("other", "row", number)
+
+
+def cut_off(holder: node.Node) -> None:
+    """Let a node neither read nor write the lease any more."""
+
+    async def fail(*_args: object) -> ports.Unavailable:
+        return ports.Unavailable("cut off by the test")
+
+    holder._store.read_lease = fail  # type: ignore[method-assign]
+    holder._store.write_lease = fail  # type: ignore[method-assign]
+
+
+async def wait_for_weights(world: platform_world.World, version: int) -> None:
+    """Wait until all engines serve a weight version."""
+    await platform_world.wait_until(
+        lambda: all(
+            engine.models[platform_world.MODEL] == version for engine in world.engines
+        )
+    )
+
+
+async def wait_for_epoch(world: platform_world.World) -> None:
+    """Wait until all nodes know that the store was restored."""
+    await platform_world.wait_until(
+        lambda: all(
+            node._state.store_epoch == world.store.epoch for node in world.nodes
+        )
+    )
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+async def test_rollout_after_a_restore_is_not_fenced(nodes: int) -> None:
+    """Guards against fencing tokens below those that engines have accepted."""
+    async with platform_world.deployment(
+        apps=0, engines=2, nodes=nodes, has_peers=True
+    ) as world:
+        name_version(world, 2)
+        await wait_for_weights(world, 2)
+        copy = world.store.copy()
+        for version in (3, 4):
+            # The lease has expired, so a new one with another token is taken.
+            await trio.sleep(1.3)
+            write_elsewhere(world, 500)
+            name_version(world, version)
+            await wait_for_weights(world, version)
+        world.store.restore(copy)
+        name_version(world, 4)
+        await wait_for_epoch(world)
+        name_version(world, 5)
+        await wait_for_weights(world, 5)
+        for engine in world.engines:
+            tokens = [order["fencing_token"] for order in engine.orders]
+            assert tokens == sorted(tokens)  # type: ignore[type-var]
+
+
+async def test_lease_of_a_store_before_is_not_taken_by_another_node() -> None:
+    """Guards against two nodes that give orders as a copy does not name the holder."""
+    async with platform_world.deployment(
+        apps=0, engines=8, nodes=3, has_peers=True
+    ) as world:
+        copy = world.store.copy()
+        for engine in world.engines:
+            engine.faults.order_lag_s = 0.4
+        most = 0
+
+        async def count_holders() -> None:
+            nonlocal most
+            while True:
+                holders = sum(
+                    node._weights._lease_remaining_ms() > 0 for node in world.nodes
+                )
+                most = max(most, holders)
+                await trio.sleep(0.002)
+
+        world.nursery.start_soon(count_holders)
+        name_version(world, 2)
+        await platform_world.wait_until(lambda: most == 1)
+        for node in world.nodes:
+            if node._weights._lease_remaining_ms() > 0:
+                cut_off(node)
+        world.store.restore(copy)
+        name_version(world, 2)
+        await wait_for_weights(world, 2)
+        assert most == 1
+
+
+@pytest.mark.parametrize("nodes", [1, 3])
+async def test_member_rows_are_written_again_at_once(nodes: int) -> None:
+    """Guards against shares of limits that grow as rows of living nodes are gone."""
+    async with platform_world.deployment(apps=1, engines=0, nodes=0) as world:
+        copy = world.store.copy()
+        for number in range(nodes):
+            await world.add_node(f"n{number + 1}")
+        await quarantine_builders.wait_for_members(world)
+        await platform_world.wait_until(
+            lambda: all(
+                world.store.content("members", f"n{number + 1}") is not None
+                for number in range(nodes)
+            )
+        )
+        world.store.restore(copy)
+        with trio.fail_after(3.0):
+            while any(
+                world.store.content("members", f"n{number + 1}") is None
+                for number in range(nodes)
+            ):
+                assert all(node.members == nodes for node in world.nodes)
+                await trio.sleep(0.01)
+        await trio.sleep(0.5)
+        assert all(node.members == nodes for node in world.nodes)
+
+
+async def test_times_of_namings_are_written_again() -> None:
+    """Guards against a starting node that finds no times of a naming."""
+    async with platform_world.deployment(apps=0, engines=2) as world:
+        for engine in world.engines:
+            engine.faults.order_lag_s = 30.0
+        copy = world.store.copy()
+        name_version(world, 2)
+        await platform_world.wait_until(
+            lambda: world.store.content("retirements", platform_world.MODEL) is not None
+        )
+        world.store.restore(copy)
+        name_version(world, 2)
+        await platform_world.wait_until(
+            lambda: world.store.content("retirements", platform_world.MODEL) is not None
+        )
+        late = await world.add_node("n2")
+        await platform_world.wait_until(
+            lambda: (
+                platform_world.MODEL in late._state.named_versions
+                and not late._state.named_versions[platform_world.MODEL].is_uncertain
+            )
+        )
+        named = late._state.named_versions[platform_world.MODEL]
+        known = world.nodes[0]._state.named_versions[platform_world.MODEL]
+        assert named.last_current_ms(1) == known.last_current_ms(1)
+
+
+async def test_withheld_suspect_is_written_again() -> None:
+    """Guards against a starting node that does not know of a part that crashes."""
+    async with platform_world.deployment(apps=0, engines=6, nodes=2) as world:
+        copy = world.store.copy()
+        quarantine_builders.arm(world.engines)
+        caller = platform_world.Caller(world.nodes[0])
+        await quarantine_builders.send_crashing([caller], 4)
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", BAD) is not None
+        )
+        world.store.restore(copy)
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", BAD) is not None
+        )
+
+
+async def test_cleared_suspect_does_not_return_from_the_copy() -> None:
+    """Guards against a starting node that withholds a part that was found sound."""
+    async with platform_world.deployment(apps=0, engines=6) as world:
+        known = world.nodes[0]._suspects
+        for crash in range(quarantine.SUSPECT_LIMIT):
+            known._ledger.charge(f"{crash:013d}/i", ["a"])
+        known._mark_unwritten("a")
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", "a") is not None
+        )
+        copy = world.store.copy()
+        known._clear("a", 0.0)
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", "a") is None
+        )
+        world.store.restore(copy)
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", "a") is None
+        )
+        assert known._ledger.count("a") == 0
+
+
+async def test_probe_is_not_claimed_again_after_a_restore(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second probe of a suspect whose first claim is gone."""
+    monkeypatch.setattr(suspects, "PROBE_AFTER_S", 1.5)
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        await quarantine_builders.send_crashing(callers, 4)
+        await platform_world.wait_until(
+            lambda: world.store.content("suspects", BAD) is not None
+        )
+        copy = world.store.copy()
+        await trio.sleep(2.0)
+        count = quarantine_builders.crashes(world)
+        await quarantine_builders.send_crashing(callers[:1], 1)
+        assert quarantine_builders.crashes(world) == count + 1
+        world.store.restore(copy)
+        await quarantine_builders.send_crashing(callers[1:], 4)
+        assert quarantine_builders.crashes(world) == count + 1
