Translate times of the store's clock when it jumps at a restore

Times of namings and of the last confirmation were compared with the clock of the restored store. With a clock that had gone back, outdated weights stayed in use for as long as it had gone back. The node's own clock bounds the store's from both sides, which shows a jump; times are then translated to the earliest ones possible. A steady clock changes nothing. Responses of an earlier epoch than one already received are ignored, and the clock of a call that was held during the restore is not used.

--- a/packages/snipelug-core/src/snipelug_core/retirement.py
+++ b/packages/snipelug-core/src/snipelug_core/retirement.py
@@ -98,6 +98,15 @@
             }
         )
 
+    def shifted(self, shift_ms: float) -> "History":
+        """Return the history on a clock that differs by a constant."""
+        return History(
+            {
+                version: Span(span.first_ms + shift_ms, span.last_ms + shift_ms)
+                for version, span in self.spans.items()
+            }
+        )
+
     def last_current_ms(self, version: int) -> float:
         """Return the latest time at which no newer version than this one was named.
 
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -50,6 +50,9 @@
         Bounds of the clock of the platform's store.
     store_epoch : int or None
         Newest epoch of the platform's store; None until it has responded.
+    clock_epoch : int
+        First epoch since which the store's clock has gone on steadily, as far as this
+        node knows.
     named_versions : dict of str to retirement.History
         The named weight versions of each model.
     intents_current_ms : float
@@ -77,6 +80,9 @@
         self.catalog: catalog.Catalog | None = None
         self.store_clock = store_clock.StoreClock()
         self.store_epoch: int | None = None
+        self.clock_epoch = 0
+        self._sampled_epoch = -1
+        self._epoch_known_at = -math.inf
         self._restore_handlers: list[RestoreHandler] = []
         self.named_versions: dict[str, retirement.History] = {}
         self.intents_current_ms = -math.inf
@@ -212,10 +218,46 @@
 
     def record_response(
         self, page: ports.Page[typing.Any], sent_at: float, received_at: float
-    ) -> None:
-        """Record the clock and the epoch in a response of the platform's store."""
-        self.store_clock.record(sent_at, received_at, page.clock_ms)
+    ) -> bool:
+        """Record the clock and the epoch in a response of the platform's store.
+
+        Returns
+        -------
+        bool
+            Whether the response may be used; False if the store has been restored
+            since.
+        """
+        if page.epoch < (self.store_epoch or 0):
+            return False
+        if self._sampled_epoch < 0:
+            self._sampled_epoch = self.clock_epoch = page.epoch
+        if page.epoch == self._sampled_epoch:
+            self.store_clock.record(sent_at, received_at, page.clock_ms)
+        elif sent_at >= self._epoch_known_at:
+            self._follow_clock(page, sent_at, received_at)
         self.record_epoch(page.epoch)
+        return True
+
+    def _follow_clock(
+        self, page: ports.Page[typing.Any], sent_at: float, received_at: float
+    ) -> None:
+        """Use the first clock after a restore; translate earlier times if it jumped.
+
+        The call was sent when the epoch was known, as a response that was held during
+        the restore may tell the clock of before. The translation errs towards earlier
+        times, which retire outdated weight versions sooner.
+        """
+        self._sampled_epoch = page.epoch
+        shift_ms = self.store_clock.restart(sent_at, received_at, page.clock_ms)
+        if not shift_ms:
+            return
+        lines.warning(LOG, "store_clock_jumped", epoch=page.epoch, shift_ms=shift_ms)
+        self.clock_epoch = page.epoch
+        self.intents_current_ms += shift_ms
+        self.named_versions = {
+            model: named.shifted(shift_ms)
+            for model, named in self.named_versions.items()
+        }
 
     def record_epoch(self, epoch: int) -> None:
         """Record the store's epoch; call the handlers if it has been restored."""
@@ -223,6 +265,7 @@
         if before is not None and epoch <= before:
             return
         self.store_epoch = epoch
+        self._epoch_known_at = clock.now()
         if before is None:
             return
         lines.warning(LOG, "store_restored", epoch=epoch, before=before)
