Write the rows of suspects again when the store was restored

A copy lacks suspects that were found since, has those that were cleared, and has lost claims of probes. Rows are written once for each change, so a node that started later withheld sound parts or sent what crashes engines, and two nodes sent a probe of the same time.

Each node writes the rows that its ledger tells of again, with the probes it knows, and claims no probe until others have done so. A row that tells of fewer probes than known no longer replaces them. A conditional write counts as failed if the response comes from another epoch than the row, in which the version may stand for another row.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -220,6 +220,18 @@
         """Return the suspicions with ``RETRY_LIMIT`` crashes or more."""
         return [self._suspicions[suspect] for suspect in self._repeated]
 
+    def recorded(self) -> list[str]:
+        """Return the suspects that may have a row in the platform's store.
+
+        Rows are written from ``RETRY_LIMIT`` crashes on, and removed when these are
+        cleared.
+        """
+        return [
+            suspicion.suspect
+            for suspicion in self._suspicions.values()
+            if max(len(suspicion.crashes), len(suspicion.cleared)) >= RETRY_LIMIT
+        ]
+
     @property
     def has_repeated(self) -> bool:
         """Whether a suspect has ``RETRY_LIMIT`` crashes or more."""
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -321,7 +321,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Conflict:
-    """Another node wrote the row first."""
+    """Another node wrote the row first, or the store was restored meanwhile."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -332,11 +332,17 @@
     ----------
     row_version : int
         Version of the row, 0 if it does not exist.
+    epoch : int
+        Epoch of the store in which the row was read.
+    clock_epoch : int
+        Epoch in which the row was written; its times are on the store's clock then.
     """
 
     model: str
     history: retirement.History
     row_version: int
+    epoch: int = 0
+    clock_epoch: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -351,12 +357,15 @@
         Number of requests that were sent that way.
     version : int
         Version of the row, 0 if it does not exist.
+    epoch : int
+        Epoch of the store in which the row was read.
     """
 
     suspicion: quarantine.Suspicion
     probe_at_ms: float
     probes: int
     version: int
+    epoch: int = 0
 
 
 class ControlStore(typing.Protocol):
@@ -411,7 +420,10 @@
     async def write_retirement(
         self, row: RetirementRow
     ) -> Conflict | Unavailable | None:
-        """Write the times of one model if its row still has the same version."""
+        """Write the times of one model if its row still has the same version.
+
+        The result is a conflict if the store is no longer in the epoch of the row.
+        """
         ...
 
     async def read_suspects(self) -> Page[SuspectRow] | Unavailable:
@@ -419,11 +431,14 @@
         ...
 
     async def write_suspect(self, row: SuspectRow) -> bool | Unavailable:
-        """Write a row if its version is unchanged; return whether it was written."""
+        """Write a row if its version is unchanged; return whether it was written.
+
+        It counts as not written if the store is no longer in the epoch of the row.
+        """
         ...
 
-    async def remove_suspect(self, suspect: str, version: int) -> bool | Unavailable:
-        """Remove a row if its version is unchanged; return whether it was removed."""
+    async def remove_suspect(self, row: SuspectRow) -> bool | Unavailable:
+        """Remove a row like ``write_suspect``; return whether it was removed."""
         ...
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -59,6 +59,12 @@
 
 MAX_PROBE_DOUBLINGS = 6
 CLAIM_RETRY_S = 5.0
+RESTORE_NOTICE_S = 2.0
+"""Time in which nodes learn that the platform's store was restored.
+
+They then write the rows again with the claims that the store has lost.
+"""
+
 RETENTION_S = 600.0
 """Time after its last change for which a suspect that is not withheld is kept."""
 
@@ -121,6 +127,14 @@
         self._has_work = trio.Event()
         self._rows_due = trio.Event()
         self._rng = random.Random()
+        self._is_restored = False
+        self._claims_from = 0.0
+        node_state.add_restore_handler(self._on_restore)
+
+    def _on_restore(self) -> None:
+        """Write all rows again; make no claims until other nodes have done so."""
+        self._is_restored = True
+        self._claims_from = clock.now() + self._rows_interval_s() + RESTORE_NOTICE_S
 
     async def check(self, work: job.Job) -> refusal.Refusal | None:
         """Return a refusal if a request is withheld, or None to send it."""
@@ -128,7 +142,8 @@
         if suspicion is None:
             return None
         hold = self._hold(suspicion.suspect)
-        if hold.probe_at <= clock.now() and await self._claim_probe(suspicion.suspect):
+        due_at = max(hold.probe_at, self._claims_from)
+        if due_at <= clock.now() and await self._claim_probe(suspicion.suspect):
             work.is_probe = True
             return None
         return self._build_refusal(suspicion)
@@ -187,6 +202,7 @@
         if not self._ledger.clear(suspect):
             return
         self._holds.pop(suspect, None)
+        self._changed_at[suspect] = clock.now()
         self._schedule(suspect, delay_s)
         if count >= quarantine.RETRY_LIMIT:
             self._mark_unwritten(suspect)
@@ -339,20 +355,24 @@
 
     async def _run_rows(self, call_status: watch.CallStatus) -> None:
         while True:
-            interval_s = max(
-                MIN_ROWS_INTERVAL_S, ROWS_INTERVAL_PER_NODE_S * self._state.nodes
-            )
-            with trio.move_on_after(interval_s):
+            with trio.move_on_after(self._rows_interval_s()):
                 await self._rows_due.wait()
             self._rows_due = trio.Event()
             # A suspect that is sound is mostly cleared by then.
             await trio.sleep(ROWS_DELAY_S)
+            if self._is_restored:
+                self._is_restored = False
+                self._unwritten.update(self._ledger.recorded())
             self._forget_old()
             if self._unwritten or self._ledger.has_repeated:
                 await call_status.record(await self._sync_rows())
             if self._unwritten:
                 self._rows_due.set()
 
+    def _rows_interval_s(self) -> float:
+        by_nodes_s = ROWS_INTERVAL_PER_NODE_S * self._state.nodes
+        return max(MIN_ROWS_INTERVAL_S, by_nodes_s)
+
     def _forget_old(self) -> None:
         """Forget suspects that no request has contained for long.
 
@@ -383,7 +403,7 @@
         failure: ports.Unavailable | None = None
         for suspect in sorted(self._unwritten):
             row = rows.get(suspect)
-            written = await self._write_row(suspect, row, page.clock_ms)
+            written = await self._write_row(suspect, row, page)
             if isinstance(written, ports.Unavailable):
                 # A row that the store rejects must not keep back the others.
                 failure = written
@@ -392,20 +412,31 @@
         return failure or page
 
     async def _read_rows(self) -> ports.Page[ports.SuspectRow] | ports.Unavailable:
+        sent_at = clock.now()
         page = await self._store.read_suspects()
         if isinstance(page, ports.Unavailable):
             return page
         now = clock.now()
+        if not self._state.record_response(page, sent_at, now):
+            return ports.Unavailable("the response precedes a restore of the store")
         for row in page.items:
             self._merge(row.suspicion)
-            if self._ledger.count(row.suspicion.suspect):
+            suspect = row.suspicion.suspect
+            held = self._holds.get(suspect)
+            # A row with fewer probes than known has lost a claim.
+            if self._ledger.count(suspect) and (
+                held is None or row.probes >= held.probes
+            ):
                 probe_at = now + (row.probe_at_ms - page.clock_ms) / 1e3
-                self._holds[row.suspicion.suspect] = Hold(probe_at, row.probes)
+                self._holds[suspect] = Hold(probe_at, row.probes)
         self._enforce()
         return page
 
     async def _write_row(
-        self, suspect: str, row: ports.SuspectRow | None, clock_ms: float
+        self,
+        suspect: str,
+        row: ports.SuspectRow | None,
+        page: ports.Page[ports.SuspectRow],
     ) -> bool | ports.Unavailable:
         """Bring the row of a suspect up to date; return False if it must be repeated.
 
@@ -413,16 +444,20 @@
         """
         known = self._ledger.get(suspect)
         if not known.crashes:
-            if row is None:
-                return True
-            return await self._store.remove_suspect(suspect, row.version)
-        if row is not None and row.suspicion == quarantine.shorten(known, _fits_row):
+            return True if row is None else await self._store.remove_suspect(row)
+        fitting = quarantine.shorten(known, _fits_row)
+        held = self._holds.get(suspect) or Hold(clock.now() + PROBE_AFTER_S)
+        is_claimed = row is None or row.probes < held.probes
+        if row is not None and row.suspicion == fitting and not is_claimed:
             return True
-        probe_at_ms, probes, version = clock_ms + 1000 * PROBE_AFTER_S, 0, 0
+        probe_at_ms = page.clock_ms + 1e3 * (held.probe_at - clock.now())
+        new = ports.SuspectRow(fitting, probe_at_ms, held.probes, 0, page.epoch)
         if row is not None:
-            probe_at_ms, probes, version = row.probe_at_ms, row.probes, row.version
-        fitting = quarantine.shorten(known, _fits_row)
-        new = ports.SuspectRow(fitting, probe_at_ms, probes, version)
+            new = dataclasses.replace(new, version=row.version)
+        if row is not None and not is_claimed:
+            new = dataclasses.replace(
+                new, probe_at_ms=row.probe_at_ms, probes=row.probes
+            )
         return await self._store.write_suspect(new)
 
     async def _claim_probe(self, suspect: str) -> bool:
@@ -430,7 +465,7 @@
         hold = self._hold(suspect)
         hold.probe_at = clock.now() + CLAIM_RETRY_S
         page = await self._read_rows()
-        if isinstance(page, ports.Unavailable):
+        if isinstance(page, ports.Unavailable) or clock.now() < self._claims_from:
             return False
         known = self._ledger.get(suspect)
         if not known.crashes:
@@ -439,13 +474,14 @@
         row = rows.get(suspect)
         if row is not None and row.probe_at_ms > page.clock_ms:
             return False
-        probes = 1 if row is None else row.probes + 1
+        probes = 1 + max(self._hold(suspect).probes, 0 if row is None else row.probes)
         pause_s = PROBE_AFTER_S * 2 ** min(probes, MAX_PROBE_DOUBLINGS)
         claim = ports.SuspectRow(
             quarantine.shorten(known, _fits_row),
             page.clock_ms + 1000 * pause_s,
             probes,
             0 if row is None else row.version,
+            page.epoch,
         )
         if await self._store.write_suspect(claim) is not True:
             return False
