Write the times of namings again when the store was restored

The row was written once after a naming, so a node that started after a restore found none and did not use outdated weights at all. The exchange is opened again, and a row that was written in an earlier epoch is written anew. Its times are only used by nodes that have seen the store's clock go on since.

--- a/packages/snipelug-relay/src/snipelug_relay/retirements.py
+++ b/packages/snipelug-relay/src/snipelug_relay/retirements.py
@@ -4,7 +4,6 @@
 were reading the operator's table at that time write it to the platform's store.
 """
 
-import collections.abc
 import dataclasses
 import logging
 
@@ -63,6 +62,12 @@
         self._begun: dict[str, int] = {}
         self._open: dict[str, Exchange] = {}
         self._changed = trio.Event()
+        node_state.add_restore_handler(self._on_restore)
+
+    def _on_restore(self) -> None:
+        """Begin all exchanges again, as rows may be gone."""
+        self._begun.clear()
+        self.wake()
 
     def wake(self) -> None:
         """Begin an exchange for each model with a version that is new to this node."""
@@ -85,7 +90,7 @@
             elif any(self._is_due(model) for model in self._open):
                 page = await self._read()
                 if await call_status.record(page) and isinstance(page, ports.Page):
-                    await self._exchange(page.items)
+                    await self._exchange(page)
             with trio.move_on_after(RETRY_INTERVAL_S if self._open else 0.0):
                 await self._changed.wait()
             self._give_up_expired()
@@ -109,27 +114,41 @@
     async def _read(self) -> ports.Page[ports.RetirementRow] | ports.Unavailable:
         sent_at = clock.now()
         page = await self._store.read_retirements()
-        if isinstance(page, ports.Page):
-            self._state.record_response(page, sent_at, clock.now())
+        if isinstance(page, ports.Page) and not self._state.record_response(
+            page, sent_at, clock.now()
+        ):
+            return ports.Unavailable("the response precedes a restore of the store")
         return page
 
-    async def _exchange(
-        self, rows: collections.abc.Iterable[ports.RetirementRow]
-    ) -> None:
+    async def _exchange(self, page: ports.Page[ports.RetirementRow]) -> None:
         """Merge the rows into the state, and write what this node knows better."""
-        found = {row.model: row for row in rows}
+        found = {row.model: self._comparable(row) for row in page.items}
         for model, row in found.items():
             if model in self._state.named_versions:
                 self._state.merge_history(model, row.history)
         for model, item in list(self._open.items()):
-            empty = ports.RetirementRow(model, retirement.History(), 0)
+            empty = ports.RetirementRow(
+                model, retirement.History(), 0, page.epoch, page.epoch
+            )
             if await self._is_complete(item, found.get(model, empty)):
                 self._open.pop(model, None)
 
+    def _comparable(self, row: ports.RetirementRow) -> ports.RetirementRow:
+        """Return a row without times that are on a clock from before a restore.
+
+        A node that has not seen the clock go on cannot translate them.
+        """
+        if row.clock_epoch >= self._state.clock_epoch:
+            return row
+        return dataclasses.replace(row, history=retirement.History())
+
     async def _is_complete(self, item: Exchange, row: ports.RetirementRow) -> bool:
         """Write the row if needed; return whether the exchange is complete."""
         known = self._state.named_versions[row.model]
-        if not known.improves(row.history, MIN_GAIN_MS):
+        # Nodes that start cannot use times from before a restore.
+        is_current = row.clock_epoch == row.epoch
+        is_better = known.improves(row.history, MIN_GAIN_MS)
+        if not is_better and (is_current or known.is_uncertain):
             return not known.is_uncertain
         if clock.now() < item.write_at:
             return False
