Write the member row at once when the store was restored

Nodes whose rows a copy lacked were missing from the shares of limits for up to 15 s, and others counted them out as soon as they read the table. A node writes its row as soon as it learns of the restore, and the others count it as before until then. Ages of rows are no longer compared with a clock that has jumped.

--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -1,12 +1,13 @@
 """Keeps the state of a node up to date with the platform's store."""
 
 import collections.abc
+import dataclasses
 import logging
 import typing
 
 import trio
 
-from snipelug_core import fleet
+from snipelug_core import fleet, membership
 from snipelug_net import lines
 from snipelug_relay import announce, clock, messages, ports, state, stats
 
@@ -341,20 +342,37 @@
         return True
 
     async def run_members(self) -> None:
-        """Refresh this node's row in the member table and read the other rows."""
+        """Refresh this node's row in the member table and read the other rows.
+
+        Both are done at once when the store was restored.
+        """
         call_status = CallStatus("members", self._stats, MAX_MEMBERS_RETRY_PAUSE_S)
         pauses = iter(MEMBER_READ_INTERVALS_S)
-        pause_s = next(pauses)
-        written_at = -1e9
+        write_from = -1e9
         demand = DemandMeter(clock.now())
+        rows = membership.Rows(1e3 * state.MEMBER_MAX_AGE_S)
+        known: dict[str, ports.Member] = {}
+        restored = trio.Event()
+
+        def on_restore() -> None:
+            nonlocal pauses, write_from
+            pauses = iter(MEMBER_READ_INTERVALS_S)
+            write_from = -1e9
+            restored.set()
+
+        self._state.add_restore_handler(on_restore)
         while True:
             sent_at = clock.now()
             page = await self._store.read_members()
+            now = clock.now()
+            if isinstance(page, ports.Page) and not self._state.record_response(
+                page, sent_at, now
+            ):
+                page = ports.Unavailable("the response precedes a restore of the store")
             if not (await call_status.record(page) and isinstance(page, ports.Page)):
                 continue
-            now = clock.now()
-            self._state.record_response(page, sent_at, now)
-            if now - written_at >= MEMBER_WRITE_INTERVAL_S - 1.0:
+            restored = trio.Event()
+            if now >= write_from:
                 member = ports.Member(
                     self._cfg.node_id,
                     self._cfg.zone,
@@ -363,7 +381,19 @@
                     demand.measure(self._state.requests_received, now),
                 )
                 if await call_status.record(await self._store.write_member(member)):
-                    written_at = now
-            self._state.apply_members(page)
-            await trio.sleep(pause_s)
-            pause_s = next(pauses, MEMBER_READ_INTERVALS_S[-1])
+                    write_from = now + MEMBER_WRITE_INTERVAL_S - 1.0
+            known |= {member.node_id: member for member in page.items}
+            seen_ms = rows.update(
+                {member.node_id: member.seen_ms for member in page.items},
+                page.clock_ms,
+                page.epoch,
+                self._state.clock_epoch,
+            )
+            known = {node_id: known[node_id] for node_id in seen_ms}
+            items = [
+                dataclasses.replace(known[node_id], seen_ms=at_ms)
+                for node_id, at_ms in seen_ms.items()
+            ]
+            self._state.apply_members(dataclasses.replace(page, items=items))
+            with trio.move_on_after(next(pauses, MEMBER_READ_INTERVALS_S[-1])):
+                await restored.wait()
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -72,6 +72,20 @@
     assert order_lease.fencing_token(2**22, 2**40) < 2**63
 
 
+def test_row_that_a_late_write_has_replaced_is_not_taken_at_once() -> None:
+    """Guards against a newer holder whose row a write from before a restore replaced.
+
+    The version that it names was given out again to the row of the holder.
+    """
+    late = build_candidate(None, 1).claim(50_000.0, 20.0).lease
+    holder, other = (build_candidate(None, 2) for _ in range(2))
+    claim = holder.claim(50_000.0, 14.0)
+    assert holder.record_written(claim, 2, 8, 50_010.0)
+    other.record_row(2, 9, 14.5)
+    assert holder.held(2, 14.5) is not None
+    assert other.takeover_wait_s(late, 50_500.0, 14.5) == pytest.approx(LONGEST_S)
+
+
 @dataclasses.dataclass
 class Copy:
     """The lease row and the version of the store at one moment."""
@@ -247,6 +261,32 @@
             write, self.epoch, self.store.version, self.store_ms()
         )
 
+    @stateful.rule(
+        holders=st.permutations(range(3)),
+        pause_s=st.sampled_from([0.0, 1.5, 2.7, 3.7]),
+        has_later_holder=st.booleans(),
+    )
+    def restore_beside_a_holder(
+        self, holders: list[int], pause_s: float, has_later_holder: bool
+    ) -> None:
+        """Lose the rows of one or two holders; a node takes the lease after a pause."""
+        first, second, third = holders
+        self.copy()
+        for number in (first, second) if has_later_holder else (first,):
+            self.now += LONGEST_S + 0.1
+            self.write_other_rows(3)
+            self.take(number)
+            self.order(number)
+        self.store = self.copies.pop()
+        self.copies = [dataclasses.replace(self.store)]
+        self.epoch += 1
+        next_holder = first if has_later_holder else third
+        self.take(next_holder)
+        self.now += pause_s
+        self.take(next_holder)
+        self.one_node_gives_orders()
+        self.order(next_holder)
+
     @stateful.rule(number=st.integers(0, 2))
     def order(self, number: int) -> None:
         """Give an order to an engine that has accepted all orders so far."""
--- a/tests/test_restored_rows.py
+++ b/tests/test_restored_rows.py
@@ -3,7 +3,10 @@
 import pytest
 import trio
 
-from snipelug_core import quarantine
+from snipelug_core import quarantine, retirement
+from snipelug_net import http_client
+from snipelug_platform import main as platform_main
+from snipelug_platform_standin import store
 from snipelug_relay import node, ports, suspects
 from tests import platform_world, quarantine_builders
 
@@ -219,3 +222,55 @@
         world.store.restore(copy)
         await quarantine_builders.send_crashing(callers[1:], 4)
         assert quarantine_builders.crashes(world) == count + 1
+
+
+async def test_condition_does_not_hold_for_a_row_of_another_epoch(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against success when a version stands for another row by then."""
+    rows = store.Store()
+    port = await nursery.start(rows.serve)
+    client = platform_main.control_store(http_client.Pool(1.0), ("127.0.0.1", port))
+    suspicion = quarantine.Suspicion("a", {"crash": frozenset({"a"})})
+    times = ports.RetirementRow("m", retirement.History(), 0)
+    assert await client.write_suspect(ports.SuspectRow(suspicion, 1.0, 0, 0)) is True
+    assert await client.write_retirement(times) is None
+    suspects_read = await client.read_suspects()
+    times_read = await client.read_retirements()
+    assert isinstance(suspects_read, ports.Page)
+    assert isinstance(times_read, ports.Page)
+    rows.restore(rows.copy())
+    (suspect,), (times,) = suspects_read.items, times_read.items
+    assert await client.write_suspect(suspect) is False
+    assert isinstance(await client.write_retirement(times), ports.Conflict)
+    suspects_read = await client.read_suspects()
+    assert isinstance(suspects_read, ports.Page)
+    rows.restore(rows.copy())
+    assert await client.remove_suspect(suspects_read.items[0]) is False
+    nursery.cancel_scope.cancel()
+
+
+async def test_times_of_another_epoch_are_only_used_if_the_clock_went_on() -> None:
+    """Guards against times of a clock that a starting node cannot translate."""
+    async with platform_world.deployment(apps=0, engines=2) as world:
+        for engine in world.engines:
+            engine.faults.order_lag_s = 30.0
+        name_version(world, 2)
+        await platform_world.wait_until(
+            lambda: world.store.content("retirements", platform_world.MODEL) is not None
+        )
+        world.store.restore(world.store.copy(), clock_jump_s=-30.0)
+        await platform_world.wait_until(
+            lambda: (
+                world.store.content("retirements", platform_world.MODEL)["epoch"] == 1
+            )
+        )
+        late = await world.add_node("n2")
+        await platform_world.wait_until(
+            lambda: (
+                platform_world.MODEL in late._state.named_versions
+                and not late._state.named_versions[platform_world.MODEL].is_uncertain
+            )
+        )
+        retired_at = [node._state.retired_at("m", 1) for node in world.nodes]
+        assert retired_at[1] == pytest.approx(retired_at[0], abs=0.2)
