Remove the row of a node that stops again after a restore

The copy had the row of a node that had removed it at its planned stop, and the node wrote it itself when its next write was due. It then counted among the nodes that share limits for 50 s.

tests/test_restored_rows.py: test_row_of_a_node_that_stops_does_not_return failed before and passes now.

--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -373,14 +373,9 @@
                 continue
             restored = trio.Event()
             if now >= write_from:
-                member = ports.Member(
-                    self._cfg.node_id,
-                    self._cfg.zone,
-                    page.clock_ms,
-                    self._cfg.peers,
-                    demand.measure(self._state.requests_received, now),
-                )
-                if await call_status.record(await self._store.write_member(member)):
+                demand_per_s = demand.measure(self._state.requests_received, now)
+                written = await self._write_own_row(page.clock_ms, demand_per_s)
+                if await call_status.record(written):
                     write_from = now + MEMBER_WRITE_INTERVAL_S - 1.0
             known |= {member.node_id: member for member in page.items}
             seen_ms = rows.update(
@@ -397,3 +392,22 @@
             self._state.apply_members(dataclasses.replace(page, items=items))
             with trio.move_on_after(next(pauses, MEMBER_READ_INTERVALS_S[-1])):
                 await restored.wait()
+
+    async def _write_own_row(
+        self, clock_ms: float, demand_per_s: float
+    ) -> ports.Unavailable | None:
+        """Write this node's member row, or remove it during a planned stop.
+
+        A restored store has the row again that was removed when the stop began.
+        """
+        if self._state.is_stopping:
+            return await self._store.remove_member(self._cfg.node_id)
+        return await self._store.write_member(
+            ports.Member(
+                self._cfg.node_id,
+                self._cfg.zone,
+                clock_ms,
+                self._cfg.peers,
+                demand_per_s,
+            )
+        )
--- a/tests/test_restored_rows.py
+++ b/tests/test_restored_rows.py
@@ -274,3 +274,22 @@
         )
         retired_at = [node._state.retired_at("m", 1) for node in world.nodes]
         assert retired_at[1] == pytest.approx(retired_at[0], abs=0.2)
+
+
+async def test_row_of_a_node_that_stops_does_not_return() -> None:
+    """Guards against a stopped node that counts among those that share limits."""
+    async with platform_world.deployment(apps=1, engines=0, kv_stores=0) as world:
+        await platform_world.wait_until(
+            lambda: world.store.content("members", "n1") is not None
+        )
+        copy = world.store.copy()
+        world.nursery.start_soon(world.nodes[0].stop)
+        await platform_world.wait_until(
+            lambda: world.store.content("members", "n1") is None
+        )
+        world.store.restore(copy)
+        await platform_world.wait_until(
+            lambda: world.store.content("members", "n1") is None
+        )
+        await trio.sleep(1.0)
+        assert world.store.content("members", "n1") is None
