Forget the clock of a KV cache store that has restarted

Ages of announcements were computed from a clock of the process before, so that a late one could make a restarted store look freshly polled, and its parts be read.

tests/test_kv_stores.py failed before and passes now.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -138,9 +138,11 @@
     def restart(self, epoch: int, now: float) -> None:
         """Start a new epoch.
 
-        A node that has just started cannot tell whether the store has restarted.
+        A node that has just started cannot tell whether the store has restarted. The
+        store's clock may have started anew as well.
         """
         self.clear()
+        self.clock_offset_s = self.clock_sample = None
         self.versions.clear()
         self.epoch = epoch
         self.saves_allowed_at = now + RESTART_SAVE_DELAY_S
--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -121,6 +121,11 @@
                 before=store_state.epoch,
             )
             store_state.restart(page.epoch, sent_at)
+        if page.clock_s is not None:
+            # The store read its clock before the response arrived, so this is a lower
+            # bound of the offset, and transfers end no later than intended.
+            store_state.clock_offset_s = page.clock_s - clock.now()
+            store_state.clock_sample = (sent_at, page.clock_s)
         if (is_new and store_state.next_event > 0) or page.has_gap:
             await self._read_all(store_state, sent_at)
             return
@@ -130,13 +135,9 @@
         store_state.next_event = page.next
         self._apply_events(store_state, page.events)
         store_state.polled_at = sent_at
-        if page.clock_s is not None:
-            # The store read its clock before the response arrived, so this is a lower
-            # bound of the offset, and transfers end no later than intended.
-            store_state.clock_offset_s = page.clock_s - clock.now()
-            store_state.clock_sample = (sent_at, page.clock_s)
-            if self._state.reads_store(store_state.store.name):
-                self._queue_report(store_state, since, page, page.clock_s)
+        is_reader = self._state.reads_store(store_state.store.name)
+        if page.clock_s is not None and is_reader:
+            self._queue_report(store_state, since, page, page.clock_s)
 
     def _queue_report(
         self,
