--- a/packages/snipelug-cli/src/snipelug_cli/deployment.py
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -46,7 +46,8 @@
         One row for each node and each upstream.
     orders : dict or None
         The node that holds the lease for ordering weights, with its fencing token
-        and the remaining time.
+        and the remaining time. A row from before a restore of the store does not tell
+        who holds the lease.
     """
 
     configuration: int | None
@@ -148,6 +149,7 @@
         "holder": row.lease.holder,
         "fencing": row.lease.fencing,
         "left_s": (row.lease.until_ms - row.clock_ms) / 1e3,
+        "is_from_before_restore": row.lease.epoch < row.epoch,
     }
 
 
