Replace a lease row that cannot be decoded or that ends too late

No node gave orders any more when the row was malformed or named an end far ahead. Such a row is now taken like one from before a restore: after it was seen unchanged for the longest time of a lease, which is safe for any row.

tests/test_restored_rows.py: 3 of 3 malformed rows failed before and pass now.

--- a/packages/snipelug-core/src/snipelug_core/order_lease.py
+++ b/packages/snipelug-core/src/snipelug_core/order_lease.py
@@ -132,16 +132,17 @@
         seen = self._sighting
         if seen is None:
             return math.inf
-        if row is not None and row.epoch == seen.epoch:
-            if rollout.may_take(row, self._node_id, clock_ms):
-                return 0.0
-            return max(0.0, row.until_ms + rollout.TAKEOVER_DELAY_MS - clock_ms) / 1e3
-        if now < self._in_force_until:
-            return 0.0
         longest_ms = (
             self._lease_ms + rollout.LEASE_MARGIN_MS + rollout.TAKEOVER_DELAY_MS
         )
-        return max(0.0, seen.since + longest_ms / 1e3 - now)
+        unchanged_wait_s = max(0.0, seen.since + longest_ms / 1e3 - now)
+        if row is not None and row.epoch == seen.epoch:
+            if rollout.may_take(row, self._node_id, clock_ms):
+                return 0.0
+            left_ms = row.until_ms + rollout.TAKEOVER_DELAY_MS - clock_ms
+            # No row is renewed for longer, so a later end is an error of its writer.
+            return min(unchanged_wait_s, left_ms / 1e3)
+        return 0.0 if now < self._in_force_until else unchanged_wait_s
 
     def claim(self, clock_ms: float, now: float) -> Write:
         """Return the write that takes the lease, with a token above all earlier ones.
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -293,7 +293,7 @@
     Attributes
     ----------
     lease : rollout.Lease or None
-        None if the row does not exist.
+        None if the row does not exist or cannot be decoded.
     version : int
         Version of the row, 0 if it does not exist.
     """
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -31,6 +31,8 @@
     (rollout.Lease("n1", 1e9, 3, epoch=2), 2, 10.0, 0.0),
     (rollout.Lease("n2", 51_000.0, 3, epoch=2), 2, 10.0, 1.2),
     (rollout.Lease("n2", 49_000.0, 3, epoch=2), 2, 10.0, 0.0),
+    (rollout.Lease("n2", 1e300, 3, epoch=2), 2, 10.0, LONGEST_S),
+    (rollout.Lease("n2", 1e300, 3, epoch=2), 2, 10.0 + LONGEST_S, 0.0),
 ]
 
 
--- a/tests/test_restored_rows.py
+++ b/tests/test_restored_rows.py
@@ -293,3 +293,12 @@
         )
         await trio.sleep(1.0)
         assert world.store.content("members", "n1") is None
+
+
+@pytest.mark.parametrize("content", ["!", "e30=", "eyJob2xkZXIiOiAxfQ=="])
+async def test_lease_row_that_cannot_be_decoded_is_replaced(content: str) -> None:
+    """Guards against a row of another writer because of which no node gives orders."""
+    async with platform_world.deployment(apps=0, engines=1) as world:
+        world.store.put_raw("leases", "weights", content)
+        name_version(world, 2)
+        await wait_for_weights(world, 2)
