--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -270,3 +270,46 @@
     max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
 )
 TestNodes = Nodes.TestCase
+
+
+class RestoredNodes(Nodes):
+    """The same with a store that goes back to copies of its rows.
+
+    Each node then writes the rows that its ledger tells of. Rows hold what the nodes
+    know, and nothing that all of them know to be cleared.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.copied_rows: dict[str, quarantine.Suspicion] = {}
+
+    @stateful.rule()
+    def copy_rows(self) -> None:
+        self.copied_rows = dict(self.rows)
+
+    @stateful.precondition(lambda self: not self.frozen)
+    @stateful.rule()
+    def restore_rows(self) -> None:
+        self.rows = dict(self.copied_rows)
+        for node in self.nodes:
+            for row in self.rows.values():
+                node.merge(row)
+            for suspect in node.recorded():
+                known = node.get(suspect)
+                if known.crashes:
+                    self.rows[suspect] = known
+                else:
+                    self.rows.pop(suspect, None)
+        for suspect in sorted({s for node in self.nodes for s in node.recorded()}):
+            known_by = [node.get(suspect) for node in self.nodes]
+            is_cleared = all(not known.crashes for known in known_by)
+            if is_cleared:
+                assert suspect not in self.rows, "a cleared suspect has returned"
+            if all(len(k.crashes) >= quarantine.RETRY_LIMIT for k in known_by):
+                assert suspect in self.rows, "a suspect has no row"
+
+
+RestoredNodes.TestCase.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestRestoredNodes = RestoredNodes.TestCase
