--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -270,3 +270,62 @@
     max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
 )
 TestNodes = Nodes.TestCase
+
+
+class RestoredNodes(Nodes):
+    """The same with a store that goes back to copies of its rows.
+
+    Each node then writes the rows that its ledger tells of. Rows hold what the nodes
+    know, and nothing that all of them know to be cleared.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.copied_rows: dict[str, quarantine.Suspicion] = {}
+
+    @stateful.rule()
+    def copy_rows(self) -> None:
+        self.copied_rows = dict(self.rows)
+
+    @stateful.precondition(lambda self: not self.frozen)
+    @stateful.rule()
+    def restore_rows(self) -> None:
+        suspects = self.rows.keys() | self.copied_rows.keys()
+        self.rows = dict(self.copied_rows)
+        for node in self.nodes:
+            for row in self.rows.values():
+                node.merge(row)
+            for suspect in node.recorded():
+                known = node.get(suspect)
+                if known.crashes:
+                    self.rows[suspect] = known
+                else:
+                    self.rows.pop(suspect, None)
+        for suspect in sorted(suspects):
+            known_by = [node.get(suspect) for node in self.nodes]
+            is_cleared = all(not known.crashes for known in known_by)
+            if is_cleared:
+                assert suspect not in self.rows, "a cleared suspect has returned"
+            if all(len(k.crashes) >= quarantine.RETRY_LIMIT for k in known_by):
+                assert suspect in self.rows, "a suspect has no row"
+
+    @stateful.precondition(lambda self: not self.frozen)
+    @stateful.rule(part=st.sampled_from(suspect_builders.SOUND), copies=st.booleans())
+    def clear_before_a_restore(self, part: str, copies: bool) -> None:
+        """Answer a part after two crashes; the copy may have its row."""
+        request = self._request(frozenset({part}))
+        for _ in range(quarantine.RETRY_LIMIT):
+            self.nodes[0].charge(next(self.crash_ids), request)
+            self._share(0, request, {1, 2})
+        if copies:
+            self.copy_rows()
+        for suspect in request:
+            self.nodes[0].clear(suspect)
+        self._share(0, request, {1, 2})
+        self.restore_rows()
+
+
+RestoredNodes.TestCase.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestRestoredNodes = RestoredNodes.TestCase
