Order engines whose orders have expired after the others

Cause: orders for new weights go to the engines with the fewest requests, ties by id. An engine whose order has no effect is ordered again after 2.5 s, and was again the first, so that in a small fleet, where one engine loads at a time, no other one was ordered.

What callers saw: the other engines kept the old weights until they were no longer used, or until the engine left the list.

Change: engines with fewer expired orders come first.

--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 import math
+import types
 
 from snipelug_core import fleet
 
@@ -123,15 +124,26 @@
     orders: Orders,
     upstreams: collections.abc.Mapping[str, fleet.Upstream],
     now: float,
-) -> None:
-    """Remove orders that are completed, expired or for upstreams that are gone."""
+) -> list[str]:
+    """Remove orders that are completed, expired or for upstreams that are gone.
+
+    Returns
+    -------
+    list of str
+        The upstreams whose order has expired without visible effect.
+    """
+    expired = []
     for upstream_id, order in list(orders.items()):
         upstream = upstreams.get(upstream_id)
         is_done = (
             upstream is None or upstream.versions.get(order.model, 0) >= order.version
         )
-        if is_done or now - order.at > ORDER_REPEAT_S:
+        is_expired = not is_done and now - order.at > ORDER_REPEAT_S
+        if is_expired:
+            expired.append(upstream_id)
+        if is_done or is_expired:
             del orders[upstream_id]
+    return expired
 
 
 def plan_orders(
@@ -139,6 +151,7 @@
     newest: collections.abc.Mapping[str, int],
     orders: Orders,
     age_s: float,
+    expired: collections.abc.Mapping[str, int] = types.MappingProxyType({}),
 ) -> list[tuple[fleet.Upstream, str, int]]:
     """Return the upstreams to order now, those with the fewest requests first.
 
@@ -146,6 +159,9 @@
     ----------
     age_s : float
         Time since the newest version was requested, in seconds.
+    expired : mapping of str to int
+        Expired orders of each upstream. Upstreams with fewer of them come first, as
+        one that cannot load would otherwise be ordered again and again before others.
     """
     waiting = [
         item
@@ -155,7 +171,13 @@
     room = max_concurrent_loads(
         len(upstreams), len(waiting) + len(orders), age_s
     ) - len(orders)
-    waiting.sort(key=lambda item: (item[0].running, item[0].entry.id))
+    waiting.sort(
+        key=lambda item: (
+            expired.get(item[0].entry.id, 0),
+            item[0].running,
+            item[0].entry.id,
+        )
+    )
     return waiting[: max(0, room)]
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -1,5 +1,6 @@
 """Orders engines to load the weight versions that the operator named."""
 
+import collections
 import logging
 
 import trio
@@ -66,6 +67,7 @@
         self._row_version = 0
         self._is_renewing = False
         self._orders: rollout.Orders = {}
+        self._expired: collections.Counter[str] = collections.Counter()
         self._needed_since: float | None = None
         self._wait_until = 0.0
         self._changed = trio.Event()
@@ -84,6 +86,7 @@
             if not self._is_needed():
                 self._needed_since = None
                 self._orders.clear()
+                self._expired.clear()
                 self._changed = trio.Event()
                 with trio.move_on_after(IDLE_INTERVAL_S):
                     await self._changed.wait()
@@ -189,10 +192,11 @@
                 for upstream_id in list(self._orders):
                     if upstream_id in known:
                         reports.start_soon(self._refresh_report, known[upstream_id])
-        rollout.prune_orders(self._orders, self._state.fleet.upstreams, clock.now())
+        upstreams = self._state.fleet.upstreams
+        self._expired.update(rollout.prune_orders(self._orders, upstreams, clock.now()))
         for group in self._engines():
             for upstream, model, version in rollout.plan_orders(
-                group, newest, self._orders, self._latest_version_age_s()
+                group, newest, self._orders, self._latest_version_age_s(), self._expired
             ):
                 order = rollout.Order(model, version, clock.now())
                 self._orders[upstream.entry.id] = order
--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -7,8 +7,9 @@
 import pytest
 import trio
 
+from snipelug_core import fleet
 from snipelug_net import http_client
-from snipelug_relay import clock
+from snipelug_relay import clock, ports
 from tests import platform_world, raw_caller, scripted
 
 LONG_MS = {"timeout_ms": 8000}
@@ -309,6 +310,35 @@
         assert node.store_age_s("kv1") < 2.0
 
 
+@pytest.mark.parametrize("has_error", [True, False])
+async def test_engine_without_new_weights_keeps_no_other(
+    monkeypatch: pytest.MonkeyPatch, has_error: bool
+) -> None:
+    """Guards against an engine that cannot be ordered and keeps others outdated."""
+    async with platform_world.deployment(apps=0, engines=3, kv_stores=0) as world:
+        machines = world.nodes[0]._weights._machines
+        send_order, read_report = machines.order_version, machines.report
+        failing, *others = world.engines
+
+        async def order_version(entry: fleet.Entry, *args: typing.Any) -> object:
+            if entry.id == failing.id:
+                raise KeyError("injected")
+            await trio.sleep(0.05)
+            return await send_order(entry, *args)
+
+        async def report(addr: http_client.Address) -> object:
+            if addr[1] == failing.port and not has_error:
+                return ports.Unavailable("injected")
+            return await read_report(addr)
+
+        monkeypatch.setattr(machines, "order_version", order_version)
+        monkeypatch.setattr(machines, "report", report)
+        world.store.put("op", "version/m", {"model": "m", "version": 2})
+        with trio.fail_after(6.0):
+            while any(item.models["m"] != 2 for item in others):
+                await trio.sleep(0.01)
+
+
 async def test_lowered_connection_limit_closes_idle_connections() -> None:
     """Guards against idle connections above an upstream's limit that stay open."""
     async with platform_world.deployment(**SMALL) as world:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -25,6 +25,16 @@
     assert [item[0].entry.id for item in planned] == ["u8", "u7"]
 
 
+def test_engine_whose_orders_expire_comes_last() -> None:
+    """Guards against one engine that cannot load and keeps the others outdated."""
+    upstreams = relay_builders.upstreams(
+        *(relay_builders.entry(f"u{i}") for i in range(3))
+    )
+    for expired, first in [({}, "u0"), ({"u0": 1}, "u1"), ({"u0": 2, "u1": 1}, "u2")]:
+        planned = rollout.plan_orders(upstreams, {MODEL: 2}, {}, 0.0, expired)
+        assert [item[0].entry.id for item in planned] == [first]
+
+
 AT_ONCE = [
     # engines, engines with old weights, time since the version was requested, expected
     (9, 9, 0.0, 2),
@@ -57,9 +67,10 @@
         "gone": rollout.Order(MODEL, 2, 10.0),
     }
     by_id["u1"].set_version(MODEL, 2)
-    rollout.prune_orders(orders, by_id, 11.0)
+    assert rollout.prune_orders(orders, by_id, 11.0) == []
     assert set(orders) == {"u2"}
-    rollout.prune_orders(orders, by_id, 10.1 + rollout.ORDER_REPEAT_S)
+    late = 10.1 + rollout.ORDER_REPEAT_S
+    assert rollout.prune_orders(orders, by_id, late) == ["u2"]
     assert not orders
 
 
