Send no probe while the rest of an earlier one is unsent

Found by reading: a second interim response would have been written within the first, if the socket had accepted a part of that only. No test forces this. The design names what is not noticed of HTTP/1.0 callers.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -600,7 +600,8 @@
         Before the response this is an interim response. Within a chunked body it is a
         leading zero of the next chunk's size.
         """
-        if self._is_writing or self._probes >= MAX_PROBES:
+        has_unsent = self._is_writing or bool(self._probe_rest)
+        if has_unsent or self._probes >= MAX_PROBES:
             return
         if not self._speaks_http_1_1:
             return
