--- a/tests/test_restored_reads.py
+++ b/tests/test_restored_reads.py
@@ -10,7 +10,7 @@
 from snipelug_core import fleet, restore
 from snipelug_net import http_client
 from snipelug_platform_standin import server
-from snipelug_relay import messages
+from snipelug_relay import messages, ports
 from snipelug_relay import node as relay_node
 from tests import platform_world
 
@@ -158,6 +158,29 @@
                 assert full.status == status
 
 
+async def test_late_response_of_before_the_restore_changes_nothing() -> None:
+    """Guards against a node that starts with what the store has forgotten."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        copy = world.store.copy()
+        world.configure(5)
+        world.store.faults.late_reads["op"] = 0.7
+        started = await world.add_node("n2")
+        await platform_world.wait_until(lambda: started._state.upstream_list_known)
+        await trio.sleep(0.2)
+        assert started._state.catalog is None
+        world.store.restore(copy)
+        world.configure(3)
+        world.store.faults.late_reads.clear()
+        page = await started._store.read_members()
+        assert isinstance(page, ports.Page)
+        started._state.record_epoch(page.epoch)
+        await platform_world.wait_until(lambda: started.is_ready)
+        await trio.sleep(1.2)
+        known = started._state.catalog
+        assert known is not None
+        assert known.version == 3
+
+
 @pytest.mark.parametrize("kind", [messages.IntentsRead, messages.ListRead])
 def test_announcement_of_an_older_program_is_of_no_epoch(kind: type) -> None:
     """Guards against announcements that end while nodes are replaced one by one."""
