Ignore late responses to writes of the lease before the last one

A renewal whose response arrived after this node had taken the lease again brought the lower fencing token back. A member row that was written while the store was restored is written again.

--- a/packages/snipelug-core/src/snipelug_core/order_lease.py
+++ b/packages/snipelug-core/src/snipelug_core/order_lease.py
@@ -176,13 +176,16 @@
         """Record a successful write; return whether this node holds the lease.
 
         A write that took effect in another epoch than the one in which the row was read
-        may have replaced a row of another node.
+        may have replaced a row of another node. Late responses to writes before the
+        last one are ignored, as their fencing token is lower.
 
         Parameters
         ----------
         epoch, version : int
             Epoch and row version in the response.
         """
+        if self._is_superseded(write):
+            return False
         if epoch != write.lease.epoch:
             self._held = None
             return False
@@ -192,13 +195,18 @@
         self._in_force_until = max(self._in_force_until, write.sent_at + left_s)
         return True
 
-    def record_conflict(self) -> None:
-        """Record that the row had another version than expected.
+    def record_conflict(self, write: Write) -> None:
+        """Record that the row had another version than a write expected.
 
         Until the end of its lease no other node holds one, so this node may still take
         a row of an earlier epoch at once.
         """
-        self._held = None
+        if not self._is_superseded(write):
+            self._held = None
+
+    def _is_superseded(self, write: Write) -> bool:
+        held = self._held
+        return held is not None and write.lease.fencing < held.lease.fencing
 
     def record_fenced(self) -> None:
         """Record that an engine has accepted a higher fencing token."""
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -375,7 +375,8 @@
             if now >= write_from:
                 demand_per_s = demand.measure(self._state.requests_received, now)
                 written = await self._write_own_row(page.clock_ms, demand_per_s)
-                if await call_status.record(written):
+                is_current = self._state.store_epoch == page.epoch
+                if await call_status.record(written) and is_current:
                     write_from = now + MEMBER_WRITE_INTERVAL_S - 1.0
             known |= {member.node_id: member for member in page.items}
             seen_ms = rows.update(
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -189,9 +189,9 @@
                 write, response.epoch, response.version, response.clock_ms
             ):
                 return True
-            reason = "the store was restored meanwhile"
+            reason = "the store was restored or this node wrote the row again meanwhile"
         elif isinstance(response, ports.Conflict):
-            self._candidate.record_conflict()
+            self._candidate.record_conflict(write)
             reason = "another node wrote the lease row first"
         else:
             reason = response.reason
--- a/tests/test_order_lease.py
+++ b/tests/test_order_lease.py
@@ -67,6 +67,24 @@
     assert candidate.held(1, 20.1) is None
 
 
+def test_late_response_does_not_bring_back_a_lower_token() -> None:
+    """Guards against orders that engines reject after those under a newer lease."""
+    candidate = build_candidate(None, 1)
+    claim = candidate.claim(50_000.0, 20.0)
+    assert candidate.record_written(claim, 1, 90, 50_010.0)
+    held = candidate.held(1, 22.9)
+    assert held is not None
+    renewal = candidate.renewal(held, 22.9)
+    candidate.record_row(1, 91, 23.1)
+    again = candidate.claim(53_100.0, 23.1)
+    assert candidate.record_written(again, 1, 92, 53_110.0)
+    assert not candidate.record_written(renewal, 1, 91, 52_910.0)
+    candidate.record_conflict(renewal)
+    newest = candidate.held(1, 23.2)
+    assert newest is not None
+    assert newest.lease.fencing == again.lease.fencing
+
+
 def test_tokens_of_the_first_epoch_are_those_of_earlier_programs() -> None:
     """Guards against engines that reject orders beside nodes of an earlier release."""
     assert order_lease.fencing_token(0, 41) == 42
@@ -235,7 +253,7 @@
             return
         node.waiting = None
         if response.version == 0:
-            node.candidate.record_conflict()
+            node.candidate.record_conflict(response.write)
             return
         node.epoch = max(node.epoch, response.epoch)
         node.candidate.record_written(
--- a/tests/test_restored_rows.py
+++ b/tests/test_restored_rows.py
@@ -1,5 +1,8 @@
 """Tests of what nodes write to the platform's store after it was restored."""
 
+import dataclasses
+import random
+
 import pytest
 import trio
 
@@ -34,6 +37,27 @@
     holder._store.write_lease = fail  # type: ignore[method-assign]
 
 
+@dataclasses.dataclass
+class Holders:
+    """Counts the nodes that may give orders.
+
+    Attributes
+    ----------
+    most : int
+        Largest number at any time.
+    """
+
+    world: platform_world.World
+    most: int = 0
+
+    async def count(self) -> None:
+        """Count until cancelled."""
+        while True:
+            remaining = [n._weights._lease_remaining_ms() for n in self.world.nodes]
+            self.most = max(self.most, sum(left_ms > 0 for left_ms in remaining))
+            await trio.sleep(0.002)
+
+
 async def wait_for_weights(world: platform_world.World, version: int) -> None:
     """Wait until all engines serve a weight version."""
     await platform_world.wait_until(
@@ -85,27 +109,17 @@
         copy = world.store.copy()
         for engine in world.engines:
             engine.faults.order_lag_s = 0.4
-        most = 0
-
-        async def count_holders() -> None:
-            nonlocal most
-            while True:
-                holders = sum(
-                    node._weights._lease_remaining_ms() > 0 for node in world.nodes
-                )
-                most = max(most, holders)
-                await trio.sleep(0.002)
-
-        world.nursery.start_soon(count_holders)
+        holders = Holders(world)
+        world.nursery.start_soon(holders.count)
         name_version(world, 2)
-        await platform_world.wait_until(lambda: most == 1)
+        await platform_world.wait_until(lambda: holders.most == 1)
         for node in world.nodes:
             if node._weights._lease_remaining_ms() > 0:
                 cut_off(node)
         world.store.restore(copy)
         name_version(world, 2)
         await wait_for_weights(world, 2)
-        assert most == 1
+        assert holders.most == 1
 
 
 @pytest.mark.parametrize("nodes", [1, 3])
@@ -302,3 +316,34 @@
         world.store.put_raw("leases", "weights", content)
         name_version(world, 2)
         await wait_for_weights(world, 2)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+async def test_orders_of_weights_over_a_series_of_restores(seed: int) -> None:
+    """Guards against orders that are fenced, or of two nodes, as restores overlap."""
+    rng = random.Random(seed)
+    async with platform_world.deployment(
+        apps=0, engines=6, nodes=3, has_peers=True
+    ) as world:
+        holders = Holders(world)
+        world.nursery.start_soon(holders.count)
+        copies = [world.store.copy()]
+        for version in range(2, 7):
+            name_version(world, version)
+            await trio.sleep(rng.uniform(0.0, 0.9))
+            copies.append(world.store.copy())
+            await trio.sleep(rng.uniform(0.0, 0.9))
+            jump_s = rng.choice([0.0, 0.0, -5.0, 5.0])
+            world.store.restore(rng.choice(copies), clock_jump_s=jump_s)
+            copies.clear()
+            copies.append(world.store.copy())
+            await trio.sleep(rng.uniform(0.0, 0.4))
+            name_version(world, version)
+            world.publish_entries()
+        await wait_for_weights(world, 6)
+        assert holders.most == 1
+        for engine in world.engines:
+            tokens = [int(str(order["fencing_token"])) for order in engine.orders]
+            assert tokens == sorted(tokens)
+        for node in world.nodes:
+            assert node._stats.orders.labels("412")._value.get() == 0
