Let nodes take a lease from before a restore in the order of their ranks

All nodes had seen the row at about the same time, so all wrote at once when they might take it, and one that others rank later could get it.

--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -167,6 +167,9 @@
             return
         wait_s = self._candidate.takeover_wait_s(row.lease, row.clock_ms, now)
         if wait_s > 0:
+            if row.lease is None or row.lease.epoch < row.epoch:
+                # All nodes have seen the row since the same restore.
+                wait_s += RANK_DELAY_S * self._state.rank("weights")
             self._wait_until = now + wait_s + 0.01
             return
         claim = self._candidate.claim(row.clock_ms, now)
