Confine odd numbers and texts to their row, item or message

Cause: most fields of rows, responses, settings and datagrams had no range. An integer over 64 bits in an entry was accepted, and each announcement of it raised OverflowError: run_upstreams failed and started again twice a second at the same position, so callers were sent to upstreams that had left and none were sent to new ones.

Change: the types in snipelug_core.ranges bound numbers, times and texts at each border. Decided for the callers, per field: - An entry with any field out of range, also a model's version, is unreadable: it is another writer's and names no upstream.

--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -5,7 +5,7 @@
 import dataclasses
 import math
 
-from snipelug_core import queueing
+from snipelug_core import queueing, ranges
 
 REMOVAL_GRACE_S = 2.2
 """Retention of vanished entries; after an outage of the list they return within 2 s."""
@@ -57,16 +57,16 @@
         Weight version of each model.
     """
 
-    id: str
-    service: str
-    host: str
-    port: int
-    zone: str
-    slots: int = 1
+    id: ranges.Name
+    service: ranges.Name
+    host: ranges.Name
+    port: ranges.Count
+    zone: ranges.Name
+    slots: ranges.Count = 1
     is_leaving: bool = False
-    cold_s: float = 0.0
-    born: int = 0
-    versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    cold_s: ranges.DurationS = 0.0
+    born: ranges.Born = 0
+    versions: dict[ranges.Name, ranges.Number] = dataclasses.field(default_factory=dict)
 
     @property
     def addr(self) -> tuple[str, int]:
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -19,6 +19,7 @@
 import collections.abc
 import dataclasses
 import math
+import re
 
 from snipelug_core import catalog, choice, hashing
 
@@ -63,6 +64,9 @@
 MAX_CACHED_RANKINGS = 20_000
 """Maximum number of cached store rankings, about 4 MB."""
 
+SALT_PATTERN = re.compile(r"(.*)\.([0-9]{1,18})\.[^.]*", re.DOTALL)
+"""Salts of this system: model, weight version and owner."""
+
 PartKey = tuple[str, str]
 """Cache salt and id of a part."""
 
@@ -236,9 +240,12 @@
 
 
 def model_version_of(key: PartKey) -> ModelVersion:
-    """Return the model and weight version from the salt of a part."""
-    model, version, _ = key[0].rsplit(".", 2)
-    return model, int(version)
+    """Return the model and weight version from the salt of a part.
+
+    Parts under salts of other writers belong to no model.
+    """
+    match = SALT_PATTERN.fullmatch(key[0])
+    return ("", 0) if match is None else (match[1], int(match[2]))
 
 
 class Index:
@@ -300,6 +307,8 @@
             if state is None:
                 continue
             rate = min(state.store.link_bits_per_s, engine.link_bits_per_s)
+            if rate <= 0:
+                continue
             size = 8.0 * engine.kv_token_bytes * part.tokens
             factor = 1.0 if zone == state.store.zone else CROSS_ZONE_FACTOR
             times[part.id] = state.store.setup_s + factor * size / rate
--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from snipelug_core import hashing, refusal
+from snipelug_core import hashing, ranges, refusal
 
 CRASH_LIMIT = 2
 """Number of crashes, over all nodes, after which a request is not sent again."""
@@ -157,9 +157,11 @@
         completely afterwards.
     """
 
-    suspect: str
-    crashes: dict[str, frozenset[str]] = dataclasses.field(default_factory=dict)
-    cleared: frozenset[str] = frozenset()
+    suspect: ranges.Name
+    crashes: dict[ranges.Name, frozenset[ranges.Name]] = dataclasses.field(
+        default_factory=dict
+    )
+    cleared: frozenset[ranges.Name] = frozenset()
 
     def merged(self, other: "Suspicion") -> "Suspicion":
         """Merge two states; commutative, associative and idempotent.
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -28,6 +28,7 @@
 MAX_DATAGRAM_BYTES = 8_192
 """Maximum message size; for longer ones the other nodes read for themselves."""
 
+MAX_REASON_LENGTH = 200
 MAX_SWITCH_S = 5.0
 """Maximum pause of an upstream that another node can request."""
 
@@ -154,7 +155,12 @@
         sock = self._sock
         if sock is None:
             return True
-        data = msgspec.msgpack.encode(message)
+        try:
+            data = msgspec.msgpack.encode(message)
+        except (OverflowError, ValueError) as exc:
+            # The other nodes read for themselves what cannot be announced.
+            lines.warning(LOG, "announcement_failed", reason=str(exc))
+            return False
         if len(data) > MAX_DATAGRAM_BYTES:
             return False
         for member in self._state.members if to is None else to:
@@ -181,8 +187,9 @@
                 continue
             try:
                 message = self._decoder.decode(data)
-            except msgspec.DecodeError as exc:
-                lines.warning(LOG, "announcement_unreadable", reason=str(exc))
+            except (msgspec.DecodeError, RecursionError) as exc:
+                reason = str(exc)[:MAX_REASON_LENGTH]
+                lines.warning(LOG, "announcement_unreadable", reason=reason)
                 continue
             try:
                 self._handle(sender[0], message)
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from snipelug_core import fleet, quarantine
+from snipelug_core import fleet, quarantine, ranges
 
 
 class Prefill(msgspec.Struct, array_like=True, tag=1):
@@ -22,27 +22,27 @@
         Time after which the prompt no longer counts if no second message arrives.
     """
 
-    upstream_id: str
-    number: int
-    tokens: int
-    part: str = ""
-    part_tokens: int = 0
-    lasts_s: float = 0.0
+    upstream_id: ranges.Name
+    number: ranges.Number
+    tokens: ranges.Count
+    part: ranges.Name = ""
+    part_tokens: ranges.Count = 0
+    lasts_s: ranges.DurationS = 0.0
 
 
 class Switching(msgspec.Struct, array_like=True, tag=2):
     """An engine was ordered to load weights and rejects requests meanwhile."""
 
-    upstream_id: str
-    for_s: float
+    upstream_id: ranges.Name
+    for_s: ranges.DurationS
 
 
 class Serving(msgspec.Struct, array_like=True, tag=3):
     """An engine now serves a weight version."""
 
-    upstream_id: str
-    model: str
-    version: int
+    upstream_id: ranges.Name
+    model: ranges.Name
+    version: ranges.Number
 
 
 class IntentsRead(msgspec.Struct, array_like=True, tag=4):
@@ -58,9 +58,9 @@
         Whether the table changed in this range.
     """
 
-    since: int
-    position: int
-    clock_ms: float
+    since: ranges.Number
+    position: ranges.Number
+    clock_ms: ranges.ClockMs
     has_changes: bool
 
 
@@ -81,11 +81,11 @@
         Whether the changes were omitted because they exceed a datagram.
     """
 
-    since: int
-    position: int
+    since: ranges.Number
+    position: ranges.Number
     in_grace: bool
     entries: list[fleet.Entry]
-    removed: list[str]
+    removed: list[ranges.Name]
     is_cut: bool = False
 
 
@@ -102,12 +102,12 @@
         Salt, id and token count of each part, in order; 0 tokens if it was freed.
     """
 
-    store: str
-    epoch: int
-    since: int
-    next: int
-    clock_s: float
-    stored: list[tuple[str, str, int]]
+    store: ranges.Name
+    epoch: ranges.Number
+    since: ranges.Number
+    next: ranges.Number
+    clock_s: ranges.ClockS
+    stored: list[tuple[ranges.Name, ranges.Name, ranges.Count]]
 
 
 class KvStoresRead(msgspec.Struct, array_like=True, tag=6):
@@ -125,8 +125,8 @@
         Start of the process that stated it, in Unix milliseconds.
     """
 
-    upstream_id: str
-    born: int
+    upstream_id: ranges.Name
+    born: ranges.Born
 
 
 class Suspects(msgspec.Struct, array_like=True, tag=20):
