Count crashes of requests that were sent together once

Cause: three engines that ended at the same moment, each with a prompt waiting whose part was not answered in the last 10 s, counted as three crashes of that part. All prompts with it were refused as quarantined, and nothing could clear it until the probe after 60 s.

Change: a crash is no independent evidence against a suspect if all requests charged with it were sent before this node knew of another crash of that suspect. Three independent crashes withhold a suspect, and so do four of any kind: a burst of requests with a part that crashes engines looks the same, and at most three requests with it may reach an engine after the fifth crash. Neither datagrams nor rows change; crashes that a node only heard of count as independent, also after a restart.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import enum
+import math
 
 from snipelug_core import hashing, ranges, refusal
 
@@ -116,6 +117,13 @@
 ``CRASH_LIMIT`` is needed where requests are charged by what they have in common.
 """
 
+SIMULTANEOUS_LIMIT = 4
+"""Number of crashes after which requests are withheld even if all are simultaneous.
+
+One event that ends several engines, and several requests with a part that crashes
+engines, cannot be told apart. Five crashes of such a part are allowed.
+"""
+
 RETRY_LIMIT = 2
 """Number of crashes after which a charged request is not sent to another upstream."""
 
@@ -214,6 +222,10 @@
             collections.OrderedDict()
         )
         self._repeated: dict[str, None] = {}
+        self._known_since: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._simultaneous: dict[str, set[str]] = {}
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -237,6 +249,8 @@
         merged = known.merged(other)
         if merged == known:
             return False
+        if other.suspect in self._simultaneous:
+            self._simultaneous[other.suspect] &= merged.crashes.keys()
         self._suspicions[other.suspect] = merged
         self._suspicions.move_to_end(other.suspect)
         if len(merged.crashes) >= RETRY_LIMIT:
@@ -252,11 +266,28 @@
         """Forget a suspect."""
         self._suspicions.pop(suspect, None)
         self._repeated.pop(suspect, None)
+        self._simultaneous.pop(suspect, None)
 
     def charge(
-        self, crash_id: str, suspects: collections.abc.Collection[str]
+        self,
+        crash_id: str,
+        suspects: collections.abc.Collection[str],
+        sent_at: float = math.inf,
+        now: float = -math.inf,
     ) -> list[str]:
-        """Charge a crash to a request that had not begun; return what changed."""
+        """Charge a crash to a request that had not begun; return what changed.
+
+        Parameters
+        ----------
+        sent_at, now : float
+            Monotonic times of the request and of this charge, in seconds; by default
+            the crash is independent of all others.
+        """
+        for suspect in suspects:
+            self._note_simultaneous(suspect, crash_id, sent_at)
+        self._known_since.setdefault(crash_id, now)
+        while len(self._known_since) > MAX_SUSPICIONS:
+            self._known_since.popitem(last=False)
         company = frozenset(suspects)
         return [
             suspect
@@ -264,6 +295,32 @@
             if self.merge(Suspicion(suspect, {crash_id: company}))
         ]
 
+    def _note_simultaneous(self, suspect: str, crash_id: str, sent_at: float) -> None:
+        """Note whether a request was sent before another crash became known.
+
+        Such a crash does not confirm the other one: one event may have ended both
+        upstreams. What other nodes and rows tell of crashes counts as independent.
+        """
+        crashes = self.get(suspect).crashes
+        noted = self._simultaneous.setdefault(suspect, set())
+        is_simultaneous = any(
+            self._known_since.get(other, -math.inf) >= sent_at
+            for other in crashes
+            if other != crash_id
+        )
+        if not is_simultaneous:
+            noted.discard(crash_id)
+        elif crash_id not in crashes:
+            noted.add(crash_id)
+        if not noted:
+            del self._simultaneous[suspect]
+
+    def is_withheld(self, suspect: str) -> bool:
+        """Return whether a suspect has as many crashes as requests are withheld for."""
+        count = self.count(suspect)
+        independent = count - len(self._simultaneous.get(suspect, ()))
+        return independent >= SUSPECT_LIMIT or count >= SIMULTANEOUS_LIMIT
+
     def clear(self, suspect: str) -> bool:
         """Clear a suspect of all known crashes; return whether there were any."""
         crashes = frozenset(self.get(suspect).crashes)
@@ -286,6 +343,8 @@
             suspicion = self._suspicions.get(suspect)
             if suspicion is None or len(suspicion.crashes) < limit:
                 continue
+            if limit == SUSPECT_LIMIT and not self.is_withheld(suspect):
+                continue
             if all(
                 other in suspects or not self._is_equally_suspect(other, suspicion)
                 for other in suspicion.company
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from snipelug_core import attempt, catalog, fleet
 from snipelug_net import http_client, http_server
@@ -18,6 +19,8 @@
         Monotonic time by which the response must be complete, in seconds.
     tried : set of str
         Upstreams to which the request was sent.
+    sent_at : float
+        Monotonic time of the latest attempt, in seconds.
     trace : list of dict
         One log entry per attempt.
     suspects : frozenset of str or None
@@ -34,6 +37,7 @@
     deadline: float
     history: attempt.History = dataclasses.field(default_factory=attempt.History)
     tried: set[str] = dataclasses.field(default_factory=set)
+    sent_at: float = math.inf
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
     first_byte_at: float | None = None
     is_finished: bool = False
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -268,6 +268,7 @@
         now = clock.now()
         upstream_attempt, call = self._prepare(work, chosen, resume_after, now)
         upstream_attempt.start(now)
+        work.sent_at = now
         waits = self._state.fleet.wait_model(work.service)
         if work.request.model:
             waits.record_sent(chosen.read_s)
--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -157,7 +157,7 @@
         """Charge a crash to a request that had not begun."""
         now = clock.now()
         suspects = [s for s in self._all_suspects(work) if not self._is_sound(s, now)]
-        changed = self._ledger.charge(crash_id, suspects)
+        changed = self._ledger.charge(crash_id, suspects, work.sent_at, now)
         self._own.update(changed)
         for suspect in changed:
             self._changed_at[suspect] = now
@@ -233,7 +233,7 @@
             return
         if suspect in self._own:
             self._mark_unwritten(suspect)
-        is_withheld = count >= quarantine.SUSPECT_LIMIT
+        is_withheld = self._ledger.is_withheld(suspect)
         if is_withheld:
             self._hold(suspect)
         what = "withheld" if is_withheld else "suspected"
@@ -369,7 +369,7 @@
                 self._own.discard(suspect)
                 del self._changed_at[suspect]
             elif (
-                count < quarantine.SUSPECT_LIMIT
+                not self._ledger.is_withheld(suspect)
                 or self._hold(suspect).probe_at < oldest
             ):
                 self._clear(suspect, 0.0)
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -158,6 +158,31 @@
         assert await quarantine_builders.send_sound([caller], 6) == [200] * 6
 
 
+@pytest.mark.parametrize("size", [2, 3, 6])
+async def test_bursts_of_crashing_prompts_end_soon(size: int) -> None:
+    """Guards against bursts whose crashes count once and that therefore go on.
+
+    After the fifth crash at most three requests with the part may reach an engine.
+    """
+    async with platform_world.deployment(
+        apps=0, engines=16, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        quarantine_builders.arm(world.engines)
+        callers = [platform_world.Caller(node) for node in world.nodes]
+        counts = []
+        for burst in range(6):
+            async with trio.open_nursery() as nursery:
+                for number in range(size):
+                    prompt = quarantine_builders.crashing(size * burst + number)
+                    caller = callers[number % 2]
+                    nursery.start_soon(caller.send_prompt, "/ask/", prompt)
+            await trio.sleep(0.2)
+            counts.append(quarantine_builders.crashes(world))
+        assert counts[-1] <= 8
+        assert counts[3:] == [counts[2]] * 3
+
+
 async def test_closed_connections_are_no_crashes() -> None:
     """Guards against withholding requests because of resets by sound engines."""
     async with platform_world.deployment(apps=0, engines=2) as world:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -108,6 +108,57 @@
     assert sorted(short.crashes) == ["5", "6", "7"]
 
 
+TIMES = st.integers(0, 8).map(float)
+
+
+@hypothesis.given(
+    crashes=st.lists(
+        st.tuples(st.lists(TIMES, min_size=1, max_size=2), st.just(0.5)), max_size=6
+    )
+)
+def test_crashes_of_requests_sent_together_count_once(
+    crashes: list[tuple[list[float], float]],
+) -> None:
+    """Guards against refusing a part because one event ended several upstreams.
+
+    The limit of five crashes by a part that crashes upstreams holds all the same.
+    """
+    ledger = quarantine.Ledger()
+    known_at: list[float] = []
+    independent = 0
+    for number, (sent, delay) in enumerate(crashes):
+        now = max(*sent, *known_at, 0.0) + delay
+        for sent_at in sent:
+            ledger.charge(f"{number}", ["part"], sent_at, now)
+        independent += any(
+            all(earlier < sent_at for earlier in known_at) for sent_at in sent
+        )
+        known_at.append(now)
+    is_withheld = independent >= LIMIT or len(crashes) >= quarantine.SIMULTANEOUS_LIMIT
+    assert (ledger.find(["part"], LIMIT) is not None) is is_withheld
+    assert quarantine.SIMULTANEOUS_LIMIT < 5
+    # A node that only hears of the crashes cannot tell them apart.
+    other = quarantine.Ledger()
+    other.merge(ledger.get("part"))
+    assert (other.find(["part"], LIMIT) is not None) is (len(crashes) >= LIMIT)
+
+
+def test_simultaneous_crashes_are_forgotten_with_their_suspect() -> None:
+    """Guards against new crashes that do not count, and against growing memory."""
+    ledger = quarantine.Ledger()
+    for number in range(LIMIT):
+        ledger.charge(f"1{number}", ["part"], 0.0, 1.0)
+    assert not ledger.is_withheld("part")
+    ledger.clear("part")
+    for number in range(LIMIT):
+        ledger.charge(f"2{number}", ["part"], 2.0 + number, 2.5 + number)
+    assert ledger.is_withheld("part")
+    for number in range(2 * quarantine.MAX_SUSPICIONS):
+        ledger.charge(f"{number:09d}", [f"r{number}"], 0.0, 1.0)
+        ledger.forget(f"r{number}")
+    assert len(ledger._known_since) <= quarantine.MAX_SUSPICIONS
+
+
 class Nodes(stateful.RuleBasedStateMachine):
     """Nodes that send crashing and sound requests, restart and lose messages.
 
