--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 import trio
 
@@ -27,6 +28,8 @@
         Whether an attempt has sent the request and has not ended.
     tried : set of str
         Upstreams to which the request was sent.
+    sent_at : float
+        Monotonic time of the latest attempt, in seconds.
     trace : list of dict
         One log entry per attempt.
     suspects : frozenset of str or None
@@ -49,6 +52,7 @@
     is_under_way: bool = False
     history: attempt.History = dataclasses.field(default_factory=attempt.History)
     tried: set[str] = dataclasses.field(default_factory=set)
+    sent_at: float = math.inf
     trace: list[dict[str, object]] = dataclasses.field(default_factory=list)
     first_byte_at: float | None = None
     is_finished: bool = False
