Test requests through an outage that ends with a restore

Without writes past the position of a node the store answers 410, and the node reads the copy whole.

--- a/tests/test_restored_reads.py
+++ b/tests/test_restored_reads.py
@@ -255,3 +255,52 @@
         world.store.put("servers", back.id, back.entry())
         await trio.sleep(1.5)
         assert all(back.id in n._state.fleet.upstreams for n in world.nodes)
+
+
+@pytest.mark.parametrize("nodes", NODES)
+async def test_requests_are_served_through_an_outage_and_a_restore(nodes: int) -> None:
+    """Guards against refused requests, and requests to upstreams that have left.
+
+    The store is away, comes back from a copy, and is written again a second later.
+    """
+    async with platform_world.deployment(
+        apps=3, engines=0, kv_stores=0, nodes=nodes, has_peers=True
+    ) as world:
+        leaving, gone, stays = world.apps
+        copy = world.store.copy()
+        use_other_key(world)
+        drain(world)
+        world.store.delete("servers", gone.id)
+        touch(world, LOST_ROWS)
+        await wait_read(world)
+        executed = len(leaving.executed), len(gone.executed)
+        statuses: list[int] = []
+
+        async def send_all() -> None:
+            callers = [platform_world.Caller(n) for n in world.nodes]
+            while True:
+                for caller in callers:
+                    full = await caller.send(
+                        "GET", "/look/", authorization="Token other"
+                    )
+                    assert isinstance(full, http_client.FullResponse)
+                    statuses.append(full.status)
+                await trio.sleep(0.05)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_all)
+            world.store.faults.is_down = True
+            await trio.sleep(1.5)
+            world.store.restore(copy)
+            world.store.faults.is_down = False
+            await trio.sleep(1.0)
+            use_other_key(world)
+            drain(world)
+            world.store.put("servers", stays.id, stays.entry())
+            world.store.delete("servers", gone.id)
+            await trio.sleep(restore.RESTORE_GRACE_S + 1.0)
+            nursery.cancel_scope.cancel()
+        assert len(statuses) > 50
+        assert set(statuses) == {200}
+        assert (len(leaving.executed), len(gone.executed)) == executed
+        assert len(stays.executed) >= len(statuses)
