Tell all components of a restore although one of them fails

An error in one handler would have left the others with positions, leases and rows from before the restore. tests/test_restore.py::test_all_handlers_of_a_restore_are_called fails without the change.

--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -278,7 +278,11 @@
             return
         lines.warning(LOG, "store_restored", epoch=epoch, before=before)
         for handler in self._restore_handlers:
-            handler()
+            try:
+                handler()
+            except Exception as exc:
+                # The other components must still learn of the restore.
+                LOG.error("restore_handler_failed", exc_info=exc)
 
     def add_restore_handler(self, handler: RestoreHandler) -> None:
         """Add a handler that is called when the store was restored from a copy."""
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -177,3 +177,19 @@
     assert (upstream.versions, set(upstream.cached_parts)) == ({"m": 3}, {"p"})
     known.put(dataclasses.replace(READY, versions={"m": 4}), 12.0)
     assert upstream.versions == {"m": 4}
+
+
+def test_all_handlers_of_a_restore_are_called() -> None:
+    """Guards against a component that keeps old positions after an error in another."""
+    node_state = state.State(ports.Settings("n1", "a", ADDR, ADDR, ADDR))
+    called = []
+
+    def fail() -> None:
+        raise KeyError("injected error")
+
+    node_state.add_restore_handler(fail)
+    node_state.add_restore_handler(lambda: called.append(node_state.store_epoch))
+    node_state.record_epoch(1)
+    assert not called
+    node_state.record_epoch(2)
+    assert called == [2]
