Send reloads in soaks only to processes that handle them

Cause: a soak sent SIGHUP from 0.3 s after a start on. The program ignores it from the first line of its entry point on, but the interpreter before that does not.

Change: the soak reads the signal masks of the process, so it also sends reloads earlier than before where that is possible. The product cannot handle a signal before its code runs.

Evidence: test_soak_sends_no_reload_to_an_interpreter_that_starts pauses a node as it starts; the process ended with the soak as it was, and goes on now.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -103,7 +103,6 @@
 SECOND_ZONE = "zone-b"
 CRASH_PART = "badbad"
 DEADLINE_S = 2.0
-INTERPRETER_START_S = 0.3
 PROBE_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.05
 EVENTS_PER_STREAM = 6
@@ -170,7 +169,6 @@
     ) -> None:
         self.name = f"n{number}"
         self.record = record
-        self.started_at = 0.0
         self.host = f"127.0.0.{20 + number}"
         self.port, self.ready_port, self.udp_port = (
             platform_world.free_port() for _ in range(3)
@@ -198,7 +196,6 @@
                 while True:
                     self.record.add_event(self.name, is_planned=True)
                     self.write_log("started")
-                    self.started_at = trio.current_time()
                     self.process = subprocess.Popen(
                         [sys.executable, "-m", "snipelug_node.entry"],
                         env={"SNIPELUG_CONFIG": str(self.path)},
@@ -227,11 +224,10 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process of this node."""
-        # The interpreter needs this time until the program can ignore a reload.
-        is_early = trio.current_time() < self.started_at + INTERPRETER_START_S
-        if number == signal.SIGHUP and is_early:
-            return
         if self.process is not None and self.process.poll() is None:
+            if number == signal.SIGHUP and not handles(self.process, number):
+                # A reload ends an interpreter that has not started the program yet.
+                return
             if number != signal.SIGHUP:
                 self.record.add_event(self.name, is_planned=number == signal.SIGTERM)
             self.write_log(f"sent {number.name}")
@@ -243,6 +239,13 @@
             log.write(f'{{"t":{time.time():.3f},"event":"soak: {event}"}}\n')
 
 
+def handles(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
+    """Return whether a process ignores or catches a signal."""
+    lines = pathlib.Path(f"/proc/{process.pid}/status").read_text().splitlines()
+    masks = [line.split()[1] for line in lines if line[:7] in ("SigIgn:", "SigCgt:")]
+    return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
+
 @dataclasses.dataclass
 class Soak:
     """The deployment, the state of the injected faults and the violations found."""
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -12,7 +12,7 @@
 
 from snipelug_net import http_client
 from snipelug_platform_standin import store
-from tests import platform_world
+from tests import platform_soak, platform_soak_checks, platform_world
 
 EXIT_TIMEOUT_S = 10.0
 
@@ -102,3 +102,29 @@
     finally:
         process.kill()
         process.wait()
+
+
+async def test_soak_sends_no_reload_to_an_interpreter_that_starts(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against exits of the soak's own making, when a start takes long."""
+    record = platform_soak_checks.Record()
+    node = platform_soak.NodeProcess(0, tmp_path, 1, record, {})
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node.run)
+        while node.process is None:
+            await trio.sleep(0)
+        node.send_signal(signal.SIGSTOP)
+        await trio.sleep(0.4)
+        assert not platform_soak.handles(node.process, signal.SIGHUP)
+        node.send_signal(signal.SIGHUP)
+        node.send_signal(signal.SIGCONT)
+        with trio.fail_after(EXIT_TIMEOUT_S):
+            while not platform_soak.handles(node.process, signal.SIGHUP):
+                await trio.sleep(0.002)
+        node.send_signal(signal.SIGHUP)
+        await trio.sleep(0.3)
+        assert node.is_running
+        nursery.cancel_scope.cancel()
+    assert record.exits == []
+    assert node.log.read_text().count("sent SIGHUP") == 1
