Test the late charge of a cleared crash

Fails: the crash is noted as simultaneous although it is not one of the suspect's crashes, so the count of independent crashes is too low by one.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -143,6 +143,18 @@
     assert (other.find(["part"], LIMIT) is not None) is (len(crashes) >= LIMIT)
 
 
+def test_late_charge_of_a_cleared_crash_leaves_the_suspect_withheld() -> None:
+    """Guards against sending a request of which three independent crashes are known."""
+    ledger = quarantine.Ledger()
+    ledger.charge("cleared", ["part"], 0.0, 1.0)
+    ledger.clear("part")
+    for number in range(quarantine.SUSPECT_LIMIT):
+        ledger.charge(f"{number}", ["part"], 2.0 + 2.0 * number, 3.0 + 2.0 * number)
+    assert ledger.is_withheld("part")
+    ledger.charge("cleared", ["part"], 0.0, 20.0)
+    assert ledger.is_withheld("part")
+
+
 def test_simultaneous_crashes_are_forgotten_with_their_suspect() -> None:
     """Guards against new crashes that do not count, and against growing memory."""
     ledger = quarantine.Ledger()
