Leave cleared crashes out of the simultaneous ones

A request on a crashed upstream can be charged after its suspect was cleared of this crash. The crash was then noted as simultaneous without being counted, so a suspect with three independent crashes was no longer withheld until its next crash. test_late_charge_of_a_cleared_crash_leaves_the_suspect_withheld failed before and passes now.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -313,7 +313,8 @@
         Such a crash does not confirm the other one: one event may have ended both
         upstreams. What other nodes and rows tell of crashes counts as independent.
         """
-        crashes = self.get(suspect).crashes
+        suspicion = self.get(suspect)
+        crashes = suspicion.crashes
         noted = self._simultaneous.setdefault(suspect, set())
         is_simultaneous = any(
             self._known_since.get(other, -math.inf) >= sent_at
@@ -322,7 +323,7 @@
         )
         if not is_simultaneous:
             noted.discard(crash_id)
-        elif crash_id not in crashes:
+        elif crash_id not in crashes and crash_id not in suspicion.cleared:
             noted.add(crash_id)
         if not noted:
             del self._simultaneous[suspect]
