Test simultaneous crashes of which a node only hears

Fails: crashes that another node tells of count as independent, so the node that sent none of the requests refuses all prompts with the shared part.

--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -158,6 +158,29 @@
         assert await quarantine_builders.send_sound([caller], 6) == [200] * 6
 
 
+async def test_node_that_hears_of_simultaneous_crashes_serves_their_part() -> None:
+    """Guards against refusals at other nodes because one event ended several engines.
+
+    The requests that were broken off were all sent by the first node.
+    """
+    async with platform_world.deployment(
+        apps=0, engines=3, nodes=2, has_peers=True
+    ) as world:
+        await quarantine_builders.wait_for_members(world)
+        first, second = (platform_world.Caller(node) for node in world.nodes)
+        quarantine_builders.arm(world.engines, first_event_s=1.0, restart_s=0.3)
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                prompt = quarantine_builders.sound(number)
+                nursery.start_soon(first.send_prompt, "/check/", prompt)
+            await trio.sleep(0.5)
+            for engine in world.engines:
+                engine.crash()
+        quarantine_builders.arm(world.engines, first_event_s=0.02, restart_s=0.3)
+        await quarantine_builders.wait_for_list(world)
+        assert await quarantine_builders.send_sound([second], 6) == [200] * 6
+
+
 @pytest.mark.parametrize("size", [2, 3, 6])
 async def test_bursts_of_crashing_prompts_end_soon(size: int) -> None:
     """Guards against bursts whose crashes count once and that therefore go on.
