Test the time that a late charge of a crash is given

Fails: a crash that is found out by the restart of the upstream is charged with the time of the request's latest attempt, which was sent elsewhere after the loss.

--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -181,6 +181,34 @@
         assert await quarantine_builders.send_sound([second], 6) == [200] * 6
 
 
+async def test_late_charge_has_the_time_of_the_lost_attempt() -> None:
+    """Guards against simultaneous crashes that count as independent after a retry.
+
+    The crash is found out by the restart, after the request was sent again.
+    """
+    async with platform_world.deployment(apps=0, engines=2) as world:
+        node = world.nodes[0]
+        ledger = node._suspects._ledger
+        charge, sent_times = ledger.charge, []
+
+        def record(
+            crash_id: str, charged: list[str], sent_at: float, now: float
+        ) -> list[str]:
+            sent_times.append(sent_at)
+            return charge(crash_id, charged, sent_at, now)
+
+        ledger.charge = record
+        caller = platform_world.Caller(node)
+        engine = world.engines[0]
+        engine.faults.loses, engine.faults.restart_s = 1, 0.1
+        for number in range(8):
+            await caller.send_prompt("/check/", quarantine_builders.sound(number))
+        [losses] = node._detector._losses.values()
+        engine.crash()
+        await platform_world.wait_until(lambda: bool(sent_times))
+        assert [sent_at < losses.lost_at for sent_at in sent_times] == [True]
+
+
 @pytest.mark.parametrize("size", [2, 3, 6])
 async def test_bursts_of_crashing_prompts_end_soon(size: int) -> None:
     """Guards against bursts whose crashes count once and that therefore go on.
