Charge crashes with the time of the attempt that was lost

A crash can be found out after the request was sent to another upstream, or while a stream is resumed beside a silent upstream. It was charged with the time of the latest attempt, so one event that ended several upstreams counted as independent crashes. test_late_charge_has_the_time_of_the_lost_attempt failed before and passes now.

--- a/packages/snipelug-relay/src/snipelug_relay/crashes.py
+++ b/packages/snipelug-relay/src/snipelug_relay/crashes.py
@@ -63,10 +63,13 @@
     ----------
     has_begun : bool
         Whether an event of its response had arrived.
+    sent_at : float
+        Monotonic time at which it was sent, in seconds.
     """
 
     work: job.Job
     has_begun: bool
+    sent_at: float
 
 
 @dataclasses.dataclass
@@ -90,8 +93,8 @@
     verdict: trio.Event | None = None
 
 
-OnCrash = collections.abc.Callable[[str, job.Job], None]
-"""Called with the crash id for each attempt that had not begun."""
+OnCrash = collections.abc.Callable[[str, job.Job, float], None]
+"""Called with the crash id and the time of sending of attempts that had not begun."""
 
 
 class Detector:
@@ -114,21 +117,23 @@
 
     async def record_lost(self, work: job.Job, entry: fleet.Entry) -> None:
         """Record an attempt that had not begun; return once it is classified."""
-        losses = self._add(work, entry, has_begun=False)
+        losses = self._add(work, entry, False, work.sent_at)
         if losses.has_crashed:
-            self._charge(losses, work)
+            self._charge(losses, work, work.sent_at)
             return
         await self._connect(losses)
 
-    def record_broken(self, work: job.Job, entry: fleet.Entry) -> None:
+    def record_broken(self, work: job.Job, entry: fleet.Entry, sent_at: float) -> None:
         """Record an attempt that had begun; it is classified in the background."""
         begun_at = -1e9 if work.first_byte_at is None else work.first_byte_at
         has_begun = clock.now() - begun_at > BEGIN_WINDOW_S
-        losses = self._add(work, entry, has_begun)
+        losses = self._add(work, entry, has_begun, sent_at)
         if losses.has_crashed and not has_begun:
-            self._charge(losses, work)
+            self._charge(losses, work, sent_at)
 
-    def _add(self, work: job.Job, entry: fleet.Entry, has_begun: bool) -> Losses:
+    def _add(
+        self, work: job.Job, entry: fleet.Entry, has_begun: bool, sent_at: float
+    ) -> Losses:
         key = crash_id(entry)
         now = clock.now()
         losses = self._losses.get(key)
@@ -137,7 +142,7 @@
             while len(self._losses) > MAX_LOSSES:
                 self._losses.popitem(last=False)
         if not losses.is_logged and len(losses.attempts) < MAX_ATTEMPTS:
-            losses.attempts.append(LostAttempt(work, has_begun))
+            losses.attempts.append(LostAttempt(work, has_begun, sent_at))
         self._changed.set()
         return losses
 
@@ -166,10 +171,10 @@
         self._stats.crashes.labels(losses.entry.service).inc()
         for lost in losses.attempts:
             if not lost.has_begun:
-                self._charge(losses, lost.work)
+                self._charge(losses, lost.work, lost.sent_at)
 
-    def _charge(self, losses: Losses, work: job.Job) -> None:
-        self._on_crash(crash_id(losses.entry), work)
+    def _charge(self, losses: Losses, work: job.Job, sent_at: float) -> None:
+        self._on_crash(crash_id(losses.entry), work, sent_at)
 
     async def run(self) -> None:
         """Classify what is still open and log crashes, until cancelled."""
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -94,6 +94,8 @@
 
     Attributes
     ----------
+    sent_at : float
+        Monotonic time at which it was started, in seconds.
     on_prompt_read : callable or None
         Announces to other nodes that the prompt has been read.
     on_not_run : callable or None
@@ -104,6 +106,7 @@
     tokens: int
     prefill_tokens: int
     trace_entry: dict[str, object]
+    sent_at: float = math.inf
     on_prompt_read: collections.abc.Callable[[], None] | None = None
     on_not_run: collections.abc.Callable[[], None] | None = None
     has_ended: bool = False
@@ -111,6 +114,7 @@
     def start(self, now: float) -> None:
         """Add the request to the upstream's load."""
         upstream = self.upstream
+        self.sent_at = now
         upstream.running += 1
         upstream.reserved_tokens += self.tokens
         upstream.prefill_tokens += self.prefill_tokens
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -833,7 +833,8 @@
         """Record that the upstream of a stream closed the connection within it."""
         if outcome.upstream_attempt is not None:
             entry = outcome.upstream_attempt.upstream.entry
-            self._detector.record_broken(work, entry)
+            sent_at = outcome.upstream_attempt.sent_at
+            self._detector.record_broken(work, entry, sent_at)
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream; further calls have no effect."""
--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -168,11 +168,18 @@
         finally:
             del self._attempts[id(waiting)]
 
-    def charge(self, crash_id: str, work: job.Job) -> None:
-        """Charge a crash to a request that had not begun."""
+    def charge(self, crash_id: str, work: job.Job, sent_at: float) -> None:
+        """Charge a crash to a request that had not begun.
+
+        Parameters
+        ----------
+        sent_at : float
+            Monotonic time at which the crashed upstream was sent the request, in
+            seconds; the request may have been sent to another one since.
+        """
         now = clock.now()
         suspects = [s for s in self._all_suspects(work) if not self._is_sound(s, now)]
-        changed = self._ledger.charge(crash_id, suspects, work.sent_at, now)
+        changed = self._ledger.charge(crash_id, suspects, sent_at, now)
         self._own.update(changed)
         for suspect in changed:
             self._changed_at[suspect] = now
