Count only answered requests in the response times of a route

A request that failed, for instance at an upstream that is silent until the deadline, made a stopping node refuse the whole route. Found in the review, by reading.

--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -782,7 +782,7 @@
         if outcome in ("left", "broken") and self._is_cut(work):
             outcome, reason = "cut", "the node stopped within the response"
             self.cut_ids.append(work.request.request_id)
-        if outcome in ("answered", "failed") and not work.route.is_stream:
+        if outcome == "answered" and not work.route.is_stream:
             times = self._response_times.setdefault(
                 work.route.name, shutdown.LongestTime()
             )
