Answer connections of the backlog when a stop finds no other connection open

A stop that found no open connection ended at once, before the connections that the closed listener had handed over were served. A process that was stalled for a moment just before lost a request that its caller had sent 0.35 s earlier, without an answer.

--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -255,13 +255,16 @@
         self._callers.stop_accepting()
         self._callers.close_idle()
         incomplete = 0
-        # This includes connections on which a request is still being read.
-        while self._callers.open_connections and clock.now() < plan.cut_at:
+        is_open = True
+        # This includes connections on which a request is still being read, and those
+        # of the backlog, which are not open before the first pause.
+        while is_open and clock.now() < plan.cut_at:
             left_s = max(0.0, plan.cut_at - clock.now())
             await trio.sleep(min(CLOSE_CHECK_INTERVAL_S, left_s))
             self._callers.close_idle()
             if clock.now() >= plan.reading_ends_at:
                 incomplete += self._callers.refuse_incomplete(STOPPING)
+            is_open = self._callers.open_connections > 0
         cut = [self._relay.request_id(req) for req in self._callers.unfinished_requests]
         with trio.move_on_after(ABORT_TIMEOUT_S):
             await self._callers.abort()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,15 +4,18 @@
 import dataclasses
 import functools
 import json
+import socket
+import time
 import typing
 
 import pytest
 import trio
 
+from snipelug_core import shutdown
 from snipelug_net import http_client
 from snipelug_platform_standin import server
 from snipelug_relay import clock
-from tests import platform_world, slow_caller
+from tests import platform_world, raw_caller, slow_caller
 
 PROMPT = {"model": platform_world.MODEL, "token_usage": "9,9", "prompt_prefix": "aa:9"}
 HEADERS: dict[str, dict[str, str]] = {
@@ -380,3 +383,20 @@
         assert (sent.answer.status, sent.answer.is_complete) == (200, True)
         assert sent.answer.body.count(b"\n\n") == 10
         assert executions(world, sent.request_id) == 2
+
+
+async def test_connection_of_the_backlog_is_answered_if_no_other_is_open() -> None:
+    """Guards against a stop that drops what came in while the process was stalled."""
+    async with platform_world.deployment(engines=0, kv_stores=0) as world:
+        node = world.nodes[0]
+        addr = ("127.0.0.1", node.callers_port)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(node.stop)
+            await trio.sleep(shutdown.schedule(0.0, 4.0, 2.6).closes_at - 0.1)
+            sock = socket.create_connection(addr)
+            sock.sendall(raw_caller.request("POST", "/look/", b"x"))
+            time.sleep(0.3)
+            sock.setblocking(False)
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            answer = await raw_caller.read_all(stream)
+        assert answer.startswith(b"HTTP/1.1 200 ")
