--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -28,3 +28,22 @@
     soak = await platform_soak.run(seed, seconds, tmp_path, nodes)
     assert not soak.violations
     assert soak.outcomes["order 200"] > 20
+
+
+SERIES = [
+    # Callers that half-closed their connection, and late bodies, got no answer.
+    (3000, ("raw", "silences", "limits")),
+    # Nodes missed changes that a restored store had written past their positions.
+    (3080, ("restores", "odd")),
+]
+"""Seeds and families of faults; both found violations before they were fixed."""
+
+
+@pytest.mark.parametrize(("seed", "families"), SERIES)
+async def test_guarantees_hold_under_series(
+    tmp_path: pathlib.Path, seed: int, families: tuple[str, ...]
+) -> None:
+    """Guards against lost answers and lost changes under series of faults."""
+    soak = await platform_soak.run(seed, 12.0, tmp_path, families=families)
+    assert not soak.violations
+    assert soak.outcomes["order 200"] > 20
--- a/tests/test_platform_soak_checks.py
+++ b/tests/test_platform_soak_checks.py
@@ -57,7 +57,7 @@
         *checks.check_leaving(record, servers, 2.0),
         *checks.check_pauses(record, servers),
         *checks.check_crashes(record, servers, BAD),
-        *checks.check_closed(record, servers, 2.0),
+        *checks.check_closed(record, servers, 2.0, grace_s=4.0),
         *checks.check_keys(record, servers, KEY),
         *checks.check_zones(record, servers, ZONE),
     ]
@@ -109,6 +109,21 @@
     scene.upstream.executed.clear()
 
 
+def cut_at_the_end_of_a_stop(scene: Scene, at: float) -> None:
+    scene.disturb(NODE, 10.0, 10.0, is_planned=True)
+    scene.send(max(at - 1.9, 10.0), ended_at=at, is_closed=True)
+
+
+def cut_late_request(scene: Scene, at: float) -> None:
+    scene.disturb(NODE, 10.0, 10.0, is_planned=True)
+    scene.send(13.1, ended_at=at, is_closed=True)
+
+
+def cut_unrun_request(scene: Scene, at: float) -> None:
+    cut_at_the_end_of_a_stop(scene, at)
+    scene.upstream.executed.clear()
+
+
 def use_withdrawn_key(scene: Scene, at: float) -> None:
     scene.record.keys += [(0.0, True), (10.0, False)]
     scene.send(at)
@@ -153,6 +168,11 @@
     (close_read_request, 12.0, ""),
     (close_unread_request, 10.1, ""),
     (close_unread_request, 10.3, "closed without an answer"),
+    (cut_at_the_end_of_a_stop, 13.3, "closed without an answer"),
+    (cut_at_the_end_of_a_stop, 13.4, ""),
+    (cut_at_the_end_of_a_stop, 14.1, "closed without an answer"),
+    (cut_late_request, 13.4, "closed without an answer"),
+    (cut_unrun_request, 13.4, "closed without an answer"),
     (use_withdrawn_key, 11.9, ""),
     (use_withdrawn_key, 12.1, "withdrawn key"),
     (restore_key_after_sending, 12.1, ""),
