--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -912,6 +912,9 @@
         for upstream in self.all_servers:
             drained_at = self.drain_times.get(upstream.id)
             for request in upstream.executed:
+                if "request-id" not in request.headers:
+                    self.report_violation("unknown request", f"{upstream.id} {request}")
+                    continue
                 is_at_most_once = request.target.startswith(("/order/", "/ask/"))
                 runs[request.headers["request-id"]] += is_at_most_once
                 is_late = (
