--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -6,7 +6,7 @@
 
 from snipelug_core import kv_index
 from snipelug_net import lines
-from snipelug_relay import announce, clock, messages, ports, state
+from snipelug_relay import announce, clock, messages, ports, state, stats
 
 LOG = logging.getLogger("snipelug.kv_stores")
 
@@ -40,8 +40,10 @@
         node_state: state.State,
         machines: ports.Machines,
         announcer: announce.Announcer,
+        metrics: stats.Stats,
     ) -> None:
         self._announcer = announcer
+        self._stats = metrics
         self._pending_reports: list[messages.KvStoreRead] = []
         self._polling: set[str] = set()
         self._poll_started_at: dict[str, float] = {}
@@ -91,6 +93,7 @@
             await self._poll_and_free(store_state)
         except Exception as exc:
             name = store_state.store.name
+            self._stats.task_failures.labels("kv_stores").inc()
             LOG.error("kv_store_failed", extra={"store": name}, exc_info=exc)
 
     async def _poll_and_free(self, store_state: kv_index.StoreState) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -149,7 +149,7 @@
             cfg, self._state, platform.store, self._stats
         )
         self._kv_stores = kv_stores.KvStorePoller(
-            cfg, self._state, platform.machines, self._announcer
+            cfg, self._state, platform.machines, self._announcer, self._stats
         )
 
     @property
--- a/tests/test_kv_stores.py
+++ b/tests/test_kv_stores.py
@@ -4,7 +4,7 @@
 
 from snipelug_core import kv_index
 from snipelug_net import http_client
-from snipelug_relay import announce, clock, kv_stores, messages, ports, state
+from snipelug_relay import announce, clock, kv_stores, messages, ports, state, stats
 from tests import relay_builders
 
 KEY: kv_index.PartKey = ("m.1.", "p")
@@ -39,6 +39,7 @@
         node_state,
         machines,  # type: ignore[arg-type]
         announce.Announcer(None, node_state),
+        stats.Stats(),
     )
     await poller._poll(known)
     machines.events = ports.StoreEvents(2, 5, False, 5_000.0, [])
