--- a/tests/platform_soak_checks.py
+++ b/tests/platform_soak_checks.py
@@ -18,7 +18,7 @@
 
 CONTACT_S = 3.0
 LATEST_SENT_S = 3.0
-"""Time after SIGTERM up to which a request that was sent may be cut at the end."""
+"""Latest start after SIGTERM of requests that the end of the grace period may cut."""
 
 FINAL_FRACTION = 1 / 6
 """Last part of the grace period, in which upstreams may still be at work."""
