Give test processes ports that no other socket gets by chance

Nodes of the soak and of the tests with processes got ports from the range of ephemeral ports, checked as UDP ports of 127.0.0.1 only, and kept them across restarts. Which socket held the port was not seen.

Ports now come from below the ephemeral range, as those of the product's own cluster tests did, and are checked for TCP and UDP on the node's own address.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -8,11 +8,9 @@
 import contextlib
 import dataclasses
 import itertools
-import os
 import pathlib
 import re
 import signal
-import socket
 import subprocess
 import sys
 import typing
@@ -30,11 +28,6 @@
 CONDITION_POLL_S = 0.1
 LISTENING = re.compile(rb"^listening (\d+)$", re.MULTILINE)
 CONTROL = re.compile(rb"^control (\d+)$", re.MULTILINE)
-PORT_RANGE = range(20_000, 32_000)
-# Starts at a place that differs between test runs on one machine.
-_PORTS = itertools.islice(
-    itertools.cycle(PORT_RANGE), os.getpid() * 97 % len(PORT_RANGE), None
-)
 
 
 class ProcessError(Exception):
@@ -310,20 +303,3 @@
             await trio.sleep(CONDITION_POLL_S)
         return
     raise ProcessError(f"{what} did not happen within {CONDITION_S:g} s")
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free now, for processes that cannot pick their own.
-
-    They lie below the range from which the kernel serves outgoing connections
-    and listeners on port 0, so that no other process gets one meanwhile.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(_PORTS)
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            with contextlib.suppress(OSError):
-                sock.bind((HOST, port))
-                found.append(port)
-    return found
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -12,7 +12,7 @@
 import trio
 
 from snipelug_net import http_client
-from tests import cluster
+from tests import cluster, port_numbers
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 KEY = "sample-deployment-key"
@@ -315,7 +315,7 @@
     deployment = await start_platform(running, sample)
     deployment.deadline_s = deadline_s
     deployment.node_options = node_options or {}
-    free = cluster.free_ports(3 * count)
+    free = port_numbers.free_ports(3 * count)
     deployment.ports = [Ports(*free[3 * i : 3 * i + 3]) for i in range(count)]
     await deployment.start_upstreams(
         sample.engine["count"] if engines is None else engines,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,7 +9,7 @@
 
 from snipelug_core import member
 from snipelug_node import peer, ports, revision
-from tests import cluster
+from tests import port_numbers
 
 KEY = b"test key"
 WAIT_S = 8.0
@@ -143,7 +143,7 @@
 
 @contextlib.asynccontextmanager
 async def fleet(size: int) -> collections.abc.AsyncIterator[Fleet]:
-    free = cluster.free_ports(size)
+    free = port_numbers.free_ports(size)
     numbers = {f"n{i}": port for i, port in enumerate(free)}
     async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
         made = Fleet(MemoryTable(), nursery, numbers)
--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -34,7 +34,7 @@
 from snipelug_net import http_client
 from snipelug_platform_standin import kv_store, server, store
 from tests import platform_soak_checks as checks
-from tests import platform_world
+from tests import platform_world, port_numbers
 
 DEFAULT_NODES = 3
 """Nodes of one zone; with five or more, two of them read from the platform for all."""
@@ -197,8 +197,8 @@
         self.name = f"n{number}"
         self.record = record
         self.host = f"127.0.0.{20 + number}"
-        self.port, self.ready_port, self.udp_port = (
-            platform_world.free_port() for _ in range(3)
+        self.port, self.ready_port, self.udp_port = port_numbers.free_ports(
+            3, self.host
         )
         self.log = folder / f"{self.name}.log"
         self.path = folder / f"{self.name}.conf"
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -5,7 +5,6 @@
 import dataclasses
 import functools
 import logging
-import socket
 
 import trio
 
@@ -13,6 +12,7 @@
 from snipelug_platform import main
 from snipelug_platform_standin import kv_store, server, store
 from snipelug_relay import node, ports, record
+from tests import port_numbers
 
 HOST = "h.example"
 KEY = "key-1"
@@ -109,13 +109,14 @@
 
     def settings(self, name: str) -> ports.Settings:
         """Return the settings of a node that listens on free ports."""
+        peers = (port_numbers.HOST, *port_numbers.free_ports(1))
         return ports.Settings(
             node_id=name,
             zone="zone-a",
             callers=("127.0.0.1", 0),
             ready=("127.0.0.1", 0),
             store=("127.0.0.1", self.store_port),
-            peers=("127.0.0.1", free_port()) if self.has_peers else None,
+            peers=peers if self.has_peers else None,
             bounds=ports.Bounds(
                 grace_s=self.grace_s, lease_ms=600.0, version_s=self.version_s
             ),
@@ -136,14 +137,6 @@
         return found
 
 
-def free_port() -> int:
-    """Return an unused UDP port."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-    return port
-
-
 async def wait_until(is_true: collections.abc.Callable[[], bool]) -> None:
     """Poll a condition until it is true; fail after ``WAIT_TIMEOUT_S``."""
     with trio.fail_after(WAIT_TIMEOUT_S):
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -1,6 +1,5 @@
 """Tests of the announcements between nodes."""
 
-import contextlib
 import random
 import socket
 
@@ -11,18 +10,11 @@
 
 from snipelug_core import catalog, choice
 from snipelug_relay import announce, clock, messages, ports, state
-from tests import relay_builders
-
-
-def free_port(host: str) -> int:
-    with contextlib.closing(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) as sock:
-        sock.bind((host, 0))
-        port: int = sock.getsockname()[1]
-    return port
+from tests import port_numbers, relay_builders
 
 
 def node(name: str, host: str) -> tuple[announce.Announcer, state.State]:
-    addr = (host, free_port(host))
+    addr = (host, *port_numbers.free_ports(1, host))
     cfg = ports.Settings(name, "a", addr, addr, addr, peers=addr)
     node_state = state.State(cfg)
     node_state.fleet.put(relay_builders.entry(), clock.now())
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,9 +1,7 @@
 """Tests of a node on the platform as a process of its own."""
 
-import contextlib
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
@@ -12,21 +10,18 @@
 
 from snipelug_net import http_client
 from snipelug_platform_standin import server, store
-from tests import platform_soak, platform_soak_checks, platform_world, slow_caller
+from tests import (
+    platform_soak,
+    platform_soak_checks,
+    platform_world,
+    port_numbers,
+    slow_caller,
+)
 
 EXIT_TIMEOUT_S = 10.0
 KILL_MARGIN_S = 0.5
 
 
-def free_tcp_ports(count: int) -> list[int]:
-    """Return different ports that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
-
-
 def ignores(process: subprocess.Popen[bytes], number: signal.Signals) -> bool:
     """Return whether a process ignores a signal."""
     lines = pathlib.Path(f"/proc/{process.pid}/status").read_text().splitlines()
@@ -42,7 +37,7 @@
     grace_s: int = 4,
 ) -> subprocess.Popen[bytes]:
     """Start a node and wait until it is ready."""
-    port, ready_port = free_tcp_ports(2)
+    port, ready_port = port_numbers.free_ports(2)
     port = port if callers_port is None else callers_port
     path = folder / "node.conf"
     path.write_text(
@@ -120,7 +115,7 @@
     app = server.Server("app")
     await nursery.start(app.serve)
     rows.put("servers", app.id, app.entry())
-    (port,) = free_tcp_ports(1)
+    (port,) = port_numbers.free_ports(1)
     process = await start_node(tmp_path, store_port, callers_port=port, grace_s=grace_s)
     try:
         conns = [await slow_caller.connect(port) for _ in range(3)]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,7 +13,7 @@
 import trio
 
 from snipelug_net import http_client
-from tests import callers, cluster, deployment
+from tests import callers, cluster, deployment, port_numbers
 
 pytestmark = pytest.mark.process
 
@@ -285,10 +285,10 @@
 async def add_linked_nodes(deployed: deployment.Deployment) -> list[cluster.Child]:
     """Start two nodes; links connect them, and the first one to the platform."""
     running = deployed.running
-    port_numbers = cluster.free_ports(6)
+    free = port_numbers.free_ports(6)
     deployed.ports = [
-        deployment.Ports(*port_numbers[:3]),
-        deployment.Ports(*port_numbers[3:]),
+        deployment.Ports(*free[:3]),
+        deployment.Ports(*free[3:]),
     ]
     platform = {
         "tables": await running.link(deployed.tables.addr),
