--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -796,8 +796,8 @@
         kind: str,
         parts: str = "",
         rng: random.Random | None = None,
-    ) -> http_client.FullResponse | None:
-        """Send one request and check the response; return it if it succeeded."""
+    ) -> checks.Sent:
+        """Send one request and check the response; return how it ended."""
         request_id = f"{next(self.ids):08x}"
         key = platform_world.KEY
         uses_keys = not {"keys", "restores"}.isdisjoint(self.families)
@@ -824,13 +824,12 @@
         sent = checks.Sent(kind, node.name, key, parts, trio.current_time())
         self.record.requests[request_id] = sent
         response = await pool.fetch(call)
-        self.record.requests[request_id] = checks.ended(sent, response)
-        if not isinstance(response, http_client.FullResponse):
-            self.outcomes[f"{kind} {type(response).__name__}"] += 1
-            return None
-        self.outcomes[f"{kind} {response.status}"] += 1
-        self.check_response(kind, request_id, response)
-        return response if response.status == 200 else None
+        ended = checks.ended(sent, response)
+        self.record.requests[request_id] = ended
+        self.outcomes[f"{kind} {ended.outcome}"] += 1
+        if isinstance(response, http_client.FullResponse):
+            self.check_response(kind, request_id, response)
+        return ended
 
     async def send_raw(
         self, node: NodeProcess, kind: str, late_s: float | None = None
@@ -973,8 +972,10 @@
         with trio.move_on_after(RECOVERY_TIMEOUT_S + extra_s):
             while await self.find_failing(pool):
                 await trio.sleep(0.2)
-        for node in await self.find_failing(pool):
-            self.report_violation("recovery", f"{node.name} does not serve requests")
+        for name, outcome in (await self.find_failing(pool)).items():
+            self.report_violation(
+                "recovery", f"{name} does not serve requests: {outcome}"
+            )
         with trio.move_on_after(WEIGHTS_TIMEOUT_S if self.plays_series else 0.0):
             while any(self.has_old_weights(upstream) for upstream in self.servers):
                 await trio.sleep(0.2)
@@ -984,16 +985,22 @@
                     "weights", f"{upstream.id} serves {upstream.models}"
                 )
 
-    async def find_failing(self, pool: http_client.Pool) -> list[NodeProcess]:
-        """Return the nodes that do not answer one request of each kind in time."""
-        failing = []
+    async def find_failing(self, pool: http_client.Pool) -> dict[str, str]:
+        """Return the nodes that do not answer one request of each kind in time.
+
+        Returns
+        -------
+        dict of str to str
+            The first unexpected outcome at each of these nodes.
+        """
+        failing: dict[str, str] = {}
         # More at once would exceed what the upstreams can serve.
         limiter = trio.CapacityLimiter(SMALL_ZONE)
 
         async def probe(node: NodeProcess) -> None:
             async with limiter:
-                if not await self.is_serving(pool, node):
-                    failing.append(node)
+                if outcome := await self.find_failure(pool, node):
+                    failing[node.name] = outcome
 
         async with trio.open_nursery() as nursery:
             for node in self.nodes:
@@ -1005,14 +1012,16 @@
         newest = self.weight_version
         return upstream.models.get(platform_world.MODEL, newest) != newest
 
-    async def is_serving(self, pool: http_client.Pool, node: NodeProcess) -> bool:
-        """Return whether a node answers one request of each kind in time."""
+    async def find_failure(self, pool: http_client.Pool, node: NodeProcess) -> str:
+        """Return the first unexpected outcome of one request of each kind, or ""."""
+        kind = ""
         with trio.move_on_after(PROBE_TIMEOUT_S):
             for kind in ("order", "look", "ask", "check"):
-                if await self.send_request(pool, node, kind) is None:
-                    return False
-            return True
-        return False
+                sent = await self.send_request(pool, node, kind)
+                if sent.outcome != 200:
+                    return f"{kind} {sent.outcome}"
+            return ""
+        return f"{kind} without a response within {PROBE_TIMEOUT_S} s"
 
 
 async def run(
