--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -33,6 +33,7 @@
 from snipelug_core import watcher
 from snipelug_net import http_client
 from snipelug_platform_standin import kv_store, server, store
+from snipelug_relay import ports
 from tests import platform_soak_checks as checks
 from tests import platform_world, port_numbers
 
@@ -94,6 +95,9 @@
 WEIGHTS_TIMEOUT_S = MAX_ORDER_LAG_S + 1.5 * VERSION_MS / 1000
 """Time after the last fault within which all engines must have the newest weights."""
 
+PROMPT_WEIGHTS_TIMEOUT_S = 1.5 * ports.Bounds().version_s
+"""The same if engines load weights without delay."""
+
 CALLERS_PER_NODE = 2
 MAX_CALLERS = 120
 KEPT_PAUSE_S = 0.05
@@ -976,7 +980,8 @@
             self.report_violation(
                 "recovery", f"{name} does not serve requests: {outcome}"
             )
-        with trio.move_on_after(WEIGHTS_TIMEOUT_S if self.plays_series else 0.0):
+        timeout_s = WEIGHTS_TIMEOUT_S if self.plays_series else PROMPT_WEIGHTS_TIMEOUT_S
+        with trio.move_on_after(timeout_s):
             while any(self.has_old_weights(upstream) for upstream in self.servers):
                 await trio.sleep(0.2)
         for upstream in self.servers:
