Tell other nodes which crashes confirm each other

Callers saw 503 'quarantined' for sound prompts at nodes that only heard of the crashes, for up to 60 s, after one event had ended three engines at which a part waited. Only the node that had sent the requests knew that its crashes were simultaneous; datagrams and rows told the ids of crashes alone, and what a node heard of counted as independent.

Each crash now has a generation: the length of the longest series of crashes in which each request was sent after the crash before was known. Nodes and rows carry it, and merging takes the higher one, so that all nodes judge alike whatever they learn first. Crashes of one generation count once. The node that sends the requests judges by such series as well: a crash of a request that was sent before some crashes were known, but after another one, confirms that one.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -5,6 +5,9 @@
 import dataclasses
 import enum
 import math
+import typing
+
+import msgspec
 
 from snipelug_core import hashing, ranges, refusal
 
@@ -111,7 +114,7 @@
 
 
 SUSPECT_LIMIT = 3
-"""Number of crashes, over all nodes, after which requests with a suspect are withheld.
+"""Number of successive crashes after which requests with a suspect are withheld.
 
 Crashes of upstreams break off sound requests as well, so one more than
 ``CRASH_LIMIT`` is needed where requests are charged by what they have in common.
@@ -137,6 +140,9 @@
 MAX_SUSPICIONS = 4096
 """Maximum number of suspects that are remembered; the oldest are dropped first."""
 
+Generation = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_CRASHES)]
+"""Position of a crash in a series of crashes, from 1 on; 0 if unknown."""
+
 
 def part_suspect(model: str, part_id: str) -> str:
     """Return the suspect for a part of a model's prompts."""
@@ -163,6 +169,10 @@
     cleared : frozenset of str
         Ids of crashes that this suspect did not cause: a request with it was answered
         completely afterwards.
+    generations : dict of str to int
+        Length of the longest series that ends with each crash, in which each request
+        was sent after the crash before was known. Crashes of one generation may have
+        been one event, and do not confirm each other. An unknown one is left out.
     """
 
     suspect: ranges.Name
@@ -170,6 +180,7 @@
         default_factory=dict
     )
     cleared: frozenset[ranges.Name] = frozenset()
+    generations: dict[ranges.Name, Generation] = dataclasses.field(default_factory=dict)
 
     def merged(self, other: "Suspicion") -> "Suspicion":
         """Merge two states; commutative, associative and idempotent.
@@ -185,7 +196,36 @@
         crashes = dict(list(crashes.items())[-MAX_CRASHES:])
         if len(cleared) > MAX_CLEARED:
             cleared = frozenset(sorted(cleared)[-MAX_CLEARED:])
-        return Suspicion(self.suspect, crashes, cleared)
+        generations = {
+            crash_id: max(
+                self.generations.get(crash_id, 0), other.generations.get(crash_id, 0)
+            )
+            for crash_id in crashes
+        }
+        return Suspicion(self.suspect, crashes, cleared, _known(generations))
+
+    @property
+    def independent(self) -> int:
+        """Number of crashes that cannot have been one event."""
+        unknown = len(self.crashes) - len(self.generations)
+        return unknown + len(set(self.generations.values()))
+
+    def next_generation(
+        self, crash_id: str, is_known: collections.abc.Callable[[str], bool]
+    ) -> int:
+        """Return the generation of a crash that follows others.
+
+        Parameters
+        ----------
+        is_known : callable
+            Whether another crash was known when the request was sent.
+        """
+        before = (
+            self.generations.get(other, 0)
+            for other in self.crashes
+            if other != crash_id and is_known(other)
+        )
+        return min(MAX_CRASHES, 1 + max(before, default=0))
 
     @property
     def company(self) -> frozenset[str]:
@@ -202,10 +242,15 @@
         cleared = suspicion.cleared
         if not suspicion.crashes:
             cleared = frozenset(sorted(cleared)[1:])
-        suspicion = Suspicion(suspicion.suspect, crashes, cleared)
+        generations = {c: suspicion.generations.get(c, 0) for c in crashes}
+        suspicion = Suspicion(suspicion.suspect, crashes, cleared, _known(generations))
     return suspicion
 
 
+def _known(generations: dict[str, int]) -> dict[str, int]:
+    return {crash_id: number for crash_id, number in generations.items() if number}
+
+
 def _intersect(
     first: dict[str, frozenset[str]], second: dict[str, frozenset[str]], crash_id: str
 ) -> frozenset[str]:
@@ -225,7 +270,6 @@
         self._known_since: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._simultaneous: dict[str, set[str]] = {}
 
     def __len__(self) -> int:
         return len(self._suspicions)
@@ -255,14 +299,19 @@
         """Return what is known of a suspect."""
         return self._suspicions.get(suspect) or Suspicion(suspect)
 
-    def merge(self, other: Suspicion) -> bool:
-        """Merge a state from another node or a row; return whether anything changed."""
+    def merge(self, other: Suspicion, now: float = -math.inf) -> bool:
+        """Merge a state from another node or a row; return whether anything changed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time at which its crashes became known, in seconds.
+        """
+        self._note_known(other.crashes, now)
         known = self.get(other.suspect)
         merged = known.merged(other)
         if merged == known:
             return False
-        if other.suspect in self._simultaneous:
-            self._simultaneous[other.suspect] &= merged.crashes.keys()
         self._suspicions[other.suspect] = merged
         self._suspicions.move_to_end(other.suspect)
         if len(merged.crashes) >= RETRY_LIMIT:
@@ -278,7 +327,6 @@
         """Forget a suspect."""
         self._suspicions.pop(suspect, None)
         self._repeated.pop(suspect, None)
-        self._simultaneous.pop(suspect, None)
 
     def charge(
         self,
@@ -295,44 +343,31 @@
             Monotonic times of the request and of this charge, in seconds; by default
             the crash is independent of all others.
         """
+
+        def is_known(other: str) -> bool:
+            return self._known_since.get(other, -math.inf) < sent_at
+
+        company = {crash_id: frozenset(suspects)}
+        changed = []
         for suspect in suspects:
-            self._note_simultaneous(suspect, crash_id, sent_at)
-        self._known_since.setdefault(crash_id, now)
+            generation = self.get(suspect).next_generation(crash_id, is_known)
+            charged = Suspicion(suspect, company, generations={crash_id: generation})
+            if self.merge(charged, now):
+                changed.append(suspect)
+        return changed
+
+    def _note_known(self, crash_ids: collections.abc.Iterable[str], now: float) -> None:
+        for crash_id in crash_ids:
+            self._known_since.setdefault(crash_id, now)
         while len(self._known_since) > MAX_SUSPICIONS:
             self._known_since.popitem(last=False)
-        company = frozenset(suspects)
-        return [
-            suspect
-            for suspect in suspects
-            if self.merge(Suspicion(suspect, {crash_id: company}))
-        ]
-
-    def _note_simultaneous(self, suspect: str, crash_id: str, sent_at: float) -> None:
-        """Note whether a request was sent before another crash became known.
-
-        Such a crash does not confirm the other one: one event may have ended both
-        upstreams. What other nodes and rows tell of crashes counts as independent.
-        """
-        suspicion = self.get(suspect)
-        crashes = suspicion.crashes
-        noted = self._simultaneous.setdefault(suspect, set())
-        is_simultaneous = any(
-            self._known_since.get(other, -math.inf) >= sent_at
-            for other in crashes
-            if other != crash_id
-        )
-        if not is_simultaneous:
-            noted.discard(crash_id)
-        elif crash_id not in crashes and crash_id not in suspicion.cleared:
-            noted.add(crash_id)
-        if not noted:
-            del self._simultaneous[suspect]
 
     def is_withheld(self, suspect: str) -> bool:
         """Return whether a suspect has as many crashes as requests are withheld for."""
-        count = self.count(suspect)
-        independent = count - len(self._simultaneous.get(suspect, ()))
-        return independent >= SUSPECT_LIMIT or count >= SIMULTANEOUS_LIMIT
+        return (
+            self.get(suspect).independent >= SUSPECT_LIMIT
+            or self.count(suspect) >= SIMULTANEOUS_LIMIT
+        )
 
     def clear(self, suspect: str) -> bool:
         """Clear a suspect of all known crashes; return whether there were any."""
--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -299,7 +299,7 @@
         """Merge what another node knows of a suspect."""
         suspect = received.suspect
         before = self._ledger.get(suspect)
-        is_changed = self._ledger.merge(received)
+        is_changed = self._ledger.merge(received, clock.now())
         if is_changed:
             self._changed_at[suspect] = clock.now()
         known = self._ledger.get(suspect)
@@ -311,7 +311,10 @@
             self._clear(suspect, delay_s)
         elif received.crashes.keys() & known.cleared and suspect not in self._sends:
             self._schedule(suspect, delay_s)
-        elif is_changed and len(known.crashes) > len(before.crashes):
+        elif is_changed and (
+            len(known.crashes) > len(before.crashes)
+            or known.independent > before.independent
+        ):
             self._record_change(suspect)
         if not known.crashes:
             self._holds.pop(suspect, None)
