Read the list whole if a reader knows another one

Callers got 503 for all requests of a service at one node, for as long as the entries of its upstreams did not change. In a zone with readers, a node that read the list itself while an entry was away for a moment removed it. The readers saw the same entry before and after, so they announced nothing, and the node's position moved on with their announcements.

Each announcement of the list now has a digest of the reader's entries at its position. A node, a reader too, whose own digest differs there reads the list whole, at most every 2 s. Without a digest (older programs, or while entries are kept after an outage or withheld after a restore) nothing is compared.

--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -3,9 +3,13 @@
 import collections
 import collections.abc
 import dataclasses
+import functools
 import math
+import operator
 
-from snipelug_core import queueing, ranges, restore
+import msgspec
+
+from snipelug_core import hashing, queueing, ranges, restore
 
 REMOVAL_GRACE_S = 2.2
 """Retention of vanished entries; after an outage of the list they return within 2 s."""
@@ -297,11 +301,19 @@
     what: str
 
 
+def entry_digest(entry: Entry) -> int:
+    """Return a digest of an entry, from 1 to ``ranges.MAX_NUMBER``."""
+    data = msgspec.msgpack.encode(entry, order="deterministic")
+    number = int.from_bytes(hashing.keyed_digest(b"", data)[:8], "big")
+    return 1 + number % ranges.MAX_NUMBER
+
+
 class Fleet:
     """The upstreams by id, including entries that vanished during an outage."""
 
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
+        self._digests: dict[str, int] = {}
         self._mean_loads: dict[str, MeanLoad] = {}
         self._wait_models: dict[str, queueing.WaitModel] = {}
         self._by_service: dict[str, list[Upstream]] = {}
@@ -335,12 +347,25 @@
         """Return what was learned about waiting at the upstreams of a service."""
         return self._wait_models.setdefault(service, queueing.WaitModel())
 
+    @property
+    def digest(self) -> int | None:
+        """Digest of the listed entries, the same at all nodes that know the same list.
+
+        None while the entries in use differ from the list, as some are kept after an
+        outage or withheld after a restore.
+        """
+        if self._removal_due or self._withheld:
+            return None
+        return functools.reduce(operator.xor, self._digests.values(), 0)
+
     def put(self, entry: Entry, now: float) -> Change | None:
         """Add or update a listed entry."""
         self._gone.pop((entry.id, entry.born), None)
         self._withheld.discard((entry.id, entry.born))
         was_missing = self._removal_due.pop(entry.id, None) is not None
         known = self.upstreams.get(entry.id)
+        if known is None or known.entry != entry:
+            self._digests[entry.id] = entry_digest(entry)
         if known is None or known.entry.born != entry.born:
             if known is not None:
                 self._remember_gone(known)
@@ -416,6 +441,7 @@
             self._removal_due.setdefault(upstream_id, now + REMOVAL_GRACE_S)
             return Change(upstream_id, "missing")
         self._remember_gone(self.upstreams.pop(upstream_id))
+        del self._digests[upstream_id]
         self._removal_due.pop(upstream_id, None)
         self._rebuild_index()
         return Change(upstream_id, "gone")
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -84,6 +84,9 @@
         Whether the changes were omitted because they exceed a datagram.
     epoch : int
         Epoch of the store to which the positions belong.
+    digest : int or None
+        Digest of the sender's list at ``position``; None if the sender keeps entries
+        that the list lacks, or the other way round.
     """
 
     since: ranges.Number
@@ -93,6 +96,7 @@
     removed: list[ranges.Name]
     is_cut: bool = False
     epoch: ranges.Number = 0
+    digest: ranges.Number | None = None
 
 
 class KvStoreRead(msgspec.Struct, array_like=True):
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -42,6 +42,12 @@
 READER_LATENESS_S = 0.3
 """Delay of a reader's announcement after which a node reads for itself."""
 
+MIN_LIST_CHECK_INTERVAL_S = 2.0
+"""Minimum interval between whole reads of a list that differs from a reader's.
+
+Nodes whose programs decode entries differently would otherwise read it all the time.
+"""
+
 MEMBER_WRITE_INTERVAL_S = 15.0
 MEMBER_READ_INTERVALS_S = (0.5, 1.0, 2.0, 4.0, 8.0, 12.0)
 """Intervals between reads of the member table; the last one repeats."""
@@ -201,6 +207,7 @@
         announcer.set_handler(messages.IntentsRead, self._on_intents_read)
         announcer.set_handler(messages.ListRead, self._on_list_read)
         self._list_kept_until = -1e9
+        self._list_checked_at = -1e9
         node_state.add_restore_handler(self._on_restore)
         self._cfg = cfg
         self._state = node_state
@@ -360,28 +367,31 @@
             return decision
         is_restored = table.is_restored(page.epoch)
         items = list(_newest(page.items))
-        if self._state.is_reader:
-            if since is not None and known is not None:
-                self._announce_listings(items, known.version, read, in_grace)
-            elif is_restored:
-                # The other nodes must read the list for themselves.
-                self._announce_listings([], page.position, read, in_grace)
+        message: messages.ListRead | None = None
+        if self._state.is_reader and since is not None and known is not None:
+            message = self._describe_changes(items, known.version, read, in_grace)
+        elif self._state.is_reader and is_restored:
+            # The other nodes must read the list for themselves.
+            message = self._describe_changes([], page.position, read, in_grace)
         if is_restored:
             self._list_kept_until = clock.now() + fleet.REMOVAL_GRACE_S
         if since is None:
             in_grace = in_grace or clock.now() < self._list_kept_until
         self._state.apply_listings(items, since is None, in_grace, is_restored)
         table.advance(page.position, page.epoch)
+        if message is not None:
+            message.digest = self._state.fleet.digest
+            self._announce_list(message)
         return decision
 
-    def _announce_listings(
+    def _describe_changes(
         self,
         items: collections.abc.Iterable[ports.Listing],
         since: int,
         read: cursor.Position,
         in_grace: bool,
-    ) -> None:
-        """Announce the changes to what this node knows to the zone."""
+    ) -> messages.ListRead:
+        """Return an announcement of the changes to what this node knows."""
         entries, removed = [], []
         for item in items:
             match item:
@@ -392,14 +402,15 @@
                     removed.append(upstream_id)
                 case ports.Unreadable(key):
                     removed.append(key)
-        message = messages.ListRead(
+        return messages.ListRead(
             since, read.version, in_grace, entries, removed, epoch=read.epoch
         )
+
+    def _announce_list(self, message: messages.ListRead) -> None:
+        """Announce changes of the list to the zone, or only that there are some."""
         if not self._announcer.send_to_zone(message):
-            omitted = messages.ListRead(
-                since, read.version, in_grace, [], [], True, read.epoch
-            )
-            self._announcer.send_to_zone(omitted)
+            message.entries, message.removed, message.is_cut = [], [], True
+            self._announcer.send_to_zone(message)
 
     def expire(self) -> None:
         """End what is kept for some time after an outage or a restore of the store.
@@ -421,6 +432,23 @@
         items += [ports.Removed(upstream_id) for upstream_id in message.removed]
         self._state.apply_listings(items, False, message.in_grace)
         self._list_cursor.advance(message.position, message.epoch)
+        self._check_digest(message)
+
+    def _check_digest(self, message: messages.ListRead) -> None:
+        """Read the list whole if this node knows another one than a reader.
+
+        A reader does not announce an entry that was removed, or had another content,
+        only between two of its reads. A node that read meanwhile keeps what it saw.
+        """
+        own = self._state.fleet.digest
+        if message.digest is None or own is None or own == message.digest:
+            return
+        now = clock.now()
+        if now < self._list_checked_at + MIN_LIST_CHECK_INTERVAL_S:
+            return
+        self._list_checked_at = now
+        lines.warning(LOG, "list_differs", position=message.position)
+        self._list_cursor.restart()
 
     async def _wait_for_reader(self, table: TableCursor, limit_s: float) -> bool:
         """Wait while a reader of the zone reads a table for this node.
--- a/tests/test_cursor.py
+++ b/tests/test_cursor.py
@@ -163,6 +163,16 @@
                 return
         self.write_process(self.processes[number])
 
+    @stateful.rule(number=st.integers(0, 2), node=NODE)
+    def lapse(self, number: int, node: int) -> None:
+        """Let one node read the list while an entry is away for a moment."""
+        for each in {0, node}:
+            self.poll(each, restored_store.LIST, is_paged=False)
+        self.store.delete(restored_store.LIST, UPSTREAM_IDS[number])
+        self.poll(node, restored_store.LIST, is_paged=False)
+        self.write_process(self.processes[number])
+        self.poll(0, restored_store.LIST, is_paged=False)
+
     @stateful.rule(zone=st.sampled_from(ZONES))
     def change_zone(self, zone: str) -> None:
         self.zones_out ^= {zone}
@@ -379,5 +389,17 @@
         assert known.has_same_content(expected)
 
 
+@pytest.mark.parametrize("node", range(4))
+@pytest.mark.parametrize("number", range(3))
+def test_entry_that_returned_between_reads_of_a_reader_is_used(
+    node: int, number: int
+) -> None:
+    """Guards against a node that misses an upstream until its entry changes."""
+    readers = Readers()
+    readers.lapse(number, node)
+    readers.deliver_newest(node)
+    readers.teardown()
+
+
 TestReaders = Readers.TestCase
 TestReaders.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -170,3 +170,26 @@
             full = await platform_world.Caller(node).send("GET", "/look/")
             assert isinstance(full, http_client.FullResponse)
             assert full.status == 200
+
+
+async def test_entry_that_is_away_for_a_moment_is_used_by_all_nodes() -> None:
+    """Guards against a node that misses an upstream for good.
+
+    One node reads the list while the entry is away; the readers see no change.
+    """
+    async with platform_world.deployment(
+        apps=1, engines=0, nodes=NODES, has_peers=True
+    ) as world:
+        await zone_known(world)
+        app = world.apps[0]
+        node = next(node for node in world.nodes if not node._state.is_reader)
+        world.store.delete("servers", app.id)
+        node._watch._list_cursor.request_read()
+        await platform_world.wait_until(
+            lambda: app.id not in node._state.fleet.upstreams
+        )
+        world.store.put("servers", app.id, app.entry())
+        await trio.sleep(2.0)
+        full = await platform_world.Caller(node).send("GET", "/look/")
+        assert isinstance(full, http_client.FullResponse)
+        assert full.status == 200
