Tell whole requests apart by more than their path and body

Callers got 503 'quarantined' for 60 s for sound requests that shared team, path and body with requests that had crashed upstreams: GET requests with other queries, other methods, and all prompts of a route if their bodies are alike. The suspect for a whole request was computed from these three alone.

The suspect now has the method, host, target, model and prompt parts as well. A request that a caller repeats has the same ones. Nodes of an older program count whole requests apart from newer ones meanwhile.

Of four cases of the two new tests three failed before; all pass.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -152,9 +152,16 @@
     return f"part/{hashing.keyed_digest(b'', suspect.encode()).hex()}"
 
 
-def request_suspect(target: str, team: str, body: bytes) -> str:
-    """Return the suspect for a whole request."""
-    return f"request/{fingerprint(b'', f'{team} {target}', body)}"
+def request_suspect(*fields: str, body: bytes) -> str:
+    """Return the suspect for a whole request.
+
+    Parameters
+    ----------
+    *fields : str
+        All that tells the request from others apart from its body, in a fixed order.
+    """
+    digest = hashing.keyed_digest(b"", *(field.encode() for field in fields), body)
+    return f"request/{digest.hex()}"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -225,7 +225,15 @@
         if work.suspects is None:
             request = work.request
             team = work.team.name if work.team is not None else ""
-            whole = quarantine.request_suspect(request.path, team, request.body)
+            whole = quarantine.request_suspect(
+                team,
+                request.method,
+                request.host,
+                request.target,
+                request.model,
+                *(part.id for part in request.parts),
+                body=request.body,
+            )
             work.suspects = frozenset({whole, *self._part_suspects(work)})
         return work.suspects
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -121,6 +121,48 @@
         assert full.status == 200
 
 
+@pytest.mark.parametrize(
+    ("method", "target", "body"),
+    [
+        ("POST", "/look/?id=2", b"bad"),
+        ("PUT", "/look/?id=1", b"bad"),
+        ("POST", "/look/?id=1", b"good"),
+    ],
+)
+async def test_other_request_than_the_crashing_one_is_served(
+    method: str, target: str, body: bytes
+) -> None:
+    """Guards against withholding requests that differ in more than their body."""
+    async with platform_world.deployment(apps=6, engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        quarantine_builders.arm(world.apps, crash_body=b"bad")
+        for _ in range(3):
+            await caller.send("POST", "/look/?id=1", b"bad")
+            await trio.sleep(0.1)
+        quarantine_builders.arm(world.apps, crash_body=b"")
+        withheld = await caller.send("POST", "/look/?id=1", b"bad")
+        full = await caller.send(method, target, body)
+        assert isinstance(withheld, http_client.FullResponse)
+        assert isinstance(full, http_client.FullResponse)
+        assert (withheld.status, full.status) == (503, 200)
+
+
+async def test_other_prompt_than_the_crashing_one_is_served() -> None:
+    """Guards against withholding all prompts whose bodies are alike."""
+    async with platform_world.deployment(apps=0, engines=6) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        quarantine_builders.arm(world.engines, crash_body=b"prompt")
+        for _ in range(3):
+            await caller.send_prompt("/check/", "bad1:50")
+            await trio.sleep(0.1)
+        quarantine_builders.arm(world.engines, crash_body=b"")
+        withheld = await caller.send_prompt("/check/", "bad1:50")
+        full = await caller.send_prompt("/check/", "50d1:50")
+        assert isinstance(withheld, http_client.FullResponse)
+        assert isinstance(full, http_client.FullResponse)
+        assert (withheld.status, full.status) == (503, 200)
+
+
 async def test_part_in_use_is_not_withheld_when_engines_are_killed() -> None:
     """Guards against withholding sound parts because engines crash by themselves."""
     async with platform_world.deployment(
