Repeat a start that gets too far in the test of early reloads

The test pauses a node's process right after it was started, and requires that it does not handle signals yet. The process is now killed and the next one paused; what the test requires of the paused process and of the soak is unchanged.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -158,6 +158,26 @@
         process.wait()
 
 
+async def stop_before_handlers(
+    node: platform_soak.NodeProcess,
+) -> subprocess.Popen[bytes]:
+    """Pause the process of a node before it handles signals.
+
+    On a busy machine the first process may get so far; it is replaced then.
+    """
+    process: subprocess.Popen[bytes] | None = None
+    with trio.fail_after(EXIT_TIMEOUT_S):
+        while True:
+            while node.process is None or node.process is process:
+                await trio.sleep(0)
+            process = node.process
+            node.send_signal(signal.SIGSTOP)
+            await trio.sleep(0.05)
+            if not platform_soak.handles(process, signal.SIGHUP):
+                return process
+            node.send_signal(signal.SIGKILL)
+
+
 async def test_soak_sends_no_reload_to_an_interpreter_that_starts(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -166,15 +186,13 @@
     node = platform_soak.NodeProcess(0, tmp_path, 1, record, {})
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.run)
-        while node.process is None:
-            await trio.sleep(0)
-        node.send_signal(signal.SIGSTOP)
+        process = await stop_before_handlers(node)
         await trio.sleep(0.4)
-        assert not platform_soak.handles(node.process, signal.SIGHUP)
+        assert not platform_soak.handles(process, signal.SIGHUP)
         node.send_signal(signal.SIGHUP)
         node.send_signal(signal.SIGCONT)
         with trio.fail_after(EXIT_TIMEOUT_S):
-            while not platform_soak.handles(node.process, signal.SIGHUP):
+            while not platform_soak.handles(process, signal.SIGHUP):
                 await trio.sleep(0.002)
         node.send_signal(signal.SIGHUP)
         await trio.sleep(0.3)
