Take a stream that several upstreams have completed for no sign of soundness

A prompt part that crashes engines after their first events was never withheld: a resumable stream that broke off at each engine went on at the next one, and when the last piece had arrived, the complete answer cleared the part and kept it from being charged for 10 s. Callers of sound prompts at these engines got broken streams.

An answer clears suspects only if one upstream has made all of it: no upstream broke it off, and the caller did not resume it.

--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -34,6 +34,8 @@
         One log entry per attempt.
     suspects : frozenset of str or None
         What crashes may be charged to; None if not needed yet.
+    was_broken : bool
+        Whether an upstream broke off a response that had begun.
     is_probe : bool
         Whether it is sent to find out if a withheld suspect still crashes upstreams.
     service_cfg : catalog.Service or None
@@ -57,6 +59,7 @@
     first_byte_at: float | None = None
     is_finished: bool = False
     suspects: frozenset[str] | None = None
+    was_broken: bool = False
     is_probe: bool = False
     service_cfg: catalog.Service | None = None
 
@@ -72,6 +75,15 @@
         """Whether an upstream may have run the request."""
         return self.is_under_way or self.history.runs > 0
 
+    @property
+    def is_one_run(self) -> bool:
+        """Whether one upstream has made the whole response.
+
+        If upstreams that crash each made a part of it, it does not show that the
+        request crashes none.
+        """
+        return not self.was_broken and self.request.resume_after is None
+
     @property
     def is_shortened(self) -> bool:
         """Whether the end of the node comes before the request's own deadline."""
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -831,6 +831,7 @@
 
     def record_broken(self, work: job.Job, outcome: job.Outcome) -> None:
         """Record that the upstream of a stream closed the connection within it."""
+        work.was_broken = True
         if outcome.upstream_attempt is not None:
             entry = outcome.upstream_attempt.upstream.entry
             sent_at = outcome.upstream_attempt.sent_at
@@ -838,7 +839,7 @@
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
         """Log and count the end of a stream; further calls have no effect."""
-        if outcome == "answered" and not work.is_finished:
+        if outcome == "answered" and not work.is_finished and work.is_one_run:
             self._suspects.record_sound(work)
         self._finish(work, outcome, reason)
 
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -326,6 +326,21 @@
         assert quarantine_builders.crashes(world) <= 5
 
 
+async def test_stream_that_crashing_engines_complete_clears_nothing() -> None:
+    """Guards against a part that is taken for sound as a resumed stream is complete.
+
+    Each engine makes two events of the four, and then crashes.
+    """
+    async with platform_world.deployment(apps=0, engines=8) as world:
+        for engine in world.engines:
+            engine.events = 4
+        faults = {"crash_part": quarantine_builders.CRASH_PART, "crash_after": 2}
+        quarantine_builders.arm(world.engines, **faults)
+        callers = [platform_world.Caller(world.nodes[0])]
+        await quarantine_builders.send_crashing(callers, 10)
+        assert quarantine_builders.crashes(world) <= 5
+
+
 @pytest.mark.parametrize("status", [400, 404])
 async def test_error_response_does_not_clear_a_suspect(status: int) -> None:
     """Guards against a part that is taken for sound as its request was rejected."""
