Withhold requests with the same suspects because of the same one

Two requests reached engines within one pause of a withheld part, where one probe over all nodes is allowed. Suspects that were never seen apart are withheld together, but which of them held a request back, and so whose row was claimed for the probe, followed the order of a set, which differs with the whole request in it.

Suspects are now looked at in the order of their names.

--- a/packages/snipelug-core/src/snipelug_core/quarantine.py
+++ b/packages/snipelug-core/src/snipelug_core/quarantine.py
@@ -392,9 +392,10 @@
 
         Suspects that were never seen apart cannot be told apart. A request is therefore
         withheld only if it contains all of them; one that contains a sound one alone
-        is answered and clears it.
+        is answered and clears it. All requests with the same suspects are withheld
+        because of the same one, which decides when they may be sent again.
         """
-        for suspect in suspects:
+        for suspect in sorted(suspects):
             suspicion = self._suspicions.get(suspect)
             if suspicion is None or len(suspicion.crashes) < limit:
                 continue
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -65,6 +65,18 @@
     assert (ledger.find(request_, LIMIT) is not None) is is_withheld
 
 
+def test_requests_with_equal_suspects_are_withheld_because_of_one() -> None:
+    """Guards against a probe for each of the suspects that were never seen apart."""
+    ledger = quarantine.Ledger()
+    for number in range(LIMIT):
+        ledger.charge(f"{number}", ["part/a", "part/b", f"request/{number}"])
+    found = (
+        ledger.find(frozenset({f"request/{number}", "part/a", "part/b"}), LIMIT)
+        for number in range(100)
+    )
+    assert {item.suspect for item in found if item is not None} == {"part/a"}
+
+
 def test_memory_for_suspects_is_bounded() -> None:
     """Guards against memory that grows with each crash and each request."""
     ledger = quarantine.Ledger()
