Remember whole requests that were answered as sound

Callers of requests without a prompt, such as GET requests that many of them send, got 502 or, for 60 s, 503 'quarantined' because upstreams ended by themselves. Answers kept only prompt parts from being charged with crashes, and cleared a whole request only while another suspect had two crashes: one crash stayed charged through any number of later answers. So a request in use was not sent again after the second crash, and withheld after four of six servers ended at once.

A whole request without a prompt is now noted as sound by each answer, as parts are, and cleared. Whole prompts are hashed for that only if a suspect has two crashes, as before. Parts and whole requests are remembered in maps of their own.

--- a/packages/snipelug-relay/src/snipelug_relay/suspects.py
+++ b/packages/snipelug-relay/src/snipelug_relay/suspects.py
@@ -26,7 +26,9 @@
 When many upstreams crash at once, parts in wide use would otherwise be withheld.
 """
 
-MAX_SOUND_PARTS = 4096
+MAX_SOUND = 4096
+"""Maximum number of parts, and of whole requests, that are remembered as sound."""
+
 REPEAT_DELAYS_S = (0.0, 0.15, 0.5, 1.2)
 """Delays after a change at which it is sent to all nodes; datagrams may be lost."""
 
@@ -117,7 +119,13 @@
         announcer.set_handler(messages.Suspects, self._on_message)
         self._ledger = quarantine.Ledger()
         self._attempts: dict[int, Waiting] = {}
-        self._sound_at: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # Whole requests that are never sent again must not displace parts.
+        self._sound_parts: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._sound_requests: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._sends: dict[str, list[float]] = {}
         self._echoes: set[str] = set()
         self._holds: dict[str, Hold] = {}
@@ -190,18 +198,16 @@
     def record_sound(self, work: job.Job) -> None:
         """Record that a request was answered completely."""
         now = clock.now()
-        for part in self._part_suspects(work):
-            self._sound_at[part] = now
-            self._sound_at.move_to_end(part)
-        while len(self._sound_at) > MAX_SOUND_PARTS:
-            self._sound_at.popitem(last=False)
+        parts = list(self._part_suspects(work))
+        _note_sound(self._sound_parts, parts, now)
+        # Whole prompts are hashed only if that can make a difference, as few repeat.
+        suspects: collections.abc.Collection[str] = parts
+        if not work.request.parts or self._ledger.has_repeated:
+            suspects = self._all_suspects(work)
+            _note_sound(self._sound_requests, suspects - set(parts), now)
         if not self._ledger:
             return
-        # A whole request is hashed only if that can make a difference.
-        has_repeated = self._ledger.has_repeated
-        for suspect in (
-            self._all_suspects(work) if has_repeated else self._part_suspects(work)
-        ):
+        for suspect in suspects:
             self._clear(suspect, 0.0)
 
     def _clear(self, suspect: str, delay_s: float) -> None:
@@ -243,7 +249,11 @@
             yield quarantine.part_suspect(request.model, part.id)
 
     def _is_sound(self, suspect: str, now: float) -> bool:
-        return now - self._sound_at.get(suspect, -1e9) < SOUND_S
+        sound_at = max(
+            self._sound_parts.get(suspect, -1e9),
+            self._sound_requests.get(suspect, -1e9),
+        )
+        return now - sound_at < SOUND_S
 
     def _hold(self, suspect: str) -> Hold:
         if suspect not in self._holds:
@@ -508,6 +518,18 @@
         return True
 
 
+def _note_sound(
+    sound_at: "collections.OrderedDict[str, float]",
+    suspects: collections.abc.Iterable[str],
+    now: float,
+) -> None:
+    for suspect in suspects:
+        sound_at[suspect] = now
+        sound_at.move_to_end(suspect)
+    while len(sound_at) > MAX_SOUND:
+        sound_at.popitem(last=False)
+
+
 def split(
     suspicions: collections.abc.Iterable[quarantine.Suspicion],
 ) -> collections.abc.Iterator[list[quarantine.Suspicion]]:
--- a/tests/quarantine_builders.py
+++ b/tests/quarantine_builders.py
@@ -82,6 +82,39 @@
     return await _send(callers, prompts, target, 0.0)
 
 
+async def look(caller: platform_world.Caller, count: int) -> list[int]:
+    """Send one and the same request repeatedly; return the statuses."""
+    statuses = []
+    for _ in range(count):
+        full = await caller.send("GET", "/look/")
+        statuses.append(
+            full.status if isinstance(full, http_client.FullResponse) else 0
+        )
+    return statuses
+
+
+async def look_while(
+    caller: platform_world.Caller,
+    count: int,
+    crashing: collections.abc.Sequence[server.Server],
+) -> list[int]:
+    """Send one and the same request while it runs at servers that crash."""
+    statuses: list[int] = []
+
+    async def send() -> None:
+        statuses.extend(await look(caller, 1))
+
+    for item in crashing:
+        item.answer_delay_s = 0.3
+    async with trio.open_nursery() as nursery:
+        for _ in range(count):
+            nursery.start_soon(send)
+        await trio.sleep(0.15)
+        for item in crashing:
+            item.crash()
+    return statuses
+
+
 async def _send(
     callers: collections.abc.Sequence[platform_world.Caller],
     prompts: list[str],
--- a/tests/test_platform_quarantine.py
+++ b/tests/test_platform_quarantine.py
@@ -183,6 +183,28 @@
         assert statuses == [200] * 6
 
 
+async def test_request_in_use_is_sent_again_after_a_second_crash() -> None:
+    """Guards against failures of requests that were answered since the first crash."""
+    async with platform_world.deployment(apps=6, engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        quarantine_builders.arm(world.apps, restart_s=30.0)
+        statuses: list[int] = []
+        for app in world.apps[:2]:
+            statuses += await quarantine_builders.look(caller, 10)
+            statuses += await quarantine_builders.look_while(caller, 24, [app])
+        assert set(statuses) == {200}
+
+
+async def test_request_in_use_is_served_after_servers_fail_at_once() -> None:
+    """Guards against withholding a request because one event ended its servers."""
+    async with platform_world.deployment(apps=6, engines=0, kv_stores=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        quarantine_builders.arm(world.apps, restart_s=30.0)
+        await quarantine_builders.look(caller, 10)
+        await quarantine_builders.look_while(caller, 24, world.apps[:4])
+        assert await quarantine_builders.look(caller, 3) == [200] * 3
+
+
 async def test_new_part_is_not_withheld_when_all_engines_fail_at_once() -> None:
     """Guards against refusing all prompts because one event ended several engines."""
     async with platform_world.deployment(apps=0, engines=3) as world:
