Ignore late announcements of an engine's weights

An announcement that an engine serves a weight version named no process, and was taken whatever the node knew. A late one gave a restarted engine the version of its process before, and an overtaken one brought older weights back, until a response or report of the engine corrected it: requests were sent with the wrong version and rejected.

Announcements have the start of the process; those of another process or of an older version are ignored. Programs that tell no start are believed if the version is not older. The new test names the start, so that all of its cases fail before for want of the field; with the change all pass.

--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -115,9 +115,9 @@
         """Announce that an engine is loading weights."""
         self._send(messages.Switching(upstream_id, for_s))
 
-    def announce_serving(self, upstream_id: str, model: str, version: int) -> None:
+    def announce_serving(self, entry: fleet.Entry, model: str, version: int) -> None:
         """Announce the weight version that an engine now serves."""
-        self._send(messages.Serving(upstream_id, model, version))
+        self._send(messages.Serving(entry.id, model, version, entry.born))
 
     def record_leaving(self, upstream: fleet.Upstream, reason: str) -> None:
         """Exclude an upstream that stated that it leaves, on this node and all others.
@@ -227,9 +227,12 @@
                     )
             case messages.Switching(_, for_s):
                 upstream.switching_until = now + min(for_s, MAX_SWITCH_S)
-            case messages.Serving(_, model, version):
-                upstream.set_version(model, version)
-                upstream.switching_until = 0.0
+            case messages.Serving(_, model, version, born):
+                # A process never returns to older weights, but messages arrive late.
+                is_same = born in (None, upstream.entry.born)
+                if is_same and version >= upstream.versions.get(model, 0):
+                    upstream.set_version(model, version)
+                    upstream.switching_until = 0.0
             case messages.Leaving(_, born) if born == upstream.entry.born:
                 if self._state.fleet.record_leaving(upstream):
                     _log_leaving(upstream, f"announced by the node at {sender}")
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -38,11 +38,18 @@
 
 
 class Serving(msgspec.Struct, array_like=True, tag=3):
-    """An engine now serves a weight version."""
+    """An engine now serves a weight version.
+
+    Attributes
+    ----------
+    born : int or None
+        Start of the engine's process, in Unix milliseconds; None if not told.
+    """
 
     upstream_id: ranges.Name
     model: ranges.Name
     version: ranges.Number
+    born: ranges.Born | None = None
 
 
 class IntentsRead(msgspec.Struct, array_like=True, tag=4):
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -239,7 +239,7 @@
             if upstream.versions.get(model) != version:
                 upstream.set_version(model, version)
                 upstream.switching_until = 0.0
-                self._announcer.announce_serving(upstream.entry.id, model, version)
+                self._announcer.announce_serving(upstream.entry, model, version)
         return report
 
     def _exclude(self, upstream: fleet.Upstream, for_s: float) -> None:
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -45,7 +45,7 @@
     assert upstream.announced_tokens(clock.now()) == 9_000
     assert upstream.switching_until > clock.now()
     announce_read()
-    first.announce_serving("u1", relay_builders.MODEL, 2)
+    first.announce_serving(relay_builders.entry(), relay_builders.MODEL, 2)
     await trio.sleep(0.1)
     assert upstream.announced_tokens(clock.now()) == 0
     assert upstream.switching_until == 0.0
@@ -108,3 +108,26 @@
     assert before.upstream.entry.id == "near"
     assert after.upstream.entry.id == "u1"
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("born", "version", "expected"),
+    [
+        (2, 3, 3),
+        (None, 3, 3),
+        # Of the process before, and overtaken by a later one.
+        (1, 3, 2),
+        (2, 1, 2),
+    ],
+)
+def test_late_announcement_of_weights_changes_nothing(
+    born: int | None, version: int, expected: int
+) -> None:
+    """Guards against engines that seem to serve weights that they have not loaded."""
+    announcer, node_state = node("n0", "127.0.0.1")
+    model = relay_builders.MODEL
+    entry = relay_builders.entry(born=2, versions={model: 2})
+    node_state.fleet.put(entry, 0.0)
+    message = messages.Serving(entry.id, model, version, born)
+    announcer._handle("127.0.0.2", message)
+    assert node_state.fleet.upstreams[entry.id].versions == {model: expected}
