Read the list whole on becoming a reader, and rarely while lists differ for good

A node whose list had drifted while no digest was known could become the only reader of its zone: it hears no other digest, and its followers read the whole list again and again. And if two programs decode entries differently, as in a change of the program that adds a field, each node would read the whole list every 2 s.

A node that becomes a reader reads the list whole. The interval between whole reads doubles up to 64 s while the lists differ.

--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -43,9 +43,11 @@
 """Delay of a reader's announcement after which a node reads for itself."""
 
 MIN_LIST_CHECK_INTERVAL_S = 2.0
+MAX_LIST_CHECK_INTERVAL_S = 64.0
 """Minimum interval between whole reads of a list that differs from a reader's.
 
-Nodes whose programs decode entries differently would otherwise read it all the time.
+It doubles up to the maximum while lists differ, as they do for good if the programs of
+two nodes decode entries differently.
 """
 
 MEMBER_WRITE_INTERVAL_S = 15.0
@@ -207,7 +209,9 @@
         announcer.set_handler(messages.IntentsRead, self._on_intents_read)
         announcer.set_handler(messages.ListRead, self._on_list_read)
         self._list_kept_until = -1e9
-        self._list_checked_at = -1e9
+        self._list_check_due = -1e9
+        self._list_check_interval_s = MIN_LIST_CHECK_INTERVAL_S
+        self._was_reader = True
         node_state.add_restore_handler(self._on_restore)
         self._cfg = cfg
         self._state = node_state
@@ -329,6 +333,10 @@
             ):
                 call_status.answered_at = clock.now()
                 continue
+            if self._state.is_reader and not self._was_reader:
+                # Its digest is what the other nodes compare theirs with.
+                self._list_cursor.position = None
+            self._was_reader = self._state.is_reader
             since = self._list_cursor.known
             page: ports.Page[ports.Listing] | ports.HistoryLost | ports.Unavailable
             if since is None:
@@ -441,12 +449,18 @@
         only between two of its reads. A node that read meanwhile keeps what it saw.
         """
         own = self._state.fleet.digest
-        if message.digest is None or own is None or own == message.digest:
+        if message.digest is None or own is None:
+            return
+        if own == message.digest:
+            self._list_check_interval_s = MIN_LIST_CHECK_INTERVAL_S
             return
         now = clock.now()
-        if now < self._list_checked_at + MIN_LIST_CHECK_INTERVAL_S:
+        if now < self._list_check_due:
             return
-        self._list_checked_at = now
+        self._list_check_due = now + self._list_check_interval_s
+        self._list_check_interval_s = min(
+            2 * self._list_check_interval_s, MAX_LIST_CHECK_INTERVAL_S
+        )
         lines.warning(LOG, "list_differs", position=message.position)
         self._list_cursor.restart()
 
--- a/tests/test_cursor.py
+++ b/tests/test_cursor.py
@@ -401,5 +401,27 @@
     readers.teardown()
 
 
+def test_lists_that_differ_for_good_are_read_less_and_less_often() -> None:
+    """Guards against nodes that read all the time as programs decode differently."""
+    readers = Readers()
+    with readers._patch:
+        for each in (0, 3):
+            readers.poll(each, restored_store.LIST, is_paged=False)
+        follower = readers.nodes[3]
+        whole_reads = 0
+        for _ in range(240):
+            readers.now += 0.5
+            readers.messages.clear()
+            readers.poll(0, restored_store.LIST, is_paged=False)
+            for message in readers.messages:
+                assert isinstance(message, messages.ListRead)
+                message.digest = (message.digest or 0) ^ 1
+                follower.handle(message)
+            if follower.cursors[restored_store.LIST].position is None:
+                whole_reads += 1
+                readers.poll(3, restored_store.LIST, is_paged=False)
+        assert 1 <= whole_reads <= 7
+
+
 TestReaders = Readers.TestCase
 TestReaders.settings = settings(max_examples=150, stateful_step_count=60, deadline=None)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -59,6 +59,33 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_node_that_becomes_a_reader_reads_the_list_whole(
+    nursery: trio.Nursery,
+) -> None:
+    """Guards against a zone that follows a reader whose list is wrong."""
+    addr = ("127.0.0.1", 1)
+    node_state = state.State(ports.Settings("n1", "a", addr, addr, addr))
+    node_state.is_reader = False
+    store = OneEntryStore()
+    watcher = watch.Watch(
+        node_state.cfg,
+        node_state,
+        store,  # type: ignore[arg-type]
+        stats.Stats(),
+        lambda: None,
+        announce.Announcer(None, node_state),
+    )
+    nursery.start_soon(watcher.run_upstreams)
+    await trio.sleep(0.1)
+    node_state.apply_listings([ports.Removed("u1")], is_whole=False, in_grace=False)
+    node_state.is_reader = True
+    watcher._list_cursor.request_read()
+    await trio.sleep(0.1)
+    assert set(node_state.fleet.upstreams) == {"u1"}
+    assert store.whole_reads == 2
+    nursery.cancel_scope.cancel()
+
+
 OUTAGE_S = 8.0
 """Outage of the store as in the deployments' days."""
 
