Count a request as arrived once its upstream closed the connection

Only a read response head counted as an arrival. If an upstream turned cold and closed a connection before the head, the holder of the slot assumed that the request might still arrive, and kept the slot for 14.3 s although reports said that the upstream was idle.

Callers had one slot fewer at the engine in cold start, of two, for that time.

A connection that the upstream closed or reset delivers nothing more: the request had arrived by then or never will. The HTTP client now tells this apart from other losses (Lost.is_closed_by_server), and the sender records it like a head, so that the next idle report made later frees the slot. After a timeout, a malformed response or a caller that left, this node closes the connection, and what was sent may still arrive, so these slots stay in use as before. SentRequest.head_at and Slot.record_accepted are renamed, as they no longer stand for a head alone.

--- a/packages/snipelug-core/src/snipelug_core/admission.py
+++ b/packages/snipelug-core/src/snipelug_core/admission.py
@@ -363,8 +363,8 @@
     now : float
         Monotonic time, in seconds.
     has_arrived : bool
-        The response headers were read, so any report made from now on accounts for this
-        request.
+        The response headers were read or the upstream closed the connection, so any
+        report made from now on accounts for this request.
     """
     slot = part.slots.get(nonce)
     if has_ended:
--- a/packages/snipelug-core/src/snipelug_core/confirmation.py
+++ b/packages/snipelug-core/src/snipelug_core/confirmation.py
@@ -41,17 +41,19 @@
     ----------
     at : float
         Monotonic time of the send, in seconds.
-    head_at : float or None
-        Monotonic time at which the response headers were read, in seconds.
+    arrived_at : float or None
+        Monotonic time, in seconds, at which the response headers were read, or at which
+        the upstream had closed the connection: the request had arrived by then or never
+        will.
     """
 
     at: float
-    head_at: float | None = None
+    arrived_at: float | None = None
 
 
 def latest_arrival(sent: SentRequest) -> float:
     """Return a time by which the upstream had accepted the request."""
-    return sent.at + ACCEPTANCE_DELAY_S if sent.head_at is None else sent.head_at
+    return sent.at + ACCEPTANCE_DELAY_S if sent.arrived_at is None else sent.arrived_at
 
 
 def is_confirmed(sent: SentRequest, report: table.LoadReport | None) -> bool:
--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -83,10 +83,14 @@
     ----------
     is_closed : bool
         True if the connection was closed, False if the call timed out.
+    is_closed_by_server : bool
+        True if the server closed or reset the connection before the response head, so
+        that it has received the request by now or never will.
     """
 
     reason: str
     is_closed: bool = False
+    is_closed_by_server: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -285,6 +289,7 @@
         self.idle_since = self.opened_at
         self.server_idle_timeout_s = math.inf
         self.is_sending = False
+        self.is_closed_by_server = False
         self.requests = 0
         self.proto = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -310,9 +315,15 @@
         except BlockingIOError:
             count = 0
         except OSError as exc:
+            self._record_error(exc)
             raise trio.BrokenResourceError(f"connection broken: {exc}") from exc
         return data[count:]
 
+    def _record_error(self, exc: OSError) -> None:
+        # Other errors, such as ETIMEDOUT, do not show that the server gave up.
+        if isinstance(exc, BrokenPipeError | ConnectionResetError):
+            self.is_closed_by_server = True
+
     async def discard_response(self, call: Call) -> None:
         """Read a stray response to its end, then expect the response to the request."""
         size = 0
@@ -342,11 +353,15 @@
         while True:
             await trio.lowlevel.wait_readable(sock)
             try:
-                return os.read(sock.fileno(), RECEIVE_BYTES)
+                received = os.read(sock.fileno(), RECEIVE_BYTES)
             except BlockingIOError:
                 continue
             except OSError as exc:
+                self._record_error(exc)
                 raise trio.BrokenResourceError("connection broken") from exc
+            if not received:
+                self.is_closed_by_server = True
+            return received
 
     def is_usable(self, max_idle_s: float) -> bool:
         idle_s = trio.current_time() - self.idle_since
@@ -502,9 +517,17 @@
                     conn.server_idle_timeout_s = _announced_idle_timeout_s(event)
                     is_identified = conn.requests == 1 or _echoes_header(call, event)
                     return StreamingResponse(self, conn, event, is_identified)
-                lost = Lost("connection closed before the response", is_closed=True)
+                lost = Lost(
+                    "connection closed before the response",
+                    is_closed=True,
+                    is_closed_by_server=conn.is_closed_by_server,
+                )
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
-            lost = Lost(str(exc) or "connection broken", is_closed=True)
+            lost = Lost(
+                str(exc) or "connection broken",
+                is_closed=True,
+                is_closed_by_server=conn.is_closed_by_server,
+            )
         except trio.Cancelled:
             await trio.aclose_forcefully(conn.stream)
             raise
--- a/packages/snipelug-node/src/snipelug_node/admitter.py
+++ b/packages/snipelug-node/src/snipelug_node/admitter.py
@@ -101,7 +101,8 @@
     has_ended : bool
         Whether the response is complete; set by the user of the slot.
     has_arrived : bool
-        Whether the response has started; set by the user of the slot.
+        Whether the response has started or the upstream closed the connection, so that
+        the request has arrived or never will; set by the user of the slot.
     """
 
     grant: admission.Grant
--- a/packages/snipelug-node/src/snipelug_node/sender.py
+++ b/packages/snipelug-node/src/snipelug_node/sender.py
@@ -27,8 +27,8 @@
         """Whether the request may be sent to an upstream known to be cold."""
         ...
 
-    def record_accepted(self, now: float) -> None:
-        """Record that the upstream accepted the request."""
+    def record_arrived(self, now: float) -> None:
+        """Record that the request has arrived at the upstream or never will."""
         ...
 
     def valid(self, now: float) -> bool:
@@ -216,9 +216,9 @@
                 outcome = await self.pool.send(
                     call, _pre_send_check(permit, claim_check)
                 )
+                if permit.slot is not None and _has_arrived(outcome):
+                    permit.slot.record_arrived(trio.current_time())
                 if isinstance(outcome, http_client.StreamingResponse):
-                    if permit.slot is not None:
-                        permit.slot.record_accepted(trio.current_time())
                     opened_permit, permit = permit, SendPermit(upstream, self.may_send)
                     return Opened(opened_permit, outcome)
                 if not isinstance(outcome, http_client.Withheld):
@@ -306,6 +306,22 @@
     return check
 
 
+def _has_arrived(
+    outcome: http_client.StreamingResponse
+    | http_client.NotSent
+    | http_client.Withheld
+    | http_client.Lost,
+) -> bool:
+    """Return whether the request has arrived at the upstream or never will.
+
+    A response shows that it has arrived. A connection that the upstream closed delivers
+    nothing more; one that this node closed may still deliver what was sent.
+    """
+    if isinstance(outcome, http_client.Lost):
+        return outcome.is_closed_by_server
+    return isinstance(outcome, http_client.StreamingResponse)
+
+
 def _is_connection_newer(verdict: load.Verdict) -> bool:
     newer = load.Reason.CONNECTION_NEWER
     return isinstance(verdict, load.NeedsGrant) and verdict.reason is newer
--- a/packages/snipelug-node/src/snipelug_node/slots.py
+++ b/packages/snipelug-node/src/snipelug_node/slots.py
@@ -67,10 +67,10 @@
             self.tracker.add(self.upstream_id, self)
         return True
 
-    def record_accepted(self, now: float) -> None:
-        """Record that the upstream accepted the request."""
+    def record_arrived(self, now: float) -> None:
+        """Record that the request has arrived at the upstream or never will."""
         if self.sent is not None:
-            self.sent.head_at = now
+            self.sent.arrived_at = now
 
     def release(self, has_ended: bool) -> None:
         """Release the slot; if the request may still run, wait for a load report."""
@@ -88,8 +88,8 @@
             self.tracker.discard(self.upstream_id, self)
         if self.held is not None:
             self.held.has_ended = has_ended
-            was_accepted = self.sent is not None and self.sent.head_at is not None
-            self.held.has_arrived = was_accepted
+            has_arrived = self.sent is not None and self.sent.arrived_at is not None
+            self.held.has_arrived = has_arrived
         self.on_release()
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -296,7 +296,7 @@
         req.ends_at = self.now + req.run_s
         req.arrived_at = self.now
         now = req.node.clock(self.now)
-        req.sent = confirmation.SentRequest(now, head_at=now)
+        req.sent = confirmation.SentRequest(now, arrived_at=now)
         assert req.grant is not None
         # A late request of the outage part's holder uses its own slot.
         is_own = req.grant.part is OUTAGE and req.holder is req.node
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -11,7 +11,7 @@
 
 
 @pytest.mark.parametrize(
-    ("state", "made_at", "head_at", "is_confirmed"),
+    ("state", "made_at", "arrived_at", "is_confirmed"),
     [
         (WARM, 10.2, 10.1, True),
         (WARM, 10.1, 10.1, False),
@@ -22,11 +22,11 @@
     ids=["after-head", "at-head", "may-not-have-arrived", "has-arrived", "cold"],
 )
 def test_only_a_warm_report_made_after_the_arrival_confirms(
-    state: table.Warmth, made_at: float, head_at: float | None, is_confirmed: bool
+    state: table.Warmth, made_at: float, arrived_at: float | None, is_confirmed: bool
 ) -> None:
     """Guards against returning slots while the upstream may be cold."""
     report = table.LoadReport("x", state, 0, 0, 1, made_at)
-    sent = confirmation.SentRequest(10.0, head_at)
+    sent = confirmation.SentRequest(10.0, arrived_at)
     assert confirmation.is_confirmed(sent, report) is is_confirmed
     assert not confirmation.is_confirmed(sent, None)
 
