Judge sound requests in the soak without those refused for want of engines

The rule compares requests with a part that is held back with others. Refusals that concern the engines or the node (no_upstream, node_not_current, node_stopping) are no longer counted; quarantined ones, lost answers and failures are, as before.

--- a/tests/platform_soak_checks.py
+++ b/tests/platform_soak_checks.py
@@ -11,8 +11,10 @@
 import dataclasses
 import math
 
+import msgspec
 import trio
 
+from snipelug_core import refusal
 from snipelug_net import http_client
 from snipelug_platform_standin import server
 
@@ -31,6 +33,12 @@
 CRASHES_BEFORE_LIMIT = 5
 MAX_REQUESTS_AFTER_CRASHES = 3
 MIN_SOUND_REQUESTS = 10
+UNRELATED_REFUSALS = frozenset(
+    kind.code
+    for kind in (refusal.NO_UPSTREAM, refusal.NODE_NOT_CURRENT, refusal.NODE_STOPPING)
+)
+"""Refusals of any prompt, because of the engines or of the node."""
+
 DRAIN_SLACK_S = 0.3
 STORE = "store"
 
@@ -64,6 +72,8 @@
     ----------
     outcome : int or str
         Status of the response, or the kind of failure.
+    code : str
+        Code of a refusal.
     """
 
     kind: str
@@ -74,6 +84,7 @@
     ended_at: float = math.inf
     outcome: int | str = ""
     is_closed: bool = False
+    code: str = ""
 
 
 @dataclasses.dataclass
@@ -149,7 +160,10 @@
     """Return a request with its outcome."""
     now = trio.current_time()
     if isinstance(response, http_client.FullResponse):
-        return dataclasses.replace(sent, ended_at=now, outcome=response.status)
+        code = refusal_code(response) if response.status == 503 else ""
+        return dataclasses.replace(
+            sent, ended_at=now, outcome=response.status, code=code
+        )
     return dataclasses.replace(
         sent,
         ended_at=now,
@@ -158,6 +172,14 @@
     )
 
 
+def refusal_code(response: http_client.FullResponse) -> str:
+    """Return the code of a node's refusal; empty if an upstream has refused."""
+    try:
+        return str(msgspec.json.decode(response.body)["error"]["code"])
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return ""
+
+
 def store_path(node: str) -> str:
     """Return the subject of the link between a node and the store."""
     return f"{STORE} {node}"
@@ -276,6 +298,7 @@
         if sent.sent_at > limit_at
         and part not in sent.parts
         and sent.parts.startswith(first.partition(",")[0])
+        and sent.code not in UNRELATED_REFUSALS
     ]
     if len(sound) > MIN_SOUND_REQUESTS and 2 * sum(sound) < len(sound):
         yield (
--- a/tests/test_platform_soak_checks.py
+++ b/tests/test_platform_soak_checks.py
@@ -100,6 +100,13 @@
         scene.send(at, parts=f"a:1,c{number}:2", outcome=503)
 
 
+def refuse_prompts_without_engines(scene: Scene, at: float) -> None:
+    refuse_sound_requests(scene, at)
+    for request_id, sent in scene.record.requests.items():
+        code = "no_upstream" if sent.outcome == 503 else ""
+        scene.record.requests[request_id] = dataclasses.replace(sent, code=code)
+
+
 def close_read_request(scene: Scene, at: float) -> None:
     scene.disturb(NODE, 9.9, 9.9, is_planned=True)
     scene.send(10.0, ended_at=at, is_closed=True)
@@ -172,6 +179,7 @@
     (crash_engines, 13.1, "crashing request"),
     (refuse_sound_requests, 12.9, ""),
     (refuse_sound_requests, 13.1, "sound requests"),
+    (refuse_prompts_without_engines, 13.1, ""),
     (close_read_request, 10.1, "closed without an answer"),
     (close_read_request, 11.9, "closed without an answer"),
     (close_read_request, 12.0, ""),
