--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -150,10 +150,10 @@
         },
     ],
     "limits": {
-        "max_header_bytes": 16384,
-        "max_body_bytes": 100_000,
         "header_timeout_ms": 5_000,
+        "max_body_bytes": 100_000,
         "idle_timeout_ms": 15_000,
+        "max_header_bytes": 16384,
     },
     "tenants": [{"name": "t", "api_keys": ["k"], "priority": 2, "isolated": False}],
 }
--- a/tests/raw_caller.py
+++ b/tests/raw_caller.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from snipelug_platform import dialect
 from tests import platform_world
 
 INTERIM = b"HTTP/1.1 100 "
@@ -19,7 +20,7 @@
     fields = {
         "host": platform_world.HOST,
         "request-id": f"{number:08x}",
-        "request-deadline": "8000",
+        dialect.REQUEST_DEADLINE: "8000",
         "authorization": f"Token {platform_world.KEY}",
         "content-length": str(len(body)),
     }
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -316,12 +316,12 @@
     "internal_port_range": "7580,7595",
     "platform.address": "127.0.0.1:8744",
     "bounds.drain_timeout_ms": "2000",
+    "bounds.version_ms": "8000",
     "bounds.grace_period_s": "8",
     "bounds.retry_budget_ratio": "0.2",
     "bounds.retry_budget_extra": "52",
     "bounds.budget_window_s": "10",
     "bounds.lease_ms": "3000",
-    "bounds.version_ms": "8000",
     "heartbeat_interval_ms": "1200",
 }
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -13,6 +13,7 @@
 
 from snipelug_core import shutdown
 from snipelug_net import http_client
+from snipelug_platform import dialect
 from snipelug_platform_standin import server
 from snipelug_relay import clock
 from tests import platform_world, raw_caller, slow_caller
@@ -334,7 +335,7 @@
             stop, *(functools.partial(send_during, stop, r) for r in requests)
         )
         seen = [s.headers for item in world.apps for s in item.executed]
-        left_ms = {s["request-id"]: int(s["request-deadline"]) for s in seen}
+        left_ms = {s["request-id"]: int(s[dialect.REQUEST_DEADLINE]) for s in seen}
         assert len(left_ms) == 3
         for sent in requests:
             kill_ms = 1000 * (world.grace_s - KILL_MARGIN_S - sent.whole_s)
