Change the configuration in a test once the upstreams work

The test changed it 0.1 s after the requests were sent. The test now waits until the upstreams have all three requests; what it requires is unchanged.

--- a/tests/test_configuration_changes.py
+++ b/tests/test_configuration_changes.py
@@ -161,7 +161,12 @@
             nursery.start_soon(ask, "/order/")
             nursery.start_soon(ask, "/wait/")
             nursery.start_soon(ask_stream)
-            await trio.sleep(0.1)
+            await platform_world.wait_until(
+                lambda: (
+                    len(world.apps[0].executed) == 2
+                    and len(world.engines[0].executed) == 1
+                )
+            )
             world.configure(3, **CHANGES[change])
         for target, full in answers.items():
             assert isinstance(full, http_client.FullResponse), (target, full)
