--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -137,9 +137,11 @@
     )
 
 
-async def stay() -> None:
-    """Serve until a signal ends the process."""
+async def stay(deployed: deployment.Deployment) -> None:
+    """Show how to use the deployment and serve until a signal ends the process."""
     with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        # A user may send the signal as soon as this is printed.
+        show_use(deployed)
         await anext(signals)
 
 
@@ -149,8 +151,7 @@
     with tempfile.TemporaryDirectory(prefix="snipelug-demo-") as directory:
         async with cluster.open_cluster(pathlib.Path(directory)) as running:
             if stays:
-                show_use(await deployment.start(running, sample))
-                await stay()
+                await stay(await deployment.start(running, sample))
                 return 0
             with trio.move_on_after(TIME_LIMIT_S):
                 deployed = await deployment.start(running, sample)
