--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,9 @@
-"""A node keeps its connections to servers that are gone until it has no descriptors."""
+"""One server that sends bytes without end stops a node from answering anybody."""
 
-import os
+import math
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common"))
@@ -10,159 +11,174 @@
 import harness  # noqa: E402
 import trio  # noqa: E402
 
-SERVERS = 4
-CLIENTS = 250
-WORK_S = 0.4
-"""Time for which a server works on a request."""
+ENGINES = 7
+"""One of them is in trouble, a share of 0.143."""
 
-WAVE_S = 1.0
-"""Interval at which each client sends a request."""
+BAD_SHARE = 0.45
+"""Part of its requests that the server in trouble fails."""
 
-REPLACEMENTS = 66
-GAP_S = 1.0
-"""Interval between replacements, as that of a release."""
+TROUBLE_S = 6.5
+RATES = {"ask": 17.7, "review": 1.2, "permit": 4.75, "lookup": 1.9}
+"""Requests per second at one of the six machines of the site."""
 
-CHECK_S = 4.0
-"""Longer than ``contact_ms``."""
+TIMEOUT_MS = {"ask": 5000, "review": 10000, "permit": 800, "lookup": 800}
+DEADLINE_MS = {"ask": 5000, "review": 10000, "permit": 1500, "lookup": 1500}
+LENGTH_S = 24.0
+TROUBLE_AT_S = 6.0
+ANSWER_SLACK_S = 0.5
+MIN_UNANSWERED = 8
+CHUNK = harness.chunk(b": ping\n\n")
+"""A comment of an event stream, as one chunk of a body."""
 
-NEW_CLIENTS = 8
-CALM_S = 6.0
-"""Calm time before the check, in which the last servers end."""
 
+async def run(record: harness.Record) -> bool:
+    trouble_from = math.inf
+    failed = 0
+    endless = 0
 
-def descriptors(node: harness.Node) -> int:
-    return len(os.listdir(f"/proc/{node.process.pid}/fd"))
-
+    async def stream(
+        server: harness.Server, message: harness.Message, conn: harness.Conn
+    ) -> bool | None:
+        """Answer with ten events, or with comments until the caller closes."""
+        nonlocal failed, endless
+        if message.target.startswith("/api/"):
+            await conn.stream.send_all(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
+            return None
+        request_id = message.headers["request-id"]
+        server.at_work.add(request_id)
+        head = server.head(
+            message, Content_Type="text/event-stream", Transfer_Encoding="chunked"
+        )
+        now = trio.current_time()
+        is_in_trouble = server is engines[0] and 0 <= now - trouble_from < TROUBLE_S
+        failed += is_in_trouble
+        is_bad = is_in_trouble and endless < failed * BAD_SHARE - 0.5
+        endless += is_bad
+        try:
+            await conn.stream.send_all(head)
+            if is_bad:
+                record("sends without end", server=server.id, id=request_id)
+                while True:
+                    await conn.stream.send_all(CHUNK * 1000)
+            for number in range(1, 11):
+                event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+                await conn.stream.send_all(harness.chunk(event))
+                await trio.sleep(0.05)
+            await conn.stream.send_all(harness.chunk(b""))
+        except trio.BrokenResourceError:
+            return False
+        finally:
+            server.at_work.discard(request_id)
+        return None
 
-async def run(record: harness.Record) -> bool:
-    async def handle(
+    async def answer_plainly(
         server: harness.Server, message: harness.Message, conn: harness.Conn
     ) -> bool | None:
-        await trio.sleep(WORK_S)
-        body = b"y" * 800
-        head = server.head(message, Content_Length=str(len(body)))
-        await conn.stream.send_all(head + body)
+        await trio.sleep(0.045)
+        head = server.head(message, Content_Length="800")
+        await conn.stream.send_all(head + b"y" * 800)
         return None
 
-    servers = [harness.Server("desk", "zone-a", handle) for _ in range(SERVERS)]
-    routes = [
-        harness.route(
-            "lookup",
+    model = [{"name": harness.MODEL, "version": 1, "adapters": []}]
+    engines = [
+        harness.Server("engines", "zone-a", stream, models=model)
+        for _ in range(ENGINES)
+    ]
+    desks = [harness.Server("desk", "zone-a", answer_plainly) for _ in range(3)]
+    kinds = {
+        "ask": ("streaming", "engines", {"priority": 0}),
+        "review": ("streaming", "engines", {"resumable": True, "max_attempts": 2}),
+        "permit": ("non_idempotent", "desk", {"target_latency_ms": 150}),
+        "lookup": (
             "idempotent",
             "desk",
-            timeout_ms=3000,
-            target_latency_ms=1000,
-            max_attempts=2,
-        )
+            {"target_latency_ms": 150, "max_attempts": 2},
+        ),
+    }
+    routes = [
+        harness.route(name, kind, service, timeout_ms=TIMEOUT_MS[name], **fields)
+        for name, (kind, service, fields) in kinds.items()
     ]
-    services = [{"name": "desk", "max_connections": 360}]
-    configuration = harness.config(1, routes, services=services)
-    async with harness.deployment(configuration, servers) as world:
+    took: list[tuple[str, float]] = []
+    unanswered: list[str] = []
+    configuration = harness.config(1, routes)
+    async with harness.deployment(configuration, [*engines, *desks]) as world:
         node = world.nodes[0]
-        answers: dict[object, int] = {}
-        probe = harness.Conn(await trio.open_tcp_stream(harness.LOOPBACK, node.ready))
-
-        async def is_ready() -> bool:
-            """Ask as the platform does, on a connection that it keeps."""
-            await probe.stream.send_all(b"GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n")
-            found = None
-            with trio.move_on_after(1.0):
-                found = await probe.read_message()
-            return found is not None and found.status == 200
-
-        async def ask_in_waves(number: int) -> None:
+
+        async def ask(name: str, number: int) -> None:
             client = harness.Client(node)
-            while True:
-                await trio.sleep_until(
-                    WAVE_S * (trio.current_time() // WAVE_S + 1) + number / 2000
+            request_id = client.new_id()
+            headers = {}
+            if kinds[name][1] == "engines":
+                headers = {
+                    "Model": harness.MODEL,
+                    "Token_Usage": "300,30",
+                    "Prompt_Prefix": f"aa{number % 40:02x}:55,{request_id}:82",
+                }
+            began_at = time.monotonic()
+            method = "GET" if name == "lookup" else "POST"
+            answer = await client.send(
+                method,
+                f"/{name}/1",
+                request_id,
+                b"" if name == "lookup" else b"x" * 600,
+                DEADLINE_MS[name],
+                **headers,
+            )
+            took_s = time.monotonic() - began_at
+            took.append((name, took_s))
+            if answer is None:
+                unanswered.append(request_id)
+            if took_s > TIMEOUT_MS[name] / 1000 or answer is None:
+                record(
+                    "client gets",
+                    route=name,
+                    id=request_id,
+                    status="nothing" if answer is None else answer.status,
+                    ms=round(1000 * took_s),
                 )
-                try:
-                    answer = await client.send(
-                        "GET", "/lookup/1", client.new_id(), b"", 3000
-                    )
-                except OSError:
-                    answer = None
-                status = answer.status if answer is not None else None
-                answers[status] = answers.get(status, 0) + 1
-
-        async def retire(server: harness.Server) -> None:
-            """Leave as the pages say: report it, serve on for a while, end."""
-            server.extra = {"state": "draining"}
-            world.store.put("servers", server.id, server.entry())
-            await trio.sleep(3.0)
-            world.servers.remove(server)
-            world.store.delete("servers", server.id)
-            server.end()
-
-        async def replace(server: harness.Server) -> harness.Server:
-            new = harness.Server("desk", "zone-a", handle)
-            await world.nursery.start(new.serve)
-            world.servers.append(new)
-            world.store.put("servers", new.id, new.entry())
-            world.nursery.start_soon(retire, server)
-            return new
-
-        served: list[int] = []
-
-        async def try_new(number: int) -> None:
-            """Try to be served on new connections, as a client does."""
+            await client.close()
+
+        async def send_steadily(name: str, nursery: trio.Nursery) -> None:
+            begin = trio.current_time()
+            number = 0
+            while number / RATES[name] < LENGTH_S:
+                await trio.sleep_until(begin + number / RATES[name])
+                nursery.start_soon(ask, name, number)
+                number += 1
+
+        async def ask_ready() -> None:
+            stream = await trio.open_tcp_stream(harness.LOOPBACK, node.ready)
+            probe = harness.Conn(stream)
             while True:
-                client = harness.Client(node)
-                answer = None
-                with trio.move_on_after(1.0):
-                    try:
-                        answer = await client.send(
-                            "GET", "/lookup/1", client.new_id(), b"", 3000
-                        )
-                    except OSError as exc:
-                        record("new client", number=number, error=repr(exc))
-                status = answer.status if answer is not None else "no answer"
-                record("new client", number=number, status=status)
-                if answer is not None:
-                    served.append(answer.status)
-                    return
-                await client.close()
-
-        async def check_new_clients() -> None:
-            """Check whether the node takes new connections in a calm time."""
-            await trio.sleep(CALM_S)
-            record("calm", ready=await is_ready(), descriptors=descriptors(node))
-            answers.clear()
-            with trio.move_on_after(CHECK_S):
-                async with trio.open_nursery() as nursery:
-                    for number in range(NEW_CLIENTS):
-                        nursery.start_soon(try_new, number)
-            record(
-                "after the check",
-                ready=await is_ready(),
-                descriptors=descriptors(node),
-                new_clients=NEW_CLIENTS,
-                taken=len(served),
-                kept_clients=dict(sorted(answers.items(), key=str)),
-            )
-
-        async with trio.open_nursery() as traffic:
-            for number in range(CLIENTS):
-                traffic.start_soon(ask_in_waves, number)
-            await trio.sleep(3.0)
-            current = list(servers)
-            for number in range(REPLACEMENTS):
-                if harness.IS_TROUBLE:
-                    current.append(await replace(current.pop(0)))
-                await trio.sleep(GAP_S)
-                if number % 6 == 5:
-                    record(
-                        "replaced" if harness.IS_TROUBLE else "passed",
-                        servers=number + 1,
-                        ready=await is_ready(),
-                        descriptors=descriptors(node),
-                        listed=len(world.servers),
-                        answers=dict(sorted(answers.items(), key=str)),
-                    )
-                    answers.clear()
-            await check_new_clients()
-            traffic.cancel_scope.cancel()
-        return not served
+                began_at = time.monotonic()
+                await stream.send_all(b"GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n")
+                answer = await probe.read_message()
+                passed_s = time.monotonic() - began_at
+                status = answer.status if answer is not None else "nothing"
+                if passed_s > 0.5:
+                    record("ready", status=status, ms=round(1000 * passed_s))
+                await trio.sleep(max(0.0, 1.0 - passed_s))
+
+        if harness.IS_TROUBLE:
+            trouble_from = trio.current_time() + TROUBLE_AT_S
+        async with trio.open_nursery() as probes:
+            probes.start_soon(ask_ready)
+            async with trio.open_nursery() as nursery:
+                for name in RATES:
+                    nursery.start_soon(send_steadily, name, nursery)
+            probes.cancel_scope.cancel()
+    over = [(n, s) for n, s in took if s > TIMEOUT_MS[n] / 1000]
+    later = [(n, s) for n, s in over if s > TIMEOUT_MS[n] / 1000 + ANSWER_SLACK_S]
+    record("server in trouble", requests=failed, endless=endless)
+    record(
+        "requests",
+        sent=len(took),
+        unanswered_at_timeout=len(over),
+        and_half_a_second_later=len(later),
+        never_answered=len(unanswered),
+    )
+    return len(over) >= MIN_UNANSWERED and len(later) > len(over) / 2
 
 
 if __name__ == "__main__":
