--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,8 @@
-"""A node keeps its connections to servers that are gone until it has no descriptors."""
+"""A node keeps using a server that has left, as a node that froze tells it so."""
 
-import os
+import collections
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,159 +11,113 @@
 import harness  # noqa: E402
 import trio  # noqa: E402
 
-SERVERS = 4
-CLIENTS = 250
-WORK_S = 0.4
-"""Time for which a server works on a request."""
+CYCLES = 8
+SERVERS = 3
+FREEZE_S = 3.0
+LEAVES_AFTER_S = 0.4
+"""Time from the end of the freeze until a server leaves."""
 
-WAVE_S = 1.0
-"""Interval at which each client sends a request."""
+DRAIN_S = 2.0
+SERVES_ON_S = DRAIN_S + 0.4
+"""A server that leaves serves for ``drain_timeout_ms`` and a little longer."""
 
-REPLACEMENTS = 66
-GAP_S = 1.0
-"""Interval between replacements, as that of a release."""
-
-CHECK_S = 4.0
-"""Longer than ``contact_ms``."""
-
-NEW_CLIENTS = 8
-CALM_S = 6.0
-"""Calm time before the check, in which the last servers end."""
-
-
-def descriptors(node: harness.Node) -> int:
-    return len(os.listdir(f"/proc/{node.process.pid}/fd"))
+CALM_S = 4.5
+CLIENTS = 8
+PAUSE_S = 0.05
+WORK_S = 0.1
 
 
 async def run(record: harness.Record) -> bool:
+    left_at: dict[str, float] = {}
+    sent_at: dict[str, float] = {}
+    late: dict[str, int] = collections.Counter()
+    ran: set[str] = set()
+    lost: list[str] = []
+
     async def handle(
         server: harness.Server, message: harness.Message, conn: harness.Conn
     ) -> bool | None:
+        request_id = message.headers["request-id"]
+        now = trio.current_time()
+        ran.add(request_id)
+        bound = left_at.get(server.id, now) + DRAIN_S
+        if now > bound and sent_at[request_id] > bound:
+            late[server.id] += 1
+            record(
+                "reaches a server that has left",
+                server=server.id,
+                id=request_id,
+                ms_after=round(1000 * (now - left_at[server.id])),
+            )
         await trio.sleep(WORK_S)
-        body = b"y" * 800
-        head = server.head(message, Content_Length=str(len(body)))
-        await conn.stream.send_all(head + body)
+        head = server.head(message, Content_Length="800")
+        await conn.stream.send_all(head + b"y" * 800)
         return None
 
     servers = [harness.Server("desk", "zone-a", handle) for _ in range(SERVERS)]
     routes = [
         harness.route(
-            "lookup",
-            "idempotent",
+            "permit",
+            "non_idempotent",
             "desk",
-            timeout_ms=3000,
-            target_latency_ms=1000,
-            max_attempts=2,
+            timeout_ms=800,
+            target_latency_ms=150,
         )
     ]
-    services = [{"name": "desk", "max_connections": 360}]
-    configuration = harness.config(1, routes, services=services)
-    async with harness.deployment(configuration, servers) as world:
-        node = world.nodes[0]
-        answers: dict[object, int] = {}
-        probe = harness.Conn(await trio.open_tcp_stream(harness.LOOPBACK, node.ready))
-
-        async def is_ready() -> bool:
-            """Ask as the platform does, on a connection that it keeps."""
-            await probe.stream.send_all(b"GET /api/ready HTTP/1.1\r\nHost: r\r\n\r\n")
-            found = None
-            with trio.move_on_after(1.0):
-                found = await probe.read_message()
-            return found is not None and found.status == 200
+    configuration = harness.config(1, routes)
+    async with harness.deployment(configuration, servers, nodes=2) as world:
+        frozen, calm = world.nodes
 
-        async def ask_in_waves(number: int) -> None:
-            client = harness.Client(node)
+        async def ask_steadily() -> None:
+            """Send requests to the node that nothing happens to."""
+            client = harness.Client(calm)
             while True:
-                await trio.sleep_until(
-                    WAVE_S * (trio.current_time() // WAVE_S + 1) + number / 2000
+                request_id = client.new_id()
+                sent_at[request_id] = trio.current_time()
+                answer = await client.send(
+                    "POST", "/permit/issue", request_id, b"x" * 600, 1500
                 )
-                try:
-                    answer = await client.send(
-                        "GET", "/lookup/1", client.new_id(), b"", 3000
-                    )
-                except OSError:
-                    answer = None
-                status = answer.status if answer is not None else None
-                answers[status] = answers.get(status, 0) + 1
-
-        async def retire(server: harness.Server) -> None:
-            """Leave as the pages say: report it, serve on for a while, end."""
-            server.extra = {"state": "draining"}
-            world.store.put("servers", server.id, server.entry())
-            await trio.sleep(3.0)
-            world.servers.remove(server)
-            world.store.delete("servers", server.id)
+                if answer is None or answer.status != 200:
+                    status = "closed" if answer is None else answer.status
+                    record("client gets", id=request_id, status=status)
+                    if request_id in ran:
+                        lost.append(request_id)
+                await trio.sleep(PAUSE_S)
+
+        async def end_later(server: harness.Server) -> None:
+            await trio.sleep(SERVES_ON_S)
             server.end()
 
-        async def replace(server: harness.Server) -> harness.Server:
-            new = harness.Server("desk", "zone-a", handle)
-            await world.nursery.start(new.serve)
-            world.servers.append(new)
-            world.store.put("servers", new.id, new.entry())
-            world.nursery.start_soon(retire, server)
-            return new
-
-        served: list[int] = []
-
-        async def try_new(number: int) -> None:
-            """Try to be served on new connections, as a client does."""
-            while True:
-                client = harness.Client(node)
-                answer = None
-                with trio.move_on_after(1.0):
-                    try:
-                        answer = await client.send(
-                            "GET", "/lookup/1", client.new_id(), b"", 3000
-                        )
-                    except OSError as exc:
-                        record("new client", number=number, error=repr(exc))
-                status = answer.status if answer is not None else "no answer"
-                record("new client", number=number, status=status)
-                if answer is not None:
-                    served.append(answer.status)
-                    return
-                await client.close()
-
-        async def check_new_clients() -> None:
-            """Check whether the node takes new connections in a calm time."""
-            await trio.sleep(CALM_S)
-            record("calm", ready=await is_ready(), descriptors=descriptors(node))
-            answers.clear()
-            with trio.move_on_after(CHECK_S):
-                async with trio.open_nursery() as nursery:
-                    for number in range(NEW_CLIENTS):
-                        nursery.start_soon(try_new, number)
-            record(
-                "after the check",
-                ready=await is_ready(),
-                descriptors=descriptors(node),
-                new_clients=NEW_CLIENTS,
-                taken=len(served),
-                kept_clients=dict(sorted(answers.items(), key=str)),
-            )
-
-        async with trio.open_nursery() as traffic:
-            for number in range(CLIENTS):
-                traffic.start_soon(ask_in_waves, number)
-            await trio.sleep(3.0)
-            current = list(servers)
-            for number in range(REPLACEMENTS):
+        async with trio.open_nursery() as nursery:
+            for _ in range(CLIENTS):
+                nursery.start_soon(ask_steadily)
+            await trio.sleep(4.0)
+            for number in range(CYCLES):
+                new = harness.Server("desk", "zone-a", handle)
+                await world.nursery.start(new.serve)
+                world.servers.append(new)
+                world.store.put("servers", new.id, new.entry())
                 if harness.IS_TROUBLE:
-                    current.append(await replace(current.pop(0)))
-                await trio.sleep(GAP_S)
-                if number % 6 == 5:
-                    record(
-                        "replaced" if harness.IS_TROUBLE else "passed",
-                        servers=number + 1,
-                        ready=await is_ready(),
-                        descriptors=descriptors(node),
-                        listed=len(world.servers),
-                        answers=dict(sorted(answers.items(), key=str)),
-                    )
-                    answers.clear()
-            await check_new_clients()
-            traffic.cancel_scope.cancel()
-        return not served
+                    record("freezes", node=frozen.name)
+                    frozen.process.send_signal(signal.SIGSTOP)
+                await trio.sleep(FREEZE_S)
+                frozen.process.send_signal(signal.SIGCONT)
+                await trio.sleep(LEAVES_AFTER_S + 0.1 * (number % 5))
+                old = world.servers.pop(0)
+                world.store.delete("servers", old.id)
+                left_at[old.id] = trio.current_time()
+                record("leaves, and its entry is removed", server=old.id)
+                world.nursery.start_soon(end_later, old)
+                await trio.sleep(CALM_S)
+            nursery.cancel_scope.cancel()
+    record(
+        "requests of the calm node",
+        sent=len(sent_at),
+        late=sum(late.values()),
+        servers=len(late),
+        ran_and_lost=len(lost),
+    )
+    return bool(late)
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,6 @@
-"""A tenant that becomes isolated goes on to share its earlier prompt parts."""
+"""A stream whose servers pause runs on more servers than its route allows."""
 
+import collections
 import pathlib
 import sys
 
@@ -9,71 +10,57 @@
 import harness  # noqa: E402
 import trio  # noqa: E402
 
-KEYS = {"clinic": "key-of-clinic", "dealer": "key-of-dealer"}
-PARTS = [f"5c1e07a{number}" for number in range(5)]
-AFTER_CHANGE_S = 6.0
-"""Longer than ``config_apply_ms`` and ``contact_ms`` together."""
+MAX_ATTEMPTS = 2
+STREAMS = 10
+EVENTS = 30
+EVENT_INTERVAL_S = 0.05
+SILENCE_S = 1.5
+SILENT_RUNS = 2
+"""Runs of a request in which the server falls silent once."""
 
-NO_SALT = ""
+STREAM_INTERVAL_S = 2.5
+"""Leaves the node enough of the retry budget."""
 
-
-def tenants(is_isolated: bool) -> list[dict[str, object]]:
-    clinic: dict[str, object] = {"name": "clinic", "api_keys": [KEYS["clinic"]]}
-    if is_isolated:
-        clinic["isolated"] = True
-    return [clinic, {"name": "dealer", "api_keys": [KEYS["dealer"]]}]
+SILENT_AFTER = 4
+"""Events that a run makes before its server falls silent."""
 
 
 async def run(record: harness.Record) -> bool:
-    is_isolated = False
-    foreign: list[str] = []
+    runs: dict[str, list[str]] = collections.defaultdict(list)
+    ended: set[tuple[str, str]] = set()
 
     async def handle(
         server: harness.Server, message: harness.Message, conn: harness.Conn
     ) -> bool | None:
-        if message.target.startswith("/api/"):
-            await conn.stream.send_all(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
-            return None
         request_id = message.headers["request-id"]
-        tenant = message.headers.get("tenant", "")
-        salt = message.headers.get("cache-salt", NO_SALT)
-        parts = [
-            item.partition(":")[0].strip()
-            for item in message.headers["prompt-prefix"].split(",")
-        ]
-        makers: dict[tuple[str, str], str] = server.cache
-        used = []
-        for part in parts:
-            if (salt, part) not in makers:
-                break
-            used.append((part, makers[salt, part]))
-        for part in parts:
-            makers.setdefault((salt, part), tenant)
-        record(
-            "runs",
-            server=server.id,
-            id=request_id,
-            tenant=tenant,
-            salt=salt,
-            uses=",".join(f"{part}-of-{maker}" for part, maker in used) or "nothing",
-        )
-        if is_isolated and any(
-            maker != tenant and "clinic" in (maker, tenant) for _, maker in used
-        ):
-            foreign.append(request_id)
+        first = int(message.headers.get("last-event-id", "0")) + 1
+        runs[request_id].append(server.id)
+        record("runs", server=server.id, id=request_id, from_event=first)
         head = server.head(
-            message,
-            Content_Type="text/event-stream",
-            Transfer_Encoding="chunked",
-            Weight_Versions="1",
+            message, Content_Type="text/event-stream", Transfer_Encoding="chunked"
         )
-        events = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 4))
-        await conn.stream.send_all(head + harness.chunk(events) + harness.chunk(b""))
+        await conn.stream.send_all(head)
+        try:
+            for number in range(first, EVENTS + 1):
+                is_silent = len(runs[request_id]) <= SILENT_RUNS
+                is_due = number == first + SILENT_AFTER
+                if harness.IS_TROUBLE and is_silent and is_due:
+                    record("is silent", server=server.id, id=request_id)
+                    await trio.sleep(SILENCE_S)
+                    record("goes on", server=server.id, id=request_id)
+                event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+                await conn.stream.send_all(harness.chunk(event))
+                await trio.sleep(EVENT_INTERVAL_S)
+            await conn.stream.send_all(harness.chunk(b""))
+        except trio.BrokenResourceError:
+            record("was closed by the node", server=server.id, id=request_id)
+            ended.add((request_id, server.id))
+            return False
         return None
 
     model = [{"name": harness.MODEL, "version": 1, "adapters": []}]
     servers = [
-        harness.Server("engines", "zone-a", handle, models=model) for _ in range(2)
+        harness.Server("engines", "zone-a", handle, models=model) for _ in range(6)
     ]
     routes = [
         harness.route(
@@ -82,50 +69,43 @@
             "engines",
             timeout_ms=10000,
             resumable=True,
-            max_attempts=2,
-            sticky=True,
+            max_attempts=MAX_ATTEMPTS,
         )
     ]
-    configuration = harness.config(1, routes, tenants=tenants(False))
-    async with harness.deployment(configuration, servers) as world:
-        client = harness.Client(world.nodes[0])
+    async with harness.deployment(harness.config(1, routes), servers) as world:
 
-        async def ask(tenant: str, part: str) -> None:
+        async def ask(number: int) -> None:
+            client = harness.Client(world.nodes[0])
             request_id = client.new_id()
+            record("client sends", id=request_id)
             answer = await client.send(
                 "POST",
                 "/review/1",
                 request_id,
                 b"x" * 200,
-                8000,
-                key=KEYS[tenant],
+                10000,
                 Model=harness.MODEL,
-                Token_Usage="13000,30",
-                Prompt_Prefix=f"{part}:12800,{request_id[-8:]}:200",
+                Token_Usage="300,30",
+                Prompt_Prefix=f"aa{number:02x}:100,bb{number:02x}:200",
             )
             record(
                 "client gets",
-                tenant=tenant,
                 id=request_id,
                 status=answer and answer.status,
+                whole=answer and answer.is_complete,
+                events=answer and answer.body.count(b"\n\n"),
             )
+            await client.close()
 
-        for part in PARTS:
-            for _ in range(2):
-                await ask("clinic", part)
-        record("the configuration changes", isolated=harness.IS_TROUBLE)
-        configuration = harness.config(
-            2, routes, tenants=tenants(is_isolated=harness.IS_TROUBLE)
-        )
-        world.store.put("op", "config", configuration)
-        await trio.sleep(AFTER_CHANGE_S)
-        is_isolated = harness.IS_TROUBLE
-        for part in PARTS:
-            for _ in range(2):
-                await ask("dealer", part)
-        await client.close()
-    record("used the memory of an isolated tenant", count=len(foreign))
-    return bool(foreign)
+        async with trio.open_nursery() as nursery:
+            for number in range(STREAMS):
+                nursery.start_soon(ask, number)
+                await trio.sleep(STREAM_INTERVAL_S)
+    over = {i: s for i, s in runs.items() if len(set(s)) > MAX_ATTEMPTS}
+    for request_id, names in over.items():
+        record("ran on too many servers", id=request_id, servers=",".join(names))
+    record("requests on more servers than allowed", count=len(over), allowed=3)
+    return len(over) > 3
 
 
 if __name__ == "__main__":
