--- a/review/1/case.py
+++ b/review/1/case.py
@@ -52,7 +52,7 @@
         now = trio.current_time()
         is_in_trouble = server is engines[0] and 0 <= now - trouble_from < TROUBLE_S
         failed += is_in_trouble
-        is_bad = is_in_trouble and endless < failed * BAD_SHARE - 0.5
+        is_bad = is_in_trouble and endless + 1 <= failed * BAD_SHARE
         endless += is_bad
         try:
             await conn.stream.send_all(head)
