--- a/review/1/case.py
+++ b/review/1/case.py
@@ -27,8 +27,8 @@
 TROUBLE_AT_S = 6.0
 ANSWER_SLACK_S = 0.5
 MIN_UNANSWERED = 8
-CHUNK = harness.chunk(b": ping\n\n")
-"""A comment of an event stream, as one chunk of a body."""
+CHUNK = harness.chunk(b":\n\n")
+"""An empty comment of an event stream, as one chunk of a body."""
 
 
 async def run(record: harness.Record) -> bool:
