Pace the parsing of small fragments on each connection

Cause: a read of 64 KiB was parsed as a whole before other tasks ran, and in chunks of one byte that is some 8,000 steps of h11. Limits counted bytes, so nothing bounded the steps. Bodies read whole, the poller of the product's own interface, responses to other requests and uploads of callers did the same.

Each connection now has a pacer: after 32 fragments other tasks run, beyond a burst and a rate it is read more slowly, and a sender that is delayed for 2 s in all counts as faulty.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -11,7 +11,7 @@
 import h11
 import trio
 
-from snipelug_net import poller
+from snipelug_net import pacing, poller
 
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
@@ -24,6 +24,8 @@
 BUFFER_BYTES = 32 * 1024 * 1024
 """Memory for the response bodies that a pool's callers read at the same time."""
 
+TOO_FRAGMENTED = "the response arrives in too many small fragments"
+
 IDLE_TIMEOUT_MARGIN_S = 0.5
 """Connections are discarded this long before the server's announced idle timeout."""
 
@@ -158,6 +160,7 @@
     async def next_part(self) -> bytes | Lost | None:
         """Return the next body part, None at the end, or Lost if it was truncated."""
         while not self._is_done:
+            await self._conn.pacer.wait()
             part = self._read_events()
             if part:
                 return part
@@ -188,22 +191,28 @@
         Lost, Paused or None
             None at the end of the body; Paused once ``on_part`` returned False.
         """
-        if self._is_done:
-            return self._lost
-        fd = self._conn.stream.socket.fileno()
+        pacer = self._conn.pacer
         stop_requested = False
 
         def on_readable() -> bool:
             nonlocal stop_requested
             part = self._read_nowait(fd)
             stop_requested = bool(part) and not on_part(part)
-            return not (stop_requested or self._is_done)
-
-        self._poller = body_poller
-        try:
-            await body_poller.watch(fd, on_readable)
-        finally:
-            self._poller = None
+            return not (stop_requested or self._is_done or pacer.is_turn_over)
+
+        while not (stop_requested or self._is_done):
+            if pacer.is_turn_over:
+                # What is left of the last read does not make the socket readable.
+                await pacer.wait()
+                part = self._read_events()
+                stop_requested = bool(part) and not on_part(part)
+                continue
+            fd = self._conn.stream.socket.fileno()
+            self._poller = body_poller
+            try:
+                await body_poller.watch(fd, on_readable)
+            finally:
+                self._poller = None
         return Paused() if stop_requested else self._lost
 
     def _read_nowait(self, fd: int) -> bytes:
@@ -218,12 +227,23 @@
         return self._read_events()
 
     def _read_events(self) -> bytes:
-        """Return the body bytes received so far; release the connection at its end."""
+        """Return body bytes received so far; release the connection at its end.
+
+        More bytes may be buffered if the connection's turn is over.
+        """
         proto = self._conn.proto
-        parts = []
+        pacer = self._conn.pacer
+        parts: list[bytes] = []
+        if self._is_done:
+            return b""
         try:
             while isinstance(event := proto.next_event(), h11.Data):
                 parts.append(event.data)
+                pacer.record(len(event.data))
+                if pacer.is_exceeded:
+                    raise h11.RemoteProtocolError(TOO_FRAGMENTED)
+                if pacer.is_turn_over:
+                    return b"".join(parts)
                 # Only the CRLF after the chunk is buffered, so no further event is due.
                 if event.chunk_end and proto.trailing_data[0] == b"\r\n":
                     return b"".join(parts)
@@ -291,6 +311,7 @@
         self.is_sending = False
         self.is_closed_by_server = False
         self.requests = 0
+        self.pacer = pacing.Pacer()
         self.proto = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -303,10 +324,23 @@
 
     async def next_event(self) -> object:
         while True:
+            await self.pacer.wait()
             event = self.proto.next_event()
+            if isinstance(event, h11.Data):
+                self._record_fragment(len(event.data))
+            elif event is not h11.NEED_DATA:
+                self.pacer.start_message()
             if event is not h11.NEED_DATA:
                 return event
-            self.proto.receive_data(await self.receive())
+            received = await self.receive()
+            if self.proto.their_state is h11.SEND_RESPONSE:
+                self._record_fragment(len(received))
+            self.proto.receive_data(received)
+
+    def _record_fragment(self, size: int) -> None:
+        self.pacer.record(size)
+        if self.pacer.is_exceeded:
+            raise trio.BrokenResourceError(TOO_FRAGMENTED)
 
     def send_nowait(self, data: bytes) -> bytes:
         """Write what the socket accepts without blocking; return the rest."""
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -14,6 +14,8 @@
 import msgspec
 import trio
 
+from snipelug_net import pacing
+
 LOG = logging.getLogger("snipelug.http")
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -177,6 +179,13 @@
 )
 
 
+TOO_FRAGMENTED = RequestError(
+    http.HTTPStatus.BAD_REQUEST,
+    "too_fragmented",
+    "the request arrives in too many small fragments",
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Closed:
     """The client closed the connection or the idle timeout expired."""
@@ -429,6 +438,7 @@
         self._has_written = False
         self._probes = 0
         self._probe_rest = b""
+        self._pacer = pacing.Pacer()
 
     @property
     def has_begun_request(self) -> bool:
@@ -473,7 +483,12 @@
 
     async def _next_event(self) -> object:
         while True:
+            await self._pacer.wait()
             event = self.proto.next_event()
+            if isinstance(event, h11.Data):
+                self._pacer.record(len(event.data))
+            elif event is not h11.NEED_DATA:
+                self._pacer.start_message()
             if event is not h11.NEED_DATA:
                 return event
             if self.proto.they_are_waiting_for_100_continue:
@@ -481,7 +496,10 @@
                     status_code=100, headers=[]
                 )
                 await self._write(self.proto.send(continue_response) or b"")
-            self.proto.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+            received = await self.stream.receive_some(RECEIVE_BYTES)
+            if self.proto.their_state is h11.IDLE:
+                self._pacer.record(len(received))
+            self.proto.receive_data(received)
 
     async def _read_request(self) -> Request | RequestError | Closed:
         self._read_scope = trio.CancelScope()
@@ -561,6 +579,8 @@
                 return RequestError(
                     http.HTTPStatus.BAD_REQUEST, "truncated_request", reason
                 )
+            if self._pacer.is_exceeded:
+                return TOO_FRAGMENTED
             size += len(event.data)
             limit_bytes = max(limit_bytes, self.limits.body_bytes)
             if size > limit_bytes:
