Judge removals from the list by a node's own gaps

Cause: a node that was frozen or cut off cannot tell a removal from an entry that expired while the store was away, and announced this doubt. The others took it over, though they had read the list all the while. Entries were also kept for 2.2 s from each removal, not from the end of the gap.

Each node now judges by the gap in its own knowledge (core/continuity), and keeps vanished entries only until 2.2 s after the gap. Announcements are dated by the store's clock, so one that waited hides no gap.

--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -11,9 +11,6 @@
 
 from snipelug_core import hashing, queueing, ranges, restore
 
-REMOVAL_GRACE_S = 2.2
-"""Retention of vanished entries; after an outage of the list they return within 2 s."""
-
 CACHED_PARTS_FRACTION = 0.3
 """Fraction of an engine's KV cache that is assumed to hold known prompt parts.
 
@@ -433,12 +430,14 @@
         known = self.upstreams.get(entry.id)
         return known is None or known.entry != entry or entry.id in self._removal_due
 
-    def remove(self, upstream_id: str, now: float, in_grace: bool) -> Change | None:
-        """Remove an entry, or during a grace period schedule its removal."""
+    def remove(
+        self, upstream_id: str, now: float, kept_until: float = -math.inf
+    ) -> Change | None:
+        """Remove an entry, or schedule its removal if it is kept until a later time."""
         if upstream_id not in self.upstreams:
             return None
-        if in_grace:
-            self._removal_due.setdefault(upstream_id, now + REMOVAL_GRACE_S)
+        if now < kept_until:
+            self._removal_due.setdefault(upstream_id, kept_until)
             return Change(upstream_id, "missing")
         self._remember_gone(self.upstreams.pop(upstream_id))
         del self._digests[upstream_id]
@@ -450,7 +449,7 @@
         self,
         entries: collections.abc.Sequence[Entry],
         now: float,
-        in_grace: bool,
+        kept_until: float = -math.inf,
         is_restored: bool = False,
     ) -> collections.abc.Iterator[Change]:
         """Replace all entries by a complete list.
@@ -461,6 +460,8 @@
 
         Parameters
         ----------
+        kept_until : float
+            Time until which vanished entries are kept, in seconds.
         is_restored : bool
             Whether this is the first read of the list since a restore.
         """
@@ -478,7 +479,7 @@
             if (change := self.put(entry, now)) is not None:
                 yield change
         for upstream_id in [i for i in self.upstreams if i not in listed]:
-            if (change := self.remove(upstream_id, now, in_grace)) is not None:
+            if (change := self.remove(upstream_id, now, kept_until)) is not None:
                 yield change
 
     def end_withholding(self, now: float) -> bool:
@@ -507,9 +508,9 @@
             self._gone.popitem(last=False)
 
     def expire(self, now: float) -> collections.abc.Iterator[Change]:
-        """Remove missing entries whose grace period has ended."""
+        """Remove missing entries that are not kept any longer."""
         for upstream_id in [i for i, at in self._removal_due.items() if at <= now]:
-            if (change := self.remove(upstream_id, now, in_grace=False)) is not None:
+            if (change := self.remove(upstream_id, now)) is not None:
                 yield change
 
     def _rebuild_index(self) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -81,8 +81,9 @@
     ----------
     since, position : int
         The range of the list's history that was read.
-    in_grace : bool
-        Whether removed entries may have expired during an outage.
+    is_keeping : bool
+        Whether the sender keeps removed entries for a time. Receivers judge this by
+        their own reads; nodes of earlier releases take it over.
     entries : list of fleet.Entry
         Entries that have changed for the sender.
     removed : list of str
@@ -94,16 +95,19 @@
     digest : int or None
         Digest of the sender's list at ``position``; None if the sender keeps entries
         that the list lacks, or the other way round.
+    clock_ms : float or None
+        The store's clock in the response, in milliseconds; None if not told.
     """
 
     since: ranges.Number
     position: ranges.Number
-    in_grace: bool
+    is_keeping: bool
     entries: list[fleet.Entry]
     removed: list[ranges.Name]
     is_cut: bool = False
     epoch: ranges.Number = 0
     digest: ranges.Number | None = None
+    clock_ms: ranges.ClockMs | None = None
 
 
 class KvStoreRead(msgspec.Struct, array_like=True):
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -48,7 +48,7 @@
 """Fraction of an upstream's connections that all nodes together keep idle."""
 
 MAX_IDLE = 64
-EXPIRY_INTERVAL_S = 0.5
+EXPIRY_INTERVAL_S = 0.1
 SETTINGS_CHECK_INTERVAL_S = 2.0
 CLOSE_CHECK_INTERVAL_S = 0.05
 
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -408,7 +408,7 @@
         self,
         items: collections.abc.Iterable[ports.Listing],
         is_whole: bool,
-        in_grace: bool,
+        kept_until: float = -math.inf,
         is_restored: bool = False,
     ) -> None:
         """Apply entries of the list of upstreams.
@@ -417,8 +417,9 @@
         ----------
         is_whole : bool
             Whether the items are the whole list rather than changes.
-        in_grace : bool
-            Whether missing entries may have expired during an outage of the list.
+        kept_until : float
+            Monotonic time until which missing entries are kept, as they may have
+            expired during an outage of the store, in seconds.
         is_restored : bool
             Whether this is the first read of the list since a restore of the store.
         """
@@ -432,12 +433,12 @@
                 case fleet.Entry():
                     changes.append(self.fleet.put(item, now))
                 case ports.Removed(str() as upstream_id):
-                    changes.append(self.fleet.remove(upstream_id, now, in_grace))
+                    changes.append(self.fleet.remove(upstream_id, now, kept_until))
                 case ports.Unreadable(key, reason):
                     lines.warning(LOG, "entry_unreadable", key=key, reason=reason)
-                    changes.append(self.fleet.remove(key, now, in_grace=False))
+                    changes.append(self.fleet.remove(key, now))
         if is_whole:
-            changes += self.fleet.replace(entries, now, in_grace, is_restored)
+            changes += self.fleet.replace(entries, now, kept_until, is_restored)
             self.upstream_list_known = True
         for change in changes:
             if change is not None:
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from snipelug_core import cursor, fleet, membership
+from snipelug_core import continuity, cursor, fleet, membership
 from snipelug_net import lines
 from snipelug_relay import announce, clock, messages, ports, state, stats
 
@@ -33,15 +33,12 @@
 MAX_MEMBERS_RETRY_PAUSE_S = 4.0
 """The same maximum for the member table, whose rows are valid for 50 s."""
 
-MIN_OUTAGE_S = 1.2
-"""Additional time without the list after which entries may have expired.
-
-Equals one heartbeat of the upstreams.
-"""
-
 READER_LATENESS_S = 0.3
 """Delay of a reader's announcement after which a node reads for itself."""
 
+READ_LATENESS_S = 0.3
+"""Delay of a node's own read at which its list still counts as up to date."""
+
 MIN_LIST_CHECK_INTERVAL_S = 2.0
 MAX_LIST_CHECK_INTERVAL_S = 64.0
 """Minimum interval between whole reads of a list that differs from a reader's.
@@ -77,7 +74,6 @@
         self._stats = metrics
         self._pause_s = RETRY_PAUSE_S
         self.lost_at: float | None = None
-        self.answered_at = clock.now()
 
     async def record(self, response: Response | ports.Unavailable) -> bool:
         """Record a response and pause if it failed; return whether it succeeded."""
@@ -98,7 +94,6 @@
             outage_s = round(now - self.lost_at, 2)
             lines.event(LOG, "store_regained", call=self._name, after_s=outage_s)
         self.lost_at = None
-        self.answered_at = now
         self._pause_s = RETRY_PAUSE_S
         return True
 
@@ -208,6 +203,10 @@
         self._list_cursor = TableCursor()
         announcer.set_handler(messages.IntentsRead, self._on_intents_read)
         announcer.set_handler(messages.ListRead, self._on_list_read)
+        self._list_interval_s = LIST_INTERVAL_FRACTION * cfg.bounds.drain_s
+        self._continuity = continuity.Continuity(
+            clock.now(), self._list_interval_s + READER_LATENESS_S + READ_LATENESS_S
+        )
         self._list_kept_until = -1e9
         self._list_check_due = -1e9
         self._list_check_interval_s = MIN_LIST_CHECK_INTERVAL_S
@@ -325,35 +324,31 @@
     async def run_upstreams(self) -> None:
         """Watch the list of upstreams."""
         call_status = CallStatus("upstreams", self._stats)
-        grace_until = 0.0
-        pause_s = LIST_INTERVAL_FRACTION * self._cfg.bounds.drain_s
+        pause_s = self._list_interval_s
         while True:
             if await self._wait_for_reader(
                 self._list_cursor, pause_s + READER_LATENESS_S
             ):
-                call_status.answered_at = clock.now()
                 continue
             if self._state.is_reader and not self._was_reader:
                 # Its digest is what the other nodes compare theirs with.
                 self._list_cursor.position = None
             self._was_reader = self._state.is_reader
             since = self._list_cursor.known
+            sent_at = clock.now()
             page: ports.Page[ports.Listing] | ports.HistoryLost | ports.Unavailable
             if since is None:
                 page = await self._store.read_upstreams()
             else:
                 page = await self._store.watch_upstreams(since.version, 0.0)
-            now = clock.now()
             if isinstance(page, ports.HistoryLost):
                 position = self._list_cursor.position
                 lines.event(LOG, "history_lost", call="upstreams", position=position)
                 self._list_cursor.position = None
                 continue
-            if now - call_status.answered_at > pause_s + MIN_OUTAGE_S:
-                grace_until = now + fleet.REMOVAL_GRACE_S
             if await call_status.record(page) and isinstance(page, ports.Page):
-                self._state.record_epoch(page.epoch)
-                match self._apply_listings(page, since, now < grace_until):
+                self._state.record_response(page, sent_at, clock.now())
+                match self._apply_listings(page, since, sent_at):
                     case cursor.Decision.APPLY if self._state.is_reader:
                         await trio.sleep(pause_s)
                     case cursor.Decision.DROP:
@@ -363,7 +358,7 @@
         self,
         page: ports.Page[ports.Listing],
         since: cursor.Position | None,
-        in_grace: bool,
+        sent_at: float,
     ) -> cursor.Decision:
         # A peer's announcement may have been applied since the read was sent, or the
         # whole list requested.
@@ -373,19 +368,21 @@
         decision = self._judge(table, since, read)
         if decision is not cursor.Decision.APPLY:
             return decision
+        self._continuity.record_current(sent_at, clock.now())
         is_restored = table.is_restored(page.epoch)
         items = list(_newest(page.items))
         message: messages.ListRead | None = None
         if self._state.is_reader and since is not None and known is not None:
-            message = self._describe_changes(items, known.version, read, in_grace)
+            message = self._describe_changes(items, known.version, read, page.clock_ms)
         elif self._state.is_reader and is_restored:
             # The other nodes must read the list for themselves.
-            message = self._describe_changes([], page.position, read, in_grace)
+            message = self._describe_changes([], page.position, read, page.clock_ms)
         if is_restored:
-            self._list_kept_until = clock.now() + fleet.REMOVAL_GRACE_S
+            self._list_kept_until = clock.now() + continuity.KEEP_S
+        kept_until = self._continuity.keeps_until
         if since is None:
-            in_grace = in_grace or clock.now() < self._list_kept_until
-        self._state.apply_listings(items, since is None, in_grace, is_restored)
+            kept_until = max(kept_until, self._list_kept_until)
+        self._state.apply_listings(items, since is None, kept_until, is_restored)
         table.advance(page.position, page.epoch)
         if message is not None:
             message.digest = self._state.fleet.digest
@@ -397,7 +394,7 @@
         items: collections.abc.Iterable[ports.Listing],
         since: int,
         read: cursor.Position,
-        in_grace: bool,
+        clock_ms: float,
     ) -> messages.ListRead:
         """Return an announcement of the changes to what this node knows."""
         entries, removed = [], []
@@ -410,8 +407,15 @@
                     removed.append(upstream_id)
                 case ports.Unreadable(key):
                     removed.append(key)
+        is_keeping = clock.now() < self._continuity.keeps_until
         return messages.ListRead(
-            since, read.version, in_grace, entries, removed, epoch=read.epoch
+            since,
+            read.version,
+            is_keeping,
+            entries,
+            removed,
+            epoch=read.epoch,
+            clock_ms=clock_ms,
         )
 
     def _announce_list(self, message: messages.ListRead) -> None:
@@ -438,7 +442,12 @@
             return
         items: list[ports.Listing] = [*message.entries]
         items += [ports.Removed(upstream_id) for upstream_id in message.removed]
-        self._state.apply_listings(items, False, message.in_grace)
+        now = clock.now()
+        read_at = now
+        if message.clock_ms is not None:
+            read_at = self._state.store_clock.earliest_at(message.clock_ms)
+        self._continuity.record_current(read_at, now)
+        self._state.apply_listings(items, False, self._continuity.keeps_until)
         self._list_cursor.advance(message.position, message.epoch)
         self._check_digest(message)
 
--- a/tests/restored_store.py
+++ b/tests/restored_store.py
@@ -199,8 +199,8 @@
         elif isinstance(page, ports.Unavailable):
             return
         elif table == LIST:
-            self.state.record_epoch(page.epoch)
-            self.watch._apply_listings(page, call.since, False)  # type: ignore[arg-type]
+            self.state.record_response(page, call.sent_at, clock.now())
+            self.watch._apply_listings(page, call.since, call.sent_at)  # type: ignore[arg-type]
         else:
             self.watch._apply_intents(page, call.since, call.sent_at)  # type: ignore[arg-type]
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,6 @@
 """Tests for the known state of listed upstreams."""
 
-from snipelug_core import fleet
+from snipelug_core import continuity, fleet
 from tests import relay_builders
 
 
@@ -30,10 +30,10 @@
     registry = fleet.Fleet()
     registry.put(relay_builders.entry("u1"), 0.0)
     registry.put(relay_builders.entry("u2"), 0.0)
-    list(registry.replace([], 10.0, in_grace=True))
+    list(registry.replace([], 10.0, kept_until=10.0 + continuity.KEEP_S))
     assert set(registry.upstreams) == {"u1", "u2"}
     registry.put(relay_builders.entry("u1"), 11.0)
-    changes = list(registry.expire(10.0 + fleet.REMOVAL_GRACE_S))
+    changes = list(registry.expire(10.0 + continuity.KEEP_S))
     assert changes == [fleet.Change("u2", "gone")]
     assert set(registry.upstreams) == {"u1"}
 
@@ -44,7 +44,7 @@
     entry = relay_builders.entry()
     registry.put(entry, 0.0)
     assert not registry.differs(entry)
-    registry.remove("u1", 1.0, in_grace=True)
+    registry.remove("u1", 1.0, kept_until=1.0 + continuity.KEEP_S)
     assert registry.differs(entry)
     assert registry.put(entry, 2.0) == fleet.Change("u1", "back")
     assert not registry.differs(entry)
@@ -54,7 +54,7 @@
     """Guards against requests to an upstream that left without draining."""
     registry = fleet.Fleet()
     registry.put(relay_builders.entry(), 0.0)
-    assert registry.remove("u1", 1.0, in_grace=False) == fleet.Change("u1", "gone")
+    assert registry.remove("u1", 1.0) == fleet.Change("u1", "gone")
     assert registry.of_service("engines") == []
 
 
--- a/tests/test_outdated_weights.py
+++ b/tests/test_outdated_weights.py
@@ -141,7 +141,7 @@
     node_state.apply_intents([ports.Version("m", 2)], 40_000.0, is_whole=True)
     node_state.apply_intents([ports.Version("m", 3)], 41_000.0, is_whole=False)
     outdated = relay_builders.entry(versions={"m": 1})
-    node_state.apply_listings([outdated], is_whole=True, in_grace=False)
+    node_state.apply_listings([outdated], is_whole=True)
     sync = retirements.RetirementSync(
         node_state.cfg,
         node_state,
@@ -181,7 +181,7 @@
     node_state.store_clock.record(now, now, 41_000.0)
     node_state.apply_intents([ports.Version("m", 2)], 40_000.0, is_whole=True)
     listed = relay_builders.entry(versions={"m": served})
-    node_state.apply_listings([listed], is_whole=True, in_grace=False)
+    node_state.apply_listings([listed], is_whole=True)
     sync = retirements.RetirementSync(
         node_state.cfg,
         node_state,
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from snipelug_core import catalog, fleet, restore
+from snipelug_core import catalog, continuity, fleet, restore
 from snipelug_relay import ports, state
 from tests import relay_builders
 
@@ -100,7 +100,8 @@
 
 
 def read_copy(known: fleet.Fleet, *entries: fleet.Entry, now: float = 10.0) -> None:
-    list(known.replace(entries, now, in_grace=True, is_restored=True))
+    kept_until = now + continuity.KEEP_S
+    list(known.replace(entries, now, kept_until, is_restored=True))
 
 
 @pytest.mark.parametrize("is_removed", [False, True])
@@ -108,10 +109,10 @@
     """Guards against requests to an upstream that the copy calls ready."""
     known = registry(READY, dataclasses.replace(READY, is_leaving=True))
     if is_removed:
-        known.remove(READY.id, 5.0, in_grace=False)
+        known.remove(READY.id, 5.0)
     read_copy(known, READY)
     known.end_withholding(10.0 + END_S)
-    list(known.replace([READY], 10.0 + END_S, in_grace=False))
+    list(known.replace([READY], 10.0 + END_S))
     known.put(READY, 20.0)
     assert known.upstreams[READY.id].is_leaving
     assert not known.of_service(READY.service)
@@ -122,24 +123,24 @@
 def test_process_that_was_gone_is_withheld_until_it_is_written_again() -> None:
     """Guards against requests to an upstream that only the copy still lists."""
     known = registry(READY)
-    known.remove(READY.id, 5.0, in_grace=False)
+    known.remove(READY.id, 5.0)
     read_copy(known, READY)
     # Another whole read cannot tell whether the row has been written since.
-    list(known.replace([READY], 11.0, in_grace=False))
+    list(known.replace([READY], 11.0))
     assert not known.upstreams
     known.put(READY, 12.0)
-    list(known.replace([READY], 13.0, in_grace=False))
+    list(known.replace([READY], 13.0))
     assert set(known.upstreams) == {READY.id}
 
 
 def test_table_alone_counts_after_the_grace_period() -> None:
     """Guards against an upstream that is withheld for ever."""
     known = registry(READY)
-    known.remove(READY.id, 5.0, in_grace=False)
+    known.remove(READY.id, 5.0)
     read_copy(known, READY)
     assert not known.end_withholding(10.0 + restore.RESTORE_GRACE_S - 0.1)
     assert known.end_withholding(10.0 + END_S)
-    list(known.replace([READY], 10.0 + END_S, in_grace=False))
+    list(known.replace([READY], 10.0 + END_S))
     assert set(known.upstreams) == {READY.id}
     assert not known.end_withholding(99.0)
 
@@ -159,9 +160,9 @@
     """Guards against upstreams that are lost until they are written again."""
     known = registry(READY)
     read_copy(known)
-    assert not list(known.expire(10.0 + fleet.REMOVAL_GRACE_S - 0.1))
+    assert not list(known.expire(10.0 + continuity.KEEP_S - 0.1))
     assert set(known.upstreams) == {READY.id}
-    list(known.expire(10.0 + fleet.REMOVAL_GRACE_S))
+    list(known.expire(10.0 + continuity.KEEP_S))
     assert not known.upstreams
 
 
--- a/tests/test_restored_reads.py
+++ b/tests/test_restored_reads.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 
-from snipelug_core import fleet, restore
+from snipelug_core import continuity, restore
 from snipelug_net import http_client
 from snipelug_platform_standin import server
 from snipelug_relay import messages, ports
@@ -216,7 +216,7 @@
 
         await restore_and_write(world, lambda _: None, lose)
         listed_again = f"{gone.id} is listed again"
-        with trio.move_on_after(fleet.REMOVAL_GRACE_S - 0.5):
+        with trio.move_on_after(continuity.KEEP_S - 0.5):
             while True:
                 for running in world.nodes:
                     known = running._state
--- a/tests/test_upstream_notices.py
+++ b/tests/test_upstream_notices.py
@@ -153,7 +153,7 @@
     assert registry.of_service("engines") == []
     for entry in entries:
         if entry is None:
-            registry.remove("u1", 1.0, in_grace=False)
+            registry.remove("u1", 1.0)
         else:
             registry.put(entry, 1.0)
     assert registry.upstreams["u1"].is_leaving is still_leaves
@@ -176,7 +176,7 @@
     for number in range(2 * fleet.MAX_NOTICES):
         registry.put(relay_builders.entry(f"u{number}"), 0.0)
         registry.record_leaving(registry.upstreams[f"u{number}"])
-        registry.remove(f"u{number}", 0.0, in_grace=False)
+        registry.remove(f"u{number}", 0.0)
     assert len(registry._notices) == fleet.MAX_NOTICES
 
 
@@ -278,7 +278,7 @@
     registry.put(ENTRY, 0.0)
     for at, for_s in pauses:
         registry.record_pause(registry.upstreams["u1"], for_s, at)
-    registry.remove("u1", 5.0, in_grace=False)
+    registry.remove("u1", 5.0)
     registry.put(ENTRY, 5.0)
     assert registry.upstreams["u1"].available_at == ends_at
     registry.put(relay_builders.entry("u1", born=2), 5.0)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 
-from snipelug_core import fleet
+from snipelug_core import continuity
 from snipelug_relay import announce, clock, messages, ports, state, stats, watch
 from tests import relay_builders
 
@@ -50,8 +50,9 @@
     )
     nursery.start_soon(watcher.run_upstreams)
     await trio.sleep(0.1)
-    node_state.apply_listings([ports.Removed("u1")], is_whole=False, in_grace=True)
-    await trio.sleep(fleet.REMOVAL_GRACE_S + 0.1)
+    kept_until = clock.now() + continuity.KEEP_S
+    node_state.apply_listings([ports.Removed("u1")], False, kept_until)
+    await trio.sleep(continuity.KEEP_S + 0.1)
     watcher.expire()
     await trio.sleep(0.1)
     assert set(node_state.fleet.upstreams) == {"u1"}
@@ -77,7 +78,7 @@
     )
     nursery.start_soon(watcher.run_upstreams)
     await trio.sleep(0.1)
-    node_state.apply_listings([ports.Removed("u1")], is_whole=False, in_grace=False)
+    node_state.apply_listings([ports.Removed("u1")], is_whole=False)
     node_state.is_reader = True
     watcher._list_cursor.request_read()
     await trio.sleep(0.1)
@@ -258,7 +259,7 @@
         )
         for node_state in node_states
     )
-    peer._apply_listings(ports.Page(ZONE_ENTRIES[:1], 5, 0.0), None, False)
+    peer._apply_listings(ports.Page(ZONE_ENTRIES[:1], 5, 0.0), None, clock.now())
     leaving = messages.ListRead(5, 7, False, ZONE_ENTRIES[1:], [])
     store.on_read = lambda: reader._on_list_read(leaving)
     nursery.start_soon(reader.run_upstreams)
