Count each run of a resumed stream

Cause: four places added to the count of runs or took from it, and a resumed run was never counted. The history now keeps the attempts, one place adds one, it counts from the moment it is sent, and the counts are derived.

Runs on upstreams that are known to have ended do not count for the limit, so that a stream whose upstreams crash goes on as before.

--- a/packages/snipelug-core/src/snipelug_core/attempt.py
+++ b/packages/snipelug-core/src/snipelug_core/attempt.py
@@ -41,32 +41,98 @@
     """Answer that the outcome of the request is unknown."""
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
+class Attempt:
+    """One attempt of a request.
+
+    Attributes
+    ----------
+    process : str
+        Id of the upstream's process.
+    is_sent : bool
+        Whether a byte of the request was or may have been sent.
+    result : Result or None
+        How it ended; None while it is under way.
+    has_ended_upstream : bool
+        Whether the upstream's process is known to have ended since.
+    """
+
+    process: str = ""
+    is_sent: bool = False
+    result: Result | None = None
+    has_ended_upstream: bool = False
+
+    def end(self, result: Result) -> None:
+        """Record how the attempt ended."""
+        self.result = result
+
+    @property
+    def is_under_way(self) -> bool:
+        """Whether the request was sent and the attempt has not ended."""
+        return self.is_sent and self.result is None
+
+    @property
+    def is_send(self) -> bool:
+        """Whether the request reached or may have reached the upstream."""
+        is_ended = self.result not in (None, Result.NOT_CONNECTED)
+        return is_ended or self.is_under_way
+
+    @property
+    def is_run(self) -> bool:
+        """Whether the upstream ran or may have run the request."""
+        return self.is_send and self.result not in NOT_RUN
+
+
 class History:
-    """Counts of the attempts of one request so far.
+    """The attempts of one request so far.
+
+    An attempt counts from the moment it is sent, and whatever becomes of it: a stream
+    that goes on elsewhere has run on both upstreams.
 
     Attributes
     ----------
-    sends : int
-        Attempts that reached or may have reached an upstream.
-    runs : int
-        Attempts that ran or may have run.
-    failed_connects : int
-        Attempts that failed to connect.
+    attempts : list of Attempt
+        All attempts in order.
     """
 
-    sends: int = 0
-    runs: int = 0
-    failed_connects: int = 0
+    def __init__(self) -> None:
+        self.attempts: list[Attempt] = []
+
+    def begin(self, process: str = "") -> Attempt:
+        """Add an attempt that is not sent yet."""
+        made = Attempt(process)
+        self.attempts.append(made)
+        return made
+
+    @property
+    def sends(self) -> int:
+        """Number of attempts that reached or may have reached an upstream."""
+        return sum(item.is_send for item in self.attempts)
+
+    @property
+    def runs(self) -> int:
+        """Number of attempts that ran or may have run."""
+        return sum(item.is_run for item in self.attempts)
+
+    @property
+    def limited_runs(self) -> int:
+        """Number of runs that count for the limit of the route.
+
+        Runs on upstreams that have ended do not.
+        """
+        return sum(
+            item.is_run and not item.has_ended_upstream for item in self.attempts
+        )
+
+    @property
+    def failed_connects(self) -> int:
+        """Number of attempts that failed to connect."""
+        return sum(item.result is Result.NOT_CONNECTED for item in self.attempts)
 
-    def add(self, result: Result) -> None:
-        """Count an attempt."""
-        if result is Result.NOT_CONNECTED:
-            self.failed_connects += 1
-            return
-        self.sends += 1
-        if result not in NOT_RUN:
-            self.runs += 1
+    @property
+    def is_under_way(self) -> bool:
+        """Whether an attempt was sent and has not ended."""
+        return any(item.is_under_way for item in self.attempts)
 
 
 def decide(
@@ -89,7 +155,7 @@
         return Action.DELIVER
     may_run_again = (
         route.repeat is not catalog.RepeatPolicy.AT_MOST_ONCE
-        and history.runs < route.max_attempts
+        and history.limited_runs < route.max_attempts
     )
     may_send = (
         history.sends < MAX_SENDS
--- a/packages/snipelug-relay/src/snipelug_relay/crashes.py
+++ b/packages/snipelug-relay/src/snipelug_relay/crashes.py
@@ -131,6 +131,17 @@
         if losses.has_crashed and not has_begun:
             self._charge(losses, work, sent_at)
 
+    async def classify(self, entry: fleet.Entry) -> None:
+        """Classify at once what an upstream incarnation has broken off."""
+        losses = self._losses.get(crash_id(entry))
+        if losses is not None and not losses.has_crashed:
+            await self._connect(losses)
+
+    def has_crashed(self, crash: str) -> bool:
+        """Return whether the upstream incarnation with a crash id has crashed."""
+        losses = self._losses.get(crash)
+        return losses is not None and losses.has_crashed
+
     def _add(
         self, work: job.Job, entry: fleet.Entry, has_begun: bool, sent_at: float
     ) -> Losses:
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -24,8 +24,8 @@
         ``deadline`` may be earlier.
     scope : trio.CancelScope
         Cancelled when the node answers its open requests at the end of a stop.
-    is_under_way : bool
-        Whether an attempt has sent the request and has not ended.
+    history : attempt.History
+        All attempts. ``Relay._attempt`` alone adds to it.
     tried : set of str
         Upstreams to which the request was sent.
     sent_at : float
@@ -51,7 +51,6 @@
     deadline: float
     allowed_until: float
     scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
-    is_under_way: bool = False
     history: attempt.History = dataclasses.field(default_factory=attempt.History)
     tried: set[str] = dataclasses.field(default_factory=set)
     sent_at: float = math.inf
@@ -73,7 +72,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request."""
-        return self.is_under_way or self.history.runs > 0
+        return self.history.runs > 0
 
     @property
     def is_one_run(self) -> bool:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -214,7 +214,7 @@
 
     def _answer_at_stop(self, work: job.Job) -> http_server.Response:
         """Answer a request that is open when the node sends its final responses."""
-        if work.is_under_way and work.trace:
+        if work.history.is_under_way and work.trace:
             work.trace[-1]["result"] = attempt.Result.LOST.value
         message = "the node stopped before the request was answered"
         stopping = refusal.refuse(
@@ -301,8 +301,6 @@
             return self._fail(work, outcome)
 
     def _record_and_decide(self, work: job.Job, outcome: job.Outcome) -> attempt.Action:
-        work.history.add(outcome.result)
-        work.is_under_way = False
         self._stats.attempts.labels(work.service, outcome.result.value).inc()
         if outcome.upstream_attempt is not None:
             outcome.upstream_attempt.trace_entry["result"] = outcome.result.value
@@ -340,6 +338,7 @@
         upstream_attempt, call = self._prepare(work, chosen, resume_after, now)
         upstream_attempt.start(now)
         work.sent_at = now
+        counted = work.history.begin(crashes.crash_id(chosen.upstream.entry))
         waits = self._state.fleet.wait_model(work.service)
         if work.request.model:
             waits.record_sent(chosen.read_s)
@@ -356,7 +355,8 @@
                 self._limit_beginning(work, chosen) as beginning,
                 self._suspects.track(work, beginning.scope) as waiting,
             ):
-                sent = await self._pool.send(call, self._pre_send_check(work, chosen))
+                check = self._pre_send_check(work, chosen, counted)
+                sent = await self._pool.send(call, check)
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
                     upstream_attempt.record_data(clock.now())
@@ -365,6 +365,7 @@
                     )
                 else:
                     outcome = _send_failure(sent)
+            counted.end(outcome.result)
             if beginning.scope.cancelled_caught and waiting.is_withheld:
                 outcome = job.Outcome(attempt.Result.LOST, "aborted: suspect withheld")
                 outcome.upstream_attempt = upstream_attempt
@@ -484,7 +485,7 @@
             upstream.add_cached_part(part.id, part.tokens, capacity)
 
     def _pre_send_check(
-        self, work: job.Job, chosen: choice.Choice
+        self, work: job.Job, chosen: choice.Choice, counted: attempt.Attempt
     ) -> http_client.PreSendCheck:
         """Return the check to run immediately before the first byte is sent."""
         entry = chosen.upstream.entry
@@ -494,7 +495,7 @@
         def is_still_usable(_opened_at: float) -> bool:
             known = self._state.fleet.upstreams.get(entry.id)
             now = clock.now()
-            work.is_under_way = (
+            counted.is_sent = (
                 known is chosen.upstream
                 and not known.is_leaving
                 and now >= known.notice.paused_until
@@ -502,7 +503,7 @@
                 and now < work.deadline
                 and now + BEGIN_MARGIN_S < self._state.retired_at(model, version)
             )
-            return work.is_under_way
+            return counted.is_sent
 
         return is_still_usable
 
@@ -513,7 +514,7 @@
         prompt that is still queued would repeat its prefill on another engine.
         """
         left_s = max(0.0, work.left_s())
-        if work.history.runs + 1 >= work.route.max_attempts:
+        if work.history.limited_runs + 1 >= work.route.max_attempts:
             return left_s
         match work.route.repeat:
             case catalog.RepeatPolicy.IDEMPOTENT:
@@ -700,6 +701,7 @@
         assert lost.splitter is not None
         last_id = lost.splitter.last_id
         while True:
+            await self._find_ended(work, lost)
             if self._record_and_decide(work, lost) is not attempt.Action.TRY_AGAIN:
                 return None
             if self._refuse_for_stop(work) is not None:
@@ -712,8 +714,6 @@
             try:
                 outcome = await self._attempt(work, chosen, last_id)
             except trio.Cancelled:
-                # The upstream may have run it, which counts for the route's limit.
-                work.history.add(attempt.Result.LOST)
                 work.trace[-1]["reason"] = "cancelled: the previous upstream went on"
                 raise
             if outcome.reply is None:
@@ -738,6 +738,15 @@
             reason = "the resumed stream does not continue after the last event"
             lost = job.Outcome(attempt.Result.LOST, reason, outcome.upstream_attempt)
 
+    async def _find_ended(self, work: job.Job, lost: job.Outcome) -> None:
+        """Find out which upstreams of a stream have ended, if its limit is reached."""
+        if work.history.limited_runs < work.route.max_attempts:
+            return
+        if lost.is_closed and lost.upstream_attempt is not None:
+            await self._detector.classify(lost.upstream_attempt.upstream.entry)
+        for item in work.history.attempts:
+            item.has_ended_upstream |= self._detector.has_crashed(item.process)
+
     def _refuse(self, work: job.Job, reason: refusal.Refusal) -> http_server.Response:
         """Refuse a request that has not run; fail one that may have run."""
         if work.may_have_run:
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -182,9 +182,6 @@
         # Without an id, another upstream would start the stream anew.
         if lost.splitter is None or lost.splitter.last_id is None:
             return None
-        # resume() counts this attempt again; it was counted when the stream began.
-        self._work.history.runs -= 1
-        self._work.history.sends -= 1
         return await self._relay.resume(self._work, lost)
 
     def _close_lost(self) -> None:
