Put back retries that refused requests did not send

A retry was taken from the budget when it was decided, and put back only if a resumed stream found no upstream. A request that was refused for want of an upstream after its first attempt kept it, so with many refusals other callers got no retry though few had been sent.

The job now holds the retry from the decision until it is sent; at its end, or when a stream is not resumed, one place puts it back.

test_retry_that_is_not_sent_stays_in_the_budget failed for both routes before (1.2 of 2 retries left after one send).

--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -36,6 +36,8 @@
         What crashes may be charged to; None if not needed yet.
     was_broken : bool
         Whether an upstream broke off a response that had begun.
+    holds_retry : bool
+        Whether it has taken a retry from the budget that is not sent yet.
     is_probe : bool
         Whether it is sent to find out if a withheld suspect still crashes upstreams.
     service_cfg : catalog.Service or None
@@ -59,6 +61,7 @@
     is_finished: bool = False
     suspects: frozenset[str] | None = None
     was_broken: bool = False
+    holds_retry: bool = False
     is_probe: bool = False
     service_cfg: catalog.Service | None = None
 
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -311,16 +311,21 @@
         # An upstream that was not connected to has received nothing, so the next
         # attempt adds no load.
         is_free = outcome.result is attempt.Result.NOT_CONNECTED
-        has_budget = may_try and (
-            is_free
-            or retry.try_acquire(
+        if may_try and not is_free and not work.holds_retry:
+            work.holds_retry = retry.try_acquire(
                 self._budgets[work.service], clock.now(), self._policy()
             )
-        )
+        has_budget = may_try and (is_free or work.holds_retry)
         return attempt.decide(
             outcome.result, work.history, work.route, work.left_s(), has_budget
         )
 
+    def _return_retry(self, work: job.Job) -> None:
+        """Put a retry that was not sent back into the budget."""
+        if work.holds_retry:
+            work.holds_retry = False
+            retry.put_back(self._budgets[work.service], self._policy())
+
     def _can_retry(self, work: job.Job) -> bool:
         """Return whether a retry is possible, without spending retry budget."""
         if self._suspects.stops_retry(work) or self._refuse_for_stop(work) is not None:
@@ -503,6 +508,7 @@
                 and now < work.deadline
                 and now + BEGIN_MARGIN_S < self._state.retired_at(model, version)
             )
+            work.holds_retry &= not counted.is_sent
             return counted.is_sent
 
         return is_still_usable
@@ -708,8 +714,7 @@
                 return None
             chosen = await self._selector.pick(work)
             if isinstance(chosen, refusal.Refusal) or self._suspects.is_withheld(work):
-                if lost.result is not attempt.Result.NOT_CONNECTED:
-                    retry.put_back(self._budgets[work.service], self._policy())
+                self._return_retry(work)
                 return None
             try:
                 outcome = await self._attempt(work, chosen, last_id)
@@ -783,6 +788,7 @@
 
     def _finish(self, work: job.Job, outcome: str, reason: str, code: str = "") -> None:
         """Log and count the end of a request; further calls have no effect."""
+        self._return_retry(work)
         if work.is_finished:
             return
         work.is_finished = True
--- a/tests/test_run_limit.py
+++ b/tests/test_run_limit.py
@@ -119,3 +119,20 @@
         world.nursery.start_soon(on_run, world, MAX_ATTEMPTS, mend)
         assert await read_stream(world) == WHOLE
         assert all(len(item.executed) == 1 for item in world.engines)
+
+
+@pytest.mark.parametrize("route", ["/look/", "/order/"])
+async def test_retry_that_is_not_sent_stays_in_the_budget(route: str) -> None:
+    """Guards against a budget that refused requests use up."""
+    async with platform_world.deployment(apps=1, engines=0) as world:
+        (app,) = world.apps
+        caller = platform_world.Caller(world.nodes[0])
+        await caller.send("POST", route, b"x")
+        budget = world.nodes[0]._relay._budgets["app"]
+        budget.available = 2.0
+        app.faults = server.Faults(turns_away=9)
+        found = await caller.send("POST", route, b"x", request_deadline="60")
+        assert isinstance(found, http_client.FullResponse)
+        assert found.status == 503
+        retries = len(app.turned_away) - 1
+        assert budget.available >= 2.0 - retries
