Give up streams of comments without end

A stream that sends nothing but comments passed as progress, so its caller got comments until the deadline and the request was not resumed elsewhere. More than 256 KiB of comments between two events now count like an event without end.

test_comments_without_end_are_given_up failed for both routes before.

--- a/packages/snipelug-relay/src/snipelug_relay/sse.py
+++ b/packages/snipelug-relay/src/snipelug_relay/sse.py
@@ -6,6 +6,12 @@
 MAX_EVENT_BYTES = 256 * 1024
 """Size above which an incomplete event is taken for one that never ends."""
 
+MAX_COMMENT_BYTES = 256 * 1024
+"""Total size of the comments between two events above which none is expected."""
+
+FIELD = re.compile(rb"(?m)^[^:\r\n]")
+"""Begin of a line that is neither empty nor a comment."""
+
 EVENT_ID = re.compile(rb"(?m)^id: ?([^\r\n]*)")
 
 
@@ -21,6 +27,7 @@
     def __init__(self, last_id: str | None = None) -> None:
         self.last_id = last_id
         self._rest = bytearray()
+        self._comment_bytes = 0
 
     def push(self, data: bytes) -> bytes:
         """Add bytes and return the events that are now complete."""
@@ -32,6 +39,9 @@
             return b""
         complete = bytes(self._rest[: end + len(EVENT_END)])
         del self._rest[: end + len(EVENT_END)]
+        self._comment_bytes += len(complete)
+        if FIELD.search(complete):
+            self._comment_bytes = 0
         ids = EVENT_ID.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
@@ -49,8 +59,10 @@
 
     @property
     def is_overlong(self) -> bool:
-        """Whether the incomplete event exceeds ``MAX_EVENT_BYTES``."""
-        return len(self._rest) > MAX_EVENT_BYTES
+        """Whether an incomplete event or the comments before it exceed their limit."""
+        return (
+            len(self._rest) > MAX_EVENT_BYTES or self._comment_bytes > MAX_COMMENT_BYTES
+        )
 
 
 def first_id(events: bytes) -> str | None:
--- a/packages/snipelug-relay/src/snipelug_relay/stream.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stream.py
@@ -19,7 +19,10 @@
 
 PARTIAL_EVENT = "the stream ended within an event"
 NO_EVENT = "the connection was closed before the first event"
-OVERLONG_EVENT = f"an event has more than {sse.MAX_EVENT_BYTES} bytes"
+OVERLONG_EVENT = (
+    f"an event has more than {sse.MAX_EVENT_BYTES} bytes, or the comments between two "
+    f"events more than {sse.MAX_COMMENT_BYTES}"
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,10 +85,10 @@
             if part is None or isinstance(part, http_client.Lost | Stalled):
                 break
             events = splitter.push(part)
-            if events:
-                return events
             if splitter.is_overlong:
                 return http_client.Lost(OVERLONG_EVENT)
+            if events:
+                return events
         if part is not None:
             return part
         if splitter.ends_in_event:
--- a/tests/test_unbounded_input.py
+++ b/tests/test_unbounded_input.py
@@ -129,6 +129,15 @@
     nursery.cancel_scope.cancel()
 
 
+def test_comments_between_events_have_no_limit_in_all() -> None:
+    """Guards against cutting long streams with a keep-alive now and then."""
+    splitter = sse.Splitter()
+    for _ in range(1000):
+        splitter.push(b": " + b"x" * 1000 + b"\n\n")
+        splitter.push(b"id: 1\n\n")
+        assert not splitter.is_overlong
+
+
 def test_event_without_end_is_bounded() -> None:
     """Guards against an event that is buffered, and searched again, without limit."""
     splitter = sse.Splitter()
@@ -174,6 +183,53 @@
         assert trio.current_time() - started_at < stream.MAX_EVENT_GAP_S + 1.0
 
 
+COMMENTS = (b": " + b"x" * 1000 + b"\n\n") * 300
+
+
+@pytest.mark.parametrize("target", ["/check/", "/ask/"])
+async def test_comments_without_end_are_given_up(target: str) -> None:
+    """Guards against a stream of comments that holds its caller until its deadline."""
+    async with platform_world.deployment(apps=0) as world:
+        caller = platform_world.Caller(world.nodes[0])
+        faults = server.Faults(fills_after=1, filler=COMMENTS)
+        for engine in world.engines:
+            engine.faults = faults
+        with trio.fail_after(1.5):
+            found = await caller.send_prompt(target)
+        if target == "/ask/":
+            assert isinstance(found, http_client.Lost)
+            return
+        assert isinstance(found, http_client.FullResponse), found
+        assert found.body.replace(COMMENTS[:1004], b"").count(b"\n\n") == 3
+
+
+async def test_endless_streams_do_not_fill_the_memory() -> None:
+    """Guards against streams without end whose callers do not read them."""
+    filler = b"data: " + b"x" * 100_000 + b"\n\n"
+    async with platform_world.deployment(apps=0) as world:
+        for engine in world.engines:
+            engine.faults = server.Faults(fills_after=1, filler=filler)
+        callers = [platform_world.Caller(world.nodes[0], n) for n in range(60)]
+        replies: list[object] = []
+
+        async def send(caller: platform_world.Caller) -> None:
+            headers = {"model": platform_world.MODEL, "token_usage": "9,9"}
+            call = caller.call("POST", "/ask/", b"x", **headers, prompt_prefix="aa:9")
+            replies.append(await caller.pool.send(call))
+
+        tracemalloc.start()
+        try:
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(send, caller)
+            await trio.sleep(1.0)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert len(replies) == len(callers)
+        assert peak < 60 * 1024 * 1024
+
+
 async def test_slow_stream_without_alternative_goes_on() -> None:
     """Guards against cutting a slow but sound stream that no other engine can take."""
     async with platform_world.deployment(apps=0, engines=1) as world:
