Pass octets above 127 in header fields on unchanged

Cause: fields are decoded as Latin-1 and were encoded as ASCII. The error came up while the response was sent, when no other one was possible.

Fields are encoded as Latin-1 now, and a head that HTTP does not allow is found before it is sent and becomes 502 with the state "unknown".

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -638,7 +638,7 @@
     )
 
 
-def _header_fields(call: Call) -> list[tuple[str, str]]:
+def _header_fields(call: Call) -> list[tuple[bytes, bytes]]:
     if call.fields:
         fields = list(call.fields)
     else:
@@ -647,7 +647,11 @@
         fields = list(named.items())
     if call.body or call.method in ("POST", "PUT", "PATCH"):
         fields.append(("content-length", str(len(call.body))))
-    return fields
+    # Fields are decoded as Latin-1, so that any octet passes unchanged.
+    return [
+        (name.encode("latin-1", "replace"), value.encode("latin-1", "replace"))
+        for name, value in fields
+    ]
 
 
 def _answers_other_request(call: Call, event: h11.Response) -> bool:
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -186,6 +186,13 @@
 )
 
 
+UNSENDABLE = RequestError(
+    http.HTTPStatus.BAD_GATEWAY,
+    "response_unsendable",
+    "the response has a field that HTTP does not allow",
+)
+
+
 @dataclasses.dataclass(frozen=True)
 class Closed:
     """The client closed the connection or the idle timeout expired."""
@@ -218,6 +225,22 @@
     return json_response(error.status, {"error": detail}, headers)
 
 
+def _response_head(status: int, headers: dict[str, str]) -> h11.Response:
+    """Build the head of a response.
+
+    Raises
+    ------
+    h11.LocalProtocolError
+        If HTTP does not allow the status or a field.
+    """
+    # Fields are decoded as Latin-1, so that any octet passes unchanged.
+    fields = [
+        (name.encode("latin-1", "replace"), value.encode("latin-1", "replace"))
+        for name, value in headers.items()
+    ]
+    return h11.Response(status_code=status, headers=fields, reason=b"")
+
+
 def _is_broken_connection(exc: Exception) -> bool:
     """Return whether an error, or each one of a group, is a broken connection."""
     if isinstance(exc, ExceptionGroup):
@@ -706,9 +729,14 @@
         )
         if self.server.draining:
             headers["connection"] = "close"
-        head = h11.Response(
-            status_code=response.status, headers=list(headers.items()), reason=b""
-        )
+        try:
+            head = _response_head(response.status, headers)
+        except h11.LocalProtocolError as exc:
+            LOG.warning("response_unsendable", extra={"reason": str(exc)})
+            if not isinstance(response.body, bytes):
+                await response.body.aclose()
+            await self._send(_error_response(UNSENDABLE, "unknown"), head_only)
+            return
         out = self.proto.send(head) or b""
         if isinstance(response.body, bytes):
             if response.body and not head_only:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -467,3 +467,39 @@
         ("x-a", "2"),
     ]
     nursery.cancel_scope.cancel()
+
+
+OCTETS = "".join(chr(code) for code in (0x21, 0x7E, 0x80, 0xA0, 0xE9, 0xFF))
+
+
+async def test_octets_above_127_pass_unchanged(nursery: trio.Nursery) -> None:
+    """Guards against a connection that is closed without a response to the request."""
+
+    async def echo(req: http_server.Request) -> http_server.Response:
+        return http_server.Response(200, b"x", {"x-back": req.headers["x-there"]})
+
+    port = await nursery.start(http_server.Server(echo).serve, "127.0.0.1", 0)
+    call = http_client.Call(
+        ("127.0.0.1", port), "GET", "/", headers={"x-there": OCTETS}
+    )
+    found = await http_client.Pool().fetch(call)
+    assert isinstance(found, http_client.FullResponse)
+    assert found.headers["x-back"] == OCTETS
+
+
+@pytest.mark.parametrize("value", ["a\nb", "a\x00b"])
+async def test_response_that_http_does_not_allow_is_an_error(
+    nursery: trio.Nursery, value: str
+) -> None:
+    """Guards against a connection that is closed after the request has run."""
+
+    async def answer(_: http_server.Request) -> http_server.Response:
+        return http_server.Response(200, b"x", {"x-odd": value})
+
+    port = await nursery.start(http_server.Server(answer).serve, "127.0.0.1", 0)
+    found = await http_client.Pool().fetch(
+        http_client.Call(("127.0.0.1", port), "GET", "/")
+    )
+    assert isinstance(found, http_client.FullResponse)
+    assert found.status == 502
+    assert b'"run_state":"unknown"' in found.body
