Test load reports with more figures than known

Some services add a fourth figure to the load that they report. The decoder takes exactly three figures, so each of their reports is dropped.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -308,6 +308,27 @@
     assert found.is_own is is_own
 
 
+LOADS = [
+    ("3,1,8", (3, 1, 8)),
+    ("3,1,8,130", (3, 1, 8)),
+    (" 3 , 1 , 8 , 99.5 ", (3, 1, 8)),
+    ("3,1,8,,x", (3, 1, 8)),
+    ("3,1", None),
+    ("3,1,x,100", None),
+    ("", None),
+]
+
+
+@pytest.mark.parametrize(("text", "expected"), LOADS)
+def test_load_has_at_least_three_figures(
+    text: str, expected: tuple[int, int, int] | None
+) -> None:
+    """Guards against load reports that are dropped whole for a figure too many."""
+    headers = {"request-id": "ab12", "server-load": text}
+    found = dialect.Dialect().decode_head(caller_request(), 200, headers)
+    assert found.load == expected
+
+
 def test_refusal_has_retry_after() -> None:
     """Guards against callers that retry immediately."""
     reason = refusal.refuse(refusal.NO_UPSTREAM, "none", retry_after_s=0.25)
