Move services to ordered releases under a canary

Cause: nothing read the operator's orders to move a service to another software version, and upstreams of any version got requests as soon as they were listed. Callers would have had all responses of a bad version.

Change: core/release decides on the steps of a release, core/canary compares its responses with those of the release in use, and relay/releases lets one node lead each release under a lease in the platform's store. Requests of a canary need a permit from the rate that all nodes share. Deployments turn it on with rollout in their contracts; elsewhere nothing changes.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -116,6 +116,8 @@
         version and part id.
     output_tokens : int
         Maximum number of tokens in the answer.
+    allowed_ids : frozenset of str or None
+        Upstreams that may take the request; None for all.
     """
 
     service: str
@@ -129,6 +131,7 @@
         dataclasses.field(default_factory=dict)
     )
     output_tokens: int = 0
+    allowed_ids: frozenset[str] | None = None
 
     def transfer_times_s(self, version: int) -> collections.abc.Mapping[str, float]:
         """Return the transfer times to an engine with the given weight version."""
@@ -235,6 +238,8 @@
         entry = upstream.entry
         if upstream.is_leaving or entry.zone in context.zones_out or entry.id in tried:
             continue
+        if request.allowed_ids is not None and entry.id not in request.allowed_ids:
+            continue
         if now < context.available_at(upstream):
             continue
         if request.model and request.model not in upstream.versions:
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -55,6 +55,8 @@
     ----------
     born : int
         Start of the process in Unix milliseconds; 0 if unknown.
+    release : str
+        Version of the software; empty if unknown.
     cold_s : float
         Remaining cold start time when the entry was written, in seconds.
     versions : dict of str to int
@@ -71,6 +73,7 @@
     cold_s: ranges.DurationS = 0.0
     born: ranges.Born = 0
     versions: dict[ranges.Name, ranges.Number] = dataclasses.field(default_factory=dict)
+    release: ranges.Name = ""
 
     @property
     def addr(self) -> tuple[str, int]:
@@ -316,10 +319,17 @@
 
 
 class Fleet:
-    """The upstreams by id, including entries that vanished during an outage."""
+    """The upstreams by id, including entries that vanished during an outage.
+
+    Attributes
+    ----------
+    changes : int
+        Number of changes of the upstreams that a service has, or of their releases.
+    """
 
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
+        self.changes = 0
         self._digests: dict[str, int] = {}
         self._mean_loads: dict[str, MeanLoad] = {}
         self._wait_models: dict[str, queueing.WaitModel] = {}
@@ -391,6 +401,8 @@
             is_listed = before.versions.get(model) != version
             if is_listed and version > known.versions.get(model, -1):
                 known.set_version(model, version)
+        if before.release != entry.release:
+            self.changes += 1
         if (before.service, was_leaving) == (entry.service, known.is_leaving):
             return Change(entry.id, "back") if was_missing else None
         self._rebuild_index()
@@ -541,6 +553,7 @@
         return any(at <= now for at in self._removal_due.values())
 
     def _rebuild_index(self) -> None:
+        self.changes += 1
         self._by_service = {}
         for upstream in self.upstreams.values():
             if not upstream.is_leaving:
--- a/packages/snipelug-core/src/snipelug_core/shared_rate.py
+++ b/packages/snipelug-core/src/snipelug_core/shared_rate.py
@@ -213,6 +213,11 @@
     return _checked_rate(per_s, max(1.0, COLD_BURST_S * per_s))
 
 
+def release_rate(per_s: float) -> Rate:
+    """Return the rate for the requests with which a release is tested."""
+    return _checked_rate(per_s, max(MIN_LIMIT_BURST, LIMIT_BURST_S * per_s))
+
+
 def _checked_rate(per_s: float, burst: float) -> Rate:
     # With the bound first, ``max`` returns it for a value that is not a number.
     per_s = min(max(MIN_PER_S, per_s), UNLIMITED_PER_S)
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -50,6 +50,10 @@
     service_cfg : catalog.Service or None
         The service in the configuration with which the request arrived. It is used
         after the operator has removed the service.
+    allowed_ids : frozenset of str or None
+        Upstreams that may take the next attempt, by their release; None for all.
+    is_canary : bool
+        Whether the next attempt is one of those with which a release is tested.
     """
 
     request: ports.CallerRequest
@@ -74,6 +78,8 @@
     limits: list[dict[str, object]] = dataclasses.field(default_factory=list)
     is_probe: bool = False
     service_cfg: catalog.Service | None = None
+    allowed_ids: frozenset[str] | None = None
+    is_canary: bool = False
 
     @property
     def priority(self) -> int:
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from snipelug_core import fleet, quarantine, ranges, shared_rate
+from snipelug_core import canary, fleet, quarantine, ranges, release, shared_rate
 
 
 class Prefill(msgspec.Struct, array_like=True, tag=1):
@@ -178,6 +178,43 @@
     suspicions: list[quarantine.Suspicion]
 
 
+class ReleaseState(msgspec.Struct, array_like=True, tag=9):
+    """The progress of a service's release, from the node that leads it.
+
+    Attributes
+    ----------
+    until_ms : float
+        End of the sender's lease on the store's clock, in milliseconds.
+    epoch : int
+        Epoch of the store in which the sender took the lease.
+    """
+
+    progress: release.Progress
+    until_ms: ranges.ClockMs
+    epoch: ranges.Number
+
+
+class ReleaseReport(msgspec.Struct, array_like=True, tag=10):
+    """What a node saw of a release since its last report.
+
+    Attributes
+    ----------
+    number : int
+        Number of the release among those of the service.
+    tested, used : list of canary.Tally
+        Responses of the ordered release and of the one in use.
+    is_drained : bool
+        Whether the node sends nothing to the previous release any more and has no
+        request in flight there.
+    """
+
+    service: ranges.Name
+    number: ranges.Number
+    tested: list[canary.Tally]
+    used: list[canary.Tally]
+    is_drained: bool = False
+
+
 Message = (
     Prefill
     | Switching
@@ -188,5 +225,7 @@
     | Leaving
     | Limited
     | Suspects
+    | ReleaseState
+    | ReleaseReport
     | shared_rate.Message
 )
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -21,6 +21,7 @@
     ports,
     record,
     relay,
+    releases,
     retirements,
     state,
     stats,
@@ -133,6 +134,14 @@
             self._state, self._stats, self._suspects.charge
         )
         self._permits = permits.Permits(self._state, self._announcer, self._stats)
+        self._releases = releases.Releases(
+            cfg,
+            self._state,
+            platform.store,
+            self._announcer,
+            self._permits,
+            self._stats,
+        )
         self._relay = relay.Relay(
             cfg,
             self._state,
@@ -143,6 +152,7 @@
             self._detector,
             self._suspects,
             self._permits,
+            self._releases,
         )
         self.callers_port = 0
         self.ready_port = 0
@@ -248,6 +258,7 @@
                 "expiry": self._run_expiry,
                 "crashes": self._detector.run,
                 "suspects": self._suspects.run,
+                "releases": self._releases.run,
             }
             for name, task in tasks.items():
                 nursery.start_soon(supervise.run, task, name, self._stats)
@@ -321,6 +332,7 @@
             "attempts": self._relay.apply_versions,
             "wake_weights": self._weights.wake,
             "wake_retirements": self._retirements.wake,
+            "wake_releases": self._releases.wake,
         }
         supervise.call_each(handlers, self._stats)
 
--- a/packages/snipelug-relay/src/snipelug_relay/permits.py
+++ b/packages/snipelug-relay/src/snipelug_relay/permits.py
@@ -43,20 +43,27 @@
         self, upstream: fleet.Upstream, priority: int
     ) -> shared_rate.Granted | shared_rate.Denied:
         """Obtain a permit for one request; it does not expire if none is needed."""
-        now = clock.now()
-        rate = self._state.shared_rate_of(upstream, now)
+        rate = self._state.shared_rate_of(upstream, clock.now())
         if rate is None:
             return NOT_NEEDED
-        key = choice.rate_key(upstream.entry)
-        outcome = self._sharing.request(key, rate, priority, now)
+        outcome = await self.acquire_for(
+            choice.rate_key(upstream.entry), rate, priority
+        )
+        if isinstance(outcome, shared_rate.Denied):
+            reason = "cold" if upstream.limit_per_s is None else "limit"
+            self._stats.held_back.labels(upstream.entry.service, reason).inc()
+        return outcome
+
+    async def acquire_for(
+        self, key: str, rate: shared_rate.Rate, priority: int
+    ) -> shared_rate.Granted | shared_rate.Denied:
+        """Obtain a permit for one request from the rate of a key."""
+        outcome = self._sharing.request(key, rate, priority, clock.now())
         self._send_all(self._sharing.outgoing())
         while isinstance(outcome, shared_rate.Pending):
             await self._wait_for_answer(outcome)
             outcome = self._sharing.expire(outcome.number, clock.now())
             self._send_all(self._sharing.outgoing())
-        if isinstance(outcome, shared_rate.Denied):
-            reason = "cold" if upstream.limit_per_s is None else "limit"
-            self._stats.held_back.labels(upstream.entry.service, reason).inc()
         return outcome
 
     def charge(self, upstream: fleet.Upstream) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -12,6 +12,7 @@
     named_limit,
     quarantine,
     refusal,
+    release,
     retirement,
     rollout,
 )
@@ -41,6 +42,8 @@
         Addresses for callers and for the load balancer.
     metrics : (str, int) or None
         Address that serves metrics; None to disable them.
+    exposure : release.Exposure or None
+        What a bad release may get; None if the deployment has no releases.
     store : (str, int)
         Address of the platform's store.
     peers : (str, int) or None
@@ -56,6 +59,7 @@
     metrics: http_client.Address | None = None
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     heartbeat_s: float = 1.2
+    exposure: release.Exposure | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -220,14 +224,14 @@
 
     Attributes
     ----------
-    item : Evacuation, Version or str
+    item : Evacuation, Version, release.Order or str
         Decoded content of the row; an upstream's id for the list of upstreams.
     """
 
-    item: "Evacuation | Version | str"
+    item: "Evacuation | Version | release.Order | str"
 
 
-Intent = catalog.Catalog | Version | Evacuation | Removed | Unreadable
+Intent = catalog.Catalog | Version | Evacuation | release.Order | Removed | Unreadable
 """An entry of the operator's table."""
 
 Listing = fleet.Entry | Removed | Unreadable
@@ -372,6 +376,29 @@
     epoch: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class ReleaseRow:
+    """The row of a service's latest release.
+
+    Attributes
+    ----------
+    holder : str
+        Node that leads the release.
+    until_ms : float
+        End of its lease on the store's clock, in milliseconds.
+    version : int
+        Version of the row, 0 if it does not exist.
+    epoch : int
+        Epoch of the store in which the row was read.
+    """
+
+    progress: release.Progress
+    holder: str
+    until_ms: float
+    version: int
+    epoch: int = 0
+
+
 class ControlStore(typing.Protocol):
     """The platform's store as used by the relay."""
 
@@ -445,6 +472,20 @@
         """Remove a row like ``write_suspect``; return whether it was removed."""
         ...
 
+    async def read_releases(self) -> Page[ReleaseRow] | Unavailable:
+        """Read the rows of the latest release of each service."""
+        ...
+
+    async def write_release(
+        self, row: ReleaseRow
+    ) -> LeaseWritten | Conflict | Unavailable:
+        """Write a row if its version is unchanged, and its state for the operator."""
+        ...
+
+    async def write_release_status(self, order: release.Order) -> Unavailable | None:
+        """Tell the operator why an order cannot be carried out."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class Report:
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -29,6 +29,7 @@
     permits,
     ports,
     record,
+    releases,
     selection,
     sse,
     state,
@@ -132,6 +133,8 @@
         Decides which requests are withheld because they may crash upstreams.
     upstream_permits : permits.Permits
         Permits for upstreams whose rate all nodes share.
+    service_releases : releases.Releases
+        Decides which releases of a service get a request.
     """
 
     def __init__(
@@ -145,7 +148,9 @@
         detector: crashes.Detector,
         suspect_requests: suspects.Suspects,
         upstream_permits: permits.Permits,
+        service_releases: releases.Releases,
     ) -> None:
+        self._releases = service_releases
         self._announcer = announcer
         self._detector = detector
         self._suspects = suspect_requests
@@ -182,6 +187,7 @@
                 return await self._run_attempts(work)
             return self._answer_at_stop(work)
         except trio.Cancelled:
+            self._record_unanswered(work)
             self._finish(work, "left", "the caller closed the connection")
             raise
         except Exception as exc:
@@ -189,6 +195,12 @@
             reason = f"unexpected error: {exc!r}"
             return self._fail(work, job.Outcome(attempt.Result.LOST, reason))
 
+    def _record_unanswered(self, work: job.Job) -> None:
+        """Count an attempt whose caller left after the objective as a failed one."""
+        waited_s = clock.now() - work.started_at
+        if work.history.is_under_way and waited_s > work.route.objective_s:
+            self._releases.record_failure(work, str(work.trace[-1]["upstream"]))
+
     def request_id(self, req: http_server.Request) -> str:
         """Return the id of a request, empty if it has none."""
         request = self._dialect.decode_request(req)
@@ -256,7 +268,7 @@
             self._budgets[service] = retry.Budget(policy.initial, now)
         retry.record_request(self._budgets[service], policy)
         deadline = now + wait_s
-        return job.Job(
+        work = job.Job(
             request,
             route,
             team,
@@ -266,6 +278,8 @@
             deadline,
             service_cfg=known.services.get(service),
         )
+        self._releases.record_request(work)
+        return work
 
     def _policy(self) -> retry.Policy:
         bounds = self._cfg.bounds
@@ -313,9 +327,12 @@
 
     async def _choose(self, work: job.Job) -> choice.Choice | refusal.Refusal:
         """Choose an upstream, with a permit if its rate is shared by all nodes."""
+        await self._releases.assign(work)
         while True:
             chosen = await self._selector.pick(work)
             if isinstance(chosen, refusal.Refusal):
+                if self._releases.widen(work):
+                    continue
                 return chosen
             permit = await self._permits.acquire(chosen.upstream, work.priority)
             if isinstance(permit, shared_rate.Granted):
@@ -412,6 +429,9 @@
                 if reply is not None:
                     reply.abort()
         outcome.upstream_attempt = upstream_attempt
+        self._releases.record(
+            work, entry, outcome.result, clock.now() - now, chosen.ttft_s
+        )
         if work.request.model and outcome.result in WAITED:
             waited_s = clock.now() - now - chosen.read_s
             waits.record_wait(work.priority, chosen.load_wait_s, waited_s, clock.now())
@@ -488,6 +508,8 @@
             "candidates": chosen.candidates,
             "running": upstream.running,
         }
+        if work.allowed_ids is not None:
+            entry |= {"release": upstream.entry.release, "canary": work.is_canary}
         if version is not None:
             entry["version"] = version
             retired_at = self._state.retired_at(request.model, version)
@@ -535,6 +557,7 @@
                 and entry.zone not in self._state.zones_out
                 and now < work.deadline
                 and now < work.permit_until
+                and self._releases.may_send(work, chosen.upstream)
                 and now + BEGIN_MARGIN_S < self._state.retired_at(model, version)
             )
             work.holds_retry &= not counted.is_sent
@@ -900,6 +923,7 @@
         if outcome.upstream_attempt is not None:
             entry = outcome.upstream_attempt.upstream.entry
             sent_at = outcome.upstream_attempt.sent_at
+            self._releases.record_failure(work, entry.id)
             self._detector.record_broken(work, entry, sent_at)
 
     def finish_stream(self, work: job.Job, outcome: str, reason: str) -> None:
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -141,7 +141,12 @@
         request = work.request
         engine = context.service.engine
         if engine is None:
-            return choice.Request(work.service, self._cfg.zone, len(request.body))
+            return choice.Request(
+                work.service,
+                self._cfg.zone,
+                len(request.body),
+                allowed_ids=work.allowed_ids,
+            )
         version = self._state.latest_version(request.model, work.service)
         fetch_s = {
             usable: self._state.index.transfer_times_s(
@@ -159,6 +164,7 @@
             self._state.least_version(request.model, now, VERSION_MARGIN_S),
             fetch_s,
             request.output_tokens,
+            work.allowed_ids,
         )
 
     def _usable_store_versions(
@@ -193,7 +199,7 @@
         opens_at = self._state.opens_at(work.service, work.priority, now)
         times = []
         closed = []
-        for upstream in self._state.fleet.of_service(work.service):
+        for upstream in self._allowed(work):
             if upstream.entry.id in work.tried:
                 continue
             if upstream.available_at > now:
@@ -207,6 +213,12 @@
             times.append(now + self._state.sharing.promise(key, now))
         return Turn(min(times, default=None), limited, opens_at)
 
+    def _allowed(self, work: job.Job) -> collections.abc.Iterator[fleet.Upstream]:
+        """Yield the upstreams whose release may take the request."""
+        for upstream in self._state.fleet.of_service(work.service):
+            if work.allowed_ids is None or upstream.entry.id in work.allowed_ids:
+                yield upstream
+
     def _is_held_back(
         self,
         work: job.Job,
@@ -230,7 +242,7 @@
         opens_at = self._state.opens_at(work.service, work.priority, now)
         times = (
             max(upstream.available_at, opens_at.get(upstream.entry.id, 0.0))
-            for upstream in self._state.fleet.of_service(work.service)
+            for upstream in self._allowed(work)
         )
         return max(RETRY_AFTER_S, min(times, default=now) - now)
 
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -1,6 +1,7 @@
 """State of a node: the operator's intents, upstreams, KV cache stores and members."""
 
 import collections.abc
+import dataclasses
 import logging
 import math
 import random
@@ -14,6 +15,7 @@
     fleet,
     hashing,
     kv_index,
+    release,
     restore,
     retirement,
     shared_rate,
@@ -75,6 +77,12 @@
         Whether this node reads from the platform, for its zone or for itself.
     suspects_known : bool
         Whether the suspects of crashes have been read.
+    orders : release.Orders
+        The operator's orders to move services to other releases.
+    progress : dict of str to release.Progress
+        The latest known progress of each service's releases.
+    releases_known : bool
+        Whether the progress of releases has been read.
     stores_changed : trio.Event
         Set when the configuration may have changed the KV cache stores.
     """
@@ -109,6 +117,9 @@
         self.stores_changed = trio.Event()
         self.configured_since: float | None = None
         self.suspects_known = False
+        self.orders = release.Orders()
+        self.progress: dict[str, release.Progress] = {}
+        self.releases_known = cfg.exposure is None
         self.is_stopping = False
 
     @property
@@ -122,7 +133,7 @@
             return False
         now = clock.now()
         return (
-            self.knows_stores(now) and self.suspects_known
+            self.knows_stores(now) and self.suspects_known and self.releases_known
         ) or now - self.configured_since > STORES_READY_TIMEOUT_S
 
     def knows_stores(self, now: float) -> bool:
@@ -341,6 +352,8 @@
         self._intents_epoch = epoch
         items = list(items)
         for item in items:
+            if is_whole and isinstance(item, release.Order):
+                continue
             try:
                 self._apply_intent(item, epoch)
             except Exception as exc:
@@ -349,6 +362,10 @@
         if is_whole:
             listed = {item.zone for item in items if isinstance(item, ports.Evacuation)}
             self._zones.replace(listed, clock.now(), is_restored)
+            orders = [
+                self._dated(i, epoch) for i in items if isinstance(i, release.Order)
+            ]
+            self.orders.replace(orders, clock.now(), is_restored)
         self._update_zones_out()
         self.confirm(clock_ms)
 
@@ -362,9 +379,20 @@
                 self._zones.add(zone)
             case ports.Removed(ports.Evacuation(zone)):
                 self._zones.discard(zone)
+            case release.Order():
+                self.orders.put(self._dated(item, epoch))
+            case ports.Removed(release.Order(service)):
+                self.orders.remove(service)
             case ports.Unreadable(key, reason):
                 lines.warning(LOG, "intent_unreadable", key=key, reason=reason)
 
+    def _dated(self, order: release.Order, epoch: int) -> release.Order:
+        """Return an order with the earliest time at which it can have been given."""
+        ordered_ms = self.intents_current_ms
+        if math.isinf(ordered_ms):
+            ordered_ms = self.store_clock.latest_ms(clock.now())
+        return dataclasses.replace(order, ordered_ms=ordered_ms, epoch=epoch)
+
     def _update_zones_out(self) -> None:
         zones = self._zones.zones
         if zones != self.zones_out:
@@ -486,6 +514,7 @@
         now = clock.now()
         self._zones.expire(now)
         self._update_zones_out()
+        self.orders.expire(now)
         return self.fleet.end_withholding(now) or self.fleet.is_removal_due(now)
 
     def _log_change(self, change: fleet.Change) -> None:
@@ -497,6 +526,7 @@
             what=change.what,
             service=upstream.entry.service if upstream is not None else None,
             zone=upstream.entry.zone if upstream is not None else None,
+            release=upstream.entry.release if upstream is not None else None,
             versions=upstream.versions if upstream is not None else None,
         )
 
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -92,6 +92,18 @@
             ["calls", "reason"],
             registry=self.registry,
         )
+        self.releases = prometheus_client.Counter(
+            "snipelug_release_responses",
+            "Responses while a release is tested: of base or target, by result.",
+            ["service", "release", "result"],
+            registry=self.registry,
+        )
+        self.release_share = prometheus_client.Gauge(
+            "snipelug_release_share",
+            "Part of a service's requests that the ordered release gets.",
+            ["service"],
+            registry=self.registry,
+        )
         self._limits = prometheus_client.Gauge(
             "snipelug_upstream_limit",
             "Requests per second that an upstream takes from all nodes.",
