Let the soak order releases, good ones and bad ones

The family releases starts upstreams of another version, orders it, and ends the previous upstreams at once or drains the new ones. It checks that nothing arrives before the order, what a bad release gets, and that each release ends.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -76,6 +76,7 @@
     "copies": ("copy_refusals", "succeed_server", "succeed_server"),
     "named_limits": ("name_limits", "name_limits"),
     "copied_calls": ("copy_calls",),
+    "releases": ("order_release", "order_release", "order_release"),
 }
 """Methods of each family of faults."""
 
@@ -117,6 +118,10 @@
 START_S = 0.3
 """Additional time to recover for each node beyond ``SMALL_ZONE``."""
 
+RELEASE_KINDS = ("good", "good", "bad", "slow", "late")
+RELEASE_TIMEOUT_S = 20.0
+"""Time after the deadline of a release within which it must have ended."""
+
 SECOND_KEY = "key-2"
 SECOND_ZONE = "zone-b"
 CRASH_PART = "badbad"
@@ -320,6 +325,10 @@
     record: checks.Record = dataclasses.field(default_factory=checks.Record)
     overrides: dict[str, object] = dataclasses.field(default_factory=dict)
     is_restoring: bool = False
+    releases: dict[str, str] = dataclasses.field(default_factory=dict)
+    release_orders: dict[str, dict[str, object]] = dataclasses.field(
+        default_factory=dict
+    )
     unlisted: set[str] = dataclasses.field(default_factory=set)
     ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
     refused_ids: set[str] = dataclasses.field(default_factory=set)
@@ -352,6 +361,7 @@
         service: str,
         zone: str = "zone-a",
         predecessor: server.Server | None = None,
+        release: str = "",
     ) -> server.Server:
         """Start an upstream behind a proxy and list it.
 
@@ -359,6 +369,8 @@
         ----------
         predecessor : server.Server or None
             An upstream that has ended, whose address is used again.
+        release : str
+            Version of its software; empty for the one in use.
         """
         model = platform_world.MODEL if service == "llm" else ""
         upstream = server.Server(
@@ -368,6 +380,7 @@
             version=self.weight_version,
             events=EVENTS_PER_STREAM,
             has_link=not {"copies", "copied_calls"}.isdisjoint(self.families),
+            release=release or self.releases.get(service, "v1"),
         )
         if self.plays_series:
             upstream.answer_delay_s = self.rng.choice([0.0, 0.05, 0.2])
@@ -720,6 +733,8 @@
         self.write_configuration()
         if self.weight_version > 1:
             self.write_version()
+        for service, order in self.release_orders.items():
+            self.rows.put("op", f"rollout/{service}", order)
         if self.record.zones:
             self.write_zone(self.record.zones[-1][1])
         for upstream in self.all_servers:
@@ -860,6 +875,84 @@
             await trio.sleep(self.rng.choice([2.0, 8.0, 10.0]))
         upstream.faults.limit = None
 
+    async def order_release(self) -> None:
+        """Order a release of one service; end its upstreams or the previous ones."""
+        service = self.rng.choice(["app", "llm"])
+        if service in self.release_orders:
+            return
+        item = checks.Release(
+            service,
+            f"v{len(self.record.releases) + 2}",
+            self.rng.choice(RELEASE_KINDS),
+            self.rng.choice([6.0, 9.0]),
+        )
+        self.record.releases.append(item)
+        order = {"service": service, "to": item.name, "duration_s": item.duration_s}
+        self.release_orders[service] = order
+        is_early = self.rng.random() < 0.5
+        if not is_early:
+            self.write_release(item)
+        added = await self.add_release(item)
+        if is_early:
+            await trio.sleep(self.rng.choice([0.0, 0.5]))
+            self.write_release(item)
+        with trio.move_on_after(item.duration_s + RELEASE_TIMEOUT_S):
+            while not self.has_ended(item):
+                await trio.sleep(0.05)
+        item.ended_at = trio.current_time()
+        previous = [
+            upstream
+            for upstream in self.servers
+            if upstream.service == service and upstream.release != item.name
+        ]
+        if item.state == "completed":
+            self.releases[service] = item.name
+            for upstream in previous:
+                self.end_server(upstream)
+        else:
+            await trio.sleep(2.0)
+            for upstream in added:
+                if upstream in self.servers:
+                    self.nursery.start_soon(self.drain_server, upstream)
+        del self.release_orders[service]
+
+    def write_release(self, item: checks.Release) -> None:
+        """Order a release, as the operator does."""
+        key = f"rollout/{item.service}"
+        self.rows.put("op", key, self.release_orders[item.service])
+        item.ordered_at = trio.current_time()
+
+    async def add_release(self, item: checks.Release) -> list[server.Server]:
+        """Start the upstreams of a release, which is bad or not."""
+        added = []
+        for _ in range(3):
+            upstream = await self.add_server(item.service, release=item.name)
+            added.append(upstream)
+            if item.kind == "good":
+                continue
+            upstream.faults.bad_share = 0.7
+            upstream.faults.bad_delay_s = 0.8 if item.kind == "slow" else 0.0
+            if item.kind == "late":
+                late_s = 0.5 * item.duration_s
+                upstream.faults.bad_from = trio.current_time() + late_s
+        return added
+
+    def has_ended(self, item: checks.Release) -> bool:
+        """Return whether the nodes have written how a release ended."""
+        status = self.rows.content("status", f"rollout/{item.service}") or {}
+        if status.get("to") == item.name and status.get("state") != "running":
+            item.state = status["state"]
+        return item.state != ""
+
+    def end_server(self, upstream: server.Server) -> None:
+        """End an upstream at once, without draining."""
+        self.servers.remove(upstream)
+        self.removed_servers.append(upstream)
+        upstream.faults.restart_s = math.inf
+        upstream.crash()
+        self.unlisted.add(upstream.id)
+        self.rows.delete("servers", upstream.id)
+
     async def inject_series(self, seconds: float) -> None:
         """Play overlapping series of faults, with calm times between them."""
         names = [name for family in self.families for name in FAMILIES[family]]
@@ -1105,6 +1198,7 @@
             checks.check_pauses(record, servers),
             checks.check_crashes(record, servers, CRASH_PART),
             checks.check_limits(record, servers),
+            checks.check_releases(record, servers),
             checks.check_closed(
                 record, servers, DEADLINE_S, self.longest_stall_s, GRACE_S
             ),
@@ -1205,6 +1299,8 @@
         settings: dict[str, object] = {}
         if "weights" in soak.families:
             settings["bounds.version_ms"] = VERSION_MS
+        if "releases" in soak.families:
+            settings["contracts"] = "base,rollout,platform"
         for number in range(nodes):
             proxy = Proxy(store_port)
             await nursery.start(proxy.serve)
--- a/tests/platform_soak_checks.py
+++ b/tests/platform_soak_checks.py
@@ -49,6 +49,15 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 EXTRA_REQUESTS = 5
+EXPOSURE_SHARE = 0.1
+EXPOSURE_EXTRA = 50
+BAD_ANSWERS = 50
+ROLLBACK_S = 5.0
+"""What a bad release may get, and until when after so many bad answers."""
+
+RELEASE_END_S = 10.0
+"""Time without a disturbed store after which a release must have ended."""
+
 TOLD_S = 0.5
 """Time after which a node that has passed on a limit must keep it."""
 
@@ -99,6 +108,27 @@
     code: str = ""
 
 
+@dataclasses.dataclass
+class Release:
+    """A release that the operator ordered.
+
+    Attributes
+    ----------
+    kind : str
+        ``good``, or how it is bad: ``bad``, ``slow`` or ``late``.
+    state : str
+        How it ended by the nodes' status; empty if it has not.
+    """
+
+    service: str
+    name: str
+    kind: str
+    duration_s: float
+    ordered_at: float = math.inf
+    ended_at: float = math.inf
+    state: str = ""
+
+
 @dataclasses.dataclass
 class Record:
     """Requests by id, changes with their times, and disturbances.
@@ -115,6 +145,8 @@
         Times at which the list said that an upstream is draining.
     exits : list of str
         Nodes that ended by themselves.
+    releases : list of Release
+        Releases that the operator ordered.
     """
 
     requests: dict[str, Sent] = dataclasses.field(default_factory=dict)
@@ -124,6 +156,7 @@
     zones: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
     drained: dict[str, float] = dataclasses.field(default_factory=dict)
     exits: list[str] = dataclasses.field(default_factory=list)
+    releases: list[Release] = dataclasses.field(default_factory=list)
 
     @contextlib.contextmanager
     def disturbed(self, *subjects: str) -> collections.abc.Iterator[None]:
@@ -319,6 +352,63 @@
         )
 
 
+def check_releases(record: Record, servers: Servers) -> Violations:
+    """Check that releases get nothing too early, and bad ones not too much."""
+    for item in record.releases:
+        own = [
+            s for s in servers if (s.service, s.release) == (item.service, item.name)
+        ]
+        for upstream, request, sent in executed(record, own):
+            if request.received_at < item.ordered_at:
+                yield (
+                    "release order",
+                    f"{_describe(upstream, request, sent)} arrived before {item.name} "
+                    "was ordered",
+                )
+        ends_at = item.ordered_at + item.duration_s
+        calm_since = record.calm_since((STORE,), ends_at + RELEASE_END_S)
+        if not item.state and calm_since < ends_at and item.ordered_at < math.inf:
+            yield "release end", f"{item.name} of {item.service} has no end"
+        if item.kind != "good":
+            yield from _check_exposure(record, servers, own, item)
+
+
+def _check_exposure(
+    record: Record, servers: Servers, own: Servers, item: Release
+) -> Violations:
+    """Check what a bad release got from nodes that were not disturbed."""
+    ends_at = item.ordered_at + item.duration_s
+    total = sum(
+        item.ordered_at <= request.received_at <= ends_at
+        for upstream, request, _ in executed(record, servers)
+        if upstream.service == item.service
+    )
+    calm = [
+        (upstream, request, sent)
+        for upstream, request, sent in executed(record, own)
+        if request.received_at <= ends_at
+        and record.is_late(item.ordered_at, 0.0, request.received_at, sent.node)
+    ]
+    allowed = EXPOSURE_SHARE * total + EXPOSURE_EXTRA
+    if len(calm) > allowed:
+        yield (
+            "release exposure",
+            f"{item.kind} {item.name} of {item.service} got {len(calm)} of {total} "
+            f"requests, allowed {allowed:.0f}; it is {item.state}",
+        )
+    bad_at = sorted(at for upstream in own for at, _ in upstream.bad)
+    if len(bad_at) < BAD_ANSWERS:
+        return
+    limit_at = bad_at[BAD_ANSWERS - 1]
+    for upstream, request, sent in executed(record, own):
+        if record.is_late(limit_at, ROLLBACK_S, sent.sent_at, sent.node):
+            yield (
+                "release rollback",
+                f"{_describe(upstream, request, sent)} was sent "
+                f"{sent.sent_at - limit_at:.2f} s after the {BAD_ANSWERS}th bad answer",
+            )
+
+
 def named_limits(upstream: server.Server) -> list[tuple[float, float]]:
     """Return the limits that an upstream named, and from when, per second.
 
