--- a/packages/snipelug-cli/src/snipelug_cli/deployment.py
+++ b/packages/snipelug-cli/src/snipelug_cli/deployment.py
@@ -48,6 +48,8 @@
         The node that holds the lease for ordering weights, with its fencing token
         and the remaining time. A row from before a restore of the store does not tell
         who holds the lease.
+    releases : list of dict
+        One row for the latest release of each service.
     """
 
     configuration: int | None
@@ -57,6 +59,7 @@
     nodes: list[api.Content]
     upstreams: list[api.Content]
     orders: api.Content | None
+    releases: list[api.Content]
 
 
 async def read_status(
@@ -67,13 +70,15 @@
     listings = await store.read_upstreams()
     members = await store.read_members()
     lease = await store.read_lease()
-    for answer in (intents, listings, members, lease):
+    releases = await store.read_releases()
+    for answer in (intents, listings, members, lease, releases):
         if isinstance(answer, ports.Unavailable):
             return answer
     assert isinstance(intents, ports.Page)
     assert isinstance(listings, ports.Page)
     assert isinstance(members, ports.Page)
     assert isinstance(lease, ports.LeaseRow)
+    assert isinstance(releases, ports.Page)
     items = [*intents.items, *listings.items]
     versions = [i.version for i in items if isinstance(i, catalog.Catalog)]
     return Status(
@@ -86,6 +91,7 @@
         nodes=await _read_node_rows(members, pool, metrics_port),
         upstreams=[_upstream_row(i) for i in items if isinstance(i, fleet.Entry)],
         orders=_order_lease_row(lease),
+        releases=[_release_row(row, releases.clock_ms) for row in releases.items],
     )
 
 
@@ -139,6 +145,7 @@
         "state": "leaving" if entry.is_leaving else "ready",
         "cold_s": entry.cold_s,
         "weights": [f"{model} {v}" for model, v in sorted(entry.versions.items())],
+        "release": entry.release,
     }
 
 
@@ -153,6 +160,21 @@
     }
 
 
+def _release_row(row: ports.ReleaseRow, clock_ms: float) -> api.Content:
+    progress = row.progress
+    left_s = None if progress.is_final else (progress.deadline_ms - clock_ms) / 1e3
+    return {
+        "service": progress.service,
+        "from": progress.base,
+        "to": progress.target,
+        "stage": progress.stage.name.lower(),
+        "share": progress.share,
+        "left_s": left_s,
+        "leader": row.holder,
+        "reason": progress.reason,
+    }
+
+
 def show(
     store: typing.Annotated[
         str,
@@ -165,7 +187,7 @@
     ] = settings.METRICS_PORT,
     as_json: output.JsonOption = False,
 ) -> None:
-    """Show the configuration, weights, nodes, upstreams and orders on the platform."""
+    """Show the configuration, weights, releases, nodes and upstreams."""
     addr = settings.parse_address(store)
     if isinstance(addr, settings.InvalidSettings):
         calls.fail(calls.ExitCode.INVALID, f"--store {store!r} is not IP:PORT")
@@ -191,6 +213,7 @@
     output.print_table("Operator", ("what", "value"), rows)
     output.print_rows("Nodes", result.nodes)
     output.print_rows("Upstreams", result.upstreams)
+    output.print_rows("Releases", result.releases)
     output.print_rows(
         "Lease for weight orders", [result.orders] if result.orders else []
     )
