--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -4,10 +4,7 @@
 import dataclasses
 import random
 
-from snipelug_core import catalog, fleet, hashing, queueing, shared_rate
-
-PREFILL_TOKENS_PER_S = 50_000.0
-"""Prefill speed of engines; the site specifications give 51 to 64 tokens per ms."""
+from snipelug_core import catalog, fleet, hashing, queueing, shared_rate, speed
 
 ATTENTION_S_PER_TOKEN_PAIR = 5e-10
 """Attention time per pair of tokens; the specifications give 0.32 and 0.65 ns."""
@@ -15,12 +12,6 @@
 BATCH_STEP_S = 0.005
 """Delay that one more running request adds for the others: one batch step."""
 
-PLAIN_SERVICE_S = 0.03
-"""Processing time of a request at a plain service.
-
-The site specifications give 22 to 69 ms.
-"""
-
 CROSS_ZONE_COST_S = 0.03
 """Fixed cost of an upstream in another zone, in addition to the cost per byte."""
 
@@ -157,6 +148,10 @@
     opens_at : collections.abc.Mapping
         Monotonic time from which a request may ask for a permit, in seconds, by the id
         of upstreams whose rate all nodes share.
+    prefill_tokens_per_s : float
+        Speed at which the engines read prompts.
+    plain_s : float
+        Processing time of a request at a plain service, in seconds.
     """
 
     service: catalog.Service
@@ -168,6 +163,8 @@
     opens_at: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    prefill_tokens_per_s: float = speed.PREFILL_TOKENS_PER_S
+    plain_s: float = speed.PLAIN_SERVICE_S
 
     def available_at(self, upstream: fleet.Upstream) -> float:
         """Return the monotonic time from which an upstream may be chosen."""
@@ -193,6 +190,8 @@
         Expected time to first token, in seconds; 0 for plain services.
     load_wait_s : float
         The wait as estimated from load alone, with a scale of 1, in seconds.
+    other_s : float
+        Part of the time to first token for transfers and attention, in seconds.
     """
 
     upstream: fleet.Upstream
@@ -202,6 +201,7 @@
     wait_s: float = 0.0
     ttft_s: float = 0.0
     load_wait_s: float = 0.0
+    other_s: float = 0.0
 
     @property
     def read_s(self) -> float:
@@ -224,6 +224,7 @@
     ttft_s: float = 0.0
     prefill_tokens: int = 0
     load_wait_s: float = 0.0
+    other_s: float = 0.0
 
 
 def eligible(
@@ -309,6 +310,7 @@
         estimate.wait_s,
         estimate.ttft_s,
         estimate.load_wait_s,
+        estimate.other_s,
     )
 
 
@@ -376,7 +378,7 @@
         return Estimate(cost + _plain_service_wait_s(upstream, context, now))
     at_engine = _estimate_engine_cost(upstream, request, context, engine, now)
     if upstream.versions.get(request.model, 0) < request.version:
-        read_s = at_engine.prefill_tokens / PREFILL_TOKENS_PER_S
+        read_s = at_engine.prefill_tokens / context.prefill_tokens_per_s
         cost += OLD_WEIGHTS_COST_S + OLD_WEIGHTS_PREFILL_FACTOR * read_s
     if is_preferred:
         shared = shared_part(request.parts)
@@ -385,7 +387,7 @@
             request.version
         )
         # Other nodes send the same part to the preferred upstream too.
-        saved_s = 0.0 if stored else tokens / PREFILL_TOKENS_PER_S
+        saved_s = 0.0 if stored else tokens / context.prefill_tokens_per_s
         cost -= AFFINITY_BONUS_S + 0.5 * saved_s
     return dataclasses.replace(at_engine, cost_s=cost + at_engine.cost_s)
 
@@ -396,7 +398,8 @@
     running, waiting = upstream.other_nodes_load(now, context.mean_load)
     total = running + waiting + upstream.running
     slots = max(1, upstream.entry.slots)
-    return PLAIN_SERVICE_S * (max(0.0, total + 1 - slots) / slots + 0.3 * total / slots)
+    queued = max(0.0, total + 1 - slots) / slots
+    return context.plain_s * (queued + 0.3 * total / slots)
 
 
 def _attention_s(prompt: int, prefill: int) -> float:
@@ -413,7 +416,7 @@
 ) -> Estimate:
     running, waiting = upstream.other_nodes_load(now, context.mean_load)
     pending = upstream.prefill_tokens + upstream.announced_tokens(now)
-    load_wait_s = pending / PREFILL_TOKENS_PER_S
+    load_wait_s = pending / context.prefill_tokens_per_s
     load_wait_s += BATCH_STEP_S * (running + upstream.running)
     total = running + waiting + upstream.running
     load_wait_s += context.request_s * max(waiting, total + 1 - engine.slots)
@@ -429,10 +432,11 @@
             continue
         prefill += part.tokens
     prompt = sum(part.tokens for part in request.parts)
-    read_s += prefill / PREFILL_TOKENS_PER_S + _attention_s(prompt, prefill)
+    other_s = read_s + _attention_s(prompt, prefill)
+    read_s = other_s + prefill / context.prefill_tokens_per_s
     if upstream.reserved_tokens + size > engine.kv_capacity_tokens:
         wait_s += KV_CACHE_FULL_COST_S
     ttft_s = cost_s = wait_s + read_s
     if prefill >= LONG_PREFILL_TOKENS and pending < LONG_PREFILL_TOKENS:
         cost_s += LONG_PREFILL_FACTOR * read_s
-    return Estimate(cost_s, wait_s, ttft_s, prefill, load_wait_s)
+    return Estimate(cost_s, wait_s, ttft_s, prefill, load_wait_s, other_s)
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from snipelug_core import hashing, named_limit, queueing, ranges, restore
+from snipelug_core import hashing, named_limit, queueing, ranges, restore, speed
 
 CACHED_PARTS_FRACTION = 0.3
 """Fraction of an engine's KV cache that is assumed to hold known prompt parts.
@@ -333,6 +333,7 @@
         self._digests: dict[str, int] = {}
         self._mean_loads: dict[str, MeanLoad] = {}
         self._wait_models: dict[str, queueing.WaitModel] = {}
+        self._speed_models: dict[str, speed.SpeedModel] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._removal_due: dict[str, float] = {}
         # Processes, by id and start, that were listed once and are not any more.
@@ -364,6 +365,10 @@
         """Return what was learned about waiting at the upstreams of a service."""
         return self._wait_models.setdefault(service, queueing.WaitModel())
 
+    def speed_model(self, service: str) -> speed.SpeedModel:
+        """Return what was learned about the speed of the upstreams of a service."""
+        return self._speed_models.setdefault(service, speed.SpeedModel())
+
     @property
     def digest(self) -> int | None:
         """Digest of the listed entries, the same at all nodes that know the same list.
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -16,7 +16,7 @@
 import msgspec
 import trio
 
-from snipelug_core import choice, fleet, named_limit
+from snipelug_core import choice, fleet, named_limit, speed
 from snipelug_net import http_client, lines
 from snipelug_relay import clock, messages, ports, state, upstream_limits
 
@@ -103,7 +103,7 @@
         if self._sock is None or tokens < MIN_PROMPT_TOKENS:
             return None
         number = next(self._numbers)
-        lasts_s = tokens / choice.PREFILL_TOKENS_PER_S
+        lasts_s = tokens / speed.PREFILL_TOKENS_PER_S
         message = messages.Prefill(upstream_id, number, tokens)
         if shared is not None:
             message.part, message.part_tokens = shared.id, shared.tokens
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -432,6 +432,8 @@
         self._releases.record(
             work, entry, outcome.result, clock.now() - now, chosen.ttft_s
         )
+        if outcome.result is attempt.Result.ANSWERED:
+            self._record_speed(work, chosen, clock.now() - now)
         if work.request.model and outcome.result in WAITED:
             waited_s = clock.now() - now - chosen.read_s
             waits.record_wait(work.priority, chosen.load_wait_s, waited_s, clock.now())
@@ -445,6 +447,18 @@
             await self._detector.record_lost(work, entry)
         return outcome
 
+    def _record_speed(
+        self, work: job.Job, chosen: choice.Choice, response_s: float
+    ) -> None:
+        """Learn from the time to a response, or to the first event of a stream."""
+        speeds = self._state.fleet.speed_model(work.service)
+        if work.request.model:
+            speeds.record_prompt(
+                chosen.prefill_tokens, response_s, chosen.other_s, clock.now()
+            )
+        else:
+            speeds.record_plain(response_s, clock.now())
+
     @contextlib.contextmanager
     def _limit_beginning(
         self, work: job.Job, chosen: choice.Choice
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -256,6 +256,7 @@
         now = clock.now()
         mean = self.fleet.mean_load(service, now)
         waits = self.fleet.wait_model(service)
+        speeds = self.fleet.speed_model(service)
         return choice.Context(
             found,
             self.zones_out,
@@ -264,6 +265,8 @@
             waits.request_s,
             waits.scale(priority, now),
             self.opens_at(service, priority, now),
+            speeds.prefill_tokens_per_s(now),
+            speeds.plain_s(now),
         )
 
     def record_response(
