Bound the memory and connections that clients hold

Cause: a node kept the bodies of all uploads until they were complete or timed out after 30 s, and accepted 4,096 connections whatever the machine had. In a trial, clients that stop just short of the end of their uploads ended a process.

Change: bodies, their copies and unread responses count in one budget, a fifth of the machine's memory. When it is used up, the stalled upload of the peer that holds most is refused with 503 and a time to come back. Connections are limited by memory and descriptors, and an idle or stalled one makes room for a new one. A body over the limit is refused from its announcement.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -544,6 +544,8 @@
         Called with the address when an idle connection is found closed.
     on_discard : callable, optional
         Called with each response that is discarded. It must not raise.
+    max_buffered_bytes : int
+        Memory for the response bodies that are being read.
 
     Attributes
     ----------
@@ -557,7 +559,9 @@
         idle_per_addr: int = 64,
         on_closed: collections.abc.Callable[[Address], None] | None = None,
         on_discard: DiscardReceiver | None = None,
+        max_buffered_bytes: int = BUFFER_BYTES,
     ) -> None:
+        self._max_buffered_bytes = max_buffered_bytes
         self.connect_timeout_s = connect_timeout_s
         self._idle_per_addr = idle_per_addr
         self.on_closed = on_closed
@@ -579,7 +583,7 @@
     @property
     def is_buffer_full(self) -> bool:
         """Whether the response bodies that are being read exceed their memory."""
-        return self.buffered_bytes > BUFFER_BYTES
+        return self.buffered_bytes > self._max_buffered_bytes
 
     async def send(
         self, call: Call, pre_send_check: PreSendCheck | None = None
--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import enum
 import http
 import logging
 import os
@@ -14,7 +15,7 @@
 import msgspec
 import trio
 
-from snipelug_net import pacing
+from snipelug_net import memory, pacing
 
 LOG = logging.getLogger("snipelug.http")
 
@@ -48,6 +49,7 @@
 
 RESET_EVENTS = select.POLLHUP | select.POLLERR
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+MAX_CONNECTIONS = 4096
 BODILESS_STATUSES = (http.HTTPStatus.NO_CONTENT, http.HTTPStatus.NOT_MODIFIED)
 
 
@@ -62,8 +64,11 @@
     head_s, body_s, idle_s, write_s : float
         Timeouts for reading a request head, reading a body, an idle connection
         and one write, in seconds.
+    stall_s : float
+        Timeout for the next bytes of a body, in seconds.
     connections : int
-        Maximum number of open connections; further ones are closed on arrival.
+        Maximum number of open connections. Beyond it, one that is idle or whose request
+        is incomplete is closed for a new one.
     """
 
     body_bytes: int = 4 * 1024 * 1024
@@ -71,7 +76,8 @@
     body_s: float = 30.0
     idle_s: float = 75.0
     write_s: float = 30.0
-    connections: int = 4096
+    stall_s: float = 10.0
+    connections: int = MAX_CONNECTIONS
 
 
 @dataclasses.dataclass(frozen=True)
@@ -186,6 +192,32 @@
 )
 
 
+MEMORY_SHORT = RequestError(
+    http.HTTPStatus.SERVICE_UNAVAILABLE,
+    "memory_short",
+    "the node has too little memory to receive the request",
+    1.0,
+)
+
+
+class DropReason(enum.StrEnum):
+    """Why a client's request or connection was given up for others."""
+
+    BODY_TOO_LARGE = "body_too_large"
+    UPLOAD = "upload"
+    """Its request was incomplete when the memory was used up."""
+
+    UNREAD_RESPONSE = "unread_response"
+    """It did not read its response when the memory was used up."""
+
+    CONNECTION = "connection"
+    """There were too many connections."""
+
+
+DropReceiver = collections.abc.Callable[[DropReason, str], None]
+"""Called with the reason and the address of the client. It must not raise."""
+
+
 UNSENDABLE = RequestError(
     http.HTTPStatus.BAD_GATEWAY,
     "response_unsendable",
@@ -241,6 +273,22 @@
     return h11.Response(status_code=status, headers=fields, reason=b"")
 
 
+def _peer_address(stream: trio.SocketStream) -> str:
+    """Return the address of the client; empty if it has gone already."""
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        return ""
+
+
+def _announced_size(event: h11.Request) -> int:
+    """Return the size of a body as its head announces it; 0 if it does not."""
+    for name, value in event.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def _is_broken_connection(exc: Exception) -> bool:
     """Return whether an error, or each one of a group, is a broken connection."""
     if isinstance(exc, ExceptionGroup):
@@ -317,6 +365,10 @@
         Called once for each complete request.
     limits : Limits
         Limits on connections.
+    budget : memory.Budget, optional
+        Memory for the bodies of requests and the responses that are not read.
+    on_drop : DropReceiver, optional
+        Called for each request or connection that is given up for others.
 
     Attributes
     ----------
@@ -326,8 +378,17 @@
         Cancel scopes of the connections that wait for a request.
     """
 
-    def __init__(self, handler: Handler, limits: Limits | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits | None = None,
+        budget: memory.Budget | None = None,
+        on_drop: DropReceiver | None = None,
+    ) -> None:
         self.handler = handler
+        self.budget = budget or memory.Budget()
+        self.on_drop = on_drop
+        self._connections: dict[_Connection, None] = {}
         self._limits = limits or Limits()
         self._timed_reads: set[_TimedRead] = set()
         self.open_connections = 0
@@ -426,13 +487,17 @@
         await self._stopped.wait()
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
-        if self.open_connections >= self.limits.connections:
+        is_full = self.open_connections >= self.limits.connections
+        if is_full and not self._make_room():
             await stream.aclose()
             return
         self.open_connections += 1
+        conn = _Connection(self, stream)
+        self._connections[conn] = None
         try:
             async with stream:
-                await _Connection(self, stream).run()
+                with conn.life:
+                    await conn.run()
         # Handlers run in a nursery, so their errors arrive in an exception group.
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             LOG.debug("client connection broken")
@@ -443,6 +508,22 @@
             LOG.error("connection_failed", exc_info=group)
         finally:
             self.open_connections -= 1
+            del self._connections[conn]
+
+    def _make_room(self) -> bool:
+        """Close the connection that is idle for longest, or whose request stalls."""
+        waiting = [c for c in self._connections if c.is_expendable]
+        if not waiting:
+            return False
+        victim = min(waiting, key=lambda c: (not c.is_idle, c.active_at))
+        self.report_drop(DropReason.CONNECTION, victim.peer)
+        victim.close()
+        return True
+
+    def report_drop(self, reason: DropReason, peer: str) -> None:
+        """Report that a request or connection was given up for others."""
+        if self.on_drop is not None:
+            self.on_drop(reason, peer)
 
 
 class _Connection:
@@ -454,6 +535,12 @@
         self.proto = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_HEAD_BYTES
         )
+        self.life = trio.CancelScope()
+        self.peer = _peer_address(stream)
+        self.active_at = trio.current_time()
+        self.use = memory.Use.INCOMPLETE_REQUEST
+        self.is_idle = False
+        self._is_reading = False
         self._read_scope = trio.CancelScope()
         self._refused: RequestError | None = None
         self._is_writing = False
@@ -469,6 +556,24 @@
         is_head_read = self.proto.their_state is not h11.IDLE
         return is_head_read or bool(self.proto.trailing_data[0])
 
+    @property
+    def is_expendable(self) -> bool:
+        """Whether the connection may be closed for another one."""
+        return self._is_reading and not self.life.cancel_called
+
+    def close(self) -> None:
+        """Close the connection without a response."""
+        self.life.cancel()
+
+    def drop(self) -> None:
+        """Give up the memory that is held for the client."""
+        if self.use is memory.Use.INCOMPLETE_REQUEST:
+            self.server.report_drop(DropReason.UPLOAD, self.peer)
+            self.refuse_request(MEMORY_SHORT)
+        else:
+            self.server.report_drop(DropReason.UNREAD_RESPONSE, self.peer)
+            self.close()
+
     def refuse_request(self, error: RequestError) -> None:
         """Stop reading the request and respond with an error."""
         self._refused = error
@@ -491,11 +596,19 @@
             if isinstance(req, RequestError):
                 await self._reject(req)
                 return
+            self.use = memory.Use.REQUEST
+            # The request that is sent to an upstream has a copy of the body.
+            if req.body and not self.server.budget.charge(self, len(req.body)):
+                self.server.report_drop(DropReason.UPLOAD, self.peer)
+                await self._reject(MEMORY_SHORT)
+                return
             self.server._handled[self] = req
             try:
                 await self._handle(req)
             finally:
                 del self.server._handled[self]
+                self.server.budget.release(self)
+                self.use = memory.Use.INCOMPLETE_REQUEST
             if self.proto.our_state is h11.MUST_CLOSE or self.server.draining:
                 return
             if self.proto.our_state is not h11.DONE:
@@ -519,17 +632,30 @@
                     status_code=100, headers=[]
                 )
                 await self._write(self.proto.send(continue_response) or b"")
-            received = await self.stream.receive_some(RECEIVE_BYTES)
+            received = await self._receive()
             if self.proto.their_state is h11.IDLE:
                 self._pacer.record(len(received))
             self.proto.receive_data(received)
 
+    async def _receive(self) -> bytes:
+        """Receive some bytes; those of a body must not stall."""
+        if self.proto.their_state is h11.SEND_BODY:
+            with trio.fail_after(self.limits.stall_s):
+                received = await self.stream.receive_some(RECEIVE_BYTES)
+        else:
+            received = await self.stream.receive_some(RECEIVE_BYTES)
+        self.active_at = trio.current_time()
+        return bytes(received)
+
     async def _read_request(self) -> Request | RequestError | Closed:
         self._read_scope = trio.CancelScope()
         self.server._reading.add(self)
+        self._is_reading = True
+        found: Request | RequestError | Closed = Closed()
         try:
             with self._read_scope:
-                return await self._read_head_and_body()
+                found = await self._read_head_and_body()
+                return found
             return self._refused or Closed()
         except h11.RemoteProtocolError as exc:
             status = exc.error_status_hint or http.HTTPStatus.BAD_REQUEST
@@ -541,16 +667,22 @@
                 "the request was not received completely within the time limit",
             )
         finally:
+            self._is_reading = False
             self.server._reading.discard(self)
+            if not isinstance(found, Request):
+                self.server.budget.release(self)
 
     async def _read_head_and_body(self) -> Request | RequestError | Closed:
         if not self.proto.trailing_data[0]:
             first = b""
+            self.active_at = trio.current_time()
             with self.server.limit_read(lambda limits: limits.idle_s) as idle:
                 self.server.idle_scopes.add(idle)
+                self.is_idle = True
                 try:
                     first = bytes(await self.stream.receive_some(RECEIVE_BYTES))
                 finally:
+                    self.is_idle = False
                     self.server.idle_scopes.discard(idle)
             if idle.cancelled_caught and self.stream.socket.is_readable():
                 # A request has arrived while the connection was being closed.
@@ -565,6 +697,9 @@
             raise trio.TooSlowError
         if not isinstance(event, h11.Request):
             return Closed()
+        limit_bytes = max(limit_bytes, self.limits.body_bytes)
+        if _announced_size(event) > limit_bytes:
+            return self._too_large(limit_bytes)
         with self.server.limit_read(lambda limits: limits.body_s) as reading:
             body = await self._read_body(limit_bytes)
         if reading.cancelled_caught:
@@ -607,12 +742,18 @@
             size += len(event.data)
             limit_bytes = max(limit_bytes, self.limits.body_bytes)
             if size > limit_bytes:
-                reason = f"the request body exceeds {limit_bytes} bytes"
-                return RequestError(
-                    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", reason
-                )
+                return self._too_large(limit_bytes)
+            if not self.server.budget.charge(self, len(event.data)):
+                return MEMORY_SHORT
             parts.append(bytes(event.data))
 
+    def _too_large(self, limit_bytes: int) -> RequestError:
+        self.server.report_drop(DropReason.BODY_TOO_LARGE, self.peer)
+        reason = f"the request body exceeds {limit_bytes} bytes"
+        return RequestError(
+            http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", reason
+        )
+
     async def _handle(self, req: Request) -> None:
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
@@ -783,8 +924,17 @@
     async def write_rest(self, rest: bytes) -> None:
         if not rest:
             return
-        with trio.move_on_after(self.limits.write_s) as scope:
-            await self.stream.send_all(rest)
+        budget = self.server.budget
+        before, self.use = self.use, memory.Use.UNREAD_RESPONSE
+        self.active_at = trio.current_time()
+        try:
+            if not budget.charge(self, len(rest)):
+                raise trio.BrokenResourceError("the memory for responses is used up")
+            with trio.move_on_after(self.limits.write_s) as scope:
+                await self.stream.send_all(rest)
+        finally:
+            budget.release(self)
+            self.use = before
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("the client is not reading the response")
         self._is_writing = False
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -9,13 +9,14 @@
 import trio
 
 from snipelug_core import catalog, refusal, shutdown
-from snipelug_net import http_client, http_server, lines
+from snipelug_net import http_client, http_server, lines, memory
 from snipelug_relay import (
     announce,
     clock,
     connections,
     crashes,
     discards,
+    drops,
     kv_stores,
     permits,
     ports,
@@ -115,6 +116,9 @@
             CONNECT_TIMEOUT_S,
             idle_per_addr=MAX_IDLE,
             on_discard=discarded.record_request,
+            max_buffered_bytes=min(
+                http_client.BUFFER_BYTES, memory.body_bytes(cfg.memory_bytes)
+            ),
         )
         control_pool = http_client.Pool(
             CONTROL_CONNECT_TIMEOUT_S,
@@ -156,7 +160,13 @@
         )
         self.callers_port = 0
         self.ready_port = 0
-        self._callers = http_server.Server(self._relay.handle)
+        self._dropped = drops.Drops(self._stats)
+        self._callers = http_server.Server(
+            self._relay.handle,
+            http_server.Limits(connections=self._max_connections()),
+            memory.Budget(memory.body_bytes(cfg.memory_bytes)),
+            self._dropped.record,
+        )
         self._ready = http_server.Server(self._handle_ready)
         self._metrics = http_server.Server(self._handle_metrics)
         self._watch = watch.Watch(
@@ -342,10 +352,19 @@
             return
         limits = known.limits
         self._callers.limits = http_server.Limits(
-            body_bytes=limits.body_bytes, head_s=limits.head_s, idle_s=limits.idle_s
+            body_bytes=limits.body_bytes,
+            head_s=limits.head_s,
+            idle_s=limits.idle_s,
+            connections=self._max_connections(),
         )
         self._pool.idle_per_addr = self._idle_connections(known)
 
+    def _max_connections(self) -> int:
+        cfg = self._cfg
+        return memory.max_connections(
+            cfg.memory_bytes, cfg.descriptors, http_server.MAX_CONNECTIONS
+        )
+
     def _idle_connections(self, known: catalog.Catalog) -> int:
         fewest = min(
             (s.connection_limit for s in known.services.values()), default=MAX_IDLE
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -42,6 +42,8 @@
         Addresses for callers and for the load balancer.
     metrics : (str, int) or None
         Address that serves metrics; None to disable them.
+    memory_bytes, descriptors : int or None
+        Memory and file descriptors of the node's machine; None if not known.
     exposure : release.Exposure or None
         What a bad release may get; None if the deployment has no releases.
     store : (str, int)
@@ -60,6 +62,8 @@
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     heartbeat_s: float = 1.2
     exposure: release.Exposure | None = None
+    memory_bytes: int | None = None
+    descriptors: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -86,6 +86,12 @@
             ["service", "reason"],
             registry=self.registry,
         )
+        self.dropped = prometheus_client.Counter(
+            "snipelug_dropped_clients",
+            "Requests and connections of clients given up for others, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.discarded = prometheus_client.Counter(
             "snipelug_discarded_responses",
             "Responses that belong to no request under way, by calls and reason.",
