Treat a response without length that ends within its upload as lost

Cause: the end of a connection ends a response without a length, whether or not the request had been sent. A server that gave up an upload after a part of its response was taken to have answered, and callers got that part as a whole. Change: such a response is lost while the request is still being sent. Result: both cases of test_early_response_that_ends_within_its_upload_is_lost pass; they failed before.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -32,6 +32,10 @@
 
 TOO_FRAGMENTED = "the response arrives in too many small fragments"
 
+ENDED_WITHIN_REQUEST = (
+    "the connection ended before the request was sent, and the response has no length"
+)
+
 IDLE_TIMEOUT_MARGIN_S = 0.5
 """Connections are discarded this long before the server's announced idle timeout."""
 
@@ -332,6 +336,10 @@
             self._fail(exc)
             return b"".join(parts)
         if event is not h11.NEED_DATA:
+            if self._conn.is_sending and not self.is_framed:
+                # The server has given up the request, and the response with it.
+                self._fail(trio.BrokenResourceError(ENDED_WITHIN_REQUEST))
+                return b"".join(parts)
             self._is_done = True
             self.has_ended = True
             self._pool.release(self._conn)
