Treat responses with a status above 599 as lost

Cause: the HTTP library accepts any status of three digits from 200 on, so callers got statuses 600 and 999 as answers. Change: such a response is no answer; callers get 502, as for the other unknown statuses.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -24,6 +24,9 @@
 """Requests with an id after which a connection is closed, as it remembers their ids."""
 
 FIRST_ERROR_STATUS = 400
+MAX_STATUS = 599
+"""Statuses above are invalid (RFC 9110, section 15)."""
+
 MAX_DISCARDED_BYTES = 1024 * 1024
 """Maximum size of a response to an earlier request that is read and discarded."""
 
@@ -807,6 +810,10 @@
         informational = 0
         while True:
             event = await conn.next_event()
+            if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+                raise trio.BrokenResourceError(
+                    f"status {event.status_code} is not defined by HTTP"
+                )
             if isinstance(event, h11.InformationalResponse):
                 informational += 1
                 if informational > MAX_INFORMATIONAL_RESPONSES:
