--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -24,6 +24,9 @@
 """Requests with an id after which a connection is closed, as it remembers their ids."""
 
 FIRST_ERROR_STATUS = 400
+MAX_STATUS = 599
+"""Statuses above are invalid (RFC 9110, section 15)."""
+
 MAX_DISCARDED_BYTES = 1024 * 1024
 """Maximum size of a response to an earlier request that is read and discarded."""
 
@@ -32,6 +35,10 @@
 
 TOO_FRAGMENTED = "the response arrives in too many small fragments"
 
+ENDED_WITHIN_REQUEST = (
+    "the connection ended before the request was sent, and the response has no length"
+)
+
 IDLE_TIMEOUT_MARGIN_S = 0.5
 """Connections are discarded this long before the server's announced idle timeout."""
 
@@ -332,6 +339,10 @@
             self._fail(exc)
             return b"".join(parts)
         if event is not h11.NEED_DATA:
+            if self._conn.is_sending and not self.is_framed:
+                # The server has given up the request, and the response with it.
+                self._fail(trio.BrokenResourceError(ENDED_WITHIN_REQUEST))
+                return b"".join(parts)
             self._is_done = True
             self.has_ended = True
             self._pool.release(self._conn)
@@ -544,6 +555,8 @@
         Called with the address when an idle connection is found closed.
     on_discard : callable, optional
         Called with each response that is discarded. It must not raise.
+    max_buffered_bytes : int
+        Memory for the response bodies that are being read.
 
     Attributes
     ----------
@@ -557,7 +570,9 @@
         idle_per_addr: int = 64,
         on_closed: collections.abc.Callable[[Address], None] | None = None,
         on_discard: DiscardReceiver | None = None,
+        max_buffered_bytes: int = BUFFER_BYTES,
     ) -> None:
+        self._max_buffered_bytes = max_buffered_bytes
         self.connect_timeout_s = connect_timeout_s
         self._idle_per_addr = idle_per_addr
         self.on_closed = on_closed
@@ -579,7 +594,7 @@
     @property
     def is_buffer_full(self) -> bool:
         """Whether the response bodies that are being read exceed their memory."""
-        return self.buffered_bytes > BUFFER_BYTES
+        return self.buffered_bytes > self._max_buffered_bytes
 
     async def send(
         self, call: Call, pre_send_check: PreSendCheck | None = None
@@ -795,6 +810,10 @@
         informational = 0
         while True:
             event = await conn.next_event()
+            if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+                raise trio.BrokenResourceError(
+                    f"status {event.status_code} is not defined by HTTP"
+                )
             if isinstance(event, h11.InformationalResponse):
                 informational += 1
                 if informational > MAX_INFORMATIONAL_RESPONSES:
