--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -185,7 +185,7 @@
     prefill_tokens : int
         Tokens that the upstream is expected to prefill.
     wait_s : float
-        Expected time before prefill starts, in seconds; 0 for plain services.
+        Expected time before processing starts, in seconds.
     ttft_s : float
         Expected time to first token, in seconds; 0 for plain services.
     load_wait_s : float
@@ -375,7 +375,8 @@
         cost += SILENCE_COST_S
     engine = context.service.engine
     if engine is None:
-        return Estimate(cost + _plain_service_wait_s(upstream, context, now))
+        load_s, wait_s = _plain_service_load_s(upstream, context, now)
+        return Estimate(cost + load_s, wait_s)
     at_engine = _estimate_engine_cost(upstream, request, context, engine, now)
     if upstream.versions.get(request.model, 0) < request.version:
         read_s = at_engine.prefill_tokens / context.prefill_tokens_per_s
@@ -392,14 +393,16 @@
     return dataclasses.replace(at_engine, cost_s=cost + at_engine.cost_s)
 
 
-def _plain_service_wait_s(
+def _plain_service_load_s(
     upstream: fleet.Upstream, context: Context, now: float
-) -> float:
+) -> tuple[float, float]:
+    """Return the cost of a plain service's load, and the expected wait, in seconds."""
     running, waiting = upstream.other_nodes_load(now, context.mean_load)
     total = running + waiting + upstream.running
     slots = max(1, upstream.entry.slots)
     queued = max(0.0, total + 1 - slots) / slots
-    return context.plain_s * (queued + 0.3 * total / slots)
+    wait_s = context.plain_s * queued
+    return wait_s + context.plain_s * 0.3 * total / slots, wait_s
 
 
 def _attention_s(prompt: int, prefill: int) -> float:
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from snipelug_core import hashing, named_limit, queueing, ranges, restore, speed
+from snipelug_core import hashing, named_limit, queueing, ranges, restore, speed, triage
 
 CACHED_PARTS_FRACTION = 0.3
 """Fraction of an engine's KV cache that is assumed to hold known prompt parts.
@@ -334,6 +334,7 @@
         self._mean_loads: dict[str, MeanLoad] = {}
         self._wait_models: dict[str, queueing.WaitModel] = {}
         self._speed_models: dict[str, speed.SpeedModel] = {}
+        self._competitions: dict[str, triage.Competition] = {}
         self._by_service: dict[str, list[Upstream]] = {}
         self._removal_due: dict[str, float] = {}
         # Processes, by id and start, that were listed once and are not any more.
@@ -369,6 +370,10 @@
         """Return what was learned about the speed of the upstreams of a service."""
         return self._speed_models.setdefault(service, speed.SpeedModel())
 
+    def competition(self, service: str) -> triage.Competition:
+        """Return what is known of the requests that compete for a service."""
+        return self._competitions.setdefault(service, triage.Competition())
+
     @property
     def digest(self) -> int | None:
         """Digest of the listed entries, the same at all nodes that know the same list.
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -89,7 +89,7 @@
     def _check_overload(
         self, work: job.Job, pick: choice.Choice, now: float
     ) -> choice.Choice | refusal.Refusal:
-        """Refuse a prompt at once if even the best engine would respond too late.
+        """Refuse a request at once if even the best upstream would be too late.
 
         Streams that have started and requests that may have run are not refused.
         """
@@ -99,25 +99,33 @@
         if wait_s is not None:
             pick = self.choose(work, now, consider_all=True) or pick
             wait_s = self.retry_after(work, pick)
+        competition = self._state.fleet.competition(work.service)
+        competition.record(work.priority, wait_s is not None, now)
         if wait_s is None:
             return pick
         message = (
             f"expected wait is {pick.wait_s:.2f} s on the best of "
-            f"{pick.candidates} engines, {work.left_s():.2f} s left"
+            f"{pick.candidates} upstreams, {work.left_s():.2f} s left"
         )
         return refusal.refuse(refusal.OVERLOADED, message, retry_after_s=wait_s)
 
     def retry_after(self, work: job.Job, pick: choice.Choice) -> float | None:
         """Return after how many seconds to retry, or None if there is no overload."""
+        now = clock.now()
+        known = self._state.fleet
         if not work.request.model:
-            return None
+            plain_s = known.speed_model(work.service).plain_s(now)
+            return overload.plain_retry_after(
+                pick.wait_s, plain_s, work.left_s(), self._rng
+            )
         return overload.retry_after(
             pick.wait_s,
             pick.read_s,
             work.route.objective_s,
             work.left_s(),
-            self._state.fleet.wait_model(work.service).request_s,
+            known.wait_model(work.service).request_s,
             self._rng,
+            known.competition(work.service).stance(work.priority, now),
         )
 
     def choose(
