--- a/tests/test_triage.py
+++ b/tests/test_triage.py
@@ -111,7 +111,7 @@
 
 
 def test_urgent_callers_are_served_more_often_under_load() -> None:
-    """Guards against a rule that helps nobody when there is too little room."""
+    """Guards against a rule that helps no urgent caller under load."""
     before, after = play(False), play(True)
     assert after[0] > before[0] + 0.05
     assert after[0] > after[1]
