--- a/packages/snipelug-core/src/snipelug_core/canary.py
+++ b/packages/snipelug-core/src/snipelug_core/canary.py
@@ -2,9 +2,10 @@
 
 Both are compared on the same route and at the same time, so that a disruption of both
 condemns neither, and that a fault is found which begins late, depends on the load or
-concerns a single route. Response times are taken relative to what was expected of the chosen upstream, as
-load, prompts and cached parts differ. Bad responses must also show without those of the
-worst upstreams of the new release, as a faulty upstream does not make a release bad.
+concerns a single route. Response times are taken relative to what was expected of the
+chosen upstream, as load, prompts and cached parts differ. Bad responses must also show
+without those of the worst upstreams of the new release, as a faulty upstream does not
+make a release bad.
 """
 
 import collections
--- a/packages/snipelug-core/src/snipelug_core/release.py
+++ b/packages/snipelug-core/src/snipelug_core/release.py
@@ -2,10 +2,10 @@
 
 The upstreams of an ordered release run beside those in use. Their version may be bad:
 some responses fail or are slow, from the start or not, at a high load only, or on a
-single route. Until it is proved, a release gets a small part of the requests (``Stage.CANARY``), then a few of
-its upstreams get as much as each upstream in use (``Stage.LOAD_TEST``). The requests
-move only shortly before the deadline, as each second with all of them exceeds what an
-unproved release may get in ten.
+single route. Until it is proved, a release gets a small part of the requests
+(``Stage.CANARY``), then a few of its upstreams get as much as each upstream in use
+(``Stage.LOAD_TEST``). The requests move only shortly before the deadline, as each
+second with all of them exceeds what an unproved release may get in ten.
 """
 
 import collections.abc
