--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -400,6 +400,10 @@
         self._connections_scope = trio.CancelScope()
         self._stopped = trio.Event()
 
+    def new_pacer(self) -> pacing.Pacer:
+        """Return the pacer of a new connection."""
+        return pacing.Pacer()
+
     @property
     def open_requests(self) -> int:
         """Number of requests that were read and whose response is not complete."""
@@ -548,7 +552,7 @@
         self._has_written = False
         self._probes = 0
         self._probe_rest = b""
-        self._pacer = pacing.Pacer()
+        self._pacer = server.new_pacer()
 
     @property
     def has_begun_request(self) -> bool:
--- a/packages/snipelug-net/src/snipelug_net/pacing.py
+++ b/packages/snipelug-net/src/snipelug_net/pacing.py
@@ -20,6 +20,10 @@
 seconds receives several hundred at once.
 """
 
+SERVER_BURST_FRAGMENTS = 8192
+SERVER_FRAGMENTS_PER_S = 4_000.0
+"""The same for all clients of a server together; some 0.4 of a core."""
+
 MAX_DELAY_S = 2.0
 """Total delay after which the sender counts as faulty."""
 
--- a/tests/test_fragments.py
+++ b/tests/test_fragments.py
@@ -8,6 +8,7 @@
 import h11
 import pytest
 import trio
+import trio.testing
 
 from snipelug_net import http_client, http_server, pacing, poller
 from snipelug_relay import sse
@@ -172,3 +173,53 @@
     for hour in range(100):
         meter.record(pacing.BURST_FRAGMENTS + 100, 0, 3600.0 * hour)
         assert not meter.is_exceeded
+
+
+CROWD = 400
+FRAGMENTS_EACH = 5_000
+
+
+async def test_crowd_shares_the_fragments_of_a_server(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against many clients that each take their part of the processor."""
+    server = http_server.Server(lambda req: None)  # type: ignore[arg-type, return-value]
+    parsed = 0
+
+    async def send() -> None:
+        nonlocal parsed
+        pacer = server.new_pacer()
+        pacer.start_message()
+        for _ in range(FRAGMENTS_EACH):
+            await pacer.wait()
+            if pacer.is_exceeded:
+                return
+            pacer.record(1)
+            parsed += 1
+
+    started_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for _ in range(CROWD):
+            nursery.start_soon(send)
+    passed_s = trio.current_time() - started_at
+    first_turns = CROWD * (pacing.FRAGMENTS_PER_TURN + 1)
+    allowed = pacing.SERVER_BURST_FRAGMENTS + pacing.SERVER_FRAGMENTS_PER_S * passed_s
+    assert parsed <= allowed + first_turns
+
+
+async def test_large_chunks_are_not_delayed_by_a_crowd(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against ordinary uploads that wait for the fragments of others."""
+    server = http_server.Server(lambda req: None)  # type: ignore[arg-type, return-value]
+    for _ in range(CROWD):
+        crowd = server.new_pacer()
+        for _ in range(2 * pacing.FRAGMENTS_PER_TURN):
+            crowd.record(1)
+    started_at = trio.current_time()
+    ordinary = server.new_pacer()
+    for _ in range(1_000):
+        await ordinary.wait()
+        ordinary.record(1_000)
+    assert not ordinary.is_exceeded
+    assert trio.current_time() - started_at < 0.1
