--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -389,6 +389,7 @@
         self.budget = budget or memory.Budget()
         self.on_drop = on_drop
         self._connections: dict[_Connection, None] = {}
+        self._meter: pacing.Meter | None = None
         self._limits = limits or Limits()
         self._timed_reads: set[_TimedRead] = set()
         self.open_connections = 0
@@ -402,7 +403,13 @@
 
     def new_pacer(self) -> pacing.Pacer:
         """Return the pacer of a new connection."""
-        return pacing.Pacer()
+        if self._meter is None:
+            self._meter = pacing.Meter(
+                trio.current_time(),
+                pacing.SERVER_BURST_FRAGMENTS,
+                pacing.SERVER_FRAGMENTS_PER_S,
+            )
+        return pacing.Pacer(self._meter)
 
     @property
     def open_requests(self) -> int:
--- a/packages/snipelug-net/src/snipelug_net/pacing.py
+++ b/packages/snipelug-net/src/snipelug_net/pacing.py
@@ -29,12 +29,16 @@
 
 
 class Meter:
-    """Token bucket of the fragments that one connection has sent.
+    """Token bucket of the fragments that one connection, or several, have sent.
 
     Parameters
     ----------
     now : float
         Monotonic time, in seconds.
+    burst : float
+        Fragments that may be sent at once.
+    per_s : float
+        Fragments per second on average.
 
     Attributes
     ----------
@@ -42,19 +46,26 @@
         Total delay since the bucket was last empty, in seconds.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(
+        self,
+        now: float,
+        burst: float = BURST_FRAGMENTS,
+        per_s: float = FRAGMENTS_PER_S,
+    ) -> None:
+        self._burst = burst
+        self._per_s = per_s
         self.delay_s = 0.0
         self._level = 0.0
         self._at = now
 
     def record(self, fragments: int, size: int, now: float) -> float:
         """Add fragments with a total size; return the delay before the next one."""
-        self._level = max(0.0, self._level - (now - self._at) * FRAGMENTS_PER_S)
+        self._level = max(0.0, self._level - (now - self._at) * self._per_s)
         self._at = now
         if not self._level:
             self.delay_s = 0.0
         self._level += max(0.0, fragments - size / BYTES_PER_FRAGMENT)
-        wait_s = max(0.0, self._level - BURST_FRAGMENTS) / FRAGMENTS_PER_S
+        wait_s = max(0.0, self._level - self._burst) / self._per_s
         self.delay_s += wait_s
         return wait_s
 
@@ -67,14 +78,21 @@
 class Pacer:
     """Divides the parsing of a connection's input into turns.
 
+    Parameters
+    ----------
+    shared : Meter, optional
+        Meter of all connections of a server. Connections whose fragments are large
+        enough not to count wait for no others.
+
     Attributes
     ----------
     is_turn_over : bool
         Whether ``wait`` must be called before more input is parsed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, shared: Meter | None = None) -> None:
         self._meter = Meter(trio.current_time())
+        self._shared = shared
         self._fragments = 0
         self._size = 0
         self._next_turn_at: float | None = None
@@ -105,6 +123,13 @@
             return
         now = trio.current_time()
         delay_s = self._meter.record(self._fragments, self._size, now)
+        if (
+            self._shared is not None
+            and self._fragments > self._size / BYTES_PER_FRAGMENT
+        ):
+            shared_s = self._shared.record(self._fragments, self._size, now)
+            self._meter.delay_s += max(0.0, shared_s - delay_s)
+            delay_s = max(delay_s, shared_s)
         self._fragments = self._size = 0
         self._next_turn_at = now + delay_s
 
--- a/tests/test_fragments.py
+++ b/tests/test_fragments.py
@@ -179,11 +179,15 @@
 FRAGMENTS_EACH = 5_000
 
 
+async def refuse(_req: http_server.Request) -> http_server.Response:
+    return http_server.Response(503)
+
+
 async def test_crowd_shares_the_fragments_of_a_server(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against many clients that each take their part of the processor."""
-    server = http_server.Server(lambda req: None)  # type: ignore[arg-type, return-value]
+    server = http_server.Server(refuse)
     parsed = 0
 
     async def send() -> None:
@@ -211,11 +215,10 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against ordinary uploads that wait for the fragments of others."""
-    server = http_server.Server(lambda req: None)  # type: ignore[arg-type, return-value]
-    for _ in range(CROWD):
-        crowd = server.new_pacer()
-        for _ in range(2 * pacing.FRAGMENTS_PER_TURN):
-            crowd.record(1)
+    server = http_server.Server(refuse)
+    crowd = [server.new_pacer() for _ in range(CROWD)]
+    for pacer in crowd * 2 * pacing.FRAGMENTS_PER_TURN:
+        pacer.record(1)
     started_at = trio.current_time()
     ordinary = server.new_pacer()
     for _ in range(1_000):
