Refuse a body at the byte that exceeds the limit, not from its announcement

Change: the announcement decides nothing; what arrives up to the limit counts in the budget of the clients' memory.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -281,14 +281,6 @@
         return ""
 
 
-def _announced_size(event: h11.Request) -> int:
-    """Return the size of a body as its head announces it; 0 if it does not."""
-    for name, value in event.headers:
-        if name == b"content-length":
-            return int(value)
-    return 0
-
-
 def _is_broken_connection(exc: Exception) -> bool:
     """Return whether an error, or each one of a group, is a broken connection."""
     if isinstance(exc, ExceptionGroup):
@@ -708,9 +700,6 @@
             raise trio.TooSlowError
         if not isinstance(event, h11.Request):
             return Closed()
-        limit_bytes = max(limit_bytes, self.limits.body_bytes)
-        if _announced_size(event) > limit_bytes:
-            return self._too_large(limit_bytes)
         with self.server.limit_read(lambda limits: limits.body_s) as reading:
             body = await self._read_body(limit_bytes)
         if reading.cancelled_caught:
