--- a/tests/test_releases.py
+++ b/tests/test_releases.py
@@ -193,6 +193,20 @@
         assert await play(world, traffic) == "rolled_back"
 
 
+async def test_release_that_is_bad_under_load_is_rolled_back() -> None:
+    """Guards against releases that are tested with idle upstreams only."""
+    async with deployment(2) as world:
+        for app in world.apps:
+            app.answer_delay_s = 0.05
+        traffic = Traffic(world)
+        await warm_up(traffic)
+        order(world, "v2")
+        added = await add_release(world, "v2", bad_share=1.0, bad_load=2)
+        for app in added:
+            app.answer_delay_s = 0.05
+        assert await play(world, traffic) == "rolled_back"
+
+
 async def test_disruption_of_both_releases_condemns_none() -> None:
     """Guards against rollbacks for faults that the release in use has as well."""
     async with deployment(2) as world:
