Fail no connect because this process did not run

Cause: a connect ran inside a time limit with several checkpoints. If the process stalled for longer than the limit (0.3 s to upstreams) while the kernel opened the connection, the limit cancelled it, and the upstream was blocked for 0.25 s. Change: module connecting; the only wait within the limit is the one for the socket, which is judged by its own result.

--- a/packages/snipelug-net/src/snipelug_net/http_client.py
+++ b/packages/snipelug-net/src/snipelug_net/http_client.py
@@ -13,7 +13,7 @@
 import h11
 import trio
 
-from snipelug_net import pacing, poller
+from snipelug_net import connecting, pacing, poller
 
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
@@ -845,9 +845,8 @@
 
     async def _open(self, addr: Address) -> _Connection | NotSent:
         try:
-            with trio.fail_after(self.connect_timeout_s):
-                stream = await trio.open_tcp_stream(*addr)
-        except (OSError, trio.TooSlowError) as exc:
+            stream = await connecting.connect(addr, self.connect_timeout_s)
+        except OSError as exc:
             return NotSent(f"cannot connect to {addr[0]}:{addr[1]}: {exc}")
         return _Connection(addr, stream)
 
