Pace weight rollouts by the time that loads take

Cause: rollouts aimed at 5 s with loads of 0.8 s everywhere. Change: rollout.Pace learns the duration of loads and stretches the rollout, up to 5/8 of the deployment's bound; with a bound of 8 s nothing changes. Outdated parts in KV cache stores are read for 3/8 of the bound, as old engines serve for longer. An order is not repeated while its load may go on. In the test, 30 engines that load for 2.4 s: at most a quarter at once, half before.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -9,9 +9,10 @@
 * After a store has restarted, nothing is saved to it for
   ``RESTART_SAVE_DELAY_S``. By then, each node has seen the new epoch or its last
   poll is too old.
-* Parts of an outdated weight version are read for ``OLD_VERSION_READ_S`` after the
-  last poll that saw no parts of a newer version in the same store, and freed
-  ``OLD_VERSION_FREE_DELAY_S`` after several of these were seen there. A node
+* Parts of an outdated weight version are read for a time (``old_version_read_s``)
+  after the last poll that saw no parts of a newer version in the same store, and freed
+  ``OLD_VERSION_FREE_DELAY_S`` later than that after several of these were seen there.
+  The time follows from the deployment's bounds, so it is the same at all nodes. A node
   therefore needs only its polls of that store to know that a part will not be freed
   during a read, even while it cannot reach the platform.
 """
@@ -32,8 +33,15 @@
 FETCH_TIMEOUT_S = 1.0
 """Maximum duration of a transfer; engines discard transfers that take longer."""
 
+OLD_VERSION_READ_FRACTION = 3 / 8
+"""Time for which outdated parts are read while engines load new weights.
+
+It is a fraction of the bound for which the deployment allows outdated weights, as
+rollouts take longer where it is longer.
+"""
+
 OLD_VERSION_READ_S = 3.0
-"""Time for which outdated parts are read while engines load new weights."""
+"""That time with the shortest bound of a deployment, 8 s."""
 
 MIN_NEWER_PARTS = 3
 """Newer parts required before older ones are freed; about 1% of events are lost."""
@@ -41,10 +49,8 @@
 MAX_EVENT_DELAY_S = 0.2
 """Maximum delay of a store event; the stores report events after 60 to 80 ms."""
 
-OLD_VERSION_FREE_DELAY_S = (
-    OLD_VERSION_READ_S + FETCH_TIMEOUT_S + MAX_EVENT_DELAY_S + 0.3
-)
-"""Time after which no node reads parts of outdated weights."""
+OLD_VERSION_FREE_DELAY_S = FETCH_TIMEOUT_S + MAX_EVENT_DELAY_S + 0.3
+"""Time after the last reads began at which no node reads parts of outdated weights."""
 
 MIN_STORED_TOKENS = 128
 """Minimum shared tokens; for fewer, prefill is faster than a transfer."""
@@ -99,6 +105,8 @@
 
     Attributes
     ----------
+    old_version_read_s : float
+        Time for which parts of outdated weights are read, in seconds.
     epoch : int or None
         Changes when the store restarts; None before the first response.
     next_event : int
@@ -120,6 +128,7 @@
     """
 
     store: catalog.KvStore
+    old_version_read_s: float = OLD_VERSION_READ_S
     epoch: int | None = None
     next_event: int = 0
     polled_at: float = -1e9
@@ -178,7 +187,7 @@
         return any(
             known == model
             and newer > version
-            and now - found.first_seen_at >= OLD_VERSION_READ_S
+            and now - found.first_seen_at >= self.old_version_read_s
             for (known, newer), found in self.versions.items()
         )
 
@@ -251,9 +260,16 @@
 
 
 class Index:
-    """The known state of all KV cache stores."""
+    """The known state of all KV cache stores.
+
+    Parameters
+    ----------
+    old_version_read_s : float
+        Time for which parts of outdated weights are read, in seconds.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, old_version_read_s: float = OLD_VERSION_READ_S) -> None:
+        self.old_version_read_s = old_version_read_s
         self.store_states: dict[str, StoreState] = {}
         self._rankings: dict[tuple[str, bool], list[StoreState]] = {}
 
@@ -266,7 +282,7 @@
         for name, store in wanted.items():
             known = self.store_states.get(name)
             if known is None or known.store != store:
-                self.store_states[name] = StoreState(store)
+                self.store_states[name] = StoreState(store, self.old_version_read_s)
 
     def ranked_stores(self, part: choice.PromptPart) -> list[StoreState]:
         """Return the stores in order of preference for a part.
@@ -389,22 +405,36 @@
     return shared if sum(part.tokens for part in shared) >= MIN_STORED_TOKENS else ()
 
 
-def is_version_usable(outdated_ms: float) -> bool:
+def old_version_read_s(bound_s: float) -> float:
+    """Return for how long parts of outdated weights are read, in seconds.
+
+    Parameters
+    ----------
+    bound_s : float
+        Time for which the deployment allows outdated weights, in seconds.
+    """
+    return max(OLD_VERSION_READ_S, OLD_VERSION_READ_FRACTION * bound_s)
+
+
+def is_version_usable(outdated_ms: float, read_s: float = OLD_VERSION_READ_S) -> bool:
     """Return whether parts of a weight version may be read and saved.
 
     Parameters
     ----------
     outdated_ms : float
         Time since a newer version was named, in milliseconds.
+    read_s : float
+        Time for which parts of outdated weights are read, in seconds.
     """
-    return outdated_ms < 1e3 * OLD_VERSION_READ_S
+    return outdated_ms < 1e3 * read_s
 
 
 def outdated_parts(state: StoreState, now: float) -> collections.abc.Iterator[PartKey]:
     """Yield the parts that newer versions have replaced and no node reads any more."""
     newest: dict[str, int] = {}
     for (model, version), found in state.versions.items():
-        if now - found.confirmed_at > OLD_VERSION_FREE_DELAY_S:
+        delay_s = state.old_version_read_s + OLD_VERSION_FREE_DELAY_S
+        if now - found.confirmed_at > delay_s:
             newest[model] = max(version, newest.get(model, 0))
     for key in state.parts if newest else ():
         model, version = model_version_of(key)
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -13,15 +13,25 @@
 from snipelug_core import fleet
 
 ROLLOUT_TARGET_S = 5.0
-"""Target duration of a rollout to all engines.
+"""Target duration of a rollout to all engines, unless loads take long.
 
-A shorter rollout leaves too few engines for the load; the deployments allow 8 s in
-total.
+A shorter rollout leaves too few engines for the load; the deployments allow 8 s or
+more in total.
 """
 
 LOAD_DURATION_S = 0.8
 """Time an engine is unavailable: running requests finish, then the weights load."""
 
+MAX_TARGET_FRACTION = 5 / 8
+"""Maximum target duration as a fraction of the deployment's bound for old weights.
+
+The rest is for engines that load late, and for another node that takes over.
+"""
+
+MAX_OBSERVED_LOAD_S = 10.0
+LOAD_WEIGHT = 0.3
+"""Weight of a shorter load in the observed duration; a longer one counts at once."""
+
 MAX_LOADING_FRACTION = 1 / 2
 """Maximum fraction of the engines that load at once; the others keep serving."""
 
@@ -32,7 +42,10 @@
 """A lease with less remaining time is renewed before the next order."""
 
 ORDER_REPEAT_S = 2.5
-"""Time after which an order without visible effect is repeated."""
+"""Minimum time after which an order without visible effect is repeated."""
+
+ORDER_REPEAT_FACTOR = 1.5
+"""That time as a multiple of the observed duration of a load."""
 
 TAKEOVER_DELAY_MS = 200.0
 """Delay after the end of a lease before another node takes it."""
@@ -99,11 +112,14 @@
     ----------
     at : float
         Monotonic time at which it was given, in seconds.
+    excluded_at : float
+        Monotonic time from which the engine gets no requests, in seconds.
     """
 
     model: str
     version: int
     at: float
+    excluded_at: float = math.inf
 
 
 Orders = dict[str, Order]
@@ -123,13 +139,66 @@
                 yield upstream, model, newest[model]
 
 
+class Pace:
+    """How fast a rollout should proceed, by the time that loads take.
+
+    Engines of some deployments load weights within half a second, those of others take
+    several. With a fixed duration, slow loads put half of the engines out of service
+    at once as the target came near, and the others were overloaded.
+
+    Parameters
+    ----------
+    bound_s : float
+        Time for which the deployment allows old weights, in seconds.
+    """
+
+    def __init__(self, bound_s: float = 8.0) -> None:
+        self._max_stretch = max(1.0, MAX_TARGET_FRACTION * bound_s / ROLLOUT_TARGET_S)
+        self._observed_s = LOAD_DURATION_S
+        self._pending_s = 0.0
+
+    def record_pending(self, duration_s: float) -> None:
+        """Set the time since the longest load in progress began, in seconds."""
+        self._pending_s = duration_s
+
+    def record_load(self, duration_s: float) -> None:
+        """Add the time for which an engine was unavailable, in seconds."""
+        duration_s = min(max(0.0, duration_s), MAX_OBSERVED_LOAD_S)
+        decayed_s = self._observed_s + LOAD_WEIGHT * (duration_s - self._observed_s)
+        self._observed_s = max(duration_s, decayed_s)
+
+    @property
+    def stretch(self) -> float:
+        """Factor by which a rollout should take longer than ``ROLLOUT_TARGET_S``.
+
+        It follows the duration of the loads, so that no more engines load at once, as
+        far as the deployment's bound allows.
+        """
+        load_s = max(LOAD_DURATION_S, self._observed_s, self._pending_s)
+        return min(self._max_stretch, load_s / LOAD_DURATION_S)
+
+    @property
+    def order_repeat_s(self) -> float:
+        """Time after which an order without visible effect is repeated, in seconds."""
+        return max(ORDER_REPEAT_S, ORDER_REPEAT_FACTOR * self._observed_s)
+
+
+DEFAULT_PACE = Pace()
+
+
 def prune_orders(
     orders: Orders,
     upstreams: collections.abc.Mapping[str, fleet.Upstream],
     now: float,
+    pace: Pace,
 ) -> list[str]:
     """Remove orders that are completed, expired or for upstreams that are gone.
 
+    Parameters
+    ----------
+    pace : Pace
+        Learns how long the completed loads took.
+
     Returns
     -------
     list of str
@@ -141,11 +210,15 @@
         is_done = (
             upstream is None or upstream.versions.get(order.model, 0) >= order.version
         )
-        is_expired = not is_done and now - order.at > ORDER_REPEAT_S
+        if upstream is not None and is_done and order.excluded_at <= now:
+            pace.record_load(now - order.excluded_at)
+        is_expired = not is_done and now - order.at > pace.order_repeat_s
         if is_expired:
             expired.append(upstream_id)
         if is_done or is_expired:
             del orders[upstream_id]
+    begun = (order.excluded_at for order in orders.values())
+    pace.record_pending(max(0.0, now - min(begun, default=now)))
     return expired
 
 
@@ -154,6 +227,7 @@
     newest: collections.abc.Mapping[str, int],
     orders: Orders,
     age_s: float,
+    pace: Pace = DEFAULT_PACE,
     expired: collections.abc.Mapping[str, int] = types.MappingProxyType({}),
 ) -> list[tuple[fleet.Upstream, str, int]]:
     """Return the upstreams to order now, those with the fewest requests first.
@@ -162,6 +236,8 @@
     ----------
     age_s : float
         Time since the newest version was requested, in seconds.
+    pace : Pace
+        How fast the rollout should proceed.
     expired : mapping of str to int
         Expired orders of each upstream. Upstreams with fewer of them come first, as
         one that cannot load would otherwise be ordered again and again before others.
@@ -172,7 +248,7 @@
         if item[0].entry.id not in orders
     ]
     room = max_concurrent_loads(
-        len(upstreams), len(waiting) + len(orders), age_s
+        len(upstreams), len(waiting) + len(orders), age_s, pace
     ) - len(orders)
     waiting.sort(
         key=lambda item: (
@@ -184,8 +260,11 @@
     return waiting[: max(0, room)]
 
 
-def max_concurrent_loads(engines: int, outdated_engines: int, age_s: float) -> int:
+def max_concurrent_loads(
+    engines: int, outdated_engines: int, age_s: float, pace: Pace = DEFAULT_PACE
+) -> int:
     """Return how many engines should load at once to finish in time."""
-    waves = max(1.0, (ROLLOUT_TARGET_S - age_s) / LOAD_DURATION_S)
+    left_s = ROLLOUT_TARGET_S - age_s / pace.stretch
+    waves = max(1.0, left_s / LOAD_DURATION_S)
     most = max(1, math.floor(MAX_LOADING_FRACTION * engines))
     return min(most, max(1, math.ceil(outdated_engines / waves)))
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -103,7 +103,7 @@
         self._zones = restore.ZonesOut()
         self.zones_out: frozenset[str] = frozenset()
         self.fleet = fleet.Fleet()
-        self.index = kv_index.Index()
+        self.index = kv_index.Index(kv_index.old_version_read_s(cfg.bounds.version_s))
         self.confirmed_at = -1e9
         self.upstream_list_known = False
         self.members: list[ports.Member] = []
@@ -164,7 +164,8 @@
         """Return whether parts of a weight version may be read from KV cache stores."""
         named = self.named_versions.get(model)
         return named is None or kv_index.is_version_usable(
-            named.outdated_ms(version, self.store_clock.latest_ms(now))
+            named.outdated_ms(version, self.store_clock.latest_ms(now)),
+            self.index.old_version_read_s,
         )
 
     def least_version(self, model: str, now: float, margin_s: float) -> int:
--- a/packages/snipelug-relay/src/snipelug_relay/weights.py
+++ b/packages/snipelug-relay/src/snipelug_relay/weights.py
@@ -68,6 +68,7 @@
         self._candidate = order_lease.Candidate(cfg.node_id, cfg.bounds.lease_ms)
         self._is_renewing = False
         self._orders: rollout.Orders = {}
+        self._pace = rollout.Pace(cfg.bounds.version_s)
         self._expired: collections.Counter[str] = collections.Counter()
         self._needed_since: float | None = None
         self._wait_until = 0.0
@@ -216,10 +217,12 @@
                     if upstream_id in known:
                         reports.start_soon(self._refresh_report, known[upstream_id])
         upstreams = self._state.fleet.upstreams
-        self._expired.update(rollout.prune_orders(self._orders, upstreams, clock.now()))
+        expired = rollout.prune_orders(self._orders, upstreams, clock.now(), self._pace)
+        self._expired.update(expired)
+        age_s = self._latest_version_age_s()
         for group in self._engines():
             for upstream, model, version in rollout.plan_orders(
-                group, newest, self._orders, self._latest_version_age_s(), self._expired
+                group, newest, self._orders, age_s, self._pace, self._expired
             ):
                 order = rollout.Order(model, version, clock.now())
                 self._orders[upstream.entry.id] = order
@@ -281,6 +284,7 @@
             self._orders.pop(upstream.entry.id, None)
             return
         self._exclude(upstream, MAX_SWITCH_S + MAX_QUEUE_DRAIN_S)
+        order.excluded_at = clock.now()
         report = await self._wait_for_empty_queue(upstream, report)
         held = self._held()
         if held is None:
@@ -301,6 +305,8 @@
             version=order.version,
             before=served,
             accepted=report.orders,
+            loading=len(self._orders),
+            stretch=round(self._pace.stretch, 2),
             fencing=held.lease.fencing,
             lease_left_ms=round(held.remaining_ms(clock.now())),
             status=response.status,
--- a/tests/relay_builders.py
+++ b/tests/relay_builders.py
@@ -70,9 +70,13 @@
     return catalog.KvStore(name, **(values | changes))  # type: ignore[arg-type]
 
 
-def fresh_index(now: float, *stores: catalog.KvStore) -> kv_index.Index:
+def fresh_index(
+    now: float,
+    *stores: catalog.KvStore,
+    read_s: float = kv_index.OLD_VERSION_READ_S,
+) -> kv_index.Index:
     """Build an index whose stores have all just been polled."""
-    index = kv_index.Index()
+    index = kv_index.Index(read_s)
     index.set_stores(stores or (kv_store(),))
     for state in index.store_states.values():
         state.restart(1, now)
--- a/tests/test_connect.py
+++ b/tests/test_connect.py
@@ -27,7 +27,7 @@
 async def stall() -> None:
     """Keep the process from running while connections are being opened."""
     await trio.lowlevel.checkpoint()
-    time.sleep(STALL_S)  # noqa: ASYNC251
+    time.sleep(STALL_S)
 
 
 @pytest.mark.parametrize("passes", range(4))
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -87,13 +87,9 @@
     for number in range(kv_index.MIN_NEWER_PARTS):
         assert list(kv_index.outdated_parts(state, 100.0)) == []
         state.add((new, f"p{number}"), 10, 1.0)
-    assert (
-        list(kv_index.outdated_parts(state, 1.0 + kv_index.OLD_VERSION_FREE_DELAY_S))
-        == []
-    )
-    assert list(
-        kv_index.outdated_parts(state, 1.1 + kv_index.OLD_VERSION_FREE_DELAY_S)
-    ) == [old]
+    delay_s = kv_index.OLD_VERSION_READ_S + kv_index.OLD_VERSION_FREE_DELAY_S
+    assert list(kv_index.outdated_parts(state, 1.0 + delay_s)) == []
+    assert list(kv_index.outdated_parts(state, 1.1 + delay_s)) == [old]
 
 
 def test_full_store_falls_back_to_next() -> None:
@@ -157,6 +153,8 @@
     part must stay complete during every fetch of it.
     """
 
+    read_s = kv_index.OLD_VERSION_READ_S
+
     def __init__(self) -> None:
         super().__init__()
         self.now = 100.0
@@ -167,7 +165,8 @@
         self.version = 1
         store = relay_builders.kv_store()
         self.nodes = [
-            Node(relay_builders.fresh_index(self.now, store)) for _ in range(3)
+            Node(relay_builders.fresh_index(self.now, store, read_s=self.read_s))
+            for _ in range(3)
         ]
         # All nodes know some parts, so that a few steps suffice to start a fetch.
         self.complete |= {(SALT, part): 12_800 for part in SHARED}
@@ -229,7 +228,7 @@
         node = self.nodes[number]
         version = max(1, node.newest_version - is_old)
         outdated_ms = node.named.outdated_ms(version, 1e3 * self.now)
-        if not kv_index.is_version_usable(outdated_ms):
+        if not kv_index.is_version_usable(outdated_ms, self.read_s):
             return
         salt = kv_index.salt("m", version, None)
         parts = (choice.PromptPart(part, 12_800), choice.PromptPart("own", 4_000))
@@ -283,6 +282,27 @@
 TestStores = Stores.TestCase
 
 
+class LongBoundStores(Stores):
+    """The same where the deployment allows outdated weights for 20 s."""
+
+    read_s = kv_index.old_version_read_s(20.0)
+
+
+LongBoundStores.TestCase.settings = Stores.TestCase.settings
+TestLongBoundStores = LongBoundStores.TestCase
+
+
+BOUNDS = [(5.0, 3.0), (8.0, 3.0), (20.0, 7.5)]
+
+
+@pytest.mark.parametrize(("bound_s", "read_s"), BOUNDS)
+def test_outdated_parts_are_read_for_a_part_of_the_bound(
+    bound_s: float, read_s: float
+) -> None:
+    """Guards against engines on old weights that compute all parts in long rollouts."""
+    assert kv_index.old_version_read_s(bound_s) == read_s
+
+
 def test_no_save_to_restarted_store_before_all_nodes_know() -> None:
     """Guards against a read of a part that is being written again after a restart.
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -31,7 +31,7 @@
         *(relay_builders.entry(f"u{i}") for i in range(3))
     )
     for expired, first in [({}, "u0"), ({"u0": 1}, "u1"), ({"u0": 2, "u1": 1}, "u2")]:
-        planned = rollout.plan_orders(upstreams, {MODEL: 2}, {}, 0.0, expired)
+        planned = rollout.plan_orders(upstreams, {MODEL: 2}, {}, 0.0, expired=expired)
         assert [item[0].entry.id for item in planned] == [first]
 
 
@@ -67,13 +67,79 @@
         "gone": rollout.Order(MODEL, 2, 10.0),
     }
     by_id["u1"].set_version(MODEL, 2)
-    assert rollout.prune_orders(orders, by_id, 11.0) == []
+    pace = rollout.Pace()
+    assert rollout.prune_orders(orders, by_id, 11.0, pace) == []
     assert set(orders) == {"u2"}
     late = 10.1 + rollout.ORDER_REPEAT_S
-    assert rollout.prune_orders(orders, by_id, late) == ["u2"]
+    assert rollout.prune_orders(orders, by_id, late, pace) == ["u2"]
     assert not orders
 
 
+ENGINES = 30
+ROUND_S = 0.15
+
+
+def play_rollout(bound_s: float, load_s: float, learns: bool) -> tuple[int, float]:
+    """Return the most engines out of service at once, and the duration in seconds."""
+    entries = (relay_builders.entry(f"u{i}") for i in range(ENGINES))
+    by_id = {u.entry.id: u for u in relay_builders.upstreams(*entries)}
+    pace = rollout.Pace(bound_s)
+    used = pace if learns else rollout.Pace()
+    orders: rollout.Orders = {}
+    ready_at: dict[str, float] = {}
+    most, now = 0, 0.0
+    while now < bound_s:
+        for upstream_id, at in list(ready_at.items()):
+            if at <= now:
+                by_id[upstream_id].set_version(MODEL, 2)
+                del ready_at[upstream_id]
+        rollout.prune_orders(orders, by_id, now, used)
+        if not orders and all(u.versions[MODEL] == 2 for u in by_id.values()):
+            break
+        planned = rollout.plan_orders(
+            list(by_id.values()), {MODEL: 2}, orders, now, used
+        )
+        for upstream, model, version in planned:
+            if upstream.entry.id not in ready_at:
+                orders[upstream.entry.id] = rollout.Order(model, version, now, now)
+                ready_at[upstream.entry.id] = now + load_s
+        most = max(most, len(ready_at))
+        now += ROUND_S
+    return most, now
+
+
+def test_slow_loads_leave_enough_engines() -> None:
+    """Guards against rollouts that overload the engines that stay in service.
+
+    Plays a rollout of 30 engines that each load for 2.4 s, where old weights are
+    allowed for 20 s. With a fixed duration, half of the engines load at once.
+    """
+    before, _ = play_rollout(20.0, 2.4, learns=False)
+    most, duration_s = play_rollout(20.0, 2.4, learns=True)
+    assert before >= ENGINES / 2
+    assert most <= ENGINES / 4
+    assert duration_s <= rollout.MAX_TARGET_FRACTION * 20.0 + 2 * 2.4
+
+
+DURATIONS = [(8.0, 0.4), (8.0, 1.8), (20.0, 1.8), (20.0, 4.0)]
+
+
+@pytest.mark.parametrize(("bound_s", "load_s"), DURATIONS)
+def test_rollout_ends_within_the_bound(bound_s: float, load_s: float) -> None:
+    """Guards against slow loads that lead beyond the bound for old weights."""
+    _, duration_s = play_rollout(bound_s, load_s, learns=True)
+    assert duration_s < bound_s
+
+
+@pytest.mark.parametrize("load_s", [float("inf"), -1.0, 0.0, 1e9])
+def test_wild_durations_of_loads_are_bounded(load_s: float) -> None:
+    """Guards against a rollout without end after one odd duration."""
+    pace = rollout.Pace(20.0)
+    for _ in range(10):
+        pace.record_load(load_s)
+    assert 1.0 <= pace.stretch <= 2.5
+
+
 @dataclasses.dataclass
 class LeaseNode:
     """One node; ``held`` is the lease that it believes to hold."""
