Compute shared parts while a KV cache store is slow

Cause: parts were read from a store whenever it held them. Change: core/transfers learns the delay of each store from first tokens and chooses the quicker way; relay/transfer_delays shares samples while a store is slow. A plan reads only the parts that the choice counts as read.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -166,6 +166,10 @@
     prefill_tokens_per_s: float = speed.PREFILL_TOKENS_PER_S
     plain_s: float = speed.PLAIN_SERVICE_S
 
+    def compute_s(self, tokens: int) -> float:
+        """Return the time to prefill a prompt part at the start of a prompt."""
+        return tokens / self.prefill_tokens_per_s + _attention_s(tokens, tokens)
+
     def available_at(self, upstream: fleet.Upstream) -> float:
         """Return the monotonic time from which an upstream may be chosen."""
         opens_at = self.opens_at.get(upstream.entry.id, 0.0)
@@ -192,6 +196,9 @@
         The wait as estimated from load alone, with a scale of 1, in seconds.
     other_s : float
         Part of the time to first token for transfers and attention, in seconds.
+    transfer_times_s : collections.abc.Mapping
+        Parts that it should read from KV cache stores, with the expected time in
+        seconds.
     """
 
     upstream: fleet.Upstream
@@ -202,6 +209,9 @@
     ttft_s: float = 0.0
     load_wait_s: float = 0.0
     other_s: float = 0.0
+    transfer_times_s: collections.abc.Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def read_s(self) -> float:
@@ -311,6 +321,7 @@
         estimate.ttft_s,
         estimate.load_wait_s,
         estimate.other_s,
+        request.transfer_times_s(best.versions.get(request.model, 0)),
     )
 
 
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -22,7 +22,7 @@
 import math
 import re
 
-from snipelug_core import catalog, choice, hashing
+from snipelug_core import catalog, choice, hashing, transfers
 
 MAX_POLL_AGE_S = 1.6
 """Maximum age of a store's last successful poll at which its parts are read."""
@@ -310,16 +310,15 @@
         self._rankings[(part.id, is_small)] = found
         return found
 
-    def transfer_times_s(
+    def transfers(
         self,
         parts: tuple[choice.PromptPart, ...],
         key_salt: str,
         engine: catalog.Engine,
         zone: str,
         now: float,
-    ) -> dict[str, float]:
-        """Return the transfer time in seconds for each part that a store holds."""
-        times = {}
+    ) -> collections.abc.Iterator[transfers.Transfer]:
+        """Yield the transfers of the parts that stores hold, to an engine in a zone."""
         for part in _storable_parts(parts):
             state = self._readable_store(part, key_salt, now)
             if state is None:
@@ -329,16 +328,24 @@
                 continue
             size = 8.0 * engine.kv_token_bytes * part.tokens
             factor = 1.0 if zone == state.store.zone else CROSS_ZONE_FACTOR
-            times[part.id] = state.store.setup_s + factor * size / rate
-        return times
+            expected_s = state.store.setup_s + factor * size / rate
+            yield transfers.Transfer(part.id, part.tokens, state.store.name, expected_s)
 
     def plan(
         self,
         parts: tuple[choice.PromptPart, ...],
         key_salt: str,
         now: float,
+        wanted: collections.abc.Container[str] | None = None,
     ) -> Plan:
-        """Plan which parts the chosen engine reads from and saves to stores."""
+        """Plan which parts the chosen engine reads from and saves to stores.
+
+        Parameters
+        ----------
+        wanted : container of str or None
+            Ids of the parts to read; None for all that stores hold. The others are
+            computed, and not saved again.
+        """
         sources: list[Source | None] = []
         targets: list[catalog.KvStore | None] = []
         offsets: list[float] = []
@@ -346,6 +353,10 @@
         for index, part in enumerate(parts):
             is_private = index >= len(shared)
             state = None if is_private else self._readable_store(part, key_salt, now)
+            if state is not None and wanted is not None and part.id not in wanted:
+                sources.append(None)
+                targets.append(None)
+                continue
             if state is not None and state.clock_offset_s is not None:
                 tokens = state.parts[(key_salt, part.id)]
                 sources.append(Source(state.store, tokens))
--- a/packages/snipelug-relay/src/snipelug_relay/job.py
+++ b/packages/snipelug-relay/src/snipelug_relay/job.py
@@ -10,6 +10,9 @@
 from snipelug_net import http_client, http_server
 from snipelug_relay import clock, ports, sse
 
+LONG_PROMPT_TOKENS = 2_048
+"""Minimum size of a prompt whose time to the first token is compared with others."""
+
 
 @dataclasses.dataclass(eq=False)
 class Job:
@@ -54,6 +57,9 @@
         Upstreams that may take the next attempt, by their release; None for all.
     is_canary : bool
         Whether the next attempt is one of those with which a release is tested.
+    is_transfer_probe : bool or None
+        Whether it reads from KV cache stores even if they are slow; None if not
+        decided.
     """
 
     request: ports.CallerRequest
@@ -80,6 +86,7 @@
     service_cfg: catalog.Service | None = None
     allowed_ids: frozenset[str] | None = None
     is_canary: bool = False
+    is_transfer_probe: bool | None = None
 
     @property
     def priority(self) -> int:
@@ -130,6 +137,10 @@
         Announces to other nodes that the prompt has been read.
     on_not_run : callable or None
         Reverts what assumed that the upstream runs the request.
+    store : str
+        KV cache store from which the upstream reads the largest part; empty if none.
+    store_delay_s : float
+        Delay that was expected of that transfer, in seconds.
     """
 
     upstream: fleet.Upstream
@@ -139,8 +150,15 @@
     sent_at: float = math.inf
     on_prompt_read: collections.abc.Callable[[], None] | None = None
     on_not_run: collections.abc.Callable[[], None] | None = None
+    store: str = ""
+    store_delay_s: float = 0.0
     has_ended: bool = False
 
+    @property
+    def is_long(self) -> bool:
+        """Whether the prompt takes long enough to compare with other long ones."""
+        return bool(self.store) or self.tokens >= LONG_PROMPT_TOKENS
+
     def start(self, now: float) -> None:
         """Add the request to the upstream's load."""
         upstream = self.upstream
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -215,6 +215,18 @@
     is_drained: bool = False
 
 
+class TransferDelays(msgspec.Struct, array_like=True, tag=11):
+    """By how much prompts were late that needed a transfer from a KV cache store.
+
+    Attributes
+    ----------
+    samples : list of (str, float)
+        Store and delay in seconds of each prompt, in order.
+    """
+
+    samples: list[tuple[ranges.Name, ranges.DurationS]]
+
+
 Message = (
     Prefill
     | Switching
@@ -227,5 +239,6 @@
     | Suspects
     | ReleaseState
     | ReleaseReport
+    | TransferDelays
     | shared_rate.Message
 )
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -28,6 +28,7 @@
     stats,
     supervise,
     suspects,
+    transfer_delays,
     watch,
     weights,
 )
@@ -146,6 +147,9 @@
             self._permits,
             self._stats,
         )
+        self._delays = transfer_delays.TransferDelays(
+            self._state, self._announcer, self._stats
+        )
         self._relay = relay.Relay(
             cfg,
             self._state,
@@ -157,6 +161,7 @@
             self._suspects,
             self._permits,
             self._releases,
+            self._delays,
         )
         self.callers_port = 0
         self.ready_port = 0
@@ -269,6 +274,7 @@
                 "crashes": self._detector.run,
                 "suspects": self._suspects.run,
                 "releases": self._releases.run,
+                "transfer_delays": self._delays.run,
             }
             for name, task in tasks.items():
                 nursery.start_soon(supervise.run, task, name, self._stats)
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -36,6 +36,7 @@
     stats,
     stream,
     suspects,
+    transfer_delays,
 )
 
 LOG = logging.getLogger("snipelug.relay")
@@ -135,6 +136,8 @@
         Permits for upstreams whose rate all nodes share.
     service_releases : releases.Releases
         Decides which releases of a service get a request.
+    delays : transfer_delays.TransferDelays
+        Records the delays of transfers from KV cache stores.
     """
 
     def __init__(
@@ -149,7 +152,9 @@
         suspect_requests: suspects.Suspects,
         upstream_permits: permits.Permits,
         service_releases: releases.Releases,
+        delays: transfer_delays.TransferDelays,
     ) -> None:
+        self._delays = delays
         self._releases = service_releases
         self._announcer = announcer
         self._detector = detector
@@ -437,6 +442,8 @@
         if work.request.model and outcome.result in WAITED:
             waited_s = clock.now() - now - chosen.read_s
             waits.record_wait(work.priority, chosen.load_wait_s, waited_s, clock.now())
+            if outcome.result is attempt.Result.ANSWERED and upstream_attempt.is_long:
+                self._delays.record(upstream_attempt, waited_s - chosen.wait_s)
         if (
             upstream_attempt.on_not_run is not None
             and outcome.result in attempt.NOT_RUN
@@ -492,12 +499,16 @@
         upstream = chosen.upstream
         work.tried.add(upstream.entry.id)
         plan = kv_index.NO_PLAN
+        source = ""
         version = upstream.versions.get(request.model) if request.model else None
         key_salt = ""
         if version is not None:
             key_salt = self._selector.salt(work, version)
             if self._state.may_use_stores(request.model, version, now):
-                plan = self._state.index.plan(request.parts, key_salt, now)
+                plan = self._state.index.plan(
+                    request.parts, key_salt, now, chosen.transfer_times_s
+                )
+            source = _largest_source(plan, request, upstream)
             self._record_cached_parts(upstream, request)
         options = ports.AttemptOptions(
             upstream.entry.id,
@@ -540,6 +551,11 @@
         upstream_attempt = job.UpstreamAttempt(
             upstream, tokens, chosen.prefill_tokens, entry
         )
+        if source:
+            upstream_attempt.store = entry["store"] = source
+            delay_s = self._state.transfer_delays.delay_s(source, now)
+            upstream_attempt.store_delay_s = delay_s
+            entry["store_delay_ms"] = round(1000 * delay_s)
         if any(plan.targets):
             upstream_attempt.on_not_run = functools.partial(
                 self._state.index.cancel_saves, plan, request.parts, key_salt
@@ -947,6 +963,22 @@
         self._finish(work, outcome, reason)
 
 
+def _largest_source(
+    plan: kv_index.Plan, request: ports.CallerRequest, upstream: fleet.Upstream
+) -> str:
+    """Return the store from which an engine reads the largest part; empty if none.
+
+    Small parts tell little of a store, and an engine reads none that it has cached.
+    """
+    sources = [
+        (source.tokens, source.store.name)
+        for part, source in zip(request.parts, plan.sources, strict=False)
+        if source is not None and part.id not in upstream.cached_parts
+    ]
+    tokens, store = max(sources, default=(0, ""))
+    return store if tokens >= kv_index.SMALL_PART_TOKENS else ""
+
+
 def _is_from_upstream(
     reply: http_client.StreamingResponse, response_head: ports.ResponseHead
 ) -> bool:
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from snipelug_core import choice, fleet, kv_index, overload, refusal
+from snipelug_core import catalog, choice, fleet, kv_index, overload, refusal, transfers
 from snipelug_relay import clock, job, ports, state
 
 VERSION_MARGIN_S = 1.0
@@ -157,9 +157,7 @@
             )
         version = self._state.latest_version(request.model, work.service)
         fetch_s = {
-            usable: self._state.index.transfer_times_s(
-                request.parts, self.salt(work, usable), engine, self._cfg.zone, now
-            )
+            usable: self._transfer_times_s(work, usable, context, engine, now)
             for usable in self._usable_store_versions(work, version, now)
         }
         return choice.Request(
@@ -175,6 +173,28 @@
             work.allowed_ids,
         )
 
+    def _transfer_times_s(
+        self,
+        work: job.Job,
+        version: int,
+        context: choice.Context,
+        engine: catalog.Engine,
+        now: float,
+    ) -> dict[str, float]:
+        """Return the parts to read from stores, with the expected time in seconds."""
+        if work.is_transfer_probe is None:
+            is_probe = self._rng.random() < transfers.PROBE_FRACTION
+            work.is_transfer_probe = is_probe
+        found = self._state.index.transfers(
+            work.request.parts, self.salt(work, version), engine, self._cfg.zone, now
+        )
+        delays = self._state.transfer_delays
+        return dict(
+            transfers.times_s(
+                found, delays, context.compute_s, work.is_transfer_probe, now
+            )
+        )
+
     def _usable_store_versions(
         self, work: job.Job, newest: int, now: float
     ) -> collections.abc.Iterator[int]:
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -20,6 +20,7 @@
     retirement,
     shared_rate,
     store_clock,
+    transfers,
     watcher,
 )
 from snipelug_net import lines
@@ -75,6 +76,8 @@
         Requests of callers on known routes since the start.
     is_reader : bool
         Whether this node reads from the platform, for its zone or for itself.
+    transfer_delays : transfers.Delays
+        Delays of transfers from the KV cache stores.
     suspects_known : bool
         Whether the suspects of crashes have been read.
     orders : release.Orders
@@ -104,6 +107,7 @@
         self.zones_out: frozenset[str] = frozenset()
         self.fleet = fleet.Fleet()
         self.index = kv_index.Index(kv_index.old_version_read_s(cfg.bounds.version_s))
+        self.transfer_delays = transfers.Delays()
         self.confirmed_at = -1e9
         self.upstream_list_known = False
         self.members: list[ports.Member] = []
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -92,6 +92,12 @@
             ["reason"],
             registry=self.registry,
         )
+        self.transfer_delay = prometheus_client.Gauge(
+            "snipelug_transfer_delay_seconds",
+            "How much longer than expected transfers from a KV cache store take.",
+            ["store"],
+            registry=self.registry,
+        )
         self.discarded = prometheus_client.Counter(
             "snipelug_discarded_responses",
             "Responses that belong to no request under way, by calls and reason.",
