Weigh upstreams by the slowness that they state

Cause: the fourth figure of a load report, how long work takes now, was ignored, so slow upstreams got as many requests as others. Change: core/slowness keeps the latest figure and its mean; expected waits, prefill and plain work are multiplied by it, and learned speeds are those at the usual pace. Without the figure nothing changes.

--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -199,6 +199,8 @@
     transfer_times_s : collections.abc.Mapping
         Parts that it should read from KV cache stores, with the expected time in
         seconds.
+    slowness : float
+        Expected slowness of the upstream, 1 as usual.
     """
 
     upstream: fleet.Upstream
@@ -212,6 +214,7 @@
     transfer_times_s: collections.abc.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    slowness: float = 1.0
 
     @property
     def read_s(self) -> float:
@@ -322,6 +325,7 @@
         estimate.load_wait_s,
         estimate.other_s,
         request.transfer_times_s(best.versions.get(request.model, 0)),
+        best.slow_factor.value_at(now),
     )
 
 
@@ -412,8 +416,10 @@
     total = running + waiting + upstream.running
     slots = max(1, upstream.entry.slots)
     queued = max(0.0, total + 1 - slots) / slots
-    wait_s = context.plain_s * queued
-    return wait_s + context.plain_s * 0.3 * total / slots, wait_s
+    service_s = context.plain_s * upstream.slow_factor.value_at(now)
+    wait_s = service_s * queued
+    cost_s = wait_s + service_s * 0.3 * total / slots
+    return cost_s + service_s - context.plain_s, wait_s
 
 
 def _attention_s(prompt: int, prefill: int) -> float:
@@ -430,10 +436,12 @@
 ) -> Estimate:
     running, waiting = upstream.other_nodes_load(now, context.mean_load)
     pending = upstream.prefill_tokens + upstream.announced_tokens(now)
+    slowness = upstream.slow_factor.value_at(now)
     load_wait_s = pending / context.prefill_tokens_per_s
     load_wait_s += BATCH_STEP_S * (running + upstream.running)
     total = running + waiting + upstream.running
     load_wait_s += context.request_s * max(waiting, total + 1 - engine.slots)
+    load_wait_s *= slowness
     wait_s = context.wait_scale * load_wait_s
     transfer_times_s = request.transfer_times_s(upstream.versions.get(request.model, 0))
     read_s, prefill, size = 0.0, 0, request.output_tokens
@@ -446,8 +454,8 @@
             continue
         prefill += part.tokens
     prompt = sum(part.tokens for part in request.parts)
-    other_s = read_s + _attention_s(prompt, prefill)
-    read_s = other_s + prefill / context.prefill_tokens_per_s
+    other_s = read_s + slowness * _attention_s(prompt, prefill)
+    read_s = other_s + slowness * prefill / context.prefill_tokens_per_s
     if upstream.reserved_tokens + size > engine.kv_capacity_tokens:
         wait_s += KV_CACHE_FULL_COST_S
     ttft_s = cost_s = wait_s + read_s
--- a/packages/snipelug-core/src/snipelug_core/fleet.py
+++ b/packages/snipelug-core/src/snipelug_core/fleet.py
@@ -9,7 +9,16 @@
 
 import msgspec
 
-from snipelug_core import hashing, named_limit, queueing, ranges, restore, speed, triage
+from snipelug_core import (
+    hashing,
+    named_limit,
+    queueing,
+    ranges,
+    restore,
+    slowness,
+    speed,
+    triage,
+)
 
 CACHED_PARTS_FRACTION = 0.3
 """Fraction of an engine's KV cache that is assumed to hold known prompt parts.
@@ -181,6 +190,8 @@
         Prompt and maximum output tokens of this node's requests.
     notice : Notice
         Its own statements; they outlast a removal from the list.
+    slow_factor : slowness.Slowness
+        How slowly it works, from its reports.
     silent_since : float or None
         Since when a request has waited without any response, in seconds.
     failure_rate : float
@@ -205,6 +216,9 @@
     prefill_tokens: int = 0
     reserved_tokens: int = 0
     load: LoadReport | None = None
+    slow_factor: slowness.Slowness = dataclasses.field(
+        default_factory=slowness.Slowness
+    )
     silent_since: float | None = None
     failure_rate: float = 0.0
     failure_rate_updated_at: float = 0.0
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -141,6 +141,8 @@
         Whether the upstream is not the expected instance or weight version.
     load : tuple of (int, int, int) or None
         Numbers of running requests, waiting requests and slots.
+    slowness : float or None
+        How long work takes at the upstream now, 1 as usual; None if not told.
     version : int or None
         Weight version that serves the request.
     cold_s : float or None
@@ -159,6 +161,7 @@
     is_own: bool
     is_other_instance: bool = False
     load: tuple[int, int, int] | None = None
+    slowness: float | None = None
     version: int | None = None
     cold_s: float | None = None
     is_leaving: bool = False
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -458,13 +458,22 @@
         self, work: job.Job, chosen: choice.Choice, response_s: float
     ) -> None:
         """Learn from the time to a response, or to the first event of a stream."""
+        now = clock.now()
         speeds = self._state.fleet.speed_model(work.service)
+        slowness = chosen.upstream.slow_factor
         if work.request.model:
+            expected_s = chosen.ttft_s / chosen.slowness
             speeds.record_prompt(
-                chosen.prefill_tokens, response_s, chosen.other_s, clock.now()
+                chosen.prefill_tokens,
+                response_s / slowness.value_at(now),
+                chosen.other_s / chosen.slowness,
+                now,
             )
         else:
-            speeds.record_plain(response_s, clock.now())
+            expected_s = chosen.wait_s / chosen.slowness + speeds.plain_s(now)
+            speeds.record_plain(response_s / slowness.value_at(now), now)
+        if expected_s > 0:
+            slowness.record_response(response_s / expected_s)
 
     @contextlib.contextmanager
     def _limit_beginning(
@@ -531,6 +540,7 @@
             "wait_ms": round(1000 * chosen.wait_s, 1),
             "load_wait_ms": round(1000 * chosen.load_wait_s, 1),
             "candidates": chosen.candidates,
+            "slow": round(chosen.slowness, 2),
             "running": upstream.running,
         }
         if work.allowed_ids is not None:
@@ -724,6 +734,9 @@
             running, waiting, _ = response_head.load
             load = fleet.LoadReport(running, waiting, upstream.running, now)
             self._state.fleet.record_load(upstream, load)
+        if response_head.slowness is not None:
+            upstream.slow_factor.record(response_head.slowness, now)
+            upstream_attempt.trace_entry["slowness"] = response_head.slowness
         if response_head.cold_s is not None and response_head.cold_s > 0:
             upstream.cold_until = now + response_head.cold_s
         model = work.request.model
@@ -998,6 +1011,7 @@
     return dataclasses.replace(
         response_head,
         load=None,
+        slowness=None,
         version=None,
         cold_s=None,
         is_leaving=False,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -329,6 +329,25 @@
     assert found.load == expected
 
 
+SLOWNESS = [
+    ("3,1,8,130", 1.3),
+    (" 3 , 1 , 8 , 99.5 ", 0.995),
+    ("3,1,8,250,7", 2.5),
+    ("3,1,8", None),
+    ("3,1,8,x", None),
+    ("3,1,8,-5", None),
+    ("", None),
+]
+
+
+@pytest.mark.parametrize(("text", "expected"), SLOWNESS)
+def test_fourth_figure_is_the_slowness(text: str, expected: float | None) -> None:
+    """Guards against reports that are mistaken, or dropped for a missing figure."""
+    headers = {"request-id": "ab12", "server-load": text}
+    head = dialect.Dialect().decode_head(caller_request(), 200, headers)
+    assert head.slowness == (None if expected is None else pytest.approx(expected))
+
+
 def test_refusal_has_retry_after() -> None:
     """Guards against callers that retry immediately."""
     reason = refusal.refuse(refusal.NO_UPSTREAM, "none", retry_after_s=0.25)
