Read outdated parts until the end of a rollout, oldest weights first

Cause: engines on old weights could not read their parts from stores after 7.5 s, while a rollout takes up to 12.5 s. Change: outdated parts are read until 2 s before the longest rollout ends; engines with the oldest weights are ordered first.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -22,7 +22,7 @@
 import math
 import re
 
-from snipelug_core import catalog, choice, hashing, transfers
+from snipelug_core import catalog, choice, hashing, rollout, transfers
 
 MAX_POLL_AGE_S = 1.6
 """Maximum age of a store's last successful poll at which its parts are read."""
@@ -33,15 +33,14 @@
 FETCH_TIMEOUT_S = 1.0
 """Maximum duration of a transfer; engines discard transfers that take longer."""
 
-OLD_VERSION_READ_FRACTION = 3 / 8
-"""Time for which outdated parts are read while engines load new weights.
+OLD_VERSION_READ_S = 3.0
+"""Minimum time for which outdated parts are read while engines load new weights."""
 
-It is a fraction of the bound for which the deployment allows outdated weights, as
-rollouts take longer where it is longer.
-"""
+OLD_VERSION_END_S = 2.0
+"""Outdated parts are read until this long before a rollout should end.
 
-OLD_VERSION_READ_S = 3.0
-"""That time with the shortest bound of a deployment, 8 s."""
+The last engines on old weights get few requests, and newer parts need the room.
+"""
 
 MIN_NEWER_PARTS = 3
 """Newer parts required before older ones are freed; about 1% of events are lost."""
@@ -424,7 +423,8 @@
     bound_s : float
         Time for which the deployment allows outdated weights, in seconds.
     """
-    return max(OLD_VERSION_READ_S, OLD_VERSION_READ_FRACTION * bound_s)
+    ends_s = rollout.MAX_TARGET_FRACTION * bound_s - OLD_VERSION_END_S
+    return max(OLD_VERSION_READ_S, ends_s)
 
 
 def is_version_usable(outdated_ms: float, read_s: float = OLD_VERSION_READ_S) -> bool:
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -230,7 +230,10 @@
     pace: Pace = DEFAULT_PACE,
     expired: collections.abc.Mapping[str, int] = types.MappingProxyType({}),
 ) -> list[tuple[fleet.Upstream, str, int]]:
-    """Return the upstreams to order now, those with the fewest requests first.
+    """Return the upstreams to order now.
+
+    Those with the oldest weights come first, as their time ends first, then those with
+    the fewest requests.
 
     Parameters
     ----------
@@ -253,6 +256,7 @@
     waiting.sort(
         key=lambda item: (
             expired.get(item[0].entry.id, 0),
+            item[0].versions.get(item[1], 0),
             item[0].running,
             item[0].entry.id,
         )
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -25,6 +25,21 @@
     assert [item[0].entry.id for item in planned] == ["u8", "u7"]
 
 
+def test_engines_with_oldest_weights_load_first() -> None:
+    """Guards against loads of an interrupted rollout that are repeated first.
+
+    A further version is named while some engines have loaded the one before.
+    """
+    upstreams = relay_builders.upstreams(
+        *(relay_builders.entry(f"u{i}") for i in range(9))
+    )
+    for number, upstream in enumerate(upstreams):
+        upstream.set_version(MODEL, 2 if number < 5 else 1)
+        upstream.running = number
+    planned = rollout.plan_orders(upstreams, {MODEL: 3}, {}, age_s=0.0)
+    assert [item[0].entry.id for item in planned] == ["u5", "u6"]
+
+
 def test_engine_whose_orders_expire_comes_last() -> None:
     """Guards against one engine that cannot load and keeps the others outdated."""
     upstreams = relay_builders.upstreams(
