Explain where a request would be sent now, without sending it

Change: snipelug where asks a node (GET /where beside its metrics) and prints the decision, the expected cost of each upstream and why others are excluded. The node answers with the code of the real decision: the reason for an exclusion and the ranking moved from choose into functions that both use. Nothing is counted or sent.

--- a/packages/snipelug-cli/src/snipelug_cli/main.py
+++ b/packages/snipelug-cli/src/snipelug_cli/main.py
@@ -20,6 +20,7 @@
     output,
     proposal,
     switches,
+    where,
 )
 from snipelug_core import change, contract
 
@@ -50,6 +51,7 @@
 app.add_typer(claims_app, name="claims")
 app.command("explain")(explain.explain)
 app.command("platform")(deployment.show)
+app.command("where")(where.where)
 switches.add_commands(zones_app, switches.ZONES)
 switches.add_commands(instances_app, switches.INSTANCES)
 
--- a/packages/snipelug-core/src/snipelug_core/choice.py
+++ b/packages/snipelug-core/src/snipelug_core/choice.py
@@ -240,6 +240,38 @@
     other_s: float = 0.0
 
 
+def exclusion(
+    upstream: fleet.Upstream,
+    request: Request,
+    context: Context,
+    tried: collections.abc.Container[str],
+    now: float,
+) -> str:
+    """Return why the request may not be sent to an upstream now; empty if it may."""
+    entry = upstream.entry
+    if upstream.is_leaving:
+        return "it is leaving"
+    if entry.zone in context.zones_out:
+        return f"the availability zone {entry.zone} is out of service"
+    if entry.id in tried:
+        return "the request was sent there before"
+    if request.allowed_ids is not None and entry.id not in request.allowed_ids:
+        return "its release gets no such request"
+    if now < upstream.blocked_until:
+        return "a connect failed, or it rejected a request"
+    if now < upstream.switching_until:
+        return "it loads weights"
+    if now < upstream.notice.paused_until:
+        return "it asked for no requests"
+    if now < context.available_at(upstream):
+        return "its rate is used up"
+    if request.model and request.model not in upstream.versions:
+        return "it does not serve the model"
+    if upstream.versions.get(request.model, 0) < request.least_version:
+        return "its weights are too old"
+    return ""
+
+
 def eligible(
     upstreams: collections.abc.Iterable[fleet.Upstream],
     request: Request,
@@ -249,18 +281,8 @@
 ) -> collections.abc.Iterator[fleet.Upstream]:
     """Yield the upstreams to which the request may be sent now."""
     for upstream in upstreams:
-        entry = upstream.entry
-        if upstream.is_leaving or entry.zone in context.zones_out or entry.id in tried:
-            continue
-        if request.allowed_ids is not None and entry.id not in request.allowed_ids:
-            continue
-        if now < context.available_at(upstream):
-            continue
-        if request.model and request.model not in upstream.versions:
-            continue
-        if upstream.versions.get(request.model, 0) < request.least_version:
-            continue
-        yield upstream
+        if not exclusion(upstream, request, context, tried, now):
+            yield upstream
 
 
 def rate_key(entry: fleet.Entry) -> str:
@@ -315,17 +337,49 @@
         for u in candidates
     )
     estimate, best = min(rated, key=lambda item: (item[0].cost_s, rng.random()))
+    return _build_choice(estimate, best, request, len(candidates), now)
+
+
+def rank(
+    upstreams: collections.abc.Iterable[fleet.Upstream],
+    request: Request,
+    context: Context,
+    now: float,
+) -> list[Choice]:
+    """Return a choice for each eligible upstream, that with the lowest cost first."""
+    candidates = list(eligible(upstreams, request, context, (), now))
+    preferred = _preferred_upstream(candidates, request) if candidates else None
+    found = (
+        _build_choice(
+            _estimate_cost(u, request, context, now, u is preferred),
+            u,
+            request,
+            len(candidates),
+            now,
+        )
+        for u in candidates
+    )
+    return sorted(found, key=lambda item: item.cost_s)
+
+
+def _build_choice(
+    estimate: Estimate,
+    upstream: fleet.Upstream,
+    request: Request,
+    candidates: int,
+    now: float,
+) -> Choice:
     return Choice(
-        best,
+        upstream,
         estimate.cost_s,
-        len(candidates),
+        candidates,
         estimate.prefill_tokens,
         estimate.wait_s,
         estimate.ttft_s,
         estimate.load_wait_s,
         estimate.other_s,
-        request.transfer_times_s(best.versions.get(request.model, 0)),
-        best.slow_factor.value_at(now),
+        request.transfer_times_s(upstream.versions.get(request.model, 0)),
+        upstream.slow_factor.value_at(now),
     )
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -6,6 +6,7 @@
 import logging
 import signal
 
+import msgspec
 import trio
 
 from snipelug_core import catalog, refusal, shutdown
@@ -20,6 +21,7 @@
     kv_stores,
     permits,
     ports,
+    preview,
     record,
     relay,
     releases,
@@ -64,6 +66,7 @@
 OK = 200
 UNAVAILABLE = 503
 NOT_FOUND = 404
+BAD_REQUEST = 400
 
 STOPPING = http_server.RequestError(
     UNAVAILABLE,
@@ -163,6 +166,7 @@
             self._releases,
             self._delays,
         )
+        self._preview = preview.Preview(cfg, self._state)
         self.callers_port = 0
         self.ready_port = 0
         self._dropped = drops.Drops(self._stats)
@@ -335,12 +339,23 @@
         return http_server.Response(OK if self.is_ready else UNAVAILABLE)
 
     async def _handle_metrics(self, req: http_server.Request) -> http_server.Response:
+        if req.path == "/where":
+            return self._handle_preview(req)
         if req.path != "/metrics":
             return http_server.Response(NOT_FOUND)
         left_out = self._relay.sampler.left_out
         text = self._stats.render(self._state, clock.now(), left_out)
         return http_server.Response(OK, text, {"content-type": "text/plain"})
 
+    def _handle_preview(self, req: http_server.Request) -> http_server.Response:
+        """Explain where a request would be sent now."""
+        query = preview.parse(req.query)
+        found = query if isinstance(query, str) else self._preview.explain(query)
+        status = BAD_REQUEST if isinstance(found, str) else OK
+        body = {"error": found} if isinstance(found, str) else found
+        headers = {"content-type": "application/json"}
+        return http_server.Response(status, msgspec.json.encode(body), headers)
+
     def _apply_intents(self) -> None:
         """Apply the operator's intents that concern this node itself."""
         handlers: dict[str, supervise.Handler] = {
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -143,6 +143,30 @@
             upstreams, request, context, work.tried, now, self._rng, consider_all
         )
 
+    def candidates(
+        self, work: job.Job, now: float
+    ) -> tuple[list[choice.Choice], dict[str, str]]:
+        """Return what each upstream of a service would cost, and why others are out.
+
+        Returns
+        -------
+        list of choice.Choice
+            The upstreams that may take the request, that with the lowest cost first.
+        dict of str to str
+            The reason by the id of each of the others.
+        """
+        context = self._state.context(work.service, work.priority, work.service_cfg)
+        if context is None:
+            return [], {}
+        upstreams = self._state.fleet.of_service(work.service)
+        request = self._request(work, context, now)
+        excluded = {
+            u.entry.id: choice.exclusion(u, request, context, (), now)
+            for u in upstreams
+        }
+        ranked = choice.rank(upstreams, request, context, now)
+        return ranked, {key: why for key, why in excluded.items() if why}
+
     def _request(
         self, work: job.Job, context: choice.Context, now: float
     ) -> choice.Request:
