Share all samples while a KV cache store is slow

Cause: only samples of slow stores were sent. At a node with few prompts of its own they were most of all samples, so being late looked usual, and no store counted as slow.

--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -221,7 +221,8 @@
     Attributes
     ----------
     samples : list of (str, float)
-        Store and delay in seconds of each prompt, in order.
+        Store and delay in seconds of each prompt, in order; the store is empty for a
+        prompt without a transfer.
     """
 
     samples: list[tuple[ranges.Name, ranges.DurationS]]
--- a/packages/snipelug-relay/src/snipelug_relay/transfer_delays.py
+++ b/packages/snipelug-relay/src/snipelug_relay/transfer_delays.py
@@ -4,7 +4,9 @@
 no store is slow, nothing is sent. A lost datagram costs only some samples.
 """
 
+import collections
 import logging
+import math
 
 import trio
 
@@ -22,14 +24,15 @@
 """Maximum number of samples in a message."""
 
 SHARING_S = 2 * transfers.MAX_AGE_S
-"""Time for which the samples of a store are shared after a late one.
-
-The samples that show its recovery are shared too.
-"""
+"""Time for which samples are shared after a late one, to show the recovery too."""
 
 
 class TransferDelays:
-    """Records by how much prompts are late, and tells other nodes of slow stores."""
+    """Records by how much prompts are late, and tells other nodes of slow stores.
+
+    While samples are shared, nodes share all of them, also those of prompts without a
+    transfer: with the late ones alone, all prompts would seem to be late.
+    """
 
     def __init__(
         self,
@@ -40,7 +43,10 @@
         self._state = node_state
         self._announcer = announcer
         self._stats = metrics
-        self._shared_until: dict[str, float] = {}
+        self._shared_until = -math.inf
+        self._recent: collections.deque[tuple[float, str, float]] = collections.deque(
+            maxlen=MAX_SAMPLES
+        )
         self._unsent: list[tuple[str, float]] = []
         self._slow: set[str] = set()
         announcer.set_handler(messages.TransferDelays, self._on_message)
@@ -51,30 +57,39 @@
         store = upstream_attempt.store
         delay_s = late_s + upstream_attempt.store_delay_s
         self._state.transfer_delays.record(store, delay_s, now)
-        if not store:
-            return
-        if delay_s >= transfers.MIN_DELAY_S:
-            self._shared_until[store] = now + SHARING_S
-        if now < self._shared_until.get(store, 0.0):
-            self._unsent.append((store, max(0.0, min(delay_s, transfers.MAX_DELAY_S))))
+        sent_s = max(0.0, min(delay_s, transfers.MAX_DELAY_S))
+        if store and delay_s >= transfers.MIN_DELAY_S:
+            self._share(now)
+        self._recent.append((now, store, sent_s))
+        if now < self._shared_until:
+            self._unsent.append((store, sent_s))
+
+    def _share(self, now: float) -> None:
+        """Share samples for a time, from the recent ones on."""
+        if now >= self._shared_until:
+            self._unsent += [
+                (store, delay_s)
+                for at, store, delay_s in self._recent
+                if now - at <= transfers.BASELINE_AGE_S
+            ]
+        self._shared_until = now + SHARING_S
 
     def _on_message(self, message: messages.TransferDelays) -> None:
         now = clock.now()
-        for store, delay_s in message.samples:
-            if store in self._state.index.store_states:
-                self._shared_until[store] = now + SHARING_S
-                self._state.transfer_delays.record(store, delay_s, now)
+        known = self._state.index.store_states
+        for store, delay_s in message.samples[-MAX_SAMPLES:]:
+            if store and store not in known:
+                continue
+            self._state.transfer_delays.record(store, delay_s, now)
+            if store and delay_s >= transfers.MIN_DELAY_S:
+                self._share(now)
 
     async def run(self) -> None:
         """Send and log what is new until cancelled."""
         while True:
             interval_s = max(INTERVAL_S, INTERVAL_PER_NODE_S * self._state.nodes)
             await trio.sleep(interval_s)
-            known = self._state.index.store_states
-            self._state.transfer_delays.keep(known)
-            self._shared_until = {
-                k: at for k, at in self._shared_until.items() if k in known
-            }
+            self._state.transfer_delays.keep(self._state.index.store_states)
             samples = self.take_unsent()
             if samples:
                 self._announcer.send_to_all(messages.TransferDelays(samples))
