Pace rollouts slowly until loads have been observed

Cause: a rollout began at the usual pace, so 20 of 30 engines had loaded version 2 when version 3 was named 4 s later, and loaded again. Change: the pace begins at the slowest one that the bound allows and follows the observed loads. Engines with the fewest requests are ordered first again: those with the oldest weights have the most parts in stores.

--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -154,7 +154,8 @@
 
     def __init__(self, bound_s: float = 8.0) -> None:
         self._max_stretch = max(1.0, MAX_TARGET_FRACTION * bound_s / ROLLOUT_TARGET_S)
-        self._observed_s = LOAD_DURATION_S
+        # Until loads have been observed, they may take as long as the bound allows.
+        self._observed_s = LOAD_DURATION_S * self._max_stretch
         self._pending_s = 0.0
 
     def record_pending(self, duration_s: float) -> None:
@@ -230,10 +231,7 @@
     pace: Pace = DEFAULT_PACE,
     expired: collections.abc.Mapping[str, int] = types.MappingProxyType({}),
 ) -> list[tuple[fleet.Upstream, str, int]]:
-    """Return the upstreams to order now.
-
-    Those with the oldest weights come first, as their time ends first, then those with
-    the fewest requests.
+    """Return the upstreams to order now, those with the fewest requests first.
 
     Parameters
     ----------
@@ -256,7 +254,6 @@
     waiting.sort(
         key=lambda item: (
             expired.get(item[0].entry.id, 0),
-            item[0].versions.get(item[1], 0),
             item[0].running,
             item[0].entry.id,
         )
