--- a/packages/snipelug-core/src/snipelug_core/transfers.py
+++ b/packages/snipelug-core/src/snipelug_core/transfers.py
@@ -16,8 +16,8 @@
 MAX_AGE_S = 6.0
 """Maximum age of a sample; a store that is avoided gets few."""
 
-MAX_SAMPLES = 5
-MIN_SAMPLES = 3
+MAX_SAMPLES = 7
+MIN_SAMPLES = 4
 """Number of the latest samples of a store whose median counts, and the least number."""
 
 BASELINE_AGE_S = 2.0
@@ -31,8 +31,11 @@
 Half of the stores may be slow at the same time.
 """
 
-MIN_DELAY_S = 0.1
-"""Shorter delays do not count, as waits at engines differ by as much."""
+MIN_DELAY_S = 0.2
+"""Shorter delays do not count, as waits at engines differ by as much.
+
+It is a third of the shortest objective of prompts that have shared parts.
+"""
 
 MAX_DELAY_S = 5.0
 
