Read parts behind a link whose rate the configuration does not state

Cause: since the choice decides which parts are read, those of a store without a stated link rate were not read any more. Change: such a link counts as fast. Result: the test of an unknown rate failed before, as such a part had no transfer.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -323,11 +323,11 @@
             if state is None:
                 continue
             rate = min(state.store.link_bits_per_s, engine.link_bits_per_s)
-            if rate <= 0:
-                continue
             size = 8.0 * engine.kv_token_bytes * part.tokens
             factor = 1.0 if zone == state.store.zone else CROSS_ZONE_FACTOR
-            expected_s = state.store.setup_s + factor * size / rate
+            # A link without a stated rate counts as fast, so that its parts are read.
+            link_s = factor * size / rate if rate > 0 else 0.0
+            expected_s = state.store.setup_s + link_s
             yield transfers.Transfer(part.id, part.tokens, state.store.name, expected_s)
 
     def plan(
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -173,6 +173,20 @@
     assert not any(plan.targets)
 
 
+@pytest.mark.parametrize("link_bits_per_s", [0.0, 4.2e11])
+def test_parts_behind_a_link_of_unknown_rate_are_read(link_bits_per_s: float) -> None:
+    """Guards against stores that are not read, as the configuration has no rate."""
+    store = relay_builders.kv_store(link_bits_per_s=link_bits_per_s)
+    index = relay_builders.fresh_index(0.0, store)
+    (known,) = index.store_states.values()
+    parts = relay_builders.request(12_800, 4_000).parts
+    known.add(("salt", "p0"), 12_800, 0.0)
+    found = index.transfers(parts, "salt", relay_builders.ENGINE, "a", 0.1)
+    times = dict(transfers.times_s(found, transfers.Delays(), compute_s, False, 0.1))
+    assert list(times) == ["p0"]
+    assert any(index.plan(parts, "salt", 0.1, times).sources)
+
+
 @dataclasses.dataclass
 class Node:
     """A node with its own samples; ``share`` passes its messages to others."""
