Stretch rollouts only where old weights are allowed for longer than 12.5 s

Cause: with a bound of 10 s rollouts took 1.25 times as long. Change: the longest target is the bound less 7.5 s, so deployments with bounds up to 12.5 s are paced as before, repeat orders as before and read outdated parts for 3 s.

--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -423,7 +423,7 @@
     bound_s : float
         Time for which the deployment allows outdated weights, in seconds.
     """
-    ends_s = rollout.MAX_TARGET_FRACTION * bound_s - OLD_VERSION_END_S
+    ends_s = rollout.longest_target_s(bound_s) - OLD_VERSION_END_S
     return max(OLD_VERSION_READ_S, ends_s)
 
 
--- a/packages/snipelug-core/src/snipelug_core/rollout.py
+++ b/packages/snipelug-core/src/snipelug_core/rollout.py
@@ -22,10 +22,11 @@
 LOAD_DURATION_S = 0.8
 """Time an engine is unavailable: running requests finish, then the weights load."""
 
-MAX_TARGET_FRACTION = 5 / 8
-"""Maximum target duration as a fraction of the deployment's bound for old weights.
+TARGET_RESERVE_S = 7.5
+"""Part of the deployment's bound for old weights that no target duration uses.
 
-The rest is for engines that load late, and for another node that takes over.
+It is for engines that load late, and for another node that takes over. A bound of up
+to 12.5 s leaves no time to stretch a rollout.
 """
 
 MAX_OBSERVED_LOAD_S = 10.0
@@ -42,10 +43,7 @@
 """A lease with less remaining time is renewed before the next order."""
 
 ORDER_REPEAT_S = 2.5
-"""Minimum time after which an order without visible effect is repeated."""
-
-ORDER_REPEAT_FACTOR = 1.5
-"""That time as a multiple of the observed duration of a load."""
+"""Time after which an order without visible effect is repeated, unless stretched."""
 
 TAKEOVER_DELAY_MS = 200.0
 """Delay after the end of a lease before another node takes it."""
@@ -139,6 +137,17 @@
                 yield upstream, model, newest[model]
 
 
+def longest_target_s(bound_s: float) -> float:
+    """Return the longest target duration of a rollout, in seconds.
+
+    Parameters
+    ----------
+    bound_s : float
+        Time for which the deployment allows old weights, in seconds.
+    """
+    return max(ROLLOUT_TARGET_S, bound_s - TARGET_RESERVE_S)
+
+
 class Pace:
     """How fast a rollout should proceed, by the time that loads take.
 
@@ -153,7 +162,7 @@
     """
 
     def __init__(self, bound_s: float = 8.0) -> None:
-        self._max_stretch = max(1.0, MAX_TARGET_FRACTION * bound_s / ROLLOUT_TARGET_S)
+        self._max_stretch = longest_target_s(bound_s) / ROLLOUT_TARGET_S
         # Until loads have been observed, they may take as long as the bound allows.
         self._observed_s = LOAD_DURATION_S * self._max_stretch
         self._pending_s = 0.0
@@ -181,7 +190,7 @@
     @property
     def order_repeat_s(self) -> float:
         """Time after which an order without visible effect is repeated, in seconds."""
-        return max(ORDER_REPEAT_S, ORDER_REPEAT_FACTOR * self._observed_s)
+        return ORDER_REPEAT_S * self.stretch
 
 
 DEFAULT_PACE = Pace()
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -292,7 +292,7 @@
 TestLongBoundStores = LongBoundStores.TestCase
 
 
-BOUNDS = [(5.0, 3.0), (8.0, 3.0), (10.0, 4.25), (20.0, 10.5)]
+BOUNDS = [(5.0, 3.0), (8.0, 3.0), (12.0, 3.0), (20.0, 10.5)]
 
 
 @pytest.mark.parametrize(("bound_s", "read_s"), BOUNDS)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -118,7 +118,7 @@
     most, duration_s = play_rollout(20.0, 2.4, learns=True)
     assert before >= ENGINES / 2
     assert most <= ENGINES / 4
-    assert duration_s <= rollout.MAX_TARGET_FRACTION * 20.0 + 2 * 2.4
+    assert duration_s <= rollout.longest_target_s(20.0) + 2 * 2.4
 
 
 DURATIONS = [(8.0, 0.4), (8.0, 1.8), (20.0, 1.8), (20.0, 4.0)]
@@ -131,6 +131,16 @@
     assert duration_s < bound_s
 
 
+@pytest.mark.parametrize("bound_s", [5.0, 8.0, 10.0, 12.0])
+def test_short_bounds_leave_the_pace_as_it_is(bound_s: float) -> None:
+    """Guards against slower rollouts where old weights are not allowed for long."""
+    pace = rollout.Pace(bound_s)
+    pace.record_load(4.0)
+    pace.record_pending(4.0)
+    assert pace.stretch == 1.0
+    assert pace.order_repeat_s == rollout.ORDER_REPEAT_S
+
+
 def test_short_loads_end_the_stretch() -> None:
     """Guards against rollouts that take long where loads are short."""
     pace = rollout.Pace(20.0)
