--- a/tests/test_scripted_upstreams.py
+++ b/tests/test_scripted_upstreams.py
@@ -383,8 +383,8 @@
             assert isinstance(full, http_client.FullResponse), (cut, full)
             statuses[cut] = full.status
 
-        # With more at the same time than the upstream has slots, a stall of the test's
-        # process makes the expected wait long, and some are refused before they are sent.
+        # With more at once than the upstream has slots, a stall of this process makes
+        # the expected wait long, and some are refused before they are sent.
         limit = trio.CapacityLimiter(4)
 
         async def ask_limited(cut: int) -> None:
