Bound the polls of a store by the time that passed

Cause: test_silent_store_does_not_delay_polls_of_the_others allowed eight polls for 60 pauses of 0.05 s, which take longer than 3 s on a busy machine. Change: the bound is two polls for each second that passed and two more, as before.

--- a/tests/test_platform_zone.py
+++ b/tests/test_platform_zone.py
@@ -140,12 +140,13 @@
         silent, sound = world.kv_stores
         silent.is_silent = True
         await trio.sleep(2.0)
-        before = sound.polls
+        before, began_at = sound.polls, trio.current_time()
         for _ in range(60):
             ages += [node.store_age_s("kv1") for node in world.nodes]
             await trio.sleep(0.05)
-        # Two readers poll once per second.
-        assert sound.polls - before <= 2 * (3 + 1)
+        # Two readers poll once per second; on a busy machine this takes over 3 s.
+        elapsed_s = trio.current_time() - began_at
+        assert sound.polls - before <= 2 * (elapsed_s + 1)
     assert max(ages) < kv_index.MAX_POLL_AGE_S
 
 
