Sum the smaller tail of a binomial distribution

Cause: binomial_tail starts at the least number of successes. Far below the mean that term is smaller than any float, so the sum lost what follows from it: 0.913 for 1.0 with 217 trials, one success and a rate of 0.96875.

Change: below the mean the other tail is summed.

--- a/packages/snipelug-core/src/snipelug_core/canary.py
+++ b/packages/snipelug-core/src/snipelug_core/canary.py
@@ -296,6 +296,9 @@
         return 0.0
     if rate >= 1.0:
         return 1.0
+    if successes <= trials * rate:
+        # The first terms may be smaller than any float, so the other tail is added up.
+        return 1.0 - binomial_tail(trials, trials - successes + 1, 1.0 - rate)
     log_term = (
         math.lgamma(trials + 1)
         - math.lgamma(successes + 1)
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -159,3 +159,19 @@
     found = canary.binomial_tail(trials, successes, rate)
     assert 0.0 <= found <= 1.0
     assert found == pytest.approx(expected, rel=1e-6, abs=1e-12)
+
+
+TAILS = [
+    # Trials, successes far below their mean, and the rate; the first terms underflow.
+    (217, 1, 0.96875),
+    (300, 10, 0.999),
+]
+
+
+@pytest.mark.parametrize(("trials", "successes", "rate"), TAILS)
+def test_binomial_tail_far_below_the_mean(
+    trials: int, successes: int, rate: float
+) -> None:
+    """Guards against terms that are lost as they are below the least float."""
+    found = canary.binomial_tail(trials, successes, rate)
+    assert found == pytest.approx(1.0, abs=1e-9)
