Judge a load test by the upstreams that it is run on

Cause: the responses of the worst third of a release's upstreams are left out, so that one faulty upstream does not condemn it. A load test sends most requests to one or few upstreams, and they are the worst of a bad release: next to nothing was left to judge by until the responses from before the load test were older than the shortest window of 1.5 s. Load test and shift also began while a release had bad responses that were too few to roll it back.

Change: of the upstreams under load test a third at most is left out as well, rounded down. A release with more bad responses than chance explains, on a route or on all, is doubtful and gets no more requests until it is not; if the doubt lasts, it is rolled back at the deadline.

--- a/packages/snipelug-core/src/snipelug_core/canary.py
+++ b/packages/snipelug-core/src/snipelug_core/canary.py
@@ -42,6 +42,10 @@
 REST_SIGNIFICANCE = 5e-3
 """The same without the worst upstreams, whose responses are fewer."""
 
+DOUBT_SIGNIFICANCE = 1e-3
+REST_DOUBT_SIGNIFICANCE = 0.05
+"""The same for a release that is tested on without getting more requests."""
+
 MIN_BAD = 4
 MAX_BAD = 25
 """Bad responses beyond the tolerated rate that condemn a release in any case.
@@ -58,7 +62,11 @@
 """Responses of the release in use below which no response counts as slow."""
 
 LEFT_OUT_FRACTION = 1 / 3
-"""Part of the new release's upstreams whose responses are left out, rounded down."""
+"""Part of the new release's upstreams whose responses are left out, rounded down.
+
+The same holds for those under load test: most responses are theirs, and without them
+next to nothing is left to judge a release by.
+"""
 
 WINDOWS_S = (1.5, 5.0, math.inf)
 MAX_AGE_S = 60.0
@@ -169,13 +177,24 @@
         """Number of responses of the new release."""
         return sum(item.tally.responses for item in self._canary)
 
-    def judge(self, now: float) -> release.Judgement:
-        """Return what the responses show of the new release."""
+    def judge(
+        self, now: float, load_tested: collections.abc.Set[str] = frozenset()
+    ) -> release.Judgement:
+        """Return what the responses show of the new release.
+
+        Parameters
+        ----------
+        load_tested : set of str
+            Ids of the upstreams under load test, if there is one.
+        """
         limits = self._slow_limits()
         for window_s in WINDOWS_S:
-            reason = self._find_bad(limits, now - window_s)
+            reason = self._find_bad(limits, now - window_s, load_tested)
             if reason:
                 return release.Judgement(release.Verdict.BAD, reason)
+        doubt = self._find_doubt(limits, load_tested)
+        if doubt:
+            return release.Judgement(release.Verdict.DOUBTFUL, doubt)
         missing = self._find_missing()
         if missing:
             return release.Judgement(release.Verdict.UNPROVED, missing)
@@ -195,19 +214,24 @@
             if len(found) >= MIN_CONTROL_RESPONSES
         }
 
-    def _find_bad(self, limits: dict[str, float], since: float) -> str:
+    def _find_bad(
+        self,
+        limits: dict[str, float],
+        since: float,
+        load_tested: collections.abc.Set[str],
+    ) -> str:
         """Return why the responses since a time condemn the release, or ""."""
         canary = [item.tally for item in self._canary if item.at >= since]
         control = [item.tally for item in self._control if item.at >= since]
         if sum(tally.responses for tally in control) < MIN_CONTROL_RESPONSES:
             # The release in use has got next to nothing lately.
             control = [item.tally for item in self._control]
-        rest = _without_worst(canary, limits)
+        rest = _without_worst(canary, limits, load_tested)
         excess = 0.0
         for route in sorted({tally.route for tally in canary}):
-            tested = _sum(canary, route, limits)
-            used = _sum(control, route, limits)
-            remaining = _sum(rest, route, limits)
+            tested = _sum(canary, [route], limits)
+            used = _sum(control, [route], limits)
+            remaining = _sum(rest, [route], limits)
             rate = _tolerated_rate(used)
             excess += remaining.bad - rate * remaining.responses
             if (
@@ -223,6 +247,27 @@
             return f"{excess:.0f} more bad responses than of the release in use"
         return ""
 
+    def _find_doubt(
+        self, limits: dict[str, float], load_tested: collections.abc.Set[str]
+    ) -> str:
+        """Return which responses make a bad release likely, or ""."""
+        tested = [item.tally for item in self._canary]
+        used = [item.tally for item in self._control]
+        rest = _without_worst(tested, limits, load_tested)
+        routes = sorted({tally.route for tally in tested})
+        for group_routes in [*([route] for route in routes), routes]:
+            group, remaining, control = (
+                _sum(tallies, group_routes, limits) for tallies in (tested, rest, used)
+            )
+            rate = _highest_rate(control)
+            if (
+                _probability(group, rate) < DOUBT_SIGNIFICANCE
+                and _probability(remaining, rate) < REST_DOUBT_SIGNIFICANCE
+            ):
+                names = ", ".join(group_routes)
+                return f"{group.bad} of {group.responses} responses on {names} were bad"
+        return ""
+
     def _find_missing(self) -> str:
         """Return which responses are missing to prove the release, or ""."""
         if self.responses < MIN_RESPONSES:
@@ -241,11 +286,13 @@
 
 
 def _sum(
-    tallies: collections.abc.Iterable[Tally], route: str, limits: dict[str, float]
+    tallies: collections.abc.Iterable[Tally],
+    routes: collections.abc.Container[str],
+    limits: dict[str, float],
 ) -> _Group:
     responses, bad = 0, 0.0
     for tally in tallies:
-        if tally.route == route:
+        if tally.route in routes:
             responses += tally.responses
             bad += _bad(tally, limits)
     return _Group(responses, round(bad))
@@ -259,14 +306,27 @@
     return tally.failures + (slow / len(tally.times) * succeeded if tally.times else 0)
 
 
-def _without_worst(tallies: list[Tally], limits: dict[str, float]) -> list[Tally]:
+def _without_worst(
+    tallies: list[Tally],
+    limits: dict[str, float],
+    load_tested: collections.abc.Set[str],
+) -> list[Tally]:
     """Leave out the upstreams with the largest excess of bad responses."""
     excess: collections.Counter[str] = collections.Counter()
     for tally in tallies:
         bad = _bad(tally, limits) - MIN_BAD_RATE * tally.responses
         excess[tally.upstream] += bad  # type: ignore[assignment]
     left_out = math.floor(LEFT_OUT_FRACTION * len(excess))
-    worst = {upstream for upstream, _ in excess.most_common(left_out)}
+    under_load = math.floor(LEFT_OUT_FRACTION * len(load_tested))
+    worst: set[str] = set()
+    for upstream, _ in excess.most_common():
+        if len(worst) == left_out:
+            break
+        if upstream not in load_tested:
+            worst.add(upstream)
+        elif under_load:
+            worst.add(upstream)
+            under_load -= 1
     return [tally for tally in tallies if tally.upstream not in worst]
 
 
@@ -275,6 +335,12 @@
     return max(MIN_BAD_RATE, (used.bad + 1) / (used.responses + 2))
 
 
+def _highest_rate(used: _Group) -> float:
+    """Return an upper bound of that rate, as the one in use varies by chance too."""
+    bad = used.bad + 2.0 * math.sqrt(used.bad) + 1.0
+    return min(1.0, max(MIN_BAD_RATE, bad / (used.responses + 2)))
+
+
 def _probability(tested: _Group, rate: float) -> float:
     """Return the probability of as many bad responses by chance."""
     if tested.bad <= rate * tested.responses:
--- a/packages/snipelug-core/src/snipelug_core/release.py
+++ b/packages/snipelug-core/src/snipelug_core/release.py
@@ -63,9 +63,14 @@
 
 
 class Verdict(enum.Enum):
-    """What the responses of a release show."""
+    """What the responses of a release show.
+
+    A doubtful release has bad responses, which are too few to roll it back: it gets
+    no more requests than before.
+    """
 
     UNPROVED = "unproved"
+    DOUBTFUL = "doubtful"
     SOUND = "sound"
     BAD = "bad"
 
@@ -349,12 +354,13 @@
     if progress.stage is Stage.SHIFT:
         return _advance_shift(progress, times, outlook, now_ms)
     if is_late and (
-        not outlook.target_upstreams or judgement.verdict is Verdict.UNPROVED
+        not outlook.target_upstreams or judgement.verdict is not Verdict.SOUND
     ):
         return progress.rolled_back(_unproved_reason(progress, outlook), now_ms)
     if now_ms < progress.since_ms + 1e3 * MIN_STEP_S or not outlook.target_upstreams:
         return progress
-    is_pressing = now_ms >= times.shift_ms or judgement.verdict is Verdict.SOUND
+    is_pressing = now_ms >= times.shift_ms and judgement.verdict is Verdict.UNPROVED
+    is_pressing |= judgement.verdict is Verdict.SOUND
     is_due = progress.stage is Stage.CANARY and now_ms >= times.load_test_ms
     if is_due and is_pressing:
         return _load_test(progress, outlook, now_ms)
--- a/packages/snipelug-relay/src/snipelug_relay/releases.py
+++ b/packages/snipelug-relay/src/snipelug_relay/releases.py
@@ -589,8 +589,10 @@
         members = {m.node_id for m in self._state.members} | {self._cfg.node_id}
         if self._is_drained(progress):
             lead.drained.add(self._cfg.node_id)
+        is_load_test = progress.stage is release.Stage.LOAD_TEST
+        load_tested = self._ids_tested(progress) if is_load_test else frozenset[str]()
         outlook = release.Outlook(
-            lead.evidence.judge(clock.now()),
+            lead.evidence.judge(clock.now(), load_tested),
             len(self._ids_of(service, progress.target, 0)),
             len(self._ids_of(service, progress.base, 0)),
             self._demand_per_s(service),
--- a/tests/test_canary.py
+++ b/tests/test_canary.py
@@ -109,6 +109,46 @@
     assert evidence.judge(SECONDS + 1.25).verdict is release.Verdict.BAD
 
 
+def test_release_with_some_bad_responses_is_doubtful() -> None:
+    """Guards against a release that counts as sound until it is condemned."""
+    evidence = canary.Evidence()
+    used = [canary.Tally(route, "", 40, 0, [NORMAL] * 8) for route in ROUTES]
+    failures = zip(UPSTREAMS, (3, 1, 1), strict=False)
+    tested = [canary.Tally("a", u, 3, count, []) for u, count in failures]
+    tested += [canary.Tally("b", u, 9, 0, [NORMAL] * 8) for u in UPSTREAMS[:3]]
+    evidence.add(tested, used, 0.0)
+    assert evidence.judge(0.0).verdict is release.Verdict.DOUBTFUL
+
+
+def load_test(bad: dict[str, float], slow: bool) -> canary.Evidence:
+    """Collect a few responses of each upstream, then those of a load test of one."""
+    rng = random.Random(0)
+    evidence = canary.Evidence()
+    used = [tally(rng, route, "", 40, 0.0, slow) for route in ROUTES]
+    for at, count, upstreams in [(0.0, 3, UPSTREAMS), (0.5, 10, UPSTREAMS[:1])]:
+        tested = [
+            tally(rng, route, upstream, count, bad.get(upstream, 0.0), slow)
+            for route in ROUTES
+            for upstream in upstreams
+        ]
+        evidence.add(tested, used, at)
+    return evidence
+
+
+@pytest.mark.parametrize("slow", [False, True])
+def test_bad_load_test_is_condemned_with_its_first_responses(slow: bool) -> None:
+    """Guards against a load test that is left out as that of a faulty upstream."""
+    evidence = load_test({"u1": 0.6}, slow)
+    assert evidence.judge(0.5, {"u1"}).verdict is release.Verdict.BAD
+
+
+@pytest.mark.parametrize("slow", [False, True])
+def test_one_faulty_upstream_does_not_spoil_a_load_test(slow: bool) -> None:
+    """Guards against rollbacks for a fault of an upstream without a load test."""
+    evidence = load_test({"u2": 1.0}, slow)
+    assert evidence.judge(0.5, {"u1"}).verdict is release.Verdict.SOUND
+
+
 @pytest.mark.parametrize(("tested", "used"), [(0, 0), (0, 500), (10, 500)])
 def test_few_responses_prove_nothing(tested: int, used: int) -> None:
     """Guards against a verdict without responses."""
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -19,6 +19,7 @@
 ORDER = release.Order("app", "v2", DURATION_S, version=5, ordered_ms=10_000.0)
 SOUND = release.Judgement(release.Verdict.SOUND)
 UNPROVED = release.Judgement(release.Verdict.UNPROVED, "none")
+DOUBTFUL = release.Judgement(release.Verdict.DOUBTFUL, "4 of 12 were bad")
 BAD = release.Judgement(release.Verdict.BAD, "bad")
 
 
@@ -99,6 +100,15 @@
     assert release.Stage.SHIFT not in [p.stage for _, p in steps]
 
 
+def test_doubtful_release_gets_no_more_requests() -> None:
+    """Guards against a load test of a release that looks bad already."""
+    steps = play(begin(), outlook(DOUBTFUL), ORDER.ordered_ms + 20_000.0)
+    assert [p.stage for _, p in steps] == [
+        release.Stage.CANARY,
+        release.Stage.ROLLED_BACK,
+    ]
+
+
 def test_release_without_upstreams_ends_at_the_deadline() -> None:
     """Guards against orders without an end."""
     steps = play(begin(), outlook(target_upstreams=0), ORDER.ordered_ms + 20_000.0)
