Compare a store's early samples with the median of all prompts

Cause: a KV cache store counted as slow if the median of seven delays exceeded the lowest quarter of the delays of all prompts by 0.2 s. While engines are overloaded, delays differ by more than that by chance, so sound stores counted as slow for most of the time, and engines computed parts that they could have read when they had no time for it.

Change: the second earliest of a store's samples is compared with the median of all prompts.

--- a/packages/snipelug-core/src/snipelug_core/transfers.py
+++ b/packages/snipelug-core/src/snipelug_core/transfers.py
@@ -18,19 +18,23 @@
 
 MAX_SAMPLES = 7
 MIN_SAMPLES = 4
-"""Number of the latest samples of a store whose median counts, and the least number."""
+"""Number of the latest samples of a store that count, and the least number."""
+
+EARLY_FRACTION = 0.2
+"""Part of these samples that may be in time.
+
+All prompts that need a slow store are late, so its early samples tell it from others
+while the delays of all differ by much.
+"""
 
 BASELINE_AGE_S = 2.0
 MAX_BASELINE_SAMPLES = 64
-"""Age and number of the samples of all stores with which a store is compared."""
-
-BASELINE_FRACTION = 0.25
-"""Part of these samples that are below the baseline.
+"""Age and number of the samples of all prompts with whose median a store is compared.
 
 While engines are overloaded, all first tokens are late, which tells nothing of stores.
-Half of the stores may be slow at the same time.
 """
 
+
 MIN_DELAY_S = 0.2
 """Shorter delays do not count, as waits at engines differ by as much.
 
@@ -98,21 +102,20 @@
 
     def delay_s(self, store: str, now: float) -> float:
         """Return how much longer than expected transfers from a store take."""
-        samples = [
+        samples = sorted(
             delay_s
             for at, delay_s in self._samples.get(store, ())
             if now - at <= MAX_AGE_S
-        ]
+        )
         if len(samples) < MIN_SAMPLES:
             return 0.0
-        delay_s = statistics.median(samples) - self._baseline_s(now)
+        early_s = samples[int(EARLY_FRACTION * (len(samples) - 1))]
+        delay_s = early_s - self._baseline_s(now)
         return delay_s if delay_s >= MIN_DELAY_S else 0.0
 
     def _baseline_s(self, now: float) -> float:
-        recent = sorted(
-            delay_s for at, delay_s in self._all if now - at <= BASELINE_AGE_S
-        )
-        return max(0.0, recent[int(BASELINE_FRACTION * len(recent))]) if recent else 0.0
+        recent = [delay_s for at, delay_s in self._all if now - at <= BASELINE_AGE_S]
+        return max(0.0, statistics.median(recent)) if recent else 0.0
 
 
 def times_s(
--- a/tests/test_transfers.py
+++ b/tests/test_transfers.py
@@ -142,6 +142,29 @@
     assert wanted(delays)
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("mean_s", [0.05, 0.4, 1.0])
+def test_delays_that_differ_by_chance_are_no_sign_of_a_slow_store(
+    seed: int, mean_s: float
+) -> None:
+    """Guards against sound stores that are avoided while engines are overloaded.
+
+    The delays of all prompts have one distribution. A store that counts as slow makes
+    engines compute what they could read, when they have no time for it.
+    """
+    rng = random.Random(seed)
+    delays = transfers.Delays()
+    checked = slow = 0
+    for number in range(int(10 * PROMPTS_PER_S)):
+        now = number / PROMPTS_PER_S
+        store = rng.choice(["", *STORES]) if rng.random() < 0.6 else ""
+        delays.record(store, rng.expovariate(1 / mean_s), now)
+        for name in STORES:
+            checked += 1
+            slow += delays.delay_s(name, now) > 0
+    assert slow <= 0.02 * checked
+
+
 @pytest.mark.parametrize("delay_s", [float("inf"), float("nan"), -1e9, 1e9])
 def test_odd_delays_are_bounded(delay_s: float) -> None:
     """Guards against estimates that break when times are odd."""
