Close stalled uploads before a connection that was just opened

Cause: beyond the limit of connections the one that had been idle for longest was closed for a new one, and a connection is idle until its first request arrives. With 1,000 clients that held all connections with incomplete uploads, the connections of ordinary callers were closed instead: by hand, on a quiet machine, 1 of 12 and 2 of 36 ordinary requests got no response (tiny chunks, and far too long in chunks).

Change: a connection that has been idle for a second is closed first, then the upload that stalls for longest, and a connection that was just opened last.

--- a/packages/snipelug-net/src/snipelug_net/http_server.py
+++ b/packages/snipelug-net/src/snipelug_net/http_server.py
@@ -200,6 +200,10 @@
 )
 
 
+NEW_CONNECTION_S = 1.0
+"""Time in which the request of a new or idle connection may be on its way."""
+
+
 class DropReason(enum.StrEnum):
     """Why a client's request or connection was given up for others."""
 
@@ -514,11 +518,22 @@
             del self._connections[conn]
 
     def _make_room(self) -> bool:
-        """Close the connection that is idle for longest, or whose request stalls."""
+        """Close the connection that is idle for longest, or whose request stalls.
+
+        The request of a connection that was just opened may still arrive, so one that
+        has sent a part of a request is closed before it.
+        """
         waiting = [c for c in self._connections if c.is_expendable]
         if not waiting:
             return False
-        victim = min(waiting, key=lambda c: (not c.is_idle, c.active_at))
+        since = trio.current_time() - NEW_CONNECTION_S
+
+        def rank(conn: _Connection) -> tuple[bool, bool, float]:
+            is_recent = conn.active_at > since
+            goes_first = conn.is_idle != is_recent
+            return is_recent, not goes_first, conn.active_at
+
+        victim = min(waiting, key=rank)
         self.report_drop(DropReason.CONNECTION, victim.peer)
         victim.close()
         return True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -503,3 +503,30 @@
     assert isinstance(found, http_client.FullResponse)
     assert found.status == 502
     assert b'"run_state":"unknown"' in found.body
+
+
+async def test_new_connection_is_not_closed_for_stalled_uploads() -> None:
+    """Guards against ordinary callers who pay for clients that hold all connections.
+
+    A new connection is idle until its first request has arrived.
+    """
+
+    async def answer(req: http_server.Request) -> http_server.Response:
+        return http_server.Response(200, b"ok")
+
+    upload = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n1"
+    srv = http_server.Server(answer, http_server.Limits(connections=3))
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(srv.serve, "127.0.0.1", 0)
+        stalled = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(3)]
+        for stream in stalled:
+            await stream.send_all(upload)
+        await trio.sleep(1.5 * http_server.NEW_CONNECTION_S)
+        ordinary = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(2)]
+        # The server accepts both before the first one sends a request.
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        for stream in ordinary:
+            await stream.send_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            with trio.fail_after(5.0):
+                assert (await stream.receive_some(100)).startswith(b"HTTP/1.1 200")
+        nursery.cancel_scope.cancel()
