Save a prompt part only with a grant of the store's coordinator

Cause: a node plans a save, and an engine makes it up to a request's timeout later, in whatever epoch the KV cache store has by then. Nothing kept two nodes from planning to save one part. If the store restarted between plan and save, other nodes, which had not polled since, had the part read while it was written. The delay after a restart held back only what was planned after it, and was shorter than the last reads.

Change: core/save_grants. One node of each store, its coordinator, grants a save of a part only if none of its earlier saves can have been made in this epoch or can still be made. Coordinators change over after the grants of the one before have ended, or by a handover of the open saves. Saves begin 2.8 s after a restart was seen, in place of 2.0 s. A node that gets no grant within 0.15 s sends the prompt without a save. Tests that wait for a save wait until the node grants saves, 8 s after a first start.

--- a/packages/snipelug-core/src/snipelug_core/catalog.py
+++ b/packages/snipelug-core/src/snipelug_core/catalog.py
@@ -102,6 +102,11 @@
     link_bits_per_s: float
     setup_s: float = 0.0
 
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return f"{self.host}:{self.port}"
+
 
 @dataclasses.dataclass(frozen=True)
 class Team:
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -1,14 +1,17 @@
 """Index of the prompt parts in the KV cache stores, and rules for their use.
 
-A store neither evicts parts nor knows its readers, so three rules keep readers
+A store neither evicts parts nor knows its readers, so four rules keep readers
 from incomplete parts:
 
 * A part is read only after the store has reported it as complete, in the epoch
   seen by the last poll, and only while that poll is younger than
   ``MAX_POLL_AGE_S``.
+* A part is saved only with a grant of the store's coordinator (``save_grants``), as an
+  engine may make a save after the store has restarted. The save then writes no part
+  that another node still expects there from before.
 * After a store has restarted, nothing is saved to it for
   ``RESTART_SAVE_DELAY_S``. By then, each node has seen the new epoch or its last
-  poll is too old.
+  poll is too old, and what was read after that poll has ended.
 * Parts of an outdated weight version are read for a time (``old_version_read_s``)
   after the last poll that saw no parts of a newer version in the same store, and freed
   ``OLD_VERSION_FREE_DELAY_S`` later than that after several of these were seen there.
@@ -27,12 +30,16 @@
 MAX_POLL_AGE_S = 1.6
 """Maximum age of a store's last successful poll at which its parts are read."""
 
-RESTART_SAVE_DELAY_S = 2.0
-"""Time without saves after a store restart; longer than ``MAX_POLL_AGE_S``."""
-
 FETCH_TIMEOUT_S = 1.0
 """Maximum duration of a transfer; engines discard transfers that take longer."""
 
+RESTART_SAVE_DELAY_S = MAX_POLL_AGE_S + FETCH_TIMEOUT_S + 0.2
+"""Time without saves after a store restart.
+
+A node that polled just before the restart reads for ``MAX_POLL_AGE_S`` after that poll,
+and its last transfer ends ``FETCH_TIMEOUT_S`` later. The rest covers different clocks.
+"""
+
 OLD_VERSION_READ_S = 3.0
 """Minimum time for which outdated parts are read while engines load new weights."""
 
@@ -60,6 +67,12 @@
 SAVE_TIMEOUT_S = 3.0
 """Time for which a save is considered pending at the node that requested it."""
 
+MAX_PENDING_SAVES = 1_000
+"""Maximum number of saves of one store that a node considers pending."""
+
+FAILED_SAVE_S = 20.0
+"""Time for which a part whose save has failed goes to another store."""
+
 MAX_FILL_FRACTION = 0.97
 """Fraction of a store's capacity above which no save is requested."""
 
@@ -122,6 +135,10 @@
         Complete parts with their token counts.
     pending_saves : dict of PartKey to float
         When this node requested saves that have not completed, in seconds.
+    failed_saves : dict of PartKey to float
+        When this node learned that saves of other nodes have failed, in seconds.
+    closed_until : float
+        Time until which nothing is saved as no coordinator grants it, in seconds.
     versions : dict of ModelVersion to VersionStatus
         Weight versions whose parts are or were in the store.
     """
@@ -136,6 +153,8 @@
     clock_sample: tuple[float, float] | None = None
     parts: dict[PartKey, int] = dataclasses.field(default_factory=dict)
     pending_saves: dict[PartKey, float] = dataclasses.field(default_factory=dict)
+    failed_saves: dict[PartKey, float] = dataclasses.field(default_factory=dict)
+    closed_until: float = -math.inf
     versions: dict[ModelVersion, VersionStatus] = dataclasses.field(
         default_factory=dict
     )
@@ -145,6 +164,7 @@
         """Discard all information on the store's content."""
         self.parts.clear()
         self.pending_saves.clear()
+        self.failed_saves.clear()
         self.used_tokens = 0
 
     def restart(self, epoch: int, now: float) -> None:
@@ -176,6 +196,32 @@
         self.used_tokens -= self.parts.pop(key, 0)
         self.pending_saves.pop(key, None)
 
+    def replace(
+        self, parts: collections.abc.Mapping[PartKey, int], now: float
+    ) -> list[PartKey]:
+        """Record the complete content of the store; return the parts that are gone."""
+        gone = [key for key in self.parts if key not in parts]
+        for key in gone:
+            self.drop(key)
+        for key, tokens in parts.items():
+            self.add(key, tokens, now)
+        return gone
+
+    def add_pending(self, key: PartKey, now: float) -> None:
+        """Record that this node requests a save; the oldest ones are forgotten."""
+        self.pending_saves.pop(key, None)
+        while len(self.pending_saves) >= MAX_PENDING_SAVES:
+            del self.pending_saves[next(iter(self.pending_saves))]
+        self.pending_saves[key] = now
+
+    def record_failed(self, key: PartKey, now: float) -> None:
+        """Record that a save of a part has failed, so that another store takes it."""
+        self.pending_saves.pop(key, None)
+        self.failed_saves.pop(key, None)
+        while len(self.failed_saves) >= MAX_PENDING_SAVES:
+            del self.failed_saves[next(iter(self.failed_saves))]
+        self.failed_saves[key] = now
+
     def is_fresh(self, now: float) -> bool:
         """Return whether the last poll is recent enough to read parts."""
         return self.epoch is not None and now - self.polled_at < MAX_POLL_AGE_S
@@ -198,6 +244,10 @@
         """Return whether the part may be saved to this store."""
         if not self.is_fresh(now) or now < self.saves_allowed_at or key in self.parts:
             return False
+        if now < self.closed_until:
+            return False
+        if now - self.failed_saves.get(key, -math.inf) < FAILED_SAVE_S:
+            return False
         return (
             self.used_tokens + tokens < MAX_FILL_FRACTION * self.store.capacity_tokens
         )
@@ -217,6 +267,14 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Saving:
+    """Store to which one part is to be saved, in an epoch of that store."""
+
+    state: StoreState
+    epoch: int | None
+
+
 @dataclasses.dataclass(frozen=True)
 class Plan:
     """Transfers for a prompt: which parts to read from and save to stores.
@@ -283,6 +341,13 @@
             if known is None or known.store != store:
                 self.store_states[name] = StoreState(store, self.old_version_read_s)
 
+    def state_at(self, address: str) -> StoreState | None:
+        """Return the state of the store at an address, if one is configured."""
+        for state in self.store_states.values():
+            if state.store.address == address:
+                return state
+        return None
+
     def ranked_stores(self, part: choice.PromptPart) -> list[StoreState]:
         """Return the stores in order of preference for a part.
 
@@ -336,6 +401,7 @@
         key_salt: str,
         now: float,
         wanted: collections.abc.Container[str] | None = None,
+        saves: collections.abc.Mapping[str, Saving] | None = None,
     ) -> Plan:
         """Plan which parts the chosen engine reads from and saves to stores.
 
@@ -344,6 +410,8 @@
         wanted : container of str or None
             Ids of the parts to read; None for all that stores hold. The others are
             computed, and not saved again.
+        saves : mapping of str to Saving, or None
+            Granted saves by the id of the part; None if no grants are needed.
         """
         sources: list[Source | None] = []
         targets: list[catalog.KvStore | None] = []
@@ -363,14 +431,37 @@
                 targets.append(None)
                 continue
             sources.append(None)
-            targets.append(
-                None if is_private else self._save_target(part, key_salt, now)
-            )
+            if is_private:
+                targets.append(None)
+            elif saves is None:
+                saving = self._save_target(part, key_salt, now)
+                targets.append(saving.state.store if saving is not None else None)
+            else:
+                targets.append(_granted_target(saves.get(part.id)))
         if not any(sources) and not any(targets):
             return NO_PLAN
         deadline_s = now + min(offsets) + FETCH_TIMEOUT_S if offsets else None
         return Plan(tuple(sources), tuple(targets), deadline_s)
 
+    def wanted_saves(
+        self,
+        parts: tuple[choice.PromptPart, ...],
+        key_salt: str,
+        now: float,
+    ) -> dict[str, Saving]:
+        """Return by their ids the parts to save, for which grants are needed.
+
+        They count as pending from now on.
+        """
+        found = {}
+        for part in _storable_parts(parts):
+            if self._readable_store(part, key_salt, now) is not None:
+                continue
+            saving = self._save_target(part, key_salt, now)
+            if saving is not None:
+                found[part.id] = saving
+        return found
+
     def cancel_saves(
         self, plan: Plan, parts: tuple[choice.PromptPart, ...], key_salt: str
     ) -> None:
@@ -393,7 +484,7 @@
 
     def _save_target(
         self, part: choice.PromptPart, key_salt: str, now: float
-    ) -> catalog.KvStore | None:
+    ) -> Saving | None:
         key = (key_salt, part.id)
         ranked_stores = self.ranked_stores(part)
         if any(state.has_pending_save(key, now) for state in ranked_stores):
@@ -402,9 +493,16 @@
             if state.is_superseded(key_salt, now):
                 continue
             if state.may_save(key, part.tokens, now):
-                state.pending_saves[key] = now
-                return state.store
+                state.add_pending(key, now)
+                return Saving(state, state.epoch)
+        return None
+
+
+def _granted_target(saving: Saving | None) -> catalog.KvStore | None:
+    """Return the store of a granted save, unless it has restarted since."""
+    if saving is None or saving.state.epoch != saving.epoch:
         return None
+    return saving.state.store
 
 
 def _storable_parts(
--- a/packages/snipelug-relay/src/snipelug_relay/announce.py
+++ b/packages/snipelug-relay/src/snipelug_relay/announce.py
@@ -179,10 +179,10 @@
             lines.event(LOG, "not_announced", to=node_id, reason=str(exc))
 
     def _index_members(self) -> None:
-        """Index the addresses of the members if these have changed."""
-        if self._members is self._state.members:
+        """Index the addresses of the recent members if these have changed."""
+        if self._members is self._state.recent_members:
             return
-        self._members = self._state.members
+        self._members = self._state.recent_members
         self._addrs = {m.node_id: m.addr for m in self._members if m.addr is not None}
         self._ids = {addr: node_id for node_id, addr in self._addrs.items()}
 
@@ -223,7 +223,8 @@
         return True
 
     def _receive(self, sock: socket.socket) -> None:
-        known = {member.addr[0] for member in self._state.members if member.addr}
+        recent = self._state.recent_members
+        known = {member.addr[0] for member in recent if member.addr}
         while True:
             try:
                 data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES)
--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -79,7 +79,7 @@
         name = store_state.store.name
         if name in self._polling:
             return False
-        if self._state.reads_store(name) or self._state.frees_store(name):
+        if self._state.reads_store(name) or self._state.frees_store(store_state.store):
             # Half a check interval of tolerance, as the checks run slightly late.
             return (
                 now - self._poll_started_at.get(name, -1e9)
@@ -102,9 +102,13 @@
         self._poll_started_at[name] = clock.now()
         try:
             await self._poll(store_state)
+            if self._state.saves.needs_list(store_state, clock.now()):
+                await self._read_all(store_state, clock.now())
         finally:
             self._polling.discard(name)
-        if store_state.is_fresh(clock.now()) and self._state.frees_store(name):
+        if store_state.is_fresh(clock.now()) and self._state.frees_store(
+            store_state.store
+        ):
             await self._free(store_state)
 
     async def _poll(self, store_state: kv_index.StoreState) -> None:
@@ -134,7 +138,9 @@
                 epoch=page.epoch,
                 before=store_state.epoch,
             )
-            store_state.restart(page.epoch, sent_at)
+            self._state.saves.record_restart(store_state)
+            # The call may have waited for the restart.
+            store_state.restart(page.epoch, clock.now())
         if page.clock_s is not None:
             # The store read its clock before the response arrived, so this is a lower
             # bound of the offset, and transfers end no later than intended.
@@ -206,7 +212,7 @@
             if tokens > 0:
                 store_state.add((salt, part), tokens, now)
             else:
-                store_state.drop((salt, part))
+                self._drop(store_state, (salt, part))
         store_state.next_event = message.next
         # The store's clock gives a lower bound for the age of the reader's poll.
         sent_at, clock_s = store_state.clock_sample
@@ -216,13 +222,15 @@
     async def _read_all(self, store_state: kv_index.StoreState, sent_at: float) -> None:
         """Read the complete list after a gap in the events."""
         addr = (store_state.store.host, store_state.store.port)
+        requested_at = clock.now()
         page = await self._machines.store_list(addr)
         if isinstance(page, ports.Unavailable) or page.epoch != store_state.epoch:
             store_state.polled_at = -1e9
             return
-        store_state.clear()
-        for part in page.parts:
-            store_state.add(part.key, part.tokens, clock.now())
+        now = clock.now()
+        gone = store_state.replace({part.key: part.tokens for part in page.parts}, now)
+        self._state.saves.record_freed(store_state, gone, now)
+        self._state.saves.record_list(store_state, set(page.partial), requested_at)
         store_state.next_event = page.next
         store_state.polled_at = sent_at
         lines.event(
@@ -237,7 +245,11 @@
                 case ports.Stored(key, tokens):
                     store_state.add(key, tokens, clock.now())
                 case ports.Freed(key):
-                    store_state.drop(key)
+                    self._drop(store_state, key)
+
+    def _drop(self, store_state: kv_index.StoreState, key: kv_index.PartKey) -> None:
+        store_state.drop(key)
+        self._state.saves.record_freed(store_state, [key], clock.now())
 
     async def _free(self, store_state: kv_index.StoreState) -> None:
         """Free the parts that no request can read any longer."""
@@ -265,7 +277,7 @@
         addr = (store_state.store.host, store_state.store.port)
         is_freed = await self._machines.free(addr, keys, epoch)
         for key in keys if is_freed else ():
-            store_state.drop(key)
+            self._drop(store_state, key)
         return is_freed
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/messages.py
+++ b/packages/snipelug-relay/src/snipelug_relay/messages.py
@@ -2,7 +2,15 @@
 
 import msgspec
 
-from snipelug_core import canary, fleet, quarantine, ranges, release, shared_rate
+from snipelug_core import (
+    canary,
+    fleet,
+    quarantine,
+    ranges,
+    release,
+    save_grants,
+    shared_rate,
+)
 
 
 class Prefill(msgspec.Struct, array_like=True, tag=1):
@@ -242,4 +250,5 @@
     | ReleaseReport
     | TransferDelays
     | shared_rate.Message
+    | save_grants.Message
 )
--- a/packages/snipelug-relay/src/snipelug_relay/node.py
+++ b/packages/snipelug-relay/src/snipelug_relay/node.py
@@ -26,6 +26,7 @@
     relay,
     releases,
     retirements,
+    saves,
     state,
     stats,
     supervise,
@@ -153,6 +154,7 @@
         self._delays = transfer_delays.TransferDelays(
             self._state, self._announcer, self._stats
         )
+        self._saves = saves.Saves(self._state, self._announcer, self._stats)
         self._relay = relay.Relay(
             cfg,
             self._state,
@@ -165,6 +167,7 @@
             self._permits,
             self._releases,
             self._delays,
+            self._saves,
         )
         self._preview = preview.Preview(cfg, self._state)
         self.callers_port = 0
@@ -212,6 +215,11 @@
         """Whether the contents of all KV cache stores are known."""
         return self._state.knows_stores(clock.now())
 
+    @property
+    def grants_saves(self) -> bool:
+        """Whether this node grants saves to the KV cache stores of which it must."""
+        return self._state.grants_saves(clock.now())
+
     @property
     def configuration_age_s(self) -> float:
         """Time since the operator's intents were last known up to date, in seconds."""
@@ -279,6 +287,7 @@
                 "suspects": self._suspects.run,
                 "releases": self._releases.run,
                 "transfer_delays": self._delays.run,
+                "saves": self._saves.run,
             }
             for name, task in tasks.items():
                 nursery.start_soon(supervise.run, task, name, self._stats)
@@ -300,6 +309,7 @@
         self._state.is_stopping = True
         lines.event(LOG, "stop", open_requests=self._callers.open_requests)
         self._relay.begin_stop(plan)
+        self._saves.leave()
         self._callers.draining = True
         with trio.move_on_after(min(1.0, plan.closes_at - plan.began_at)):
             await self._store.remove_member(self._cfg.node_id)
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -42,6 +42,8 @@
         Addresses for callers and for the load balancer.
     metrics : (str, int) or None
         Address that serves metrics; None to disable them.
+    is_first_start : bool
+        Whether no node of the deployment has run before.
     memory_bytes, descriptors : int or None
         Memory and file descriptors of the node's machine; None if not known.
     exposure : release.Exposure or None
@@ -64,6 +66,7 @@
     exposure: release.Exposure | None = None
     memory_bytes: int | None = None
     descriptors: int | None = None
+    is_first_start: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -292,6 +295,8 @@
         Address at which the node receives datagrams.
     demand_per_s : float
         Requests that the node received per second before it wrote the row.
+    started_ms : float or None
+        The store's clock when the node first read from it, in milliseconds.
     """
 
     node_id: str
@@ -299,6 +304,7 @@
     seen_ms: float
     addr: http_client.Address | None = None
     demand_per_s: float = 0.0
+    started_ms: float | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -556,11 +562,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class StoreList:
-    """All complete parts in a KV cache store."""
+    """All parts in a KV cache store.
+
+    Attributes
+    ----------
+    partial : list of kv_index.PartKey
+        Parts that are being written, or whose save was broken off.
+    """
 
     epoch: int
     next: int
     parts: list[Stored]
+    partial: list[kv_index.PartKey] = dataclasses.field(default_factory=list)
 
 
 class OrderAnswer(typing.NamedTuple):
--- a/packages/snipelug-relay/src/snipelug_relay/relay.py
+++ b/packages/snipelug-relay/src/snipelug_relay/relay.py
@@ -30,6 +30,7 @@
     ports,
     record,
     releases,
+    saves,
     selection,
     sse,
     state,
@@ -138,6 +139,8 @@
         Decides which releases of a service get a request.
     delays : transfer_delays.TransferDelays
         Records the delays of transfers from KV cache stores.
+    part_saves : saves.Saves
+        Obtains grants to save prompt parts to KV cache stores.
     """
 
     def __init__(
@@ -153,8 +156,10 @@
         upstream_permits: permits.Permits,
         service_releases: releases.Releases,
         delays: transfer_delays.TransferDelays,
+        part_saves: saves.Saves,
     ) -> None:
         self._delays = delays
+        self._saves = part_saves
         self._releases = service_releases
         self._announcer = announcer
         self._detector = detector
@@ -385,8 +390,9 @@
         self, work: job.Job, chosen: choice.Choice, resume_after: str | None
     ) -> job.Outcome:
         """Send the request once and read the response, or a stream's first events."""
+        grants = await self._claim_saves(work, chosen)
         now = clock.now()
-        upstream_attempt, call = self._prepare(work, chosen, resume_after, now)
+        upstream_attempt, call = self._prepare(work, chosen, resume_after, now, grants)
         upstream_attempt.start(now)
         work.sent_at = now
         counted = work.history.begin(crashes.crash_id(chosen.upstream.entry))
@@ -406,7 +412,7 @@
                 self._limit_beginning(work, chosen) as beginning,
                 self._suspects.track(work, beginning.scope) as waiting,
             ):
-                check = self._pre_send_check(work, chosen, counted)
+                check = self._pre_send_check(work, chosen, counted, grants.valid_until)
                 sent = await self._pool.send(call, check)
                 if isinstance(sent, http_client.StreamingResponse):
                     reply = sent
@@ -497,12 +503,24 @@
         for item in self._beginning:
             item.limit(self._state.retired_at(item.model, item.version))
 
+    async def _claim_saves(self, work: job.Job, chosen: choice.Choice) -> saves.Grants:
+        """Obtain grants for the saves that a prompt needs."""
+        request = work.request
+        version = chosen.upstream.versions.get(request.model) if request.model else None
+        if version is None or not self._state.may_use_stores(
+            request.model, version, clock.now()
+        ):
+            return saves.Grants()
+        key_salt = self._selector.salt(work, version)
+        return await self._saves.claim(request.parts, key_salt, work.left_s())
+
     def _prepare(
         self,
         work: job.Job,
         chosen: choice.Choice,
         resume_after: str | None,
         now: float,
+        grants: saves.Grants,
     ) -> tuple[job.UpstreamAttempt, http_client.Call]:
         request = work.request
         upstream = chosen.upstream
@@ -511,11 +529,18 @@
         source = ""
         version = upstream.versions.get(request.model) if request.model else None
         key_salt = ""
+        granted: dict[str, kv_index.Saving] = {}
         if version is not None:
             key_salt = self._selector.salt(work, version)
+            if key_salt == grants.key_salt:
+                granted = grants.saves
             if self._state.may_use_stores(request.model, version, now):
                 plan = self._state.index.plan(
-                    request.parts, key_salt, now, chosen.transfer_times_s
+                    request.parts,
+                    key_salt,
+                    now,
+                    chosen.transfer_times_s,
+                    granted,
                 )
             source = _largest_source(plan, request, upstream)
             self._record_cached_parts(upstream, request)
@@ -568,10 +593,23 @@
             entry["store_delay_ms"] = round(1000 * delay_s)
         if any(plan.targets):
             upstream_attempt.on_not_run = functools.partial(
-                self._state.index.cancel_saves, plan, request.parts, key_salt
+                self._cancel_saves, plan, request.parts, key_salt, grants
             )
+        else:
+            self._saves.release(grants)
         return upstream_attempt, call
 
+    def _cancel_saves(
+        self,
+        plan: kv_index.Plan,
+        parts: tuple[choice.PromptPart, ...],
+        key_salt: str,
+        grants: saves.Grants,
+    ) -> None:
+        """Cancel the saves of a request that no engine has run."""
+        self._state.index.cancel_saves(plan, parts, key_salt)
+        self._saves.release(grants)
+
     def _record_cached_parts(
         self, upstream: fleet.Upstream, request: ports.CallerRequest
     ) -> None:
@@ -580,7 +618,11 @@
             upstream.add_cached_part(part.id, part.tokens, capacity)
 
     def _pre_send_check(
-        self, work: job.Job, chosen: choice.Choice, counted: attempt.Attempt
+        self,
+        work: job.Job,
+        chosen: choice.Choice,
+        counted: attempt.Attempt,
+        grants_until: float,
     ) -> http_client.PreSendCheck:
         """Return the check to run immediately before the first byte is sent."""
         entry = chosen.upstream.entry
@@ -597,6 +639,7 @@
                 and entry.zone not in self._state.zones_out
                 and now < work.deadline
                 and now < work.permit_until
+                and now < grants_until
                 and self._releases.may_send(work, chosen.upstream)
                 and now + BEGIN_MARGIN_S < self._state.retired_at(model, version)
             )
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -18,6 +18,7 @@
     release,
     restore,
     retirement,
+    save_grants,
     shared_rate,
     store_clock,
     transfers,
@@ -32,6 +33,9 @@
 """Age at which a member's row is ignored; rows are written every 15 s."""
 
 
+RECENT_MEMBER_S = 60.0
+"""Time for which a node without a row is still reached at its address."""
+
 STORES_READY_TIMEOUT_S = 1.0
 """Maximum time a starting node waits for KV cache stores and suspects.
 
@@ -72,6 +76,10 @@
         This node's share of what all nodes divide by their demand, from 0 to 1.
     sharing : shared_rate.Sharing
         This node's part in the rates that all nodes share.
+    recent_members : list of ports.Member
+        The members, and those of the last minute, which may have restarted.
+    saves : save_grants.Coordinator
+        This node's part in granting saves to KV cache stores.
     requests_received : int
         Requests of callers on known routes since the start.
     is_reader : bool
@@ -111,9 +119,14 @@
         self.confirmed_at = -1e9
         self.upstream_list_known = False
         self.members: list[ports.Member] = []
+        self.recent_members: list[ports.Member] = []
+        self._seen_at: dict[str, tuple[ports.Member, float]] = {}
         # Other nodes are unknown until the member table has been read.
         self.demand_share = 0.0
         self.sharing = shared_rate.Sharing(cfg.node_id, random.Random())
+        self.saves = save_grants.Coordinator(
+            cfg.node_id, cfg.is_first_start, random.Random()
+        )
         self.requests_received = 0
         self.is_reader = True
         self._reads_store: dict[str, bool] = {}
@@ -538,8 +551,14 @@
             versions=upstream.versions if upstream is not None else None,
         )
 
-    def apply_members(self, page: ports.Page[ports.Member]) -> None:
-        """Apply the rows of all nodes, ignoring expired ones."""
+    def apply_members(self, page: ports.Page[ports.Member], sent_at: float) -> None:
+        """Apply the rows of all nodes, ignoring expired ones.
+
+        Parameters
+        ----------
+        sent_at : float
+            Monotonic time at which they were requested, in seconds.
+        """
         oldest = page.clock_ms - 1000 * MEMBER_MAX_AGE_S
         live = [member for member in page.items if member.seen_ms >= oldest]
         if len(live) != len(self.members):
@@ -548,23 +567,67 @@
         self.demand_share = shared_rate.demand_share(
             self.cfg.node_id, {m.node_id: m.demand_per_s for m in live}, self.nodes
         )
-        self.sharing.set_members({m.node_id for m in live}, clock.now())
+        now = clock.now()
+        self.sharing.set_members({m.node_id for m in live}, now)
+        self._seen_at |= {m.node_id: (m, now) for m in live}
+        self._seen_at = {
+            node_id: (member, at)
+            for node_id, (member, at) in self._seen_at.items()
+            if now - at < RECENT_MEMBER_S
+        }
+        self.recent_members = [member for member, _ in self._seen_at.values()]
+        started_ms = {m.node_id: m.started_ms for m in live}
+        self.saves.set_members(save_grants.View(started_ms, sent_at), now)
         self.is_reader = self._is_assigned_reader(None)
         self._reads_store.clear()
         self._frees_store.clear()
 
+    def follow_stores(self, now: float) -> None:
+        """Begin and end this node's terms as coordinator of KV cache stores."""
+        states = self.index.store_states.values()
+        longest_s = self._longest_prompt_s()
+        self.saves.follow({item.store.address for item in states}, longest_s, now)
+
+    def _longest_prompt_s(self) -> float:
+        """Return the longest time for which an engine may run a request."""
+        known = self.catalog
+        if known is None:
+            return 0.0
+        engines = {s.name for s in known.services.values() if s.engine is not None}
+        times = (
+            route.timeout_s
+            for route in known.routes
+            if any(name in engines for name, _ in route.services)
+        )
+        return max(times, default=0.0)
+
+    def grants_saves(self, now: float) -> bool:
+        """Return whether this node grants saves to all stores that it coordinates."""
+        for item in self.index.store_states.values():
+            coordinator = self.saves.coordinator_of(item.store.address)
+            if coordinator is None:
+                return False
+            if coordinator == self.cfg.node_id and not self.saves.may_grant(item, now):
+                return False
+        return True
+
     def reads_store(self, store: str) -> bool:
         """Return whether this node polls a KV cache store, for its zone or itself."""
         if store not in self._reads_store:
             self._reads_store[store] = self._is_assigned_reader(store)
         return self._reads_store[store]
 
-    def frees_store(self, store: str) -> bool:
-        """Return whether this node frees the outdated parts of a KV cache store."""
-        if store not in self._frees_store:
+    def frees_store(self, store: catalog.KvStore) -> bool:
+        """Return whether this node frees the outdated parts of a KV cache store.
+
+        It is the store's coordinator, unless this node is not among the members yet.
+        """
+        address = store.address
+        if address not in self._frees_store:
             ids = {member.node_id for member in self.members} | {self.cfg.node_id}
-            self._frees_store[store] = hashing.rank(store, ids)[0] == self.cfg.node_id
-        return self._frees_store[store]
+            is_first = hashing.rank(address, ids)[0] == self.cfg.node_id
+            self._frees_store[address] = is_first
+        return self._frees_store[address]
 
     def _is_assigned_reader(self, store: str | None) -> bool:
         nodes = [watcher.Node(m.node_id, m.zone) for m in self.members]
--- a/packages/snipelug-relay/src/snipelug_relay/stats.py
+++ b/packages/snipelug-relay/src/snipelug_relay/stats.py
@@ -62,6 +62,12 @@
             ["call", "outcome"],
             registry=self.registry,
         )
+        self.saves = prometheus_client.Counter(
+            "snipelug_saves",
+            "Prompt parts to be saved, by the answer to the claim.",
+            ["answer"],
+            registry=self.registry,
+        )
         self.crashes = prometheus_client.Counter(
             "snipelug_upstream_crashes",
             "Crashes of upstreams that broke off attempts of this node.",
--- a/packages/snipelug-relay/src/snipelug_relay/watch.py
+++ b/packages/snipelug-relay/src/snipelug_relay/watch.py
@@ -520,6 +520,7 @@
         demand = DemandMeter(clock.now())
         rows = membership.Rows(1e3 * state.MEMBER_MAX_AGE_S)
         known: dict[str, ports.Member] = {}
+        started_ms: float | None = None
         restored = trio.Event()
 
         def on_restore() -> None:
@@ -540,9 +541,13 @@
             if not (await call_status.record(page) and isinstance(page, ports.Page)):
                 continue
             restored = trio.Event()
+            if started_ms is None:
+                started_ms = page.clock_ms
             if now >= write_from:
                 demand_per_s = demand.measure(self._state.requests_received, now)
-                written = await self._write_own_row(page.clock_ms, demand_per_s)
+                written = await self._write_own_row(
+                    page.clock_ms, demand_per_s, started_ms
+                )
                 is_current = self._state.store_epoch == page.epoch
                 if await call_status.record(written) and is_current:
                     write_from = now + MEMBER_WRITE_INTERVAL_S - 1.0
@@ -558,12 +563,12 @@
                 dataclasses.replace(known[node_id], seen_ms=at_ms)
                 for node_id, at_ms in seen_ms.items()
             ]
-            self._state.apply_members(dataclasses.replace(page, items=items))
+            self._state.apply_members(dataclasses.replace(page, items=items), sent_at)
             with trio.move_on_after(next(pauses, MEMBER_READ_INTERVALS_S[-1])):
                 await restored.wait()
 
     async def _write_own_row(
-        self, clock_ms: float, demand_per_s: float
+        self, clock_ms: float, demand_per_s: float, started_ms: float
     ) -> ports.Unavailable | None:
         """Write this node's member row, or remove it during a planned stop.
 
@@ -578,5 +583,6 @@
                 clock_ms,
                 self._cfg.peers,
                 demand_per_s,
+                started_ms,
             )
         )
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -120,6 +120,7 @@
             bounds=ports.Bounds(
                 grace_s=self.grace_s, lease_ms=600.0, version_s=self.version_s
             ),
+            is_first_start=True,
         )
 
     async def add_node(self, name: str = "n1") -> node.Node:
@@ -137,9 +138,11 @@
         return found
 
 
-async def wait_until(is_true: collections.abc.Callable[[], bool]) -> None:
-    """Poll a condition until it is true; fail after ``WAIT_TIMEOUT_S``."""
-    with trio.fail_after(WAIT_TIMEOUT_S):
+async def wait_until(
+    is_true: collections.abc.Callable[[], bool], timeout_s: float = WAIT_TIMEOUT_S
+) -> None:
+    """Poll a condition until it is true; fail after a timeout."""
+    with trio.fail_after(timeout_s):
         while not is_true():
             await trio.sleep(0.01)
 
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -24,7 +24,7 @@
 def introduce(*all_states: state.State) -> None:
     members = [ports.Member(b.cfg.node_id, "a", 0.0, b.cfg.peers) for b in all_states]
     for node_state in all_states:
-        node_state.members = members
+        node_state.members = node_state.recent_members = members
 
 
 async def test_prompts_and_switches_reach_the_other_nodes(
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -326,6 +326,30 @@
     raise AssertionError("nothing was ever saved after the restart")
 
 
+def test_no_save_to_restarted_store_before_the_last_reads_have_ended() -> None:
+    """Guards against a read that was planned before a restart and ends after a save.
+
+    The second node polled just before the restart, which the first one sees at once.
+    """
+    store = relay_builders.kv_store()
+    first, second = (relay_builders.fresh_index(0.0, store) for _ in range(2))
+    (first_state,), (second_state,) = (
+        index.store_states.values() for index in (first, second)
+    )
+    second_state.add(KEY, 12_800, 0.0)
+    first_state.restart(2, 0.01)
+    last_read_ends_at, saved_at = 0.0, None
+    for tick in range(1, 100):
+        now = tick / 20
+        first_state.polled_at = now
+        plan = second.plan(PARTS, SALT, now)
+        last_read_ends_at = max(last_read_ends_at, plan.deadline_s or 0.0)
+        if saved_at is None and any(first.plan(PARTS, SALT, now).targets):
+            saved_at = now
+    assert saved_at is not None
+    assert 2.0 < last_read_ends_at < saved_at
+
+
 def test_store_without_recent_poll_is_not_read() -> None:
     """Guards against reads from a store that may have restarted."""
     index = relay_builders.fresh_index(0.0)
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -468,7 +468,7 @@
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
         await platform_world.wait_until(lambda: world.nodes[0].knows_stores)
-        await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
+        await platform_world.wait_until(lambda: world.nodes[0].grants_saves, 15.0)
         await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         first = engine.executed[-1].headers
         address = f"127.0.0.1:{kv.port}"
@@ -489,7 +489,7 @@
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,) = world.engines
-        await trio.sleep(kv_index.RESTART_SAVE_DELAY_S)
+        await platform_world.wait_until(lambda: world.nodes[0].grants_saves, 15.0)
         engine.faults.turns_away = 1
         refused = await caller.send_prompt("/ask/", parts="aa:2000,bb:50")
         assert isinstance(refused, http_client.FullResponse)
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -59,7 +59,7 @@
         ports.Member(p.state.cfg.node_id, "a", 0.0, p.state.cfg.peers) for p in peers
     ]
     for peer in peers:
-        peer.state.members = members
+        peer.state.members = peer.state.recent_members = members
         nursery.start_soon(peer.announcer.run)
         nursery.start_soon(peer.announcer.run_limits)
     await trio.testing.wait_all_tasks_blocked()
