Keep the KV cache of teams that were isolated apart from the others'

Cause: the cache salt of all teams that are not isolated did not tell who had written under it. What a team left there before it became isolated was used by the others, and an isolated team that had shared used theirs. A request that waited used the configuration with which it had arrived.

Change: the salt of shared parts contains a digest of the isolated teams, taken from the configuration in force when a request is sent. All nodes agree without a message, however late they start. Parts of salts that are gone are freed once no node reads them, with a time limit on the call.

Salts in tests are built from a catalog now, with the same comparisons.

--- a/packages/snipelug-core/src/snipelug_core/catalog.py
+++ b/packages/snipelug-core/src/snipelug_core/catalog.py
@@ -135,9 +135,30 @@
     idle_s: float = 75.0
 
 
+SHARED = "-"
+"""Start of the names of owners of KV cache blocks that teams share."""
+
+
+def _shared_owner(teams: tuple[Team, ...]) -> str:
+    """Return the owner of the KV cache blocks of all teams that are not isolated.
+
+    It is a digest of the isolated teams. A block has thus been made by a team that is
+    not isolated while these are, in every configuration with the same isolated teams.
+    """
+    isolated = sorted({team.name.encode() for team in teams if team.is_isolated})
+    if not isolated:
+        return SHARED
+    return SHARED + hashing.keyed_digest(b"isolated", *isolated).hex()[:12]
+
+
 class Catalog:
     """One version of the routes, services, stores and teams.
 
+    Attributes
+    ----------
+    shared_owner : str
+        Owner of the KV cache blocks of all teams that are not isolated.
+
     Parameters
     ----------
     version : int
@@ -159,6 +180,8 @@
         self.stores = stores
         self.teams = teams
         self.limits = limits or Limits()
+        self._team_by_name = {team.name: team for team in teams}
+        self.shared_owner = _shared_owner(teams)
         self._team_by_key = {key: team for team in teams for key in team.keys}
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda route: -len(route.prefix)):
@@ -181,6 +204,24 @@
                 return route
         return refusal.refuse(refusal.NOT_FOUND, f"no route for {host}{path}")
 
+    def owner_of(self, team: Team | None) -> str:
+        """Return the owner of the KV cache blocks of a team's requests.
+
+        A team that this configuration lacks is as it was in its own one. None stands
+        for callers without a team.
+        """
+        if team is None:
+            return self.shared_owner
+        team = self._team_by_name.get(team.name, team)
+        if not team.is_isolated:
+            return self.shared_owner
+        return hashing.keyed_digest(b"salt", team.name.encode()).hex()[:12]
+
+    @property
+    def owners(self) -> frozenset[str]:
+        """All owners of KV cache blocks."""
+        return frozenset(self.owner_of(team) for team in (None, *self.teams))
+
     def find_team(self, route: Route, key: str | None) -> Team | refusal.Refusal | None:
         """Return the team of an API key, or None for a caller without a team.
 
--- a/packages/snipelug-core/src/snipelug_core/kv_index.py
+++ b/packages/snipelug-core/src/snipelug_core/kv_index.py
@@ -58,6 +58,24 @@
 OLD_VERSION_FREE_DELAY_S = FETCH_TIMEOUT_S + MAX_EVENT_DELAY_S + 0.3
 """Time after the last reads began at which no node reads parts of outdated weights."""
 
+OWNER_READ_S = 10.0
+"""Age of the configuration at which parts are not read if others may free them.
+
+This is the case once parts of another shared owner were reported since.
+"""
+
+OWNER_CONFIRMED_S = 3.0
+"""Maximum age of the configuration at which parts of other owners are freed."""
+
+OWNER_PAUSE_S = OWNER_CONFIRMED_S + 2.0
+"""Time without use of stores after a change of the owners.
+
+A node that has not seen the change may still free parts that are to be used again.
+"""
+
+OWNER_FREE_DELAY_S = OWNER_READ_S + MAX_POLL_AGE_S + OLD_VERSION_FREE_DELAY_S
+"""Time after which parts of owners that no configuration has any more are freed."""
+
 MIN_STORED_TOKENS = 128
 """Minimum shared tokens; for fewer, prefill is faster than a transfer."""
 
@@ -79,10 +97,13 @@
 CROSS_ZONE_FACTOR = 2.0
 """Relative duration of transfers between zones."""
 
+MAX_SHARED_OWNERS = 100
+"""Maximum number of shared owners that are remembered for a store."""
+
 MAX_CACHED_RANKINGS = 20_000
 """Maximum number of cached store rankings, about 4 MB."""
 
-SALT_PATTERN = re.compile(r"(.*)\.([0-9]{1,18})\.[^.]*", re.DOTALL)
+SALT_PATTERN = re.compile(r"(.*)\.([0-9]{1,18})\.([^.]*)", re.DOTALL)
 """Salts of this system: model, weight version and owner."""
 
 PartKey = tuple[str, str]
@@ -94,7 +115,7 @@
 
 @dataclasses.dataclass
 class VersionStatus:
-    """Reported parts of one weight version in a store.
+    """Reported parts of one weight version, or one shared owner, in a store.
 
     Attributes
     ----------
@@ -104,11 +125,21 @@
         Number of parts reported so far.
     confirmed_at : float
         When ``MIN_NEWER_PARTS`` parts had been reported, in seconds.
+    last_at : float
+        When the last part was reported, in seconds.
     """
 
     first_seen_at: float
     parts: int = 0
     confirmed_at: float = math.inf
+    last_at: float = -math.inf
+
+    def count(self, now: float) -> None:
+        """Count a reported part."""
+        self.parts += 1
+        self.last_at = now
+        if self.parts == MIN_NEWER_PARTS:
+            self.confirmed_at = now
 
 
 @dataclasses.dataclass
@@ -141,6 +172,8 @@
         Time until which nothing is saved as no coordinator grants it, in seconds.
     versions : dict of ModelVersion to VersionStatus
         Weight versions whose parts are or were in the store.
+    shared_owners : dict of str to VersionStatus
+        Owners of shared parts that are or were in the store.
     """
 
     store: catalog.KvStore
@@ -158,6 +191,7 @@
     versions: dict[ModelVersion, VersionStatus] = dataclasses.field(
         default_factory=dict
     )
+    shared_owners: dict[str, VersionStatus] = dataclasses.field(default_factory=dict)
     used_tokens: int = 0
 
     def clear(self) -> None:
@@ -176,6 +210,7 @@
         self.clear()
         self.clock_offset_s = self.clock_sample = None
         self.versions.clear()
+        self.shared_owners.clear()
         self.epoch = epoch
         self.saves_allowed_at = now + RESTART_SAVE_DELAY_S
 
@@ -184,13 +219,22 @@
         if key not in self.parts:
             weights = model_version_of(key)
             found = self.versions.setdefault(weights, VersionStatus(self.polled_at))
-            found.parts += 1
-            if found.parts == MIN_NEWER_PARTS:
-                found.confirmed_at = now
+            found.count(now)
+            owner = owner_of(key)
+            if owner.startswith(catalog.SHARED):
+                self._add_shared_owner(owner).count(now)
         self.used_tokens += tokens - self.parts.get(key, 0)
         self.parts[key] = tokens
         self.pending_saves.pop(key, None)
 
+    def _add_shared_owner(self, owner: str) -> VersionStatus:
+        """Return the status of an owner, the earliest ones are forgotten."""
+        while len(self.shared_owners) >= MAX_SHARED_OWNERS:
+            if owner in self.shared_owners:
+                break
+            del self.shared_owners[next(iter(self.shared_owners))]
+        return self.shared_owners.setdefault(owner, VersionStatus(self.polled_at))
+
     def drop(self, key: PartKey) -> None:
         """Record that a part is no longer in the store."""
         self.used_tokens -= self.parts.pop(key, 0)
@@ -297,14 +341,21 @@
 NO_PLAN = Plan()
 
 
-def salt(model: str, version: int, team: catalog.Team | None) -> str:
+def salt(model: str, version: int, owner: str = catalog.SHARED) -> str:
     """Return the cache salt for the parts of a request.
 
-    It contains the weight version and, for an isolated team, a digest of its name.
+    Parameters
+    ----------
+    owner : str
+        Owner of the parts by ``catalog.Catalog.owner_of``.
     """
-    owner = team.name if team is not None and team.is_isolated else ""
-    owned = hashing.keyed_digest(b"salt", owner.encode()).hex()[:12] if owner else "-"
-    return f"{model}.{version}.{owned}"
+    return f"{model}.{version}.{owner}"
+
+
+def owner_of(key: PartKey) -> str:
+    """Return the owner from the salt of a part; empty for those of other writers."""
+    match = SALT_PATTERN.fullmatch(key[0])
+    return "" if match is None else match[3]
 
 
 def model_version_of(key: PartKey) -> ModelVersion:
@@ -348,6 +399,14 @@
                 return state
         return None
 
+    def has_other_owner(self, owner: str, since: float = -math.inf) -> bool:
+        """Return whether parts of another shared owner were reported after a time."""
+        return any(
+            other != owner and found.last_at > since
+            for state in self.store_states.values()
+            for other, found in state.shared_owners.items()
+        )
+
     def ranked_stores(self, part: choice.PromptPart) -> list[StoreState]:
         """Return the stores in order of preference for a part.
 
@@ -538,6 +597,30 @@
     return outdated_ms < 1e3 * read_s
 
 
+def unowned_parts(
+    state: StoreState,
+    known: catalog.Catalog,
+    since: float,
+    now: float,
+) -> collections.abc.Iterator[PartKey]:
+    """Yield the parts whose owners a configuration lacks and that no node reads.
+
+    Parameters
+    ----------
+    since : float
+        Time since which the configuration has had the same owners, in seconds.
+    """
+    shared = state.shared_owners.get(known.shared_owner)
+    confirmed_at = math.inf if shared is None else shared.confirmed_at
+    if now - max(since, confirmed_at) <= OWNER_FREE_DELAY_S:
+        return
+    owners = known.owners
+    for key in state.parts:
+        owner = owner_of(key)
+        if owner and owner not in owners:
+            yield key
+
+
 def outdated_parts(state: StoreState, now: float) -> collections.abc.Iterator[PartKey]:
     """Yield the parts that newer versions have replaced and no node reads any more."""
     newest: dict[str, int] = {}
--- a/packages/snipelug-core/src/snipelug_core/save_grants.py
+++ b/packages/snipelug-core/src/snipelug_core/save_grants.py
@@ -605,6 +605,8 @@
             return
         ends_at = now + kv_index.RESTART_SAVE_DELAY_S
         for key in keys:
+            if len(term.saves) >= MAX_OUTSTANDING:
+                return
             if not state.is_superseded(key[0], now):
                 term.saves[key] = Save("", 0, ends_at)
 
--- a/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
+++ b/packages/snipelug-relay/src/snipelug_relay/kv_stores.py
@@ -1,5 +1,6 @@
 """Polls the KV cache stores and frees parts of outdated weight versions."""
 
+import itertools
 import logging
 
 import trio
@@ -27,6 +28,9 @@
 MAX_REPORT_AGE_S = 1.25
 """Age of a store's last poll at which nodes that are not its reader poll it, too."""
 
+FREE_TIMEOUT_S = 1.0
+"""Time after which a store ignores a call that frees parts."""
+
 FREE_BATCH_SIZE = 200
 """Parts freed per call; a call is about 10 KB."""
 
@@ -253,7 +257,7 @@
 
     async def _free(self, store_state: kv_index.StoreState) -> None:
         """Free the parts that no request can read any longer."""
-        keys = list(kv_index.outdated_parts(store_state, clock.now()))
+        keys = self._outdated_parts(store_state)
         epoch = store_state.epoch
         is_freed = epoch is not None
         # Space is scarce during a rollout: stores hold little more than one version.
@@ -271,13 +275,30 @@
                 versions=[f"{m}.{v}" for m, v in store_state.versions],
             )
 
+    def _outdated_parts(
+        self, store_state: kv_index.StoreState
+    ) -> list[kv_index.PartKey]:
+        """Return the parts whose owner is gone, one batch, and of replaced weights."""
+        now = clock.now()
+        known = self._state.catalog
+        keys: dict[kv_index.PartKey, None] = {}
+        is_current = now - self._state.confirmed_at < kv_index.OWNER_CONFIRMED_S
+        if known is not None and is_current:
+            since = self._state.owners_since
+            found = kv_index.unowned_parts(store_state, known, since, now)
+            keys |= dict.fromkeys(itertools.islice(found, FREE_BATCH_SIZE))
+        return list(keys | dict.fromkeys(kv_index.outdated_parts(store_state, now)))
+
     async def _free_batch(
         self, store_state: kv_index.StoreState, keys: list[kv_index.PartKey], epoch: int
     ) -> bool:
         addr = (store_state.store.host, store_state.store.port)
-        is_freed = await self._machines.free(addr, keys, epoch)
+        offset_s = store_state.clock_offset_s
+        until_s = None if offset_s is None else clock.now() + offset_s + FREE_TIMEOUT_S
+        is_freed = await self._machines.free(addr, keys, epoch, until_s)
         for key in keys if is_freed else ():
-            self._drop(store_state, key)
+            # No node reads it any more, so that it may be saved again.
+            store_state.drop(key)
         return is_freed
 
 
--- a/packages/snipelug-relay/src/snipelug_relay/ports.py
+++ b/packages/snipelug-relay/src/snipelug_relay/ports.py
@@ -616,6 +616,13 @@
         addr: http_client.Address,
         keys: collections.abc.Sequence[kv_index.PartKey],
         epoch: int,
+        until_s: float | None = None,
     ) -> bool:
-        """Free parts of a KV cache store, unless it has restarted."""
+        """Free parts of a KV cache store, unless it has restarted.
+
+        Parameters
+        ----------
+        until_s : float or None
+            Time on the store's clock after which it ignores the call, in seconds.
+        """
         ...
--- a/packages/snipelug-relay/src/snipelug_relay/selection.py
+++ b/packages/snipelug-relay/src/snipelug_relay/selection.py
@@ -241,7 +241,11 @@
 
     def salt(self, work: job.Job, version: int) -> str:
         """Return the cache salt for the parts of a request."""
-        return kv_index.salt(work.request.model, version, work.team)
+        # Not the configuration with which the request arrived: the team may have
+        # become isolated while it waited.
+        known = self._state.catalog
+        owner = known.owner_of(work.team) if known is not None else catalog.SHARED
+        return kv_index.salt(work.request.model, version, owner)
 
     def _next_turn(self, work: job.Job, now: float) -> Turn:
         """Return when the next untried upstream may take the request.
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -55,6 +55,8 @@
     ----------
     catalog : catalog.Catalog or None
         The configuration; None until the store has been read.
+    owners_since : float
+        Monotonic time at which the owners of prompt parts changed last, in seconds.
     store_clock : store_clock.StoreClock
         Bounds of the clock of the platform's store.
     store_epoch : int or None
@@ -101,6 +103,7 @@
     def __init__(self, cfg: ports.Settings) -> None:
         self.cfg = cfg
         self.catalog: catalog.Catalog | None = None
+        self.owners_since = math.inf
         self._catalog_epoch = 0
         self.store_clock = store_clock.StoreClock()
         self.store_epoch: int | None = None
@@ -179,12 +182,29 @@
 
     def may_use_stores(self, model: str, version: int, now: float) -> bool:
         """Return whether parts of a weight version may be read from KV cache stores."""
+        if self._may_lack_owners(now):
+            return False
         named = self.named_versions.get(model)
         return named is None or kv_index.is_version_usable(
             named.outdated_ms(version, self.store_clock.latest_ms(now)),
             self.index.old_version_read_s,
         )
 
+    def _may_lack_owners(self, now: float) -> bool:
+        """Return whether other nodes may free what this one would read.
+
+        The isolated teams have just changed, or have in a configuration that this node
+        has not read.
+        """
+        if self.catalog is None:
+            return False
+        owner = self.catalog.shared_owner
+        if now - self.owners_since < kv_index.OWNER_PAUSE_S:
+            return self.index.has_other_owner(owner)
+        if now - self.confirmed_at < kv_index.OWNER_READ_S:
+            return False
+        return self.index.has_other_owner(owner, self.confirmed_at)
+
     def least_version(self, model: str, now: float, margin_s: float) -> int:
         """Return the oldest weight version of a model that may still be used.
 
@@ -426,6 +446,10 @@
         clock_ms = min(clock_ms, self.store_clock.latest_ms(clock.now()))
         self.intents_current_ms = max(self.intents_current_ms, clock_ms)
         at = self.store_clock.earliest_at(clock_ms)
+        now = clock.now()
+        if self._may_lack_owners(now) and at > self.confirmed_at:
+            # Configurations with other owners may have been in force meanwhile.
+            self.owners_since = now
         self.confirmed_at = max(self.confirmed_at, at)
 
     def _apply_catalog(self, new: catalog.Catalog, epoch: int) -> None:
@@ -454,6 +478,10 @@
             routes=len(new.routes),
             teams=len(new.teams),
         )
+        if known is None or known.owners != new.owners:
+            self.owners_since = clock.now()
+            for upstream in self.fleet.upstreams.values():
+                upstream.clear_cache()
         self.catalog = new
         self.index.set_stores(new.stores)
         self.stores_changed.set()
--- a/tests/save_grants_world.py
+++ b/tests/save_grants_world.py
@@ -9,7 +9,7 @@
 
 TOKENS = 12_800
 PARTS = (choice.PromptPart("p", TOKENS), choice.PromptPart("own", 4_000))
-SALT = kv_index.salt("m", 1, None)
+SALT = kv_index.salt("m", 1)
 LONGEST_S = 10.0
 """Timeout of the requests, in seconds."""
 
--- a/tests/test_kv_index.py
+++ b/tests/test_kv_index.py
@@ -16,7 +16,7 @@
 from tests import relay_builders
 
 PARTS = (choice.PromptPart("shared", 12_800), choice.PromptPart("own", 4_000))
-SALT = kv_index.salt("m", 1, None)
+SALT = kv_index.salt("m", 1)
 KEY = (SALT, "shared")
 SHARED = ["shared", *(f"shared-{i}" for i in range(1, kv_index.MIN_NEWER_PARTS))]
 
@@ -50,14 +50,13 @@
     assert index.plan(parts, SALT, 0.1) is kv_index.NO_PLAN
 
 
+TEAM, OTHER_TEAM = (catalog.Team(name, is_isolated=True) for name in "tu")
+ISOLATING = catalog.Catalog(1, teams=(TEAM, OTHER_TEAM))
 SALTS = [
     (("m", 1, None), ("m", 2, None)),
     (("m", 1, None), ("n", 1, None)),
-    (("m", 1, None), ("m", 1, catalog.Team("t", is_isolated=True))),
-    (
-        ("m", 1, catalog.Team("t", is_isolated=True)),
-        ("m", 1, catalog.Team("u", is_isolated=True)),
-    ),
+    (("m", 1, None), ("m", 1, TEAM)),
+    (("m", 1, TEAM), ("m", 1, OTHER_TEAM)),
 ]
 
 
@@ -67,22 +66,27 @@
     other: tuple[str, int, catalog.Team | None],
 ) -> None:
     """Guards against use of parts of another weight version or an isolated team."""
-    assert kv_index.salt(*one) != kv_index.salt(*other)
+    salts = {
+        kv_index.salt(model, version, ISOLATING.owner_of(team))
+        for model, version, team in (one, other)
+    }
+    assert len(salts) == 2
 
 
 def test_teams_share_parts_unless_isolated() -> None:
     """Guards against repeated prefill of the same part for each team."""
     team = catalog.Team("t")
-    assert kv_index.salt("m", 1, team) == kv_index.salt("m", 1, None)
+    known = catalog.Catalog(1, teams=(team, catalog.Team("u", is_isolated=True)))
+    assert known.owner_of(team) == known.owner_of(None)
 
 
 def test_outdated_parts_are_found() -> None:
     """Guards against stores that fill up with parts of outdated weights."""
     index = relay_builders.fresh_index(0.0)
     (state,) = index.store_states.values()
-    isolated = catalog.Team("t", is_isolated=True)
-    old = (kv_index.salt("a.b", 1, isolated), "p")
-    new = kv_index.salt("a.b", 2, isolated)
+    owner = ISOLATING.owner_of(TEAM)
+    old = (kv_index.salt("a.b", 1, owner), "p")
+    new = kv_index.salt("a.b", 2, owner)
     state.add(old, 10, 0.0)
     for number in range(kv_index.MIN_NEWER_PARTS):
         assert list(kv_index.outdated_parts(state, 100.0)) == []
@@ -230,7 +234,7 @@
         outdated_ms = node.named.outdated_ms(version, 1e3 * self.now)
         if not kv_index.is_version_usable(outdated_ms, self.read_s):
             return
-        salt = kv_index.salt("m", version, None)
+        salt = kv_index.salt("m", version)
         parts = (choice.PromptPart(part, 12_800), choice.PromptPart("own", 4_000))
         plan = node.index.plan(parts, salt, self.now)
         key = (salt, part)
@@ -375,7 +379,7 @@
     (freeing,), (reading,) = (index.store_states.values() for index in (cleaner, user))
     for state in (freeing, reading):
         state.add(KEY, 12_800, 0.0)
-    newer = [(kv_index.salt("m", 2, None), part) for part in SHARED]
+    newer = [(kv_index.salt("m", 2), part) for part in SHARED]
     for key in newer:
         freeing.add(key, 12_800, 0.0)
     reading.polled_at = -polled_before_s
@@ -401,7 +405,7 @@
     (state,) = index.store_states.values()
     state.restart(1, 100.0)
     state.add(KEY, 12_800, 100.0)
-    state.add((kv_index.salt("m", 2, None), "shared"), 12_800, 100.0)
+    state.add((kv_index.salt("m", 2), "shared"), 12_800, 100.0)
     state.polled_at, state.clock_offset_s = 100.0, 0.0
     assert not any(index.plan(PARTS, SALT, 100.1).sources)
-    assert any(index.plan(PARTS, kv_index.salt("m", 2, None), 100.1).sources)
+    assert any(index.plan(PARTS, kv_index.salt("m", 2), 100.1).sources)
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -504,7 +504,7 @@
     async with platform_world.deployment(apps=0, engines=1) as world:
         caller = platform_world.Caller(world.nodes[0])
         (engine,), (kv,) = world.engines, world.kv_stores
-        salt = kv_index.salt(platform_world.MODEL, 1, None)
+        salt = kv_index.salt(platform_world.MODEL, 1)
         kv.add_part(salt, "aa", 2000, platform_world.MODEL)
         await trio.sleep(1.3)
         world.store.faults.is_down = True
