Refuse API keys that no team has on routes for anonymous callers

Cause: find_team refused an unknown key only where the route requires one; elsewhere it counted as no key.

--- a/packages/snipelug-core/src/snipelug_core/catalog.py
+++ b/packages/snipelug-core/src/snipelug_core/catalog.py
@@ -223,12 +223,17 @@
         return frozenset(self.owner_of(team) for team in (None, *self.teams))
 
     def find_team(self, route: Route, key: str | None) -> Team | refusal.Refusal | None:
-        """Return the team of an API key, or None for a caller without a team.
+        """Return the team of an API key, or None for a caller without a key.
 
-        An unknown key is refused only if the route requires authentication.
+        A key that no team has is refused on all routes: its caller does not expect to
+        be anonymous. Without any teams, keys mean nothing.
         """
-        team = self._team_by_key.get(key) if key is not None else None
-        if team is not None or route.allows_anonymous or not self.teams:
+        if not self.teams:
+            return None
+        if key is None and route.allows_anonymous:
+            return None
+        team = self._team_by_key.get(key) if key else None
+        if team is not None:
             return team
         message = "no API key was given" if key is None else "the API key is unknown"
         return refusal.refuse(refusal.UNAUTHENTICATED, message)
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -42,7 +42,8 @@
     ("short", "stolen", "refused"),
     ("short", None, "refused"),
     ("open", None, None),
-    ("open", "stolen", None),
+    ("open", "stolen", "refused"),
+    ("open", "", "refused"),
     ("open", "k1", "t1"),
 ]
 
@@ -51,7 +52,10 @@
 def test_team_of_api_key(
     route_name: str, key: str | None, expected: str | None
 ) -> None:
-    """Guards against requests on behalf of a team without one of its API keys."""
+    """Guards against requests on behalf of a team without one of its API keys.
+
+    A caller with an unknown key is not anonymous.
+    """
     route = next(route for route in ROUTES if route.name == route_name)
     result = CATALOG.find_team(route, key)
     if expected == "refused":
