Play late saves, walls and open routes in the soak

Cause: the soak's engines made no saves, its only team was never isolated and no route allowed anonymous callers, so it could not find the three faults of the review.

--- a/tests/platform_soak.py
+++ b/tests/platform_soak.py
@@ -36,7 +36,7 @@
 from snipelug_platform_standin import copies, kv_store, server, store
 from snipelug_relay import ports
 from tests import platform_soak_checks as checks
-from tests import platform_world, port_numbers
+from tests import platform_soak_kv, platform_world, port_numbers
 
 DEFAULT_NODES = 3
 """Nodes of one zone; with five or more, two of them read from the platform for all."""
@@ -77,6 +77,9 @@
     "named_limits": ("name_limits", "name_limits"),
     "copied_calls": ("copy_calls",),
     "releases": ("order_release", "order_release", "order_release"),
+    "late_saves": ("restart_kv", "restart_kv"),
+    "walls": ("change_walls",),
+    "open_routes": ("withdraw_key",),
 }
 """Methods of each family of faults."""
 
@@ -123,6 +126,9 @@
 """Time after the deadline of a release within which it must have ended."""
 
 SECOND_KEY = "key-2"
+WALL_KEY = "key-3"
+"""Key of the second team in runs with the family ``walls``."""
+
 SECOND_ZONE = "zone-b"
 CRASH_PART = "badbad"
 LIMITS = ("0", "0.5", "3", "4.9", "10")
@@ -329,6 +335,8 @@
     release_orders: dict[str, dict[str, object]] = dataclasses.field(
         default_factory=dict
     )
+    keys: list[str] = dataclasses.field(default_factory=list)
+    isolated: frozenset[str] = frozenset()
     unlisted: set[str] = dataclasses.field(default_factory=set)
     ids: "itertools.count[int]" = dataclasses.field(default_factory=itertools.count)
     refused_ids: set[str] = dataclasses.field(default_factory=set)
@@ -623,11 +631,37 @@
 
     def set_keys(self, keys: list[str]) -> None:
         """Configure the keys of the team."""
-        tenant = {"name": "team-1", "api_keys": keys, "priority": 2}
-        self.overrides["tenants"] = [tenant]
-        self.configure()
+        self.keys = keys
+        self.write_tenants()
         self.record.keys.append((trio.current_time(), SECOND_KEY in keys))
 
+    def write_tenants(self) -> None:
+        """Configure the teams with their keys and walls."""
+        tenant = {"name": "team-1", "api_keys": self.keys, "priority": 2}
+        second = {"name": "team-2", "api_keys": [WALL_KEY], "priority": 2}
+        tenants = [tenant, second] if "walls" in self.families else [tenant]
+        for item in tenants:
+            item["isolated"] = item["name"] in self.isolated
+        self.overrides["tenants"] = tenants
+        self.configure()
+
+    async def change_walls(self) -> None:
+        """Isolate teams, and let them share again."""
+        for _ in range(self.rng.randint(1, 3)):
+            teams = self.rng.choice(
+                [(), ("team-1",), ("team-2",), ("team-1", "team-2")]
+            )
+            self.isolated = frozenset(teams)
+            self.write_tenants()
+            self.record.walls.append((trio.current_time(), self.isolated))
+            await trio.sleep(self.rng.choice([0.3, 2.5, 4.0]))
+
+    async def restart_kv(self) -> None:
+        """Restart the KV cache store in series, while engines still save parts."""
+        for _ in range(self.rng.randint(1, 3)):
+            self.kv.restart()
+            await trio.sleep(self.rng.choice([0.1, 0.6, 1.5, 3.5]))
+
     async def evacuate_zone(self, for_s: float | None = None) -> None:
         """Evacuate the second zone for a while."""
         self.write_zone(is_out=True)
@@ -1044,9 +1078,12 @@
         """Send one request and check the response; return how it ended."""
         request_id = f"{next(self.ids):08x}"
         key = platform_world.KEY
-        uses_keys = not {"keys", "restores"}.isdisjoint(self.families)
+        key_families = {"keys", "restores", "open_routes"}
+        uses_keys = not key_families.isdisjoint(self.families)
         if rng is not None and uses_keys and kind in ("order", "look"):
             key = rng.choice([key, SECOND_KEY])
+        if rng is not None and "walls" in self.families and kind in ("ask", "check"):
+            key = rng.choice([key, WALL_KEY])
         headers = {
             "host": platform_world.HOST,
             "request-id": request_id,
@@ -1204,6 +1241,7 @@
             ),
             checks.check_keys(record, servers, SECOND_KEY),
             checks.check_zones(record, servers, SECOND_ZONE),
+            checks.check_walls(record, servers),
         ):
             self.report_violation(guarantee, detail)
 
@@ -1290,13 +1328,20 @@
         if "copied_calls" in soak.families:
             store_port = await soak.start_link(soak.store_copies, store_port)
             soak.kv.port = await soak.start_link(soak.kv_copies, soak.kv.port)
+        if "open_routes" in soak.families:
+            soak.overrides["routes"] = platform_world.open_routes()
         soak.configure()
+        engines = platform_soak_kv.Engines(
+            soak.kv, random.Random(seed), soak.report_violation
+        )
+        if "late_saves" in soak.families:
+            nursery.start_soon(engines.run, lambda: soak.all_servers)
         sets = max(1, nodes // NODES_PER_UPSTREAM)
         for service in ("app", "app", "app", "llm", "llm", "llm") * sets:
             await soak.add_server(service)
         for service in ("app", "llm") if "zones" in soak.families else ():
             await soak.add_server(service, SECOND_ZONE)
-        settings: dict[str, object] = {}
+        settings: dict[str, object] = {"first_start": "true"}
         if "weights" in soak.families:
             settings["bounds.version_ms"] = VERSION_MS
         if "releases" in soak.families:
@@ -1323,6 +1368,7 @@
             await soak.check_recovery()
             callers.cancel_scope.cancel()
         copied = [ids for upstream in soak.all_servers for ids in upstream.copied]
+        soak.outcomes["saves"], soak.outcomes["reads"] = engines.saves, engines.reads
         soak.outcomes["copied calls"] = len(soak.copied_calls)
         soak.outcomes["copied calls"] += sum(not ids[0] for ids in copied)
         soak.outcomes["copies"] = len(copied)
--- a/tests/platform_soak_checks.py
+++ b/tests/platform_soak_checks.py
@@ -152,6 +152,7 @@
     requests: dict[str, Sent] = dataclasses.field(default_factory=dict)
     disturbances: list[Disturbance] = dataclasses.field(default_factory=list)
     named: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    walls: list[tuple[float, frozenset[str]]] = dataclasses.field(default_factory=list)
     keys: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
     zones: list[tuple[float, bool]] = dataclasses.field(default_factory=list)
     drained: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -597,6 +598,32 @@
             )
 
 
+def check_walls(record: Record, servers: Servers) -> Violations:
+    """Check that no prompt shares a cache salt across the wall of an isolated team."""
+    prompts = [
+        (request.received_at, upstream, request, sent)
+        for upstream, request, sent in executed(record, servers)
+        if "cache-salt" in request.headers
+    ]
+    teams: dict[str, set[str]] = {}
+    for at, upstream, request, sent in sorted(prompts, key=lambda item: item[0]):
+        team = request.headers.get("tenant", "")
+        others = teams.setdefault(request.headers["cache-salt"], set()) - {team}
+        change = _last_change(record.walls, sent.sent_at)
+        is_same = change == _last_change(record.walls, at)
+        if change is not None and is_same:
+            crossed = others if team in change[1] else others & change[1]
+            if crossed and record.is_late(
+                change[0], CONFIG_APPLY_S, sent.sent_at, sent.node
+            ):
+                yield (
+                    "wall",
+                    f"{_describe(upstream, request, sent)} of {team} shares the salt "
+                    f"of {sorted(crossed)}, isolated: {sorted(change[1])}",
+                )
+        teams[request.headers["cache-salt"]].add(team)
+
+
 def _last_change(
     changes: list[tuple[float, bool]], at: float
 ) -> tuple[float, bool] | None:
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -78,6 +78,13 @@
     return base | overrides
 
 
+def open_routes() -> list[dict[str, object]]:
+    """Return the routes, all of which allow anonymous callers."""
+    found = config(1, [])
+    assert isinstance(found, dict)
+    return [item | {"allow_anonymous": True} for item in found["routes"]]
+
+
 @dataclasses.dataclass
 class World:
     """A running deployment: store, upstreams, KV cache stores and nodes."""
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -39,6 +39,10 @@
     (6003, ("copies",)),
     # Nodes sent all their requests to upstreams that had named a limit.
     (6101, ("named_limits",)),
+    # Parts were read while they were saved again to a restarted store.
+    (10005, ("late_saves",)),
+    # Isolated teams shared earlier parts, and unknown keys counted as none.
+    (10005, ("walls", "open_routes")),
 ]
 """Seeds and families of faults that found violations before they were fixed."""
 
