Use the stores again after the isolated teams have changed

Cause: each confirmation of the configuration began the pause after a change of owners anew while the stores held parts of other owners, and these are freed only some time after the change.

What callers would have seen: after a change of the isolated teams, all prompts computed their shared parts until the next weight version.

Change: only a configuration that others have replaced unseen begins the pause anew.

Measured: test_kv_saves has a test of it with two real nodes; parts are saved under the new salt, and the earlier ones freed.

--- a/packages/snipelug-core/src/snipelug_core/save_grants.py
+++ b/packages/snipelug-core/src/snipelug_core/save_grants.py
@@ -303,6 +303,7 @@
         self._view = View({}, -math.inf)
         self._changed_at = -math.inf
         self._longest_s = 0.0
+        self._present: set[str] = set()
         self._ranked: dict[str, str | None] = {}
         self._terms: dict[str, Term] = {}
 
@@ -313,9 +314,9 @@
         is_gap = view.read_at - self._view.read_at > MAX_VIEW_AGE_S
         if is_gap or view.started_ms.keys() != self._view.started_ms.keys():
             self._changed_at = now
-        self._ranked.clear()
         self._left = {k: at for k, at in self._left.items() if k in view.started_ms}
         self._view = view
+        self._update_present()
         for store in list(self._terms):
             if is_gap:
                 del self._terms[store]
@@ -345,13 +346,18 @@
         return self._ranked[store]
 
     def _rank(self, store: str) -> list[str]:
-        """Rank the members that have not left."""
+        return hashing.rank(store, self._present)
+
+    def _update_present(self) -> None:
+        """Find the members that have not left; ranks are kept if they are the same."""
         present = {
             node_id
             for node_id, started_ms in self._view.started_ms.items()
             if self._left.get(node_id, math.nan) != started_ms
         }
-        return hashing.rank(store, present)
+        if present != self._present:
+            self._present = present
+            self._ranked.clear()
 
     def follow(
         self, stores: collections.abc.Collection[str], longest_s: float, now: float
@@ -490,7 +496,7 @@
             return
         if message.node_id in self._view.started_ms:
             self._left[message.node_id] = message.started_ms
-            self._ranked.clear()
+            self._update_present()
             self._changed_at = now
 
     def _is_current(self, now: float) -> bool:
--- a/packages/snipelug-relay/src/snipelug_relay/saves.py
+++ b/packages/snipelug-relay/src/snipelug_relay/saves.py
@@ -19,7 +19,11 @@
 """Time to wait for a coordinator; the prompt then goes on without a save."""
 
 CLOSED_S = 1.0
-"""Time for which nothing is saved to a store whose coordinator does not grant."""
+UNANSWERED_CLOSED_S = 4.0
+"""Times for which nothing is saved to a store whose coordinator does not grant.
+
+The longer one is for a coordinator that does not answer, as each claim delays a prompt.
+"""
 
 FOLLOW_INTERVAL_S = 0.5
 
@@ -139,9 +143,10 @@
                     saving.state.record_failed(key, clock.now())
             if is_useful and coordinator is not None:
                 claims.append(Claimed(coordinator, message))
-            if not answer.verdicts:
+            if answer is None or not answer.verdicts:
                 self._state.saves.drop_hint(address)
-                self._close(saving.state, key_salt, part_ids)
+                for_s = UNANSWERED_CLOSED_S if answer is None else CLOSED_S
+                self._close(saving.state, key_salt, part_ids, for_s)
 
         async with trio.open_nursery() as nursery:
             for address, part_ids in by_store.items():
@@ -170,18 +175,22 @@
         )
 
     def _close(
-        self, store_state: kv_index.StoreState, key_salt: str, part_ids: list[str]
+        self,
+        store_state: kv_index.StoreState,
+        key_salt: str,
+        part_ids: list[str],
+        for_s: float,
     ) -> None:
         """Save to other stores for a time, as nobody grants saves to this one."""
-        store_state.closed_until = clock.now() + CLOSED_S
+        store_state.closed_until = clock.now() + for_s
         for part_id in part_ids:
             store_state.pending_saves.pop((key_salt, part_id), None)
         self._stats.saves.labels("closed").inc(len(part_ids))
 
     async def _ask(
         self, coordinator: str | None, message: save_grants.Claim
-    ) -> save_grants.Granted:
-        """Return the answer to a claim; one without verdicts if there is none."""
+    ) -> save_grants.Granted | None:
+        """Return the answer to a claim; None if it does not arrive in time."""
         if coordinator is None:
             return save_grants.Granted(message.number, [])
         if coordinator == self._state.cfg.node_id:
@@ -197,12 +206,14 @@
             if waiting.answer is None:
                 # The coordinator may have granted it.
                 self._return(waiting.claimed)
-        if waiting.answer is not None:
-            return waiting.answer
-        lines.event(
-            LOG, "save_claim_unanswered", store=message.store, coordinator=coordinator
-        )
-        return save_grants.Granted(message.number, [])
+        if waiting.answer is None:
+            lines.event(
+                LOG,
+                "save_claim_unanswered",
+                store=message.store,
+                coordinator=coordinator,
+            )
+        return waiting.answer
 
     def release(self, grants: Grants) -> None:
         """Return grants whose request no engine has run."""
@@ -267,6 +278,7 @@
 
 
 def _verdicts(
-    message: save_grants.Claim, answer: save_grants.Granted
+    message: save_grants.Claim, answer: save_grants.Granted | None
 ) -> collections.abc.Iterator[tuple[str, save_grants.Verdict]]:
-    return zip(message.parts, answer.verdicts, strict=False)
+    verdicts = [] if answer is None else answer.verdicts
+    return zip(message.parts, verdicts, strict=False)
--- a/packages/snipelug-relay/src/snipelug_relay/state.py
+++ b/packages/snipelug-relay/src/snipelug_relay/state.py
@@ -201,9 +201,13 @@
         owner = self.catalog.shared_owner
         if now - self.owners_since < kv_index.OWNER_PAUSE_S:
             return self.index.has_other_owner(owner)
-        if now - self.confirmed_at < kv_index.OWNER_READ_S:
+        return self._has_missed_owners(now)
+
+    def _has_missed_owners(self, now: float) -> bool:
+        """Return whether others use owners of a configuration that was not read."""
+        if self.catalog is None or now - self.confirmed_at < kv_index.OWNER_READ_S:
             return False
-        return self.index.has_other_owner(owner, self.confirmed_at)
+        return self.index.has_other_owner(self.catalog.shared_owner, self.confirmed_at)
 
     def least_version(self, model: str, now: float, margin_s: float) -> int:
         """Return the oldest weight version of a model that may still be used.
@@ -447,7 +451,7 @@
         self.intents_current_ms = max(self.intents_current_ms, clock_ms)
         at = self.store_clock.earliest_at(clock_ms)
         now = clock.now()
-        if self._may_lack_owners(now) and at > self.confirmed_at:
+        if self._has_missed_owners(now) and at > self.confirmed_at:
             # Configurations with other owners may have been in force meanwhile.
             self.owners_since = now
         self.confirmed_at = max(self.confirmed_at, at)
--- a/tests/test_kv_saves.py
+++ b/tests/test_kv_saves.py
@@ -82,6 +82,38 @@
         assert await is_saved(world, second, "aaaa")
 
 
+async def test_stores_are_used_again_after_a_team_becomes_isolated() -> None:
+    """Guards against stores that are full of parts that nobody may use any more.
+
+    Parts of the earlier salt are freed once enough of the new one are there.
+    """
+    async with platform_world.deployment(
+        apps=0, engines=1, nodes=2, has_peers=True
+    ) as world:
+        first, second = await wait_for_saves(world)
+        (kv,), (engine,) = world.kv_stores, world.engines
+        before = engine.executed[-1].headers["cache-salt"]
+        kv.add_part(before, "aaaa", 2000, platform_world.MODEL)
+        team = {"name": "team-1", "api_keys": [platform_world.KEY], "priority": 2}
+        other = {"name": "team-2", "api_keys": ["key-2"], "isolated": True}
+        world.configure(2, tenants=[team, other])
+        with trio.fail_after(kv_index.OWNER_PAUSE_S + 5.0):
+            number = 0
+            while not await is_saved(world, first, f"cc{number:04x}"):
+                number += 1
+                await trio.sleep(0.2)
+        salt = engine.executed[-1].headers["cache-salt"]
+        assert salt != before
+        for number in range(kv_index.MIN_NEWER_PARTS):
+            kv.add_part(salt, f"dd{number:02x}", 2000, platform_world.MODEL)
+        with trio.fail_after(kv_index.OWNER_FREE_DELAY_S + 8.0):
+            while not kv.freed:
+                await trio.sleep(0.1)
+        assert kv.freed == [(before, "aaaa")]
+        await second.send_prompt("/ask/", parts="dd00:2000,bb:50")
+        assert "cache-source" in engine.executed[-1].headers
+
+
 async def test_prompts_are_answered_while_nobody_grants_saves() -> None:
     """Guards against prompts that wait for a coordinator that does not answer."""
     async with platform_world.deployment(
